--- /dev/null
+++ b/include/pimentoford/map.h
@@ -0,0 +1,52 @@
+/*
+ * A bounded hash map from a 128-bit key to a 32-bit value, usually the index
+ * of a slot in the owner's array. All memory is taken at creation.
+ */
+#ifndef PIMENTOFORD_MAP_H
+#define PIMENTOFORD_MAP_H
+
+#include "pimentoford/base.h"
+
+PF_BEGIN_DECLS
+
+struct pf_key {
+	uint64_t a;
+	uint64_t b;
+};
+
+struct pf_map_cell {
+	struct pf_key key;
+	uint32_t val;
+	bool used;
+};
+
+struct pf_map {
+	struct pf_map_cell *cells;
+	uint32_t mask;
+	uint32_t n;
+	uint32_t cap;
+};
+
+/** Takes memory for @cap keys. 0, or -1 when there is none. */
+int pf_map_init(struct pf_map *m, uint32_t cap);
+void pf_map_free(struct pf_map *m);
+
+/** Finds @k. 0 with *@val set, or -1 when absent. @val may be NULL. */
+int pf_map_get(const struct pf_map *m, struct pf_key k, uint32_t *val);
+
+/** Inserts or overwrites. 0, or -1 when the map is full. */
+int pf_map_put(struct pf_map *m, struct pf_key k, uint32_t val);
+
+/** Removes @k. 0, or -1 when absent. */
+int pf_map_del(struct pf_map *m, struct pf_key k);
+
+static inline struct pf_key pf_key1(uint64_t a)
+{
+	struct pf_key k = { a, 0 };
+
+	return k;
+}
+
+PF_END_DECLS
+
+#endif
--- /dev/null
+++ b/src/state/map.c
@@ -0,0 +1,98 @@
+/* Bounded hash map: open addressing, linear probing, backward-shift delete. */
+#include "pimentoford/map.h"
+
+#include <stdlib.h>
+#include <xxhash.h>
+
+int pf_map_init(struct pf_map *m, uint32_t cap)
+{
+	uint32_t size = 8;
+
+	while (size < cap + cap / 2 + 1)
+		size *= 2;
+	m->cells = calloc(size, sizeof(*m->cells));
+	if (!m->cells)
+		return -1;
+	m->mask = size - 1;
+	m->n = 0;
+	m->cap = cap;
+	return 0;
+}
+
+void pf_map_free(struct pf_map *m)
+{
+	free(m->cells);
+	m->cells = NULL;
+	m->n = 0;
+}
+
+static uint32_t home(const struct pf_map *m, struct pf_key k)
+{
+	return (uint32_t)XXH64(&k, sizeof(k), 0) & m->mask;
+}
+
+static bool same(struct pf_key x, struct pf_key y)
+{
+	return x.a == y.a && x.b == y.b;
+}
+
+/* The cell that holds @k, or the free one where it would go. */
+static uint32_t find(const struct pf_map *m, struct pf_key k)
+{
+	uint32_t i = home(m, k);
+
+	while (m->cells[i].used && !same(m->cells[i].key, k))
+		i = (i + 1) & m->mask;
+	return i;
+}
+
+int pf_map_get(const struct pf_map *m, struct pf_key k, uint32_t *val)
+{
+	const struct pf_map_cell *c = &m->cells[find(m, k)];
+
+	if (!c->used)
+		return -1;
+	if (val)
+		*val = c->val;
+	return 0;
+}
+
+int pf_map_put(struct pf_map *m, struct pf_key k, uint32_t val)
+{
+	struct pf_map_cell *c = &m->cells[find(m, k)];
+
+	if (!c->used) {
+		if (m->n >= m->cap)
+			return -1;
+		c->used = true;
+		c->key = k;
+		m->n++;
+	}
+	c->val = val;
+	return 0;
+}
+
+int pf_map_del(struct pf_map *m, struct pf_key k)
+{
+	uint32_t hole = find(m, k);
+	uint32_t i = hole;
+
+	if (!m->cells[hole].used)
+		return -1;
+	/* Cells behind the hole move up unless that passes their home. */
+	for (;;) {
+		uint32_t h;
+
+		i = (i + 1) & m->mask;
+		if (!m->cells[i].used)
+			break;
+		h = home(m, m->cells[i].key);
+		if (((i - h) & m->mask) >= ((i - hole) & m->mask)) {
+			m->cells[hole] = m->cells[i];
+			hole = i;
+		}
+	}
+	m->cells[hole].used = false;
+	m->n--;
+	return 0;
+}
