Fuzz driver, claim messages of the agent core

Cause: the parts need one place to hang their fuzz targets, and the agent core lacked a way to give a granted claim back. Conclusion: cores can add a target with one line.

--- /dev/null
+++ b/fuzz/fuzz.h
@@ -0,0 +1,31 @@
+/*
+ * Stateful fuzzing: each target drives one core with seeded random command
+ * sequences and compares it with an oracle written from the promise.
+ */
+#ifndef FUZZ_FUZZ_H
+#define FUZZ_FUZZ_H
+
+#include "pimentoford/base.h"
+
+/** What one run of a target reports. */
+struct fuzz_result {
+	uint64_t steps;
+	uint64_t violations;
+	char what[256]; /* the first violation */
+};
+
+/**
+ * Runs one sequence of at most @steps_max commands from @seed. The same
+ * arguments give the same run; a shorter @steps_max is a prefix of it.
+ */
+#define TARGET(name)                                        \
+	void fuzz_##name(uint64_t seed, uint32_t steps_max, \
+			 struct fuzz_result *r);
+#include "fuzz/targets.def"
+#undef TARGET
+
+/** Counts a violation and keeps the text of the first. */
+void fuzz_violation(struct fuzz_result *r, const char *fmt, ...)
+	__attribute__((format(printf, 2, 3)));
+
+#endif
--- a/include/pimentoford/agent.h
+++ b/include/pimentoford/agent.h
@@ -130,8 +130,11 @@
 		} place;
 		struct {
 			struct pf_try id;
-			bool granted; /* false: another run holds the key, or
-				       * the claim could not be written */
+			/* Not granted and NONE: the log holds the answer, the
+			 * core emits DONE. Not granted and OUTCOME_UNKNOWN: an
+			 * earlier run of the key may have happened, the core
+			 * emits LOST. Any other reason: NOT_RUN. */
+			bool granted;
 			enum pf_reason reason;
 		} claimed;
 	} u;
@@ -155,6 +158,8 @@
 	PF_AGENT_INVENTORY, /* ask the engine for its inventory */
 	/* to the claim log: claim the key before a never-repeat run starts */
 	PF_AGENT_CLAIM, /* u.run */
+	/* a claim was granted, but its run was given up before it began */
+	PF_AGENT_VOID, /* u.id */
 	PF_AGENT_DRAINED,
 };
 
--- a/include/pimentoford/work.h
+++ b/include/pimentoford/work.h
@@ -30,7 +30,8 @@
 struct pf_work {
 	uint64_t caller;
 	uint64_t model; /* version id, or the plain service's id */
-	uint64_t adapter; /* 0: none */
+	uint64_t adapter; /* 0: none; for a keyed never-repeat call, its claim
+			   * shard, pf_claim_shard_id() */
 	uint64_t prefix; /* hash of the prompt's leading part; 0: none */
 	uint64_t fingerprint; /* caller, model and body */
 	uint64_t idem_key; /* pf_id2(caller, key); 0: none */
