Claim core: at most one run per idempotency key

Cause: a retirement or booking may not run twice, across retries, entries and dead VMs; a claim row per request would use up the table's writes. Change: sharded claims with epochs; one log per owner incarnation, group commit over all its shards, rows that claim are conditional on the shard rows; takeover reads the logs of earlier owners. Ruled out: a lease alone (lapses under a paused holder), a row per request (write budget), a log per shard (writes grow with shards).

--- a/include/pimentoford/work.h
+++ b/include/pimentoford/work.h
@@ -71,6 +71,8 @@
 	DEF(STORE_AWAY, "store_away", "the table service is away")        \
 	DEF(OUTCOME_UNKNOWN, "outcome_unknown",                           \
 	    "the call may have run and may not be repeated")              \
+	DEF(KEY_REUSED, "key_reused",                                     \
+	    "the idempotency key stands for another request")             \
 	DEF(BACKEND, "backend_error", "the endpoint answered an error")
 
 enum pf_reason {
--- /dev/null
+++ b/src/coordination/claim.c
@@ -0,0 +1,288 @@
+/* Claim core: options, construction and the step function. */
+#include "claim_core.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#define TICK_MS 50 /* while something waits for the table */
+#define LOGS_PER_SHARD_LIMIT 4 /* logs known, in multiples of logs_max */
+
+void pf_claim_opts_default(struct pf_claim_opts *o)
+{
+	memset(o, 0, sizeof(*o));
+	o->service = "service";
+	o->shards = 32;
+	o->claims_max = 200000;
+	o->waiting_max = 4096;
+	o->owners_max = 64;
+	o->logs_max = 64;
+	o->answer_max = 4096;
+	o->batch_max = 256;
+	o->writes_per_s = 50;
+	o->beat_every = 1000;
+	o->lease = 4000;
+	o->hold = 3000;
+	o->retention = 24 * 3600 * 1000;
+	o->gc_every = 30000;
+}
+
+static bool valid(const struct pf_claim_opts *o)
+{
+	return o->service && strlen(o->service) <= 64 && o->agent &&
+	       o->shards > 0 && o->shards <= 10000 && o->claims_max > 0 &&
+	       o->waiting_max > 0 && o->owners_max > 0 && o->logs_max > 1 &&
+	       o->batch_max > 0 && o->writes_per_s > 0 && o->beat_every > 0 &&
+	       o->lease > o->beat_every && o->retention > 0 && o->gc_every > 0;
+}
+
+static int alloc_tables(struct pf_claim *c)
+{
+	const struct pf_claim_opts *o = &c->o;
+
+	c->logs_cap = o->logs_max * LOGS_PER_SHARD_LIMIT;
+	c->service = pf_str_dup(pf_str_c(o->service));
+	c->keys = calloc(o->claims_max, sizeof(*c->keys));
+	c->waiters = calloc(o->waiting_max, sizeof(*c->waiters));
+	c->shards = calloc(o->shards, sizeof(*c->shards));
+	c->owners = calloc(o->owners_max, sizeof(*c->owners));
+	c->logs = calloc(c->logs_cap, sizeof(*c->logs));
+	if (!c->service || !c->keys || !c->waiters || !c->shards ||
+	    !c->owners || !c->logs)
+		return -1;
+	for (uint32_t i = 0; i < o->shards; i++) {
+		c->shards[i].logs =
+			calloc(o->logs_max, sizeof(*c->shards[i].logs));
+		if (!c->shards[i].logs)
+			return -1;
+	}
+	return pf_map_init(&c->by_key, o->claims_max);
+}
+
+static void link_free_lists(struct pf_claim *c)
+{
+	for (uint32_t i = 0; i < c->o.claims_max; i++)
+		c->keys[i].waiters = i + 1;
+	c->keys[c->o.claims_max - 1].waiters = CLAIM_NONE;
+	for (uint32_t i = 0; i < c->o.waiting_max; i++)
+		c->waiters[i].next = i + 1;
+	c->waiters[c->o.waiting_max - 1].next = CLAIM_NONE;
+	c->n_wait[WAIT_FREE] = c->o.waiting_max;
+}
+
+struct pf_claim *pf_claim_new(const struct pf_claim_opts *o)
+{
+	struct pf_claim *c;
+
+	if (!valid(o))
+		return NULL;
+	c = calloc(1, sizeof(*c));
+	if (!c)
+		return NULL;
+	c->o = *o;
+	pf_rng_seed(&c->rng, o->seed);
+	if (alloc_tables(c) < 0) {
+		pf_claim_free(c);
+		return NULL;
+	}
+	link_free_lists(c);
+	c->owners[0].agent = o->agent;
+	c->owners[0].incarnation = o->incarnation;
+	c->n_owners = 1;
+	c->logs[CLAIM_LOG_OWN].id.agent = o->agent;
+	c->logs[CLAIM_LOG_OWN].id.incarnation = o->incarnation;
+	c->n_logs = 1;
+	c->next_seq = 1;
+	return c;
+}
+
+void pf_claim_free(struct pf_claim *c)
+{
+	if (!c)
+		return;
+	claim_pends_clear(&c->queue);
+	claim_pends_clear(&c->flush.items);
+	pf_text_free(&c->flush.text);
+	for (uint32_t i = 0; c->shards && i < c->o.shards; i++)
+		free(c->shards[i].logs);
+	pf_map_free(&c->by_key);
+	free(c->logs);
+	free(c->owners);
+	free(c->shards);
+	free(c->waiters);
+	free(c->keys);
+	free(c->service);
+	free(c);
+}
+
+uint32_t pf_claim_shard(uint64_t key, uint32_t shards)
+{
+	return (uint32_t)((key >> 32) % shards);
+}
+
+uint64_t pf_claim_shard_id(uint64_t service, uint32_t shard)
+{
+	return pf_id2(service, (uint64_t)shard + 1);
+}
+
+bool pf_claim_owns(const struct pf_claim *c, uint32_t shard)
+{
+	return shard < c->o.shards && !c->superseded &&
+	       c->shards[shard].hold == HOLD_YES;
+}
+
+/* The run of @key ended: its result is to be stored. */
+static void result(struct pf_claim *c, pf_ms now, const struct pf_claim_msg *m,
+		   const struct pf_claim_sink *sink)
+{
+	struct claim_key *k = claim_key_find(c, m->u.result.key);
+	struct pf_claim_act a = { .type = PF_CLAIM_STORED };
+
+	if (!k || k->state != KEY_RUNNING)
+		return;
+	k->state = KEY_ENDING;
+	if (claim_queue(c, k, ENTRY_RESULT, m->u.result.answer, now) == 0)
+		return;
+	/* No memory to store it: resends learn that it is unknown. */
+	k->state = KEY_UNKNOWN;
+	claim_answer_all(c, k, PF_REASON_OUTCOME_UNKNOWN, PF_STR(""), sink);
+	a.u.key = k->key;
+	sink->emit(sink->ctx, &a);
+}
+
+static void run_lost(struct pf_claim *c, uint64_t key,
+		     const struct pf_claim_sink *sink)
+{
+	struct claim_key *k = claim_key_find(c, key);
+
+	if (!k || k->state != KEY_RUNNING)
+		return;
+	k->state = KEY_UNKNOWN;
+	claim_answer_all(c, k, PF_REASON_OUTCOME_UNKNOWN, PF_STR(""), sink);
+}
+
+static void give_back(struct pf_claim *c, pf_ms now, uint64_t key)
+{
+	struct claim_key *k = claim_key_find(c, key);
+
+	if (!k || k->state != KEY_RUNNING)
+		return;
+	k->state = KEY_VOIDING;
+	if (claim_queue(c, k, ENTRY_VOID, PF_STR(""), now) < 0)
+		k->state = KEY_UNKNOWN;
+}
+
+static bool runs_end(const struct pf_claim *c)
+{
+	if (c->queue.n || c->flush.items.n)
+		return false;
+	for (uint32_t i = 0; i < c->o.claims_max; i++)
+		if (c->keys[i].state == KEY_RUNNING)
+			return false;
+	return true;
+}
+
+/* Somebody else is there to take the shards. */
+static bool heir(const struct pf_claim *c, pf_ms now)
+{
+	for (uint32_t i = 0; i < c->n_owners; i++)
+		if (claim_owner_alive(c, &c->owners[i], now))
+			return true;
+	return false;
+}
+
+static void drain_maybe(struct pf_claim *c, pf_ms now,
+			const struct pf_claim_sink *sink)
+{
+	struct pf_claim_act a = { .type = PF_CLAIM_DRAINED };
+
+	if (!c->draining || c->drained || c->op || !runs_end(c))
+		return;
+	for (uint32_t i = 0; i < c->o.shards; i++)
+		if (c->shards[i].hold != HOLD_NO && heir(c, now))
+			return;
+	c->drained = true;
+	sink->emit(sink->ctx, &a);
+}
+
+static void handle(struct pf_claim *c, pf_ms now, const struct pf_claim_msg *m,
+		   const struct pf_claim_sink *sink)
+{
+	switch (m->type) {
+	case PF_CLAIM_ASK:
+		claim_ask(c, now, m, sink);
+		break;
+	case PF_CLAIM_RESULT:
+		result(c, now, m, sink);
+		break;
+	case PF_CLAIM_LOST:
+		run_lost(c, m->u.key, sink);
+		break;
+	case PF_CLAIM_VOID:
+		give_back(c, now, m->u.key);
+		break;
+	case PF_CLAIM_FORGET:
+		claim_forget(c, m->u.id);
+		break;
+	case PF_CLAIM_TXN_DONE:
+		if (m->u.txn.op == c->flush.op)
+			claim_flush_done(c, now, m, sink);
+		else if (m->u.txn.op == c->op)
+			claim_control_txn(c, m, sink);
+		break;
+	case PF_CLAIM_SCAN_DONE:
+		if (m->u.scan.op == c->op)
+			claim_control_scan(c, now, m, sink);
+		break;
+	case PF_CLAIM_DRAIN:
+		c->draining = true;
+		c->next_beat = now;
+		break;
+	case PF_CLAIM_TICK:
+		claim_refuse_held(c, now, sink);
+		claim_results_held(c, now, sink);
+		drain_maybe(c, now, sink);
+		break;
+	}
+}
+
+void pf_claim_step(struct pf_claim *c, pf_ms now, const struct pf_claim_msg *m,
+		   const struct pf_claim_sink *sink)
+{
+	c->last = now;
+	handle(c, now, m, sink);
+	claim_control(c, now, sink);
+	claim_flush_maybe(c, now, sink);
+}
+
+static pf_ms earlier(pf_ms a, pf_ms b)
+{
+	return a < b ? a : b;
+}
+
+pf_ms pf_claim_next(const struct pf_claim *c)
+{
+	pf_ms next = PF_NEVER;
+
+	if (c->drained || c->superseded)
+		return PF_NEVER;
+	if (!c->op)
+		next = earlier(c->next_beat, c->next_gc);
+	if (!c->op && c->any_taken)
+		next = earlier(next, c->next_read);
+	if (c->queue.n && !c->flush.op)
+		next = earlier(next, c->next_flush);
+	if (c->flush.items.n && !c->flush.op)
+		next = earlier(next, c->flush.retry_at);
+	if (c->n_waiting || c->queue.n || c->flush.items.n || c->draining)
+		next = earlier(next, c->last + TICK_MS);
+	return next > c->last ? next : c->last + 1;
+}
+
+void pf_claim_stats(const struct pf_claim *c, struct pf_claim_stats *s)
+{
+	*s = c->st;
+	s->keys = c->by_key.n;
+	s->owned = 0;
+	for (uint32_t i = 0; i < c->o.shards; i++)
+		s->owned += c->shards[i].hold == HOLD_YES;
+}
