Agent core, first version: ledger, tries, runs, items, KV policies

Cause: the endpoint needs an owner of its memory and of each try's life. Doc comments of agent.h say what happens at the bounds and what the engine side owes on STOP and INVENTORY.

--- a/include/pimentoford/agent.h
+++ b/include/pimentoford/agent.h
@@ -31,11 +31,17 @@
 	enum pf_endpoint_kind kind;
 	int64_t memory_bytes; /* accelerator memory of the endpoint */
 	uint32_t batch_max; /* runs at once */
-	uint32_t queue_max; /* tries waiting at once */
-	uint32_t runs_max; /* run records kept */
+	uint32_t queue_max; /* tries waiting at once; beyond it: FULL */
+	uint32_t runs_max; /* tries alive at once; beyond it: FULL */
+	/* Sizes the marks of tries that are over. Those that ran are kept one
+	 * by one; at the bound new tries are refused: FULL. Those that never
+	 * ran are never forgotten in time; beyond the bound ever more new
+	 * tries are mistaken for one of them and refused: TOMBSTONE. */
 	uint32_t tombstones_max;
-	uint32_t items_max; /* models and adapters known */
-	pf_ms tombstone_keep; /* how long a tombstone is kept */
+	/* Models and adapters known; those beyond it: UNKNOWN_MODEL. */
+	uint32_t items_max;
+	pf_ms tombstone_keep; /* how long a mark is kept; longer than a copy
+			       * of a try can be under way */
 	pf_ms report_every;
 	pf_ms order_timeout; /* an order unanswered so long is "unknown" */
 	enum pf_kv_policy kv_policy;
@@ -62,7 +68,9 @@
 	PF_AGENT_ENTRY_DOWN, /* `entry` is gone: cancel its runs, except
 			      * never-repeat ones, which finish */
 	/* from the engine */
-	PF_AGENT_ENGINE_UP, /* u.inventory: everything it holds */
+	PF_AGENT_ENGINE_UP, /* u.inventory: everything it holds; the answer to
+			     * PF_AGENT_INVENTORY too. A plain service that can
+			     * be reached: an empty one */
 	PF_AGENT_ENGINE_DOWN, /* crashed: its memory is empty */
 	PF_AGENT_TOKENS, /* u.tokens: a run produced output */
 	PF_AGENT_RUN_END, /* u.end */
@@ -152,10 +160,14 @@
 	/* to the engine or service */
 	PF_AGENT_RUN, /* u.run: start; it may hold up to `limit` tokens */
 	PF_AGENT_GRANT, /* u.run: raise the limit of a run */
-	PF_AGENT_STOP, /* u.id: cancel the run, free its memory */
+	PF_AGENT_STOP, /* u.id: cancel the run, free its memory. Answered by
+			* RUN_END, also for a run that is not known */
 	PF_AGENT_LOAD, /* u.load */
 	PF_AGENT_UNLOAD, /* u.load */
-	PF_AGENT_INVENTORY, /* ask the engine for its inventory */
+	/* Ask the engine for its inventory, behind all earlier orders: what
+	 * it shows must not be changed by them later. Replaces an earlier
+	 * question, whose answer is to be dropped. */
+	PF_AGENT_INVENTORY,
 	/* to the claim log: claim the key before a never-repeat run starts */
 	PF_AGENT_CLAIM, /* u.run */
 	/* a claim was granted, but its run was given up before it began */
--- /dev/null
+++ b/src/coordination/agent.c
@@ -0,0 +1,242 @@
+/* Agent core: creation, dispatch of messages, timers and counters. */
+#include "agent_core.h"
+
+#include <stdlib.h>
+
+#define AVERAGE_WEIGHT 0.1 /* of a new sample */
+
+void pf_agent_opts_default(struct pf_agent_opts *o)
+{
+	*o = (struct pf_agent_opts){
+		.kind = PF_ENDPOINT_ENGINE,
+		.batch_max = 32,
+		.queue_max = 64,
+		.runs_max = 256,
+		.tombstones_max = 4096,
+		.items_max = 256,
+		.tombstone_keep = 30000,
+		.report_every = 500,
+		.order_timeout = 5000,
+		.kv_policy = PF_KV_SAFE,
+		.queue_policy = PF_QUEUE_VALUE,
+		.kv_quantile = 0.8,
+		.grant_step = 64,
+		.load_on_demand = true,
+		.loads_max = 2,
+	};
+}
+
+static bool opts_valid(const struct pf_agent_opts *o)
+{
+	if (o->batch_max == 0 || o->queue_max == 0 || o->runs_max == 0 ||
+	    o->tombstones_max == 0 || o->grant_step == 0)
+		return false;
+	if (o->report_every <= 0 || o->order_timeout <= 0 ||
+	    o->tombstone_keep <= 0)
+		return false;
+	if (o->kind == PF_ENDPOINT_ENGINE &&
+	    (o->memory_bytes <= 0 || o->items_max == 0 || o->loads_max == 0))
+		return false;
+	return o->kv_quantile > 0 && o->kv_quantile < 1;
+}
+
+static int take_memory(struct pf_agent *a)
+{
+	const struct pf_agent_opts *o = &a->o;
+
+	a->runs = calloc(o->runs_max, sizeof(*a->runs));
+	a->free_runs = calloc(o->runs_max, sizeof(*a->free_runs));
+	a->items = calloc(o->items_max + 1, sizeof(*a->items));
+	a->wanted = calloc(o->items_max + 1, sizeof(*a->wanted));
+	a->learn = calloc(1, sizeof(*a->learn));
+	a->needs = calloc(o->batch_max + 1, sizeof(*a->needs));
+	a->sorted = calloc(o->runs_max, sizeof(*a->sorted));
+	a->report_items = calloc(o->items_max + 1, sizeof(*a->report_items));
+	if (!a->runs || !a->free_runs || !a->items || !a->wanted || !a->learn ||
+	    !a->needs || !a->sorted || !a->report_items)
+		return -1;
+	if (pf_map_init(&a->by_try, o->runs_max) < 0 ||
+	    pf_map_init(&a->by_item, o->items_max + 1) < 0)
+		return -1;
+	if (tombs_init(&a->tombs, o->tombstones_max, o->tombstone_keep) < 0 ||
+	    ended_init(&a->ended, o->tombstones_max, o->tombstone_keep) < 0)
+		return -1;
+	return pf_ledger_init(&a->ledger, o->memory_bytes, o->items_max,
+			      o->runs_max);
+}
+
+struct pf_agent *pf_agent_new(const struct pf_agent_opts *o)
+{
+	struct pf_agent *a;
+
+	if (!opts_valid(o))
+		return NULL;
+	a = calloc(1, sizeof(*a));
+	if (!a)
+		return NULL;
+	a->o = *o;
+	if (take_memory(a) < 0) {
+		pf_agent_free(a);
+		return NULL;
+	}
+	for (uint32_t i = 0; i < o->runs_max; i++)
+		a->free_runs[a->n_free++] = o->runs_max - 1 - i;
+	for (uint32_t i = 0; i < RUN_STATES; i++)
+		a->lists[i] = (struct list){ NIL, NIL, 0 };
+	pf_rng_seed(&a->rng, o->seed);
+	/* Order numbers rise over restarts, for engines that check them. */
+	a->order_seq = o->incarnation << 32;
+	a->order_base = a->order_seq;
+	a->wake = PF_NEVER;
+	return a;
+}
+
+void pf_agent_free(struct pf_agent *a)
+{
+	if (!a)
+		return;
+	pf_ledger_free(&a->ledger);
+	ended_free(&a->ended);
+	tombs_free(&a->tombs);
+	pf_map_free(&a->by_item);
+	pf_map_free(&a->by_try);
+	free(a->report_items);
+	free(a->sorted);
+	free(a->needs);
+	free(a->learn);
+	free(a->wanted);
+	free(a->items);
+	free(a->free_runs);
+	free(a->runs);
+	free(a);
+}
+
+void agent_emit(struct pf_agent *a, const struct pf_agent_act *act)
+{
+	a->sink->emit(a->sink->ctx, act);
+}
+
+void agent_arm(struct pf_agent *a, pf_ms at)
+{
+	if (at < a->wake)
+		a->wake = at;
+}
+
+bool agent_ready(const struct pf_agent *a)
+{
+	return a->up && (a->configured || is_plain(a));
+}
+
+void average(double *avg, double x)
+{
+	*avg = *avg > 0 ? *avg + AVERAGE_WEIGHT * (x - *avg) : x;
+}
+
+static void tick(struct pf_agent *a)
+{
+	if (a->now >= a->wake) {
+		a->wake = PF_NEVER;
+		orders_sweep(a);
+		runs_sweep(a);
+		tries_sweep(a);
+		a->dirty = true;
+	}
+	if (a->now >= a->report_at)
+		agent_report(a);
+}
+
+static void dispatch(struct pf_agent *a, const struct pf_agent_msg *m)
+{
+	switch (m->type) {
+	case PF_AGENT_TRY:
+		agent_try(a, m->entry, m->u.try_.id, &m->u.try_.work);
+		break;
+	case PF_AGENT_REVOKE:
+		agent_revoke(a, m->entry, m->u.id);
+		break;
+	case PF_AGENT_CANCEL:
+		agent_cancel(a, m->u.id);
+		break;
+	case PF_AGENT_ENTRY_DOWN:
+		agent_entry_down(a, m->entry);
+		break;
+	case PF_AGENT_ENGINE_UP:
+		agent_engine_up(a, m->u.inventory.items, m->u.inventory.n_items,
+				m->u.inventory.used_bytes);
+		break;
+	case PF_AGENT_ENGINE_DOWN:
+		agent_engine_down(a);
+		break;
+	case PF_AGENT_TOKENS:
+		agent_tokens(a, m->u.tokens.id, m->u.tokens.offset,
+			     m->u.tokens.count);
+		break;
+	case PF_AGENT_RUN_END:
+		agent_run_end(a, m->u.end.id, m->u.end.end, m->u.end.total);
+		break;
+	case PF_AGENT_ORDER_DONE:
+		agent_order_done(a, m->u.order.order, m->u.order.ok);
+		break;
+	case PF_AGENT_CONFIG:
+		agent_config(a, m->u.config);
+		break;
+	case PF_AGENT_PLACE:
+		agent_place(a, m->u.place.items, m->u.place.n_items);
+		break;
+	case PF_AGENT_DRAIN:
+		agent_drain(a);
+		break;
+	case PF_AGENT_CLAIMED:
+		agent_claimed(a, m->u.claimed.id, m->u.claimed.granted,
+			      m->u.claimed.reason);
+		break;
+	case PF_AGENT_TICK:
+		tick(a);
+		break;
+	}
+}
+
+static void maybe_drained(struct pf_agent *a)
+{
+	struct pf_agent_act act = { .type = PF_AGENT_DRAINED };
+
+	if (!a->leaving || a->drained || a->by_try.n > 0)
+		return;
+	a->drained = true;
+	agent_emit(a, &act);
+}
+
+void pf_agent_step(struct pf_agent *a, pf_ms now,
+		   const struct pf_agent_msg *msg,
+		   const struct pf_agent_sink *sink)
+{
+	bool ready = agent_ready(a);
+
+	/* A clock that steps back must not revive what has expired. */
+	if (now > a->now)
+		a->now = now;
+	a->sink = sink;
+	dispatch(a, msg);
+	if (a->dirty) {
+		a->dirty = false;
+		queue_schedule(a);
+	}
+	if (agent_ready(a) != ready)
+		agent_report(a);
+	maybe_drained(a);
+	a->sink = NULL;
+}
+
+pf_ms pf_agent_next(const struct pf_agent *a)
+{
+	return a->wake < a->report_at ? a->wake : a->report_at;
+}
+
+void pf_agent_stats(const struct pf_agent *a, struct pf_agent_stats *s)
+{
+	*s = a->stats;
+	s->committed_bytes = pf_ledger_committed(&a->ledger);
+	s->committed_peak = a->ledger.peak;
+	s->running = a->lists[RUN_RUNNING].n + a->lists[RUN_STOPPING].n;
+	s->queued = a->lists[RUN_QUEUED].n + a->lists[RUN_CLAIMING].n;
+}
--- /dev/null
+++ b/src/coordination/agent_core.h
@@ -0,0 +1,302 @@
+/*
+ * Inner types of the agent core, shared by its modules: tries and their lists
+ * (agent_tries.c), runs (agent_runs.c), marks of ended tries (agent_tombs.c),
+ * lengths learned (agent_learn.c), KV grants (agent_kv.c), the queue
+ * (agent_queue.c), items (agent_items.c), orders (agent_orders.c), reports
+ * (agent_report.c).
+ */
+#ifndef AGENT_CORE_H
+#define AGENT_CORE_H
+
+#include "pimentoford/agent.h"
+#include "pimentoford/ledger.h"
+#include "pimentoford/map.h"
+
+#define NIL UINT32_MAX
+
+/** Where a run stands; each run is on the list of its state. */
+enum run_state {
+	RUN_FREE, /* the slot is unused */
+	RUN_QUEUED, /* waits for a place; may have run before a pause */
+	RUN_CLAIMING, /* holds its place, waits for the claim log */
+	RUN_VOIDING, /* given up while its claim was pending */
+	RUN_RUNNING, /* at the engine */
+	RUN_STOPPING, /* STOP emitted; holds its memory until it ends */
+	RUN_STATES,
+};
+
+/** What follows once a stopped run has ended. */
+enum stop_reason { STOP_PAUSE, STOP_CANCEL, STOP_NO_MEMORY };
+
+struct run {
+	struct pf_try id;
+	uint64_t entry;
+	struct pf_work work;
+	enum run_state state;
+	enum stop_reason stop;
+	uint32_t prev, next; /* within the list of its state */
+	uint32_t model, adapter; /* item slots or NIL */
+	uint32_t produced; /* output tokens so far, offset included */
+	uint32_t limit; /* output tokens it may reach */
+	bool ran; /* RUN was emitted at least once */
+	bool told; /* STARTED was emitted */
+	bool first; /* no token since the last RUN */
+	bool hungry; /* its growth did not fit */
+	pf_ms queued_at;
+	pf_ms run_at; /* of the last RUN */
+	pf_ms token_at; /* of the last token */
+	pf_ms retry_at; /* STOP is emitted again then */
+	double score; /* scratch of the queue */
+};
+
+struct list {
+	uint32_t head, tail, n;
+};
+
+/** A model version, an adapter, or something that only the engine knows. */
+struct item {
+	uint64_t id; /* 0: the slot is free */
+	uint64_t base; /* name id of the model, or of the adapter's model */
+	bool adapter;
+	bool declared; /* stands in the configuration */
+	int64_t bytes;
+	int64_t kv_token_bytes;
+	uint32_t max_context;
+	uint32_t users; /* runs that need it, queued or at the engine */
+	uint32_t wanted; /* rank in the last PLACE from 1; 0: not wanted */
+	pf_ms used_at;
+	uint64_t order; /* its last order; 0: none */
+	bool pending; /* that order is not settled */
+	bool seen; /* scratch: stands in the inventory at hand */
+	pf_ms order_at;
+	pf_ms retry_at; /* no new order before */
+	uint32_t refusals; /* in a row */
+};
+
+/** Tries that never ran and never will; may hold others by a false hit. */
+struct tombs {
+	uint64_t *bits[2]; /* the current filter and the one before */
+	uint32_t words; /* in each filter */
+	pf_ms since; /* when the current one began */
+	pf_ms keep;
+};
+
+struct grave {
+	struct pf_try id;
+	pf_ms until;
+};
+
+/** Tries that ran and ended; exact. */
+struct ended {
+	struct grave *ring;
+	struct pf_map index;
+	uint32_t head, n, cap;
+	pf_ms keep;
+};
+
+#define LEARN_KEYS 128
+#define LEARN_BUCKETS 64
+
+/** Histograms of used output lengths, one per (model, caller). */
+struct learn {
+	uint64_t key[LEARN_KEYS];
+	uint16_t count[LEARN_KEYS + 1][LEARN_BUCKETS]; /* last: all keys */
+	uint32_t total[LEARN_KEYS + 1];
+};
+
+/** Memory that a run holds and may still need; scratch of the guard. */
+struct need {
+	int64_t held;
+	int64_t more;
+};
+
+struct pf_agent {
+	struct pf_agent_opts o;
+	struct pf_rng rng;
+	struct pf_ledger ledger;
+	pf_ms now;
+	const struct pf_agent_sink *sink; /* of the step at hand */
+
+	struct run *runs;
+	uint32_t *free_runs;
+	uint32_t n_free;
+	struct list lists[RUN_STATES];
+	struct pf_map by_try;
+	struct tombs tombs;
+	struct ended ended;
+
+	struct item *items;
+	struct pf_map by_item;
+	uint32_t n_items; /* slots ever used */
+	uint32_t *wanted; /* slots, most wanted first */
+	uint32_t n_wanted;
+	uint32_t loads; /* loads in flight, unknown ones included */
+	uint32_t n_pending; /* items with an unanswered order */
+	uint64_t order_seq;
+	uint64_t order_base; /* orders up to it died with an engine */
+	uint64_t inventory_seq; /* orders up to it show in the awaited one */
+	bool inventory_due; /* an inventory is awaited */
+	pf_ms inventory_at; /* when it was asked for */
+
+	struct learn *learn;
+	struct need *needs; /* scratch, batch_max + 1 */
+	uint32_t *sorted; /* scratch, queue_max and what was paused */
+	struct pf_item *report_items; /* scratch, items_max */
+
+	bool configured;
+	bool up; /* the engine stands and was reconciled */
+	bool leaving;
+	bool drained;
+	bool dirty; /* something may start */
+	uint32_t n_hungry;
+	uint32_t n_suspects; /* at the engine */
+	uint64_t report_seq;
+	uint32_t taken_in; /* tries accepted since the start */
+	pf_ms report_at;
+	pf_ms wake;
+
+	double step_ms; /* moving averages; 0: not yet measured */
+	double prefill_ms; /* per prompt token */
+	double end_gap_ms; /* between ends of runs */
+	pf_ms last_end;
+	struct pf_agent_stats stats;
+};
+
+/* agent.c */
+void agent_emit(struct pf_agent *a, const struct pf_agent_act *act);
+/** Asks to be woken at @at or earlier. */
+void agent_arm(struct pf_agent *a, pf_ms at);
+bool agent_ready(const struct pf_agent *a);
+/** Folds @x into a moving average. */
+void average(double *avg, double x);
+
+/* agent_tries.c: records, and what entries ask for */
+struct run *run_find(struct pf_agent *a, struct pf_try id);
+struct run *run_at_head(struct pf_agent *a, enum run_state state);
+struct run *run_next(struct pf_agent *a, const struct run *r);
+/** Moves @r to the end of the list of @state. */
+void run_move(struct pf_agent *a, struct run *r, enum run_state state);
+/** Frees the record; the caller leaves the mark of the try before. */
+void run_drop(struct pf_agent *a, struct run *r);
+/** Ends a run that is not at the engine: NOT_RUN, or LOST if it ran. */
+void run_give_up(struct pf_agent *a, struct run *r, enum pf_reason reason);
+/** Tells that a run was cut, and ends it. */
+void run_lose(struct pf_agent *a, struct run *r, enum pf_reason reason);
+/** Tells that a run ended, and ends it. */
+void run_finish(struct pf_agent *a, struct run *r, enum pf_end end);
+void agent_try(struct pf_agent *a, uint64_t entry, struct pf_try id,
+	       const struct pf_work *w);
+void agent_revoke(struct pf_agent *a, uint64_t entry, struct pf_try id);
+void agent_cancel(struct pf_agent *a, struct pf_try id);
+void agent_entry_down(struct pf_agent *a, uint64_t entry);
+void agent_drain(struct pf_agent *a);
+/** Ends waiting work that expired or waited too long. */
+void tries_sweep(struct pf_agent *a);
+/** Gives up all waiting work. */
+void tries_flush(struct pf_agent *a, enum pf_reason reason);
+/** A hint when to come back, jittered. */
+pf_ms retry_hint(struct pf_agent *a);
+
+/* agent_runs.c: from the place to the end */
+/** Runs at the engine or with a place held for them. */
+uint32_t runs_busy(const struct pf_agent *a);
+/** Starts @r, or claims its key first; its memory is granted. */
+void run_start(struct pf_agent *a, struct run *r);
+void run_stop(struct pf_agent *a, struct run *r, enum stop_reason why);
+void agent_claimed(struct pf_agent *a, struct pf_try id, bool granted,
+		   enum pf_reason reason);
+void agent_tokens(struct pf_agent *a, struct pf_try id, uint32_t offset,
+		  uint32_t count);
+void agent_run_end(struct pf_agent *a, struct pf_try id, enum pf_end end,
+		   uint32_t total);
+void runs_crashed(struct pf_agent *a);
+/** Repeats stop orders that were not answered. */
+void runs_sweep(struct pf_agent *a);
+
+/* agent_tombs.c */
+int tombs_init(struct tombs *t, uint32_t n, pf_ms keep);
+void tombs_free(struct tombs *t);
+void tombs_add(struct tombs *t, pf_ms now, struct pf_try id);
+bool tombs_has(struct tombs *t, pf_ms now, struct pf_try id);
+int ended_init(struct ended *e, uint32_t n, pf_ms keep);
+void ended_free(struct ended *e);
+/** How many more can be added now. */
+uint32_t ended_room(struct ended *e, pf_ms now);
+void ended_add(struct ended *e, pf_ms now, struct pf_try id);
+bool ended_has(const struct ended *e, struct pf_try id);
+
+/* agent_learn.c */
+void learn_add(struct learn *l, uint64_t model, uint64_t caller, uint32_t n);
+/** The @q quantile of lengths beyond @from; @otherwise if none is known. */
+uint32_t learn_quantile(const struct learn *l, uint64_t model, uint64_t caller,
+			double q, uint32_t from, uint32_t otherwise);
+
+/* agent_kv.c */
+/** KV bytes of @r when it may reach @limit. */
+int64_t kv_bytes(const struct pf_agent *a, const struct run *r, uint32_t limit);
+/** KV bytes that the start of @r takes under the policy. */
+int64_t kv_first_bytes(const struct pf_agent *a, const struct run *r);
+/** Whether all runs can still finish when @bytes less are spare. */
+bool kv_safe_without(struct pf_agent *a, int64_t bytes);
+/** Grants memory for the start. 0, or -1 when it does not fit. */
+int kv_admit(struct pf_agent *a, struct run *r);
+void kv_release(struct pf_agent *a, struct run *r);
+/** Raises the limit of @r in time; @burst tokens came at once. */
+void kv_grow(struct pf_agent *a, struct run *r, uint32_t burst);
+/** Memory became free: serves the runs that wait for growth. */
+void kv_feed(struct pf_agent *a);
+bool run_pausable(const struct run *r);
+
+/* agent_queue.c */
+/** Starts whatever may start now. */
+void queue_schedule(struct pf_agent *a);
+/** Expected time at the engine of what is left of @r. */
+double run_cost_ms(const struct pf_agent *a, const struct run *r);
+
+/* agent_items.c */
+enum pf_item_state item_state(const struct pf_agent *a, uint32_t i);
+uint32_t item_find(const struct pf_agent *a, uint64_t id);
+/** Finds or takes a slot for @id; NIL when the table is full. */
+uint32_t item_take(struct pf_agent *a, uint64_t id);
+void agent_config(struct pf_agent *a, const struct pf_config *c);
+void agent_place(struct pf_agent *a, const uint64_t *ids, uint32_t n);
+/** Loads what was placed and is absent, while memory allows. */
+void items_place(struct pf_agent *a);
+/** Whether @i can be had here: declared, and wanted or loaded on demand. */
+bool item_offered(const struct pf_agent *a, uint32_t i);
+/** Whether @i is resident, with no order in flight. */
+bool item_usable(const struct pf_agent *a, uint32_t i);
+/** A step towards loading what @r misses; -1: it can't be had here now. */
+int items_fetch(struct pf_agent *a, const struct run *r);
+/**
+ * Unloads idle items, the least recently used first, until @bytes are or
+ * will be spare. 0 when they are spare now; -1 otherwise.
+ */
+int items_make_room(struct pf_agent *a, int64_t bytes);
+void items_hold(struct pf_agent *a, struct run *r, bool hold);
+
+/* agent_orders.c */
+/** 0, or -1 when the ledger has no room. */
+int order_load(struct pf_agent *a, uint32_t i);
+void order_unload(struct pf_agent *a, uint32_t i);
+void agent_order_done(struct pf_agent *a, uint64_t order, bool ok);
+void agent_engine_up(struct pf_agent *a, const struct pf_agent_item *items,
+		     uint32_t n, int64_t used);
+void agent_engine_down(struct pf_agent *a);
+/** Orders that were not answered become unknown; asks for an inventory. */
+void orders_sweep(struct pf_agent *a);
+
+/* agent_report.c */
+void agent_report(struct pf_agent *a);
+
+static inline uint32_t run_slot(const struct pf_agent *a, const struct run *r)
+{
+	return (uint32_t)(r - a->runs);
+}
+
+static inline bool is_plain(const struct pf_agent *a)
+{
+	return a->o.kind == PF_ENDPOINT_PLAIN;
+}
+
+#endif
--- /dev/null
+++ b/src/coordination/agent_kv.c
@@ -0,0 +1,252 @@
+/*
+ * KV grants. A run holds (prompt + limit) tokens; the policy chooses the
+ * first limit and whether a limit may grow. The safe-state guard admits a
+ * change only if an order remains in which every run can reach its
+ * max_tokens: with one kind of resource it is enough to try the runs by what
+ * they still need, least first.
+ */
+#include "agent_core.h"
+
+#include <stdlib.h>
+
+int64_t kv_bytes(const struct pf_agent *a, const struct run *r, uint32_t limit)
+{
+	if (is_plain(a) || r->model == NIL)
+		return 0;
+	return ((int64_t)r->work.prompt_tokens + limit) *
+	       a->items[r->model].kv_token_bytes;
+}
+
+static uint32_t min_u32(uint32_t x, uint32_t y)
+{
+	return x < y ? x : y;
+}
+
+/* Tokens that @r may reach at its start. */
+static uint32_t first_limit(const struct pf_agent *a, const struct run *r)
+{
+	uint32_t max = r->work.max_tokens;
+	uint32_t n;
+
+	/* What can't be paused must never need to grow. */
+	if (a->o.kv_policy == PF_KV_FULL || !run_pausable(r))
+		return max;
+	n = learn_quantile(a->learn, r->work.model, r->work.caller,
+			   a->o.kv_quantile, r->produced,
+			   r->produced + 4 * a->o.grant_step);
+	if (n < r->produced + a->o.grant_step)
+		n = r->produced + a->o.grant_step;
+	return min_u32(n, max);
+}
+
+int64_t kv_first_bytes(const struct pf_agent *a, const struct run *r)
+{
+	return kv_bytes(a, r, first_limit(a, r));
+}
+
+static int by_need(const void *x, const void *y)
+{
+	const struct need *p = x, *q = y;
+
+	return (p->more > q->more) - (p->more < q->more);
+}
+
+static uint32_t add_needs(struct pf_agent *a, enum run_state state,
+			  const struct run *but, uint32_t n)
+{
+	struct run *r = run_at_head(a, state);
+
+	for (; r; r = run_next(a, r)) {
+		struct need *d = &a->needs[n];
+
+		if (r == but)
+			continue;
+		d->held = kv_bytes(a, r, r->limit);
+		d->more =
+			state == RUN_STOPPING
+				? 0
+				: kv_bytes(a, r, r->work.max_tokens) - d->held;
+		n++;
+	}
+	return n;
+}
+
+/* Whether all can finish when @r held @bytes and @less were gone. */
+static bool safe(struct pf_agent *a, const struct run *r, int64_t bytes,
+		 int64_t less)
+{
+	int64_t spare = pf_ledger_spare(&a->ledger) - less;
+	uint32_t n = 0;
+
+	n = add_needs(a, RUN_RUNNING, r, n);
+	n = add_needs(a, RUN_STOPPING, r, n);
+	n = add_needs(a, RUN_CLAIMING, r, n);
+	if (r) {
+		a->needs[n].held = bytes;
+		a->needs[n].more = kv_bytes(a, r, r->work.max_tokens) - bytes;
+		spare -= bytes - a->ledger.kv[run_slot(a, r)];
+		n++;
+	}
+	qsort(a->needs, n, sizeof(*a->needs), by_need);
+	for (uint32_t i = 0; i < n; i++) {
+		if (a->needs[i].more > spare)
+			return false;
+		spare += a->needs[i].held;
+	}
+	return spare >= 0;
+}
+
+bool kv_safe_without(struct pf_agent *a, int64_t bytes)
+{
+	return a->o.kv_policy != PF_KV_SAFE || safe(a, NULL, 0, bytes);
+}
+
+/* Sets the grant of @r to @limit if memory and policy allow. */
+static int grant(struct pf_agent *a, struct run *r, uint32_t limit)
+{
+	int64_t bytes = kv_bytes(a, r, limit);
+
+	if (a->o.kv_policy == PF_KV_SAFE && !safe(a, r, bytes, 0))
+		return -1;
+	if (pf_ledger_grant(&a->ledger, run_slot(a, r), bytes) < 0)
+		return -1;
+	r->limit = limit;
+	return 0;
+}
+
+int kv_admit(struct pf_agent *a, struct run *r)
+{
+	if (is_plain(a)) {
+		r->limit = r->work.max_tokens;
+		return 0;
+	}
+	return grant(a, r, first_limit(a, r));
+}
+
+void kv_release(struct pf_agent *a, struct run *r)
+{
+	if (!is_plain(a))
+		pf_ledger_release(&a->ledger, run_slot(a, r));
+	r->limit = 0;
+}
+
+bool run_pausable(const struct run *r)
+{
+	return !(r->work.flags & (PF_WORK_PLAIN | PF_WORK_NEVER_REPEAT));
+}
+
+/* Whether @x gives way before @y: less urgent, then deferrable, then later. */
+static bool worth_less(const struct run *x, const struct run *y)
+{
+	uint32_t dx = x->work.flags & PF_WORK_DEFERRABLE;
+	uint32_t dy = y->work.flags & PF_WORK_DEFERRABLE;
+
+	if (x->work.priority != y->work.priority)
+		return x->work.priority > y->work.priority;
+	if (dx != dy)
+		return dx > dy;
+	if (x->work.arrived != y->work.arrived)
+		return x->work.arrived > y->work.arrived;
+	return x->id.request > y->id.request;
+}
+
+/* The least valuable run, worth less than @r, that can be paused; or NULL. */
+static struct run *victim(struct pf_agent *a, const struct run *r)
+{
+	const struct run *least = r;
+	struct run *v = run_at_head(a, RUN_RUNNING), *found = NULL;
+
+	for (; v; v = run_next(a, v)) {
+		if (!run_pausable(v) || !worth_less(v, least))
+			continue;
+		least = v;
+		found = v;
+	}
+	return found;
+}
+
+/*
+ * @r stands at its limit and can't grow. Pause a run of less value, unless
+ * memory is coming anyway. With nothing else at the engine and nothing to
+ * unload it can't go on here.
+ */
+static void relieve(struct pf_agent *a, struct run *r, int64_t more)
+{
+	struct run *v;
+
+	if (a->lists[RUN_STOPPING].n > 0)
+		return;
+	if (items_make_room(a, more) == 0)
+		return;
+	v = victim(a, r);
+	if (v)
+		run_stop(a, v, STOP_PAUSE);
+	else if (a->lists[RUN_RUNNING].n == 1 && a->n_pending == 0)
+		run_stop(a, r, STOP_NO_MEMORY);
+}
+
+static void set_hungry(struct pf_agent *a, struct run *r, bool hungry)
+{
+	if (r->hungry == hungry)
+		return;
+	r->hungry = hungry;
+	if (hungry)
+		a->n_hungry++;
+	else
+		a->n_hungry--;
+}
+
+static int extend(struct pf_agent *a, struct run *r, uint32_t burst)
+{
+	struct pf_agent_act act = { .type = PF_AGENT_GRANT, .entry = r->entry };
+	uint64_t want = (uint64_t)r->limit + a->o.grant_step + burst;
+	uint32_t limit = r->work.max_tokens;
+
+	if (want < limit)
+		limit = (uint32_t)want;
+	if (grant(a, r, limit) < 0)
+		return -1;
+	set_hungry(a, r, false);
+	a->stats.grown++;
+	act.u.run.id = r->id;
+	act.u.run.work = &r->work;
+	act.u.run.offset = r->produced;
+	act.u.run.limit = limit;
+	agent_emit(a, &act);
+	return 0;
+}
+
+static void grow_or_relieve(struct pf_agent *a, struct run *r, uint32_t burst)
+{
+	if (extend(a, r, burst) == 0)
+		return;
+	set_hungry(a, r, true);
+	if (r->produced >= r->limit)
+		relieve(a, r,
+			kv_bytes(a, r, r->limit + a->o.grant_step) -
+				kv_bytes(a, r, r->limit));
+}
+
+void kv_grow(struct pf_agent *a, struct run *r, uint32_t burst)
+{
+	uint32_t margin = a->o.grant_step / 2 + 2 * burst;
+
+	if (r->limit >= r->work.max_tokens || r->produced + margin < r->limit)
+		return;
+	if (!r->hungry || r->produced >= r->limit)
+		grow_or_relieve(a, r, burst);
+}
+
+void kv_feed(struct pf_agent *a)
+{
+	struct run *r = a->n_hungry ? run_at_head(a, RUN_RUNNING) : NULL;
+
+	/* A run that was paused for another one leaves the list. */
+	while (r && r->state == RUN_RUNNING) {
+		struct run *next = run_next(a, r);
+
+		if (r->hungry)
+			grow_or_relieve(a, r, 0);
+		r = next;
+	}
+}
--- /dev/null
+++ b/src/state/ledger.c
@@ -0,0 +1,184 @@
+/* Memory ledger of one endpoint. */
+#include "pimentoford/ledger.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+int pf_ledger_init(struct pf_ledger *l, int64_t capacity, uint32_t n_items,
+		   uint32_t n_runs)
+{
+	memset(l, 0, sizeof(*l));
+	if (capacity < 0 || n_runs == 0)
+		return -1;
+	l->items = calloc(n_items + 1, sizeof(*l->items));
+	l->kv = calloc(n_runs, sizeof(*l->kv));
+	if (!l->items || !l->kv) {
+		pf_ledger_free(l);
+		return -1;
+	}
+	l->capacity = capacity;
+	l->n_items = n_items;
+	l->n_runs = n_runs;
+	return 0;
+}
+
+void pf_ledger_free(struct pf_ledger *l)
+{
+	free(l->items);
+	free(l->kv);
+	l->items = NULL;
+	l->kv = NULL;
+}
+
+int64_t pf_ledger_committed(const struct pf_ledger *l)
+{
+	return l->items_bytes + l->kv_bytes + l->excess;
+}
+
+int64_t pf_ledger_spare(const struct pf_ledger *l)
+{
+	int64_t spare = l->capacity - pf_ledger_committed(l);
+
+	return l->reconciled && spare > 0 ? spare : 0;
+}
+
+/* Called after every change. */
+static void check(struct pf_ledger *l)
+{
+	int64_t sum = pf_ledger_committed(l);
+
+	if (l->found_over > 0 && sum <= l->capacity)
+		l->found_over = 0;
+	PF_INVARIANT("committed memory within what exists",
+		     sum <= l->capacity || sum <= l->found_over);
+	PF_INVARIANT("no sum of memory is negative",
+		     l->items_bytes >= 0 && l->kv_bytes >= 0 && l->excess >= 0);
+	if (l->found_over > sum)
+		l->found_over = sum;
+	if (sum > l->peak)
+		l->peak = sum;
+}
+
+/* What an inventory forces upon the ledger may exceed the capacity. */
+static void check_found(struct pf_ledger *l)
+{
+	int64_t sum = pf_ledger_committed(l);
+
+	if (sum > l->capacity)
+		l->found_over = sum;
+	check(l);
+}
+
+static void set_item(struct pf_ledger *l, uint32_t item,
+		     enum pf_item_state state, int64_t bytes)
+{
+	struct pf_ledger_item *it = &l->items[item];
+
+	l->items_bytes += bytes - it->bytes;
+	it->bytes = bytes;
+	it->state = state;
+	it->unknown = false;
+}
+
+int pf_ledger_load(struct pf_ledger *l, uint32_t item, int64_t bytes)
+{
+	if (item >= l->n_items || bytes < 0 ||
+	    l->items[item].state != PF_ITEM_ABSENT)
+		return -1;
+	if (!l->reconciled || bytes > pf_ledger_spare(l))
+		return -1;
+	set_item(l, item, PF_ITEM_LOADING, bytes);
+	check(l);
+	return 0;
+}
+
+int pf_ledger_unload(struct pf_ledger *l, uint32_t item)
+{
+	if (item >= l->n_items || l->items[item].state != PF_ITEM_RESIDENT)
+		return -1;
+	l->items[item].state = PF_ITEM_UNLOADING;
+	check(l);
+	return 0;
+}
+
+void pf_ledger_unknown(struct pf_ledger *l, uint32_t item)
+{
+	if (item < l->n_items && l->items[item].state != PF_ITEM_ABSENT)
+		l->items[item].unknown = true;
+#ifdef PF_MUTANT_UNKNOWN_FREED
+	set_item(l, item, PF_ITEM_ABSENT, 0);
+#endif
+	check(l);
+}
+
+void pf_ledger_settle(struct pf_ledger *l, uint32_t item,
+		      enum pf_item_state state)
+{
+	if (item >= l->n_items)
+		return;
+	if (state == PF_ITEM_ABSENT)
+		set_item(l, item, state, 0);
+	else
+		set_item(l, item, state, l->items[item].bytes);
+	check(l);
+}
+
+void pf_ledger_found(struct pf_ledger *l, uint32_t item,
+		     enum pf_item_state state, int64_t bytes)
+{
+	int64_t known;
+
+	if (item >= l->n_items || state == PF_ITEM_ABSENT)
+		return;
+	known = l->items[item].bytes;
+	set_item(l, item, state, bytes > known ? bytes : known);
+	check_found(l);
+}
+
+int pf_ledger_grant(struct pf_ledger *l, uint32_t run, int64_t bytes)
+{
+	int64_t more;
+
+	if (run >= l->n_runs || bytes < 0 || !l->reconciled)
+		return -1;
+#ifdef PF_MUTANT_OVERCOMMIT
+	if (l->kv[run] > 0)
+		return 0;
+#endif
+	more = bytes - l->kv[run];
+	if (more > 0 && more > pf_ledger_spare(l))
+		return -1;
+	l->kv[run] = bytes;
+	l->kv_bytes += more;
+	check(l);
+	return 0;
+}
+
+void pf_ledger_release(struct pf_ledger *l, uint32_t run)
+{
+	if (run >= l->n_runs)
+		return;
+	l->kv_bytes -= l->kv[run];
+	l->kv[run] = 0;
+	check(l);
+}
+
+void pf_ledger_measured(struct pf_ledger *l, int64_t used)
+{
+	int64_t known = l->items_bytes + l->kv_bytes;
+
+	l->excess = used > known ? used - known : 0;
+	l->reconciled = true;
+	check_found(l);
+}
+
+void pf_ledger_reset(struct pf_ledger *l)
+{
+	memset(l->items, 0, l->n_items * sizeof(*l->items));
+	memset(l->kv, 0, l->n_runs * sizeof(*l->kv));
+	l->items_bytes = 0;
+	l->kv_bytes = 0;
+	l->excess = 0;
+	l->found_over = 0;
+	l->reconciled = false;
+}
