--- a/include/pimentoford/entry.h
+++ b/include/pimentoford/entry.h
@@ -26,10 +26,19 @@
 	uint64_t seed;
 	const char *zone; /* of this entry; copied */
 	const char *region;
-	uint32_t requests_max; /* alive at once, waiting and running */
-	uint32_t agents_max;
-	uint32_t callers_max;
-	uint32_t quarantine_max; /* fingerprints kept */
+	/* Bounds, with what happens at each. */
+	uint32_t requests_max; /* alive at once; beyond: END FULL, not run */
+	uint32_t agents_max; /* beyond: an idle agent without a link makes
+			      * room, else the new one gets no work */
+	uint32_t callers_max; /* beyond: END FULL, not run */
+	uint32_t quarantine_max; /* fingerprints kept; the suspect longest
+				  * unseen makes room, then the quarantine
+				  * that ends first */
+	uint32_t groups_max; /* models and claim shards with waiting work;
+			      * beyond: END FULL, not run */
+	uint32_t items_max; /* items kept of one agent's report; the rest
+			     * count as absent there */
+	uint32_t prefixes_max; /* prefix hints per agent; newer replace older */
 	enum pf_route_policy route;
 	uint32_t attempts_max; /* tries of one request */
 	double retry_ratio; /* retries allowed per first try */
@@ -44,6 +53,7 @@
 	pf_ms quarantine_keep;
 	uint32_t crashes_max; /* crashes after which a fingerprint is out */
 	uint32_t depth; /* tries kept queued at an agent beyond its batch */
+	double link_share; /* part of the region link that this entry may use */
 };
 
 /** Fills in the defaults that are shipped. */
@@ -110,7 +120,7 @@
 		struct pf_report report;
 		struct {
 			uint64_t fingerprint;
-			pf_ms until;
+			pf_ms until; /* 0: suspect only, as in the act */
 		} quarantine;
 		const struct pf_config *config;
 	} u;
@@ -153,6 +163,8 @@
 		} end;
 		struct {
 			uint64_t fingerprint;
+			/* End of the quarantine; 0: it was running at a crash
+			 * once, the others are to treat it as a suspect. */
 			pf_ms until;
 		} quarantine;
 	} u;
--- /dev/null
+++ b/src/coordination/backlog.c
@@ -0,0 +1,328 @@
+/* Groups of waiting requests, each a pairing heap over the request slots. */
+#include "src/coordination/backlog.h"
+
+#include <math.h>
+#include <stdlib.h>
+
+/* Busy time after which a drain rate has faded to 1/e. */
+#define DRAIN_FADE_MS 10000.0
+/* A drain rate is trusted from so much busy time and so many events on. */
+#define DRAIN_MIN_MS 500.0
+#define DRAIN_MIN_EVENTS 4.0
+/* Service time of one output and of one prompt token, for the order only. */
+#define STEP_MS 25.0
+#define PREFILL_MS 0.2
+/* Part of the output limit that is used when nothing is learned yet. */
+#define OUTPUT_PART 0.25
+/* Weight of a new sample of the output length. */
+#define LEARN_WEIGHT 0.05
+/* Weight of a request's own cost in its order: shorter ones go first. */
+#define COST_WEIGHT 0.25
+/* A deferrable request goes ahead of new ones after so many age steps. */
+#define DEFER_STEPS 8
+
+int pf_backlog_init(struct pf_entry *e)
+{
+	e->groups = calloc(e->opts.groups_max, sizeof(*e->groups));
+	e->active = (struct pf_group_list){ PF_NIL, PF_NIL };
+	e->idle = (struct pf_group_list){ PF_NIL, PF_NIL };
+	return e->groups ? pf_map_init(&e->group_map, e->opts.groups_max) : -1;
+}
+
+void pf_backlog_free(struct pf_entry *e)
+{
+	free(e->groups);
+	pf_map_free(&e->group_map);
+}
+
+static struct pf_request *req(struct pf_entry *e, uint32_t i)
+{
+	return &e->reqs[i];
+}
+
+static bool before(const struct pf_request *a, const struct pf_request *b)
+{
+	if (a->key != b->key)
+		return a->key < b->key;
+	return a->id < b->id;
+}
+
+/* Joins two heaps; neither root has a sibling. */
+static uint32_t meld(struct pf_entry *e, uint32_t a, uint32_t b)
+{
+	uint32_t top = a, under = b;
+
+	if (a == PF_NIL)
+		return b;
+	if (b == PF_NIL)
+		return a;
+	if (before(req(e, b), req(e, a))) {
+		top = b;
+		under = a;
+	}
+	req(e, under)->prev = top;
+	req(e, under)->next = req(e, top)->child;
+	if (req(e, top)->child != PF_NIL)
+		req(e, req(e, top)->child)->prev = under;
+	req(e, top)->child = under;
+	return top;
+}
+
+static uint32_t detach(struct pf_entry *e, uint32_t i)
+{
+	uint32_t next = req(e, i)->next;
+
+	req(e, i)->next = PF_NIL;
+	req(e, i)->prev = PF_NIL;
+	return next;
+}
+
+/* Joins siblings: in pairs from the left, then all from the right. */
+static uint32_t meld_siblings(struct pf_entry *e, uint32_t c)
+{
+	uint32_t pairs = PF_NIL, root = PF_NIL;
+
+	while (c != PF_NIL) {
+		uint32_t a = c, b = detach(e, a), m;
+
+		c = b == PF_NIL ? PF_NIL : detach(e, b);
+		m = meld(e, a, b);
+		req(e, m)->next = pairs;
+		pairs = m;
+	}
+	while (pairs != PF_NIL) {
+		uint32_t a = pairs;
+
+		pairs = detach(e, a);
+		root = meld(e, root, a);
+	}
+	return root;
+}
+
+static uint32_t heap_del(struct pf_entry *e, uint32_t root, uint32_t i)
+{
+	struct pf_request *r = req(e, i);
+	uint32_t rest = meld_siblings(e, r->child);
+
+	r->child = PF_NIL;
+	if (root == i)
+		return rest;
+	if (req(e, r->prev)->child == i)
+		req(e, r->prev)->child = r->next;
+	else
+		req(e, r->prev)->next = r->next;
+	if (r->next != PF_NIL)
+		req(e, r->next)->prev = r->prev;
+	detach(e, i);
+	return meld(e, root, rest);
+}
+
+static void list_del(struct pf_entry *e, struct pf_group_list *l, uint32_t i)
+{
+	struct pf_group *g = &e->groups[i];
+
+	if (g->prev == PF_NIL)
+		l->head = g->next;
+	else
+		e->groups[g->prev].next = g->next;
+	if (g->next == PF_NIL)
+		l->tail = g->prev;
+	else
+		e->groups[g->next].prev = g->prev;
+}
+
+static void list_add(struct pf_entry *e, struct pf_group_list *l, uint32_t i)
+{
+	struct pf_group *g = &e->groups[i];
+
+	g->next = PF_NIL;
+	g->prev = l->tail;
+	if (l->tail == PF_NIL)
+		l->head = i;
+	else
+		e->groups[l->tail].next = i;
+	l->tail = i;
+}
+
+uint32_t pf_backlog_find(const struct pf_entry *e, uint64_t model,
+			 uint64_t shard)
+{
+	struct pf_key k = { model, shard };
+	uint32_t i;
+
+	return pf_map_get(&e->group_map, k, &i) ? PF_NIL : i;
+}
+
+/* A slot for a new group; one that is idle and unused makes room. */
+static uint32_t group_slot(struct pf_entry *e)
+{
+	uint32_t i = e->idle.head;
+	struct pf_key k;
+
+	if (e->group_fresh < e->opts.groups_max)
+		return e->group_fresh++;
+	/* Idle groups with running requests rotate to the back. */
+	for (uint32_t n = 0; i != PF_NIL && e->groups[i].refs && n < 64; n++) {
+		list_del(e, &e->idle, i);
+		list_add(e, &e->idle, i);
+		i = e->idle.head;
+	}
+	if (i == PF_NIL || e->groups[i].refs)
+		return PF_NIL;
+	list_del(e, &e->idle, i);
+	k = (struct pf_key){ e->groups[i].model, e->groups[i].shard };
+	pf_map_del(&e->group_map, k);
+	return i;
+}
+
+uint32_t pf_backlog_group(struct pf_entry *e, const struct pf_work *w)
+{
+	bool keyed = (w->flags & PF_WORK_NEVER_REPEAT) && w->idem_key;
+	bool plain = w->flags & PF_WORK_PLAIN;
+	uint64_t shard = plain && keyed ? w->adapter : 0;
+	uint32_t i = pf_backlog_find(e, w->model, shard);
+
+	if (i != PF_NIL)
+		return i;
+	i = group_slot(e);
+	if (i == PF_NIL)
+		return PF_NIL;
+	e->groups[i] = (struct pf_group){
+		.model = w->model,
+		.shard = shard,
+		.root = PF_NIL,
+		.loader = PF_NIL,
+	};
+	(void)pf_map_put(&e->group_map, (struct pf_key){ w->model, shard }, i);
+	list_add(e, &e->idle, i);
+	return i;
+}
+
+static void rate_advance(struct pf_rate *r, pf_ms now, bool busy)
+{
+	double dt = (double)(now - r->last);
+	double fade;
+
+	r->last = now;
+	if (!busy || dt <= 0)
+		return;
+	fade = exp(-dt / DRAIN_FADE_MS);
+	r->events *= fade;
+	r->busy_ms = r->busy_ms * fade + dt;
+}
+
+static uint32_t *urgent(struct pf_group *g, const struct pf_request *r)
+{
+	if (r->work.flags & PF_WORK_DEFERRABLE)
+		return NULL;
+	return &g->urgent[r->work.priority];
+}
+
+void pf_backlog_add(struct pf_entry *e, uint32_t slot)
+{
+	struct pf_request *r = req(e, slot);
+	struct pf_group *g = &e->groups[r->group];
+
+	rate_advance(&g->drain, e->now, g->n > 0);
+	if (g->n++ == 0) {
+		list_del(e, &e->idle, r->group);
+		list_add(e, &e->active, r->group);
+	}
+	if (urgent(g, r))
+		++*urgent(g, r);
+	r->child = PF_NIL;
+	r->next = PF_NIL;
+	r->prev = PF_NIL;
+	g->root = meld(e, g->root, slot);
+	r->state = PF_REQ_WAIT;
+	e->stats.waiting++;
+}
+
+void pf_backlog_del(struct pf_entry *e, uint32_t slot, bool served)
+{
+	struct pf_request *r = req(e, slot);
+	struct pf_group *g = &e->groups[r->group];
+
+	rate_advance(&g->drain, e->now, true);
+	if (served)
+		g->drain.events += 1;
+	g->root = heap_del(e, g->root, slot);
+	if (urgent(g, r))
+		--*urgent(g, r);
+	if (--g->n == 0) {
+		list_del(e, &e->active, r->group);
+		list_add(e, &e->idle, r->group);
+	}
+	e->stats.waiting--;
+}
+
+double pf_backlog_wait(struct pf_entry *e, uint32_t group, uint8_t prio)
+{
+	struct pf_group *g = &e->groups[group];
+	uint32_t ahead = 0;
+
+	rate_advance(&g->drain, e->now, g->n > 0);
+	if (g->drain.busy_ms < DRAIN_MIN_MS ||
+	    g->drain.events < DRAIN_MIN_EVENTS)
+		return 0;
+	for (uint32_t p = 0; p <= prio && p < PF_PRIORITIES; p++)
+		ahead += g->urgent[p];
+	return ahead * g->drain.busy_ms / g->drain.events;
+}
+
+void pf_backlog_learn(struct pf_entry *e, uint32_t group, uint32_t total)
+{
+	struct pf_group *g = &e->groups[group];
+
+	if (g->out_tokens <= 0)
+		g->out_tokens = total;
+	else
+		g->out_tokens += LEARN_WEIGHT * (total - g->out_tokens);
+}
+
+double pf_backlog_output(const struct pf_entry *e, const struct pf_request *r)
+{
+	double out = e->groups[r->group].out_tokens;
+
+	if (out <= 0)
+		out = r->work.max_tokens * OUTPUT_PART;
+	return out < r->work.max_tokens ? out : r->work.max_tokens;
+}
+
+/*
+ * Ageing is linear in time, so the order of two waiting requests never
+ * changes and a fixed key carries it: the latest start that still meets the
+ * expectation, put off by the priority and by the cost.
+ */
+pf_ms pf_backlog_key(const struct pf_entry *e, const struct pf_request *r)
+{
+	const struct pf_work *w = &r->work;
+	pf_ms cost = (pf_ms)(pf_backlog_output(e, r) * STEP_MS +
+			     w->prompt_tokens * PREFILL_MS);
+	pf_ms base = w->arrived + e->opts.age_step;
+
+	if (w->flags & PF_WORK_DEFERRABLE) {
+		base = w->arrived + DEFER_STEPS * e->opts.age_step;
+		if (w->whole_due != PF_NEVER)
+			base = pf_ms_min(base, w->whole_due - 2 * cost);
+	} else {
+		base = pf_ms_min(base, w->first_due);
+		if (w->whole_due != PF_NEVER)
+			base = pf_ms_min(base, w->whole_due - cost);
+	}
+	base += w->priority * e->opts.age_step + (pf_ms)(cost * COST_WEIGHT);
+	if (w->deadline != PF_NEVER)
+		base = pf_ms_min(base, w->deadline - 2 * cost);
+	return base;
+}
+
+uint32_t pf_backlog_rotate(struct pf_entry *e)
+{
+	uint32_t i = e->active.head;
+
+	if (i == PF_NIL)
+		return PF_NIL;
+	list_del(e, &e->active, i);
+	list_add(e, &e->active, i);
+	return i;
+}
--- /dev/null
+++ b/src/coordination/backlog.h
@@ -0,0 +1,42 @@
+/*
+ * The work that waits in the entry, grouped by what can serve it and ordered
+ * within a group by value per cost.
+ */
+#ifndef SRC_COORDINATION_BACKLOG_H
+#define SRC_COORDINATION_BACKLOG_H
+
+#include "src/coordination/entry_impl.h"
+
+/** Takes memory for the groups. 0, or -1 when there is none. */
+int pf_backlog_init(struct pf_entry *e);
+void pf_backlog_free(struct pf_entry *e);
+
+/** The group of @w, made if absent. PF_NIL when the table is full. */
+uint32_t pf_backlog_group(struct pf_entry *e, const struct pf_work *w);
+
+/** Finds the group of (@model, @shard). PF_NIL when absent. */
+uint32_t pf_backlog_find(const struct pf_entry *e, uint64_t model,
+			 uint64_t shard);
+
+/** Adds a request that has its group and its key. */
+void pf_backlog_add(struct pf_entry *e, uint32_t slot);
+
+/** Removes one; @served when it goes to an agent. */
+void pf_backlog_del(struct pf_entry *e, uint32_t slot, bool served);
+
+/** A request's place in the order of its group. */
+pf_ms pf_backlog_key(const struct pf_entry *e, const struct pf_request *r);
+
+/** Milliseconds that a request of priority @prio would wait; 0: unknown. */
+double pf_backlog_wait(struct pf_entry *e, uint32_t group, uint8_t prio);
+
+/** Puts the first active group behind the others; PF_NIL when none. */
+uint32_t pf_backlog_rotate(struct pf_entry *e);
+
+/** Learns the output length of a whole answer. */
+void pf_backlog_learn(struct pf_entry *e, uint32_t group, uint32_t total);
+
+/** Output tokens that a request is likely to produce. */
+double pf_backlog_output(const struct pf_entry *e, const struct pf_request *r);
+
+#endif
--- /dev/null
+++ b/src/coordination/catalog.c
@@ -0,0 +1,80 @@
+/* Index of the configuration by id. */
+#include "src/coordination/catalog.h"
+
+#include <string.h>
+
+enum kind { MODEL = 1, ADAPTER, ENDPOINT, SERVICE };
+
+static struct pf_key key(uint64_t id, enum kind k)
+{
+	return (struct pf_key){ id, k };
+}
+
+static void add(struct pf_map *m, uint64_t id, enum kind k, size_t i)
+{
+	/* The map was made for all of them. */
+	(void)pf_map_put(m, key(id, k), (uint32_t)i);
+}
+
+int pf_catalog_build(struct pf_entry *e, const struct pf_config *c)
+{
+	size_t n = c->n_models + c->n_adapters + c->n_endpoints + c->n_services;
+
+	pf_map_free(&e->catalog);
+	e->config = NULL;
+	if (pf_map_init(&e->catalog, (uint32_t)n))
+		return -1;
+	e->config = c;
+	for (size_t i = 0; i < c->n_models; i++)
+		add(&e->catalog, c->models[i].id, MODEL, i);
+	for (size_t i = 0; i < c->n_adapters; i++)
+		add(&e->catalog, c->adapters[i].id, ADAPTER, i);
+	for (size_t i = 0; i < c->n_endpoints; i++)
+		add(&e->catalog, c->endpoints[i].id, ENDPOINT, i);
+	for (size_t i = 0; i < c->n_services; i++)
+		add(&e->catalog, c->services[i].id, SERVICE, i);
+	return 0;
+}
+
+static bool find(const struct pf_entry *e, uint64_t id, enum kind k,
+		 uint32_t *i)
+{
+	return e->config && pf_map_get(&e->catalog, key(id, k), i) == 0;
+}
+
+const struct pf_model *pf_catalog_model(const struct pf_entry *e, uint64_t id)
+{
+	uint32_t i;
+
+	return find(e, id, MODEL, &i) ? &e->config->models[i] : NULL;
+}
+
+const struct pf_endpoint *pf_catalog_endpoint(const struct pf_entry *e,
+					      uint64_t id)
+{
+	uint32_t i;
+
+	return find(e, id, ENDPOINT, &i) ? &e->config->endpoints[i] : NULL;
+}
+
+bool pf_catalog_declares(const struct pf_entry *e, const struct pf_work *w)
+{
+	uint32_t i;
+
+	if (w->flags & PF_WORK_PLAIN)
+		return find(e, w->model, SERVICE, &i);
+	if (!find(e, w->model, MODEL, &i))
+		return false;
+	return w->adapter == 0 || find(e, w->adapter, ADAPTER, &i);
+}
+
+uint64_t pf_catalog_service(const struct pf_entry *e, const char *name)
+{
+	const struct pf_config *c = e->config;
+
+	for (size_t i = 0; c && name && i < c->n_services; i++) {
+		if (strcmp(c->services[i].name, name) == 0)
+			return c->services[i].id;
+	}
+	return 0;
+}
--- /dev/null
+++ b/src/coordination/dispatch.c
@@ -0,0 +1,375 @@
+/* Late binding: the queues of the entry meet the room at the agents. */
+#include "src/coordination/dispatch.h"
+
+#include "src/coordination/backlog.h"
+#include "src/coordination/catalog.h"
+#include "src/coordination/limits.h"
+#include "src/coordination/peers.h"
+#include "src/coordination/quarantine.h"
+#include "src/coordination/requests.h"
+#include "src/coordination/route.h"
+
+/* Tries sent in one go from one group or to one agent. */
+#define BURST_MAX 64
+/* Groups served in one sweep, and the time between sweeps. */
+#define SWEEP_GROUPS 8
+#define SWEEP_MS 100
+/* Groups that one agent was found not to help; more end the search. */
+#define BLOCKED_MAX 16
+/* Suspects looked at for one that can be placed or put in order. */
+#define TRIALS_MAX 32
+/* Output tokens after which a suspect no longer holds up the others. */
+#define TRIAL_TOKENS 16
+
+static void arm_sweep(struct pf_entry *e)
+{
+	bool any = e->stats.waiting > 0 || e->trials != PF_NIL;
+
+	if (!any)
+		e->sweep_at = PF_NEVER;
+	else if (e->sweep_at == PF_NEVER)
+		e->sweep_at = e->now + SWEEP_MS;
+}
+
+static void emit_try(struct pf_entry *e, const struct pf_request *r)
+{
+	struct pf_entry_act a = { .type = PF_ENTRY_TRY };
+
+	a.agent = e->peers[r->peer].id;
+	a.u.try_.id = (struct pf_try){ r->id, r->attempt };
+	a.u.try_.work = &r->work;
+	pf_entry_emit(e, &a);
+}
+
+static void send(struct pf_entry *e, uint32_t slot, const struct pf_choice *c)
+{
+	struct pf_request *r = &e->reqs[slot];
+	pf_ms patience = e->opts.try_timeout;
+
+	r->attempt++;
+	r->state = PF_REQ_SENT;
+	r->peer = c->peer;
+	r->sent_at = e->now;
+	pf_route_sent(e, r, c);
+	pf_peers_sent(e, c->peer, slot);
+	if (r->attempt == 1)
+		pf_limits_first_try(e, r->account, c->peer);
+	if (c->load)
+		patience += 2 * pf_route_load_ms();
+	pf_requests_due(e, slot, e->now + patience);
+	emit_try(e, r);
+}
+
+static void end_quarantined(struct pf_entry *e, uint32_t slot, pf_ms left)
+{
+	const struct pf_request *r = &e->reqs[slot];
+	struct pf_outcome o = { PF_REASON_QUARANTINED, r->ran, left };
+
+	pf_requests_end(e, slot, o);
+}
+
+/* Most recently started first: it is the likeliest culprit. */
+static void trials_add(struct pf_entry *e, uint32_t slot)
+{
+	struct pf_request *r = &e->reqs[slot];
+	uint32_t prev = PF_NIL, next = e->trials;
+
+	for (int n = 0; next != PF_NIL && n < TRIALS_MAX; n++) {
+		if (e->reqs[next].started_at < r->started_at)
+			break;
+		prev = next;
+		next = e->reqs[next].next;
+	}
+	r->state = PF_REQ_SUSPECT;
+	pf_requests_due(e, slot, PF_NEVER);
+	r->prev = prev;
+	r->next = next;
+	if (prev == PF_NIL)
+		e->trials = slot;
+	else
+		e->reqs[prev].next = slot;
+	if (next != PF_NIL)
+		e->reqs[next].prev = slot;
+	e->stats.waiting++;
+}
+
+static void trials_del(struct pf_entry *e, uint32_t slot)
+{
+	struct pf_request *r = &e->reqs[slot];
+
+	if (r->prev == PF_NIL)
+		e->trials = r->next;
+	else
+		e->reqs[r->prev].next = r->next;
+	if (r->next != PF_NIL)
+		e->reqs[r->next].prev = r->prev;
+	e->stats.waiting--;
+}
+
+/* One with the same fingerprint is running. */
+static bool alike_in_flight(const struct pf_entry *e,
+			    const struct pf_request *r)
+{
+	uint32_t i = pf_requests_alike(e, r->work.fingerprint);
+
+	while (i != PF_NIL && !pf_req_in_flight(&e->reqs[i]))
+		i = e->reqs[i].fp_next;
+	return i != PF_NIL;
+}
+
+static bool try_suspect(struct pf_entry *e, uint32_t slot)
+{
+	struct pf_request *r = &e->reqs[slot];
+	struct pf_choice c;
+
+	if (alike_in_flight(e, r))
+		return false;
+	r->work.flags |= PF_WORK_SUSPECT;
+	c = pf_route_pick(e, r);
+	if (c.peer == PF_NIL)
+		return false;
+	trials_del(e, slot);
+	e->trial = slot;
+	r->trial_offset = r->work.offset;
+	send(e, slot, &c);
+	return true;
+}
+
+/* Where a request that is about to wait or be sent has to go. */
+static bool take_aside(struct pf_entry *e, uint32_t slot)
+{
+	struct pf_request *r = &e->reqs[slot];
+	pf_ms left = 0;
+
+	switch (pf_quarantine_check(e, r->work.fingerprint, &left)) {
+	case PF_QUARANTINED:
+		end_quarantined(e, slot, left);
+		return true;
+	case PF_SUSPECTED:
+		trials_add(e, slot);
+		return true;
+	case PF_CLEAR:
+		break;
+	}
+	r->work.flags &= ~(uint32_t)PF_WORK_SUSPECT;
+	return false;
+}
+
+/* A waiting request whose fingerprint came under suspicion. */
+static bool take_aside_waiting(struct pf_entry *e, uint32_t slot)
+{
+	uint64_t fp = e->reqs[slot].work.fingerprint;
+
+	if (pf_quarantine_check(e, fp, NULL) == PF_CLEAR)
+		return false;
+	pf_backlog_del(e, slot, false);
+	return take_aside(e, slot);
+}
+
+/* Serves the first of a group. False when it cannot be placed now. */
+static bool serve_one(struct pf_entry *e, uint32_t group)
+{
+	uint32_t slot = e->groups[group].root;
+	struct pf_choice c;
+
+	if (slot == PF_NIL)
+		return false;
+	if (take_aside_waiting(e, slot))
+		return true;
+	c = pf_route_pick(e, &e->reqs[slot]);
+	if (c.peer == PF_NIL)
+		return false;
+	pf_backlog_del(e, slot, true);
+	send(e, slot, &c);
+	return true;
+}
+
+static void serve_group(struct pf_entry *e, uint32_t group)
+{
+	for (int n = 0; n < BURST_MAX && serve_one(e, group); n++)
+		;
+}
+
+/* Serves one of the suspects; those cleared meanwhile join their group. */
+static void run_trials(struct pf_entry *e)
+{
+	uint32_t slot = e->trials, next;
+
+	for (int n = 0; slot != PF_NIL && n < TRIALS_MAX; n++, slot = next) {
+		struct pf_request *r = &e->reqs[slot];
+		pf_ms left = 0;
+		enum pf_verdict v =
+			pf_quarantine_check(e, r->work.fingerprint, &left);
+
+		next = r->next;
+		if (v == PF_SUSPECTED) {
+			if (e->trial == PF_NIL)
+				(void)try_suspect(e, slot);
+			continue;
+		}
+		trials_del(e, slot);
+		if (v == PF_QUARANTINED) {
+			end_quarantined(e, slot, left);
+			continue;
+		}
+		r->work.flags &= ~(uint32_t)PF_WORK_SUSPECT;
+		pf_backlog_add(e, slot);
+		serve_group(e, r->group);
+	}
+}
+
+void pf_dispatch_enqueue(struct pf_entry *e, uint32_t slot)
+{
+	struct pf_request *r = &e->reqs[slot];
+
+	if (!take_aside(e, slot)) {
+		pf_backlog_add(e, slot);
+		pf_requests_due(e, slot,
+				r->attempt ? PF_NEVER
+					   : pf_limits_give_up_at(e, r));
+		/* A first that could not be placed still holds up the rest. */
+		if (e->groups[r->group].root == slot)
+			serve_group(e, r->group);
+	} else if (e->trial == PF_NIL) {
+		run_trials(e);
+	}
+	arm_sweep(e);
+}
+
+void pf_dispatch_remove(struct pf_entry *e, uint32_t slot)
+{
+	if (e->reqs[slot].state == PF_REQ_WAIT)
+		pf_backlog_del(e, slot, false);
+	else if (e->reqs[slot].state == PF_REQ_SUSPECT)
+		trials_del(e, slot);
+}
+
+static bool listed(const uint32_t *v, uint32_t n, uint32_t x)
+{
+	for (uint32_t i = 0; i < n; i++) {
+		if (v[i] == x)
+			return true;
+	}
+	return false;
+}
+
+/* The group with waiting work that item @i of @p can serve, or PF_NIL. */
+static uint32_t group_of(const struct pf_entry *e, const struct pf_peer *p,
+			 uint32_t i)
+{
+	uint64_t id = p->items[i].id;
+	uint32_t g;
+
+	if (p->service)
+		g = pf_backlog_find(e, p->service, id);
+	else
+		g = pf_backlog_find(e, id, 0);
+	return g != PF_NIL && e->groups[g].n ? g : PF_NIL;
+}
+
+static pf_ms head_key(const struct pf_entry *e, uint32_t group)
+{
+	return e->reqs[e->groups[group].root].key;
+}
+
+static uint32_t most_urgent(const struct pf_entry *e, const struct pf_peer *p,
+			    const uint32_t *blocked, uint32_t n)
+{
+	uint32_t best = PF_NIL;
+
+	if (p->service) {
+		best = pf_backlog_find(e, p->service, 0);
+		if (best != PF_NIL &&
+		    (!e->groups[best].n || listed(blocked, n, best)))
+			best = PF_NIL;
+	}
+	for (uint32_t i = 0; i < p->n_items; i++) {
+		uint32_t g = group_of(e, p, i);
+
+		if (g == PF_NIL || listed(blocked, n, g))
+			continue;
+		if (best == PF_NIL || head_key(e, g) < head_key(e, best))
+			best = g;
+	}
+	return best;
+}
+
+void pf_dispatch_peer(struct pf_entry *e, uint32_t peer)
+{
+	struct pf_peer *p = &e->peers[peer];
+	uint32_t blocked[BLOCKED_MAX];
+	uint32_t n = 0;
+
+	if (e->trials != PF_NIL)
+		run_trials(e);
+	for (int i = 0; i < BURST_MAX && n < BLOCKED_MAX; i++) {
+		uint32_t g;
+
+		if (e->stats.waiting == 0 || !pf_peers_room(e, p))
+			break;
+		g = most_urgent(e, p, blocked, n);
+		if (g == PF_NIL)
+			break;
+		if (!serve_one(e, g))
+			blocked[n++] = g;
+	}
+	arm_sweep(e);
+}
+
+void pf_dispatch_sweep(struct pf_entry *e)
+{
+	if (e->trials != PF_NIL)
+		run_trials(e);
+	for (int i = 0; i < SWEEP_GROUPS; i++) {
+		uint32_t g = pf_backlog_rotate(e);
+
+		if (g == PF_NIL)
+			break;
+		serve_group(e, g);
+	}
+	if (e->sweep_at <= e->now)
+		e->sweep_at = PF_NEVER;
+	arm_sweep(e);
+}
+
+void pf_dispatch_detach(struct pf_entry *e, uint32_t slot)
+{
+	struct pf_request *r = &e->reqs[slot];
+
+	pf_peers_ended(e, r->peer, slot);
+	if (e->trial == slot)
+		e->trial = PF_NIL;
+	r->state = PF_REQ_PAUSE;
+	r->next = PF_NIL;
+	r->prev = PF_NIL;
+}
+
+void pf_dispatch_progress(struct pf_entry *e, uint32_t slot)
+{
+	const struct pf_request *r = &e->reqs[slot];
+
+	if (e->trial != slot || r->work.offset < r->trial_offset + TRIAL_TOKENS)
+		return;
+	e->trial = PF_NIL;
+	run_trials(e);
+	arm_sweep(e);
+}
+
+void pf_dispatch_undeclared(struct pf_entry *e)
+{
+	uint32_t next;
+
+	for (uint32_t g = e->active.head; g != PF_NIL; g = next) {
+		uint32_t slot;
+
+		next = e->groups[g].next;
+		while ((slot = e->groups[g].root) != PF_NIL &&
+		       !pf_catalog_declares(e, &e->reqs[slot].work)) {
+			struct pf_outcome o = { PF_REASON_UNKNOWN_MODEL,
+						e->reqs[slot].ran, 0 };
+
+			pf_backlog_del(e, slot, false);
+			pf_requests_end(e, slot, o);
+		}
+	}
+}
--- /dev/null
+++ b/src/coordination/entry.c
@@ -0,0 +1,257 @@
+/* Entry core: options, creation and the handling of messages. */
+#include "pimentoford/entry.h"
+
+#include "src/coordination/backlog.h"
+#include "src/coordination/catalog.h"
+#include "src/coordination/dispatch.h"
+#include "src/coordination/life.h"
+#include "src/coordination/limits.h"
+#include "src/coordination/peers.h"
+#include "src/coordination/quarantine.h"
+#include "src/coordination/requests.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+void pf_entry_opts_default(struct pf_entry_opts *o)
+{
+	*o = (struct pf_entry_opts){
+		.entry = 1,
+		.seed = 1,
+		.zone = "",
+		.region = "",
+		.requests_max = 20000,
+		.agents_max = 64,
+		.callers_max = 1024,
+		.quarantine_max = 4096,
+		.groups_max = 2048,
+		.items_max = 256,
+		.prefixes_max = 256,
+		.route = PF_ROUTE_OURS,
+		.attempts_max = 6,
+		.retry_ratio = 0.1,
+		.backoff_min = 50,
+		.backoff_max = 2000,
+		.try_timeout = 10000,
+		.stall_timeout = 5000,
+		.report_stale = 5000,
+		.age_step = 5000,
+		.overload_slack = 1.0,
+		.quarantine_keep = 600000,
+		.crashes_max = 2,
+		.depth = 2,
+		.link_share = 0.25,
+	};
+}
+
+static bool in_range(const struct pf_entry_opts *o)
+{
+	return o->requests_max && o->agents_max && o->callers_max &&
+	       o->quarantine_max && o->groups_max && o->items_max &&
+	       o->prefixes_max && o->attempts_max && o->crashes_max &&
+	       o->retry_ratio >= 0 && o->backoff_min > 0 &&
+	       o->backoff_max >= o->backoff_min && o->try_timeout > 0 &&
+	       o->stall_timeout > 0 && o->report_stale > 0 && o->age_step > 0 &&
+	       o->overload_slack >= 0 && o->quarantine_keep > 0 &&
+	       o->link_share >= 0 && o->link_share <= 1;
+}
+
+static int take_memory(struct pf_entry *e)
+{
+	e->zone = pf_str_dup(pf_str_c(e->opts.zone));
+	e->region = pf_str_dup(pf_str_c(e->opts.region));
+	if (!e->zone || !e->region)
+		return -1;
+	if (pf_requests_init(e) || pf_backlog_init(e) || pf_limits_init(e))
+		return -1;
+	return pf_peers_init(e) || pf_quarantine_init(e) ? -1 : 0;
+}
+
+struct pf_entry *pf_entry_new(const struct pf_entry_opts *o)
+{
+	struct pf_entry *e;
+
+	if (!in_range(o))
+		return NULL;
+	e = calloc(1, sizeof(*e));
+	if (!e)
+		return NULL;
+	e->opts = *o;
+	e->sweep_at = PF_NEVER;
+	e->trial = PF_NIL;
+	e->trials = PF_NIL;
+	pf_rng_seed(&e->rng, o->seed);
+	if (take_memory(e)) {
+		pf_entry_free(e);
+		return NULL;
+	}
+	e->opts.zone = e->zone;
+	e->opts.region = e->region;
+	return e;
+}
+
+void pf_entry_free(struct pf_entry *e)
+{
+	if (!e)
+		return;
+	pf_requests_free(e);
+	pf_backlog_free(e);
+	pf_limits_free(e);
+	pf_peers_free(e);
+	pf_quarantine_free(e);
+	pf_map_free(&e->catalog);
+	free(e->zone);
+	free(e->region);
+	free(e);
+}
+
+static void link_up(struct pf_entry *e, const struct pf_entry_msg *m)
+{
+	uint32_t i = pf_peers_get(e, m->agent);
+	struct pf_peer *p;
+
+	if (i == PF_NIL)
+		return;
+	p = &e->peers[i];
+	/* A new incarnation has none of the tries of the old one. */
+	if (p->linked && p->incarnation != m->u.link.incarnation)
+		pf_life_link_down(e, i);
+	pf_peers_up(e, i, m->u.link.incarnation);
+}
+
+static void link_down(struct pf_entry *e, const struct pf_entry_msg *m)
+{
+	uint32_t i = pf_peers_find(e, m->agent);
+
+	if (i != PF_NIL)
+		pf_life_link_down(e, i);
+}
+
+static void report(struct pf_entry *e, const struct pf_entry_msg *m)
+{
+	uint32_t i = pf_peers_find(e, m->agent);
+
+	if (i == PF_NIL || !pf_peers_report(e, i, &m->u.report))
+		return;
+	pf_dispatch_peer(e, i);
+	pf_dispatch_sweep(e);
+}
+
+static void leaving(struct pf_entry *e, const struct pf_entry_msg *m)
+{
+	uint32_t i = pf_peers_get(e, m->agent);
+
+	if (i != PF_NIL)
+		e->peers[i].leaving = true;
+}
+
+static void quarantine(struct pf_entry *e, const struct pf_entry_msg *m)
+{
+	uint64_t fp = m->u.quarantine.fingerprint;
+
+	pf_quarantine_hear(e, fp, m->u.quarantine.until);
+	if (pf_quarantine_check(e, fp, NULL) == PF_QUARANTINED)
+		pf_life_quarantined(e, fp);
+}
+
+static void configure(struct pf_entry *e, const struct pf_config *c)
+{
+	/* Without memory nothing is declared, and new work is NOT_READY. */
+	if (pf_catalog_build(e, c) == 0)
+		pf_dispatch_undeclared(e);
+	pf_limits_configure(e);
+	pf_peers_configure(e);
+	pf_dispatch_sweep(e);
+}
+
+static void tick(struct pf_entry *e)
+{
+	pf_life_timers(e);
+	if (e->sweep_at <= e->now)
+		pf_dispatch_sweep(e);
+}
+
+static void handle(struct pf_entry *e, const struct pf_entry_msg *m)
+{
+	switch (m->type) {
+	case PF_ENTRY_ARRIVE:
+		pf_life_arrive(e, m->u.arrive.request, &m->u.arrive.work);
+		break;
+	case PF_ENTRY_GONE:
+		pf_life_gone(e, m->u.request);
+		break;
+	case PF_ENTRY_LINK_UP:
+		link_up(e, m);
+		break;
+	case PF_ENTRY_LINK_DOWN:
+		link_down(e, m);
+		break;
+	case PF_ENTRY_STARTED:
+		pf_life_started(e, m);
+		break;
+	case PF_ENTRY_PIECE:
+		pf_life_piece(e, m);
+		break;
+	case PF_ENTRY_DONE:
+		pf_life_done(e, m);
+		break;
+	case PF_ENTRY_NOT_RUN:
+		pf_life_not_run(e, m);
+		break;
+	case PF_ENTRY_REVOKED:
+		pf_life_revoked(e, m);
+		break;
+	case PF_ENTRY_LOST:
+		pf_life_lost(e, m);
+		break;
+	case PF_ENTRY_REPORT:
+		report(e, m);
+		break;
+	case PF_ENTRY_LEAVING:
+		leaving(e, m);
+		break;
+	case PF_ENTRY_QUARANTINE:
+		quarantine(e, m);
+		break;
+	case PF_ENTRY_CONFIG:
+		configure(e, m->u.config);
+		break;
+	case PF_ENTRY_DRAIN:
+		e->draining = true;
+		break;
+	case PF_ENTRY_TICK:
+		tick(e);
+		break;
+	}
+}
+
+static void check_drained(struct pf_entry *e)
+{
+	struct pf_entry_act a = { .type = PF_ENTRY_DRAINED };
+
+	if (!e->draining || e->drained || e->stats.alive)
+		return;
+	e->drained = true;
+	pf_entry_emit(e, &a);
+}
+
+void pf_entry_step(struct pf_entry *e, pf_ms now,
+		   const struct pf_entry_msg *msg,
+		   const struct pf_entry_sink *sink)
+{
+	e->sink = sink;
+	e->now = now;
+	handle(e, msg);
+	check_drained(e);
+	e->sink = NULL;
+}
+
+pf_ms pf_entry_next(const struct pf_entry *e)
+{
+	return pf_ms_min(pf_heap_top(&e->timers, NULL), e->sweep_at);
+}
+
+void pf_entry_stats(const struct pf_entry *e, struct pf_entry_stats *s)
+{
+	*s = e->stats;
+}
--- /dev/null
+++ b/src/coordination/life.c
@@ -0,0 +1,572 @@
+/* Life of a request. */
+#include "src/coordination/life.h"
+
+#include "src/coordination/backlog.h"
+#include "src/coordination/dispatch.h"
+#include "src/coordination/limits.h"
+#include "src/coordination/peers.h"
+#include "src/coordination/quarantine.h"
+#include "src/coordination/requests.h"
+#include "src/coordination/route.h"
+
+/* Time added for the first token by each token of the prompt. */
+#define FIRST_TOKEN_MS 1
+/* Told to callers of an entry that is leaving; others take the next call. */
+#define LEAVING_RETRY_MS 100
+/* Weight of a new sample of an agent's service time. */
+#define SERVICE_WEIGHT 0.1
+/* How long an agent is not asked again for a model that it cannot serve. */
+#define UNABLE_MS 1000
+/* Timers carried out in one step; the rest follow in the next. */
+#define TIMERS_MAX 256
+
+static struct pf_outcome outcome(enum pf_reason why, enum pf_ran ran,
+				 pf_ms after)
+{
+	return (struct pf_outcome){ why, ran, after };
+}
+
+/* The true state at this moment, with the try in flight. */
+static enum pf_ran ran_now(const struct pf_request *r)
+{
+	if (r->ran == PF_RAN || r->state == PF_REQ_RUNNING)
+		return PF_RAN;
+#ifndef PF_MUTANT_TIMEOUT_NOT_RUN
+	if (pf_req_in_flight(r))
+		return PF_RAN_UNKNOWN;
+#endif
+	return r->ran;
+}
+
+static void order(struct pf_entry *e, enum pf_entry_act_type type,
+		  const struct pf_request *r)
+{
+	struct pf_entry_act a = { .type = type };
+
+	a.agent = e->peers[r->peer].id;
+	a.u.id = (struct pf_try){ r->id, r->attempt };
+	pf_entry_emit(e, &a);
+}
+
+/* Takes a request out of whatever holds it. The agent may have room then. */
+static uint32_t release(struct pf_entry *e, uint32_t slot)
+{
+	struct pf_request *r = &e->reqs[slot];
+	uint32_t peer = PF_NIL;
+
+	if (pf_req_in_flight(r)) {
+		peer = r->peer;
+		pf_dispatch_detach(e, slot);
+	} else {
+		pf_dispatch_remove(e, slot);
+	}
+	return peer;
+}
+
+static void finish(struct pf_entry *e, uint32_t slot, struct pf_outcome o)
+{
+	uint32_t peer = release(e, slot);
+
+	pf_requests_end(e, slot, o);
+	if (peer != PF_NIL)
+		pf_dispatch_peer(e, peer);
+}
+
+/*
+ * Stops the try in flight because its request ends. A never-repeat call that
+ * began is left to finish, so that its outcome stays known at its owner.
+ */
+static void abandon(struct pf_entry *e, const struct pf_request *r)
+{
+	if (!pf_req_in_flight(r))
+		return;
+	if (!pf_req_never_repeat(r)) {
+		order(e, PF_ENTRY_CANCEL, r);
+	} else if (r->state != PF_REQ_RUNNING) {
+		order(e, PF_ENTRY_REVOKE, r);
+		e->stats.revokes++;
+	}
+}
+
+static pf_ms stall_due(const struct pf_entry *e, const struct pf_request *r)
+{
+	if ((r->work.flags & PF_WORK_PLAIN) || pf_req_never_repeat(r))
+		return PF_NEVER;
+	return e->now + e->opts.stall_timeout;
+}
+
+void pf_life_arrive(struct pf_entry *e, uint64_t id, const struct pf_work *w)
+{
+	struct pf_work work = *w;
+	struct pf_refusal no;
+	struct pf_request *r;
+	uint32_t slot, account, group;
+	pf_ms left = 0;
+
+	e->stats.arrived++;
+	/* Ids are unique; a copy is not a second request. */
+	if (pf_requests_find(e, id) != PF_NIL)
+		return;
+	if (e->draining) {
+		pf_requests_refuse(e, id, PF_REASON_LEAVING, LEAVING_RETRY_MS);
+		return;
+	}
+	if (pf_quarantine_check(e, w->fingerprint, &left) == PF_QUARANTINED) {
+		pf_requests_refuse(e, id, PF_REASON_QUARANTINED, left);
+		return;
+	}
+	no = pf_limits_admit(e, &work, &account);
+	if (no.reason != PF_REASON_NONE) {
+		pf_requests_refuse(e, id, no.reason, no.retry_after);
+		return;
+	}
+	group = pf_backlog_group(e, &work);
+	slot = group == PF_NIL ? PF_NIL : pf_requests_new(e, id, &work);
+	if (slot == PF_NIL) {
+		pf_limits_release(e, account);
+		pf_requests_refuse(e, id, PF_REASON_FULL,
+				   group == PF_NIL
+					   ? LEAVING_RETRY_MS * 10
+					   : pf_limits_retry_after(
+						     e, group, work.priority));
+		return;
+	}
+	r = &e->reqs[slot];
+	r->account = account;
+	r->group = group;
+	e->groups[group].refs++;
+	r->key = pf_backlog_key(e, r);
+	no = pf_limits_overload(e, r);
+	if (no.reason != PF_REASON_NONE)
+		pf_requests_end(e, slot,
+				outcome(no.reason, PF_NOT_RUN, no.retry_after));
+	else
+		pf_dispatch_enqueue(e, slot);
+}
+
+void pf_life_gone(struct pf_entry *e, uint64_t id)
+{
+	uint32_t slot = pf_requests_find(e, id);
+	uint32_t peer;
+
+	if (slot == PF_NIL)
+		return;
+	abandon(e, &e->reqs[slot]);
+	peer = release(e, slot);
+	pf_requests_drop(e, slot);
+	if (peer != PF_NIL)
+		pf_dispatch_peer(e, peer);
+}
+
+/* The request whose try in flight is @id at @agent, or PF_NIL. */
+static uint32_t current(const struct pf_entry *e, uint64_t agent,
+			const struct pf_try *id)
+{
+	uint32_t slot = pf_requests_find(e, id->request);
+	const struct pf_request *r;
+
+	if (slot == PF_NIL)
+		return PF_NIL;
+	r = &e->reqs[slot];
+	if (!pf_req_in_flight(r) || r->attempt != id->attempt ||
+	    e->peers[r->peer].id != agent)
+		return PF_NIL;
+	return slot;
+}
+
+static void mark_started(struct pf_entry *e, uint32_t slot)
+{
+	struct pf_request *r = &e->reqs[slot];
+
+	if (r->state == PF_REQ_RUNNING)
+		return;
+	r->state = PF_REQ_RUNNING;
+	r->ran = PF_RAN;
+	r->started_at = e->now;
+	pf_requests_due(e, slot,
+			pf_ms_after(stall_due(e, r),
+				    r->work.prompt_tokens * FIRST_TOKEN_MS));
+}
+
+void pf_life_started(struct pf_entry *e, const struct pf_entry_msg *m)
+{
+	uint32_t slot = current(e, m->agent, &m->u.id);
+
+	if (slot != PF_NIL)
+		mark_started(e, slot);
+}
+
+enum why {
+	WHY_BUSY, /* the agent had no room: free, but not there again */
+	WHY_FAULT, /* a retry that counts */
+	WHY_ENDPOINT_LOST, /* counts, but does not end the request */
+	WHY_LEAVING, /* planned: free and at once */
+};
+
+static void avoid(struct pf_request *r, pf_ms until)
+{
+	int oldest = 0;
+
+	for (int i = 0; i < PF_AVOID_MAX; i++) {
+		if (r->avoid[i].peer == r->peer) {
+			oldest = i;
+			break;
+		}
+		if (r->avoid[i].until < r->avoid[oldest].until)
+			oldest = i;
+	}
+	r->avoid[oldest].peer = r->peer;
+	r->avoid[oldest].until = until;
+}
+
+/* Whether the budgets allow another try. */
+static bool charge(struct pf_entry *e, struct pf_request *r, enum why why)
+{
+	bool left;
+
+	if (why == WHY_BUSY || why == WHY_LEAVING)
+		return true;
+	e->stats.retries++;
+	left = pf_limits_retry(e, r->account, r->peer);
+	/* A lost endpoint amplifies nothing: its tries cannot be lost twice. */
+	if (why == WHY_ENDPOINT_LOST)
+		return true;
+	return left && ++r->retries < e->opts.attempts_max;
+}
+
+/* The try in flight is over and another is to follow. */
+static void again(struct pf_entry *e, uint32_t slot, enum why why, pf_ms after)
+{
+	struct pf_request *r = &e->reqs[slot];
+	bool resumed = r->state == PF_REQ_RUNNING;
+	uint32_t peer = r->peer;
+	pf_ms pause = 0;
+
+	pf_dispatch_detach(e, slot);
+	if (!charge(e, r, why)) {
+		pf_requests_end(e, slot,
+				outcome(PF_REASON_RETRY_BUDGET, r->ran,
+					e->opts.backoff_max));
+		pf_dispatch_peer(e, peer);
+		return;
+	}
+	e->stats.resumes += resumed;
+	if (why != WHY_LEAVING && !resumed) {
+		pause = pf_limits_backoff(e, r->pauses++);
+		if (pause < after)
+			pause = pf_ms_min(after, e->opts.backoff_max);
+	}
+	avoid(r, e->now + pause + e->opts.backoff_max);
+	if (pause)
+		pf_requests_due(e, slot, e->now + pause);
+	else
+		pf_dispatch_enqueue(e, slot);
+	pf_dispatch_peer(e, peer);
+}
+
+static void unknown(struct pf_entry *e, uint32_t slot)
+{
+	finish(e, slot, outcome(PF_REASON_OUTCOME_UNKNOWN, PF_RAN_UNKNOWN, 0));
+}
+
+/* The try may have begun and its outcome cannot be learned any more. */
+static void cut(struct pf_entry *e, uint32_t slot, enum why why)
+{
+	struct pf_request *r = &e->reqs[slot];
+
+	r->ran = ran_now(r);
+#ifndef PF_MUTANT_RETRY_NEVER_REPEAT
+	if (!pf_req_may_resend(r)) {
+		unknown(e, slot);
+		return;
+	}
+#endif
+	/* Answers of plain services cannot be continued in the middle. */
+	if ((r->work.flags & PF_WORK_PLAIN) && r->work.offset > 0) {
+		finish(e, slot, outcome(PF_REASON_LINK, r->ran, 0));
+		return;
+	}
+	again(e, slot, why, 0);
+}
+
+/* The try runs on but is of no use: stops it and goes on elsewhere. */
+static void replace(struct pf_entry *e, uint32_t slot)
+{
+	struct pf_request *r = &e->reqs[slot];
+
+	if (!pf_req_never_repeat(r))
+		order(e, PF_ENTRY_CANCEL, r);
+	cut(e, slot, WHY_FAULT);
+}
+
+static void deliver(struct pf_entry *e, struct pf_request *r, uint32_t skip,
+		    uint32_t count)
+{
+	struct pf_entry_act a = { .type = PF_ENTRY_DELIVER };
+
+	a.agent = e->peers[r->peer].id;
+	a.u.deliver.request = r->id;
+	a.u.deliver.skip = skip;
+	a.u.deliver.count = count;
+	a.u.deliver.offset = r->work.offset;
+	pf_entry_emit(e, &a);
+	r->work.offset += count;
+}
+
+void pf_life_piece(struct pf_entry *e, const struct pf_entry_msg *m)
+{
+	uint32_t slot = current(e, m->agent, &m->u.tokens.id);
+	uint32_t offset = m->u.tokens.offset, count = m->u.tokens.count;
+	struct pf_request *r;
+	uint32_t skip;
+
+	if (slot == PF_NIL) {
+		e->stats.late_pieces++;
+		return;
+	}
+	mark_started(e, slot);
+	r = &e->reqs[slot];
+	if (offset > r->work.offset) {
+		replace(e, slot);
+		return;
+	}
+	skip = r->work.offset - offset;
+#ifdef PF_MUTANT_DELIVER_DOUBLED
+	skip = 0;
+#endif
+	if (skip >= count) {
+		e->stats.doubled_pieces++;
+		return;
+	}
+	deliver(e, r, skip, count - skip);
+	r->pauses = 0;
+	pf_requests_due(e, slot, stall_due(e, r));
+	pf_dispatch_progress(e, slot);
+}
+
+static void learn(struct pf_entry *e, const struct pf_request *r)
+{
+	struct pf_peer *p = &e->peers[r->peer];
+	double ms = (double)(e->now - r->sent_at);
+
+	if (p->service_ms <= 0)
+		p->service_ms = ms;
+	else
+		p->service_ms += SERVICE_WEIGHT * (ms - p->service_ms);
+	if (!(r->work.flags & PF_WORK_PLAIN))
+		pf_backlog_learn(e, r->group, r->work.offset);
+}
+
+void pf_life_done(struct pf_entry *e, const struct pf_entry_msg *m)
+{
+	uint32_t slot = current(e, m->agent, &m->u.done.id);
+	struct pf_request *r;
+
+	if (slot == PF_NIL)
+		return;
+	mark_started(e, slot);
+	r = &e->reqs[slot];
+	if (m->u.done.error) {
+		finish(e, slot, outcome(PF_REASON_BACKEND, PF_RAN, 0));
+		return;
+	}
+	/* Pieces are missing: the rest is asked for again. */
+	if (!(r->work.flags & PF_WORK_PLAIN) &&
+	    m->u.done.total > r->work.offset) {
+		cut(e, slot, WHY_FAULT);
+		return;
+	}
+	learn(e, r);
+	if (r->work.flags & PF_WORK_SUSPECT)
+		pf_quarantine_absolve(e, r->work.fingerprint);
+	finish(e, slot, outcome(PF_REASON_NONE, PF_RAN, 0));
+}
+
+void pf_life_not_run(struct pf_entry *e, const struct pf_entry_msg *m)
+{
+	uint32_t slot = current(e, m->agent, &m->u.not_run.id);
+	enum pf_reason why = m->u.not_run.reason;
+	pf_ms after = m->u.not_run.retry_after;
+	struct pf_request *r;
+	struct pf_peer *p;
+
+	/* What started cannot be said not to have run. */
+	if (slot == PF_NIL || e->reqs[slot].state == PF_REQ_RUNNING)
+		return;
+	r = &e->reqs[slot];
+	p = &e->peers[r->peer];
+	switch (why) {
+	case PF_REASON_LEAVING:
+		p->leaving = true;
+		again(e, slot, WHY_LEAVING, 0);
+		break;
+	case PF_REASON_FULL:
+		p->load = p->batch_max + e->opts.depth;
+		p->ended = 0;
+		again(e, slot, WHY_BUSY, after);
+		break;
+	case PF_REASON_NO_MEMORY:
+		pf_peers_unable(e, r->peer, r->group, e->now + UNABLE_MS);
+		again(e, slot, WHY_BUSY, after);
+		break;
+	case PF_REASON_NOT_RESIDENT:
+		pf_peers_unable(e, r->peer, r->group, e->now + UNABLE_MS);
+		again(e, slot, WHY_FAULT, after);
+		break;
+	case PF_REASON_EXPIRED:
+	case PF_REASON_UNKNOWN_MODEL:
+	case PF_REASON_TOO_LONG:
+	case PF_REASON_QUARANTINED:
+		finish(e, slot, outcome(why, r->ran, after));
+		break;
+	default:
+		again(e, slot, WHY_FAULT, after);
+	}
+}
+
+void pf_life_revoked(struct pf_entry *e, const struct pf_entry_msg *m)
+{
+	uint32_t slot = current(e, m->agent, &m->u.id);
+
+	if (slot != PF_NIL && e->reqs[slot].state != PF_REQ_RUNNING)
+		again(e, slot, WHY_BUSY, 0);
+}
+
+static void crashed(struct pf_entry *e, uint32_t slot)
+{
+	struct pf_request *r = &e->reqs[slot];
+	uint64_t fp = r->work.fingerprint;
+
+	if (pf_quarantine_crash(e, fp, r->peer) == PF_QUARANTINED) {
+		finish(e, slot,
+		       outcome(PF_REASON_QUARANTINED, PF_RAN,
+			       e->opts.quarantine_keep));
+		pf_life_quarantined(e, fp);
+		return;
+	}
+	cut(e, slot, WHY_ENDPOINT_LOST);
+}
+
+void pf_life_lost(struct pf_entry *e, const struct pf_entry_msg *m)
+{
+	uint32_t slot = current(e, m->agent, &m->u.lost.id);
+
+	if (slot == PF_NIL)
+		return;
+	mark_started(e, slot);
+	switch (m->u.lost.reason) {
+	case PF_REASON_CRASHED:
+		crashed(e, slot);
+		break;
+	case PF_REASON_OUTCOME_UNKNOWN:
+		unknown(e, slot);
+		break;
+	case PF_REASON_EXPIRED:
+		finish(e, slot, outcome(PF_REASON_EXPIRED, PF_RAN, 0));
+		break;
+	case PF_REASON_LEAVING:
+		e->peers[e->reqs[slot].peer].leaving = true;
+		cut(e, slot, WHY_LEAVING);
+		break;
+	default:
+		cut(e, slot, WHY_FAULT);
+	}
+}
+
+void pf_life_link_down(struct pf_entry *e, uint32_t peer)
+{
+	struct pf_peer *p = &e->peers[peer];
+
+	p->linked = false;
+	p->reported = false;
+	while (p->head != PF_NIL)
+		cut(e, p->head, p->leaving ? WHY_LEAVING : WHY_ENDPOINT_LOST);
+}
+
+void pf_life_quarantined(struct pf_entry *e, uint64_t fingerprint)
+{
+	uint32_t slot = pf_requests_alike(e, fingerprint), next;
+
+	for (; slot != PF_NIL; slot = next) {
+		const struct pf_request *r = &e->reqs[slot];
+
+		next = r->fp_next;
+		if (pf_req_in_flight(r))
+			continue;
+		finish(e, slot,
+		       outcome(PF_REASON_QUARANTINED, r->ran,
+			       e->opts.quarantine_keep));
+	}
+}
+
+static void expire(struct pf_entry *e, uint32_t slot)
+{
+	struct pf_request *r = &e->reqs[slot];
+	enum pf_ran ran = ran_now(r);
+
+	abandon(e, r);
+	finish(e, slot, outcome(PF_REASON_EXPIRED, ran, 0));
+}
+
+static void give_up(struct pf_entry *e, uint32_t slot)
+{
+	const struct pf_request *r = &e->reqs[slot];
+	pf_ms after;
+
+	/* It waits for a load, not for others: there is no overload. */
+	if (!pf_route_resident(e, r)) {
+		pf_requests_due(e, slot, e->now + e->opts.age_step);
+		return;
+	}
+	after = pf_limits_retry_after(e, r->group, r->work.priority);
+
+	finish(e, slot, outcome(PF_REASON_OVERLOAD, r->ran, after));
+}
+
+static void revoke(struct pf_entry *e, uint32_t slot)
+{
+	struct pf_request *r = &e->reqs[slot];
+
+	r->state = PF_REQ_REVOKING;
+	order(e, PF_ENTRY_REVOKE, r);
+	e->stats.revokes++;
+	pf_requests_due(e, slot, e->now + e->opts.try_timeout);
+}
+
+static void timer(struct pf_entry *e, uint32_t slot)
+{
+	if (e->reqs[slot].work.deadline <= e->now) {
+		expire(e, slot);
+		return;
+	}
+	switch (e->reqs[slot].state) {
+	case PF_REQ_WAIT:
+		give_up(e, slot);
+		break;
+	case PF_REQ_PAUSE:
+		pf_requests_due(e, slot, PF_NEVER);
+		pf_dispatch_enqueue(e, slot);
+		break;
+	case PF_REQ_SENT:
+	case PF_REQ_REVOKING:
+		revoke(e, slot);
+		break;
+	case PF_REQ_RUNNING:
+		replace(e, slot);
+		break;
+	case PF_REQ_SUSPECT:
+		pf_requests_due(e, slot, PF_NEVER);
+		break;
+	}
+}
+
+void pf_life_timers(struct pf_entry *e)
+{
+	uint32_t slot;
+
+	for (int n = 0; n < TIMERS_MAX; n++) {
+		if (pf_heap_top(&e->timers, &slot) > e->now)
+			break;
+		timer(e, slot);
+	}
+}
--- /dev/null
+++ b/src/coordination/limits.c
@@ -0,0 +1,273 @@
+/* Limits of callers and early refusal. */
+#include "src/coordination/limits.h"
+
+#include "src/coordination/backlog.h"
+#include "src/coordination/catalog.h"
+
+#include <stdlib.h>
+
+/* Retries that a caller or an agent has before its first tries count. */
+#define RETRY_START 10.0
+/* Retries saved up at most. */
+#define RETRY_SAVED 100.0
+/* Bounds of what a refused caller is told. */
+#define RETRY_AFTER_MIN 100
+#define RETRY_AFTER_MAX 60000
+/* Told when nothing better is known. */
+#define RETRY_AFTER_MS 1000
+
+int pf_limits_init(struct pf_entry *e)
+{
+	e->accounts = calloc(e->opts.callers_max, sizeof(*e->accounts));
+	if (!e->accounts)
+		return -1;
+	return pf_map_init(&e->account_map, e->opts.callers_max);
+}
+
+void pf_limits_free(struct pf_entry *e)
+{
+	free(e->accounts);
+	pf_map_free(&e->account_map);
+}
+
+static uint32_t free_account(const struct pf_entry *e)
+{
+	for (uint32_t i = 0; i < e->opts.callers_max; i++) {
+		if (!e->accounts[i].used)
+			return i;
+	}
+	return PF_NIL;
+}
+
+static void adopt(struct pf_entry *e, const struct pf_caller *c)
+{
+	struct pf_account *a;
+	uint32_t i;
+
+	if (pf_map_get(&e->account_map, pf_key1(c->id), &i) == 0) {
+		e->accounts[i].record = c;
+		return;
+	}
+	i = free_account(e);
+	if (i == PF_NIL)
+		return;
+	a = &e->accounts[i];
+	*a = (struct pf_account){
+		.id = c->id,
+		.record = c,
+		.tokens = c->burst,
+		.filled_at = e->now,
+		.retry_budget = RETRY_START,
+		.used = true,
+	};
+	(void)pf_map_put(&e->account_map, pf_key1(c->id), i);
+}
+
+static bool declared(const struct pf_config *c, uint64_t id)
+{
+	for (size_t i = 0; c && i < c->n_callers; i++) {
+		if (c->callers[i].id == id)
+			return true;
+	}
+	return false;
+}
+
+void pf_limits_configure(struct pf_entry *e)
+{
+	for (uint32_t i = 0; i < e->opts.callers_max; i++) {
+		struct pf_account *a = &e->accounts[i];
+
+		a->record = NULL;
+		if (!a->used || a->alive || declared(e->config, a->id))
+			continue;
+		pf_map_del(&e->account_map, pf_key1(a->id));
+		a->used = false;
+	}
+	for (size_t i = 0; e->config && i < e->config->n_callers; i++)
+		adopt(e, &e->config->callers[i]);
+}
+
+static struct pf_refusal refuse(enum pf_reason why, pf_ms after)
+{
+	return (struct pf_refusal){ why, after };
+}
+
+static pf_ms bounded(double ms)
+{
+	if (ms < RETRY_AFTER_MIN)
+		return RETRY_AFTER_MIN;
+	return ms < RETRY_AFTER_MAX ? (pf_ms)ms : RETRY_AFTER_MAX;
+}
+
+/* Up to half more, so that the refused do not come back at once together. */
+static pf_ms spread(struct pf_entry *e, double ms)
+{
+	return bounded(ms * (1 + pf_rng_unit(&e->rng) / 2));
+}
+
+static struct pf_refusal take_rate(struct pf_entry *e, struct pf_account *a)
+{
+	const struct pf_caller *c = a->record;
+	double cap = c->burst ? c->burst : 1;
+
+	if (c->rate <= 0)
+		return refuse(PF_REASON_NONE, 0);
+	a->tokens += (double)(e->now - a->filled_at) * c->rate / 1000;
+	if (a->tokens > cap)
+		a->tokens = cap;
+	a->filled_at = e->now;
+	if (a->tokens < 1)
+		return refuse(PF_REASON_RATE,
+			      spread(e, (1 - a->tokens) * 1000 / c->rate));
+	a->tokens -= 1;
+	return refuse(PF_REASON_NONE, 0);
+}
+
+static bool may_call(const struct pf_caller *c, uint64_t name_id)
+{
+	for (size_t i = 0; i < c->n_models; i++) {
+		if (c->models[i] == name_id)
+			return true;
+	}
+	return c->n_models == 0;
+}
+
+static enum pf_reason check_work(const struct pf_entry *e,
+				 const struct pf_caller *c,
+				 const struct pf_work *w)
+{
+	const struct pf_model *m;
+
+	if (!pf_catalog_declares(e, w))
+		return PF_REASON_UNKNOWN_MODEL;
+	if (w->flags & PF_WORK_PLAIN)
+		return PF_REASON_NONE;
+	m = pf_catalog_model(e, w->model);
+	if (!may_call(c, m->name_id))
+		return PF_REASON_UNKNOWN_MODEL;
+	if ((uint64_t)w->prompt_tokens + w->max_tokens > m->max_context)
+		return PF_REASON_TOO_LONG;
+	return PF_REASON_NONE;
+}
+
+static void apply_record(struct pf_work *w, const struct pf_caller *c)
+{
+	w->priority =
+		c->priority < PF_PRIORITIES ? c->priority : PF_PRIORITIES - 1;
+	if (c->deferrable)
+		w->flags |= PF_WORK_DEFERRABLE;
+	if (w->deadline == PF_NEVER && c->deadline_ms > 0)
+		w->deadline = pf_ms_after(w->arrived, c->deadline_ms);
+}
+
+struct pf_refusal pf_limits_admit(struct pf_entry *e, struct pf_work *w,
+				  uint32_t *account)
+{
+	struct pf_refusal no;
+	struct pf_account *a;
+	const struct pf_caller *c;
+
+	if (!e->config)
+		return refuse(PF_REASON_NOT_READY, RETRY_AFTER_MS);
+	if (pf_map_get(&e->account_map, pf_key1(w->caller), account))
+		return declared(e->config, w->caller)
+			       ? refuse(PF_REASON_FULL, RETRY_AFTER_MAX)
+			       : refuse(PF_REASON_UNKNOWN_MODEL, 0);
+	a = &e->accounts[*account];
+	c = a->record;
+	if (!c)
+		return refuse(PF_REASON_UNKNOWN_MODEL, 0);
+	no.reason = check_work(e, c, w);
+	if (no.reason != PF_REASON_NONE)
+		return refuse(no.reason, 0);
+	if (c->concurrency && a->alive >= c->concurrency)
+		return refuse(PF_REASON_CONCURRENCY, spread(e, RETRY_AFTER_MS));
+	no = take_rate(e, a);
+	if (no.reason != PF_REASON_NONE)
+		return no;
+	apply_record(w, c);
+	a->alive++;
+	return refuse(PF_REASON_NONE, 0);
+}
+
+void pf_limits_release(struct pf_entry *e, uint32_t account)
+{
+	e->accounts[account].alive--;
+}
+
+/* How long the request may wait and still be as expected; PF_NEVER: any. */
+static pf_ms patience(const struct pf_request *r)
+{
+	const struct pf_work *w = &r->work;
+	pf_ms due = pf_ms_min(w->first_due, w->whole_due);
+
+	if (due == PF_NEVER || (w->flags & PF_WORK_DEFERRABLE))
+		return PF_NEVER;
+	return due > w->arrived ? due - w->arrived : 0;
+}
+
+pf_ms pf_limits_retry_after(struct pf_entry *e, uint32_t group, uint8_t prio)
+{
+	double wait = pf_backlog_wait(e, group, prio);
+
+	return spread(e, wait > 0 ? wait : RETRY_AFTER_MS);
+}
+
+struct pf_refusal pf_limits_overload(struct pf_entry *e,
+				     const struct pf_request *r)
+{
+	pf_ms may = patience(r);
+	double wait;
+
+	if (may == PF_NEVER || e->opts.overload_slack <= 0)
+		return refuse(PF_REASON_NONE, 0);
+	wait = pf_backlog_wait(e, r->group, r->work.priority);
+	if (wait <= e->opts.overload_slack * (double)may)
+		return refuse(PF_REASON_NONE, 0);
+	return refuse(PF_REASON_OVERLOAD, spread(e, wait));
+}
+
+pf_ms pf_limits_give_up_at(const struct pf_entry *e, const struct pf_request *r)
+{
+	pf_ms may = patience(r);
+
+	if (may == PF_NEVER || e->opts.overload_slack <= 0)
+		return PF_NEVER;
+	return pf_ms_after(r->work.arrived,
+			   (pf_ms)(e->opts.overload_slack * (double)may));
+}
+
+static void earn(double *budget, double ratio)
+{
+	*budget += ratio;
+	if (*budget > RETRY_SAVED)
+		*budget = RETRY_SAVED;
+}
+
+void pf_limits_first_try(struct pf_entry *e, uint32_t account, uint32_t peer)
+{
+	earn(&e->accounts[account].retry_budget, e->opts.retry_ratio);
+	earn(&e->peers[peer].retry_budget, e->opts.retry_ratio);
+}
+
+bool pf_limits_retry(struct pf_entry *e, uint32_t account, uint32_t peer)
+{
+	double *a = &e->accounts[account].retry_budget;
+	double *p = &e->peers[peer].retry_budget;
+
+	if (*a < 1 || *p + RETRY_START < 1)
+		return false;
+	*a -= 1;
+	*p -= 1;
+	return true;
+}
+
+pf_ms pf_limits_backoff(struct pf_entry *e, uint32_t n)
+{
+	pf_ms top = e->opts.backoff_min;
+
+	while (n-- > 0 && top < e->opts.backoff_max)
+		top *= 2;
+	top = pf_ms_min(top, e->opts.backoff_max);
+	return top / 2 + (pf_ms)pf_rng_below(&e->rng, (uint32_t)(top / 2 + 1));
+}
--- /dev/null
+++ b/src/coordination/peers.c
@@ -0,0 +1,286 @@
+/* Table of agents. */
+#include "src/coordination/peers.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+int pf_peers_init(struct pf_entry *e)
+{
+	const struct pf_entry_opts *o = &e->opts;
+
+	e->peers = calloc(o->agents_max, sizeof(*e->peers));
+	e->candidates = calloc(o->agents_max, sizeof(*e->candidates));
+	if (!e->peers || !e->candidates ||
+	    pf_map_init(&e->peer_map, o->agents_max))
+		return -1;
+	for (uint32_t i = 0; i < o->agents_max; i++) {
+		struct pf_peer *p = &e->peers[i];
+
+		p->items = calloc(o->items_max, sizeof(*p->items));
+		p->items_next = calloc(o->items_max, sizeof(*p->items));
+		p->prefixes = calloc(o->prefixes_max, sizeof(*p->prefixes));
+		if (!p->items || !p->items_next || !p->prefixes)
+			return -1;
+	}
+	return 0;
+}
+
+void pf_peers_free(struct pf_entry *e)
+{
+	for (uint32_t i = 0; e->peers && i < e->opts.agents_max; i++) {
+		free(e->peers[i].items);
+		free(e->peers[i].items_next);
+		free(e->peers[i].prefixes);
+	}
+	free(e->peers);
+	free(e->candidates);
+	pf_map_free(&e->peer_map);
+}
+
+uint32_t pf_peers_find(const struct pf_entry *e, uint64_t id)
+{
+	uint32_t i;
+
+	return pf_map_get(&e->peer_map, pf_key1(id), &i) ? PF_NIL : i;
+}
+
+static bool same(const char *a, const char *b)
+{
+	return a && b && strcmp(a, b) == 0;
+}
+
+static void configure(struct pf_entry *e, struct pf_peer *p)
+{
+	const struct pf_endpoint *r = NULL;
+
+	for (size_t i = 0; e->config && i < e->config->n_endpoints; i++) {
+		if (e->config->endpoints[i].id == p->id)
+			r = &e->config->endpoints[i];
+	}
+	p->record = r;
+	p->same_zone = r && same(r->zone, e->zone);
+	p->same_region = r && same(r->region, e->region);
+	p->service = 0;
+	for (size_t i = 0; r && i < e->config->n_services; i++) {
+		if (same(e->config->services[i].name, r->service))
+			p->service = e->config->services[i].id;
+	}
+}
+
+void pf_peers_configure(struct pf_entry *e)
+{
+	for (uint32_t i = 0; i < e->n_peers; i++)
+		configure(e, &e->peers[i]);
+}
+
+static void reset(struct pf_entry *e, struct pf_peer *p, uint64_t id)
+{
+	struct pf_peer clean = {
+		.id = id,
+		.head = PF_NIL,
+		.items = p->items,
+		.items_next = p->items_next,
+		.prefixes = p->prefixes,
+	};
+
+	*p = clean;
+	memset(p->prefixes, 0, e->opts.prefixes_max * sizeof(*p->prefixes));
+	configure(e, p);
+}
+
+static uint32_t take_slot(struct pf_entry *e)
+{
+	if (e->n_peers < e->opts.agents_max)
+		return e->n_peers++;
+	for (uint32_t i = 0; i < e->n_peers; i++) {
+		if (e->peers[i].linked || e->peers[i].inflight)
+			continue;
+		pf_map_del(&e->peer_map, pf_key1(e->peers[i].id));
+		return i;
+	}
+	return PF_NIL;
+}
+
+uint32_t pf_peers_get(struct pf_entry *e, uint64_t id)
+{
+	uint32_t i = pf_peers_find(e, id);
+
+	if (i != PF_NIL)
+		return i;
+	i = take_slot(e);
+	if (i == PF_NIL)
+		return PF_NIL;
+	reset(e, &e->peers[i], id);
+	(void)pf_map_put(&e->peer_map, pf_key1(id), i);
+	return i;
+}
+
+void pf_peers_up(struct pf_entry *e, uint32_t peer, uint64_t incarnation)
+{
+	struct pf_peer *p = &e->peers[peer];
+
+	if (p->incarnation != incarnation) {
+		double budget = p->retry_budget;
+
+		reset(e, p, p->id);
+		p->retry_budget = budget;
+		p->incarnation = incarnation;
+	}
+	p->linked = true;
+}
+
+static int by_id(const void *a, const void *b)
+{
+	const struct pf_peer_item *x = a, *y = b;
+
+	return x->id < y->id ? -1 : x->id > y->id;
+}
+
+const struct pf_peer_item *pf_peers_item(const struct pf_peer *p, uint64_t id)
+{
+	struct pf_peer_item k = { .id = id };
+
+	return bsearch(&k, p->items, p->n_items, sizeof(k), by_id);
+}
+
+static void take_items(struct pf_entry *e, struct pf_peer *p,
+		       const struct pf_report *r)
+{
+	struct pf_peer_item *v = p->items_next;
+	uint32_t n = 0;
+
+	for (uint32_t i = 0; i < r->n_items && n < e->opts.items_max; i++) {
+		const struct pf_peer_item *old =
+			pf_peers_item(p, r->items[i].id);
+		bool kept = old && old->state == r->items[i].state;
+
+		v[n].id = r->items[i].id;
+		v[n].state = r->items[i].state;
+		v[n++].since = kept ? old->since : e->now;
+	}
+	qsort(v, n, sizeof(*v), by_id);
+	p->items_next = p->items;
+	p->items = v;
+	p->n_items = n;
+}
+
+/* Own tries that the agent has not taken in yet stay counted. */
+static void take_load(struct pf_peer *p, const struct pf_report *r)
+{
+	uint32_t taken = p->reported ? r->started - p->taken : r->started;
+
+	p->unseen = p->unseen > taken ? p->unseen - taken : 0;
+	p->taken = r->started;
+	p->load = r->running + r->queued;
+	p->ended = 0;
+}
+
+bool pf_peers_report(struct pf_entry *e, uint32_t peer,
+		     const struct pf_report *r)
+{
+	struct pf_peer *p = &e->peers[peer];
+
+	if (!p->linked || r->incarnation != p->incarnation ||
+	    (p->reported && r->seq <= p->seq))
+		return false;
+	take_load(p, r);
+	take_items(e, p, r);
+	p->seq = r->seq;
+	p->report_at = e->now;
+	p->reported = true;
+	p->ready = r->ready;
+	/* Once leaving, only a new incarnation takes work again. */
+	p->leaving = p->leaving || r->leaving;
+	p->batch_max = r->batch_max ? r->batch_max : 1;
+	p->kv_free = r->kv_free;
+	p->step_ms = r->step_ms;
+	p->prefill_ms = r->token_prefill_ms;
+	return true;
+}
+
+void pf_peers_sent(struct pf_entry *e, uint32_t peer, uint32_t slot)
+{
+	struct pf_peer *p = &e->peers[peer];
+	struct pf_request *r = &e->reqs[slot];
+
+	r->prev = PF_NIL;
+	r->next = p->head;
+	if (p->head != PF_NIL)
+		e->reqs[p->head].prev = slot;
+	p->head = slot;
+	p->inflight++;
+	p->unseen++;
+}
+
+void pf_peers_ended(struct pf_entry *e, uint32_t peer, uint32_t slot)
+{
+	struct pf_peer *p = &e->peers[peer];
+	struct pf_request *r = &e->reqs[slot];
+
+	if (r->prev == PF_NIL)
+		p->head = r->next;
+	else
+		e->reqs[r->prev].next = r->next;
+	if (r->next != PF_NIL)
+		e->reqs[r->next].prev = r->prev;
+	p->inflight--;
+	p->ended++;
+}
+
+uint32_t pf_peers_load(const struct pf_peer *p)
+{
+	uint32_t all = p->load + p->unseen;
+	uint32_t load = all > p->ended ? all - p->ended : 0;
+
+	return load > p->inflight ? load : p->inflight;
+}
+
+bool pf_peers_room(const struct pf_entry *e, const struct pf_peer *p)
+{
+	return pf_peers_load(p) < p->batch_max + e->opts.depth;
+}
+
+bool pf_peers_fresh(const struct pf_entry *e, const struct pf_peer *p)
+{
+	return e->now - p->report_at <= e->opts.report_stale;
+}
+
+void pf_peers_unable(struct pf_entry *e, uint32_t peer, uint32_t group,
+		     pf_ms until)
+{
+	struct pf_peer *p = &e->peers[peer];
+	uint32_t oldest = 0;
+
+	for (uint32_t i = 0; i < PF_UNABLE_MAX; i++) {
+		if (p->unable[i].group == group) {
+			oldest = i;
+			break;
+		}
+		if (p->unable[i].until < p->unable[oldest].until)
+			oldest = i;
+	}
+	p->unable[oldest].group = group;
+	p->unable[oldest].until = until;
+}
+
+bool pf_peers_is_unable(const struct pf_entry *e, const struct pf_peer *p,
+			uint32_t group)
+{
+	for (uint32_t i = 0; i < PF_UNABLE_MAX; i++) {
+		if (p->unable[i].group == group && p->unable[i].until > e->now)
+			return true;
+	}
+	return false;
+}
+
+void pf_peers_prefix_add(struct pf_entry *e, struct pf_peer *p, uint64_t prefix)
+{
+	if (prefix)
+		p->prefixes[prefix % e->opts.prefixes_max] = prefix;
+}
+
+bool pf_peers_prefix_has(const struct pf_entry *e, const struct pf_peer *p,
+			 uint64_t prefix)
+{
+	return prefix && p->prefixes[prefix % e->opts.prefixes_max] == prefix;
+}
--- /dev/null
+++ b/src/coordination/quarantine.c
@@ -0,0 +1,226 @@
+/* Suspects and quarantined fingerprints, least recently used first. */
+#include "src/coordination/quarantine.h"
+
+#include <stdlib.h>
+
+/* Losses that one agent tells within this time are of the same crash. */
+#define CRASH_SET_MS 2000
+
+int pf_quarantine_init(struct pf_entry *e)
+{
+	e->suspects = calloc(e->opts.quarantine_max, sizeof(*e->suspects));
+	e->suspect_free = PF_NIL;
+	e->suspect_head = PF_NIL;
+	e->suspect_tail = PF_NIL;
+	if (!e->suspects)
+		return -1;
+	return pf_map_init(&e->suspect_map, e->opts.quarantine_max);
+}
+
+void pf_quarantine_free(struct pf_entry *e)
+{
+	free(e->suspects);
+	pf_map_free(&e->suspect_map);
+}
+
+static void unlink_one(struct pf_entry *e, uint32_t i)
+{
+	struct pf_suspect *s = &e->suspects[i];
+
+	if (s->prev == PF_NIL)
+		e->suspect_head = s->next;
+	else
+		e->suspects[s->prev].next = s->next;
+	if (s->next == PF_NIL)
+		e->suspect_tail = s->prev;
+	else
+		e->suspects[s->next].prev = s->prev;
+}
+
+static void link_last(struct pf_entry *e, uint32_t i)
+{
+	struct pf_suspect *s = &e->suspects[i];
+
+	s->next = PF_NIL;
+	s->prev = e->suspect_tail;
+	if (e->suspect_tail == PF_NIL)
+		e->suspect_head = i;
+	else
+		e->suspects[e->suspect_tail].next = i;
+	e->suspect_tail = i;
+}
+
+static void drop(struct pf_entry *e, uint32_t i)
+{
+	unlink_one(e, i);
+	pf_map_del(&e->suspect_map, pf_key1(e->suspects[i].fingerprint));
+	e->suspects[i].next = e->suspect_free;
+	e->suspect_free = i;
+}
+
+/* The suspect longest unseen, else the quarantine that ends first. */
+static void make_room(struct pf_entry *e)
+{
+	uint32_t victim = e->suspect_head;
+
+	for (uint32_t i = victim; i != PF_NIL; i = e->suspects[i].next) {
+		if (e->suspects[i].until == 0) {
+			victim = i;
+			break;
+		}
+		if (e->suspects[i].until < e->suspects[victim].until)
+			victim = i;
+	}
+	drop(e, victim);
+}
+
+static uint32_t take(struct pf_entry *e)
+{
+	uint32_t i;
+
+	if (e->suspect_free == PF_NIL &&
+	    e->suspect_fresh < e->opts.quarantine_max)
+		return e->suspect_fresh++;
+	if (e->suspect_free == PF_NIL)
+		make_room(e);
+	i = e->suspect_free;
+	e->suspect_free = e->suspects[i].next;
+	return i;
+}
+
+static bool over(const struct pf_entry *e, const struct pf_suspect *s)
+{
+	if (s->until)
+		return s->until <= e->now;
+	return s->seen + e->opts.quarantine_keep <= e->now;
+}
+
+/* The slot of @fp, unless absent or over. */
+static uint32_t find(struct pf_entry *e, uint64_t fp)
+{
+	uint32_t i;
+
+	if (fp == 0 || pf_map_get(&e->suspect_map, pf_key1(fp), &i))
+		return PF_NIL;
+	if (!over(e, &e->suspects[i]))
+		return i;
+	drop(e, i);
+	return PF_NIL;
+}
+
+static struct pf_suspect *get(struct pf_entry *e, uint64_t fp)
+{
+	uint32_t i = find(e, fp);
+
+	if (i == PF_NIL) {
+		i = take(e);
+		e->suspects[i] = (struct pf_suspect){ .fingerprint = fp };
+		(void)pf_map_put(&e->suspect_map, pf_key1(fp), i);
+		e->stats.suspects++;
+	} else {
+		unlink_one(e, i);
+	}
+	link_last(e, i);
+	e->suspects[i].seen = e->now;
+	return &e->suspects[i];
+}
+
+static enum pf_verdict verdict(const struct pf_suspect *s)
+{
+	return s->until ? PF_QUARANTINED : PF_SUSPECTED;
+}
+
+enum pf_verdict pf_quarantine_check(struct pf_entry *e, uint64_t fingerprint,
+				    pf_ms *left)
+{
+	uint32_t i = find(e, fingerprint);
+
+	if (i == PF_NIL)
+		return PF_CLEAR;
+	if (left && e->suspects[i].until)
+		*left = e->suspects[i].until - e->now;
+	return verdict(&e->suspects[i]);
+}
+
+static void share(struct pf_entry *e, const struct pf_suspect *s)
+{
+	struct pf_entry_act a = { .type = PF_ENTRY_SHARE_QUARANTINE };
+
+	a.u.quarantine.fingerprint = s->fingerprint;
+	a.u.quarantine.until = s->until;
+	pf_entry_emit(e, &a);
+}
+
+/* The others that were running at crash @id are innocent. */
+static void absolve_crash(struct pf_entry *e, uint32_t id)
+{
+	uint32_t next;
+
+	for (uint32_t i = e->suspect_head; i != PF_NIL; i = next) {
+		next = e->suspects[i].next;
+		if (e->suspects[i].crash == id && !e->suspects[i].until)
+			drop(e, i);
+	}
+}
+
+static void join_crash(struct pf_entry *e, struct pf_peer *p)
+{
+	if (p->crash && e->now - p->crash_at <= CRASH_SET_MS)
+		return;
+	p->crash = ++e->crash_seq;
+	p->crash_at = e->now;
+	p->crash_solved = false;
+}
+
+enum pf_verdict pf_quarantine_crash(struct pf_entry *e, uint64_t fingerprint,
+				    uint32_t peer)
+{
+	struct pf_peer *p = &e->peers[peer];
+	struct pf_suspect *s;
+	uint32_t before;
+
+	join_crash(e, p);
+	if (fingerprint == 0 ||
+	    (p->crash_solved && find(e, fingerprint) == PF_NIL))
+		return PF_CLEAR;
+	s = get(e, fingerprint);
+	before = s->crash;
+	if (before == p->crash)
+		return verdict(s);
+	s->crash = p->crash;
+	s->crashes++;
+	if (s->crashes >= e->opts.crashes_max && !s->until) {
+		s->until = e->now + e->opts.quarantine_keep;
+		e->stats.quarantined++;
+		p->crash_solved = true;
+		absolve_crash(e, p->crash);
+		if (before)
+			absolve_crash(e, before);
+	}
+	share(e, s);
+	return verdict(s);
+}
+
+void pf_quarantine_hear(struct pf_entry *e, uint64_t fingerprint, pf_ms until)
+{
+	struct pf_suspect *s;
+
+	if (fingerprint == 0 || (until != 0 && until <= e->now))
+		return;
+	s = get(e, fingerprint);
+	if (s->crashes == 0)
+		s->crashes = 1;
+	if (until > s->until) {
+		if (!s->until)
+			e->stats.quarantined++;
+		s->until = until;
+	}
+}
+
+void pf_quarantine_absolve(struct pf_entry *e, uint64_t fingerprint)
+{
+	uint32_t i = find(e, fingerprint);
+
+	if (i != PF_NIL && !e->suspects[i].until)
+		drop(e, i);
+}
--- /dev/null
+++ b/src/coordination/quarantine.h
@@ -0,0 +1,30 @@
+/*
+ * Fingerprints of requests that were running when an endpoint crashed. One
+ * crash makes a suspect, crashes_max put the fingerprint into quarantine.
+ */
+#ifndef SRC_COORDINATION_QUARANTINE_H
+#define SRC_COORDINATION_QUARANTINE_H
+
+#include "src/coordination/entry_impl.h"
+
+enum pf_verdict { PF_CLEAR, PF_SUSPECTED, PF_QUARANTINED };
+
+/** Takes memory for the fingerprints. 0, or -1 when there is none. */
+int pf_quarantine_init(struct pf_entry *e);
+void pf_quarantine_free(struct pf_entry *e);
+
+/** What is known of @fingerprint; *@left is what remains of a quarantine. */
+enum pf_verdict pf_quarantine_check(struct pf_entry *e, uint64_t fingerprint,
+				    pf_ms *left);
+
+/** It was running at @peer when the endpoint crashed; tells other entries. */
+enum pf_verdict pf_quarantine_crash(struct pf_entry *e, uint64_t fingerprint,
+				    uint32_t peer);
+
+/** Another entry says so; @until as in PF_ENTRY_QUARANTINE. */
+void pf_quarantine_hear(struct pf_entry *e, uint64_t fingerprint, pf_ms until);
+
+/** A suspect completed: it is none any more. */
+void pf_quarantine_absolve(struct pf_entry *e, uint64_t fingerprint);
+
+#endif
--- /dev/null
+++ b/src/coordination/requests.c
@@ -0,0 +1,158 @@
+/* Table of requests. */
+#include "src/coordination/requests.h"
+
+#include "src/coordination/limits.h"
+
+#include <stdlib.h>
+
+int pf_requests_init(struct pf_entry *e)
+{
+	uint32_t n = e->opts.requests_max;
+
+	e->reqs = calloc(n, sizeof(*e->reqs));
+	if (!e->reqs || pf_map_init(&e->req_map, n) ||
+	    pf_map_init(&e->fp_map, n) || pf_heap_init(&e->timers, n))
+		return -1;
+	for (uint32_t i = 0; i < n; i++)
+		e->reqs[i].next = i + 1 < n ? i + 1 : PF_NIL;
+	e->req_free = 0;
+	return 0;
+}
+
+void pf_requests_free(struct pf_entry *e)
+{
+	free(e->reqs);
+	pf_map_free(&e->req_map);
+	pf_map_free(&e->fp_map);
+	pf_heap_free(&e->timers);
+}
+
+uint32_t pf_requests_find(const struct pf_entry *e, uint64_t id)
+{
+	uint32_t i;
+
+	return pf_map_get(&e->req_map, pf_key1(id), &i) ? PF_NIL : i;
+}
+
+uint32_t pf_requests_alike(const struct pf_entry *e, uint64_t fingerprint)
+{
+	uint32_t i;
+
+	return pf_map_get(&e->fp_map, pf_key1(fingerprint), &i) ? PF_NIL : i;
+}
+
+static void fp_add(struct pf_entry *e, uint32_t slot)
+{
+	struct pf_request *r = &e->reqs[slot];
+
+	r->fp_prev = PF_NIL;
+	r->fp_next = pf_requests_alike(e, r->work.fingerprint);
+	if (r->fp_next != PF_NIL)
+		e->reqs[r->fp_next].fp_prev = slot;
+	(void)pf_map_put(&e->fp_map, pf_key1(r->work.fingerprint), slot);
+}
+
+static void fp_del(struct pf_entry *e, uint32_t slot)
+{
+	struct pf_request *r = &e->reqs[slot];
+	struct pf_key k = pf_key1(r->work.fingerprint);
+
+	if (r->fp_next != PF_NIL)
+		e->reqs[r->fp_next].fp_prev = r->fp_prev;
+	if (r->fp_prev != PF_NIL)
+		e->reqs[r->fp_prev].fp_next = r->fp_next;
+	else if (r->fp_next != PF_NIL)
+		(void)pf_map_put(&e->fp_map, k, r->fp_next);
+	else
+		pf_map_del(&e->fp_map, k);
+}
+
+uint32_t pf_requests_new(struct pf_entry *e, uint64_t id,
+			 const struct pf_work *w)
+{
+	uint32_t slot = e->req_free;
+	struct pf_request *r;
+
+	if (slot == PF_NIL)
+		return PF_NIL;
+	r = &e->reqs[slot];
+	e->req_free = r->next;
+	*r = (struct pf_request){
+		.id = id,
+		.work = *w,
+		.state = PF_REQ_PAUSE,
+		.ran = PF_NOT_RUN,
+		.group = PF_NIL,
+		.peer = PF_NIL,
+		.child = PF_NIL,
+		.next = PF_NIL,
+		.prev = PF_NIL,
+		.due = PF_NEVER,
+	};
+	(void)pf_map_put(&e->req_map, pf_key1(id), slot);
+	if (w->fingerprint)
+		fp_add(e, slot);
+	pf_requests_due(e, slot, PF_NEVER);
+	e->stats.alive++;
+	return slot;
+}
+
+void pf_requests_due(struct pf_entry *e, uint32_t slot, pf_ms due)
+{
+	struct pf_request *r = &e->reqs[slot];
+
+	r->due = due;
+	pf_heap_set(&e->timers, slot, pf_ms_min(due, r->work.deadline));
+}
+
+void pf_requests_drop(struct pf_entry *e, uint32_t slot)
+{
+	struct pf_request *r = &e->reqs[slot];
+
+	pf_limits_release(e, r->account);
+	if (r->group != PF_NIL)
+		e->groups[r->group].refs--;
+	if (r->work.fingerprint)
+		fp_del(e, slot);
+	pf_map_del(&e->req_map, pf_key1(r->id));
+	pf_heap_set(&e->timers, slot, PF_NEVER);
+	r->next = e->req_free;
+	e->req_free = slot;
+	e->stats.alive--;
+}
+
+static void tell(struct pf_entry *e, uint64_t id, struct pf_outcome o,
+		 uint32_t total)
+{
+	struct pf_entry_act a = { .type = PF_ENTRY_END };
+
+	a.u.end.request = id;
+	a.u.end.reason = o.reason;
+	a.u.end.ran = o.ran;
+	a.u.end.retry_after = o.retry_after;
+	a.u.end.total = total;
+	pf_entry_emit(e, &a);
+}
+
+void pf_requests_end(struct pf_entry *e, uint32_t slot, struct pf_outcome o)
+{
+	struct pf_request *r = &e->reqs[slot];
+
+	if (o.reason == PF_REASON_NONE)
+		e->stats.ended_ok++;
+	else if (o.ran == PF_NOT_RUN)
+		e->stats.refused++;
+	else
+		e->stats.failed++;
+	tell(e, r->id, o, r->work.offset);
+	pf_requests_drop(e, slot);
+}
+
+void pf_requests_refuse(struct pf_entry *e, uint64_t id, enum pf_reason reason,
+			pf_ms retry_after)
+{
+	struct pf_outcome o = { reason, PF_NOT_RUN, retry_after };
+
+	e->stats.refused++;
+	tell(e, id, o, 0);
+}
--- /dev/null
+++ b/src/coordination/route.c
@@ -0,0 +1,328 @@
+/*
+ * Routing: the cheapest of the agents able to serve, in milliseconds, or one
+ * of the baseline policies among the same agents.
+ */
+#include "src/coordination/route.h"
+
+#include "src/coordination/backlog.h"
+#include "src/coordination/catalog.h"
+#include "src/coordination/peers.h"
+
+#define MODEL_LOAD_MS 20000.0
+#define ADAPTER_LOAD_MS 10.0
+#define ZONE_MS 1.0
+#define REGION_MS 24.0
+/* Each sequence in a batch slows the others by so much over a request. */
+#define SHARE_MS 4.0
+/* Service time of a try where none was measured. */
+#define SERVICE_MS 2000.0
+/* Prefill time of a token where none was reported. */
+#define PREFILL_MS 0.2
+/* Part of the prompt that a cached prefix is reckoned to cover. */
+#define PREFIX_PART 0.7
+/* A run that lacks KV memory waits for others to finish. */
+#define NO_KV_MS 1000.0
+/* Bytes on the link for one token of prompt and of streamed output. */
+#define PROMPT_BYTES 5.0
+#define OUTPUT_BYTES 48.0
+/* The link budget saved up at most, in milliseconds of its rate. */
+#define LINK_BURST_MS 2000.0
+
+enum home { AWAY, LOADING, RESIDENT };
+
+/* What the agents able to serve have between them. */
+struct field {
+	bool fresh;
+	bool other; /* one that the request does not avoid */
+	bool local;
+	enum home home;
+};
+
+pf_ms pf_route_load_ms(void)
+{
+	return (pf_ms)MODEL_LOAD_MS;
+}
+
+static bool reachable(const struct pf_peer *p)
+{
+	if (!p->linked || !p->reported || !p->ready || !p->record)
+		return false;
+#ifndef PF_MUTANT_SEND_TO_LEAVING
+	if (p->leaving)
+		return false;
+#endif
+	return true;
+}
+
+static bool holds_shard(const struct pf_peer *p, uint64_t shard)
+{
+	const struct pf_peer_item *i = pf_peers_item(p, shard);
+
+	return i && i->state == PF_ITEM_RESIDENT;
+}
+
+static bool able(const struct pf_entry *e, const struct pf_peer *p,
+		 const struct pf_request *r)
+{
+	const struct pf_group *g = &e->groups[r->group];
+	bool plain = r->work.flags & PF_WORK_PLAIN;
+
+	if (!reachable(p) || pf_peers_is_unable(e, p, r->group))
+		return false;
+	if (plain != (p->record->kind == PF_ENDPOINT_PLAIN))
+		return false;
+	if (!plain)
+		return true;
+	return p->service == g->model &&
+	       (!g->shard || holds_shard(p, g->shard));
+}
+
+static enum home home(const struct pf_entry *e, const struct pf_peer *p,
+		      const struct pf_request *r)
+{
+	const struct pf_group *g = &e->groups[r->group];
+	const struct pf_peer_item *i;
+
+	if (r->work.flags & PF_WORK_PLAIN)
+		return RESIDENT;
+	i = pf_peers_item(p, g->model);
+	if (i && i->state == PF_ITEM_RESIDENT)
+		return RESIDENT;
+	if (i && i->state == PF_ITEM_LOADING)
+		return LOADING;
+	if (g->loader == (uint32_t)(p - e->peers) && g->loader_until > e->now)
+		return LOADING;
+	return AWAY;
+}
+
+static bool avoids(const struct pf_entry *e, const struct pf_request *r,
+		   uint32_t peer)
+{
+	for (int i = 0; i < PF_AVOID_MAX; i++) {
+		if (r->avoid[i].peer == peer && r->avoid[i].until > e->now)
+			return true;
+	}
+	return false;
+}
+
+static double link_rate(const struct pf_entry *e)
+{
+	double kbit = e->config ? e->config->deployment.link_kbit : 0;
+
+	/* A kilobit a second is a bit, an eighth of a byte, a millisecond. */
+	return kbit / 8 * e->opts.link_share;
+}
+
+static void refill_link(struct pf_entry *e)
+{
+	double rate = link_rate(e);
+
+	e->link_bytes += rate * (double)(e->now - e->link_at);
+	if (e->link_bytes > rate * LINK_BURST_MS)
+		e->link_bytes = rate * LINK_BURST_MS;
+	e->link_at = e->now;
+}
+
+static double link_need(const struct pf_entry *e, const struct pf_request *r)
+{
+	return r->work.prompt_tokens * PROMPT_BYTES +
+	       pf_backlog_output(e, r) * OUTPUT_BYTES;
+}
+
+static struct field survey(const struct pf_entry *e, const struct pf_request *r)
+{
+	struct field f = { 0 };
+
+	for (uint32_t i = 0; i < e->n_peers; i++) {
+		const struct pf_peer *p = &e->peers[i];
+		enum home h;
+
+		if (!able(e, p, r))
+			continue;
+		h = home(e, p, r);
+		f.fresh = f.fresh || pf_peers_fresh(e, p);
+		f.other = f.other || !avoids(e, r, i);
+		/* Local counts only for the best kind of home there is. */
+		if (h > f.home) {
+			f.home = h;
+			f.local = false;
+		}
+		f.local = f.local || (h == f.home && p->same_region);
+	}
+	return f;
+}
+
+static double load_cost(const struct pf_entry *e, const struct pf_peer *p,
+			const struct pf_request *r, enum home h)
+{
+	const struct pf_peer_item *i;
+	double left = MODEL_LOAD_MS;
+
+	if (h == AWAY)
+		return left;
+	if (h == LOADING) {
+		i = pf_peers_item(p, r->work.model);
+		if (i)
+			left -= (double)(e->now - i->since);
+		return left > 0 ? left : ADAPTER_LOAD_MS;
+	}
+	if (!r->work.adapter || (r->work.flags & PF_WORK_PLAIN))
+		return 0;
+	i = pf_peers_item(p, r->work.adapter);
+	if (!i || i->state == PF_ITEM_ABSENT || i->state == PF_ITEM_UNLOADING)
+		return ADAPTER_LOAD_MS;
+	return i->state == PF_ITEM_LOADING ? ADAPTER_LOAD_MS / 2 : 0;
+}
+
+static double wait_cost(const struct pf_peer *p)
+{
+	double load = pf_peers_load(p);
+	double service = p->service_ms > 0 ? p->service_ms : SERVICE_MS;
+	double cost = load * SHARE_MS;
+
+	if (load >= p->batch_max)
+		cost += (load - p->batch_max + 1) * service / p->batch_max;
+	return cost;
+}
+
+static double kv_cost(const struct pf_entry *e, const struct pf_peer *p,
+		      const struct pf_request *r)
+{
+	const struct pf_model *m = pf_catalog_model(e, r->work.model);
+	double need;
+
+	if (!m)
+		return 0;
+	need = (double)m->kv_token_bytes *
+	       (r->work.prompt_tokens + pf_backlog_output(e, r));
+	return need > (double)p->kv_free ? NO_KV_MS : 0;
+}
+
+static double cost(const struct pf_entry *e, const struct pf_peer *p,
+		   const struct pf_request *r, enum home h)
+{
+	double prefill = p->prefill_ms > 0 ? p->prefill_ms : PREFILL_MS;
+	double c = wait_cost(p) + load_cost(e, p, r, h) + kv_cost(e, p, r);
+
+	prefill *= r->work.prompt_tokens;
+	if (pf_peers_prefix_has(e, p, r->work.prefix))
+		prefill *= 1 - PREFIX_PART;
+	c += prefill;
+	if (!p->same_region)
+		c += REGION_MS;
+	else if (!p->same_zone)
+		c += ZONE_MS;
+	return c;
+}
+
+static bool fits(const struct pf_entry *e, const struct pf_request *r,
+		 uint32_t i, const struct field *f)
+{
+	const struct pf_peer *p = &e->peers[i];
+
+	if (!able(e, p, r) || home(e, p, r) < f->home || !pf_peers_room(e, p))
+		return false;
+	if (f->fresh && !pf_peers_fresh(e, p))
+		return false;
+	if (f->other && avoids(e, r, i))
+		return false;
+	return p->same_region || !f->local || e->link_bytes >= link_need(e, r);
+}
+
+static uint32_t collect(struct pf_entry *e, const struct pf_request *r,
+			const struct field *f)
+{
+	uint32_t n = 0;
+
+	for (uint32_t i = 0; i < e->n_peers; i++) {
+		struct pf_candidate *c = &e->candidates[n];
+		const struct pf_peer *p = &e->peers[i];
+
+		if (!fits(e, r, i, f))
+			continue;
+		c->peer = i;
+		c->cost = 0;
+		if (e->opts.route == PF_ROUTE_LEAST_LOAD ||
+		    e->opts.route == PF_ROUTE_TWO_CHOICES)
+			c->cost = (double)p->load / p->batch_max;
+		if (e->opts.route == PF_ROUTE_OURS)
+			c->cost = cost(e, p, r, home(e, p, r));
+		/* A suspect goes where the fewest would be lost with it. */
+		if (r->work.flags & PF_WORK_SUSPECT)
+			c->cost = pf_peers_load(p);
+		n++;
+	}
+	return n;
+}
+
+static uint32_t cheapest(const struct pf_entry *e, uint32_t n)
+{
+	uint32_t best = 0;
+
+	for (uint32_t i = 1; i < n; i++) {
+		if (e->candidates[i].cost < e->candidates[best].cost)
+			best = i;
+	}
+	return e->candidates[best].peer;
+}
+
+static uint32_t two_choices(struct pf_entry *e, uint32_t n)
+{
+	const struct pf_candidate *a = &e->candidates[pf_rng_below(&e->rng, n)];
+	const struct pf_candidate *b = &e->candidates[pf_rng_below(&e->rng, n)];
+
+	return b->cost < a->cost ? b->peer : a->peer;
+}
+
+static uint32_t choose(struct pf_entry *e, const struct pf_request *r,
+		       uint32_t n)
+{
+	if (r->work.flags & PF_WORK_SUSPECT)
+		return cheapest(e, n);
+	switch (e->opts.route) {
+	case PF_ROUTE_ROUND_ROBIN:
+		return e->candidates[e->turn++ % n].peer;
+	case PF_ROUTE_TWO_CHOICES:
+		return two_choices(e, n);
+	case PF_ROUTE_LEAST_LOAD:
+	case PF_ROUTE_OURS:
+		break;
+	}
+	return cheapest(e, n);
+}
+
+struct pf_choice pf_route_pick(struct pf_entry *e, const struct pf_request *r)
+{
+	struct pf_choice c = { PF_NIL, false };
+	struct field f = survey(e, r);
+	uint32_t n;
+
+	refill_link(e);
+	n = collect(e, r, &f);
+	if (n == 0)
+		return c;
+	c.peer = choose(e, r, n);
+	c.load = home(e, &e->peers[c.peer], r) != RESIDENT;
+	return c;
+}
+
+bool pf_route_resident(const struct pf_entry *e, const struct pf_request *r)
+{
+	return survey(e, r).home == RESIDENT;
+}
+
+void pf_route_sent(struct pf_entry *e, const struct pf_request *r,
+		   const struct pf_choice *c)
+{
+	struct pf_peer *p = &e->peers[c->peer];
+	struct pf_group *g = &e->groups[r->group];
+
+	pf_peers_prefix_add(e, p, r->work.prefix);
+	if (!p->same_region)
+		e->link_bytes -= link_need(e, r);
+	/* What waits for the same model follows the first one. */
+	if (c->load && g->loader_until <= e->now) {
+		g->loader = c->peer;
+		g->loader_until = e->now + (pf_ms)MODEL_LOAD_MS;
+	}
+}
--- /dev/null
+++ b/src/coordination/route.h
@@ -0,0 +1,26 @@
+/* Which agent gets a waiting request. */
+#ifndef SRC_COORDINATION_ROUTE_H
+#define SRC_COORDINATION_ROUTE_H
+
+#include "src/coordination/entry_impl.h"
+
+/** How a try would find the agent that was chosen. */
+struct pf_choice {
+	uint32_t peer; /* PF_NIL: none has room now */
+	bool load; /* the model is not resident there */
+};
+
+/** Chooses by the policy among the agents able to serve @r. */
+struct pf_choice pf_route_pick(struct pf_entry *e, const struct pf_request *r);
+
+/** Whether an agent able to serve @r has its model resident. */
+bool pf_route_resident(const struct pf_entry *e, const struct pf_request *r);
+
+/** Accounts for link bytes, prefix and load of a try that is sent. */
+void pf_route_sent(struct pf_entry *e, const struct pf_request *r,
+		   const struct pf_choice *c);
+
+/** Milliseconds that loading a model is reckoned with. */
+pf_ms pf_route_load_ms(void);
+
+#endif
