Claim core: faults that fuzzing found; tests and a fuzz target

Cause: fuzz_claim (3 agents, a table that loses answers, pauses, restarts) found keys that ran twice: a void read again freed a later claim; a reading pass that was cut short went on without the rows before; a pending claim hid the claim another owner had made meanwhile. It also found a shard dropped by the conflict of an old row. A test found asks left unanswered when a later incarnation takes over. Change: rows apply once to held shards; a pass starts over; a foreign claim takes the key from a pending one; conflicts count only at the same revision; a superseded core answers everything at once.

--- a/Makefile
+++ b/Makefile
@@ -39,7 +39,7 @@
 SRC_load := $(wildcard load/*.c)
 SRC_bench := $(wildcard bench/*.c)
 SRC_fuzz := $(wildcard fuzz/*.c)
-SRC_tests := $(wildcard tests/*.cc)
+SRC_tests := $(wildcard tests/*.cc) $(filter-out fuzz/main.c,$(wildcard fuzz/*.c))
 
 obj = $(addprefix $(B)/,$(addsuffix .o,$(1)))
 
--- a/src/coordination/claim.c
+++ b/src/coordination/claim.c
@@ -140,9 +140,10 @@
 	if (!k || k->state != KEY_RUNNING)
 		return;
 	k->state = KEY_ENDING;
-	if (claim_queue(c, k, ENTRY_RESULT, m->u.result.answer, now) == 0)
+	if (!c->superseded &&
+	    claim_queue(c, k, ENTRY_RESULT, m->u.result.answer, now) == 0)
 		return;
-	/* No memory to store it: resends learn that it is unknown. */
+	/* It cannot be stored: resends learn that it is unknown. */
 	k->state = KEY_UNKNOWN;
 	claim_answer_all(c, k, PF_REASON_OUTCOME_UNKNOWN, PF_STR(""), sink);
 	a.u.key = k->key;
--- a/src/coordination/claim_core.h
+++ b/src/coordination/claim_core.h
@@ -27,6 +27,7 @@
 	KEY_DONE, /* the result stands at (log, seq) */
 	KEY_UNKNOWN, /* granted here, the run was cut */
 	KEY_FOREIGN, /* claimed in the log of another owner, no result read */
+	KEY_FREED, /* was FOREIGN, its void was read while asks wait */
 };
 
 /* What is remembered of one idempotency key. */
@@ -65,6 +66,7 @@
 	struct claim_pend *next;
 	enum claim_entry type;
 	uint32_t key;
+	uint64_t id; /* of the key; its slot may have been reused */
 	char *answer; /* RESULT: owned, NULL when it is not stored */
 	size_t answer_n;
 	pf_ms since;
@@ -124,9 +126,9 @@
 /* The log of an earlier owner. */
 struct claim_log {
 	struct claim_log_id id;
-	char read_to[CLAIM_KEY_LEN]; /* last row read */
+	char cursor[CLAIM_KEY_LEN]; /* last row read in this pass */
+	char held_to[CLAIM_KEY_LEN]; /* last row applied to held shards */
 	bool wanted; /* to be read in this pass */
-	bool from_start;
 };
 
 /* The control cycle: one operation on the table at a time. */
@@ -248,6 +250,8 @@
 /* Refuses asks that waited longer than the hold time for the table. */
 void claim_refuse_held(struct pf_claim *c, pf_ms now,
 		       const struct pf_claim_sink *sink);
+/* A later incarnation runs: answers all that waits, does nothing more. */
+void claim_stop(struct pf_claim *c, const struct pf_claim_sink *sink);
 /* Drops keys that are past their retention. */
 void claim_keys_expire(struct pf_claim *c, pf_ms now);
 
@@ -258,6 +262,8 @@
 /* Results that wait too long for the table no longer hold back the caller. */
 void claim_results_held(struct pf_claim *c, pf_ms now,
 			const struct pf_claim_sink *sink);
+/* As above for all results, however long they waited. */
+void claim_results_tell(struct pf_claim *c, const struct pf_claim_sink *sink);
 void claim_flush_maybe(struct pf_claim *c, pf_ms now,
 		       const struct pf_claim_sink *sink);
 void claim_flush_done(struct pf_claim *c, pf_ms now,
--- a/src/coordination/claim_keys.c
+++ b/src/coordination/claim_keys.c
@@ -161,6 +161,7 @@
 	case KEY_RUNNING:
 	case KEY_ENDING:
 	case KEY_VOIDING:
+	case KEY_FREED:
 		return WAIT_KEY;
 	default:
 		return WAIT_FREE;
@@ -259,6 +260,25 @@
 	}
 }
 
+void claim_stop(struct pf_claim *c, const struct pf_claim_sink *sink)
+{
+	struct pf_claim_act a = { .type = PF_CLAIM_SUPERSEDED };
+
+	c->superseded = true;
+	for (uint32_t i = 0; i < c->o.claims_max; i++) {
+		struct claim_key *k = &c->keys[i];
+		bool unrun = k->state == KEY_PENDING || k->state == KEY_VOIDING;
+
+		if (k->state != KEY_FREE && k->waiters != CLAIM_NONE)
+			claim_answer_all(c, k,
+					 unrun ? PF_REASON_NOT_RESIDENT
+					       : PF_REASON_OUTCOME_UNKNOWN,
+					 PF_STR(""), sink);
+	}
+	claim_results_tell(c, sink);
+	sink->emit(sink->ctx, &a);
+}
+
 static bool expired(const struct pf_claim *c, const struct claim_key *k,
 		    pf_ms now)
 {
--- a/src/coordination/claim_log.c
+++ b/src/coordination/claim_log.c
@@ -59,6 +59,7 @@
 		return -1;
 	p->type = type;
 	p->key = (uint32_t)(k - c->keys);
+	p->id = k->key;
 	p->since = now;
 	if (type == ENTRY_RESULT && answer.n <= c->o.answer_max) {
 		p->answer = pf_str_dup(answer);
@@ -82,12 +83,37 @@
 	return 0;
 }
 
+static enum claim_key_state state_of(enum claim_entry type)
+{
+	switch (type) {
+	case ENTRY_CLAIM:
+		return KEY_PENDING;
+	case ENTRY_RESULT:
+		return KEY_ENDING;
+	default:
+		return KEY_VOIDING;
+	}
+}
+
+/*
+ * Whether the key still waits for this entry. It does not when the log of
+ * another owner showed a claim that was made while the shard was away.
+ */
+static bool pend_stands(const struct pf_claim *c, const struct claim_pend *p)
+{
+	const struct claim_key *k = &c->keys[p->key];
+
+	return k->key == p->id && k->state == state_of(p->type);
+}
+
 /* A claim that nobody waits for any more, or whose shard is gone. */
 static bool claim_is_void(struct pf_claim *c, const struct claim_pend *p,
 			  const struct pf_claim_sink *sink)
 {
 	struct claim_key *k = &c->keys[p->key];
 
+	if (!pend_stands(c, p))
+		return true;
 	if (p->type != ENTRY_CLAIM)
 		return false;
 	if (!pf_claim_owns(c, k->shard))
@@ -227,6 +253,11 @@
 	tell_held(c, now, &c->queue, sink);
 }
 
+void claim_results_tell(struct pf_claim *c, const struct pf_claim_sink *sink)
+{
+	claim_results_held(c, PF_NEVER, sink);
+}
+
 /* The row stands: claims are granted, results and voids are settled. */
 static void settle(struct pf_claim *c, pf_ms now, struct claim_pend *p,
 		   const struct pf_claim_sink *sink)
@@ -234,6 +265,8 @@
 	struct claim_key *k = &c->keys[p->key];
 	struct pf_str text = { p->answer, p->answer_n };
 
+	if (!pend_stands(c, p))
+		return;
 	switch (p->type) {
 	case ENTRY_CLAIM:
 		if (claim_grant(c, k, sink) == 0)
@@ -286,7 +319,6 @@
 		     const struct pf_claim_sink *sink)
 {
 	struct claim_flush *f = &c->flush;
-	struct pf_claim_act a = { .type = PF_CLAIM_SUPERSEDED };
 
 	c->st.conflicts++;
 	if (failed == 0 && f->in_doubt) {
@@ -295,11 +327,13 @@
 	}
 	if (failed == 0) {
 		/* Another process writes our log: it has our incarnation. */
-		c->superseded = true;
-		sink->emit(sink->ctx, &a);
+		claim_stop(c, sink);
 		return;
 	}
-	if (failed <= f->n_shards)
+	/* A shard that came back to us meanwhile has a later revision. */
+	if (failed <= f->n_shards &&
+	    c->shards[f->shards[failed - 1].shard].revision ==
+		    f->shards[failed - 1].revision)
 		claim_shard_lost(c, f->shards[failed - 1].shard, sink);
 	put_back(c);
 }
--- a/src/coordination/claim_own.c
+++ b/src/coordination/claim_own.c
@@ -48,7 +48,7 @@
 	char prefix[CLAIM_KEY_LEN];
 
 	claim_log_prefix(c, l->id, prefix);
-	memcpy(c->scan_after, l->read_to, sizeof(c->scan_after));
+	memcpy(c->scan_after, l->cursor, sizeof(c->scan_after));
 	c->phase = PHASE_READ;
 	scan(c, prefix, CLAIM_SCAN_ROWS, sink);
 }
@@ -302,15 +302,13 @@
 		      const struct pf_table_row *row,
 		      const struct pf_claim_sink *sink)
 {
-	struct pf_claim_act a = { .type = PF_CLAIM_SUPERSEDED };
 	struct claim_owner seen = { 0 };
 	struct claim_owner *w;
 
 	if (claim_owner_parse(row->key, row->value, &seen) < 0)
 		return;
 	if (seen.agent == c->o.agent && seen.incarnation > c->o.incarnation) {
-		c->superseded = true;
-		sink->emit(sink->ctx, &a);
+		claim_stop(c, sink);
 		return;
 	}
 	w = claim_owner_find(c, seen.agent);
--- a/src/coordination/claim_read.c
+++ b/src/coordination/claim_read.c
@@ -1,8 +1,9 @@
 /*
  * Claim core: reading the logs of earlier owners, from the start when a shard
  * is taken, from the last row read when an ask meets a claim without a result.
- * Rows are applied for all shards that are held or taken; applying a row twice
- * changes nothing.
+ * A row is applied to a held shard only once: a void that is read again could
+ * free a key that was claimed after it. A taken shard answers no asks, so that
+ * its rows may be read anew until all of them were.
  */
 #include "claim_core.h"
 
@@ -65,11 +66,15 @@
 	struct claim_log *l = &c->logs[log];
 
 	/* Our own log holds nothing that we do not remember. */
-	if (log == CLAIM_LOG_OWN)
+#ifdef PF_MUTANT_CLAIM_READ
+	return;
+#endif
+	if (log == CLAIM_LOG_OWN || l->wanted)
 		return;
 	l->wanted = true;
+	memcpy(l->cursor, l->held_to, sizeof(l->cursor));
 	if (from_start)
-		l->read_to[0] = '\0';
+		l->cursor[0] = '\0';
 }
 
 static void want_shard(struct pf_claim *c, struct claim_shard *s)
@@ -86,6 +91,9 @@
 
 bool claim_read_wanted(struct pf_claim *c)
 {
+	/* A pass that was cut short starts over, not where it stopped. */
+	for (uint32_t i = 0; i < c->n_logs; i++)
+		c->logs[i].wanted = false;
 	for (uint32_t i = 0; i < c->o.shards && c->any_taken; i++)
 		if (c->shards[i].hold == HOLD_TAKEN)
 			want_shard(c, &c->shards[i]);
@@ -108,14 +116,29 @@
 	return false;
 }
 
+/*
+ * A claim of another owner proves that ours never stood or that our void
+ * stands: either way the key is theirs, and those who ask wait for the end of
+ * the pass.
+ */
+static void cede(struct pf_claim *c, struct claim_key *k)
+{
+	for (uint32_t i = k->waiters; i != CLAIM_NONE; i = c->waiters[i].next)
+		claim_set_wait(c, i, WAIT_REFRESH);
+	k->state = KEY_FREED;
+}
+
 static void apply_claim(struct pf_claim *c, pf_ms at, uint32_t log,
 			const struct claim_line *l)
 {
 	struct claim_key *k = claim_key_find(c, l->key);
 
-	if (k)
+	if (k && (k->state == KEY_PENDING || k->state == KEY_VOIDING))
+		cede(c, k);
+	if (k && k->state != KEY_FREED)
 		return;
-	k = claim_key_add(c, l->key);
+	if (!k)
+		k = claim_key_add(c, l->key);
 	if (!k) {
 		c->read_unsafe = true;
 		return;
@@ -149,7 +172,7 @@
 		if (k->waiters == CLAIM_NONE)
 			claim_key_drop(c, k);
 		else
-			k->state = KEY_VOIDING;
+			k->state = KEY_FREED;
 		break;
 	}
 }
@@ -167,9 +190,19 @@
 	return seq;
 }
 
+/* Whether the row that is being read concerns @shard. */
+static bool applies(const struct pf_claim *c, uint32_t shard, bool seen)
+{
+	if (shard >= c->o.shards)
+		return false;
+	if (c->shards[shard].hold == HOLD_TAKEN)
+		return true;
+	return c->shards[shard].hold == HOLD_YES && !seen;
+}
+
 /* Applies a row. A damaged one leaves the taken shards unheld. */
 static void read_row(struct pf_claim *c, pf_ms now,
-		     const struct pf_table_row *row)
+		     const struct pf_table_row *row, bool seen)
 {
 	struct pf_str rest = row->value;
 	struct claim_line l;
@@ -183,7 +216,7 @@
 	if (now - at >= c->o.retention)
 		return;
 	while ((more = claim_row_next(&rest, &l)) > 0)
-		if (l.shard < c->o.shards && c->shards[l.shard].hold != HOLD_NO)
+		if (applies(c, l.shard, seen))
 			apply(c, at, row_seq(row->key), &l);
 	if (more < 0)
 		c->read_unsafe = true;
@@ -197,11 +230,13 @@
 	for (size_t i = 0; i < m->u.scan.n_rows; i++) {
 		const struct pf_table_row *row = &m->u.scan.rows[i];
 
-		read_row(c, now, row);
-		if (row->key.n < sizeof(l->read_to)) {
-			memcpy(l->read_to, row->key.p, row->key.n);
-			l->read_to[row->key.n] = '\0';
-		}
+		if (row->key.n >= sizeof(l->cursor))
+			continue;
+		memcpy(l->cursor, row->key.p, row->key.n);
+		l->cursor[row->key.n] = '\0';
+		read_row(c, now, row, strcmp(l->cursor, l->held_to) <= 0);
+		if (strcmp(l->cursor, l->held_to) > 0)
+			memcpy(l->held_to, l->cursor, sizeof(l->held_to));
 	}
 	if (!m->u.scan.more)
 		l->wanted = false;
@@ -225,7 +260,7 @@
 		claim_answer_all(c, k, PF_REASON_OUTCOME_UNKNOWN, PF_STR(""),
 				 sink);
 		break;
-	case KEY_VOIDING:
+	case KEY_FREED:
 		k->state = KEY_PENDING;
 		k->log = CLAIM_LOG_OWN;
 		k->at = now;
