Fuzz the agent core and the ledger

Cause: the promises of the agent need an oracle of their own. Found and mended: suspects beside others while a claim was pending; a start past its deadline after a late grant; a repeated answer to an unload taken for a load; runs stuck at their limit when a larger growth step did not fit, or when a model with a wanted adapter counted as memory to come. RUN_END now comes once for each RUN. Conclusion: the engine side must deliver RUN_END exactly once.

--- /dev/null
+++ b/fuzz/fuzz_ledger.c
@@ -0,0 +1,160 @@
+/* The memory ledger against plain sums over what it was told. */
+#include "fuzz/fuzz.h"
+#include "pimentoford/ledger.h"
+
+#define ITEMS 6
+#define RUNS 6
+
+struct model {
+	enum pf_item_state state[ITEMS];
+	int64_t item[ITEMS];
+	int64_t kv[RUNS];
+	int64_t excess;
+	bool reconciled;
+};
+
+static int64_t known(const struct model *m)
+{
+	int64_t sum = 0;
+
+	for (int i = 0; i < ITEMS; i++)
+		sum += m->item[i];
+	for (int i = 0; i < RUNS; i++)
+		sum += m->kv[i];
+	return sum;
+}
+
+static bool fits(const struct model *m, int64_t capacity, int64_t more)
+{
+	return m->reconciled && known(m) + m->excess + more <= capacity;
+}
+
+static void load(struct pf_ledger *l, struct model *m, uint32_t i, int64_t n,
+		 struct fuzz_result *r)
+{
+	bool ok = m->state[i] == PF_ITEM_ABSENT && fits(m, l->capacity, n);
+
+	if ((pf_ledger_load(l, i, n) == 0) != ok)
+		fuzz_violation(r, "load of %lld", (long long)n);
+	if (!ok)
+		return;
+	m->state[i] = PF_ITEM_LOADING;
+	m->item[i] = n;
+}
+
+static void unload(struct pf_ledger *l, struct model *m, uint32_t i,
+		   struct fuzz_result *r)
+{
+	bool ok = m->state[i] == PF_ITEM_RESIDENT;
+
+	if ((pf_ledger_unload(l, i) == 0) != ok)
+		fuzz_violation(r, "unload");
+	if (ok)
+		m->state[i] = PF_ITEM_UNLOADING;
+}
+
+static void settle(struct pf_ledger *l, struct model *m, uint32_t i, bool here)
+{
+	if (m->state[i] == PF_ITEM_ABSENT)
+		return;
+	m->state[i] = here ? PF_ITEM_RESIDENT : PF_ITEM_ABSENT;
+	if (!here)
+		m->item[i] = 0;
+	pf_ledger_settle(l, i, m->state[i]);
+}
+
+static void grant(struct pf_ledger *l, struct model *m, uint32_t i, int64_t n,
+		  struct fuzz_result *r)
+{
+	int64_t more = n - m->kv[i];
+	bool ok = m->reconciled && (more <= 0 || fits(m, l->capacity, more));
+
+	if ((pf_ledger_grant(l, i, n) == 0) != ok)
+		fuzz_violation(r, "grant of %lld", (long long)n);
+	if (ok)
+		m->kv[i] = n;
+}
+
+static void reconcile(struct pf_ledger *l, struct model *m, uint32_t i,
+		      int64_t n, int64_t used)
+{
+	if (n > 0) {
+		pf_ledger_found(l, i, PF_ITEM_RESIDENT, n);
+		m->state[i] = PF_ITEM_RESIDENT;
+		m->item[i] = n > m->item[i] ? n : m->item[i];
+	}
+	pf_ledger_measured(l, used);
+	m->excess = used > known(m) ? used - known(m) : 0;
+	m->reconciled = true;
+}
+
+static void command(struct pf_ledger *l, struct model *m, struct pf_rng *g,
+		    struct fuzz_result *r)
+{
+	uint32_t i = pf_rng_below(g, ITEMS);
+	int64_t n = pf_rng_below(g, 500);
+
+	switch (pf_rng_below(g, 12)) {
+	case 0:
+	case 1:
+		load(l, m, i, n, r);
+		break;
+	case 2:
+		unload(l, m, i, r);
+		break;
+	case 3:
+		pf_ledger_unknown(l, i);
+		break;
+	case 4:
+	case 5:
+		settle(l, m, i, pf_rng_below(g, 2));
+		break;
+	case 6:
+		pf_ledger_release(l, i);
+		m->kv[i] = 0;
+		break;
+	case 7:
+		reconcile(l, m, i, pf_rng_below(g, 3) ? 0 : n,
+			  pf_rng_below(g, 1300));
+		break;
+	case 8:
+		if (pf_rng_below(g, 20))
+			break;
+		pf_ledger_reset(l);
+		*m = (struct model){ 0 };
+		break;
+	default:
+		grant(l, m, i, n, r);
+		break;
+	}
+}
+
+void fuzz_ledger(uint64_t seed, uint32_t steps_max, struct fuzz_result *r)
+{
+	struct pf_ledger l;
+	struct model m = { 0 };
+	struct pf_rng g;
+
+	pf_rng_seed(&g, seed);
+	if (pf_ledger_init(&l, 500 + pf_rng_below(&g, 1000), ITEMS, RUNS) < 0) {
+		fuzz_violation(r, "no ledger");
+		return;
+	}
+	for (uint32_t i = 0; i < steps_max && r->violations == 0; i++) {
+		int64_t before = pf_ledger_committed(&l);
+
+		command(&l, &m, &g, r);
+		r->steps++;
+		if (pf_ledger_committed(&l) != known(&m) + m.excess)
+			fuzz_violation(r, "sum %lld, not %lld",
+				       (long long)pf_ledger_committed(&l),
+				       (long long)(known(&m) + m.excess));
+		/* Only an inventory may show more than there is. */
+		if (pf_ledger_committed(&l) > l.capacity &&
+		    pf_ledger_committed(&l) > before && l.found_over == 0)
+			fuzz_violation(r, "beyond what exists");
+		if (pf_ledger_spare(&l) > 0 && !m.reconciled)
+			fuzz_violation(r, "admits before the inventory");
+	}
+	pf_ledger_free(&l);
+}
--- a/include/pimentoford/agent.h
+++ b/include/pimentoford/agent.h
@@ -73,7 +73,7 @@
 			     * be reached: an empty one */
 	PF_AGENT_ENGINE_DOWN, /* crashed: its memory is empty */
 	PF_AGENT_TOKENS, /* u.tokens: a run produced output */
-	PF_AGENT_RUN_END, /* u.end */
+	PF_AGENT_RUN_END, /* u.end: once for each RUN, after its tokens */
 	PF_AGENT_ORDER_DONE, /* u.order */
 	/* from the operators and the planner */
 	PF_AGENT_CONFIG, /* u.config: borrowed until the next one */
@@ -160,8 +160,8 @@
 	/* to the engine or service */
 	PF_AGENT_RUN, /* u.run: start; it may hold up to `limit` tokens */
 	PF_AGENT_GRANT, /* u.run: raise the limit of a run */
-	PF_AGENT_STOP, /* u.id: cancel the run, free its memory. Answered by
-			* RUN_END, also for a run that is not known */
+	PF_AGENT_STOP, /* u.id: cancel the run, free its memory; repeated until
+			* RUN_END comes */
 	PF_AGENT_LOAD, /* u.load */
 	PF_AGENT_UNLOAD, /* u.load */
 	/* Ask the engine for its inventory, behind all earlier orders: what
--- a/src/coordination/agent_core.h
+++ b/src/coordination/agent_core.h
@@ -66,6 +66,7 @@
 	uint32_t wanted; /* rank in the last PLACE from 1; 0: not wanted */
 	pf_ms used_at;
 	uint64_t order; /* its last order; 0: none */
+	bool order_loads; /* it was a load */
 	bool pending; /* that order is not settled */
 	bool seen; /* scratch: stands in the inventory at hand */
 	pf_ms order_at;
@@ -149,7 +150,7 @@
 	bool drained;
 	bool dirty; /* something may start */
 	uint32_t n_hungry;
-	uint32_t n_suspects; /* at the engine */
+	uint32_t n_alone; /* suspects with a place; nothing starts beside */
 	uint64_t report_seq;
 	uint32_t taken_in; /* tries accepted since the start */
 	pf_ms report_at;
@@ -270,7 +271,7 @@
 int items_fetch(struct pf_agent *a, const struct run *r);
 /**
  * Unloads idle items, the least recently used first, until @bytes are or
- * will be spare. 0 when they are spare now; -1 otherwise.
+ * will be spare. 0: they are spare now; 1: they will be; -1: they can't be.
  */
 int items_make_room(struct pf_agent *a, int64_t bytes);
 void items_hold(struct pf_agent *a, struct run *r, bool hold);
--- a/src/coordination/agent_items.c
+++ b/src/coordination/agent_items.c
@@ -183,10 +183,10 @@
 
 int items_make_room(struct pf_agent *a, int64_t bytes)
 {
-	int64_t coming = pf_ledger_spare(&a->ledger);
-	int64_t reach = 0;
+	int64_t spare = pf_ledger_spare(&a->ledger);
+	int64_t coming = 0, reach = 0;
 
-	if (coming >= bytes)
+	if (spare >= bytes)
 		return 0;
 	for (uint32_t i = 0; i < a->n_items; i++) {
 		if (item_state(a, i) == PF_ITEM_UNLOADING)
@@ -194,9 +194,9 @@
 		else if (idle(a, i))
 			reach += a->ledger.items[i].bytes;
 	}
-	if (coming + reach < bytes)
+	if (spare + coming + reach < bytes)
 		return -1;
-	while (coming < bytes) {
+	while (spare + coming < bytes) {
 		uint32_t i = least_recent(a);
 
 		if (i == NIL)
@@ -204,7 +204,8 @@
 		coming += a->ledger.items[i].bytes;
 		order_unload(a, i);
 	}
-	return -1;
+	/* A model whose adapters must go first takes more than one round. */
+	return coming > 0 ? 1 : -1;
 }
 
 static int fetch(struct pf_agent *a, uint32_t i, int64_t beside)
@@ -221,7 +222,7 @@
 	}
 	if (a->loads >= a->o.loads_max)
 		return 0;
-	if (items_make_room(a, it->bytes + beside) < 0)
+	if (items_make_room(a, it->bytes + beside) != 0)
 		return -1;
 	return order_load(a, i);
 }
--- a/src/coordination/agent_kv.c
+++ b/src/coordination/agent_kv.c
@@ -170,13 +170,17 @@
  * memory is coming anyway. With nothing else at the engine and nothing to
  * unload it can't go on here.
  */
-static void relieve(struct pf_agent *a, struct run *r, int64_t more)
+static void relieve(struct pf_agent *a, struct run *r)
 {
+	uint32_t limit = r->work.max_tokens;
 	struct run *v;
 
 	if (a->lists[RUN_STOPPING].n > 0)
 		return;
-	if (items_make_room(a, more) == 0)
+	if (a->o.kv_policy != PF_KV_SAFE)
+		limit = min_u32(limit, r->limit + a->o.grant_step);
+	if (items_make_room(a, kv_bytes(a, r, limit) -
+				       kv_bytes(a, r, r->limit)) > 0)
 		return;
 	v = victim(a, r);
 	if (v)
@@ -196,10 +200,10 @@
 		a->n_hungry--;
 }
 
-static int extend(struct pf_agent *a, struct run *r, uint32_t burst)
+static int extend(struct pf_agent *a, struct run *r, uint32_t tokens)
 {
 	struct pf_agent_act act = { .type = PF_AGENT_GRANT, .entry = r->entry };
-	uint64_t want = (uint64_t)r->limit + a->o.grant_step + burst;
+	uint64_t want = (uint64_t)r->limit + tokens;
 	uint32_t limit = r->work.max_tokens;
 
 	if (want < limit)
@@ -218,13 +222,12 @@
 
 static void grow_or_relieve(struct pf_agent *a, struct run *r, uint32_t burst)
 {
-	if (extend(a, r, burst) == 0)
+	if (extend(a, r, a->o.grant_step + burst) == 0 ||
+	    (burst > 0 && extend(a, r, a->o.grant_step) == 0))
 		return;
 	set_hungry(a, r, true);
 	if (r->produced >= r->limit)
-		relieve(a, r,
-			kv_bytes(a, r, r->limit + a->o.grant_step) -
-				kv_bytes(a, r, r->limit));
+		relieve(a, r);
 }
 
 void kv_grow(struct pf_agent *a, struct run *r, uint32_t burst)
--- a/src/coordination/agent_orders.c
+++ b/src/coordination/agent_orders.c
@@ -15,6 +15,7 @@
 	struct item *it = &a->items[i];
 
 	it->order = ++a->order_seq;
+	it->order_loads = type == PF_AGENT_LOAD;
 	it->order_at = a->now;
 	it->pending = true;
 	a->n_pending++;
@@ -106,13 +107,17 @@
 	agent_arm(a, a->now + a->o.order_timeout);
 }
 
-/* An answer after an inventory had settled its order: look again. */
+/* An answer after its order was settled; the same one again is nothing. */
 static void late_answer(struct pf_agent *a, uint32_t i, bool ok)
 {
-	if (ok && item_state(a, i) == PF_ITEM_ABSENT)
+	bool loads = a->items[i].order_loads;
+	bool here = item_state(a, i) == PF_ITEM_RESIDENT;
+
+	if (!ok || loads == here)
+		return;
+	if (loads)
 		found(a, i, PF_ITEM_RESIDENT, a->items[i].bytes);
-	if (ok)
-		ask(a);
+	ask(a);
 }
 
 void agent_order_done(struct pf_agent *a, uint64_t order, bool ok)
--- a/src/coordination/agent_queue.c
+++ b/src/coordination/agent_queue.c
@@ -107,10 +107,11 @@
 	uint32_t busy = runs_busy(a);
 	bool suspect = r->work.flags & PF_WORK_SUSPECT;
 
+	if (r->work.deadline <= a->now)
+		return NO_PLACE;
 	if (!items_usable(a, r))
 		return items_fetch(a, r) < 0 ? NO_KV : NO_ITEM;
-	if (busy >= a->o.batch_max || a->n_suspects > 0 ||
-	    (suspect && busy > 0))
+	if (busy >= a->o.batch_max || a->n_alone > 0 || (suspect && busy > 0))
 		return NO_PLACE;
 	if (a->n_hungry > 0)
 		return NO_KV;
--- a/src/coordination/agent_runs.c
+++ b/src/coordination/agent_runs.c
@@ -28,8 +28,6 @@
 	r->first = true;
 	r->run_at = a->now;
 	r->token_at = a->now;
-	if (r->work.flags & PF_WORK_SUSPECT)
-		a->n_suspects++;
 	emit_run(a, r, PF_AGENT_RUN);
 }
 
@@ -59,6 +57,9 @@
 	r->retry_at = a->now + a->o.order_timeout;
 	agent_arm(a, r->retry_at);
 	run_move(a, r, RUN_STOPPING);
+#ifdef PF_MUTANT_STOP_FREED
+	kv_release(a, r);
+#endif
 	act.u.id = r->id;
 	agent_emit(a, &act);
 }
@@ -114,10 +115,15 @@
 	}
 	if (r->state != RUN_CLAIMING)
 		return;
-	if (granted)
-		launch(a, r);
-	else
+	if (!granted) {
 		claim_refused(a, r, reason);
+	} else if (r->work.deadline <= a->now) {
+		act.u.id = id;
+		agent_emit(a, &act);
+		claim_refused(a, r, PF_REASON_EXPIRED);
+	} else {
+		launch(a, r);
+	}
 }
 
 static void tell_started(struct pf_agent *a, struct run *r)
@@ -209,20 +215,8 @@
 	}
 }
 
-static void left_engine(struct pf_agent *a, const struct run *r)
-{
-	if (r->work.flags & PF_WORK_SUSPECT)
-		a->n_suspects--;
-}
-
 static void cancelled(struct pf_agent *a, struct run *r)
 {
-	/* Nobody asked: it may be a late answer while the run goes on. */
-	if (r->state == RUN_RUNNING && run_pausable(r) && !is_plain(a)) {
-		run_stop(a, r, STOP_PAUSE);
-		return;
-	}
-	left_engine(a, r);
 	if (r->state == RUN_STOPPING)
 		stopped(a, r);
 	else if (r->work.flags & PF_WORK_NEVER_REPEAT)
@@ -245,7 +239,6 @@
 		return;
 	}
 	tell_started(a, r);
-	left_engine(a, r);
 	note_end(a, r);
 	run_finish(a, r, end);
 }
@@ -254,10 +247,8 @@
 {
 	struct run *r;
 
-	while ((r = run_at_head(a, state))) {
-		left_engine(a, r);
+	while ((r = run_at_head(a, state)))
 		run_lose(a, r, PF_REASON_CRASHED);
-	}
 }
 
 void runs_crashed(struct pf_agent *a)
--- a/src/coordination/agent_tries.c
+++ b/src/coordination/agent_tries.c
@@ -31,10 +31,19 @@
 	return r->next == NIL ? NULL : &a->runs[r->next];
 }
 
+/* Whether it holds the endpoint for itself. */
+static bool alone(const struct run *r)
+{
+	return (r->work.flags & PF_WORK_SUSPECT) &&
+	       (r->state == RUN_CLAIMING || r->state == RUN_RUNNING ||
+		r->state == RUN_STOPPING);
+}
+
 static void unlink_run(struct pf_agent *a, struct run *r)
 {
 	struct list *l = &a->lists[r->state];
 
+	a->n_alone -= alone(r);
 	if (r->prev != NIL)
 		a->runs[r->prev].next = r->next;
 	else
@@ -51,6 +60,7 @@
 	struct list *l = &a->lists[r->state];
 	uint32_t i = run_slot(a, r);
 
+	a->n_alone += alone(r);
 	r->prev = l->tail;
 	r->next = NIL;
 	if (l->tail != NIL)
@@ -206,8 +216,10 @@
 	int64_t need;
 	const struct item *it;
 
+#ifndef PF_MUTANT_DRAIN
 	if (a->leaving)
 		return PF_REASON_LEAVING;
+#endif
 	if (!agent_ready(a))
 		return PF_REASON_NOT_READY;
 	if (w->deadline <= a->now)
--- a/src/state/ledger.c
+++ b/src/state/ledger.c
@@ -42,6 +42,11 @@
 	return l->reconciled && spare > 0 ? spare : 0;
 }
 
+static bool fits(const struct pf_ledger *l, int64_t more)
+{
+	return l->reconciled && more <= l->capacity - pf_ledger_committed(l);
+}
+
 /* Called after every change. */
 static void check(struct pf_ledger *l)
 {
@@ -85,7 +90,7 @@
 	if (item >= l->n_items || bytes < 0 ||
 	    l->items[item].state != PF_ITEM_ABSENT)
 		return -1;
-	if (!l->reconciled || bytes > pf_ledger_spare(l))
+	if (!fits(l, bytes))
 		return -1;
 	set_item(l, item, PF_ITEM_LOADING, bytes);
 	check(l);
@@ -146,7 +151,7 @@
 		return 0;
 #endif
 	more = bytes - l->kv[run];
-	if (more > 0 && more > pf_ledger_spare(l))
+	if (more > 0 && !fits(l, more))
 		return -1;
 	l->kv[run] = bytes;
 	l->kv_bytes += more;
