Agent: pause a long stream for a short try, bounded wait for placed items

Change: agent_pause.c weighs the yield over both; wanted items that lack memory hold back new starts after 2 s; the expected length is foreseen once when a try is queued; a try whose item is loading is not handed back.

--- a/src/coordination/agent_core.h
+++ b/src/coordination/agent_core.h
@@ -2,7 +2,7 @@
  * Inner types of the agent core, shared by its modules: tries and their lists
  * (agent_tries.c), runs (agent_runs.c), marks of ended tries (agent_tombs.c),
  * lengths learned (agent_learn.c), KV grants (agent_kv.c), the queue
- * (agent_queue.c), items (agent_items.c), orders (agent_orders.c), reports
+ * (agent_queue.c, agent_pause.c), items (agent_items.c), orders (agent_orders.c), reports
  * (agent_report.c).
  */
 #ifndef AGENT_CORE_H
@@ -41,7 +41,9 @@
 	bool ran; /* RUN was emitted at least once */
 	bool told; /* STARTED was emitted */
 	bool first; /* no token since the last RUN */
+	bool gave_way; /* was paused for a short one; not twice */
 	bool hungry; /* its growth did not fit */
+	uint32_t expected; /* output tokens, foreseen when it was queued */
 	pf_ms queued_at;
 	pf_ms run_at; /* of the last RUN */
 	pf_ms token_at; /* of the last token */
@@ -155,6 +157,7 @@
 	uint32_t taken_in; /* tries accepted since the start */
 	pf_ms report_at;
 	pf_ms wake;
+	pf_ms blocked_at; /* since when a wanted load lacks memory; or 0 */
 
 	double step_ms; /* moving averages; 0: not yet measured */
 	double prefill_ms; /* per prompt token */
@@ -251,8 +254,16 @@
 /* agent_queue.c */
 /** Starts whatever may start now. */
 void queue_schedule(struct pf_agent *a);
-/** Expected time at the engine of what is left of @r. */
+/** Expected time until the first token of @r after its start. */
+double run_prefill_ms(const struct pf_agent *a, const struct run *r);
+/** Expected time at the engine of what is left of @r, prefill included. */
 double run_cost_ms(const struct pf_agent *a, const struct run *r);
+/** Foresees the length of @r; called when it is queued. */
+void run_foresee(const struct pf_agent *a, struct run *r);
+
+/* agent_pause.c */
+/** Stops a long stream if starting @r now is worth it. */
+bool pause_for(struct pf_agent *a, const struct run *r);
 
 /* agent_items.c */
 enum pf_item_state item_state(const struct pf_agent *a, uint32_t i);
@@ -274,6 +285,8 @@
  * will be spare. 0: they are spare now; 1: they will be; -1: they can't be.
  */
 int items_make_room(struct pf_agent *a, int64_t bytes);
+/** What was placed has lacked memory for long: nothing new may start. */
+bool items_hold_starts(const struct pf_agent *a);
 void items_hold(struct pf_agent *a, struct run *r, bool hold);
 
 /* agent_orders.c */
--- a/src/coordination/agent_items.c
+++ b/src/coordination/agent_items.c
@@ -1,6 +1,8 @@
 /* Models and adapters: what is declared, wanted, loaded, or to be unloaded. */
 #include "agent_core.h"
 
+#define PLACE_HOLD_MS 2000 /* then nothing starts until it has its memory */
+
 enum pf_item_state item_state(const struct pf_agent *a, uint32_t i)
 {
 	return a->ledger.items[i].state;
@@ -234,6 +236,27 @@
 	return fetch(a, r->adapter, 0);
 }
 
+/* Whether the memory for @i is there once all runs have ended. */
+static bool fits_when_idle(const struct pf_agent *a, uint32_t i)
+{
+	int64_t stay = a->ledger.excess;
+
+	for (uint32_t k = 0; k < a->n_items; k++)
+		if (!idle(a, k))
+			stay += a->ledger.items[k].bytes;
+	return stay + a->items[i].bytes <= a->ledger.capacity;
+}
+
+static void blocked(struct pf_agent *a, uint32_t i)
+{
+	if (!fits_when_idle(a, i))
+		return;
+	if (a->blocked_at == 0)
+		a->blocked_at = a->now;
+	if (a->blocked_at + PLACE_HOLD_MS > a->now)
+		agent_arm(a, a->blocked_at + PLACE_HOLD_MS);
+}
+
 void items_place(struct pf_agent *a)
 {
 	for (uint32_t k = 0; k < a->n_wanted; k++) {
@@ -244,7 +267,15 @@
 		if (a->items[i].adapter && !has_kin(a, i, false))
 			continue;
 		/* What is wanted more goes first, also when it must wait. */
-		if (fetch(a, i, 0) < 0)
+		if (fetch(a, i, 0) < 0) {
+			blocked(a, i);
 			return;
+		}
 	}
+	a->blocked_at = 0;
+}
+
+bool items_hold_starts(const struct pf_agent *a)
+{
+	return a->blocked_at > 0 && a->now - a->blocked_at >= PLACE_HOLD_MS;
 }
--- a/src/coordination/agent_orders.c
+++ b/src/coordination/agent_orders.c
@@ -230,6 +230,7 @@
 	a->loads = 0;
 	a->order_base = a->order_seq;
 	a->inventory_due = false;
+	a->blocked_at = 0;
 }
 
 void agent_engine_up(struct pf_agent *a, const struct pf_agent_item *items,
--- a/src/coordination/agent_queue.c
+++ b/src/coordination/agent_queue.c
@@ -12,6 +12,7 @@
 #define SLACK_MAX_MS 4000
 #define COST_SHARE 0.25 /* of the expected cost that counts as lateness */
 #define HOLD_MS 2000 /* then others wait for what can't get its memory */
+#define MISSES_MAX 8 /* tries that lack memory before the rest must wait */
 #define STEP_GUESS_MS 30.0
 #define PREFILL_GUESS_MS 0.2
 
@@ -20,27 +21,30 @@
 	return a->step_ms > 0 ? a->step_ms : STEP_GUESS_MS;
 }
 
-static double prefill_ms(const struct pf_agent *a, const struct run *r)
+double run_prefill_ms(const struct pf_agent *a, const struct run *r)
 {
 	double ms = a->prefill_ms > 0 ? a->prefill_ms : PREFILL_GUESS_MS;
 
 	return ms * ((double)r->work.prompt_tokens + r->produced);
 }
 
-static uint32_t expected_tokens(const struct pf_agent *a, const struct run *r)
+void run_foresee(const struct pf_agent *a, struct run *r)
 {
-	uint32_t n =
-		learn_quantile(a->learn, r->work.model, r->work.caller, 0.5,
-			       r->produced, r->produced + 4 * a->o.grant_step);
+	uint32_t n = r->work.max_tokens;
 
-	if (n > r->work.max_tokens)
-		n = r->work.max_tokens;
-	return n > r->produced ? n - r->produced : 1;
+	if (!is_plain(a))
+		n = learn_quantile(a->learn, r->work.model, r->work.caller, 0.5,
+				   r->produced,
+				   r->produced + 4 * a->o.grant_step);
+	r->expected = n < r->work.max_tokens ? n : r->work.max_tokens;
 }
 
 double run_cost_ms(const struct pf_agent *a, const struct run *r)
 {
-	return prefill_ms(a, r) + expected_tokens(a, r) * step_ms(a);
+	uint32_t left =
+		r->expected > r->produced ? r->expected - r->produced : 1;
+
+	return run_prefill_ms(a, r) + left * step_ms(a);
 }
 
 /* Time left until starting would miss what the caller expects. */
@@ -49,7 +53,7 @@
 	double slack = SLACK_MAX_MS, s;
 
 	if (r->work.first_due != PF_NEVER && r->produced == 0) {
-		s = (double)(r->work.first_due - a->now) - prefill_ms(a, r);
+		s = (double)(r->work.first_due - a->now) - run_prefill_ms(a, r);
 		slack = fmin(slack, s);
 	}
 	if (r->work.whole_due != PF_NEVER) {
@@ -102,16 +106,20 @@
 	       (r->adapter == NIL || item_usable(a, r->adapter));
 }
 
+static bool has_place(const struct pf_agent *a)
+{
+	return runs_busy(a) < a->o.batch_max && a->n_alone == 0;
+}
+
 static enum placed try_start(struct pf_agent *a, struct run *r)
 {
 	uint32_t busy = runs_busy(a);
-	bool suspect = r->work.flags & PF_WORK_SUSPECT;
 
 	if (r->work.deadline <= a->now)
 		return NO_PLACE;
 	if (!items_usable(a, r))
 		return items_fetch(a, r) < 0 ? NO_KV : NO_ITEM;
-	if (busy >= a->o.batch_max || a->n_alone > 0 || (suspect && busy > 0))
+	if (!has_place(a) || ((r->work.flags & PF_WORK_SUSPECT) && busy > 0))
 		return NO_PLACE;
 	if (a->n_hungry > 0)
 		return NO_KV;
@@ -136,17 +144,32 @@
 	return how == NO_KV;
 }
 
-void queue_schedule(struct pf_agent *a)
+/* No place is free: fetch what is missing, and see whether one should be. */
+static void wait_for_place(struct pf_agent *a)
 {
-	uint32_t n;
+	struct run *r = run_at_head(a, RUN_QUEUED), *best = NULL;
 
-	if (!agent_ready(a))
-		return;
-	kv_feed(a);
-	if (!a->leaving && !is_plain(a))
-		items_place(a);
-	n = sort_queue(a);
-	for (uint32_t i = 0; i < n; i++) {
+	for (; r; r = run_next(a, r)) {
+		if (!items_usable(a, r)) {
+			items_fetch(a, r);
+			continue;
+		}
+		if (!a->o.pause_long)
+			continue;
+		r->score = score(a, r);
+		if (!best || r->score < best->score)
+			best = r;
+	}
+	if (best && a->n_alone == 0 && a->lists[RUN_STOPPING].n == 0 &&
+	    !(best->work.flags & PF_WORK_SUSPECT))
+		pause_for(a, best);
+}
+
+static void start_best(struct pf_agent *a)
+{
+	uint32_t n = sort_queue(a), misses = 0;
+
+	for (uint32_t i = 0; i < n && misses < MISSES_MAX; i++) {
 		struct run *r = &a->runs[a->sorted[i]];
 		enum placed how = try_start(a, r);
 
@@ -156,5 +179,21 @@
 			agent_arm(a, r->queued_at + HOLD_MS);
 		if (holds(a, r, how))
 			break;
+		misses += how == NO_KV;
 	}
 }
+
+void queue_schedule(struct pf_agent *a)
+{
+	if (!agent_ready(a))
+		return;
+	kv_feed(a);
+	if (!a->leaving && !is_plain(a))
+		items_place(a);
+	if (a->lists[RUN_QUEUED].n == 0)
+		return;
+	if (has_place(a) && !items_hold_starts(a))
+		start_best(a);
+	else
+		wait_for_place(a);
+}
--- a/src/coordination/agent_runs.c
+++ b/src/coordination/agent_runs.c
@@ -193,6 +193,7 @@
 {
 	kv_release(a, r);
 	r->queued_at = a->now;
+	run_foresee(a, r);
 	run_move(a, r, RUN_QUEUED);
 	a->stats.paused++;
 	a->dirty = true;
--- a/src/coordination/agent_tries.c
+++ b/src/coordination/agent_tries.c
@@ -194,7 +194,8 @@
 	act.u.done.end = end;
 	act.u.done.total = r->produced;
 	agent_emit(a, &act);
-	a->stats.completed++;
+	if (end != PF_END_CANCELLED)
+		a->stats.completed++;
 	ended_add(&a->ended, a->now, r->id);
 	run_drop(a, r);
 }
@@ -272,6 +273,7 @@
 		return;
 	}
 	items_hold(a, r, true);
+	run_foresee(a, r);
 	a->taken_in++;
 	agent_arm(a, w->deadline);
 	agent_arm(a, a->now + LOAD_WAIT_MS);
@@ -361,6 +363,12 @@
 	agent_report(a);
 }
 
+static bool not_coming(const struct pf_agent *a, uint32_t item)
+{
+	return item != NIL && item_state(a, item) != PF_ITEM_RESIDENT &&
+	       item_state(a, item) != PF_ITEM_LOADING;
+}
+
 /* Why @r should not wait any longer, or NONE; arms the time to ask again. */
 static enum pf_reason overdue(struct pf_agent *a, const struct run *r)
 {
@@ -380,9 +388,7 @@
 	agent_arm(a, a->now + LOAD_WAIT_MS);
 	if (suspect)
 		return PF_REASON_FULL;
-	if (r->model != NIL && !item_usable(a, r->model))
-		return PF_REASON_NOT_RESIDENT;
-	if (r->adapter != NIL && !item_usable(a, r->adapter))
+	if (not_coming(a, r->model) || not_coming(a, r->adapter))
 		return PF_REASON_NOT_RESIDENT;
 	return runs_busy(a) ? PF_REASON_NONE : PF_REASON_NO_MEMORY;
 }
