--- a/fuzz/fuzz_ledger.c
+++ b/fuzz/fuzz_ledger.c
@@ -142,13 +142,15 @@
 	}
 	for (uint32_t i = 0; i < steps_max && r->violations == 0; i++) {
 		int64_t before = pf_ledger_committed(&l);
+		int64_t want;
 
 		command(&l, &m, &g, r);
 		r->steps++;
-		if (pf_ledger_committed(&l) != known(&m) + m.excess)
+		want = known(&m) + m.excess;
+		if (pf_ledger_committed(&l) != want)
 			fuzz_violation(r, "sum %lld, not %lld",
 				       (long long)pf_ledger_committed(&l),
-				       (long long)(known(&m) + m.excess));
+				       (long long)want);
 		/* Only an inventory may show more than there is. */
 		if (pf_ledger_committed(&l) > l.capacity &&
 		    pf_ledger_committed(&l) > before && l.found_over == 0)
--- a/src/coordination/agent.c
+++ b/src/coordination/agent.c
@@ -127,7 +127,7 @@
 	return a->up && (a->configured || is_plain(a));
 }
 
-void average(double *avg, double x)
+void agent_average(double *avg, double x)
 {
 	*avg = *avg > 0 ? *avg + AVERAGE_WEIGHT * (x - *avg) : x;
 }
--- a/src/coordination/agent_core.h
+++ b/src/coordination/agent_core.h
@@ -172,7 +172,7 @@
 void agent_arm(struct pf_agent *a, pf_ms at);
 bool agent_ready(const struct pf_agent *a);
 /** Folds @x into a moving average. */
-void average(double *avg, double x);
+void agent_average(double *avg, double x);
 
 /* agent_tries.c: records, and what entries ask for */
 struct run *run_find(struct pf_agent *a, struct pf_try id);
--- a/src/coordination/agent_runs.c
+++ b/src/coordination/agent_runs.c
@@ -144,9 +144,9 @@
 	uint32_t prompt = r->work.prompt_tokens + r->produced;
 
 	if (r->first && prompt > 0)
-		average(&a->prefill_ms, ms / prompt);
+		agent_average(&a->prefill_ms, ms / prompt);
 	else if (!r->first && count > 0)
-		average(&a->step_ms, ms / count);
+		agent_average(&a->step_ms, ms / count);
 	r->first = false;
 	r->token_at = a->now;
 }
@@ -182,7 +182,7 @@
 static void note_end(struct pf_agent *a, const struct run *r)
 {
 	if (a->last_end > 0)
-		average(&a->end_gap_ms, (double)(a->now - a->last_end));
+		agent_average(&a->end_gap_ms, (double)(a->now - a->last_end));
 	a->last_end = a->now;
 	if (!is_plain(a))
 		learn_add(a->learn, r->work.model, r->work.caller, r->produced);
