Agent fuzz: config changes, short marks, unasked inventories; oracle apart

Change: those commands, agent_oracle.c apart; the guard uses what is granted, so a corrected KV figure takes effect at the next growth. Conclusion: agent.h now says that an inventory is sent unasked only at the start.

--- /dev/null
+++ b/fuzz/agent_oracle.c
@@ -0,0 +1,149 @@
+/* Checks each act of the agent against the promises. */
+#include "fuzz/agent_oracle.h"
+
+static int64_t kv_token_bytes(const struct world *w, uint64_t model)
+{
+	for (unsigned int i = 0; i < MODELS; i++)
+		if (w->models[i].id == model)
+			return w->models[i].kv_token_bytes;
+	return 0;
+}
+
+static void saw_run(struct world *w, struct seen *s,
+		    const struct pf_agent_act *act)
+{
+	bool suspect = s->work.flags & PF_WORK_SUSPECT;
+
+	CHECK(w, s->tried && !s->denied, "a run that was said not to run");
+	CHECK(w, !s->ended, "a run after its end");
+	CHECK(w, !s->after_drain, "a run of work that came after the drain");
+	CHECK(w, s->ran || s->work.deadline > w->now, "a start past deadline");
+	CHECK(w, s->ran || act->u.run.offset == s->work.offset,
+	      "a first start from elsewhere");
+	CHECK(w, act->u.run.offset <= s->sent, "a gap in the output");
+	CHECK(w, w->e.n_runs < w->o.batch_max || !w->e.up, "beyond the batch");
+	CHECK(w, !suspect || w->e.n_runs == 0, "a suspect beside others");
+	for (uint32_t i = 0; i < w->e.n_runs; i++)
+		CHECK(w, !(w->e.runs[i].work.flags & PF_WORK_SUSPECT),
+		      "others beside a suspect");
+	if (s->work.flags & PF_WORK_NEVER_REPEAT) {
+		CHECK(w, !s->ran, "never-repeat work run twice");
+		CHECK(w, !s->work.idem_key || s->granted, "run with no claim");
+	}
+	CHECK(w, !s->voided, "a run after its void");
+	s->ran = true;
+}
+
+static void saw_end(struct world *w, struct seen *s, struct pf_try id)
+{
+	CHECK(w, !s->ended, "two ends of one try");
+	CHECK(w, !s->denied, "an end of what did not run");
+	CHECK(w, s->ran || s->claim_asked, "an end with no run");
+	CHECK(w, !engine_run(&w->e, id), "an end while it runs");
+	s->ended = true;
+	s->over_at = w->now;
+}
+
+static void saw_claim(struct world *w, struct seen *s, struct pf_try id)
+{
+	struct pf_agent_msg *m = &w->claims[w->n_claims];
+	static const enum pf_reason why[] = { PF_REASON_NONE,
+					      PF_REASON_OUTCOME_UNKNOWN,
+					      PF_REASON_STORE_AWAY };
+
+	CHECK(w, !s->claim_asked, "two claims of one try");
+	s->claim_asked = true;
+	*m = (struct pf_agent_msg){ .type = PF_AGENT_CLAIMED };
+	m->u.claimed.id = id;
+	m->u.claimed.granted = pf_rng_below(&w->rng, 4) > 0;
+	m->u.claimed.reason = why[pf_rng_below(&w->rng, 3)];
+	w->n_claims++;
+}
+
+static void saw_id(struct world *w, struct seen *s, struct pf_try id,
+		   const struct pf_agent_act *act)
+{
+	switch (act->type) {
+	case PF_AGENT_RUN:
+		saw_run(w, s, act);
+		break;
+	case PF_AGENT_STARTED:
+		CHECK(w, s->ran || s->ended, "started without a run");
+		break;
+	case PF_AGENT_PIECE:
+		CHECK(w, s->ran && !s->ended, "output without a run");
+		if (act->u.tokens.offset <= s->sent &&
+		    act->u.tokens.offset + act->u.tokens.count > s->sent)
+			s->sent = act->u.tokens.offset + act->u.tokens.count;
+		break;
+	case PF_AGENT_NOT_RUN:
+	case PF_AGENT_REVOKED:
+		CHECK(w, !s->ran, "denied a run that began");
+		CHECK(w, !s->ended, "denied what has ended");
+		s->denied = true;
+		s->over_at = w->now;
+		break;
+	case PF_AGENT_DONE:
+	case PF_AGENT_LOST:
+		saw_end(w, s, id);
+		break;
+	case PF_AGENT_CLAIM:
+		saw_claim(w, s, id);
+		break;
+	case PF_AGENT_VOID:
+		CHECK(w, s->granted && !s->ran && !s->voided, "a wrong void");
+		s->voided = true;
+		break;
+	default:
+		break;
+	}
+}
+
+static void saw(void *ctx, const struct pf_agent_act *act)
+{
+	struct world *w = ctx;
+
+	switch (act->type) {
+	case PF_AGENT_REPORT:
+		CHECK(w, act->u.report.kv_free >= 0, "negative memory");
+		CHECK(w, act->u.report.leaving == w->draining, "hides leaving");
+		break;
+	case PF_AGENT_DRAINED:
+		CHECK(w, w->draining && !w->drained, "drained unasked");
+		CHECK(w, w->e.n_runs == 0, "drained while it runs");
+		w->drained = true;
+		break;
+	case PF_AGENT_LOAD:
+	case PF_AGENT_UNLOAD:
+	case PF_AGENT_INVENTORY:
+		break;
+	default:
+		/* The id comes first in each of these. */
+		CHECK(w, act->u.id.request < w->n_tries, "an unknown try");
+		saw_id(w, &w->tries[act->u.id.request], act->u.id, act);
+		break;
+	}
+	engine_take(&w->e, act,
+		    act->type == PF_AGENT_RUN
+			    ? kv_token_bytes(w, act->u.run.work->model)
+			    : 0);
+}
+
+void world_send(struct world *w, const struct pf_agent_msg *m)
+{
+	struct pf_agent_sink sink = { saw, w };
+	struct pf_agent_stats s;
+
+	pf_agent_step(w->a, w->now, m, &sink);
+	w->r->steps++;
+	pf_agent_stats(w->a, &s);
+	if (w->o.kind == PF_ENDPOINT_ENGINE) {
+		CHECK(w, engine_bytes(&w->e) <= w->o.memory_bytes,
+		      "memory promised twice: %lld of %lld",
+		      (long long)engine_bytes(&w->e),
+		      (long long)w->o.memory_bytes);
+		CHECK(w, !w->met || s.committed_bytes >= engine_bytes(&w->e),
+		      "the ledger counts too little");
+	}
+	CHECK(w, !w->e.fault[0], "%s", w->e.fault);
+}
--- a/fuzz/fake_engine.c
+++ b/fuzz/fake_engine.c
@@ -40,8 +40,10 @@
 		return NULL;
 	e->first_msg = (e->first_msg + 1) % ENGINE_MSGS;
 	e->n_msgs--;
-	if (slot->msg.type == PF_AGENT_ENGINE_UP)
+	if (slot->msg.type == PF_AGENT_ENGINE_UP) {
 		e->heard = true;
+		e->asked = false;
+	}
 	return &slot->msg;
 }
 
@@ -100,7 +102,7 @@
 	return sum;
 }
 
-static void send_inventory(struct fake_engine *e)
+void engine_tell(struct fake_engine *e)
 {
 	struct pf_agent_msg m = { .type = PF_AGENT_ENGINE_UP };
 
@@ -188,6 +190,7 @@
 	}
 	/* A new question replaces the ones before. */
 	if (act->type == PF_AGENT_INVENTORY) {
+		e->asked = true;
 		for (uint32_t i = 0; i < e->n_orders; i++)
 			if (e->orders[i].type == PF_AGENT_INVENTORY)
 				e->orders[i].lost = true;
@@ -309,7 +312,7 @@
 		}
 		if (o->type == PF_AGENT_INVENTORY) {
 			if (!o->lost)
-				send_inventory(e);
+				engine_tell(e);
 		} else if (o->begun) {
 			complete(e, o);
 		} else {
@@ -350,6 +353,10 @@
 		send_end(e, r->id, PF_END_CANCELLED, r->produced);
 		return true;
 	}
+	if (chance(e, 1) && pf_rng_below(e->rng, 4) == 0) {
+		send_end(e, r->id, PF_END_CANCELLED, r->produced);
+		return true;
+	}
 	if (pf_rng_below(e->rng, 2))
 		produce(e, r);
 	if (r->produced < r->length || pf_rng_below(e->rng, 3))
@@ -387,6 +394,7 @@
 	}
 	e->up = false;
 	e->heard = false;
+	e->asked = false;
 	e->n_items = 0;
 	e->n_runs = 0;
 	e->n_orders = 0;
@@ -397,5 +405,5 @@
 void engine_start(struct fake_engine *e)
 {
 	e->up = true;
-	send_inventory(e);
+	engine_tell(e);
 }
--- a/fuzz/fake_engine.h
+++ b/fuzz/fake_engine.h
@@ -45,6 +45,7 @@
 	int64_t leak; /* bytes in use that belong to nothing */
 	bool up;
 	bool heard; /* its start was reported; before, acts fail */
+	bool asked; /* an inventory is awaited */
 	bool tidy; /* no faults */
 	struct pf_agent_item items[ENGINE_ITEMS];
 	uint32_t n_items;
@@ -72,6 +73,9 @@
 /** Puts a message for the agent behind those that wait. */
 void engine_send(struct fake_engine *e, const struct pf_agent_msg *m);
 
+/** Sends its inventory, asked or not. */
+void engine_tell(struct fake_engine *e);
+
 void engine_crash(struct fake_engine *e);
 /** Comes back empty and says so. */
 void engine_start(struct fake_engine *e);
--- a/fuzz/fuzz_agent.c
+++ b/fuzz/fuzz_agent.c
@@ -1,203 +1,18 @@
 /*
- * The agent core against an oracle written from the promises: memory, not
- * run, one run at a time, a final answer for every try, leaving.
+ * The agent core against an oracle written from the promises (agent_oracle.c):
+ * random commands, then a time in which all must come to its end.
  */
-#include "fuzz/fake_engine.h"
-#include "fuzz/fuzz.h"
+#include "fuzz/agent_oracle.h"
 
 #include <stdlib.h>
 
-#define MODELS 4
-#define ADAPTERS 3
-#define TRIES 600
 #define SETTLE_STEPS 40000
 
-/* What is known of a try from the messages alone. */
-struct seen {
-	struct pf_work work;
-	uint64_t entry;
-	bool tried; /* TRY was sent */
-	bool after_drain; /* and only after DRAIN */
-	bool excused; /* its entry is gone or gave it up: no answer is due */
-	bool ran, denied, ended; /* RUN; NOT_RUN or REVOKED; DONE or LOST */
-	bool claim_asked, granted, voided;
-	uint32_t sent; /* tokens that the engine reported, without a gap */
-};
-
-struct world {
-	struct pf_rng rng;
-	struct fuzz_result *r;
-	struct pf_agent_opts o;
-	struct pf_agent *a;
-	struct fake_engine e;
-	struct pf_model models[MODELS];
-	struct pf_adapter adapters[ADAPTERS];
-	struct pf_config config;
-	struct seen tries[TRIES];
-	uint32_t n_tries;
-	struct pf_agent_msg claims[TRIES]; /* answers under way */
-	uint32_t n_claims;
-	pf_ms now;
-	bool met; /* the agent has heard from its engine */
-	bool draining, drained;
-};
-
-#define CHECK(w, cond, ...)                                  \
-	do {                                                 \
-		if (!(cond))                                 \
-			fuzz_violation((w)->r, __VA_ARGS__); \
-	} while (0)
-
 static uint32_t below(struct world *w, uint32_t n)
 {
 	return pf_rng_below(&w->rng, n);
 }
 
-static int64_t kv_token_bytes(const struct world *w, uint64_t model)
-{
-	for (unsigned int i = 0; i < MODELS; i++)
-		if (w->models[i].id == model)
-			return w->models[i].kv_token_bytes;
-	return 0;
-}
-
-static void saw_run(struct world *w, struct seen *s,
-		    const struct pf_agent_act *act)
-{
-	bool suspect = s->work.flags & PF_WORK_SUSPECT;
-
-	CHECK(w, s->tried && !s->denied, "a run that was said not to run");
-	CHECK(w, !s->ended, "a run after its end");
-	CHECK(w, !s->after_drain, "a run of work that came after the drain");
-	CHECK(w, s->ran || s->work.deadline > w->now, "a start past deadline");
-	CHECK(w, s->ran || act->u.run.offset == s->work.offset,
-	      "a first start from elsewhere");
-	CHECK(w, act->u.run.offset <= s->sent, "a gap in the output");
-	CHECK(w, w->e.n_runs < w->o.batch_max || !w->e.up, "beyond the batch");
-	CHECK(w, !suspect || w->e.n_runs == 0, "a suspect beside others");
-	for (uint32_t i = 0; i < w->e.n_runs; i++)
-		CHECK(w, !(w->e.runs[i].work.flags & PF_WORK_SUSPECT),
-		      "others beside a suspect");
-	if (s->work.flags & PF_WORK_NEVER_REPEAT) {
-		CHECK(w, !s->ran, "never-repeat work run twice");
-		CHECK(w, !s->work.idem_key || s->granted, "run with no claim");
-	}
-	CHECK(w, !s->voided, "a run after its void");
-	s->ran = true;
-}
-
-static void saw_end(struct world *w, struct seen *s, struct pf_try id)
-{
-	CHECK(w, !s->ended, "two ends of one try");
-	CHECK(w, !s->denied, "an end of what did not run");
-	CHECK(w, s->ran || s->claim_asked, "an end with no run");
-	CHECK(w, !engine_run(&w->e, id), "an end while it runs");
-	s->ended = true;
-}
-
-static void saw_claim(struct world *w, struct seen *s, struct pf_try id)
-{
-	struct pf_agent_msg *m = &w->claims[w->n_claims];
-	static const enum pf_reason why[] = { PF_REASON_NONE,
-					      PF_REASON_OUTCOME_UNKNOWN,
-					      PF_REASON_STORE_AWAY };
-
-	CHECK(w, !s->claim_asked, "two claims of one try");
-	s->claim_asked = true;
-	*m = (struct pf_agent_msg){ .type = PF_AGENT_CLAIMED };
-	m->u.claimed.id = id;
-	m->u.claimed.granted = below(w, 4) > 0;
-	m->u.claimed.reason = why[below(w, 3)];
-	w->n_claims++;
-}
-
-static void saw_id(struct world *w, struct seen *s, struct pf_try id,
-		   const struct pf_agent_act *act)
-{
-	switch (act->type) {
-	case PF_AGENT_RUN:
-		saw_run(w, s, act);
-		break;
-	case PF_AGENT_STARTED:
-		CHECK(w, s->ran || s->ended, "started without a run");
-		break;
-	case PF_AGENT_PIECE:
-		CHECK(w, s->ran && !s->ended, "output without a run");
-		if (act->u.tokens.offset <= s->sent &&
-		    act->u.tokens.offset + act->u.tokens.count > s->sent)
-			s->sent = act->u.tokens.offset + act->u.tokens.count;
-		break;
-	case PF_AGENT_NOT_RUN:
-	case PF_AGENT_REVOKED:
-		CHECK(w, !s->ran, "denied a run that began");
-		CHECK(w, !s->ended, "denied what has ended");
-		s->denied = true;
-		break;
-	case PF_AGENT_DONE:
-	case PF_AGENT_LOST:
-		saw_end(w, s, id);
-		break;
-	case PF_AGENT_CLAIM:
-		saw_claim(w, s, id);
-		break;
-	case PF_AGENT_VOID:
-		CHECK(w, s->granted && !s->ran && !s->voided, "a wrong void");
-		s->voided = true;
-		break;
-	default:
-		break;
-	}
-}
-
-static void saw(void *ctx, const struct pf_agent_act *act)
-{
-	struct world *w = ctx;
-
-	switch (act->type) {
-	case PF_AGENT_REPORT:
-		CHECK(w, act->u.report.kv_free >= 0, "negative memory");
-		CHECK(w, act->u.report.leaving == w->draining, "hides leaving");
-		break;
-	case PF_AGENT_DRAINED:
-		CHECK(w, w->draining && !w->drained, "drained unasked");
-		CHECK(w, w->e.n_runs == 0, "drained while it runs");
-		w->drained = true;
-		break;
-	case PF_AGENT_LOAD:
-	case PF_AGENT_UNLOAD:
-	case PF_AGENT_INVENTORY:
-		break;
-	default:
-		/* The id comes first in each of these. */
-		CHECK(w, act->u.id.request < w->n_tries, "an unknown try");
-		saw_id(w, &w->tries[act->u.id.request], act->u.id, act);
-		break;
-	}
-	engine_take(&w->e, act,
-		    act->type == PF_AGENT_RUN
-			    ? kv_token_bytes(w, act->u.run.work->model)
-			    : 0);
-}
-
-static void send(struct world *w, const struct pf_agent_msg *m)
-{
-	struct pf_agent_sink sink = { saw, w };
-	struct pf_agent_stats s;
-
-	pf_agent_step(w->a, w->now, m, &sink);
-	w->r->steps++;
-	pf_agent_stats(w->a, &s);
-	if (w->o.kind == PF_ENDPOINT_ENGINE) {
-		CHECK(w, engine_bytes(&w->e) <= w->o.memory_bytes,
-		      "memory promised twice: %lld of %lld",
-		      (long long)engine_bytes(&w->e),
-		      (long long)w->o.memory_bytes);
-		CHECK(w, !w->met || s.committed_bytes >= engine_bytes(&w->e),
-		      "the ledger counts too little");
-	}
-	CHECK(w, !w->e.fault[0], "%s", w->e.fault);
-}
-
 static void make_config(struct world *w)
 {
 	for (unsigned int i = 0; i < MODELS; i++) {
@@ -229,8 +44,8 @@
 	w->o.queue_max = 1 + below(w, 12);
 	w->o.runs_max = 8 + below(w, 40);
 	w->o.tombstones_max = below(w, 3) ? 1000 : 20;
-	w->o.tombstone_keep = 100000000;
-	w->o.items_max = MODELS + ADAPTERS + below(w, 3);
+	w->o.tombstone_keep = below(w, 3) ? 100000000 : 4000;
+	w->o.items_max = MODELS + ADAPTERS - 2 + below(w, 5);
 	w->o.order_timeout = 200 + below(w, 1000);
 	w->o.kv_policy = (enum pf_kv_policy)below(w, 3);
 	w->o.queue_policy = (enum pf_queue_policy)below(w, 2);
@@ -312,11 +127,19 @@
 	if (!s->tried)
 		s->after_drain = w->draining;
 	s->tried = true;
-	send(w, &m);
+	world_send(w, &m);
 	if (w->draining && !known)
 		CHECK(w, s->denied, "took in work while leaving");
 }
 
+/* No copy is under way for longer than marks are kept. */
+static bool may_copy(const struct world *w, uint32_t i)
+{
+	const struct seen *s = &w->tries[i];
+
+	return !s->over_at || w->now - s->over_at < w->o.tombstone_keep;
+}
+
 static uint32_t new_try(struct world *w)
 {
 	struct seen *s = &w->tries[w->n_tries];
@@ -334,7 +157,7 @@
 	m.u.id = (struct pf_try){ i, 1 };
 	if (type == PF_AGENT_CANCEL)
 		w->tries[i].excused = true;
-	send(w, &m);
+	world_send(w, &m);
 	if (type == PF_AGENT_REVOKE)
 		CHECK(w,
 		      w->tries[i].denied || w->tries[i].ran ||
@@ -350,7 +173,7 @@
 	for (uint32_t i = 0; i < w->n_tries; i++)
 		if (w->tries[i].entry == m.entry)
 			w->tries[i].excused = true;
-	send(w, &m);
+	world_send(w, &m);
 }
 
 static void send_place(struct world *w)
@@ -364,7 +187,19 @@
 				     : 200 + below(w, ADAPTERS);
 	m.u.place.items = ids;
 	m.u.place.n_items = n;
-	send(w, &m);
+	world_send(w, &m);
+}
+
+/* Models and adapters come and go, their figures are corrected upwards. */
+static void change_config(struct world *w)
+{
+	struct pf_model *m;
+
+	w->config.n_models = MODELS - below(w, 2);
+	m = &w->models[below(w, (uint32_t)w->config.n_models)];
+	w->config.n_adapters = ADAPTERS - below(w, 2);
+	m->weight_bytes += below(w, 30);
+	m->kv_token_bytes += below(w, 12) == 0;
 }
 
 static void send_config(struct world *w)
@@ -372,7 +207,7 @@
 	struct pf_agent_msg m = { .type = PF_AGENT_CONFIG };
 
 	m.u.config = &w->config;
-	send(w, &m);
+	world_send(w, &m);
 }
 
 static void answer_claim(struct world *w, uint32_t at)
@@ -382,7 +217,7 @@
 
 	if (m.u.claimed.granted)
 		s->granted = true;
-	send(w, &m);
+	world_send(w, &m);
 	/* Now and then the answer comes once more. */
 	if (w->e.tidy || below(w, 8))
 		w->claims[at] = w->claims[--w->n_claims];
@@ -397,11 +232,11 @@
 	w->now += ms;
 	engine_work(&w->e, w->now);
 	while ((m = engine_next(&w->e)))
-		send(w, m);
+		world_send(w, m);
 	if (w->n_claims > 0 && below(w, 2))
 		answer_claim(w, below(w, w->n_claims));
 	if (pf_agent_next(w->a) <= w->now)
-		send(w, &tick);
+		world_send(w, &tick);
 }
 
 static void fail_engine(struct world *w)
@@ -412,37 +247,80 @@
 		engine_start(&w->e);
 }
 
+static void drain(struct world *w)
+{
+	struct pf_agent_msg m = { .type = PF_AGENT_DRAIN };
+
+	w->draining = true;
+	world_send(w, &m);
+}
+
+/* A message about a try that was heard of before, or of none. */
+static void old_try(struct world *w)
+{
+	uint32_t last = w->n_tries < 8 ? w->n_tries : 8;
+	uint32_t i = w->n_tries - 1 - below(w, below(w, 2) ? last : w->n_tries);
+	uint32_t c = below(w, 12);
+
+	if (!may_copy(w, i))
+		return;
+	if (c < 4)
+		send_try(w, i);
+	else if (c < 9)
+		send_id(w, PF_AGENT_REVOKE, i);
+	else if (c < 11)
+		send_id(w, PF_AGENT_CANCEL, i);
+	else if (w->n_tries < TRIES - 1)
+		send_id(w, PF_AGENT_REVOKE, new_try(w));
+}
+
+/* Faults and decisions from around the agent. */
+static void event(struct world *w)
+{
+	switch (below(w, 10)) {
+	case 0:
+		if (below(w, 4) == 0)
+			send_entry_down(w);
+		break;
+	case 1:
+	case 2:
+		if (below(w, 2))
+			fail_engine(w);
+		break;
+	case 3:
+	case 4:
+	case 5:
+		send_place(w);
+		break;
+	case 6:
+		change_config(w);
+		send_config(w);
+		break;
+	case 7:
+		w->e.leak = below(w, 3) ? 0 : below(w, 200);
+		break;
+	case 8:
+		if (w->e.up && w->e.heard && !w->e.asked)
+			engine_tell(&w->e);
+		break;
+	default:
+		if (below(w, 20) == 0 && !w->draining)
+			drain(w);
+		break;
+	}
+}
+
 static void command(struct world *w)
 {
 	uint32_t c = below(w, 100);
-	struct pf_agent_msg drain = { .type = PF_AGENT_DRAIN };
 
 	if (c < 25 && w->n_tries < TRIES - 1)
 		send_try(w, new_try(w));
-	else if (c < 29 && w->n_tries > 0)
-		send_try(w, below(w, w->n_tries));
-	else if (c < 34 && w->n_tries > 0)
-		send_id(w, PF_AGENT_REVOKE,
-			w->n_tries - 1 -
-				below(w, w->n_tries < 8 ? w->n_tries : 8));
-	else if (c < 35 && w->n_tries < TRIES - 1)
-		send_id(w, PF_AGENT_REVOKE, new_try(w));
 	else if (c < 37 && w->n_tries > 0)
-		send_id(w, PF_AGENT_CANCEL, below(w, w->n_tries));
-	else if (c == 37 && below(w, 4) == 0)
-		send_entry_down(w);
-	else if (c < 40 && below(w, 3) == 0)
-		fail_engine(w);
-	else if (c < 42)
-		send_place(w);
-	else if (c == 42)
-		send_config(w);
-	else if (c == 43)
-		w->e.leak = below(w, 3) ? 0 : below(w, 200);
-	else if (c == 44 && below(w, 20) == 0 && !w->draining) {
-		w->draining = true;
-		send(w, &drain);
-	} else
+		old_try(w);
+	else if (c < 45)
+		event(w);
+	else
 		pass(w, below(w, 5) ? below(w, 40) : below(w, 1500));
 }
 
@@ -461,7 +339,6 @@
 /* The engine behaves and time passes: all must come to its end. */
 static void settle(struct world *w)
 {
-	struct pf_agent_msg drain = { .type = PF_AGENT_DRAIN };
 	struct pf_agent_stats s;
 
 	w->e.tidy = true;
@@ -471,10 +348,8 @@
 	for (int i = 0; i < SETTLE_STEPS && unanswered(w) > 0; i++)
 		pass(w, 20);
 	CHECK(w, unanswered(w) == 0, "a try got no final answer");
-	if (!w->draining) {
-		w->draining = true;
-		send(w, &drain);
-	}
+	if (!w->draining)
+		drain(w);
 	for (int i = 0; i < SETTLE_STEPS && !w->drained; i++)
 		pass(w, 20);
 	CHECK(w, w->drained, "not drained");
@@ -511,7 +386,7 @@
 	up.u.inventory.items = w->e.items;
 	up.u.inventory.n_items = w->e.n_items;
 	w->met = true;
-	send(w, &up);
+	world_send(w, &up);
 	for (uint32_t i = 0; i < steps_max && r->violations == 0; i++)
 		command(w);
 	if (r->violations == 0)
--- a/include/pimentoford/agent.h
+++ b/include/pimentoford/agent.h
@@ -68,9 +68,10 @@
 	PF_AGENT_ENTRY_DOWN, /* `entry` is gone: cancel its runs, except
 			      * never-repeat ones, which finish */
 	/* from the engine */
-	PF_AGENT_ENGINE_UP, /* u.inventory: everything it holds; the answer to
-			     * PF_AGENT_INVENTORY too. A plain service that can
-			     * be reached: an empty one */
+	/* u.inventory: everything it holds. Sent at the start, and later only
+	 * to answer PF_AGENT_INVENTORY. A plain service that can be reached:
+	 * an empty one. */
+	PF_AGENT_ENGINE_UP,
 	PF_AGENT_ENGINE_DOWN, /* crashed: its memory is empty */
 	PF_AGENT_TOKENS, /* u.tokens: a run produced output */
 	PF_AGENT_RUN_END, /* u.end: once for each RUN, after its tokens */
--- a/src/coordination/agent_items.c
+++ b/src/coordination/agent_items.c
@@ -54,9 +54,8 @@
 	a->items[i].base = m->name_id;
 	a->items[i].bytes = m->weight_bytes;
 	a->items[i].max_context = m->max_context;
-	/* What runs was counted with the old figure and is given back so. */
-	if (a->items[i].users == 0)
-		a->items[i].kv_token_bytes = m->kv_token_bytes;
+	/* Runs are counted anew when they grow. */
+	a->items[i].kv_token_bytes = m->kv_token_bytes;
 }
 
 static void declare_adapter(struct pf_agent *a, const struct pf_adapter *d)
--- a/src/coordination/agent_kv.c
+++ b/src/coordination/agent_kv.c
@@ -61,7 +61,7 @@
 
 		if (r == but)
 			continue;
-		d->held = kv_bytes(a, r, r->limit);
+		d->held = a->ledger.kv[run_slot(a, r)];
 		d->more =
 			state == RUN_STOPPING
 				? 0
@@ -180,7 +180,7 @@
 	if (a->o.kv_policy != PF_KV_SAFE)
 		limit = min_u32(limit, r->limit + a->o.grant_step);
 	if (items_make_room(a, kv_bytes(a, r, limit) -
-				       kv_bytes(a, r, r->limit)) > 0)
+				       a->ledger.kv[run_slot(a, r)]) > 0)
 		return;
 	v = victim(a, r);
 	if (v)
