Agent: default quantile 0.5, pause for memory too, placement before config

Cause: pause_long looked at places in the batch only; a PLACE that named items of a configuration yet to come was forgotten; 0.8 leaves memory idle. Change: make_way() also when memory is what lacks; wanted items take a slot before they are declared; kv_quantile 0.5.

--- a/src/coordination/agent.c
+++ b/src/coordination/agent.c
@@ -19,7 +19,7 @@
 		.order_timeout = 5000,
 		.kv_policy = PF_KV_SAFE,
 		.queue_policy = PF_QUEUE_VALUE,
-		.kv_quantile = 0.8,
+		.kv_quantile = 0.5,
 		.grant_step = 64,
 		.load_on_demand = true,
 		.loads_max = 2,
--- a/src/coordination/agent_core.h
+++ b/src/coordination/agent_core.h
@@ -262,8 +262,8 @@
 void run_foresee(const struct pf_agent *a, struct run *r);
 
 /* agent_pause.c */
-/** Stops a long stream if starting @r now is worth it. */
-bool pause_for(struct pf_agent *a, const struct run *r);
+/** Stops a long stream of at least @bytes if starting @r now is worth it. */
+bool pause_for(struct pf_agent *a, const struct run *r, int64_t bytes);
 
 /* agent_items.c */
 enum pf_item_state item_state(const struct pf_agent *a, uint32_t i);
--- a/src/coordination/agent_items.c
+++ b/src/coordination/agent_items.c
@@ -90,7 +90,8 @@
 		a->items[i].wanted = 0;
 	a->n_wanted = 0;
 	for (uint32_t k = 0; k < n; k++) {
-		uint32_t i = item_find(a, ids[k]);
+		/* It may be declared only later. */
+		uint32_t i = item_take(a, ids[k]);
 
 		if (i == NIL || a->items[i].wanted)
 			continue;
--- a/src/coordination/agent_pause.c
+++ b/src/coordination/agent_pause.c
@@ -45,7 +45,7 @@
 	return (met && !still ? weight(v) : 0) + weight(v) * again / delay;
 }
 
-bool pause_for(struct pf_agent *a, const struct run *r)
+bool pause_for(struct pf_agent *a, const struct run *r, int64_t bytes)
 {
 	struct run *v = run_at_head(a, RUN_RUNNING), *best = NULL;
 	double least = gain(a, r);
@@ -55,7 +55,8 @@
 	for (; v; v = run_next(a, v)) {
 		double x;
 
-		if (!run_pausable(v) || v->gave_way || v->first)
+		if (!run_pausable(v) || v->gave_way || v->first ||
+		    a->ledger.kv[run_slot(a, v)] < bytes)
 			continue;
 		x = loss(a, v, r);
 		if (x >= least)
--- a/src/coordination/agent_queue.c
+++ b/src/coordination/agent_queue.c
@@ -144,6 +144,19 @@
 	return how == NO_KV;
 }
 
+/* @r lacks a place or memory: a long stream may give way to it. */
+static void make_way(struct pf_agent *a, const struct run *r)
+{
+	int64_t spare = pf_ledger_spare(&a->ledger);
+	int64_t need = kv_first_bytes(a, r);
+
+	if (!a->o.pause_long || a->n_alone > 0 || a->n_hungry > 0 ||
+	    a->lists[RUN_STOPPING].n > 0 || !items_usable(a, r) ||
+	    (r->work.flags & PF_WORK_SUSPECT))
+		return;
+	pause_for(a, r, need > spare ? need - spare : 0);
+}
+
 /* No place is free: fetch what is missing, and see whether one should be. */
 static void wait_for_place(struct pf_agent *a)
 {
@@ -160,9 +173,8 @@
 		if (!best || r->score < best->score)
 			best = r;
 	}
-	if (best && a->n_alone == 0 && a->lists[RUN_STOPPING].n == 0 &&
-	    !(best->work.flags & PF_WORK_SUSPECT))
-		pause_for(a, best);
+	if (best)
+		make_way(a, best);
 }
 
 static void start_best(struct pf_agent *a)
@@ -177,6 +189,8 @@
 			continue;
 		if (r->queued_at + HOLD_MS > a->now)
 			agent_arm(a, r->queued_at + HOLD_MS);
+		if (how == NO_KV && misses == 0)
+			make_way(a, r);
 		if (holds(a, r, how))
 			break;
 		misses += how == NO_KV;
