--- a/src/coordination/entry_impl.h
+++ b/src/coordination/entry_impl.h
@@ -121,7 +121,6 @@
 	double service_ms; /* learned time from start to end */
 	double retry_budget;
 	uint32_t crash; /* id of the last crash there */
-	bool crash_solved; /* its culprit is known */
 	pf_ms crash_at;
 	struct {
 		uint32_t group;
@@ -144,6 +143,12 @@
 	uint32_t next;
 };
 
+/** A request that ended while a try of it was still at an agent. */
+struct pf_ghost {
+	uint64_t request;
+	uint64_t fingerprint;
+};
+
 struct pf_candidate {
 	uint32_t peer;
 	double cost; /* ms */
@@ -187,6 +192,7 @@
 
 	struct pf_suspect *suspects;
 	struct pf_map suspect_map;
+	struct pf_ghost *ghosts; /* by request id, newer replace older */
 	uint32_t suspect_fresh;
 	uint32_t suspect_free; /* list by `next` */
 	uint32_t suspect_head;
--- a/src/coordination/life.c
+++ b/src/coordination/life.c
@@ -371,8 +371,7 @@
 		return;
 	}
 	/* Pieces are missing: the rest is asked for again. */
-	if (!(r->work.flags & PF_WORK_PLAIN) &&
-	    m->u.done.total > r->work.offset) {
+	if (m->u.done.total > r->work.offset) {
 		cut(e, slot, WHY_FAULT);
 		return;
 	}
@@ -405,6 +404,10 @@
 		p->ended = 0;
 		again(e, slot, WHY_BUSY, after);
 		break;
+	case PF_REASON_NOT_READY:
+		p->ready = false;
+		again(e, slot, WHY_BUSY, after);
+		break;
 	case PF_REASON_NO_MEMORY:
 		pf_peers_unable(e, r->peer, r->group, e->now + UNABLE_MS);
 		again(e, slot, WHY_BUSY, after);
@@ -437,7 +440,7 @@
 	struct pf_request *r = &e->reqs[slot];
 	uint64_t fp = r->work.fingerprint;
 
-	if (pf_quarantine_crash(e, fp, r->peer) == PF_QUARANTINED) {
+	if (pf_quarantine_crash(e, fp, r->peer, r->sent_at) == PF_QUARANTINED) {
 		finish(e, slot,
 		       outcome(PF_REASON_QUARANTINED, PF_RAN,
 			       e->opts.quarantine_keep));
@@ -447,12 +450,29 @@
 	cut(e, slot, WHY_ENDPOINT_LOST);
 }
 
+/* A try that was given up before ran into a crash: it still counts. */
+static void crashed_late(struct pf_entry *e, const struct pf_entry_msg *m)
+{
+	uint64_t id = m->u.lost.id.request;
+	uint32_t slot = pf_requests_find(e, id);
+	uint32_t peer = pf_peers_find(e, m->agent);
+	uint64_t fp = slot == PF_NIL ? pf_quarantine_left(e, id)
+				     : e->reqs[slot].work.fingerprint;
+
+	if (m->u.lost.reason != PF_REASON_CRASHED || peer == PF_NIL)
+		return;
+	if (pf_quarantine_crash(e, fp, peer, 0) == PF_QUARANTINED)
+		pf_life_quarantined(e, fp);
+}
+
 void pf_life_lost(struct pf_entry *e, const struct pf_entry_msg *m)
 {
 	uint32_t slot = current(e, m->agent, &m->u.lost.id);
 
-	if (slot == PF_NIL)
+	if (slot == PF_NIL) {
+		crashed_late(e, m);
 		return;
+	}
 	mark_started(e, slot);
 	switch (m->u.lost.reason) {
 	case PF_REASON_CRASHED:
--- a/src/coordination/quarantine.c
+++ b/src/coordination/quarantine.c
@@ -12,7 +12,8 @@
 	e->suspect_free = PF_NIL;
 	e->suspect_head = PF_NIL;
 	e->suspect_tail = PF_NIL;
-	if (!e->suspects)
+	e->ghosts = calloc(e->opts.quarantine_max, sizeof(*e->ghosts));
+	if (!e->suspects || !e->ghosts)
 		return -1;
 	return pf_map_init(&e->suspect_map, e->opts.quarantine_max);
 }
@@ -20,6 +21,7 @@
 void pf_quarantine_free(struct pf_entry *e)
 {
 	free(e->suspects);
+	free(e->ghosts);
 	pf_map_free(&e->suspect_map);
 }
 
@@ -151,51 +153,33 @@
 	pf_entry_emit(e, &a);
 }
 
-/* The others that were running at crash @id are innocent. */
-static void absolve_crash(struct pf_entry *e, uint32_t id)
+/* A try that was sent after the last crash was told was lost in a new one. */
+static void join_crash(struct pf_entry *e, struct pf_peer *p, pf_ms sent_at)
 {
-	uint32_t next;
-
-	for (uint32_t i = e->suspect_head; i != PF_NIL; i = next) {
-		next = e->suspects[i].next;
-		if (e->suspects[i].crash == id && !e->suspects[i].until)
-			drop(e, i);
-	}
-}
-
-static void join_crash(struct pf_entry *e, struct pf_peer *p)
-{
-	if (p->crash && e->now - p->crash_at <= CRASH_SET_MS)
+	if (p->crash && e->now - p->crash_at <= CRASH_SET_MS &&
+	    sent_at <= p->crash_at)
 		return;
 	p->crash = ++e->crash_seq;
 	p->crash_at = e->now;
-	p->crash_solved = false;
 }
 
 enum pf_verdict pf_quarantine_crash(struct pf_entry *e, uint64_t fingerprint,
-				    uint32_t peer)
+				    uint32_t peer, pf_ms sent_at)
 {
 	struct pf_peer *p = &e->peers[peer];
 	struct pf_suspect *s;
-	uint32_t before;
 
-	join_crash(e, p);
-	if (fingerprint == 0 ||
-	    (p->crash_solved && find(e, fingerprint) == PF_NIL))
+	join_crash(e, p, sent_at);
+	if (fingerprint == 0)
 		return PF_CLEAR;
 	s = get(e, fingerprint);
-	before = s->crash;
-	if (before == p->crash)
+	if (s->crash == p->crash)
 		return verdict(s);
 	s->crash = p->crash;
 	s->crashes++;
 	if (s->crashes >= e->opts.crashes_max && !s->until) {
 		s->until = e->now + e->opts.quarantine_keep;
 		e->stats.quarantined++;
-		p->crash_solved = true;
-		absolve_crash(e, p->crash);
-		if (before)
-			absolve_crash(e, before);
 	}
 	share(e, s);
 	return verdict(s);
@@ -224,3 +208,18 @@
 	if (i != PF_NIL && !e->suspects[i].until)
 		drop(e, i);
 }
+
+void pf_quarantine_leave(struct pf_entry *e, const struct pf_request *r)
+{
+	struct pf_ghost *g = &e->ghosts[r->id % e->opts.quarantine_max];
+
+	if (r->work.fingerprint)
+		*g = (struct pf_ghost){ r->id, r->work.fingerprint };
+}
+
+uint64_t pf_quarantine_left(const struct pf_entry *e, uint64_t request)
+{
+	const struct pf_ghost *g = &e->ghosts[request % e->opts.quarantine_max];
+
+	return g->request == request ? g->fingerprint : 0;
+}
--- a/src/coordination/quarantine.h
+++ b/src/coordination/quarantine.h
@@ -17,9 +17,12 @@
 enum pf_verdict pf_quarantine_check(struct pf_entry *e, uint64_t fingerprint,
 				    pf_ms *left);
 
-/** It was running at @peer when the endpoint crashed; tells other entries. */
+/**
+ * It was sent to @peer at @sent_at and running when the endpoint crashed;
+ * tells the other entries.
+ */
 enum pf_verdict pf_quarantine_crash(struct pf_entry *e, uint64_t fingerprint,
-				    uint32_t peer);
+				    uint32_t peer, pf_ms sent_at);
 
 /** Another entry says so; @until as in PF_ENTRY_QUARANTINE. */
 void pf_quarantine_hear(struct pf_entry *e, uint64_t fingerprint, pf_ms until);
@@ -27,4 +30,10 @@
 /** A suspect completed: it is none any more. */
 void pf_quarantine_absolve(struct pf_entry *e, uint64_t fingerprint);
 
+/** Keeps what a crash of the try that @r leaves behind is blamed on. */
+void pf_quarantine_leave(struct pf_entry *e, const struct pf_request *r);
+
+/** The fingerprint of a request that left a try behind; 0: not known. */
+uint64_t pf_quarantine_left(const struct pf_entry *e, uint64_t request);
+
 #endif
--- a/src/coordination/requests.c
+++ b/src/coordination/requests.c
@@ -2,6 +2,7 @@
 #include "src/coordination/requests.h"
 
 #include "src/coordination/limits.h"
+#include "src/coordination/quarantine.h"
 
 #include <stdlib.h>
 
@@ -109,6 +110,8 @@
 {
 	struct pf_request *r = &e->reqs[slot];
 
+	if (r->attempt)
+		pf_quarantine_leave(e, r);
 	pf_limits_release(e, r->account);
 	if (r->group != PF_NIL)
 		e->groups[r->group].refs--;
