--- a/src/coordination/entry_impl.h
+++ b/src/coordination/entry_impl.h
@@ -41,6 +41,7 @@
 	uint32_t fp_prev;
 	pf_ms key; /* place in its group's queue, lower first */
 	pf_ms due; /* timer of the state; the deadline is apart */
+	uint64_t blamed; /* attempts whose crash was counted, as bits */
 	pf_ms sent_at;
 	pf_ms started_at;
 	uint32_t trial_offset; /* tokens delivered when its trial began */
@@ -147,6 +148,7 @@
 struct pf_ghost {
 	uint64_t request;
 	uint64_t fingerprint;
+	uint64_t blamed;
 };
 
 struct pf_candidate {
--- a/src/coordination/life.c
+++ b/src/coordination/life.c
@@ -435,11 +435,22 @@
 		again(e, slot, WHY_BUSY, 0);
 }
 
+/* Whether the crash of @attempt is news; a doubled message is not. */
+static bool blame(uint64_t *blamed, uint32_t attempt)
+{
+	uint64_t bit = 1ull << (attempt % 64);
+	bool news = !(*blamed & bit);
+
+	*blamed |= bit;
+	return news;
+}
+
 static void crashed(struct pf_entry *e, uint32_t slot)
 {
 	struct pf_request *r = &e->reqs[slot];
 	uint64_t fp = r->work.fingerprint;
 
+	(void)blame(&r->blamed, r->attempt);
 	if (pf_quarantine_crash(e, fp, r->peer, r->sent_at) == PF_QUARANTINED) {
 		finish(e, slot,
 		       outcome(PF_REASON_QUARANTINED, PF_RAN,
@@ -453,14 +464,19 @@
 /* A try that was given up before ran into a crash: it still counts. */
 static void crashed_late(struct pf_entry *e, const struct pf_entry_msg *m)
 {
-	uint64_t id = m->u.lost.id.request;
-	uint32_t slot = pf_requests_find(e, id);
+	const struct pf_try *id = &m->u.lost.id;
+	uint32_t slot = pf_requests_find(e, id->request);
 	uint32_t peer = pf_peers_find(e, m->agent);
-	uint64_t fp = slot == PF_NIL ? pf_quarantine_left(e, id)
-				     : e->reqs[slot].work.fingerprint;
+	struct pf_ghost *g = pf_quarantine_left(e, id->request);
+	uint64_t fp;
 
-	if (m->u.lost.reason != PF_REASON_CRASHED || peer == PF_NIL)
+	if (m->u.lost.reason != PF_REASON_CRASHED || peer == PF_NIL ||
+	    (slot == PF_NIL && !g))
+		return;
+	if (!blame(slot == PF_NIL ? &g->blamed : &e->reqs[slot].blamed,
+		   id->attempt))
 		return;
+	fp = slot == PF_NIL ? g->fingerprint : e->reqs[slot].work.fingerprint;
 	if (pf_quarantine_crash(e, fp, peer, 0) == PF_QUARANTINED)
 		pf_life_quarantined(e, fp);
 }
--- a/src/coordination/quarantine.c
+++ b/src/coordination/quarantine.c
@@ -153,11 +153,11 @@
 	pf_entry_emit(e, &a);
 }
 
-/* A try that was sent after the last crash was told was lost in a new one. */
+/* A try that was sent after the last crash was told is lost in a new one. */
 static void join_crash(struct pf_entry *e, struct pf_peer *p, pf_ms sent_at)
 {
 	if (p->crash && e->now - p->crash_at <= CRASH_SET_MS &&
-	    sent_at <= p->crash_at)
+	    sent_at < p->crash_at)
 		return;
 	p->crash = ++e->crash_seq;
 	p->crash_at = e->now;
@@ -170,6 +170,8 @@
 	struct pf_suspect *s;
 
 	join_crash(e, p, sent_at);
+	/* The next report says when the endpoint is back. */
+	p->ready = false;
 	if (fingerprint == 0)
 		return PF_CLEAR;
 	s = get(e, fingerprint);
@@ -214,12 +216,12 @@
 	struct pf_ghost *g = &e->ghosts[r->id % e->opts.quarantine_max];
 
 	if (r->work.fingerprint)
-		*g = (struct pf_ghost){ r->id, r->work.fingerprint };
+		*g = (struct pf_ghost){ r->id, r->work.fingerprint, r->blamed };
 }
 
-uint64_t pf_quarantine_left(const struct pf_entry *e, uint64_t request)
+struct pf_ghost *pf_quarantine_left(struct pf_entry *e, uint64_t request)
 {
-	const struct pf_ghost *g = &e->ghosts[request % e->opts.quarantine_max];
+	struct pf_ghost *g = &e->ghosts[request % e->opts.quarantine_max];
 
-	return g->request == request ? g->fingerprint : 0;
+	return g->request == request ? g : NULL;
 }
--- a/src/coordination/quarantine.h
+++ b/src/coordination/quarantine.h
@@ -33,7 +33,7 @@
 /** Keeps what a crash of the try that @r leaves behind is blamed on. */
 void pf_quarantine_leave(struct pf_entry *e, const struct pf_request *r);
 
-/** The fingerprint of a request that left a try behind; 0: not known. */
-uint64_t pf_quarantine_left(const struct pf_entry *e, uint64_t request);
+/** What is kept of a request that left a try behind; NULL: nothing. */
+struct pf_ghost *pf_quarantine_left(struct pf_entry *e, uint64_t request);
 
 #endif
