Entry: tries that end unseen leave the load estimate

Cause: a try refused before the agent counted it stayed in the estimate, so an idle agent looked full for ever (found by make fuzz: request never ended). Change: the unseen mark is kept with each try and cleared when it ends.

--- a/src/coordination/entry_impl.h
+++ b/src/coordination/entry_impl.h
@@ -44,6 +44,7 @@
 	uint64_t blamed; /* attempts whose crash was counted, as bits */
 	pf_ms sent_at;
 	pf_ms started_at;
+	bool unseen; /* its try is not in the agent's report yet */
 	uint32_t trial_offset; /* tokens delivered when its trial began */
 	struct {
 		uint32_t peer;
--- a/src/coordination/peers.c
+++ b/src/coordination/peers.c
@@ -164,12 +164,29 @@
 	p->n_items = n;
 }
 
-/* Own tries that the agent has not taken in yet stay counted. */
-static void take_load(struct pf_peer *p, const struct pf_report *r)
+/*
+ * Own tries that the agent has not taken in yet stay counted: the newest ones,
+ * less as many as it has taken in since the last report. A try that stays
+ * unseen for long was lost on its way.
+ */
+static void see(struct pf_entry *e, struct pf_peer *p, uint32_t taken)
 {
-	uint32_t taken = p->reported ? r->started - p->taken : r->started;
+	uint32_t keep = p->unseen > taken ? p->unseen - taken : 0;
 
-	p->unseen = p->unseen > taken ? p->unseen - taken : 0;
+	p->unseen = 0;
+	for (uint32_t i = p->head; i != PF_NIL; i = e->reqs[i].next) {
+		struct pf_request *r = &e->reqs[i];
+
+		r->unseen = r->unseen && p->unseen < keep &&
+			    e->now - r->sent_at <= e->opts.report_stale;
+		p->unseen += r->unseen;
+	}
+}
+
+static void take_load(struct pf_entry *e, struct pf_peer *p,
+		      const struct pf_report *r)
+{
+	see(e, p, p->reported ? r->started - p->taken : r->started);
 	p->taken = r->started;
 	p->load = r->running + r->queued;
 	p->ended = 0;
@@ -183,7 +200,7 @@
 	if (!p->linked || r->incarnation != p->incarnation ||
 	    (p->reported && r->seq <= p->seq))
 		return false;
-	take_load(p, r);
+	take_load(e, p, r);
 	take_items(e, p, r);
 	p->seq = r->seq;
 	p->report_at = e->now;
@@ -208,6 +225,7 @@
 	if (p->head != PF_NIL)
 		e->reqs[p->head].prev = slot;
 	p->head = slot;
+	r->unseen = true;
 	p->inflight++;
 	p->unseen++;
 }
@@ -224,7 +242,10 @@
 	if (r->next != PF_NIL)
 		e->reqs[r->next].prev = r->prev;
 	p->inflight--;
-	p->ended++;
+	if (r->unseen)
+		p->unseen--;
+	else
+		p->ended++;
 }
 
 uint32_t pf_peers_load(const struct pf_peer *p)
