Entry: tests of life, routing, limits, overload and quarantine

Cause: each promise of the entry core needs a test that brings its failure. Change: tables of cases over a rig of fake agents; one poisoned request sent 20 times through three entries.

--- /dev/null
+++ b/tests/test_entry_limits.cc
@@ -0,0 +1,234 @@
+// Entry core: limits of callers, order of service and overload.
+#include "tests/entry_rig.h"
+
+#include <functional>
+#include <map>
+#include <queue>
+
+struct EntryLimits : EntryRig {
+};
+
+TEST_F(EntryLimits, RefusalsAreNotRunAndSayWhenToComeBack)
+{
+	struct {
+		const char *name;
+		std::function<void()> set;
+		std::function<void(pf_work &)> edit;
+		pf_reason why;
+		bool come_back;
+	} cases[] = {
+		{ "unknown caller", [] {}, [](pf_work &w) { w.caller = 1; },
+		  PF_REASON_UNKNOWN_MODEL, false },
+		{ "unknown model", [] {}, [](pf_work &w) { w.model = 1; },
+		  PF_REASON_UNKNOWN_MODEL, false },
+		{ "unknown adapter", [] {}, [](pf_work &w) { w.adapter = 1; },
+		  PF_REASON_UNKNOWN_MODEL, false },
+		{ "unknown service", [] {},
+		  [](pf_work &w) { w.flags = PF_WORK_PLAIN; },
+		  PF_REASON_UNKNOWN_MODEL, false },
+		{ "too long", [] {}, [](pf_work &w) { w.max_tokens = 9991; },
+		  PF_REASON_TOO_LONG, false },
+		{ "rate",
+		  [&] {
+			  arrive(1, work(SMALL));
+			  arrive(2, work(SMALL));
+		  },
+		  [](pf_work &w) { w.caller = SMALL; }, PF_REASON_RATE, true },
+		{ "concurrency", [&] { arrive(1, work(NARROW)); },
+		  [](pf_work &w) { w.caller = NARROW; }, PF_REASON_CONCURRENCY,
+		  true },
+		{ "full",
+		  [&] {
+			  for (uint64_t i = 1; i <= opts.requests_max; i++)
+				  arrive(i, work());
+		  },
+		  [](pf_work &) {}, PF_REASON_FULL, true },
+	};
+
+	for (auto &c : cases) {
+		pf_entry_free(e);
+		start();
+		c.set();
+		EXPECT_EQ(stats().refused, 0u) << c.name;
+		pf_work w = work();
+		c.edit(w);
+		arrive(999, w);
+		expect_end(999, c.why, PF_NOT_RUN);
+		EXPECT_EQ(find(PF_ENTRY_END).end.retry_after > 0, c.come_back)
+			<< c.name;
+	}
+}
+
+TEST_F(EntryLimits, NotReadyBeforeTheFirstConfiguration)
+{
+	e = pf_entry_new(&opts);
+	arrive(1, work());
+	expect_end(1, PF_REASON_NOT_READY, PF_NOT_RUN);
+}
+
+TEST_F(EntryLimits, RateAndConcurrencyComeBack)
+{
+	start();
+	ready(AGENT_A);
+	arrive(1, work(SMALL));
+	arrive(2, work(SMALL));
+	now += 1000;
+	EXPECT_EQ(count(PF_ENTRY_END), 0u);
+	arrive(3, work(SMALL));
+	EXPECT_EQ(count(PF_ENTRY_END), 0u);
+	Act t = arrive_sent(4, work(NARROW));
+	done(t, 0);
+	arrive(5, work(NARROW));
+	EXPECT_EQ(count(PF_ENTRY_END), 0u);
+}
+
+TEST_F(EntryLimits, GroupTableFullRefusesAndIdleGroupsMakeRoom)
+{
+	opts.groups_max = 1;
+	start();
+	ready(AGENT_A);
+	Act t = arrive_sent(1, work());
+	pf_work w = work();
+	w.model = OTHER_MODEL;
+	arrive(2, w);
+	expect_end(2, PF_REASON_FULL, PF_NOT_RUN);
+	done(t, 0);
+	arrive(3, w);
+	EXPECT_EQ(count(PF_ENTRY_END), 0u);
+}
+
+TEST_F(EntryLimits, UndeclaredModelEndsItsWaitingWork)
+{
+	start();
+	arrive(1, work());
+	config.models = models + 1;
+	config.n_models = 1;
+	pf_entry_msg m = msg(PF_ENTRY_CONFIG);
+	m.u.config = &config;
+	step(m);
+	expect_end(1, PF_REASON_UNKNOWN_MODEL, PF_NOT_RUN);
+}
+
+TEST_F(EntryLimits, UrgentGoesFirstAndAgeingWins)
+{
+	struct {
+		const char *name;
+		uint64_t first_caller, then_caller;
+		pf_ms between;
+		uint64_t served;
+	} cases[] = {
+		{ "same priority, in order", CALLER, CALLER, 10, 1 },
+		{ "urgent overtakes", CALLER, URGENT, 10, 2 },
+		{ "aged is not overtaken", CALLER, URGENT, 8000, 1 },
+		{ "draft gives way", DRAFTS, CALLER, 10, 2 },
+		{ "draft near its deadline does not", DRAFTS, CALLER, 55000,
+		  1 },
+	};
+
+	for (auto &c : cases) {
+		pf_entry_free(e);
+		start();
+		arrive(1, work(c.first_caller));
+		now += c.between;
+		pf_work w = work(c.then_caller);
+		arrive(2, w);
+		up(AGENT_A);
+		report(AGENT_A, { { MODEL, PF_ITEM_RESIDENT } });
+		EXPECT_EQ(find(PF_ENTRY_TRY).id.request, c.served) << c.name;
+	}
+}
+
+// Engines that serve each try in SERVICE_MS; counts what the callers see.
+struct EntryOverload : EntryRig {
+	static const pf_ms SERVICE_MS = 400, FIRST_MS = 1000;
+	static const uint32_t BATCH = 8;
+	std::queue<std::pair<pf_ms, Act>> running;
+	std::map<uint64_t, pf_ms> arrived;
+	uint64_t ids = 0, served = 0, drafts = 0, drafts_failed = 0;
+	pf_ms longest_refusal = 0;
+
+	void take()
+	{
+		for (const Act &a : acts) {
+			if (a.type == PF_ENTRY_TRY)
+				running.push({ now + SERVICE_MS, a });
+			if (a.type != PF_ENTRY_END)
+				continue;
+			bool draft = a.end.request % 50 == 0;
+			if (a.end.reason == PF_REASON_NONE) {
+				served++;
+				drafts += draft;
+				continue;
+			}
+			drafts_failed += draft;
+			EXPECT_EQ(a.end.ran, PF_NOT_RUN);
+			EXPECT_GT(a.end.retry_after, 0);
+			longest_refusal = std::max(
+				longest_refusal, now - arrived[a.end.request]);
+		}
+	}
+
+	void come()
+	{
+		bool draft = ++ids % 50 == 0;
+		pf_work w = work(draft ? DRAFTS : CALLER);
+
+		w.deadline = now + 60000;
+		w.first_due = now + FIRST_MS;
+		arrived[ids] = now;
+		arrive(ids, w);
+		take();
+	}
+
+	// One answer every SERVICE_MS / BATCH ms is what the engine can do.
+	void drive(pf_ms every, pf_ms length)
+	{
+		pf_ms until = now + length, next = now, told = now;
+
+		while (now < until) {
+			now++;
+			if (pf_entry_next(e) <= now) {
+				step(msg(PF_ENTRY_TICK));
+				take();
+			}
+			while (!running.empty() &&
+			       running.front().first <= now) {
+				Act t = running.front().second;
+				running.pop();
+				done(t, 0);
+				take();
+			}
+			if (now >= told) {
+				told = now + 200;
+				report(AGENT_A, { { MODEL, PF_ITEM_RESIDENT } },
+				       std::min<size_t>(running.size(), BATCH),
+				       BATCH);
+				take();
+			}
+			for (; every && next <= now; next += every)
+				come();
+		}
+	}
+};
+
+TEST_F(EntryOverload, ThreefoldDemandDoesNotLowerTheWorkDone)
+{
+	pf_ms one = SERVICE_MS / (BATCH + 2);
+
+	opts.requests_max = 5000;
+	start();
+	ready(AGENT_A, BATCH);
+	drive(one, 20000);
+	uint64_t at_capacity = served;
+	served = 0;
+	drive(one / 3, 20000);
+	uint64_t at_three = served;
+	RecordProperty("served_at_capacity", (int)at_capacity);
+	RecordProperty("served_at_three_times", (int)at_three);
+	EXPECT_GE(at_three * 100, at_capacity * 97);
+	EXPECT_LE(longest_refusal, FIRST_MS * opts.overload_slack + 200);
+	drive(0, 30000);
+	EXPECT_EQ(drafts_failed, 0u);
+	EXPECT_EQ(drafts, ids / 50);
+	EXPECT_EQ(stats().alive, 0u);
+}
--- /dev/null
+++ b/tests/test_entry_quarantine.cc
@@ -0,0 +1,216 @@
+// Entry core: requests that crash endpoints.
+#include "tests/entry_rig.h"
+
+struct EntryQuarantine : EntryRig {
+	void all_up()
+	{
+		start();
+		ready(AGENT_A);
+		ready(AGENT_B);
+	}
+
+	pf_work print(uint64_t fp)
+	{
+		pf_work w = work();
+
+		w.fingerprint = fp;
+		return w;
+	}
+
+	void hear(uint64_t fp, pf_ms until)
+	{
+		pf_entry_msg m = msg(PF_ENTRY_QUARANTINE);
+
+		m.u.quarantine.fingerprint = fp;
+		m.u.quarantine.until = until;
+		step(m);
+	}
+
+	// All that runs at `agent` is lost with its endpoint.
+	std::vector<Act> crash(uint64_t agent, const std::vector<Act> &there)
+	{
+		std::vector<Act> out;
+
+		for (const Act &t : there) {
+			lost(t, PF_REASON_CRASHED);
+			out.insert(out.end(), acts.begin(), acts.end());
+		}
+		now += 3000;
+		report(agent, { { MODEL, PF_ITEM_RESIDENT } });
+		out.insert(out.end(), acts.begin(), acts.end());
+		return out;
+	}
+};
+
+TEST_F(EntryQuarantine, SecondCrashEndsTheRequestAndItsCopies)
+{
+	all_up();
+	Act t = arrive_sent(1, print(5));
+	lost(t, PF_REASON_CRASHED);
+	EXPECT_EQ(find(PF_ENTRY_SHARE_QUARANTINE).quarantine.until, 0);
+	Act u = find(PF_ENTRY_TRY);
+	EXPECT_NE(u.agent, t.agent);
+	EXPECT_TRUE(u.work.flags & PF_WORK_SUSPECT);
+	arrive(2, print(5));
+	EXPECT_EQ(acts.size(), 0u) << "its copy waits for the trial";
+	lost(u, PF_REASON_CRASHED);
+	ASSERT_EQ(count(PF_ENTRY_END), 2u);
+	EXPECT_EQ(find(PF_ENTRY_END, 0).end.reason, PF_REASON_QUARANTINED);
+	EXPECT_EQ(find(PF_ENTRY_END, 0).end.ran, PF_RAN);
+	EXPECT_EQ(find(PF_ENTRY_END, 1).end.ran, PF_NOT_RUN);
+	EXPECT_EQ(find(PF_ENTRY_SHARE_QUARANTINE).quarantine.until,
+		  now + opts.quarantine_keep);
+	arrive(3, print(5));
+	expect_end(3, PF_REASON_QUARANTINED, PF_NOT_RUN);
+	EXPECT_GT(find(PF_ENTRY_END).end.retry_after, 0);
+	now += opts.quarantine_keep;
+	ready(AGENT_A);
+	report(AGENT_A, { { MODEL, PF_ITEM_RESIDENT } });
+	EXPECT_EQ(arrive_sent(4, print(5)).work.flags & PF_WORK_SUSPECT, 0u);
+}
+
+TEST_F(EntryQuarantine, SuspectsAreTriedOneByOneAndAllArrive)
+{
+	std::vector<Act> there, now_at;
+
+	opts.agents_max = 1;
+	start();
+	ready(AGENT_A);
+	for (uint64_t id = 1; id <= 4; id++) {
+		there.push_back(arrive_sent(id, print(id)));
+		say(PF_ENTRY_STARTED, there.back());
+		now++;
+	}
+	std::vector<Act> out = crash(AGENT_A, there);
+	uint64_t expected = 4; // the last to start is the likeliest culprit
+	for (int done_ones = 0; done_ones < 4; done_ones++) {
+		std::vector<Act> tries;
+		for (const Act &a : out) {
+			EXPECT_NE(a.type, PF_ENTRY_END);
+			if (a.type == PF_ENTRY_TRY)
+				tries.push_back(a);
+		}
+		ASSERT_EQ(tries.size(), 1u);
+		EXPECT_EQ(tries[0].id.request, expected--);
+		done(tries[0], 0);
+		EXPECT_EQ(find(PF_ENTRY_END).end.reason, PF_REASON_NONE);
+		out.clear();
+		for (const Act &a : acts) {
+			if (a.type != PF_ENTRY_END)
+				out.push_back(a);
+		}
+	}
+	EXPECT_EQ(arrive_sent(9, print(1)).work.flags & PF_WORK_SUSPECT, 0u)
+		<< "cleared by finishing";
+}
+
+TEST_F(EntryQuarantine, ProgressLetsTheNextOneStart)
+{
+	all_up();
+	Act t = arrive_sent(1, print(1)), u = arrive_sent(2, print(2));
+	lost(t, PF_REASON_CRASHED);
+	Act v = find(PF_ENTRY_TRY);
+	lost(u, PF_REASON_CRASHED);
+	EXPECT_EQ(count(PF_ENTRY_TRY), 0u);
+	piece(v, 0, 15);
+	EXPECT_EQ(count(PF_ENTRY_TRY), 0u);
+	piece(v, 15, 1);
+	run(200);
+	report(v.agent, { { MODEL, PF_ITEM_RESIDENT } });
+	report(t.agent, { { MODEL, PF_ITEM_RESIDENT } });
+	size_t second = 0;
+	for (const Act &a : all)
+		second += a.type == PF_ENTRY_TRY && a.id.request == 2;
+	EXPECT_EQ(second, 2u);
+}
+
+TEST_F(EntryQuarantine, DoubledAndLateNewsCountOnce)
+{
+	all_up();
+	Act t = arrive_sent(1, print(5));
+	lost(t, PF_REASON_CRASHED);
+	now += 5000;
+	ready(AGENT_A);
+	lost(t, PF_REASON_CRASHED);
+	EXPECT_EQ(count(PF_ENTRY_END), 0u);
+	pf_entry_msg m = msg(PF_ENTRY_GONE);
+	m.u.request = 1;
+	step(m);
+	Act second = t;
+	second.id.attempt = 2;
+	second.agent = AGENT_B;
+	lost(second, PF_REASON_CRASHED);
+	EXPECT_EQ(count(PF_ENTRY_SHARE_QUARANTINE), 1u)
+		<< "the crash of a try that was left behind counts";
+	arrive(2, print(5));
+	expect_end(2, PF_REASON_QUARANTINED, PF_NOT_RUN);
+}
+
+TEST_F(EntryQuarantine, HeardNewsApplyAndAreBounded)
+{
+	opts.quarantine_max = 3;
+	all_up();
+	hear(1, 0);
+	EXPECT_TRUE(arrive_sent(1, print(1)).work.flags & PF_WORK_SUSPECT);
+	hear(2, now + 5000);
+	arrive(2, print(2));
+	expect_end(2, PF_REASON_QUARANTINED, PF_NOT_RUN);
+	hear(3, 0);
+	for (uint64_t fp = 10; fp < 20; fp++)
+		hear(fp, 0);
+	arrive(3, print(2));
+	expect_end(3, PF_REASON_QUARANTINED, PF_NOT_RUN);
+	EXPECT_EQ(count(PF_ENTRY_END), 1u) << "suspects made room first";
+	EXPECT_EQ(arrive_sent(4, print(3)).work.flags & PF_WORK_SUSPECT, 0u);
+}
+
+// Three entries share one poisoned request that is sent 20 times in turn.
+TEST(EntryPoison, TwentyResendsThroughAllEntriesLoseTwoEndpoints)
+{
+	struct Rig : EntryQuarantine {
+		void TestBody() override
+		{
+		}
+	} rigs[3];
+	int crashes = 0, innocents = 0;
+
+	for (Rig &r : rigs)
+		r.all_up();
+	for (uint64_t i = 0; i < 20; i++) {
+		Rig &r = rigs[i % 3];
+		r.arrive(2 * i + 1, r.print(100 + i));
+		Act friendly = r.find(PF_ENTRY_TRY);
+		r.arrive(2 * i + 2, r.print(5));
+		while (r.count(PF_ENTRY_TRY)) {
+			Act t = r.find(PF_ENTRY_TRY);
+			crashes++;
+			r.lost(t, PF_REASON_CRASHED);
+			std::vector<Act> out = r.acts;
+			for (const Act &a : out) {
+				for (Rig &o : rigs) {
+					if (&o != &r &&
+					    a.type == PF_ENTRY_SHARE_QUARANTINE)
+						o.hear(a.quarantine.fingerprint,
+						       a.quarantine.until);
+				}
+			}
+			// The caller gives up and sends it through the next.
+			if (crashes == 1) {
+				pf_entry_msg m = r.msg(PF_ENTRY_GONE);
+				m.u.request = 2 * i + 2;
+				r.step(m);
+				break;
+			}
+			r.acts = out;
+		}
+		r.done(friendly, 0);
+		innocents += r.count(PF_ENTRY_END);
+		for (Rig &o : rigs) {
+			o.now += 3000;
+			o.ready(AGENT_A);
+			o.ready(AGENT_B);
+		}
+	}
+	EXPECT_EQ(crashes, 2);
+	EXPECT_EQ(innocents, 20);
+}
--- /dev/null
+++ b/tests/test_entry_route.cc
@@ -0,0 +1,208 @@
+// Entry core: which agent gets the work, and when it waits in the entry.
+#include "tests/entry_rig.h"
+
+#include <functional>
+#include <map>
+
+struct EntryRoute : EntryRig {
+	const std::vector<pf_item> model = { { MODEL, PF_ITEM_RESIDENT } };
+
+	// Agents that got the tries of `n` requests.
+	std::map<uint64_t, int> spread(uint64_t first, int n, const pf_work &w)
+	{
+		std::map<uint64_t, int> at;
+
+		for (int i = 0; i < n; i++) {
+			arrive(first + i, w);
+			if (count(PF_ENTRY_TRY))
+				at[find(PF_ENTRY_TRY).agent]++;
+		}
+		return at;
+	}
+};
+
+TEST_F(EntryRoute, OnlyAgentsAbleToServeGetWork)
+{
+	struct {
+		const char *name;
+		bool plain;
+		uint64_t key;
+		std::function<void()> set;
+		uint64_t agent; // 0: it waits
+	} cases[] = {
+		{ "no link", false, 0, [] {}, 0 },
+		{ "no report", false, 0, [&] { up(AGENT_A); }, 0 },
+		{ "plain for an engine", false, 0, [&] { ready(AGENT_P); }, 0 },
+		{ "engine for a call", true, 0, [&] { ready(AGENT_A); }, 0 },
+		{ "resident before absent", false, 0,
+		  [&] {
+			  up(AGENT_A);
+			  report(AGENT_A, {});
+			  ready(AGENT_B);
+		  },
+		  AGENT_B },
+		{ "loading before absent", false, 0,
+		  [&] {
+			  up(AGENT_A);
+			  report(AGENT_A, {});
+			  up(AGENT_B);
+			  report(AGENT_B, { { MODEL, PF_ITEM_LOADING } });
+		  },
+		  AGENT_B },
+		{ "absent when there is no other", false, 0,
+		  [&] {
+			  up(AGENT_A);
+			  report(AGENT_A, {});
+		  },
+		  AGENT_A },
+		{ "owner of the shard", true, 7,
+		  [&] {
+			  up(AGENT_P);
+			  report(AGENT_P, {});
+			  ready(AGENT_Q);
+		  },
+		  AGENT_Q },
+		{ "no owner of the shard", true, 7,
+		  [&] {
+			  up(AGENT_P);
+			  report(AGENT_P, { { SHARD, PF_ITEM_LOADING } });
+		  },
+		  0 },
+		{ "another region when none is near", false, 0,
+		  [&] { ready(AGENT_FAR); }, AGENT_FAR },
+		{ "stale when there is no other", false, 0,
+		  [&] {
+			  ready(AGENT_A);
+			  now += opts.report_stale + 1;
+		  },
+		  AGENT_A },
+		{ "fresh before stale", false, 0,
+		  [&] {
+			  ready(AGENT_A);
+			  now += opts.report_stale + 1;
+			  ready(AGENT_FAR);
+		  },
+		  AGENT_FAR },
+	};
+
+	for (auto &c : cases) {
+		pf_entry_free(e);
+		start();
+		c.set();
+		arrive(1, c.plain ? call(c.key != 0, c.key) : work());
+		EXPECT_EQ(count(PF_ENTRY_TRY), c.agent ? 1u : 0u) << c.name;
+		if (c.agent && count(PF_ENTRY_TRY)) {
+			EXPECT_EQ(find(PF_ENTRY_TRY).agent, c.agent) << c.name;
+		}
+	}
+}
+
+TEST_F(EntryRoute, BindsLateAndServesWaitingWorkAsRoomComes)
+{
+	start();
+	ready(AGENT_A, 4);
+	auto at = spread(1, 20, work());
+	EXPECT_EQ(at[AGENT_A], 4 + (int)opts.depth);
+	EXPECT_EQ(stats().waiting, 20 - 4 - opts.depth);
+	Act first = all[0].type == PF_ENTRY_TRY ? all[0] : all[1];
+	done(first, 0);
+	EXPECT_EQ(count(PF_ENTRY_TRY), 1u);
+	report(AGENT_A, model, 4, 4);
+	EXPECT_EQ(count(PF_ENTRY_TRY), 0u) << "own tries are counted";
+	report(AGENT_A, model, 0, 4);
+	EXPECT_EQ(count(PF_ENTRY_TRY), 0u) << "also when the report lags";
+}
+
+TEST_F(EntryRoute, OthersLoadTakesRoomToo)
+{
+	start();
+	up(AGENT_A);
+	report(AGENT_A, model, 4, 4);
+	EXPECT_EQ(spread(1, 5, work())[AGENT_A], (int)opts.depth);
+}
+
+TEST_F(EntryRoute, OneAgentLoadsAMissingModelForAll)
+{
+	start();
+	for (uint64_t a : { AGENT_A, AGENT_B }) {
+		up(a);
+		report(a, {});
+	}
+	EXPECT_EQ(spread(1, 5, work()).size(), 1u);
+}
+
+TEST_F(EntryRoute, LikelyPrefixAndAdapterDecide)
+{
+	start();
+	ready(AGENT_A);
+	ready(AGENT_B);
+	pf_work w = work();
+	w.prompt_tokens = 5000;
+	w.prefix = 77;
+	uint64_t first = arrive_sent(1, w).agent;
+	for (uint64_t id = 2; id < 6; id++)
+		EXPECT_EQ(arrive_sent(id, w).agent, first);
+	w.prefix = 0;
+	EXPECT_NE(arrive_sent(9, w).agent, first) << "less load elsewhere";
+	std::vector<Act> sent = all;
+	for (const Act &t : sent) {
+		if (t.type == PF_ENTRY_TRY)
+			done(t, 0);
+	}
+	report(AGENT_A,
+	       { { MODEL, PF_ITEM_RESIDENT }, { ADAPTER, PF_ITEM_RESIDENT } });
+	report(AGENT_B, model);
+	w = work();
+	w.adapter = ADAPTER;
+	EXPECT_EQ(arrive_sent(10, w).agent, AGENT_A);
+}
+
+TEST_F(EntryRoute, LinkBytesAreBudgeted)
+{
+	start();
+	tick(10000);
+	ready(AGENT_A, 1);
+	ready(AGENT_FAR, 250);
+	pf_work w = work();
+	w.prompt_tokens = 8000;
+	auto at = spread(1, 90, w);
+	// A quarter of 30 Mbit/s, two seconds of it saved up.
+	int most = (int)(30000 / 8 * opts.link_share * 2000 / (8000 * 5)) + 1;
+	EXPECT_GT(at[AGENT_FAR], 0);
+	EXPECT_LE(at[AGENT_FAR], most);
+	EXPECT_GT(stats().waiting, 0u);
+	size_t before = stats().waiting;
+	run(1000);
+	EXPECT_LT(stats().waiting, before) << "the budget comes back";
+}
+
+struct PolicyCase {
+	pf_route_policy policy;
+	int a_least, a_most; // of 12 while A reports 6 running and B none
+};
+
+class EntryPolicy : public EntryRoute,
+		    public ::testing::WithParamInterface<PolicyCase>
+{
+};
+
+TEST_P(EntryPolicy, SpreadsAsItsNameSays)
+{
+	opts.route = GetParam().policy;
+	start();
+	up(AGENT_A);
+	report(AGENT_A, model, 6, 40);
+	up(AGENT_B);
+	report(AGENT_B, model, 0, 40);
+	auto at = spread(1, 12, work());
+	EXPECT_EQ(at[AGENT_A] + at[AGENT_B], 12);
+	EXPECT_GE(at[AGENT_A], GetParam().a_least);
+	EXPECT_LE(at[AGENT_A], GetParam().a_most);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+	Table, EntryPolicy,
+	::testing::Values(PolicyCase{ PF_ROUTE_ROUND_ROBIN, 6, 6 },
+			  PolicyCase{ PF_ROUTE_LEAST_LOAD, 0, 0 },
+			  PolicyCase{ PF_ROUTE_TWO_CHOICES, 1, 6 },
+			  PolicyCase{ PF_ROUTE_OURS, 2, 4 }));
