--- a/include/pimentoford/record.h
+++ b/include/pimentoford/record.h
@@ -95,8 +95,11 @@
 	uint32_t store_inflight; /* weight store, loads at once */
 	uint32_t adapter_knee; /* adapter loads in flight before they slow */
 	uint32_t link_kbit; /* region link each way, kilobits a second */
+	double kv_share; /* part of an engine's memory kept free of weights */
 };
 
+struct pf_config_index;
+
 struct pf_config {
 	uint64_t revision; /* of the global head */
 	struct pf_deployment deployment;
@@ -110,8 +113,16 @@
 	size_t n_endpoints;
 	struct pf_service *services;
 	size_t n_services;
+	struct pf_config_index *index; /* NULL: lookups scan the arrays */
 };
 
+/**
+ * Builds the index of a finished config, so that lookups are logarithmic. 0,
+ * or -1 when there is no memory; the config stays usable.
+ */
+int pf_config_index(struct pf_config *c);
+
+/** Frees @c, allocated by malloc, and all that it holds. */
 void pf_config_free(struct pf_config *c);
 
 /** Lookups by id; NULL when absent. Results are borrowed from @c. */
--- /dev/null
+++ b/src/state/record.c
@@ -0,0 +1,298 @@
+/* Lookups in the inner form of the records, and its release. */
+#include "pimentoford/record.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+/* One entry of an index: a key and a place in the config's array. */
+struct slot {
+	uint64_t key;
+	uint32_t at;
+};
+
+struct table {
+	struct slot *v;
+	size_t n;
+};
+
+struct pf_config_index {
+	struct table models;
+	struct table names; /* models by name id */
+	struct table adapters;
+	struct table callers;
+	struct table keys; /* callers by the id of their key's digest */
+	struct table endpoints;
+	struct table services;
+};
+
+static int by_key(const void *a, const void *b)
+{
+	const struct slot *x = a, *y = b;
+
+	if (x->key != y->key)
+		return x->key < y->key ? -1 : 1;
+	return x->at < y->at ? -1 : x->at > y->at;
+}
+
+/* The first slot with @key, or the end of the table. */
+static size_t lower_bound(const struct table *t, uint64_t key)
+{
+	size_t lo = 0, hi = t->n;
+
+	while (lo < hi) {
+		size_t mid = lo + (hi - lo) / 2;
+
+		if (t->v[mid].key < key)
+			lo = mid + 1;
+		else
+			hi = mid;
+	}
+	return lo;
+}
+
+static void index_free(struct pf_config_index *x)
+{
+	if (!x)
+		return;
+	free(x->models.v);
+	free(x->names.v);
+	free(x->adapters.v);
+	free(x->callers.v);
+	free(x->keys.v);
+	free(x->endpoints.v);
+	free(x->services.v);
+	free(x);
+}
+
+static uint64_t digest_id(const char *hex)
+{
+	return hex ? pf_id(pf_str_c(hex)) : 0;
+}
+
+/* FILL(table, array, key expression over `e`) */
+#define FILL(table, arr, key_of)                                            \
+	do {                                                                \
+		x->table.v = calloc(c->n_##arr + 1, sizeof(*x->table.v));   \
+		if (!x->table.v)                                            \
+			goto fail;                                          \
+		x->table.n = c->n_##arr;                                    \
+		for (size_t i = 0; i < c->n_##arr; i++) {                   \
+			const typeof(*c->arr) *e = &c->arr[i];              \
+                                                                            \
+			x->table.v[i] =                                     \
+				(struct slot){ (key_of), (uint32_t)i };     \
+		}                                                           \
+		qsort(x->table.v, x->table.n, sizeof(*x->table.v), by_key); \
+	} while (0)
+
+int pf_config_index(struct pf_config *c)
+{
+	struct pf_config_index *x = calloc(1, sizeof(*x));
+
+	if (!x)
+		return -1;
+	FILL(models, models, e->id);
+	FILL(names, models, e->name_id);
+	FILL(adapters, adapters, e->id);
+	FILL(callers, callers, e->id);
+	FILL(keys, callers, digest_id(e->key_sha256));
+	FILL(endpoints, endpoints, e->id);
+	FILL(services, services, e->id);
+	index_free(c->index);
+	c->index = x;
+	return 0;
+fail:
+	index_free(x);
+	return -1;
+}
+
+/* LOOKUP(function, type, array): by id, through the index when it stands. */
+#define LOOKUP(fn, type, arr)                                         \
+	const struct type *fn(const struct pf_config *c, uint64_t id) \
+	{                                                             \
+		if (c->index) {                                       \
+			const struct table *t = &c->index->arr;       \
+			size_t i = lower_bound(t, id);                \
+                                                                      \
+			return i < t->n && t->v[i].key == id          \
+				       ? &c->arr[t->v[i].at]          \
+				       : NULL;                        \
+		}                                                     \
+		for (size_t i = 0; i < c->n_##arr; i++)               \
+			if (c->arr[i].id == id)                       \
+				return &c->arr[i];                    \
+		return NULL;                                          \
+	}
+
+LOOKUP(pf_config_model, pf_model, models)
+LOOKUP(pf_config_adapter, pf_adapter, adapters)
+LOOKUP(pf_config_caller, pf_caller, callers)
+LOOKUP(pf_config_endpoint, pf_endpoint, endpoints)
+LOOKUP(pf_config_service, pf_service, services)
+
+static bool has_key(const struct pf_caller *c, struct pf_str hex)
+{
+	return c->key_sha256 && pf_str_eq(pf_str_c(c->key_sha256), hex);
+}
+
+const struct pf_caller *pf_config_caller_by_key(const struct pf_config *c,
+						struct pf_str sha256_hex)
+{
+	uint64_t key = pf_id(sha256_hex);
+	const struct table *t;
+
+	if (!c->index) {
+		for (size_t i = 0; i < c->n_callers; i++)
+			if (has_key(&c->callers[i], sha256_hex))
+				return &c->callers[i];
+		return NULL;
+	}
+	t = &c->index->keys;
+	for (size_t i = lower_bound(t, key); i < t->n && t->v[i].key == key;
+	     i++)
+		if (has_key(&c->callers[t->v[i].at], sha256_hex))
+			return &c->callers[t->v[i].at];
+	return NULL;
+}
+
+/* Walks the versions of a model; *@pos starts at 0. NULL at the end. */
+static const struct pf_model *next_version(const struct pf_config *c,
+					   uint64_t name_id, size_t *pos)
+{
+	if (c->index) {
+		const struct table *t = &c->index->names;
+		size_t i = lower_bound(t, name_id) + *pos;
+
+		if (i >= t->n || t->v[i].key != name_id)
+			return NULL;
+		++*pos;
+		return &c->models[t->v[i].at];
+	}
+	while (*pos < c->n_models)
+		if (c->models[(*pos)++].name_id == name_id)
+			return &c->models[*pos - 1];
+	return NULL;
+}
+
+/* The version that @draw falls on; the last with a share when it is 1. */
+static const struct pf_model *draw_version(const struct pf_config *c,
+					   uint64_t name_id, double draw)
+{
+	const struct pf_model *m, *last = NULL;
+	double point = draw * 100.0, sum = 0;
+	size_t pos = 0;
+
+	while ((m = next_version(c, name_id, &pos))) {
+		if (!m->share && last)
+			continue;
+		if (m->share || !last)
+			last = m;
+		sum += m->share;
+		if (m->share && point < sum)
+			return m;
+	}
+	return last;
+}
+
+int pf_config_resolve(const struct pf_config *c, struct pf_str name,
+		      double draw, uint64_t *model, uint64_t *adapter)
+{
+	const char *colon = name.n ? memchr(name.p, ':', name.n) : NULL;
+	struct pf_str base = name;
+	const struct pf_model *m;
+	const struct pf_adapter *a = NULL;
+
+	if (colon)
+		base.n = (size_t)(colon - name.p);
+	m = draw_version(c, pf_id(base), draw);
+	if (!m)
+		return -1;
+	if (colon) {
+		a = pf_config_adapter(c, pf_id(name));
+		if (!a || a->model_name_id != m->name_id)
+			return -1;
+	}
+	*model = m->id;
+	*adapter = a ? a->id : 0;
+	return 0;
+}
+
+/* Whether @path is @prefix or lies below it. */
+static bool path_under(struct pf_str path, const char *prefix)
+{
+	size_t n = strlen(prefix);
+
+	if (path.n < n || memcmp(path.p, prefix, n) != 0)
+		return false;
+	if (path.n == n || (n && prefix[n - 1] == '/'))
+		return true;
+	return path.p[n] == '/' || path.p[n] == '?';
+}
+
+bool pf_service_repeatable(const struct pf_service *s, struct pf_str method,
+			   struct pf_str path)
+{
+	const struct pf_call *best = NULL;
+
+	for (size_t i = 0; i < s->n_calls; i++) {
+		const struct pf_call *c = &s->calls[i];
+
+		if (!pf_str_eq(pf_str_c(c->method), method))
+			continue;
+		if (!path_under(path, c->path))
+			continue;
+		if (!best || strlen(c->path) > strlen(best->path))
+			best = c;
+	}
+	return best && best->repeatable;
+}
+
+static void endpoint_free(struct pf_endpoint *e)
+{
+	free(e->name);
+	free(e->agent);
+	free(e->backend);
+	free(e->zone);
+	free(e->region);
+	free(e->service);
+}
+
+static void service_free(struct pf_service *s)
+{
+	for (size_t i = 0; i < s->n_calls; i++) {
+		free(s->calls[i].method);
+		free(s->calls[i].path);
+	}
+	free(s->calls);
+	free(s->name);
+}
+
+void pf_config_free(struct pf_config *c)
+{
+	if (!c)
+		return;
+	for (size_t i = 0; i < c->n_models; i++) {
+		free(c->models[i].name);
+		free(c->models[i].version);
+	}
+	for (size_t i = 0; i < c->n_adapters; i++) {
+		free(c->adapters[i].name);
+		free(c->adapters[i].model);
+	}
+	for (size_t i = 0; i < c->n_callers; i++) {
+		free(c->callers[i].name);
+		free(c->callers[i].key_sha256);
+		free(c->callers[i].models);
+	}
+	for (size_t i = 0; i < c->n_endpoints; i++)
+		endpoint_free(&c->endpoints[i]);
+	for (size_t i = 0; i < c->n_services; i++)
+		service_free(&c->services[i]);
+	free(c->models);
+	free(c->adapters);
+	free(c->callers);
+	free(c->endpoints);
+	free(c->services);
+	index_free(c->index);
+	free(c);
+}
