--- a/src/state/record.c
+++ b/src/state/record.c
@@ -77,7 +77,7 @@
 			goto fail;                                          \
 		x->table.n = c->n_##arr;                                    \
 		for (size_t i = 0; i < c->n_##arr; i++) {                   \
-			const typeof(*c->arr) *e = &c->arr[i];              \
+			const __typeof__(*c->arr) *e = &c->arr[i];          \
                                                                             \
 			x->table.v[i] =                                     \
 				(struct slot){ (key_of), (uint32_t)i };     \
