--- /dev/null
+++ b/src/state/fields_text.c
@@ -0,0 +1,152 @@
+/* The canonical text of a struct that a table of fields describes. */
+#include "pimentoford/fields.h"
+
+#include <glib.h>
+#include <inttypes.h>
+#include <string.h>
+
+static void size_text(struct pf_text *t, int64_t v)
+{
+	static const char *const units[] = { "B", "KiB", "MiB", "GiB", "TiB" };
+	int u = 0;
+
+	while (v && v % 1024 == 0 && u < 4) {
+		v /= 1024;
+		u++;
+	}
+	pf_text_fmt(t, "\"%" PRId64 "%s\"", v, units[u]);
+}
+
+/* The shortest text that reads back as the same number. */
+static void real_text(struct pf_text *t, double v)
+{
+	char buf[G_ASCII_DTOSTR_BUF_SIZE];
+
+	for (int digits = 1; digits <= 17; digits++) {
+		char fmt[8];
+
+		g_snprintf(fmt, sizeof(fmt), "%%.%dg", digits);
+		g_ascii_formatd(buf, sizeof(buf), fmt, v);
+		if (g_ascii_strtod(buf, NULL) == v)
+			break;
+	}
+	pf_text_fmt(t, "%s", buf);
+	if (!strpbrk(buf, ".e"))
+		pf_text_fmt(t, ".0");
+}
+
+static void choice_text(struct pf_text *t, const char *choices, int i)
+{
+	const char *p = choices, *bar;
+
+	while (i-- > 0 && (bar = strchr(p, '|')))
+		p = bar + 1;
+	pf_text_quote(t, (struct pf_str){ p, strcspn(p, "|") });
+}
+
+static void strings_text(struct pf_text *t, const struct pf_strings *list)
+{
+	pf_text_fmt(t, "[");
+	for (size_t i = 0; i < list->n; i++) {
+		pf_text_fmt(t, "%s", i ? ", " : "");
+		pf_text_quote(t, pf_str_c(list->v[i]));
+	}
+	pf_text_fmt(t, "]");
+}
+
+static void value_text(struct pf_text *t, const struct pf_field *d,
+		       const void *at)
+{
+	switch (d->type) {
+	case PF_FIELD_STR:
+	case PF_FIELD_NAME:
+	case PF_FIELD_ADDR:
+	case PF_FIELD_DIGEST:
+		pf_text_quote(t, pf_str_c(*(char *const *)at));
+		break;
+	case PF_FIELD_U8:
+		pf_text_fmt(t, "%u", *(const uint8_t *)at);
+		break;
+	case PF_FIELD_U32:
+		pf_text_fmt(t, "%" PRIu32, *(const uint32_t *)at);
+		break;
+	case PF_FIELD_U64:
+		pf_text_fmt(t, "%" PRIu64, *(const uint64_t *)at);
+		break;
+	case PF_FIELD_SIZE:
+		size_text(t, *(const int64_t *)at);
+		break;
+	case PF_FIELD_MS:
+		pf_text_fmt(t, "\"%" PRId64 "ms\"", *(const pf_ms *)at);
+		break;
+	case PF_FIELD_REAL:
+		real_text(t, *(const double *)at);
+		break;
+	case PF_FIELD_BOOL:
+		pf_text_fmt(t, *(const bool *)at ? "true" : "false");
+		break;
+	case PF_FIELD_CHOICE:
+		choice_text(t, d->choices, *(const int *)at);
+		break;
+	case PF_FIELD_NAMES:
+	case PF_FIELD_ADDRS:
+		strings_text(t, at);
+		break;
+	case PF_FIELD_ROWS:
+		break;
+	}
+}
+
+/* Texts that aren't set, and empty lists, are left out. */
+static bool is_set(const struct pf_field *d, const void *at)
+{
+	switch (d->type) {
+	case PF_FIELD_STR:
+	case PF_FIELD_NAME:
+	case PF_FIELD_ADDR:
+	case PF_FIELD_DIGEST:
+		return *(char *const *)at != NULL;
+	case PF_FIELD_NAMES:
+	case PF_FIELD_ADDRS:
+		return ((const struct pf_strings *)at)->n > 0;
+	case PF_FIELD_ROWS:
+		return false;
+	default:
+		return true;
+	}
+}
+
+static void rows_text(const struct pf_field *d, const struct pf_rows *rows,
+		      const char *path, struct pf_text *t)
+{
+	for (size_t i = 0; i < rows->n; i++) {
+		g_autofree char *sub = g_strdup_printf("%s.%s", path, d->key);
+
+		pf_text_fmt(t, "\n[[%s]]\n", sub);
+		pf_fields_text(d->rows,
+			       (const char *)rows->v + i * d->rows->size, sub,
+			       t);
+	}
+}
+
+void pf_fields_text(const struct pf_form *form, const void *in,
+		    const char *path, struct pf_text *t)
+{
+	for (size_t i = 0; i < form->n; i++) {
+		const struct pf_field *d = &form->fields[i];
+		const char *at = (const char *)in + d->at;
+
+		if (!is_set(d, at))
+			continue;
+		pf_text_fmt(t, "%s = ", d->key);
+		value_text(t, d, at);
+		pf_text_fmt(t, "\n");
+	}
+	for (size_t i = 0; i < form->n; i++) {
+		const struct pf_field *d = &form->fields[i];
+
+		if (d->type == PF_FIELD_ROWS)
+			rows_text(d, (const void *)((const char *)in + d->at),
+				  path, t);
+	}
+}
--- /dev/null
+++ b/src/state/text.c
@@ -0,0 +1,95 @@
+/* A growing text buffer. */
+#include "pimentoford/text.h"
+
+#include <stdarg.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+/* Makes room for @more bytes and the final zero. */
+static int reserve(struct pf_text *t, size_t more)
+{
+	size_t cap = t->cap ? t->cap : 64;
+	char *p;
+
+	if (t->failed)
+		return -1;
+	while (cap < t->n + more + 1)
+		cap *= 2;
+	if (cap == t->cap)
+		return 0;
+	p = realloc(t->p, cap);
+	if (!p) {
+		t->failed = true;
+		return -1;
+	}
+	t->p = p;
+	t->cap = cap;
+	return 0;
+}
+
+void pf_text_add(struct pf_text *t, struct pf_str s)
+{
+	if (reserve(t, s.n) < 0)
+		return;
+	if (s.n)
+		memcpy(t->p + t->n, s.p, s.n);
+	t->n += s.n;
+	t->p[t->n] = '\0';
+}
+
+void pf_text_fmt(struct pf_text *t, const char *fmt, ...)
+{
+	va_list ap;
+	int n;
+
+	va_start(ap, fmt);
+	n = vsnprintf(NULL, 0, fmt, ap);
+	va_end(ap);
+	if (n < 0 || reserve(t, (size_t)n) < 0) {
+		t->failed = true;
+		return;
+	}
+	va_start(ap, fmt);
+	vsnprintf(t->p + t->n, (size_t)n + 1, fmt, ap);
+	va_end(ap);
+	t->n += (size_t)n;
+}
+
+void pf_text_quote(struct pf_text *t, struct pf_str s)
+{
+	pf_text_add(t, PF_STR("\""));
+	for (size_t i = 0; i < s.n; i++) {
+		unsigned char c = (unsigned char)s.p[i];
+
+		if (c == '"' || c == '\\')
+			pf_text_fmt(t, "\\%c", c);
+		else if (c == '\n')
+			pf_text_add(t, PF_STR("\\n"));
+		else if (c < 0x20 || c == 0x7f)
+			pf_text_fmt(t, "\\u%04x", c);
+		else
+			pf_text_add(t, (struct pf_str){ s.p + i, 1 });
+	}
+	pf_text_add(t, PF_STR("\""));
+}
+
+char *pf_text_take(struct pf_text *t)
+{
+	char *p;
+
+	pf_text_add(t, PF_STR(""));
+	if (t->failed) {
+		pf_text_free(t);
+		return NULL;
+	}
+	p = t->p;
+	memset(t, 0, sizeof(*t));
+	return p;
+}
+
+void pf_text_free(struct pf_text *t)
+{
+	free(t->p);
+	memset(t, 0, sizeof(*t));
+}
--- a/src/state/toml.cc
+++ b/src/state/toml.cc
@@ -6,6 +6,7 @@
 #include <cstdio>
 #include <iterator>
 #include <new>
+#include <string>
 #include <string_view>
 
 struct pf_toml {
@@ -33,7 +34,8 @@
 	char place[256];
 
 	try {
-		return new pf_toml{ toml::parse(view(text), source) };
+		return new pf_toml{ toml::parse(view(text),
+						std::string(source)) };
 	} catch (const toml::parse_error &e) {
 		std::snprintf(place, sizeof(place), "%s:%u", source,
 			      (unsigned)e.source().begin.line);
