--- /dev/null
+++ b/src/state/fit.c
@@ -0,0 +1,160 @@
+/*
+ * Whether every declared model has a home: first-fit-decreasing packing of
+ * model versions with their adapters onto the engines' memory, less the share
+ * kept for KV. The packing found is a witness, so an accepted set does fit;
+ * a set that only a cleverer packing could place is refused.
+ */
+#include "record_forms.h"
+
+#include <glib.h>
+#include <inttypes.h>
+#include <stdlib.h>
+
+/* A model version with the adapters of its model. */
+struct parcel {
+	const struct pf_model *model;
+	int64_t bytes;
+	int64_t context; /* KV memory of one whole context */
+};
+
+struct bin {
+	const struct pf_endpoint *endpoint;
+	int64_t left;
+};
+
+static int larger_first(const void *a, const void *b)
+{
+	const struct parcel *x = a, *y = b;
+
+	if (x->bytes != y->bytes)
+		return x->bytes > y->bytes ? -1 : 1;
+	return x->model->id < y->model->id ? -1 : x->model->id > y->model->id;
+}
+
+static int by_model(const void *a, const void *b)
+{
+	const struct pf_adapter *x = *(const struct pf_adapter *const *)a;
+	const struct pf_adapter *y = *(const struct pf_adapter *const *)b;
+
+	return x->model_name_id < y->model_name_id
+		       ? -1
+		       : x->model_name_id > y->model_name_id;
+}
+
+/* Sum of the adapters of one model; @v is sorted by model. */
+static int64_t adapters_of(const struct pf_adapter **v, size_t n, uint64_t id)
+{
+	size_t lo = 0, hi = n;
+	int64_t sum = 0;
+
+	while (lo < hi) {
+		size_t mid = lo + (hi - lo) / 2;
+
+		if (v[mid]->model_name_id < id)
+			lo = mid + 1;
+		else
+			hi = mid;
+	}
+	for (; lo < n && v[lo]->model_name_id == id; lo++)
+		sum += v[lo]->bytes;
+	return sum;
+}
+
+static void make_parcels(const struct pf_config *c, struct parcel *p,
+			 const struct pf_adapter **a)
+{
+	for (size_t i = 0; i < c->n_adapters; i++)
+		a[i] = &c->adapters[i];
+	qsort(a, c->n_adapters, sizeof(*a), by_model);
+	for (size_t i = 0; i < c->n_models; i++) {
+		const struct pf_model *m = &c->models[i];
+
+		p[i].model = m;
+		p[i].bytes = m->weight_bytes +
+			     adapters_of(a, c->n_adapters, m->name_id);
+		p[i].context = m->kv_token_bytes * m->max_context;
+	}
+	qsort(p, c->n_models, sizeof(*p), larger_first);
+}
+
+static size_t make_bins(const struct pf_config *c, struct bin *b)
+{
+	size_t n = 0;
+
+	for (size_t i = 0; i < c->n_endpoints; i++) {
+		const struct pf_endpoint *e = &c->endpoints[i];
+
+		if (e->kind != PF_ENDPOINT_ENGINE)
+			continue;
+		b[n].endpoint = e;
+		b[n++].left = (int64_t)((double)e->memory_bytes *
+					(1.0 - c->deployment.kv_share));
+	}
+	return n;
+}
+
+static void place_name(const struct pf_model *m, char *buf, size_t n)
+{
+	struct pf_text t = { 0 };
+
+	pf_text_fmt(&t, "model %s@%s", m->name, m->version);
+	g_strlcpy(buf, t.p ? t.p : "model", n);
+	pf_text_free(&t);
+}
+
+static void pack(const struct parcel *p, struct bin *b, size_t n_bins,
+		 struct pf_findings *f)
+{
+	const struct pf_model *m = p->model;
+	bool could = false;
+	char place[200];
+
+	for (size_t i = 0; i < n_bins; i++) {
+		int64_t memory = b[i].endpoint->memory_bytes;
+
+		if (p->bytes + p->context > memory)
+			continue;
+		could = true;
+		if (p->bytes > b[i].left)
+			continue;
+		b[i].left -= p->bytes;
+		return;
+	}
+	place_name(m, place, sizeof(place));
+	if (could)
+		pf_findings_add(f, place,
+				"has no home: %" PRId64 " bytes with its "
+				"adapters don't fit beside the other models; "
+				"allowed: what all engines hold together less "
+				"deployment.kv_share",
+				p->bytes);
+	else
+		pf_findings_add(f, place,
+				"fits no engine endpoint: %" PRId64 " bytes "
+				"with its adapters and %" PRId64 " bytes for "
+				"one whole context; allowed: at most the "
+				"memory of one engine",
+				p->bytes, p->context);
+}
+
+void pf_fit_check(const struct pf_config *c, struct pf_findings *f)
+{
+	struct parcel *p = calloc(c->n_models + 1, sizeof(*p));
+	const struct pf_adapter **a = calloc(c->n_adapters + 1, sizeof(*a));
+	struct bin *b = calloc(c->n_endpoints + 1, sizeof(*b));
+	size_t n_bins;
+
+	if (!p || !a || !b) {
+		pf_findings_add(f, "records",
+				"there is no memory to check them");
+		goto out;
+	}
+	make_parcels(c, p, a);
+	n_bins = make_bins(c, b);
+	for (size_t i = 0; i < c->n_models; i++)
+		pack(&p[i], b, n_bins, f);
+out:
+	free(p);
+	free(a);
+	free(b);
+}
--- /dev/null
+++ b/src/state/record_forms.c
@@ -0,0 +1,275 @@
+/* The records' fields in each schema. */
+#include "record_forms.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define TIB 1099511627776.0
+#define DAY_MS 86400000.0
+
+/* DEF(key, type, member, required, min, max, default, choices) */
+#define DEF_FIELD(k, ty, m, req, lo, hi, dfl, ch) \
+	{ .key = (k),                             \
+	  .type = PF_FIELD_##ty,                  \
+	  .at = offsetof(FORM, m),                \
+	  .required = (req),                      \
+	  .min = (lo),                            \
+	  .max = (hi),                            \
+	  .dflt = (dfl),                          \
+	  .choices = (ch) },
+
+#define SCHEMA(DEF) DEF("schema", U32, schema, true, 1, 2, NULL, NULL)
+
+/* Weights of one version; @p is the path of the member before them. */
+#define VERSION_FIELDS(DEF, p)                                              \
+	DEF("version", NAME, p version, true, 0, 0, NULL, NULL)             \
+	DEF("weights", SIZE, p weight_bytes, true, 1, 64 * TIB, NULL, NULL) \
+	DEF("kv_token", SIZE, p kv_token_bytes, true, 1, 1e9, NULL, NULL)   \
+	DEF("max_context", U32, p max_context, false, 1, 1e8, "8192", NULL)
+
+#define MODEL_1_FIELDS(DEF)                             \
+	SCHEMA(DEF)                                     \
+	DEF("name", NAME, name, true, 0, 0, NULL, NULL) \
+	VERSION_FIELDS(DEF, one.)
+
+#define SHARE_FIELDS(DEF) DEF("share", U32, share, true, 0, 100, NULL, NULL)
+
+#define ADAPTER_FIELDS(DEF)                                 \
+	SCHEMA(DEF)                                         \
+	DEF("name", NAME, a.name, true, 0, 0, NULL, NULL)   \
+	DEF("model", NAME, a.model, true, 0, 0, NULL, NULL) \
+	DEF("size", SIZE, a.bytes, true, 1, TIB, NULL, NULL)
+
+#define CALLER_FIELDS(DEF)                                                \
+	SCHEMA(DEF)                                                       \
+	DEF("name", NAME, c.name, true, 0, 0, NULL, NULL)                 \
+	DEF("key_sha256", DIGEST, c.key_sha256, true, 0, 0, NULL, NULL)   \
+	DEF("priority", U8, c.priority, false, 0, PF_PRIORITIES - 1, "2", \
+	    NULL)                                                         \
+	DEF("rate", REAL, c.rate, false, 0, 1e6, "0", NULL)               \
+	DEF("burst", U32, c.burst, false, 1, 1e6, "1", NULL)              \
+	DEF("concurrency", U32, c.concurrency, false, 0, 1e6, "0", NULL)  \
+	DEF("deferrable", BOOL, c.deferrable, false, 0, 0, "false", NULL) \
+	DEF("models", NAMES, models, false, 0, PF_FIELD_LIST_MAX, NULL, NULL)
+
+/* The expectation, flat in schema 1 and in a table in schema 2. */
+#define EXPECT_FIELDS(DEF, pre)                                              \
+	DEF(pre "first", MS, c.first_ms, false, 1, DAY_MS, "1400ms", NULL)   \
+	DEF(pre "between", MS, c.between_ms, false, 0, DAY_MS, "73ms", NULL) \
+	DEF(pre "whole", MS, c.whole_ms, false, 0, DAY_MS, "0ms", NULL)      \
+	DEF(pre "deadline", MS, c.deadline_ms, false, 1, DAY_MS, "60s", NULL)
+
+#define ENDPOINT_FIELDS(DEF)                                                  \
+	SCHEMA(DEF)                                                           \
+	DEF("name", NAME, e.name, true, 0, 0, NULL, NULL)                     \
+	DEF("kind", CHOICE, e.kind, true, 0, 0, NULL, "engine|plain")         \
+	DEF("agent", ADDR, e.agent, true, 0, 0, NULL, NULL)                   \
+	DEF("backend", ADDR, e.backend, true, 0, 0, NULL, NULL)               \
+	DEF("zone", NAME, e.zone, true, 0, 0, NULL, NULL)                     \
+	DEF("region", NAME, e.region, true, 0, 0, NULL, NULL)                 \
+	DEF("service", NAME, e.service, false, 0, 0, NULL, NULL)              \
+	DEF("accelerators", U32, e.accelerators, false, 0, 1024, "1", NULL)   \
+	DEF("memory", SIZE, e.memory_bytes, false, 0, 1024 * TIB, "0B", NULL) \
+	DEF("batch", U32, e.batch_max, false, 1, 65536, "32", NULL)           \
+	DEF("checks_fence", BOOL, e.checks_fence, false, 0, 0, "false", NULL)
+
+#define CALL_FIELDS(DEF)                                    \
+	DEF("method", NAME, method, true, 0, 0, NULL, NULL) \
+	DEF("path", STR, path, true, 1, 256, NULL, NULL)    \
+	DEF("repeatable", BOOL, repeatable, true, 0, 0, NULL, NULL)
+
+#define DEPLOYMENT_FIELDS(DEF)                                                 \
+	SCHEMA(DEF)                                                            \
+	DEF("move_cost", REAL, d.move_cost, false, 0, 1e6, "30", NULL)         \
+	DEF("store_loads_rate", REAL, d.store_loads_rate, false, 0.01, 1e4,    \
+	    "2", NULL)                                                         \
+	DEF("store_inflight", U32, d.store_inflight, false, 1, 1e4, "3", NULL) \
+	DEF("adapter_knee", U32, d.adapter_knee, false, 1, 1e5, "25", NULL)    \
+	DEF("link_kbit", U32, d.link_kbit, false, 1, 4e9, "30000", NULL)       \
+	DEF("kv_share", REAL, d.kv_share, false, 0, 0.9, "0.2", NULL)
+
+#define N(v) (sizeof(v) / sizeof((v)[0]))
+
+/* One table of fields for the struct that FORM names. */
+#define FORM struct pf_model
+static const struct pf_field version_fields[] = { VERSION_FIELDS(
+	DEF_FIELD, ) SHARE_FIELDS(DEF_FIELD) };
+#undef FORM
+#define FORM struct pf_call
+static const struct pf_field call_fields[] = { CALL_FIELDS(DEF_FIELD) };
+#undef FORM
+
+static const struct pf_form version_form = { version_fields, N(version_fields),
+					     sizeof(struct pf_model) };
+static const struct pf_form call_form = { call_fields, N(call_fields),
+					  sizeof(struct pf_call) };
+
+#define FORM __typeof__(((union pf_any_form *)0)->model)
+static const struct pf_field model_1_fields[] = { MODEL_1_FIELDS(DEF_FIELD) };
+static const struct pf_field model_2_fields[] = {
+	SCHEMA(DEF_FIELD) DEF_FIELD("name", NAME, name, true, 0, 0, NULL,
+				    NULL){ .key = "version",
+					   .type = PF_FIELD_ROWS,
+					   .at = offsetof(FORM, versions),
+					   .required = true,
+					   .min = 1,
+					   .max = 16,
+					   .rows = &version_form },
+};
+#undef FORM
+#define FORM __typeof__(((union pf_any_form *)0)->adapter)
+static const struct pf_field adapter_fields[] = { ADAPTER_FIELDS(DEF_FIELD) };
+#undef FORM
+#define FORM __typeof__(((union pf_any_form *)0)->caller)
+static const struct pf_field caller_1_fields[] = { CALLER_FIELDS(
+	DEF_FIELD) EXPECT_FIELDS(DEF_FIELD, "") };
+static const struct pf_field caller_2_fields[] = { CALLER_FIELDS(
+	DEF_FIELD) EXPECT_FIELDS(DEF_FIELD, "expect.") };
+#undef FORM
+#define FORM __typeof__(((union pf_any_form *)0)->endpoint)
+static const struct pf_field endpoint_fields[] = { ENDPOINT_FIELDS(DEF_FIELD) };
+#undef FORM
+#define FORM __typeof__(((union pf_any_form *)0)->service)
+static const struct pf_field service_fields[] = {
+	SCHEMA(DEF_FIELD) DEF_FIELD("name", NAME, name, true, 0, 0, NULL,
+				    NULL){ .key = "call",
+					   .type = PF_FIELD_ROWS,
+					   .at = offsetof(FORM, calls),
+					   .min = 0,
+					   .max = 256,
+					   .rows = &call_form },
+};
+#undef FORM
+#define FORM __typeof__(((union pf_any_form *)0)->deployment)
+static const struct pf_field deployment_fields[] = { DEPLOYMENT_FIELDS(
+	DEF_FIELD) };
+#undef FORM
+
+#define SIZE sizeof(union pf_any_form)
+
+/* By kind and schema - PF_SCHEMA_MIN. */
+static const struct pf_form forms[PF_KIND_COUNT][PF_SCHEMA_MAX] = {
+	[PF_KIND_DEPLOYMENT] = { { deployment_fields, N(deployment_fields),
+				   SIZE },
+				 { deployment_fields, N(deployment_fields),
+				   SIZE } },
+	[PF_KIND_MODEL] = { { model_1_fields, N(model_1_fields), SIZE },
+			    { model_2_fields, N(model_2_fields), SIZE } },
+	[PF_KIND_ADAPTER] = { { adapter_fields, N(adapter_fields), SIZE },
+			      { adapter_fields, N(adapter_fields), SIZE } },
+	[PF_KIND_CALLER] = { { caller_1_fields, N(caller_1_fields), SIZE },
+			     { caller_2_fields, N(caller_2_fields), SIZE } },
+	[PF_KIND_ENDPOINT] = { { endpoint_fields, N(endpoint_fields), SIZE },
+			       { endpoint_fields, N(endpoint_fields), SIZE } },
+	[PF_KIND_SERVICE] = { { service_fields, N(service_fields), SIZE },
+			      { service_fields, N(service_fields), SIZE } },
+};
+
+const struct pf_form *pf_record_form(enum pf_kind kind, uint32_t schema)
+{
+	return &forms[kind][schema - PF_SCHEMA_MIN];
+}
+
+static char *join(const char *a, const char *b)
+{
+	struct pf_text t = { 0 };
+
+	pf_text_fmt(&t, "%s:%s", a, b);
+	return pf_text_take(&t);
+}
+
+char *pf_record_form_name(enum pf_kind kind, const union pf_any_form *form)
+{
+	switch (kind) {
+	case PF_KIND_MODEL:
+		return pf_str_dup(pf_str_c(form->model.name));
+	case PF_KIND_ADAPTER:
+		return join(form->adapter.a.model, form->adapter.a.name);
+	case PF_KIND_CALLER:
+		return pf_str_dup(pf_str_c(form->caller.c.name));
+	case PF_KIND_ENDPOINT:
+		return pf_str_dup(pf_str_c(form->endpoint.e.name));
+	case PF_KIND_SERVICE:
+		return pf_str_dup(pf_str_c(form->service.name));
+	default:
+		return pf_str_dup(PF_STR("deployment"));
+	}
+}
+
+/* The schema decides which fields apply, so it is read first. */
+static int read_schema(enum pf_kind kind, const struct pf_toml_node *table,
+		       const char *source, uint32_t *schema,
+		       struct pf_findings *f)
+{
+	const struct pf_toml_node *n = pf_toml_get(table, PF_STR("schema"));
+	char place[300];
+	int64_t v;
+
+	if (n && pf_toml_int(n, &v) == 0 && v >= PF_SCHEMA_MIN &&
+	    v <= PF_SCHEMA_MAX) {
+		*schema = (uint32_t)v;
+		return 0;
+	}
+	snprintf(place, sizeof(place), "%s:%u %s.schema", source,
+		 pf_toml_line(n ? n : table), pf_kind_text(kind));
+	pf_findings_add(f, place, "%s; allowed: an integer from %d to %d",
+			n ? "has a wrong value" : "is missing", PF_SCHEMA_MIN,
+			PF_SCHEMA_MAX);
+	return -1;
+}
+
+/* What the tables of fields can't say. */
+static int check_form(enum pf_kind kind, const struct pf_toml_node *table,
+		      const char *source, const union pf_any_form *form,
+		      struct pf_findings *f)
+{
+	const struct pf_endpoint *e = &form->endpoint.e;
+	size_t before = f->n;
+	char place[300];
+
+	snprintf(place, sizeof(place), "%s:%u %s", source, pf_toml_line(table),
+		 pf_kind_text(kind));
+	if (kind != PF_KIND_ENDPOINT)
+		return 0;
+	if (e->kind == PF_ENDPOINT_ENGINE && e->memory_bytes <= 0)
+		pf_findings_add(f, place,
+				"memory must be given for an engine; allowed: "
+				"a size such as \"80GiB\"");
+	if (e->kind == PF_ENDPOINT_ENGINE && e->service)
+		pf_findings_add(f, place,
+				"service belongs to kind \"plain\" only");
+	if (e->kind == PF_ENDPOINT_PLAIN && !e->service)
+		pf_findings_add(f, place,
+				"service is missing; allowed: the name of a "
+				"service record");
+	return f->n > before ? -1 : 0;
+}
+
+int pf_record_form_read(enum pf_kind kind, const struct pf_toml_node *table,
+			const char *source, union pf_any_form *form,
+			struct pf_findings *f)
+{
+	uint32_t schema;
+
+	memset(form, 0, sizeof(*form));
+	if (read_schema(kind, table, source, &schema, f) < 0)
+		return -1;
+	form->schema = schema;
+	if (pf_fields_read(pf_record_form(kind, schema), table, source,
+			   pf_kind_text(kind), form, f) < 0)
+		return -1;
+	return check_form(kind, table, source, form, f);
+}
+
+void pf_record_form_free(enum pf_kind kind, union pf_any_form *form)
+{
+	if (form->schema)
+		pf_fields_free(pf_record_form(kind, form->schema), form);
+}
+
+void pf_record_place(const struct pf_record *r, char *buf, size_t n)
+{
+	snprintf(buf, n, "%s:%u %s %s", r->source, r->line,
+		 pf_kind_text(r->kind), r->name);
+}
--- /dev/null
+++ b/src/state/records_build.c
@@ -0,0 +1,338 @@
+/* From a set of records to the validated inner form. */
+#include "record_forms.h"
+
+#include <stdarg.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+struct builder {
+	const struct pf_records *set;
+	struct pf_config *c;
+	struct pf_findings *found;
+	bool no_memory;
+};
+
+__attribute__((format(printf, 3, 4))) static void
+complain(struct builder *b, const struct pf_record *r, const char *fmt, ...)
+{
+	char place[400], text[400];
+	va_list ap;
+
+	va_start(ap, fmt);
+	vsnprintf(text, sizeof(text), fmt, ap);
+	va_end(ap);
+	pf_record_place(r, place, sizeof(place));
+	pf_findings_add(b->found, place, "%s", text);
+}
+
+static uint64_t id_pair(const char *a, char sep, const char *b)
+{
+	struct pf_text t = { 0 };
+	uint64_t id;
+
+	pf_text_fmt(&t, "%s%c%s", a, sep, b);
+	id = t.failed ? 0 : pf_id(pf_text_str(&t));
+	pf_text_free(&t);
+	return id;
+}
+
+/* Adds one version and takes over its strings. */
+static void add_version(struct builder *b, const char *name,
+			struct pf_model *from, uint32_t share)
+{
+	struct pf_model *m = &b->c->models[b->c->n_models];
+
+	*m = *from;
+	memset(from, 0, sizeof(*from));
+	m->name = pf_str_dup(pf_str_c(name));
+	m->share = share;
+	m->name_id = pf_id(pf_str_c(name));
+	m->id = id_pair(name, '@', m->version);
+	if (!m->name || !m->id)
+		b->no_memory = true;
+	b->c->n_models++;
+}
+
+static void build_model(struct builder *b, const struct pf_record *r,
+			union pf_any_form *form)
+{
+	struct pf_model *v = form->model.versions.v;
+	size_t n = form->model.versions.n;
+	uint32_t sum = 0;
+
+	if (r->schema == 1) {
+		add_version(b, form->model.name, &form->model.one, 100);
+		return;
+	}
+	for (size_t i = 0; i < n; i++) {
+		sum += v[i].share;
+		for (size_t j = 0; j < i; j++)
+			if (strcmp(b->c->models[b->c->n_models - i + j].version,
+				   v[i].version) == 0)
+				complain(b, r, "has version %s twice",
+					 v[i].version);
+		add_version(b, form->model.name, &v[i], v[i].share);
+	}
+	if (sum != 100)
+		complain(b, r, "shares of its versions sum to %u; allowed: 100",
+			 sum);
+}
+
+static bool model_declared(const struct builder *b, const char *name)
+{
+	return pf_records_find(b->set, PF_KIND_MODEL, pf_str_c(name));
+}
+
+static void build_adapter(struct builder *b, const struct pf_record *r,
+			  union pf_any_form *form)
+{
+	struct pf_adapter *a = &b->c->adapters[b->c->n_adapters++];
+
+	*a = form->adapter.a;
+	memset(&form->adapter.a, 0, sizeof(form->adapter.a));
+	a->id = pf_id(pf_str_c(r->name));
+	a->model_name_id = pf_id(pf_str_c(a->model));
+	if (!model_declared(b, a->model))
+		complain(b, r, "model %s isn't declared", a->model);
+}
+
+static void build_caller(struct builder *b, const struct pf_record *r,
+			 union pf_any_form *form)
+{
+	struct pf_caller *c = &b->c->callers[b->c->n_callers++];
+	const struct pf_strings *models = &form->caller.models;
+
+	*c = form->caller.c;
+	memset(&form->caller.c, 0, sizeof(form->caller.c));
+	c->id = pf_id(pf_str_c(c->name));
+	if (!models->n)
+		return;
+	c->models = calloc(models->n, sizeof(*c->models));
+	if (!c->models) {
+		b->no_memory = true;
+		return;
+	}
+	for (size_t i = 0; i < models->n; i++) {
+		if (!model_declared(b, models->v[i]))
+			complain(b, r, "models: %s isn't declared",
+				 models->v[i]);
+		c->models[c->n_models++] = pf_id(pf_str_c(models->v[i]));
+	}
+}
+
+static void build_endpoint(struct builder *b, const struct pf_record *r,
+			   union pf_any_form *form)
+{
+	struct pf_endpoint *e = &b->c->endpoints[b->c->n_endpoints++];
+
+	*e = form->endpoint.e;
+	memset(&form->endpoint.e, 0, sizeof(form->endpoint.e));
+	e->id = pf_id(pf_str_c(e->name));
+	if (e->service &&
+	    !pf_records_find(b->set, PF_KIND_SERVICE, pf_str_c(e->service)))
+		complain(b, r, "service %s isn't declared", e->service);
+}
+
+static void build_service(struct builder *b, const struct pf_record *r,
+			  union pf_any_form *form)
+{
+	struct pf_service *s = &b->c->services[b->c->n_services++];
+
+	s->name = form->service.name;
+	s->id = pf_id(pf_str_c(s->name));
+	s->calls = form->service.calls.v;
+	s->n_calls = form->service.calls.n;
+	form->service.name = NULL;
+	memset(&form->service.calls, 0, sizeof(form->service.calls));
+	for (size_t i = 0; i < s->n_calls; i++)
+		if (s->calls[i].path[0] != '/')
+			complain(b, r, "call.path %s must begin with /",
+				 s->calls[i].path);
+}
+
+static void build_one(struct builder *b, const struct pf_record *r,
+		      union pf_any_form *form)
+{
+	switch (r->kind) {
+	case PF_KIND_DEPLOYMENT:
+		b->c->deployment = form->deployment.d;
+		break;
+	case PF_KIND_MODEL:
+		build_model(b, r, form);
+		break;
+	case PF_KIND_ADAPTER:
+		build_adapter(b, r, form);
+		break;
+	case PF_KIND_CALLER:
+		build_caller(b, r, form);
+		break;
+	case PF_KIND_ENDPOINT:
+		build_endpoint(b, r, form);
+		break;
+	case PF_KIND_SERVICE:
+		build_service(b, r, form);
+		break;
+	default:
+		break;
+	}
+}
+
+/* The table inside a record's own text. */
+static const struct pf_toml_node *record_table(const struct pf_toml *doc,
+					       enum pf_kind kind)
+{
+	const struct pf_toml_node *n =
+		pf_toml_get(pf_toml_root(doc), pf_str_c(pf_kind_text(kind)));
+
+	if (n && kind != PF_KIND_DEPLOYMENT)
+		n = pf_toml_at(n, 0, NULL);
+	return n && pf_toml_type(n) == PF_TOML_TABLE ? n : NULL;
+}
+
+static void read_record(struct builder *b, const struct pf_record *r)
+{
+	struct pf_toml *doc =
+		pf_toml_parse(pf_str_c(r->text), r->source, b->found);
+	const struct pf_toml_node *n;
+	union pf_any_form form;
+
+	if (!doc)
+		return;
+	n = record_table(doc, r->kind);
+	if (!n) {
+		complain(b, r, "its text holds no such record");
+	} else {
+		if (pf_record_form_read(r->kind, n, r->source, &form,
+					b->found) == 0)
+			build_one(b, r, &form);
+		pf_record_form_free(r->kind, &form);
+	}
+	pf_toml_free(doc);
+}
+
+/* Versions of all models; schema 2 allows 16 a record. */
+#define VERSIONS_MAX 16
+
+/* Takes memory for everything the set can hold. */
+static int make_room(struct builder *b)
+{
+	size_t n[PF_KIND_COUNT] = { 0 };
+	struct pf_config *c = b->c;
+
+	for (size_t i = 0; i < b->set->n; i++)
+		n[b->set->v[i].kind] += b->set->v[i].kind == PF_KIND_MODEL &&
+							b->set->v[i].schema > 1
+						? VERSIONS_MAX
+						: 1;
+	c->models = calloc(n[PF_KIND_MODEL] + 1, sizeof(*c->models));
+	c->adapters = calloc(n[PF_KIND_ADAPTER] + 1, sizeof(*c->adapters));
+	c->callers = calloc(n[PF_KIND_CALLER] + 1, sizeof(*c->callers));
+	c->endpoints = calloc(n[PF_KIND_ENDPOINT] + 1, sizeof(*c->endpoints));
+	c->services = calloc(n[PF_KIND_SERVICE] + 1, sizeof(*c->services));
+	return c->models && c->adapters && c->callers && c->endpoints &&
+			       c->services
+		       ? 0
+		       : -1;
+}
+
+/* A value that must be unique, and whose it is. */
+struct unique {
+	uint64_t id;
+	const char *name;
+};
+
+static int by_id(const void *a, const void *b)
+{
+	const struct unique *x = a, *y = b;
+
+	return x->id < y->id ? -1 : x->id > y->id;
+}
+
+/* Sorts @v and reports each value that stands twice. */
+static void check_unique(struct builder *b, struct unique *v, size_t n,
+			 const char *what)
+{
+	qsort(v, n, sizeof(*v), by_id);
+	for (size_t i = 1; i < n; i++)
+		if (v[i].id == v[i - 1].id)
+			pf_findings_add(b->found, what,
+					"%s and %s have the same; each must "
+					"have its own",
+					v[i - 1].name, v[i].name);
+}
+
+/* UNIQUE(array, id expression over `e`, what) */
+#define UNIQUE(arr, id_of, what)                                    \
+	do {                                                        \
+		for (size_t i = 0; i < c->n_##arr; i++) {           \
+			const __typeof__(*c->arr) *e = &c->arr[i];  \
+                                                                    \
+			u[i] = (struct unique){ (id_of), e->name }; \
+		}                                                   \
+		check_unique(b, u, c->n_##arr, (what));             \
+	} while (0)
+
+static void check_all_unique(struct builder *b)
+{
+	const struct pf_config *c = b->c;
+	size_t max = c->n_models + c->n_adapters + c->n_callers +
+		     c->n_endpoints + c->n_services;
+	struct unique *u = calloc(max + 1, sizeof(*u));
+
+	if (!u) {
+		b->no_memory = true;
+		return;
+	}
+	UNIQUE(models, e->id, "model id");
+	UNIQUE(adapters, e->id, "adapter id");
+	UNIQUE(callers, e->id, "caller id");
+	UNIQUE(callers, pf_id(pf_str_c(e->key_sha256)), "caller key_sha256");
+	UNIQUE(endpoints, e->id, "endpoint id");
+	UNIQUE(endpoints, pf_id(pf_str_c(e->agent)), "endpoint agent");
+	UNIQUE(endpoints, pf_id(pf_str_c(e->backend)), "endpoint backend");
+	UNIQUE(services, e->id, "service id");
+	free(u);
+}
+
+/* Defaults of the deployment, for sets that hold no such record. */
+static void default_deployment(struct builder *b)
+{
+	struct pf_record r = { .kind = PF_KIND_DEPLOYMENT,
+			       .schema = PF_SCHEMA_MAX,
+			       .text = "[deployment]\nschema = 2\n",
+			       .source = "defaults",
+			       .name = "deployment" };
+
+	read_record(b, &r);
+}
+
+int pf_records_build(const struct pf_records *s, uint64_t revision,
+		     struct pf_findings *f, struct pf_config **out)
+{
+	struct builder b = { .set = s, .found = f };
+	size_t before = f->n;
+
+	*out = NULL;
+	b.c = calloc(1, sizeof(*b.c));
+	if (!b.c || make_room(&b) < 0)
+		goto no_memory;
+	b.c->revision = revision;
+	default_deployment(&b);
+	for (size_t i = 0; i < s->n; i++)
+		read_record(&b, &s->v[i]);
+	check_all_unique(&b);
+	if (f->n == before && !f->truncated)
+		pf_fit_check(b.c, f);
+	if (b.no_memory || pf_config_index(b.c) < 0)
+		goto no_memory;
+	if (f->n > before || f->truncated)
+		goto fail;
+	*out = b.c;
+	return 0;
+no_memory:
+	pf_findings_add(f, "records", "there is no memory to build them");
+fail:
+	pf_config_free(b.c);
+	return -1;
+}
