Settings, logger, counters; tests of records and settings

Cause: daemons need settings with findings, logfmt lines and counters. Change: settings.h (entry and agent forms, one loader), log.h, counters.h, examples under deployments/example; a version given twice gave two findings, now one, and findings of shared ids name the record's line. Conclusion: the daemons can use these.

--- /dev/null
+++ b/include/pimentoford/counters.h
@@ -0,0 +1,132 @@
+/*
+ * Counters of the daemons: declared once, incremented through the context
+ * that owns them, rendered as Prometheus text.
+ */
+#ifndef PIMENTOFORD_COUNTERS_H
+#define PIMENTOFORD_COUNTERS_H
+
+#include "pimentoford/text.h"
+
+PF_BEGIN_DECLS
+
+/* DEF(symbol, "name", "counter" or "gauge", "help") */
+#define PF_ENTRY_COUNTERS(DEF)                                                 \
+	DEF(CONNECTIONS, "connections", "gauge",                               \
+	    "Open connections of callers")                                     \
+	DEF(REQUESTS, "requests_total", "counter", "Requests that arrived")    \
+	DEF(ANSWERED, "answered_total", "counter", "Requests answered whole")  \
+	DEF(REFUSED, "refused_total", "counter",                               \
+	    "Requests refused as not run")                                     \
+	DEF(FAILED, "failed_total", "counter", "Requests that ran and failed") \
+	DEF(CANCELLED, "cancelled_total", "counter", "Callers that went away") \
+	DEF(BAD_REQUESTS, "bad_requests_total", "counter",                     \
+	    "Requests that were malformed or over a limit")                    \
+	DEF(UNAUTHORIZED, "unauthorized_total", "counter",                     \
+	    "Requests without a valid key")                                    \
+	DEF(ALIVE, "requests_alive", "gauge", "Requests alive")                \
+	DEF(WAITING, "requests_waiting", "gauge", "Requests that wait")        \
+	DEF(RETRIES, "retries_total", "counter", "Tries after the first")      \
+	DEF(RESUMES, "resumes_total", "counter", "Streams resumed elsewhere")  \
+	DEF(TOKENS, "tokens_total", "counter", "Tokens delivered")             \
+	DEF(BYTES_OUT, "bytes_out_total", "counter", "Bytes sent to callers")  \
+	DEF(SUSPECTS, "suspects_total", "counter",                             \
+	    "Tries that became suspect")                                       \
+	DEF(QUARANTINED, "quarantined", "gauge", "Fingerprints refused")       \
+	DEF(SESSIONS, "rpc_sessions", "gauge",                                 \
+	    "Sessions with other processes")                                   \
+	DEF(RPC_IN, "rpc_messages_in_total", "counter", "Messages received")   \
+	DEF(RPC_OUT, "rpc_messages_out_total", "counter", "Messages sent")     \
+	DEF(RPC_BYTES_IN, "rpc_bytes_in_total", "counter", "Bytes received")   \
+	DEF(RPC_BYTES_OUT, "rpc_bytes_out_total", "counter", "Bytes sent")     \
+	DEF(RPC_BAD, "rpc_bad_records_total", "counter",                       \
+	    "Sessions ended by a bad or oversize record")                      \
+	DEF(RPC_STRANGERS, "rpc_strangers_total", "counter",                   \
+	    "Peers that could not prove the deployment's key")                 \
+	DEF(REVISION, "config_revision", "gauge", "Configuration in force")    \
+	DEF(CHANGES, "config_changes_total", "counter",                        \
+	    "Operators' changes accepted here")                                \
+	DEF(CONFLICTS, "config_conflicts_total", "counter",                    \
+	    "Operators' changes refused as conflicts")                         \
+	DEF(TABLE_READS, "table_reads_total", "counter", "Reads of the table") \
+	DEF(TABLE_WRITES, "table_writes_total", "counter",                     \
+	    "Transactions at the table")                                       \
+	DEF(TABLE_ERRORS, "table_errors_total", "counter",                     \
+	    "Requests to the table without a usable answer")                   \
+	DEF(CPU_MS, "cpu_ms_total", "counter", "Processor time used")          \
+	DEF(RSS_KB, "resident_kb", "gauge", "Resident memory")
+
+#define PF_AGENT_COUNTERS(DEF)                                                 \
+	DEF(TRIES, "tries_total", "counter", "Tries that arrived")             \
+	DEF(ADMITTED, "admitted_total", "counter", "Tries admitted")           \
+	DEF(NOT_RUN, "not_run_total", "counter", "Tries answered as not run")  \
+	DEF(REVOKED, "revoked_total", "counter", "Tries revoked before a run") \
+	DEF(COMPLETED, "completed_total", "counter", "Runs completed")         \
+	DEF(LOST, "lost_total", "counter", "Runs that were cut")               \
+	DEF(PAUSED, "paused_total", "counter", "Runs paused for memory")       \
+	DEF(RUNNING, "running", "gauge", "Runs in the engine's batch")         \
+	DEF(QUEUED, "queued", "gauge", "Tries that wait")                      \
+	DEF(TOKENS, "tokens_total", "counter", "Tokens forwarded")             \
+	DEF(COMMITTED, "memory_committed_bytes", "gauge",                      \
+	    "Accelerator memory allocated or granted")                         \
+	DEF(COMMITTED_PEAK, "memory_committed_peak_bytes", "gauge",            \
+	    "Highest committed memory")                                        \
+	DEF(MEMORY, "memory_bytes", "gauge", "Accelerator memory")             \
+	DEF(LOADS, "loads_total", "counter", "Models and adapters loaded")     \
+	DEF(UNLOADS, "unloads_total", "counter",                               \
+	    "Models and adapters unloaded")                                    \
+	DEF(ORDERS_UNKNOWN, "orders_unknown_total", "counter",                 \
+	    "Orders that were never answered")                                 \
+	DEF(ENGINE_CRASHES, "engine_crashes_total", "counter",                 \
+	    "Times the endpoint was lost")                                     \
+	DEF(CLAIMS, "claims_total", "counter", "Claims of never-repeat calls") \
+	DEF(SESSIONS, "rpc_sessions", "gauge", "Sessions with entries")        \
+	DEF(RPC_IN, "rpc_messages_in_total", "counter", "Messages received")   \
+	DEF(RPC_OUT, "rpc_messages_out_total", "counter", "Messages sent")     \
+	DEF(RPC_BYTES_IN, "rpc_bytes_in_total", "counter", "Bytes received")   \
+	DEF(RPC_BYTES_OUT, "rpc_bytes_out_total", "counter", "Bytes sent")     \
+	DEF(RPC_BAD, "rpc_bad_records_total", "counter",                       \
+	    "Sessions ended by a bad or oversize record")                      \
+	DEF(RPC_STRANGERS, "rpc_strangers_total", "counter",                   \
+	    "Peers that could not prove the deployment's key")                 \
+	DEF(REVISION, "config_revision", "gauge", "Configuration in force")    \
+	DEF(TABLE_READS, "table_reads_total", "counter", "Reads of the table") \
+	DEF(TABLE_WRITES, "table_writes_total", "counter",                     \
+	    "Transactions at the table")                                       \
+	DEF(TABLE_ERRORS, "table_errors_total", "counter",                     \
+	    "Requests to the table without a usable answer")                   \
+	DEF(CPU_MS, "cpu_ms_total", "counter", "Processor time used")          \
+	DEF(RSS_KB, "resident_kb", "gauge", "Resident memory")
+
+enum pf_entry_counter {
+#define DEF(sym, name, type, help) PF_EC_##sym,
+	PF_ENTRY_COUNTERS(DEF)
+#undef DEF
+		PF_EC_COUNT
+};
+
+enum pf_agent_counter {
+#define DEF(sym, name, type, help) PF_AC_##sym,
+	PF_AGENT_COUNTERS(DEF)
+#undef DEF
+		PF_AC_COUNT
+};
+
+/** Index with enum pf_entry_counter: `c->v[PF_EC_REQUESTS]++`. */
+struct pf_entry_counters {
+	uint64_t v[PF_EC_COUNT];
+};
+
+/** Index with enum pf_agent_counter. */
+struct pf_agent_counters {
+	uint64_t v[PF_AC_COUNT];
+};
+
+/** Adds Prometheus text, names prefixed pimento_entry_ or pimento_agent_. */
+void pf_entry_counters_text(const struct pf_entry_counters *c,
+			    struct pf_text *t);
+void pf_agent_counters_text(const struct pf_agent_counters *c,
+			    struct pf_text *t);
+
+PF_END_DECLS
+
+#endif
--- a/src/state/records_build.c
+++ b/src/state/records_build.c
@@ -246,31 +246,46 @@
 {
 	const struct unique *x = a, *y = b;
 
-	return x->id < y->id ? -1 : x->id > y->id;
+	if (x->id != y->id)
+		return x->id < y->id ? -1 : 1;
+	return strcmp(x->name, y->name);
 }
 
-/* Sorts @v and reports each value that stands twice. */
+/* Sorts @v and reports each value that two records of a kind share. */
 static void check_unique(struct builder *b, struct unique *v, size_t n,
-			 const char *what)
+			 enum pf_kind kind, const char *what)
 {
 	qsort(v, n, sizeof(*v), by_id);
-	for (size_t i = 1; i < n; i++)
-		if (v[i].id == v[i - 1].id)
+	for (size_t i = 1; i < n; i++) {
+		const struct pf_record *r;
+
+		if (v[i].id != v[i - 1].id)
+			continue;
+		/* Versions of one record were compared with each other. */
+		if (strcmp(v[i].name, v[i - 1].name) == 0)
+			continue;
+		r = pf_records_find(b->set, kind, pf_str_c(v[i].name));
+		if (r)
+			complain(b, r,
+				 "has the %s of %s; each must have its "
+				 "own",
+				 what, v[i - 1].name);
+		else
 			pf_findings_add(b->found, what,
-					"%s and %s have the same; each must "
-					"have its own",
-					v[i - 1].name, v[i].name);
+					"is the same for %s and %s", v[i].name,
+					v[i - 1].name);
+	}
 }
 
-/* UNIQUE(array, id expression over `e`, what) */
-#define UNIQUE(arr, id_of, what)                                    \
+/* UNIQUE(array, kind, id expression over `e`, what) */
+#define UNIQUE(arr, kind, id_of, what)                              \
 	do {                                                        \
 		for (size_t i = 0; i < c->n_##arr; i++) {           \
 			const __typeof__(*c->arr) *e = &c->arr[i];  \
                                                                     \
 			u[i] = (struct unique){ (id_of), e->name }; \
 		}                                                   \
-		check_unique(b, u, c->n_##arr, (what));             \
+		check_unique(b, u, c->n_##arr, (kind), (what));     \
 	} while (0)
 
 static void check_all_unique(struct builder *b)
@@ -284,14 +299,16 @@
 		b->no_memory = true;
 		return;
 	}
-	UNIQUE(models, e->id, "model id");
-	UNIQUE(adapters, e->id, "adapter id");
-	UNIQUE(callers, e->id, "caller id");
-	UNIQUE(callers, pf_id(pf_str_c(e->key_sha256)), "caller key_sha256");
-	UNIQUE(endpoints, e->id, "endpoint id");
-	UNIQUE(endpoints, pf_id(pf_str_c(e->agent)), "endpoint agent");
-	UNIQUE(endpoints, pf_id(pf_str_c(e->backend)), "endpoint backend");
-	UNIQUE(services, e->id, "service id");
+	UNIQUE(models, PF_KIND_MODEL, e->id, "id");
+	UNIQUE(adapters, PF_KIND_ADAPTER, e->id, "id");
+	UNIQUE(callers, PF_KIND_CALLER, e->id, "id");
+	UNIQUE(callers, PF_KIND_CALLER, pf_id(pf_str_c(e->key_sha256)),
+	       "key_sha256");
+	UNIQUE(endpoints, PF_KIND_ENDPOINT, e->id, "id");
+	UNIQUE(endpoints, PF_KIND_ENDPOINT, pf_id(pf_str_c(e->agent)), "agent");
+	UNIQUE(endpoints, PF_KIND_ENDPOINT, pf_id(pf_str_c(e->backend)),
+	       "backend");
+	UNIQUE(services, PF_KIND_SERVICE, e->id, "id");
 	free(u);
 }
 
--- /dev/null
+++ b/src/transport/log.c
@@ -0,0 +1,145 @@
+/* The logger. */
+#include "pimentoford/log.h"
+
+#include <inttypes.h>
+#include <stdio.h>
+#include <string.h>
+#include <time.h>
+#include <unistd.h>
+
+#define LINE_BYTES 1024
+
+static const char *const levels[] = { "debug", "info", "warn", "error" };
+
+/* A line being written; what does not fit is cut. */
+struct line {
+	char *p;
+	size_t n;
+	size_t cap; /* one byte is kept for the line feed */
+};
+
+static void put(struct line *l, char c)
+{
+	if (l->n + 1 < l->cap)
+		l->p[l->n++] = c;
+}
+
+static void put_str(struct line *l, const char *s)
+{
+	while (*s)
+		put(l, *s++);
+}
+
+static bool plain(struct pf_str s)
+{
+	for (size_t i = 0; i < s.n; i++)
+		if ((unsigned char)s.p[i] <= ' ' || strchr("\"=\\\x7f", s.p[i]))
+			return false;
+	return s.n > 0;
+}
+
+static void put_escaped(struct line *l, unsigned char c)
+{
+	static const char hex[] = "0123456789abcdef";
+
+	if (c == '"' || c == '\\') {
+		put(l, '\\');
+		put(l, (char)c);
+	} else if (c == '\n') {
+		put_str(l, "\\n");
+	} else if (c < ' ' || c == 0x7f) {
+		put_str(l, "\\x");
+		put(l, hex[c >> 4]);
+		put(l, hex[c & 15]);
+	} else {
+		put(l, (char)c);
+	}
+}
+
+static void put_value(struct line *l, struct pf_str s)
+{
+	bool quote = !plain(s);
+
+	if (quote)
+		put(l, '"');
+	for (size_t i = 0; i < s.n; i++)
+		put_escaped(l, (unsigned char)s.p[i]);
+	if (quote)
+		put(l, '"');
+}
+
+static void put_kv(struct line *l, const struct pf_log_kv *kv)
+{
+	char num[40];
+
+	put(l, ' ');
+	put_str(l, kv->key);
+	put(l, '=');
+	switch (kv->type) {
+	case PF_LOG_STR:
+		put_value(l, kv->u.s);
+		return;
+	case PF_LOG_INT:
+		snprintf(num, sizeof(num), "%" PRId64, kv->u.i);
+		break;
+	case PF_LOG_REAL:
+		snprintf(num, sizeof(num), "%.6g", kv->u.d);
+		break;
+	}
+	put_str(l, num);
+}
+
+static void put_time(struct line *l, pf_ms wall)
+{
+	time_t s = (time_t)(wall / 1000);
+	struct tm tm;
+	char buf[64];
+	size_t n;
+
+	gmtime_r(&s, &tm);
+	n = strftime(buf, sizeof(buf), "%Y-%m-%dT%H:%M:%S", &tm);
+	snprintf(buf + n, sizeof(buf) - n, ".%03dZ", (int)(wall % 1000));
+	put_str(l, "ts=");
+	put_str(l, buf);
+}
+
+size_t pf_log_format(const struct pf_log *l, enum pf_log_level level,
+		     pf_ms wall, const struct pf_log_kv *kv, size_t n,
+		     char *buf, size_t cap)
+{
+	struct line out = { buf, 0, cap };
+
+	put_time(&out, wall);
+	put_str(&out, " level=");
+	put_str(&out, levels[level]);
+	put_str(&out, " task=");
+	put_value(&out, pf_str_c(l->task));
+	for (size_t i = 0; i < n; i++)
+		put_kv(&out, &kv[i]);
+	if (cap)
+		buf[out.n++] = '\n';
+	return out.n;
+}
+
+void pf_log_write(const struct pf_log *l, enum pf_log_level level,
+		  const struct pf_log_kv *kv, size_t n)
+{
+	char buf[LINE_BYTES];
+	struct timespec ts;
+	size_t len, done = 0;
+
+	if (level < l->level)
+		return;
+	clock_gettime(CLOCK_REALTIME, &ts);
+	len = pf_log_format(l, level,
+			    (pf_ms)ts.tv_sec * 1000 + ts.tv_nsec / 1000000, kv,
+			    n, buf, sizeof(buf));
+	/* A log that can't be written stops nothing. */
+	while (done < len) {
+		ssize_t w = write(l->fd, buf + done, len - done);
+
+		if (w <= 0)
+			return;
+		done += (size_t)w;
+	}
+}
--- /dev/null
+++ b/tests/test_settings.cc
@@ -0,0 +1,114 @@
+// The daemons' settings, the logger and the counters.
+#include "pimentoford/counters.h"
+#include "pimentoford/log.h"
+#include "pimentoford/settings.h"
+
+#include <gtest/gtest.h>
+
+#include <string>
+
+static std::string all(struct pf_findings *f)
+{
+	std::string s;
+
+	for (size_t i = 0; i < f->n; i++)
+		s += std::string(f->v[i].place) + ": " + f->v[i].text + "\n";
+	pf_findings_clear(f);
+	return s;
+}
+
+TEST(Settings, ExamplesLoad)
+{
+	struct pf_entry_settings e = {};
+	struct pf_agent_settings a = {};
+	struct pf_findings f = {};
+
+	e.core.depth = 9;
+	EXPECT_EQ(pf_settings_load(&pf_entry_form,
+				   "deployments/example/entry.toml", &e, &f),
+		  0)
+		<< all(&f);
+	EXPECT_EQ(pf_place_check(&e.place, "entry.toml", &f), 0);
+	EXPECT_STREQ(e.place.name, "entry-east-1");
+	EXPECT_EQ(e.http.body, 1 << 20);
+	EXPECT_EQ(e.http.write, 30000);
+	EXPECT_EQ(e.core.requests_max, 4096u);
+	EXPECT_EQ(e.core.depth, 9u); // not given: the caller's default stays
+	ASSERT_EQ(e.peers.n, 1u);
+	EXPECT_STREQ(e.peers.v[0], "127.0.0.1:7101");
+	EXPECT_EQ(pf_settings_load(&pf_agent_form,
+				   "deployments/example/agent.toml", &a, &f),
+		  0)
+		<< all(&f);
+	EXPECT_EQ(a.core.kv_policy, PF_KV_SAFE);
+	pf_fields_free(&pf_entry_form, &e);
+	pf_fields_free(&pf_agent_form, &a);
+}
+
+TEST(Settings, AllFindingsComeAtOnce)
+{
+	struct pf_entry_settings e = {};
+	struct pf_findings f = {};
+
+	EXPECT_EQ(pf_settings_read(&pf_entry_form,
+				   PF_STR("name = \"e\"\nzone = 3\n"
+					  "listen = \"localhost:80\"\n"
+					  "colour = \"red\"\n"
+					  "http = 4\n"
+					  "[core]\nroute = \"best\"\n"
+					  "retries = 3\n"),
+				   "e.toml", &e, &f),
+		  -1);
+	EXPECT_EQ(pf_place_check(&e.place, "e.toml", &f), -1);
+	std::string got = all(&f);
+
+	for (const char *want :
+	     { "e.toml:2 zone: has a wrong value; allowed: a name",
+	       "e.toml:1 region: is missing", "e.toml:1 platform: is missing",
+	       "e.toml:1 rpc: is missing",
+	       "e.toml:3 listen: has a wrong value; allowed: \"IP:PORT\"",
+	       "e.toml:4 colour: is an unknown key",
+	       "e.toml:5 http: must be a table",
+	       "e.toml:7 core.route: has a wrong value; allowed: one of "
+	       "ours|round_robin|least_load|two_choices",
+	       "e.toml:8 core.retries: is an unknown key",
+	       "e.toml: exactly one of key and key_file" })
+		EXPECT_NE(got.find(want), std::string::npos) << want << "\n"
+							     << got;
+	pf_fields_free(&pf_entry_form, &e);
+	EXPECT_EQ(pf_settings_load(&pf_entry_form, "/no/such", &e, &f), -1);
+	EXPECT_NE(all(&f).find("/no/such: can't be read"), std::string::npos);
+}
+
+TEST(Log, QuotesAndCuts)
+{
+	struct pf_log l = { 2, PF_LOG_INFO, "entry" };
+	struct pf_log_kv kv[] = { PF_KV_STR("event", "ready"),
+				  PF_KV_INT("n", -3), PF_KV_REAL("x", 0.5),
+				  PF_KV_STR("why", "a \"b\"\n\x01"),
+				  PF_KV_STR("empty", "") };
+	char buf[256];
+	size_t n = pf_log_format(&l, PF_LOG_WARN, 1500, kv, 5, buf, 256);
+
+	EXPECT_EQ(std::string(buf, n),
+		  "ts=1970-01-01T00:00:01.500Z level=warn task=entry "
+		  "event=ready n=-3 x=0.5 why=\"a \\\"b\\\"\\n\\x01\" "
+		  "empty=\"\"\n");
+	n = pf_log_format(&l, PF_LOG_WARN, 1500, kv, 5, buf, 20);
+	EXPECT_EQ(std::string(buf, n), "ts=1970-01-01T00:00\n");
+}
+
+TEST(Counters, RenderAsPrometheusText)
+{
+	struct pf_entry_counters c = {};
+	struct pf_text t = {};
+
+	c.v[PF_EC_REQUESTS] += 41;
+	c.v[PF_EC_REQUESTS]++;
+	pf_entry_counters_text(&c, &t);
+	EXPECT_NE(std::string(t.p).find(
+			  "# TYPE pimento_entry_requests_total counter\n"
+			  "pimento_entry_requests_total 42\n"),
+		  std::string::npos);
+	pf_text_free(&t);
+}
