--- a/include/pimentoford/records.h
+++ b/include/pimentoford/records.h
@@ -39,6 +39,16 @@
 /** 0, or -1 when @s names no kind. */
 int pf_kind_parse(struct pf_str s, enum pf_kind *k);
 
+/** Longest name of a record, an operator, a region or a change, in bytes. */
+#define PF_LABEL_MAX 130
+
+/** The accepted change that last wrote something. */
+struct pf_stamp {
+	uint64_t revision; /* of the configuration that it made */
+	char change[PF_LABEL_MAX];
+	char who[PF_LABEL_MAX];
+};
+
 /**
  * One record, known by (kind, name). An adapter's name is "MODEL:ADAPTER";
  * the deployment's is "deployment". All strings are owned.
@@ -51,6 +61,7 @@
 	char *source; /* where it was read, for findings */
 	uint32_t line;
 	uint64_t revision; /* of its table row; 0: not from the table */
+	struct pf_stamp stamp; /* set when it comes from the table */
 };
 
 /** A set, sorted by kind and name; all zero is the empty set. */
@@ -69,6 +80,9 @@
 
 void pf_records_free(struct pf_records *s);
 
+/** Frees the strings of one record and sets it to zero. */
+void pf_record_clear(struct pf_record *r);
+
 const struct pf_record *pf_records_find(const struct pf_records *s,
 					enum pf_kind kind, struct pf_str name);
 
--- a/src/state/fit.c
+++ b/src/state/fit.c
@@ -17,6 +17,12 @@
 	int64_t context; /* KV memory of one whole context */
 };
 
+/* The size of one adapter. */
+struct load {
+	uint64_t model; /* name id */
+	int64_t bytes;
+};
+
 struct bin {
 	const struct pf_endpoint *endpoint;
 	int64_t left;
@@ -33,16 +39,13 @@
 
 static int by_model(const void *a, const void *b)
 {
-	const struct pf_adapter *x = *(const struct pf_adapter *const *)a;
-	const struct pf_adapter *y = *(const struct pf_adapter *const *)b;
+	const struct load *x = a, *y = b;
 
-	return x->model_name_id < y->model_name_id
-		       ? -1
-		       : x->model_name_id > y->model_name_id;
+	return x->model < y->model ? -1 : x->model > y->model;
 }
 
 /* Sum of the adapters of one model; @v is sorted by model. */
-static int64_t adapters_of(const struct pf_adapter **v, size_t n, uint64_t id)
+static int64_t adapters_of(const struct load *v, size_t n, uint64_t id)
 {
 	size_t lo = 0, hi = n;
 	int64_t sum = 0;
@@ -50,21 +53,22 @@
 	while (lo < hi) {
 		size_t mid = lo + (hi - lo) / 2;
 
-		if (v[mid]->model_name_id < id)
+		if (v[mid].model < id)
 			lo = mid + 1;
 		else
 			hi = mid;
 	}
-	for (; lo < n && v[lo]->model_name_id == id; lo++)
-		sum += v[lo]->bytes;
+	for (; lo < n && v[lo].model == id; lo++)
+		sum += v[lo].bytes;
 	return sum;
 }
 
 static void make_parcels(const struct pf_config *c, struct parcel *p,
-			 const struct pf_adapter **a)
+			 struct load *a)
 {
 	for (size_t i = 0; i < c->n_adapters; i++)
-		a[i] = &c->adapters[i];
+		a[i] = (struct load){ c->adapters[i].model_name_id,
+				      c->adapters[i].bytes };
 	qsort(a, c->n_adapters, sizeof(*a), by_model);
 	for (size_t i = 0; i < c->n_models; i++) {
 		const struct pf_model *m = &c->models[i];
@@ -140,7 +144,7 @@
 void pf_fit_check(const struct pf_config *c, struct pf_findings *f)
 {
 	struct parcel *p = calloc(c->n_models + 1, sizeof(*p));
-	const struct pf_adapter **a = calloc(c->n_adapters + 1, sizeof(*a));
+	struct load *a = calloc(c->n_adapters + 1, sizeof(*a));
 	struct bin *b = calloc(c->n_endpoints + 1, sizeof(*b));
 	size_t n_bins;
 
--- a/src/state/record.c
+++ b/src/state/record.c
@@ -69,21 +69,30 @@
 	return hex ? pf_id(pf_str_c(hex)) : 0;
 }
 
-/* FILL(table, array, key expression over `e`) */
-#define FILL(table, arr, key_of)                                            \
-	do {                                                                \
-		x->table.v = calloc(c->n_##arr + 1, sizeof(*x->table.v));   \
-		if (!x->table.v)                                            \
-			goto fail;                                          \
-		x->table.n = c->n_##arr;                                    \
-		for (size_t i = 0; i < c->n_##arr; i++) {                   \
-			const __typeof__(*c->arr) *e = &c->arr[i];          \
-                                                                            \
-			x->table.v[i] =                                     \
-				(struct slot){ (key_of), (uint32_t)i };     \
-		}                                                           \
-		qsort(x->table.v, x->table.n, sizeof(*x->table.v), by_key); \
-	} while (0)
+/* FILLER(table, array, key expression over `e`) */
+#define FILLER(name, arr, key_of)                                          \
+	static int fill_##name(const struct pf_config *c, struct table *t) \
+	{                                                                  \
+		t->v = calloc(c->n_##arr + 1, sizeof(*t->v));              \
+		if (!t->v)                                                 \
+			return -1;                                         \
+		t->n = c->n_##arr;                                         \
+		for (size_t i = 0; i < t->n; i++) {                        \
+			const __typeof__(*c->arr) *e = &c->arr[i];         \
+                                                                           \
+			t->v[i] = (struct slot){ (key_of), (uint32_t)i };  \
+		}                                                          \
+		qsort(t->v, t->n, sizeof(*t->v), by_key);                  \
+		return 0;                                                  \
+	}
+
+FILLER(models, models, e->id)
+FILLER(names, models, e->name_id)
+FILLER(adapters, adapters, e->id)
+FILLER(callers, callers, e->id)
+FILLER(keys, callers, digest_id(e->key_sha256))
+FILLER(endpoints, endpoints, e->id)
+FILLER(services, services, e->id)
 
 int pf_config_index(struct pf_config *c)
 {
@@ -91,19 +100,17 @@
 
 	if (!x)
 		return -1;
-	FILL(models, models, e->id);
-	FILL(names, models, e->name_id);
-	FILL(adapters, adapters, e->id);
-	FILL(callers, callers, e->id);
-	FILL(keys, callers, digest_id(e->key_sha256));
-	FILL(endpoints, endpoints, e->id);
-	FILL(services, services, e->id);
+	if (fill_models(c, &x->models) < 0 || fill_names(c, &x->names) < 0 ||
+	    fill_adapters(c, &x->adapters) < 0 ||
+	    fill_callers(c, &x->callers) < 0 || fill_keys(c, &x->keys) < 0 ||
+	    fill_endpoints(c, &x->endpoints) < 0 ||
+	    fill_services(c, &x->services) < 0) {
+		index_free(x);
+		return -1;
+	}
 	index_free(c->index);
 	c->index = x;
 	return 0;
-fail:
-	index_free(x);
-	return -1;
 }
 
 /* LOOKUP(function, type, array): by id, through the index when it stands. */
--- a/src/state/records.c
+++ b/src/state/records.c
@@ -29,18 +29,23 @@
 	return -1;
 }
 
-static void record_clear(struct pf_record *r)
+static void free_strings(const struct pf_record *r)
 {
 	free(r->name);
 	free(r->text);
 	free(r->source);
+}
+
+void pf_record_clear(struct pf_record *r)
+{
+	free_strings(r);
 	memset(r, 0, sizeof(*r));
 }
 
 void pf_records_free(struct pf_records *s)
 {
 	for (size_t i = 0; i < s->n; i++)
-		record_clear(&s->v[i]);
+		pf_record_clear(&s->v[i]);
 	free(s->v);
 	memset(s, 0, sizeof(*s));
 }
@@ -91,7 +96,7 @@
 	size_t cap = s->cap ? s->cap * 2 : 16;
 	struct pf_record *v;
 
-	if (s->n < s->cap)
+	if (s->v && s->n < s->cap)
 		return 0;
 	if (s->n >= PF_RECORDS_MAX)
 		return -1;
@@ -108,17 +113,20 @@
 {
 	bool there;
 	size_t i = place_of(s, r->kind, pf_str_c(r->name), &there);
+	struct pf_record *old = there ? &s->v[i] : NULL;
 
-	if (there) {
-		record_clear(&s->v[i]);
-	} else if (grow(s) < 0) {
-		record_clear(r);
+	if (old) {
+		pf_record_clear(old);
+		*old = *r;
+		return 0;
+	}
+	if (grow(s) < 0) {
+		pf_record_clear(r);
 		return -1;
-	} else {
-		memmove(&s->v[i + 1], &s->v[i], (s->n - i) * sizeof(*s->v));
-		s->n++;
 	}
+	memmove(&s->v[i + 1], &s->v[i], (s->n - i) * sizeof(*s->v));
 	s->v[i] = *r;
+	s->n++;
 	return 0;
 }
 
@@ -130,7 +138,7 @@
 	copy.text = pf_str_dup(pf_str_c(r->text));
 	copy.source = pf_str_dup(pf_str_c(r->source ? r->source : ""));
 	if (!copy.name || !copy.text || !copy.source) {
-		record_clear(&copy);
+		pf_record_clear(&copy);
 		return -1;
 	}
 	return insert(s, &copy);
@@ -143,7 +151,7 @@
 
 	if (!there)
 		return -1;
-	record_clear(&s->v[i]);
+	pf_record_clear(&s->v[i]);
 	s->n--;
 	memmove(&s->v[i], &s->v[i + 1], (s->n - i) * sizeof(*s->v));
 	return 0;
@@ -186,7 +194,7 @@
 	r.text = form_text(kind, form);
 	r.source = pf_str_dup(pf_str_c(source));
 	if (!r.name || !r.text || !r.source) {
-		record_clear(&r);
+		pf_record_clear(&r);
 		pf_findings_add(f, source, "there is no memory to read it");
 		return -1;
 	}
@@ -195,7 +203,7 @@
 		pf_record_place(&r, place, sizeof(place));
 		pf_findings_add(f, place, "is given twice, first at %s:%u",
 				other->source, other->line);
-		record_clear(&r);
+		pf_record_clear(&r);
 		return -1;
 	}
 	if (insert(out, &r) < 0) {
