--- a/src/coordination/accept_job.c
+++ b/src/coordination/accept_job.c
@@ -23,12 +23,12 @@
 	struct pf_text t = { 0 };
 	uint64_t id;
 
-	pf_text_fmt(&t, "%s\n", j->what);
+	pf_text_printf(&t, "%s\n", j->what);
 	pf_records_text(&j->puts, &t);
 	for (size_t i = 0; i < j->deletes.n; i++)
-		pf_text_fmt(&t, "\ndelete %s %s",
-			    pf_kind_text(j->deletes.v[i].kind),
-			    j->deletes.v[i].name);
+		pf_text_printf(&t, "\ndelete %s %s",
+			       pf_kind_text(j->deletes.v[i].kind),
+			       j->deletes.v[i].name);
 	id = t.failed ? 0 : pf_id(pf_text_str(&t));
 	pf_text_free(&t);
 	return id;
--- a/src/state/fields_text.c
+++ b/src/state/fields_text.c
@@ -14,7 +14,7 @@
 		v /= 1024;
 		u++;
 	}
-	pf_text_fmt(t, "\"%" PRId64 "%s\"", v, units[u]);
+	pf_text_printf(t, "\"%" PRId64 "%s\"", v, units[u]);
 }
 
 /* The shortest text that reads back as the same number. */
@@ -30,9 +30,9 @@
 		if (g_ascii_strtod(buf, NULL) == v)
 			break;
 	}
-	pf_text_fmt(t, "%s", buf);
+	pf_text_printf(t, "%s", buf);
 	if (!strpbrk(buf, ".e"))
-		pf_text_fmt(t, ".0");
+		pf_text_printf(t, ".0");
 }
 
 static void choice_text(struct pf_text *t, const char *choices, int i)
@@ -46,12 +46,12 @@
 
 static void strings_text(struct pf_text *t, const struct pf_strings *list)
 {
-	pf_text_fmt(t, "[");
+	pf_text_printf(t, "[");
 	for (size_t i = 0; i < list->n; i++) {
-		pf_text_fmt(t, "%s", i ? ", " : "");
+		pf_text_printf(t, "%s", i ? ", " : "");
 		pf_text_quote(t, pf_str_c(list->v[i]));
 	}
-	pf_text_fmt(t, "]");
+	pf_text_printf(t, "]");
 }
 
 static void value_text(struct pf_text *t, const struct pf_field *d,
@@ -65,25 +65,25 @@
 		pf_text_quote(t, pf_str_c(*(char *const *)at));
 		break;
 	case PF_FIELD_U8:
-		pf_text_fmt(t, "%u", *(const uint8_t *)at);
+		pf_text_printf(t, "%u", *(const uint8_t *)at);
 		break;
 	case PF_FIELD_U32:
-		pf_text_fmt(t, "%" PRIu32, *(const uint32_t *)at);
+		pf_text_printf(t, "%" PRIu32, *(const uint32_t *)at);
 		break;
 	case PF_FIELD_U64:
-		pf_text_fmt(t, "%" PRIu64, *(const uint64_t *)at);
+		pf_text_printf(t, "%" PRIu64, *(const uint64_t *)at);
 		break;
 	case PF_FIELD_SIZE:
 		size_text(t, *(const int64_t *)at);
 		break;
 	case PF_FIELD_MS:
-		pf_text_fmt(t, "\"%" PRId64 "ms\"", *(const pf_ms *)at);
+		pf_text_printf(t, "\"%" PRId64 "ms\"", *(const pf_ms *)at);
 		break;
 	case PF_FIELD_REAL:
 		real_text(t, *(const double *)at);
 		break;
 	case PF_FIELD_BOOL:
-		pf_text_fmt(t, *(const bool *)at ? "true" : "false");
+		pf_text_printf(t, *(const bool *)at ? "true" : "false");
 		break;
 	case PF_FIELD_CHOICE:
 		choice_text(t, d->choices, *(const int *)at);
@@ -122,7 +122,7 @@
 	for (size_t i = 0; i < rows->n; i++) {
 		g_autofree char *sub = g_strdup_printf("%s.%s", path, d->key);
 
-		pf_text_fmt(t, "\n[[%s]]\n", sub);
+		pf_text_printf(t, "\n[[%s]]\n", sub);
 		pf_fields_text(d->rows,
 			       (const char *)rows->v + i * d->rows->size, sub,
 			       t);
@@ -138,9 +138,9 @@
 
 		if (!is_set(d, at))
 			continue;
-		pf_text_fmt(t, "%s = ", d->key);
+		pf_text_printf(t, "%s = ", d->key);
 		value_text(t, d, at);
-		pf_text_fmt(t, "\n");
+		pf_text_printf(t, "\n");
 	}
 	for (size_t i = 0; i < form->n; i++) {
 		const struct pf_field *d = &form->fields[i];
--- a/src/state/fit.c
+++ b/src/state/fit.c
@@ -101,7 +101,7 @@
 {
 	struct pf_text t = { 0 };
 
-	pf_text_fmt(&t, "model %s@%s", m->name, m->version);
+	pf_text_printf(&t, "model %s@%s", m->name, m->version);
 	g_strlcpy(buf, t.p ? t.p : "model", n);
 	pf_text_free(&t);
 }
--- a/src/state/record_forms.c
+++ b/src/state/record_forms.c
@@ -175,7 +175,7 @@
 {
 	struct pf_text t = { 0 };
 
-	pf_text_fmt(&t, "%s:%s", a, b);
+	pf_text_printf(&t, "%s:%s", a, b);
 	return pf_text_take(&t);
 }
 
--- a/src/state/records_build.c
+++ b/src/state/records_build.c
@@ -31,7 +31,7 @@
 	struct pf_text t = { 0 };
 	uint64_t id;
 
-	pf_text_fmt(&t, "%s%c%s", a, sep, b);
+	pf_text_printf(&t, "%s%c%s", a, sep, b);
 	id = t.failed ? 0 : pf_id(pf_text_str(&t));
 	pf_text_free(&t);
 	return id;
