--- a/src/coordination/accept.c
+++ b/src/coordination/accept.c
@@ -437,9 +437,10 @@
 {
 	struct pf_accept *a = s->a;
 
-#ifndef PF_MUTANT_ACCEPT_SETTLE
 	a->pending = true;
 	a->pending_at = a->head.row_revision;
+#ifdef PF_MUTANT_ACCEPT_SETTLE
+	a->pending = false;
 #endif
 	again(s);
 }
