--- a/src/coordination/accept.c
+++ b/src/coordination/accept.c
@@ -90,7 +90,7 @@
 		return NULL;
 	}
 	a->o = *o;
-	strcpy(a->region, o->region);
+	memcpy(a->region, o->region, strlen(o->region));
 	a->o.region = a->region;
 	a->due = PF_NEVER;
 	pf_rng_seed(&a->rng, o->seed);
--- a/src/coordination/accept_commit.c
+++ b/src/coordination/accept_commit.c
@@ -77,21 +77,22 @@
 		      const struct verdict *v, const struct pf_mirror *m,
 		      const struct pf_stamp *s, const char *region)
 {
-	struct pf_audit a = { .stamp = *s, .at = j->wall };
+	struct pf_audit_item *items =
+		calloc(v->puts.n + v->deletes.n + 1, sizeof(*items));
+	struct pf_audit a = { .stamp = *s, .at = j->wall, .items = items };
 	char key[PF_ROW_KEY_MAX];
 	char *text = NULL;
 
-	/* Its texts are borrowed, so the audit isn't freed as a whole. */
-	a.items = calloc(v->puts.n + v->deletes.n + 1, sizeof(*a.items));
 	memcpy(a.what, j->what, sizeof(a.what));
 	strncpy(a.region, region, sizeof(a.region) - 1);
-	if (a.items) {
+	if (items) {
 		audit_items(&v->puts, m, &a);
 		audit_items(&v->deletes, m, &a);
 		text = pf_row_audit_text(&a);
 	}
 	put(c, keep_key(c, pf_row_audit_key(key, s->revision)), text);
-	free(a.items);
+	/* Its texts are borrowed, so the audit isn't freed as a whole. */
+	free(items);
 }
 
 static int take_memory(struct commit *c, size_t records)
