--- a/Makefile
+++ b/Makefile
@@ -118,7 +118,10 @@
 
 # Regenerates the committed XDR code.
 xdr:
-	cd src/protocol && rpcgen -C -h -o pimento_xdr.h pimento.x && rpcgen -C -c -o pimento_xdr.c pimento.x
+	cd src/protocol && rm -f pimento_xdr.[ch] && \
+	rpcgen -C -h -o pimento_xdr.h pimento.x && \
+	rpcgen -C -c pimento.x | \
+	sed 's/"pimento.h"/"pimento_xdr.h"/; s/[ \t]*$$//' > pimento_xdr.c
 
 C_FILES = $(shell git ls-files --cached --others --exclude-standard '*.c' '*.h' '*.cc' | grep -v _xdr)
 
--- /dev/null
+++ b/src/protocol/pimento.x
@@ -0,0 +1,164 @@
+/*
+ * The protocol between pimentoford's own processes. A session opens with
+ * HELLO and PROVE; then both sides send BATCH calls, which have no reply.
+ * A message is {type, body}: a receiver skips types it does not know and
+ * ignores bytes behind the fields it knows, so that adjacent releases work
+ * together. New fields go to the end of a body. Times are durations in ms.
+ */
+const PIMENTO_NONCE = 32;
+const PIMENTO_PROOF = 32;
+const PIMENTO_BYTES = 33554432; /* longest string of bytes */
+const PIMENTO_ITEMS = 65536; /* longest list */
+
+struct pimento_hello {
+	unsigned int release; /* of the protocol; rises with each change */
+	unsigned int role;
+	unsigned hyper id;
+	unsigned hyper incarnation;
+	opaque nonce[PIMENTO_NONCE];
+};
+
+struct pimento_welcome {
+	pimento_hello hello;
+	opaque proof[PIMENTO_PROOF];
+};
+
+struct pimento_proof {
+	opaque proof[PIMENTO_PROOF];
+};
+
+enum pimento_type {
+	PIMENTO_TRY = 1,
+	PIMENTO_REVOKE = 2,
+	PIMENTO_CANCEL = 3,
+	PIMENTO_STARTED = 4,
+	PIMENTO_PIECE = 5,
+	PIMENTO_DONE = 6,
+	PIMENTO_NOT_RUN = 7,
+	PIMENTO_REVOKED = 8,
+	PIMENTO_LOST = 9,
+	PIMENTO_REPORT = 10,
+	PIMENTO_LEAVING = 11,
+	PIMENTO_QUARANTINE = 12,
+	PIMENTO_CONFIG_HEAD = 13,
+	PIMENTO_CONFIG_PULL = 14,
+	PIMENTO_CONFIG = 15,
+	PIMENTO_PLACE = 16
+};
+
+struct pimento_try_id {
+	unsigned hyper request;
+	unsigned int attempt;
+};
+
+/* A duration is -1 for "none". */
+struct pimento_work {
+	unsigned hyper caller;
+	unsigned hyper model;
+	unsigned hyper adapter;
+	unsigned hyper prefix;
+	unsigned hyper fingerprint;
+	unsigned hyper idem_key;
+	unsigned int prompt_tokens;
+	unsigned int max_tokens;
+	unsigned int offset;
+	unsigned int flags;
+	unsigned int priority;
+	hyper age;
+	hyper first_left;
+	hyper between;
+	hyper whole_left;
+	hyper deadline_left;
+};
+
+struct pimento_try {
+	pimento_try_id id;
+	pimento_work work;
+	opaque method<PIMENTO_BYTES>;
+	opaque path<PIMENTO_BYTES>;
+	opaque content_type<PIMENTO_BYTES>;
+	opaque idem_key<PIMENTO_BYTES>;
+	opaque body<PIMENTO_BYTES>; /* the prompt, or a plain call's body */
+	opaque prior<PIMENTO_BYTES>; /* output that the caller already has */
+};
+
+struct pimento_piece {
+	pimento_try_id id;
+	unsigned int offset;
+	unsigned int lens<PIMENTO_ITEMS>; /* bytes of each token */
+	opaque text<PIMENTO_BYTES>;
+};
+
+struct pimento_done {
+	pimento_try_id id;
+	unsigned int total;
+	bool error;
+	bool at_limit;
+	unsigned int status; /* of a plain call */
+	opaque content_type<PIMENTO_BYTES>;
+	opaque body<PIMENTO_BYTES>;
+};
+
+struct pimento_not_run {
+	pimento_try_id id;
+	unsigned int reason;
+	hyper retry_after;
+};
+
+struct pimento_lost {
+	pimento_try_id id;
+	unsigned int reason;
+	unsigned int produced;
+};
+
+struct pimento_item {
+	unsigned hyper id;
+	unsigned int state;
+};
+
+struct pimento_report {
+	unsigned hyper agent;
+	unsigned hyper incarnation;
+	unsigned hyper seq;
+	unsigned int running;
+	unsigned int queued;
+	unsigned int queue_max;
+	unsigned int batch_max;
+	unsigned int started;
+	hyper kv_free;
+	hyper kv_total;
+	double step_ms;
+	double token_prefill_ms;
+	bool leaving;
+	bool ready;
+	pimento_item items<PIMENTO_ITEMS>;
+};
+
+struct pimento_quarantine {
+	unsigned hyper fingerprint;
+	hyper keep;
+};
+
+struct pimento_config {
+	unsigned hyper revision;
+	opaque text<PIMENTO_BYTES>;
+};
+
+struct pimento_place {
+	unsigned hyper items<PIMENTO_ITEMS>;
+};
+
+struct pimento_msg {
+	unsigned int type;
+	opaque body<PIMENTO_BYTES>;
+};
+
+typedef pimento_msg pimento_batch<PIMENTO_ITEMS>;
+
+program PIMENTO_PROG {
+	version PIMENTO_V1 {
+		pimento_welcome PIMENTO_HELLO(pimento_hello) = 1;
+		void PIMENTO_PROVE(pimento_proof) = 2;
+		void PIMENTO_BATCH(pimento_batch) = 3;
+	} = 1;
+} = 0x20504d46;
--- /dev/null
+++ b/src/transport/clock.c
@@ -0,0 +1,22 @@
+/* The process's clock. */
+#include "pimentoford/clock.h"
+
+#include <time.h>
+
+static pf_ms read_clock(clockid_t id)
+{
+	struct timespec ts;
+
+	clock_gettime(id, &ts);
+	return (pf_ms)ts.tv_sec * 1000 + ts.tv_nsec / 1000000;
+}
+
+pf_ms pf_clock_now(void)
+{
+	return read_clock(CLOCK_MONOTONIC);
+}
+
+pf_ms pf_clock_wall(void)
+{
+	return read_clock(CLOCK_REALTIME);
+}
