--- /dev/null
+++ b/src/protocol/engine_stream.c
@@ -0,0 +1,150 @@
+/* Reads the server-sent events of a run. */
+#include "pimentoford/engine.h"
+
+#include <jansson.h>
+#include <string.h>
+
+static int u32_of(const json_t *v, uint32_t *out)
+{
+	if (!json_is_integer(v) || json_integer_value(v) < 0 ||
+	    json_integer_value(v) > UINT32_MAX)
+		return -1;
+	*out = (uint32_t)json_integer_value(v);
+	return 0;
+}
+
+static int end_of(const char *s, enum pf_end *out)
+{
+	static const struct {
+		const char *name;
+		enum pf_end how;
+	} ends[] = { { "stop", PF_END_STOP },
+		     { "limit", PF_END_LIMIT },
+		     { "cancelled", PF_END_CANCELLED },
+		     { "error", PF_END_ERROR } };
+	size_t i;
+
+	for (i = 0; s && i < sizeof(ends) / sizeof(ends[0]); i++) {
+		if (strcmp(s, ends[i].name) == 0) {
+			*out = ends[i].how;
+			return 0;
+		}
+	}
+	return -1;
+}
+
+static int read_event(const json_t *root, struct pf_engine_event *e)
+{
+	const json_t *text = json_object_get(root, "text");
+	const json_t *end = json_object_get(root, "end");
+	const json_t *limit = json_object_get(root, "at_limit");
+
+	if (text) {
+		e->type = PF_ENGINE_TOKEN;
+		if (!json_is_string(text))
+			return -1;
+		e->u.token.text = (struct pf_str){ json_string_value(text),
+						   json_string_length(text) };
+		return u32_of(json_object_get(root, "offset"),
+			      &e->u.token.offset);
+	}
+	if (end) {
+		e->type = PF_ENGINE_END;
+		if (end_of(json_string_value(end), &e->u.end.how) < 0)
+			return -1;
+		return u32_of(json_object_get(root, "total"), &e->u.end.total);
+	}
+	e->type = PF_ENGINE_AT_LIMIT;
+	return u32_of(limit, &e->u.total);
+}
+
+/* A blank line: the event is whole. */
+static int dispatch(struct pf_engine_stream *s)
+{
+	struct pf_engine_event e;
+	json_t *root;
+	int ret;
+
+	if (!s->has_data)
+		return 0;
+	memset(&e, 0, sizeof(e));
+	root = json_loadb(s->data.p, s->data.n, 0, NULL);
+	s->data.n = 0;
+	s->has_data = false;
+	ret = read_event(root, &e);
+	if (ret == 0) {
+		s->ended = e.type == PF_ENGINE_END;
+		s->event(s->ctx, &e);
+	}
+	json_decref(root);
+	return ret;
+}
+
+static int take_line(struct pf_engine_stream *s, struct pf_str line)
+{
+	static const char field[] = "data:";
+
+	if (line.n > 0 && line.p[line.n - 1] == '\r')
+		line.n--;
+	if (line.n == 0)
+		return dispatch(s);
+	if (line.n < sizeof(field) - 1 ||
+	    memcmp(line.p, field, sizeof(field) - 1) != 0)
+		return 0; /* a comment or another field */
+	line.p += sizeof(field) - 1;
+	line.n -= sizeof(field) - 1;
+	if (line.n > 0 && line.p[0] == ' ') {
+		line.p++;
+		line.n--;
+	}
+	if (s->data.n + line.n > PF_ENGINE_EVENT_MAX)
+		return -1;
+	if (s->has_data)
+		pf_text_add(&s->data, PF_STR("\n"));
+	pf_text_add(&s->data, line);
+	s->has_data = true;
+	return s->data.failed ? -1 : 0;
+}
+
+/* Completes the line at hand with @part, or takes @part as it stands. */
+static int end_line(struct pf_engine_stream *s, struct pf_str part)
+{
+	int ret;
+
+	if (s->line.n == 0)
+		return take_line(s, part);
+	pf_text_add(&s->line, part);
+	if (s->line.failed)
+		return -1;
+	ret = take_line(s, pf_text_str(&s->line));
+	s->line.n = 0;
+	return ret;
+}
+
+int pf_engine_stream_feed(struct pf_engine_stream *s, const char *p, size_t n)
+{
+	const char *end = p + n;
+
+	while (p < end && !s->ended && !s->broken) {
+		const char *nl = memchr(p, '\n', (size_t)(end - p));
+		size_t len = (size_t)((nl ? nl : end) - p);
+
+		if (s->line.n + len > PF_ENGINE_EVENT_MAX) {
+			s->broken = true;
+		} else if (!nl) {
+			pf_text_add(&s->line, (struct pf_str){ p, len });
+			s->broken = s->line.failed;
+			break;
+		} else if (end_line(s, (struct pf_str){ p, len }) < 0) {
+			s->broken = true;
+		}
+		p += len + 1;
+	}
+	return s->broken ? -1 : 0;
+}
+
+void pf_engine_stream_free(struct pf_engine_stream *s)
+{
+	pf_text_free(&s->data);
+	pf_text_free(&s->line);
+}
