--- /dev/null
+++ b/src/transport/http_client.c
@@ -0,0 +1,361 @@
+/* HTTP requests over pooled connections of libevent's evhttp. */
+#include "pimentoford/http_client.h"
+
+#include "pimentoford/text.h"
+
+#include <arpa/inet.h>
+#include <event2/buffer.h>
+#include <event2/bufferevent.h>
+#include <event2/event.h>
+#include <event2/http.h>
+#include <netinet/in.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/queue.h>
+
+#define ADDR_MAX 64
+#define FOREVER_S (10 * 365 * 24 * 3600)
+/* Streams are bounded by whoever reads the chunks. */
+#define STREAM_MAX EV_SSIZE_MAX
+/* Of the body of a refusal where a stream was asked for. */
+#define REFUSAL_MAX 4096
+
+struct pf_conn {
+	TAILQ_ENTRY(pf_conn) next;
+	struct evhttp_connection *ev;
+};
+
+TAILQ_HEAD(conn_list, pf_conn);
+
+struct pf_http_call {
+	TAILQ_ENTRY(pf_http_call) next;
+	struct pf_http *http;
+	struct pf_conn *conn;
+	struct evhttp_request *req; /* NULL once evhttp is done with it */
+	struct pf_text refusal; /* evhttp drops what a chunk callback saw */
+	bool fresh;
+	void (*chunk)(void *ctx, const char *p, size_t n);
+	void (*done)(void *ctx, const struct pf_http_answer *a);
+	void *ctx;
+};
+
+struct pf_http {
+	struct pf_http_opts opts;
+	char ip[ADDR_MAX];
+	uint16_t port;
+	uint32_t calls_n;
+	uint32_t idle_n;
+	struct conn_list idle;
+	struct conn_list trash; /* freed when no evhttp code is running */
+	TAILQ_HEAD(, pf_http_call) calls;
+	TAILQ_HEAD(, pf_http_call) failed; /* could not be sent */
+	struct event *later;
+};
+
+/* DEF(name): methods that a request may have. */
+#define METHODS(DEF) \
+	DEF(GET)     \
+	DEF(POST)    \
+	DEF(PUT)     \
+	DEF(DELETE)  \
+	DEF(HEAD)    \
+	DEF(PATCH)   \
+	DEF(OPTIONS)
+
+static int method_of(const char *s, enum evhttp_cmd_type *out)
+{
+#define DEF(name)                         \
+	if (strcmp(s, #name) == 0) {      \
+		*out = EVHTTP_REQ_##name; \
+		return 0;                 \
+	}
+	METHODS(DEF)
+#undef DEF
+	return -1;
+}
+
+static void conn_free(struct pf_conn *c)
+{
+	evhttp_connection_free(c->ev);
+	free(c);
+}
+
+static struct pf_conn *conn_new(struct pf_http *h)
+{
+	struct pf_conn *c = calloc(1, sizeof(*c));
+
+	if (!c)
+		return NULL;
+	c->ev = evhttp_connection_base_new(h->opts.base, NULL, h->ip, h->port);
+	if (!c->ev) {
+		free(c);
+		return NULL;
+	}
+	return c;
+}
+
+static void conn_trash(struct pf_http *h, struct pf_conn *c)
+{
+	TAILQ_INSERT_TAIL(&h->trash, c, next);
+	event_active(h->later, 0, 0);
+}
+
+static void conn_put(struct pf_http *h, struct pf_conn *c, bool keep)
+{
+	if (!keep || h->idle_n >= h->opts.idle_max) {
+		conn_trash(h, c);
+		return;
+	}
+	/* The last one used is the first one used again. */
+	TAILQ_INSERT_HEAD(&h->idle, c, next);
+	h->idle_n++;
+}
+
+static struct pf_conn *conn_get(struct pf_http *h, bool fresh)
+{
+	struct pf_conn *c = fresh ? NULL : TAILQ_FIRST(&h->idle);
+
+	if (!c)
+		return conn_new(h);
+	TAILQ_REMOVE(&h->idle, c, next);
+	h->idle_n--;
+	return c;
+}
+
+static void call_free(struct pf_http_call *c)
+{
+	c->http->calls_n--;
+	pf_text_free(&c->refusal);
+	free(c);
+}
+
+static struct pf_str header_of(struct evhttp_request *req, const char *name)
+{
+	return pf_str_c(evhttp_find_header(
+		evhttp_request_get_input_headers(req), name));
+}
+
+/* Calls back for the last time. */
+static void finish(struct pf_http_call *c, const struct pf_http_answer *a)
+{
+	c->done(c->ctx, a);
+	call_free(c);
+}
+
+/*
+ * evhttp passes no request when an exchange broke, and one with status 0
+ * when the connection could not be made.
+ */
+static void on_done(struct evhttp_request *req, void *ctx)
+{
+	struct pf_http_answer a = { .result = PF_HTTP_LOST };
+	struct pf_http_call *c = ctx;
+	struct pf_http *h = c->http;
+	struct evbuffer *in;
+
+	TAILQ_REMOVE(&h->calls, c, next);
+	c->req = NULL;
+	if (req && evhttp_request_get_response_code(req) == 0)
+		a.result = PF_HTTP_NOT_SENT;
+	conn_put(h, c->conn, req && a.result == PF_HTTP_LOST && !c->fresh);
+	if (req && a.result == PF_HTTP_LOST) {
+		a.result = PF_HTTP_OK;
+		a.status = evhttp_request_get_response_code(req);
+		a.content_type = header_of(req, "Content-Type");
+		in = evhttp_request_get_input_buffer(req);
+		a.body.n = evbuffer_get_length(in);
+		a.body.p = (const char *)evbuffer_pullup(in, -1);
+		if (c->refusal.n > 0)
+			a.body = pf_text_str(&c->refusal);
+	}
+	finish(c, &a);
+}
+
+static void on_chunk(struct evhttp_request *req, void *ctx)
+{
+	struct evbuffer *in = evhttp_request_get_input_buffer(req);
+	struct pf_http_call *c = ctx;
+	const char *p;
+	size_t n;
+
+	n = evbuffer_get_length(in);
+	p = (const char *)evbuffer_pullup(in, -1);
+	if (!p)
+		return;
+	if (evhttp_request_get_response_code(req) != 200) {
+		if (c->refusal.n + n <= REFUSAL_MAX)
+			pf_text_add(&c->refusal, (struct pf_str){ p, n });
+		return;
+	}
+	c->chunk(c->ctx, p, n);
+	/* @c and the connection may be gone, the request may not: evhttp
+	 * looks at it after a cancel. */
+	evbuffer_drain(in, n);
+}
+
+static void on_later(evutil_socket_t fd, short what, void *ctx)
+{
+	struct pf_http *h = ctx;
+	struct pf_http_call *call;
+	struct pf_conn *c;
+
+	(void)fd;
+	(void)what;
+	while ((c = TAILQ_FIRST(&h->trash))) {
+		TAILQ_REMOVE(&h->trash, c, next);
+		conn_free(c);
+	}
+	while ((call = TAILQ_FIRST(&h->failed))) {
+		static const struct pf_http_answer a = {
+			.result = PF_HTTP_NOT_SENT,
+		};
+
+		TAILQ_REMOVE(&h->failed, call, next);
+		finish(call, &a);
+	}
+}
+
+static void set_headers(struct pf_http *h, struct evhttp_request *req,
+			const struct pf_http_request *r)
+{
+	struct evkeyvalq *out = evhttp_request_get_output_headers(req);
+	char host[ADDR_MAX + 8];
+
+	evutil_snprintf(host, sizeof(host), "%s:%u", h->ip, h->port);
+	evhttp_add_header(out, "Host", host);
+	if (r->content_type)
+		evhttp_add_header(out, "Content-Type", r->content_type);
+	if (r->idem_key)
+		evhttp_add_header(out, "Idempotency-Key", r->idem_key);
+	if (r->fresh)
+		evhttp_add_header(out, "Connection", "close");
+}
+
+static void set_limits(struct pf_http *h, struct pf_conn *conn,
+		       const struct pf_http_request *r)
+{
+	struct timeval tv = { FOREVER_S, 0 };
+
+	if (r->timeout > 0)
+		tv = (struct timeval){ r->timeout / 1000,
+				       (r->timeout % 1000) * 1000 };
+	evhttp_connection_set_timeout_tv(conn->ev, &tv);
+	evhttp_connection_set_max_body_size(
+		conn->ev, r->chunk ? STREAM_MAX : (ssize_t)h->opts.body_max);
+}
+
+struct pf_http_call *pf_http_start(struct pf_http *h,
+				   const struct pf_http_request *r)
+{
+	enum evhttp_cmd_type method;
+	struct pf_http_call *c;
+
+	if (h->calls_n >= h->opts.conns_max ||
+	    method_of(r->method, &method) < 0)
+		return NULL;
+	c = calloc(1, sizeof(*c));
+	if (!c)
+		return NULL;
+	c->http = h;
+	c->chunk = r->chunk;
+	c->done = r->done;
+	c->ctx = r->ctx;
+	c->fresh = r->fresh;
+	c->conn = conn_get(h, r->fresh);
+	c->req = evhttp_request_new(on_done, c);
+	h->calls_n++;
+	if (!c->conn || !c->req)
+		goto fail;
+	if (r->chunk)
+		evhttp_request_set_chunked_cb(c->req, on_chunk);
+	set_headers(h, c->req, r);
+	set_limits(h, c->conn, r);
+	if (r->body.n > 0 &&
+	    evbuffer_add(evhttp_request_get_output_buffer(c->req), r->body.p,
+			 r->body.n) < 0)
+		goto fail;
+	TAILQ_INSERT_TAIL(&h->calls, c, next);
+	if (evhttp_make_request(c->conn->ev, c->req, method, r->target) < 0) {
+		/* evhttp has taken the request; the caller hears of it from
+		 * the event loop. */
+		c->req = NULL;
+		TAILQ_REMOVE(&h->calls, c, next);
+		TAILQ_INSERT_TAIL(&h->failed, c, next);
+		conn_trash(h, c->conn);
+	}
+	return c;
+fail:
+	if (c->req)
+		evhttp_request_free(c->req);
+	if (c->conn)
+		conn_trash(h, c->conn);
+	call_free(c);
+	return NULL;
+}
+
+void pf_http_cancel(struct pf_http_call *c)
+{
+	struct pf_http *h = c->http;
+	struct evhttp_request *req = c->req;
+
+	if (!req) {
+		TAILQ_REMOVE(&h->failed, c, next);
+		call_free(c);
+		return;
+	}
+	c->req = NULL;
+	TAILQ_REMOVE(&h->calls, c, next);
+	evhttp_cancel_request(req);
+	conn_trash(h, c->conn);
+	call_free(c);
+}
+
+struct pf_http *pf_http_new(const struct pf_http_opts *o)
+{
+	struct sockaddr_in sin;
+	int len = sizeof(sin);
+	struct pf_http *h = calloc(1, sizeof(*h));
+
+	if (!h)
+		return NULL;
+	h->opts = *o;
+	TAILQ_INIT(&h->idle);
+	TAILQ_INIT(&h->trash);
+	TAILQ_INIT(&h->calls);
+	TAILQ_INIT(&h->failed);
+	h->later = event_new(o->base, -1, 0, on_later, h);
+	if (!h->later ||
+	    evutil_parse_sockaddr_port(o->addr, (struct sockaddr *)&sin, &len) <
+		    0 ||
+	    sin.sin_family != AF_INET) {
+		pf_http_free(h);
+		return NULL;
+	}
+	evutil_inet_ntop(AF_INET, &sin.sin_addr, h->ip, sizeof(h->ip));
+	h->port = ntohs(sin.sin_port);
+	h->opts.addr = NULL;
+	return h;
+}
+
+void pf_http_free(struct pf_http *h)
+{
+	struct pf_conn *c;
+
+	if (!h)
+		return;
+	while (!TAILQ_EMPTY(&h->calls))
+		pf_http_cancel(TAILQ_FIRST(&h->calls));
+	while (!TAILQ_EMPTY(&h->failed))
+		pf_http_cancel(TAILQ_FIRST(&h->failed));
+	while ((c = TAILQ_FIRST(&h->idle))) {
+		TAILQ_REMOVE(&h->idle, c, next);
+		conn_free(c);
+	}
+	while ((c = TAILQ_FIRST(&h->trash))) {
+		TAILQ_REMOVE(&h->trash, c, next);
+		conn_free(c);
+	}
+	if (h->later)
+		event_free(h->later);
+	free(h);
+}
