--- /dev/null
+++ b/daemons/agent/boot.c
@@ -0,0 +1,251 @@
+/* The incarnation number and the configuration, from the table. */
+#include "daemon.h"
+
+#include "pimentoford/records.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define TABLE_TIMEOUT_MS 3000
+#define AGAIN_MS 200
+#define ROWS_MAX 16
+#define KEY_MAX 128
+
+static void take_incarnation(struct daemon *d);
+static void read_config(struct daemon *d);
+
+static void again(struct daemon *d, pf_ms wait)
+{
+	struct timeval tv;
+
+	wait = wait / 2 + pf_rng_below(&d->rng, (uint32_t)wait);
+	tv = (struct timeval){ wait / 1000, (wait % 1000) * 1000 };
+	event_add(d->boot_timer, &tv);
+}
+
+static void on_timer(evutil_socket_t fd, short what, void *ctx)
+{
+	struct daemon *d = ctx;
+
+	(void)fd;
+	(void)what;
+	if (d->incarnation == 0)
+		take_incarnation(d);
+	else
+		read_config(d);
+}
+
+static struct pf_str row_key(const struct daemon *d, char buf[KEY_MAX])
+{
+	int n = snprintf(buf, KEY_MAX, "agent/%s", d->set.place.name);
+
+	return (struct pf_str){ buf, (size_t)n };
+}
+
+/* The number that was tried stands in `ctx`'s self row only if it was ours. */
+struct take {
+	struct daemon *d;
+	uint64_t number;
+};
+
+static void on_taken(void *ctx, const struct pf_table_txn_result *r)
+{
+	struct take *t = ctx;
+	struct daemon *d = t->d;
+	uint64_t number = t->number;
+
+	free(t);
+	if (r->status != PF_TABLE_OK) {
+		/* A lost answer may have used the number up; take the next. */
+		d->counters.v[PF_AC_TABLE_ERRORS]++;
+		again(d, AGAIN_MS);
+		return;
+	}
+	d->incarnation = number;
+	pf_rpc_set_incarnation(d->rpc, number);
+	PF_LOG(&d->log, PF_LOG_INFO, "incarnation",
+	       PF_KV_INT("number", (int64_t)number));
+	read_config(d);
+}
+
+static int put_number(struct daemon *d, uint64_t number, uint64_t revision)
+{
+	char key[KEY_MAX];
+	char value[32];
+	int n = snprintf(value, sizeof(value), "%llu",
+			 (unsigned long long)number);
+	struct pf_table_check check = { row_key(d, key), revision };
+	struct pf_table_put put = { check.key, { value, (size_t)n } };
+	struct pf_table_txn txn = {
+		.checks = &check, .n_checks = 1, .puts = &put, .n_puts = 1
+	};
+	struct take *t = malloc(sizeof(*t));
+
+	if (!t)
+		return -1;
+	t->d = d;
+	t->number = number;
+	d->counters.v[PF_AC_TABLE_WRITES]++;
+	if (pf_table_txn(d->table, "incarnation", &txn, on_taken, t) == 0)
+		return 0;
+	free(t);
+	return -1;
+}
+
+static void on_number(void *ctx, const struct pf_table_rows *r)
+{
+	struct daemon *d = ctx;
+	uint64_t number = 0;
+
+	if (r->status == PF_TABLE_OK && r->n > 0) {
+		char value[32];
+
+		snprintf(value, sizeof(value), "%.*s", (int)r->rows[0].value.n,
+			 r->rows[0].value.p);
+		number = strtoull(value, NULL, 10);
+	}
+	if (r->status != PF_TABLE_OK ||
+	    put_number(d, number + 1, r->n > 0 ? r->rows[0].revision : 0) < 0) {
+		d->counters.v[PF_AC_TABLE_ERRORS]++;
+		again(d, AGAIN_MS);
+	}
+}
+
+static void take_incarnation(struct daemon *d)
+{
+	char key[KEY_MAX];
+
+	d->counters.v[PF_AC_TABLE_READS]++;
+	if (pf_table_get(d->table, row_key(d, key), on_number, d) < 0)
+		again(d, AGAIN_MS);
+}
+
+static void learn_names(struct daemon *d, const struct pf_config *c)
+{
+	char name[512];
+	size_t i;
+
+	for (i = 0; i < c->n_models; i++) {
+		snprintf(name, sizeof(name), "%s@%s", c->models[i].name,
+			 c->models[i].version);
+		names_learn(d, name);
+	}
+	for (i = 0; i < c->n_adapters; i++) {
+		snprintf(name, sizeof(name), "%s:%s", c->adapters[i].model,
+			 c->adapters[i].name);
+		names_learn(d, name);
+	}
+}
+
+/* The first configuration says what endpoint this is. */
+static int begin(struct daemon *d, const struct pf_endpoint *ep)
+{
+	d->self = *ep;
+	d->plain = ep->kind == PF_ENDPOINT_PLAIN;
+	return core_start(d);
+}
+
+static void adopt(struct daemon *d, struct pf_config *c)
+{
+	const struct pf_endpoint *ep = pf_config_endpoint(c, d->id);
+	struct pf_agent_msg m = { .type = PF_AGENT_CONFIG };
+	struct pf_config *old = d->config;
+	bool first = !d->core;
+
+	if (first && !ep) {
+		PF_LOG(&d->log, PF_LOG_WARN, "not_declared",
+		       PF_KV_STR("endpoint", d->set.place.name));
+		pf_config_free(c);
+		return;
+	}
+	if (first && begin(d, ep) < 0) {
+		daemon_fail(d, "no memory for the core");
+		return;
+	}
+	d->config = c;
+	d->counters.v[PF_AC_REVISION] = c->revision;
+	learn_names(d, c);
+	m.u.config = c;
+	agent_step(d, &m);
+	pf_config_free(old);
+	PF_LOG(&d->log, PF_LOG_INFO, "config",
+	       PF_KV_INT("revision", (int64_t)c->revision));
+	if (!first)
+		return;
+	if (watch_start(d) < 0)
+		daemon_fail(d, "no memory for the backend");
+	pf_rpc_accept(d->rpc, true);
+}
+
+static struct pf_config *build(struct daemon *d, uint64_t revision,
+			       struct pf_str text)
+{
+	struct pf_findings f = { 0 };
+	struct pf_records set = { 0 };
+	struct pf_config *c = NULL;
+
+	if (pf_records_parse(text, "config/text", &set, &f) < 0 ||
+	    pf_records_build(&set, revision, &f, &c) < 0) {
+		PF_LOG(&d->log, PF_LOG_ERROR, "config_refused",
+		       PF_KV_INT("revision", (int64_t)revision),
+		       PF_KV_STR("finding", f.n ? f.v[0].text : ""));
+		c = NULL;
+	}
+	pf_records_free(&set);
+	pf_findings_clear(&f);
+	return c;
+}
+
+static void on_config(void *ctx, const struct pf_table_rows *r)
+{
+	struct daemon *d = ctx;
+	struct pf_str text = { 0 };
+	uint64_t revision = 0;
+	struct pf_config *c;
+	size_t i;
+
+	again(d, d->set.load_poll);
+	if (r->status != PF_TABLE_OK) {
+		d->counters.v[PF_AC_TABLE_ERRORS]++;
+		return;
+	}
+	for (i = 0; i < r->n; i++) {
+		if (pf_str_eq(r->rows[i].key, PF_STR("config/head")))
+			revision = strtoull(r->rows[i].value.p, NULL, 10);
+		else if (pf_str_eq(r->rows[i].key, PF_STR("config/text")))
+			text = r->rows[i].value;
+	}
+	/* Only higher revisions are adopted: nothing ever reverts. */
+	if (!text.p || revision <= d->counters.v[PF_AC_REVISION])
+		return;
+	c = build(d, revision, text);
+	if (c)
+		adopt(d, c);
+}
+
+static void read_config(struct daemon *d)
+{
+	d->counters.v[PF_AC_TABLE_READS]++;
+	if (pf_table_scan(d->table, PF_STR("config/"), PF_STR(""), ROWS_MAX,
+			  on_config, d) < 0)
+		again(d, AGAIN_MS);
+}
+
+int boot_start(struct daemon *d)
+{
+	struct pf_table_opts o = {
+		.base = d->base,
+		.addr = d->set.place.platform,
+		.calls_max = 64,
+		.timeout = TABLE_TIMEOUT_MS,
+		.body_max = (size_t)32 << 20,
+	};
+
+	d->table = pf_table_new(&o);
+	d->boot_timer = evtimer_new(d->base, on_timer, d);
+	if (!d->table || !d->boot_timer)
+		return -1;
+	take_incarnation(d);
+	return 0;
+}
--- /dev/null
+++ b/daemons/agent/orders.c
@@ -0,0 +1,124 @@
+/* Orders to the engine, and the names of the items they are about. */
+#include "daemon.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#define STATUS_OK 200
+/* An order goes on without its caller; the core asks the inventory. */
+#define ORDER_TIMEOUT_MS 120000
+
+struct order_call {
+	struct daemon *d;
+	uint64_t order;
+};
+
+const char *names_find(const struct daemon *d, uint64_t id)
+{
+	size_t i;
+
+	for (i = 0; i < d->n_names; i++) {
+		if (d->names[i].id == id)
+			return d->names[i].name;
+	}
+	return NULL;
+}
+
+void names_learn(struct daemon *d, const char *name)
+{
+	uint64_t id = pf_id(pf_str_c(name));
+	struct item_name *v;
+
+	if (names_find(d, id))
+		return;
+	v = realloc(d->names, (d->n_names + 1) * sizeof(*v));
+	if (!v)
+		return;
+	d->names = v;
+	v[d->n_names].id = id;
+	v[d->n_names].name = strdup(name);
+	if (v[d->n_names].name)
+		d->n_names++;
+}
+
+void names_free(struct daemon *d)
+{
+	size_t i;
+
+	for (i = 0; i < d->n_names; i++)
+		free(d->names[i].name);
+	free(d->names);
+	d->names = NULL;
+	d->n_names = 0;
+}
+
+static void tell(struct daemon *d, uint64_t order, bool ok)
+{
+	struct pf_agent_msg m = { .type = PF_AGENT_ORDER_DONE };
+
+	m.u.order.order = order;
+	m.u.order.ok = ok;
+	if (d->in_step)
+		agent_post(d, &m);
+	else
+		agent_step(d, &m);
+}
+
+static void on_done(void *ctx, const struct pf_http_answer *a)
+{
+	struct order_call *c = ctx;
+	struct daemon *d = c->d;
+	uint64_t order = c->order;
+	char why[32];
+
+	free(c);
+	if (a->result == PF_HTTP_LOST) {
+		/* Unknown: the core counts its larger side until the
+		 * inventory settles it. */
+		d->counters.v[PF_AC_ORDERS_UNKNOWN]++;
+		return;
+	}
+	if (a->result == PF_HTTP_OK && a->status != STATUS_OK) {
+		pf_engine_error(a->body, why, sizeof(why));
+		if (strcmp(why, "fenced") == 0)
+			daemon_fail(d, "a newer agent commands this engine");
+	}
+	tell(d, order, a->result == PF_HTTP_OK && a->status == STATUS_OK);
+}
+
+void orders_send(struct daemon *d, const struct pf_agent_act *act)
+{
+	struct pf_engine_order o = {
+		.fence = d->incarnation,
+		.order = act->u.load.order,
+		.load = act->type == PF_AGENT_LOAD,
+		.item = names_find(d, act->u.load.item),
+		.bytes = act->u.load.bytes,
+	};
+	struct pf_http_request r = {
+		.method = "POST",
+		.target = "/engine/orders",
+		.content_type = "application/json",
+		.timeout = ORDER_TIMEOUT_MS,
+		.done = on_done,
+	};
+	struct order_call *c = NULL;
+	struct pf_text body = { 0 };
+	bool sent = false;
+
+	if (o.item)
+		c = malloc(sizeof(*c));
+	if (c) {
+		c->d = d;
+		c->order = o.order;
+		pf_engine_order_body(&o, &body);
+		r.body = pf_text_str(&body);
+		r.ctx = c;
+		sent = !body.failed && pf_http_start(d->backend, &r);
+	}
+	pf_text_free(&body);
+	if (sent)
+		return;
+	free(c);
+	tell(d, o.order, false);
+}
--- /dev/null
+++ b/daemons/agent/plain.c
@@ -0,0 +1,110 @@
+/* Calls of a plain service. */
+#include "daemon.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+/* A call that never reached the service is sent again so often. */
+#define SEND_AGAIN_MS 100
+#define SEND_AGAIN_MAX 50
+#define BAD_GATEWAY 502
+
+static void send_call(struct try_slot *s);
+
+static void ended(struct try_slot *s, enum pf_end end)
+{
+	struct daemon *d = s->d;
+
+	s->running = false;
+	agent_run_ended(d, s->id, end, 0);
+}
+
+static void on_again(evutil_socket_t fd, short what, void *ctx)
+{
+	struct try_slot *s = ctx;
+
+	(void)fd;
+	(void)what;
+	send_call(s);
+}
+
+static int later(struct try_slot *s, event_callback_fn fn, pf_ms wait)
+{
+	struct timeval tv = { wait / 1000, (wait % 1000) * 1000 };
+
+	if (!s->again)
+		s->again = evtimer_new(s->d->base, fn, s);
+	return s->again ? event_add(s->again, &tv) : -1;
+}
+
+static void answered(struct try_slot *s, const struct pf_http_answer *a)
+{
+	s->status = (uint32_t)a->status;
+	free(s->answer_type);
+	s->answer_type = pf_str_dup(a->content_type);
+	s->answer.n = 0;
+	pf_text_add(&s->answer, a->body);
+	ended(s, s->answer.failed ? PF_END_ERROR : PF_END_STOP);
+}
+
+static void on_done(void *ctx, const struct pf_http_answer *a)
+{
+	struct try_slot *s = ctx;
+
+	s->call = NULL;
+	switch (a->result) {
+	case PF_HTTP_OK:
+		answered(s, a);
+		break;
+	case PF_HTTP_NOT_SENT:
+		if (s->execs < SEND_AGAIN_MAX && !s->stopping &&
+		    later(s, on_again, SEND_AGAIN_MS) == 0)
+			break;
+		s->status = BAD_GATEWAY;
+		ended(s, PF_END_CANCELLED);
+		break;
+	case PF_HTTP_LOST:
+		/* Whether it ran is unknown; the core knows what follows. */
+		ended(s, PF_END_CANCELLED);
+		break;
+	}
+}
+
+static void send_call(struct try_slot *s)
+{
+	const struct pf_payload *p = &s->payload;
+	struct pf_http_request r = {
+		.method = p->method.p,
+		.target = p->path.p,
+		.content_type = p->content_type.n ? p->content_type.p : NULL,
+		.idem_key = p->idem_key.n ? p->idem_key.p : NULL,
+		.body = p->body,
+		.fresh = s->never_repeat,
+		.done = on_done,
+		.ctx = s,
+	};
+
+	s->execs++;
+	s->call = pf_http_start(s->d->backend, &r);
+	if (s->call)
+		return;
+	if (later(s, on_again, SEND_AGAIN_MS) < 0)
+		ended(s, PF_END_ERROR);
+}
+
+void plain_start(struct daemon *d, struct try_slot *s)
+{
+	(void)d;
+	s->running = true;
+	send_call(s);
+}
+
+void plain_stop(struct daemon *d, struct try_slot *s)
+{
+	s->stopping = true;
+	/* The service may be at it; what it does cannot be taken back. */
+	if (s->never_repeat && s->running)
+		return;
+	runs_forget(s);
+	agent_run_ended(d, s->id, PF_END_CANCELLED, 0);
+}
--- a/include/pimentoford/http_client.h
+++ b/include/pimentoford/http_client.h
@@ -51,6 +51,8 @@
 	pf_ms timeout; /* between two bytes; 0: none */
 	bool fresh; /* on a new connection, so that a connection which the
 		     * server closed meanwhile cannot make it LOST */
+	/* The status is known; must not cancel. NULL: not needed. */
+	void (*head)(void *ctx, int status);
 	/* Pieces of a 200 answer as they come; NULL: whole in `done`. */
 	void (*chunk)(void *ctx, const char *p, size_t n);
 	/* The last call for this request. */
--- a/include/pimentoford/rpc.h
+++ b/include/pimentoford/rpc.h
@@ -57,9 +57,15 @@
 /** Closes all sessions without calling `down`. */
 void pf_rpc_free(struct pf_rpc *r);
 
-/** Listens at "IP:PORT", exclusively. 0 or -1 with errno. */
+/**
+ * Takes the address "IP:PORT" exclusively; peers are let in by
+ * pf_rpc_accept(). 0 or -1 with errno.
+ */
 int pf_rpc_listen(struct pf_rpc *r, const char *addr);
 
+/** Starts or stops to let peers in. */
+void pf_rpc_accept(struct pf_rpc *r, bool on);
+
 /** The port it listens at; 0: none. */
 uint16_t pf_rpc_port(const struct pf_rpc *r);
 
--- a/src/transport/http_client.c
+++ b/src/transport/http_client.c
@@ -34,6 +34,7 @@
 	struct evhttp_request *req; /* NULL once evhttp is done with it */
 	struct pf_text refusal; /* evhttp drops what a chunk callback saw */
 	bool fresh;
+	void (*head)(void *ctx, int status);
 	void (*chunk)(void *ctx, const char *p, size_t n);
 	void (*done)(void *ctx, const struct pf_http_answer *a);
 	void *ctx;
@@ -171,6 +172,14 @@
 	finish(c, &a);
 }
 
+static int on_head(struct evhttp_request *req, void *ctx)
+{
+	struct pf_http_call *c = ctx;
+
+	c->head(c->ctx, evhttp_request_get_response_code(req));
+	return 0;
+}
+
 static void on_chunk(struct evhttp_request *req, void *ctx)
 {
 	struct evbuffer *in = evhttp_request_get_input_buffer(req);
@@ -257,6 +266,7 @@
 	if (!c)
 		return NULL;
 	c->http = h;
+	c->head = r->head;
 	c->chunk = r->chunk;
 	c->done = r->done;
 	c->ctx = r->ctx;
@@ -266,6 +276,8 @@
 	h->calls_n++;
 	if (!c->conn || !c->req)
 		goto fail;
+	if (r->head)
+		evhttp_request_set_header_cb(c->req, on_head);
 	if (r->chunk)
 		evhttp_request_set_chunked_cb(c->req, on_chunk);
 	set_headers(h, c->req, r);
--- a/src/transport/rpc.c
+++ b/src/transport/rpc.c
@@ -425,12 +425,11 @@
 		errno = EINVAL;
 		return -1;
 	}
-	r->listener =
-		evconnlistener_new_bind(r->opts.base, on_accept, r,
-					LEV_OPT_CLOSE_ON_FREE |
-						LEV_OPT_CLOSE_ON_EXEC |
-						LEV_OPT_REUSEABLE,
-					BACKLOG, (struct sockaddr *)&ss, len);
+	r->listener = evconnlistener_new_bind(
+		r->opts.base, on_accept, r,
+		LEV_OPT_CLOSE_ON_FREE | LEV_OPT_CLOSE_ON_EXEC |
+			LEV_OPT_REUSEABLE | LEV_OPT_DISABLED,
+		BACKLOG, (struct sockaddr *)&ss, len);
 	if (!r->listener)
 		return -1;
 	if (getsockname(evconnlistener_get_fd(r->listener),
@@ -439,6 +438,16 @@
 	return 0;
 }
 
+void pf_rpc_accept(struct pf_rpc *r, bool on)
+{
+	if (!r->listener)
+		return;
+	if (on)
+		evconnlistener_enable(r->listener);
+	else
+		evconnlistener_disable(r->listener);
+}
+
 uint16_t pf_rpc_port(const struct pf_rpc *r)
 {
 	return r->port;
