--- a/daemons/agent/boot.c
+++ b/daemons/agent/boot.c
@@ -15,6 +15,15 @@
 static void take_incarnation(struct daemon *d);
 static void read_config(struct daemon *d);
 
+/* The decimal number that a row holds; 0: none. */
+static uint64_t number_of(const struct pf_table_row *row)
+{
+	char value[32];
+
+	snprintf(value, sizeof(value), "%.*s", (int)row->value.n, row->value.p);
+	return strtoull(value, NULL, 10);
+}
+
 static void again(struct daemon *d, pf_ms wait)
 {
 	struct timeval tv;
@@ -98,13 +107,8 @@
 	struct daemon *d = ctx;
 	uint64_t number = 0;
 
-	if (r->status == PF_TABLE_OK && r->n > 0) {
-		char value[32];
-
-		snprintf(value, sizeof(value), "%.*s", (int)r->rows[0].value.n,
-			 r->rows[0].value.p);
-		number = strtoull(value, NULL, 10);
-	}
+	if (r->status == PF_TABLE_OK && r->n > 0)
+		number = number_of(&r->rows[0]);
 	if (r->status != PF_TABLE_OK ||
 	    put_number(d, number + 1, r->n > 0 ? r->rows[0].revision : 0) < 0) {
 		d->counters.v[PF_AC_TABLE_ERRORS]++;
@@ -141,7 +145,9 @@
 /* The first configuration says what endpoint this is. */
 static int begin(struct daemon *d, const struct pf_endpoint *ep)
 {
-	d->self = *ep;
+	d->kind = ep->kind;
+	d->memory_bytes = ep->memory_bytes;
+	d->batch_max = ep->batch_max;
 	d->plain = ep->kind == PF_ENDPOINT_PLAIN;
 	return core_start(d);
 }
@@ -212,7 +218,7 @@
 	}
 	for (i = 0; i < r->n; i++) {
 		if (pf_str_eq(r->rows[i].key, PF_STR("config/head")))
-			revision = strtoull(r->rows[i].value.p, NULL, 10);
+			revision = number_of(&r->rows[i]);
 		else if (pf_str_eq(r->rows[i].key, PF_STR("config/text")))
 			text = r->rows[i].value;
 	}
@@ -224,14 +230,31 @@
 		adopt(d, c);
 }
 
-static void read_config(struct daemon *d)
+/* The whole set is read only when the head has moved. */
+static void on_head(void *ctx, const struct pf_table_rows *r)
 {
+	struct daemon *d = ctx;
+
+	if (r->status != PF_TABLE_OK)
+		d->counters.v[PF_AC_TABLE_ERRORS]++;
+	if (r->status != PF_TABLE_OK || r->n == 0 ||
+	    number_of(&r->rows[0]) <= d->counters.v[PF_AC_REVISION]) {
+		again(d, d->set.load_poll);
+		return;
+	}
 	d->counters.v[PF_AC_TABLE_READS]++;
 	if (pf_table_scan(d->table, PF_STR("config/"), PF_STR(""), ROWS_MAX,
 			  on_config, d) < 0)
 		again(d, AGAIN_MS);
 }
 
+static void read_config(struct daemon *d)
+{
+	d->counters.v[PF_AC_TABLE_READS]++;
+	if (pf_table_get(d->table, PF_STR("config/head"), on_head, d) < 0)
+		again(d, AGAIN_MS);
+}
+
 int boot_start(struct daemon *d)
 {
 	struct pf_table_opts o = {
--- a/daemons/agent/core.c
+++ b/daemons/agent/core.c
@@ -269,10 +269,10 @@
 
 	o.agent = d->id;
 	o.incarnation = d->incarnation;
-	o.kind = d->self.kind;
-	o.memory_bytes = d->self.memory_bytes;
-	if (d->self.batch_max > 0)
-		o.batch_max = d->self.batch_max;
+	o.kind = d->kind;
+	o.memory_bytes = d->memory_bytes;
+	if (d->batch_max > 0)
+		o.batch_max = d->batch_max;
 	if (o.runs_max < o.batch_max + o.queue_max)
 		o.runs_max = o.batch_max + o.queue_max;
 	d->core_due = PF_NEVER;
--- a/daemons/agent/daemon.h
+++ b/daemons/agent/daemon.h
@@ -106,7 +106,10 @@
 	uint64_t id;
 	uint64_t incarnation;
 	struct pf_config *config; /* in force */
-	struct pf_endpoint self; /* borrowed from the first config */
+	/* As the record said when the agent started. */
+	enum pf_endpoint_kind kind;
+	int64_t memory_bytes;
+	uint32_t batch_max;
 	bool plain;
 	bool draining;
 	bool drained;
@@ -154,8 +157,7 @@
 struct try_slot *tries_find(struct tries *t, struct pf_try id);
 /** Copies the payload. NULL when full or without memory. */
 struct try_slot *tries_add(struct daemon *d, uint64_t entry, struct pf_try id,
-			   const struct pf_work *w,
-			   const struct pf_payload *p);
+			   const struct pf_work *w, const struct pf_payload *p);
 /** Ends what is under way for @s and forgets it. */
 void tries_drop(struct daemon *d, struct try_slot *s);
 /** Drops the tries of @entry that never started. */
--- a/daemons/agent/links.c
+++ b/daemons/agent/links.c
@@ -44,8 +44,7 @@
 
 static void entry_down(struct daemon *d, uint64_t entry)
 {
-	struct pf_agent_msg m = { .type = PF_AGENT_ENTRY_DOWN,
-				  .entry = entry };
+	struct pf_agent_msg m = { .type = PF_AGENT_ENTRY_DOWN, .entry = entry };
 
 	agent_step(d, &m);
 	tries_drop_waiting(d, entry);
@@ -71,8 +70,7 @@
 	struct daemon *d = ctx;
 	struct entry_link *l = find(d, p->id);
 
-	if (p->role != PF_RPC_ENTRY ||
-	    (!l && d->n_links >= d->set.sessions)) {
+	if (p->role != PF_RPC_ENTRY || (!l && d->n_links >= d->set.sessions)) {
 		pf_rpc_drop(s);
 		return;
 	}
--- a/daemons/agent/runs.c
+++ b/daemons/agent/runs.c
@@ -78,10 +78,9 @@
 		event_add(s->again, &tv);
 }
 
-static struct pf_http_call *control(struct try_slot *s, const char *verb,
-				    struct pf_str body,
-				    void (*done)(void *,
-						 const struct pf_http_answer *))
+static struct pf_http_call *
+control(struct try_slot *s, const char *verb, struct pf_str body,
+	void (*done)(void *, const struct pf_http_answer *))
 {
 	char target[TARGET_MAX];
 	struct pf_http_request r = {
@@ -221,8 +220,11 @@
 		return;
 	if (pf_engine_stream_feed(&s->stream, p, n) < 0)
 		break_stream(s);
-	else if (s->stream.ended)
-		ended(s, s->end_how, s->end_total);
+	if (!s->running || !s->stream.ended)
+		return;
+	pf_http_detach(s->call);
+	s->call = NULL;
+	ended(s, s->end_how, s->end_total);
 }
 
 static void refused(struct try_slot *s, const struct pf_http_answer *a)
--- a/daemons/agent/status.c
+++ b/daemons/agent/status.c
@@ -40,7 +40,7 @@
 	v[PF_AC_QUEUED] = st.queued;
 	v[PF_AC_COMMITTED] = (uint64_t)st.committed_bytes;
 	v[PF_AC_COMMITTED_PEAK] = (uint64_t)st.committed_peak;
-	v[PF_AC_MEMORY] = (uint64_t)d->self.memory_bytes;
+	v[PF_AC_MEMORY] = (uint64_t)d->memory_bytes;
 	v[PF_AC_LOADS] = st.loads;
 	v[PF_AC_UNLOADS] = st.unloads;
 	v[PF_AC_SESSIONS] = d->n_links;
--- a/daemons/agent/tries.c
+++ b/daemons/agent/tries.c
@@ -49,12 +49,12 @@
 static int payload_copy(struct pf_payload *to, const struct pf_payload *from)
 {
 	memset(to, 0, sizeof(*to));
-#define DEF(field)                                 \
-	to->field.p = pf_str_dup(from->field);     \
-	to->field.n = from->field.n;               \
-	if (!to->field.p) {                        \
-		payload_free(to);                  \
-		return -1;                         \
+#define DEF(field)                             \
+	to->field.p = pf_str_dup(from->field); \
+	to->field.n = from->field.n;           \
+	if (!to->field.p) {                    \
+		payload_free(to);              \
+		return -1;                     \
 	}
 	KEPT(DEF)
 #undef DEF
--- a/daemons/agent/watch.c
+++ b/daemons/agent/watch.c
@@ -29,8 +29,9 @@
 
 static void engine_down(struct daemon *d, const char *why)
 {
-	static const struct pf_agent_msg down = { .type =
-							  PF_AGENT_ENGINE_DOWN };
+	static const struct pf_agent_msg down = {
+		.type = PF_AGENT_ENGINE_DOWN
+	};
 
 	if (d->watch.state == ENGINE_UP) {
 		PF_LOG(&d->log, PF_LOG_WARN, "engine_down",
@@ -103,8 +104,7 @@
 		return;
 	}
 	d->watch.state = ENGINE_UP;
-	PF_LOG(&d->log, PF_LOG_INFO, "engine_up",
-	       PF_KV_STR("boot", inv->boot),
+	PF_LOG(&d->log, PF_LOG_INFO, "engine_up", PF_KV_STR("boot", inv->boot),
 	       PF_KV_INT("items", (int64_t)inv->n_items));
 	tell_core(d, inv);
 	again(d, d->set.load_poll);
--- a/include/pimentoford/http_client.h
+++ b/include/pimentoford/http_client.h
@@ -64,6 +64,9 @@
 struct pf_http_call *pf_http_start(struct pf_http *h,
 				   const struct pf_http_request *r);
 
+/** Lets a call come to its end, unheard; its connection is used again. */
+void pf_http_detach(struct pf_http_call *c);
+
 /** Ends a call without calling back; @c is then invalid. */
 void pf_http_cancel(struct pf_http_call *c);
 
--- a/src/protocol/engine_stream.c
+++ b/src/protocol/engine_stream.c
@@ -125,7 +125,8 @@
 {
 	const char *end = p + n;
 
-	while (p < end && !s->ended && !s->broken) {
+	/* A callback may free the stream, which takes `event` away. */
+	while (p < end && s->event && !s->ended && !s->broken) {
 		const char *nl = memchr(p, '\n', (size_t)(end - p));
 		size_t len = (size_t)((nl ? nl : end) - p);
 
@@ -147,4 +148,5 @@
 {
 	pf_text_free(&s->data);
 	pf_text_free(&s->line);
+	s->event = NULL;
 }
--- a/src/transport/http_client.c
+++ b/src/transport/http_client.c
@@ -305,6 +305,26 @@
 	return NULL;
 }
 
+static void drop_chunk(void *ctx, const char *p, size_t n)
+{
+	(void)ctx;
+	(void)p;
+	(void)n;
+}
+
+static void drop_answer(void *ctx, const struct pf_http_answer *a)
+{
+	(void)ctx;
+	(void)a;
+}
+
+void pf_http_detach(struct pf_http_call *c)
+{
+	evhttp_request_set_header_cb(c->req, NULL);
+	c->chunk = drop_chunk;
+	c->done = drop_answer;
+}
+
 void pf_http_cancel(struct pf_http_call *c)
 {
 	struct pf_http *h = c->http;
