--- a/include/pimentoford/text.h
+++ b/include/pimentoford/text.h
@@ -1,7 +1,11 @@
+<<<<<<< HEAD
 /*
  * A growing text buffer. A failed allocation is remembered in `failed`, so
  * that a writer checks once at the end.
  */
+=======
+/* A growing text buffer. Errors are sticky: check `failed` once at the end. */
+>>>>>>> main
 #ifndef PIMENTOFORD_TEXT_H
 #define PIMENTOFORD_TEXT_H
 
@@ -10,6 +14,7 @@
 PF_BEGIN_DECLS
 
 struct pf_text {
+<<<<<<< HEAD
 	char *p; /* zero-terminated once anything was added */
 	size_t n;
 	size_t cap;
@@ -28,6 +33,23 @@
 
 void pf_text_free(struct pf_text *t);
 
+=======
+	char *p; /* owned; zero-terminated when n > 0 */
+	size_t n;
+	size_t cap;
+	bool failed; /* out of memory; the contents are incomplete */
+};
+
+void pf_text_add(struct pf_text *t, struct pf_str s);
+void pf_text_printf(struct pf_text *t, const char *fmt, ...)
+	__attribute__((format(printf, 2, 3)));
+
+/** Empties the buffer and keeps its memory. */
+void pf_text_reset(struct pf_text *t);
+void pf_text_free(struct pf_text *t);
+
+/** Borrows the contents. */
+>>>>>>> main
 static inline struct pf_str pf_text_str(const struct pf_text *t)
 {
 	struct pf_str s = { t->p, t->n };
