--- a/include/pimentoford/text.h
+++ b/include/pimentoford/text.h
@@ -1,11 +1,7 @@
-<<<<<<< HEAD
 /*
  * A growing text buffer. A failed allocation is remembered in `failed`, so
  * that a writer checks once at the end.
  */
-=======
-/* A growing text buffer. Errors are sticky: check `failed` once at the end. */
->>>>>>> main
 #ifndef PIMENTOFORD_TEXT_H
 #define PIMENTOFORD_TEXT_H
 
@@ -14,7 +10,6 @@
 PF_BEGIN_DECLS
 
 struct pf_text {
-<<<<<<< HEAD
 	char *p; /* zero-terminated once anything was added */
 	size_t n;
 	size_t cap;
@@ -25,31 +20,19 @@
 void pf_text_fmt(struct pf_text *t, const char *fmt, ...)
 	__attribute__((format(printf, 2, 3)));
 
+/** The same under the name that the claim core uses. */
+#define pf_text_printf pf_text_fmt
+
 /** Adds @s in double quotes, escaped as TOML and JSON both read it. */
 void pf_text_quote(struct pf_text *t, struct pf_str s);
 
 /** Hands over the text, which the caller frees, or NULL when it failed. */
 char *pf_text_take(struct pf_text *t);
 
-void pf_text_free(struct pf_text *t);
-
-=======
-	char *p; /* owned; zero-terminated when n > 0 */
-	size_t n;
-	size_t cap;
-	bool failed; /* out of memory; the contents are incomplete */
-};
-
-void pf_text_add(struct pf_text *t, struct pf_str s);
-void pf_text_printf(struct pf_text *t, const char *fmt, ...)
-	__attribute__((format(printf, 2, 3)));
-
 /** Empties the buffer and keeps its memory. */
 void pf_text_reset(struct pf_text *t);
 void pf_text_free(struct pf_text *t);
 
-/** Borrows the contents. */
->>>>>>> main
 static inline struct pf_str pf_text_str(const struct pf_text *t)
 {
 	struct pf_str s = { t->p, t->n };
--- a/src/state/text.c
+++ b/src/state/text.c
@@ -1,4 +1,4 @@
-/* Growing text buffer. */
+/* A growing text buffer. */
 #include "pimentoford/text.h"
 
 #include <stdarg.h>
@@ -6,16 +6,18 @@
 #include <stdlib.h>
 #include <string.h>
 
+/* Makes room for @more bytes and the final zero. */
 static int reserve(struct pf_text *t, size_t more)
 {
-	size_t need = t->n + more + 1;
 	size_t cap = t->cap ? t->cap : 64;
 	char *p;
 
-	if (need <= t->cap)
-		return 0;
-	while (cap < need)
+	if (t->failed)
+		return -1;
+	while (cap < t->n + more + 1)
 		cap *= 2;
+	if (cap == t->cap)
+		return 0;
 	p = realloc(t->p, cap);
 	if (!p) {
 		t->failed = true;
@@ -36,22 +38,54 @@
 	t->p[t->n] = '\0';
 }
 
-void pf_text_printf(struct pf_text *t, const char *fmt, ...)
+void pf_text_fmt(struct pf_text *t, const char *fmt, ...)
 {
 	va_list ap;
-	int len;
+	int n;
 
 	va_start(ap, fmt);
-	len = vsnprintf(NULL, 0, fmt, ap);
+	n = vsnprintf(NULL, 0, fmt, ap);
 	va_end(ap);
-	if (len < 0 || reserve(t, (size_t)len) < 0) {
+	if (n < 0 || reserve(t, (size_t)n) < 0) {
 		t->failed = true;
 		return;
 	}
 	va_start(ap, fmt);
-	vsnprintf(t->p + t->n, (size_t)len + 1, fmt, ap);
+	vsnprintf(t->p + t->n, (size_t)n + 1, fmt, ap);
 	va_end(ap);
-	t->n += (size_t)len;
+	t->n += (size_t)n;
+}
+
+void pf_text_quote(struct pf_text *t, struct pf_str s)
+{
+	pf_text_add(t, PF_STR("\""));
+	for (size_t i = 0; i < s.n; i++) {
+		unsigned char c = (unsigned char)s.p[i];
+
+		if (c == '"' || c == '\\')
+			pf_text_fmt(t, "\\%c", c);
+		else if (c == '\n')
+			pf_text_add(t, PF_STR("\\n"));
+		else if (c < 0x20 || c == 0x7f)
+			pf_text_fmt(t, "\\u%04x", c);
+		else
+			pf_text_add(t, (struct pf_str){ s.p + i, 1 });
+	}
+	pf_text_add(t, PF_STR("\""));
+}
+
+char *pf_text_take(struct pf_text *t)
+{
+	char *p;
+
+	pf_text_add(t, PF_STR(""));
+	if (t->failed) {
+		pf_text_free(t);
+		return NULL;
+	}
+	p = t->p;
+	memset(t, 0, sizeof(*t));
+	return p;
 }
 
 void pf_text_reset(struct pf_text *t)
@@ -63,7 +97,5 @@
 void pf_text_free(struct pf_text *t)
 {
 	free(t->p);
-	t->p = NULL;
-	t->n = 0;
-	t->cap = 0;
+	memset(t, 0, sizeof(*t));
 }
