Entry daemon

Cause: callers need a front with the core behind it. Change: HTTP server with limits, OpenAI and plain routes, sessions with agents and entries, configuration from the table, status.

--- a/daemons/agent/daemon.h
+++ b/daemons/agent/daemon.h
@@ -179,7 +179,7 @@
 /** The engine stands: what became of streams that broke is to be settled. */
 void runs_settle_cut(struct daemon *d);
 /** The engine crashed: no execution is left. */
-void runs_crashed(struct daemon *d);
+void runs_clear(struct daemon *d);
 
 /* plain.c: calls of a plain service */
 void plain_start(struct daemon *d, struct try_slot *s);
--- a/daemons/agent/runs.c
+++ b/daemons/agent/runs.c
@@ -354,7 +354,7 @@
 	}
 }
 
-void runs_crashed(struct daemon *d)
+void runs_clear(struct daemon *d)
 {
 	uint32_t i;
 
--- a/daemons/agent/watch.c
+++ b/daemons/agent/watch.c
@@ -37,7 +37,7 @@
 		PF_LOG(&d->log, PF_LOG_WARN, "engine_down",
 		       PF_KV_STR("why", why));
 		d->counters.v[PF_AC_ENGINE_CRASHES]++;
-		runs_crashed(d);
+		runs_clear(d);
 		agent_step(d, &down);
 	}
 	d->watch.state = ENGINE_DOWN;
--- /dev/null
+++ b/daemons/entry/daemon.h
@@ -0,0 +1,182 @@
+/*
+ * The entry daemon: callers' connections on one side, sessions with agents
+ * on the other, the entry core between them. One event loop owns everything;
+ * modules take the daemon and talk to the core through entry_step().
+ */
+#ifndef ENTRY_DAEMON_H
+#define ENTRY_DAEMON_H
+
+#include "pimentoford/clock.h"
+#include "pimentoford/counters.h"
+#include "pimentoford/entry.h"
+#include "pimentoford/log.h"
+#include "pimentoford/map.h"
+#include "pimentoford/openai.h"
+#include "pimentoford/process.h"
+#include "pimentoford/rpc.h"
+#include "pimentoford/settings.h"
+#include "pimentoford/table_client.h"
+
+#include <event2/event.h>
+#include <evhtp/evhtp.h>
+#include <sys/queue.h>
+
+struct daemon;
+struct conn;
+
+/** What a request is about, besides what the core knows of it. */
+struct request {
+	LIST_ENTRY(request) next;
+	struct daemon *d;
+	uint64_t id;
+	struct conn *conn;
+	evhtp_request_t *http; /* NULL: its caller is gone */
+	bool plain;
+	bool stream;
+	bool usage;
+	bool head_sent; /* of a stream */
+	bool ended; /* the core has ended it */
+	struct pf_oai_shape shape; /* not of a plain call */
+	struct pf_payload payload; /* `prior` is empty; owned */
+	uint32_t prompt_tokens;
+	struct pf_text output; /* delivered by the core; a resume's `prior` */
+	uint32_t output_tokens;
+	size_t unsent; /* bytes of `output` not yet given to the socket */
+	struct pf_text tail; /* what follows them once it has ended */
+};
+
+/** A caller's connection. */
+struct conn {
+	LIST_ENTRY(conn) next;
+	struct daemon *d;
+	evhtp_connection_t *http;
+	struct event *timer; /* for a request to arrive, or to be closed */
+	struct request *request; /* the one being answered */
+	size_t header_bytes; /* of the request that is arriving */
+	size_t body_bytes;
+	bool receiving; /* some of a request has arrived */
+	bool refused; /* answered with an error; what comes is dropped */
+};
+
+/** A session that is kept with an agent or with another entry. */
+struct link {
+	LIST_ENTRY(link) next;
+	uint64_t id; /* endpoint id; 0: an entry named in the settings */
+	char *addr;
+	struct pf_rpc_session *session;
+};
+
+struct daemon {
+	struct event_base *base;
+	struct pf_entry_settings set;
+	struct pf_log log;
+	struct pf_entry_counters counters;
+	char *key;
+	uint64_t id;
+	uint64_t incarnation; /* random; request ids derive from it */
+	uint64_t requests_made;
+	uint32_t shards; /* of the claims of a service */
+	struct pf_config *config; /* NULL until the first is adopted */
+	char *config_text; /* of it, for peers and operators */
+	bool draining;
+	bool drained;
+
+	struct pf_entry *core;
+	struct event *core_timer;
+	pf_ms core_due;
+	bool in_step;
+	const struct pf_wire_msg *at_hand; /* that the core is handling */
+	LIST_HEAD(, request) requests;
+	struct pf_map request_index;
+	struct request **slots; /* by the map's value */
+	uint32_t *free_slots;
+	uint32_t n_free_slots;
+	LIST_HEAD(, request) gone; /* whose callers left inside a step */
+	struct event *gone_ev;
+
+	struct evhtp *http;
+	LIST_HEAD(, conn) conns;
+	uint32_t n_conns;
+	struct pf_text scratch; /* one answer's bytes */
+
+	struct pf_rpc *rpc;
+	LIST_HEAD(, link) links;
+	struct pf_rpc_session **entries; /* sessions with other entries */
+	uint32_t n_entries;
+
+	struct pf_table *table;
+	struct event *config_timer;
+	struct event *stop_timer;
+	struct pf_rng rng;
+};
+
+#define ENTRIES_MAX 64
+
+/* core.c */
+int core_start(struct daemon *d);
+void core_stop(struct daemon *d);
+/** Feeds the core and carries out its acts. Not from inside an act. */
+void entry_step(struct daemon *d, const struct pf_entry_msg *m);
+
+/* requests.c */
+int requests_init(struct daemon *d);
+void requests_stop(struct daemon *d);
+/** NULL when there is no room. */
+struct request *requests_new(struct daemon *d, struct conn *c,
+			     evhtp_request_t *http);
+struct request *requests_find(struct daemon *d, uint64_t id);
+void requests_free(struct request *r);
+/** The caller left: tells the core and frees @r, now or after the step. */
+void requests_gone(struct request *r);
+int payload_copy(struct pf_payload *to, const struct pf_payload *from);
+void payload_free(struct pf_payload *p);
+
+/* server.c: connections, limits, routing */
+int server_start(struct daemon *d);
+void server_stop(struct daemon *d);
+
+/* api.c: /v1/... */
+void api_completion(struct daemon *d, struct conn *c, evhtp_request_t *req,
+		    enum pf_oai_kind kind);
+void api_models(struct daemon *d, struct conn *c, evhtp_request_t *req);
+/** The caller whose key stands in the request, or NULL after a refusal. */
+const struct pf_caller *api_caller(struct daemon *d, struct conn *c,
+				   evhtp_request_t *req);
+
+/* svc.c: /svc/NAME/... */
+void svc_call(struct daemon *d, struct conn *c, evhtp_request_t *req);
+
+/* answer.c: what goes to callers */
+void answer_bytes(struct conn *c, evhtp_request_t *req, int status,
+		  const char *type, struct pf_str body);
+void answer_failure(struct conn *c, evhtp_request_t *req, int status,
+		    const struct pf_oai_failure *f);
+/** A refusal before the core knows the request: it did not run. */
+void answer_refused(struct conn *c, evhtp_request_t *req, int status,
+		    const char *code, const char *message);
+/** Some tokens of a stream; @text is already part of r->output. */
+void answer_text(struct request *r, struct pf_str text);
+/** The end of a request; frees @r unless output is still to be sent. */
+void answer_end(struct request *r, const struct pf_entry_act *act);
+/** The socket has room again. */
+void answer_writable(struct request *r);
+
+/* links.c */
+int links_start(struct daemon *d);
+void links_stop(struct daemon *d);
+/** Keeps sessions with the agents that the configuration names. */
+void links_configure(struct daemon *d);
+void links_send(struct daemon *d, uint64_t agent, const struct pf_wire_msg *m);
+void links_send_entries(struct daemon *d, const struct pf_wire_msg *m);
+
+/* config.c */
+int config_start(struct daemon *d);
+
+/* admin.c: operators' interface and status */
+void admin_route(struct daemon *d, struct conn *c, evhtp_request_t *req);
+void status_route(struct daemon *d, struct conn *c, evhtp_request_t *req);
+
+/* main.c */
+void daemon_drain(struct daemon *d, const char *why);
+
+#endif
--- /dev/null
+++ b/daemons/entry/server.c
@@ -0,0 +1,304 @@
+/*
+ * Callers' connections: limits on size and time, and routing. Refusals that
+ * come before a request is whole are written to the socket directly; what
+ * the caller still sends is dropped for a moment, so that it can read them.
+ */
+#include "daemon.h"
+
+#include <event2/buffer.h>
+#include <event2/bufferevent.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/socket.h>
+
+#define BACKLOG 1024
+#define LINGER_MS 1000
+
+static struct timeval timeval_of(pf_ms ms)
+{
+	return (struct timeval){ ms / 1000, (ms % 1000) * 1000 };
+}
+
+/* Answers before the request is whole and drops what follows. */
+static void refuse_early(struct conn *c, int status, const char *phrase,
+			 const char *code, const char *message)
+{
+	struct pf_oai_failure f = { .code = code,
+				    .message = message,
+				    .ran = PF_NOT_RUN };
+	struct timeval linger = timeval_of(LINGER_MS);
+	int fd = bufferevent_getfd(c->http->bev);
+	struct pf_text body = { 0 };
+	struct pf_text all = { 0 };
+
+	if (c->refused)
+		return;
+	c->refused = true;
+	c->d->counters.v[PF_EC_BAD_REQUESTS]++;
+	pf_oai_failure_body(&f, &body);
+	pf_text_fmt(&all,
+		    "HTTP/1.1 %d %s\r\nContent-Type: application/json\r\n"
+		    "Content-Length: %zu\r\nConnection: close\r\n\r\n",
+		    status, phrase, body.n);
+	pf_text_add(&all, pf_text_str(&body));
+	if (!all.failed &&
+	    send(fd, all.p, all.n, MSG_NOSIGNAL | MSG_DONTWAIT) >= 0)
+		shutdown(fd, SHUT_WR);
+	event_add(c->timer, &linger);
+	pf_text_free(&body);
+	pf_text_free(&all);
+}
+
+static void on_timer(evutil_socket_t fd, short what, void *ctx)
+{
+	struct conn *c = ctx;
+
+	(void)fd;
+	(void)what;
+	if (c->receiving && !c->refused) {
+		refuse_early(c, 408, "Request Timeout", "too_slow",
+			     "the request did not arrive in time");
+		return;
+	}
+	evhtp_connection_free(c->http);
+}
+
+/* The first byte of a request has come: the rest is due in time. */
+static void start_receiving(struct conn *c)
+{
+	struct timeval tv = timeval_of(c->d->set.http.read);
+
+	if (c->receiving)
+		return;
+	c->receiving = true;
+	event_add(c->timer, &tv);
+}
+
+static evhtp_res on_headers_start(evhtp_request_t *req, void *ctx)
+{
+	(void)req;
+	start_receiving(ctx);
+	return EVHTP_RES_OK;
+}
+
+static evhtp_res on_header(evhtp_request_t *req, evhtp_header_t *h, void *ctx)
+{
+	struct conn *c = ctx;
+
+	(void)req;
+	start_receiving(c);
+	c->header_bytes += h->klen + h->vlen + 4;
+	if (c->header_bytes > (size_t)c->d->set.http.header)
+		refuse_early(c, 431, "Request Header Fields Too Large",
+			     "header_too_large",
+			     "the header is longer than this server takes");
+	return EVHTP_RES_OK;
+}
+
+static void refuse_body(struct conn *c)
+{
+	refuse_early(c, 413, "Content Too Large", "body_too_large",
+		     "the body is longer than this server takes");
+}
+
+static evhtp_res on_headers(evhtp_request_t *req, evhtp_headers_t *h, void *ctx)
+{
+	struct conn *c = ctx;
+
+	(void)h;
+	if (evhtp_request_content_len(req) > (uint64_t)c->d->set.http.body)
+		refuse_body(c);
+	return EVHTP_RES_OK;
+}
+
+static evhtp_res on_body(evhtp_request_t *req, struct evbuffer *buf, void *ctx)
+{
+	struct conn *c = ctx;
+
+	(void)req;
+	c->body_bytes += evbuffer_get_length(buf);
+	if (c->body_bytes > (size_t)c->d->set.http.body)
+		refuse_body(c);
+	if (c->refused)
+		evbuffer_drain(buf, evbuffer_get_length(buf));
+	return EVHTP_RES_OK;
+}
+
+static evhtp_res on_request_fini(evhtp_request_t *req, void *ctx)
+{
+	struct conn *c = ctx;
+
+	if (c->request && c->request->http == req)
+		requests_gone(c->request);
+	return EVHTP_RES_OK;
+}
+
+static evhtp_res on_write(evhtp_connection_t *http, void *ctx)
+{
+	struct conn *c = ctx;
+
+	(void)http;
+	if (c->request)
+		answer_writable(c->request);
+	return EVHTP_RES_OK;
+}
+
+static evhtp_res on_connection_fini(evhtp_connection_t *http, void *ctx)
+{
+	struct conn *c = ctx;
+
+	(void)http;
+	if (c->request)
+		requests_gone(c->request);
+	event_free(c->timer);
+	LIST_REMOVE(c, next);
+	c->d->n_conns--;
+	free(c);
+	return EVHTP_RES_OK;
+}
+
+static evhtp_res on_pre_accept(evhtp_connection_t *http, void *ctx)
+{
+	struct daemon *d = ctx;
+
+	(void)http;
+	return d->n_conns < d->set.http.connections ? EVHTP_RES_OK
+						    : EVHTP_RES_ERROR;
+}
+
+#define HOOK(c, type, fn) \
+	evhtp_connection_set_hook((c)->http, (type), (evhtp_hook)(fn), (c))
+
+static evhtp_res on_accept(evhtp_connection_t *http, void *ctx)
+{
+	struct conn *c = calloc(1, sizeof(*c));
+	struct daemon *d = ctx;
+	struct timeval tv = timeval_of(d->set.http.read);
+
+	if (!c)
+		return EVHTP_RES_ERROR;
+	c->d = d;
+	c->http = http;
+	c->timer = evtimer_new(d->base, on_timer, c);
+	if (!c->timer) {
+		free(c);
+		return EVHTP_RES_ERROR;
+	}
+	/* A connection that sends nothing is closed, too. */
+	event_add(c->timer, &tv);
+	LIST_INSERT_HEAD(&d->conns, c, next);
+	d->n_conns++;
+	HOOK(c, evhtp_hook_on_headers_start, on_headers_start);
+	HOOK(c, evhtp_hook_on_header, on_header);
+	HOOK(c, evhtp_hook_on_headers, on_headers);
+	HOOK(c, evhtp_hook_on_read, on_body);
+	HOOK(c, evhtp_hook_on_request_fini, on_request_fini);
+	HOOK(c, evhtp_hook_on_write, on_write);
+	HOOK(c, evhtp_hook_on_connection_fini, on_connection_fini);
+	return EVHTP_RES_OK;
+}
+
+static bool starts_with(const char *s, const char *prefix)
+{
+	return strncmp(s, prefix, strlen(prefix)) == 0;
+}
+
+static void need_method(struct daemon *d, struct conn *c, evhtp_request_t *req,
+			htp_method method,
+			void (*handle)(struct daemon *, struct conn *,
+				       evhtp_request_t *))
+{
+	if (req->method != method)
+		answer_refused(c, req, 405, "method_not_allowed",
+			       "this path takes another method");
+	else
+		handle(d, c, req);
+}
+
+static void chat(struct daemon *d, struct conn *c, evhtp_request_t *req)
+{
+	api_completion(d, c, req, PF_OAI_CHAT);
+}
+
+static void completion(struct daemon *d, struct conn *c, evhtp_request_t *req)
+{
+	api_completion(d, c, req, PF_OAI_COMPLETION);
+}
+
+static void route(struct daemon *d, struct conn *c, evhtp_request_t *req)
+{
+	const char *path = req->uri->path->full;
+
+	if (strcmp(path, "/v1/chat/completions") == 0)
+		need_method(d, c, req, htp_method_POST, chat);
+	else if (strcmp(path, "/v1/completions") == 0)
+		need_method(d, c, req, htp_method_POST, completion);
+	else if (strcmp(path, "/v1/models") == 0)
+		need_method(d, c, req, htp_method_GET, api_models);
+	else if (starts_with(path, "/svc/"))
+		svc_call(d, c, req);
+	else if (starts_with(path, "/admin/") && d->set.operators)
+		admin_route(d, c, req);
+	else
+		status_route(d, c, req);
+}
+
+/* A request is whole. */
+static void on_request(evhtp_request_t *req, void *ctx)
+{
+	struct daemon *d = ctx;
+	struct timeval write = timeval_of(d->set.http.write);
+	struct conn *c;
+
+	LIST_FOREACH(c, &d->conns, next)
+	{
+		if (c->http == req->conn)
+			break;
+	}
+	if (!c || c->refused)
+		return;
+	event_del(c->timer);
+	/* Its caller has nothing to send while it waits for the answer. */
+	bufferevent_set_timeouts(req->conn->bev, NULL, &write);
+	d->counters.v[PF_EC_REQUESTS]++;
+	if (!req->uri || !req->uri->path || !req->uri->path->full)
+		answer_refused(c, req, 400, "invalid_request", "no path");
+	else
+		route(d, c, req);
+}
+
+int server_start(struct daemon *d)
+{
+	struct timeval r = timeval_of(d->set.http.read);
+	struct timeval w = timeval_of(d->set.http.write);
+	struct sockaddr_storage ss;
+	int len = sizeof(ss);
+
+	LIST_INIT(&d->conns);
+	d->http = evhtp_new(d->base, NULL);
+	if (!d->http ||
+	    evutil_parse_sockaddr_port(d->set.listen, (struct sockaddr *)&ss,
+				       &len) < 0)
+		return -1;
+	evhtp_set_timeouts(d->http, &r, &w);
+	evhtp_enable_flag(d->http, EVHTP_FLAG_ENABLE_NODELAY);
+	evhtp_set_parser_flags(d->http, EVHTP_PARSE_QUERY_FLAG_LENIENT);
+	evhtp_set_pre_accept_cb(d->http, on_pre_accept, d);
+	evhtp_set_post_accept_cb(d->http, on_accept, d);
+	evhtp_set_gencb(d->http, on_request, d);
+	return evhtp_bind_sockaddr(d->http, (struct sockaddr *)&ss, (size_t)len,
+				   BACKLOG);
+}
+
+void server_stop(struct daemon *d)
+{
+	struct conn *c;
+
+	if (!d->http)
+		return;
+	evhtp_unbind_socket(d->http);
+	while ((c = LIST_FIRST(&d->conns)))
+		evhtp_connection_free(c->http);
+	evhtp_free(d->http);
+}
--- a/src/protocol/openai.c
+++ b/src/protocol/openai.c
@@ -26,6 +26,7 @@
 	DEF(CANCELLED, 499)       \
 	DEF(STORE_AWAY, 503)      \
 	DEF(OUTCOME_UNKNOWN, 409) \
+	DEF(KEY_REUSED, 422)      \
 	DEF(BACKEND, 502)
 
 static const char *const ran_names[] = { "not_run", "ran", "unknown" };
