Stand-ins of the platform, an engine and a plain service

Cause: the daemons, the demo and the soak need something to talk to. Change: pimento-standin with three roles on libevhtp, evhttp towards the weight store, faults on request, and a deterministic answer function that the load tool will share.

--- /dev/null
+++ b/standin/engine.c
@@ -0,0 +1,513 @@
+/*
+ * The engine stand-in: a batch that steps in real time, prefill with a
+ * bounded prefix cache, runs that stand at their limit, and memory that is
+ * committed up to each run's limit.
+ */
+#include "standin/engine.h"
+
+#include <event2/event.h>
+#include <glib.h>
+#include <inttypes.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define PREFIX_BYTES 64
+#define PROMPTS_MAX 200000
+#define EXIT_CRASHED 70
+
+static double now_exact(void)
+{
+	return (double)g_get_monotonic_time() / 1000;
+}
+
+static int64_t run_bytes(const struct engine *e, const struct run *r,
+			 uint32_t limit)
+{
+	return (int64_t)(r->prompt_tokens + (uint64_t)limit) * e->opts.kv_bytes;
+}
+
+static void run_free(struct run *r)
+{
+	struct engine *e = r->engine;
+
+	e->used -= run_bytes(e, r, r->limit);
+	g_ptr_array_remove(e->queue, r);
+	g_hash_table_remove(e->runs, r->id);
+	if (r->x)
+		r->x->closed = NULL;
+	g_free(r->id);
+	g_free(r->model);
+	g_free(r->adapter);
+	g_free(r);
+}
+
+static void run_end(struct run *r, const char *how)
+{
+	char data[64];
+	int n = snprintf(data, sizeof(data), "{\"end\":\"%s\",\"total\":%u}",
+			 how, r->done);
+
+	if (r->x) {
+		exchange_event(r->x, data, (size_t)n);
+		exchange_end(r->x);
+	}
+	run_free(r);
+}
+
+static void run_gone(void *ctx)
+{
+	struct run *r = ctx;
+
+	r->x = NULL;
+	r->engine->cancelled++;
+	run_free(r);
+}
+
+/* Whether the prompt's first part is cached; it is from now on. */
+static bool prefix_cached(struct engine *e, const struct run *r,
+			  struct pf_str prompt)
+{
+	uint64_t model = pf_id(pf_str_c(r->model));
+	uint64_t h;
+	GList *l;
+
+	prompt.n = MIN(prompt.n, PREFIX_BYTES);
+	h = pf_id2(model, pf_id(prompt));
+	for (l = e->prefixes.head; l; l = l->next)
+		if (*(uint64_t *)l->data == h)
+			break;
+	if (l) {
+		g_queue_unlink(&e->prefixes, l);
+		g_queue_push_head_link(&e->prefixes, l);
+		e->prefix_hits++;
+		return true;
+	}
+	g_queue_push_head(&e->prefixes, g_memdup2(&h, sizeof(h)));
+	while ((int)e->prefixes.length > e->opts.prefixes)
+		g_free(g_queue_pop_tail(&e->prefixes));
+	return false;
+}
+
+static void prefill(struct engine *e, struct run *r)
+{
+	uint32_t cached = r->prefilled ? PREFIX_BYTES / 4 : 0;
+	uint32_t tokens = r->prompt_tokens + r->done;
+
+	tokens -= MIN(cached, tokens);
+	r->prefilled = true;
+	r->ready = now_exact() + tokens * e->opts.prefill_ms;
+}
+
+static bool runnable(const struct run *r)
+{
+	return r->done < r->limit;
+}
+
+static struct run *most_urgent(const struct engine *e)
+{
+	struct run *best = NULL;
+
+	for (guint i = 0; i < e->queue->len; i++) {
+		struct run *r = e->queue->pdata[i];
+
+		if (!r->in_batch && runnable(r) &&
+		    (!best || r->priority < best->priority))
+			best = r;
+	}
+	return best;
+}
+
+static int batch_size(const struct engine *e)
+{
+	int n = 0;
+
+	for (guint i = 0; i < e->queue->len; i++)
+		n += ((struct run *)e->queue->pdata[i])->in_batch;
+	return n;
+}
+
+static int fill_batch(struct engine *e)
+{
+	int n = batch_size(e);
+	struct run *r;
+
+	while (n < e->opts.batch && (r = most_urgent(e))) {
+		r->in_batch = true;
+		if (r->ready == 0)
+			prefill(e, r);
+		n++;
+	}
+	return n;
+}
+
+static double step_time(const struct engine *e, int batch)
+{
+	return e->opts.step_ms + e->opts.step_run_ms * batch;
+}
+
+static void schedule_step(struct engine *e)
+{
+	int n = fill_batch(e);
+	double us = step_time(e, n) * 1000;
+	struct timeval tv = { (time_t)(us / 1e6), (suseconds_t)us % 1000000 };
+
+	e->stepping = n > 0;
+	if (n)
+		evtimer_add(e->step, &tv);
+}
+
+static void tell_limit(struct run *r)
+{
+	char data[32];
+	int n = snprintf(data, sizeof(data), "{\"at_limit\":%u}", r->done);
+
+	r->in_batch = false;
+	if (!r->limit_told)
+		exchange_event(r->x, data, (size_t)n);
+	r->limit_told = true;
+}
+
+/* One token; true when the run ended with it. */
+static bool run_step(struct engine *e, struct run *r, double now)
+{
+	char token[ANSWER_TOKEN_MAX];
+	char data[64];
+	int n;
+
+	if (now < r->ready)
+		return false;
+	if (r->done < r->answer.length) {
+		answer_token(&r->answer, r->done, token);
+		n = snprintf(data, sizeof(data),
+			     "{\"offset\":%u,\"text\":\"%s\"}", r->done, token);
+		exchange_event(r->x, data, (size_t)n);
+		r->done++;
+		e->tokens++;
+		r->ready = now + r->answer.slow_ms;
+	}
+	if (r->done >= r->answer.length) {
+		e->ended++;
+		run_end(r, "stop");
+		return true;
+	}
+	if (!runnable(r))
+		tell_limit(r);
+	return false;
+}
+
+static void on_step(evutil_socket_t fd, short what, void *ctx)
+{
+	struct engine *e = ctx;
+	double now = now_exact();
+	guint i = 0;
+
+	(void)fd;
+	(void)what;
+	while (!server_paused(e->server, TARGET_ENGINE) && i < e->queue->len) {
+		struct run *r = e->queue->pdata[i];
+
+		if (!r->in_batch || !run_step(e, r, now))
+			i++;
+	}
+	schedule_step(e);
+}
+
+static char *text_of(const json_t *j, const char *name)
+{
+	const char *s = json_string_value(json_object_get(j, name));
+
+	return g_strdup(s ? s : "");
+}
+
+static struct run *run_new(struct engine *e, const json_t *j)
+{
+	struct run *r = g_new0(struct run, 1);
+
+	r->engine = e;
+	r->id = text_of(j, "run");
+	r->model = text_of(j, "model");
+	r->adapter = text_of(j, "adapter");
+	r->done = (uint32_t)json_integer_value(json_object_get(j, "offset"));
+	r->limit = (uint32_t)json_integer_value(json_object_get(j, "limit"));
+	r->priority = (int)json_integer_value(json_object_get(j, "priority"));
+	return r;
+}
+
+/* Why it cannot start, or NULL with its memory committed. */
+static const char *run_refusal(struct engine *e, const struct run *r)
+{
+	if (!*r->id || r->limit < r->done)
+		return "bad_run";
+	if (g_hash_table_contains(e->runs, r->id))
+		return "duplicate";
+	if (!engine_resident(e, r->model) ||
+	    (*r->adapter && !engine_resident(e, r->adapter)))
+		return "not_resident";
+	if (!engine_commit(e, run_bytes(e, r, r->limit)))
+		return "no_memory";
+	return NULL;
+}
+
+static void note_prompt(struct engine *e, struct pf_str prompt)
+{
+	uint64_t h = pf_id(prompt);
+
+	if (g_hash_table_size(e->prompts) < PROMPTS_MAX)
+		g_hash_table_add(e->prompts, g_memdup2(&h, sizeof(h)));
+}
+
+static void run_start(struct engine *e, struct exchange *x, struct run *r,
+		      struct pf_str prompt, const char *prior)
+{
+	struct pf_str before = pf_str_c(prior);
+
+	answer_init(&r->answer, pf_str_c(r->model), pf_str_c(r->adapter),
+		    prompt);
+	if (answer_match(&r->answer, before) != (int64_t)r->done)
+		e->prior_mismatch++;
+	r->prefilled = prefix_cached(e, r, prompt);
+	r->x = x;
+	x->closed = run_gone;
+	x->ctx = r;
+	e->started++;
+	note_prompt(e, prompt);
+	g_hash_table_insert(e->runs, r->id, r);
+	g_ptr_array_add(e->queue, r);
+	exchange_stream(x);
+	if (!runnable(r))
+		tell_limit(r);
+	if (!e->stepping)
+		schedule_step(e);
+}
+
+static bool crashes(const struct engine *e, const char *prompt)
+{
+	const char *match = e->server->faults[TARGET_ENGINE].crash_on;
+
+	return (match && strstr(prompt, match)) ||
+	       (e->opts.crash_on && strstr(prompt, e->opts.crash_on));
+}
+
+static void handle_run(struct engine *e, struct exchange *x)
+{
+	json_t *j = exchange_json(x);
+	struct run *r = run_new(e, j);
+	char *prompt = text_of(j, "prompt");
+	char *prior = text_of(j, "prior");
+	const char *refusal;
+
+	json_decref(j);
+	if (crashes(e, prompt))
+		_exit(EXIT_CRASHED);
+	r->prompt_tokens = answer_tokens_of(strlen(prompt));
+	refusal = run_refusal(e, r);
+	if (refusal) {
+		g_free(r->id);
+		g_free(r->model);
+		g_free(r->adapter);
+		g_free(r);
+		exchange_error(x, 409, refusal);
+	} else {
+		run_start(e, x, r, pf_str_c(prompt), prior);
+	}
+	g_free(prompt);
+	g_free(prior);
+}
+
+static void handle_resume(struct engine *e, struct exchange *x, struct run *r)
+{
+	json_t *j = exchange_json(x);
+	uint32_t limit =
+		(uint32_t)json_integer_value(json_object_get(j, "limit"));
+
+	json_decref(j);
+	if (limit > r->limit) {
+		if (!engine_commit(e, run_bytes(e, r, limit) -
+					      run_bytes(e, r, r->limit))) {
+			exchange_error(x, 409, "no_memory");
+			return;
+		}
+		r->limit = limit;
+		r->limit_told = false;
+	}
+	exchange_reply_json(x, 200, json_object());
+	if (!e->stepping)
+		schedule_step(e);
+}
+
+/* POST /engine/run/ID/resume and /engine/run/ID/cancel */
+static void handle_run_call(struct engine *e, struct exchange *x,
+			    const char *rest)
+{
+	char **part = g_strsplit(rest, "/", 2);
+	struct run *r = part[0] ? g_hash_table_lookup(e->runs, part[0]) : NULL;
+	const char *call = part[0] && part[1] ? part[1] : "";
+
+	if (!r) {
+		exchange_error(x, 404, "no_run");
+	} else if (!strcmp(call, "resume")) {
+		handle_resume(e, x, r);
+	} else if (!strcmp(call, "cancel")) {
+		e->cancelled++;
+		run_end(r, "cancelled");
+		exchange_reply_json(x, 200, json_object());
+	} else {
+		exchange_error(x, 404, "no_such_page");
+	}
+	g_strfreev(part);
+}
+
+static json_t *inventory(const struct engine *e)
+{
+	json_t *runs = json_array();
+
+	for (guint i = 0; i < e->queue->len; i++) {
+		const struct run *r = e->queue->pdata[i];
+
+		json_array_append_new(runs, json_pack("{sssi}", "run", r->id,
+						      "total", (int)r->done));
+	}
+	return json_pack("{sssIsIsoso}", "boot", e->boot, "memory",
+			 (json_int_t)e->opts.memory, "used",
+			 (json_int_t)e->used, "items", engine_items_json(e),
+			 "runs", runs);
+}
+
+static void take_snapshot(evutil_socket_t fd, short what, void *ctx)
+{
+	struct engine *e = ctx;
+	struct timeval tv = { e->opts.lag_ms / 1000,
+			      (e->opts.lag_ms % 1000) * 1000 };
+	int n = batch_size(e);
+
+	(void)fd;
+	(void)what;
+	json_decref(e->load);
+	e->load = json_pack("{sisisfsf}", "running", n, "waiting",
+			    (int)e->queue->len - n, "step_ms", step_time(e, n),
+			    "prefill_token_ms", e->opts.prefill_ms);
+	e->load_at = now_ms();
+	evtimer_add(e->snapshot, &tv);
+}
+
+static json_t *load_report(const struct engine *e)
+{
+	json_t *j = json_copy(e->load);
+
+	json_object_set_new(j, "age_ms", json_integer(now_ms() - e->load_at));
+	return j;
+}
+
+static enum target target_of(const char *path)
+{
+	(void)path;
+	return TARGET_ENGINE;
+}
+
+static void handle(void *self, struct exchange *x)
+{
+	struct engine *e = self;
+	const char *path = exchange_path(x);
+
+	if (!strcmp(path, "/engine/run"))
+		handle_run(e, x);
+	else if (!strncmp(path, "/engine/run/", 12))
+		handle_run_call(e, x, path + 12);
+	else if (!strcmp(path, "/engine/orders"))
+		engine_order(e, x);
+	else if (!strcmp(path, "/engine/inventory"))
+		exchange_reply_json(x, 200, inventory(e));
+	else if (!strcmp(path, "/engine/load"))
+		exchange_reply_json(x, 200, load_report(e));
+	else
+		exchange_error(x, 404, "no_such_page");
+}
+
+/* The hashes of the prompts that ran, for checks of "not run". */
+static bool admin(void *self, struct exchange *x, const char *path)
+{
+	struct engine *e = self;
+	json_t *prompts;
+	GHashTableIter i;
+	void *h;
+
+	if (strcmp(path, "/admin/prompts") != 0)
+		return false;
+	prompts = json_array();
+	g_hash_table_iter_init(&i, e->prompts);
+	while (g_hash_table_iter_next(&i, &h, NULL)) {
+		char hex[17];
+
+		snprintf(hex, sizeof(hex), "%016" PRIx64, *(uint64_t *)h);
+		json_array_append_new(prompts, json_string(hex));
+	}
+	exchange_reply_json(x, 200, json_pack("{so}", "prompts", prompts));
+	return true;
+}
+
+static json_t *state(void *self)
+{
+	struct engine *e = self;
+	json_t *j = inventory(e);
+	const struct {
+		const char *name;
+		uint64_t value;
+	} counters[] = {
+		{ "peak", (uint64_t)e->peak },
+		{ "overcommit", e->overcommit },
+		{ "started", e->started },
+		{ "ended", e->ended },
+		{ "cancelled", e->cancelled },
+		{ "tokens", e->tokens },
+		{ "loads", e->loads },
+		{ "unloads", e->unloads },
+		{ "fenced", e->fenced },
+		{ "prefix_hits", e->prefix_hits },
+		{ "prior_mismatch", e->prior_mismatch },
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(counters); i++)
+		json_object_set_new(
+			j, counters[i].name,
+			json_integer((json_int_t)counters[i].value));
+	return j;
+}
+
+struct engine *engine_new(struct server *s, const struct engine_opts *o)
+{
+	struct engine *e = g_new0(struct engine, 1);
+
+	e->server = s;
+	e->opts = *o;
+	snprintf(e->boot, sizeof(e->boot), "%08x%08x", g_random_int(),
+		 g_random_int());
+	e->items = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
+					 engine_item_free);
+	e->runs = g_hash_table_new(g_str_hash, g_str_equal);
+	e->queue = g_ptr_array_new();
+	e->prompts = g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free,
+					   NULL);
+	g_queue_init(&e->prefixes);
+	e->step = evtimer_new(s->base, on_step, e);
+	e->snapshot = evtimer_new(s->base, take_snapshot, e);
+	take_snapshot(-1, 0, e);
+	s->role = (struct role){ target_of, handle, admin, state };
+	s->self = e;
+	return e;
+}
+
+void engine_free(struct engine *e)
+{
+	while (e->queue->len)
+		run_free(e->queue->pdata[0]);
+	g_ptr_array_free(e->queue, TRUE);
+	g_hash_table_destroy(e->runs);
+	g_hash_table_destroy(e->items);
+	g_hash_table_destroy(e->prompts);
+	g_queue_clear_full(&e->prefixes, g_free);
+	event_free(e->step);
+	event_free(e->snapshot);
+	json_decref(e->load);
+	g_free(e);
+}
--- /dev/null
+++ b/standin/engine.h
@@ -0,0 +1,77 @@
+/*
+ * What the two parts of the engine stand-in share: memory and items
+ * (engine_items.c), runs and the batch (engine.c).
+ */
+#ifndef PIMENTO_STANDIN_ENGINE_H
+#define PIMENTO_STANDIN_ENGINE_H
+
+#include "standin/answer.h"
+#include "standin/roles.h"
+
+#include <glib.h>
+
+/** A model version or adapter in memory. */
+struct item {
+	struct engine *engine;
+	char *name;
+	const char *state; /* "loading", "resident" or "unloading" */
+	int64_t bytes;
+	struct exchange *x; /* the order waiting for it, or NULL */
+	struct event *timer;
+	struct evhttp_connection *store;
+};
+
+struct run {
+	struct engine *engine;
+	char *id;
+	char *model;
+	char *adapter;
+	struct exchange *x; /* NULL when its caller went away */
+	struct answer answer;
+	uint32_t prompt_tokens;
+	uint32_t done; /* output tokens, those before the offset included */
+	uint32_t limit;
+	int priority; /* 0 is the most urgent */
+	bool prefilled;
+	bool in_batch;
+	bool limit_told;
+	double ready; /* no token before this time, ms */
+};
+
+struct engine {
+	struct server *server;
+	struct engine_opts opts;
+	char boot[17];
+	GHashTable *items; /* name to struct item */
+	GHashTable *runs; /* id to struct run */
+	GPtrArray *queue; /* struct run, oldest first */
+	GQueue prefixes; /* hashes of prompt prefixes, latest first */
+	GHashTable *prompts; /* hashes of the prompts that ran */
+	struct event *step;
+	struct event *snapshot;
+	bool stepping;
+	int64_t used; /* bytes committed: items, and runs up to their limit */
+	int64_t peak;
+	uint64_t overcommit; /* asked for memory that does not exist */
+	int64_t fence;
+	json_t *load; /* the last load report */
+	pf_ms load_at;
+	uint64_t started, ended, cancelled, tokens, loads, unloads, fenced;
+	uint64_t prefix_hits, prior_mismatch;
+};
+
+/** Commits memory; false, and counted, when there is not so much left. */
+bool engine_commit(struct engine *e, int64_t bytes);
+
+/** The resident item of this name, or NULL. */
+struct item *engine_resident(struct engine *e, const char *name);
+
+/** Serves POST /engine/orders. */
+void engine_order(struct engine *e, struct exchange *x);
+
+/** "items" of the inventory. */
+json_t *engine_items_json(const struct engine *e);
+
+void engine_item_free(void *item);
+
+#endif
