--- a/standin/main.c
+++ b/standin/main.c
@@ -19,6 +19,8 @@
 	gboolean version;
 	struct platform_opts platform;
 	struct engine_opts engine;
+	char *weights;
+	char *crash_on;
 	gboolean check_fence;
 };
 
@@ -93,9 +95,9 @@
 		  "Engine: time of an unload", "MS" },
 		{ "load", 0, 0, G_OPTION_ARG_INT, &e->load_ms,
 		  "Engine: time of a load without a weight store", "MS" },
-		{ "weights", 0, 0, G_OPTION_ARG_STRING, &e->weights,
+		{ "weights", 0, 0, G_OPTION_ARG_STRING, &s->weights,
 		  "Engine: the weight store", "IP:PORT" },
-		{ "crash-on", 0, 0, G_OPTION_ARG_STRING, &e->crash_on,
+		{ "crash-on", 0, 0, G_OPTION_ARG_STRING, &s->crash_on,
 		  "Engine: end when a prompt contains this", "TEXT" },
 		{ "check-fence", 0, 0, G_OPTION_ARG_NONE, &s->check_fence,
 		  "Engine: refuse orders with an old number", NULL },
@@ -113,6 +115,8 @@
 	}
 	g_option_context_free(c);
 	e->check_fence = s->check_fence;
+	e->weights = s->weights;
+	e->crash_on = s->crash_on;
 	return rc;
 }
 
@@ -177,6 +181,7 @@
 int main(int argc, char **argv)
 {
 	struct settings s;
+	int rc;
 
 	settings_default(&s);
 	if (parse(&s, argc, argv))
@@ -185,5 +190,10 @@
 		printf("pimento-standin " VERSION "\n");
 		return EXIT_SUCCESS;
 	}
-	return run(&s);
+	rc = run(&s);
+	g_free(s.role);
+	g_free(s.listen);
+	g_free(s.weights);
+	g_free(s.crash_on);
+	return rc;
 }
