Load tool that checks every answer end to end

Cause: the soak needs arrivals and a judge of each answer. Change: pimento-load reads a TOML scenario, sends open-loop arrivals from several callers, honours Retry-After, resends idempotency keys through another entry, judges texts with the stand-in's answer function and asks the stand-ins which keys and prompts ran. Tests of the answer function and of the judgement. Conclusion: builds; to be proved by the demo and the soak.

--- a/Makefile
+++ b/Makefile
@@ -36,7 +36,7 @@
 SRC_agent := $(wildcard daemons/agent/*.c)
 SRC_ctl := $(wildcard daemons/ctl/*.c)
 SRC_standin := $(wildcard standin/*.c)
-SRC_load := $(wildcard load/*.c)
+SRC_load := $(wildcard load/*.c) standin/answer.c
 SRC_bench := $(wildcard bench/*.c)
 SRC_fuzz := $(wildcard fuzz/*.c)
 SRC_tests := $(wildcard tests/*.cc)
@@ -84,7 +84,7 @@
 	$(CC) $(LDFLAGS) -o $@ $^ $(LIBS)
 $(B)/pf-fuzz: $(call obj,$(SRC_fuzz)) $(LIB)
 	$(CC) $(LDFLAGS) -o $@ $^ $(LIBS)
-$(B)/pf-tests: $(call obj,$(SRC_tests)) $(LIB)
+$(B)/pf-tests: $(call obj,$(SRC_tests) standin/answer.c load/check.c) $(LIB)
 	$(CXX) $(LDFLAGS) -o $@ $^ -lgtest_main -lgtest -lrapidcheck $(LIBS)
 
 .PHONY: bins
--- /dev/null
+++ b/load/audit.c
@@ -0,0 +1,200 @@
+/* What only the stand-ins know: how often each key and which prompts ran. */
+#include "load/load.h"
+
+#include <event2/buffer.h>
+#include <event2/event.h>
+#include <event2/http.h>
+#include <stdlib.h>
+
+/* A fault explains what was cut up to so long after it. */
+#define FAULT_REACH_MS 10000
+#define ASK_TIMEOUT_S 10
+
+/** The questions that are still open. */
+struct audit {
+	struct load *load;
+	GHashTable *runs; /* key to its runs over all services */
+	guint open;
+};
+
+struct question {
+	struct audit *audit;
+	const char *addr;
+	bool service;
+};
+
+static void add_runs(struct audit *a, const json_t *j)
+{
+	json_t *n;
+	const char *key;
+
+	json_object_foreach((json_t *)json_object_get(j, "runs"), key, n)
+	{
+		guint sum = GPOINTER_TO_UINT(g_hash_table_lookup(a->runs, key));
+
+		sum += (guint)json_integer_value(n);
+		g_hash_table_replace(a->runs, g_strdup(key),
+				     GUINT_TO_POINTER(sum));
+	}
+}
+
+static void check_prompts(struct audit *a, const json_t *j)
+{
+	json_t *p;
+	size_t i;
+
+	json_array_foreach(json_object_get(j, "prompts"), i, p)
+	{
+		uint64_t h = g_ascii_strtoull(json_string_value(p), NULL, 16);
+
+		if (!g_hash_table_contains(a->load->not_run, &h))
+			continue;
+		a->load->n.not_run_but_ran++;
+		load_complain("not_run_but_ran", json_string_value(p),
+			      "an engine ran this prompt");
+	}
+}
+
+static void check_runs(struct audit *a)
+{
+	struct load *l = a->load;
+	GHashTableIter it;
+	void *key;
+	void *n;
+
+	g_hash_table_iter_init(&it, a->runs);
+	while (g_hash_table_iter_next(&it, &key, &n)) {
+		const struct key_record *k = g_hash_table_lookup(l->keys, key);
+
+		if (GPOINTER_TO_UINT(n) > 1) {
+			l->n.doubled++;
+			load_complain("doubled", key, "the key ran twice");
+		}
+		if (k && !k->may_have_run) {
+			l->n.not_run_but_ran++;
+			load_complain("not_run_but_ran", key,
+				      "every send ended as not run");
+		}
+	}
+}
+
+/* An answer to a key that never ran is somebody else's. */
+static void check_answers(struct audit *a)
+{
+	GHashTableIter it;
+	void *key;
+	void *k;
+
+	g_hash_table_iter_init(&it, a->load->keys);
+	while (g_hash_table_iter_next(&it, &key, &k)) {
+		if (!((struct key_record *)k)->receipt ||
+		    g_hash_table_contains(a->runs, key))
+			continue;
+		a->load->n.crossed++;
+		load_complain("crossed", key, "answered but never ran");
+	}
+}
+
+static void close_question(struct audit *a)
+{
+	if (--a->open > 0)
+		return;
+	check_runs(a);
+	if (a->load->scenario->services->len && !a->load->n.unreadable)
+		check_answers(a);
+	event_base_loopbreak(a->load->base);
+	g_hash_table_destroy(a->runs);
+	g_free(a);
+}
+
+static void on_answer(struct evhttp_request *req, void *ctx)
+{
+	struct question *q = ctx;
+	struct evbuffer *b = req ? evhttp_request_get_input_buffer(req) : NULL;
+	size_t n = b ? evbuffer_get_length(b) : 0;
+	json_t *j = n ? json_loadb((char *)evbuffer_pullup(b, -1), n, 0, NULL)
+		      : NULL;
+
+	if (!j) {
+		q->audit->load->n.unreadable++;
+		load_complain("unreadable", q->addr, "no counts");
+	} else if (q->service) {
+		add_runs(q->audit, j);
+	} else {
+		check_prompts(q->audit, j);
+	}
+	json_decref(j);
+	close_question(q->audit);
+	g_free(q);
+}
+
+static void ask(struct audit *a, const char *addr, bool service)
+{
+	struct question *q = g_new0(struct question, 1);
+	char **part = g_strsplit(addr, ":", 2);
+	struct evhttp_connection *c = evhttp_connection_base_new(
+		a->load->base, NULL, part[0],
+		(uint16_t)strtoul(part[1], NULL, 10));
+	struct evhttp_request *req = evhttp_request_new(on_answer, q);
+
+	q->audit = a;
+	q->addr = addr;
+	q->service = service;
+	evhttp_connection_set_timeout(c, ASK_TIMEOUT_S);
+	evhttp_connection_free_on_completion(c);
+	evhttp_add_header(evhttp_request_get_output_headers(req), "Host",
+			  part[0]);
+	evhttp_make_request(c, req, EVHTTP_REQ_GET,
+			    service ? "/admin/state" : "/admin/prompts");
+	g_strfreev(part);
+}
+
+void audit_start(struct load *l)
+{
+	struct audit *a = g_new0(struct audit, 1);
+	struct scenario *s = l->scenario;
+
+	a->load = l;
+	a->runs = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	a->open = s->services->len + s->engines->len + 1;
+	for (guint i = 0; i < s->services->len; i++)
+		ask(a, s->services->pdata[i], true);
+	for (guint i = 0; i < s->engines->len; i++)
+		ask(a, s->engines->pdata[i], false);
+	close_question(a);
+}
+
+/* A line is "MS TARGET"; a broken connection is explained by its entry. */
+static bool explained(const struct cut *c, char **lines)
+{
+	for (; *lines; lines++) {
+		char *target = NULL;
+		int64_t at = g_ascii_strtoll(*lines, &target, 10);
+
+		if (at == 0 || at > c->end || at + FAULT_REACH_MS < c->begin)
+			continue;
+		if (!c->broken || !g_strcmp0(g_strstrip(target), c->entry))
+			return true;
+	}
+	return false;
+}
+
+void audit_cuts(struct load *l, const char *path)
+{
+	char *text = NULL;
+	char **lines;
+
+	if (path)
+		g_file_get_contents(path, &text, NULL, NULL);
+	lines = g_strsplit(text ? text : "", "\n", 0);
+	for (guint i = 0; i < l->cuts->len; i++) {
+		const struct cut *c = &g_array_index(l->cuts, struct cut, i);
+
+		if (explained(c, lines))
+			continue;
+		l->n.cut_by_stop++;
+		load_complain("cut", c->entry, c->why);
+	}
+	g_strfreev(lines);
+	g_free(text);
+}
--- /dev/null
+++ b/load/load.h
@@ -0,0 +1,88 @@
+/*
+ * The load tool's state: what was sent, how it ended, and what was seen that
+ * must not happen.
+ */
+#ifndef PIMENTO_LOAD_LOAD_H
+#define PIMENTO_LOAD_LOAD_H
+
+#include "load/scenario.h"
+
+#include <jansson.h>
+
+struct event_base;
+
+/* DEF(name): counters of the closing line and the report. */
+#define LOAD_COUNTERS(DEF)                                                  \
+	DEF(requests)                                                       \
+	DEF(answered) /* whole and right */                                 \
+	DEF(refused) /* given up after refusals as not run */               \
+	DEF(failed) /* ended with an error that says so */                  \
+	DEF(cut) /* ended without an end, visibly */                        \
+	DEF(incomplete) /* called whole and was not, or never ended */      \
+	DEF(crossed)                                                        \
+	DEF(doubled)                                                        \
+	DEF(not_run_but_ran)                                                \
+	DEF(cut_by_stop) /* cut or failed with no fault that explains it */ \
+	DEF(within) /* answered within expectation */                       \
+	DEF(sends)                                                          \
+	DEF(resends) /* of a key that had been answered */                  \
+	DEF(waits) /* Retry-After honoured */                               \
+	DEF(tokens)                                                         \
+	DEF(unreadable) /* counts that a stand-in did not give */
+
+struct counters {
+#define DEF(name) uint64_t name;
+	LOAD_COUNTERS(DEF)
+#undef DEF
+};
+
+/** All that is known of one idempotency key. */
+struct key_record {
+	char *receipt; /* of the first answer; NULL: none yet */
+	bool may_have_run; /* some send did not end as "not run" */
+};
+
+/** An answer that ended without its end. */
+struct cut {
+	int64_t begin; /* milliseconds since the epoch */
+	int64_t end;
+	const char *entry; /* borrowed from the scenario */
+	bool broken; /* the connection went; else an error said so */
+	char *why;
+};
+
+struct load {
+	struct event_base *base;
+	struct scenario *scenario;
+	struct pf_rng rng;
+	uint64_t seed;
+	struct counters n;
+	uint32_t alive;
+	GHashTable *keys; /* idempotency key to struct key_record */
+	GHashTable *not_run; /* hashes of prompts refused as not run */
+	GHashTable *codes; /* refusal code to its count */
+	GArray *first_ms; /* double */
+	GArray *whole_ms;
+	GArray *cuts; /* struct cut */
+};
+
+/** Sends one new request of @c. */
+void request_new(struct load *l, const struct caller *c);
+
+/** What request @i found wrong, as a line on stderr. */
+void load_complain(const char *what, const char *who, const char *detail);
+
+/**
+ * Reads the counts of the stand-ins, then ends the event loop: adds to
+ * doubled and not_run_but_ran.
+ */
+void audit_start(struct load *l);
+
+/** Counts the cuts that no line of the fault log at @path explains. */
+void audit_cuts(struct load *l, const char *path);
+
+/** The report as JSON. */
+json_t *report_json(const struct load *l, double seconds);
+void report_line(const struct load *l, const char *name);
+
+#endif
--- /dev/null
+++ b/load/main.c
@@ -0,0 +1,289 @@
+/* pimento-load: open-loop arrivals against the entries, each answer checked. */
+#include "load/load.h"
+
+#include <event2/event.h>
+#include <math.h>
+#include <signal.h>
+#include <stdio.h>
+#include <stdlib.h>
+
+#define VERSION "0.1"
+#define EXIT_VIOLATION 1
+#define EXIT_USAGE 2
+#define FINDINGS_SHOWN 200
+
+struct settings {
+	char *scenario;
+	char *report;
+	char *faults;
+	gint64 seed;
+	int seconds;
+	int drain;
+	gboolean version;
+};
+
+/** A caller's arrivals. */
+struct arrivals {
+	struct load *load;
+	const struct caller *caller;
+	struct event *next;
+	const bool *stopped;
+};
+
+struct run {
+	struct load load;
+	struct settings settings;
+	GPtrArray *arrivals;
+	struct event *clock; /* each second */
+	int elapsed; /* seconds */
+	bool stopped; /* no more arrivals */
+	bool audited;
+};
+
+static void schedule(struct arrivals *a)
+{
+	const struct caller *c = a->caller;
+	double gap = -log(1 - pf_rng_unit(&a->load->rng)) * c->burst / c->rate;
+	struct timeval tv = { (time_t)gap,
+			      (suseconds_t)((gap - floor(gap)) * 1e6) };
+
+	evtimer_add(a->next, &tv);
+}
+
+/* So many arrive together: geometric with the mean asked for. */
+static void on_arrival(evutil_socket_t fd, short what, void *ctx)
+{
+	struct arrivals *a = ctx;
+
+	(void)fd;
+	(void)what;
+	if (*a->stopped)
+		return;
+	do
+		request_new(a->load, a->caller);
+	while (pf_rng_unit(&a->load->rng) < 1 - 1 / a->caller->burst);
+	schedule(a);
+}
+
+static void arrivals_free(void *p)
+{
+	struct arrivals *a = p;
+
+	event_free(a->next);
+	g_free(a);
+}
+
+static void start_arrivals(struct run *r)
+{
+	const struct scenario *s = r->load.scenario;
+
+	r->arrivals = g_ptr_array_new_with_free_func(arrivals_free);
+	for (guint i = 0; i < s->callers->len; i++) {
+		struct arrivals *a = g_new0(struct arrivals, 1);
+
+		a->load = &r->load;
+		a->caller = s->callers->pdata[i];
+		a->stopped = &r->stopped;
+		a->next = evtimer_new(r->load.base, on_arrival, a);
+		g_ptr_array_add(r->arrivals, a);
+		if (a->caller->rate > 0)
+			schedule(a);
+	}
+}
+
+static void progress(const struct run *r)
+{
+	const struct counters *n = &r->load.n;
+
+	fprintf(stderr,
+		"level=info seconds=%d requests=%lu answered=%lu alive=%u"
+		" refused=%lu cut=%lu failed=%lu\n",
+		r->elapsed, n->requests, n->answered, r->load.alive, n->refused,
+		n->cut, n->failed);
+}
+
+static void on_second(evutil_socket_t fd, short what, void *ctx)
+{
+	struct run *r = ctx;
+
+	(void)fd;
+	(void)what;
+	r->elapsed++;
+	if (r->elapsed % 5 == 0)
+		progress(r);
+	if (r->elapsed >= r->settings.seconds)
+		r->stopped = true;
+	if (!r->stopped || r->audited)
+		return;
+	if (r->load.alive &&
+	    r->elapsed < r->settings.seconds + r->settings.drain)
+		return;
+	r->audited = true;
+	r->load.n.incomplete += r->load.alive;
+	if (r->load.alive)
+		load_complain("incomplete", "alive", "never ended");
+	audit_start(&r->load);
+}
+
+static void on_stop(evutil_socket_t fd, short what, void *ctx)
+{
+	struct run *r = ctx;
+
+	(void)fd;
+	(void)what;
+	r->stopped = true;
+	r->settings.seconds = r->elapsed;
+}
+
+static void key_free(void *p)
+{
+	g_free(((struct key_record *)p)->receipt);
+	g_free(p);
+}
+
+static void cut_clear(void *p)
+{
+	g_free(((struct cut *)p)->why);
+}
+
+static void load_init(struct load *l, uint64_t seed)
+{
+	l->seed = seed;
+	pf_rng_seed(&l->rng, seed);
+	l->keys = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
+					key_free);
+	l->not_run = g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free,
+					   NULL);
+	l->codes = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	l->first_ms = g_array_new(FALSE, FALSE, sizeof(double));
+	l->whole_ms = g_array_new(FALSE, FALSE, sizeof(double));
+	l->cuts = g_array_new(FALSE, FALSE, sizeof(struct cut));
+	g_array_set_clear_func(l->cuts, cut_clear);
+}
+
+static void load_clear(struct load *l)
+{
+	g_hash_table_destroy(l->keys);
+	g_hash_table_destroy(l->not_run);
+	g_hash_table_destroy(l->codes);
+	g_array_free(l->first_ms, TRUE);
+	g_array_free(l->whole_ms, TRUE);
+	g_array_free(l->cuts, TRUE);
+	scenario_free(l->scenario);
+}
+
+static int parse(struct settings *s, int argc, char **argv)
+{
+	const GOptionEntry entries[] = {
+		{ "scenario", 's', 0, G_OPTION_ARG_FILENAME, &s->scenario,
+		  "Who calls what", "FILE" },
+		{ "seed", 0, 0, G_OPTION_ARG_INT64, &s->seed,
+		  "Seed of all draws", "N" },
+		{ "seconds", 0, 0, G_OPTION_ARG_INT, &s->seconds,
+		  "How long requests arrive", "N" },
+		{ "drain", 0, 0, G_OPTION_ARG_INT, &s->drain,
+		  "How long to wait for the last answers, seconds", "N" },
+		{ "report", 0, 0, G_OPTION_ARG_FILENAME, &s->report,
+		  "Write the report here as JSON", "FILE" },
+		{ "faults", 0, 0, G_OPTION_ARG_FILENAME, &s->faults,
+		  "Log of faults done, lines of MS-SINCE-EPOCH TARGET",
+		  "FILE" },
+		{ "version", 0, 0, G_OPTION_ARG_NONE, &s->version,
+		  "Print the version and exit", NULL },
+		{ 0 },
+	};
+	GOptionContext *c = g_option_context_new("- load and checks");
+	GError *error = NULL;
+	int rc = 0;
+
+	g_option_context_add_main_entries(c, entries, NULL);
+	if (!g_option_context_parse(c, &argc, &argv, &error)) {
+		fprintf(stderr, "%s\n", error->message);
+		g_error_free(error);
+		rc = -1;
+	} else if (!s->version && !s->scenario) {
+		fprintf(stderr, "--scenario is missing\n");
+		rc = -1;
+	}
+	g_option_context_free(c);
+	return rc;
+}
+
+static int read_scenario(struct run *r)
+{
+	struct pf_findings f = { 0 };
+
+	r->load.scenario = scenario_read(r->settings.scenario, &f);
+	for (size_t i = 0; i < f.n; i++)
+		fprintf(stderr, "%s: %s\n", f.v[i].place, f.v[i].text);
+	pf_findings_clear(&f);
+	return r->load.scenario ? 0 : -1;
+}
+
+static int finish(struct run *r)
+{
+	const struct counters *n = &r->load.n;
+	json_t *j;
+
+	audit_cuts(&r->load, r->settings.faults);
+	j = report_json(&r->load, r->elapsed);
+	if (r->settings.report &&
+	    json_dump_file(j, r->settings.report, JSON_INDENT(2)))
+		fprintf(stderr, "cannot write %s\n", r->settings.report);
+	json_decref(j);
+	report_line(&r->load, "load");
+	return n->incomplete || n->crossed || n->doubled ||
+			       n->not_run_but_ran || n->cut_by_stop ||
+			       n->unreadable || !n->answered
+		       ? EXIT_VIOLATION
+		       : EXIT_SUCCESS;
+}
+
+static int run(struct run *r)
+{
+	struct timeval second = { 1, 0 };
+	struct event *term;
+	struct event *intr;
+	int rc;
+
+	signal(SIGPIPE, SIG_IGN);
+	r->load.base = event_base_new();
+	term = evsignal_new(r->load.base, SIGTERM, on_stop, r);
+	intr = evsignal_new(r->load.base, SIGINT, on_stop, r);
+	r->clock = event_new(r->load.base, -1, EV_PERSIST, on_second, r);
+	evsignal_add(term, NULL);
+	evsignal_add(intr, NULL);
+	event_add(r->clock, &second);
+	start_arrivals(r);
+	event_base_dispatch(r->load.base);
+	rc = finish(r);
+	g_ptr_array_free(r->arrivals, TRUE);
+	event_free(r->clock);
+	event_free(term);
+	event_free(intr);
+	event_base_free(r->load.base);
+	return rc;
+}
+
+int main(int argc, char **argv)
+{
+	struct run r = { .settings = {
+				 .seed = 1, .seconds = 10, .drain = 60 } };
+	int rc = EXIT_USAGE;
+
+	if (parse(&r.settings, argc, argv))
+		return EXIT_USAGE;
+	if (r.settings.version) {
+		printf("pimento-load " VERSION "\n");
+		return EXIT_SUCCESS;
+	}
+	if (!read_scenario(&r)) {
+		load_init(&r.load, (uint64_t)r.settings.seed);
+		rc = run(&r);
+		load_clear(&r.load);
+	}
+	g_free(r.settings.scenario);
+	g_free(r.settings.report);
+	g_free(r.settings.faults);
+	return rc;
+}
