--- a/standin/engine.c
+++ b/standin/engine.c
@@ -6,7 +6,6 @@
 #include "standin/engine.h"
 
 #include <event2/event.h>
-#include <glib.h>
 #include <inttypes.h>
 #include <stdio.h>
 #include <stdlib.h>
@@ -16,18 +15,22 @@
 #define PROMPTS_MAX 200000
 #define EXIT_CRASHED 70
 
-static double now_exact(void)
-{
-	return (double)g_get_monotonic_time() / 1000;
-}
-
 static int64_t run_bytes(const struct engine *e, const struct run *r,
 			 uint32_t limit)
 {
-	return (int64_t)(r->prompt_tokens + (uint64_t)limit) * e->opts.kv_bytes;
+	return (int64_t)(r->prompt_tokens + (uint64_t)limit) *
+	       e->opts->kv_bytes;
 }
 
 static void run_free(struct run *r)
+{
+	g_free(r->id);
+	g_free(r->model);
+	g_free(r->adapter);
+	g_free(r);
+}
+
+static void run_forget(struct run *r)
 {
 	struct engine *e = r->engine;
 
@@ -36,23 +39,17 @@
 	g_hash_table_remove(e->runs, r->id);
 	if (r->x)
 		r->x->closed = NULL;
-	g_free(r->id);
-	g_free(r->model);
-	g_free(r->adapter);
-	g_free(r);
+	run_free(r);
 }
 
 static void run_end(struct run *r, const char *how)
 {
-	char data[64];
-	int n = snprintf(data, sizeof(data), "{\"end\":\"%s\",\"total\":%u}",
-			 how, r->done);
-
 	if (r->x) {
-		exchange_event(r->x, data, (size_t)n);
+		exchange_event(r->x, "{\"end\":\"%s\",\"total\":%u}", how,
+			       r->done);
 		exchange_end(r->x);
 	}
-	run_free(r);
+	run_forget(r);
 }
 
 static void run_gone(void *ctx)
@@ -61,7 +58,7 @@
 
 	r->x = NULL;
 	r->engine->cancelled++;
-	run_free(r);
+	run_forget(r);
 }
 
 /* Whether the prompt's first part is cached; it is from now on. */
@@ -84,7 +81,7 @@
 		return true;
 	}
 	g_queue_push_head(&e->prefixes, g_memdup2(&h, sizeof(h)));
-	while ((int)e->prefixes.length > e->opts.prefixes)
+	while ((int)e->prefixes.length > e->opts->prefixes)
 		g_free(g_queue_pop_tail(&e->prefixes));
 	return false;
 }
@@ -96,7 +93,7 @@
 
 	tokens -= MIN(cached, tokens);
 	r->prefilled = true;
-	r->ready = now_exact() + tokens * e->opts.prefill_ms;
+	r->ready = now_ms() + tokens * e->opts->prefill;
 }
 
 static bool runnable(const struct run *r)
@@ -132,7 +129,7 @@
 	int n = batch_size(e);
 	struct run *r;
 
-	while (n < e->opts.batch && (r = most_urgent(e))) {
+	while (n < e->opts->batch && (r = most_urgent(e))) {
 		r->in_batch = true;
 		if (r->ready == 0)
 			prefill(e, r);
@@ -143,14 +140,13 @@
 
 static double step_time(const struct engine *e, int batch)
 {
-	return e->opts.step_ms + e->opts.step_run_ms * batch;
+	return e->opts->step + e->opts->step_run * batch;
 }
 
 static void schedule_step(struct engine *e)
 {
 	int n = fill_batch(e);
-	double us = step_time(e, n) * 1000;
-	struct timeval tv = { (time_t)(us / 1e6), (suseconds_t)us % 1000000 };
+	struct timeval tv = timeval_ms(step_time(e, n));
 
 	e->stepping = n > 0;
 	if (n)
@@ -159,12 +155,9 @@
 
 static void tell_limit(struct run *r)
 {
-	char data[32];
-	int n = snprintf(data, sizeof(data), "{\"at_limit\":%u}", r->done);
-
 	r->in_batch = false;
 	if (!r->limit_told)
-		exchange_event(r->x, data, (size_t)n);
+		exchange_event(r->x, "{\"at_limit\":%u}", r->done);
 	r->limit_told = true;
 }
 
@@ -172,16 +165,13 @@
 static bool run_step(struct engine *e, struct run *r, double now)
 {
 	char token[ANSWER_TOKEN_MAX];
-	char data[64];
-	int n;
 
 	if (now < r->ready)
 		return false;
 	if (r->done < r->answer.length) {
 		answer_token(&r->answer, r->done, token);
-		n = snprintf(data, sizeof(data),
-			     "{\"offset\":%u,\"text\":\"%s\"}", r->done, token);
-		exchange_event(r->x, data, (size_t)n);
+		exchange_event(r->x, "{\"offset\":%u,\"text\":\"%s\"}", r->done,
+			       token);
 		r->done++;
 		e->tokens++;
 		r->ready = now + r->answer.slow_ms;
@@ -199,7 +189,7 @@
 static void on_step(evutil_socket_t fd, short what, void *ctx)
 {
 	struct engine *e = ctx;
-	double now = now_exact();
+	double now = now_ms();
 	guint i = 0;
 
 	(void)fd;
@@ -286,27 +276,26 @@
 	const char *match = e->server->faults[TARGET_ENGINE].crash_on;
 
 	return (match && strstr(prompt, match)) ||
-	       (e->opts.crash_on && strstr(prompt, e->opts.crash_on));
+	       (e->opts->crash_on && strstr(prompt, e->opts->crash_on));
 }
 
-static void handle_run(struct engine *e, struct exchange *x)
+static void handle_run(void *self, struct exchange *x, const char *rest)
 {
+	struct engine *e = self;
 	json_t *j = exchange_json(x);
 	struct run *r = run_new(e, j);
 	char *prompt = text_of(j, "prompt");
 	char *prior = text_of(j, "prior");
 	const char *refusal;
 
+	(void)rest;
 	json_decref(j);
 	if (crashes(e, prompt))
 		_exit(EXIT_CRASHED);
 	r->prompt_tokens = answer_tokens_of(strlen(prompt));
 	refusal = run_refusal(e, r);
 	if (refusal) {
-		g_free(r->id);
-		g_free(r->model);
-		g_free(r->adapter);
-		g_free(r);
+		run_free(r);
 		exchange_error(x, 409, refusal);
 	} else {
 		run_start(e, x, r, pf_str_c(prompt), prior);
@@ -331,15 +320,15 @@
 		r->limit = limit;
 		r->limit_told = false;
 	}
-	exchange_reply_json(x, 200, json_object());
+	exchange_ok(x);
 	if (!e->stepping)
 		schedule_step(e);
 }
 
 /* POST /engine/run/ID/resume and /engine/run/ID/cancel */
-static void handle_run_call(struct engine *e, struct exchange *x,
-			    const char *rest)
+static void handle_run_call(void *self, struct exchange *x, const char *rest)
 {
+	struct engine *e = self;
 	char **part = g_strsplit(rest, "/", 2);
 	struct run *r = part[0] ? g_hash_table_lookup(e->runs, part[0]) : NULL;
 	const char *call = part[0] && part[1] ? part[1] : "";
@@ -351,7 +340,7 @@
 	} else if (!strcmp(call, "cancel")) {
 		e->cancelled++;
 		run_end(r, "cancelled");
-		exchange_reply_json(x, 200, json_object());
+		exchange_ok(x);
 	} else {
 		exchange_error(x, 404, "no_such_page");
 	}
@@ -369,7 +358,7 @@
 						      "total", (int)r->done));
 	}
 	return json_pack("{sssIsIsoso}", "boot", e->boot, "memory",
-			 (json_int_t)e->opts.memory, "used",
+			 (json_int_t)e->opts->memory, "used",
 			 (json_int_t)e->used, "items", engine_items_json(e),
 			 "runs", runs);
 }
@@ -377,8 +366,7 @@
 static void take_snapshot(evutil_socket_t fd, short what, void *ctx)
 {
 	struct engine *e = ctx;
-	struct timeval tv = { e->opts.lag_ms / 1000,
-			      (e->opts.lag_ms % 1000) * 1000 };
+	struct timeval tv = timeval_ms(e->opts->lag);
 	int n = batch_size(e);
 
 	(void)fd;
@@ -386,55 +374,37 @@
 	json_decref(e->load);
 	e->load = json_pack("{sisisfsf}", "running", n, "waiting",
 			    (int)e->queue->len - n, "step_ms", step_time(e, n),
-			    "prefill_token_ms", e->opts.prefill_ms);
+			    "prefill_token_ms", e->opts->prefill);
 	e->load_at = now_ms();
 	evtimer_add(e->snapshot, &tv);
 }
 
-static json_t *load_report(const struct engine *e)
+static void handle_load(void *self, struct exchange *x, const char *rest)
 {
+	struct engine *e = self;
 	json_t *j = json_copy(e->load);
 
-	json_object_set_new(j, "age_ms", json_integer(now_ms() - e->load_at));
-	return j;
+	(void)rest;
+	json_object_set_new(j, "age_ms",
+			    json_integer((json_int_t)(now_ms() - e->load_at)));
+	exchange_reply_json(x, 200, j);
 }
 
-static enum target target_of(const char *path)
+static void handle_inventory(void *self, struct exchange *x, const char *rest)
 {
-	(void)path;
-	return TARGET_ENGINE;
-}
-
-static void handle(void *self, struct exchange *x)
-{
-	struct engine *e = self;
-	const char *path = exchange_path(x);
-
-	if (!strcmp(path, "/engine/run"))
-		handle_run(e, x);
-	else if (!strncmp(path, "/engine/run/", 12))
-		handle_run_call(e, x, path + 12);
-	else if (!strcmp(path, "/engine/orders"))
-		engine_order(e, x);
-	else if (!strcmp(path, "/engine/inventory"))
-		exchange_reply_json(x, 200, inventory(e));
-	else if (!strcmp(path, "/engine/load"))
-		exchange_reply_json(x, 200, load_report(e));
-	else
-		exchange_error(x, 404, "no_such_page");
+	(void)rest;
+	exchange_reply_json(x, 200, inventory(self));
 }
 
 /* The hashes of the prompts that ran, for checks of "not run". */
-static bool admin(void *self, struct exchange *x, const char *path)
+static void handle_prompts(void *self, struct exchange *x, const char *rest)
 {
 	struct engine *e = self;
-	json_t *prompts;
+	json_t *prompts = json_array();
 	GHashTableIter i;
 	void *h;
 
-	if (strcmp(path, "/admin/prompts") != 0)
-		return false;
-	prompts = json_array();
+	(void)rest;
 	g_hash_table_iter_init(&i, e->prompts);
 	while (g_hash_table_iter_next(&i, &h, NULL)) {
 		char hex[17];
@@ -443,43 +413,34 @@
 		json_array_append_new(prompts, json_string(hex));
 	}
 	exchange_reply_json(x, 200, json_pack("{so}", "prompts", prompts));
-	return true;
 }
 
 static json_t *state(void *self)
 {
 	struct engine *e = self;
 	json_t *j = inventory(e);
-	const struct {
-		const char *name;
-		uint64_t value;
-	} counters[] = {
-		{ "peak", (uint64_t)e->peak },
-		{ "overcommit", e->overcommit },
-		{ "started", e->started },
-		{ "ended", e->ended },
-		{ "cancelled", e->cancelled },
-		{ "tokens", e->tokens },
-		{ "loads", e->loads },
-		{ "unloads", e->unloads },
-		{ "fenced", e->fenced },
-		{ "prefix_hits", e->prefix_hits },
-		{ "prior_mismatch", e->prior_mismatch },
-	};
 
-	for (size_t i = 0; i < G_N_ELEMENTS(counters); i++)
-		json_object_set_new(
-			j, counters[i].name,
-			json_integer((json_int_t)counters[i].value));
+#define DEF(name) json_object_set_new(j, #name, json_integer(e->name));
+	ENGINE_COUNTERS(DEF)
+#undef DEF
 	return j;
 }
 
-struct engine *engine_new(struct server *s, const struct engine_opts *o)
+struct engine *engine_new(struct server *s, const struct options *o)
 {
+	static const struct route routes[] = {
+		{ "/engine/run/", TARGET_ENGINE, handle_run_call },
+		{ "/engine/run", TARGET_ENGINE, handle_run },
+		{ "/engine/orders", TARGET_ENGINE, engine_order },
+		{ "/engine/inventory", TARGET_ENGINE, handle_inventory },
+		{ "/engine/load", TARGET_ENGINE, handle_load },
+		{ "/admin/prompts", TARGET_NONE, handle_prompts },
+		{ "", TARGET_NONE, NULL },
+	};
 	struct engine *e = g_new0(struct engine, 1);
 
 	e->server = s;
-	e->opts = *o;
+	e->opts = o;
 	snprintf(e->boot, sizeof(e->boot), "%08x%08x", g_random_int(),
 		 g_random_int());
 	e->items = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
@@ -492,15 +453,15 @@
 	e->step = evtimer_new(s->base, on_step, e);
 	e->snapshot = evtimer_new(s->base, take_snapshot, e);
 	take_snapshot(-1, 0, e);
-	s->role = (struct role){ target_of, handle, admin, state };
-	s->self = e;
+	s->routes = routes;
+	s->state = state;
 	return e;
 }
 
 void engine_free(struct engine *e)
 {
 	while (e->queue->len)
-		run_free(e->queue->pdata[0]);
+		run_forget(e->queue->pdata[0]);
 	g_ptr_array_free(e->queue, TRUE);
 	g_hash_table_destroy(e->runs);
 	g_hash_table_destroy(e->items);
--- a/standin/engine.h
+++ b/standin/engine.h
@@ -8,8 +8,6 @@
 #include "standin/answer.h"
 #include "standin/roles.h"
 
-#include <glib.h>
-
 /** A model version or adapter in memory. */
 struct item {
 	struct engine *engine;
@@ -38,9 +36,23 @@
 	double ready; /* no token before this time, ms */
 };
 
+/* DEF(name): counters of the engine. */
+#define ENGINE_COUNTERS(DEF)                                             \
+	DEF(peak) /* most bytes committed */                             \
+	DEF(overcommit) /* times asked for memory that does not exist */ \
+	DEF(started)                                                     \
+	DEF(ended)                                                       \
+	DEF(cancelled)                                                   \
+	DEF(tokens)                                                      \
+	DEF(loads)                                                       \
+	DEF(unloads)                                                     \
+	DEF(fenced)                                                      \
+	DEF(prefix_hits)                                                 \
+	DEF(prior_mismatch) /* resumed from text that is not its own */
+
 struct engine {
 	struct server *server;
-	struct engine_opts opts;
+	const struct options *opts;
 	char boot[17];
 	GHashTable *items; /* name to struct item */
 	GHashTable *runs; /* id to struct run */
@@ -51,13 +63,12 @@
 	struct event *snapshot;
 	bool stepping;
 	int64_t used; /* bytes committed: items, and runs up to their limit */
-	int64_t peak;
-	uint64_t overcommit; /* asked for memory that does not exist */
-	int64_t fence;
+	int64_t fence; /* the highest seen */
 	json_t *load; /* the last load report */
-	pf_ms load_at;
-	uint64_t started, ended, cancelled, tokens, loads, unloads, fenced;
-	uint64_t prefix_hits, prior_mismatch;
+	double load_at;
+#define DEF(name) int64_t name;
+	ENGINE_COUNTERS(DEF)
+#undef DEF
 };
 
 /** Commits memory; false, and counted, when there is not so much left. */
@@ -67,7 +78,7 @@
 struct item *engine_resident(struct engine *e, const char *name);
 
 /** Serves POST /engine/orders. */
-void engine_order(struct engine *e, struct exchange *x);
+void engine_order(void *self, struct exchange *x, const char *rest);
 
 /** "items" of the inventory. */
 json_t *engine_items_json(const struct engine *e);
--- a/standin/engine_items.c
+++ b/standin/engine_items.c
@@ -9,7 +9,7 @@
 
 bool engine_commit(struct engine *e, int64_t bytes)
 {
-	if (bytes > e->opts.memory - e->used) {
+	if (bytes > e->opts->memory - e->used) {
 		e->overcommit++;
 		return false;
 	}
@@ -57,7 +57,7 @@
 	if (error)
 		exchange_error(x, status, error);
 	else
-		exchange_reply_json(x, 200, json_object());
+		exchange_ok(x);
 }
 
 static void loaded(struct item *it)
@@ -90,7 +90,7 @@
 
 static void wait_for(struct item *it, int ms)
 {
-	struct timeval tv = { ms / 1000, (ms % 1000) * 1000 };
+	struct timeval tv = timeval_ms(ms);
 
 	if (!it->timer)
 		it->timer = evtimer_new(it->engine->server->base, on_time, it);
@@ -119,7 +119,7 @@
 	char *path;
 	int rc;
 
-	if (addr_split(e->opts.weights, ip, &port))
+	if (addr_split(e->opts->weights, ip, &port))
 		return -1;
 	it->store = evhttp_connection_base_new(e->server->base, NULL, ip, port);
 	req = evhttp_request_new(on_store, it);
@@ -158,7 +158,7 @@
 	struct item *it = g_hash_table_lookup(e->items, name);
 
 	if (it && !strcmp(it->state, "resident")) {
-		exchange_reply_json(x, 200, json_object());
+		exchange_ok(x);
 	} else if (it) {
 		exchange_error(x, 409, "busy");
 	} else if (!engine_commit(e, bytes)) {
@@ -166,8 +166,8 @@
 	} else {
 		it = item_new(e, name, bytes);
 		attach(it, x);
-		if (!e->opts.weights)
-			wait_for(it, e->opts.load_ms);
+		if (!e->opts->weights)
+			wait_for(it, e->opts->load);
 		else if (ask_store(it))
 			load_failed(it, 503, "store_away");
 	}
@@ -189,7 +189,7 @@
 	struct item *it = g_hash_table_lookup(e->items, name);
 
 	if (!it) {
-		exchange_reply_json(x, 200, json_object());
+		exchange_ok(x);
 	} else if (strcmp(it->state, "resident") != 0) {
 		exchange_error(x, 409, "busy");
 	} else if (in_use(e, name)) {
@@ -197,21 +197,23 @@
 	} else {
 		it->state = "unloading";
 		attach(it, x);
-		wait_for(it, e->opts.unload_ms);
+		wait_for(it, e->opts->unload);
 	}
 }
 
-void engine_order(struct engine *e, struct exchange *x)
+void engine_order(void *self, struct exchange *x, const char *rest)
 {
+	struct engine *e = self;
 	json_t *j = exchange_json(x);
 	const char *op = json_string_value(json_object_get(j, "op"));
 	const char *item = json_string_value(json_object_get(j, "item"));
 	int64_t bytes = json_integer_value(json_object_get(j, "bytes"));
 	int64_t fence = json_integer_value(json_object_get(j, "fence"));
 
+	(void)rest;
 	if (!op || !item || bytes < 0) {
 		exchange_error(x, 400, "bad_order");
-	} else if (e->opts.check_fence && fence < e->fence) {
+	} else if (e->opts->check_fence && fence < e->fence) {
 		e->fenced++;
 		exchange_error(x, 409, "fenced");
 	} else {
--- a/standin/server.c
+++ b/standin/server.c
@@ -13,44 +13,35 @@
 #define BODY_MAX (64 << 20)
 #define BACKLOG 512
 
-static const char *const target_names[] = {
-#define DEF(name, text) text,
-	TARGETS(DEF)
-#undef DEF
-};
-
-pf_ms now_ms(void)
+double now_ms(void)
 {
 	struct timespec t;
 
 	clock_gettime(CLOCK_MONOTONIC, &t);
-	return (pf_ms)t.tv_sec * 1000 + t.tv_nsec / 1000000;
+	return (double)t.tv_sec * 1e3 + (double)t.tv_nsec / 1e6;
+}
+
+struct timeval timeval_ms(double ms)
+{
+	int64_t us = (int64_t)(ms * 1000);
+
+	return (struct timeval){ us / 1000000, us % 1000000 };
 }
 
 int addr_split(const char *addr, char ip[64], uint16_t *port)
 {
-	const char *colon = addr ? strrchr(addr, ':') : NULL;
-	unsigned long p;
+	unsigned int p = 0;
 
-	if (!colon || colon == addr || colon - addr >= 64)
-		return -1;
-	p = strtoul(colon + 1, NULL, 10);
-	if (p == 0 || p > UINT16_MAX)
+	if (!addr || sscanf(addr, "%63[^:]:%u", ip, &p) != 2 || p == 0 ||
+	    p > UINT16_MAX)
 		return -1;
-	memcpy(ip, addr, (size_t)(colon - addr));
-	ip[colon - addr] = '\0';
 	*port = (uint16_t)p;
 	return 0;
 }
 
 bool server_paused(const struct server *s, enum target t)
 {
-	return now_ms() < s->faults[t].pause_until;
-}
-
-const char *exchange_path(const struct exchange *x)
-{
-	return x->req->uri->path->full;
+	return now_ms() < (double)s->faults[t].pause_until;
 }
 
 struct pf_str exchange_body(struct exchange *x)
@@ -87,17 +78,11 @@
 	return NULL;
 }
 
-static void add_header(struct exchange *x, const char *name, const char *value)
-{
-	evhtp_headers_add_header(x->req->headers_out,
-				 evhtp_header_new(name, value, 1, 1));
-}
-
-void exchange_cut(struct exchange *x)
+/* The server then sees the end of the stream and frees the connection. */
+static void cut(struct exchange *x)
 {
 	struct bufferevent *bev = evhtp_request_get_bev(x->req);
 
-	/* The server sees the end of the stream and frees the connection. */
 	if (bev && bufferevent_getfd(bev) >= 0)
 		shutdown(bufferevent_getfd(bev), SHUT_RDWR);
 }
@@ -107,16 +92,22 @@
 	if (!x->lose)
 		return false;
 	x->server->answers_lost++;
-	exchange_cut(x);
+	cut(x);
 	return true;
 }
 
+static void add_type(struct exchange *x, const char *type)
+{
+	evhtp_headers_add_header(x->req->headers_out,
+				 evhtp_header_new("Content-Type", type, 1, 1));
+}
+
 void exchange_reply(struct exchange *x, int status, const char *type,
 		    struct pf_str body)
 {
 	if (lost(x))
 		return;
-	add_header(x, "Content-Type", type);
+	add_type(x, type);
 	evbuffer_add(x->req->buffer_out, body.p, body.n);
 	evhtp_send_reply(x->req, (evhtp_res)status);
 }
@@ -131,6 +122,11 @@
 	free(text);
 }
 
+void exchange_ok(struct exchange *x)
+{
+	exchange_reply_json(x, 200, json_object());
+}
+
 void exchange_error(struct exchange *x, int status, const char *error)
 {
 	exchange_reply_json(x, status, json_pack("{ss}", "error", error));
@@ -140,20 +136,22 @@
 {
 	if (lost(x))
 		return;
-	add_header(x, "Content-Type", "text/event-stream");
+	add_type(x, "text/event-stream");
 	evhtp_send_reply_chunk_start(x->req, EVHTP_RES_OK);
 }
 
-void exchange_event(struct exchange *x, const char *data, size_t n)
+void exchange_event(struct exchange *x, const char *fmt, ...)
 {
-	struct evbuffer *b;
+	struct evbuffer *b = x->lose ? NULL : evbuffer_new();
+	va_list args;
 
-	if (x->lose)
-		return;
-	b = evbuffer_new();
 	if (!b)
 		return;
-	evbuffer_add_printf(b, "data: %.*s\n\n", (int)n, data);
+	evbuffer_add(b, "data: ", 6);
+	va_start(args, fmt);
+	evbuffer_add_vprintf(b, fmt, args);
+	va_end(args);
+	evbuffer_add(b, "\n\n", 2);
 	evhtp_send_reply_chunk(x->req, b);
 	evbuffer_free(b);
 }
@@ -173,17 +171,58 @@
 		x->closed(x->ctx);
 	if (x->timer)
 		event_free(x->timer);
+	json_decref(x->later);
 	LIST_REMOVE(x, link);
 	free(x);
 	return EVHTP_RES_OK;
 }
 
-static int target_by_name(const char *name)
+static void dispatch(struct exchange *x)
 {
-	for (int i = 0; i < TARGET_COUNT; i++)
-		if (name && strcmp(name, target_names[i]) == 0)
-			return i;
-	return -1;
+	const struct route *r = x->route;
+	const char *rest = x->req->uri->path->full + strlen(r->prefix);
+
+	if (r->target != TARGET_NONE) {
+		struct fault *f = &x->server->faults[r->target];
+
+		if (now_ms() < (double)f->down_until) {
+			cut(x);
+			return;
+		}
+		x->lose = f->lose > 0;
+		f->lose -= x->lose;
+	}
+	r->handle(x->server->self, x, rest);
+}
+
+static void on_timer(evutil_socket_t fd, short what, void *arg)
+{
+	struct exchange *x = arg;
+
+	(void)fd;
+	(void)what;
+	if (x->later)
+		exchange_reply_json(x, 200, json_incref(x->later));
+	else
+		dispatch(x);
+}
+
+static void hold_back(struct exchange *x, double ms)
+{
+	struct timeval tv = timeval_ms(ms);
+
+	if (!x->timer)
+		x->timer = evtimer_new(x->server->base, on_timer, x);
+	if (x->timer)
+		evtimer_add(x->timer, &tv);
+	else
+		cut(x);
+}
+
+void exchange_reply_after(struct exchange *x, double ms, json_t *body)
+{
+	x->later = body;
+	hold_back(x, ms);
 }
 
 static void close_all(struct server *s, enum target t)
@@ -191,27 +230,42 @@
 	struct exchange *x;
 
 	LIST_FOREACH(x, &s->exchanges, link)
-	if (x->target == t)
-		exchange_cut(x);
+	if (x->route->target == t)
+		cut(x);
+}
+
+static struct fault *fault_of(struct server *s, const json_t *j, int *target)
+{
+	static const char *const names[] = {
+#define DEF(name, text) text,
+		TARGETS(DEF)
+#undef DEF
+	};
+	const char *name = json_string_value(json_object_get(j, "target"));
+
+	for (*target = 0; *target < TARGET_COUNT; ++*target)
+		if (name && !strcmp(name, names[*target]))
+			return &s->faults[*target];
+	return NULL;
 }
 
 static bool set_fault(struct server *s, const json_t *j)
 {
 	const char *what = json_string_value(json_object_get(j, "what"));
 	const char *match = json_string_value(json_object_get(j, "match"));
-	int t = target_by_name(json_string_value(json_object_get(j, "target")));
 	pf_ms ms = json_integer_value(json_object_get(j, "ms"));
-	struct fault *f = &s->faults[t < 0 ? 0 : t];
+	int target;
+	struct fault *f = fault_of(s, j, &target);
 
-	if (!what || t < 0)
+	if (!what || !f)
 		return false;
 	if (!strcmp(what, "slow")) {
 		f->slow_ms = ms;
 	} else if (!strcmp(what, "down")) {
-		f->down_until = now_ms() + ms;
-		close_all(s, (enum target)t);
+		f->down_until = (pf_ms)now_ms() + ms;
+		close_all(s, (enum target)target);
 	} else if (!strcmp(what, "pause")) {
-		f->pause_until = now_ms() + ms;
+		f->pause_until = (pf_ms)now_ms() + ms;
 	} else if (!strcmp(what, "lose_answer")) {
 		f->lose = json_integer_value(json_object_get(j, "count"));
 	} else if (!strcmp(what, "crash_on") && match) {
@@ -226,72 +280,59 @@
 	return true;
 }
 
-static void handle_admin(struct server *s, struct exchange *x, const char *path)
-{
-	json_t *j;
-
-	if (!strcmp(path, "/admin/state")) {
-		j = s->role.state(s->self);
-		json_object_set_new(j, "requests",
-				    json_integer((json_int_t)s->requests));
-		json_object_set_new(j, "answers_lost",
-				    json_integer((json_int_t)s->answers_lost));
-		exchange_reply_json(x, 200, j);
-	} else if (!strcmp(path, "/admin/fault")) {
-		bool ok;
-
-		j = exchange_json(x);
-		ok = j && set_fault(s, j);
-		json_decref(j);
-		if (ok)
-			exchange_reply_json(x, 200, json_object());
-		else
-			exchange_error(x, 400, "bad_fault");
-	} else if (!s->role.admin || !s->role.admin(s->self, x, path)) {
-		exchange_error(x, 404, "no_such_page");
-	}
-}
-
-static void dispatch(struct exchange *x)
+static void handle_fault(void *self, struct exchange *x, const char *rest)
 {
-	struct server *s = x->server;
-	struct fault *f = &s->faults[x->target];
+	json_t *j = exchange_json(x);
 
-	if (now_ms() < f->down_until) {
-		exchange_cut(x);
-		return;
-	}
-	if (f->lose > 0) {
-		f->lose--;
-		x->lose = true;
-	}
-	s->role.handle(s->self, x);
+	(void)self;
+	(void)rest;
+	if (set_fault(x->server, j))
+		exchange_ok(x);
+	else
+		exchange_error(x, 400, "bad_fault");
+	json_decref(j);
 }
 
-static void on_timer(evutil_socket_t fd, short what, void *arg)
+static void handle_state(void *self, struct exchange *x, const char *rest)
 {
-	(void)fd;
-	(void)what;
-	dispatch(arg);
+	const struct server *s = x->server;
+	json_t *j = s->state(self);
+
+	(void)rest;
+	json_object_set_new(j, "requests",
+			    json_integer((json_int_t)s->requests));
+	json_object_set_new(j, "answers_lost",
+			    json_integer((json_int_t)s->answers_lost));
+	exchange_reply_json(x, 200, j);
 }
 
-static void hold_back(struct exchange *x, pf_ms ms)
+static void handle_unknown(void *self, struct exchange *x, const char *rest)
 {
-	struct timeval t = { ms / 1000, (ms % 1000) * 1000 };
+	(void)self;
+	(void)rest;
+	exchange_error(x, 404, "no_such_page");
+}
 
-	x->timer = evtimer_new(x->server->base, on_timer, x);
-	if (x->timer)
-		evtimer_add(x->timer, &t);
-	else
-		exchange_cut(x);
+static const struct route common[] = {
+	{ "/admin/fault", TARGET_NONE, handle_fault },
+	{ "/admin/state", TARGET_NONE, handle_state },
+	{ "", TARGET_NONE, NULL },
+};
+static const struct route unknown = { "", TARGET_NONE, handle_unknown };
+
+static const struct route *find(const struct route *r, const char *path)
+{
+	while (*r->prefix && strncmp(path, r->prefix, strlen(r->prefix)) != 0)
+		r++;
+	return r->handle ? r : NULL;
 }
 
-static pf_ms delay_of(const struct fault *f)
+static double delay_of(const struct server *s, enum target t)
 {
-	pf_ms now = now_ms();
-	pf_ms paused = f->pause_until > now ? f->pause_until - now : 0;
+	const struct fault *f = &s->faults[t];
+	double pause = (double)f->pause_until - now_ms();
 
-	return paused + f->slow_ms;
+	return (double)f->slow_ms + (pause > 0 ? pause : 0);
 }
 
 static void on_request(evhtp_request_t *req, void *arg)
@@ -299,7 +340,7 @@
 	struct server *s = arg;
 	struct exchange *x = calloc(1, sizeof(*x));
 	const char *path = req->uri->path->full;
-	pf_ms delay;
+	double delay = 0;
 
 	if (!x) {
 		evhtp_send_reply(req, EVHTP_RES_SERVERR);
@@ -307,17 +348,18 @@
 	}
 	x->server = s;
 	x->req = req;
+	x->route = find(common, path);
+	if (!x->route)
+		x->route = find(s->routes, path);
+	if (!x->route)
+		x->route = &unknown;
 	LIST_INSERT_HEAD(&s->exchanges, x, link);
 	evhtp_request_set_hook(req, evhtp_hook_on_request_fini,
 			       (evhtp_hook)on_fini, x);
-	if (!strncmp(path, "/admin/", 7)) {
-		x->target = TARGET_COUNT;
-		handle_admin(s, x, path);
-		return;
+	if (x->route->target != TARGET_NONE) {
+		s->requests++;
+		delay = delay_of(s, x->route->target);
 	}
-	s->requests++;
-	x->target = s->role.target(path);
-	delay = delay_of(&s->faults[x->target]);
 	if (delay > 0)
 		hold_back(x, delay);
 	else
@@ -330,7 +372,7 @@
 	uint16_t port;
 
 	if (addr_split(listen, ip, &port)) {
-		fprintf(stderr, "--listen wants IP:PORT, not \"%s\"\n", listen);
+		fprintf(stderr, "--listen wants IP:PORT\n");
 		return -1;
 	}
 	LIST_INIT(&s->exchanges);
--- a/standin/server.h
+++ b/standin/server.h
@@ -1,6 +1,6 @@
 /*
- * The HTTP server that all stand-ins share: one exchange per request, faults
- * on request, and the pages under /admin.
+ * The HTTP server that all stand-ins share: routes, one exchange per request,
+ * faults on request, and the pages under /admin.
  */
 #ifndef PIMENTO_STANDIN_SERVER_H
 #define PIMENTO_STANDIN_SERVER_H
@@ -24,7 +24,8 @@
 #define DEF(name, text) TARGET_##name,
 	TARGETS(DEF)
 #undef DEF
-		TARGET_COUNT
+		TARGET_COUNT,
+	TARGET_NONE = TARGET_COUNT, /* pages under /admin have no faults */
 };
 
 struct fault {
@@ -42,31 +43,29 @@
 	LIST_ENTRY(exchange) link;
 	struct server *server;
 	evhtp_request_t *req;
-	struct event *timer; /* a fault holds the request back */
-	enum target target;
+	const struct route *route;
+	struct event *timer; /* holds the request or its answer back */
+	json_t *later; /* the answer held back, or NULL */
 	bool lose; /* close instead of answering */
-	/* Called once when the exchange ends, before it is freed. */
-	void (*closed)(void *ctx);
+	void (*closed)(void *ctx); /* called once when the exchange ends */
 	void *ctx;
 };
 
-/** What a stand-in does; @self is the role's own state. */
-struct role {
-	enum target (*target)(const char *path);
-	void (*handle)(void *self, struct exchange *x);
-	/** An /admin path of the role's own; false when it is not one. */
-	bool (*admin)(void *self, struct exchange *x, const char *path);
-	json_t *(*state)(void *self);
+/** Serves the paths that begin with @prefix; @rest is what follows it. */
+struct route {
+	const char *prefix;
+	enum target target;
+	void (*handle)(void *self, struct exchange *x, const char *rest);
 };
 
 struct server {
 	struct event_base *base;
 	evhtp_t *http;
-	struct role role;
-	void *self;
+	const struct route *routes; /* first match serves; ends with "" */
+	json_t *(*state)(void *self); /* counters for /admin/state */
+	void *self; /* the role's own state */
 	struct fault faults[TARGET_COUNT];
-	uint64_t requests;
-	uint64_t answers_lost;
+	uint64_t requests, answers_lost;
 	LIST_HEAD(, exchange) exchanges;
 };
 
@@ -74,17 +73,17 @@
 int server_start(struct server *s, const char *listen);
 void server_stop(struct server *s);
 
+/** Whether requests to @t are held back at the moment. */
+bool server_paused(const struct server *s, enum target t);
+
 /** Milliseconds of the monotonic clock. */
-pf_ms now_ms(void);
+double now_ms(void);
+struct timeval timeval_ms(double ms);
 
 /** Splits "IP:PORT" into @ip and a port; -1 when it is not one. */
 int addr_split(const char *addr, char ip[64], uint16_t *port);
 
-/** Whether requests to @t are held back at the moment. */
-bool server_paused(const struct server *s, enum target t);
-
-/** Path, body and query of a request; borrowed. */
-const char *exchange_path(const struct exchange *x);
+/** The body of a request; borrowed. */
 struct pf_str exchange_body(struct exchange *x);
 
 /** A copy of a query parameter that the caller frees, or NULL. */
@@ -100,15 +99,19 @@
 /** Answers with JSON; releases @body. */
 void exchange_reply_json(struct exchange *x, int status, json_t *body);
 
+/** Answers 200 with JSON after @ms unless the peer goes; releases @body. */
+void exchange_reply_after(struct exchange *x, double ms, json_t *body);
+
+/** Answers 200 and {}. */
+void exchange_ok(struct exchange *x);
+
 /** Answers {"error":@error}. */
 void exchange_error(struct exchange *x, int status, const char *error);
 
 /** An answer in pieces as server-sent events. */
 void exchange_stream(struct exchange *x);
-void exchange_event(struct exchange *x, const char *data, size_t n);
+void exchange_event(struct exchange *x, const char *fmt, ...)
+	__attribute__((format(printf, 2, 3)));
 void exchange_end(struct exchange *x);
 
-/** Closes the connection without a further byte. */
-void exchange_cut(struct exchange *x);
-
 #endif
--- a/standin/service.c
+++ b/standin/service.c
@@ -2,36 +2,19 @@
  * The plain service's stand-in: a receipt for each call, and a count of how
  * often each idempotency key ran.
  */
-#include "standin/roles.h"
 #include "standin/answer.h"
+#include "standin/roles.h"
 
-#include <event2/event.h>
-#include <glib.h>
 #include <inttypes.h>
-#include <stdlib.h>
 
 struct service {
-	struct server *server;
 	GHashTable *runs; /* idempotency key to its count */
 	uint64_t calls, unkeyed;
 };
 
-/* A call that answers late. */
-struct call {
-	struct exchange *x; /* NULL when its caller went away */
-	struct event *timer;
-	json_t *answer;
-};
-
-static enum target target_of(const char *path)
+static guint count_run(struct service *v, const char *key)
 {
-	(void)path;
-	return TARGET_SERVICE;
-}
-
-static uint64_t count_run(struct service *v, const char *key)
-{
-	uint64_t n;
+	guint n;
 
 	v->calls++;
 	if (!key) {
@@ -44,61 +27,31 @@
 }
 
 /* Same call, same answer; another run of a key gives another receipt. */
-static json_t *receipt(struct exchange *x, const char *key, uint64_t run)
+static json_t *receipt(struct exchange *x, const char *key, guint run)
 {
-	const char *path = exchange_path(x);
-	uint64_t id =
-		pf_id2(pf_id2(pf_id(pf_str_c(path)), pf_id(exchange_body(x))),
-		       pf_id2(key ? pf_id(pf_str_c(key)) : 0, run));
+	const char *path = x->req->uri->path->full;
+	uint64_t call = pf_id2(pf_id(pf_str_c(path)), pf_id(exchange_body(x)));
+	uint64_t id = pf_id2(call, pf_id2(pf_id(pf_str_c(key)), run));
 	char text[17];
 
 	g_snprintf(text, sizeof(text), "%016" PRIx64, id);
-	return json_pack("{sssssI}", "receipt", text, "path", path, "run",
-			 (json_int_t)run);
-}
-
-static void call_gone(void *ctx)
-{
-	((struct call *)ctx)->x = NULL;
-}
-
-static void call_done(evutil_socket_t fd, short what, void *ctx)
-{
-	struct call *c = ctx;
-
-	(void)fd;
-	(void)what;
-	if (c->x) {
-		c->x->closed = NULL;
-		exchange_reply_json(c->x, 200, c->answer);
-	} else {
-		json_decref(c->answer);
-	}
-	event_free(c->timer);
-	g_free(c);
+	return json_pack("{sssssi}", "receipt", text, "path", path, "run",
+			 (int)run);
 }
 
-static void handle(void *self, struct exchange *x)
+static void handle(void *self, struct exchange *x, const char *rest)
 {
 	struct service *v = self;
 	const char *key =
 		evhtp_header_find(x->req->headers_in, "Idempotency-Key");
 	uint32_t ms = answer_directive(exchange_body(x), "slow", 0);
-	struct timeval tv = { ms / 1000, (ms % 1000) * 1000 };
 	json_t *answer = receipt(x, key, count_run(v, key));
-	struct call *c;
 
-	if (!ms) {
+	(void)rest;
+	if (ms)
+		exchange_reply_after(x, ms, answer);
+	else
 		exchange_reply_json(x, 200, answer);
-		return;
-	}
-	c = g_new0(struct call, 1);
-	c->x = x;
-	c->answer = answer;
-	c->timer = evtimer_new(v->server->base, call_done, c);
-	x->closed = call_gone;
-	x->ctx = c;
-	evtimer_add(c->timer, &tv);
 }
 
 static json_t *state(void *self)
@@ -123,12 +76,15 @@
 
 struct service *service_new(struct server *s)
 {
+	static const struct route routes[] = {
+		{ "/", TARGET_SERVICE, handle },
+		{ "", TARGET_NONE, NULL },
+	};
 	struct service *v = g_new0(struct service, 1);
 
-	v->server = s;
 	v->runs = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
-	s->role = (struct role){ target_of, handle, NULL, state };
-	s->self = v;
+	s->routes = routes;
+	s->state = state;
 	return v;
 }
 
