--- a/load/request.c
+++ b/load/request.c
@@ -15,11 +15,15 @@
 #define BACKOFF_MS 200
 #define KEY_MAX 64
 
+/* How entries turn a chat of one message into a prompt. */
+#define CHAT_FORMAT "<|user|>\n%s\n<|assistant|>\n"
+
 struct request {
 	struct load *load;
 	const struct caller *caller;
 	const struct target_model *model; /* NULL: plain service */
 	char *prompt; /* or the body of a plain call */
+	char *seen; /* the prompt as the engine sees it */
 	char key[KEY_MAX]; /* idempotency key or "" */
 	bool stream, chat, again;
 	uint32_t limit;
@@ -60,6 +64,7 @@
 		event_free(r->retry);
 	g_string_free(r->in, TRUE);
 	g_free(r->prompt);
+	g_free(r->seen);
 	g_free(r);
 }
 
@@ -162,7 +167,7 @@
 		uint32_t n;
 
 		answer_init(&a, pf_str_c(id), pf_str_c(r->model->adapter),
-			    pf_str_c(r->prompt));
+			    pf_str_c(r->seen));
 		got = check_text(&a, text, o->finish, r->limit, &n);
 		if (got < best || v == r->model->versions) {
 			best = got;
@@ -274,6 +279,7 @@
 		return;
 	s = g_memdup2(r, sizeof(*r));
 	s->prompt = g_strdup(r->prompt);
+	s->seen = g_strdup(r->seen);
 	s->in = g_string_new(NULL);
 	s->retry = NULL;
 	s->again = true;
@@ -331,7 +337,7 @@
 
 static void note_not_run(struct request *r)
 {
-	uint64_t h = pf_id(pf_str_c(r->prompt));
+	uint64_t h = pf_id(pf_str_c(r->seen));
 
 	r->load->n.refused++;
 	if (r->model)
@@ -521,6 +527,8 @@
 			   c->name, l->seed, no);
 	r->prompt =
 		c->kind == CALL_LOOKUP ? g_strdup("") : make_prompt(l, c, no);
+	r->seen = r->chat ? g_strdup_printf(CHAT_FORMAT, r->prompt)
+			  : g_strdup(r->prompt);
 	r->arrived = g_get_monotonic_time();
 	r->arrived_wall = g_get_real_time() / 1000;
 	l->alive++;
