--- a/load/request.c
+++ b/load/request.c
@@ -1,6 +1,7 @@
 /* One request: its sends, its answer, and the judgement of it. */
 #include "load/check.h"
 #include "load/load.h"
+#include "load/outcome.h"
 
 #include <event2/buffer.h>
 #include <event2/event.h>
@@ -36,18 +37,6 @@
 	struct event *retry;
 };
 
-/** How one send ended. */
-struct outcome {
-	int status; /* 0: no answer */
-	bool ended; /* the connection carried the answer to its end */
-	enum finish finish;
-	GString *text;
-	bool error; /* the answer is an error */
-	bool not_run; /* and says that nothing ran */
-	char *code;
-	int64_t retry_after_ms;
-};
-
 static void request_send(struct request *r);
 
 void load_complain(const char *what, const char *who, const char *detail)
@@ -73,74 +62,6 @@
 	return (double)(to - from) / 1000;
 }
 
-/* The text that one event or whole answer carries. */
-static void read_choice(const json_t *j, struct outcome *o)
-{
-	const json_t *c = json_array_get(json_object_get(j, "choices"), 0);
-	const json_t *text = json_object_get(c, "text");
-	const char *finish =
-		json_string_value(json_object_get(c, "finish_reason"));
-
-	if (!text)
-		text = json_object_get(json_object_get(c, "delta"), "content");
-	if (!text)
-		text = json_object_get(json_object_get(c, "message"),
-				       "content");
-	if (json_is_string(text))
-		g_string_append(o->text, json_string_value(text));
-	if (finish && !strcmp(finish, "stop"))
-		o->finish = FINISH_STOP;
-	else if (finish && !strcmp(finish, "length"))
-		o->finish = FINISH_LENGTH;
-}
-
-static void read_error(const json_t *j, struct outcome *o)
-{
-	const json_t *e = json_object_get(j, "error");
-	const char *code = json_string_value(json_object_get(e, "code"));
-	const char *ran = json_string_value(json_object_get(e, "ran"));
-
-	if (!e)
-		return;
-	o->error = true;
-	o->not_run = ran && !strcmp(ran, "not_run");
-	g_free(o->code);
-	o->code = g_strdup(code ? code : "no_code");
-}
-
-static void read_object(const char *text, struct outcome *o)
-{
-	json_t *j = json_loads(text, 0, NULL);
-
-	if (j) {
-		read_choice(j, o);
-		read_error(j, o);
-	}
-	json_decref(j);
-}
-
-static void read_events(const struct request *r, struct outcome *o)
-{
-	char **lines = g_strsplit(r->in->str, "\n", 0);
-
-	for (char **l = lines; *l; l++)
-		if (g_str_has_prefix(*l, "data: {"))
-			read_object(*l + 6, o);
-	g_strfreev(lines);
-}
-
-static void read_answer(const struct request *r, struct outcome *o)
-{
-	if (r->model && r->stream && o->status == 200)
-		read_events(r, o);
-	else if (r->model || o->status >= 400)
-		read_object(r->in->str, o);
-	if (o->status >= 400 && !o->error) {
-		o->error = true;
-		o->code = g_strdup_printf("status_%d", o->status);
-	}
-}
-
 static const char *entry_name(const struct request *r)
 {
 	return r->load->scenario->entries->pdata[r->entry];
@@ -402,10 +323,9 @@
 	} else if (r->in->len) {
 		o.status = 200; /* cut in the middle of an answer */
 	}
-	read_answer(r, &o);
+	outcome_read(&o, r->model != NULL, r->stream, r->in->str);
 	request_end(r, &o);
-	g_string_free(o.text, TRUE);
-	g_free(o.code);
+	outcome_clear(&o);
 }
 
 static json_t *body_json(const struct request *r)
--- a/standin/engine.c
+++ b/standin/engine.c
@@ -161,13 +161,13 @@
 	r->limit_told = true;
 }
 
-/* One token; true when the run ended with it. */
-static bool run_step(struct engine *e, struct run *r, double now)
+/* One token; the run may end with it. */
+static void run_step(struct engine *e, struct run *r, double now)
 {
 	char token[ANSWER_TOKEN_MAX];
 
-	if (now < r->ready)
-		return false;
+	if (!r->in_batch || now < r->ready)
+		return;
 	if (r->done < r->answer.length) {
 		answer_token(&r->answer, r->done, token);
 		exchange_event(r->x, "{\"offset\":%u,\"text\":\"%s\"}", r->done,
@@ -179,27 +179,22 @@
 	if (r->done >= r->answer.length) {
 		e->ended++;
 		run_end(r, "stop");
-		return true;
-	}
-	if (!runnable(r))
+	} else if (!runnable(r)) {
 		tell_limit(r);
-	return false;
+	}
 }
 
 static void on_step(evutil_socket_t fd, short what, void *ctx)
 {
 	struct engine *e = ctx;
 	double now = now_ms();
-	guint i = 0;
 
 	(void)fd;
 	(void)what;
-	while (!server_paused(e->server, TARGET_ENGINE) && i < e->queue->len) {
-		struct run *r = e->queue->pdata[i];
-
-		if (!r->in_batch || !run_step(e, r, now))
-			i++;
-	}
+	/* Backwards: a run that ends leaves the queue. */
+	if (!server_paused(e->server, TARGET_ENGINE))
+		for (guint i = e->queue->len; i > 0; i--)
+			run_step(e, e->queue->pdata[i - 1], now);
 	schedule_step(e);
 }
 
@@ -460,8 +455,8 @@
 
 void engine_free(struct engine *e)
 {
-	while (e->queue->len)
-		run_forget(e->queue->pdata[0]);
+	for (guint i = e->queue->len; i > 0; i--)
+		run_forget(e->queue->pdata[i - 1]);
 	g_ptr_array_free(e->queue, TRUE);
 	g_hash_table_destroy(e->runs);
 	g_hash_table_destroy(e->items);
