--- a/load/outcome.h
+++ b/load/outcome.h
@@ -8,6 +8,8 @@
 
 #include <glib.h>
 
+PF_BEGIN_DECLS
+
 struct outcome {
 	int status; /* 0: no answer */
 	bool ended; /* the connection carried the answer to its end */
@@ -26,4 +28,6 @@
 void outcome_read(struct outcome *o, bool model, bool stream, const char *body);
 void outcome_clear(struct outcome *o);
 
+PF_END_DECLS
+
 #endif
