--- a/daemons/agent/boot.c
+++ b/daemons/agent/boot.c
@@ -1,19 +1,16 @@
 /* The incarnation number and the configuration, from the table. */
 #include "daemon.h"
 
-#include "pimentoford/records.h"
-
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
 #define TABLE_TIMEOUT_MS 3000
 #define AGAIN_MS 200
-#define ROWS_MAX 16
 #define KEY_MAX 128
 
 static void take_incarnation(struct daemon *d);
-static void read_config(struct daemon *d);
+static void follow_config(struct daemon *d);
 
 /* The decimal number that a row holds; 0: none. */
 static uint64_t number_of(const struct pf_table_row *row)
@@ -42,7 +39,7 @@
 	if (d->incarnation == 0)
 		take_incarnation(d);
 	else
-		read_config(d);
+		follow_config(d);
 }
 
 static struct pf_str row_key(const struct daemon *d, char buf[KEY_MAX])
@@ -75,7 +72,7 @@
 	pf_rpc_set_incarnation(d->rpc, number);
 	PF_LOG(&d->log, PF_LOG_INFO, "incarnation",
 	       PF_KV_INT("number", (int64_t)number));
-	read_config(d);
+	follow_config(d);
 }
 
 static int put_number(struct daemon *d, uint64_t number, uint64_t revision)
@@ -152,13 +149,15 @@
 	return core_start(d);
 }
 
-static void adopt(struct daemon *d, struct pf_config *c)
+static void adopt(void *ctx, struct pf_config *c, const struct pf_records *set)
 {
+	struct daemon *d = ctx;
 	const struct pf_endpoint *ep = pf_config_endpoint(c, d->id);
 	struct pf_agent_msg m = { .type = PF_AGENT_CONFIG };
 	struct pf_config *old = d->config;
 	bool first = !d->core;
 
+	(void)set;
 	if (first && !ep) {
 		PF_LOG(&d->log, PF_LOG_WARN, "not_declared",
 		       PF_KV_STR("endpoint", d->set.place.name));
@@ -184,75 +183,30 @@
 	pf_rpc_accept(d->rpc, true);
 }
 
-static struct pf_config *build(struct daemon *d, uint64_t revision,
-			       struct pf_str text)
-{
-	struct pf_findings f = { 0 };
-	struct pf_records set = { 0 };
-	struct pf_config *c = NULL;
-
-	if (pf_records_parse(text, "config/text", &set, &f) < 0 ||
-	    pf_records_build(&set, revision, &f, &c) < 0) {
-		PF_LOG(&d->log, PF_LOG_ERROR, "config_refused",
-		       PF_KV_INT("revision", (int64_t)revision),
-		       PF_KV_STR("finding", f.n ? f.v[0].text : ""));
-		c = NULL;
-	}
-	pf_records_free(&set);
-	pf_findings_clear(&f);
-	return c;
-}
-
-static void on_config(void *ctx, const struct pf_table_rows *r)
+static void refused(void *ctx, uint64_t revision, const struct pf_findings *f)
 {
 	struct daemon *d = ctx;
-	struct pf_str text = { 0 };
-	uint64_t revision = 0;
-	struct pf_config *c;
-	size_t i;
 
-	again(d, d->set.load_poll);
-	if (r->status != PF_TABLE_OK) {
-		d->counters.v[PF_AC_TABLE_ERRORS]++;
-		return;
-	}
-	for (i = 0; i < r->n; i++) {
-		if (pf_str_eq(r->rows[i].key, PF_STR("config/head")))
-			revision = number_of(&r->rows[i]);
-		else if (pf_str_eq(r->rows[i].key, PF_STR("config/text")))
-			text = r->rows[i].value;
-	}
-	/* Only higher revisions are adopted: nothing ever reverts. */
-	if (!text.p || revision <= d->counters.v[PF_AC_REVISION])
-		return;
-	c = build(d, revision, text);
-	if (c)
-		adopt(d, c);
+	PF_LOG(&d->log, PF_LOG_ERROR, "config_refused",
+	       PF_KV_INT("revision", (int64_t)revision),
+	       PF_KV_STR("finding", f->n ? f->v[0].text : ""));
 }
 
-/* The whole set is read only when the head has moved. */
-static void on_head(void *ctx, const struct pf_table_rows *r)
+static void follow_config(struct daemon *d)
 {
-	struct daemon *d = ctx;
-
-	if (r->status != PF_TABLE_OK)
-		d->counters.v[PF_AC_TABLE_ERRORS]++;
-	if (r->status != PF_TABLE_OK || r->n == 0 ||
-	    number_of(&r->rows[0]) <= d->counters.v[PF_AC_REVISION]) {
-		again(d, d->set.load_poll);
-		return;
-	}
-	d->counters.v[PF_AC_TABLE_READS]++;
-	if (pf_table_scan(d->table, PF_STR("config/"), PF_STR(""), ROWS_MAX,
-			  on_config, d) < 0)
-		again(d, AGAIN_MS);
-}
+	struct pf_config_reader_opts o = {
+		.base = d->base,
+		.table = d->table,
+		.poll = d->set.load_poll,
+		.seed = pf_process_random(),
+		.adopt = adopt,
+		.refused = refused,
+		.ctx = d,
+	};
 
-static void read_config(struct daemon *d)
-{
-	d->counters.v[PF_AC_TABLE_READS]++;
-	if (pf_table_get(d->table, PF_STR("config/head"), on_head, d) < 0)
-		again(d, AGAIN_MS);
+	d->reader = pf_config_reader_new(&o);
+	if (!d->reader)
+		daemon_fail(d, "no memory for the configuration");
 }
 
 int boot_start(struct daemon *d)
--- a/daemons/agent/daemon.h
+++ b/daemons/agent/daemon.h
@@ -8,6 +8,7 @@
 
 #include "pimentoford/agent.h"
 #include "pimentoford/clock.h"
+#include "pimentoford/config_reader.h"
 #include "pimentoford/counters.h"
 #include "pimentoford/engine.h"
 #include "pimentoford/http_client.h"
@@ -136,6 +137,7 @@
 	struct item_name *names;
 	size_t n_names;
 	struct evhtp *status;
+	struct pf_config_reader *reader; /* NULL before the incarnation */
 	struct event *boot_timer;
 	struct event *stop_timer;
 	struct pf_rng rng;
--- a/daemons/agent/main.c
+++ b/daemons/agent/main.c
@@ -90,6 +90,7 @@
 	watch_stop(d);
 	status_stop(d);
 	pf_rpc_free(d->rpc);
+	pf_config_reader_free(d->reader);
 	pf_table_free(d->table);
 	pf_config_free(d->config);
 	names_free(d);
--- a/daemons/entry/admin.c
+++ b/daemons/entry/admin.c
@@ -40,6 +40,8 @@
 	v[PF_EC_RPC_BYTES_OUT] = rpc->bytes_out;
 	v[PF_EC_RPC_BAD] = rpc->bad_records + rpc->oversize_records;
 	v[PF_EC_RPC_STRANGERS] = rpc->strangers;
+	v[PF_EC_TABLE_READS] = pf_config_reader_stats(d->reader)->reads;
+	v[PF_EC_TABLE_ERRORS] = pf_config_reader_stats(d->reader)->errors;
 	v[PF_EC_CPU_MS] = u.cpu_ms;
 	v[PF_EC_RSS_KB] = u.rss_kb;
 }
--- a/daemons/entry/daemon.h
+++ b/daemons/entry/daemon.h
@@ -7,6 +7,7 @@
 #define ENTRY_DAEMON_H
 
 #include "pimentoford/clock.h"
+#include "pimentoford/config_reader.h"
 #include "pimentoford/counters.h"
 #include "pimentoford/entry.h"
 #include "pimentoford/log.h"
@@ -105,7 +106,7 @@
 	uint32_t n_entries;
 
 	struct pf_table *table;
-	struct event *config_timer;
+	struct pf_config_reader *reader;
 	struct event *stop_timer;
 	struct pf_rng rng;
 };
--- a/daemons/entry/main.c
+++ b/daemons/entry/main.c
@@ -101,12 +101,12 @@
 	requests_stop(d);
 	links_stop(d);
 	core_stop(d);
+	pf_config_reader_free(d->reader);
 	pf_table_free(d->table);
 	pf_config_free(d->config);
 	pf_text_free(&d->scratch);
 	free(d->config_text);
 	free(d->key);
-	event_free(d->config_timer);
 	event_free(d->stop_timer);
 }
 
