Agent hosts the claim core; answers stop at the output limit

Cause: never-repeat calls hung, and runs at max_tokens never ended. Change: claims.c carries the claim core's transactions and verdicts; a run that stands at its output limit is cancelled at the engine and ends as LIMIT.

--- a/daemons/agent/boot.c
+++ b/daemons/agent/boot.c
@@ -146,7 +146,9 @@
 	d->memory_bytes = ep->memory_bytes;
 	d->batch_max = ep->batch_max;
 	d->plain = ep->kind == PF_ENDPOINT_PLAIN;
-	return core_start(d);
+	if (core_start(d) < 0)
+		return -1;
+	return d->plain ? claims_start(d, ep->service) : 0;
 }
 
 static void adopt(void *ctx, struct pf_config *c, const struct pf_records *set)
--- /dev/null
+++ b/daemons/agent/claims.c
@@ -0,0 +1,405 @@
+/*
+ * Hosts the claim core beside a plain service: carries its transactions and
+ * scans to the table and its verdicts to the agent core.
+ */
+#include "daemon.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+/** A claim that was asked for and whose run is not over. */
+struct claim_try {
+	struct pf_try id;
+	uint64_t key;
+	bool granted;
+};
+
+/** One transaction or scan under way. */
+struct claim_op {
+	struct claims *c;
+	uint64_t op;
+	uint32_t limit; /* of a scan */
+	uint32_t n_checks;
+	char **checks; /* keys, to tell which check failed */
+};
+
+struct claims {
+	struct daemon *d;
+	struct pf_claim *core;
+	struct event *timer;
+	struct claim_try *tries;
+	uint32_t n_tries;
+	uint32_t cap_tries;
+	uint32_t shards;
+	struct pf_item *owned; /* for reports; cap is `shards` */
+	uint32_t n_owned;
+	uint64_t service;
+	bool drained;
+};
+
+static void step(struct claims *c, const struct pf_claim_msg *m);
+
+static struct claim_try *find(struct claims *c, struct pf_try id)
+{
+	uint32_t i;
+
+	for (i = 0; i < c->n_tries; i++) {
+		if (c->tries[i].id.request == id.request &&
+		    c->tries[i].id.attempt == id.attempt)
+			return &c->tries[i];
+	}
+	return NULL;
+}
+
+static void forget(struct claims *c, struct claim_try *t)
+{
+	*t = c->tries[--c->n_tries];
+}
+
+static void op_free(struct claim_op *op)
+{
+	uint32_t i;
+
+	for (i = 0; i < op->n_checks; i++)
+		free(op->checks[i]);
+	free(op->checks);
+	free(op);
+}
+
+static uint32_t failed_check(const struct claim_op *op, struct pf_str key)
+{
+	uint32_t i;
+
+	for (i = 0; i < op->n_checks; i++) {
+		if (pf_str_eq(pf_str_c(op->checks[i]), key))
+			return i;
+	}
+	return 0;
+}
+
+static void on_txn(void *ctx, const struct pf_table_txn_result *r)
+{
+	struct pf_claim_msg m = { .type = PF_CLAIM_TXN_DONE };
+	struct claim_op *op = ctx;
+	struct claims *c = op->c;
+
+	m.u.txn.op = op->op;
+	m.u.txn.status = r->status;
+	m.u.txn.revision = r->revision;
+	if (r->status == PF_TABLE_CONFLICT)
+		m.u.txn.failed = failed_check(op, r->key);
+	if (r->status != PF_TABLE_OK)
+		c->d->counters.v[PF_AC_TABLE_ERRORS]++;
+	op_free(op);
+	step(c, &m);
+}
+
+static void on_scan(void *ctx, const struct pf_table_rows *r)
+{
+	struct pf_claim_msg m = { .type = PF_CLAIM_SCAN_DONE };
+	struct claim_op *op = ctx;
+	struct claims *c = op->c;
+
+	m.u.scan.op = op->op;
+	m.u.scan.status = r->status;
+	m.u.scan.rows = r->rows;
+	m.u.scan.n_rows = r->n;
+	m.u.scan.more = r->n >= op->limit;
+	op_free(op);
+	step(c, &m);
+}
+
+/* The request could not be made: nothing was written or read. */
+static void on_unsent_txn(evutil_socket_t fd, short what, void *ctx)
+{
+	static const struct pf_table_txn_result r = {
+		.status = PF_TABLE_LIMITED
+	};
+
+	(void)fd;
+	(void)what;
+	on_txn(ctx, &r);
+}
+
+static void on_unsent_scan(evutil_socket_t fd, short what, void *ctx)
+{
+	static const struct pf_table_rows r = { .status = PF_TABLE_LIMITED };
+
+	(void)fd;
+	(void)what;
+	on_scan(ctx, &r);
+}
+
+static void soon(struct claims *c, event_callback_fn fn, struct claim_op *op)
+{
+	static const struct timeval now;
+
+	event_base_once(c->d->base, -1, EV_TIMEOUT, fn, op, &now);
+}
+
+static int copy_checks(struct claim_op *op, const struct pf_table_txn *txn)
+{
+	size_t i;
+
+	op->checks = calloc(txn->n_checks + 1, sizeof(*op->checks));
+	if (!op->checks)
+		return -1;
+	for (i = 0; i < txn->n_checks; i++) {
+		op->checks[i] = pf_str_dup(txn->checks[i].key);
+		if (!op->checks[i])
+			return -1;
+		op->n_checks++;
+	}
+	return 0;
+}
+
+static struct claim_op *op_new(struct claims *c, uint64_t op)
+{
+	struct claim_op *o = calloc(1, sizeof(*o));
+
+	PF_INVARIANT("a claim's table request has memory", o);
+	o->c = c;
+	o->op = op;
+	return o;
+}
+
+static void do_txn(struct claims *c, const struct pf_claim_act *act)
+{
+	struct claim_op *op = op_new(c, act->u.txn.op);
+	char id[64];
+
+	snprintf(id, sizeof(id), "claim %llu",
+		 (unsigned long long)act->u.txn.op);
+	c->d->counters.v[PF_AC_TABLE_WRITES]++;
+	if (copy_checks(op, &act->u.txn.txn) < 0 ||
+	    pf_table_txn(c->d->table, id, &act->u.txn.txn, on_txn, op) < 0)
+		soon(c, on_unsent_txn, op);
+}
+
+static void do_scan(struct claims *c, const struct pf_claim_act *act)
+{
+	struct claim_op *op = op_new(c, act->u.scan.op);
+
+	op->limit = act->u.scan.limit;
+	c->d->counters.v[PF_AC_TABLE_READS]++;
+	if (pf_table_scan(c->d->table, act->u.scan.prefix, act->u.scan.after,
+			  act->u.scan.limit, on_scan, op) < 0)
+		soon(c, on_unsent_scan, op);
+}
+
+static void answered(struct claims *c, const struct pf_claim_act *act)
+{
+	struct pf_agent_msg m = { .type = PF_AGENT_CLAIMED };
+	struct claim_try *t = find(c, act->u.answered.id);
+	struct try_slot *s = tries_find(&c->d->tries, act->u.answered.id);
+
+	if (t && act->u.answered.granted)
+		t->granted = true;
+	else if (t)
+		forget(c, t);
+	if (s && !act->u.answered.granted &&
+	    act->u.answered.reason == PF_REASON_NONE)
+		plain_set_answer(s, act->u.answered.answer);
+	m.u.claimed.id = act->u.answered.id;
+	m.u.claimed.granted = act->u.answered.granted;
+	m.u.claimed.reason = act->u.answered.reason;
+	agent_post(c->d, &m);
+}
+
+static void refresh_owned(struct claims *c)
+{
+	uint32_t i;
+
+	c->n_owned = 0;
+	for (i = 0; i < c->shards; i++) {
+		if (!pf_claim_owns(c->core, i))
+			continue;
+		c->owned[c->n_owned].id = pf_claim_shard_id(c->service, i);
+		c->owned[c->n_owned++].state = PF_ITEM_RESIDENT;
+	}
+}
+
+static void emit(void *ctx, const struct pf_claim_act *act)
+{
+	struct claims *c = ctx;
+
+	switch (act->type) {
+	case PF_CLAIM_ANSWERED:
+		answered(c, act);
+		break;
+	case PF_CLAIM_STORED:
+		break;
+	case PF_CLAIM_TXN:
+		do_txn(c, act);
+		break;
+	case PF_CLAIM_SCAN:
+		do_scan(c, act);
+		break;
+	case PF_CLAIM_SHARDS:
+		refresh_owned(c);
+		break;
+	case PF_CLAIM_DRAINED:
+		c->drained = true;
+		break;
+	case PF_CLAIM_SUPERSEDED:
+		daemon_fail(c->d, "a later incarnation of this agent runs");
+		break;
+	}
+}
+
+static void step(struct claims *c, const struct pf_claim_msg *m)
+{
+	const struct pf_claim_sink sink = { emit, c };
+	pf_ms now = pf_clock_wall();
+	struct timeval tv = { 0, 0 };
+	pf_ms due;
+
+	pf_claim_step(c->core, now, m, &sink);
+	due = pf_claim_next(c->core);
+	if (due == PF_NEVER) {
+		event_del(c->timer);
+		return;
+	}
+	due = due > now ? due - now : 0;
+	tv.tv_sec = due / 1000;
+	tv.tv_usec = (due % 1000) * 1000;
+	event_add(c->timer, &tv);
+}
+
+static void on_timer(evutil_socket_t fd, short what, void *ctx)
+{
+	static const struct pf_claim_msg tick = { .type = PF_CLAIM_TICK };
+
+	(void)fd;
+	(void)what;
+	step(ctx, &tick);
+}
+
+void claims_ask(struct daemon *d, struct pf_try id, const struct pf_work *w)
+{
+	struct pf_claim_msg m = { .type = PF_CLAIM_ASK };
+	struct claims *c = d->claims;
+	struct claim_try *t;
+
+	PF_INVARIANT("one claim for each try the core keeps",
+		     c->n_tries < c->cap_tries);
+	t = &c->tries[c->n_tries++];
+	*t = (struct claim_try){ id, w->idem_key, false };
+	d->counters.v[PF_AC_CLAIMS]++;
+	m.u.ask.id = id;
+	m.u.ask.key = w->idem_key;
+	m.u.ask.fingerprint = w->fingerprint;
+	step(c, &m);
+}
+
+/* The key of a granted try, which is over now; 0: none was granted. */
+static uint64_t take_key(struct claims *c, struct pf_try id)
+{
+	struct claim_try *t = c ? find(c, id) : NULL;
+	uint64_t key = 0;
+
+	if (t && t->granted) {
+		key = t->key;
+		forget(c, t);
+	}
+	return key;
+}
+
+static void tell_key(struct daemon *d, enum pf_claim_msg_type type,
+		     struct pf_try id)
+{
+	struct pf_claim_msg m = { .type = type };
+
+	m.u.key = take_key(d->claims, id);
+	if (m.u.key)
+		step(d->claims, &m);
+}
+
+void claims_lost(struct daemon *d, struct pf_try id)
+{
+	tell_key(d, PF_CLAIM_LOST, id);
+}
+
+void claims_void(struct daemon *d, struct pf_try id)
+{
+	tell_key(d, PF_CLAIM_VOID, id);
+}
+
+void claims_result(struct daemon *d, struct pf_try id, struct try_slot *s)
+{
+	struct pf_claim_msg m = { .type = PF_CLAIM_RESULT };
+	struct pf_text answer = { 0 };
+
+	m.u.result.key = take_key(d->claims, id);
+	if (!m.u.result.key)
+		return;
+	plain_get_answer(s, &answer);
+	m.u.result.answer = pf_text_str(&answer);
+	step(d->claims, &m);
+	pf_text_free(&answer);
+}
+
+void claims_report(const struct daemon *d, struct pf_report *r)
+{
+	if (!d->claims)
+		return;
+	r->items = d->claims->owned;
+	r->n_items = d->claims->n_owned;
+}
+
+bool claims_drained(struct daemon *d)
+{
+	static const struct pf_claim_msg drain = { .type = PF_CLAIM_DRAIN };
+	struct claims *c = d->claims;
+
+	if (!c || c->drained)
+		return true;
+	if (!d->claims_draining)
+		step(c, &drain);
+	d->claims_draining = true;
+	return c->drained;
+}
+
+int claims_start(struct daemon *d, const char *service)
+{
+	static const struct pf_claim_msg tick = { .type = PF_CLAIM_TICK };
+	struct claims *c = calloc(1, sizeof(*c));
+	struct pf_claim_opts o;
+
+	if (!c)
+		return -1;
+	d->claims = c;
+	pf_claim_opts_default(&o);
+	o.service = service;
+	o.agent = d->id;
+	o.incarnation = d->incarnation;
+	o.seed = pf_process_random();
+	c->d = d;
+	c->service = pf_id(pf_str_c(service));
+	c->shards = o.shards;
+	c->cap_tries = d->tries.cap;
+	c->tries = calloc(c->cap_tries, sizeof(*c->tries));
+	c->owned = calloc(o.shards, sizeof(*c->owned));
+	c->core = pf_claim_new(&o);
+	c->timer = evtimer_new(d->base, on_timer, c);
+	if (!c->tries || !c->owned || !c->core || !c->timer)
+		return -1;
+	step(c, &tick);
+	return 0;
+}
+
+void claims_stop(struct daemon *d)
+{
+	struct claims *c = d->claims;
+
+	if (!c)
+		return;
+	pf_claim_free(c->core);
+	if (c->timer)
+		event_free(c->timer);
+	free(c->tries);
+	free(c->owned);
+	free(c);
+	d->claims = NULL;
+}
--- a/daemons/agent/core.c
+++ b/daemons/agent/core.c
@@ -1,6 +1,7 @@
 /* Steps the agent core and carries out its acts. */
 #include "daemon.h"
 
+#include <stdlib.h>
 #include <string.h>
 
 static void send_id(struct daemon *d, uint64_t entry, enum pf_wire_type type,
@@ -59,6 +60,10 @@
 		m.u.done.body = pf_text_str(&s->answer);
 	}
 	links_send(d, act->entry, &m);
+	if (s && !m.u.done.error)
+		claims_result(d, s->id, s);
+	else
+		claims_lost(d, act->u.done.id);
 	if (s)
 		tries_drop(d, s);
 }
@@ -83,6 +88,7 @@
 	m.u.lost.reason = act->u.lost.reason;
 	m.u.lost.produced = act->u.lost.produced;
 	links_send(d, act->entry, &m);
+	claims_lost(d, act->u.lost.id);
 	drop_try(d, act->u.lost.id);
 }
 
@@ -116,12 +122,7 @@
 
 static void on_claim(struct daemon *d, const struct pf_agent_act *act)
 {
-	struct pf_agent_msg m = { .type = PF_AGENT_CLAIMED };
-
-	m.u.claimed.id = act->u.run.id;
-	m.u.claimed.granted = false;
-	m.u.claimed.reason = PF_REASON_STORE_AWAY;
-	agent_post(d, &m);
+	claims_ask(d, act->u.run.id, act->u.run.work);
 }
 
 static void emit(void *ctx, const struct pf_agent_act *act)
@@ -152,6 +153,7 @@
 		break;
 	case PF_AGENT_REPORT:
 		m.u.report = act->u.report;
+		claims_report(d, &m.u.report);
 		links_send_all(d, &m);
 		break;
 	case PF_AGENT_RUN:
@@ -177,6 +179,7 @@
 		on_claim(d, act);
 		break;
 	case PF_AGENT_VOID:
+		claims_void(d, act->u.id);
 		break;
 	case PF_AGENT_DRAINED:
 		d->drained = true;
@@ -217,7 +220,14 @@
 
 void agent_post(struct daemon *d, const struct pf_agent_msg *m)
 {
-	PF_INVARIANT("posted messages fit", d->n_posted < POSTED_MAX);
+	if (d->n_posted == d->cap_posted) {
+		uint32_t cap = d->cap_posted ? 2 * d->cap_posted : 16;
+		struct pf_agent_msg *v = realloc(d->posted, cap * sizeof(*v));
+
+		PF_INVARIANT("posted messages have memory", v);
+		d->posted = v;
+		d->cap_posted = cap;
+	}
 	d->posted[d->n_posted++] = *m;
 	event_active(d->posted_ev, 0, 0);
 }
@@ -289,6 +299,7 @@
 {
 	tries_free(&d->tries);
 	pf_agent_free(d->core);
+	free(d->posted);
 	if (d->core_timer)
 		event_free(d->core_timer);
 	if (d->posted_ev)
--- a/daemons/agent/daemon.h
+++ b/daemons/agent/daemon.h
@@ -7,6 +7,7 @@
 #define AGENT_DAEMON_H
 
 #include "pimentoford/agent.h"
+#include "pimentoford/claim.h"
 #include "pimentoford/clock.h"
 #include "pimentoford/config_reader.h"
 #include "pimentoford/counters.h"
@@ -24,6 +25,7 @@
 /** "REQUEST.ATTEMPT.EXECUTION" at the engine. */
 #define RUN_NAME_MAX 64
 
+struct claims;
 struct daemon;
 
 /** One try that the core knows, with what cores leave to daemons. */
@@ -44,6 +46,8 @@
 	bool cut; /* its stream broke; waits for the watch's verdict */
 	char name[RUN_NAME_MAX];
 	uint32_t total; /* output tokens so far */
+	uint32_t max_tokens;
+	bool at_max; /* stands at its output limit: the answer is whole */
 	uint32_t limit_wanted;
 	uint32_t limit_sent;
 	struct pf_http_call *call; /* the run, or the plain call */
@@ -96,8 +100,6 @@
 	char *name;
 };
 
-#define POSTED_MAX 256
-
 struct daemon {
 	struct event_base *base;
 	struct pf_agent_settings set;
@@ -112,6 +114,8 @@
 	int64_t memory_bytes;
 	uint32_t batch_max;
 	bool plain;
+	struct claims *claims; /* beside a plain service */
+	bool claims_draining;
 	bool draining;
 	bool drained;
 
@@ -119,8 +123,9 @@
 	struct event *core_timer;
 	pf_ms core_due;
 	bool in_step;
-	struct pf_agent_msg posted[POSTED_MAX];
+	struct pf_agent_msg *posted; /* oldest first */
 	uint32_t n_posted;
+	uint32_t cap_posted;
 	struct event *posted_ev;
 	/* The tokens that the core is being told of. */
 	struct pf_str piece_text;
@@ -187,6 +192,23 @@
 void plain_start(struct daemon *d, struct try_slot *s);
 void plain_stop(struct daemon *d, struct try_slot *s);
 
+/** The answer as one text, and back, for the claim log. */
+void plain_get_answer(const struct try_slot *s, struct pf_text *out);
+void plain_set_answer(struct try_slot *s, struct pf_str text);
+
+/* claims.c: at most one run for each key of a plain service */
+int claims_start(struct daemon *d, const char *service);
+void claims_stop(struct daemon *d);
+void claims_ask(struct daemon *d, struct pf_try id, const struct pf_work *w);
+/** The run of @id ended with the answer in @s, was cut, or never began. */
+void claims_result(struct daemon *d, struct pf_try id, struct try_slot *s);
+void claims_lost(struct daemon *d, struct pf_try id);
+void claims_void(struct daemon *d, struct pf_try id);
+/** Puts the shards owned here into a report. */
+void claims_report(const struct daemon *d, struct pf_report *r);
+/** Starts to hand the shards over, and whether that is done. */
+bool claims_drained(struct daemon *d);
+
 /* orders.c */
 void orders_send(struct daemon *d, const struct pf_agent_act *act);
 const char *names_find(const struct daemon *d, uint64_t id);
--- a/daemons/agent/main.c
+++ b/daemons/agent/main.c
@@ -25,7 +25,7 @@
 
 	(void)fd;
 	(void)what;
-	if (d->core && !d->drained)
+	if (d->core && (!d->drained || !claims_drained(d)))
 		return;
 	if (links_idle(d))
 		event_base_loopbreak(d->base);
@@ -86,6 +86,7 @@
 
 static void stop(struct daemon *d)
 {
+	claims_stop(d);
 	core_stop(d);
 	watch_stop(d);
 	status_stop(d);
--- a/daemons/agent/plain.c
+++ b/daemons/agent/plain.c
@@ -1,6 +1,8 @@
 /* Calls of a plain service. */
 #include "daemon.h"
 
+#include <glib.h>
+#include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -9,8 +11,62 @@
 #define SEND_AGAIN_MAX 50
 #define BAD_GATEWAY 502
 
+/* First byte of a stored answer: how the body stands in it. */
+#define BODY_TEXT 't'
+#define BODY_BASE64 'b'
+
 static void send_call(struct try_slot *s);
 
+/* "t STATUS TYPE\nBODY", or the body in base64 when it is no UTF-8 text. */
+void plain_get_answer(const struct try_slot *s, struct pf_text *out)
+{
+	const char *type = s->answer_type ? s->answer_type : "";
+	bool text = g_utf8_validate_len(s->answer.n ? s->answer.p : "",
+					s->answer.n, NULL);
+
+	pf_text_fmt(out, "%c %u %s\n", text ? BODY_TEXT : BODY_BASE64,
+		    s->status, type);
+	if (text) {
+		pf_text_add(out, pf_text_str(&s->answer));
+	} else {
+		gchar *enc = g_base64_encode((const guchar *)s->answer.p,
+					     s->answer.n);
+
+		pf_text_add(out, pf_str_c(enc));
+		g_free(enc);
+	}
+}
+
+void plain_set_answer(struct try_slot *s, struct pf_str text)
+{
+	const char *nl = text.n ? memchr(text.p, '\n', text.n) : NULL;
+	char head[512];
+	char type[256] = "";
+	char form = 0;
+
+	if (!nl || (size_t)(nl - text.p) >= sizeof(head))
+		return;
+	snprintf(head, sizeof(head), "%.*s", (int)(nl - text.p), text.p);
+	if (sscanf(head, "%c %u %255[^\n]", &form, &s->status, type) < 2)
+		return;
+	free(s->answer_type);
+	s->answer_type = strdup(type);
+	s->answer.n = 0;
+	nl++;
+	text.n -= (size_t)(nl - text.p);
+	text.p = nl;
+	if (form == BODY_TEXT) {
+		pf_text_add(&s->answer, text);
+	} else {
+		char *copy = pf_str_dup(text);
+		gsize n = 0;
+
+		if (copy && g_base64_decode_inplace(copy, &n))
+			pf_text_add(&s->answer, (struct pf_str){ copy, n });
+		free(copy);
+	}
+}
+
 static void ended(struct try_slot *s, enum pf_end end)
 {
 	struct daemon *d = s->d;
--- a/daemons/agent/runs.c
+++ b/daemons/agent/runs.c
@@ -40,6 +40,7 @@
 	s->opened = false;
 	s->stopping = false;
 	s->cut = false;
+	s->at_max = false;
 }
 
 /* Ends the execution and tells the core; @s may be gone afterwards. */
@@ -62,7 +63,7 @@
 		return;
 	if (!s->opened)
 		ended(s, PF_END_CANCELLED, s->total);
-	else if (s->stopping || s->cut)
+	else if (s->stopping || s->cut || s->at_max)
 		send_cancel(s);
 	else
 		send_resume(s);
@@ -105,7 +106,7 @@
 	s->cancel = NULL;
 	if (a->result == PF_HTTP_OK &&
 	    (a->status == STATUS_OK || a->status == STATUS_ABSENT)) {
-		ended(s, PF_END_CANCELLED, s->total);
+		ended(s, s->at_max ? PF_END_LIMIT : PF_END_CANCELLED, s->total);
 		return;
 	}
 	ask_again(s);
@@ -184,6 +185,11 @@
 		on_token(s, e);
 		break;
 	case PF_ENGINE_AT_LIMIT:
+		/* The engine keeps the run; its memory is given back. */
+		if (e->u.total >= s->max_tokens) {
+			s->at_max = true;
+			send_cancel(s);
+		}
 		break;
 	case PF_ENGINE_END:
 		/* Told when the call is done, outside the stream's reader. */
@@ -306,6 +312,7 @@
 	s->total = offset;
 	s->limit_wanted = limit;
 	s->limit_sent = limit;
+	s->max_tokens = work->max_tokens;
 	s->stream.event = on_event;
 	s->stream.ctx = s;
 	if (run_body(d, s, work, &body) == 0) {
