--- a/src/transport/rpc.c
+++ b/src/transport/rpc.c
@@ -10,6 +10,7 @@
 #include <event2/event.h>
 #include <event2/listener.h>
 #include <netinet/tcp.h>
+#include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -414,14 +415,27 @@
 	free(r);
 }
 
+/* As the library's, and takes port 0, which lets the kernel choose. */
+static int parse_addr(const char *addr, struct sockaddr_storage *ss, int *len)
+{
+	size_t n = strlen(addr);
+	char ip[64];
+
+	*len = sizeof(*ss);
+	if (n > 2 && n < sizeof(ip) && strcmp(addr + n - 2, ":0") == 0) {
+		snprintf(ip, sizeof(ip), "%.*s", (int)(n - 2), addr);
+		addr = ip;
+	}
+	return evutil_parse_sockaddr_port(addr, (struct sockaddr *)ss, len);
+}
+
 int pf_rpc_listen(struct pf_rpc *r, const char *addr)
 {
 	struct sockaddr_storage ss;
-	int len = sizeof(ss);
+	int len;
 	socklen_t bound = sizeof(ss);
 
-	if (evutil_parse_sockaddr_port(addr, (struct sockaddr *)&ss, &len) <
-	    0) {
+	if (parse_addr(addr, &ss, &len) < 0) {
 		errno = EINVAL;
 		return -1;
 	}
