--- /dev/null
+++ b/standin/engine.h
@@ -0,0 +1,88 @@
+/*
+ * What the two parts of the engine stand-in share: memory and items
+ * (engine_items.c), runs and the batch (engine.c).
+ */
+#ifndef PIMENTO_STANDIN_ENGINE_H
+#define PIMENTO_STANDIN_ENGINE_H
+
+#include "standin/answer.h"
+#include "standin/roles.h"
+
+/** A model version or adapter in memory. */
+struct item {
+	struct engine *engine;
+	char *name;
+	const char *state; /* "loading", "resident" or "unloading" */
+	int64_t bytes;
+	struct exchange *x; /* the order waiting for it, or NULL */
+	struct event *timer;
+	struct evhttp_connection *store;
+};
+
+struct run {
+	struct engine *engine;
+	char *id;
+	char *model;
+	char *adapter;
+	struct exchange *x; /* NULL when its caller went away */
+	struct answer answer;
+	uint32_t prompt_tokens;
+	uint32_t done; /* output tokens, those before the offset included */
+	uint32_t limit;
+	int priority; /* 0 is the most urgent */
+	bool prefilled;
+	bool in_batch;
+	bool limit_told;
+	double ready; /* no token before this time, ms */
+};
+
+/* DEF(name): counters of the engine. */
+#define ENGINE_COUNTERS(DEF)                                             \
+	DEF(peak) /* most bytes committed */                             \
+	DEF(overcommit) /* times asked for memory that does not exist */ \
+	DEF(started)                                                     \
+	DEF(ended)                                                       \
+	DEF(cancelled)                                                   \
+	DEF(tokens)                                                      \
+	DEF(loads)                                                       \
+	DEF(unloads)                                                     \
+	DEF(fenced)                                                      \
+	DEF(prefix_hits)                                                 \
+	DEF(prior_mismatch) /* resumed from text that is not its own */
+
+struct engine {
+	struct server *server;
+	const struct options *opts;
+	char boot[17];
+	GHashTable *items; /* name to struct item */
+	GHashTable *runs; /* id to struct run */
+	GPtrArray *queue; /* struct run, oldest first */
+	GQueue prefixes; /* hashes of prompt prefixes, latest first */
+	GHashTable *prompts; /* hashes of the prompts that ran */
+	struct event *step;
+	struct event *snapshot;
+	bool stepping;
+	int64_t used; /* bytes committed: items, and runs up to their limit */
+	int64_t fence; /* the highest seen */
+	json_t *load; /* the last load report */
+	double load_at;
+#define DEF(name) int64_t name;
+	ENGINE_COUNTERS(DEF)
+#undef DEF
+};
+
+/** Commits memory; false, and counted, when there is not so much left. */
+bool engine_commit(struct engine *e, int64_t bytes);
+
+/** The resident item of this name, or NULL. */
+struct item *engine_resident(struct engine *e, const char *name);
+
+/** Serves POST /engine/orders. */
+void engine_order(void *self, struct exchange *x, const char *rest);
+
+/** "items" of the inventory. */
+json_t *engine_items_json(const struct engine *e);
+
+void engine_item_free(void *item);
+
+#endif
