--- a/standin/engine.c
+++ b/standin/engine.c
@@ -213,9 +213,9 @@
 	r->id = text_of(j, "run");
 	r->model = text_of(j, "model");
 	r->adapter = text_of(j, "adapter");
-	r->done = (uint32_t)json_integer_value(json_object_get(j, "offset"));
-	r->limit = (uint32_t)json_integer_value(json_object_get(j, "limit"));
-	r->priority = (int)json_integer_value(json_object_get(j, "priority"));
+	r->done = (uint32_t)json_int(j, "offset");
+	r->limit = (uint32_t)json_int(j, "limit");
+	r->priority = (int)json_int(j, "priority");
 	return r;
 }
 
@@ -274,7 +274,7 @@
 	       (e->opts->crash_on && strstr(prompt, e->opts->crash_on));
 }
 
-static void handle_run(void *self, struct exchange *x, const char *rest)
+static void handle_run(void *self, struct exchange *x)
 {
 	struct engine *e = self;
 	json_t *j = exchange_json(x);
@@ -283,7 +283,6 @@
 	char *prior = text_of(j, "prior");
 	const char *refusal;
 
-	(void)rest;
 	json_decref(j);
 	if (crashes(e, prompt))
 		_exit(EXIT_CRASHED);
@@ -302,8 +301,7 @@
 static void handle_resume(struct engine *e, struct exchange *x, struct run *r)
 {
 	json_t *j = exchange_json(x);
-	uint32_t limit =
-		(uint32_t)json_integer_value(json_object_get(j, "limit"));
+	uint32_t limit = (uint32_t)json_int(j, "limit");
 
 	json_decref(j);
 	if (limit > r->limit) {
@@ -321,10 +319,10 @@
 }
 
 /* POST /engine/run/ID/resume and /engine/run/ID/cancel */
-static void handle_run_call(void *self, struct exchange *x, const char *rest)
+static void handle_run_call(void *self, struct exchange *x)
 {
 	struct engine *e = self;
-	char **part = g_strsplit(rest, "/", 2);
+	char **part = g_strsplit(x->rest, "/", 2);
 	struct run *r = part[0] ? g_hash_table_lookup(e->runs, part[0]) : NULL;
 	const char *call = part[0] && part[1] ? part[1] : "";
 
@@ -374,32 +372,29 @@
 	evtimer_add(e->snapshot, &tv);
 }
 
-static void handle_load(void *self, struct exchange *x, const char *rest)
+static void handle_load(void *self, struct exchange *x)
 {
 	struct engine *e = self;
 	json_t *j = json_copy(e->load);
 
-	(void)rest;
 	json_object_set_new(j, "age_ms",
 			    json_integer((json_int_t)(now_ms() - e->load_at)));
 	exchange_reply_json(x, 200, j);
 }
 
-static void handle_inventory(void *self, struct exchange *x, const char *rest)
+static void handle_inventory(void *self, struct exchange *x)
 {
-	(void)rest;
 	exchange_reply_json(x, 200, inventory(self));
 }
 
 /* The hashes of the prompts that ran, for checks of "not run". */
-static void handle_prompts(void *self, struct exchange *x, const char *rest)
+static void handle_prompts(void *self, struct exchange *x)
 {
 	struct engine *e = self;
 	json_t *prompts = json_array();
 	GHashTableIter i;
 	void *h;
 
-	(void)rest;
 	g_hash_table_iter_init(&i, e->prompts);
 	while (g_hash_table_iter_next(&i, &h, NULL)) {
 		char hex[17];
--- a/standin/engine.h
+++ b/standin/engine.h
@@ -78,7 +78,7 @@
 struct item *engine_resident(struct engine *e, const char *name);
 
 /** Serves POST /engine/orders. */
-void engine_order(void *self, struct exchange *x, const char *rest);
+void engine_order(void *self, struct exchange *x);
 
 /** "items" of the inventory. */
 json_t *engine_items_json(const struct engine *e);
--- a/standin/engine_items.c
+++ b/standin/engine_items.c
@@ -201,16 +201,15 @@
 	}
 }
 
-void engine_order(void *self, struct exchange *x, const char *rest)
+void engine_order(void *self, struct exchange *x)
 {
 	struct engine *e = self;
 	json_t *j = exchange_json(x);
-	const char *op = json_string_value(json_object_get(j, "op"));
-	const char *item = json_string_value(json_object_get(j, "item"));
-	int64_t bytes = json_integer_value(json_object_get(j, "bytes"));
-	int64_t fence = json_integer_value(json_object_get(j, "fence"));
+	const char *op = json_text(j, "op");
+	const char *item = json_text(j, "item");
+	int64_t bytes = json_int(j, "bytes");
+	int64_t fence = json_int(j, "fence");
 
-	(void)rest;
 	if (!op || !item || bytes < 0) {
 		exchange_error(x, 400, "bad_order");
 	} else if (e->opts->check_fence && fence < e->fence) {
--- a/standin/platform.c
+++ b/standin/platform.c
@@ -50,14 +50,9 @@
 	return strcmp(a, b);
 }
 
-static const char *text_of(const json_t *j, const char *name)
-{
-	return json_string_value(json_object_get(j, name));
-}
-
 static json_int_t revision_of(const json_t *row)
 {
-	return json_integer_value(json_object_get(row, "revision"));
+	return json_int(row, "revision");
 }
 
 /* Whether the transaction has its shape; a bad one writes nothing. */
@@ -67,12 +62,12 @@
 	size_t i;
 
 	json_array_foreach(json_object_get(j, "checks"), i,
-			   item) if (!text_of(item, "key") ||
+			   item) if (!json_text(item, "key") ||
 				     !json_is_integer(json_object_get(
 					     item, "revision"))) return false;
 	json_array_foreach(json_object_get(j, "puts"), i,
-			   item) if (!text_of(item, "key") ||
-				     !text_of(item, "value")) return false;
+			   item) if (!json_text(item, "key") ||
+				     !json_text(item, "value")) return false;
 	json_array_foreach(json_object_get(j, "deletes"), i,
 			   item) if (!json_is_string(item)) return false;
 	return j != NULL;
@@ -86,7 +81,7 @@
 
 	json_array_foreach(json_object_get(j, "checks"), i, c)
 	{
-		const char *key = text_of(c, "key");
+		const char *key = json_text(c, "key");
 
 		if (revision_of(g_tree_lookup(p->rows, key)) != revision_of(c))
 			return key;
@@ -102,7 +97,7 @@
 	p->commit++;
 	json_array_foreach(json_object_get(j, "puts"), i, item)
 	{
-		const char *key = text_of(item, "key");
+		const char *key = json_text(item, "key");
 		json_t *row = json_pack("{sssOsI}", "key", key, "value",
 					json_object_get(item, "value"),
 					"revision", (json_int_t)p->commit);
@@ -113,7 +108,7 @@
 		g_tree_remove(p->rows, json_string_value(item));
 }
 
-static void handle_txn(void *self, struct exchange *x, const char *rest)
+static void handle_txn(void *self, struct exchange *x)
 {
 	struct platform *p = self;
 	json_t *j = exchange_json(x);
@@ -121,7 +116,6 @@
 		      json_array_size(json_object_get(j, "deletes"));
 	const char *conflict;
 
-	(void)rest;
 	if (!txn_valid(j)) {
 		exchange_error(x, 400, "bad_transaction");
 	} else if (!spend(&p->writes, MAX(rows, 1))) {
@@ -142,13 +136,12 @@
 	json_decref(j);
 }
 
-static void handle_row(void *self, struct exchange *x, const char *rest)
+static void handle_row(void *self, struct exchange *x)
 {
 	struct platform *p = self;
 	char *key = exchange_query(x, "key");
 	json_t *row = key ? g_tree_lookup(p->rows, key) : NULL;
 
-	(void)rest;
 	if (!key)
 		exchange_error(x, 400, "no_key");
 	else if (!spend(&p->reads, 1))
@@ -178,7 +171,7 @@
 	return rows;
 }
 
-static void handle_scan(void *self, struct exchange *x, const char *rest)
+static void handle_scan(void *self, struct exchange *x)
 {
 	struct platform *p = self;
 	char *prefix = exchange_query(x, "prefix");
@@ -187,7 +180,6 @@
 	size_t limit = count ? strtoul(count, NULL, 10) : SCAN_MAX;
 	json_t *rows;
 
-	(void)rest;
 	if (limit == 0 || limit > SCAN_MAX)
 		limit = SCAN_MAX;
 	rows = scan(p, prefix ? prefix : "", after ? after : "", limit);
@@ -204,21 +196,21 @@
 	free(count);
 }
 
-static void handle_object(void *self, struct exchange *x, const char *name)
+static void handle_object(void *self, struct exchange *x)
 {
 	struct platform *p = self;
 	htp_method method = evhtp_request_get_method(x->req);
 	struct pf_str body = exchange_body(x);
-	GBytes *b = g_hash_table_lookup(p->objects, name);
+	GBytes *b = g_hash_table_lookup(p->objects, x->rest);
 
 	if (method == htp_method_PUT) {
-		g_hash_table_replace(p->objects, g_strdup(name),
+		g_hash_table_replace(p->objects, g_strdup(x->rest),
 				     g_bytes_new(body.p, body.n));
 		exchange_ok(x);
 	} else if (!b) {
 		exchange_error(x, 404, "no_object");
 	} else if (method == htp_method_DELETE) {
-		g_hash_table_remove(p->objects, name);
+		g_hash_table_remove(p->objects, x->rest);
 		exchange_ok(x);
 	} else {
 		body.p = g_bytes_get_data(b, &body.n);
@@ -226,11 +218,10 @@
 	}
 }
 
-static void handle_vms(void *self, struct exchange *x, const char *rest)
+static void handle_vms(void *self, struct exchange *x)
 {
 	struct platform *p = self;
 
-	(void)rest;
 	if (p->vms_next && now_ms() >= p->vms_at) {
 		json_decref(p->vms);
 		p->vms = p->vms_next;
@@ -239,12 +230,11 @@
 	exchange_reply_json(x, 200, json_incref(p->vms));
 }
 
-static void handle_set_vms(void *self, struct exchange *x, const char *rest)
+static void handle_set_vms(void *self, struct exchange *x)
 {
 	struct platform *p = self;
 	json_t *j = exchange_json(x);
 
-	(void)rest;
 	if (!json_is_array(json_object_get(j, "vms"))) {
 		json_decref(j);
 		exchange_error(x, 400, "no_vms");
@@ -284,12 +274,12 @@
 	exchange_reply_after(x, p->opts->model_load, json_object());
 }
 
-static void handle_weights(void *self, struct exchange *x, const char *item)
+static void handle_weights(void *self, struct exchange *x)
 {
 	struct platform *p = self;
 
 	x->ctx = p;
-	if (strchr(item, ':'))
+	if (strchr(x->rest, ':'))
 		load_adapter(p, x);
 	else if (p->model_loads < p->opts->loads_at_once && spend(&p->loads, 1))
 		load_model(p, x);
--- a/standin/server.c
+++ b/standin/server.c
@@ -44,6 +44,16 @@
 	return now_ms() < (double)s->faults[t].pause_until;
 }
 
+const char *json_text(const json_t *j, const char *name)
+{
+	return json_string_value(json_object_get(j, name));
+}
+
+int64_t json_int(const json_t *j, const char *name)
+{
+	return json_integer_value(json_object_get(j, name));
+}
+
 struct pf_str exchange_body(struct exchange *x)
 {
 	struct evbuffer *in = x->req->buffer_in;
@@ -180,7 +190,6 @@
 static void dispatch(struct exchange *x)
 {
 	const struct route *r = x->route;
-	const char *rest = x->req->uri->path->full + strlen(r->prefix);
 
 	if (r->target != TARGET_NONE) {
 		struct fault *f = &x->server->faults[r->target];
@@ -192,7 +201,7 @@
 		x->lose = f->lose > 0;
 		f->lose -= x->lose;
 	}
-	r->handle(x->server->self, x, rest);
+	r->handle(x->server->self, x);
 }
 
 static void on_timer(evutil_socket_t fd, short what, void *arg)
@@ -241,7 +250,7 @@
 		TARGETS(DEF)
 #undef DEF
 	};
-	const char *name = json_string_value(json_object_get(j, "target"));
+	const char *name = json_text(j, "target");
 
 	for (*target = 0; *target < TARGET_COUNT; ++*target)
 		if (name && !strcmp(name, names[*target]))
@@ -251,9 +260,9 @@
 
 static bool set_fault(struct server *s, const json_t *j)
 {
-	const char *what = json_string_value(json_object_get(j, "what"));
-	const char *match = json_string_value(json_object_get(j, "match"));
-	pf_ms ms = json_integer_value(json_object_get(j, "ms"));
+	const char *what = json_text(j, "what");
+	const char *match = json_text(j, "match");
+	pf_ms ms = json_int(j, "ms");
 	int target;
 	struct fault *f = fault_of(s, j, &target);
 
@@ -267,7 +276,7 @@
 	} else if (!strcmp(what, "pause")) {
 		f->pause_until = (pf_ms)now_ms() + ms;
 	} else if (!strcmp(what, "lose_answer")) {
-		f->lose = json_integer_value(json_object_get(j, "count"));
+		f->lose = json_int(j, "count");
 	} else if (!strcmp(what, "crash_on") && match) {
 		free(f->crash_on);
 		f->crash_on = strdup(match);
@@ -280,12 +289,11 @@
 	return true;
 }
 
-static void handle_fault(void *self, struct exchange *x, const char *rest)
+static void handle_fault(void *self, struct exchange *x)
 {
 	json_t *j = exchange_json(x);
 
 	(void)self;
-	(void)rest;
 	if (set_fault(x->server, j))
 		exchange_ok(x);
 	else
@@ -293,12 +301,11 @@
 	json_decref(j);
 }
 
-static void handle_state(void *self, struct exchange *x, const char *rest)
+static void handle_state(void *self, struct exchange *x)
 {
 	const struct server *s = x->server;
 	json_t *j = s->state(self);
 
-	(void)rest;
 	json_object_set_new(j, "requests",
 			    json_integer((json_int_t)s->requests));
 	json_object_set_new(j, "answers_lost",
@@ -306,10 +313,9 @@
 	exchange_reply_json(x, 200, j);
 }
 
-static void handle_unknown(void *self, struct exchange *x, const char *rest)
+static void handle_unknown(void *self, struct exchange *x)
 {
 	(void)self;
-	(void)rest;
 	exchange_error(x, 404, "no_such_page");
 }
 
@@ -353,6 +359,7 @@
 		x->route = find(s->routes, path);
 	if (!x->route)
 		x->route = &unknown;
+	x->rest = path + strlen(x->route->prefix);
 	LIST_INSERT_HEAD(&s->exchanges, x, link);
 	evhtp_request_set_hook(req, evhtp_hook_on_request_fini,
 			       (evhtp_hook)on_fini, x);
--- a/standin/server.h
+++ b/standin/server.h
@@ -44,6 +44,7 @@
 	struct server *server;
 	evhtp_request_t *req;
 	const struct route *route;
+	const char *rest; /* of the path, behind the route's prefix */
 	struct event *timer; /* holds the request or its answer back */
 	json_t *later; /* the answer held back, or NULL */
 	bool lose; /* close instead of answering */
@@ -51,11 +52,11 @@
 	void *ctx;
 };
 
-/** Serves the paths that begin with @prefix; @rest is what follows it. */
+/** Serves the paths that begin with @prefix. */
 struct route {
 	const char *prefix;
 	enum target target;
-	void (*handle)(void *self, struct exchange *x, const char *rest);
+	void (*handle)(void *self, struct exchange *x);
 };
 
 struct server {
@@ -83,6 +84,10 @@
 /** Splits "IP:PORT" into @ip and a port; -1 when it is not one. */
 int addr_split(const char *addr, char ip[64], uint16_t *port);
 
+/** A member of an object: its text or NULL, its number or 0. */
+const char *json_text(const json_t *j, const char *name);
+int64_t json_int(const json_t *j, const char *name);
+
 /** The body of a request; borrowed. */
 struct pf_str exchange_body(struct exchange *x);
 
--- a/standin/service.c
+++ b/standin/service.c
@@ -39,7 +39,7 @@
 			 (int)run);
 }
 
-static void handle(void *self, struct exchange *x, const char *rest)
+static void handle(void *self, struct exchange *x)
 {
 	struct service *v = self;
 	const char *key =
@@ -47,7 +47,6 @@
 	uint32_t ms = answer_directive(exchange_body(x), "slow", 0);
 	json_t *answer = receipt(x, key, count_run(v, key));
 
-	(void)rest;
 	if (ms)
 		exchange_reply_after(x, ms, answer);
 	else
