--- a/include/pimentoford/text.h
+++ b/include/pimentoford/text.h
@@ -20,12 +20,17 @@
 void pf_text_fmt(struct pf_text *t, const char *fmt, ...)
 	__attribute__((format(printf, 2, 3)));
 
+/** The same under the name that the claim core uses. */
+#define pf_text_printf pf_text_fmt
+
 /** Adds @s in double quotes, escaped as TOML and JSON both read it. */
 void pf_text_quote(struct pf_text *t, struct pf_str s);
 
 /** Hands over the text, which the caller frees, or NULL when it failed. */
 char *pf_text_take(struct pf_text *t);
 
+/** Empties the buffer and keeps its memory. */
+void pf_text_reset(struct pf_text *t);
 void pf_text_free(struct pf_text *t);
 
 static inline struct pf_str pf_text_str(const struct pf_text *t)
--- a/src/state/text.c
+++ b/src/state/text.c
@@ -88,6 +88,12 @@
 	return p;
 }
 
+void pf_text_reset(struct pf_text *t)
+{
+	t->n = 0;
+	t->failed = false;
+}
+
 void pf_text_free(struct pf_text *t)
 {
 	free(t->p);
