Load tool names what never ended and who was cut

Change: the tool keeps the set of requests alive, names each in its complaint, and gives up resending after the caller's patience.

--- a/load/audit.c
+++ b/load/audit.c
@@ -193,7 +193,7 @@
 		if (explained(c, lines))
 			continue;
 		l->n.cut_by_stop++;
-		load_complain("cut", c->entry, c->why);
+		load_complain("cut", c->who, c->why);
 	}
 	g_strfreev(lines);
 	g_free(text);
--- a/load/load.h
+++ b/load/load.h
@@ -47,6 +47,7 @@
 	int64_t begin; /* milliseconds since the epoch */
 	int64_t end;
 	const char *entry; /* borrowed from the scenario */
+	char *who;
 	bool broken; /* the connection went; else an error said so */
 	char *why;
 };
@@ -57,7 +58,7 @@
 	struct pf_rng rng;
 	uint64_t seed;
 	struct counters n;
-	uint32_t alive;
+	GHashTable *alive; /* struct request, those that have not ended */
 	GHashTable *keys; /* idempotency key to struct key_record */
 	GHashTable *not_run; /* hashes of prompts refused as not run */
 	GHashTable *codes; /* refusal code to its count */
@@ -69,7 +70,10 @@
 /** Sends one new request of @c. */
 void request_new(struct load *l, const struct caller *c);
 
-/** What request @i found wrong, as a line on stderr. */
+/** Counts and names the requests that never ended. */
+void requests_give_up(struct load *l);
+
+/** What was found wrong, as a line on stderr. */
 void load_complain(const char *what, const char *who, const char *detail);
 
 /**
--- a/load/main.c
+++ b/load/main.c
@@ -98,8 +98,9 @@
 	fprintf(stderr,
 		"level=info seconds=%d requests=%lu answered=%lu alive=%u"
 		" refused=%lu cut=%lu failed=%lu\n",
-		r->elapsed, n->requests, n->answered, r->load.alive, n->refused,
-		n->cut, n->failed);
+		r->elapsed, n->requests, n->answered,
+		g_hash_table_size(r->load.alive), n->refused, n->cut,
+		n->failed);
 }
 
 static void on_second(evutil_socket_t fd, short what, void *ctx)
@@ -115,13 +116,11 @@
 		r->stopped = true;
 	if (!r->stopped || r->audited)
 		return;
-	if (r->load.alive &&
+	if (g_hash_table_size(r->load.alive) &&
 	    r->elapsed < r->settings.seconds + r->settings.drain)
 		return;
 	r->audited = true;
-	r->load.n.incomplete += r->load.alive;
-	if (r->load.alive)
-		load_complain("incomplete", "alive", "never ended");
+	requests_give_up(&r->load);
 	audit_start(&r->load);
 }
 
@@ -143,6 +142,7 @@
 
 static void cut_clear(void *p)
 {
+	g_free(((struct cut *)p)->who);
 	g_free(((struct cut *)p)->why);
 }
 
@@ -150,6 +150,7 @@
 {
 	l->seed = seed;
 	pf_rng_seed(&l->rng, seed);
+	l->alive = g_hash_table_new(NULL, NULL);
 	l->keys = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
 					key_free);
 	l->not_run = g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free,
@@ -163,6 +164,7 @@
 
 static void load_clear(struct load *l)
 {
+	g_hash_table_destroy(l->alive);
 	g_hash_table_destroy(l->keys);
 	g_hash_table_destroy(l->not_run);
 	g_hash_table_destroy(l->codes);
--- a/load/request.c
+++ b/load/request.c
@@ -48,7 +48,7 @@
 
 static void request_free(struct request *r)
 {
-	r->load->alive--;
+	g_hash_table_remove(r->load->alive, r);
 	if (r->retry)
 		event_free(r->retry);
 	g_string_free(r->in, TRUE);
@@ -105,6 +105,7 @@
 		.begin = r->arrived_wall,
 		.end = g_get_real_time() / 1000,
 		.entry = entry_name(r),
+		.who = g_strdup(*r->key ? r->key : r->prompt),
 		.broken = !o->error,
 		.why = g_strdup(o->error ? o->code : "broken"),
 	};
@@ -209,7 +210,7 @@
 	s->arrived = g_get_monotonic_time();
 	s->arrived_wall = g_get_real_time() / 1000;
 	s->entry++;
-	l->alive++;
+	g_hash_table_add(l->alive, s);
 	l->n.requests++;
 	l->n.resends++;
 	request_send(s);
@@ -248,7 +249,9 @@
 /* Whether it may be sent once more: nothing ran, or a repeat is harmless. */
 static bool may_retry(const struct request *r, const struct outcome *o)
 {
-	if (r->tries >= r->caller->tries)
+	if (r->tries >= r->caller->tries ||
+	    elapsed_ms(r->arrived, g_get_monotonic_time()) >
+		    r->caller->patience_ms)
 		return false;
 	if (o->error)
 		return o->not_run ||
@@ -451,6 +454,21 @@
 			  : g_strdup(r->prompt);
 	r->arrived = g_get_monotonic_time();
 	r->arrived_wall = g_get_real_time() / 1000;
-	l->alive++;
+	g_hash_table_add(l->alive, r);
 	request_send(r);
 }
+
+void requests_give_up(struct load *l)
+{
+	GHashTableIter it;
+	void *p;
+
+	g_hash_table_iter_init(&it, l->alive);
+	while (g_hash_table_iter_next(&it, &p, NULL)) {
+		const struct request *r = p;
+
+		l->n.incomplete++;
+		load_complain("never_ended", *r->key ? r->key : r->prompt,
+			      r->in->str);
+	}
+}
--- a/load/scenario.h
+++ b/load/scenario.h
@@ -35,7 +35,8 @@
 	DEF(first_ms, 1400) /* expected time to the first byte */ \
 	DEF(whole_ms, 30000) /* expected time to the whole */     \
 	DEF(resend, 0.3) /* share of keys that are sent again */  \
-	DEF(tries, 6) /* sends of one request until given up */
+	DEF(tries, 6) /* sends of one request until given up */   \
+	DEF(patience_ms, 45000) /* not sent again after so long */
 
 struct caller {
 	char *name;
