--- a/load/request.c
+++ b/load/request.c
@@ -42,8 +42,8 @@
 void load_complain(const char *what, const char *who, const char *detail)
 {
 	fprintf(stderr,
-		"level=error what=%s request=\"%s\" detail=\"%.200s\"\n", what,
-		who, detail);
+		"level=error what=%s request=\"%.40s\" detail=\"%.200s\"\n",
+		what, who, detail);
 }
 
 static void request_free(struct request *r)
