--- a/daemons/agent/main.c
+++ b/daemons/agent/main.c
@@ -25,7 +25,7 @@
 
 	(void)fd;
 	(void)what;
-	if (d->core && !d->drained)
+	if (d->core && (!d->drained || !claims_drained(d)))
 		return;
 	if (links_idle(d))
 		event_base_loopbreak(d->base);
@@ -86,10 +86,12 @@
 
 static void stop(struct daemon *d)
 {
+	claims_stop(d);
 	core_stop(d);
 	watch_stop(d);
 	status_stop(d);
 	pf_rpc_free(d->rpc);
+	pf_config_reader_free(d->reader);
 	pf_table_free(d->table);
 	pf_config_free(d->config);
 	names_free(d);
