--- a/src/state/counters.c
+++ b/src/state/counters.c
@@ -18,11 +18,12 @@
 		   const uint64_t *v, size_t n, struct pf_text *t)
 {
 	for (size_t i = 0; i < n; i++) {
-		pf_text_fmt(t, "# HELP %s_%s %s\n", prefix, d[i].name,
-			    d[i].help);
-		pf_text_fmt(t, "# TYPE %s_%s %s\n", prefix, d[i].name,
-			    d[i].type);
-		pf_text_fmt(t, "%s_%s %" PRIu64 "\n", prefix, d[i].name, v[i]);
+		pf_text_printf(t, "# HELP %s_%s %s\n", prefix, d[i].name,
+			       d[i].help);
+		pf_text_printf(t, "# TYPE %s_%s %s\n", prefix, d[i].name,
+			       d[i].type);
+		pf_text_printf(t, "%s_%s %" PRIu64 "\n", prefix, d[i].name,
+			       v[i]);
 	}
 }
 
--- a/src/state/records.c
+++ b/src/state/records.c
@@ -174,7 +174,8 @@
 	struct pf_text t = { 0 };
 	const char *k = pf_kind_text(kind);
 
-	pf_text_fmt(&t, kind == PF_KIND_DEPLOYMENT ? "[%s]\n" : "[[%s]]\n", k);
+	pf_text_printf(&t, kind == PF_KIND_DEPLOYMENT ? "[%s]\n" : "[[%s]]\n",
+		       k);
 	pf_fields_text(pf_record_form(kind, form->schema), form, k, &t);
 	return pf_text_take(&t);
 }
