--- /dev/null
+++ b/bench/engine.c
@@ -0,0 +1,480 @@
+/*
+ * A fake engine: continuous batching with prefill in parts, memory accounting,
+ * a prefix cache, limits that runs stand still at, and load orders.
+ */
+#include "bench/bench.h"
+#include "bench/figures.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#define RUNS_MAX 128
+#define ITEMS_MAX 256
+#define ORDERS_MAX 64
+
+enum { EVENT_STEP, EVENT_ORDER, EVENT_CANCELLED };
+
+struct run {
+	struct pf_try id;
+	const struct request *req;
+	uint64_t model;
+	uint32_t produced;
+	uint32_t limit;
+	uint32_t prefill; /* prompt tokens still to read */
+	int64_t kv_token;
+	bool used;
+	bool cancelled;
+};
+
+struct item {
+	uint64_t id;
+	int64_t bytes;
+	enum pf_item_state state;
+	bool adapter;
+};
+
+struct order {
+	uint64_t id;
+	uint64_t item;
+	bool load;
+	bool adapter;
+};
+
+struct engine {
+	struct bench *b;
+	const struct pf_config *config;
+	uint32_t agent;
+	int64_t memory;
+	struct run runs[RUNS_MAX];
+	struct item items[ITEMS_MAX];
+	uint32_t n_items;
+	struct order orders[ORDERS_MAX];
+	uint64_t prefixes[PREFIX_SLOTS];
+	uint32_t next_prefix;
+	/* The chunk of steps under way. */
+	uint32_t generation; /* raised when its end moves */
+	pf_ms began;
+	double step_ms;
+	uint32_t steps; /* 0: idle */
+	uint32_t boot; /* raised by a crash, so that old events are dropped */
+	bool down;
+	bool inventory_wanted;
+	uint64_t overcommits, loads, adapter_loads;
+};
+
+struct engine *engine_new(struct bench *b, uint32_t agent,
+			  const struct pf_config *c, int64_t memory)
+{
+	struct engine *e = calloc(1, sizeof(*e));
+
+	if (!e)
+		abort();
+	e->b = b;
+	e->agent = agent;
+	e->config = c;
+	e->memory = memory;
+	return e;
+}
+
+void engine_free(struct engine *e)
+{
+	free(e);
+}
+
+static struct item *item_find(struct engine *e, uint64_t id)
+{
+	for (uint32_t i = 0; i < e->n_items; i++)
+		if (e->items[i].id == id)
+			return &e->items[i];
+	return NULL;
+}
+
+static struct item *item_add(struct engine *e, uint64_t id, int64_t bytes,
+			     enum pf_item_state state, bool adapter)
+{
+	struct item *it = item_find(e, id);
+
+	if (!it)
+		it = &e->items[e->n_items++];
+	*it = (struct item){ id, bytes, state, adapter };
+	return it;
+}
+
+static void item_del(struct engine *e, struct item *it)
+{
+	*it = e->items[--e->n_items];
+}
+
+static void check_memory(struct engine *e)
+{
+	int64_t used = 0;
+
+	for (uint32_t i = 0; i < e->n_items; i++)
+		used += e->items[i].bytes;
+	for (uint32_t i = 0; i < RUNS_MAX; i++)
+		if (e->runs[i].used)
+			used += (int64_t)(e->runs[i].req->work.prompt_tokens +
+					  e->runs[i].limit) *
+				e->runs[i].kv_token;
+	e->overcommits += used > e->memory;
+}
+
+static void later(struct engine *e, pf_ms delay, uint32_t what, uint64_t arg)
+{
+	bench_later(e->b, e->agent, delay, what | e->boot << 8, arg);
+}
+
+/* Sequences that decode, prompt tokens to read, and models in the batch. */
+static void shape(const struct engine *e, uint32_t *decoding, uint32_t *prefill,
+		  uint32_t *models, uint32_t *most)
+{
+	uint64_t seen[RUNS_MAX];
+	uint32_t n = 0;
+
+	*decoding = 0;
+	*prefill = 0;
+	*most = CHUNK_STEPS;
+	for (uint32_t i = 0; i < RUNS_MAX; i++) {
+		const struct run *r = &e->runs[i];
+		uint32_t goal, k = 0;
+
+		if (!r->used || r->cancelled)
+			continue;
+		goal = r->limit < r->req->length ? r->limit : r->req->length;
+		if (r->prefill)
+			*prefill += r->prefill;
+		else if (r->produced >= goal)
+			continue;
+		else
+			++*decoding;
+		if (!r->prefill && goal - r->produced < *most)
+			*most = goal - r->produced;
+		while (k < n && seen[k] != r->model)
+			k++;
+		if (k == n)
+			seen[n++] = r->model;
+	}
+	*models = n;
+}
+
+/* Starts the next chunk of steps when there is work. */
+static void step_begin(struct engine *e)
+{
+	uint32_t decoding, prefill, models, most;
+
+	if (e->down || e->steps)
+		return;
+	shape(e, &decoding, &prefill, &models, &most);
+	if (models == 0)
+		return;
+	e->step_ms = STEP_BASE_MS + STEP_MODEL_MS * (models - 1) +
+		     STEP_RUN_MS * decoding;
+	e->steps = most;
+	if (prefill) {
+		uint32_t part = prefill < PREFILL_STEP ? prefill : PREFILL_STEP;
+
+		e->step_ms += part * PREFILL_TOKEN_MS;
+		e->steps = 1;
+	}
+	e->began = bench_now(e->b);
+	e->generation++;
+	later(e, (pf_ms)(e->step_ms * e->steps + 0.5), EVENT_STEP,
+	      e->generation);
+}
+
+/* A new run joins at the next step, not at the end of the chunk. */
+static void step_cut(struct engine *e)
+{
+	double done;
+	uint32_t steps;
+
+	if (e->steps <= 1)
+		return;
+	done = (double)(bench_now(e->b) - e->began) / e->step_ms;
+	steps = (uint32_t)done + 1;
+	if (steps >= e->steps)
+		return;
+	e->steps = steps;
+	e->generation++;
+	later(e, (pf_ms)((steps - done) * e->step_ms + 0.5), EVENT_STEP,
+	      e->generation);
+}
+
+static void run_end(struct engine *e, struct run *r, enum pf_end end)
+{
+	struct pf_agent_msg m = { .type = PF_AGENT_RUN_END };
+
+	m.u.end.id = r->id;
+	m.u.end.end = end;
+	m.u.end.total = r->produced;
+	r->used = false;
+	bench_to_agent(e->b, e->agent, &m);
+}
+
+static void produce(struct engine *e, struct run *r, uint32_t steps)
+{
+	uint32_t goal = r->limit < r->req->length ? r->limit : r->req->length;
+	uint32_t n = goal - r->produced < steps ? goal - r->produced : steps;
+	struct pf_agent_msg m = { .type = PF_AGENT_TOKENS };
+
+	if (goal <= r->produced)
+		n = 0;
+	if (n) {
+		m.u.tokens.id = r->id;
+		m.u.tokens.offset = r->produced;
+		m.u.tokens.count = n;
+		r->produced += n;
+		bench_to_agent(e->b, e->agent, &m);
+	}
+	/* The answer may have been stopped by what the agent did with it. */
+	if (!r->used || r->cancelled || r->produced < r->req->length)
+		return;
+	run_end(e, r,
+		r->produced >= r->req->work.max_tokens ? PF_END_LIMIT
+						       : PF_END_STOP);
+}
+
+static void step_end(struct engine *e)
+{
+	uint32_t steps = e->steps;
+	uint32_t budget = PREFILL_STEP;
+
+	e->steps = 0;
+	for (uint32_t i = 0; i < RUNS_MAX; i++) {
+		struct run *r = &e->runs[i];
+
+		if (!r->used || r->cancelled)
+			continue;
+		if (r->prefill) {
+			uint32_t part =
+				r->prefill < budget ? r->prefill : budget;
+
+			r->prefill -= part;
+			budget -= part;
+			continue;
+		}
+		produce(e, r, steps);
+	}
+	step_begin(e);
+}
+
+static bool prefix_hit(struct engine *e, uint64_t prefix)
+{
+	if (!prefix)
+		return false;
+	for (uint32_t i = 0; i < PREFIX_SLOTS; i++)
+		if (e->prefixes[i] == prefix)
+			return true;
+	e->prefixes[e->next_prefix++ % PREFIX_SLOTS] = prefix;
+	return false;
+}
+
+static struct run *run_find(struct engine *e, struct pf_try id)
+{
+	for (uint32_t i = 0; i < RUNS_MAX; i++)
+		if (e->runs[i].used && e->runs[i].id.request == id.request &&
+		    e->runs[i].id.attempt == id.attempt)
+			return &e->runs[i];
+	return NULL;
+}
+
+static void run_start(struct engine *e, const struct pf_agent_act *a)
+{
+	const struct pf_work *w = a->u.run.work;
+	struct run *r = e->runs;
+
+	while (r->used)
+		r++;
+	memset(r, 0, sizeof(*r));
+	r->used = true;
+	r->id = a->u.run.id;
+	r->req = bench_request(e->b, r->id.request);
+	r->model = w->model;
+	r->kv_token = pf_config_model(e->config, w->model)->kv_token_bytes;
+	r->produced = a->u.run.offset;
+	r->limit = a->u.run.limit;
+	r->prefill = w->prompt_tokens + a->u.run.offset;
+	if (prefix_hit(e, w->prefix))
+		r->prefill -= (uint32_t)(w->prompt_tokens * PREFIX_SHARE);
+	check_memory(e);
+	step_cut(e);
+	step_begin(e);
+}
+
+static void order_start(struct engine *e, const struct pf_agent_act *a,
+			bool load)
+{
+	bool adapter = pf_config_adapter(e->config, a->u.load.item) != NULL;
+	struct item *it = item_find(e, a->u.load.item);
+	pf_ms delay = UNLOAD_MS;
+	uint32_t i = 0;
+
+	while (e->orders[i].id)
+		i++;
+	e->orders[i] = (struct order){ a->u.load.order, a->u.load.item, load,
+				       adapter };
+	if (load) {
+		item_add(e, a->u.load.item, a->u.load.bytes, PF_ITEM_LOADING,
+			 adapter);
+		delay = bench_load_time(e->b, a->u.load.item, a->u.load.bytes,
+					adapter) -
+			bench_now(e->b);
+		e->loads += !adapter;
+		e->adapter_loads += adapter;
+		check_memory(e);
+	} else if (it) {
+		it->state = PF_ITEM_UNLOADING;
+	}
+	later(e, delay, EVENT_ORDER, i);
+}
+
+static void inventory(struct engine *e)
+{
+	struct pf_agent_item items[ITEMS_MAX];
+	struct pf_agent_msg m = { .type = PF_AGENT_ENGINE_UP };
+
+	e->inventory_wanted = false;
+	for (uint32_t i = 0; i < e->n_items; i++) {
+		items[i].id = e->items[i].id;
+		items[i].state = e->items[i].state;
+		items[i].bytes = e->items[i].bytes;
+		m.u.inventory.used_bytes += e->items[i].bytes;
+	}
+	m.u.inventory.items = items;
+	m.u.inventory.n_items = e->n_items;
+	bench_to_agent(e->b, e->agent, &m);
+}
+
+/* The inventory is answered behind all earlier orders. */
+static void inventory_maybe(struct engine *e)
+{
+	if (!e->inventory_wanted)
+		return;
+	for (uint32_t i = 0; i < ORDERS_MAX; i++)
+		if (e->orders[i].id)
+			return;
+	inventory(e);
+}
+
+static void order_end(struct engine *e, uint32_t i)
+{
+	struct order o = e->orders[i];
+	struct item *it = item_find(e, o.item);
+	struct pf_agent_msg m = { .type = PF_AGENT_ORDER_DONE };
+
+	e->orders[i].id = 0;
+	if (o.load)
+		bench_load_end(e->b, o.adapter);
+	if (it && o.load)
+		it->state = PF_ITEM_RESIDENT;
+	else if (it)
+		item_del(e, it);
+	m.u.order.order = o.id;
+	m.u.order.ok = true;
+	bench_to_agent(e->b, e->agent, &m);
+	inventory_maybe(e);
+}
+
+void engine_act(struct engine *e, const struct pf_agent_act *a)
+{
+	struct run *r;
+
+	if (e->down)
+		return;
+	switch (a->type) {
+	case PF_AGENT_RUN:
+		run_start(e, a);
+		break;
+	case PF_AGENT_GRANT:
+		r = run_find(e, a->u.run.id);
+		if (!r)
+			break;
+		r->limit = a->u.run.limit;
+		check_memory(e);
+		later(e, 0, EVENT_STEP, 0);
+		break;
+	case PF_AGENT_STOP:
+		r = run_find(e, a->u.id);
+		if (!r || r->cancelled)
+			break;
+		r->cancelled = true;
+		later(e, 1, EVENT_CANCELLED, (uint64_t)(r - e->runs));
+		break;
+	case PF_AGENT_LOAD:
+	case PF_AGENT_UNLOAD:
+		order_start(e, a, a->type == PF_AGENT_LOAD);
+		break;
+	case PF_AGENT_INVENTORY:
+		e->inventory_wanted = true;
+		later(e, 1, EVENT_ORDER, ORDERS_MAX);
+		break;
+	default:
+		break;
+	}
+}
+
+void engine_event(struct engine *e, uint32_t what, uint64_t arg)
+{
+	if (e->down || what >> 8 != e->boot)
+		return;
+	switch (what & 0xff) {
+	case EVENT_STEP:
+		if (arg == 0)
+			step_begin(e);
+		else if (arg == e->generation && e->steps)
+			step_end(e);
+		break;
+	case EVENT_ORDER:
+		if (arg < ORDERS_MAX)
+			order_end(e, (uint32_t)arg);
+		else
+			inventory_maybe(e);
+		break;
+	case EVENT_CANCELLED:
+		if (e->runs[arg].used && e->runs[arg].cancelled)
+			run_end(e, &e->runs[arg], PF_END_CANCELLED);
+		break;
+	default:
+		break;
+	}
+}
+
+void engine_crash(struct engine *e)
+{
+	struct pf_agent_msg m = { .type = PF_AGENT_ENGINE_DOWN };
+
+	for (uint32_t i = 0; i < ORDERS_MAX; i++)
+		if (e->orders[i].id && e->orders[i].load)
+			bench_load_end(e->b, e->orders[i].adapter);
+	memset(e->runs, 0, sizeof(e->runs));
+	memset(e->orders, 0, sizeof(e->orders));
+	memset(e->prefixes, 0, sizeof(e->prefixes));
+	e->n_items = 0;
+	e->steps = 0;
+	e->inventory_wanted = false;
+	e->boot++;
+	e->down = true;
+	bench_to_agent(e->b, e->agent, &m);
+}
+
+void engine_start(struct engine *e)
+{
+	e->down = false;
+	inventory(e);
+}
+
+void engine_preload(struct engine *e, uint64_t item, int64_t bytes,
+		    bool adapter)
+{
+	item_add(e, item, bytes, PF_ITEM_RESIDENT, adapter);
+}
+
+uint64_t engine_overcommits(const struct engine *e)
+{
+	return e->overcommits;
+}
+
+uint64_t engine_loads(const struct engine *e, bool adapters)
+{
+	return adapters ? e->adapter_loads : e->loads;
+}
--- /dev/null
+++ b/bench/main.c
@@ -0,0 +1,181 @@
+/* Runs the policies on a deployment and prints a line for each. */
+#include "bench/bench.h"
+#include "pimentoford/records.h"
+
+#include <glib.h>
+#include <stdio.h>
+#include <string.h>
+
+static const struct policy policies[] = {
+#define POLICY(n, r, k, q, p, h, c, d) \
+	{ n, PF_ROUTE_##r, PF_KV_##k, PF_QUEUE_##q, p, h, c, d },
+#include "bench/policies.def"
+#undef POLICY
+};
+
+/* Callers ask for far more than they use; lengths are heavy-tailed. */
+static const struct demand_class sylvacarb[] = {
+	{ "foresters", 0.3, 1500, 600, 4000, 16000 },
+	{ "verifiers", 0.3, 1000, 300, 3000, 8000 },
+	{ "buyers", 0.4, 300, 100, 1000, 4000 },
+	{ 0 },
+};
+
+static const struct demand_class norrvarme[] = {
+	{ "engineers", 0.3, 5000, 400, 3000, 8000 },
+	{ "dispatchers", 0.5, 400, 80, 800, 4000 },
+	{ "reports", 0.2, 2000, 600, 4000, 16000 },
+	{ 0 },
+};
+
+struct deployment {
+	const char *name;
+	const struct demand_class *classes;
+	pf_ms zone_ms, region_ms, client_ms;
+};
+
+static const struct deployment deployments[] = {
+	{ "sylvacarb", sylvacarb, 1, 12, 1 },
+	{ "norrvarme", norrvarme, 1, 12, 3 },
+};
+
+static struct pf_config *read_config(const char *name)
+{
+	struct pf_records set = { 0 };
+	struct pf_findings f = { 0 };
+	struct pf_config *c = NULL;
+	char path[256];
+	gchar *text;
+	gsize n;
+
+	snprintf(path, sizeof(path), "deployments/%s/records.toml", name);
+	if (!g_file_get_contents(path, &text, &n, NULL)) {
+		fprintf(stderr, "bench: cannot read %s\n", path);
+		return NULL;
+	}
+	if (pf_records_parse((struct pf_str){ text, n }, path, &set, &f) == 0)
+		pf_records_build(&set, 1, &f, &c);
+	for (size_t i = 0; i < f.n; i++)
+		fprintf(stderr, "%s: %s\n", f.v[i].place, f.v[i].text);
+	pf_findings_clear(&f);
+	pf_records_free(&set);
+	g_free(text);
+	return c;
+}
+
+static void print(const struct bench_opts *o, const struct bench_result *r)
+{
+	printf("bench: deployment=%s seed=%llu faults=%d load=%.2f policy=%s "
+	       "attainment_per_accelerator=%.5f attained=%.4f moves=%llu "
+	       "adapter_moves=%llu requests=%llu whole=%llu late=%llu "
+	       "refused=%llu failed=%llu unended=%llu first_p95_ms=%lld "
+	       "tokens=%llu pauses=%llu resumes=%llu incomplete=%llu "
+	       "crossed=%llu overcommit=%llu",
+	       o->deployment, (unsigned long long)o->seed, o->faults, o->load,
+	       o->policy->name, r->attainment,
+	       (double)r->attained / (double)r->requests,
+	       (unsigned long long)r->moves,
+	       (unsigned long long)r->adapter_moves,
+	       (unsigned long long)r->requests, (unsigned long long)r->whole,
+	       (unsigned long long)r->late, (unsigned long long)r->refused,
+	       (unsigned long long)r->failed, (unsigned long long)r->unended,
+	       (long long)r->first_p95, (unsigned long long)r->tokens,
+	       (unsigned long long)r->pauses, (unsigned long long)r->resumes,
+	       (unsigned long long)r->incomplete,
+	       (unsigned long long)r->crossed,
+	       (unsigned long long)r->overcommit);
+	for (size_t i = 0; i < o->config->n_callers && i < 8; i++)
+		printf(" %s=%.3f", o->config->callers[i].name,
+		       r->by_caller[i] ? (double)r->attained_by_caller[i] /
+						 (double)r->by_caller[i]
+				       : 0);
+	printf("\n");
+	fflush(stdout);
+}
+
+static const struct deployment *find_deployment(const char *name)
+{
+	for (size_t i = 0; i < G_N_ELEMENTS(deployments); i++)
+		if (strcmp(deployments[i].name, name) == 0)
+			return &deployments[i];
+	return NULL;
+}
+
+/* Whether one of the comma-separated names in @list is @name. */
+static bool chosen(const char *list, const char *name)
+{
+	gchar **names;
+	bool found;
+
+	if (!list)
+		return true;
+	names = g_strsplit(list, ",", -1);
+	found = g_strv_contains((const gchar *const *)names, name);
+	g_strfreev(names);
+	return found;
+}
+
+int main(int argc, char **argv)
+{
+	gchar *name = NULL, *only = NULL;
+	gint64 seed = 1;
+	gint faults = -1, seconds = 600;
+	gdouble load = 0.5;
+	GOptionEntry entries[] = {
+		{ "deployment", 0, 0, G_OPTION_ARG_STRING, &name,
+		  "sylvacarb or norrvarme", "NAME" },
+		{ "seed", 0, 0, G_OPTION_ARG_INT64, &seed, "Seed", "N" },
+		{ "policy", 0, 0, G_OPTION_ARG_STRING, &only,
+		  "Only these, separated by commas", "NAMES" },
+		{ "faults", 0, 0, G_OPTION_ARG_INT, &faults,
+		  "0 or 1; both when absent", "N" },
+		{ "load", 0, 0, G_OPTION_ARG_DOUBLE, &load,
+		  "Demand as a part of what the accelerators decode", "X" },
+		{ "seconds", 0, 0, G_OPTION_ARG_INT, &seconds,
+		  "Virtual time of arrivals", "N" },
+		{ NULL, 0, 0, G_OPTION_ARG_NONE, NULL, NULL, NULL },
+	};
+	GOptionContext *ctx = g_option_context_new("- policies compared");
+	const struct deployment *d;
+	struct bench_opts o = { 0 };
+	struct pf_config *c;
+	GError *err = NULL;
+
+	g_option_context_add_main_entries(ctx, entries, NULL);
+	if (!g_option_context_parse(ctx, &argc, &argv, &err)) {
+		fprintf(stderr, "bench: %s\n", err->message);
+		return 2;
+	}
+	g_option_context_free(ctx);
+	d = find_deployment(name ? name : "sylvacarb");
+	c = d ? read_config(d->name) : NULL;
+	if (!c) {
+		fprintf(stderr, "bench: no such deployment\n");
+		return 2;
+	}
+	o = (struct bench_opts){ .deployment = d->name,
+				 .classes = d->classes,
+				 .config = c,
+				 .seed = (uint64_t)seed,
+				 .duration = (pf_ms)seconds * 1000,
+				 .load = load,
+				 .zone_ms = d->zone_ms,
+				 .region_ms = d->region_ms,
+				 .client_ms = d->client_ms };
+	for (int f = 0; f < 2; f++) {
+		if (faults >= 0 && f != faults)
+			continue;
+		o.faults = f;
+		for (size_t i = 0; i < G_N_ELEMENTS(policies); i++) {
+			struct bench_result r;
+
+			if (!chosen(only, policies[i].name))
+				continue;
+			o.policy = &policies[i];
+			bench_run(&o, &r);
+			print(&o, &r);
+		}
+	}
+	pf_config_free(c);
+	return 0;
+}
