--- a/src/coordination/entry_impl.h
+++ b/src/coordination/entry_impl.h
@@ -41,8 +41,10 @@
 	uint32_t fp_prev;
 	pf_ms key; /* place in its group's queue, lower first */
 	pf_ms due; /* timer of the state; the deadline is apart */
+	uint64_t blamed; /* attempts whose crash was counted, as bits */
 	pf_ms sent_at;
 	pf_ms started_at;
+	bool unseen; /* its try is not in the agent's report yet */
 	uint32_t trial_offset; /* tokens delivered when its trial began */
 	struct {
 		uint32_t peer;
@@ -121,7 +123,6 @@
 	double service_ms; /* learned time from start to end */
 	double retry_budget;
 	uint32_t crash; /* id of the last crash there */
-	bool crash_solved; /* its culprit is known */
 	pf_ms crash_at;
 	struct {
 		uint32_t group;
@@ -144,6 +145,13 @@
 	uint32_t next;
 };
 
+/** A request that ended while a try of it was still at an agent. */
+struct pf_ghost {
+	uint64_t request;
+	uint64_t fingerprint;
+	uint64_t blamed;
+};
+
 struct pf_candidate {
 	uint32_t peer;
 	double cost; /* ms */
@@ -187,6 +195,7 @@
 
 	struct pf_suspect *suspects;
 	struct pf_map suspect_map;
+	struct pf_ghost *ghosts; /* by request id, newer replace older */
 	uint32_t suspect_fresh;
 	uint32_t suspect_free; /* list by `next` */
 	uint32_t suspect_head;
