Placement core; demand per model; bench of planned placement

Cause: with fixed homes, hot models saturate two engines while others idle. Change: place core (homes, second homes, replicas that pay over a horizon), pf_entry_demand, the bench's planner and breakdown of missed expectations.

--- a/bench/bench.h
+++ b/bench/bench.h
@@ -11,6 +11,13 @@
 
 struct bench;
 
+/* Who decides what is resident where. */
+enum placement {
+	PLACEMENT_ON_DEMAND, /* each miss loads, the least recent goes */
+	PLACEMENT_FIXED, /* homes from the start are kept */
+	PLACEMENT_PLANNED, /* by the placement core */
+};
+
 /* One row of policies.def: what is decided how. */
 struct policy {
 	const char *name;
@@ -18,7 +25,7 @@
 	enum pf_kv_policy kv;
 	enum pf_queue_policy queue;
 	bool pause;
-	bool placed; /* homes are kept; otherwise loads evict on demand */
+	enum placement placement;
 	bool clairvoyant; /* true lengths, no lag */
 	uint32_t depth; /* tries queued at an agent beyond its batch */
 };
@@ -62,6 +69,7 @@
 /* What one run of the bench found. */
 struct bench_result {
 	uint64_t requests, attained, whole, refused, failed, late;
+	uint64_t miss_first, miss_between, miss_whole; /* of whole answers */
 	uint64_t incomplete, crossed, overcommit, unended;
 	uint64_t moves, adapter_moves, tokens, pauses, resumes, crashes;
 	double attainment; /* per accelerator */
--- a/bench/main.c
+++ b/bench/main.c
@@ -8,7 +8,7 @@
 
 static const struct policy policies[] = {
 #define POLICY(n, r, k, q, p, h, c, d) \
-	{ n, PF_ROUTE_##r, PF_KV_##k, PF_QUEUE_##q, p, h, c, d },
+	{ n, PF_ROUTE_##r, PF_KV_##k, PF_QUEUE_##q, p, PLACEMENT_##h, c, d },
 #include "bench/policies.def"
 #undef POLICY
 };
@@ -69,7 +69,8 @@
 	       "attainment_per_accelerator=%.5f attained=%.4f moves=%llu "
 	       "adapter_moves=%llu requests=%llu whole=%llu late=%llu "
 	       "refused=%llu failed=%llu unended=%llu first_p95_ms=%lld "
-	       "tokens=%llu pauses=%llu resumes=%llu incomplete=%llu "
+	       "tokens=%llu pauses=%llu resumes=%llu missed_first=%llu "
+	       "missed_between=%llu missed_whole=%llu incomplete=%llu "
 	       "crossed=%llu overcommit=%llu",
 	       o->deployment, (unsigned long long)o->seed, o->faults, o->load,
 	       o->policy->name, r->attainment,
@@ -81,6 +82,9 @@
 	       (unsigned long long)r->failed, (unsigned long long)r->unended,
 	       (long long)r->first_p95, (unsigned long long)r->tokens,
 	       (unsigned long long)r->pauses, (unsigned long long)r->resumes,
+	       (unsigned long long)r->miss_first,
+	       (unsigned long long)r->miss_between,
+	       (unsigned long long)r->miss_whole,
 	       (unsigned long long)r->incomplete,
 	       (unsigned long long)r->crossed,
 	       (unsigned long long)r->overcommit);
--- a/bench/world.c
+++ b/bench/world.c
@@ -2,6 +2,7 @@
 #include "bench/bench.h"
 #include "bench/figures.h"
 #include "bench/homes.h"
+#include "pimentoford/place.h"
 
 #include <stdlib.h>
 #include <string.h>
@@ -17,6 +18,8 @@
 #define LINK_DOWN_MS 500 /* until an end sees that the other is gone */
 #define LINK_CUT_MS 5000
 #define STORE_AWAY_MS 30000
+#define DEMAND_EVERY_MS 1000
+#define MODELS_MAX 512
 
 enum event_type {
 	EV_ARRIVE,
@@ -29,6 +32,8 @@
 	EV_ENGINE_START,
 	EV_VM_START,
 	EV_LINK_UP,
+	EV_DEMAND,
+	EV_PLACE,
 };
 
 struct event {
@@ -43,6 +48,7 @@
 		struct pf_agent_msg agent_msg;
 	} u;
 	struct pf_item *items; /* owned, of a report */
+	uint64_t *wants; /* owned, of a placement */
 };
 
 struct agent {
@@ -79,6 +85,7 @@
 	struct entry entries[ENTRIES];
 	struct agent agents[AGENTS_MAX];
 	uint32_t n_agents;
+	struct pf_place *place; /* the planner, beside the first entry */
 	uint32_t links[ENTRIES][AGENTS_MAX]; /* generation */
 	bool linked[ENTRIES][AGENTS_MAX];
 	struct request *requests;
@@ -409,7 +416,7 @@
 	m.u.config = b->o->config;
 	bench_to_agent(b, i, &m);
 	engine_start(ag->engine);
-	if (b->o->policy->placed) {
+	if (b->o->policy->placement == PLACEMENT_FIXED) {
 		m.type = PF_AGENT_PLACE;
 		m.u.place.items = ag->homes.items;
 		m.u.place.n_items = ag->homes.n;
@@ -557,6 +564,87 @@
 		push(b, at - b->now, EV_ARRIVE);
 }
 
+static void place_emit(void *ctx, const struct pf_place_act *a)
+{
+	struct bench *b = ctx;
+	uint32_t i = 0;
+	struct event *e;
+
+	while (b->agents[i].endpoint->id != a->agent)
+		i++;
+	e = push(b, latency(b, 0, i), EV_PLACE);
+	e->agent = i;
+	e->wants = calloc(a->n_items + 1, sizeof(*e->wants));
+	if (!e->wants)
+		abort();
+	memcpy(e->wants, a->items, a->n_items * sizeof(*e->wants));
+	e->u.agent_msg.type = PF_AGENT_PLACE;
+	e->u.agent_msg.u.place.items = e->wants;
+	e->u.agent_msg.u.place.n_items = a->n_items;
+}
+
+static void to_place(struct bench *b, const struct pf_place_msg *m)
+{
+	struct pf_place_sink sink = { place_emit, b };
+
+	if (b->place)
+		pf_place_step(b->place, b->now, m, &sink);
+}
+
+/* What the planner hears from the messages to the entry beside it. */
+static void place_hears(struct bench *b, const struct event *e)
+{
+	struct pf_place_msg m = { .type = PF_PLACE_GONE };
+
+	if (e->entry != 0)
+		return;
+	m.u.agent = e->u.entry_msg.agent;
+	if (e->u.entry_msg.type == PF_ENTRY_REPORT) {
+		m.type = PF_PLACE_REPORT;
+		m.u.report = e->u.entry_msg.u.report;
+		to_place(b, &m);
+	} else if (e->u.entry_msg.type == PF_ENTRY_LEAVING ||
+		   e->u.entry_msg.type == PF_ENTRY_LINK_DOWN) {
+		to_place(b, &m);
+	}
+}
+
+static void demand_round(struct bench *b)
+{
+	struct pf_demand v[MODELS_MAX];
+	struct pf_place_msg m = { .type = PF_PLACE_DEMAND };
+	struct pf_place_msg tick = { .type = PF_PLACE_TICK };
+
+	for (uint32_t i = 0; i < ENTRIES; i++) {
+		m.u.demand.entry = i + 1;
+		m.u.demand.v = v;
+		m.u.demand.n =
+			pf_entry_demand(b->entries[i].core, v, MODELS_MAX);
+		to_place(b, &m);
+	}
+	to_place(b, &tick);
+	push(b, DEMAND_EVERY_MS, EV_DEMAND);
+}
+
+static void place_start(struct bench *b)
+{
+	struct pf_place_msg m = { .type = PF_PLACE_CONFIG };
+	struct pf_place_opts o;
+
+	if (b->o->policy->placement != PLACEMENT_PLANNED)
+		return;
+	pf_place_opts_default(&o);
+	b->place = pf_place_new(&o);
+	if (!b->place)
+		abort();
+	m.u.config = b->o->config;
+	to_place(b, &m);
+	m.type = PF_PLACE_LEASE;
+	m.u.held = true;
+	to_place(b, &m);
+	push(b, DEMAND_EVERY_MS, EV_DEMAND);
+}
+
 static void to_entry_event(struct bench *b, struct event *e)
 {
 	bool up = e->u.entry_msg.type == PF_ENTRY_LINK_UP;
@@ -564,6 +652,7 @@
 
 	if (e->link != b->links[e->entry][e->agent])
 		return;
+	place_hears(b, e);
 	to_entry_core(b, e->entry, &e->u.entry_msg);
 	if (up && !b->agents[e->agent].down)
 		bench_to_agent(b, e->agent, &place);
@@ -611,6 +700,12 @@
 	case EV_LINK_UP:
 		link_up(b, e->entry, e->agent);
 		break;
+	case EV_DEMAND:
+		demand_round(b);
+		break;
+	case EV_PLACE:
+		bench_to_agent(b, e->agent, &e->u.agent_msg);
+		break;
 	}
 }
 
@@ -629,6 +724,7 @@
 		b->now = top >> 32;
 		handle(b, &e);
 		free(e.items);
+		free(e.wants);
 	}
 }
 
@@ -697,27 +793,36 @@
 	}
 }
 
-static void judge(struct bench *b, struct request *r, pf_ms *firsts,
-		  uint64_t *n_firsts)
+/* Which expectations a whole answer missed. */
+static bool missed(struct bench_result *res, const struct request *r)
 {
 	const struct pf_work *w = &r->work;
-	bool ok = r->whole && r->first_at <= w->first_due;
 	pf_ms between =
 		r->got > 1 ? (r->last_at - r->first_at) / (r->got - 1) : 0;
+	bool first = r->first_at > w->first_due;
+	bool slow = w->between_ms && between > w->between_ms;
+	bool late = w->whole_due != PF_NEVER && r->last_at > w->whole_due;
+
+	res->miss_first += first;
+	res->miss_between += slow;
+	res->miss_whole += late;
+	return first || slow || late;
+}
+
+static void judge(struct bench *b, struct request *r, pf_ms *firsts,
+		  uint64_t *n_firsts)
+{
+	bool ok = r->whole && !missed(b->r, r);
 
 	b->r->unended += !r->ended;
 	b->r->whole += r->whole;
 	b->r->refused += r->ended && !r->whole && r->ran == PF_NOT_RUN;
 	b->r->failed += r->ended && !r->whole && r->ran != PF_NOT_RUN;
-	if (w->between_ms && between > w->between_ms)
-		ok = false;
-	if (w->whole_due != PF_NEVER && r->last_at > w->whole_due)
-		ok = false;
 	b->r->late += r->whole && !ok;
 	b->r->attained += ok;
 	b->r->by_caller[r->caller]++;
 	b->r->attained_by_caller[r->caller] += ok;
-	if (r->got && w->priority == 0)
+	if (r->got && r->work.priority == 0)
 		firsts[(*n_firsts)++] = r->first_at - r->arrived;
 }
 
@@ -786,6 +891,7 @@
 		entry_start(b, i);
 	for (uint32_t i = 0; i < b->n_agents; i++)
 		vm_start(b, i);
+	place_start(b);
 	b->demand = demand_new(o, &b->demand_rng);
 	push(b, demand_next(b->demand, 0, &b->next), EV_ARRIVE);
 	if (o->faults)
@@ -793,8 +899,11 @@
 	run_until(b, o->duration + DRAIN_MS);
 	finish(b);
 	for (uint32_t i = 0; i < EVENTS_MAX; i++)
-		if (b->timers.pos[i])
+		if (b->timers.pos[i]) {
 			free(b->events[i].items);
+			free(b->events[i].wants);
+		}
+	pf_place_free(b->place);
 	demand_free(b->demand);
 	pf_heap_free(&b->timers);
 	free(b->requests);
--- /dev/null
+++ b/include/pimentoford/demand.h
@@ -0,0 +1,25 @@
+/* What an entry says of the demand for each model. */
+#ifndef PIMENTOFORD_DEMAND_H
+#define PIMENTOFORD_DEMAND_H
+
+#include "pimentoford/entry.h"
+
+PF_BEGIN_DECLS
+
+/** Requests for one model version at one entry. */
+struct pf_demand {
+	uint64_t model;
+	uint32_t waiting;
+	uint32_t alive; /* waiting and in flight */
+};
+
+/**
+ * Writes the demand for each model that has any, up to @max of them, and
+ * returns how many were written.
+ */
+size_t pf_entry_demand(const struct pf_entry *e, struct pf_demand *out,
+		       size_t max);
+
+PF_END_DECLS
+
+#endif
--- /dev/null
+++ b/include/pimentoford/place.h
@@ -0,0 +1,92 @@
+/*
+ * Placement core: decides which models are to be resident at which engines.
+ * Every model has a home; then, where memory allows, one in a second
+ * availability zone; then replicas follow demand, where what a load regains
+ * over a horizon outweighs the deployment's move cost. The core only asks:
+ * agents dispose over their memory, so two planners at once do no harm.
+ */
+#ifndef PIMENTOFORD_PLACE_H
+#define PIMENTOFORD_PLACE_H
+
+#include "pimentoford/demand.h"
+#include "pimentoford/record.h"
+#include "pimentoford/work.h"
+
+PF_BEGIN_DECLS
+
+struct pf_place;
+
+struct pf_place_opts {
+	uint32_t agents_max; /* engines planned; others are left alone */
+	uint32_t models_max; /* at the bound further models load on demand */
+	uint32_t entries_max; /* whose demand is kept; at the bound the oldest
+			       * is replaced */
+	pf_ms plan_every;
+	pf_ms fresh; /* reports and demand older than this don't count */
+	pf_ms horizon; /* over which a move must pay */
+	pf_ms fade; /* demand that fell fades by 1/e in this time */
+	pf_ms settle; /* a new replica stays for so long */
+	double target; /* of an engine's batch that may be filled */
+};
+
+/** Fills in the defaults that are shipped. */
+void pf_place_opts_default(struct pf_place_opts *o);
+
+/** NULL when options are out of range or there is no memory. */
+struct pf_place *pf_place_new(const struct pf_place_opts *o);
+void pf_place_free(struct pf_place *p);
+
+enum pf_place_msg_type {
+	PF_PLACE_CONFIG, /* u.config: borrowed until the next one */
+	PF_PLACE_REPORT, /* u.report: of an agent; borrowed for the call */
+	PF_PLACE_GONE, /* u.agent: its VM is gone or leaving */
+	PF_PLACE_DEMAND, /* u.demand: all demand of one entry */
+	PF_PLACE_LEASE, /* u.held: whether this planner holds the lease */
+	PF_PLACE_TICK,
+};
+
+struct pf_place_msg {
+	enum pf_place_msg_type type;
+	union {
+		const struct pf_config *config;
+		struct pf_report report;
+		uint64_t agent;
+		struct {
+			uint64_t entry;
+			const struct pf_demand *v;
+			size_t n;
+		} demand;
+		bool held;
+	} u;
+};
+
+/** What is to be resident at an agent, most wanted first. */
+struct pf_place_act {
+	uint64_t agent;
+	const uint64_t *items; /* valid in the call */
+	uint32_t n_items;
+};
+
+/** Where acts go. `emit` must not call back into the core. */
+struct pf_place_sink {
+	void (*emit)(void *ctx, const struct pf_place_act *act);
+	void *ctx;
+};
+
+void pf_place_step(struct pf_place *p, pf_ms now, const struct pf_place_msg *m,
+		   const struct pf_place_sink *sink);
+
+/** When the next PF_PLACE_TICK is due; PF_NEVER without the lease. */
+pf_ms pf_place_next(const struct pf_place *p);
+
+struct pf_place_stats {
+	uint64_t plans, homes, seconds, replicas, evictions;
+	uint64_t blocked; /* moves that would pay but had no budget */
+	uint32_t unplaced; /* models without a home now */
+};
+
+void pf_place_stats(const struct pf_place *p, struct pf_place_stats *s);
+
+PF_END_DECLS
+
+#endif
--- /dev/null
+++ b/src/coordination/place_core.h
@@ -0,0 +1,87 @@
+/* Private parts of the placement core, shared by its modules. */
+#ifndef PLACE_CORE_H
+#define PLACE_CORE_H
+
+#include "pimentoford/map.h"
+#include "pimentoford/place.h"
+
+#define PLACE_NONE UINT32_MAX
+
+/* A replica of a model at an agent. */
+struct place_cell {
+	bool want;
+	bool have; /* resident, by the last report */
+	bool coming; /* loading, by the last report */
+	pf_ms since; /* when it was first wanted */
+	double share; /* requests of the model that fall to it */
+};
+
+struct place_agent {
+	uint64_t id;
+	const struct pf_endpoint *record; /* NULL: not declared */
+	uint64_t zone; /* id of its availability zone */
+	pf_ms seen;
+	bool alive; /* fresh, ready and not leaving */
+	bool gone;
+	bool told; /* it was told its wants in this plan or before */
+	int64_t room; /* for weights */
+	double batch;
+	double load; /* requests that fall to it */
+	uint32_t active; /* models with a notable share here */
+	bool changed;
+};
+
+struct place_model {
+	uint64_t id;
+	const struct pf_model *record;
+	double demand; /* requests at once, smoothed */
+	uint32_t replicas; /* wanted at alive agents */
+	uint32_t zones;
+};
+
+struct place_entry {
+	uint64_t id;
+	pf_ms seen;
+	double *demand; /* by model */
+};
+
+struct pf_place {
+	struct pf_place_opts o;
+	const struct pf_config *config;
+	bool held;
+	pf_ms now;
+	pf_ms next;
+	pf_ms planned; /* time of the last plan */
+	double loads; /* that the weight store's rate allows now */
+
+	struct place_agent *agents;
+	uint32_t n_agents;
+	struct pf_map by_agent;
+	struct place_model *models;
+	uint32_t n_models;
+	struct pf_map by_model;
+	struct place_cell *cells; /* models_max by agents_max */
+	struct place_entry *entries;
+	uint32_t n_entries;
+	uint64_t *items; /* scratch, models_max */
+	bool *taken; /* scratch, models_max */
+	struct pf_place_stats st;
+};
+
+static inline struct place_cell *place_cell(const struct pf_place *p,
+					    uint32_t model, uint32_t agent)
+{
+	return &p->cells[(size_t)model * p->o.agents_max + agent];
+}
+
+/* place_load.c: how demand falls on replicas. */
+void place_demand_update(struct pf_place *p);
+/* Splits each model's demand over its replicas so that engines even out. */
+void place_split(struct pf_place *p);
+/* Requests of the model beyond the target of the engines that serve it. */
+double place_excess(const struct pf_place *p, uint32_t model);
+
+/* place_plan.c: homes, second homes and replicas. */
+void place_plan(struct pf_place *p);
+
+#endif
--- /dev/null
+++ b/src/coordination/place_plan.c
@@ -0,0 +1,299 @@
+/* Placement: homes first, then replicas that pay, then second homes. */
+#include "place_core.h"
+
+#define SECOND_HOME_PART 0.5 /* of a move's cost: what losing one costs */
+#define COLOCATE_COST 0.5 /* requests; each further model slows the batch */
+#define LOST_SHARE 0.2 /* of a share that other replicas take over easily */
+
+/* A way to put a model at an engine: what must go, what it brings. */
+struct offer {
+	uint32_t agent;
+	double value; /* seconds of service regained over the horizon */
+};
+
+static void count_replicas(struct pf_place *p, uint32_t m)
+{
+	struct place_model *mo = &p->models[m];
+	uint64_t first = 0;
+
+	mo->replicas = 0;
+	mo->zones = 0;
+	for (uint32_t a = 0; a < p->n_agents; a++) {
+		const struct place_agent *ag = &p->agents[a];
+
+		if (!ag->alive || !place_cell(p, m, a)->want)
+			continue;
+		mo->replicas++;
+		if (mo->zones == 0)
+			first = ag->zone;
+		if (mo->zones == 0 || (mo->zones == 1 && ag->zone != first))
+			mo->zones++;
+	}
+}
+
+static bool in_zone(const struct pf_place *p, uint32_t m, uint64_t zone)
+{
+	for (uint32_t a = 0; a < p->n_agents; a++)
+		if (p->agents[a].alive && p->agents[a].zone == zone &&
+		    place_cell(p, m, a)->want)
+			return true;
+	return false;
+}
+
+static void want(struct pf_place *p, uint32_t m, uint32_t a, bool yes)
+{
+	struct place_cell *c = place_cell(p, m, a);
+	int64_t bytes = p->models[m].record->weight_bytes;
+
+	c->want = yes;
+	c->since = p->now;
+	p->agents[a].room += yes ? -bytes : bytes;
+	p->agents[a].changed = true;
+	/* Taking back what is still resident, or keeping it, costs no load. */
+	if (yes && !c->have && !c->coming)
+		p->loads -= 1;
+	count_replicas(p, m);
+}
+
+/* What it costs, in seconds of service, to give up the replica; -1: never. */
+static double loss(const struct pf_place *p, uint32_t m, uint32_t a)
+{
+	const struct place_cell *c = place_cell(p, m, a);
+	const struct place_model *mo = &p->models[m];
+	double horizon = (double)p->o.horizon / 1000;
+	double cost = c->share * LOST_SHARE * horizon;
+	double spare = 0;
+
+	if (!c->want || mo->replicas < 2 || p->now - c->since < p->o.settle)
+		return -1;
+	if (mo->replicas == 2)
+		cost += p->config->deployment.move_cost * SECOND_HOME_PART;
+	for (uint32_t k = 0; k < p->n_agents; k++) {
+		const struct place_agent *ag = &p->agents[k];
+
+		if (k != a && ag->alive && place_cell(p, m, k)->want)
+			spare += p->o.target * ag->batch - ag->load;
+	}
+	if (spare < c->share)
+		cost += (c->share - (spare > 0 ? spare : 0)) * horizon;
+	return cost;
+}
+
+/* The replica at @a that is cheapest to give up, or PLACE_NONE. */
+static uint32_t cheapest_victim(const struct pf_place *p, uint32_t a,
+				const bool *taken, double *cost)
+{
+	uint32_t best = PLACE_NONE;
+
+	for (uint32_t m = 0; m < p->n_models; m++) {
+		double c = taken[m] ? -1 : loss(p, m, a);
+
+		if (c < 0 || (best != PLACE_NONE && c >= *cost))
+			continue;
+		best = m;
+		*cost = c;
+	}
+	return best;
+}
+
+/*
+ * Gives up replicas at @a until @bytes fit. Without @commit only the cost is
+ * worked out. The cost, or -1 when it can't be done.
+ */
+static double make_room(struct pf_place *p, uint32_t a, int64_t bytes,
+			bool commit)
+{
+	int64_t room = p->agents[a].room;
+	double total = 0;
+
+	for (uint32_t m = 0; m < p->n_models; m++)
+		p->taken[m] = false;
+	while (room < bytes) {
+		double cost = 0;
+		uint32_t m = cheapest_victim(p, a, p->taken, &cost);
+
+		if (m == PLACE_NONE)
+			return -1;
+		p->taken[m] = true;
+		total += cost;
+		room += p->models[m].record->weight_bytes;
+		if (commit) {
+			want(p, m, a, false);
+			p->st.evictions++;
+		}
+	}
+	return total;
+}
+
+static void place_at(struct pf_place *p, uint32_t m, uint32_t a)
+{
+	make_room(p, a, p->models[m].record->weight_bytes, true);
+	want(p, m, a, true);
+}
+
+/* The best engine for a home of @m; outside zones that have one if @apart. */
+static uint32_t home_for(struct pf_place *p, uint32_t m, bool apart, bool evict)
+{
+	int64_t bytes = p->models[m].record->weight_bytes;
+	uint32_t best = PLACE_NONE;
+	double least = 0;
+
+	for (uint32_t a = 0; a < p->n_agents; a++) {
+		const struct place_agent *ag = &p->agents[a];
+		const struct place_cell *c = place_cell(p, m, a);
+		double cost;
+
+		if (!ag->alive || c->want || (apart && in_zone(p, m, ag->zone)))
+			continue;
+		if (!evict && ag->room < bytes)
+			continue;
+		cost = make_room(p, a, bytes, false);
+		if (cost < 0)
+			continue;
+		cost += ag->load / ag->batch;
+		/* Where it is resident still, it costs no load. */
+		if (!c->have)
+			cost += p->config->deployment.move_cost;
+		if (best == PLACE_NONE || cost < least) {
+			best = a;
+			least = cost;
+		}
+	}
+	return best;
+}
+
+static void plan_homes(struct pf_place *p)
+{
+	p->st.unplaced = 0;
+	for (uint32_t m = 0; m < p->n_models; m++) {
+		uint32_t a;
+
+		if (p->models[m].replicas > 0)
+			continue;
+		a = home_for(p, m, false, true);
+		if (a == PLACE_NONE) {
+			p->st.unplaced++;
+			continue;
+		}
+		place_at(p, m, a);
+		p->st.homes++;
+	}
+}
+
+/* What a further replica of @m at @a regains, less what it costs. */
+static double gain(struct pf_place *p, uint32_t m, uint32_t a, double excess)
+{
+	const struct place_agent *ag = &p->agents[a];
+	double spare = p->o.target * ag->batch - ag->load;
+	double take = excess < spare ? excess : spare;
+	double cost;
+
+	take -= COLOCATE_COST * ag->active;
+	if (!ag->alive || place_cell(p, m, a)->want || take <= 0)
+		return -1;
+	cost = make_room(p, a, p->models[m].record->weight_bytes, false);
+	if (cost < 0)
+		return -1;
+	if (!place_cell(p, m, a)->have)
+		cost += p->config->deployment.move_cost;
+	return take * (double)p->o.horizon / 1000 - cost;
+}
+
+static struct offer best_offer(struct pf_place *p, uint32_t m, double excess)
+{
+	struct offer best = { PLACE_NONE, 0 };
+
+	for (uint32_t a = 0; a < p->n_agents; a++) {
+		double v = gain(p, m, a, excess);
+
+		if (v > best.value)
+			best = (struct offer){ a, v };
+	}
+	return best;
+}
+
+/* Adds the replica that pays most. False when none does. */
+static bool grow(struct pf_place *p)
+{
+	struct offer best = { PLACE_NONE, 0 };
+	uint32_t model = 0;
+
+	for (uint32_t m = 0; m < p->n_models; m++) {
+		double excess = place_excess(p, m);
+		struct offer o;
+
+		if (excess < 1)
+			continue;
+		o = best_offer(p, m, excess);
+		if (o.agent != PLACE_NONE && o.value > best.value) {
+			best = o;
+			model = m;
+		}
+	}
+	if (best.agent == PLACE_NONE)
+		return false;
+	if (p->loads < 1) {
+		p->st.blocked++;
+		return false;
+	}
+	place_at(p, model, best.agent);
+	p->st.replicas++;
+	place_split(p);
+	return true;
+}
+
+/* Second homes come last and displace nothing. */
+static void plan_seconds(struct pf_place *p)
+{
+	for (uint32_t m = 0; m < p->n_models && p->loads >= 1; m++) {
+		uint32_t a;
+
+		if (p->models[m].zones != 1)
+			continue;
+		a = home_for(p, m, true, false);
+		if (a == PLACE_NONE)
+			continue;
+		place_at(p, m, a);
+		p->st.seconds++;
+	}
+}
+
+/* Loads that agents were asked for and have not finished. */
+static uint32_t pending(const struct pf_place *p)
+{
+	uint32_t n = 0;
+
+	for (uint32_t m = 0; m < p->n_models; m++)
+		for (uint32_t a = 0; a < p->n_agents; a++) {
+			const struct place_cell *c = place_cell(p, m, a);
+
+			n += p->agents[a].alive && c->want && !c->have;
+		}
+	return n;
+}
+
+static void refill(struct pf_place *p)
+{
+	const struct pf_deployment *d = &p->config->deployment;
+	double most = (double)d->store_inflight - pending(p);
+
+	p->loads += d->store_loads_rate * (double)(p->now - p->planned) / 1000;
+	if (p->loads > most)
+		p->loads = most;
+}
+
+void place_plan(struct pf_place *p)
+{
+	for (uint32_t m = 0; m < p->n_models; m++)
+		count_replicas(p, m);
+	place_demand_update(p);
+	refill(p);
+	place_split(p);
+	plan_homes(p);
+	place_split(p);
+	while (grow(p))
+		;
+	plan_seconds(p);
+	p->st.plans++;
+	p->planned = p->now;
+}
