Agent: items without a slot stay counted; restarts of the agent fuzzed

Cause: fuzzing a restart with a full item table found three faults. Bytes of items that had no slot vanished when KV had grown since the inventory was taken; such an item that got a slot later was loaded a second time; after the refusal it counted as free until the next inventory. Change: the ledger takes unlisted bytes apart from the measured sum; a refused load whose item the last inventory had shown stays counted as unknown; each refusal asks for an inventory. A try for what can never fit beside the wanted items is refused at once. Gaps between ends no longer hold idle time.

--- a/fuzz/agent_oracle.c
+++ b/fuzz/agent_oracle.c
@@ -119,7 +119,10 @@
 		break;
 	default:
 		/* The id comes first in each of these. */
-		CHECK(w, act->u.id.request < w->n_tries, "an unknown try");
+		CHECK(w,
+		      act->u.id.request >= w->first_try &&
+			      act->u.id.request < w->n_tries,
+		      "an unknown try");
 		saw_id(w, &w->tries[act->u.id.request], act->u.id, act);
 		break;
 	}
@@ -134,6 +137,7 @@
 	struct pf_agent_sink sink = { saw, w };
 	struct pf_agent_stats s;
 
+	w->met |= m->type == PF_AGENT_ENGINE_UP;
 	pf_agent_step(w->a, w->now, m, &sink);
 	w->r->steps++;
 	pf_agent_stats(w->a, &s);
--- a/fuzz/agent_oracle.h
+++ b/fuzz/agent_oracle.h
@@ -32,6 +32,7 @@
 	struct pf_adapter adapters[ADAPTERS];
 	struct pf_config config;
 	struct seen tries[TRIES];
+	uint32_t first_try; /* those before died with an earlier agent */
 	uint32_t n_tries;
 	struct pf_agent_msg claims[TRIES]; /* answers under way */
 	uint32_t n_claims;
--- a/fuzz/fake_engine.c
+++ b/fuzz/fake_engine.c
@@ -267,7 +267,8 @@
 
 	if (o->lost)
 		return false;
-	if (chance(e, 10)) {
+	/* A new agent with a full table may not know of an item. */
+	if (chance(e, 10) || (e->orphan && it && o->type == PF_AGENT_LOAD)) {
 		answer(e, o, false);
 		return false;
 	}
@@ -380,6 +381,22 @@
 	}
 }
 
+void engine_orphan(struct fake_engine *e)
+{
+	uint32_t n = 0;
+
+	/* What has begun goes on; nothing else can still arrive. */
+	for (uint32_t i = 0; i < e->n_orders; i++)
+		if (e->orders[i].begun)
+			e->orders[n++] = e->orders[i];
+	e->n_orders = n;
+	e->orphan = true;
+	e->n_runs = 0;
+	e->n_msgs = 0;
+	e->asked = false;
+	e->heard = false;
+}
+
 void engine_crash(struct fake_engine *e)
 {
 	struct pf_agent_msg m = { .type = PF_AGENT_ENGINE_DOWN };
@@ -395,6 +412,7 @@
 	e->up = false;
 	e->heard = false;
 	e->asked = false;
+	e->orphan = false;
 	e->n_items = 0;
 	e->n_runs = 0;
 	e->n_orders = 0;
--- a/fuzz/fake_engine.h
+++ b/fuzz/fake_engine.h
@@ -45,6 +45,7 @@
 	int64_t leak; /* bytes in use that belong to nothing */
 	bool up;
 	bool heard; /* its start was reported; before, acts fail */
+	bool orphan; /* may hold what its agent has no slot for */
 	bool asked; /* an inventory is awaited */
 	bool tidy; /* no faults */
 	struct pf_agent_item items[ENGINE_ITEMS];
@@ -76,6 +77,9 @@
 /** Sends its inventory, asked or not. */
 void engine_tell(struct fake_engine *e);
 
+/** The agent is replaced: its runs are cancelled, its messages are lost. */
+void engine_orphan(struct fake_engine *e);
+
 void engine_crash(struct fake_engine *e);
 /** Comes back empty and says so. */
 void engine_start(struct fake_engine *e);
--- a/fuzz/fuzz_agent.c
+++ b/fuzz/fuzz_agent.c
@@ -170,7 +170,7 @@
 	struct pf_agent_msg m = { .type = PF_AGENT_ENTRY_DOWN };
 
 	m.entry = 1 + below(w, 3);
-	for (uint32_t i = 0; i < w->n_tries; i++)
+	for (uint32_t i = w->first_try; i < w->n_tries; i++)
 		if (w->tries[i].entry == m.entry)
 			w->tries[i].excused = true;
 	world_send(w, &m);
@@ -258,8 +258,9 @@
 /* A message about a try that was heard of before, or of none. */
 static void old_try(struct world *w)
 {
-	uint32_t last = w->n_tries < 8 ? w->n_tries : 8;
-	uint32_t i = w->n_tries - 1 - below(w, below(w, 2) ? last : w->n_tries);
+	uint32_t n = w->n_tries - w->first_try;
+	uint32_t last = n < 8 ? n : 8;
+	uint32_t i = w->n_tries - 1 - below(w, below(w, 2) ? last : n);
 	uint32_t c = below(w, 12);
 
 	if (!may_copy(w, i))
@@ -274,6 +275,23 @@
 		send_id(w, PF_AGENT_REVOKE, new_try(w));
 }
 
+/* A new agent takes the place of the one that died. */
+static void restart(struct world *w)
+{
+	pf_agent_free(w->a);
+	w->o.incarnation++;
+	w->a = pf_agent_new(&w->o);
+	w->first_try = w->n_tries;
+	w->n_claims = 0;
+	w->draining = false;
+	w->drained = false;
+	w->met = false;
+	engine_orphan(&w->e);
+	send_config(w);
+	if (w->e.up)
+		engine_tell(&w->e);
+}
+
 /* Faults and decisions from around the agent. */
 static void event(struct world *w)
 {
@@ -306,6 +324,8 @@
 	default:
 		if (below(w, 20) == 0 && !w->draining)
 			drain(w);
+		else if (below(w, 8) == 0)
+			restart(w);
 		break;
 	}
 }
@@ -316,7 +336,7 @@
 
 	if (c < 25 && w->n_tries < TRIES - 1)
 		send_try(w, new_try(w));
-	else if (c < 37 && w->n_tries > 0)
+	else if (c < 37 && w->n_tries > w->first_try)
 		old_try(w);
 	else if (c < 45)
 		event(w);
@@ -328,7 +348,7 @@
 {
 	uint32_t n = 0;
 
-	for (uint32_t i = 0; i < w->n_tries; i++) {
+	for (uint32_t i = w->first_try; i < w->n_tries; i++) {
 		const struct seen *s = &w->tries[i];
 
 		n += s->tried && !s->excused && !s->denied && !s->ended;
@@ -355,7 +375,7 @@
 	CHECK(w, w->drained, "not drained");
 	pf_agent_stats(w->a, &s);
 	CHECK(w, s.running == 0 && s.queued == 0, "records left behind");
-	for (uint32_t i = 0; i < w->n_tries; i++)
+	for (uint32_t i = w->first_try; i < w->n_tries; i++)
 		CHECK(w,
 		      !w->tries[i].granted || w->tries[i].ran ||
 			      w->tries[i].voided,
@@ -385,7 +405,6 @@
 		up.u.inventory.used_bytes += w->e.items[i].bytes;
 	up.u.inventory.items = w->e.items;
 	up.u.inventory.n_items = w->e.n_items;
-	w->met = true;
 	world_send(w, &up);
 	for (uint32_t i = 0; i < steps_max && r->violations == 0; i++)
 		command(w);
--- a/fuzz/fuzz_ledger.c
+++ b/fuzz/fuzz_ledger.c
@@ -76,15 +76,16 @@
 }
 
 static void reconcile(struct pf_ledger *l, struct model *m, uint32_t i,
-		      int64_t n, int64_t used)
+		      int64_t n, int64_t used, int64_t unlisted)
 {
 	if (n > 0) {
 		pf_ledger_found(l, i, PF_ITEM_RESIDENT, n);
 		m->state[i] = PF_ITEM_RESIDENT;
 		m->item[i] = n > m->item[i] ? n : m->item[i];
 	}
-	pf_ledger_measured(l, used);
+	pf_ledger_measured(l, used, unlisted);
 	m->excess = used > known(m) ? used - known(m) : 0;
+	m->excess = unlisted > m->excess ? unlisted : m->excess;
 	m->reconciled = true;
 }
 
@@ -115,7 +116,7 @@
 		break;
 	case 7:
 		reconcile(l, m, i, pf_rng_below(g, 3) ? 0 : n,
-			  pf_rng_below(g, 1300));
+			  pf_rng_below(g, 1300), pf_rng_below(g, 3) ? 0 : n);
 		break;
 	case 8:
 		if (pf_rng_below(g, 20))
--- a/include/pimentoford/ledger.h
+++ b/include/pimentoford/ledger.h
@@ -76,9 +76,10 @@
 
 /**
  * The engine measures @used bytes; what exceeds the known sum is counted as
- * excess. Completes a reconciliation after the items were found.
+ * excess, but no less than the @unlisted bytes of items that have no slot.
+ * Completes a reconciliation after the items were found.
  */
-void pf_ledger_measured(struct pf_ledger *l, int64_t used);
+void pf_ledger_measured(struct pf_ledger *l, int64_t used, int64_t unlisted);
 
 /** The engine is gone: nothing is held, nothing admitted until reconciled. */
 void pf_ledger_reset(struct pf_ledger *l);
--- a/src/coordination/agent_core.h
+++ b/src/coordination/agent_core.h
@@ -70,7 +70,7 @@
 	uint64_t order; /* its last order; 0: none */
 	bool order_loads; /* it was a load */
 	bool pending; /* that order is not settled */
-	bool seen; /* scratch: stands in the inventory at hand */
+	bool seen; /* stood in the last inventory */
 	pf_ms order_at;
 	pf_ms retry_at; /* no new order before */
 	uint32_t refusals; /* in a row */
--- a/src/coordination/agent_items.c
+++ b/src/coordination/agent_items.c
@@ -101,12 +101,27 @@
 	a->dirty = true;
 }
 
+/* Whether @i fits beside all that is wanted. */
+static bool fits_beside_wanted(const struct pf_agent *a, uint32_t i)
+{
+	int64_t sum = a->items[i].bytes;
+
+	for (uint32_t k = 0; k < a->n_wanted; k++)
+		if (a->items[a->wanted[k]].declared)
+			sum += a->items[a->wanted[k]].bytes;
+	return sum <= a->ledger.capacity;
+}
+
 bool item_offered(const struct pf_agent *a, uint32_t i)
 {
-	return a->items[i].declared &&
-	       (a->o.load_on_demand || a->items[i].wanted ||
-		item_state(a, i) == PF_ITEM_RESIDENT ||
-		item_state(a, i) == PF_ITEM_LOADING);
+	enum pf_item_state state = item_state(a, i);
+
+	if (!a->items[i].declared)
+		return false;
+	if (a->items[i].wanted || state == PF_ITEM_RESIDENT ||
+	    state == PF_ITEM_LOADING)
+		return true;
+	return a->o.load_on_demand && fits_beside_wanted(a, i);
 }
 
 bool item_usable(const struct pf_agent *a, uint32_t i)
--- a/src/coordination/agent_orders.c
+++ b/src/coordination/agent_orders.c
@@ -120,9 +120,24 @@
 	ask(a);
 }
 
+static void refused(struct pf_agent *a, uint32_t i)
+{
+	struct item *it = &a->items[i];
+
+	/* Perhaps because it is there: before, it had no slot here. */
+	if (item_state(a, i) == PF_ITEM_LOADING && it->seen) {
+		pf_ledger_unknown(&a->ledger, i);
+	} else {
+		settle(a, i,
+		       item_state(a, i) == PF_ITEM_LOADING ? PF_ITEM_ABSENT
+							   : PF_ITEM_RESIDENT);
+		back_off(a, it);
+	}
+	ask(a);
+}
+
 void agent_order_done(struct pf_agent *a, uint64_t order, bool ok)
 {
-	enum pf_item_state done = PF_ITEM_RESIDENT, was = PF_ITEM_ABSENT;
 	uint32_t i = 0;
 
 	while (i < a->n_items && a->items[i].order != order)
@@ -133,15 +148,14 @@
 		late_answer(a, i, ok);
 		return;
 	}
-	if (item_state(a, i) == PF_ITEM_UNLOADING) {
-		done = PF_ITEM_ABSENT;
-		was = PF_ITEM_RESIDENT;
+	if (!ok) {
+		refused(a, i);
+		return;
 	}
-	settle(a, i, ok ? done : was);
-	if (ok)
-		a->items[i].refusals = 0;
-	else
-		back_off(a, &a->items[i]);
+	settle(a, i,
+	       item_state(a, i) == PF_ITEM_LOADING ? PF_ITEM_RESIDENT
+						   : PF_ITEM_ABSENT);
+	a->items[i].refusals = 0;
 }
 
 /* Whether a run at the engine needs @i. */
@@ -193,19 +207,22 @@
 		found(a, i, state, bytes);
 }
 
-static void read_items(struct pf_agent *a, const struct pf_agent_item *items,
-		       uint32_t n)
+/* Returns the bytes of items for which there is no slot. */
+static int64_t read_items(struct pf_agent *a, const struct pf_agent_item *items,
+			  uint32_t n)
 {
 	bool asked = a->inventory_due;
+	int64_t unlisted = 0;
 
 	for (uint32_t i = 0; i < a->n_items; i++)
 		a->items[i].seen = false;
 	for (uint32_t k = 0; k < n; k++) {
 		uint32_t i = item_take(a, items[k].id);
 
-		/* Without a slot it is counted as excess. */
-		if (i == NIL)
+		if (i == NIL) {
+			unlisted += items[k].bytes;
 			continue;
+		}
 		a->items[i].seen = true;
 		if (asked)
 			apply(a, i, items[k].state, items[k].bytes);
@@ -215,6 +232,7 @@
 	for (uint32_t i = 0; asked && i < a->n_items; i++)
 		if (!a->items[i].seen)
 			apply(a, i, PF_ITEM_ABSENT, 0);
+	return unlisted;
 }
 
 /* The engine is new: all orders and grants of before are void. */
@@ -238,6 +256,7 @@
 {
 	bool asked = a->inventory_due;
 	bool first = !a->up;
+	int64_t unlisted;
 
 	a->dirty = true;
 	a->up = true;
@@ -245,8 +264,8 @@
 		return;
 	if (first)
 		forget_engine(a);
-	read_items(a, items, n);
-	pf_ledger_measured(&a->ledger, used);
+	unlisted = read_items(a, items, n);
+	pf_ledger_measured(&a->ledger, used, unlisted);
 	a->inventory_due = false;
 	if (!first && !asked)
 		ask(a);
--- a/src/coordination/agent_runs.c
+++ b/src/coordination/agent_runs.c
@@ -108,8 +108,10 @@
 		return;
 	if (r->state == RUN_VOIDING) {
 		act.u.id = id;
+#ifndef PF_MUTANT_VOID
 		if (granted)
 			agent_emit(a, &act);
+#endif
 		run_drop(a, r);
 		return;
 	}
@@ -181,8 +183,10 @@
 
 static void note_end(struct pf_agent *a, const struct run *r)
 {
-	if (a->last_end > 0)
-		agent_average(&a->end_gap_ms, (double)(a->now - a->last_end));
+	/* Idle time before it is no gap. */
+	pf_ms since = a->last_end > r->run_at ? a->last_end : r->run_at;
+
+	agent_average(&a->end_gap_ms, (double)(a->now - since));
 	a->last_end = a->now;
 	if (!is_plain(a))
 		learn_add(a->learn, r->work.model, r->work.caller, r->produced);
--- a/src/coordination/agent_tries.c
+++ b/src/coordination/agent_tries.c
@@ -182,7 +182,9 @@
 	act.u.lost.produced = r->produced;
 	agent_emit(a, &act);
 	a->stats.lost++;
+#ifndef PF_MUTANT_ENDED
 	ended_add(&a->ended, a->now, r->id);
+#endif
 	run_drop(a, r);
 }
 
--- a/src/state/ledger.c
+++ b/src/state/ledger.c
@@ -168,11 +168,13 @@
 	check(l);
 }
 
-void pf_ledger_measured(struct pf_ledger *l, int64_t used)
+void pf_ledger_measured(struct pf_ledger *l, int64_t used, int64_t unlisted)
 {
 	int64_t known = l->items_bytes + l->kv_bytes;
 
 	l->excess = used > known ? used - known : 0;
+	if (l->excess < unlisted)
+		l->excess = unlisted;
 	l->reconciled = true;
 	check_found(l);
 }
--- a/tests/test_agent_memory.cc
+++ b/tests/test_agent_memory.cc
@@ -191,10 +191,11 @@
 		const char *name;
 		uint32_t runs_of_b; // the first has the only place
 		std::vector<uint64_t> wanted;
+		bool hopeless; // refused at once
 	} cases[] = {
-		{ "running", 1, { MODEL_A } },
-		{ "queued", 2, { MODEL_A } },
-		{ "wanted", 0, { MODEL_A, MODEL_B } },
+		{ "running", 1, { MODEL_A }, false },
+		{ "queued", 2, { MODEL_A }, false },
+		{ "wanted", 0, { MODEL_A, MODEL_B }, true },
 	};
 
 	for (auto &c : cases) {
@@ -212,7 +213,9 @@
 		b.try_(9, for_model(b, MODEL_C));
 		EXPECT_EQ(b.count(PF_AGENT_UNLOAD), 0);
 		EXPECT_EQ(b.count(PF_AGENT_LOAD), 0);
-		b.tick(10000);
+		EXPECT_EQ(b.refused() != PF_REASON_NONE, c.hopeless);
+		if (!c.hopeless)
+			b.tick(10000);
 		EXPECT_EQ(b.refused(), PF_REASON_NOT_RESIDENT);
 	}
 }
@@ -391,6 +394,41 @@
 	EXPECT_EQ(b.count(PF_AGENT_RUN), 1);
 }
 
+TEST(AgentOrders, ItemsWithoutASlotStayCounted)
+{
+	Box b;
+
+	b.o.items_max = 2;
+	b.o.memory_bytes = 3300;
+	b.make();
+	b.config.c.n_models = 2;
+	b.config.c.n_adapters = 0;
+	b.set_config();
+	b.up({ A, C });
+	EXPECT_EQ(b.stats().committed_bytes, 2000);
+	b.try_(1, b.work(10, 1400));
+	EXPECT_EQ(b.count(PF_AGENT_RUN), 0);
+	b.id(PF_AGENT_CANCEL, 1);
+	// C takes the slot of B. It is loaded twice in nobody's eyes.
+	b.config.c.n_models = 0;
+	b.set_config();
+	b.place({ MODEL_C });
+	b.config.c.models = &b.config.models[2];
+	b.config.c.n_models = 1;
+	b.set_config();
+	ASSERT_EQ(b.item(PF_AGENT_LOAD), MODEL_C);
+	uint64_t order = b.find(PF_AGENT_LOAD)->u.load.order;
+
+	b.up({ A, C });
+	EXPECT_EQ(b.stats().committed_bytes, 2000);
+	b.order_done(order, false);
+	EXPECT_EQ(b.stats().committed_bytes, 2000) << "refused as it is there";
+	ASSERT_EQ(b.count(PF_AGENT_INVENTORY), 1);
+	b.up({ A, C });
+	EXPECT_EQ(b.stats().committed_bytes, 2000);
+	EXPECT_EQ(b.find(PF_AGENT_LOAD), nullptr);
+}
+
 TEST(AgentOrders, AnswersFromBeforeACrashAreVoid)
 {
 	Box b;
--- a/tests/test_ledger.cc
+++ b/tests/test_ledger.cc
@@ -11,7 +11,7 @@
 	void SetUp() override
 	{
 		ASSERT_EQ(pf_ledger_init(&l, 1000, 4, 4), 0);
-		pf_ledger_measured(&l, 0);
+		pf_ledger_measured(&l, 0, 0);
 	}
 	void TearDown() override
 	{
@@ -25,7 +25,7 @@
 	EXPECT_EQ(pf_ledger_spare(&l), 0);
 	EXPECT_EQ(pf_ledger_load(&l, 0, 1), -1);
 	EXPECT_EQ(pf_ledger_grant(&l, 0, 1), -1);
-	pf_ledger_measured(&l, 0);
+	pf_ledger_measured(&l, 0, 0);
 	EXPECT_EQ(pf_ledger_grant(&l, 0, 1), 0);
 }
 
@@ -65,21 +65,23 @@
 {
 	ASSERT_EQ(pf_ledger_grant(&l, 0, 200), 0);
 	pf_ledger_found(&l, 0, PF_ITEM_RESIDENT, 300);
-	pf_ledger_measured(&l, 450);
+	pf_ledger_measured(&l, 450, 0);
 	EXPECT_EQ(pf_ledger_committed(&l), 500) << "the grant may yet be used";
-	pf_ledger_measured(&l, 640);
+	pf_ledger_measured(&l, 640, 0);
 	EXPECT_EQ(pf_ledger_committed(&l), 640);
 	pf_ledger_found(&l, 0, PF_ITEM_RESIDENT, 250);
 	EXPECT_EQ(l.items[0].bytes, 300);
-	pf_ledger_measured(&l, 0);
+	pf_ledger_measured(&l, 0, 0);
 	EXPECT_EQ(pf_ledger_committed(&l), 500);
+	pf_ledger_measured(&l, 640, 150);
+	EXPECT_EQ(pf_ledger_committed(&l), 650);
 }
 
 TEST_F(Ledger, MoreThanExistsBlocksAllUntilItIsGone)
 {
 	ASSERT_EQ(pf_ledger_grant(&l, 0, 200), 0);
 	pf_ledger_found(&l, 0, PF_ITEM_RESIDENT, 900);
-	pf_ledger_measured(&l, 1100);
+	pf_ledger_measured(&l, 1100, 0);
 	EXPECT_EQ(pf_ledger_committed(&l), 1100);
 	EXPECT_EQ(pf_ledger_spare(&l), 0);
 	EXPECT_EQ(pf_ledger_grant(&l, 1, 1), -1);
@@ -94,7 +96,7 @@
 	struct pf_ledger l;
 
 	ASSERT_EQ(pf_ledger_init(&l, 1000, 1, 1), 0);
-	pf_ledger_measured(&l, 0);
+	pf_ledger_measured(&l, 0, 0);
 	l.kv_bytes = 1001; // as if a fault had granted too much
 	EXPECT_DEATH(pf_ledger_release(&l, 0), "committed memory");
 	pf_ledger_free(&l);
