Agent: a run that the engine gives up is resumed up to three times

Cause: the daemon ends a start that the engine refused as CANCELLED; the core called that lost. Change: without a stop order such a run goes back to the queue, three times without a token; never-repeat work ends as outcome unknown as before. A suspect waits 10 s at most.

--- a/src/coordination/agent_core.h
+++ b/src/coordination/agent_core.h
@@ -42,6 +42,7 @@
 	bool told; /* STARTED was emitted */
 	bool first; /* no token since the last RUN */
 	bool gave_way; /* was paused for a short one; not twice */
+	uint8_t bounced; /* ends that nobody asked for, with no token since */
 	bool hungry; /* its growth did not fit */
 	uint32_t expected; /* output tokens, foreseen when it was queued */
 	pf_ms queued_at;
--- a/src/coordination/agent_runs.c
+++ b/src/coordination/agent_runs.c
@@ -1,6 +1,8 @@
 /* Runs: claim, start, pieces, stop and end. */
 #include "agent_core.h"
 
+#define BOUNCES_MAX 3 /* starts that the engine gives up, before it is lost */
+
 uint32_t runs_busy(const struct pf_agent *a)
 {
 	return a->lists[RUN_RUNNING].n + a->lists[RUN_STOPPING].n +
@@ -150,6 +152,7 @@
 	else if (!r->first && count > 0)
 		agent_average(&a->step_ms, ms / count);
 	r->first = false;
+	r->bounced = 0;
 	r->token_at = a->now;
 }
 
@@ -199,7 +202,6 @@
 	r->queued_at = a->now;
 	run_foresee(a, r);
 	run_move(a, r, RUN_QUEUED);
-	a->stats.paused++;
 	a->dirty = true;
 	if (a->leaving)
 		run_lose(a, r, PF_REASON_LEAVING);
@@ -209,6 +211,7 @@
 {
 	switch (r->stop) {
 	case STOP_PAUSE:
+		a->stats.paused++;
 		requeue(a, r);
 		break;
 	case STOP_CANCEL:
@@ -226,6 +229,8 @@
 		stopped(a, r);
 	else if (r->work.flags & PF_WORK_NEVER_REPEAT)
 		run_lose(a, r, PF_REASON_OUTCOME_UNKNOWN);
+	else if (run_pausable(r) && r->bounced++ < BOUNCES_MAX)
+		requeue(a, r);
 	else
 		run_lose(a, r, PF_REASON_BACKEND);
 }
--- a/src/coordination/agent_tries.c
+++ b/src/coordination/agent_tries.c
@@ -2,7 +2,7 @@
 #include "agent_core.h"
 
 #define LOAD_WAIT_MS 10000 /* waiting work is handed back after this */
-#define SUSPECT_WAIT_MS 30000
+#define SUSPECT_WAIT_MS 10000
 #define HINT_MIN_MS 10
 #define HINT_MAX_MS 10000
 #define HINT_UNKNOWN_MS 500
--- a/tests/test_agent.cc
+++ b/tests/test_agent.cc
@@ -251,6 +251,28 @@
 	EXPECT_EQ(b.stats().committed_bytes, 1110) << "it may still run";
 }
 
+TEST(Agent, WhatTheEngineGivesUpIsResumedAFewTimes)
+{
+	Box b;
+	struct pf_work once = b.work();
+
+	once.flags = PF_WORK_NEVER_REPEAT;
+	b.make_ready();
+	b.try_(1);
+	b.tokens(1, 0, 5);
+	for (int i = 0; i < 3; i++) {
+		b.end(1, PF_END_CANCELLED, 5);
+		ASSERT_EQ(b.count(PF_AGENT_RUN), 1);
+		EXPECT_EQ(b.find(PF_AGENT_RUN)->u.run.offset, 5u);
+	}
+	b.end(1, PF_END_CANCELLED, 5);
+	EXPECT_EQ(b.find(PF_AGENT_LOST)->u.lost.reason, PF_REASON_BACKEND);
+	b.try_(2, once);
+	b.end(2, PF_END_CANCELLED);
+	EXPECT_EQ(b.find(PF_AGENT_LOST)->u.lost.reason,
+		  PF_REASON_OUTCOME_UNKNOWN);
+}
+
 TEST(Agent, DrainHandsBackAndFinishes)
 {
 	Box b;
