--- a/src/coordination/agent_core.h
+++ b/src/coordination/agent_core.h
@@ -42,6 +42,7 @@
 	bool told; /* STARTED was emitted */
 	bool first; /* no token since the last RUN */
 	bool gave_way; /* was paused for a short one; not twice */
+	uint8_t bounced; /* ends that nobody asked for, with no token since */
 	bool hungry; /* its growth did not fit */
 	uint32_t expected; /* output tokens, foreseen when it was queued */
 	pf_ms queued_at;
@@ -70,7 +71,7 @@
 	uint64_t order; /* its last order; 0: none */
 	bool order_loads; /* it was a load */
 	bool pending; /* that order is not settled */
-	bool seen; /* scratch: stands in the inventory at hand */
+	bool seen; /* stood in the last inventory */
 	pf_ms order_at;
 	pf_ms retry_at; /* no new order before */
 	uint32_t refusals; /* in a row */
