Entry: one ranking for home and freshness, patience for whole answers

Change: candidates are ranked by home, then freshness, and collected once; STORE_AWAY waits without charge; the whole expectation counts less its cost.

--- a/fuzz/main.c
+++ b/fuzz/main.c
@@ -120,6 +120,8 @@
 		bad += run_target(t, (uint64_t)seed, runs, (uint32_t)steps_max,
 				  &steps);
 	}
+	g_free(core);
+	g_free(sequence);
 	printf("fuzz: seed=%lld cores=%u steps=%llu violations=%llu\n",
 	       (long long)seed, cores, (unsigned long long)steps,
 	       (unsigned long long)bad);
--- a/src/coordination/backlog.c
+++ b/src/coordination/backlog.c
@@ -289,6 +289,12 @@
 	return out < r->work.max_tokens ? out : r->work.max_tokens;
 }
 
+pf_ms pf_backlog_cost(const struct pf_entry *e, const struct pf_request *r)
+{
+	return (pf_ms)(pf_backlog_output(e, r) * STEP_MS +
+		       r->work.prompt_tokens * PREFILL_MS);
+}
+
 /*
  * Ageing is linear in time, so the order of two waiting requests never
  * changes and a fixed key carries it: the latest start that still meets the
@@ -297,8 +303,7 @@
 pf_ms pf_backlog_key(const struct pf_entry *e, const struct pf_request *r)
 {
 	const struct pf_work *w = &r->work;
-	pf_ms cost = (pf_ms)(pf_backlog_output(e, r) * STEP_MS +
-			     w->prompt_tokens * PREFILL_MS);
+	pf_ms cost = pf_backlog_cost(e, r);
 	pf_ms base = w->arrived + e->opts.age_step;
 
 	if (w->flags & PF_WORK_DEFERRABLE) {
--- a/src/coordination/entry_impl.h
+++ b/src/coordination/entry_impl.h
@@ -154,7 +154,8 @@
 
 struct pf_candidate {
 	uint32_t peer;
-	double cost; /* ms */
+	uint32_t rank;
+	double cost; /* ms, or a load */
 };
 
 struct pf_entry {
--- a/src/coordination/life.c
+++ b/src/coordination/life.c
@@ -412,6 +412,9 @@
 		pf_peers_unable(e, r->peer, r->group, e->now + UNABLE_MS);
 		again(e, slot, WHY_BUSY, after);
 		break;
+	case PF_REASON_STORE_AWAY:
+		again(e, slot, WHY_BUSY, after);
+		break;
 	case PF_REASON_NOT_RESIDENT:
 		pf_peers_unable(e, r->peer, r->group, e->now + UNABLE_MS);
 		again(e, slot, WHY_FAULT, after);
@@ -461,23 +464,29 @@
 	cut(e, slot, WHY_ENDPOINT_LOST);
 }
 
-/* A try that was given up before ran into a crash: it still counts. */
+/*
+ * A try that was given up before ran into a crash: it still counts. Another
+ * try of the request that crashed before was lost in another crash.
+ */
 static void crashed_late(struct pf_entry *e, const struct pf_entry_msg *m)
 {
 	const struct pf_try *id = &m->u.lost.id;
 	uint32_t slot = pf_requests_find(e, id->request);
 	uint32_t peer = pf_peers_find(e, m->agent);
 	struct pf_ghost *g = pf_quarantine_left(e, id->request);
-	uint64_t fp;
+	bool alive = slot != PF_NIL;
+	uint64_t *blamed, fp;
+	pf_ms sent_at;
 
 	if (m->u.lost.reason != PF_REASON_CRASHED || peer == PF_NIL ||
-	    (slot == PF_NIL && !g))
+	    (!alive && !g))
 		return;
-	if (!blame(slot == PF_NIL ? &g->blamed : &e->reqs[slot].blamed,
-		   id->attempt))
+	blamed = alive ? &e->reqs[slot].blamed : &g->blamed;
+	fp = alive ? e->reqs[slot].work.fingerprint : g->fingerprint;
+	sent_at = *blamed ? e->now : 0;
+	if (!blame(blamed, id->attempt))
 		return;
-	fp = slot == PF_NIL ? g->fingerprint : e->reqs[slot].work.fingerprint;
-	if (pf_quarantine_crash(e, fp, peer, 0) == PF_QUARANTINED)
+	if (pf_quarantine_crash(e, fp, peer, sent_at) == PF_QUARANTINED)
 		pf_life_quarantined(e, fp);
 }
 
--- a/src/coordination/limits.c
+++ b/src/coordination/limits.c
@@ -13,6 +13,8 @@
 /* Bounds of what a refused caller is told. */
 #define RETRY_AFTER_MIN 100
 #define RETRY_AFTER_MAX 60000
+/* One part in so many of the whole expectation may always be waited. */
+#define PATIENCE_PART 4
 /* Told when nothing better is known. */
 #define RETRY_AFTER_MS 1000
 
@@ -195,12 +197,24 @@
 	e->accounts[account].alive--;
 }
 
+/* The latest start for the whole answer; the cost is only a rough guess. */
+static pf_ms whole_start(const struct pf_entry *e, const struct pf_request *r)
+{
+	const struct pf_work *w = &r->work;
+	pf_ms least = w->arrived + (w->whole_due - w->arrived) / PATIENCE_PART;
+	pf_ms start = w->whole_due - pf_backlog_cost(e, r);
+
+	return start > least ? start : least;
+}
+
 /* How long the request may wait and still be as expected; PF_NEVER: any. */
-static pf_ms patience(const struct pf_request *r)
+static pf_ms patience(const struct pf_entry *e, const struct pf_request *r)
 {
 	const struct pf_work *w = &r->work;
-	pf_ms due = pf_ms_min(w->first_due, w->whole_due);
+	pf_ms due = w->first_due;
 
+	if (w->whole_due != PF_NEVER)
+		due = pf_ms_min(due, whole_start(e, r));
 	if (due == PF_NEVER || (w->flags & PF_WORK_DEFERRABLE))
 		return PF_NEVER;
 	return due > w->arrived ? due - w->arrived : 0;
@@ -216,7 +230,7 @@
 struct pf_refusal pf_limits_overload(struct pf_entry *e,
 				     const struct pf_request *r)
 {
-	pf_ms may = patience(r);
+	pf_ms may = patience(e, r);
 	double wait;
 
 	if (may == PF_NEVER || e->opts.overload_slack <= 0)
@@ -229,7 +243,7 @@
 
 pf_ms pf_limits_give_up_at(const struct pf_entry *e, const struct pf_request *r)
 {
-	pf_ms may = patience(r);
+	pf_ms may = patience(e, r);
 
 	if (may == PF_NEVER || e->opts.overload_slack <= 0)
 		return PF_NEVER;
--- a/src/coordination/route.c
+++ b/src/coordination/route.c
@@ -30,12 +30,12 @@
 
 enum home { AWAY, LOADING, RESIDENT };
 
-/* What the agents able to serve have between them. */
+/* What the best of the agents able to serve have between them. */
 struct field {
-	bool fresh;
-	bool other; /* one that the request does not avoid */
-	bool local;
-	enum home home;
+	uint32_t n; /* candidates, all able */
+	uint32_t rank; /* the highest */
+	bool local; /* one of that rank is in this region */
+	bool other; /* one of that rank is not avoided */
 };
 
 pf_ms pf_route_load_ms(void)
@@ -129,25 +129,36 @@
 	       pf_backlog_output(e, r) * OUTPUT_BYTES;
 }
 
-static struct field survey(const struct pf_entry *e, const struct pf_request *r)
+/* A better home goes before a fresher report. */
+static uint32_t rank(const struct pf_entry *e, const struct pf_peer *p,
+		     const struct pf_request *r)
+{
+	return 2 * home(e, p, r) + pf_peers_fresh(e, p);
+}
+
+/* Collects the agents able to serve. */
+static struct field survey(struct pf_entry *e, const struct pf_request *r)
 {
 	struct field f = { 0 };
 
 	for (uint32_t i = 0; i < e->n_peers; i++) {
 		const struct pf_peer *p = &e->peers[i];
-		enum home h;
+		struct pf_candidate *c = &e->candidates[f.n];
 
 		if (!able(e, p, r))
 			continue;
-		h = home(e, p, r);
-		f.fresh = f.fresh || pf_peers_fresh(e, p);
-		f.other = f.other || !avoids(e, r, i);
-		/* Local counts only for the best kind of home there is. */
-		if (h > f.home) {
-			f.home = h;
+		f.n++;
+		c->peer = i;
+		c->rank = rank(e, p, r);
+		if (c->rank > f.rank) {
+			f.rank = c->rank;
 			f.local = false;
+			f.other = false;
 		}
-		f.local = f.local || (h == f.home && p->same_region);
+		if (c->rank < f.rank)
+			continue;
+		f.local = f.local || p->same_region;
+		f.other = f.other || !avoids(e, r, i);
 	}
 	return f;
 }
@@ -216,41 +227,43 @@
 }
 
 static bool fits(const struct pf_entry *e, const struct pf_request *r,
-		 uint32_t i, const struct field *f)
+		 const struct pf_candidate *c, const struct field *f)
 {
-	const struct pf_peer *p = &e->peers[i];
+	const struct pf_peer *p = &e->peers[c->peer];
 
-	if (!able(e, p, r) || home(e, p, r) < f->home || !pf_peers_room(e, p))
-		return false;
-	if (f->fresh && !pf_peers_fresh(e, p))
+	if (c->rank < f->rank || !pf_peers_room(e, p))
 		return false;
-	if (f->other && avoids(e, r, i))
+	if (f->other && avoids(e, r, c->peer))
 		return false;
 	return p->same_region || !f->local || e->link_bytes >= link_need(e, r);
 }
 
-static uint32_t collect(struct pf_entry *e, const struct pf_request *r,
-			const struct field *f)
+static double policy_cost(const struct pf_entry *e, const struct pf_request *r,
+			  const struct pf_candidate *c)
+{
+	const struct pf_peer *p = &e->peers[c->peer];
+
+	/* A suspect goes where the fewest would be lost with it. */
+	if (r->work.flags & PF_WORK_SUSPECT)
+		return pf_peers_load(p);
+	if (e->opts.route == PF_ROUTE_OURS)
+		return cost(e, p, r, c->rank / 2);
+	return (double)p->load / p->batch_max;
+}
+
+/* Keeps the candidates that can get the try now, and sets their costs. */
+static uint32_t sift(struct pf_entry *e, const struct pf_request *r,
+		     const struct field *f)
 {
 	uint32_t n = 0;
 
-	for (uint32_t i = 0; i < e->n_peers; i++) {
-		struct pf_candidate *c = &e->candidates[n];
-		const struct pf_peer *p = &e->peers[i];
+	for (uint32_t i = 0; i < f->n; i++) {
+		struct pf_candidate c = e->candidates[i];
 
-		if (!fits(e, r, i, f))
+		if (!fits(e, r, &c, f))
 			continue;
-		c->peer = i;
-		c->cost = 0;
-		if (e->opts.route == PF_ROUTE_LEAST_LOAD ||
-		    e->opts.route == PF_ROUTE_TWO_CHOICES)
-			c->cost = (double)p->load / p->batch_max;
-		if (e->opts.route == PF_ROUTE_OURS)
-			c->cost = cost(e, p, r, home(e, p, r));
-		/* A suspect goes where the fewest would be lost with it. */
-		if (r->work.flags & PF_WORK_SUSPECT)
-			c->cost = pf_peers_load(p);
-		n++;
+		c.cost = policy_cost(e, r, &c);
+		e->candidates[n++] = c;
 	}
 	return n;
 }
@@ -298,17 +311,17 @@
 	uint32_t n;
 
 	refill_link(e);
-	n = collect(e, r, &f);
+	n = sift(e, r, &f);
 	if (n == 0)
 		return c;
 	c.peer = choose(e, r, n);
-	c.load = home(e, &e->peers[c.peer], r) != RESIDENT;
+	c.load = f.rank / 2 != RESIDENT;
 	return c;
 }
 
-bool pf_route_resident(const struct pf_entry *e, const struct pf_request *r)
+bool pf_route_resident(struct pf_entry *e, const struct pf_request *r)
 {
-	return survey(e, r).home == RESIDENT;
+	return survey(e, r).rank / 2 == RESIDENT;
 }
 
 void pf_route_sent(struct pf_entry *e, const struct pf_request *r,
--- a/src/coordination/route.h
+++ b/src/coordination/route.h
@@ -14,7 +14,7 @@
 struct pf_choice pf_route_pick(struct pf_entry *e, const struct pf_request *r);
 
 /** Whether an agent able to serve @r has its model resident. */
-bool pf_route_resident(const struct pf_entry *e, const struct pf_request *r);
+bool pf_route_resident(struct pf_entry *e, const struct pf_request *r);
 
 /** Accounts for link bytes, prefix and load of a try that is sent. */
 void pf_route_sent(struct pf_entry *e, const struct pf_request *r,
