--- a/Makefile
+++ b/Makefile
@@ -36,10 +36,10 @@
 SRC_agent := $(wildcard daemons/agent/*.c)
 SRC_ctl := $(wildcard daemons/ctl/*.c)
 SRC_standin := $(wildcard standin/*.c)
-SRC_load := $(wildcard load/*.c)
+SRC_load := $(wildcard load/*.c) standin/answer.c
 SRC_bench := $(wildcard bench/*.c)
 SRC_fuzz := $(wildcard fuzz/*.c)
-SRC_tests := $(wildcard tests/*.cc)
+SRC_tests := $(wildcard tests/*.cc) $(filter-out fuzz/main.c,$(wildcard fuzz/*.c))
 
 obj = $(addprefix $(B)/,$(addsuffix .o,$(1)))
 
@@ -84,7 +84,7 @@
 	$(CC) $(LDFLAGS) -o $@ $^ $(LIBS)
 $(B)/pf-fuzz: $(call obj,$(SRC_fuzz)) $(LIB)
 	$(CC) $(LDFLAGS) -o $@ $^ $(LIBS)
-$(B)/pf-tests: $(call obj,$(SRC_tests)) $(LIB)
+$(B)/pf-tests: $(call obj,$(SRC_tests) standin/answer.c load/check.c load/outcome.c) $(LIB)
 	$(CXX) $(LDFLAGS) -o $@ $^ -lgtest_main -lgtest -lrapidcheck $(LIBS)
 
 .PHONY: bins
@@ -118,7 +118,10 @@
 
 # Regenerates the committed XDR code.
 xdr:
-	cd src/protocol && rpcgen -C -h -o pimento_xdr.h pimento.x && rpcgen -C -c -o pimento_xdr.c pimento.x
+	cd src/protocol && rm -f pimento_xdr.[ch] && \
+	rpcgen -C -h -o pimento_xdr.h pimento.x && \
+	rpcgen -C -c pimento.x | \
+	sed 's/"pimento.h"/"pimento_xdr.h"/; s/[ \t]*$$//' > pimento_xdr.c
 
 C_FILES = $(shell git ls-files --cached --others --exclude-standard '*.c' '*.h' '*.cc' | grep -v _xdr)
 
--- /dev/null
+++ b/standin/platform.c
@@ -0,0 +1,352 @@
+/*
+ * The platform's stand-in: transactional table, object store, list of VMs
+ * and weight store, all in memory.
+ */
+#include "standin/roles.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#define SCAN_MAX 1000
+#define SCAN_ROWS_PER_READ 100
+
+/* A budget of so many a second; may be overdrawn by one request. */
+struct budget {
+	double rate, left, filled;
+	uint64_t used, refused;
+};
+
+struct platform {
+	const struct options *opts;
+	GTree *rows; /* key to the row as JSON */
+	GHashTable *objects; /* name to GBytes */
+	json_t *vms; /* the list as shown */
+	json_t *vms_next; /* takes its place at vms_at; NULL: none */
+	double vms_at;
+	uint64_t commit, conflicts;
+	struct budget writes, reads, loads;
+	int model_loads, adapter_loads; /* in flight */
+	int model_loads_peak, adapter_loads_peak;
+};
+
+static bool spend(struct budget *b, size_t n)
+{
+	double now = now_ms();
+
+	b->left = MIN(b->rate, b->left + (now - b->filled) * b->rate / 1000);
+	b->filled = now;
+	if (b->left <= 0) {
+		b->refused++;
+		return false;
+	}
+	b->left -= (double)n;
+	b->used += n;
+	return true;
+}
+
+static int key_order(const void *a, const void *b, void *ctx)
+{
+	(void)ctx;
+	return strcmp(a, b);
+}
+
+static json_int_t revision_of(const json_t *row)
+{
+	return json_int(row, "revision");
+}
+
+/* Whether the transaction has its shape; a bad one writes nothing. */
+static bool txn_valid(const json_t *j)
+{
+	json_t *item;
+	size_t i;
+
+	json_array_foreach(json_object_get(j, "checks"), i,
+			   item) if (!json_text(item, "key") ||
+				     !json_is_integer(json_object_get(
+					     item, "revision"))) return false;
+	json_array_foreach(json_object_get(j, "puts"), i,
+			   item) if (!json_text(item, "key") ||
+				     !json_text(item, "value")) return false;
+	json_array_foreach(json_object_get(j, "deletes"), i,
+			   item) if (!json_is_string(item)) return false;
+	return j != NULL;
+}
+
+/* The first check that fails, or NULL. */
+static const char *txn_conflict(const struct platform *p, const json_t *j)
+{
+	json_t *c;
+	size_t i;
+
+	json_array_foreach(json_object_get(j, "checks"), i, c)
+	{
+		const char *key = json_text(c, "key");
+
+		if (revision_of(g_tree_lookup(p->rows, key)) != revision_of(c))
+			return key;
+	}
+	return NULL;
+}
+
+static void txn_apply(struct platform *p, const json_t *j)
+{
+	json_t *item;
+	size_t i;
+
+	p->commit++;
+	json_array_foreach(json_object_get(j, "puts"), i, item)
+	{
+		const char *key = json_text(item, "key");
+		json_t *row = json_pack("{sssOsI}", "key", key, "value",
+					json_object_get(item, "value"),
+					"revision", (json_int_t)p->commit);
+
+		g_tree_replace(p->rows, g_strdup(key), row);
+	}
+	json_array_foreach(json_object_get(j, "deletes"), i, item)
+		g_tree_remove(p->rows, json_string_value(item));
+}
+
+static void handle_txn(void *self, struct exchange *x)
+{
+	struct platform *p = self;
+	json_t *j = exchange_json(x);
+	size_t rows = json_array_size(json_object_get(j, "puts")) +
+		      json_array_size(json_object_get(j, "deletes"));
+	const char *conflict;
+
+	if (!txn_valid(j)) {
+		exchange_error(x, 400, "bad_transaction");
+	} else if (!spend(&p->writes, MAX(rows, 1))) {
+		exchange_error(x, 429, "over_budget");
+	} else if ((conflict = txn_conflict(p, j))) {
+		json_t *row = g_tree_lookup(p->rows, conflict);
+
+		p->conflicts++;
+		exchange_reply_json(x, 409,
+				    json_pack("{sssI}", "key", conflict,
+					      "revision", revision_of(row)));
+	} else {
+		txn_apply(p, j);
+		exchange_reply_json(x, 200,
+				    json_pack("{sI}", "revision",
+					      (json_int_t)p->commit));
+	}
+	json_decref(j);
+}
+
+static void handle_row(void *self, struct exchange *x)
+{
+	struct platform *p = self;
+	char *key = exchange_query(x, "key");
+	json_t *row = key ? g_tree_lookup(p->rows, key) : NULL;
+
+	if (!key)
+		exchange_error(x, 400, "no_key");
+	else if (!spend(&p->reads, 1))
+		exchange_error(x, 429, "over_budget");
+	else if (!row)
+		exchange_error(x, 404, "no_row");
+	else
+		exchange_reply_json(x, 200, json_incref(row));
+	free(key);
+}
+
+static json_t *scan(const struct platform *p, const char *prefix,
+		    const char *after, size_t limit)
+{
+	json_t *rows = json_array();
+	const char *from = strcmp(after, prefix) > 0 ? after : prefix;
+	GTreeNode *n = g_tree_lower_bound(p->rows, from);
+
+	for (; n && json_array_size(rows) < limit; n = g_tree_node_next(n)) {
+		const char *key = g_tree_node_key(n);
+
+		if (strncmp(key, prefix, strlen(prefix)) != 0)
+			break;
+		if (strcmp(key, after) > 0)
+			json_array_append(rows, g_tree_node_value(n));
+	}
+	return rows;
+}
+
+static void handle_scan(void *self, struct exchange *x)
+{
+	struct platform *p = self;
+	char *prefix = exchange_query(x, "prefix");
+	char *after = exchange_query(x, "after");
+	char *count = exchange_query(x, "limit");
+	size_t limit = count ? strtoul(count, NULL, 10) : SCAN_MAX;
+	json_t *rows;
+
+	if (limit == 0 || limit > SCAN_MAX)
+		limit = SCAN_MAX;
+	rows = scan(p, prefix ? prefix : "", after ? after : "", limit);
+	if (spend(&p->reads, 1 + json_array_size(rows) / SCAN_ROWS_PER_READ))
+		exchange_reply_json(x, 200,
+				    json_pack("{sOsI}", "rows", rows,
+					      "revision",
+					      (json_int_t)p->commit));
+	else
+		exchange_error(x, 429, "over_budget");
+	json_decref(rows);
+	free(prefix);
+	free(after);
+	free(count);
+}
+
+static void handle_object(void *self, struct exchange *x)
+{
+	struct platform *p = self;
+	htp_method method = evhtp_request_get_method(x->req);
+	struct pf_str body = exchange_body(x);
+	GBytes *b = g_hash_table_lookup(p->objects, x->rest);
+
+	if (method == htp_method_PUT) {
+		g_hash_table_replace(p->objects, g_strdup(x->rest),
+				     g_bytes_new(body.p, body.n));
+		exchange_ok(x);
+	} else if (!b) {
+		exchange_error(x, 404, "no_object");
+	} else if (method == htp_method_DELETE) {
+		g_hash_table_remove(p->objects, x->rest);
+		exchange_ok(x);
+	} else {
+		body.p = g_bytes_get_data(b, &body.n);
+		exchange_reply(x, 200, "application/octet-stream", body);
+	}
+}
+
+static void handle_vms(void *self, struct exchange *x)
+{
+	struct platform *p = self;
+
+	if (p->vms_next && now_ms() >= p->vms_at) {
+		json_decref(p->vms);
+		p->vms = p->vms_next;
+		p->vms_next = NULL;
+	}
+	exchange_reply_json(x, 200, json_incref(p->vms));
+}
+
+static void handle_set_vms(void *self, struct exchange *x)
+{
+	struct platform *p = self;
+	json_t *j = exchange_json(x);
+
+	if (!json_is_array(json_object_get(j, "vms"))) {
+		json_decref(j);
+		exchange_error(x, 400, "no_vms");
+		return;
+	}
+	json_decref(p->vms_next);
+	p->vms_next = j;
+	p->vms_at = now_ms() + p->opts->vm_lag;
+	exchange_ok(x);
+}
+
+static void adapter_loaded(void *ctx)
+{
+	((struct platform *)ctx)->adapter_loads--;
+}
+
+static void model_loaded(void *ctx)
+{
+	((struct platform *)ctx)->model_loads--;
+}
+
+static void load_adapter(struct platform *p, struct exchange *x)
+{
+	int over = ++p->adapter_loads - p->opts->adapter_knee;
+
+	p->adapter_loads_peak = MAX(p->adapter_loads_peak, p->adapter_loads);
+	x->closed = adapter_loaded;
+	exchange_reply_after(x, p->opts->adapter_load * (1.0 + MAX(over, 0)),
+			     json_object());
+}
+
+static void load_model(struct platform *p, struct exchange *x)
+{
+	p->model_loads++;
+	p->model_loads_peak = MAX(p->model_loads_peak, p->model_loads);
+	x->closed = model_loaded;
+	exchange_reply_after(x, p->opts->model_load, json_object());
+}
+
+static void handle_weights(void *self, struct exchange *x)
+{
+	struct platform *p = self;
+
+	x->ctx = p;
+	if (strchr(x->rest, ':'))
+		load_adapter(p, x);
+	else if (p->model_loads < p->opts->loads_at_once && spend(&p->loads, 1))
+		load_model(p, x);
+	else
+		exchange_error(x, 429, "over_budget");
+}
+
+static json_t *budget_json(const struct budget *b)
+{
+	return json_pack("{sIsI}", "used", (json_int_t)b->used, "refused",
+			 (json_int_t)b->refused);
+}
+
+static json_t *state(void *self)
+{
+	struct platform *p = self;
+
+	return json_pack("{sosososIsIsisIsisi}", "writes",
+			 budget_json(&p->writes), "reads",
+			 budget_json(&p->reads), "loads",
+			 budget_json(&p->loads), "commit",
+			 (json_int_t)p->commit, "conflicts",
+			 (json_int_t)p->conflicts, "rows",
+			 g_tree_nnodes(p->rows), "objects",
+			 (json_int_t)g_hash_table_size(p->objects),
+			 "model_loads_peak", p->model_loads_peak,
+			 "adapter_loads_peak", p->adapter_loads_peak);
+}
+
+static struct budget budget_of(double rate)
+{
+	return (struct budget){ rate, rate, now_ms(), 0, 0 };
+}
+
+struct platform *platform_new(struct server *s, const struct options *o)
+{
+	static const struct route routes[] = {
+		{ "/table/txn", TARGET_TABLE, handle_txn },
+		{ "/table/row", TARGET_TABLE, handle_row },
+		{ "/table/scan", TARGET_TABLE, handle_scan },
+		{ "/object/", TARGET_OBJECT, handle_object },
+		{ "/vms", TARGET_VMS, handle_vms },
+		{ "/weights/", TARGET_WEIGHTS, handle_weights },
+		{ "/admin/vms", TARGET_NONE, handle_set_vms },
+		{ "", TARGET_NONE, NULL },
+	};
+	struct platform *p = g_new0(struct platform, 1);
+
+	p->opts = o;
+	p->writes = budget_of(o->writes);
+	p->reads = budget_of(o->reads);
+	p->loads = budget_of(o->loads_rate);
+	p->rows = g_tree_new_full(key_order, NULL, g_free,
+				  (GDestroyNotify)json_decref);
+	p->objects = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
+					   (GDestroyNotify)g_bytes_unref);
+	p->vms = json_pack("{s[]}", "vms");
+	s->routes = routes;
+	s->state = state;
+	return p;
+}
+
+void platform_free(struct platform *p)
+{
+	g_tree_destroy(p->rows);
+	g_hash_table_destroy(p->objects);
+	json_decref(p->vms);
+	json_decref(p->vms_next);
+	g_free(p);
+}
