pimentoctl; operators' changes and audit at the entry; drain by record

Cause: operators need to apply, read and audit through any entry. Change: daemons/ctl; daemons/entry/admin_apply.c around the accept core; an endpoint record may say drain = true, its agent then takes no new work.

--- a/daemons/agent/boot.c
+++ b/daemons/agent/boot.c
@@ -178,6 +178,8 @@
 	pf_config_free(old);
 	PF_LOG(&d->log, PF_LOG_INFO, "config",
 	       PF_KV_INT("revision", (int64_t)c->revision));
+	if (ep && ep->drain)
+		daemon_leave(d, "record");
 	if (!first)
 		return;
 	if (watch_start(d) < 0)
--- a/daemons/agent/daemon.h
+++ b/daemons/agent/daemon.h
@@ -116,7 +116,8 @@
 	bool plain;
 	struct claims *claims; /* beside a plain service */
 	bool claims_draining;
-	bool draining;
+	bool leaving; /* takes no new work */
+	bool draining; /* and ends when it is empty */
 	bool drained;
 
 	struct pf_agent *core;
@@ -230,5 +231,7 @@
 
 /* main.c */
 void daemon_fail(struct daemon *d, const char *why);
+/** Takes no new work from now on; tells the entries. */
+void daemon_leave(struct daemon *d, const char *why);
 
 #endif
--- a/daemons/agent/links.c
+++ b/daemons/agent/links.c
@@ -85,7 +85,7 @@
 	l->session = s;
 	PF_LOG(&d->log, PF_LOG_INFO, "entry_up",
 	       PF_KV_INT("entry", (int64_t)p->id));
-	if (d->draining)
+	if (d->leaving)
 		pf_rpc_send(s, &leaving);
 }
 
--- a/daemons/agent/main.c
+++ b/daemons/agent/main.c
@@ -38,10 +38,24 @@
 	daemon_fail(ctx, "runs were left when the drain time ended");
 }
 
-static void on_stop(void *ctx)
+void daemon_leave(struct daemon *d, const char *why)
 {
 	static const struct pf_agent_msg drain = { .type = PF_AGENT_DRAIN };
 	struct pf_wire_msg leaving = { .type = PF_WIRE_LEAVING };
+
+	if (d->leaving)
+		return;
+	d->leaving = true;
+	PF_LOG(&d->log, PF_LOG_INFO, "draining", PF_KV_STR("why", why));
+	links_send_all(d, &leaving);
+	if (!d->core)
+		return;
+	agent_step(d, &drain);
+	claims_drained(d);
+}
+
+static void on_stop(void *ctx)
+{
 	struct daemon *d = ctx;
 	struct timeval poll = { 0, STOP_POLL_MS * 1000 };
 	struct timeval over = { d->set.drain / 1000,
@@ -50,10 +64,7 @@
 	if (d->draining)
 		return;
 	d->draining = true;
-	PF_LOG(&d->log, PF_LOG_INFO, "draining", PF_KV_STR("why", "signal"));
-	links_send_all(d, &leaving);
-	if (d->core)
-		agent_step(d, &drain);
+	daemon_leave(d, "signal");
 	event_add(d->stop_timer, &poll);
 	event_base_once(d->base, -1, EV_TIMEOUT, on_drain_over, d, &over);
 }
--- a/daemons/agent/status.c
+++ b/daemons/agent/status.c
@@ -18,7 +18,7 @@
 
 static bool ready(const struct daemon *d)
 {
-	return d->core && d->watch.state == ENGINE_UP && !d->draining;
+	return d->core && d->watch.state == ENGINE_UP && !d->leaving;
 }
 
 static void refresh(struct daemon *d)
--- /dev/null
+++ b/daemons/ctl/changes.c
@@ -0,0 +1,170 @@
+/*
+ * Commands that change something. Each carries a change id, so sending it to
+ * the next entry, or again later, is harmless.
+ */
+#include "ctl.h"
+
+#include <glib.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+/* Sends a change to one entry after the other until its outcome is known. */
+static int send_change(struct ctl *c, const char *target, json_t *body,
+		       struct reply *r)
+{
+	bool resent = c->id_given;
+
+	for (char **e = c->entries; *e; e++) {
+		char *text;
+
+		json_object_set_new(body, "resent", json_boolean(resent));
+		text = json_dumps(body, JSON_COMPACT);
+		if (!text)
+			return -1;
+		ctl_request(c, *e, "POST", target, text, r);
+		free(text);
+		if (r->status && r->status != 503 && r->status != 504)
+			return 0;
+		fprintf(stderr, "pimentoctl: %s: %s\n", *e,
+			r->status == 503 ? "not applied, the table is away"
+			: r->status      ? "outcome unknown"
+					 : "no answer");
+		/* It may have been taken in before the answer was lost. */
+		resent |= r->status != 503;
+		if (e[1])
+			pf_text_free(&r->body);
+	}
+	return -1;
+}
+
+static void print_findings(const json_t *j)
+{
+	const json_t *arr = json_object_get(j, "findings");
+
+	for (size_t i = 0; i < json_array_size(arr); i++) {
+		const json_t *f = json_array_get(arr, i);
+		const char *place =
+			json_string_value(json_object_get(f, "place"));
+		const char *text =
+			json_string_value(json_object_get(f, "text"));
+
+		fprintf(stderr, "%s: %s\n", place ? place : "?",
+			text ? text : "?");
+	}
+}
+
+static int exit_of(int status)
+{
+	switch (status) {
+	case 200:
+		return EXIT_OK;
+	case 0:
+	case 503:
+	case 504:
+		return EXIT_UNKNOWN;
+	default:
+		return EXIT_REFUSED;
+	}
+}
+
+static int report(const struct ctl *c, struct reply *r)
+{
+	json_t *j = json_loadb(r->body.p ? r->body.p : "", r->body.n, 0, NULL);
+	const char *outcome = json_string_value(json_object_get(j, "outcome"));
+	int code = exit_of(r->status);
+
+	if (outcome && c->json) {
+		printf("%s\n", r->body.p);
+	} else if (outcome) {
+		print_findings(j);
+		printf("id=%s outcome=%s revision=%lld\n", c->id, outcome,
+		       (long long)json_integer_value(
+			       json_object_get(j, "revision")));
+	} else if (code == EXIT_REFUSED) {
+		code = fail_answer(r);
+	} else {
+		printf("id=%s outcome=unknown\n", c->id);
+	}
+	if (code == EXIT_UNKNOWN)
+		fprintf(stderr,
+			"pimentoctl: to be sure, send it again with --id %s\n",
+			c->id);
+	json_decref(j);
+	pf_text_free(&r->body);
+	return code;
+}
+
+static int change(struct ctl *c, const char *target, json_t *body)
+{
+	struct reply r = { 0 };
+	int code;
+
+	if (!body)
+		return EXIT_UNKNOWN;
+	if (c->base >= 0)
+		json_object_set_new(body, "base", json_integer(c->base));
+	send_change(c, target, body, &r);
+	code = report(c, &r);
+	json_decref(body);
+	return code;
+}
+
+/* One file goes as it is, so that findings carry its lines. */
+static char *text_to_send(char **paths, const struct pf_records *set)
+{
+	struct pf_text t = { 0 };
+	char *text;
+	gsize n;
+
+	if (!paths[1] && g_file_get_contents(paths[0], &text, &n, NULL))
+		return text;
+	pf_records_text(set, &t);
+	return pf_text_take(&t);
+}
+
+int cmd_apply(struct ctl *c, char **args)
+{
+	struct pf_records set = { 0 };
+	char *text;
+	int code = EXIT_FINDINGS;
+
+	if (read_files(args, &set) == 0) {
+		text = text_to_send(args, &set);
+		code = change(c, "/admin/apply",
+			      json_pack("{s:s,s:s,s:s,s:s}", "id", c->id, "who",
+					c->who, "text", text ? text : "",
+					"source",
+					args[1] ? "several files" : args[0]));
+		free(text);
+	}
+	pf_records_free(&set);
+	return code;
+}
+
+int cmd_delete(struct ctl *c, char **args)
+{
+	enum pf_kind kind;
+
+	if (pf_kind_parse(pf_str_c(args[0]), &kind) < 0) {
+		fprintf(stderr, "pimentoctl: %s is no kind of record\n",
+			args[0]);
+		return EXIT_FINDINGS;
+	}
+	return change(c, "/admin/apply",
+		      json_pack("{s:s,s:s,s:[{s:s,s:s}]}", "id", c->id, "who",
+				c->who, "delete", "kind", args[0], "name",
+				args[1]));
+}
+
+int cmd_drain(struct ctl *c, char **args)
+{
+	char *name = g_uri_escape_string(args[0], NULL, false);
+	char *target = g_strdup_printf("/admin/drain?endpoint=%s", name);
+	int code = change(c, target,
+			  json_pack("{s:s,s:s}", "id", c->id, "who", c->who));
+
+	g_free(target);
+	g_free(name);
+	return code;
+}
--- /dev/null
+++ b/daemons/ctl/main.c
@@ -0,0 +1,198 @@
+/* pimentoctl: the operators' command line, a client of the entries. */
+#include "ctl.h"
+
+#include "pimentoford/fields.h"
+#include "pimentoford/process.h"
+
+#include <glib.h>
+#include <openssl/rand.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define ID_BYTES 12
+#define TIMEOUT_S 25
+#define AUDIT_ROWS 20
+#define ARGS_MAX 1024
+
+struct command {
+	const char *name;
+	int args_min;
+	int args_max;
+	int (*run)(struct ctl *c, char **args);
+	const char *usage;
+};
+
+static const struct command commands[] = {
+	{ "apply", 1, ARGS_MAX, cmd_apply,
+	  "apply FILE.toml...    write the records of the files as one "
+	  "change" },
+	{ "delete", 2, 2, cmd_delete, "delete KIND NAME      delete a record" },
+	{ "get", 2, 2, cmd_get, "get KIND NAME         print a record" },
+	{ "diff", 1, ARGS_MAX, cmd_diff,
+	  "diff FILE.toml...     print what applying the files would change" },
+	{ "list", 0, 1, cmd_list, "list [KIND]           list the records" },
+	{ "audit", 0, 0, cmd_audit,
+	  "audit                 print the newest accepted changes" },
+	{ "status", 0, 0, cmd_status,
+	  "status                print an entry's state" },
+	{ "drain", 1, 1, cmd_drain,
+	  "drain ENDPOINT        give an endpoint no new work (sets `drain` in "
+	  "its record)" },
+};
+
+static char *description(void)
+{
+	GString *s = g_string_new("Commands:\n");
+
+	for (size_t i = 0; i < G_N_ELEMENTS(commands); i++)
+		g_string_append_printf(s, "  %s\n", commands[i].usage);
+	g_string_append(
+		s, "\nKIND is deployment, model, adapter (MODEL:ADAPTER), "
+		   "caller, endpoint or service.\n"
+		   "\nExit status:\n"
+		   "  0  done\n"
+		   "  1  refused, or in conflict with another change; not "
+		   "applied\n"
+		   "  2  usage, or findings in the files; nothing was sent\n"
+		   "  3  no entry or no table answered; unless it says \"not "
+		   "applied\", send the change\n"
+		   "     again with the printed --id, which is harmless\n"
+		   "\nThe deployment's key is taken from --key-file or the "
+		   "environment's PIMENTO_KEY.\n");
+	return g_string_free(s, FALSE);
+}
+
+static char *make_id(void)
+{
+	unsigned char raw[ID_BYTES];
+	struct pf_text t = { 0 };
+
+	if (RAND_bytes(raw, sizeof(raw)) != 1)
+		return NULL;
+	pf_text_fmt(&t, "ch-");
+	for (size_t i = 0; i < sizeof(raw); i++)
+		pf_text_fmt(&t, "%02x", raw[i]);
+	return pf_text_take(&t);
+}
+
+/* From the file, else from the environment. 0 or -1. */
+static int find_key(const char *file, char **key)
+{
+	const char *env = getenv("PIMENTO_KEY");
+	gsize n;
+
+	if (!file) {
+		*key = env ? g_strdup(env) : NULL;
+		return 0;
+	}
+	if (!g_file_get_contents(file, key, &n, NULL)) {
+		fprintf(stderr, "pimentoctl: %s can't be read\n", file);
+		return -1;
+	}
+	g_strchomp(*key);
+	return 0;
+}
+
+/* Settles what the options left open. 0 or -1. */
+static int complete(struct ctl *c, const char *key_file)
+{
+	static char *nowhere[] = { "127.0.0.1:8080", NULL };
+
+	if (!c->entries)
+		c->entries = g_strdupv(nowhere);
+	for (char **e = c->entries; *e; e++) {
+		if (pf_addr_valid(pf_str_c(*e)))
+			continue;
+		fprintf(stderr, "pimentoctl: --entry %s isn't IP:PORT\n", *e);
+		return -1;
+	}
+	if (!c->who)
+		c->who = g_strdup(g_get_user_name());
+	c->id_given = c->id != NULL;
+	if (!c->id)
+		c->id = make_id();
+	if (!c->id || !pf_name_valid(pf_str_c(c->id))) {
+		fprintf(stderr, "pimentoctl: --id must be letters, digits and "
+				"._-, at most 64\n");
+		return -1;
+	}
+	return find_key(key_file, &c->key);
+}
+
+static int run(struct ctl *c, char **args, int n)
+{
+	for (size_t i = 0; i < G_N_ELEMENTS(commands); i++) {
+		const struct command *cmd = &commands[i];
+
+		if (n < 1 || strcmp(cmd->name, args[0]) != 0)
+			continue;
+		if (n - 1 >= cmd->args_min && n - 1 <= cmd->args_max)
+			return cmd->run(c, args + 1);
+		fprintf(stderr, "pimentoctl: usage: %s\n", cmd->usage);
+		return EXIT_FINDINGS;
+	}
+	fprintf(stderr, "pimentoctl: %s; see --help\n",
+		n < 1 ? "no command" : "unknown command");
+	return EXIT_FINDINGS;
+}
+
+int main(int argc, char **argv)
+{
+	struct ctl c = { .base = -1, .limit = AUDIT_ROWS };
+	gboolean json = FALSE, version = FALSE;
+	gint64 base = -1;
+	gint timeout = TIMEOUT_S;
+	gchar *key_file = NULL;
+	GOptionEntry opts[] = {
+		{ "entry", 'e', 0, G_OPTION_ARG_STRING_ARRAY, &c.entries,
+		  "An entry; several are tried in order [127.0.0.1:8080]",
+		  "IP:PORT" },
+		{ "key-file", 'k', 0, G_OPTION_ARG_FILENAME, &key_file,
+		  "File with the deployment's key", "FILE" },
+		{ "json", 'j', 0, G_OPTION_ARG_NONE, &json, "Print JSON",
+		  NULL },
+		{ "id", 0, 0, G_OPTION_ARG_STRING, &c.id,
+		  "The change's id; the same one again is a resend [random]",
+		  "ID" },
+		{ "who", 0, 0, G_OPTION_ARG_STRING, &c.who,
+		  "Who asks, for the audit [user name]", "NAME" },
+		{ "base", 0, 0, G_OPTION_ARG_INT64, &base,
+		  "Refuse if a record changed after this revision", "N" },
+		{ "limit", 'n', 0, G_OPTION_ARG_INT, &c.limit,
+		  "Changes that audit prints [20]", "N" },
+		{ "timeout", 0, 0, G_OPTION_ARG_INT, &timeout,
+		  "Seconds to wait for an entry [25]", "N" },
+		{ "version", 0, 0, G_OPTION_ARG_NONE, &version,
+		  "Print the version", NULL },
+		{ NULL, 0, 0, G_OPTION_ARG_NONE, NULL, NULL, NULL },
+	};
+	GOptionContext *ctx = g_option_context_new("COMMAND [ARGUMENTS]");
+	GError *err = NULL;
+	char *about = description();
+	int code = EXIT_FINDINGS;
+
+	g_option_context_add_main_entries(ctx, opts, NULL);
+	g_option_context_set_description(ctx, about);
+	if (!g_option_context_parse(ctx, &argc, &argv, &err)) {
+		fprintf(stderr, "pimentoctl: %s\n", err->message);
+		g_error_free(err);
+	} else if (version) {
+		printf("pimentoctl %s\n", PF_VERSION);
+		code = EXIT_OK;
+	} else {
+		c.json = json;
+		c.base = base;
+		c.timeout_s = timeout;
+		if (complete(&c, key_file) == 0)
+			code = run(&c, argv + 1, argc - 1);
+	}
+	g_option_context_free(ctx);
+	g_strfreev(c.entries);
+	g_free(about);
+	g_free(key_file);
+	free(c.id);
+	g_free(c.who);
+	g_free(c.key);
+	return code;
+}
--- a/daemons/entry/admin.c
+++ b/daemons/entry/admin.c
@@ -142,6 +142,9 @@
 static const struct admin_path paths[] = {
 	{ "/admin/status", htp_method_GET, status },
 	{ "/admin/records", htp_method_GET, records },
+	{ "/admin/apply", htp_method_POST, admin_apply },
+	{ "/admin/drain", htp_method_POST, admin_drain },
+	{ "/admin/audit", htp_method_GET, admin_audit },
 };
 
 void admin_route(struct daemon *d, struct conn *c, evhtp_request_t *req)
--- a/daemons/entry/daemon.h
+++ b/daemons/entry/daemon.h
@@ -53,6 +53,7 @@
 	evhtp_connection_t *http;
 	struct event *timer; /* for a request to arrive, or to be closed */
 	struct request *request; /* the one being answered */
+	struct operation *operation; /* of an operator, being answered */
 	size_t header_bytes; /* of the request that is arriving */
 	size_t body_bytes;
 	bool receiving; /* some of a request has arrived */
@@ -107,6 +108,7 @@
 
 	struct pf_table *table;
 	struct pf_config_reader *reader;
+	struct changes *changes; /* of operators */
 	struct event *stop_timer;
 	struct pf_rng rng;
 };
@@ -177,6 +179,15 @@
 void admin_route(struct daemon *d, struct conn *c, evhtp_request_t *req);
 void status_route(struct daemon *d, struct conn *c, evhtp_request_t *req);
 
+/* admin_apply.c: operators' changes and the audit */
+int changes_start(struct daemon *d);
+void changes_stop(struct daemon *d);
+void admin_apply(struct daemon *d, struct conn *c, evhtp_request_t *req);
+void admin_drain(struct daemon *d, struct conn *c, evhtp_request_t *req);
+void admin_audit(struct daemon *d, struct conn *c, evhtp_request_t *req);
+/** The operator of @c left; what was asked goes on. */
+void admin_gone(struct conn *c);
+
 /* main.c */
 void daemon_drain(struct daemon *d, const char *why);
 
--- a/daemons/entry/main.c
+++ b/daemons/entry/main.c
@@ -92,7 +92,7 @@
 		       PF_KV_STR("why", strerror(errno)));
 		return -1;
 	}
-	return config_start(d);
+	return config_start(d) < 0 ? -1 : changes_start(d);
 }
 
 static void stop(struct daemon *d)
@@ -101,6 +101,7 @@
 	requests_stop(d);
 	links_stop(d);
 	core_stop(d);
+	changes_stop(d);
 	pf_config_reader_free(d->reader);
 	pf_table_free(d->table);
 	pf_config_free(d->config);
--- a/daemons/entry/server.c
+++ b/daemons/entry/server.c
@@ -131,6 +131,7 @@
 
 	if (c->request && c->request->http == req)
 		requests_gone(c->request);
+	admin_gone(c);
 	return EVHTP_RES_OK;
 }
 
@@ -151,6 +152,7 @@
 	(void)http;
 	if (c->request)
 		requests_gone(c->request);
+	admin_gone(c);
 	event_free(c->timer);
 	LIST_REMOVE(c, next);
 	c->d->n_conns--;
--- a/include/pimentoford/record.h
+++ b/include/pimentoford/record.h
@@ -71,6 +71,7 @@
 	int64_t memory_bytes;
 	uint32_t batch_max; /* sequences an engine runs at once */
 	bool checks_fence; /* refuses orders with an old number */
+	bool drain; /* takes no new work */
 };
 
 /** A call of a plain service, matched by method and path prefix. */
--- a/src/state/fit.c
+++ b/src/state/fit.c
@@ -88,7 +88,7 @@
 	for (size_t i = 0; i < c->n_endpoints; i++) {
 		const struct pf_endpoint *e = &c->endpoints[i];
 
-		if (e->kind != PF_ENDPOINT_ENGINE)
+		if (e->kind != PF_ENDPOINT_ENGINE || e->drain)
 			continue;
 		b[n].endpoint = e;
 		b[n++].left = (int64_t)((double)e->memory_bytes *
--- a/src/state/record_forms.c
+++ b/src/state/record_forms.c
@@ -72,7 +72,8 @@
 	DEF("accelerators", U32, e.accelerators, false, 0, 1024, "1", NULL)   \
 	DEF("memory", SIZE, e.memory_bytes, false, 0, 1024 * TIB, "0B", NULL) \
 	DEF("batch", U32, e.batch_max, false, 1, 65536, "32", NULL)           \
-	DEF("checks_fence", BOOL, e.checks_fence, false, 0, 0, "false", NULL)
+	DEF("checks_fence", BOOL, e.checks_fence, false, 0, 0, "false", NULL) \
+	DEF("drain", BOOL, e.drain, false, 0, 0, "false", NULL)
 
 #define CALL_FIELDS(DEF)                                    \
 	DEF("method", NAME, method, true, 0, 0, NULL, NULL) \
