--- a/daemons/entry/admin_apply.c
+++ b/daemons/entry/admin_apply.c
@@ -276,14 +276,22 @@
 /* The table's client is stopped after this and calls nothing back. */
 void changes_stop(struct daemon *d)
 {
+	struct operation *op, *op_next;
+	struct table_ask *k, *k_next;
 	struct changes *ch = d->changes;
 
 	if (!ch)
 		return;
-	while (!LIST_EMPTY(&ch->operations))
-		operation_free(LIST_FIRST(&ch->operations));
-	while (!LIST_EMPTY(&ch->asks))
-		ask_free(LIST_FIRST(&ch->asks));
+	for (op = LIST_FIRST(&ch->operations); op; op = op_next) {
+		op_next = LIST_NEXT(op, next);
+		if (op->conn)
+			op->conn->operation = NULL;
+		free(op);
+	}
+	for (k = LIST_FIRST(&ch->asks); k; k = k_next) {
+		k_next = LIST_NEXT(k, next);
+		free(k);
+	}
 	if (ch->timer)
 		event_free(ch->timer);
 	pf_accept_free(ch->core);
