--- a/daemons/entry/admin_apply.c
+++ b/daemons/entry/admin_apply.c
@@ -298,6 +298,11 @@
 	free(ch);
 }
 
+bool changes_idle(const struct daemon *d)
+{
+	return !d->changes || LIST_EMPTY(&d->changes->operations);
+}
+
 static const char *text_of(const json_t *j, const char *key, const char *dflt)
 {
 	const char *s = json_string_value(json_object_get(j, key));
--- a/daemons/entry/daemon.h
+++ b/daemons/entry/daemon.h
@@ -182,6 +182,8 @@
 /* admin_apply.c: operators' changes and the audit */
 int changes_start(struct daemon *d);
 void changes_stop(struct daemon *d);
+/** Whether no operator waits for an outcome. */
+bool changes_idle(const struct daemon *d);
 void admin_apply(struct daemon *d, struct conn *c, evhtp_request_t *req);
 void admin_drain(struct daemon *d, struct conn *c, evhtp_request_t *req);
 void admin_audit(struct daemon *d, struct conn *c, evhtp_request_t *req);
--- a/daemons/entry/main.c
+++ b/daemons/entry/main.c
@@ -20,7 +20,7 @@
 
 	(void)fd;
 	(void)what;
-	if (!d->drained || !LIST_EMPTY(&d->requests))
+	if (!d->drained || !LIST_EMPTY(&d->requests) || !changes_idle(d))
 		return;
 	LIST_FOREACH(c, &d->conns, next)
 	{
