--- a/fuzz/fuzz_accept.c
+++ b/fuzz/fuzz_accept.c
@@ -14,6 +14,7 @@
 #define CORES 3
 #define CHANGES_MAX 64
 #define LATE_MAX 16
+#define OUTAGE_MAX 60
 
 /* One change id and what became of it. */
 struct asked {
@@ -49,6 +50,7 @@
 	uint64_t head; /* by the oracle */
 	struct pf_records set; /* by the oracle; stamps say who wrote */
 	struct pf_records gone;
+	uint32_t outage; /* requests that the table fails from now on */
 	pf_ms now;
 };
 
@@ -356,6 +358,10 @@
 
 	if (!w->n_ops)
 		return;
+	if (w->outage && odds) {
+		w->outage--;
+		fault = true;
+	}
 	i = pf_rng_below(&w->rng, (uint32_t)w->n_ops);
 	op = w->ops[i];
 	w->ops[i] = w->ops[--w->n_ops];
@@ -473,6 +479,8 @@
 			table_acts(w, 8);
 		else if (draw < 88)
 			late_acts(w);
+		else if (draw < 89)
+			w->outage = pf_rng_below(&w->rng, OUTAGE_MAX);
 		else
 			clock_acts(w, 1 + (pf_ms)pf_rng_below(&w->rng, 400));
 	}
