--- a/src/coordination/agent_items.c
+++ b/src/coordination/agent_items.c
@@ -1,6 +1,8 @@
 /* Models and adapters: what is declared, wanted, loaded, or to be unloaded. */
 #include "agent_core.h"
 
+#define PLACE_HOLD_MS 2000 /* then nothing starts until it has its memory */
+
 enum pf_item_state item_state(const struct pf_agent *a, uint32_t i)
 {
 	return a->ledger.items[i].state;
@@ -52,9 +54,8 @@
 	a->items[i].base = m->name_id;
 	a->items[i].bytes = m->weight_bytes;
 	a->items[i].max_context = m->max_context;
-	/* What runs was counted with the old figure and is given back so. */
-	if (a->items[i].users == 0)
-		a->items[i].kv_token_bytes = m->kv_token_bytes;
+	/* Runs are counted anew when they grow. */
+	a->items[i].kv_token_bytes = m->kv_token_bytes;
 }
 
 static void declare_adapter(struct pf_agent *a, const struct pf_adapter *d)
@@ -89,7 +90,8 @@
 		a->items[i].wanted = 0;
 	a->n_wanted = 0;
 	for (uint32_t k = 0; k < n; k++) {
-		uint32_t i = item_find(a, ids[k]);
+		/* It may be declared only later. */
+		uint32_t i = item_take(a, ids[k]);
 
 		if (i == NIL || a->items[i].wanted)
 			continue;
@@ -183,10 +185,10 @@
 
 int items_make_room(struct pf_agent *a, int64_t bytes)
 {
-	int64_t coming = pf_ledger_spare(&a->ledger);
-	int64_t reach = 0;
+	int64_t spare = pf_ledger_spare(&a->ledger);
+	int64_t coming = 0, reach = 0;
 
-	if (coming >= bytes)
+	if (spare >= bytes)
 		return 0;
 	for (uint32_t i = 0; i < a->n_items; i++) {
 		if (item_state(a, i) == PF_ITEM_UNLOADING)
@@ -194,9 +196,9 @@
 		else if (idle(a, i))
 			reach += a->ledger.items[i].bytes;
 	}
-	if (coming + reach < bytes)
+	if (spare + coming + reach < bytes)
 		return -1;
-	while (coming < bytes) {
+	while (spare + coming < bytes) {
 		uint32_t i = least_recent(a);
 
 		if (i == NIL)
@@ -204,7 +206,8 @@
 		coming += a->ledger.items[i].bytes;
 		order_unload(a, i);
 	}
-	return -1;
+	/* A model whose adapters must go first takes more than one round. */
+	return coming > 0 ? 1 : -1;
 }
 
 static int fetch(struct pf_agent *a, uint32_t i, int64_t beside)
@@ -221,7 +224,7 @@
 	}
 	if (a->loads >= a->o.loads_max)
 		return 0;
-	if (items_make_room(a, it->bytes + beside) < 0)
+	if (items_make_room(a, it->bytes + beside) != 0)
 		return -1;
 	return order_load(a, i);
 }
@@ -233,6 +236,27 @@
 	return fetch(a, r->adapter, 0);
 }
 
+/* Whether the memory for @i is there once all runs have ended. */
+static bool fits_when_idle(const struct pf_agent *a, uint32_t i)
+{
+	int64_t stay = a->ledger.excess;
+
+	for (uint32_t k = 0; k < a->n_items; k++)
+		if (!idle(a, k))
+			stay += a->ledger.items[k].bytes;
+	return stay + a->items[i].bytes <= a->ledger.capacity;
+}
+
+static void blocked(struct pf_agent *a, uint32_t i)
+{
+	if (!fits_when_idle(a, i))
+		return;
+	if (a->blocked_at == 0)
+		a->blocked_at = a->now;
+	if (a->blocked_at + PLACE_HOLD_MS > a->now)
+		agent_arm(a, a->blocked_at + PLACE_HOLD_MS);
+}
+
 void items_place(struct pf_agent *a)
 {
 	for (uint32_t k = 0; k < a->n_wanted; k++) {
@@ -243,7 +267,15 @@
 		if (a->items[i].adapter && !has_kin(a, i, false))
 			continue;
 		/* What is wanted more goes first, also when it must wait. */
-		if (fetch(a, i, 0) < 0)
+		if (fetch(a, i, 0) < 0) {
+			blocked(a, i);
 			return;
+		}
 	}
+	a->blocked_at = 0;
+}
+
+bool items_hold_starts(const struct pf_agent *a)
+{
+	return a->blocked_at > 0 && a->now - a->blocked_at >= PLACE_HOLD_MS;
 }
