Entry: whole heads to evhtp, one request at a time

Cause: evhtp's parser loses a path that comes in two pieces, takes a second request before the first is answered, ends a connection before its request (use after free at the hook), and closes without an answer when it gives up. Change: reader.c between socket and parser; early refusals 400, 408, 413, 431 with a JSON body; the settings' path is freed.

--- a/daemons/entry/answer.c
+++ b/daemons/entry/answer.c
@@ -21,26 +21,12 @@
 				 evhtp_header_new(name, value, 1, 1));
 }
 
-/* The connection goes back to waiting for its next request. */
-static void await_next(struct conn *c)
-{
-	const struct pf_http_limits *l = &c->d->set.http;
-	struct timeval r = { l->read / 1000, (l->read % 1000) * 1000 };
-	struct timeval w = { l->write / 1000, (l->write % 1000) * 1000 };
-
-	bufferevent_set_timeouts(c->http->bev, &r, &w);
-	c->receiving = false;
-	c->header_bytes = 0;
-	c->body_bytes = 0;
-}
-
 void answer_bytes(struct conn *c, evhtp_request_t *req, int status,
 		  const char *type, struct pf_str body)
 {
 	set_header(req, "Content-Type", type);
 	if (body.n)
 		evbuffer_add(req->buffer_out, body.p, body.n);
-	await_next(c);
 	c->d->counters.v[PF_EC_BYTES_OUT] += body.n;
 	evhtp_send_reply(req, (evhtp_res)status);
 }
@@ -117,9 +103,12 @@
 	evhtp_request_t *http = r->http;
 
 	send_chunk(r, &r->tail);
-	await_next(r->conn);
 	requests_free(r);
-	evhtp_send_reply_chunk_end(http);
+	/* evhtp would end an HTTP/1.0 body in a chunk, too. */
+	if (http->flags & EVHTP_REQ_FLAG_CHUNKED)
+		evhtp_send_reply_chunk_end(http);
+	else
+		evhtp_send_reply_end(http);
 }
 
 /* Gives the socket what it may hold of the output that waits. */
--- a/daemons/entry/daemon.h
+++ b/daemons/entry/daemon.h
@@ -46,6 +46,14 @@
 	struct pf_text tail; /* what follows them once it has ended */
 };
 
+/** What a caller's connection waits for. */
+enum conn_phase {
+	CONN_HEAD, /* a whole head */
+	CONN_BODY, /* `body_left` bytes of a body */
+	CONN_CHUNKED, /* the end of a chunked body */
+	CONN_ANSWERING,
+};
+
 /** A caller's connection. */
 struct conn {
 	LIST_ENTRY(conn) next;
@@ -53,10 +61,18 @@
 	evhtp_connection_t *http;
 	struct event *timer; /* for a request to arrive, or to be closed */
 	struct request *request; /* the one being answered */
-	size_t header_bytes; /* of the request that is arriving */
-	size_t body_bytes;
+	enum conn_phase phase;
+	uint64_t body_left;
+	size_t body_bytes; /* of the request that is arriving */
 	bool receiving; /* some of a request has arrived */
 	bool refused; /* answered with an error; what comes is dropped */
+	struct evbuffer *rest; /* came behind the request at hand */
+	struct event *resume;
+	/* evhtp's own callbacks */
+	bufferevent_data_cb read_cb;
+	bufferevent_data_cb write_cb;
+	bufferevent_event_cb event_cb;
+	void *cb_arg;
 };
 
 /** A session that is kept with an agent or with another entry. */
@@ -135,6 +151,17 @@
 /* server.c: connections, limits, routing */
 int server_start(struct daemon *d);
 void server_stop(struct daemon *d);
+/** Answers before the request is whole; drops what still comes, and closes. */
+void server_refuse(struct conn *c, int status, const char *phrase,
+		   const char *code, const char *message);
+/** Some of a request has come. */
+void server_receiving(struct conn *c);
+
+/* reader.c: what evhtp's parser is given */
+int reader_start(struct conn *c);
+void reader_stop(struct conn *c);
+/** The answer is sent: the next request may be read. */
+void reader_next(struct conn *c);
 
 /* api.c: /v1/... */
 void api_completion(struct daemon *d, struct conn *c, evhtp_request_t *req,
--- a/daemons/entry/main.c
+++ b/daemons/entry/main.c
@@ -139,5 +139,6 @@
 	PF_LOG(&d.log, PF_LOG_INFO, "ended", PF_KV_INT("status", exit_status));
 	stop(&d);
 	pf_fields_free(&pf_entry_form, &d.set);
+	free(o.settings);
 	return exit_status;
 }
--- /dev/null
+++ b/daemons/entry/reader.c
@@ -0,0 +1,202 @@
+/*
+ * Stands between a caller's socket and evhtp's parser, which loses a path
+ * that comes in two pieces and would take up the next request before this
+ * one is answered: it is given whole heads, and one request at a time.
+ */
+#include "daemon.h"
+
+#include <event2/buffer.h>
+#include <event2/bufferevent.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define END_OF_HEAD "\r\n\r\n"
+#define END_CHARS 4
+
+static struct evbuffer *input_of(const struct conn *c)
+{
+	return bufferevent_get_input(c->http->bev);
+}
+
+/* The value of a header line of @head, or NULL. */
+static const char *find_header(struct pf_str head, const char *name)
+{
+	const char *end = head.p + head.n;
+	const char *p = head.p;
+	size_t n = strlen(name);
+
+	while ((p = memchr(p, '\n', (size_t)(end - p)))) {
+		p++;
+		if ((size_t)(end - p) > n && strncasecmp(p, name, n) == 0 &&
+		    p[n] == ':')
+			return p + n + 1;
+	}
+	return NULL;
+}
+
+/* Where the body of the request ends, as its head says. */
+static void read_head(struct conn *c, struct pf_str head)
+{
+	const char *length = find_header(head, "Content-Length");
+
+	c->phase = CONN_BODY;
+	c->body_left = 0;
+	if (find_header(head, "Transfer-Encoding"))
+		c->phase = CONN_CHUNKED;
+	else if (length)
+		/* The head ends in CR LF, so the number ends, too. */
+		c->body_left = strtoull(length, NULL, 10);
+	if (c->body_left > (uint64_t)c->d->set.http.body)
+		server_refuse(c, 413, "Content Too Large", "body_too_large",
+			      "the body is longer than this server takes");
+}
+
+/* Hands the first @n bytes of the input to evhtp; @c may be gone then. */
+static void pass(struct conn *c, size_t n)
+{
+	struct evbuffer *in = input_of(c);
+	struct evbuffer *first;
+
+	if (n < evbuffer_get_length(in)) {
+		first = evbuffer_new();
+		PF_INVARIANT("a buffer has memory", first);
+		evbuffer_remove_buffer(in, first, n);
+		evbuffer_add_buffer(c->rest, in);
+		evbuffer_prepend_buffer(in, first);
+		evbuffer_free(first);
+	}
+	c->read_cb(c->http->bev, c->cb_arg);
+}
+
+static void take_head(struct conn *c)
+{
+	struct evbuffer *in = input_of(c);
+	size_t len = evbuffer_get_length(in);
+	struct evbuffer_ptr end;
+	size_t n;
+
+	if (len == 0)
+		return;
+	server_receiving(c);
+	end = evbuffer_search(in, END_OF_HEAD, END_CHARS, NULL);
+	n = end.pos < 0 ? len : (size_t)end.pos + END_CHARS;
+	if (n > (size_t)c->d->set.http.header) {
+		server_refuse(c, 431, "Request Header Fields Too Large",
+			      "header_too_large",
+			      "the header is longer than this server takes");
+		return;
+	}
+	if (end.pos < 0)
+		return;
+	read_head(c,
+		  (struct pf_str){
+			  (const char *)evbuffer_pullup(in, (ssize_t)n), n });
+	if (c->refused)
+		return;
+	if (c->phase == CONN_CHUNKED)
+		n = len;
+	else if (c->body_left < len - n)
+		n += c->body_left;
+	else
+		n = len;
+	if (c->phase == CONN_BODY)
+		c->body_left -= n - ((size_t)end.pos + END_CHARS);
+	pass(c, n);
+}
+
+static void take_body(struct conn *c)
+{
+	size_t n = evbuffer_get_length(input_of(c));
+
+	if (n > c->body_left)
+		n = c->body_left;
+	c->body_left -= n;
+	if (n > 0)
+		pass(c, n);
+}
+
+static void on_read(struct bufferevent *bev, void *ctx)
+{
+	struct evbuffer *in = bufferevent_get_input(bev);
+	struct conn *c = ctx;
+
+	if (c->refused) {
+		evbuffer_drain(in, evbuffer_get_length(in));
+		return;
+	}
+	switch (c->phase) {
+	case CONN_HEAD:
+		take_head(c);
+		break;
+	case CONN_BODY:
+		take_body(c);
+		break;
+	case CONN_CHUNKED:
+		c->read_cb(bev, c->cb_arg);
+		break;
+	case CONN_ANSWERING:
+		/* The next request waits in the socket's buffer. */
+		break;
+	}
+}
+
+static void on_write(struct bufferevent *bev, void *ctx)
+{
+	struct conn *c = ctx;
+
+	c->write_cb(bev, c->cb_arg);
+}
+
+static void on_event(struct bufferevent *bev, short what, void *ctx)
+{
+	struct conn *c = ctx;
+
+	c->event_cb(bev, what, c->cb_arg);
+}
+
+static void on_resume(evutil_socket_t fd, short what, void *ctx)
+{
+	struct conn *c = ctx;
+
+	(void)fd;
+	(void)what;
+	if (c->phase == CONN_ANSWERING)
+		c->phase = CONN_HEAD;
+	if (evbuffer_get_length(c->rest) > 0) {
+		/* What came first goes first. */
+		evbuffer_prepend_buffer(input_of(c), c->rest);
+	}
+	on_read(c->http->bev, c);
+}
+
+void reader_next(struct conn *c)
+{
+	event_active(c->resume, 0, 0);
+}
+
+int reader_start(struct conn *c)
+{
+	struct bufferevent *bev = c->http->bev;
+
+	c->rest = evbuffer_new();
+	c->resume = event_new(c->d->base, -1, 0, on_resume, c);
+	if (!c->rest || !c->resume)
+		return -1;
+	c->phase = CONN_HEAD;
+	bufferevent_getcb(bev, &c->read_cb, &c->write_cb, &c->event_cb,
+			  &c->cb_arg);
+	bufferevent_setcb(bev, on_read, on_write, on_event, c);
+	/* Bounds what a caller can pile up behind its request. */
+	bufferevent_setwatermark(
+		bev, EV_READ, 0,
+		(size_t)(c->d->set.http.header + c->d->set.http.body));
+	return 0;
+}
+
+void reader_stop(struct conn *c)
+{
+	if (c->rest)
+		evbuffer_free(c->rest);
+	if (c->resume)
+		event_free(c->resume);
+}
--- a/daemons/entry/server.c
+++ b/daemons/entry/server.c
@@ -7,7 +7,6 @@
 
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
-#include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 #include <sys/socket.h>
@@ -20,9 +19,8 @@
 	return (struct timeval){ ms / 1000, (ms % 1000) * 1000 };
 }
 
-/* Answers before the request is whole and drops what follows. */
-static void refuse_early(struct conn *c, int status, const char *phrase,
-			 const char *code, const char *message)
+void server_refuse(struct conn *c, int status, const char *phrase,
+		   const char *code, const char *message)
 {
 	struct pf_oai_failure f = { .code = code,
 				    .message = message,
@@ -56,62 +54,25 @@
 
 	(void)fd;
 	(void)what;
-	if (c->receiving && !c->refused) {
-		refuse_early(c, 408, "Request Timeout", "too_slow",
-			     "the request did not arrive in time");
-		return;
-	}
-	evhtp_connection_free(c->http);
+	if (c->receiving && !c->refused)
+		server_refuse(c, 408, "Request Timeout", "too_slow",
+			      "the request did not arrive in time");
+	else
+		evhtp_connection_free(c->http);
 }
 
-/* The first byte of a request has come: the rest is due in time. */
-static void start_receiving(struct conn *c)
+/* The whole request is due within the limit, however its bytes come. */
+void server_receiving(struct conn *c)
 {
 	struct timeval tv = timeval_of(c->d->set.http.read);
 
 	if (c->receiving)
 		return;
 	c->receiving = true;
+	c->body_bytes = 0;
 	event_add(c->timer, &tv);
 }
 
-static evhtp_res on_headers_start(evhtp_request_t *req, void *ctx)
-{
-	(void)req;
-	start_receiving(ctx);
-	return EVHTP_RES_OK;
-}
-
-static evhtp_res on_header(evhtp_request_t *req, evhtp_header_t *h, void *ctx)
-{
-	struct conn *c = ctx;
-
-	(void)req;
-	start_receiving(c);
-	c->header_bytes += h->klen + h->vlen + 4;
-	if (c->header_bytes > (size_t)c->d->set.http.header)
-		refuse_early(c, 431, "Request Header Fields Too Large",
-			     "header_too_large",
-			     "the header is longer than this server takes");
-	return EVHTP_RES_OK;
-}
-
-static void refuse_body(struct conn *c)
-{
-	refuse_early(c, 413, "Content Too Large", "body_too_large",
-		     "the body is longer than this server takes");
-}
-
-static evhtp_res on_headers(evhtp_request_t *req, evhtp_headers_t *h, void *ctx)
-{
-	struct conn *c = ctx;
-
-	(void)h;
-	if (evhtp_request_content_len(req) > (uint64_t)c->d->set.http.body)
-		refuse_body(c);
-	return EVHTP_RES_OK;
-}
-
 static evhtp_res on_body(evhtp_request_t *req, struct evbuffer *buf, void *ctx)
 {
 	struct conn *c = ctx;
@@ -119,18 +80,27 @@
 	(void)req;
 	c->body_bytes += evbuffer_get_length(buf);
 	if (c->body_bytes > (size_t)c->d->set.http.body)
-		refuse_body(c);
+		server_refuse(c, 413, "Content Too Large", "body_too_large",
+			      "the body is longer than this server takes");
 	if (c->refused)
 		evbuffer_drain(buf, evbuffer_get_length(buf));
 	return EVHTP_RES_OK;
 }
 
+/* A request was answered, or its caller went away. */
 static evhtp_res on_request_fini(evhtp_request_t *req, void *ctx)
 {
+	struct timeval idle;
 	struct conn *c = ctx;
 
+	idle = timeval_of(c->d->set.http.read);
 	if (c->request && c->request->http == req)
 		requests_gone(c->request);
+	if (c->refused)
+		return EVHTP_RES_OK;
+	c->receiving = false;
+	event_add(c->timer, &idle);
+	reader_next(c);
 	return EVHTP_RES_OK;
 }
 
@@ -144,17 +114,35 @@
 	return EVHTP_RES_OK;
 }
 
+/* evhtp closes without an answer when its parser gives up. */
+static void refuse_malformed(struct conn *c)
+{
+	if (htparser_get_error(c->http->parser) != htparse_error_none)
+		server_refuse(c, 400, "Bad Request", "malformed_request",
+			      "this is not a request that HTTP/1.1 allows, "
+			      "or a line of it is too long");
+}
+
+static void conn_free(struct conn *c)
+{
+	reader_stop(c);
+	if (c->timer)
+		event_free(c->timer);
+	free(c);
+}
+
 static evhtp_res on_connection_fini(evhtp_connection_t *http, void *ctx)
 {
 	struct conn *c = ctx;
 
-	(void)http;
+	/* evhtp ends the request after its connection's hook. */
+	evhtp_connection_set_hook(http, evhtp_hook_on_request_fini, NULL, NULL);
+	refuse_malformed(c);
 	if (c->request)
 		requests_gone(c->request);
-	event_free(c->timer);
 	LIST_REMOVE(c, next);
 	c->d->n_conns--;
-	free(c);
+	conn_free(c);
 	return EVHTP_RES_OK;
 }
 
@@ -174,24 +162,23 @@
 {
 	struct conn *c = calloc(1, sizeof(*c));
 	struct daemon *d = ctx;
-	struct timeval tv = timeval_of(d->set.http.read);
+	struct timeval idle = timeval_of(d->set.http.read);
+	struct timeval write = timeval_of(d->set.http.write);
 
 	if (!c)
 		return EVHTP_RES_ERROR;
 	c->d = d;
 	c->http = http;
 	c->timer = evtimer_new(d->base, on_timer, c);
-	if (!c->timer) {
-		free(c);
+	if (!c->timer || reader_start(c) < 0) {
+		conn_free(c);
 		return EVHTP_RES_ERROR;
 	}
 	/* A connection that sends nothing is closed, too. */
-	event_add(c->timer, &tv);
+	event_add(c->timer, &idle);
+	bufferevent_set_timeouts(http->bev, NULL, &write);
 	LIST_INSERT_HEAD(&d->conns, c, next);
 	d->n_conns++;
-	HOOK(c, evhtp_hook_on_headers_start, on_headers_start);
-	HOOK(c, evhtp_hook_on_header, on_header);
-	HOOK(c, evhtp_hook_on_headers, on_headers);
 	HOOK(c, evhtp_hook_on_read, on_body);
 	HOOK(c, evhtp_hook_on_request_fini, on_request_fini);
 	HOOK(c, evhtp_hook_on_write, on_write);
@@ -244,23 +231,28 @@
 		status_route(d, c, req);
 }
 
+/* The hooks of a connection carry what was made for it. */
+static struct conn *conn_of(evhtp_connection_t *http)
+{
+	return http->hooks ? http->hooks->on_connection_fini_arg : NULL;
+}
+
 /* A request is whole. */
 static void on_request(evhtp_request_t *req, void *ctx)
 {
 	struct daemon *d = ctx;
-	struct timeval write = timeval_of(d->set.http.write);
-	struct conn *c;
+	struct conn *c = conn_of(req->conn);
 
-	LIST_FOREACH(c, &d->conns, next)
-	{
-		if (c->http == req->conn)
-			break;
-	}
 	if (!c || c->refused)
 		return;
+	if (c->phase == CONN_ANSWERING) {
+		/* Came in one piece behind a chunked body. */
+		server_refuse(c, 400, "Bad Request", "malformed_request",
+			      "the request before this one is unanswered");
+		return;
+	}
+	c->phase = CONN_ANSWERING;
 	event_del(c->timer);
-	/* Its caller has nothing to send while it waits for the answer. */
-	bufferevent_set_timeouts(req->conn->bev, NULL, &write);
 	d->counters.v[PF_EC_REQUESTS]++;
 	if (!req->uri || !req->uri->path || !req->uri->path->full)
 		answer_refused(c, req, 400, "invalid_request", "no path");
@@ -270,8 +262,6 @@
 
 int server_start(struct daemon *d)
 {
-	struct timeval r = timeval_of(d->set.http.read);
-	struct timeval w = timeval_of(d->set.http.write);
 	struct sockaddr_storage ss;
 	int len = sizeof(ss);
 
@@ -281,7 +271,6 @@
 	    evutil_parse_sockaddr_port(d->set.listen, (struct sockaddr *)&ss,
 				       &len) < 0)
 		return -1;
-	evhtp_set_timeouts(d->http, &r, &w);
 	evhtp_enable_flag(d->http, EVHTP_FLAG_ENABLE_NODELAY);
 	evhtp_set_parser_flags(d->http, EVHTP_PARSE_QUERY_FLAG_LENIENT);
 	evhtp_set_pre_accept_cb(d->http, on_pre_accept, d);
