Tokens: sent at once to callers, read without a tree

Cause: 14.6 us a token in the entry and 14.3 in the agent at 200 streams. Change: a token's chunk goes to the socket by one system call when nothing waits before it; the usual form of an engine's token is read directly, the rest by jansson as before.

--- a/daemons/entry/answer.c
+++ b/daemons/entry/answer.c
@@ -9,6 +9,8 @@
 #include <event2/bufferevent.h>
 #include <stdio.h>
 #include <string.h>
+#include <sys/socket.h>
+#include <sys/uio.h>
 
 /* Beyond this many bytes at the socket, output waits. */
 #define SOCKET_BYTES ((size_t)64 << 10)
@@ -63,24 +65,55 @@
 	return evbuffer_get_length(bufferevent_get_output(r->conn->http->bev));
 }
 
+/*
+ * Sends at once when nothing waits before it: one system call for a token in
+ * place of the four that a bufferevent takes.
+ */
+static void send_now(struct conn *c, struct iovec *v, int n)
+{
+	struct bufferevent *bev = c->http->bev;
+	ssize_t sent = 0;
+	int i;
+
+	if (evbuffer_get_length(bufferevent_get_output(bev)) == 0) {
+		struct msghdr m = { .msg_iov = v, .msg_iovlen = (size_t)n };
+
+		sent = sendmsg(bufferevent_getfd(bev), &m,
+			       MSG_NOSIGNAL | MSG_DONTWAIT);
+	}
+	/* An error shows again when the event loop writes. */
+	if (sent < 0)
+		sent = 0;
+	for (i = 0; i < n; i++) {
+		size_t skip = (size_t)sent < v[i].iov_len ? (size_t)sent
+							  : v[i].iov_len;
+
+		sent -= (ssize_t)skip;
+		if (skip < v[i].iov_len)
+			bufferevent_write(bev, (char *)v[i].iov_base + skip,
+					  v[i].iov_len - skip);
+	}
+}
+
 /* One chunk of the body, framed here to spare evhtp's buffers per token. */
 static void send_chunk(struct request *r, const struct pf_text *t)
 {
-	struct bufferevent *bev = r->conn->http->bev;
 	char size[HEADER_CHARS];
+	struct iovec v[3];
 	int n;
 
 	if (t->n == 0)
 		return;
 	r->d->counters.v[PF_EC_BYTES_OUT] += t->n;
+	v[1] = (struct iovec){ t->p, t->n };
 	if (!(r->http->flags & EVHTP_REQ_FLAG_CHUNKED)) {
-		bufferevent_write(bev, t->p, t->n);
+		send_now(r->conn, v + 1, 1);
 		return;
 	}
 	n = snprintf(size, sizeof(size), "%zx\r\n", t->n);
-	bufferevent_write(bev, size, (size_t)n);
-	bufferevent_write(bev, t->p, t->n);
-	bufferevent_write(bev, "\r\n", 2);
+	v[0] = (struct iovec){ size, (size_t)n };
+	v[2] = (struct iovec){ "\r\n", 2 };
+	send_now(r->conn, v, 3);
 }
 
 static void open_stream(struct request *r)
--- a/src/protocol/engine_stream.c
+++ b/src/protocol/engine_stream.c
@@ -58,6 +58,43 @@
 	return u32_of(limit, &e->u.total);
 }
 
+static const char *skip(const char *p, const char *end, const char *word)
+{
+	size_t n = strlen(word);
+
+	return (size_t)(end - p) >= n && memcmp(p, word, n) == 0 ? p + n : NULL;
+}
+
+/*
+ * The usual form of a token, plain ASCII without escapes, is read without
+ * building a JSON tree. 0, or -1 for the library to look at.
+ */
+static int read_plain_token(struct pf_str s, struct pf_engine_event *e)
+{
+	const char *end = s.p + s.n;
+	const char *p = skip(s.p, end, "{\"offset\":");
+	uint64_t offset = 0;
+	int digits = 0;
+
+	if (!p)
+		return -1;
+	for (; p < end && *p >= '0' && *p <= '9' && digits < 9; p++, digits++)
+		offset = offset * 10 + (uint64_t)(*p - '0');
+	if (digits == 0 ||
+	    (digits > 1 && s.p[sizeof("{\"offset\":") - 1] == '0'))
+		return -1;
+	p = skip(p, end, ",\"text\":\"");
+	if (!p)
+		return -1;
+	e->type = PF_ENGINE_TOKEN;
+	e->u.token.offset = (uint32_t)offset;
+	e->u.token.text.p = p;
+	while (p < end && *p >= 0x20 && *p < 0x7f && *p != '"' && *p != '\\')
+		p++;
+	e->u.token.text.n = (size_t)(p - e->u.token.text.p);
+	return skip(p, end, "\"}") == end ? 0 : -1;
+}
+
 /* A blank line: the event is whole. */
 static int dispatch(struct pf_engine_stream *s)
 {
@@ -68,6 +105,13 @@
 	if (!s->has_data)
 		return 0;
 	memset(&e, 0, sizeof(e));
+	if (read_plain_token(pf_text_str(&s->data), &e) == 0) {
+		s->data.n = 0;
+		s->has_data = false;
+		s->event(s->ctx, &e);
+		return 0;
+	}
+	memset(&e, 0, sizeof(e));
 	root = json_loadb(s->data.p, s->data.n, 0, NULL);
 	s->data.n = 0;
 	s->has_data = false;
