Test: unreadable rows and pruned audits

Cause: a core that is behind must cope with audit rows that are gone; rows that can't be read must not be written over.

--- a/tests/test_accept.cc
+++ b/tests/test_accept.cc
@@ -365,3 +365,54 @@
 	EXPECT_NE(r.done[7].findings.find("not all processes read yet"),
 		  std::string::npos);
 }
+
+TEST(Accept, RowsThatCannotBeReadStopAChangeAndPrunedAuditsDoNot)
+{
+	struct rig_row row = {};
+	Rig r(2);
+
+	r.submit(0, 1, "ch-1", caller("c", 'a'));
+	r.submit(1, 2, "ch-2", caller("d", 'b'));
+	r.settle();
+	r.submit(0, 3, "ch-3", caller("e", 'c'));
+	r.settle();
+	// Core 1 is behind, and what it missed is no longer in the audit.
+	bool there;
+	size_t i =
+		rig_find(r.table.get(), "audit/00000000000000000003", &there);
+
+	ASSERT_TRUE(there);
+	free(r.table->v[i].value);
+	memmove(&r.table->v[i], &r.table->v[i + 1],
+		(--r.table->n - i) * sizeof(r.table->v[0]));
+	r.submit(1, 4, "ch-4", caller("f", 'd'));
+	r.settle();
+	EXPECT_EQ(r.done[4].outcome, PF_OUTCOME_ACCEPTED);
+	EXPECT_EQ(r.done[4].revision, 4u);
+	for (const char *key : { "audit/00000000000000000005",
+				 "record/caller/c", "config/head" }) {
+		Rig cold(1);
+		char broken[] = "{";
+
+		strcpy(row.key, key);
+		row.value = broken;
+		cold.submit(0, 1, "ch-1", caller("c", 'a'));
+		cold.settle();
+		rig_put(cold.table.get(), &row);
+		struct pf_accept_opts o;
+
+		pf_accept_opts_default(&o);
+		pf_accept_free(cold.cores[0]->core);
+		cold.cores[0]->core = pf_accept_new(&o);
+		cold.submit(0, 2, "ch-2", caller("d", 'b'));
+		cold.settle();
+		bool unread = std::string(key).find("audit") == 0;
+
+		EXPECT_EQ(cold.done[2].outcome,
+			  unread ? PF_OUTCOME_ACCEPTED : PF_OUTCOME_REFUSED);
+		EXPECT_EQ(cold.done[2].findings.find("can't be read") ==
+				  std::string::npos,
+			  unread)
+			<< cold.done[2].findings;
+	}
+}
