--- a/load/audit.c
+++ b/load/audit.c
@@ -183,6 +183,7 @@
 {
 	char *text = NULL;
 	char **lines;
+	char detail[200];
 
 	if (path)
 		g_file_get_contents(path, &text, NULL, NULL);
@@ -193,7 +194,11 @@
 		if (explained(c, lines))
 			continue;
 		l->n.cut_by_stop++;
-		load_complain("cut", c->who, c->why);
+		g_snprintf(detail, sizeof(detail),
+			   "%s at %s from %" G_GINT64_FORMAT
+			   " to %" G_GINT64_FORMAT,
+			   c->why, c->entry, c->begin, c->end);
+		load_complain("cut", c->who, detail);
 	}
 	g_strfreev(lines);
 	g_free(text);
