--- a/daemons/entry/main.c
+++ b/daemons/entry/main.c
@@ -20,7 +20,7 @@
 
 	(void)fd;
 	(void)what;
-	if (!d->drained || !LIST_EMPTY(&d->requests))
+	if (!d->drained || !LIST_EMPTY(&d->requests) || !changes_idle(d))
 		return;
 	LIST_FOREACH(c, &d->conns, next)
 	{
@@ -140,5 +140,6 @@
 	PF_LOG(&d.log, PF_LOG_INFO, "ended", PF_KV_INT("status", exit_status));
 	stop(&d);
 	pf_fields_free(&pf_entry_form, &d.set);
+	free(o.settings);
 	return exit_status;
 }
--- a/src/coordination/agent.c
+++ b/src/coordination/agent.c
@@ -19,7 +19,7 @@
 		.order_timeout = 5000,
 		.kv_policy = PF_KV_SAFE,
 		.queue_policy = PF_QUEUE_VALUE,
-		.kv_quantile = 0.8,
+		.kv_quantile = 0.5,
 		.grant_step = 64,
 		.load_on_demand = true,
 		.loads_max = 2,
@@ -127,7 +127,7 @@
 	return a->up && (a->configured || is_plain(a));
 }
 
-void average(double *avg, double x)
+void agent_average(double *avg, double x)
 {
 	*avg = *avg > 0 ? *avg + AVERAGE_WEIGHT * (x - *avg) : x;
 }
--- a/src/coordination/agent_tries.c
+++ b/src/coordination/agent_tries.c
@@ -31,10 +31,19 @@
 	return r->next == NIL ? NULL : &a->runs[r->next];
 }
 
+/* Whether it holds the endpoint for itself. */
+static bool alone(const struct run *r)
+{
+	return (r->work.flags & PF_WORK_SUSPECT) &&
+	       (r->state == RUN_CLAIMING || r->state == RUN_RUNNING ||
+		r->state == RUN_STOPPING);
+}
+
 static void unlink_run(struct pf_agent *a, struct run *r)
 {
 	struct list *l = &a->lists[r->state];
 
+	a->n_alone -= alone(r);
 	if (r->prev != NIL)
 		a->runs[r->prev].next = r->next;
 	else
@@ -51,6 +60,7 @@
 	struct list *l = &a->lists[r->state];
 	uint32_t i = run_slot(a, r);
 
+	a->n_alone += alone(r);
 	r->prev = l->tail;
 	r->next = NIL;
 	if (l->tail != NIL)
@@ -184,7 +194,8 @@
 	act.u.done.end = end;
 	act.u.done.total = r->produced;
 	agent_emit(a, &act);
-	a->stats.completed++;
+	if (end != PF_END_CANCELLED)
+		a->stats.completed++;
 	ended_add(&a->ended, a->now, r->id);
 	run_drop(a, r);
 }
@@ -206,8 +217,10 @@
 	int64_t need;
 	const struct item *it;
 
+#ifndef PF_MUTANT_DRAIN
 	if (a->leaving)
 		return PF_REASON_LEAVING;
+#endif
 	if (!agent_ready(a))
 		return PF_REASON_NOT_READY;
 	if (w->deadline <= a->now)
@@ -260,6 +273,7 @@
 		return;
 	}
 	items_hold(a, r, true);
+	run_foresee(a, r);
 	a->taken_in++;
 	agent_arm(a, w->deadline);
 	agent_arm(a, a->now + LOAD_WAIT_MS);
@@ -349,6 +363,12 @@
 	agent_report(a);
 }
 
+static bool not_coming(const struct pf_agent *a, uint32_t item)
+{
+	return item != NIL && item_state(a, item) != PF_ITEM_RESIDENT &&
+	       item_state(a, item) != PF_ITEM_LOADING;
+}
+
 /* Why @r should not wait any longer, or NONE; arms the time to ask again. */
 static enum pf_reason overdue(struct pf_agent *a, const struct run *r)
 {
@@ -368,9 +388,7 @@
 	agent_arm(a, a->now + LOAD_WAIT_MS);
 	if (suspect)
 		return PF_REASON_FULL;
-	if (r->model != NIL && !item_usable(a, r->model))
-		return PF_REASON_NOT_RESIDENT;
-	if (r->adapter != NIL && !item_usable(a, r->adapter))
+	if (not_coming(a, r->model) || not_coming(a, r->adapter))
 		return PF_REASON_NOT_RESIDENT;
 	return runs_busy(a) ? PF_REASON_NONE : PF_REASON_NO_MEMORY;
 }
