Load tool: a fault explains more than one cut

Change: the log is parsed once into load/faults.c, with a test that asks twice. Conclusion: a fault of the tool, not of the entry.

--- a/Makefile
+++ b/Makefile
@@ -84,7 +84,7 @@
 	$(CC) $(LDFLAGS) -o $@ $^ $(LIBS)
 $(B)/pf-fuzz: $(call obj,$(SRC_fuzz)) $(LIB)
 	$(CC) $(LDFLAGS) -o $@ $^ $(LIBS)
-$(B)/pf-tests: $(call obj,$(SRC_tests) standin/answer.c load/check.c load/outcome.c) $(LIB)
+$(B)/pf-tests: $(call obj,$(SRC_tests) standin/answer.c load/check.c load/faults.c load/outcome.c) $(LIB)
 	$(CXX) $(LDFLAGS) -o $@ $^ -lgtest_main -lgtest -lrapidcheck $(LIBS)
 
 .PHONY: bins
--- a/load/audit.c
+++ b/load/audit.c
@@ -1,4 +1,5 @@
 /* What only the stand-ins know: how often each key and which prompts ran. */
+#include "load/faults.h"
 #include "load/load.h"
 
 #include <event2/buffer.h>
@@ -6,8 +7,6 @@
 #include <event2/http.h>
 #include <stdlib.h>
 
-/* A fault explains what was cut up to so long after it. */
-#define FAULT_REACH_MS 10000
 #define ASK_TIMEOUT_S 10
 
 /** The questions that are still open. */
@@ -164,34 +163,21 @@
 	close_question(a);
 }
 
-/* A line is "MS TARGET"; a broken connection is explained by its entry. */
-static bool explained(const struct cut *c, char **lines)
-{
-	for (; *lines; lines++) {
-		char *target = NULL;
-		int64_t at = g_ascii_strtoll(*lines, &target, 10);
-
-		if (at == 0 || at > c->end || at + FAULT_REACH_MS < c->begin)
-			continue;
-		if (!c->broken || !g_strcmp0(g_strstrip(target), c->entry))
-			return true;
-	}
-	return false;
-}
-
 void audit_cuts(struct load *l, const char *path)
 {
 	char *text = NULL;
-	char **lines;
+	GArray *faults;
 	char detail[200];
 
 	if (path)
 		g_file_get_contents(path, &text, NULL, NULL);
-	lines = g_strsplit(text ? text : "", "\n", 0);
+	faults = faults_parse(text ? text : "");
 	for (guint i = 0; i < l->cuts->len; i++) {
 		const struct cut *c = &g_array_index(l->cuts, struct cut, i);
 
-		if (explained(c, lines))
+		/* Only its entry's fault breaks a connection. */
+		if (faults_explain(faults, c->begin, c->end,
+				   c->broken ? c->entry : NULL))
 			continue;
 		l->n.cut_by_stop++;
 		g_snprintf(detail, sizeof(detail),
@@ -200,6 +186,6 @@
 			   c->why, c->entry, c->begin, c->end);
 		load_complain("cut", c->who, detail);
 	}
-	g_strfreev(lines);
+	g_array_unref(faults);
 	g_free(text);
 }
