Spread core: accepted configuration in force everywhere, never back

Cause: every daemon polls the table; with it away nothing new arrives, a cold start hangs, and reads grow with processes. Change: a core that polls by relays chosen by rendezvous hashing, carries heads on heartbeats and pulls deltas or the whole set from who is ahead; a rig in virtual time and a fuzz target with four mutants.

--- /dev/null
+++ b/fuzz/fuzz_spread.c
@@ -0,0 +1,137 @@
+/*
+ * Spread cores under random faults. The oracle: no process ever goes to a
+ * lower revision, none adopts a set that was not accepted, and all are at the
+ * head soon after the faults stop, also while the table stays away, if any
+ * process that lives holds the head.
+ */
+#include "fuzz/fuzz.h"
+#include "fuzz/spread_rig.h"
+
+#include <stdio.h>
+
+#define ENTRIES 5
+#define AGENTS 4
+#define PROCS (ENTRIES + AGENTS)
+/* Faults end; within this all must have met again. */
+#define SETTLE_MS 40000
+
+static struct spread_rig *make(struct pf_rng *rng, uint64_t seed)
+{
+	struct spread_rig_opts o = { .seed = seed,
+				     .procs_max = PROCS,
+				     .records = 6,
+				     .zone_ms = 1,
+				     .region_ms = 12 };
+	struct spread_rig *g;
+
+	pf_spread_opts_default(&o.core);
+	o.loss = pf_rng_below(rng, 2) * 0.1;
+	o.jitter = pf_rng_below(rng, 300);
+	o.core.history_max = 1 + pf_rng_below(rng, 12);
+	g = spread_rig_new(&o);
+	for (uint32_t i = 0; i < PROCS; i++)
+		spread_rig_add(g, i % 2, i < ENTRIES);
+	for (uint32_t i = 0; i < ENTRIES; i++)
+		for (uint32_t j = i + 1; j < PROCS; j++)
+			spread_rig_link(g, i, j);
+	return g;
+}
+
+/* A copy of a delta that is late: it applies only from its base on. */
+static void forge_delta(struct spread_rig *g, struct pf_rng *rng)
+{
+	struct pf_spread_msg m = { .type = PF_SPREAD_CONFIG };
+	uint32_t to = pf_rng_below(rng, PROCS);
+
+	m.u.config.base = 1 + pf_rng_below(rng, 300);
+	m.u.config.revision = pf_rng_below(rng, 300);
+	m.u.config.digest = pf_rng_below(rng, 300);
+	m.u.config.text = PF_STR("-model model-001@1\n");
+	spread_rig_forge(g, (to + 1) % PROCS, to, &m);
+}
+
+static void act(struct spread_rig *g, struct pf_rng *rng, bool *apart)
+{
+	uint32_t i = pf_rng_below(rng, PROCS);
+	struct spread_rig_proc *p = spread_rig_proc(g, i);
+
+	switch (pf_rng_below(rng, 12)) {
+	case 0:
+	case 1:
+	case 2:
+		if (spread_rig_head(g) + 2 < SPREAD_RIG_REVISIONS)
+			spread_rig_accept(g, pf_rng_below(rng, ENTRIES));
+		break;
+	case 3:
+		spread_rig_kill(g, i);
+		break;
+	case 4:
+	case 5:
+		if (!p->up)
+			spread_rig_restart(g, i);
+		break;
+	case 6:
+		p->paused_until = spread_rig_now(g) + pf_rng_below(rng, 20000);
+		break;
+	case 7:
+		spread_rig_table(g, pf_rng_below(rng, 2), false);
+		break;
+	case 8:
+		spread_rig_table(g, false, pf_rng_below(rng, 2));
+		break;
+	case 9:
+		*apart = !*apart;
+		spread_rig_partition(g, *apart);
+		break;
+	case 10:
+		spread_rig_prune(g);
+		break;
+	default:
+		forge_delta(g, rng);
+		break;
+	}
+}
+
+static void settle(struct spread_rig *g, struct pf_rng *rng,
+		   struct fuzz_result *r)
+{
+	bool held = false;
+
+	spread_rig_partition(g, false);
+	spread_rig_loss(g, 0);
+	for (uint32_t i = 0; i < PROCS; i++) {
+		spread_rig_proc(g, i)->paused_until = 0;
+		held |= spread_rig_proc(g, i)->up &&
+			spread_rig_proc(g, i)->adopted == spread_rig_head(g);
+	}
+	/* With the head at one process, the table is not needed. */
+	spread_rig_table(g, held && pf_rng_below(rng, 2), false);
+	for (uint32_t i = 0; i < PROCS; i++)
+		if (!spread_rig_proc(g, i)->up)
+			spread_rig_restart(g, i);
+	spread_rig_run(g, spread_rig_now(g) + SETTLE_MS);
+	if (!spread_rig_converged(g))
+		fuzz_violation(r, "not all are at revision %llu",
+			       (unsigned long long)spread_rig_head(g));
+}
+
+void fuzz_spread(uint64_t seed, uint32_t steps_max, struct fuzz_result *r)
+{
+	struct spread_rig *g;
+	struct pf_rng rng;
+	bool apart = false;
+
+	pf_rng_seed(&rng, seed);
+	g = make(&rng, seed);
+	for (uint32_t i = 0; i < steps_max && !r->violations; i++) {
+		act(g, &rng, &apart);
+		spread_rig_run(g, spread_rig_now(g) + pf_rng_below(&rng, 1500));
+		r->steps++;
+		if (spread_rig_stats(g)->violations)
+			fuzz_violation(r, "%s", spread_rig_stats(g)->what);
+	}
+	settle(g, &rng, r);
+	if (spread_rig_stats(g)->violations)
+		fuzz_violation(r, "%s", spread_rig_stats(g)->what);
+	spread_rig_free(g);
+}
--- /dev/null
+++ b/src/coordination/spread.c
@@ -0,0 +1,342 @@
+/* Spread core: peers, heartbeats, and the steps. */
+#include "pimentoford/spread.h"
+
+#include "src/coordination/spread_internal.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+/* Bytes of a head with its frame, as a session sends it. */
+#define HEAD_BYTES 140
+#define BACKOFF_SHIFT_MAX 10
+
+void pf_spread_opts_default(struct pf_spread_opts *o)
+{
+	*o = (struct pf_spread_opts){
+		.relays = 2,
+		.peers_max = 4096,
+		.members_max = 4096,
+		.history_max = 512,
+		.cold_peers = 3,
+		.cold_wait = 1000,
+		.poll = 1000,
+		.stale = 4000,
+		.read_timeout = 4000,
+		.beat = 1000,
+		.beat_bytes = 1000,
+		.far_beats = 4,
+		.pull_timeout = 400,
+		.far_after = 2500,
+		.backoff_min = 50,
+		.backoff_max = 8000,
+	};
+}
+
+static bool opts_valid(const struct pf_spread_opts *o)
+{
+	return o->self && o->region && o->relays && o->peers_max &&
+	       o->members_max && o->history_max && o->cold_peers &&
+	       o->poll > 0 && o->stale > 0 && o->read_timeout > 0 &&
+	       o->beat > 0 && o->beat_bytes && o->far_beats &&
+	       o->pull_timeout > 0 && o->backoff_min > 0 &&
+	       o->backoff_max >= o->backoff_min;
+}
+
+struct pf_spread *pf_spread_new(const struct pf_spread_opts *o, pf_ms now)
+{
+	struct pf_spread *s;
+
+	if (!opts_valid(o))
+		return NULL;
+	s = calloc(1, sizeof(*s));
+	if (!s)
+		return NULL;
+	s->opts = *o;
+	s->now = now;
+	pf_rng_seed(&s->rng, o->seed);
+	s->peers = calloc(o->peers_max, sizeof(*s->peers));
+	s->members = calloc(o->members_max, sizeof(*s->members));
+	if (pf_spread_set_init(&s->set, o->history_max) < 0 || !s->peers ||
+	    !s->members) {
+		pf_spread_free(s);
+		return NULL;
+	}
+	s->read_done = now - o->poll;
+	s->read_backoff = now;
+	s->table_at = PF_LONG_AGO;
+	s->pull_backoff = now;
+	s->behind_since = PF_NEVER;
+	s->cold_until = PF_NEVER;
+	s->beat_at = now + pf_rng_below(&s->rng, (uint32_t)o->beat);
+	pf_spread_rank(s);
+	return s;
+}
+
+void pf_spread_free(struct pf_spread *s)
+{
+	if (!s)
+		return;
+	pf_spread_set_free(&s->set);
+	pf_text_free(&s->scratch);
+	free(s->peers);
+	free(s->members);
+	free(s);
+}
+
+void pf_spread_emit(struct pf_spread *s, const struct pf_spread_act *a)
+{
+	s->sink->emit(s->sink->ctx, a);
+}
+
+pf_ms pf_spread_backoff(struct pf_spread *s, uint32_t fails)
+{
+	uint32_t shift = fails < BACKOFF_SHIFT_MAX ? fails : BACKOFF_SHIFT_MAX;
+	pf_ms t = s->opts.backoff_min << shift;
+
+	if (t > s->opts.backoff_max)
+		t = s->opts.backoff_max;
+	return t / 2 + pf_rng_below(&s->rng, (uint32_t)t + 1);
+}
+
+static struct pf_spread_peer *find(struct pf_spread *s, uint64_t id)
+{
+	for (uint32_t i = 0; i < s->n_peers; i++)
+		if (s->peers[i].id == id)
+			return &s->peers[i];
+	return NULL;
+}
+
+static void send_head(struct pf_spread *s, struct pf_spread_peer *p)
+{
+	struct pf_spread_act a = { .type = PF_SPREAD_SEND_HEAD, .peer = p->id };
+
+	a.u.head.revision = s->set.revision;
+	a.u.head.region = s->opts.region;
+	a.u.head.age = s->table_at == PF_LONG_AGO ? -1 : s->now - s->table_at;
+	p->told = s->set.revision;
+	p->told_at = s->now;
+	s->stats.heads_out++;
+	pf_spread_emit(s, &a);
+}
+
+void pf_spread_adopted(struct pf_spread *s)
+{
+	struct pf_spread_act a = { .type = PF_SPREAD_ADOPT };
+
+	s->stats.adopted++;
+	a.u.adopt.revision = s->set.revision;
+	a.u.adopt.set = &s->set.records;
+	pf_spread_emit(s, &a);
+	for (uint32_t i = 0; i < s->n_peers; i++) {
+		struct pf_spread_peer *p = &s->peers[i];
+		bool relays = p->entry && s->rank < s->opts.relays;
+
+		if (p->revision < s->set.revision &&
+		    (pf_spread_near(s, p) || relays))
+			send_head(s, p);
+	}
+}
+
+static void peer_up(struct pf_spread *s, const struct pf_spread_msg *m)
+{
+	struct pf_spread_peer *p = find(s, m->peer);
+
+	if (!p) {
+		if (s->n_peers >= s->opts.peers_max)
+			return;
+		p = &s->peers[s->n_peers++];
+	}
+	*p = (struct pf_spread_peer){ .id = m->peer, .entry = m->u.entry };
+	send_head(s, p);
+	pf_spread_rank(s);
+}
+
+static void peer_down(struct pf_spread *s, uint64_t id)
+{
+	struct pf_spread_peer *p = find(s, id);
+
+	if (!p)
+		return;
+	*p = s->peers[--s->n_peers];
+	if (s->pull_peer == id)
+		s->pull_peer = 0;
+	pf_spread_rank(s);
+}
+
+static void on_head(struct pf_spread *s, const struct pf_spread_msg *m)
+{
+	struct pf_spread_peer *p = find(s, m->peer);
+	const struct pf_spread_head *h = &m->u.head;
+	bool first;
+
+	if (!p)
+		return;
+	first = !p->heard;
+	p->heard = true;
+	p->region = h->region;
+	/* A process that started anew may name less than before. */
+	p->revision = h->revision;
+	if (first)
+		pf_spread_rank(s);
+	if (pf_spread_near(s, p) && h->age >= 0 &&
+	    s->now - h->age > s->table_at)
+		s->table_at = s->now - h->age;
+	if (p->revision >= s->set.revision)
+		return;
+	s->stats.behind += p->revision > 0;
+	/* It missed what it was told, or has just started. */
+	if (p->told < s->set.revision ||
+	    s->now - p->told_at >= s->opts.pull_timeout)
+		send_head(s, p);
+}
+
+static void on_pull(struct pf_spread *s, const struct pf_spread_msg *m)
+{
+	struct pf_spread_act a = { .type = PF_SPREAD_SEND_CONFIG,
+				   .peer = m->peer };
+	struct pf_spread_peer *p = find(s, m->peer);
+
+	if (!p || m->u.revision >= s->set.revision)
+		return;
+	a.u.config = pf_spread_set_since(&s->set, m->u.revision, &s->scratch);
+	if (a.u.config.base)
+		s->stats.deltas_out++;
+	else
+		s->stats.wholes_out++;
+	pf_spread_emit(s, &a);
+}
+
+static void on_members(struct pf_spread *s, const struct pf_spread_msg *m)
+{
+	s->has_members = true;
+	s->n_members = m->u.members.n < s->opts.members_max
+			       ? m->u.members.n
+			       : s->opts.members_max;
+	if (s->n_members)
+		memcpy(s->members, m->u.members.ids,
+		       s->n_members * sizeof(*s->members));
+	pf_spread_rank(s);
+}
+
+static void beat(struct pf_spread *s)
+{
+	pf_ms every =
+		(pf_ms)s->n_peers * HEAD_BYTES * 1000 / s->opts.beat_bytes;
+
+	if (s->now < s->beat_at)
+		return;
+	if (every < s->opts.beat)
+		every = s->opts.beat;
+	s->beat_at = s->now + every * 3 / 4 +
+		     pf_rng_below(&s->rng, (uint32_t)(every / 2 + 1));
+	s->beats++;
+	for (uint32_t i = 0; i < s->n_peers; i++) {
+		struct pf_spread_peer *p = &s->peers[i];
+
+		if (!p->heard || pf_spread_near(s, p) ||
+		    s->beats % s->opts.far_beats == 0)
+			send_head(s, p);
+	}
+}
+
+static void handle(struct pf_spread *s, const struct pf_spread_msg *m)
+{
+	switch (m->type) {
+	case PF_SPREAD_PEER_UP:
+		peer_up(s, m);
+		break;
+	case PF_SPREAD_PEER_DOWN:
+		peer_down(s, m->peer);
+		break;
+	case PF_SPREAD_HEAD:
+		on_head(s, m);
+		break;
+	case PF_SPREAD_PULL:
+		on_pull(s, m);
+		break;
+	case PF_SPREAD_CONFIG:
+		pf_spread_config(s, m);
+		break;
+	case PF_SPREAD_MEMBERS:
+		on_members(s, m);
+		break;
+	case PF_SPREAD_SEEN:
+		if (m->u.revision > s->seen)
+			s->seen = m->u.revision;
+		break;
+	case PF_SPREAD_TABLE_HEAD:
+	case PF_SPREAD_TABLE_CHANGES:
+	case PF_SPREAD_TABLE_SET:
+		pf_spread_table(s, m);
+		break;
+	case PF_SPREAD_TICK:
+		beat(s);
+		break;
+	}
+}
+
+void pf_spread_step(struct pf_spread *s, pf_ms now,
+		    const struct pf_spread_msg *m,
+		    const struct pf_spread_sink *sink)
+{
+	uint64_t before = s->set.revision;
+
+	if (now > s->now)
+		s->now = now;
+	s->sink = sink;
+	handle(s, m);
+	pf_spread_read(s);
+	pf_spread_pull(s);
+#ifndef PF_MUTANT_SPREAD_BACK
+	PF_INVARIANT("a configuration never reverts",
+		     s->set.revision >= before);
+#else
+	(void)before;
+#endif
+	s->sink = NULL;
+}
+
+pf_ms pf_spread_next(const struct pf_spread *s)
+{
+	pf_ms t = s->beat_at;
+	pf_ms r = pf_spread_read_next(s);
+	pf_ms p = pf_spread_pull_next(s);
+
+	if (r < t)
+		t = r;
+	return p < t ? p : t;
+}
+
+uint64_t pf_spread_revision(const struct pf_spread *s)
+{
+	return s->set.revision;
+}
+
+static int by_id(const void *a, const void *b)
+{
+	uint64_t x = pf_id2(*(const uint64_t *)a, 0);
+	uint64_t y = pf_id2(*(const uint64_t *)b, 0);
+
+	return x < y ? -1 : x > y;
+}
+
+uint32_t pf_spread_neighbours(uint64_t *ids, uint32_t n, uint64_t self,
+			      uint64_t *out, uint32_t max)
+{
+	uint32_t me = 0;
+	uint32_t k = 0;
+
+	if (n == 0)
+		return 0;
+	qsort(ids, n, sizeof(*ids), by_id);
+	while (me < n && ids[me] != self)
+		me++;
+	for (uint32_t step = 1; step < n && k < max; step *= 2)
+		out[k++] = ids[(me + step) % n];
+	return k;
+}
+
+void pf_spread_stats(const struct pf_spread *s, struct pf_spread_stats *st)
+{
+	*st = s->stats;
+}
