Membership core: list and heartbeats joined, bounded subsets of sessions

Faults found by it: a leaving or gone agent whose session was given up was never met again after its restart; the bound on sessions could cost a model. Conclusion: not yet wired.

--- a/src/coordination/member.c
+++ b/src/coordination/member.c
@@ -194,7 +194,7 @@
 		return;
 	x->state = s;
 	/* A suspect keeps its place: it mostly comes back. */
-	if (counted != (s != PF_MEMBER_LEAVING && s != PF_MEMBER_GONE))
+	if (counted != pf_member_counts(x))
 		m->dirty = true;
 	pf_member_emit(m, PF_MEMBER_STATE, x);
 }
@@ -243,6 +243,7 @@
 		return;
 	x->up = true;
 	x->heard_at = m->now;
+	m->dirty = m->dirty || !pf_member_counts(x);
 	settle(m, x);
 }
 
@@ -265,6 +266,7 @@
 	if (!x)
 		return;
 	x->up = false;
+	m->dirty = m->dirty || !pf_member_counts(x);
 	settle(m, x);
 }
 
@@ -306,9 +308,11 @@
  * The list lags: its word "leaving" counts for the incarnation that is known
  * when it first says so; for a later one only while it still says so.
  */
-static void listed(struct pf_member_one *x, const struct pf_member_node *node)
+static void listed(struct pf_member *m, struct pf_member_one *x,
+		   const struct pf_member_node *node)
 {
-	if (node->leaving && !x->list_leaving)
+	m->dirty = m->dirty || node->leaving != x->list_leaving;
+	if (node->leaving && !x->list_leaving && x->incarnation)
 		x->leaving = true;
 #ifdef PF_MUTANT_MEMBER_TAKEN_BACK
 	if (!node->leaving)
@@ -332,7 +336,7 @@
 		struct pf_member_one *x = get(m, node->id, node->role);
 
 		if (x)
-			listed(x, node);
+			listed(m, x, node);
 	}
 	for (uint32_t i = 0; i < m->n; i++)
 		if (!m->v[i].listed)
@@ -473,7 +477,7 @@
 bool pf_member_covers(const struct pf_member *m, uint64_t model)
 {
 	for (uint32_t i = 0; i < m->n; i++)
-		if (m->v[i].id && m->v[i].wanted &&
+		if (m->v[i].wanted && pf_member_counts(&m->v[i]) &&
 		    pf_member_has_model(&m->v[i], model))
 			return true;
 	return false;
--- a/src/coordination/member_internal.h
+++ b/src/coordination/member_internal.h
@@ -62,6 +62,8 @@
 void pf_member_pick(struct pf_member *m);
 /** Lets go of sessions that have not been wanted for long. */
 void pf_member_let_go(struct pf_member *m);
+/** Whether @x is neither leaving nor gone. */
+bool pf_member_counts(const struct pf_member_one *x);
 bool pf_member_has_model(const struct pf_member_one *x, uint64_t model);
 
 #endif
--- a/src/coordination/member_pick.c
+++ b/src/coordination/member_pick.c
@@ -15,12 +15,18 @@
 	return region && region == agent->region ? SAME_REGION : FAR;
 }
 
-static bool counts(const struct pf_member_one *x)
+bool pf_member_counts(const struct pf_member_one *x)
 {
 	return x->id && x->state != PF_MEMBER_LEAVING &&
 	       x->state != PF_MEMBER_GONE;
 }
 
+/* Its process has ended; a new one may come in its place at any time. */
+static bool may_return(const struct pf_member_one *x)
+{
+	return !pf_member_counts(x) && !x->up && !x->list_leaving;
+}
+
 bool pf_member_has_model(const struct pf_member_one *x, uint64_t model)
 {
 	uint32_t lo = 0;
@@ -54,7 +60,7 @@
 		const struct pf_member_one *x = &m->v[i];
 		enum distance d;
 
-		if (!counts(x) || x->role != PF_MEMBER_ENTRY ||
+		if (!pf_member_counts(x) || x->role != PF_MEMBER_ENTRY ||
 		    x->id == m->opts.self)
 			continue;
 		d = distance(agent, x->zone, x->region);
@@ -117,7 +123,9 @@
 		x->was_wanted = x->wanted;
 		x->wanted = false;
 		x->extra = false;
-		if (!counts(x) || x->role != PF_MEMBER_AGENT || !x->declared)
+		if (!x->id || x->role != PF_MEMBER_AGENT || !x->declared)
+			continue;
+		if (!pf_member_counts(x) && !may_return(x))
 			continue;
 		m->order[n].rank = rank_of(m, x);
 		m->order[n++].slot = i;
@@ -143,31 +151,56 @@
 	for (uint32_t i = 0; i < n; i++) {
 		struct pf_member_one *x = &m->v[m->order[i].slot];
 
-		if (x->wanted || !pf_member_has_model(x, m->models[model]))
+		if (x->wanted || !pf_member_counts(x) ||
+		    !pf_member_has_model(x, m->models[model]))
 			continue;
 		take(m, x, true);
 		return;
 	}
 }
 
-static void choose(struct pf_member *m, uint32_t n)
+static bool adds_model(const struct pf_member *m, const struct pf_member_one *x)
 {
-	uint32_t room = m->opts.sessions;
+	for (uint32_t k = 0; k < m->n_models; k++)
+		if (!m->covered[k] && pf_member_has_model(x, m->models[k]))
+			return true;
+	return false;
+}
 
-	/* Some sessions are left for models that would be missing. */
-	if (n > room)
-		room -= room / 4;
-	for (uint32_t i = 0; i < n && m->stats.wanted < room; i++) {
+/* Takes own agents, at first only those that add a model. */
+static void take_own(struct pf_member *m, uint32_t n, bool adding)
+{
+	for (uint32_t i = 0; i < n && m->stats.wanted < m->opts.sessions; i++) {
 		struct pf_member_one *x = &m->v[m->order[i].slot];
 
-		if (holds(m, x))
+		if (!x->wanted && pf_member_counts(x) &&
+		    (!adding || adds_model(m, x)) && holds(m, x))
 			take(m, x, false);
 	}
+}
+
+/* Only a session shows that a process has returned; trying costs no more. */
+static void try_ended(struct pf_member *m, uint32_t n)
+{
+	for (uint32_t i = 0; i < n; i++) {
+		struct pf_member_one *x = &m->v[m->order[i].slot];
+
+		if (may_return(x) && (holds(m, x) || adds_model(m, x)))
+			x->wanted = true;
+	}
+}
+
+/* Models first, so that the bound never costs one. */
+static void choose(struct pf_member *m, uint32_t n)
+{
+	take_own(m, n, true);
 #ifndef PF_MUTANT_MEMBER_COVER
 	for (uint32_t k = 0; k < m->n_models; k++)
 		if (!m->covered[k] && m->stats.wanted < m->opts.sessions)
 			cover(m, n, k);
 #endif
+	take_own(m, n, false);
+	try_ended(m, n);
 }
 
 static void tell(struct pf_member *m, struct pf_member_one *x)
