--- a/src/coordination/member_pick.c
+++ b/src/coordination/member_pick.c
@@ -151,6 +151,9 @@
 	for (uint32_t i = 0; i < n; i++) {
 		struct pf_member_one *x = &m->v[m->order[i].slot];
 
+#ifdef PF_MUTANT_MEMBER_COVER
+		break;
+#endif
 		if (x->wanted || !pf_member_counts(x) ||
 		    !pf_member_has_model(x, m->models[model]))
 			continue;
@@ -194,11 +197,9 @@
 static void choose(struct pf_member *m, uint32_t n)
 {
 	take_own(m, n, true);
-#ifndef PF_MUTANT_MEMBER_COVER
 	for (uint32_t k = 0; k < m->n_models; k++)
 		if (!m->covered[k] && m->stats.wanted < m->opts.sessions)
 			cover(m, n, k);
-#endif
 	take_own(m, n, false);
 	try_ended(m, n);
 }
--- /dev/null
+++ b/tests/test_member.cc
@@ -0,0 +1,340 @@
+// Membership: states, incarnations, signs of leaving, subsets of sessions.
+#include "pimentoford/member.h"
+
+#include <gtest/gtest.h>
+
+#include <map>
+#include <set>
+#include <vector>
+
+namespace
+{
+
+constexpr uint64_t SELF = 1000;
+
+struct Core {
+	struct pf_member *m;
+	pf_ms now = 0;
+	std::set<uint64_t> linked;
+	std::vector<enum pf_member_state> states; // of agent 1
+
+	explicit Core(uint64_t self = SELF, uint32_t holders = 2,
+		      uint32_t sessions = 64)
+	{
+		struct pf_member_opts o;
+
+		pf_member_opts_default(&o);
+		o.self = self;
+		o.zone = 1 + (self - SELF) % 3;
+		o.region = 9;
+		o.holders = holders;
+		o.sessions = sessions;
+		m = pf_member_new(&o);
+	}
+	~Core()
+	{
+		pf_member_free(m);
+	}
+	static void emit(void *ctx, const struct pf_member_act *a)
+	{
+		Core *c = static_cast<Core *>(ctx);
+
+		if (a->type == PF_MEMBER_CONNECT)
+			c->linked.insert(a->id);
+		else if (a->type == PF_MEMBER_DISCONNECT)
+			c->linked.erase(a->id);
+		else if (a->id == 1)
+			c->states.push_back(a->u.state);
+	}
+	void step(const struct pf_member_msg &msg)
+	{
+		struct pf_member_sink s = { emit, this };
+
+		pf_member_step(m, now, &msg, &s);
+	}
+	void say(enum pf_member_msg_type t, uint64_t incarnation,
+		 uint64_t id = 1)
+	{
+		struct pf_member_msg msg = {};
+
+		msg.type = t;
+		msg.id = id;
+		msg.u.up.incarnation = incarnation;
+		msg.u.up.role = PF_MEMBER_AGENT;
+		step(msg);
+	}
+	void nodes(enum pf_member_msg_type t, uint64_t agents, uint64_t entries,
+		   bool leaving = false, uint64_t skip = 0)
+	{
+		std::vector<struct pf_member_node> v;
+		struct pf_member_msg msg = {};
+
+		for (uint64_t i = 1; i <= agents; i++)
+			if (i != skip)
+				v.push_back({ i, PF_MEMBER_AGENT, 1 + i % 3, 9,
+					      leaving && i == 1 });
+		for (uint64_t i = 0; i < entries; i++)
+			v.push_back({ SELF + i, PF_MEMBER_ENTRY, 1 + i % 3, 9,
+				      false });
+		msg.type = t;
+		msg.u.nodes.v = v.data();
+		msg.u.nodes.n = (uint32_t)v.size();
+		step(msg);
+	}
+	void models(enum pf_member_msg_type t, std::vector<uint64_t> ids,
+		    uint64_t id = 0)
+	{
+		struct pf_member_msg msg = {};
+
+		msg.type = t;
+		msg.id = id;
+		msg.u.models.ids = ids.data();
+		msg.u.models.n = (uint32_t)ids.size();
+		step(msg);
+	}
+	void run(pf_ms ms, uint64_t beating = 0)
+	{
+		for (pf_ms end = now + ms; now < end;) {
+			now += 250;
+			if (beating)
+				say(PF_MEMBER_BEAT, beating);
+			say(PF_MEMBER_TICK, 0);
+		}
+	}
+	enum pf_member_state state()
+	{
+		return pf_member_state(m, 1);
+	}
+};
+
+enum Do { UP, DOWN, BEAT, SIGN, LIST_LIVE, LIST_LEAVING, LIST_EMPTY, WAIT };
+
+struct Step {
+	Do what;
+	uint64_t n; // incarnation, or milliseconds
+};
+
+struct Case {
+	const char *name;
+	std::vector<Step> steps;
+	enum pf_member_state state;
+	bool usable;
+};
+
+const std::vector<Case> cases = {
+	{ "declared only", {}, PF_MEMBER_JOINING, false },
+	{ "session", { { UP, 3 } }, PF_MEMBER_LIVE, true },
+	{ "silent", { { UP, 3 }, { WAIT, 9000 } }, PF_MEMBER_SUSPECTED, false },
+	{ "silent, back",
+	  { { UP, 3 }, { WAIT, 9000 }, { BEAT, 3 } },
+	  PF_MEMBER_LIVE,
+	  true },
+	{ "session lost",
+	  { { UP, 3 }, { DOWN, 0 } },
+	  PF_MEMBER_SUSPECTED,
+	  false },
+	{ "lost for long",
+	  { { UP, 3 }, { DOWN, 0 }, { WAIT, 31000 } },
+	  PF_MEMBER_GONE,
+	  false },
+	{ "lost and dropped from the list",
+	  { { LIST_LIVE, 0 },
+	    { UP, 3 },
+	    { DOWN, 0 },
+	    { LIST_EMPTY, 0 },
+	    { WAIT, 5000 } },
+	  PF_MEMBER_GONE,
+	  false },
+	{ "list away for long",
+	  { { LIST_LIVE, 0 }, { UP, 3 }, { WAIT, 0 } },
+	  PF_MEMBER_LIVE,
+	  true },
+	{ "says that it leaves",
+	  { { UP, 3 }, { SIGN, 3 } },
+	  PF_MEMBER_LEAVING,
+	  false },
+	{ "listed as leaving",
+	  { { UP, 3 }, { LIST_LEAVING, 0 } },
+	  PF_MEMBER_LEAVING,
+	  false },
+	{ "list takes its word back",
+	  { { UP, 3 }, { LIST_LEAVING, 0 }, { LIST_LIVE, 0 }, { BEAT, 3 } },
+	  PF_MEMBER_LEAVING,
+	  false },
+	{ "own word, list says live",
+	  { { UP, 3 }, { SIGN, 3 }, { LIST_LIVE, 0 }, { BEAT, 3 } },
+	  PF_MEMBER_LEAVING,
+	  false },
+	{ "session again after its word",
+	  { { UP, 3 }, { SIGN, 3 }, { DOWN, 0 }, { UP, 3 } },
+	  PF_MEMBER_LEAVING,
+	  false },
+	{ "new incarnation",
+	  { { UP, 3 }, { SIGN, 3 }, { DOWN, 0 }, { UP, 4 } },
+	  PF_MEMBER_LIVE,
+	  true },
+	{ "new incarnation, the list lags",
+	  { { UP, 3 }, { LIST_LEAVING, 0 }, { DOWN, 0 }, { UP, 4 } },
+	  PF_MEMBER_LEAVING,
+	  false },
+	{ "new incarnation, the list has caught up",
+	  { { UP, 3 },
+	    { LIST_LEAVING, 0 },
+	    { DOWN, 0 },
+	    { UP, 4 },
+	    { LIST_LEAVING, 0 },
+	    { LIST_LIVE, 0 } },
+	  PF_MEMBER_LIVE,
+	  true },
+	{ "paused process beats after its successor",
+	  { { UP, 4 }, { WAIT, 9000 }, { BEAT, 3 } },
+	  PF_MEMBER_SUSPECTED,
+	  false },
+	{ "paused process leaves after its successor",
+	  { { UP, 4 }, { SIGN, 3 } },
+	  PF_MEMBER_LIVE,
+	  true },
+	{ "paused process connects after its successor",
+	  { { UP, 4 }, { DOWN, 0 }, { UP, 3 } },
+	  PF_MEMBER_SUSPECTED,
+	  false },
+};
+
+TEST(Member, States)
+{
+	for (const Case &c : cases) {
+		SCOPED_TRACE(c.name);
+		Core k;
+
+		k.nodes(PF_MEMBER_DECLARE, 1, 0);
+		for (const Step &s : c.steps) {
+			switch (s.what) {
+			case UP:
+				k.say(PF_MEMBER_UP, s.n);
+				break;
+			case DOWN:
+				k.say(PF_MEMBER_DOWN, 0);
+				break;
+			case BEAT:
+				k.say(PF_MEMBER_BEAT, s.n);
+				break;
+			case SIGN:
+				k.say(PF_MEMBER_SIGN, s.n);
+				break;
+			case LIST_LIVE:
+				k.nodes(PF_MEMBER_LIST, 1, 0);
+				break;
+			case LIST_LEAVING:
+				k.nodes(PF_MEMBER_LIST, 1, 0, true);
+				break;
+			case LIST_EMPTY:
+				k.nodes(PF_MEMBER_LIST, 0, 0);
+				break;
+			case WAIT:
+				k.run((pf_ms)s.n);
+				break;
+			}
+		}
+		EXPECT_STREQ(pf_member_state_text(k.state()),
+			     pf_member_state_text(c.state));
+		EXPECT_EQ(pf_member_usable(k.m, 1), c.usable);
+	}
+}
+
+// A rare heartbeat is waited for longer than a frequent one.
+TEST(Member, SuspicionFollowsTheRhythm)
+{
+	for (pf_ms every : { 250, 1000, 2500 }) {
+		Core k;
+
+		k.nodes(PF_MEMBER_DECLARE, 1, 0);
+		k.say(PF_MEMBER_UP, 1);
+		for (int i = 0; i < 60; i++) {
+			k.run(every);
+			k.say(PF_MEMBER_BEAT, 1);
+		}
+		EXPECT_EQ(k.state(), PF_MEMBER_LIVE);
+		k.run(2 * every);
+		EXPECT_EQ(k.state(), PF_MEMBER_LIVE);
+		k.run(10000);
+		EXPECT_EQ(k.state(), PF_MEMBER_SUSPECTED);
+	}
+}
+
+// An ended agent is tried again, or a new process would never be met.
+TEST(Member, EndedAgentsAreTried)
+{
+	Core k;
+
+	k.nodes(PF_MEMBER_DECLARE, 1, 0);
+	k.say(PF_MEMBER_UP, 3);
+	k.say(PF_MEMBER_SIGN, 3);
+	k.say(PF_MEMBER_DOWN, 0);
+	k.run(120000);
+	EXPECT_EQ(k.state(), PF_MEMBER_GONE);
+	EXPECT_EQ(k.linked.count(1), 1u);
+}
+
+TEST(Member, EveryAgentIsHeldAndFewMove)
+{
+	const uint64_t agents = 120, entries = 12;
+	std::map<uint64_t, std::set<uint64_t>> held[2];
+
+	for (int round = 0; round < 2; round++)
+		for (uint64_t e = 0; e < entries; e++) {
+			Core k(SELF + e);
+
+			k.nodes(PF_MEMBER_LIST, 0, entries);
+			k.nodes(PF_MEMBER_DECLARE, agents, 0, false,
+				round ? 77 : 0);
+			k.run(1000);
+			for (uint64_t a : k.linked)
+				held[round][a].insert(e);
+		}
+	for (uint64_t a = 1; a <= agents; a++) {
+		if (a != 77) {
+			EXPECT_EQ(held[0][a], held[1][a]) << a;
+		}
+		EXPECT_EQ(held[0][a].size(), 2u) << a;
+	}
+	EXPECT_TRUE(held[1][77].empty());
+}
+
+TEST(Member, EveryModelIsCoveredWithinTheBound)
+{
+	const uint64_t agents = 60;
+	Core k(SELF, 1, 16);
+	std::vector<uint64_t> all;
+
+	k.nodes(PF_MEMBER_LIST, 0, 12);
+	k.nodes(PF_MEMBER_DECLARE, agents, 0);
+	for (uint64_t i = 0; i < 24; i++)
+		all.push_back(100 + i);
+	k.models(PF_MEMBER_MODELS, all);
+	for (uint64_t a = 1; a <= agents; a++)
+		k.models(PF_MEMBER_HOLDS, { 100 + a % 24, 100 + (a * 7) % 24 },
+			 a);
+	k.run(1000);
+	for (uint64_t model : all)
+		EXPECT_TRUE(pf_member_covers(k.m, model)) << model;
+	struct pf_member_stats s;
+
+	pf_member_stats(k.m, &s);
+	EXPECT_LE(s.wanted, 16u);
+	EXPECT_EQ(s.uncovered, 0u);
+}
+
+TEST(Member, FullTableKeepsWhatItHas)
+{
+	struct pf_member_stats s;
+	Core k;
+
+	k.nodes(PF_MEMBER_DECLARE, 4200, 0);
+	pf_member_stats(k.m, &s);
+	EXPECT_EQ(s.members, 4096u);
+	EXPECT_EQ(s.full, 103u); // the core itself is no member
+	EXPECT_EQ(pf_member_state(k.m, 1), PF_MEMBER_JOINING);
+	EXPECT_EQ(pf_member_state(k.m, 4200), PF_MEMBER_GONE);
+}
+
+} // namespace
