Keep the pace between tokens: step model in the agent, batch cost in routing

Ruled out: placement alone (moves rose, misses stayed). Change: the agent learns the step time by models and runs in the batch, starts nothing that slows more streams past their expectation than it helps, and reports the batch it can carry; routing counts decoding at the agent's pace and what a further model costs the batch.

--- a/fuzz/fuzz_entry.c
+++ b/fuzz/fuzz_entry.c
@@ -612,14 +612,14 @@
 
 	for (uint32_t m = 0; m < MODELS && agent < ENGINES; m++) {
 		if (m == agent % MODELS || agent == 1)
-			v[n++] = (struct pf_item){ MODEL0 + m,
-						   PF_ITEM_RESIDENT };
+			v[n++] = (struct pf_item){ MODEL0 + m, PF_ITEM_RESIDENT,
+						   0 };
 	}
 	/* The other plain agent takes over the shards of a dead one. */
 	for (uint32_t s = 0; s < SHARDS && agent >= ENGINES; s++) {
 		if (s == agent - ENGINES || !w->agents[other].alive)
-			v[n++] = (struct pf_item){ SHARD0 + s,
-						   PF_ITEM_RESIDENT };
+			v[n++] = (struct pf_item){ SHARD0 + s, PF_ITEM_RESIDENT,
+						   0 };
 	}
 	return n;
 }
--- a/include/pimentoford/work.h
+++ b/include/pimentoford/work.h
@@ -100,6 +100,7 @@
 struct pf_item {
 	uint64_t id;
 	enum pf_item_state state;
+	uint32_t running; /* runs of the model at the engine */
 };
 
 /** An agent's load report. `items` is borrowed. */
@@ -110,7 +111,7 @@
 	uint32_t running; /* sequences in the batch */
 	uint32_t queued; /* admitted by the agent, not yet started */
 	uint32_t queue_max;
-	uint32_t batch_max;
+	uint32_t batch_max; /* at the pace that callers expect */
 	uint32_t started; /* tries taken in since the agent started */
 	int64_t kv_free; /* bytes neither allocated nor granted */
 	int64_t kv_total;
--- a/src/coordination/agent_report.c
+++ b/src/coordination/agent_report.c
@@ -12,6 +12,7 @@
 			continue;
 		a->report_items[n].id = a->items[i].id;
 		a->report_items[n].state = state;
+		a->report_items[n].running = a->items[i].running;
 		n++;
 	}
 	return n;
@@ -29,7 +30,7 @@
 	r->running = a->lists[RUN_RUNNING].n + a->lists[RUN_STOPPING].n;
 	r->queued = a->lists[RUN_QUEUED].n + a->lists[RUN_CLAIMING].n;
 	r->queue_max = a->o.queue_max;
-	r->batch_max = a->o.batch_max;
+	r->batch_max = pace_batch(a);
 	r->started = a->taken_in;
 	if (!is_plain(a)) {
 		r->kv_free = pf_ledger_spare(&a->ledger);
--- a/src/coordination/agent_tries.c
+++ b/src/coordination/agent_tries.c
@@ -39,11 +39,18 @@
 		r->state == RUN_STOPPING);
 }
 
+static bool at_engine_state(enum run_state s)
+{
+	return s == RUN_RUNNING || s == RUN_STOPPING;
+}
+
 static void unlink_run(struct pf_agent *a, struct run *r)
 {
 	struct list *l = &a->lists[r->state];
 
 	a->n_alone -= alone(r);
+	if (at_engine_state(r->state))
+		pace_hold(a, r, false);
 	if (r->prev != NIL)
 		a->runs[r->prev].next = r->next;
 	else
@@ -61,6 +68,8 @@
 	uint32_t i = run_slot(a, r);
 
 	a->n_alone += alone(r);
+	if (at_engine_state(r->state))
+		pace_hold(a, r, true);
 	r->prev = l->tail;
 	r->next = NIL;
 	if (l->tail != NIL)
--- a/src/coordination/entry_impl.h
+++ b/src/coordination/entry_impl.h
@@ -93,6 +93,7 @@
 struct pf_peer_item {
 	uint64_t id;
 	enum pf_item_state state;
+	uint32_t running; /* its runs, with own tries sent since */
 	pf_ms since;
 };
 
--- a/src/coordination/peers.c
+++ b/src/coordination/peers.c
@@ -156,6 +156,7 @@
 
 		v[n].id = r->items[i].id;
 		v[n].state = r->items[i].state;
+		v[n].running = r->items[i].running;
 		v[n++].since = kept ? old->since : e->now;
 	}
 	qsort(v, n, sizeof(*v), by_id);
@@ -219,6 +220,7 @@
 {
 	struct pf_peer *p = &e->peers[peer];
 	struct pf_request *r = &e->reqs[slot];
+	const struct pf_peer_item *item;
 
 	r->prev = PF_NIL;
 	r->next = p->head;
@@ -228,6 +230,9 @@
 	r->unseen = true;
 	p->inflight++;
 	p->unseen++;
+	item = pf_peers_item(p, r->work.model);
+	if (item)
+		((struct pf_peer_item *)item)->running++;
 }
 
 void pf_peers_ended(struct pf_entry *e, uint32_t peer, uint32_t slot)
--- a/src/coordination/route.c
+++ b/src/coordination/route.c
@@ -16,6 +16,12 @@
 #define SHARE_MS 4.0
 /* Service time of a try where none was measured. */
 #define SERVICE_MS 2000.0
+/* Time of a step where none was reported or nothing runs. */
+#define STEP_MS 25.0
+/* A further model in the batch slows a step by so much. */
+#define MODEL_STEP_MS 14.0
+/* How much that counts for each of the others that run there. */
+#define NEIGHBOUR_PART 0.1
 /* Prefill time of a token where none was reported. */
 #define PREFILL_MS 0.2
 /* Part of the prompt that a cached prefix is reckoned to cover. */
@@ -209,6 +215,24 @@
 	return need > (double)p->kv_free ? NO_KV_MS : 0;
 }
 
+/*
+ * Decoding at this agent's pace, slower still for all that run there if the
+ * model is not yet in its batch.
+ */
+static double pace_cost(const struct pf_entry *e, const struct pf_peer *p,
+			const struct pf_request *r)
+{
+	const struct pf_peer_item *i = pf_peers_item(p, r->work.model);
+	double step = p->step_ms > 0 ? p->step_ms : STEP_MS;
+	uint32_t load = pf_peers_load(p);
+
+	if (load == 0)
+		step = STEP_MS;
+	else if (!i || i->running == 0)
+		step += MODEL_STEP_MS * (1 + NEIGHBOUR_PART * load);
+	return step * pf_backlog_output(e, r);
+}
+
 static double cost(const struct pf_entry *e, const struct pf_peer *p,
 		   const struct pf_request *r, enum home h)
 {
@@ -218,7 +242,7 @@
 	prefill *= r->work.prompt_tokens;
 	if (pf_peers_prefix_has(e, p, r->work.prefix))
 		prefill *= 1 - PREFIX_PART;
-	c += prefill;
+	c += prefill + pace_cost(e, p, r);
 	if (!p->same_region)
 		c += REGION_MS;
 	else if (!p->same_zone)
--- a/src/protocol/pimento.x
+++ b/src/protocol/pimento.x
@@ -114,6 +114,7 @@
 struct pimento_item {
 	unsigned hyper id;
 	unsigned int state;
+	unsigned int running;
 };
 
 struct pimento_report {
--- a/src/protocol/pimento_xdr.c
+++ b/src/protocol/pimento_xdr.c
@@ -354,6 +354,8 @@
 		 return FALSE;
 	 if (!xdr_u_int (xdrs, &objp->state))
 		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->running))
+		 return FALSE;
 	return TRUE;
 }
 
--- a/src/protocol/pimento_xdr.h
+++ b/src/protocol/pimento_xdr.h
@@ -162,6 +162,7 @@
 struct pimento_item {
 	u_quad_t id;
 	u_int state;
+	u_int running;
 };
 typedef struct pimento_item pimento_item;
 
--- a/src/protocol/wire.c
+++ b/src/protocol/wire.c
@@ -204,6 +204,7 @@
 	for (i = 0; i < r->n_items; i++) {
 		(*items)[i].id = r->items[i].id;
 		(*items)[i].state = r->items[i].state;
+		(*items)[i].running = r->items[i].running;
 	}
 	x->items.items_val = *items;
 	return 0;
@@ -233,6 +234,7 @@
 			return -1;
 		d->items[i].id = x->items.items_val[i].id;
 		d->items[i].state = (enum pf_item_state)state;
+		d->items[i].running = x->items.items_val[i].running;
 	}
 	r->items = d->items;
 	r->n_items = n;
