--- a/bench/engine.c
+++ b/bench/engine.c
@@ -234,6 +234,22 @@
 						       : PF_END_STOP);
 }
 
+/* Reads prompts of one priority; what is left of the step's budget. */
+static uint32_t prefill(struct engine *e, uint8_t priority, uint32_t budget)
+{
+	for (uint32_t i = 0; i < RUNS_MAX; i++) {
+		struct run *r = &e->runs[i];
+		uint32_t part = r->prefill < budget ? r->prefill : budget;
+
+		if (!r->used || r->cancelled ||
+		    r->req->work.priority != priority)
+			continue;
+		r->prefill -= part;
+		budget -= part;
+	}
+	return budget;
+}
+
 static void step_end(struct engine *e)
 {
 	uint32_t steps = e->steps;
@@ -243,18 +259,11 @@
 	for (uint32_t i = 0; i < RUNS_MAX; i++) {
 		struct run *r = &e->runs[i];
 
-		if (!r->used || r->cancelled)
-			continue;
-		if (r->prefill) {
-			uint32_t part =
-				r->prefill < budget ? r->prefill : budget;
-
-			r->prefill -= part;
-			budget -= part;
-			continue;
-		}
-		produce(e, r, steps);
+		if (r->used && !r->cancelled && !r->prefill)
+			produce(e, r, steps);
 	}
+	for (uint8_t p = 0; p < PF_PRIORITIES; p++)
+		budget = prefill(e, p, budget);
 	step_begin(e);
 }
 
--- a/include/pimentoford/agent.h
+++ b/include/pimentoford/agent.h
@@ -49,8 +49,6 @@
 	double kv_quantile; /* for the learned policies, e.g. 0.8 */
 	uint32_t grant_step; /* tokens of one growth grant */
 	bool pause_long; /* may pause a long run for a short one */
-	bool keep_pace; /* starts nothing that slows running streams more
-			 * than their callers expect, if it helps less */
 	bool load_on_demand; /* load a missing model or adapter for a try */
 	uint32_t loads_max; /* loads in flight at this endpoint */
 };
--- a/include/pimentoford/entry.h
+++ b/include/pimentoford/entry.h
@@ -19,6 +19,7 @@
 	PF_ROUTE_ROUND_ROBIN,
 	PF_ROUTE_LEAST_LOAD, /* by the last report alone */
 	PF_ROUTE_TWO_CHOICES,
+	PF_ROUTE_LEAST_LOAD_ANY, /* wherever the model is resident or not */
 };
 
 struct pf_entry_opts {
--- a/include/pimentoford/work.h
+++ b/include/pimentoford/work.h
@@ -111,7 +111,7 @@
 	uint32_t running; /* sequences in the batch */
 	uint32_t queued; /* admitted by the agent, not yet started */
 	uint32_t queue_max;
-	uint32_t batch_max; /* at the pace that callers expect */
+	uint32_t batch_max;
 	uint32_t started; /* tries taken in since the agent started */
 	int64_t kv_free; /* bytes neither allocated nor granted */
 	int64_t kv_total;
--- a/src/coordination/agent.c
+++ b/src/coordination/agent.c
@@ -22,7 +22,6 @@
 		.kv_quantile = 0.5,
 		.grant_step = 64,
 		.load_on_demand = true,
-		.keep_pace = true,
 		.loads_max = 2,
 	};
 }
@@ -85,7 +84,6 @@
 	for (uint32_t i = 0; i < RUN_STATES; i++)
 		a->lists[i] = (struct list){ NIL, NIL, 0 };
 	pf_rng_seed(&a->rng, o->seed);
-	pace_init(&a->pace);
 	/* Order numbers rise over restarts, for engines that check them. */
 	a->order_seq = o->incarnation << 32;
 	a->order_base = a->order_seq;
--- a/src/coordination/agent_core.h
+++ b/src/coordination/agent_core.h
@@ -115,13 +115,6 @@
 	int64_t more;
 };
 
-/** Sums of the least squares that foresee the time of a step. */
-struct pace {
-	double mm, rr, mr, my, ry; /* models, runs, ms */
-	double model_ms, run_ms;
-	uint32_t skipped;
-};
-
 struct pf_agent {
 	struct pf_agent_opts o;
 	struct pf_rng rng;
@@ -161,8 +154,6 @@
 	bool drained;
 	bool dirty; /* something may start */
 	uint32_t n_hungry;
-	struct pace pace;
-	uint32_t n_active; /* models with runs at the engine */
 	uint32_t n_alone; /* suspects with a place; nothing starts beside */
 	uint64_t report_seq;
 	uint32_t taken_in; /* tries accepted since the start */
@@ -272,17 +263,6 @@
 /** Foresees the length of @r; called when it is queued. */
 void run_foresee(const struct pf_agent *a, struct run *r);
 
-/* agent_pace.c */
-void pace_init(struct pace *p);
-/** Learns from a token that took @ms. */
-void pace_sample(struct pf_agent *a, double ms);
-/** Counts the run at the engine, or no longer. */
-void pace_hold(struct pf_agent *a, const struct run *r, bool hold);
-/** Whether starting @r helps more streams than it slows too much. */
-bool pace_allows(struct pf_agent *a, const struct run *r);
-/** Runs that fit a batch at the pace that the running streams expect. */
-uint32_t pace_batch(struct pf_agent *a);
-
 /* agent_pause.c */
 /** Stops a long stream of at least @bytes if starting @r now is worth it. */
 bool pause_for(struct pf_agent *a, const struct run *r, int64_t bytes);
--- a/src/coordination/agent_queue.c
+++ b/src/coordination/agent_queue.c
@@ -12,7 +12,6 @@
 #define SLACK_MAX_MS 4000
 #define COST_SHARE 0.25 /* of the expected cost that counts as lateness */
 #define HOLD_MS 2000 /* then others wait for what can't get its memory */
-#define PACE_AGAIN_MS 100 /* until a run that would slow others is tried */
 #define MISSES_MAX 8 /* tries that lack memory before the rest must wait */
 #define STEP_GUESS_MS 30.0
 #define PREFILL_GUESS_MS 0.2
@@ -124,10 +123,6 @@
 		return NO_PLACE;
 	if (a->n_hungry > 0)
 		return NO_KV;
-	if (!pace_allows(a, r)) {
-		agent_arm(a, a->now + PACE_AGAIN_MS);
-		return NO_PLACE;
-	}
 	if (kv_admit(a, r) < 0) {
 		/* Nothing will end that could free memory: unload. */
 		if (busy == 0)
--- a/src/coordination/agent_report.c
+++ b/src/coordination/agent_report.c
@@ -30,7 +30,7 @@
 	r->running = a->lists[RUN_RUNNING].n + a->lists[RUN_STOPPING].n;
 	r->queued = a->lists[RUN_QUEUED].n + a->lists[RUN_CLAIMING].n;
 	r->queue_max = a->o.queue_max;
-	r->batch_max = pace_batch(a);
+	r->batch_max = a->o.batch_max;
 	r->started = a->taken_in;
 	if (!is_plain(a)) {
 		r->kv_free = pf_ledger_spare(&a->ledger);
--- a/src/coordination/agent_runs.c
+++ b/src/coordination/agent_runs.c
@@ -149,10 +149,8 @@
 
 	if (r->first && prompt > 0)
 		agent_average(&a->prefill_ms, ms / prompt);
-	if (!r->first && count > 0) {
+	else if (!r->first && count > 0)
 		agent_average(&a->step_ms, ms / count);
-		pace_sample(a, ms / count);
-	}
 	r->first = false;
 	r->bounced = 0;
 	r->token_at = a->now;
--- a/src/coordination/agent_tries.c
+++ b/src/coordination/agent_tries.c
@@ -44,13 +44,19 @@
 	return s == RUN_RUNNING || s == RUN_STOPPING;
 }
 
+static void count_running(struct pf_agent *a, const struct run *r, int by)
+{
+	if (r->model != NIL)
+		a->items[r->model].running += (uint32_t)by;
+}
+
 static void unlink_run(struct pf_agent *a, struct run *r)
 {
 	struct list *l = &a->lists[r->state];
 
 	a->n_alone -= alone(r);
 	if (at_engine_state(r->state))
-		pace_hold(a, r, false);
+		count_running(a, r, -1);
 	if (r->prev != NIL)
 		a->runs[r->prev].next = r->next;
 	else
@@ -69,7 +75,7 @@
 
 	a->n_alone += alone(r);
 	if (at_engine_state(r->state))
-		pace_hold(a, r, true);
+		count_running(a, r, 1);
 	r->prev = l->tail;
 	r->next = NIL;
 	if (l->tail != NIL)
--- a/src/coordination/route.c
+++ b/src/coordination/route.c
@@ -89,7 +89,8 @@
 	const struct pf_group *g = &e->groups[r->group];
 	const struct pf_peer_item *i;
 
-	if (r->work.flags & PF_WORK_PLAIN)
+	if ((r->work.flags & PF_WORK_PLAIN) ||
+	    e->opts.route == PF_ROUTE_LEAST_LOAD_ANY)
 		return RESIDENT;
 	i = pf_peers_item(p, g->model);
 	if (i && i->state == PF_ITEM_RESIDENT)
@@ -322,6 +323,7 @@
 	case PF_ROUTE_TWO_CHOICES:
 		return two_choices(e, n);
 	case PF_ROUTE_LEAST_LOAD:
+	case PF_ROUTE_LEAST_LOAD_ANY:
 	case PF_ROUTE_OURS:
 		break;
 	}
--- a/tests/entry_rig.h
+++ b/tests/entry_rig.h
@@ -210,6 +210,9 @@
 		m.u.report.started = taken[agent];
 		m.u.report.kv_free = 1000000;
 		m.u.report.ready = true;
+		// What runs is of the first model, unless the caller says so.
+		if (!items.empty() && items[0].running == 0)
+			items[0].running = running;
 		m.u.report.items = items.data();
 		m.u.report.n_items = (uint32_t)items.size();
 		step(m);
--- a/tests/test_entry_route.cc
+++ b/tests/test_entry_route.cc
@@ -157,6 +157,20 @@
 	EXPECT_EQ(arrive_sent(10, w).agent, AGENT_A);
 }
 
+// Another model in a batch slows all that run there.
+TEST_F(EntryRoute, AvoidsABatchOfAnotherModel)
+{
+	start();
+	up(AGENT_A);
+	report(AGENT_A,
+	       { { MODEL + 1, PF_ITEM_RESIDENT, 3 },
+		 { MODEL, PF_ITEM_RESIDENT } },
+	       3);
+	up(AGENT_B);
+	report(AGENT_B, { { MODEL, PF_ITEM_RESIDENT, 4 } }, 4);
+	EXPECT_EQ(arrive_sent(1, work()).agent, AGENT_B);
+}
+
 TEST_F(EntryRoute, LinkBytesAreBudgeted)
 {
 	start();
