--- a/src/coordination/backlog.c
+++ b/src/coordination/backlog.c
@@ -17,7 +17,7 @@
 /* Weight of a new sample of the output length. */
 #define LEARN_WEIGHT 0.05
 /* Weight of a request's own cost in its order: shorter ones go first. */
-#define COST_WEIGHT 0.25
+#define COST_WEIGHT 0.1
 /* A deferrable request goes ahead of new ones after so many age steps. */
 #define DEFER_STEPS 8
 
@@ -289,6 +289,11 @@
 	return out < r->work.max_tokens ? out : r->work.max_tokens;
 }
 
+pf_ms pf_backlog_first_cost(const struct pf_request *r)
+{
+	return (pf_ms)(STEP_MS + r->work.prompt_tokens * PREFILL_MS);
+}
+
 pf_ms pf_backlog_cost(const struct pf_entry *e, const struct pf_request *r)
 {
 	return (pf_ms)(pf_backlog_output(e, r) * STEP_MS +
--- a/src/coordination/backlog.h
+++ b/src/coordination/backlog.h
@@ -36,6 +36,9 @@
 /** Learns the output length of a whole answer. */
 void pf_backlog_learn(struct pf_entry *e, uint32_t group, uint32_t total);
 
+/** Milliseconds from the start to the first token, roughly. */
+pf_ms pf_backlog_first_cost(const struct pf_request *r);
+
 /** Milliseconds of service that a request is likely to need. */
 pf_ms pf_backlog_cost(const struct pf_entry *e, const struct pf_request *r);
 
--- a/src/coordination/entry.c
+++ b/src/coordination/entry.c
@@ -36,10 +36,10 @@
 		.stall_timeout = 5000,
 		.report_stale = 5000,
 		.age_step = 5000,
-		.overload_slack = 1.0,
+		.overload_slack = 0.8,
 		.quarantine_keep = 600000,
 		.crashes_max = 2,
-		.depth = 2,
+		.depth = 0,
 		.link_share = 0.25,
 	};
 }
--- a/src/coordination/entry_impl.h
+++ b/src/coordination/entry_impl.h
@@ -111,6 +111,7 @@
 	uint64_t seq;
 	pf_ms report_at;
 	uint32_t load; /* reported running and queued */
+	uint32_t queued; /* of them */
 	uint32_t batch_max;
 	uint32_t taken; /* reported `started` */
 	int64_t kv_free;
--- a/src/coordination/limits.c
+++ b/src/coordination/limits.c
@@ -197,24 +197,26 @@
 	e->accounts[account].alive--;
 }
 
-/* The latest start for the whole answer; the cost is only a rough guess. */
-static pf_ms whole_start(const struct pf_entry *e, const struct pf_request *r)
+/* The latest start for what is due then; the cost is only a rough guess. */
+static pf_ms latest_start(pf_ms arrived, pf_ms due, pf_ms cost)
 {
-	const struct pf_work *w = &r->work;
-	pf_ms least = w->arrived + (w->whole_due - w->arrived) / PATIENCE_PART;
-	pf_ms start = w->whole_due - pf_backlog_cost(e, r);
+	pf_ms least = arrived + (due - arrived) / PATIENCE_PART;
 
-	return start > least ? start : least;
+	if (due == PF_NEVER)
+		return PF_NEVER;
+	return due - cost > least ? due - cost : least;
 }
 
 /* How long the request may wait and still be as expected; PF_NEVER: any. */
 static pf_ms patience(const struct pf_entry *e, const struct pf_request *r)
 {
 	const struct pf_work *w = &r->work;
-	pf_ms due = w->first_due;
+	pf_ms first = latest_start(w->arrived, w->first_due,
+				   pf_backlog_first_cost(r));
+	pf_ms whole =
+		latest_start(w->arrived, w->whole_due, pf_backlog_cost(e, r));
+	pf_ms due = pf_ms_min(first, whole);
 
-	if (w->whole_due != PF_NEVER)
-		due = pf_ms_min(due, whole_start(e, r));
 	if (due == PF_NEVER || (w->flags & PF_WORK_DEFERRABLE))
 		return PF_NEVER;
 	return due > w->arrived ? due - w->arrived : 0;
--- a/src/coordination/peers.c
+++ b/src/coordination/peers.c
@@ -189,6 +189,7 @@
 	see(e, p, p->reported ? r->started - p->taken : r->started);
 	p->taken = r->started;
 	p->load = r->running + r->queued;
+	p->queued = r->queued;
 	p->ended = 0;
 }
 
@@ -256,8 +257,18 @@
 	return load > p->inflight ? load : p->inflight;
 }
 
+/* Tries that wait there for memory, although the batch has room. */
+static bool congested(const struct pf_entry *e, const struct pf_peer *p)
+{
+	uint32_t depth = e->opts.depth ? e->opts.depth : 1;
+
+	return p->queued > 0 && p->queued + p->unseen >= depth + p->ended;
+}
+
 bool pf_peers_room(const struct pf_entry *e, const struct pf_peer *p)
 {
+	if (congested(e, p))
+		return false;
 	return pf_peers_load(p) < p->batch_max + e->opts.depth;
 }
 
--- a/src/coordination/route.c
+++ b/src/coordination/route.c
@@ -13,7 +13,9 @@
 #define ZONE_MS 1.0
 #define REGION_MS 24.0
 /* Each sequence in a batch slows the others by so much over a request. */
-#define SHARE_MS 4.0
+#define SHARE_MS 20.0
+/* Weight of the time between tokens there: it lags and load counts too. */
+#define STEP_WEIGHT 0.1
 /* Service time of a try where none was measured. */
 #define SERVICE_MS 2000.0
 /* Prefill time of a token where none was reported. */
@@ -218,7 +220,7 @@
 	prefill *= r->work.prompt_tokens;
 	if (pf_peers_prefix_has(e, p, r->work.prefix))
 		prefill *= 1 - PREFIX_PART;
-	c += prefill;
+	c += prefill + STEP_WEIGHT * p->step_ms * pf_backlog_output(e, r);
 	if (!p->same_region)
 		c += REGION_MS;
 	else if (!p->same_zone)
