--- a/src/coordination/life.c
+++ b/src/coordination/life.c
@@ -1,6 +1,7 @@
-/* Life of a request. */
+/* Life of a request: what callers, agents and the clock say of it. */
 #include "src/coordination/life.h"
 
+#include "src/coordination/attempt.h"
 #include "src/coordination/backlog.h"
 #include "src/coordination/dispatch.h"
 #include "src/coordination/limits.h"
@@ -20,74 +21,6 @@
 /* Timers carried out in one step; the rest follow in the next. */
 #define TIMERS_MAX 256
 
-static struct pf_outcome outcome(enum pf_reason why, enum pf_ran ran,
-				 pf_ms after)
-{
-	return (struct pf_outcome){ why, ran, after };
-}
-
-/* The true state at this moment, with the try in flight. */
-static enum pf_ran ran_now(const struct pf_request *r)
-{
-	if (r->ran == PF_RAN || r->state == PF_REQ_RUNNING)
-		return PF_RAN;
-#ifndef PF_MUTANT_TIMEOUT_NOT_RUN
-	if (pf_req_in_flight(r))
-		return PF_RAN_UNKNOWN;
-#endif
-	return r->ran;
-}
-
-static void order(struct pf_entry *e, enum pf_entry_act_type type,
-		  const struct pf_request *r)
-{
-	struct pf_entry_act a = { .type = type };
-
-	a.agent = e->peers[r->peer].id;
-	a.u.id = (struct pf_try){ r->id, r->attempt };
-	pf_entry_emit(e, &a);
-}
-
-/* Takes a request out of whatever holds it. The agent may have room then. */
-static uint32_t release(struct pf_entry *e, uint32_t slot)
-{
-	struct pf_request *r = &e->reqs[slot];
-	uint32_t peer = PF_NIL;
-
-	if (pf_req_in_flight(r)) {
-		peer = r->peer;
-		pf_dispatch_detach(e, slot);
-	} else {
-		pf_dispatch_remove(e, slot);
-	}
-	return peer;
-}
-
-static void finish(struct pf_entry *e, uint32_t slot, struct pf_outcome o)
-{
-	uint32_t peer = release(e, slot);
-
-	pf_requests_end(e, slot, o);
-	if (peer != PF_NIL)
-		pf_dispatch_peer(e, peer);
-}
-
-/*
- * Stops the try in flight because its request ends. A never-repeat call that
- * began is left to finish, so that its outcome stays known at its owner.
- */
-static void abandon(struct pf_entry *e, const struct pf_request *r)
-{
-	if (!pf_req_in_flight(r))
-		return;
-	if (!pf_req_never_repeat(r)) {
-		order(e, PF_ENTRY_CANCEL, r);
-	} else if (r->state != PF_REQ_RUNNING) {
-		order(e, PF_ENTRY_REVOKE, r);
-		e->stats.revokes++;
-	}
-}
-
 static pf_ms stall_due(const struct pf_entry *e, const struct pf_request *r)
 {
 	if ((r->work.flags & PF_WORK_PLAIN) || pf_req_never_repeat(r))
@@ -139,7 +72,8 @@
 	no = pf_limits_overload(e, r);
 	if (no.reason != PF_REASON_NONE)
 		pf_requests_end(e, slot,
-				outcome(no.reason, PF_NOT_RUN, no.retry_after));
+				pf_outcome(no.reason, PF_NOT_RUN,
+					   no.retry_after));
 	else
 		pf_dispatch_enqueue(e, slot);
 }
@@ -151,8 +85,8 @@
 
 	if (slot == PF_NIL)
 		return;
-	abandon(e, &e->reqs[slot]);
-	peer = release(e, slot);
+	pf_attempt_abandon(e, &e->reqs[slot]);
+	peer = pf_attempt_release(e, slot);
 	pf_requests_drop(e, slot);
 	if (peer != PF_NIL)
 		pf_dispatch_peer(e, peer);
@@ -196,109 +130,6 @@
 		mark_started(e, slot);
 }
 
-enum why {
-	WHY_BUSY, /* the agent had no room: free, but not there again */
-	WHY_FAULT, /* a retry that counts */
-	WHY_ENDPOINT_LOST, /* counts, but does not end the request */
-	WHY_LEAVING, /* planned: free and at once */
-};
-
-static void avoid(struct pf_request *r, pf_ms until)
-{
-	int oldest = 0;
-
-	for (int i = 0; i < PF_AVOID_MAX; i++) {
-		if (r->avoid[i].peer == r->peer) {
-			oldest = i;
-			break;
-		}
-		if (r->avoid[i].until < r->avoid[oldest].until)
-			oldest = i;
-	}
-	r->avoid[oldest].peer = r->peer;
-	r->avoid[oldest].until = until;
-}
-
-/* Whether the budgets allow another try. */
-static bool charge(struct pf_entry *e, struct pf_request *r, enum why why)
-{
-	bool left;
-
-	if (why == WHY_BUSY || why == WHY_LEAVING)
-		return true;
-	e->stats.retries++;
-	left = pf_limits_retry(e, r->account, r->peer);
-	/* A lost endpoint amplifies nothing: its tries cannot be lost twice. */
-	if (why == WHY_ENDPOINT_LOST)
-		return true;
-	return left && ++r->retries < e->opts.attempts_max;
-}
-
-/* The try in flight is over and another is to follow. */
-static void again(struct pf_entry *e, uint32_t slot, enum why why, pf_ms after)
-{
-	struct pf_request *r = &e->reqs[slot];
-	bool resumed = r->state == PF_REQ_RUNNING;
-	uint32_t peer = r->peer;
-	pf_ms pause = 0;
-
-	pf_dispatch_detach(e, slot);
-	if (!charge(e, r, why)) {
-		pf_requests_end(e, slot,
-				outcome(PF_REASON_RETRY_BUDGET, r->ran,
-					e->opts.backoff_max));
-		pf_dispatch_peer(e, peer);
-		return;
-	}
-	e->stats.resumes += resumed;
-	if (why != WHY_LEAVING && !resumed) {
-		pause = pf_limits_backoff(e, r->pauses++);
-		if (pause < after)
-			pause = pf_ms_min(after, e->opts.backoff_max);
-	}
-	avoid(r, e->now + pause + e->opts.backoff_max);
-	if (pause)
-		pf_requests_due(e, slot, e->now + pause);
-	else
-		pf_dispatch_enqueue(e, slot);
-	pf_dispatch_peer(e, peer);
-}
-
-static void unknown(struct pf_entry *e, uint32_t slot)
-{
-	finish(e, slot, outcome(PF_REASON_OUTCOME_UNKNOWN, PF_RAN_UNKNOWN, 0));
-}
-
-/* The try may have begun and its outcome cannot be learned any more. */
-static void cut(struct pf_entry *e, uint32_t slot, enum why why)
-{
-	struct pf_request *r = &e->reqs[slot];
-
-	r->ran = ran_now(r);
-#ifndef PF_MUTANT_RETRY_NEVER_REPEAT
-	if (!pf_req_may_resend(r)) {
-		unknown(e, slot);
-		return;
-	}
-#endif
-	/* Answers of plain services cannot be continued in the middle. */
-	if ((r->work.flags & PF_WORK_PLAIN) && r->work.offset > 0) {
-		finish(e, slot, outcome(PF_REASON_LINK, r->ran, 0));
-		return;
-	}
-	again(e, slot, why, 0);
-}
-
-/* The try runs on but is of no use: stops it and goes on elsewhere. */
-static void replace(struct pf_entry *e, uint32_t slot)
-{
-	struct pf_request *r = &e->reqs[slot];
-
-	if (!pf_req_never_repeat(r))
-		order(e, PF_ENTRY_CANCEL, r);
-	cut(e, slot, WHY_FAULT);
-}
-
 static void deliver(struct pf_entry *e, struct pf_request *r, uint32_t skip,
 		    uint32_t count)
 {
@@ -327,7 +158,7 @@
 	mark_started(e, slot);
 	r = &e->reqs[slot];
 	if (offset > r->work.offset) {
-		replace(e, slot);
+		pf_attempt_replace(e, slot);
 		return;
 	}
 	skip = r->work.offset - offset;
@@ -367,18 +198,19 @@
 	mark_started(e, slot);
 	r = &e->reqs[slot];
 	if (m->u.done.error) {
-		finish(e, slot, outcome(PF_REASON_BACKEND, PF_RAN, 0));
+		pf_attempt_finish(e, slot,
+				  pf_outcome(PF_REASON_BACKEND, PF_RAN, 0));
 		return;
 	}
 	/* Pieces are missing: the rest is asked for again. */
 	if (m->u.done.total > r->work.offset) {
-		cut(e, slot, WHY_FAULT);
+		pf_attempt_cut(e, slot, PF_WHY_FAULT);
 		return;
 	}
 	learn(e, r);
 	if (r->work.flags & PF_WORK_SUSPECT)
 		pf_quarantine_absolve(e, r->work.fingerprint);
-	finish(e, slot, outcome(PF_REASON_NONE, PF_RAN, 0));
+	pf_attempt_finish(e, slot, pf_outcome(PF_REASON_NONE, PF_RAN, 0));
 }
 
 void pf_life_not_run(struct pf_entry *e, const struct pf_entry_msg *m)
@@ -397,36 +229,36 @@
 	switch (why) {
 	case PF_REASON_LEAVING:
 		p->leaving = true;
-		again(e, slot, WHY_LEAVING, 0);
+		pf_attempt_again(e, slot, PF_WHY_LEAVING, 0);
 		break;
 	case PF_REASON_FULL:
 		p->load = p->batch_max + e->opts.depth;
 		p->ended = 0;
-		again(e, slot, WHY_BUSY, after);
+		pf_attempt_again(e, slot, PF_WHY_BUSY, after);
 		break;
 	case PF_REASON_NOT_READY:
 		p->ready = false;
-		again(e, slot, WHY_BUSY, after);
+		pf_attempt_again(e, slot, PF_WHY_BUSY, after);
 		break;
 	case PF_REASON_NO_MEMORY:
 		pf_peers_unable(e, r->peer, r->group, e->now + UNABLE_MS);
-		again(e, slot, WHY_BUSY, after);
+		pf_attempt_again(e, slot, PF_WHY_BUSY, after);
 		break;
 	case PF_REASON_STORE_AWAY:
-		again(e, slot, WHY_BUSY, after);
+		pf_attempt_again(e, slot, PF_WHY_BUSY, after);
 		break;
 	case PF_REASON_NOT_RESIDENT:
 		pf_peers_unable(e, r->peer, r->group, e->now + UNABLE_MS);
-		again(e, slot, WHY_FAULT, after);
+		pf_attempt_again(e, slot, PF_WHY_FAULT, after);
 		break;
 	case PF_REASON_EXPIRED:
 	case PF_REASON_UNKNOWN_MODEL:
 	case PF_REASON_TOO_LONG:
 	case PF_REASON_QUARANTINED:
-		finish(e, slot, outcome(why, r->ran, after));
+		pf_attempt_finish(e, slot, pf_outcome(why, r->ran, after));
 		break;
 	default:
-		again(e, slot, WHY_FAULT, after);
+		pf_attempt_again(e, slot, PF_WHY_FAULT, after);
 	}
 }
 
@@ -435,7 +267,7 @@
 	uint32_t slot = current(e, m->agent, &m->u.id);
 
 	if (slot != PF_NIL && e->reqs[slot].state != PF_REQ_RUNNING)
-		again(e, slot, WHY_BUSY, 0);
+		pf_attempt_again(e, slot, PF_WHY_BUSY, 0);
 }
 
 /* Whether the crash of @attempt is news; a doubled message is not. */
@@ -455,13 +287,13 @@
 
 	(void)blame(&r->blamed, r->attempt);
 	if (pf_quarantine_crash(e, fp, r->peer, r->sent_at) == PF_QUARANTINED) {
-		finish(e, slot,
-		       outcome(PF_REASON_QUARANTINED, PF_RAN,
-			       e->opts.quarantine_keep));
+		pf_attempt_finish(e, slot,
+				  pf_outcome(PF_REASON_QUARANTINED, PF_RAN,
+					     e->opts.quarantine_keep));
 		pf_life_quarantined(e, fp);
 		return;
 	}
-	cut(e, slot, WHY_ENDPOINT_LOST);
+	pf_attempt_cut(e, slot, PF_WHY_ENDPOINT_LOST);
 }
 
 /*
@@ -504,17 +336,18 @@
 		crashed(e, slot);
 		break;
 	case PF_REASON_OUTCOME_UNKNOWN:
-		unknown(e, slot);
+		pf_attempt_unknown(e, slot);
 		break;
 	case PF_REASON_EXPIRED:
-		finish(e, slot, outcome(PF_REASON_EXPIRED, PF_RAN, 0));
+		pf_attempt_finish(e, slot,
+				  pf_outcome(PF_REASON_EXPIRED, PF_RAN, 0));
 		break;
 	case PF_REASON_LEAVING:
 		e->peers[e->reqs[slot].peer].leaving = true;
-		cut(e, slot, WHY_LEAVING);
+		pf_attempt_cut(e, slot, PF_WHY_LEAVING);
 		break;
 	default:
-		cut(e, slot, WHY_FAULT);
+		pf_attempt_cut(e, slot, PF_WHY_FAULT);
 	}
 }
 
@@ -525,7 +358,9 @@
 	p->linked = false;
 	p->reported = false;
 	while (p->head != PF_NIL)
-		cut(e, p->head, p->leaving ? WHY_LEAVING : WHY_ENDPOINT_LOST);
+		pf_attempt_cut(e, p->head,
+			       p->leaving ? PF_WHY_LEAVING
+					  : PF_WHY_ENDPOINT_LOST);
 }
 
 void pf_life_quarantined(struct pf_entry *e, uint64_t fingerprint)
@@ -538,19 +373,19 @@
 		next = r->fp_next;
 		if (pf_req_in_flight(r))
 			continue;
-		finish(e, slot,
-		       outcome(PF_REASON_QUARANTINED, r->ran,
-			       e->opts.quarantine_keep));
+		pf_attempt_finish(e, slot,
+				  pf_outcome(PF_REASON_QUARANTINED, r->ran,
+					     e->opts.quarantine_keep));
 	}
 }
 
 static void expire(struct pf_entry *e, uint32_t slot)
 {
 	struct pf_request *r = &e->reqs[slot];
-	enum pf_ran ran = ran_now(r);
+	enum pf_ran ran = pf_attempt_ran(r);
 
-	abandon(e, r);
-	finish(e, slot, outcome(PF_REASON_EXPIRED, ran, 0));
+	pf_attempt_abandon(e, r);
+	pf_attempt_finish(e, slot, pf_outcome(PF_REASON_EXPIRED, ran, 0));
 }
 
 static void give_up(struct pf_entry *e, uint32_t slot)
@@ -565,7 +400,8 @@
 	}
 	after = pf_limits_retry_after(e, r->group, r->work.priority);
 
-	finish(e, slot, outcome(PF_REASON_OVERLOAD, r->ran, after));
+	pf_attempt_finish(e, slot,
+			  pf_outcome(PF_REASON_OVERLOAD, r->ran, after));
 }
 
 static void revoke(struct pf_entry *e, uint32_t slot)
@@ -573,7 +409,7 @@
 	struct pf_request *r = &e->reqs[slot];
 
 	r->state = PF_REQ_REVOKING;
-	order(e, PF_ENTRY_REVOKE, r);
+	pf_attempt_order(e, PF_ENTRY_REVOKE, r);
 	e->stats.revokes++;
 	pf_requests_due(e, slot, e->now + e->opts.try_timeout);
 }
@@ -597,7 +433,7 @@
 		revoke(e, slot);
 		break;
 	case PF_REQ_RUNNING:
-		replace(e, slot);
+		pf_attempt_replace(e, slot);
 		break;
 	case PF_REQ_SUSPECT:
 		pf_requests_due(e, slot, PF_NEVER);
--- a/src/coordination/requests.h
+++ b/src/coordination/requests.h
@@ -14,6 +14,12 @@
 	pf_ms retry_after;
 };
 
+static inline struct pf_outcome pf_outcome(enum pf_reason reason,
+					   enum pf_ran ran, pf_ms retry_after)
+{
+	return (struct pf_outcome){ reason, ran, retry_after };
+}
+
 /** Takes memory for the requests. 0, or -1 when there is none. */
 int pf_requests_init(struct pf_entry *e);
 void pf_requests_free(struct pf_entry *e);
