--- a/daemons/entry/main.c
+++ b/daemons/entry/main.c
@@ -20,7 +20,7 @@
 
 	(void)fd;
 	(void)what;
-	if (!d->drained || !LIST_EMPTY(&d->requests))
+	if (!d->drained || !LIST_EMPTY(&d->requests) || !changes_idle(d))
 		return;
 	LIST_FOREACH(c, &d->conns, next)
 	{
@@ -92,7 +92,7 @@
 		       PF_KV_STR("why", strerror(errno)));
 		return -1;
 	}
-	return config_start(d);
+	return config_start(d) < 0 ? -1 : changes_start(d);
 }
 
 static void stop(struct daemon *d)
@@ -101,6 +101,7 @@
 	requests_stop(d);
 	links_stop(d);
 	core_stop(d);
+	changes_stop(d);
 	pf_config_reader_free(d->reader);
 	pf_table_free(d->table);
 	pf_config_free(d->config);
@@ -139,5 +140,6 @@
 	PF_LOG(&d.log, PF_LOG_INFO, "ended", PF_KV_INT("status", exit_status));
 	stop(&d);
 	pf_fields_free(&pf_entry_form, &d.set);
+	free(o.settings);
 	return exit_status;
 }
