Entry: keep models apart in batches; test of the hold-back

Cause: each further model in a batch slows all its runs; work of one model was spread over both homes. Change: an agent where none of the model's tries run costs 10 ms more for each expected output token.

--- a/src/coordination/route.c
+++ b/src/coordination/route.c
@@ -16,6 +16,8 @@
 #define SHARE_MS 20.0
 /* Weight of the time between tokens there: it lags and load counts too. */
 #define STEP_WEIGHT 0.1
+/* Time between tokens that a further model adds to a batch. */
+#define MIX_MS 10.0
 /* Service time of a try where none was measured. */
 #define SERVICE_MS 2000.0
 /* Prefill time of a token where none was reported. */
@@ -211,6 +213,17 @@
 	return need > (double)p->kv_free ? NO_KV_MS : 0;
 }
 
+/* None of the tries in flight there is of the request's model. */
+static bool mixes(const struct pf_entry *e, const struct pf_peer *p,
+		  const struct pf_request *r)
+{
+	uint32_t i = p->head;
+
+	while (i != PF_NIL && e->reqs[i].group != r->group)
+		i = e->reqs[i].next;
+	return i == PF_NIL && p->inflight > 0;
+}
+
 static double cost(const struct pf_entry *e, const struct pf_peer *p,
 		   const struct pf_request *r, enum home h)
 {
@@ -221,6 +234,8 @@
 	if (pf_peers_prefix_has(e, p, r->work.prefix))
 		prefill *= 1 - PREFIX_PART;
 	c += prefill + STEP_WEIGHT * p->step_ms * pf_backlog_output(e, r);
+	if (mixes(e, p, r))
+		c += MIX_MS * pf_backlog_output(e, r);
 	if (!p->same_region)
 		c += REGION_MS;
 	else if (!p->same_zone)
--- a/tests/entry_rig.h
+++ b/tests/entry_rig.h
@@ -198,10 +198,12 @@
 
 	void report(uint64_t agent, std::vector<pf_item> items,
 		    uint32_t running = 0, uint32_t batch = 8,
-		    uint64_t incarnation = 1)
+		    uint64_t incarnation = 1, uint32_t queued = 0)
 	{
 		pf_entry_msg m = msg(PF_ENTRY_REPORT, agent);
 
+		m.u.report.queued = queued;
+
 		m.u.report.agent = agent;
 		m.u.report.incarnation = incarnation;
 		m.u.report.seq = ++seq;
--- a/tests/test_entry_route.cc
+++ b/tests/test_entry_route.cc
@@ -121,6 +121,17 @@
 	EXPECT_EQ(spread(1, 5, work())[AGENT_A], (int)opts.depth);
 }
 
+TEST_F(EntryRoute, QueueThatWaitsForMemoryTakesNoMore)
+{
+	start();
+	up(AGENT_A);
+	report(AGENT_A, model, 4, 40, 1, 3);
+	arrive(1, work());
+	EXPECT_EQ(count(PF_ENTRY_TRY), 0u);
+	report(AGENT_A, model, 4, 40, 1, 0);
+	EXPECT_EQ(count(PF_ENTRY_TRY), 1u);
+}
+
 TEST_F(EntryRoute, OneAgentLoadsAMissingModelForAll)
 {
 	start();
@@ -157,6 +168,23 @@
 	EXPECT_EQ(arrive_sent(10, w).agent, AGENT_A);
 }
 
+TEST_F(EntryRoute, ModelsAreNotMixedInOneBatch)
+{
+	const std::vector<pf_item> both = { { MODEL, PF_ITEM_RESIDENT },
+					    { OTHER_MODEL, PF_ITEM_RESIDENT } };
+
+	start();
+	for (uint64_t a : { AGENT_A, AGENT_B }) {
+		up(a);
+		report(a, both);
+	}
+	uint64_t first = arrive_sent(1, work()).agent;
+	pf_work w = work();
+	w.model = OTHER_MODEL;
+	for (uint64_t id = 2; id < 6; id++)
+		EXPECT_NE(arrive_sent(id, w).agent, first);
+}
+
 TEST_F(EntryRoute, LinkBytesAreBudgeted)
 {
 	start();
