--- a/fuzz/fuzz_accept.c
+++ b/fuzz/fuzz_accept.c
@@ -312,6 +312,16 @@
 	pf_accept_step(w->cores[core], w->now, &m, &w->sinks[core]);
 }
 
+/* The operator may name another base when sending again. */
+static void resend(struct world *w, size_t i)
+{
+	struct asked *q = &w->asked[i];
+
+	if (q->has_base && !q->commits && pf_rng_below(&w->rng, 3) == 0)
+		q->base = q->base ? q->base - 1 : 0;
+	submit(w, i, true);
+}
+
 /* A new change, or one whose outcome the operator can't trust. */
 static void operator_acts(struct world *w)
 {
@@ -319,7 +329,7 @@
 
 	if (w->n_asked && pf_rng_below(&w->rng, 4) == 0) {
 		if (!w->asked[i].open)
-			submit(w, i, true);
+			resend(w, i);
 		return;
 	}
 	if (w->n_asked == CHANGES_MAX)
