Tests of HTTP client, table client and the daemons as processes

Cause: faults found by hand need tests: paths in two pieces, two requests in one write, chunks to HTTP/1.0, callers that leave, slow readers. Change: test_http_client.cc, test_daemons.cc; HTTP/1.0 streams end with the connection; a slow caller holds at most 16 KiB here and 64 KiB in the kernel; leaks at exit mended; requests bounded by connections.

--- a/daemons/entry/answer.c
+++ b/daemons/entry/answer.c
@@ -13,7 +13,7 @@
 #include <sys/uio.h>
 
 /* Beyond this many bytes at the socket, output waits. */
-#define SOCKET_BYTES ((size_t)64 << 10)
+#define SOCKET_BYTES ((size_t)16 << 10)
 #define HEADER_CHARS 32
 
 static void set_header(evhtp_request_t *req, const char *name,
@@ -125,7 +125,13 @@
 	r->head_sent = true;
 	set_header(r->http, "Content-Type", "text/event-stream");
 	set_header(r->http, "Cache-Control", "no-cache");
-	evhtp_send_reply_chunk_start(r->http, EVHTP_RES_OK);
+	if (r->http->proto == EVHTP_PROTO_10) {
+		/* The connection's end is the body's end. */
+		r->http->flags &= (uint16_t)~EVHTP_REQ_FLAG_KEEPALIVE;
+		evhtp_send_reply_start(r->http, EVHTP_RES_OK);
+	} else {
+		evhtp_send_reply_chunk_start(r->http, EVHTP_RES_OK);
+	}
 	pf_text_reset(t);
 	pf_oai_stream_open(&r->shape, t);
 	send_chunk(r, t);
@@ -137,7 +143,6 @@
 
 	send_chunk(r, &r->tail);
 	requests_free(r);
-	/* evhtp would end an HTTP/1.0 body in a chunk, too. */
 	if (http->flags & EVHTP_REQ_FLAG_CHUNKED)
 		evhtp_send_reply_chunk_end(http);
 	else
--- a/daemons/entry/main.c
+++ b/daemons/entry/main.c
@@ -78,6 +78,9 @@
 		       PF_KV_STR("file", d->set.place.key_file));
 		return -1;
 	}
+	/* A connection has one request at a time. */
+	if (d->set.core.requests_max > d->set.http.connections)
+		d->set.core.requests_max = d->set.http.connections;
 	d->id = pf_id(pf_str_c(d->set.place.name));
 	d->incarnation = pf_process_random();
 	pf_rng_seed(&d->rng, pf_process_random());
@@ -123,23 +126,28 @@
 			       &o, &status) < 0)
 		return status;
 	pf_entry_opts_default(&d.set.core);
+	status = PF_EXIT_SETTINGS;
 	if (pf_process_settings(&pf_entry_form, o.settings, &d.set,
 				&d.set.place) < 0)
-		return PF_EXIT_SETTINGS;
+		goto out;
+	status = EXIT_SUCCESS;
 	if (o.check)
-		return EXIT_SUCCESS;
+		goto out;
 	d.log = (struct pf_log){ STDERR_FILENO,
 				 (enum pf_log_level)d.set.place.log_level,
 				 "entry" };
+	status = EXIT_FAILURE;
 	if (start(&d) < 0)
-		return EXIT_FAILURE;
+		goto out;
 	PF_LOG(&d.log, PF_LOG_INFO, "started",
 	       PF_KV_STR("name", d.set.place.name),
 	       PF_KV_STR("http", d.set.listen));
 	event_base_dispatch(d.base);
-	PF_LOG(&d.log, PF_LOG_INFO, "ended", PF_KV_INT("status", exit_status));
+	status = exit_status;
+	PF_LOG(&d.log, PF_LOG_INFO, "ended", PF_KV_INT("status", status));
 	stop(&d);
+out:
 	pf_fields_free(&pf_entry_form, &d.set);
 	free(o.settings);
-	return exit_status;
+	return status;
 }
--- a/daemons/entry/server.c
+++ b/daemons/entry/server.c
@@ -13,6 +13,8 @@
 
 #define BACKLOG 1024
 #define LINGER_MS 1000
+/* What the kernel may hold for a caller that reads slowly. */
+#define SEND_BUFFER_BYTES (32 << 10)
 
 static struct timeval timeval_of(pf_ms ms)
 {
@@ -166,6 +168,7 @@
 	struct daemon *d = ctx;
 	struct timeval idle = timeval_of(d->set.http.read);
 	struct timeval write = timeval_of(d->set.http.write);
+	int bytes = SEND_BUFFER_BYTES;
 
 	if (!c)
 		return EVHTP_RES_ERROR;
@@ -179,6 +182,8 @@
 	/* A connection that sends nothing is closed, too. */
 	event_add(c->timer, &idle);
 	bufferevent_set_timeouts(http->bev, NULL, &write);
+	setsockopt(bufferevent_getfd(http->bev), SOL_SOCKET, SO_SNDBUF, &bytes,
+		   sizeof(bytes));
 	LIST_INSERT_HEAD(&d->conns, c, next);
 	d->n_conns++;
 	HOOK(c, evhtp_hook_on_read, on_body);
--- /dev/null
+++ b/tests/test_daemons.cc
@@ -0,0 +1,456 @@
+// The daemons as processes on loopback, with the stand-ins: what callers may
+// send and how it is answered, callers that leave, planned stops.
+#include <arpa/inet.h>
+#include <fcntl.h>
+#include <gtest/gtest.h>
+#include <netinet/in.h>
+#include <signal.h>
+#include <sys/socket.h>
+#include <sys/time.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include <cstdlib>
+#include <fstream>
+#include <map>
+#include <sstream>
+#include <string>
+#include <vector>
+
+namespace
+{
+std::string build()
+{
+	const char *b = getenv("PF_BUILD");
+
+	return b ? b : "build";
+}
+
+int dial(int port, int timeout_s)
+{
+	struct sockaddr_in sin = {};
+	struct timeval tv = { timeout_s, 0 };
+	int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+
+	sin.sin_family = AF_INET;
+	sin.sin_port = htons((uint16_t)port);
+	sin.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+	setsockopt(fd, SOL_SOCKET, SO_RCVTIMEO, &tv, sizeof(tv));
+	if (connect(fd, (struct sockaddr *)&sin, sizeof(sin)) == 0)
+		return fd;
+	close(fd);
+	return -1;
+}
+
+/* Everything until the peer closes, @until shows, or nothing comes. */
+std::string receive(int fd, const std::string &until)
+{
+	std::string all;
+	char buf[4096];
+	ssize_t n;
+
+	while ((n = recv(fd, buf, sizeof(buf), 0)) > 0) {
+		all.append(buf, (size_t)n);
+		if (!until.empty() && all.find(until) != std::string::npos)
+			break;
+	}
+	return all;
+}
+
+std::string get(int port, const std::string &path)
+{
+	int fd = dial(port, 5);
+
+	if (fd < 0)
+		return "";
+	std::string req = "GET " + path +
+			  " HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n";
+
+	send(fd, req.data(), req.size(), MSG_NOSIGNAL);
+	std::string got = receive(fd, "");
+
+	close(fd);
+	return got;
+}
+
+const std::string key = "Authorization: Bearer demo-caller-key\r\n";
+
+std::string post(const std::string &body, const std::string &version = "1.1")
+{
+	return "POST /v1/completions HTTP/" + version + "\r\nHost: x\r\n" +
+	       key + "Content-Length: " + std::to_string(body.size()) +
+	       "\r\n\r\n" + body;
+}
+
+std::string ask(int tokens, bool stream)
+{
+	return "{\"model\":\"triage\",\"prompt\":\"hi [len=" +
+	       std::to_string(tokens) + "]\",\"max_tokens\":4000" +
+	       (stream ? ",\"stream\":true}" : "}");
+}
+
+size_t count(const std::string &s, const std::string &word)
+{
+	size_t n = 0;
+
+	for (size_t at = 0; (at = s.find(word, at)) != std::string::npos;
+	     at += word.size())
+		n++;
+	return n;
+}
+
+/* Words in all events; tokens that waited may share an event. */
+size_t words_of(const std::string &stream)
+{
+	const std::string start = "\"text\":\"";
+	size_t n = 0;
+
+	for (size_t at = 0;
+	     (at = stream.find(start, at)) != std::string::npos;) {
+		at += start.size();
+		n += count(stream.substr(at, stream.find('"', at) - at), " ");
+	}
+	return n;
+}
+
+struct Daemons : testing::Test {
+	static std::string dir, prefix;
+	static std::map<std::string, pid_t> pids;
+
+	static int port(int last)
+	{
+		return std::stoi(prefix) * 100 + last;
+	}
+	static std::string addr(int last)
+	{
+		return "127.0.0.1:" + std::to_string(port(last));
+	}
+	static pid_t start(const std::string &name,
+			   std::vector<std::string> args)
+	{
+		std::vector<char *> argv;
+		std::string log = dir + "/" + name + ".log";
+
+		args[0] = build() + "/" + args[0];
+		for (std::string &a : args)
+			argv.push_back(&a[0]);
+		argv.push_back(nullptr);
+		pid_t pid = fork();
+
+		if (pid == 0) {
+			int fd = open(log.c_str(),
+				      O_CREAT | O_WRONLY | O_APPEND, 0600);
+
+			dup2(fd, 1);
+			dup2(fd, 2);
+			execv(argv[0], argv.data());
+			_exit(127);
+		}
+		return pid;
+	}
+	static int wait_for(pid_t pid)
+	{
+		int status = -1;
+
+		for (int i = 0; i < 1000; i++) {
+			if (waitpid(pid, &status, WNOHANG) == pid)
+				return WIFEXITED(status) ? WEXITSTATUS(status)
+							 : 1000;
+			usleep(10000);
+		}
+		kill(pid, SIGKILL);
+		waitpid(pid, &status, 0);
+		return 2000; /* it had to be killed */
+	}
+	static void copy_settings(const std::string &name)
+	{
+		std::ifstream in("deployments/demo/" + name + ".toml");
+		std::stringstream all;
+		std::string text;
+
+		all << in.rdbuf();
+		text = all.str();
+		for (size_t at = 0;
+		     (at = text.find("127.0.0.1:170", at)) != std::string::npos;
+		     at++)
+			text.replace(at, 13, "127.0.0.1:" + prefix);
+		std::ofstream(dir + "/" + name + ".toml") << text;
+	}
+	static void start_daemon(const std::string &name,
+				 const std::string &program)
+	{
+		copy_settings(name);
+		pids[name] = start(name, { program, "--settings",
+					   dir + "/" + name + ".toml" });
+	}
+	static bool ready(int last, const std::string &path)
+	{
+		for (int i = 0; i < 1000; i++) {
+			if (get(port(last), path).find(" 200 ") !=
+			    std::string::npos)
+				return true;
+			usleep(10000);
+		}
+		return false;
+	}
+	static void SetUpTestSuite()
+	{
+		char tmpl[] = "/tmp/pf-daemons-XXXXXX";
+
+		setenv("PIMENTO_KEY", "demo-deployment-key", 1);
+		dir = mkdtemp(tmpl);
+		prefix = std::to_string(210 + getpid() % 100);
+		pids["platform"] = start(
+			"platform", { "pimento-standin", "--role", "platform",
+				      "--listen", addr(0), "--model-load=50" });
+		pids["back-engine"] =
+			start("back-engine",
+			      { "pimento-standin", "--role", "engine",
+				"--listen", addr(33), "--weights", addr(0),
+				"--check-fence", "--step=1", "--step-run=0" });
+		pids["back-booking"] = start(
+			"back-booking", { "pimento-standin", "--role",
+					  "service", "--listen", addr(43) });
+		ASSERT_TRUE(ready(0, "/admin/state"));
+		start_daemon("entry-east", "pimento-entry");
+		start_daemon("engine-east", "pimento-agent");
+		start_daemon("booking-east", "pimento-agent");
+		copy_settings("records");
+		ASSERT_TRUE(ready(10, "/healthz"));
+		ASSERT_EQ(wait_for(start("ctl",
+					 { "pimentoctl", "--entry", addr(10),
+					   "apply", dir + "/records.toml" })),
+			  0);
+		ASSERT_TRUE(ready(10, "/readyz") && ready(32, "/readyz") &&
+			    ready(42, "/readyz"));
+		/* The model is loaded by the first request. */
+		ASSERT_NE(talk(post(ask(3, false)), "\"usage\"").find(" 200 "),
+			  std::string::npos);
+	}
+	static void TearDownTestSuite()
+	{
+		for (auto &p : pids) {
+			if (p.first.compare(0, 4, "back") == 0 ||
+			    p.first == "platform") {
+				kill(p.second, SIGKILL);
+				wait_for(p.second);
+				continue;
+			}
+			kill(p.second, SIGTERM);
+			EXPECT_EQ(wait_for(p.second), 0) << p.first;
+		}
+		if (!HasFailure()) {
+			EXPECT_EQ(system(("rm -r " + dir).c_str()), 0);
+		}
+	}
+	static std::string talk(const std::string &bytes,
+				const std::string &until, int timeout_s = 5)
+	{
+		int fd = dial(port(10), timeout_s);
+
+		if (fd < 0)
+			return "";
+		send(fd, bytes.data(), bytes.size(), MSG_NOSIGNAL);
+		std::string got = receive(fd, until);
+
+		close(fd);
+		return got;
+	}
+};
+
+std::string Daemons::dir, Daemons::prefix;
+std::map<std::string, pid_t> Daemons::pids;
+} // namespace
+
+TEST_F(Daemons, WhatCallersSendIsAnswered)
+{
+	const std::string big(100000, 'x'), line(20000, 'a');
+	const struct {
+		const char *name;
+		std::string bytes;
+		const char *status;
+		const char *code;
+	} cases[] = {
+		{ "no HTTP", "garbage\r\n\r\n", "400", "malformed_request" },
+		{ "a long path", "GET /" + line + " HTTP/1.1\r\n\r\n", "431",
+		  "header_too_large" },
+		{ "a long header", "GET / HTTP/1.1\r\nX: " + line + "\r\n\r\n",
+		  "431", "header_too_large" },
+		{ "a large body",
+		  "POST /v1/completions HTTP/1.1\r\nContent-Length: "
+		  "99999999999\r\n\r\n",
+		  "413", "body_too_large" },
+		{ "a negative length",
+		  "POST / HTTP/1.1\r\nContent-Length: -5\r\n\r\n", "413",
+		  "body_too_large" },
+		{ "no key", "GET /v1/models HTTP/1.1\r\n\r\n", "401",
+		  "unauthorized" },
+		{ "a wrong key",
+		  "GET /v1/models HTTP/1.1\r\nAuthorization: Bearer x\r\n\r\n",
+		  "401", "unauthorized" },
+		{ "operators only",
+		  "GET /admin/status HTTP/1.1\r\n" + key + "\r\n", "401",
+		  "unauthorized" },
+		{ "cut JSON", post("{\"model\":"), "400", "invalid_json" },
+		{ "bad UTF-8", post("{\"model\":\"\xff\"}"), "400",
+		  "invalid_json" },
+		{ "no such model", post("{\"model\":\"x\",\"prompt\":\"y\"}"),
+		  "404", "unknown_model" },
+		{ "no such path", "GET /x HTTP/1.1\r\n\r\n", "404",
+		  "not_found" },
+		{ "another method",
+		  "PUT /v1/completions HTTP/1.1\r\n" + key +
+			  "Content-Length: 0\r\n\r\n",
+		  "405", "method_not_allowed" },
+		{ "no such service", "GET /svc/x/ HTTP/1.1\r\n" + key + "\r\n",
+		  "404", "unknown_service" },
+		{ "a long key",
+		  "GET /svc/booking/x HTTP/1.1\r\n" + key +
+			  "Idempotency-Key: " + std::string(300, 'k') +
+			  "\r\n\r\n",
+		  "400", "invalid_request" },
+	};
+
+	for (auto &c : cases) {
+		std::string got = talk(c.bytes, "retry_after_ms");
+
+		EXPECT_EQ(got.substr(9, 3), c.status) << c.name << ": " << got;
+		EXPECT_NE(got.find(std::string("\"code\":\"") + c.code),
+			  std::string::npos)
+			<< c.name << ": " << got;
+		EXPECT_NE(got.find("\"ran\":\"not_run\""), std::string::npos);
+	}
+}
+
+/* evhtp's parser loses a path that comes in two pieces. */
+TEST_F(Daemons, ARequestMayComeInPieces)
+{
+	std::string req = post(ask(3, false));
+
+	for (size_t cut = 1; cut < req.size(); cut += 7) {
+		int fd = dial(port(10), 5);
+
+		ASSERT_GE(fd, 0);
+		send(fd, req.data(), cut, MSG_NOSIGNAL);
+		usleep(3000);
+		send(fd, req.data() + cut, req.size() - cut, MSG_NOSIGNAL);
+		EXPECT_EQ(receive(fd, "usage").substr(9, 3), "200") << cut;
+		close(fd);
+	}
+}
+
+TEST_F(Daemons, RequestsInOneWriteAreAnsweredInTurn)
+{
+	std::string two = post(ask(3, true)) + post(ask(3, false));
+	std::string got = talk(two, "\"usage\"");
+
+	EXPECT_EQ(count(got, "HTTP/1.1 200"), 2u) << got;
+	EXPECT_LT(got.find("[DONE]"), got.find("\"usage\""));
+}
+
+TEST_F(Daemons, AnOldClientsStreamHasNoChunks)
+{
+	std::string got = talk(post(ask(3, true), "1.0"), "");
+
+	EXPECT_EQ(got.substr(got.size() - 14), "data: [DONE]\n\n") << got;
+}
+
+/* A caller that leaves ends its run; the processes notice nothing else. */
+TEST_F(Daemons, CallersMayLeaveAtAnyTime)
+{
+	std::string req = post(ask(500, true));
+
+	for (int i = 0; i < 10; i++) {
+		int fd = dial(port(10), 5);
+
+		send(fd, req.data(), req.size(), MSG_NOSIGNAL);
+		usleep(10000 * i);
+		close(fd);
+	}
+	EXPECT_TRUE(ready(10, "/readyz"));
+	std::string m;
+
+	for (int i = 0; i < 300; i++) {
+		m = get(port(32), "/metrics");
+		if (m.find("pimento_agent_running 0\n") != std::string::npos)
+			break;
+		usleep(10000);
+	}
+	EXPECT_NE(m.find("pimento_agent_running 0\n"), std::string::npos);
+	EXPECT_NE(m.find("pimento_agent_queued 0\n"), std::string::npos);
+}
+
+/* A caller that reads late gets all of it; what waits is not lost. */
+TEST_F(Daemons, ASlowReaderGetsTheWholeAnswer)
+{
+	std::string req = post(ask(1000, true));
+	int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+	struct sockaddr_in sin = {};
+	int small = 2048;
+
+	setsockopt(fd, SOL_SOCKET, SO_RCVBUF, &small, sizeof(small));
+	sin.sin_family = AF_INET;
+	sin.sin_port = htons((uint16_t)port(10));
+	sin.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+	ASSERT_EQ(connect(fd, (struct sockaddr *)&sin, sizeof(sin)), 0);
+	send(fd, req.data(), req.size(), MSG_NOSIGNAL);
+	sleep(3);
+	std::string got = receive(fd, "[DONE]");
+
+	close(fd);
+	EXPECT_NE(got.find("[DONE]"), std::string::npos);
+	EXPECT_EQ(words_of(got), 1000u);
+	/* Some did wait, or this test shows nothing. */
+	EXPECT_LT(count(got, "\"finish_reason\":null"), 1000u);
+}
+
+TEST_F(Daemons, ABookingRunsOnce)
+{
+	std::string req = "POST /svc/booking/visits HTTP/1.1\r\n" + key +
+			  "Idempotency-Key: once\r\nContent-Length: 2\r\n\r\n"
+			  "{}";
+	std::string first = talk(req, "\"run\""), second = talk(req, "\"run\"");
+
+	EXPECT_EQ(first.substr(9, 3), "200") << first;
+	EXPECT_EQ(first, second);
+	EXPECT_NE(get(port(43), "/admin/state").find("\"once\":1"),
+		  std::string::npos);
+}
+
+TEST_F(Daemons, BadSettingsAreReportedAndStartNothing)
+{
+	std::ofstream(dir + "/bad.toml") << "name = \"x\"\nfoo = 1\n";
+	for (const char *program : { "pimento-entry", "pimento-agent" }) {
+		EXPECT_EQ(wait_for(start("bad",
+					 { program, "--check", "--settings",
+					   dir + "/bad.toml" })),
+			  2);
+	}
+	std::ifstream in(dir + "/bad.log");
+	std::stringstream all;
+
+	all << in.rdbuf();
+	for (const char *word : { "foo", "zone", "listen", "backend" })
+		EXPECT_NE(all.str().find(word), std::string::npos) << word;
+}
+
+/* Last: the entry is asked to stop while it streams. */
+TEST_F(Daemons, StopsCutNoStream)
+{
+	std::string req = post(ask(60, true));
+	int fd = dial(port(10), 10);
+	std::string got;
+
+	send(fd, req.data(), req.size(), MSG_NOSIGNAL);
+	got = receive(fd, "finish_reason");
+	for (const char *name : { "entry-east", "engine-east" })
+		kill(pids[name], SIGTERM);
+	got += receive(fd, "[DONE]");
+	close(fd);
+	EXPECT_EQ(count(got, "\"finish_reason\":null"), 60u);
+	EXPECT_EQ(count(got, "[DONE]"), 1u);
+	for (const char *name : { "entry-east", "engine-east" }) {
+		EXPECT_EQ(wait_for(pids[name]), 0) << name;
+		pids.erase(name);
+	}
+}
--- /dev/null
+++ b/tests/test_http_client.cc
@@ -0,0 +1,348 @@
+// HTTP calls and the table's client against answers written by hand.
+#include "pimentoford/http_client.h"
+#include "pimentoford/table_client.h"
+
+#include <arpa/inet.h>
+#include <event2/buffer.h>
+#include <event2/bufferevent.h>
+#include <event2/event.h>
+#include <event2/listener.h>
+#include <gtest/gtest.h>
+#include <netinet/in.h>
+#include <unistd.h>
+
+#include <functional>
+#include <set>
+#include <string>
+
+namespace
+{
+std::string http(int status, const std::string &body)
+{
+	return "HTTP/1.1 " + std::to_string(status) +
+	       " x\r\nContent-Length: " + std::to_string(body.size()) +
+	       "\r\n\r\n" + body;
+}
+
+struct Http : testing::Test {
+	struct event_base *base = event_base_new();
+	struct evconnlistener *listener = nullptr;
+	std::string addr, answer, heard;
+	int connections = 0;
+	std::set<struct bufferevent *> open;
+
+	static void serve(struct bufferevent *bev, void *ctx)
+	{
+		Http *t = static_cast<Http *>(ctx);
+		struct evbuffer *in = bufferevent_get_input(bev);
+		size_t n = evbuffer_get_length(in);
+		std::string got(n, '\0');
+
+		evbuffer_remove(in, &got[0], n);
+		t->heard += got;
+		if (t->answer.empty())
+			gone(bev, 0, ctx); /* the answer is lost */
+		else
+			bufferevent_write(bev, t->answer.data(),
+					  t->answer.size());
+	}
+	static void gone(struct bufferevent *bev, short, void *ctx)
+	{
+		static_cast<Http *>(ctx)->open.erase(bev);
+		bufferevent_free(bev);
+	}
+	static void accept(struct evconnlistener *, evutil_socket_t fd,
+			   struct sockaddr *, int, void *ctx)
+	{
+		Http *t = static_cast<Http *>(ctx);
+		struct bufferevent *bev = bufferevent_socket_new(
+			t->base, fd, BEV_OPT_CLOSE_ON_FREE);
+
+		t->connections++;
+		t->open.insert(bev);
+		bufferevent_setcb(bev, serve, nullptr, gone, ctx);
+		bufferevent_enable(bev, EV_READ | EV_WRITE);
+	}
+	void SetUp() override
+	{
+		struct sockaddr_in sin = {};
+		socklen_t len = sizeof(sin);
+
+		sin.sin_family = AF_INET;
+		sin.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+		listener = evconnlistener_new_bind(base, accept, this,
+						   LEV_OPT_CLOSE_ON_FREE, 8,
+						   (struct sockaddr *)&sin,
+						   sizeof(sin));
+		getsockname(evconnlistener_get_fd(listener),
+			    (struct sockaddr *)&sin, &len);
+		addr = "127.0.0.1:" + std::to_string(ntohs(sin.sin_port));
+	}
+	void TearDown() override
+	{
+		if (listener)
+			evconnlistener_free(listener);
+		for (struct bufferevent *bev : open)
+			bufferevent_free(bev);
+		event_base_free(base);
+	}
+	bool until(const std::function<bool()> &done)
+	{
+		for (int i = 0; i < 20000; i++) {
+			if (done())
+				return true;
+			event_base_loop(base, EVLOOP_NONBLOCK | EVLOOP_ONCE);
+			usleep(100);
+		}
+		return false;
+	}
+};
+
+struct Call {
+	int done = 0, status = 0;
+	enum pf_http_result result = PF_HTTP_OK;
+	std::string chunks, body;
+	struct pf_http_call *call = nullptr;
+	bool cancel_in_chunk = false;
+
+	static void on_chunk(void *ctx, const char *p, size_t n)
+	{
+		Call *c = static_cast<Call *>(ctx);
+
+		c->chunks.append(p, n);
+		if (c->cancel_in_chunk)
+			pf_http_cancel(c->call);
+		c->cancel_in_chunk = false;
+	}
+	static void on_done(void *ctx, const struct pf_http_answer *a)
+	{
+		Call *c = static_cast<Call *>(ctx);
+
+		c->done++;
+		c->result = a->result;
+		c->status = a->status;
+		c->body.assign(a->body.p ? a->body.p : "", a->body.n);
+	}
+};
+
+struct pf_http *pool(struct event_base *base, const std::string &addr)
+{
+	struct pf_http_opts o = { base, addr.c_str(), 2, 2, 1 << 16 };
+
+	return pf_http_new(&o);
+}
+
+struct pf_http_request get(Call *c, bool stream)
+{
+	struct pf_http_request r = {};
+
+	r.method = "GET";
+	r.target = "/x";
+	r.chunk = stream ? Call::on_chunk : nullptr;
+	r.done = Call::on_done;
+	r.ctx = c;
+	return r;
+}
+
+struct Result {
+	int calls = 0;
+	enum pf_table_status status = PF_TABLE_OK;
+	uint64_t revision = 0;
+	std::string key;
+	size_t rows = 0;
+
+	static void txn(void *ctx, const struct pf_table_txn_result *r)
+	{
+		Result *x = static_cast<Result *>(ctx);
+
+		x->calls++;
+		x->status = r->status;
+		x->revision = r->revision;
+		x->key.assign(r->key.p ? r->key.p : "", r->key.n);
+	}
+	static void read(void *ctx, const struct pf_table_rows *r)
+	{
+		Result *x = static_cast<Result *>(ctx);
+
+		x->calls++;
+		x->status = r->status;
+		x->rows = r->n;
+		if (r->n)
+			x->key.assign(r->rows[0].value.p, r->rows[0].value.n);
+	}
+};
+} // namespace
+
+TEST_F(Http, ConnectionsAreUsedAgain)
+{
+	struct pf_http *h = pool(base, addr);
+	Call c;
+
+	answer = http(200, "hello");
+	for (int i = 1; i <= 3; i++) {
+		struct pf_http_request r = get(&c, false);
+
+		ASSERT_NE(pf_http_start(h, &r), nullptr);
+		EXPECT_EQ(c.done, i - 1) << "called back inside start";
+		ASSERT_TRUE(until([&] { return c.done == i; }));
+		EXPECT_EQ(c.body, "hello");
+	}
+	EXPECT_EQ(connections, 1);
+	pf_http_free(h);
+}
+
+TEST_F(Http, ARefusalOfAStreamIsWhole)
+{
+	struct pf_http *h = pool(base, addr);
+	struct pf_http_request r;
+	Call c;
+
+	answer = http(409, "{\"error\":\"no_memory\"}");
+	r = get(&c, true);
+	ASSERT_NE(pf_http_start(h, &r), nullptr);
+	ASSERT_TRUE(until([&] { return c.done == 1; }));
+	EXPECT_EQ(c.status, 409);
+	EXPECT_EQ(c.body, "{\"error\":\"no_memory\"}");
+	EXPECT_EQ(c.chunks, "");
+	pf_http_free(h);
+}
+
+TEST_F(Http, UnreachedAndLostAreToldApart)
+{
+	struct pf_http *h = pool(base, addr);
+	struct pf_http_request r;
+	Call lost, unsent;
+
+	r = get(&lost, false);
+	ASSERT_NE(pf_http_start(h, &r), nullptr);
+	ASSERT_TRUE(until([&] { return lost.done == 1; }));
+	EXPECT_EQ(lost.result, PF_HTTP_LOST);
+	evconnlistener_free(listener);
+	listener = nullptr;
+	r = get(&unsent, false);
+	ASSERT_NE(pf_http_start(h, &r), nullptr);
+	ASSERT_TRUE(until([&] { return unsent.done == 1; }));
+	EXPECT_EQ(unsent.result, PF_HTTP_NOT_SENT);
+	pf_http_free(h);
+}
+
+TEST_F(Http, CallsAreBoundedAndEndQuietlyWhenCancelled)
+{
+	struct pf_http *h = pool(base, addr);
+	Call a, b, c;
+	struct pf_http_request r = get(&a, true);
+
+	answer = "HTTP/1.1 200 x\r\nTransfer-Encoding: chunked\r\n\r\n"
+		 "3\r\nabc\r\n";
+	a.call = pf_http_start(h, &r);
+	a.cancel_in_chunk = true;
+	r = get(&b, false);
+	b.call = pf_http_start(h, &r);
+	r = get(&c, false);
+	EXPECT_EQ(pf_http_start(h, &r), nullptr);
+	ASSERT_NE(b.call, nullptr);
+	pf_http_cancel(b.call);
+	ASSERT_TRUE(until([&] { return a.chunks == "abc"; }));
+	/* Both places are free again. */
+	answer = http(200, "x");
+	for (int i = 0; i < 2; i++)
+		ASSERT_NE(pf_http_start(h, &r), nullptr);
+	ASSERT_TRUE(until([&] { return c.done == 2; }));
+	EXPECT_EQ(a.done + b.done, 0);
+	pf_http_free(h);
+}
+
+TEST_F(Http, TransactionsEndInOneOfFourWays)
+{
+	const struct {
+		std::string answer;
+		enum pf_table_status status;
+		uint64_t revision;
+	} cases[] = {
+		{ http(200, "{\"revision\":8}"), PF_TABLE_OK, 8 },
+		{ http(409, "{\"key\":\"k\\\"1\",\"revision\":9}"),
+		  PF_TABLE_CONFLICT, 9 },
+		{ http(429, "{}"), PF_TABLE_LIMITED, 0 },
+		{ http(503, ""), PF_TABLE_UNKNOWN, 0 },
+		{ http(200, "what?"), PF_TABLE_UNKNOWN, 0 },
+		{ http(409, "{}"), PF_TABLE_UNKNOWN, 0 },
+		{ "HTTP/1.1 200 x\r\nContent-Length: 50\r\n\r\n{\"rev",
+		  PF_TABLE_UNKNOWN, 0 },
+		{ "", PF_TABLE_UNKNOWN, 0 }, /* the answer is lost */
+	};
+	struct pf_table_check check = { PF_STR("k\"1"), 3 };
+	struct pf_table_put put = { PF_STR("k\"1"), PF_STR("v\n\xc3\xa9") };
+	struct pf_table_txn txn = { &check, 1, &put, 1, nullptr, 0 };
+
+	for (auto &c : cases) {
+		struct pf_table_opts o = { base, addr.c_str(), 4, 300, 1000 };
+		struct pf_table *t = pf_table_new(&o);
+		Result r;
+
+		answer = c.answer;
+		heard.clear();
+		ASSERT_EQ(pf_table_txn(t, "id", &txn, Result::txn, &r), 0);
+		EXPECT_EQ(r.calls, 0) << "called back inside";
+		ASSERT_TRUE(until([&] { return r.calls == 1; })) << c.answer;
+		EXPECT_EQ(r.status, c.status) << c.answer;
+		if (c.status == PF_TABLE_CONFLICT) {
+			EXPECT_EQ(r.key, "k\"1");
+		}
+		if (c.revision) {
+			EXPECT_EQ(r.revision, c.revision);
+		}
+		EXPECT_NE(heard.find("{\"key\":\"k\\\"1\",\"revision\":3}"),
+			  std::string::npos)
+			<< heard;
+		pf_table_free(t);
+	}
+}
+
+TEST_F(Http, ReadsTellAbsentFromUnknown)
+{
+	const struct {
+		std::string answer;
+		bool scan;
+		enum pf_table_status status;
+		size_t rows;
+	} cases[] = {
+		{ http(200, "{\"key\":\"k\",\"value\":\"v\",\"revision\":1}"),
+		  false, PF_TABLE_OK, 1 },
+		{ http(404, ""), false, PF_TABLE_OK, 0 },
+		{ http(404, ""), true, PF_TABLE_UNKNOWN, 0 },
+		{ http(200, "{\"key\":\"k\"}"), false, PF_TABLE_UNKNOWN, 0 },
+		{ http(200, "{\"rows\":[],\"revision\":1}"), true, PF_TABLE_OK,
+		  0 },
+		{ http(200, "{\"rows\":[{\"key\":\"k\",\"value\":\"v\","
+			    "\"revision\":1},{}],\"revision\":1}"),
+		  true, PF_TABLE_UNKNOWN, 0 },
+		{ http(429, ""), true, PF_TABLE_LIMITED, 0 },
+		{ http(200, std::string(2000, ' ')), true, PF_TABLE_UNKNOWN,
+		  0 }, /* larger than it may be */
+	};
+
+	for (auto &c : cases) {
+		struct pf_table_opts o = { base, addr.c_str(), 4, 300, 1000 };
+		struct pf_table *t = pf_table_new(&o);
+		Result r;
+
+		answer = c.answer;
+		heard.clear();
+		if (c.scan)
+			ASSERT_EQ(pf_table_scan(t, PF_STR("a/"), PF_STR("b&c"),
+						5, Result::read, &r),
+				  0);
+		else
+			ASSERT_EQ(pf_table_get(t, PF_STR("a b&c=%"),
+					       Result::read, &r),
+				  0);
+		ASSERT_TRUE(until([&] { return r.calls == 1; }));
+		EXPECT_EQ(r.status, c.status) << c.answer;
+		EXPECT_EQ(r.rows, c.rows) << c.answer;
+		EXPECT_NE(heard.find(c.scan ? "prefix=a%2F&after=b%26c&limit=5"
+					    : "key=a%20b%26c%3D%25"),
+			  std::string::npos)
+			<< heard;
+		pf_table_free(t);
+	}
+}
