--- a/src/coordination/agent_runs.c
+++ b/src/coordination/agent_runs.c
@@ -1,6 +1,8 @@
 /* Runs: claim, start, pieces, stop and end. */
 #include "agent_core.h"
 
+#define BOUNCES_MAX 3 /* starts that the engine gives up, before it is lost */
+
 uint32_t runs_busy(const struct pf_agent *a)
 {
 	return a->lists[RUN_RUNNING].n + a->lists[RUN_STOPPING].n +
@@ -108,8 +110,10 @@
 		return;
 	if (r->state == RUN_VOIDING) {
 		act.u.id = id;
+#ifndef PF_MUTANT_VOID
 		if (granted)
 			agent_emit(a, &act);
+#endif
 		run_drop(a, r);
 		return;
 	}
@@ -148,6 +152,7 @@
 	else if (!r->first && count > 0)
 		agent_average(&a->step_ms, ms / count);
 	r->first = false;
+	r->bounced = 0;
 	r->token_at = a->now;
 }
 
@@ -181,8 +186,10 @@
 
 static void note_end(struct pf_agent *a, const struct run *r)
 {
-	if (a->last_end > 0)
-		agent_average(&a->end_gap_ms, (double)(a->now - a->last_end));
+	/* Idle time before it is no gap. */
+	pf_ms since = a->last_end > r->run_at ? a->last_end : r->run_at;
+
+	agent_average(&a->end_gap_ms, (double)(a->now - since));
 	a->last_end = a->now;
 	if (!is_plain(a))
 		learn_add(a->learn, r->work.model, r->work.caller, r->produced);
@@ -195,7 +202,6 @@
 	r->queued_at = a->now;
 	run_foresee(a, r);
 	run_move(a, r, RUN_QUEUED);
-	a->stats.paused++;
 	a->dirty = true;
 	if (a->leaving)
 		run_lose(a, r, PF_REASON_LEAVING);
@@ -205,6 +211,7 @@
 {
 	switch (r->stop) {
 	case STOP_PAUSE:
+		a->stats.paused++;
 		requeue(a, r);
 		break;
 	case STOP_CANCEL:
@@ -222,6 +229,8 @@
 		stopped(a, r);
 	else if (r->work.flags & PF_WORK_NEVER_REPEAT)
 		run_lose(a, r, PF_REASON_OUTCOME_UNKNOWN);
+	else if (run_pausable(r) && r->bounced++ < BOUNCES_MAX)
+		requeue(a, r);
 	else
 		run_lose(a, r, PF_REASON_BACKEND);
 }
--- a/src/coordination/agent_tries.c
+++ b/src/coordination/agent_tries.c
@@ -2,7 +2,7 @@
 #include "agent_core.h"
 
 #define LOAD_WAIT_MS 10000 /* waiting work is handed back after this */
-#define SUSPECT_WAIT_MS 30000
+#define SUSPECT_WAIT_MS 10000
 #define HINT_MIN_MS 10
 #define HINT_MAX_MS 10000
 #define HINT_UNKNOWN_MS 500
@@ -182,7 +182,9 @@
 	act.u.lost.produced = r->produced;
 	agent_emit(a, &act);
 	a->stats.lost++;
+#ifndef PF_MUTANT_ENDED
 	ended_add(&a->ended, a->now, r->id);
+#endif
 	run_drop(a, r);
 }
 
