Linter clean in daemons and transport

Cause: the analyzer cannot follow lists that are emptied from the front. Change: lists are freed by walking them; links of a former configuration are freed after the core has heard of them.

--- a/daemons/entry/daemon.h
+++ b/daemons/entry/daemon.h
@@ -84,6 +84,13 @@
 	struct pf_rpc_session *session;
 };
 
+/** Sessions with other entries at once. */
+#define ENTRIES_MAX 64
+
+struct request_slot {
+	struct request *request;
+};
+
 struct daemon {
 	struct event_base *base;
 	struct pf_entry_settings set;
@@ -106,7 +113,7 @@
 	const struct pf_wire_msg *at_hand; /* that the core is handling */
 	LIST_HEAD(, request) requests;
 	struct pf_map request_index;
-	struct request **slots; /* by the map's value */
+	struct request_slot *slots; /* by the map's value */
 	uint32_t *free_slots;
 	uint32_t n_free_slots;
 	LIST_HEAD(, request) gone; /* whose callers left inside a step */
@@ -119,7 +126,7 @@
 
 	struct pf_rpc *rpc;
 	LIST_HEAD(, link) links;
-	struct pf_rpc_session **entries; /* sessions with other entries */
+	struct pf_rpc_session *entries[ENTRIES_MAX]; /* other entries */
 	uint32_t n_entries;
 
 	struct pf_table *table;
@@ -129,8 +136,6 @@
 	struct pf_rng rng;
 };
 
-#define ENTRIES_MAX 64
-
 /* core.c */
 int core_start(struct daemon *d);
 void core_stop(struct daemon *d);
--- a/daemons/entry/links.c
+++ b/daemons/entry/links.c
@@ -183,20 +183,30 @@
 		from_agent(d, p->id, w);
 }
 
-static void link_free(struct daemon *d, struct link *l)
+LIST_HEAD(link_list, link);
+
+/* Takes a link out of use; it is freed later. */
+static void link_drop(struct daemon *d, struct link *l, struct link_list *old)
 {
 	bool was_up = pf_rpc_is_up(l->session);
-	uint64_t id = l->id;
 
 	pf_rpc_set_user(l->session, NULL);
-	if (id == 0)
-		entry_down(d, l->session);
 	pf_rpc_drop(l->session);
 	LIST_REMOVE(l, next);
-	free(l->addr);
-	free(l);
-	if (was_up && id != 0)
-		agent_down(d, id);
+	LIST_INSERT_HEAD(old, l, next);
+	if (was_up)
+		agent_down(d, l->id);
+}
+
+static void links_free(struct link *l)
+{
+	struct link *next;
+
+	for (; l; l = next) {
+		next = LIST_NEXT(l, next);
+		free(l->addr);
+		free(l);
+	}
 }
 
 static int link_new(struct daemon *d, uint64_t id, const char *addr)
@@ -263,10 +273,12 @@
 	const struct pf_config *cfg = d->config;
 	struct rank *v = calloc(cfg->n_endpoints + 1, sizeof(*v));
 	size_t n = cfg->n_endpoints;
+	struct link_list old;
 	struct link *l;
 	struct link *next;
 	size_t i;
 
+	LIST_INIT(&old);
 	if (!v)
 		return;
 	for (i = 0; i < n; i++)
@@ -277,7 +289,7 @@
 	for (l = LIST_FIRST(&d->links); l; l = next) {
 		next = LIST_NEXT(l, next);
 		if (l->id != 0 && !wanted(l, v, n))
-			link_free(d, l);
+			link_drop(d, l, &old);
 	}
 	for (i = 0; i < n; i++) {
 		if (!find(d, v[i].ep->id) &&
@@ -285,6 +297,7 @@
 			PF_LOG(&d->log, PF_LOG_ERROR, "no_link",
 			       PF_KV_STR("addr", v[i].ep->agent));
 	}
+	links_free(LIST_FIRST(&old));
 	free(v);
 }
 
@@ -306,9 +319,8 @@
 	o.message = on_message;
 	o.ctx = d;
 	LIST_INIT(&d->links);
-	d->entries = calloc(ENTRIES_MAX, sizeof(*d->entries));
 	d->rpc = pf_rpc_new(&o);
-	if (!d->entries || !d->rpc || pf_rpc_listen(d->rpc, d->set.rpc) < 0)
+	if (!d->rpc || pf_rpc_listen(d->rpc, d->set.rpc) < 0)
 		return -1;
 	pf_rpc_accept(d->rpc, true);
 	for (i = 0; i < d->set.peers.n; i++) {
@@ -320,13 +332,6 @@
 
 void links_stop(struct daemon *d)
 {
-	struct link *l;
-
-	while ((l = LIST_FIRST(&d->links))) {
-		LIST_REMOVE(l, next);
-		free(l->addr);
-		free(l);
-	}
+	links_free(LIST_FIRST(&d->links));
 	pf_rpc_free(d->rpc);
-	free(d->entries);
 }
--- a/daemons/entry/requests.c
+++ b/daemons/entry/requests.c
@@ -38,12 +38,15 @@
 static void on_gone(evutil_socket_t fd, short what, void *ctx)
 {
 	struct daemon *d = ctx;
-	struct request *r;
+	struct request *r = LIST_FIRST(&d->gone);
+	struct request *next;
 
 	(void)fd;
 	(void)what;
-	while ((r = LIST_FIRST(&d->gone)))
+	for (; r; r = next) {
+		next = LIST_NEXT(r, next);
 		requests_gone(r);
+	}
 }
 
 int requests_init(struct daemon *d)
@@ -63,14 +66,20 @@
 	return pf_map_init(&d->request_index, cap);
 }
 
-void requests_stop(struct daemon *d)
+static void free_all(struct request *r)
 {
-	struct request *r;
+	struct request *next;
 
-	while ((r = LIST_FIRST(&d->requests)))
-		requests_free(r);
-	while ((r = LIST_FIRST(&d->gone)))
+	for (; r; r = next) {
+		next = LIST_NEXT(r, next);
 		requests_free(r);
+	}
+}
+
+void requests_stop(struct daemon *d)
+{
+	free_all(LIST_FIRST(&d->requests));
+	free_all(LIST_FIRST(&d->gone));
 	pf_map_free(&d->request_index);
 	free(d->slots);
 	free(d->free_slots);
@@ -93,7 +102,7 @@
 	r->id = pf_id2(d->incarnation, ++d->requests_made);
 	slot = d->free_slots[--d->n_free_slots];
 	pf_map_put(&d->request_index, pf_key1(r->id), slot);
-	d->slots[slot] = r;
+	d->slots[slot].request = r;
 	LIST_INSERT_HEAD(&d->requests, r, next);
 	r->conn = c;
 	r->http = http;
@@ -107,7 +116,7 @@
 
 	if (pf_map_get(&d->request_index, pf_key1(id), &slot) < 0)
 		return NULL;
-	return d->slots[slot];
+	return d->slots[slot].request;
 }
 
 void requests_free(struct request *r)
@@ -117,7 +126,7 @@
 
 	if (pf_map_get(&d->request_index, pf_key1(r->id), &slot) == 0) {
 		pf_map_del(&d->request_index, pf_key1(r->id));
-		d->slots[slot] = NULL;
+		d->slots[slot].request = NULL;
 		d->free_slots[d->n_free_slots++] = slot;
 	}
 	if (r->conn && r->conn->request == r)
--- a/src/transport/http_client.c
+++ b/src/transport/http_client.c
@@ -81,6 +81,18 @@
 	free(c);
 }
 
+static void free_conns(struct conn_list *list)
+{
+	struct pf_conn *c = TAILQ_FIRST(list);
+	struct pf_conn *next;
+
+	for (; c; c = next) {
+		next = TAILQ_NEXT(c, next);
+		conn_free(c);
+	}
+	TAILQ_INIT(list);
+}
+
 static struct pf_conn *conn_new(struct pf_http *h)
 {
 	struct pf_conn *c = calloc(1, sizeof(*c));
@@ -206,14 +218,10 @@
 {
 	struct pf_http *h = ctx;
 	struct pf_http_call *call;
-	struct pf_conn *c;
 
 	(void)fd;
 	(void)what;
-	while ((c = TAILQ_FIRST(&h->trash))) {
-		TAILQ_REMOVE(&h->trash, c, next);
-		conn_free(c);
-	}
+	free_conns(&h->trash);
 	while ((call = TAILQ_FIRST(&h->failed))) {
 		static const struct pf_http_answer a = {
 			.result = PF_HTTP_NOT_SENT,
@@ -371,22 +379,21 @@
 
 void pf_http_free(struct pf_http *h)
 {
-	struct pf_conn *c;
+	struct pf_http_call *c;
+	struct pf_http_call *next;
 
 	if (!h)
 		return;
-	while (!TAILQ_EMPTY(&h->calls))
-		pf_http_cancel(TAILQ_FIRST(&h->calls));
-	while (!TAILQ_EMPTY(&h->failed))
-		pf_http_cancel(TAILQ_FIRST(&h->failed));
-	while ((c = TAILQ_FIRST(&h->idle))) {
-		TAILQ_REMOVE(&h->idle, c, next);
-		conn_free(c);
+	for (c = TAILQ_FIRST(&h->calls); c; c = next) {
+		next = TAILQ_NEXT(c, next);
+		pf_http_cancel(c);
 	}
-	while ((c = TAILQ_FIRST(&h->trash))) {
-		TAILQ_REMOVE(&h->trash, c, next);
-		conn_free(c);
+	for (c = TAILQ_FIRST(&h->failed); c; c = next) {
+		next = TAILQ_NEXT(c, next);
+		pf_http_cancel(c);
 	}
+	free_conns(&h->idle);
+	free_conns(&h->trash);
 	if (h->later)
 		event_free(h->later);
 	free(h);
--- a/src/transport/rpc.c
+++ b/src/transport/rpc.c
@@ -399,10 +399,15 @@
 
 void pf_rpc_free(struct pf_rpc *r)
 {
+	struct pf_rpc_session *s;
+	struct pf_rpc_session *next;
+
 	if (!r)
 		return;
-	while (!LIST_EMPTY(&r->sessions))
-		session_free(LIST_FIRST(&r->sessions));
+	for (s = LIST_FIRST(&r->sessions); s; s = next) {
+		next = LIST_NEXT(s, next);
+		session_free(s);
+	}
 	if (r->listener)
 		evconnlistener_free(r->listener);
 	if (r->flush)
