--- a/daemons/agent/daemon.h
+++ b/daemons/agent/daemon.h
@@ -19,6 +19,7 @@
 #include "pimentoford/rpc.h"
 #include "pimentoford/settings.h"
 #include "pimentoford/table_client.h"
+#include "pimentoford/vm_list.h"
 
 #include <event2/event.h>
 
@@ -144,6 +145,7 @@
 	size_t n_names;
 	struct evhtp *status;
 	struct pf_config_reader *reader; /* NULL before the incarnation */
+	struct pf_vm_list *vms;
 	struct event *boot_timer;
 	struct event *stop_timer;
 	struct pf_rng rng;
--- a/daemons/agent/main.c
+++ b/daemons/agent/main.c
@@ -8,6 +8,7 @@
 #include <unistd.h>
 
 #define STOP_POLL_MS 20
+#define VM_POLL_MS 2000
 
 static int exit_status;
 
@@ -69,6 +70,29 @@
 	event_base_once(d->base, -1, EV_TIMEOUT, on_drain_over, d, &over);
 }
 
+static void on_leaving(void *ctx, struct pf_str name)
+{
+	struct daemon *d = ctx;
+
+	if (pf_str_eq(name, pf_str_c(d->set.place.name)))
+		daemon_leave(d, "vm_list");
+}
+
+static int follow_vms(struct daemon *d)
+{
+	struct pf_vm_list_opts o = {
+		.base = d->base,
+		.addr = d->set.place.platform,
+		.poll = VM_POLL_MS,
+		.seed = pf_process_random(),
+		.leaving = on_leaving,
+		.ctx = d,
+	};
+
+	d->vms = pf_vm_list_new(&o);
+	return d->vms ? 0 : -1;
+}
+
 static int start(struct daemon *d)
 {
 	d->base = event_base_new();
@@ -92,6 +116,8 @@
 		       PF_KV_STR("why", strerror(errno)));
 		return -1;
 	}
+	if (follow_vms(d) < 0)
+		return -1;
 	return boot_start(d);
 }
 
@@ -102,6 +128,7 @@
 	watch_stop(d);
 	status_stop(d);
 	pf_rpc_free(d->rpc);
+	pf_vm_list_free(d->vms);
 	pf_config_reader_free(d->reader);
 	pf_table_free(d->table);
 	pf_config_free(d->config);
--- a/daemons/entry/daemon.h
+++ b/daemons/entry/daemon.h
@@ -17,6 +17,7 @@
 #include "pimentoford/rpc.h"
 #include "pimentoford/settings.h"
 #include "pimentoford/table_client.h"
+#include "pimentoford/vm_list.h"
 
 #include <event2/event.h>
 #include <evhtp/evhtp.h>
@@ -132,6 +133,7 @@
 	struct pf_table *table;
 	struct pf_config_reader *reader;
 	struct changes *changes; /* of operators */
+	struct pf_vm_list *vms;
 	struct event *stop_timer;
 	struct pf_rng rng;
 };
--- a/tests/test_http_client.cc
+++ b/tests/test_http_client.cc
@@ -1,6 +1,7 @@
 // HTTP calls and the table's client against answers written by hand.
 #include "pimentoford/http_client.h"
 #include "pimentoford/table_client.h"
+#include "pimentoford/vm_list.h"
 
 #include <arpa/inet.h>
 #include <event2/buffer.h>
@@ -298,6 +299,47 @@
 	}
 }
 
+TEST_F(Http, TheVmListNamesWhoLeaves)
+{
+	const struct {
+		std::string answer, names;
+	} cases[] = {
+		{ http(200, "{\"vms\":[{\"name\":\"a\",\"state\":\"leaving\"},"
+			    "{\"name\":\"b\",\"state\":\"live\"},"
+			    "{\"name\":\"c\",\"state\":\"leaving\"}]}"),
+		  "ac" },
+		{ http(200, "{\"vms\":[{\"state\":\"leaving\"},7,{}]}"), "" },
+		{ http(200, "no list"), "" },
+		{ http(503, "{\"vms\":[{\"name\":\"a\",\"state\":"
+			    "\"leaving\"}]}"),
+		  "" },
+	};
+
+	for (auto &c : cases) {
+		std::string names;
+		struct pf_vm_list_opts o = { base,
+					     addr.c_str(),
+					     1,
+					     1,
+					     [](void *ctx, struct pf_str n) {
+						     *(std::string *)ctx +=
+							     std::string(n.p,
+									 n.n);
+					     },
+					     &names };
+		struct pf_vm_list *l = pf_vm_list_new(&o);
+
+		answer = c.answer;
+		heard.clear();
+		/* The second question comes after the first answer. */
+		ASSERT_TRUE(until([&] {
+			return heard.find("/vms") != heard.rfind("/vms");
+		}));
+		pf_vm_list_free(l);
+		EXPECT_EQ(names.substr(0, 2), c.names);
+	}
+}
+
 TEST_F(Http, ReadsTellAbsentFromUnknown)
 {
 	const struct {
