--- a/daemons/entry/reader.c
+++ b/daemons/entry/reader.c
@@ -59,7 +59,11 @@
 
 	if (n < evbuffer_get_length(in)) {
 		first = evbuffer_new();
-		PF_INVARIANT("a buffer has memory", first);
+		if (!first) {
+			server_refuse(c, 503, "Service Unavailable", "full",
+				      "out of memory");
+			return;
+		}
 		evbuffer_remove_buffer(in, first, n);
 		evbuffer_add_buffer(c->rest, in);
 		evbuffer_prepend_buffer(in, first);
--- a/src/protocol/wire.c
+++ b/src/protocol/wire.c
@@ -2,6 +2,7 @@
 #include "pimentoford/wire.h"
 
 #include "src/protocol/pimento_xdr.h"
+#include "src/protocol/wire_work.h"
 
 #include <stdlib.h>
 #include <string.h>
@@ -27,7 +28,6 @@
 /* Room for the fixed part of any message. */
 #define FIXED_BYTES 256
 #define ITEM_BYTES 12
-#define NO_DURATION (-1)
 
 union wire_xdr {
 	pimento_try try_;
@@ -73,20 +73,6 @@
 #define GET_STR(src, name) \
 	((struct pf_str){ (src)->name.name##_val, (src)->name.name##_len })
 
-static pf_ms left_of(pf_ms due, pf_ms now)
-{
-	if (due == PF_NEVER)
-		return NO_DURATION;
-	return due > now ? due - now : 0;
-}
-
-static pf_ms due_of(pf_ms left, pf_ms now)
-{
-	if (left < 0 || left > PF_NEVER - now)
-		return PF_NEVER;
-	return now + left;
-}
-
 static pimento_try_id id_out(struct pf_try id)
 {
 	return (pimento_try_id){ id.request, id.attempt };
@@ -97,45 +83,6 @@
 	return (struct pf_try){ id.request, id.attempt };
 }
 
-/* DEF(field): fields that the wire carries as they are. */
-#define WORK_FIELDS(DEF)   \
-	DEF(caller)        \
-	DEF(model)         \
-	DEF(adapter)       \
-	DEF(prefix)        \
-	DEF(fingerprint)   \
-	DEF(idem_key)      \
-	DEF(prompt_tokens) \
-	DEF(max_tokens)    \
-	DEF(offset)        \
-	DEF(flags)         \
-	DEF(priority)
-
-static void work_out(pimento_work *x, const struct pf_work *w, pf_ms now)
-{
-#define DEF(field) x->field = w->field;
-	WORK_FIELDS(DEF)
-#undef DEF
-	x->age = now > w->arrived ? now - w->arrived : 0;
-	x->first_left = left_of(w->first_due, now);
-	x->between = w->between_ms;
-	x->whole_left = left_of(w->whole_due, now);
-	x->deadline_left = left_of(w->deadline, now);
-}
-
-static void work_in(struct pf_work *w, const pimento_work *x, pf_ms now)
-{
-#define DEF(field) w->field = x->field;
-	WORK_FIELDS(DEF)
-#undef DEF
-	w->priority = x->priority > UINT8_MAX ? UINT8_MAX : x->priority;
-	w->arrived = x->age > 0 && x->age <= now ? now - x->age : now;
-	w->first_due = due_of(x->first_left, now);
-	w->between_ms = x->between > 0 ? x->between : 0;
-	w->whole_due = due_of(x->whole_left, now);
-	w->deadline = due_of(x->deadline_left, now);
-}
-
 #define PAYLOAD_FIELDS(DEF) \
 	DEF(method)         \
 	DEF(path)           \
@@ -150,7 +97,7 @@
 	size_t n = 0;
 
 	x->id = id_out(m->u.try_.id);
-	work_out(&x->work, &m->u.try_.work, now);
+	pf_wire_work_out(&x->work, &m->u.try_.work, now);
 #define DEF(field)                   \
 	SET_STR(x, field, p->field); \
 	n += p->field.n + 8;
@@ -164,7 +111,7 @@
 	struct pf_payload *p = &m->u.try_.payload;
 
 	m->u.try_.id = id_in(x->id);
-	work_in(&m->u.try_.work, &x->work, now);
+	pf_wire_work_in(&m->u.try_.work, &x->work, now);
 #define DEF(field) p->field = GET_STR(x, field);
 	PAYLOAD_FIELDS(DEF)
 #undef DEF
@@ -294,7 +241,7 @@
 		return (ssize_t)m->u.report.n_items * ITEM_BYTES;
 	case PF_WIRE_QUARANTINE:
 		x->quarant.fingerprint = m->u.quarantine.fingerprint;
-		x->quarant.keep = left_of(m->u.quarantine.until, now);
+		x->quarant.keep = pf_wire_left(m->u.quarantine.until, now);
 		return 0;
 	case PF_WIRE_CONFIG_HEAD:
 	case PF_WIRE_CONFIG_PULL:
@@ -475,7 +422,7 @@
 		return report_in(d, &m->u.report);
 	case PF_WIRE_QUARANTINE:
 		m->u.quarantine.fingerprint = x->quarant.fingerprint;
-		m->u.quarantine.until = due_of(x->quarant.keep, now);
+		m->u.quarantine.until = pf_wire_due(x->quarant.keep, now);
 		return 0;
 	case PF_WIRE_CONFIG_HEAD:
 	case PF_WIRE_CONFIG_PULL:
--- /dev/null
+++ b/src/protocol/wire_work.c
@@ -0,0 +1,57 @@
+/* Times and work between the C form and XDR. */
+#include "src/protocol/wire_work.h"
+
+#define NO_DURATION (-1)
+
+pf_ms pf_wire_left(pf_ms due, pf_ms now)
+{
+	if (due == PF_NEVER)
+		return NO_DURATION;
+	return due > now ? due - now : 0;
+}
+
+pf_ms pf_wire_due(pf_ms left, pf_ms now)
+{
+	if (left < 0 || left > PF_NEVER - now)
+		return PF_NEVER;
+	return now + left;
+}
+
+/* DEF(field): fields that the wire carries as they are. */
+#define WORK_FIELDS(DEF)   \
+	DEF(caller)        \
+	DEF(model)         \
+	DEF(adapter)       \
+	DEF(prefix)        \
+	DEF(fingerprint)   \
+	DEF(idem_key)      \
+	DEF(prompt_tokens) \
+	DEF(max_tokens)    \
+	DEF(offset)        \
+	DEF(flags)         \
+	DEF(priority)
+
+void pf_wire_work_out(pimento_work *x, const struct pf_work *w, pf_ms now)
+{
+#define DEF(field) x->field = w->field;
+	WORK_FIELDS(DEF)
+#undef DEF
+	x->age = now > w->arrived ? now - w->arrived : 0;
+	x->first_left = pf_wire_left(w->first_due, now);
+	x->between = w->between_ms;
+	x->whole_left = pf_wire_left(w->whole_due, now);
+	x->deadline_left = pf_wire_left(w->deadline, now);
+}
+
+void pf_wire_work_in(struct pf_work *w, const pimento_work *x, pf_ms now)
+{
+#define DEF(field) w->field = x->field;
+	WORK_FIELDS(DEF)
+#undef DEF
+	w->priority = x->priority > UINT8_MAX ? UINT8_MAX : x->priority;
+	w->arrived = x->age > 0 && x->age <= now ? now - x->age : now;
+	w->first_due = pf_wire_due(x->first_left, now);
+	w->between_ms = x->between > 0 ? x->between : 0;
+	w->whole_due = pf_wire_due(x->whole_left, now);
+	w->deadline = pf_wire_due(x->deadline_left, now);
+}
--- a/src/transport/rpc.c
+++ b/src/transport/rpc.c
@@ -4,19 +4,16 @@
 #include "pimentoford/clock.h"
 
 #include <arpa/inet.h>
-#include <errno.h>
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
 #include <event2/event.h>
 #include <event2/listener.h>
 #include <netinet/tcp.h>
-#include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
 /* A batch of this many bytes is sent before the turn ends. */
 #define BATCH_BYTES ((size_t)256 << 10)
-#define BACKLOG 256
 /* Longest wait between attempts is min << this, if max allows. */
 #define BACKOFF_SHIFT_MAX 16
 
@@ -216,16 +213,11 @@
 		pf_rpc_session_lost(s);
 }
 
-static void on_accept(struct evconnlistener *l, evutil_socket_t fd,
-		      struct sockaddr *sa, int len, void *ctx)
+void pf_rpc_session_accept(struct pf_rpc *r, evutil_socket_t fd)
 {
 	struct pf_rpc_session *s;
-	struct pf_rpc *r = ctx;
 	int one = 1;
 
-	(void)l;
-	(void)sa;
-	(void)len;
 	if (r->accepted >= r->opts.sessions_max) {
 		r->stats.turned_away++;
 		evutil_closesocket(fd);
@@ -420,58 +412,6 @@
 	free(r);
 }
 
-/* As the library's, and takes port 0, which lets the kernel choose. */
-static int parse_addr(const char *addr, struct sockaddr_storage *ss, int *len)
-{
-	size_t n = strlen(addr);
-	char ip[64];
-
-	*len = sizeof(*ss);
-	if (n > 2 && n < sizeof(ip) && strcmp(addr + n - 2, ":0") == 0) {
-		snprintf(ip, sizeof(ip), "%.*s", (int)(n - 2), addr);
-		addr = ip;
-	}
-	return evutil_parse_sockaddr_port(addr, (struct sockaddr *)ss, len);
-}
-
-int pf_rpc_listen(struct pf_rpc *r, const char *addr)
-{
-	struct sockaddr_storage ss;
-	int len;
-	socklen_t bound = sizeof(ss);
-
-	if (parse_addr(addr, &ss, &len) < 0) {
-		errno = EINVAL;
-		return -1;
-	}
-	r->listener = evconnlistener_new_bind(
-		r->opts.base, on_accept, r,
-		LEV_OPT_CLOSE_ON_FREE | LEV_OPT_CLOSE_ON_EXEC |
-			LEV_OPT_REUSEABLE | LEV_OPT_DISABLED,
-		BACKLOG, (struct sockaddr *)&ss, len);
-	if (!r->listener)
-		return -1;
-	if (getsockname(evconnlistener_get_fd(r->listener),
-			(struct sockaddr *)&ss, &bound) == 0)
-		r->port = ntohs(((struct sockaddr_in *)&ss)->sin_port);
-	return 0;
-}
-
-void pf_rpc_accept(struct pf_rpc *r, bool on)
-{
-	if (!r->listener)
-		return;
-	if (on)
-		evconnlistener_enable(r->listener);
-	else
-		evconnlistener_disable(r->listener);
-}
-
-uint16_t pf_rpc_port(const struct pf_rpc *r)
-{
-	return r->port;
-}
-
 void pf_rpc_set_incarnation(struct pf_rpc *r, uint64_t incarnation)
 {
 	r->opts.self.incarnation = incarnation;
--- a/src/transport/rpc_internal.h
+++ b/src/transport/rpc_internal.h
@@ -76,6 +76,8 @@
 /* rpc.c */
 void pf_rpc_session_up(struct pf_rpc_session *s);
 void pf_rpc_session_lost(struct pf_rpc_session *s);
+/** Takes a connection that a peer opened. */
+void pf_rpc_session_accept(struct pf_rpc *r, evutil_socket_t fd);
 
 /* rpc_call.c: one record in or out */
 
