Reports of many items are sent again

Cause: items on the wire grew by `running`, the room reckoned for each did not: a report of some hundred items could not be encoded and was not sent.

--- a/src/protocol/wire.c
+++ b/src/protocol/wire.c
@@ -27,7 +27,7 @@
 
 /* Room for the fixed part of any message. */
 #define FIXED_BYTES 256
-#define ITEM_BYTES 12
+#define ITEM_BYTES 16
 
 union wire_xdr {
 	pimento_try try_;
