Test of long lists meets a buffer that was used before

The fault shows only when a list grows by a third to a half over an earlier one. Change: the test encodes 5,000 items and then 7,500 with one buffer. Conclusion: the test shows the fault now.

--- a/tests/test_wire.cc
+++ b/tests/test_wire.cc
@@ -147,16 +147,20 @@
 /* The room that an encoder takes follows the lists in a message. */
 TEST(Wire, LongListsFit)
 {
-	std::vector<struct pf_item> many(5000, { 7, PF_ITEM_RESIDENT, 3 });
+	std::vector<struct pf_item> many(7500, { 7, PF_ITEM_RESIDENT, 3 });
 	std::vector<uint64_t> ids(5000, 9);
 	struct pf_wire_msg m = sample(PF_WIRE_REPORT);
 	Codec c;
 
 	m.u.report.items = many.data();
-	m.u.report.n_items = 5000;
-	ASSERT_EQ(c.decode(PF_WIRE_REPORT, c.encode(m, 0), 0), PF_WIRE_OK);
-	EXPECT_EQ(c.out.u.report.n_items, 5000u);
-	EXPECT_EQ(c.out.u.report.items[4999].running, 3u);
+	/* The second one finds a buffer that just seems large enough. */
+	for (uint32_t n : { 5000u, 7500u }) {
+		m.u.report.n_items = n;
+		ASSERT_EQ(c.decode(PF_WIRE_REPORT, c.encode(m, 0), 0),
+			  PF_WIRE_OK);
+		EXPECT_EQ(c.out.u.report.n_items, n);
+		EXPECT_EQ(c.out.u.report.items[n - 1].running, 3u);
+	}
 	m = sample(PF_WIRE_PLACE);
 	m.u.place = { ids.data(), 5000 };
 	ASSERT_EQ(c.decode(PF_WIRE_PLACE, c.encode(m, 0), 0), PF_WIRE_OK);
