Load tool frees its connections

Cause: under the leak checker the tool kept 265 connections: the client does not free a kept-alive one on completion. Change: each is released after its request's callback.

--- a/load/audit.c
+++ b/load/audit.c
@@ -8,6 +8,7 @@
 #include <stdlib.h>
 
 #define ASK_TIMEOUT_S 10
+#define LAST_US 100000
 
 /** The questions that are still open. */
 struct audit {
@@ -19,6 +20,7 @@
 struct question {
 	struct audit *audit;
 	const char *addr;
+	struct evhttp_connection *conn;
 	bool service;
 };
 
@@ -96,12 +98,15 @@
 
 static void close_question(struct audit *a)
 {
+	/* Connections are released before the loop ends. */
+	struct timeval last = { 0, LAST_US };
+
 	if (--a->open > 0)
 		return;
 	check_runs(a);
 	if (a->load->scenario->services->len && !a->load->n.unreadable)
 		check_answers(a);
-	event_base_loopbreak(a->load->base);
+	event_base_loopexit(a->load->base, &last);
 	g_hash_table_destroy(a->runs);
 	g_free(a);
 }
@@ -123,6 +128,7 @@
 		check_prompts(q->audit, j);
 	}
 	json_decref(j);
+	load_release(q->audit->load, q->conn);
 	close_question(q->audit);
 	g_free(q);
 }
@@ -140,7 +146,7 @@
 	q->addr = addr;
 	q->service = service;
 	evhttp_connection_set_timeout(c, ASK_TIMEOUT_S);
-	evhttp_connection_free_on_completion(c);
+	q->conn = c;
 	evhttp_add_header(evhttp_request_get_output_headers(req), "Host",
 			  part[0]);
 	evhttp_make_request(c, req, EVHTTP_REQ_GET,
--- a/load/load.h
+++ b/load/load.h
@@ -10,6 +10,7 @@
 #include <jansson.h>
 
 struct event_base;
+struct evhttp_connection;
 
 /* DEF(name): counters of the closing line and the report. */
 #define LOAD_COUNTERS(DEF)                                                  \
@@ -70,6 +71,9 @@
 /** Sends one new request of @c. */
 void request_new(struct load *l, const struct caller *c);
 
+/** Frees a connection whose request ended, once its callback is over. */
+void load_release(struct load *l, struct evhttp_connection *c);
+
 /** Counts and names the requests that never ended. */
 void requests_give_up(struct load *l);
 
--- a/load/request.c
+++ b/load/request.c
@@ -35,6 +35,7 @@
 	int64_t first; /* first byte of the answer, or 0 */
 	GString *in; /* body of the answer so far */
 	struct event *retry;
+	struct evhttp_connection *conn; /* of the send at hand */
 };
 
 static void request_send(struct request *r);
@@ -46,6 +47,20 @@
 		what, who, detail);
 }
 
+static void release(evutil_socket_t fd, short what, void *conn)
+{
+	(void)fd;
+	(void)what;
+	evhttp_connection_free(conn);
+}
+
+void load_release(struct load *l, struct evhttp_connection *c)
+{
+	struct timeval now = { 0, 0 };
+
+	event_base_once(l->base, -1, EV_TIMEOUT, release, c, &now);
+}
+
 static void request_free(struct request *r)
 {
 	g_hash_table_remove(r->load->alive, r);
@@ -319,6 +334,7 @@
 	struct request *r = ctx;
 	struct outcome o = { .text = g_string_new(NULL) };
 
+	load_release(r->load, r->conn);
 	if (req && evhttp_request_get_response_code(req)) {
 		o.status = evhttp_request_get_response_code(req);
 		o.ended = true;
@@ -401,7 +417,7 @@
 					  (uint16_t)strtoul(addr[1], NULL, 10));
 	req = evhttp_request_new(on_done, r);
 	evhttp_connection_set_timeout(conn, IDLE_TIMEOUT_S);
-	evhttp_connection_free_on_completion(conn);
+	r->conn = conn;
 	evhttp_request_set_chunked_cb(req, on_piece);
 	add_headers(r, req, addr[0]);
 	add_body(r, req);
