--- a/load/request.c
+++ b/load/request.c
@@ -120,16 +120,18 @@
 		.begin = r->arrived_wall,
 		.end = g_get_real_time() / 1000,
 		.entry = entry_name(r),
-		.who = g_strdup(*r->key ? r->key : r->prompt),
 		.broken = !o->error,
-		.why = g_strdup(o->error ? o->code : "broken"),
 	};
 
-	g_array_append_val(r->load->cuts, c);
 	if (o->error)
 		r->load->n.failed++;
 	else
 		r->load->n.cut++;
+	if (r->caller->may_fail > 0)
+		return;
+	c.who = g_strdup(*r->key ? r->key : r->prompt);
+	c.why = g_strdup(o->error ? o->code : "broken");
+	g_array_append_val(r->load->cuts, c);
 }
 
 static void note_answered(struct request *r)
--- a/load/scenario.h
+++ b/load/scenario.h
@@ -24,19 +24,20 @@
 };
 
 /* DEF(name, first value): numbers of a caller. */
-#define CALLER_NUMBERS(DEF)                                       \
-	DEF(rate, 1) /* requests a second */                      \
-	DEF(burst, 1) /* mean requests that arrive together */    \
-	DEF(stream, 0.5) /* share that is streamed */             \
-	DEF(chat, 0) /* share sent as a chat */                   \
-	DEF(limit, 2000) /* output limit, tokens */               \
-	DEF(prompt_bytes, 200) /* mean length of a prompt */      \
-	DEF(slow_ms, 0) /* extra time for each token or call */   \
-	DEF(first_ms, 1400) /* expected time to the first byte */ \
-	DEF(whole_ms, 30000) /* expected time to the whole */     \
-	DEF(resend, 0.3) /* share of keys that are sent again */  \
-	DEF(tries, 6) /* sends of one request until given up */   \
-	DEF(patience_ms, 45000) /* not sent again after so long */
+#define CALLER_NUMBERS(DEF)                                        \
+	DEF(rate, 1) /* requests a second */                       \
+	DEF(burst, 1) /* mean requests that arrive together */     \
+	DEF(stream, 0.5) /* share that is streamed */              \
+	DEF(chat, 0) /* share sent as a chat */                    \
+	DEF(limit, 2000) /* output limit, tokens */                \
+	DEF(prompt_bytes, 200) /* mean length of a prompt */       \
+	DEF(slow_ms, 0) /* extra time for each token or call */    \
+	DEF(first_ms, 1400) /* expected time to the first byte */  \
+	DEF(whole_ms, 30000) /* expected time to the whole */      \
+	DEF(resend, 0.3) /* share of keys that are sent again */   \
+	DEF(tries, 6) /* sends of one request until given up */    \
+	DEF(patience_ms, 45000) /* not sent again after so long */ \
+	DEF(may_fail, 0) /* 1: an error is what it deserves */
 
 struct caller {
 	char *name;
