Soak tells which failures a fault excused

Cause: failures that a fault explains were counted as failed and not named. Change: a counter of its own, and a line for each in the soak's output. Conclusion: what is left unanswered can be read off.

--- a/load/audit.c
+++ b/load/audit.c
@@ -181,16 +181,19 @@
 	for (guint i = 0; i < l->cuts->len; i++) {
 		const struct cut *c = &g_array_index(l->cuts, struct cut, i);
 
-		/* Only its entry's fault breaks a connection. */
-		if (faults_explain(faults, c->begin, c->end,
-				   c->broken ? c->entry : NULL))
-			continue;
-		l->n.cut_by_stop++;
 		g_snprintf(detail, sizeof(detail),
 			   "%s at %s from %" G_GINT64_FORMAT
 			   " to %" G_GINT64_FORMAT,
 			   c->why, c->entry, c->begin, c->end);
-		load_complain("cut", c->who, detail);
+		/* Only its entry's fault breaks a connection. */
+		if (faults_explain(faults, c->begin, c->end,
+				   c->broken ? c->entry : NULL)) {
+			l->n.excused++;
+			load_complain("excused", c->who, detail);
+		} else {
+			l->n.cut_by_stop++;
+			load_complain("cut", c->who, detail);
+		}
 	}
 	g_array_unref(faults);
 	g_free(text);
--- a/load/load.h
+++ b/load/load.h
@@ -24,6 +24,7 @@
 	DEF(doubled)                                                        \
 	DEF(not_run_but_ran)                                                \
 	DEF(cut_by_stop) /* cut or failed with no fault that explains it */ \
+	DEF(excused) /* cut or failed, and a fault explains it */           \
 	DEF(within) /* answered within expectation */                       \
 	DEF(sends)                                                          \
 	DEF(resends) /* of a key that had been answered */                  \
--- a/load/request.c
+++ b/load/request.c
@@ -43,8 +43,8 @@
 void load_complain(const char *what, const char *who, const char *detail)
 {
 	fprintf(stderr,
-		"level=error what=%s request=\"%.40s\" detail=\"%.200s\"\n",
-		what, who, detail);
+		"level=%s what=%s request=\"%.40s\" detail=\"%.200s\"\n",
+		strcmp(what, "excused") ? "error" : "info", what, who, detail);
 }
 
 static void release(evutil_socket_t fd, short what, void *conn)
