--- a/src/coordination/agent_core.h
+++ b/src/coordination/agent_core.h
@@ -42,6 +42,7 @@
 	bool told; /* STARTED was emitted */
 	bool first; /* no token since the last RUN */
 	bool gave_way; /* was paused for a short one; not twice */
+	uint8_t bounced; /* ends that nobody asked for, with no token since */
 	bool hungry; /* its growth did not fit */
 	uint32_t expected; /* output tokens, foreseen when it was queued */
 	pf_ms queued_at;
@@ -65,12 +66,13 @@
 	int64_t kv_token_bytes;
 	uint32_t max_context;
 	uint32_t users; /* runs that need it, queued or at the engine */
+	uint32_t running; /* runs of the model at the engine */
 	uint32_t wanted; /* rank in the last PLACE from 1; 0: not wanted */
 	pf_ms used_at;
 	uint64_t order; /* its last order; 0: none */
 	bool order_loads; /* it was a load */
 	bool pending; /* that order is not settled */
-	bool seen; /* scratch: stands in the inventory at hand */
+	bool seen; /* stood in the last inventory */
 	pf_ms order_at;
 	pf_ms retry_at; /* no new order before */
 	uint32_t refusals; /* in a row */
