--- a/daemons/agent/main.c
+++ b/daemons/agent/main.c
@@ -8,6 +8,7 @@
 #include <unistd.h>
 
 #define STOP_POLL_MS 20
+#define VM_POLL_MS 2000
 
 static int exit_status;
 
@@ -69,6 +70,29 @@
 	event_base_once(d->base, -1, EV_TIMEOUT, on_drain_over, d, &over);
 }
 
+static void on_leaving(void *ctx, struct pf_str name)
+{
+	struct daemon *d = ctx;
+
+	if (pf_str_eq(name, pf_str_c(d->set.place.name)))
+		daemon_leave(d, "vm_list");
+}
+
+static int follow_vms(struct daemon *d)
+{
+	struct pf_vm_list_opts o = {
+		.base = d->base,
+		.addr = d->set.place.platform,
+		.poll = VM_POLL_MS,
+		.seed = pf_process_random(),
+		.leaving = on_leaving,
+		.ctx = d,
+	};
+
+	d->vms = pf_vm_list_new(&o);
+	return d->vms ? 0 : -1;
+}
+
 static int start(struct daemon *d)
 {
 	d->base = event_base_new();
@@ -92,6 +116,8 @@
 		       PF_KV_STR("why", strerror(errno)));
 		return -1;
 	}
+	if (follow_vms(d) < 0)
+		return -1;
 	return boot_start(d);
 }
 
@@ -102,6 +128,7 @@
 	watch_stop(d);
 	status_stop(d);
 	pf_rpc_free(d->rpc);
+	pf_vm_list_free(d->vms);
 	pf_config_reader_free(d->reader);
 	pf_table_free(d->table);
 	pf_config_free(d->config);
@@ -121,23 +148,28 @@
 			       &o, &status) < 0)
 		return status;
 	pf_agent_opts_default(&d.set.core);
+	status = PF_EXIT_SETTINGS;
 	if (pf_process_settings(&pf_agent_form, o.settings, &d.set,
 				&d.set.place) < 0)
-		return PF_EXIT_SETTINGS;
+		goto out;
+	status = EXIT_SUCCESS;
 	if (o.check)
-		return EXIT_SUCCESS;
+		goto out;
 	d.log = (struct pf_log){ STDERR_FILENO,
 				 (enum pf_log_level)d.set.place.log_level,
 				 "agent" };
+	status = EXIT_FAILURE;
 	if (start(&d) < 0)
-		return EXIT_FAILURE;
+		goto out;
 	PF_LOG(&d.log, PF_LOG_INFO, "started",
 	       PF_KV_STR("name", d.set.place.name),
 	       PF_KV_STR("rpc", d.set.listen));
 	event_base_dispatch(d.base);
-	PF_LOG(&d.log, PF_LOG_INFO, "ended", PF_KV_INT("status", exit_status));
+	status = exit_status;
+	PF_LOG(&d.log, PF_LOG_INFO, "ended", PF_KV_INT("status", status));
 	stop(&d);
+out:
 	pf_fields_free(&pf_agent_form, &d.set);
 	free(o.settings);
-	return exit_status;
+	return status;
 }
--- a/daemons/entry/daemon.h
+++ b/daemons/entry/daemon.h
@@ -17,6 +17,7 @@
 #include "pimentoford/rpc.h"
 #include "pimentoford/settings.h"
 #include "pimentoford/table_client.h"
+#include "pimentoford/vm_list.h"
 
 #include <event2/event.h>
 #include <evhtp/evhtp.h>
@@ -84,6 +85,13 @@
 	struct pf_rpc_session *session;
 };
 
+/** Sessions with other entries at once. */
+#define ENTRIES_MAX 64
+
+struct request_slot {
+	struct request *request;
+};
+
 struct daemon {
 	struct event_base *base;
 	struct pf_entry_settings set;
@@ -106,7 +114,7 @@
 	const struct pf_wire_msg *at_hand; /* that the core is handling */
 	LIST_HEAD(, request) requests;
 	struct pf_map request_index;
-	struct request **slots; /* by the map's value */
+	struct request_slot *slots; /* by the map's value */
 	uint32_t *free_slots;
 	uint32_t n_free_slots;
 	LIST_HEAD(, request) gone; /* whose callers left inside a step */
@@ -119,18 +127,17 @@
 
 	struct pf_rpc *rpc;
 	LIST_HEAD(, link) links;
-	struct pf_rpc_session **entries; /* sessions with other entries */
+	struct pf_rpc_session *entries[ENTRIES_MAX]; /* other entries */
 	uint32_t n_entries;
 
 	struct pf_table *table;
 	struct pf_config_reader *reader;
 	struct changes *changes; /* of operators */
+	struct pf_vm_list *vms;
 	struct event *stop_timer;
 	struct pf_rng rng;
 };
 
-#define ENTRIES_MAX 64
-
 /* core.c */
 int core_start(struct daemon *d);
 void core_stop(struct daemon *d);
--- a/include/pimentoford/work.h
+++ b/include/pimentoford/work.h
@@ -100,6 +100,7 @@
 struct pf_item {
 	uint64_t id;
 	enum pf_item_state state;
+	uint32_t running; /* runs of the model at the engine */
 };
 
 /** An agent's load report. `items` is borrowed. */
--- a/load/request.c
+++ b/load/request.c
@@ -35,6 +35,7 @@
 	int64_t first; /* first byte of the answer, or 0 */
 	GString *in; /* body of the answer so far */
 	struct event *retry;
+	struct evhttp_connection *conn; /* of the send at hand */
 };
 
 static void request_send(struct request *r);
@@ -42,8 +43,22 @@
 void load_complain(const char *what, const char *who, const char *detail)
 {
 	fprintf(stderr,
-		"level=error what=%s request=\"%.40s\" detail=\"%.200s\"\n",
-		what, who, detail);
+		"level=%s what=%s request=\"%.40s\" detail=\"%.200s\"\n",
+		strcmp(what, "excused") ? "error" : "info", what, who, detail);
+}
+
+static void release(evutil_socket_t fd, short what, void *conn)
+{
+	(void)fd;
+	(void)what;
+	evhttp_connection_free(conn);
+}
+
+void load_release(struct load *l, struct evhttp_connection *c)
+{
+	struct timeval now = { 0, 0 };
+
+	event_base_once(l->base, -1, EV_TIMEOUT, release, c, &now);
 }
 
 static void request_free(struct request *r)
@@ -105,16 +120,18 @@
 		.begin = r->arrived_wall,
 		.end = g_get_real_time() / 1000,
 		.entry = entry_name(r),
-		.who = g_strdup(*r->key ? r->key : r->prompt),
 		.broken = !o->error,
-		.why = g_strdup(o->error ? o->code : "broken"),
 	};
 
-	g_array_append_val(r->load->cuts, c);
 	if (o->error)
 		r->load->n.failed++;
 	else
 		r->load->n.cut++;
+	if (r->caller->may_fail > 0)
+		return;
+	c.who = g_strdup(*r->key ? r->key : r->prompt);
+	c.why = g_strdup(o->error ? o->code : "broken");
+	g_array_append_val(r->load->cuts, c);
 }
 
 static void note_answered(struct request *r)
@@ -319,6 +336,7 @@
 	struct request *r = ctx;
 	struct outcome o = { .text = g_string_new(NULL) };
 
+	load_release(r->load, r->conn);
 	if (req && evhttp_request_get_response_code(req)) {
 		o.status = evhttp_request_get_response_code(req);
 		o.ended = true;
@@ -401,7 +419,7 @@
 					  (uint16_t)strtoul(addr[1], NULL, 10));
 	req = evhttp_request_new(on_done, r);
 	evhttp_connection_set_timeout(conn, IDLE_TIMEOUT_S);
-	evhttp_connection_free_on_completion(conn);
+	r->conn = conn;
 	evhttp_request_set_chunked_cb(req, on_piece);
 	add_headers(r, req, addr[0]);
 	add_body(r, req);
--- a/src/coordination/agent_core.h
+++ b/src/coordination/agent_core.h
@@ -66,6 +66,7 @@
 	int64_t kv_token_bytes;
 	uint32_t max_context;
 	uint32_t users; /* runs that need it, queued or at the engine */
+	uint32_t running; /* runs of the model at the engine */
 	uint32_t wanted; /* rank in the last PLACE from 1; 0: not wanted */
 	pf_ms used_at;
 	uint64_t order; /* its last order; 0: none */
--- a/src/coordination/agent_report.c
+++ b/src/coordination/agent_report.c
@@ -12,6 +12,7 @@
 			continue;
 		a->report_items[n].id = a->items[i].id;
 		a->report_items[n].state = state;
+		a->report_items[n].running = a->items[i].running;
 		n++;
 	}
 	return n;
--- a/src/coordination/entry_impl.h
+++ b/src/coordination/entry_impl.h
@@ -93,6 +93,7 @@
 struct pf_peer_item {
 	uint64_t id;
 	enum pf_item_state state;
+	uint32_t running; /* its runs, with own tries sent since */
 	pf_ms since;
 };
 
@@ -111,6 +112,7 @@
 	uint64_t seq;
 	pf_ms report_at;
 	uint32_t load; /* reported running and queued */
+	uint32_t queued; /* of them */
 	uint32_t batch_max;
 	uint32_t taken; /* reported `started` */
 	int64_t kv_free;
--- a/src/coordination/peers.c
+++ b/src/coordination/peers.c
@@ -156,6 +156,7 @@
 
 		v[n].id = r->items[i].id;
 		v[n].state = r->items[i].state;
+		v[n].running = r->items[i].running;
 		v[n++].since = kept ? old->since : e->now;
 	}
 	qsort(v, n, sizeof(*v), by_id);
@@ -189,6 +190,7 @@
 	see(e, p, p->reported ? r->started - p->taken : r->started);
 	p->taken = r->started;
 	p->load = r->running + r->queued;
+	p->queued = r->queued;
 	p->ended = 0;
 }
 
@@ -219,6 +221,7 @@
 {
 	struct pf_peer *p = &e->peers[peer];
 	struct pf_request *r = &e->reqs[slot];
+	const struct pf_peer_item *item;
 
 	r->prev = PF_NIL;
 	r->next = p->head;
@@ -228,6 +231,9 @@
 	r->unseen = true;
 	p->inflight++;
 	p->unseen++;
+	item = pf_peers_item(p, r->work.model);
+	if (item)
+		((struct pf_peer_item *)item)->running++;
 }
 
 void pf_peers_ended(struct pf_entry *e, uint32_t peer, uint32_t slot)
@@ -256,8 +262,18 @@
 	return load > p->inflight ? load : p->inflight;
 }
 
+/* Tries that wait there for memory, although the batch has room. */
+static bool congested(const struct pf_entry *e, const struct pf_peer *p)
+{
+	uint32_t depth = e->opts.depth ? e->opts.depth : 1;
+
+	return p->queued > 0 && p->queued + p->unseen >= depth + p->ended;
+}
+
 bool pf_peers_room(const struct pf_entry *e, const struct pf_peer *p)
 {
+	if (congested(e, p))
+		return false;
 	return pf_peers_load(p) < p->batch_max + e->opts.depth;
 }
 
