Daemons follow the configuration by the spread core

Cause: each daemon polled the table's head and read the whole set anew for each change; with the table away nothing spread, and reads grew with agents. Change: a follower drives the spread core in entry and agent; heads, pulls and deltas ride on the sessions between them; the configuration reader is gone. The wire's config messages carry base, digest, region and age. Conclusion: one policy for all; agents read the table only when new, or when no entry is heard.

--- a/daemons/agent/boot.c
+++ b/daemons/agent/boot.c
@@ -6,6 +6,8 @@
 #include <string.h>
 
 #define TABLE_TIMEOUT_MS 3000
+/* Of a whole set, which comes in pages. */
+#define READ_TIMEOUT_MS 10000
 #define AGAIN_MS 200
 #define KEY_MAX 128
 
@@ -196,20 +198,30 @@
 	       PF_KV_STR("finding", f->n ? f->v[0].text : ""));
 }
 
+static void send_to(void *ctx, uint64_t peer, const struct pf_wire_msg *m)
+{
+	links_send(ctx, peer, m);
+}
+
 static void follow_config(struct daemon *d)
 {
-	struct pf_config_reader_opts o = {
+	struct pf_follower_opts o = {
 		.base = d->base,
 		.table = d->table,
-		.poll = d->set.load_poll,
-		.seed = pf_process_random(),
+		.send = send_to,
 		.adopt = adopt,
 		.refused = refused,
 		.ctx = d,
 	};
 
-	d->reader = pf_config_reader_new(&o);
-	if (!d->reader)
+	pf_spread_opts_default(&o.core);
+	o.core.self = d->id;
+	o.core.region = pf_id(pf_str_c(d->set.place.region));
+	o.core.seed = pf_process_random();
+	o.core.peers_max = d->set.sessions;
+	o.core.read_timeout = READ_TIMEOUT_MS;
+	d->follower = pf_follower_new(&o);
+	if (!d->follower)
 		daemon_fail(d, "no memory for the configuration");
 }
 
--- a/daemons/agent/daemon.h
+++ b/daemons/agent/daemon.h
@@ -9,9 +9,9 @@
 #include "pimentoford/agent.h"
 #include "pimentoford/claim.h"
 #include "pimentoford/clock.h"
-#include "pimentoford/config_reader.h"
 #include "pimentoford/counters.h"
 #include "pimentoford/engine.h"
+#include "pimentoford/follower.h"
 #include "pimentoford/http_client.h"
 #include "pimentoford/log.h"
 #include "pimentoford/map.h"
@@ -144,7 +144,8 @@
 	struct item_name *names;
 	size_t n_names;
 	struct evhtp *status;
-	struct pf_config_reader *reader; /* NULL before the incarnation */
+	struct pf_follower *
+		follower; /* of the configuration; NULL before the incarnation */
 	struct pf_vm_list *vms;
 	struct event *boot_timer;
 	struct event *stop_timer;
--- a/daemons/entry/admin.c
+++ b/daemons/entry/admin.c
@@ -17,6 +17,7 @@
 static void refresh(struct daemon *d)
 {
 	const struct pf_rpc_stats *rpc = pf_rpc_stats(d->rpc);
+	struct pf_spread_stats spread;
 	struct pf_entry_stats st;
 	struct pf_process_usage u;
 	uint64_t *v = d->counters.v;
@@ -40,8 +41,9 @@
 	v[PF_EC_RPC_BYTES_OUT] = rpc->bytes_out;
 	v[PF_EC_RPC_BAD] = rpc->bad_records + rpc->oversize_records;
 	v[PF_EC_RPC_STRANGERS] = rpc->strangers;
-	v[PF_EC_TABLE_READS] = pf_config_reader_stats(d->reader)->reads;
-	v[PF_EC_TABLE_ERRORS] = pf_config_reader_stats(d->reader)->errors;
+	pf_follower_stats(d->follower, &spread);
+	v[PF_EC_TABLE_READS] = spread.reads;
+	v[PF_EC_TABLE_ERRORS] = spread.read_errors;
 	v[PF_EC_CPU_MS] = u.cpu_ms;
 	v[PF_EC_RSS_KB] = u.rss_kb;
 }
--- a/daemons/entry/admin_apply.c
+++ b/daemons/entry/admin_apply.c
@@ -136,8 +136,10 @@
 	enum pf_outcome o = act->u.done.outcome;
 	struct operation *op;
 
-	if (o == PF_OUTCOME_ACCEPTED)
+	if (o == PF_OUTCOME_ACCEPTED) {
 		d->counters.v[PF_EC_CHANGES]++;
+		pf_follower_seen(d->follower, act->u.done.revision);
+	}
 	if (o == PF_OUTCOME_CONFLICT)
 		d->counters.v[PF_EC_CONFLICTS]++;
 	LIST_FOREACH(op, &d->changes->operations, next)
--- a/daemons/entry/config.c
+++ b/daemons/entry/config.c
@@ -1,9 +1,11 @@
-/* The configuration: read from the table, adopted when it is newer. */
+/* The configuration: from the table or from peers, adopted when it is newer. */
 #include "daemon.h"
 
 #include <stdlib.h>
 
 #define TABLE_TIMEOUT_MS 3000
+/* Of a whole set, which comes in pages. */
+#define READ_TIMEOUT_MS 10000
 
 static char *text_of(const struct pf_records *set)
 {
@@ -40,6 +42,11 @@
 	       PF_KV_STR("finding", f->n ? f->v[0].text : ""));
 }
 
+static void send_to(void *ctx, uint64_t peer, const struct pf_wire_msg *m)
+{
+	links_send_peer(ctx, peer, m);
+}
+
 int config_start(struct daemon *d)
 {
 	struct pf_table_opts o = {
@@ -49,19 +56,25 @@
 		.timeout = TABLE_TIMEOUT_MS,
 		.body_max = (size_t)32 << 20,
 	};
-	struct pf_config_reader_opts r = {
+	struct pf_follower_opts f = {
 		.base = d->base,
-		.poll = d->set.poll,
-		.seed = pf_process_random(),
+		.send = send_to,
 		.adopt = adopt,
 		.refused = refused,
 		.ctx = d,
 	};
 
+	pf_spread_opts_default(&f.core);
+	f.core.self = d->id;
+	f.core.region = pf_id(pf_str_c(d->set.place.region));
+	f.core.seed = pf_process_random();
+	f.core.entry = true;
+	f.core.poll = d->set.poll;
+	f.core.read_timeout = READ_TIMEOUT_MS;
 	d->table = pf_table_new(&o);
 	if (!d->table)
 		return -1;
-	r.table = d->table;
-	d->reader = pf_config_reader_new(&r);
-	return d->reader ? 0 : -1;
+	f.table = d->table;
+	d->follower = pf_follower_new(&f);
+	return d->follower ? 0 : -1;
 }
--- a/daemons/entry/daemon.h
+++ b/daemons/entry/daemon.h
@@ -7,9 +7,9 @@
 #define ENTRY_DAEMON_H
 
 #include "pimentoford/clock.h"
-#include "pimentoford/config_reader.h"
 #include "pimentoford/counters.h"
 #include "pimentoford/entry.h"
+#include "pimentoford/follower.h"
 #include "pimentoford/log.h"
 #include "pimentoford/map.h"
 #include "pimentoford/openai.h"
@@ -131,7 +131,7 @@
 	uint32_t n_entries;
 
 	struct pf_table *table;
-	struct pf_config_reader *reader;
+	struct pf_follower *follower; /* of the configuration */
 	struct changes *changes; /* of operators */
 	struct pf_vm_list *vms;
 	struct event *stop_timer;
@@ -204,6 +204,9 @@
 /** Keeps sessions with the agents that the configuration names. */
 void links_configure(struct daemon *d);
 void links_send(struct daemon *d, uint64_t agent, const struct pf_wire_msg *m);
+/** To an agent or an entry with a session. */
+void links_send_peer(struct daemon *d, uint64_t id,
+		     const struct pf_wire_msg *m);
 void links_send_entries(struct daemon *d, const struct pf_wire_msg *m);
 
 /* config.c */
--- a/daemons/entry/links.c
+++ b/daemons/entry/links.c
@@ -33,12 +33,38 @@
 		pf_rpc_send(d->entries[i], m);
 }
 
+/* Two entries that name each other as peers have two sessions. */
+static struct pf_rpc_session *find_entry(const struct daemon *d, uint64_t id)
+{
+	for (uint32_t i = 0; i < d->n_entries; i++) {
+		if (pf_rpc_peer(d->entries[i])->id == id)
+			return d->entries[i];
+	}
+	return NULL;
+}
+
+void links_send_peer(struct daemon *d, uint64_t id, const struct pf_wire_msg *m)
+{
+	struct pf_rpc_session *s = find_entry(d, id);
+
+	if (s)
+		pf_rpc_send(s, m);
+	else
+		links_send(d, id, m);
+}
+
 static void entry_up(struct daemon *d, struct pf_rpc_session *s)
 {
-	if (d->n_entries >= ENTRIES_MAX)
+	uint64_t id = pf_rpc_peer(s)->id;
+	bool first = !find_entry(d, id);
+
+	if (d->n_entries >= ENTRIES_MAX) {
 		pf_rpc_drop(s);
-	else
-		d->entries[d->n_entries++] = s;
+		return;
+	}
+	d->entries[d->n_entries++] = s;
+	if (first)
+		pf_follower_up(d->follower, id, true);
 }
 
 static void entry_down(struct daemon *d, struct pf_rpc_session *s)
@@ -48,9 +74,11 @@
 	for (i = 0; i < d->n_entries; i++) {
 		if (d->entries[i] == s) {
 			d->entries[i] = d->entries[--d->n_entries];
-			return;
+			break;
 		}
 	}
+	if (!find_entry(d, pf_rpc_peer(s)->id))
+		pf_follower_down(d->follower, pf_rpc_peer(s)->id);
 }
 
 static void on_up(void *ctx, struct pf_rpc_session *s)
@@ -74,6 +102,7 @@
 	       PF_KV_INT("incarnation", (int64_t)p->incarnation));
 	m.u.link.incarnation = p->incarnation;
 	entry_step(d, &m);
+	pf_follower_up(d->follower, p->id, false);
 }
 
 static void agent_down(struct daemon *d, uint64_t id)
@@ -81,6 +110,7 @@
 	struct pf_entry_msg m = { .type = PF_ENTRY_LINK_DOWN, .agent = id };
 
 	entry_step(d, &m);
+	pf_follower_down(d->follower, id);
 }
 
 static void on_down(void *ctx, struct pf_rpc_session *s)
@@ -176,11 +206,15 @@
 	const struct pf_rpc_peer *p = pf_rpc_peer(s);
 	struct link *l = pf_rpc_user(s);
 	struct daemon *d = ctx;
+	uint64_t peer = p->id;
 
 	if (p->role == PF_RPC_ENTRY)
 		from_entry(d, w);
 	else if (l && l->id == p->id)
 		from_agent(d, p->id, w);
+	else
+		return;
+	pf_follower_message(d->follower, peer, w);
 }
 
 LIST_HEAD(link_list, link);
--- a/daemons/entry/main.c
+++ b/daemons/entry/main.c
@@ -139,7 +139,7 @@
 	core_stop(d);
 	changes_stop(d);
 	pf_vm_list_free(d->vms);
-	pf_config_reader_free(d->reader);
+	pf_follower_free(d->follower);
 	pf_table_free(d->table);
 	pf_config_free(d->config);
 	pf_text_free(&d->scratch);
--- a/include/pimentoford/wire.h
+++ b/include/pimentoford/wire.h
@@ -83,6 +83,11 @@
 			uint64_t revision; /* CONFIG_HEAD: what it holds;
 					    * CONFIG_PULL: what it has */
 			struct pf_str text; /* CONFIG only */
+			uint64_t base; /* CONFIG: of a delta; 0: whole */
+			uint64_t digest; /* CONFIG: of the whole set */
+			uint64_t region; /* CONFIG_HEAD: id of the sender's */
+			pf_ms age; /* CONFIG_HEAD: since the table was read
+				    * there; -1: never */
 		} config;
 		struct {
 			const uint64_t *items;
--- a/src/protocol/pimento.x
+++ b/src/protocol/pimento.x
@@ -143,6 +143,10 @@
 struct pimento_config {
 	unsigned hyper revision;
 	opaque text<PIMENTO_BYTES>;
+	unsigned hyper base;
+	unsigned hyper digest;
+	unsigned hyper region;
+	hyper age;
 };
 
 struct pimento_place {
--- a/src/protocol/pimento_xdr.c
+++ b/src/protocol/pimento_xdr.c
@@ -508,6 +508,14 @@
 		 return FALSE;
 	 if (!xdr_bytes (xdrs, (char **)&objp->text.text_val, (u_int *) &objp->text.text_len, PIMENTO_BYTES))
 		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->base))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->digest))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->region))
+		 return FALSE;
+	 if (!xdr_quad_t (xdrs, &objp->age))
+		 return FALSE;
 	return TRUE;
 }
 
--- a/src/protocol/pimento_xdr.h
+++ b/src/protocol/pimento_xdr.h
@@ -200,6 +200,10 @@
 		u_int text_len;
 		char *text_val;
 	} text;
+	u_quad_t base;
+	u_quad_t digest;
+	u_quad_t region;
+	quad_t age;
 };
 typedef struct pimento_config pimento_config;
 
--- a/src/protocol/wire.c
+++ b/src/protocol/wire.c
@@ -249,6 +249,10 @@
 	case PF_WIRE_CONFIG_PULL:
 	case PF_WIRE_CONFIG:
 		x->config.revision = m->u.config.revision;
+		x->config.base = m->u.config.base;
+		x->config.digest = m->u.config.digest;
+		x->config.region = m->u.config.region;
+		x->config.age = m->u.config.age;
 		SET_STR(&x->config, text, m->u.config.text);
 		return (ssize_t)m->u.config.text.n;
 	case PF_WIRE_PLACE:
@@ -430,6 +434,10 @@
 	case PF_WIRE_CONFIG_PULL:
 	case PF_WIRE_CONFIG:
 		m->u.config.revision = x->config.revision;
+		m->u.config.base = x->config.base;
+		m->u.config.digest = x->config.digest;
+		m->u.config.region = x->config.region;
+		m->u.config.age = x->config.age;
 		m->u.config.text = GET_STR(&x->config, text);
 		return 0;
 	case PF_WIRE_PLACE:
--- /dev/null
+++ b/src/transport/follower.c
@@ -0,0 +1,415 @@
+/* Drives the spread core from events, sessions and the table. */
+#include "pimentoford/follower.h"
+
+#include "pimentoford/clock.h"
+#include "pimentoford/rows.h"
+
+#include <event2/event.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define PAGE_ROWS 500
+/* Heads that move while a set is read, until the reading is given up. */
+#define SET_TRIES 3
+
+/* What the core asked of the table. */
+struct reading {
+	enum pf_spread_act_type type;
+	uint64_t seq;
+	uint64_t after; /* READ_CHANGES */
+	uint64_t revision;
+};
+
+struct pf_follower {
+	struct pf_follower_opts o;
+	struct pf_spread *core;
+	struct event *timer;
+	struct reading at; /* whose answer is awaited */
+	struct reading next; /* asked since; seq 0: none */
+	bool busy; /* a request to the table is under way */
+	struct pf_records set; /* read so far */
+	bool confirming; /* the set is read; the head must still be there */
+	uint32_t tries;
+	char last_key[PF_ROW_KEY_MAX + 1];
+	struct pf_config *config; /* built, to be handed over after the step */
+	const struct pf_records *adopted;
+};
+
+static void begin(struct pf_follower *f);
+
+static void arm(struct pf_follower *f)
+{
+	pf_ms wait = pf_spread_next(f->core) - pf_clock_now();
+	struct timeval tv;
+
+	if (wait < 1)
+		wait = 1;
+	tv = (struct timeval){ wait / 1000, (wait % 1000) * 1000 };
+	event_add(f->timer, &tv);
+}
+
+static void send_act(struct pf_follower *f, const struct pf_spread_act *a)
+{
+	struct pf_wire_msg m = { 0 };
+
+	if (a->type == PF_SPREAD_SEND_HEAD) {
+		m.type = PF_WIRE_CONFIG_HEAD;
+		m.u.config.revision = a->u.head.revision;
+		m.u.config.region = a->u.head.region;
+		m.u.config.age = a->u.head.age;
+	} else if (a->type == PF_SPREAD_SEND_PULL) {
+		m.type = PF_WIRE_CONFIG_PULL;
+		m.u.config.revision = a->u.revision;
+	} else {
+		m.type = PF_WIRE_CONFIG;
+		m.u.config.revision = a->u.config.revision;
+		m.u.config.base = a->u.config.base;
+		m.u.config.digest = a->u.config.digest;
+		m.u.config.text = a->u.config.text;
+	}
+	f->o.send(f->o.ctx, a->peer, &m);
+}
+
+static void build(struct pf_follower *f, const struct pf_spread_act *a)
+{
+	struct pf_findings found = { 0 };
+	struct pf_config *c = NULL;
+
+	if (pf_records_build(a->u.adopt.set, a->u.adopt.revision, &found, &c) <
+	    0) {
+		f->o.refused(f->o.ctx, a->u.adopt.revision, &found);
+	} else {
+		pf_config_free(f->config);
+		f->config = c;
+		f->adopted = a->u.adopt.set;
+	}
+	pf_findings_clear(&found);
+}
+
+static void ask(struct pf_follower *f, const struct pf_spread_act *a)
+{
+	f->next = (struct reading){ .type = a->type, .seq = a->seq };
+	if (a->type == PF_SPREAD_READ_CHANGES) {
+		f->next.after = a->u.changes.after;
+		f->next.revision = a->u.changes.revision;
+	}
+}
+
+static void emit(void *ctx, const struct pf_spread_act *a)
+{
+	struct pf_follower *f = ctx;
+
+	switch (a->type) {
+	case PF_SPREAD_SEND_HEAD:
+	case PF_SPREAD_SEND_PULL:
+	case PF_SPREAD_SEND_CONFIG:
+		send_act(f, a);
+		break;
+	case PF_SPREAD_READ_HEAD:
+	case PF_SPREAD_READ_CHANGES:
+	case PF_SPREAD_READ_SET:
+		ask(f, a);
+		break;
+	case PF_SPREAD_ADOPT:
+		build(f, a);
+		break;
+	}
+}
+
+/* The daemon may call back, so acts on it come after the step. */
+static void step(struct pf_follower *f, const struct pf_spread_msg *m)
+{
+	struct pf_spread_sink sink = { emit, f };
+	struct pf_config *c;
+
+	pf_spread_step(f->core, pf_clock_now(), m, &sink);
+	arm(f);
+	c = f->config;
+	f->config = NULL;
+	if (c)
+		f->o.adopt(f->o.ctx, c, f->adopted);
+	if (f->next.seq && !f->busy)
+		begin(f);
+}
+
+static void fail(struct pf_follower *f)
+{
+	struct pf_spread_msg m = { .type = PF_SPREAD_TABLE_HEAD,
+				   .seq = f->at.seq };
+
+	pf_records_free(&f->set);
+	m.u.table.status = PF_TABLE_UNKNOWN;
+	step(f, &m);
+}
+
+/* Whether the answer at hand is for nobody: the core asked for another. */
+static bool outdated(struct pf_follower *f)
+{
+	f->busy = false;
+	if (!f->next.seq)
+		return false;
+	pf_records_free(&f->set);
+	begin(f);
+	return true;
+}
+
+static void read_page(struct pf_follower *f);
+static void read_head(struct pf_follower *f);
+
+static void answer_set(struct pf_follower *f)
+{
+	struct pf_spread_msg m = { .type = PF_SPREAD_TABLE_SET,
+				   .seq = f->at.seq };
+
+	m.u.table.status = PF_TABLE_OK;
+	m.u.table.revision = f->at.revision;
+	m.u.table.set = &f->set;
+	step(f, &m);
+	if (!f->busy)
+		pf_records_free(&f->set);
+}
+
+/* The set is of one revision if the head is the same before and after. */
+static void on_set_head(struct pf_follower *f, uint64_t revision)
+{
+	if (f->confirming && revision == f->at.revision) {
+		answer_set(f);
+		return;
+	}
+	if (f->tries++ >= SET_TRIES) {
+		fail(f);
+		return;
+	}
+	pf_records_free(&f->set);
+	f->confirming = false;
+	f->at.revision = revision;
+	f->last_key[0] = '\0';
+	read_page(f);
+}
+
+static void on_head(void *ctx, const struct pf_table_rows *rows)
+{
+	struct pf_spread_msg m = { .type = PF_SPREAD_TABLE_HEAD };
+	struct pf_follower *f = ctx;
+	struct pf_head head = { 0 };
+
+	if (outdated(f))
+		return;
+	if (rows->status != PF_TABLE_OK ||
+	    (rows->n > 0 &&
+	     pf_row_head_parse(rows->rows[0].value, &head) < 0)) {
+		fail(f);
+		return;
+	}
+	if (f->at.type == PF_SPREAD_READ_SET) {
+		on_set_head(f, head.revision);
+		return;
+	}
+	m.seq = f->at.seq;
+	m.u.table.status = PF_TABLE_OK;
+	m.u.table.revision = head.revision;
+	step(f, &m);
+}
+
+static void read_head(struct pf_follower *f)
+{
+	f->busy = true;
+	if (pf_table_get(f->o.table, PF_STR(PF_ROW_HEAD), on_head, f) == 0)
+		return;
+	f->busy = false;
+	fail(f);
+}
+
+static int take_row(struct pf_follower *f, const struct pf_table_row *row)
+{
+	struct pf_record rec = { 0 };
+	int rc = 0;
+
+	if (row->key.n >= sizeof(f->last_key) ||
+	    pf_row_record_parse(row, &rec) < 0)
+		return -1;
+	memcpy(f->last_key, row->key.p, row->key.n);
+	f->last_key[row->key.n] = '\0';
+	/* An empty text says that the record was deleted. */
+	if (rec.text && rec.text[0])
+		rc = pf_records_put(&f->set, &rec);
+	pf_record_clear(&rec);
+	return rc;
+}
+
+static void on_page(void *ctx, const struct pf_table_rows *rows)
+{
+	struct pf_follower *f = ctx;
+
+	if (outdated(f))
+		return;
+	if (rows->status != PF_TABLE_OK) {
+		fail(f);
+		return;
+	}
+	for (size_t i = 0; i < rows->n; i++) {
+		if (take_row(f, &rows->rows[i]) < 0) {
+			fail(f);
+			return;
+		}
+	}
+	f->confirming = rows->n < PAGE_ROWS;
+	if (f->confirming)
+		read_head(f);
+	else
+		read_page(f);
+}
+
+static void read_page(struct pf_follower *f)
+{
+	f->busy = true;
+	if (pf_table_scan(f->o.table, PF_STR(PF_ROW_RECORDS),
+			  pf_str_c(f->last_key), PAGE_ROWS, on_page, f) == 0)
+		return;
+	f->busy = false;
+	fail(f);
+}
+
+static void on_changes(void *ctx, const struct pf_table_rows *rows)
+{
+	struct pf_spread_msg m = { .type = PF_SPREAD_TABLE_CHANGES };
+	struct pf_follower *f = ctx;
+
+	if (outdated(f))
+		return;
+	if (rows->status != PF_TABLE_OK) {
+		fail(f);
+		return;
+	}
+	m.seq = f->at.seq;
+	m.u.table.status = PF_TABLE_OK;
+	m.u.table.rows = rows->rows;
+	m.u.table.n = rows->n;
+	step(f, &m);
+}
+
+static void read_changes(struct pf_follower *f)
+{
+	char key[PF_ROW_KEY_MAX];
+
+	f->busy = true;
+	if (pf_table_scan(f->o.table, PF_STR(PF_ROW_AUDITS),
+			  pf_row_audit_key(key, f->at.after),
+			  (uint32_t)(f->at.revision - f->at.after), on_changes,
+			  f) == 0)
+		return;
+	f->busy = false;
+	fail(f);
+}
+
+static void begin(struct pf_follower *f)
+{
+	f->at = f->next;
+	f->next.seq = 0;
+	f->confirming = false;
+	f->tries = 0;
+	if (f->at.type == PF_SPREAD_READ_CHANGES)
+		read_changes(f);
+	else
+		read_head(f);
+}
+
+static void on_timer(evutil_socket_t fd, short what, void *ctx)
+{
+	struct pf_spread_msg m = { .type = PF_SPREAD_TICK };
+
+	(void)fd;
+	(void)what;
+	step(ctx, &m);
+}
+
+struct pf_follower *pf_follower_new(const struct pf_follower_opts *o)
+{
+	struct pf_follower *f = calloc(1, sizeof(*f));
+	struct pf_spread_msg m = { .type = PF_SPREAD_TICK };
+
+	if (!f)
+		return NULL;
+	f->o = *o;
+	f->core = pf_spread_new(&o->core, pf_clock_now());
+	f->timer = evtimer_new(o->base, on_timer, f);
+	if (!f->core || !f->timer) {
+		pf_follower_free(f);
+		return NULL;
+	}
+	step(f, &m);
+	return f;
+}
+
+void pf_follower_free(struct pf_follower *f)
+{
+	if (!f)
+		return;
+	pf_spread_free(f->core);
+	if (f->timer)
+		event_free(f->timer);
+	pf_records_free(&f->set);
+	pf_config_free(f->config);
+	free(f);
+}
+
+void pf_follower_up(struct pf_follower *f, uint64_t peer, bool entry)
+{
+	struct pf_spread_msg m = { .type = PF_SPREAD_PEER_UP, .peer = peer };
+
+	m.u.entry = entry;
+	if (f)
+		step(f, &m);
+}
+
+void pf_follower_down(struct pf_follower *f, uint64_t peer)
+{
+	struct pf_spread_msg m = { .type = PF_SPREAD_PEER_DOWN, .peer = peer };
+
+	if (f)
+		step(f, &m);
+}
+
+void pf_follower_message(struct pf_follower *f, uint64_t peer,
+			 const struct pf_wire_msg *w)
+{
+	struct pf_spread_msg m = { .peer = peer };
+
+	switch (w->type) {
+	case PF_WIRE_CONFIG_HEAD:
+		m.type = PF_SPREAD_HEAD;
+		m.u.head.revision = w->u.config.revision;
+		m.u.head.region = w->u.config.region;
+		m.u.head.age = w->u.config.age;
+		break;
+	case PF_WIRE_CONFIG_PULL:
+		m.type = PF_SPREAD_PULL;
+		m.u.revision = w->u.config.revision;
+		break;
+	case PF_WIRE_CONFIG:
+		m.type = PF_SPREAD_CONFIG;
+		m.u.config.base = w->u.config.base;
+		m.u.config.revision = w->u.config.revision;
+		m.u.config.digest = w->u.config.digest;
+		m.u.config.text = w->u.config.text;
+		break;
+	default:
+		return;
+	}
+	if (f)
+		step(f, &m);
+}
+
+void pf_follower_seen(struct pf_follower *f, uint64_t revision)
+{
+	struct pf_spread_msg m = { .type = PF_SPREAD_SEEN };
+
+	m.u.revision = revision;
+	if (f)
+		step(f, &m);
+}
+
+void pf_follower_stats(const struct pf_follower *f, struct pf_spread_stats *s)
+{
+	pf_spread_stats(f->core, s);
+}
--- a/tests/test_wire.cc
+++ b/tests/test_wire.cc
@@ -90,9 +90,11 @@
 		m.u.quarantine = { 99, 1500 };
 		break;
 	case PF_WIRE_CONFIG:
-		m.u.config = { 12, PF_STR("[deployment]") };
+		m.u.config = { 12, PF_STR("[deployment]"), 9, 1234567, 0, 0 };
 		break;
 	case PF_WIRE_CONFIG_HEAD:
+		m.u.config = { 12, {}, 0, 0, 77, -1 };
+		break;
 	case PF_WIRE_CONFIG_PULL:
 		m.u.config.revision = 12;
 		break;
