Entry: sessions and signs of leaving by the membership core

Cause: an entry connected to the first agents by distance and hash, and took only the list's word leaving, for whichever incarnation was known. Change: the platform's list, sessions, reports and the configuration feed the membership core; it says whom to connect to, whom to let go (once nothing is in flight) and who leaves. An agent that is leaving only by an older word of the list is not used until the list has caught up.

--- a/daemons/entry/config.c
+++ b/daemons/entry/config.c
@@ -28,6 +28,7 @@
 	m.u.config = c;
 	entry_step(d, &m);
 	links_configure(d);
+	members_configure(d);
 	pf_config_free(old);
 	PF_LOG(&d->log, PF_LOG_INFO, "config",
 	       PF_KV_INT("revision", (int64_t)c->revision));
--- a/daemons/entry/daemon.h
+++ b/daemons/entry/daemon.h
@@ -12,6 +12,7 @@
 #include "pimentoford/follower.h"
 #include "pimentoford/log.h"
 #include "pimentoford/map.h"
+#include "pimentoford/member.h"
 #include "pimentoford/openai.h"
 #include "pimentoford/process.h"
 #include "pimentoford/rpc.h"
@@ -83,6 +84,8 @@
 	uint64_t id; /* endpoint id; 0: an entry named in the settings */
 	char *addr;
 	struct pf_rpc_session *session;
+	bool held; /* up, but the core is not to use it yet */
+	bool unwanted; /* to be dropped once nothing is in flight */
 };
 
 /** Sessions with other entries at once. */
@@ -134,6 +137,8 @@
 	struct pf_follower *follower; /* of the configuration */
 	struct changes *changes; /* of operators */
 	struct pf_vm_list *vms;
+	struct pf_member *members;
+	struct event *members_timer;
 	struct event *stop_timer;
 	struct pf_rng rng;
 };
@@ -201,7 +206,7 @@
 /* links.c */
 int links_start(struct daemon *d);
 void links_stop(struct daemon *d);
-/** Keeps sessions with the agents that the configuration names. */
+/** Agents whose addresses changed get new sessions. */
 void links_configure(struct daemon *d);
 void links_send(struct daemon *d, uint64_t agent, const struct pf_wire_msg *m);
 /** To an agent or an entry with a session. */
@@ -209,6 +214,24 @@
 		     const struct pf_wire_msg *m);
 void links_send_entries(struct daemon *d, const struct pf_wire_msg *m);
 
+/** Holds a session with an agent, or lets go of it. 0 or -1. */
+int links_hold(struct daemon *d, uint64_t agent);
+void links_let_go(struct daemon *d, uint64_t agent);
+void links_drop_unwanted(struct daemon *d);
+bool links_knows_entry(const struct daemon *d, uint64_t id);
+/** The core may use an agent whose session stood before. */
+void links_use(struct daemon *d, uint64_t agent);
+
+/* members.c: who there is, and which agents to hold sessions with */
+int members_start(struct daemon *d);
+void members_stop(struct daemon *d);
+void members_configure(struct daemon *d);
+void members_up(struct daemon *d, const struct pf_rpc_peer *p);
+void members_down(struct daemon *d, uint64_t id);
+/** Anything came from the agent @id. */
+void members_heard(struct daemon *d, const struct pf_rpc_peer *p,
+		   const struct pf_wire_msg *w);
+
 /* config.c */
 int config_start(struct daemon *d);
 
--- a/daemons/entry/links.c
+++ b/daemons/entry/links.c
@@ -43,6 +43,11 @@
 	return NULL;
 }
 
+bool links_knows_entry(const struct daemon *d, uint64_t id)
+{
+	return find_entry(d, id) != NULL;
+}
+
 void links_send_peer(struct daemon *d, uint64_t id, const struct pf_wire_msg *m)
 {
 	struct pf_rpc_session *s = find_entry(d, id);
@@ -63,8 +68,10 @@
 		return;
 	}
 	d->entries[d->n_entries++] = s;
-	if (first)
-		pf_follower_up(d->follower, id, true);
+	if (!first)
+		return;
+	pf_follower_up(d->follower, id, true);
+	members_up(d, pf_rpc_peer(s));
 }
 
 static void entry_down(struct daemon *d, struct pf_rpc_session *s)
@@ -77,14 +84,37 @@
 			break;
 		}
 	}
-	if (!find_entry(d, pf_rpc_peer(s)->id))
-		pf_follower_down(d->follower, pf_rpc_peer(s)->id);
+	if (find_entry(d, pf_rpc_peer(s)->id))
+		return;
+	pf_follower_down(d->follower, pf_rpc_peer(s)->id);
+	members_down(d, pf_rpc_peer(s)->id);
+}
+
+static void agent_use(struct daemon *d, const struct pf_rpc_peer *p)
+{
+	struct pf_entry_msg m = { .type = PF_ENTRY_LINK_UP, .agent = p->id };
+
+	m.u.link.incarnation = p->incarnation;
+	entry_step(d, &m);
+	if (pf_member_state(d->members, p->id) != PF_MEMBER_LEAVING)
+		return;
+	m = (struct pf_entry_msg){ .type = PF_ENTRY_LEAVING, .agent = p->id };
+	entry_step(d, &m);
+}
+
+void links_use(struct daemon *d, uint64_t agent)
+{
+	struct link *l = find(d, agent);
+
+	if (!l || !l->held || !pf_rpc_is_up(l->session))
+		return;
+	l->held = false;
+	agent_use(d, pf_rpc_peer(l->session));
 }
 
 static void on_up(void *ctx, struct pf_rpc_session *s)
 {
 	const struct pf_rpc_peer *p = pf_rpc_peer(s);
-	struct pf_entry_msg m = { .type = PF_ENTRY_LINK_UP, .agent = p->id };
 	struct link *l = pf_rpc_user(s);
 	struct daemon *d = ctx;
 
@@ -100,8 +130,10 @@
 	}
 	PF_LOG(&d->log, PF_LOG_INFO, "agent_up", PF_KV_STR("addr", l->addr),
 	       PF_KV_INT("incarnation", (int64_t)p->incarnation));
-	m.u.link.incarnation = p->incarnation;
-	entry_step(d, &m);
+	members_up(d, p);
+	l->held = pf_member_held(d->members, p->id);
+	if (!l->held)
+		agent_use(d, p);
 	pf_follower_up(d->follower, p->id, false);
 }
 
@@ -111,6 +143,7 @@
 
 	entry_step(d, &m);
 	pf_follower_down(d->follower, id);
+	members_down(d, id);
 }
 
 static void on_down(void *ctx, struct pf_rpc_session *s)
@@ -208,12 +241,13 @@
 	struct daemon *d = ctx;
 	uint64_t peer = p->id;
 
+	if (p->role != PF_RPC_ENTRY && (!l || l->id != p->id))
+		return;
+	members_heard(d, p, w);
 	if (p->role == PF_RPC_ENTRY)
 		from_entry(d, w);
-	else if (l && l->id == p->id)
+	else if (!l->held)
 		from_agent(d, p->id, w);
-	else
-		return;
 	pf_follower_message(d->follower, peer, w);
 }
 
@@ -262,77 +296,70 @@
 	return 0;
 }
 
-/* Endpoints nearer to this entry come first; then a hash spreads entries. */
-struct rank {
-	const struct pf_endpoint *ep;
-	uint32_t distance;
-	uint64_t hash;
-};
-
-static int by_rank(const void *a, const void *b)
+/* Its address changed; a session with the new one takes its place. */
+static void move_link(struct daemon *d, struct link *l, const char *addr,
+		      struct link_list *old)
 {
-	const struct rank *x = a;
-	const struct rank *y = b;
+	uint64_t id = l->id;
 
-	if (x->distance != y->distance)
-		return x->distance < y->distance ? -1 : 1;
-	if (x->hash != y->hash)
-		return x->hash < y->hash ? -1 : 1;
-	return 0;
+	link_drop(d, l, old);
+	if (link_new(d, id, addr) < 0)
+		PF_LOG(&d->log, PF_LOG_ERROR, "no_link",
+		       PF_KV_STR("addr", addr));
 }
 
-static struct rank rank_of(const struct daemon *d, const struct pf_endpoint *ep)
+void links_configure(struct daemon *d)
 {
-	struct rank r = { ep, 2, pf_id2(d->id, ep->id) };
+	struct link_list old;
+	struct link *l;
+	struct link *next;
 
-	if (strcmp(ep->region, d->set.place.region) == 0)
-		r.distance = strcmp(ep->zone, d->set.place.zone) == 0 ? 0 : 1;
-	return r;
+	LIST_INIT(&old);
+	for (l = LIST_FIRST(&d->links); l; l = next) {
+		const struct pf_endpoint *ep =
+			l->id ? pf_config_endpoint(d->config, l->id) : NULL;
+
+		next = LIST_NEXT(l, next);
+		if (ep && strcmp(ep->agent, l->addr) != 0)
+			move_link(d, l, ep->agent, &old);
+	}
+	links_free(LIST_FIRST(&old));
 }
 
-static bool wanted(const struct link *l, const struct rank *v, size_t n)
+int links_hold(struct daemon *d, uint64_t agent)
 {
-	size_t i;
+	const struct pf_endpoint *ep =
+		d->config ? pf_config_endpoint(d->config, agent) : NULL;
+	struct link *l = find(d, agent);
 
-	for (i = 0; i < n; i++) {
-		if (v[i].ep->id == l->id &&
-		    strcmp(v[i].ep->agent, l->addr) == 0)
-			return true;
+	if (l) {
+		l->unwanted = false;
+		return 0;
 	}
-	return false;
+	return ep ? link_new(d, agent, ep->agent) : -1;
 }
 
-void links_configure(struct daemon *d)
+void links_let_go(struct daemon *d, uint64_t agent)
+{
+	struct link *l = find(d, agent);
+
+	if (l)
+		l->unwanted = true;
+}
+
+void links_drop_unwanted(struct daemon *d)
 {
-	const struct pf_config *cfg = d->config;
-	struct rank *v = calloc(cfg->n_endpoints + 1, sizeof(*v));
-	size_t n = cfg->n_endpoints;
 	struct link_list old;
 	struct link *l;
 	struct link *next;
-	size_t i;
 
 	LIST_INIT(&old);
-	if (!v)
-		return;
-	for (i = 0; i < n; i++)
-		v[i] = rank_of(d, &cfg->endpoints[i]);
-	qsort(v, n, sizeof(*v), by_rank);
-	if (n > d->set.sessions)
-		n = d->set.sessions;
 	for (l = LIST_FIRST(&d->links); l; l = next) {
 		next = LIST_NEXT(l, next);
-		if (l->id != 0 && !wanted(l, v, n))
+		if (l->unwanted && pf_entry_inflight(d->core, l->id) == 0)
 			link_drop(d, l, &old);
 	}
-	for (i = 0; i < n; i++) {
-		if (!find(d, v[i].ep->id) &&
-		    link_new(d, v[i].ep->id, v[i].ep->agent) < 0)
-			PF_LOG(&d->log, PF_LOG_ERROR, "no_link",
-			       PF_KV_STR("addr", v[i].ep->agent));
-	}
 	links_free(LIST_FIRST(&old));
-	free(v);
 }
 
 int links_start(struct daemon *d)
--- a/daemons/entry/main.c
+++ b/daemons/entry/main.c
@@ -9,7 +9,6 @@
 #include <unistd.h>
 
 #define STOP_POLL_MS 20
-#define VM_POLL_MS 2000
 
 static int exit_status;
 
@@ -66,36 +65,6 @@
 	daemon_drain(ctx, "signal");
 }
 
-/* An agent says so itself; the list is for those that cannot. */
-static void on_leaving(void *ctx, struct pf_str name)
-{
-	struct pf_entry_msg m = { .type = PF_ENTRY_LEAVING };
-	struct daemon *d = ctx;
-
-	if (pf_str_eq(name, pf_str_c(d->set.place.name))) {
-		daemon_drain(d, "vm_list");
-		return;
-	}
-	m.agent = pf_id(name);
-	if (d->config && pf_config_endpoint(d->config, m.agent))
-		entry_step(d, &m);
-}
-
-static int follow_vms(struct daemon *d)
-{
-	struct pf_vm_list_opts o = {
-		.base = d->base,
-		.addr = d->set.place.platform,
-		.poll = VM_POLL_MS,
-		.seed = pf_process_random(),
-		.leaving = on_leaving,
-		.ctx = d,
-	};
-
-	d->vms = pf_vm_list_new(&o);
-	return d->vms ? 0 : -1;
-}
-
 static int start(struct daemon *d)
 {
 	struct pf_claim_opts claim;
@@ -126,7 +95,7 @@
 		       PF_KV_STR("why", strerror(errno)));
 		return -1;
 	}
-	if (follow_vms(d) < 0)
+	if (members_start(d) < 0)
 		return -1;
 	return config_start(d) < 0 ? -1 : changes_start(d);
 }
@@ -138,7 +107,7 @@
 	links_stop(d);
 	core_stop(d);
 	changes_stop(d);
-	pf_vm_list_free(d->vms);
+	members_stop(d);
 	pf_follower_free(d->follower);
 	pf_table_free(d->table);
 	pf_config_free(d->config);
--- /dev/null
+++ b/daemons/entry/members.c
@@ -0,0 +1,240 @@
+/*
+ * The membership core and its surroundings: the platform's list, sessions and
+ * the configuration go in; sessions to hold and signs of leaving come out.
+ */
+#include "daemon.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#define VM_POLL_MS 1000
+
+static void take_state(struct daemon *d, const struct pf_member_act *act)
+{
+	struct pf_entry_msg m = { .type = PF_ENTRY_LEAVING, .agent = act->id };
+	enum pf_member_state s = act->u.state;
+
+	if (s == PF_MEMBER_LEAVING && !pf_member_held(d->members, act->id) &&
+	    d->config && pf_config_endpoint(d->config, act->id))
+		entry_step(d, &m);
+	if (s == PF_MEMBER_LIVE)
+		links_use(d, act->id);
+}
+
+static void emit(void *ctx, const struct pf_member_act *act)
+{
+	struct daemon *d = ctx;
+
+	switch (act->type) {
+	case PF_MEMBER_STATE:
+		PF_LOG(&d->log, PF_LOG_INFO, "member",
+		       PF_KV_INT("id", (int64_t)act->id),
+		       PF_KV_STR("state", pf_member_state_text(act->u.state)));
+		take_state(d, act);
+		break;
+	case PF_MEMBER_CONNECT:
+		if (links_hold(d, act->id) < 0)
+			PF_LOG(&d->log, PF_LOG_ERROR, "no_link",
+			       PF_KV_INT("id", (int64_t)act->id));
+		break;
+	case PF_MEMBER_DISCONNECT:
+		links_let_go(d, act->id);
+		break;
+	}
+}
+
+static void step(struct daemon *d, const struct pf_member_msg *m)
+{
+	struct pf_member_sink sink = { emit, d };
+	struct timeval tv;
+	pf_ms wait;
+
+	if (!d->members)
+		return;
+	pf_member_step(d->members, pf_clock_now(), m, &sink);
+	wait = pf_member_next(d->members) - pf_clock_now();
+	if (wait < 1)
+		wait = 1;
+	tv = (struct timeval){ wait / 1000, (wait % 1000) * 1000 };
+	event_add(d->members_timer, &tv);
+}
+
+static void on_timer(evutil_socket_t fd, short what, void *ctx)
+{
+	struct pf_member_msg m = { .type = PF_MEMBER_TICK };
+
+	(void)fd;
+	(void)what;
+	step(ctx, &m);
+	links_drop_unwanted(ctx);
+}
+
+/* The region of an availability zone, as the records tell; 0: unknown. */
+static uint64_t region_of(const struct daemon *d, struct pf_str zone)
+{
+	if (pf_str_eq(zone, pf_str_c(d->set.place.zone)))
+		return pf_id(pf_str_c(d->set.place.region));
+	for (size_t i = 0; d->config && i < d->config->n_endpoints; i++) {
+		const struct pf_endpoint *ep = &d->config->endpoints[i];
+
+		if (pf_str_eq(zone, pf_str_c(ep->zone)))
+			return pf_id(pf_str_c(ep->region));
+	}
+	return 0;
+}
+
+/* Whether a VM of the list is one of ours: an agent, or an entry met. */
+static bool ours(const struct daemon *d, uint64_t id, enum pf_member_role *role)
+{
+	*role = PF_MEMBER_AGENT;
+	if (d->config && pf_config_endpoint(d->config, id))
+		return true;
+	*role = PF_MEMBER_ENTRY;
+	return links_knows_entry(d, id);
+}
+
+static void on_list(void *ctx, const struct pf_vm *vms, uint32_t n)
+{
+	struct pf_member_msg m = { .type = PF_MEMBER_LIST };
+	struct pf_member_node *v = calloc(n + 1, sizeof(*v));
+	struct daemon *d = ctx;
+	uint32_t k = 0;
+
+	if (!v)
+		return;
+	for (uint32_t i = 0; i < n; i++) {
+		uint64_t id = pf_id(vms[i].name);
+
+		if (vms[i].leaving &&
+		    pf_str_eq(vms[i].name, pf_str_c(d->set.place.name)))
+			daemon_drain(d, "vm_list");
+		if (!ours(d, id, &v[k].role))
+			continue;
+		v[k].id = id;
+		v[k].zone = pf_id(vms[i].zone);
+		v[k].region = region_of(d, vms[i].zone);
+		v[k++].leaving = vms[i].leaving;
+	}
+	m.u.nodes.v = v;
+	m.u.nodes.n = k;
+	step(d, &m);
+	free(v);
+}
+
+static void declare_models(struct daemon *d)
+{
+	struct pf_member_msg m = { .type = PF_MEMBER_MODELS };
+	uint64_t *ids = calloc(d->config->n_models + 1, sizeof(*ids));
+
+	if (!ids)
+		return;
+	for (size_t i = 0; i < d->config->n_models; i++)
+		ids[i] = d->config->models[i].id;
+	m.u.models.ids = ids;
+	m.u.models.n = (uint32_t)d->config->n_models;
+	step(d, &m);
+	free(ids);
+}
+
+void members_configure(struct daemon *d)
+{
+	const struct pf_config *c = d->config;
+	struct pf_member_msg m = { .type = PF_MEMBER_DECLARE };
+	struct pf_member_node *v = calloc(c->n_endpoints + 1, sizeof(*v));
+
+	if (!v)
+		return;
+	for (size_t i = 0; i < c->n_endpoints; i++) {
+		const struct pf_endpoint *ep = &c->endpoints[i];
+
+		v[i].id = ep->id;
+		v[i].role = PF_MEMBER_AGENT;
+		v[i].zone = pf_id(pf_str_c(ep->zone));
+		v[i].region = pf_id(pf_str_c(ep->region));
+	}
+	m.u.nodes.v = v;
+	m.u.nodes.n = (uint32_t)c->n_endpoints;
+	step(d, &m);
+	free(v);
+	declare_models(d);
+}
+
+void members_up(struct daemon *d, const struct pf_rpc_peer *p)
+{
+	struct pf_member_msg m = { .type = PF_MEMBER_UP, .id = p->id };
+
+	m.u.up.incarnation = p->incarnation;
+	m.u.up.role =
+		p->role == PF_RPC_ENTRY ? PF_MEMBER_ENTRY : PF_MEMBER_AGENT;
+	step(d, &m);
+}
+
+void members_down(struct daemon *d, uint64_t id)
+{
+	struct pf_member_msg m = { .type = PF_MEMBER_DOWN, .id = id };
+
+	step(d, &m);
+}
+
+/* The models that a report names as resident or on their way. */
+static void take_holds(struct daemon *d, uint64_t id, const struct pf_report *r)
+{
+	struct pf_member_msg m = { .type = PF_MEMBER_HOLDS, .id = id };
+	uint64_t *ids = calloc(r->n_items + 1, sizeof(*ids));
+
+	if (!ids)
+		return;
+	for (uint32_t i = 0; i < r->n_items; i++)
+		if (r->items[i].state == PF_ITEM_RESIDENT ||
+		    r->items[i].state == PF_ITEM_LOADING)
+			ids[m.u.models.n++] = r->items[i].id;
+	m.u.models.ids = ids;
+	step(d, &m);
+	free(ids);
+}
+
+void members_heard(struct daemon *d, const struct pf_rpc_peer *p,
+		   const struct pf_wire_msg *w)
+{
+	bool report = w->type == PF_WIRE_REPORT;
+	bool leaving =
+		w->type == PF_WIRE_LEAVING || (report && w->u.report.leaving);
+	struct pf_member_msg m = { .id = p->id };
+
+	if (report)
+		take_holds(d, p->id, &w->u.report);
+	m.type = leaving ? PF_MEMBER_SIGN : PF_MEMBER_BEAT;
+	m.u.up.incarnation = p->incarnation;
+	step(d, &m);
+}
+
+int members_start(struct daemon *d)
+{
+	struct pf_vm_list_opts vo = {
+		.base = d->base,
+		.addr = d->set.place.platform,
+		.poll = VM_POLL_MS,
+		.seed = pf_process_random(),
+		.list = on_list,
+		.ctx = d,
+	};
+	struct pf_member_opts o;
+
+	pf_member_opts_default(&o);
+	o.self = d->id;
+	o.zone = pf_id(pf_str_c(d->set.place.zone));
+	o.region = pf_id(pf_str_c(d->set.place.region));
+	o.sessions = d->set.sessions;
+	d->members = pf_member_new(&o);
+	d->members_timer = evtimer_new(d->base, on_timer, d);
+	d->vms = pf_vm_list_new(&vo);
+	return d->members && d->members_timer && d->vms ? 0 : -1;
+}
+
+void members_stop(struct daemon *d)
+{
+	pf_vm_list_free(d->vms);
+	pf_member_free(d->members);
+	if (d->members_timer)
+		event_free(d->members_timer);
+}
--- a/include/pimentoford/entry.h
+++ b/include/pimentoford/entry.h
@@ -185,6 +185,9 @@
 /** When the next PF_ENTRY_TICK is due; PF_NEVER for none. */
 pf_ms pf_entry_next(const struct pf_entry *e);
 
+/** Tries that @agent has from this entry and that are not settled. */
+uint32_t pf_entry_inflight(const struct pf_entry *e, uint64_t agent);
+
 /** Counters and gauges for reports and tests. */
 struct pf_entry_stats {
 	uint64_t arrived, ended_ok, refused, failed, retries, resumes;
--- a/include/pimentoford/member.h
+++ b/include/pimentoford/member.h
@@ -139,6 +139,12 @@
 /** Whether @id may get new work. */
 bool pf_member_usable(const struct pf_member *m, uint64_t id);
 
+/**
+ * Whether @id is leaving only by a word of the list that is older than its
+ * incarnation: no work until the list has caught up.
+ */
+bool pf_member_held(const struct pf_member *m, uint64_t id);
+
 /** Whether an agent that has @model is held, or to be held. */
 bool pf_member_covers(const struct pf_member *m, uint64_t model);
 
--- a/src/coordination/member.c
+++ b/src/coordination/member.c
@@ -474,6 +474,13 @@
 	return x && x->up && x->state == PF_MEMBER_LIVE;
 }
 
+bool pf_member_held(const struct pf_member *m, uint64_t id)
+{
+	const struct pf_member_one *x = find(m, id);
+
+	return x && x->state == PF_MEMBER_LEAVING && !x->leaving;
+}
+
 bool pf_member_covers(const struct pf_member *m, uint64_t model)
 {
 	for (uint32_t i = 0; i < m->n; i++)
--- a/src/transport/vm_list.c
+++ b/src/transport/vm_list.c
@@ -28,6 +28,34 @@
 	event_add(l->timer, &tv);
 }
 
+static struct pf_str text_of(const json_t *vm, const char *key)
+{
+	const json_t *j = json_object_get(vm, key);
+
+	return (struct pf_str){ json_string_value(j), json_string_length(j) };
+}
+
+static void hand_over(struct pf_vm_list *l, const json_t *vms)
+{
+	struct pf_vm *v = calloc(json_array_size(vms) + 1, sizeof(*v));
+	uint32_t n = 0;
+	const json_t *vm;
+	size_t i;
+
+	if (!v)
+		return;
+	json_array_foreach(vms, i, vm)
+	{
+		v[n].name = text_of(vm, "name");
+		v[n].zone = text_of(vm, "zone");
+		v[n].leaving =
+			pf_str_eq(text_of(vm, "state"), PF_STR("leaving"));
+		n += v[n].name.n > 0;
+	}
+	l->o.list(l->o.ctx, v, n);
+	free(v);
+}
+
 static void read_list(struct pf_vm_list *l, struct pf_str body)
 {
 	json_t *root = json_loadb(body.p ? body.p : "", body.n, 0, NULL);
@@ -41,13 +69,15 @@
 			json_string_value(json_object_get(vm, "state"));
 		const json_t *name = json_object_get(vm, "name");
 
-		if (!state || strcmp(state, "leaving") != 0 ||
+		if (!l->o.leaving || !state || strcmp(state, "leaving") != 0 ||
 		    !json_is_string(name))
 			continue;
 		l->o.leaving(l->o.ctx,
 			     (struct pf_str){ json_string_value(name),
 					      json_string_length(name) });
 	}
+	if (l->o.list && json_is_array(vms))
+		hand_over(l, vms);
 	json_decref(root);
 }
 
