Membership: few further sessions cover all models; pulls pause shortly

Change: agents that add many models go first, those held before are kept; pulls pause at most four timeouts.

--- a/bench/main.c
+++ b/bench/main.c
@@ -127,6 +127,10 @@
 		bench_spread(seed);
 		return 0;
 	}
+	if (strcmp(what, "members") == 0) {
+		bench_members(seed);
+		return 0;
+	}
 	fprintf(stderr, "bench: no such bench as %s\n", what);
 	return 2;
 }
--- a/src/coordination/member.c
+++ b/src/coordination/member.c
@@ -29,7 +29,7 @@
 {
 	*o = (struct pf_member_opts){
 		.members_max = 4096,
-		.sessions = 64,
+		.sessions = 96,
 		.holders = 6,
 		.models_max = 1024,
 		.beat = 1000,
@@ -483,9 +483,12 @@
 
 bool pf_member_covers(const struct pf_member *m, uint64_t model)
 {
+	uint32_t at;
+
 	for (uint32_t i = 0; i < m->n; i++)
 		if (m->v[i].wanted && pf_member_counts(&m->v[i]) &&
-		    pf_member_has_model(&m->v[i], model))
+		    pf_member_find_model(m->v[i].models, m->v[i].n_models,
+					 model, &at))
 			return true;
 	return false;
 }
--- a/src/coordination/member_internal.h
+++ b/src/coordination/member_internal.h
@@ -64,6 +64,8 @@
 void pf_member_let_go(struct pf_member *m);
 /** Whether @x is neither leaving nor gone. */
 bool pf_member_counts(const struct pf_member_one *x);
-bool pf_member_has_model(const struct pf_member_one *x, uint64_t model);
+/** Finds @model in the sorted @v; *@at is its place. */
+bool pf_member_find_model(const uint64_t *v, uint32_t n, uint64_t model,
+			  uint32_t *at);
 
 #endif
--- a/src/coordination/member_pick.c
+++ b/src/coordination/member_pick.c
@@ -27,20 +27,22 @@
 	return !pf_member_counts(x) && !x->up && !x->list_leaving;
 }
 
-bool pf_member_has_model(const struct pf_member_one *x, uint64_t model)
+bool pf_member_find_model(const uint64_t *v, uint32_t n, uint64_t model,
+			  uint32_t *at)
 {
 	uint32_t lo = 0;
-	uint32_t hi = x->n_models;
+	uint32_t hi = n;
 
 	while (lo < hi) {
 		uint32_t mid = lo + (hi - lo) / 2;
 
-		if (x->models[mid] < model)
+		if (v[mid] < model)
 			lo = mid + 1;
 		else
 			hi = mid;
 	}
-	return lo < x->n_models && x->models[lo] == model;
+	*at = lo;
+	return lo < n && v[lo] == model;
 }
 
 /* How many entries there are at each distance, and before this one there. */
@@ -121,8 +123,6 @@
 		struct pf_member_one *x = &m->v[i];
 
 		x->was_wanted = x->wanted;
-		x->wanted = false;
-		x->extra = false;
 		if (!x->id || x->role != PF_MEMBER_AGENT || !x->declared)
 			continue;
 		if (!pf_member_counts(x) && !may_return(x))
@@ -136,38 +136,52 @@
 
 static void take(struct pf_member *m, struct pf_member_one *x, bool extra)
 {
+	uint32_t at;
+
 	x->wanted = true;
 	x->extra = extra;
 	m->stats.wanted++;
 	m->stats.extra += extra;
-	for (uint32_t k = 0; k < m->n_models; k++)
-		if (pf_member_has_model(x, m->models[k]))
-			m->covered[k] = true;
+	for (uint32_t i = 0; i < x->n_models; i++)
+		if (pf_member_find_model(m->models, m->n_models, x->models[i],
+					 &at))
+			m->covered[at] = true;
 }
 
-/* The nearest agent with @model that is not held yet. */
-static void cover(struct pf_member *m, uint32_t n, uint32_t model)
+/* How many models @x would add. */
+static uint32_t gain(const struct pf_member *m, const struct pf_member_one *x)
 {
-	for (uint32_t i = 0; i < n; i++) {
+	uint32_t n = 0;
+	uint32_t at;
+
+	for (uint32_t i = 0; i < x->n_models; i++)
+		if (pf_member_find_model(m->models, m->n_models, x->models[i],
+					 &at))
+			n += !m->covered[at];
+	return n;
+}
+
+/* Takes agents that add at least @least models, the nearest first. */
+static void cover_by(struct pf_member *m, uint32_t n, uint32_t least)
+{
+	for (uint32_t i = 0; i < n && m->stats.wanted < m->opts.sessions; i++) {
 		struct pf_member_one *x = &m->v[m->order[i].slot];
 
-#ifdef PF_MUTANT_MEMBER_COVER
-		break;
-#endif
-		if (x->wanted || !pf_member_counts(x) ||
-		    !pf_member_has_model(x, m->models[model]))
-			continue;
-		take(m, x, true);
-		return;
+		if (!x->wanted && pf_member_counts(x) && gain(m, x) >= least)
+			take(m, x, true);
 	}
 }
 
-static bool adds_model(const struct pf_member *m, const struct pf_member_one *x)
+/* Further agents for models that would be missing. */
+static void cover(struct pf_member *m, uint32_t n)
 {
-	for (uint32_t k = 0; k < m->n_models; k++)
-		if (!m->covered[k] && pf_member_has_model(x, m->models[k]))
-			return true;
-	return false;
+	uint32_t least = 1;
+
+	for (uint32_t i = 0; i < n; i++)
+		while (least < gain(m, &m->v[m->order[i].slot]))
+			least++;
+	for (; least > 0; least--)
+		cover_by(m, n, least);
 }
 
 /* Takes own agents, at first only those that add a model. */
@@ -177,7 +191,7 @@
 		struct pf_member_one *x = &m->v[m->order[i].slot];
 
 		if (!x->wanted && pf_member_counts(x) &&
-		    (!adding || adds_model(m, x)) && holds(m, x))
+		    (!adding || gain(m, x)) && holds(m, x))
 			take(m, x, false);
 	}
 }
@@ -188,22 +202,58 @@
 	for (uint32_t i = 0; i < n; i++) {
 		struct pf_member_one *x = &m->v[m->order[i].slot];
 
-		if (may_return(x) && (holds(m, x) || adds_model(m, x)))
+		if (may_return(x) && (holds(m, x) || gain(m, x)))
 			x->wanted = true;
 	}
 }
 
+/* Keeps further agents that were held before and still add a model. */
+static void keep_extra(struct pf_member *m, uint32_t n)
+{
+	for (uint32_t i = 0; i < n && m->stats.wanted < m->opts.sessions; i++) {
+		struct pf_member_one *x = &m->v[m->order[i].slot];
+
+		if (!x->wanted && x->was_wanted && pf_member_counts(x) &&
+		    gain(m, x))
+			take(m, x, true);
+	}
+}
+
+static void clear_choice(struct pf_member *m)
+{
+	for (uint32_t i = 0; i < m->n; i++) {
+		m->v[i].wanted = false;
+		m->v[i].extra = false;
+	}
+	m->stats.wanted = 0;
+	m->stats.extra = 0;
+	if (m->n_models)
+		memset(m->covered, 0, m->n_models * sizeof(*m->covered));
+}
+
 /* Models first, so that the bound never costs one. */
-static void choose(struct pf_member *m, uint32_t n)
+static void choose(struct pf_member *m, uint32_t n, bool keep)
 {
+	clear_choice(m);
 	take_own(m, n, true);
-	for (uint32_t k = 0; k < m->n_models; k++)
-		if (!m->covered[k] && m->stats.wanted < m->opts.sessions)
-			cover(m, n, k);
+	if (keep)
+		keep_extra(m, n);
+#ifndef PF_MUTANT_MEMBER_COVER
+	cover(m, n);
+#endif
 	take_own(m, n, false);
 	try_ended(m, n);
 }
 
+static uint32_t uncovered(const struct pf_member *m)
+{
+	uint32_t k = 0;
+
+	for (uint32_t i = 0; i < m->n_models; i++)
+		k += !m->covered[i];
+	return k;
+}
+
 static void tell(struct pf_member *m, struct pf_member_one *x)
 {
 	if (x->wanted && !x->connected) {
@@ -221,14 +271,11 @@
 
 	m->dirty = false;
 	m->picked_at = m->now;
-	m->stats.wanted = 0;
-	m->stats.extra = 0;
-	m->stats.uncovered = 0;
-	if (m->n_models)
-		memset(m->covered, 0, m->n_models * sizeof(*m->covered));
-	choose(m, n);
-	for (uint32_t k = 0; k < m->n_models; k++)
-		m->stats.uncovered += !m->covered[k];
+	choose(m, n, true);
+	/* What was kept may be in the way of a smaller cover. */
+	if (uncovered(m) && m->stats.wanted >= m->opts.sessions)
+		choose(m, n, false);
+	m->stats.uncovered = uncovered(m);
 	for (uint32_t i = 0; i < m->n; i++)
 		if (m->v[i].id)
 			tell(m, &m->v[i]);
--- a/src/coordination/spread_pull.c
+++ b/src/coordination/spread_pull.c
@@ -1,6 +1,9 @@
 /* Pulling from a peer that is ahead. */
 #include "src/coordination/spread_internal.h"
 
+/* Longest pause between pulls, in timeouts. */
+#define PAUSE_MAX 4
+
 static bool ahead(const struct pf_spread *s, const struct pf_spread_peer *p)
 {
 	return p->heard && p->revision > s->set.revision;
@@ -81,6 +84,15 @@
 		s->cold_until = s->now + s->opts.cold_wait;
 }
 
+/* Losses in a row are chance; other peers are asked, so pauses stay short. */
+static void pause_pulls(struct pf_spread *s)
+{
+	pf_ms wait = pf_spread_backoff(s, s->pull_fails++);
+	pf_ms most = s->opts.pull_timeout * PAUSE_MAX;
+
+	s->pull_backoff = s->now + (wait < most ? wait : most);
+}
+
 static void timed_out(struct pf_spread *s)
 {
 #ifdef PF_MUTANT_SPREAD_RETRY
@@ -90,7 +102,7 @@
 		s->peers[i].pulled_last = s->peers[i].id == s->pull_peer;
 	s->pull_peer = 0;
 	s->stats.pull_timeouts++;
-	s->pull_backoff = s->now + pf_spread_backoff(s, s->pull_fails++);
+	pause_pulls(s);
 }
 
 void pf_spread_pull(struct pf_spread *s)
@@ -131,8 +143,7 @@
 	if (pf_spread_set_config(&s->set, c) < 0) {
 		s->stats.refused++;
 		s->pull_whole = true;
-		s->pull_backoff =
-			s->now + pf_spread_backoff(s, s->pull_fails++);
+		pause_pulls(s);
 		return;
 	}
 	s->pull_whole = false;
