--- a/bench/spread.c
+++ b/bench/spread.c
@@ -243,7 +243,7 @@
 		if (b > *max)
 			*max = b;
 	}
-	return sum / count;
+	return count ? sum / count : 0;
 }
 
 struct usage {
@@ -292,7 +292,7 @@
 	       "in_force_ms_max=%lld ",
 	       z->name, (unsigned long long)seed, f->name, z->changes, late,
 	       (long long)took[z->changes / 2],
-	       (long long)took[(z->changes - 1) * 99 / 100],
+	       (long long)took[(z->changes * 99 + 99) / 100 - 1],
 	       (long long)took[z->changes - 1]);
 }
 
--- a/src/coordination/member.c
+++ b/src/coordination/member.c
@@ -113,6 +113,7 @@
 {
 	struct pf_member_one *gone = NULL;
 
+	PF_INVARIANT("members have memory", m->v);
 	if (m->n < m->opts.members_max)
 		return &m->v[m->n++];
 	for (uint32_t i = 0; i < m->n; i++) {
