Entry: drafts outlast the retry budget; late last pieces; final key reuse

Change: deferrable work without budget waits out a long pause; KEY_REUSED is final; shard moves are free; DONE before its last piece waits for the stall time.

--- a/src/coordination/attempt.c
+++ b/src/coordination/attempt.c
@@ -103,11 +103,14 @@
 {
 	struct pf_request *r = &e->reqs[slot];
 	bool resumed = r->state == PF_REQ_RUNNING;
+	bool defer = r->work.flags & PF_WORK_DEFERRABLE;
 	uint32_t peer = r->peer;
 	pf_ms pause = 0;
+	bool paid;
 
 	pf_dispatch_detach(e, slot);
-	if (!charge(e, r, why)) {
+	paid = charge(e, r, why);
+	if (!paid && !defer) {
 		pf_requests_end(e, slot,
 				pf_outcome(PF_REASON_RETRY_BUDGET, r->ran,
 					   e->opts.backoff_max));
@@ -120,6 +123,9 @@
 		if (pause < after)
 			pause = pf_ms_min(after, e->opts.backoff_max);
 	}
+	/* Late is better than refused: it waits out the longest pause. */
+	if (!paid)
+		pause = 2 * e->opts.backoff_max;
 	avoid(r, e->now + pause + e->opts.backoff_max);
 	if (pause)
 		pf_requests_due(e, slot, e->now + pause);
--- a/src/coordination/claim.c
+++ b/src/coordination/claim.c
@@ -60,9 +60,7 @@
 
 static void link_free_lists(struct pf_claim *c)
 {
-	for (uint32_t i = 0; i < c->o.claims_max; i++)
-		c->keys[i].waiters = i + 1;
-	c->keys[c->o.claims_max - 1].waiters = CLAIM_NONE;
+	c->free_key = CLAIM_NONE;
 	for (uint32_t i = 0; i < c->o.waiting_max; i++)
 		c->waiters[i].next = i + 1;
 	c->waiters[c->o.waiting_max - 1].next = CLAIM_NONE;
@@ -176,7 +174,7 @@
 {
 	if (c->queue.n || c->flush.items.n)
 		return false;
-	for (uint32_t i = 0; i < c->o.claims_max; i++)
+	for (uint32_t i = 0; i < c->fresh_key; i++)
 		if (c->keys[i].state == KEY_RUNNING)
 			return false;
 	return true;
--- a/src/coordination/claim_core.h
+++ b/src/coordination/claim_core.h
@@ -153,6 +153,7 @@
 	struct claim_key *keys;
 	struct pf_map by_key; /* key -> index */
 	uint32_t free_key;
+	uint32_t fresh_key; /* slots from here on were never used */
 	struct claim_waiter *waiters;
 	uint32_t free_waiter;
 	uint32_t n_waiting;
--- a/src/coordination/claim_keys.c
+++ b/src/coordination/claim_keys.c
@@ -14,13 +14,17 @@
 
 struct claim_key *claim_key_add(struct pf_claim *c, uint64_t key)
 {
-	uint32_t i = c->free_key;
+	bool fresh = c->free_key == CLAIM_NONE;
+	uint32_t i = fresh ? c->fresh_key : c->free_key;
 	struct claim_key *k;
 
-	if (i == CLAIM_NONE || pf_map_put(&c->by_key, pf_key1(key), i) < 0)
+	if (i == c->o.claims_max || pf_map_put(&c->by_key, pf_key1(key), i) < 0)
 		return NULL;
 	k = &c->keys[i];
-	c->free_key = k->waiters;
+	if (fresh)
+		c->fresh_key++;
+	else
+		c->free_key = k->waiters;
 	memset(k, 0, sizeof(*k));
 	k->key = key;
 	k->shard = pf_claim_shard(key, c->o.shards);
@@ -265,7 +269,7 @@
 	struct pf_claim_act a = { .type = PF_CLAIM_SUPERSEDED };
 
 	c->superseded = true;
-	for (uint32_t i = 0; i < c->o.claims_max; i++) {
+	for (uint32_t i = 0; i < c->fresh_key; i++) {
 		struct claim_key *k = &c->keys[i];
 		bool unrun = k->state == KEY_PENDING || k->state == KEY_VOIDING;
 
@@ -296,7 +300,7 @@
 
 void claim_keys_expire(struct pf_claim *c, pf_ms now)
 {
-	for (uint32_t i = 0; i < c->o.claims_max; i++)
+	for (uint32_t i = 0; i < c->fresh_key; i++)
 		if (c->keys[i].state != KEY_FREE &&
 		    expired(c, &c->keys[i], now))
 			claim_key_drop(c, &c->keys[i]);
--- a/src/coordination/claim_own.c
+++ b/src/coordination/claim_own.c
@@ -258,7 +258,7 @@
 	c->next_read = 0;
 	c->st.takeovers++;
 	/* What others wrote is read anew, from all their logs. */
-	for (uint32_t i = 0; i < c->o.claims_max; i++) {
+	for (uint32_t i = 0; i < c->fresh_key; i++) {
 		struct claim_key *k = &c->keys[i];
 
 		if (k->state != KEY_FREE && k->shard == shard &&
--- a/src/coordination/claim_read.c
+++ b/src/coordination/claim_read.c
@@ -15,7 +15,7 @@
 
 	if (log == CLAIM_LOG_OWN || c->logs[log].wanted)
 		return true;
-	for (uint32_t i = 0; i < c->o.claims_max; i++)
+	for (uint32_t i = 0; i < c->fresh_key; i++)
 		if (c->keys[i].state != KEY_FREE && c->keys[i].log == log)
 			return true;
 	for (uint32_t i = 0; i < c->o.shards; i++) {
@@ -37,7 +37,7 @@
 		if (log_in_use(c, i))
 			continue;
 		c->logs[i] = c->logs[last];
-		for (uint32_t k = 0; k < c->o.claims_max; k++)
+		for (uint32_t k = 0; k < c->fresh_key; k++)
 			if (c->keys[k].log == last)
 				c->keys[k].log = i;
 		c->n_logs--;
--- a/src/coordination/dispatch.c
+++ b/src/coordination/dispatch.c
@@ -47,6 +47,7 @@
 	pf_ms patience = e->opts.try_timeout;
 
 	r->attempt++;
+	r->done_total = 0;
 	r->state = PF_REQ_SENT;
 	r->peer = c->peer;
 	r->sent_at = e->now;
--- a/src/coordination/entry_impl.h
+++ b/src/coordination/entry_impl.h
@@ -45,6 +45,7 @@
 	pf_ms sent_at;
 	pf_ms started_at;
 	bool unseen; /* its try is not in the agent's report yet */
+	uint32_t done_total; /* DONE came before its last pieces; 0: not yet */
 	uint32_t trial_offset; /* tokens delivered when its trial began */
 	struct {
 		uint32_t peer;
--- a/src/coordination/life.c
+++ b/src/coordination/life.c
@@ -144,6 +144,30 @@
 	r->work.offset += count;
 }
 
+static void learn(struct pf_entry *e, const struct pf_request *r)
+{
+	struct pf_peer *p = &e->peers[r->peer];
+	double ms = (double)(e->now - r->sent_at);
+
+	if (p->service_ms <= 0)
+		p->service_ms = ms;
+	else
+		p->service_ms += SERVICE_WEIGHT * (ms - p->service_ms);
+	if (!(r->work.flags & PF_WORK_PLAIN))
+		pf_backlog_learn(e, r->group, r->work.offset);
+}
+
+/* The answer is whole. */
+static void complete(struct pf_entry *e, uint32_t slot)
+{
+	struct pf_request *r = &e->reqs[slot];
+
+	learn(e, r);
+	if (r->work.flags & PF_WORK_SUSPECT)
+		pf_quarantine_absolve(e, r->work.fingerprint);
+	pf_attempt_finish(e, slot, pf_outcome(PF_REASON_NONE, PF_RAN, 0));
+}
+
 void pf_life_piece(struct pf_entry *e, const struct pf_entry_msg *m)
 {
 	uint32_t slot = current(e, m->agent, &m->u.tokens.id);
@@ -171,23 +195,14 @@
 	}
 	deliver(e, r, skip, count - skip);
 	r->pauses = 0;
+	if (r->done_total && r->work.offset >= r->done_total) {
+		complete(e, slot);
+		return;
+	}
 	pf_requests_due(e, slot, stall_due(e, r));
 	pf_dispatch_progress(e, slot);
 }
 
-static void learn(struct pf_entry *e, const struct pf_request *r)
-{
-	struct pf_peer *p = &e->peers[r->peer];
-	double ms = (double)(e->now - r->sent_at);
-
-	if (p->service_ms <= 0)
-		p->service_ms = ms;
-	else
-		p->service_ms += SERVICE_WEIGHT * (ms - p->service_ms);
-	if (!(r->work.flags & PF_WORK_PLAIN))
-		pf_backlog_learn(e, r->group, r->work.offset);
-}
-
 void pf_life_done(struct pf_entry *e, const struct pf_entry_msg *m)
 {
 	uint32_t slot = current(e, m->agent, &m->u.done.id);
@@ -202,15 +217,13 @@
 				  pf_outcome(PF_REASON_BACKEND, PF_RAN, 0));
 		return;
 	}
-	/* Pieces are missing: the rest is asked for again. */
+	/* Pieces may have been overtaken; if not, the rest is asked again. */
 	if (m->u.done.total > r->work.offset) {
-		pf_attempt_cut(e, slot, PF_WHY_FAULT);
+		r->done_total = m->u.done.total;
+		pf_requests_due(e, slot, e->now + e->opts.stall_timeout);
 		return;
 	}
-	learn(e, r);
-	if (r->work.flags & PF_WORK_SUSPECT)
-		pf_quarantine_absolve(e, r->work.fingerprint);
-	pf_attempt_finish(e, slot, pf_outcome(PF_REASON_NONE, PF_RAN, 0));
+	complete(e, slot);
 }
 
 void pf_life_not_run(struct pf_entry *e, const struct pf_entry_msg *m)
@@ -249,11 +262,16 @@
 		break;
 	case PF_REASON_NOT_RESIDENT:
 		pf_peers_unable(e, r->peer, r->group, e->now + UNABLE_MS);
-		pf_attempt_again(e, slot, PF_WHY_FAULT, after);
+		/* A claim shard that moves costs its callers no budget. */
+		pf_attempt_again(e, slot,
+				 e->groups[r->group].shard ? PF_WHY_BUSY
+							   : PF_WHY_FAULT,
+				 after);
 		break;
 	case PF_REASON_EXPIRED:
 	case PF_REASON_UNKNOWN_MODEL:
 	case PF_REASON_TOO_LONG:
+	case PF_REASON_KEY_REUSED:
 	case PF_REASON_QUARANTINED:
 		pf_attempt_finish(e, slot, pf_outcome(why, r->ran, after));
 		break;
