Routing waits for a purer batch while there is time

Change: an agent that runs three or more models gets another one only after 0.7 of the request's time to its first token, or 7 s for work without one.

--- a/src/coordination/entry_impl.h
+++ b/src/coordination/entry_impl.h
@@ -134,6 +134,7 @@
 	struct pf_peer_item *items; /* sorted by id */
 	struct pf_peer_item *items_next; /* scratch of the same size */
 	uint32_t n_items;
+	uint32_t n_active; /* models with runs there */
 	uint64_t *prefixes; /* hashed by prefix, newer replace older */
 };
 
--- a/src/coordination/peers.c
+++ b/src/coordination/peers.c
@@ -147,7 +147,7 @@
 		       const struct pf_report *r)
 {
 	struct pf_peer_item *v = p->items_next;
-	uint32_t n = 0;
+	uint32_t n = 0, active = 0;
 
 	for (uint32_t i = 0; i < r->n_items && n < e->opts.items_max; i++) {
 		const struct pf_peer_item *old =
@@ -157,12 +157,14 @@
 		v[n].id = r->items[i].id;
 		v[n].state = r->items[i].state;
 		v[n].running = r->items[i].running;
+		active += r->items[i].running > 0;
 		v[n++].since = kept ? old->since : e->now;
 	}
 	qsort(v, n, sizeof(*v), by_id);
 	p->items_next = p->items;
 	p->items = v;
 	p->n_items = n;
+	p->n_active = active;
 }
 
 /*
@@ -232,8 +234,8 @@
 	p->inflight++;
 	p->unseen++;
 	item = pf_peers_item(p, r->work.model);
-	if (item)
-		((struct pf_peer_item *)item)->running++;
+	if (item && ((struct pf_peer_item *)item)->running++ == 0)
+		p->n_active++;
 }
 
 void pf_peers_ended(struct pf_entry *e, uint32_t peer, uint32_t slot)
--- a/src/coordination/route.c
+++ b/src/coordination/route.c
@@ -16,6 +16,11 @@
 #define SHARE_MS 4.0
 /* Service time of a try where none was measured. */
 #define SERVICE_MS 2000.0
+/* Models in a batch from which on another waits for a better place. */
+#define MIX_MAX 3
+/* Part of the time to its first token that a request waits for it. */
+#define MIX_WAIT 0.7
+#define DEFER_WAIT_MS 10000.0
 /* Time of a step where none was reported or nothing runs. */
 #define STEP_MS 25.0
 /* A further model in the batch slows a step by so much. */
@@ -251,6 +256,25 @@
 	return c;
 }
 
+/*
+ * While there is time, a request waits for an agent that runs its model
+ * rather than make a mixed batch slower still.
+ */
+static bool holds_back(const struct pf_entry *e, const struct pf_peer *p,
+		       const struct pf_request *r)
+{
+	const struct pf_peer_item *i = pf_peers_item(p, r->work.model);
+	double budget = DEFER_WAIT_MS;
+
+	if (e->opts.route != PF_ROUTE_OURS || p->n_active < MIX_MAX)
+		return false;
+	if (!i || i->running > 0)
+		return false;
+	if (r->work.first_due != PF_NEVER)
+		budget = (double)(r->work.first_due - r->work.arrived);
+	return (double)(e->now - r->work.arrived) < budget * MIX_WAIT;
+}
+
 static bool fits(const struct pf_entry *e, const struct pf_request *r,
 		 const struct pf_candidate *c, const struct field *f)
 {
@@ -260,6 +284,8 @@
 		return false;
 	if (f->other && avoids(e, r, c->peer))
 		return false;
+	if (holds_back(e, p, r))
+		return false;
 	return p->same_region || !f->local || e->link_bytes >= link_need(e, r);
 }
 
--- a/tests/test_entry_route.cc
+++ b/tests/test_entry_route.cc
@@ -199,6 +199,29 @@
 		EXPECT_NE(arrive_sent(id, w).agent, first);
 }
 
+// A mixed batch gets another model only when time runs out.
+TEST_F(EntryRoute, WaitsForABetterBatchWhileThereIsTime)
+{
+	pf_work w = work();
+
+	start();
+	up(AGENT_A);
+	report(AGENT_A,
+	       { { MODEL + 7, PF_ITEM_RESIDENT, 1 },
+		 { MODEL + 8, PF_ITEM_RESIDENT, 1 },
+		 { MODEL + 9, PF_ITEM_RESIDENT, 1 },
+		 { MODEL, PF_ITEM_RESIDENT } },
+	       3);
+	w.first_due = now + 1000;
+	arrive(1, w);
+	EXPECT_EQ(stats().waiting, 1u);
+	run(600);
+	EXPECT_EQ(stats().waiting, 1u);
+	run(200);
+	EXPECT_EQ(stats().waiting, 0u);
+	EXPECT_EQ(all.back().type, PF_ENTRY_TRY);
+}
+
 TEST_F(EntryRoute, LinkBytesAreBudgeted)
 {
 	start();
