--- a/load/main.c
+++ b/load/main.c
@@ -1,5 +1,6 @@
 /* pimento-load: open-loop arrivals against the entries, each answer checked. */
 #include "load/load.h"
+#include "load/path.h"
 
 #include <event2/event.h>
 #include <math.h>
@@ -20,6 +21,7 @@
 	int seconds;
 	int drain;
 	gboolean version;
+	struct path_options path;
 };
 
 /** A caller's arrivals. */
@@ -190,6 +192,20 @@
 		{ "faults", 0, 0, G_OPTION_ARG_FILENAME, &s->faults,
 		  "Log of faults done, lines of MS-SINCE-EPOCH TARGET",
 		  "FILE" },
+		{ "path", 0, 0, G_OPTION_ARG_STRING, &s->path.entry,
+		  "Measure the path of tokens through this entry", "IP:PORT" },
+		{ "path-engine", 0, 0, G_OPTION_ARG_STRING, &s->path.engine,
+		  "And this engine, called directly", "IP:PORT" },
+		{ "path-key", 0, 0, G_OPTION_ARG_STRING, &s->path.key,
+		  "The caller's key", "KEY" },
+		{ "path-model", 0, 0, G_OPTION_ARG_STRING, &s->path.model,
+		  "What is asked for", "NAME@VERSION" },
+		{ "path-streams", 0, 0, G_OPTION_ARG_INT, &s->path.streams,
+		  "Streams at once", "N" },
+		{ "path-requests", 0, 0, G_OPTION_ARG_INT, &s->path.requests,
+		  "Requests in all, to each", "N" },
+		{ "path-tokens", 0, 0, G_OPTION_ARG_INT, &s->path.tokens,
+		  "Tokens of an answer", "N" },
 		{ "version", 0, 0, G_OPTION_ARG_NONE, &s->version,
 		  "Print the version and exit", NULL },
 		{ 0 },
@@ -203,9 +219,12 @@
 		fprintf(stderr, "%s\n", error->message);
 		g_error_free(error);
 		rc = -1;
-	} else if (!s->version && !s->scenario) {
+	} else if (!s->version && !s->scenario && !s->path.entry) {
 		fprintf(stderr, "--scenario is missing\n");
 		rc = -1;
+	} else if (s->path.entry && (!s->path.key || !s->path.model)) {
+		fprintf(stderr, "--path wants --path-key and --path-model\n");
+		rc = -1;
 	}
 	g_option_context_free(c);
 	return rc;
@@ -269,8 +288,12 @@
 
 int main(int argc, char **argv)
 {
-	struct run r = { .settings = {
-				 .seed = 1, .seconds = 10, .drain = 60 } };
+	struct run r = { .settings = { .seed = 1,
+				       .seconds = 10,
+				       .drain = 60,
+				       .path = { .streams = 1,
+						 .requests = 1,
+						 .tokens = 1 } } };
 	int rc = EXIT_USAGE;
 
 	if (parse(&r.settings, argc, argv))
@@ -279,7 +302,9 @@
 		printf("pimento-load " VERSION "\n");
 		return EXIT_SUCCESS;
 	}
-	if (!read_scenario(&r)) {
+	if (r.settings.path.entry) {
+		rc = path_run(&r.settings.path) ? EXIT_VIOLATION : EXIT_SUCCESS;
+	} else if (!read_scenario(&r)) {
 		load_init(&r.load, (uint64_t)r.settings.seed);
 		rc = run(&r);
 		load_clear(&r.load);
@@ -287,5 +312,9 @@
 	g_free(r.settings.scenario);
 	g_free(r.settings.report);
 	g_free(r.settings.faults);
+	g_free(r.settings.path.entry);
+	g_free(r.settings.path.engine);
+	g_free(r.settings.path.key);
+	g_free(r.settings.path.model);
 	return rc;
 }
--- /dev/null
+++ b/load/path.c
@@ -0,0 +1,223 @@
+/* Measures the path of tokens. */
+#include "load/path.h"
+
+#include <event2/buffer.h>
+#include <event2/event.h>
+#include <event2/http.h>
+#include <stdbool.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define TIMEOUT_S 60
+#define PROMPT_MAX 128
+#define TOKEN "\"text\":\""
+
+struct path;
+
+/** The engine or the entry, as one that is called. */
+struct side {
+	struct path *path;
+	const char *what;
+	const char *addr;
+	bool direct;
+	int left; /* requests to be sent */
+	uint64_t tokens;
+	GArray *first_ms; /* double */
+};
+
+/** One connection and the request on it. */
+struct stream {
+	struct side *side;
+	struct evhttp_connection *conn;
+	struct stream *turn; /* whose request is next; itself if at once */
+	int64_t sent; /* monotonic, microseconds */
+	int tokens;
+};
+
+struct path {
+	const struct path_options *opts;
+	struct event_base *base;
+	int made; /* requests so far */
+	int bad; /* answers that were not whole */
+	int open;
+};
+
+static void stream_send(struct stream *s);
+
+/* Events are never torn over two chunks. */
+static int tokens_in(const char *p, size_t n)
+{
+	const char *end = p + n;
+	int tokens = 0;
+
+	while ((p = memmem(p, (size_t)(end - p), TOKEN, strlen(TOKEN)))) {
+		p += strlen(TOKEN);
+		tokens += p < end && *p != '"';
+	}
+	return tokens;
+}
+
+static void on_chunk(struct evhttp_request *req, void *ctx)
+{
+	struct evbuffer *in = evhttp_request_get_input_buffer(req);
+	size_t n = evbuffer_get_length(in);
+	struct stream *s = ctx;
+	int tokens = tokens_in((char *)evbuffer_pullup(in, -1), n);
+	double ms = (double)(g_get_monotonic_time() - s->sent) / 1000;
+
+	if (tokens && !s->tokens)
+		g_array_append_val(s->side->first_ms, ms);
+	s->tokens += tokens;
+	evbuffer_drain(in, n);
+}
+
+static void on_done(struct evhttp_request *req, void *ctx)
+{
+	struct stream *s = ctx;
+	struct path *p = s->side->path;
+
+	if (!req || s->tokens != p->opts->tokens) {
+		fprintf(stderr, "level=error what=%s status=%d tokens=%d\n",
+			s->side->what,
+			req ? evhttp_request_get_response_code(req) : 0,
+			s->tokens);
+		p->bad++;
+	}
+	s->side->tokens += (uint64_t)s->tokens;
+	p->open--;
+	stream_send(s->turn);
+}
+
+static void add_body(const struct stream *s, struct evbuffer *out)
+{
+	const struct path_options *o = s->side->path->opts;
+	char prompt[PROMPT_MAX];
+	int no = s->side->path->made;
+
+	g_snprintf(prompt, sizeof(prompt), "%d-%d of the path [len=%d]",
+		   o->streams, no, o->tokens);
+	if (s->side->direct)
+		evbuffer_add_printf(
+			out,
+			"{\"run\":\"path-%d-%d\",\"model\":\"%s\","
+			"\"adapter\":\"\",\"prompt\":\"%s\",\"prior\":\"\","
+			"\"offset\":0,\"limit\":%d,\"priority\":0}",
+			o->streams, no, o->model, prompt, o->tokens + 1);
+	else
+		evbuffer_add_printf(out,
+				    "{\"model\":\"%.*s\",\"prompt\":\"%s\","
+				    "\"max_tokens\":%d,\"stream\":true}",
+				    (int)strcspn(o->model, "@"), o->model,
+				    prompt, o->tokens + 1);
+}
+
+static void stream_send(struct stream *s)
+{
+	struct path *p = s->side->path;
+	struct evhttp_request *req;
+	struct evkeyvalq *h;
+	char bearer[PROMPT_MAX];
+
+	if (s->side->left == 0) {
+		if (p->open == 0)
+			event_base_loopbreak(p->base);
+		return;
+	}
+	s->side->left--;
+	p->made++;
+	p->open++;
+	s->tokens = 0;
+	req = evhttp_request_new(on_done, s);
+	h = evhttp_request_get_output_headers(req);
+	evhttp_request_set_chunked_cb(req, on_chunk);
+	g_snprintf(bearer, sizeof(bearer), "Bearer %s", p->opts->key);
+	evhttp_add_header(h, "Host", s->side->addr);
+	evhttp_add_header(h, "Authorization", bearer);
+	evhttp_add_header(h, "Content-Type", "application/json");
+	add_body(s, evhttp_request_get_output_buffer(req));
+	s->sent = g_get_monotonic_time();
+	evhttp_make_request(s->conn, req, EVHTTP_REQ_POST,
+			    s->side->direct ? "/engine/run"
+					    : "/v1/completions");
+}
+
+static void stream_open(struct stream *s, struct side *side)
+{
+	char **part = g_strsplit(side->addr, ":", 2);
+
+	s->side = side;
+	s->turn = s;
+	s->conn = evhttp_connection_base_new(side->path->base, NULL, part[0],
+					     (uint16_t)strtoul(part[1], NULL,
+							       10));
+	evhttp_connection_set_timeout(s->conn, TIMEOUT_S);
+	g_strfreev(part);
+}
+
+static int by_size(const void *a, const void *b)
+{
+	double x = *(const double *)a;
+	double y = *(const double *)b;
+
+	return (x > y) - (x < y);
+}
+
+static void report(const struct side *s)
+{
+	GArray *v = s->first_ms;
+	double median;
+
+	qsort(v->data, v->len, sizeof(double), by_size);
+	median = v->len ? g_array_index(v, double, v->len / 2) : -1;
+	printf("path: what=%s answers=%u tokens=%" G_GUINT64_FORMAT
+	       " first_token_ms=%.3f\n",
+	       s->what, v->len, s->tokens, median);
+}
+
+/* Both sides in turn on one connection each, or all streams at once. */
+static void play(struct path *p, struct side *sides, int n_sides)
+{
+	int n = n_sides * p->opts->streams;
+	struct stream *v = g_new0(struct stream, n);
+
+	for (int i = 0; i < n; i++)
+		stream_open(&v[i], &sides[i % n_sides]);
+	if (n_sides == 2 && n == 2) {
+		v[0].turn = &v[1];
+		v[1].turn = &v[0];
+		stream_send(&v[0]);
+	} else {
+		for (int i = 0; i < n; i++)
+			stream_send(&v[i]);
+	}
+	event_base_dispatch(p->base);
+	for (int i = 0; i < n; i++)
+		evhttp_connection_free(v[i].conn);
+	g_free(v);
+}
+
+int path_run(const struct path_options *o)
+{
+	struct path p = { .opts = o, .base = event_base_new() };
+	struct side sides[] = {
+		{ .what = "entry", .addr = o->entry },
+		{ .what = "engine", .addr = o->engine, .direct = true },
+	};
+	int n = o->engine ? 2 : 1;
+
+	for (int i = 0; i < n; i++) {
+		sides[i].path = &p;
+		sides[i].left = o->requests;
+		sides[i].first_ms = g_array_new(FALSE, FALSE, sizeof(double));
+	}
+	play(&p, sides, n);
+	for (int i = 0; i < n; i++) {
+		report(&sides[i]);
+		if ((int)sides[i].first_ms->len != o->requests)
+			p.bad++;
+		g_array_free(sides[i].first_ms, TRUE);
+	}
+	event_base_free(p.base);
+	return p.bad ? -1 : 0;
+}
