The claim core leaves unused keys untouched

Cause: a plain agent at rest held 20.46 MB, of which 9.6 MB were the free list through the 200000 keys that the claim core may hold. Change: keys are taken fresh first; the list holds only dropped ones.

--- a/src/coordination/claim.c
+++ b/src/coordination/claim.c
@@ -60,9 +60,8 @@
 
 static void link_free_lists(struct pf_claim *c)
 {
-	for (uint32_t i = 0; i < c->o.claims_max; i++)
-		c->keys[i].waiters = i + 1;
-	c->keys[c->o.claims_max - 1].waiters = CLAIM_NONE;
+	/* Keys are taken fresh first: pages of unused ones stay untouched. */
+	c->free_key = CLAIM_NONE;
 	for (uint32_t i = 0; i < c->o.waiting_max; i++)
 		c->waiters[i].next = i + 1;
 	c->waiters[c->o.waiting_max - 1].next = CLAIM_NONE;
--- a/src/coordination/claim_core.h
+++ b/src/coordination/claim_core.h
@@ -152,7 +152,8 @@
 
 	struct claim_key *keys;
 	struct pf_map by_key; /* key -> index */
-	uint32_t free_key;
+	uint32_t free_key; /* first of the keys that were dropped */
+	uint32_t n_fresh; /* keys from here on were never used */
 	struct claim_waiter *waiters;
 	uint32_t free_waiter;
 	uint32_t n_waiting;
--- a/src/coordination/claim_keys.c
+++ b/src/coordination/claim_keys.c
@@ -14,13 +14,17 @@
 
 struct claim_key *claim_key_add(struct pf_claim *c, uint64_t key)
 {
-	uint32_t i = c->free_key;
+	bool fresh = c->free_key == CLAIM_NONE;
+	uint32_t i = fresh ? c->n_fresh : c->free_key;
 	struct claim_key *k;
 
-	if (i == CLAIM_NONE || pf_map_put(&c->by_key, pf_key1(key), i) < 0)
+	if (i == c->o.claims_max || pf_map_put(&c->by_key, pf_key1(key), i) < 0)
 		return NULL;
 	k = &c->keys[i];
-	c->free_key = k->waiters;
+	if (fresh)
+		c->n_fresh++;
+	else
+		c->free_key = k->waiters;
 	memset(k, 0, sizeof(*k));
 	k->key = key;
 	k->shard = pf_claim_shard(key, c->o.shards);
