The entry frames a chunk in place and sends it as one buffer

Cause: 61 % of the entry's samples are sendmsg (one a token, 96 % of its system call time); three buffers each and snprintf for the chunk's size. Change: the scratch text leaves room before it for the size; one send().

--- a/daemons/entry/answer.c
+++ b/daemons/entry/answer.c
@@ -10,11 +10,12 @@
 #include <stdio.h>
 #include <string.h>
 #include <sys/socket.h>
-#include <sys/uio.h>
 
 /* Beyond this many bytes at the socket, output waits. */
 #define SOCKET_BYTES ((size_t)16 << 10)
 #define HEADER_CHARS 32
+/* The longest size of a chunk, with its CR LF. */
+#define CHUNK_ROOM 18
 
 static void set_header(evhtp_request_t *req, const char *name,
 		       const char *value)
@@ -69,56 +70,65 @@
  * Sends at once when nothing waits before it: one system call for a token in
  * place of the four that a bufferevent takes.
  */
-static void send_now(struct conn *c, struct iovec *v, int n)
+static void send_now(struct conn *c, const char *p, size_t n)
 {
 	struct bufferevent *bev = c->http->bev;
 	ssize_t sent = 0;
-	int i;
 
-	if (evbuffer_get_length(bufferevent_get_output(bev)) == 0) {
-		struct msghdr m = { .msg_iov = v, .msg_iovlen = (size_t)n };
-
-		sent = sendmsg(bufferevent_getfd(bev), &m,
-			       MSG_NOSIGNAL | MSG_DONTWAIT);
-	}
+	if (evbuffer_get_length(bufferevent_get_output(bev)) == 0)
+		sent = send(bufferevent_getfd(bev), p, n,
+			    MSG_NOSIGNAL | MSG_DONTWAIT);
 	/* An error shows again when the event loop writes. */
 	if (sent < 0)
 		sent = 0;
-	for (i = 0; i < n; i++) {
-		size_t skip = (size_t)sent < v[i].iov_len ? (size_t)sent
-							  : v[i].iov_len;
-
-		sent -= (ssize_t)skip;
-		if (skip < v[i].iov_len)
-			bufferevent_write(bev, (char *)v[i].iov_base + skip,
-					  v[i].iov_len - skip);
-	}
+	if ((size_t)sent < n)
+		bufferevent_write(bev, p + sent, n - (size_t)sent);
+}
+
+/* Empties the scratch but for the room that a chunk's size takes. */
+static struct pf_text *chunk_new(struct request *r)
+{
+	static const char room[CHUNK_ROOM];
+	struct pf_text *t = &r->d->scratch;
+
+	pf_text_reset(t);
+	pf_text_add(t, (struct pf_str){ room, CHUNK_ROOM });
+	return t;
+}
+
+/* Writes the chunk's size before its text; where it begins. */
+static char *put_size(char *text, size_t n)
+{
+	char *p = text;
+
+	*--p = '\n';
+	*--p = '\r';
+	for (; n; n >>= 4)
+		*--p = "0123456789abcdef"[n & 15];
+	return p;
 }
 
 /* One chunk of the body, framed here to spare evhtp's buffers per token. */
-static void send_chunk(struct request *r, const struct pf_text *t)
+static void chunk_send(struct request *r, struct pf_text *t)
 {
-	char size[HEADER_CHARS];
-	struct iovec v[3];
-	int n;
+	size_t n = t->n - CHUNK_ROOM;
+	char *p;
 
-	if (t->n == 0)
+	if (t->n <= CHUNK_ROOM)
 		return;
-	r->d->counters.v[PF_EC_BYTES_OUT] += t->n;
-	v[1] = (struct iovec){ t->p, t->n };
+	r->d->counters.v[PF_EC_BYTES_OUT] += n;
 	if (!(r->http->flags & EVHTP_REQ_FLAG_CHUNKED)) {
-		send_now(r->conn, v + 1, 1);
+		send_now(r->conn, t->p + CHUNK_ROOM, n);
 		return;
 	}
-	n = snprintf(size, sizeof(size), "%zx\r\n", t->n);
-	v[0] = (struct iovec){ size, (size_t)n };
-	v[2] = (struct iovec){ "\r\n", 2 };
-	send_now(r->conn, v, 3);
+	pf_text_add(t, PF_STR("\r\n"));
+	p = put_size(t->p + CHUNK_ROOM, n);
+	send_now(r->conn, p, (size_t)(t->p + t->n - p));
 }
 
 static void open_stream(struct request *r)
 {
-	struct pf_text *t = &r->d->scratch;
+	struct pf_text *t;
 
 	if (r->head_sent)
 		return;
@@ -132,16 +142,18 @@
 	} else {
 		evhtp_send_reply_chunk_start(r->http, EVHTP_RES_OK);
 	}
-	pf_text_reset(t);
+	t = chunk_new(r);
 	pf_oai_stream_open(&r->shape, t);
-	send_chunk(r, t);
+	chunk_send(r, t);
 }
 
 static void close_stream(struct request *r)
 {
 	evhtp_request_t *http = r->http;
+	struct pf_text *t = chunk_new(r);
 
-	send_chunk(r, &r->tail);
+	pf_text_add(t, pf_text_str(&r->tail));
+	chunk_send(r, t);
 	requests_free(r);
 	if (http->flags & EVHTP_REQ_FLAG_CHUNKED)
 		evhtp_send_reply_chunk_end(http);
@@ -152,16 +164,16 @@
 /* Gives the socket what it may hold of the output that waits. */
 static void send_waiting(struct request *r)
 {
-	struct pf_text *t = &r->d->scratch;
+	struct pf_text *t;
 
 	if (r->unsent > 0 && waiting_at_socket(r) < SOCKET_BYTES) {
 		struct pf_str text = { r->output.p + r->output.n - r->unsent,
 				       r->unsent };
 
-		pf_text_reset(t);
+		t = chunk_new(r);
 		pf_oai_stream_text(&r->shape, text, t);
 		r->unsent = 0;
-		send_chunk(r, t);
+		chunk_send(r, t);
 	}
 	if (r->ended && r->unsent == 0)
 		close_stream(r);
