Crashes of tries that did not run alone count once; four more mutants

Cause: a request tried twice at once beside two poisoned requests was quarantined, since two crashes counted though neither try ran alone. Change: a try sent before its fingerprint became a suspect adds no crash. Mutants for gaps, short ends, quarantine and an early end of a drain. Conclusion: one more endpoint may be lost to a poisoned request of which several copies were on their way at its first crash.

--- a/src/coordination/agent.c
+++ b/src/coordination/agent.c
@@ -200,8 +200,12 @@
 {
 	struct pf_agent_act act = { .type = PF_AGENT_DRAINED };
 
-	if (!a->leaving || a->drained || a->by_try.n > 0)
+	if (!a->leaving || a->drained)
 		return;
+#ifndef PF_MUTANT_DRAINED_EARLY
+	if (a->by_try.n > 0)
+		return;
+#endif
 	a->drained = true;
 	agent_emit(a, &act);
 }
--- a/src/coordination/entry_impl.h
+++ b/src/coordination/entry_impl.h
@@ -138,6 +138,7 @@
 
 /** A fingerprint that was running at a crash. */
 struct pf_suspect {
+	pf_ms since; /* the first crash; tries sent before did not run alone */
 	uint64_t fingerprint;
 	uint32_t crashes;
 	uint32_t crash; /* id of the last crash */
--- a/src/coordination/life.c
+++ b/src/coordination/life.c
@@ -157,11 +157,17 @@
 	}
 	mark_started(e, slot);
 	r = &e->reqs[slot];
+#ifndef PF_MUTANT_DELIVER_GAP
 	if (offset > r->work.offset) {
 		pf_attempt_replace(e, slot);
 		return;
 	}
+#endif
 	skip = r->work.offset - offset;
+#ifdef PF_MUTANT_DELIVER_GAP
+	if (offset > r->work.offset)
+		skip = 0;
+#endif
 #ifdef PF_MUTANT_DELIVER_DOUBLED
 	skip = 0;
 #endif
@@ -202,11 +208,13 @@
 				  pf_outcome(PF_REASON_BACKEND, PF_RAN, 0));
 		return;
 	}
+#ifndef PF_MUTANT_END_SHORT
 	/* Pieces are missing: the rest is asked for again. */
 	if (m->u.done.total > r->work.offset) {
 		pf_attempt_cut(e, slot, PF_WHY_FAULT);
 		return;
 	}
+#endif
 	learn(e, r);
 	if (r->work.flags & PF_WORK_SUSPECT)
 		pf_quarantine_absolve(e, r->work.fingerprint);
--- a/src/coordination/quarantine.c
+++ b/src/coordination/quarantine.c
@@ -177,12 +177,19 @@
 	s = get(e, fingerprint);
 	if (s->crash == p->crash)
 		return verdict(s);
+	/* It did not run alone, so another may be to blame. */
+	if (s->crashes && sent_at < s->since)
+		return verdict(s);
+	if (s->crashes == 0)
+		s->since = e->now;
 	s->crash = p->crash;
 	s->crashes++;
+#ifndef PF_MUTANT_QUARANTINE
 	if (s->crashes >= e->opts.crashes_max && !s->until) {
 		s->until = e->now + e->opts.quarantine_keep;
 		e->stats.quarantined++;
 	}
+#endif
 	share(e, s);
 	return verdict(s);
 }
@@ -194,8 +201,10 @@
 	if (fingerprint == 0 || (until != 0 && until <= e->now))
 		return;
 	s = get(e, fingerprint);
-	if (s->crashes == 0)
+	if (s->crashes == 0) {
 		s->crashes = 1;
+		s->since = e->now;
+	}
 	if (until > s->until) {
 		if (!s->until)
 			e->stats.quarantined++;
--- a/tests/test_entry_quarantine.cc
+++ b/tests/test_entry_quarantine.cc
@@ -69,6 +69,28 @@
 	EXPECT_EQ(arrive_sent(4, print(5)).work.flags & PF_WORK_SUSPECT, 0u);
 }
 
+TEST_F(EntryQuarantine, CrashesOfTriesThatRanBesideOthersCountOnce)
+{
+	all_up();
+	Act t = arrive_sent(1, print(5));
+	now++;
+	Act u = arrive_sent(2, print(5));
+	ASSERT_NE(u.agent, t.agent);
+	now++;
+	lost(t, PF_REASON_CRASHED);
+	EXPECT_EQ(count(PF_ENTRY_END), 0u);
+	now++;
+	lost(u, PF_REASON_CRASHED);
+	EXPECT_EQ(count(PF_ENTRY_END), 0u) << "it did not run alone";
+	now += 3000;
+	report(AGENT_A, { { MODEL, PF_ITEM_RESIDENT } });
+	Act alone = find(PF_ENTRY_TRY);
+	EXPECT_TRUE(alone.work.flags & PF_WORK_SUSPECT);
+	lost(alone, PF_REASON_CRASHED);
+	EXPECT_EQ(count(PF_ENTRY_END), 2u);
+	EXPECT_EQ(find(PF_ENTRY_END).end.reason, PF_REASON_QUARANTINED);
+}
+
 TEST_F(EntryQuarantine, SuspectsAreTriedOneByOneAndAllArrive)
 {
 	std::vector<Act> there, now_at;
