--- a/Makefile
+++ b/Makefile
@@ -37,7 +37,7 @@
 SRC_ctl := $(wildcard daemons/ctl/*.c)
 SRC_standin := $(wildcard standin/*.c)
 SRC_load := $(wildcard load/*.c) standin/answer.c
-SRC_bench := $(wildcard bench/*.c)
+SRC_bench := $(wildcard bench/*.c) fuzz/fake_table.c
 SRC_fuzz := $(wildcard fuzz/*.c)
 SRC_tests := $(wildcard tests/*.cc) $(filter-out fuzz/main.c,$(wildcard fuzz/*.c))
 
--- /dev/null
+++ b/bench/capacity.c
@@ -0,0 +1,605 @@
+/* Measures slopes of the cores at three sizes each. */
+#include "bench/capacity.h"
+#include "pimentoford/agent.h"
+#include "pimentoford/entry.h"
+#include "pimentoford/place.h"
+#include "pimentoford/records.h"
+#include "pimentoford/text.h"
+#include "pimentoford/wire.h"
+
+#include <glib.h>
+#include <malloc.h>
+#include <math.h>
+#include <stdio.h>
+#include <string.h>
+#include <time.h>
+
+#define MODELS 270
+#define PIECES 16
+#define REPEATS 20000
+
+static const struct {
+	const char *role, *what, *unit;
+} names[] = {
+#define DEF(name, role, what, unit) { role, what, unit },
+	SLOPES(DEF)
+#undef DEF
+};
+
+double capacity_ns(void)
+{
+	struct timespec t;
+
+	clock_gettime(CLOCK_PROCESS_CPUTIME_ID, &t);
+	return (double)t.tv_sec * 1e9 + (double)t.tv_nsec;
+}
+
+double capacity_heap(void)
+{
+	struct mallinfo2 m = mallinfo2();
+
+	return (double)(m.uordblks + m.hblkhd);
+}
+
+void capacity_fit(struct slope *all, enum slope_name name, const double *size,
+		  const double *cost)
+{
+	double sx = 0, sy = 0, sxx = 0, sxy = 0, rest = 0;
+	struct slope *s = &all[name];
+
+	for (int i = 0; i < POINTS; i++) {
+		sx += size[i];
+		sy += cost[i];
+		sxx += size[i] * size[i];
+		sxy += size[i] * cost[i];
+	}
+	s->per = (POINTS * sxy - sx * sy) / (POINTS * sxx - sx * sx);
+	s->base = (sy - s->per * sx) / POINTS;
+	for (int i = 0; i < POINTS; i++) {
+		double d = cost[i] - s->base - s->per * size[i];
+
+		rest += d * d;
+	}
+	s->residual = sqrt(rest / POINTS) / (sy / POINTS);
+	printf("capacity: role=%s what=%s at=%g,%g,%g measured=%.4g,%.4g,%.4g "
+	       "base=%.4g slope=%.4g unit=%s residual=%.3f\n",
+	       names[name].role, names[name].what, size[0], size[1], size[2],
+	       cost[0], cost[1], cost[2], s->base, s->per, names[name].unit,
+	       s->residual);
+	fflush(stdout);
+}
+
+static struct pf_config *config_new(uint32_t agents)
+{
+	struct pf_config *c = calloc(1, sizeof(*c));
+
+	c->models = calloc(MODELS, sizeof(*c->models));
+	c->n_models = MODELS;
+	for (uint32_t i = 0; i < MODELS; i++)
+		c->models[i] = (struct pf_model){ .id = 1000 + i,
+						  .name_id = 1000 + i,
+						  .share = 100,
+						  .weight_bytes = 8LL << 30,
+						  .kv_token_bytes = 65536,
+						  .max_context = 32768 };
+	c->callers = calloc(1, sizeof(*c->callers));
+	c->n_callers = 1;
+	c->callers[0].id = 1;
+	c->endpoints = calloc(agents, sizeof(*c->endpoints));
+	c->n_endpoints = agents;
+	for (uint32_t i = 0; i < agents; i++)
+		c->endpoints[i] =
+			(struct pf_endpoint){ .id = i + 1,
+					      .zone = strdup("z1"),
+					      .region = strdup("r1"),
+					      .accelerators = 8,
+					      .memory_bytes = 640LL << 30,
+					      .batch_max = 256 };
+	c->deployment = (struct pf_deployment){ .move_cost = 30,
+						.store_loads_rate = 1000,
+						.store_inflight = 1000,
+						.adapter_knee = 1000,
+						.link_kbit = 30000,
+						.kv_share = 0.2 };
+	(void)pf_config_index(c);
+	return c;
+}
+
+/* The entry core under test; remembers the last try. */
+struct entry_box {
+	struct pf_entry *core;
+	struct pf_config *config;
+	struct pf_item items[MODELS];
+	struct pf_try id;
+	uint64_t agent;
+	uint64_t tries;
+	uint64_t seq;
+	pf_ms now;
+};
+
+static void entry_emit(void *ctx, const struct pf_entry_act *a)
+{
+	struct entry_box *b = ctx;
+
+	if (a->type != PF_ENTRY_TRY)
+		return;
+	b->id = a->u.try_.id;
+	b->agent = a->agent;
+	b->tries++;
+}
+
+static void entry_step(struct entry_box *b, const struct pf_entry_msg *m)
+{
+	struct pf_entry_sink sink = { entry_emit, b };
+
+	pf_entry_step(b->core, b->now, m, &sink);
+}
+
+static void entry_report(struct entry_box *b, uint32_t agent, uint32_t items)
+{
+	struct pf_entry_msg m = { .type = PF_ENTRY_REPORT, .agent = agent };
+
+	m.u.report = (struct pf_report){ .agent = agent,
+					 .incarnation = 1,
+					 .seq = ++b->seq,
+					 .queue_max = 64,
+					 .batch_max = 256,
+					 .kv_free = 1LL << 38,
+					 .kv_total = 1LL << 38,
+					 .step_ms = 20,
+					 .token_prefill_ms = 0.1,
+					 .ready = true,
+					 .items = b->items,
+					 .n_items = items };
+	entry_step(b, &m);
+}
+
+static int entry_open(struct entry_box *b, uint32_t requests, uint32_t agents,
+		      uint32_t items)
+{
+	struct pf_entry_msg m = { .type = PF_ENTRY_CONFIG };
+	struct pf_entry_opts o;
+
+	memset(b, 0, sizeof(*b));
+	b->now = 1000;
+	b->config = config_new(agents);
+	pf_entry_opts_default(&o);
+	o.zone = "z1";
+	o.region = "r1";
+	o.requests_max = requests;
+	o.agents_max = agents;
+	o.items_max = MODELS;
+	b->core = pf_entry_new(&o);
+	if (!b->core)
+		return -1;
+	for (uint32_t i = 0; i < MODELS; i++)
+		b->items[i] = (struct pf_item){ 1000 + i, PF_ITEM_RESIDENT, 0 };
+	m.u.config = b->config;
+	entry_step(b, &m);
+	for (uint32_t a = 1; a <= agents && items; a++) {
+		m = (struct pf_entry_msg){ .type = PF_ENTRY_LINK_UP,
+					   .agent = a };
+		m.u.link.incarnation = 1;
+		entry_step(b, &m);
+		entry_report(b, a, items);
+	}
+	return 0;
+}
+
+static void entry_close(struct entry_box *b)
+{
+	pf_entry_free(b->core);
+	pf_config_free(b->config);
+}
+
+static void entry_arrive(struct entry_box *b, uint64_t request)
+{
+	struct pf_entry_msg m = { .type = PF_ENTRY_ARRIVE };
+
+	m.u.arrive.request = request;
+	m.u.arrive.work = (struct pf_work){ .caller = 1,
+					    .model = 1000 + request % 4,
+					    .fingerprint = request,
+					    .prompt_tokens = 500,
+					    .max_tokens = 400,
+					    .arrived = b->now,
+					    .first_due = PF_NEVER,
+					    .whole_due = PF_NEVER,
+					    .deadline = PF_NEVER };
+	entry_step(b, &m);
+}
+
+/* One request from its arrival to its end; adds the time of its pieces. */
+static void entry_serve(struct entry_box *b, uint64_t request, double *pieces)
+{
+	struct pf_entry_msg m = { .type = PF_ENTRY_STARTED };
+	double from;
+
+	entry_arrive(b, request);
+	m.agent = b->agent;
+	m.u.id = b->id;
+	entry_step(b, &m);
+	m.type = PF_ENTRY_PIECE;
+	m.u.tokens.id = b->id;
+	m.u.tokens.count = 1;
+	from = capacity_ns();
+	for (uint32_t i = 0; i < PIECES; i++) {
+		m.u.tokens.offset = i;
+		entry_step(b, &m);
+	}
+	*pieces += capacity_ns() - from;
+	m.type = PF_ENTRY_DONE;
+	m.u.done.id = b->id;
+	m.u.done.total = PIECES;
+	m.u.done.error = false;
+	entry_step(b, &m);
+}
+
+static int measure_entry_state(struct slope *all)
+{
+	static const double requests[] = { 2000, 8000, 20000 };
+	static const double agents[] = { 16, 64, 256 };
+	double cost[POINTS];
+	struct entry_box b;
+
+	for (int i = 0; i < POINTS; i++) {
+		double before = capacity_heap();
+
+		if (entry_open(&b, (uint32_t)requests[i], 64, 0))
+			return -1;
+		for (uint64_t r = 1; r <= (uint64_t)requests[i]; r++)
+			entry_arrive(&b, r);
+		cost[i] = capacity_heap() - before;
+		entry_close(&b);
+	}
+	capacity_fit(all, SLOPE_ENTRY_REQUEST_BYTES, requests, cost);
+	for (int i = 0; i < POINTS; i++) {
+		if (entry_open(&b, 20000, (uint32_t)agents[i], 8))
+			return -1;
+		cost[i] = capacity_heap();
+		entry_close(&b);
+		cost[i] -= capacity_heap();
+	}
+	capacity_fit(all, SLOPE_ENTRY_AGENT_BYTES, agents, cost);
+	return 0;
+}
+
+static int measure_entry_time(struct slope *all)
+{
+	static const double agents[] = { 16, 64, 256 };
+	static const double items[] = { 8, 64, 256 };
+	double request[POINTS], piece[POINTS], report[POINTS];
+	struct entry_box b;
+
+	for (int i = 0; i < POINTS; i++) {
+		double pieces = 0, from;
+
+		if (entry_open(&b, 20000, (uint32_t)agents[i], 8))
+			return -1;
+		from = capacity_ns();
+		for (uint64_t r = 1; r <= REPEATS; r++)
+			entry_serve(&b, r, &pieces);
+		request[i] = (capacity_ns() - from - pieces) / REPEATS;
+		piece[i] = pieces / REPEATS / PIECES;
+		if (b.tries < REPEATS)
+			fprintf(stderr, "capacity: %llu of %d tries\n",
+				(unsigned long long)b.tries, REPEATS);
+		from = capacity_ns();
+		for (int r = 0; r < REPEATS; r++)
+			entry_report(&b, 1, (uint32_t)items[i]);
+		report[i] = (capacity_ns() - from) / REPEATS;
+		entry_close(&b);
+	}
+	capacity_fit(all, SLOPE_ENTRY_REQUEST_NS, agents, request);
+	capacity_fit(all, SLOPE_ENTRY_PIECE_NS, agents, piece);
+	capacity_fit(all, SLOPE_ENTRY_REPORT_NS, items, report);
+	return 0;
+}
+
+static void agent_emit(void *ctx, const struct pf_agent_act *a)
+{
+	uint64_t *runs = ctx;
+
+	*runs += a->type == PF_AGENT_RUN;
+}
+
+/* @n runs at once through an agent: try, tokens, end. */
+static int agent_round(uint32_t n, double *bytes, double *try_ns,
+		       double *token_ns)
+{
+	struct pf_agent_item held = { 1000, PF_ITEM_RESIDENT, 8LL << 30 };
+	struct pf_agent_msg m = { .type = PF_AGENT_CONFIG };
+	struct pf_config *c = config_new(1);
+	double before = capacity_heap(), from;
+	uint64_t runs = 0;
+	struct pf_agent_sink sink = { agent_emit, &runs };
+	struct pf_agent_opts o;
+	struct pf_agent *a;
+
+	pf_agent_opts_default(&o);
+	o.agent = 1;
+	o.incarnation = 1;
+	o.memory_bytes = 640LL << 30;
+	o.batch_max = n;
+	o.queue_max = n;
+	o.runs_max = 2 * n;
+	o.items_max = MODELS;
+	a = pf_agent_new(&o);
+	if (!a) {
+		pf_config_free(c);
+		return -1;
+	}
+	m.u.config = c;
+	pf_agent_step(a, 1000, &m, &sink);
+	m = (struct pf_agent_msg){ .type = PF_AGENT_ENGINE_UP };
+	m.u.inventory.items = &held;
+	m.u.inventory.n_items = 1;
+	pf_agent_step(a, 1000, &m, &sink);
+	from = capacity_ns();
+	for (uint32_t i = 1; i <= n; i++) {
+		m = (struct pf_agent_msg){ .type = PF_AGENT_TRY, .entry = 1 };
+		m.u.try_.id = (struct pf_try){ i, 1 };
+		m.u.try_.work = (struct pf_work){ .caller = 1,
+						  .model = 1000,
+						  .prompt_tokens = 100,
+						  .max_tokens = 64,
+						  .arrived = 1000,
+						  .first_due = PF_NEVER,
+						  .whole_due = PF_NEVER,
+						  .deadline = PF_NEVER };
+		pf_agent_step(a, 1000, &m, &sink);
+	}
+	*try_ns = (capacity_ns() - from) / n;
+	from = capacity_ns();
+	for (uint32_t t = 0; t < 32; t++) {
+		for (uint32_t i = 1; i <= n; i++) {
+			m = (struct pf_agent_msg){ .type = PF_AGENT_TOKENS };
+			m.u.tokens.id = (struct pf_try){ i, 1 };
+			m.u.tokens.offset = t;
+			m.u.tokens.count = 1;
+			pf_agent_step(a, 1001 + t, &m, &sink);
+		}
+	}
+	*token_ns = (capacity_ns() - from) / 32 / n;
+	*bytes = capacity_heap() - before;
+	if (runs != n)
+		fprintf(stderr, "capacity: %llu of %u runs\n",
+			(unsigned long long)runs, n);
+	pf_agent_free(a);
+	pf_config_free(c);
+	return 0;
+}
+
+static int measure_agent(struct slope *all)
+{
+	static const double runs[] = { 32, 128, 512 };
+	double bytes[POINTS], tries[POINTS], tokens[POINTS];
+
+	for (int i = 0; i < POINTS; i++)
+		if (agent_round((uint32_t)runs[i], &bytes[i], &tries[i],
+				&tokens[i]))
+			return -1;
+	capacity_fit(all, SLOPE_AGENT_RUN_BYTES, runs, bytes);
+	capacity_fit(all, SLOPE_AGENT_RUN_NS, runs, tries);
+	capacity_fit(all, SLOPE_AGENT_TOKEN_NS, runs, tokens);
+	return 0;
+}
+
+static void place_emit(void *ctx, const struct pf_place_act *a)
+{
+	(void)a;
+	++*(uint64_t *)ctx;
+}
+
+static int place_round(uint32_t agents, double *bytes, double *ns)
+{
+	struct pf_config *c = config_new(agents);
+	double before = capacity_heap(), from;
+	struct pf_place_msg m = { .type = PF_PLACE_CONFIG };
+	struct pf_demand demand[MODELS];
+	uint64_t acts = 0;
+	struct pf_place_sink sink = { place_emit, &acts };
+	struct pf_place_opts o;
+	struct pf_place *p;
+	pf_ms now = 1000;
+
+	pf_place_opts_default(&o);
+	o.agents_max = agents;
+	o.models_max = MODELS;
+	p = pf_place_new(&o);
+	if (!p) {
+		pf_config_free(c);
+		return -1;
+	}
+	m.u.config = c;
+	pf_place_step(p, now, &m, &sink);
+	m = (struct pf_place_msg){ .type = PF_PLACE_LEASE };
+	m.u.held = true;
+	pf_place_step(p, now, &m, &sink);
+	for (uint32_t i = 0; i < MODELS; i++)
+		demand[i] = (struct pf_demand){ 1000 + i, 1 + i % 7, 20 };
+	from = capacity_ns();
+	for (int round = 0; round < 5; round++) {
+		for (uint32_t i = 1; i <= agents; i++) {
+			struct pf_item held = { 1000 + i % MODELS,
+						PF_ITEM_RESIDENT, 3 };
+
+			m = (struct pf_place_msg){ .type = PF_PLACE_REPORT };
+			m.u.report =
+				(struct pf_report){ .agent = i,
+						    .incarnation = 1,
+						    .seq = (uint64_t)round + 1,
+						    .batch_max = 256,
+						    .kv_free = 1LL << 38,
+						    .kv_total = 1LL << 38,
+						    .ready = true,
+						    .items = &held,
+						    .n_items = 1 };
+			pf_place_step(p, now, &m, &sink);
+		}
+		m = (struct pf_place_msg){ .type = PF_PLACE_DEMAND };
+		m.u.demand.entry = 1;
+		m.u.demand.v = demand;
+		m.u.demand.n = MODELS;
+		pf_place_step(p, now, &m, &sink);
+		now += o.plan_every;
+		m = (struct pf_place_msg){ .type = PF_PLACE_TICK };
+		pf_place_step(p, now, &m, &sink);
+	}
+	*ns = (capacity_ns() - from) / 5;
+	*bytes = capacity_heap() - before;
+	pf_place_free(p);
+	pf_config_free(c);
+	return 0;
+}
+
+static int measure_place(struct slope *all)
+{
+	static const double agents[] = { 100, 400, 1200 };
+	double bytes[POINTS], ns[POINTS];
+
+	for (int i = 0; i < POINTS; i++)
+		if (place_round((uint32_t)agents[i], &bytes[i], &ns[i]))
+			return -1;
+	capacity_fit(all, SLOPE_PLACE_BYTES, agents, bytes);
+	capacity_fit(all, SLOPE_PLACE_NS, agents, ns);
+	return 0;
+}
+
+/* Endpoint records, which are the most numerous. */
+static GString *records_text(uint32_t n)
+{
+	GString *t = g_string_new("[deployment]\nschema = 2\nmove_cost = 30.0\n"
+				  "store_loads_rate = 2.0\n"
+				  "store_inflight = 3\nadapter_knee = 25\n"
+				  "link_kbit = 30000\nkv_share = 0.2\n"
+				  "[[model]]\nschema = 1\nname = \"m\"\n"
+				  "version = \"1\"\nweights = \"8GiB\"\n"
+				  "kv_token = \"64KiB\"\n"
+				  "max_context = 32768\n");
+
+	for (uint32_t i = 0; i < n; i++)
+		g_string_append_printf(
+			t,
+			"[[endpoint]]\nschema = 1\nname = \"worker-%05u\"\n"
+			"kind = \"engine\"\nagent = \"10.1.%u.%u:7100\"\n"
+			"backend = \"10.1.%u.%u:8000\"\nzone = \"z-%u\"\n"
+			"region = \"r-%u\"\naccelerators = 8\n"
+			"memory = \"640GiB\"\nbatch = 256\n"
+			"checks_fence = true\n",
+			i, i / 250, i % 250, i / 250, i % 250, i % 31, i % 9);
+	return t;
+}
+
+static int records_round(uint32_t n, double *parse, double *build,
+			 double *bytes, double *chars)
+{
+	GString *t = records_text(n);
+	struct pf_findings f = { 0 };
+	struct pf_records set = { 0 };
+	struct pf_config *c = NULL;
+	double before = capacity_heap(), from = capacity_ns();
+	int rc;
+
+	rc = pf_records_parse((struct pf_str){ t->str, t->len }, "capacity",
+			      &set, &f);
+	*parse = capacity_ns() - from;
+	from = capacity_ns();
+	if (rc == 0)
+		rc = pf_records_build(&set, 1, &f, &c);
+	*build = capacity_ns() - from;
+	*bytes = capacity_heap() - before;
+	*chars = (double)t->len;
+	for (size_t i = 0; i < f.n && i < 3; i++)
+		fprintf(stderr, "%s: %s\n", f.v[i].place, f.v[i].text);
+	pf_config_free(c);
+	pf_records_free(&set);
+	pf_findings_clear(&f);
+	g_string_free(t, TRUE);
+	return rc;
+}
+
+static int measure_records(struct slope *all)
+{
+	static const double n[] = { 500, 2000, 8000 };
+	double parse[POINTS], build[POINTS], bytes[POINTS], chars[POINTS];
+
+	for (int i = 0; i < POINTS; i++)
+		if (records_round((uint32_t)n[i], &parse[i], &build[i],
+				  &bytes[i], &chars[i]))
+			return -1;
+	capacity_fit(all, SLOPE_RECORD_PARSE_NS, n, parse);
+	capacity_fit(all, SLOPE_RECORD_BUILD_NS, n, build);
+	capacity_fit(all, SLOPE_RECORD_BYTES, n, bytes);
+	capacity_fit(all, SLOPE_RECORD_TEXT, n, chars);
+	return 0;
+}
+
+static double wire_size(const struct pf_wire_msg *m)
+{
+	struct pf_wire_buf b = { 0 };
+	double n = pf_wire_encode(m, 1000, &b) ? 0 : (double)b.n;
+
+	pf_wire_buf_free(&b);
+	return n;
+}
+
+static int measure_wire(struct slope *all)
+{
+	static const double items[] = { 4, 32, 256 };
+	static const double body[] = { 100, 1000, 10000 };
+	static const double count[] = { 1, 8, 64 };
+	static char text[10000];
+	static struct pf_item held[256];
+	uint32_t lens[64];
+	double report[POINTS], tries[POINTS], pieces[POINTS];
+
+	for (int i = 0; i < 256; i++)
+		held[i] = (struct pf_item){ pf_id2(1, (uint64_t)i),
+					    PF_ITEM_RESIDENT, 1 };
+	for (int i = 0; i < 64; i++)
+		lens[i] = 4;
+	memset(text, 'x', sizeof(text));
+	for (int i = 0; i < POINTS; i++) {
+		struct pf_wire_msg m = { .type = PF_WIRE_REPORT };
+
+		m.u.report.items = held;
+		m.u.report.n_items = (uint32_t)items[i];
+		report[i] = wire_size(&m);
+		m = (struct pf_wire_msg){ .type = PF_WIRE_TRY };
+		m.u.try_.payload.body =
+			(struct pf_str){ text, (size_t)body[i] };
+		tries[i] = wire_size(&m);
+		m = (struct pf_wire_msg){ .type = PF_WIRE_PIECE };
+		m.u.piece.lens = lens;
+		m.u.piece.count = (uint32_t)count[i];
+		m.u.piece.text = (struct pf_str){ text, 4 * (size_t)count[i] };
+		pieces[i] = wire_size(&m);
+	}
+	capacity_fit(all, SLOPE_WIRE_REPORT_ITEM, items, report);
+	capacity_fit(all, SLOPE_WIRE_TRY_BODY, body, tries);
+	capacity_fit(all, SLOPE_WIRE_PIECE_TOKEN, count, pieces);
+	return 0;
+}
+
+int capacity_measure(struct slope *all)
+{
+	if (measure_entry_state(all) || measure_entry_time(all))
+		return -1;
+	if (measure_agent(all) || measure_place(all))
+		return -1;
+	return measure_records(all) || measure_wire(all) ? -1 : 0;
+}
+
+int capacity_main(void)
+{
+	struct slope all[SLOPE_COUNT] = { 0 };
+	struct claim_rate claims = { 0 };
+
+	if (capacity_measure(all) || capacity_claims(all, &claims)) {
+		fprintf(stderr, "capacity: a core refused its options\n");
+		return 1;
+	}
+	capacity_roles(all, &claims);
+	return 0;
+}
--- /dev/null
+++ b/bench/capacity.h
@@ -0,0 +1,70 @@
+/* Slopes of state, messages and processor time, and the roles' totals. */
+#ifndef BENCH_CAPACITY_H
+#define BENCH_CAPACITY_H
+
+#include "pimentoford/base.h"
+
+/* Everything that is measured: DEF(name, role, what, unit). */
+#define SLOPES(DEF)                                                 \
+	DEF(ENTRY_REQUEST_BYTES, "entry", "request_alive", "bytes") \
+	DEF(ENTRY_AGENT_BYTES, "entry", "agent_known", "bytes")     \
+	DEF(ENTRY_REQUEST_NS, "entry", "request", "ns")             \
+	DEF(ENTRY_PIECE_NS, "entry", "piece", "ns")                 \
+	DEF(ENTRY_REPORT_NS, "entry", "report", "ns")               \
+	DEF(AGENT_RUN_BYTES, "agent", "run", "bytes")               \
+	DEF(AGENT_RUN_NS, "agent", "try", "ns")                     \
+	DEF(AGENT_TOKEN_NS, "agent", "token_message", "ns")         \
+	DEF(CLAIM_KEY_BYTES, "shard_owner", "key", "bytes")         \
+	DEF(CLAIM_CALL_NS, "shard_owner", "call", "ns")             \
+	DEF(PLACE_BYTES, "planner", "agent", "bytes")               \
+	DEF(PLACE_NS, "planner", "plan_per_agent", "ns")            \
+	DEF(RECORD_PARSE_NS, "config", "record_parsed", "ns")       \
+	DEF(RECORD_BUILD_NS, "config", "record_built", "ns")        \
+	DEF(RECORD_BYTES, "config", "record_held", "bytes")         \
+	DEF(RECORD_TEXT, "config", "record_text", "bytes")          \
+	DEF(WIRE_REPORT_ITEM, "wire", "report_item", "bytes")       \
+	DEF(WIRE_TRY_BODY, "wire", "try_body_byte", "bytes")        \
+	DEF(WIRE_PIECE_TOKEN, "wire", "piece_token", "bytes")
+
+enum slope_name {
+#define DEF(name, role, what, unit) SLOPE_##name,
+	SLOPES(DEF)
+#undef DEF
+		SLOPE_COUNT
+};
+
+/* A line through the measured points. */
+struct slope {
+	double base; /* at size 0 */
+	double per; /* for one more */
+	double residual; /* root mean square, part of the mean */
+};
+
+#define POINTS 3
+
+/* Fits @cost against @size and prints the line of @name. */
+void capacity_fit(struct slope *all, enum slope_name name, const double *size,
+		  const double *cost);
+
+/* Measures every slope; 0, or -1 when a core refused its options. */
+int capacity_measure(struct slope *all);
+
+/* What never-repeat calls cost at a table of so many writes a second. */
+struct claim_rate {
+	double calls_per_s;
+	double rows_per_call;
+};
+
+/* capacity_claim.c */
+int capacity_claims(struct slope *all, struct claim_rate *grouped);
+
+/* capacity_roles.c: prints what each role spends at the letter's size. */
+void capacity_roles(const struct slope *all, const struct claim_rate *claims);
+
+/* Processor time of this process and bytes allocated by it. */
+double capacity_ns(void);
+double capacity_heap(void);
+
+int capacity_main(void);
+
+#endif
--- /dev/null
+++ b/bench/capacity_claim.c
@@ -0,0 +1,244 @@
+/* Claims a second at a table of 200 writes a second, in virtual time. */
+#include "bench/capacity.h"
+#include "fuzz/fake_table.h"
+#include "pimentoford/claim.h"
+
+#include <glib.h>
+#include <stdio.h>
+#include <string.h>
+
+#define WRITES_PER_S 200
+#define TABLE_MS 5
+#define RUN_MS 20
+#define OFFERED_PER_MS 4
+#define SECONDS 10
+#define ROWS 256
+#define OWN_MS 10000 /* until the shards are owned */
+
+/* A table operation or a run that falls due. */
+struct due {
+	pf_ms at;
+	uint64_t op;
+	struct pf_table_txn *txn; /* NULL: a scan, or a run when op is 0 */
+	char *prefix, *after;
+	uint32_t limit;
+	uint64_t key;
+};
+
+struct claim_box {
+	struct pf_claim *core;
+	struct fake_table *table;
+	GQueue *dues;
+	pf_ms now;
+	uint64_t granted, ended;
+};
+
+static struct due *due_add(struct claim_box *b, pf_ms after)
+{
+	struct due *d = g_new0(struct due, 1);
+
+	d->at = b->now + after;
+	g_queue_push_tail(b->dues, d);
+	return d;
+}
+
+static void emit(void *ctx, const struct pf_claim_act *a)
+{
+	struct claim_box *b = ctx;
+	struct due *d;
+
+	switch (a->type) {
+	case PF_CLAIM_ANSWERED:
+		if (!a->u.answered.granted)
+			break;
+		b->granted++;
+		due_add(b, RUN_MS)->key = a->u.answered.key;
+		break;
+	case PF_CLAIM_STORED:
+		b->ended++;
+		break;
+	case PF_CLAIM_TXN:
+		d = due_add(b, TABLE_MS);
+		d->op = a->u.txn.op;
+		d->txn = fake_txn_copy(&a->u.txn.txn);
+		break;
+	case PF_CLAIM_SCAN:
+		d = due_add(b, TABLE_MS);
+		d->op = a->u.scan.op;
+		d->prefix = g_strndup(a->u.scan.prefix.p, a->u.scan.prefix.n);
+		d->after = g_strndup(a->u.scan.after.p, a->u.scan.after.n);
+		d->limit = a->u.scan.limit;
+		break;
+	default:
+		break;
+	}
+}
+
+static void step(struct claim_box *b, const struct pf_claim_msg *m)
+{
+	struct pf_claim_sink sink = { emit, b };
+
+	pf_claim_step(b->core, b->now, m, &sink);
+}
+
+static void due_free(struct due *d)
+{
+	if (d->txn)
+		fake_txn_free(d->txn);
+	g_free(d->prefix);
+	g_free(d->after);
+	g_free(d);
+}
+
+static void due_run(struct claim_box *b, struct due *d)
+{
+	struct pf_claim_msg m = { .type = PF_CLAIM_RESULT };
+	struct pf_table_row rows[ROWS];
+
+	if (d->txn) {
+		m.type = PF_CLAIM_TXN_DONE;
+		m.u.txn.op = d->op;
+		m.u.txn.status = fake_table_txn(
+			b->table, d->txn, &m.u.txn.failed, &m.u.txn.revision);
+	} else if (d->prefix) {
+		m.type = PF_CLAIM_SCAN_DONE;
+		m.u.scan.op = d->op;
+		m.u.scan.status = PF_TABLE_OK;
+		m.u.scan.rows = rows;
+		m.u.scan.n_rows =
+			fake_table_scan(b->table, pf_str_c(d->prefix),
+					pf_str_c(d->after), rows,
+					MIN(d->limit, ROWS), &m.u.scan.more);
+	} else {
+		m.u.result.key = d->key;
+		m.u.result.answer = pf_str_c("{\"ok\":true}");
+	}
+	step(b, &m);
+	due_free(d);
+}
+
+/* One virtual millisecond. */
+static void pass(struct claim_box *b)
+{
+	struct pf_claim_msg tick = { .type = PF_CLAIM_TICK };
+	guint n = g_queue_get_length(b->dues);
+
+	b->now++;
+	while (n--) {
+		struct due *d = g_queue_pop_head(b->dues);
+
+		if (d->at <= b->now)
+			due_run(b, d);
+		else
+			g_queue_push_tail(b->dues, d);
+	}
+	if (pf_claim_next(b->core) <= b->now)
+		step(b, &tick);
+}
+
+static int box_open(struct claim_box *b, uint32_t claims_max, uint32_t batch)
+{
+	struct pf_claim_opts o;
+
+	memset(b, 0, sizeof(*b));
+	pf_claim_opts_default(&o);
+	o.agent = 1;
+	o.incarnation = 1;
+	o.claims_max = claims_max;
+	o.batch_max = batch;
+	o.writes_per_s = WRITES_PER_S;
+	b->core = pf_claim_new(&o);
+	if (!b->core)
+		return -1;
+	b->now = 1000000;
+	b->table = fake_table_new();
+	b->dues = g_queue_new();
+	for (pf_ms t = 0; t < OWN_MS; t++)
+		pass(b);
+	return 0;
+}
+
+static void box_close(struct claim_box *b)
+{
+	struct due *d;
+
+	while ((d = g_queue_pop_head(b->dues)))
+		due_free(d);
+	g_queue_free(b->dues);
+	fake_table_free(b->table);
+	pf_claim_free(b->core);
+}
+
+static void ask(struct claim_box *b, uint64_t n)
+{
+	struct pf_claim_msg m = { .type = PF_CLAIM_ASK };
+
+	m.u.ask.id = (struct pf_try){ n, 1 };
+	m.u.ask.key = pf_id2(7, n);
+	m.u.ask.fingerprint = n;
+	step(b, &m);
+}
+
+static int rate(uint32_t batch, const char *policy, struct claim_rate *r)
+{
+	struct claim_box b;
+	struct pf_claim_stats before, after;
+	uint64_t n = 0;
+
+	if (box_open(&b, 200000, batch))
+		return -1;
+	pf_claim_stats(b.core, &before);
+	for (pf_ms t = 0; t < SECONDS * 1000; t++) {
+		for (int i = 0; i < OFFERED_PER_MS; i++)
+			ask(&b, ++n);
+		pass(&b);
+	}
+	pf_claim_stats(b.core, &after);
+	r->calls_per_s = (double)b.ended / SECONDS;
+	r->rows_per_call =
+		b.ended ? (double)(after.rows_written - before.rows_written) /
+				  (double)b.ended
+			: 0;
+	printf("bench: what=claims policy=%s batch=%u writes_per_s=%d "
+	       "offered_per_s=%d granted_per_s=%.0f calls_per_s=%.0f "
+	       "rows_per_call=%.4f refused=%llu\n",
+	       policy, batch, WRITES_PER_S, OFFERED_PER_MS * 1000,
+	       (double)b.granted / SECONDS, r->calls_per_s, r->rows_per_call,
+	       (unsigned long long)(after.refused - before.refused));
+	box_close(&b);
+	return 0;
+}
+
+int capacity_claims(struct slope *all, struct claim_rate *grouped)
+{
+	static const double keys[] = { 5000, 10000, 20000 };
+	struct claim_rate single;
+	double bytes[POINTS], ns[POINTS];
+
+	for (int i = 0; i < POINTS; i++) {
+		double before, from, spent = 0;
+		struct claim_box b;
+		uint64_t n = 0;
+
+		before = capacity_heap();
+		if (box_open(&b, (uint32_t)keys[i], 256))
+			return -1;
+		bytes[i] = capacity_heap() - before;
+		while (n < (uint64_t)keys[i]) {
+			from = capacity_ns();
+			for (int k = 0; k < 2 && n < (uint64_t)keys[i]; k++)
+				ask(&b, ++n);
+			spent += capacity_ns() - from;
+			from = capacity_ns();
+			pass(&b);
+			spent += capacity_ns() - from;
+		}
+		ns[i] = spent;
+		box_close(&b);
+	}
+	capacity_fit(all, SLOPE_CLAIM_KEY_BYTES, keys, bytes);
+	capacity_fit(all, SLOPE_CLAIM_CALL_NS, keys, ns);
+	if (rate(1, "row_per_entry", &single))
+		return -1;
+	return rate(256, "ours", grouped);
+}
--- a/bench/main.c
+++ b/bench/main.c
@@ -1,5 +1,6 @@
 /* Runs the policies on a deployment and prints a line for each. */
 #include "bench/bench.h"
+#include "bench/capacity.h"
 #include "pimentoford/records.h"
 
 #include <glib.h>
@@ -125,6 +126,7 @@
 	gint64 seed = 1;
 	gint faults = -1, seconds = 600;
 	gdouble load = 0.5;
+	gboolean capacity = FALSE;
 	GOptionEntry entries[] = {
 		{ "deployment", 0, 0, G_OPTION_ARG_STRING, &name,
 		  "sylvacarb or norrvarme", "NAME" },
@@ -137,6 +139,8 @@
 		  "Demand as a part of what the accelerators decode", "X" },
 		{ "seconds", 0, 0, G_OPTION_ARG_INT, &seconds,
 		  "Virtual time of arrivals", "N" },
+		{ "capacity", 0, 0, G_OPTION_ARG_NONE, &capacity,
+		  "Measure slopes and the size of each role instead", NULL },
 		{ NULL, 0, 0, G_OPTION_ARG_NONE, NULL, NULL, NULL },
 	};
 	GOptionContext *ctx = g_option_context_new("- policies compared");
@@ -151,6 +155,8 @@
 		return 2;
 	}
 	g_option_context_free(ctx);
+	if (capacity)
+		return capacity_main();
 	d = find_deployment(name ? name : "sylvacarb");
 	c = d ? read_config(d->name) : NULL;
 	if (!c) {
--- a/src/coordination/life.c
+++ b/src/coordination/life.c
@@ -221,6 +221,14 @@
 	pf_attempt_finish(e, slot, pf_outcome(PF_REASON_NONE, PF_RAN, 0));
 }
 
+static void mark_leaving(struct pf_entry *e, uint64_t agent)
+{
+	uint32_t peer = pf_peers_find(e, agent);
+
+	if (peer != PF_NIL)
+		e->peers[peer].leaving = true;
+}
+
 void pf_life_not_run(struct pf_entry *e, const struct pf_entry_msg *m)
 {
 	uint32_t slot = current(e, m->agent, &m->u.not_run.id);
@@ -229,6 +237,9 @@
 	struct pf_request *r;
 	struct pf_peer *p;
 
+	/* Also when the try itself is over. */
+	if (why == PF_REASON_LEAVING)
+		mark_leaving(e, m->agent);
 	/* What started cannot be said not to have run. */
 	if (slot == PF_NIL || e->reqs[slot].state == PF_REQ_RUNNING)
 		return;
@@ -236,7 +247,6 @@
 	p = &e->peers[r->peer];
 	switch (why) {
 	case PF_REASON_LEAVING:
-		p->leaving = true;
 		pf_attempt_again(e, slot, PF_WHY_LEAVING, 0);
 		break;
 	case PF_REASON_FULL:
--- a/tests/test_entry_life.cc
+++ b/tests/test_entry_life.cc
@@ -403,6 +403,19 @@
 	}
 }
 
+TEST_F(EntryLife, LateRefusalSaysThatTheAgentLeaves)
+{
+	start();
+	ready(AGENT_A);
+	Act t = arrive_sent(1, work());
+	say(PF_ENTRY_STARTED, t);
+	piece(t, 0, 1);
+	done(t, 1);
+	not_run(t, PF_REASON_LEAVING);
+	arrive(2, work());
+	EXPECT_EQ(count(PF_ENTRY_TRY), 0u);
+}
+
 TEST_F(EntryLife, DrainFinishesWhatIsAliveAndRefusesTheRest)
 {
 	all_up();
