--- a/bench/capacity.c
+++ b/bench/capacity.c
@@ -17,6 +17,7 @@
 #define MODELS 270
 #define PIECES 16
 #define REPEATS 20000
+#define TICKS 1000
 
 static const struct {
 	const char *role, *what, *unit;
@@ -267,8 +268,7 @@
 static int measure_entry_time(struct slope *all)
 {
 	static const double agents[] = { 16, 64, 256 };
-	static const double items[] = { 8, 64, 256 };
-	double request[POINTS], piece[POINTS], report[POINTS];
+	double request[POINTS], piece[POINTS];
 	struct entry_box b;
 
 	for (int i = 0; i < POINTS; i++) {
@@ -284,14 +284,30 @@
 		if (b.tries < REPEATS)
 			fprintf(stderr, "capacity: %llu of %d tries\n",
 				(unsigned long long)b.tries, REPEATS);
-		from = capacity_ns();
-		for (int r = 0; r < REPEATS; r++)
-			entry_report(&b, 1, (uint32_t)items[i]);
-		report[i] = (capacity_ns() - from) / REPEATS;
 		entry_close(&b);
 	}
 	capacity_fit(all, SLOPE_ENTRY_REQUEST_NS, agents, request);
 	capacity_fit(all, SLOPE_ENTRY_PIECE_NS, agents, piece);
+	return 0;
+}
+
+static int measure_entry_reports(struct slope *all)
+{
+	static const double items[] = { 2, 8, 32 };
+	double report[POINTS];
+	struct entry_box b;
+
+	for (int i = 0; i < POINTS; i++) {
+		double from;
+
+		if (entry_open(&b, 20000, 64, (uint32_t)items[i]))
+			return -1;
+		from = capacity_ns();
+		for (uint32_t r = 0; r < REPEATS; r++)
+			entry_report(&b, 1 + r % 64, (uint32_t)items[i]);
+		report[i] = (capacity_ns() - from) / REPEATS;
+		entry_close(&b);
+	}
 	capacity_fit(all, SLOPE_ENTRY_REPORT_NS, items, report);
 	return 0;
 }
@@ -305,7 +321,7 @@
 
 /* @n runs at once through an agent: try, tokens, end. */
 static int agent_round(uint32_t n, double *bytes, double *try_ns,
-		       double *token_ns)
+		       double *token_ns, double *tick_ns)
 {
 	struct pf_agent_item held = { 1000, PF_ITEM_RESIDENT, 8LL << 30 };
 	struct pf_agent_msg m = { .type = PF_AGENT_CONFIG };
@@ -361,6 +377,11 @@
 		}
 	}
 	*token_ns = (capacity_ns() - from) / 32 / n;
+	m = (struct pf_agent_msg){ .type = PF_AGENT_TICK };
+	from = capacity_ns();
+	for (int i = 1; i <= TICKS; i++)
+		pf_agent_step(a, 2000 + i * o.report_every, &m, &sink);
+	*tick_ns = (capacity_ns() - from) / TICKS;
 	*bytes = capacity_heap() - before;
 	if (runs != n)
 		fprintf(stderr, "capacity: %llu of %u runs\n",
@@ -373,15 +394,16 @@
 static int measure_agent(struct slope *all)
 {
 	static const double runs[] = { 32, 128, 512 };
-	double bytes[POINTS], tries[POINTS], tokens[POINTS];
+	double bytes[POINTS], tries[POINTS], tokens[POINTS], ticks[POINTS];
 
 	for (int i = 0; i < POINTS; i++)
 		if (agent_round((uint32_t)runs[i], &bytes[i], &tries[i],
-				&tokens[i]))
+				&tokens[i], &ticks[i]))
 			return -1;
 	capacity_fit(all, SLOPE_AGENT_RUN_BYTES, runs, bytes);
 	capacity_fit(all, SLOPE_AGENT_RUN_NS, runs, tries);
 	capacity_fit(all, SLOPE_AGENT_TOKEN_NS, runs, tokens);
+	capacity_fit(all, SLOPE_AGENT_TICK_NS, runs, ticks);
 	return 0;
 }
 
@@ -584,7 +606,8 @@
 
 int capacity_measure(struct slope *all)
 {
-	if (measure_entry_state(all) || measure_entry_time(all))
+	if (measure_entry_state(all) || measure_entry_time(all) ||
+	    measure_entry_reports(all))
 		return -1;
 	if (measure_agent(all) || measure_place(all))
 		return -1;
--- a/bench/capacity.h
+++ b/bench/capacity.h
@@ -14,6 +14,7 @@
 	DEF(AGENT_RUN_BYTES, "agent", "run", "bytes")               \
 	DEF(AGENT_RUN_NS, "agent", "try", "ns")                     \
 	DEF(AGENT_TOKEN_NS, "agent", "token_message", "ns")         \
+	DEF(AGENT_TICK_NS, "agent", "report_tick", "ns")            \
 	DEF(CLAIM_KEY_BYTES, "shard_owner", "key", "bytes")         \
 	DEF(CLAIM_CALL_NS, "shard_owner", "call", "ns")             \
 	DEF(PLACE_BYTES, "planner", "agent", "bytes")               \
--- a/bench/capacity_roles.c
+++ b/bench/capacity_roles.c
@@ -1,6 +1,7 @@
 /* What each role spends at the letter's size, from the slopes. */
 #include "bench/capacity.h"
 
+#include <math.h>
 #include <stdio.h>
 
 /* The letter's size. */
@@ -24,7 +25,7 @@
 #define REPORTS_PER_S 2.0
 #define ITEMS 4.0 /* models and adapters that a report names */
 #define REQUEST_S 30.0 /* a request is alive for so long */
-#define PLAN_EVERY_S 5.0
+#define PLAN_EVERY_S 2.0
 #define CALLS_PER_S 2000.0 /* never-repeat calls of all services */
 #define OWNERS 23.0
 #define KEYS_OWNER 200000.0 /* claims_max */
@@ -33,7 +34,8 @@
 #define TABLE_READS 2000.0
 #define LINK_BYTES (30e6 / 8)
 #define ANSWER_BYTES 100.0
-#define RELAY_READS 1.0 /* of the head, a second, for each region */
+#define POLL_READS 2.0 /* of the head, a second, by each process */
+#define PAGE_ROWS 500.0 /* of one read of the records */
 
 struct role {
 	const char *name;
@@ -90,6 +92,9 @@
 	const double rebuild = at(&all[SLOPE_RECORD_PARSE_NS], RECORDS) +
 			       at(&all[SLOPE_RECORD_BUILD_NS], RECORDS);
 	const double region = WORKERS / REGIONS;
+	const double nodes = ENTRIES + WORKERS;
+	const double pages = ceil(RECORDS / PAGE_ROWS) + 1;
+	const double whole = record * RECORDS; /* the set as text */
 	const double piece = at(&all[SLOPE_WIRE_PIECE_TOKEN], 1);
 
 	printf("capacity: size entries=%g workers=%g regions=%g models=%g "
@@ -105,10 +110,12 @@
 		.ns = SUBSET * REPORTS_PER_S *
 		      at(&all[SLOPE_ENTRY_REPORT_NS], ITEMS),
 		.memory = at(&all[SLOPE_ENTRY_AGENT_BYTES], SUBSET) });
+	/* As built: each entry and agent polls and reads the whole set. */
 	node((struct role){ .name = "entry_config",
 			    .state = RECORDS,
-			    .messages = changes,
-			    .bytes = changes * record * RECORDS,
+			    .messages = POLL_READS + changes * pages,
+			    .bytes =
+				    POLL_READS * ANSWER_BYTES + changes * whole,
 			    .ns = changes * rebuild,
 			    .memory = config });
 	print(&(struct role){
@@ -123,7 +130,8 @@
 			    .state = sessions,
 			    .messages = sessions * REPORTS_PER_S,
 			    .bytes = sessions * REPORTS_PER_S * report,
-			    .ns = 0,
+			    .ns = REPORTS_PER_S *
+				  at(&all[SLOPE_AGENT_TICK_NS], 256),
 			    .memory = at(&all[SLOPE_AGENT_RUN_BYTES], 256) });
 	print(&(struct role){ .name = "agent_runs",
 			      .state = REQUESTS_PER_S / WORKERS * REQUEST_S,
@@ -135,11 +143,12 @@
 				    TOKENS_PER_S / WORKERS *
 					    at(&all[SLOPE_AGENT_TOKEN_NS], 256),
 			      .memory = 0 });
+	/* Proposed: only it reads the table for its region, still the whole set. */
 	node((struct role){ .name = "relay",
 			    .state = RECORDS,
-			    .messages = RELAY_READS + changes,
-			    .bytes = RELAY_READS * ANSWER_BYTES +
-				     changes * record,
+			    .messages = POLL_READS + changes * pages,
+			    .bytes =
+				    POLL_READS * ANSWER_BYTES + changes * whole,
 			    .ns = changes * rebuild,
 			    .memory = config });
 	node((struct role){ .name = "planner",
@@ -169,16 +178,27 @@
 			    OWNERS + REGIONS + 2 * REPLACED_PER_DAY / DAY_S,
 		.bytes = changes * record + CALLS_PER_S * ANSWER_BYTES,
 		.max_messages = TABLE_WRITES });
-	print(&(struct role){ .name = "table_reads",
-			      .state = RECORDS,
-			      .messages = REGIONS * RELAY_READS +
-					  REGIONS * changes + OWNERS,
-			      .bytes = REGIONS * changes * record,
-			      .max_messages = TABLE_READS });
-	print(&(struct role){ .name = "region_link",
-			      .state = 0,
-			      .messages = RELAY_READS + changes,
-			      .bytes = RELAY_READS * ANSWER_BYTES +
-				       changes * record,
+	print(&(struct role){
+		.name = "table_reads",
+		.state = RECORDS,
+		.messages = nodes * (POLL_READS + changes * pages) + OWNERS,
+		.bytes = nodes * changes * whole,
+		.max_messages = TABLE_READS });
+	print(&(struct role){
+		.name = "table_reads_by_relays",
+		.state = RECORDS,
+		.messages = REGIONS * (POLL_READS + changes * pages) + OWNERS,
+		.bytes = REGIONS * changes * whole,
+		.max_messages = TABLE_READS });
+	print(&(struct role){
+		.name = "region_link",
+		.messages = nodes / REGIONS * (POLL_READS + changes * pages),
+		.bytes = nodes / REGIONS *
+			 (POLL_READS * ANSWER_BYTES + changes * whole),
+		.max_bytes = LINK_BYTES });
+	print(&(struct role){ .name = "region_link_by_relay",
+			      .messages = POLL_READS + changes * pages,
+			      .bytes = POLL_READS * ANSWER_BYTES +
+				       changes * whole,
 			      .max_bytes = LINK_BYTES });
 }
