--- a/Makefile
+++ b/Makefile
@@ -37,7 +37,7 @@
 SRC_ctl := $(wildcard daemons/ctl/*.c)
 SRC_standin := $(wildcard standin/*.c)
 SRC_load := $(wildcard load/*.c) standin/answer.c
-SRC_bench := $(wildcard bench/*.c)
+SRC_bench := $(wildcard bench/*.c) fuzz/fake_table.c
 SRC_fuzz := $(wildcard fuzz/*.c)
 SRC_tests := $(wildcard tests/*.cc) $(filter-out fuzz/main.c,$(wildcard fuzz/*.c))
 
@@ -84,6 +84,10 @@
 	$(CC) $(LDFLAGS) -o $@ $^ $(LIBS)
 $(B)/pf-fuzz: $(call obj,$(SRC_fuzz)) $(LIB)
 	$(CC) $(LDFLAGS) -o $@ $^ $(LIBS)
+# A deliberate fault: its objects go before those of the normal build.
+$(B)/pf-fuzz-mutant: $(call obj,$(MUTANT_SRC))
+	$(CC) $(LDFLAGS) -o $@ $^ $(filter-out $(patsubst %,$(NORMAL)/%.o,$(MUTANT_SRC)),$(patsubst %,$(NORMAL)/%.o,$(SRC_fuzz))) \
+		$(NORMAL)/libpimentoford.a $(LIBS)
 $(B)/pf-tests: $(call obj,$(SRC_tests) standin/answer.c load/check.c load/faults.c load/outcome.c) $(LIB)
 	$(CXX) $(LDFLAGS) -o $@ $^ -lgtest_main -lgtest -lrapidcheck $(LIBS)
 
--- a/src/coordination/life.c
+++ b/src/coordination/life.c
@@ -181,11 +181,17 @@
 	}
 	mark_started(e, slot);
 	r = &e->reqs[slot];
+#ifndef PF_MUTANT_DELIVER_GAP
 	if (offset > r->work.offset) {
 		pf_attempt_replace(e, slot);
 		return;
 	}
+#endif
 	skip = r->work.offset - offset;
+#ifdef PF_MUTANT_DELIVER_GAP
+	if (offset > r->work.offset)
+		skip = 0;
+#endif
 #ifdef PF_MUTANT_DELIVER_DOUBLED
 	skip = 0;
 #endif
@@ -217,6 +223,9 @@
 				  pf_outcome(PF_REASON_BACKEND, PF_RAN, 0));
 		return;
 	}
+#ifdef PF_MUTANT_END_SHORT
+	r->work.offset = m->u.done.total;
+#endif
 	/* Pieces may have been overtaken; if not, the rest is asked again. */
 	if (m->u.done.total > r->work.offset) {
 		r->done_total = m->u.done.total;
@@ -226,6 +235,14 @@
 	complete(e, slot);
 }
 
+static void mark_leaving(struct pf_entry *e, uint64_t agent)
+{
+	uint32_t peer = pf_peers_find(e, agent);
+
+	if (peer != PF_NIL)
+		e->peers[peer].leaving = true;
+}
+
 void pf_life_not_run(struct pf_entry *e, const struct pf_entry_msg *m)
 {
 	uint32_t slot = current(e, m->agent, &m->u.not_run.id);
@@ -234,6 +251,9 @@
 	struct pf_request *r;
 	struct pf_peer *p;
 
+	/* Also when the try itself is over. */
+	if (why == PF_REASON_LEAVING)
+		mark_leaving(e, m->agent);
 	/* What started cannot be said not to have run. */
 	if (slot == PF_NIL || e->reqs[slot].state == PF_REQ_RUNNING)
 		return;
@@ -241,7 +261,6 @@
 	p = &e->peers[r->peer];
 	switch (why) {
 	case PF_REASON_LEAVING:
-		p->leaving = true;
 		pf_attempt_again(e, slot, PF_WHY_LEAVING, 0);
 		break;
 	case PF_REASON_FULL:
