placement: keep the store's budget, meet returned agents anew, shed

Cause: homes and bursts ignored the weight store's rate; orders that were lost, or given to an agent that restarted between two plans, were never given again; a second replica could be dropped while its only sibling was still loading; agents that are gone filled the table; models that grew left engines overfull; there was no notion of a region.

Change: a bucket of one load, refilled at the region's part of the rate, for homes too; a new incarnation or an unready report makes an agent unknown; a wanted item that does not come is asked for again; the last resident replica stays; slots are used again; larger models get homes first; shed() gives up replicas, or moves sole homes, where weights no longer fit; a planner of a region takes its part of the budget and owes a part of the models a home.

--- a/include/pimentoford/place.h
+++ b/include/pimentoford/place.h
@@ -17,6 +17,7 @@
 struct pf_place;
 
 struct pf_place_opts {
+	uint64_t region; /* id of the region that is planned; 0: all */
 	uint32_t agents_max; /* engines planned; others are left alone */
 	uint32_t models_max; /* at the bound further models load on demand */
 	uint32_t entries_max; /* whose demand is kept; at the bound the oldest
@@ -76,13 +77,17 @@
 void pf_place_step(struct pf_place *p, pf_ms now, const struct pf_place_msg *m,
 		   const struct pf_place_sink *sink);
 
-/** When the next PF_PLACE_TICK is due; PF_NEVER without the lease. */
+/**
+ * When the next PF_PLACE_TICK is due; PF_NEVER without the lease. Sooner than
+ * plan_every when a load only waits for the weight store's budget.
+ */
 pf_ms pf_place_next(const struct pf_place *p);
 
 struct pf_place_stats {
 	uint64_t plans, homes, seconds, replicas, evictions;
-	uint64_t blocked; /* moves that would pay but had no budget */
-	uint32_t unplaced; /* models without a home now */
+	uint64_t blocked; /* loads that had to wait for budget */
+	uint64_t shed; /* replicas given up where memory had shrunk */
+	uint32_t unplaced; /* models that this planner owes a home now */
 };
 
 void pf_place_stats(const struct pf_place *p, struct pf_place_stats *s);
--- a/src/coordination/place.c
+++ b/src/coordination/place.c
@@ -1,9 +1,12 @@
 /* Placement core: what is known of agents and demand, and the step function. */
 #include "place_core.h"
 
+#include <math.h>
 #include <stdlib.h>
 #include <string.h>
 
+#define WAITS_PER_PLAN 8 /* plans for budget alone, within plan_every */
+
 void pf_place_opts_default(struct pf_place_opts *o)
 {
 	*o = (struct pf_place_opts){
@@ -37,8 +40,9 @@
 	p->entries = calloc(o->entries_max, sizeof(*p->entries));
 	p->items = calloc(o->models_max, sizeof(*p->items));
 	p->taken = calloc(o->models_max, sizeof(*p->taken));
+	p->by_size = calloc(o->models_max, sizeof(*p->by_size));
 	if (!p->agents || !p->models || !p->cells || !p->entries || !p->items ||
-	    !p->taken)
+	    !p->taken || !p->by_size)
 		return -1;
 	for (uint32_t i = 0; i < o->entries_max; i++) {
 		p->entries[i].demand = calloc(o->models_max, sizeof(double));
@@ -75,6 +79,7 @@
 		free(p->entries[i].demand);
 	pf_map_free(&p->by_agent);
 	pf_map_free(&p->by_model);
+	free(p->by_size);
 	free(p->taken);
 	free(p->items);
 	free(p->entries);
@@ -84,6 +89,38 @@
 	free(p);
 }
 
+/* The engine's record if this planner plans it, or NULL. */
+static const struct pf_endpoint *planned(const struct pf_place *p, uint64_t id)
+{
+	const struct pf_endpoint *e = NULL;
+
+	if (p->config)
+		e = pf_config_endpoint(p->config, id);
+	if (!e || e->kind != PF_ENDPOINT_ENGINE)
+		return NULL;
+	if (p->o.region && pf_id(pf_str_c(e->region)) != p->o.region)
+		return NULL;
+	return e;
+}
+
+/* A slot of an agent that is no longer declared, or gone for the longest. */
+static uint32_t stale_slot(const struct pf_place *p)
+{
+	uint32_t best = PLACE_NONE;
+
+	for (uint32_t a = 0; a < p->n_agents; a++) {
+		const struct place_agent *ag = &p->agents[a];
+
+		if (!ag->record)
+			return a;
+		if (p->now - ag->seen < p->o.fresh)
+			continue;
+		if (best == PLACE_NONE || ag->seen < p->agents[best].seen)
+			best = a;
+	}
+	return best;
+}
+
 /* The slot of an agent, added when new; PLACE_NONE when full. */
 static uint32_t agent_slot(struct pf_place *p, uint64_t id)
 {
@@ -91,22 +128,27 @@
 
 	if (pf_map_get(&p->by_agent, pf_key1(id), &a) == 0)
 		return a;
-	if (p->n_agents == p->o.agents_max)
+	if (!planned(p, id))
 		return PLACE_NONE;
-	a = p->n_agents++;
+	if (p->n_agents < p->o.agents_max) {
+		a = p->n_agents++;
+	} else {
+		a = stale_slot(p);
+		if (a == PLACE_NONE)
+			return a;
+		pf_map_del(&p->by_agent, pf_key1(p->agents[a].id));
+	}
 	pf_map_put(&p->by_agent, pf_key1(id), a);
 	p->agents[a] = (struct place_agent){ .id = id };
+	for (uint32_t m = 0; m < p->o.models_max; m++)
+		*place_cell(p, m, a) = (struct place_cell){ 0 };
 	return a;
 }
 
 static void set_record(struct pf_place *p, struct place_agent *ag)
 {
-	const struct pf_endpoint *e = NULL;
+	const struct pf_endpoint *e = planned(p, ag->id);
 
-	if (p->config)
-		e = pf_config_endpoint(p->config, ag->id);
-	if (e && e->kind != PF_ENDPOINT_ENGINE)
-		e = NULL;
 	ag->record = e;
 	ag->zone = e ? pf_id(pf_str_c(e->zone)) : 0;
 	ag->batch = e && e->batch_max ? e->batch_max : 1;
@@ -144,6 +186,7 @@
 		pf_map_put(&p->by_model, pf_key1(r->id), n++);
 	}
 	p->n_models = n;
+	place_region_take(p);
 	for (uint32_t a = 0; a < p->n_agents; a++)
 		set_record(p, &p->agents[a]);
 }
@@ -160,6 +203,10 @@
 		set_record(p, ag);
 	ag->seen = p->now;
 	ag->gone = r->leaving || !r->ready;
+	/* One that was away, even between two plans, is met anew. */
+	if (ag->gone || ag->incarnation != r->incarnation)
+		ag->alive = false;
+	ag->incarnation = r->incarnation;
 	for (uint32_t m = 0; m < p->n_models; m++) {
 		place_cell(p, m, a)->have = false;
 		place_cell(p, m, a)->coming = false;
@@ -216,7 +263,7 @@
 {
 	for (uint32_t a = 0; a < p->n_agents; a++) {
 		struct place_agent *ag = &p->agents[a];
-		bool alive = ag->record && !ag->gone &&
+		bool alive = ag->record && !ag->record->drain && !ag->gone &&
 			     p->now - ag->seen < p->o.fresh;
 		bool fresh = alive && !ag->alive;
 
@@ -246,16 +293,43 @@
 	for (uint32_t m = 0; m < p->n_models; m++)
 		if (place_cell(p, m, a)->want)
 			p->items[act.n_items++] = p->models[m].id;
+	p->agents[a].told = p->now;
 	sink->emit(sink->ctx, &act);
 }
 
+/* An order may be lost: what doesn't come is asked for again. */
+static bool lacking(const struct pf_place *p, uint32_t a)
+{
+	if (p->now - p->agents[a].told < p->o.fresh)
+		return false;
+	for (uint32_t m = 0; m < p->n_models; m++) {
+		const struct place_cell *c = place_cell(p, m, a);
+
+		if (c->want && !c->have && !c->coming)
+			return true;
+	}
+	return false;
+}
+
+/* When a load only waits for budget, the next plan comes with it. */
+static pf_ms next_plan(const struct pf_place *p)
+{
+	pf_ms token = (pf_ms)ceil((1 - p->loads) * 1000 / p->rate);
+	pf_ms least = p->o.plan_every / WAITS_PER_PLAN + 1;
+
+	if (!p->waits || p->rate <= 0 || token >= p->o.plan_every)
+		return p->now + p->o.plan_every;
+	return p->now + (token > least ? token : least);
+}
+
 static void plan(struct pf_place *p, const struct pf_place_sink *sink)
 {
-	p->next = p->now + p->o.plan_every;
 	survey(p);
 	place_plan(p);
+	p->next = next_plan(p);
 	for (uint32_t a = 0; a < p->n_agents; a++)
-		if (p->agents[a].alive && p->agents[a].changed)
+		if (p->agents[a].alive &&
+		    (p->agents[a].changed || lacking(p, a)))
 			tell(p, a, sink);
 }
 
@@ -266,6 +340,9 @@
 		for (uint32_t a = 0; a < p->n_agents; a++)
 			p->agents[a].alive = false;
 		p->next = p->now;
+		/* The one before may have spent what there was. */
+		p->loads = 0;
+		p->planned = p->now;
 	}
 	p->held = held;
 }
@@ -284,8 +361,10 @@
 		take_report(p, &m->u.report);
 		break;
 	case PF_PLACE_GONE:
-		if (pf_map_get(&p->by_agent, pf_key1(m->u.agent), &a) == 0)
-			p->agents[a].gone = true;
+		if (pf_map_get(&p->by_agent, pf_key1(m->u.agent), &a) < 0)
+			break;
+		p->agents[a].gone = true;
+		p->agents[a].alive = false;
 		break;
 	case PF_PLACE_DEMAND:
 		take_demand(p, m);
--- a/src/coordination/place_core.h
+++ b/src/coordination/place_core.h
@@ -23,7 +23,8 @@
 	pf_ms seen;
 	bool alive; /* fresh, ready and not leaving */
 	bool gone;
-	bool told; /* it was told its wants in this plan or before */
+	uint64_t incarnation;
+	pf_ms told; /* when it was last told its wants */
 	int64_t room; /* for weights */
 	double batch;
 	double load; /* requests that fall to it */
@@ -35,7 +36,10 @@
 	uint64_t id;
 	const struct pf_model *record;
 	double demand; /* requests at once, smoothed */
+	bool own; /* this region owes it a home */
 	uint32_t replicas; /* wanted at alive agents */
+	uint32_t resident; /* and there by their last reports */
+	double spare; /* room for requests at those that want it */
 	uint32_t zones;
 };
 
@@ -52,7 +56,11 @@
 	pf_ms now;
 	pf_ms next;
 	pf_ms planned; /* time of the last plan */
-	double loads; /* that the weight store's rate allows now */
+	double loads; /* that the weight store's rate allows now, at most 1 */
+	double rate; /* this region's part of the weight store's rate */
+	uint32_t inflight; /* and of its loads at once */
+	uint32_t pending; /* asked for and not finished */
+	bool waits; /* something waits for budget */
 
 	struct place_agent *agents;
 	uint32_t n_agents;
@@ -65,6 +73,7 @@
 	uint32_t n_entries;
 	uint64_t *items; /* scratch, models_max */
 	bool *taken; /* scratch, models_max */
+	uint32_t *by_size; /* models, the largest first */
 	struct pf_place_stats st;
 };
 
@@ -74,6 +83,9 @@
 	return &p->cells[(size_t)model * p->o.agents_max + agent];
 }
 
+/* place_region.c: what of the whole falls to this region. */
+void place_region_take(struct pf_place *p);
+
 /* place_load.c: how demand falls on replicas. */
 void place_demand_update(struct pf_place *p);
 /* Splits each model's demand over its replicas so that engines even out. */
@@ -81,6 +93,15 @@
 /* Requests of the model beyond the target of the engines that serve it. */
 double place_excess(const struct pf_place *p, uint32_t model);
 
+/* place_count.c: what is wanted where, and what may be asked for. */
+void place_count(struct pf_place *p, uint32_t model);
+/* Counts the loads under way and refills the budget. */
+void place_refill(struct pf_place *p);
+/* Whether one more load may be asked for now; notes that one waits. */
+bool place_may_load(struct pf_place *p);
+bool place_in_zone(const struct pf_place *p, uint32_t model, uint64_t zone);
+void place_want(struct pf_place *p, uint32_t model, uint32_t agent, bool yes);
+
 /* place_plan.c: homes, second homes and replicas. */
 void place_plan(struct pf_place *p);
 
--- a/src/coordination/place_load.c
+++ b/src/coordination/place_load.c
@@ -81,6 +81,8 @@
 				even_out(p, m);
 		sum_loads(p);
 	}
+	for (uint32_t m = 0; m < p->n_models; m++)
+		place_count(p, m);
 }
 
 double place_excess(const struct pf_place *p, uint32_t m)
--- a/src/coordination/place_plan.c
+++ b/src/coordination/place_plan.c
@@ -11,50 +11,6 @@
 	double value; /* seconds of service regained over the horizon */
 };
 
-static void count_replicas(struct pf_place *p, uint32_t m)
-{
-	struct place_model *mo = &p->models[m];
-	uint64_t first = 0;
-
-	mo->replicas = 0;
-	mo->zones = 0;
-	for (uint32_t a = 0; a < p->n_agents; a++) {
-		const struct place_agent *ag = &p->agents[a];
-
-		if (!ag->alive || !place_cell(p, m, a)->want)
-			continue;
-		mo->replicas++;
-		if (mo->zones == 0)
-			first = ag->zone;
-		if (mo->zones == 0 || (mo->zones == 1 && ag->zone != first))
-			mo->zones++;
-	}
-}
-
-static bool in_zone(const struct pf_place *p, uint32_t m, uint64_t zone)
-{
-	for (uint32_t a = 0; a < p->n_agents; a++)
-		if (p->agents[a].alive && p->agents[a].zone == zone &&
-		    place_cell(p, m, a)->want)
-			return true;
-	return false;
-}
-
-static void want(struct pf_place *p, uint32_t m, uint32_t a, bool yes)
-{
-	struct place_cell *c = place_cell(p, m, a);
-	int64_t bytes = p->models[m].record->weight_bytes;
-
-	c->want = yes;
-	c->since = p->now;
-	p->agents[a].room += yes ? -bytes : bytes;
-	p->agents[a].changed = true;
-	/* Taking back what is still resident, or keeping it, costs no load. */
-	if (yes && !c->have && !c->coming)
-		p->loads -= 1;
-	count_replicas(p, m);
-}
-
 /* What it costs, in seconds of service, to give up the replica; -1: never. */
 static double loss(const struct pf_place *p, uint32_t m, uint32_t a)
 {
@@ -62,18 +18,18 @@
 	const struct place_model *mo = &p->models[m];
 	double horizon = (double)p->o.horizon / 1000;
 	double cost = c->share * LOST_SHARE * horizon;
-	double spare = 0;
+	double spare = mo->spare;
 
-	if (!c->want || mo->replicas < 2 || p->now - c->since < p->o.settle)
+	if (!c->want || p->now - c->since < p->o.settle)
+		return -1;
+	if (mo->own && mo->replicas < 2)
+		return -1;
+	/* The last one that is there stays until another has come. */
+	if (mo->own && c->have && mo->resident < 2)
 		return -1;
-	if (mo->replicas == 2)
+	if (mo->replicas <= 2)
 		cost += p->config->deployment.move_cost * SECOND_HOME_PART;
-	for (uint32_t k = 0; k < p->n_agents; k++) {
-		const struct place_agent *ag = &p->agents[k];
-
-		if (k != a && ag->alive && place_cell(p, m, k)->want)
-			spare += p->o.target * ag->batch - ag->load;
-	}
+	spare -= p->o.target * p->agents[a].batch - p->agents[a].load;
 	if (spare < c->share)
 		cost += (c->share - (spare > 0 ? spare : 0)) * horizon;
 	return cost;
@@ -118,7 +74,7 @@
 		total += cost;
 		room += p->models[m].record->weight_bytes;
 		if (commit) {
-			want(p, m, a, false);
+			place_want(p, m, a, false);
 			p->st.evictions++;
 		}
 	}
@@ -128,7 +84,7 @@
 static void place_at(struct pf_place *p, uint32_t m, uint32_t a)
 {
 	make_room(p, a, p->models[m].record->weight_bytes, true);
-	want(p, m, a, true);
+	place_want(p, m, a, true);
 }
 
 /* The best engine for a home of @m; outside zones that have one if @apart. */
@@ -143,7 +99,8 @@
 		const struct place_cell *c = place_cell(p, m, a);
 		double cost;
 
-		if (!ag->alive || c->want || (apart && in_zone(p, m, ag->zone)))
+		if (!ag->alive || c->want ||
+		    (apart && place_in_zone(p, m, ag->zone)))
 			continue;
 		if (!evict && ag->room < bytes)
 			continue;
@@ -162,21 +119,61 @@
 	return best;
 }
 
-static void plan_homes(struct pf_place *p)
+/* Whether the model can be put at @a with the budget there is. */
+static bool affordable(struct pf_place *p, uint32_t m, uint32_t a)
 {
-	p->st.unplaced = 0;
-	for (uint32_t m = 0; m < p->n_models; m++) {
+	const struct place_cell *c = place_cell(p, m, a);
+
+	return c->have || c->coming || place_may_load(p);
+}
+
+/* The largest first: what is small fits into what they leave. */
+static void plan_homes(struct pf_place *p, bool own)
+{
+	for (uint32_t i = 0; i < p->n_models; i++) {
+		uint32_t m = p->by_size[i];
 		uint32_t a;
 
-		if (p->models[m].replicas > 0)
+		if (p->models[m].replicas > 0 || p->models[m].own != own)
 			continue;
-		a = home_for(p, m, false, true);
-		if (a == PLACE_NONE) {
-			p->st.unplaced++;
+		a = home_for(p, m, false, own);
+		p->st.unplaced += own;
+		if (a == PLACE_NONE || !affordable(p, m, a))
 			continue;
-		}
 		place_at(p, m, a);
 		p->st.homes++;
+		p->st.unplaced -= own;
+	}
+}
+
+/* Another home for what stands at @a alone, so that it can be given up. */
+static void relocate(struct pf_place *p, uint32_t a)
+{
+	for (uint32_t i = 0; i < p->n_models; i++) {
+		uint32_t m = p->by_size[i];
+		uint32_t to;
+
+		if (!place_cell(p, m, a)->want || p->models[m].replicas > 1)
+			continue;
+		to = home_for(p, m, false, false);
+		if (to == PLACE_NONE || !affordable(p, m, to))
+			continue;
+		place_at(p, m, to);
+		return;
+	}
+}
+
+/* Where a model grew or the KV share did, weights have to go. */
+static void shed(struct pf_place *p)
+{
+	for (uint32_t a = 0; a < p->n_agents; a++) {
+		uint64_t before = p->st.evictions;
+
+		if (!p->agents[a].alive || p->agents[a].room >= 0)
+			continue;
+		if (make_room(p, a, 0, true) < 0)
+			relocate(p, a);
+		p->st.shed += p->st.evictions - before;
 	}
 }
 
@@ -232,10 +229,8 @@
 	}
 	if (best.agent == PLACE_NONE)
 		return false;
-	if (p->loads < 1) {
-		p->st.blocked++;
+	if (!affordable(p, model, best.agent))
 		return false;
-	}
 	place_at(p, model, best.agent);
 	p->st.replicas++;
 	place_split(p);
@@ -245,54 +240,33 @@
 /* Second homes come last and displace nothing. */
 static void plan_seconds(struct pf_place *p)
 {
-	for (uint32_t m = 0; m < p->n_models && p->loads >= 1; m++) {
+	for (uint32_t m = 0; m < p->n_models; m++) {
 		uint32_t a;
 
 		if (p->models[m].zones != 1)
 			continue;
 		a = home_for(p, m, true, false);
-		if (a == PLACE_NONE)
+		if (a == PLACE_NONE || !affordable(p, m, a))
 			continue;
 		place_at(p, m, a);
 		p->st.seconds++;
 	}
 }
 
-/* Loads that agents were asked for and have not finished. */
-static uint32_t pending(const struct pf_place *p)
-{
-	uint32_t n = 0;
-
-	for (uint32_t m = 0; m < p->n_models; m++)
-		for (uint32_t a = 0; a < p->n_agents; a++) {
-			const struct place_cell *c = place_cell(p, m, a);
-
-			n += p->agents[a].alive && c->want && !c->have;
-		}
-	return n;
-}
-
-static void refill(struct pf_place *p)
-{
-	const struct pf_deployment *d = &p->config->deployment;
-	double most = (double)d->store_inflight - pending(p);
-
-	p->loads += d->store_loads_rate * (double)(p->now - p->planned) / 1000;
-	if (p->loads > most)
-		p->loads = most;
-}
-
 void place_plan(struct pf_place *p)
 {
 	for (uint32_t m = 0; m < p->n_models; m++)
-		count_replicas(p, m);
+		place_count(p, m);
 	place_demand_update(p);
-	refill(p);
+	place_refill(p);
 	place_split(p);
-	plan_homes(p);
+	p->st.unplaced = 0;
+	plan_homes(p, true);
 	place_split(p);
+	shed(p);
 	while (grow(p))
 		;
+	plan_homes(p, false);
 	plan_seconds(p);
 	p->st.plans++;
 	p->planned = p->now;
--- /dev/null
+++ b/src/coordination/place_region.c
@@ -0,0 +1,117 @@
+/*
+ * Placement: what of the whole deployment falls to a region: its part of the
+ * weight store's budget, and the models that it owes a home. Each region's
+ * planner works this out from the same configuration.
+ */
+#include "place_core.h"
+
+#include <stdlib.h>
+
+#define REGIONS_MAX 64
+
+struct region {
+	uint64_t id;
+	uint32_t engines;
+	int64_t room;
+};
+
+static struct region *find(struct region *v, uint32_t *n, uint64_t id)
+{
+	for (uint32_t i = 0; i < *n; i++)
+		if (v[i].id == id)
+			return &v[i];
+	if (*n == REGIONS_MAX)
+		return NULL;
+	v[*n] = (struct region){ .id = id };
+	return &v[(*n)++];
+}
+
+static uint32_t list(const struct pf_config *c, struct region *v)
+{
+	uint32_t n = 0;
+
+	for (size_t i = 0; i < c->n_endpoints; i++) {
+		const struct pf_endpoint *e = &c->endpoints[i];
+		struct region *r;
+
+		if (e->kind != PF_ENDPOINT_ENGINE || e->drain)
+			continue;
+		r = find(v, &n, pf_id(pf_str_c(e->region)));
+		if (!r)
+			continue;
+		r->engines++;
+		r->room += (int64_t)((double)e->memory_bytes *
+				     (1 - c->deployment.kv_share));
+	}
+	return n;
+}
+
+/* Parts that add up to the whole; each region may load one at a time. */
+static void share_budget(struct pf_place *p, const struct region *v, uint32_t n)
+{
+	const struct pf_deployment *d = &p->config->deployment;
+	uint32_t all = 0, before = 0, mine = 0;
+
+	for (uint32_t i = 0; i < n; i++) {
+		if (v[i].id == p->o.region) {
+			before = all;
+			mine = v[i].engines;
+		}
+		all += v[i].engines;
+	}
+	p->rate = d->store_loads_rate;
+	p->inflight = d->store_inflight;
+	if (!p->o.region || !all)
+		return;
+	p->rate *= (double)mine / all;
+	p->inflight = d->store_inflight * (before + mine) / all -
+		      d->store_inflight * before / all;
+	if (mine && !p->inflight)
+		p->inflight = 1;
+}
+
+/* The largest model first, to the region with the most room left. */
+static void share_models(struct pf_place *p, struct region *v, uint32_t n)
+{
+	for (uint32_t i = 0; i < p->n_models; i++) {
+		struct place_model *mo = &p->models[p->by_size[i]];
+		struct region *best = n ? &v[0] : NULL;
+
+		for (uint32_t k = 1; k < n; k++)
+			if (v[k].room > best->room)
+				best = &v[k];
+		if (best)
+			best->room -= mo->record->weight_bytes;
+		mo->own = !p->o.region || (best && best->id == p->o.region);
+	}
+}
+
+static bool larger(const struct place_model *x, const struct place_model *y)
+{
+	if (x->record->weight_bytes != y->record->weight_bytes)
+		return x->record->weight_bytes > y->record->weight_bytes;
+	return x->id < y->id;
+}
+
+static void sort_models(struct pf_place *p)
+{
+	for (uint32_t i = 0; i < p->n_models; i++) {
+		uint32_t k = i;
+
+		for (; k > 0 &&
+		       larger(&p->models[i], &p->models[p->by_size[k - 1]]);
+		     k--)
+			p->by_size[k] = p->by_size[k - 1];
+		p->by_size[k] = i;
+	}
+}
+
+void place_region_take(struct pf_place *p)
+{
+	struct region v[REGIONS_MAX];
+	uint32_t n = list(p->config, v);
+
+	sort_models(p);
+	share_budget(p, v, n);
+	share_models(p, v, n);
+}
