bench: tick the planner when it asks for it

Cause: a planner that waits for the weight store's budget plans again as soon as the next load is allowed; the bench ticked it once a second only.

Change: the bench follows pf_place_next().

--- a/bench/world.c
+++ b/bench/world.c
@@ -34,6 +34,7 @@
 	EV_LINK_UP,
 	EV_DEMAND,
 	EV_PLACE,
+	EV_PLACE_TICK,
 };
 
 struct event {
@@ -86,6 +87,7 @@
 	struct agent agents[AGENTS_MAX];
 	uint32_t n_agents;
 	struct pf_place *place; /* the planner, beside the first entry */
+	pf_ms place_tick;
 	uint32_t links[ENTRIES][AGENTS_MAX]; /* generation */
 	bool linked[ENTRIES][AGENTS_MAX];
 	struct request *requests;
@@ -587,8 +589,16 @@
 {
 	struct pf_place_sink sink = { place_emit, b };
 
-	if (b->place)
-		pf_place_step(b->place, b->now, m, &sink);
+	pf_ms next;
+
+	if (!b->place)
+		return;
+	pf_place_step(b->place, b->now, m, &sink);
+	next = pf_place_next(b->place);
+	if (next >= b->place_tick)
+		return;
+	b->place_tick = next;
+	push(b, next > b->now ? next - b->now : 0, EV_PLACE_TICK);
 }
 
 /* What the planner hears from the messages to the entry beside it. */
@@ -613,7 +623,6 @@
 {
 	struct pf_demand v[MODELS_MAX];
 	struct pf_place_msg m = { .type = PF_PLACE_DEMAND };
-	struct pf_place_msg tick = { .type = PF_PLACE_TICK };
 
 	for (uint32_t i = 0; i < ENTRIES; i++) {
 		m.u.demand.entry = i + 1;
@@ -622,7 +631,6 @@
 			pf_entry_demand(b->entries[i].core, v, MODELS_MAX);
 		to_place(b, &m);
 	}
-	to_place(b, &tick);
 	push(b, DEMAND_EVERY_MS, EV_DEMAND);
 }
 
@@ -637,6 +645,7 @@
 	b->place = pf_place_new(&o);
 	if (!b->place)
 		abort();
+	b->place_tick = TICK_NONE;
 	m.u.config = b->o->config;
 	to_place(b, &m);
 	m.type = PF_PLACE_LEASE;
@@ -662,6 +671,7 @@
 {
 	struct pf_agent_msg atick = { .type = PF_AGENT_TICK };
 	struct pf_entry_msg etick = { .type = PF_ENTRY_TICK };
+	struct pf_place_msg ptick = { .type = PF_PLACE_TICK };
 	struct agent *ag = &b->agents[e->agent];
 
 	switch (e->type) {
@@ -703,6 +713,10 @@
 	case EV_DEMAND:
 		demand_round(b);
 		break;
+	case EV_PLACE_TICK:
+		b->place_tick = TICK_NONE;
+		to_place(b, &ptick);
+		break;
 	case EV_PLACE:
 		bench_to_agent(b, e->agent, &e->u.agent_msg);
 		break;
