placement: tests, fuzzing, and what they found

Cause: nothing tested the placement core. Tests found that agents kept the weights of models that were no longer declared; fuzzing found that loads that go on unwanted were left out of the in-flight count.

Change: agents of a removed model are told; the count takes in every load that an agent reports. tests/test_place.cc, fuzz/fuzz_place.c with an oracle for room, rate, in-flight limit, last copies and homes, three mutants.

--- /dev/null
+++ b/fuzz/fuzz_place.c
@@ -0,0 +1,269 @@
+/*
+ * The placement core against its promise: no more than fits beside the KV
+ * share, the weight store's rate and in-flight limit, declared models only,
+ * the last copy stays, and in quiet times all that fits has a home.
+ */
+#include "fuzz/fuzz.h"
+#include "fuzz/place_rig.h"
+
+#define QUIET_MS 90000
+#define TOLD_MAX 64
+
+struct fuzz {
+	struct place_rig rig;
+	struct pf_place_opts o;
+	struct pf_rng rng;
+	struct fuzz_result *r;
+	uint64_t told[RIG_AGENTS][RIG_MODELS];
+	uint32_t n_told[RIG_AGENTS];
+	pf_ms asked[TOLD_MAX]; /* when the last loads were asked for */
+	uint64_t n_asked;
+	uint32_t loads; /* asked for in this plan */
+	pf_ms upset; /* an agent was lost, a planner or the config replaced */
+};
+
+static int64_t room(const struct place_rig *r, uint32_t a)
+{
+	return (int64_t)((double)r->endpoints[a].memory_bytes *
+			 (1 - r->config.deployment.kv_share));
+}
+
+/* Loads that were asked for and have not finished. */
+static uint32_t pending(const struct fuzz *f)
+{
+	uint32_t n = 0;
+
+	for (uint32_t a = 0; a < f->rig.config.n_endpoints; a++) {
+		const struct place_rig_agent *ag = &f->rig.agents[a];
+
+		for (uint32_t i = 0; ag->up && i < f->n_told[a]; i++)
+			n += !rig_in(ag->have, ag->n_have, f->told[a][i]) &&
+			     rig_model(&f->rig, f->told[a][i]) <
+				     f->rig.config.n_models;
+	}
+	return n;
+}
+
+static void check_rate(struct fuzz *f)
+{
+	const struct pf_deployment *d = &f->rig.config.deployment;
+	uint32_t n = 1;
+
+	for (uint64_t i = 0; i < f->n_asked && i < TOLD_MAX; i++)
+		n += f->asked[(f->n_asked - 1 - i) % TOLD_MAX] + 1000 >
+		     f->rig.now;
+	f->asked[f->n_asked++ % TOLD_MAX] = f->rig.now;
+	if (n > d->store_loads_rate + 1)
+		fuzz_violation(f->r, "%u loads within a second", n);
+}
+
+static void check_last(struct fuzz *f, uint32_t a, uint64_t item)
+{
+	uint32_t m = rig_model(&f->rig, item);
+
+	if (m == f->rig.config.n_models ||
+	    f->rig.now - f->upset < 2 * f->o.fresh)
+		return;
+	if (rig_homes(&f->rig, m) < 2)
+		fuzz_violation(f->r, "agent %u is to drop the last copy", a);
+}
+
+static void check_act(struct place_rig *r, uint32_t a,
+		      const struct pf_place_act *act)
+{
+	struct fuzz *f = r->ctx;
+	struct place_rig_agent *ag = &r->agents[a];
+	uint32_t loads = 0;
+
+	/* Nobody hears it; what it held is asked for anew when it is back. */
+	if (!ag->up)
+		return;
+	for (uint32_t i = 0; i < act->n_items; i++) {
+		uint64_t id = act->items[i];
+
+		if (rig_model(r, id) == r->config.n_models)
+			fuzz_violation(f->r, "wants what isn't declared");
+		if (rig_in(ag->have, ag->n_have, id) || ag->loading == id ||
+		    rig_in(f->told[a], f->n_told[a], id))
+			continue;
+		loads++;
+		check_rate(f);
+	}
+	for (uint32_t i = 0; i < ag->n_have; i++)
+		if (!rig_in(act->items, act->n_items, ag->have[i]) &&
+		    rig_in(f->told[a], f->n_told[a], ag->have[i]))
+			check_last(f, a, ag->have[i]);
+	if (loads && rig_bytes(r, act->items, act->n_items) > room(r, a))
+		fuzz_violation(f->r, "agent %u is asked for too much", a);
+	memcpy(f->told[a], act->items, act->n_items * sizeof(*act->items));
+	f->n_told[a] = act->n_items;
+	f->loads += loads;
+}
+
+/* Once all orders of a plan are out. */
+static void check_plan(struct place_rig *r)
+{
+	struct fuzz *f = r->ctx;
+
+	if (f->loads && pending(f) > r->config.deployment.store_inflight)
+		fuzz_violation(f->r, "%u loads in flight", pending(f));
+	f->loads = 0;
+}
+
+static void restart_planner(struct fuzz *f)
+{
+	/* What the one before asked for within the last second is its own. */
+	f->n_asked = 0;
+	memset(f->n_told, 0, sizeof(f->n_told));
+	f->upset = f->rig.now;
+	if (rig_planner(&f->rig, &f->o) < 0)
+		fuzz_violation(f->r, "no planner");
+}
+
+static void change_config(struct fuzz *f)
+{
+	struct place_rig *r = &f->rig;
+	uint32_t n = (uint32_t)r->config.n_models;
+	uint32_t m = pf_rng_below(&f->rng, n);
+
+	switch (pf_rng_below(&f->rng, 4)) {
+	case 0:
+		if (n < RIG_MODELS)
+			rig_models(r, 1, 5 + pf_rng_below(&f->rng, 40));
+		break;
+	case 1:
+		if (n > 1)
+			r->config.n_models--;
+		break;
+	case 2:
+		r->models[m].weight_bytes = 5 + pf_rng_below(&f->rng, 40);
+		break;
+	default:
+		r->config.deployment.kv_share =
+			0.1 + 0.3 * pf_rng_unit(&f->rng);
+		break;
+	}
+	/* A model that comes back may stand where nobody wants it now. */
+	f->upset = r->now;
+	rig_config(r);
+}
+
+static void lose_or_start(struct fuzz *f)
+{
+	uint32_t a = pf_rng_below(&f->rng, (uint32_t)f->rig.config.n_endpoints);
+
+	if (!f->rig.agents[a].up) {
+		rig_start(&f->rig, a);
+		return;
+	}
+	f->upset = f->rig.now;
+	f->n_told[a] = 0;
+	rig_kill(&f->rig, a, pf_rng_below(&f->rng, 2));
+	/* Back so soon that nobody sees it away. */
+	if (pf_rng_below(&f->rng, 3) == 0)
+		rig_start(&f->rig, a);
+}
+
+/* Whether some live agent has the room; after a quiet time that may not be. */
+static void check_homes(struct fuzz *f)
+{
+	struct place_rig *r = &f->rig;
+
+	for (uint32_t m = 0; m < r->config.n_models; m++) {
+		if (rig_homes(r, m) > 0)
+			continue;
+		for (uint32_t a = 0; a < r->config.n_endpoints; a++)
+			if (r->agents[a].up &&
+			    rig_bytes(r, f->told[a], f->n_told[a]) +
+					    r->models[m].weight_bytes <=
+				    room(r, a))
+				fuzz_violation(f->r,
+					       "model %u has no home, agent "
+					       "%u has room",
+					       m, a);
+	}
+}
+
+static void quiet(struct fuzz *f)
+{
+	for (uint32_t a = 0; a < f->rig.config.n_endpoints; a++)
+		f->rig.agents[a].deaf = false;
+	rig_run(&f->rig, QUIET_MS);
+	check_homes(f);
+}
+
+static void command(struct fuzz *f)
+{
+	struct place_rig *r = &f->rig;
+	uint32_t a = pf_rng_below(&f->rng, (uint32_t)r->config.n_endpoints);
+	uint32_t m = pf_rng_below(&f->rng, (uint32_t)r->config.n_models);
+
+	switch (pf_rng_below(&f->rng, 16)) {
+	case 0:
+		change_config(f);
+		break;
+	case 1:
+		lose_or_start(f);
+		break;
+	case 2:
+		r->agents[a].deaf = !r->agents[a].deaf;
+		break;
+	case 3:
+		restart_planner(f);
+		break;
+	case 4:
+		if (pf_rng_below(&f->rng, 4) == 0)
+			quiet(f);
+		break;
+	case 5:
+	case 6:
+	case 7:
+		r->demand[m].alive = pf_rng_below(&f->rng, 40);
+		break;
+	default:
+		rig_run(r, 500 + 500 * (pf_ms)pf_rng_below(&f->rng, 20));
+		break;
+	}
+}
+
+static void setup(struct fuzz *f)
+{
+	static const char *const zones[] = { "a", "b", "c" };
+	struct place_rig *r = &f->rig;
+	uint32_t n = 1 + pf_rng_below(&f->rng, RIG_AGENTS);
+
+	rig_init(r);
+	r->check = check_act;
+	r->planned = check_plan;
+	r->ctx = f;
+	r->config.deployment.move_cost = 60 * pf_rng_unit(&f->rng);
+	r->config.deployment.store_loads_rate = 0.2 + 4 * pf_rng_unit(&f->rng);
+	r->config.deployment.store_inflight = 1 + pf_rng_below(&f->rng, 5);
+	for (uint32_t a = 0; a < n; a++)
+		rig_engine(r, a, zones[pf_rng_below(&f->rng, 3)], "r",
+			   50 + pf_rng_below(&f->rng, 100));
+	rig_models(r, 1 + pf_rng_below(&f->rng, RIG_MODELS),
+		   5 + pf_rng_below(&f->rng, 40));
+	pf_place_opts_default(&f->o);
+	f->o.agents_max = RIG_AGENTS;
+	f->o.models_max = RIG_MODELS;
+	f->o.entries_max = 2;
+	restart_planner(f);
+}
+
+void fuzz_place(uint64_t seed, uint32_t steps_max, struct fuzz_result *r)
+{
+	struct fuzz *f = calloc(1, sizeof(*f));
+
+	if (!f) {
+		fuzz_violation(r, "no memory");
+		return;
+	}
+	f->r = r;
+	pf_rng_seed(&f->rng, seed);
+	setup(f);
+	for (; r->steps < steps_max && r->violations == 0; r->steps++)
+		command(f);
+	pf_place_free(f->rig.place);
+	free(f);
+}
--- /dev/null
+++ b/fuzz/place_rig.h
@@ -0,0 +1,313 @@
+/*
+ * Planners, and agents that follow them, for tests and fuzzing. Agents load
+ * one item at a time; what is asked of them is checked as it comes.
+ */
+#ifndef FUZZ_PLACE_RIG_H
+#define FUZZ_PLACE_RIG_H
+
+#include "pimentoford/place.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define RIG_AGENTS 12
+#define RIG_MODELS 16
+#define RIG_LOAD_MS 3000
+
+struct place_rig_agent {
+	bool up;
+	bool deaf; /* orders to it are lost */
+	uint64_t incarnation;
+	uint64_t want[RIG_MODELS];
+	uint32_t n_want;
+	uint64_t have[RIG_MODELS];
+	uint32_t n_have;
+	uint64_t loading; /* 0: nothing */
+	pf_ms done;
+};
+
+struct place_rig {
+	pf_ms now;
+	struct pf_config config;
+	struct pf_model models[RIG_MODELS];
+	struct pf_endpoint endpoints[RIG_AGENTS];
+	char names[RIG_AGENTS][16];
+	struct place_rig_agent agents[RIG_AGENTS];
+	struct pf_demand demand[RIG_MODELS];
+	struct pf_place *place;
+	void (*check)(struct place_rig *r, uint32_t agent,
+		      const struct pf_place_act *act); /* may be NULL */
+	void (*planned)(struct place_rig *r); /* may be NULL */
+	void *ctx; /* of both */
+	uint64_t acts, loads; /* told; wanted and not there */
+};
+
+static inline uint32_t rig_model(const struct place_rig *r, uint64_t id)
+{
+	uint32_t m = 0;
+
+	while (m < r->config.n_models && r->models[m].id != id)
+		m++;
+	return m;
+}
+
+static inline bool rig_in(const uint64_t *v, uint32_t n, uint64_t id)
+{
+	for (uint32_t i = 0; i < n; i++)
+		if (v[i] == id)
+			return true;
+	return false;
+}
+
+/** Takes the order: what is wanted there from now on. */
+static inline void rig_emit(void *ctx, const struct pf_place_act *act)
+{
+	struct place_rig *r = (struct place_rig *)ctx;
+	uint32_t a = 0;
+	struct place_rig_agent *ag;
+
+	while (r->endpoints[a].id != act->agent)
+		a++;
+	ag = &r->agents[a];
+	r->acts++;
+	if (r->check)
+		r->check(r, a, act);
+	for (uint32_t i = 0; i < act->n_items; i++) {
+		if (rig_in(ag->have, ag->n_have, act->items[i]) ||
+		    rig_in(ag->want, ag->n_want, act->items[i]))
+			continue;
+		r->loads++;
+	}
+	if (ag->deaf)
+		return;
+	memcpy(ag->want, act->items, act->n_items * sizeof(*ag->want));
+	ag->n_want = act->n_items;
+}
+
+static inline void rig_send(struct place_rig *r, const struct pf_place_msg *m)
+{
+	struct pf_place_sink sink = { rig_emit, r };
+
+	pf_place_step(r->place, r->now, m, &sink);
+}
+
+static inline void rig_engine(struct place_rig *r, uint32_t a, const char *zone,
+			      const char *region, int64_t memory)
+{
+	struct pf_endpoint *e = &r->endpoints[a];
+
+	snprintf(r->names[a], sizeof(r->names[a]), "engine-%u", a);
+	e->name = r->names[a];
+	e->id = pf_id(pf_str_c(e->name));
+	e->kind = PF_ENDPOINT_ENGINE;
+	e->zone = (char *)zone;
+	e->region = (char *)region;
+	e->memory_bytes = memory;
+	e->batch_max = 10;
+	r->agents[a].up = true;
+	r->agents[a].incarnation = 1;
+	if (r->config.n_endpoints <= a)
+		r->config.n_endpoints = a + 1;
+}
+
+/** @n models of @bytes each, behind those that are there. */
+static inline void rig_models(struct place_rig *r, uint32_t n, int64_t bytes)
+{
+	for (uint32_t i = 0; i < n; i++) {
+		uint32_t m = (uint32_t)r->config.n_models++;
+
+		r->models[m].id = pf_id2(77, m + 1);
+		r->models[m].weight_bytes = bytes;
+		r->demand[m].model = r->models[m].id;
+	}
+}
+
+static inline void rig_init(struct place_rig *r)
+{
+	memset(r, 0, sizeof(*r));
+	r->now = 1000;
+	r->config.models = r->models;
+	r->config.endpoints = r->endpoints;
+	r->config.deployment.move_cost = 20;
+	r->config.deployment.store_loads_rate = 2;
+	r->config.deployment.store_inflight = 3;
+	r->config.deployment.kv_share = 0.2;
+}
+
+static inline void rig_config(struct place_rig *r)
+{
+	struct pf_place_msg m;
+
+	memset(&m, 0, sizeof(m));
+	m.type = PF_PLACE_CONFIG;
+	m.u.config = &r->config;
+	rig_send(r, &m);
+}
+
+static inline void rig_lease(struct place_rig *r, bool held)
+{
+	struct pf_place_msg m;
+
+	memset(&m, 0, sizeof(m));
+	m.type = PF_PLACE_LEASE;
+	m.u.held = held;
+	rig_send(r, &m);
+}
+
+/** A planner with the lease, in place of the one there was. */
+static inline int rig_planner(struct place_rig *r,
+			      const struct pf_place_opts *o)
+{
+	pf_place_free(r->place);
+	r->place = pf_place_new(o);
+	if (!r->place)
+		return -1;
+	rig_config(r);
+	rig_lease(r, true);
+	return 0;
+}
+
+static inline void rig_report(struct place_rig *r, uint32_t a)
+{
+	struct place_rig_agent *ag = &r->agents[a];
+	struct pf_item items[RIG_MODELS + 1];
+	struct pf_place_msg m;
+	uint32_t n = 0;
+
+	memset(items, 0, sizeof(items));
+	memset(&m, 0, sizeof(m));
+	for (uint32_t i = 0; i < ag->n_have; i++) {
+		items[n].id = ag->have[i];
+		items[n++].state = PF_ITEM_RESIDENT;
+	}
+	if (ag->loading) {
+		items[n].id = ag->loading;
+		items[n++].state = PF_ITEM_LOADING;
+	}
+	m.type = PF_PLACE_REPORT;
+	m.u.report.agent = r->endpoints[a].id;
+	m.u.report.incarnation = ag->incarnation;
+	m.u.report.ready = true;
+	m.u.report.items = items;
+	m.u.report.n_items = n;
+	rig_send(r, &m);
+}
+
+/* Unloads at once what isn't wanted; begins the next load. */
+static inline void rig_work(struct place_rig *r, uint32_t a)
+{
+	struct place_rig_agent *ag = &r->agents[a];
+	uint32_t n = 0;
+
+	if (ag->loading && r->now >= ag->done) {
+		ag->have[ag->n_have++] = ag->loading;
+		ag->loading = 0;
+	}
+	for (uint32_t i = 0; i < ag->n_have; i++)
+		if (rig_in(ag->want, ag->n_want, ag->have[i]))
+			ag->have[n++] = ag->have[i];
+	ag->n_have = n;
+	for (uint32_t i = 0; i < ag->n_want && !ag->loading; i++) {
+		if (rig_in(ag->have, ag->n_have, ag->want[i]))
+			continue;
+		ag->loading = ag->want[i];
+		ag->done = r->now + RIG_LOAD_MS;
+	}
+}
+
+/** The VM is lost with all that it held; rig_start() brings it back. */
+static inline void rig_kill(struct place_rig *r, uint32_t a, bool told)
+{
+	struct pf_place_msg m;
+
+	memset(&m, 0, sizeof(m));
+	memset(&r->agents[a], 0, sizeof(r->agents[a]));
+	m.type = PF_PLACE_GONE;
+	m.u.agent = r->endpoints[a].id;
+	if (told)
+		rig_send(r, &m);
+}
+
+static inline void rig_start(struct place_rig *r, uint32_t a)
+{
+	r->agents[a].up = true;
+	r->agents[a].incarnation = (uint64_t)r->now + 2;
+}
+
+/** Half-second steps: agents work and report, entries tell their demand. */
+static inline void rig_run(struct place_rig *r, pf_ms span)
+{
+	struct pf_place_msg m;
+	pf_ms end = r->now + span;
+
+	for (; r->now < end; r->now += 500) {
+		for (uint32_t a = 0; a < r->config.n_endpoints; a++) {
+			if (!r->agents[a].up)
+				continue;
+			rig_work(r, a);
+			rig_report(r, a);
+		}
+		memset(&m, 0, sizeof(m));
+		m.type = PF_PLACE_DEMAND;
+		m.u.demand.entry = 1;
+		m.u.demand.v = r->demand;
+		m.u.demand.n = r->config.n_models;
+		rig_send(r, &m);
+		if (r->now < pf_place_next(r->place))
+			continue;
+		memset(&m, 0, sizeof(m));
+		m.type = PF_PLACE_TICK;
+		rig_send(r, &m);
+		if (r->planned)
+			r->planned(r);
+	}
+}
+
+/** Engines that hold the model. */
+static inline uint32_t rig_homes(const struct place_rig *r, uint32_t m)
+{
+	uint32_t n = 0;
+
+	for (uint32_t a = 0; a < r->config.n_endpoints; a++)
+		n += r->agents[a].up &&
+		     rig_in(r->agents[a].have, r->agents[a].n_have,
+			    r->models[m].id);
+	return n;
+}
+
+/** Zones in which it is held. */
+static inline uint32_t rig_zones(const struct place_rig *r, uint32_t m)
+{
+	const char *first = NULL;
+	uint32_t n = 0;
+
+	for (uint32_t a = 0; a < r->config.n_endpoints; a++) {
+		const struct place_rig_agent *ag = &r->agents[a];
+
+		if (!ag->up || !rig_in(ag->have, ag->n_have, r->models[m].id))
+			continue;
+		if (first && strcmp(first, r->endpoints[a].zone) == 0)
+			continue;
+		first = r->endpoints[a].zone;
+		n++;
+	}
+	return n;
+}
+
+/** Bytes of the declared weights among @v. */
+static inline int64_t rig_bytes(const struct place_rig *r, const uint64_t *v,
+				uint32_t n)
+{
+	int64_t sum = 0;
+
+	for (uint32_t i = 0; i < n; i++) {
+		uint32_t m = rig_model(r, v[i]);
+
+		if (m < r->config.n_models)
+			sum += r->models[m].weight_bytes;
+	}
+	return sum;
+}
+
+#endif
--- a/src/coordination/place.c
+++ b/src/coordination/place.c
@@ -154,6 +154,13 @@
 	ag->batch = e && e->batch_max ? e->batch_max : 1;
 }
 
+/* The model is no longer declared; those who were to hold it are told. */
+static void forget(struct pf_place *p, uint32_t m)
+{
+	for (uint32_t a = 0; a < p->n_agents; a++)
+		p->agents[a].changed |= place_cell(p, m, a)->want;
+}
+
 /* Moves the columns of models that are still declared to their new places. */
 static void take_config(struct pf_place *p, const struct pf_config *c)
 {
@@ -165,8 +172,10 @@
 		const struct pf_model *r = pf_config_model(c, p->models[m].id);
 
 		pf_map_del(&p->by_model, pf_key1(p->models[m].id));
-		if (!r)
+		if (!r) {
+			forget(p, m);
 			continue;
+		}
 		p->models[n] = p->models[m];
 		p->models[n].record = r;
 		memmove(place_cell(p, n, 0), place_cell(p, m, 0), row);
@@ -268,7 +277,7 @@
 		bool fresh = alive && !ag->alive;
 
 		ag->alive = alive;
-		ag->changed = fresh;
+		ag->changed |= fresh;
 		if (!alive || !ag->record)
 			continue;
 		ag->room = (int64_t)((double)ag->record->memory_bytes *
@@ -294,6 +303,7 @@
 		if (place_cell(p, m, a)->want)
 			p->items[act.n_items++] = p->models[m].id;
 	p->agents[a].told = p->now;
+	p->agents[a].changed = false;
 	sink->emit(sink->ctx, &act);
 }
 
--- a/src/coordination/place_count.c
+++ b/src/coordination/place_count.c
@@ -52,7 +52,7 @@
 	place_count(p, m);
 }
 
-/* Loads that agents were asked for and have not finished. */
+/* Loads asked for and not finished, and those that go on unwanted. */
 static uint32_t pending(const struct pf_place *p)
 {
 	uint32_t n = 0;
@@ -61,7 +61,8 @@
 		for (uint32_t a = 0; a < p->n_agents; a++) {
 			const struct place_cell *c = place_cell(p, m, a);
 
-			n += p->agents[a].alive && c->want && !c->have;
+			n += p->agents[a].alive && !c->have &&
+			     (c->want || c->coming);
 		}
 	return n;
 }
@@ -77,12 +78,12 @@
 
 bool place_may_load(struct pf_place *p)
 {
-#ifndef PF_MUTANT_PLACE_BUDGET
-	if (p->loads < 1 || p->pending >= p->inflight) {
-		p->st.blocked += !p->waits;
-		p->waits = true;
-		return false;
-	}
+#ifdef PF_MUTANT_PLACE_BUDGET
+	p->loads = 1;
 #endif
-	return true;
+	if (p->loads >= 1 && p->pending < p->inflight)
+		return true;
+	p->st.blocked += !p->waits;
+	p->waits = true;
+	return false;
 }
--- a/src/coordination/place_plan.c
+++ b/src/coordination/place_plan.c
@@ -24,9 +24,11 @@
 		return -1;
 	if (mo->own && mo->replicas < 2)
 		return -1;
-	/* The last one that is there stays until another has come. */
+		/* The last one that is there stays until another has come. */
+#ifndef PF_MUTANT_PLACE_LAST
 	if (mo->own && c->have && mo->resident < 2)
 		return -1;
+#endif
 	if (mo->replicas <= 2)
 		cost += p->config->deployment.move_cost * SECOND_HOME_PART;
 	spare -= p->o.target * p->agents[a].batch - p->agents[a].load;
@@ -62,6 +64,10 @@
 	int64_t room = p->agents[a].room;
 	double total = 0;
 
+#ifdef PF_MUTANT_PLACE_ROOM
+	return 0;
+#endif
+
 	for (uint32_t m = 0; m < p->n_models; m++)
 		p->taken[m] = false;
 	while (room < bytes) {
--- /dev/null
+++ b/tests/test_place.cc
@@ -0,0 +1,229 @@
+// Placement: homes, zones, demand, losses, configuration, bounds, budget.
+#include "fuzz/place_rig.h"
+
+#include <gtest/gtest.h>
+
+struct Place : ::testing::Test {
+	struct place_rig r;
+	struct pf_place_opts o;
+
+	void SetUp() override
+	{
+		rig_init(&r);
+		pf_place_opts_default(&o);
+		o.agents_max = RIG_AGENTS;
+		o.models_max = RIG_MODELS;
+		o.entries_max = 2;
+	}
+	void TearDown() override
+	{
+		pf_place_free(r.place);
+	}
+	// Four engines in two zones; 80 bytes for weights at each.
+	void Engines(uint32_t n = 4, const char *second = "b")
+	{
+		for (uint32_t a = 0; a < n; a++)
+			rig_engine(&r, a, a % 2 ? second : "a", "r", 100);
+	}
+	void Start(pf_ms span = 60000)
+	{
+		ASSERT_EQ(rig_planner(&r, &o), 0);
+		rig_run(&r, span);
+	}
+	struct pf_place_stats Stats()
+	{
+		struct pf_place_stats s;
+
+		pf_place_stats(r.place, &s);
+		return s;
+	}
+	void ExpectHomes(uint32_t least, uint32_t zones)
+	{
+		for (uint32_t m = 0; m < r.config.n_models; m++) {
+			EXPECT_GE(rig_homes(&r, m), least) << "model " << m;
+			EXPECT_GE(rig_zones(&r, m), zones) << "model " << m;
+		}
+	}
+};
+
+TEST_F(Place, HomesBySizeAndZone)
+{
+	const struct {
+		uint32_t n;
+		int64_t bytes;
+		uint32_t homes, zones;
+	} cases[] = {
+		{ 4, 40, 2, 2 }, // two each, exactly
+		{ 8, 40, 1, 1 }, // room for one home only
+		{ 16, 20, 1, 1 }, { 2, 80, 2, 2 }, { 1, 81, 0, 0 },
+	};
+
+	for (const auto &c : cases) {
+		TearDown();
+		SetUp();
+		Engines();
+		rig_models(&r, c.n, c.bytes);
+		Start();
+		ExpectHomes(c.homes, c.zones);
+		EXPECT_EQ(Stats().unplaced, c.homes ? 0u : 1u);
+	}
+}
+
+TEST_F(Place, LargeModelsFitBetweenSmallOnes)
+{
+	Engines(2);
+	rig_models(&r, 8, 10);
+	rig_models(&r, 1, 80);
+	Start();
+	ExpectHomes(1, 1);
+}
+
+TEST_F(Place, DemandBringsReplicasOnlyWhereTheyPay)
+{
+	for (double cost : { 20.0, 1e6 }) {
+		TearDown();
+		SetUp();
+		r.config.deployment.move_cost = cost;
+		Engines(4, "a");
+		rig_models(&r, 2, 30);
+		r.demand[0].alive = 25;
+		Start();
+		EXPECT_EQ(rig_homes(&r, 0) > 1, cost < 1000);
+		EXPECT_EQ(rig_homes(&r, 1), 1u);
+	}
+}
+
+TEST_F(Place, NothingMovesUnderSteadyDemandOrForANewPlanner)
+{
+	Engines();
+	rig_models(&r, 6, 25);
+	for (uint32_t m = 0; m < 6; m++)
+		r.demand[m].alive = 3 * m;
+	Start(600000);
+	uint64_t loads = r.loads, evictions = Stats().evictions;
+
+	rig_run(&r, 3600000);
+	EXPECT_EQ(r.loads, loads);
+	EXPECT_EQ(Stats().evictions, evictions);
+	Start(120000);
+	EXPECT_EQ(r.loads, loads);
+}
+
+TEST_F(Place, LostAgentsAndZonesAreMadeGood)
+{
+	for (bool told : { true, false }) {
+		TearDown();
+		SetUp();
+		Engines(6);
+		rig_models(&r, 6, 20);
+		Start();
+		rig_kill(&r, 0, told);
+		rig_run(&r, 60000);
+		ExpectHomes(2, 2);
+		rig_kill(&r, 2, told);
+		rig_kill(&r, 4, told);
+		rig_run(&r, 60000);
+		ExpectHomes(1, 1);
+		for (uint32_t a = 0; a < 6; a += 2)
+			rig_start(&r, a);
+		rig_run(&r, 60000);
+		ExpectHomes(2, 2);
+	}
+}
+
+TEST_F(Place, ARestartBetweenTwoPlansIsNoticed)
+{
+	Engines(1);
+	rig_models(&r, 3, 20);
+	Start();
+	rig_kill(&r, 0, false);
+	rig_start(&r, 0);
+	rig_run(&r, 60000);
+	ExpectHomes(1, 1);
+}
+
+TEST_F(Place, LostOrdersAreRepeated)
+{
+	Engines(1);
+	rig_models(&r, 1, 20);
+	r.agents[0].deaf = true;
+	Start(20000);
+	EXPECT_EQ(rig_homes(&r, 0), 0u);
+	r.agents[0].deaf = false;
+	rig_run(&r, 30000);
+	EXPECT_EQ(rig_homes(&r, 0), 1u);
+}
+
+TEST_F(Place, ConfigurationAddsRemovesResizes)
+{
+	Engines();
+	rig_models(&r, 4, 20);
+	Start();
+	rig_models(&r, 2, 20);
+	rig_config(&r);
+	rig_run(&r, 60000);
+	ExpectHomes(2, 2);
+	r.config.n_models = 3;
+	rig_config(&r);
+	rig_run(&r, 60000);
+	for (uint32_t a = 0; a < 4; a++)
+		EXPECT_EQ(rig_bytes(&r, r.agents[a].want, r.agents[a].n_want),
+			  20 * (int64_t)r.agents[a].n_want);
+	r.models[0].weight_bytes = 80;
+	rig_config(&r);
+	rig_run(&r, 240000);
+	ExpectHomes(1, 1);
+	for (uint32_t a = 0; a < 4; a++)
+		EXPECT_LE(rig_bytes(&r, r.agents[a].want, r.agents[a].n_want),
+			  80)
+			<< "engine " << a;
+}
+
+TEST_F(Place, AtTheBoundsTheRestIsLeftAlone)
+{
+	o.agents_max = 2;
+	o.models_max = 3;
+	Engines();
+	rig_models(&r, 5, 20);
+	Start();
+	EXPECT_EQ(r.agents[2].n_want + r.agents[3].n_want, 0u);
+	EXPECT_EQ(rig_homes(&r, 3) + rig_homes(&r, 4), 0u);
+	EXPECT_GE(rig_homes(&r, 2), 1u);
+	// One that is gone makes room for another.
+	rig_kill(&r, 0, true);
+	rig_run(&r, 60000);
+	EXPECT_GT(r.agents[2].n_want, 0u);
+}
+
+TEST_F(Place, RegionsShareModelsAndBudget)
+{
+	struct pf_place *other;
+	uint64_t loads;
+
+	for (uint32_t a = 0; a < 4; a++)
+		rig_engine(&r, a, a < 2 ? "a" : "b", a < 2 ? "r" : "s", 100);
+	rig_models(&r, 16, 20); // a home for each takes all of both
+	o.region = pf_id(PF_STR("r"));
+	Start(30000);
+	EXPECT_EQ(r.agents[2].n_want + r.agents[3].n_want, 0u);
+	EXPECT_EQ(Stats().unplaced, 0u);
+	loads = r.loads;
+	EXPECT_EQ(loads, 8u);
+	other = r.place;
+	r.place = nullptr;
+	o.region = pf_id(PF_STR("s"));
+	Start(30000);
+	pf_place_free(other);
+	ExpectHomes(1, 1);
+}
+
+TEST_F(Place, WithoutTheLeaseNothingIsSaid)
+{
+	Engines();
+	rig_models(&r, 2, 20);
+	ASSERT_EQ(rig_planner(&r, &o), 0);
+	rig_lease(&r, false);
+	rig_run(&r, 20000);
+	EXPECT_EQ(r.acts, 0u);
+	EXPECT_EQ(pf_place_next(r.place), PF_NEVER);
+}
