lease: one holder for a row of the table

Cause: a region's planner has to be chosen without a coordination service.

Change: a lease core. The holder raises a beat by conditional writes and counts its term from before the write that renewed it, less a margin; a candidate counts the term from when it first saw the beat. Each takeover writes its audit row in the same transaction; lost answers are settled by reading; with the table away nobody takes over.

--- /dev/null
+++ b/fuzz/lease_rig.h
@@ -0,0 +1,227 @@
+/* Lease cores around a table, with messages that take time or are lost. */
+#ifndef FUZZ_LEASE_RIG_H
+#define FUZZ_LEASE_RIG_H
+
+#include "fuzz/fake_table.h"
+#include "pimentoford/lease.h"
+#include "pimentoford/rows.h"
+
+#include <string.h>
+
+#define LEASE_NODES 3
+#define LEASE_OPS 64
+#define LEASE_KEY "lease/planner/r"
+
+/* A request on its way to the table, or its answer on the way back. */
+struct lease_op {
+	bool used;
+	uint32_t node;
+	enum pf_lease_act_type type;
+	uint64_t seq;
+	struct pf_table_txn *txn; /* owned */
+	pf_ms arrives, returns; /* PF_NEVER: lost */
+	bool done;
+	enum pf_table_status status;
+	struct pf_table_row row;
+	char value[128];
+};
+
+struct lease_rig {
+	pf_ms now;
+	struct fake_table *table;
+	struct pf_lease *nodes[LEASE_NODES];
+	bool held[LEASE_NODES]; /* as the core has said */
+	pf_ms paused[LEASE_NODES]; /* until then */
+	struct lease_op ops[LEASE_OPS];
+	struct pf_rng rng;
+	bool away; /* nothing reaches the table */
+	double loss; /* of requests, and of answers */
+	uint32_t delay; /* at most, each way */
+};
+
+struct lease_ctx {
+	struct lease_rig *r;
+	uint32_t node;
+};
+
+static inline pf_ms lease_trip(struct lease_rig *r, pf_ms from)
+{
+	if (from == PF_NEVER || pf_rng_unit(&r->rng) < r->loss)
+		return PF_NEVER;
+	return from + pf_rng_below(&r->rng, r->delay + 1);
+}
+
+static inline void lease_emit(void *ctx, const struct pf_lease_act *act)
+{
+	struct lease_ctx *c = (struct lease_ctx *)ctx;
+	struct lease_rig *r = c->r;
+	uint32_t i = 0;
+	struct lease_op *op;
+
+	if (act->type == PF_LEASE_HELD) {
+		r->held[c->node] = act->u.held;
+		return;
+	}
+	while (i < LEASE_OPS && r->ops[i].used)
+		i++;
+	if (i == LEASE_OPS)
+		return;
+	op = &r->ops[i];
+	memset(op, 0, sizeof(*op));
+	op->used = true;
+	op->node = c->node;
+	op->type = act->type;
+	op->seq = act->seq;
+	if (act->type == PF_LEASE_COMMIT)
+		op->txn = fake_txn_copy(&act->u.txn);
+	op->arrives = lease_trip(r, r->now);
+	op->returns = lease_trip(r, op->arrives);
+}
+
+static inline void lease_send(struct lease_rig *r, uint32_t node,
+			      const struct pf_lease_msg *m)
+{
+	struct lease_ctx c = { r, node };
+	struct pf_lease_sink sink = { lease_emit, &c };
+
+	pf_lease_step(r->nodes[node], r->now, m, &sink);
+}
+
+static inline void lease_serve(struct lease_rig *r, struct lease_op *op)
+{
+	struct pf_table_row row;
+	uint64_t revision;
+	uint32_t failed;
+	bool more;
+
+	op->done = true;
+	if (op->type == PF_LEASE_COMMIT) {
+		op->status =
+			fake_table_txn(r->table, op->txn, &failed, &revision);
+		return;
+	}
+	if (!fake_table_scan(r->table, PF_STR(LEASE_KEY), PF_STR(""), &row, 1,
+			     &more))
+		return;
+	memcpy(op->value, row.value.p, row.value.n);
+	op->row.value.p = op->value;
+	op->row.value.n = row.value.n;
+	op->row.revision = row.revision;
+}
+
+static inline void lease_answer(struct lease_rig *r, struct lease_op *op)
+{
+	struct pf_lease_msg m;
+
+	memset(&m, 0, sizeof(m));
+	m.type = op->type == PF_LEASE_GET ? PF_LEASE_ROW : PF_LEASE_COMMITTED;
+	m.seq = op->seq;
+	if (op->type == PF_LEASE_GET) {
+		m.u.row.status = op->status;
+		m.u.row.row = op->row;
+	} else {
+		m.u.status = op->status;
+	}
+	lease_send(r, op->node, &m);
+}
+
+static inline void lease_drop(struct lease_op *op)
+{
+	if (op->txn)
+		fake_txn_free(op->txn);
+	op->used = false;
+}
+
+static inline void lease_carry(struct lease_rig *r, struct lease_op *op)
+{
+	if (!op->done && op->arrives <= r->now) {
+		if (r->away) {
+			lease_drop(op);
+			return;
+		}
+		lease_serve(r, op);
+	}
+	if (op->arrives == PF_NEVER || (op->done && op->returns == PF_NEVER))
+		lease_drop(op);
+	else if (op->done && op->returns <= r->now &&
+		 r->paused[op->node] <= r->now) {
+		lease_answer(r, op);
+		lease_drop(op);
+	}
+}
+
+/** One step of 10 ms: messages, then ticks. */
+static inline void lease_step(struct lease_rig *r)
+{
+	struct pf_lease_msg tick;
+
+	memset(&tick, 0, sizeof(tick));
+	tick.type = PF_LEASE_TICK;
+	tick.wall = r->now;
+	r->now += 10;
+	for (uint32_t i = 0; i < LEASE_OPS; i++)
+		if (r->ops[i].used)
+			lease_carry(r, &r->ops[i]);
+	for (uint32_t i = 0; i < LEASE_NODES; i++)
+		if (r->paused[i] <= r->now &&
+		    r->now >= pf_lease_next(r->nodes[i]))
+			lease_send(r, i, &tick);
+}
+
+static inline int lease_init(struct lease_rig *r, uint64_t seed)
+{
+	struct pf_lease_opts o;
+
+	memset(r, 0, sizeof(*r));
+	r->now = 1000;
+	r->delay = 20;
+	pf_rng_seed(&r->rng, seed);
+	r->table = fake_table_new();
+	pf_lease_opts_default(&o);
+	o.key = LEASE_KEY;
+	o.region = "r";
+	for (uint32_t i = 0; i < LEASE_NODES; i++) {
+		o.name = i == 0 ? "entry-0" : i == 1 ? "entry-1" : "entry-2";
+		o.self = 100 + i;
+		o.seed = seed + i;
+		r->nodes[i] = pf_lease_new(&o);
+		if (!r->nodes[i])
+			return -1;
+	}
+	return 0;
+}
+
+static inline void lease_free(struct lease_rig *r)
+{
+	for (uint32_t i = 0; i < LEASE_OPS; i++)
+		if (r->ops[i].used)
+			lease_drop(&r->ops[i]);
+	for (uint32_t i = 0; i < LEASE_NODES; i++)
+		pf_lease_free(r->nodes[i]);
+	fake_table_free(r->table);
+}
+
+/** How many hold it now, and *@who does. */
+static inline uint32_t lease_holders(const struct lease_rig *r, uint32_t *who)
+{
+	uint32_t n = 0;
+
+	for (uint32_t i = 0; i < LEASE_NODES; i++) {
+		if (!pf_lease_held(r->nodes[i], r->now))
+			continue;
+		*who = i;
+		n++;
+	}
+	return n;
+}
+
+static inline size_t lease_audits(const struct lease_rig *r)
+{
+	struct pf_table_row rows[400];
+	bool more;
+
+	return fake_table_scan(r->table, PF_STR(PF_ROW_AUDITS), PF_STR(""),
+			       rows, 400, &more);
+}
+
+#endif
--- /dev/null
+++ b/src/coordination/lease.c
@@ -0,0 +1,367 @@
+/* Lease core: reads, beats, takeovers, and giving up in time. */
+#include "pimentoford/lease.h"
+#include "pimentoford/rows.h"
+
+#include <inttypes.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define VALUE_MAX 80
+#define TRIES 8 /* writes whose outcome may still come to light */
+
+/* What the row says. */
+struct row {
+	uint64_t revision;
+	uint64_t holder;
+	uint64_t epoch;
+	uint64_t beat;
+};
+
+/* A write of ours: by its beat it is known again in the row. */
+struct attempt {
+	uint64_t epoch;
+	uint64_t beat;
+	pf_ms sent;
+};
+
+struct pf_lease {
+	struct pf_lease_opts o;
+	char key[PF_ROW_KEY_MAX];
+	char name[PF_LABEL_MAX];
+	char region[PF_LABEL_MAX];
+	struct pf_rng rng;
+	pf_ms now;
+	pf_ms next;
+	uint64_t seq; /* of the last act */
+	bool asking; /* its answer is awaited */
+	pf_ms asked;
+	bool read; /* the row has been read */
+	struct row row;
+	pf_ms seen; /* when that row was seen first */
+	struct attempt tries[TRIES];
+	uint64_t n_tries;
+	uint64_t beat; /* highest that was written by us */
+	bool held;
+	pf_ms until; /* while held */
+	bool stopped;
+	uint64_t head;
+	pf_ms wall;
+};
+
+void pf_lease_opts_default(struct pf_lease_opts *o)
+{
+	*o = (struct pf_lease_opts){
+		.region = "",
+		.term = 8000,
+		.margin = 1000,
+		.beat_every = 2000,
+		.answer_timeout = 1500,
+	};
+}
+
+static bool valid(const struct pf_lease_opts *o)
+{
+	return o->key && o->name && o->region && o->self &&
+	       strlen(o->key) < PF_ROW_KEY_MAX / 2 &&
+	       strlen(o->name) < PF_LABEL_MAX &&
+	       strlen(o->region) < PF_LABEL_MAX && o->margin >= 0 &&
+	       o->beat_every > 0 && o->answer_timeout > 0 &&
+	       o->term > o->margin + o->beat_every + o->answer_timeout;
+}
+
+struct pf_lease *pf_lease_new(const struct pf_lease_opts *o)
+{
+	struct pf_lease *l;
+
+	if (!valid(o))
+		return NULL;
+	l = calloc(1, sizeof(*l));
+	if (!l)
+		return NULL;
+	l->o = *o;
+	strcpy(l->key, o->key);
+	strcpy(l->name, o->name);
+	strcpy(l->region, o->region);
+	pf_rng_seed(&l->rng, o->seed);
+	return l;
+}
+
+void pf_lease_free(struct pf_lease *l)
+{
+	free(l);
+}
+
+/* Spread, so that candidates don't write at once. */
+static void pause_for(struct pf_lease *l, pf_ms span)
+{
+	pf_ms half = span / 2;
+
+	l->next = l->now + half + pf_rng_below(&l->rng, (uint32_t)half + 1);
+}
+
+static int read_row(const struct pf_table_row *in, struct row *out)
+{
+	char text[VALUE_MAX];
+
+	*out = (struct row){ .revision = in->revision };
+	if (!in->revision)
+		return 0;
+	if (in->value.n >= sizeof(text))
+		return -1;
+	memcpy(text, in->value.p, in->value.n);
+	text[in->value.n] = '\0';
+	return sscanf(text, "%" SCNu64 " %" SCNu64 " %" SCNu64, &out->holder,
+		      &out->epoch, &out->beat) == 3
+		       ? 0
+		       : -1;
+}
+
+static uint64_t ask(struct pf_lease *l)
+{
+	l->asking = true;
+	l->asked = l->now;
+	l->next = l->now + l->o.answer_timeout;
+	return ++l->seq;
+}
+
+static void get(struct pf_lease *l, const struct pf_lease_sink *sink)
+{
+	struct pf_lease_act act = { .type = PF_LEASE_GET, .seq = ask(l) };
+
+	act.u.key = pf_str_c(l->key);
+	sink->emit(sink->ctx, &act);
+}
+
+static char *audit_text(const struct pf_lease *l)
+{
+	struct pf_audit a = { .at = l->wall };
+
+	snprintf(a.stamp.who, sizeof(a.stamp.who), "%s", l->name);
+	snprintf(a.region, sizeof(a.region), "%s", l->region);
+	snprintf(a.what, sizeof(a.what), "takeover %.64s", l->key);
+	a.stamp.revision = l->head;
+	return pf_row_audit_text(&a);
+}
+
+/* Behind the audit row of the configuration in force; once per epoch. */
+static void audit_key(const struct pf_lease *l, uint64_t epoch, char *key)
+{
+	struct pf_str k = pf_row_audit_key(key, l->head);
+
+	snprintf(key + k.n, PF_ROW_KEY_MAX - k.n, "-%s-%" PRIu64, l->key,
+		 epoch);
+}
+
+/* Writes @holder with the next beat, if the row is as it was read. */
+static void write_row(struct pf_lease *l, uint64_t holder, uint64_t epoch,
+		      const struct pf_lease_sink *sink)
+{
+	struct pf_lease_act act = { .type = PF_LEASE_COMMIT };
+	struct pf_table_check check = { pf_str_c(l->key), l->row.revision };
+	struct pf_table_put puts[2] = { { .key = check.key } };
+	bool takeover = holder && epoch != l->row.epoch;
+	char value[VALUE_MAX], key[PF_ROW_KEY_MAX];
+	char *audit = takeover ? audit_text(l) : NULL;
+
+	if (l->beat < l->row.beat)
+		l->beat = l->row.beat;
+	l->beat++;
+	snprintf(value, sizeof(value), "%" PRIu64 " %" PRIu64 " %" PRIu64,
+		 holder, epoch, l->beat);
+	puts[0].value = pf_str_c(value);
+	act.u.txn.checks = &check;
+	act.u.txn.n_checks = 1;
+	act.u.txn.puts = puts;
+	act.u.txn.n_puts = 1;
+	if (audit) {
+		audit_key(l, epoch, key);
+		puts[1].key = pf_str_c(key);
+		puts[1].value = pf_str_c(audit);
+		act.u.txn.n_puts = 2;
+	}
+	l->tries[l->n_tries++ % TRIES] =
+		(struct attempt){ epoch, l->beat, l->now };
+	act.seq = ask(l);
+	/* Without memory for the audit there is no takeover. */
+	if (!takeover || audit)
+		sink->emit(sink->ctx, &act);
+	free(audit);
+}
+
+static void set_held(struct pf_lease *l, bool held,
+		     const struct pf_lease_sink *sink)
+{
+	struct pf_lease_act act = { .type = PF_LEASE_HELD };
+
+	if (l->held == held)
+		return;
+	l->held = held;
+	act.u.held = held;
+	sink->emit(sink->ctx, &act);
+}
+
+/* The write of ours that the row shows, or NULL. */
+static const struct attempt *ours(const struct pf_lease *l)
+{
+	if (l->row.holder != l->o.self)
+		return NULL;
+	for (uint32_t i = 0; i < TRIES && i < l->n_tries; i++)
+		if (l->tries[i].beat == l->row.beat &&
+		    l->tries[i].epoch == l->row.epoch)
+			return &l->tries[i];
+	return NULL;
+}
+
+/* The row is ours until the term after that write was sent is over. */
+static void settle(struct pf_lease *l, const struct pf_lease_sink *sink)
+{
+	const struct attempt *t = ours(l);
+	pf_ms from = t ? t->sent : 0;
+
+#ifdef PF_MUTANT_LEASE_SENT
+	from = l->now;
+#endif
+	if (t)
+		l->until = from + l->o.term - l->o.margin;
+	set_held(l, t && !l->stopped && l->now < l->until, sink);
+}
+
+/* The next beat, when it is due. */
+static void renew(struct pf_lease *l, pf_ms sent,
+		  const struct pf_lease_sink *sink)
+{
+	if (l->now - sent >= l->o.beat_every)
+		write_row(l, l->o.self, l->row.epoch, sink);
+	else
+		l->next = sent + l->o.beat_every;
+}
+
+/* What is to be done, now that the row has been read. */
+static void decide(struct pf_lease *l, const struct pf_lease_sink *sink)
+{
+	const struct attempt *t = ours(l);
+
+	if (l->stopped) {
+		l->next = PF_NEVER;
+		if (t)
+			write_row(l, 0, l->row.epoch, sink);
+	} else if (t && l->held) {
+		renew(l, t->sent, sink);
+	} else if (!l->row.holder || l->now - l->seen >= l->o.term) {
+		/* A holder that renewed too late takes it like another. */
+		write_row(l, l->o.self, l->row.epoch + 1, sink);
+	} else {
+		pause_for(l, l->o.beat_every);
+	}
+}
+
+static void on_row(struct pf_lease *l, const struct pf_lease_msg *m,
+		   const struct pf_lease_sink *sink)
+{
+	struct row row;
+
+	l->asking = false;
+	pause_for(l, l->o.beat_every);
+	if (m->u.row.status != PF_TABLE_OK || read_row(&m->u.row.row, &row) < 0)
+		return;
+	if (!l->read || row.revision != l->row.revision)
+		l->seen = l->now;
+	l->read = true;
+	l->row = row;
+	settle(l, sink);
+	decide(l, sink);
+}
+
+/* Whatever came of a write, the row says it; a beat that stands needs none. */
+static void on_committed(struct pf_lease *l, const struct pf_lease_msg *m,
+			 const struct pf_lease_sink *sink)
+{
+	l->asking = false;
+	if (l->stopped) {
+		l->next = PF_NEVER;
+		return;
+	}
+	if (m->u.status == PF_TABLE_LIMITED)
+		pause_for(l, l->o.beat_every);
+	else
+		get(l, sink);
+}
+
+static void on_tick(struct pf_lease *l, const struct pf_lease_sink *sink)
+{
+	if (l->now < l->next)
+		return;
+	if (l->asking) {
+		/* Its answer is lost; a later one is for an old number. */
+		l->asking = false;
+		l->seq++;
+	}
+	if (l->stopped && !l->row.holder)
+		l->next = PF_NEVER;
+	else
+		get(l, sink);
+}
+
+static void on_stop(struct pf_lease *l, const struct pf_lease_sink *sink)
+{
+	bool held = l->held;
+
+	l->stopped = true;
+	set_held(l, false, sink);
+	l->next = PF_NEVER;
+	if (held && !l->asking)
+		write_row(l, 0, l->row.epoch, sink);
+}
+
+void pf_lease_step(struct pf_lease *l, pf_ms now, const struct pf_lease_msg *m,
+		   const struct pf_lease_sink *sink)
+{
+	l->now = now;
+	if (m->wall)
+		l->wall = m->wall;
+		/* First of all: a process that was paused no longer holds it. */
+#ifndef PF_MUTANT_LEASE_GIVE_UP
+	if (l->held && now >= l->until)
+		set_held(l, false, sink);
+#endif
+	switch (m->type) {
+	case PF_LEASE_ROW:
+		if (l->asking && m->seq == l->seq)
+			on_row(l, m, sink);
+		break;
+	case PF_LEASE_COMMITTED:
+		if (l->asking && m->seq == l->seq)
+			on_committed(l, m, sink);
+		break;
+	case PF_LEASE_HEAD:
+		l->head = m->u.head;
+		break;
+	case PF_LEASE_STOP:
+		on_stop(l, sink);
+		break;
+	case PF_LEASE_TICK:
+		on_tick(l, sink);
+		break;
+	}
+}
+
+pf_ms pf_lease_next(const struct pf_lease *l)
+{
+	return l->held && l->until < l->next ? l->until : l->next;
+}
+
+bool pf_lease_held(const struct pf_lease *l, pf_ms now)
+{
+	return l->held && now < l->until;
+}
+
+uint64_t pf_lease_epoch(const struct pf_lease *l)
+{
+	return l->row.epoch;
+}
+
+uint64_t pf_lease_holder(const struct pf_lease *l)
+{
+	return l->row.holder;
+}
