entry: plan the region from the entry that holds the lease

Cause: the placement core had no daemon; agents loaded on demand only.

Change: each entry (planner = true) is a candidate for lease/planner/REGION and holds a placement core, fed with configuration, reports, LEAVING and links that go down. Demand goes to the holder once a second by the new message DEMAND, which older peers skip; orders leave only while the lease is held. The core's struct is pf_placement now: settings have a pf_place. Wire test: type 17 is known from here on, so 18 stands for the unknown.

--- a/bench/world.c
+++ b/bench/world.c
@@ -86,7 +86,7 @@
 	struct entry entries[ENTRIES];
 	struct agent agents[AGENTS_MAX];
 	uint32_t n_agents;
-	struct pf_place *place; /* the planner, beside the first entry */
+	struct pf_placement *place; /* the planner, beside the first entry */
 	pf_ms place_tick;
 	uint32_t links[ENTRIES][AGENTS_MAX]; /* generation */
 	bool linked[ENTRIES][AGENTS_MAX];
--- a/daemons/entry/config.c
+++ b/daemons/entry/config.c
@@ -25,6 +25,7 @@
 	d->counters.v[PF_EC_REVISION] = c->revision;
 	m.u.config = c;
 	entry_step(d, &m);
+	planner_configure(d);
 	links_configure(d);
 	pf_config_free(old);
 	PF_LOG(&d->log, PF_LOG_INFO, "config",
--- a/daemons/entry/daemon.h
+++ b/daemons/entry/daemon.h
@@ -133,6 +133,7 @@
 	struct pf_table *table;
 	struct pf_config_reader *reader;
 	struct changes *changes; /* of operators */
+	struct planner *planner;
 	struct pf_vm_list *vms;
 	struct event *stop_timer;
 	struct pf_rng rng;
@@ -209,6 +210,22 @@
 /* config.c */
 int config_start(struct daemon *d);
 
+/** The entry whose session it is gets @m, by its life's number. */
+void links_send_entry(struct daemon *d, uint64_t incarnation,
+		      const struct pf_wire_msg *m);
+
+/* planner.c: the region's placement, if this entry holds the lease */
+int planner_start(struct daemon *d);
+void planner_stop(struct daemon *d);
+/** A new configuration, before the old one is freed. */
+void planner_configure(struct daemon *d);
+/** What an agent said, or that its session went down. */
+void planner_hears(struct daemon *d, const struct pf_entry_msg *m);
+void planner_demand(struct daemon *d, uint64_t entry,
+		    const struct pf_wire_msg *m);
+/** Gives the lease up. */
+void planner_leave(struct daemon *d);
+
 /* admin.c: operators' interface and status */
 void admin_route(struct daemon *d, struct conn *c, evhtp_request_t *req);
 void status_route(struct daemon *d, struct conn *c, evhtp_request_t *req);
--- a/daemons/entry/links.c
+++ b/daemons/entry/links.c
@@ -33,6 +33,19 @@
 		pf_rpc_send(d->entries[i], m);
 }
 
+void links_send_entry(struct daemon *d, uint64_t incarnation,
+		      const struct pf_wire_msg *m)
+{
+	uint32_t i;
+
+	for (i = 0; i < d->n_entries; i++) {
+		if (pf_rpc_peer(d->entries[i])->incarnation == incarnation) {
+			pf_rpc_send(d->entries[i], m);
+			return;
+		}
+	}
+}
+
 static void entry_up(struct daemon *d, struct pf_rpc_session *s)
 {
 	if (d->n_entries >= ENTRIES_MAX)
@@ -81,6 +94,7 @@
 	struct pf_entry_msg m = { .type = PF_ENTRY_LINK_DOWN, .agent = id };
 
 	entry_step(d, &m);
+	planner_hears(d, &m);
 }
 
 static void on_down(void *ctx, struct pf_rpc_session *s)
@@ -157,12 +171,16 @@
 	d->at_hand = w;
 	entry_step(d, &m);
 	d->at_hand = NULL;
+	planner_hears(d, &m);
 }
 
-static void from_entry(struct daemon *d, const struct pf_wire_msg *w)
+static void from_entry(struct daemon *d, uint64_t entry,
+		       const struct pf_wire_msg *w)
 {
 	struct pf_entry_msg m = { .type = PF_ENTRY_QUARANTINE };
 
+	if (w->type == PF_WIRE_DEMAND)
+		planner_demand(d, entry, w);
 	if (w->type != PF_WIRE_QUARANTINE)
 		return;
 	m.u.quarantine.fingerprint = w->u.quarantine.fingerprint;
@@ -178,7 +196,7 @@
 	struct daemon *d = ctx;
 
 	if (p->role == PF_RPC_ENTRY)
-		from_entry(d, w);
+		from_entry(d, p->id, w);
 	else if (l && l->id == p->id)
 		from_agent(d, p->id, w);
 }
--- a/daemons/entry/main.c
+++ b/daemons/entry/main.c
@@ -57,6 +57,7 @@
 	d->draining = true;
 	PF_LOG(&d->log, PF_LOG_INFO, "draining", PF_KV_STR("why", why));
 	entry_step(d, &drain);
+	planner_leave(d);
 	event_add(d->stop_timer, &poll);
 	event_base_once(d->base, -1, EV_TIMEOUT, on_drain_over, d, &over);
 }
@@ -79,6 +80,7 @@
 	m.agent = pf_id(name);
 	if (d->config && pf_config_endpoint(d->config, m.agent))
 		entry_step(d, &m);
+	planner_hears(d, &m);
 }
 
 static int follow_vms(struct daemon *d)
@@ -128,7 +130,9 @@
 	}
 	if (follow_vms(d) < 0)
 		return -1;
-	return config_start(d) < 0 ? -1 : changes_start(d);
+	if (config_start(d) < 0 || changes_start(d) < 0)
+		return -1;
+	return planner_start(d);
 }
 
 static void stop(struct daemon *d)
@@ -138,6 +142,7 @@
 	links_stop(d);
 	core_stop(d);
 	changes_stop(d);
+	planner_stop(d);
 	pf_vm_list_free(d->vms);
 	pf_config_reader_free(d->reader);
 	pf_table_free(d->table);
--- a/fuzz/place_rig.h
+++ b/fuzz/place_rig.h
@@ -35,7 +35,7 @@
 	char names[RIG_AGENTS][16];
 	struct place_rig_agent agents[RIG_AGENTS];
 	struct pf_demand demand[RIG_MODELS];
-	struct pf_place *place;
+	struct pf_placement *place;
 	void (*check)(struct place_rig *r, uint32_t agent,
 		      const struct pf_place_act *act); /* may be NULL */
 	void (*planned)(struct place_rig *r); /* may be NULL */
--- a/include/pimentoford/place.h
+++ b/include/pimentoford/place.h
@@ -14,7 +14,7 @@
 
 PF_BEGIN_DECLS
 
-struct pf_place;
+struct pf_placement;
 
 struct pf_place_opts {
 	uint64_t region; /* id of the region that is planned; 0: all */
@@ -34,8 +34,8 @@
 void pf_place_opts_default(struct pf_place_opts *o);
 
 /** NULL when options are out of range or there is no memory. */
-struct pf_place *pf_place_new(const struct pf_place_opts *o);
-void pf_place_free(struct pf_place *p);
+struct pf_placement *pf_place_new(const struct pf_place_opts *o);
+void pf_place_free(struct pf_placement *p);
 
 enum pf_place_msg_type {
 	PF_PLACE_CONFIG, /* u.config: borrowed until the next one */
@@ -74,14 +74,15 @@
 	void *ctx;
 };
 
-void pf_place_step(struct pf_place *p, pf_ms now, const struct pf_place_msg *m,
+void pf_place_step(struct pf_placement *p, pf_ms now,
+		   const struct pf_place_msg *m,
 		   const struct pf_place_sink *sink);
 
 /**
  * When the next PF_PLACE_TICK is due; PF_NEVER without the lease. Sooner than
  * plan_every when a load only waits for the weight store's budget.
  */
-pf_ms pf_place_next(const struct pf_place *p);
+pf_ms pf_place_next(const struct pf_placement *p);
 
 struct pf_place_stats {
 	uint64_t plans, homes, seconds, replicas, evictions;
@@ -90,7 +91,7 @@
 	uint32_t unplaced; /* models that this planner owes a home now */
 };
 
-void pf_place_stats(const struct pf_place *p, struct pf_place_stats *s);
+void pf_place_stats(const struct pf_placement *p, struct pf_place_stats *s);
 
 PF_END_DECLS
 
--- a/include/pimentoford/settings.h
+++ b/include/pimentoford/settings.h
@@ -51,6 +51,7 @@
 	char *rpc; /* other entries, ONC RPC */
 	struct pf_strings peers; /* RPC of other entries, tried at the start */
 	bool operators; /* serves /admin/ here */
+	bool planner; /* may plan its region */
 	uint32_t sessions; /* agents with a session at once */
 	pf_ms poll; /* reads the table so often when it relays */
 	pf_ms drain; /* longest graceful stop */
--- a/include/pimentoford/wire.h
+++ b/include/pimentoford/wire.h
@@ -5,6 +5,7 @@
 #ifndef PIMENTOFORD_WIRE_H
 #define PIMENTOFORD_WIRE_H
 
+#include "pimentoford/demand.h"
 #include "pimentoford/work.h"
 
 PF_BEGIN_DECLS
@@ -27,6 +28,7 @@
 	PF_WIRE_CONFIG_PULL,
 	PF_WIRE_CONFIG,
 	PF_WIRE_PLACE,
+	PF_WIRE_DEMAND,
 };
 
 /** What a try carries for the endpoint. */
@@ -88,6 +90,10 @@
 			const uint64_t *items;
 			uint32_t n_items;
 		} place;
+		struct {
+			const struct pf_demand *v;
+			uint32_t n;
+		} demand; /* all of the entry that sends it */
 	} u;
 };
 
--- a/src/coordination/place.c
+++ b/src/coordination/place.c
@@ -29,7 +29,7 @@
 	       o->fade > 0 && o->settle >= 0 && o->target > 0 && o->target <= 1;
 }
 
-static int take_memory(struct pf_place *p)
+static int take_memory(struct pf_placement *p)
 {
 	const struct pf_place_opts *o = &p->o;
 
@@ -54,9 +54,9 @@
 	return pf_map_init(&p->by_model, o->models_max);
 }
 
-struct pf_place *pf_place_new(const struct pf_place_opts *o)
+struct pf_placement *pf_place_new(const struct pf_place_opts *o)
 {
-	struct pf_place *p;
+	struct pf_placement *p;
 
 	if (!valid(o))
 		return NULL;
@@ -71,7 +71,7 @@
 	return p;
 }
 
-void pf_place_free(struct pf_place *p)
+void pf_place_free(struct pf_placement *p)
 {
 	if (!p)
 		return;
@@ -90,7 +90,8 @@
 }
 
 /* The engine's record if this planner plans it, or NULL. */
-static const struct pf_endpoint *planned(const struct pf_place *p, uint64_t id)
+static const struct pf_endpoint *planned(const struct pf_placement *p,
+					 uint64_t id)
 {
 	const struct pf_endpoint *e = NULL;
 
@@ -104,7 +105,7 @@
 }
 
 /* A slot of an agent that is no longer declared, or gone for the longest. */
-static uint32_t stale_slot(const struct pf_place *p)
+static uint32_t stale_slot(const struct pf_placement *p)
 {
 	uint32_t best = PLACE_NONE;
 
@@ -122,7 +123,7 @@
 }
 
 /* The slot of an agent, added when new; PLACE_NONE when full. */
-static uint32_t agent_slot(struct pf_place *p, uint64_t id)
+static uint32_t agent_slot(struct pf_placement *p, uint64_t id)
 {
 	uint32_t a;
 
@@ -145,7 +146,7 @@
 	return a;
 }
 
-static void set_record(struct pf_place *p, struct place_agent *ag)
+static void set_record(struct pf_placement *p, struct place_agent *ag)
 {
 	const struct pf_endpoint *e = planned(p, ag->id);
 
@@ -155,14 +156,14 @@
 }
 
 /* The model is no longer declared; those who were to hold it are told. */
-static void forget(struct pf_place *p, uint32_t m)
+static void forget(struct pf_placement *p, uint32_t m)
 {
 	for (uint32_t a = 0; a < p->n_agents; a++)
 		p->agents[a].changed |= place_cell(p, m, a)->want;
 }
 
 /* Moves the columns of models that are still declared to their new places. */
-static void take_config(struct pf_place *p, const struct pf_config *c)
+static void take_config(struct pf_placement *p, const struct pf_config *c)
 {
 	size_t row = p->o.agents_max * sizeof(struct place_cell);
 	uint32_t n = 0;
@@ -200,7 +201,7 @@
 		set_record(p, &p->agents[a]);
 }
 
-static void take_report(struct pf_place *p, const struct pf_report *r)
+static void take_report(struct pf_placement *p, const struct pf_report *r)
 {
 	uint32_t a = agent_slot(p, r->agent);
 	struct place_agent *ag;
@@ -232,7 +233,7 @@
 	}
 }
 
-static struct place_entry *entry_slot(struct pf_place *p, uint64_t id)
+static struct place_entry *entry_slot(struct pf_placement *p, uint64_t id)
 {
 	struct place_entry *oldest = &p->entries[0];
 
@@ -248,7 +249,7 @@
 	return oldest;
 }
 
-static void take_demand(struct pf_place *p, const struct pf_place_msg *msg)
+static void take_demand(struct pf_placement *p, const struct pf_place_msg *msg)
 {
 	struct place_entry *e = entry_slot(p, msg->u.demand.entry);
 
@@ -268,7 +269,7 @@
  * counts as wanted the first time, so that a new planner moves nothing that
  * stands; what a dead one was to hold is forgotten.
  */
-static void survey(struct pf_place *p)
+static void survey(struct pf_placement *p)
 {
 	for (uint32_t a = 0; a < p->n_agents; a++) {
 		struct place_agent *ag = &p->agents[a];
@@ -293,7 +294,7 @@
 	}
 }
 
-static void tell(struct pf_place *p, uint32_t a,
+static void tell(struct pf_placement *p, uint32_t a,
 		 const struct pf_place_sink *sink)
 {
 	struct pf_place_act act = { .agent = p->agents[a].id,
@@ -308,7 +309,7 @@
 }
 
 /* An order may be lost: what doesn't come is asked for again. */
-static bool lacking(const struct pf_place *p, uint32_t a)
+static bool lacking(const struct pf_placement *p, uint32_t a)
 {
 	if (p->now - p->agents[a].told < p->o.fresh)
 		return false;
@@ -322,7 +323,7 @@
 }
 
 /* When a load only waits for budget, the next plan comes with it. */
-static pf_ms next_plan(const struct pf_place *p)
+static pf_ms next_plan(const struct pf_placement *p)
 {
 	pf_ms token = (pf_ms)ceil((1 - p->loads) * 1000 / p->rate);
 	pf_ms least = p->o.plan_every / WAITS_PER_PLAN + 1;
@@ -332,7 +333,7 @@
 	return p->now + (token > least ? token : least);
 }
 
-static void plan(struct pf_place *p, const struct pf_place_sink *sink)
+static void plan(struct pf_placement *p, const struct pf_place_sink *sink)
 {
 	survey(p);
 	place_plan(p);
@@ -343,7 +344,7 @@
 			tell(p, a, sink);
 }
 
-static void take_lease(struct pf_place *p, bool held)
+static void take_lease(struct pf_placement *p, bool held)
 {
 	if (held && !p->held) {
 		/* Agents are told anew what this planner wants. */
@@ -357,7 +358,8 @@
 	p->held = held;
 }
 
-void pf_place_step(struct pf_place *p, pf_ms now, const struct pf_place_msg *m,
+void pf_place_step(struct pf_placement *p, pf_ms now,
+		   const struct pf_place_msg *m,
 		   const struct pf_place_sink *sink)
 {
 	uint32_t a;
@@ -389,12 +391,12 @@
 	}
 }
 
-pf_ms pf_place_next(const struct pf_place *p)
+pf_ms pf_place_next(const struct pf_placement *p)
 {
 	return p->held && p->config ? p->next : PF_NEVER;
 }
 
-void pf_place_stats(const struct pf_place *p, struct pf_place_stats *s)
+void pf_place_stats(const struct pf_placement *p, struct pf_place_stats *s)
 {
 	*s = p->st;
 }
--- a/src/coordination/place_core.h
+++ b/src/coordination/place_core.h
@@ -49,7 +49,7 @@
 	double *demand; /* by model */
 };
 
-struct pf_place {
+struct pf_placement {
 	struct pf_place_opts o;
 	const struct pf_config *config;
 	bool held;
@@ -77,32 +77,33 @@
 	struct pf_place_stats st;
 };
 
-static inline struct place_cell *place_cell(const struct pf_place *p,
+static inline struct place_cell *place_cell(const struct pf_placement *p,
 					    uint32_t model, uint32_t agent)
 {
 	return &p->cells[(size_t)model * p->o.agents_max + agent];
 }
 
 /* place_region.c: what of the whole falls to this region. */
-void place_region_take(struct pf_place *p);
+void place_region_take(struct pf_placement *p);
 
 /* place_load.c: how demand falls on replicas. */
-void place_demand_update(struct pf_place *p);
+void place_demand_update(struct pf_placement *p);
 /* Splits each model's demand over its replicas so that engines even out. */
-void place_split(struct pf_place *p);
+void place_split(struct pf_placement *p);
 /* Requests of the model beyond the target of the engines that serve it. */
-double place_excess(const struct pf_place *p, uint32_t model);
+double place_excess(const struct pf_placement *p, uint32_t model);
 
 /* place_count.c: what is wanted where, and what may be asked for. */
-void place_count(struct pf_place *p, uint32_t model);
+void place_count(struct pf_placement *p, uint32_t model);
 /* Counts the loads under way and refills the budget. */
-void place_refill(struct pf_place *p);
+void place_refill(struct pf_placement *p);
 /* Whether one more load may be asked for now; notes that one waits. */
-bool place_may_load(struct pf_place *p);
-bool place_in_zone(const struct pf_place *p, uint32_t model, uint64_t zone);
-void place_want(struct pf_place *p, uint32_t model, uint32_t agent, bool yes);
+bool place_may_load(struct pf_placement *p);
+bool place_in_zone(const struct pf_placement *p, uint32_t model, uint64_t zone);
+void place_want(struct pf_placement *p, uint32_t model, uint32_t agent,
+		bool yes);
 
 /* place_plan.c: homes, second homes and replicas. */
-void place_plan(struct pf_place *p);
+void place_plan(struct pf_placement *p);
 
 #endif
--- a/src/coordination/place_count.c
+++ b/src/coordination/place_count.c
@@ -1,7 +1,7 @@
 /* Placement: what is wanted where, and the weight store's budget. */
 #include "place_core.h"
 
-void place_count(struct pf_place *p, uint32_t m)
+void place_count(struct pf_placement *p, uint32_t m)
 {
 	struct place_model *mo = &p->models[m];
 	uint64_t first = 0;
@@ -26,7 +26,7 @@
 	}
 }
 
-bool place_in_zone(const struct pf_place *p, uint32_t m, uint64_t zone)
+bool place_in_zone(const struct pf_placement *p, uint32_t m, uint64_t zone)
 {
 	for (uint32_t a = 0; a < p->n_agents; a++)
 		if (p->agents[a].alive && p->agents[a].zone == zone &&
@@ -35,7 +35,7 @@
 	return false;
 }
 
-void place_want(struct pf_place *p, uint32_t m, uint32_t a, bool yes)
+void place_want(struct pf_placement *p, uint32_t m, uint32_t a, bool yes)
 {
 	struct place_cell *c = place_cell(p, m, a);
 	int64_t bytes = p->models[m].record->weight_bytes;
@@ -53,7 +53,7 @@
 }
 
 /* Loads asked for and not finished, and those that go on unwanted. */
-static uint32_t pending(const struct pf_place *p)
+static uint32_t pending(const struct pf_placement *p)
 {
 	uint32_t n = 0;
 
@@ -67,7 +67,7 @@
 	return n;
 }
 
-void place_refill(struct pf_place *p)
+void place_refill(struct pf_placement *p)
 {
 	p->pending = pending(p);
 	p->waits = false;
@@ -76,7 +76,7 @@
 		p->loads = 1;
 }
 
-bool place_may_load(struct pf_place *p)
+bool place_may_load(struct pf_placement *p)
 {
 #ifdef PF_MUTANT_PLACE_BUDGET
 	p->loads = 1;
--- a/src/coordination/place_load.c
+++ b/src/coordination/place_load.c
@@ -8,7 +8,7 @@
 #define LOAD_FLOOR 0.05 /* of a batch, so that idle engines compare */
 #define NOTABLE 0.5 /* requests that make a model active at an engine */
 
-void place_demand_update(struct pf_place *p)
+void place_demand_update(struct pf_placement *p)
 {
 	pf_ms passed = p->now - p->planned;
 	double fade = exp(-(double)passed / (double)p->o.fade);
@@ -25,7 +25,7 @@
 	}
 }
 
-static void spread_evenly(struct pf_place *p, uint32_t m)
+static void spread_evenly(struct pf_placement *p, uint32_t m)
 {
 	for (uint32_t a = 0; a < p->n_agents; a++) {
 		struct place_cell *c = place_cell(p, m, a);
@@ -36,7 +36,7 @@
 	}
 }
 
-static void sum_loads(struct pf_place *p)
+static void sum_loads(struct pf_placement *p)
 {
 	for (uint32_t a = 0; a < p->n_agents; a++) {
 		struct place_agent *ag = &p->agents[a];
@@ -53,7 +53,7 @@
 }
 
 /* Moves the model's shares towards its less loaded engines. */
-static void even_out(struct pf_place *p, uint32_t m)
+static void even_out(struct pf_placement *p, uint32_t m)
 {
 	double sum = 0;
 
@@ -70,7 +70,7 @@
 		place_cell(p, m, a)->share *= p->models[m].demand / sum;
 }
 
-void place_split(struct pf_place *p)
+void place_split(struct pf_placement *p)
 {
 	for (uint32_t m = 0; m < p->n_models; m++)
 		spread_evenly(p, m);
@@ -85,7 +85,7 @@
 		place_count(p, m);
 }
 
-double place_excess(const struct pf_place *p, uint32_t m)
+double place_excess(const struct pf_placement *p, uint32_t m)
 {
 	double sum = 0;
 
--- a/src/coordination/place_plan.c
+++ b/src/coordination/place_plan.c
@@ -12,7 +12,7 @@
 };
 
 /* What it costs, in seconds of service, to give up the replica; -1: never. */
-static double loss(const struct pf_place *p, uint32_t m, uint32_t a)
+static double loss(const struct pf_placement *p, uint32_t m, uint32_t a)
 {
 	const struct place_cell *c = place_cell(p, m, a);
 	const struct place_model *mo = &p->models[m];
@@ -38,7 +38,7 @@
 }
 
 /* The replica at @a that is cheapest to give up, or PLACE_NONE. */
-static uint32_t cheapest_victim(const struct pf_place *p, uint32_t a,
+static uint32_t cheapest_victim(const struct pf_placement *p, uint32_t a,
 				const bool *taken, double *cost)
 {
 	uint32_t best = PLACE_NONE;
@@ -58,7 +58,7 @@
  * Gives up replicas at @a until @bytes fit. Without @commit only the cost is
  * worked out. The cost, or -1 when it can't be done.
  */
-static double make_room(struct pf_place *p, uint32_t a, int64_t bytes,
+static double make_room(struct pf_placement *p, uint32_t a, int64_t bytes,
 			bool commit)
 {
 	int64_t room = p->agents[a].room;
@@ -87,14 +87,15 @@
 	return total;
 }
 
-static void place_at(struct pf_place *p, uint32_t m, uint32_t a)
+static void place_at(struct pf_placement *p, uint32_t m, uint32_t a)
 {
 	make_room(p, a, p->models[m].record->weight_bytes, true);
 	place_want(p, m, a, true);
 }
 
 /* The best engine for a home of @m; outside zones that have one if @apart. */
-static uint32_t home_for(struct pf_place *p, uint32_t m, bool apart, bool evict)
+static uint32_t home_for(struct pf_placement *p, uint32_t m, bool apart,
+			 bool evict)
 {
 	int64_t bytes = p->models[m].record->weight_bytes;
 	uint32_t best = PLACE_NONE;
@@ -126,7 +127,7 @@
 }
 
 /* Whether the model can be put at @a with the budget there is. */
-static bool affordable(struct pf_place *p, uint32_t m, uint32_t a)
+static bool affordable(struct pf_placement *p, uint32_t m, uint32_t a)
 {
 	const struct place_cell *c = place_cell(p, m, a);
 
@@ -134,7 +135,7 @@
 }
 
 /* The largest first: what is small fits into what they leave. */
-static void plan_homes(struct pf_place *p, bool own)
+static void plan_homes(struct pf_placement *p, bool own)
 {
 	for (uint32_t i = 0; i < p->n_models; i++) {
 		uint32_t m = p->by_size[i];
@@ -153,7 +154,7 @@
 }
 
 /* Another home for what stands at @a alone, so that it can be given up. */
-static void relocate(struct pf_place *p, uint32_t a)
+static void relocate(struct pf_placement *p, uint32_t a)
 {
 	for (uint32_t i = 0; i < p->n_models; i++) {
 		uint32_t m = p->by_size[i];
@@ -170,7 +171,7 @@
 }
 
 /* Where a model grew or the KV share did, weights have to go. */
-static void shed(struct pf_place *p)
+static void shed(struct pf_placement *p)
 {
 	for (uint32_t a = 0; a < p->n_agents; a++) {
 		uint64_t before = p->st.evictions;
@@ -184,7 +185,8 @@
 }
 
 /* What a further replica of @m at @a regains, less what it costs. */
-static double gain(struct pf_place *p, uint32_t m, uint32_t a, double excess)
+static double gain(struct pf_placement *p, uint32_t m, uint32_t a,
+		   double excess)
 {
 	const struct place_agent *ag = &p->agents[a];
 	double spare = p->o.target * ag->batch - ag->load;
@@ -202,7 +204,8 @@
 	return take * (double)p->o.horizon / 1000 - cost;
 }
 
-static struct offer best_offer(struct pf_place *p, uint32_t m, double excess)
+static struct offer best_offer(struct pf_placement *p, uint32_t m,
+			       double excess)
 {
 	struct offer best = { PLACE_NONE, 0 };
 
@@ -216,7 +219,7 @@
 }
 
 /* Adds the replica that pays most. False when none does. */
-static bool grow(struct pf_place *p)
+static bool grow(struct pf_placement *p)
 {
 	struct offer best = { PLACE_NONE, 0 };
 	uint32_t model = 0;
@@ -244,7 +247,7 @@
 }
 
 /* Second homes come last and displace nothing. */
-static void plan_seconds(struct pf_place *p)
+static void plan_seconds(struct pf_placement *p)
 {
 	for (uint32_t m = 0; m < p->n_models; m++) {
 		uint32_t a;
@@ -259,7 +262,7 @@
 	}
 }
 
-void place_plan(struct pf_place *p)
+void place_plan(struct pf_placement *p)
 {
 	for (uint32_t m = 0; m < p->n_models; m++)
 		place_count(p, m);
--- a/src/coordination/place_region.c
+++ b/src/coordination/place_region.c
@@ -47,7 +47,8 @@
 }
 
 /* Parts that add up to the whole; each region may load one at a time. */
-static void share_budget(struct pf_place *p, const struct region *v, uint32_t n)
+static void share_budget(struct pf_placement *p, const struct region *v,
+			 uint32_t n)
 {
 	const struct pf_deployment *d = &p->config->deployment;
 	uint32_t all = 0, before = 0, mine = 0;
@@ -71,7 +72,7 @@
 }
 
 /* The largest model first, to the region with the most room left. */
-static void share_models(struct pf_place *p, struct region *v, uint32_t n)
+static void share_models(struct pf_placement *p, struct region *v, uint32_t n)
 {
 	for (uint32_t i = 0; i < p->n_models; i++) {
 		struct place_model *mo = &p->models[p->by_size[i]];
@@ -93,7 +94,7 @@
 	return x->id < y->id;
 }
 
-static void sort_models(struct pf_place *p)
+static void sort_models(struct pf_placement *p)
 {
 	for (uint32_t i = 0; i < p->n_models; i++) {
 		uint32_t k = i;
@@ -106,7 +107,7 @@
 	}
 }
 
-void place_region_take(struct pf_place *p)
+void place_region_take(struct pf_placement *p)
 {
 	struct region v[REGIONS_MAX];
 	uint32_t n = list(p->config, v);
--- a/src/protocol/pimento.x
+++ b/src/protocol/pimento.x
@@ -43,7 +43,8 @@
 	PIMENTO_CONFIG_HEAD = 13,
 	PIMENTO_CONFIG_PULL = 14,
 	PIMENTO_CONFIG = 15,
-	PIMENTO_PLACE = 16
+	PIMENTO_PLACE = 16,
+	PIMENTO_DEMAND = 17
 };
 
 struct pimento_try_id {
@@ -149,6 +150,16 @@
 	unsigned hyper items<PIMENTO_ITEMS>;
 };
 
+struct pimento_wish {
+	unsigned hyper model;
+	unsigned int waiting;
+	unsigned int alive;
+};
+
+struct pimento_demand {
+	pimento_wish wishes<PIMENTO_ITEMS>;
+};
+
 struct pimento_msg {
 	unsigned int type;
 	opaque body<PIMENTO_BYTES>;
--- a/src/protocol/pimento_xdr.c
+++ b/src/protocol/pimento_xdr.c
@@ -522,6 +522,31 @@
 	return TRUE;
 }
 
+bool_t
+xdr_pimento_wish (XDR *xdrs, pimento_wish *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_u_quad_t (xdrs, &objp->model))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->waiting))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->alive))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_pimento_demand (XDR *xdrs, pimento_demand *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_array (xdrs, (char **)&objp->wishes.wishes_val, (u_int *) &objp->wishes.wishes_len, PIMENTO_ITEMS,
+		sizeof (pimento_wish), (xdrproc_t) xdr_pimento_wish))
+		 return FALSE;
+	return TRUE;
+}
+
 bool_t
 xdr_pimento_msg (XDR *xdrs, pimento_msg *objp)
 {
--- a/src/protocol/pimento_xdr.h
+++ b/src/protocol/pimento_xdr.h
@@ -55,6 +55,7 @@
 	PIMENTO_CONFIG_PULL = 14,
 	PIMENTO_CONFIG = 15,
 	PIMENTO_PLACE = 16,
+	PIMENTO_DEMAND = 17,
 };
 typedef enum pimento_type pimento_type;
 
@@ -211,6 +212,21 @@
 };
 typedef struct pimento_place pimento_place;
 
+struct pimento_wish {
+	u_quad_t model;
+	u_int waiting;
+	u_int alive;
+};
+typedef struct pimento_wish pimento_wish;
+
+struct pimento_demand {
+	struct {
+		u_int wishes_len;
+		pimento_wish *wishes_val;
+	} wishes;
+};
+typedef struct pimento_demand pimento_demand;
+
 struct pimento_msg {
 	u_int type;
 	struct {
@@ -272,6 +288,8 @@
 extern  bool_t xdr_pimento_quarantine (XDR *, pimento_quarantine*);
 extern  bool_t xdr_pimento_config (XDR *, pimento_config*);
 extern  bool_t xdr_pimento_place (XDR *, pimento_place*);
+extern  bool_t xdr_pimento_wish (XDR *, pimento_wish*);
+extern  bool_t xdr_pimento_demand (XDR *, pimento_demand*);
 extern  bool_t xdr_pimento_msg (XDR *, pimento_msg*);
 extern  bool_t xdr_pimento_batch (XDR *, pimento_batch*);
 
@@ -292,6 +310,8 @@
 extern bool_t xdr_pimento_quarantine ();
 extern bool_t xdr_pimento_config ();
 extern bool_t xdr_pimento_place ();
+extern bool_t xdr_pimento_wish ();
+extern bool_t xdr_pimento_demand ();
 extern bool_t xdr_pimento_msg ();
 extern bool_t xdr_pimento_batch ();
 
--- a/src/protocol/wire.c
+++ b/src/protocol/wire.c
@@ -23,7 +23,13 @@
 	DEF(CONFIG_HEAD, pimento_config, config)     \
 	DEF(CONFIG_PULL, pimento_config, config)     \
 	DEF(CONFIG, pimento_config, config)          \
-	DEF(PLACE, pimento_place, place)
+	DEF(PLACE, pimento_place, place)             \
+	DEF(DEMAND, pimento_demand, demand)
+
+_Static_assert(sizeof(struct pf_demand) == sizeof(pimento_wish) &&
+		       offsetof(struct pf_demand, alive) ==
+			       offsetof(pimento_wish, alive),
+	       "a wish is a pf_demand");
 
 /* Room for the fixed part of any message. */
 #define FIXED_BYTES 256
@@ -40,6 +46,7 @@
 	pimento_quarantine quarant;
 	pimento_config config;
 	pimento_place place;
+	pimento_demand demand;
 };
 
 struct pf_wire_decoder {
@@ -255,6 +262,10 @@
 		x->place.items.items_val = (uint64_t *)m->u.place.items;
 		x->place.items.items_len = m->u.place.n_items;
 		return (ssize_t)m->u.place.n_items * 8;
+	case PF_WIRE_DEMAND:
+		x->demand.wishes.wishes_val = (pimento_wish *)m->u.demand.v;
+		x->demand.wishes.wishes_len = m->u.demand.n;
+		return (ssize_t)m->u.demand.n * ITEM_BYTES;
 	case PF_WIRE_LEAVING:
 		return 0;
 	}
@@ -436,6 +447,10 @@
 		m->u.place.items = x->place.items.items_val;
 		m->u.place.n_items = x->place.items.items_len;
 		return 0;
+	case PF_WIRE_DEMAND:
+		m->u.demand.v = (struct pf_demand *)x->demand.wishes.wishes_val;
+		m->u.demand.n = x->demand.wishes.wishes_len;
+		return 0;
 	case PF_WIRE_LEAVING:
 		return 0;
 	}
--- a/src/transport/settings.c
+++ b/src/transport/settings.c
@@ -30,6 +30,7 @@
 	DEF("rpc", ADDR, rpc, true, 0, 0, NULL, NULL)                         \
 	DEF("peers", ADDRS, peers, false, 0, 64, NULL, NULL)                  \
 	DEF("operators", BOOL, operators, false, 0, 0, "true", NULL)          \
+	DEF("planner", BOOL, planner, false, 0, 0, "true", NULL)              \
 	DEF("sessions", U32, sessions, false, 1, 4096, "64", NULL)            \
 	DEF("poll", MS, poll, false, 50, HOUR_MS, "500ms", NULL)              \
 	DEF("drain", MS, drain, false, 0, HOUR_MS, "10m", NULL)               \
--- a/tests/test_place.cc
+++ b/tests/test_place.cc
@@ -197,7 +197,7 @@
 
 TEST_F(Place, RegionsShareModelsAndBudget)
 {
-	struct pf_place *other;
+	struct pf_placement *other;
 	uint64_t loads;
 
 	for (uint32_t a = 0; a < 4; a++)
--- a/tests/test_wire.cc
+++ b/tests/test_wire.cc
@@ -41,6 +41,7 @@
 };
 
 const uint32_t lens[] = { 2, 0, 3 };
+static const struct pf_demand wishes[] = { { 7, 1, 2 }, { 9, 0, 4 } };
 const uint64_t wanted[] = { 7, 8, 9 };
 const struct pf_item items[] = { { 5, PF_ITEM_RESIDENT },
 				 { 6, PF_ITEM_LOADING } };
@@ -99,6 +100,9 @@
 	case PF_WIRE_PLACE:
 		m.u.place = { wanted, 3 };
 		break;
+	case PF_WIRE_DEMAND:
+		m.u.demand = { wishes, 2 };
+		break;
 	default:
 		m.u.id = { 11, 2 };
 		break;
@@ -106,14 +110,14 @@
 	return m;
 }
 
-const enum pf_wire_type types[] = { PF_WIRE_TRY,         PF_WIRE_REVOKE,
-				    PF_WIRE_CANCEL,      PF_WIRE_STARTED,
-				    PF_WIRE_PIECE,       PF_WIRE_DONE,
-				    PF_WIRE_NOT_RUN,     PF_WIRE_REVOKED,
-				    PF_WIRE_LOST,        PF_WIRE_REPORT,
-				    PF_WIRE_LEAVING,     PF_WIRE_QUARANTINE,
-				    PF_WIRE_CONFIG_HEAD, PF_WIRE_CONFIG_PULL,
-				    PF_WIRE_CONFIG,      PF_WIRE_PLACE };
+const enum pf_wire_type types[] = {
+	PF_WIRE_TRY,         PF_WIRE_REVOKE,      PF_WIRE_CANCEL,
+	PF_WIRE_STARTED,     PF_WIRE_PIECE,       PF_WIRE_DONE,
+	PF_WIRE_NOT_RUN,     PF_WIRE_REVOKED,     PF_WIRE_LOST,
+	PF_WIRE_REPORT,      PF_WIRE_LEAVING,     PF_WIRE_QUARANTINE,
+	PF_WIRE_CONFIG_HEAD, PF_WIRE_CONFIG_PULL, PF_WIRE_CONFIG,
+	PF_WIRE_PLACE,       PF_WIRE_DEMAND
+};
 } // namespace
 
 /* The bytes of a decoded message are those it came from. */
@@ -165,13 +169,16 @@
 	m.u.place = { ids.data(), 5000 };
 	ASSERT_EQ(c.decode(PF_WIRE_PLACE, c.encode(m, 0), 0), PF_WIRE_OK);
 	EXPECT_EQ(c.out.u.place.n_items, 5000u);
+	m = sample(PF_WIRE_DEMAND);
+	ASSERT_EQ(c.decode(PF_WIRE_DEMAND, c.encode(m, 0), 0), PF_WIRE_OK);
+	EXPECT_EQ(c.out.u.demand.v[1].alive, m.u.demand.v[1].alive);
 }
 
 TEST(Wire, UnknownTypesAreSaidToBeSo)
 {
 	Codec c;
 
-	for (uint32_t t : { 0u, 17u, 1000u, ~0u })
+	for (uint32_t t : { 0u, 18u, 1000u, ~0u })
 		EXPECT_EQ(c.decode(t, "whatever", 0), PF_WIRE_UNKNOWN);
 }
 
