--- a/daemons/entry/links.c
+++ b/daemons/entry/links.c
@@ -58,6 +58,19 @@
 		links_send(d, id, m);
 }
 
+void links_send_entry(struct daemon *d, uint64_t incarnation,
+		      const struct pf_wire_msg *m)
+{
+	uint32_t i;
+
+	for (i = 0; i < d->n_entries; i++) {
+		if (pf_rpc_peer(d->entries[i])->incarnation == incarnation) {
+			pf_rpc_send(d->entries[i], m);
+			return;
+		}
+	}
+}
+
 static void entry_up(struct daemon *d, struct pf_rpc_session *s)
 {
 	uint64_t id = pf_rpc_peer(s)->id;
@@ -142,6 +155,7 @@
 	struct pf_entry_msg m = { .type = PF_ENTRY_LINK_DOWN, .agent = id };
 
 	entry_step(d, &m);
+	planner_hears(d, &m);
 	pf_follower_down(d->follower, id);
 	members_down(d, id);
 }
@@ -220,12 +234,16 @@
 	d->at_hand = w;
 	entry_step(d, &m);
 	d->at_hand = NULL;
+	planner_hears(d, &m);
 }
 
-static void from_entry(struct daemon *d, const struct pf_wire_msg *w)
+static void from_entry(struct daemon *d, uint64_t entry,
+		       const struct pf_wire_msg *w)
 {
 	struct pf_entry_msg m = { .type = PF_ENTRY_QUARANTINE };
 
+	if (w->type == PF_WIRE_DEMAND)
+		planner_demand(d, entry, w);
 	if (w->type != PF_WIRE_QUARANTINE)
 		return;
 	m.u.quarantine.fingerprint = w->u.quarantine.fingerprint;
@@ -245,7 +263,7 @@
 		return;
 	members_heard(d, p, w);
 	if (p->role == PF_RPC_ENTRY)
-		from_entry(d, w);
+		from_entry(d, p->id, w);
 	else if (!l->held)
 		from_agent(d, p->id, w);
 	pf_follower_message(d->follower, peer, w);
--- a/daemons/entry/main.c
+++ b/daemons/entry/main.c
@@ -56,6 +56,7 @@
 	d->draining = true;
 	PF_LOG(&d->log, PF_LOG_INFO, "draining", PF_KV_STR("why", why));
 	entry_step(d, &drain);
+	planner_leave(d);
 	event_add(d->stop_timer, &poll);
 	event_base_once(d->base, -1, EV_TIMEOUT, on_drain_over, d, &over);
 }
@@ -97,7 +98,9 @@
 	}
 	if (members_start(d) < 0)
 		return -1;
-	return config_start(d) < 0 ? -1 : changes_start(d);
+	if (config_start(d) < 0 || changes_start(d) < 0)
+		return -1;
+	return planner_start(d);
 }
 
 static void stop(struct daemon *d)
@@ -107,6 +110,7 @@
 	links_stop(d);
 	core_stop(d);
 	changes_stop(d);
+	planner_stop(d);
 	members_stop(d);
 	pf_follower_free(d->follower);
 	pf_table_free(d->table);
--- a/daemons/entry/members.c
+++ b/daemons/entry/members.c
@@ -17,6 +17,8 @@
 	if (s == PF_MEMBER_LEAVING && !pf_member_held(d->members, act->id) &&
 	    d->config && pf_config_endpoint(d->config, act->id))
 		entry_step(d, &m);
+	if (s == PF_MEMBER_LEAVING)
+		planner_hears(d, &m);
 	if (s == PF_MEMBER_LIVE)
 		links_use(d, act->id);
 }
--- a/src/coordination/place.c
+++ b/src/coordination/place.c
@@ -1,9 +1,12 @@
 /* Placement core: what is known of agents and demand, and the step function. */
 #include "place_core.h"
 
+#include <math.h>
 #include <stdlib.h>
 #include <string.h>
 
+#define WAITS_PER_PLAN 8 /* plans for budget alone, within plan_every */
+
 void pf_place_opts_default(struct pf_place_opts *o)
 {
 	*o = (struct pf_place_opts){
@@ -26,7 +29,7 @@
 	       o->fade > 0 && o->settle >= 0 && o->target > 0 && o->target <= 1;
 }
 
-static int take_memory(struct pf_place *p)
+static int take_memory(struct pf_placement *p)
 {
 	const struct pf_place_opts *o = &p->o;
 
@@ -37,8 +40,9 @@
 	p->entries = calloc(o->entries_max, sizeof(*p->entries));
 	p->items = calloc(o->models_max, sizeof(*p->items));
 	p->taken = calloc(o->models_max, sizeof(*p->taken));
+	p->by_size = calloc(o->models_max, sizeof(*p->by_size));
 	if (!p->agents || !p->models || !p->cells || !p->entries || !p->items ||
-	    !p->taken)
+	    !p->taken || !p->by_size)
 		return -1;
 	for (uint32_t i = 0; i < o->entries_max; i++) {
 		p->entries[i].demand = calloc(o->models_max, sizeof(double));
@@ -50,9 +54,9 @@
 	return pf_map_init(&p->by_model, o->models_max);
 }
 
-struct pf_place *pf_place_new(const struct pf_place_opts *o)
+struct pf_placement *pf_place_new(const struct pf_place_opts *o)
 {
-	struct pf_place *p;
+	struct pf_placement *p;
 
 	if (!valid(o))
 		return NULL;
@@ -67,7 +71,7 @@
 	return p;
 }
 
-void pf_place_free(struct pf_place *p)
+void pf_place_free(struct pf_placement *p)
 {
 	if (!p)
 		return;
@@ -75,6 +79,7 @@
 		free(p->entries[i].demand);
 	pf_map_free(&p->by_agent);
 	pf_map_free(&p->by_model);
+	free(p->by_size);
 	free(p->taken);
 	free(p->items);
 	free(p->entries);
@@ -84,36 +89,81 @@
 	free(p);
 }
 
+/* The engine's record if this planner plans it, or NULL. */
+static const struct pf_endpoint *planned(const struct pf_placement *p,
+					 uint64_t id)
+{
+	const struct pf_endpoint *e = NULL;
+
+	if (p->config)
+		e = pf_config_endpoint(p->config, id);
+	if (!e || e->kind != PF_ENDPOINT_ENGINE)
+		return NULL;
+	if (p->o.region && pf_id(pf_str_c(e->region)) != p->o.region)
+		return NULL;
+	return e;
+}
+
+/* A slot of an agent that is no longer declared, or gone for the longest. */
+static uint32_t stale_slot(const struct pf_placement *p)
+{
+	uint32_t best = PLACE_NONE;
+
+	for (uint32_t a = 0; a < p->n_agents; a++) {
+		const struct place_agent *ag = &p->agents[a];
+
+		if (!ag->record)
+			return a;
+		if (p->now - ag->seen < p->o.fresh)
+			continue;
+		if (best == PLACE_NONE || ag->seen < p->agents[best].seen)
+			best = a;
+	}
+	return best;
+}
+
 /* The slot of an agent, added when new; PLACE_NONE when full. */
-static uint32_t agent_slot(struct pf_place *p, uint64_t id)
+static uint32_t agent_slot(struct pf_placement *p, uint64_t id)
 {
 	uint32_t a;
 
 	if (pf_map_get(&p->by_agent, pf_key1(id), &a) == 0)
 		return a;
-	if (p->n_agents == p->o.agents_max)
+	if (!planned(p, id))
 		return PLACE_NONE;
-	a = p->n_agents++;
+	if (p->n_agents < p->o.agents_max) {
+		a = p->n_agents++;
+	} else {
+		a = stale_slot(p);
+		if (a == PLACE_NONE)
+			return a;
+		pf_map_del(&p->by_agent, pf_key1(p->agents[a].id));
+	}
 	pf_map_put(&p->by_agent, pf_key1(id), a);
 	p->agents[a] = (struct place_agent){ .id = id };
+	for (uint32_t m = 0; m < p->o.models_max; m++)
+		*place_cell(p, m, a) = (struct place_cell){ 0 };
 	return a;
 }
 
-static void set_record(struct pf_place *p, struct place_agent *ag)
+static void set_record(struct pf_placement *p, struct place_agent *ag)
 {
-	const struct pf_endpoint *e = NULL;
+	const struct pf_endpoint *e = planned(p, ag->id);
 
-	if (p->config)
-		e = pf_config_endpoint(p->config, ag->id);
-	if (e && e->kind != PF_ENDPOINT_ENGINE)
-		e = NULL;
 	ag->record = e;
 	ag->zone = e ? pf_id(pf_str_c(e->zone)) : 0;
 	ag->batch = e && e->batch_max ? e->batch_max : 1;
 }
 
+/* The model is no longer declared; those who were to hold it are told. */
+static void forget(struct pf_placement *p, uint32_t m)
+{
+	for (uint32_t a = 0; a < p->n_agents; a++)
+		p->agents[a].changed |= place_cell(p, m, a)->want;
+}
+
 /* Moves the columns of models that are still declared to their new places. */
-static void take_config(struct pf_place *p, const struct pf_config *c)
+static void take_config(struct pf_placement *p, const struct pf_config *c)
 {
 	size_t row = p->o.agents_max * sizeof(struct place_cell);
 	uint32_t n = 0;
@@ -123,8 +173,10 @@
 		const struct pf_model *r = pf_config_model(c, p->models[m].id);
 
 		pf_map_del(&p->by_model, pf_key1(p->models[m].id));
-		if (!r)
+		if (!r) {
+			forget(p, m);
 			continue;
+		}
 		p->models[n] = p->models[m];
 		p->models[n].record = r;
 		memmove(place_cell(p, n, 0), place_cell(p, m, 0), row);
@@ -144,11 +196,12 @@
 		pf_map_put(&p->by_model, pf_key1(r->id), n++);
 	}
 	p->n_models = n;
+	place_region_take(p);
 	for (uint32_t a = 0; a < p->n_agents; a++)
 		set_record(p, &p->agents[a]);
 }
 
-static void take_report(struct pf_place *p, const struct pf_report *r)
+static void take_report(struct pf_placement *p, const struct pf_report *r)
 {
 	uint32_t a = agent_slot(p, r->agent);
 	struct place_agent *ag;
@@ -160,6 +213,10 @@
 		set_record(p, ag);
 	ag->seen = p->now;
 	ag->gone = r->leaving || !r->ready;
+	/* One that was away, even between two plans, is met anew. */
+	if (ag->gone || ag->incarnation != r->incarnation)
+		ag->alive = false;
+	ag->incarnation = r->incarnation;
 	for (uint32_t m = 0; m < p->n_models; m++) {
 		place_cell(p, m, a)->have = false;
 		place_cell(p, m, a)->coming = false;
@@ -176,7 +233,7 @@
 	}
 }
 
-static struct place_entry *entry_slot(struct pf_place *p, uint64_t id)
+static struct place_entry *entry_slot(struct pf_placement *p, uint64_t id)
 {
 	struct place_entry *oldest = &p->entries[0];
 
@@ -192,7 +249,7 @@
 	return oldest;
 }
 
-static void take_demand(struct pf_place *p, const struct pf_place_msg *msg)
+static void take_demand(struct pf_placement *p, const struct pf_place_msg *msg)
 {
 	struct place_entry *e = entry_slot(p, msg->u.demand.entry);
 
@@ -212,16 +269,16 @@
  * counts as wanted the first time, so that a new planner moves nothing that
  * stands; what a dead one was to hold is forgotten.
  */
-static void survey(struct pf_place *p)
+static void survey(struct pf_placement *p)
 {
 	for (uint32_t a = 0; a < p->n_agents; a++) {
 		struct place_agent *ag = &p->agents[a];
-		bool alive = ag->record && !ag->gone &&
+		bool alive = ag->record && !ag->record->drain && !ag->gone &&
 			     p->now - ag->seen < p->o.fresh;
 		bool fresh = alive && !ag->alive;
 
 		ag->alive = alive;
-		ag->changed = fresh;
+		ag->changed |= fresh;
 		if (!alive || !ag->record)
 			continue;
 		ag->room = (int64_t)((double)ag->record->memory_bytes *
@@ -237,7 +294,7 @@
 	}
 }
 
-static void tell(struct pf_place *p, uint32_t a,
+static void tell(struct pf_placement *p, uint32_t a,
 		 const struct pf_place_sink *sink)
 {
 	struct pf_place_act act = { .agent = p->agents[a].id,
@@ -246,31 +303,63 @@
 	for (uint32_t m = 0; m < p->n_models; m++)
 		if (place_cell(p, m, a)->want)
 			p->items[act.n_items++] = p->models[m].id;
+	p->agents[a].told = p->now;
+	p->agents[a].changed = false;
 	sink->emit(sink->ctx, &act);
 }
 
-static void plan(struct pf_place *p, const struct pf_place_sink *sink)
+/* An order may be lost: what doesn't come is asked for again. */
+static bool lacking(const struct pf_placement *p, uint32_t a)
+{
+	if (p->now - p->agents[a].told < p->o.fresh)
+		return false;
+	for (uint32_t m = 0; m < p->n_models; m++) {
+		const struct place_cell *c = place_cell(p, m, a);
+
+		if (c->want && !c->have && !c->coming)
+			return true;
+	}
+	return false;
+}
+
+/* When a load only waits for budget, the next plan comes with it. */
+static pf_ms next_plan(const struct pf_placement *p)
+{
+	pf_ms token = (pf_ms)ceil((1 - p->loads) * 1000 / p->rate);
+	pf_ms least = p->o.plan_every / WAITS_PER_PLAN + 1;
+
+	if (!p->waits || p->rate <= 0 || token >= p->o.plan_every)
+		return p->now + p->o.plan_every;
+	return p->now + (token > least ? token : least);
+}
+
+static void plan(struct pf_placement *p, const struct pf_place_sink *sink)
 {
-	p->next = p->now + p->o.plan_every;
 	survey(p);
 	place_plan(p);
+	p->next = next_plan(p);
 	for (uint32_t a = 0; a < p->n_agents; a++)
-		if (p->agents[a].alive && p->agents[a].changed)
+		if (p->agents[a].alive &&
+		    (p->agents[a].changed || lacking(p, a)))
 			tell(p, a, sink);
 }
 
-static void take_lease(struct pf_place *p, bool held)
+static void take_lease(struct pf_placement *p, bool held)
 {
 	if (held && !p->held) {
 		/* Agents are told anew what this planner wants. */
 		for (uint32_t a = 0; a < p->n_agents; a++)
 			p->agents[a].alive = false;
 		p->next = p->now;
+		/* The one before may have spent what there was. */
+		p->loads = 0;
+		p->planned = p->now;
 	}
 	p->held = held;
 }
 
-void pf_place_step(struct pf_place *p, pf_ms now, const struct pf_place_msg *m,
+void pf_place_step(struct pf_placement *p, pf_ms now,
+		   const struct pf_place_msg *m,
 		   const struct pf_place_sink *sink)
 {
 	uint32_t a;
@@ -284,8 +373,10 @@
 		take_report(p, &m->u.report);
 		break;
 	case PF_PLACE_GONE:
-		if (pf_map_get(&p->by_agent, pf_key1(m->u.agent), &a) == 0)
-			p->agents[a].gone = true;
+		if (pf_map_get(&p->by_agent, pf_key1(m->u.agent), &a) < 0)
+			break;
+		p->agents[a].gone = true;
+		p->agents[a].alive = false;
 		break;
 	case PF_PLACE_DEMAND:
 		take_demand(p, m);
@@ -300,12 +391,12 @@
 	}
 }
 
-pf_ms pf_place_next(const struct pf_place *p)
+pf_ms pf_place_next(const struct pf_placement *p)
 {
 	return p->held && p->config ? p->next : PF_NEVER;
 }
 
-void pf_place_stats(const struct pf_place *p, struct pf_place_stats *s)
+void pf_place_stats(const struct pf_placement *p, struct pf_place_stats *s)
 {
 	*s = p->st;
 }
