--- a/bench/capacity.c
+++ b/bench/capacity.c
@@ -422,7 +422,7 @@
 	uint64_t acts = 0;
 	struct pf_place_sink sink = { place_emit, &acts };
 	struct pf_place_opts o;
-	struct pf_place *p;
+	struct pf_placement *p;
 	pf_ms now = 1000;
 
 	pf_place_opts_default(&o);
