--- a/src/coordination/member_pick.c
+++ b/src/coordination/member_pick.c
@@ -164,6 +164,9 @@
 /* Takes agents that add at least @least models, the nearest first. */
 static void cover_by(struct pf_member *m, uint32_t n, uint32_t least)
 {
+#ifdef PF_MUTANT_MEMBER_COVER
+	return;
+#endif
 	for (uint32_t i = 0; i < n && m->stats.wanted < m->opts.sessions; i++) {
 		struct pf_member_one *x = &m->v[m->order[i].slot];
 
@@ -238,9 +241,7 @@
 	take_own(m, n, true);
 	if (keep)
 		keep_extra(m, n);
-#ifndef PF_MUTANT_MEMBER_COVER
 	cover(m, n);
-#endif
 	take_own(m, n, false);
 	try_ended(m, n);
 }
