entry: a test of the planner in the daemon

Cause: nothing showed that the planner's orders reach an engine.

Change: a model that nobody asked for is loaded, and the takeover stands in the audit once.

--- a/tests/test_daemons.cc
+++ b/tests/test_daemons.cc
@@ -434,6 +434,25 @@
 		EXPECT_NE(all.str().find(word), std::string::npos) << word;
 }
 
+/* Nobody has asked for "draft"; the planner gives every model a home. */
+TEST_F(Daemons, ThePlannerLoadsWhatNobodyAskedFor)
+{
+	bool there = false;
+
+	for (int i = 0; i < 2000 && !there; i++) {
+		there = get(port(33), "/engine/inventory").find("draft@") !=
+			std::string::npos;
+		usleep(10000);
+	}
+	EXPECT_TRUE(there);
+	std::string audit = talk("GET /admin/audit HTTP/1.1\r\nHost: x\r\n"
+				 "Authorization: Bearer demo-deployment-key\r\n"
+				 "Connection: close\r\n\r\n",
+				 "");
+
+	EXPECT_EQ(count(audit, "takeover lease/planner/east"), 1u) << audit;
+}
+
 /* Last: the entry is asked to stop while it streams. */
 TEST_F(Daemons, StopsCutNoStream)
 {
