bench: recovery; placement: homes for other regions' models are kept

Cause: after the loss of a zone that was a whole region, models that the lost region owed a home had none, since demand replicas had taken the room.

Change: a region's planner also gives homes to what others owe, after its own, displacing replicas but no homes; such homes give way only to owed ones. bench/recovery.c measures lost engines with a planner for each region.

--- a/bench/bench.h
+++ b/bench/bench.h
@@ -109,6 +109,10 @@
 uint64_t engine_overcommits(const struct engine *e);
 uint64_t engine_loads(const struct engine *e, bool adapters);
 
+/* recovery.c: prints a line for the loss of a VM, a rack, a zone. */
+void recovery_run(const char *deployment, const struct pf_config *c,
+		  uint64_t seed);
+
 /* demand.c: arrivals. */
 struct demand;
 struct demand *demand_new(const struct bench_opts *o, struct pf_rng *r);
--- a/bench/main.c
+++ b/bench/main.c
@@ -122,7 +122,7 @@
 
 int main(int argc, char **argv)
 {
-	gchar *name = NULL, *only = NULL;
+	gchar *name = NULL, *only = NULL, *what = NULL;
 	gint64 seed = 1;
 	gint faults = -1, seconds = 600;
 	gdouble load = 0.5;
@@ -139,6 +139,8 @@
 		  "Demand as a part of what the accelerators decode", "X" },
 		{ "seconds", 0, 0, G_OPTION_ARG_INT, &seconds,
 		  "Virtual time of arrivals", "N" },
+		{ "what", 0, 0, G_OPTION_ARG_STRING, &what,
+		  "recovery: lost engines instead of policies", "NAME" },
 		{ "capacity", 0, 0, G_OPTION_ARG_NONE, &capacity,
 		  "Measure slopes and the size of each role instead", NULL },
 		{ NULL, 0, 0, G_OPTION_ARG_NONE, NULL, NULL, NULL },
@@ -172,6 +174,11 @@
 				 .zone_ms = d->zone_ms,
 				 .region_ms = d->region_ms,
 				 .client_ms = d->client_ms };
+	if (what && strcmp(what, "recovery") == 0) {
+		recovery_run(d->name, c, (uint64_t)seed);
+		pf_config_free(c);
+		return 0;
+	}
 	for (int f = 0; f < 2; f++) {
 		if (faults >= 0 && f != faults)
 			continue;
--- /dev/null
+++ b/bench/recovery.c
@@ -0,0 +1,313 @@
+/*
+ * Recovery: each region's planner, as the daemons run it, with small fake
+ * agents and the weight store in virtual time. After a quiet start engines
+ * are lost for good; how long until every model has a resident home again,
+ * and how many loads that took.
+ */
+#include "bench/bench.h"
+#include "bench/figures.h"
+#include "pimentoford/place.h"
+
+#include <math.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define ENGINES_MAX 64
+#define MODELS_MAX 256
+#define REGIONS_MAX 8
+#define STEP_MS 100
+#define REPORT_MS 1000
+#define SETTLE_MS 900000
+#define LIMIT_MS 600000
+#define NOTICE_MS 500 /* until an entry sees that a session broke */
+#define DEMAND_PART 0.35 /* of all batches, as in the other benches */
+
+struct engine_box {
+	const struct pf_endpoint *record;
+	bool lost;
+	uint64_t want[MODELS_MAX];
+	uint32_t n_want;
+	uint64_t have[MODELS_MAX];
+	uint32_t n_have;
+	uint64_t loading;
+	pf_ms done;
+};
+
+struct recovery {
+	const struct pf_config *c;
+	struct pf_rng rng;
+	pf_ms now;
+	struct engine_box engines[ENGINES_MAX];
+	uint32_t n_engines;
+	const char *regions[REGIONS_MAX];
+	struct pf_placement *planners[REGIONS_MAX];
+	uint32_t n_regions;
+	struct pf_demand demand[MODELS_MAX];
+	uint32_t inflight;
+	pf_ms store_next;
+	uint64_t loads;
+};
+
+static bool in_list(const uint64_t *v, uint32_t n, uint64_t id)
+{
+	for (uint32_t i = 0; i < n; i++)
+		if (v[i] == id)
+			return true;
+	return false;
+}
+
+static void emit(void *ctx, const struct pf_place_act *act)
+{
+	struct recovery *r = ctx;
+	uint32_t i = 0;
+
+	while (r->engines[i].record->id != act->agent)
+		i++;
+	memcpy(r->engines[i].want, act->items,
+	       act->n_items * sizeof(*act->items));
+	r->engines[i].n_want = act->n_items;
+}
+
+static void send(struct recovery *r, const char *region,
+		 const struct pf_place_msg *m)
+{
+	struct pf_place_sink sink = { emit, r };
+
+	for (uint32_t i = 0; i < r->n_regions; i++)
+		if (!region || strcmp(r->regions[i], region) == 0)
+			pf_place_step(r->planners[i], r->now, m, &sink);
+}
+
+/* Begins a load when the store's rate and slots allow. */
+static void load_next(struct recovery *r, struct engine_box *e)
+{
+	const struct pf_deployment *d = &r->c->deployment;
+
+	for (uint32_t i = 0; i < e->n_want; i++) {
+		if (in_list(e->have, e->n_have, e->want[i]))
+			continue;
+		if (r->inflight >= d->store_inflight || r->now < r->store_next)
+			return;
+		e->loading = e->want[i];
+		e->done = r->now +
+			  (pf_ms)((double)pf_config_model(r->c, e->loading)
+					  ->weight_bytes /
+				  LOAD_BYTES_MS);
+		r->store_next = r->now + (pf_ms)(1000 / d->store_loads_rate);
+		r->inflight++;
+		r->loads++;
+		return;
+	}
+}
+
+static void engine_work(struct recovery *r, struct engine_box *e)
+{
+	uint32_t n = 0;
+
+	if (e->loading && r->now >= e->done) {
+		e->have[e->n_have++] = e->loading;
+		e->loading = 0;
+		r->inflight--;
+	}
+	for (uint32_t i = 0; i < e->n_have; i++)
+		if (in_list(e->want, e->n_want, e->have[i]))
+			e->have[n++] = e->have[i];
+	e->n_have = n;
+	if (!e->loading)
+		load_next(r, e);
+}
+
+static void report(struct recovery *r, const struct engine_box *e)
+{
+	struct pf_item items[MODELS_MAX + 1] = { 0 };
+	struct pf_place_msg m = { .type = PF_PLACE_REPORT };
+	uint32_t n = 0;
+
+	for (; n < e->n_have; n++)
+		items[n] = (struct pf_item){ .id = e->have[n],
+					     .state = PF_ITEM_RESIDENT };
+	if (e->loading)
+		items[n++] = (struct pf_item){ .id = e->loading,
+					       .state = PF_ITEM_LOADING };
+	m.u.report.agent = e->record->id;
+	m.u.report.incarnation = 1;
+	m.u.report.ready = true;
+	m.u.report.items = items;
+	m.u.report.n_items = n;
+	send(r, e->record->region, &m);
+}
+
+static void tell_demand(struct recovery *r)
+{
+	struct pf_place_msg m = { .type = PF_PLACE_DEMAND };
+
+	m.u.demand.entry = 1;
+	m.u.demand.v = r->demand;
+	m.u.demand.n = r->c->n_models;
+	send(r, NULL, &m);
+}
+
+static void step(struct recovery *r)
+{
+	struct pf_place_msg tick = { .type = PF_PLACE_TICK };
+
+	for (uint32_t i = 0; i < r->n_engines; i++) {
+		struct engine_box *e = &r->engines[i];
+
+		if (e->lost)
+			continue;
+		engine_work(r, e);
+		if (r->now % REPORT_MS == 0)
+			report(r, e);
+	}
+	if (r->now % REPORT_MS == 0)
+		tell_demand(r);
+	send(r, NULL, &tick);
+	r->now += STEP_MS;
+}
+
+/* Models without a resident home. */
+static uint32_t homeless(const struct recovery *r)
+{
+	uint32_t n = 0;
+
+	for (size_t m = 0; m < r->c->n_models; m++) {
+		bool found = false;
+
+		for (uint32_t i = 0; i < r->n_engines && !found; i++)
+			found = !r->engines[i].lost &&
+				in_list(r->engines[i].have,
+					r->engines[i].n_have,
+					r->c->models[m].id);
+		n += !found;
+	}
+	return n;
+}
+
+static void lose(struct recovery *r, const char *loss)
+{
+	uint32_t first = pf_rng_below(&r->rng, r->n_engines);
+	const char *zone = r->engines[first].record->zone;
+	uint32_t in_zone = 0, left = 1;
+
+	for (uint32_t i = 0; i < r->n_engines; i++)
+		in_zone += strcmp(r->engines[i].record->zone, zone) == 0;
+	if (strcmp(loss, "rack") == 0)
+		left = (in_zone + 2) / 3;
+	else if (strcmp(loss, "zone") == 0)
+		left = in_zone;
+	for (uint32_t k = 0; k < r->n_engines && left; k++) {
+		struct engine_box *e = &r->engines[(first + k) % r->n_engines];
+
+		if (strcmp(e->record->zone, zone) != 0)
+			continue;
+		e->lost = true;
+		r->inflight -= e->loading != 0;
+		left--;
+	}
+}
+
+static void notice(struct recovery *r)
+{
+	struct pf_place_msg m = { .type = PF_PLACE_GONE };
+
+	for (uint32_t i = 0; i < r->n_engines; i++) {
+		m.u.agent = r->engines[i].record->id;
+		if (r->engines[i].lost)
+			send(r, r->engines[i].record->region, &m);
+	}
+}
+
+static void add_region(struct recovery *r, const char *region)
+{
+	struct pf_place_msg m = { .type = PF_PLACE_CONFIG };
+	struct pf_place_sink sink = { emit, r };
+	struct pf_place_opts o;
+
+	for (uint32_t i = 0; i < r->n_regions; i++)
+		if (strcmp(r->regions[i], region) == 0)
+			return;
+	if (r->n_regions == REGIONS_MAX)
+		abort();
+	pf_place_opts_default(&o);
+	o.region = pf_id(pf_str_c(region));
+	r->planners[r->n_regions] = pf_place_new(&o);
+	if (!r->planners[r->n_regions])
+		abort();
+	m.u.config = r->c;
+	pf_place_step(r->planners[r->n_regions], r->now, &m, &sink);
+	m.type = PF_PLACE_LEASE;
+	m.u.held = true;
+	pf_place_step(r->planners[r->n_regions], r->now, &m, &sink);
+	r->regions[r->n_regions++] = region;
+}
+
+/* The regions share the demand; a few models draw most of it. */
+static void draw_demand(struct recovery *r)
+{
+	double batches = 0, sum = 0, w[MODELS_MAX];
+
+	for (uint32_t i = 0; i < r->n_engines; i++)
+		batches += r->engines[i].record->batch_max;
+	for (size_t m = 0; m < r->c->n_models; m++) {
+		w[m] = pow(pf_rng_unit(&r->rng) + 0.02, -1);
+		sum += w[m];
+	}
+	for (size_t m = 0; m < r->c->n_models; m++) {
+		r->demand[m].model = r->c->models[m].id;
+		r->demand[m].alive = (uint32_t)(DEMAND_PART * batches * w[m] /
+						sum / r->n_regions);
+	}
+}
+
+static void run(const char *name, const struct pf_config *c, uint64_t seed,
+		const char *loss)
+{
+	struct recovery *r = calloc(1, sizeof(*r));
+	uint32_t before, lost;
+	uint64_t loads;
+	pf_ms start;
+
+	if (!r || c->n_models > MODELS_MAX)
+		abort();
+	r->c = c;
+	pf_rng_seed(&r->rng, seed);
+	for (size_t i = 0; i < c->n_endpoints; i++)
+		if (c->endpoints[i].kind == PF_ENDPOINT_ENGINE &&
+		    r->n_engines < ENGINES_MAX)
+			r->engines[r->n_engines++].record = &c->endpoints[i];
+	for (uint32_t i = 0; i < r->n_engines; i++)
+		add_region(r, r->engines[i].record->region);
+	draw_demand(r);
+	while (r->now < SETTLE_MS)
+		step(r);
+	before = homeless(r);
+	start = r->now;
+	loads = r->loads;
+	lose(r, loss);
+	lost = homeless(r);
+	while (r->now < start + LIMIT_MS && homeless(r) > 0) {
+		step(r);
+		if (r->now == start + NOTICE_MS)
+			notice(r);
+	}
+	printf("bench: what=recovery deployment=%s seed=%llu loss=%s "
+	       "recovery_s=%.1f moves=%llu homeless_before=%u homeless=%u "
+	       "left_homeless=%u\n",
+	       name, (unsigned long long)seed, loss,
+	       (double)(r->now - start) / 1000,
+	       (unsigned long long)(r->loads - loads), before, lost,
+	       homeless(r));
+	for (uint32_t i = 0; i < r->n_regions; i++)
+		pf_place_free(r->planners[i]);
+	free(r);
+}
+
+void recovery_run(const char *deployment, const struct pf_config *c,
+		  uint64_t seed)
+{
+	run(deployment, c, seed, "vm");
+	run(deployment, c, seed, "rack");
+	run(deployment, c, seed, "zone");
+}
--- a/fuzz/place_rig.h
+++ b/fuzz/place_rig.h
@@ -32,7 +32,7 @@
 	struct pf_config config;
 	struct pf_model models[RIG_MODELS];
 	struct pf_endpoint endpoints[RIG_AGENTS];
-	char names[RIG_AGENTS][16];
+	char names[RIG_AGENTS][24];
 	struct place_rig_agent agents[RIG_AGENTS];
 	struct pf_demand demand[RIG_MODELS];
 	struct pf_placement *place;
--- a/src/coordination/place_core.h
+++ b/src/coordination/place_core.h
@@ -61,6 +61,7 @@
 	uint32_t inflight; /* and of its loads at once */
 	uint32_t pending; /* asked for and not finished */
 	bool waits; /* something waits for budget */
+	bool urgent; /* homes that are owed are being placed */
 
 	struct place_agent *agents;
 	uint32_t n_agents;
--- a/src/coordination/place_plan.c
+++ b/src/coordination/place_plan.c
@@ -22,11 +22,12 @@
 
 	if (!c->want || p->now - c->since < p->o.settle)
 		return -1;
-	if (mo->own && mo->replicas < 2)
+	/* What another region owes a home gives way only to what we owe. */
+	if (!(p->urgent && !mo->own) && mo->replicas < 2)
 		return -1;
 		/* The last one that is there stays until another has come. */
 #ifndef PF_MUTANT_PLACE_LAST
-	if (mo->own && c->have && mo->resident < 2)
+	if (!(p->urgent && !mo->own) && c->have && mo->resident < 2)
 		return -1;
 #endif
 	if (mo->replicas <= 2)
@@ -137,13 +138,14 @@
 /* The largest first: what is small fits into what they leave. */
 static void plan_homes(struct pf_placement *p, bool own)
 {
+	p->urgent = own;
 	for (uint32_t i = 0; i < p->n_models; i++) {
 		uint32_t m = p->by_size[i];
 		uint32_t a;
 
 		if (p->models[m].replicas > 0 || p->models[m].own != own)
 			continue;
-		a = home_for(p, m, false, own);
+		a = home_for(p, m, false, true);
 		p->st.unplaced += own;
 		if (a == PLACE_NONE || !affordable(p, m, a))
 			continue;
@@ -151,6 +153,7 @@
 		p->st.homes++;
 		p->st.unplaced -= own;
 	}
+	p->urgent = false;
 }
 
 /* Another home for what stands at @a alone, so that it can be given up. */
@@ -271,11 +274,11 @@
 	place_split(p);
 	p->st.unplaced = 0;
 	plan_homes(p, true);
+	plan_homes(p, false);
 	place_split(p);
 	shed(p);
 	while (grow(p))
 		;
-	plan_homes(p, false);
 	plan_seconds(p);
 	p->st.plans++;
 	p->planned = p->now;
