accept: a refused resend closes its change id first

Cause: a resend with an older base could be answered 'conflict, not applied' while the first try's lost transaction was still on its way and took effect later, since the head had not moved. The transaction was conditional on change/ID being absent already; nothing ever wrote that row for a refusal.

Change: a refusal of a resend, or of a change with a lost transaction of its own, first writes change/ID as closed, conditional on its absence; if the row is there, the first outcome is answered. The fuzz target lets entries die, so that commits arrive after the resend was answered; each commit is checked against the base that it was made for.

--- a/fuzz/accept_rig.h
+++ b/fuzz/accept_rig.h
@@ -38,6 +38,7 @@
 	size_t n_checks;
 	struct rig_row puts[16];
 	size_t n_puts;
+	uint64_t base; /* of its change; for an oracle */
 };
 
 static inline size_t rig_find(const struct rig_table *t, const char *key,
--- a/fuzz/fuzz_accept.c
+++ b/fuzz/fuzz_accept.c
@@ -15,6 +15,7 @@
 #define CHANGES_MAX 64
 #define LATE_MAX 16
 #define OUTAGE_MAX 60
+#define CALM_STEPS 60
 
 /* One change id and what became of it. */
 struct asked {
@@ -26,9 +27,11 @@
 	bool has_base;
 	uint64_t base;
 	int open; /* tickets without an outcome */
+	int core; /* that it was last submitted to */
 	uint32_t commits;
 	uint64_t revision; /* of its commit */
 	bool said_not_applied; /* since it was last submitted */
+	bool closed; /* its id can take no effect any more */
 };
 
 struct world {
@@ -50,6 +53,7 @@
 	uint64_t head; /* by the oracle */
 	struct pf_records set; /* by the oracle; stamps say who wrote */
 	struct pf_records gone;
+	bool mortal; /* entries die in this run */
 	uint32_t outage; /* requests that the table fails from now on */
 	pf_ms now;
 };
@@ -89,6 +93,23 @@
 	}
 }
 
+static struct asked *asked_by_op(struct world *w, const struct rig_op *op)
+{
+	for (size_t i = 0; i < op->n_puts; i++)
+		if (strncmp(op->puts[i].key, PF_ROW_CHANGES, 7) == 0)
+			return asked_by_id(w, op->puts[i].key + 7);
+	return NULL;
+}
+
+/* A later resend may name another base; this transaction knows its own. */
+static void note_base(struct world *w, struct rig_op *op)
+{
+	const struct asked *q = asked_by_op(w, op);
+
+	if (q)
+		op->base = q->base;
+}
+
 static void emit(void *ctx, const struct pf_accept_act *act)
 {
 	struct sink_ctx *c = ctx;
@@ -100,11 +121,12 @@
 	}
 	PF_INVARIANT("ops have room", w->n_ops < RIG_OPS);
 	rig_copy(&w->ops[w->n_ops], act);
+	note_base(w, &w->ops[w->n_ops]);
 	w->ops[w->n_ops++].core = c->core;
 }
 
 /* Another change must not have written the record after the base. */
-static void check_base(struct world *w, const struct asked *q,
+static void check_base(struct world *w, const struct asked *q, uint64_t base,
 		       enum pf_kind kind, const char *name)
 {
 	const struct pf_record *now =
@@ -112,13 +134,13 @@
 
 	if (!now)
 		now = pf_records_find(&w->gone, kind, pf_str_c(name));
-	if (now && q->has_base && now->stamp.revision > q->base)
+	if (now && q->has_base && now->stamp.revision > base)
 		fuzz_violation(w->r, "%s overwrote a change it had not seen",
 			       q->id);
 }
 
 /* Brings the oracle's own set up to a commit. */
-static void follow(struct world *w, const struct asked *q)
+static void follow(struct world *w, const struct asked *q, uint64_t base)
 {
 	for (size_t i = 0; i < q->puts.n; i++) {
 		struct pf_record p = q->puts.v[i];
@@ -127,7 +149,7 @@
 
 		if (now && strcmp(now->text, p.text) == 0)
 			continue;
-		check_base(w, q, p.kind, p.name);
+		check_base(w, q, base, p.kind, p.name);
 		p.stamp.revision = w->head;
 		pf_records_del(&w->gone, p.kind, pf_str_c(p.name));
 		pf_records_put(&w->set, &p);
@@ -138,7 +160,7 @@
 				       .text = "",
 				       .stamp = { .revision = w->head } };
 
-		check_base(w, q, d.kind, d.name);
+		check_base(w, q, base, d.kind, d.name);
 		pf_records_del(&w->set, d.kind, pf_str_c(d.name));
 		pf_records_put(&w->gone, &d);
 	}
@@ -179,24 +201,38 @@
 	pf_findings_clear(&f);
 }
 
+static bool closes(const struct rig_op *op)
+{
+	struct pf_change_row c;
+
+	for (size_t i = 0; i < op->n_puts; i++)
+		if (strncmp(op->puts[i].key, PF_ROW_CHANGES, 7) == 0 &&
+		    pf_row_change_parse(pf_str_c(op->puts[i].value), &c) == 0)
+			return c.closed[0] != '\0';
+	return false;
+}
+
 static void on_commit(struct world *w, const struct rig_op *op)
 {
 	const struct rig_row *row = rig_row(&w->table, PF_ROW_HEAD);
+	struct asked *q = asked_by_op(w, op);
 	struct pf_head head = { 0 };
-	struct asked *q = NULL;
 	bool moved = false;
 
-	for (size_t i = 0; i < op->n_puts; i++) {
-		const char *key = op->puts[i].key;
-
-		moved |= strcmp(key, PF_ROW_HEAD) == 0;
-		if (strncmp(key, PF_ROW_CHANGES, 7) == 0)
-			q = asked_by_id(w, key + 7);
-	}
+	for (size_t i = 0; i < op->n_puts; i++)
+		moved |= strcmp(op->puts[i].key, PF_ROW_HEAD) == 0;
 	if (!q) {
 		fuzz_violation(w->r, "a commit without a change");
 		return;
 	}
+	if (closes(op)) {
+		if (q->commits || op->n_puts > 1)
+			fuzz_violation(w->r, "%s closed wrongly", q->id);
+		q->closed = true;
+		return;
+	}
+	if (q->closed)
+		fuzz_violation(w->r, "%s closed, then applied", q->id);
 	if (row)
 		pf_row_head_parse(pf_str_c(row->value), &head);
 	if (head.revision != w->head + moved)
@@ -209,7 +245,7 @@
 		fuzz_violation(w->r, "%s committed twice", q->id);
 	if (q->said_not_applied)
 		fuzz_violation(w->r, "%s said not applied, then was", q->id);
-	follow(w, q);
+	follow(w, q, op->base);
 	check_set(w);
 }
 
@@ -269,7 +305,7 @@
 	uint32_t n = 1 + pf_rng_below(&w->rng, 2);
 
 	snprintf(q->id, sizeof(q->id), "ch-%zu", w->n_asked);
-	q->has_base = pf_rng_below(&w->rng, 2);
+	q->has_base = pf_rng_below(&w->rng, 4) > 0;
 	q->base = w->head - (w->head ? pf_rng_below(&w->rng, 2) : 0);
 	if (pf_rng_below(&w->rng, 8) == 0) {
 		q->deletes = true;
@@ -308,6 +344,7 @@
 
 	m.u.change = &c;
 	q->open++;
+	q->core = core;
 	q->said_not_applied = false;
 	pf_accept_step(w->cores[core], w->now, &m, &w->sinks[core]);
 }
@@ -317,17 +354,34 @@
 {
 	struct asked *q = &w->asked[i];
 
-	if (q->has_base && !q->commits && pf_rng_below(&w->rng, 3) == 0)
-		q->base = q->base ? q->base - 1 : 0;
+	if (q->has_base && !q->commits && pf_rng_below(&w->rng, 2) == 0)
+		q->base =
+			pf_rng_below(&w->rng, 2)
+				? 0
+				: pf_rng_below(&w->rng, (uint32_t)q->base + 1);
 	submit(w, i, true);
 }
 
+/* A change whose transaction is still on its way, if there is one. */
+static size_t draw_resent(struct world *w)
+{
+	const struct asked *q;
+
+	if (w->n_late && pf_rng_below(&w->rng, 2) == 0) {
+		q = asked_by_op(
+			w,
+			&w->late[pf_rng_below(&w->rng, (uint32_t)w->n_late)]);
+		return (size_t)(q - w->asked);
+	}
+	return pf_rng_below(&w->rng, (uint32_t)w->n_asked);
+}
+
 /* A new change, or one whose outcome the operator can't trust. */
 static void operator_acts(struct world *w)
 {
-	size_t i = w->n_asked ? pf_rng_below(&w->rng, (uint32_t)w->n_asked) : 0;
-
 	if (w->n_asked && pf_rng_below(&w->rng, 4) == 0) {
+		size_t i = draw_resent(w);
+
 		if (!w->asked[i].open)
 			resend(w, i);
 		return;
@@ -341,11 +395,12 @@
 /* Answers a commit that was lost, and may let it take effect later. */
 static enum pf_table_status lose(struct world *w, struct rig_op *op)
 {
-	switch (pf_rng_below(&w->rng, 3)) {
+	switch (pf_rng_below(&w->rng, 4)) {
 	case 0:
 		commit(w, op);
 		break;
 	case 1:
+	case 2:
 		if (w->n_late == LATE_MAX)
 			break;
 		w->late[w->n_late++] = *op;
@@ -394,13 +449,25 @@
 	rig_op_free(&op);
 }
 
+/* The worst one to arrive now: its operator was told "not applied". */
+static size_t draw_late(struct world *w)
+{
+	for (size_t i = 0; i < w->n_late; i++) {
+		const struct asked *q = asked_by_op(w, &w->late[i]);
+
+		if (q && q->said_not_applied && pf_rng_below(&w->rng, 2) == 0)
+			return i;
+	}
+	return pf_rng_below(&w->rng, (uint32_t)w->n_late);
+}
+
 static void late_acts(struct world *w)
 {
 	size_t i;
 
 	if (!w->n_late)
 		return;
-	i = pf_rng_below(&w->rng, (uint32_t)w->n_late);
+	i = draw_late(w);
 	commit(w, &w->late[i]);
 	rig_op_free(&w->late[i]);
 	w->late[i] = w->late[--w->n_late];
@@ -416,24 +483,96 @@
 			pf_accept_step(w->cores[i], w->now, &m, &w->sinks[i]);
 }
 
+static int core_start(struct world *w, int i, uint64_t seed)
+{
+	struct pf_accept_opts o;
+
+	pf_accept_opts_default(&o);
+	o.seed = seed;
+	o.region = i ? "west" : "east";
+	o.page = 3;
+	o.changes_max = 4;
+	o.give_up = 6000;
+	w->cores[i] = pf_accept_new(&o);
+	return w->cores[i] ? 0 : -1;
+}
+
+/* What a dead core had asked: its commits may still arrive. */
+static void orphan_ops(struct world *w, int core)
+{
+	size_t kept = 0;
+
+	for (size_t i = 0; i < w->n_ops; i++) {
+		struct rig_op *op = &w->ops[i];
+
+		if (op->core != core)
+			w->ops[kept++] = *op;
+		else if (op->type == PF_ACCEPT_COMMIT && w->n_late < LATE_MAX)
+			w->late[w->n_late++] = *op;
+		else
+			rig_op_free(op);
+	}
+	w->n_ops = kept;
+}
+
+/* Preferably one whose commit is on its way. */
+static int draw_victim(struct world *w)
+{
+	for (size_t i = 0; i < w->n_ops; i++)
+		if (w->ops[i].type == PF_ACCEPT_COMMIT)
+			return w->ops[i].core;
+	return (int)pf_rng_below(&w->rng, CORES);
+}
+
+/* No faults until @q has its outcome; then the late commits arrive. */
+static void calm(struct world *w, const struct asked *q)
+{
+	for (int i = 0; i < CALM_STEPS && q->open; i++) {
+		if (w->n_ops)
+			table_acts(w, 0);
+		else
+			clock_acts(w, 100);
+	}
+	if (!q->open)
+		late_acts(w);
+}
+
+/* An entry dies; its operators send again, to whichever entry answers. */
+static void core_dies(struct world *w)
+{
+	int core = draw_victim(w);
+	const struct asked *last = NULL;
+
+	orphan_ops(w, core);
+	pf_accept_free(w->cores[core]);
+	if (core_start(w, core, pf_id2(w->n_asked, (uint64_t)w->now)) < 0) {
+		fuzz_violation(w->r, "no memory");
+		return;
+	}
+	for (size_t i = 0; i < w->n_asked; i++) {
+		struct asked *q = &w->asked[i];
+
+		if (!q->open || q->core != core)
+			continue;
+		q->open = 0;
+		resend(w, i);
+		last = q;
+	}
+	/* Often it is answered before the dead core's commit arrives. */
+	if (last && pf_rng_below(&w->rng, 2) == 0)
+		calm(w, last);
+}
+
 static int set_up(struct world *w, uint64_t seed, struct fuzz_result *r)
 {
 	w->r = r;
 	w->now = 1000;
 	pf_rng_seed(&w->rng, seed);
+	w->mortal = pf_rng_below(&w->rng, 2);
 	for (int i = 0; i < CORES; i++) {
-		struct pf_accept_opts o;
-
-		pf_accept_opts_default(&o);
-		o.seed = pf_id2(seed, (uint64_t)i);
-		o.region = i ? "west" : "east";
-		o.page = 3;
-		o.changes_max = 4;
-		o.give_up = 6000;
-		w->cores[i] = pf_accept_new(&o);
 		w->ctx[i] = (struct sink_ctx){ w, i };
 		w->sinks[i] = (struct pf_accept_sink){ emit, &w->ctx[i] };
-		if (!w->cores[i])
+		if (core_start(w, i, pf_id2(seed, (uint64_t)i)) < 0)
 			return -1;
 	}
 	return 0;
@@ -471,6 +610,18 @@
 				       w->asked[i].id);
 }
 
+/* A commit is on its way whose operator was told that it isn't applied. */
+static bool told_too_soon(struct world *w)
+{
+	for (size_t i = 0; i < w->n_late; i++) {
+		const struct asked *q = asked_by_op(w, &w->late[i]);
+
+		if (q && q->said_not_applied)
+			return true;
+	}
+	return false;
+}
+
 void fuzz_accept(uint64_t seed, uint32_t steps_max, struct fuzz_result *r)
 {
 	struct world *w = calloc(1, sizeof(*w));
@@ -485,11 +636,15 @@
 		r->steps++;
 		if (draw < 12)
 			operator_acts(w);
+		else if (draw < 40 && told_too_soon(w))
+			late_acts(w);
 		else if (draw < 85)
 			table_acts(w, 8);
 		else if (draw < 88)
 			late_acts(w);
-		else if (draw < 89)
+		else if (w->mortal && draw < 92)
+			core_dies(w);
+		else if (draw < 90)
 			w->outage = pf_rng_below(&w->rng, OUTAGE_MAX);
 		else
 			clock_acts(w, 1 + (pf_ms)pf_rng_below(&w->rng, 400));
--- a/include/pimentoford/rows.h
+++ b/include/pimentoford/rows.h
@@ -66,9 +66,11 @@
 int pf_row_audit_parse(struct pf_str value, struct pf_audit *a);
 void pf_audit_free(struct pf_audit *a);
 
-/** The outcome of an accepted change. */
+/** The outcome of a change. */
 struct pf_change_row {
-	uint64_t revision; /* in which it is in force */
+	/* Why the id was closed without effect; empty: it was accepted. */
+	char closed[PF_LABEL_MAX];
+	uint64_t revision; /* accepted: in which it is in force */
 	uint64_t digest; /* of what was asked for */
 };
 
--- a/src/coordination/accept.c
+++ b/src/coordination/accept.c
@@ -17,6 +17,7 @@
 	READ_AUDITS, /* what happened since the mirror's revision */
 	READ_CHANGE, /* whether this id was accepted before */
 	COMMIT,
+	CLOSE, /* the id of a refused change */
 	PAUSE,
 };
 
@@ -41,6 +42,7 @@
 	 * only take effect while the head's row is at this revision. */
 	bool pending;
 	uint64_t pending_at;
+	struct verdict refusal; /* told once the id is closed */
 	struct pf_accept_stats stats;
 };
 
@@ -109,6 +111,7 @@
 	for (uint32_t i = 0; i < a->n; i++)
 		job_free(job_at(a, i));
 	free(a->jobs);
+	verdict_free(&a->refusal);
 	pf_mirror_clear(&a->mirror);
 	free(a);
 }
@@ -387,6 +390,36 @@
 	commit_free(&c);
 }
 
+/*
+ * A transaction of this id may still be on its way: the id is closed before
+ * the refusal is told. Takes @v over.
+ */
+static void close_id(const struct step *s, struct verdict *v)
+{
+	struct pf_accept *a = s->a;
+	struct pf_accept_act act = { .type = PF_ACCEPT_COMMIT };
+	struct commit c;
+
+	verdict_free(&a->refusal);
+	a->refusal = *v;
+	memset(v, 0, sizeof(*v));
+	if (commit_build_close(&c, job_at(a, 0), a->refusal.outcome) == 0) {
+		act.u.txn = c.txn;
+		ask(s, CLOSE, &act);
+	} else {
+		again(s);
+	}
+	commit_free(&c);
+}
+
+static bool may_arrive(struct pf_accept *a)
+{
+#ifdef PF_MUTANT_ACCEPT_CLOSE
+	return false;
+#endif
+	return a->pending || job_at(a, 0)->resent;
+}
+
 /* The id is free and the mirror is at the head: judge and commit. */
 static void judge(const struct step *s)
 {
@@ -397,13 +430,47 @@
 	job_judge(j, &a->mirror, a->o.schema_max, &v);
 	if (v.outcome == PF_OUTCOME_ACCEPTED)
 		commit(s, &v);
-	else if (a->pending)
+	else if (v.outcome == PF_OUTCOME_AWAY)
 		again(s);
+	else if (may_arrive(a))
+		close_id(s, &v);
 	else
 		finish(s, v.outcome, 0, &v.findings);
 	verdict_free(&v);
 }
 
+/* The row of another change that had the same id. */
+static void id_used(const struct step *s, const struct pf_change_row *c)
+{
+	struct pf_findings f = { 0 };
+
+	if (c->closed[0])
+		pf_findings_add(&f, "id",
+				"was used for another change, which was not "
+				"applied");
+	else
+		pf_findings_add(&f, "id",
+				"was used for another change, accepted in "
+				"revision %llu",
+				(unsigned long long)c->revision);
+	finish(s, PF_OUTCOME_REFUSED, 0, &f);
+	pf_findings_clear(&f);
+}
+
+static void id_closed(const struct step *s, const struct pf_change_row *c)
+{
+	bool conflict =
+		strcmp(c->closed, pf_outcome_code(PF_OUTCOME_CONFLICT)) == 0;
+	struct pf_findings f = { 0 };
+
+	pf_findings_add(&f, "id",
+			"was closed by an earlier answer (%s): the change was "
+			"not applied; send it under another id",
+			c->closed);
+	finish(s, conflict ? PF_OUTCOME_CONFLICT : PF_OUTCOME_REFUSED, 0, &f);
+	pf_findings_clear(&f);
+}
+
 static void on_change(const struct step *s, const struct pf_table_row *row)
 {
 	struct pf_accept *a = s->a;
@@ -420,16 +487,12 @@
 		broken_row(s, "change row");
 		return;
 	}
-	if (c.digest == job_at(a, 0)->digest) {
+	if (c.digest != job_at(a, 0)->digest)
+		id_used(s, &c);
+	else if (c.closed[0])
+		id_closed(s, &c);
+	else
 		finish(s, PF_OUTCOME_ACCEPTED, c.revision, &f);
-		return;
-	}
-	pf_findings_add(&f, "id",
-			"was used for another change, accepted in revision "
-			"%llu",
-			(unsigned long long)c.revision);
-	finish(s, PF_OUTCOME_REFUSED, 0, &f);
-	pf_findings_clear(&f);
 }
 
 /* The answer to a commit is lost: only reading can tell. */
@@ -445,6 +508,17 @@
 	again(s);
 }
 
+/* Anything but OK is settled by reading the change's row again. */
+static void on_closed(const struct step *s, enum pf_table_status status)
+{
+	struct pf_accept *a = s->a;
+
+	if (status == PF_TABLE_OK)
+		finish(s, a->refusal.outcome, 0, &a->refusal.findings);
+	else
+		again(s);
+}
+
 static void on_committed(const struct step *s, enum pf_table_status status)
 {
 	struct pf_findings none = { 0 };
@@ -535,7 +609,7 @@
 	case PF_ACCEPT_ROWS:
 		return a->stage == READ_RECORDS || a->stage == READ_AUDITS;
 	case PF_ACCEPT_COMMITTED:
-		return a->stage == COMMIT;
+		return a->stage == COMMIT || a->stage == CLOSE;
 	default:
 		return false;
 	}
@@ -560,7 +634,11 @@
 			on_rows(&s, msg);
 		break;
 	case PF_ACCEPT_COMMITTED:
-		if (awaited(a, msg))
+		if (!awaited(a, msg))
+			break;
+		if (a->stage == CLOSE)
+			on_closed(&s, msg->u.committed.status);
+		else
 			on_committed(&s, msg->u.committed.status);
 		break;
 	case PF_ACCEPT_SCHEMA:
--- a/src/coordination/accept_commit.c
+++ b/src/coordination/accept_commit.c
@@ -111,6 +111,17 @@
 	return v->puts.n + v->deletes.n > 0 || strcmp(j->what, "apply") != 0;
 }
 
+/* Every text is there: the transaction may go out. */
+static int seal(struct commit *c)
+{
+	for (size_t i = 0; i < c->n_texts; i++)
+		if (!c->texts[i])
+			return -1;
+	c->txn.checks = c->checks;
+	c->txn.puts = c->puts;
+	return 0;
+}
+
 int commit_build(struct commit *c, const struct job *j, const struct verdict *v,
 		 const struct pf_mirror *m, const struct seen_head *head,
 		 const char *region)
@@ -118,7 +129,8 @@
 	bool moves = alters(j, v);
 	struct pf_stamp s = stamp_of(j, head->head.revision + moves);
 	struct pf_head next = { .revision = s.revision };
-	struct pf_change_row row = { s.revision, j->digest };
+	struct pf_change_row row = { .revision = s.revision,
+				     .digest = j->digest };
 	char key[PF_ROW_KEY_MAX];
 	struct pf_str head_key, change_key;
 
@@ -140,12 +152,24 @@
 		put(c, head_key, pf_row_head_text(&next));
 		put_audit(c, j, v, m, &s, region);
 	}
-	for (size_t i = 0; i < c->n_texts; i++)
-		if (!c->texts[i])
-			return -1;
-	c->txn.checks = c->checks;
-	c->txn.puts = c->puts;
-	return 0;
+	return seal(c);
+}
+
+int commit_build_close(struct commit *c, const struct job *j,
+		       enum pf_outcome outcome)
+{
+	struct pf_change_row row = { .digest = j->digest };
+	char key[PF_ROW_KEY_MAX];
+	struct pf_str change_key;
+
+	memset(c, 0, sizeof(*c));
+	if (take_memory(c, 0) < 0)
+		return -1;
+	strncpy(row.closed, pf_outcome_code(outcome), sizeof(row.closed) - 1);
+	change_key = keep_key(c, pf_row_change_key(key, j->id));
+	check(c, change_key, 0);
+	put(c, change_key, pf_row_change_text(&row));
+	return seal(c);
 }
 
 void commit_free(struct commit *c)
--- a/src/coordination/accept_internal.h
+++ b/src/coordination/accept_internal.h
@@ -66,4 +66,12 @@
 		 const char *region);
 void commit_free(struct commit *c);
 
+/*
+ * Builds the transaction that closes the id of a change which was refused as
+ * @outcome: no try of it that is still on its way can take effect afterwards.
+ * Returns and is freed like commit_build().
+ */
+int commit_build_close(struct commit *c, const struct job *j,
+		       enum pf_outcome outcome);
+
 #endif
--- a/src/state/rows.c
+++ b/src/state/rows.c
@@ -258,8 +258,9 @@
 	char digest[32];
 
 	snprintf(digest, sizeof(digest), "%016" PRIx64, c->digest);
-	return dump(json_pack("{s:I,s:s}", "revision", (json_int_t)c->revision,
-			      "digest", digest));
+	return dump(json_pack("{s:I,s:s,s:s*}", "revision",
+			      (json_int_t)c->revision, "digest", digest,
+			      "closed", c->closed[0] ? c->closed : NULL));
 }
 
 int pf_row_change_parse(struct pf_str value, struct pf_change_row *c)
@@ -276,6 +277,8 @@
 		goto out;
 	c->digest = g_ascii_strtoull(digest, NULL, 16);
 	rc = 0;
+	if (json_object_get(j, "closed"))
+		rc = label(j, "closed", c->closed);
 out:
 	json_decref(j);
 	return rc;
--- a/tests/test_accept.cc
+++ b/tests/test_accept.cc
@@ -313,6 +313,66 @@
 	}
 }
 
+// The first try's transaction arrives after a resend was refused, while the
+// head stands still: it must have no effect, or the refusal was untrue.
+TEST(Accept, RefusedResendStopsTheFirstTry)
+{
+	const struct {
+		Fate close; // of the write that closes the id
+		bool lands; // the first try arrives before that write
+		enum pf_outcome want, then;
+	} cases[] = {
+		{ DO, false, PF_OUTCOME_CONFLICT, PF_OUTCOME_CONFLICT },
+		{ LOST_AFTER, false, PF_OUTCOME_CONFLICT, PF_OUTCOME_CONFLICT },
+		{ LOST_BEFORE, false, PF_OUTCOME_CONFLICT,
+		  PF_OUTCOME_CONFLICT },
+		{ SILENT_AFTER, false, PF_OUTCOME_CONFLICT,
+		  PF_OUTCOME_CONFLICT },
+		{ DO, true, PF_OUTCOME_ACCEPTED, PF_OUTCOME_ACCEPTED },
+	};
+
+	for (const auto &t : cases) {
+		Rig r(2);
+		auto to_commit = [&r] {
+			while (!r.ops.empty() &&
+			       r.ops.front().type != PF_ACCEPT_COMMIT)
+				r.one();
+			return !r.ops.empty();
+		};
+
+		r.submit(0, 1, "first", caller("c", 'a', 1));
+		r.settle();
+		r.submit(0, 2, "second", caller("c", 'a', 2), 1);
+		r.settle();
+		r.submit(0, 3, "ch", caller("c", 'a', 3), 2);
+		ASSERT_TRUE(to_commit());
+		struct rig_op late = r.ops.front(); // on its way
+
+		r.ops.pop_front();
+		r.submit(1, 4, "ch", caller("c", 'a', 3), 1, {}, true);
+		ASSERT_TRUE(to_commit()) << "refused without closing the id";
+		enum pf_table_status landed = PF_TABLE_CONFLICT;
+
+		if (t.lands)
+			landed = rig_commit(r.table.get(), &late);
+		r.one(t.close);
+		r.settle();
+		EXPECT_EQ(r.done[4].outcome, t.want) << t.close;
+		if (!t.lands)
+			landed = rig_commit(r.table.get(), &late);
+		EXPECT_EQ(landed == PF_TABLE_OK, t.lands);
+		EXPECT_EQ(r.value("config/head").find("\"revision\":3") !=
+				  std::string::npos,
+			  t.lands);
+		r.submit(1, 5, "ch", caller("c", 'a', 3), 2, {}, true);
+		r.submit(1, 6, "ch", caller("c", 'b', 2), 2, {}, true);
+		r.settle();
+		EXPECT_EQ(r.done[5].outcome, t.then);
+		EXPECT_EQ(r.done[6].outcome, PF_OUTCOME_REFUSED);
+		rig_op_free(&late);
+	}
+}
+
 TEST(Accept, TableAwayIsNotAppliedOnlyWhenThatIsCertain)
 {
 	const struct {
