draft: tests of each lost request, dead and paused holders

Cause: the fuzz target draws failures; the promise also wants each point once.

Change: a table over every request of a draft's life, lost before and after its effect, or its entry dead; a paused holder; quota, key, cancel, stores away.

Found by it: the body of an ask whose entry died before its row stays in the object store (at most one each).

--- /dev/null
+++ b/tests/test_draft.cc
@@ -0,0 +1,353 @@
+// Failures of drafts, one at a time: each request to a store lost in each way,
+// each holder dead or paused at each point.
+#include "fuzz/fake_table.h"
+#include "pimentoford/draft.h"
+
+#include <gtest/gtest.h>
+
+#include <algorithm>
+#include <deque>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace
+{
+
+enum Fate { DO, LOST_BEFORE, LOST_AFTER, DIES_BEFORE, DIES_AFTER };
+
+std::string str(struct pf_str s)
+{
+	return s.n ? std::string(s.p, s.n) : std::string();
+}
+
+struct Op {
+	int core;
+	enum pf_draft_act_type type;
+	uint64_t seq;
+	std::shared_ptr<struct pf_table_txn> txn;
+	std::string name, body;
+	uint32_t limit;
+};
+
+struct Done {
+	enum pf_draft_outcome outcome;
+	std::string id, body;
+};
+
+struct Rig {
+	struct Side {
+		Rig *rig;
+		int i;
+		struct pf_draft *core;
+		struct pf_draft_sink sink;
+	};
+	struct fake_table *table = fake_table_new();
+	std::map<std::string, std::string> objects;
+	std::vector<std::unique_ptr<Side>> sides;
+	std::deque<Op> ops;
+	std::map<uint64_t, Done> done;
+	std::map<std::string, int> runs;
+	pf_ms now = 1000;
+
+	explicit Rig(int n)
+	{
+		for (int i = 0; i < n; i++)
+			add();
+	}
+
+	~Rig()
+	{
+		for (auto &s : sides)
+			pf_draft_free(s->core);
+		fake_table_free(table);
+	}
+
+	void add()
+	{
+		struct pf_draft_opts o;
+		auto s = std::make_unique<Side>();
+
+		pf_draft_opts_default(&o);
+		o.seed = o.holder = sides.size() + 1;
+		o.scan = 50;
+		o.lease = 6000;
+		o.keep = 100000;
+		o.caller_max = 2;
+		s->rig = this;
+		s->i = (int)sides.size();
+		s->core = pf_draft_new(&o);
+		s->sink = { emit, s.get() };
+		sides.push_back(std::move(s));
+	}
+
+	static void emit(void *ctx, const struct pf_draft_act *a)
+	{
+		auto *s = static_cast<Side *>(ctx);
+		Op op = { s->i, a->type, a->seq, nullptr, "", "", 1 };
+
+		switch (a->type) {
+		case PF_DRAFT_DONE:
+			EXPECT_EQ(s->rig->done.count(a->u.done.ticket), 0u);
+			s->rig->done[a->u.done.ticket] = {
+				a->u.done.outcome, str(a->u.done.id),
+				str(a->u.done.body)
+			};
+			return;
+		case PF_DRAFT_CUT:
+			return;
+		case PF_DRAFT_COMMIT:
+			op.txn.reset(fake_txn_copy(&a->u.txn), fake_txn_free);
+			break;
+		case PF_DRAFT_GET:
+			op.name = str(a->u.key);
+			break;
+		case PF_DRAFT_SCAN:
+			op.name = str(a->u.scan.prefix);
+			op.body = str(a->u.scan.after);
+			op.limit = a->u.scan.limit;
+			break;
+		case PF_DRAFT_RUN:
+			op.name = str(a->u.run.id);
+			break;
+		default:
+			op.name = str(a->u.object.name);
+			op.body = str(a->u.object.body);
+			break;
+		}
+		s->rig->ops.push_back(op);
+	}
+
+	void step(int i, struct pf_draft_msg *m)
+	{
+		pf_draft_step(sides[i]->core, now, m, &sides[i]->sink);
+	}
+
+	void ask(int i, uint64_t ticket, uint64_t key, const char *body = "b")
+	{
+		struct pf_draft_msg m = {};
+
+		m.type = PF_DRAFT_ASK;
+		m.u.ask = { ticket, 7, key, pf_str_c(body) };
+		step(i, &m);
+	}
+
+	void fetch(int i, uint64_t ticket, const std::string &id,
+		   uint64_t caller = 7, bool cancel = false)
+	{
+		struct pf_draft_msg m = {};
+
+		m.type = cancel ? PF_DRAFT_CANCEL : PF_DRAFT_FETCH;
+		m.u.fetch = { ticket, caller, { id.data(), id.size() } };
+		step(i, &m);
+	}
+
+	void answer(const Op &op, bool effect, bool heard)
+	{
+		struct pf_draft_msg m = {};
+		struct pf_table_row rows[100];
+		uint64_t revision = 0;
+		uint32_t failed;
+		bool more;
+		std::string text;
+		auto st = PF_TABLE_UNKNOWN;
+
+		m.seq = op.seq;
+		switch (op.type) {
+		case PF_DRAFT_COMMIT:
+			m.type = PF_DRAFT_COMMITTED;
+			if (effect)
+				st = fake_table_txn(table, op.txn.get(),
+						    &failed, &revision);
+			m.u.committed = { heard ? st : PF_TABLE_UNKNOWN,
+					  revision };
+			break;
+		case PF_DRAFT_GET:
+		case PF_DRAFT_SCAN:
+			m.type = PF_DRAFT_ROWS;
+			m.u.rows = { heard ? PF_TABLE_OK : PF_TABLE_UNKNOWN,
+				     rows, 0 };
+			if (heard)
+				m.u.rows.n = fake_table_scan(
+					table, pf_str_c(op.name.c_str()),
+					pf_str_c(op.body.c_str()), rows,
+					op.limit, &more);
+			break;
+		case PF_DRAFT_RUN:
+			text = "answer " + std::to_string(++runs[op.name]);
+			m.type = PF_DRAFT_RAN;
+			m.u.ran = { heard, 200, pf_str_c(text.c_str()) };
+			break;
+		default:
+			m.type = PF_DRAFT_OBJECT;
+			if (effect && op.type == PF_DRAFT_PUT)
+				objects[op.name] = op.body;
+			if (effect && op.type == PF_DRAFT_DELETE)
+				objects.erase(op.name);
+			m.u.object.status =
+				!heard ? PF_OBJECT_LOST
+				: op.type == PF_DRAFT_READ &&
+						!objects.count(op.name)
+					? PF_OBJECT_ABSENT
+					: PF_OBJECT_OK;
+			text = objects[op.name];
+			if (text.empty())
+				objects.erase(op.name);
+			m.u.object.body = pf_str_c(text.c_str());
+			break;
+		}
+		if (sides[op.core]->core)
+			step(op.core, &m);
+	}
+
+	void one(Fate fate)
+	{
+		Op op = ops.front();
+
+		ops.pop_front();
+		if (!sides[op.core]->core)
+			return;
+		if (fate >= DIES_BEFORE) {
+			pf_draft_free(sides[op.core]->core);
+			sides[op.core]->core = nullptr;
+		}
+		answer(op, fate != LOST_BEFORE && fate != DIES_BEFORE,
+		       fate == DO);
+	}
+
+	void tick(int by = 20)
+	{
+		struct pf_draft_msg m = {};
+
+		m.type = PF_DRAFT_TICK;
+		now += by;
+		for (size_t i = 0; i < sides.size(); i++)
+			if (sides[i]->core)
+				step((int)i, &m);
+	}
+
+	// Runs for @ms; the @nth request from now that isn't a scan has @fate.
+	bool run(int ms, int nth = -1, Fate fate = DO)
+	{
+		bool hit = false;
+
+		for (pf_ms end = now + ms; now < end; tick())
+			while (!ops.empty()) {
+				bool it = ops.front().type != PF_DRAFT_SCAN &&
+					  nth-- == 0;
+
+				hit |= it;
+				one(it ? fate : DO);
+			}
+		return hit;
+	}
+
+	size_t rows(const char *prefix)
+	{
+		struct pf_table_row v[100];
+		bool more;
+
+		return fake_table_scan(table, pf_str_c(prefix), {}, v, 100,
+				       &more);
+	}
+};
+
+} // namespace
+
+TEST(Draft, EachRequestLostOrItsEntryDeadArrivesAllTheSame)
+{
+	int hits = 0;
+
+	for (Fate fate : { LOST_BEFORE, LOST_AFTER, DIES_BEFORE, DIES_AFTER })
+		for (int nth = 0; nth < 12; nth++) {
+			Rig r(2);
+
+			r.ask(0, 1, 9);
+			hits += r.run(40000, nth, fate);
+			int alive = r.sides[0]->core ? 0 : 1;
+
+			// Unanswered or unknown: the key settles it.
+			r.ask(alive, 2, 9);
+			r.run(40000);
+			ASSERT_EQ(r.done[2].outcome, PF_DRAFT_IS_ACCEPTED);
+			if (r.done.count(1)) {
+				EXPECT_EQ(r.done[1].id, r.done[2].id);
+			}
+			r.fetch(alive, 3, r.done[2].id);
+			r.fetch(alive, 4, r.done[2].id, 8);
+			r.run(1000);
+			EXPECT_EQ(r.done[3].outcome, PF_DRAFT_IS_ANSWER)
+				<< fate << " " << nth;
+			EXPECT_EQ(r.done[4].outcome, PF_DRAFT_IS_ABSENT);
+			EXPECT_EQ(r.rows("draft/done/"), 1u);
+			r.run(140000);
+			EXPECT_EQ(r.rows("draft/"), 0u);
+			// A body whose row was never written may stay.
+			EXPECT_LE(r.objects.size(), 1u);
+		}
+	EXPECT_GE(hits, 24);
+}
+
+TEST(Draft, PausedHolderCannotFinishASecondTime)
+{
+	Rig r(1);
+	Op held = {};
+
+	r.ask(0, 1, 0);
+	for (int i = 0; i < 200 && held.type != PF_DRAFT_RUN; i++, r.tick())
+		while (!r.ops.empty() && held.type != PF_DRAFT_RUN) {
+			held = r.ops.front();
+			if (held.type == PF_DRAFT_RUN)
+				r.ops.pop_front();
+			else
+				r.one(DO);
+		}
+	ASSERT_EQ(held.type, PF_DRAFT_RUN);
+	struct pf_draft *paused = r.sides[0]->core;
+
+	r.sides[0]->core = nullptr;
+	r.add();
+	r.run(30000);
+	EXPECT_EQ(r.rows("draft/done/"), 1u);
+	r.fetch(1, 2, r.done[1].id);
+	r.run(100);
+	r.sides[0]->core = paused;
+	r.answer(held, true, true);
+	r.run(10000);
+	r.fetch(0, 3, r.done[1].id);
+	r.run(100);
+	EXPECT_EQ(r.done[2].body, "answer 1");
+	EXPECT_EQ(r.done[3].body, "answer 1");
+	EXPECT_EQ(r.runs[r.done[1].id], 2);
+}
+
+TEST(Draft, RefusalsQuotaKeyAndCancel)
+{
+	Rig r(1);
+
+	for (uint64_t i = 1; i <= 3; i++)
+		r.ask(0, i, i);
+	EXPECT_EQ(r.done[3].outcome, PF_DRAFT_IS_FULL);
+	while (r.done.size() < 3)
+		r.one(DO);
+	r.fetch(0, 4, r.done[1].id, 7, true);
+	r.run(20000);
+	EXPECT_EQ(r.done[4].outcome, PF_DRAFT_IS_CANCELLED);
+	EXPECT_EQ(r.runs[r.done[1].id], 0);
+	EXPECT_EQ(r.runs[r.done[2].id], 1);
+	r.ask(0, 5, 2, "another body");
+	r.run(1000);
+	EXPECT_EQ(r.done[5].outcome, PF_DRAFT_IS_KEY_REUSED);
+	// The stores are away: not run before the row is sent, unknown after.
+	r.ask(0, 6, 0);
+	r.ask(0, 7, 0);
+	while (r.ops.front().type != PF_DRAFT_PUT)
+		r.one(DO);
+	r.one(DO);
+	for (int i = 0; i < 600; i++, r.tick())
+		while (!r.ops.empty())
+			r.one(LOST_BEFORE);
+	EXPECT_EQ(r.done[6].outcome, PF_DRAFT_IS_UNKNOWN);
+	EXPECT_EQ(r.done[7].outcome, PF_DRAFT_IS_AWAY);
+}
