--- a/src/coordination/entry_impl.h
+++ b/src/coordination/entry_impl.h
@@ -45,6 +45,7 @@
 	pf_ms sent_at;
 	pf_ms started_at;
 	bool unseen; /* its try is not in the agent's report yet */
+	uint32_t done_total; /* DONE came before its last pieces; 0: not yet */
 	uint32_t trial_offset; /* tokens delivered when its trial began */
 	struct {
 		uint32_t peer;
@@ -133,11 +134,13 @@
 	struct pf_peer_item *items; /* sorted by id */
 	struct pf_peer_item *items_next; /* scratch of the same size */
 	uint32_t n_items;
+	uint32_t n_active; /* models with runs there */
 	uint64_t *prefixes; /* hashed by prefix, newer replace older */
 };
 
 /** A fingerprint that was running at a crash. */
 struct pf_suspect {
+	pf_ms since; /* the first crash; tries sent before did not run alone */
 	uint64_t fingerprint;
 	uint32_t crashes;
 	uint32_t crash; /* id of the last crash */
