--- a/bench/capacity.c
+++ b/bench/capacity.c
@@ -489,7 +489,7 @@
 }
 
 /* Endpoint records, which are the most numerous. */
-static GString *records_text(uint32_t n)
+GString *capacity_records(uint32_t n)
 {
 	GString *t = g_string_new("[deployment]\nschema = 2\nmove_cost = 30.0\n"
 				  "store_loads_rate = 2.0\n"
@@ -516,7 +516,7 @@
 static int records_round(uint32_t n, double *parse, double *build,
 			 double *bytes, double *chars)
 {
-	GString *t = records_text(n);
+	GString *t = capacity_records(n);
 	struct pf_findings f = { 0 };
 	struct pf_records set = { 0 };
 	struct pf_config *c = NULL;
@@ -611,7 +611,9 @@
 		return -1;
 	if (measure_agent(all) || measure_place(all))
 		return -1;
-	return measure_records(all) || measure_wire(all) ? -1 : 0;
+	if (measure_records(all) || capacity_accepts(all))
+		return -1;
+	return measure_wire(all);
 }
 
 int capacity_main(void)
--- a/bench/capacity.h
+++ b/bench/capacity.h
@@ -4,6 +4,8 @@
 
 #include "pimentoford/base.h"
 
+#include <glib.h>
+
 /* Everything that is measured: DEF(name, role, what, unit). */
 #define SLOPES(DEF)                                                 \
 	DEF(ENTRY_REQUEST_BYTES, "entry", "request_alive", "bytes") \
@@ -23,6 +25,8 @@
 	DEF(RECORD_BUILD_NS, "config", "record_built", "ns")        \
 	DEF(RECORD_BYTES, "config", "record_held", "bytes")         \
 	DEF(RECORD_TEXT, "config", "record_text", "bytes")          \
+	DEF(ACCEPT_NS, "accept", "change", "ns")                    \
+	DEF(ACCEPT_READS, "accept", "reads_per_change", "reads")    \
 	DEF(WIRE_REPORT_ITEM, "wire", "report_item", "bytes")       \
 	DEF(WIRE_TRY_BODY, "wire", "try_body_byte", "bytes")        \
 	DEF(WIRE_PIECE_TOKEN, "wire", "piece_token", "bytes")
@@ -56,6 +60,12 @@
 	double rows_per_call;
 };
 
+/* The text of @n endpoint records and what they need. */
+GString *capacity_records(uint32_t n);
+
+/* capacity_accept.c */
+int capacity_accepts(struct slope *all);
+
 /* capacity_claim.c */
 int capacity_claims(struct slope *all, struct claim_rate *grouped);
 
--- /dev/null
+++ b/bench/capacity_accept.c
@@ -0,0 +1,211 @@
+/* What accepting one change costs with so many records in force. */
+#include "bench/capacity.h"
+#include "fuzz/fake_table.h"
+#include "pimentoford/accept.h"
+
+#include <glib.h>
+#include <stdio.h>
+#include <string.h>
+
+#define PAGE 500
+#define CHANGES 5
+
+/* One read or commit that the core asked for. */
+struct ask {
+	enum pf_accept_act_type type;
+	uint64_t seq;
+	char *key, *after;
+	uint32_t limit;
+	struct pf_table_txn *txn;
+};
+
+struct accept_box {
+	struct pf_accept *core;
+	struct fake_table *table;
+	GQueue *asks;
+	pf_ms now;
+	double ns; /* spent in the core */
+	uint64_t reads, accepted;
+};
+
+static void emit(void *ctx, const struct pf_accept_act *a)
+{
+	struct accept_box *b = ctx;
+	struct ask *k;
+
+	if (a->type == PF_ACCEPT_DONE) {
+		b->accepted += a->u.done.outcome == PF_OUTCOME_ACCEPTED;
+		return;
+	}
+	k = g_new0(struct ask, 1);
+	k->type = a->type;
+	k->seq = a->seq;
+	if (a->type == PF_ACCEPT_GET) {
+		k->key = g_strndup(a->u.key.p, a->u.key.n);
+	} else if (a->type == PF_ACCEPT_SCAN) {
+		k->key = g_strndup(a->u.scan.prefix.p, a->u.scan.prefix.n);
+		k->after = g_strndup(a->u.scan.after.p, a->u.scan.after.n);
+		k->limit = a->u.scan.limit;
+	} else {
+		k->txn = fake_txn_copy(&a->u.txn);
+	}
+	g_queue_push_tail(b->asks, k);
+}
+
+static void step(struct accept_box *b, const struct pf_accept_msg *m)
+{
+	struct pf_accept_sink sink = { emit, b };
+	double from = capacity_ns();
+
+	pf_accept_step(b->core, b->now, m, &sink);
+	b->ns += capacity_ns() - from;
+}
+
+static void answer_row(struct accept_box *b, const struct ask *k)
+{
+	struct pf_accept_msg m = { .type = PF_ACCEPT_ROW, .seq = k->seq };
+	struct pf_table_row row;
+	bool more;
+	size_t n = fake_table_scan(b->table, pf_str_c(k->key), pf_str_c(""),
+				   &row, 1, &more);
+
+	m.u.row.status = PF_TABLE_OK;
+	if (n && pf_str_eq(row.key, pf_str_c(k->key)))
+		m.u.row.row = row;
+	step(b, &m);
+}
+
+static void answer(struct accept_box *b, const struct ask *k)
+{
+	struct pf_accept_msg m = { .seq = k->seq };
+	struct pf_table_row rows[PAGE];
+	uint64_t revision;
+	uint32_t failed;
+	bool more;
+
+	b->now++;
+	if (k->type == PF_ACCEPT_GET) {
+		b->reads++;
+		answer_row(b, k);
+		return;
+	}
+	if (k->type == PF_ACCEPT_SCAN) {
+		b->reads++;
+		m.type = PF_ACCEPT_ROWS;
+		m.u.rows.status = PF_TABLE_OK;
+		m.u.rows.v = rows;
+		m.u.rows.n = fake_table_scan(b->table, pf_str_c(k->key),
+					     pf_str_c(k->after), rows,
+					     MIN(k->limit, PAGE), &more);
+	} else {
+		m.type = PF_ACCEPT_COMMITTED;
+		m.u.committed.status =
+			fake_table_txn(b->table, k->txn, &failed, &revision);
+	}
+	step(b, &m);
+}
+
+static void change(struct accept_box *b, uint64_t n,
+		   const struct pf_records *puts)
+{
+	struct pf_accept_msg m = { .type = PF_ACCEPT_CHANGE };
+	struct pf_change c = { .ticket = n,
+			       .who = pf_str_c("bench"),
+			       .what = pf_str_c("apply"),
+			       .wall = b->now,
+			       .puts = puts };
+	char id[32];
+	struct ask *k;
+
+	snprintf(id, sizeof(id), "change-%llu", (unsigned long long)n);
+	c.id = pf_str_c(id);
+	m.u.change = &c;
+	step(b, &m);
+	while ((k = g_queue_pop_head(b->asks))) {
+		answer(b, k);
+		if (k->txn)
+			fake_txn_free(k->txn);
+		g_free(k->key);
+		g_free(k->after);
+		g_free(k);
+	}
+}
+
+static int box_open(struct accept_box *b)
+{
+	struct pf_accept_opts o;
+
+	memset(b, 0, sizeof(*b));
+	pf_accept_opts_default(&o);
+	o.region = "r1";
+	o.page = PAGE;
+	o.records_max = PF_RECORDS_MAX;
+	b->core = pf_accept_new(&o);
+	if (!b->core)
+		return -1;
+	b->table = fake_table_new();
+	b->asks = g_queue_new();
+	b->now = 1000;
+	return 0;
+}
+
+static void box_close(struct accept_box *b)
+{
+	g_queue_free(b->asks);
+	fake_table_free(b->table);
+	pf_accept_free(b->core);
+}
+
+/* Mean processor time of a change of one record among @n. */
+static int accept_round(uint32_t n, double *ns, double *reads)
+{
+	GString *t = capacity_records(n), *one = g_string_new(NULL);
+	struct pf_records all = { 0 }, single = { 0 };
+	struct pf_findings f = { 0 };
+	struct accept_box b;
+	int rc = -1;
+
+	if (box_open(&b))
+		goto out;
+	if (pf_records_parse((struct pf_str){ t->str, t->len }, "all", &all,
+			     &f))
+		goto close;
+	change(&b, 1, &all);
+	b.ns = 0;
+	b.reads = 0;
+	for (uint32_t i = 0; i < CHANGES; i++) {
+		g_string_printf(one,
+				"[deployment]\nschema = 2\nmove_cost = %u.0\n",
+				31 + i);
+		pf_records_free(&single);
+		if (pf_records_parse((struct pf_str){ one->str, one->len },
+				     "one", &single, &f))
+			goto close;
+		change(&b, 2 + i, &single);
+	}
+	*ns = b.ns / CHANGES;
+	*reads = (double)b.reads / CHANGES;
+	rc = b.accepted == CHANGES + 1 ? 0 : -1;
+close:
+	box_close(&b);
+out:
+	pf_records_free(&all);
+	pf_records_free(&single);
+	pf_findings_clear(&f);
+	g_string_free(t, TRUE);
+	g_string_free(one, TRUE);
+	return rc;
+}
+
+int capacity_accepts(struct slope *all)
+{
+	static const double n[] = { 500, 2000, 8000 };
+	double ns[POINTS], reads[POINTS];
+
+	for (int i = 0; i < POINTS; i++)
+		if (accept_round((uint32_t)n[i], &ns[i], &reads[i]))
+			return -1;
+	capacity_fit(all, SLOPE_ACCEPT_NS, n, ns);
+	capacity_fit(all, SLOPE_ACCEPT_READS, n, reads);
+	return 0;
+}
--- a/bench/capacity_roles.c
+++ b/bench/capacity_roles.c
@@ -151,6 +151,17 @@
 				    POLL_READS * ANSWER_BYTES + changes * whole,
 			    .ns = changes * rebuild,
 			    .memory = config });
+	/* At the entries that take the changes, shared by all of them. */
+	print(&(struct role){
+		.name = "accept",
+		.state = RECORDS,
+		.messages =
+			changes * (at(&all[SLOPE_ACCEPT_READS], RECORDS) + 1),
+		.bytes = changes * 3 * record,
+		.ns = changes * at(&all[SLOPE_ACCEPT_NS], RECORDS),
+		.memory = config,
+		.max_core = CORE_LIMIT,
+		.max_memory = MEMORY_LIMIT });
 	node((struct role){ .name = "planner",
 			    .state = region + MODELS,
 			    .messages = region / PLAN_EVERY_S,
