--- a/daemons/entry/planner.c
+++ b/daemons/entry/planner.c
@@ -17,7 +17,7 @@
 
 struct planner {
 	struct daemon *d;
-	struct pf_placement *core;
+	struct pf_placement *core; /* NULL: only sends its demand */
 	struct pf_lease *lease;
 	struct event *lease_timer;
 	struct event *plan_timer;
@@ -57,6 +57,8 @@
 {
 	struct pf_place_sink sink = { place_emit, p };
 
+	if (!p->core)
+		return;
 	pf_place_step(p->core, pf_clock_now(), m, &sink);
 	arm(p->plan_timer, pf_place_next(p->core));
 }
@@ -225,18 +227,22 @@
 
 	pf_place_opts_default(&place);
 	place.region = pf_id(pf_str_c(at->region));
-	p->core = pf_place_new(&place);
+	if (p->d->set.planner)
+		p->core = pf_place_new(&place);
 	pf_text_fmt(&key, "lease/planner/%s", at->region);
 	pf_lease_opts_default(&lease);
 	lease.key = key.p;
 	lease.name = at->name;
 	lease.region = at->region;
+	lease.observe = !p->d->set.planner;
 	lease.self = p->d->incarnation;
 	lease.seed = pf_process_random();
 	if (!key.failed)
 		p->lease = pf_lease_new(&lease);
 	pf_text_free(&key);
-	return p->core && p->lease ? 0 : -1;
+	if (p->d->set.planner && !p->core)
+		return -1;
+	return p->lease ? 0 : -1;
 }
 
 int planner_start(struct daemon *d)
@@ -244,8 +250,6 @@
 	struct timeval every = { DEMAND_EVERY_MS / 1000, 0 };
 	struct planner *p;
 
-	if (!d->set.planner)
-		return 0;
 	p = calloc(1, sizeof(*p));
 	if (!p)
 		return -1;
--- a/include/pimentoford/lease.h
+++ b/include/pimentoford/lease.h
@@ -24,6 +24,7 @@
 	pf_ms term; /* without a new beat for so long, it may be taken */
 	pf_ms margin; /* of the term, for clocks that run unevenly */
 	pf_ms beat_every;
+	bool observe; /* only learns who holds it */
 	pf_ms answer_timeout; /* the table's answer is lost after this */
 };
 
--- a/src/coordination/lease.c
+++ b/src/coordination/lease.c
@@ -80,9 +80,9 @@
 	if (!l)
 		return NULL;
 	l->o = *o;
-	strcpy(l->key, o->key);
-	strcpy(l->name, o->name);
-	strcpy(l->region, o->region);
+	snprintf(l->key, sizeof(l->key), "%s", o->key);
+	snprintf(l->name, sizeof(l->name), "%s", o->name);
+	snprintf(l->region, sizeof(l->region), "%s", o->region);
 	pf_rng_seed(&l->rng, o->seed);
 	return l;
 }
@@ -248,6 +248,8 @@
 			write_row(l, 0, l->row.epoch, sink);
 	} else if (t && l->held) {
 		renew(l, t->sent, sink);
+	} else if (l->o.observe) {
+		pause_for(l, l->o.beat_every);
 	} else if (!l->row.holder || l->now - l->seen >= l->o.term) {
 		/* A holder that renewed too late takes it like another. */
 		write_row(l, l->o.self, l->row.epoch + 1, sink);
--- a/tests/test_lease.cc
+++ b/tests/test_lease.cc
@@ -94,6 +94,25 @@
 	EXPECT_EQ(lease_audits(&r), pf_lease_epoch(r.nodes[who]));
 }
 
+TEST_F(Lease, AnObserverKnowsTheHolderAndNeverTakesIt)
+{
+	struct pf_lease_opts o;
+
+	pf_lease_opts_default(&o);
+	o.key = LEASE_KEY;
+	o.name = "entry-9";
+	o.self = 9;
+	o.observe = true;
+	pf_lease_free(r.nodes[0]);
+	r.nodes[0] = pf_lease_new(&o);
+	Settle();
+	EXPECT_NE(who, 0u);
+	EXPECT_EQ(pf_lease_holder(r.nodes[0]), 100 + who);
+	r.paused[1] = r.paused[2] = r.now + 60000;
+	Run(60000);
+	EXPECT_EQ(lease_audits(&r), 1u);
+}
+
 TEST_F(Lease, RefusesOptionsThatCannotBeKept)
 {
 	struct pf_lease_opts o;
