--- a/bench/capacity_roles.c
+++ b/bench/capacity_roles.c
@@ -79,57 +79,59 @@
 	print(&r);
 }
 
-void capacity_roles(const struct slope *all, const struct claim_rate *claims)
-{
-	const double changes = CHANGES_PER_DAY / DAY_S;
-	const double requests = REQUESTS_PER_S / ENTRIES;
-	const double tokens = TOKENS_PER_S / ENTRIES;
-	const double alive = requests * REQUEST_S;
-	const double sessions = SUBSET * ENTRIES / WORKERS;
-	const double report = at(&all[SLOPE_WIRE_REPORT_ITEM], ITEMS);
-	const double record = all[SLOPE_RECORD_TEXT].per;
-	const double config = at(&all[SLOPE_RECORD_BYTES], RECORDS);
-	const double rebuild = at(&all[SLOPE_RECORD_PARSE_NS], RECORDS) +
-			       at(&all[SLOPE_RECORD_BUILD_NS], RECORDS);
-	const double region = WORKERS / REGIONS;
-	const double nodes = ENTRIES + WORKERS;
-	const double pages = ceil(RECORDS / PAGE_ROWS) + 1;
-	const double whole = record * RECORDS; /* the set as text */
-	const double piece = at(&all[SLOPE_WIRE_PIECE_TOKEN], 1);
+/* Rates and sizes that several roles share. */
+struct load {
+	double changes;
+	double requests;
+	double tokens;
+	double alive;
+	double sessions;
+	double report;
+	double record;
+	double config;
+	double rebuild;
+	double region;
+	double nodes;
+	double pages;
+	double whole;
+	double piece;
+	double rows_per_call;
+};
 
-	printf("capacity: size entries=%g workers=%g regions=%g models=%g "
-	       "requests_per_s=%g tokens_per_s=%g changes_per_s=%.3f "
-	       "records=%g subset=%g reports_per_s=%g\n",
-	       ENTRIES, WORKERS, REGIONS, MODELS, REQUESTS_PER_S, TOKENS_PER_S,
-	       changes, RECORDS, SUBSET, REPORTS_PER_S);
+static void entry_roles(const struct slope *all, const struct load *l)
+{
 	node((struct role){
 		.name = "entry",
 		.state = SUBSET,
 		.messages = SUBSET * REPORTS_PER_S,
-		.bytes = SUBSET * REPORTS_PER_S * report,
+		.bytes = SUBSET * REPORTS_PER_S * l->report,
 		.ns = SUBSET * REPORTS_PER_S *
 		      at(&all[SLOPE_ENTRY_REPORT_NS], ITEMS),
 		.memory = at(&all[SLOPE_ENTRY_AGENT_BYTES], SUBSET) });
 	/* As built: each entry and agent polls and reads the whole set. */
 	node((struct role){ .name = "entry_config",
 			    .state = RECORDS,
-			    .messages = POLL_READS + changes * pages,
-			    .bytes =
-				    POLL_READS * ANSWER_BYTES + changes * whole,
-			    .ns = changes * rebuild,
-			    .memory = config });
+			    .messages = POLL_READS + l->changes * l->pages,
+			    .bytes = POLL_READS * ANSWER_BYTES +
+				     l->changes * l->whole,
+			    .ns = l->changes * l->rebuild,
+			    .memory = l->config });
 	print(&(struct role){
 		.name = "entry_requests",
-		.state = alive,
-		.messages = requests * 3 + tokens,
-		.bytes = tokens * piece,
-		.ns = requests * at(&all[SLOPE_ENTRY_REQUEST_NS], SUBSET) +
-		      tokens * at(&all[SLOPE_ENTRY_PIECE_NS], SUBSET),
-		.memory = all[SLOPE_ENTRY_REQUEST_BYTES].per * alive });
+		.state = l->alive,
+		.messages = l->requests * 3 + l->tokens,
+		.bytes = l->tokens * l->piece,
+		.ns = l->requests * at(&all[SLOPE_ENTRY_REQUEST_NS], SUBSET) +
+		      l->tokens * at(&all[SLOPE_ENTRY_PIECE_NS], SUBSET),
+		.memory = all[SLOPE_ENTRY_REQUEST_BYTES].per * l->alive });
+}
+
+static void agent_roles(const struct slope *all, const struct load *l)
+{
 	node((struct role){ .name = "agent",
-			    .state = sessions,
-			    .messages = sessions * REPORTS_PER_S,
-			    .bytes = sessions * REPORTS_PER_S * report,
+			    .state = l->sessions,
+			    .messages = l->sessions * REPORTS_PER_S,
+			    .bytes = l->sessions * REPORTS_PER_S * l->report,
 			    .ns = REPORTS_PER_S *
 				  at(&all[SLOPE_AGENT_TICK_NS], 256),
 			    .memory = at(&all[SLOPE_AGENT_RUN_BYTES], 256) });
@@ -137,79 +139,120 @@
 			      .state = REQUESTS_PER_S / WORKERS * REQUEST_S,
 			      .messages = (REQUESTS_PER_S * 3 + TOKENS_PER_S) /
 					  WORKERS,
-			      .bytes = TOKENS_PER_S / WORKERS * piece,
+			      .bytes = TOKENS_PER_S / WORKERS * l->piece,
 			      .ns = REQUESTS_PER_S / WORKERS *
 					    at(&all[SLOPE_AGENT_RUN_NS], 256) +
 				    TOKENS_PER_S / WORKERS *
 					    at(&all[SLOPE_AGENT_TOKEN_NS], 256),
 			      .memory = 0 });
-	/* Proposed: only it reads the table for its region, still the whole set. */
+}
+
+static void region_roles(const struct slope *all, const struct load *l)
+{
+	/* Proposed: only it reads the table for its l->region, still the whole set. */
 	node((struct role){ .name = "relay",
 			    .state = RECORDS,
-			    .messages = POLL_READS + changes * pages,
-			    .bytes =
-				    POLL_READS * ANSWER_BYTES + changes * whole,
-			    .ns = changes * rebuild,
-			    .memory = config });
-	/* At the entries that take the changes, shared by all of them. */
+			    .messages = POLL_READS + l->changes * l->pages,
+			    .bytes = POLL_READS * ANSWER_BYTES +
+				     l->changes * l->whole,
+			    .ns = l->changes * l->rebuild,
+			    .memory = l->config });
+	/* At the entries that take the l->changes, shared by all of them. */
 	print(&(struct role){
 		.name = "accept",
 		.state = RECORDS,
-		.messages =
-			changes * (at(&all[SLOPE_ACCEPT_READS], RECORDS) + 1),
-		.bytes = changes * 3 * record,
-		.ns = changes * at(&all[SLOPE_ACCEPT_NS], RECORDS),
-		.memory = config,
+		.messages = l->changes *
+			    (at(&all[SLOPE_ACCEPT_READS], RECORDS) + 1),
+		.bytes = l->changes * 3 * l->record,
+		.ns = l->changes * at(&all[SLOPE_ACCEPT_NS], RECORDS),
+		.memory = l->config,
 		.max_core = CORE_LIMIT,
 		.max_memory = MEMORY_LIMIT });
 	node((struct role){ .name = "planner",
-			    .state = region + MODELS,
-			    .messages = region / PLAN_EVERY_S,
-			    .bytes = region / PLAN_EVERY_S * report,
-			    .ns = at(&all[SLOPE_PLACE_NS], region) /
+			    .state = l->region + MODELS,
+			    .messages = l->region / PLAN_EVERY_S,
+			    .bytes = l->region / PLAN_EVERY_S * l->report,
+			    .ns = at(&all[SLOPE_PLACE_NS], l->region) /
 				  PLAN_EVERY_S,
-			    .memory = at(&all[SLOPE_PLACE_BYTES], region) });
+			    .memory = at(&all[SLOPE_PLACE_BYTES], l->region) });
 	node((struct role){
 		.name = "shard_owner",
 		.state = KEYS_OWNER,
-		.messages = CALLS_PER_S / OWNERS * claims->rows_per_call,
+		.messages = CALLS_PER_S / OWNERS * l->rows_per_call,
 		.bytes = CALLS_PER_S / OWNERS * ANSWER_BYTES,
 		.ns = CALLS_PER_S / OWNERS * all[SLOPE_CLAIM_CALL_NS].per,
 		.memory = at(&all[SLOPE_CLAIM_KEY_BYTES], KEYS_OWNER) });
 	print(&(struct role){ .name = "operators_client",
 			      .state = RECORDS,
-			      .messages = changes,
-			      .bytes = changes * record,
-			      .ns = changes * rebuild,
-			      .memory = config });
+			      .messages = l->changes,
+			      .bytes = l->changes * l->record,
+			      .ns = l->changes * l->rebuild,
+			      .memory = l->config });
+}
+
+static void platform_roles(const struct load *l)
+{
 	print(&(struct role){
 		.name = "table_writes",
 		.state = RECORDS,
-		.messages = 3 * changes + CALLS_PER_S * claims->rows_per_call +
+		.messages = 3 * l->changes + CALLS_PER_S * l->rows_per_call +
 			    OWNERS + REGIONS + 2 * REPLACED_PER_DAY / DAY_S,
-		.bytes = changes * record + CALLS_PER_S * ANSWER_BYTES,
+		.bytes = l->changes * l->record + CALLS_PER_S * ANSWER_BYTES,
 		.max_messages = TABLE_WRITES });
 	print(&(struct role){
 		.name = "table_reads",
 		.state = RECORDS,
-		.messages = nodes * (POLL_READS + changes * pages) + OWNERS,
-		.bytes = nodes * changes * whole,
+		.messages = l->nodes * (POLL_READS + l->changes * l->pages) +
+			    OWNERS,
+		.bytes = l->nodes * l->changes * l->whole,
 		.max_messages = TABLE_READS });
 	print(&(struct role){
 		.name = "table_reads_by_relays",
 		.state = RECORDS,
-		.messages = REGIONS * (POLL_READS + changes * pages) + OWNERS,
-		.bytes = REGIONS * changes * whole,
+		.messages =
+			REGIONS * (POLL_READS + l->changes * l->pages) + OWNERS,
+		.bytes = REGIONS * l->changes * l->whole,
 		.max_messages = TABLE_READS });
 	print(&(struct role){
 		.name = "region_link",
-		.messages = nodes / REGIONS * (POLL_READS + changes * pages),
-		.bytes = nodes / REGIONS *
-			 (POLL_READS * ANSWER_BYTES + changes * whole),
+		.messages = l->nodes / REGIONS *
+			    (POLL_READS + l->changes * l->pages),
+		.bytes = l->nodes / REGIONS *
+			 (POLL_READS * ANSWER_BYTES + l->changes * l->whole),
 		.max_bytes = LINK_BYTES });
 	print(&(struct role){ .name = "region_link_by_relay",
-			      .messages = POLL_READS + changes * pages,
+			      .messages = POLL_READS + l->changes * l->pages,
 			      .bytes = POLL_READS * ANSWER_BYTES +
-				       changes * whole,
+				       l->changes * l->whole,
 			      .max_bytes = LINK_BYTES });
 }
+
+void capacity_roles(const struct slope *all, const struct claim_rate *claims)
+{
+	struct load l = { .rows_per_call = claims->rows_per_call };
+
+	l.changes = CHANGES_PER_DAY / DAY_S;
+	l.requests = REQUESTS_PER_S / ENTRIES;
+	l.tokens = TOKENS_PER_S / ENTRIES;
+	l.alive = l.requests * REQUEST_S;
+	l.sessions = SUBSET * ENTRIES / WORKERS;
+	l.report = at(&all[SLOPE_WIRE_REPORT_ITEM], ITEMS);
+	l.record = all[SLOPE_RECORD_TEXT].per;
+	l.config = at(&all[SLOPE_RECORD_BYTES], RECORDS);
+	l.rebuild = at(&all[SLOPE_RECORD_PARSE_NS], RECORDS) +
+		    at(&all[SLOPE_RECORD_BUILD_NS], RECORDS);
+	l.region = WORKERS / REGIONS;
+	l.nodes = ENTRIES + WORKERS;
+	l.pages = ceil(RECORDS / PAGE_ROWS) + 1;
+	l.whole = l.record * RECORDS;
+	l.piece = at(&all[SLOPE_WIRE_PIECE_TOKEN], 1);
+	printf("capacity: size entries=%g workers=%g regions=%g models=%g "
+	       "requests_per_s=%g tokens_per_s=%g changes_per_s=%.3f "
+	       "records=%g subset=%g reports_per_s=%g\n",
+	       ENTRIES, WORKERS, REGIONS, MODELS, REQUESTS_PER_S, TOKENS_PER_S,
+	       l.changes, RECORDS, SUBSET, REPORTS_PER_S);
+	entry_roles(all, &l);
+	agent_roles(all, &l);
+	region_roles(all, &l);
+	platform_roles(&l);
+}
