--- a/bench/capacity_roles.c
+++ b/bench/capacity_roles.c
@@ -149,7 +149,7 @@
 
 static void region_roles(const struct slope *all, const struct load *l)
 {
-	/* Proposed: only it reads the table for its l->region, still the whole set. */
+	/* Proposed: only it reads the table for its region, still the whole set. */
 	node((struct role){ .name = "relay",
 			    .state = RECORDS,
 			    .messages = POLL_READS + l->changes * l->pages,
@@ -157,7 +157,7 @@
 				     l->changes * l->whole,
 			    .ns = l->changes * l->rebuild,
 			    .memory = l->config });
-	/* At the entries that take the l->changes, shared by all of them. */
+	/* At the entries that take the changes, shared by all of them. */
 	print(&(struct role){
 		.name = "accept",
 		.state = RECORDS,
