--- a/include/pimentoford/wire.h
+++ b/include/pimentoford/wire.h
@@ -5,6 +5,7 @@
 #ifndef PIMENTOFORD_WIRE_H
 #define PIMENTOFORD_WIRE_H
 
+#include "pimentoford/demand.h"
 #include "pimentoford/work.h"
 
 PF_BEGIN_DECLS
@@ -27,6 +28,7 @@
 	PF_WIRE_CONFIG_PULL,
 	PF_WIRE_CONFIG,
 	PF_WIRE_PLACE,
+	PF_WIRE_DEMAND,
 };
 
 /** What a try carries for the endpoint. */
@@ -83,11 +85,20 @@
 			uint64_t revision; /* CONFIG_HEAD: what it holds;
 					    * CONFIG_PULL: what it has */
 			struct pf_str text; /* CONFIG only */
+			uint64_t base; /* CONFIG: of a delta; 0: whole */
+			uint64_t digest; /* CONFIG: of the whole set */
+			uint64_t region; /* CONFIG_HEAD: id of the sender's */
+			pf_ms age; /* CONFIG_HEAD: since the table was read
+				    * there; -1: never */
 		} config;
 		struct {
 			const uint64_t *items;
 			uint32_t n_items;
 		} place;
+		struct {
+			const struct pf_demand *v;
+			uint32_t n;
+		} demand; /* all of the entry that sends it */
 	} u;
 };
 
--- a/src/protocol/pimento_xdr.c
+++ b/src/protocol/pimento_xdr.c
@@ -508,6 +508,14 @@
 		 return FALSE;
 	 if (!xdr_bytes (xdrs, (char **)&objp->text.text_val, (u_int *) &objp->text.text_len, PIMENTO_BYTES))
 		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->base))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->digest))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->region))
+		 return FALSE;
+	 if (!xdr_quad_t (xdrs, &objp->age))
+		 return FALSE;
 	return TRUE;
 }
 
@@ -522,6 +530,31 @@
 	return TRUE;
 }
 
+bool_t
+xdr_pimento_wish (XDR *xdrs, pimento_wish *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_u_quad_t (xdrs, &objp->model))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->waiting))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->alive))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_pimento_demand (XDR *xdrs, pimento_demand *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_array (xdrs, (char **)&objp->wishes.wishes_val, (u_int *) &objp->wishes.wishes_len, PIMENTO_ITEMS,
+		sizeof (pimento_wish), (xdrproc_t) xdr_pimento_wish))
+		 return FALSE;
+	return TRUE;
+}
+
 bool_t
 xdr_pimento_msg (XDR *xdrs, pimento_msg *objp)
 {
