--- a/bench/capacity_roles.c
+++ b/bench/capacity_roles.c
@@ -1,7 +1,6 @@
 /* What each role spends at the letter's size, from the slopes. */
 #include "bench/capacity.h"
 
-#include <math.h>
 #include <stdio.h>
 
 /* The letter's size. */
@@ -35,7 +34,12 @@
 #define LINK_BYTES (30e6 / 8)
 #define ANSWER_BYTES 100.0
 #define POLL_READS 2.0 /* of the head, a second, by each process */
-#define PAGE_ROWS 500.0 /* of one read of the records */
+#define RELAYS 2.0 /* of a region, which read the table */
+#define AUDIT_ROWS 2.0 /* head and audit row read for a change */
+/* From `pf-bench --what spread`, see docs/SPREAD.md. */
+#define SPREAD_NODE_BYTES 1307.0 /* a second, at one change in 30 s */
+#define SPREAD_CHANGES (1.0 / 30)
+#define SPREAD_LINK_BYTES 48822.0 /* of one change, over all links */
 
 struct role {
 	const char *name;
@@ -91,9 +95,6 @@
 	double config;
 	double rebuild;
 	double region;
-	double nodes;
-	double pages;
-	double whole;
 	double piece;
 	double rows_per_call;
 };
@@ -108,12 +109,12 @@
 		.ns = SUBSET * REPORTS_PER_S *
 		      at(&all[SLOPE_ENTRY_REPORT_NS], ITEMS),
 		.memory = at(&all[SLOPE_ENTRY_AGENT_BYTES], SUBSET) });
-	/* As built: each entry and agent polls and reads the whole set. */
+	/* Bytes at most, as if all of them grew with the changes. */
 	node((struct role){ .name = "entry_config",
 			    .state = RECORDS,
-			    .messages = POLL_READS + l->changes * l->pages,
-			    .bytes = POLL_READS * ANSWER_BYTES +
-				     l->changes * l->whole,
+			    .messages = l->changes,
+			    .bytes = SPREAD_NODE_BYTES * l->changes /
+				     SPREAD_CHANGES,
 			    .ns = l->changes * l->rebuild,
 			    .memory = l->config });
 	print(&(struct role){
@@ -149,14 +150,12 @@
 
 static void region_roles(const struct slope *all, const struct load *l)
 {
-	/* Proposed: only it reads the table for its region, still the whole set. */
+	/* On top of what it spends as an entry. */
 	node((struct role){ .name = "relay",
 			    .state = RECORDS,
-			    .messages = POLL_READS + l->changes * l->pages,
+			    .messages = POLL_READS + l->changes * AUDIT_ROWS,
 			    .bytes = POLL_READS * ANSWER_BYTES +
-				     l->changes * l->whole,
-			    .ns = l->changes * l->rebuild,
-			    .memory = l->config });
+				     l->changes * 3 * l->record });
 	/* At the entries that take the changes, shared by all of them. */
 	print(&(struct role){
 		.name = "accept",
@@ -202,28 +201,14 @@
 	print(&(struct role){
 		.name = "table_reads",
 		.state = RECORDS,
-		.messages = l->nodes * (POLL_READS + l->changes * l->pages) +
+		.messages = REGIONS * RELAYS *
+				    (POLL_READS + l->changes * AUDIT_ROWS) +
 			    OWNERS,
-		.bytes = l->nodes * l->changes * l->whole,
-		.max_messages = TABLE_READS });
-	print(&(struct role){
-		.name = "table_reads_by_relays",
-		.state = RECORDS,
-		.messages =
-			REGIONS * (POLL_READS + l->changes * l->pages) + OWNERS,
-		.bytes = REGIONS * l->changes * l->whole,
+		.bytes = REGIONS * RELAYS * l->changes * 3 * l->record,
 		.max_messages = TABLE_READS });
-	print(&(struct role){
-		.name = "region_link",
-		.messages = l->nodes / REGIONS *
-			    (POLL_READS + l->changes * l->pages),
-		.bytes = l->nodes / REGIONS *
-			 (POLL_READS * ANSWER_BYTES + l->changes * l->whole),
-		.max_bytes = LINK_BYTES });
-	print(&(struct role){ .name = "region_link_by_relay",
-			      .messages = POLL_READS + l->changes * l->pages,
-			      .bytes = POLL_READS * ANSWER_BYTES +
-				       l->changes * l->whole,
+	print(&(struct role){ .name = "region_link",
+			      .messages = l->changes,
+			      .bytes = l->changes * SPREAD_LINK_BYTES,
 			      .max_bytes = LINK_BYTES });
 }
 
@@ -242,9 +227,6 @@
 	l.rebuild = at(&all[SLOPE_RECORD_PARSE_NS], RECORDS) +
 		    at(&all[SLOPE_RECORD_BUILD_NS], RECORDS);
 	l.region = WORKERS / REGIONS;
-	l.nodes = ENTRIES + WORKERS;
-	l.pages = ceil(RECORDS / PAGE_ROWS) + 1;
-	l.whole = l.record * RECORDS;
 	l.piece = at(&all[SLOPE_WIRE_PIECE_TOKEN], 1);
 	printf("capacity: size entries=%g workers=%g regions=%g models=%g "
 	       "requests_per_s=%g tokens_per_s=%g changes_per_s=%.3f "
