entry: drafts are taken in, run and fetched

Cause: the draft core was not reachable by callers.

Change: Prefer: respond-async on completions and chats stores the request and answers 202 with Location; /v1/drafts/ID fetches or cancels; open drafts and the age of the oldest one stand in the status and the metrics.

--- a/daemons/entry/answer.c
+++ b/daemons/entry/answer.c
@@ -257,6 +257,41 @@
 		     w->u.done.body);
 }
 
+/* What another try may mend isn't a draft's answer. */
+static bool passing(enum pf_reason reason)
+{
+	switch (reason) {
+	case PF_REASON_UNKNOWN_MODEL:
+	case PF_REASON_TOO_LONG:
+	case PF_REASON_QUARANTINED:
+	case PF_REASON_BACKEND:
+		return false;
+	default:
+		return true;
+	}
+}
+
+static void end_draft(struct request *r, const struct pf_entry_act *act)
+{
+	struct pf_oai_failure f = failure_of(act);
+	struct pf_oai_usage usage = usage_of(r);
+	struct pf_text *t = &r->d->scratch;
+	enum pf_reason reason = act->u.end.reason;
+	struct daemon *d = r->d;
+	uint64_t seq = r->draft;
+
+	pf_text_reset(t);
+	if (reason == PF_REASON_NONE)
+		pf_oai_whole(&r->shape, pf_text_str(&r->output), at_limit(r),
+			     &usage, t);
+	else
+		pf_oai_failure_body(&f, t);
+	requests_free(r);
+	drafts_ran(d, seq, reason == PF_REASON_NONE || !passing(reason),
+		   reason == PF_REASON_NONE ? 200 : pf_oai_status_of(reason),
+		   pf_text_str(t));
+}
+
 void answer_end(struct request *r, const struct pf_entry_act *act)
 {
 	struct pf_oai_failure f = failure_of(act);
@@ -264,6 +299,10 @@
 	struct conn *c = r->conn;
 
 	r->ended = true;
+	if (r->draft) {
+		end_draft(r, act);
+		return;
+	}
 	if (!http)
 		return; /* requests_gone() frees it */
 	if (r->stream &&
--- a/daemons/entry/api.c
+++ b/daemons/entry/api.c
@@ -125,6 +125,80 @@
 	entry_step(d, &m);
 }
 
+static bool deferred(evhtp_request_t *req)
+{
+	const char *prefer = evhtp_header_find(req->headers_in, "Prefer");
+
+	return prefer && strcasestr(prefer, "respond-async");
+}
+
+/* The whole answer is stored; nobody waits for parts of it. */
+static int draft_arrive(struct daemon *d, uint64_t seq,
+			struct pf_oai_request *q, const struct pf_work *w)
+{
+	struct pf_entry_msg m = { .type = PF_ENTRY_ARRIVE };
+	struct request *r = requests_new(d, NULL, NULL);
+
+	if (!r)
+		return -1;
+	if (pf_oai_shape_init(&r->shape, q->kind, r->id, pf_str_c(q->model),
+			      pf_clock_wall() / 1000) < 0) {
+		requests_free(r);
+		return -1;
+	}
+	r->draft = seq;
+	r->prompt_tokens = w->prompt_tokens;
+	r->payload.body = (struct pf_str){ q->prompt, q->prompt_len };
+	q->prompt = NULL;
+	m.u.arrive.request = r->id;
+	m.u.arrive.work = *w;
+	m.u.arrive.work.flags |= PF_WORK_DEFERRABLE;
+	m.u.arrive.work.first_due = PF_NEVER;
+	m.u.arrive.work.whole_due = PF_NEVER;
+	m.u.arrive.work.deadline = PF_NEVER;
+	entry_step(d, &m);
+	return 0;
+}
+
+static void draft_failed(struct daemon *d, uint64_t seq, enum pf_reason reason)
+{
+	struct pf_oai_failure f = pf_oai_failure_of(reason, PF_NOT_RUN, 0);
+	struct pf_text t = { 0 };
+
+	pf_oai_failure_body(&f, &t);
+	drafts_ran(d, seq, true, pf_oai_status_of(reason), pf_text_str(&t));
+	pf_text_free(&t);
+}
+
+void api_draft_run(struct daemon *d, uint64_t seq, uint64_t caller_id,
+		   enum pf_oai_kind kind, struct pf_str body)
+{
+	const struct pf_caller *caller =
+		d->config ? pf_config_caller(d->config, caller_id) : NULL;
+	struct pf_work w = { 0 };
+	struct pf_oai_request q;
+	struct pf_oai_error err;
+
+	if (!caller || d->draining) {
+		drafts_ran(d, seq, false, 0, PF_STR(""));
+		return;
+	}
+	if (pf_oai_parse(kind, body, &limits, &q, &err) < 0) {
+		draft_failed(d, seq, PF_REASON_BACKEND);
+		return;
+	}
+	if (pf_config_resolve(d->config, pf_str_c(q.model),
+			      pf_rng_unit(&d->rng), &w.model, &w.adapter) < 0 ||
+	    !may_call(d->config, caller, w.model)) {
+		draft_failed(d, seq, PF_REASON_UNKNOWN_MODEL);
+	} else {
+		fill_work(&w, caller, &q);
+		if (draft_arrive(d, seq, &q, &w) < 0)
+			drafts_ran(d, seq, false, 0, PF_STR(""));
+	}
+	pf_oai_request_free(&q);
+}
+
 void api_completion(struct daemon *d, struct conn *c, evhtp_request_t *req,
 		    enum pf_oai_kind kind)
 {
@@ -142,8 +216,6 @@
 		answer_refused(c, req, 400, err.code, err.text);
 		return;
 	}
-	/* The body is parsed; its bytes need not wait for the answer. */
-	evbuffer_drain(req->buffer_in, body.n);
 	if (pf_config_resolve(d->config, pf_str_c(q.model),
 			      pf_rng_unit(&d->rng), &w.model, &w.adapter) < 0) {
 		answer_refused(c, req, 404, "unknown_model",
@@ -153,7 +225,13 @@
 			       "this key may not call this model");
 	} else {
 		fill_work(&w, caller, &q);
-		arrive(d, c, req, &q, &w);
+		if (deferred(req)) {
+			drafts_ask(d, c, req, caller, kind, body);
+		} else {
+			/* Its bytes need not wait for the answer. */
+			evbuffer_drain(req->buffer_in, body.n);
+			arrive(d, c, req, &q, &w);
+		}
 	}
 	pf_oai_request_free(&q);
 }
--- a/daemons/entry/daemon.h
+++ b/daemons/entry/daemon.h
@@ -33,6 +33,7 @@
 	uint64_t id;
 	struct conn *conn;
 	evhtp_request_t *http; /* NULL: its caller is gone */
+	uint64_t draft; /* run `seq` of the draft core; 0: of a caller */
 	bool plain;
 	bool stream;
 	bool usage;
@@ -63,6 +64,7 @@
 	struct event *timer; /* for a request to arrive, or to be closed */
 	struct request *request; /* the one being answered */
 	struct operation *operation; /* of an operator, being answered */
+	struct draft_ask *draft; /* of a caller, being answered */
 	enum conn_phase phase;
 	uint64_t body_left;
 	size_t body_bytes; /* of the request that is arriving */
@@ -133,6 +135,7 @@
 	struct pf_table *table;
 	struct pf_config_reader *reader;
 	struct changes *changes; /* of operators */
+	struct drafts *drafts;
 	struct planner *planner;
 	struct pf_vm_list *vms;
 	struct event *stop_timer;
@@ -181,6 +184,25 @@
 const struct pf_caller *api_caller(struct daemon *d, struct conn *c,
 				   evhtp_request_t *req);
 
+/** Runs a stored request for its caller; its end goes to drafts_ran(). */
+void api_draft_run(struct daemon *d, uint64_t seq, uint64_t caller,
+		   enum pf_oai_kind kind, struct pf_str body);
+
+/* drafts.c: requests whose answers may come later */
+int drafts_start(struct daemon *d);
+void drafts_stop(struct daemon *d);
+/** Takes a checked body in; answers 202 once it is stored. */
+void drafts_ask(struct daemon *d, struct conn *c, evhtp_request_t *req,
+		const struct pf_caller *caller, enum pf_oai_kind kind,
+		struct pf_str body);
+/** GET and DELETE of /v1/drafts/ID. */
+void drafts_route(struct daemon *d, struct conn *c, evhtp_request_t *req);
+void drafts_gone(struct conn *c);
+/** A run has ended; may be called inside the core's step. */
+void drafts_ran(struct daemon *d, uint64_t seq, bool final, int status,
+		struct pf_str body);
+void drafts_refresh(struct daemon *d);
+
 /* svc.c: /svc/NAME/... */
 void svc_call(struct daemon *d, struct conn *c, evhtp_request_t *req);
 
--- a/daemons/entry/main.c
+++ b/daemons/entry/main.c
@@ -132,7 +132,7 @@
 		return -1;
 	if (config_start(d) < 0 || changes_start(d) < 0)
 		return -1;
-	return planner_start(d);
+	return planner_start(d) < 0 ? -1 : drafts_start(d);
 }
 
 static void stop(struct daemon *d)
@@ -142,6 +142,7 @@
 	links_stop(d);
 	core_stop(d);
 	changes_stop(d);
+	drafts_stop(d);
 	planner_stop(d);
 	pf_vm_list_free(d->vms);
 	pf_config_reader_free(d->reader);
--- a/daemons/entry/requests.c
+++ b/daemons/entry/requests.c
@@ -106,7 +106,8 @@
 	LIST_INSERT_HEAD(&d->requests, r, next);
 	r->conn = c;
 	r->http = http;
-	c->request = r;
+	if (c)
+		c->request = r;
 	return r;
 }
 
--- a/daemons/entry/server.c
+++ b/daemons/entry/server.c
@@ -99,6 +99,7 @@
 	if (c->request && c->request->http == req)
 		requests_gone(c->request);
 	admin_gone(c);
+	drafts_gone(c);
 	if (c->refused)
 		return EVHTP_RES_OK;
 	c->receiving = false;
@@ -144,6 +145,7 @@
 	if (c->request)
 		requests_gone(c->request);
 	admin_gone(c);
+	drafts_gone(c);
 	LIST_REMOVE(c, next);
 	c->d->n_conns--;
 	conn_free(c);
@@ -230,6 +232,8 @@
 		need_method(d, c, req, htp_method_POST, completion);
 	else if (strcmp(path, "/v1/models") == 0)
 		need_method(d, c, req, htp_method_GET, api_models);
+	else if (starts_with(path, "/v1/drafts/"))
+		drafts_route(d, c, req);
 	else if (starts_with(path, "/svc/"))
 		svc_call(d, c, req);
 	else if (starts_with(path, "/admin/") && d->set.operators)
--- a/include/pimentoford/counters.h
+++ b/include/pimentoford/counters.h
@@ -52,6 +52,12 @@
 	    "Transactions at the table")                                       \
 	DEF(TABLE_ERRORS, "table_errors_total", "counter",                     \
 	    "Requests to the table without a usable answer")                   \
+	DEF(DRAFTS_OPEN, "drafts_open", "gauge",                               \
+	    "Drafts not delivered yet, by the last scan")                      \
+	DEF(DRAFTS_FINISHED, "drafts_finished_total", "counter",               \
+	    "Drafts finished here")                                            \
+	DEF(DRAFT_OLDEST_MS, "draft_oldest_ms", "gauge",                       \
+	    "Age of the oldest undelivered draft")                             \
 	DEF(CPU_MS, "cpu_ms_total", "counter", "Processor time used")          \
 	DEF(RSS_KB, "resident_kb", "gauge", "Resident memory")
 
