--- a/daemons/entry/drafts.c
+++ b/daemons/entry/drafts.c
@@ -481,20 +481,22 @@
 void drafts_stop(struct daemon *d)
 {
 	struct drafts *f = d->drafts;
+	struct draft_ask *a, *a_next;
+	struct store_ask *k, *k_next;
 	struct run_event *e;
 
 	if (!f)
 		return;
 	pf_http_free(f->objects);
 	pf_draft_free(f->core);
-	while (!LIST_EMPTY(&f->asks)) {
-		struct draft_ask *a = LIST_FIRST(&f->asks);
-
-		LIST_REMOVE(a, next);
+	for (a = LIST_FIRST(&f->asks); a; a = a_next) {
+		a_next = LIST_NEXT(a, next);
 		free(a);
 	}
-	while (!LIST_EMPTY(&f->stores))
-		unheard(LIST_FIRST(&f->stores));
+	for (k = LIST_FIRST(&f->stores); k; k = k_next) {
+		k_next = LIST_NEXT(k, next);
+		free(k);
+	}
 	while ((e = STAILQ_FIRST(&f->runs))) {
 		STAILQ_REMOVE_HEAD(&f->runs, next);
 		free(e->body);
