A piece of a stream that finds no memory ends the call

Cause: after a failed add, shutdown() still lets queued bytes be read, so a gap could have gone unnoticed. Change: the connection fails at once, as after a read error.

--- a/src/transport/http_client.c
+++ b/src/transport/http_client.c
@@ -205,6 +205,7 @@
 	struct evbuffer *in = bufferevent_get_input(bev);
 	char bytes[READ_BYTES];
 	ssize_t n = recv(fd, bytes, sizeof(bytes), MSG_DONTWAIT);
+	int added;
 
 	(void)what;
 	if (n < 0 && (errno == EAGAIN || errno == EINTR))
@@ -216,10 +217,15 @@
 	}
 	/* The end of an input buffer is frozen to all but its bufferevent. */
 	evbuffer_unfreeze(in, 0);
-	if (evbuffer_add(in, bytes, (size_t)n) < 0)
-		shutdown(fd, SHUT_RDWR); /* a gap must not go unnoticed */
+	added = evbuffer_add(in, bytes, (size_t)n);
 	evbuffer_freeze(in, 0);
-	bufferevent_trigger(bev, EV_READ, 0);
+	if (added == 0) {
+		bufferevent_trigger(bev, EV_READ, 0);
+		return;
+	}
+	/* A gap must not go unnoticed. */
+	event_del(c->reader);
+	bufferevent_trigger_event(bev, BEV_EVENT_READING | BEV_EVENT_ERROR, 0);
 }
 
 /* Without memory for it, the bufferevent goes on reading. */
