Test of streams: the connection must stand before each piece

Cause: with the add of a piece made to fail (trial, address sanitizer) the test wrote to a connection that had ended; the client itself ended the call with PF_HTTP_LOST, with no finding. Change: the test asserts that the connection stands.

--- a/tests/test_http_client.cc
+++ b/tests/test_http_client.cc
@@ -267,6 +267,7 @@
 				event_base_loop(base, EVLOOP_NONBLOCK);
 				usleep(100);
 			}
+			ASSERT_EQ(open.count(bev), 1u) << c.result;
 			if (p.empty())
 				gone(bev, 0, this);
 			else if (p == "cancel")
