--- a/bench/main.c
+++ b/bench/main.c
@@ -1,6 +1,7 @@
 /* Runs the policies on a deployment and prints a line for each. */
 #include "bench/bench.h"
 #include "bench/capacity.h"
+#include "bench/spread.h"
 #include "pimentoford/records.h"
 
 #include <glib.h>
@@ -120,9 +121,24 @@
 	return found;
 }
 
+/* A bench that needs no deployment; exit status 2 when there is none such. */
+static int run_other(const char *what, uint64_t seed)
+{
+	if (strcmp(what, "spread") == 0) {
+		bench_spread(seed);
+		return 0;
+	}
+	if (strcmp(what, "members") == 0) {
+		bench_members(seed);
+		return 0;
+	}
+	fprintf(stderr, "bench: no such bench as %s\n", what);
+	return 2;
+}
+
 int main(int argc, char **argv)
 {
-	gchar *name = NULL, *only = NULL;
+	gchar *name = NULL, *only = NULL, *what = NULL;
 	gint64 seed = 1;
 	gint faults = -1, seconds = 600;
 	gdouble load = 0.5;
@@ -130,6 +146,8 @@
 	GOptionEntry entries[] = {
 		{ "deployment", 0, 0, G_OPTION_ARG_STRING, &name,
 		  "sylvacarb or norrvarme", "NAME" },
+		{ "what", 0, 0, G_OPTION_ARG_STRING, &what,
+		  "Instead of the policies: spread or members", "NAME" },
 		{ "seed", 0, 0, G_OPTION_ARG_INT64, &seed, "Seed", "N" },
 		{ "policy", 0, 0, G_OPTION_ARG_STRING, &only,
 		  "Only these, separated by commas", "NAMES" },
@@ -139,6 +157,8 @@
 		  "Demand as a part of what the accelerators decode", "X" },
 		{ "seconds", 0, 0, G_OPTION_ARG_INT, &seconds,
 		  "Virtual time of arrivals", "N" },
+		{ "what", 0, 0, G_OPTION_ARG_STRING, &what,
+		  "recovery: lost engines instead of policies", "NAME" },
 		{ "capacity", 0, 0, G_OPTION_ARG_NONE, &capacity,
 		  "Measure slopes and the size of each role instead", NULL },
 		{ NULL, 0, 0, G_OPTION_ARG_NONE, NULL, NULL, NULL },
@@ -155,6 +175,8 @@
 		return 2;
 	}
 	g_option_context_free(ctx);
+	if (what)
+		return run_other(what, (uint64_t)seed);
 	if (capacity)
 		return capacity_main();
 	d = find_deployment(name ? name : "sylvacarb");
@@ -172,6 +194,11 @@
 				 .zone_ms = d->zone_ms,
 				 .region_ms = d->region_ms,
 				 .client_ms = d->client_ms };
+	if (what && strcmp(what, "recovery") == 0) {
+		recovery_run(d->name, c, (uint64_t)seed);
+		pf_config_free(c);
+		return 0;
+	}
 	for (int f = 0; f < 2; f++) {
 		if (faults >= 0 && f != faults)
 			continue;
