Placement: a loss is made good with what other regions hold

The region owed more than its remaining engines hold, and kept homes of models that the other region held too; its planner did not know. Ruled out: packing within the region alone (the weights it owes exceed the room that is left). Change: planners note what other regions' engines report as resident; such a model gives way to one without any home and is itself not urgent.

--- a/bench/recovery.c
+++ b/bench/recovery.c
@@ -135,7 +135,8 @@
 	m.u.report.ready = true;
 	m.u.report.items = items;
 	m.u.report.n_items = n;
-	send(r, e->record->region, &m);
+	/* Entries hold sessions with the engines of all regions. */
+	send(r, NULL, &m);
 }
 
 static void tell_demand(struct recovery *r)
--- a/src/coordination/place.c
+++ b/src/coordination/place.c
@@ -201,11 +201,32 @@
 		set_record(p, &p->agents[a]);
 }
 
+/* An engine of another region: what it holds need not have a home here. */
+static void take_abroad(struct pf_placement *p, const struct pf_report *r)
+{
+	const struct pf_endpoint *e = NULL;
+
+	if (p->config)
+		e = pf_config_endpoint(p->config, r->agent);
+	if (!e || e->kind != PF_ENDPOINT_ENGINE || e->drain || r->leaving ||
+	    !r->ready)
+		return;
+	for (uint32_t i = 0; i < r->n_items; i++) {
+		uint32_t m;
+
+		if (r->items[i].state == PF_ITEM_RESIDENT &&
+		    pf_map_get(&p->by_model, pf_key1(r->items[i].id), &m) == 0)
+			p->models[m].abroad_at = p->now;
+	}
+}
+
 static void take_report(struct pf_placement *p, const struct pf_report *r)
 {
 	uint32_t a = agent_slot(p, r->agent);
 	struct place_agent *ag;
 
+	if (!planned(p, r->agent))
+		take_abroad(p, r);
 	if (a == PLACE_NONE)
 		return;
 	ag = &p->agents[a];
--- a/src/coordination/place_core.h
+++ b/src/coordination/place_core.h
@@ -37,6 +37,8 @@
 	const struct pf_model *record;
 	double demand; /* requests at once, smoothed */
 	bool own; /* this region owes it a home */
+	bool abroad; /* it is resident in another region */
+	pf_ms abroad_at; /* when that was last reported; 0: never */
 	uint32_t replicas; /* wanted at alive agents */
 	uint32_t resident; /* and there by their last reports */
 	double spare; /* room for requests at those that want it */
--- a/src/coordination/place_count.c
+++ b/src/coordination/place_count.c
@@ -6,6 +6,7 @@
 	struct place_model *mo = &p->models[m];
 	uint64_t first = 0;
 
+	mo->abroad = mo->abroad_at && p->now - mo->abroad_at < p->o.fresh;
 	mo->replicas = 0;
 	mo->resident = 0;
 	mo->zones = 0;
--- a/src/coordination/place_plan.c
+++ b/src/coordination/place_plan.c
@@ -11,6 +11,12 @@
 	double value; /* seconds of service regained over the horizon */
 };
 
+/* A model that another region holds or owes a home, while we lack room. */
+static bool foreign(const struct pf_placement *p, const struct place_model *mo)
+{
+	return p->urgent && (!mo->own || mo->abroad);
+}
+
 /* What it costs, in seconds of service, to give up the replica; -1: never. */
 static double loss(const struct pf_placement *p, uint32_t m, uint32_t a)
 {
@@ -22,12 +28,13 @@
 
 	if (!c->want || p->now - c->since < p->o.settle)
 		return -1;
-	/* What another region owes a home gives way only to what we owe. */
-	if (!(p->urgent && !mo->own) && mo->replicas < 2)
+	/* What has a home in another region, or is owed one there, gives way
+	 * only to what would be left without any. */
+	if (!foreign(p, mo) && mo->replicas < 2)
 		return -1;
 		/* The last one that is there stays until another has come. */
 #ifndef PF_MUTANT_PLACE_LAST
-	if (!(p->urgent && !mo->own) && c->have && mo->resident < 2)
+	if (!foreign(p, mo) && c->have && mo->resident < 2)
 		return -1;
 #endif
 	if (mo->replicas <= 2)
@@ -141,9 +148,10 @@
 	p->urgent = own;
 	for (uint32_t i = 0; i < p->n_models; i++) {
 		uint32_t m = p->by_size[i];
+		const struct place_model *mo = &p->models[m];
 		uint32_t a;
 
-		if (p->models[m].replicas > 0 || p->models[m].own != own)
+		if (mo->replicas > 0 || (mo->own && !mo->abroad) != own)
 			continue;
 		a = home_for(p, m, false, true);
 		p->st.unplaced += own;
--- a/tests/test_place.cc
+++ b/tests/test_place.cc
@@ -3,6 +3,8 @@
 
 #include <gtest/gtest.h>
 
+#include <utility>
+
 struct Place : ::testing::Test {
 	struct place_rig r;
 	struct pf_place_opts o;
@@ -217,6 +219,28 @@
 	ExpectHomes(1, 1);
 }
 
+// A model that another region holds gives way to one that nobody holds.
+TEST_F(Place, ALossIsMadeGoodWithWhatOtherRegionsHold)
+{
+	struct pf_placement *here;
+
+	for (uint32_t a = 0; a < 4; a++)
+		rig_engine(&r, a, a < 2 ? "a" : "b", a < 2 ? "r" : "s", 100);
+	rig_models(&r, 12, 20); // a home for each leaves room for four more
+	o.region = pf_id(PF_STR("r"));
+	Start(60000);
+	here = r.place;
+	r.place = nullptr;
+	o.region = pf_id(PF_STR("s"));
+	Start(60000);
+	ExpectHomes(1, 1);
+	std::swap(here, r.place);
+	rig_kill(&r, 0, true);
+	rig_run(&r, 120000);
+	pf_place_free(here);
+	ExpectHomes(1, 1);
+}
+
 TEST_F(Place, WithoutTheLeaseNothingIsSaid)
 {
 	Engines();
