Mend: the bench's world split by job; one name for formatted text

Change: world, store, faults, planner and result apart; the alias is gone. Conclusion: behaviour is unchanged.

--- a/bench/bench.h
+++ b/bench/bench.h
@@ -81,7 +81,6 @@
 
 /* world.c: for the engines. */
 pf_ms bench_now(const struct bench *b);
-struct pf_rng *bench_rng(struct bench *b);
 const struct request *bench_request(const struct bench *b, uint64_t id);
 /* Calls engine_event() of @agent with @what and @arg after @delay. */
 void bench_later(struct bench *b, uint32_t agent, pf_ms delay, uint32_t what,
--- a/bench/world.c
+++ b/bench/world.c
@@ -1,124 +1,22 @@
-/* The world: virtual time, messages with delays, faults, and the result. */
-#include "bench/bench.h"
+/* The world: virtual time, and messages with delays between the cores. */
 #include "bench/figures.h"
-#include "bench/homes.h"
-#include "pimentoford/place.h"
+#include "bench/world.h"
 
 #include <stdlib.h>
 #include <string.h>
 
-#define ENTRIES 3
-#define AGENTS_MAX 64
-#define EVENTS_MAX 400000
-#define REQUESTS_MAX 2000000
-#define TICK_NONE INT64_MAX
-#define DRAIN_MS 120000 /* after the last arrival */
-#define FAULT_EVERY_MS 40000.0
-#define REPORT_LOSS 0.1 /* with faults */
-#define LINK_DOWN_MS 500 /* until an end sees that the other is gone */
-#define LINK_CUT_MS 5000
-#define STORE_AWAY_MS 30000
-#define DEMAND_EVERY_MS 1000
-#define MODELS_MAX 512
-
-enum event_type {
-	EV_ARRIVE,
-	EV_TO_ENTRY,
-	EV_TO_AGENT,
-	EV_ENTRY_TICK,
-	EV_AGENT_TICK,
-	EV_ENGINE,
-	EV_FAULT,
-	EV_ENGINE_START,
-	EV_VM_START,
-	EV_LINK_UP,
-	EV_DEMAND,
-	EV_PLACE,
-	EV_PLACE_TICK,
-};
-
-struct event {
-	enum event_type type;
-	uint32_t entry;
-	uint32_t agent;
-	uint32_t link; /* generation of the link; messages of old ones drop */
-	uint32_t what;
-	uint64_t arg;
-	union {
-		struct pf_entry_msg entry_msg;
-		struct pf_agent_msg agent_msg;
-	} u;
-	struct pf_item *items; /* owned, of a report */
-	uint64_t *wants; /* owned, of a placement */
-};
-
-struct agent {
-	struct bench *b;
-	struct pf_agent *core;
-	struct engine *engine;
-	const struct pf_endpoint *endpoint;
-	uint64_t incarnation;
-	pf_ms tick;
-	bool down;
-	bool draining;
-	struct homes homes;
-};
-
-struct entry {
-	struct bench *b;
-	struct pf_entry *core;
-	const char *zone;
-	const char *region;
-	pf_ms tick;
-};
-
-struct bench {
-	const struct bench_opts *o;
-	struct bench_result *r;
-	struct pf_rng rng; /* engines and network */
-	struct pf_rng demand_rng;
-	struct pf_heap timers;
-	struct event *events; /* EVENTS_MAX slots */
-	uint32_t *free;
-	uint32_t n_free;
-	uint32_t order;
-	pf_ms now;
-	struct entry entries[ENTRIES];
-	struct agent agents[AGENTS_MAX];
-	uint32_t n_agents;
-	struct pf_placement *place; /* the planner, beside the first entry */
-	pf_ms place_tick;
-	uint32_t links[ENTRIES][AGENTS_MAX]; /* generation */
-	bool linked[ENTRIES][AGENTS_MAX];
-	struct request *requests;
-	uint64_t n_requests;
-	struct demand *demand;
-	struct request next;
-	/* The weight store. */
-	pf_ms store_next;
-	pf_ms store_away_until;
-	uint32_t store_inflight;
-	uint32_t adapters_inflight;
-	pf_ms store_slots[64]; /* when each slot is free */
-};
-
 pf_ms bench_now(const struct bench *b)
 {
 	return b->now;
 }
 
-struct pf_rng *bench_rng(struct bench *b)
-{
-	return &b->rng;
-}
-
 const struct request *bench_request(const struct bench *b, uint64_t id)
 {
 	return &b->requests[id - 1];
 }
 
 /* Events of one millisecond keep the order in which they were pushed. */
-static struct event *push(struct bench *b, pf_ms delay, enum event_type type)
+struct event *world_push(struct bench *b, pf_ms delay, enum event_type type)
 {
 	uint32_t slot;
 	struct event *e;
@@ -136,57 +34,14 @@
 void bench_later(struct bench *b, uint32_t agent, pf_ms delay, uint32_t what,
 		 uint64_t arg)
 {
-	struct event *e = push(b, delay, EV_ENGINE);
+	struct event *e = world_push(b, delay, EV_ENGINE);
 
 	e->agent = agent;
 	e->what = what;
 	e->arg = arg;
 }
 
-/* Loads start at the store's rate and share its slots. */
-static pf_ms model_load(struct bench *b, int64_t bytes)
-{
-	const struct pf_deployment *d = &b->o->config->deployment;
-	uint32_t slot = 0;
-	pf_ms start = b->now;
-
-	for (uint32_t i = 1; i < d->store_inflight && i < 64; i++)
-		if (b->store_slots[i] < b->store_slots[slot])
-			slot = i;
-	if (start < b->store_next)
-		start = b->store_next;
-	if (start < b->store_slots[slot])
-		start = b->store_slots[slot];
-	if (start < b->store_away_until)
-		start = b->store_away_until;
-	b->store_next = start + (pf_ms)(1000 / d->store_loads_rate);
-	b->store_slots[slot] = start + (pf_ms)((double)bytes / LOAD_BYTES_MS);
-	return b->store_slots[slot];
-}
-
-pf_ms bench_load_time(struct bench *b, uint64_t item, int64_t bytes,
-		      bool adapter)
-{
-	uint32_t knee = b->o->config->deployment.adapter_knee;
-	pf_ms ms;
-
-	(void)item;
-	if (!adapter)
-		return model_load(b, bytes);
-	b->adapters_inflight++;
-	ms = ADAPTER_MS_MIN + pf_rng_below(&b->rng, ADAPTER_MS_SPAN);
-	if (b->adapters_inflight > knee)
-		ms = ms * b->adapters_inflight / knee;
-	return b->now + ms;
-}
-
-void bench_load_end(struct bench *b, bool adapter)
-{
-	if (adapter)
-		b->adapters_inflight--;
-}
-
-static pf_ms latency(const struct bench *b, uint32_t entry, uint32_t agent)
+pf_ms world_latency(const struct bench *b, uint32_t entry, uint32_t agent)
 {
 	const struct entry *e = &b->entries[entry];
 	const struct pf_endpoint *p = b->agents[agent].endpoint;
@@ -200,10 +55,11 @@
 	return 0;
 }
 
-static struct event *to_entry(struct bench *b, uint32_t entry, uint32_t agent,
-			      enum pf_entry_msg_type type)
+struct event *world_to_entry(struct bench *b, uint32_t entry, uint32_t agent,
+			     enum pf_entry_msg_type type)
 {
-	struct event *e = push(b, latency(b, entry, agent), EV_TO_ENTRY);
+	struct event *e =
+		world_push(b, world_latency(b, entry, agent), EV_TO_ENTRY);
 
 	e->entry = entry;
 	e->agent = agent;
@@ -222,7 +78,7 @@
 		if (!b->linked[i][agent] ||
 		    (b->o->faults && pf_rng_unit(&b->rng) < REPORT_LOSS))
 			continue;
-		e = to_entry(b, i, agent, PF_ENTRY_REPORT);
+		e = world_to_entry(b, i, agent, PF_ENTRY_REPORT);
 		e->u.entry_msg.u.report = *r;
 		e->items = calloc(r->n_items + 1, sizeof(*e->items));
 		if (!e->items)
@@ -242,33 +98,33 @@
 
 	switch (a->type) {
 	case PF_AGENT_STARTED:
-		e = to_entry(b, n, i, PF_ENTRY_STARTED);
+		e = world_to_entry(b, n, i, PF_ENTRY_STARTED);
 		e->u.entry_msg.u.id = a->u.id;
 		break;
 	case PF_AGENT_PIECE:
-		e = to_entry(b, n, i, PF_ENTRY_PIECE);
+		e = world_to_entry(b, n, i, PF_ENTRY_PIECE);
 		e->u.entry_msg.u.tokens.id = a->u.tokens.id;
 		e->u.entry_msg.u.tokens.offset = a->u.tokens.offset;
 		e->u.entry_msg.u.tokens.count = a->u.tokens.count;
 		break;
 	case PF_AGENT_DONE:
-		e = to_entry(b, n, i, PF_ENTRY_DONE);
+		e = world_to_entry(b, n, i, PF_ENTRY_DONE);
 		e->u.entry_msg.u.done.id = a->u.done.id;
 		e->u.entry_msg.u.done.total = a->u.done.total;
 		e->u.entry_msg.u.done.error = a->u.done.end == PF_END_ERROR;
 		break;
 	case PF_AGENT_NOT_RUN:
-		e = to_entry(b, n, i, PF_ENTRY_NOT_RUN);
+		e = world_to_entry(b, n, i, PF_ENTRY_NOT_RUN);
 		e->u.entry_msg.u.not_run.id = a->u.not_run.id;
 		e->u.entry_msg.u.not_run.reason = a->u.not_run.reason;
 		e->u.entry_msg.u.not_run.retry_after = a->u.not_run.retry_after;
 		break;
 	case PF_AGENT_REVOKED:
-		e = to_entry(b, n, i, PF_ENTRY_REVOKED);
+		e = world_to_entry(b, n, i, PF_ENTRY_REVOKED);
 		e->u.entry_msg.u.id = a->u.id;
 		break;
 	case PF_AGENT_LOST:
-		e = to_entry(b, n, i, PF_ENTRY_LOST);
+		e = world_to_entry(b, n, i, PF_ENTRY_LOST);
 		e->u.entry_msg.u.lost.id = a->u.lost.id;
 		e->u.entry_msg.u.lost.reason = a->u.lost.reason;
 		break;
@@ -290,7 +146,8 @@
 	if (next >= ag->tick)
 		return;
 	ag->tick = next;
-	push(b, next > b->now ? next - b->now : 0, EV_AGENT_TICK)->agent = i;
+	world_push(b, next > b->now ? next - b->now : 0, EV_AGENT_TICK)->agent =
+		i;
 }
 
 void bench_to_agent(struct bench *b, uint32_t agent,
@@ -331,7 +188,7 @@
 	case PF_ENTRY_TRY:
 	case PF_ENTRY_REVOKE:
 	case PF_ENTRY_CANCEL:
-		e = push(b, latency(b, n, i), EV_TO_AGENT);
+		e = world_push(b, world_latency(b, n, i), EV_TO_AGENT);
 		e->entry = n;
 		e->agent = i;
 		e->link = b->links[n][i];
@@ -379,7 +236,8 @@
 	if (next >= en->tick)
 		return;
 	en->tick = next;
-	push(b, next > b->now ? next - b->now : 0, EV_ENTRY_TICK)->entry = i;
+	world_push(b, next > b->now ? next - b->now : 0, EV_ENTRY_TICK)->entry =
+		i;
 }
 
 static void agent_opts(struct bench *b, struct agent *ag,
@@ -402,7 +260,7 @@
 }
 
 /* A new agent process beside an engine. */
-static void agent_start(struct bench *b, uint32_t i)
+void world_agent_start(struct bench *b, uint32_t i)
 {
 	struct agent *ag = &b->agents[i];
 	struct pf_agent_msg m = { .type = PF_AGENT_CONFIG };
@@ -426,127 +284,6 @@
 	}
 }
 
-static void link_up(struct bench *b, uint32_t entry, uint32_t agent)
-{
-	struct event *e;
-
-	if (b->linked[entry][agent] || b->agents[agent].down)
-		return;
-	b->linked[entry][agent] = true;
-	e = to_entry(b, entry, agent, PF_ENTRY_LINK_UP);
-	e->u.entry_msg.u.link.incarnation = b->agents[agent].incarnation;
-}
-
-/* What was under way is lost; both ends notice. */
-static void link_cut(struct bench *b, uint32_t entry, uint32_t agent)
-{
-	struct event *e;
-
-	if (!b->linked[entry][agent])
-		return;
-	b->linked[entry][agent] = false;
-	b->links[entry][agent]++;
-	e = push(b, LINK_DOWN_MS, EV_TO_ENTRY);
-	e->entry = entry;
-	e->agent = agent;
-	e->link = b->links[entry][agent];
-	e->u.entry_msg.type = PF_ENTRY_LINK_DOWN;
-	e->u.entry_msg.agent = b->agents[agent].endpoint->id;
-	e = push(b, LINK_DOWN_MS, EV_TO_AGENT);
-	e->entry = entry;
-	e->agent = agent;
-	e->link = b->links[entry][agent];
-	e->u.agent_msg.type = PF_AGENT_ENTRY_DOWN;
-	e->u.agent_msg.entry = entry + 1;
-}
-
-static void engine_stats(struct bench *b, struct agent *ag)
-{
-	struct pf_agent_stats s;
-
-	pf_agent_stats(ag->core, &s);
-	b->r->pauses += s.paused;
-}
-
-static void vm_kill(struct bench *b, uint32_t i)
-{
-	struct agent *ag = &b->agents[i];
-
-	engine_crash(ag->engine);
-	engine_stats(b, ag);
-	pf_agent_free(ag->core);
-	ag->core = NULL;
-	ag->down = true;
-	for (uint32_t n = 0; n < ENTRIES; n++)
-		link_cut(b, n, i);
-	push(b, RESTART_MS, EV_VM_START)->agent = i;
-}
-
-static void vm_start(struct bench *b, uint32_t i)
-{
-	agent_start(b, i);
-	for (uint32_t n = 0; n < ENTRIES; n++)
-		link_up(b, n, i);
-}
-
-/* A planned stop: the VM leaves once it is empty and comes back anew. */
-static void vm_leave(struct bench *b, uint32_t i)
-{
-	struct pf_agent_msg m = { .type = PF_AGENT_DRAIN };
-
-	b->agents[i].draining = true;
-	for (uint32_t n = 0; n < ENTRIES; n++)
-		if (b->linked[n][i])
-			to_entry(b, n, i, PF_ENTRY_LEAVING);
-	bench_to_agent(b, i, &m);
-}
-
-static void fault(struct bench *b)
-{
-	uint32_t i = pf_rng_below(&b->rng, b->n_agents);
-	uint32_t n = pf_rng_below(&b->rng, ENTRIES);
-	struct event *e;
-
-	push(b, (pf_ms)(FAULT_EVERY_MS * 2 * pf_rng_unit(&b->rng)) + 1,
-	     EV_FAULT);
-	if (b->agents[i].down || b->agents[i].draining)
-		return;
-	b->r->crashes++;
-	switch (pf_rng_below(&b->rng, 5)) {
-	case 0:
-		engine_crash(b->agents[i].engine);
-		push(b, RESTART_MS, EV_ENGINE_START)->agent = i;
-		break;
-	case 1:
-		vm_kill(b, i);
-		break;
-	case 2:
-		link_cut(b, n, i);
-		e = push(b, LINK_CUT_MS, EV_LINK_UP);
-		e->entry = n;
-		e->agent = i;
-		break;
-	case 3:
-		b->store_away_until = b->now + STORE_AWAY_MS;
-		break;
-	default:
-		vm_leave(b, i);
-		break;
-	}
-}
-
-/* A drained VM is gone at once; a new one takes its place. */
-static void leave_maybe(struct bench *b, uint32_t i)
-{
-	struct pf_agent_stats s;
-
-	if (!b->agents[i].draining || b->agents[i].down)
-		return;
-	pf_agent_stats(b->agents[i].core, &s);
-	if (s.running == 0 && s.queued == 0)
-		vm_kill(b, i);
-}
-
 static void arrive(struct bench *b)
 {
 	struct pf_entry_msg m = { .type = PF_ENTRY_ARRIVE };
@@ -563,95 +300,7 @@
 	to_entry_core(b, r->entry, &m);
 	at = demand_next(b->demand, b->now, &b->next);
 	if (at < b->o->duration)
-		push(b, at - b->now, EV_ARRIVE);
-}
-
-static void place_emit(void *ctx, const struct pf_place_act *a)
-{
-	struct bench *b = ctx;
-	uint32_t i = 0;
-	struct event *e;
-
-	while (b->agents[i].endpoint->id != a->agent)
-		i++;
-	e = push(b, latency(b, 0, i), EV_PLACE);
-	e->agent = i;
-	e->wants = calloc(a->n_items + 1, sizeof(*e->wants));
-	if (!e->wants)
-		abort();
-	memcpy(e->wants, a->items, a->n_items * sizeof(*e->wants));
-	e->u.agent_msg.type = PF_AGENT_PLACE;
-	e->u.agent_msg.u.place.items = e->wants;
-	e->u.agent_msg.u.place.n_items = a->n_items;
-}
-
-static void to_place(struct bench *b, const struct pf_place_msg *m)
-{
-	struct pf_place_sink sink = { place_emit, b };
-
-	pf_ms next;
-
-	if (!b->place)
-		return;
-	pf_place_step(b->place, b->now, m, &sink);
-	next = pf_place_next(b->place);
-	if (next >= b->place_tick)
-		return;
-	b->place_tick = next;
-	push(b, next > b->now ? next - b->now : 0, EV_PLACE_TICK);
-}
-
-/* What the planner hears from the messages to the entry beside it. */
-static void place_hears(struct bench *b, const struct event *e)
-{
-	struct pf_place_msg m = { .type = PF_PLACE_GONE };
-
-	if (e->entry != 0)
-		return;
-	m.u.agent = e->u.entry_msg.agent;
-	if (e->u.entry_msg.type == PF_ENTRY_REPORT) {
-		m.type = PF_PLACE_REPORT;
-		m.u.report = e->u.entry_msg.u.report;
-		to_place(b, &m);
-	} else if (e->u.entry_msg.type == PF_ENTRY_LEAVING ||
-		   e->u.entry_msg.type == PF_ENTRY_LINK_DOWN) {
-		to_place(b, &m);
-	}
-}
-
-static void demand_round(struct bench *b)
-{
-	struct pf_demand v[MODELS_MAX];
-	struct pf_place_msg m = { .type = PF_PLACE_DEMAND };
-
-	for (uint32_t i = 0; i < ENTRIES; i++) {
-		m.u.demand.entry = i + 1;
-		m.u.demand.v = v;
-		m.u.demand.n =
-			pf_entry_demand(b->entries[i].core, v, MODELS_MAX);
-		to_place(b, &m);
-	}
-	push(b, DEMAND_EVERY_MS, EV_DEMAND);
-}
-
-static void place_start(struct bench *b)
-{
-	struct pf_place_msg m = { .type = PF_PLACE_CONFIG };
-	struct pf_place_opts o;
-
-	if (b->o->policy->placement != PLACEMENT_PLANNED)
-		return;
-	pf_place_opts_default(&o);
-	b->place = pf_place_new(&o);
-	if (!b->place)
-		abort();
-	b->place_tick = TICK_NONE;
-	m.u.config = b->o->config;
-	to_place(b, &m);
-	m.type = PF_PLACE_LEASE;
-	m.u.held = true;
-	to_place(b, &m);
-	push(b, DEMAND_EVERY_MS, EV_DEMAND);
+		world_push(b, at - b->now, EV_ARRIVE);
 }
 
 static void to_entry_event(struct bench *b, struct event *e)
@@ -661,7 +310,7 @@
 
 	if (e->link != b->links[e->entry][e->agent])
 		return;
-	place_hears(b, e);
+	world_place_hears(b, e);
 	to_entry_core(b, e->entry, &e->u.entry_msg);
 	if (up && !b->agents[e->agent].down)
 		bench_to_agent(b, e->agent, &place);
@@ -692,30 +341,30 @@
 	case EV_AGENT_TICK:
 		ag->tick = TICK_NONE;
 		bench_to_agent(b, e->agent, &atick);
-		leave_maybe(b, e->agent);
+		world_leave_maybe(b, e->agent);
 		break;
 	case EV_ENGINE:
 		engine_event(ag->engine, e->what, e->arg);
 		break;
 	case EV_FAULT:
-		fault(b);
+		world_fault(b);
 		break;
 	case EV_ENGINE_START:
 		if (!ag->down)
 			engine_start(ag->engine);
 		break;
 	case EV_VM_START:
-		vm_start(b, e->agent);
+		world_vm_start(b, e->agent);
 		break;
 	case EV_LINK_UP:
-		link_up(b, e->entry, e->agent);
+		world_link_up(b, e->entry, e->agent);
 		break;
 	case EV_DEMAND:
-		demand_round(b);
+		world_demand_round(b);
 		break;
 	case EV_PLACE_TICK:
 		b->place_tick = TICK_NONE;
-		to_place(b, &ptick);
+		world_to_place(b, &ptick);
 		break;
 	case EV_PLACE:
 		bench_to_agent(b, e->agent, &e->u.agent_msg);
@@ -807,81 +456,6 @@
 	}
 }
 
-/* Which expectations a whole answer missed. */
-static bool missed(struct bench_result *res, const struct request *r)
-{
-	const struct pf_work *w = &r->work;
-	pf_ms between =
-		r->got > 1 ? (r->last_at - r->first_at) / (r->got - 1) : 0;
-	bool first = r->first_at > w->first_due;
-	bool slow = w->between_ms && between > w->between_ms;
-	bool late = w->whole_due != PF_NEVER && r->last_at > w->whole_due;
-
-	res->miss_first += first;
-	res->miss_between += slow;
-	res->miss_whole += late;
-	return first || slow || late;
-}
-
-static void judge(struct bench *b, struct request *r, pf_ms *firsts,
-		  uint64_t *n_firsts)
-{
-	bool ok = r->whole && !missed(b->r, r);
-
-	b->r->unended += !r->ended;
-	b->r->whole += r->whole;
-	b->r->refused += r->ended && !r->whole && r->ran == PF_NOT_RUN;
-	b->r->failed += r->ended && !r->whole && r->ran != PF_NOT_RUN;
-	b->r->late += r->whole && !ok;
-	b->r->attained += ok;
-	b->r->by_caller[r->caller]++;
-	b->r->attained_by_caller[r->caller] += ok;
-	if (r->got && r->work.priority == 0)
-		firsts[(*n_firsts)++] = r->first_at - r->arrived;
-}
-
-static int by_ms(const void *a, const void *b)
-{
-	pf_ms x = *(const pf_ms *)a, y = *(const pf_ms *)b;
-
-	return x < y ? -1 : x > y;
-}
-
-static void finish(struct bench *b)
-{
-	struct bench_result *r = b->r;
-	pf_ms *firsts = calloc(b->n_requests + 1, sizeof(*firsts));
-	uint64_t n = 0;
-
-	if (!firsts)
-		abort();
-	r->requests = b->n_requests;
-	for (uint64_t i = 0; i < b->n_requests; i++)
-		judge(b, &b->requests[i], firsts, &n);
-	qsort(firsts, n, sizeof(*firsts), by_ms);
-	r->first_p95 = n ? firsts[n * 95 / 100] : 0;
-	r->attainment = (double)r->attained / (double)r->requests / b->n_agents;
-	for (uint32_t i = 0; i < b->n_agents; i++) {
-		struct agent *ag = &b->agents[i];
-
-		r->overcommit += engine_overcommits(ag->engine);
-		r->moves += engine_loads(ag->engine, false);
-		r->adapter_moves += engine_loads(ag->engine, true);
-		if (ag->core)
-			engine_stats(b, ag);
-		pf_agent_free(ag->core);
-		engine_free(ag->engine);
-	}
-	for (uint32_t i = 0; i < ENTRIES; i++) {
-		struct pf_entry_stats s;
-
-		pf_entry_stats(b->entries[i].core, &s);
-		r->resumes += s.resumes;
-		pf_entry_free(b->entries[i].core);
-	}
-	free(firsts);
-}
-
 void bench_run(const struct bench_opts *o, struct bench_result *r)
 {
 	struct bench *b = calloc(1, sizeof(*b));
@@ -904,14 +478,14 @@
 	for (uint32_t i = 0; i < ENTRIES; i++)
 		entry_start(b, i);
 	for (uint32_t i = 0; i < b->n_agents; i++)
-		vm_start(b, i);
-	place_start(b);
+		world_vm_start(b, i);
+	world_place_start(b);
 	b->demand = demand_new(o, &b->demand_rng);
-	push(b, demand_next(b->demand, 0, &b->next), EV_ARRIVE);
+	world_push(b, demand_next(b->demand, 0, &b->next), EV_ARRIVE);
 	if (o->faults)
-		push(b, (pf_ms)FAULT_EVERY_MS, EV_FAULT);
+		world_push(b, (pf_ms)FAULT_EVERY_MS, EV_FAULT);
 	run_until(b, o->duration + DRAIN_MS);
-	finish(b);
+	world_finish(b);
 	for (uint32_t i = 0; i < EVENTS_MAX; i++)
 		if (b->timers.pos[i]) {
 			free(b->events[i].items);
--- a/daemons/agent/plain.c
+++ b/daemons/agent/plain.c
@@ -24,8 +24,8 @@
 	bool text = g_utf8_validate_len(s->answer.n ? s->answer.p : "",
 					s->answer.n, NULL);
 
-	pf_text_fmt(out, "%c %u %s\n", text ? BODY_TEXT : BODY_BASE64,
-		    s->status, type);
+	pf_text_printf(out, "%c %u %s\n", text ? BODY_TEXT : BODY_BASE64,
+		       s->status, type);
 	if (text) {
 		pf_text_add(out, pf_text_str(&s->answer));
 	} else {
--- a/daemons/ctl/client.c
+++ b/daemons/ctl/client.c
@@ -60,7 +60,7 @@
 	evhttp_add_header(h, "Host", addr);
 	evhttp_add_header(h, "Connection", "close");
 	if (c->key) {
-		pf_text_fmt(&auth, "Bearer %s", c->key);
+		pf_text_printf(&auth, "Bearer %s", c->key);
 		if (!auth.failed)
 			evhttp_add_header(h, "Authorization", auth.p);
 		pf_text_free(&auth);
--- a/daemons/ctl/main.c
+++ b/daemons/ctl/main.c
@@ -70,9 +70,9 @@
 
 	if (RAND_bytes(raw, sizeof(raw)) != 1)
 		return NULL;
-	pf_text_fmt(&t, "ch-");
+	pf_text_printf(&t, "ch-");
 	for (size_t i = 0; i < sizeof(raw); i++)
-		pf_text_fmt(&t, "%02x", raw[i]);
+		pf_text_printf(&t, "%02x", raw[i]);
 	return pf_text_take(&t);
 }
 
--- a/daemons/entry/admin_apply.c
+++ b/daemons/entry/admin_apply.c
@@ -459,7 +459,7 @@
 		.puts = &puts,
 	};
 
-	pf_text_fmt(&what, "drain %s", name);
+	pf_text_printf(&what, "drain %s", name);
 	change.what = pf_text_str(&what);
 	if (drained_record(d, name, &puts, &f) < 0)
 		finish(op, PF_OUTCOME_REFUSED, 0, &f);
--- a/daemons/entry/api.c
+++ b/daemons/entry/api.c
@@ -264,7 +264,7 @@
 		const struct pf_adapter *a = &cfg->adapters[i];
 
 		pf_text_reset(&t);
-		pf_text_fmt(&t, "%s:%s", a->model, a->name);
+		pf_text_printf(&t, "%s:%s", a->model, a->name);
 		if (!t.failed)
 			add_model(data, t.p);
 	}
--- a/daemons/entry/planner.c
+++ b/daemons/entry/planner.c
@@ -229,7 +229,7 @@
 	place.region = pf_id(pf_str_c(at->region));
 	if (p->d->set.planner)
 		p->core = pf_place_new(&place);
-	pf_text_fmt(&key, "lease/planner/%s", at->region);
+	pf_text_printf(&key, "lease/planner/%s", at->region);
 	pf_lease_opts_default(&lease);
 	lease.key = key.p;
 	lease.name = at->name;
--- a/daemons/entry/server.c
+++ b/daemons/entry/server.c
@@ -37,10 +37,10 @@
 	c->refused = true;
 	c->d->counters.v[PF_EC_BAD_REQUESTS]++;
 	pf_oai_failure_body(&f, &body);
-	pf_text_fmt(&all,
-		    "HTTP/1.1 %d %s\r\nContent-Type: application/json\r\n"
-		    "Content-Length: %zu\r\nConnection: close\r\n\r\n",
-		    status, phrase, body.n);
+	pf_text_printf(&all,
+		       "HTTP/1.1 %d %s\r\nContent-Type: application/json\r\n"
+		       "Content-Length: %zu\r\nConnection: close\r\n\r\n",
+		       status, phrase, body.n);
 	pf_text_add(&all, pf_text_str(&body));
 	if (!all.failed &&
 	    send(fd, all.p, all.n, MSG_NOSIGNAL | MSG_DONTWAIT) >= 0)
--- a/daemons/entry/svc.c
+++ b/daemons/entry/svc.c
@@ -128,7 +128,7 @@
 			       "Idempotency-Key is longer than 256 bytes");
 		return;
 	}
-	pf_text_fmt(&target, query ? "%s?%s" : "%s", rest, query);
+	pf_text_printf(&target, query ? "%s?%s" : "%s", rest, query);
 	p.path = pf_text_str(&target);
 	p.content_type = pf_str_c(type);
 	p.idem_key = pf_str_c(key);
--- a/fuzz/spread_rig.c
+++ b/fuzz/spread_rig.c
@@ -347,11 +347,11 @@
 /* A record of the rig's set; @value tells its versions apart. */
 static void add_record(struct pf_text *t, uint32_t i, uint64_t value)
 {
-	pf_text_fmt(t,
-		    "[[model]]\nschema = 1\nname = \"model-%03u\"\n"
-		    "version = \"1\"\nweights = \"%lluMiB\"\n"
-		    "kv_token = \"64KiB\"\nmax_context = 32768\n\n",
-		    i, (unsigned long long)value + 1);
+	pf_text_printf(t,
+		       "[[model]]\nschema = 1\nname = \"model-%03u\"\n"
+		       "version = \"1\"\nweights = \"%lluMiB\"\n"
+		       "kv_token = \"64KiB\"\nmax_context = 32768\n\n",
+		       i, (unsigned long long)value + 1);
 }
 
 static void parse(struct pf_str text, struct pf_records *out)
--- a/include/pimentoford/text.h
+++ b/include/pimentoford/text.h
@@ -17,11 +17,10 @@
 };
 
 void pf_text_add(struct pf_text *t, struct pf_str s);
-void pf_text_fmt(struct pf_text *t, const char *fmt, ...)
-	__attribute__((format(printf, 2, 3)));
 
-/** The same under the name that the claim core uses. */
-#define pf_text_printf pf_text_fmt
+/** Adds formatted text. */
+void pf_text_printf(struct pf_text *t, const char *fmt, ...)
+	__attribute__((format(printf, 2, 3)));
 
 /** Adds @s in double quotes, escaped as TOML and JSON both read it. */
 void pf_text_quote(struct pf_text *t, struct pf_str s);
--- a/src/coordination/spread_set.c
+++ b/src/coordination/spread_set.c
@@ -240,8 +240,8 @@
 			continue;
 		r = pf_records_find(&s->records, c->kind, pf_str_c(c->name));
 		if (deleted && !r)
-			pf_text_fmt(t, "-%s %s\n", pf_kind_text(c->kind),
-				    c->name);
+			pf_text_printf(t, "-%s %s\n", pf_kind_text(c->kind),
+				       c->name);
 		else if (!deleted && r)
 			pf_text_add(t, pf_str_c(r->text));
 	}
--- a/src/protocol/engine.c
+++ b/src/protocol/engine.c
@@ -10,7 +10,7 @@
 
 static void add_key_str(struct pf_text *out, const char *key, struct pf_str s)
 {
-	pf_text_fmt(out, "\"%s\":\"", key);
+	pf_text_printf(out, "\"%s\":\"", key);
 	pf_json_escape(out, s);
 	pf_text_add(out, PF_STR("\","));
 }
@@ -23,8 +23,8 @@
 	add_key_str(out, "adapter", pf_str_c(r->adapter));
 	add_key_str(out, "prompt", r->prompt);
 	add_key_str(out, "prior", r->prior);
-	pf_text_fmt(out, "\"offset\":%u,\"limit\":%u,\"priority\":%u}",
-		    r->offset, r->limit, r->priority);
+	pf_text_printf(out, "\"offset\":%u,\"limit\":%u,\"priority\":%u}",
+		       r->offset, r->limit, r->priority);
 }
 
 void pf_engine_order_body(const struct pf_engine_order *o, struct pf_text *out)
@@ -32,9 +32,9 @@
 	pf_text_add(out, PF_STR("{"));
 	add_key_str(out, "op", pf_str_c(o->load ? "load" : "unload"));
 	add_key_str(out, "item", pf_str_c(o->item));
-	pf_text_fmt(out, "\"fence\":%llu,\"order\":%llu,\"bytes\":%lld}",
-		    (unsigned long long)o->fence, (unsigned long long)o->order,
-		    (long long)o->bytes);
+	pf_text_printf(out, "\"fence\":%llu,\"order\":%llu,\"bytes\":%lld}",
+		       (unsigned long long)o->fence,
+		       (unsigned long long)o->order, (long long)o->bytes);
 }
 
 static json_t *load(struct pf_str body)
--- a/src/protocol/openai.c
+++ b/src/protocol/openai.c
@@ -69,7 +69,7 @@
 		pf_text_add(out, PF_STR("\\t"));
 		break;
 	default:
-		pf_text_fmt(out, "\\u%04x", c);
+		pf_text_printf(out, "\\u%04x", c);
 	}
 }
 
@@ -99,10 +99,11 @@
 static void add_head(const struct pf_oai_shape *s, const char *object,
 		     struct pf_text *out)
 {
-	pf_text_fmt(out, "{\"id\":\"%s-%016llx\",\"object\":\"%s\",",
-		    s->kind == PF_OAI_CHAT ? "chatcmpl" : "cmpl",
-		    (unsigned long long)s->request, object);
-	pf_text_fmt(out, "\"created\":%lld,\"model\":", (long long)s->created);
+	pf_text_printf(out, "{\"id\":\"%s-%016llx\",\"object\":\"%s\",",
+		       s->kind == PF_OAI_CHAT ? "chatcmpl" : "cmpl",
+		       (unsigned long long)s->request, object);
+	pf_text_printf(out,
+		       "\"created\":%lld,\"model\":", (long long)s->created);
 	add_quoted(out, s->model);
 	pf_text_add(out, PF_STR(",\"choices\":["));
 }
@@ -170,11 +171,12 @@
 
 static void add_usage(const struct pf_oai_usage *u, struct pf_text *out)
 {
-	pf_text_fmt(out,
-		    "\"usage\":{\"prompt_tokens\":%u,\"completion_tokens\":%u,"
-		    "\"total_tokens\":%llu}",
-		    u->prompt_tokens, u->output_tokens,
-		    (unsigned long long)u->prompt_tokens + u->output_tokens);
+	pf_text_printf(
+		out,
+		"\"usage\":{\"prompt_tokens\":%u,\"completion_tokens\":%u,"
+		"\"total_tokens\":%llu}",
+		u->prompt_tokens, u->output_tokens,
+		(unsigned long long)u->prompt_tokens + u->output_tokens);
 }
 
 static const char *finish_of(bool at_limit)
@@ -187,9 +189,10 @@
 {
 	pf_text_add(out, PF_STR("data: "));
 	add_head(s, chunk_object(s), out);
-	pf_text_fmt(out, "{\"index\":0,%s,\"finish_reason\":\"%s\"}]}\n\n",
-		    s->kind == PF_OAI_CHAT ? "\"delta\":{}" : "\"text\":\"\"",
-		    finish_of(at_limit));
+	pf_text_printf(out, "{\"index\":0,%s,\"finish_reason\":\"%s\"}]}\n\n",
+		       s->kind == PF_OAI_CHAT ? "\"delta\":{}"
+					      : "\"text\":\"\"",
+		       finish_of(at_limit));
 	if (usage) {
 		pf_text_add(out, PF_STR("data: "));
 		add_head(s, chunk_object(s), out);
@@ -211,8 +214,8 @@
 				       "\"assistant\",\"content\":\"")
 			      : PF_STR("{\"index\":0,\"text\":\""));
 	pf_json_escape(out, text);
-	pf_text_fmt(out, "\"%s,\"finish_reason\":\"%s\"}],", chat ? "}" : "",
-		    finish_of(at_limit));
+	pf_text_printf(out, "\"%s,\"finish_reason\":\"%s\"}],", chat ? "}" : "",
+		       finish_of(at_limit));
 	add_usage(usage, out);
 	pf_text_add(out, PF_STR("}"));
 }
@@ -234,8 +237,8 @@
 	add_quoted(out, f->code);
 	pf_text_add(out, PF_STR(",\"message\":"));
 	add_quoted(out, f->message);
-	pf_text_fmt(out, ",\"ran\":\"%s\",\"retry_after_ms\":%lld}}",
-		    ran_names[f->ran], (long long)f->retry_after);
+	pf_text_printf(out, ",\"ran\":\"%s\",\"retry_after_ms\":%lld}}",
+		       ran_names[f->ran], (long long)f->retry_after);
 }
 
 void pf_oai_stream_failure(const struct pf_oai_failure *f, struct pf_text *out)
--- a/src/protocol/openai_parse.c
+++ b/src/protocol/openai_parse.c
@@ -183,7 +183,7 @@
 			    "`messages[%zu].role` must be system, developer, "
 			    "user, assistant or tool",
 			    at);
-	pf_text_fmt(t, "<|%s|>\n", role);
+	pf_text_printf(t, "<|%s|>\n", role);
 	if (add_content(c, json_object_get(m, "content"), at, t) < 0)
 		return -1;
 	pf_text_add(t, PF_STR("\n"));
--- a/src/state/text.c
+++ b/src/state/text.c
@@ -38,7 +38,7 @@
 	t->p[t->n] = '\0';
 }
 
-void pf_text_fmt(struct pf_text *t, const char *fmt, ...)
+void pf_text_printf(struct pf_text *t, const char *fmt, ...)
 {
 	va_list ap;
 	int n;
@@ -63,11 +63,11 @@
 		unsigned char c = (unsigned char)s.p[i];
 
 		if (c == '"' || c == '\\')
-			pf_text_fmt(t, "\\%c", c);
+			pf_text_printf(t, "\\%c", c);
 		else if (c == '\n')
 			pf_text_add(t, PF_STR("\\n"));
 		else if (c < 0x20 || c == 0x7f)
-			pf_text_fmt(t, "\\u%04x", c);
+			pf_text_printf(t, "\\u%04x", c);
 		else
 			pf_text_add(t, (struct pf_str){ s.p + i, 1 });
 	}
--- a/src/transport/table_client.c
+++ b/src/transport/table_client.c
@@ -203,8 +203,8 @@
 	for (i = 0; i < txn->n_checks; i++) {
 		add_str(out,
 			i ? ",{\"key\":" : "{\"key\":", txn->checks[i].key);
-		pf_text_fmt(out, ",\"revision\":%llu}",
-			    (unsigned long long)txn->checks[i].revision);
+		pf_text_printf(out, ",\"revision\":%llu}",
+			       (unsigned long long)txn->checks[i].revision);
 	}
 	pf_text_add(out, PF_STR("],\"puts\":["));
 	for (i = 0; i < txn->n_puts; i++) {
@@ -275,6 +275,6 @@
 
 	add_query(&target, "/table/scan?prefix=", prefix);
 	add_query(&target, "&after=", after);
-	pf_text_fmt(&target, "&limit=%u", limit);
+	pf_text_printf(&target, "&limit=%u", limit);
 	return start_read(t, &target, &c);
 }
