Mend: one way to set a timer from a core's clock

Change: pf_clock_timeval() and pf_clock_arm() in clock.h serve them; peers.c has its own lookup that may be written to. Timers that keep a least wait of one millisecond stay as they are. Conclusion: behaviour is unchanged.

--- a/daemons/agent/boot.c
+++ b/daemons/agent/boot.c
@@ -1,5 +1,6 @@
 /* The incarnation number and the configuration, from the table. */
 #include "daemon.h"
+#include "pimentoford/clock.h"
 
 #include <stdio.h>
 #include <stdlib.h>
@@ -28,7 +29,7 @@
 	struct timeval tv;
 
 	wait = wait / 2 + pf_rng_below(&d->rng, (uint32_t)wait);
-	tv = (struct timeval){ wait / 1000, (wait % 1000) * 1000 };
+	tv = pf_clock_timeval(wait);
 	event_add(d->boot_timer, &tv);
 }
 
--- a/daemons/agent/claims.c
+++ b/daemons/agent/claims.c
@@ -252,19 +252,9 @@
 {
 	const struct pf_claim_sink sink = { emit, c };
 	pf_ms now = pf_clock_wall();
-	struct timeval tv = { 0, 0 };
-	pf_ms due;
 
 	pf_claim_step(c->core, now, m, &sink);
-	due = pf_claim_next(c->core);
-	if (due == PF_NEVER) {
-		event_del(c->timer);
-		return;
-	}
-	due = due > now ? due - now : 0;
-	tv.tv_sec = due / 1000;
-	tv.tv_usec = (due % 1000) * 1000;
-	event_add(c->timer, &tv);
+	pf_clock_arm(c->timer, now, pf_claim_next(c->core));
 }
 
 static void on_timer(evutil_socket_t fd, short what, void *ctx)
--- a/daemons/agent/core.c
+++ b/daemons/agent/core.c
@@ -190,20 +190,11 @@
 static void arm(struct daemon *d, pf_ms now)
 {
 	pf_ms due = pf_agent_next(d->core);
-	struct timeval tv = { 0, 0 };
-	pf_ms left;
 
 	if (due == d->core_due)
 		return;
 	d->core_due = due;
-	if (due == PF_NEVER) {
-		event_del(d->core_timer);
-		return;
-	}
-	left = due > now ? due - now : 0;
-	tv.tv_sec = left / 1000;
-	tv.tv_usec = (left % 1000) * 1000;
-	event_add(d->core_timer, &tv);
+	pf_clock_arm(d->core_timer, now, due);
 }
 
 void agent_step(struct daemon *d, const struct pf_agent_msg *m)
--- a/daemons/agent/main.c
+++ b/daemons/agent/main.c
@@ -1,5 +1,6 @@
 /* pimento-agent: owns one endpoint; see pimentoford/agent.h. */
 #include "daemon.h"
+#include "pimentoford/clock.h"
 
 #include <errno.h>
 #include <stdio.h>
@@ -59,8 +60,7 @@
 {
 	struct daemon *d = ctx;
 	struct timeval poll = { 0, STOP_POLL_MS * 1000 };
-	struct timeval over = { d->set.drain / 1000,
-				(d->set.drain % 1000) * 1000 };
+	struct timeval over = pf_clock_timeval(d->set.drain);
 
 	if (d->draining)
 		return;
--- a/daemons/agent/plain.c
+++ b/daemons/agent/plain.c
@@ -1,5 +1,6 @@
 /* Calls of a plain service. */
 #include "daemon.h"
+#include "pimentoford/clock.h"
 
 #include <glib.h>
 #include <stdio.h>
@@ -86,7 +87,7 @@
 
 static int later(struct try_slot *s, event_callback_fn fn, pf_ms wait)
 {
-	struct timeval tv = { wait / 1000, (wait % 1000) * 1000 };
+	struct timeval tv = pf_clock_timeval(wait);
 
 	if (!s->again)
 		s->again = evtimer_new(s->d->base, fn, s);
--- a/daemons/agent/watch.c
+++ b/daemons/agent/watch.c
@@ -3,6 +3,7 @@
  * leftover runs, and tells the core what it holds.
  */
 #include "daemon.h"
+#include "pimentoford/clock.h"
 
 #include <stdio.h>
 #include <stdlib.h>
@@ -22,7 +23,7 @@
 
 static void again(struct daemon *d, pf_ms wait)
 {
-	struct timeval tv = { wait / 1000, (wait % 1000) * 1000 };
+	struct timeval tv = pf_clock_timeval(wait);
 
 	event_add(d->watch.timer, &tv);
 }
--- a/daemons/entry/admin_apply.c
+++ b/daemons/entry/admin_apply.c
@@ -5,6 +5,7 @@
 #include "daemon.h"
 
 #include "pimentoford/accept.h"
+#include "pimentoford/clock.h"
 
 #include <event2/buffer.h>
 #include <jansson.h>
@@ -230,7 +231,7 @@
 {
 	pf_ms next = pf_accept_next(d->changes->core);
 	pf_ms wait = next > now ? next - now : 0;
-	struct timeval tv = { wait / 1000, (wait % 1000) * 1000 };
+	struct timeval tv = pf_clock_timeval(wait);
 
 	if (next == PF_NEVER)
 		event_del(d->changes->timer);
--- a/daemons/entry/drafts.c
+++ b/daemons/entry/drafts.c
@@ -297,8 +297,7 @@
 		left = 1;
 	if (left > 1000)
 		left = 1000;
-	tv.tv_sec = left / 1000;
-	tv.tv_usec = (left % 1000) * 1000;
+	tv = pf_clock_timeval(left);
 	event_add(f->timer, &tv);
 }
 
--- a/daemons/entry/main.c
+++ b/daemons/entry/main.c
@@ -1,5 +1,6 @@
 /* pimento-entry: callers' connections and the life of each request. */
 #include "daemon.h"
+#include "pimentoford/clock.h"
 
 #include "pimentoford/claim.h"
 
@@ -48,8 +49,7 @@
 {
 	static const struct pf_entry_msg drain = { .type = PF_ENTRY_DRAIN };
 	struct timeval poll = { 0, STOP_POLL_MS * 1000 };
-	struct timeval over = { d->set.drain / 1000,
-				(d->set.drain % 1000) * 1000 };
+	struct timeval over = pf_clock_timeval(d->set.drain);
 
 	if (d->draining)
 		return;
--- a/daemons/entry/members.c
+++ b/daemons/entry/members.c
@@ -3,6 +3,7 @@
  * the configuration go in; sessions to hold and signs of leaving come out.
  */
 #include "daemon.h"
+#include "pimentoford/clock.h"
 
 #include <stdlib.h>
 #include <string.h>
@@ -57,7 +58,7 @@
 	wait = pf_member_next(d->members) - pf_clock_now();
 	if (wait < 1)
 		wait = 1;
-	tv = (struct timeval){ wait / 1000, (wait % 1000) * 1000 };
+	tv = pf_clock_timeval(wait);
 	event_add(d->members_timer, &tv);
 }
 
--- a/daemons/entry/planner.c
+++ b/daemons/entry/planner.c
@@ -28,18 +28,6 @@
 
 static void lease_step(struct planner *p, struct pf_lease_msg *m);
 
-static void arm(struct event *ev, pf_ms next)
-{
-	pf_ms now = pf_clock_now();
-	pf_ms wait = next > now ? next - now : 0;
-	struct timeval tv = { wait / 1000, (wait % 1000) * 1000 };
-
-	if (next == PF_NEVER)
-		event_del(ev);
-	else
-		event_add(ev, &tv);
-}
-
 static void place_emit(void *ctx, const struct pf_place_act *act)
 {
 	struct pf_wire_msg m = { .type = PF_WIRE_PLACE };
@@ -60,7 +48,7 @@
 	if (!p->core)
 		return;
 	pf_place_step(p->core, pf_clock_now(), m, &sink);
-	arm(p->plan_timer, pf_place_next(p->core));
+	pf_clock_arm(p->plan_timer, pf_clock_now(), pf_place_next(p->core));
 }
 
 static void on_plan(evutil_socket_t fd, short what, void *ctx)
@@ -136,7 +124,7 @@
 
 	m->wall = pf_clock_wall();
 	pf_lease_step(p->lease, pf_clock_now(), m, &sink);
-	arm(p->lease_timer, pf_lease_next(p->lease));
+	pf_clock_arm(p->lease_timer, pf_clock_now(), pf_lease_next(p->lease));
 }
 
 static void on_lease(evutil_socket_t fd, short what, void *ctx)
@@ -262,7 +250,7 @@
 	    make_cores(p) < 0)
 		return -1;
 	event_add(p->demand_timer, &every);
-	arm(p->lease_timer, pf_lease_next(p->lease));
+	pf_clock_arm(p->lease_timer, pf_clock_now(), pf_lease_next(p->lease));
 	planner_configure(d);
 	return 0;
 }
--- a/daemons/entry/server.c
+++ b/daemons/entry/server.c
@@ -4,6 +4,7 @@
  * the caller still sends is dropped for a moment, so that it can read them.
  */
 #include "daemon.h"
+#include "pimentoford/clock.h"
 
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
@@ -16,18 +17,13 @@
 /* What the kernel may hold for a caller that reads slowly. */
 #define SEND_BUFFER_BYTES (32 << 10)
 
-static struct timeval timeval_of(pf_ms ms)
-{
-	return (struct timeval){ ms / 1000, (ms % 1000) * 1000 };
-}
-
 void server_refuse(struct conn *c, int status, const char *phrase,
 		   const char *code, const char *message)
 {
 	struct pf_oai_failure f = { .code = code,
 				    .message = message,
 				    .ran = PF_NOT_RUN };
-	struct timeval linger = timeval_of(LINGER_MS);
+	struct timeval linger = pf_clock_timeval(LINGER_MS);
 	int fd = bufferevent_getfd(c->http->bev);
 	struct pf_text body = { 0 };
 	struct pf_text all = { 0 };
@@ -66,7 +62,7 @@
 /* The whole request is due within the limit, however its bytes come. */
 void server_receiving(struct conn *c)
 {
-	struct timeval tv = timeval_of(c->d->set.http.read);
+	struct timeval tv = pf_clock_timeval(c->d->set.http.read);
 
 	if (c->receiving)
 		return;
@@ -95,7 +91,7 @@
 	struct timeval idle;
 	struct conn *c = ctx;
 
-	idle = timeval_of(c->d->set.http.read);
+	idle = pf_clock_timeval(c->d->set.http.read);
 	if (c->request && c->request->http == req)
 		requests_gone(c->request);
 	admin_gone(c);
@@ -168,8 +164,8 @@
 {
 	struct conn *c = calloc(1, sizeof(*c));
 	struct daemon *d = ctx;
-	struct timeval idle = timeval_of(d->set.http.read);
-	struct timeval write = timeval_of(d->set.http.write);
+	struct timeval idle = pf_clock_timeval(d->set.http.read);
+	struct timeval write = pf_clock_timeval(d->set.http.write);
 	int bytes = SEND_BUFFER_BYTES;
 
 	if (!c)
--- a/src/coordination/peers.c
+++ b/src/coordination/peers.c
@@ -136,13 +136,18 @@
 	return x->id < y->id ? -1 : x->id > y->id;
 }
 
-const struct pf_peer_item *pf_peers_item(const struct pf_peer *p, uint64_t id)
+static struct pf_peer_item *find_item(const struct pf_peer *p, uint64_t id)
 {
 	struct pf_peer_item k = { .id = id };
 
 	return bsearch(&k, p->items, p->n_items, sizeof(k), by_id);
 }
 
+const struct pf_peer_item *pf_peers_item(const struct pf_peer *p, uint64_t id)
+{
+	return find_item(p, id);
+}
+
 static void take_items(struct pf_entry *e, struct pf_peer *p,
 		       const struct pf_report *r)
 {
@@ -223,7 +228,7 @@
 {
 	struct pf_peer *p = &e->peers[peer];
 	struct pf_request *r = &e->reqs[slot];
-	const struct pf_peer_item *item;
+	struct pf_peer_item *item;
 
 	r->prev = PF_NIL;
 	r->next = p->head;
@@ -233,8 +238,8 @@
 	r->unseen = true;
 	p->inflight++;
 	p->unseen++;
-	item = pf_peers_item(p, r->work.model);
-	if (item && ((struct pf_peer_item *)item)->running++ == 0)
+	item = find_item(p, r->work.model);
+	if (item && item->running++ == 0)
 		p->n_active++;
 }
 
--- a/src/transport/clock.c
+++ b/src/transport/clock.c
@@ -1,6 +1,7 @@
 /* The process's clock. */
 #include "pimentoford/clock.h"
 
+#include <event2/event.h>
 #include <time.h>
 
 static pf_ms read_clock(clockid_t id)
@@ -20,3 +21,16 @@
 {
 	return read_clock(CLOCK_REALTIME);
 }
+
+void pf_clock_arm(struct event *timer, pf_ms now, pf_ms due)
+{
+	struct timeval tv = { 0, 0 };
+
+	if (due == PF_NEVER) {
+		event_del(timer);
+		return;
+	}
+	if (due > now)
+		tv = pf_clock_timeval(due - now);
+	event_add(timer, &tv);
+}
--- a/src/transport/follower.c
+++ b/src/transport/follower.c
@@ -44,7 +44,7 @@
 
 	if (wait < 1)
 		wait = 1;
-	tv = (struct timeval){ wait / 1000, (wait % 1000) * 1000 };
+	tv = pf_clock_timeval(wait);
 	event_add(f->timer, &tv);
 }
 
--- a/src/transport/http_client.c
+++ b/src/transport/http_client.c
@@ -1,5 +1,6 @@
 /* HTTP requests over pooled connections of libevent's evhttp. */
 #include "pimentoford/http_client.h"
+#include "pimentoford/clock.h"
 
 #include "pimentoford/text.h"
 
@@ -315,8 +316,7 @@
 	struct timeval tv = { FOREVER_S, 0 };
 
 	if (r->timeout > 0)
-		tv = (struct timeval){ r->timeout / 1000,
-				       (r->timeout % 1000) * 1000 };
+		tv = pf_clock_timeval(r->timeout);
 	evhttp_connection_set_timeout_tv(conn->ev, &tv);
 	evhttp_connection_set_max_body_size(
 		conn->ev, r->chunk ? STREAM_MAX : (ssize_t)h->opts.body_max);
--- a/src/transport/rpc.c
+++ b/src/transport/rpc.c
@@ -30,11 +30,6 @@
 	o->reconnect_max = 5000;
 }
 
-static struct timeval timeval_of(pf_ms ms)
-{
-	return (struct timeval){ ms / 1000, (ms % 1000) * 1000 };
-}
-
 static void schedule_flush(struct pf_rpc *r)
 {
 	event_active(r->flush, 0, 0);
@@ -84,7 +79,7 @@
 	if (wait > o->reconnect_max)
 		wait = o->reconnect_max;
 	wait = wait / 2 + pf_rng_below(&s->rpc->rng, (uint32_t)wait / 2 + 1);
-	tv = timeval_of(wait);
+	tv = pf_clock_timeval(wait);
 	s->failures++;
 	s->state = PF_RPC_IDLE;
 	event_add(s->retry, &tv);
@@ -365,7 +360,7 @@
 
 struct pf_rpc *pf_rpc_new(const struct pf_rpc_opts *o)
 {
-	struct timeval tv = timeval_of(o->heartbeat / 4 + 1);
+	struct timeval tv = pf_clock_timeval(o->heartbeat / 4 + 1);
 	struct pf_rpc *r;
 
 	if (!o->base || o->key.n == 0 || o->heartbeat <= 0 ||
--- a/src/transport/vm_list.c
+++ b/src/transport/vm_list.c
@@ -1,5 +1,6 @@
 /* Follows the platform's list of VMs. */
 #include "pimentoford/vm_list.h"
+#include "pimentoford/clock.h"
 
 #include "pimentoford/http_client.h"
 
@@ -23,7 +24,7 @@
 {
 	pf_ms wait =
 		l->o.poll / 2 + pf_rng_below(&l->rng, (uint32_t)l->o.poll + 1);
-	struct timeval tv = { wait / 1000, (wait % 1000) * 1000 };
+	struct timeval tv = pf_clock_timeval(wait);
 
 	event_add(l->timer, &tv);
 }
