--- a/Makefile
+++ b/Makefile
@@ -26,13 +26,14 @@
 LDFLAGS = $(OPT)
 LIBS = $(PKG_LIBS) -lstdc++ -lm -lpthread
 
-LIB_SRC := $(wildcard src/*/*.c) $(wildcard src/*/*.cc)
+LIB_SRC := $(wildcard src/*/*.c) $(wildcard src/*/*/*.c) $(wildcard src/*/*.cc) $(wildcard platform/*.c)
 LIB_OBJ := $(addprefix $(B)/,$(addsuffix .o,$(LIB_SRC)))
 LIB := $(B)/libpimentoford.a
 
-PROGRAMS := entry agent standin load
+PROGRAMS := entry gateway agent standin load
 BINS := $(addprefix $(B)/pimento-,$(PROGRAMS)) $(B)/pimentoctl
 SRC_entry := $(wildcard daemons/entry/*.c)
+SRC_gateway := $(wildcard daemons/gateway/*.c)
 SRC_agent := $(wildcard daemons/agent/*.c)
 SRC_ctl := $(wildcard daemons/ctl/*.c)
 SRC_standin := $(wildcard standin/*.c)
@@ -72,6 +73,8 @@
 
 $(B)/pimento-entry: $(call obj,$(SRC_entry)) $(LIB)
 	$(CC) $(LDFLAGS) -o $@ $^ $(LIBS)
+$(B)/pimento-gateway: $(call obj,$(SRC_gateway)) $(LIB)
+	$(CC) $(LDFLAGS) -o $@ $^ $(LIBS)
 $(B)/pimento-agent: $(call obj,$(SRC_agent)) $(LIB)
 	$(CC) $(LDFLAGS) -o $@ $^ $(LIBS)
 $(B)/pimentoctl: $(call obj,$(SRC_ctl)) $(LIB)
@@ -91,6 +94,13 @@
 $(B)/pf-tests: $(call obj,$(SRC_tests) standin/answer.c load/check.c load/faults.c load/outcome.c) $(LIB)
 	$(CXX) $(LDFLAGS) -o $@ $^ -lgtest_main -lgtest -lrapidcheck $(LIBS)
 
+# What the users' platform runs; see deploy/system.toml.
+.PHONY: platform-build
+platform-build:
+	@$(MAKE) --no-print-directory $(B)/pimento-gateway
+	@mkdir -p target
+	cp $(B)/pimento-gateway target/
+
 .PHONY: bins
 check: packages
 	@$(MAKE) --no-print-directory bins $(B)/pf-tests
--- /dev/null
+++ b/daemons/gateway/core.c
@@ -0,0 +1,151 @@
+/* Drives the gate core: time, messages, and the table of its acts. */
+#include "gateway.h"
+
+#include <stdlib.h>
+
+static void emit(void *ctx, const struct pf_gate_act *a)
+{
+	(void)ctx;
+	switch (a->type) {
+	case PF_GATE_SEND:
+		upstream_send(a->ctx, a);
+		break;
+	case PF_GATE_DROP:
+		upstream_drop(a->ctx);
+		break;
+	case PF_GATE_DELIVER:
+		exchange_deliver(a->ctx);
+		break;
+	case PF_GATE_REFUSE:
+		exchange_refuse(a->ctx, a);
+		break;
+	case PF_GATE_FAIL:
+		exchange_fail(a->ctx, a);
+		break;
+	}
+}
+
+void core_step(struct gateway *g, const struct pf_gate_msg *m)
+{
+	const struct pf_gate_sink sink = { emit, g };
+	pf_ms now = pf_clock_now();
+
+	PF_INVARIANT("the core is not entered from its acts", !g->in_step);
+	g->in_step = true;
+	pf_gate_step(g->core, now, m, &sink);
+	g->in_step = false;
+	pf_clock_arm(g->core_timer, now, pf_gate_next(g->core));
+}
+
+static void on_timer(evutil_socket_t fd, short what, void *ctx)
+{
+	static const struct pf_gate_msg tick = { .type = PF_GATE_TICK };
+
+	(void)fd;
+	(void)what;
+	core_step(ctx, &tick);
+}
+
+static void on_deferred(evutil_socket_t fd, short what, void *ctx)
+{
+	struct pf_gate_msg m = { .type = PF_GATE_ENDED };
+	struct gateway *g = ctx;
+
+	(void)fd;
+	(void)what;
+	if (g->n_deferred == 0)
+		return;
+	m.u.end = g->deferred[0];
+	core_forget(g, m.u.end.request);
+	core_step(g, &m);
+	if (g->n_deferred)
+		event_active(g->deferred_ev, 0, 0);
+}
+
+static int defer(struct gateway *g, const struct pf_gate_end *end)
+{
+	struct pf_gate_end *more;
+
+	if (g->n_deferred == g->cap_deferred) {
+		more = realloc(g->deferred, (g->cap_deferred * 2 + 16) *
+						    sizeof(*more));
+		if (!more)
+			return -1;
+		g->deferred = more;
+		g->cap_deferred = g->cap_deferred * 2 + 16;
+	}
+	g->deferred[g->n_deferred++] = *end;
+	event_active(g->deferred_ev, 0, 0);
+	return 0;
+}
+
+void core_forget(struct gateway *g, uint32_t handle)
+{
+	uint32_t n = 0;
+	uint32_t i;
+
+	for (i = 0; i < g->n_deferred; i++) {
+		if (g->deferred[i].request != handle)
+			g->deferred[n++] = g->deferred[i];
+	}
+	g->n_deferred = n;
+}
+
+void core_ended(struct gateway *g, const struct pf_gate_end *end)
+{
+	struct pf_gate_msg m = { .type = PF_GATE_ENDED };
+
+	if (g->in_step) {
+		/* Without memory the request ends by its own time limit. */
+		if (defer(g, end) < 0)
+			PF_LOG(&g->log, PF_LOG_ERROR, "no_memory",
+			       PF_KV_STR("for", "the end of a try"));
+		return;
+	}
+	m.u.end = *end;
+	core_step(g, &m);
+}
+
+static int set_zones(struct gateway *g, struct pf_gate_zone *zones)
+{
+	const struct pf_zone_setting *z = g->set.zones.v;
+	size_t i;
+
+	for (i = 0; i < g->set.zones.n; i++) {
+		zones[i].zone = pf_id(pf_str_c(z[i].name));
+		zones[i].region = pf_id(pf_str_c(z[i].region));
+	}
+	return 0;
+}
+
+int core_start(struct gateway *g)
+{
+	struct pf_gate_opts o = g->set.core;
+	struct pf_gate_zone *zones =
+		calloc(g->set.zones.n + 1, sizeof(*zones));
+
+	if (!zones)
+		return -1;
+	set_zones(g, zones);
+	o.self = g->self;
+	o.zone = pf_id(pf_str_c(g->set.place.zone));
+	o.region = pf_id(pf_str_c(g->set.place.region));
+	o.zones = zones;
+	o.n_zones = (uint32_t)g->set.zones.n;
+	o.seed = g->self;
+	g->core = pf_gate_new(&o);
+	free(zones);
+	g->core_timer = event_new(g->base, -1, 0, on_timer, g);
+	g->deferred_ev = event_new(g->base, -1, 0, on_deferred, g);
+	return g->core && g->core_timer && g->deferred_ev ? 0 : -1;
+}
+
+void core_stop(struct gateway *g)
+{
+	pf_gate_free(g->core);
+	if (g->core_timer)
+		event_free(g->core_timer);
+	if (g->deferred_ev)
+		event_free(g->deferred_ev);
+	free(g->deferred);
+}
--- /dev/null
+++ b/daemons/gateway/gateway.h
@@ -0,0 +1,196 @@
+/*
+ * The gateway daemon: callers' connections on one side, endpoints' on the
+ * other, the gate core between them. One event loop owns everything. Drivers
+ * give the core messages; its acts come to them through one table.
+ */
+#ifndef GATEWAY_H
+#define GATEWAY_H
+
+#include "pimentoford/clock.h"
+#include "pimentoford/gate.h"
+#include "pimentoford/log.h"
+#include "pimentoford/map.h"
+#include "pimentoford/process.h"
+#include "pimentoford/settings.h"
+#include "pimentoford/sock.h"
+#include "platform/platform.h"
+
+#include <event2/event.h>
+#include <sys/queue.h>
+
+struct gateway;
+struct caller;
+struct upstream;
+
+/** An endpoint as the store lists it, and its idle connections. */
+struct target {
+	LIST_ENTRY(target) next;
+	struct gateway *g;
+	struct pf_listed listed;
+	uint64_t revision; /* of its row */
+	LIST_HEAD(, upstream) idle;
+	uint32_t n_idle;
+	uint64_t mark; /* of the full read that showed it last */
+	pf_ms lapsed; /* its row vanished with the store away: gone then */
+	bool gone; /* freed once no connection needs it */
+	uint32_t refs; /* connections */
+};
+
+/** One request on its way between its caller and an endpoint. */
+struct exchange {
+	LIST_ENTRY(exchange) next;
+	struct gateway *g;
+	struct caller *caller;
+	uint32_t handle; /* at the core */
+	enum pf_route_kind kind;
+	pf_ms arrived;
+	struct pf_text head_text; /* owned; `head` and `in` borrow it */
+	struct pf_h1_head head;
+	struct pf_inbound in;
+	struct pf_text body;
+	struct upstream *up; /* the try in flight */
+	/* the answer */
+	struct pf_text answer_head; /* to the caller, without its framing */
+	struct pf_text answer; /* body, or events not passed on yet */
+	int status;
+	bool head_sent;
+	int64_t last_event; /* passed on; -1: none */
+	uint32_t tries;
+};
+
+/** A connection to an endpoint. */
+struct upstream {
+	LIST_ENTRY(upstream) next; /* idle ones */
+	struct target *target;
+	struct pf_sock *sock;
+	struct exchange *x; /* NULL: idle */
+	struct pf_text in; /* a head that is not whole */
+	bool in_body;
+	bool streaming; /* events are passed on as they come */
+	bool reused;
+	bool keep; /* may serve another request */
+	pf_ms keep_until;
+	pf_ms idle_since;
+	struct pf_reply reply;
+	struct pf_h1_body body;
+};
+
+struct follow;
+struct talk;
+struct planner;
+struct ready;
+
+struct gateway {
+	struct event_base *base;
+	struct pf_gateway_settings set;
+	struct pf_log log;
+	struct pf_gateway_counters *counters;
+	uint64_t self; /* of this process's life */
+	pf_ms started;
+	pf_ms stopping; /* since; 0: it is not */
+	struct pf_gate *core;
+	struct event *core_timer;
+	bool in_step;
+	struct pf_routes *routes; /* in force; NULL: none yet */
+	LIST_HEAD(, target) targets;
+	uint32_t n_targets;
+	LIST_HEAD(, exchange) exchanges;
+	LIST_HEAD(, caller) callers;
+	uint32_t n_callers;
+	int listener;
+	struct event *accept_ev;
+	struct event *sweep; /* idle connections and late heads */
+	struct event *stop_timer;
+	struct pf_text scratch;
+	struct pf_store *store;
+	struct follow *follow;
+	struct talk *talk;
+	struct planner *planner;
+	struct ready *ready;
+	/* ends that came inside a step of the core */
+	struct event *deferred_ev;
+	struct pf_gate_end *deferred;
+	uint32_t n_deferred, cap_deferred;
+};
+
+/* core.c: the gate core and its acts */
+int core_start(struct gateway *g);
+void core_stop(struct gateway *g);
+/** Feeds the core and carries out its acts. Not from inside an act. */
+void core_step(struct gateway *g, const struct pf_gate_msg *m);
+/** The end of a try; waits for the step at hand. */
+void core_ended(struct gateway *g, const struct pf_gate_end *end);
+/** The request is no more: nothing that waits may reach the core for it. */
+void core_forget(struct gateway *g, uint32_t handle);
+
+/* callers.c: callers' connections */
+int callers_start(struct gateway *g);
+void callers_stop(struct gateway *g);
+/** @x answers the request at hand. */
+void caller_set_exchange(struct caller *c, struct exchange *x);
+/** The answer is whole: the next request may be read, or the end comes. */
+void caller_answered(struct caller *c);
+/** An answer can't be completed: the caller must see it broken off. */
+void caller_abort(struct caller *c);
+void caller_write(struct caller *c, struct pf_str bytes);
+/** Whether the connection ends after the answer at hand. */
+bool caller_closing(const struct caller *c);
+bool caller_takes_chunks(const struct caller *c);
+
+/* exchange.c: requests and answers as they pass */
+/** A whole request of @c: @head and @body are taken over. */
+void exchange_start(struct gateway *g, struct caller *c, struct pf_text *head,
+		    const struct pf_h1_head *parsed, struct pf_text *body);
+/** The caller left. */
+void exchange_hangup(struct exchange *x);
+void exchange_free(struct exchange *x);
+/** Acts of the core. */
+void exchange_deliver(struct exchange *x);
+void exchange_refuse(struct exchange *x, const struct pf_gate_act *a);
+void exchange_fail(struct exchange *x, const struct pf_gate_act *a);
+/** The answer's head came; @stream: its events are passed as they come. */
+void exchange_head(struct exchange *x, const struct pf_h1_head *h);
+/** More of the answer's events came into x->answer. */
+void exchange_events(struct exchange *x);
+/** Whether x->answer holds a torn event. */
+bool exchange_torn(const struct exchange *x);
+/** Answers a request that the core never saw. */
+void exchange_refuse_early(struct caller *c, int status, const char *code,
+			   struct pf_str id, pf_ms retry_after);
+
+/* upstream.c: connections to endpoints */
+void upstream_send(struct exchange *x, const struct pf_gate_act *a);
+/** The try in flight is of no use: its connection ends. */
+void upstream_drop(struct exchange *x);
+void upstream_close_idle(struct target *t);
+/** Ends idle connections whose time is over. */
+void upstream_sweep(struct gateway *g);
+
+/* targets.c: endpoints */
+struct target *target_find(struct gateway *g, uint64_t id);
+/** An endpoint's row as it is now. */
+void target_listed(struct gateway *g, struct pf_str key, struct pf_str value,
+		   uint64_t revision);
+/** Its row is gone; @lapse: when to believe it. */
+void target_unlisted(struct gateway *g, struct target *t, pf_ms lapse);
+void targets_sweep(struct gateway *g);
+void targets_stop(struct gateway *g);
+void target_put(struct target *t);
+
+/* follow.c: configuration and endpoints from the store */
+int follow_start(struct gateway *g);
+void follow_stop(struct gateway *g);
+
+/* ready.c: readiness and metrics */
+int ready_start(struct gateway *g);
+void ready_stop(struct gateway *g);
+bool gateway_ready(const struct gateway *g);
+
+/* talk.c: digests among gateways */
+int talk_start(struct gateway *g);
+void talk_stop(struct gateway *g);
+
+/* main.c */
+void gateway_adopt(struct gateway *g, struct pf_routes *routes);
+
+#endif
--- /dev/null
+++ b/daemons/gateway/main.c
@@ -0,0 +1,149 @@
+/* pimento-gateway: passes callers' requests on to endpoints directly. */
+#include "gateway.h"
+
+#include "pimentoford/counters.h"
+
+#include <errno.h>
+#include <stdlib.h>
+#include <string.h>
+#include <unistd.h>
+
+/* The balancer needs so long to send new connections elsewhere. */
+#define STOP_MIN_MS 3000
+#define STOP_POLL_MS 50
+
+void gateway_adopt(struct gateway *g, struct pf_routes *routes)
+{
+	struct pf_gate_msg m = { .type = PF_GATE_ROUTES };
+	struct pf_routes *old = g->routes;
+
+	if (old && old->version >= routes->version) {
+		pf_routes_free(routes);
+		return;
+	}
+	PF_LOG(&g->log, PF_LOG_INFO, "configuration",
+	       PF_KV_INT("version", routes->version),
+	       PF_KV_INT("routes", routes->n_routes),
+	       PF_KV_INT("services", routes->n_services));
+	g->routes = routes;
+	m.u.routes = routes;
+	core_step(g, &m);
+	pf_routes_free(old);
+}
+
+/* Leaves the loop once callers can't come any more and all are answered. */
+static void on_stop_timer(evutil_socket_t fd, short what, void *ctx)
+{
+	struct gateway *g = ctx;
+	pf_ms spent = pf_clock_now() - g->stopping;
+
+	(void)fd;
+	(void)what;
+	if (spent > g->set.drain)
+		PF_LOG(&g->log, PF_LOG_ERROR, "drain_over",
+		       PF_KV_STR("why", "requests were left"));
+	else if (spent < STOP_MIN_MS || !LIST_EMPTY(&g->exchanges))
+		return;
+	event_base_loopbreak(g->base);
+}
+
+static void on_stop(void *ctx)
+{
+	struct timeval poll = pf_clock_timeval(STOP_POLL_MS);
+	struct gateway *g = ctx;
+
+	if (g->stopping)
+		return;
+	g->stopping = pf_clock_now();
+	PF_LOG(&g->log, PF_LOG_INFO, "draining", PF_KV_STR("why", "signal"));
+	event_add(g->stop_timer, &poll);
+}
+
+static int start(struct gateway *g)
+{
+	g->base = event_base_new();
+	if (!g->base)
+		return -1;
+	g->self = pf_process_random();
+	g->started = pf_clock_now();
+	g->stop_timer = event_new(g->base, -1, EV_PERSIST, on_stop_timer, g);
+	if (!g->stop_timer || pf_process_signals(g->base, on_stop, g) < 0 ||
+	    core_start(g) < 0)
+		return -1;
+	if (callers_start(g) < 0 || ready_start(g) < 0) {
+		PF_LOG(&g->log, PF_LOG_ERROR, "no_listener",
+		       PF_KV_STR("http", g->set.listen),
+		       PF_KV_STR("ready", g->set.ready),
+		       PF_KV_STR("why", strerror(errno)));
+		return -1;
+	}
+	if (follow_start(g) < 0)
+		return -1;
+	return talk_start(g);
+}
+
+static void stop(struct gateway *g)
+{
+	talk_stop(g);
+	follow_stop(g);
+	ready_stop(g);
+	while (!LIST_EMPTY(&g->exchanges))
+		exchange_free(LIST_FIRST(&g->exchanges));
+	callers_stop(g);
+	targets_stop(g);
+	core_stop(g);
+	pf_routes_free(g->routes);
+	pf_text_free(&g->scratch);
+	if (g->stop_timer)
+		event_free(g->stop_timer);
+}
+
+static int load_settings(struct gateway *g, const char *path)
+{
+	struct pf_findings f = { 0 };
+	int ret;
+
+	pf_gate_opts_default(&g->set.core);
+	ret = pf_settings_load(&pf_gateway_form, path, &g->set, &f);
+	pf_findings_print(&f, STDERR_FILENO);
+	pf_findings_clear(&f);
+	return ret;
+}
+
+int main(int argc, char **argv)
+{
+	static struct pf_gateway_counters counters;
+	static struct gateway g;
+	struct pf_process_options o;
+	int status;
+
+	if (pf_process_options(argc, argv,
+			       "Passes callers' requests on to endpoints.", &o,
+			       &status) < 0)
+		return status;
+	g.listener = -1;
+	g.counters = &counters;
+	status = PF_EXIT_SETTINGS;
+	if (load_settings(&g, o.settings) < 0)
+		goto out;
+	status = EXIT_SUCCESS;
+	if (o.check)
+		goto out;
+	g.log = (struct pf_log){ STDOUT_FILENO,
+				 (enum pf_log_level)g.set.place.log_level,
+				 "gateway" };
+	status = EXIT_FAILURE;
+	if (start(&g) < 0)
+		goto out;
+	PF_LOG(&g.log, PF_LOG_INFO, "started",
+	       PF_KV_STR("name", g.set.place.name),
+	       PF_KV_STR("http", g.set.listen));
+	event_base_dispatch(g.base);
+	PF_LOG(&g.log, PF_LOG_INFO, "ended");
+	status = EXIT_SUCCESS;
+	stop(&g);
+out:
+	pf_fields_free(&pf_gateway_form, &g.set);
+	free(o.settings);
+	return status;
+}
--- /dev/null
+++ b/daemons/gateway/ready.c
@@ -0,0 +1,100 @@
+/* Readiness for the platform's balancer, and metrics. */
+#include "gateway.h"
+
+#include "pimentoford/counters.h"
+
+#include <event2/buffer.h>
+#include <event2/http.h>
+#include <event2/util.h>
+#include <stdlib.h>
+
+#define IDLE_S 30
+
+struct ready {
+	struct evhttp *http;
+};
+
+bool gateway_ready(const struct gateway *g)
+{
+	return g->routes && g->n_targets > 0 && !g->stopping;
+}
+
+static void on_ready(struct evhttp_request *req, void *ctx)
+{
+	const struct gateway *g = ctx;
+
+	if (gateway_ready(g))
+		evhttp_send_reply(req, HTTP_OK, "OK", NULL);
+	else
+		evhttp_send_reply(req, HTTP_SERVUNAVAIL, "Service Unavailable",
+				  NULL);
+}
+
+static void fill(struct gateway *g, struct pf_gateway_counters *c)
+{
+	struct pf_process_usage u;
+	struct pf_gate_stats s;
+
+	pf_gate_stats(g->core, &s);
+	pf_process_usage(&u);
+	c->v[PF_GC_CONNECTIONS] = g->n_callers;
+	c->v[PF_GC_REQUESTS] = s.arrived;
+	c->v[PF_GC_ANSWERED] = s.delivered;
+	c->v[PF_GC_REFUSED] = s.refused;
+	c->v[PF_GC_FAILED] = s.failed;
+	c->v[PF_GC_CANCELLED] = s.hangups;
+	c->v[PF_GC_ALIVE] = s.alive;
+	c->v[PF_GC_WAITING] = s.waiting;
+	c->v[PF_GC_SENT] = s.sent;
+	c->v[PF_GC_REPEATS] = s.repeats;
+	c->v[PF_GC_ENDPOINTS] = s.endpoints;
+	c->v[PF_GC_VERSION] = g->routes ? g->routes->version : 0;
+	c->v[PF_GC_CPU_MS] = u.cpu_ms;
+	c->v[PF_GC_RSS_KB] = u.rss_kb;
+}
+
+static void on_metrics(struct evhttp_request *req, void *ctx)
+{
+	struct evbuffer *out = evbuffer_new();
+	struct gateway *g = ctx;
+	struct pf_text t = { 0 };
+
+	fill(g, g->counters);
+	pf_gateway_counters_text(g->counters, &t);
+	if (out && !t.failed && evbuffer_add(out, t.p, t.n) == 0) {
+		evhttp_add_header(evhttp_request_get_output_headers(req),
+				  "Content-Type", "text/plain");
+		evhttp_send_reply(req, HTTP_OK, "OK", out);
+	} else {
+		evhttp_send_error(req, HTTP_INTERNAL, "out of memory");
+	}
+	if (out)
+		evbuffer_free(out);
+	pf_text_free(&t);
+}
+
+int ready_start(struct gateway *g)
+{
+	struct ready *r = calloc(1, sizeof(*r));
+	int fd = pf_sock_listen(g->set.ready, 64);
+
+	g->ready = r;
+	if (!r || fd < 0)
+		return -1;
+	r->http = evhttp_new(g->base);
+	if (!r->http || evhttp_accept_socket(r->http, fd) < 0) {
+		evutil_closesocket(fd);
+		return -1;
+	}
+	evhttp_set_timeout(r->http, IDLE_S);
+	evhttp_set_cb(r->http, "/ready", on_ready, g);
+	evhttp_set_cb(r->http, "/metrics", on_metrics, g);
+	return 0;
+}
+
+void ready_stop(struct gateway *g)
+{
+	if (g->ready && g->ready->http)
+		evhttp_free(g->ready->http);
+	free(g->ready);
+}
--- /dev/null
+++ b/daemons/gateway/targets.c
@@ -0,0 +1,147 @@
+/* Endpoints: what the store lists, and connections to each. */
+#include "gateway.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+struct target *target_find(struct gateway *g, uint64_t id)
+{
+	struct target *t;
+
+	LIST_FOREACH(t, &g->targets, next)
+	{
+		if (t->listed.id == id && !t->gone)
+			return t;
+	}
+	return NULL;
+}
+
+static void target_free(struct target *t)
+{
+	LIST_REMOVE(t, next);
+	pf_listed_clear(&t->listed);
+	free(t);
+}
+
+void target_put(struct target *t)
+{
+	if (--t->refs == 0 && t->gone)
+		target_free(t);
+}
+
+static void tell_core(struct gateway *g, const struct pf_listed *l)
+{
+	struct pf_gate_msg m = { .type = PF_GATE_ENDPOINT };
+
+	m.u.endpoint = l;
+	core_step(g, &m);
+}
+
+static void forget(struct target *t, const char *why)
+{
+	struct pf_gate_msg m = { .type = PF_GATE_ENDPOINT_GONE };
+	struct gateway *g = t->g;
+
+	PF_LOG(&g->log, PF_LOG_INFO, "endpoint_gone",
+	       PF_KV_STR("endpoint", t->listed.instance),
+	       PF_KV_STR("why", why));
+	m.u.id = t->listed.id;
+	t->gone = true;
+	g->n_targets--;
+	core_step(g, &m);
+	if (t->refs == 0)
+		target_free(t);
+}
+
+void target_unlisted(struct gateway *g, struct target *t, pf_ms lapse)
+{
+	if (lapse > pf_clock_now())
+		t->lapsed = lapse;
+	else
+		forget(t, "its entry is gone");
+	(void)g;
+}
+
+static bool same_state(const struct pf_listed *a, const struct pf_listed *b)
+{
+	return a->draining == b->draining && a->born == b->born &&
+	       strcmp(a->addr, b->addr) == 0;
+}
+
+static void log_listed(struct gateway *g, const struct pf_listed *l)
+{
+	PF_LOG(&g->log, PF_LOG_INFO, "endpoint",
+	       PF_KV_STR("endpoint", l->instance), PF_KV_STR("addr", l->addr),
+	       PF_KV_STR("state", l->draining ? "draining" : "ready"),
+	       PF_KV_INT("remaining_ms", l->remaining),
+	       PF_KV_INT("models", l->n_residents));
+}
+
+static struct target *target_new(struct gateway *g)
+{
+	struct target *t = calloc(1, sizeof(*t));
+
+	if (!t)
+		return NULL;
+	t->g = g;
+	LIST_INSERT_HEAD(&g->targets, t, next);
+	g->n_targets++;
+	return t;
+}
+
+void target_listed(struct gateway *g, struct pf_str key, struct pf_str value,
+		   uint64_t revision)
+{
+	struct target *t = target_find(g, pf_id(key));
+	struct pf_listed l;
+	const char *why;
+
+	if (t && t->revision >= revision)
+		return;
+	if (platform_endpoint(key, value, &l, &why) < 0) {
+		PF_LOG(&g->log, PF_LOG_WARN, "endpoint_unreadable",
+		       PF_KV_TEXT("endpoint", key), PF_KV_STR("why", why),
+		       PF_KV_INT("revision", revision));
+		if (t)
+			forget(t, "its entry can't be read");
+		return;
+	}
+	if (!t) {
+		t = target_new(g);
+		if (!t) {
+			pf_listed_clear(&l);
+			return;
+		}
+		log_listed(g, &l);
+	} else if (!same_state(&t->listed, &l)) {
+		log_listed(g, &l);
+		upstream_close_idle(t);
+	}
+	pf_listed_clear(&t->listed);
+	t->listed = l;
+	t->revision = revision;
+	t->lapsed = 0;
+	tell_core(g, &t->listed);
+}
+
+void targets_sweep(struct gateway *g)
+{
+	pf_ms now = pf_clock_now();
+	struct target *t = LIST_FIRST(&g->targets);
+
+	while (t) {
+		if (t->gone || !t->lapsed || now < t->lapsed) {
+			t = LIST_NEXT(t, next);
+			continue;
+		}
+		forget(t, "its entry did not come back");
+		/* The list may have changed in the core's acts. */
+		t = LIST_FIRST(&g->targets);
+	}
+}
+
+void targets_stop(struct gateway *g)
+{
+	while (!LIST_EMPTY(&g->targets))
+		target_free(LIST_FIRST(&g->targets));
+}
--- a/include/pimentoford/counters.h
+++ b/include/pimentoford/counters.h
@@ -103,6 +103,32 @@
 	DEF(CPU_MS, "cpu_ms_total", "counter", "Processor time used")          \
 	DEF(RSS_KB, "resident_kb", "gauge", "Resident memory")
 
+#define PF_GATEWAY_COUNTERS(DEF)                                               \
+	DEF(CONNECTIONS, "connections", "gauge",                               \
+	    "Open connections of callers")                                     \
+	DEF(REQUESTS, "requests_total", "counter", "Requests that arrived")    \
+	DEF(ANSWERED, "answered_total", "counter", "Requests answered")        \
+	DEF(REFUSED, "refused_total", "counter",                               \
+	    "Requests refused as not run")                                     \
+	DEF(FAILED, "failed_total", "counter", "Requests that failed")         \
+	DEF(CANCELLED, "cancelled_total", "counter", "Callers that went away") \
+	DEF(ALIVE, "requests_alive", "gauge", "Requests alive")                \
+	DEF(WAITING, "requests_waiting", "gauge", "Requests that wait")        \
+	DEF(SENT, "sent_total", "counter", "Sends to endpoints")               \
+	DEF(REPEATS, "repeats_total", "counter",                               \
+	    "Sends after the first of a request")                              \
+	DEF(ENDPOINTS, "endpoints", "gauge", "Endpoints that are listed")      \
+	DEF(VERSION, "config_version", "gauge", "Configuration in force")      \
+	DEF(CPU_MS, "cpu_ms_total", "counter", "Processor time used")          \
+	DEF(RSS_KB, "resident_kb", "gauge", "Resident memory")
+
+enum pf_gateway_counter {
+#define DEF(sym, name, type, help) PF_GC_##sym,
+	PF_GATEWAY_COUNTERS(DEF)
+#undef DEF
+		PF_GC_COUNT
+};
+
 enum pf_entry_counter {
 #define DEF(sym, name, type, help) PF_EC_##sym,
 	PF_ENTRY_COUNTERS(DEF)
@@ -122,6 +148,11 @@
 	uint64_t v[PF_EC_COUNT];
 };
 
+/** Index with enum pf_gateway_counter. */
+struct pf_gateway_counters {
+	uint64_t v[PF_GC_COUNT];
+};
+
 /** Index with enum pf_agent_counter. */
 struct pf_agent_counters {
 	uint64_t v[PF_AC_COUNT];
@@ -130,6 +161,8 @@
 /** Adds Prometheus text, names prefixed pimento_entry_ or pimento_agent_. */
 void pf_entry_counters_text(const struct pf_entry_counters *c,
 			    struct pf_text *t);
+void pf_gateway_counters_text(const struct pf_gateway_counters *c,
+			      struct pf_text *t);
 void pf_agent_counters_text(const struct pf_agent_counters *c,
 			    struct pf_text *t);
 
--- /dev/null
+++ b/include/pimentoford/gate.h
@@ -0,0 +1,220 @@
+/*
+ * Gate core: the life of a request that passes through to an endpoint. It
+ * decides where a request goes, whether it waits, is refused, or is sent a
+ * second time, from what it knows of the endpoints' work: its own, and that of
+ * the other gateways by their digests. Does no I/O.
+ */
+#ifndef PIMENTOFORD_GATE_H
+#define PIMENTOFORD_GATE_H
+
+#include "pimentoford/inbound.h"
+#include "pimentoford/listed.h"
+#include "pimentoford/routes.h"
+
+PF_BEGIN_DECLS
+
+struct pf_gate;
+
+/** A zone and the region that it belongs to. */
+struct pf_gate_zone {
+	uint64_t zone;
+	uint64_t region;
+};
+
+struct pf_gate_opts {
+	uint64_t self; /* of this process's life */
+	uint64_t zone;
+	uint64_t region;
+	const struct pf_gate_zone *zones; /* copied */
+	uint32_t n_zones;
+	uint64_t seed;
+	uint32_t requests_max; /* at the bound further ones are refused */
+	uint32_t endpoints_max; /* at the bound further ones are not used */
+	double repeat_ratio; /* further sends for each request of a service */
+	uint32_t repeat_slack; /* beyond that, over all gateways */
+	pf_ms repeat_window; /* in which both are counted */
+};
+
+/** Fills in the defaults that are shipped. */
+void pf_gate_opts_default(struct pf_gate_opts *o);
+
+/** NULL when options are out of range or there is no memory. */
+struct pf_gate *pf_gate_new(const struct pf_gate_opts *o);
+void pf_gate_free(struct pf_gate *g);
+
+/** A request that came whole. */
+struct pf_gate_arrival {
+	void *ctx; /* comes back with each act */
+	const struct pf_route *route; /* of the table in force */
+	const struct pf_inbound *in;
+	uint64_t fingerprint; /* of what it asks for */
+	uint32_t *handle; /* set before any act; names it from then on */
+};
+
+/** How a try came to its end. */
+enum pf_gate_outcome {
+	PF_GATE_ANSWERED, /* a whole answer, or a whole stream */
+	PF_GATE_NOT_RUN, /* the endpoint states that it did not run */
+	PF_GATE_UNSENT, /* no byte of it left this process */
+	PF_GATE_LOST, /* it may have run */
+	PF_GATE_BROKEN, /* a stream ended early; events were passed on */
+};
+
+struct pf_gate_end {
+	uint32_t request;
+	enum pf_gate_outcome outcome;
+	int status; /* ANSWERED and NOT_RUN */
+	pf_ms retry_after; /* as the endpoint asked; -1: not said */
+	bool absent; /* NOT_RUN: another instance, or it lacks the model */
+	bool reset; /* LOST and BROKEN: the connection broke */
+};
+
+/** One gateway's work at one endpoint. */
+struct pf_gate_load {
+	uint64_t endpoint;
+	uint32_t running; /* requests sent and not ended */
+	uint32_t kv_tokens; /* that they need */
+	uint32_t prefill_ms; /* of those without a first event */
+};
+
+/** A prompt's leading parts that an endpoint has read. */
+struct pf_gate_sight {
+	uint64_t chain;
+	uint64_t endpoint;
+};
+
+/** Requests for a model or an adapter at one gateway. */
+struct pf_gate_demand {
+	uint64_t item;
+	uint64_t model; /* of an adapter; of a model, the same as `item` */
+	float per_s;
+	float ms_per_s; /* of endpoints' time */
+	uint32_t waiting; /* that no endpoint could be given */
+};
+
+/** What a gateway tells the others, many times a second. */
+struct pf_gate_digest {
+	uint64_t peer; /* `self` of its sender */
+	const struct pf_gate_load *loads; /* all that are not zero */
+	uint32_t n_loads;
+	const struct pf_gate_sight *sights; /* since the one before */
+	uint32_t n_sights;
+	const uint64_t *crashed; /* fingerprints under way at a crash */
+	uint32_t n_crashed;
+};
+
+#define PF_GATE_LOADS_MAX 128
+#define PF_GATE_SIGHTS_MAX 64
+#define PF_GATE_CRASHED_MAX 16
+
+enum pf_gate_msg_type {
+	PF_GATE_ROUTES, /* u.routes: borrowed until the next one */
+	PF_GATE_ENDPOINT, /* u.endpoint: borrowed for the call */
+	PF_GATE_ENDPOINT_GONE, /* u.id */
+	PF_GATE_ARRIVE, /* u.arrival */
+	PF_GATE_HANGUP, /* u.request: its caller left */
+	PF_GATE_EVENTS, /* u.request: some of its stream was passed on */
+	PF_GATE_ENDED, /* u.end */
+	PF_GATE_PEER, /* u.digest */
+	PF_GATE_TICK,
+};
+
+struct pf_gate_msg {
+	enum pf_gate_msg_type type;
+	union {
+		const struct pf_routes *routes;
+		const struct pf_listed *endpoint;
+		uint64_t id;
+		struct pf_gate_arrival arrival;
+		uint32_t request;
+		struct pf_gate_end end;
+		struct pf_gate_digest digest;
+	} u;
+};
+
+enum pf_gate_act_type {
+	PF_GATE_SEND, /* u.send; a try before it is over */
+	PF_GATE_DROP, /* the try in flight is of no use any more */
+	PF_GATE_DELIVER, /* final: the answer that ended the try */
+	PF_GATE_REFUSE, /* final, u.refuse: it did not run and never will */
+	PF_GATE_FAIL, /* final, u.fail: it may have run */
+};
+
+/* DEF(name, code): why a request was not served. */
+#define PF_GATE_REASONS(DEF)                       \
+	DEF(NONE, "none")                          \
+	DEF(FULL, "full")                          \
+	DEF(NO_ENDPOINT, "no_endpoint")            \
+	DEF(NOT_LOADED, "not_loaded")              \
+	DEF(LATE, "late")                          \
+	DEF(RETRY_BUDGET, "retry_budget")          \
+	DEF(QUARANTINED, "quarantined")            \
+	DEF(ENDPOINT_LOST, "endpoint_lost")        \
+	DEF(TIMEOUT, "timeout")
+
+enum pf_gate_reason {
+#define DEF(name, code) PF_GATE_WHY_##name,
+	PF_GATE_REASONS(DEF)
+#undef DEF
+};
+
+const char *pf_gate_reason_code(enum pf_gate_reason r);
+
+struct pf_gate_act {
+	enum pf_gate_act_type type;
+	void *ctx;
+	union {
+		struct {
+			uint64_t endpoint;
+			pf_ms budget; /* that is left; 0: none was given */
+			int priority; /* -1: the endpoint has no use for it */
+			bool once; /* it may run only once */
+			bool resume; /* after the last event passed on */
+			uint32_t tries; /* sends before this one */
+			pf_ms expected; /* to the first event, as estimated */
+			uint32_t cached; /* prompt tokens thought kept there */
+		} send;
+		struct {
+			enum pf_gate_reason reason;
+			int status;
+			pf_ms retry_after; /* -1: coming back is of no use */
+		} refuse;
+		struct {
+			enum pf_gate_reason reason;
+			int status;
+		} fail;
+	} u;
+};
+
+/** Where acts go. `emit` must not call back into the core. */
+struct pf_gate_sink {
+	void (*emit)(void *ctx, const struct pf_gate_act *act);
+	void *ctx;
+};
+
+void pf_gate_step(struct pf_gate *g, pf_ms now, const struct pf_gate_msg *m,
+		  const struct pf_gate_sink *sink);
+
+/** When the next PF_GATE_TICK is due. */
+pf_ms pf_gate_next(const struct pf_gate *g);
+
+/** What to tell the others; valid until the next call or step. */
+void pf_gate_digest(struct pf_gate *g, struct pf_gate_digest *d);
+
+/** Demand of the last seconds, at most @max items; returns how many. */
+size_t pf_gate_demand(struct pf_gate *g, pf_ms now, struct pf_gate_demand *out,
+		      size_t max);
+
+/** Whether a request waits for an item that no endpoint has. */
+bool pf_gate_wants(const struct pf_gate *g);
+
+struct pf_gate_stats {
+	uint64_t arrived, sent, repeats, refused, failed, delivered, hangups;
+	uint32_t alive, waiting, endpoints;
+};
+
+void pf_gate_stats(const struct pf_gate *g, struct pf_gate_stats *s);
+
+PF_END_DECLS
+
+#endif
--- /dev/null
+++ b/include/pimentoford/listed.h
@@ -0,0 +1,45 @@
+/* What an endpoint says of itself, as the platform's store lists it. */
+#ifndef PIMENTOFORD_LISTED_H
+#define PIMENTOFORD_LISTED_H
+
+#include "pimentoford/base.h"
+
+PF_BEGIN_DECLS
+
+/** A model that is loaded, with its adapters. */
+struct pf_resident {
+	uint64_t model;
+	uint64_t *adapters;
+	uint32_t n_adapters;
+};
+
+struct pf_listed {
+	char *instance; /* its name, as requests expect it */
+	char *addr; /* IP:PORT */
+	uint64_t id; /* pf_id() of the instance */
+	uint64_t service;
+	uint64_t zone;
+	uint32_t slots; /* requests at once */
+	bool draining;
+	pf_ms remaining; /* until it is taken away; -1: not said */
+	pf_ms cold; /* how much longer it is slow after its start */
+	int64_t born; /* wall clock of its start; 0: not said */
+	int64_t orders; /* that it has accepted; -1: not said */
+	struct pf_resident *residents;
+	uint32_t n_residents;
+	uint64_t *warm; /* models whose weights lie in its memory */
+	uint32_t n_warm;
+	uint64_t *on_disk; /* models whose weights lie on its disk */
+	uint32_t n_on_disk;
+};
+
+/** Frees what @e holds, not @e. */
+void pf_listed_clear(struct pf_listed *e);
+
+/** Whether a model, and an adapter unless it is 0, is loaded. */
+bool pf_listed_has(const struct pf_listed *e, uint64_t model,
+		     uint64_t adapter);
+
+PF_END_DECLS
+
+#endif
--- a/include/pimentoford/settings.h
+++ b/include/pimentoford/settings.h
@@ -8,6 +8,7 @@
 #include "pimentoford/agent.h"
 #include "pimentoford/entry.h"
 #include "pimentoford/fields.h"
+#include "pimentoford/gate.h"
 
 PF_BEGIN_DECLS
 
@@ -70,12 +71,32 @@
 	struct pf_agent_opts core; /* memory, batch come from the record */
 };
 
+/** A zone of the deployment and its region. */
+struct pf_zone_setting {
+	char *name;
+	char *region;
+};
+
+struct pf_gateway_settings {
+	struct pf_place place;
+	char *listen; /* callers, HTTP */
+	char *ready; /* readiness and metrics, HTTP */
+	char *talk; /* other gateways, UDP */
+	struct pf_rows zones; /* struct pf_zone_setting */
+	pf_ms drain; /* longest graceful stop */
+	pf_ms lease; /* two planners may not order within this time */
+	pf_ms load_window; /* in which loads from the weight store count */
+	double load_over; /* share of the weight store's rate that is used */
+	struct pf_gate_opts core; /* zone, region, ids are the daemon's */
+};
+
 /**
  * The fields of each program's settings. The caller sets `core` to its
  * defaults first: keys that are not given keep them.
  */
 extern const struct pf_form pf_entry_form;
 extern const struct pf_form pf_agent_form;
+extern const struct pf_form pf_gateway_form;
 
 /** Checks that the fields can't say, e.g. key or key_file. 0 or -1. */
 int pf_place_check(const struct pf_place *p, const char *source,
--- /dev/null
+++ b/src/coordination/gate/gate_core.h
@@ -0,0 +1,242 @@
+/* The state of the gate core, shared by its files. */
+#ifndef SRC_COORDINATION_GATE_CORE_H
+#define SRC_COORDINATION_GATE_CORE_H
+
+#include "pimentoford/gate.h"
+#include "pimentoford/heap.h"
+#include "pimentoford/map.h"
+
+#define GATE_NIL UINT32_MAX
+#define GATE_PEERS_MAX 64
+#define GATE_AVOID_MAX 4
+#define GATE_SERVICES_MAX 16
+/* Seconds of the window in which further sends are counted, plus one that is
+ * only begun. */
+#define GATE_BUCKETS 16
+
+enum gate_state { GATE_FREE, GATE_WAITING, GATE_SENT, GATE_STREAMING };
+
+struct gate_request {
+	enum gate_state state;
+	void *ctx;
+	/* of its route */
+	enum pf_route_kind kind;
+	uint64_t service;
+	pf_ms objective;
+	uint32_t attempts;
+	uint8_t priority;
+	/* of what it asks for */
+	uint64_t fingerprint;
+	uint64_t model;
+	uint64_t adapter;
+	uint32_t prompt;
+	uint32_t output; /* tokens expected */
+	uint64_t chains[PF_PROMPT_PARTS_MAX]; /* parts 0 to i, of the model */
+	uint32_t chain_tokens[PF_PROMPT_PARTS_MAX]; /* sum of parts 0 to i */
+	uint32_t n_chains;
+	pf_ms arrived;
+	pf_ms due; /* the objective's end */
+	pf_ms over; /* a final answer is owed by then */
+	bool bounded; /* the caller said how long it will wait */
+	/* of its tries */
+	uint32_t sends;
+	uint32_t arrivals; /* sends that may have reached an endpoint */
+	uint32_t runs; /* sends that may have run */
+	uint64_t avoid[GATE_AVOID_MAX]; /* endpoints that failed it */
+	uint32_t n_avoid;
+	bool passed; /* the caller has some of the answer */
+	uint32_t endpoint; /* slot, while it is in flight */
+	pf_ms sent_at;
+	pf_ms heard_at;
+	double expected_ms; /* to the first event */
+	double own_ms; /* of it, its own prompt */
+	uint32_t kv;
+	uint32_t prev, next; /* of the waiting, in order of arrival */
+	uint32_t looked_at; /* round of the pump */
+};
+
+/** What is believed of an endpoint. */
+struct gate_endpoint {
+	bool used;
+	uint64_t id;
+	uint64_t life; /* id of this start of it */
+	uint64_t service;
+	uint64_t zone;
+	double distance; /* ms, 0 in this zone */
+	uint32_t slots;
+	bool draining;
+	int64_t kv_max; /* tokens; 0: not an engine */
+	struct pf_resident *residents;
+	uint32_t n_residents;
+	/* sent by this gateway */
+	uint32_t running;
+	int64_t kv;
+	double prefill_ms;
+	/* sent by the others */
+	uint32_t peer_running;
+	int64_t peer_kv;
+	double peer_prefill_ms;
+	/* learned from answers */
+	double slow; /* measured over expected time, 1 is as expected */
+	double failing; /* share of tries that failed */
+	pf_ms blocked_until; /* it did not answer, or was full */
+	uint32_t strikes; /* blocks in a row */
+	uint64_t lacks; /* a model that it turned out not to have */
+	pf_ms lacks_until;
+};
+
+/** What another gateway said last. */
+struct gate_peer {
+	uint64_t id; /* 0: free */
+	pf_ms heard_at;
+	struct pf_gate_load loads[PF_GATE_LOADS_MAX];
+	uint32_t n_loads;
+};
+
+/** Counts of a service, by second. */
+struct gate_budget {
+	uint64_t service; /* 0: free */
+	uint32_t requests[GATE_BUCKETS];
+	uint32_t repeats[GATE_BUCKETS];
+	int64_t second; /* the newest */
+};
+
+/* The table of prompts' parts is set-associative: a set holds so many. */
+#define GATE_PREFIX_WAYS 4
+#define GATE_PREFIX_SETS 2048
+
+struct gate_prefix {
+	uint64_t key; /* of the parts and the endpoint's life; 0: free */
+	pf_ms used_at;
+	uint32_t runs; /* of ours that hold it */
+};
+
+#define GATE_ITEMS 512
+
+/** Demand for a model or an adapter. */
+struct gate_item {
+	uint64_t id; /* 0: free */
+	uint64_t model;
+	double per_s; /* smoothed */
+	double ms_per_s;
+	double count; /* since `since` */
+	double ms;
+};
+
+#define GATE_CRASHES 64
+
+struct gate_crash {
+	uint64_t fingerprint;
+	uint32_t crashes;
+	pf_ms last;
+};
+
+/** How fast an engine reads prompts for a model. */
+struct gate_speed {
+	uint64_t model; /* 0: free */
+	double ms_per_token;
+};
+
+#define GATE_SPEEDS 512
+
+struct pf_gate {
+	struct pf_gate_opts o;
+	struct pf_gate_zone *zones;
+	struct pf_rng rng;
+	pf_ms now;
+	pf_ms started;
+	const struct pf_gate_sink *sink; /* during a step */
+	const struct pf_routes *routes;
+	struct gate_request *requests;
+	uint32_t *free_requests;
+	uint32_t n_free;
+	struct pf_heap timers; /* by request */
+	uint32_t wait_head, wait_tail, n_waiting;
+	uint32_t round; /* of looking through the waiting */
+	pf_ms pump_at; /* when the waiting are looked at again */
+	struct gate_endpoint *endpoints;
+	uint32_t n_endpoints; /* slots in use or free below it */
+	struct gate_peer peers[GATE_PEERS_MAX];
+	struct gate_budget budgets[GATE_SERVICES_MAX];
+	struct gate_prefix prefixes[GATE_PREFIX_SETS][GATE_PREFIX_WAYS];
+	struct gate_item items[GATE_ITEMS];
+	pf_ms items_since;
+	struct gate_speed speeds[GATE_SPEEDS];
+	struct gate_crash crashes[GATE_CRASHES];
+	struct pf_gate_load out_loads[PF_GATE_LOADS_MAX];
+	struct pf_gate_sight sights[PF_GATE_SIGHTS_MAX];
+	uint32_t n_sights;
+	struct pf_gate_sight out_sights[PF_GATE_SIGHTS_MAX];
+	uint64_t crashed[PF_GATE_CRASHED_MAX];
+	uint32_t n_crashed;
+	uint64_t out_crashed[PF_GATE_CRASHED_MAX];
+	struct pf_gate_stats stats;
+};
+
+static inline bool gate_repeatable(const struct gate_request *r)
+{
+	return r->kind == PF_ROUTE_SAFE || r->kind == PF_ROUTE_RESUMABLE;
+}
+
+/* gate_endpoints.c */
+struct gate_endpoint *gate_endpoint(struct pf_gate *g, uint64_t id);
+void gate_endpoint_update(struct pf_gate *g, const struct pf_listed *e);
+void gate_endpoint_gone(struct pf_gate *g, uint64_t id);
+/** Engines' memory as the routing table gives it. */
+void gate_endpoints_configure(struct pf_gate *g);
+bool gate_endpoint_has(const struct gate_endpoint *e, uint64_t model,
+		       uint64_t adapter);
+/** A request's work begins or ends at an endpoint. */
+void gate_load_add(struct pf_gate *g, struct gate_request *r, uint32_t slot);
+void gate_load_first(struct pf_gate *g, struct gate_request *r);
+void gate_load_end(struct pf_gate *g, struct gate_request *r);
+/** It did not answer: left alone for a while, longer each time. */
+void gate_endpoint_block(struct pf_gate *g, struct gate_endpoint *e);
+void gate_endpoint_result(struct gate_endpoint *e, bool failed);
+void gate_peer_heard(struct pf_gate *g, const struct pf_gate_digest *d);
+/** Forgets gateways that fell silent. */
+void gate_peers_expire(struct pf_gate *g);
+/** Gateways that may be sending now, this one included. */
+uint32_t gate_peers_alive(const struct pf_gate *g);
+
+/* gate_prefix.c */
+/** Prompt tokens of @r that the endpoint is thought to keep. */
+uint32_t gate_prefix_cached(struct pf_gate *g, const struct gate_request *r,
+			    const struct gate_endpoint *e);
+void gate_prefix_sent(struct pf_gate *g, const struct gate_request *r,
+		      const struct gate_endpoint *e);
+void gate_prefix_seen(struct pf_gate *g, const struct pf_gate_sight *s);
+
+/* gate_pick.c */
+/** The best endpoint for @r now, or GATE_NIL. */
+uint32_t gate_pick(struct pf_gate *g, struct gate_request *r);
+/** Whether any endpoint has what @r needs, however busy it is. */
+bool gate_served(struct pf_gate *g, const struct gate_request *r);
+double gate_ms_per_token(struct pf_gate *g, uint64_t model);
+/** Learns from the time to a first event. */
+void gate_learn(struct pf_gate *g, struct gate_request *r);
+
+/* gate_budget.c */
+void gate_budget_request(struct pf_gate *g, uint64_t service);
+/** Takes one further send from the budget; false: there is none left. */
+bool gate_budget_repeat(struct pf_gate *g, uint64_t service);
+
+/* gate_crash.c */
+bool gate_quarantined(struct pf_gate *g, uint64_t fingerprint);
+/** @fingerprint was under way when an endpoint's connections broke. */
+void gate_crash_blame(struct pf_gate *g, uint64_t fingerprint, bool tell);
+
+/* gate_demand.c */
+void gate_demand_add(struct pf_gate *g, const struct gate_request *r,
+		     double ms);
+
+/* gate_life.c */
+void gate_arrive(struct pf_gate *g, const struct pf_gate_arrival *a);
+void gate_hangup(struct pf_gate *g, uint32_t slot);
+void gate_events(struct pf_gate *g, uint32_t slot);
+void gate_ended(struct pf_gate *g, const struct pf_gate_end *end);
+void gate_request_due(struct pf_gate *g, uint32_t slot);
+/** Sends what waits and can be sent. */
+void gate_pump(struct pf_gate *g);
+
+#endif
--- /dev/null
+++ b/src/coordination/gate/gate_demand.c
@@ -0,0 +1,100 @@
+/* How much each model and adapter is asked for. */
+#include "src/coordination/gate/gate_core.h"
+
+#include <math.h>
+
+/* Demand is smoothed over so long. */
+#define SMOOTH_S 3.0
+/* An item asked for less often is forgotten. */
+#define FORGET_PER_S 0.002
+#define SECOND_MS 1000.0
+
+static struct gate_item *item_of(struct pf_gate *g, uint64_t id, bool make)
+{
+	uint32_t at = (uint32_t)(id % GATE_ITEMS);
+	struct gate_item *spare = NULL;
+	uint32_t i;
+
+	for (i = 0; i < 16; i++) {
+		struct gate_item *it = &g->items[(at + i) % GATE_ITEMS];
+
+		if (it->id == id)
+			return it;
+		if (!it->id && !spare)
+			spare = it;
+	}
+	if (!make || !spare)
+		return NULL;
+	*spare = (struct gate_item){ .id = id };
+	return spare;
+}
+
+static void count(struct pf_gate *g, uint64_t id, uint64_t model, double ms)
+{
+	struct gate_item *it = item_of(g, id, true);
+
+	if (!it)
+		return;
+	it->model = model;
+	it->count++;
+	it->ms += ms;
+}
+
+void gate_demand_add(struct pf_gate *g, const struct gate_request *r, double ms)
+{
+	if (!r->model)
+		return;
+	count(g, r->model, r->model, ms);
+	if (r->adapter)
+		count(g, r->adapter, r->model, ms);
+}
+
+static void smooth(struct gate_item *it, double s)
+{
+	double w = exp(-s / SMOOTH_S);
+
+	it->per_s = w * it->per_s + (1 - w) * it->count / s;
+	it->ms_per_s = w * it->ms_per_s + (1 - w) * it->ms / s;
+	it->count = 0;
+	it->ms = 0;
+	if (it->per_s < FORGET_PER_S)
+		it->id = 0;
+}
+
+static uint32_t waiting_for(const struct pf_gate *g, uint64_t item)
+{
+	uint32_t n = 0;
+	uint32_t i;
+
+	for (i = g->wait_head; i != GATE_NIL; i = g->requests[i].next)
+		n += g->requests[i].model == item ||
+		     g->requests[i].adapter == item;
+	return n;
+}
+
+size_t pf_gate_demand(struct pf_gate *g, pf_ms now, struct pf_gate_demand *out,
+		      size_t max)
+{
+	double s = (double)(now - g->items_since) / SECOND_MS;
+	size_t n = 0;
+	uint32_t i;
+
+	for (i = 0; i < GATE_ITEMS && n < max; i++) {
+		struct gate_item *it = &g->items[i];
+
+		if (it->id && s > 0.2)
+			smooth(it, s);
+		if (!it->id)
+			continue;
+		out[n++] = (struct pf_gate_demand){
+			.item = it->id,
+			.model = it->model,
+			.per_s = (float)it->per_s,
+			.ms_per_s = (float)it->ms_per_s,
+			.waiting = waiting_for(g, it->id),
+		};
+	}
+	if (s > 0.2)
+		g->items_since = now;
+	return n;
+}
--- /dev/null
+++ b/src/coordination/gate/gate_endpoints.c
@@ -0,0 +1,310 @@
+/* Endpoints as the store lists them, and the work that is known at each. */
+#include "src/coordination/gate/gate_core.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+/* Further away costs time, and bytes that are paid for. */
+#define ZONE_MS 8.0
+#define REGION_MS 80.0
+/* An endpoint that did not answer is left alone so long, doubled each time. */
+#define BLOCK_MIN_MS 400
+#define BLOCK_MAX_MS 3200
+/* Weight of the newest try in the share that failed. */
+#define FAILING_WEIGHT 0.1
+/* A gateway that said nothing for so long has ended or is cut off. */
+#define PEER_SILENT_MS 1500
+/* Its sends may lie in the window of the budget for so long. */
+#define PEER_GONE_MS 20000
+
+static uint64_t region_of(const struct pf_gate *g, uint64_t zone)
+{
+	uint32_t i;
+
+	for (i = 0; i < g->o.n_zones; i++) {
+		if (g->zones[i].zone == zone)
+			return g->zones[i].region;
+	}
+	return 0;
+}
+
+static double distance_to(const struct pf_gate *g, uint64_t zone)
+{
+	if (zone == g->o.zone)
+		return 0;
+	return region_of(g, zone) == g->o.region ? ZONE_MS : REGION_MS;
+}
+
+static uint32_t find(const struct pf_gate *g, uint64_t id)
+{
+	uint32_t i;
+
+	for (i = 0; i < g->n_endpoints; i++) {
+		if (g->endpoints[i].used && g->endpoints[i].id == id)
+			return i;
+	}
+	return GATE_NIL;
+}
+
+struct gate_endpoint *gate_endpoint(struct pf_gate *g, uint64_t id)
+{
+	uint32_t i = find(g, id);
+
+	return i == GATE_NIL ? NULL : &g->endpoints[i];
+}
+
+static uint32_t take_slot(struct pf_gate *g)
+{
+	uint32_t i;
+
+	for (i = 0; i < g->n_endpoints; i++) {
+		/* A slot stays taken while a request in flight names it. */
+		if (!g->endpoints[i].used && !g->endpoints[i].running)
+			return i;
+	}
+	return g->n_endpoints < g->o.endpoints_max ? g->n_endpoints++ :
+						     GATE_NIL;
+}
+
+static void free_residents(struct gate_endpoint *e)
+{
+	uint32_t i;
+
+	for (i = 0; i < e->n_residents; i++)
+		free(e->residents[i].adapters);
+	free(e->residents);
+	e->residents = NULL;
+	e->n_residents = 0;
+}
+
+/* Without memory the endpoint counts as holding less than it does. */
+static void copy_residents(struct gate_endpoint *e, const struct pf_listed *l)
+{
+	uint32_t i;
+
+	free_residents(e);
+	e->residents = calloc(l->n_residents + 1, sizeof(*e->residents));
+	if (!e->residents)
+		return;
+	for (i = 0; i < l->n_residents; i++) {
+		const struct pf_resident *from = &l->residents[i];
+		struct pf_resident *to = &e->residents[i];
+		size_t n = from->n_adapters * sizeof(*from->adapters);
+
+		to->model = from->model;
+		to->adapters = malloc(n + 1);
+		if (to->adapters && n) {
+			memcpy(to->adapters, from->adapters, n);
+			to->n_adapters = from->n_adapters;
+		}
+		e->n_residents++;
+	}
+}
+
+static void set_engine(struct pf_gate *g, struct gate_endpoint *e)
+{
+	const struct pf_route_service *s =
+		g->routes ? pf_routes_service(g->routes, e->service) : NULL;
+
+	e->kv_max = s && s->engine ? s->kv_tokens : 0;
+}
+
+void gate_endpoints_configure(struct pf_gate *g)
+{
+	uint32_t i;
+
+	for (i = 0; i < g->n_endpoints; i++)
+		set_engine(g, &g->endpoints[i]);
+}
+
+/* The work of the others at @e, from what each said last. */
+static void add_peers(const struct pf_gate *g, struct gate_endpoint *e)
+{
+	uint32_t i;
+	uint32_t k;
+
+	e->peer_running = 0;
+	e->peer_kv = 0;
+	e->peer_prefill_ms = 0;
+	for (i = 0; i < GATE_PEERS_MAX; i++) {
+		const struct gate_peer *p = &g->peers[i];
+
+		for (k = 0; p->id && k < p->n_loads; k++) {
+			if (p->loads[k].endpoint != e->id)
+				continue;
+			e->peer_running += p->loads[k].running;
+			e->peer_kv += p->loads[k].kv_tokens;
+			e->peer_prefill_ms += p->loads[k].prefill_ms;
+		}
+	}
+}
+
+void gate_endpoint_update(struct pf_gate *g, const struct pf_listed *l)
+{
+	uint64_t life = pf_id2(l->id, (uint64_t)l->born);
+	uint32_t slot = find(g, l->id);
+	struct gate_endpoint *e;
+
+	if (slot == GATE_NIL) {
+		slot = take_slot(g);
+		if (slot == GATE_NIL)
+			return;
+		e = &g->endpoints[slot];
+		memset(e, 0, sizeof(*e));
+		e->used = true;
+		e->id = l->id;
+		e->slow = 1;
+		add_peers(g, e);
+	}
+	e = &g->endpoints[slot];
+	if (e->life != life) {
+		e->life = life;
+		e->blocked_until = 0;
+		e->strikes = 0;
+		e->failing = 0;
+	}
+	e->service = l->service;
+	e->zone = l->zone;
+	e->distance = distance_to(g, l->zone);
+	e->slots = l->slots;
+	e->draining = l->draining;
+	e->lacks = 0;
+	copy_residents(e, l);
+	set_engine(g, e);
+}
+
+void gate_endpoint_gone(struct pf_gate *g, uint64_t id)
+{
+	struct gate_endpoint *e = gate_endpoint(g, id);
+
+	if (!e)
+		return;
+	free_residents(e);
+	e->used = false;
+}
+
+bool gate_endpoint_has(const struct gate_endpoint *e, uint64_t model,
+		       uint64_t adapter)
+{
+	struct pf_listed l = { .residents = e->residents,
+			       .n_residents = e->n_residents };
+
+	return pf_listed_has(&l, model, adapter);
+}
+
+void gate_load_add(struct pf_gate *g, struct gate_request *r, uint32_t slot)
+{
+	struct gate_endpoint *e = &g->endpoints[slot];
+
+	r->endpoint = slot;
+	e->running++;
+	e->kv += r->kv;
+	e->prefill_ms += r->own_ms;
+}
+
+void gate_load_first(struct pf_gate *g, struct gate_request *r)
+{
+	g->endpoints[r->endpoint].prefill_ms -= r->own_ms;
+	r->own_ms = 0;
+}
+
+void gate_load_end(struct pf_gate *g, struct gate_request *r)
+{
+	struct gate_endpoint *e = &g->endpoints[r->endpoint];
+
+	gate_load_first(g, r);
+	e->running--;
+	e->kv -= r->kv;
+	if (e->running == 0)
+		e->prefill_ms = 0; /* sums of fractions drift */
+}
+
+void gate_endpoint_block(struct pf_gate *g, struct gate_endpoint *e)
+{
+	pf_ms span = (pf_ms)BLOCK_MIN_MS << (e->strikes < 4 ? e->strikes : 4);
+
+	if (e->blocked_until > g->now)
+		return;
+	e->blocked_until = g->now + (span < BLOCK_MAX_MS ? span : BLOCK_MAX_MS);
+	e->strikes++;
+}
+
+void gate_endpoint_result(struct gate_endpoint *e, bool failed)
+{
+	e->failing += FAILING_WEIGHT * ((failed ? 1.0 : 0.0) - e->failing);
+	if (!failed)
+		e->strikes = 0;
+}
+
+static struct gate_peer *peer_slot(struct pf_gate *g, uint64_t id)
+{
+	struct gate_peer *oldest = &g->peers[0];
+	uint32_t i;
+
+	for (i = 0; i < GATE_PEERS_MAX; i++) {
+		struct gate_peer *p = &g->peers[i];
+
+		if (p->id == id)
+			return p;
+		if (oldest->id && (!p->id || p->heard_at < oldest->heard_at))
+			oldest = p;
+	}
+	memset(oldest, 0, sizeof(*oldest));
+	oldest->id = id;
+	return oldest;
+}
+
+static void add_all_peers(struct pf_gate *g)
+{
+	uint32_t i;
+
+	for (i = 0; i < g->n_endpoints; i++)
+		add_peers(g, &g->endpoints[i]);
+}
+
+void gate_peer_heard(struct pf_gate *g, const struct pf_gate_digest *d)
+{
+	struct gate_peer *p = peer_slot(g, d->peer);
+	uint32_t i;
+
+	p->heard_at = g->now;
+	p->n_loads = d->n_loads < PF_GATE_LOADS_MAX ? d->n_loads :
+						      PF_GATE_LOADS_MAX;
+	memcpy(p->loads, d->loads, p->n_loads * sizeof(*p->loads));
+	add_all_peers(g);
+	for (i = 0; i < d->n_sights; i++)
+		gate_prefix_seen(g, &d->sights[i]);
+	for (i = 0; i < d->n_crashed; i++)
+		gate_crash_blame(g, d->crashed[i], false);
+}
+
+void gate_peers_expire(struct pf_gate *g)
+{
+	bool changed = false;
+	uint32_t i;
+
+	for (i = 0; i < GATE_PEERS_MAX; i++) {
+		struct gate_peer *p = &g->peers[i];
+
+		if (!p->id)
+			continue;
+		if (p->n_loads && g->now - p->heard_at > PEER_SILENT_MS) {
+			p->n_loads = 0;
+			changed = true;
+		}
+		if (g->now - p->heard_at > PEER_GONE_MS)
+			p->id = 0;
+	}
+	if (changed)
+		add_all_peers(g);
+}
+
+uint32_t gate_peers_alive(const struct pf_gate *g)
+{
+	uint32_t n = 1;
+	uint32_t i;
+
+	for (i = 0; i < GATE_PEERS_MAX; i++)
+		n += g->peers[i].id != 0;
+	return n;
+}
--- /dev/null
+++ b/src/coordination/gate/gate_life.c
@@ -0,0 +1,541 @@
+/* The life of a request: waiting, tries, and its one end. */
+#include "src/coordination/gate/gate_core.h"
+
+#include <string.h>
+
+/* Sends of one request, those that did not run included. */
+#define SENDS_MAX 5
+/* A plain service answers within; an engine's tokens take so long each. */
+#define PLAIN_MIN_MS 20
+#define TOKEN_MS 6
+/* An endpoint silent for so long beyond what was expected is given up. */
+#define STALL_ENGINE_MS 900
+#define STALL_PLAIN_MS 220
+/* The way back to the caller. */
+#define RETURN_MS 10
+/* When a caller that was refused is to come back; spread over the span. */
+#define RETRY_MIN_MS 250
+#define RETRY_SPAN_MS 750
+/* An endpoint that was full is left alone so long, unless it says. */
+#define FULL_MS 150
+#define FULL_MAX_MS 1000
+/* Until its entry says otherwise, a model is missing there. */
+#define LACKS_MS 1500
+/* A request's priority at an engine: two for each rank, one for patience. */
+#define PRIORITY_MAX 9
+#define PATIENT_MS 2000
+
+static void emit(struct pf_gate *g, const struct gate_request *r,
+		 struct pf_gate_act *a)
+{
+	a->ctx = r->ctx;
+	g->sink->emit(g->sink->ctx, a);
+}
+
+static uint32_t slot_of(const struct pf_gate *g, const struct gate_request *r)
+{
+	return (uint32_t)(r - g->requests);
+}
+
+static void wait_add(struct pf_gate *g, struct gate_request *r)
+{
+	uint32_t slot = slot_of(g, r);
+
+	r->state = GATE_WAITING;
+	r->prev = g->wait_tail;
+	r->next = GATE_NIL;
+	if (g->wait_tail == GATE_NIL)
+		g->wait_head = slot;
+	else
+		g->requests[g->wait_tail].next = slot;
+	g->wait_tail = slot;
+	g->n_waiting++;
+}
+
+static void wait_remove(struct pf_gate *g, struct gate_request *r)
+{
+	if (r->prev == GATE_NIL)
+		g->wait_head = r->next;
+	else
+		g->requests[r->prev].next = r->next;
+	if (r->next == GATE_NIL)
+		g->wait_tail = r->prev;
+	else
+		g->requests[r->next].prev = r->prev;
+	g->n_waiting--;
+}
+
+/* Takes the request from whatever holds it. */
+static void leave(struct pf_gate *g, struct gate_request *r)
+{
+	if (r->state == GATE_WAITING)
+		wait_remove(g, r);
+	else if (r->state != GATE_FREE)
+		gate_load_end(g, r);
+}
+
+static void release(struct pf_gate *g, struct gate_request *r)
+{
+	uint32_t slot = slot_of(g, r);
+
+	leave(g, r);
+	r->state = GATE_FREE;
+	pf_heap_set(&g->timers, slot, PF_NEVER);
+	g->free_requests[g->n_free++] = slot;
+	g->stats.alive--;
+	g->pump_at = g->now;
+}
+
+static void refuse(struct pf_gate *g, struct gate_request *r,
+		   enum pf_gate_reason why)
+{
+	pf_ms left = r->over - g->now;
+	struct pf_gate_act a = { .type = PF_GATE_REFUSE };
+
+	a.u.refuse.reason = why;
+	a.u.refuse.status = 503;
+	a.u.refuse.retry_after =
+		RETRY_MIN_MS + pf_rng_below(&g->rng, RETRY_SPAN_MS);
+	if (why == PF_GATE_WHY_QUARANTINED)
+		a.u.refuse.retry_after = -1;
+	else if (a.u.refuse.retry_after > left / 3)
+		a.u.refuse.retry_after = left > 0 ? left / 3 : 0;
+	g->stats.refused++;
+	emit(g, r, &a);
+	release(g, r);
+}
+
+static void fail(struct pf_gate *g, struct gate_request *r,
+		 enum pf_gate_reason why)
+{
+	struct pf_gate_act a = { .type = PF_GATE_FAIL };
+
+	a.u.fail.reason = why;
+	a.u.fail.status = why == PF_GATE_WHY_TIMEOUT ? 504 : 502;
+	g->stats.failed++;
+	emit(g, r, &a);
+	release(g, r);
+}
+
+/* Ends a request that can't go on: refused if that is true, else failed. */
+static void give_up(struct pf_gate *g, struct gate_request *r,
+		    enum pf_gate_reason why)
+{
+	if (r->runs == 0)
+		refuse(g, r, why);
+	else
+		fail(g, r,
+		     g->now >= r->over ? PF_GATE_WHY_TIMEOUT :
+					 PF_GATE_WHY_ENDPOINT_LOST);
+}
+
+/* The least time in which @r could still be answered. */
+static pf_ms least_time(const struct gate_request *r)
+{
+	if (!r->model)
+		return PLAIN_MIN_MS;
+	return PLAIN_MIN_MS + (pf_ms)r->output * TOKEN_MS / 2;
+}
+
+static int priority_of(const struct gate_request *r)
+{
+	int p = 2 * r->priority + (r->objective > PATIENT_MS ? 1 : 0);
+
+	return p > PRIORITY_MAX ? PRIORITY_MAX : p;
+}
+
+static pf_ms stall_of(const struct gate_request *r)
+{
+	return r->model ? STALL_ENGINE_MS + (pf_ms)r->expected_ms :
+			  STALL_PLAIN_MS;
+}
+
+static void arm(struct pf_gate *g, struct gate_request *r)
+{
+	pf_ms at = r->over;
+
+	if (r->state == GATE_WAITING)
+		at = r->over - least_time(r);
+	else if (gate_repeatable(r) && r->heard_at + stall_of(r) < at)
+		at = r->heard_at + stall_of(r);
+	pf_heap_set(&g->timers, slot_of(g, r), at > g->now ? at : g->now + 1);
+}
+
+static void send(struct pf_gate *g, struct gate_request *r, uint32_t at)
+{
+	struct gate_endpoint *e = &g->endpoints[at];
+	struct pf_gate_act a = { .type = PF_GATE_SEND };
+
+	a.u.send.endpoint = e->id;
+	a.u.send.budget = r->over - g->now - RETURN_MS;
+	if (a.u.send.budget < 1)
+		a.u.send.budget = 1;
+	a.u.send.priority = e->kv_max ? priority_of(r) : -1;
+	a.u.send.once = !gate_repeatable(r);
+	a.u.send.resume = r->passed;
+	a.u.send.tries = r->sends;
+	a.u.send.expected = (pf_ms)r->expected_ms;
+	a.u.send.cached = gate_prefix_cached(g, r, e);
+	gate_demand_add(g, r, r->sends ? 0 : r->own_ms + r->output);
+	r->state = r->passed ? GATE_STREAMING : GATE_SENT;
+	r->sends++;
+	r->arrivals++;
+	r->sent_at = g->now;
+	r->heard_at = g->now;
+	gate_load_add(g, r, at);
+	gate_prefix_sent(g, r, e);
+	g->stats.sent++;
+	arm(g, r);
+	emit(g, r, &a);
+}
+
+/* Whether the request may be sent a further time, counting it. */
+static bool may_repeat(struct pf_gate *g, const struct gate_request *r)
+{
+	if (r->arrivals == 0)
+		return true;
+	if (!gate_budget_repeat(g, r->service))
+		return false;
+	g->stats.repeats++;
+	return true;
+}
+
+/* Sends @r if an endpoint can take it. */
+static bool try_send(struct pf_gate *g, struct gate_request *r)
+{
+	uint32_t at = gate_pick(g, r);
+
+	if (at == GATE_NIL)
+		return false;
+	if (r->state == GATE_WAITING)
+		wait_remove(g, r);
+	r->state = GATE_FREE; /* held by nothing for the moment */
+	if (!may_repeat(g, r)) {
+		give_up(g, r, PF_GATE_WHY_RETRY_BUDGET);
+		return true;
+	}
+	send(g, r, at);
+	return true;
+}
+
+/* It did not run, or may run again: it waits for an endpoint. */
+static void again(struct pf_gate *g, struct gate_request *r)
+{
+	leave(g, r);
+	wait_add(g, r);
+	if (r->sends >= SENDS_MAX || g->now >= r->over - least_time(r)) {
+		give_up(g, r, PF_GATE_WHY_FULL);
+		return;
+	}
+	if (!try_send(g, r))
+		arm(g, r);
+}
+
+static void copy_prompt(struct gate_request *r, const struct pf_inbound *in)
+{
+	uint64_t chain = pf_id2(in->model, in->adapter);
+	uint32_t sum = 0;
+	uint32_t i;
+
+	r->model = in->model;
+	r->adapter = in->adapter;
+	r->prompt = in->prompt_tokens;
+	r->output = in->output_hint && in->output_hint < in->max_tokens ?
+			    in->output_hint :
+			    in->max_tokens;
+	for (i = 0; i < in->n_parts; i++) {
+		chain = pf_id2(chain, in->parts[i].id);
+		sum += in->parts[i].tokens;
+		r->chains[i] = chain;
+		r->chain_tokens[i] = sum;
+	}
+	r->n_chains = in->n_parts;
+}
+
+/* A split is drawn by weight, the same for a request that comes again. */
+static uint64_t service_of(const struct pf_route *route, uint64_t fingerprint)
+{
+	uint32_t sum = 0;
+	uint32_t at;
+	uint32_t i;
+
+	for (i = 0; i < route->n_splits; i++)
+		sum += route->splits[i].weight;
+	at = (uint32_t)(pf_id2(fingerprint, route->host_id) % (sum ? sum : 1));
+	for (i = 0; i + 1 < route->n_splits; i++) {
+		if (at < route->splits[i].weight)
+			break;
+		at -= route->splits[i].weight;
+	}
+	return route->splits[i].service;
+}
+
+static struct gate_request *take(struct pf_gate *g,
+				 const struct pf_gate_arrival *a)
+{
+	const struct pf_route *route = a->route;
+	struct gate_request *r;
+
+	if (g->n_free == 0)
+		return NULL;
+	r = &g->requests[g->free_requests[--g->n_free]];
+	memset(r, 0, sizeof(*r));
+	r->ctx = a->ctx;
+	r->kind = route->kind;
+	r->service = service_of(route, a->fingerprint);
+	r->objective = route->objective;
+	r->attempts = route->attempts ? route->attempts : 1;
+	r->priority = route->priority;
+	r->fingerprint = a->fingerprint;
+	r->arrived = g->now;
+	r->due = route->objective ? g->now + route->objective : PF_NEVER;
+	r->over = g->now + (route->timeout ? route->timeout : 600000);
+	if (a->in->budget > 0) {
+		r->bounded = true;
+		if (g->now + a->in->budget < r->over)
+			r->over = g->now + a->in->budget;
+	}
+	copy_prompt(r, a->in);
+	g->stats.alive++;
+	*a->handle = slot_of(g, r);
+	return r;
+}
+
+void gate_arrive(struct pf_gate *g, const struct pf_gate_arrival *a)
+{
+	struct pf_gate_act full = { .type = PF_GATE_REFUSE, .ctx = a->ctx };
+	struct gate_request *r = take(g, a);
+
+	g->stats.arrived++;
+	if (!r) {
+		*a->handle = GATE_NIL;
+		full.u.refuse.reason = PF_GATE_WHY_FULL;
+		full.u.refuse.status = 503;
+		full.u.refuse.retry_after = RETRY_MIN_MS + RETRY_SPAN_MS;
+		g->stats.refused++;
+		g->sink->emit(g->sink->ctx, &full);
+		return;
+	}
+	gate_budget_request(g, r->service);
+	wait_add(g, r);
+	if (gate_quarantined(g, r->fingerprint)) {
+		refuse(g, r, PF_GATE_WHY_QUARANTINED);
+		return;
+	}
+	if (!try_send(g, r)) {
+		gate_demand_add(g, r, 0);
+		arm(g, r);
+	}
+}
+
+static void drop(struct pf_gate *g, struct gate_request *r)
+{
+	struct pf_gate_act a = { .type = PF_GATE_DROP };
+
+	if (r->state == GATE_SENT || r->state == GATE_STREAMING)
+		emit(g, r, &a);
+}
+
+void gate_hangup(struct pf_gate *g, uint32_t slot)
+{
+	struct gate_request *r = &g->requests[slot];
+
+	drop(g, r);
+	g->stats.hangups++;
+	release(g, r);
+}
+
+void gate_events(struct pf_gate *g, uint32_t slot)
+{
+	struct gate_request *r = &g->requests[slot];
+
+	if (r->own_ms > 0) {
+		gate_learn(g, r);
+		gate_load_first(g, r);
+		g->pump_at = g->now;
+	}
+	r->state = GATE_STREAMING;
+	r->passed = true;
+	r->heard_at = g->now;
+}
+
+static void avoid(struct gate_request *r, uint64_t id)
+{
+	if (r->n_avoid < GATE_AVOID_MAX)
+		r->avoid[r->n_avoid++] = id;
+}
+
+/* What a try's end says of its endpoint. */
+static void judge(struct pf_gate *g, struct gate_request *r,
+		  struct gate_endpoint *e, const struct pf_gate_end *end)
+{
+	pf_ms pause = end->retry_after > 0 ? end->retry_after : FULL_MS;
+
+	switch (end->outcome) {
+	case PF_GATE_ANSWERED:
+		gate_endpoint_result(e, end->status >= 500);
+		return;
+	case PF_GATE_NOT_RUN:
+		if (end->absent && r->model) {
+			e->lacks = r->model;
+			e->lacks_until = g->now + LACKS_MS;
+		} else if (end->absent) {
+			gate_endpoint_block(g, e);
+		} else {
+			e->blocked_until =
+				g->now + (pause < FULL_MAX_MS ? pause :
+								FULL_MAX_MS);
+		}
+		break;
+	case PF_GATE_UNSENT:
+		gate_endpoint_block(g, e);
+		break;
+	case PF_GATE_LOST:
+	case PF_GATE_BROKEN:
+		gate_endpoint_result(e, true);
+		if (end->reset)
+			gate_crash_blame(g, r->fingerprint, true);
+		break;
+	}
+	avoid(r, e->id);
+}
+
+/* An endpoint failed a repeatable call: another may do better. */
+static bool ask_another(struct pf_gate *g, struct gate_request *r)
+{
+	uint32_t at;
+
+	if (r->kind != PF_ROUTE_SAFE || r->runs >= r->attempts ||
+	    r->sends >= SENDS_MAX || g->now >= r->due)
+		return false;
+	avoid(r, g->endpoints[r->endpoint].id);
+	leave(g, r);
+	r->state = GATE_FREE;
+	at = gate_pick(g, r);
+	/* Otherwise the answer at hand is better than none. */
+	if (at == GATE_NIL || !may_repeat(g, r))
+		return false;
+	send(g, r, at);
+	return true;
+}
+
+void gate_ended(struct pf_gate *g, const struct pf_gate_end *end)
+{
+	struct gate_request *r = &g->requests[end->request];
+	struct gate_endpoint *e = &g->endpoints[r->endpoint];
+	struct pf_gate_act deliver = { .type = PF_GATE_DELIVER };
+
+	judge(g, r, e, end);
+	switch (end->outcome) {
+	case PF_GATE_ANSWERED:
+		r->runs++;
+		if (end->status >= 500 && ask_another(g, r))
+			return;
+		g->stats.delivered++;
+		emit(g, r, &deliver);
+		release(g, r);
+		return;
+	case PF_GATE_UNSENT:
+		r->arrivals--;
+		again(g, r);
+		return;
+	case PF_GATE_NOT_RUN:
+		again(g, r);
+		return;
+	case PF_GATE_LOST:
+	case PF_GATE_BROKEN:
+		r->runs++;
+		if (gate_repeatable(r) && r->runs < r->attempts) {
+			again(g, r);
+			return;
+		}
+		fail(g, r, PF_GATE_WHY_ENDPOINT_LOST);
+		return;
+	}
+}
+
+/* The endpoint is silent: goes on elsewhere if that is allowed. */
+static void stalled(struct pf_gate *g, struct gate_request *r)
+{
+	struct gate_endpoint *e = &g->endpoints[r->endpoint];
+
+	gate_endpoint_block(g, e);
+	if (r->runs + 1 >= r->attempts) {
+		/* No other may run it: this one may still answer. */
+		pf_heap_set(&g->timers, slot_of(g, r), r->over);
+		return;
+	}
+	avoid(r, e->id);
+	drop(g, r);
+	r->runs++;
+	again(g, r);
+}
+
+void gate_request_due(struct pf_gate *g, uint32_t slot)
+{
+	struct gate_request *r = &g->requests[slot];
+
+	if (r->state == GATE_WAITING) {
+		give_up(g, r,
+			gate_served(g, r) ? PF_GATE_WHY_FULL :
+			r->model	  ? PF_GATE_WHY_NOT_LOADED :
+					    PF_GATE_WHY_NO_ENDPOINT);
+		return;
+	}
+	if (g->now >= r->over) {
+		drop(g, r);
+		fail(g, r, PF_GATE_WHY_TIMEOUT);
+		return;
+	}
+	if (gate_repeatable(r) && g->now >= r->heard_at + stall_of(r)) {
+		stalled(g, r);
+		return;
+	}
+	arm(g, r);
+}
+
+/* Who is sent first: those that can still be on time, by when they are due. */
+static bool before(const struct pf_gate *g, const struct gate_request *a,
+		   const struct gate_request *b)
+{
+	bool a_late = a->due < g->now;
+	bool b_late = b->due < g->now;
+
+	if (a->passed != b->passed)
+		return a->passed;
+	if (a_late != b_late)
+		return b_late;
+	if (a_late && a->priority != b->priority)
+		return a->priority < b->priority;
+	return a->due < b->due;
+}
+
+#define PUMP_MAX 256
+
+/* The next of the waiting that was not looked at in this round. */
+static struct gate_request *next_waiting(struct pf_gate *g)
+{
+	struct gate_request *best = NULL;
+	uint32_t i;
+
+	for (i = g->wait_head; i != GATE_NIL; i = g->requests[i].next) {
+		struct gate_request *r = &g->requests[i];
+
+		if (r->looked_at != g->round && (!best || before(g, r, best)))
+			best = r;
+	}
+	return best;
+}
+
+void gate_pump(struct pf_gate *g)
+{
+	struct gate_request *r;
+	uint32_t n = 0;
+
+	g->round++;
+	while (n++ < PUMP_MAX && (r = next_waiting(g))) {
+		r->looked_at = g->round;
+		try_send(g, r);
+	}
+	g->pump_at = PF_NEVER;
+}
--- /dev/null
+++ b/src/coordination/gate/gate_pick.c
@@ -0,0 +1,199 @@
+/*
+ * Where a request goes: the endpoint at which its first event is expected
+ * soonest, by what is queued there, what of its prompt is kept, how the
+ * endpoint has done lately and how far it is.
+ */
+#include "src/coordination/gate/gate_core.h"
+
+#include <math.h>
+
+/* Until measured: about 33 prompt tokens are read in a millisecond. */
+#define MS_PER_TOKEN 0.03
+#define MS_PER_TOKEN_MIN 0.002
+#define MS_PER_TOKEN_MAX 0.3
+/* Each run beside it slows an engine's step by about so much in all. */
+#define CROWD_MS 1.5
+/* A plain service's run, as long as none was measured. */
+#define PLAIN_MS 15.0
+/* What a failed try costs the request. */
+#define FAILED_MS 600.0
+/* Prompts that wait at an endpoint can't be reordered: keep them few. */
+#define PREFILL_MAX_MS 1200.0
+/* Of an engine's memory: beyond it runs are preempted. */
+#define KV_FILL 0.92
+/* Weights of the newest measurement. */
+#define SLOW_WEIGHT 0.1
+#define SPEED_WEIGHT 0.05
+#define SLOW_MIN 0.3
+#define SLOW_MAX 8.0
+
+static struct gate_speed *speed_of(struct pf_gate *g, uint64_t model)
+{
+	uint32_t at = (uint32_t)(model % GATE_SPEEDS);
+	uint32_t i;
+
+	for (i = 0; i < GATE_SPEEDS; i++) {
+		struct gate_speed *s = &g->speeds[(at + i) % GATE_SPEEDS];
+
+		if (s->model == model)
+			return s;
+		if (s->model == 0) {
+			*s = (struct gate_speed){ model, MS_PER_TOKEN };
+			return s;
+		}
+	}
+	return NULL;
+}
+
+double gate_ms_per_token(struct pf_gate *g, uint64_t model)
+{
+	const struct gate_speed *s = speed_of(g, model);
+
+	return s ? s->ms_per_token : MS_PER_TOKEN;
+}
+
+static double clamp(double v, double lo, double hi)
+{
+	return v < lo ? lo : v > hi ? hi : v;
+}
+
+void gate_learn(struct pf_gate *g, struct gate_request *r)
+{
+	struct gate_endpoint *e = &g->endpoints[r->endpoint];
+	double took = (double)(g->now - r->sent_at) - 2 * e->distance;
+	double ratio;
+
+	if (!e->kv_max || r->expected_ms < 10 || took <= 0)
+		return;
+	ratio = took / r->expected_ms;
+	e->slow = clamp(e->slow + SLOW_WEIGHT * (ratio * e->slow - e->slow),
+			SLOW_MIN, SLOW_MAX);
+	/* Only what was mostly its own prompt says how fast the model is. */
+	if (r->own_ms > r->expected_ms / 2) {
+		struct gate_speed *s = speed_of(g, r->model);
+
+		if (s)
+			s->ms_per_token = clamp(
+				s->ms_per_token *
+					(1 + SPEED_WEIGHT *
+						     (clamp(ratio, 0.2, 5) -
+						      1)),
+				MS_PER_TOKEN_MIN, MS_PER_TOKEN_MAX);
+	}
+}
+
+static bool avoided(const struct gate_request *r, uint64_t id)
+{
+	uint32_t i;
+
+	for (i = 0; i < r->n_avoid; i++) {
+		if (r->avoid[i] == id)
+			return true;
+	}
+	return false;
+}
+
+/* Whether the endpoint may be used for @r at all. */
+static bool fits(const struct pf_gate *g, const struct gate_request *r,
+		 const struct gate_endpoint *e)
+{
+	if (!e->used || e->service != r->service || e->draining)
+		return false;
+	if (!r->model)
+		return true;
+	if (e->lacks == r->model && e->lacks_until > g->now)
+		return false;
+	return gate_endpoint_has(e, r->model, r->adapter);
+}
+
+bool gate_served(struct pf_gate *g, const struct gate_request *r)
+{
+	uint32_t i;
+
+	for (i = 0; i < g->n_endpoints; i++) {
+		if (fits(g, r, &g->endpoints[i]))
+			return true;
+	}
+	return false;
+}
+
+static uint32_t running(const struct gate_endpoint *e)
+{
+	return e->running + e->peer_running;
+}
+
+static double plain_cost(const struct gate_endpoint *e)
+{
+	if (running(e) >= e->slots)
+		return INFINITY;
+	return PLAIN_MS * running(e) / e->slots + e->distance / 2 +
+	       FAILED_MS * e->failing;
+}
+
+struct estimate {
+	double cost; /* ms, to compare endpoints by */
+	double expected_ms; /* to the first event */
+	double own_ms;
+	uint32_t cached;
+	uint32_t kv;
+};
+
+static void estimate(struct pf_gate *g, const struct gate_request *r,
+		     const struct gate_endpoint *e, struct estimate *out)
+{
+	double queued = e->prefill_ms + e->peer_prefill_ms;
+	uint32_t fresh;
+
+	out->cost = INFINITY;
+	if (!e->kv_max) {
+		out->cost = plain_cost(e);
+		out->expected_ms = PLAIN_MS;
+		return;
+	}
+	out->cached = gate_prefix_cached(g, r, e);
+	if (out->cached > r->prompt)
+		out->cached = r->prompt;
+	fresh = r->prompt - out->cached;
+	out->own_ms = fresh * gate_ms_per_token(g, r->model);
+	out->kv = fresh + r->output;
+	out->expected_ms =
+		(queued + out->own_ms) * e->slow + CROWD_MS * running(e);
+	if (running(e) >= e->slots || (queued > PREFILL_MAX_MS) ||
+	    (running(e) > 0 &&
+	     e->kv + e->peer_kv + out->kv > (int64_t)(KV_FILL * e->kv_max)))
+		return;
+	out->cost = out->expected_ms + e->distance + FAILED_MS * e->failing;
+}
+
+uint32_t gate_pick(struct pf_gate *g, struct gate_request *r)
+{
+	struct estimate best = { .cost = INFINITY };
+	uint32_t at = GATE_NIL;
+	uint32_t pass;
+	uint32_t i;
+
+	/* An endpoint that failed it already is better than none. */
+	for (pass = 0; pass < 2 && at == GATE_NIL; pass++) {
+		for (i = 0; i < g->n_endpoints; i++) {
+			struct gate_endpoint *e = &g->endpoints[i];
+			struct estimate x = { 0 };
+
+			if (!fits(g, r, e) || e->blocked_until > g->now ||
+			    avoided(r, e->id) != (pass == 1))
+				continue;
+			estimate(g, r, e, &x);
+			/* Equals are shared out at random. */
+			x.cost += pf_rng_unit(&g->rng);
+			if (x.cost < best.cost) {
+				best = x;
+				at = i;
+			}
+		}
+	}
+	if (at != GATE_NIL) {
+		r->expected_ms = best.expected_ms;
+		r->own_ms = best.own_ms;
+		r->kv = best.kv;
+	}
+	return at;
+}
--- a/src/protocol/pimento.x
+++ b/src/protocol/pimento.x
@@ -178,3 +178,55 @@
 		void PIMENTO_BATCH(pimento_batch) = 3;
 	} = 1;
 } = 0x20504d46;
+
+/* What gateways tell each other, one datagram each. */
+const PIMENTO_GATE_LOADS = 128;
+const PIMENTO_GATE_SIGHTS = 64;
+const PIMENTO_GATE_CRASHED = 16;
+const PIMENTO_GATE_DEMANDS = 512;
+
+struct pimento_gate_load {
+	unsigned hyper endpoint;
+	unsigned int running;
+	unsigned int kv_tokens;
+	unsigned int prefill_ms;
+};
+
+struct pimento_gate_sight {
+	unsigned hyper chain;
+	unsigned hyper endpoint;
+};
+
+struct pimento_gate_digest {
+	unsigned hyper peer;
+	pimento_gate_load loads<PIMENTO_GATE_LOADS>;
+	pimento_gate_sight sights<PIMENTO_GATE_SIGHTS>;
+	unsigned hyper crashed<PIMENTO_GATE_CRASHED>;
+};
+
+struct pimento_gate_demand {
+	unsigned hyper item;
+	unsigned hyper model;
+	float per_s;
+	float ms_per_s;
+	unsigned int waiting;
+};
+
+struct pimento_gate_demands {
+	unsigned hyper peer;
+	pimento_gate_demand demands<PIMENTO_GATE_DEMANDS>;
+};
+
+enum pimento_talk_type {
+	PIMENTO_TALK_DIGEST = 1,
+	PIMENTO_TALK_DEMANDS = 2
+};
+
+union pimento_talk switch (pimento_talk_type type) {
+case PIMENTO_TALK_DIGEST:
+	pimento_gate_digest digest;
+case PIMENTO_TALK_DEMANDS:
+	pimento_gate_demands demands;
+default:
+	void;
+};
--- a/src/protocol/pimento_xdr.c
+++ b/src/protocol/pimento_xdr.c
@@ -577,3 +577,113 @@
 		 return FALSE;
 	return TRUE;
 }
+
+bool_t
+xdr_pimento_gate_load (XDR *xdrs, pimento_gate_load *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_u_quad_t (xdrs, &objp->endpoint))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->running))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->kv_tokens))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->prefill_ms))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_pimento_gate_sight (XDR *xdrs, pimento_gate_sight *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_u_quad_t (xdrs, &objp->chain))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->endpoint))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_pimento_gate_digest (XDR *xdrs, pimento_gate_digest *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_u_quad_t (xdrs, &objp->peer))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->loads.loads_val, (u_int *) &objp->loads.loads_len, PIMENTO_GATE_LOADS,
+		sizeof (pimento_gate_load), (xdrproc_t) xdr_pimento_gate_load))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->sights.sights_val, (u_int *) &objp->sights.sights_len, PIMENTO_GATE_SIGHTS,
+		sizeof (pimento_gate_sight), (xdrproc_t) xdr_pimento_gate_sight))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->crashed.crashed_val, (u_int *) &objp->crashed.crashed_len, PIMENTO_GATE_CRASHED,
+		sizeof (u_quad_t), (xdrproc_t) xdr_u_quad_t))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_pimento_gate_demand (XDR *xdrs, pimento_gate_demand *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_u_quad_t (xdrs, &objp->item))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->model))
+		 return FALSE;
+	 if (!xdr_float (xdrs, &objp->per_s))
+		 return FALSE;
+	 if (!xdr_float (xdrs, &objp->ms_per_s))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->waiting))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_pimento_gate_demands (XDR *xdrs, pimento_gate_demands *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_u_quad_t (xdrs, &objp->peer))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->demands.demands_val, (u_int *) &objp->demands.demands_len, PIMENTO_GATE_DEMANDS,
+		sizeof (pimento_gate_demand), (xdrproc_t) xdr_pimento_gate_demand))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_pimento_talk_type (XDR *xdrs, pimento_talk_type *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_enum (xdrs, (enum_t *) objp))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_pimento_talk (XDR *xdrs, pimento_talk *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_pimento_talk_type (xdrs, &objp->type))
+		 return FALSE;
+	switch (objp->type) {
+	case PIMENTO_TALK_DIGEST:
+		 if (!xdr_pimento_gate_digest (xdrs, &objp->pimento_talk_u.digest))
+			 return FALSE;
+		break;
+	case PIMENTO_TALK_DEMANDS:
+		 if (!xdr_pimento_gate_demands (xdrs, &objp->pimento_talk_u.demands))
+			 return FALSE;
+		break;
+	default:
+		break;
+	}
+	return TRUE;
+}
--- a/src/protocol/pimento_xdr.h
+++ b/src/protocol/pimento_xdr.h
@@ -244,6 +244,74 @@
 	u_int pimento_batch_len;
 	pimento_msg *pimento_batch_val;
 } pimento_batch;
+#define PIMENTO_GATE_LOADS 128
+#define PIMENTO_GATE_SIGHTS 64
+#define PIMENTO_GATE_CRASHED 16
+#define PIMENTO_GATE_DEMANDS 512
+
+struct pimento_gate_load {
+	u_quad_t endpoint;
+	u_int running;
+	u_int kv_tokens;
+	u_int prefill_ms;
+};
+typedef struct pimento_gate_load pimento_gate_load;
+
+struct pimento_gate_sight {
+	u_quad_t chain;
+	u_quad_t endpoint;
+};
+typedef struct pimento_gate_sight pimento_gate_sight;
+
+struct pimento_gate_digest {
+	u_quad_t peer;
+	struct {
+		u_int loads_len;
+		pimento_gate_load *loads_val;
+	} loads;
+	struct {
+		u_int sights_len;
+		pimento_gate_sight *sights_val;
+	} sights;
+	struct {
+		u_int crashed_len;
+		u_quad_t *crashed_val;
+	} crashed;
+};
+typedef struct pimento_gate_digest pimento_gate_digest;
+
+struct pimento_gate_demand {
+	u_quad_t item;
+	u_quad_t model;
+	float per_s;
+	float ms_per_s;
+	u_int waiting;
+};
+typedef struct pimento_gate_demand pimento_gate_demand;
+
+struct pimento_gate_demands {
+	u_quad_t peer;
+	struct {
+		u_int demands_len;
+		pimento_gate_demand *demands_val;
+	} demands;
+};
+typedef struct pimento_gate_demands pimento_gate_demands;
+
+enum pimento_talk_type {
+	PIMENTO_TALK_DIGEST = 1,
+	PIMENTO_TALK_DEMANDS = 2,
+};
+typedef enum pimento_talk_type pimento_talk_type;
+
+struct pimento_talk {
+	pimento_talk_type type;
+	union {
+		pimento_gate_digest digest;
+		pimento_gate_demands demands;
+	} pimento_talk_u;
+};
+typedef struct pimento_talk pimento_talk;
 
 #define PIMENTO_PROG 0x20504d46
 #define PIMENTO_V1 1
@@ -296,6 +364,13 @@
 extern  bool_t xdr_pimento_demand (XDR *, pimento_demand*);
 extern  bool_t xdr_pimento_msg (XDR *, pimento_msg*);
 extern  bool_t xdr_pimento_batch (XDR *, pimento_batch*);
+extern  bool_t xdr_pimento_gate_load (XDR *, pimento_gate_load*);
+extern  bool_t xdr_pimento_gate_sight (XDR *, pimento_gate_sight*);
+extern  bool_t xdr_pimento_gate_digest (XDR *, pimento_gate_digest*);
+extern  bool_t xdr_pimento_gate_demand (XDR *, pimento_gate_demand*);
+extern  bool_t xdr_pimento_gate_demands (XDR *, pimento_gate_demands*);
+extern  bool_t xdr_pimento_talk_type (XDR *, pimento_talk_type*);
+extern  bool_t xdr_pimento_talk (XDR *, pimento_talk*);
 
 #else /* K&R C */
 extern bool_t xdr_pimento_hello ();
@@ -318,6 +393,13 @@
 extern bool_t xdr_pimento_demand ();
 extern bool_t xdr_pimento_msg ();
 extern bool_t xdr_pimento_batch ();
+extern bool_t xdr_pimento_gate_load ();
+extern bool_t xdr_pimento_gate_sight ();
+extern bool_t xdr_pimento_gate_digest ();
+extern bool_t xdr_pimento_gate_demand ();
+extern bool_t xdr_pimento_gate_demands ();
+extern bool_t xdr_pimento_talk_type ();
+extern bool_t xdr_pimento_talk ();
 
 #endif /* K&R C */
 
--- a/src/state/counters.c
+++ b/src/state/counters.c
@@ -11,6 +11,7 @@
 
 #define DEF(sym, name, type, help) { name, type, help },
 static const struct counter entry_counters[] = { PF_ENTRY_COUNTERS(DEF) };
+static const struct counter gateway_counters[] = { PF_GATEWAY_COUNTERS(DEF) };
 static const struct counter agent_counters[] = { PF_AGENT_COUNTERS(DEF) };
 #undef DEF
 
@@ -38,3 +39,9 @@
 {
 	render("pimento_agent", agent_counters, c->v, PF_AC_COUNT, t);
 }
+
+void pf_gateway_counters_text(const struct pf_gateway_counters *c,
+			      struct pf_text *t)
+{
+	render("pimento_gateway", gateway_counters, c->v, PF_GC_COUNT, t);
+}
--- /dev/null
+++ b/src/state/listed.c
@@ -0,0 +1,39 @@
+/* Endpoints as the store lists them. */
+#include "pimentoford/listed.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+void pf_listed_clear(struct pf_listed *e)
+{
+	uint32_t i;
+
+	for (i = 0; i < e->n_residents; i++)
+		free(e->residents[i].adapters);
+	free(e->residents);
+	free(e->warm);
+	free(e->on_disk);
+	free(e->instance);
+	free(e->addr);
+	memset(e, 0, sizeof(*e));
+}
+
+bool pf_listed_has(const struct pf_listed *e, uint64_t model,
+		     uint64_t adapter)
+{
+	uint32_t i;
+	uint32_t k;
+
+	for (i = 0; i < e->n_residents; i++) {
+		const struct pf_resident *r = &e->residents[i];
+
+		if (r->model != model)
+			continue;
+		for (k = 0; adapter && k < r->n_adapters; k++) {
+			if (r->adapters[k] == adapter)
+				return true;
+		}
+		return !adapter;
+	}
+	return false;
+}
--- a/src/transport/process.c
+++ b/src/transport/process.c
@@ -18,6 +18,7 @@
 {
 	g_autoptr(GOptionContext) ctx = g_option_context_new(NULL);
 	g_autoptr(GError) err = NULL;
+	g_autofree char *env = NULL;
 	gboolean check = FALSE;
 	gboolean version = FALSE;
 	const GOptionEntry entries[] = {
@@ -26,6 +27,9 @@
 		{ "check", 'c', 0, G_OPTION_ARG_NONE, &check,
 		  "Check the settings, print all findings, start nothing",
 		  NULL },
+		{ "settings-env", 0, 0, G_OPTION_ARG_STRING, &env,
+		  "Read the settings from the file that this variable names",
+		  "NAME" },
 		{ "version", 'V', 0, G_OPTION_ARG_NONE, &version,
 		  "Print the version", NULL },
 		{ NULL, 0, 0, 0, NULL, NULL, NULL },
@@ -44,6 +48,8 @@
 		*status = 0;
 		return -1;
 	}
+	if (!o->settings && env && getenv(env))
+		o->settings = g_strdup(getenv(env));
 	if (!o->settings) {
 		fprintf(stderr, "--settings FILE is required\n");
 		return -1;
--- a/src/transport/settings.c
+++ b/src/transport/settings.c
@@ -85,6 +85,26 @@
 	OPT(DEF, BOOL, load_on_demand, 0, 0, NULL)                         \
 	OPT(DEF, U32, loads_max, 1, 1024, NULL)
 
+#define GATEWAY_FIELDS(DEF)                                               \
+	PLACE_FIELDS(DEF)                                                 \
+	DEF("listen", ADDR, listen, true, 0, 0, NULL, NULL)               \
+	DEF("ready", ADDR, ready, true, 0, 0, NULL, NULL)                 \
+	DEF("talk", ADDR, talk, true, 0, 0, NULL, NULL)                   \
+	DEF("drain", MS, drain, false, 0, HOUR_MS, "8s", NULL)            \
+	DEF("lease", MS, lease, false, 100, HOUR_MS, "3s", NULL)          \
+	DEF("load_window", MS, load_window, false, 100, HOUR_MS, "5s",    \
+	    NULL)                                                         \
+	DEF("load_over", REAL, load_over, false, 0, 100, "1", NULL)       \
+	OPT(DEF, U32, requests_max, 1, 1e6, NULL)                         \
+	OPT(DEF, U32, endpoints_max, 1, 65536, NULL)                      \
+	OPT(DEF, REAL, repeat_ratio, 0, 10, NULL)                         \
+	OPT(DEF, U32, repeat_slack, 0, 1e6, NULL)                         \
+	OPT(DEF, MS, repeat_window, 1000, 14000, NULL)
+
+#define ZONE_FIELDS(DEF)                                 \
+	DEF("name", NAME, name, true, 0, 0, NULL, NULL)  \
+	DEF("region", NAME, region, true, 0, 0, NULL, NULL)
+
 #define DEF_FIELD(k, ty, m, req, lo, hi, dfl, ch) \
 	{ .key = (k),                             \
 	  .type = PF_FIELD_##ty,                  \
@@ -101,7 +121,24 @@
 #define FORM struct pf_agent_settings
 static const struct pf_field agent_fields[] = { AGENT_FIELDS(DEF_FIELD) };
 #undef FORM
+#define FORM struct pf_zone_setting
+static const struct pf_field zone_fields[] = { ZONE_FIELDS(DEF_FIELD) };
+#undef FORM
+static const struct pf_form zone_form = { zone_fields,
+					  G_N_ELEMENTS(zone_fields),
+					  sizeof(struct pf_zone_setting) };
+#define FORM struct pf_gateway_settings
+static const struct pf_field gateway_fields[] = {
+	GATEWAY_FIELDS(DEF_FIELD){ .key = "zones",
+				   .type = PF_FIELD_ROWS,
+				   .at = offsetof(FORM, zones),
+				   .rows = &zone_form },
+};
+#undef FORM
 
+const struct pf_form pf_gateway_form = { gateway_fields,
+					 G_N_ELEMENTS(gateway_fields),
+					 sizeof(struct pf_gateway_settings) };
 const struct pf_form pf_entry_form = { entry_fields, G_N_ELEMENTS(entry_fields),
 				       sizeof(struct pf_entry_settings) };
 const struct pf_form pf_agent_form = { agent_fields, G_N_ELEMENTS(agent_fields),
