--- a/Makefile
+++ b/Makefile
@@ -30,10 +30,11 @@
 LIB_OBJ := $(addprefix $(B)/,$(addsuffix .o,$(LIB_SRC)))
 LIB := $(B)/libpimentoford.a
 
-PROGRAMS := entry gateway agent standin load
+PROGRAMS := entry gateway loader agent standin load
 BINS := $(addprefix $(B)/pimento-,$(PROGRAMS)) $(B)/pimentoctl
 SRC_entry := $(wildcard daemons/entry/*.c)
 SRC_gateway := $(wildcard daemons/gateway/*.c)
+SRC_loader := $(wildcard daemons/loader/*.c)
 SRC_agent := $(wildcard daemons/agent/*.c)
 SRC_ctl := $(wildcard daemons/ctl/*.c)
 SRC_standin := $(wildcard standin/*.c)
@@ -75,6 +76,8 @@
 	$(CC) $(LDFLAGS) -o $@ $^ $(LIBS)
 $(B)/pimento-gateway: $(call obj,$(SRC_gateway)) $(LIB)
 	$(CC) $(LDFLAGS) -o $@ $^ $(LIBS)
+$(B)/pimento-loader: $(call obj,$(SRC_loader)) $(LIB)
+	$(CC) $(LDFLAGS) -o $@ $^ $(LIBS)
 $(B)/pimento-agent: $(call obj,$(SRC_agent)) $(LIB)
 	$(CC) $(LDFLAGS) -o $@ $^ $(LIBS)
 $(B)/pimentoctl: $(call obj,$(SRC_ctl)) $(LIB)
@@ -97,9 +100,9 @@
 # What the users' platform runs; see deploy/system.toml.
 .PHONY: platform-build
 platform-build:
-	@$(MAKE) --no-print-directory $(B)/pimento-gateway
+	@$(MAKE) --no-print-directory $(B)/pimento-gateway $(B)/pimento-loader
 	@mkdir -p target
-	cp $(B)/pimento-gateway target/
+	cp $(B)/pimento-gateway $(B)/pimento-loader target/
 
 .PHONY: bins
 check: packages
--- a/daemons/gateway/core.c
+++ b/daemons/gateway/core.c
@@ -10,6 +10,9 @@
 	case PF_GATE_SEND:
 		upstream_send(a->ctx, a);
 		break;
+	case PF_GATE_WANT:
+		talk_want(a->ctx, a);
+		break;
 	case PF_GATE_DROP:
 		upstream_drop(a->ctx);
 		break;
--- a/daemons/gateway/gateway.h
+++ b/daemons/gateway/gateway.h
@@ -22,6 +22,9 @@
 struct caller;
 struct upstream;
 
+/** Adapters used at an endpoint that its loader was not told of yet. */
+#define TARGET_USED_MAX 32
+
 /** An endpoint as the store lists it, and its idle connections. */
 struct target {
 	LIST_ENTRY(target) next;
@@ -34,6 +37,9 @@
 	pf_ms lapsed; /* its row vanished with the store away: gone then */
 	bool gone; /* freed once no connection needs it */
 	uint32_t refs; /* connections */
+	uint64_t used[TARGET_USED_MAX]; /* adapters */
+	uint32_t n_used;
+	pf_ms told_at; /* its loader heard from this gateway */
 };
 
 /** One request on its way between its caller and an endpoint. */
@@ -186,9 +192,17 @@
 void ready_stop(struct gateway *g);
 bool gateway_ready(const struct gateway *g);
 
-/* talk.c: digests among gateways */
+/* talk.c: digests among gateways, wishes and orders to loaders, the plan */
 int talk_start(struct gateway *g);
 void talk_stop(struct gateway *g);
+/** A request with this adapter goes to the endpoint. */
+void talk_used(struct target *to, uint64_t adapter);
+/** Act of the core: an adapter is missing at an endpoint. */
+void talk_want(struct exchange *x, const struct pf_gate_act *a);
+/** The routing table has changed; the old one is still there. */
+void talk_routes(struct gateway *g);
+void talk_endpoint(struct gateway *g, const struct pf_listed *l);
+void talk_endpoint_gone(struct gateway *g, uint64_t id);
 
 /* main.c */
 void gateway_adopt(struct gateway *g, struct pf_routes *routes);
--- a/daemons/gateway/main.c
+++ b/daemons/gateway/main.c
@@ -27,6 +27,7 @@
 	       PF_KV_INT("services", routes->n_services));
 	g->routes = routes;
 	m.u.routes = routes;
+	talk_routes(g);
 	core_step(g, &m);
 	pf_routes_free(old);
 }
@@ -77,9 +78,9 @@
 		       PF_KV_STR("why", strerror(errno)));
 		return -1;
 	}
-	if (follow_start(g) < 0)
+	if (talk_start(g) < 0)
 		return -1;
-	return talk_start(g);
+	return follow_start(g);
 }
 
 static void stop(struct gateway *g)
--- a/daemons/gateway/talk.c
+++ b/daemons/gateway/talk.c
@@ -1,145 +1,270 @@
 /*
- * Digests among gateways, one datagram each. Gateways find each other by
- * their rows in the store; a digest that is lost is replaced by the next.
+ * What gateways and loaders tell each other. Gateways find each other by
+ * their rows in the store, and a loader at its endpoint's address.
  */
 #include "gateway.h"
 
-#include "src/protocol/pimento_xdr.h"
+#include "pimentoford/plan.h"
+#include "pimentoford/talk.h"
 
+#include <arpa/inet.h>
 #include <errno.h>
-#include <netinet/in.h>
-#include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
-#include <sys/socket.h>
 
 #define TABLE "pimentoford"
 #define PART "gateways"
 #define DIGEST_EVERY_MS 120
+#define DEMAND_EVERY_MS 500
+/* Loaders hear from each gateway at least so often. */
+#define HELLO_EVERY_MS 1000
 /* Rows are read again so often, for gateways that came or moved. */
 #define MEMBERS_EVERY_MS 4000
 #define MEMBERS_RETRY_MS 500
 #define MEMBERS_MAX 64
-#define DATAGRAM_MAX 8192
-
-struct member {
-	struct sockaddr_in addr;
-};
+#define DEMANDS_MAX 512
 
 struct talk {
 	struct gateway *g;
-	int fd;
-	struct event *in;
+	struct pf_talk *talk;
+	struct pf_plan *plan;
 	struct event *timer;
 	struct event *members_timer;
-	struct member members[MEMBERS_MAX];
+	struct sockaddr_in self;
+	struct sockaddr_in members[MEMBERS_MAX];
 	uint32_t n_members;
 	bool written; /* this gateway's row */
+	bool led;
+	pf_ms demand_at;
+	pf_ms hello_at;
+	pf_ms plan_at;
 };
 
-static void send_all(struct talk *t, const char *p, size_t n)
+/* An endpoint's loader listens beside it, at the port that all use. */
+static int loader_of(const struct talk *t, const struct target *to,
+		     struct sockaddr_in *out)
+{
+	if (pf_talk_addr(to->listed.addr, out) < 0)
+		return -1;
+	out->sin_port = t->self.sin_port;
+	return 0;
+}
+
+static uint32_t adapter_slots(const struct gateway *g, const struct target *to)
+{
+	const struct pf_route_service *s =
+		g->routes ? pf_routes_service(g->routes, to->listed.service) :
+			    NULL;
+
+	return s && s->engine ? s->adapter_slots : 0;
+}
+
+/* Tells a loader what was used, and which adapter is missing. */
+static void send_want(struct talk *t, struct target *to, struct pf_str model,
+		      struct pf_str adapter)
+{
+	struct pf_loader_want w = {
+		.instance = pf_str_c(to->listed.instance),
+		.born = to->listed.born,
+		.adapter_slots = adapter_slots(t->g, to),
+		.used = to->used,
+		.n_used = to->n_used,
+		.model = model,
+		.adapter = adapter,
+	};
+	struct sockaddr_in addr;
+
+	if (!w.adapter_slots || loader_of(t, to, &addr) < 0)
+		return;
+	pf_talk_want(t->talk, &addr, &w);
+	to->n_used = 0;
+	to->told_at = pf_clock_now();
+}
+
+void talk_used(struct target *to, uint64_t adapter)
 {
 	uint32_t i;
 
-	for (i = 0; i < t->n_members; i++)
-		/* Datagrams may be lost anyway. */
-		(void)sendto(t->fd, p, n, MSG_DONTWAIT,
-			     (struct sockaddr *)&t->members[i].addr,
-			     sizeof(t->members[i].addr));
+	for (i = 0; i < to->n_used; i++) {
+		if (to->used[i] == adapter)
+			return;
+	}
+	if (to->n_used < TARGET_USED_MAX)
+		to->used[to->n_used++] = adapter;
+}
+
+void talk_want(struct exchange *x, const struct pf_gate_act *a)
+{
+	struct gateway *g = x->g;
+	struct target *to = target_find(g, a->u.want.endpoint);
+	const struct pf_route_service *s;
+	const struct pf_model_spec *m;
+
+	if (!to || !g->routes)
+		return;
+	s = pf_routes_service(g->routes, to->listed.service);
+	m = s ? pf_service_model(s, x->in.model) : NULL;
+	if (m)
+		send_want(g->talk, to, pf_str_c(m->name), x->in.adapter_name);
+}
+
+static void hello(struct talk *t)
+{
+	pf_ms now = pf_clock_now();
+	struct target *to;
+
+	LIST_FOREACH(to, &t->g->targets, next)
+	{
+		if (!to->gone && now - to->told_at >= HELLO_EVERY_MS)
+			send_want(t, to, PF_STR(""), PF_STR(""));
+	}
+}
+
+static void plan_emit(void *ctx, const struct pf_plan_act *a)
+{
+	struct talk *t = ctx;
+	struct gateway *g = t->g;
+	struct target *to = target_find(g, a->endpoint);
+	struct pf_loader_order o = {
+		.born = a->born,
+		.orders = a->orders,
+		.load = a->load,
+		.from_store = a->from_store,
+		.model = pf_str_c(a->model),
+	};
+	struct sockaddr_in addr;
+
+	if (!to || loader_of(t, to, &addr) < 0)
+		return;
+	o.instance = pf_str_c(to->listed.instance);
+	PF_LOG(&g->log, PF_LOG_INFO, "plan",
+	       PF_KV_STR("endpoint", to->listed.instance),
+	       PF_KV_STR("op", a->load ? "load" : "unload"),
+	       PF_KV_STR("model", a->model),
+	       PF_KV_INT("from_store", a->from_store),
+	       PF_KV_STR("why", a->why));
+	pf_talk_order(t->talk, &addr, &o);
+}
+
+static void plan_step(struct talk *t, const struct pf_plan_msg *m)
+{
+	const struct pf_plan_sink sink = { plan_emit, t };
+
+	pf_plan_step(t->plan, pf_clock_now(), m, &sink);
+}
+
+void talk_routes(struct gateway *g)
+{
+	struct pf_plan_msg m = { .type = PF_PLAN_ROUTES };
+
+	m.u.routes = g->routes;
+	plan_step(g->talk, &m);
+}
+
+void talk_endpoint(struct gateway *g, const struct pf_listed *l)
+{
+	struct pf_plan_msg m = { .type = PF_PLAN_ENDPOINT };
+
+	m.u.endpoint = l;
+	plan_step(g->talk, &m);
+}
+
+void talk_endpoint_gone(struct gateway *g, uint64_t id)
+{
+	struct pf_plan_msg m = { .type = PF_PLAN_ENDPOINT_GONE };
+
+	m.u.id = id;
+	plan_step(g->talk, &m);
 }
 
-static void send_talk(struct talk *t, pimento_talk *msg)
+static void on_digest(void *ctx, const struct pf_gate_digest *d)
 {
-	char buf[DATAGRAM_MAX];
-	XDR x;
+	struct pf_plan_msg p = { .type = PF_PLAN_PEER };
+	struct pf_gate_msg m = { .type = PF_GATE_PEER };
+	struct talk *t = ctx;
 
-	xdrmem_create(&x, buf, sizeof(buf), XDR_ENCODE);
-	if (xdr_pimento_talk(&x, msg))
-		send_all(t, buf, xdr_getpos(&x));
-	xdr_destroy(&x);
+	if (!d->peer || d->peer == t->g->self)
+		return;
+	p.u.id = d->peer;
+	plan_step(t, &p);
+	m.u.digest = *d;
+	core_step(t->g, &m);
 }
 
-static void on_digest_timer(evutil_socket_t fd, short what, void *ctx)
+static void hear_demand(struct talk *t, uint64_t peer,
+			const struct pf_gate_demand *v, size_t n)
+{
+	struct pf_plan_msg m = { .type = PF_PLAN_DEMAND };
+
+	m.u.demand.peer = peer;
+	m.u.demand.v = v;
+	m.u.demand.n = n;
+	plan_step(t, &m);
+}
+
+static void on_demand(void *ctx, uint64_t peer, const struct pf_gate_demand *v,
+		      size_t n)
 {
-	pimento_gate_load loads[PIMENTO_GATE_LOADS];
-	pimento_gate_sight sights[PIMENTO_GATE_SIGHTS];
-	pimento_talk msg = { .type = PIMENTO_TALK_DIGEST };
 	struct talk *t = ctx;
+
+	if (peer && peer != t->g->self)
+		hear_demand(t, peer, v, n);
+}
+
+static void on_state(void *ctx, const struct pf_engine_state *s)
+{
+	struct pf_gate_msg m = { .type = PF_GATE_STATE };
+	struct pf_plan_msg p = { .type = PF_PLAN_STATE };
+	struct talk *t = ctx;
+
+	if (!target_find(t->g, s->endpoint))
+		return;
+	p.u.state = s;
+	plan_step(t, &p);
+	m.u.state = s;
+	core_step(t->g, &m);
+}
+
+static void send_digest(struct talk *t)
+{
 	struct pf_gate_digest d;
 	uint32_t i;
 
-	(void)fd;
-	(void)what;
 	pf_gate_digest(t->g->core, &d);
-	for (i = 0; i < d.n_loads; i++)
-		loads[i] = (pimento_gate_load){ d.loads[i].endpoint,
-						d.loads[i].running,
-						d.loads[i].kv_tokens,
-						d.loads[i].prefill_ms };
-	for (i = 0; i < d.n_sights; i++)
-		sights[i] = (pimento_gate_sight){ d.sights[i].chain,
-						  d.sights[i].endpoint };
-	msg.pimento_talk_u.digest.peer = d.peer;
-	msg.pimento_talk_u.digest.loads.loads_len = d.n_loads;
-	msg.pimento_talk_u.digest.loads.loads_val = loads;
-	msg.pimento_talk_u.digest.sights.sights_len = d.n_sights;
-	msg.pimento_talk_u.digest.sights.sights_val = sights;
-	msg.pimento_talk_u.digest.crashed.crashed_len = d.n_crashed;
-	msg.pimento_talk_u.digest.crashed.crashed_val = (uint64_t *)d.crashed;
-	send_talk(t, &msg);
+	for (i = 0; i < t->n_members; i++)
+		pf_talk_digest(t->talk, &t->members[i], &d);
 }
 
-static void hear_digest(struct talk *t, const pimento_gate_digest *in)
+static void send_demand(struct talk *t, pf_ms now)
 {
-	struct pf_gate_load loads[PF_GATE_LOADS_MAX];
-	struct pf_gate_sight sights[PF_GATE_SIGHTS_MAX];
-	struct pf_gate_msg m = { .type = PF_GATE_PEER };
+	struct pf_gate_demand v[DEMANDS_MAX];
+	size_t n = pf_gate_demand(t->g->core, now, v, DEMANDS_MAX);
 	uint32_t i;
 
-	for (i = 0; i < in->loads.loads_len; i++) {
-		const pimento_gate_load *l = &in->loads.loads_val[i];
-
-		loads[i] = (struct pf_gate_load){ l->endpoint, l->running,
-						  l->kv_tokens,
-						  l->prefill_ms };
-	}
-	for (i = 0; i < in->sights.sights_len; i++)
-		sights[i] = (struct pf_gate_sight){
-			in->sights.sights_val[i].chain,
-			in->sights.sights_val[i].endpoint
-		};
-	m.u.digest = (struct pf_gate_digest){
-		.peer = in->peer,
-		.loads = loads,
-		.n_loads = in->loads.loads_len,
-		.sights = sights,
-		.n_sights = in->sights.sights_len,
-		.crashed = (const uint64_t *)in->crashed.crashed_val,
-		.n_crashed = in->crashed.crashed_len,
-	};
-	if (in->peer && in->peer != t->g->self)
-		core_step(t->g, &m);
+	t->demand_at = now;
+	for (i = 0; i < t->n_members; i++)
+		pf_talk_demand(t->talk, &t->members[i], t->g->self, v, n);
+	hear_demand(t, t->g->self, v, n);
 }
 
-static void on_datagram(evutil_socket_t fd, short what, void *ctx)
+static void on_timer(evutil_socket_t fd, short what, void *ctx)
 {
+	static const struct pf_plan_msg tick = { .type = PF_PLAN_TICK };
+	pf_ms now = pf_clock_now();
 	struct talk *t = ctx;
-	char buf[DATAGRAM_MAX];
-	ssize_t n;
 
+	(void)fd;
 	(void)what;
-	while ((n = recv(fd, buf, sizeof(buf), MSG_DONTWAIT)) > 0) {
-		pimento_talk msg = { 0 };
-		XDR x;
-
-		xdrmem_create(&x, buf, (u_int)n, XDR_DECODE);
-		if (!xdr_pimento_talk(&x, &msg))
-			PF_LOG(&t->g->log, PF_LOG_WARN, "bad_datagram",
-			       PF_KV_INT("bytes", n));
-		else if (msg.type == PIMENTO_TALK_DIGEST)
-			hear_digest(t, &msg.pimento_talk_u.digest);
-		xdr_free((xdrproc_t)xdr_pimento_talk, (char *)&msg);
-		xdr_destroy(&x);
+	send_digest(t);
+	if (now - t->demand_at >= DEMAND_EVERY_MS)
+		send_demand(t, now);
+	hello(t);
+	plan_step(t, &tick);
+	if (t->led != pf_plan_leads(t->plan)) {
+		t->led = !t->led;
+		PF_LOG(&t->g->log, PF_LOG_INFO,
+		       t->led ? "planner_leads" : "planner_follows",
+		       PF_KV_INT("members", t->n_members));
 	}
 }
 
@@ -152,14 +277,11 @@
 
 static void add_member(struct talk *t, struct pf_str addr)
 {
-	struct member *m = &t->members[t->n_members];
-	int len = sizeof(m->addr);
+	struct sockaddr_in *m = &t->members[t->n_members];
 	char *s = pf_str_dup(addr);
 
 	if (s && strcmp(s, t->g->set.talk) != 0 &&
-	    t->n_members < MEMBERS_MAX &&
-	    evutil_parse_sockaddr_port(s, (struct sockaddr *)&m->addr, &len) ==
-		    0)
+	    t->n_members < MEMBERS_MAX && pf_talk_addr(s, m) == 0)
 		t->n_members++;
 	free(s);
 }
@@ -211,45 +333,48 @@
 		read_later(t, MEMBERS_RETRY_MS);
 }
 
-static int open_socket(const char *addr)
+static struct pf_plan *make_plan(struct gateway *g)
 {
-	struct sockaddr_storage at;
-	int len = sizeof(at);
-	int fd;
-
-	if (evutil_parse_sockaddr_port(addr, (struct sockaddr *)&at, &len) < 0)
-		return -1;
-	fd = socket(at.ss_family, SOCK_DGRAM | SOCK_NONBLOCK | SOCK_CLOEXEC,
-		    0);
-	if (fd >= 0 && bind(fd, (struct sockaddr *)&at, (socklen_t)len) < 0) {
-		evutil_closesocket(fd);
-		fd = -1;
-	}
-	return fd;
+	struct pf_plan_opts o;
+
+	pf_plan_opts_default(&o);
+	o.self = g->self;
+	o.window = g->set.load_window;
+	o.over = g->set.load_over;
+	o.endpoints_max = g->set.core.endpoints_max;
+	return pf_plan_new(&o);
 }
 
 int talk_start(struct gateway *g)
 {
 	struct timeval every = pf_clock_timeval(DIGEST_EVERY_MS);
 	struct talk *t = calloc(1, sizeof(*t));
+	struct pf_talk_opts o = {
+		.base = g->base,
+		.addr = g->set.talk,
+		.log = &g->log,
+		.digest = on_digest,
+		.demand = on_demand,
+		.state = on_state,
+		.ctx = t,
+	};
 
 	g->talk = t;
 	if (!t)
 		return -1;
 	t->g = g;
-	t->fd = open_socket(g->set.talk);
-	if (t->fd < 0) {
+	t->talk = pf_talk_new(&o);
+	if (!t->talk || pf_talk_addr(g->set.talk, &t->self) < 0) {
 		PF_LOG(&g->log, PF_LOG_ERROR, "no_listener",
 		       PF_KV_STR("talk", g->set.talk),
 		       PF_KV_STR("why", strerror(errno)));
 		return -1;
 	}
-	t->in = event_new(g->base, t->fd, EV_READ | EV_PERSIST, on_datagram, t);
-	t->timer = event_new(g->base, -1, EV_PERSIST, on_digest_timer, t);
+	t->plan = make_plan(g);
+	t->timer = event_new(g->base, -1, EV_PERSIST, on_timer, t);
 	t->members_timer = event_new(g->base, -1, 0, on_members_timer, t);
-	if (!t->in || !t->timer || !t->members_timer)
+	if (!t->plan || !t->timer || !t->members_timer)
 		return -1;
-	event_add(t->in, NULL);
 	event_add(t->timer, &every);
 	read_later(t, 0);
 	return 0;
@@ -261,13 +386,11 @@
 
 	if (!t)
 		return;
-	if (t->in)
-		event_free(t->in);
 	if (t->timer)
 		event_free(t->timer);
 	if (t->members_timer)
 		event_free(t->members_timer);
-	if (t->fd >= 0)
-		evutil_closesocket(t->fd);
+	pf_talk_free(t->talk);
+	pf_plan_free(t->plan);
 	free(t);
 }
--- a/daemons/gateway/targets.c
+++ b/daemons/gateway/targets.c
@@ -34,6 +34,7 @@
 	struct pf_gate_msg m = { .type = PF_GATE_ENDPOINT };
 
 	m.u.endpoint = l;
+	talk_endpoint(g, l);
 	core_step(g, &m);
 }
 
@@ -48,6 +49,7 @@
 	m.u.id = t->listed.id;
 	t->gone = true;
 	g->n_targets--;
+	talk_endpoint_gone(g, t->listed.id);
 	core_step(g, &m);
 	if (t->refs == 0)
 		target_free(t);
--- a/daemons/gateway/upstream.c
+++ b/daemons/gateway/upstream.c
@@ -315,6 +315,8 @@
 	u->streaming = false;
 	u->keep = false;
 	memset(&u->reply, 0, sizeof(u->reply));
+	if (x->in.adapter)
+		talk_used(t, x->in.adapter);
 	log_send(x, t, a, u->reused);
 	write_request(u, a);
 }
--- /dev/null
+++ b/daemons/loader/main.c
@@ -0,0 +1,334 @@
+/* pimento-loader: gives orders to the engine beside it. */
+#include "pimentoford/clock.h"
+#include "pimentoford/http_client.h"
+#include "pimentoford/loader.h"
+#include "pimentoford/log.h"
+#include "pimentoford/process.h"
+#include "pimentoford/settings.h"
+#include "pimentoford/talk.h"
+#include "platform/platform.h"
+
+#include <event2/event.h>
+#include <stdlib.h>
+#include <string.h>
+#include <unistd.h>
+
+/* What an engine that is well answers within. */
+#define CALL_TIMEOUT_MS 900
+#define BODY_MAX 65536
+#define CONNS_MAX 4
+/* Gateways hear from it at least so often. */
+#define TELL_EVERY_MS 500
+/* A gateway that was not heard for so long is told nothing. */
+#define GATEWAY_SILENT_MS 6000
+#define GATEWAYS_MAX 64
+
+struct gateway_peer {
+	struct sockaddr_in addr;
+	pf_ms heard_at; /* 0: free */
+};
+
+struct loader {
+	struct event_base *base;
+	struct pf_loader_settings set;
+	struct pf_log log;
+	struct pf_loader *core;
+	struct event *timer;
+	struct event *tell_timer;
+	struct pf_http *engine;
+	struct pf_talk *talk;
+	struct gateway_peer gateways[GATEWAYS_MAX];
+	bool in_step;
+	bool tell; /* once the step is over */
+	bool engine_away;
+};
+
+static void step(struct loader *l, const struct pf_loader_msg *m);
+
+static void on_report(void *ctx, const struct pf_http_answer *a)
+{
+	struct pf_loader_msg m = { .type = PF_LOADER_REPORT };
+	struct pf_engine_report r;
+	struct loader *l = ctx;
+	bool ok = a->result == PF_HTTP_OK && a->status == 200 &&
+		  platform_report(a->body, &r) == 0;
+
+	if (ok == l->engine_away) {
+		l->engine_away = !ok;
+		PF_LOG(&l->log, PF_LOG_INFO,
+		       ok ? "engine_back" : "engine_away",
+		       PF_KV_INT("status", a->status));
+	}
+	m.u.report = ok ? &r : NULL;
+	step(l, &m);
+}
+
+static void poll_engine(struct loader *l)
+{
+	struct pf_http_request r = {
+		.method = "GET",
+		.target = PLATFORM_REPORT_TARGET,
+		.timeout = CALL_TIMEOUT_MS,
+		.done = on_report,
+		.ctx = l,
+	};
+
+	/* The core asks again when no answer is possible. */
+	if (!pf_http_start(l->engine, &r))
+		PF_LOG(&l->log, PF_LOG_WARN, "poll_not_sent");
+}
+
+static void on_ordered(void *ctx, const struct pf_http_answer *a)
+{
+	struct pf_loader_msg m = { .type = PF_LOADER_ORDERED };
+	enum platform_order_result r = platform_order_result(a->status);
+	struct loader *l = ctx;
+
+	m.u.result = PF_LOADER_REFUSED;
+	if (a->result == PF_HTTP_LOST)
+		m.u.result = PF_LOADER_SILENT;
+	else if (a->result == PF_HTTP_OK && (r == PLATFORM_ORDER_ACCEPTED ||
+					     r == PLATFORM_ORDER_HOLDS))
+		m.u.result = PF_LOADER_ACCEPTED;
+	PF_LOG(&l->log, PF_LOG_INFO, "ordered", PF_KV_INT("status", a->status),
+	       PF_KV_INT("result", m.u.result));
+	step(l, &m);
+}
+
+static void call_engine(struct loader *l, const struct pf_loader_act *a)
+{
+	struct platform_order o = {
+		.load = a->call.load,
+		.model = a->call.model,
+		.adapter = a->call.adapter,
+		.expected = (int64_t)a->call.orders,
+		.holder = l->set.place.name,
+		.fence = 1,
+	};
+	struct pf_text body = { 0 };
+	struct pf_http_request r = {
+		.method = "POST",
+		.target = PLATFORM_ORDER_TARGET,
+		.content_type = "application/json",
+		.header = platform_expect_header,
+		.header_value = a->call.instance,
+		.timeout = CALL_TIMEOUT_MS,
+		.done = on_ordered,
+		.ctx = l,
+	};
+
+	platform_order_body(&o, &body);
+	r.body = pf_text_str(&body);
+	PF_LOG(&l->log, PF_LOG_INFO, "order",
+	       PF_KV_STR("endpoint", a->call.instance),
+	       PF_KV_STR("op", a->call.load ? "load" : "unload"),
+	       PF_KV_STR("model", a->call.model),
+	       PF_KV_STR("adapter", a->call.adapter ? a->call.adapter : ""),
+	       PF_KV_INT("orders", a->call.orders));
+	if (body.failed || !pf_http_start(l->engine, &r))
+		PF_LOG(&l->log, PF_LOG_WARN, "order_not_sent");
+	pf_text_free(&body);
+}
+
+static void emit(void *ctx, const struct pf_loader_act *a)
+{
+	struct loader *l = ctx;
+
+	switch (a->type) {
+	case PF_LOADER_POLL:
+		poll_engine(l);
+		break;
+	case PF_LOADER_CALL:
+		call_engine(l, a);
+		break;
+	case PF_LOADER_TELL:
+		l->tell = true;
+		break;
+	}
+}
+
+static void tell_gateways(struct loader *l)
+{
+	struct pf_engine_state s;
+	pf_ms now = pf_clock_now();
+	uint32_t i;
+
+	pf_loader_state(l->core, now, &s);
+	for (i = 0; i < GATEWAYS_MAX; i++) {
+		struct gateway_peer *p = &l->gateways[i];
+
+		if (p->heard_at && now - p->heard_at < GATEWAY_SILENT_MS)
+			pf_talk_state(l->talk, &p->addr, &s);
+	}
+}
+
+static void step(struct loader *l, const struct pf_loader_msg *m)
+{
+	const struct pf_loader_sink sink = { emit, l };
+	pf_ms now = pf_clock_now();
+
+	PF_INVARIANT("the core is not entered from its acts", !l->in_step);
+	l->in_step = true;
+	pf_loader_step(l->core, now, m, &sink);
+	l->in_step = false;
+	pf_clock_arm(l->timer, now, pf_loader_next(l->core));
+	if (l->tell) {
+		l->tell = false;
+		tell_gateways(l);
+	}
+}
+
+static void on_timer(evutil_socket_t fd, short what, void *ctx)
+{
+	static const struct pf_loader_msg tick = { .type = PF_LOADER_TICK };
+
+	(void)fd;
+	(void)what;
+	step(ctx, &tick);
+}
+
+static void on_tell_timer(evutil_socket_t fd, short what, void *ctx)
+{
+	(void)fd;
+	(void)what;
+	tell_gateways(ctx);
+}
+
+static void heard(struct loader *l, const struct sockaddr_in *from)
+{
+	struct gateway_peer *oldest = &l->gateways[0];
+	uint32_t i;
+
+	for (i = 0; i < GATEWAYS_MAX; i++) {
+		struct gateway_peer *p = &l->gateways[i];
+
+		if (p->heard_at &&
+		    p->addr.sin_addr.s_addr == from->sin_addr.s_addr &&
+		    p->addr.sin_port == from->sin_port) {
+			p->heard_at = pf_clock_now();
+			return;
+		}
+		if (p->heard_at < oldest->heard_at)
+			oldest = p;
+	}
+	*oldest = (struct gateway_peer){ *from, pf_clock_now() };
+}
+
+static void on_want(void *ctx, const struct sockaddr_in *from,
+		    const struct pf_loader_want *w)
+{
+	struct pf_loader_msg m = { .type = PF_LOADER_WANT };
+	struct loader *l = ctx;
+
+	heard(l, from);
+	m.u.want = *w;
+	step(l, &m);
+}
+
+static void on_order(void *ctx, const struct sockaddr_in *from,
+		     const struct pf_loader_order *o)
+{
+	struct pf_loader_msg m = { .type = PF_LOADER_ORDER };
+	struct loader *l = ctx;
+
+	heard(l, from);
+	m.u.order = *o;
+	step(l, &m);
+}
+
+static void on_stop(void *ctx)
+{
+	struct loader *l = ctx;
+
+	PF_LOG(&l->log, PF_LOG_INFO, "stopping", PF_KV_STR("why", "signal"));
+	event_base_loopbreak(l->base);
+}
+
+static int start(struct loader *l)
+{
+	static const struct pf_loader_msg tick = { .type = PF_LOADER_TICK };
+	struct timeval every = pf_clock_timeval(TELL_EVERY_MS);
+	struct pf_talk_opts to = { .want = on_want, .order = on_order };
+	struct pf_http_opts ho = { .addr = l->set.backend,
+				   .conns_max = CONNS_MAX,
+				   .idle_max = 1,
+				   .body_max = BODY_MAX };
+	struct pf_loader_opts lo;
+
+	l->base = event_base_new();
+	if (!l->base)
+		return -1;
+	pf_loader_opts_default(&lo);
+	to.base = l->base;
+	to.addr = l->set.talk;
+	to.log = &l->log;
+	to.ctx = l;
+	ho.base = l->base;
+	l->core = pf_loader_new(&lo);
+	l->engine = pf_http_new(&ho);
+	l->talk = pf_talk_new(&to);
+	l->timer = event_new(l->base, -1, 0, on_timer, l);
+	l->tell_timer = event_new(l->base, -1, EV_PERSIST, on_tell_timer, l);
+	if (!l->core || !l->engine || !l->talk || !l->timer ||
+	    !l->tell_timer || pf_process_signals(l->base, on_stop, l) < 0)
+		return -1;
+	event_add(l->tell_timer, &every);
+	step(l, &tick);
+	return 0;
+}
+
+static void stop(struct loader *l)
+{
+	pf_talk_free(l->talk);
+	pf_http_free(l->engine);
+	pf_loader_free(l->core);
+	if (l->timer)
+		event_free(l->timer);
+	if (l->tell_timer)
+		event_free(l->tell_timer);
+	if (l->base)
+		event_base_free(l->base);
+}
+
+int main(int argc, char **argv)
+{
+	struct pf_findings f = { 0 };
+	struct pf_process_options o;
+	static struct loader l;
+	int status;
+	int bad;
+
+	if (pf_process_options(argc, argv,
+			       "Gives orders to the engine beside it.", &o,
+			       &status) < 0)
+		return status;
+	status = PF_EXIT_SETTINGS;
+	bad = pf_settings_load(&pf_loader_form, o.settings, &l.set, &f);
+	pf_findings_print(&f, STDERR_FILENO);
+	pf_findings_clear(&f);
+	if (bad < 0)
+		goto out;
+	status = EXIT_SUCCESS;
+	if (o.check)
+		goto out;
+	l.log = (struct pf_log){ STDOUT_FILENO,
+				 (enum pf_log_level)l.set.place.log_level,
+				 "loader" };
+	status = EXIT_FAILURE;
+	if (start(&l) == 0) {
+		PF_LOG(&l.log, PF_LOG_INFO, "started",
+		       PF_KV_STR("name", l.set.place.name),
+		       PF_KV_STR("engine", l.set.backend));
+		event_base_dispatch(l.base);
+		PF_LOG(&l.log, PF_LOG_INFO, "ended");
+		status = EXIT_SUCCESS;
+	} else {
+		PF_LOG(&l.log, PF_LOG_ERROR, "not_started",
+		       PF_KV_STR("talk", l.set.talk));
+	}
+	stop(&l);
+out:
+	pf_fields_free(&pf_loader_form, &l.set);
+	free(o.settings);
+	return status;
+}
--- /dev/null
+++ b/include/pimentoford/engine_state.h
@@ -0,0 +1,65 @@
+/* What an engine holds and does, as its own report says. */
+#ifndef PIMENTOFORD_ENGINE_STATE_H
+#define PIMENTOFORD_ENGINE_STATE_H
+
+#include "pimentoford/listed.h"
+
+PF_BEGIN_DECLS
+
+/** As a loader tells the gateways; lists are borrowed. */
+struct pf_engine_state {
+	uint64_t endpoint;
+	int64_t born;
+	uint64_t orders; /* that it has accepted since its start */
+	bool busy; /* a model is being loaded or unloaded */
+	uint64_t loading; /* model that was ordered last; 0: none */
+	pf_ms loading_for; /* since that order */
+	bool from_store; /* that load came from the weight store */
+	uint32_t running;
+	uint32_t queued;
+	uint32_t kv_used; /* tokens that can't yield */
+	uint32_t kv_total;
+	const struct pf_resident *residents;
+	uint32_t n_residents;
+	const uint64_t *warm; /* models with weights in the host's memory */
+	uint32_t n_warm;
+	const uint64_t *on_disk;
+	uint32_t n_on_disk;
+};
+
+/** A model, or an adapter of it, that an engine holds or fetches. */
+struct pf_engine_item {
+	char *model;
+	char *adapter; /* NULL: the model itself */
+	uint64_t model_id;
+	uint64_t adapter_id;
+	bool coming; /* not there yet */
+};
+
+/** An engine's report, with names; owned. */
+struct pf_engine_report {
+	int64_t born;
+	uint64_t orders;
+	bool busy;
+	uint32_t running;
+	uint32_t queued;
+	uint32_t kv_used;
+	uint32_t kv_total;
+	struct pf_engine_item *items;
+	uint32_t n_items;
+	uint64_t *warm;
+	uint32_t n_warm;
+	uint64_t *on_disk;
+	uint32_t n_on_disk;
+};
+
+void pf_engine_report_clear(struct pf_engine_report *r);
+
+/** The item, or NULL; @adapter 0: the model itself. */
+const struct pf_engine_item *
+pf_engine_report_find(const struct pf_engine_report *r, uint64_t model,
+		      uint64_t adapter);
+
+PF_END_DECLS
+
+#endif
--- a/include/pimentoford/gate.h
+++ b/include/pimentoford/gate.h
@@ -7,6 +7,7 @@
 #ifndef PIMENTOFORD_GATE_H
 #define PIMENTOFORD_GATE_H
 
+#include "pimentoford/engine_state.h"
 #include "pimentoford/inbound.h"
 #include "pimentoford/listed.h"
 #include "pimentoford/routes.h"
@@ -116,6 +117,7 @@
 	PF_GATE_EVENTS, /* u.request: some of its stream was passed on */
 	PF_GATE_ENDED, /* u.end */
 	PF_GATE_PEER, /* u.digest */
+	PF_GATE_STATE, /* u.state: of an endpoint's loader; for the call */
 	PF_GATE_TICK,
 };
 
@@ -129,11 +131,13 @@
 		uint32_t request;
 		struct pf_gate_end end;
 		struct pf_gate_digest digest;
+		const struct pf_engine_state *state;
 	} u;
 };
 
 enum pf_gate_act_type {
 	PF_GATE_SEND, /* u.send; a try before it is over */
+	PF_GATE_WANT, /* u.want: its adapter is missing at an endpoint */
 	PF_GATE_DROP, /* the try in flight is of no use any more */
 	PF_GATE_DELIVER, /* final: the answer that ended the try */
 	PF_GATE_REFUSE, /* final, u.refuse: it did not run and never will */
@@ -174,6 +178,9 @@
 			pf_ms expected; /* to the first event, as estimated */
 			uint32_t cached; /* prompt tokens thought kept there */
 		} send;
+		struct {
+			uint64_t endpoint;
+		} want;
 		struct {
 			enum pf_gate_reason reason;
 			int status;
--- a/include/pimentoford/http_client.h
+++ b/include/pimentoford/http_client.h
@@ -47,6 +47,8 @@
 	const char *target; /* path and query */
 	const char *content_type; /* NULL: none */
 	const char *idem_key; /* Idempotency-Key; NULL: none */
+	const char *header; /* one more, by name; NULL: none */
+	const char *header_value;
 	struct pf_str body; /* copied */
 	pf_ms timeout; /* between two bytes; 0: none */
 	bool fresh; /* on a new connection, so that a connection which the
--- a/include/pimentoford/listed.h
+++ b/include/pimentoford/listed.h
@@ -24,7 +24,6 @@
 	pf_ms remaining; /* until it is taken away; -1: not said */
 	pf_ms cold; /* how much longer it is slow after its start */
 	int64_t born; /* wall clock of its start; 0: not said */
-	int64_t orders; /* that it has accepted; -1: not said */
 	struct pf_resident *residents;
 	uint32_t n_residents;
 	uint64_t *warm; /* models whose weights lie in its memory */
--- a/include/pimentoford/settings.h
+++ b/include/pimentoford/settings.h
@@ -90,6 +90,12 @@
 	struct pf_gate_opts core; /* zone, region, ids are the daemon's */
 };
 
+struct pf_loader_settings {
+	struct pf_place place;
+	char *talk; /* gateways, UDP */
+	char *backend; /* the engine */
+};
+
 /**
  * The fields of each program's settings. The caller sets `core` to its
  * defaults first: keys that are not given keep them.
@@ -97,6 +103,7 @@
 extern const struct pf_form pf_entry_form;
 extern const struct pf_form pf_agent_form;
 extern const struct pf_form pf_gateway_form;
+extern const struct pf_form pf_loader_form;
 
 /** Checks that the fields can't say, e.g. key or key_file. 0 or -1. */
 int pf_place_check(const struct pf_place *p, const char *source,
--- a/src/coordination/gate/gate.c
+++ b/src/coordination/gate/gate.c
@@ -114,6 +114,10 @@
 		gate_peer_heard(g, &m->u.digest);
 		g->pump_at = g->now;
 		break;
+	case PF_GATE_STATE:
+		gate_endpoint_state(g, m->u.state);
+		g->pump_at = g->now;
+		break;
 	case PF_GATE_TICK:
 		run_timers(g);
 		g->pump_at = g->now;
--- a/src/coordination/gate/gate_core.h
+++ b/src/coordination/gate/gate_core.h
@@ -52,6 +52,7 @@
 	double own_ms; /* of it, its own prompt */
 	uint32_t kv;
 	uint32_t prev, next; /* of the waiting, in order of arrival */
+	pf_ms wanted_at; /* its adapter was asked for */
 	uint32_t looked_at; /* round of the pump */
 };
 
@@ -68,6 +69,9 @@
 	int64_t kv_max; /* tokens; 0: not an engine */
 	struct pf_resident *residents;
 	uint32_t n_residents;
+	pf_ms state_at; /* when its loader was heard; 0: never */
+	uint64_t orders; /* accepted, as its loader said */
+	uint32_t kv_used; /* as its loader said */
 	/* sent by this gateway */
 	uint32_t running;
 	int64_t kv;
@@ -182,6 +186,9 @@
 struct gate_endpoint *gate_endpoint(struct pf_gate *g, uint64_t id);
 void gate_endpoint_update(struct pf_gate *g, const struct pf_listed *e);
 void gate_endpoint_gone(struct pf_gate *g, uint64_t id);
+void gate_endpoint_state(struct pf_gate *g, const struct pf_engine_state *s);
+/** Whether a loader can bring adapters there. */
+bool gate_loader_heard(const struct pf_gate *g, const struct gate_endpoint *e);
 /** Engines' memory as the routing table gives it. */
 void gate_endpoints_configure(struct pf_gate *g);
 bool gate_endpoint_has(const struct gate_endpoint *e, uint64_t model,
@@ -208,8 +215,11 @@
 void gate_prefix_seen(struct pf_gate *g, const struct pf_gate_sight *s);
 
 /* gate_pick.c */
-/** The best endpoint for @r now, or GATE_NIL. */
-uint32_t gate_pick(struct pf_gate *g, struct gate_request *r);
+/**
+ * The best endpoint for @r now, or GATE_NIL. *@lacks: the best one that lacks
+ * its adapter, if waiting for it there is better; else GATE_NIL.
+ */
+uint32_t gate_pick(struct pf_gate *g, struct gate_request *r, uint32_t *lacks);
 /** Whether any endpoint has what @r needs, however busy it is. */
 bool gate_served(struct pf_gate *g, const struct gate_request *r);
 double gate_ms_per_token(struct pf_gate *g, uint64_t model);
--- a/src/coordination/gate/gate_endpoints.c
+++ b/src/coordination/gate/gate_endpoints.c
@@ -12,6 +12,8 @@
 #define BLOCK_MAX_MS 3200
 /* Weight of the newest try in the share that failed. */
 #define FAILING_WEIGHT 0.1
+/* A loader says something at least twice a second. */
+#define LOADER_SILENT_MS 1800
 /* A gateway that said nothing for so long has ended or is cut off. */
 #define PEER_SILENT_MS 1500
 /* Its sends may lie in the window of the budget for so long. */
@@ -78,16 +80,17 @@
 }
 
 /* Without memory the endpoint counts as holding less than it does. */
-static void copy_residents(struct gate_endpoint *e, const struct pf_listed *l)
+static void copy_residents(struct gate_endpoint *e,
+			   const struct pf_resident *v, uint32_t n_v)
 {
 	uint32_t i;
 
 	free_residents(e);
-	e->residents = calloc(l->n_residents + 1, sizeof(*e->residents));
+	e->residents = calloc(n_v + 1, sizeof(*e->residents));
 	if (!e->residents)
 		return;
-	for (i = 0; i < l->n_residents; i++) {
-		const struct pf_resident *from = &l->residents[i];
+	for (i = 0; i < n_v; i++) {
+		const struct pf_resident *from = &v[i];
 		struct pf_resident *to = &e->residents[i];
 		size_t n = from->n_adapters * sizeof(*from->adapters);
 
@@ -162,6 +165,8 @@
 		e->blocked_until = 0;
 		e->strikes = 0;
 		e->failing = 0;
+		e->state_at = 0;
+		e->orders = 0;
 	}
 	e->service = l->service;
 	e->zone = l->zone;
@@ -169,10 +174,33 @@
 	e->slots = l->slots;
 	e->draining = l->draining;
 	e->lacks = 0;
-	copy_residents(e, l);
+	/* What the loader says is younger than the entry. */
+	if (!gate_loader_heard(g, e))
+		copy_residents(e, l->residents, l->n_residents);
 	set_engine(g, e);
 }
 
+bool gate_loader_heard(const struct pf_gate *g, const struct gate_endpoint *e)
+{
+	return e->state_at && g->now - e->state_at < LOADER_SILENT_MS;
+}
+
+void gate_endpoint_state(struct pf_gate *g, const struct pf_engine_state *s)
+{
+	struct gate_endpoint *e = gate_endpoint(g, s->endpoint);
+
+	if (!e || e->life != pf_id2(s->endpoint, (uint64_t)s->born))
+		return;
+	/* Datagrams may overtake each other. */
+	if (gate_loader_heard(g, e) && s->orders < e->orders)
+		return;
+	e->state_at = g->now;
+	e->orders = s->orders;
+	e->kv_used = s->kv_used;
+	e->lacks = 0;
+	copy_residents(e, s->residents, s->n_residents);
+}
+
 void gate_endpoint_gone(struct pf_gate *g, uint64_t id)
 {
 	struct gate_endpoint *e = gate_endpoint(g, id);
--- a/src/coordination/gate/gate_life.c
+++ b/src/coordination/gate/gate_life.c
@@ -21,6 +21,8 @@
 #define FULL_MAX_MS 1000
 /* Until its entry says otherwise, a model is missing there. */
 #define LACKS_MS 1500
+/* A missing adapter is asked for so often. */
+#define WANT_EVERY_MS 150
 /* A request's priority at an engine: two for each rank, one for patience. */
 #define PRIORITY_MAX 9
 #define PATIENT_MS 2000
@@ -200,11 +202,26 @@
 	return true;
 }
 
+/* Asks for the adapter that @r needs, now and then while it waits. */
+static void want(struct pf_gate *g, struct gate_request *r, uint32_t at)
+{
+	struct pf_gate_act a = { .type = PF_GATE_WANT };
+
+	if (r->wanted_at && g->now - r->wanted_at < WANT_EVERY_MS)
+		return;
+	r->wanted_at = g->now;
+	a.u.want.endpoint = g->endpoints[at].id;
+	emit(g, r, &a);
+}
+
 /* Sends @r if an endpoint can take it. */
 static bool try_send(struct pf_gate *g, struct gate_request *r)
 {
-	uint32_t at = gate_pick(g, r);
+	uint32_t lacks;
+	uint32_t at = gate_pick(g, r, &lacks);
 
+	if (lacks != GATE_NIL)
+		want(g, r, lacks);
 	if (at == GATE_NIL)
 		return false;
 	if (r->state == GATE_WAITING)
@@ -403,6 +420,7 @@
 /* An endpoint failed a repeatable call: another may do better. */
 static bool ask_another(struct pf_gate *g, struct gate_request *r)
 {
+	uint32_t lacks;
 	uint32_t at;
 
 	if (r->kind != PF_ROUTE_SAFE || r->runs >= r->attempts ||
@@ -411,7 +429,7 @@
 	avoid(r, g->endpoints[r->endpoint].id);
 	leave(g, r);
 	r->state = GATE_FREE;
-	at = gate_pick(g, r);
+	at = gate_pick(g, r, &lacks);
 	/* Otherwise the answer at hand is better than none. */
 	if (at == GATE_NIL || !may_repeat(g, r))
 		return false;
--- a/src/coordination/gate/gate_pick.c
+++ b/src/coordination/gate/gate_pick.c
@@ -21,6 +21,9 @@
 #define PREFILL_MAX_MS 1200.0
 /* Of an engine's memory: beyond it runs are preempted. */
 #define KV_FILL 0.92
+/* An adapter that must be brought costs the request, and others there, about
+ * so much. */
+#define ADAPTER_MS 45.0
 /* Weights of the newest measurement. */
 #define SLOW_WEIGHT 0.1
 #define SPEED_WEIGHT 0.05
@@ -103,7 +106,9 @@
 		return true;
 	if (e->lacks == r->model && e->lacks_until > g->now)
 		return false;
-	return gate_endpoint_has(e, r->model, r->adapter);
+	/* A loader can bring the adapter. */
+	return gate_endpoint_has(e, r->model,
+				 gate_loader_heard(g, e) ? 0 : r->adapter);
 }
 
 bool gate_served(struct pf_gate *g, const struct gate_request *r)
@@ -136,6 +141,7 @@
 	double own_ms;
 	uint32_t cached;
 	uint32_t kv;
+	bool lacks; /* the adapter must be brought first */
 };
 
 static void estimate(struct pf_gate *g, const struct gate_request *r,
@@ -165,35 +171,52 @@
 	out->cost = out->expected_ms + e->distance + FAILED_MS * e->failing;
 }
 
-uint32_t gate_pick(struct pf_gate *g, struct gate_request *r)
+static uint32_t best_of(struct pf_gate *g, const struct gate_request *r,
+			bool again, struct estimate *best)
 {
-	struct estimate best = { .cost = INFINITY };
 	uint32_t at = GATE_NIL;
-	uint32_t pass;
 	uint32_t i;
 
-	/* An endpoint that failed it already is better than none. */
-	for (pass = 0; pass < 2 && at == GATE_NIL; pass++) {
-		for (i = 0; i < g->n_endpoints; i++) {
-			struct gate_endpoint *e = &g->endpoints[i];
-			struct estimate x = { 0 };
-
-			if (!fits(g, r, e) || e->blocked_until > g->now ||
-			    avoided(r, e->id) != (pass == 1))
-				continue;
-			estimate(g, r, e, &x);
-			/* Equals are shared out at random. */
-			x.cost += pf_rng_unit(&g->rng);
-			if (x.cost < best.cost) {
-				best = x;
-				at = i;
-			}
+	best->cost = INFINITY;
+	for (i = 0; i < g->n_endpoints; i++) {
+		struct gate_endpoint *e = &g->endpoints[i];
+		struct estimate x = { 0 };
+
+		if (!fits(g, r, e) || e->blocked_until > g->now ||
+		    avoided(r, e->id) != again)
+			continue;
+		estimate(g, r, e, &x);
+		x.lacks = r->adapter &&
+			  !gate_endpoint_has(e, r->model, r->adapter);
+		if (x.lacks)
+			x.cost += ADAPTER_MS;
+		/* Equals are shared out at random. */
+		x.cost += pf_rng_unit(&g->rng);
+		if (x.cost < best->cost) {
+			*best = x;
+			at = i;
 		}
 	}
-	if (at != GATE_NIL) {
-		r->expected_ms = best.expected_ms;
-		r->own_ms = best.own_ms;
-		r->kv = best.kv;
+	return at;
+}
+
+uint32_t gate_pick(struct pf_gate *g, struct gate_request *r, uint32_t *lacks)
+{
+	struct estimate best;
+	uint32_t at = best_of(g, r, false, &best);
+
+	/* An endpoint that failed it already is better than none. */
+	if (at == GATE_NIL && r->n_avoid)
+		at = best_of(g, r, true, &best);
+	*lacks = GATE_NIL;
+	if (at == GATE_NIL)
+		return at;
+	if (best.lacks) {
+		*lacks = at;
+		return GATE_NIL;
 	}
+	r->expected_ms = best.expected_ms;
+	r->own_ms = best.own_ms;
+	r->kv = best.kv;
 	return at;
 }
--- /dev/null
+++ b/src/coordination/loader/loader.c
@@ -0,0 +1,465 @@
+/* The loader core. */
+#include "pimentoford/loader.h"
+
+#include "pimentoford/routes.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#define NAME_CAP 128
+#define WANTS_MAX 32
+#define USES_MAX 256
+#define RESIDENTS_MAX 16
+#define ADAPTERS_MAX 32
+/* A wish for an adapter that was not repeated is given up. */
+#define WANT_KEEP_MS 1500
+
+struct want {
+	char model[NAME_CAP]; /* empty: free */
+	char adapter[NAME_CAP];
+	uint64_t model_id;
+	uint64_t adapter_id;
+	pf_ms at;
+};
+
+struct use {
+	uint64_t adapter;
+	pf_ms at;
+};
+
+struct pf_loader {
+	struct pf_loader_opts o;
+	pf_ms now;
+	const struct pf_loader_sink *sink;
+	char instance[NAME_CAP]; /* as gateways name the endpoint */
+	int64_t named_born; /* its start that this name goes with */
+	uint32_t adapter_slots;
+	struct pf_engine_report report;
+	bool known; /* a report has come */
+	pf_ms report_at;
+	bool polling;
+	bool fresh; /* the report is younger than the last order */
+	pf_ms poll_at;
+	bool calling;
+	pf_ms call_over; /* the order at hand counts as silent then */
+	struct {
+		bool set;
+		bool load;
+		bool from_store;
+		char model[NAME_CAP];
+		uint64_t orders;
+		int64_t born;
+	} model_order;
+	bool call_is_model;
+	uint64_t loading; /* ordered last */
+	bool loading_store;
+	pf_ms loading_at;
+	struct want wants[WANTS_MAX];
+	struct use uses[USES_MAX];
+	/* of pf_loader_state() */
+	struct pf_resident residents[RESIDENTS_MAX];
+	uint64_t adapters[RESIDENTS_MAX][ADAPTERS_MAX];
+};
+
+void pf_loader_opts_default(struct pf_loader_opts *o)
+{
+	*o = (struct pf_loader_opts){
+		.poll_every = 300,
+		.poll_soon = 10,
+		.order_timeout = 500,
+		.idle_min = 150,
+	};
+}
+
+struct pf_loader *pf_loader_new(const struct pf_loader_opts *o)
+{
+	struct pf_loader *l = calloc(1, sizeof(*l));
+
+	if (!l)
+		return NULL;
+	l->o = *o;
+	l->call_over = PF_NEVER;
+	return l;
+}
+
+void pf_loader_free(struct pf_loader *l)
+{
+	if (!l)
+		return;
+	pf_engine_report_clear(&l->report);
+	free(l);
+}
+
+static bool copy_name(char *to, struct pf_str from)
+{
+	if (from.n >= NAME_CAP)
+		return false;
+	memcpy(to, from.p, from.n);
+	to[from.n] = '\0';
+	return true;
+}
+
+static void emit(struct pf_loader *l, struct pf_loader_act *a)
+{
+	l->sink->emit(l->sink->ctx, a);
+}
+
+static void tell(struct pf_loader *l)
+{
+	struct pf_loader_act a = { .type = PF_LOADER_TELL };
+
+	emit(l, &a);
+}
+
+static void poll(struct pf_loader *l)
+{
+	struct pf_loader_act a = { .type = PF_LOADER_POLL };
+
+	if (l->polling)
+		return;
+	l->polling = true;
+	emit(l, &a);
+}
+
+static struct use *use_of(struct pf_loader *l, uint64_t adapter, bool make)
+{
+	struct use *oldest = &l->uses[0];
+	uint32_t i;
+
+	for (i = 0; i < USES_MAX; i++) {
+		if (l->uses[i].adapter == adapter)
+			return &l->uses[i];
+		if (l->uses[i].at < oldest->at)
+			oldest = &l->uses[i];
+	}
+	if (!make)
+		return NULL;
+	*oldest = (struct use){ adapter, l->now };
+	return oldest;
+}
+
+static void used(struct pf_loader *l, uint64_t adapter)
+{
+	use_of(l, adapter, true)->at = l->now;
+}
+
+/* Orders go to the start of the endpoint that was named, and to no other. */
+static bool may_order(const struct pf_loader *l)
+{
+	return l->known && l->fresh && !l->calling && l->instance[0] &&
+	       l->named_born == l->report.born;
+}
+
+static void call(struct pf_loader *l, bool load, const char *model,
+		 const char *adapter)
+{
+	struct pf_loader_act a = { .type = PF_LOADER_CALL };
+
+	a.call.load = load;
+	a.call.instance = l->instance;
+	a.call.model = model;
+	a.call.adapter = adapter;
+	a.call.orders = l->report.orders;
+	l->calling = true;
+	l->fresh = false;
+	l->call_over = l->now + l->o.order_timeout;
+	l->call_is_model = !adapter;
+	emit(l, &a);
+}
+
+/* The planner's order, if it still fits what the engine has accepted. */
+static bool advance_model(struct pf_loader *l)
+{
+	if (!l->model_order.set || l->report.busy)
+		return false;
+	l->model_order.set = false;
+	if (l->model_order.born != l->report.born ||
+	    l->model_order.orders != l->report.orders)
+		return false;
+	if (l->model_order.load) {
+		l->loading = pf_id(pf_str_c(l->model_order.model));
+		l->loading_store = l->model_order.from_store;
+		l->loading_at = l->now;
+	}
+	call(l, l->model_order.load, l->model_order.model, NULL);
+	return true;
+}
+
+static uint32_t adapters_held(const struct pf_engine_report *r)
+{
+	uint32_t n = 0;
+	uint32_t i;
+
+	for (i = 0; i < r->n_items; i++)
+		n += r->items[i].adapter != NULL;
+	return n;
+}
+
+/* The adapter that was not used for longest, or NULL when all are in use. */
+static const struct pf_engine_item *victim(struct pf_loader *l)
+{
+	const struct pf_engine_item *best = NULL;
+	pf_ms best_at = l->now - l->o.idle_min;
+	uint32_t i;
+
+	for (i = 0; i < l->report.n_items; i++) {
+		const struct pf_engine_item *it = &l->report.items[i];
+		const struct use *u;
+
+		if (!it->adapter || it->coming)
+			continue;
+		u = use_of(l, it->adapter_id, false);
+		if ((u ? u->at : 0) < best_at) {
+			best = it;
+			best_at = u ? u->at : 0;
+		}
+	}
+	return best;
+}
+
+static bool open_want(struct pf_loader *l, struct want *w)
+{
+	if (!w->model[0])
+		return false;
+	if (l->now - w->at > WANT_KEEP_MS ||
+	    pf_engine_report_find(&l->report, w->model_id, w->adapter_id) ||
+	    !pf_engine_report_find(&l->report, w->model_id, 0)) {
+		w->model[0] = '\0';
+		return false;
+	}
+	return true;
+}
+
+static void advance_adapters(struct pf_loader *l)
+{
+	const struct pf_engine_item *out;
+	struct want *first = NULL;
+	uint32_t i;
+
+	for (i = 0; i < WANTS_MAX; i++) {
+		struct want *w = &l->wants[i];
+
+		if (open_want(l, w) && (!first || w->at < first->at))
+			first = w;
+	}
+	if (!first)
+		return;
+	if (adapters_held(&l->report) < l->adapter_slots) {
+		call(l, true, first->model, first->adapter);
+		return;
+	}
+	out = victim(l);
+	if (out)
+		call(l, false, out->model, out->adapter);
+}
+
+static void advance(struct pf_loader *l)
+{
+	if (!may_order(l))
+		return;
+	if (!advance_model(l))
+		advance_adapters(l);
+}
+
+static void on_report(struct pf_loader *l, struct pf_engine_report *r)
+{
+	bool changed;
+
+	l->polling = false;
+	if (!r) {
+		l->poll_at = l->now + l->o.poll_every;
+		return;
+	}
+	changed = !l->known || r->orders != l->report.orders ||
+		  r->born != l->report.born || r->busy != l->report.busy ||
+		  r->n_items != l->report.n_items;
+	pf_engine_report_clear(&l->report);
+	l->report = *r;
+	memset(r, 0, sizeof(*r));
+	l->known = true;
+	l->report_at = l->now;
+	if (!l->calling)
+		l->fresh = true;
+	if (!l->report.busy)
+		l->loading = 0;
+	l->poll_at = l->now + l->o.poll_every;
+	if (l->report.busy || adapters_held(&l->report) != 0)
+		l->poll_at = l->now + l->o.poll_every / 2;
+	if (changed)
+		tell(l);
+	advance(l);
+}
+
+static void name(struct pf_loader *l, struct pf_str instance, int64_t born)
+{
+	/* Names of an earlier start come late at times. */
+	if (born < l->named_born || !copy_name(l->instance, instance))
+		return;
+	l->named_born = born;
+}
+
+static void add_want(struct pf_loader *l, const struct pf_loader_want *in)
+{
+	uint64_t model = pf_id(in->model);
+	uint64_t adapter = pf_adapter_id(model, in->adapter);
+	struct want *slot = NULL;
+	uint32_t i;
+
+	for (i = 0; i < WANTS_MAX; i++) {
+		struct want *w = &l->wants[i];
+
+		if (w->model[0] && w->adapter_id == adapter)
+			return;
+		if (!slot && !w->model[0])
+			slot = w;
+	}
+	if (!slot || !copy_name(slot->model, in->model) ||
+	    !copy_name(slot->adapter, in->adapter))
+		return;
+	slot->model_id = model;
+	slot->adapter_id = adapter;
+	slot->at = l->now;
+}
+
+static void on_want(struct pf_loader *l, const struct pf_loader_want *w)
+{
+	uint32_t i;
+
+	name(l, w->instance, w->born);
+	if (w->adapter_slots)
+		l->adapter_slots = w->adapter_slots;
+	for (i = 0; i < w->n_used; i++)
+		used(l, w->used[i]);
+	if (w->model.n && w->adapter.n) {
+		used(l, pf_adapter_id(pf_id(w->model), w->adapter));
+		add_want(l, w);
+	}
+	/* The report may be too old to decide on. */
+	if (w->model.n && l->now - l->report_at > 50)
+		poll(l);
+	else
+		advance(l);
+}
+
+static void on_order(struct pf_loader *l, const struct pf_loader_order *o)
+{
+	name(l, o->instance, o->born);
+	if (!copy_name(l->model_order.model, o->model))
+		return;
+	l->model_order.set = true;
+	l->model_order.load = o->load;
+	l->model_order.from_store = o->from_store;
+	l->model_order.orders = o->orders;
+	l->model_order.born = o->born;
+	if (l->now - l->report_at > 50)
+		poll(l);
+	else
+		advance(l);
+}
+
+static void on_ordered(struct pf_loader *l, enum pf_loader_result result)
+{
+	l->calling = false;
+	l->call_over = PF_NEVER;
+	if (result != PF_LOADER_ACCEPTED && l->call_is_model)
+		l->loading = 0;
+	l->poll_at = l->now + l->o.poll_soon;
+	if (result == PF_LOADER_ACCEPTED && l->call_is_model)
+		tell(l);
+}
+
+static void on_tick(struct pf_loader *l)
+{
+	if (l->calling && l->now >= l->call_over)
+		on_ordered(l, PF_LOADER_SILENT);
+	if (l->now >= l->poll_at)
+		poll(l);
+}
+
+void pf_loader_step(struct pf_loader *l, pf_ms now,
+		    const struct pf_loader_msg *m,
+		    const struct pf_loader_sink *sink)
+{
+	l->now = now;
+	l->sink = sink;
+	switch (m->type) {
+	case PF_LOADER_REPORT:
+		on_report(l, m->u.report);
+		break;
+	case PF_LOADER_WANT:
+		on_want(l, &m->u.want);
+		break;
+	case PF_LOADER_ORDER:
+		on_order(l, &m->u.order);
+		break;
+	case PF_LOADER_ORDERED:
+		if (l->calling)
+			on_ordered(l, m->u.result);
+		break;
+	case PF_LOADER_TICK:
+		on_tick(l);
+		break;
+	}
+	l->sink = NULL;
+}
+
+pf_ms pf_loader_next(const struct pf_loader *l)
+{
+	pf_ms at = l->polling ? PF_NEVER : l->poll_at;
+
+	return l->call_over < at ? l->call_over : at;
+}
+
+static struct pf_resident *resident_of(struct pf_loader *l, uint32_t *n,
+				       uint64_t model)
+{
+	uint32_t i;
+
+	for (i = 0; i < *n; i++) {
+		if (l->residents[i].model == model)
+			return &l->residents[i];
+	}
+	if (*n >= RESIDENTS_MAX)
+		return NULL;
+	l->residents[*n] = (struct pf_resident){ model, l->adapters[*n], 0 };
+	return &l->residents[(*n)++];
+}
+
+void pf_loader_state(struct pf_loader *l, pf_ms now, struct pf_engine_state *s)
+{
+	const struct pf_engine_report *r = &l->report;
+	uint32_t n = 0;
+	uint32_t i;
+
+	for (i = 0; i < r->n_items; i++) {
+		const struct pf_engine_item *it = &r->items[i];
+		struct pf_resident *m;
+
+		if (it->coming)
+			continue;
+		m = resident_of(l, &n, it->model_id);
+		if (m && it->adapter && m->n_adapters < ADAPTERS_MAX)
+			m->adapters[m->n_adapters++] = it->adapter_id;
+	}
+	*s = (struct pf_engine_state){
+		.endpoint = l->instance[0] && l->named_born == r->born ?
+				    pf_id(pf_str_c(l->instance)) :
+				    0,
+		.born = r->born,
+		.orders = r->orders,
+		.busy = r->busy || (l->calling && l->call_is_model),
+		.loading = l->loading,
+		.loading_for = l->loading ? now - l->loading_at : 0,
+		.from_store = l->loading && l->loading_store,
+		.running = r->running,
+		.queued = r->queued,
+		.kv_used = r->kv_used,
+		.kv_total = r->kv_total,
+		.residents = l->residents,
+		.n_residents = n,
+		.warm = r->warm,
+		.n_warm = r->n_warm,
+		.on_disk = r->on_disk,
+		.n_on_disk = r->n_on_disk,
+	};
+}
--- /dev/null
+++ b/src/coordination/plan/plan_choose.c
@@ -0,0 +1,268 @@
+/* Which loads and unloads are due. */
+#include "src/coordination/plan/plan_core.h"
+
+#include <math.h>
+
+/* A loader that was not heard for so long gets no orders. */
+#define STATE_FRESH_MS 1500
+/* An engine reads prompts for at most 1000 ms a second; a model whose least
+ * busy home reads for longer than this gets another. */
+#define BUSY_MS_PER_S 350
+/* A home may go when those that stay would read for less than this. */
+#define SPARE_MS_PER_S 200
+/* Requests that wait count as so much demand. */
+#define WAITING_MS 150
+/* A new home stays for so long. */
+#define SETTLE_MS 5000
+/* Room that was made stays reserved for so long. */
+#define RESERVE_MS 4000
+/* Of an engine's memory left for adapters. */
+#define ADAPTERS_SHARE 0.005
+/* What a load from the weight store costs against one from a copy, and what
+ * room that must be made first costs, in ms of prompts a second. */
+#define STORE_COST 150
+#define EVICT_COST 60
+#define ORDERS_PER_TICK 6
+
+static bool usable(const struct pf_plan *p, const struct plan_engine *e)
+{
+	return e->id && e->listed && !e->draining && e->state_at &&
+	       p->now - e->state_at < STATE_FRESH_MS;
+}
+
+static double size_of(struct pf_plan *p, uint64_t id)
+{
+	const struct plan_model *m = plan_model(p, id);
+
+	return m ? m->spec->weights_mb : 0;
+}
+
+static double room_of(struct pf_plan *p, const struct plan_engine *e)
+{
+	double room = p->service->memory_mb * (1 - ADAPTERS_SHARE);
+	uint32_t i;
+
+	for (i = 0; i < e->n_residents; i++)
+		room -= size_of(p, e->residents[i]);
+	/* A load under way has its room already. */
+	if (e->ordered && e->ordered_load && !plan_has(e, e->ordered))
+		room -= size_of(p, e->ordered);
+	return room;
+}
+
+/* An order to unload counts as carried out. */
+static bool holds(const struct plan_engine *e, uint64_t id)
+{
+	if (e->ordered == id)
+		return e->ordered_load;
+	return plan_has(e, id);
+}
+
+static void count_homes(struct pf_plan *p)
+{
+	uint32_t i;
+	uint32_t k;
+
+	for (i = 0; i < p->n_models; i++) {
+		struct plan_model *m = &p->models[i];
+
+		m->homes = 0;
+		m->coming = 0;
+		for (k = 0; k < p->o.endpoints_max; k++) {
+			const struct plan_engine *e = &p->engines[k];
+
+			if (!e->id || !e->listed || e->draining ||
+			    !holds(e, m->spec->id))
+				continue;
+			m->homes++;
+			m->coming += !plan_has(e, m->spec->id);
+		}
+	}
+}
+
+static double demand_of(const struct plan_model *m)
+{
+	return m->ms_per_s + WAITING_MS * m->waiting;
+}
+
+static double share_of(const struct plan_model *m)
+{
+	return demand_of(m) / (m->homes ? m->homes : 1);
+}
+
+static void sum_work(struct pf_plan *p)
+{
+	uint32_t i;
+	uint32_t k;
+
+	for (i = 0; i < p->o.endpoints_max; i++) {
+		struct plan_engine *e = &p->engines[i];
+
+		e->work = 0;
+		for (k = 0; e->id && k < p->n_models; k++) {
+			if (holds(e, p->models[k].spec->id))
+				e->work += share_of(&p->models[k]);
+		}
+	}
+}
+
+/* Work at the least busy home of @m. */
+static double least_work(const struct pf_plan *p, const struct plan_model *m)
+{
+	double least = INFINITY;
+	uint32_t i;
+
+	for (i = 0; i < p->o.endpoints_max; i++) {
+		const struct plan_engine *e = &p->engines[i];
+
+		if (e->id && e->listed && !e->draining &&
+		    holds(e, m->spec->id) && e->work < least)
+			least = e->work;
+	}
+	return least;
+}
+
+/* Whether another home of @m is due, and how urgent it is; 0: not. */
+static double urgency(const struct pf_plan *p, const struct plan_model *m)
+{
+	double least;
+
+	if (m->homes == 0)
+		return 1e6 + demand_of(m);
+	if (m->coming)
+		return 0; /* what is under way may do */
+	least = least_work(p, m);
+	if (least < BUSY_MS_PER_S || demand_of(m) < BUSY_MS_PER_S / 4)
+		return 0;
+	return least;
+}
+
+/* A model that @e could give up, the least asked for; NULL: none. */
+static struct plan_model *spare_at(struct pf_plan *p,
+				   const struct plan_engine *e, uint64_t keep)
+{
+	struct plan_model *best = NULL;
+	uint32_t i;
+
+	for (i = 0; i < e->n_residents; i++) {
+		struct plan_model *m = plan_model(p, e->residents[i]);
+		uint32_t stay;
+
+		if (!m || m->spec->id == keep || !holds(e, m->spec->id))
+			continue;
+		stay = m->homes - m->coming;
+		if (stay < 2 || demand_of(m) / (stay - 1) > SPARE_MS_PER_S ||
+		    p->now - m->changed_at < SETTLE_MS)
+			continue;
+		if (!best || share_of(m) < share_of(best))
+			best = m;
+	}
+	return best;
+}
+
+/* Whether room for @need can be made at @e by giving up what is spare. */
+static bool can_make_room(struct pf_plan *p, const struct plan_engine *e,
+			  const struct plan_model *m)
+{
+	double room = room_of(p, e);
+	uint32_t i;
+
+	for (i = 0; i < e->n_residents; i++) {
+		struct plan_model *v = plan_model(p, e->residents[i]);
+		uint32_t stay;
+
+		if (!v || v == m)
+			continue;
+		stay = v->homes - v->coming;
+		if (stay >= 2 &&
+		    demand_of(v) / (stay - 1) <= SPARE_MS_PER_S &&
+		    p->now - v->changed_at >= SETTLE_MS)
+			room += v->spec->weights_mb;
+	}
+	return room >= m->spec->weights_mb;
+}
+
+struct choice {
+	struct plan_engine *e;
+	double cost;
+};
+
+static void consider(struct pf_plan *p, struct plan_engine *e,
+		     const struct plan_model *m, struct choice *best)
+{
+	bool at_hand = plan_at_hand(e, m->spec->id);
+	double cost = e->work + (at_hand ? 0 : STORE_COST);
+
+	if (!usable(p, e) || e->busy || e->ordered || holds(e, m->spec->id))
+		return;
+	if (e->reserved && e->reserved != m->spec->id &&
+	    p->now < e->reserved_until)
+		return;
+	if (!at_hand && !plan_may_load(p))
+		return;
+	if (room_of(p, e) < m->spec->weights_mb) {
+		if (!can_make_room(p, e, m))
+			return;
+		cost += EVICT_COST;
+	}
+	if (cost < best->cost)
+		*best = (struct choice){ e, cost };
+}
+
+/* Loads @m where that is best, or makes room for it. True: an order went. */
+static bool add_home(struct pf_plan *p, struct plan_model *m, double least)
+{
+	struct choice best = { NULL, INFINITY };
+	struct plan_model *out;
+	uint32_t i;
+
+	for (i = 0; i < p->o.endpoints_max; i++) {
+		if (p->engines[i].id)
+			consider(p, &p->engines[i], m, &best);
+	}
+	/* A home that is as busy as those there are would not help. */
+	if (!best.e || (m->homes && best.e->work > least * 0.7))
+		return false;
+	if (room_of(p, best.e) >= m->spec->weights_mb) {
+		best.e->reserved = 0;
+		m->changed_at = p->now;
+		plan_order(p, best.e, m, true, m->homes ? "busy" : "no home");
+		return true;
+	}
+	out = spare_at(p, best.e, m->spec->id);
+	if (!out)
+		return false;
+	best.e->reserved = m->spec->id;
+	best.e->reserved_until = p->now + RESERVE_MS;
+	plan_order(p, best.e, out, false, "room");
+	return true;
+}
+
+void plan_choose(struct pf_plan *p)
+{
+	bool tried[PLAN_MODELS_MAX] = { false };
+	uint32_t orders = 0;
+	uint32_t round;
+
+	for (round = 0; round < p->n_models && orders < ORDERS_PER_TICK;
+	     round++) {
+		uint32_t best = UINT32_MAX;
+		double most = 0;
+		uint32_t i;
+
+		count_homes(p);
+		sum_work(p);
+		for (i = 0; i < p->n_models; i++) {
+			double u = tried[i] ? 0 : urgency(p, &p->models[i]);
+
+			if (u > most) {
+				most = u;
+				best = i;
+			}
+		}
+		if (best == UINT32_MAX)
+			return;
+		tried[best] = true;
+		orders += add_home(p, &p->models[best], most);
+	}
+}
--- /dev/null
+++ b/src/coordination/plan/plan_core.h
@@ -0,0 +1,98 @@
+/* The state of the plan core, shared by its files. */
+#ifndef SRC_COORDINATION_PLAN_CORE_H
+#define SRC_COORDINATION_PLAN_CORE_H
+
+#include "pimentoford/plan.h"
+
+#define PLAN_RESIDENTS_MAX 16
+#define PLAN_COPIES_MAX 32
+#define PLAN_PEERS_MAX 64
+#define PLAN_MODELS_MAX 512
+#define PLAN_LOADS_MAX 128
+
+/** An engine as its loader and the store show it. */
+struct plan_engine {
+	uint64_t id; /* 0: free */
+	uint64_t service;
+	bool listed;
+	bool draining;
+	pf_ms state_at; /* when its loader was heard; 0: never */
+	int64_t born;
+	uint64_t orders;
+	bool busy;
+	uint64_t residents[PLAN_RESIDENTS_MAX];
+	uint32_t n_residents;
+	uint64_t warm[PLAN_COPIES_MAX];
+	uint32_t n_warm;
+	uint64_t on_disk[PLAN_COPIES_MAX];
+	uint32_t n_on_disk;
+	/* the order at hand */
+	uint64_t ordered; /* model; 0: none */
+	bool ordered_load;
+	bool ordered_store;
+	uint64_t ordered_orders; /* accepted before it */
+	pf_ms ordered_at;
+	pf_ms sent_at;
+	uint64_t reserved; /* room is being made for this model */
+	pf_ms reserved_until;
+	double work; /* ms of prompts a second, by the demand */
+};
+
+struct plan_model {
+	const struct pf_model_spec *spec;
+	double ms_per_s; /* demand of all gateways */
+	double per_s;
+	double rest_ms_per_s; /* the highest of the last seconds, fading */
+	uint32_t waiting;
+	uint32_t homes; /* at engines that stay, loads under way included */
+	uint32_t coming; /* of them, not there yet */
+	pf_ms changed_at; /* a home was added */
+};
+
+struct plan_peer {
+	uint64_t id; /* 0: free */
+	pf_ms heard_at;
+	struct pf_gate_demand demand[PLAN_MODELS_MAX];
+	uint32_t n_demand;
+	pf_ms demand_at;
+};
+
+/** A load from the weight store that began. */
+struct plan_load {
+	uint64_t endpoint;
+	uint64_t orders;
+	pf_ms at;
+};
+
+struct pf_plan {
+	struct pf_plan_opts o;
+	pf_ms now;
+	pf_ms last_tick;
+	pf_ms quiet_until; /* nothing is ordered before: too little is known */
+	const struct pf_plan_sink *sink;
+	const struct pf_routes *routes;
+	const struct pf_route_service *service; /* the engines' */
+	struct plan_engine *engines;
+	struct plan_model models[PLAN_MODELS_MAX];
+	uint32_t n_models;
+	struct plan_peer peers[PLAN_PEERS_MAX];
+	struct plan_load loads[PLAN_LOADS_MAX];
+	uint32_t n_loads; /* that were ever noted; a ring */
+	bool leads;
+};
+
+/* plan.c */
+struct plan_model *plan_model(struct pf_plan *p, uint64_t id);
+bool plan_has(const struct plan_engine *e, uint64_t model);
+/** Gives an order, and notes what it will lead to. */
+void plan_order(struct pf_plan *p, struct plan_engine *e,
+		const struct plan_model *m, bool load, const char *why);
+/** Whether one more load from the weight store may begin. */
+bool plan_may_load(const struct pf_plan *p);
+bool plan_at_hand(const struct plan_engine *e, uint64_t model);
+
+/* plan_choose.c */
+/** Gives the orders that are due. */
+void plan_choose(struct pf_plan *p);
+
+#endif
--- a/src/protocol/pimento.x
+++ b/src/protocol/pimento.x
@@ -217,9 +217,59 @@
 	pimento_gate_demand demands<PIMENTO_GATE_DEMANDS>;
 };
 
+const PIMENTO_ITEMS_MAX = 64;
+const PIMENTO_NAME_MAX = 200;
+
+struct pimento_resident {
+	unsigned hyper model;
+	unsigned hyper adapters<PIMENTO_ITEMS_MAX>;
+};
+
+/* What a loader says of its engine. */
+struct pimento_engine_state {
+	unsigned hyper endpoint; /* 0: not known yet */
+	hyper born;
+	unsigned hyper orders; /* that the engine has accepted */
+	unsigned int busy; /* a model is being loaded or unloaded */
+	unsigned hyper loading; /* model; 0: none */
+	unsigned int loading_ms; /* since it began */
+	unsigned int from_store; /* the load came from the weight store */
+	unsigned int running;
+	unsigned int queued;
+	unsigned int kv_used;
+	unsigned int kv_total;
+	pimento_resident residents<PIMENTO_ITEMS_MAX>;
+	unsigned hyper warm<PIMENTO_ITEMS_MAX>;
+	unsigned hyper on_disk<PIMENTO_ITEMS_MAX>;
+};
+
+/* What a gateway asks of a loader; also says that it is there. */
+struct pimento_want {
+	string instance<PIMENTO_NAME_MAX>; /* the endpoint it is meant for */
+	hyper born;
+	unsigned int adapter_slots;
+	unsigned hyper used<PIMENTO_ITEMS_MAX>; /* adapters, just now */
+	unsigned hyper model; /* of the adapter; 0: none is wanted */
+	string model_name<PIMENTO_NAME_MAX>;
+	string adapter_name<PIMENTO_NAME_MAX>;
+};
+
+/* What the planner asks of a loader. */
+struct pimento_load_order {
+	string instance<PIMENTO_NAME_MAX>;
+	hyper born;
+	unsigned hyper orders; /* accepted before this one */
+	unsigned int load; /* otherwise unload */
+	unsigned int from_store;
+	string model_name<PIMENTO_NAME_MAX>;
+};
+
 enum pimento_talk_type {
 	PIMENTO_TALK_DIGEST = 1,
-	PIMENTO_TALK_DEMANDS = 2
+	PIMENTO_TALK_DEMANDS = 2,
+	PIMENTO_TALK_STATE = 3,
+	PIMENTO_TALK_WANT = 4,
+	PIMENTO_TALK_ORDER = 5
 };
 
 union pimento_talk switch (pimento_talk_type type) {
@@ -227,6 +277,12 @@
 	pimento_gate_digest digest;
 case PIMENTO_TALK_DEMANDS:
 	pimento_gate_demands demands;
+case PIMENTO_TALK_STATE:
+	pimento_engine_state state;
+case PIMENTO_TALK_WANT:
+	pimento_want want;
+case PIMENTO_TALK_ORDER:
+	pimento_load_order order;
 default:
 	void;
 };
--- a/src/protocol/pimento_xdr.c
+++ b/src/protocol/pimento_xdr.c
@@ -656,6 +656,192 @@
 	return TRUE;
 }
 
+bool_t
+xdr_pimento_resident (XDR *xdrs, pimento_resident *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_u_quad_t (xdrs, &objp->model))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->adapters.adapters_val, (u_int *) &objp->adapters.adapters_len, PIMENTO_ITEMS_MAX,
+		sizeof (u_quad_t), (xdrproc_t) xdr_u_quad_t))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_pimento_engine_state (XDR *xdrs, pimento_engine_state *objp)
+{
+	register int32_t *buf;
+
+
+	if (xdrs->x_op == XDR_ENCODE) {
+		 if (!xdr_u_quad_t (xdrs, &objp->endpoint))
+			 return FALSE;
+		 if (!xdr_quad_t (xdrs, &objp->born))
+			 return FALSE;
+		 if (!xdr_u_quad_t (xdrs, &objp->orders))
+			 return FALSE;
+		 if (!xdr_u_int (xdrs, &objp->busy))
+			 return FALSE;
+		 if (!xdr_u_quad_t (xdrs, &objp->loading))
+			 return FALSE;
+		buf = XDR_INLINE (xdrs, 6 * BYTES_PER_XDR_UNIT);
+		if (buf == NULL) {
+			 if (!xdr_u_int (xdrs, &objp->loading_ms))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->from_store))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->running))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->queued))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->kv_used))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->kv_total))
+				 return FALSE;
+
+		} else {
+		IXDR_PUT_U_LONG(buf, objp->loading_ms);
+		IXDR_PUT_U_LONG(buf, objp->from_store);
+		IXDR_PUT_U_LONG(buf, objp->running);
+		IXDR_PUT_U_LONG(buf, objp->queued);
+		IXDR_PUT_U_LONG(buf, objp->kv_used);
+		IXDR_PUT_U_LONG(buf, objp->kv_total);
+		}
+		 if (!xdr_array (xdrs, (char **)&objp->residents.residents_val, (u_int *) &objp->residents.residents_len, PIMENTO_ITEMS_MAX,
+			sizeof (pimento_resident), (xdrproc_t) xdr_pimento_resident))
+			 return FALSE;
+		 if (!xdr_array (xdrs, (char **)&objp->warm.warm_val, (u_int *) &objp->warm.warm_len, PIMENTO_ITEMS_MAX,
+			sizeof (u_quad_t), (xdrproc_t) xdr_u_quad_t))
+			 return FALSE;
+		 if (!xdr_array (xdrs, (char **)&objp->on_disk.on_disk_val, (u_int *) &objp->on_disk.on_disk_len, PIMENTO_ITEMS_MAX,
+			sizeof (u_quad_t), (xdrproc_t) xdr_u_quad_t))
+			 return FALSE;
+		return TRUE;
+	} else if (xdrs->x_op == XDR_DECODE) {
+		 if (!xdr_u_quad_t (xdrs, &objp->endpoint))
+			 return FALSE;
+		 if (!xdr_quad_t (xdrs, &objp->born))
+			 return FALSE;
+		 if (!xdr_u_quad_t (xdrs, &objp->orders))
+			 return FALSE;
+		 if (!xdr_u_int (xdrs, &objp->busy))
+			 return FALSE;
+		 if (!xdr_u_quad_t (xdrs, &objp->loading))
+			 return FALSE;
+		buf = XDR_INLINE (xdrs, 6 * BYTES_PER_XDR_UNIT);
+		if (buf == NULL) {
+			 if (!xdr_u_int (xdrs, &objp->loading_ms))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->from_store))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->running))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->queued))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->kv_used))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->kv_total))
+				 return FALSE;
+
+		} else {
+		objp->loading_ms = IXDR_GET_U_LONG(buf);
+		objp->from_store = IXDR_GET_U_LONG(buf);
+		objp->running = IXDR_GET_U_LONG(buf);
+		objp->queued = IXDR_GET_U_LONG(buf);
+		objp->kv_used = IXDR_GET_U_LONG(buf);
+		objp->kv_total = IXDR_GET_U_LONG(buf);
+		}
+		 if (!xdr_array (xdrs, (char **)&objp->residents.residents_val, (u_int *) &objp->residents.residents_len, PIMENTO_ITEMS_MAX,
+			sizeof (pimento_resident), (xdrproc_t) xdr_pimento_resident))
+			 return FALSE;
+		 if (!xdr_array (xdrs, (char **)&objp->warm.warm_val, (u_int *) &objp->warm.warm_len, PIMENTO_ITEMS_MAX,
+			sizeof (u_quad_t), (xdrproc_t) xdr_u_quad_t))
+			 return FALSE;
+		 if (!xdr_array (xdrs, (char **)&objp->on_disk.on_disk_val, (u_int *) &objp->on_disk.on_disk_len, PIMENTO_ITEMS_MAX,
+			sizeof (u_quad_t), (xdrproc_t) xdr_u_quad_t))
+			 return FALSE;
+	 return TRUE;
+	}
+
+	 if (!xdr_u_quad_t (xdrs, &objp->endpoint))
+		 return FALSE;
+	 if (!xdr_quad_t (xdrs, &objp->born))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->orders))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->busy))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->loading))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->loading_ms))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->from_store))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->running))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->queued))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->kv_used))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->kv_total))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->residents.residents_val, (u_int *) &objp->residents.residents_len, PIMENTO_ITEMS_MAX,
+		sizeof (pimento_resident), (xdrproc_t) xdr_pimento_resident))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->warm.warm_val, (u_int *) &objp->warm.warm_len, PIMENTO_ITEMS_MAX,
+		sizeof (u_quad_t), (xdrproc_t) xdr_u_quad_t))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->on_disk.on_disk_val, (u_int *) &objp->on_disk.on_disk_len, PIMENTO_ITEMS_MAX,
+		sizeof (u_quad_t), (xdrproc_t) xdr_u_quad_t))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_pimento_want (XDR *xdrs, pimento_want *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_string (xdrs, &objp->instance, PIMENTO_NAME_MAX))
+		 return FALSE;
+	 if (!xdr_quad_t (xdrs, &objp->born))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->adapter_slots))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->used.used_val, (u_int *) &objp->used.used_len, PIMENTO_ITEMS_MAX,
+		sizeof (u_quad_t), (xdrproc_t) xdr_u_quad_t))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->model))
+		 return FALSE;
+	 if (!xdr_string (xdrs, &objp->model_name, PIMENTO_NAME_MAX))
+		 return FALSE;
+	 if (!xdr_string (xdrs, &objp->adapter_name, PIMENTO_NAME_MAX))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_pimento_load_order (XDR *xdrs, pimento_load_order *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_string (xdrs, &objp->instance, PIMENTO_NAME_MAX))
+		 return FALSE;
+	 if (!xdr_quad_t (xdrs, &objp->born))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->orders))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->load))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->from_store))
+		 return FALSE;
+	 if (!xdr_string (xdrs, &objp->model_name, PIMENTO_NAME_MAX))
+		 return FALSE;
+	return TRUE;
+}
+
 bool_t
 xdr_pimento_talk_type (XDR *xdrs, pimento_talk_type *objp)
 {
@@ -682,6 +868,18 @@
 		 if (!xdr_pimento_gate_demands (xdrs, &objp->pimento_talk_u.demands))
 			 return FALSE;
 		break;
+	case PIMENTO_TALK_STATE:
+		 if (!xdr_pimento_engine_state (xdrs, &objp->pimento_talk_u.state))
+			 return FALSE;
+		break;
+	case PIMENTO_TALK_WANT:
+		 if (!xdr_pimento_want (xdrs, &objp->pimento_talk_u.want))
+			 return FALSE;
+		break;
+	case PIMENTO_TALK_ORDER:
+		 if (!xdr_pimento_load_order (xdrs, &objp->pimento_talk_u.order))
+			 return FALSE;
+		break;
 	default:
 		break;
 	}
--- a/src/protocol/pimento_xdr.h
+++ b/src/protocol/pimento_xdr.h
@@ -297,10 +297,75 @@
 	} demands;
 };
 typedef struct pimento_gate_demands pimento_gate_demands;
+#define PIMENTO_ITEMS_MAX 64
+#define PIMENTO_NAME_MAX 200
+
+struct pimento_resident {
+	u_quad_t model;
+	struct {
+		u_int adapters_len;
+		u_quad_t *adapters_val;
+	} adapters;
+};
+typedef struct pimento_resident pimento_resident;
+
+struct pimento_engine_state {
+	u_quad_t endpoint;
+	quad_t born;
+	u_quad_t orders;
+	u_int busy;
+	u_quad_t loading;
+	u_int loading_ms;
+	u_int from_store;
+	u_int running;
+	u_int queued;
+	u_int kv_used;
+	u_int kv_total;
+	struct {
+		u_int residents_len;
+		pimento_resident *residents_val;
+	} residents;
+	struct {
+		u_int warm_len;
+		u_quad_t *warm_val;
+	} warm;
+	struct {
+		u_int on_disk_len;
+		u_quad_t *on_disk_val;
+	} on_disk;
+};
+typedef struct pimento_engine_state pimento_engine_state;
+
+struct pimento_want {
+	char *instance;
+	quad_t born;
+	u_int adapter_slots;
+	struct {
+		u_int used_len;
+		u_quad_t *used_val;
+	} used;
+	u_quad_t model;
+	char *model_name;
+	char *adapter_name;
+};
+typedef struct pimento_want pimento_want;
+
+struct pimento_load_order {
+	char *instance;
+	quad_t born;
+	u_quad_t orders;
+	u_int load;
+	u_int from_store;
+	char *model_name;
+};
+typedef struct pimento_load_order pimento_load_order;
 
 enum pimento_talk_type {
 	PIMENTO_TALK_DIGEST = 1,
 	PIMENTO_TALK_DEMANDS = 2,
+	PIMENTO_TALK_STATE = 3,
+	PIMENTO_TALK_WANT = 4,
+	PIMENTO_TALK_ORDER = 5,
 };
 typedef enum pimento_talk_type pimento_talk_type;
 
@@ -309,6 +374,9 @@
 	union {
 		pimento_gate_digest digest;
 		pimento_gate_demands demands;
+		pimento_engine_state state;
+		pimento_want want;
+		pimento_load_order order;
 	} pimento_talk_u;
 };
 typedef struct pimento_talk pimento_talk;
@@ -369,6 +437,10 @@
 extern  bool_t xdr_pimento_gate_digest (XDR *, pimento_gate_digest*);
 extern  bool_t xdr_pimento_gate_demand (XDR *, pimento_gate_demand*);
 extern  bool_t xdr_pimento_gate_demands (XDR *, pimento_gate_demands*);
+extern  bool_t xdr_pimento_resident (XDR *, pimento_resident*);
+extern  bool_t xdr_pimento_engine_state (XDR *, pimento_engine_state*);
+extern  bool_t xdr_pimento_want (XDR *, pimento_want*);
+extern  bool_t xdr_pimento_load_order (XDR *, pimento_load_order*);
 extern  bool_t xdr_pimento_talk_type (XDR *, pimento_talk_type*);
 extern  bool_t xdr_pimento_talk (XDR *, pimento_talk*);
 
@@ -398,6 +470,10 @@
 extern bool_t xdr_pimento_gate_digest ();
 extern bool_t xdr_pimento_gate_demand ();
 extern bool_t xdr_pimento_gate_demands ();
+extern bool_t xdr_pimento_resident ();
+extern bool_t xdr_pimento_engine_state ();
+extern bool_t xdr_pimento_want ();
+extern bool_t xdr_pimento_load_order ();
 extern bool_t xdr_pimento_talk_type ();
 extern bool_t xdr_pimento_talk ();
 
--- a/src/transport/http_client.c
+++ b/src/transport/http_client.c
@@ -306,6 +306,8 @@
 		evhttp_add_header(out, "Content-Type", r->content_type);
 	if (r->idem_key)
 		evhttp_add_header(out, "Idempotency-Key", r->idem_key);
+	if (r->header)
+		evhttp_add_header(out, r->header, r->header_value);
 	if (r->fresh)
 		evhttp_add_header(out, "Connection", "close");
 }
--- a/src/transport/settings.c
+++ b/src/transport/settings.c
@@ -101,6 +101,11 @@
 	OPT(DEF, U32, repeat_slack, 0, 1e6, NULL)                         \
 	OPT(DEF, MS, repeat_window, 1000, 14000, NULL)
 
+#define LOADER_FIELDS(DEF)                                    \
+	PLACE_FIELDS(DEF)                                     \
+	DEF("talk", ADDR, talk, true, 0, 0, NULL, NULL)       \
+	DEF("backend", ADDR, backend, true, 0, 0, NULL, NULL)
+
 #define ZONE_FIELDS(DEF)                                 \
 	DEF("name", NAME, name, true, 0, 0, NULL, NULL)  \
 	DEF("region", NAME, region, true, 0, 0, NULL, NULL)
@@ -127,6 +132,9 @@
 static const struct pf_form zone_form = { zone_fields,
 					  G_N_ELEMENTS(zone_fields),
 					  sizeof(struct pf_zone_setting) };
+#define FORM struct pf_loader_settings
+static const struct pf_field loader_fields[] = { LOADER_FIELDS(DEF_FIELD) };
+#undef FORM
 #define FORM struct pf_gateway_settings
 static const struct pf_field gateway_fields[] = {
 	GATEWAY_FIELDS(DEF_FIELD){ .key = "zones",
@@ -136,6 +144,9 @@
 };
 #undef FORM
 
+const struct pf_form pf_loader_form = { loader_fields,
+					G_N_ELEMENTS(loader_fields),
+					sizeof(struct pf_loader_settings) };
 const struct pf_form pf_gateway_form = { gateway_fields,
 					 G_N_ELEMENTS(gateway_fields),
 					 sizeof(struct pf_gateway_settings) };
--- /dev/null
+++ b/src/transport/talk.c
@@ -0,0 +1,388 @@
+/* Datagrams in XDR. */
+#include "pimentoford/talk.h"
+
+#include "src/protocol/pimento_xdr.h"
+
+#include <event2/event.h>
+#include <event2/util.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/socket.h>
+
+#define DATAGRAM_MAX 8192
+/* Demand goes in parts that fit one packet of the network. */
+#define DEMANDS_A_DATAGRAM 36
+
+struct pf_talk {
+	struct pf_talk_opts o;
+	int fd;
+	struct event *in;
+};
+
+int pf_talk_addr(const char *text, struct sockaddr_in *out)
+{
+	int len = sizeof(*out);
+
+	if (evutil_parse_sockaddr_port(text, (struct sockaddr *)out, &len) < 0)
+		return -1;
+	return out->sin_family == AF_INET ? 0 : -1;
+}
+
+static void send_talk(struct pf_talk *t, const struct sockaddr_in *to,
+		      pimento_talk *msg)
+{
+	char buf[DATAGRAM_MAX];
+	XDR x;
+
+	xdrmem_create(&x, buf, sizeof(buf), XDR_ENCODE);
+	if (xdr_pimento_talk(&x, msg))
+		/* It may get lost anyway. */
+		(void)sendto(t->fd, buf, xdr_getpos(&x), MSG_DONTWAIT,
+			     (const struct sockaddr *)to, sizeof(*to));
+	else
+		PF_LOG(t->o.log, PF_LOG_WARN, "datagram_too_large",
+		       PF_KV_INT("type", msg->type));
+	xdr_destroy(&x);
+}
+
+void pf_talk_digest(struct pf_talk *t, const struct sockaddr_in *to,
+		    const struct pf_gate_digest *d)
+{
+	pimento_gate_load loads[PIMENTO_GATE_LOADS];
+	pimento_gate_sight sights[PIMENTO_GATE_SIGHTS];
+	pimento_talk msg = { .type = PIMENTO_TALK_DIGEST };
+	pimento_gate_digest *out = &msg.pimento_talk_u.digest;
+	uint32_t i;
+
+	for (i = 0; i < d->n_loads; i++)
+		loads[i] = (pimento_gate_load){ d->loads[i].endpoint,
+						d->loads[i].running,
+						d->loads[i].kv_tokens,
+						d->loads[i].prefill_ms };
+	for (i = 0; i < d->n_sights; i++)
+		sights[i] = (pimento_gate_sight){ d->sights[i].chain,
+						  d->sights[i].endpoint };
+	out->peer = d->peer;
+	out->loads.loads_len = d->n_loads;
+	out->loads.loads_val = loads;
+	out->sights.sights_len = d->n_sights;
+	out->sights.sights_val = sights;
+	out->crashed.crashed_len = d->n_crashed;
+	out->crashed.crashed_val = (u_quad_t *)d->crashed;
+	send_talk(t, to, &msg);
+}
+
+static void hear_digest(struct pf_talk *t, const pimento_gate_digest *in)
+{
+	struct pf_gate_load loads[PF_GATE_LOADS_MAX];
+	struct pf_gate_sight sights[PF_GATE_SIGHTS_MAX];
+	struct pf_gate_digest d = { .peer = in->peer };
+	uint32_t i;
+
+	for (i = 0; i < in->loads.loads_len; i++) {
+		const pimento_gate_load *l = &in->loads.loads_val[i];
+
+		loads[i] = (struct pf_gate_load){ l->endpoint, l->running,
+						  l->kv_tokens,
+						  l->prefill_ms };
+	}
+	for (i = 0; i < in->sights.sights_len; i++)
+		sights[i] = (struct pf_gate_sight){
+			in->sights.sights_val[i].chain,
+			in->sights.sights_val[i].endpoint
+		};
+	d.loads = loads;
+	d.n_loads = in->loads.loads_len;
+	d.sights = sights;
+	d.n_sights = in->sights.sights_len;
+	d.crashed = (const uint64_t *)in->crashed.crashed_val;
+	d.n_crashed = in->crashed.crashed_len;
+	t->o.digest(t->o.ctx, &d);
+}
+
+void pf_talk_demand(struct pf_talk *t, const struct sockaddr_in *to,
+		    uint64_t peer, const struct pf_gate_demand *v, size_t n)
+{
+	pimento_gate_demand part[DEMANDS_A_DATAGRAM];
+	pimento_talk msg = { .type = PIMENTO_TALK_DEMANDS };
+	size_t at = 0;
+
+	do {
+		u_int k = 0;
+
+		while (at < n && k < DEMANDS_A_DATAGRAM) {
+			part[k++] = (pimento_gate_demand){
+				v[at].item, v[at].model, v[at].per_s,
+				v[at].ms_per_s, v[at].waiting
+			};
+			at++;
+		}
+		msg.pimento_talk_u.demands.peer = peer;
+		msg.pimento_talk_u.demands.demands.demands_len = k;
+		msg.pimento_talk_u.demands.demands.demands_val = part;
+		send_talk(t, to, &msg);
+	} while (at < n);
+}
+
+static void hear_demand(struct pf_talk *t, const pimento_gate_demands *in)
+{
+	struct pf_gate_demand v[PIMENTO_GATE_DEMANDS];
+	u_int i;
+
+	for (i = 0; i < in->demands.demands_len; i++) {
+		const pimento_gate_demand *d = &in->demands.demands_val[i];
+
+		v[i] = (struct pf_gate_demand){ d->item, d->model, d->per_s,
+						d->ms_per_s, d->waiting };
+	}
+	t->o.demand(t->o.ctx, in->peer, v, in->demands.demands_len);
+}
+
+void pf_talk_state(struct pf_talk *t, const struct sockaddr_in *to,
+		   const struct pf_engine_state *s)
+{
+	pimento_resident residents[PIMENTO_ITEMS_MAX];
+	pimento_talk msg = { .type = PIMENTO_TALK_STATE };
+	pimento_engine_state *out = &msg.pimento_talk_u.state;
+	uint32_t i;
+
+	for (i = 0; i < s->n_residents && i < PIMENTO_ITEMS_MAX; i++) {
+		residents[i].model = s->residents[i].model;
+		residents[i].adapters.adapters_len =
+			s->residents[i].n_adapters;
+		residents[i].adapters.adapters_val =
+			(u_quad_t *)s->residents[i].adapters;
+	}
+	*out = (pimento_engine_state){
+		.endpoint = s->endpoint,
+		.born = s->born,
+		.orders = s->orders,
+		.busy = s->busy,
+		.loading = s->loading,
+		.loading_ms = (u_int)s->loading_for,
+		.from_store = s->from_store,
+		.running = s->running,
+		.queued = s->queued,
+		.kv_used = s->kv_used,
+		.kv_total = s->kv_total,
+	};
+	out->residents.residents_len = i;
+	out->residents.residents_val = residents;
+	out->warm.warm_len = s->n_warm;
+	out->warm.warm_val = (u_quad_t *)s->warm;
+	out->on_disk.on_disk_len = s->n_on_disk;
+	out->on_disk.on_disk_val = (u_quad_t *)s->on_disk;
+	send_talk(t, to, &msg);
+}
+
+static void hear_state(struct pf_talk *t, const pimento_engine_state *in)
+{
+	struct pf_resident residents[PIMENTO_ITEMS_MAX];
+	struct pf_engine_state s = {
+		.endpoint = in->endpoint,
+		.born = in->born,
+		.orders = in->orders,
+		.busy = in->busy,
+		.loading = in->loading,
+		.loading_for = in->loading_ms,
+		.from_store = in->from_store,
+		.running = in->running,
+		.queued = in->queued,
+		.kv_used = in->kv_used,
+		.kv_total = in->kv_total,
+		.residents = residents,
+		.n_residents = in->residents.residents_len,
+		.warm = (const uint64_t *)in->warm.warm_val,
+		.n_warm = in->warm.warm_len,
+		.on_disk = (const uint64_t *)in->on_disk.on_disk_val,
+		.n_on_disk = in->on_disk.on_disk_len,
+	};
+	u_int i;
+
+	for (i = 0; i < in->residents.residents_len; i++) {
+		const pimento_resident *r = &in->residents.residents_val[i];
+
+		residents[i] = (struct pf_resident){
+			r->model, (uint64_t *)r->adapters.adapters_val,
+			r->adapters.adapters_len
+		};
+	}
+	t->o.state(t->o.ctx, &s);
+}
+
+/* A zero-terminated copy in @buf, cut at its size. */
+static char *terminated(char *buf, size_t cap, struct pf_str s)
+{
+	size_t n = s.n < cap ? s.n : cap - 1;
+
+	if (n)
+		memcpy(buf, s.p, n);
+	buf[n] = '\0';
+	return buf;
+}
+
+void pf_talk_want(struct pf_talk *t, const struct sockaddr_in *to,
+		  const struct pf_loader_want *w)
+{
+	char instance[PIMENTO_NAME_MAX];
+	char model[PIMENTO_NAME_MAX];
+	char adapter[PIMENTO_NAME_MAX];
+	pimento_talk msg = { .type = PIMENTO_TALK_WANT };
+	pimento_want *out = &msg.pimento_talk_u.want;
+
+	out->instance = terminated(instance, sizeof(instance), w->instance);
+	out->born = w->born;
+	out->adapter_slots = w->adapter_slots;
+	out->used.used_len = w->n_used;
+	out->used.used_val = (u_quad_t *)w->used;
+	out->model = w->model.n ? pf_id(w->model) : 0;
+	out->model_name = terminated(model, sizeof(model), w->model);
+	out->adapter_name = terminated(adapter, sizeof(adapter), w->adapter);
+	send_talk(t, to, &msg);
+}
+
+static void hear_want(struct pf_talk *t, const struct sockaddr_in *from,
+		      const pimento_want *in)
+{
+	struct pf_loader_want w = {
+		.instance = pf_str_c(in->instance),
+		.born = in->born,
+		.adapter_slots = in->adapter_slots,
+		.used = (const uint64_t *)in->used.used_val,
+		.n_used = in->used.used_len,
+		.model = pf_str_c(in->model_name),
+		.adapter = pf_str_c(in->adapter_name),
+	};
+
+	t->o.want(t->o.ctx, from, &w);
+}
+
+void pf_talk_order(struct pf_talk *t, const struct sockaddr_in *to,
+		   const struct pf_loader_order *o)
+{
+	char instance[PIMENTO_NAME_MAX];
+	char model[PIMENTO_NAME_MAX];
+	pimento_talk msg = { .type = PIMENTO_TALK_ORDER };
+	pimento_load_order *out = &msg.pimento_talk_u.order;
+
+	out->instance = terminated(instance, sizeof(instance), o->instance);
+	out->born = o->born;
+	out->orders = o->orders;
+	out->load = o->load;
+	out->from_store = o->from_store;
+	out->model_name = terminated(model, sizeof(model), o->model);
+	send_talk(t, to, &msg);
+}
+
+static void hear_order(struct pf_talk *t, const struct sockaddr_in *from,
+		       const pimento_load_order *in)
+{
+	struct pf_loader_order o = {
+		.instance = pf_str_c(in->instance),
+		.born = in->born,
+		.orders = in->orders,
+		.load = in->load,
+		.from_store = in->from_store,
+		.model = pf_str_c(in->model_name),
+	};
+
+	t->o.order(t->o.ctx, from, &o);
+}
+
+static void hear(struct pf_talk *t, const struct sockaddr_in *from,
+		 const pimento_talk *msg)
+{
+	switch (msg->type) {
+	case PIMENTO_TALK_DIGEST:
+		if (t->o.digest)
+			hear_digest(t, &msg->pimento_talk_u.digest);
+		break;
+	case PIMENTO_TALK_DEMANDS:
+		if (t->o.demand)
+			hear_demand(t, &msg->pimento_talk_u.demands);
+		break;
+	case PIMENTO_TALK_STATE:
+		if (t->o.state)
+			hear_state(t, &msg->pimento_talk_u.state);
+		break;
+	case PIMENTO_TALK_WANT:
+		if (t->o.want)
+			hear_want(t, from, &msg->pimento_talk_u.want);
+		break;
+	case PIMENTO_TALK_ORDER:
+		if (t->o.order)
+			hear_order(t, from, &msg->pimento_talk_u.order);
+		break;
+	}
+}
+
+static void on_readable(evutil_socket_t fd, short what, void *ctx)
+{
+	struct sockaddr_in from;
+	socklen_t len = sizeof(from);
+	struct pf_talk *t = ctx;
+	char buf[DATAGRAM_MAX];
+	ssize_t n;
+
+	(void)what;
+	while ((n = recvfrom(fd, buf, sizeof(buf), MSG_DONTWAIT,
+			     (struct sockaddr *)&from, &len)) > 0) {
+		pimento_talk msg;
+		XDR x;
+
+		memset(&msg, 0, sizeof(msg));
+		xdrmem_create(&x, buf, (u_int)n, XDR_DECODE);
+		if (xdr_pimento_talk(&x, &msg))
+			hear(t, &from, &msg);
+		else
+			PF_LOG(t->o.log, PF_LOG_WARN, "bad_datagram",
+			       PF_KV_INT("bytes", n));
+		xdr_destroy(&x);
+		xdr_free((xdrproc_t)xdr_pimento_talk, (char *)&msg);
+		len = sizeof(from);
+	}
+}
+
+static int open_socket(const char *addr)
+{
+	struct sockaddr_in at;
+	int fd;
+
+	if (pf_talk_addr(addr, &at) < 0)
+		return -1;
+	fd = socket(AF_INET, SOCK_DGRAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+	if (fd >= 0 && bind(fd, (struct sockaddr *)&at, sizeof(at)) < 0) {
+		evutil_closesocket(fd);
+		return -1;
+	}
+	return fd;
+}
+
+struct pf_talk *pf_talk_new(const struct pf_talk_opts *o)
+{
+	struct pf_talk *t = calloc(1, sizeof(*t));
+
+	if (!t)
+		return NULL;
+	t->o = *o;
+	t->fd = open_socket(o->addr);
+	if (t->fd >= 0)
+		t->in = event_new(o->base, t->fd, EV_READ | EV_PERSIST,
+				  on_readable, t);
+	if (!t->in || event_add(t->in, NULL) < 0) {
+		pf_talk_free(t);
+		return NULL;
+	}
+	return t;
+}
+
+void pf_talk_free(struct pf_talk *t)
+{
+	if (!t)
+		return;
+	if (t->in)
+		event_free(t->in);
+	if (t->fd >= 0)
+		evutil_closesocket(t->fd);
+	free(t);
+}
