--- a/daemons/gateway/callers.c
+++ b/daemons/gateway/callers.c
@@ -350,6 +350,22 @@
 	return 0;
 }
 
+void callers_leave(struct gateway *g)
+{
+	struct caller *c = LIST_FIRST(&g->callers);
+
+	event_del(g->accept_ev);
+	evutil_closesocket(g->listener);
+	g->listener = -1;
+	while (c) {
+		struct caller *next = LIST_NEXT(c, next);
+
+		if (c->phase == CALLER_HEAD && c->in.n == 0)
+			caller_free(c);
+		c = next;
+	}
+}
+
 void callers_stop(struct gateway *g)
 {
 	while (!LIST_EMPTY(&g->callers))
--- a/daemons/gateway/exchange.c
+++ b/daemons/gateway/exchange.c
@@ -134,6 +134,9 @@
 	const struct pf_route *route;
 
 	*status = 503;
+	*code = "leaving";
+	if (g->leaving)
+		return NULL;
 	*code = "no_configuration";
 	if (!g->routes)
 		return NULL;
@@ -143,7 +146,7 @@
 	return route;
 }
 
-/* How long until a configuration may be there. */
+/* How long until a configuration may be there; another gateway may have one. */
 #define CONFIG_RETRY_MS 300
 
 static void refuse_unrouted(struct exchange *x, int status, const char *code)
--- a/daemons/gateway/gateway.h
+++ b/daemons/gateway/gateway.h
@@ -22,8 +22,13 @@
 struct caller;
 struct upstream;
 
-/** Adapters used at an endpoint that its loader was not told of yet. */
-#define TARGET_USED_MAX 32
+#define TARGET_USED_MAX 64
+
+/** An adapter that requests under way use. */
+struct target_use {
+	uint64_t adapter;
+	uint32_t requests;
+};
 
 /** An endpoint as the store lists it, and its idle connections. */
 struct target {
@@ -37,8 +42,9 @@
 	pf_ms lapsed; /* its row vanished with the store away: gone then */
 	bool gone; /* freed once no connection needs it */
 	uint32_t refs; /* connections */
-	uint64_t used[TARGET_USED_MAX]; /* adapters */
+	struct target_use used[TARGET_USED_MAX];
 	uint32_t n_used;
+	bool used_changed; /* since its loader was told */
 	pf_ms told_at; /* its loader heard from this gateway */
 };
 
@@ -70,6 +76,7 @@
 	struct target *target;
 	struct pf_sock *sock;
 	struct exchange *x; /* NULL: idle */
+	uint64_t adapter; /* that its request uses */
 	struct pf_text in; /* a head that is not whole */
 	bool in_body;
 	bool streaming; /* events are passed on as they come */
@@ -94,6 +101,7 @@
 	uint64_t self; /* of this process's life */
 	pf_ms started;
 	pf_ms stopping; /* since; 0: it is not */
+	bool leaving; /* nothing new is taken any more */
 	struct pf_gate *core;
 	struct event *core_timer;
 	bool in_step;
@@ -132,6 +140,8 @@
 /* callers.c: callers' connections */
 int callers_start(struct gateway *g);
 void callers_stop(struct gateway *g);
+/** Takes no more connections, and ends those that wait for a request. */
+void callers_leave(struct gateway *g);
 /** @x answers the request at hand. */
 void caller_set_exchange(struct caller *c, struct exchange *x);
 /** The answer is whole: the next request may be read, or the end comes. */
@@ -182,6 +192,9 @@
 void targets_sweep(struct gateway *g);
 void targets_stop(struct gateway *g);
 void target_put(struct target *t);
+/** A request with this adapter goes there, or has ended there. */
+void target_use(struct target *t, uint64_t adapter);
+void target_unuse(struct target *t, uint64_t adapter);
 
 /* follow.c: configuration and endpoints from the store */
 int follow_start(struct gateway *g);
@@ -195,8 +208,6 @@
 /* talk.c: digests among gateways, wishes and orders to loaders, the plan */
 int talk_start(struct gateway *g);
 void talk_stop(struct gateway *g);
-/** A request with this adapter goes to the endpoint. */
-void talk_used(struct target *to, uint64_t adapter);
 /** Act of the core: an adapter is missing at an endpoint. */
 void talk_want(struct exchange *x, const struct pf_gate_act *a);
 /** The routing table has changed; the old one is still there. */
--- a/daemons/gateway/main.c
+++ b/daemons/gateway/main.c
@@ -8,8 +8,9 @@
 #include <string.h>
 #include <unistd.h>
 
-/* The balancer needs so long to send new connections elsewhere. */
-#define STOP_MIN_MS 3000
+/* The balancer needs so long to send new connections elsewhere; afterwards
+ * nothing new is taken, since it might not end in time. */
+#define STOP_MIN_MS 2800
 #define STOP_POLL_MS 50
 
 void gateway_adopt(struct gateway *g, struct pf_routes *routes)
@@ -43,7 +44,13 @@
 	if (spent > g->set.drain)
 		PF_LOG(&g->log, PF_LOG_ERROR, "drain_over",
 		       PF_KV_STR("why", "requests were left"));
-	else if (spent < STOP_MIN_MS || !LIST_EMPTY(&g->exchanges))
+	else if (spent < STOP_MIN_MS)
+		return;
+	if (!g->leaving) {
+		g->leaving = true;
+		callers_leave(g);
+	}
+	if (!LIST_EMPTY(&g->exchanges) && spent <= g->set.drain)
 		return;
 	event_base_loopbreak(g->base);
 }
--- a/daemons/gateway/talk.c
+++ b/daemons/gateway/talk.c
@@ -63,36 +63,28 @@
 static void send_want(struct talk *t, struct target *to, struct pf_str model,
 		      struct pf_str adapter)
 {
+	uint64_t used[TARGET_USED_MAX];
 	struct pf_loader_want w = {
 		.instance = pf_str_c(to->listed.instance),
 		.born = to->listed.born,
 		.adapter_slots = adapter_slots(t->g, to),
-		.used = to->used,
+		.used = used,
 		.n_used = to->n_used,
 		.model = model,
 		.adapter = adapter,
 	};
 	struct sockaddr_in addr;
+	uint32_t i;
 
 	if (!w.adapter_slots || loader_of(t, to, &addr) < 0)
 		return;
+	for (i = 0; i < to->n_used; i++)
+		used[i] = to->used[i].adapter;
 	pf_talk_want(t->talk, &addr, &w);
-	to->n_used = 0;
+	to->used_changed = false;
 	to->told_at = pf_clock_now();
 }
 
-void talk_used(struct target *to, uint64_t adapter)
-{
-	uint32_t i;
-
-	for (i = 0; i < to->n_used; i++) {
-		if (to->used[i] == adapter)
-			return;
-	}
-	if (to->n_used < TARGET_USED_MAX)
-		to->used[to->n_used++] = adapter;
-}
-
 void talk_want(struct exchange *x, const struct pf_gate_act *a)
 {
 	struct gateway *g = x->g;
@@ -115,7 +107,8 @@
 
 	LIST_FOREACH(to, &t->g->targets, next)
 	{
-		if (!to->gone && now - to->told_at >= HELLO_EVERY_MS)
+		if (!to->gone && (to->used_changed ||
+				  now - to->told_at >= HELLO_EVERY_MS))
 			send_want(t, to, PF_STR(""), PF_STR(""));
 	}
 }
@@ -288,6 +281,7 @@
 
 static void on_members(void *ctx, const struct pf_store_answer *a)
 {
+	struct pf_plan_msg known = { .type = PF_PLAN_MEMBERS };
 	struct talk *t = ctx;
 	size_t i;
 
@@ -298,7 +292,11 @@
 	t->n_members = 0;
 	for (i = 0; i < a->n; i++)
 		add_member(t, a->rows[i].value);
-	read_later(t, MEMBERS_EVERY_MS);
+	plan_step(t, &known);
+	/* Others may be starting, too. */
+	read_later(t, pf_clock_now() - t->g->started < MEMBERS_EVERY_MS ?
+			      MEMBERS_EVERY_MS / 4 :
+			      MEMBERS_EVERY_MS);
 }
 
 static void on_written(void *ctx, const struct pf_store_answer *a)
--- a/daemons/gateway/targets.c
+++ b/daemons/gateway/targets.c
@@ -29,6 +29,39 @@
 		target_free(t);
 }
 
+void target_use(struct target *t, uint64_t adapter)
+{
+	uint32_t i;
+
+	if (!adapter)
+		return;
+	for (i = 0; i < t->n_used; i++) {
+		if (t->used[i].adapter == adapter) {
+			t->used[i].requests++;
+			return;
+		}
+	}
+	/* Beyond the bound the loader may give up an adapter in use. */
+	if (t->n_used < TARGET_USED_MAX)
+		t->used[t->n_used++] = (struct target_use){ adapter, 1 };
+	t->used_changed = true;
+}
+
+void target_unuse(struct target *t, uint64_t adapter)
+{
+	uint32_t i;
+
+	for (i = 0; i < t->n_used; i++) {
+		if (t->used[i].adapter != adapter)
+			continue;
+		if (--t->used[i].requests == 0) {
+			t->used[i] = t->used[--t->n_used];
+			t->used_changed = true;
+		}
+		return;
+	}
+}
+
 static void tell_core(struct gateway *g, const struct pf_listed *l)
 {
 	struct pf_gate_msg m = { .type = PF_GATE_ENDPOINT };
--- a/daemons/gateway/upstream.c
+++ b/daemons/gateway/upstream.c
@@ -22,6 +22,7 @@
 {
 	struct target *t = u->target;
 
+	target_unuse(t, u->adapter);
 	if (u->x)
 		u->x->up = NULL;
 	else if (u->idle_since)
@@ -63,6 +64,8 @@
 		       PF_KV_INT("reset", reset));
 	x->up = NULL;
 	u->x = NULL;
+	target_unuse(u->target, u->adapter);
+	u->adapter = 0;
 	if (u->keep) {
 		u->idle_since = pf_clock_now();
 		u->in_body = false;
@@ -315,8 +318,8 @@
 	u->streaming = false;
 	u->keep = false;
 	memset(&u->reply, 0, sizeof(u->reply));
-	if (x->in.adapter)
-		talk_used(t, x->in.adapter);
+	u->adapter = x->in.adapter;
+	target_use(t, u->adapter);
 	log_send(x, t, a, u->reused);
 	write_request(u, a);
 }
--- a/daemons/loader/main.c
+++ b/daemons/loader/main.c
@@ -39,7 +39,6 @@
 	struct pf_talk *talk;
 	struct gateway_peer gateways[GATEWAYS_MAX];
 	bool in_step;
-	bool tell; /* once the step is over */
 	bool engine_away;
 };
 
@@ -130,6 +129,21 @@
 	pf_text_free(&body);
 }
 
+static void tell_gateways(struct loader *l)
+{
+	struct pf_engine_state s;
+	pf_ms now = pf_clock_now();
+	uint32_t i;
+
+	pf_loader_state(l->core, now, &s);
+	for (i = 0; i < GATEWAYS_MAX; i++) {
+		struct gateway_peer *p = &l->gateways[i];
+
+		if (p->heard_at && now - p->heard_at < GATEWAY_SILENT_MS)
+			pf_talk_state(l->talk, &p->addr, &s);
+	}
+}
+
 static void emit(void *ctx, const struct pf_loader_act *a)
 {
 	struct loader *l = ctx;
@@ -142,26 +156,11 @@
 		call_engine(l, a);
 		break;
 	case PF_LOADER_TELL:
-		l->tell = true;
+		tell_gateways(l);
 		break;
 	}
 }
 
-static void tell_gateways(struct loader *l)
-{
-	struct pf_engine_state s;
-	pf_ms now = pf_clock_now();
-	uint32_t i;
-
-	pf_loader_state(l->core, now, &s);
-	for (i = 0; i < GATEWAYS_MAX; i++) {
-		struct gateway_peer *p = &l->gateways[i];
-
-		if (p->heard_at && now - p->heard_at < GATEWAY_SILENT_MS)
-			pf_talk_state(l->talk, &p->addr, &s);
-	}
-}
-
 static void step(struct loader *l, const struct pf_loader_msg *m)
 {
 	const struct pf_loader_sink sink = { emit, l };
@@ -172,10 +171,6 @@
 	pf_loader_step(l->core, now, m, &sink);
 	l->in_step = false;
 	pf_clock_arm(l->timer, now, pf_loader_next(l->core));
-	if (l->tell) {
-		l->tell = false;
-		tell_gateways(l);
-	}
 }
 
 static void on_timer(evutil_socket_t fd, short what, void *ctx)
@@ -222,6 +217,7 @@
 
 	heard(l, from);
 	m.u.want = *w;
+	m.u.want.from = (uint64_t)from->sin_addr.s_addr << 16 | from->sin_port;
 	step(l, &m);
 }
 
--- a/include/pimentoford/loader.h
+++ b/include/pimentoford/loader.h
@@ -19,6 +19,7 @@
 	pf_ms poll_soon; /* while an order is being carried out */
 	pf_ms order_timeout; /* without an answer it may come to effect later */
 	pf_ms idle_min; /* an adapter used within this is not given up */
+	pf_ms hold; /* what a gateway said it uses, it uses for so long */
 };
 
 /** Fills in the defaults that are shipped. */
@@ -36,12 +37,13 @@
 	PF_LOADER_TICK,
 };
 
-/** A gateway used adapters, and may need another. */
+/** What a gateway has under way here, and the adapter that it may need. */
 struct pf_loader_want {
+	uint64_t from; /* the gateway */
 	struct pf_str instance; /* the endpoint that it means */
 	int64_t born;
 	uint32_t adapter_slots;
-	const uint64_t *used;
+	const uint64_t *used; /* adapters of its requests under way: all */
 	uint32_t n_used;
 	struct pf_str model; /* of the adapter; empty: none is wanted */
 	struct pf_str adapter;
--- a/include/pimentoford/plan.h
+++ b/include/pimentoford/plan.h
@@ -35,6 +35,7 @@
 	PF_PLAN_ENDPOINT, /* u.endpoint: borrowed for the call */
 	PF_PLAN_ENDPOINT_GONE, /* u.id */
 	PF_PLAN_STATE, /* u.state: of a loader; borrowed for the call */
+	PF_PLAN_MEMBERS, /* the list of gateways was read */
 	PF_PLAN_PEER, /* u.id: another gateway was heard */
 	PF_PLAN_DEMAND, /* u.demand: of a gateway, this one included */
 	PF_PLAN_TICK,
--- a/src/coordination/gate/gate_core.h
+++ b/src/coordination/gate/gate_core.h
@@ -72,6 +72,7 @@
 	pf_ms state_at; /* when its loader was heard; 0: never */
 	uint64_t orders; /* accepted, as its loader said */
 	uint32_t kv_used; /* as its loader said */
+	bool busy; /* with a model: it takes no adapter meanwhile */
 	/* sent by this gateway */
 	uint32_t running;
 	int64_t kv;
@@ -187,7 +188,6 @@
 void gate_endpoint_update(struct pf_gate *g, const struct pf_listed *e);
 void gate_endpoint_gone(struct pf_gate *g, uint64_t id);
 void gate_endpoint_state(struct pf_gate *g, const struct pf_engine_state *s);
-/** Whether a loader can bring adapters there. */
 bool gate_loader_heard(const struct pf_gate *g, const struct gate_endpoint *e);
 /** Engines' memory as the routing table gives it. */
 void gate_endpoints_configure(struct pf_gate *g);
--- a/src/coordination/gate/gate_endpoints.c
+++ b/src/coordination/gate/gate_endpoints.c
@@ -197,6 +197,7 @@
 	e->state_at = g->now;
 	e->orders = s->orders;
 	e->kv_used = s->kv_used;
+	e->busy = s->busy;
 	e->lacks = 0;
 	copy_residents(e, s->residents, s->n_residents);
 }
--- a/src/coordination/gate/gate_pick.c
+++ b/src/coordination/gate/gate_pick.c
@@ -108,7 +108,9 @@
 		return false;
 	/* A loader can bring the adapter. */
 	return gate_endpoint_has(e, r->model,
-				 gate_loader_heard(g, e) ? 0 : r->adapter);
+				 gate_loader_heard(g, e) && !e->busy ?
+					 0 :
+					 r->adapter);
 }
 
 bool gate_served(struct pf_gate *g, const struct gate_request *r)
--- a/src/coordination/loader/loader.c
+++ b/src/coordination/loader/loader.c
@@ -9,6 +9,10 @@
 #define NAME_CAP 128
 #define WANTS_MAX 32
 #define USES_MAX 256
+#define USERS_MAX 64
+#define USERS_ADAPTERS_MAX 64
+/* An unload that shows no effect for so long was not carried out. */
+#define LEAVE_MS 6000
 #define RESIDENTS_MAX 16
 #define ADAPTERS_MAX 32
 /* A wish for an adapter that was not repeated is given up. */
@@ -27,6 +31,14 @@
 	pf_ms at;
 };
 
+/* What a gateway has under way. */
+struct user {
+	uint64_t from; /* 0: free */
+	pf_ms at;
+	uint64_t adapters[USERS_ADAPTERS_MAX];
+	uint32_t n;
+};
+
 struct pf_loader {
 	struct pf_loader_opts o;
 	pf_ms now;
@@ -56,6 +68,9 @@
 	pf_ms loading_at;
 	struct want wants[WANTS_MAX];
 	struct use uses[USES_MAX];
+	struct user users[USERS_MAX];
+	pf_ms left_at; /* when that was */
+	uint64_t leaving; /* item whose unload was accepted; 0: none */
 	/* of pf_loader_state() */
 	struct pf_resident residents[RESIDENTS_MAX];
 	uint64_t adapters[RESIDENTS_MAX][ADAPTERS_MAX];
@@ -67,7 +82,8 @@
 		.poll_every = 300,
 		.poll_soon = 10,
 		.order_timeout = 500,
-		.idle_min = 150,
+		.idle_min = 40,
+		.hold = 3000,
 	};
 }
 
@@ -164,6 +180,14 @@
 	l->fresh = false;
 	l->call_over = l->now + l->o.order_timeout;
 	l->call_is_model = !adapter;
+	if (!load) {
+		/* Gateways are to send nothing there from now on. */
+		l->leaving = pf_id(pf_str_c(model));
+		if (adapter)
+			l->leaving = pf_adapter_id(l->leaving,
+						   pf_str_c(adapter));
+		tell(l);
+	}
 	emit(l, &a);
 }
 
@@ -195,6 +219,24 @@
 	return n;
 }
 
+static bool in_use(const struct pf_loader *l, uint64_t adapter)
+{
+	uint32_t i;
+	uint32_t k;
+
+	for (i = 0; i < USERS_MAX; i++) {
+		const struct user *u = &l->users[i];
+
+		if (!u->from || l->now - u->at > l->o.hold)
+			continue;
+		for (k = 0; k < u->n; k++) {
+			if (u->adapters[k] == adapter)
+				return true;
+		}
+	}
+	return false;
+}
+
 /* The adapter that was not used for longest, or NULL when all are in use. */
 static const struct pf_engine_item *victim(struct pf_loader *l)
 {
@@ -206,7 +248,7 @@
 		const struct pf_engine_item *it = &l->report.items[i];
 		const struct use *u;
 
-		if (!it->adapter || it->coming)
+		if (!it->adapter || it->coming || in_use(l, it->adapter_id))
 			continue;
 		u = use_of(l, it->adapter_id, false);
 		if ((u ? u->at : 0) < best_at) {
@@ -236,6 +278,10 @@
 	struct want *first = NULL;
 	uint32_t i;
 
+	/* A model's load or unload keeps the engine from other orders. */
+	if (l->report.busy || l->leaving)
+		return;
+
 	for (i = 0; i < WANTS_MAX; i++) {
 		struct want *w = &l->wants[i];
 
@@ -261,6 +307,24 @@
 		advance_adapters(l);
 }
 
+/* An unload waits for the requests that use the item. */
+static void settle_leaving(struct pf_loader *l)
+{
+	uint32_t i;
+
+	if (!l->leaving || l->calling)
+		return;
+	for (i = 0; i < l->report.n_items; i++) {
+		const struct pf_engine_item *it = &l->report.items[i];
+
+		if ((it->adapter ? it->adapter_id : it->model_id) ==
+			    l->leaving &&
+		    l->now - l->left_at < LEAVE_MS)
+			return;
+	}
+	l->leaving = 0;
+}
+
 static void on_report(struct pf_loader *l, struct pf_engine_report *r)
 {
 	bool changed;
@@ -282,6 +346,7 @@
 		l->fresh = true;
 	if (!l->report.busy)
 		l->loading = 0;
+	settle_leaving(l);
 	l->poll_at = l->now + l->o.poll_every;
 	if (l->report.busy || adapters_held(&l->report) != 0)
 		l->poll_at = l->now + l->o.poll_every / 2;
@@ -321,15 +386,35 @@
 	slot->at = l->now;
 }
 
+static struct user *user_of(struct pf_loader *l, uint64_t from)
+{
+	struct user *oldest = &l->users[0];
+	uint32_t i;
+
+	for (i = 0; i < USERS_MAX; i++) {
+		if (l->users[i].from == from)
+			return &l->users[i];
+		if (l->users[i].at < oldest->at)
+			oldest = &l->users[i];
+	}
+	oldest->from = from;
+	return oldest;
+}
+
 static void on_want(struct pf_loader *l, const struct pf_loader_want *w)
 {
+	struct user *u = user_of(l, w->from);
 	uint32_t i;
 
 	name(l, w->instance, w->born);
 	if (w->adapter_slots)
 		l->adapter_slots = w->adapter_slots;
-	for (i = 0; i < w->n_used; i++)
+	u->at = l->now;
+	u->n = 0;
+	for (i = 0; i < w->n_used && u->n < USERS_ADAPTERS_MAX; i++) {
 		used(l, w->used[i]);
+		u->adapters[u->n++] = w->used[i];
+	}
 	if (w->model.n && w->adapter.n) {
 		used(l, pf_adapter_id(pf_id(w->model), w->adapter));
 		add_want(l, w);
@@ -363,6 +448,9 @@
 	l->call_over = PF_NEVER;
 	if (result != PF_LOADER_ACCEPTED && l->call_is_model)
 		l->loading = 0;
+	if (result == PF_LOADER_REFUSED)
+		l->leaving = 0;
+	l->left_at = l->now;
 	l->poll_at = l->now + l->o.poll_soon;
 	if (result == PF_LOADER_ACCEPTED && l->call_is_model)
 		tell(l);
@@ -435,7 +523,9 @@
 		const struct pf_engine_item *it = &r->items[i];
 		struct pf_resident *m;
 
-		if (it->coming)
+		if (it->coming ||
+		    (l->leaving && (it->model_id == l->leaving ||
+				    it->adapter_id == l->leaving)))
 			continue;
 		m = resident_of(l, &n, it->model_id);
 		if (m && it->adapter && m->n_adapters < ADAPTERS_MAX)
--- a/src/coordination/plan/plan.c
+++ b/src/coordination/plan/plan.c
@@ -10,6 +10,11 @@
 #define GAP_MS 700
 /* After a start or a gap, until the others have been heard. */
 #define QUIET_MS 1600
+/* An entry is older than what its loader said within this. */
+#define STATE_KEEP_MS 3000
+/* Entries come one after the other when all starts; until none came for so
+ * long, engines may be missing. */
+#define LISTED_MS 1500
 /* Demand that was not said anew is forgotten. */
 #define DEMAND_KEEP_MS 3000
 /* An order that shows no effect is sent again, and then given up. */
@@ -139,6 +144,16 @@
 	p->service = s;
 }
 
+static void copy_residents(struct plan_engine *e, const struct pf_resident *v,
+			   uint32_t n)
+{
+	uint32_t i;
+
+	e->n_residents = 0;
+	for (i = 0; i < n && i < PLAN_RESIDENTS_MAX; i++)
+		e->residents[e->n_residents++] = v[i].model;
+}
+
 static void on_endpoint(struct pf_plan *p, const struct pf_listed *l)
 {
 	struct plan_engine *e;
@@ -148,9 +163,14 @@
 	e = engine_of(p, l->id, true);
 	if (!e)
 		return;
+	if (!e->listed)
+		p->listed_at = p->now;
 	e->service = l->service;
 	e->listed = true;
 	e->draining = l->draining;
+	/* Until its loader is heard, the entry says what it holds. */
+	if (p->now - e->state_at > STATE_KEEP_MS || !e->state_at)
+		copy_residents(e, l->residents, l->n_residents);
 }
 
 static uint32_t copy_ids(uint64_t *to, uint32_t max, const uint64_t *from,
@@ -226,8 +246,7 @@
 
 static void on_state(struct pf_plan *p, const struct pf_engine_state *s)
 {
-	struct plan_engine *e = engine_of(p, s->endpoint, true);
-	uint32_t i;
+	struct plan_engine *e = engine_of(p, s->endpoint, false);
 
 	if (!e || !s->endpoint)
 		return;
@@ -237,9 +256,7 @@
 	e->born = s->born;
 	e->orders = s->orders;
 	e->busy = s->busy;
-	e->n_residents = 0;
-	for (i = 0; i < s->n_residents && i < PLAN_RESIDENTS_MAX; i++)
-		e->residents[e->n_residents++] = s->residents[i].model;
+	copy_residents(e, s->residents, s->n_residents);
 	e->n_warm = copy_ids(e->warm, PLAN_COPIES_MAX, s->warm, s->n_warm);
 	e->n_on_disk = copy_ids(e->on_disk, PLAN_COPIES_MAX, s->on_disk,
 				s->n_on_disk);
@@ -379,7 +396,8 @@
 		p->quiet_until = p->now + QUIET_MS;
 	p->last_tick = p->now;
 	elect(p);
-	if (!p->leads || !p->service)
+	if (!p->leads || !p->service || !p->members ||
+	    p->now - p->listed_at < LISTED_MS)
 		return;
 	sum_demand(p);
 	resend(p);
@@ -408,6 +426,11 @@
 	case PF_PLAN_STATE:
 		on_state(p, m->u.state);
 		break;
+	case PF_PLAN_MEMBERS:
+		if (!p->members)
+			p->quiet_until = now + QUIET_MS;
+		p->members = true;
+		break;
 	case PF_PLAN_PEER:
 		peer_of(p, m->u.id)->heard_at = now;
 		break;
--- a/src/coordination/plan/plan_core.h
+++ b/src/coordination/plan/plan_core.h
@@ -79,6 +79,8 @@
 	struct plan_load loads[PLAN_LOADS_MAX];
 	uint32_t n_loads; /* that were ever noted; a ring */
 	bool leads;
+	bool members; /* the list of gateways was read */
+	pf_ms listed_at; /* an engine was listed for the first time */
 };
 
 /* plan.c */
