--- a/src/coordination/plan/plan.c
+++ b/src/coordination/plan/plan.c
@@ -158,8 +158,6 @@
 {
 	struct plan_engine *e;
 
-	if (!p->service || l->service != p->service->id)
-		return;
 	e = engine_of(p, l->id, true);
 	if (!e)
 		return;
--- a/src/coordination/plan/plan_choose.c
+++ b/src/coordination/plan/plan_choose.c
@@ -26,8 +26,8 @@
 
 static bool usable(const struct pf_plan *p, const struct plan_engine *e)
 {
-	return e->id && e->listed && !e->draining && e->state_at &&
-	       p->now - e->state_at < STATE_FRESH_MS;
+	return e->id && e->service == p->service->id && e->listed &&
+	       !e->draining && e->state_at && p->now - e->state_at < STATE_FRESH_MS;
 }
 
 static double size_of(struct pf_plan *p, uint64_t id)
