Planner: homes by requests under way; one entry an address

Cause: prompt time as estimated said nothing of decoding: engines with 45 to 60 requests under way stood beside idle ones, and streams took longer than their callers wait. Also: an entry whose address a later start has taken is gone at once; loads that need no eviction may begin before all engines are known.

--- a/daemons/gateway/targets.c
+++ b/daemons/gateway/targets.c
@@ -124,6 +124,37 @@
 	return t;
 }
 
+/* Whether another endpoint started later at the same address. */
+static bool replaced(struct gateway *g, const struct pf_listed *l)
+{
+	const struct target *t;
+
+	LIST_FOREACH(t, &g->targets, next)
+	{
+		if (!t->gone && t->listed.id != l->id &&
+		    strcmp(t->listed.addr, l->addr) == 0 &&
+		    t->listed.born > l->born)
+			return true;
+	}
+	return false;
+}
+
+/* Those that stood at the address before are gone, listed or not. */
+static void forget_replaced(struct gateway *g, const struct pf_listed *l)
+{
+	struct target *t = LIST_FIRST(&g->targets);
+
+	while (t) {
+		if (t->gone || t->listed.id == l->id ||
+		    strcmp(t->listed.addr, l->addr) != 0) {
+			t = LIST_NEXT(t, next);
+			continue;
+		}
+		forget(t, "another started at its address");
+		t = LIST_FIRST(&g->targets);
+	}
+}
+
 void target_listed(struct gateway *g, struct pf_str key, struct pf_str value,
 		   uint64_t revision)
 {
@@ -141,6 +172,13 @@
 			forget(t, "its entry can't be read");
 		return;
 	}
+	if (replaced(g, &l)) {
+		pf_listed_clear(&l);
+		if (t)
+			forget(t, "another started at its address");
+		return;
+	}
+	forget_replaced(g, &l);
 	if (!t) {
 		t = target_new(g);
 		if (!t) {
--- a/include/pimentoford/gate.h
+++ b/include/pimentoford/gate.h
@@ -89,7 +89,7 @@
 	uint64_t item;
 	uint64_t model; /* of an adapter; of a model, the same as `item` */
 	float per_s;
-	float ms_per_s; /* of endpoints' time */
+	float alive; /* that wait or are under way, smoothed */
 	uint32_t waiting; /* that no endpoint could be given */
 };
 
--- a/src/coordination/gate/gate_core.h
+++ b/src/coordination/gate/gate_core.h
@@ -123,9 +123,9 @@
 	uint64_t id; /* 0: free */
 	uint64_t model;
 	double per_s; /* smoothed */
-	double ms_per_s;
-	double count; /* since `since` */
-	double ms;
+	double alive_avg;
+	double count; /* since they were smoothed last */
+	uint32_t alive;
 };
 
 #define GATE_CRASHES 64
@@ -237,8 +237,8 @@
 void gate_crash_blame(struct pf_gate *g, uint64_t fingerprint, bool tell);
 
 /* gate_demand.c */
-void gate_demand_add(struct pf_gate *g, const struct gate_request *r,
-		     double ms);
+void gate_demand_begin(struct pf_gate *g, const struct gate_request *r);
+void gate_demand_end(struct pf_gate *g, const struct gate_request *r);
 
 /* gate_life.c */
 void gate_arrive(struct pf_gate *g, const struct pf_gate_arrival *a);
--- a/src/coordination/gate/gate_demand.c
+++ b/src/coordination/gate/gate_demand.c
@@ -5,6 +5,7 @@
 
 /* Demand is smoothed over so long. */
 #define SMOOTH_S 3.0
+#define ALIVE_SMOOTH_S 0.7
 /* An item asked for less often is forgotten. */
 #define FORGET_PER_S 0.002
 #define SECOND_MS 1000.0
@@ -29,7 +30,7 @@
 	return spare;
 }
 
-static void count(struct pf_gate *g, uint64_t id, uint64_t model, double ms)
+static void begin(struct pf_gate *g, uint64_t id, uint64_t model)
 {
 	struct gate_item *it = item_of(g, id, true);
 
@@ -37,27 +38,42 @@
 		return;
 	it->model = model;
 	it->count++;
-	it->ms += ms;
+	it->alive++;
 }
 
-void gate_demand_add(struct pf_gate *g, const struct gate_request *r, double ms)
+static void end(struct pf_gate *g, uint64_t id)
 {
-	if (!r->model)
-		return;
-	count(g, r->model, r->model, ms);
+	struct gate_item *it = item_of(g, id, false);
+
+	if (it && it->alive)
+		it->alive--;
+}
+
+void gate_demand_begin(struct pf_gate *g, const struct gate_request *r)
+{
+	if (r->model)
+		begin(g, r->model, r->model);
+	if (r->adapter)
+		begin(g, r->adapter, r->model);
+}
+
+void gate_demand_end(struct pf_gate *g, const struct gate_request *r)
+{
+	if (r->model)
+		end(g, r->model);
 	if (r->adapter)
-		count(g, r->adapter, r->model, ms);
+		end(g, r->adapter);
 }
 
 static void smooth(struct gate_item *it, double s)
 {
 	double w = exp(-s / SMOOTH_S);
+	double v = exp(-s / ALIVE_SMOOTH_S);
 
 	it->per_s = w * it->per_s + (1 - w) * it->count / s;
-	it->ms_per_s = w * it->ms_per_s + (1 - w) * it->ms / s;
+	it->alive_avg = v * it->alive_avg + (1 - v) * it->alive;
 	it->count = 0;
-	it->ms = 0;
-	if (it->per_s < FORGET_PER_S)
+	if (!it->alive && it->per_s < FORGET_PER_S)
 		it->id = 0;
 }
 
@@ -90,7 +106,7 @@
 			.item = it->id,
 			.model = it->model,
 			.per_s = (float)it->per_s,
-			.ms_per_s = (float)it->ms_per_s,
+			.alive = (float)it->alive_avg,
 			.waiting = waiting_for(g, it->id),
 		};
 	}
--- a/src/coordination/gate/gate_life.c
+++ b/src/coordination/gate/gate_life.c
@@ -81,6 +81,7 @@
 	uint32_t slot = slot_of(g, r);
 
 	leave(g, r);
+	gate_demand_end(g, r);
 	r->state = GATE_FREE;
 	pf_heap_set(&g->timers, slot, PF_NEVER);
 	g->free_requests[g->n_free++] = slot;
@@ -178,7 +179,6 @@
 	a.u.send.tries = r->sends;
 	a.u.send.expected = (pf_ms)r->expected_ms;
 	a.u.send.cached = gate_prefix_cached(g, r, e);
-	gate_demand_add(g, r, r->sends ? 0 : r->own_ms + r->output);
 	r->state = r->passed ? GATE_STREAMING : GATE_SENT;
 	r->sends++;
 	r->arrivals++;
@@ -334,15 +334,14 @@
 		return;
 	}
 	gate_budget_request(g, r->service);
+	gate_demand_begin(g, r);
 	wait_add(g, r);
 	if (gate_quarantined(g, r->fingerprint)) {
 		refuse(g, r, PF_GATE_WHY_QUARANTINED);
 		return;
 	}
-	if (!try_send(g, r)) {
-		gate_demand_add(g, r, 0);
+	if (!try_send(g, r))
 		arm(g, r);
-	}
 }
 
 static void drop(struct pf_gate *g, struct gate_request *r)
--- a/src/coordination/gate/gate_pick.c
+++ b/src/coordination/gate/gate_pick.c
@@ -12,7 +12,7 @@
 #define MS_PER_TOKEN_MIN 0.002
 #define MS_PER_TOKEN_MAX 0.3
 /* Each run beside it slows an engine's step by about so much in all. */
-#define CROWD_MS 1.5
+#define CROWD_MS 6.0
 /* A plain service's run, as long as none was measured. */
 #define PLAIN_MS 15.0
 /* What a failed try costs the request. */
--- a/src/coordination/plan/plan.c
+++ b/src/coordination/plan/plan.c
@@ -5,15 +5,15 @@
 #include <string.h>
 
 /* A gateway that was not heard for so long does not lead. */
-#define PEER_SILENT_MS 1500
+#define PEER_SILENT_MS 1000
 /* A process that stood still for longer has old knowledge. */
 #define GAP_MS 700
 /* After a start or a gap, until the others have been heard. */
-#define QUIET_MS 1600
+#define QUIET_MS 900
 /* An entry is older than what its loader said within this. */
 #define STATE_KEEP_MS 3000
 /* Entries come one after the other when all starts; until none came for so
- * long, engines may be missing. */
+ * long, engines may be missing, and what can't be undone cheaply waits. */
 #define LISTED_MS 1500
 /* Demand that was not said anew is forgotten. */
 #define DEMAND_KEEP_MS 3000
@@ -304,7 +304,7 @@
 	uint32_t k;
 
 	for (i = 0; i < p->n_models; i++) {
-		p->models[i].ms_per_s = 0;
+		p->models[i].alive = 0;
 		p->models[i].per_s = 0;
 		p->models[i].waiting = 0;
 	}
@@ -319,7 +319,7 @@
 
 			if (!m)
 				continue;
-			m->ms_per_s += q->demand[k].ms_per_s;
+			m->alive += q->demand[k].alive;
 			m->per_s += q->demand[k].per_s;
 			m->waiting += q->demand[k].waiting;
 		}
@@ -394,9 +394,9 @@
 		p->quiet_until = p->now + QUIET_MS;
 	p->last_tick = p->now;
 	elect(p);
-	if (!p->leads || !p->service || !p->members ||
-	    p->now - p->listed_at < LISTED_MS)
+	if (!p->leads || !p->service || !p->members)
 		return;
+	p->settled = p->now - p->listed_at >= LISTED_MS;
 	sum_demand(p);
 	resend(p);
 	plan_choose(p);
--- a/src/coordination/plan/plan_choose.c
+++ b/src/coordination/plan/plan_choose.c
@@ -5,13 +5,11 @@
 
 /* A loader that was not heard for so long gets no orders. */
 #define STATE_FRESH_MS 1500
-/* An engine reads prompts for at most 1000 ms a second; a model whose least
- * busy home reads for longer than this gets another. */
-#define BUSY_MS_PER_S 350
-/* A home may go when those that stay would read for less than this. */
-#define SPARE_MS_PER_S 200
-/* Requests that wait count as so much demand. */
-#define WAITING_MS 150
+/* With more requests under way at once, prompts and events wait for each
+ * other at an engine: a model whose least busy home has more gets another. */
+#define BUSY_ALIVE 8
+/* A home may go when those that stay would have fewer than this. */
+#define SPARE_ALIVE 4
 /* A new home stays for so long. */
 #define SETTLE_MS 5000
 /* Room that was made stays reserved for so long. */
@@ -19,9 +17,9 @@
 /* Of an engine's memory left for adapters. */
 #define ADAPTERS_SHARE 0.005
 /* What a load from the weight store costs against one from a copy, and what
- * room that must be made first costs, in ms of prompts a second. */
-#define STORE_COST 150
-#define EVICT_COST 60
+ * room that must be made first costs, as requests under way. */
+#define STORE_COST 5
+#define EVICT_COST 2
 #define ORDERS_PER_TICK 6
 
 static bool usable(const struct pf_plan *p, const struct plan_engine *e)
@@ -82,7 +80,7 @@
 
 static double demand_of(const struct plan_model *m)
 {
-	return m->ms_per_s + WAITING_MS * m->waiting;
+	return m->alive;
 }
 
 static double share_of(const struct plan_model *m)
@@ -129,10 +127,8 @@
 
 	if (m->homes == 0)
 		return 1e6 + demand_of(m);
-	if (m->coming)
-		return 0; /* what is under way may do */
 	least = least_work(p, m);
-	if (least < BUSY_MS_PER_S || demand_of(m) < BUSY_MS_PER_S / 4)
+	if (least < BUSY_ALIVE || share_of(m) < BUSY_ALIVE / 4.0)
 		return 0;
 	return least;
 }
@@ -151,7 +147,7 @@
 		if (!m || m->spec->id == keep || !holds(e, m->spec->id))
 			continue;
 		stay = m->homes - m->coming;
-		if (stay < 2 || demand_of(m) / (stay - 1) > SPARE_MS_PER_S ||
+		if (stay < 2 || demand_of(m) / (stay - 1) > SPARE_ALIVE ||
 		    p->now - m->changed_at < SETTLE_MS)
 			continue;
 		if (!best || share_of(m) < share_of(best))
@@ -175,7 +171,7 @@
 			continue;
 		stay = v->homes - v->coming;
 		if (stay >= 2 &&
-		    demand_of(v) / (stay - 1) <= SPARE_MS_PER_S &&
+		    demand_of(v) / (stay - 1) <= SPARE_ALIVE &&
 		    p->now - v->changed_at >= SETTLE_MS)
 			room += v->spec->weights_mb;
 	}
@@ -198,10 +194,10 @@
 	if (e->reserved && e->reserved != m->spec->id &&
 	    p->now < e->reserved_until)
 		return;
-	if (!at_hand && !plan_may_load(p))
+	if (!at_hand && (!p->settled || !plan_may_load(p)))
 		return;
 	if (room_of(p, e) < m->spec->weights_mb) {
-		if (!can_make_room(p, e, m))
+		if (!p->settled || !can_make_room(p, e, m))
 			return;
 		cost += EVICT_COST;
 	}
--- a/src/coordination/plan/plan_core.h
+++ b/src/coordination/plan/plan_core.h
@@ -35,14 +35,13 @@
 	pf_ms sent_at;
 	uint64_t reserved; /* room is being made for this model */
 	pf_ms reserved_until;
-	double work; /* ms of prompts a second, by the demand */
+	double work; /* requests alive, by the demand */
 };
 
 struct plan_model {
 	const struct pf_model_spec *spec;
-	double ms_per_s; /* demand of all gateways */
+	double alive; /* requests at all gateways */
 	double per_s;
-	double rest_ms_per_s; /* the highest of the last seconds, fading */
 	uint32_t waiting;
 	uint32_t homes; /* at engines that stay, loads under way included */
 	uint32_t coming; /* of them, not there yet */
@@ -79,6 +78,7 @@
 	struct plan_load loads[PLAN_LOADS_MAX];
 	uint32_t n_loads; /* that were ever noted; a ring */
 	bool leads;
+	bool settled; /* all engines are known */
 	bool members; /* the list of gateways was read */
 	pf_ms listed_at; /* an engine was listed for the first time */
 };
--- a/src/protocol/pimento.x
+++ b/src/protocol/pimento.x
@@ -208,7 +208,7 @@
 	unsigned hyper item;
 	unsigned hyper model;
 	float per_s;
-	float ms_per_s;
+	float alive;
 	unsigned int waiting;
 };
 
--- a/src/protocol/pimento_xdr.c
+++ b/src/protocol/pimento_xdr.c
@@ -636,7 +636,7 @@
 		 return FALSE;
 	 if (!xdr_float (xdrs, &objp->per_s))
 		 return FALSE;
-	 if (!xdr_float (xdrs, &objp->ms_per_s))
+	 if (!xdr_float (xdrs, &objp->alive))
 		 return FALSE;
 	 if (!xdr_u_int (xdrs, &objp->waiting))
 		 return FALSE;
--- a/src/protocol/pimento_xdr.h
+++ b/src/protocol/pimento_xdr.h
@@ -284,7 +284,7 @@
 	u_quad_t item;
 	u_quad_t model;
 	float per_s;
-	float ms_per_s;
+	float alive;
 	u_int waiting;
 };
 typedef struct pimento_gate_demand pimento_gate_demand;
--- a/src/transport/talk.c
+++ b/src/transport/talk.c
@@ -113,7 +113,7 @@
 		while (at < n && k < DEMANDS_A_DATAGRAM) {
 			part[k++] = (pimento_gate_demand){
 				v[at].item, v[at].model, v[at].per_s,
-				v[at].ms_per_s, v[at].waiting
+				v[at].alive, v[at].waiting
 			};
 			at++;
 		}
@@ -133,7 +133,7 @@
 		const pimento_gate_demand *d = &in->demands.demands_val[i];
 
 		v[i] = (struct pf_gate_demand){ d->item, d->model, d->per_s,
-						d->ms_per_s, d->waiting };
+						d->alive, d->waiting };
 	}
 	t->o.demand(t->o.ctx, in->peer, v, in->demands.demands_len);
 }
