--- a/daemons/gateway/gateway.h
+++ b/daemons/gateway/gateway.h
@@ -96,6 +96,7 @@
 struct gateway {
 	struct event_base *base;
 	struct pf_gateway_settings set;
+	const char *settings_path;
 	struct pf_log log;
 	struct pf_gateway_counters *counters;
 	uint64_t self; /* of this process's life */
--- a/daemons/gateway/main.c
+++ b/daemons/gateway/main.c
@@ -67,6 +67,38 @@
 	event_add(g->stop_timer, &poll);
 }
 
+static int load_settings(const char *path, struct pf_gateway_settings *set)
+{
+	struct pf_findings f = { 0 };
+	int ret;
+
+	pf_gate_opts_default(&set->core);
+	ret = pf_settings_load(&pf_gateway_form, path, set, &f);
+	pf_findings_print(&f, STDERR_FILENO);
+	pf_findings_clear(&f);
+	return ret;
+}
+
+/* Takes over what may change while running; the rest needs a restart. */
+static void on_reload(void *ctx)
+{
+	struct pf_gateway_settings set = { 0 };
+	struct gateway *g = ctx;
+
+	if (load_settings(g->settings_path, &set) < 0) {
+		PF_LOG(&g->log, PF_LOG_ERROR, "reload_refused",
+		       PF_KV_STR("file", g->settings_path));
+	} else {
+		g->set.drain = set.drain;
+		g->log.level = (enum pf_log_level)set.place.log_level;
+		pf_gate_set_budget(g->core, set.core.repeat_ratio,
+				   set.core.repeat_slack);
+		PF_LOG(&g->log, PF_LOG_INFO, "reloaded",
+		       PF_KV_STR("file", g->settings_path));
+	}
+	pf_fields_free(&pf_gateway_form, &set);
+}
+
 static int start(struct gateway *g)
 {
 	g->base = event_base_new();
@@ -76,6 +108,7 @@
 	g->started = pf_clock_now();
 	g->stop_timer = event_new(g->base, -1, EV_PERSIST, on_stop_timer, g);
 	if (!g->stop_timer || pf_process_signals(g->base, on_stop, g) < 0 ||
+	    pf_process_reload(g->base, g->settings_path, on_reload, g) < 0 ||
 	    core_start(g) < 0)
 		return -1;
 	if (callers_start(g) < 0 || ready_start(g) < 0) {
@@ -106,18 +139,6 @@
 		event_free(g->stop_timer);
 }
 
-static int load_settings(struct gateway *g, const char *path)
-{
-	struct pf_findings f = { 0 };
-	int ret;
-
-	pf_gate_opts_default(&g->set.core);
-	ret = pf_settings_load(&pf_gateway_form, path, &g->set, &f);
-	pf_findings_print(&f, STDERR_FILENO);
-	pf_findings_clear(&f);
-	return ret;
-}
-
 int main(int argc, char **argv)
 {
 	static struct pf_gateway_counters counters;
@@ -132,7 +153,8 @@
 	g.listener = -1;
 	g.counters = &counters;
 	status = PF_EXIT_SETTINGS;
-	if (load_settings(&g, o.settings) < 0)
+	g.settings_path = o.settings;
+	if (load_settings(o.settings, &g.set) < 0)
 		goto out;
 	status = EXIT_SUCCESS;
 	if (o.check)
--- a/daemons/loader/main.c
+++ b/daemons/loader/main.c
@@ -31,6 +31,7 @@
 struct loader {
 	struct event_base *base;
 	struct pf_loader_settings set;
+	const char *settings_path;
 	struct pf_log log;
 	struct pf_loader *core;
 	struct event *timer;
@@ -240,6 +241,26 @@
 	event_base_loopbreak(l->base);
 }
 
+/* Takes over what may change while running; the rest needs a restart. */
+static void on_reload(void *ctx)
+{
+	struct pf_loader_settings set = { 0 };
+	struct pf_findings f = { 0 };
+	struct loader *l = ctx;
+
+	if (pf_settings_load(&pf_loader_form, l->settings_path, &set, &f) < 0) {
+		pf_findings_print(&f, STDERR_FILENO);
+		PF_LOG(&l->log, PF_LOG_ERROR, "reload_refused",
+		       PF_KV_STR("file", l->settings_path));
+	} else {
+		l->log.level = (enum pf_log_level)set.place.log_level;
+		PF_LOG(&l->log, PF_LOG_INFO, "reloaded",
+		       PF_KV_STR("file", l->settings_path));
+	}
+	pf_findings_clear(&f);
+	pf_fields_free(&pf_loader_form, &set);
+}
+
 static int start(struct loader *l)
 {
 	static const struct pf_loader_msg tick = { .type = PF_LOADER_TICK };
@@ -266,7 +287,8 @@
 	l->timer = event_new(l->base, -1, 0, on_timer, l);
 	l->tell_timer = event_new(l->base, -1, EV_PERSIST, on_tell_timer, l);
 	if (!l->core || !l->engine || !l->talk || !l->timer ||
-	    !l->tell_timer || pf_process_signals(l->base, on_stop, l) < 0)
+	    !l->tell_timer || pf_process_signals(l->base, on_stop, l) < 0 ||
+	    pf_process_reload(l->base, l->settings_path, on_reload, l) < 0)
 		return -1;
 	event_add(l->tell_timer, &every);
 	step(l, &tick);
@@ -299,6 +321,7 @@
 			       &status) < 0)
 		return status;
 	status = PF_EXIT_SETTINGS;
+	l.settings_path = o.settings;
 	bad = pf_settings_load(&pf_loader_form, o.settings, &l.set, &f);
 	pf_findings_print(&f, STDERR_FILENO);
 	pf_findings_clear(&f);
--- a/include/pimentoford/gate.h
+++ b/include/pimentoford/gate.h
@@ -202,6 +202,9 @@
 void pf_gate_step(struct pf_gate *g, pf_ms now, const struct pf_gate_msg *m,
 		  const struct pf_gate_sink *sink);
 
+/** Sets the budget of further sends anew; the counts are kept. */
+void pf_gate_set_budget(struct pf_gate *g, double ratio, uint32_t slack);
+
 /** When the next PF_GATE_TICK is due. */
 pf_ms pf_gate_next(const struct pf_gate *g);
 
--- a/include/pimentoford/process.h
+++ b/include/pimentoford/process.h
@@ -49,6 +49,13 @@
 int pf_process_signals(struct event_base *base, void (*stop)(void *ctx),
 		       void *ctx);
 
+/**
+ * Calls @reload in the event loop on SIGHUP, and when the file at @path has
+ * changed without one. @path is borrowed for the process's life. 0 or -1.
+ */
+int pf_process_reload(struct event_base *base, const char *path,
+		      void (*reload)(void *ctx), void *ctx);
+
 PF_END_DECLS
 
 #endif
--- a/src/coordination/gate/gate.c
+++ b/src/coordination/gate/gate.c
@@ -140,6 +140,12 @@
 	g->sink = NULL;
 }
 
+void pf_gate_set_budget(struct pf_gate *g, double ratio, uint32_t slack)
+{
+	g->o.repeat_ratio = ratio;
+	g->o.repeat_slack = slack;
+}
+
 pf_ms pf_gate_next(const struct pf_gate *g)
 {
 	pf_ms next = pf_heap_top(&g->timers, NULL);
--- a/src/coordination/gate/gate_core.h
+++ b/src/coordination/gate/gate_core.h
@@ -77,6 +77,8 @@
 	uint32_t running;
 	int64_t kv;
 	double prefill_ms;
+	uint32_t streaming; /* of them, with some of the answer passed on */
+	pf_ms heard_at; /* anything of an answer came */
 	/* sent by the others */
 	uint32_t peer_running;
 	int64_t peer_kv;
--- a/src/coordination/gate/gate_demand.c
+++ b/src/coordination/gate/gate_demand.c
@@ -4,7 +4,7 @@
 #include <math.h>
 
 /* Demand is smoothed over so long. */
-#define SMOOTH_S 3.0
+#define SMOOTH_S 1.2
 #define ALIVE_SMOOTH_S 0.7
 /* An item asked for less often is forgotten. */
 #define FORGET_PER_S 0.002
--- a/src/coordination/gate/gate_endpoints.c
+++ b/src/coordination/gate/gate_endpoints.c
@@ -226,7 +226,10 @@
 	struct gate_endpoint *e = &g->endpoints[slot];
 
 	r->endpoint = slot;
-	e->running++;
+	if (e->running++ == 0)
+		e->heard_at = g->now;
+	if (r->state == GATE_STREAMING)
+		e->streaming++;
 	e->kv += r->kv;
 	e->prefill_ms += r->own_ms;
 }
@@ -243,6 +246,8 @@
 
 	gate_load_first(g, r);
 	e->running--;
+	if (r->state == GATE_STREAMING)
+		e->streaming--;
 	e->kv -= r->kv;
 	if (e->running == 0)
 		e->prefill_ms = 0; /* sums of fractions drift */
--- a/src/coordination/gate/gate_life.c
+++ b/src/coordination/gate/gate_life.c
@@ -370,9 +370,12 @@
 		gate_load_first(g, r);
 		g->pump_at = g->now;
 	}
+	if (r->state != GATE_STREAMING)
+		g->endpoints[r->endpoint].streaming++;
 	r->state = GATE_STREAMING;
 	r->passed = true;
 	r->heard_at = g->now;
+	g->endpoints[r->endpoint].heard_at = g->now;
 }
 
 static void avoid(struct gate_request *r, uint64_t id)
@@ -442,6 +445,7 @@
 	struct gate_endpoint *e = &g->endpoints[r->endpoint];
 	struct pf_gate_act deliver = { .type = PF_GATE_DELIVER };
 
+	e->heard_at = g->now;
 	judge(g, r, e, end);
 	switch (end->outcome) {
 	case PF_GATE_ANSWERED:
--- a/src/coordination/gate/gate_pick.c
+++ b/src/coordination/gate/gate_pick.c
@@ -21,6 +21,8 @@
 #define PREFILL_MAX_MS 1200.0
 /* Of an engine's memory: beyond it runs are preempted. */
 #define KV_FILL 0.92
+/* Nothing came of any stream of an endpoint for so long. */
+#define SILENT_MS 500
 /* An adapter that must be brought costs the request, and others there, about
  * so much. */
 #define ADAPTER_MS 45.0
@@ -96,6 +98,12 @@
 	return false;
 }
 
+/* Streams that all pause at once: the endpoint has likely died. */
+static bool silent(const struct pf_gate *g, const struct gate_endpoint *e)
+{
+	return e->streaming > 0 && g->now - e->heard_at > SILENT_MS;
+}
+
 /* Whether the endpoint may be used for @r at all. */
 static bool fits(const struct pf_gate *g, const struct gate_request *r,
 		 const struct gate_endpoint *e)
@@ -185,7 +193,7 @@
 		struct estimate x = { 0 };
 
 		if (!fits(g, r, e) || e->blocked_until > g->now ||
-		    avoided(r, e->id) != again)
+		    silent(g, e) || avoided(r, e->id) != again)
 			continue;
 		estimate(g, r, e, &x);
 		x.lacks = r->adapter &&
--- a/src/coordination/plan/plan.c
+++ b/src/coordination/plan/plan.c
@@ -20,6 +20,9 @@
 /* An order that shows no effect is sent again, and then given up. */
 #define RESEND_MS 250
 #define ORDER_KEEP_MS 1200
+/* The store's bound for a window is so much above its rate, less one for what
+ * another planner may have begun. */
+#define LOADS_SPARE 2
 /* What counts as held back for clocks and orders under way. */
 #define WINDOW_SPARE_MS 500
 
@@ -226,7 +229,7 @@
 	}
 	return under_way < at_once &&
 	       loads_since(p, p->now - p->o.window - WINDOW_SPARE_MS) + 1 <=
-		       rate * (double)p->o.window / 1000;
+		       rate * (double)p->o.window / 1000 + LOADS_SPARE;
 }
 
 static void settle_order(struct pf_plan *p, struct plan_engine *e)
--- a/src/coordination/plan/plan_choose.c
+++ b/src/coordination/plan/plan_choose.c
@@ -10,10 +10,13 @@
 #define BUSY_ALIVE 8
 /* A home may go when those that stay would have fewer than this. */
 #define SPARE_ALIVE 4
+/* At an engine that is not busy a request takes about so long: demand that
+ * rises shows in arrivals before it shows in what is under way. */
+#define SERVICE_S 1.2
 /* A new home stays for so long. */
 #define SETTLE_MS 5000
 /* Room that was made stays reserved for so long. */
-#define RESERVE_MS 4000
+#define RESERVE_MS 2500
 /* Of an engine's memory left for adapters. */
 #define ADAPTERS_SHARE 0.005
 /* What a load from the weight store costs against one from a copy, and what
@@ -80,7 +83,9 @@
 
 static double demand_of(const struct plan_model *m)
 {
-	return m->alive;
+	double expected = m->per_s * SERVICE_S;
+
+	return m->alive > expected ? m->alive : expected;
 }
 
 static double share_of(const struct plan_model *m)
@@ -183,6 +188,19 @@
 	double cost;
 };
 
+/* Room that was made goes to the model for which it was made. */
+static bool reserved_for_other(struct pf_plan *p, const struct plan_engine *e,
+			       const struct plan_model *m)
+{
+	const struct plan_model *other;
+
+	if (!e->reserved || e->reserved == m->spec->id ||
+	    p->now >= e->reserved_until)
+		return false;
+	other = plan_model(p, e->reserved);
+	return other && urgency(p, other) > 0;
+}
+
 static void consider(struct pf_plan *p, struct plan_engine *e,
 		     const struct plan_model *m, struct choice *best)
 {
@@ -191,8 +209,7 @@
 
 	if (!usable(p, e) || e->busy || e->ordered || holds(e, m->spec->id))
 		return;
-	if (e->reserved && e->reserved != m->spec->id &&
-	    p->now < e->reserved_until)
+	if (reserved_for_other(p, e, m))
 		return;
 	if (!at_hand && (!p->settled || !plan_may_load(p)))
 		return;
--- a/src/transport/process.c
+++ b/src/transport/process.c
@@ -9,9 +9,12 @@
 #include <stdlib.h>
 #include <string.h>
 #include <sys/resource.h>
+#include <sys/stat.h>
 #include <unistd.h>
 
 #define KEY_BYTES_MIN 16
+/* A changed settings file is noticed within. */
+#define LOOK_EVERY_S 5
 
 int pf_process_options(int argc, char **argv, const char *summary,
 		       struct pf_process_options *o, int *status)
@@ -152,3 +155,55 @@
 	}
 	return 0;
 }
+
+struct reload_handler {
+	void (*reload)(void *ctx);
+	void *ctx;
+	const char *path;
+	struct stat seen;
+};
+
+static void on_hangup(evutil_socket_t sig, short what, void *ctx)
+{
+	struct reload_handler *h = ctx;
+
+	(void)sig;
+	(void)what;
+	if (stat(h->path, &h->seen) < 0)
+		memset(&h->seen, 0, sizeof(h->seen));
+	h->reload(h->ctx);
+}
+
+static void on_look(evutil_socket_t fd, short what, void *ctx)
+{
+	struct reload_handler *h = ctx;
+	struct stat st;
+
+	(void)fd;
+	if (stat(h->path, &st) < 0)
+		return; /* it may be about to be replaced */
+	if (st.st_mtim.tv_sec != h->seen.st_mtim.tv_sec ||
+	    st.st_mtim.tv_nsec != h->seen.st_mtim.tv_nsec ||
+	    st.st_size != h->seen.st_size || st.st_ino != h->seen.st_ino)
+		on_hangup(-1, what, h);
+}
+
+int pf_process_reload(struct event_base *base, const char *path,
+		      void (*reload)(void *ctx), void *ctx)
+{
+	/* Lives as long as the process. */
+	static struct reload_handler handler;
+	struct timeval every = { LOOK_EVERY_S, 0 };
+	struct event *hup;
+	struct event *look;
+
+	handler = (struct reload_handler){ reload, ctx, path, { 0 } };
+	if (stat(path, &handler.seen) < 0)
+		return -1;
+	hup = evsignal_new(base, SIGHUP, on_hangup, &handler);
+	look = event_new(base, -1, EV_PERSIST, on_look, &handler);
+	if (!hup || !look || event_add(hup, NULL) < 0 ||
+	    event_add(look, &every) < 0)
+		return -1;
+	return 0;
+}
