--- a/daemons/gateway/exchange.c
+++ b/daemons/gateway/exchange.c
@@ -297,6 +297,17 @@
 		caller_write(x->caller, pf_text_str(t));
 }
 
+/* Events in @s, which holds whole ones. */
+static uint32_t count_events(struct pf_str s)
+{
+	uint32_t n = 0;
+	size_t i;
+
+	for (i = 1; i < s.n; i++)
+		n += s.p[i] == '\n' && s.p[i - 1] == '\n';
+	return n;
+}
+
 void exchange_events(struct exchange *x)
 {
 	struct pf_gate_msg m = { .type = PF_GATE_EVENTS };
@@ -306,10 +317,11 @@
 		return;
 	x->last_event =
 		last_id((struct pf_str){ x->answer.p, n }, x->last_event);
+	m.u.events.n = count_events((struct pf_str){ x->answer.p, n });
 	send_chunk(x, n);
 	memmove(x->answer.p, x->answer.p + n, x->answer.n - n);
 	x->answer.n -= n;
-	m.u.request = x->handle;
+	m.u.events.request = x->handle;
 	core_step(x->g, &m);
 }
 
--- a/daemons/gateway/upstream.c
+++ b/daemons/gateway/upstream.c
@@ -294,6 +294,9 @@
 	       PF_KV_INT("try", a->u.send.tries + 1),
 	       PF_KV_INT("expected_ms", a->u.send.expected),
 	       PF_KV_INT("cached", a->u.send.cached),
+	       PF_KV_INT("prompt", x->in.prompt_tokens),
+	       PF_KV_INT("max_tokens", x->in.max_tokens),
+	       PF_KV_INT("hint", x->in.output_hint),
 	       PF_KV_INT("reused", reused));
 }
 
--- a/include/pimentoford/gate.h
+++ b/include/pimentoford/gate.h
@@ -114,7 +114,7 @@
 	PF_GATE_ENDPOINT_GONE, /* u.id */
 	PF_GATE_ARRIVE, /* u.arrival */
 	PF_GATE_HANGUP, /* u.request: its caller left */
-	PF_GATE_EVENTS, /* u.request: some of its stream was passed on */
+	PF_GATE_EVENTS, /* u.events: some of a stream was passed on */
 	PF_GATE_ENDED, /* u.end */
 	PF_GATE_PEER, /* u.digest */
 	PF_GATE_STATE, /* u.state: of an endpoint's loader; for the call */
@@ -129,6 +129,10 @@
 		uint64_t id;
 		struct pf_gate_arrival arrival;
 		uint32_t request;
+		struct {
+			uint32_t request;
+			uint32_t n; /* events */
+		} events;
 		struct pf_gate_end end;
 		struct pf_gate_digest digest;
 		const struct pf_engine_state *state;
--- a/src/coordination/gate/gate.c
+++ b/src/coordination/gate/gate.c
@@ -105,7 +105,7 @@
 		gate_hangup(g, m->u.request);
 		break;
 	case PF_GATE_EVENTS:
-		gate_events(g, m->u.request);
+		gate_events(g, m->u.events.request, m->u.events.n);
 		break;
 	case PF_GATE_ENDED:
 		gate_ended(g, &m->u.end);
--- a/src/coordination/gate/gate_core.h
+++ b/src/coordination/gate/gate_core.h
@@ -31,6 +31,7 @@
 	uint64_t adapter;
 	uint32_t prompt;
 	uint32_t output; /* tokens expected */
+	uint32_t events; /* of them, that were not passed on yet */
 	uint64_t chains[PF_PROMPT_PARTS_MAX]; /* parts 0 to i, of the model */
 	uint32_t chain_tokens[PF_PROMPT_PARTS_MAX]; /* sum of parts 0 to i */
 	uint32_t n_chains;
@@ -85,6 +86,7 @@
 	double peer_prefill_ms;
 	/* learned from answers */
 	double slow; /* measured over expected time, 1 is as expected */
+	double event_ms; /* between two events of a stream */
 	double failing; /* share of tries that failed */
 	pf_ms blocked_until; /* it did not answer, or was full */
 	uint32_t strikes; /* blocks in a row */
@@ -245,7 +247,7 @@
 /* gate_life.c */
 void gate_arrive(struct pf_gate *g, const struct pf_gate_arrival *a);
 void gate_hangup(struct pf_gate *g, uint32_t slot);
-void gate_events(struct pf_gate *g, uint32_t slot);
+void gate_events(struct pf_gate *g, uint32_t slot, uint32_t n);
 void gate_ended(struct pf_gate *g, const struct pf_gate_end *end);
 void gate_request_due(struct pf_gate *g, uint32_t slot);
 /** Sends what waits and can be sent. */
--- a/src/coordination/gate/gate_endpoints.c
+++ b/src/coordination/gate/gate_endpoints.c
@@ -12,6 +12,8 @@
 #define BLOCK_MAX_MS 3200
 /* Weight of the newest try in the share that failed. */
 #define FAILING_WEIGHT 0.1
+/* Between events of a stream, until measured. */
+#define EVENT_MS 25
 /* A loader says something at least twice a second. */
 #define LOADER_SILENT_MS 1800
 /* A gateway that said nothing for so long has ended or is cut off. */
@@ -157,6 +159,7 @@
 		e->used = true;
 		e->id = l->id;
 		e->slow = 1;
+		e->event_ms = EVENT_MS;
 		add_peers(g, e);
 	}
 	e = &g->endpoints[slot];
@@ -165,6 +168,7 @@
 		e->blocked_until = 0;
 		e->strikes = 0;
 		e->failing = 0;
+		e->event_ms = EVENT_MS;
 		e->state_at = 0;
 		e->orders = 0;
 	}
--- a/src/coordination/gate/gate_life.c
+++ b/src/coordination/gate/gate_life.c
@@ -16,11 +16,18 @@
 /* When a caller that was refused is to come back; spread over the span. */
 #define RETRY_MIN_MS 250
 #define RETRY_SPAN_MS 750
+/* Weight of one event in the pace of an endpoint's streams. */
+#define EVENT_WEIGHT 0.02
 /* An endpoint that was full is left alone so long, unless it says. */
 #define FULL_MS 150
 #define FULL_MAX_MS 1000
 /* Until its entry says otherwise, a model is missing there. */
 #define LACKS_MS 1500
+/* Of the time that a request has, it may wait so much where endpoints are
+ * full: they rarely drain sooner, and its caller may do better elsewhere. */
+#define WAIT_FULL 0.0
+/* And where its model must be loaded first, which is sure to come. */
+#define WAIT_LOAD 0.5
 /* A missing adapter is asked for so often. */
 #define WANT_EVERY_MS 150
 /* A request's priority at an engine: two for each rank, one for patience. */
@@ -153,12 +160,25 @@
 			  STALL_PLAIN_MS;
 }
 
+/* When a request that waits is given up. */
+static pf_ms wait_limit(struct pf_gate *g, const struct gate_request *r)
+{
+	pf_ms last = r->over - least_time(r);
+	double share = gate_served(g, r) ? WAIT_FULL : WAIT_LOAD;
+	pf_ms limit = r->arrived +
+		      (pf_ms)(share * (double)(r->over - r->arrived));
+
+	if (r->objective)
+		limit += r->objective / 8;
+	return limit < last ? limit : last;
+}
+
 static void arm(struct pf_gate *g, struct gate_request *r)
 {
 	pf_ms at = r->over;
 
 	if (r->state == GATE_WAITING)
-		at = r->over - least_time(r);
+		at = wait_limit(g, r);
 	else if (gate_repeatable(r) && r->heard_at + stall_of(r) < at)
 		at = r->heard_at + stall_of(r);
 	pf_heap_set(&g->timers, slot_of(g, r), at > g->now ? at : g->now + 1);
@@ -248,7 +268,8 @@
 		arm(g, r);
 }
 
-static void copy_prompt(struct gate_request *r, const struct pf_inbound *in)
+static void copy_prompt(struct gate_request *r, const struct pf_inbound *in,
+			uint32_t event_tokens)
 {
 	uint64_t chain = pf_id2(in->model, in->adapter);
 	uint32_t sum = 0;
@@ -260,6 +281,7 @@
 	r->output = in->output_hint && in->output_hint < in->max_tokens ?
 			    in->output_hint :
 			    in->max_tokens;
+	r->events = r->output / (event_tokens ? event_tokens : 1) + 1;
 	for (i = 0; i < in->n_parts; i++) {
 		chain = pf_id2(chain, in->parts[i].id);
 		sum += in->parts[i].tokens;
@@ -291,6 +313,7 @@
 				 const struct pf_gate_arrival *a)
 {
 	const struct pf_route *route = a->route;
+	const struct pf_route_service *service;
 	struct gate_request *r;
 
 	if (g->n_free == 0)
@@ -312,7 +335,8 @@
 		if (g->now + a->in->budget < r->over)
 			r->over = g->now + a->in->budget;
 	}
-	copy_prompt(r, a->in);
+	service = pf_routes_service(g->routes, r->service);
+	copy_prompt(r, a->in, service ? service->event_tokens : 1);
 	g->stats.alive++;
 	*a->handle = slot_of(g, r);
 	return r;
@@ -361,9 +385,10 @@
 	release(g, r);
 }
 
-void gate_events(struct pf_gate *g, uint32_t slot)
+void gate_events(struct pf_gate *g, uint32_t slot, uint32_t n)
 {
 	struct gate_request *r = &g->requests[slot];
+	struct gate_endpoint *e = &g->endpoints[r->endpoint];
 
 	if (r->own_ms > 0) {
 		gate_learn(g, r);
@@ -371,11 +396,16 @@
 		g->pump_at = g->now;
 	}
 	if (r->state != GATE_STREAMING)
-		g->endpoints[r->endpoint].streaming++;
+		e->streaming++;
+	else if (n > 0)
+		e->event_ms += EVENT_WEIGHT *
+			       ((double)(g->now - r->heard_at) / n -
+				e->event_ms);
+	r->events = r->events > n ? r->events - n : 0;
 	r->state = GATE_STREAMING;
 	r->passed = true;
 	r->heard_at = g->now;
-	g->endpoints[r->endpoint].heard_at = g->now;
+	e->heard_at = g->now;
 }
 
 static void avoid(struct gate_request *r, uint64_t id)
@@ -496,6 +526,10 @@
 {
 	struct gate_request *r = &g->requests[slot];
 
+	if (r->state == GATE_WAITING && g->now < wait_limit(g, r)) {
+		arm(g, r);
+		return;
+	}
 	if (r->state == GATE_WAITING) {
 		give_up(g, r,
 			gate_served(g, r) ? PF_GATE_WHY_FULL :
--- a/src/coordination/gate/gate_pick.c
+++ b/src/coordination/gate/gate_pick.c
@@ -174,6 +174,9 @@
 	out->kv = fresh + r->output;
 	out->expected_ms =
 		(queued + out->own_ms) * e->slow + CROWD_MS * running(e);
+	/* A stream that can't end in time would only take others' time. */
+	if (g->now + out->expected_ms + r->events * e->event_ms > r->over)
+		return;
 	if (running(e) >= e->slots || (queued > PREFILL_MAX_MS) ||
 	    (running(e) > 0 &&
 	     e->kv + e->peer_kv + out->kv > (int64_t)(KV_FILL * e->kv_max)))
