--- a/src/coordination/gate/gate_life.c
+++ b/src/coordination/gate/gate_life.c
@@ -13,9 +13,12 @@
 #define STALL_PLAIN_MS 220
 /* The way back to the caller. */
 #define RETURN_MS 10
-/* When a caller that was refused is to come back; spread over the span. */
-#define RETRY_MIN_MS 250
-#define RETRY_SPAN_MS 750
+/* A caller that was refused waits at most this part of the time it has left;
+ * the longer, the likelier there is room then. */
+#define RETRY_SHARE 3
+#define RETRY_MAX_MS 4000
+/* Those refused at one moment come back spread from this share of it on. */
+#define RETRY_LEAST 0.4
 /* Weight of one event in the pace of an endpoint's streams. */
 #define EVENT_WEIGHT 0.02
 /* An endpoint that was full is left alone so long, unless it says. */
@@ -96,6 +99,19 @@
 	g->pump_at = g->now;
 }
 
+/* Spread, so that those refused at one moment don't return at one. */
+static pf_ms retry_after(struct pf_gate *g, pf_ms left)
+{
+	double most = (double)left / RETRY_SHARE;
+
+	if (most < 0)
+		return 0;
+	if (most > RETRY_MAX_MS)
+		most = RETRY_MAX_MS;
+	return (pf_ms)(most * (RETRY_LEAST + (1 - RETRY_LEAST) *
+						     pf_rng_unit(&g->rng)));
+}
+
 static void refuse(struct pf_gate *g, struct gate_request *r,
 		   enum pf_gate_reason why)
 {
@@ -104,12 +120,9 @@
 
 	a.u.refuse.reason = why;
 	a.u.refuse.status = 503;
-	a.u.refuse.retry_after =
-		RETRY_MIN_MS + pf_rng_below(&g->rng, RETRY_SPAN_MS);
+	a.u.refuse.retry_after = retry_after(g, left);
 	if (why == PF_GATE_WHY_QUARANTINED)
 		a.u.refuse.retry_after = -1;
-	else if (a.u.refuse.retry_after > left / 3)
-		a.u.refuse.retry_after = left > 0 ? left / 3 : 0;
 	g->stats.refused++;
 	emit(g, r, &a);
 	release(g, r);
@@ -352,7 +365,7 @@
 		*a->handle = GATE_NIL;
 		full.u.refuse.reason = PF_GATE_WHY_FULL;
 		full.u.refuse.status = 503;
-		full.u.refuse.retry_after = RETRY_MIN_MS + RETRY_SPAN_MS;
+		full.u.refuse.retry_after = RETRY_MAX_MS / 2;
 		g->stats.refused++;
 		g->sink->emit(g->sink->ctx, &full);
 		return;
