--- a/src/coordination/plan/plan.c
+++ b/src/coordination/plan/plan.c
@@ -17,6 +17,8 @@
 #define LISTED_MS 1500
 /* Demand that was not said anew is forgotten. */
 #define DEMAND_KEEP_MS 3000
+/* Fewer requests under way, on average, are a remnant of the smoothing. */
+#define IDLE_ALIVE 0.05
 /* An order that shows no effect is sent again, and then given up. */
 #define RESEND_MS 250
 #define ORDER_KEEP_MS 1200
@@ -327,6 +329,10 @@
 			m->waiting += q->demand[k].waiting;
 		}
 	}
+	for (i = 0; i < p->n_models; i++) {
+		if (p->models[i].alive > IDLE_ALIVE || p->models[i].waiting)
+			p->models[i].asked_at = p->now;
+	}
 }
 
 static void elect(struct pf_plan *p)
--- a/src/coordination/plan/plan_choose.c
+++ b/src/coordination/plan/plan_choose.c
@@ -15,6 +15,12 @@
 #define SERVICE_S 1.2
 /* A new home stays for so long. */
 #define SETTLE_MS 5000
+/* A model that nobody asked for within this may lose its last home to one
+ * whose homes are so busy, or that has none. */
+#define PARK_AFTER_MS 4000
+#define PARK_PRESS 14
+/* A model with less under way is rare. */
+#define RARE_ALIVE 1
 /* Room that was made stays reserved for so long. */
 #define RESERVE_MS 2500
 /* Of an engine's memory left for adapters. */
@@ -23,6 +29,10 @@
  * room that must be made first costs, as requests under way. */
 #define STORE_COST 5
 #define EVICT_COST 2
+/* The same where requests wait for it. */
+#define STORE_WAIT_COST 30
+/* And an engine that is left with all of its memory. */
+#define FIT_COST 20
 #define ORDERS_PER_TICK 6
 
 static bool usable(const struct pf_plan *p, const struct plan_engine *e)
@@ -125,59 +135,76 @@
 	return least;
 }
 
+static bool asked_lately(const struct pf_plan *p, const struct plan_model *m)
+{
+	return m->asked_at && p->now - m->asked_at < PARK_AFTER_MS;
+}
+
 /* Whether another home of @m is due, and how urgent it is; 0: not. */
 static double urgency(const struct pf_plan *p, const struct plan_model *m)
 {
 	double least;
 
+	/* One that nobody asks for is brought back when there is room. */
 	if (m->homes == 0)
-		return 1e6 + demand_of(m);
+		return asked_lately(p, m) ? 1e6 + demand_of(m) : 0.1;
 	least = least_work(p, m);
 	if (least < BUSY_ALIVE || share_of(m) < BUSY_ALIVE / 4.0)
 		return 0;
 	return least;
 }
 
-/* A model that @e could give up, the least asked for; NULL: none. */
+/* Whether a home of @v may go for one of @m. */
+static bool may_go(const struct pf_plan *p, const struct plan_model *v,
+		   const struct plan_model *m, double press)
+{
+	uint32_t stay = v->homes - v->coming;
+
+	if (v == m || p->now - v->changed_at < SETTLE_MS)
+		return false;
+	if (stay >= 2)
+		return demand_of(v) / (stay - 1) <= SPARE_ALIVE;
+	/* The last home of a model that nobody asks for: it is loaded again
+	 * from a disk as soon as somebody does. */
+	return press >= PARK_PRESS && !asked_lately(p, v);
+}
+
+/* A model that @e could give up for @m, the least asked for; NULL: none. */
 static struct plan_model *spare_at(struct pf_plan *p,
-				   const struct plan_engine *e, uint64_t keep)
+				   const struct plan_engine *e,
+				   const struct plan_model *m, double press)
 {
 	struct plan_model *best = NULL;
+	bool best_last = false;
 	uint32_t i;
 
 	for (i = 0; i < e->n_residents; i++) {
-		struct plan_model *m = plan_model(p, e->residents[i]);
-		uint32_t stay;
+		struct plan_model *v = plan_model(p, e->residents[i]);
+		bool last;
 
-		if (!m || m->spec->id == keep || !holds(e, m->spec->id))
-			continue;
-		stay = m->homes - m->coming;
-		if (stay < 2 || demand_of(m) / (stay - 1) > SPARE_ALIVE ||
-		    p->now - m->changed_at < SETTLE_MS)
+		if (!v || !holds(e, v->spec->id) || !may_go(p, v, m, press))
 			continue;
-		if (!best || share_of(m) < share_of(best))
-			best = m;
+		last = v->homes - v->coming < 2;
+		if (!best || last < best_last ||
+		    (last == best_last && share_of(v) < share_of(best))) {
+			best = v;
+			best_last = last;
+		}
 	}
 	return best;
 }
 
-/* Whether room for @need can be made at @e by giving up what is spare. */
+/* Whether room for @m can be made at @e by giving up what may go. */
 static bool can_make_room(struct pf_plan *p, const struct plan_engine *e,
-			  const struct plan_model *m)
+			  const struct plan_model *m, double press)
 {
 	double room = room_of(p, e);
 	uint32_t i;
 
 	for (i = 0; i < e->n_residents; i++) {
-		struct plan_model *v = plan_model(p, e->residents[i]);
-		uint32_t stay;
+		const struct plan_model *v = plan_model(p, e->residents[i]);
 
-		if (!v || v == m)
-			continue;
-		stay = v->homes - v->coming;
-		if (stay >= 2 &&
-		    demand_of(v) / (stay - 1) <= SPARE_ALIVE &&
-		    p->now - v->changed_at >= SETTLE_MS)
+		if (v && may_go(p, v, m, press))
 			room += v->spec->weights_mb;
 	}
 	return room >= m->spec->weights_mb;
@@ -202,10 +229,11 @@
 }
 
 static void consider(struct pf_plan *p, struct plan_engine *e,
-		     const struct plan_model *m, struct choice *best)
+		     const struct plan_model *m, double press,
+		     struct choice *best)
 {
 	bool at_hand = plan_at_hand(e, m->spec->id);
-	double cost = e->work + (at_hand ? 0 : STORE_COST);
+	double cost = e->work;
 
 	if (!usable(p, e) || e->busy || e->ordered || holds(e, m->spec->id))
 		return;
@@ -213,11 +241,18 @@
 		return;
 	if (!at_hand && (!p->settled || !plan_may_load(p)))
 		return;
+	if (!at_hand)
+		cost += m->homes ? STORE_COST : STORE_WAIT_COST;
 	if (room_of(p, e) < m->spec->weights_mb) {
-		if (!p->settled || !can_make_room(p, e, m))
+		if (!p->settled || press < 1 ||
+		    !can_make_room(p, e, m, press))
 			return;
 		cost += EVICT_COST;
 	}
+	/* What is rarely asked for fills what others leave. */
+	if (demand_of(m) < RARE_ALIVE)
+		cost += FIT_COST * (room_of(p, e) - m->spec->weights_mb) /
+			p->service->memory_mb;
 	if (cost < best->cost)
 		*best = (struct choice){ e, cost };
 }
@@ -231,7 +266,7 @@
 
 	for (i = 0; i < p->o.endpoints_max; i++) {
 		if (p->engines[i].id)
-			consider(p, &p->engines[i], m, &best);
+			consider(p, &p->engines[i], m, least, &best);
 	}
 	/* A home that is as busy as those there are would not help. */
 	if (!best.e || (m->homes && best.e->work > least * 0.7))
@@ -242,7 +277,7 @@
 		plan_order(p, best.e, m, true, m->homes ? "busy" : "no home");
 		return true;
 	}
-	out = spare_at(p, best.e, m->spec->id);
+	out = spare_at(p, best.e, m, least);
 	if (!out)
 		return false;
 	best.e->reserved = m->spec->id;
--- a/src/coordination/plan/plan_core.h
+++ b/src/coordination/plan/plan_core.h
@@ -46,6 +46,7 @@
 	uint32_t homes; /* at engines that stay, loads under way included */
 	uint32_t coming; /* of them, not there yet */
 	pf_ms changed_at; /* a home was added */
+	pf_ms asked_at; /* it was last asked for; 0: never */
 };
 
 struct plan_peer {
