--- a/src/coordination/plan/plan.c
+++ b/src/coordination/plan/plan.c
@@ -19,6 +19,7 @@
 #define DEMAND_KEEP_MS 3000
 /* Fewer requests under way, on average, are a remnant of the smoothing. */
 #define IDLE_ALIVE 0.05
+#define IDLE_PER_S 0.05
 /* An order that shows no effect is sent again, and then given up. */
 #define RESEND_MS 250
 #define ORDER_KEEP_MS 1200
@@ -330,7 +331,8 @@
 		}
 	}
 	for (i = 0; i < p->n_models; i++) {
-		if (p->models[i].alive > IDLE_ALIVE || p->models[i].waiting)
+		if (p->models[i].alive > IDLE_ALIVE || p->models[i].waiting ||
+		    p->models[i].per_s > IDLE_PER_S)
 			p->models[i].asked_at = p->now;
 	}
 }
--- a/src/coordination/plan/plan_choose.c
+++ b/src/coordination/plan/plan_choose.c
@@ -17,7 +17,7 @@
 #define SETTLE_MS 5000
 /* A model that nobody asked for within this may lose its last home to one
  * whose homes are so busy, or that has none. */
-#define PARK_AFTER_MS 4000
+#define PARK_AFTER_MS 7000
 #define PARK_PRESS 14
 /* A model with less under way is rare. */
 #define RARE_ALIVE 1
