--- a/daemons/gateway/exchange.c
+++ b/daemons/gateway/exchange.c
@@ -114,6 +114,8 @@
 	PF_LOG(&g->log, PF_LOG_INFO, event, PF_KV_TEXT("id", x->in.id),
 	       PF_KV_INT("status", status), PF_KV_STR("why", why),
 	       PF_KV_INT("ms", pf_clock_now() - x->arrived),
+	       PF_KV_INT("first_ms",
+			 x->first_at ? x->first_at - x->arrived : -1),
 	       PF_KV_INT("tries", x->tries));
 }
 
@@ -317,6 +319,8 @@
 		return;
 	x->last_event =
 		last_id((struct pf_str){ x->answer.p, n }, x->last_event);
+	if (!x->first_at)
+		x->first_at = pf_clock_now();
 	m.u.events.n = count_events((struct pf_str){ x->answer.p, n });
 	send_chunk(x, n);
 	memmove(x->answer.p, x->answer.p + n, x->answer.n - n);
--- a/daemons/gateway/gateway.h
+++ b/daemons/gateway/gateway.h
@@ -68,6 +68,7 @@
 	bool head_sent;
 	int64_t last_event; /* passed on; -1: none */
 	uint32_t tries;
+	pf_ms first_at; /* the first event was passed on; 0: none yet */
 };
 
 /** A connection to an endpoint. */
--- a/daemons/gateway/main.c
+++ b/daemons/gateway/main.c
@@ -36,6 +36,7 @@
 /* Leaves the loop once callers can't come any more and all are answered. */
 static void on_stop_timer(evutil_socket_t fd, short what, void *ctx)
 {
+	static const struct pf_gate_msg leave = { .type = PF_GATE_LEAVE };
 	struct gateway *g = ctx;
 	pf_ms spent = pf_clock_now() - g->stopping;
 
@@ -49,6 +50,7 @@
 	if (!g->leaving) {
 		g->leaving = true;
 		callers_leave(g);
+		core_step(g, &leave);
 	}
 	if (!LIST_EMPTY(&g->exchanges) && spent <= g->set.drain)
 		return;
--- a/daemons/loader/main.c
+++ b/daemons/loader/main.c
@@ -13,8 +13,10 @@
 #include <string.h>
 #include <unistd.h>
 
-/* What an engine that is well answers within. */
+/* What an engine that is well answers within; below the core's own limit, so
+ * that no answer comes after it. */
 #define CALL_TIMEOUT_MS 900
+#define ORDER_TIMEOUT_MS 400
 #define BODY_MAX 65536
 #define CONNS_MAX 4
 /* Gateways hear from it at least so often. */
@@ -112,7 +114,7 @@
 		.content_type = "application/json",
 		.header = platform_expect_header,
 		.header_value = a->call.instance,
-		.timeout = CALL_TIMEOUT_MS,
+		.timeout = ORDER_TIMEOUT_MS,
 		.done = on_ordered,
 		.ctx = l,
 	};
--- a/include/pimentoford/engine_state.h
+++ b/include/pimentoford/engine_state.h
@@ -19,6 +19,8 @@
 	uint32_t queued;
 	uint32_t kv_used; /* tokens that can't yield */
 	uint32_t kv_total;
+	uint64_t leaving; /* model held until its unload is done; not to be
+			   * used, and not among the residents; 0: none */
 	const struct pf_resident *residents;
 	uint32_t n_residents;
 	const uint64_t *warm; /* models with weights in the host's memory */
--- a/include/pimentoford/gate.h
+++ b/include/pimentoford/gate.h
@@ -118,6 +118,7 @@
 	PF_GATE_ENDED, /* u.end */
 	PF_GATE_PEER, /* u.digest */
 	PF_GATE_STATE, /* u.state: of an endpoint's loader; for the call */
+	PF_GATE_LEAVE, /* the process stops: nothing may wait any more */
 	PF_GATE_TICK,
 };
 
@@ -155,6 +156,7 @@
 	DEF(NO_ENDPOINT, "no_endpoint")            \
 	DEF(NOT_LOADED, "not_loaded")              \
 	DEF(LATE, "late")                          \
+	DEF(LEAVING, "leaving")                    \
 	DEF(RETRY_BUDGET, "retry_budget")          \
 	DEF(QUARANTINED, "quarantined")            \
 	DEF(ENDPOINT_LOST, "endpoint_lost")        \
--- a/src/coordination/gate/gate.c
+++ b/src/coordination/gate/gate.c
@@ -118,6 +118,9 @@
 		gate_endpoint_state(g, m->u.state);
 		g->pump_at = g->now;
 		break;
+	case PF_GATE_LEAVE:
+		gate_leave(g);
+		break;
 	case PF_GATE_TICK:
 		run_timers(g);
 		g->pump_at = g->now;
--- a/src/coordination/gate/gate_core.h
+++ b/src/coordination/gate/gate_core.h
@@ -154,6 +154,7 @@
 	struct pf_rng rng;
 	pf_ms now;
 	pf_ms started;
+	bool leaving;
 	const struct pf_gate_sink *sink; /* during a step */
 	const struct pf_routes *routes;
 	struct gate_request *requests;
@@ -250,6 +251,8 @@
 void gate_events(struct pf_gate *g, uint32_t slot, uint32_t n);
 void gate_ended(struct pf_gate *g, const struct pf_gate_end *end);
 void gate_request_due(struct pf_gate *g, uint32_t slot);
+/** Refuses what waits; from now on nothing waits. */
+void gate_leave(struct pf_gate *g);
 /** Sends what waits and can be sent. */
 void gate_pump(struct pf_gate *g);
 
--- a/src/coordination/gate/gate_life.c
+++ b/src/coordination/gate/gate_life.c
@@ -277,7 +277,11 @@
 		give_up(g, r, PF_GATE_WHY_FULL);
 		return;
 	}
-	if (!try_send(g, r))
+	if (try_send(g, r))
+		return;
+	if (g->leaving)
+		give_up(g, r, PF_GATE_WHY_LEAVING);
+	else
 		arm(g, r);
 }
 
@@ -377,10 +381,21 @@
 		refuse(g, r, PF_GATE_WHY_QUARANTINED);
 		return;
 	}
-	if (!try_send(g, r))
+	if (try_send(g, r))
+		return;
+	if (g->leaving)
+		refuse(g, r, PF_GATE_WHY_LEAVING);
+	else
 		arm(g, r);
 }
 
+void gate_leave(struct pf_gate *g)
+{
+	g->leaving = true;
+	while (g->wait_head != GATE_NIL)
+		give_up(g, &g->requests[g->wait_head], PF_GATE_WHY_LEAVING);
+}
+
 static void drop(struct pf_gate *g, struct gate_request *r)
 {
 	struct pf_gate_act a = { .type = PF_GATE_DROP };
--- a/src/coordination/gate/gate_pick.c
+++ b/src/coordination/gate/gate_pick.c
@@ -12,7 +12,7 @@
 #define MS_PER_TOKEN_MIN 0.002
 #define MS_PER_TOKEN_MAX 0.3
 /* Each run beside it slows an engine's step by about so much in all. */
-#define CROWD_MS 6.0
+#define CROWD_MS 3.0
 /* A plain service's run, as long as none was measured. */
 #define PLAIN_MS 15.0
 /* What a failed try costs the request. */
@@ -80,9 +80,9 @@
 		if (s)
 			s->ms_per_token = clamp(
 				s->ms_per_token *
-					(1 + SPEED_WEIGHT *
-						     (clamp(ratio, 0.2, 5) -
-						      1)),
+					(1 +
+					 SPEED_WEIGHT *
+						 (clamp(ratio, 0.2, 5) - 1)),
 				MS_PER_TOKEN_MIN, MS_PER_TOKEN_MAX);
 	}
 }
@@ -115,10 +115,9 @@
 	if (e->lacks == r->model && e->lacks_until > g->now)
 		return false;
 	/* A loader can bring the adapter. */
-	return gate_endpoint_has(e, r->model,
-				 gate_loader_heard(g, e) && !e->busy ?
-					 0 :
-					 r->adapter);
+	return gate_endpoint_has(
+		e, r->model,
+		gate_loader_heard(g, e) && !e->busy ? 0 : r->adapter);
 }
 
 bool gate_served(struct pf_gate *g, const struct gate_request *r)
@@ -177,7 +176,7 @@
 	/* A stream that can't end in time would only take others' time. */
 	if (g->now + out->expected_ms + r->events * e->event_ms > r->over)
 		return;
-	if (running(e) >= e->slots || (queued > PREFILL_MAX_MS) ||
+	if (running(e) >= e->slots || queued * e->slow > PREFILL_MAX_MS ||
 	    (running(e) > 0 &&
 	     e->kv + e->peer_kv + out->kv > (int64_t)(KV_FILL * e->kv_max)))
 		return;
--- a/src/coordination/loader/loader.c
+++ b/src/coordination/loader/loader.c
@@ -81,7 +81,7 @@
 	*o = (struct pf_loader_opts){
 		.poll_every = 300,
 		.poll_soon = 10,
-		.order_timeout = 500,
+		.order_timeout = 1500,
 		.idle_min = 40,
 		.hold = 3000,
 	};
@@ -541,6 +541,9 @@
 		.loading = l->loading,
 		.loading_for = l->loading ? now - l->loading_at : 0,
 		.from_store = l->loading && l->loading_store,
+		.leaving = l->leaving && pf_engine_report_find(r, l->leaving, 0) ?
+				   l->leaving :
+				   0,
 		.running = r->running,
 		.queued = r->queued,
 		.kv_used = r->kv_used,
--- a/src/coordination/plan/plan.c
+++ b/src/coordination/plan/plan.c
@@ -260,6 +260,7 @@
 	e->born = s->born;
 	e->orders = s->orders;
 	e->busy = s->busy;
+	e->leaving = s->leaving;
 	copy_residents(e, s->residents, s->n_residents);
 	e->n_warm = copy_ids(e->warm, PLAN_COPIES_MAX, s->warm, s->n_warm);
 	e->n_on_disk = copy_ids(e->on_disk, PLAN_COPIES_MAX, s->on_disk,
--- a/src/coordination/plan/plan_choose.c
+++ b/src/coordination/plan/plan_choose.c
@@ -55,6 +55,9 @@
 
 	for (i = 0; i < e->n_residents; i++)
 		room -= size_of(p, e->residents[i]);
+	/* What was not given up yet holds its room. */
+	if (e->leaving && !plan_has(e, e->leaving))
+		room -= size_of(p, e->leaving);
 	/* A load under way has its room already. */
 	if (e->ordered && e->ordered_load && !plan_has(e, e->ordered))
 		room -= size_of(p, e->ordered);
--- a/src/coordination/plan/plan_core.h
+++ b/src/coordination/plan/plan_core.h
@@ -20,6 +20,7 @@
 	int64_t born;
 	uint64_t orders;
 	bool busy;
+	uint64_t leaving; /* model whose unload is not done; 0: none */
 	uint64_t residents[PLAN_RESIDENTS_MAX];
 	uint32_t n_residents;
 	uint64_t warm[PLAN_COPIES_MAX];
--- a/src/protocol/pimento.x
+++ b/src/protocol/pimento.x
@@ -234,6 +234,7 @@
 	unsigned hyper loading; /* model; 0: none */
 	unsigned int loading_ms; /* since it began */
 	unsigned int from_store; /* the load came from the weight store */
+	unsigned hyper leaving; /* model held until its unload is done */
 	unsigned int running;
 	unsigned int queued;
 	unsigned int kv_used;
--- a/src/protocol/pimento_xdr.c
+++ b/src/protocol/pimento_xdr.c
@@ -686,12 +686,14 @@
 			 return FALSE;
 		 if (!xdr_u_quad_t (xdrs, &objp->loading))
 			 return FALSE;
-		buf = XDR_INLINE (xdrs, 6 * BYTES_PER_XDR_UNIT);
+		 if (!xdr_u_int (xdrs, &objp->loading_ms))
+			 return FALSE;
+		 if (!xdr_u_int (xdrs, &objp->from_store))
+			 return FALSE;
+		 if (!xdr_u_quad_t (xdrs, &objp->leaving))
+			 return FALSE;
+		buf = XDR_INLINE (xdrs, 4 * BYTES_PER_XDR_UNIT);
 		if (buf == NULL) {
-			 if (!xdr_u_int (xdrs, &objp->loading_ms))
-				 return FALSE;
-			 if (!xdr_u_int (xdrs, &objp->from_store))
-				 return FALSE;
 			 if (!xdr_u_int (xdrs, &objp->running))
 				 return FALSE;
 			 if (!xdr_u_int (xdrs, &objp->queued))
@@ -702,8 +704,6 @@
 				 return FALSE;
 
 		} else {
-		IXDR_PUT_U_LONG(buf, objp->loading_ms);
-		IXDR_PUT_U_LONG(buf, objp->from_store);
 		IXDR_PUT_U_LONG(buf, objp->running);
 		IXDR_PUT_U_LONG(buf, objp->queued);
 		IXDR_PUT_U_LONG(buf, objp->kv_used);
@@ -730,12 +730,14 @@
 			 return FALSE;
 		 if (!xdr_u_quad_t (xdrs, &objp->loading))
 			 return FALSE;
-		buf = XDR_INLINE (xdrs, 6 * BYTES_PER_XDR_UNIT);
+		 if (!xdr_u_int (xdrs, &objp->loading_ms))
+			 return FALSE;
+		 if (!xdr_u_int (xdrs, &objp->from_store))
+			 return FALSE;
+		 if (!xdr_u_quad_t (xdrs, &objp->leaving))
+			 return FALSE;
+		buf = XDR_INLINE (xdrs, 4 * BYTES_PER_XDR_UNIT);
 		if (buf == NULL) {
-			 if (!xdr_u_int (xdrs, &objp->loading_ms))
-				 return FALSE;
-			 if (!xdr_u_int (xdrs, &objp->from_store))
-				 return FALSE;
 			 if (!xdr_u_int (xdrs, &objp->running))
 				 return FALSE;
 			 if (!xdr_u_int (xdrs, &objp->queued))
@@ -746,8 +748,6 @@
 				 return FALSE;
 
 		} else {
-		objp->loading_ms = IXDR_GET_U_LONG(buf);
-		objp->from_store = IXDR_GET_U_LONG(buf);
 		objp->running = IXDR_GET_U_LONG(buf);
 		objp->queued = IXDR_GET_U_LONG(buf);
 		objp->kv_used = IXDR_GET_U_LONG(buf);
@@ -779,6 +779,8 @@
 		 return FALSE;
 	 if (!xdr_u_int (xdrs, &objp->from_store))
 		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->leaving))
+		 return FALSE;
 	 if (!xdr_u_int (xdrs, &objp->running))
 		 return FALSE;
 	 if (!xdr_u_int (xdrs, &objp->queued))
--- a/src/protocol/pimento_xdr.h
+++ b/src/protocol/pimento_xdr.h
@@ -317,6 +317,7 @@
 	u_quad_t loading;
 	u_int loading_ms;
 	u_int from_store;
+	u_quad_t leaving;
 	u_int running;
 	u_int queued;
 	u_int kv_used;
