--- a/daemons/gateway/callers.c
+++ b/daemons/gateway/callers.c
@@ -172,8 +172,8 @@
 /* Whether the body is whole. */
 static bool take_body(struct caller *c)
 {
-	int64_t n = pf_h1_body_take(&c->body_state, pf_text_str(&c->in),
-				    &c->body);
+	int64_t n =
+		pf_h1_body_take(&c->body_state, pf_text_str(&c->in), &c->body);
 
 	if (n < 0) {
 		refuse(c, 400, "malformed");
@@ -368,8 +368,13 @@
 
 void callers_stop(struct gateway *g)
 {
-	while (!LIST_EMPTY(&g->callers))
-		caller_free(LIST_FIRST(&g->callers));
+	struct caller *c = LIST_FIRST(&g->callers);
+	struct caller *next;
+
+	for (; c; c = next) {
+		next = LIST_NEXT(c, next);
+		caller_free(c);
+	}
 	if (g->accept_ev)
 		event_free(g->accept_ev);
 	if (g->sweep)
--- a/daemons/gateway/core.c
+++ b/daemons/gateway/core.c
@@ -70,8 +70,8 @@
 	struct pf_gate_end *more;
 
 	if (g->n_deferred == g->cap_deferred) {
-		more = realloc(g->deferred, (g->cap_deferred * 2 + 16) *
-						    sizeof(*more));
+		more = realloc(g->deferred,
+			       (g->cap_deferred * 2 + 16) * sizeof(*more));
 		if (!more)
 			return -1;
 		g->deferred = more;
@@ -124,8 +124,7 @@
 int core_start(struct gateway *g)
 {
 	struct pf_gate_opts o = g->set.core;
-	struct pf_gate_zone *zones =
-		calloc(g->set.zones.n + 1, sizeof(*zones));
+	struct pf_gate_zone *zones = calloc(g->set.zones.n + 1, sizeof(*zones));
 
 	if (!zones)
 		return -1;
--- a/daemons/gateway/exchange.c
+++ b/daemons/gateway/exchange.c
@@ -156,8 +156,7 @@
 	struct caller *c = x->caller;
 
 	log_end(x, "refused", status, code);
-	answer(c, status, code, x->in.id,
-	       status == 503 ? CONFIG_RETRY_MS : -1);
+	answer(c, status, code, x->in.id, status == 503 ? CONFIG_RETRY_MS : -1);
 	end(x);
 }
 
@@ -206,8 +205,8 @@
 {
 	uint32_t i;
 
-	pf_text_printf(out, "HTTP/1.1 %d %.*s\r\n", h->status,
-		       (int)h->phrase.n, h->phrase.p);
+	pf_text_printf(out, "HTTP/1.1 %d %.*s\r\n", h->status, (int)h->phrase.n,
+		       h->phrase.p);
 	for (i = 0; i < h->n_fields; i++) {
 		if (pf_h1_hop(h, h->fields[i].name))
 			continue;
@@ -285,9 +284,9 @@
 		if (caller_takes_chunks(x->caller))
 			pf_text_add(t, PF_STR("Transfer-Encoding: "
 					      "chunked\r\n"));
-		pf_text_add(t, caller_closing(x->caller) ?
-				       PF_STR("Connection: close\r\n\r\n") :
-				       PF_STR("\r\n"));
+		pf_text_add(t, caller_closing(x->caller)
+				       ? PF_STR("Connection: close\r\n\r\n")
+				       : PF_STR("\r\n"));
 		x->head_sent = true;
 	}
 	if (caller_takes_chunks(x->caller))
@@ -348,8 +347,8 @@
 	pf_text_reset(t);
 	pf_text_add(t, pf_text_str(&x->answer_head));
 	pf_text_printf(t, "Content-Length: %zu\r\n%s\r\n", x->answer.n,
-		       caller_closing(x->caller) ? "Connection: close\r\n" :
-						   "");
+		       caller_closing(x->caller) ? "Connection: close\r\n"
+						 : "");
 	pf_text_add(t, pf_text_str(&x->answer));
 	if (!t->failed)
 		caller_write(x->caller, pf_text_str(t));
--- a/daemons/gateway/follow.c
+++ b/daemons/gateway/follow.c
@@ -154,8 +154,7 @@
 		ret = pf_store_read(s, d->table, PF_STR(""), pf_str_c(d->page),
 				    PAGE, on_page, d);
 	else
-		ret = pf_store_feed(s, d->table, d->after, WAIT_MS, on_feed,
-				    d);
+		ret = pf_store_feed(s, d->table, d->after, WAIT_MS, on_feed, d);
 	if (ret < 0)
 		failed(d, PF_STORE_REFUSED);
 }
@@ -197,23 +196,19 @@
 		return;
 	t->mark = f->endpoints.mark;
 	if (row->deleted && row->revision > t->revision)
-		target_unlisted(g, t, lapse_of(f));
+		target_unlisted(t, lapse_of(f));
 }
 
 /* What the full read did not show is gone. */
 static void endpoints_read(struct feed *d)
 {
 	struct gateway *g = d->f->g;
-	struct target *t = LIST_FIRST(&g->targets);
+	struct target *t;
 
-	while (t) {
-		if (t->gone || t->lapsed || t->mark == d->mark) {
-			t = LIST_NEXT(t, next);
-			continue;
-		}
-		t->mark = d->mark;
-		target_unlisted(g, t, lapse_of(d->f));
-		t = LIST_FIRST(&g->targets);
+	LIST_FOREACH(t, &g->targets, next)
+	{
+		if (!t->gone && !t->lapsed && t->mark != d->mark)
+			target_unlisted(t, lapse_of(d->f));
 	}
 	d->mark++;
 }
@@ -254,8 +249,8 @@
 	f->endpoints.row = on_endpoint;
 	f->endpoints.read_over = endpoints_read;
 	f->endpoints.pace = PACE_ENDPOINTS_MS;
-	return feed_start(f, &f->config) < 0 ? -1 :
-					       feed_start(f, &f->endpoints);
+	return feed_start(f, &f->config) < 0 ? -1
+					     : feed_start(f, &f->endpoints);
 }
 
 static void feed_stop(struct feed *d)
--- a/daemons/gateway/gateway.h
+++ b/daemons/gateway/gateway.h
@@ -8,6 +8,7 @@
 
 #include "pimentoford/clock.h"
 #include "pimentoford/gate.h"
+#include "pimentoford/http1.h"
 #include "pimentoford/log.h"
 #include "pimentoford/map.h"
 #include "pimentoford/process.h"
@@ -190,7 +191,7 @@
 void target_listed(struct gateway *g, struct pf_str key, struct pf_str value,
 		   uint64_t revision);
 /** Its row is gone; @lapse: when to believe it. */
-void target_unlisted(struct gateway *g, struct target *t, pf_ms lapse);
+void target_unlisted(struct target *t, pf_ms lapse);
 void targets_sweep(struct gateway *g);
 void targets_stop(struct gateway *g);
 void target_put(struct target *t);
--- a/daemons/gateway/talk.c
+++ b/daemons/gateway/talk.c
@@ -53,8 +53,8 @@
 static uint32_t adapter_slots(const struct gateway *g, const struct target *to)
 {
 	const struct pf_route_service *s =
-		g->routes ? pf_routes_service(g->routes, to->listed.service) :
-			    NULL;
+		g->routes ? pf_routes_service(g->routes, to->listed.service)
+			  : NULL;
 
 	return s && s->engine ? s->adapter_slots : 0;
 }
@@ -107,8 +107,8 @@
 
 	LIST_FOREACH(to, &t->g->targets, next)
 	{
-		if (!to->gone && (to->used_changed ||
-				  now - to->told_at >= HELLO_EVERY_MS))
+		if (!to->gone &&
+		    (to->used_changed || now - to->told_at >= HELLO_EVERY_MS))
 			send_want(t, to, PF_STR(""), PF_STR(""));
 	}
 }
@@ -273,8 +273,8 @@
 	struct sockaddr_in *m = &t->members[t->n_members];
 	char *s = pf_str_dup(addr);
 
-	if (s && strcmp(s, t->g->set.talk) != 0 &&
-	    t->n_members < MEMBERS_MAX && pf_talk_addr(s, m) == 0)
+	if (s && strcmp(s, t->g->set.talk) != 0 && t->n_members < MEMBERS_MAX &&
+	    pf_talk_addr(s, m) == 0)
 		t->n_members++;
 	free(s);
 }
@@ -294,9 +294,9 @@
 		add_member(t, a->rows[i].value);
 	plan_step(t, &known);
 	/* Others may be starting, too. */
-	read_later(t, pf_clock_now() - t->g->started < MEMBERS_EVERY_MS ?
-			      MEMBERS_EVERY_MS / 4 :
-			      MEMBERS_EVERY_MS);
+	read_later(t, pf_clock_now() - t->g->started < MEMBERS_EVERY_MS
+			      ? MEMBERS_EVERY_MS / 4
+			      : MEMBERS_EVERY_MS);
 }
 
 static void on_written(void *ctx, const struct pf_store_answer *a)
--- a/daemons/gateway/targets.c
+++ b/daemons/gateway/targets.c
@@ -25,8 +25,7 @@
 
 void target_put(struct target *t)
 {
-	if (--t->refs == 0 && t->gone)
-		target_free(t);
+	t->refs--;
 }
 
 void target_use(struct target *t, uint64_t adapter)
@@ -71,6 +70,7 @@
 	core_step(g, &m);
 }
 
+/* The sweep frees it once no connection needs it. */
 static void forget(struct target *t, const char *why)
 {
 	struct pf_gate_msg m = { .type = PF_GATE_ENDPOINT_GONE };
@@ -84,17 +84,14 @@
 	g->n_targets--;
 	talk_endpoint_gone(g, t->listed.id);
 	core_step(g, &m);
-	if (t->refs == 0)
-		target_free(t);
 }
 
-void target_unlisted(struct gateway *g, struct target *t, pf_ms lapse)
+void target_unlisted(struct target *t, pf_ms lapse)
 {
 	if (lapse > pf_clock_now())
 		t->lapsed = lapse;
 	else
 		forget(t, "its entry is gone");
-	(void)g;
 }
 
 static bool same_state(const struct pf_listed *a, const struct pf_listed *b)
@@ -142,16 +139,13 @@
 /* Those that stood at the address before are gone, listed or not. */
 static void forget_replaced(struct gateway *g, const struct pf_listed *l)
 {
-	struct target *t = LIST_FIRST(&g->targets);
+	struct target *t;
 
-	while (t) {
-		if (t->gone || t->listed.id == l->id ||
-		    strcmp(t->listed.addr, l->addr) != 0) {
-			t = LIST_NEXT(t, next);
-			continue;
-		}
-		forget(t, "another started at its address");
-		t = LIST_FIRST(&g->targets);
+	LIST_FOREACH(t, &g->targets, next)
+	{
+		if (!t->gone && t->listed.id != l->id &&
+		    strcmp(t->listed.addr, l->addr) == 0)
+			forget(t, "another started at its address");
 	}
 }
 
@@ -199,22 +193,26 @@
 
 void targets_sweep(struct gateway *g)
 {
-	pf_ms now = pf_clock_now();
 	struct target *t = LIST_FIRST(&g->targets);
-
-	while (t) {
-		if (t->gone || !t->lapsed || now < t->lapsed) {
-			t = LIST_NEXT(t, next);
-			continue;
-		}
-		forget(t, "its entry did not come back");
-		/* The list may have changed in the core's acts. */
-		t = LIST_FIRST(&g->targets);
+	pf_ms now = pf_clock_now();
+	struct target *next;
+
+	for (; t; t = next) {
+		next = LIST_NEXT(t, next);
+		if (!t->gone && t->lapsed && now >= t->lapsed)
+			forget(t, "its entry did not come back");
+		if (t->gone && t->refs == 0)
+			target_free(t);
 	}
 }
 
 void targets_stop(struct gateway *g)
 {
-	while (!LIST_EMPTY(&g->targets))
-		target_free(LIST_FIRST(&g->targets));
+	struct target *t = LIST_FIRST(&g->targets);
+	struct target *next;
+
+	for (; t; t = next) {
+		next = LIST_NEXT(t, next);
+		target_free(t);
+	}
 }
--- a/daemons/gateway/upstream.c
+++ b/daemons/gateway/upstream.c
@@ -327,28 +327,29 @@
 	write_request(u, a);
 }
 
+/* Ends idle connections whose time is over, or all. */
+static void end_idle(struct target *t, bool all)
+{
+	struct upstream *u = LIST_FIRST(&t->idle);
+	pf_ms now = pf_clock_now();
+	struct upstream *next;
+
+	for (; u; u = next) {
+		next = LIST_NEXT(u, next);
+		if (all || now >= u->keep_until)
+			upstream_free(u);
+	}
+}
+
 void upstream_close_idle(struct target *t)
 {
-	while (!LIST_EMPTY(&t->idle))
-		upstream_free(LIST_FIRST(&t->idle));
+	end_idle(t, true);
 }
 
 void upstream_sweep(struct gateway *g)
 {
-	pf_ms now = pf_clock_now();
-	struct target *t = LIST_FIRST(&g->targets);
-
-	while (t) {
-		struct target *next_target = LIST_NEXT(t, next);
-		struct upstream *u = LIST_FIRST(&t->idle);
+	struct target *t;
 
-		while (u) {
-			struct upstream *next = LIST_NEXT(u, next);
-
-			if (now >= u->keep_until || t->gone)
-				upstream_free(u);
-			u = next;
-		}
-		t = next_target;
-	}
+	LIST_FOREACH(t, &g->targets, next)
+	end_idle(t, t->gone);
 }
--- a/daemons/loader/main.c
+++ b/daemons/loader/main.c
@@ -57,8 +57,7 @@
 
 	if (ok == l->engine_away) {
 		l->engine_away = !ok;
-		PF_LOG(&l->log, PF_LOG_INFO,
-		       ok ? "engine_back" : "engine_away",
+		PF_LOG(&l->log, PF_LOG_INFO, ok ? "engine_back" : "engine_away",
 		       PF_KV_INT("status", a->status));
 	}
 	m.u.report = ok ? &r : NULL;
@@ -89,8 +88,8 @@
 	m.u.result = PF_LOADER_REFUSED;
 	if (a->result == PF_HTTP_LOST)
 		m.u.result = PF_LOADER_SILENT;
-	else if (a->result == PF_HTTP_OK && (r == PLATFORM_ORDER_ACCEPTED ||
-					     r == PLATFORM_ORDER_HOLDS))
+	else if (a->result == PF_HTTP_OK &&
+		 (r == PLATFORM_ORDER_ACCEPTED || r == PLATFORM_ORDER_HOLDS))
 		m.u.result = PF_LOADER_ACCEPTED;
 	PF_LOG(&l->log, PF_LOG_INFO, "ordered", PF_KV_INT("status", a->status),
 	       PF_KV_INT("result", m.u.result));
@@ -288,8 +287,8 @@
 	l->talk = pf_talk_new(&to);
 	l->timer = event_new(l->base, -1, 0, on_timer, l);
 	l->tell_timer = event_new(l->base, -1, EV_PERSIST, on_tell_timer, l);
-	if (!l->core || !l->engine || !l->talk || !l->timer ||
-	    !l->tell_timer || pf_process_signals(l->base, on_stop, l) < 0 ||
+	if (!l->core || !l->engine || !l->talk || !l->timer || !l->tell_timer ||
+	    pf_process_signals(l->base, on_stop, l) < 0 ||
 	    pf_process_reload(l->base, l->settings_path, on_reload, l) < 0)
 		return -1;
 	event_add(l->tell_timer, &every);
--- a/include/pimentoford/engine_state.h
+++ b/include/pimentoford/engine_state.h
@@ -30,7 +30,7 @@
 };
 
 /** A model, or an adapter of it, that an engine holds or fetches. */
-struct pf_engine_item {
+struct pf_held_item {
 	char *model;
 	char *adapter; /* NULL: the model itself */
 	uint64_t model_id;
@@ -47,7 +47,7 @@
 	uint32_t queued;
 	uint32_t kv_used;
 	uint32_t kv_total;
-	struct pf_engine_item *items;
+	struct pf_held_item *items;
 	uint32_t n_items;
 	uint64_t *warm;
 	uint32_t n_warm;
@@ -58,7 +58,7 @@
 void pf_engine_report_clear(struct pf_engine_report *r);
 
 /** The item, or NULL; @adapter 0: the model itself. */
-const struct pf_engine_item *
+const struct pf_held_item *
 pf_engine_report_find(const struct pf_engine_report *r, uint64_t model,
 		      uint64_t adapter);
 
--- a/include/pimentoford/gate.h
+++ b/include/pimentoford/gate.h
@@ -150,16 +150,16 @@
 };
 
 /* DEF(name, code): why a request was not served. */
-#define PF_GATE_REASONS(DEF)                       \
-	DEF(NONE, "none")                          \
-	DEF(FULL, "full")                          \
-	DEF(NO_ENDPOINT, "no_endpoint")            \
-	DEF(NOT_LOADED, "not_loaded")              \
-	DEF(LATE, "late")                          \
-	DEF(LEAVING, "leaving")                    \
-	DEF(RETRY_BUDGET, "retry_budget")          \
-	DEF(QUARANTINED, "quarantined")            \
-	DEF(ENDPOINT_LOST, "endpoint_lost")        \
+#define PF_GATE_REASONS(DEF)                \
+	DEF(NONE, "none")                   \
+	DEF(FULL, "full")                   \
+	DEF(NO_ENDPOINT, "no_endpoint")     \
+	DEF(NOT_LOADED, "not_loaded")       \
+	DEF(LATE, "late")                   \
+	DEF(LEAVING, "leaving")             \
+	DEF(RETRY_BUDGET, "retry_budget")   \
+	DEF(QUARANTINED, "quarantined")     \
+	DEF(ENDPOINT_LOST, "endpoint_lost") \
 	DEF(TIMEOUT, "timeout")
 
 enum pf_gate_reason {
--- a/include/pimentoford/http1.h
+++ b/include/pimentoford/http1.h
@@ -50,20 +50,26 @@
 /** A decimal number without sign. 0, or -1 when @s is none. */
 int pf_h1_number(struct pf_str s, int64_t *out);
 
+/** How a body's end is known. */
+enum pf_h1_framing {
+	PF_H1_LENGTH,
+	PF_H1_CHUNKED,
+	PF_H1_UNTIL_CLOSE,
+};
+
+/** What of a chunked body comes next. */
+enum pf_h1_chunk {
+	PF_H1_SIZE,
+	PF_H1_DATA,
+	PF_H1_DATA_END,
+	PF_H1_TRAILER,
+};
+
 /** Follows a body to its end. */
 struct pf_h1_body {
-	enum pf_h1_framing {
-		PF_H1_LENGTH,
-		PF_H1_CHUNKED,
-		PF_H1_UNTIL_CLOSE,
-	} framing;
+	enum pf_h1_framing framing;
 	int64_t left; /* of the length, or of the chunk at hand */
-	enum pf_h1_chunk {
-		PF_H1_SIZE,
-		PF_H1_DATA,
-		PF_H1_DATA_END,
-		PF_H1_TRAILER,
-	} chunk;
+	enum pf_h1_chunk chunk;
 	char line[32]; /* a chunk's size line as far as it came */
 	uint32_t n_line;
 	bool ended;
--- a/include/pimentoford/inbound.h
+++ b/include/pimentoford/inbound.h
@@ -5,7 +5,7 @@
 #ifndef PIMENTOFORD_INBOUND_H
 #define PIMENTOFORD_INBOUND_H
 
-#include "pimentoford/http1.h"
+#include "pimentoford/base.h"
 
 PF_BEGIN_DECLS
 
--- a/include/pimentoford/listed.h
+++ b/include/pimentoford/listed.h
@@ -36,8 +36,7 @@
 void pf_listed_clear(struct pf_listed *e);
 
 /** Whether a model, and an adapter unless it is 0, is loaded. */
-bool pf_listed_has(const struct pf_listed *e, uint64_t model,
-		     uint64_t adapter);
+bool pf_listed_has(const struct pf_listed *e, uint64_t model, uint64_t adapter);
 
 PF_END_DECLS
 
--- a/include/pimentoford/routes.h
+++ b/include/pimentoford/routes.h
@@ -92,7 +92,7 @@
 
 /** The service with this id, or NULL. */
 const struct pf_route_service *pf_routes_service(const struct pf_routes *r,
-					   uint64_t id);
+						 uint64_t id);
 
 /** The model with this id at @s, or NULL. */
 const struct pf_model_spec *pf_service_model(const struct pf_route_service *s,
--- a/include/pimentoford/talk.h
+++ b/include/pimentoford/talk.h
@@ -23,8 +23,8 @@
 	const char *addr; /* IP:PORT to listen at */
 	const struct pf_log *log; /* borrowed */
 	void (*digest)(void *ctx, const struct pf_gate_digest *d);
-	void (*demand)(void *ctx, uint64_t peer,
-		       const struct pf_gate_demand *v, size_t n);
+	void (*demand)(void *ctx, uint64_t peer, const struct pf_gate_demand *v,
+		       size_t n);
 	void (*state)(void *ctx, const struct pf_engine_state *s);
 	void (*want)(void *ctx, const struct sockaddr_in *from,
 		     const struct pf_loader_want *w);
--- a/src/coordination/gate/gate.c
+++ b/src/coordination/gate/gate.c
@@ -65,7 +65,7 @@
 
 	if (!g)
 		return;
-	for (i = 0; i < g->n_endpoints; i++)
+	for (i = 0; g->endpoints && i < g->n_endpoints; i++)
 		gate_endpoint_gone(g, g->endpoints[i].id);
 	pf_heap_free(&g->timers);
 	free(g->endpoints);
@@ -171,9 +171,9 @@
 			.endpoint = e->id,
 			.running = e->running,
 			.kv_tokens = (uint32_t)(e->kv > 0 ? e->kv : 0),
-			.prefill_ms = (uint32_t)(e->prefill_ms > 0 ?
-							 e->prefill_ms :
-							 0),
+			.prefill_ms =
+				(uint32_t)(e->prefill_ms > 0 ? e->prefill_ms
+							     : 0),
 		};
 	}
 	memcpy(g->out_sights, g->sights, g->n_sights * sizeof(*g->sights));
--- a/src/coordination/gate/gate_endpoints.c
+++ b/src/coordination/gate/gate_endpoints.c
@@ -66,8 +66,8 @@
 		if (!g->endpoints[i].used && !g->endpoints[i].running)
 			return i;
 	}
-	return g->n_endpoints < g->o.endpoints_max ? g->n_endpoints++ :
-						     GATE_NIL;
+	return g->n_endpoints < g->o.endpoints_max ? g->n_endpoints++
+						   : GATE_NIL;
 }
 
 static void free_residents(struct gate_endpoint *e)
@@ -82,8 +82,8 @@
 }
 
 /* Without memory the endpoint counts as holding less than it does. */
-static void copy_residents(struct gate_endpoint *e,
-			   const struct pf_resident *v, uint32_t n_v)
+static void copy_residents(struct gate_endpoint *e, const struct pf_resident *v,
+			   uint32_t n_v)
 {
 	uint32_t i;
 
@@ -306,8 +306,8 @@
 	uint32_t i;
 
 	p->heard_at = g->now;
-	p->n_loads = d->n_loads < PF_GATE_LOADS_MAX ? d->n_loads :
-						      PF_GATE_LOADS_MAX;
+	p->n_loads =
+		d->n_loads < PF_GATE_LOADS_MAX ? d->n_loads : PF_GATE_LOADS_MAX;
 	memcpy(p->loads, d->loads, p->n_loads * sizeof(*p->loads));
 	add_all_peers(g);
 	for (i = 0; i < d->n_sights; i++)
--- a/src/coordination/gate/gate_life.c
+++ b/src/coordination/gate/gate_life.c
@@ -108,8 +108,8 @@
 		return 0;
 	if (most > RETRY_MAX_MS)
 		most = RETRY_MAX_MS;
-	return (pf_ms)(most * (RETRY_LEAST + (1 - RETRY_LEAST) *
-						     pf_rng_unit(&g->rng)));
+	return (pf_ms)(most * (RETRY_LEAST +
+			       (1 - RETRY_LEAST) * pf_rng_unit(&g->rng)));
 }
 
 static void refuse(struct pf_gate *g, struct gate_request *r,
@@ -148,8 +148,8 @@
 		refuse(g, r, why);
 	else
 		fail(g, r,
-		     g->now >= r->over ? PF_GATE_WHY_TIMEOUT :
-					 PF_GATE_WHY_ENDPOINT_LOST);
+		     g->now >= r->over ? PF_GATE_WHY_TIMEOUT
+				       : PF_GATE_WHY_ENDPOINT_LOST);
 }
 
 /* The least time in which @r could still be answered. */
@@ -169,8 +169,8 @@
 
 static pf_ms stall_of(const struct gate_request *r)
 {
-	return r->model ? STALL_ENGINE_MS + (pf_ms)r->expected_ms :
-			  STALL_PLAIN_MS;
+	return r->model ? STALL_ENGINE_MS + (pf_ms)r->expected_ms
+			: STALL_PLAIN_MS;
 }
 
 /* When a request that waits is given up. */
@@ -178,8 +178,8 @@
 {
 	pf_ms last = r->over - least_time(r);
 	double share = gate_served(g, r) ? WAIT_FULL : WAIT_LOAD;
-	pf_ms limit = r->arrived +
-		      (pf_ms)(share * (double)(r->over - r->arrived));
+	pf_ms limit =
+		r->arrived + (pf_ms)(share * (double)(r->over - r->arrived));
 
 	if (r->objective)
 		limit += r->objective / 8;
@@ -295,9 +295,9 @@
 	r->model = in->model;
 	r->adapter = in->adapter;
 	r->prompt = in->prompt_tokens;
-	r->output = in->output_hint && in->output_hint < in->max_tokens ?
-			    in->output_hint :
-			    in->max_tokens;
+	r->output = in->output_hint && in->output_hint < in->max_tokens
+			    ? in->output_hint
+			    : in->max_tokens;
 	r->events = r->output / (event_tokens ? event_tokens : 1) + 1;
 	for (i = 0; i < in->n_parts; i++) {
 		chain = pf_id2(chain, in->parts[i].id);
@@ -426,9 +426,9 @@
 	if (r->state != GATE_STREAMING)
 		e->streaming++;
 	else if (n > 0)
-		e->event_ms += EVENT_WEIGHT *
-			       ((double)(g->now - r->heard_at) / n -
-				e->event_ms);
+		e->event_ms +=
+			EVENT_WEIGHT *
+			((double)(g->now - r->heard_at) / n - e->event_ms);
 	r->events = r->events > n ? r->events - n : 0;
 	r->state = GATE_STREAMING;
 	r->passed = true;
@@ -460,8 +460,8 @@
 			gate_endpoint_block(g, e);
 		} else {
 			e->blocked_until =
-				g->now + (pause < FULL_MAX_MS ? pause :
-								FULL_MAX_MS);
+				g->now +
+				(pause < FULL_MAX_MS ? pause : FULL_MAX_MS);
 		}
 		break;
 	case PF_GATE_UNSENT:
@@ -560,9 +560,9 @@
 	}
 	if (r->state == GATE_WAITING) {
 		give_up(g, r,
-			gate_served(g, r) ? PF_GATE_WHY_FULL :
-			r->model	  ? PF_GATE_WHY_NOT_LOADED :
-					    PF_GATE_WHY_NO_ENDPOINT);
+			gate_served(g, r) ? PF_GATE_WHY_FULL
+			: r->model        ? PF_GATE_WHY_NOT_LOADED
+					  : PF_GATE_WHY_NO_ENDPOINT);
 		return;
 	}
 	if (g->now >= r->over) {
--- a/src/coordination/loader/loader.c
+++ b/src/coordination/loader/loader.c
@@ -184,8 +184,8 @@
 		/* Gateways are to send nothing there from now on. */
 		l->leaving = pf_id(pf_str_c(model));
 		if (adapter)
-			l->leaving = pf_adapter_id(l->leaving,
-						   pf_str_c(adapter));
+			l->leaving =
+				pf_adapter_id(l->leaving, pf_str_c(adapter));
 		tell(l);
 	}
 	emit(l, &a);
@@ -238,14 +238,14 @@
 }
 
 /* The adapter that was not used for longest, or NULL when all are in use. */
-static const struct pf_engine_item *victim(struct pf_loader *l)
+static const struct pf_held_item *victim(struct pf_loader *l)
 {
-	const struct pf_engine_item *best = NULL;
+	const struct pf_held_item *best = NULL;
 	pf_ms best_at = l->now - l->o.idle_min;
 	uint32_t i;
 
 	for (i = 0; i < l->report.n_items; i++) {
-		const struct pf_engine_item *it = &l->report.items[i];
+		const struct pf_held_item *it = &l->report.items[i];
 		const struct use *u;
 
 		if (!it->adapter || it->coming || in_use(l, it->adapter_id))
@@ -274,7 +274,7 @@
 
 static void advance_adapters(struct pf_loader *l)
 {
-	const struct pf_engine_item *out;
+	const struct pf_held_item *out;
 	struct want *first = NULL;
 	uint32_t i;
 
@@ -315,7 +315,7 @@
 	if (!l->leaving || l->calling)
 		return;
 	for (i = 0; i < l->report.n_items; i++) {
-		const struct pf_engine_item *it = &l->report.items[i];
+		const struct pf_held_item *it = &l->report.items[i];
 
 		if ((it->adapter ? it->adapter_id : it->model_id) ==
 			    l->leaving &&
@@ -520,7 +520,7 @@
 	uint32_t i;
 
 	for (i = 0; i < r->n_items; i++) {
-		const struct pf_engine_item *it = &r->items[i];
+		const struct pf_held_item *it = &r->items[i];
 		struct pf_resident *m;
 
 		if (it->coming ||
@@ -532,18 +532,18 @@
 			m->adapters[m->n_adapters++] = it->adapter_id;
 	}
 	*s = (struct pf_engine_state){
-		.endpoint = l->instance[0] && l->named_born == r->born ?
-				    pf_id(pf_str_c(l->instance)) :
-				    0,
+		.endpoint = l->instance[0] && l->named_born == r->born
+				    ? pf_id(pf_str_c(l->instance))
+				    : 0,
 		.born = r->born,
 		.orders = r->orders,
 		.busy = r->busy || (l->calling && l->call_is_model),
 		.loading = l->loading,
 		.loading_for = l->loading ? now - l->loading_at : 0,
 		.from_store = l->loading && l->loading_store,
-		.leaving = l->leaving && pf_engine_report_find(r, l->leaving, 0) ?
-				   l->leaving :
-				   0,
+		.leaving = l->leaving && pf_engine_report_find(r, l->leaving, 0)
+				   ? l->leaving
+				   : 0,
 		.running = r->running,
 		.queued = r->queued,
 		.kv_used = r->kv_used,
--- a/src/coordination/plan/plan.c
+++ b/src/coordination/plan/plan.c
@@ -263,8 +263,8 @@
 	e->leaving = s->leaving;
 	copy_residents(e, s->residents, s->n_residents);
 	e->n_warm = copy_ids(e->warm, PLAN_COPIES_MAX, s->warm, s->n_warm);
-	e->n_on_disk = copy_ids(e->on_disk, PLAN_COPIES_MAX, s->on_disk,
-				s->n_on_disk);
+	e->n_on_disk =
+		copy_ids(e->on_disk, PLAN_COPIES_MAX, s->on_disk, s->n_on_disk);
 	if (s->from_store)
 		note_load(p, e->id, s->orders, p->now - s->loading_for);
 	settle_order(p, e);
--- a/src/coordination/plan/plan_choose.c
+++ b/src/coordination/plan/plan_choose.c
@@ -38,7 +38,8 @@
 static bool usable(const struct pf_plan *p, const struct plan_engine *e)
 {
 	return e->id && e->service == p->service->id && e->listed &&
-	       !e->draining && e->state_at && p->now - e->state_at < STATE_FRESH_MS;
+	       !e->draining && e->state_at &&
+	       p->now - e->state_at < STATE_FRESH_MS;
 }
 
 static double size_of(struct pf_plan *p, uint64_t id)
@@ -247,8 +248,7 @@
 	if (!at_hand)
 		cost += m->homes ? STORE_COST : STORE_WAIT_COST;
 	if (room_of(p, e) < m->spec->weights_mb) {
-		if (!p->settled || press < 1 ||
-		    !can_make_room(p, e, m, press))
+		if (!p->settled || press < 1 || !can_make_room(p, e, m, press))
 			return;
 		cost += EVICT_COST;
 	}
--- a/src/protocol/http1.c
+++ b/src/protocol/http1.c
@@ -56,8 +56,8 @@
 	while (at < list.n) {
 		const char *p = list.p + at;
 		const char *comma = memchr(p, ',', list.n - at);
-		struct pf_str item = { p, comma ? (size_t)(comma - p) :
-						  list.n - at };
+		struct pf_str item = { p, comma ? (size_t)(comma - p)
+						: list.n - at };
 
 		at += item.n + 1;
 		while (item.n && (*item.p == ' ' || *item.p == '\t')) {
@@ -76,10 +76,14 @@
 bool pf_h1_hop(const struct pf_h1_head *h, struct pf_str name)
 {
 	static const struct pf_str hops[] = {
-		{ "Connection", 10 }, { "Keep-Alive", 10 },
-		{ "Proxy-Connection", 16 }, { "Transfer-Encoding", 17 },
-		{ "TE", 2 }, { "Trailer", 7 },
-		{ "Upgrade", 7 }, { "Expect", 6 },
+		{ "Connection", 10 },
+		{ "Keep-Alive", 10 },
+		{ "Proxy-Connection", 16 },
+		{ "Transfer-Encoding", 17 },
+		{ "TE", 2 },
+		{ "Trailer", 7 },
+		{ "Upgrade", 7 },
+		{ "Expect", 6 },
 		{ "Content-Length", 14 },
 	};
 	size_t i;
@@ -154,8 +158,7 @@
 		return -1;
 	f->name = (struct pf_str){ line.p, (size_t)(colon - line.p) };
 	f->value = (struct pf_str){ colon + 1, line.n - f->name.n - 1 };
-	while (f->value.n &&
-	       (*f->value.p == ' ' || *f->value.p == '\t')) {
+	while (f->value.n && (*f->value.p == ' ' || *f->value.p == '\t')) {
 		f->value.p++;
 		f->value.n--;
 	}
@@ -229,10 +232,9 @@
 		if (h->target.p[i] <= ' ')
 			return -1;
 	}
-	if (!is_token(h->method) || h->target.n == 0 ||
-	    h->target.p[0] != '/' ||
-	    read_version((struct pf_str){ b + 1, line.n - (size_t)(b - line.p) -
-							 1 },
+	if (!is_token(h->method) || h->target.n == 0 || h->target.p[0] != '/' ||
+	    read_version((struct pf_str){ b + 1,
+					  line.n - (size_t)(b - line.p) - 1 },
 			 &h->minor) < 0)
 		return -1;
 	return read_fields(h, in);
@@ -251,9 +253,8 @@
 	    status < 100 || (line.n > 12 && line.p[12] != ' '))
 		return -1;
 	h->status = (int)status;
-	h->phrase = line.n > 13 ?
-			    (struct pf_str){ line.p + 13, line.n - 13 } :
-			    PF_STR("");
+	h->phrase = line.n > 13 ? (struct pf_str){ line.p + 13, line.n - 13 }
+				: PF_STR("");
 	return read_fields(h, in);
 }
 
--- a/src/state/engine_state.c
+++ b/src/state/engine_state.c
@@ -18,7 +18,7 @@
 	memset(r, 0, sizeof(*r));
 }
 
-const struct pf_engine_item *
+const struct pf_held_item *
 pf_engine_report_find(const struct pf_engine_report *r, uint64_t model,
 		      uint64_t adapter)
 {
--- a/src/state/listed.c
+++ b/src/state/listed.c
@@ -18,8 +18,7 @@
 	memset(e, 0, sizeof(*e));
 }
 
-bool pf_listed_has(const struct pf_listed *e, uint64_t model,
-		     uint64_t adapter)
+bool pf_listed_has(const struct pf_listed *e, uint64_t model, uint64_t adapter)
 {
 	uint32_t i;
 	uint32_t k;
--- a/src/state/routes.c
+++ b/src/state/routes.c
@@ -56,7 +56,7 @@
 }
 
 const struct pf_route_service *pf_routes_service(const struct pf_routes *r,
-					   uint64_t id)
+						 uint64_t id)
 {
 	uint32_t i;
 
--- a/src/transport/settings.c
+++ b/src/transport/settings.c
@@ -85,29 +85,28 @@
 	OPT(DEF, BOOL, load_on_demand, 0, 0, NULL)                         \
 	OPT(DEF, U32, loads_max, 1, 1024, NULL)
 
-#define GATEWAY_FIELDS(DEF)                                               \
-	PLACE_FIELDS(DEF)                                                 \
-	DEF("listen", ADDR, listen, true, 0, 0, NULL, NULL)               \
-	DEF("ready", ADDR, ready, true, 0, 0, NULL, NULL)                 \
-	DEF("talk", ADDR, talk, true, 0, 0, NULL, NULL)                   \
-	DEF("drain", MS, drain, false, 0, HOUR_MS, "8s", NULL)            \
-	DEF("lease", MS, lease, false, 100, HOUR_MS, "3s", NULL)          \
-	DEF("load_window", MS, load_window, false, 100, HOUR_MS, "5s",    \
-	    NULL)                                                         \
-	DEF("load_over", REAL, load_over, false, 0, 100, "1", NULL)       \
-	OPT(DEF, U32, requests_max, 1, 1e6, NULL)                         \
-	OPT(DEF, U32, endpoints_max, 1, 65536, NULL)                      \
-	OPT(DEF, REAL, repeat_ratio, 0, 10, NULL)                         \
-	OPT(DEF, U32, repeat_slack, 0, 1e6, NULL)                         \
+#define GATEWAY_FIELDS(DEF)                                                  \
+	PLACE_FIELDS(DEF)                                                    \
+	DEF("listen", ADDR, listen, true, 0, 0, NULL, NULL)                  \
+	DEF("ready", ADDR, ready, true, 0, 0, NULL, NULL)                    \
+	DEF("talk", ADDR, talk, true, 0, 0, NULL, NULL)                      \
+	DEF("drain", MS, drain, false, 0, HOUR_MS, "8s", NULL)               \
+	DEF("lease", MS, lease, false, 100, HOUR_MS, "3s", NULL)             \
+	DEF("load_window", MS, load_window, false, 100, HOUR_MS, "5s", NULL) \
+	DEF("load_over", REAL, load_over, false, 0, 100, "1", NULL)          \
+	OPT(DEF, U32, requests_max, 1, 1e6, NULL)                            \
+	OPT(DEF, U32, endpoints_max, 1, 65536, NULL)                         \
+	OPT(DEF, REAL, repeat_ratio, 0, 10, NULL)                            \
+	OPT(DEF, U32, repeat_slack, 0, 1e6, NULL)                            \
 	OPT(DEF, MS, repeat_window, 1000, 14000, NULL)
 
-#define LOADER_FIELDS(DEF)                                    \
-	PLACE_FIELDS(DEF)                                     \
-	DEF("talk", ADDR, talk, true, 0, 0, NULL, NULL)       \
+#define LOADER_FIELDS(DEF)                              \
+	PLACE_FIELDS(DEF)                               \
+	DEF("talk", ADDR, talk, true, 0, 0, NULL, NULL) \
 	DEF("backend", ADDR, backend, true, 0, 0, NULL, NULL)
 
-#define ZONE_FIELDS(DEF)                                 \
-	DEF("name", NAME, name, true, 0, 0, NULL, NULL)  \
+#define ZONE_FIELDS(DEF)                                \
+	DEF("name", NAME, name, true, 0, 0, NULL, NULL) \
 	DEF("region", NAME, region, true, 0, 0, NULL, NULL)
 
 #define DEF_FIELD(k, ty, m, req, lo, hi, dfl, ch) \
--- a/src/transport/talk.c
+++ b/src/transport/talk.c
@@ -83,8 +83,7 @@
 		const pimento_gate_load *l = &in->loads.loads_val[i];
 
 		loads[i] = (struct pf_gate_load){ l->endpoint, l->running,
-						  l->kv_tokens,
-						  l->prefill_ms };
+						  l->kv_tokens, l->prefill_ms };
 	}
 	for (i = 0; i < in->sights.sights_len; i++)
 		sights[i] = (struct pf_gate_sight){
@@ -111,10 +110,10 @@
 		u_int k = 0;
 
 		while (at < n && k < DEMANDS_A_DATAGRAM) {
-			part[k++] = (pimento_gate_demand){
-				v[at].item, v[at].model, v[at].per_s,
-				v[at].alive, v[at].waiting
-			};
+			part[k++] =
+				(pimento_gate_demand){ v[at].item, v[at].model,
+						       v[at].per_s, v[at].alive,
+						       v[at].waiting };
 			at++;
 		}
 		msg.pimento_talk_u.demands.peer = peer;
@@ -148,8 +147,7 @@
 
 	for (i = 0; i < s->n_residents && i < PIMENTO_ITEMS_MAX; i++) {
 		residents[i].model = s->residents[i].model;
-		residents[i].adapters.adapters_len =
-			s->residents[i].n_adapters;
+		residents[i].adapters.adapters_len = s->residents[i].n_adapters;
 		residents[i].adapters.adapters_val =
 			(u_quad_t *)s->residents[i].adapters;
 	}
--- /dev/null
+++ b/tests/gate_rig.cc
@@ -0,0 +1,206 @@
+#include "tests/gate_rig.h"
+
+#include <cstdlib>
+#include <cstring>
+
+static void Emit(void *ctx, const struct pf_gate_act *a)
+{
+	auto *r = static_cast<GateRig *>(ctx);
+	uint64_t to = a->type == PF_GATE_SEND   ? a->u.send.endpoint
+		      : a->type == PF_GATE_WANT ? a->u.want.endpoint
+						: 0;
+
+	r->acts.push_back(
+		{ a->type, static_cast<int>(reinterpret_cast<intptr_t>(a->ctx)),
+		  to, *a });
+}
+
+static void SetRoute(struct pf_route *r, const char *prefix,
+		     const char *service, enum pf_route_kind kind,
+		     pf_ms objective, pf_ms timeout, uint32_t attempts)
+{
+	r->host = strdup("h");
+	r->host_id = GateRig::Id("h");
+	r->prefix = strdup(prefix);
+	r->kind = kind;
+	r->splits[0] = { GateRig::Id(service), 1 };
+	r->n_splits = 1;
+	r->objective = objective;
+	r->timeout = timeout;
+	r->attempts = attempts;
+}
+
+void GateRig::Start()
+{
+	struct pf_gate_msg m = {};
+
+	g = pf_gate_new(&o);
+	routes = static_cast<struct pf_routes *>(calloc(1, sizeof(*routes)));
+	routes->routes =
+		static_cast<struct pf_route *>(calloc(4, sizeof(pf_route)));
+	routes->n_routes = 4;
+	SetRoute(&routes->routes[0], "/s/", "app", PF_ROUTE_SAFE, 150, 800, 2);
+	SetRoute(&routes->routes[1], "/u/", "app", PF_ROUTE_UNSAFE, 150, 800,
+		 1);
+	SetRoute(&routes->routes[2], "/t/", "llm", PF_ROUTE_STREAM, 5000, 15000,
+		 1);
+	SetRoute(&routes->routes[3], "/r/", "llm", PF_ROUTE_RESUMABLE, 800,
+		 6000, 2);
+	routes->services = static_cast<struct pf_route_service *>(
+		calloc(2, sizeof(pf_route_service)));
+	routes->n_services = 2;
+	routes->services[0].id = Id("app");
+	routes->services[1].id = Id("llm");
+	routes->services[1].engine = true;
+	routes->services[1].kv_tokens = 100000;
+	routes->services[1].event_tokens = 4;
+	m.type = PF_GATE_ROUTES;
+	m.u.routes = routes;
+	Step(m);
+}
+
+void GateRig::Step(const struct pf_gate_msg &m)
+{
+	const struct pf_gate_sink sink = { Emit, this };
+
+	pf_gate_step(g, now, &m, &sink);
+}
+
+void GateRig::Tick(pf_ms span)
+{
+	struct pf_gate_msg m = {};
+	pf_ms end = now + span;
+
+	m.type = PF_GATE_TICK;
+	while (now < end) {
+		pf_ms next = pf_gate_next(g);
+
+		now = next < end && next > now ? next : now + 1;
+		if (next > end)
+			now = end;
+		Step(m);
+	}
+}
+
+void GateRig::Endpoint(const char *name, const char *service, const char *zone,
+		       const char *model, const char *adapter, bool draining,
+		       int64_t born)
+{
+	struct pf_gate_msg m = {};
+	struct pf_listed l = {};
+	struct pf_resident r = {};
+	uint64_t a = 0;
+
+	l.id = Id(name);
+	l.service = Id(service);
+	l.zone = Id(zone);
+	l.slots = 4;
+	l.draining = draining;
+	l.born = born;
+	if (model) {
+		r.model = Id(model);
+		a = adapter ? pf_adapter_id(r.model, pf_str_c(adapter)) : 0;
+		r.adapters = &a;
+		r.n_adapters = adapter ? 1 : 0;
+		l.residents = &r;
+		l.n_residents = 1;
+	}
+	m.type = PF_GATE_ENDPOINT;
+	m.u.endpoint = &l;
+	Step(m);
+}
+
+void GateRig::Gone(const char *name)
+{
+	struct pf_gate_msg m = {};
+
+	m.type = PF_GATE_ENDPOINT_GONE;
+	m.u.id = Id(name);
+	Step(m);
+}
+
+void GateRig::Arrive(int who, const char *prefix, pf_ms budget,
+		     const char *model, const char *adapter, uint32_t prompt,
+		     const char *part, uint64_t fingerprint)
+{
+	struct pf_gate_msg m = {};
+	struct pf_inbound in = {};
+
+	in.budget = budget;
+	in.last_event = -1;
+	in.model = model ? Id(model) : 0;
+	in.adapter = adapter ? pf_adapter_id(in.model, pf_str_c(adapter)) : 0;
+	in.prompt_tokens = prompt;
+	in.max_tokens = model ? 40 : 0;
+	if (part) {
+		in.parts[0] = { Id(part), prompt };
+		in.n_parts = 1;
+	}
+	m.type = PF_GATE_ARRIVE;
+	m.u.arrival.ctx = reinterpret_cast<void *>(static_cast<intptr_t>(who));
+	m.u.arrival.route =
+		pf_routes_find(routes, PF_STR("h"), pf_str_c(prefix));
+	m.u.arrival.in = &in;
+	m.u.arrival.fingerprint = fingerprint ? fingerprint : 1000 + who;
+	m.u.arrival.handle = &handles[who];
+	Step(m);
+}
+
+void GateRig::Ended(int who, enum pf_gate_outcome outcome, int status,
+		    bool reset, bool absent)
+{
+	struct pf_gate_msg m = {};
+
+	m.type = PF_GATE_ENDED;
+	m.u.end.request = handles[who];
+	m.u.end.outcome = outcome;
+	m.u.end.status = status;
+	m.u.end.retry_after = -1;
+	m.u.end.reset = reset;
+	m.u.end.absent = absent;
+	Step(m);
+}
+
+void GateRig::Events(int who, uint32_t n)
+{
+	struct pf_gate_msg m = {};
+
+	m.type = PF_GATE_EVENTS;
+	m.u.events.request = handles[who];
+	m.u.events.n = n;
+	Step(m);
+}
+
+void GateRig::Hangup(int who)
+{
+	struct pf_gate_msg m = {};
+
+	m.type = PF_GATE_HANGUP;
+	m.u.request = handles[who];
+	Step(m);
+}
+
+const GateAct *GateRig::Last(int who, enum pf_gate_act_type type) const
+{
+	for (auto i = acts.rbegin(); i != acts.rend(); ++i) {
+		if (i->who == who && i->type == type)
+			return &*i;
+	}
+	return nullptr;
+}
+
+size_t GateRig::Count(enum pf_gate_act_type type) const
+{
+	size_t n = 0;
+
+	for (const GateAct &a : acts)
+		n += a.type == type;
+	return n;
+}
+
+uint64_t GateRig::SentTo(int who) const
+{
+	const GateAct *a = Last(who, PF_GATE_SEND);
+
+	return a ? a->endpoint : 0;
+}
--- /dev/null
+++ b/tests/gate_rig.h
@@ -0,0 +1,77 @@
+/* A gate core with endpoints and a routing table, in virtual time. */
+#ifndef TESTS_GATE_RIG_H
+#define TESTS_GATE_RIG_H
+
+#include "pimentoford/gate.h"
+
+#include <map>
+#include <string>
+#include <vector>
+
+struct GateAct {
+	enum pf_gate_act_type type;
+	int who; /* the request's tag */
+	uint64_t endpoint;
+	struct pf_gate_act raw;
+};
+
+struct GateRig {
+	struct pf_gate *g = nullptr;
+	struct pf_gate_opts o;
+	struct pf_routes *routes = nullptr;
+	pf_ms now = 1000000;
+	std::vector<GateAct> acts;
+	std::map<int, uint32_t> handles;
+	struct pf_gate_zone zones[3];
+
+	static uint64_t Id(const char *s)
+	{
+		return pf_id(pf_str_c(s));
+	}
+
+	GateRig()
+	{
+		pf_gate_opts_default(&o);
+		zones[0] = { Id("za"), Id("east") };
+		zones[1] = { Id("zb"), Id("east") };
+		zones[2] = { Id("zc"), Id("west") };
+		o.self = 77;
+		o.zone = Id("za");
+		o.region = Id("east");
+		o.zones = zones;
+		o.n_zones = 3;
+		o.seed = 5;
+		o.requests_max = 256;
+	}
+
+	~GateRig()
+	{
+		pf_gate_free(g);
+		pf_routes_free(routes);
+	}
+
+	/* Routes: /s/ safe, /u/ unsafe, /t/ stream, /r/ resumable. */
+	void Start();
+	void Step(const struct pf_gate_msg &m);
+	void Tick(pf_ms span);
+	void Endpoint(const char *name, const char *service, const char *zone,
+		      const char *model = nullptr,
+		      const char *adapter = nullptr, bool draining = false,
+		      int64_t born = 1);
+	void Gone(const char *name);
+	/* Acts that the arrival of request @who led to. */
+	void Arrive(int who, const char *prefix, pf_ms budget,
+		    const char *model = nullptr, const char *adapter = nullptr,
+		    uint32_t prompt = 0, const char *part = nullptr,
+		    uint64_t fingerprint = 0);
+	void Ended(int who, enum pf_gate_outcome outcome, int status = 0,
+		   bool reset = false, bool absent = false);
+	void Events(int who, uint32_t n = 1);
+	void Hangup(int who);
+	/* The last act for @who of this type, or NULL. */
+	const GateAct *Last(int who, enum pf_gate_act_type type) const;
+	size_t Count(enum pf_gate_act_type type) const;
+	uint64_t SentTo(int who) const;
+};
+
+#endif
--- /dev/null
+++ b/tests/test_gate.cc
@@ -0,0 +1,476 @@
+// The gate core: what is sent where, sent again, refused and given up.
+#include "tests/gate_rig.h"
+
+#include <gtest/gtest.h>
+
+namespace
+{
+
+struct Gate : ::testing::Test, GateRig {
+	void SetUp() override
+	{
+		Start();
+		Endpoint("a1", "app", "za");
+		Endpoint("a2", "app", "zb");
+		Endpoint("l1", "llm", "za", "m");
+		Endpoint("l2", "llm", "zb", "m");
+	}
+	/* The window of a fresh process is over. */
+	void Warm()
+	{
+		Tick(11000);
+		acts.clear();
+	}
+};
+
+// How a try ends, and what follows for each kind of route.
+struct EndCase {
+	const char *name;
+	const char *prefix;
+	enum pf_gate_outcome outcome;
+	int status;
+	enum pf_gate_act_type follows; /* SEND: to another endpoint */
+};
+
+struct GateEnds : Gate, ::testing::WithParamInterface<EndCase> {
+};
+
+TEST_P(GateEnds, AreFollowedByWhatTheKindAllows)
+{
+	const EndCase &c = GetParam();
+	const char *model =
+		c.prefix[1] == 't' || c.prefix[1] == 'r' ? "m" : nullptr;
+
+	Warm();
+	Arrive(1, c.prefix, 5000, model, nullptr, model ? 100 : 0);
+	ASSERT_EQ(Count(PF_GATE_SEND), 1u);
+	uint64_t first = SentTo(1);
+	acts.clear();
+	if (c.outcome == PF_GATE_BROKEN)
+		Events(1);
+	Ended(1, c.outcome, c.status);
+	const GateAct *a = Last(1, c.follows);
+	ASSERT_NE(a, nullptr);
+	if (c.follows == PF_GATE_SEND) {
+		EXPECT_NE(a->endpoint, first);
+		EXPECT_EQ(a->raw.u.send.resume, c.outcome == PF_GATE_BROKEN);
+	} else {
+		EXPECT_EQ(Count(PF_GATE_SEND), 0u);
+	}
+}
+
+INSTANTIATE_TEST_SUITE_P(
+	Kinds, GateEnds,
+	::testing::Values(
+		EndCase{ "safe_answered", "/s/", PF_GATE_ANSWERED, 200,
+			 PF_GATE_DELIVER },
+		EndCase{ "safe_failed", "/s/", PF_GATE_ANSWERED, 500,
+			 PF_GATE_SEND },
+		EndCase{ "safe_lost", "/s/", PF_GATE_LOST, 0, PF_GATE_SEND },
+		EndCase{ "safe_not_run", "/s/", PF_GATE_NOT_RUN, 503,
+			 PF_GATE_SEND },
+		EndCase{ "unsafe_failed", "/u/", PF_GATE_ANSWERED, 500,
+			 PF_GATE_DELIVER },
+		EndCase{ "unsafe_lost", "/u/", PF_GATE_LOST, 0, PF_GATE_FAIL },
+		EndCase{ "unsafe_not_run", "/u/", PF_GATE_NOT_RUN, 503,
+			 PF_GATE_SEND },
+		EndCase{ "unsafe_unsent", "/u/", PF_GATE_UNSENT, 0,
+			 PF_GATE_SEND },
+		EndCase{ "stream_broken", "/t/", PF_GATE_BROKEN, 0,
+			 PF_GATE_FAIL },
+		EndCase{ "stream_lost", "/t/", PF_GATE_LOST, 0, PF_GATE_FAIL },
+		EndCase{ "stream_not_run", "/t/", PF_GATE_NOT_RUN, 503,
+			 PF_GATE_SEND },
+		EndCase{ "resumable_broken", "/r/", PF_GATE_BROKEN, 0,
+			 PF_GATE_SEND },
+		EndCase{ "resumable_lost", "/r/", PF_GATE_LOST, 0,
+			 PF_GATE_SEND }),
+	[](const auto &i) { return std::string(i.param.name); });
+
+TEST_F(Gate, AFreshProcessHasOnlyTheRatioForFurtherSends)
+{
+	Arrive(1, "/s/", 800);
+	acts.clear();
+	Ended(1, PF_GATE_LOST);
+	// One request allows a fifth of a further send.
+	EXPECT_EQ(Count(PF_GATE_SEND), 0u);
+	EXPECT_NE(Last(1, PF_GATE_FAIL), nullptr);
+}
+
+TEST_F(Gate, FurtherSendsStayWithinThePartOfTheSlack)
+{
+	o.repeat_slack = 12;
+	pf_gate_set_budget(g, 0, 12);
+	// Another gateway has the other half.
+	struct pf_gate_msg m = {};
+	m.type = PF_GATE_PEER;
+	m.u.digest.peer = 99;
+	Warm();
+	Step(m);
+	for (int i = 0; i < 20; i++) {
+		Arrive(i, "/s/", 800);
+		Ended(i, PF_GATE_LOST);
+		if (Last(i, PF_GATE_FAIL) == nullptr)
+			Ended(i, PF_GATE_ANSWERED, 200);
+	}
+	EXPECT_EQ(Count(PF_GATE_SEND), 26u);
+}
+
+TEST_F(Gate, NothingGoesToAnEndpointThatLeaves)
+{
+	Endpoint("a1", "app", "za", nullptr, nullptr, true);
+	for (int i = 0; i < 4; i++) {
+		Arrive(i, "/u/", 800);
+		EXPECT_EQ(SentTo(i), Id("a2"));
+	}
+	Gone("a2");
+	Arrive(9, "/u/", 800);
+	EXPECT_EQ(Last(9, PF_GATE_SEND), nullptr);
+}
+
+TEST_F(Gate, TheNearIsPreferredUntilItIsBusy)
+{
+	Arrive(1, "/u/", 800);
+	EXPECT_EQ(SentTo(1), Id("a1"));
+	for (int i = 2; i < 9; i++)
+		Arrive(i, "/u/", 800);
+	EXPECT_EQ(Count(PF_GATE_SEND), 8u);
+	// Both are full: the ninth waits and is refused, never failed.
+	Arrive(10, "/u/", 800);
+	EXPECT_EQ(Last(10, PF_GATE_SEND), nullptr);
+	Tick(100);
+	const GateAct *a = Last(10, PF_GATE_REFUSE);
+	ASSERT_NE(a, nullptr);
+	EXPECT_EQ(a->raw.u.refuse.status, 503);
+	EXPECT_GE(a->raw.u.refuse.retry_after, 0);
+	EXPECT_LE(a->raw.u.refuse.retry_after, 800 / 3);
+}
+
+TEST_F(Gate, WhatWaitsIsSentWhenThereIsRoom)
+{
+	for (int i = 1; i < 9; i++)
+		Arrive(i, "/u/", 800);
+	Arrive(9, "/u/", 800);
+	ASSERT_EQ(Last(9, PF_GATE_SEND), nullptr);
+	Ended(3, PF_GATE_ANSWERED, 200);
+	EXPECT_NE(Last(9, PF_GATE_SEND), nullptr);
+}
+
+TEST_F(Gate, APromptGoesWhereItsPartsAreKept)
+{
+	Arrive(1, "/r/", 6000, "m", nullptr, 8000, "p");
+	uint64_t first = SentTo(1);
+	Events(1);
+	Ended(1, PF_GATE_ANSWERED, 200);
+	for (int i = 2; i < 12; i++) {
+		Tick(50);
+		Arrive(i, "/r/", 6000, "m", nullptr, 8000, "p");
+		EXPECT_EQ(SentTo(i), first);
+		Events(i);
+		Ended(i, PF_GATE_ANSWERED, 200);
+	}
+}
+
+TEST_F(Gate, AnotherGatewaysDigestTellsWhereItIsKept)
+{
+	struct pf_gate_msg m = {};
+	uint64_t chain = pf_id2(pf_id2(Id("m"), 0), Id("p"));
+	struct pf_gate_sight sight = { chain, Id("l2") };
+
+	m.type = PF_GATE_PEER;
+	m.u.digest.peer = 99;
+	m.u.digest.sights = &sight;
+	m.u.digest.n_sights = 1;
+	Step(m);
+	Arrive(1, "/r/", 6000, "m", nullptr, 8000, "p");
+	EXPECT_EQ(SentTo(1), Id("l2"));
+}
+
+TEST_F(Gate, AnotherGatewaysWorkCounts)
+{
+	struct pf_gate_msg m = {};
+	struct pf_gate_load load = { Id("l1"), 3, 9000, 900 };
+
+	m.type = PF_GATE_PEER;
+	m.u.digest.peer = 99;
+	m.u.digest.loads = &load;
+	m.u.digest.n_loads = 1;
+	Step(m);
+	Arrive(1, "/r/", 6000, "m", nullptr, 500);
+	EXPECT_EQ(SentTo(1), Id("l2"));
+}
+
+TEST_F(Gate, MemoryIsNotPromisedTwice)
+{
+	struct pf_gate_msg m = {};
+	struct pf_gate_load loads[2] = { { Id("l1"), 3, 95000, 0 },
+					 { Id("l2"), 3, 95000, 0 } };
+
+	m.type = PF_GATE_PEER;
+	m.u.digest.peer = 99;
+	m.u.digest.loads = loads;
+	m.u.digest.n_loads = 2;
+	Step(m);
+	Arrive(1, "/t/", 15000, "m", nullptr, 8000);
+	EXPECT_EQ(Last(1, PF_GATE_SEND), nullptr);
+}
+
+TEST_F(Gate, AModelThatIsNotThereIsWaitedFor)
+{
+	Arrive(1, "/t/", 15000, "n", nullptr, 100);
+	EXPECT_EQ(Last(1, PF_GATE_SEND), nullptr);
+	Tick(2000);
+	EXPECT_EQ(Last(1, PF_GATE_REFUSE), nullptr);
+	Endpoint("l2", "llm", "zb", "n");
+	EXPECT_EQ(SentTo(1), Id("l2"));
+}
+
+TEST_F(Gate, AMisplacedRequestGoesOnAndTheModelIsNotSoughtThere)
+{
+	Warm();
+	Arrive(1, "/t/", 15000, "m", nullptr, 100);
+	uint64_t first = SentTo(1);
+	Ended(1, PF_GATE_NOT_RUN, 421, false, true);
+	EXPECT_NE(SentTo(1), first);
+	Arrive(2, "/t/", 15000, "m", nullptr, 100);
+	EXPECT_NE(SentTo(2), first);
+}
+
+static struct pf_engine_state State(const char *name, struct pf_resident *r,
+				    uint64_t orders, bool busy = false)
+{
+	struct pf_engine_state s = {};
+
+	s.endpoint = GateRig::Id(name);
+	s.born = 1;
+	s.orders = orders;
+	s.busy = busy;
+	s.residents = r;
+	s.n_residents = 1;
+	return s;
+}
+
+TEST_F(Gate, AMissingAdapterIsAskedOfTheLoaderThatIsHeard)
+{
+	struct pf_gate_msg m = {};
+	uint64_t a = pf_adapter_id(Id("m"), PF_STR("a1"));
+	struct pf_resident r = { Id("m"), &a, 0 };
+	struct pf_engine_state s = State("l2", &r, 1);
+
+	Arrive(1, "/r/", 6000, "m", "a1", 100);
+	EXPECT_EQ(Last(1, PF_GATE_WANT), nullptr);
+	m.type = PF_GATE_STATE;
+	m.u.state = &s;
+	Step(m);
+	const GateAct *w = Last(1, PF_GATE_WANT);
+	ASSERT_NE(w, nullptr);
+	EXPECT_EQ(w->endpoint, Id("l2"));
+	r.n_adapters = 1;
+	s.orders = 2;
+	Step(m);
+	EXPECT_EQ(SentTo(1), Id("l2"));
+}
+
+TEST_F(Gate, AnEngineThatLoadsAModelBringsNoAdapter)
+{
+	struct pf_gate_msg m = {};
+	struct pf_resident r = { Id("m"), nullptr, 0 };
+	struct pf_engine_state s = State("l2", &r, 1, true);
+
+	m.type = PF_GATE_STATE;
+	m.u.state = &s;
+	Step(m);
+	Arrive(1, "/r/", 6000, "m", "a1", 100);
+	EXPECT_EQ(Last(1, PF_GATE_WANT), nullptr);
+}
+
+TEST_F(Gate, AnOlderStateDoesNotUndoANewerOne)
+{
+	struct pf_gate_msg m = {};
+	struct pf_resident with = { Id("n"), nullptr, 0 };
+	struct pf_resident without = { Id("m"), nullptr, 0 };
+	struct pf_engine_state newer = State("l2", &with, 5);
+	struct pf_engine_state older = State("l2", &without, 4);
+
+	m.type = PF_GATE_STATE;
+	m.u.state = &newer;
+	Step(m);
+	m.u.state = &older;
+	Step(m);
+	Arrive(1, "/t/", 15000, "n", nullptr, 100);
+	EXPECT_EQ(SentTo(1), Id("l2"));
+}
+
+TEST_F(Gate, ASilentEndpointIsLeftForAnother)
+{
+	Warm();
+	Arrive(1, "/r/", 6000, "m", nullptr, 100);
+	uint64_t first = SentTo(1);
+	Events(1);
+	Tick(1500);
+	EXPECT_NE(Last(1, PF_GATE_DROP), nullptr);
+	EXPECT_NE(SentTo(1), first);
+	EXPECT_TRUE(Last(1, PF_GATE_SEND)->raw.u.send.resume);
+}
+
+TEST_F(Gate, SilenceIsNoReasonToEndWhatMayRunOnlyOnce)
+{
+	Arrive(1, "/t/", 15000, "m", nullptr, 100);
+	Events(1);
+	Tick(5000);
+	EXPECT_EQ(Count(PF_GATE_DROP), 0u);
+	EXPECT_EQ(Count(PF_GATE_FAIL), 0u);
+	Tick(10100);
+	EXPECT_EQ(Count(PF_GATE_DROP), 1u);
+	ASSERT_NE(Last(1, PF_GATE_FAIL), nullptr);
+	EXPECT_EQ(Last(1, PF_GATE_FAIL)->raw.u.fail.status, 504);
+}
+
+TEST_F(Gate, TheEndOfTheTimeIsNeverARefusalOnceItWasSent)
+{
+	Arrive(1, "/u/", 800);
+	Tick(900);
+	ASSERT_NE(Last(1, PF_GATE_FAIL), nullptr);
+	EXPECT_EQ(Last(1, PF_GATE_FAIL)->raw.u.fail.status, 504);
+	EXPECT_EQ(Count(PF_GATE_REFUSE), 0u);
+}
+
+TEST_F(Gate, TheTimeThatIsLeftIsHandedOn)
+{
+	Arrive(1, "/t/", 3000, "n", nullptr, 100);
+	Tick(1000);
+	Endpoint("l1", "llm", "za", "n");
+	const GateAct *a = Last(1, PF_GATE_SEND);
+	ASSERT_NE(a, nullptr);
+	EXPECT_LE(a->raw.u.send.budget, 2000);
+	EXPECT_GE(a->raw.u.send.budget, 1900);
+}
+
+TEST_F(Gate, ACallerThatLeftIsForgottenAtOnce)
+{
+	Arrive(1, "/t/", 15000, "m", nullptr, 100);
+	Hangup(1);
+	EXPECT_NE(Last(1, PF_GATE_DROP), nullptr);
+	Arrive(2, "/t/", 15000, "n", nullptr, 100);
+	Hangup(2);
+	acts.clear();
+	Endpoint("l1", "llm", "za", "n");
+	Tick(20000);
+	EXPECT_EQ(acts.size(), 0u);
+}
+
+TEST_F(Gate, ARequestThatCrashedThreeEndpointsIsNotPassedOn)
+{
+	Warm();
+	for (int i = 0; i < 3; i++) {
+		Arrive(i, "/u/", 800, nullptr, nullptr, 0, nullptr, 42);
+		Ended(i, PF_GATE_LOST, 0, true);
+	}
+	Arrive(9, "/u/", 800, nullptr, nullptr, 0, nullptr, 42);
+	EXPECT_EQ(Last(9, PF_GATE_SEND), nullptr);
+	ASSERT_NE(Last(9, PF_GATE_REFUSE), nullptr);
+	EXPECT_EQ(Last(9, PF_GATE_REFUSE)->raw.u.refuse.reason,
+		  PF_GATE_WHY_QUARANTINED);
+	Arrive(10, "/u/", 800);
+	EXPECT_NE(Last(10, PF_GATE_SEND), nullptr);
+}
+
+TEST_F(Gate, CrashesThatOthersSawCountToo)
+{
+	struct pf_gate_msg m = {};
+	uint64_t crashed[3] = { 42, 42, 42 };
+
+	m.type = PF_GATE_PEER;
+	m.u.digest.peer = 99;
+	m.u.digest.crashed = crashed;
+	m.u.digest.n_crashed = 3;
+	Step(m);
+	Arrive(9, "/u/", 800, nullptr, nullptr, 0, nullptr, 42);
+	EXPECT_NE(Last(9, PF_GATE_REFUSE), nullptr);
+}
+
+TEST_F(Gate, AProcessThatStopsLetsNothingWait)
+{
+	struct pf_gate_msg m = {};
+
+	m.type = PF_GATE_LEAVE;
+	Arrive(1, "/t/", 15000, "n", nullptr, 100);
+	EXPECT_EQ(Last(1, PF_GATE_REFUSE), nullptr);
+	Step(m);
+	ASSERT_NE(Last(1, PF_GATE_REFUSE), nullptr);
+	Arrive(2, "/t/", 15000, "n", nullptr, 100);
+	EXPECT_NE(Last(2, PF_GATE_REFUSE), nullptr);
+	Arrive(3, "/t/", 15000, "m", nullptr, 100);
+	EXPECT_NE(Last(3, PF_GATE_SEND), nullptr);
+}
+
+TEST_F(Gate, ARestartUnderTheSameNameIsAnotherLife)
+{
+	Warm();
+	Gone("l2");
+	for (int i = 0; i < 3; i++) {
+		Arrive(i, "/t/", 15000, "m", nullptr, 100);
+		Ended(i, PF_GATE_UNSENT);
+	}
+	acts.clear();
+	Endpoint("l1", "llm", "za", "m", nullptr, false, 2);
+	Arrive(9, "/t/", 15000, "m", nullptr, 100);
+	EXPECT_EQ(SentTo(9), Id("l1"));
+}
+
+TEST_F(Gate, WhatCantEndInTimeIsNotSent)
+{
+	// Events come slowly at both endpoints.
+	for (int i = 1; i < 3; i++) {
+		Endpoint("l1", "llm", "za", "m", nullptr, i == 2);
+		Arrive(i, "/t/", 600000, "m", nullptr, 100);
+		for (int k = 0; k < 200 && Last(i, PF_GATE_FAIL) == nullptr;
+		     k++) {
+			now += 60;
+			Events(i);
+		}
+	}
+	Endpoint("l1", "llm", "za", "m");
+	Arrive(9, "/r/", 400, "m", nullptr, 100);
+	EXPECT_EQ(Last(9, PF_GATE_SEND), nullptr);
+	Arrive(10, "/r/", 4000, "m", nullptr, 100);
+	EXPECT_NE(Last(10, PF_GATE_SEND), nullptr);
+}
+
+TEST(GateOptions, AreChecked)
+{
+	struct pf_gate_opts o;
+
+	pf_gate_opts_default(&o);
+	EXPECT_EQ(pf_gate_new(&o), nullptr); // no self, no zone
+	o.self = 1;
+	o.zone = 1;
+	o.repeat_window = 60000;
+	EXPECT_EQ(pf_gate_new(&o), nullptr);
+}
+
+TEST_F(Gate, ItsTableOfRequestsIsBounded)
+{
+	for (int i = 0; i < 300; i++)
+		Arrive(i, "/t/", 15000, "n", nullptr, 100);
+	struct pf_gate_stats s;
+	pf_gate_stats(g, &s);
+	EXPECT_EQ(s.alive, 256u);
+	EXPECT_EQ(Count(PF_GATE_REFUSE), 44u);
+}
+
+TEST_F(Gate, DemandCountsWhatIsAlive)
+{
+	struct pf_gate_demand d[8];
+
+	for (int i = 0; i < 6; i++)
+		Arrive(i, "/t/", 15000, "n", nullptr, 100);
+	now += 3000;
+	size_t n = pf_gate_demand(g, now, d, 8);
+	ASSERT_EQ(n, 1u);
+	EXPECT_EQ(d[0].model, Id("n"));
+	EXPECT_GT(d[0].alive, 5);
+	EXPECT_EQ(d[0].waiting, 6u);
+}
+
+} // namespace
--- /dev/null
+++ b/tests/test_loader.cc
@@ -0,0 +1,302 @@
+// The loader core: one order at a time, and what is told of the engine.
+#include "pimentoford/loader.h"
+
+#include "pimentoford/routes.h"
+
+#include <gtest/gtest.h>
+#include <cstdlib>
+#include <cstring>
+#include <string>
+#include <vector>
+
+namespace
+{
+
+struct Call {
+	bool load;
+	std::string model;
+	std::string adapter;
+	uint64_t orders;
+};
+
+struct Loader : ::testing::Test {
+	struct pf_loader *l = nullptr;
+	pf_ms now = 100000;
+	std::vector<Call> calls;
+	int polls = 0;
+	int tells = 0;
+
+	void SetUp() override
+	{
+		struct pf_loader_opts o;
+
+		pf_loader_opts_default(&o);
+		l = pf_loader_new(&o);
+		Hello();
+	}
+	void TearDown() override
+	{
+		pf_loader_free(l);
+	}
+	static void Emit(void *ctx, const struct pf_loader_act *a)
+	{
+		auto *t = static_cast<Loader *>(ctx);
+
+		if (a->type == PF_LOADER_POLL)
+			t->polls++;
+		else if (a->type == PF_LOADER_TELL)
+			t->tells++;
+		else
+			t->calls.push_back(
+				{ a->call.load, a->call.model,
+				  a->call.adapter ? a->call.adapter : "",
+				  a->call.orders });
+	}
+	void Step(struct pf_loader_msg m)
+	{
+		const struct pf_loader_sink sink = { Emit, this };
+
+		pf_loader_step(l, now, &m, &sink);
+	}
+	void Hello(uint64_t from = 1, std::vector<uint64_t> used = {},
+		   const char *adapter = "", int64_t born = 1)
+	{
+		struct pf_loader_msg m = {};
+
+		m.type = PF_LOADER_WANT;
+		m.u.want.from = from;
+		m.u.want.instance = PF_STR("i-1");
+		m.u.want.born = born;
+		m.u.want.adapter_slots = 2;
+		m.u.want.used = used.data();
+		m.u.want.n_used = static_cast<uint32_t>(used.size());
+		if (*adapter) {
+			m.u.want.model = PF_STR("m");
+			m.u.want.adapter = pf_str_c(adapter);
+		}
+		Step(m);
+	}
+	/* Items are MODEL or MODEL/ADAPTER. */
+	void Report(uint64_t orders, std::vector<std::string> items,
+		    bool busy = false, int64_t born = 1)
+	{
+		struct pf_loader_msg m = {};
+		struct pf_engine_report r = {};
+
+		r.born = born;
+		r.orders = orders;
+		r.busy = busy;
+		r.items = static_cast<struct pf_held_item *>(
+			calloc(items.size() + 1, sizeof(*r.items)));
+		for (const std::string &s : items) {
+			struct pf_held_item *it = &r.items[r.n_items++];
+			size_t slash = s.find('/');
+			std::string model = s.substr(0, slash);
+
+			it->model = strdup(model.c_str());
+			it->model_id = pf_id(pf_str_c(it->model));
+			if (slash == std::string::npos)
+				continue;
+			it->adapter = strdup(s.substr(slash + 1).c_str());
+			it->adapter_id = pf_adapter_id(it->model_id,
+						       pf_str_c(it->adapter));
+		}
+		m.type = PF_LOADER_REPORT;
+		m.u.report = &r;
+		Step(m);
+	}
+	void Order(bool load, const char *model, uint64_t orders,
+		   int64_t born = 1)
+	{
+		struct pf_loader_msg m = {};
+
+		m.type = PF_LOADER_ORDER;
+		m.u.order.instance = PF_STR("i-1");
+		m.u.order.born = born;
+		m.u.order.orders = orders;
+		m.u.order.load = load;
+		m.u.order.model = pf_str_c(model);
+		Step(m);
+	}
+	void Ordered(enum pf_loader_result r)
+	{
+		struct pf_loader_msg m = {};
+
+		m.type = PF_LOADER_ORDERED;
+		m.u.result = r;
+		Step(m);
+	}
+	struct pf_engine_state State()
+	{
+		struct pf_engine_state s;
+
+		pf_loader_state(l, now, &s);
+		return s;
+	}
+	static uint64_t A(const char *adapter)
+	{
+		return pf_adapter_id(pf_id(PF_STR("m")), pf_str_c(adapter));
+	}
+};
+
+TEST_F(Loader, CarriesOutAnOrderThatFitsTheCount)
+{
+	Report(3, { "m" });
+	Order(true, "n", 3);
+	ASSERT_EQ(calls.size(), 1u);
+	EXPECT_TRUE(calls[0].load);
+	EXPECT_EQ(calls[0].model, "n");
+	EXPECT_EQ(calls[0].orders, 3u);
+}
+
+// An order that does not fit what the engine has accepted.
+struct StaleCase {
+	const char *name;
+	uint64_t orders;
+	int64_t born;
+};
+
+struct LoaderStale : Loader, ::testing::WithParamInterface<StaleCase> {
+};
+
+TEST_P(LoaderStale, IsDropped)
+{
+	Report(3, { "m" });
+	Order(true, "n", GetParam().orders, GetParam().born);
+	EXPECT_EQ(calls.size(), 0u);
+}
+
+INSTANTIATE_TEST_SUITE_P(Orders, LoaderStale,
+			 ::testing::Values(StaleCase{ "behind", 2, 1 },
+					   StaleCase{ "ahead", 4, 1 },
+					   StaleCase{ "other_life", 3, 2 }),
+			 [](const auto &i) {
+				 return std::string(i.param.name);
+			 });
+
+TEST_F(Loader, GivesOneOrderAtATime)
+{
+	Report(3, { "m" });
+	Order(true, "n", 3);
+	Hello(1, {}, "a1");
+	Order(true, "o", 3);
+	EXPECT_EQ(calls.size(), 1u);
+	Ordered(PF_LOADER_ACCEPTED);
+	// The report must be younger than the order.
+	EXPECT_EQ(calls.size(), 1u);
+}
+
+TEST_F(Loader, BringsAnAdapterThatIsAskedFor)
+{
+	Report(0, { "m" });
+	Hello(1, {}, "a1");
+	ASSERT_EQ(calls.size(), 1u);
+	EXPECT_EQ(calls[0].adapter, "a1");
+	Ordered(PF_LOADER_ACCEPTED);
+	Report(1, { "m", "m/a1" });
+	EXPECT_EQ(calls.size(), 1u);
+	EXPECT_EQ(State().n_residents, 1u);
+	EXPECT_EQ(State().residents[0].n_adapters, 1u);
+}
+
+TEST_F(Loader, NoAdapterWhileAModelIsLoaded)
+{
+	Report(0, { "m" }, true);
+	Hello(1, {}, "a1");
+	EXPECT_EQ(calls.size(), 0u);
+	Report(1, { "m" });
+	EXPECT_EQ(calls.size(), 1u);
+}
+
+TEST_F(Loader, GivesUpTheAdapterThatNobodyUses)
+{
+	Report(0, { "m", "m/a1", "m/a2" });
+	Hello(1, { A("a1") });
+	now += 1000;
+	Hello(1, { A("a1") });
+	Hello(2, {}, "a3");
+	// What it decides on must be fresh.
+	EXPECT_EQ(calls.size(), 0u);
+	EXPECT_EQ(polls, 1);
+	Report(0, { "m", "m/a1", "m/a2" });
+	ASSERT_EQ(calls.size(), 1u);
+	EXPECT_FALSE(calls[0].load);
+	EXPECT_EQ(calls[0].adapter, "a2");
+	// It is not to be used from now on.
+	EXPECT_EQ(State().residents[0].n_adapters, 1u);
+	Ordered(PF_LOADER_ACCEPTED);
+	Report(1, { "m", "m/a1" });
+	ASSERT_EQ(calls.size(), 2u);
+	EXPECT_EQ(calls[1].adapter, "a3");
+}
+
+TEST_F(Loader, AdaptersInUseStay)
+{
+	Report(0, { "m", "m/a1", "m/a2" });
+	now += 1000;
+	Hello(1, { A("a1") });
+	Hello(2, { A("a2") });
+	now += 1000;
+	Hello(3, {}, "a3");
+	EXPECT_EQ(calls.size(), 0u);
+}
+
+// An unload without an answer may come to effect later: until the report
+// shows it, the model holds its memory and is not to be used.
+TEST_F(Loader, AnUnansweredUnloadHoldsTheMemory)
+{
+	uint64_t m = pf_id(PF_STR("m"));
+
+	Report(5, { "m", "n" });
+	Order(false, "m", 5);
+	ASSERT_EQ(calls.size(), 1u);
+	Ordered(PF_LOADER_SILENT);
+	Report(5, { "m", "n" });
+	EXPECT_EQ(State().leaving, m);
+	ASSERT_EQ(State().n_residents, 1u);
+	EXPECT_NE(State().residents[0].model, m);
+	Report(6, { "n" });
+	EXPECT_EQ(State().leaving, 0u);
+}
+
+TEST_F(Loader, AnAcceptedUnloadHoldsItUntilItsRunsHaveEnded)
+{
+	Report(5, { "m", "n" });
+	Order(false, "m", 5);
+	Ordered(PF_LOADER_ACCEPTED);
+	Report(6, { "m", "n" }, true);
+	EXPECT_EQ(State().leaving, pf_id(PF_STR("m")));
+	EXPECT_TRUE(State().busy);
+}
+
+TEST_F(Loader, ARefusedUnloadChangesNothing)
+{
+	Report(5, { "m", "n" });
+	Order(false, "m", 5);
+	Ordered(PF_LOADER_REFUSED);
+	EXPECT_EQ(State().n_residents, 2u);
+}
+
+TEST_F(Loader, TellsNothingOfAnEndpointThatItCantName)
+{
+	Report(0, { "m" }, false, 9);
+	EXPECT_EQ(State().endpoint, 0u);
+	Hello(1, {}, "", 9);
+	EXPECT_EQ(State().endpoint, pf_id(PF_STR("i-1")));
+}
+
+TEST_F(Loader, PollsByItselfAndOneAtATime)
+{
+	struct pf_loader_msg tick = {};
+
+	tick.type = PF_LOADER_TICK;
+	Step(tick);
+	Step(tick);
+	EXPECT_EQ(polls, 1);
+	Report(0, { "m" });
+	now = pf_loader_next(l);
+	Step(tick);
+	EXPECT_EQ(polls, 2);
+}
+
+} // namespace
--- /dev/null
+++ b/tests/test_plan.cc
@@ -0,0 +1,374 @@
+// The plan core: homes, replicas, room, the budget of loads, who leads.
+#include "pimentoford/plan.h"
+
+#include <gtest/gtest.h>
+#include <cstdlib>
+#include <cstring>
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace
+{
+
+struct Order {
+	uint64_t endpoint;
+	bool load;
+	bool from_store;
+	std::string model;
+};
+
+struct Engine {
+	uint64_t orders = 0;
+	std::vector<std::string> residents;
+	std::vector<std::string> disk;
+	bool busy = false;
+	uint64_t leaving = 0;
+	bool draining = false;
+};
+
+struct Plan : ::testing::Test {
+	struct pf_plan *p = nullptr;
+	struct pf_routes *routes = nullptr;
+	pf_ms now = 100000;
+	std::vector<Order> orders;
+	std::map<std::string, Engine> engines;
+
+	static uint64_t Id(const std::string &s)
+	{
+		return pf_id(pf_str_c(s.c_str()));
+	}
+	/* Models m0 to m5 of 70 of an engine's 200 GB. */
+	void SetUp() override
+	{
+		struct pf_plan_opts o;
+
+		pf_plan_opts_default(&o);
+		o.self = 50;
+		p = pf_plan_new(&o);
+		routes = static_cast<struct pf_routes *>(
+			calloc(1, sizeof(*routes)));
+		routes->services = static_cast<struct pf_route_service *>(
+			calloc(1, sizeof(pf_route_service)));
+		routes->n_services = 1;
+		struct pf_route_service *s = &routes->services[0];
+		s->id = Id("llm");
+		s->engine = true;
+		s->memory_mb = 200000;
+		s->loads_per_s = 2;
+		s->models = static_cast<struct pf_model_spec *>(
+			calloc(6, sizeof(pf_model_spec)));
+		for (int i = 0; i < 6; i++) {
+			std::string name = "m" + std::to_string(i);
+
+			s->models[i].name = strdup(name.c_str());
+			s->models[i].id = Id(name);
+			s->models[i].weights_mb = 70000;
+			s->models[i].load = 5000;
+			s->n_models++;
+		}
+	}
+	void TearDown() override
+	{
+		pf_plan_free(p);
+		pf_routes_free(routes);
+	}
+	static void Emit(void *ctx, const struct pf_plan_act *a)
+	{
+		static_cast<Plan *>(ctx)->orders.push_back(
+			{ a->endpoint, a->load, a->from_store, a->model });
+	}
+	void Step(const struct pf_plan_msg &m)
+	{
+		const struct pf_plan_sink sink = { Emit, this };
+
+		pf_plan_step(p, now, &m, &sink);
+	}
+	void Routes()
+	{
+		struct pf_plan_msg m = {};
+
+		m.type = PF_PLAN_ROUTES;
+		m.u.routes = routes;
+		Step(m);
+	}
+	void List(const std::string &name)
+	{
+		struct pf_plan_msg m = {};
+		struct pf_listed l = {};
+
+		l.id = Id(name);
+		l.service = Id("llm");
+		l.draining = engines[name].draining;
+		m.type = PF_PLAN_ENDPOINT;
+		m.u.endpoint = &l;
+		Step(m);
+	}
+	void State(const std::string &name)
+	{
+		struct pf_plan_msg m = {};
+		struct pf_engine_state s = {};
+		Engine &e = engines[name];
+		std::vector<struct pf_resident> r;
+		std::vector<uint64_t> disk;
+
+		for (const std::string &x : e.residents)
+			r.push_back({ Id(x), nullptr, 0 });
+		for (const std::string &x : e.disk)
+			disk.push_back(Id(x));
+		s.endpoint = Id(name);
+		s.orders = e.orders;
+		s.busy = e.busy;
+		s.leaving = e.leaving;
+		s.residents = r.data();
+		s.n_residents = static_cast<uint32_t>(r.size());
+		s.on_disk = disk.data();
+		s.n_on_disk = static_cast<uint32_t>(disk.size());
+		m.type = PF_PLAN_STATE;
+		m.u.state = &s;
+		Step(m);
+	}
+	void Demand(std::map<std::string, float> alive)
+	{
+		struct pf_plan_msg m = {};
+		std::vector<struct pf_gate_demand> v;
+
+		for (auto &[model, n] : alive)
+			v.push_back({ Id(model), Id(model), n, n, 0 });
+		m.type = PF_PLAN_DEMAND;
+		m.u.demand.peer = 50;
+		m.u.demand.v = v.data();
+		m.u.demand.n = v.size();
+		Step(m);
+	}
+	void Run(pf_ms span, std::map<std::string, float> alive = {})
+	{
+		struct pf_plan_msg tick = {};
+
+		tick.type = PF_PLAN_TICK;
+		for (pf_ms end = now + span; now < end; now += 100) {
+			for (auto &[name, e] : engines)
+				State(name);
+			Demand(alive);
+			Step(tick);
+		}
+	}
+	/* All known, nothing ordered yet. */
+	void Begin()
+	{
+		struct pf_plan_msg m = {};
+
+		Routes();
+		m.type = PF_PLAN_MEMBERS;
+		Step(m);
+		for (auto &[name, e] : engines)
+			List(name);
+		Run(3000);
+		orders.clear();
+	}
+	size_t Loads(const std::string &model) const
+	{
+		size_t n = 0;
+
+		for (const Order &o : orders)
+			n += o.load && o.model == model;
+		return n;
+	}
+};
+
+TEST_F(Plan, OrdersNothingWhileAllHaveHomes)
+{
+	engines["e1"].residents = { "m0", "m1" };
+	engines["e2"].residents = { "m2", "m3" };
+	engines["e3"].residents = { "m4", "m5" };
+	Begin();
+	Run(5000);
+	EXPECT_EQ(orders.size(), 0u);
+	EXPECT_TRUE(pf_plan_leads(p));
+}
+
+TEST_F(Plan, EnginesListedBeforeTheConfigurationCount)
+{
+	struct pf_plan_msg m = {};
+
+	engines["e1"].residents = { "m0", "m1" };
+	engines["e2"].residents = { "m2", "m3" };
+	engines["e3"].residents = { "m4" };
+	for (auto &[name, e] : engines)
+		List(name);
+	Routes();
+	m.type = PF_PLAN_MEMBERS;
+	Step(m);
+	Run(4000);
+	EXPECT_GE(Loads("m5"), 1u);
+}
+
+TEST_F(Plan, ALostHomeIsMadeGoodFromADiskFirst)
+{
+	engines["e1"].residents = { "m0", "m1" };
+	engines["e2"].residents = { "m2", "m3" };
+	engines["e3"].residents = { "m4", "m5" };
+	engines["e4"].disk = { "m5" };
+	engines["e5"] = {};
+	Begin();
+	engines["e3"].draining = true;
+	List("e3");
+	Run(300, { { "m5", 2 } });
+	ASSERT_GE(Loads("m5"), 1u);
+	for (const Order &o : orders) {
+		if (o.model == "m5") {
+			EXPECT_EQ(o.endpoint, Id("e4"));
+			EXPECT_FALSE(o.from_store);
+		}
+	}
+}
+
+TEST_F(Plan, ABusyModelGetsAnotherHome)
+{
+	engines["e1"].residents = { "m0", "m1" };
+	engines["e2"].residents = { "m2", "m3" };
+	engines["e3"].residents = { "m4", "m5" };
+	engines["e4"] = {};
+	Begin();
+	Run(1000, { { "m0", 20 } });
+	EXPECT_GE(Loads("m0"), 1u);
+	for (const Order &o : orders)
+		EXPECT_EQ(o.endpoint, Id("e4"));
+}
+
+TEST_F(Plan, AHomeThatIsSpareMakesRoom)
+{
+	engines["e1"].residents = { "m0", "m1" };
+	engines["e2"].residents = { "m2", "m3" };
+	engines["e3"].residents = { "m4", "m5" };
+	engines["e4"].residents = { "m1", "m2" };
+	Begin();
+	Run(6000, { { "m0", 30 } });
+	ASSERT_FALSE(orders.empty());
+	EXPECT_FALSE(orders[0].load);
+	EXPECT_TRUE(orders[0].model == "m1" || orders[0].model == "m2");
+}
+
+TEST_F(Plan, TheLastHomeOfAModelInUseStays)
+{
+	engines["e1"].residents = { "m0", "m1" };
+	engines["e2"].residents = { "m2", "m3" };
+	engines["e3"].residents = { "m4", "m5" };
+	Begin();
+	Run(20000, { { "m0", 60 },
+		     { "m1", 1 },
+		     { "m2", 1 },
+		     { "m3", 1 },
+		     { "m4", 1 },
+		     { "m5", 1 } });
+	for (const Order &o : orders)
+		EXPECT_TRUE(o.load) << o.model;
+}
+
+TEST_F(Plan, AModelThatNobodyAsksForMakesRoomAndComesBackOnDemand)
+{
+	engines["e1"].residents = { "m0", "m1" };
+	engines["e2"].residents = { "m2", "m3" };
+	engines["e3"].residents = { "m4", "m5" };
+	std::map<std::string, float> alive = {
+		{ "m0", 60 }, { "m1", 1 }, { "m2", 1 }, { "m3", 1 }, { "m4", 1 }
+	};
+	Begin();
+	Run(20000, alive);
+	ASSERT_FALSE(orders.empty());
+	EXPECT_FALSE(orders[0].load);
+	EXPECT_EQ(orders[0].model, "m5");
+	engines["e3"].residents = { "m4", "m0" };
+	engines["e3"].disk = { "m5" };
+	engines["e3"].orders = 2;
+	engines["e4"].disk = { "m5" };
+	List("e4");
+	orders.clear();
+	alive["m5"] = 1;
+	Run(1000, alive);
+	EXPECT_GE(Loads("m5"), 1u);
+}
+
+TEST_F(Plan, MemoryOfAnUnloadThatIsNotDoneIsTaken)
+{
+	engines["e1"].residents = { "m0", "m1" };
+	engines["e2"].residents = { "m2", "m3" };
+	engines["e3"].residents = { "m4" };
+	engines["e4"].residents = { "m5", "m1" };
+	engines["e4"].leaving = Id("m1");
+	engines["e4"].residents = { "m5" };
+	Begin();
+	Run(1000, { { "m5", 2 } });
+	engines.erase("e3"); // m4's only home is silent now
+	struct pf_plan_msg gone = {};
+	gone.type = PF_PLAN_ENDPOINT_GONE;
+	gone.u.id = Id("e3");
+	Step(gone);
+	Run(1000, { { "m4", 2 }, { "m0", 1 }, { "m2", 1 } });
+	// e4 holds 140 of 200 GB: there is no room for 70 more.
+	for (const Order &o : orders)
+		EXPECT_NE(o.endpoint, Id("e4")) << o.model;
+}
+
+TEST_F(Plan, LoadsFromTheStoreStayBelowItsRate)
+{
+	for (int i = 0; i < 30; i++)
+		engines["e" + std::to_string(i)] = {};
+	engines["e0"].residents = { "m0", "m1" };
+	engines["e1"].residents = { "m2", "m3" };
+	engines["e2"].residents = { "m4", "m5" };
+	Begin();
+	Run(5000, { { "m0", 900 }, { "m2", 900 }, { "m4", 900 } });
+	// An order that was sent again to an engine loads once.
+	std::set<uint64_t> begun;
+	for (const Order &o : orders) {
+		if (o.from_store)
+			begun.insert(o.endpoint);
+	}
+	EXPECT_GT(begun.size(), 0u);
+	// The rate of 2 a second over 5 s, and the spare part of the bound.
+	EXPECT_LE(begun.size(), 12u);
+}
+
+TEST_F(Plan, TheLowestThatIsHeardLeads)
+{
+	struct pf_plan_msg m = {};
+
+	engines["e1"].residents = { "m0" };
+	engines["e2"] = {};
+	engines["e3"] = {};
+	m.type = PF_PLAN_PEER;
+	m.u.id = 7;
+	struct pf_plan_msg known = {};
+	known.type = PF_PLAN_MEMBERS;
+	Routes();
+	Step(known);
+	for (auto &[name, e] : engines)
+		List(name);
+	for (int i = 0; i < 50; i++) {
+		Step(m);
+		Run(100);
+	}
+	EXPECT_EQ(orders.size(), 0u);
+	EXPECT_FALSE(pf_plan_leads(p));
+	Run(2000);
+	EXPECT_TRUE(pf_plan_leads(p));
+	EXPECT_GT(orders.size(), 0u);
+}
+
+TEST_F(Plan, AProcessThatStoodStillDoesNotLeadAtOnce)
+{
+	engines["e1"].residents = { "m0", "m1" };
+	engines["e2"].residents = { "m2", "m3" };
+	engines["e3"].residents = { "m4", "m5" };
+	Begin();
+	ASSERT_TRUE(pf_plan_leads(p));
+	now += 4000;
+	Run(100);
+	EXPECT_FALSE(pf_plan_leads(p));
+	Run(1500);
+	EXPECT_TRUE(pf_plan_leads(p));
+}
+
+} // namespace
--- /dev/null
+++ b/tests/test_platform.cc
@@ -0,0 +1,310 @@
+// The adapter: names and formats of the users' platform in both directions.
+#include "platform/platform.h"
+
+#include <gtest/gtest.h>
+#include <string>
+
+namespace
+{
+
+static struct pf_str S(const std::string &s) {
+	return { s.data(), s.size() };
+}
+
+static std::string
+Text(const struct pf_text &t)
+{
+	return std::string(t.p ? t.p : "", t.n);
+}
+
+static const char kRequest[] = "POST /draft/x HTTP/1.1\r\n"
+			       "Host: a.example\r\n"
+			       "Attempt-Id: 9c41\r\n"
+			       "Model: big/a3\r\n"
+			       "Token-Usage: 1460,80\r\n"
+			       "Prompt-Prefix: 5c1e:800, 91bd:410,e440:250\r\n"
+			       "Deadline-Ms: 5000\r\n"
+			       "Last-Event-Id: 12\r\n"
+			       "Hold: 7\r\n"
+			       "Kv-From: 10.0.0.1:1/x\r\n"
+			       "Request-Priority: 0\r\n"
+			       "Connection: keep-alive\r\n"
+			       "X-Other: kept\r\n"
+			       "Content-Length: 4\r\n\r\n";
+
+TEST(Platform, DecodesARequest)
+{
+	std::string in = kRequest;
+	struct pf_h1_head h;
+	struct pf_inbound c;
+
+	ASSERT_EQ(pf_h1_request(S(in), &h), 0);
+	ASSERT_EQ(platform_call(&h, &c), 0);
+	EXPECT_EQ(std::string(c.id.p, c.id.n), "9c41");
+	EXPECT_EQ(c.model, pf_id(PF_STR("big")));
+	EXPECT_EQ(c.adapter, pf_adapter_id(c.model, PF_STR("a3")));
+	EXPECT_EQ(c.prompt_tokens, 1460u);
+	EXPECT_EQ(c.max_tokens, 80u);
+	ASSERT_EQ(c.n_parts, 3u);
+	EXPECT_EQ(c.parts[1].tokens, 410u);
+	EXPECT_EQ(c.budget, 5000);
+	EXPECT_EQ(c.last_event, 12);
+}
+
+struct BadCase {
+	const char *name;
+	const char *field;
+};
+
+class BadRequest : public ::testing::TestWithParam<BadCase>
+{
+};
+
+TEST_P(BadRequest, IsNotTaken)
+{
+	std::string in = std::string("GET / HTTP/1.1\r\nHost: a\r\n") +
+			 GetParam().field + "\r\n\r\n";
+	struct pf_h1_head h;
+	struct pf_inbound c;
+
+	ASSERT_EQ(pf_h1_request(S(in), &h), 0);
+	EXPECT_EQ(platform_call(&h, &c), -1);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+	Fields, BadRequest,
+	::testing::Values(BadCase{ "deadline", "Deadline-Ms: soon" },
+			  BadCase{ "tokens", "Token-Usage: many,3" },
+			  BadCase{ "prompt", "Prompt-Prefix: 5c1e" },
+			  BadCase{ "last_event", "Last-Event-Id: -1" }),
+	[](const auto &i) { return std::string(i.param.name); });
+
+TEST(Platform, ForwardsWithItsOwnHeadersOnly)
+{
+	std::string in = kRequest;
+	struct pf_forward f = { PF_STR("i-1"), 4200, 3, 15, 4 };
+	struct pf_h1_head h;
+	struct pf_text t = {};
+
+	ASSERT_EQ(pf_h1_request(S(in), &h), 0);
+	platform_forward(&h, &f, &t);
+	std::string out = Text(t);
+	pf_text_free(&t);
+	EXPECT_EQ(out.find("POST /draft/x HTTP/1.1\r\n"), 0u);
+	for (const char *kept :
+	     { "Attempt-Id: 9c41\r\n", "Model: big/a3\r\n",
+	       "Token-Usage: 1460,80\r\n", "X-Other: kept\r\n",
+	       "Expect-Instance: i-1\r\n", "Deadline-Ms: 4200\r\n",
+	       "Request-Priority: 3\r\n", "Last-Event-Id: 15\r\n",
+	       "Content-Length: 4\r\n" })
+		EXPECT_NE(out.find(kept), std::string::npos) << kept;
+	for (const char *dropped :
+	     { "Hold:", "Kv-From:", "Deadline-Ms: 5000", "Request-Priority: 0",
+	       "Last-Event-Id: 12", "Connection:" })
+		EXPECT_EQ(out.find(dropped), std::string::npos) << dropped;
+}
+
+struct ReplyCase {
+	const char *name;
+	const char *head;
+	bool not_run;
+	bool other_request;
+	bool other_instance;
+	pf_ms keep;
+};
+
+class Reply : public ::testing::TestWithParam<ReplyCase>
+{
+};
+
+TEST_P(Reply, IsDecoded)
+{
+	const ReplyCase &c = GetParam();
+	std::string in = std::string("HTTP/1.1 ") + c.head + "\r\n\r\n";
+	struct pf_h1_head h;
+	struct pf_reply r;
+
+	ASSERT_EQ(pf_h1_answer(S(in), &h), 0);
+	platform_reply(&h, PF_STR("9c41"), &r);
+	EXPECT_EQ(r.not_run, c.not_run);
+	EXPECT_EQ(r.other_request, c.other_request);
+	EXPECT_EQ(r.other_instance, c.other_instance);
+	EXPECT_EQ(r.keep, c.keep);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+	Heads, Reply,
+	::testing::Values(ReplyCase{ "ours", "200 OK\r\nAttempt-Id: 9c41",
+				     false, false, false, -1 },
+			  ReplyCase{ "stray", "200 OK\r\nAttempt-Id: 77", false,
+				     true, false, -1 },
+			  ReplyCase{ "full", "503 Full\r\nNot-Run: 1", true,
+				     false, false, -1 },
+			  ReplyCase{ "failed", "503 Failed\r\nAttempt-Id: 9c41",
+				     false, false, false, -1 },
+			  ReplyCase{ "elsewhere", "421 Misdirected", true,
+				     false, true, -1 },
+			  ReplyCase{ "keep",
+				     "200 OK\r\nKeep-Alive: max=3, timeout=5",
+				     false, false, false, 5000 }),
+	[](const auto &i) { return std::string(i.param.name); });
+
+static const char kConfig[] =
+	"{\"version\":7,\"routes\":["
+	"{\"host\":\"h\",\"prefix\":\"/a/\",\"kind\":\"stream\","
+	"\"resumable\":true,\"timeout_ms\":6000,\"slo_ms\":800,"
+	"\"gap_aim_ms\":400,\"priority\":1,\"max_attempts\":2,"
+	"\"split\":[{\"service\":\"s\",\"weight\":90},"
+	"{\"service\":\"p\",\"weight\":10}]},"
+	"{\"host\":\"h\",\"prefix\":\"/a/b/\",\"kind\":\"unsafe\","
+	"\"service\":\"p\"},"
+	"{\"host\":\"h\",\"prefix\":\"/c/\",\"kind\":\"new\","
+	"\"service\":\"p\"}],"
+	"\"services\":[{\"name\":\"p\",\"max_conns\":100},"
+	"{\"name\":\"s\",\"engine\":{\"slots\":64,\"kv_capacity\":1000,"
+	"\"stride\":4,\"weights_mb\":200000.0,\"adapter_slots\":8,"
+	"\"loads_per_s\":2.1,\"models\":[{\"name\":\"big\","
+	"\"weights_mb\":65099.9,\"load_s\":5.8,\"warm_s\":0.6,"
+	"\"disk_s\":1.2,\"adapters\":3,\"adapter_mb\":12}]}}],"
+	"\"limits\":{\"max_body_bytes\":4096,\"idle_timeout_ms\":15000}}";
+
+TEST(Platform, DecodesAConfiguration)
+{
+	const char *why;
+	struct pf_routes *r = platform_routes(PF_STR(kConfig), &why);
+
+	ASSERT_NE(r, nullptr) << why;
+	EXPECT_EQ(r->version, 7u);
+	const struct pf_route *route =
+		pf_routes_find(r, PF_STR("h"), PF_STR("/a/x"));
+	ASSERT_NE(route, nullptr);
+	EXPECT_EQ(route->kind, PF_ROUTE_RESUMABLE);
+	EXPECT_EQ(route->n_splits, 2u);
+	EXPECT_EQ(route->objective, 800);
+	route = pf_routes_find(r, PF_STR("h"), PF_STR("/a/b/c"));
+	ASSERT_NE(route, nullptr);
+	EXPECT_EQ(route->kind, PF_ROUTE_UNSAFE);
+	// A kind that is not known runs at most once.
+	route = pf_routes_find(r, PF_STR("h"), PF_STR("/c/"));
+	ASSERT_NE(route, nullptr);
+	EXPECT_EQ(route->kind, PF_ROUTE_UNSAFE);
+	EXPECT_EQ(pf_routes_find(r, PF_STR("h"), PF_STR("/d/")), nullptr);
+	EXPECT_EQ(pf_routes_find(r, PF_STR("g"), PF_STR("/a/x")), nullptr);
+	const struct pf_route_service *s =
+		pf_routes_service(r, pf_id(PF_STR("s")));
+	ASSERT_NE(s, nullptr);
+	EXPECT_EQ(s->event_tokens, 4u);
+	ASSERT_EQ(s->n_models, 1u);
+	EXPECT_EQ(s->models[0].disk, 1200);
+	EXPECT_EQ(r->limits.body_bytes, 4096);
+	pf_routes_free(r);
+}
+
+TEST(Platform, RefusesAConfigurationItCantRead)
+{
+	const char *why;
+
+	EXPECT_EQ(platform_routes(PF_STR("{}"), &why), nullptr);
+	EXPECT_EQ(platform_routes(PF_STR("\x01"), &why), nullptr);
+	EXPECT_EQ(platform_routes(PF_STR("{\"version\":1,\"routes\":[{}]}"),
+				  &why),
+		  nullptr);
+	EXPECT_NE(why, nullptr);
+}
+
+struct EntryCase {
+	const char *name;
+	const char *json;
+	int ret;
+};
+
+class Entry : public ::testing::TestWithParam<EntryCase>
+{
+};
+
+TEST_P(Entry, NamesAnEndpointOrNone)
+{
+	const EntryCase &c = GetParam();
+	struct pf_listed l;
+	const char *why;
+
+	EXPECT_EQ(platform_endpoint(PF_STR("i-1"), S(c.json), &l, &why), c.ret);
+	pf_listed_clear(&l);
+}
+
+#define ENTRY(service, address, zone, slots, state, more)                 \
+	"{\"service\":" service ",\"address\":" address ",\"zone\":" zone \
+	",\"slots\":" slots ",\"state\":" state more "}"
+
+INSTANTIATE_TEST_SUITE_P(
+	Entries, Entry,
+	::testing::Values(
+		EntryCase{ "ready",
+			   ENTRY("\"s\"", "\"1.2.3.4:5\"", "\"z\"", "64",
+				 "\"ready\"", ",\"seq\":4,\"born\":17"),
+			   0 },
+		EntryCase{ "draining",
+			   ENTRY("\"s\"", "\"1.2.3.4:5\"", "\"z\"", "64",
+				 "\"draining\"", ",\"remaining_ms\":1800"),
+			   0 },
+		EntryCase{ "other_state",
+			   ENTRY("\"s\"", "\"1.2.3.4:5\"", "\"z\"", "64",
+				 "\"odd\"", ""),
+			   -1 },
+		EntryCase{ "service_number",
+			   ENTRY("3", "\"1.2.3.4:5\"", "\"z\"", "64",
+				 "\"ready\"", ""),
+			   -1 },
+		EntryCase{ "slots_text",
+			   ENTRY("\"s\"", "\"1.2.3.4:5\"", "\"z\"", "\"64\"",
+				 "\"ready\"", ""),
+			   -1 },
+		EntryCase{ "models_text",
+			   ENTRY("\"s\"", "\"1.2.3.4:5\"", "\"z\"", "64",
+				 "\"ready\"", ",\"models\":\"m\""),
+			   -1 },
+		EntryCase{ "no_address", "{\"service\":\"s\"}", -1 },
+		EntryCase{ "bytes", "\xff\xfe", -1 },
+		EntryCase{ "empty", "", -1 }),
+	[](const auto &i) { return std::string(i.param.name); });
+
+TEST(Platform, DecodesAReport)
+{
+	static const char json[] =
+		"{\"stage\":\"unified\",\"born\":5,\"seq\":3,\"busy\":true,"
+		"\"models\":[{\"name\":\"m\",\"version\":1,"
+		"\"adapters\":[\"a1\"]}],\"coming\":[\"m/a2@1\"],"
+		"\"running\":2,\"queued\":1,\"kv_used\":10,\"kv_total\":20,"
+		"\"at_hand\":{\"in_memory\":[\"n\"],\"on_disk\":[\"n\"]}}";
+	struct pf_engine_report r;
+	uint64_t m = pf_id(PF_STR("m"));
+
+	ASSERT_EQ(platform_report(PF_STR(json), &r), 0);
+	EXPECT_EQ(r.orders, 3u);
+	EXPECT_TRUE(r.busy);
+	ASSERT_EQ(r.n_items, 3u);
+	EXPECT_NE(pf_engine_report_find(&r, m, 0), nullptr);
+	const struct pf_held_item *it =
+		pf_engine_report_find(&r, m, pf_adapter_id(m, PF_STR("a2")));
+	ASSERT_NE(it, nullptr);
+	EXPECT_TRUE(it->coming);
+	EXPECT_EQ(r.n_on_disk, 1u);
+	pf_engine_report_clear(&r);
+	EXPECT_EQ(platform_report(PF_STR("{\"seq\":\"x\"}"), &r), -1);
+}
+
+TEST(Platform, WritesAnOrder)
+{
+	struct platform_order o = { true, "m", "a1", 7, "n-1", 3 };
+	struct pf_text t = {};
+
+	platform_order_body(&o, &t);
+	EXPECT_EQ(Text(t), "{\"op\":\"load\",\"model\":\"m\",\"adapter\":\"a1\""
+			   ",\"expected\":7,\"holder\":\"n-1\",\"fence\":3}");
+	pf_text_free(&t);
+	EXPECT_EQ(platform_order_result(202), PLATFORM_ORDER_ACCEPTED);
+	EXPECT_EQ(platform_order_result(409), PLATFORM_ORDER_BUSY);
+	EXPECT_EQ(platform_order_result(421), PLATFORM_ORDER_REFUSED);
+}
+
+} // namespace
