--- a/daemons/gateway/follow.c
+++ b/daemons/gateway/follow.c
@@ -10,10 +10,15 @@
 #define PAGE 500
 /* A feed answers at once when there is a change, or after this. Short enough
  * that a connection that fell silent is noticed in time. */
-#define WAIT_MS 1600
-/* Between two calls of a feed: what changes meanwhile comes in one answer. */
+#define WAIT_MS 2500
+/* Between two calls of a feed: what changes meanwhile comes in one answer.
+ * Loaders tell sooner what an endpoint holds and that it leaves. */
 #define PACE_CONFIG_MS 250
-#define PACE_ENDPOINTS_MS 600
+#define PACE_ENDPOINTS_MS 1000
+/* Where others follow closely and tell when there is something to read. */
+#define PACE_RELAXED_MS 3000
+/* A call in flight for so long does not see what is news: it may be silent. */
+#define NEWS_MS 300
 #define RETRY_MIN_MS 150
 #define RETRY_SPAN_MS 250
 #define TIMEOUT_MS 900
@@ -29,6 +34,10 @@
 	void (*row)(struct gateway *g, const struct pf_store_row *row);
 	void (*read_over)(struct feed *d);
 	struct event *timer;
+	bool asking; /* a call of the feed is in flight */
+	pf_ms asked_at;
+	bool extra; /* one beside it, for news, is in flight */
+	pf_ms extra_at;
 	bool full; /* a full read is due or under way */
 	char *page; /* key at which the next page begins; NULL: the first */
 	uint64_t after;
@@ -83,11 +92,29 @@
 	       PF_KV_TEXT("table", d->table));
 }
 
+static void take_rows(struct feed *d, const struct pf_store_answer *a)
+{
+	size_t i;
+
+	for (i = 0; i < a->n; i++)
+		d->row(d->f->g, &a->rows[i]);
+	if (a->revision > d->after)
+		d->after = a->revision;
+}
+
+/* How long to wait until the next call. */
+static pf_ms pace_of(const struct feed *d, bool rows)
+{
+	if (!talk_follows_closely(d->f->g))
+		return PACE_RELAXED_MS;
+	return rows ? d->pace : 0;
+}
+
 static void on_feed(void *ctx, const struct pf_store_answer *a)
 {
 	struct feed *d = ctx;
-	size_t i;
 
+	d->asking = false;
 	if (a->status == PF_STORE_TRIMMED) {
 		PF_LOG(&d->f->g->log, PF_LOG_INFO, "history_gone",
 		       PF_KV_TEXT("table", d->table),
@@ -102,11 +129,43 @@
 		return;
 	}
 	answers(d);
-	for (i = 0; i < a->n; i++)
-		d->row(d->f->g, &a->rows[i]);
-	if (a->revision > d->after)
-		d->after = a->revision;
-	after(d, a->n ? d->pace : 0);
+	take_rows(d, a);
+	after(d, pace_of(d, a->n > 0));
+}
+
+static void on_extra(void *ctx, const struct pf_store_answer *a)
+{
+	struct feed *d = ctx;
+
+	d->extra = false;
+	if (a->status == PF_STORE_OK && !d->full)
+		take_rows(d, a);
+}
+
+/* Another gateway has read what is not known here. */
+static void news(struct feed *d)
+{
+	pf_ms now = pf_clock_now();
+
+	if (d->full || d->extra || now - d->extra_at < NEWS_MS)
+		return;
+	if (d->asking && now - d->asked_at < NEWS_MS)
+		return;
+	d->extra_at = now;
+	if (!d->asking) {
+		after(d, 0);
+		return;
+	}
+	d->extra = pf_store_feed(d->f->g->store, d->table, d->after, 0,
+				 on_extra, d) == 0;
+}
+
+void follow_news(struct gateway *g, uint64_t config, uint64_t endpoints)
+{
+	if (config > (g->routes ? g->routes->version : 0))
+		news(&g->follow->config);
+	if (endpoints > g->follow->endpoints.after)
+		news(&g->follow->endpoints);
 }
 
 /* The key of the last row, at which the next page begins. */
@@ -122,6 +181,7 @@
 	struct feed *d = ctx;
 	size_t i;
 
+	d->asking = false;
 	if (a->status != PF_STORE_OK) {
 		failed(d, a->status);
 		return;
@@ -150,11 +210,16 @@
 	struct pf_store *s = d->f->g->store;
 	int ret;
 
+	if (d->asking)
+		return;
+
 	if (d->full)
 		ret = pf_store_read(s, d->table, PF_STR(""), pf_str_c(d->page),
 				    PAGE, on_page, d);
 	else
 		ret = pf_store_feed(s, d->table, d->after, WAIT_MS, on_feed, d);
+	d->asking = ret == 0;
+	d->asked_at = pf_clock_now();
 	if (ret < 0)
 		failed(d, PF_STORE_REFUSED);
 }
@@ -196,7 +261,7 @@
 		return;
 	t->mark = f->endpoints.mark;
 	if (row->deleted && row->revision > t->revision)
-		target_unlisted(t, lapse_of(f));
+		target_unlisted(t, row->revision, lapse_of(f));
 }
 
 /* What the full read did not show is gone. */
@@ -208,7 +273,7 @@
 	LIST_FOREACH(t, &g->targets, next)
 	{
 		if (!t->gone && !t->lapsed && t->mark != d->mark)
-			target_unlisted(t, lapse_of(d->f));
+			target_unlisted(t, d->read_at, lapse_of(d->f));
 	}
 	d->mark++;
 }
--- a/daemons/gateway/gateway.h
+++ b/daemons/gateway/gateway.h
@@ -111,6 +111,8 @@
 	struct pf_routes *routes; /* in force; NULL: none yet */
 	LIST_HEAD(, target) targets;
 	uint32_t n_targets;
+	uint64_t endpoints_changed; /* revision at which one came, went or
+				     * drained */
 	LIST_HEAD(, exchange) exchanges;
 	LIST_HEAD(, caller) callers;
 	uint32_t n_callers;
@@ -191,7 +193,7 @@
 void target_listed(struct gateway *g, struct pf_str key, struct pf_str value,
 		   uint64_t revision);
 /** Its row is gone; @lapse: when to believe it. */
-void target_unlisted(struct target *t, pf_ms lapse);
+void target_unlisted(struct target *t, uint64_t revision, pf_ms lapse);
 void targets_sweep(struct gateway *g);
 void targets_stop(struct gateway *g);
 void target_put(struct target *t);
@@ -202,6 +204,8 @@
 /* follow.c: configuration and endpoints from the store */
 int follow_start(struct gateway *g);
 void follow_stop(struct gateway *g);
+/** What another gateway has read; reads what is missing here. */
+void follow_news(struct gateway *g, uint64_t config, uint64_t endpoints);
 
 /* ready.c: readiness and metrics */
 int ready_start(struct gateway *g);
@@ -211,6 +215,8 @@
 /* talk.c: digests among gateways, wishes and orders to loaders, the plan */
 int talk_start(struct gateway *g);
 void talk_stop(struct gateway *g);
+/** Whether this gateway is one of those that follow the store closely. */
+bool talk_follows_closely(const struct gateway *g);
 /** Act of the core: an adapter is missing at an endpoint. */
 void talk_want(struct exchange *x, const struct pf_gate_act *a);
 /** The routing table has changed; the old one is still there. */
--- a/daemons/gateway/talk.c
+++ b/daemons/gateway/talk.c
@@ -14,16 +14,41 @@
 
 #define TABLE "pimentoford"
 #define PART "gateways"
-#define DIGEST_EVERY_MS 120
+/* Work at an endpoint is told to those that are likely to use it, too: often
+ * within the zone, less often within the region and beyond, where each byte
+ * is paid for. */
+#define TICK_MS 120
+#define DIGEST_REGION_MS 240
+#define DIGEST_FAR_MS 720
 #define DEMAND_EVERY_MS 500
-/* Loaders hear from each gateway at least so often. */
-#define HELLO_EVERY_MS 1000
+/* Demand goes to so many of those that may lead the planning. */
+#define LEADERS 2
+/* Loaders hear from each gateway at least so often, and it from them. */
+#define HELLO_EVERY_MS 1500
+#define TELL_NEAR_MS 500
+#define TELL_FAR_MS 1500
+/* So many gateways of a region follow the store closely; the others hear
+ * from them when there is something to read. */
+#define READERS 3
+/* A gateway that was not heard for so long does not count. */
+#define MEMBER_SILENT_MS 2000
 /* Rows are read again so often, for gateways that came or moved. */
-#define MEMBERS_EVERY_MS 4000
+#define MEMBERS_EVERY_MS 10000
+#define MEMBERS_SOON_MS 1000
 #define MEMBERS_RETRY_MS 500
 #define MEMBERS_MAX 64
 #define DEMANDS_MAX 512
 
+/** Another gateway. */
+struct member {
+	struct sockaddr_in addr;
+	uint64_t id; /* of its life; 0: not heard yet */
+	pf_ms heard_at;
+	pf_ms told_at;
+	pf_ms every; /* digests go to it so often */
+	bool far; /* in another region */
+};
+
 struct talk {
 	struct gateway *g;
 	struct pf_talk *talk;
@@ -31,7 +56,7 @@
 	struct event *timer;
 	struct event *members_timer;
 	struct sockaddr_in self;
-	struct sockaddr_in members[MEMBERS_MAX];
+	struct member members[MEMBERS_MAX];
 	uint32_t n_members;
 	bool written; /* this gateway's row */
 	bool led;
@@ -59,6 +84,27 @@
 	return s && s->engine ? s->adapter_slots : 0;
 }
 
+static uint64_t region_of(const struct gateway *g, uint64_t zone)
+{
+	const struct pf_zone_setting *z = g->set.zones.v;
+	size_t i;
+
+	for (i = 0; i < g->set.zones.n; i++) {
+		if (pf_id(pf_str_c(z[i].name)) == zone)
+			return pf_id(pf_str_c(z[i].region));
+	}
+	return 0;
+}
+
+/* The planner needs to know all engines, the others those that are near. */
+static pf_ms tell_every(const struct talk *t, const struct target *to)
+{
+	uint64_t here = pf_id(pf_str_c(t->g->set.place.region));
+
+	return t->led || region_of(t->g, to->listed.zone) == here ? TELL_NEAR_MS
+								  : TELL_FAR_MS;
+}
+
 /* Tells a loader what was used, and which adapter is missing. */
 static void send_want(struct talk *t, struct target *to, struct pf_str model,
 		      struct pf_str adapter)
@@ -68,6 +114,7 @@
 		.instance = pf_str_c(to->listed.instance),
 		.born = to->listed.born,
 		.adapter_slots = adapter_slots(t->g, to),
+		.tell_every = tell_every(t, to),
 		.used = used,
 		.n_used = to->n_used,
 		.model = model,
@@ -170,7 +217,45 @@
 	plan_step(g->talk, &m);
 }
 
-static void on_digest(void *ctx, const struct pf_gate_digest *d)
+static void member_heard(struct talk *t, const struct sockaddr_in *from,
+			 uint64_t id)
+{
+	uint32_t i;
+
+	for (i = 0; i < t->n_members; i++) {
+		struct member *m = &t->members[i];
+
+		if (m->addr.sin_addr.s_addr != from->sin_addr.s_addr ||
+		    m->addr.sin_port != from->sin_port)
+			continue;
+		m->id = id;
+		m->heard_at = pf_clock_now();
+	}
+}
+
+static bool member_alive(const struct member *m, pf_ms now)
+{
+	return m->id && now - m->heard_at < MEMBER_SILENT_MS;
+}
+
+bool talk_follows_closely(const struct gateway *g)
+{
+	const struct talk *t = g->talk;
+	pf_ms now = pf_clock_now();
+	uint32_t lower = 0;
+	uint32_t i;
+
+	for (i = 0; i < t->n_members; i++) {
+		const struct member *m = &t->members[i];
+
+		lower += !m->far && member_alive(m, now) && m->id < g->self;
+	}
+	return lower < READERS;
+}
+
+static void on_digest(void *ctx, const struct sockaddr_in *from,
+		      const struct pf_gate_digest *d,
+		      const struct pf_talk_news *news)
 {
 	struct pf_plan_msg p = { .type = PF_PLAN_PEER };
 	struct pf_gate_msg m = { .type = PF_GATE_PEER };
@@ -178,6 +263,8 @@
 
 	if (!d->peer || d->peer == t->g->self)
 		return;
+	member_heard(t, from, d->peer);
+	follow_news(t->g, news->config, news->endpoints);
 	p.u.id = d->peer;
 	plan_step(t, &p);
 	m.u.digest = *d;
@@ -218,14 +305,37 @@
 	core_step(t->g, &m);
 }
 
-static void send_digest(struct talk *t)
+static void send_digest(struct talk *t, pf_ms now)
 {
+	const struct pf_talk_news news = { t->g->routes ? t->g->routes->version
+							: 0,
+					   t->g->endpoints_changed };
 	struct pf_gate_digest d;
 	uint32_t i;
 
 	pf_gate_digest(t->g->core, &d);
+	for (i = 0; i < t->n_members; i++) {
+		struct member *m = &t->members[i];
+
+		if (now - m->told_at < m->every)
+			continue;
+		m->told_at = now;
+		pf_talk_digest(t->talk, &m->addr, &d, &news);
+	}
+}
+
+/* The lowest that are heard may lead. */
+static bool may_lead(const struct talk *t, const struct member *m, pf_ms now)
+{
+	uint32_t lower = 0;
+	uint32_t i;
+
+	if (!member_alive(m, now))
+		return false;
 	for (i = 0; i < t->n_members; i++)
-		pf_talk_digest(t->talk, &t->members[i], &d);
+		lower += member_alive(&t->members[i], now) &&
+			 t->members[i].id < m->id;
+	return lower < LEADERS;
 }
 
 static void send_demand(struct talk *t, pf_ms now)
@@ -235,8 +345,11 @@
 	uint32_t i;
 
 	t->demand_at = now;
-	for (i = 0; i < t->n_members; i++)
-		pf_talk_demand(t->talk, &t->members[i], t->g->self, v, n);
+	for (i = 0; i < t->n_members; i++) {
+		if (may_lead(t, &t->members[i], now))
+			pf_talk_demand(t->talk, &t->members[i].addr, t->g->self,
+				       v, n);
+	}
 	hear_demand(t, t->g->self, v, n);
 }
 
@@ -248,7 +361,7 @@
 
 	(void)fd;
 	(void)what;
-	send_digest(t);
+	send_digest(t, now);
 	if (now - t->demand_at >= DEMAND_EVERY_MS)
 		send_demand(t, now);
 	hello(t);
@@ -268,30 +381,62 @@
 	event_add(t->members_timer, &tv);
 }
 
-static void add_member(struct talk *t, struct pf_str addr)
+/* What is known of a member whose row is read again is kept. */
+static void keep_known(struct member *m, const struct member *old, uint32_t n)
 {
-	struct sockaddr_in *m = &t->members[t->n_members];
-	char *s = pf_str_dup(addr);
+	uint32_t i;
 
-	if (s && strcmp(s, t->g->set.talk) != 0 && t->n_members < MEMBERS_MAX &&
-	    pf_talk_addr(s, m) == 0)
-		t->n_members++;
+	for (i = 0; i < n; i++) {
+		if (old[i].addr.sin_addr.s_addr != m->addr.sin_addr.s_addr ||
+		    old[i].addr.sin_port != m->addr.sin_port)
+			continue;
+		m->id = old[i].id;
+		m->heard_at = old[i].heard_at;
+		m->told_at = old[i].told_at;
+	}
+}
+
+/* IP:PORT ZONE */
+static void add_member(struct talk *t, struct pf_str row,
+		       const struct member *old, uint32_t n_old)
+{
+	struct member *m = &t->members[t->n_members];
+	uint64_t here = pf_id(pf_str_c(t->g->set.place.zone));
+	char *s = pf_str_dup(row);
+	char *space = s ? strchr(s, ' ') : NULL;
+	uint64_t zone;
+
+	if (!space || t->n_members >= MEMBERS_MAX)
+		goto out;
+	*space = '\0';
+	memset(m, 0, sizeof(*m));
+	if (strcmp(s, t->g->set.talk) == 0 || pf_talk_addr(s, &m->addr) < 0)
+		goto out;
+	zone = pf_id(pf_str_c(space + 1));
+	m->far = region_of(t->g, zone) != region_of(t->g, here);
+	m->every = zone == here ? 0 : m->far ? DIGEST_FAR_MS : DIGEST_REGION_MS;
+	keep_known(m, old, n_old);
+	t->n_members++;
+out:
 	free(s);
 }
 
 static void on_members(void *ctx, const struct pf_store_answer *a)
 {
 	struct pf_plan_msg known = { .type = PF_PLAN_MEMBERS };
+	struct member old[MEMBERS_MAX];
 	struct talk *t = ctx;
+	uint32_t n_old = t->n_members;
 	size_t i;
 
 	if (a->status != PF_STORE_OK) {
 		read_later(t, MEMBERS_RETRY_MS);
 		return;
 	}
+	memcpy(old, t->members, n_old * sizeof(*old));
 	t->n_members = 0;
 	for (i = 0; i < a->n; i++)
-		add_member(t, a->rows[i].value);
+		add_member(t, a->rows[i].value, old, n_old);
 	plan_step(t, &known);
 	/* Others may be starting, too. */
 	read_later(t, pf_clock_now() - t->g->started < MEMBERS_EVERY_MS
@@ -315,18 +460,21 @@
 	struct pf_store_put put = {
 		.place = { PF_STR(TABLE), PF_STR(PART),
 			   pf_str_c(g->set.place.name) },
-		.value = pf_str_c(g->set.talk),
 	};
 	struct pf_store_txn txn = { .puts = &put, .n_puts = 1 };
-	int ret;
+	struct pf_text row = { 0 };
+	int ret = -1;
 
 	(void)fd;
 	(void)what;
-	if (!t->written)
+	pf_text_printf(&row, "%s %s", g->set.talk, g->set.place.zone);
+	put.value = pf_text_str(&row);
+	if (!t->written && !row.failed)
 		ret = pf_store_commit(g->store, &txn, on_written, t);
-	else
+	else if (t->written)
 		ret = pf_store_read(g->store, PF_STR(TABLE), PF_STR(PART),
 				    PF_STR(""), MEMBERS_MAX, on_members, t);
+	pf_text_free(&row);
 	if (ret < 0)
 		read_later(t, MEMBERS_RETRY_MS);
 }
@@ -345,7 +493,7 @@
 
 int talk_start(struct gateway *g)
 {
-	struct timeval every = pf_clock_timeval(DIGEST_EVERY_MS);
+	struct timeval every = pf_clock_timeval(TICK_MS);
 	struct talk *t = calloc(1, sizeof(*t));
 	struct pf_talk_opts o = {
 		.base = g->base,
--- a/daemons/gateway/targets.c
+++ b/daemons/gateway/targets.c
@@ -86,14 +86,6 @@
 	core_step(g, &m);
 }
 
-void target_unlisted(struct target *t, pf_ms lapse)
-{
-	if (lapse > pf_clock_now())
-		t->lapsed = lapse;
-	else
-		forget(t, "its entry is gone");
-}
-
 static bool same_state(const struct pf_listed *a, const struct pf_listed *b)
 {
 	return a->draining == b->draining && a->born == b->born &&
@@ -109,6 +101,13 @@
 	       PF_KV_INT("models", l->n_residents));
 }
 
+/* The others are to know that there is something to read. */
+static void changed(struct gateway *g, uint64_t revision)
+{
+	if (revision > g->endpoints_changed)
+		g->endpoints_changed = revision;
+}
+
 static struct target *target_new(struct gateway *g)
 {
 	struct target *t = calloc(1, sizeof(*t));
@@ -121,6 +120,15 @@
 	return t;
 }
 
+void target_unlisted(struct target *t, uint64_t revision, pf_ms lapse)
+{
+	changed(t->g, revision);
+	if (lapse > pf_clock_now())
+		t->lapsed = lapse;
+	else
+		forget(t, "its entry is gone");
+}
+
 /* Whether another endpoint started later at the same address. */
 static bool replaced(struct gateway *g, const struct pf_listed *l)
 {
@@ -179,8 +187,10 @@
 			pf_listed_clear(&l);
 			return;
 		}
+		changed(g, revision);
 		log_listed(g, &l);
 	} else if (!same_state(&t->listed, &l)) {
+		changed(g, revision);
 		log_listed(g, &l);
 		upstream_close_idle(t);
 	}
--- a/daemons/loader/main.c
+++ b/daemons/loader/main.c
@@ -19,8 +19,9 @@
 #define ORDER_TIMEOUT_MS 400
 #define BODY_MAX 65536
 #define CONNS_MAX 4
-/* Gateways hear from it at least so often. */
+/* Gateways that did not say otherwise hear from it so often. */
 #define TELL_EVERY_MS 500
+#define TELL_TICK_MS 250
 /* A gateway that was not heard for so long is told nothing. */
 #define GATEWAY_SILENT_MS 6000
 #define GATEWAYS_MAX 64
@@ -28,6 +29,8 @@
 struct gateway_peer {
 	struct sockaddr_in addr;
 	pf_ms heard_at; /* 0: free */
+	pf_ms told_at;
+	pf_ms tell_every;
 };
 
 struct loader {
@@ -131,7 +134,8 @@
 	pf_text_free(&body);
 }
 
-static void tell_gateways(struct loader *l)
+/* Tells all gateways, or those whose time it is. */
+static void tell_gateways(struct loader *l, bool all)
 {
 	struct pf_engine_state s;
 	pf_ms now = pf_clock_now();
@@ -141,8 +145,11 @@
 	for (i = 0; i < GATEWAYS_MAX; i++) {
 		struct gateway_peer *p = &l->gateways[i];
 
-		if (p->heard_at && now - p->heard_at < GATEWAY_SILENT_MS)
-			pf_talk_state(l->talk, &p->addr, &s);
+		if (!p->heard_at || now - p->heard_at >= GATEWAY_SILENT_MS ||
+		    (!all && now - p->told_at < p->tell_every))
+			continue;
+		p->told_at = now;
+		pf_talk_state(l->talk, &p->addr, &s);
 	}
 }
 
@@ -158,7 +165,7 @@
 		call_engine(l, a);
 		break;
 	case PF_LOADER_TELL:
-		tell_gateways(l);
+		tell_gateways(l, true);
 		break;
 	}
 }
@@ -188,10 +195,11 @@
 {
 	(void)fd;
 	(void)what;
-	tell_gateways(ctx);
+	tell_gateways(ctx, false);
 }
 
-static void heard(struct loader *l, const struct sockaddr_in *from)
+static void heard(struct loader *l, const struct sockaddr_in *from,
+		  pf_ms tell_every)
 {
 	struct gateway_peer *oldest = &l->gateways[0];
 	uint32_t i;
@@ -203,12 +211,16 @@
 		    p->addr.sin_addr.s_addr == from->sin_addr.s_addr &&
 		    p->addr.sin_port == from->sin_port) {
 			p->heard_at = pf_clock_now();
+			if (tell_every)
+				p->tell_every = tell_every;
 			return;
 		}
 		if (p->heard_at < oldest->heard_at)
 			oldest = p;
 	}
-	*oldest = (struct gateway_peer){ *from, pf_clock_now() };
+	*oldest = (struct gateway_peer){ *from, pf_clock_now(), 0,
+					 tell_every ? tell_every
+						    : TELL_EVERY_MS };
 }
 
 static void on_want(void *ctx, const struct sockaddr_in *from,
@@ -217,7 +229,7 @@
 	struct pf_loader_msg m = { .type = PF_LOADER_WANT };
 	struct loader *l = ctx;
 
-	heard(l, from);
+	heard(l, from, w->tell_every);
 	m.u.want = *w;
 	m.u.want.from = (uint64_t)from->sin_addr.s_addr << 16 | from->sin_port;
 	step(l, &m);
@@ -229,7 +241,7 @@
 	struct pf_loader_msg m = { .type = PF_LOADER_ORDER };
 	struct loader *l = ctx;
 
-	heard(l, from);
+	heard(l, from, 0);
 	m.u.order = *o;
 	step(l, &m);
 }
@@ -265,7 +277,7 @@
 static int start(struct loader *l)
 {
 	static const struct pf_loader_msg tick = { .type = PF_LOADER_TICK };
-	struct timeval every = pf_clock_timeval(TELL_EVERY_MS);
+	struct timeval every = pf_clock_timeval(TELL_TICK_MS);
 	struct pf_talk_opts to = { .want = on_want, .order = on_order };
 	struct pf_http_opts ho = { .addr = l->set.backend,
 				   .conns_max = CONNS_MAX,
--- a/include/pimentoford/engine_state.h
+++ b/include/pimentoford/engine_state.h
@@ -19,6 +19,7 @@
 	uint32_t queued;
 	uint32_t kv_used; /* tokens that can't yield */
 	uint32_t kv_total;
+	bool draining; /* the endpoint is about to be taken away */
 	uint64_t leaving; /* model held until its unload is done; not to be
 			   * used, and not among the residents; 0: none */
 	const struct pf_resident *residents;
@@ -43,6 +44,7 @@
 	int64_t born;
 	uint64_t orders;
 	bool busy;
+	bool draining;
 	uint32_t running;
 	uint32_t queued;
 	uint32_t kv_used;
--- a/include/pimentoford/loader.h
+++ b/include/pimentoford/loader.h
@@ -43,6 +43,7 @@
 	struct pf_str instance; /* the endpoint that it means */
 	int64_t born;
 	uint32_t adapter_slots;
+	pf_ms tell_every; /* how often it is to hear of the engine */
 	const uint64_t *used; /* adapters of its requests under way: all */
 	uint32_t n_used;
 	struct pf_str model; /* of the adapter; empty: none is wanted */
--- a/include/pimentoford/talk.h
+++ b/include/pimentoford/talk.h
@@ -17,12 +17,20 @@
 
 struct pf_talk;
 
+/** What a gateway knows of the store, for those that read it less often. */
+struct pf_talk_news {
+	uint64_t config; /* version in force */
+	uint64_t endpoints; /* revision at which one came, went or drained */
+};
+
 /** Callbacks may be NULL: such datagrams are dropped. */
 struct pf_talk_opts {
 	struct event_base *base;
 	const char *addr; /* IP:PORT to listen at */
 	const struct pf_log *log; /* borrowed */
-	void (*digest)(void *ctx, const struct pf_gate_digest *d);
+	void (*digest)(void *ctx, const struct sockaddr_in *from,
+		       const struct pf_gate_digest *d,
+		       const struct pf_talk_news *news);
 	void (*demand)(void *ctx, uint64_t peer, const struct pf_gate_demand *v,
 		       size_t n);
 	void (*state)(void *ctx, const struct pf_engine_state *s);
@@ -38,7 +46,8 @@
 void pf_talk_free(struct pf_talk *t);
 
 void pf_talk_digest(struct pf_talk *t, const struct sockaddr_in *to,
-		    const struct pf_gate_digest *d);
+		    const struct pf_gate_digest *d,
+		    const struct pf_talk_news *news);
 /** In as many datagrams as it takes. */
 void pf_talk_demand(struct pf_talk *t, const struct sockaddr_in *to,
 		    uint64_t peer, const struct pf_gate_demand *v, size_t n);
--- a/src/coordination/gate/gate_core.h
+++ b/src/coordination/gate/gate_core.h
@@ -66,7 +66,8 @@
 	uint64_t zone;
 	double distance; /* ms, 0 in this zone */
 	uint32_t slots;
-	bool draining;
+	bool draining; /* as its entry says */
+	bool leaves; /* as its loader says */
 	int64_t kv_max; /* tokens; 0: not an engine */
 	struct pf_resident *residents;
 	uint32_t n_residents;
--- a/src/coordination/gate/gate_endpoints.c
+++ b/src/coordination/gate/gate_endpoints.c
@@ -14,8 +14,8 @@
 #define FAILING_WEIGHT 0.1
 /* Between events of a stream, until measured. */
 #define EVENT_MS 25
-/* A loader says something at least twice a second. */
-#define LOADER_SILENT_MS 1800
+/* A loader says something every 1.5 s, also to gateways far away. */
+#define LOADER_SILENT_MS 3300
 /* A gateway that said nothing for so long has ended or is cut off. */
 #define PEER_SILENT_MS 1500
 /* Its sends may lie in the window of the budget for so long. */
@@ -170,6 +170,7 @@
 		e->failing = 0;
 		e->event_ms = EVENT_MS;
 		e->state_at = 0;
+		e->leaves = false;
 		e->orders = 0;
 	}
 	e->service = l->service;
@@ -202,6 +203,7 @@
 	e->orders = s->orders;
 	e->kv_used = s->kv_used;
 	e->busy = s->busy;
+	e->leaves = s->draining;
 	e->lacks = 0;
 	copy_residents(e, s->residents, s->n_residents);
 }
--- a/src/coordination/gate/gate_pick.c
+++ b/src/coordination/gate/gate_pick.c
@@ -108,7 +108,7 @@
 static bool fits(const struct pf_gate *g, const struct gate_request *r,
 		 const struct gate_endpoint *e)
 {
-	if (!e->used || e->service != r->service || e->draining)
+	if (!e->used || e->service != r->service || e->draining || e->leaves)
 		return false;
 	if (!r->model)
 		return true;
--- a/src/coordination/loader/loader.c
+++ b/src/coordination/loader/loader.c
@@ -336,6 +336,7 @@
 	}
 	changed = !l->known || r->orders != l->report.orders ||
 		  r->born != l->report.born || r->busy != l->report.busy ||
+		  r->draining != l->report.draining ||
 		  r->n_items != l->report.n_items;
 	pf_engine_report_clear(&l->report);
 	l->report = *r;
@@ -541,6 +542,7 @@
 		.loading = l->loading,
 		.loading_for = l->loading ? now - l->loading_at : 0,
 		.from_store = l->loading && l->loading_store,
+		.draining = r->draining,
 		.leaving = l->leaving && pf_engine_report_find(r, l->leaving, 0)
 				   ? l->leaving
 				   : 0,
--- a/src/coordination/plan/plan.c
+++ b/src/coordination/plan/plan.c
@@ -171,7 +171,7 @@
 		p->listed_at = p->now;
 	e->service = l->service;
 	e->listed = true;
-	e->draining = l->draining;
+	e->draining = l->draining || (e->draining && e->state_at);
 	/* Until its loader is heard, the entry says what it holds. */
 	if (p->now - e->state_at > STATE_KEEP_MS || !e->state_at)
 		copy_residents(e, l->residents, l->n_residents);
@@ -254,13 +254,16 @@
 
 	if (!e || !s->endpoint)
 		return;
-	if (e->born != s->born)
+	if (e->born != s->born) {
 		e->ordered = 0;
+		e->draining = e->draining && !e->born;
+	}
 	e->state_at = p->now;
 	e->born = s->born;
 	e->orders = s->orders;
 	e->busy = s->busy;
 	e->leaving = s->leaving;
+	e->draining = e->draining || s->draining;
 	copy_residents(e, s->residents, s->n_residents);
 	e->n_warm = copy_ids(e->warm, PLAN_COPIES_MAX, s->warm, s->n_warm);
 	e->n_on_disk =
--- a/src/coordination/plan/plan_core.h
+++ b/src/coordination/plan/plan_core.h
@@ -15,7 +15,7 @@
 	uint64_t id; /* 0: free */
 	uint64_t service;
 	bool listed;
-	bool draining;
+	bool draining; /* as its entry, or its loader, says */
 	pf_ms state_at; /* when its loader was heard; 0: never */
 	int64_t born;
 	uint64_t orders;
--- a/src/protocol/pimento.x
+++ b/src/protocol/pimento.x
@@ -202,6 +202,8 @@
 	pimento_gate_load loads<PIMENTO_GATE_LOADS>;
 	pimento_gate_sight sights<PIMENTO_GATE_SIGHTS>;
 	unsigned hyper crashed<PIMENTO_GATE_CRASHED>;
+	unsigned hyper config; /* version in force */
+	unsigned hyper endpoints; /* revision of their last change of state */
 };
 
 struct pimento_gate_demand {
@@ -235,6 +237,7 @@
 	unsigned int loading_ms; /* since it began */
 	unsigned int from_store; /* the load came from the weight store */
 	unsigned hyper leaving; /* model held until its unload is done */
+	unsigned int draining; /* the endpoint is about to be taken away */
 	unsigned int running;
 	unsigned int queued;
 	unsigned int kv_used;
@@ -249,6 +252,7 @@
 	string instance<PIMENTO_NAME_MAX>; /* the endpoint it is meant for */
 	hyper born;
 	unsigned int adapter_slots;
+	unsigned int tell_every; /* ms; changes are told at once */
 	unsigned hyper used<PIMENTO_ITEMS_MAX>; /* adapters, just now */
 	unsigned hyper model; /* of the adapter; 0: none is wanted */
 	string model_name<PIMENTO_NAME_MAX>;
--- a/src/protocol/pimento_xdr.c
+++ b/src/protocol/pimento_xdr.c
@@ -622,6 +622,10 @@
 	 if (!xdr_array (xdrs, (char **)&objp->crashed.crashed_val, (u_int *) &objp->crashed.crashed_len, PIMENTO_GATE_CRASHED,
 		sizeof (u_quad_t), (xdrproc_t) xdr_u_quad_t))
 		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->config))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->endpoints))
+		 return FALSE;
 	return TRUE;
 }
 
@@ -692,8 +696,10 @@
 			 return FALSE;
 		 if (!xdr_u_quad_t (xdrs, &objp->leaving))
 			 return FALSE;
-		buf = XDR_INLINE (xdrs, 4 * BYTES_PER_XDR_UNIT);
+		buf = XDR_INLINE (xdrs, 5 * BYTES_PER_XDR_UNIT);
 		if (buf == NULL) {
+			 if (!xdr_u_int (xdrs, &objp->draining))
+				 return FALSE;
 			 if (!xdr_u_int (xdrs, &objp->running))
 				 return FALSE;
 			 if (!xdr_u_int (xdrs, &objp->queued))
@@ -704,6 +710,7 @@
 				 return FALSE;
 
 		} else {
+		IXDR_PUT_U_LONG(buf, objp->draining);
 		IXDR_PUT_U_LONG(buf, objp->running);
 		IXDR_PUT_U_LONG(buf, objp->queued);
 		IXDR_PUT_U_LONG(buf, objp->kv_used);
@@ -736,8 +743,10 @@
 			 return FALSE;
 		 if (!xdr_u_quad_t (xdrs, &objp->leaving))
 			 return FALSE;
-		buf = XDR_INLINE (xdrs, 4 * BYTES_PER_XDR_UNIT);
+		buf = XDR_INLINE (xdrs, 5 * BYTES_PER_XDR_UNIT);
 		if (buf == NULL) {
+			 if (!xdr_u_int (xdrs, &objp->draining))
+				 return FALSE;
 			 if (!xdr_u_int (xdrs, &objp->running))
 				 return FALSE;
 			 if (!xdr_u_int (xdrs, &objp->queued))
@@ -748,6 +757,7 @@
 				 return FALSE;
 
 		} else {
+		objp->draining = IXDR_GET_U_LONG(buf);
 		objp->running = IXDR_GET_U_LONG(buf);
 		objp->queued = IXDR_GET_U_LONG(buf);
 		objp->kv_used = IXDR_GET_U_LONG(buf);
@@ -781,6 +791,8 @@
 		 return FALSE;
 	 if (!xdr_u_quad_t (xdrs, &objp->leaving))
 		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->draining))
+		 return FALSE;
 	 if (!xdr_u_int (xdrs, &objp->running))
 		 return FALSE;
 	 if (!xdr_u_int (xdrs, &objp->queued))
@@ -812,6 +824,8 @@
 		 return FALSE;
 	 if (!xdr_u_int (xdrs, &objp->adapter_slots))
 		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->tell_every))
+		 return FALSE;
 	 if (!xdr_array (xdrs, (char **)&objp->used.used_val, (u_int *) &objp->used.used_len, PIMENTO_ITEMS_MAX,
 		sizeof (u_quad_t), (xdrproc_t) xdr_u_quad_t))
 		 return FALSE;
--- a/src/protocol/pimento_xdr.h
+++ b/src/protocol/pimento_xdr.h
@@ -277,6 +277,8 @@
 		u_int crashed_len;
 		u_quad_t *crashed_val;
 	} crashed;
+	u_quad_t config;
+	u_quad_t endpoints;
 };
 typedef struct pimento_gate_digest pimento_gate_digest;
 
@@ -318,6 +320,7 @@
 	u_int loading_ms;
 	u_int from_store;
 	u_quad_t leaving;
+	u_int draining;
 	u_int running;
 	u_int queued;
 	u_int kv_used;
@@ -341,6 +344,7 @@
 	char *instance;
 	quad_t born;
 	u_int adapter_slots;
+	u_int tell_every;
 	struct {
 		u_int used_len;
 		u_quad_t *used_val;
--- a/src/transport/talk.c
+++ b/src/transport/talk.c
@@ -46,7 +46,8 @@
 }
 
 void pf_talk_digest(struct pf_talk *t, const struct sockaddr_in *to,
-		    const struct pf_gate_digest *d)
+		    const struct pf_gate_digest *d,
+		    const struct pf_talk_news *news)
 {
 	pimento_gate_load loads[PIMENTO_GATE_LOADS];
 	pimento_gate_sight sights[PIMENTO_GATE_SIGHTS];
@@ -69,11 +70,15 @@
 	out->sights.sights_val = sights;
 	out->crashed.crashed_len = d->n_crashed;
 	out->crashed.crashed_val = (u_quad_t *)d->crashed;
+	out->config = news->config;
+	out->endpoints = news->endpoints;
 	send_talk(t, to, &msg);
 }
 
-static void hear_digest(struct pf_talk *t, const pimento_gate_digest *in)
+static void hear_digest(struct pf_talk *t, const struct sockaddr_in *from,
+			const pimento_gate_digest *in)
 {
+	const struct pf_talk_news news = { in->config, in->endpoints };
 	struct pf_gate_load loads[PF_GATE_LOADS_MAX];
 	struct pf_gate_sight sights[PF_GATE_SIGHTS_MAX];
 	struct pf_gate_digest d = { .peer = in->peer };
@@ -96,7 +101,7 @@
 	d.n_sights = in->sights.sights_len;
 	d.crashed = (const uint64_t *)in->crashed.crashed_val;
 	d.n_crashed = in->crashed.crashed_len;
-	t->o.digest(t->o.ctx, &d);
+	t->o.digest(t->o.ctx, from, &d, &news);
 }
 
 void pf_talk_demand(struct pf_talk *t, const struct sockaddr_in *to,
@@ -160,6 +165,7 @@
 		.loading_ms = (u_int)s->loading_for,
 		.from_store = s->from_store,
 		.leaving = s->leaving,
+		.draining = s->draining,
 		.running = s->running,
 		.queued = s->queued,
 		.kv_used = s->kv_used,
@@ -186,6 +192,7 @@
 		.loading_for = in->loading_ms,
 		.from_store = in->from_store,
 		.leaving = in->leaving,
+		.draining = in->draining,
 		.running = in->running,
 		.queued = in->queued,
 		.kv_used = in->kv_used,
@@ -233,6 +240,7 @@
 	out->instance = terminated(instance, sizeof(instance), w->instance);
 	out->born = w->born;
 	out->adapter_slots = w->adapter_slots;
+	out->tell_every = (u_int)w->tell_every;
 	out->used.used_len = w->n_used;
 	out->used.used_val = (u_quad_t *)w->used;
 	out->model = w->model.n ? pf_id(w->model) : 0;
@@ -248,6 +256,7 @@
 		.instance = pf_str_c(in->instance),
 		.born = in->born,
 		.adapter_slots = in->adapter_slots,
+		.tell_every = in->tell_every,
 		.used = (const uint64_t *)in->used.used_val,
 		.n_used = in->used.used_len,
 		.model = pf_str_c(in->model_name),
@@ -295,7 +304,7 @@
 	switch (msg->type) {
 	case PIMENTO_TALK_DIGEST:
 		if (t->o.digest)
-			hear_digest(t, &msg->pimento_talk_u.digest);
+			hear_digest(t, from, &msg->pimento_talk_u.digest);
 		break;
 	case PIMENTO_TALK_DEMANDS:
 		if (t->o.demand)
