Planner: copies first after a loss; leads sooner; unknown gateways are heard

Cause: after all machines lost power, loads from the weight store for further homes took engines for 4 to 6 s while models with copies on their disks waited.

--- a/daemons/gateway/talk.c
+++ b/daemons/gateway/talk.c
@@ -217,6 +217,30 @@
 	plan_step(g->talk, &m);
 }
 
+static void read_later(struct talk *t, pf_ms ms)
+{
+	struct timeval tv = pf_clock_timeval(ms);
+
+	event_add(t->members_timer, &tv);
+}
+
+/* A gateway whose row was not read yet. */
+static void add_unknown(struct talk *t, const struct sockaddr_in *from,
+			uint64_t id)
+{
+	struct member *m = &t->members[t->n_members];
+
+	if (t->n_members >= MEMBERS_MAX)
+		return;
+	*m = (struct member){ .addr = *from,
+			      .id = id,
+			      .heard_at = pf_clock_now(),
+			      .every = DIGEST_FAR_MS,
+			      .far = true };
+	t->n_members++;
+	read_later(t, MEMBERS_RETRY_MS);
+}
+
 static void member_heard(struct talk *t, const struct sockaddr_in *from,
 			 uint64_t id)
 {
@@ -230,7 +254,9 @@
 			continue;
 		m->id = id;
 		m->heard_at = pf_clock_now();
+		return;
 	}
+	add_unknown(t, from, id);
 }
 
 static bool member_alive(const struct member *m, pf_ms now)
@@ -374,13 +400,6 @@
 	}
 }
 
-static void read_later(struct talk *t, pf_ms ms)
-{
-	struct timeval tv = pf_clock_timeval(ms);
-
-	event_add(t->members_timer, &tv);
-}
-
 /* What is known of a member whose row is read again is kept. */
 static void keep_known(struct member *m, const struct member *old, uint32_t n)
 {
--- a/src/coordination/plan/plan.c
+++ b/src/coordination/plan/plan.c
@@ -9,7 +9,7 @@
 /* A process that stood still for longer has old knowledge. */
 #define GAP_MS 700
 /* After a start or a gap, until the others have been heard. */
-#define QUIET_MS 900
+#define QUIET_MS 500
 /* An entry is older than what its loader said within this. */
 #define STATE_KEEP_MS 3000
 /* Entries come one after the other when all starts; until none came for so
--- a/src/coordination/plan/plan_choose.c
+++ b/src/coordination/plan/plan_choose.c
@@ -21,6 +21,8 @@
 #define PARK_PRESS 14
 /* A model with less under way is rare. */
 #define RARE_ALIVE 1
+/* A model without a home is as urgent as one whose homes are so busy. */
+#define NO_HOME 25
 /* Room that was made stays reserved for so long. */
 #define RESERVE_MS 2500
 /* Of an engine's memory left for adapters. */
@@ -151,7 +153,7 @@
 
 	/* One that nobody asks for is brought back when there is room. */
 	if (m->homes == 0)
-		return asked_lately(p, m) ? 1e6 + demand_of(m) : 0.1;
+		return asked_lately(p, m) ? NO_HOME + 2 * demand_of(m) : 0.1;
 	least = least_work(p, m);
 	if (least < BUSY_ALIVE || share_of(m) < BUSY_ALIVE / 4.0)
 		return 0;
@@ -233,7 +235,7 @@
 }
 
 static void consider(struct pf_plan *p, struct plan_engine *e,
-		     const struct plan_model *m, double press,
+		     const struct plan_model *m, double press, bool near_disk,
 		     struct choice *best)
 {
 	bool at_hand = plan_at_hand(e, m->spec->id);
@@ -243,7 +245,8 @@
 		return;
 	if (reserved_for_other(p, e, m))
 		return;
-	if (!at_hand && (!p->settled || !plan_may_load(p)))
+	if (!at_hand &&
+	    (!p->settled || p->hold_store || near_disk || !plan_may_load(p)))
 		return;
 	if (!at_hand)
 		cost += m->homes ? STORE_COST : STORE_WAIT_COST;
@@ -260,16 +263,34 @@
 		*best = (struct choice){ e, cost };
 }
 
+/* Whether an engine could soon load @m from a copy of its own. */
+static bool has_copy(struct pf_plan *p, const struct plan_model *m)
+{
+	uint32_t i;
+
+	for (i = 0; i < p->o.endpoints_max; i++) {
+		const struct plan_engine *e = &p->engines[i];
+
+		if (usable(p, e) && plan_at_hand(e, m->spec->id) &&
+		    can_make_room(p, e, m, NO_HOME))
+			return true;
+	}
+	return false;
+}
+
 /* Loads @m where that is best, or makes room for it. True: an order went. */
 static bool add_home(struct pf_plan *p, struct plan_model *m, double least)
 {
 	struct choice best = { NULL, INFINITY };
+	/* An engine that is busy for the moment is sooner done with a copy
+	 * than the weight store, and a load from there blocks an engine. */
+	bool near_disk = m->homes == 0 && has_copy(p, m);
 	struct plan_model *out;
 	uint32_t i;
 
 	for (i = 0; i < p->o.endpoints_max; i++) {
 		if (p->engines[i].id)
-			consider(p, &p->engines[i], m, least, &best);
+			consider(p, &p->engines[i], m, least, near_disk, &best);
 	}
 	/* A home that is as busy as those there are would not help. */
 	if (!best.e || (m->homes && best.e->work > least * 0.7))
@@ -289,6 +310,22 @@
 	return true;
 }
 
+/* Whether a model that is asked for and has a copy waits for its home:
+ * further homes are not to take the engines for as long as the weight store
+ * needs. */
+static bool homes_owed(struct pf_plan *p)
+{
+	uint32_t i;
+
+	for (i = 0; i < p->n_models; i++) {
+		const struct plan_model *m = &p->models[i];
+
+		if (m->homes == 0 && asked_lately(p, m) && has_copy(p, m))
+			return true;
+	}
+	return false;
+}
+
 void plan_choose(struct pf_plan *p)
 {
 	bool tried[PLAN_MODELS_MAX] = { false };
@@ -303,6 +340,7 @@
 
 		count_homes(p);
 		sum_work(p);
+		p->hold_store = homes_owed(p);
 		for (i = 0; i < p->n_models; i++) {
 			double u = tried[i] ? 0 : urgency(p, &p->models[i]);
 
