--- a/include/pimentoford/gate.h
+++ b/include/pimentoford/gate.h
@@ -76,7 +76,6 @@
 	uint32_t running; /* requests sent and not ended */
 	uint32_t kv_tokens; /* that they need */
 	uint32_t prefill_ms; /* of those without a first event */
-	uint32_t level_ms; /* prompts beyond what leaves time for events */
 };
 
 /** A prompt's leading parts that an endpoint has read. */
--- a/src/coordination/gate/gate.c
+++ b/src/coordination/gate/gate.c
@@ -165,9 +165,7 @@
 	for (i = 0; i < g->n_endpoints && n < PF_GATE_LOADS_MAX; i++) {
 		const struct gate_endpoint *e = &g->endpoints[i];
 
-		double level = gate_level(g, e) - e->peer_level_ms;
-
-		if (!e->used || (!e->running && level < 1))
+		if (!e->used || !e->running)
 			continue;
 		g->out_loads[n++] = (struct pf_gate_load){
 			.endpoint = e->id,
--- a/src/coordination/gate/gate_core.h
+++ b/src/coordination/gate/gate_core.h
@@ -79,15 +79,12 @@
 	uint32_t running;
 	int64_t kv;
 	double prefill_ms;
-	double level_ms; /* prompts sent, less what may be read meanwhile */
-	pf_ms level_at;
 	uint32_t streaming; /* of them, with some of the answer passed on */
 	pf_ms heard_at; /* anything of an answer came */
 	/* sent by the others */
 	uint32_t peer_running;
 	int64_t peer_kv;
 	double peer_prefill_ms;
-	double peer_level_ms;
 	/* learned from answers */
 	double slow; /* measured over expected time, 1 is as expected */
 	double event_ms; /* between two events of a stream */
@@ -204,8 +201,6 @@
 		       uint64_t adapter);
 /** A request's work begins or ends at an endpoint. */
 void gate_load_add(struct pf_gate *g, struct gate_request *r, uint32_t slot);
-/** Prompts sent there beyond what leaves time for streams, by all. */
-double gate_level(const struct pf_gate *g, const struct gate_endpoint *e);
 void gate_load_first(struct pf_gate *g, struct gate_request *r);
 void gate_load_end(struct pf_gate *g, struct gate_request *r);
 /** It did not answer: left alone for a while, longer each time. */
--- a/src/coordination/gate/gate_endpoints.c
+++ b/src/coordination/gate/gate_endpoints.c
@@ -12,8 +12,6 @@
 #define BLOCK_MAX_MS 3200
 /* Weight of the newest try in the share that failed. */
 #define FAILING_WEIGHT 0.1
-/* Part of an engine's time in which prompts are read; streams need the rest. */
-#define PREFILL_DUTY 0.7
 /* Between events of a stream, until measured. */
 #define EVENT_MS 25
 /* A loader says something every 1.5 s, also to gateways far away. */
@@ -133,7 +131,6 @@
 	e->peer_running = 0;
 	e->peer_kv = 0;
 	e->peer_prefill_ms = 0;
-	e->peer_level_ms = 0;
 	for (i = 0; i < GATE_PEERS_MAX; i++) {
 		const struct gate_peer *p = &g->peers[i];
 
@@ -143,7 +140,6 @@
 			e->peer_running += p->loads[k].running;
 			e->peer_kv += p->loads[k].kv_tokens;
 			e->peer_prefill_ms += p->loads[k].prefill_ms;
-			e->peer_level_ms += p->loads[k].level_ms;
 		}
 	}
 }
@@ -231,20 +227,6 @@
 	return pf_listed_has(&l, model, adapter);
 }
 
-static double own_level(const struct pf_gate *g, const struct gate_endpoint *e)
-{
-	/* Each gateway's prompts leave at its part of the rate. */
-	double rate = PREFILL_DUTY / gate_peers_alive(g);
-	double level = e->level_ms - rate * (double)(g->now - e->level_at);
-
-	return level > 0 ? level : 0;
-}
-
-double gate_level(const struct pf_gate *g, const struct gate_endpoint *e)
-{
-	return own_level(g, e) + e->peer_level_ms;
-}
-
 void gate_load_add(struct pf_gate *g, struct gate_request *r, uint32_t slot)
 {
 	struct gate_endpoint *e = &g->endpoints[slot];
@@ -256,8 +238,6 @@
 		e->streaming++;
 	e->kv += r->kv;
 	e->prefill_ms += r->own_ms;
-	e->level_ms = own_level(g, e) + r->own_ms;
-	e->level_at = g->now;
 }
 
 void gate_load_first(struct pf_gate *g, struct gate_request *r)
--- a/src/coordination/gate/gate_pick.c
+++ b/src/coordination/gate/gate_pick.c
@@ -19,10 +19,6 @@
 #define FAILED_MS 600.0
 /* Prompts that wait at an endpoint can't be reordered: keep them few. */
 #define PREFILL_MAX_MS 1200.0
-/* A long prompt waits while so much more was sent than leaves time for the
- * streams of others; short ones are soon read. */
-#define LEVEL_MAX_MS 500.0
-#define SMALL_PROMPT_MS 45.0
 /* Of an engine's memory: beyond it runs are preempted. */
 #define KV_FILL 0.92
 /* Nothing came of any stream of an endpoint for so long. */
@@ -161,7 +157,6 @@
 		     const struct gate_endpoint *e, struct estimate *out)
 {
 	double queued = e->prefill_ms + e->peer_prefill_ms;
-	double level = gate_level(g, e);
 	uint32_t fresh;
 
 	out->cost = INFINITY;
@@ -181,8 +176,6 @@
 	/* A stream that can't end in time would only take others' time. */
 	if (g->now + out->expected_ms + r->events * e->event_ms > r->over)
 		return;
-	if (out->own_ms > SMALL_PROMPT_MS && level > LEVEL_MAX_MS)
-		return;
 	if (running(e) >= e->slots || queued * e->slow > PREFILL_MAX_MS ||
 	    (running(e) > 0 &&
 	     e->kv + e->peer_kv + out->kv > (int64_t)(KV_FILL * e->kv_max)))
--- a/src/protocol/pimento.x
+++ b/src/protocol/pimento.x
@@ -190,7 +190,6 @@
 	unsigned int running;
 	unsigned int kv_tokens;
 	unsigned int prefill_ms;
-	unsigned int level_ms;
 };
 
 struct pimento_gate_sight {
--- a/src/protocol/pimento_xdr.c
+++ b/src/protocol/pimento_xdr.c
@@ -583,49 +583,6 @@
 {
 	register int32_t *buf;
 
-
-	if (xdrs->x_op == XDR_ENCODE) {
-		 if (!xdr_u_quad_t (xdrs, &objp->endpoint))
-			 return FALSE;
-		buf = XDR_INLINE (xdrs, 4 * BYTES_PER_XDR_UNIT);
-		if (buf == NULL) {
-			 if (!xdr_u_int (xdrs, &objp->running))
-				 return FALSE;
-			 if (!xdr_u_int (xdrs, &objp->kv_tokens))
-				 return FALSE;
-			 if (!xdr_u_int (xdrs, &objp->prefill_ms))
-				 return FALSE;
-			 if (!xdr_u_int (xdrs, &objp->level_ms))
-				 return FALSE;
-		} else {
-			IXDR_PUT_U_LONG(buf, objp->running);
-			IXDR_PUT_U_LONG(buf, objp->kv_tokens);
-			IXDR_PUT_U_LONG(buf, objp->prefill_ms);
-			IXDR_PUT_U_LONG(buf, objp->level_ms);
-		}
-		return TRUE;
-	} else if (xdrs->x_op == XDR_DECODE) {
-		 if (!xdr_u_quad_t (xdrs, &objp->endpoint))
-			 return FALSE;
-		buf = XDR_INLINE (xdrs, 4 * BYTES_PER_XDR_UNIT);
-		if (buf == NULL) {
-			 if (!xdr_u_int (xdrs, &objp->running))
-				 return FALSE;
-			 if (!xdr_u_int (xdrs, &objp->kv_tokens))
-				 return FALSE;
-			 if (!xdr_u_int (xdrs, &objp->prefill_ms))
-				 return FALSE;
-			 if (!xdr_u_int (xdrs, &objp->level_ms))
-				 return FALSE;
-		} else {
-			objp->running = IXDR_GET_U_LONG(buf);
-			objp->kv_tokens = IXDR_GET_U_LONG(buf);
-			objp->prefill_ms = IXDR_GET_U_LONG(buf);
-			objp->level_ms = IXDR_GET_U_LONG(buf);
-		}
-	 return TRUE;
-	}
-
 	 if (!xdr_u_quad_t (xdrs, &objp->endpoint))
 		 return FALSE;
 	 if (!xdr_u_int (xdrs, &objp->running))
@@ -634,8 +591,6 @@
 		 return FALSE;
 	 if (!xdr_u_int (xdrs, &objp->prefill_ms))
 		 return FALSE;
-	 if (!xdr_u_int (xdrs, &objp->level_ms))
-		 return FALSE;
 	return TRUE;
 }
 
--- a/src/protocol/pimento_xdr.h
+++ b/src/protocol/pimento_xdr.h
@@ -254,7 +254,6 @@
 	u_int running;
 	u_int kv_tokens;
 	u_int prefill_ms;
-	u_int level_ms;
 };
 typedef struct pimento_gate_load pimento_gate_load;
 
--- a/src/transport/talk.c
+++ b/src/transport/talk.c
@@ -59,8 +59,7 @@
 		loads[i] = (pimento_gate_load){ d->loads[i].endpoint,
 						d->loads[i].running,
 						d->loads[i].kv_tokens,
-						d->loads[i].prefill_ms,
-						d->loads[i].level_ms };
+						d->loads[i].prefill_ms };
 	for (i = 0; i < d->n_sights; i++)
 		sights[i] = (pimento_gate_sight){ d->sights[i].chain,
 						  d->sights[i].endpoint };
@@ -89,8 +88,7 @@
 		const pimento_gate_load *l = &in->loads.loads_val[i];
 
 		loads[i] = (struct pf_gate_load){ l->endpoint, l->running,
-						  l->kv_tokens, l->prefill_ms,
-						  l->level_ms };
+						  l->kv_tokens, l->prefill_ms };
 	}
 	for (i = 0; i < in->sights.sights_len; i++)
 		sights[i] = (struct pf_gate_sight){
