--- a/src/coordination/plan/plan_choose.c
+++ b/src/coordination/plan/plan_choose.c
@@ -35,7 +35,7 @@
 #define STORE_WAIT_COST 30
 /* And an engine that is left with all of its memory. */
 #define FIT_COST 20
-#define ORDERS_PER_TICK 6
+#define ORDERS_PER_TICK 32
 
 static bool usable(const struct pf_plan *p, const struct plan_engine *e)
 {
