--- a/daemons/gateway/talk.c
+++ b/daemons/gateway/talk.c
@@ -506,7 +506,6 @@
 	o.self = g->self;
 	o.window = g->set.load_window;
 	o.over = g->set.load_over;
-	o.endpoints_max = g->set.core.endpoints_max;
 	return pf_plan_new(&o);
 }
 
--- a/src/coordination/gate/gate.c
+++ b/src/coordination/gate/gate.c
@@ -11,7 +11,7 @@
 {
 	*o = (struct pf_gate_opts){
 		.requests_max = 4096,
-		.endpoints_max = 128,
+		.endpoints_max = 1024,
 		.repeat_ratio = 0.2,
 		.repeat_slack = 50,
 		.repeat_window = 10000,
@@ -43,7 +43,8 @@
 	g->free_requests = calloc(o->requests_max, sizeof(uint32_t));
 	g->endpoints = calloc(o->endpoints_max, sizeof(*g->endpoints));
 	if (!g->zones || !g->requests || !g->free_requests || !g->endpoints ||
-	    pf_heap_init(&g->timers, o->requests_max) < 0) {
+	    pf_heap_init(&g->timers, o->requests_max) < 0 ||
+	    pf_map_init(&g->by_id, o->endpoints_max) < 0) {
 		pf_gate_free(g);
 		return NULL;
 	}
@@ -68,6 +69,7 @@
 	for (i = 0; g->endpoints && i < g->n_endpoints; i++)
 		gate_endpoint_gone(g, g->endpoints[i].id);
 	pf_heap_free(&g->timers);
+	pf_map_free(&g->by_id);
 	free(g->endpoints);
 	free(g->free_requests);
 	free(g->requests);
--- a/src/coordination/gate/gate_core.h
+++ b/src/coordination/gate/gate_core.h
@@ -167,6 +167,7 @@
 	pf_ms pump_at; /* when the waiting are looked at again */
 	struct gate_endpoint *endpoints;
 	uint32_t n_endpoints; /* slots in use or free below it */
+	struct pf_map by_id; /* slots of those in use */
 	struct gate_peer peers[GATE_PEERS_MAX];
 	struct gate_budget budgets[GATE_SERVICES_MAX];
 	struct gate_prefix prefixes[GATE_PREFIX_SETS][GATE_PREFIX_WAYS];
--- a/src/coordination/gate/gate_endpoints.c
+++ b/src/coordination/gate/gate_endpoints.c
@@ -41,13 +41,9 @@
 
 static uint32_t find(const struct pf_gate *g, uint64_t id)
 {
-	uint32_t i;
+	uint32_t slot;
 
-	for (i = 0; i < g->n_endpoints; i++) {
-		if (g->endpoints[i].used && g->endpoints[i].id == id)
-			return i;
-	}
-	return GATE_NIL;
+	return pf_map_get(&g->by_id, pf_key1(id), &slot) == 0 ? slot : GATE_NIL;
 }
 
 struct gate_endpoint *gate_endpoint(struct pf_gate *g, uint64_t id)
@@ -122,19 +118,33 @@
 		set_engine(g, &g->endpoints[i]);
 }
 
-/* The work of the others at @e, from what each said last. */
+/* Adds what @p said last to its endpoints, or takes it back. */
+static void count_peer(struct pf_gate *g, const struct gate_peer *p, int sign)
+{
+	uint32_t i;
+
+	for (i = 0; i < p->n_loads; i++) {
+		const struct pf_gate_load *l = &p->loads[i];
+		struct gate_endpoint *e = gate_endpoint(g, l->endpoint);
+
+		if (!e)
+			continue;
+		e->peer_running += (uint32_t)sign * l->running;
+		e->peer_kv += sign * (int64_t)l->kv_tokens;
+		e->peer_prefill_ms += sign * (double)l->prefill_ms;
+	}
+}
+
+/* The work of the others at an endpoint that was not known before. */
 static void add_peers(const struct pf_gate *g, struct gate_endpoint *e)
 {
 	uint32_t i;
 	uint32_t k;
 
-	e->peer_running = 0;
-	e->peer_kv = 0;
-	e->peer_prefill_ms = 0;
 	for (i = 0; i < GATE_PEERS_MAX; i++) {
 		const struct gate_peer *p = &g->peers[i];
 
-		for (k = 0; p->id && k < p->n_loads; k++) {
+		for (k = 0; k < p->n_loads; k++) {
 			if (p->loads[k].endpoint != e->id)
 				continue;
 			e->peer_running += p->loads[k].running;
@@ -152,7 +162,8 @@
 
 	if (slot == GATE_NIL) {
 		slot = take_slot(g);
-		if (slot == GATE_NIL)
+		if (slot == GATE_NIL ||
+		    pf_map_put(&g->by_id, pf_key1(l->id), slot) < 0)
 			return;
 		e = &g->endpoints[slot];
 		memset(e, 0, sizeof(*e));
@@ -216,6 +227,7 @@
 		return;
 	free_residents(e);
 	e->used = false;
+	pf_map_del(&g->by_id, pf_key1(id));
 }
 
 bool gate_endpoint_has(const struct gate_endpoint *e, uint64_t model,
@@ -289,29 +301,23 @@
 		if (oldest->id && (!p->id || p->heard_at < oldest->heard_at))
 			oldest = p;
 	}
+	count_peer(g, oldest, -1);
 	memset(oldest, 0, sizeof(*oldest));
 	oldest->id = id;
 	return oldest;
 }
 
-static void add_all_peers(struct pf_gate *g)
-{
-	uint32_t i;
-
-	for (i = 0; i < g->n_endpoints; i++)
-		add_peers(g, &g->endpoints[i]);
-}
-
 void gate_peer_heard(struct pf_gate *g, const struct pf_gate_digest *d)
 {
 	struct gate_peer *p = peer_slot(g, d->peer);
 	uint32_t i;
 
 	p->heard_at = g->now;
+	count_peer(g, p, -1);
 	p->n_loads =
 		d->n_loads < PF_GATE_LOADS_MAX ? d->n_loads : PF_GATE_LOADS_MAX;
 	memcpy(p->loads, d->loads, p->n_loads * sizeof(*p->loads));
-	add_all_peers(g);
+	count_peer(g, p, 1);
 	for (i = 0; i < d->n_sights; i++)
 		gate_prefix_seen(g, &d->sights[i]);
 	for (i = 0; i < d->n_crashed; i++)
@@ -320,7 +326,6 @@
 
 void gate_peers_expire(struct pf_gate *g)
 {
-	bool changed = false;
 	uint32_t i;
 
 	for (i = 0; i < GATE_PEERS_MAX; i++) {
@@ -329,14 +334,12 @@
 		if (!p->id)
 			continue;
 		if (p->n_loads && g->now - p->heard_at > PEER_SILENT_MS) {
+			count_peer(g, p, -1);
 			p->n_loads = 0;
-			changed = true;
 		}
 		if (g->now - p->heard_at > PEER_GONE_MS)
 			p->id = 0;
 	}
-	if (changed)
-		add_all_peers(g);
 }
 
 uint32_t gate_peers_alive(const struct pf_gate *g)
--- a/src/coordination/plan/plan.c
+++ b/src/coordination/plan/plan.c
@@ -32,7 +32,7 @@
 void pf_plan_opts_default(struct pf_plan_opts *o)
 {
 	*o = (struct pf_plan_opts){
-		.endpoints_max = 128,
+		.endpoints_max = 256,
 		.window = 5000,
 		.over = 1,
 	};
