--- /dev/null
+++ b/fuzz/fuzz_gate.c
@@ -0,0 +1,463 @@
+/*
+ * Gate cores behind one budget, against what was promised to callers: once
+ * means once, a refusal means not run, one end for each request, in time, and
+ * further sends within the budget of all gateways together.
+ */
+#include "fuzz/fuzz.h"
+#include "pimentoford/gate.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#define GATES 3
+#define ENDPOINTS 6
+#define REQUESTS 48
+#define SENDS 4096
+#define ATTEMPTS 2
+#define WINDOW_MS 10000
+#define RATIO 0.2
+#define SLACK 12
+#define TIMEOUT_MS 4000
+/* Timers run at each step of the clock. */
+#define STEP_MS 60
+#define LATE_MS (3 * STEP_MS)
+
+enum kind { SAFE, UNSAFE, STREAM, RESUMABLE, KINDS };
+
+struct req {
+	bool alive;
+	enum kind kind;
+	uint32_t gate;
+	uint32_t handle;
+	pf_ms over;
+	uint32_t may_have_run;
+	uint32_t arrivals;
+	bool passed;
+	bool in_flight;
+	uint32_t endpoint;
+	bool answered; /* the try at hand ended with a whole answer */
+};
+
+struct point {
+	bool draining[GATES]; /* as each gateway knows it */
+	bool listed[GATES];
+};
+
+struct world {
+	struct fuzz_result *r;
+	struct pf_rng rng;
+	pf_ms now;
+	struct pf_gate *gates[GATES];
+	uint64_t selves;
+	struct pf_routes routes;
+	struct pf_route route[KINDS];
+	struct pf_route_service services[2];
+	struct pf_gate_zone zones[2];
+	struct point points[ENDPOINTS];
+	struct req reqs[REQUESTS];
+	uint32_t stepping; /* gateway */
+	pf_ms repeats[SENDS], firsts[SENDS];
+	uint32_t n_repeats, n_firsts;
+	uint64_t service_of_repeat[SENDS], service_of_first[SENDS];
+};
+
+static uint32_t draw(struct world *w, uint32_t n)
+{
+	return pf_rng_below(&w->rng, n);
+}
+
+static uint64_t service_id(enum kind k)
+{
+	return k == SAFE || k == UNSAFE ? 101 : 102;
+}
+
+static uint32_t count(const pf_ms *at, const uint64_t *service, uint32_t n,
+		      uint64_t id, pf_ms from, pf_ms to)
+{
+	uint32_t c = 0;
+	uint32_t i;
+
+	for (i = 0; i < n && i < SENDS; i++)
+		c += service[i] == id && at[i] > from && at[i] <= to;
+	return c;
+}
+
+static void check_budget(struct world *w, uint64_t id)
+{
+	static const pf_ms back[] = { 0, WINDOW_MS / 2, WINDOW_MS };
+	uint32_t most = 0;
+	uint32_t repeats;
+	size_t i;
+
+	for (i = 0; i < 3; i++) {
+		uint32_t c =
+			count(w->firsts, w->service_of_first, w->n_firsts, id,
+			      w->now - back[i] - WINDOW_MS, w->now - back[i]);
+
+		most = c > most ? c : most;
+	}
+	repeats = count(w->repeats, w->service_of_repeat, w->n_repeats, id,
+			w->now - WINDOW_MS, w->now);
+	if (repeats > RATIO * most + SLACK)
+		fuzz_violation(w->r, "budget: %u repeats of %u", repeats, most);
+}
+
+static void on_send(struct world *w, struct req *q, const struct pf_gate_act *a)
+{
+	uint32_t at = (uint32_t)(a->u.send.endpoint - 1);
+	const struct point *p = &w->points[at % ENDPOINTS];
+	uint32_t n;
+
+	if (q->in_flight)
+		fuzz_violation(w->r, "sent twice at once");
+	if (at >= ENDPOINTS || !p->listed[q->gate] || p->draining[q->gate])
+		fuzz_violation(w->r, "sent to a leaving endpoint");
+	if ((q->kind == UNSAFE || q->kind == STREAM) && q->may_have_run)
+		fuzz_violation(w->r, "once-only sent again");
+	if (q->may_have_run >= ATTEMPTS)
+		fuzz_violation(w->r, "more runs than attempts");
+	if (a->u.send.resume != q->passed)
+		fuzz_violation(w->r, "resume does not follow what passed");
+	if (a->u.send.budget <= 0 || a->u.send.budget > q->over - w->now)
+		fuzz_violation(w->r, "more time handed on than is left");
+	q->in_flight = true;
+	q->endpoint = at;
+	if (q->arrivals++ == 0)
+		return;
+	n = w->n_repeats++ % SENDS;
+	w->repeats[n] = w->now;
+	w->service_of_repeat[n] = service_id(q->kind);
+	check_budget(w, service_id(q->kind));
+}
+
+static void on_final(struct world *w, struct req *q,
+		     const struct pf_gate_act *a)
+{
+	if (!q->alive)
+		fuzz_violation(w->r, "a second end");
+	if (q->in_flight)
+		fuzz_violation(w->r, "an end with a try in flight");
+	if (a->type == PF_GATE_DELIVER && !q->answered)
+		fuzz_violation(w->r, "delivered without an answer");
+	if (a->type == PF_GATE_REFUSE && q->may_have_run)
+		fuzz_violation(w->r, "refused though it may have run");
+	if (a->type == PF_GATE_REFUSE && a->u.refuse.retry_after >= 0 &&
+	    a->u.refuse.retry_after > (q->over - w->now) / 3 + 1 &&
+	    q->over > w->now)
+		fuzz_violation(w->r, "told to come back too late");
+	q->alive = false;
+}
+
+static void emit(void *ctx, const struct pf_gate_act *a)
+{
+	struct world *w = ctx;
+	struct req *q = a->ctx;
+
+	if (!q->alive || q->gate != w->stepping) {
+		fuzz_violation(w->r, "an act for what has ended");
+		return;
+	}
+	switch (a->type) {
+	case PF_GATE_SEND:
+		on_send(w, q, a);
+		break;
+	case PF_GATE_WANT:
+		break;
+	case PF_GATE_DROP:
+		if (!q->in_flight)
+			fuzz_violation(w->r, "dropped nothing");
+		q->in_flight = false;
+		q->may_have_run++;
+		break;
+	case PF_GATE_DELIVER:
+	case PF_GATE_REFUSE:
+	case PF_GATE_FAIL:
+		on_final(w, q, a);
+		break;
+	}
+}
+
+static void step(struct world *w, uint32_t gate, const struct pf_gate_msg *m)
+{
+	const struct pf_gate_sink sink = { emit, w };
+
+	w->stepping = gate;
+	pf_gate_step(w->gates[gate], w->now, m, &sink);
+}
+
+static void list(struct world *w, uint32_t gate, uint32_t i, bool draining)
+{
+	struct pf_resident res = { 9, NULL, 0 };
+	struct pf_listed l = { .id = i + 1,
+			       .service = i < 3 ? 101 : 102,
+			       .zone = 1 + i % 2,
+			       .slots = 4,
+			       .born = 1,
+			       .draining = draining,
+			       .residents = &res,
+			       .n_residents = i < 3 ? 0 : 1 };
+	struct pf_gate_msg m = { .type = PF_GATE_ENDPOINT };
+
+	m.u.endpoint = &l;
+	w->points[i].listed[gate] = true;
+	w->points[i].draining[gate] = draining;
+	step(w, gate, &m);
+}
+
+static void start_gate(struct world *w, uint32_t gate)
+{
+	struct pf_gate_msg m = { .type = PF_GATE_ROUTES };
+	struct pf_gate_opts o;
+	uint32_t i;
+
+	pf_gate_opts_default(&o);
+	o.self = ++w->selves;
+	o.zone = 1;
+	o.region = 1;
+	o.zones = w->zones;
+	o.n_zones = 2;
+	o.seed = o.self;
+	o.requests_max = REQUESTS;
+	o.repeat_ratio = RATIO;
+	o.repeat_slack = SLACK;
+	o.repeat_window = WINDOW_MS;
+	w->gates[gate] = pf_gate_new(&o);
+	m.u.routes = &w->routes;
+	step(w, gate, &m);
+	for (i = 0; i < ENDPOINTS; i++)
+		list(w, gate, i, false);
+}
+
+/* All that it held is gone with the process. */
+static void restart_gate(struct world *w, uint32_t gate)
+{
+	uint32_t i;
+
+	pf_gate_free(w->gates[gate]);
+	for (i = 0; i < REQUESTS; i++) {
+		if (w->reqs[i].gate == gate)
+			w->reqs[i].alive = false;
+	}
+	start_gate(w, gate);
+}
+
+static void init(struct world *w, uint64_t seed, struct fuzz_result *r)
+{
+	uint32_t i;
+
+	memset(w, 0, sizeof(*w));
+	w->r = r;
+	w->now = 1000000;
+	pf_rng_seed(&w->rng, seed);
+	w->zones[0] = (struct pf_gate_zone){ 1, 1 };
+	w->zones[1] = (struct pf_gate_zone){ 2, 1 };
+	w->services[0].id = 101;
+	w->services[1].id = 102;
+	w->services[1].engine = true;
+	w->services[1].kv_tokens = 4000;
+	w->services[1].event_tokens = 4;
+	for (i = 0; i < KINDS; i++)
+		w->route[i] = (struct pf_route){
+			.splits = { { service_id((enum kind)i), 1 } },
+			.n_splits = 1,
+			.kind = (enum pf_route_kind)i,
+			.timeout = TIMEOUT_MS,
+			.objective = 800,
+			.attempts = ATTEMPTS,
+		};
+	w->routes.services = w->services;
+	w->routes.n_services = 2;
+	for (i = 0; i < GATES; i++)
+		start_gate(w, i);
+}
+
+static void arrive(struct world *w)
+{
+	struct pf_gate_msg m = { .type = PF_GATE_ARRIVE };
+	enum kind k = (enum kind)draw(w, KINDS);
+	struct pf_inbound in = { .last_event = -1 };
+	struct req *q = NULL;
+	uint32_t i;
+	uint32_t n;
+
+	for (i = 0; i < REQUESTS && !q; i++)
+		q = w->reqs[i].alive ? NULL : &w->reqs[i];
+	if (!q)
+		return;
+	*q = (struct req){ .alive = true, .kind = k, .gate = draw(w, GATES) };
+	in.budget = draw(w, 4) ? 500 + draw(w, 5000) : 0;
+	q->over = w->now + TIMEOUT_MS;
+	if (in.budget && w->now + in.budget < q->over)
+		q->over = w->now + in.budget;
+	if (k >= STREAM) {
+		in.model = draw(w, 12) ? 9 : 8; /* 8 is nowhere */
+		in.prompt_tokens = draw(w, 1500);
+		in.max_tokens = 40;
+	}
+	n = w->n_firsts++ % SENDS;
+	w->firsts[n] = w->now;
+	w->service_of_first[n] = service_id(k);
+	m.u.arrival.ctx = q;
+	m.u.arrival.route = &w->route[k];
+	m.u.arrival.in = &in;
+	m.u.arrival.fingerprint = pf_id2(w->now, n) | 1;
+	m.u.arrival.handle = &q->handle;
+	step(w, q->gate, &m);
+}
+
+static struct req *some(struct world *w, bool in_flight)
+{
+	uint32_t from = draw(w, REQUESTS);
+	uint32_t i;
+
+	for (i = 0; i < REQUESTS; i++) {
+		struct req *q = &w->reqs[(from + i) % REQUESTS];
+
+		if (q->alive && (!in_flight || q->in_flight))
+			return q;
+	}
+	return NULL;
+}
+
+static void end_try(struct world *w)
+{
+	struct pf_gate_msg m = { .type = PF_GATE_ENDED };
+	struct req *q = some(w, true);
+	uint32_t what;
+
+	if (!q)
+		return;
+	what = draw(w, 10);
+	m.u.end.request = q->handle;
+	m.u.end.retry_after = -1;
+	q->in_flight = false;
+	if (what < 5) {
+		m.u.end.outcome = PF_GATE_ANSWERED;
+		m.u.end.status = draw(w, 5) ? 200 : 500;
+		q->answered = true;
+		q->may_have_run++;
+	} else if (what == 5 && !q->passed) {
+		m.u.end.outcome = PF_GATE_NOT_RUN;
+		m.u.end.status = 503;
+		m.u.end.absent = draw(w, 3) == 0;
+	} else if (what == 6 && !q->passed) {
+		m.u.end.outcome = PF_GATE_UNSENT;
+		/* It was counted when it was sent and did not arrive. */
+		if (--q->arrivals > 0)
+			w->n_repeats--;
+	} else {
+		m.u.end.outcome = q->passed ? PF_GATE_BROKEN : PF_GATE_LOST;
+		m.u.end.reset = draw(w, 2) == 0;
+		q->may_have_run++;
+	}
+	step(w, q->gate, &m);
+	q->answered = false;
+}
+
+static void pass_events(struct world *w)
+{
+	struct pf_gate_msg m = { .type = PF_GATE_EVENTS };
+	struct req *q = some(w, true);
+
+	if (!q || q->kind < STREAM)
+		return;
+	q->passed = true;
+	m.u.events.request = q->handle;
+	m.u.events.n = 1 + draw(w, 3);
+	step(w, q->gate, &m);
+}
+
+static void hang_up(struct world *w)
+{
+	struct pf_gate_msg m = { .type = PF_GATE_HANGUP };
+	struct req *q = some(w, false);
+
+	if (!q)
+		return;
+	m.u.request = q->handle;
+	step(w, q->gate, &m);
+	if (q->in_flight)
+		fuzz_violation(w->r, "work goes on for a caller that left");
+	q->alive = false;
+}
+
+static void change_endpoint(struct world *w)
+{
+	struct pf_gate_msg m = { .type = PF_GATE_ENDPOINT_GONE };
+	uint32_t gate = draw(w, GATES);
+	uint32_t i = draw(w, ENDPOINTS);
+
+	if (draw(w, 3)) {
+		list(w, gate, i, draw(w, 4) == 0);
+		return;
+	}
+	w->points[i].listed[gate] = false;
+	m.u.id = i + 1;
+	step(w, gate, &m);
+}
+
+/* Each hears of the others; some datagrams are lost. */
+static void talk(struct world *w)
+{
+	struct pf_gate_msg m = { .type = PF_GATE_PEER };
+	uint32_t i;
+	uint32_t k;
+
+	for (i = 0; i < GATES; i++) {
+		pf_gate_digest(w->gates[i], &m.u.digest);
+		for (k = 0; k < GATES; k++) {
+			if (k != i && draw(w, 5))
+				step(w, k, &m);
+		}
+	}
+}
+
+static void tick(struct world *w)
+{
+	static const struct pf_gate_msg m = { .type = PF_GATE_TICK };
+	uint32_t i;
+
+	w->now += 1 + draw(w, STEP_MS);
+	for (i = 0; i < GATES; i++)
+		step(w, i, &m);
+	for (i = 0; i < REQUESTS; i++) {
+		const struct req *q = &w->reqs[i];
+
+		if (q->alive && w->now > q->over + LATE_MS)
+			fuzz_violation(w->r, "held beyond its time");
+	}
+}
+
+void fuzz_gate(uint64_t seed, uint32_t steps_max, struct fuzz_result *r)
+{
+	struct world *w = malloc(sizeof(*w));
+	uint32_t i;
+
+	if (!w)
+		return;
+	init(w, seed, r);
+	for (i = 0; i < steps_max; i++) {
+		uint32_t what = draw(w, 100);
+
+		if (what < 22)
+			arrive(w);
+		else if (what < 46)
+			end_try(w);
+		else if (what < 56)
+			pass_events(w);
+		else if (what < 60)
+			hang_up(w);
+		else if (what < 64)
+			change_endpoint(w);
+		else if (what < 80)
+			talk(w);
+		else if (what < 99 || draw(w, 8))
+			tick(w);
+		else
+			restart_gate(w, draw(w, GATES));
+		r->steps++;
+	}
+	for (i = 0; i < GATES; i++)
+		pf_gate_free(w->gates[i]);
+	free(w);
+}
--- a/src/coordination/gate/gate_budget.c
+++ b/src/coordination/gate/gate_budget.c
@@ -66,8 +66,12 @@
 			requests += b->requests[(b->second - i) % GATE_BUCKETS];
 	}
 	allowed = g->o.repeat_ratio * requests;
+#ifdef PF_MUTANT_GATE_SLACK
+	allowed += (double)g->o.repeat_slack;
+#else
 	if (g->now - g->started > g->o.repeat_window)
 		allowed += (double)g->o.repeat_slack / gate_peers_alive(g);
+#endif
 	if (repeats + 1 > allowed)
 		return false;
 	(*now)++;
--- a/src/coordination/gate/gate_life.c
+++ b/src/coordination/gate/gate_life.c
@@ -144,12 +144,15 @@
 static void give_up(struct pf_gate *g, struct gate_request *r,
 		    enum pf_gate_reason why)
 {
-	if (r->runs == 0)
-		refuse(g, r, why);
-	else
+#ifndef PF_MUTANT_GATE_REFUSE
+	if (r->runs > 0) {
 		fail(g, r,
 		     g->now >= r->over ? PF_GATE_WHY_TIMEOUT
 				       : PF_GATE_WHY_ENDPOINT_LOST);
+		return;
+	}
+#endif
+	refuse(g, r, why);
 }
 
 /* The least time in which @r could still be answered. */
@@ -408,7 +411,9 @@
 {
 	struct gate_request *r = &g->requests[slot];
 
+#ifndef PF_MUTANT_GATE_HANGUP
 	drop(g, r);
+#endif
 	g->stats.hangups++;
 	release(g, r);
 }
@@ -524,7 +529,11 @@
 	case PF_GATE_LOST:
 	case PF_GATE_BROKEN:
 		r->runs++;
+#ifdef PF_MUTANT_GATE_ONCE
+		if (r->runs < 2) {
+#else
 		if (gate_repeatable(r) && r->runs < r->attempts) {
+#endif
 			again(g, r);
 			return;
 		}
--- a/src/coordination/gate/gate_pick.c
+++ b/src/coordination/gate/gate_pick.c
@@ -108,8 +108,12 @@
 static bool fits(const struct pf_gate *g, const struct gate_request *r,
 		 const struct gate_endpoint *e)
 {
-	if (!e->used || e->service != r->service || e->draining || e->leaves)
+	if (!e->used || e->service != r->service)
 		return false;
+#ifndef PF_MUTANT_GATE_LEAVING
+	if (e->draining || e->leaves)
+		return false;
+#endif
 	if (!r->model)
 		return true;
 	if (e->lacks == r->model && e->lacks_until > g->now)
--- a/src/coordination/loader/loader.c
+++ b/src/coordination/loader/loader.c
@@ -197,9 +197,11 @@
 	if (!l->model_order.set || l->report.busy)
 		return false;
 	l->model_order.set = false;
+#ifndef PF_MUTANT_LOADER_COUNT
 	if (l->model_order.born != l->report.born ||
 	    l->model_order.orders != l->report.orders)
 		return false;
+#endif
 	if (l->model_order.load) {
 		l->loading = pf_id(pf_str_c(l->model_order.model));
 		l->loading_store = l->model_order.from_store;
@@ -290,7 +292,11 @@
 	}
 	if (!first)
 		return;
+#ifdef PF_MUTANT_LOADER_SLOTS
+	if (adapters_held(&l->report) <= l->adapter_slots) {
+#else
 	if (adapters_held(&l->report) < l->adapter_slots) {
+#endif
 		call(l, true, first->model, first->adapter);
 		return;
 	}
@@ -543,9 +549,11 @@
 		.loading_for = l->loading ? now - l->loading_at : 0,
 		.from_store = l->loading && l->loading_store,
 		.draining = r->draining,
+#ifndef PF_MUTANT_LOADER_HELD
 		.leaving = l->leaving && pf_engine_report_find(r, l->leaving, 0)
 				   ? l->leaving
 				   : 0,
+#endif
 		.running = r->running,
 		.queued = r->queued,
 		.kv_used = r->kv_used,
