--- a/daemons/loader/main.c
+++ b/daemons/loader/main.c
@@ -82,20 +82,29 @@
 		PF_LOG(&l->log, PF_LOG_WARN, "poll_not_sent");
 }
 
+/* An order under way at the engine. */
+struct order_call {
+	struct loader *l;
+	uint64_t seq;
+};
+
 static void on_ordered(void *ctx, const struct pf_http_answer *a)
 {
 	struct pf_loader_msg m = { .type = PF_LOADER_ORDERED };
 	enum platform_order_result r = platform_order_result(a->status);
-	struct loader *l = ctx;
+	struct order_call *c = ctx;
+	struct loader *l = c->l;
 
-	m.u.result = PF_LOADER_REFUSED;
+	m.u.ordered.seq = c->seq;
+	free(c);
+	m.u.ordered.result = PF_LOADER_REFUSED;
 	if (a->result == PF_HTTP_LOST)
-		m.u.result = PF_LOADER_SILENT;
+		m.u.ordered.result = PF_LOADER_SILENT;
 	else if (a->result == PF_HTTP_OK &&
 		 (r == PLATFORM_ORDER_ACCEPTED || r == PLATFORM_ORDER_HOLDS))
-		m.u.result = PF_LOADER_ACCEPTED;
+		m.u.ordered.result = PF_LOADER_ACCEPTED;
 	PF_LOG(&l->log, PF_LOG_INFO, "ordered", PF_KV_INT("status", a->status),
-	       PF_KV_INT("result", m.u.result));
+	       PF_KV_INT("result", m.u.ordered.result));
 	step(l, &m);
 }
 
@@ -109,6 +118,7 @@
 		.holder = l->set.place.name,
 		.fence = 1,
 	};
+	struct order_call *c = malloc(sizeof(*c));
 	struct pf_text body = { 0 };
 	struct pf_http_request r = {
 		.method = "POST",
@@ -118,7 +128,7 @@
 		.header_value = a->call.instance,
 		.timeout = ORDER_TIMEOUT_MS,
 		.done = on_ordered,
-		.ctx = l,
+		.ctx = c,
 	};
 
 	platform_order_body(&o, &body);
@@ -129,8 +139,13 @@
 	       PF_KV_STR("model", a->call.model),
 	       PF_KV_STR("adapter", a->call.adapter ? a->call.adapter : ""),
 	       PF_KV_INT("orders", a->call.orders));
-	if (body.failed || !pf_http_start(l->engine, &r))
+	if (c)
+		*c = (struct order_call){ l, a->call.seq };
+	/* The core counts an order without an answer as silent. */
+	if (!c || body.failed || !pf_http_start(l->engine, &r)) {
 		PF_LOG(&l->log, PF_LOG_WARN, "order_not_sent");
+		free(c);
+	}
 	pf_text_free(&body);
 }
 
--- a/include/pimentoford/loader.h
+++ b/include/pimentoford/loader.h
@@ -33,7 +33,7 @@
 	PF_LOADER_REPORT, /* u.report: taken over; NULL: none could be had */
 	PF_LOADER_WANT, /* u.want: borrowed for the call */
 	PF_LOADER_ORDER, /* u.order: borrowed for the call */
-	PF_LOADER_ORDERED, /* u.result */
+	PF_LOADER_ORDERED, /* u.ordered */
 	PF_LOADER_TICK,
 };
 
@@ -72,7 +72,10 @@
 		struct pf_engine_report *report;
 		struct pf_loader_want want;
 		struct pf_loader_order order;
-		enum pf_loader_result result;
+		struct {
+			uint64_t seq; /* of the call */
+			enum pf_loader_result result;
+		} ordered;
 	} u;
 };
 
@@ -85,6 +88,7 @@
 struct pf_loader_act {
 	enum pf_loader_act_type type;
 	struct {
+		uint64_t seq; /* its answer carries it */
 		bool load; /* otherwise unload */
 		const char *instance;
 		const char *model;
--- a/src/coordination/loader/loader.c
+++ b/src/coordination/loader/loader.c
@@ -53,6 +53,7 @@
 	bool fresh; /* the report is younger than the last order */
 	pf_ms poll_at;
 	bool calling;
+	uint64_t seq; /* of the order at hand */
 	pf_ms call_over; /* the order at hand counts as silent then */
 	struct {
 		bool set;
@@ -171,6 +172,7 @@
 {
 	struct pf_loader_act a = { .type = PF_LOADER_CALL };
 
+	a.call.seq = ++l->seq;
 	a.call.load = load;
 	a.call.instance = l->instance;
 	a.call.model = model;
@@ -488,8 +490,9 @@
 		on_order(l, &m->u.order);
 		break;
 	case PF_LOADER_ORDERED:
-		if (l->calling)
-			on_ordered(l, m->u.result);
+		/* One that comes after its time says nothing of the next. */
+		if (l->calling && m->u.ordered.seq == l->seq)
+			on_ordered(l, m->u.ordered.result);
 		break;
 	case PF_LOADER_TICK:
 		on_tick(l);
