--- a/daemons/agent/main.c
+++ b/daemons/agent/main.c
@@ -157,7 +157,7 @@
 		goto out;
 	d.log = (struct pf_log){ STDERR_FILENO,
 				 (enum pf_log_level)d.set.place.log_level,
-				 "agent" };
+				 "agent", NULL };
 	status = EXIT_FAILURE;
 	if (start(&d) < 0)
 		goto out;
--- a/daemons/gateway/exchange.c
+++ b/daemons/gateway/exchange.c
@@ -5,6 +5,7 @@
  */
 #include "gateway.h"
 
+#include "pimentoford/counters.h"
 #include "pimentoford/http1.h"
 
 #include <stdlib.h>
@@ -318,8 +319,11 @@
 		return;
 	x->last_event =
 		last_id((struct pf_str){ x->answer.p, n }, x->last_event);
-	if (!x->first_at)
+	if (!x->first_at) {
 		x->first_at = pf_clock_now();
+		pf_histogram_add(&x->g->counters->first,
+				 x->first_at - x->arrived);
+	}
 	m.u.events.n = count_events((struct pf_str){ x->answer.p, n });
 	send_chunk(x, n);
 	memmove(x->answer.p, x->answer.p + n, x->answer.n - n);
@@ -340,6 +344,7 @@
 	struct pf_text *t = &x->g->scratch;
 
 	log_end(x, "answered", x->status, "");
+	pf_histogram_add(&x->g->counters->whole, pf_clock_now() - x->arrived);
 	if (x->head_sent) {
 		finish_stream(x);
 		return;
--- a/daemons/gateway/main.c
+++ b/daemons/gateway/main.c
@@ -4,6 +4,7 @@
 #include "pimentoford/counters.h"
 
 #include <errno.h>
+#include <event2/util.h>
 #include <stdlib.h>
 #include <string.h>
 #include <unistd.h>
@@ -12,6 +13,8 @@
  * nothing new is taken, since it might not end in time. */
 #define STOP_MIN_MS 2800
 #define STOP_POLL_MS 50
+/* Of one event; more in a second are counted and left out. */
+#define LOG_LINES_PER_S 200
 
 void gateway_adopt(struct gateway *g, struct pf_routes *routes)
 {
@@ -145,6 +148,7 @@
 {
 	static struct pf_gateway_counters counters;
 	static struct gateway g;
+	static struct pf_log_limit limit = { .per_s = LOG_LINES_PER_S };
 	struct pf_process_options o;
 	int status;
 
@@ -163,7 +167,9 @@
 		goto out;
 	g.log = (struct pf_log){ STDOUT_FILENO,
 				 (enum pf_log_level)g.set.place.log_level,
-				 "gateway" };
+				 "gateway", &limit };
+	/* A reader that stands still must not stop the daemon. */
+	evutil_make_socket_nonblocking(STDOUT_FILENO);
 	status = EXIT_FAILURE;
 	if (start(&g) < 0)
 		goto out;
--- a/daemons/loader/main.c
+++ b/daemons/loader/main.c
@@ -9,6 +9,7 @@
 #include "platform/platform.h"
 
 #include <event2/event.h>
+#include <event2/util.h>
 #include <stdlib.h>
 #include <string.h>
 #include <unistd.h>
@@ -25,6 +26,8 @@
 /* A gateway that was not heard for so long is told nothing. */
 #define GATEWAY_SILENT_MS 6000
 #define GATEWAYS_MAX 64
+/* Of one event; more in a second are counted and left out. */
+#define LOG_LINES_PER_S 100
 
 struct gateway_peer {
 	struct sockaddr_in addr;
@@ -339,6 +342,7 @@
 int main(int argc, char **argv)
 {
 	struct pf_findings f = { 0 };
+	static struct pf_log_limit limit = { .per_s = LOG_LINES_PER_S };
 	struct pf_process_options o;
 	static struct loader l;
 	int status;
@@ -360,7 +364,9 @@
 		goto out;
 	l.log = (struct pf_log){ STDOUT_FILENO,
 				 (enum pf_log_level)l.set.place.log_level,
-				 "loader" };
+				 "loader", &limit };
+	/* A reader that stands still must not stop the daemon. */
+	evutil_make_socket_nonblocking(STDOUT_FILENO);
 	status = EXIT_FAILURE;
 	if (start(&l) == 0) {
 		PF_LOG(&l.log, PF_LOG_INFO, "started",
--- a/include/pimentoford/clock.h
+++ b/include/pimentoford/clock.h
@@ -8,7 +8,7 @@
 
 PF_BEGIN_DECLS
 
-/** Milliseconds of the monotonic clock. */
+/** Milliseconds of a clock that never steps and also counts suspension. */
 pf_ms pf_clock_now(void);
 
 /** Milliseconds since the epoch, for records that outlive the process. */
--- a/include/pimentoford/counters.h
+++ b/include/pimentoford/counters.h
@@ -148,9 +148,28 @@
 	uint64_t v[PF_EC_COUNT];
 };
 
+/** Upper bounds of a histogram's buckets, in ms; one more has none. */
+#define PF_HISTOGRAM_BOUNDS                                             \
+	{                                                               \
+		10, 25, 50, 100, 200, 400, 800, 1600, 3200, 6400, 12800 \
+	}
+#define PF_HISTOGRAM_BUCKETS 12
+
+struct pf_histogram {
+	uint64_t counts[PF_HISTOGRAM_BUCKETS];
+	uint64_t sum_ms;
+};
+
+void pf_histogram_add(struct pf_histogram *h, pf_ms ms);
+/** Adds Prometheus text. */
+void pf_histogram_text(const struct pf_histogram *h, const char *name,
+		       const char *help, struct pf_text *t);
+
 /** Index with enum pf_gateway_counter. */
 struct pf_gateway_counters {
 	uint64_t v[PF_GC_COUNT];
+	struct pf_histogram first; /* to the first event of a stream */
+	struct pf_histogram whole; /* to the end of an answer */
 };
 
 /** Index with enum pf_agent_counter. */
--- a/include/pimentoford/log.h
+++ b/include/pimentoford/log.h
@@ -11,11 +11,27 @@
 
 enum pf_log_level { PF_LOG_DEBUG, PF_LOG_INFO, PF_LOG_WARN, PF_LOG_ERROR };
 
+/** Events whose lines are counted at once. */
+#define PF_LOG_EVENTS 32
+
+/** Bounds the lines of each event in a second; set to zero at first. */
+struct pf_log_limit {
+	uint32_t per_s; /* of one event; 0: no bound */
+	pf_ms second; /* wall clock */
+	struct {
+		uint64_t event; /* id; 0: free */
+		uint32_t lines;
+		uint32_t left_out;
+		char name[24];
+	} events[PF_LOG_EVENTS];
+};
+
 /** Where lines of one task go. Several tasks may share a descriptor. */
 struct pf_log {
 	int fd;
 	enum pf_log_level level; /* lines below it are left out */
 	const char *task; /* borrowed */
+	struct pf_log_limit *limit; /* borrowed; NULL: no bound */
 };
 
 enum pf_log_type { PF_LOG_STR, PF_LOG_INT, PF_LOG_REAL };
--- a/src/state/counters.c
+++ b/src/state/counters.c
@@ -40,8 +40,43 @@
 	render("pimento_agent", agent_counters, c->v, PF_AC_COUNT, t);
 }
 
+static const pf_ms bounds[] = PF_HISTOGRAM_BOUNDS;
+
+void pf_histogram_add(struct pf_histogram *h, pf_ms ms)
+{
+	size_t i = 0;
+
+	while (i < PF_HISTOGRAM_BUCKETS - 1 && ms > bounds[i])
+		i++;
+	h->counts[i]++;
+	h->sum_ms += ms > 0 ? (uint64_t)ms : 0;
+}
+
+void pf_histogram_text(const struct pf_histogram *h, const char *name,
+		       const char *help, struct pf_text *t)
+{
+	uint64_t n = 0;
+
+	pf_text_printf(t, "# HELP %s %s\n# TYPE %s histogram\n", name, help,
+		       name);
+	for (size_t i = 0; i < PF_HISTOGRAM_BUCKETS; i++) {
+		n += h->counts[i];
+		if (i < PF_HISTOGRAM_BUCKETS - 1)
+			pf_text_printf(t, "%s_bucket{le=\"%d\"} %" PRIu64 "\n",
+				       name, (int)bounds[i], n);
+	}
+	pf_text_printf(t,
+		       "%s_bucket{le=\"+Inf\"} %" PRIu64 "\n%s_sum %" PRIu64
+		       "\n%s_count %" PRIu64 "\n",
+		       name, n, name, h->sum_ms, name, n);
+}
+
 void pf_gateway_counters_text(const struct pf_gateway_counters *c,
 			      struct pf_text *t)
 {
 	render("pimento_gateway", gateway_counters, c->v, PF_GC_COUNT, t);
+	pf_histogram_text(&c->first, "pimento_gateway_first_event_ms",
+			  "Time to the first event of a stream", t);
+	pf_histogram_text(&c->whole, "pimento_gateway_answer_ms",
+			  "Time to the end of an answer", t);
 }
--- a/src/transport/clock.c
+++ b/src/transport/clock.c
@@ -14,7 +14,8 @@
 
 pf_ms pf_clock_now(void)
 {
-	return read_clock(CLOCK_MONOTONIC);
+	/* Counts the time in which the machine was suspended, too. */
+	return read_clock(CLOCK_BOOTTIME);
 }
 
 pf_ms pf_clock_wall(void)
--- a/src/transport/log.c
+++ b/src/transport/log.c
@@ -121,19 +121,13 @@
 	return out.n;
 }
 
-void pf_log_write(const struct pf_log *l, enum pf_log_level level,
-		  const struct pf_log_kv *kv, size_t n)
+static void write_line(const struct pf_log *l, enum pf_log_level level,
+		       pf_ms wall, const struct pf_log_kv *kv, size_t n)
 {
-	char buf[LINE_BYTES];
-	struct timespec ts;
 	size_t len, done = 0;
+	char buf[LINE_BYTES];
 
-	if (level < l->level)
-		return;
-	clock_gettime(CLOCK_REALTIME, &ts);
-	len = pf_log_format(l, level,
-			    (pf_ms)ts.tv_sec * 1000 + ts.tv_nsec / 1000000, kv,
-			    n, buf, sizeof(buf));
+	len = pf_log_format(l, level, wall, kv, n, buf, sizeof(buf));
 	/* A log that can't be written stops nothing. */
 	while (done < len) {
 		ssize_t w = write(l->fd, buf + done, len - done);
@@ -143,3 +137,66 @@
 		done += (size_t)w;
 	}
 }
+
+/* Says how many lines were left out, and begins another second. */
+static void next_second(const struct pf_log *l, pf_ms wall)
+{
+	struct pf_log_limit *m = l->limit;
+
+	for (size_t i = 0; i < PF_LOG_EVENTS; i++) {
+		if (m->events[i].left_out) {
+			const struct pf_log_kv kv[] = {
+				PF_KV_STR("event", "left_out"),
+				PF_KV_STR("of", m->events[i].name),
+				PF_KV_INT("lines", m->events[i].left_out),
+			};
+
+			write_line(l, PF_LOG_WARN, wall, kv, 3);
+		}
+		m->events[i].lines = 0;
+		m->events[i].left_out = 0;
+	}
+	m->second = wall / 1000;
+}
+
+/* Whether a line of this event may still be written in this second. */
+static bool allowed(const struct pf_log *l, pf_ms wall, struct pf_str event)
+{
+	struct pf_log_limit *m = l->limit;
+	uint64_t id = pf_id(event);
+	size_t i;
+
+	if (!m || !m->per_s)
+		return true;
+	if (wall / 1000 != m->second)
+		next_second(l, wall);
+	for (i = 0; i < PF_LOG_EVENTS; i++) {
+		if (!m->events[i].event) {
+			m->events[i].event = id;
+			snprintf(m->events[i].name, sizeof(m->events[i].name),
+				 "%.*s", (int)event.n, event.p);
+		}
+		if (m->events[i].event == id)
+			break;
+	}
+	/* An event beyond the table is rare: all of its lines go out. */
+	if (i == PF_LOG_EVENTS || m->events[i].lines++ < m->per_s)
+		return true;
+	m->events[i].left_out++;
+	return false;
+}
+
+void pf_log_write(const struct pf_log *l, enum pf_log_level level,
+		  const struct pf_log_kv *kv, size_t n)
+{
+	struct timespec ts;
+	pf_ms wall;
+
+	if (level < l->level)
+		return;
+	clock_gettime(CLOCK_REALTIME, &ts);
+	wall = (pf_ms)ts.tv_sec * 1000 + ts.tv_nsec / 1000000;
+	if (n && !allowed(l, wall, kv[0].u.s))
+		return;
+	write_line(l, level, wall, kv, n);
+}
--- a/tests/test_base.cc
+++ b/tests/test_base.cc
@@ -1,9 +1,14 @@
 // Strings, ids, random numbers, the bounded map and findings.
+#include "pimentoford/log.h"
+#include "pimentoford/counters.h"
 #include "pimentoford/base.h"
 #include "pimentoford/findings.h"
 #include "pimentoford/map.h"
 
 #include <gtest/gtest.h>
+#include <unistd.h>
+
+#include <string>
 
 #include <cstdlib>
 #include <map>
@@ -72,3 +77,51 @@
 	pf_findings_clear(&f);
 	EXPECT_FALSE(pf_findings_any(&f));
 }
+
+TEST(Histogram, CountsWhatIsAtMostEachBound)
+{
+	struct pf_histogram h = {};
+	struct pf_text t = {};
+
+	for (pf_ms ms : { 5, 10, 11, 800, 99999 })
+		pf_histogram_add(&h, ms);
+	pf_histogram_text(&h, "x", "y", &t);
+	std::string s(t.p, t.n);
+	pf_text_free(&t);
+	EXPECT_NE(s.find("x_bucket{le=\"10\"} 2\n"), std::string::npos);
+	EXPECT_NE(s.find("x_bucket{le=\"25\"} 3\n"), std::string::npos);
+	EXPECT_NE(s.find("x_bucket{le=\"12800\"} 4\n"), std::string::npos);
+	EXPECT_NE(s.find("x_bucket{le=\"+Inf\"} 5\n"), std::string::npos);
+	EXPECT_NE(s.find("x_sum 100825\n"), std::string::npos);
+}
+
+// What an event writes beyond its bound is counted, not written.
+TEST(LogLimit, LeavesOutAndSaysSo)
+{
+	struct pf_log_limit limit = {};
+	int fds[2];
+	char buf[65536];
+
+	limit.per_s = 3;
+	ASSERT_EQ(pipe(fds), 0);
+	struct pf_log l = { fds[1], PF_LOG_INFO, "t", &limit };
+	struct pf_log_kv a = PF_KV_STR("event", "often");
+	struct pf_log_kv b = PF_KV_STR("event", "rare");
+	for (int i = 0; i < 500; i++)
+		pf_log_write(&l, PF_LOG_INFO, &a, 1);
+	pf_log_write(&l, PF_LOG_INFO, &b, 1);
+	limit.second = 0; // the second is over
+	pf_log_write(&l, PF_LOG_INFO, &a, 1);
+	ssize_t n = read(fds[0], buf, sizeof(buf));
+	std::string s(buf, n > 0 ? (size_t)n : 0);
+	EXPECT_NE(s.find("event=rare"), std::string::npos);
+	EXPECT_NE(s.find("event=left_out of=often"), std::string::npos);
+	size_t lines = 0;
+	for (size_t at = 0;
+	     (at = s.find("event=often", at)) != std::string::npos; at++)
+		lines++;
+	// At most two seconds passed while they were written.
+	EXPECT_LE(lines, 7u);
+	close(fds[0]);
+	close(fds[1]);
+}
