--- a/daemons/gateway/exchange.c
+++ b/daemons/gateway/exchange.c
@@ -114,6 +114,7 @@
 
 	PF_LOG(&g->log, PF_LOG_INFO, event, PF_KV_TEXT("id", x->in.id),
 	       PF_KV_INT("status", status), PF_KV_STR("why", why),
+	       PF_KV_TEXT("model", x->in.model_name),
 	       PF_KV_INT("ms", pf_clock_now() - x->arrived),
 	       PF_KV_INT("first_ms",
 			 x->first_at ? x->first_at - x->arrived : -1),
--- a/daemons/gateway/talk.c
+++ b/daemons/gateway/talk.c
@@ -21,6 +21,8 @@
 #define DIGEST_REGION_MS 240
 #define DIGEST_FAR_MS 720
 #define DEMAND_EVERY_MS 500
+/* And while requests wait, perhaps for a model that must be loaded. */
+#define DEMAND_WAITING_MS 200
 /* Demand goes to so many of those that may lead the planning. */
 #define LEADERS 2
 /* Loaders hear from each gateway at least so often, and it from them. */
@@ -388,7 +390,8 @@
 	(void)fd;
 	(void)what;
 	send_digest(t, now);
-	if (now - t->demand_at >= DEMAND_EVERY_MS)
+	if (now - t->demand_at >=
+	    (pf_gate_wants(t->g->core) ? DEMAND_WAITING_MS : DEMAND_EVERY_MS))
 		send_demand(t, now);
 	hello(t);
 	plan_step(t, &tick);
--- a/daemons/gateway/upstream.c
+++ b/daemons/gateway/upstream.c
@@ -55,11 +55,11 @@
 		.reset = reset,
 	};
 
-	if (outcome != PF_GATE_ANSWERED)
+	if (outcome != PF_GATE_ANSWERED || u->reply.status >= 500)
 		PF_LOG(&g->log, PF_LOG_INFO, "try_ended",
 		       PF_KV_TEXT("id", x->in.id),
 		       PF_KV_STR("endpoint", u->target->listed.instance),
-		       PF_KV_INT("outcome", outcome),
+		       PF_KV_STR("outcome", pf_gate_outcome_code(outcome)),
 		       PF_KV_INT("status", u->reply.status),
 		       PF_KV_INT("reset", reset));
 	x->up = NULL;
--- a/include/pimentoford/gate.h
+++ b/include/pimentoford/gate.h
@@ -52,15 +52,27 @@
 	uint32_t *handle; /* set before any act; names it from then on */
 };
 
-/** How a try came to its end. */
+/* DEF(name, code): how a try came to its end. */
+#define PF_GATE_OUTCOMES(DEF)                             \
+	/* a whole answer, or a whole stream */           \
+	DEF(ANSWERED, "answered")                         \
+	/* the endpoint states that it did not run */     \
+	DEF(NOT_RUN, "not_run")                           \
+	/* no byte of it left this process */             \
+	DEF(UNSENT, "unsent")                             \
+	/* it may have run */                             \
+	DEF(LOST, "lost")                                 \
+	/* a stream ended early; events were passed on */ \
+	DEF(BROKEN, "broken")
+
 enum pf_gate_outcome {
-	PF_GATE_ANSWERED, /* a whole answer, or a whole stream */
-	PF_GATE_NOT_RUN, /* the endpoint states that it did not run */
-	PF_GATE_UNSENT, /* no byte of it left this process */
-	PF_GATE_LOST, /* it may have run */
-	PF_GATE_BROKEN, /* a stream ended early; events were passed on */
+#define DEF(name, code) PF_GATE_##name,
+	PF_GATE_OUTCOMES(DEF)
+#undef DEF
 };
 
+const char *pf_gate_outcome_code(enum pf_gate_outcome o);
+
 struct pf_gate_end {
 	uint32_t request;
 	enum pf_gate_outcome outcome;
@@ -221,7 +233,7 @@
 size_t pf_gate_demand(struct pf_gate *g, pf_ms now, struct pf_gate_demand *out,
 		      size_t max);
 
-/** Whether a request waits for an item that no endpoint has. */
+/** Whether any request waits. */
 bool pf_gate_wants(const struct pf_gate *g);
 
 struct pf_gate_stats {
--- a/include/pimentoford/inbound.h
+++ b/include/pimentoford/inbound.h
@@ -23,6 +23,7 @@
 	struct pf_str host;
 	uint64_t model; /* 0: none */
 	uint64_t adapter; /* 0: none */
+	struct pf_str model_name; /* with the adapter behind a slash */
 	struct pf_str adapter_name;
 	uint32_t prompt_tokens;
 	uint32_t max_tokens; /* of output, that the caller allows */
--- a/src/coordination/gate/gate.c
+++ b/src/coordination/gate/gate.c
@@ -208,6 +208,17 @@
 		s->endpoints += g->endpoints[i].used;
 }
 
+const char *pf_gate_outcome_code(enum pf_gate_outcome o)
+{
+	static const char *const codes[] = {
+#define DEF(name, code) code,
+		PF_GATE_OUTCOMES(DEF)
+#undef DEF
+	};
+
+	return codes[o];
+}
+
 const char *pf_gate_reason_code(enum pf_gate_reason r)
 {
 	static const char *const codes[] = {
