--- a/daemons/gateway/follow.c
+++ b/daemons/gateway/follow.c
@@ -215,7 +215,7 @@
 
 	if (d->full)
 		ret = pf_store_read(s, d->table, PF_STR(""), pf_str_c(d->page),
-				    PAGE, on_page, d);
+				    PF_STR(""), PAGE, on_page, d);
 	else
 		ret = pf_store_feed(s, d->table, d->after, WAIT_MS, on_feed, d);
 	d->asking = ret == 0;
--- a/include/pimentoford/store.h
+++ b/include/pimentoford/store.h
@@ -61,10 +61,13 @@
 
 typedef void (*pf_store_cb)(void *ctx, const struct pf_store_answer *a);
 
-/** Rows of a table's part from key @from on. 0, or -1: not sent. */
+/**
+ * Rows of a table's part from key @from on and below @to, unless it is empty.
+ * 0, or -1: not sent.
+ */
 int pf_store_read(struct pf_store *s, struct pf_str table, struct pf_str part,
-		  struct pf_str from, uint32_t limit, pf_store_cb cb,
-		  void *ctx);
+		  struct pf_str from, struct pf_str to, uint32_t limit,
+		  pf_store_cb cb, void *ctx);
 
 /** Changes after @after, as soon as there are any or @wait is over. */
 int pf_store_feed(struct pf_store *s, struct pf_str table, uint64_t after,
--- a/include/pimentoford/table_client.h
+++ b/include/pimentoford/table_client.h
@@ -1,5 +1,5 @@
 /*
- * Client of the platform's table service. An answer that is lost after the
+ * The product's table in the platform's store. An answer that is lost after the
  * request was sent is PF_TABLE_UNKNOWN; reading settles it. Callbacks never
  * run inside the calls.
  */
--- a/src/coordination/accept.c
+++ b/src/coordination/accept.c
@@ -64,7 +64,7 @@
 		.region = "",
 		.changes_max = 64,
 		.records_max = 1024,
-		.page = 500,
+		.page = 400, /* the store shows at most 500 rows at once */
 		.attempts_max = 40,
 		.backoff_min = 20,
 		.backoff_max = 1000,
--- a/src/transport/table_client.c
+++ b/src/transport/table_client.c
@@ -1,50 +1,51 @@
-/* Client of the platform's table service. */
+/* The product's table as one part of one table of the platform's store. */
 #include "pimentoford/table_client.h"
 
-#include "pimentoford/http_client.h"
-#include "pimentoford/openai.h"
+#include "pimentoford/store.h"
 
-#include <event2/buffer.h>
-#include <event2/http.h>
-#include <jansson.h>
 #include <stdlib.h>
 #include <string.h>
 
-#define STATUS_OK 200
-#define STATUS_ABSENT 404
-#define STATUS_CONFLICT 409
-#define STATUS_LIMITED 429
+#define TABLE "pimentoford"
+#define PART "table"
+/* Entries of one transaction, as the store takes them. */
+#define ENTRIES_MAX 100
+#define KEY_MAX 256
 
 struct pf_table {
-	struct pf_table_opts opts;
-	struct pf_http *http;
+	struct pf_store *store;
 };
 
 /* One request under way. */
 struct table_call {
 	pf_table_txn_cb txn;
 	pf_table_rows_cb rows;
-	bool scan;
 	void *ctx;
+	char prefix[KEY_MAX]; /* scans: only keys with it */
+	char after[KEY_MAX]; /* and above this */
+	bool get; /* only the key `prefix` itself */
+	uint32_t limit;
+	/* of a transaction */
+	uint32_t n_checks;
+	struct {
+		char key[KEY_MAX];
+		uint64_t revision;
+	} checks[];
 };
 
 struct pf_table *pf_table_new(const struct pf_table_opts *o)
 {
-	struct pf_http_opts ho = {
-		.base = o->base,
-		.addr = o->addr,
-		.conns_max = o->calls_max,
-		.idle_max = 4,
-		.body_max = o->body_max,
-	};
+	struct pf_store_opts so = { .base = o->base,
+				    .addr = o->addr,
+				    .calls_max = o->calls_max,
+				    .timeout = o->timeout,
+				    .body_max = o->body_max };
 	struct pf_table *t = calloc(1, sizeof(*t));
 
 	if (!t)
 		return NULL;
-	t->opts = *o;
-	t->opts.addr = NULL;
-	t->http = pf_http_new(&ho);
-	if (!t->http) {
+	t->store = pf_store_new(&so);
+	if (!t->store) {
 		free(t);
 		return NULL;
 	}
@@ -55,226 +56,237 @@
 {
 	if (!t)
 		return;
-	pf_http_free(t->http);
+	pf_store_free(t->store);
 	free(t);
 }
 
-static uint64_t revision_of(const json_t *obj)
+static struct pf_store_place place_of(struct pf_str key)
 {
-	return (uint64_t)json_integer_value(json_object_get(obj, "revision"));
+	return (struct pf_store_place){ PF_STR(TABLE), PF_STR(PART), key };
 }
 
-static struct pf_str str_of(const json_t *obj, const char *key)
+/* 0, or -1 when the key is too long for the table. */
+static int copy_key(char *to, struct pf_str key)
 {
-	const json_t *v = json_object_get(obj, key);
-
-	return (struct pf_str){ json_string_value(v), json_string_length(v) };
+	if (key.n >= KEY_MAX)
+		return -1;
+	memcpy(to, key.n ? key.p : "", key.n);
+	to[key.n] = '\0';
+	return 0;
 }
 
-/* A status that says by itself what became of the request. */
-static enum pf_table_status status_of(const struct pf_http_answer *a)
+static enum pf_table_status status_of(enum pf_store_status s)
 {
-	if (a->result == PF_HTTP_NOT_SENT)
-		return PF_TABLE_LIMITED;
-	if (a->result == PF_HTTP_OK && a->status == STATUS_OK)
+	switch (s) {
+	case PF_STORE_OK:
 		return PF_TABLE_OK;
-	if (a->result == PF_HTTP_OK && a->status == STATUS_CONFLICT)
+	case PF_STORE_CONFLICT:
 		return PF_TABLE_CONFLICT;
-	if (a->result == PF_HTTP_OK && a->status == STATUS_LIMITED)
+	case PF_STORE_REFUSED:
 		return PF_TABLE_LIMITED;
+	case PF_STORE_TRIMMED:
+	case PF_STORE_UNKNOWN:
+		break;
+	}
 	return PF_TABLE_UNKNOWN;
 }
 
-static void on_txn(void *ctx, const struct pf_http_answer *a)
+/* The check that failed, by the rows that there are; NULL: none shows. */
+static const char *failed_check(const struct table_call *c,
+				const struct pf_store_answer *a,
+				uint64_t *revision)
+{
+	uint32_t i;
+	size_t k;
+
+	for (i = 0; i < c->n_checks; i++) {
+		*revision = 0;
+		for (k = 0; k < a->n; k++) {
+			if (pf_str_eq(a->rows[k].key,
+				      pf_str_c(c->checks[i].key)))
+				*revision = a->rows[k].revision;
+		}
+		if (*revision != c->checks[i].revision)
+			return c->checks[i].key;
+	}
+	return NULL;
+}
+
+static void on_txn(void *ctx, const struct pf_store_answer *a)
 {
 	struct table_call *c = ctx;
-	struct pf_table_txn_result r = { .status = status_of(a) };
-	json_t *root = NULL;
-
-	if (r.status == PF_TABLE_OK || r.status == PF_TABLE_CONFLICT) {
-		root = json_loadb(a->body.p ? a->body.p : "", a->body.n, 0,
-				  NULL);
-		r.revision = revision_of(root);
-		if (r.status == PF_TABLE_CONFLICT)
-			r.key = str_of(root, "key");
+	struct pf_table_txn_result r = { .status = status_of(a->status),
+					 .revision = a->revision };
+
+	if (r.status == PF_TABLE_CONFLICT) {
+		r.key = pf_str_c(failed_check(c, a, &r.revision));
 		/* An answer that says nothing is a lost one. */
-		if (!json_is_integer(json_object_get(root, "revision")))
+		if (!r.key.p)
 			r.status = PF_TABLE_UNKNOWN;
 	}
 	c->txn(c->ctx, &r);
-	json_decref(root);
 	free(c);
 }
 
-static int read_row(const json_t *obj, struct pf_table_row *row)
+static bool wanted(const struct table_call *c, const struct pf_store_row *row)
 {
-	row->key = str_of(obj, "key");
-	row->value = str_of(obj, "value");
-	row->revision = revision_of(obj);
-	return row->key.p && row->value.p ? 0 : -1;
+	size_t n = strlen(c->prefix);
+	size_t m = strlen(c->after);
+	size_t least = row->key.n < m ? row->key.n : m;
+	int order = least ? memcmp(row->key.p, c->after, least) : 0;
+
+	if (c->get)
+		return pf_str_eq(row->key, pf_str_c(c->prefix));
+	return row->key.n >= n && memcmp(row->key.p, c->prefix, n) == 0 &&
+	       (order > 0 || (order == 0 && row->key.n > m));
 }
 
-/* Fills @r from the body of a row or a scan; *@rows is to be freed. */
-static int read_rows(const json_t *root, bool scan, struct pf_table_rows *r,
-		     struct pf_table_row **rows)
+/* 0, or -1 when a row can't be read or there is no memory. */
+static int take_rows(const struct table_call *c,
+		     const struct pf_store_answer *a, struct pf_table_row **out,
+		     size_t *n)
 {
-	const json_t *arr = json_object_get(root, "rows");
-	size_t n = scan ? json_array_size(arr) : 1;
 	size_t i;
 
-	if (scan && !json_is_array(arr))
-		return -1;
-	*rows = calloc(n + 1, sizeof(**rows));
-	if (!*rows)
+	*n = 0;
+	*out = calloc(a->n + 1, sizeof(**out));
+	if (!*out)
 		return -1;
-	for (i = 0; i < n; i++) {
-		if (read_row(scan ? json_array_get(arr, i) : root,
-			     &(*rows)[i]) < 0)
+	for (i = 0; i < a->n && *n < c->limit; i++) {
+		const struct pf_store_row *row = &a->rows[i];
+
+		if (!row->key.p || row->unreadable)
 			return -1;
+		if (wanted(c, row))
+			(*out)[(*n)++] =
+				(struct pf_table_row){ row->key, row->value,
+						       row->revision };
 	}
-	r->rows = *rows;
-	r->n = n;
-	r->revision = revision_of(root);
 	return 0;
 }
 
-static void on_rows(void *ctx, const struct pf_http_answer *a)
+static void on_rows(void *ctx, const struct pf_store_answer *a)
 {
 	struct table_call *c = ctx;
-	struct pf_table_rows r = { .status = status_of(a) };
+	struct pf_table_rows r = { .status = status_of(a->status) };
 	struct pf_table_row *rows = NULL;
-	json_t *root = NULL;
+	size_t n = 0;
 
 	if (r.status == PF_TABLE_OK) {
-		root = json_loadb(a->body.p ? a->body.p : "", a->body.n, 0,
-				  NULL);
-		if (read_rows(root, c->scan, &r, &rows) < 0)
-			r = (struct pf_table_rows){ PF_TABLE_UNKNOWN, NULL, 0,
-						    0 };
-	} else if (!c->scan && a->result == PF_HTTP_OK &&
-		   a->status == STATUS_ABSENT) {
-		r.status = PF_TABLE_OK;
+		if (take_rows(c, a, &rows, &n) < 0)
+			r.status = PF_TABLE_UNKNOWN;
+		else
+			r.n = n;
+		r.rows = rows;
+		r.revision = r.status == PF_TABLE_OK ? a->revision : 0;
 	}
 	c->rows(c->ctx, &r);
 	free(rows);
-	json_decref(root);
 	free(c);
 }
 
-static int start(struct pf_table *t, const char *method, const char *target,
-		 struct pf_str body, struct table_call *proto)
-{
-	struct pf_http_request r = {
-		.method = method,
-		.target = target,
-		.content_type = body.n ? "application/json" : NULL,
-		.body = body,
-		.timeout = t->opts.timeout,
-		.done = proto->txn ? on_txn : on_rows,
-	};
-	struct table_call *c = malloc(sizeof(*c));
-
-	if (!c)
-		return -1;
-	*c = *proto;
-	r.ctx = c;
-	if (!pf_http_start(t->http, &r)) {
-		free(c);
-		return -1;
-	}
-	return 0;
-}
-
-static void add_str(struct pf_text *out, const char *before, struct pf_str s)
-{
-	pf_text_add(out, pf_str_c(before));
-	pf_text_add(out, PF_STR("\""));
-	pf_json_escape(out, s);
-	pf_text_add(out, PF_STR("\""));
-}
-
-static void txn_body(const char *id, const struct pf_table_txn *txn,
-		     struct pf_text *out)
+static void fill(const struct pf_table_txn *txn, struct table_call *c,
+		 struct pf_store_check *checks, struct pf_store_put *puts,
+		 struct pf_store_place *deletes)
 {
 	size_t i;
 
-	add_str(out, "{\"id\":", pf_str_c(id));
-	pf_text_add(out, PF_STR(",\"checks\":["));
 	for (i = 0; i < txn->n_checks; i++) {
-		add_str(out,
-			i ? ",{\"key\":" : "{\"key\":", txn->checks[i].key);
-		pf_text_printf(out, ",\"revision\":%llu}",
-			       (unsigned long long)txn->checks[i].revision);
+		checks[i].place = place_of(txn->checks[i].key);
+		checks[i].revision = txn->checks[i].revision;
+		c->checks[i].revision = txn->checks[i].revision;
 	}
-	pf_text_add(out, PF_STR("],\"puts\":["));
 	for (i = 0; i < txn->n_puts; i++) {
-		add_str(out, i ? ",{\"key\":" : "{\"key\":", txn->puts[i].key);
-		add_str(out, ",\"value\":", txn->puts[i].value);
-		pf_text_add(out, PF_STR("}"));
+		puts[i].place = place_of(txn->puts[i].key);
+		puts[i].value = txn->puts[i].value;
 	}
-	pf_text_add(out, PF_STR("],\"deletes\":["));
 	for (i = 0; i < txn->n_deletes; i++)
-		add_str(out, i ? "," : "", txn->deletes[i]);
-	pf_text_add(out, PF_STR("]}"));
+		deletes[i] = place_of(txn->deletes[i]);
 }
 
 int pf_table_txn(struct pf_table *t, const char *id,
 		 const struct pf_table_txn *txn, pf_table_txn_cb cb, void *ctx)
 {
-	struct table_call c = { .txn = cb, .ctx = ctx };
-	struct pf_text body = { 0 };
-	int ret = -1;
-
-	txn_body(id, txn, &body);
-	if (!body.failed)
-		ret = start(t, "POST", "/table/txn", pf_text_str(&body), &c);
-	pf_text_free(&body);
-	return ret;
-}
+	struct pf_store_check checks[ENTRIES_MAX];
+	struct pf_store_put puts[ENTRIES_MAX];
+	struct pf_store_place deletes[ENTRIES_MAX];
+	struct pf_store_txn out = {
+		checks,      txn->n_checks, puts,
+		txn->n_puts, deletes,       txn->n_deletes
+	};
+	struct table_call *c;
+	size_t i;
 
-static void add_query(struct pf_text *out, const char *before,
-		      struct pf_str value)
-{
-	char *enc = evhttp_uriencode(value.n ? value.p : "",
-				     (ev_ssize_t)value.n, 0);
-
-	pf_text_add(out, pf_str_c(before));
-	if (enc)
-		pf_text_add(out, pf_str_c(enc));
-	else
-		out->failed = true;
-	free(enc);
+	(void)id;
+	if (txn->n_checks + txn->n_puts + txn->n_deletes > ENTRIES_MAX)
+		return -1;
+	c = calloc(1, sizeof(*c) + txn->n_checks * sizeof(c->checks[0]));
+	if (!c)
+		return -1;
+	c->txn = cb;
+	c->ctx = ctx;
+	c->n_checks = (uint32_t)txn->n_checks;
+	for (i = 0; i < txn->n_checks; i++) {
+		if (copy_key(c->checks[i].key, txn->checks[i].key) < 0)
+			goto fail;
+	}
+	fill(txn, c, checks, puts, deletes);
+	if (pf_store_commit(t->store, &out, on_txn, c) == 0)
+		return 0;
+fail:
+	free(c);
+	return -1;
 }
 
-static int start_read(struct pf_table *t, struct pf_text *target,
-		      struct table_call *c)
+static int read(struct pf_table *t, const struct table_call *proto,
+		struct pf_str from, struct pf_str to)
 {
-	int ret = -1;
+	struct table_call *c = malloc(sizeof(*c));
 
-	if (!target->failed)
-		ret = start(t, "GET", target->p, PF_STR(""), c);
-	pf_text_free(target);
-	return ret;
+	if (!c)
+		return -1;
+	*c = *proto;
+	/* The first row may be the one after which it begins. */
+	if (pf_store_read(t->store, PF_STR(TABLE), PF_STR(PART), from, to,
+			  c->limit + 1, on_rows, c) == 0)
+		return 0;
+	free(c);
+	return -1;
 }
 
 int pf_table_get(struct pf_table *t, struct pf_str key, pf_table_rows_cb cb,
 		 void *ctx)
 {
-	struct table_call c = { .rows = cb, .ctx = ctx };
-	struct pf_text target = { 0 };
+	struct table_call c = {
+		.rows = cb, .ctx = ctx, .get = true, .limit = 1
+	};
+
+	if (copy_key(c.prefix, key) < 0)
+		return -1;
+	return read(t, &c, key, PF_STR(""));
+}
 
-	add_query(&target, "/table/row?key=", key);
-	return start_read(t, &target, &c);
+/* The first key behind all that begin with @prefix; empty: there is none. */
+static struct pf_str behind(char *buf, struct pf_str prefix)
+{
+	size_t n = prefix.n;
+
+	memcpy(buf, prefix.n ? prefix.p : "", prefix.n);
+	while (n > 0 && (unsigned char)buf[n - 1] >= 0x7f)
+		n--;
+	if (n > 0)
+		buf[n - 1]++;
+	return (struct pf_str){ buf, n };
 }
 
 int pf_table_scan(struct pf_table *t, struct pf_str prefix, struct pf_str after,
 		  uint32_t limit, pf_table_rows_cb cb, void *ctx)
 {
-	struct table_call c = { .rows = cb, .ctx = ctx, .scan = true };
-	struct pf_text target = { 0 };
+	struct table_call c = { .rows = cb, .ctx = ctx, .limit = limit };
+	char to[KEY_MAX];
 
-	add_query(&target, "/table/scan?prefix=", prefix);
-	add_query(&target, "&after=", after);
-	pf_text_printf(&target, "&limit=%u", limit);
-	return start_read(t, &target, &c);
+	if (copy_key(c.prefix, prefix) < 0 || copy_key(c.after, after) < 0)
+		return -1;
+	return read(t, &c, strcmp(c.after, c.prefix) > 0 ? after : prefix,
+		    behind(to, prefix));
 }
