--- a/fuzz/fuzz_gate.c
+++ b/fuzz/fuzz_gate.c
@@ -35,6 +35,7 @@
 	bool passed;
 	bool in_flight;
 	uint32_t endpoint;
+	int status; /* of that answer */
 	bool answered; /* the try at hand ended with a whole answer */
 };
 
@@ -139,6 +140,8 @@
 		fuzz_violation(w->r, "an end with a try in flight");
 	if (a->type == PF_GATE_DELIVER && !q->answered)
 		fuzz_violation(w->r, "delivered without an answer");
+	if (a->type == PF_GATE_DELIVER && q->passed && q->status != 200)
+		fuzz_violation(w->r, "a failure ends a stream as whole");
 	if (a->type == PF_GATE_REFUSE && q->may_have_run)
 		fuzz_violation(w->r, "refused though it may have run");
 	if (a->type == PF_GATE_REFUSE && a->u.refuse.retry_after >= 0 &&
@@ -335,6 +338,7 @@
 		m.u.end.outcome = PF_GATE_ANSWERED;
 		m.u.end.status = draw(w, 5) ? 200 : 500;
 		q->answered = true;
+		q->status = m.u.end.status;
 		q->may_have_run++;
 	} else if (what == 5 && !q->passed) {
 		m.u.end.outcome = PF_GATE_NOT_RUN;
--- a/src/coordination/gate/gate_life.c
+++ b/src/coordination/gate/gate_life.c
@@ -3,6 +3,7 @@
 
 #include <string.h>
 
+#define STATUS_OK 200
 /* Sends of one request, those that did not run included. */
 #define SENDS_MAX 5
 /* A plain service answers within; an engine's tokens take so long each. */
@@ -502,12 +503,20 @@
 	return true;
 }
 
-void gate_ended(struct pf_gate *g, const struct pf_gate_end *end)
+void gate_ended(struct pf_gate *g, const struct pf_gate_end *said)
 {
-	struct gate_request *r = &g->requests[end->request];
+	struct gate_request *r = &g->requests[said->request];
+	struct pf_gate_end as_broken = *said;
+	const struct pf_gate_end *end = said;
 	struct gate_endpoint *e = &g->endpoints[r->endpoint];
 	struct pf_gate_act deliver = { .type = PF_GATE_DELIVER };
 
+	/* A failure does not end the stream of which the caller has a part. */
+	if (r->passed && said->outcome == PF_GATE_ANSWERED &&
+	    said->status != STATUS_OK) {
+		as_broken.outcome = PF_GATE_BROKEN;
+		end = &as_broken;
+	}
 	e->heard_at = g->now;
 	judge(g, r, e, end);
 	switch (end->outcome) {
--- a/tests/test_gate.cc
+++ b/tests/test_gate.cc
@@ -87,6 +87,20 @@
 			 PF_GATE_SEND }),
 	[](const auto &i) { return std::string(i.param.name); });
 
+// The endpoint at which a stream was to go on fails: the caller must not take
+// the end of that answer for the end of the stream.
+TEST_F(Gate, AFailureDoesNotEndAStreamThatHadBegun)
+{
+	Warm();
+	Arrive(1, "/r/", 6000, "m", nullptr, 100);
+	Events(1);
+	Ended(1, PF_GATE_BROKEN);
+	ASSERT_EQ(Count(PF_GATE_SEND), 2u);
+	Ended(1, PF_GATE_ANSWERED, 500);
+	EXPECT_EQ(Count(PF_GATE_DELIVER), 0u);
+	EXPECT_EQ(Count(PF_GATE_FAIL), 1u);
+}
+
 TEST_F(Gate, AFreshProcessHasOnlyTheRatioForFurtherSends)
 {
 	Arrive(1, "/s/", 800);
