--- a/src/coordination/plan/plan_choose.c
+++ b/src/coordination/plan/plan_choose.c
@@ -22,7 +22,7 @@
 /* A model with less under way is rare. */
 #define RARE_ALIVE 1
 /* A model without a home is as urgent as one whose homes are so busy. */
-#define NO_HOME 25
+#define NO_HOME BUSY_ALIVE
 /* Room that was made stays reserved for so long. */
 #define RESERVE_MS 2500
 /* Of an engine's memory left for adapters. */
