--- a/daemons/gateway/talk.c
+++ b/daemons/gateway/talk.c
@@ -495,7 +495,8 @@
 		ret = pf_store_commit(g->store, &txn, on_written, t);
 	else if (t->written)
 		ret = pf_store_read(g->store, PF_STR(TABLE), PF_STR(PART),
-				    PF_STR(""), PF_STR(""), MEMBERS_MAX, on_members, t);
+				    PF_STR(""), PF_STR(""), MEMBERS_MAX,
+				    on_members, t);
 	pf_text_free(&row);
 	if (ret < 0)
 		read_later(t, MEMBERS_RETRY_MS);
--- a/src/coordination/gate/gate_endpoints.c
+++ b/src/coordination/gate/gate_endpoints.c
@@ -316,7 +316,8 @@
 	count_peer(g, p, -1);
 	p->n_loads =
 		d->n_loads < PF_GATE_LOADS_MAX ? d->n_loads : PF_GATE_LOADS_MAX;
-	memcpy(p->loads, d->loads, p->n_loads * sizeof(*p->loads));
+	if (p->n_loads)
+		memcpy(p->loads, d->loads, p->n_loads * sizeof(*p->loads));
 	count_peer(g, p, 1);
 	for (i = 0; i < d->n_sights; i++)
 		gate_prefix_seen(g, &d->sights[i]);
--- a/src/coordination/loader/loader.c
+++ b/src/coordination/loader/loader.c
@@ -111,7 +111,8 @@
 {
 	if (from.n >= NAME_CAP)
 		return false;
-	memcpy(to, from.p, from.n);
+	if (from.n)
+		memcpy(to, from.p, from.n);
 	to[from.n] = '\0';
 	return true;
 }
--- a/src/coordination/plan/plan.c
+++ b/src/coordination/plan/plan.c
@@ -181,7 +181,8 @@
 			 uint32_t n)
 {
 	n = n < max ? n : max;
-	memcpy(to, from, n * sizeof(*to));
+	if (n)
+		memcpy(to, from, n * sizeof(*to));
 	return n;
 }
 
--- a/src/transport/table_client.c
+++ b/src/transport/table_client.c
@@ -5,6 +5,7 @@
 
 #include <stdlib.h>
 #include <string.h>
+#include <sys/queue.h>
 
 #define TABLE "pimentoford"
 #define PART "table"
@@ -12,12 +13,9 @@
 #define ENTRIES_MAX 100
 #define KEY_MAX 256
 
-struct pf_table {
-	struct pf_store *store;
-};
-
 /* One request under way. */
 struct table_call {
+	LIST_ENTRY(table_call) next;
 	pf_table_txn_cb txn;
 	pf_table_rows_cb rows;
 	void *ctx;
@@ -33,6 +31,11 @@
 	} checks[];
 };
 
+struct pf_table {
+	struct pf_store *store;
+	LIST_HEAD(, table_call) calls;
+};
+
 struct pf_table *pf_table_new(const struct pf_table_opts *o)
 {
 	struct pf_store_opts so = { .base = o->base,
@@ -54,9 +57,16 @@
 
 void pf_table_free(struct pf_table *t)
 {
+	struct table_call *next;
+	struct table_call *c;
+
 	if (!t)
 		return;
 	pf_store_free(t->store);
+	for (c = LIST_FIRST(&t->calls); c; c = next) {
+		next = LIST_NEXT(c, next);
+		free(c);
+	}
 	free(t);
 }
 
@@ -124,6 +134,7 @@
 		if (!r.key.p)
 			r.status = PF_TABLE_UNKNOWN;
 	}
+	LIST_REMOVE(c, next);
 	c->txn(c->ctx, &r);
 	free(c);
 }
@@ -180,6 +191,7 @@
 		r.rows = rows;
 		r.revision = r.status == PF_TABLE_OK ? a->revision : 0;
 	}
+	LIST_REMOVE(c, next);
 	c->rows(c->ctx, &r);
 	free(rows);
 	free(c);
@@ -231,8 +243,10 @@
 			goto fail;
 	}
 	fill(txn, c, checks, puts, deletes);
-	if (pf_store_commit(t->store, &out, on_txn, c) == 0)
+	if (pf_store_commit(t->store, &out, on_txn, c) == 0) {
+		LIST_INSERT_HEAD(&t->calls, c, next);
 		return 0;
+	}
 fail:
 	free(c);
 	return -1;
@@ -248,8 +262,10 @@
 	*c = *proto;
 	/* The first row may be the one after which it begins. */
 	if (pf_store_read(t->store, PF_STR(TABLE), PF_STR(PART), from, to,
-			  c->limit + 1, on_rows, c) == 0)
+			  c->limit + 1, on_rows, c) == 0) {
+		LIST_INSERT_HEAD(&t->calls, c, next);
 		return 0;
+	}
 	free(c);
 	return -1;
 }
