--- a/src/coordination/gate/gate_core.h
+++ b/src/coordination/gate/gate_core.h
@@ -255,6 +255,16 @@
 void gate_request_due(struct pf_gate *g, uint32_t slot);
 /** Refuses what waits; from now on nothing waits. */
 void gate_leave(struct pf_gate *g);
+/** Sends @r if an endpoint can take it. */
+bool gate_try_send(struct pf_gate *g, struct gate_request *r);
+
+/* gate_wait.c */
+void gate_wait_add(struct pf_gate *g, struct gate_request *r);
+void gate_wait_remove(struct pf_gate *g, struct gate_request *r);
+/** The least time in which @r could still be answered. */
+pf_ms gate_least_time(const struct gate_request *r);
+/** When a request that waits is given up. */
+pf_ms gate_wait_limit(struct pf_gate *g, const struct gate_request *r);
 /** Sends what waits and can be sent. */
 void gate_pump(struct pf_gate *g);
 
--- a/src/coordination/gate/gate_life.c
+++ b/src/coordination/gate/gate_life.c
@@ -6,9 +6,6 @@
 #define STATUS_OK 200
 /* Sends of one request, those that did not run included. */
 #define SENDS_MAX 5
-/* A plain service answers within; an engine's tokens take so long each. */
-#define PLAIN_MIN_MS 20
-#define TOKEN_MS 6
 /* An endpoint silent for so long beyond what was expected is given up. */
 #define STALL_ENGINE_MS 900
 #define STALL_PLAIN_MS 220
@@ -27,11 +24,6 @@
 #define FULL_MAX_MS 1000
 /* Until its entry says otherwise, a model is missing there. */
 #define LACKS_MS 1500
-/* Of the time that a request has, it may wait so much where endpoints are
- * full: they rarely drain sooner, and its caller may do better elsewhere. */
-#define WAIT_FULL 0.0
-/* And where its model must be loaded first, which is sure to come. */
-#define WAIT_LOAD 0.5
 /* A missing adapter is asked for so often. */
 #define WANT_EVERY_MS 150
 /* A request's priority at an engine: two for each rank, one for patience. */
@@ -50,39 +42,11 @@
 	return (uint32_t)(r - g->requests);
 }
 
-static void wait_add(struct pf_gate *g, struct gate_request *r)
-{
-	uint32_t slot = slot_of(g, r);
-
-	r->state = GATE_WAITING;
-	r->prev = g->wait_tail;
-	r->next = GATE_NIL;
-	if (g->wait_tail == GATE_NIL)
-		g->wait_head = slot;
-	else
-		g->requests[g->wait_tail].next = slot;
-	g->wait_tail = slot;
-	g->n_waiting++;
-}
-
-static void wait_remove(struct pf_gate *g, struct gate_request *r)
-{
-	if (r->prev == GATE_NIL)
-		g->wait_head = r->next;
-	else
-		g->requests[r->prev].next = r->next;
-	if (r->next == GATE_NIL)
-		g->wait_tail = r->prev;
-	else
-		g->requests[r->next].prev = r->prev;
-	g->n_waiting--;
-}
-
 /* Takes the request from whatever holds it. */
 static void leave(struct pf_gate *g, struct gate_request *r)
 {
 	if (r->state == GATE_WAITING)
-		wait_remove(g, r);
+		gate_wait_remove(g, r);
 	else if (r->state != GATE_FREE)
 		gate_load_end(g, r);
 }
@@ -156,14 +120,6 @@
 	refuse(g, r, why);
 }
 
-/* The least time in which @r could still be answered. */
-static pf_ms least_time(const struct gate_request *r)
-{
-	if (!r->model)
-		return PLAIN_MIN_MS;
-	return PLAIN_MIN_MS + (pf_ms)r->output * TOKEN_MS / 2;
-}
-
 static int priority_of(const struct gate_request *r)
 {
 	int p = 2 * r->priority + (r->objective > PATIENT_MS ? 1 : 0);
@@ -177,25 +133,12 @@
 			: STALL_PLAIN_MS;
 }
 
-/* When a request that waits is given up. */
-static pf_ms wait_limit(struct pf_gate *g, const struct gate_request *r)
-{
-	pf_ms last = r->over - least_time(r);
-	double share = gate_served(g, r) ? WAIT_FULL : WAIT_LOAD;
-	pf_ms limit =
-		r->arrived + (pf_ms)(share * (double)(r->over - r->arrived));
-
-	if (r->objective)
-		limit += r->objective / 8;
-	return limit < last ? limit : last;
-}
-
 static void arm(struct pf_gate *g, struct gate_request *r)
 {
 	pf_ms at = r->over;
 
 	if (r->state == GATE_WAITING)
-		at = wait_limit(g, r);
+		at = gate_wait_limit(g, r);
 	else if (gate_repeatable(r) && r->heard_at + stall_of(r) < at)
 		at = r->heard_at + stall_of(r);
 	pf_heap_set(&g->timers, slot_of(g, r), at > g->now ? at : g->now + 1);
@@ -251,8 +194,7 @@
 	emit(g, r, &a);
 }
 
-/* Sends @r if an endpoint can take it. */
-static bool try_send(struct pf_gate *g, struct gate_request *r)
+bool gate_try_send(struct pf_gate *g, struct gate_request *r)
 {
 	uint32_t lacks;
 	uint32_t at = gate_pick(g, r, &lacks);
@@ -262,7 +204,7 @@
 	if (at == GATE_NIL)
 		return false;
 	if (r->state == GATE_WAITING)
-		wait_remove(g, r);
+		gate_wait_remove(g, r);
 	r->state = GATE_FREE; /* held by nothing for the moment */
 	if (!may_repeat(g, r)) {
 		give_up(g, r, PF_GATE_WHY_RETRY_BUDGET);
@@ -276,12 +218,12 @@
 static void again(struct pf_gate *g, struct gate_request *r)
 {
 	leave(g, r);
-	wait_add(g, r);
-	if (r->sends >= SENDS_MAX || g->now >= r->over - least_time(r)) {
+	gate_wait_add(g, r);
+	if (r->sends >= SENDS_MAX || g->now >= r->over - gate_least_time(r)) {
 		give_up(g, r, PF_GATE_WHY_FULL);
 		return;
 	}
-	if (try_send(g, r))
+	if (gate_try_send(g, r))
 		return;
 	if (g->leaving)
 		give_up(g, r, PF_GATE_WHY_LEAVING);
@@ -380,12 +322,12 @@
 	}
 	gate_budget_request(g, r->service);
 	gate_demand_begin(g, r);
-	wait_add(g, r);
+	gate_wait_add(g, r);
 	if (gate_quarantined(g, r->fingerprint)) {
 		refuse(g, r, PF_GATE_WHY_QUARANTINED);
 		return;
 	}
-	if (try_send(g, r))
+	if (gate_try_send(g, r))
 		return;
 	if (g->leaving)
 		refuse(g, r, PF_GATE_WHY_LEAVING);
@@ -572,7 +514,7 @@
 {
 	struct gate_request *r = &g->requests[slot];
 
-	if (r->state == GATE_WAITING && g->now < wait_limit(g, r)) {
+	if (r->state == GATE_WAITING && g->now < gate_wait_limit(g, r)) {
 		arm(g, r);
 		return;
 	}
@@ -594,49 +536,3 @@
 	}
 	arm(g, r);
 }
-
-/* Who is sent first: those that can still be on time, by when they are due. */
-static bool before(const struct pf_gate *g, const struct gate_request *a,
-		   const struct gate_request *b)
-{
-	bool a_late = a->due < g->now;
-	bool b_late = b->due < g->now;
-
-	if (a->passed != b->passed)
-		return a->passed;
-	if (a_late != b_late)
-		return b_late;
-	if (a_late && a->priority != b->priority)
-		return a->priority < b->priority;
-	return a->due < b->due;
-}
-
-#define PUMP_MAX 256
-
-/* The next of the waiting that was not looked at in this round. */
-static struct gate_request *next_waiting(struct pf_gate *g)
-{
-	struct gate_request *best = NULL;
-	uint32_t i;
-
-	for (i = g->wait_head; i != GATE_NIL; i = g->requests[i].next) {
-		struct gate_request *r = &g->requests[i];
-
-		if (r->looked_at != g->round && (!best || before(g, r, best)))
-			best = r;
-	}
-	return best;
-}
-
-void gate_pump(struct pf_gate *g)
-{
-	struct gate_request *r;
-	uint32_t n = 0;
-
-	g->round++;
-	while (n++ < PUMP_MAX && (r = next_waiting(g))) {
-		r->looked_at = g->round;
-		try_send(g, r);
-	}
-	g->pump_at = PF_NEVER;
-}
