--- a/daemons/gateway/talk.c
+++ b/daemons/gateway/talk.c
@@ -2,24 +2,14 @@
  * What gateways and loaders tell each other. Gateways find each other by
  * their rows in the store, and a loader at its endpoint's address.
  */
-#include "gateway.h"
-
-#include "pimentoford/plan.h"
-#include "pimentoford/talk.h"
+#include "talk_core.h"
 
 #include <arpa/inet.h>
 #include <errno.h>
 #include <stdlib.h>
 #include <string.h>
 
-#define TABLE "pimentoford"
-#define PART "gateways"
-/* Work at an endpoint is told to those that are likely to use it, too: often
- * within the zone, less often within the region and beyond, where each byte
- * is paid for. */
 #define TICK_MS 120
-#define DIGEST_REGION_MS 240
-#define DIGEST_FAR_MS 720
 #define DEMAND_EVERY_MS 500
 /* And while requests wait, perhaps for a model that must be loaded. */
 #define DEMAND_WAITING_MS 200
@@ -29,44 +19,8 @@
 #define HELLO_EVERY_MS 1500
 #define TELL_NEAR_MS 500
 #define TELL_FAR_MS 1500
-/* So many gateways of a region follow the store closely; the others hear
- * from them when there is something to read. */
-#define READERS 3
-/* A gateway that was not heard for so long does not count. */
-#define MEMBER_SILENT_MS 2000
-/* Rows are read again so often, for gateways that came or moved. */
-#define MEMBERS_EVERY_MS 10000
-#define MEMBERS_SOON_MS 1000
-#define MEMBERS_RETRY_MS 500
-#define MEMBERS_MAX 64
 #define DEMANDS_MAX 512
 
-/** Another gateway. */
-struct member {
-	struct sockaddr_in addr;
-	uint64_t id; /* of its life; 0: not heard yet */
-	pf_ms heard_at;
-	pf_ms told_at;
-	pf_ms every; /* digests go to it so often */
-	bool far; /* in another region */
-};
-
-struct talk {
-	struct gateway *g;
-	struct pf_talk *talk;
-	struct pf_plan *plan;
-	struct event *timer;
-	struct event *members_timer;
-	struct sockaddr_in self;
-	struct member members[MEMBERS_MAX];
-	uint32_t n_members;
-	bool written; /* this gateway's row */
-	bool led;
-	pf_ms demand_at;
-	pf_ms hello_at;
-	pf_ms plan_at;
-};
-
 /* An endpoint's loader listens beside it, at the port that all use. */
 static int loader_of(const struct talk *t, const struct target *to,
 		     struct sockaddr_in *out)
@@ -86,7 +40,7 @@
 	return s && s->engine ? s->adapter_slots : 0;
 }
 
-static uint64_t region_of(const struct gateway *g, uint64_t zone)
+uint64_t talk_region_of(const struct gateway *g, uint64_t zone)
 {
 	const struct pf_zone_setting *z = g->set.zones.v;
 	size_t i;
@@ -103,8 +57,9 @@
 {
 	uint64_t here = pf_id(pf_str_c(t->g->set.place.region));
 
-	return t->led || region_of(t->g, to->listed.zone) == here ? TELL_NEAR_MS
-								  : TELL_FAR_MS;
+	return t->led || talk_region_of(t->g, to->listed.zone) == here
+		       ? TELL_NEAR_MS
+		       : TELL_FAR_MS;
 }
 
 /* Tells a loader what was used, and which adapter is missing. */
@@ -188,7 +143,7 @@
 	pf_talk_order(t->talk, &addr, &o);
 }
 
-static void plan_step(struct talk *t, const struct pf_plan_msg *m)
+void talk_plan_step(struct talk *t, const struct pf_plan_msg *m)
 {
 	const struct pf_plan_sink sink = { plan_emit, t };
 
@@ -200,7 +155,7 @@
 	struct pf_plan_msg m = { .type = PF_PLAN_ROUTES };
 
 	m.u.routes = g->routes;
-	plan_step(g->talk, &m);
+	talk_plan_step(g->talk, &m);
 }
 
 void talk_endpoint(struct gateway *g, const struct pf_listed *l)
@@ -208,7 +163,7 @@
 	struct pf_plan_msg m = { .type = PF_PLAN_ENDPOINT };
 
 	m.u.endpoint = l;
-	plan_step(g->talk, &m);
+	talk_plan_step(g->talk, &m);
 }
 
 void talk_endpoint_gone(struct gateway *g, uint64_t id)
@@ -216,69 +171,7 @@
 	struct pf_plan_msg m = { .type = PF_PLAN_ENDPOINT_GONE };
 
 	m.u.id = id;
-	plan_step(g->talk, &m);
-}
-
-static void read_later(struct talk *t, pf_ms ms)
-{
-	struct timeval tv = pf_clock_timeval(ms);
-
-	event_add(t->members_timer, &tv);
-}
-
-/* A gateway whose row was not read yet. */
-static void add_unknown(struct talk *t, const struct sockaddr_in *from,
-			uint64_t id)
-{
-	struct member *m = &t->members[t->n_members];
-
-	if (t->n_members >= MEMBERS_MAX)
-		return;
-	*m = (struct member){ .addr = *from,
-			      .id = id,
-			      .heard_at = pf_clock_now(),
-			      .every = DIGEST_FAR_MS,
-			      .far = true };
-	t->n_members++;
-	read_later(t, MEMBERS_RETRY_MS);
-}
-
-static void member_heard(struct talk *t, const struct sockaddr_in *from,
-			 uint64_t id)
-{
-	uint32_t i;
-
-	for (i = 0; i < t->n_members; i++) {
-		struct member *m = &t->members[i];
-
-		if (m->addr.sin_addr.s_addr != from->sin_addr.s_addr ||
-		    m->addr.sin_port != from->sin_port)
-			continue;
-		m->id = id;
-		m->heard_at = pf_clock_now();
-		return;
-	}
-	add_unknown(t, from, id);
-}
-
-static bool member_alive(const struct member *m, pf_ms now)
-{
-	return m->id && now - m->heard_at < MEMBER_SILENT_MS;
-}
-
-bool talk_follows_closely(const struct gateway *g)
-{
-	const struct talk *t = g->talk;
-	pf_ms now = pf_clock_now();
-	uint32_t lower = 0;
-	uint32_t i;
-
-	for (i = 0; i < t->n_members; i++) {
-		const struct member *m = &t->members[i];
-
-		lower += !m->far && member_alive(m, now) && m->id < g->self;
-	}
-	return lower < READERS;
+	talk_plan_step(g->talk, &m);
 }
 
 static void on_digest(void *ctx, const struct sockaddr_in *from,
@@ -291,10 +184,10 @@
 
 	if (!d->peer || d->peer == t->g->self)
 		return;
-	member_heard(t, from, d->peer);
+	members_heard(t, from, d->peer);
 	follow_news(t->g, news->config, news->endpoints);
 	p.u.id = d->peer;
-	plan_step(t, &p);
+	talk_plan_step(t, &p);
 	m.u.digest = *d;
 	core_step(t->g, &m);
 }
@@ -307,7 +200,7 @@
 	m.u.demand.peer = peer;
 	m.u.demand.v = v;
 	m.u.demand.n = n;
-	plan_step(t, &m);
+	talk_plan_step(t, &m);
 }
 
 static void on_demand(void *ctx, uint64_t peer, const struct pf_gate_demand *v,
@@ -328,7 +221,7 @@
 	if (!target_find(t->g, s->endpoint))
 		return;
 	p.u.state = s;
-	plan_step(t, &p);
+	talk_plan_step(t, &p);
 	m.u.state = s;
 	core_step(t->g, &m);
 }
@@ -358,10 +251,10 @@
 	uint32_t lower = 0;
 	uint32_t i;
 
-	if (!member_alive(m, now))
+	if (!members_alive(m, now))
 		return false;
 	for (i = 0; i < t->n_members; i++)
-		lower += member_alive(&t->members[i], now) &&
+		lower += members_alive(&t->members[i], now) &&
 			 t->members[i].id < m->id;
 	return lower < LEADERS;
 }
@@ -394,7 +287,7 @@
 	    (pf_gate_wants(t->g->core) ? DEMAND_WAITING_MS : DEMAND_EVERY_MS))
 		send_demand(t, now);
 	hello(t);
-	plan_step(t, &tick);
+	talk_plan_step(t, &tick);
 	if (t->led != pf_plan_leads(t->plan)) {
 		t->led = !t->led;
 		PF_LOG(&t->g->log, PF_LOG_INFO,
@@ -403,105 +296,6 @@
 	}
 }
 
-/* What is known of a member whose row is read again is kept. */
-static void keep_known(struct member *m, const struct member *old, uint32_t n)
-{
-	uint32_t i;
-
-	for (i = 0; i < n; i++) {
-		if (old[i].addr.sin_addr.s_addr != m->addr.sin_addr.s_addr ||
-		    old[i].addr.sin_port != m->addr.sin_port)
-			continue;
-		m->id = old[i].id;
-		m->heard_at = old[i].heard_at;
-		m->told_at = old[i].told_at;
-	}
-}
-
-/* IP:PORT ZONE */
-static void add_member(struct talk *t, struct pf_str row,
-		       const struct member *old, uint32_t n_old)
-{
-	struct member *m = &t->members[t->n_members];
-	uint64_t here = pf_id(pf_str_c(t->g->set.place.zone));
-	char *s = pf_str_dup(row);
-	char *space = s ? strchr(s, ' ') : NULL;
-	uint64_t zone;
-
-	if (!space || t->n_members >= MEMBERS_MAX)
-		goto out;
-	*space = '\0';
-	memset(m, 0, sizeof(*m));
-	if (strcmp(s, t->g->set.talk) == 0 || pf_talk_addr(s, &m->addr) < 0)
-		goto out;
-	zone = pf_id(pf_str_c(space + 1));
-	m->far = region_of(t->g, zone) != region_of(t->g, here);
-	m->every = zone == here ? 0 : m->far ? DIGEST_FAR_MS : DIGEST_REGION_MS;
-	keep_known(m, old, n_old);
-	t->n_members++;
-out:
-	free(s);
-}
-
-static void on_members(void *ctx, const struct pf_store_answer *a)
-{
-	struct pf_plan_msg known = { .type = PF_PLAN_MEMBERS };
-	struct member old[MEMBERS_MAX];
-	struct talk *t = ctx;
-	uint32_t n_old = t->n_members;
-	size_t i;
-
-	if (a->status != PF_STORE_OK) {
-		read_later(t, MEMBERS_RETRY_MS);
-		return;
-	}
-	memcpy(old, t->members, n_old * sizeof(*old));
-	t->n_members = 0;
-	for (i = 0; i < a->n; i++)
-		add_member(t, a->rows[i].value, old, n_old);
-	plan_step(t, &known);
-	/* Others may be starting, too. */
-	read_later(t, pf_clock_now() - t->g->started < MEMBERS_EVERY_MS
-			      ? MEMBERS_EVERY_MS / 4
-			      : MEMBERS_EVERY_MS);
-}
-
-static void on_written(void *ctx, const struct pf_store_answer *a)
-{
-	struct talk *t = ctx;
-
-	t->written = a->status == PF_STORE_OK;
-	read_later(t, t->written ? 0 : MEMBERS_RETRY_MS);
-}
-
-/* Writes this gateway's row, then reads all of them. */
-static void on_members_timer(evutil_socket_t fd, short what, void *ctx)
-{
-	struct talk *t = ctx;
-	struct gateway *g = t->g;
-	struct pf_store_put put = {
-		.place = { PF_STR(TABLE), PF_STR(PART),
-			   pf_str_c(g->set.place.name) },
-	};
-	struct pf_store_txn txn = { .puts = &put, .n_puts = 1 };
-	struct pf_text row = { 0 };
-	int ret = -1;
-
-	(void)fd;
-	(void)what;
-	pf_text_printf(&row, "%s %s", g->set.talk, g->set.place.zone);
-	put.value = pf_text_str(&row);
-	if (!t->written && !row.failed)
-		ret = pf_store_commit(g->store, &txn, on_written, t);
-	else if (t->written)
-		ret = pf_store_read(g->store, PF_STR(TABLE), PF_STR(PART),
-				    PF_STR(""), PF_STR(""), MEMBERS_MAX,
-				    on_members, t);
-	pf_text_free(&row);
-	if (ret < 0)
-		read_later(t, MEMBERS_RETRY_MS);
-}
-
 static struct pf_plan *make_plan(struct gateway *g)
 {
 	struct pf_plan_opts o;
@@ -540,11 +334,9 @@
 	}
 	t->plan = make_plan(g);
 	t->timer = event_new(g->base, -1, EV_PERSIST, on_timer, t);
-	t->members_timer = event_new(g->base, -1, 0, on_members_timer, t);
-	if (!t->plan || !t->timer || !t->members_timer)
+	if (!t->plan || !t->timer || members_start(t) < 0)
 		return -1;
 	event_add(t->timer, &every);
-	read_later(t, 0);
 	return 0;
 }
 
@@ -556,8 +348,7 @@
 		return;
 	if (t->timer)
 		event_free(t->timer);
-	if (t->members_timer)
-		event_free(t->members_timer);
+	members_stop(t);
 	pf_talk_free(t->talk);
 	pf_plan_free(t->plan);
 	free(t);
