Gate: a resumable stream that failed before its first event is tried elsewhere

Only safe requests were tried elsewhere.

Change: kind as for lost answers. Test: resumable_failed, stream_failed.

Ruled out: avoiding the failing endpoints, as nearly all fail alike and models have one home.

--- a/src/coordination/gate/gate_life.c
+++ b/src/coordination/gate/gate_life.c
@@ -431,7 +431,7 @@
 	uint32_t lacks;
 	uint32_t at;
 
-	if (r->kind != PF_ROUTE_SAFE || r->runs >= r->attempts ||
+	if (!gate_repeatable(r) || r->runs >= r->attempts ||
 	    r->sends >= SENDS_MAX || g->now >= r->due)
 		return false;
 	avoid(r, g->endpoints[r->endpoint].id);
