--- a/src/coordination/gate/gate_life.c
+++ b/src/coordination/gate/gate_life.c
@@ -26,6 +26,8 @@
 #define LACKS_MS 1500
 /* A missing adapter is asked for so often. */
 #define WANT_EVERY_MS 150
+/* Of a route that names none. */
+#define TIMEOUT_MS 600000
 /* A request's priority at an engine: two for each rank, one for patience. */
 #define PRIORITY_MAX 9
 #define PATIENT_MS 2000
@@ -292,7 +294,7 @@
 	r->fingerprint = a->fingerprint;
 	r->arrived = g->now;
 	r->due = route->objective ? g->now + route->objective : PF_NEVER;
-	r->over = g->now + (route->timeout ? route->timeout : 600000);
+	r->over = g->now + (route->timeout ? route->timeout : TIMEOUT_MS);
 	if (a->in->budget > 0) {
 		r->bounded = true;
 		if (g->now + a->in->budget < r->over)
--- a/src/coordination/gate/gate_pick.c
+++ b/src/coordination/gate/gate_pick.c
@@ -26,9 +26,15 @@
 /* An adapter that must be brought costs the request, and others there, about
  * so much. */
 #define ADAPTER_MS 45.0
+/* What is shorter is lost in a step's length, and nothing is learnt of it. */
+#define LEARN_MIN_MS 10
 /* Weights of the newest measurement. */
 #define SLOW_WEIGHT 0.1
 #define SPEED_WEIGHT 0.05
+/* One measurement counts for at most so much of what was expected. */
+#define RATIO_MIN 0.2
+#define RATIO_MAX 5.0
+/* An engine is taken for so much faster or slower than others at most. */
 #define SLOW_MIN 0.3
 #define SLOW_MAX 8.0
 
@@ -62,29 +68,31 @@
 	return v < lo ? lo : v > hi ? hi : v;
 }
 
+/* @ratio: what a first event took, of what was expected. */
+static void learn_speed(struct pf_gate *g, uint64_t model, double ratio)
+{
+	struct gate_speed *s = speed_of(g, model);
+	double step = SPEED_WEIGHT * (clamp(ratio, RATIO_MIN, RATIO_MAX) - 1);
+
+	if (s)
+		s->ms_per_token = clamp(s->ms_per_token * (1 + step),
+					MS_PER_TOKEN_MIN, MS_PER_TOKEN_MAX);
+}
+
 void gate_learn(struct pf_gate *g, struct gate_request *r)
 {
 	struct gate_endpoint *e = &g->endpoints[r->endpoint];
 	double took = (double)(g->now - r->sent_at) - 2 * e->distance;
 	double ratio;
 
-	if (!e->kv_max || r->expected_ms < 10 || took <= 0)
+	if (!e->kv_max || r->expected_ms < LEARN_MIN_MS || took <= 0)
 		return;
 	ratio = took / r->expected_ms;
 	e->slow = clamp(e->slow + SLOW_WEIGHT * (ratio * e->slow - e->slow),
 			SLOW_MIN, SLOW_MAX);
 	/* Only what was mostly its own prompt says how fast the model is. */
-	if (r->own_ms > r->expected_ms / 2) {
-		struct gate_speed *s = speed_of(g, r->model);
-
-		if (s)
-			s->ms_per_token = clamp(
-				s->ms_per_token *
-					(1 +
-					 SPEED_WEIGHT *
-						 (clamp(ratio, 0.2, 5) - 1)),
-				MS_PER_TOKEN_MIN, MS_PER_TOKEN_MAX);
-	}
+	if (r->own_ms > r->expected_ms / 2)
+		learn_speed(g, r->model, ratio);
 }
 
 static bool avoided(const struct gate_request *r, uint64_t id)
--- a/src/coordination/loader/loader.c
+++ b/src/coordination/loader/loader.c
@@ -7,8 +7,11 @@
 #include <string.h>
 
 #define NAME_CAP 128
+/* Adapters that gateways wait for here; more are asked for again later. */
 #define WANTS_MAX 32
+/* Adapters of which the last use is known; the oldest are forgotten. */
 #define USES_MAX 256
+/* Gateways, and what each has under way here. */
 #define USERS_MAX 64
 #define USERS_ADAPTERS_MAX 64
 /* An unload that shows no effect for so long was not carried out. */
@@ -70,8 +73,8 @@
 	struct want wants[WANTS_MAX];
 	struct use uses[USES_MAX];
 	struct user users[USERS_MAX];
-	pf_ms left_at; /* when that was */
 	uint64_t leaving; /* item whose unload was accepted; 0: none */
+	pf_ms left_at; /* when that was */
 	/* of pf_loader_state() */
 	struct pf_resident residents[RESIDENTS_MAX];
 	uint64_t adapters[RESIDENTS_MAX][ADAPTERS_MAX];
