--- a/daemons/gateway/callers.c
+++ b/daemons/gateway/callers.c
@@ -110,20 +110,13 @@
 	caller_free(c);
 }
 
-/* Takes @n bytes off the front of what has come. */
-static void consume(struct caller *c, size_t n)
-{
-	memmove(c->in.p, c->in.p + n, c->in.n - n);
-	c->in.n -= n;
-}
-
 /* An answer before the request is whole; the connection ends with it. */
 static void refuse(struct caller *c, int status, const char *code)
 {
 	c->close = true;
 	enter(c, CALLER_REFUSED);
 	pf_text_reset(&c->in);
-	exchange_refuse_early(c, status, code, PF_STR(""), -1);
+	exchange_refuse_early(c, status, code);
 }
 
 static void start_exchange(struct caller *c)
@@ -146,7 +139,7 @@
 		return false;
 	pf_text_reset(&c->head);
 	pf_text_add(&c->head, (struct pf_str){ in.p, n });
-	consume(c, n);
+	pf_text_drop(&c->in, n);
 	if (c->head.failed ||
 	    pf_h1_request(pf_text_str(&c->head), &c->parsed) < 0) {
 		refuse(c, 400, "malformed");
@@ -179,7 +172,7 @@
 		refuse(c, 400, "malformed");
 		return false;
 	}
-	consume(c, (size_t)n);
+	pf_text_drop(&c->in, (size_t)n);
 	if ((int64_t)c->body.n > body_max(c->g)) {
 		refuse(c, 413, "body_too_large");
 		return false;
@@ -237,7 +230,7 @@
 	caller_free(c);
 }
 
-static const struct pf_sock_cbs caller_cbs = { on_data, on_closed, NULL };
+static const struct pf_sock_cbs caller_cbs = { on_data, on_closed };
 
 void caller_answered(struct caller *c)
 {
--- a/daemons/gateway/exchange.c
+++ b/daemons/gateway/exchange.c
@@ -80,10 +80,9 @@
 	pf_text_free(&body);
 }
 
-void exchange_refuse_early(struct caller *c, int status, const char *code,
-			   struct pf_str id, pf_ms retry_after)
+void exchange_refuse_early(struct caller *c, int status, const char *code)
 {
-	answer(c, status, code, id, retry_after);
+	answer(c, status, code, PF_STR(""), -1);
 }
 
 void exchange_free(struct exchange *x)
@@ -327,8 +326,7 @@
 	}
 	m.u.events.n = count_events((struct pf_str){ x->answer.p, n });
 	send_chunk(x, n);
-	memmove(x->answer.p, x->answer.p + n, x->answer.n - n);
-	x->answer.n -= n;
+	pf_text_drop(&x->answer, n);
 	m.u.events.request = x->handle;
 	core_step(x->g, &m);
 }
@@ -361,34 +359,33 @@
 	end(x);
 }
 
-void exchange_refuse(struct exchange *x, const struct pf_gate_act *a)
+/* Ends it with an answer of our own; part of another can only be cut. */
+static void end_with(struct exchange *x, int status, const char *code,
+		     pf_ms retry_after)
 {
-	const char *code = pf_gate_reason_code(a->u.refuse.reason);
+	struct caller *c = x->caller;
 
-	log_end(x, "refused", a->u.refuse.status, code);
 	if (x->head_sent) {
-		struct caller *c = x->caller;
-
 		exchange_free(x);
 		caller_abort(c);
 		return;
 	}
-	answer(x->caller, a->u.refuse.status, code, x->in.id,
-	       a->u.refuse.retry_after);
+	answer(c, status, code, x->in.id, retry_after);
 	end(x);
 }
 
+void exchange_refuse(struct exchange *x, const struct pf_gate_act *a)
+{
+	const char *code = pf_gate_reason_code(a->u.refuse.reason);
+
+	log_end(x, "refused", a->u.refuse.status, code);
+	end_with(x, a->u.refuse.status, code, a->u.refuse.retry_after);
+}
+
 void exchange_fail(struct exchange *x, const struct pf_gate_act *a)
 {
 	const char *code = pf_gate_reason_code(a->u.fail.reason);
-	struct caller *c = x->caller;
 
 	log_end(x, "failed", a->u.fail.status, code);
-	if (x->head_sent) {
-		exchange_free(x);
-		caller_abort(c);
-		return;
-	}
-	answer(c, a->u.fail.status, code, x->in.id, -1);
-	end(x);
+	end_with(x, a->u.fail.status, code, -1);
 }
--- a/daemons/gateway/gateway.h
+++ b/daemons/gateway/gateway.h
@@ -176,8 +176,7 @@
 /** Whether x->answer holds a torn event. */
 bool exchange_torn(const struct exchange *x);
 /** Answers a request that the core never saw. */
-void exchange_refuse_early(struct caller *c, int status, const char *code,
-			   struct pf_str id, pf_ms retry_after);
+void exchange_refuse_early(struct caller *c, int status, const char *code);
 
 /* upstream.c: connections to endpoints */
 void upstream_send(struct exchange *x, const struct pf_gate_act *a);
--- a/daemons/gateway/main.c
+++ b/daemons/gateway/main.c
@@ -74,14 +74,8 @@
 
 static int load_settings(const char *path, struct pf_gateway_settings *set)
 {
-	struct pf_findings f = { 0 };
-	int ret;
-
 	pf_gate_opts_default(&set->core);
-	ret = pf_settings_load(&pf_gateway_form, path, set, &f);
-	pf_findings_print(&f, STDERR_FILENO);
-	pf_findings_clear(&f);
-	return ret;
+	return pf_process_settings(&pf_gateway_form, path, set, NULL);
 }
 
 /* Takes over what may change while running; the rest needs a restart. */
--- a/daemons/gateway/members.c
+++ b/daemons/gateway/members.c
@@ -54,8 +54,7 @@
 	for (i = 0; i < t->n_members; i++) {
 		struct member *m = &t->members[i];
 
-		if (m->addr.sin_addr.s_addr != from->sin_addr.s_addr ||
-		    m->addr.sin_port != from->sin_port)
+		if (!pf_talk_same_addr(&m->addr, from))
 			continue;
 		m->id = id;
 		m->heard_at = pf_clock_now();
@@ -90,8 +89,7 @@
 	uint32_t i;
 
 	for (i = 0; i < n; i++) {
-		if (old[i].addr.sin_addr.s_addr != m->addr.sin_addr.s_addr ||
-		    old[i].addr.sin_port != m->addr.sin_port)
+		if (!pf_talk_same_addr(&old[i].addr, &m->addr))
 			continue;
 		m->id = old[i].id;
 		m->heard_at = old[i].heard_at;
--- a/daemons/gateway/upstream.c
+++ b/daemons/gateway/upstream.c
@@ -147,8 +147,7 @@
 	}
 	platform_reply(&h, u->x->in.id, &u->reply);
 	if (h.status < 200) {
-		memmove(u->in.p, u->in.p + n, u->in.n - n);
-		u->in.n -= n;
+		pf_text_drop(&u->in, n);
 		return take_head(u);
 	}
 	if (!ours(u, &h)) {
@@ -163,8 +162,7 @@
 	u->streaming = is_stream(u->x, &h);
 	pf_h1_body_start(&u->body, framing_of(&h), h.length);
 	exchange_head(u->x, &h);
-	memmove(u->in.p, u->in.p + n, u->in.n - n);
-	u->in.n -= n;
+	pf_text_drop(&u->in, n);
 	u->in_body = true;
 	return 0;
 }
@@ -232,7 +230,7 @@
 		lost(u, true);
 }
 
-static const struct pf_sock_cbs upstream_cbs = { on_data, on_closed, NULL };
+static const struct pf_sock_cbs upstream_cbs = { on_data, on_closed };
 
 static struct upstream *take_idle(struct target *t, bool once)
 {
--- a/daemons/loader/main.c
+++ b/daemons/loader/main.c
@@ -225,9 +225,7 @@
 	for (i = 0; i < GATEWAYS_MAX; i++) {
 		struct gateway_peer *p = &l->gateways[i];
 
-		if (p->heard_at &&
-		    p->addr.sin_addr.s_addr == from->sin_addr.s_addr &&
-		    p->addr.sin_port == from->sin_port) {
+		if (p->heard_at && pf_talk_same_addr(&p->addr, from)) {
 			p->heard_at = pf_clock_now();
 			if (tell_every)
 				p->tell_every = tell_every;
@@ -276,11 +274,10 @@
 static void on_reload(void *ctx)
 {
 	struct pf_loader_settings set = { 0 };
-	struct pf_findings f = { 0 };
 	struct loader *l = ctx;
 
-	if (pf_settings_load(&pf_loader_form, l->settings_path, &set, &f) < 0) {
-		pf_findings_print(&f, STDERR_FILENO);
+	if (pf_process_settings(&pf_loader_form, l->settings_path, &set, NULL) <
+	    0) {
 		PF_LOG(&l->log, PF_LOG_ERROR, "reload_refused",
 		       PF_KV_STR("file", l->settings_path));
 	} else {
@@ -288,7 +285,6 @@
 		PF_LOG(&l->log, PF_LOG_INFO, "reloaded",
 		       PF_KV_STR("file", l->settings_path));
 	}
-	pf_findings_clear(&f);
 	pf_fields_free(&pf_loader_form, &set);
 }
 
@@ -341,12 +337,10 @@
 
 int main(int argc, char **argv)
 {
-	struct pf_findings f = { 0 };
 	static struct pf_log_limit limit = { .per_s = LOG_LINES_PER_S };
 	struct pf_process_options o;
 	static struct loader l;
 	int status;
-	int bad;
 
 	if (pf_process_options(argc, argv,
 			       "Gives orders to the engine beside it.", &o,
@@ -354,10 +348,7 @@
 		return status;
 	status = PF_EXIT_SETTINGS;
 	l.settings_path = o.settings;
-	bad = pf_settings_load(&pf_loader_form, o.settings, &l.set, &f);
-	pf_findings_print(&f, STDERR_FILENO);
-	pf_findings_clear(&f);
-	if (bad < 0)
+	if (pf_process_settings(&pf_loader_form, o.settings, &l.set, NULL) < 0)
 		goto out;
 	status = EXIT_SUCCESS;
 	if (o.check)
--- a/include/pimentoford/listed.h
+++ b/include/pimentoford/listed.h
@@ -35,8 +35,9 @@
 /** Frees what @e holds, not @e. */
 void pf_listed_clear(struct pf_listed *e);
 
-/** Whether a model, and an adapter unless it is 0, is loaded. */
-bool pf_listed_has(const struct pf_listed *e, uint64_t model, uint64_t adapter);
+/** Whether a model, and an adapter unless it is 0, is among @n residents. */
+bool pf_residents_have(const struct pf_resident *v, uint32_t n, uint64_t model,
+		       uint64_t adapter);
 
 PF_END_DECLS
 
--- a/include/pimentoford/process.h
+++ b/include/pimentoford/process.h
@@ -26,8 +26,8 @@
 		       struct pf_process_options *o, int *status);
 
 /**
- * Loads and checks settings, printing all findings. 0, or -1 when there are
- * any. @out is to be freed with pf_fields_free() either way.
+ * Loads and checks settings, printing all findings; @place may be NULL for
+ * processes that need neither key nor table. 0, or -1 when there are any. @out is to be freed with pf_fields_free() either way.
  */
 int pf_process_settings(const struct pf_form *form, const char *path, void *out,
 			const struct pf_place *place);
--- a/include/pimentoford/sock.h
+++ b/include/pimentoford/sock.h
@@ -25,8 +25,6 @@
 	void (*data)(void *ctx, struct pf_str in);
 	/* No more bytes will come; the owner frees the connection. */
 	void (*closed)(void *ctx, enum pf_sock_end why);
-	/* All that was written has been taken by the socket. NULL: not needed. */
-	void (*drained)(void *ctx);
 };
 
 /**
@@ -56,12 +54,6 @@
 /** Bytes written and not yet taken by the socket. */
 size_t pf_sock_queued(const struct pf_sock *s);
 
-/** Whether the connection ever stood. */
-bool pf_sock_up(const struct pf_sock *s);
-
-/** Hands the connection to another owner. */
-void pf_sock_owner(struct pf_sock *s, const struct pf_sock_cbs *cbs, void *ctx);
-
 /** Stops or resumes reading, e.g. for a peer that sends too fast. */
 void pf_sock_pause(struct pf_sock *s, bool pause);
 
--- a/include/pimentoford/talk.h
+++ b/include/pimentoford/talk.h
@@ -61,6 +61,9 @@
 /** Reads IP:PORT. 0 or -1. */
 int pf_talk_addr(const char *text, struct sockaddr_in *out);
 
+bool pf_talk_same_addr(const struct sockaddr_in *a,
+		       const struct sockaddr_in *b);
+
 PF_END_DECLS
 
 #endif
--- a/include/pimentoford/text.h
+++ b/include/pimentoford/text.h
@@ -28,6 +28,9 @@
 /** Hands over the text, which the caller frees, or NULL when it failed. */
 char *pf_text_take(struct pf_text *t);
 
+/** Takes the first @n bytes away; there are so many. */
+void pf_text_drop(struct pf_text *t, size_t n);
+
 /** Empties the buffer and keeps its memory. */
 void pf_text_reset(struct pf_text *t);
 void pf_text_free(struct pf_text *t);
--- a/src/coordination/gate/gate_core.h
+++ b/src/coordination/gate/gate_core.h
@@ -38,7 +38,6 @@
 	pf_ms arrived;
 	pf_ms due; /* the objective's end */
 	pf_ms over; /* a final answer is owed by then */
-	bool bounded; /* the caller said how long it will wait */
 	/* of its tries */
 	uint32_t sends;
 	uint32_t arrivals; /* sends that may have reached an endpoint */
@@ -73,7 +72,6 @@
 	uint32_t n_residents;
 	pf_ms state_at; /* when its loader was heard; 0: never */
 	uint64_t orders; /* accepted, as its loader said */
-	uint32_t kv_used; /* as its loader said */
 	bool busy; /* with a model: it takes no adapter meanwhile */
 	/* sent by this gateway */
 	uint32_t running;
@@ -118,7 +116,6 @@
 struct gate_prefix {
 	uint64_t key; /* of the parts and the endpoint's life; 0: free */
 	pf_ms used_at;
-	uint32_t runs; /* of ours that hold it */
 };
 
 #define GATE_ITEMS 512
@@ -131,6 +128,7 @@
 	double alive_avg;
 	double count; /* since they were smoothed last */
 	uint32_t alive;
+	uint32_t waiting; /* when demand was last asked for */
 };
 
 #define GATE_CRASHES 64
@@ -229,7 +227,6 @@
 uint32_t gate_pick(struct pf_gate *g, struct gate_request *r, uint32_t *lacks);
 /** Whether any endpoint has what @r needs, however busy it is. */
 bool gate_served(struct pf_gate *g, const struct gate_request *r);
-double gate_ms_per_token(struct pf_gate *g, uint64_t model);
 /** Learns from the time to a first event. */
 void gate_learn(struct pf_gate *g, struct gate_request *r);
 
--- a/src/coordination/gate/gate_demand.c
+++ b/src/coordination/gate/gate_demand.c
@@ -77,15 +77,24 @@
 		it->id = 0;
 }
 
-static uint32_t waiting_for(const struct pf_gate *g, uint64_t item)
+static void waits(struct pf_gate *g, uint64_t id)
+{
+	struct gate_item *it = id ? item_of(g, id, false) : NULL;
+
+	if (it)
+		it->waiting++;
+}
+
+static void count_waiting(struct pf_gate *g)
 {
-	uint32_t n = 0;
 	uint32_t i;
 
-	for (i = g->wait_head; i != GATE_NIL; i = g->requests[i].next)
-		n += g->requests[i].model == item ||
-		     g->requests[i].adapter == item;
-	return n;
+	for (i = 0; i < GATE_ITEMS; i++)
+		g->items[i].waiting = 0;
+	for (i = g->wait_head; i != GATE_NIL; i = g->requests[i].next) {
+		waits(g, g->requests[i].model);
+		waits(g, g->requests[i].adapter);
+	}
 }
 
 size_t pf_gate_demand(struct pf_gate *g, pf_ms now, struct pf_gate_demand *out,
@@ -95,6 +104,7 @@
 	size_t n = 0;
 	uint32_t i;
 
+	count_waiting(g);
 	for (i = 0; i < GATE_ITEMS && n < max; i++) {
 		struct gate_item *it = &g->items[i];
 
@@ -107,7 +117,7 @@
 			.model = it->model,
 			.per_s = (float)it->per_s,
 			.alive = (float)it->alive_avg,
-			.waiting = waiting_for(g, it->id),
+			.waiting = it->waiting,
 		};
 	}
 	if (s > 0.2)
--- a/src/coordination/gate/gate_endpoints.c
+++ b/src/coordination/gate/gate_endpoints.c
@@ -118,6 +118,15 @@
 		set_engine(g, &g->endpoints[i]);
 }
 
+/* Adds another gateway's work to @e's, or takes it back. */
+static void add_load(struct gate_endpoint *e, const struct pf_gate_load *l,
+		     int sign)
+{
+	e->peer_running += (uint32_t)sign * l->running;
+	e->peer_kv += sign * (int64_t)l->kv_tokens;
+	e->peer_prefill_ms += sign * (double)l->prefill_ms;
+}
+
 /* Adds what @p said last to its endpoints, or takes it back. */
 static void count_peer(struct pf_gate *g, const struct gate_peer *p, int sign)
 {
@@ -127,11 +136,8 @@
 		const struct pf_gate_load *l = &p->loads[i];
 		struct gate_endpoint *e = gate_endpoint(g, l->endpoint);
 
-		if (!e)
-			continue;
-		e->peer_running += (uint32_t)sign * l->running;
-		e->peer_kv += sign * (int64_t)l->kv_tokens;
-		e->peer_prefill_ms += sign * (double)l->prefill_ms;
+		if (e)
+			add_load(e, l, sign);
 	}
 }
 
@@ -145,11 +151,8 @@
 		const struct gate_peer *p = &g->peers[i];
 
 		for (k = 0; k < p->n_loads; k++) {
-			if (p->loads[k].endpoint != e->id)
-				continue;
-			e->peer_running += p->loads[k].running;
-			e->peer_kv += p->loads[k].kv_tokens;
-			e->peer_prefill_ms += p->loads[k].prefill_ms;
+			if (p->loads[k].endpoint == e->id)
+				add_load(e, &p->loads[k], 1);
 		}
 	}
 }
@@ -212,7 +215,6 @@
 		return;
 	e->state_at = g->now;
 	e->orders = s->orders;
-	e->kv_used = s->kv_used;
 	e->busy = s->busy;
 	e->leaves = s->draining;
 	e->lacks = 0;
@@ -233,10 +235,7 @@
 bool gate_endpoint_has(const struct gate_endpoint *e, uint64_t model,
 		       uint64_t adapter)
 {
-	struct pf_listed l = { .residents = e->residents,
-			       .n_residents = e->n_residents };
-
-	return pf_listed_has(&l, model, adapter);
+	return pf_residents_have(e->residents, e->n_residents, model, adapter);
 }
 
 void gate_load_add(struct pf_gate *g, struct gate_request *r, uint32_t slot)
--- a/src/coordination/gate/gate_life.c
+++ b/src/coordination/gate/gate_life.c
@@ -295,11 +295,8 @@
 	r->arrived = g->now;
 	r->due = route->objective ? g->now + route->objective : PF_NEVER;
 	r->over = g->now + (route->timeout ? route->timeout : TIMEOUT_MS);
-	if (a->in->budget > 0) {
-		r->bounded = true;
-		if (g->now + a->in->budget < r->over)
-			r->over = g->now + a->in->budget;
-	}
+	if (a->in->budget > 0 && g->now + a->in->budget < r->over)
+		r->over = g->now + a->in->budget;
 	service = pf_routes_service(g->routes, r->service);
 	copy_prompt(r, a->in, service ? service->event_tokens : 1);
 	g->stats.alive++;
--- a/src/coordination/gate/gate_pick.c
+++ b/src/coordination/gate/gate_pick.c
@@ -56,7 +56,7 @@
 	return NULL;
 }
 
-double gate_ms_per_token(struct pf_gate *g, uint64_t model)
+static double ms_per_token(struct pf_gate *g, uint64_t model)
 {
 	const struct gate_speed *s = speed_of(g, model);
 
@@ -181,7 +181,7 @@
 	if (out->cached > r->prompt)
 		out->cached = r->prompt;
 	fresh = r->prompt - out->cached;
-	out->own_ms = fresh * gate_ms_per_token(g, r->model);
+	out->own_ms = fresh * ms_per_token(g, r->model);
 	out->kv = fresh + r->output;
 	out->expected_ms =
 		(queued + out->own_ms) * e->slow + CROWD_MS * running(e);
--- a/src/state/listed.c
+++ b/src/state/listed.c
@@ -18,13 +18,14 @@
 	memset(e, 0, sizeof(*e));
 }
 
-bool pf_listed_has(const struct pf_listed *e, uint64_t model, uint64_t adapter)
+bool pf_residents_have(const struct pf_resident *v, uint32_t n, uint64_t model,
+		       uint64_t adapter)
 {
 	uint32_t i;
 	uint32_t k;
 
-	for (i = 0; i < e->n_residents; i++) {
-		const struct pf_resident *r = &e->residents[i];
+	for (i = 0; i < n; i++) {
+		const struct pf_resident *r = &v[i];
 
 		if (r->model != model)
 			continue;
--- a/src/state/text.c
+++ b/src/state/text.c
@@ -88,6 +88,15 @@
 	return p;
 }
 
+void pf_text_drop(struct pf_text *t, size_t n)
+{
+	if (n == 0)
+		return;
+	t->n -= n;
+	/* With the zero behind it. */
+	memmove(t->p, t->p + n, t->n + 1);
+}
+
 void pf_text_reset(struct pf_text *t)
 {
 	t->n = 0;
--- a/src/transport/process.c
+++ b/src/transport/process.c
@@ -67,7 +67,7 @@
 	struct pf_findings f = { 0 };
 	int ret = pf_settings_load(form, path, out, &f);
 
-	if (ret == 0)
+	if (ret == 0 && place)
 		ret = pf_place_check(place, path, &f);
 	pf_findings_print(&f, STDERR_FILENO);
 	pf_findings_clear(&f);
--- a/src/transport/sock.c
+++ b/src/transport/sock.c
@@ -105,21 +105,6 @@
 		release(s);
 }
 
-static void drained(struct pf_sock *s)
-{
-	if (s->finishing) {
-		pf_sock_free(s);
-		return;
-	}
-	if (!s->cbs->drained)
-		return;
-	s->in_call = true;
-	s->cbs->drained(s->ctx);
-	s->in_call = false;
-	if (s->dead)
-		release(s);
-}
-
 static int connect_error(int fd)
 {
 	int err = 0;
@@ -151,8 +136,8 @@
 	}
 	if (evbuffer_get_length(s->queue) > 0)
 		event_add(s->out, NULL);
-	else
-		drained(s);
+	else if (s->finishing)
+		pf_sock_free(s);
 }
 
 static void set_options(int fd, pf_ms silence)
@@ -254,11 +239,6 @@
 	return evbuffer_get_length(s->queue);
 }
 
-bool pf_sock_up(const struct pf_sock *s)
-{
-	return s->up;
-}
-
 void pf_sock_finish(struct pf_sock *s)
 {
 	if (s->dead)
@@ -272,12 +252,6 @@
 	s->finishing = true;
 }
 
-void pf_sock_owner(struct pf_sock *s, const struct pf_sock_cbs *cbs, void *ctx)
-{
-	s->cbs = cbs;
-	s->ctx = ctx;
-}
-
 void pf_sock_pause(struct pf_sock *s, bool pause)
 {
 	if (s->dead || s->paused == pause)
--- a/src/transport/talk.c
+++ b/src/transport/talk.c
@@ -28,6 +28,12 @@
 	return out->sin_family == AF_INET ? 0 : -1;
 }
 
+bool pf_talk_same_addr(const struct sockaddr_in *a, const struct sockaddr_in *b)
+{
+	return a->sin_addr.s_addr == b->sin_addr.s_addr &&
+	       a->sin_port == b->sin_port;
+}
+
 static void send_talk(struct pf_talk *t, const struct sockaddr_in *to,
 		      pimento_talk *msg)
 {
