Planner: loads that may have begun before all machines lost power count

Cause: a fresh planner learns of earlier loads from engines that still load; after a loss of all power nobody can tell, and it orders as many again within the window.

Change: engines first heard with no order accepted count as one load each at the planner's start, while the window lasts.

--- a/src/coordination/plan/plan.c
+++ b/src/coordination/plan/plan.c
@@ -249,12 +249,23 @@
 	}
 }
 
+/* An engine that accepted no order yet may have just started: another planner
+ * may have had it begin a load before, of which nobody can tell. */
+static void note_earlier(struct pf_plan *p, const struct plan_engine *e,
+			 const struct pf_engine_state *s)
+{
+	if (!e->state_at && s->orders == 0 &&
+	    p->now - p->started < p->o.window + WINDOW_SPARE_MS)
+		note_load(p, e->id, 0, p->started);
+}
+
 static void on_state(struct pf_plan *p, const struct pf_engine_state *s)
 {
 	struct plan_engine *e = engine_of(p, s->endpoint, false);
 
 	if (!e || !s->endpoint)
 		return;
+	note_earlier(p, e, s);
 	if (e->born != s->born) {
 		e->ordered = 0;
 		e->draining = e->draining && !e->born;
@@ -423,6 +434,8 @@
 {
 	struct plan_engine *e;
 
+	if (!p->started)
+		p->started = now;
 	p->now = now;
 	p->sink = sink;
 	switch (m->type) {
--- a/src/coordination/plan/plan_core.h
+++ b/src/coordination/plan/plan_core.h
@@ -68,6 +68,7 @@
 struct pf_plan {
 	struct pf_plan_opts o;
 	pf_ms now;
+	pf_ms started; /* of the first step */
 	pf_ms last_tick;
 	pf_ms quiet_until; /* nothing is ordered before: too little is known */
 	const struct pf_plan_sink *sink;
--- a/tests/test_plan.cc
+++ b/tests/test_plan.cc
@@ -331,6 +331,33 @@
 	EXPECT_LE(begun.size(), 12u);
 }
 
+// All lost power: the engines may have begun loads for another planner just
+// before, of which nobody can tell any more.
+TEST_F(Plan, LoadsBeforeAllStartedAnewCount)
+{
+	for (int i = 0; i < 16; i++)
+		engines["e" + std::to_string(i)] = {};
+	engines["e0"].residents = { "m0", "m1" };
+	engines["e1"].residents = { "m2", "m3" };
+	Begin(); // takes 3 s of the window of 5
+	Run(1900, { { "m4", 30 }, { "m5", 30 } });
+	EXPECT_EQ(Loads("m4") + Loads("m5"), 0u);
+	Run(1500, { { "m4", 30 }, { "m5", 30 } });
+	EXPECT_GT(Loads("m4"), 0u);
+	EXPECT_GT(Loads("m5"), 0u);
+}
+
+TEST_F(Plan, AStartAmongEnginesThatRanOnWaitsForNothing)
+{
+	for (int i = 0; i < 16; i++)
+		engines["e" + std::to_string(i)].orders = 3;
+	engines["e0"].residents = { "m0", "m1" };
+	engines["e1"].residents = { "m2", "m3" };
+	Begin();
+	Run(500, { { "m0", 60 } });
+	EXPECT_GT(Loads("m0"), 0u);
+}
+
 TEST_F(Plan, TheLowestThatIsHeardLeads)
 {
 	struct pf_plan_msg m = {};
