Gate: the first prompts count for more in how fast a model reads

Cause: a model's time per prompt token began at 0.03 ms for all and moved by a twentieth of each measurement; models of one deployment differ tenfold, and a gateway among 23 sees few requests for each. Endpoints of fast models looked busy.

Change: the n-th prompt weighs 1/(n+1) until that falls below a twentieth.

Test: Gate.TheFirstPromptsTeachHowFastAModelReads failed before.

--- a/src/coordination/gate/gate_core.h
+++ b/src/coordination/gate/gate_core.h
@@ -143,6 +143,7 @@
 struct gate_speed {
 	uint64_t model; /* 0: free */
 	double ms_per_token;
+	uint32_t learned; /* prompts that were measured */
 };
 
 #define GATE_SPEEDS 512
--- a/src/coordination/gate/gate_pick.c
+++ b/src/coordination/gate/gate_pick.c
@@ -49,7 +49,7 @@
 		if (s->model == model)
 			return s;
 		if (s->model == 0) {
-			*s = (struct gate_speed){ model, MS_PER_TOKEN };
+			*s = (struct gate_speed){ model, MS_PER_TOKEN, 0 };
 			return s;
 		}
 	}
@@ -72,11 +72,15 @@
 static void learn_speed(struct pf_gate *g, uint64_t model, double ratio)
 {
 	struct gate_speed *s = speed_of(g, model);
-	double step = SPEED_WEIGHT * (clamp(ratio, RATIO_MIN, RATIO_MAX) - 1);
+	double weight;
 
-	if (s)
-		s->ms_per_token = clamp(s->ms_per_token * (1 + step),
-					MS_PER_TOKEN_MIN, MS_PER_TOKEN_MAX);
+	if (!s)
+		return;
+	/* Models differ tenfold: the first prompts count for more. */
+	weight = fmax(SPEED_WEIGHT, 1.0 / (++s->learned + 1));
+	ratio = 1 + weight * (clamp(ratio, RATIO_MIN, RATIO_MAX) - 1);
+	s->ms_per_token = clamp(s->ms_per_token * ratio, MS_PER_TOKEN_MIN,
+				MS_PER_TOKEN_MAX);
 }
 
 void gate_learn(struct pf_gate *g, struct gate_request *r)
--- a/tests/test_gate.cc
+++ b/tests/test_gate.cc
@@ -455,6 +455,21 @@
 	EXPECT_NE(Last(10, PF_GATE_SEND), nullptr);
 }
 
+// Models differ tenfold in speed, and engines are few: what the first prompts
+// took must show in where the next ones go.
+TEST_F(Gate, TheFirstPromptsTeachHowFastAModelReads)
+{
+	for (int i = 1; i < 6; i++) {
+		Arrive(i, "/t/", 15000, "m", nullptr, 9000);
+		now += 30;
+		Events(i);
+		Ended(i, PF_GATE_ANSWERED, 200);
+	}
+	Arrive(6, "/t/", 15000, "m", nullptr, 9000);
+	ASSERT_NE(Last(6, PF_GATE_SEND), nullptr);
+	EXPECT_LT(Last(6, PF_GATE_SEND)->raw.u.send.expected, 60);
+}
+
 TEST(GateOptions, AreChecked)
 {
 	struct pf_gate_opts o;
