Gate: streams avoid endpoints whose events come slowly

Change: a twentieth of the time that a stream's events take at an endpoint's measured pace counts in choosing it.

Test: Gate.AStreamAvoidsTheEndpointWhoseEventsComeSlowly failed before.

--- a/src/coordination/gate/gate_pick.c
+++ b/src/coordination/gate/gate_pick.c
@@ -110,6 +110,10 @@
 	return false;
 }
 
+/* Of the time that its events will take, at the pace of the streams there: long
+ * pauses make it late, and it takes the engine's time for longer. */
+#define PACE_WEIGHT 0.05
+
 /* Streams that all pause at once: the endpoint has likely died. */
 static bool silent(const struct pf_gate *g, const struct gate_endpoint *e)
 {
@@ -196,7 +200,8 @@
 	    (running(e) > 0 &&
 	     e->kv + e->peer_kv + out->kv > (int64_t)(KV_FILL * e->kv_max)))
 		return;
-	out->cost = out->expected_ms + e->distance + FAILED_MS * e->failing;
+	out->cost = out->expected_ms + e->distance + FAILED_MS * e->failing +
+		    PACE_WEIGHT * r->events * e->event_ms;
 }
 
 static uint32_t best_of(struct pf_gate *g, const struct gate_request *r,
--- a/tests/test_gate.cc
+++ b/tests/test_gate.cc
@@ -470,6 +470,26 @@
 	EXPECT_LT(Last(6, PF_GATE_SEND)->raw.u.send.expected, 60);
 }
 
+// Long streams behind long prompts: each pause makes a stream late.
+TEST_F(Gate, AStreamAvoidsTheEndpointWhoseEventsComeSlowly)
+{
+	Endpoint("l2", "llm", "za", "m", nullptr, true);
+	Endpoint("l3", "llm", "za", "m", nullptr, true);
+	Arrive(1, "/t/", 600000, "m", nullptr, 100);
+	ASSERT_EQ(SentTo(1), Id("l1"));
+	for (int k = 0; k < 200; k++) {
+		now += 100;
+		Events(1);
+	}
+	Ended(1, PF_GATE_ANSWERED, 200);
+	Endpoint("l3", "llm", "za", "m");
+	for (int i = 2; i < 8; i++) {
+		Arrive(i, "/t/", 15000, "m", nullptr, 100);
+		EXPECT_EQ(SentTo(i), Id("l3"));
+		Ended(i, PF_GATE_ANSWERED, 200);
+	}
+}
+
 TEST(GateOptions, AreChecked)
 {
 	struct pf_gate_opts o;
