Gate: a long prompt goes where it delays few

Change: the time of its own prompt, times the runs there, counts with 0.06.

Test: Gate.ALongPromptGoesWhereItDelaysFew failed before.

--- a/src/coordination/gate/gate_pick.c
+++ b/src/coordination/gate/gate_pick.c
@@ -113,6 +113,8 @@
 /* Of the time that its events will take, at the pace of the streams there: long
  * pauses make it late, and it takes the engine's time for longer. */
 #define PACE_WEIGHT 0.05
+/* And of the time by which its prompt delays each of those that run there. */
+#define DELAY_WEIGHT 0.06
 
 /* Streams that all pause at once: the endpoint has likely died. */
 static bool silent(const struct pf_gate *g, const struct gate_endpoint *e)
@@ -201,7 +203,8 @@
 	     e->kv + e->peer_kv + out->kv > (int64_t)(KV_FILL * e->kv_max)))
 		return;
 	out->cost = out->expected_ms + e->distance + FAILED_MS * e->failing +
-		    PACE_WEIGHT * r->events * e->event_ms;
+		    PACE_WEIGHT * r->events * e->event_ms +
+		    DELAY_WEIGHT * out->own_ms * running(e);
 }
 
 static uint32_t best_of(struct pf_gate *g, const struct gate_request *r,
--- a/tests/test_gate.cc
+++ b/tests/test_gate.cc
@@ -490,6 +490,25 @@
 	}
 }
 
+// Long prompts among streams: every stream that runs there waits meanwhile.
+TEST_F(Gate, ALongPromptGoesWhereItDelaysFew)
+{
+	struct pf_gate_msg m = {};
+	struct pf_gate_load load = { Id("l1"), 2, 0, 0 };
+
+	Endpoint("l2", "llm", "zb", "m");
+	m.type = PF_GATE_PEER;
+	m.u.digest.peer = 99;
+	m.u.digest.loads = &load;
+	m.u.digest.n_loads = 1;
+	Step(m);
+	Arrive(1, "/t/", 15000, "m", nullptr, 100);
+	EXPECT_EQ(SentTo(1), Id("l1"));
+	Hangup(1);
+	Arrive(2, "/t/", 15000, "m", nullptr, 9000);
+	EXPECT_EQ(SentTo(2), Id("l2"));
+}
+
 TEST(GateOptions, AreChecked)
 {
 	struct pf_gate_opts o;
