Planner: copies of a busy model are loaded at once after a loss

Cause: after a loss of all power, one home of each model was ordered per round; engines with copies of the model that most requests were for got rarely asked models first.

Change: a model that was just given a home from a copy is looked at again in the same round. Only engines that have the copy of a model without a home are kept from the weight store.

Tests: Plan.CopiesOfABusyModelAreLoadedAtOnce and Plan.OnlyTheEngineWithTheCopyIsKeptFromTheStore failed before.

--- a/src/coordination/plan/plan_choose.c
+++ b/src/coordination/plan/plan_choose.c
@@ -234,6 +234,22 @@
 	return other && urgency(p, other) > 0;
 }
 
+/* Whether @e has the copy of a model that is asked for and has no home: it is
+ * not to be kept from that for as long as the weight store needs. */
+static bool owes_home(const struct pf_plan *p, const struct plan_engine *e)
+{
+	uint32_t i;
+
+	for (i = 0; i < p->n_models; i++) {
+		const struct plan_model *m = &p->models[i];
+
+		if (m->homes == 0 && asked_lately(p, m) &&
+		    plan_at_hand(e, m->spec->id))
+			return true;
+	}
+	return false;
+}
+
 static void consider(struct pf_plan *p, struct plan_engine *e,
 		     const struct plan_model *m, double press, bool near_disk,
 		     struct choice *best)
@@ -246,7 +262,7 @@
 	if (reserved_for_other(p, e, m))
 		return;
 	if (!at_hand &&
-	    (!p->settled || p->hold_store || near_disk || !plan_may_load(p)))
+	    (!p->settled || near_disk || owes_home(p, e) || !plan_may_load(p)))
 		return;
 	if (!at_hand)
 		cost += m->homes ? STORE_COST : STORE_WAIT_COST;
@@ -278,8 +294,11 @@
 	return false;
 }
 
-/* Loads @m where that is best, or makes room for it. True: an order went. */
-static bool add_home(struct pf_plan *p, struct plan_model *m, double least)
+enum added { ADDED_NOTHING, ADDED_COPY, ADDED_OTHER };
+
+/* Loads @m where that is best, or makes room for it. */
+static enum added add_home(struct pf_plan *p, struct plan_model *m,
+			   double least)
 {
 	struct choice best = { NULL, INFINITY };
 	/* An engine that is busy for the moment is sooner done with a copy
@@ -294,36 +313,20 @@
 	}
 	/* A home that is as busy as those there are would not help. */
 	if (!best.e || (m->homes && best.e->work > least * 0.7))
-		return false;
+		return ADDED_NOTHING;
 	if (room_of(p, best.e) >= m->spec->weights_mb) {
 		best.e->reserved = 0;
 		m->changed_at = p->now;
 		plan_order(p, best.e, m, true, m->homes ? "busy" : "no home");
-		return true;
+		return best.e->ordered_store ? ADDED_OTHER : ADDED_COPY;
 	}
 	out = spare_at(p, best.e, m, least);
 	if (!out)
-		return false;
+		return ADDED_NOTHING;
 	best.e->reserved = m->spec->id;
 	best.e->reserved_until = p->now + RESERVE_MS;
 	plan_order(p, best.e, out, false, "room");
-	return true;
-}
-
-/* Whether a model that is asked for and has a copy waits for its home:
- * further homes are not to take the engines for as long as the weight store
- * needs. */
-static bool homes_owed(struct pf_plan *p)
-{
-	uint32_t i;
-
-	for (i = 0; i < p->n_models; i++) {
-		const struct plan_model *m = &p->models[i];
-
-		if (m->homes == 0 && asked_lately(p, m) && has_copy(p, m))
-			return true;
-	}
-	return false;
+	return ADDED_OTHER;
 }
 
 void plan_choose(struct pf_plan *p)
@@ -332,15 +335,16 @@
 	uint32_t orders = 0;
 	uint32_t round;
 
-	for (round = 0; round < p->n_models && orders < ORDERS_PER_TICK;
+	for (round = 0;
+	     round < p->n_models + ORDERS_PER_TICK && orders < ORDERS_PER_TICK;
 	     round++) {
 		uint32_t best = UINT32_MAX;
+		enum added added;
 		double most = 0;
 		uint32_t i;
 
 		count_homes(p);
 		sum_work(p);
-		p->hold_store = homes_owed(p);
 		for (i = 0; i < p->n_models; i++) {
 			double u = tried[i] ? 0 : urgency(p, &p->models[i]);
 
@@ -351,7 +355,10 @@
 		}
 		if (best == UINT32_MAX)
 			return;
-		tried[best] = true;
-		orders += add_home(p, &p->models[best], most);
+		added = add_home(p, &p->models[best], most);
+		orders += added != ADDED_NOTHING;
+		/* Copies are there in a moment; what takes longer is seen to
+		 * work before there is more of it. */
+		tried[best] = added != ADDED_COPY;
 	}
 }
--- a/src/coordination/plan/plan_core.h
+++ b/src/coordination/plan/plan_core.h
@@ -82,7 +82,6 @@
 	uint32_t n_loads; /* that were ever noted; a ring */
 	bool leads;
 	bool settled; /* all engines are known */
-	bool hold_store; /* loads from the weight store would be in the way */
 	bool members; /* the list of gateways was read */
 	pf_ms listed_at; /* an engine was listed for the first time */
 };
--- a/tests/test_plan.cc
+++ b/tests/test_plan.cc
@@ -358,6 +358,54 @@
 	EXPECT_GT(Loads("m0"), 0u);
 }
 
+// All power was lost: the engines come back empty, and most of the requests
+// are for one model of which several have copies.
+TEST_F(Plan, CopiesOfABusyModelAreLoadedAtOnce)
+{
+	struct pf_plan_msg m = {};
+	std::map<std::string, float> alive = { { "m0", 60 },
+					       { "m1", 1 },
+					       { "m2", 1 } };
+	std::set<uint64_t> homes;
+
+	for (const char *e : { "e1", "e2", "e3", "e4", "e5" })
+		engines[e].disk = { "m0", "m1", "m2" };
+	Routes();
+	m.type = PF_PLAN_MEMBERS;
+	Step(m);
+	for (auto &[name, e] : engines)
+		List(name);
+	while (orders.empty() && now < 110000)
+		Run(100, alive);
+	for (const Order &o : orders) {
+		if (o.model == "m0")
+			homes.insert(o.endpoint);
+	}
+	EXPECT_GE(homes.size(), 3u);
+}
+
+// A model waits for the engine that has its copy: others may use the weight
+// store in the meantime.
+TEST_F(Plan, OnlyTheEngineWithTheCopyIsKeptFromTheStore)
+{
+	engines["e1"].residents = { "m0", "m1" };
+	engines["e2"].residents = { "m2", "m3" };
+	engines["e3"].residents = { "m4", "m5" };
+	engines["e4"].disk = { "m5" };
+	engines["e4"].busy = true;
+	engines["e5"] = {};
+	Begin();
+	engines["e3"].draining = true;
+	List("e3");
+	Run(500, { { "m0", 40 }, { "m5", 1 } });
+	EXPECT_GE(Loads("m0"), 1u);
+	for (const Order &o : orders) {
+		if (o.load) {
+			EXPECT_EQ(o.endpoint, Id("e5")) << o.model;
+		}
+	}
+}
+
 TEST_F(Plan, TheLowestThatIsHeardLeads)
 {
 	struct pf_plan_msg m = {};
