Gateways tell each listener all that is new to it, and read the store less

Cause: what was new (prompts read, crashes) was forgotten with every digest, 120 ms apart, but told to another zone's gateways with every second digest only and to another region's with every sixth: half of the sights and five sixths of the crashes were never told there.

Change: rings of sights and crashes, with a cursor for each listener; one that has just started is told the crashes that still count. Another region is told of work at its own endpoints only; for endpoints there, what their loaders say counts. Digests say how long ago the store answered: while two that follow closely are in touch, the others read every 12 s, and at once on news or when those fall silent. Retries wait longer with each failure, but not without a configuration. Rows of gateways are read every 20 s and when one is heard that was not known.

Tests: Gate.EachListenerIsToldEveryCrashOnce, Gate.AnotherRegionIsToldOfItsOwnEndpointsOnly, Gate.AFarEndpointIsAsBusyAsItsLoaderSays (the interface is new: they don't compile before).

--- a/daemons/gateway/follow.c
+++ b/daemons/gateway/follow.c
@@ -15,15 +15,21 @@
  * Loaders tell sooner what an endpoint holds and that it leaves. */
 #define PACE_CONFIG_MS 250
 #define PACE_ENDPOINTS_MS 1000
-/* Where others follow closely and tell when there is something to read. */
+/* Where others follow closely and tell when there is something to read, as
+ * long as the store answers them; and else. */
+#define PACE_TOLD_MS 12000
 #define PACE_RELAXED_MS 3000
 /* A call in flight for so long does not see what is news: it may be silent. */
 #define NEWS_MS 300
 #define RETRY_MIN_MS 150
 #define RETRY_SPAN_MS 250
+/* The span grows with each failure in a row, up to so many. */
+#define RETRY_GROWS 5
 #define TIMEOUT_MS 900
 #define CALLS_MAX 16
 #define BODY_MAX ((size_t)4 << 20)
+/* Since the store answered, when it never did. */
+#define AGE_UNKNOWN_MS 3600000
 /* Endpoints whose entries lapsed with the store away are back by then. */
 #define RETURN_MS 2200
 
@@ -42,6 +48,8 @@
 	char *page; /* key at which the next page begins; NULL: the first */
 	uint64_t after;
 	uint64_t read_at; /* revision of the first page */
+	pf_ms ended_at; /* the last call was answered */
+	uint32_t failures; /* calls in a row */
 	bool away; /* the last call failed */
 	pf_ms back_at; /* the store answered again */
 	uint64_t mark; /* of the full read under way */
@@ -73,17 +81,24 @@
 static void failed(struct feed *d, enum pf_store_status status)
 {
 	struct follow *f = d->f;
+	pf_ms span;
 
 	if (!d->away)
 		PF_LOG(&f->g->log, PF_LOG_WARN, "store_away",
 		       PF_KV_TEXT("table", d->table),
 		       PF_KV_INT("status", status));
 	d->away = true;
-	after(d, RETRY_MIN_MS + pf_rng_below(&f->rng, RETRY_SPAN_MS));
+	/* Without a configuration nothing can be served. */
+	span = f->g->routes ? RETRY_SPAN_MS * (1 + d->failures) : RETRY_SPAN_MS;
+	if (d->failures < RETRY_GROWS)
+		d->failures++;
+	after(d, RETRY_MIN_MS + pf_rng_below(&f->rng, (uint32_t)span));
 }
 
 static void answers(struct feed *d)
 {
+	d->ended_at = pf_clock_now();
+	d->failures = 0;
 	if (!d->away)
 		return;
 	d->away = false;
@@ -105,9 +120,9 @@
 /* How long to wait until the next call. */
 static pf_ms pace_of(const struct feed *d, bool rows)
 {
-	if (!talk_follows_closely(d->f->g))
-		return PACE_RELAXED_MS;
-	return rows ? d->pace : 0;
+	if (talk_follows_closely(d->f->g))
+		return rows ? d->pace : 0;
+	return talk_others_follow(d->f->g) ? PACE_TOLD_MS : PACE_RELAXED_MS;
 }
 
 static void on_feed(void *ctx, const struct pf_store_answer *a)
@@ -168,6 +183,34 @@
 		news(&g->follow->endpoints);
 }
 
+pf_ms follow_age(const struct gateway *g, pf_ms now)
+{
+	const struct follow *f = g->follow;
+	pf_ms at = f->config.ended_at > f->endpoints.ended_at
+			   ? f->config.ended_at
+			   : f->endpoints.ended_at;
+
+	return at ? now - at : AGE_UNKNOWN_MS;
+}
+
+/* The wait at hand was chosen when others followed. */
+static void check(struct feed *d, pf_ms now)
+{
+	if (!d->asking && !d->away && !d->full &&
+	    now - d->ended_at >= PACE_RELAXED_MS)
+		after(d, 0);
+}
+
+void follow_check(struct gateway *g)
+{
+	pf_ms now = pf_clock_now();
+
+	if (talk_follows_closely(g) || talk_others_follow(g))
+		return;
+	check(&g->follow->config, now);
+	check(&g->follow->endpoints, now);
+}
+
 /* The key of the last row, at which the next page begins. */
 static int next_page(struct feed *d, const struct pf_store_answer *a)
 {
--- a/daemons/gateway/gateway.h
+++ b/daemons/gateway/gateway.h
@@ -205,6 +205,10 @@
 void follow_stop(struct gateway *g);
 /** What another gateway has read; reads what is missing here. */
 void follow_news(struct gateway *g, uint64_t config, uint64_t endpoints);
+/** Since the store answered the feed that it answered last. */
+pf_ms follow_age(const struct gateway *g, pf_ms now);
+/** Reads at once if those that follow closely have fallen silent. */
+void follow_check(struct gateway *g);
 
 /* ready.c: readiness and metrics */
 int ready_start(struct gateway *g);
@@ -216,6 +220,9 @@
 void talk_stop(struct gateway *g);
 /** Whether this gateway is one of those that follow the store closely. */
 bool talk_follows_closely(const struct gateway *g);
+/** Whether others in the region have just heard from the store, and would
+ * tell. */
+bool talk_others_follow(const struct gateway *g);
 /** Act of the core: an adapter is missing at an endpoint. */
 void talk_want(struct exchange *x, const struct pf_gate_act *a);
 /** The routing table has changed; the old one is still there. */
--- a/daemons/gateway/members.c
+++ b/daemons/gateway/members.c
@@ -17,10 +17,14 @@
 /* So many gateways of a region follow the store closely; the others hear
  * from them when there is something to read. */
 #define READERS 3
+/* They count while the store answers them: a feed without news takes 2.5 s. */
+#define STORE_FRESH_MS 3000
+#define FRESH_MIN 2
 /* A gateway that was not heard for so long does not count. */
 #define MEMBER_SILENT_MS 2000
-/* Rows are read again so often, for gateways that came or moved. */
-#define MEMBERS_EVERY_MS 10000
+/* Rows are read again so often: gateways that came tell the others, and one
+ * that was not known is a reason to read at once. */
+#define MEMBERS_EVERY_MS 20000
 #define MEMBERS_RETRY_MS 500
 
 static void read_later(struct talk *t, pf_ms ms)
@@ -41,13 +45,13 @@
 	*m = (struct member){ .addr = *from,
 			      .id = id,
 			      .heard_at = pf_clock_now(),
-			      .every = DIGEST_FAR_MS,
-			      .far = true };
+			      .every = DIGEST_FAR_MS };
 	t->n_members++;
 	read_later(t, MEMBERS_RETRY_MS);
 }
 
-void members_heard(struct talk *t, const struct sockaddr_in *from, uint64_t id)
+void members_heard(struct talk *t, const struct sockaddr_in *from, uint64_t id,
+		   pf_ms store_age)
 {
 	uint32_t i;
 
@@ -56,8 +60,13 @@
 
 		if (!pf_talk_same_addr(&m->addr, from))
 			continue;
+		/* One that has started anew was told nothing. */
+		if (m->id != id)
+			m->told = (struct pf_gate_listener){ m->told.region, 0,
+							     0 };
 		m->id = id;
 		m->heard_at = pf_clock_now();
+		m->store_at = m->heard_at - store_age;
 		return;
 	}
 	add_unknown(t, from, id);
@@ -68,6 +77,11 @@
 	return m->id && now - m->heard_at < MEMBER_SILENT_MS;
 }
 
+static bool near(const struct talk *t, const struct member *m)
+{
+	return m->told.region == pf_id(pf_str_c(t->g->set.place.region));
+}
+
 bool talk_follows_closely(const struct gateway *g)
 {
 	const struct talk *t = g->talk;
@@ -78,11 +92,27 @@
 	for (i = 0; i < t->n_members; i++) {
 		const struct member *m = &t->members[i];
 
-		lower += !m->far && members_alive(m, now) && m->id < g->self;
+		lower += near(t, m) && members_alive(m, now) && m->id < g->self;
 	}
 	return lower < READERS;
 }
 
+bool talk_others_follow(const struct gateway *g)
+{
+	const struct talk *t = g->talk;
+	pf_ms now = pf_clock_now();
+	uint32_t fresh = 0;
+	uint32_t i;
+
+	for (i = 0; i < t->n_members; i++) {
+		const struct member *m = &t->members[i];
+
+		fresh += near(t, m) && members_alive(m, now) && m->store_at &&
+			 now - m->store_at < STORE_FRESH_MS;
+	}
+	return fresh >= FRESH_MIN;
+}
+
 /* What is known of a member whose row is read again is kept. */
 static void keep_known(struct member *m, const struct member *old, uint32_t n)
 {
@@ -94,6 +124,9 @@
 		m->id = old[i].id;
 		m->heard_at = old[i].heard_at;
 		m->told_at = old[i].told_at;
+		m->told.sights = old[i].told.sights;
+		m->told.crashes = old[i].told.crashes;
+		m->store_at = old[i].store_at;
 	}
 }
 
@@ -114,8 +147,10 @@
 	if (strcmp(s, t->g->set.talk) == 0 || pf_talk_addr(s, &m->addr) < 0)
 		goto out;
 	zone = pf_id(pf_str_c(space + 1));
-	m->far = talk_region_of(t->g, zone) != talk_region_of(t->g, here);
-	m->every = zone == here ? 0 : m->far ? DIGEST_FAR_MS : DIGEST_REGION_MS;
+	m->told.region = talk_region_of(t->g, zone);
+	m->every = zone == here ? 0
+		   : near(t, m) ? DIGEST_REGION_MS
+				: DIGEST_FAR_MS;
 	keep_known(m, old, n_old);
 	t->n_members++;
 out:
@@ -139,10 +174,7 @@
 	for (i = 0; i < a->n; i++)
 		add_member(t, a->rows[i].value, old, n_old);
 	talk_plan_step(t, &known);
-	/* Others may be starting, too. */
-	read_later(t, pf_clock_now() - t->g->started < MEMBERS_EVERY_MS
-			      ? MEMBERS_EVERY_MS / 4
-			      : MEMBERS_EVERY_MS);
+	read_later(t, MEMBERS_EVERY_MS);
 }
 
 static void on_written(void *ctx, const struct pf_store_answer *a)
--- a/daemons/gateway/talk.c
+++ b/daemons/gateway/talk.c
@@ -184,7 +184,7 @@
 
 	if (!d->peer || d->peer == t->g->self)
 		return;
-	members_heard(t, from, d->peer);
+	members_heard(t, from, d->peer, news->store_age);
 	follow_news(t->g, news->config, news->endpoints);
 	p.u.id = d->peer;
 	talk_plan_step(t, &p);
@@ -230,17 +230,18 @@
 {
 	const struct pf_talk_news news = { t->g->routes ? t->g->routes->version
 							: 0,
-					   t->g->endpoints_changed };
+					   t->g->endpoints_changed,
+					   follow_age(t->g, now) };
 	struct pf_gate_digest d;
 	uint32_t i;
 
-	pf_gate_digest(t->g->core, &d);
 	for (i = 0; i < t->n_members; i++) {
 		struct member *m = &t->members[i];
 
 		if (now - m->told_at < m->every)
 			continue;
 		m->told_at = now;
+		pf_gate_digest(t->g->core, &m->told, &d);
 		pf_talk_digest(t->talk, &m->addr, &d, &news);
 	}
 }
@@ -287,6 +288,7 @@
 	    (pf_gate_wants(t->g->core) ? DEMAND_WAITING_MS : DEMAND_EVERY_MS))
 		send_demand(t, now);
 	hello(t);
+	follow_check(t->g);
 	talk_plan_step(t, &tick);
 	if (t->led != pf_plan_leads(t->plan)) {
 		t->led = !t->led;
--- a/daemons/gateway/talk_core.h
+++ b/daemons/gateway/talk_core.h
@@ -19,8 +19,9 @@
 	uint64_t id; /* of its life; 0: not heard yet */
 	pf_ms heard_at;
 	pf_ms told_at;
+	struct pf_gate_listener told; /* what, so far */
+	pf_ms store_at; /* the store last answered it, as it says; 0: never */
 	pf_ms every; /* digests go to it so often */
-	bool far; /* in another region */
 };
 
 struct talk {
@@ -48,7 +49,9 @@
  * memory. */
 int members_start(struct talk *t);
 void members_stop(struct talk *t);
-void members_heard(struct talk *t, const struct sockaddr_in *from, uint64_t id);
+/** @store_age: how long ago the store answered it. */
+void members_heard(struct talk *t, const struct sockaddr_in *from, uint64_t id,
+		   pf_ms store_age);
 bool members_alive(const struct member *m, pf_ms now);
 
 #endif
--- a/fuzz/fuzz_gate.c
+++ b/fuzz/fuzz_gate.c
@@ -49,6 +49,7 @@
 	struct pf_rng rng;
 	pf_ms now;
 	struct pf_gate *gates[GATES];
+	struct pf_gate_listener told[GATES][GATES]; /* by the first */
 	uint64_t selves;
 	struct pf_routes routes;
 	struct pf_route route[KINDS];
@@ -225,6 +226,11 @@
 	o.repeat_slack = SLACK;
 	o.repeat_window = WINDOW_MS;
 	w->gates[gate] = pf_gate_new(&o);
+	/* It tells from the beginning, and is told from the beginning. */
+	for (i = 0; i < GATES; i++) {
+		w->told[gate][i] = (struct pf_gate_listener){ .region = 1 };
+		w->told[i][gate] = (struct pf_gate_listener){ .region = 1 };
+	}
 	m.u.routes = &w->routes;
 	step(w, gate, &m);
 	for (i = 0; i < ENDPOINTS; i++)
@@ -408,9 +414,12 @@
 	uint32_t k;
 
 	for (i = 0; i < GATES; i++) {
-		pf_gate_digest(w->gates[i], &m.u.digest);
 		for (k = 0; k < GATES; k++) {
-			if (k != i && draw(w, 5))
+			if (k == i)
+				continue;
+			pf_gate_digest(w->gates[i], &w->told[i][k],
+				       &m.u.digest);
+			if (draw(w, 5))
 				step(w, k, &m);
 		}
 	}
--- a/include/pimentoford/gate.h
+++ b/include/pimentoford/gate.h
@@ -108,9 +108,9 @@
 /** What a gateway tells the others, many times a second. */
 struct pf_gate_digest {
 	uint64_t peer; /* `self` of its sender */
-	const struct pf_gate_load *loads; /* all that are not zero */
+	const struct pf_gate_load *loads; /* that are not zero */
 	uint32_t n_loads;
-	const struct pf_gate_sight *sights; /* since the one before */
+	const struct pf_gate_sight *sights; /* not told before */
 	uint32_t n_sights;
 	const uint64_t *crashed; /* fingerprints under way at a crash */
 	uint32_t n_crashed;
@@ -226,8 +226,19 @@
 /** When the next PF_GATE_TICK is due. */
 pf_ms pf_gate_next(const struct pf_gate *g);
 
-/** What to tell the others; valid until the next call or step. */
-void pf_gate_digest(struct pf_gate *g, struct pf_gate_digest *d);
+/** Another gateway, and what it was told so far; zero: nothing. */
+struct pf_gate_listener {
+	uint64_t region; /* 0: not known */
+	uint64_t sights;
+	uint64_t crashes;
+};
+
+/**
+ * What @to is to be told now, and notes it; valid until the next call or step.
+ * Beyond this region only work at endpoints there is told, and crashes.
+ */
+void pf_gate_digest(struct pf_gate *g, struct pf_gate_listener *to,
+		    struct pf_gate_digest *d);
 
 /** Demand of the last seconds, at most @max items; returns how many. */
 size_t pf_gate_demand(struct pf_gate *g, pf_ms now, struct pf_gate_demand *out,
--- a/include/pimentoford/talk.h
+++ b/include/pimentoford/talk.h
@@ -21,6 +21,7 @@
 struct pf_talk_news {
 	uint64_t config; /* version in force */
 	uint64_t endpoints; /* revision at which one came, went or drained */
+	pf_ms store_age; /* since the store answered */
 };
 
 /** Callbacks may be NULL: such datagrams are dropped. */
--- a/src/coordination/gate/gate.c
+++ b/src/coordination/gate/gate.c
@@ -159,40 +159,6 @@
 	return pump < next ? pump : next;
 }
 
-void pf_gate_digest(struct pf_gate *g, struct pf_gate_digest *d)
-{
-	uint32_t n = 0;
-	uint32_t i;
-
-	for (i = 0; i < g->n_endpoints && n < PF_GATE_LOADS_MAX; i++) {
-		const struct gate_endpoint *e = &g->endpoints[i];
-
-		if (!e->used || !e->running)
-			continue;
-		g->out_loads[n++] = (struct pf_gate_load){
-			.endpoint = e->id,
-			.running = e->running,
-			.kv_tokens = (uint32_t)(e->kv > 0 ? e->kv : 0),
-			.prefill_ms =
-				(uint32_t)(e->prefill_ms > 0 ? e->prefill_ms
-							     : 0),
-		};
-	}
-	memcpy(g->out_sights, g->sights, g->n_sights * sizeof(*g->sights));
-	memcpy(g->out_crashed, g->crashed, g->n_crashed * sizeof(*g->crashed));
-	*d = (struct pf_gate_digest){
-		.peer = g->o.self,
-		.loads = g->out_loads,
-		.n_loads = n,
-		.sights = g->out_sights,
-		.n_sights = g->n_sights,
-		.crashed = g->out_crashed,
-		.n_crashed = g->n_crashed,
-	};
-	g->n_sights = 0;
-	g->n_crashed = 0;
-}
-
 bool pf_gate_wants(const struct pf_gate *g)
 {
 	return g->n_waiting > 0;
--- a/src/coordination/gate/gate_core.h
+++ b/src/coordination/gate/gate_core.h
@@ -63,6 +63,7 @@
 	uint64_t life; /* id of this start of it */
 	uint64_t service;
 	uint64_t zone;
+	uint64_t region;
 	double distance; /* ms, 0 in this zone */
 	uint32_t slots;
 	bool draining; /* as its entry says */
@@ -83,6 +84,9 @@
 	uint32_t peer_running;
 	int64_t peer_kv;
 	double peer_prefill_ms;
+	/* as its loader said: of all, also of those that tell nothing here */
+	uint32_t said_running;
+	int64_t said_kv;
 	/* learned from answers */
 	double slow; /* measured over expected time, 1 is as expected */
 	double event_ms; /* between two events of a stream */
@@ -139,6 +143,17 @@
 	pf_ms last;
 };
 
+/* What was noted is told within a second, and crashes again to a gateway that
+ * has just started. */
+#define GATE_SIGHTS 512
+#define GATE_CRASHES_SEEN 64
+
+/** A crash that this gateway saw itself. */
+struct gate_crash_seen {
+	uint64_t fingerprint;
+	pf_ms at;
+};
+
 /** How fast an engine reads prompts for a model. */
 struct gate_speed {
 	uint64_t model; /* 0: free */
@@ -174,12 +189,13 @@
 	pf_ms items_since;
 	struct gate_speed speeds[GATE_SPEEDS];
 	struct gate_crash crashes[GATE_CRASHES];
+	/* to tell the others: rings, with counts of all that was ever noted */
+	struct pf_gate_sight sights[GATE_SIGHTS];
+	uint64_t n_sights;
+	struct gate_crash_seen crashes_seen[GATE_CRASHES_SEEN];
+	uint64_t n_crashes_seen;
 	struct pf_gate_load out_loads[PF_GATE_LOADS_MAX];
-	struct pf_gate_sight sights[PF_GATE_SIGHTS_MAX];
-	uint32_t n_sights;
 	struct pf_gate_sight out_sights[PF_GATE_SIGHTS_MAX];
-	uint64_t crashed[PF_GATE_CRASHED_MAX];
-	uint32_t n_crashed;
 	uint64_t out_crashed[PF_GATE_CRASHED_MAX];
 	struct pf_gate_stats stats;
 };
@@ -236,7 +252,13 @@
 /** Takes one further send from the budget; false: there is none left. */
 bool gate_budget_repeat(struct pf_gate *g, uint64_t service);
 
+/* gate_digest.c */
+void gate_note_sight(struct pf_gate *g, uint64_t chain, uint64_t endpoint);
+void gate_note_crash(struct pf_gate *g, uint64_t fingerprint);
+
 /* gate_crash.c */
+/** A crash counts for so long. */
+#define GATE_CRASH_KEEP_MS 60000
 bool gate_quarantined(struct pf_gate *g, uint64_t fingerprint);
 /** @fingerprint was under way when an endpoint's connections broke. */
 void gate_crash_blame(struct pf_gate *g, uint64_t fingerprint, bool tell);
--- a/src/coordination/gate/gate_crash.c
+++ b/src/coordination/gate/gate_crash.c
@@ -5,7 +5,6 @@
 #include "src/coordination/gate/gate_core.h"
 
 #define CRASHES_MAX 3
-#define KEEP_MS 60000
 
 static struct gate_crash *crash_of(struct pf_gate *g, uint64_t fingerprint,
 				   bool make)
@@ -31,17 +30,18 @@
 {
 	const struct gate_crash *c = crash_of(g, fingerprint, false);
 
-	return c && c->crashes >= CRASHES_MAX && g->now - c->last < KEEP_MS;
+	return c && c->crashes >= CRASHES_MAX &&
+	       g->now - c->last < GATE_CRASH_KEEP_MS;
 }
 
 void gate_crash_blame(struct pf_gate *g, uint64_t fingerprint, bool tell)
 {
 	struct gate_crash *c = crash_of(g, fingerprint, true);
 
-	if (g->now - c->last > KEEP_MS)
+	if (g->now - c->last > GATE_CRASH_KEEP_MS)
 		c->crashes = 0;
 	c->crashes++;
 	c->last = g->now;
-	if (tell && g->n_crashed < PF_GATE_CRASHED_MAX)
-		g->crashed[g->n_crashed++] = fingerprint;
+	if (tell)
+		gate_note_crash(g, fingerprint);
 }
--- a/src/coordination/gate/gate_endpoints.c
+++ b/src/coordination/gate/gate_endpoints.c
@@ -186,9 +186,12 @@
 		e->state_at = 0;
 		e->leaves = false;
 		e->orders = 0;
+		e->said_running = 0;
+		e->said_kv = 0;
 	}
 	e->service = l->service;
 	e->zone = l->zone;
+	e->region = region_of(g, l->zone);
 	e->distance = distance_to(g, l->zone);
 	e->slots = l->slots;
 	e->draining = l->draining;
@@ -217,6 +220,8 @@
 	e->orders = s->orders;
 	e->busy = s->busy;
 	e->leaves = s->draining;
+	e->said_running = s->running + s->queued;
+	e->said_kv = s->kv_used;
 	e->lacks = 0;
 	copy_residents(e, s->residents, s->n_residents);
 }
--- a/src/coordination/gate/gate_pick.c
+++ b/src/coordination/gate/gate_pick.c
@@ -153,16 +153,33 @@
 	return false;
 }
 
-static uint32_t running(const struct gate_endpoint *e)
+/* Gateways of another region tell of their work at its endpoints to those
+ * there only; the endpoints' loaders tell of all. */
+static bool far(const struct pf_gate *g, const struct gate_endpoint *e)
 {
-	return e->running + e->peer_running;
+	return e->region != g->o.region && gate_loader_heard(g, e);
 }
 
-static double plain_cost(const struct gate_endpoint *e)
+static uint32_t running(const struct pf_gate *g, const struct gate_endpoint *e)
 {
-	if (running(e) >= e->slots)
+	uint32_t told = e->running + e->peer_running;
+
+	return far(g, e) && e->said_running > told ? e->said_running : told;
+}
+
+static int64_t kv_promised(const struct pf_gate *g,
+			   const struct gate_endpoint *e)
+{
+	int64_t told = e->kv + e->peer_kv;
+
+	return far(g, e) && e->said_kv > told ? e->said_kv : told;
+}
+
+static double plain_cost(const struct pf_gate *g, const struct gate_endpoint *e)
+{
+	if (running(g, e) >= e->slots)
 		return INFINITY;
-	return PLAIN_MS * running(e) / e->slots + e->distance / 2 +
+	return PLAIN_MS * running(g, e) / e->slots + e->distance / 2 +
 	       FAILED_MS * e->failing;
 }
 
@@ -183,7 +200,7 @@
 
 	out->cost = INFINITY;
 	if (!e->kv_max) {
-		out->cost = plain_cost(e);
+		out->cost = plain_cost(g, e);
 		out->expected_ms = PLAIN_MS;
 		return;
 	}
@@ -194,17 +211,17 @@
 	out->own_ms = fresh * ms_per_token(g, r->model);
 	out->kv = fresh + r->output;
 	out->expected_ms =
-		(queued + out->own_ms) * e->slow + CROWD_MS * running(e);
+		(queued + out->own_ms) * e->slow + CROWD_MS * running(g, e);
 	/* A stream that can't end in time would only take others' time. */
 	if (g->now + out->expected_ms + r->events * e->event_ms > r->over)
 		return;
-	if (running(e) >= e->slots || queued * e->slow > PREFILL_MAX_MS ||
-	    (running(e) > 0 &&
-	     e->kv + e->peer_kv + out->kv > (int64_t)(KV_FILL * e->kv_max)))
+	if (running(g, e) >= e->slots || queued * e->slow > PREFILL_MAX_MS ||
+	    (running(g, e) > 0 &&
+	     kv_promised(g, e) + out->kv > (int64_t)(KV_FILL * e->kv_max)))
 		return;
 	out->cost = out->expected_ms + e->distance + FAILED_MS * e->failing +
 		    PACE_WEIGHT * r->events * e->event_ms +
-		    DELAY_WEIGHT * out->own_ms * running(e);
+		    DELAY_WEIGHT * out->own_ms * running(g, e);
 }
 
 static uint32_t best_of(struct pf_gate *g, const struct gate_request *r,
--- a/src/coordination/gate/gate_prefix.c
+++ b/src/coordination/gate/gate_prefix.c
@@ -53,13 +53,6 @@
 	return 0;
 }
 
-static void tell(struct pf_gate *g, uint64_t chain, uint64_t endpoint)
-{
-	if (g->n_sights >= PF_GATE_SIGHTS_MAX)
-		return;
-	g->sights[g->n_sights++] = (struct pf_gate_sight){ chain, endpoint };
-}
-
 void gate_prefix_sent(struct pf_gate *g, const struct gate_request *r,
 		      const struct gate_endpoint *e)
 {
@@ -70,7 +63,7 @@
 	/* The last part is the request's own or its session's: others will
 	 * see the session again only by chance. */
 	for (i = 0; i + 1 < r->n_chains; i++)
-		tell(g, r->chains[i], e->id);
+		gate_note_sight(g, r->chains[i], e->id);
 }
 
 void gate_prefix_seen(struct pf_gate *g, const struct pf_gate_sight *s)
--- a/src/protocol/pimento.x
+++ b/src/protocol/pimento.x
@@ -204,6 +204,7 @@
 	unsigned hyper crashed<PIMENTO_GATE_CRASHED>;
 	unsigned hyper config; /* version in force */
 	unsigned hyper endpoints; /* revision of their last change of state */
+	unsigned int store_age_ms; /* since the store answered */
 };
 
 struct pimento_gate_demand {
--- a/src/protocol/pimento_xdr.c
+++ b/src/protocol/pimento_xdr.c
@@ -626,6 +626,8 @@
 		 return FALSE;
 	 if (!xdr_u_quad_t (xdrs, &objp->endpoints))
 		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->store_age_ms))
+		 return FALSE;
 	return TRUE;
 }
 
--- a/src/protocol/pimento_xdr.h
+++ b/src/protocol/pimento_xdr.h
@@ -279,6 +279,7 @@
 	} crashed;
 	u_quad_t config;
 	u_quad_t endpoints;
+	u_int store_age_ms;
 };
 typedef struct pimento_gate_digest pimento_gate_digest;
 
--- a/src/transport/talk.c
+++ b/src/transport/talk.c
@@ -78,13 +78,15 @@
 	out->crashed.crashed_val = (u_quad_t *)d->crashed;
 	out->config = news->config;
 	out->endpoints = news->endpoints;
+	out->store_age_ms = (u_int)news->store_age;
 	send_talk(t, to, &msg);
 }
 
 static void hear_digest(struct pf_talk *t, const struct sockaddr_in *from,
 			const pimento_gate_digest *in)
 {
-	const struct pf_talk_news news = { in->config, in->endpoints };
+	const struct pf_talk_news news = { in->config, in->endpoints,
+					   in->store_age_ms };
 	struct pf_gate_load loads[PF_GATE_LOADS_MAX];
 	struct pf_gate_sight sights[PF_GATE_SIGHTS_MAX];
 	struct pf_gate_digest d = { .peer = in->peer };
--- a/tests/test_gate.cc
+++ b/tests/test_gate.cc
@@ -407,6 +407,83 @@
 	EXPECT_NE(Last(9, PF_GATE_REFUSE), nullptr);
 }
 
+TEST_F(Gate, EachListenerIsToldEveryCrashOnce)
+{
+	struct pf_gate_listener often = { Id("east"), 0, 0 };
+	struct pf_gate_listener rare = { Id("west"), 0, 0 };
+	struct pf_gate_digest d;
+	uint32_t heard = 0;
+
+	Warm();
+	for (int i = 0; i < 6; i++) {
+		Arrive(i, "/u/", 800, nullptr, nullptr, 0, nullptr, 42 + i);
+		Ended(i, PF_GATE_LOST, 0, true);
+		pf_gate_digest(g, &often, &d);
+		EXPECT_EQ(d.n_crashed, 1u);
+	}
+	pf_gate_digest(g, &rare, &d);
+	EXPECT_EQ(d.n_crashed, 6u);
+	pf_gate_digest(g, &rare, &d);
+	EXPECT_EQ(d.n_crashed, 0u);
+	// A gateway that starts now hears of them, too, while they count.
+	struct pf_gate_listener fresh = { Id("west"), 0, 0 };
+	for (int i = 0; i < 3; i++) {
+		pf_gate_digest(g, &fresh, &d);
+		heard += d.n_crashed;
+	}
+	EXPECT_EQ(heard, 6u);
+	now += 61000;
+	Tick(1);
+	fresh = { Id("west"), 0, 0 };
+	pf_gate_digest(g, &fresh, &d);
+	EXPECT_EQ(d.n_crashed, 0u);
+}
+
+TEST_F(Gate, AnotherRegionIsToldOfItsOwnEndpointsOnly)
+{
+	struct pf_gate_listener near = { Id("east"), 0, 0 };
+	struct pf_gate_listener far = { Id("west"), 0, 0 };
+	struct pf_gate_listener unknown = {};
+	struct pf_gate_digest d;
+
+	Endpoint("l3", "llm", "zc", "n");
+	Arrive(1, "/t/", 15000, "m", nullptr, 100, "p");
+	Arrive(2, "/t/", 15000, "n", nullptr, 100, "q");
+	pf_gate_digest(g, &near, &d);
+	EXPECT_EQ(d.n_loads, 2u);
+	pf_gate_digest(g, &far, &d);
+	ASSERT_EQ(d.n_loads, 1u);
+	EXPECT_EQ(d.loads[0].endpoint, Id("l3"));
+	EXPECT_EQ(d.n_sights, 0u);
+	pf_gate_digest(g, &unknown, &d);
+	EXPECT_EQ(d.n_loads, 0u);
+}
+
+// Its own region's gateways keep an engine far away busy: they tell nothing of
+// it here, but its loader does.
+TEST_F(Gate, AFarEndpointIsAsBusyAsItsLoaderSays)
+{
+	struct pf_gate_msg m = {};
+	struct pf_engine_state st = {};
+	struct pf_resident r = { Id("n"), nullptr, 0 };
+
+	Endpoint("l3", "llm", "zc", "n");
+	st.endpoint = Id("l3");
+	st.born = 1;
+	st.residents = &r;
+	st.n_residents = 1;
+	st.running = 3;
+	st.queued = 1;
+	m.type = PF_GATE_STATE;
+	m.u.state = &st;
+	Step(m);
+	Arrive(1, "/t/", 15000, "n", nullptr, 100);
+	EXPECT_EQ(Last(1, PF_GATE_SEND), nullptr);
+	st.queued = 0;
+	Step(m);
+	EXPECT_EQ(SentTo(1), Id("l3"));
+}
+
 TEST_F(Gate, AProcessThatStopsLetsNothingWait)
 {
 	struct pf_gate_msg m = {};
