Gateways in a fault soak of their own, on the fakes of the tests

Cause: make soak and make demo run entry and agents; the gateway was covered by single scenarios only, its promises under faults by the fuzzers of its core.

Change: two gateways as processes, a store and four endpoints by hand, six callers that keep their connections. First graceful replacement and reloads alone, which must cut nothing; then kills, pauses, replacements, a store that is busy, mute, forgetful or does what it does not answer, changes of the configuration, endpoints that leave, are full, refuse, reset, fail, break off, are slow or send stray bytes. Every answer is checked byte for byte, and at the end what ran: doubled, refused but ran, crossed, changed, looks whole but isn't, cut by a stop, no answer. What tests share moved to tests/gateway_box.h.

--- a/Makefile
+++ b/Makefile
@@ -120,7 +120,10 @@
 	@scripts/fuzz-mutants
 
 soak: all
+	@$(MAKE) --no-print-directory $(B)/pf-tests >/dev/null
 	@PF_BUILD=$(B) scripts/soak $(SEED) $(SECONDS)
+	@PF_BUILD=$(B) PF_SOAK_SEED=$(SEED) PF_SOAK_SECONDS=$(SECONDS) \
+		$(B)/pf-tests --gtest_filter='Soak.*' --gtest_brief=1
 
 bench: packages
 	@$(MAKE) --no-print-directory $(B)/pf-bench >/dev/null
--- /dev/null
+++ b/tests/gateway_box.h
@@ -0,0 +1,309 @@
+/*
+ * What a gateway needs around it on loopback: a store, entries of endpoints, a
+ * configuration, and the daemons as processes.
+ */
+#ifndef TESTS_GATEWAY_BOX_H
+#define TESTS_GATEWAY_BOX_H
+
+#include "tests/fake_http.h"
+
+#include <glib.h>
+#include <jansson.h>
+#include <signal.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include <chrono>
+#include <condition_variable>
+#include <cstdlib>
+#include <cstring>
+#include <fstream>
+
+inline std::string Answer(int status, const std::string &body,
+			  const std::string &headers = "")
+{
+	return "HTTP/1.1 " + std::to_string(status) + " X\r\n" + headers +
+	       "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" +
+	       body;
+}
+
+/* The platform's store, as far as gateways use it, and its odd ways. */
+class Store
+{
+      public:
+	enum Fault {
+		NONE,
+		BUSY, /* refuses */
+		MUTE, /* ends connections without an answer */
+		LOST, /* does what was asked, and ends them */
+		FORGOT, /* has no history */
+	};
+
+	Store()
+	    : server_("127.0.0.1", [this](int fd, const FakeRequest &r) {
+		      return Handle(fd, r);
+	      })
+	{
+	}
+	~Store()
+	{
+		stop_ = true;
+		cv_.notify_all();
+	}
+	void Put(const std::string &table, const std::string &key,
+		 const std::string &value, bool deleted = false)
+	{
+		std::lock_guard<std::mutex> g(mu_);
+
+		rows_[{ table, key }] = { value, ++ver_, deleted };
+		cv_.notify_all();
+	}
+	void Set(Fault f)
+	{
+		fault_ = f;
+		cv_.notify_all();
+	}
+	std::string addr() const
+	{
+		return server_.addr();
+	}
+
+      private:
+	/* A transaction of one row, as gateways write their own. */
+	void Commit(const std::string &body)
+	{
+		json_t *root = json_loadb(body.data(), body.size(), 0, nullptr);
+		json_t *put =
+			json_array_get(json_object_get(root, "set_keys"), 0);
+		const char *table =
+			json_string_value(json_object_get(put, "table"));
+		const char *key =
+			json_string_value(json_object_get(put, "key"));
+		const char *value =
+			json_string_value(json_object_get(put, "value"));
+		gsize n = 0;
+		guchar *raw = value ? g_base64_decode(value, &n) : nullptr;
+
+		if (table && key && raw)
+			rows_[{ table, key }] = { std::string((char *)raw, n),
+						  ++ver_, false };
+		g_free(raw);
+		json_decref(root);
+		cv_.notify_all();
+	}
+	struct Row {
+		std::string value;
+		uint64_t ver;
+		bool deleted;
+	};
+	static std::string Query(const std::string &target, const char *name)
+	{
+		size_t at = target.find(std::string(name) + "=");
+
+		if (at == std::string::npos)
+			return "";
+		at += strlen(name) + 1;
+		return target.substr(at, target.find('&', at) - at);
+	}
+	std::string Rows(const std::string &table, uint64_t after, bool feed)
+	{
+		std::string out;
+
+		for (auto &[place, row] : rows_) {
+			if (place.first != table || row.ver <= after ||
+			    (row.deleted && !feed))
+				continue;
+			gchar *b = g_base64_encode(
+				(const guchar *)row.value.data(),
+				row.value.size());
+			out += (out.empty() ? "" : ",") +
+			       std::string("{\"table\":\"") + table +
+			       "\",\"part\":\"\",\"key\":\"" + place.second +
+			       "\",\"value\":\"" + b +
+			       "\",\"ver\":" + std::to_string(row.ver) +
+			       (row.deleted ? ",\"tombstone\":true}" : "}");
+			g_free(b);
+		}
+		return out;
+	}
+	bool Handle(int fd, const FakeRequest &r)
+	{
+		std::unique_lock<std::mutex> g(mu_);
+		Fault fault = fault_;
+		bool feed = r.target.find("/rows-feed") == 0;
+		std::string table = Query(r.target, "table");
+		uint64_t after =
+			strtoull(Query(r.target, "after").c_str(), nullptr, 10);
+
+		if (fault == MUTE)
+			return false;
+		if (fault == BUSY || (fault == FORGOT && feed)) {
+			g.unlock();
+			FakeSend(fd, Answer(fault == BUSY ? 503 : 410, ""));
+			return true;
+		}
+		if (r.target.find("/rows-tx") == 0)
+			Commit(r.body);
+		if (feed && Rows(table, after, true).empty()) {
+			auto wait = std::chrono::milliseconds(
+				strtoul(Query(r.target, "wait_ms").c_str(),
+					nullptr, 10));
+
+			cv_.wait_for(g, wait, [&] {
+				return stop_ || fault_ != fault ||
+				       !Rows(table, after, true).empty();
+			});
+		}
+		std::string body =
+			"{\"rows\":[" + Rows(table, after, feed) +
+			"],\"has_more\":false,\"ver\":" + std::to_string(ver_) +
+			",\"now_ms\":1}";
+		g.unlock();
+		if (fault == LOST)
+			return false;
+		FakeSend(fd, Answer(200, body));
+		return !stop_;
+	}
+
+	std::mutex mu_;
+	std::condition_variable cv_;
+	std::map<std::pair<std::string, std::string>, Row> rows_;
+	uint64_t ver_ = 0;
+	std::atomic<bool> stop_{ false };
+	std::atomic<Fault> fault_{ NONE };
+	FakeServer server_;
+};
+
+inline std::string Entry(const std::string &service, const std::string &addr,
+			 const std::string &state = "ready",
+			 const std::string &models = "[]")
+{
+	return "{\"service\":\"" + service + "\",\"address\":\"" + addr +
+	       "\",\"zone\":\"za\",\"version\":\"v1\",\"slots\":8,\"state\":"
+	       "\"" +
+	       state + "\",\"cold_left_ms\":0,\"born\":7,\"models\":" + models +
+	       ",\"seq\":1}";
+}
+
+inline std::string Config(int version, const std::string &safe_to = "app")
+{
+	std::string routes;
+	const char *kinds[][3] = {
+		{ "/s/", "safe", "false" },
+		{ "/u/", "unsafe", "false" },
+		{ "/t/", "stream", "false" },
+		{ "/r/", "stream", "true" },
+	};
+
+	for (auto &k : kinds)
+		routes +=
+			std::string(routes.empty() ? "" : ",") +
+			"{\"name\":\"n\",\"host\":\"h\",\"prefix\":\"" + k[0] +
+			"\",\"kind\":\"" + k[1] + "\",\"resumable\":" + k[2] +
+			",\"timeout_ms\":20000,\"slo_ms\":15000,"
+			"\"max_attempts\":2,\"priority\":1,\"service\":\"" +
+			(std::string(k[0]) == "/s/" ? safe_to : "app") + "\"}";
+	return "{\"version\":" + std::to_string(version) + ",\"routes\":[" +
+	       routes +
+	       "],\"services\":[{\"name\":\"app\",\"max_conns\":50,"
+	       "\"engine\":{\"slots\":8,\"kv_capacity\":100000,\"stride\":1,"
+	       "\"weights_mb\":1000,\"adapter_slots\":2,\"loads_per_s\":2,"
+	       "\"models\":[{\"name\":\"m\",\"weights_mb\":100,\"load_s\":1,"
+	       "\"adapters\":2,\"adapter_mb\":1}]}},{\"name\":\"other\"}],"
+	       "\"limits\":{\"max_header_bytes\":4096,"
+	       "\"max_body_bytes\":10000,\"header_timeout_ms\":2000,"
+	       "\"idle_timeout_ms\":10000}}";
+}
+
+/* A free port of 127.0.0.2, where the gateway listens. */
+inline int FreePort()
+{
+	FakeServer s("127.0.0.2",
+		     [](int, const FakeRequest &) { return false; });
+
+	return s.port();
+}
+
+class Process
+{
+      public:
+	void Start(const std::string &name, const std::string &toml)
+	{
+		const char *b = getenv("PF_BUILD");
+		std::string program = std::string(b ? b : "build") + "/" + name;
+
+		static std::atomic<int> serial{ 0 };
+
+		if (file_.empty())
+			file_ = "/tmp/pf-gateway-test-" +
+				std::to_string(getpid()) + "-" +
+				std::to_string(serial++) + ".toml";
+		std::ofstream(file_) << toml;
+		pid_ = fork();
+		if (pid_ == 0) {
+			if (!freopen("/dev/null", "w", stdout))
+				_exit(126);
+			execl(program.c_str(), program.c_str(), "--settings",
+			      file_.c_str(), (char *)nullptr);
+			_exit(127);
+		}
+	}
+	void Signal(int sig)
+	{
+		if (pid_ > 0)
+			kill(pid_, sig);
+	}
+	int Wait()
+	{
+		int status = -1;
+
+		if (pid_ > 0)
+			waitpid(pid_, &status, 0);
+		pid_ = -1;
+		return status;
+	}
+	~Process()
+	{
+		Signal(SIGKILL);
+		Wait();
+		unlink(file_.c_str());
+	}
+
+      private:
+	std::string file_;
+	pid_t pid_ = -1;
+};
+
+inline std::string Settings(const std::string &store, const std::string &ip,
+			    int port, int ready, int talk)
+{
+	auto at = [&](const char *key, int p) {
+		return std::string(key) + " = \"" + ip + ":" +
+		       std::to_string(p) + "\"\n";
+	};
+
+	return "name = \"g-" + ip +
+	       "\"\nzone = \"za\"\nregion = \"east\"\n"
+	       "platform = \"" +
+	       store + "\"\n" + at("listen", port) + at("ready", ready) +
+	       at("talk", talk) +
+	       "drain = \"8s\"\n[core]\nrepeat_slack = 50\n"
+	       "repeat_ratio = 5.0\n[[zones]]\nname = \"za\"\n"
+	       "region = \"east\"\n";
+}
+
+inline std::string Event(int id)
+{
+	return "id: " + std::to_string(id) + "\ndata: e" + std::to_string(id) +
+	       "\n\n";
+}
+
+inline std::string Chunk(const std::string &s)
+{
+	char n[16];
+
+	snprintf(n, sizeof(n), "%zx\r\n", s.size());
+	return n + s + "\r\n";
+}
+
+#endif
