Planner: engines that are added don't hold it up

Loads from the weight store and giving up homes wait until no engine was listed for the first time for 1.5 s, and each new engine began that wait anew.

Change: later than 4 s after the planner's start only engines that come with models in them begin it: those had been missing. Empty ones are new.

Test: Plan.EnginesThatAreAddedDoNotHoldUpThePlan failed before (no order at all).

--- a/src/coordination/plan/plan.c
+++ b/src/coordination/plan/plan.c
@@ -15,6 +15,9 @@
 /* Entries come one after the other when all starts; until none came for so
  * long, engines may be missing, and what can't be undone cheaply waits. */
 #define LISTED_MS 1500
+/* All start within moments of each other; engines of which the entries come
+ * later than this after a start, and empty, have been added. */
+#define START_MS 4000
 /* Demand that was not said anew is forgotten. */
 #define DEMAND_KEEP_MS 3000
 /* Fewer requests under way, on average, are a remnant of the smoothing. */
@@ -167,7 +170,8 @@
 	e = engine_of(p, l->id, true);
 	if (!e)
 		return;
-	if (!e->listed)
+	/* One that comes empty later on is new: it was not missing before. */
+	if (!e->listed && (l->n_residents || p->now - p->started < START_MS))
 		p->listed_at = p->now;
 	e->service = l->service;
 	e->listed = true;
--- a/tests/test_plan.cc
+++ b/tests/test_plan.cc
@@ -96,11 +96,16 @@
 	void List(const std::string &name)
 	{
 		struct pf_plan_msg m = {};
+		std::vector<struct pf_resident> r;
 		struct pf_listed l = {};
 
 		l.id = Id(name);
 		l.service = Id("llm");
 		l.draining = engines[name].draining;
+		for (const std::string &x : engines[name].residents)
+			r.push_back({ Id(x), nullptr, 0 });
+		l.residents = r.data();
+		l.n_residents = static_cast<uint32_t>(r.size());
 		m.type = PF_PLAN_ENDPOINT;
 		m.u.endpoint = &l;
 		Step(m);
@@ -406,6 +411,50 @@
 	}
 }
 
+// A release: every second an engine is replaced by a new one, and demand moves
+// meanwhile.
+TEST_F(Plan, EnginesThatAreAddedDoNotHoldUpThePlan)
+{
+	engines["e1"].residents = { "m0", "m1" };
+	engines["e2"].residents = { "m2", "m3" };
+	engines["e3"].residents = { "m4", "m5" };
+	engines["e4"].residents = { "m1", "m2" };
+	Begin();
+	Run(3000);
+	orders.clear();
+	for (int i = 0; i < 4; i++) {
+		std::string name = "n" + std::to_string(i);
+
+		engines[name].busy = true;
+		List(name);
+		Run(1000, { { "m0", 30 } });
+	}
+	// Room is made where a model has another home.
+	ASSERT_FALSE(orders.empty());
+	EXPECT_FALSE(orders[0].load);
+	EXPECT_TRUE(orders[0].model == "m1" || orders[0].model == "m2");
+}
+
+// What is listed late with models in it was missing: they have homes.
+TEST_F(Plan, EnginesThatWereMissingDoHoldItUp)
+{
+	engines["e1"].residents = { "m0", "m1" };
+	engines["e2"].residents = { "m2", "m3" };
+	engines["e4"].residents = { "m1", "m2" };
+	engines["e5"].residents = { "m4", "m5" };
+	Begin();
+	Run(3000);
+	for (int i = 0; i < 4; i++) {
+		std::string name = "n" + std::to_string(i);
+
+		engines[name].residents = { "m0" };
+		List(name);
+		orders.clear();
+		Run(1000, { { "m0", 30 } });
+		EXPECT_TRUE(orders.empty());
+	}
+}
+
 TEST_F(Plan, TheLowestThatIsHeardLeads)
 {
 	struct pf_plan_msg m = {};
