--- a/daemons/gateway/members.c
+++ b/daemons/gateway/members.c
@@ -61,7 +61,7 @@
 		if (!pf_talk_same_addr(&m->addr, from))
 			continue;
 		/* One that has started anew was told nothing. */
-		if (m->id != id)
+		if (m->id && m->id != id)
 			m->told = (struct pf_gate_listener){ m->told.region, 0,
 							     0 };
 		m->id = id;
--- a/daemons/gateway/talk_core.h
+++ b/daemons/gateway/talk_core.h
@@ -36,8 +36,6 @@
 	bool written; /* this gateway's row */
 	bool led;
 	pf_ms demand_at;
-	pf_ms hello_at;
-	pf_ms plan_at;
 };
 
 /** Runs a step of the planner, and what it asks for. */
--- a/src/coordination/gate/gate_core.h
+++ b/src/coordination/gate/gate_core.h
@@ -143,9 +143,7 @@
 	pf_ms last;
 };
 
-/* What was noted is told within a second, and crashes again to a gateway that
- * has just started. */
-#define GATE_SIGHTS 512
+/* Crashes are kept to be told again to a gateway that has just started. */
 #define GATE_CRASHES_SEEN 64
 
 /** A crash that this gateway saw itself. */
@@ -190,7 +188,7 @@
 	struct gate_speed speeds[GATE_SPEEDS];
 	struct gate_crash crashes[GATE_CRASHES];
 	/* to tell the others: rings, with counts of all that was ever noted */
-	struct pf_gate_sight sights[GATE_SIGHTS];
+	struct pf_gate_sight sights[PF_GATE_SIGHTS_MAX];
 	uint64_t n_sights;
 	struct gate_crash_seen crashes_seen[GATE_CRASHES_SEEN];
 	uint64_t n_crashes_seen;
--- a/src/coordination/gate/gate_digest.c
+++ b/src/coordination/gate/gate_digest.c
@@ -7,7 +7,7 @@
 
 void gate_note_sight(struct pf_gate *g, uint64_t chain, uint64_t endpoint)
 {
-	g->sights[g->n_sights++ % GATE_SIGHTS] =
+	g->sights[g->n_sights++ % PF_GATE_SIGHTS_MAX] =
 		(struct pf_gate_sight){ chain, endpoint };
 }
 
@@ -50,7 +50,8 @@
 	if (to->sights + PF_GATE_SIGHTS_MAX < g->n_sights)
 		to->sights = g->n_sights - PF_GATE_SIGHTS_MAX;
 	while (to->sights < g->n_sights)
-		g->out_sights[n++] = g->sights[to->sights++ % GATE_SIGHTS];
+		g->out_sights[n++] =
+			g->sights[to->sights++ % PF_GATE_SIGHTS_MAX];
 	return n;
 }
 
--- a/src/coordination/gate/gate_pick.c
+++ b/src/coordination/gate/gate_pick.c
@@ -26,6 +26,11 @@
 /* An adapter that must be brought costs the request, and others there, about
  * so much. */
 #define ADAPTER_MS 45.0
+/* What counts of the time that its events will take, at the pace of the streams
+ * there: long pauses make it late, and it takes the engine's time for longer. */
+#define PACE_WEIGHT 0.05
+/* And of the time by which its prompt delays each of those that run there. */
+#define DELAY_WEIGHT 0.06
 /* What is shorter is lost in a step's length, and nothing is learnt of it. */
 #define LEARN_MIN_MS 10
 /* Weights of the newest measurement. */
@@ -110,12 +115,6 @@
 	return false;
 }
 
-/* Of the time that its events will take, at the pace of the streams there: long
- * pauses make it late, and it takes the engine's time for longer. */
-#define PACE_WEIGHT 0.05
-/* And of the time by which its prompt delays each of those that run there. */
-#define DELAY_WEIGHT 0.06
-
 /* Streams that all pause at once: the endpoint has likely died. */
 static bool silent(const struct pf_gate *g, const struct gate_endpoint *e)
 {
