Read-through: one readiness question for the tests, one look-up of an endpoint's region

Tests of the gateway, its soak and of the other daemons each dialled and read by themselves; they use tests/fake_http. An endpoint's distance follows from the region that was just stored.

--- a/src/coordination/gate/gate_endpoints.c
+++ b/src/coordination/gate/gate_endpoints.c
@@ -32,11 +32,12 @@
 	return 0;
 }
 
-static double distance_to(const struct pf_gate *g, uint64_t zone)
+static double distance_to(const struct pf_gate *g,
+			  const struct gate_endpoint *e)
 {
-	if (zone == g->o.zone)
+	if (e->zone == g->o.zone)
 		return 0;
-	return region_of(g, zone) == g->o.region ? ZONE_MS : REGION_MS;
+	return e->region == g->o.region ? ZONE_MS : REGION_MS;
 }
 
 static uint32_t find(const struct pf_gate *g, uint64_t id)
@@ -192,7 +193,7 @@
 	e->service = l->service;
 	e->zone = l->zone;
 	e->region = region_of(g, l->zone);
-	e->distance = distance_to(g, l->zone);
+	e->distance = distance_to(g, e);
 	e->slots = l->slots;
 	e->draining = l->draining;
 	e->lacks = 0;
--- a/tests/fake_http.cc
+++ b/tests/fake_http.cc
@@ -65,10 +65,10 @@
 	return all;
 }
 
-int FakeDial(const char *ip, int port)
+int FakeDial(const char *ip, int port, int timeout_s)
 {
 	struct sockaddr_in sin = {};
-	struct timeval tv = { 20, 0 };
+	struct timeval tv = { timeout_s, 0 };
 	int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
 
 	sin.sin_family = AF_INET;
@@ -81,6 +81,22 @@
 	return -1;
 }
 
+std::string FakeGet(const char *ip, int port, const std::string &target,
+		    int timeout_s)
+{
+	int fd = FakeDial(ip, port, timeout_s);
+
+	if (fd < 0)
+		return "";
+	FakeSend(fd,
+		 "GET " + target +
+			 " HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n");
+	std::string got = FakeReceive(fd);
+
+	close(fd);
+	return got;
+}
+
 FakeServer::FakeServer(const char *ip, Handler h)
     : ip_(ip), handler_(std::move(h))
 {
--- a/tests/fake_http.h
+++ b/tests/fake_http.h
@@ -57,6 +57,9 @@
 void FakeReset(int fd);
 /* Everything until the peer closes, or @until shows. */
 std::string FakeReceive(int fd, const std::string &until = "");
-int FakeDial(const char *ip, int port);
+int FakeDial(const char *ip, int port, int timeout_s = 20);
+/* The answer to one GET, or nothing. */
+std::string FakeGet(const char *ip, int port, const std::string &target,
+		    int timeout_s = 20);
 
 #endif
--- a/tests/test_daemons.cc
+++ b/tests/test_daemons.cc
@@ -1,6 +1,7 @@
 // The daemons as processes on loopback, with the stand-ins: what callers may
 // send and how it is answered, callers that leave, planned stops.
-#include <arpa/inet.h>
+#include "tests/fake_http.h"
+
 #include <fcntl.h>
 #include <gtest/gtest.h>
 #include <netinet/in.h>
@@ -28,49 +29,12 @@
 
 int dial(int port, int timeout_s)
 {
-	struct sockaddr_in sin = {};
-	struct timeval tv = { timeout_s, 0 };
-	int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-
-	sin.sin_family = AF_INET;
-	sin.sin_port = htons((uint16_t)port);
-	sin.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-	setsockopt(fd, SOL_SOCKET, SO_RCVTIMEO, &tv, sizeof(tv));
-	if (connect(fd, (struct sockaddr *)&sin, sizeof(sin)) == 0)
-		return fd;
-	close(fd);
-	return -1;
-}
-
-/* Everything until the peer closes, @until shows, or nothing comes. */
-std::string receive(int fd, const std::string &until)
-{
-	std::string all;
-	char buf[4096];
-	ssize_t n;
-
-	while ((n = recv(fd, buf, sizeof(buf), 0)) > 0) {
-		all.append(buf, (size_t)n);
-		if (!until.empty() && all.find(until) != std::string::npos)
-			break;
-	}
-	return all;
+	return FakeDial("127.0.0.1", port, timeout_s);
 }
 
 std::string get(int port, const std::string &path)
 {
-	int fd = dial(port, 5);
-
-	if (fd < 0)
-		return "";
-	std::string req = "GET " + path +
-			  " HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n";
-
-	send(fd, req.data(), req.size(), MSG_NOSIGNAL);
-	std::string got = receive(fd, "");
-
-	close(fd);
-	return got;
+	return FakeGet("127.0.0.1", port, path, 5);
 }
 
 const std::string key = "Authorization: Bearer demo-caller-key\r\n";
@@ -251,7 +215,7 @@
 		if (fd < 0)
 			return "";
 		send(fd, bytes.data(), bytes.size(), MSG_NOSIGNAL);
-		std::string got = receive(fd, until);
+		std::string got = FakeReceive(fd, until);
 
 		close(fd);
 		return got;
@@ -334,7 +298,7 @@
 		send(fd, req.data(), cut, MSG_NOSIGNAL);
 		usleep(3000);
 		send(fd, req.data() + cut, req.size() - cut, MSG_NOSIGNAL);
-		EXPECT_EQ(receive(fd, "usage").substr(9, 3), "200") << cut;
+		EXPECT_EQ(FakeReceive(fd, "usage").substr(9, 3), "200") << cut;
 		close(fd);
 	}
 }
@@ -395,7 +359,7 @@
 	ASSERT_EQ(connect(fd, (struct sockaddr *)&sin, sizeof(sin)), 0);
 	send(fd, req.data(), req.size(), MSG_NOSIGNAL);
 	sleep(3);
-	std::string got = receive(fd, "[DONE]");
+	std::string got = FakeReceive(fd, "[DONE]");
 
 	close(fd);
 	EXPECT_NE(got.find("[DONE]"), std::string::npos);
@@ -461,10 +425,10 @@
 	std::string got;
 
 	send(fd, req.data(), req.size(), MSG_NOSIGNAL);
-	got = receive(fd, "finish_reason");
+	got = FakeReceive(fd, "finish_reason");
 	for (const char *name : { "entry-east", "engine-east" })
 		kill(pids[name], SIGTERM);
-	got += receive(fd, "[DONE]");
+	got += FakeReceive(fd, "[DONE]");
 	close(fd);
 	EXPECT_EQ(count(got, "\"finish_reason\":null"), 60u);
 	EXPECT_EQ(count(got, "[DONE]"), 1u);
--- a/tests/test_gateway.cc
+++ b/tests/test_gateway.cc
@@ -64,16 +64,7 @@
 	}
 	std::string Ready()
 	{
-		int fd = FakeDial("127.0.0.2", ready);
-
-		if (fd < 0)
-			return "";
-		FakeSend(fd, "GET /ready HTTP/1.1\r\nHost: x\r\n"
-			     "Connection: close\r\n\r\n");
-		std::string got = FakeReceive(fd);
-
-		close(fd);
-		return got;
+		return FakeGet("127.0.0.2", ready, "/ready");
 	}
 	void AwaitReady()
 	{
--- a/tests/test_gateway_soak.cc
+++ b/tests/test_gateway_soak.cc
@@ -434,15 +434,7 @@
 			std::string got;
 
 			for (int k = 0; k < 400; k++) {
-				int fd = FakeDial(g.ip.c_str(), g.ready);
-
-				if (fd >= 0) {
-					FakeSend(fd, "GET /ready HTTP/1.1\r\n"
-						     "Host: x\r\nConnection: "
-						     "close\r\n\r\n");
-					got = FakeReceive(fd);
-					close(fd);
-				}
+				got = FakeGet(g.ip.c_str(), g.ready, "/ready");
 				if (got.find(" 200 ") != std::string::npos)
 					break;
 				usleep(50000);
