Gateway: log and count cancelled sends, cut answers and dropped callers

What an operator saw: a request whose answer was cut in the middle left the same line (failed or refused) as one that got its 502 or 503, and a connection closed with unanswered bytes left none.

New lines: cancelled (why, silent_ms, last_event), answer_cut (why, last_event, time_left, tries), caller_dropped (why, unanswered_bytes). New counters: stalled_total, answers_cut_total, callers_dropped_total. No decision changes.

--- a/daemons/gateway/callers.c
+++ b/daemons/gateway/callers.c
@@ -4,6 +4,8 @@
  */
 #include "gateway.h"
 
+#include "pimentoford/counters.h"
+
 #include <errno.h>
 #include <stdlib.h>
 #include <string.h>
@@ -75,6 +77,17 @@
 	free(c);
 }
 
+/* Logs that bytes of a request on this connection get no answer. */
+static void log_dropped(const struct caller *c, const char *why)
+{
+	struct gateway *g = c->gateway;
+
+	g->counters->v[PF_GC_DROPPED]++;
+	PF_LOG(&g->log, PF_LOG_WARN, "caller_dropped", PF_KV_STR("why", why),
+	       PF_KV_INT("unanswered_bytes", (int64_t)(c->input.n + c->body.n)),
+	       PF_KV_INT("ms", pf_clock_now() - c->state_since));
+}
+
 static void set_state(struct caller *c, enum caller_state state)
 {
 	c->state = state;
@@ -212,6 +225,7 @@
 		c->state_since = pf_clock_now();
 	pf_text_add(&c->input, in);
 	if (c->input.failed) {
+		log_dropped(c, "no memory");
 		caller_abort(c);
 		return;
 	}
@@ -243,6 +257,9 @@
 	if (caller_will_close(c)) {
 		struct pf_sock *s = c->sock;
 
+		if (c->input.n > 0)
+			log_dropped(c, "closed behind an answer");
+
 		c->sock = NULL;
 		if (c->parsing) {
 			/* parse_input() still uses @c. */
@@ -307,6 +324,13 @@
 	return false;
 }
 
+static void close_timed_out(struct caller *c)
+{
+	if (c->state == CALLER_READING_BODY)
+		log_dropped(c, "body timeout");
+	caller_free(c);
+}
+
 static void on_sweep(evutil_socket_t fd, short what, void *ctx)
 {
 	struct gateway *g = ctx;
@@ -322,7 +346,7 @@
 			if (c->state == CALLER_READING_HEAD && c->input.n > 0)
 				refuse_and_linger(c, 408, "header_timeout");
 			else
-				caller_free(c);
+				close_timed_out(c);
 		}
 		c = next;
 	}
--- a/daemons/gateway/core.c
+++ b/daemons/gateway/core.c
@@ -1,8 +1,28 @@
 /* Drives the gate core: passes it messages and ticks, executes its acts. */
 #include "gateway.h"
 
+#include "pimentoford/counters.h"
+
 #include <stdlib.h>
 
+static void cancel_send(struct exchange *x, const struct pf_gate_act *a)
+{
+	enum pf_gate_cancel why = a->u.cancel.reason;
+	struct gateway *g = x->gateway;
+
+	if (why == PF_GATE_CANCEL_STALLED)
+		g->counters->v[PF_GC_STALLED]++;
+	PF_LOG(&g->log, PF_LOG_INFO, "cancelled",
+	       PF_KV_TEXT("id", x->inbound.id),
+	       PF_KV_STR("endpoint",
+			 x->upstream ? x->upstream->endpoint->info.instance
+				     : ""),
+	       PF_KV_STR("why", pf_gate_cancel_code(why)),
+	       PF_KV_INT("silent_ms", a->u.cancel.silent),
+	       PF_KV_INT("last_event", x->last_event_id));
+	upstream_cancel(x);
+}
+
 static void on_act(void *ctx, const struct pf_gate_act *a)
 {
 	(void)ctx;
@@ -14,7 +34,7 @@
 		talk_request_adapter(a->ctx, a);
 		break;
 	case PF_GATE_CANCEL:
-		upstream_cancel(a->ctx);
+		cancel_send(a->ctx, a);
 		break;
 	case PF_GATE_DELIVER:
 		exchange_deliver(a->ctx);
--- a/daemons/gateway/exchange.c
+++ b/daemons/gateway/exchange.c
@@ -365,6 +365,19 @@
 	finish_exchange(x);
 }
 
+static void log_cut(struct exchange *x, const char *why)
+{
+	struct gateway *g = x->gateway;
+
+	g->counters->v[PF_GC_CUT]++;
+	PF_LOG(&g->log, PF_LOG_WARN, "answer_cut",
+	       PF_KV_TEXT("id", x->inbound.id), PF_KV_STR("why", why),
+	       PF_KV_INT("last_event", x->last_event_id),
+	       PF_KV_INT("ms", pf_clock_now() - x->arrived_at),
+	       PF_KV_INT("time_left", x->inbound.time_left),
+	       PF_KV_INT("tries", x->n_sends));
+}
+
 /* Writes an error answer, or resets the connection if a stream has begun. */
 static void finish_with_error(struct exchange *x, int status, const char *code,
 			      pf_ms retry_after)
@@ -372,6 +385,7 @@
 	struct caller *c = x->caller;
 
 	if (x->answer_head_sent) {
+		log_cut(x, code);
 		exchange_free(x);
 		caller_abort(c);
 		return;
--- a/include/pimentoford/counters.h
+++ b/include/pimentoford/counters.h
@@ -112,6 +112,12 @@
 	    "Requests refused as not run")                                     \
 	DEF(FAILED, "failed_total", "counter", "Requests that failed")         \
 	DEF(CANCELLED, "cancelled_total", "counter", "Callers that went away") \
+	DEF(CUT, "answers_cut_total", "counter",                               \
+	    "Answers ended by a reset after their first event")                \
+	DEF(STALLED, "stalled_total", "counter",                               \
+	    "Sends cancelled because the endpoint was silent")                 \
+	DEF(DROPPED, "callers_dropped_total", "counter",                       \
+	    "Connections closed with unanswered bytes of a request")           \
 	DEF(OPEN, "requests_alive", "gauge", "Open requests")                  \
 	DEF(WAITING, "requests_waiting", "gauge", "Requests that wait")        \
 	DEF(SENT, "sent_total", "counter", "Sends to endpoints")               \
--- a/include/pimentoford/gate.h
+++ b/include/pimentoford/gate.h
@@ -158,7 +158,7 @@
 enum pf_gate_act_type {
 	PF_GATE_SEND, /* u.send */
 	PF_GATE_REQUEST_ADAPTER, /* u.request_adapter: load its adapter there */
-	PF_GATE_CANCEL, /* cancel the send in flight */
+	PF_GATE_CANCEL, /* u.cancel: cancel the send in flight */
 	PF_GATE_DELIVER, /* final: deliver the answer that ended the send */
 	PF_GATE_REFUSE, /* final, u.refuse: did not run and never will */
 	PF_GATE_FAIL, /* final, u.fail: may have run */
@@ -185,6 +185,20 @@
 
 const char *pf_gate_reason_code(enum pf_gate_reason r);
 
+/* DEF(name, code): why a send is cancelled. */
+#define PF_GATE_CANCELS(DEF)    \
+	DEF(HANGUP, "hangup")   \
+	DEF(STALLED, "stalled") \
+	DEF(TIMED_OUT, "timeout")
+
+enum pf_gate_cancel {
+#define DEF(name, code) PF_GATE_CANCEL_##name,
+	PF_GATE_CANCELS(DEF)
+#undef DEF
+};
+
+const char *pf_gate_cancel_code(enum pf_gate_cancel c);
+
 struct pf_gate_act {
 	enum pf_gate_act_type type;
 	void *ctx;
@@ -202,6 +216,10 @@
 		struct {
 			uint64_t endpoint;
 		} request_adapter;
+		struct {
+			enum pf_gate_cancel reason;
+			pf_ms silent; /* since the send or its last event */
+		} cancel;
 		struct {
 			enum pf_gate_reason reason;
 			int status;
--- a/src/coordination/gate/gate.c
+++ b/src/coordination/gate/gate.c
@@ -185,6 +185,17 @@
 	return codes[o];
 }
 
+const char *pf_gate_cancel_code(enum pf_gate_cancel c)
+{
+	static const char *const codes[] = {
+#define DEF(name, code) code,
+		PF_GATE_CANCELS(DEF)
+#undef DEF
+	};
+
+	return codes[c];
+}
+
 const char *pf_gate_reason_code(enum pf_gate_reason r)
 {
 	static const char *const codes[] = {
--- a/src/coordination/gate/gate_life.c
+++ b/src/coordination/gate/gate_life.c
@@ -358,10 +358,13 @@
 			    PF_GATE_REASON_LEAVING);
 }
 
-static void cancel_send(struct pf_gate *g, struct gate_request *r)
+static void cancel_send(struct pf_gate *g, struct gate_request *r,
+			enum pf_gate_cancel why)
 {
 	struct pf_gate_act a = { .type = PF_GATE_CANCEL };
 
+	a.u.cancel.reason = why;
+	a.u.cancel.silent = g->now - r->last_progress_at;
 	if (r->state == GATE_SENT || r->state == GATE_STREAMING)
 		emit(g, r, &a);
 }
@@ -371,7 +374,7 @@
 	struct gate_request *r = &g->requests[slot];
 
 #ifndef PF_MUTANT_GATE_HANGUP
-	cancel_send(g, r);
+	cancel_send(g, r, PF_GATE_CANCEL_HANGUP);
 #endif
 	g->stats.hangups++;
 	free_request(g, r);
@@ -525,7 +528,7 @@
 		return;
 	}
 	avoid_endpoint(r, e->id);
-	cancel_send(g, r);
+	cancel_send(g, r, PF_GATE_CANCEL_STALLED);
 	r->possible_runs++;
 	requeue(g, r);
 }
@@ -546,7 +549,7 @@
 		return;
 	}
 	if (g->now >= r->deadline) {
-		cancel_send(g, r);
+		cancel_send(g, r, PF_GATE_CANCEL_TIMED_OUT);
 		fail_request(g, r, PF_GATE_REASON_TIMEOUT);
 		return;
 	}
