--- a/tests/gateway_fixture.h
+++ b/tests/gateway_fixture.h
@@ -300,7 +300,8 @@
 
 inline std::string GatewaySettings(const std::string &store,
 				   const std::string &ip, int port, int ready,
-				   int talk)
+				   int talk,
+				   const std::string &repeat_ratio = "5.0")
 {
 	auto at = [&](const char *key, int p) {
 		return std::string(key) + " = \"" + ip + ":" +
@@ -313,7 +314,9 @@
 	       store + "\"\n" + at("listen", port) + at("ready", ready) +
 	       at("talk", talk) +
 	       "drain = \"8s\"\n[core]\nrepeat_slack = 50\n"
-	       "repeat_ratio = 5.0\n[[zones]]\nname = \"za\"\n"
+	       "repeat_ratio = " +
+	       repeat_ratio +
+	       "\n[[zones]]\nname = \"za\"\n"
 	       "region = \"east\"\n";
 }
 
--- a/tests/test_gate.cc
+++ b/tests/test_gate.cc
@@ -333,6 +333,56 @@
 	EXPECT_TRUE(Last(1, PF_GATE_SEND)->raw.u.send.resume);
 }
 
+// What is missing for a silent stream to go on at another endpoint.
+struct NoAlternativeCase {
+	const char *name;
+	bool other_endpoint;
+	bool other_silent; /* it has streams that are silent as well */
+	bool budget;
+	bool shutting_down;
+};
+
+struct GateSilence : Gate, ::testing::WithParamInterface<NoAlternativeCase> {
+};
+
+TEST_P(GateSilence, StreamIsKeptWithoutAnAlternative)
+{
+	const NoAlternativeCase &c = GetParam();
+	struct pf_gate_msg shut_down = {};
+
+	if (c.budget)
+		PassFirstWindow();
+	else
+		pf_gate_set_budget(g, 0, 0);
+	if (!c.other_endpoint)
+		Gone("l2");
+	Arrive(1, "/r/", 6000, "m", nullptr, 100);
+	Events(1);
+	for (int tag = 2; c.other_silent && tag < 8; tag++) {
+		Arrive(tag, "/r/", 6000, "m", nullptr, 100);
+		Events(tag);
+	}
+	shut_down.type = PF_GATE_SHUT_DOWN;
+	if (c.shutting_down)
+		Step(shut_down);
+	Tick(1900);
+	EXPECT_EQ(Count(PF_GATE_CANCEL), 0u);
+	EXPECT_EQ(Count(PF_GATE_FAIL), 0u);
+	EXPECT_EQ(Count(PF_GATE_REFUSE), 0u);
+	Events(1, 5);
+	Ended(1, PF_GATE_ANSWERED, 200);
+	EXPECT_NE(Last(1, PF_GATE_DELIVER), nullptr);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+	Reasons, GateSilence,
+	::testing::Values(
+		NoAlternativeCase{ "NoEndpoint", false, false, true, false },
+		NoAlternativeCase{ "AllSilent", true, true, true, false },
+		NoAlternativeCase{ "NoBudget", true, false, false, false },
+		NoAlternativeCase{ "ShuttingDown", false, false, true, true }),
+	[](const auto &p) { return p.param.name; });
+
 TEST_F(Gate, StalledAtMostOnceStreamIsKeptUntilDeadline)
 {
 	Arrive(1, "/t/", 15000, "m", nullptr, 100);
--- a/tests/test_gateway.cc
+++ b/tests/test_gateway.cc
@@ -17,13 +17,15 @@
 	Daemon gateway;
 	int port = FreePort(), ready_port = FreePort(), talk_port = FreePort();
 
-	void StartGateway(bool configured = true)
+	void StartGateway(bool configured = true,
+			  const std::string &repeat_ratio = "5.0")
 	{
 		if (configured)
 			store.Put("op", "config", ConfigJson(1));
 		gateway.Start("pimento-gateway",
 			      GatewaySettings(store.addr(), "127.0.0.2", port,
-					      ready_port, talk_port));
+					      ready_port, talk_port,
+					      repeat_ratio));
 	}
 	std::string Request(const std::string &raw,
 			    const std::string &until = "")
@@ -393,6 +395,77 @@
 	EXPECT_EQ(gateway.Wait(), 0);
 }
 
+// Sound endpoints that fall silent in the middle of their answers.
+struct SilenceCase {
+	const char *name;
+	int silence_ms;
+	int silent_endpoints; /* of two */
+	bool stop; /* SIGTERM during the silence */
+};
+
+struct GatewaySilence : Gateway, ::testing::WithParamInterface<SilenceCase> {
+};
+
+TEST_P(GatewaySilence, CutsNoAnswer)
+{
+	const SilenceCase &c = GetParam();
+	std::vector<std::unique_ptr<FakeServer>> endpoints;
+
+	for (int k = 0; k < 2; k++) {
+		int ms = k < c.silent_endpoints ? c.silence_ms : 0;
+
+		endpoints.push_back(std::make_unique<FakeServer>(
+			"127.0.0.1", [ms](int fd, const FakeRequest &r) {
+				int from =
+					atoi(r.Header("Last-Event-Id").c_str());
+
+				FakeSend(fd, "HTTP/1.1 200 OK\r\nAttempt-Id: " +
+						     r.Header("Attempt-Id") +
+						     "\r\nTransfer-Encoding: "
+						     "chunked\r\n\r\n");
+				for (int i = from + 1; i <= 5; i++) {
+					if (i == 3)
+						usleep(1000 * ms);
+					FakeSend(fd, Chunk(StreamEvent(i)));
+					usleep(20000);
+				}
+				FakeSend(fd, "0\r\n\r\n");
+				return true;
+			}));
+		store.Put("servers", "i-" + std::to_string(k),
+			  EndpointRow("app", endpoints[k]->addr()));
+	}
+	StartGateway(true, "0.2");
+	WaitUntilReady();
+	std::vector<int> fds;
+	for (int k = 0; k < 6; k++) {
+		fds.push_back(FakeDial("127.0.0.2", port));
+		FakeSend(fds[k], GetRequest("/r/x", std::to_string(k)));
+	}
+	store.Put("op", "config", ConfigJson(2));
+	usleep(200000);
+	if (c.stop)
+		gateway.Signal(SIGTERM);
+	for (int fd : fds) {
+		std::string got = FakeReceive(fd);
+
+		close(fd);
+		EXPECT_TRUE(Contains(got, "data: e5\n")) << got;
+		EXPECT_TRUE(Contains(got, "0\r\n\r\n")) << got;
+	}
+}
+
+INSTANTIATE_TEST_SUITE_P(
+	Lengths, GatewaySilence,
+	::testing::Values(SilenceCase{ "Short_One", 300, 1, false },
+			  SilenceCase{ "Short_All", 300, 2, false },
+			  SilenceCase{ "Second_One", 1200, 1, false },
+			  SilenceCase{ "Second_All", 1200, 2, false },
+			  SilenceCase{ "Second_All_Stop", 1200, 2, true },
+			  SilenceCase{ "Long_One", 2000, 1, false },
+			  SilenceCase{ "Long_All", 2000, 2, false }),
+	[](const auto &p) { return p.param.name; });
+
 TEST_F(Gateway, ACallersDisconnectCancelsTheSend)
 {
 	std::atomic<bool> closed{ false };
