Gate core: silence alone ends no send

Cause: after 900 ms without an event (220 ms for a plain service) the core cancelled the send first and looked for another endpoint afterwards. If none took the request at once, the retry budget was used up or the process was stopping, there was nothing left but to cut the answer. Several endpoints that pause at once made all their streams do so: they also took each other's budget.

Now a send is cancelled only in the step that sends the request to another endpoint: the endpoint is picked and the retry taken first. A silent engine is probed by a connection after 450 ms. If that fails, requests may move after 900 ms, as before; if it connects, after 1.9 s, since a paused endpoint goes on by itself and would work on a request that was moved. The first event after a pause of all streams unblocks the endpoint, restarts the clock of its other requests and is not learned as its speed. Plain requests don't move to services that are silent as well. Only answers count as progress of an endpoint, not failures.

A dead endpoint is left after 0.9 s as before (Probe/GateMove, Gate.Stalled*).

--- a/daemons/gateway/callers.c
+++ b/daemons/gateway/callers.c
@@ -247,7 +247,7 @@
 	caller_free(c);
 }
 
-static const struct pf_sock_cbs caller_cbs = { on_data, on_closed };
+static const struct pf_sock_cbs caller_cbs = { on_data, on_closed, NULL };
 
 void caller_answer_done(struct caller *c)
 {
--- a/daemons/gateway/core.c
+++ b/daemons/gateway/core.c
@@ -25,7 +25,6 @@
 
 static void on_act(void *ctx, const struct pf_gate_act *a)
 {
-	(void)ctx;
 	switch (a->type) {
 	case PF_GATE_SEND:
 		upstream_send(a->ctx, a);
@@ -36,6 +35,9 @@
 	case PF_GATE_CANCEL:
 		cancel_send(a->ctx, a);
 		break;
+	case PF_GATE_PROBE:
+		upstream_probe(ctx, a->u.probe.endpoint);
+		break;
 	case PF_GATE_DELIVER:
 		exchange_deliver(a->ctx);
 		break;
--- a/daemons/gateway/gateway.h
+++ b/daemons/gateway/gateway.h
@@ -181,6 +181,8 @@
 
 /* upstream.c: connections to endpoints */
 void upstream_send(struct exchange *x, const struct pf_gate_act *a);
+/** Connects to a silent endpoint; reports to the core if that succeeds. */
+void upstream_probe(struct gateway *g, uint64_t endpoint);
 /** Closes the connection of the send in flight, if any. */
 void upstream_cancel(struct exchange *x);
 void upstream_close_idle(struct endpoint *e);
--- a/daemons/gateway/upstream.c
+++ b/daemons/gateway/upstream.c
@@ -44,6 +44,13 @@
 		upstream_free(x->upstream);
 }
 
+static void add_idle(struct upstream *u)
+{
+	u->idle_since = pf_clock_now();
+	LIST_INSERT_HEAD(&u->endpoint->idle_conns, u, next);
+	u->endpoint->n_idle_conns++;
+}
+
 /* Ends the send. The connection becomes idle if reusable, else is closed. */
 static void end_send(struct upstream *u, enum pf_gate_outcome outcome,
 		     bool reset)
@@ -71,11 +78,9 @@
 	endpoint_release_adapter(u->endpoint, u->adapter);
 	u->adapter = 0;
 	if (u->reusable) {
-		u->idle_since = pf_clock_now();
 		u->in_body = false;
 		pf_text_reset(&u->head_buf);
-		LIST_INSERT_HEAD(&u->endpoint->idle_conns, u, next);
-		u->endpoint->n_idle_conns++;
+		add_idle(u);
 	} else {
 		upstream_free(u);
 	}
@@ -240,7 +245,28 @@
 		end_send_lost(u, true);
 }
 
-static const struct pf_sock_cbs upstream_cbs = { on_data, on_closed };
+/* The connection of a probe becomes an idle one. */
+static void on_connected(void *ctx)
+{
+	struct pf_gate_msg m = { .type = PF_GATE_REACHABLE };
+	struct upstream *u = ctx;
+	struct endpoint *e = u->endpoint;
+
+	if (u->exchange)
+		return;
+	if (e->removed) {
+		upstream_free(u);
+		return;
+	}
+	u->idle_deadline =
+		pf_clock_now() + DEFAULT_KEEP_ALIVE_MS - KEEP_ALIVE_MARGIN_MS;
+	add_idle(u);
+	m.u.id = e->info.id;
+	core_step(e->gateway, &m);
+}
+
+static const struct pf_sock_cbs upstream_cbs = { on_data, on_closed,
+						 on_connected };
 
 static struct upstream *take_idle(struct endpoint *e, bool at_most_once)
 {
@@ -337,6 +363,16 @@
 	write_request(u, a);
 }
 
+void upstream_probe(struct gateway *g, uint64_t endpoint)
+{
+	struct endpoint *e = endpoint_find(g, endpoint);
+
+	/* Without a connection the endpoint counts as unreachable. */
+	if (e && !connect_to(e))
+		PF_LOG(&g->log, PF_LOG_WARN, "probe_failed",
+		       PF_KV_STR("endpoint", e->info.instance));
+}
+
 /* Closes the expired idle connections, or all. */
 static void close_idle(struct endpoint *e, bool all)
 {
--- a/fuzz/fuzz_gate.c
+++ b/fuzz/fuzz_gate.c
@@ -1,8 +1,9 @@
 /*
  * Gate cores that share a retry budget, checked against the guarantees for
  * callers: at-most-once requests run at most once, a refused request did not
- * run, each request gets one final act by its deadline, and the retries of all
- * gateways together stay within the budget.
+ * run, each request gets one final act by its deadline, a silent send ends only
+ * for another one, and the retries of
+ * all gateways together stay within the budget.
  */
 #include "fuzz/fuzz.h"
 #include "pimentoford/gate.h"
@@ -34,6 +35,7 @@
 	uint32_t sends_on_wire;
 	bool response_started;
 	bool in_flight;
+	bool stalled; /* cancelled for silence, not sent again */
 	uint32_t endpoint;
 	int status; /* of the last complete answer */
 	bool complete_answer; /* the current send ended with one */
@@ -59,6 +61,7 @@
 	struct endpoint_view endpoints[ENDPOINTS];
 	struct req reqs[REQUESTS];
 	uint32_t stepping_gate; /* whose acts come now */
+	uint64_t probed; /* endpoint of the last probe; 0: none */
 	/* Rings of the last arrivals and retries. */
 	pf_ms retries[HISTORY_MAX], arrivals[HISTORY_MAX];
 	uint32_t n_retries, n_arrivals;
@@ -130,6 +133,7 @@
 	    a->u.send.time_left > q->deadline - w->now)
 		fuzz_violation(w->r, "time_left is not within the deadline");
 	q->in_flight = true;
+	q->stalled = false;
 	q->endpoint = at;
 	if (q->sends_on_wire++ == 0)
 		return;
@@ -158,14 +162,31 @@
 	    q->deadline > w->now)
 		fuzz_violation(w->r,
 			       "retry_after exceeds a third of the time left");
+	if (q->stalled)
+		fuzz_violation(w->r, "ended because its endpoint was silent");
 	q->active = false;
 }
 
+static void check_stalls(struct world *w)
+{
+	uint32_t i;
+
+	for (i = 0; i < REQUESTS; i++) {
+		if (w->reqs[i].active && w->reqs[i].stalled)
+			fuzz_violation(w->r,
+				       "silent send cancelled without another");
+	}
+}
+
 static void emit(void *ctx, const struct pf_gate_act *a)
 {
 	struct world *w = ctx;
 	struct req *q = a->ctx;
 
+	if (a->type == PF_GATE_PROBE) {
+		w->probed = a->u.probe.endpoint;
+		return;
+	}
 	if (!q->active || q->gate != w->stepping_gate) {
 		fuzz_violation(w->r, "act for a request that has ended");
 		return;
@@ -180,8 +201,11 @@
 		if (!q->in_flight)
 			fuzz_violation(w->r, "cancel without a send in flight");
 		q->in_flight = false;
+		q->stalled = a->u.cancel.reason == PF_GATE_CANCEL_STALLED;
 		q->possible_runs++;
 		break;
+	case PF_GATE_PROBE:
+		break;
 	case PF_GATE_DELIVER:
 	case PF_GATE_REFUSE:
 	case PF_GATE_FAIL:
@@ -196,6 +220,7 @@
 
 	w->stepping_gate = gate;
 	pf_gate_step(w->gates[gate], w->now, m, &sink);
+	check_stalls(w);
 }
 
 static void list_endpoint(struct world *w, uint32_t gate, uint32_t i,
@@ -438,6 +463,17 @@
 	}
 }
 
+/* Some probes connect, at once or late. */
+static void answer_probe(struct world *w)
+{
+	struct pf_gate_msg m = { .type = PF_GATE_REACHABLE };
+
+	m.u.id = w->probed;
+	if (w->probed)
+		step(w, draw(w, GATES), &m);
+	w->probed = 0;
+}
+
 static void tick(struct world *w)
 {
 	static const struct pf_gate_msg m = { .type = PF_GATE_TICK };
@@ -473,8 +509,10 @@
 			pass_events(w);
 		else if (op < 60)
 			hang_up(w);
-		else if (op < 64)
+		else if (op < 63)
 			change_endpoint(w);
+		else if (op < 64)
+			answer_probe(w);
 		else if (op < 80)
 			exchange_digests(w);
 		else if (op < 99 || draw(w, 8))
--- a/include/pimentoford/gate.h
+++ b/include/pimentoford/gate.h
@@ -133,6 +133,7 @@
 	PF_GATE_ENDED, /* u.end */
 	PF_GATE_PEER_DIGEST, /* u.digest */
 	PF_GATE_ENGINE_STATE, /* u.state: from a loader, borrowed for the call */
+	PF_GATE_REACHABLE, /* u.id: a probed endpoint accepted a connection */
 	PF_GATE_SHUT_DOWN, /* refuses waiting requests, now and from now on */
 	PF_GATE_TICK,
 };
@@ -159,6 +160,7 @@
 	PF_GATE_SEND, /* u.send */
 	PF_GATE_REQUEST_ADAPTER, /* u.request_adapter: load its adapter there */
 	PF_GATE_CANCEL, /* u.cancel: cancel the send in flight */
+	PF_GATE_PROBE, /* u.probe: connect to a silent endpoint; ctx is NULL */
 	PF_GATE_DELIVER, /* final: deliver the answer that ended the send */
 	PF_GATE_REFUSE, /* final, u.refuse: did not run and never will */
 	PF_GATE_FAIL, /* final, u.fail: may have run */
@@ -216,6 +218,9 @@
 		struct {
 			uint64_t endpoint;
 		} request_adapter;
+		struct {
+			uint64_t endpoint;
+		} probe;
 		struct {
 			enum pf_gate_cancel reason;
 			pf_ms silent; /* since the send or its last event */
--- a/include/pimentoford/sock.h
+++ b/include/pimentoford/sock.h
@@ -24,6 +24,8 @@
 	void (*data)(void *ctx, struct pf_str in);
 	/* The connection ended; the owner frees it. */
 	void (*closed)(void *ctx, enum pf_sock_end why);
+	/* Of pf_sock_connect(); may be NULL. */
+	void (*connected)(void *ctx);
 };
 
 /**
--- a/src/coordination/gate/gate.c
+++ b/src/coordination/gate/gate.c
@@ -120,6 +120,9 @@
 		gate_endpoint_engine_state(g, m->u.state);
 		g->send_waiting_at = g->now;
 		break;
+	case PF_GATE_REACHABLE:
+		gate_endpoint_reachable(g, m->u.id);
+		break;
 	case PF_GATE_SHUT_DOWN:
 		gate_shut_down(g);
 		break;
--- a/src/coordination/gate/gate_core.h
+++ b/src/coordination/gate/gate_core.h
@@ -83,7 +83,10 @@
 	int64_t own_kv_tokens;
 	double own_prefill_ms; /* of those without a first event */
 	uint32_t own_streaming; /* those with events passed on */
-	pf_ms last_progress_at; /* last event, end of a send, or first send */
+	pf_ms last_progress_at; /* last event or answer, or first send */
+	pf_ms resumed_at; /* first progress after a silence; 0: none */
+	pf_ms probed_at; /* last probe; 0: none */
+	pf_ms reachable_at; /* last probe that connected; 0: none */
 	/* Requests in flight from the other gateways, from their digests. */
 	uint32_t peer_running;
 	int64_t peer_kv_tokens;
@@ -96,11 +99,25 @@
 	double event_interval_ms; /* between two events of a stream */
 	double failure_rate; /* share of failed sends, smoothed */
 	pf_ms blocked_until; /* no sends until then: unreachable or full */
+	bool blocked_silent; /* blocked for silence; progress unblocks it */
 	uint32_t consecutive_blocks;
 	uint64_t missing_model; /* rejected though listed; 0: none */
 	pf_ms missing_until;
 };
 
+/* All streams of an endpoint silent for this long: it has paused or died. */
+#define GATE_STREAMS_SILENT_MS 500
+
+/** What a request would meet at an endpoint. */
+struct gate_estimate {
+	double cost; /* ms; INFINITY: not usable now */
+	double first_event_ms;
+	double prefill_ms;
+	uint32_t cached_tokens;
+	uint32_t kv_tokens;
+	bool lacks_adapter; /* must be loaded first */
+};
+
 /** The last digest of another gateway. */
 struct gate_peer {
 	uint64_t id; /* 0: free */
@@ -225,6 +242,8 @@
 void gate_load_remove(struct pf_gate *g, struct gate_request *r);
 /** Sends nothing to @e for a while; the time doubles with each block. */
 void gate_endpoint_block(struct pf_gate *g, struct gate_endpoint *e);
+/** The same until its next event or answer, unless it is blocked already. */
+void gate_endpoint_block_silent(struct pf_gate *g, struct gate_endpoint *e);
 void gate_endpoint_count_result(struct gate_endpoint *e, bool failed);
 void gate_peer_digest(struct pf_gate *g, const struct pf_gate_digest *d);
 /** Drops the loads of gateways that stopped sending digests. */
@@ -251,6 +270,15 @@
  */
 uint32_t gate_pick(struct pf_gate *g, struct gate_request *r,
 		   uint32_t *load_at);
+/**
+ * The best endpoint for a request that is in flight at a blocked one: none that
+ * failed it or seems silent. Returns GATE_NIL if there is none.
+ */
+uint32_t gate_pick_other(struct pf_gate *g, const struct gate_request *r,
+			 struct gate_estimate *out);
+/** Not while @r is in flight: the load of its endpoint counts the old one. */
+void gate_request_set_estimate(struct gate_request *r,
+			       const struct gate_estimate *x);
 /** Whether any endpoint could serve @r, even if all are busy. */
 bool gate_has_endpoint(struct pf_gate *g, const struct gate_request *r);
 /** Updates latency estimates at the first event of @r. */
@@ -294,6 +322,30 @@
 void gate_shut_down(struct pf_gate *g);
 /** Sends @r, or ends it for lack of retry budget; false if it must wait. */
 bool gate_try_send(struct pf_gate *g, struct gate_request *r);
+/** Takes a retry from the budget; the first send on the wire is free. */
+bool gate_take_retry(struct pf_gate *g, const struct gate_request *r);
+/** Requests the adapter of @r, at intervals. */
+void gate_request_adapter(struct pf_gate *g, struct gate_request *r,
+			  uint32_t at);
+/** Cancels the send in flight and sends to slot @at. */
+void gate_request_move(struct pf_gate *g, struct gate_request *r, uint32_t at,
+		       const struct gate_estimate *to);
+#ifdef PF_MUTANT_GATE_SILENCE
+void gate_request_cancel_stalled(struct pf_gate *g, struct gate_request *r);
+#endif
+
+/* gate_stall.c */
+/** When a request in flight needs gate_stall_check(); PF_NEVER: never. */
+pf_ms gate_stall_next(const struct pf_gate *g, const struct gate_request *r);
+/**
+ * Probes a silent endpoint, or moves the request to another one. A request
+ * that has no other endpoint stays.
+ */
+void gate_stall_check(struct pf_gate *g, struct gate_request *r);
+/** A probe of the endpoint has connected. */
+void gate_endpoint_reachable(struct pf_gate *g, uint64_t id);
+/** An event or answer came; it ends the endpoint's silence, if any. */
+void gate_endpoint_progress(struct pf_gate *g, struct gate_endpoint *e);
 
 /* gate_wait.c */
 void gate_wait_add(struct pf_gate *g, struct gate_request *r);
--- a/src/coordination/gate/gate_endpoints.c
+++ b/src/coordination/gate/gate_endpoints.c
@@ -186,7 +186,11 @@
 	if (e->incarnation != incarnation) {
 		e->incarnation = incarnation;
 		e->blocked_until = 0;
+		e->blocked_silent = false;
 		e->consecutive_blocks = 0;
+		e->resumed_at = 0;
+		e->probed_at = 0;
+		e->reachable_at = 0;
 		e->failure_rate = 0;
 		e->event_interval_ms = EVENT_INTERVAL_MS;
 		e->loader_seen_at = 0;
@@ -292,9 +296,18 @@
 	if (e->blocked_until > g->now)
 		return;
 	e->blocked_until = g->now + (span < BLOCK_MAX_MS ? span : BLOCK_MAX_MS);
+	e->blocked_silent = false;
 	e->consecutive_blocks++;
 }
 
+void gate_endpoint_block_silent(struct pf_gate *g, struct gate_endpoint *e)
+{
+	if (e->blocked_until > g->now)
+		return;
+	gate_endpoint_block(g, e);
+	e->blocked_silent = true;
+}
+
 void gate_endpoint_count_result(struct gate_endpoint *e, bool failed)
 {
 	e->failure_rate +=
--- a/src/coordination/gate/gate_life.c
+++ b/src/coordination/gate/gate_life.c
@@ -6,10 +6,6 @@
 #define STATUS_OK 200
 /* Sends of one request, including those that did not run. */
 #define SENDS_MAX 5
-/* Silence after which a send counts as stalled; for an engine, beyond the
- * expected time to the first event. */
-#define STALL_ENGINE_MS 900
-#define STALL_PLAIN_MS 220
 /* Reserved for passing the answer back to the caller. */
 #define RETURN_MS 10
 /* Retry-After is at most a third of the time left: the longer the wait, the
@@ -135,21 +131,14 @@
 	return p > PRIORITY_MAX ? PRIORITY_MAX : p;
 }
 
-static pf_ms stall_timeout(const struct gate_request *r)
-{
-	return r->model ? STALL_ENGINE_MS + (pf_ms)r->first_event_ms
-			: STALL_PLAIN_MS;
-}
-
 static void arm_timer(struct pf_gate *g, struct gate_request *r)
 {
 	pf_ms at = r->deadline;
 
 	if (r->state == GATE_WAITING)
 		at = gate_wait_deadline(g, r);
-	else if (gate_retryable(r) &&
-		 r->last_progress_at + stall_timeout(r) < at)
-		at = r->last_progress_at + stall_timeout(r);
+	else if (gate_stall_next(g, r) < at)
+		at = gate_stall_next(g, r);
 	pf_heap_set(&g->request_timers, slot_of(g, r),
 		    at > g->now ? at : g->now + 1);
 }
@@ -181,8 +170,7 @@
 	emit(g, r, &a);
 }
 
-/* Takes a retry from the budget; the first send on the wire is free. */
-static bool take_retry(struct pf_gate *g, const struct gate_request *r)
+bool gate_take_retry(struct pf_gate *g, const struct gate_request *r)
 {
 	if (r->sends_on_wire == 0)
 		return true;
@@ -192,9 +180,8 @@
 	return true;
 }
 
-/* Requests the adapter of @r, at intervals while @r waits. */
-static void request_adapter(struct pf_gate *g, struct gate_request *r,
-			    uint32_t at)
+void gate_request_adapter(struct pf_gate *g, struct gate_request *r,
+			  uint32_t at)
 {
 	struct pf_gate_act a = { .type = PF_GATE_REQUEST_ADAPTER };
 
@@ -212,16 +199,16 @@
 	uint32_t at = gate_pick(g, r, &load_at);
 
 	if (load_at != GATE_NIL)
-		request_adapter(g, r, load_at);
+		gate_request_adapter(g, r, load_at);
 	if (at == GATE_NIL)
 		return false;
-	if (r->state == GATE_WAITING)
-		gate_wait_remove(g, r);
-	r->state = GATE_FREE; /* neither queued nor in flight */
-	if (!take_retry(g, r)) {
+	if (!gate_take_retry(g, r)) {
 		end_request(g, r, PF_GATE_REASON_RETRY_BUDGET);
 		return true;
 	}
+	if (r->state == GATE_WAITING)
+		gate_wait_remove(g, r);
+	r->state = GATE_FREE; /* neither queued nor in flight */
 	send_request(g, r, at);
 	return true;
 }
@@ -385,6 +372,7 @@
 	struct gate_request *r = &g->requests[slot];
 	struct gate_endpoint *e = &g->endpoints[r->endpoint_slot];
 
+	gate_endpoint_progress(g, e);
 	if (r->prefill_ms > 0) {
 		gate_learn_latency(g, r);
 		gate_load_prefilled(g, r);
@@ -392,7 +380,7 @@
 	}
 	if (r->state != GATE_STREAMING)
 		e->own_streaming++;
-	else if (n > 0)
+	else if (n > 0 && r->last_progress_at >= e->resumed_at)
 		e->event_interval_ms +=
 			EVENT_INTERVAL_WEIGHT *
 			((double)(g->now - r->last_progress_at) / n -
@@ -401,7 +389,6 @@
 	r->state = GATE_STREAMING;
 	r->response_started = true;
 	r->last_progress_at = g->now;
-	e->last_progress_at = g->now;
 }
 
 static void avoid_endpoint(struct gate_request *r, uint64_t id)
@@ -428,6 +415,7 @@
 		} else if (end->misdirected) {
 			gate_endpoint_block(g, e);
 		} else {
+			e->blocked_silent = false;
 			e->blocked_until =
 				g->now + (pause < FULL_PAUSE_MAX_MS
 						  ? pause
@@ -461,7 +449,7 @@
 	r->state = GATE_FREE;
 	at = gate_pick(g, r, &load_at);
 	/* Without another endpoint or budget the caller gets the error. */
-	if (at == GATE_NIL || !take_retry(g, r))
+	if (at == GATE_NIL || !gate_take_retry(g, r))
 		return false;
 	send_request(g, r, at);
 	return true;
@@ -482,7 +470,8 @@
 		as_broken.outcome = PF_GATE_BROKEN;
 		end = &as_broken;
 	}
-	e->last_progress_at = g->now;
+	if (end->outcome == PF_GATE_ANSWERED || end->outcome == PF_GATE_NOT_RUN)
+		gate_endpoint_progress(g, e);
 	update_endpoint_health(g, r, e, end);
 	switch (end->outcome) {
 	case PF_GATE_ANSWERED:
@@ -516,22 +505,26 @@
 	}
 }
 
-/* Retries a stalled request at another endpoint if it has attempts left. */
-static void handle_stall(struct pf_gate *g, struct gate_request *r)
+void gate_request_move(struct pf_gate *g, struct gate_request *r, uint32_t at,
+		       const struct gate_estimate *to)
 {
-	struct gate_endpoint *e = &g->endpoints[r->endpoint_slot];
+	avoid_endpoint(r, g->endpoints[r->endpoint_slot].id);
+	cancel_send(g, r, PF_GATE_CANCEL_STALLED);
+	r->possible_runs++;
+	detach(g, r);
+	r->state = GATE_FREE;
+	gate_request_set_estimate(r, to);
+	send_request(g, r, at);
+}
 
-	gate_endpoint_block(g, e);
-	if (r->possible_runs + 1 >= r->attempts_max) {
-		/* No other endpoint may run it; this one may still answer. */
-		pf_heap_set(&g->request_timers, slot_of(g, r), r->deadline);
-		return;
-	}
-	avoid_endpoint(r, e->id);
+#ifdef PF_MUTANT_GATE_SILENCE
+void gate_request_cancel_stalled(struct pf_gate *g, struct gate_request *r)
+{
 	cancel_send(g, r, PF_GATE_CANCEL_STALLED);
 	r->possible_runs++;
 	requeue(g, r);
 }
+#endif
 
 void gate_request_timer(struct pf_gate *g, uint32_t slot)
 {
@@ -553,10 +546,6 @@
 		fail_request(g, r, PF_GATE_REASON_TIMEOUT);
 		return;
 	}
-	if (gate_retryable(r) &&
-	    g->now >= r->last_progress_at + stall_timeout(r)) {
-		handle_stall(g, r);
-		return;
-	}
+	gate_stall_check(g, r);
 	arm_timer(g, r);
 }
--- a/src/coordination/gate/gate_pick.c
+++ b/src/coordination/gate/gate_pick.c
@@ -21,8 +21,8 @@
 #define QUEUED_PREFILL_MAX_MS 1200.0
 /* Share of an engine's KV cache; above it, runs are preempted. */
 #define KV_FILL_MAX 0.92
-/* An endpoint is skipped when all its streams are silent for this long. */
-#define STREAMS_SILENT_MS 500
+/* No request moves to a plain endpoint that answered nothing for this long. */
+#define PLAIN_SILENT_MS 220
 /* Delay of this request and others at the endpoint by loading an adapter. */
 #define ADAPTER_LOAD_MS 45.0
 /* Weight of the time for all events: slow events make the request late and
@@ -99,6 +99,9 @@
 	double took = (double)(g->now - r->sent_at) - 2 * e->distance_ms;
 	double ratio;
 
+	/* A pause of the endpoint says nothing about its speed. */
+	if (r->sent_at < e->resumed_at)
+		return;
 	if (!e->kv_capacity || r->first_event_ms < LEARN_MIN_MS || took <= 0)
 		return;
 	ratio = took / r->first_event_ms;
@@ -128,7 +131,7 @@
 			   const struct gate_endpoint *e)
 {
 	return e->own_streaming > 0 &&
-	       g->now - e->last_progress_at > STREAMS_SILENT_MS;
+	       g->now - e->last_progress_at > GATE_STREAMS_SILENT_MS;
 }
 
 /* Whether the endpoint could serve @r, even if it is busy. */
@@ -198,17 +201,9 @@
 	       e->distance_ms / 2 + FAILED_SEND_MS * e->failure_rate;
 }
 
-struct estimate {
-	double cost; /* ms; INFINITY: not usable now */
-	double first_event_ms;
-	double prefill_ms;
-	uint32_t cached_tokens;
-	uint32_t kv_tokens;
-	bool lacks_adapter; /* must be loaded first */
-};
-
 static void estimate_cost(struct pf_gate *g, const struct gate_request *r,
-			  const struct gate_endpoint *e, struct estimate *out)
+			  const struct gate_endpoint *e,
+			  struct gate_estimate *out)
 {
 	double queued = e->own_prefill_ms + e->peer_prefill_ms;
 	uint32_t fresh;
@@ -245,8 +240,20 @@
 		PREFILL_DELAY_WEIGHT * out->prefill_ms * total_running(g, e);
 }
 
+static bool plain_silent(const struct pf_gate *g, const struct gate_endpoint *e)
+{
+	return !e->kv_capacity && e->own_running > 0 &&
+	       g->now - e->last_progress_at > PLAIN_SILENT_MS;
+}
+
+enum pick_among {
+	PICK_NEW, /* endpoints that did not fail the request */
+	PICK_AVOIDED, /* those that did */
+	PICK_OTHER, /* like PICK_NEW, and not silent */
+};
+
 static uint32_t best_endpoint(struct pf_gate *g, const struct gate_request *r,
-			      bool among_avoided, struct estimate *best)
+			      enum pick_among among, struct gate_estimate *best)
 {
 	uint32_t at = GATE_NIL;
 	uint32_t i;
@@ -254,11 +261,12 @@
 	best->cost = INFINITY;
 	for (i = 0; i < g->n_endpoints; i++) {
 		struct gate_endpoint *e = &g->endpoints[i];
-		struct estimate x = { 0 };
+		struct gate_estimate x = { 0 };
 
 		if (!is_candidate(g, r, e) || e->blocked_until > g->now ||
 		    streams_silent(g, e) ||
-		    is_avoided(r, e->id) != among_avoided)
+		    is_avoided(r, e->id) != (among == PICK_AVOIDED) ||
+		    (among == PICK_OTHER && plain_silent(g, e)))
 			continue;
 		estimate_cost(g, r, e, &x);
 		x.lacks_adapter =
@@ -276,14 +284,22 @@
 	return at;
 }
 
+void gate_request_set_estimate(struct gate_request *r,
+			       const struct gate_estimate *x)
+{
+	r->first_event_ms = x->first_event_ms;
+	r->prefill_ms = x->prefill_ms;
+	r->kv_tokens = x->kv_tokens;
+}
+
 uint32_t gate_pick(struct pf_gate *g, struct gate_request *r, uint32_t *load_at)
 {
-	struct estimate best;
-	uint32_t at = best_endpoint(g, r, false, &best);
+	struct gate_estimate best;
+	uint32_t at = best_endpoint(g, r, PICK_NEW, &best);
 
 	/* An endpoint that failed the request before is better than none. */
 	if (at == GATE_NIL && r->n_avoided)
-		at = best_endpoint(g, r, true, &best);
+		at = best_endpoint(g, r, PICK_AVOIDED, &best);
 	*load_at = GATE_NIL;
 	if (at == GATE_NIL)
 		return at;
@@ -291,8 +307,12 @@
 		*load_at = at;
 		return GATE_NIL;
 	}
-	r->first_event_ms = best.first_event_ms;
-	r->prefill_ms = best.prefill_ms;
-	r->kv_tokens = best.kv_tokens;
+	gate_request_set_estimate(r, &best);
 	return at;
 }
+
+uint32_t gate_pick_other(struct pf_gate *g, const struct gate_request *r,
+			 struct gate_estimate *out)
+{
+	return best_endpoint(g, r, PICK_OTHER, out);
+}
--- a/src/transport/sock.c
+++ b/src/transport/sock.c
@@ -105,6 +105,20 @@
 		sock_destroy(s);
 }
 
+/* Returns whether @s still exists. */
+static bool report_connected(struct pf_sock *s)
+{
+	if (!s->cbs->connected)
+		return true;
+	s->in_callback = true;
+	s->cbs->connected(s->ctx);
+	s->in_callback = false;
+	if (!s->freed)
+		return true;
+	sock_destroy(s);
+	return false;
+}
+
 static int connect_error(int fd)
 {
 	int err = 0;
@@ -127,6 +141,8 @@
 		s->connected = true;
 		if (!s->paused)
 			event_add(s->read_event, NULL);
+		if (!report_connected(s))
+			return;
 	}
 	if (evbuffer_get_length(s->queue) > 0 &&
 	    evbuffer_write(s->queue, fd) < 0 && errno != EAGAIN &&
--- a/tests/test_gate.cc
+++ b/tests/test_gate.cc
@@ -383,6 +383,81 @@
 		NoAlternativeCase{ "ShuttingDown", false, false, true, true }),
 	[](const auto &p) { return p.param.name; });
 
+// When a silent stream goes on at another endpoint.
+struct MoveCase {
+	const char *name;
+	bool reachable; /* the probe connects */
+	pf_ms stays; /* until then it is not moved */
+	pf_ms moves; /* by then it is */
+};
+
+struct GateMove : Gate, ::testing::WithParamInterface<MoveCase> {
+	void Reachable(uint64_t id)
+	{
+		struct pf_gate_msg m = {};
+
+		m.type = PF_GATE_REACHABLE;
+		m.u.id = id;
+		Step(m);
+	}
+};
+
+TEST_P(GateMove, DependsOnTheProbe)
+{
+	const MoveCase &c = GetParam();
+
+	PassFirstWindow();
+	Arrive(1, "/r/", 6000, "m", nullptr, 100);
+	uint64_t first = SentTo(1);
+	Events(1);
+	Tick(500);
+	EXPECT_EQ(Count(PF_GATE_PROBE), 1u);
+	if (c.reachable)
+		Reachable(first);
+	Tick(c.stays - 500);
+	EXPECT_EQ(Count(PF_GATE_CANCEL), 0u);
+	EXPECT_EQ(Count(PF_GATE_PROBE), 1u);
+	Tick(c.moves - c.stays);
+	EXPECT_EQ(Count(PF_GATE_CANCEL), 1u);
+	EXPECT_NE(SentTo(1), first);
+}
+
+INSTANTIATE_TEST_SUITE_P(Probe, GateMove,
+			 ::testing::Values(MoveCase{ "Dead", false, 850, 950 },
+					   MoveCase{ "Paused", true, 1800,
+						     2000 }),
+			 [](const auto &p) { return p.param.name; });
+
+TEST_F(Gate, PausedEndpointIsUsedAgainAtOnce)
+{
+	Gone("l2");
+	Arrive(1, "/r/", 6000, "m", nullptr, 100);
+	Events(1);
+	Tick(1500);
+	Arrive(2, "/r/", 6000, "m", nullptr, 100);
+	EXPECT_EQ(SentTo(2), 0u);
+	Events(1);
+	Arrive(3, "/r/", 6000, "m", nullptr, 100);
+	EXPECT_EQ(SentTo(3), Id("l1"));
+}
+
+TEST_F(Gate, StreamsOfAPausedEndpointStayWhenOneOfThemResumes)
+{
+	PassFirstWindow();
+	for (int tag = 1; tag <= 4; tag++) {
+		Arrive(tag, "/r/", 6000, "m", nullptr, 100);
+		Events(tag);
+	}
+	Gone("l2");
+	acts.clear();
+	Tick(1500);
+	Endpoint("l3", "llm", "za", "m");
+	for (int tag = 1; tag <= 4; tag++)
+		Events(tag);
+	Tick(300);
+	EXPECT_EQ(Count(PF_GATE_CANCEL), 0u);
+}
+
 TEST_F(Gate, StalledAtMostOnceStreamIsKeptUntilDeadline)
 {
 	Arrive(1, "/t/", 15000, "m", nullptr, 100);
