Gate core: a started answer waits for another endpoint until its deadline

A caller with a part of its answer can't be given a status any more; the only thing left is a reset.

Now such a request waits in the queue until its deadline: for an endpoint, for retry budget, and also while the process stops. The shared budget limits its sends.

--- a/fuzz/fuzz_gate.c
+++ b/fuzz/fuzz_gate.c
@@ -2,7 +2,7 @@
  * Gate cores that share a retry budget, checked against the guarantees for
  * callers: at-most-once requests run at most once, a refused request did not
  * run, each request gets one final act by its deadline, a silent send ends only
- * for another one, and the retries of
+ * for another one, a started answer goes on while it may, and the retries of
  * all gateways together stay within the budget.
  */
 #include "fuzz/fuzz.h"
@@ -164,6 +164,10 @@
 			       "retry_after exceeds a third of the time left");
 	if (q->stalled)
 		fuzz_violation(w->r, "ended because its endpoint was silent");
+	if (a->type != PF_GATE_DELIVER && q->response_started &&
+	    q->kind == RESUMABLE && q->possible_runs < ATTEMPTS &&
+	    w->now < q->deadline)
+		fuzz_violation(w->r, "started answer cut with attempts left");
 	q->active = false;
 }
 
--- a/src/coordination/gate/gate_life.c
+++ b/src/coordination/gate/gate_life.c
@@ -203,6 +203,9 @@
 	if (at == GATE_NIL)
 		return false;
 	if (!gate_take_retry(g, r)) {
+		/* Nothing is better for a started answer than to wait. */
+		if (r->response_started)
+			return false;
 		end_request(g, r, PF_GATE_REASON_RETRY_BUDGET);
 		return true;
 	}
@@ -213,19 +216,27 @@
 	return true;
 }
 
+/* Whether the request is given up instead of being queued again. */
+static bool give_up(const struct pf_gate *g, const struct gate_request *r)
+{
+	/* The retry budget limits the sends of a started answer. */
+	return !r->response_started &&
+	       (r->sends >= SENDS_MAX ||
+		g->now >= r->deadline - gate_min_service_time(r));
+}
+
 /* Sends the request again or queues it: it did not run, or may run again. */
 static void requeue(struct pf_gate *g, struct gate_request *r)
 {
 	detach(g, r);
 	gate_wait_add(g, r);
-	if (r->sends >= SENDS_MAX ||
-	    g->now >= r->deadline - gate_min_service_time(r)) {
+	if (give_up(g, r)) {
 		end_request(g, r, PF_GATE_REASON_FULL);
 		return;
 	}
 	if (gate_try_send(g, r))
 		return;
-	if (g->shutting_down)
+	if (g->shutting_down && !r->response_started)
 		end_request(g, r, PF_GATE_REASON_LEAVING);
 	else
 		arm_timer(g, r);
@@ -339,10 +350,16 @@
 
 void gate_shut_down(struct pf_gate *g)
 {
+	uint32_t i = g->wait_head;
+
 	g->shutting_down = true;
-	while (g->wait_head != GATE_NIL)
-		end_request(g, &g->requests[g->wait_head],
-			    PF_GATE_REASON_LEAVING);
+	while (i != GATE_NIL) {
+		struct gate_request *r = &g->requests[i];
+
+		i = r->next;
+		if (!r->response_started)
+			end_request(g, r, PF_GATE_REASON_LEAVING);
+	}
 }
 
 static void cancel_send(struct pf_gate *g, struct gate_request *r,
--- a/src/coordination/gate/gate_wait.c
+++ b/src/coordination/gate/gate_wait.c
@@ -55,6 +55,9 @@
 	pf_ms limit = r->arrived_at +
 		      (pf_ms)(share * (double)(r->deadline - r->arrived_at));
 
+	/* Its caller can't try elsewhere without a new answer. */
+	if (r->response_started)
+		return r->deadline;
 	if (r->objective)
 		limit += r->objective / 8;
 	return limit < last ? limit : last;
--- a/tests/test_gate.cc
+++ b/tests/test_gate.cc
@@ -458,6 +458,38 @@
 	EXPECT_EQ(Count(PF_GATE_CANCEL), 0u);
 }
 
+TEST_F(Gate, BrokenStreamWaitsForAnEndpoint)
+{
+	struct pf_gate_msg shut_down = {};
+
+	pf_gate_set_budget(g, 2, 0);
+	Gone("l2");
+	Arrive(1, "/r/", 6000, "m", nullptr, 100);
+	Events(1);
+	Gone("l1");
+	Ended(1, PF_GATE_BROKEN, 0, true);
+	shut_down.type = PF_GATE_SHUT_DOWN;
+	Step(shut_down);
+	Tick(3000);
+	EXPECT_EQ(Count(PF_GATE_FAIL), 0u);
+	Endpoint("l3", "llm", "za", "m");
+	Tick(100);
+	EXPECT_EQ(SentTo(1), Id("l3"));
+}
+
+TEST_F(Gate, BrokenStreamWaitsForRetryBudget)
+{
+	pf_gate_set_budget(g, 0, 0);
+	Arrive(1, "/r/", 15000, "m", nullptr, 100);
+	Events(1);
+	Ended(1, PF_GATE_BROKEN, 0, true);
+	Tick(1000);
+	EXPECT_EQ(Count(PF_GATE_FAIL), 0u);
+	pf_gate_set_budget(g, 2, 0);
+	Tick(100);
+	EXPECT_EQ(Count(PF_GATE_SEND), 2u);
+}
+
 TEST_F(Gate, StalledAtMostOnceStreamIsKeptUntilDeadline)
 {
 	Arrive(1, "/t/", 15000, "m", nullptr, 100);
