Gateway: a shorter idle timeout spares connections that are idle already

What callers saw: a configuration that shortens idle_timeout closed, within 250 ms, each connection that had been idle for longer than the new limit, though the caller still went by the older one (and, on a busy process, connections whose next request was already in the socket).

A connection now keeps the limit under which it became idle, and is closed at the longer of both; never with unread bytes. The same for header_timeout.

--- a/daemons/gateway/callers.c
+++ b/daemons/gateway/callers.c
@@ -49,6 +49,9 @@
 	bool close_after_answer;
 	bool accepts_chunked;
 	pf_ms state_since; /* or since the first byte of a head */
+	/* Limits at that time; later, longer ones apply as well. */
+	pf_ms header_timeout;
+	pf_ms idle_timeout;
 	bool parsing; /* inside parse_input() */
 };
 
@@ -88,10 +91,26 @@
 	       PF_KV_INT("ms", pf_clock_now() - c->state_since));
 }
 
+static pf_ms header_timeout(const struct gateway *g)
+{
+	pf_ms v = g->routes ? g->routes->limits.header_timeout : 0;
+
+	return v > 0 ? v : DEFAULT_HEADER_TIMEOUT_MS;
+}
+
+static pf_ms idle_timeout(const struct gateway *g)
+{
+	pf_ms v = g->routes ? g->routes->limits.idle_timeout : 0;
+
+	return v > 0 ? v : DEFAULT_IDLE_TIMEOUT_MS;
+}
+
 static void set_state(struct caller *c, enum caller_state state)
 {
 	c->state = state;
 	c->state_since = pf_clock_now();
+	c->header_timeout = header_timeout(c->gateway);
+	c->idle_timeout = idle_timeout(c->gateway);
 }
 
 bool caller_will_close(const struct caller *c)
@@ -222,7 +241,7 @@
 	if (c->state == CALLER_LINGERING)
 		return;
 	if (c->state == CALLER_READING_HEAD && c->input.n == 0)
-		c->state_since = pf_clock_now();
+		set_state(c, CALLER_READING_HEAD);
 	pf_text_add(&c->input, in);
 	if (c->input.failed) {
 		log_dropped(c, "no memory");
@@ -307,20 +326,25 @@
 		       PF_KV_STR("why", strerror(errno)));
 }
 
+static pf_ms longer(pf_ms a, pf_ms b)
+{
+	return a > b ? a : b;
+}
+
 static bool timed_out(const struct gateway *g, const struct caller *c,
 		      pf_ms now)
 {
-	pf_ms head = g->routes ? g->routes->limits.header_timeout : 0;
-	pf_ms idle = g->routes ? g->routes->limits.idle_timeout : 0;
 	pf_ms elapsed = now - c->state_since;
 
 	if (c->state == CALLER_LINGERING)
 		return elapsed > LINGER_MS;
 	if (c->state == CALLER_READING_HEAD && c->input.n == 0)
-		return elapsed >
-		       (idle ? idle : DEFAULT_IDLE_TIMEOUT_MS) + IDLE_GRACE_MS;
+		return elapsed > longer(c->idle_timeout, idle_timeout(g)) +
+					 IDLE_GRACE_MS &&
+		       !pf_sock_has_unread(c->sock);
 	if (c->state == CALLER_READING_HEAD || c->state == CALLER_READING_BODY)
-		return elapsed > (head ? head : DEFAULT_HEADER_TIMEOUT_MS) * 2;
+		return elapsed >
+		       2 * longer(c->header_timeout, header_timeout(g));
 	return false;
 }
 
--- a/include/pimentoford/sock.h
+++ b/include/pimentoford/sock.h
@@ -60,6 +60,9 @@
 /** Bytes queued and not yet written to the socket. */
 size_t pf_sock_queued(const struct pf_sock *s);
 
+/** Whether received bytes wait to be read. */
+bool pf_sock_has_unread(const struct pf_sock *s);
+
 /** Stops or resumes reading, for backpressure. */
 void pf_sock_pause(struct pf_sock *s, bool pause);
 
--- a/src/transport/sock.c
+++ b/src/transport/sock.c
@@ -10,6 +10,7 @@
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <stdlib.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -258,6 +259,13 @@
 	return evbuffer_get_length(s->queue);
 }
 
+bool pf_sock_has_unread(const struct pf_sock *s)
+{
+	int n = 0;
+
+	return !s->freed && ioctl(s->fd, FIONREAD, &n) == 0 && n > 0;
+}
+
 void pf_sock_close_when_sent(struct pf_sock *s)
 {
 	if (s->freed)
--- a/tests/test_gateway.cc
+++ b/tests/test_gateway.cc
@@ -466,6 +466,30 @@
 			  SilenceCase{ "Long_All", 2000, 2, false }),
 	[](const auto &p) { return p.param.name; });
 
+TEST_F(Gateway, ShorterIdleTimeoutSparesConnectionsThatAreOpen)
+{
+	FakeServer e("127.0.0.1", AnswerWith("body"));
+	std::string request =
+		"GET /u/x HTTP/1.1\r\nHost: h\r\nAttempt-Id: 1\r\n"
+		"Deadline-Ms: 15000\r\n\r\n";
+
+	store.Put("servers", "i-1", EndpointRow("app", e.addr()));
+	StartGateway();
+	WaitUntilReady();
+	int fd = FakeDial("127.0.0.2", port);
+	FakeSend(fd, request);
+	EXPECT_TRUE(Contains(FakeReceive(fd, "body"), " 200 "));
+	std::string shorter = ConfigJson(2);
+	size_t at = shorter.find("\"idle_timeout_ms\":10000");
+	ASSERT_NE(at, std::string::npos);
+	shorter.replace(at, 23, "\"idle_timeout_ms\":100");
+	store.WaitUntilApplied("op", store.Put("op", "config", shorter));
+	usleep(3500000);
+	FakeSend(fd, request);
+	EXPECT_TRUE(Contains(FakeReceive(fd, "body"), " 200 "));
+	close(fd);
+}
+
 TEST_F(Gateway, ACallersDisconnectCancelsTheSend)
 {
 	std::atomic<bool> closed{ false };
