Gateway: an incomplete body is answered with 408 at its timeout

What callers saw: a connection whose request body stopped arriving was closed without any answer; the same in the head got a 408.

The request has not been sent anywhere, so 408 (not run) is true.

Gateway.IncompleteBodyIsAnsweredAtItsTimeout failed before (nothing received).

--- a/daemons/gateway/callers.c
+++ b/daemons/gateway/callers.c
@@ -348,11 +348,14 @@
 	return false;
 }
 
-static void close_timed_out(struct caller *c)
+static void end_timed_out(struct caller *c)
 {
 	if (c->state == CALLER_READING_BODY)
-		log_dropped(c, "body timeout");
-	caller_free(c);
+		refuse_and_linger(c, 408, "body_timeout");
+	else if (c->state == CALLER_READING_HEAD && c->input.n > 0)
+		refuse_and_linger(c, 408, "header_timeout");
+	else
+		caller_free(c);
 }
 
 static void on_sweep(evutil_socket_t fd, short what, void *ctx)
@@ -366,12 +369,8 @@
 	while (c) {
 		struct caller *next = LIST_NEXT(c, next);
 
-		if (timed_out(g, c, now)) {
-			if (c->state == CALLER_READING_HEAD && c->input.n > 0)
-				refuse_and_linger(c, 408, "header_timeout");
-			else
-				close_timed_out(c);
-		}
+		if (timed_out(g, c, now))
+			end_timed_out(c);
 		c = next;
 	}
 	upstream_close_expired(g);
--- a/tests/test_gateway.cc
+++ b/tests/test_gateway.cc
@@ -490,6 +490,19 @@
 	close(fd);
 }
 
+TEST_F(Gateway, IncompleteBodyIsAnsweredAtItsTimeout)
+{
+	FakeServer e("127.0.0.1", AnswerWith("body"));
+
+	store.Put("servers", "i-1", EndpointRow("app", e.addr()));
+	StartGateway();
+	WaitUntilReady();
+	EXPECT_TRUE(Contains(
+		Request("POST /u/x HTTP/1.1\r\nHost: h\r\nAttempt-Id: 1\r\n"
+			"Content-Length: 10\r\n\r\nhalf"),
+		"HTTP/1.1 408"));
+}
+
 TEST_F(Gateway, ACallersDisconnectCancelsTheSend)
 {
 	std::atomic<bool> closed{ false };
