Gateway: a stop waits until the answers in its queues are sent

What callers saw: a large answer, or one to a slow reader, ended early when the process stopped, though the request had been answered in time.

Cause: the process ended its loop when no request was open. An answer that the socket had not taken yet was queued in user space on a connection without an owner, and was lost with the process. Connections in the listener's backlog were reset at the same moment.

Now the caller stays (state FLUSHING) until its socket has taken all, and the process ends when no caller is left, or at the drain timeout. Callers that read no complete request within 500 ms of the end of accepting are closed, or get a 503 if they had begun. The backlog is accepted before the listener is closed.

--- a/daemons/gateway/callers.c
+++ b/daemons/gateway/callers.c
@@ -27,11 +27,14 @@
  * might destroy the answer before the caller reads it. */
 #define LINGER_MS 1000
 #define SWEEP_INTERVAL_MS 250
+/* Time for the next bytes of a caller once the process stops. */
+#define STOP_READ_MS 500
 
 enum caller_state {
 	CALLER_READING_HEAD, /* also while idle */
-	CALLER_READING_BODY,
+	CALLER_READING_BODY, /* those up to here read a request */
 	CALLER_ANSWERING,
+	CALLER_FLUSHING, /* closed when the answer is sent */
 	CALLER_LINGERING, /* discards input until the sweep closes it */
 };
 
@@ -143,6 +146,27 @@
 	caller_free(c);
 }
 
+/* Closes the connection once all of the answer is sent. */
+static void close_when_sent(struct caller *c)
+{
+	if (pf_sock_queued(c->sock) > 0) {
+		set_state(c, CALLER_FLUSHING);
+		pf_sock_pause(c->sock, true);
+		return;
+	}
+	pf_sock_close(c->sock);
+	c->sock = NULL;
+	caller_free(c);
+}
+
+static void on_sent(void *ctx)
+{
+	struct caller *c = ctx;
+
+	if (c->state == CALLER_FLUSHING)
+		close_when_sent(c);
+}
+
 /* Answers an incomplete request and closes the connection. */
 static void refuse_and_linger(struct caller *c, int status, const char *code)
 {
@@ -266,7 +290,8 @@
 	caller_free(c);
 }
 
-static const struct pf_sock_cbs caller_cbs = { on_data, on_closed, NULL };
+static const struct pf_sock_cbs caller_cbs = { on_data, on_closed, NULL,
+					       on_sent };
 
 void caller_answer_done(struct caller *c)
 {
@@ -274,20 +299,13 @@
 	if (c->state == CALLER_LINGERING)
 		return; /* the sweep closes it */
 	if (caller_will_close(c)) {
-		struct pf_sock *s = c->sock;
-
 		if (c->input.n > 0)
 			log_dropped(c, "closed behind an answer");
-
-		c->sock = NULL;
-		if (c->parsing) {
-			/* parse_input() still uses @c. */
-			c->sock = s;
+		/* parse_input() still uses @c. */
+		if (c->parsing)
 			set_state(c, CALLER_LINGERING);
-			return;
-		}
-		pf_sock_close_when_sent(s);
-		caller_free(c);
+		else
+			close_when_sent(c);
 		return;
 	}
 	set_state(c, CALLER_READING_HEAD);
@@ -338,6 +356,8 @@
 
 	if (c->state == CALLER_LINGERING)
 		return elapsed > LINGER_MS;
+	if (g->shutting_down && c->state <= CALLER_READING_BODY)
+		return elapsed > STOP_READ_MS && !pf_sock_has_unread(c->sock);
 	if (c->state == CALLER_READING_HEAD && c->input.n == 0)
 		return elapsed > longer(c->idle_timeout, idle_timeout(g)) +
 					 IDLE_GRACE_MS &&
@@ -350,7 +370,12 @@
 
 static void end_timed_out(struct caller *c)
 {
-	if (c->state == CALLER_READING_BODY)
+	bool incomplete = c->state == CALLER_READING_BODY ||
+			  (c->state == CALLER_READING_HEAD && c->input.n > 0);
+
+	if (incomplete && c->gateway->shutting_down)
+		refuse_and_linger(c, 503, "leaving");
+	else if (c->state == CALLER_READING_BODY)
 		refuse_and_linger(c, 408, "body_timeout");
 	else if (c->state == CALLER_READING_HEAD && c->input.n > 0)
 		refuse_and_linger(c, 408, "header_timeout");
@@ -396,18 +421,11 @@
 
 void callers_stop_accepting(struct gateway *g)
 {
-	struct caller *c = LIST_FIRST(&g->callers);
-
+	/* Connections in the backlog would be reset. */
+	on_accept(g->listener, EV_READ, g);
 	event_del(g->accept_ev);
 	evutil_closesocket(g->listener);
 	g->listener = -1;
-	while (c) {
-		struct caller *next = LIST_NEXT(c, next);
-
-		if (c->state == CALLER_READING_HEAD && c->input.n == 0)
-			caller_free(c);
-		c = next;
-	}
 }
 
 void callers_stop(struct gateway *g)
--- a/daemons/gateway/gateway.h
+++ b/daemons/gateway/gateway.h
@@ -147,7 +147,7 @@
 /* callers.c: connections of callers */
 int callers_start(struct gateway *g);
 void callers_stop(struct gateway *g);
-/** Accepts no more connections and closes the idle ones. */
+/** Accepts no more connections; the idle ones are closed soon. */
 void callers_stop_accepting(struct gateway *g);
 void caller_set_exchange(struct caller *c, struct exchange *x);
 /** The answer was written: reads the next request, or closes. May free @c. */
--- a/daemons/gateway/main.c
+++ b/daemons/gateway/main.c
@@ -36,7 +36,7 @@
 	pf_routes_free(old);
 }
 
-/* Ends the loop once no callers can arrive and all requests are answered. */
+/* Ends the loop once no callers can arrive and all have their answers. */
 static void on_stop_timer(evutil_socket_t fd, short what, void *ctx)
 {
 	static const struct pf_gate_msg shut_down = {
@@ -58,7 +58,7 @@
 		callers_stop_accepting(g);
 		core_step(g, &shut_down);
 	}
-	if (!LIST_EMPTY(&g->exchanges) && elapsed <= g->settings.drain)
+	if (!LIST_EMPTY(&g->callers) && elapsed <= g->settings.drain)
 		return;
 	event_base_loopbreak(g->base);
 }
--- a/daemons/gateway/upstream.c
+++ b/daemons/gateway/upstream.c
@@ -266,7 +266,7 @@
 }
 
 static const struct pf_sock_cbs upstream_cbs = { on_data, on_closed,
-						 on_connected };
+						 on_connected, NULL };
 
 static struct upstream *take_idle(struct endpoint *e, bool at_most_once)
 {
--- a/include/pimentoford/sock.h
+++ b/include/pimentoford/sock.h
@@ -26,6 +26,8 @@
 	void (*closed)(void *ctx, enum pf_sock_end why);
 	/* Of pf_sock_connect(); may be NULL. */
 	void (*connected)(void *ctx);
+	/* All queued bytes were written to the socket; may be NULL. */
+	void (*sent)(void *ctx);
 };
 
 /**
@@ -48,8 +50,8 @@
 /** Closes without a callback. @s may be NULL. */
 void pf_sock_free(struct pf_sock *s);
 
-/** Closes and frees @s after the queue is sent, without a callback. */
-void pf_sock_close_when_sent(struct pf_sock *s);
+/** Ends the stream of bytes, so that the peer receives all, and frees @s. */
+void pf_sock_close(struct pf_sock *s);
 
 /** Resets the connection, so that the peer sees an incomplete response. */
 void pf_sock_abort(struct pf_sock *s);
--- a/src/transport/sock.c
+++ b/src/transport/sock.c
@@ -26,7 +26,6 @@
 	bool connected;
 	bool in_callback; /* memory is released after the callback */
 	bool freed; /* pf_sock_free() was called during a callback */
-	bool closing; /* is freed after the queue is sent */
 	bool paused;
 };
 
@@ -72,10 +71,6 @@
 {
 	event_del(s->read_event);
 	event_del(s->write_event);
-	if (s->closing) {
-		pf_sock_free(s);
-		return;
-	}
 	s->in_callback = true;
 	s->cbs->closed(s->ctx, s->connected ? why : PF_SOCK_NOT_CONNECTED);
 	s->in_callback = false;
@@ -97,8 +92,6 @@
 		on_closed(s, n == 0 ? PF_SOCK_EOF : PF_SOCK_RESET);
 		return;
 	}
-	if (s->closing)
-		return;
 	s->in_callback = true;
 	s->cbs->data(s->ctx, (struct pf_str){ bytes, (size_t)n });
 	s->in_callback = false;
@@ -106,13 +99,13 @@
 		sock_destroy(s);
 }
 
-/* Returns whether @s still exists. */
-static bool report_connected(struct pf_sock *s)
+/* Runs an optional callback. Returns whether @s still exists. */
+static bool notify(struct pf_sock *s, void (*cb)(void *ctx))
 {
-	if (!s->cbs->connected)
+	if (!cb)
 		return true;
 	s->in_callback = true;
-	s->cbs->connected(s->ctx);
+	cb(s->ctx);
 	s->in_callback = false;
 	if (!s->freed)
 		return true;
@@ -142,19 +135,20 @@
 		s->connected = true;
 		if (!s->paused)
 			event_add(s->read_event, NULL);
-		if (!report_connected(s))
+		if (!notify(s, s->cbs->connected))
 			return;
 	}
-	if (evbuffer_get_length(s->queue) > 0 &&
-	    evbuffer_write(s->queue, fd) < 0 && errno != EAGAIN &&
+	if (evbuffer_get_length(s->queue) == 0)
+		return;
+	if (evbuffer_write(s->queue, fd) < 0 && errno != EAGAIN &&
 	    errno != EINTR) {
 		on_closed(s, PF_SOCK_RESET);
 		return;
 	}
 	if (evbuffer_get_length(s->queue) > 0)
 		event_add(s->write_event, NULL);
-	else if (s->closing)
-		pf_sock_free(s);
+	else
+		notify(s, s->cbs->sent);
 }
 
 static void set_options(int fd, pf_ms ack_timeout)
@@ -266,17 +260,12 @@
 	return !s->freed && ioctl(s->fd, FIONREAD, &n) == 0 && n > 0;
 }
 
-void pf_sock_close_when_sent(struct pf_sock *s)
+void pf_sock_close(struct pf_sock *s)
 {
 	if (s->freed)
 		return;
-	if (evbuffer_get_length(s->queue) == 0) {
-		/* An orderly close, so that the peer receives all of it. */
-		shutdown(s->fd, SHUT_WR);
-		pf_sock_free(s);
-		return;
-	}
-	s->closing = true;
+	shutdown(s->fd, SHUT_WR);
+	pf_sock_free(s);
 }
 
 void pf_sock_pause(struct pf_sock *s, bool pause)
--- a/tests/test_gateway.cc
+++ b/tests/test_gateway.cc
@@ -466,6 +466,29 @@
 			  SilenceCase{ "Long_All", 2000, 2, false }),
 	[](const auto &p) { return p.param.name; });
 
+TEST_F(Gateway, StopDeliversAnAnswerThatIsStillQueued)
+{
+	const std::string body(8 << 20, 'b');
+	FakeServer e("127.0.0.1", AnswerWith(body));
+	int small = 65536;
+
+	store.Put("servers", "i-1", EndpointRow("app", e.addr()));
+	StartGateway();
+	WaitUntilReady();
+	int fd = FakeDial("127.0.0.2", port);
+	setsockopt(fd, SOL_SOCKET, SO_RCVBUF, &small, sizeof(small));
+	FakeSend(fd, GetRequest("/u/x", "1"));
+	usleep(1000000);
+	gateway.Signal(SIGTERM);
+	usleep(3500000);
+	std::string got = FakeReceive(fd);
+	close(fd);
+	size_t head = got.find("\r\n\r\n");
+	ASSERT_NE(head, std::string::npos);
+	EXPECT_EQ(got.size() - head - 4, body.size());
+	EXPECT_EQ(gateway.Wait(), 0);
+}
+
 TEST_F(Gateway, ShorterIdleTimeoutSparesConnectionsThatAreOpen)
 {
 	FakeServer e("127.0.0.1", AnswerWith("body"));
