Gateway: a request read behind another one no longer ends the process

What callers saw: all connections of a gateway were reset at once, with every request in flight, as the process aborted.

Cause: the end of an answer parsed what had been read meanwhile, and so started the next request, from inside the act that delivered the answer. The gate core was entered from one of its own acts, which stops the process on purpose (invariant "the core is not entered from its acts").

Now input that was read during an answer is parsed from the event loop, after the step of the core.

--- a/daemons/gateway/callers.c
+++ b/daemons/gateway/callers.c
@@ -40,6 +40,8 @@
 
 struct caller {
 	LIST_ENTRY(caller) next;
+	LIST_ENTRY(caller) next_resumed; /* valid while `resumed` */
+	bool resumed; /* its input is parsed from the event loop */
 	struct gateway *gateway;
 	struct pf_sock *sock;
 	struct exchange *exchange; /* NULL unless answering */
@@ -75,6 +77,8 @@
 static void caller_free(struct caller *c)
 {
 	LIST_REMOVE(c, next);
+	if (c->resumed)
+		LIST_REMOVE(c, next_resumed);
 	c->gateway->n_callers--;
 	pf_sock_free(c->sock);
 	pf_text_free(&c->input);
@@ -310,8 +314,26 @@
 	}
 	set_state(c, CALLER_READING_HEAD);
 	pf_sock_pause(c->sock, false);
-	if (c->input.n > 0)
+	/* Not from here: the answer may be an act of the core. */
+	if (c->input.n > 0 && !c->parsing && !c->resumed) {
+		c->resumed = true;
+		LIST_INSERT_HEAD(&c->gateway->resumed_callers, c, next_resumed);
+		event_active(c->gateway->resume_ev, 0, 0);
+	}
+}
+
+static void on_resume(evutil_socket_t fd, short what, void *ctx)
+{
+	struct gateway *g = ctx;
+	struct caller *c;
+
+	(void)fd;
+	(void)what;
+	while ((c = LIST_FIRST(&g->resumed_callers))) {
+		LIST_REMOVE(c, next_resumed);
+		c->resumed = false;
 		parse_input(c);
+	}
 }
 
 static void on_accept(evutil_socket_t fd, short what, void *ctx)
@@ -412,7 +434,8 @@
 	g->accept_ev = event_new(g->base, g->listener, EV_READ | EV_PERSIST,
 				 on_accept, g);
 	g->sweep_timer = event_new(g->base, -1, EV_PERSIST, on_sweep, g);
-	if (!g->accept_ev || !g->sweep_timer)
+	g->resume_ev = event_new(g->base, -1, 0, on_resume, g);
+	if (!g->accept_ev || !g->sweep_timer || !g->resume_ev)
 		return -1;
 	event_add(g->accept_ev, NULL);
 	event_add(g->sweep_timer, &tv);
@@ -441,6 +464,8 @@
 		event_free(g->accept_ev);
 	if (g->sweep_timer)
 		event_free(g->sweep_timer);
+	if (g->resume_ev)
+		event_free(g->resume_ev);
 	if (g->listener >= 0)
 		evutil_closesocket(g->listener);
 }
--- a/daemons/gateway/gateway.h
+++ b/daemons/gateway/gateway.h
@@ -121,6 +121,8 @@
 	int listener;
 	struct event *accept_ev;
 	struct event *sweep_timer; /* closes connections that timed out */
+	LIST_HEAD(, caller) resumed_callers; /* input to parse */
+	struct event *resume_ev;
 	struct event *stop_timer;
 	struct pf_text scratch; /* for one message at a time */
 	struct pf_store *store;
--- a/tests/test_gateway.cc
+++ b/tests/test_gateway.cc
@@ -466,6 +466,33 @@
 			  SilenceCase{ "Long_All", 2000, 2, false }),
 	[](const auto &p) { return p.param.name; });
 
+TEST_F(Gateway, ARequestReadBehindAnotherIsAnsweredNext)
+{
+	FakeServer e("127.0.0.1", [](int fd, const FakeRequest &r) {
+		usleep(200000);
+		FakeSend(fd,
+			 HttpAnswer(200, "body " + r.target,
+				    "Attempt-Id: " + r.Header("Attempt-Id") +
+					    "\r\nResponse-Stamp: s.1\r\n"));
+		return true;
+	});
+
+	store.Put("servers", "i-1", EndpointRow("app", e.addr()));
+	StartGateway();
+	WaitUntilReady();
+	int fd = FakeDial("127.0.0.2", port);
+	for (const char *id : { "1", "2", "3" })
+		FakeSend(fd, std::string("GET /u/") + id +
+				     " HTTP/1.1\r\nHost: h\r\nAttempt-Id: " +
+				     id + "\r\nDeadline-Ms: 15000\r\n\r\n");
+	std::string got = FakeReceive(fd, "body /u/3");
+	close(fd);
+	EXPECT_TRUE(Contains(got, "body /u/1")) << got;
+	EXPECT_TRUE(Contains(got, "body /u/2")) << got;
+	EXPECT_TRUE(Contains(got, "body /u/3")) << got;
+	EXPECT_TRUE(Contains(GetReady(), " 200 "));
+}
+
 TEST_F(Gateway, StopDeliversAnAnswerThatIsStillQueued)
 {
 	const std::string body(8 << 20, 'b');
