Gateway: close only connections whose last answer announced it

What callers saw beside a stop: a stream whose head had been sent before SIGTERM ended with a close that nothing had announced, so that the next request on the connection crossed it; and a request that was read behind another one was dropped with the connection.

Cause: whether to close was decided again at the end of an answer, from the state of the process then, not from what the head had said.

Now the decision is taken once, with the head, and is false while a further request lies in the buffer; at the end it is only followed.

Failed before: Gateway.StopAnswersOnAConnectionThatWasNotToldToClose (nothing received for the second request), Gateway.StopAnswersARequestThatWasReadBehindAnother.

--- a/daemons/gateway/callers.c
+++ b/daemons/gateway/callers.c
@@ -52,6 +52,7 @@
 	struct pf_h1_body body_reader;
 	struct pf_text body;
 	bool close_after_answer;
+	bool close_announced; /* in the head of the current answer */
 	bool accepts_chunked;
 	pf_ms state_since; /* or since the first byte of a head */
 	/* Limits at that time; later, longer ones apply as well. */
@@ -120,9 +121,12 @@
 	c->idle_timeout = idle_timeout(c->gateway);
 }
 
-bool caller_will_close(const struct caller *c)
+bool caller_announces_close(struct caller *c)
 {
-	return c->close_after_answer || c->gateway->stopping_since;
+	/* A request that was read behind this one is answered first. */
+	c->close_announced = c->close_after_answer ||
+			     (c->gateway->stopping_since && c->input.n == 0);
+	return c->close_announced;
 }
 
 bool caller_accepts_chunked(const struct caller *c)
@@ -211,6 +215,7 @@
 		return false;
 	}
 	c->close_after_answer = c->head.close;
+	c->close_announced = false;
 	c->accepts_chunked = c->head.minor_version > 0;
 	pf_text_reset(&c->body);
 	pf_h1_body_start(&c->body_reader,
@@ -302,7 +307,7 @@
 	c->exchange = NULL;
 	if (c->state == CALLER_LINGERING)
 		return; /* the sweep closes it */
-	if (caller_will_close(c)) {
+	if (c->close_announced || c->close_after_answer) {
 		if (c->input.n > 0)
 			log_dropped(c, "closed behind an answer");
 		/* parse_input() still uses @c. */
--- a/daemons/gateway/exchange.c
+++ b/daemons/gateway/exchange.c
@@ -72,7 +72,8 @@
 		       "Content-Type: application/json\r\n"
 		       "Content-Length: %zu\r\n%s\r\n",
 		       body.n,
-		       caller_will_close(c) ? "Connection: close\r\n" : "");
+		       caller_announces_close(c) ? "Connection: close\r\n"
+						 : "");
 	pf_text_add(&t, pf_text_str(&body));
 	if (!t.failed)
 		caller_write(c, pf_text_str(&t));
@@ -290,7 +291,7 @@
 		if (caller_accepts_chunked(x->caller))
 			pf_text_add(t, PF_STR("Transfer-Encoding: "
 					      "chunked\r\n"));
-		pf_text_add(t, caller_will_close(x->caller)
+		pf_text_add(t, caller_announces_close(x->caller)
 				       ? PF_STR("Connection: close\r\n\r\n")
 				       : PF_STR("\r\n"));
 		x->answer_head_sent = true;
@@ -357,8 +358,9 @@
 	pf_text_reset(t);
 	pf_text_add(t, pf_text_str(&x->answer_head));
 	pf_text_printf(t, "Content-Length: %zu\r\n%s\r\n", x->answer_body.n,
-		       caller_will_close(x->caller) ? "Connection: close\r\n"
-						    : "");
+		       caller_announces_close(x->caller)
+			       ? "Connection: close\r\n"
+			       : "");
 	pf_text_add(t, pf_text_str(&x->answer_body));
 	if (!t->failed)
 		caller_write(x->caller, pf_text_str(t));
--- a/daemons/gateway/gateway.h
+++ b/daemons/gateway/gateway.h
@@ -157,8 +157,11 @@
 /** Resets the connection, to mark the answer as incomplete. Frees @c. */
 void caller_abort(struct caller *c);
 void caller_write(struct caller *c, struct pf_str bytes);
-/** Whether the connection is closed after the current answer. */
-bool caller_will_close(const struct caller *c);
+/**
+ * Whether the head of the current answer announces that the connection is
+ * closed after it. It is closed only then.
+ */
+bool caller_announces_close(struct caller *c);
 /** Whether the caller understands chunked encoding (HTTP/1.1). */
 bool caller_accepts_chunked(const struct caller *c);
 
--- a/tests/test_gateway.cc
+++ b/tests/test_gateway.cc
@@ -516,6 +516,67 @@
 	EXPECT_EQ(gateway.Wait(), 0);
 }
 
+TEST_F(Gateway, StopAnswersARequestThatWasReadBehindAnother)
+{
+	FakeServer e("127.0.0.1", [](int fd, const FakeRequest &r) {
+		usleep(600000);
+		FakeSend(fd,
+			 HttpAnswer(200, "body " + r.target,
+				    "Attempt-Id: " + r.Header("Attempt-Id") +
+					    "\r\nResponse-Stamp: s.1\r\n"));
+		return true;
+	});
+
+	store.Put("servers", "i-1", EndpointRow("app", e.addr()));
+	StartGateway();
+	WaitUntilReady();
+	int fd = FakeDial("127.0.0.2", port);
+	for (const char *id : { "1", "2" })
+		FakeSend(fd, std::string("GET /u/") + id +
+				     " HTTP/1.1\r\nHost: h\r\nAttempt-Id: " +
+				     id + "\r\nDeadline-Ms: 15000\r\n\r\n");
+	usleep(200000);
+	gateway.Signal(SIGTERM);
+	std::string got = FakeReceive(fd);
+	close(fd);
+	EXPECT_TRUE(Contains(got, "body /u/1")) << got;
+	EXPECT_TRUE(Contains(got, "body /u/2")) << got;
+	EXPECT_EQ(gateway.Wait(), 0);
+}
+
+TEST_F(Gateway, StopAnswersOnAConnectionThatWasNotToldToClose)
+{
+	FakeServer e("127.0.0.1", [](int fd, const FakeRequest &r) {
+		FakeSend(fd, "HTTP/1.1 200 OK\r\nAttempt-Id: " +
+				     r.Header("Attempt-Id") +
+				     "\r\nTransfer-Encoding: chunked\r\n\r\n" +
+				     Chunk(StreamEvent(1)));
+		usleep(700000);
+		FakeSend(fd, Chunk(StreamEvent(2)) + "0\r\n\r\n");
+		return true;
+	});
+	std::string request =
+		"GET /t/x HTTP/1.1\r\nHost: h\r\nAttempt-Id: 1\r\n"
+		"Deadline-Ms: 15000\r\n\r\n";
+
+	store.Put("servers", "i-1", EndpointRow("app", e.addr()));
+	StartGateway();
+	WaitUntilReady();
+	int fd = FakeDial("127.0.0.2", port);
+	FakeSend(fd, request);
+	std::string got = FakeReceive(fd, "data: e1\n");
+	gateway.Signal(SIGTERM);
+	got += FakeReceive(fd, "0\r\n\r\n");
+	EXPECT_TRUE(Contains(got, "data: e2\n")) << got;
+	usleep(50000);
+	FakeSend(fd, request);
+	got = FakeReceive(fd);
+	close(fd);
+	EXPECT_TRUE(Contains(got, "HTTP/1.1 200")) << got;
+	EXPECT_TRUE(Contains(got, "Connection: close")) << got;
+	EXPECT_EQ(gateway.Wait(), 0);
+}
+
 TEST_F(Gateway, ShorterIdleTimeoutSparesConnectionsThatAreOpen)
 {
 	FakeServer e("127.0.0.1", AnswerWith("body"));
