Gateway: memory that runs out behind a request keeps its answer

What callers saw: nothing, on the connection whose further bytes could not be stored; the gateway went on with a caller that it had freed.

Cause: on_data() freed the caller during an answer, while its exchange still pointed to it (found by reading). Now the bytes are dropped, reading stops and the connection closes behind the answer in progress; without one the caller gets a 503, which is true since nothing was sent.

Gateway.MemoryOutBehindARequestKeepsItsAnswer (realloc() fails in a preloaded library) failed before: no answer.

--- a/daemons/gateway/callers.c
+++ b/daemons/gateway/callers.c
@@ -267,6 +267,18 @@
 	c->parsing = false;
 }
 
+/* Memory ran out: no further request is read; the one in progress goes on. */
+static void drop_input(struct caller *c)
+{
+	log_dropped(c, "no memory");
+	pf_text_free(&c->input);
+	c->close_after_answer = true;
+	if (c->state == CALLER_ANSWERING)
+		pf_sock_pause(c->sock, true);
+	else
+		refuse_and_linger(c, 503, "no_memory");
+}
+
 static void on_data(void *ctx, struct pf_str in)
 {
 	struct caller *c = ctx;
@@ -277,8 +289,7 @@
 		set_state(c, CALLER_READING_HEAD);
 	pf_text_add(&c->input, in);
 	if (c->input.failed) {
-		log_dropped(c, "no memory");
-		caller_abort(c);
+		drop_input(c);
 		return;
 	}
 	if (c->state == CALLER_ANSWERING) {
--- a/tests/gateway_fixture.h
+++ b/tests/gateway_fixture.h
@@ -251,10 +251,13 @@
 class Daemon
 {
       public:
-	void Start(const std::string &name, const std::string &toml)
+	/* @fail_realloc_min: allocations of so many bytes fail; 0: none. */
+	void Start(const std::string &name, const std::string &toml,
+		   size_t fail_realloc_min = 0)
 	{
 		const char *b = getenv("PF_BUILD");
-		std::string program = std::string(b ? b : "build") + "/" + name;
+		std::string dir = b ? b : "build";
+		std::string program = dir + "/" + name;
 
 		static std::atomic<int> serial{ 0 };
 
@@ -267,6 +270,13 @@
 		if (pid_ == 0) {
 			if (!freopen("/dev/null", "w", stdout))
 				_exit(126);
+			if (fail_realloc_min) {
+				setenv("PF_FAIL_REALLOC_MIN",
+				       std::to_string(fail_realloc_min).c_str(),
+				       1);
+				setenv("LD_PRELOAD",
+				       (dir + "/fail-realloc.so").c_str(), 1);
+			}
 			execl(program.c_str(), program.c_str(), "--settings",
 			      file_.c_str(), (char *)nullptr);
 			_exit(127);
--- a/tests/test_gateway.cc
+++ b/tests/test_gateway.cc
@@ -493,6 +493,37 @@
 	EXPECT_TRUE(Contains(GetReady(), " 200 "));
 }
 
+/* The sanitizers bring an allocator of their own. */
+#ifndef __SANITIZE_ADDRESS__
+TEST_F(Gateway, MemoryOutBehindARequestKeepsItsAnswer)
+{
+	FakeServer e("127.0.0.1", [](int fd, const FakeRequest &r) {
+		usleep(500000);
+		FakeSend(fd,
+			 HttpAnswer(200, "body",
+				    "Attempt-Id: " + r.Header("Attempt-Id") +
+					    "\r\nResponse-Stamp: s.1\r\n"));
+		return true;
+	});
+
+	store.Put("servers", "i-1", EndpointRow("app", e.addr()));
+	store.Put("op", "config", ConfigJson(1));
+	gateway.Start("pimento-gateway",
+		      GatewaySettings(store.addr(), "127.0.0.2", port,
+				      ready_port, talk_port),
+		      100000);
+	WaitUntilReady();
+	int fd = FakeDial("127.0.0.2", port);
+	FakeSend(fd, "GET /u/x HTTP/1.1\r\nHost: h\r\nAttempt-Id: 1\r\n"
+		     "Deadline-Ms: 15000\r\n\r\n" +
+			     std::string(200000, 'x'));
+	std::string got = FakeReceive(fd);
+	close(fd);
+	EXPECT_TRUE(Contains(got, "body")) << got;
+	EXPECT_TRUE(Contains(GetReady(), " 200 "));
+}
+#endif
+
 TEST_F(Gateway, StopDeliversAnAnswerThatIsStillQueued)
 {
 	const std::string body(8 << 20, 'b');
