Gateway: an answer that memory runs out for ends with a reset

What callers saw: nothing; the request was logged as answered, the connection stayed open and the caller waited until its own timeout. In a stream, events in the middle could be missing from an answer that ended as complete.

Cause: a buffer that could not grow was not written, and the exchange ended as if it had been. A caller whose answer misses bytes is now marked, gets no more of it, and is reset at its end.

Gateway.MemoryOutForAnAnswerResetsTheConnection failed before: the read timed out after 5 s.

--- a/daemons/gateway/callers.c
+++ b/daemons/gateway/callers.c
@@ -54,6 +54,7 @@
 	bool close_after_answer;
 	bool close_announced; /* in the head of the current answer */
 	bool accepts_chunked;
+	bool write_failed; /* part of an answer is missing */
 	pf_ms state_since; /* or since the first byte of a head */
 	/* Limits at that time; later, longer ones apply as well. */
 	pf_ms header_timeout;
@@ -134,11 +135,14 @@
 	return c->accepts_chunked;
 }
 
-void caller_write(struct caller *c, struct pf_str bytes)
+void caller_write(struct caller *c, const struct pf_text *t)
 {
-	if (pf_sock_write(c->sock, bytes) < 0)
-		PF_LOG(&c->gateway->log, PF_LOG_ERROR, "no_memory",
-		       PF_KV_STR("for", "an answer"));
+	if (c->write_failed ||
+	    (!t->failed && pf_sock_write(c->sock, pf_text_str(t)) == 0))
+		return;
+	c->write_failed = true;
+	PF_LOG(&c->gateway->log, PF_LOG_ERROR, "no_memory",
+	       PF_KV_STR("for", "an answer"));
 }
 
 void caller_set_exchange(struct caller *c, struct exchange *x)
@@ -190,6 +194,15 @@
 	exchange_start(c->gateway, c, &c->head_bytes, &c->head, &c->body);
 }
 
+static void send_continue(struct caller *c)
+{
+	struct pf_text t = { 0 };
+
+	pf_text_add(&t, PF_STR("HTTP/1.1 100 Continue\r\n\r\n"));
+	caller_write(c, &t);
+	pf_text_free(&t);
+}
+
 /* Returns whether a valid head is complete. */
 static bool parse_head(struct caller *c)
 {
@@ -224,7 +237,7 @@
 						    : 0);
 	if (pf_str_eq(pf_h1_field_value(&c->head, PF_STR("Expect")),
 		      PF_STR("100-continue")))
-		caller_write(c, PF_STR("HTTP/1.1 100 Continue\r\n\r\n"));
+		send_continue(c);
 	set_state(c, CALLER_READING_BODY);
 	return true;
 }
@@ -316,9 +329,13 @@
 void caller_answer_done(struct caller *c)
 {
 	c->exchange = NULL;
+	if (c->write_failed && !c->parsing) {
+		caller_abort(c);
+		return;
+	}
 	if (c->state == CALLER_LINGERING)
 		return; /* the sweep closes it */
-	if (c->close_announced || c->close_after_answer) {
+	if (c->write_failed || c->close_announced || c->close_after_answer) {
 		if (c->input.n > 0)
 			log_dropped(c, "closed behind an answer");
 		/* parse_input() still uses @c. */
--- a/daemons/gateway/exchange.c
+++ b/daemons/gateway/exchange.c
@@ -75,8 +75,7 @@
 		       caller_announces_close(c) ? "Connection: close\r\n"
 						 : "");
 	pf_text_add(&t, pf_text_str(&body));
-	if (!t.failed)
-		caller_write(c, pf_text_str(&t));
+	caller_write(c, &t);
 	pf_text_free(&t);
 	pf_text_free(&body);
 }
@@ -301,8 +300,7 @@
 	pf_text_add(t, (struct pf_str){ x->answer_body.p, n });
 	if (caller_accepts_chunked(x->caller))
 		pf_text_add(t, PF_STR("\r\n"));
-	if (!t->failed)
-		caller_write(x->caller, pf_text_str(t));
+	caller_write(x->caller, t);
 }
 
 /* Number of events in @s, which are complete. */
@@ -339,8 +337,12 @@
 
 static void finish_stream(struct exchange *x)
 {
-	if (caller_accepts_chunked(x->caller))
-		caller_write(x->caller, PF_STR("0\r\n\r\n"));
+	struct pf_text *t = &x->gateway->scratch;
+
+	pf_text_reset(t);
+	pf_text_add(t, caller_accepts_chunked(x->caller) ? PF_STR("0\r\n\r\n")
+							 : PF_STR(""));
+	caller_write(x->caller, t);
 	finish_exchange(x);
 }
 
@@ -362,8 +364,7 @@
 			       ? "Connection: close\r\n"
 			       : "");
 	pf_text_add(t, pf_text_str(&x->answer_body));
-	if (!t->failed)
-		caller_write(x->caller, pf_text_str(t));
+	caller_write(x->caller, t);
 	finish_exchange(x);
 }
 
--- a/daemons/gateway/gateway.h
+++ b/daemons/gateway/gateway.h
@@ -156,7 +156,8 @@
 void caller_answer_done(struct caller *c);
 /** Resets the connection, to mark the answer as incomplete. Frees @c. */
 void caller_abort(struct caller *c);
-void caller_write(struct caller *c, struct pf_str bytes);
+/** If @t is incomplete, the connection is reset at the end of the answer. */
+void caller_write(struct caller *c, const struct pf_text *t);
 /**
  * Whether the head of the current answer announces that the connection is
  * closed after it. It is closed only then.
--- a/tests/test_gateway.cc
+++ b/tests/test_gateway.cc
@@ -522,6 +522,26 @@
 	EXPECT_TRUE(Contains(got, "body")) << got;
 	EXPECT_TRUE(Contains(GetReady(), " 200 "));
 }
+TEST_F(Gateway, MemoryOutForAnAnswerResetsTheConnection)
+{
+	FakeServer e("127.0.0.1", AnswerWith(std::string(65500, 'b')));
+
+	store.Put("servers", "i-1", EndpointRow("app", e.addr()));
+	store.Put("op", "config", ConfigJson(1));
+	gateway.Start("pimento-gateway",
+		      GatewaySettings(store.addr(), "127.0.0.2", port,
+				      ready_port, talk_port),
+		      100000);
+	WaitUntilReady();
+	int fd = FakeDial("127.0.0.2", port, 5);
+	FakeSend(fd, "GET /u/x HTTP/1.1\r\nHost: h\r\nAttempt-Id: 1\r\n"
+		     "Deadline-Ms: 15000\r\n\r\n");
+	char byte;
+	EXPECT_EQ(recv(fd, &byte, 1, 0), -1);
+	EXPECT_EQ(errno, ECONNRESET);
+	close(fd);
+	EXPECT_TRUE(Contains(GetReady(), " 200 "));
+}
 #endif
 
 TEST_F(Gateway, StopDeliversAnAnswerThatIsStillQueued)
