Loader: poll again after a poll that could not start

When pf_http_start() returned NULL for a poll, the loader logged "poll_not_sent" and never polled its engine again: the core waited for a report that nothing would send. Gateways kept receiving the last state, and no further order was given until the loader was restarted.

Memory is not the only reason. The core gives up an order without an answer after 1.5 s, but the HTTP call lives on while bytes arrive within its timeout of 400 ms. Four answers that arrive byte by byte take all four connections to the engine, and the next poll can't start.

A poll that can't start is now reported to the core like a failed one, after the step that asked for it, so the core polls again after its interval.

Test: Gateway.TheLoaderPollsAgainAfterAPollThatCouldNotStart. On the old code: "Expected: (reports) > (before + 2), actual: 41 vs 43", that is, no poll in the 5 s after the connections were free again.

--- a/daemons/loader/main.c
+++ b/daemons/loader/main.c
@@ -49,6 +49,7 @@
 	struct pf_talk *talk;
 	struct gateway_peer gateways[GATEWAYS_MAX];
 	bool in_core_step;
+	bool poll_not_started; /* reported to the core after its step */
 	bool engine_unreachable; /* the last report failed */
 };
 
@@ -81,9 +82,10 @@
 		.ctx = l,
 	};
 
-	/* Fails only if memory runs out. The core then gets no report. */
-	if (!pf_http_start(l->engine, &r))
+	if (!pf_http_start(l->engine, &r)) {
 		PF_LOG(&l->log, PF_LOG_WARN, "poll_not_sent");
+		l->poll_not_started = true;
+	}
 }
 
 struct order_call {
@@ -191,12 +193,19 @@
 
 static void core_step(struct loader *l, const struct pf_loader_msg *m)
 {
+	static const struct pf_loader_msg no_report = {
+		.type = PF_LOADER_REPORT
+	};
 	const struct pf_loader_sink sink = { on_act, l };
 	pf_ms now = pf_clock_now();
 
 	PF_INVARIANT("the core is not entered from its acts", !l->in_core_step);
 	l->in_core_step = true;
 	pf_loader_step(l->core, now, m, &sink);
+	if (l->poll_not_started) {
+		l->poll_not_started = false;
+		pf_loader_step(l->core, now, &no_report, &sink);
+	}
 	l->in_core_step = false;
 	pf_clock_arm(l->core_timer, now, pf_loader_next(l->core));
 }
--- a/tests/test_gateway.cc
+++ b/tests/test_gateway.cc
@@ -504,4 +504,59 @@
 	EXPECT_EQ(e.adapters[0], "a1");
 }
 
+// Calls whose answers arrive byte by byte stay in flight until no connection is
+// left for a poll.
+TEST_F(Gateway, TheLoaderPollsAgainAfterAPollThatCouldNotStart)
+{
+	const int conns_max = 4;
+	std::atomic<bool> released{ false };
+	std::atomic<int> reports{ 0 }, orders{ 0 };
+	Daemon loader;
+	FakeServer e("127.0.0.1", [&](int fd, const FakeRequest &r) {
+		if (r.target == "/report") {
+			reports++;
+			FakeSend(fd,
+				 HttpAnswer(200,
+					    "{\"born\":7,\"seq\":0,"
+					    "\"busy\":false,\"models\":"
+					    "[{\"name\":\"m\",\"version\":1,"
+					    "\"adapters\":[]}]}"));
+			return true;
+		}
+		orders++;
+		FakeSend(fd, "HTTP/1.1 202 X\r\nContent-Length: 9999\r\n\r\n");
+		while (!released) {
+			FakeSend(fd, "x");
+			usleep(100000);
+		}
+		return false;
+	});
+
+	store.Put("servers", "i-1",
+		  EndpointRow(
+			  "app", e.addr(), "ready",
+			  "[{\"name\":\"m\",\"version\":1,\"adapters\":[]}]"));
+	StartGateway();
+	loader.Start("pimento-loader",
+		     "name = \"l1\"\nzone = \"za\"\nregion = \"east\"\n"
+		     "platform = \"" +
+			     store.addr() + "\"\ntalk = \"127.0.0.1:" +
+			     std::to_string(talk_port) + "\"\nbackend = \"" +
+			     e.addr() + "\"\n");
+	WaitUntilReady();
+	for (int i = 0; i < 20 && orders < conns_max; i++)
+		Request("GET /t/x HTTP/1.1\r\nHost: h\r\nAttempt-Id: " +
+			std::to_string(i) +
+			"\r\nDeadline-Ms: 3000\r\nModel: m/a1\r\n"
+			"Token-Usage: 10,5\r\nConnection: close\r\n\r\n");
+	EXPECT_EQ(orders, conns_max);
+	// The last order is given up; polls are due but can't start.
+	usleep(2500000);
+	int before = reports;
+	released = true;
+	for (int i = 0; i < 100 && reports <= before + 2; i++)
+		usleep(50000);
+	EXPECT_GT(reports, before + 2);
+}
+
 } // namespace
