Planner: a home at a silent engine doesn't make another one spare

The planner evicted a model from a sound engine because the model had another home, although that engine's loader had been silent for 1.5 s and more. If that engine is dead or cut off, requests for the model have no home until a load. In a partition the planners of both sides could evict the home on their own side, each relying on the other's.

Such an engine already got no orders (STATE_FRESH_MS), but its models counted as loaded homes in may_evict(). Only homes at engines that are heard count there now; the engine's models still count as homes otherwise, so nothing is loaded elsewhere because of the silence.

Test: Plan.EvictsNoHomeWhoseOnlyOtherHomeIsSilent.

--- a/src/coordination/plan/plan_choose.c
+++ b/src/coordination/plan/plan_choose.c
@@ -81,6 +81,15 @@
 	return plan_engine_has(e, id);
 }
 
+/* Whether @e serves the model and will keep it. An engine whose loader is silent
+ * may be dead or cut off. */
+static bool is_sure_home(const struct pf_plan *p, const struct plan_engine *e,
+			 uint64_t id)
+{
+	return engine_usable(p, e) && plan_engine_has(e, id) &&
+	       will_hold(e, id);
+}
+
 static void count_homes(struct pf_plan *p)
 {
 	uint32_t i;
@@ -90,7 +99,7 @@
 		struct plan_model *m = &p->models[i];
 
 		m->homes = 0;
-		m->homes_loading = 0;
+		m->homes_sure = 0;
 		for (k = 0; k < p->opts.endpoints_max; k++) {
 			const struct plan_engine *e = &p->engines[k];
 
@@ -98,7 +107,7 @@
 			    !will_hold(e, m->spec->id))
 				continue;
 			m->homes++;
-			m->homes_loading += !plan_engine_has(e, m->spec->id);
+			m->homes_sure += is_sure_home(p, e, m->spec->id);
 		}
 	}
 }
@@ -169,16 +178,24 @@
 	return least;
 }
 
-/* Whether @v may lose a home to @m. */
+/* Homes that @v would keep without @e. */
+static uint32_t other_homes(const struct pf_plan *p, const struct plan_model *v,
+			    const struct plan_engine *e)
+{
+	return v->homes_sure - is_sure_home(p, e, v->spec->id);
+}
+
+/* Whether @v may lose its home @e to @m. */
 static bool may_evict(const struct pf_plan *p, const struct plan_model *v,
-		      const struct plan_model *m, double urgency)
+		      const struct plan_engine *e, const struct plan_model *m,
+		      double urgency)
 {
-	uint32_t loaded = v->homes - v->homes_loading;
+	uint32_t others = other_homes(p, v, e);
 
 	if (v == m || p->now - v->home_added_at < NEW_HOME_KEEP_MS)
 		return false;
-	if (loaded >= 2)
-		return expected_requests(v) / (loaded - 1) <= SPARE_REQUESTS;
+	if (others)
+		return expected_requests(v) / others <= SPARE_REQUESTS;
 	/* A model that loses its last home is loaded again from a disk on
 	 * demand. */
 	return urgency >= EVICT_LAST_URGENCY && !in_demand(p, v);
@@ -200,9 +217,9 @@
 		bool last;
 
 		if (!v || !will_hold(e, v->spec->id) ||
-		    !may_evict(p, v, m, urgency))
+		    !may_evict(p, v, e, m, urgency))
 			continue;
-		last = v->homes - v->homes_loading < 2;
+		last = other_homes(p, v, e) == 0;
 		if (!best || last < best_last ||
 		    (last == best_last &&
 		     requests_per_home(v) < requests_per_home(best))) {
@@ -223,7 +240,7 @@
 		const struct plan_model *v =
 			plan_find_model(p, e->residents[i]);
 
-		if (v && may_evict(p, v, m, urgency))
+		if (v && may_evict(p, v, e, m, urgency))
 			free += v->spec->weights_mb;
 	}
 	return free >= m->spec->weights_mb;
--- a/src/coordination/plan/plan_core.h
+++ b/src/coordination/plan/plan_core.h
@@ -44,7 +44,7 @@
 	double arrivals_per_s;
 	uint32_t waiting;
 	uint32_t homes; /* not draining; loads in flight included */
-	uint32_t homes_loading; /* homes whose load is in flight */
+	uint32_t homes_sure; /* loaded, and the loader isn't silent */
 	pf_ms home_added_at; /* when a load was last ordered */
 	pf_ms last_demand_at; /* 0: never */
 };
--- a/tests/test_plan.cc
+++ b/tests/test_plan.cc
@@ -34,6 +34,8 @@
 	pf_ms now = 100000;
 	std::vector<Order> orders;
 	std::map<std::string, Engine> engines;
+	std::set<std::string> silent; /* engines whose loaders send nothing */
+	std::set<uint64_t> peers; /* other gateways that send heartbeats */
 
 	static uint64_t Id(const std::string &s)
 	{
@@ -134,7 +136,8 @@
 		m.u.state = &s;
 		Step(m);
 	}
-	void SendDemand(std::map<std::string, float> requests)
+	void SendDemand(std::map<std::string, float> requests,
+			uint64_t peer = 50)
 	{
 		struct pf_plan_msg m = {};
 		std::vector<struct pf_gate_demand> v;
@@ -142,7 +145,7 @@
 		for (auto &[model, n] : requests)
 			v.push_back({ Id(model), Id(model), n, n, 0 });
 		m.type = PF_PLAN_DEMAND;
-		m.u.demand.peer = 50;
+		m.u.demand.peer = peer;
 		m.u.demand.items = v.data();
 		m.u.demand.n_items = v.size();
 		Step(m);
@@ -153,12 +156,24 @@
 
 		tick.type = PF_PLAN_TICK;
 		for (pf_ms end = now + span; now < end; now += 100) {
-			for (auto &[name, e] : engines)
-				SendState(name);
+			for (auto &[name, e] : engines) {
+				if (!silent.count(name))
+					SendState(name);
+			}
+			for (uint64_t id : peers)
+				SendHeartbeat(id);
 			SendDemand(requests);
 			Step(tick);
 		}
 	}
+	void SendHeartbeat(uint64_t peer)
+	{
+		struct pf_plan_msg m = {};
+
+		m.type = PF_PLAN_PEER_HEARTBEAT;
+		m.u.id = peer;
+		Step(m);
+	}
 	/* Runs until all engines are known; drops the orders. */
 	void StartKnown()
 	{
@@ -172,6 +187,16 @@
 		Run(3000);
 		orders.clear();
 	}
+	std::set<std::string> UnloadsAt(const std::string &name) const
+	{
+		std::set<std::string> models;
+
+		for (const Order &o : orders) {
+			if (!o.load && o.endpoint == Id(name))
+				models.insert(o.model);
+		}
+		return models;
+	}
 	size_t CountLoads(const std::string &model) const
 	{
 		size_t n = 0;
@@ -496,4 +521,25 @@
 	EXPECT_TRUE(pf_plan_is_leader(p));
 }
 
+// A silent engine may be dead or cut off, so that the evicted home was the last.
+TEST_F(Plan, EvictsNoHomeWhoseOnlyOtherHomeIsSilent)
+{
+	std::map<std::string, float> requests = { { "m0", 30 }, { "m1", 1 },
+						  { "m2", 1 },  { "m3", 1 },
+						  { "m4", 1 },  { "m5", 1 } };
+
+	engines["e1"].residents = { "m1", "m2" };
+	engines["e2"].residents = { "m0", "m3" };
+	engines["e3"].residents = { "m4", "m5" };
+	engines["e4"].residents = { "m1", "m2" };
+	StartKnown();
+	silent.insert("e1");
+	Run(2000);
+	Run(6000, requests);
+	EXPECT_EQ(UnloadsAt("e4").size(), 0u);
+	silent.clear();
+	Run(1000, requests);
+	EXPECT_GT(UnloadsAt("e1").size() + UnloadsAt("e4").size(), 0u);
+}
+
 } // namespace
