Planner: an unload that was given up may still take the home

The planner gives an order up after 1.2 s without effect. The loader keeps it as long as its engine doesn't answer polls, and carries it out when the engine goes on, since no other order was accepted in between. The loader keeps sending states all the time, so the engine counted as a sure home of the model again as soon as the order was given up, and the planner could evict the model at its other home. Both unloads then take effect: the model has no home, and its requests wait for a load. An engine that is silent for 1.2 s is enough.

The planner now remembers the model of an unload that it gave up. This home doesn't count when another one is to be evicted, until the engine accepts an order (the count that the unload expects is then used up) or starts anew. The same unload may be ordered again.

Test: Plan.AnUnloadGivenUpMayStillTakeTheHome. On the old code: UnloadsAt(other).size() is 1, expected 0. A new leader doesn't know the unloads that the old one gave up; this remains.

--- a/src/coordination/plan/plan.c
+++ b/src/coordination/plan/plan.c
@@ -262,6 +262,8 @@
 		if (!e->busy || !e->order_is_load)
 			e->order_model = 0;
 	} else if (p->now - e->order_given_at > ORDER_GIVE_UP_MS) {
+		if (!e->order_is_load)
+			e->unload_in_doubt = e->order_model;
 		e->order_model = 0;
 	}
 }
@@ -288,6 +290,9 @@
 		e->order_model = 0;
 		e->draining = e->draining && !e->incarnation;
 	}
+	if (e->incarnation != s->incarnation ||
+	    e->orders_accepted != s->orders_accepted)
+		e->unload_in_doubt = 0;
 	e->state_received_at = p->now;
 	e->incarnation = s->incarnation;
 	e->orders_accepted = s->orders_accepted;
--- a/src/coordination/plan/plan_choose.c
+++ b/src/coordination/plan/plan_choose.c
@@ -87,7 +87,7 @@
 			 uint64_t id)
 {
 	return engine_usable(p, e) && plan_engine_has(e, id) &&
-	       will_hold(e, id);
+	       will_hold(e, id) && e->unload_in_doubt != id;
 }
 
 static void count_homes(struct pf_plan *p)
--- a/src/coordination/plan/plan_core.h
+++ b/src/coordination/plan/plan_core.h
@@ -33,6 +33,9 @@
 	uint64_t order_expected; /* orders accepted before this one */
 	pf_ms order_given_at;
 	pf_ms order_sent_at; /* last time */
+	/* Model of an unload that was given up. The loader may still carry it
+	 * out until the engine accepts another order. 0: none */
+	uint64_t unload_in_doubt;
 	uint64_t reserved_model; /* memory is being freed for this model */
 	pf_ms reserved_until;
 	double est_requests; /* in flight, estimated from the demand */
--- a/tests/test_plan.cc
+++ b/tests/test_plan.cc
@@ -542,4 +542,31 @@
 	EXPECT_GT(UnloadsAt("e1").size() + UnloadsAt("e4").size(), 0u);
 }
 
+// The loader keeps an order while its engine doesn't answer, and may carry it
+// out after the planner gave it up.
+TEST_F(Plan, AnUnloadGivenUpMayStillTakeTheHome)
+{
+	std::map<std::string, float> requests = { { "m0", 60 }, { "m1", 1 },
+						  { "m2", 1 },  { "m3", 1 },
+						  { "m4", 1 },  { "m5", 1 } };
+
+	engines["e1"].residents = { "m1", "m2" };
+	engines["e2"].residents = { "m0", "m5" };
+	engines["e3"].residents = { "m0", "m4" };
+	engines["e4"].residents = { "m1", "m3" };
+	StartKnown();
+	Run(200, requests);
+	ASSERT_EQ(UnloadsAt("e1").size() + UnloadsAt("e4").size(), 1u);
+	std::string first = UnloadsAt("e1").size() ? "e1" : "e4";
+	std::string other = first == "e1" ? "e4" : "e1";
+	// The other engine is now the better choice.
+	requests[first == "e1" ? "m2" : "m3"] = 4;
+	Run(3000, requests);
+	EXPECT_EQ(UnloadsAt(other).size(), 0u);
+	// Another order was carried out, so that the unload is refused.
+	engines[first].orders++;
+	Run(500, requests);
+	EXPECT_EQ(UnloadsAt(other).count("m1"), 1u);
+}
+
 } // namespace
