Planner: a new leader knows when models were last used

When the leading gateway fell silent for a second, the next one led and took the last home of a model that had no request at that moment, though it was in use up to 2 s earlier; its next request waited for a load. A model keeps its last home for 7 s after its last demand, but only the leader recorded that time. The gateway with the second lowest id receives all demand before it leads; it now records it at each tick.

Test: Plan.ANewLeaderKeepsTheLastHomeOfARecentlyUsedModel. On the old code: UnloadsAt("e3").count("m5") is 1, expected 0.

--- a/src/coordination/plan/plan.c
+++ b/src/coordination/plan/plan.c
@@ -450,10 +450,11 @@
 		p->no_lead_until = p->now + NO_LEAD_MS;
 	p->last_tick_at = p->now;
 	update_leadership(p);
+	/* A new leader needs to know when models were last used. */
+	sum_demand(p);
 	if (!p->is_leader || !p->service || !p->members_read)
 		return;
 	p->engines_known = p->now - p->last_listed_at >= LISTING_SETTLE_MS;
-	sum_demand(p);
 	resend_orders(p);
 	plan_choose_orders(p);
 }
--- a/tests/test_plan.cc
+++ b/tests/test_plan.cc
@@ -569,4 +569,29 @@
 	EXPECT_EQ(UnloadsAt(other).count("m1"), 1u);
 }
 
+// The demand that a gateway received before it led counts, too.
+TEST_F(Plan, ANewLeaderKeepsTheLastHomeOfARecentlyUsedModel)
+{
+	std::map<std::string, float> requests = { { "m0", 60 }, { "m1", 1 },
+						  { "m2", 1 },  { "m3", 1 },
+						  { "m4", 1 },  { "m5", 1 } };
+
+	engines["e1"].residents = { "m0", "m1" };
+	engines["e2"].residents = { "m2", "m3" };
+	engines["e3"].residents = { "m4", "m5" };
+	peers = { 7 };
+	StartKnown();
+	for (int i = 0; i < 100; i++) {
+		SendDemand({}, 7);
+		Run(100, requests);
+	}
+	requests.erase("m5");
+	peers.clear();
+	Run(4000, requests);
+	ASSERT_TRUE(pf_plan_is_leader(p));
+	EXPECT_EQ(UnloadsAt("e3").count("m5"), 0u);
+	Run(6000, requests);
+	EXPECT_EQ(UnloadsAt("e3").count("m5"), 1u);
+}
+
 } // namespace
