Planner: evict no last home before the demand of all gateways is known

Gateways send their demand to the two with the lowest ids. If both fell silent for a second, the third led with its own demand only: the others count a member as down, and send their demand further, after 2 s. In between it took the last home of models that only other gateways used. A gateway that had just started or woken also knew no demand of the last 7 s, but took last homes at once.

A last home is now evicted only after the demand of all gateways that are heard has been known for the 7 s without demand that the rule asks for. A gateway that is heard without having sent demand for 3 s is a gap; one that has just appeared isn't.

Test: Plan.NoLastHomeIsEvictedBeforeAllDemandIsKnown. On the old code: UnloadsAt("e3").count("m5") is 1, expected 0.

A cost: after a start, a pause or the return of a gateway that was cut off, an urgent model waits up to 7 s for a room that only a last home can give.

--- a/src/coordination/plan/plan.c
+++ b/src/coordination/plan/plan.c
@@ -326,6 +326,8 @@
 	}
 	oldest->id = id;
 	oldest->n_demand = 0;
+	/* A gateway that has just started has no earlier demand. */
+	oldest->demand_received_at = p->now;
 	return oldest;
 }
 
@@ -381,6 +383,21 @@
 	}
 }
 
+/* Gateways send their demand only to those that lead or would be next. */
+static bool demand_is_missing(const struct pf_plan *p)
+{
+	uint32_t i;
+
+	for (i = 0; i < PLAN_PEERS_MAX; i++) {
+		const struct plan_peer *q = &p->peers[i];
+
+		if (q->id && p->now - q->last_seen_at < PEER_SILENT_MS &&
+		    p->now - q->demand_received_at > DEMAND_TTL_MS)
+			return true;
+	}
+	return false;
+}
+
 static void update_leadership(struct pf_plan *p)
 {
 	uint32_t i;
@@ -446,9 +463,13 @@
 
 static void on_tick(struct pf_plan *p)
 {
-	if (p->now - p->last_tick_at > TICK_GAP_MAX_MS)
+	if (p->now - p->last_tick_at > TICK_GAP_MAX_MS) {
 		p->no_lead_until = p->now + NO_LEAD_MS;
+		p->demand_known_since = p->now;
+	}
 	p->last_tick_at = p->now;
+	if (demand_is_missing(p))
+		p->demand_known_since = p->now;
 	update_leadership(p);
 	/* A new leader needs to know when models were last used. */
 	sum_demand(p);
--- a/src/coordination/plan/plan_choose.c
+++ b/src/coordination/plan/plan_choose.c
@@ -163,6 +163,13 @@
 	return m->last_demand_at && p->now - m->last_demand_at < IN_DEMAND_MS;
 }
 
+/* Whether no gateway has needed @m for some time. */
+static bool known_idle(const struct pf_plan *p, const struct plan_model *m)
+{
+	return !in_demand(p, m) &&
+	       p->now - p->demand_known_since >= IN_DEMAND_MS;
+}
+
 /* How urgently @m needs another home; 0: it doesn't. */
 static double home_urgency(const struct pf_plan *p, const struct plan_model *m)
 {
@@ -198,7 +205,7 @@
 		return expected_requests(v) / others <= SPARE_REQUESTS;
 	/* A model that loses its last home is loaded again from a disk on
 	 * demand. */
-	return urgency >= EVICT_LAST_URGENCY && !in_demand(p, v);
+	return urgency >= EVICT_LAST_URGENCY && known_idle(p, v);
 }
 
 /* The model to evict from @e for @m: the least used one, a last home only if
--- a/src/coordination/plan/plan_core.h
+++ b/src/coordination/plan/plan_core.h
@@ -73,6 +73,7 @@
 	pf_ms started_at; /* time of the first step */
 	pf_ms last_tick_at;
 	pf_ms no_lead_until; /* before, heartbeats may be missing */
+	pf_ms demand_known_since; /* of all live gateways, without a gap */
 	const struct pf_plan_sink *sink;
 	const struct pf_routes *routes;
 	const struct pf_route_service *service; /* the one with engines */
--- a/tests/test_plan.cc
+++ b/tests/test_plan.cc
@@ -594,4 +594,34 @@
 	EXPECT_EQ(UnloadsAt("e3").count("m5"), 1u);
 }
 
+// Other gateways send their demand to the two with the lowest ids. If both fall
+// silent, the third leads before it knows what the others need.
+TEST_F(Plan, NoLastHomeIsEvictedBeforeAllDemandIsKnown)
+{
+	std::map<std::string, float> requests = {
+		{ "m0", 60 }, { "m1", 1 }, { "m2", 1 }, { "m3", 1 }, { "m4", 1 }
+	};
+
+	engines["e1"].residents = { "m0", "m1" };
+	engines["e2"].residents = { "m2", "m3" };
+	engines["e3"].residents = { "m4", "m5" };
+	peers = { 7, 8, 60 };
+	StartKnown();
+	Run(10000, requests);
+	peers = { 60 };
+	Run(2500, requests);
+	ASSERT_TRUE(pf_plan_is_leader(p));
+	EXPECT_EQ(UnloadsAt("e3").count("m5"), 0u);
+	for (int i = 0; i < 50; i++) {
+		SendDemand({ { "m5", 1 } }, 60);
+		Run(100, requests);
+	}
+	EXPECT_EQ(UnloadsAt("e3").count("m5"), 0u);
+	for (int i = 0; i < 120; i++) {
+		SendDemand({}, 60);
+		Run(100, requests);
+	}
+	EXPECT_EQ(UnloadsAt("e3").count("m5"), 1u);
+}
+
 } // namespace
