--- a/daemons/gateway/gateway.h
+++ b/daemons/gateway/gateway.h
@@ -93,7 +93,6 @@
 
 struct feeds;
 struct talk;
-struct planner;
 struct ready_server;
 
 struct gateway {
@@ -126,7 +125,6 @@
 	struct pf_store *store;
 	struct feeds *feeds;
 	struct talk *talk;
-	struct planner *planner;
 	struct ready_server *ready_server;
 	/* Ends of sends reported during a step of the core. */
 	struct event *deferred_ev;
