Gateway: drop the setting lease, which nothing read

The planner leads by the lowest live id; no lease is taken.

Settings.DeployTemplatesHaveOnlyKnownKeys (new) reads both templates with values for their placeholders.

--- a/include/pimentoford/settings.h
+++ b/include/pimentoford/settings.h
@@ -83,7 +83,6 @@
 	char *talk; /* UDP for gateways and loaders */
 	struct pf_tables zones; /* struct pf_zone_setting */
 	pf_ms drain; /* limit of a graceful stop */
-	pf_ms lease; /* least time between orders of two planners; unused */
 	pf_ms load_window; /* window for the weight store's load rate */
 	double load_rate_factor; /* share of the weight store's rate to use */
 	struct pf_gate_opts core; /* the daemon sets zone, region and ids */
--- a/src/transport/settings.c
+++ b/src/transport/settings.c
@@ -91,7 +91,6 @@
 	DEF("ready", ADDR, ready, true, 0, 0, NULL, NULL)                    \
 	DEF("talk", ADDR, talk, true, 0, 0, NULL, NULL)                      \
 	DEF("drain", MS, drain, false, 0, HOUR_MS, "8s", NULL)               \
-	DEF("lease", MS, lease, false, 100, HOUR_MS, "3s", NULL)             \
 	DEF("load_window", MS, load_window, false, 100, HOUR_MS, "5s", NULL) \
 	DEF("load_over", REAL, load_rate_factor, false, 0, 100, "1", NULL)   \
 	OPT(DEF, U32, requests_max, 1, 1e6, NULL)                            \
--- a/tests/test_settings.cc
+++ b/tests/test_settings.cc
@@ -5,6 +5,9 @@
 
 #include <gtest/gtest.h>
 
+#include <fstream>
+#include <map>
+#include <sstream>
 #include <string>
 
 static std::string take_findings(struct pf_findings *f)
@@ -45,6 +48,75 @@
 	pf_fields_free(&pf_agent_form, &a);
 }
 
+// The template of @path with a value for each placeholder.
+static std::string fill_template(const std::string &path)
+{
+	static const std::map<std::string, std::string> values = {
+		{ "node", "n1" },
+		{ "zone", "za" },
+		{ "region", "east" },
+		{ "platform.address", "127.0.0.1:1" },
+		{ "listen.front", "127.0.0.1:2" },
+		{ "listen.ready", "127.0.0.1:3" },
+		{ "ip", "127.0.0.1" },
+		{ "port_range.0", "4" },
+		{ "app", "127.0.0.1:5" },
+		{ "bounds.grace_s", "8" },
+		{ "bounds.ceiling_window_s", "5" },
+		{ "bounds.ceiling_over", "1.1" },
+		{ "bounds.budget_ratio", "0.2" },
+		{ "bounds.budget_slack", "54" },
+		{ "bounds.budget_window_s", "10" },
+		{ "#zones", "" },
+		{ "@", "za" },
+		{ ".", "east" },
+		{ "/zones", "" },
+	};
+	std::stringstream text;
+	std::string s;
+	size_t at;
+
+	text << std::ifstream(path).rdbuf();
+	s = text.str();
+	while ((at = s.find("{{")) != std::string::npos) {
+		size_t end = s.find("}}", at);
+		std::string name = s.substr(at + 2, end - at - 2);
+
+		EXPECT_EQ(values.count(name), 1u) << path << ": " << name;
+		if (!values.count(name))
+			break;
+		s.replace(at, end + 2 - at, values.at(name));
+	}
+	return s;
+}
+
+TEST(Settings, DeployTemplatesHaveOnlyKnownKeys)
+{
+	struct pf_gateway_settings g = {};
+	struct pf_loader_settings l = {};
+	struct pf_findings f = {};
+	std::string text = fill_template("deploy/gateway.toml.in");
+
+	EXPECT_EQ(pf_settings_read(&pf_gateway_form,
+				   { text.data(), text.size() }, "gateway", &g,
+				   &f),
+		  0)
+		<< take_findings(&f);
+	EXPECT_EQ(g.drain, 8000);
+	EXPECT_EQ(g.load_window, 5000);
+	EXPECT_EQ(g.core.repeat_slack, 54u);
+	EXPECT_EQ(g.zones.n, 1u);
+	text = fill_template("deploy/loader.toml.in");
+	EXPECT_EQ(pf_settings_read(&pf_loader_form,
+				   { text.data(), text.size() }, "loader", &l,
+				   &f),
+		  0)
+		<< take_findings(&f);
+	EXPECT_STREQ(l.backend, "127.0.0.1:5");
+	pf_fields_free(&pf_gateway_form, &g);
+	pf_fields_free(&pf_loader_form, &l);
+}
+
 TEST(Settings, AllFindingsAreReportedAtOnce)
 {
 	struct pf_entry_settings e = {};
