Gateway, loader: the setting talk is now datagrams

It is the address of the socket for datagrams between processes; talk named the module, which said nothing to an operator.

--- a/daemons/gateway/members.c
+++ b/daemons/gateway/members.c
@@ -148,7 +148,7 @@
 		goto out;
 	*space = '\0';
 	memset(m, 0, sizeof(*m));
-	if (strcmp(s, t->gateway->settings.talk) == 0 ||
+	if (strcmp(s, t->gateway->settings.datagrams) == 0 ||
 	    pf_talk_addr(s, &m->addr) < 0)
 		goto out;
 	zone = pf_id(pf_str_c(space + 1));
@@ -206,7 +206,7 @@
 
 	(void)fd;
 	(void)what;
-	pf_text_printf(&row, "%s %s", g->settings.talk,
+	pf_text_printf(&row, "%s %s", g->settings.datagrams,
 		       g->settings.common.zone);
 	put.value = pf_text_str(&row);
 	if (!t->row_written && !row.failed)
--- a/daemons/gateway/talk.c
+++ b/daemons/gateway/talk.c
@@ -325,7 +325,7 @@
 	struct talk *t = calloc(1, sizeof(*t));
 	struct pf_talk_opts o = {
 		.base = g->base,
-		.addr = g->settings.talk,
+		.addr = g->settings.datagrams,
 		.log = &g->log,
 		.digest = on_digest,
 		.demand = on_demand,
@@ -339,9 +339,9 @@
 	t->gateway = g;
 	t->datagrams = pf_talk_new(&o);
 	if (!t->datagrams ||
-	    pf_talk_addr(g->settings.talk, &t->self_addr) < 0) {
+	    pf_talk_addr(g->settings.datagrams, &t->self_addr) < 0) {
 		PF_LOG(&g->log, PF_LOG_ERROR, "no_listener",
-		       PF_KV_STR("talk", g->settings.talk),
+		       PF_KV_STR("datagrams", g->settings.datagrams),
 		       PF_KV_STR("why", strerror(errno)));
 		return -1;
 	}
--- a/daemons/loader/main.c
+++ b/daemons/loader/main.c
@@ -317,7 +317,7 @@
 		return -1;
 	pf_loader_opts_default(&core_opts);
 	talk_opts.base = l->base;
-	talk_opts.addr = l->settings.talk;
+	talk_opts.addr = l->settings.datagrams;
 	talk_opts.log = &l->log;
 	talk_opts.ctx = l;
 	http_opts.base = l->base;
@@ -384,7 +384,7 @@
 		status = EXIT_SUCCESS;
 	} else {
 		PF_LOG(&l.log, PF_LOG_ERROR, "not_started",
-		       PF_KV_STR("talk", l.settings.talk));
+		       PF_KV_STR("datagrams", l.settings.datagrams));
 	}
 	stop(&l);
 out:
--- a/include/pimentoford/settings.h
+++ b/include/pimentoford/settings.h
@@ -80,7 +80,7 @@
 	struct pf_common_settings common;
 	char *listen; /* HTTP for callers */
 	char *ready; /* HTTP for readiness and metrics */
-	char *talk; /* UDP for gateways and loaders */
+	char *datagrams; /* UDP for gateways and loaders */
 	struct pf_tables zones; /* struct pf_zone_setting */
 	pf_ms drain; /* limit of a graceful stop */
 	pf_ms load_window; /* window for the weight store's load rate */
@@ -90,7 +90,7 @@
 
 struct pf_loader_settings {
 	struct pf_common_settings common;
-	char *talk; /* UDP for gateways */
+	char *datagrams; /* UDP for gateways */
 	char *backend; /* the engine */
 };
 
--- a/src/transport/settings.c
+++ b/src/transport/settings.c
@@ -89,7 +89,7 @@
 	COMMON_FIELDS(DEF)                                                   \
 	DEF("listen", ADDR, listen, true, 0, 0, NULL, NULL)                  \
 	DEF("ready", ADDR, ready, true, 0, 0, NULL, NULL)                    \
-	DEF("talk", ADDR, talk, true, 0, 0, NULL, NULL)                      \
+	DEF("datagrams", ADDR, datagrams, true, 0, 0, NULL, NULL)            \
 	DEF("drain", MS, drain, false, 0, HOUR_MS, "8s", NULL)               \
 	DEF("load_window", MS, load_window, false, 100, HOUR_MS, "5s", NULL) \
 	DEF("load_over", REAL, load_rate_factor, false, 0, 100, "1", NULL)   \
@@ -99,9 +99,9 @@
 	OPT(DEF, U32, repeat_slack, 0, 1e6, NULL)                            \
 	OPT(DEF, MS, repeat_window, 1000, 14000, NULL)
 
-#define LOADER_FIELDS(DEF)                              \
-	COMMON_FIELDS(DEF)                              \
-	DEF("talk", ADDR, talk, true, 0, 0, NULL, NULL) \
+#define LOADER_FIELDS(DEF)                                        \
+	COMMON_FIELDS(DEF)                                        \
+	DEF("datagrams", ADDR, datagrams, true, 0, 0, NULL, NULL) \
 	DEF("backend", ADDR, backend, true, 0, 0, NULL, NULL)
 
 #define ZONE_FIELDS(DEF)                                \
--- a/tests/gateway_fixture.h
+++ b/tests/gateway_fixture.h
@@ -300,7 +300,7 @@
 
 inline std::string GatewaySettings(const std::string &store,
 				   const std::string &ip, int port, int ready,
-				   int talk)
+				   int datagrams)
 {
 	auto at = [&](const char *key, int p) {
 		return std::string(key) + " = \"" + ip + ":" +
@@ -311,7 +311,7 @@
 	       "\"\nzone = \"za\"\nregion = \"east\"\n"
 	       "platform = \"" +
 	       store + "\"\n" + at("listen", port) + at("ready", ready) +
-	       at("talk", talk) +
+	       at("datagrams", datagrams) +
 	       "drain = \"8s\"\n[core]\nrepeat_slack = 50\n"
 	       "repeat_ratio = 5.0\n[[zones]]\nname = \"za\"\n"
 	       "region = \"east\"\n";
--- a/tests/test_gateway.cc
+++ b/tests/test_gateway.cc
@@ -15,7 +15,8 @@
 struct Gateway : ::testing::Test {
 	FakeStore store;
 	Daemon gateway;
-	int port = FreePort(), ready_port = FreePort(), talk_port = FreePort();
+	int port = FreePort(), ready_port = FreePort(),
+	    datagram_port = FreePort();
 
 	void StartGateway(bool configured = true)
 	{
@@ -23,7 +24,7 @@
 			store.Put("op", "config", ConfigJson(1));
 		gateway.Start("pimento-gateway",
 			      GatewaySettings(store.addr(), "127.0.0.2", port,
-					      ready_port, talk_port));
+					      ready_port, datagram_port));
 	}
 	std::string Request(const std::string &raw,
 			    const std::string &until = "")
@@ -490,9 +491,9 @@
 	loader.Start("pimento-loader",
 		     "name = \"l1\"\nzone = \"za\"\nregion = \"east\"\n"
 		     "platform = \"" +
-			     store.addr() + "\"\ntalk = \"127.0.0.1:" +
-			     std::to_string(talk_port) + "\"\nbackend = \"" +
-			     e.server.addr() + "\"\n");
+			     store.addr() + "\"\ndatagrams = \"127.0.0.1:" +
+			     std::to_string(datagram_port) +
+			     "\"\nbackend = \"" + e.server.addr() + "\"\n");
 	WaitUntilReady();
 	std::string got = RequestUntil(
 		GetRequest("/t/x", "1", "Model: m/a1\r\nToken-Usage: 10,5\r\n"),
@@ -540,9 +541,9 @@
 	loader.Start("pimento-loader",
 		     "name = \"l1\"\nzone = \"za\"\nregion = \"east\"\n"
 		     "platform = \"" +
-			     store.addr() + "\"\ntalk = \"127.0.0.1:" +
-			     std::to_string(talk_port) + "\"\nbackend = \"" +
-			     e.addr() + "\"\n");
+			     store.addr() + "\"\ndatagrams = \"127.0.0.1:" +
+			     std::to_string(datagram_port) +
+			     "\"\nbackend = \"" + e.addr() + "\"\n");
 	WaitUntilReady();
 	for (int i = 0; i < 20 && orders < conns_max; i++)
 		Request("GET /t/x HTTP/1.1\r\nHost: h\r\nAttempt-Id: " +
--- a/tests/test_gateway_soak.cc
+++ b/tests/test_gateway_soak.cc
@@ -105,7 +105,7 @@
 	struct {
 		Daemon process;
 		std::string ip;
-		int port, ready, talk;
+		int port, ready, datagrams;
 	} gateways[N_GATEWAYS];
 
 	void SetUp() override
@@ -124,7 +124,8 @@
 			gateways[i].port = FreePort();
 			gateways[i].ready = FreePort();
 			/* All gateways and loaders use the same port. */
-			gateways[i].talk = i ? gateways[0].talk : FreePort();
+			gateways[i].datagrams =
+				i ? gateways[0].datagrams : FreePort();
 			StartGateway(i);
 		}
 	}
@@ -140,7 +141,7 @@
 			"pimento-gateway",
 			GatewaySettings(store.addr(), gateways[i].ip,
 					gateways[i].port, gateways[i].ready,
-					gateways[i].talk));
+					gateways[i].datagrams));
 	}
 	void PutEndpoint(int i, const char *state)
 	{
