Loader: show a load that begins after its order was given up

An engine that is silent for 400 ms when a load is ordered leaves the order in doubt, and the loader forgot it at once. If the engine then began the load, the loader's state showed a busy engine, but neither the model nor that it read from the weight store. Planners of other gateways count such loads by these states; one that took the lead within the window could exceed the store's rate by them.

The loader keeps a load in doubt until the engine accepts an order. If it reports busy with exactly the next count of orders, this load was the one; an order that was answered as accepted rules it out.

Test: Loader.ALoadThatBeginsLateIsShown. On the old code: State().loading_model is 0 and State().from_store false.

--- a/src/coordination/loader/loader.c
+++ b/src/coordination/loader/loader.c
@@ -68,9 +68,17 @@
 		int64_t incarnation;
 	} model_order;
 	bool order_is_model; /* the last order was for a model */
+	uint64_t order_expected; /* orders accepted before the last order */
 	uint64_t loading_model; /* whose load was ordered last; 0: none */
 	bool loading_from_store;
 	pf_ms loading_ordered_at;
+	/* A load in doubt, until the engine accepts an order. */
+	struct {
+		uint64_t model; /* 0: none */
+		bool from_store;
+		uint64_t expected_orders;
+		int64_t incarnation;
+	} doubted_load;
 	struct adapter_request adapter_requests[ADAPTER_REQUESTS_MAX];
 	struct last_use last_uses[LAST_USES_MAX];
 	struct gateway_usage gateways[GATEWAYS_MAX];
@@ -189,6 +197,7 @@
 	l->report_fresh = false;
 	l->order_deadline = l->now + l->opts.order_timeout;
 	l->order_is_model = !adapter;
+	l->order_expected = l->report.orders_accepted;
 	if (!load) {
 		/* Gateways must stop using the item now. */
 		l->unloading = pf_id(pf_str_c(model));
@@ -343,6 +352,24 @@
 	l->unloading = 0;
 }
 
+/* Resolves a load in doubt when the engine has accepted an order. */
+static void check_doubted_load(struct pf_loader *l)
+{
+	const struct pf_engine_report *r = &l->report;
+
+	if (!l->doubted_load.model ||
+	    (r->incarnation == l->doubted_load.incarnation &&
+	     r->orders_accepted == l->doubted_load.expected_orders))
+		return;
+	if (r->busy && r->incarnation == l->doubted_load.incarnation &&
+	    r->orders_accepted == l->doubted_load.expected_orders + 1) {
+		l->loading_model = l->doubted_load.model;
+		l->loading_from_store = l->doubted_load.from_store;
+		l->loading_ordered_at = l->now;
+	}
+	l->doubted_load.model = 0;
+}
+
 static void on_report(struct pf_loader *l, struct pf_engine_report *r)
 {
 	bool changed;
@@ -367,6 +394,7 @@
 		l->report_fresh = true;
 	if (!l->report.busy)
 		l->loading_model = 0;
+	check_doubted_load(l);
 	check_unload_done(l);
 	l->next_poll_at = l->now + l->opts.poll_interval;
 	if (l->report.busy || count_adapters(&l->report) != 0)
@@ -472,6 +500,15 @@
 {
 	l->order_in_flight = false;
 	l->order_deadline = PF_NEVER;
+	if (result == PF_LOADER_ACCEPTED) {
+		l->doubted_load.model = 0;
+	} else if (result == PF_LOADER_IN_DOUBT && l->order_is_model &&
+		   l->loading_model) {
+		l->doubted_load.model = l->loading_model;
+		l->doubted_load.from_store = l->loading_from_store;
+		l->doubted_load.expected_orders = l->order_expected;
+		l->doubted_load.incarnation = l->report.incarnation;
+	}
 	if (result != PF_LOADER_ACCEPTED && l->order_is_model)
 		l->loading_model = 0;
 	if (result == PF_LOADER_REFUSED)
--- a/tests/test_loader.cc
+++ b/tests/test_loader.cc
@@ -110,7 +110,7 @@
 		Step(m);
 	}
 	void SendOrder(bool load, const char *model, uint64_t orders,
-		       int64_t incarnation = 1)
+		       int64_t incarnation = 1, bool from_store = false)
 	{
 		struct pf_loader_msg m = {};
 
@@ -119,6 +119,7 @@
 		m.u.order.incarnation = incarnation;
 		m.u.order.expected_orders = orders;
 		m.u.order.load = load;
+		m.u.order.from_store = from_store;
 		m.u.order.model = pf_str_c(model);
 		Step(m);
 	}
@@ -323,4 +324,39 @@
 	EXPECT_EQ(polls, 2);
 }
 
+// Planners count loads from the weight store by the states of loaders. A silent
+// engine may begin a load after its order was given up.
+TEST_F(Loader, ALoadThatBeginsLateIsShown)
+{
+	uint64_t n = pf_id(PF_STR("n"));
+
+	SendReport(3, { "m" });
+	SendOrder(true, "n", 3, 1, true);
+	SendAnswer(PF_LOADER_IN_DOUBT);
+	EXPECT_EQ(State().loading_model, 0u);
+	SendReport(3, { "m" });
+	EXPECT_EQ(State().loading_model, 0u);
+	now += 1000;
+	SendReport(4, { "m" }, true);
+	EXPECT_EQ(State().loading_model, n);
+	EXPECT_TRUE(State().from_store);
+	EXPECT_EQ(State().loading_elapsed, 0);
+	SendReport(4, { "m", "n" });
+	EXPECT_EQ(State().loading_model, 0u);
+	EXPECT_FALSE(State().from_store);
+}
+
+TEST_F(Loader, ALoadInDoubtIsVoidOnceAnotherOrderIsAccepted)
+{
+	SendReport(3, { "m" });
+	SendOrder(true, "n", 3, 1, true);
+	SendAnswer(PF_LOADER_IN_DOUBT);
+	SendReport(3, { "m" });
+	SendOrder(false, "m", 3);
+	ASSERT_EQ(calls.size(), 2u);
+	SendAnswer(PF_LOADER_ACCEPTED);
+	SendReport(4, { "m" }, true);
+	EXPECT_EQ(State().loading_model, 0u);
+}
+
 } // namespace
