--- a/include/pimentoford/plan.h
+++ b/include/pimentoford/plan.h
@@ -4,8 +4,8 @@
  * draining; a model in demand gets more, where other models can give up memory.
  * Loads from the weight store stay below its rate limit. Every gateway runs a
  * plan core, but only the leader gives orders. Each order names the number of
- * orders that the engine must have accepted before it, so that two leaders at
- * once do no harm. Does no I/O.
+ * orders that the engine must have accepted before it, so that an engine
+ * carries out only one of two leaders' orders. Does no I/O.
  */
 #ifndef PIMENTOFORD_PLAN_H
 #define PIMENTOFORD_PLAN_H
