--- a/include/pimentoford/settings.h
+++ b/include/pimentoford/settings.h
@@ -80,10 +80,9 @@
 	struct pf_common_settings common;
 	char *listen; /* HTTP for callers */
 	char *ready; /* HTTP for readiness and metrics */
-	char *talk; /* UDP for gateways and loaders */
+	char *datagrams; /* UDP for gateways and loaders */
 	struct pf_tables zones; /* struct pf_zone_setting */
 	pf_ms drain; /* limit of a graceful stop */
-	pf_ms lease; /* least time between orders of two planners; unused */
 	pf_ms load_window; /* window for the weight store's load rate */
 	double load_rate_factor; /* share of the weight store's rate to use */
 	struct pf_gate_opts core; /* the daemon sets zone, region and ids */
@@ -91,7 +90,7 @@
 
 struct pf_loader_settings {
 	struct pf_common_settings common;
-	char *talk; /* UDP for gateways */
+	char *datagrams; /* UDP for gateways */
 	char *backend; /* the engine */
 };
 
--- a/src/coordination/plan/plan_core.h
+++ b/src/coordination/plan/plan_core.h
@@ -33,6 +33,9 @@
 	uint64_t order_expected; /* orders accepted before this one */
 	pf_ms order_given_at;
 	pf_ms order_sent_at; /* last time */
+	/* Model of an unload that was given up. The loader may still carry it
+	 * out until the engine accepts another order. 0: none */
+	uint64_t unload_in_doubt;
 	uint64_t reserved_model; /* memory is being freed for this model */
 	pf_ms reserved_until;
 	double est_requests; /* in flight, estimated from the demand */
@@ -44,7 +47,7 @@
 	double arrivals_per_s;
 	uint32_t waiting;
 	uint32_t homes; /* not draining; loads in flight included */
-	uint32_t homes_loading; /* homes whose load is in flight */
+	uint32_t homes_sure; /* loaded, and the loader isn't silent */
 	pf_ms home_added_at; /* when a load was last ordered */
 	pf_ms last_demand_at; /* 0: never */
 };
@@ -70,6 +73,7 @@
 	pf_ms started_at; /* time of the first step */
 	pf_ms last_tick_at;
 	pf_ms no_lead_until; /* before, heartbeats may be missing */
+	pf_ms demand_known_since; /* of all live gateways, without a gap */
 	const struct pf_plan_sink *sink;
 	const struct pf_routes *routes;
 	const struct pf_route_service *service; /* the one with engines */
--- a/tests/gateway_fixture.h
+++ b/tests/gateway_fixture.h
@@ -310,7 +310,7 @@
 
 inline std::string GatewaySettings(const std::string &store,
 				   const std::string &ip, int port, int ready,
-				   int talk,
+				   int datagrams,
 				   const std::string &repeat_ratio = "5.0")
 {
 	auto at = [&](const char *key, int p) {
@@ -322,7 +322,7 @@
 	       "\"\nzone = \"za\"\nregion = \"east\"\n"
 	       "platform = \"" +
 	       store + "\"\n" + at("listen", port) + at("ready", ready) +
-	       at("talk", talk) +
+	       at("datagrams", datagrams) +
 	       "drain = \"8s\"\n[core]\nrepeat_slack = 50\n"
 	       "repeat_ratio = " +
 	       repeat_ratio +
