Entry: count a crash by whether its try was sent alone, not by guessed times

Cause: the crash of a try that is no longer in flight (its request had met its deadline, or the try had been replaced) came without its sending time. The entry guessed: time 0 if no try of the request had crashed before, else now. - and: a trial (attempt 1, alone) crashed in the tick after its request's deadline. Guess 0, so it counted as one beside others and the next resend crashed a third endpoint. -: attempts 1 and 2 of a harmless request, neither sent as a suspect, were replaced for a gap and crashed beside a poisoned one. Guess now for the second, so it counted as alone. Ruled out: duplicates of messages and lost shares between the entries (the traces have neither).

Each request, open or ended, now keeps a bitset of the attempts that were sent as suspects. An agent runs these alone, so exactly their crashes count beyond the first. One crash can't hold two tries of a fingerprint that both ran alone, so crash ids per agent and the two-second rule go.

Failed before: EntryQuarantine.CrashOfATrialAfterItsRequestEndedCounts (no share of a quarantine, the duplicate wasn't refused) and LateCrashesOfTriesBesideOthersMakeASuspectOnly (quarantined 1, expected 0).

--- a/src/coordination/dispatch.c
+++ b/src/coordination/dispatch.c
@@ -41,6 +41,16 @@
 	pf_entry_emit(e, &a);
 }
 
+static void record_sent(struct pf_request *r)
+{
+	uint64_t bit = pf_try_bit(r->attempt);
+
+	r->tries.crashed &= ~bit;
+	r->tries.alone &= ~bit;
+	if (r->work.flags & PF_WORK_SUSPECT)
+		r->tries.alone |= bit;
+}
+
 static void send_try(struct pf_entry *e, uint32_t slot,
 		     const struct pf_route_choice *c)
 {
@@ -48,6 +58,7 @@
 	pf_ms timeout = e->opts.try_timeout;
 
 	r->attempt++;
+	record_sent(r);
 	r->done_total = 0;
 	r->state = PF_REQ_SENT;
 	r->agent_slot = c->agent_slot;
--- a/src/coordination/entry_impl.h
+++ b/src/coordination/entry_impl.h
@@ -22,6 +22,12 @@
 	PF_REQ_RUNNING, /* STARTED received */
 };
 
+/** Bitsets of a request's tries by attempt, of the last 64. */
+struct pf_try_sets {
+	uint64_t alone; /* sent as suspects, which agents run alone */
+	uint64_t crashed;
+};
+
 struct pf_request {
 	uint64_t id;
 	struct pf_work work; /* work.offset: tokens delivered so far */
@@ -41,7 +47,7 @@
 	uint32_t fingerprint_prev;
 	pf_ms sort_key; /* order in its group's queue, lowest first */
 	pf_ms timer_at; /* timeout of the state, apart from the deadline */
-	uint64_t counted_crashes; /* bitset of attempts, modulo 64 */
+	struct pf_try_sets tries;
 	pf_ms sent_at;
 	pf_ms started_at;
 	bool unreported; /* the agent's report lacks its try */
@@ -129,8 +135,6 @@
 	uint32_t in_flight_head; /* list of those in flight */
 	double service_ms; /* mean time from TRY to a complete answer */
 	double retry_budget;
-	uint32_t last_crash; /* crash id; 0: none */
-	pf_ms last_crash_at;
 	struct {
 		uint32_t group;
 		pf_ms until;
@@ -144,10 +148,8 @@
 
 /** A fingerprint that was running when an endpoint crashed. */
 struct pf_suspect {
-	pf_ms first_crash_at; /* tries sent before it did not run alone */
 	uint64_t fingerprint;
 	uint32_t crashes;
-	uint32_t last_crash; /* crash id */
 	pf_ms quarantined_until; /* 0: a suspect only */
 	pf_ms last_seen_at;
 	uint32_t prev; /* LRU list, least recently seen first */
@@ -158,7 +160,7 @@
 struct pf_ended_request {
 	uint64_t request;
 	uint64_t fingerprint;
-	uint64_t counted_crashes; /* as in struct pf_request */
+	struct pf_try_sets tries;
 };
 
 /** An agent able to serve the request that is being routed. */
@@ -214,7 +216,6 @@
 	uint32_t suspect_tail;
 	uint32_t trial_slot; /* request on trial, or PF_NIL */
 	uint32_t trial_queue; /* list of requests waiting for a trial */
-	uint32_t crash_seq; /* last crash id given */
 
 	struct pf_entry_stats stats;
 };
@@ -236,6 +237,12 @@
 	return !pf_req_never_repeat(r) || r->work.idem_key != 0;
 }
 
+/** The bit of a try in struct pf_try_sets. */
+static inline uint64_t pf_try_bit(uint32_t attempt)
+{
+	return 1ull << (attempt % 64);
+}
+
 static inline bool pf_req_in_flight(const struct pf_request *r)
 {
 	return r->state == PF_REQ_SENT || r->state == PF_REQ_REVOKING ||
--- a/src/coordination/lifecycle.c
+++ b/src/coordination/lifecycle.c
@@ -316,23 +316,14 @@
 		pf_attempt_retry(e, slot, PF_RETRY_BUSY, 0);
 }
 
-/* Marks the crash of @attempt as counted. False for a duplicate message. */
-static bool count_crash(uint64_t *counted, uint32_t attempt)
-{
-	uint64_t bit = 1ull << (attempt % 64);
-	bool first = !(*counted & bit);
-
-	*counted |= bit;
-	return first;
-}
-
 static void handle_crash(struct pf_entry *e, uint32_t slot)
 {
 	struct pf_request *r = &e->reqs[slot];
-	uint64_t fp = r->work.fingerprint;
+	uint64_t fp = r->work.fingerprint, bit = pf_try_bit(r->attempt);
 
-	(void)count_crash(&r->counted_crashes, r->attempt);
-	if (pf_quarantine_record_crash(e, fp, r->agent_slot, r->sent_at) ==
+	r->tries.crashed |= bit;
+	if (pf_quarantine_record_crash(e, fp, r->agent_slot,
+				       r->tries.alone & bit) ==
 	    PF_QUARANTINED) {
 		pf_attempt_end_request(e, slot,
 				       pf_outcome(PF_REASON_QUARANTINED, PF_RAN,
@@ -343,10 +334,7 @@
 	pf_attempt_lost(e, slot, PF_RETRY_ENDPOINT_LOST);
 }
 
-/*
- * Counts the crash of a try that is no longer in flight. If another try of
- * the request has crashed before, this is a different crash.
- */
+/* Counts the crash of a try that is no longer in flight, once. */
 static void handle_late_crash(struct pf_entry *e, const struct pf_entry_msg *m)
 {
 	const struct pf_try *id = &m->u.lost.id;
@@ -354,20 +342,19 @@
 	uint32_t agent_slot = pf_agents_find(e, m->agent);
 	struct pf_ended_request *ended =
 		pf_quarantine_find_ended(e, id->request);
+	uint64_t bit = pf_try_bit(id->attempt), fp;
 	bool open = slot != PF_NIL;
-	uint64_t *counted, fp;
-	pf_ms sent_at;
+	struct pf_try_sets *tries;
 
 	if (m->u.lost.reason != PF_REASON_CRASHED || agent_slot == PF_NIL ||
 	    (!open && !ended))
 		return;
-	counted =
-		open ? &e->reqs[slot].counted_crashes : &ended->counted_crashes;
+	tries = open ? &e->reqs[slot].tries : &ended->tries;
 	fp = open ? e->reqs[slot].work.fingerprint : ended->fingerprint;
-	sent_at = *counted ? e->now : 0;
-	if (!count_crash(counted, id->attempt))
+	if (tries->crashed & bit)
 		return;
-	if (pf_quarantine_record_crash(e, fp, agent_slot, sent_at) ==
+	tries->crashed |= bit;
+	if (pf_quarantine_record_crash(e, fp, agent_slot, tries->alone & bit) ==
 	    PF_QUARANTINED)
 		pf_lifecycle_end_quarantined(e, fp);
 }
--- a/src/coordination/quarantine.c
+++ b/src/coordination/quarantine.c
@@ -3,9 +3,6 @@
 
 #include <stdlib.h>
 
-/* Tries that an agent loses within this time are lost in the same crash. */
-#define SAME_CRASH_MS 2000
-
 int pf_quarantine_init(struct pf_entry *e)
 {
 	e->suspects = calloc(e->opts.quarantine_max, sizeof(*e->suspects));
@@ -157,39 +154,24 @@
 	pf_entry_emit(e, &a);
 }
 
-/* A try sent after the last crash was recorded was lost in a new one. */
-static void assign_crash(struct pf_entry *e, struct pf_entry_agent *a,
-			 pf_ms sent_at)
-{
-	if (a->last_crash && e->now - a->last_crash_at <= SAME_CRASH_MS &&
-	    sent_at < a->last_crash_at)
-		return;
-	a->last_crash = ++e->crash_seq;
-	a->last_crash_at = e->now;
-}
-
 enum pf_quarantine_state pf_quarantine_record_crash(struct pf_entry *e,
 						    uint64_t fingerprint,
 						    uint32_t agent_slot,
-						    pf_ms sent_at)
+						    bool alone)
 {
-	struct pf_entry_agent *a = &e->agents[agent_slot];
 	struct pf_suspect *s;
 
-	assign_crash(e, a, sent_at);
 	/* Until a report says that the endpoint is ready again. */
-	a->ready = false;
+	e->agents[agent_slot].ready = false;
 	if (fingerprint == 0)
 		return PF_CLEAR;
 	s = get_suspect(e, fingerprint);
-	if (s->last_crash == a->last_crash)
-		return suspect_state(s);
+#ifdef PF_MUTANT_QUARANTINE_BESIDE
+	alone = true;
+#endif
 	/* It ran beside others, one of which may be the cause. */
-	if (s->crashes && sent_at < s->first_crash_at)
+	if (s->crashes && !alone)
 		return suspect_state(s);
-	if (s->crashes == 0)
-		s->first_crash_at = e->now;
-	s->last_crash = a->last_crash;
 	s->crashes++;
 #ifndef PF_MUTANT_QUARANTINE
 	if (s->crashes >= e->opts.crashes_max && !s->quarantined_until) {
@@ -209,10 +191,8 @@
 	if (fingerprint == 0 || (until != 0 && until <= e->now))
 		return;
 	s = get_suspect(e, fingerprint);
-	if (s->crashes == 0) {
+	if (s->crashes == 0)
 		s->crashes = 1;
-		s->first_crash_at = e->now;
-	}
 	if (until > s->quarantined_until) {
 		if (!s->quarantined_until)
 			e->stats.quarantined++;
@@ -235,7 +215,7 @@
 
 	if (r->work.fingerprint)
 		*ended = (struct pf_ended_request){ r->id, r->work.fingerprint,
-						    r->counted_crashes };
+						    r->tries };
 }
 
 struct pf_ended_request *pf_quarantine_find_ended(struct pf_entry *e,
--- a/src/coordination/quarantine.h
+++ b/src/coordination/quarantine.h
@@ -22,13 +22,14 @@
 					     pf_ms *remaining_ms);
 
 /**
- * Records that a try sent to an agent at @sent_at was running when the endpoint
- * crashed. Shares a change with the other entries. Returns the state.
+ * Records that a try of @fingerprint, which ran alone or beside others, was
+ * running when the endpoint of an agent crashed. Shares a change with the other
+ * entries. Returns the state.
  */
 enum pf_quarantine_state pf_quarantine_record_crash(struct pf_entry *e,
 						    uint64_t fingerprint,
 						    uint32_t agent_slot,
-						    pf_ms sent_at);
+						    bool alone);
 
 /** Another entry shared a quarantine until @until, or 0 for a suspect. */
 void pf_quarantine_apply_shared(struct pf_entry *e, uint64_t fingerprint,
--- a/tests/test_entry_quarantine.cc
+++ b/tests/test_entry_quarantine.cc
@@ -174,6 +174,41 @@
 	expect_end(2, PF_REASON_QUARANTINED, PF_NOT_RUN);
 }
 
+TEST_F(EntryQuarantine, CrashOfATrialAfterItsRequestEndedCounts)
+{
+	start_with_two_agents();
+	receive_quarantine(5, 0);
+	Act t = arrive_and_get_try(1, work_fp(5));
+	ASSERT_TRUE(t.work.flags & PF_WORK_SUSPECT);
+	send_id(PF_ENTRY_STARTED, t);
+	run_timers(t.work.deadline - now);
+	expect_end(1, PF_REASON_EXPIRED, PF_RAN);
+	lost(t, PF_REASON_CRASHED);
+	EXPECT_EQ(find_act(PF_ENTRY_SHARE_QUARANTINE).quarantine.until,
+		  now + opts.quarantine_keep);
+	arrive(2, work_fp(5));
+	expect_end(2, PF_REASON_QUARANTINED, PF_NOT_RUN);
+}
+
+TEST_F(EntryQuarantine, LateCrashesOfTriesBesideOthersMakeASuspectOnly)
+{
+	start_with_two_agents();
+	Act t = arrive_and_get_try(1, work_fp(5));
+	now++;
+	piece(t, 7, 1); // a gap: replaced
+	Act u = find_act(PF_ENTRY_TRY);
+	ASSERT_NE(u.agent, t.agent);
+	now++;
+	lost(t, PF_REASON_CRASHED);
+	EXPECT_EQ(find_act(PF_ENTRY_SHARE_QUARANTINE).quarantine.until, 0);
+	now++;
+	piece(u, 7, 1);
+	EXPECT_EQ(count_acts(PF_ENTRY_CANCEL), 1u);
+	lost(u, PF_REASON_CRASHED);
+	EXPECT_EQ(count_acts(PF_ENTRY_END), 0u);
+	EXPECT_EQ(stats().quarantined, 0u);
+}
+
 TEST_F(EntryQuarantine, SharedQuarantinesApplyAndTheTableIsBounded)
 {
 	opts.quarantine_max = 3;
