Entry: log line for each suspect and quarantine

Seen: after a quarantine the entry's log said nothing; docs/OPERATIONS.md told an engineer on call to find the caller and gave no way to.

Cause: the core's act carried only the fingerprint and the end of the quarantine, and the daemon passed it on without a line.

The act now also has the caller, the crashes counted, and the last four endpoints that this entry saw crash; the daemon logs it as `suspect` or `quarantine` at level warn. The message between entries is unchanged, so an entry names only the endpoints of its own crashes; the fingerprint joins the lines of several entries.

Failed before: Daemons.LogNamesCallerAndEndpointsOfAQuarantine (no event=suspect in the log; a request crashed the stand-in engine twice). It passes now, plain and with SAN=1.

--- a/daemons/entry/core.c
+++ b/daemons/entry/core.c
@@ -1,6 +1,9 @@
 /* Drives the entry core: passes messages to it and carries out its acts. */
 #include "daemon.h"
 
+#include <inttypes.h>
+#include <stdio.h>
+
 static void send_id(struct daemon *d, uint64_t agent, enum pf_wire_type type,
 		    struct pf_try id)
 {
@@ -76,6 +79,43 @@
 		answer_end(r, act);
 }
 
+/* Names, separated by commas; numbers of those that are not declared. */
+static void add_endpoint_names(struct daemon *d, struct pf_text *t,
+			       const uint64_t *ids, uint32_t n)
+{
+	for (uint32_t i = 0; i < n; i++) {
+		const struct pf_endpoint *p =
+			pf_config_endpoint(d->config, ids[i]);
+
+		if (i)
+			pf_text_add(t, pf_str_c(","));
+		if (p)
+			pf_text_add(t, pf_str_c(p->name));
+		else
+			pf_text_printf(t, "%" PRIu64, ids[i]);
+	}
+}
+
+static void log_crash(struct daemon *d, const struct pf_entry_act *act)
+{
+	const struct pf_caller *caller =
+		pf_config_caller(d->config, act->u.quarantine.caller);
+	struct pf_text endpoints = { 0 };
+	char fingerprint[17];
+
+	snprintf(fingerprint, sizeof(fingerprint), "%016" PRIx64,
+		 act->u.quarantine.fingerprint);
+	add_endpoint_names(d, &endpoints, act->u.quarantine.endpoints,
+			   act->u.quarantine.n_endpoints);
+	PF_LOG(&d->log, PF_LOG_WARN,
+	       act->u.quarantine.until ? "quarantine" : "suspect",
+	       PF_KV_STR("fingerprint", fingerprint),
+	       PF_KV_STR("caller", caller ? caller->name : ""),
+	       PF_KV_INT("crashes", act->u.quarantine.crashes),
+	       PF_KV_TEXT("endpoints", pf_text_str(&endpoints)));
+	pf_text_free(&endpoints);
+}
+
 static void emit(void *ctx, const struct pf_entry_act *act)
 {
 	struct pf_wire_msg m = { .type = PF_WIRE_QUARANTINE };
@@ -101,6 +141,7 @@
 		m.u.quarantine.fingerprint = act->u.quarantine.fingerprint;
 		m.u.quarantine.until = act->u.quarantine.until;
 		links_send_entries(d, &m);
+		log_crash(d, act);
 		break;
 	case PF_ENTRY_DRAINED:
 		d->drained = true;
--- a/include/pimentoford/entry.h
+++ b/include/pimentoford/entry.h
@@ -132,6 +132,9 @@
 	} u;
 };
 
+/** Endpoints named for a fingerprint that crashed them: the last ones. */
+#define PF_CRASHED_ENDPOINTS_MAX 4
+
 enum pf_entry_act_type {
 	/* To the agent `agent`. */
 	PF_ENTRY_TRY, /* u.try_ */
@@ -173,6 +176,11 @@
 			/* End of the quarantine; 0: a suspect, which was
 			 * running when an endpoint crashed. */
 			pf_ms until;
+			/* Only for the log, not shared. */
+			uint64_t caller;
+			uint32_t crashes; /* counted at all entries */
+			uint64_t endpoints[PF_CRASHED_ENDPOINTS_MAX];
+			uint32_t n_endpoints; /* of crashes at this entry */
 		} quarantine;
 	} u;
 };
--- a/src/coordination/entry_impl.h
+++ b/src/coordination/entry_impl.h
@@ -150,6 +150,9 @@
 struct pf_suspect {
 	uint64_t fingerprint;
 	uint32_t crashes;
+	uint64_t endpoints[PF_CRASHED_ENDPOINTS_MAX]; /* the last ones, seen
+							* by this entry */
+	uint32_t n_endpoints;
 	pf_ms quarantined_until; /* 0: a suspect only */
 	pf_ms last_seen_at;
 	uint32_t prev; /* LRU list, least recently seen first */
@@ -160,6 +163,7 @@
 struct pf_ended_request {
 	uint64_t request;
 	uint64_t fingerprint;
+	uint64_t caller;
 	struct pf_try_sets tries;
 };
 
--- a/src/coordination/lifecycle.c
+++ b/src/coordination/lifecycle.c
@@ -319,16 +319,20 @@
 static void handle_crash(struct pf_entry *e, uint32_t slot)
 {
 	struct pf_request *r = &e->reqs[slot];
-	uint64_t fp = r->work.fingerprint, bit = pf_try_bit(r->attempt);
+	uint64_t bit = pf_try_bit(r->attempt);
+	struct pf_crash crash = {
+		.fingerprint = r->work.fingerprint,
+		.caller = r->work.caller,
+		.agent_slot = r->agent_slot,
+		.alone = r->tries.alone & bit,
+	};
 
 	r->tries.crashed |= bit;
-	if (pf_quarantine_record_crash(e, fp, r->agent_slot,
-				       r->tries.alone & bit) ==
-	    PF_QUARANTINED) {
+	if (pf_quarantine_record_crash(e, &crash) == PF_QUARANTINED) {
 		pf_attempt_end_request(e, slot,
 				       pf_outcome(PF_REASON_QUARANTINED, PF_RAN,
 						  e->opts.quarantine_keep));
-		pf_lifecycle_end_quarantined(e, fp);
+		pf_lifecycle_end_quarantined(e, crash.fingerprint);
 		return;
 	}
 	pf_attempt_lost(e, slot, PF_RETRY_ENDPOINT_LOST);
@@ -339,24 +343,30 @@
 {
 	const struct pf_try *id = &m->u.lost.id;
 	uint32_t slot = pf_requests_find(e, id->request);
-	uint32_t agent_slot = pf_agents_find(e, m->agent);
 	struct pf_ended_request *ended =
 		pf_quarantine_find_ended(e, id->request);
-	uint64_t bit = pf_try_bit(id->attempt), fp;
-	bool open = slot != PF_NIL;
+	struct pf_crash crash = { .agent_slot = pf_agents_find(e, m->agent) };
+	uint64_t bit = pf_try_bit(id->attempt);
 	struct pf_try_sets *tries;
 
-	if (m->u.lost.reason != PF_REASON_CRASHED || agent_slot == PF_NIL ||
-	    (!open && !ended))
+	if (m->u.lost.reason != PF_REASON_CRASHED ||
+	    crash.agent_slot == PF_NIL || (slot == PF_NIL && !ended))
 		return;
-	tries = open ? &e->reqs[slot].tries : &ended->tries;
-	fp = open ? e->reqs[slot].work.fingerprint : ended->fingerprint;
+	if (slot != PF_NIL) {
+		tries = &e->reqs[slot].tries;
+		crash.fingerprint = e->reqs[slot].work.fingerprint;
+		crash.caller = e->reqs[slot].work.caller;
+	} else {
+		tries = &ended->tries;
+		crash.fingerprint = ended->fingerprint;
+		crash.caller = ended->caller;
+	}
 	if (tries->crashed & bit)
 		return;
 	tries->crashed |= bit;
-	if (pf_quarantine_record_crash(e, fp, agent_slot, tries->alone & bit) ==
-	    PF_QUARANTINED)
-		pf_lifecycle_end_quarantined(e, fp);
+	crash.alone = tries->alone & bit;
+	if (pf_quarantine_record_crash(e, &crash) == PF_QUARANTINED)
+		pf_lifecycle_end_quarantined(e, crash.fingerprint);
 }
 
 void pf_lifecycle_lost(struct pf_entry *e, const struct pf_entry_msg *m)
--- a/src/coordination/quarantine.c
+++ b/src/coordination/quarantine.c
@@ -2,6 +2,7 @@
 #include "src/coordination/quarantine.h"
 
 #include <stdlib.h>
+#include <string.h>
 
 int pf_quarantine_init(struct pf_entry *e)
 {
@@ -145,27 +146,39 @@
 	return suspect_state(&e->suspects[i]);
 }
 
-static void emit_share(struct pf_entry *e, const struct pf_suspect *s)
+static void emit_share(struct pf_entry *e, const struct pf_suspect *s,
+		       uint64_t caller)
 {
 	struct pf_entry_act a = { .type = PF_ENTRY_SHARE_QUARANTINE };
 
 	a.u.quarantine.fingerprint = s->fingerprint;
 	a.u.quarantine.until = s->quarantined_until;
+	a.u.quarantine.caller = caller;
+	a.u.quarantine.crashes = s->crashes;
+	a.u.quarantine.n_endpoints = s->n_endpoints;
+	memcpy(a.u.quarantine.endpoints, s->endpoints, sizeof(s->endpoints));
 	pf_entry_emit(e, &a);
 }
 
+static void add_endpoint(struct pf_suspect *s, uint64_t endpoint)
+{
+	if (s->n_endpoints == PF_CRASHED_ENDPOINTS_MAX)
+		memmove(s->endpoints, s->endpoints + 1,
+			--s->n_endpoints * sizeof(*s->endpoints));
+	s->endpoints[s->n_endpoints++] = endpoint;
+}
+
 enum pf_quarantine_state pf_quarantine_record_crash(struct pf_entry *e,
-						    uint64_t fingerprint,
-						    uint32_t agent_slot,
-						    bool alone)
+						    const struct pf_crash *c)
 {
+	bool alone = c->alone;
 	struct pf_suspect *s;
 
 	/* Until a report says that the endpoint is ready again. */
-	e->agents[agent_slot].ready = false;
-	if (fingerprint == 0)
+	e->agents[c->agent_slot].ready = false;
+	if (c->fingerprint == 0)
 		return PF_CLEAR;
-	s = get_suspect(e, fingerprint);
+	s = get_suspect(e, c->fingerprint);
 #ifdef PF_MUTANT_QUARANTINE_BESIDE
 	alone = true;
 #endif
@@ -173,13 +186,14 @@
 	if (s->crashes && !alone)
 		return suspect_state(s);
 	s->crashes++;
+	add_endpoint(s, e->agents[c->agent_slot].id);
 #ifndef PF_MUTANT_QUARANTINE
 	if (s->crashes >= e->opts.crashes_max && !s->quarantined_until) {
 		s->quarantined_until = e->now + e->opts.quarantine_keep;
 		e->stats.quarantined++;
 	}
 #endif
-	emit_share(e, s);
+	emit_share(e, s, c->caller);
 	return suspect_state(s);
 }
 
@@ -214,8 +228,12 @@
 		&e->ended_requests[r->id % e->opts.quarantine_max];
 
 	if (r->work.fingerprint)
-		*ended = (struct pf_ended_request){ r->id, r->work.fingerprint,
-						    r->tries };
+		*ended = (struct pf_ended_request){
+			.request = r->id,
+			.fingerprint = r->work.fingerprint,
+			.caller = r->work.caller,
+			.tries = r->tries,
+		};
 }
 
 struct pf_ended_request *pf_quarantine_find_ended(struct pf_entry *e,
--- a/src/coordination/quarantine.h
+++ b/src/coordination/quarantine.h
@@ -21,15 +21,20 @@
 					     uint64_t fingerprint,
 					     pf_ms *remaining_ms);
 
+/** A try that was running when an endpoint crashed. */
+struct pf_crash {
+	uint64_t fingerprint;
+	uint64_t caller;
+	uint32_t agent_slot;
+	bool alone; /* nothing ran beside it */
+};
+
 /**
- * Records that a try of @fingerprint, which ran alone or beside others, was
- * running when the endpoint of an agent crashed. Shares a change with the other
- * entries. Returns the state.
+ * Records a crash. Shares a change with the other entries. Returns the state of
+ * the fingerprint.
  */
 enum pf_quarantine_state pf_quarantine_record_crash(struct pf_entry *e,
-						    uint64_t fingerprint,
-						    uint32_t agent_slot,
-						    bool alone);
+						    const struct pf_crash *c);
 
 /** Another entry shared a quarantine until @until, or 0 for a suspect. */
 void pf_quarantine_apply_shared(struct pf_entry *e, uint64_t fingerprint,
--- a/tests/test_daemons.cc
+++ b/tests/test_daemons.cc
@@ -150,6 +150,22 @@
 			start_process(name, { program, "--settings",
 					      dir + "/" + name + ".toml" });
 	}
+	static void start_engine()
+	{
+		pids["back-engine"] = start_process(
+			"back-engine",
+			{ "pimento-standin", "--role", "engine", "--listen",
+			  addr(33), "--weights", addr(0), "--check-fence",
+			  "--step=1", "--step-run=0", "--crash-on=poison" });
+	}
+	static std::string read_log(const std::string &name)
+	{
+		std::ifstream in(dir + "/" + name + ".log");
+		std::stringstream all;
+
+		all << in.rdbuf();
+		return all.str();
+	}
 	static bool wait_ready(int last, const std::string &path)
 	{
 		for (int i = 0; i < 1000; i++) {
@@ -170,11 +186,7 @@
 		pids["platform"] = start_process(
 			"platform", { "pimento-standin", "--role", "platform",
 				      "--listen", addr(0), "--model-load=50" });
-		pids["back-engine"] = start_process(
-			"back-engine",
-			{ "pimento-standin", "--role", "engine", "--listen",
-			  addr(33), "--weights", addr(0), "--check-fence",
-			  "--step=1", "--step-run=0" });
+		start_engine();
 		pids["back-booking"] = start_process(
 			"back-booking", { "pimento-standin", "--role",
 					  "service", "--listen", addr(43) });
@@ -432,6 +444,49 @@
 	EXPECT_EQ(count(audit, "takeover lease/planner/east"), 1u) << audit;
 }
 
+/* A request crashes the engine twice and no line of the log says whose it was. */
+TEST_F(Daemons, LogNamesCallerAndEndpointsOfAQuarantine)
+{
+	std::string req = post_request("{\"model\":\"triage\",\"prompt\":"
+				       "\"poison\",\"max_tokens\":9}");
+	int fd = dial(port(10), 20);
+
+	send(fd, req.data(), req.size(), MSG_NOSIGNAL);
+	for (int i = 0; i < 2; i++) {
+		EXPECT_EQ(wait_exit(pids["back-engine"]), 70);
+		start_engine();
+	}
+	std::string got = FakeReceive(fd, "retry_after_ms");
+
+	close(fd);
+	EXPECT_NE(got.find("\"code\":\"quarantined\""), std::string::npos)
+		<< got;
+	std::string log = read_log("entry-east");
+	size_t suspect = log.find("event=suspect fingerprint="),
+	       quarantine = log.find("event=quarantine fingerprint=");
+
+	ASSERT_NE(suspect, std::string::npos);
+	ASSERT_NE(quarantine, std::string::npos);
+	EXPECT_EQ(log.substr(suspect + 26, 16),
+		  log.substr(quarantine + 29, 16));
+	EXPECT_EQ(log.substr(suspect + 42,
+			     log.find('\n', suspect) - suspect - 42),
+		  " caller=dispatch crashes=1 endpoints=engine-east");
+	EXPECT_EQ(
+		log.substr(quarantine + 45,
+			   log.find('\n', quarantine) - quarantine - 45),
+		" caller=dispatch crashes=2 endpoints=engine-east,engine-east");
+	EXPECT_TRUE(wait_ready(32, "/readyz"));
+	for (int i = 0; i < 1000; i++) {
+		if (exchange(post_request(completion_body(3, false)),
+			     "\"usage\"")
+			    .find(" 200 ") != std::string::npos)
+			return;
+		usleep(10000);
+	}
+	ADD_FAILURE() << "no answer after the restart";
+}
+
 /*
  * SIGTERM during a stream cuts it off. Must be the last test, since it stops
  * the entry and the agent.
--- a/tests/test_entry_quarantine.cc
+++ b/tests/test_entry_quarantine.cc
@@ -209,6 +209,37 @@
 	EXPECT_EQ(stats().quarantined, 0u);
 }
 
+TEST_F(EntryQuarantine, ShareNamesCallerAndTheLastEndpoints)
+{
+	std::vector<uint64_t> crashed;
+
+	opts.crashes_max = 7;
+	start_with_two_agents();
+	Act t = arrive_and_get_try(1, work_fp(5));
+	for (uint32_t crashes = 1; crashes <= 6; crashes++) {
+		lost(t, PF_REASON_CRASHED);
+		crashed.push_back(t.agent);
+		if (crashed.size() > PF_CRASHED_ENDPOINTS_MAX)
+			crashed.erase(crashed.begin());
+		Act s = find_act(PF_ENTRY_SHARE_QUARANTINE);
+		EXPECT_EQ(s.quarantine.caller, CALLER);
+		EXPECT_EQ(s.quarantine.crashes, crashes);
+		EXPECT_EQ(
+			std::vector<uint64_t>(s.quarantine.endpoints,
+					      s.quarantine.endpoints +
+						      s.quarantine.n_endpoints),
+			crashed);
+		std::vector<Act> out = acts;
+		now += 3000;
+		for (uint64_t agent : { AGENT_A, AGENT_B }) {
+			report(agent, { { MODEL, PF_ITEM_RESIDENT } });
+			out.insert(out.end(), acts.begin(), acts.end());
+		}
+		acts = out;
+		t = find_act(PF_ENTRY_TRY);
+	}
+}
+
 TEST_F(EntryQuarantine, SharedQuarantinesApplyAndTheTableIsBounded)
 {
 	opts.quarantine_max = 3;
