Claims: a shard at its bound of past owners can move again

Seen by reading: a shard whose row names past_owners_max past owners was never moved again. After a restart of its owner it stayed without one for ever, and calls with its keys got not_resident.

Cause: the plan refused every move at the bound, and past owners that are no longer needed were dropped only while a move was written.

The plan now counts only the past owners that are still needed, by the rule that the write uses for dropping the others, so the row never exceeds its bound.

Failed before: Claim.ShardAtItsBoundOfPastOwnersMovesOnceOneExpired (after twice the retention time pf_claim_owns() was still false).

--- a/include/pimentoford/claim.h
+++ b/include/pimentoford/claim.h
@@ -30,7 +30,8 @@
 	uint32_t keys_max; /* remembered keys; beyond: refused, FULL */
 	uint32_t waiters_max; /* waiting requests; beyond: new keys get FULL */
 	uint32_t agents_max; /* tracked agents */
-	uint32_t past_owners_max; /* per shard; at the bound it is not moved */
+	uint32_t past_owners_max; /* per shard; at the bound it is not moved
+				   * until one is no longer needed */
 	uint32_t answer_bytes_max; /* a longer answer is not stored, only
 				    * that the run is done */
 	uint32_t batch_max; /* entries per log row */
--- a/src/coordination/claim_core.h
+++ b/src/coordination/claim_core.h
@@ -297,6 +297,11 @@
 bool claim_agent_can_own(const struct pf_claim *c,
 			 const struct claim_agent *agent, pf_ms now);
 struct claim_agent *claim_agent_find(const struct pf_claim *c, uint64_t id);
+/* Whether a new owner of @s must read the log of @p, which is not the current
+ * owner's and may hold a remembered key. */
+bool claim_past_owner_needed(const struct pf_claim *c,
+			     const struct claim_shard *s,
+			     const struct claim_past_owner *p, pf_ms now);
 /* Fills `moves`. True when there are any. */
 bool claim_plan_moves(struct pf_claim *c, pf_ms now);
 
--- a/src/coordination/claim_own.c
+++ b/src/coordination/claim_own.c
@@ -143,21 +143,14 @@
 	pf_text_free(&text);
 }
 
-/* Drops @owner and the past owners whose logs hold no remembered key. */
 static void prune_past_owners(const struct pf_claim *c, struct claim_shard *s,
-			      struct claim_log_id owner, pf_ms now)
+			      pf_ms now)
 {
 	uint32_t n = 0;
 
-	for (uint32_t i = 0; i < s->n_past_owners; i++) {
-		struct claim_past_owner *p = &s->past_owners[i];
-
-		if (p->id.agent == owner.agent &&
-		    p->id.incarnation == owner.incarnation)
-			continue;
-		if (now - p->owned_until < 2 * c->opts.retention)
-			s->past_owners[n++] = *p;
-	}
+	for (uint32_t i = 0; i < s->n_past_owners; i++)
+		if (claim_past_owner_needed(c, s, &s->past_owners[i], now))
+			s->past_owners[n++] = s->past_owners[i];
 	s->n_past_owners = n;
 }
 
@@ -174,7 +167,7 @@
 	for (uint32_t i = 0; i < c->n_moves; i++) {
 		struct claim_shard *s = &c->shards[c->moves[i].shard];
 
-		prune_past_owners(c, s, s->owner, now);
+		prune_past_owners(c, s, now);
 		claim_shard_row_key(c, c->moves[i].shard, keys[i]);
 		claim_shard_row_text(s, c->moves[i].new_owner, now, &text[i]);
 		failed |= text[i].failed;
--- a/src/coordination/claim_plan.c
+++ b/src/coordination/claim_plan.c
@@ -54,6 +54,27 @@
 	return now - agent->last_seen_at < c->opts.lease;
 }
 
+bool claim_past_owner_needed(const struct pf_claim *c,
+			     const struct claim_shard *s,
+			     const struct claim_past_owner *p, pf_ms now)
+{
+	if (p->id.agent == s->owner.agent &&
+	    p->id.incarnation == s->owner.incarnation)
+		return false;
+	return now - p->owned_until < 2 * c->opts.retention;
+}
+
+/* Whether the row of @s has room for its owner as a further past owner. */
+static bool has_room_for_move(const struct pf_claim *c,
+			      const struct claim_shard *s, pf_ms now)
+{
+	uint32_t n = 0;
+
+	for (uint32_t i = 0; i < s->n_past_owners; i++)
+		n += claim_past_owner_needed(c, s, &s->past_owners[i], now);
+	return n < c->opts.past_owners_max;
+}
+
 /* Sets @to to the new owner of @shard; false when we don't move it. */
 static bool move_target(const struct pf_claim *c, uint32_t shard, pf_ms now,
 			struct claim_log_id *to)
@@ -62,7 +83,7 @@
 	const struct claim_agent *agent = desired_owner(c, shard, now);
 	bool mine = s->revision && claim_is_self(c, s->owner);
 
-	if (!agent || s->n_past_owners == c->opts.past_owners_max)
+	if (!agent || !has_room_for_move(c, s, now))
 		return false;
 	to->agent = agent->id;
 	to->incarnation = agent->incarnation;
--- a/tests/test_claim.cc
+++ b/tests/test_claim.cc
@@ -47,8 +47,9 @@
 	bool lose_replies = false; // commits apply but get UNKNOWN
 	bool drained = false, superseded = false;
 
-	explicit Rig(uint64_t incarnation = 1, uint32_t waiters_max = 64,
-		     uint32_t keys_max = 1000)
+	static struct pf_claim_opts options(uint64_t incarnation = 1,
+					    uint32_t waiters_max = 64,
+					    uint32_t keys_max = 1000)
 	{
 		struct pf_claim_opts o;
 
@@ -59,7 +60,15 @@
 		o.shards = 4;
 		o.waiters_max = waiters_max;
 		o.keys_max = keys_max;
-		core = pf_claim_new(&o);
+		return o;
+	}
+	explicit Rig(uint64_t incarnation = 1, uint32_t waiters_max = 64,
+		     uint32_t keys_max = 1000)
+	    : Rig(options(incarnation, waiters_max, keys_max))
+	{
+	}
+	explicit Rig(const struct pf_claim_opts &o) : core(pf_claim_new(&o))
+	{
 	}
 	~Rig()
 	{
@@ -245,6 +254,31 @@
 	std::swap(a.table, b.table);
 }
 
+TEST(Claim, ShardAtItsBoundOfPastOwnersMovesOnceOneExpired)
+{
+	struct fake_table *table = fake_table_new();
+	struct pf_claim_opts o = Rig::options();
+	pf_ms now = 1000000;
+
+	o.past_owners_max = 2;
+	o.retention = 30000;
+	for (o.incarnation = 1; o.incarnation <= 4; o.incarnation++) {
+		Rig r(o);
+
+		std::swap(r.table, table);
+		r.now = now;
+		r.advance(8000);
+		EXPECT_EQ(pf_claim_owns(r.core, 0), o.incarnation <= 3);
+		if (o.incarnation == 4) {
+			r.advance(2 * o.retention);
+			EXPECT_TRUE(pf_claim_owns(r.core, 0));
+		}
+		now = r.now;
+		std::swap(r.table, table);
+	}
+	fake_table_free(table);
+}
+
 TEST(Claim, OldIncarnationStopsWhenItReturns)
 {
 	Rig a, b(2);
