Accept: refuse a `what` of more than 129 bytes

Seen by reading: a longer `what` was cut without a word and the audit showed the cut text.

Cause: the job copies it into a buffer of PF_LABEL_MAX bytes. `id` and `who` are cut in the same way but have lower bounds, which the cut text exceeds too.

The job's buffer now holds one byte more than is allowed, so a text that was cut is seen; the finding names the field and the bound.

Failed before: Accept.RefusesAWhatThatTheAuditCannotHold (130, 131 and 5000 bytes were accepted; empty: the finding named no bound).

--- a/include/pimentoford/accept.h
+++ b/include/pimentoford/accept.h
@@ -54,7 +54,8 @@
 	uint64_t request_id; /* returned in the result */
 	struct pf_str id; /* idempotency id; a resend carries the same one */
 	struct pf_str who; /* operator */
-	struct pf_str what; /* for the audit: "apply", "drain engine-1" */
+	struct pf_str what; /* for the audit: "apply", "drain engine-1"; below
+			     * PF_LABEL_MAX bytes */
 	pf_ms wall_time; /* of submission, for the audit */
 	bool has_base; /* if not: the head at the first read */
 	uint64_t base_revision; /* configuration the operator edited */
--- a/src/coordination/accept_commit.c
+++ b/src/coordination/accept_commit.c
@@ -91,7 +91,7 @@
 	char key[PF_ROW_KEY_MAX];
 	char *text = NULL;
 
-	memcpy(a.what, j->what, sizeof(a.what));
+	memcpy(a.what, j->what, strlen(j->what));
 	strncpy(a.region, region, sizeof(a.region) - 1);
 	if (items) {
 		fill_audit_items(&e->puts, m, &a);
--- a/src/coordination/accept_internal.h
+++ b/src/coordination/accept_internal.h
@@ -9,7 +9,7 @@
 	uint64_t request_id;
 	char id[PF_LABEL_MAX];
 	char who[PF_LABEL_MAX];
-	char what[PF_LABEL_MAX];
+	char what[PF_LABEL_MAX + 1]; /* full: too long, to be refused */
 	pf_ms wall_time;
 	pf_ms deadline;
 	bool has_base;
--- a/src/coordination/accept_job.c
+++ b/src/coordination/accept_job.c
@@ -8,10 +8,10 @@
 #include <stdlib.h>
 #include <string.h>
 
-/* Copies @s, truncated; accept_job_check() refuses an id or who that long. */
-static void copy_label(char *to, struct pf_str s)
+/* Copies @s, truncated; accept_job_check() refuses a text that fills @to. */
+static void copy_label(char *to, size_t size, struct pf_str s)
 {
-	size_t n = s.n < PF_LABEL_MAX ? s.n : PF_LABEL_MAX - 1;
+	size_t n = s.n < size ? s.n : size - 1;
 
 	if (n)
 		memcpy(to, s.p, n);
@@ -53,9 +53,9 @@
 {
 	memset(j, 0, sizeof(*j));
 	j->request_id = c->request_id;
-	copy_label(j->id, c->id);
-	copy_label(j->who, c->who);
-	copy_label(j->what, c->what);
+	copy_label(j->id, sizeof(j->id), c->id);
+	copy_label(j->who, sizeof(j->who), c->who);
+	copy_label(j->what, sizeof(j->what), c->what);
 	j->wall_time = c->wall_time;
 	j->has_base = c->has_base;
 	j->base_revision = c->base_revision;
@@ -101,8 +101,9 @@
 				"digits and ._-, at most 64");
 	if (!is_printable(j->who) || strlen(j->who) > PF_NAME_MAX)
 		pf_findings_add(f, "who", "must be 1 to 64 printable bytes");
-	if (!is_printable(j->what))
-		pf_findings_add(f, "what", "must be printable");
+	if (!is_printable(j->what) || strlen(j->what) >= PF_LABEL_MAX)
+		pf_findings_add(f, "what", "must be 1 to %d printable bytes",
+				PF_LABEL_MAX - 1);
 	if (n > o->records_max)
 		pf_findings_add(f, "records",
 				"number %zu in one change; allowed: at most %u",
--- a/tests/test_accept.cc
+++ b/tests/test_accept.cc
@@ -97,7 +97,7 @@
 	void submit(int core, uint64_t request_id, const char *id,
 		    const std::string &toml, int64_t base = -1,
 		    const std::vector<struct pf_record_ref> &deletes = {},
-		    bool resent = false)
+		    bool resent = false, const std::string &what = "apply")
 	{
 		struct pf_records set = {};
 		struct pf_findings f = {};
@@ -110,7 +110,7 @@
 		c.request_id = request_id;
 		c.id = pf_str_c(id);
 		c.who = core ? PF_STR("walter") : PF_STR("edda");
-		c.what = PF_STR("apply");
+		c.what = { what.data(), what.size() };
 		c.wall_time = 5000;
 		c.has_base = base >= 0;
 		c.base_revision = base >= 0 ? (uint64_t)base : 0;
@@ -441,6 +441,38 @@
 		  std::string::npos);
 }
 
+TEST(Accept, RefusesAWhatThatTheAuditCannotHold)
+{
+	const struct {
+		size_t n;
+		enum pf_change_outcome outcome;
+	} cases[] = {
+		{ 0, PF_CHANGE_REFUSED },
+		{ PF_LABEL_MAX - 1, PF_CHANGE_ACCEPTED },
+		{ PF_LABEL_MAX, PF_CHANGE_REFUSED },
+		{ PF_LABEL_MAX + 1, PF_CHANGE_REFUSED },
+		{ 5000, PF_CHANGE_REFUSED },
+	};
+
+	for (auto &t : cases) {
+		const std::string what(t.n, 'w');
+		Rig r(1);
+
+		r.submit(0, 1, "ch-1", caller_toml("c", 'a'), -1, {}, false,
+			 what);
+		r.settle();
+		EXPECT_EQ(r.results[1].outcome, t.outcome) << t.n;
+		if (t.outcome == PF_CHANGE_REFUSED)
+			EXPECT_EQ(r.results[1].findings,
+				  "what: must be 1 to 129 printable bytes\n")
+				<< t.n;
+		else
+			EXPECT_NE(r.row_value("audit/00000000000000000001")
+					  .find(what),
+				  std::string::npos);
+	}
+}
+
 TEST(Accept, UnreadableRowsStopAChangeMissingAuditsDoNot)
 {
 	struct rig_row row = {};
