pimentoctl: "not applied" only if no entry can have applied the change

Seen by reading: after one entry without an answer, a 503 of the next printed "not applied" and `outcome=away`. The first may have applied the change; the help and docs/RECORDS.md tell the operator to resend unless "not applied" is printed.

Cause: the line was printed per entry from its status alone, and the last reply decided the outcome and the exit status. So a resend with --id that got 503, a 503 before an entry without an answer, and a 500 or a 401 after one were wrong as well.

Whether an entry may have applied the change is now kept over all entries and decides: `not applied` is printed once at the end if none can have; otherwise the outcome is `unknown` with status 3. Any 5xx but 503 leaves it in doubt.

--- a/daemons/ctl/changes.c
+++ b/daemons/ctl/changes.c
@@ -4,39 +4,44 @@
  */
 #include "ctl.h"
 
+#include "pimentoford/accept.h"
+
 #include <glib.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
-/* Sends a change to the entries in order until one knows its outcome. */
-static int send_change(struct ctl *c, const char *target, json_t *body,
-		       struct reply *r)
+/* A change that is sent, and what is known of it. */
+struct sending {
+	struct reply reply; /* the last one */
+	bool in_doubt; /* an entry may have applied it */
+};
+
+/* Sends a change to the entries in order until one gives an answer. */
+static void send_change(struct ctl *c, const char *target, json_t *body,
+			struct sending *s)
 {
-	bool resent = c->id_given;
+	struct reply *r = &s->reply;
 
+	s->in_doubt = c->id_given;
 	for (char **e = c->entries; *e; e++) {
 		char *text;
 
-		json_object_set_new(body, "resent", json_boolean(resent));
+		json_object_set_new(body, "resent", json_boolean(s->in_doubt));
 		text = json_dumps(body, JSON_COMPACT);
 		if (!text)
-			return -1;
+			return;
+		pf_text_free(&r->body);
 		ctl_request(c, *e, "POST", target, text, r);
 		free(text);
-		if (r->status && r->status != 503 && r->status != 504)
-			return 0;
+		if (r->status && r->status < 500)
+			return;
 		fprintf(stderr, "pimentoctl: %s: %s\n", *e,
-			r->status == 503
-				? "not applied: the table is unavailable"
-			: r->status ? "outcome unknown"
-				    : "no answer");
-		/* The entry may have applied it; only 503 rules that out. */
-		resent |= r->status != 503;
-		if (e[1])
-			pf_text_free(&r->body);
+			r->status == 503 ? "unavailable"
+			: r->status      ? "outcome unknown"
+					 : "no answer");
+		s->in_doubt |= r->status != 503;
 	}
-	return -1;
 }
 
 static void print_findings(const json_t *j)
@@ -55,52 +60,73 @@
 	}
 }
 
-static int exit_code_of(int status)
+static int exit_code_of(const struct sending *s)
 {
-	switch (status) {
+	switch (s->reply.status) {
 	case 200:
 		return EXIT_OK;
-	case 0:
+	case 400:
+	case 409:
+		return EXIT_REFUSED;
 	case 503:
-	case 504:
 		return EXIT_UNKNOWN;
 	default:
-		return EXIT_REFUSED;
+		return s->in_doubt ? EXIT_UNKNOWN : EXIT_REFUSED;
 	}
 }
 
-static int report_outcome(const struct ctl *c, struct reply *r)
+/*
+ * Prints the outcome in the reply. False when there is none, or when it is only
+ * that this entry did not apply the change.
+ */
+static bool print_outcome(const struct ctl *c, const struct sending *s)
 {
-	json_t *j = json_loadb(r->body.p ? r->body.p : "", r->body.n, 0, NULL);
+	const char *away_code = pf_change_outcome_code(PF_CHANGE_UNAVAILABLE);
+	const struct pf_text *body = &s->reply.body;
+	json_t *j = json_loadb(body->p ? body->p : "", body->n, 0, NULL);
 	const char *outcome = json_string_value(json_object_get(j, "outcome"));
-	int code = exit_code_of(r->status);
+	bool away = outcome && strcmp(outcome, away_code) == 0;
+	bool print = outcome && !(away && s->in_doubt);
 
-	if (outcome && c->json) {
-		printf("%s\n", r->body.p);
-	} else if (outcome) {
+	if (print && c->json) {
+		printf("%s\n", body->p);
+	} else if (print) {
 		print_findings(j);
 		printf("id=%s outcome=%s revision=%lld\n", c->change_id,
 		       outcome,
 		       (long long)json_integer_value(
 			       json_object_get(j, "revision")));
-	} else if (code == EXIT_REFUSED) {
-		code = print_error_reply(r);
-	} else {
-		printf("id=%s outcome=unknown\n", c->change_id);
+	}
+	json_decref(j);
+	return print;
+}
+
+static int report_outcome(const struct ctl *c, const struct sending *s)
+{
+	int status = s->reply.status;
+	bool unknown = s->in_doubt || status == 200;
+	int code = exit_code_of(s);
+
+	if (!print_outcome(c, s)) {
+		if (status >= 400 && status < 500)
+			print_error_reply(&s->reply);
+		if (code != EXIT_REFUSED)
+			printf("id=%s outcome=%s\n", c->change_id,
+			       pf_change_outcome_code(
+				       unknown ? PF_CHANGE_UNKNOWN
+					       : PF_CHANGE_UNAVAILABLE));
 	}
 	if (code == EXIT_UNKNOWN)
 		fprintf(stderr,
-			"pimentoctl: to make sure that the change is applied, "
-			"send it again with --id %s\n",
-			c->change_id);
-	json_decref(j);
-	pf_text_free(&r->body);
+			"pimentoctl: %sto make sure that the change is "
+			"applied, send it again with --id %s\n",
+			s->in_doubt ? "" : "not applied; ", c->change_id);
 	return code;
 }
 
 static int send_and_report(struct ctl *c, const char *target, json_t *body)
 {
-	struct reply r = { 0 };
+	struct sending s = { 0 };
 	int code;
 
 	if (!body)
@@ -108,8 +134,9 @@
 	if (c->base_revision >= 0)
 		json_object_set_new(body, "base",
 				    json_integer(c->base_revision));
-	send_change(c, target, body, &r);
-	code = report_outcome(c, &r);
+	send_change(c, target, body, &s);
+	code = report_outcome(c, &s);
+	pf_text_free(&s.reply.body);
 	json_decref(body);
 	return code;
 }
--- a/tests/test_ctl.cc
+++ b/tests/test_ctl.cc
@@ -1,11 +1,16 @@
-// pimentoctl without an entry: usage, record file findings, exit codes.
+// pimentoctl without an entry: usage, record file findings, exit codes. With
+// entries that don't answer or don't know an outcome: what is printed of it.
+#include "tests/fake_http.h"
+
 #include <gtest/gtest.h>
 
 #include <cstdio>
 #include <cstdlib>
 #include <fstream>
+#include <memory>
 #include <string>
 #include <sys/wait.h>
+#include <vector>
 
 static int run_ctl(const std::string &args, std::string *out)
 {
@@ -60,3 +65,116 @@
 							       << out;
 	}
 }
+
+// An entry that never answers may have applied the change, whatever the next
+// one says of its own attempt.
+TEST(Ctl, NotAppliedOnlyIfNoEntryCanHaveAppliedIt)
+{
+	const std::string away = "{\"outcome\":\"away\",\"revision\":0}",
+			  unknown = "{\"outcome\":\"unknown\",\"revision\":0}",
+			  ok = "{\"outcome\":\"accepted\",\"revision\":7}";
+	const struct {
+		const char *name, *options;
+		std::vector<int> statuses; // of the entries; 0: no answer
+		int code;
+		bool not_applied;
+		const char *outcome;
+	} cases[] = {
+		{ "both unavailable", "", { 503, 503 }, 3, true, "away" },
+		{ "no answer, then unavailable",
+		  "",
+		  { 0, 503 },
+		  3,
+		  false,
+		  "unknown" },
+		{ "unavailable, then no answer",
+		  "",
+		  { 503, 0 },
+		  3,
+		  false,
+		  "unknown" },
+		{ "unknown, then unavailable",
+		  "",
+		  { 504, 503 },
+		  3,
+		  false,
+		  "unknown" },
+		{ "unavailable, then unknown",
+		  "",
+		  { 503, 504 },
+		  3,
+		  false,
+		  "unknown" },
+		{ "failed, then unavailable",
+		  "",
+		  { 500, 503 },
+		  3,
+		  false,
+		  "unknown" },
+		{ "only failed", "", { 500 }, 3, false, "unknown" },
+		{ "a resend, unavailable",
+		  "--id x1 ",
+		  { 503 },
+		  3,
+		  false,
+		  "unknown" },
+		{ "no answer, then a wrong key",
+		  "",
+		  { 0, 401 },
+		  3,
+		  false,
+		  "unknown" },
+		{ "no answer, then accepted",
+		  "",
+		  { 0, 200 },
+		  0,
+		  false,
+		  "accepted" },
+	};
+
+	for (const auto &t : cases) {
+		std::vector<std::unique_ptr<FakeServer>> servers;
+		std::string args = t.options, out;
+
+		for (int status : t.statuses) {
+			std::string body = status == 200   ? ok
+					   : status == 503 ? away
+					   : status == 504 ? unknown
+							   : "{}";
+
+			servers.push_back(std::make_unique<
+					  FakeServer>("127.0.0.1", [=](int fd,
+								       const FakeRequest
+									       &) {
+				if (status)
+					FakeSend(
+						fd,
+						"HTTP/1.1 " +
+							std::to_string(status) +
+							" X\r\nContent-Length:"
+							" " +
+							std::to_string(
+								body.size()) +
+							"\r\n\r\n" + body);
+				return false;
+			}));
+			args += "-e " + servers.back()->addr() + " ";
+		}
+		EXPECT_EQ(run_ctl(args + "drain e", &out), t.code)
+			<< t.name << "\n"
+			<< out;
+		EXPECT_EQ(out.find("not applied") != std::string::npos,
+			  t.not_applied)
+			<< t.name << "\n"
+			<< out;
+		EXPECT_NE(out.find(std::string(" outcome=") + t.outcome),
+			  std::string::npos)
+			<< t.name << "\n"
+			<< out;
+		EXPECT_EQ(out.find("send it again with --id") !=
+				  std::string::npos,
+			  t.code == 3)
+			<< t.name << "\n"
+			<< out;
+	}
+}
