Entry: remove code that nothing calls

pf_catalog_endpoint() and pf_catalog_service() have no caller, so the catalog needs no index of endpoints. The draft outcomes' `code` was filled in and never read. No change of behaviour, so no test of its own: the Entry, Draft and Daemons tests pass, the first two with SAN=1 too.

--- a/daemons/entry/drafts.c
+++ b/daemons/entry/drafts.c
@@ -175,11 +175,8 @@
 	return NULL;
 }
 
-static const struct {
-	int status;
-	const char *code;
-} outcomes[] = {
-#define DEF(name, status) { status, #name },
+static const int outcome_statuses[] = {
+#define DEF(name, status) status,
 	PF_DRAFT_OUTCOMES(DEF)
 #undef DEF
 };
@@ -210,7 +207,7 @@
 			"the store did not confirm that the draft is stored; "
 			"resend it with the same Idempotency-Key";
 	}
-	answer_failure(a->conn, a->http, outcomes[o].status, &f);
+	answer_failure(a->conn, a->http, outcome_statuses[o], &f);
 }
 
 static void reply(struct drafts *f, const struct pf_draft_act *act)
@@ -236,7 +233,7 @@
 				 (int)act->u.reply.id.n, act->u.reply.id.p,
 				 o == PF_DRAFT_OUTCOME_CANCELLED ? "cancelled"
 								 : "open");
-			answer_bytes(a->conn, a->http, outcomes[o].status,
+			answer_bytes(a->conn, a->http, outcome_statuses[o],
 				     "application/json", pf_str_c(text));
 		} else {
 			reply_error(a, act);
--- a/src/coordination/catalog.c
+++ b/src/coordination/catalog.c
@@ -1,9 +1,7 @@
-/* Index of configuration records by id and kind. */
+/* Index of models, adapters and services by id. */
 #include "src/coordination/catalog.h"
 
-#include <string.h>
-
-enum record_kind { MODEL = 1, ADAPTER, ENDPOINT, SERVICE };
+enum record_kind { MODEL = 1, ADAPTER, SERVICE };
 
 static struct pf_key catalog_key(uint64_t id, enum record_kind k)
 {
@@ -19,7 +17,7 @@
 
 int pf_catalog_build(struct pf_entry *e, const struct pf_config *c)
 {
-	size_t n = c->n_models + c->n_adapters + c->n_endpoints + c->n_services;
+	size_t n = c->n_models + c->n_adapters + c->n_services;
 
 	pf_map_free(&e->catalog);
 	e->config = NULL;
@@ -30,8 +28,6 @@
 		add_record(&e->catalog, c->models[i].id, MODEL, i);
 	for (size_t i = 0; i < c->n_adapters; i++)
 		add_record(&e->catalog, c->adapters[i].id, ADAPTER, i);
-	for (size_t i = 0; i < c->n_endpoints; i++)
-		add_record(&e->catalog, c->endpoints[i].id, ENDPOINT, i);
 	for (size_t i = 0; i < c->n_services; i++)
 		add_record(&e->catalog, c->services[i].id, SERVICE, i);
 	return 0;
@@ -50,15 +46,6 @@
 	return find_record(e, id, MODEL, &i) ? &e->config->models[i] : NULL;
 }
 
-const struct pf_endpoint *pf_catalog_endpoint(const struct pf_entry *e,
-					      uint64_t id)
-{
-	uint32_t i;
-
-	return find_record(e, id, ENDPOINT, &i) ? &e->config->endpoints[i]
-						: NULL;
-}
-
 bool pf_catalog_declares(const struct pf_entry *e, const struct pf_work *w)
 {
 	uint32_t i;
@@ -69,14 +56,3 @@
 		return false;
 	return w->adapter == 0 || find_record(e, w->adapter, ADAPTER, &i);
 }
-
-uint64_t pf_catalog_service(const struct pf_entry *e, const char *name)
-{
-	const struct pf_config *c = e->config;
-
-	for (size_t i = 0; c && name && i < c->n_services; i++) {
-		if (strcmp(c->services[i].name, name) == 0)
-			return c->services[i].id;
-	}
-	return 0;
-}
