Entry: one name for a latency objective

The gateway says objective, the entry said target, and the pages expectation. The usual term is latency objective: first_token_target, token_gap_target and answer_target become ..._objective in records, work and cores, `expectation` goes from the pages, and the text of the refusal `overload` names the objective.

--- a/bench/capacity.c
+++ b/bench/capacity.c
@@ -207,8 +207,8 @@
 					    .prompt_tokens = 500,
 					    .max_tokens = 400,
 					    .arrived = b->now,
-					    .first_token_target = PF_NEVER,
-					    .answer_target = PF_NEVER,
+					    .first_token_objective = PF_NEVER,
+					    .answer_objective = PF_NEVER,
 					    .deadline = PF_NEVER };
 	entry_step(b, &m);
 }
@@ -366,8 +366,8 @@
 					  .prompt_tokens = 100,
 					  .max_tokens = 64,
 					  .arrived = 1000,
-					  .first_token_target = PF_NEVER,
-					  .answer_target = PF_NEVER,
+					  .first_token_objective = PF_NEVER,
+					  .answer_objective = PF_NEVER,
 					  .deadline = PF_NEVER };
 		pf_agent_step(a, 1000, &m, &sink);
 	}
--- a/bench/demand.c
+++ b/bench/demand.c
@@ -153,15 +153,16 @@
 	return pick;
 }
 
-static void set_targets(const struct pf_caller *c, pf_ms at, struct pf_work *w)
+static void set_objectives(const struct pf_caller *c, pf_ms at,
+			   struct pf_work *w)
 {
 	w->caller = c->id;
 	w->priority = c->priority;
 	w->arrived = at;
-	w->first_token_target = at + c->first_token_target_ms;
-	w->token_gap_target_ms = c->token_gap_target_ms;
-	w->answer_target =
-		c->answer_target_ms ? at + c->answer_target_ms : PF_NEVER;
+	w->first_token_objective = at + c->first_token_objective_ms;
+	w->token_gap_objective_ms = c->token_gap_objective_ms;
+	w->answer_objective =
+		c->answer_objective_ms ? at + c->answer_objective_ms : PF_NEVER;
 	w->deadline = at + c->deadline_ms;
 	if (c->deferrable)
 		w->flags |= PF_WORK_DEFERRABLE;
@@ -191,6 +192,6 @@
 							  : k[class].max_tokens;
 	r->work.prefix = pf_id2(m->id, pf_rng_below(d->rng, 8) + 1);
 	r->work.fingerprint = pf_id2(m->id, (uint64_t)at);
-	set_targets(&d->opts->config->callers[r->caller], at, &r->work);
+	set_objectives(&d->opts->config->callers[r->caller], at, &r->work);
 	return at;
 }
--- a/bench/result.c
+++ b/bench/result.c
@@ -1,4 +1,4 @@
-/* Results: latency targets met, loads, overcommits. */
+/* Results: latency objectives met, loads, overcommits. */
 #include "bench/world.h"
 
 #include <stdlib.h>
@@ -11,19 +11,19 @@
 	b->result->pauses += s.paused;
 }
 
-/* Whether a completed request missed a latency target; counts each. */
-static bool missed_target(struct bench_result *res, const struct request *r)
+/* Whether a completed request missed a latency objective; counts each. */
+static bool missed_objective(struct bench_result *res, const struct request *r)
 {
 	const struct pf_work *w = &r->work;
 	pf_ms token_gap = r->received_tokens > 1
 				  ? (r->last_token_at - r->first_token_at) /
 					    (r->received_tokens - 1)
 				  : 0;
-	bool missed_first = r->first_token_at > w->first_token_target;
-	bool missed_gap =
-		w->token_gap_target_ms && token_gap > w->token_gap_target_ms;
-	bool missed_answer = w->answer_target != PF_NEVER &&
-			     r->last_token_at > w->answer_target;
+	bool missed_first = r->first_token_at > w->first_token_objective;
+	bool missed_gap = w->token_gap_objective_ms &&
+			  token_gap > w->token_gap_objective_ms;
+	bool missed_answer = w->answer_objective != PF_NEVER &&
+			     r->last_token_at > w->answer_objective;
 
 	res->missed_first_token += missed_first;
 	res->missed_token_gap += missed_gap;
@@ -34,7 +34,7 @@
 static void count_request(struct bench *b, struct request *r,
 			  pf_ms *first_token_ms, uint64_t *n_first_token)
 {
-	bool ok = r->complete && !missed_target(b->result, r);
+	bool ok = r->complete && !missed_objective(b->result, r);
 
 	b->result->unfinished += !r->ended;
 	b->result->completed += r->complete;
--- a/daemons/entry/api.c
+++ b/daemons/entry/api.c
@@ -91,13 +91,14 @@
 	w->flags = caller->deferrable ? PF_WORK_DEFERRABLE : 0;
 	w->priority = caller->priority;
 	w->arrived = now;
-	w->first_token_target = caller->first_token_target_ms
-					? now + caller->first_token_target_ms
-					: PF_NEVER;
-	w->token_gap_target_ms = caller->token_gap_target_ms;
-	w->answer_target = caller->answer_target_ms
-				   ? now + caller->answer_target_ms
-				   : PF_NEVER;
+	w->first_token_objective =
+		caller->first_token_objective_ms
+			? now + caller->first_token_objective_ms
+			: PF_NEVER;
+	w->token_gap_objective_ms = caller->token_gap_objective_ms;
+	w->answer_objective = caller->answer_objective_ms
+				      ? now + caller->answer_objective_ms
+				      : PF_NEVER;
 	w->deadline =
 		caller->deadline_ms ? now + caller->deadline_ms : PF_NEVER;
 }
@@ -138,7 +139,7 @@
 }
 
 /*
- * Submits a draft to the core without targets or deadline: the answer is
+ * Submits a draft to the core without objectives or deadline: the answer is
  * stored whole, and no caller waits for it.
  */
 static int submit_draft(struct daemon *d, uint64_t seq,
@@ -161,8 +162,8 @@
 	m.u.arrive.request = r->id;
 	m.u.arrive.work = *w;
 	m.u.arrive.work.flags |= PF_WORK_DEFERRABLE;
-	m.u.arrive.work.first_token_target = PF_NEVER;
-	m.u.arrive.work.answer_target = PF_NEVER;
+	m.u.arrive.work.first_token_objective = PF_NEVER;
+	m.u.arrive.work.answer_objective = PF_NEVER;
 	m.u.arrive.work.deadline = PF_NEVER;
 	entry_step(d, &m);
 	return 0;
--- a/daemons/entry/svc.c
+++ b/daemons/entry/svc.c
@@ -68,12 +68,13 @@
 			svc->id, pf_claim_shard(w->idem_key, d->claim_shards));
 	w->priority = caller->priority;
 	w->arrived = now;
-	w->first_token_target = caller->first_token_target_ms
-					? now + caller->first_token_target_ms
-					: PF_NEVER;
-	w->answer_target = caller->answer_target_ms
-				   ? now + caller->answer_target_ms
-				   : PF_NEVER;
+	w->first_token_objective =
+		caller->first_token_objective_ms
+			? now + caller->first_token_objective_ms
+			: PF_NEVER;
+	w->answer_objective = caller->answer_objective_ms
+				      ? now + caller->answer_objective_ms
+				      : PF_NEVER;
 	w->deadline =
 		caller->deadline_ms ? now + caller->deadline_ms : PF_NEVER;
 }
--- a/fuzz/fuzz_agent.c
+++ b/fuzz/fuzz_agent.c
@@ -97,8 +97,9 @@
 	k.priority = (uint8_t)below(w, PF_PRIORITIES);
 	k.flags = flags[below(w, 6)];
 	k.arrived = w->now;
-	k.first_token_target = below(w, 2) ? PF_NEVER : w->now + below(w, 3000);
-	k.answer_target = below(w, 2) ? PF_NEVER : w->now + below(w, 9000);
+	k.first_token_objective =
+		below(w, 2) ? PF_NEVER : w->now + below(w, 3000);
+	k.answer_objective = below(w, 2) ? PF_NEVER : w->now + below(w, 9000);
 	k.deadline = below(w, 2) ? PF_NEVER : w->now + below(w, 20000);
 	if (w->opts.kind == PF_ENDPOINT_PLAIN) {
 		k.flags |= PF_WORK_PLAIN;
--- a/fuzz/fuzz_entry.c
+++ b/fuzz/fuzz_entry.c
@@ -789,13 +789,13 @@
 		.prompt_tokens = pf_rng_below(&w->rng, 200),
 		.max_tokens = 100,
 		.arrived = w->now,
-		.first_token_target = PF_NEVER,
-		.answer_target = PF_NEVER,
+		.first_token_objective = PF_NEVER,
+		.answer_objective = PF_NEVER,
 		.deadline = PF_NEVER,
 	};
 
 	if (chance(w, 30))
-		k.first_token_target = w->now + 500;
+		k.first_token_objective = w->now + 500;
 	if (plain || chance(w, 50))
 		k.deadline = w->now + 500 + pf_rng_below(&w->rng, 20000);
 	if (chance(w, 20))
--- a/include/pimentoford/entry.h
+++ b/include/pimentoford/entry.h
@@ -52,7 +52,7 @@
 	pf_ms age_step; /* waiting time that raises the priority by one */
 	double overload_slack; /* refuse as overload when the expected wait
 				* exceeds this multiple of the wait that the
-				* targets allow; 0: never */
+				* objectives allow; 0: never */
 	pf_ms quarantine_keep;
 	uint32_t crashes_max; /* crashes that quarantine a fingerprint */
 	uint32_t depth; /* tries queued at an agent beyond its batch */
--- a/include/pimentoford/record.h
+++ b/include/pimentoford/record.h
@@ -45,9 +45,9 @@
 	double rate; /* requests per second; 0: no limit */
 	uint32_t burst;
 	uint32_t concurrency; /* requests in flight; 0: no limit */
-	pf_ms first_token_target_ms; /* from arrival; 0: none */
-	pf_ms token_gap_target_ms; /* between two tokens */
-	pf_ms answer_target_ms; /* from arrival to the end; 0: none */
+	pf_ms first_token_objective_ms; /* from arrival; 0: none */
+	pf_ms token_gap_objective_ms; /* between two tokens */
+	pf_ms answer_objective_ms; /* from arrival to the end; 0: none */
 	pf_ms deadline_ms; /* the request is cancelled after it */
 	bool deferrable; /* may be queued instead of refused under overload */
 	uint64_t *models; /* ids of the model names it may call; empty: all */
--- a/include/pimentoford/work.h
+++ b/include/pimentoford/work.h
@@ -41,38 +41,38 @@
 	uint32_t flags; /* enum pf_work_flag */
 	uint8_t priority; /* 0: highest */
 	pf_ms arrived;
-	pf_ms first_token_target; /* PF_NEVER: none */
-	pf_ms token_gap_target_ms; /* time between tokens; 0: none */
-	pf_ms answer_target; /* for the complete answer; PF_NEVER: none */
+	pf_ms first_token_objective; /* PF_NEVER: none */
+	pf_ms token_gap_objective_ms; /* time between tokens; 0: none */
+	pf_ms answer_objective; /* for the complete answer; PF_NEVER: none */
 	pf_ms deadline; /* ends unfinished then; PF_NEVER: none */
 };
 
 /* DEF(name, code, text): reasons why a try or a request failed. */
-#define PF_REASONS(DEF)                                                   \
-	DEF(NONE, "none", "no error")                                     \
-	DEF(FULL, "full", "the queue is full")                            \
-	DEF(NO_MEMORY, "no_memory", "accelerator memory is committed")    \
-	DEF(NOT_RESIDENT, "not_resident", "the model is not loaded here") \
-	DEF(LEAVING, "leaving", "the endpoint is leaving")                \
-	DEF(NOT_READY, "not_ready", "the endpoint is not ready")          \
-	DEF(TOMBSTONE, "tombstone", "the try was given up before")        \
-	DEF(EXPIRED, "deadline", "the deadline passed")                   \
-	DEF(RATE, "rate_limited", "the caller's rate is used up")         \
-	DEF(CONCURRENCY, "too_many_requests",                             \
-	    "the caller's concurrency is used up")                        \
-	DEF(OVERLOAD, "overloaded", "the expectation cannot be met now")  \
-	DEF(RETRY_BUDGET, "retry_budget", "the retry budget is used up")  \
-	DEF(QUARANTINED, "quarantined", "this request crashed endpoints") \
-	DEF(UNKNOWN_MODEL, "unknown_model", "no such model or adapter")   \
-	DEF(TOO_LONG, "too_long", "prompt and limit exceed the context")  \
-	DEF(CRASHED, "endpoint_crashed", "the endpoint crashed")          \
-	DEF(LINK, "link_lost", "the agent cannot be reached")             \
-	DEF(CANCELLED, "cancelled", "the caller went away")               \
-	DEF(STORE_AWAY, "store_away", "the table service is away")        \
-	DEF(OUTCOME_UNKNOWN, "outcome_unknown",                           \
-	    "the call may have run and may not be repeated")              \
-	DEF(KEY_REUSED, "key_reused",                                     \
-	    "the idempotency key stands for another request")             \
+#define PF_REASONS(DEF)                                                        \
+	DEF(NONE, "none", "no error")                                          \
+	DEF(FULL, "full", "the queue is full")                                 \
+	DEF(NO_MEMORY, "no_memory", "accelerator memory is committed")         \
+	DEF(NOT_RESIDENT, "not_resident", "the model is not loaded here")      \
+	DEF(LEAVING, "leaving", "the endpoint is leaving")                     \
+	DEF(NOT_READY, "not_ready", "the endpoint is not ready")               \
+	DEF(TOMBSTONE, "tombstone", "the try was given up before")             \
+	DEF(EXPIRED, "deadline", "the deadline passed")                        \
+	DEF(RATE, "rate_limited", "the caller's rate is used up")              \
+	DEF(CONCURRENCY, "too_many_requests",                                  \
+	    "the caller's concurrency is used up")                             \
+	DEF(OVERLOAD, "overloaded", "the latency objective cannot be met now") \
+	DEF(RETRY_BUDGET, "retry_budget", "the retry budget is used up")       \
+	DEF(QUARANTINED, "quarantined", "this request crashed endpoints")      \
+	DEF(UNKNOWN_MODEL, "unknown_model", "no such model or adapter")        \
+	DEF(TOO_LONG, "too_long", "prompt and limit exceed the context")       \
+	DEF(CRASHED, "endpoint_crashed", "the endpoint crashed")               \
+	DEF(LINK, "link_lost", "the agent cannot be reached")                  \
+	DEF(CANCELLED, "cancelled", "the caller went away")                    \
+	DEF(STORE_AWAY, "store_away", "the table service is away")             \
+	DEF(OUTCOME_UNKNOWN, "outcome_unknown",                                \
+	    "the call may have run and may not be repeated")                   \
+	DEF(KEY_REUSED, "key_reused",                                          \
+	    "the idempotency key stands for another request")                  \
 	DEF(BACKEND, "backend_error", "the endpoint answered an error")
 
 enum pf_reason {
--- a/src/coordination/agent_pause.c
+++ b/src/coordination/agent_pause.c
@@ -16,10 +16,10 @@
 /* What @r gains by starting now rather than when a batch slot is free. */
 static double start_gain(const struct pf_agent *a, const struct run *r)
 {
-	double time_left = (double)(r->work.first_token_target - a->now);
+	double time_left = (double)(r->work.first_token_objective - a->now);
 	double prefill = run_prefill_ms(a, r);
 
-	if (r->work.first_token_target == PF_NEVER || r->produced > 0 ||
+	if (r->work.first_token_objective == PF_NEVER || r->produced > 0 ||
 	    a->end_gap_ms <= 0)
 		return 0;
 	if (a->end_gap_ms + prefill <= time_left || prefill > time_left)
@@ -34,15 +34,16 @@
 	double second_prefill = run_prefill_ms(a, v);
 	double delay = run_cost_ms(a, r) + second_prefill;
 	double remaining = run_cost_ms(a, v) - second_prefill;
-	double time_left = (double)(v->work.answer_target - a->now);
-	bool met = v->work.answer_target == PF_NEVER || remaining <= time_left;
-	bool met_if_paused = v->work.answer_target == PF_NEVER ||
+	double time_left = (double)(v->work.answer_objective - a->now);
+	bool met =
+		v->work.answer_objective == PF_NEVER || remaining <= time_left;
+	bool met_if_paused = v->work.answer_objective == PF_NEVER ||
 			     remaining + delay <= time_left;
 
 	if (run_cost_ms(a, r) >= remaining)
 		return priority_weight(r) + priority_weight(v);
-	if (v->work.token_gap_target_ms > 0 &&
-	    delay > STREAM_GAP_MAX_INTERVALS * v->work.token_gap_target_ms)
+	if (v->work.token_gap_objective_ms > 0 &&
+	    delay > STREAM_GAP_MAX_INTERVALS * v->work.token_gap_objective_ms)
 		met_if_paused = false;
 	/* The second prefill displaces work of the same weight. */
 	return (met && !met_if_paused ? priority_weight(v) : 0) +
--- a/src/coordination/agent_queue.c
+++ b/src/coordination/agent_queue.c
@@ -54,13 +54,13 @@
 {
 	double slack = SLACK_MAX_MS, s;
 
-	if (r->work.first_token_target != PF_NEVER && r->produced == 0) {
-		s = (double)(r->work.first_token_target - a->now) -
+	if (r->work.first_token_objective != PF_NEVER && r->produced == 0) {
+		s = (double)(r->work.first_token_objective - a->now) -
 		    run_prefill_ms(a, r);
 		slack = fmin(slack, s);
 	}
-	if (r->work.answer_target != PF_NEVER) {
-		s = (double)(r->work.answer_target - a->now) -
+	if (r->work.answer_objective != PF_NEVER) {
+		s = (double)(r->work.answer_objective - a->now) -
 		    run_cost_ms(a, r);
 		slack = fmin(slack, s);
 	}
--- a/src/coordination/backlog.c
+++ b/src/coordination/backlog.c
@@ -312,7 +312,7 @@
 }
 
 /*
- * The latest start that still meets the targets, plus a delay by priority and
+ * The latest start that still meets the objectives, plus a delay by priority and
  * by service time. Ageing is linear in time, so the order of two requests
  * never changes and the key can be fixed.
  */
@@ -324,12 +324,12 @@
 
 	if (w->flags & PF_WORK_DEFERRABLE) {
 		base = w->arrived + DEFERRABLE_AGE_STEPS * e->opts.age_step;
-		if (w->answer_target != PF_NEVER)
-			base = pf_ms_min(base, w->answer_target - 2 * cost);
+		if (w->answer_objective != PF_NEVER)
+			base = pf_ms_min(base, w->answer_objective - 2 * cost);
 	} else {
-		base = pf_ms_min(base, w->first_token_target);
-		if (w->answer_target != PF_NEVER)
-			base = pf_ms_min(base, w->answer_target - cost);
+		base = pf_ms_min(base, w->first_token_objective);
+		if (w->answer_objective != PF_NEVER)
+			base = pf_ms_min(base, w->answer_objective - cost);
 	}
 	base += w->priority * e->opts.age_step +
 		(pf_ms)(cost * SORT_COST_WEIGHT);
--- a/src/coordination/limits.c
+++ b/src/coordination/limits.c
@@ -12,7 +12,7 @@
 /* Bounds of the retry-after. */
 #define RETRY_AFTER_MIN_MS 100
 #define RETRY_AFTER_MAX_MS 60000
-/* A request may always wait 1/N of the time to its target. */
+/* A request may always wait 1/N of the time to its objective. */
 #define MIN_WAIT_DIVISOR 4
 /* Retry-after when no wait can be estimated. */
 #define RETRY_AFTER_DEFAULT_MS 1000
@@ -204,25 +204,25 @@
 	e->accounts[account].n_requests--;
 }
 
-/* The latest start that meets @target; @cost is only a rough estimate. */
-static pf_ms latest_start(pf_ms arrived, pf_ms target, pf_ms cost)
+/* The latest start that meets @objective; @cost is only a rough estimate. */
+static pf_ms latest_start(pf_ms arrived, pf_ms objective, pf_ms cost)
 {
-	pf_ms min_start = arrived + (target - arrived) / MIN_WAIT_DIVISOR;
+	pf_ms min_start = arrived + (objective - arrived) / MIN_WAIT_DIVISOR;
 
-	if (target == PF_NEVER)
+	if (objective == PF_NEVER)
 		return PF_NEVER;
-	return target - cost > min_start ? target - cost : min_start;
+	return objective - cost > min_start ? objective - cost : min_start;
 }
 
-/* The longest wait that the targets of @r allow; PF_NEVER: no limit. */
+/* The longest wait that the objectives of @r allow; PF_NEVER: no limit. */
 static pf_ms allowed_wait_ms(const struct pf_entry *e,
 			     const struct pf_request *r)
 {
 	const struct pf_work *w = &r->work;
 	pf_ms first_token_start =
-		latest_start(w->arrived, w->first_token_target,
+		latest_start(w->arrived, w->first_token_objective,
 			     pf_backlog_first_token_ms(r));
-	pf_ms answer_start = latest_start(w->arrived, w->answer_target,
+	pf_ms answer_start = latest_start(w->arrived, w->answer_objective,
 					  pf_backlog_service_ms(e, r));
 	pf_ms start = pf_ms_min(first_token_start, answer_start);
 
--- a/src/coordination/limits.h
+++ b/src/coordination/limits.h
@@ -1,6 +1,6 @@
 /*
  * Limits of callers: rate, concurrency and retry budget. Refuses requests
- * early that cannot meet their targets under overload.
+ * early that cannot meet their objectives under overload.
  */
 #ifndef SRC_COORDINATION_LIMITS_H
 #define SRC_COORDINATION_LIMITS_H
@@ -32,7 +32,7 @@
 void pf_limits_release(struct pf_entry *e, uint32_t account);
 
 /**
- * Refuses @r when its expected wait exceeds the one that its targets allow,
+ * Refuses @r when its expected wait exceeds the one that its objectives allow,
  * times overload_slack.
  */
 struct pf_refusal pf_limits_check_overload(struct pf_entry *e,
--- a/src/coordination/route.c
+++ b/src/coordination/route.c
@@ -21,11 +21,11 @@
 #define DEFAULT_SERVICE_MS 2000.0
 /*
  * An agent that runs this many models gets another one only for a request that
- * has waited for this share of the time to its first-token target.
+ * has waited for this share of the time to its first-token objective.
  */
 #define BATCH_MODELS_MAX 3
 #define MIX_WAIT_SHARE 0.7
-/* Assumed time to that target, when a request has none. */
+/* Assumed time to that objective, when a request has none. */
 #define DEFAULT_FIRST_TOKEN_MS 10000.0
 /* Time of a decode step, when none was reported or nothing runs. */
 #define DEFAULT_STEP_MS 25.0
@@ -292,9 +292,9 @@
 		return false;
 	if (!i || i->running > 0)
 		return false;
-	if (r->work.first_token_target != PF_NEVER)
-		first_token_ms =
-			(double)(r->work.first_token_target - r->work.arrived);
+	if (r->work.first_token_objective != PF_NEVER)
+		first_token_ms = (double)(r->work.first_token_objective -
+					  r->work.arrived);
 	return (double)(e->now - r->work.arrived) <
 	       first_token_ms * MIX_WAIT_SHARE;
 }
--- a/src/protocol/wire_work.c
+++ b/src/protocol/wire_work.c
@@ -37,9 +37,9 @@
 	WORK_FIELDS(DEF)
 #undef DEF
 	x->age = now > w->arrived ? now - w->arrived : 0;
-	x->first_left = pf_wire_duration_until(w->first_token_target, now);
-	x->between = w->token_gap_target_ms;
-	x->whole_left = pf_wire_duration_until(w->answer_target, now);
+	x->first_left = pf_wire_duration_until(w->first_token_objective, now);
+	x->between = w->token_gap_objective_ms;
+	x->whole_left = pf_wire_duration_until(w->answer_objective, now);
 	x->deadline_left = pf_wire_duration_until(w->deadline, now);
 }
 
@@ -50,8 +50,8 @@
 #undef DEF
 	w->priority = x->priority > UINT8_MAX ? UINT8_MAX : x->priority;
 	w->arrived = x->age > 0 && x->age <= now ? now - x->age : now;
-	w->first_token_target = pf_wire_time_after(x->first_left, now);
-	w->token_gap_target_ms = x->between > 0 ? x->between : 0;
-	w->answer_target = pf_wire_time_after(x->whole_left, now);
+	w->first_token_objective = pf_wire_time_after(x->first_left, now);
+	w->token_gap_objective_ms = x->between > 0 ? x->between : 0;
+	w->answer_objective = pf_wire_time_after(x->whole_left, now);
 	w->deadline = pf_wire_time_after(x->deadline_left, now);
 }
--- a/src/state/record_forms.c
+++ b/src/state/record_forms.c
@@ -53,14 +53,14 @@
 	DEF("deferrable", BOOL, c.deferrable, false, 0, 0, "false", NULL) \
 	DEF("models", NAMES, models, false, 0, PF_FIELD_LIST_MAX, NULL, NULL)
 
-/* Latency targets: top-level keys in schema 1, table `expect` in schema 2. */
-#define EXPECT_FIELDS(DEF, pre)                                           \
-	DEF(pre "first", MS, c.first_token_target_ms, false, 1, DAY_MS,   \
-	    "1400ms", NULL)                                               \
-	DEF(pre "between", MS, c.token_gap_target_ms, false, 0, DAY_MS,   \
-	    "73ms", NULL)                                                 \
-	DEF(pre "whole", MS, c.answer_target_ms, false, 0, DAY_MS, "0ms", \
-	    NULL)                                                         \
+/* Latency objectives: top-level keys in schema 1, table `expect` in schema 2. */
+#define EXPECT_FIELDS(DEF, pre)                                              \
+	DEF(pre "first", MS, c.first_token_objective_ms, false, 1, DAY_MS,   \
+	    "1400ms", NULL)                                                  \
+	DEF(pre "between", MS, c.token_gap_objective_ms, false, 0, DAY_MS,   \
+	    "73ms", NULL)                                                    \
+	DEF(pre "whole", MS, c.answer_objective_ms, false, 0, DAY_MS, "0ms", \
+	    NULL)                                                            \
 	DEF(pre "deadline", MS, c.deadline_ms, false, 1, DAY_MS, "60s", NULL)
 
 #define ENDPOINT_FIELDS(DEF)                                                  \
--- a/tests/agent_box.h
+++ b/tests/agent_box.h
@@ -126,7 +126,8 @@
 		w.prompt_tokens = prompt;
 		w.max_tokens = max;
 		w.arrived = now;
-		w.first_token_target = w.answer_target = w.deadline = PF_NEVER;
+		w.first_token_objective = w.answer_objective = w.deadline =
+			PF_NEVER;
 		return w;
 	}
 	void send_try(uint64_t request, struct pf_work w)
--- a/tests/entry_rig.h
+++ b/tests/entry_rig.h
@@ -241,8 +241,8 @@
 		w.prompt_tokens = 10;
 		w.max_tokens = 100;
 		w.arrived = now;
-		w.first_token_target = PF_NEVER;
-		w.answer_target = PF_NEVER;
+		w.first_token_objective = PF_NEVER;
+		w.answer_objective = PF_NEVER;
 		w.deadline = now + 60000;
 		return w;
 	}
--- a/tests/test_agent.cc
+++ b/tests/test_agent.cc
@@ -481,7 +481,7 @@
 
 			w.priority = x.priority;
 			w.flags = x.flags;
-			w.first_token_target = b.now + x.first_in;
+			w.first_token_objective = b.now + x.first_in;
 			b.send_try(i, w);
 			b.now += i == 2 ? c.between : 0;
 		}
--- a/tests/test_agent_memory.cc
+++ b/tests/test_agent_memory.cc
@@ -527,9 +527,9 @@
 
 		l.priority = c.stream.priority;
 		l.flags = c.stream.flags;
-		l.token_gap_target_ms = c.stream.between;
-		l.answer_target = b.now + c.stream.whole_in;
-		s.first_token_target = b.now + c.first_in;
+		l.token_gap_objective_ms = c.stream.between;
+		l.answer_objective = b.now + c.stream.whole_in;
+		s.first_token_objective = b.now + c.first_in;
 		b.send_try(1, l);
 		b.now += 50;
 		b.tokens(1, 0, 1);
@@ -556,7 +556,7 @@
 
 	b.send_try(1, b.work(10, 1000));
 	b.tokens(1, 0, 1);
-	s.first_token_target = b.now + 3500;
+	s.first_token_objective = b.now + 3500;
 	b.send_try(2, s);
 	EXPECT_EQ(b.count_acts(PF_AGENT_RUN), 0);
 	ASSERT_EQ(b.count_acts(PF_AGENT_STOP), 1);
--- a/tests/test_entry_limits.cc
+++ b/tests/test_entry_limits.cc
@@ -178,7 +178,7 @@
 		pf_work w = work(deferrable ? DEFERRABLE_CALLER : CALLER);
 
 		w.deadline = now + 60000;
-		w.first_token_target = now + FIRST_TOKEN_MS;
+		w.first_token_objective = now + FIRST_TOKEN_MS;
 		arrived[last_id] = now;
 		arrive(last_id, w);
 		process_acts();
--- a/tests/test_entry_route.cc
+++ b/tests/test_entry_route.cc
@@ -220,7 +220,7 @@
 		 { MODEL + 9, PF_ITEM_RESIDENT, 1 },
 		 { MODEL, PF_ITEM_RESIDENT } },
 	       3);
-	w.first_token_target = now + 1000;
+	w.first_token_objective = now + 1000;
 	arrive(1, w);
 	EXPECT_EQ(stats().waiting, 1u);
 	run_timers(600);
--- a/tests/test_records.cc
+++ b/tests/test_records.cc
@@ -205,10 +205,10 @@
 
 	ASSERT_TRUE(x && y);
 	EXPECT_STREQ(y->name, "d");
-	EXPECT_EQ(x->first_token_target_ms, 2000);
-	EXPECT_EQ(x->first_token_target_ms, y->first_token_target_ms);
-	EXPECT_EQ(x->answer_target_ms, 60000);
-	EXPECT_EQ(x->token_gap_target_ms, y->token_gap_target_ms);
+	EXPECT_EQ(x->first_token_objective_ms, 2000);
+	EXPECT_EQ(x->first_token_objective_ms, y->first_token_objective_ms);
+	EXPECT_EQ(x->answer_objective_ms, 60000);
+	EXPECT_EQ(x->token_gap_objective_ms, y->token_gap_objective_ms);
 	EXPECT_EQ(x->priority, 2);
 	EXPECT_EQ(pf_config_caller_by_key(c, PF_STR("zz")), nullptr);
 	pf_config_free(c);
--- a/tests/test_wire.cc
+++ b/tests/test_wire.cc
@@ -57,8 +57,8 @@
 		m.u.try_.work.model = 77;
 		m.u.try_.work.priority = 3;
 		m.u.try_.work.arrived = 900;
-		m.u.try_.work.first_token_target = 1400;
-		m.u.try_.work.answer_target = PF_NEVER;
+		m.u.try_.work.first_token_objective = 1400;
+		m.u.try_.work.answer_objective = PF_NEVER;
 		m.u.try_.work.deadline = 950; /* in the past */
 		m.u.try_.payload.method = PF_STR("POST");
 		m.u.try_.payload.path = PF_STR("/a?b");
@@ -246,8 +246,8 @@
 	const struct pf_work &w = c.out.u.try_.work;
 
 	EXPECT_EQ(w.arrived, 499900);
-	EXPECT_EQ(w.first_token_target, 500400);
-	EXPECT_EQ(w.answer_target, PF_NEVER);
+	EXPECT_EQ(w.first_token_objective, 500400);
+	EXPECT_EQ(w.answer_objective, PF_NEVER);
 	EXPECT_EQ(w.deadline, 500000);
 	EXPECT_EQ(text(c.out.u.try_.payload.body),
 		  std::string("body\0body", 9));
