Claims: times of the core end in `_at`

The core had claimed_at and last_seen_at, but next_flush, next_heartbeat, next_gc, next_log_read, last_step and moves_sent for points in time as well.

--- a/src/coordination/claim.c
+++ b/src/coordination/claim.c
@@ -238,7 +238,7 @@
 		break;
 	case PF_CLAIM_DRAIN:
 		c->draining = true;
-		c->next_heartbeat = now;
+		c->next_heartbeat_at = now;
 		break;
 	case PF_CLAIM_TICK:
 		claim_refuse_overdue(c, now, sink);
@@ -251,7 +251,7 @@
 void pf_claim_step(struct pf_claim *c, pf_ms now, const struct pf_claim_msg *m,
 		   const struct pf_claim_sink *sink)
 {
-	c->last_step = now;
+	c->last_step_at = now;
 	handle_msg(c, now, m, sink);
 	claim_control(c, now, sink);
 	claim_flush_if_due(c, now, sink);
@@ -269,16 +269,16 @@
 	if (c->drained || c->superseded)
 		return PF_NEVER;
 	if (!c->control_op)
-		next = min_ms(c->next_heartbeat, c->next_gc);
+		next = min_ms(c->next_heartbeat_at, c->next_gc_at);
 	if (!c->control_op && c->any_recovering)
-		next = min_ms(next, c->next_log_read);
+		next = min_ms(next, c->next_log_read_at);
 	if (c->queue.n && !c->flush.op)
-		next = min_ms(next, c->next_flush);
+		next = min_ms(next, c->next_flush_at);
 	if (c->flush.entries.n && !c->flush.op)
 		next = min_ms(next, c->flush.retry_at);
 	if (c->n_waiters || c->queue.n || c->flush.entries.n || c->draining)
-		next = min_ms(next, c->last_step + WAIT_TICK_MS);
-	return next > c->last_step ? next : c->last_step + 1;
+		next = min_ms(next, c->last_step_at + WAIT_TICK_MS);
+	return next > c->last_step_at ? next : c->last_step_at + 1;
 }
 
 void pf_claim_stats(const struct pf_claim *c, struct pf_claim_stats *s)
--- a/src/coordination/claim_core.h
+++ b/src/coordination/claim_core.h
@@ -165,7 +165,7 @@
 	struct claim_entry_list queue;
 	struct claim_flush flush;
 	uint64_t next_seq;
-	pf_ms next_flush; /* by the write budget */
+	pf_ms next_flush_at; /* by the write budget */
 
 	struct claim_shard *shards;
 	struct claim_agent *agents;
@@ -177,8 +177,8 @@
 	enum claim_phase phase;
 	uint64_t control_op; /* table operation in flight, or 0 */
 	char scan_after[CLAIM_ROW_KEY_MAX];
-	pf_ms next_heartbeat;
-	pf_ms next_gc;
+	pf_ms next_heartbeat_at;
+	pf_ms next_gc_at;
 	uint64_t heartbeat;
 	uint32_t reading_log; /* index into logs */
 	uint32_t answer_key_index; /* key whose stored answer is read */
@@ -186,14 +186,14 @@
 	bool read_incomplete; /* damaged row, or no slot for a key */
 	bool plan_pending; /* shards may have to move */
 	uint32_t gc_log; /* index of the log last scanned for old rows */
-	pf_ms last_step;
+	pf_ms last_step_at;
 	struct {
 		uint32_t shard;
 		struct claim_log_id new_owner;
 	} moves[CLAIM_TXN_ROWS_MAX];
 	uint32_t n_moves;
-	pf_ms moves_sent;
-	pf_ms next_log_read; /* no pass over the logs before */
+	pf_ms moves_sent_at;
+	pf_ms next_log_read_at; /* no pass over the logs before */
 	bool draining;
 	bool drained;
 	bool superseded;
--- a/src/coordination/claim_log.c
+++ b/src/coordination/claim_log.c
@@ -207,7 +207,7 @@
 	if (f->op || c->phase == PHASE_MOVE_SHARDS || c->superseded)
 		return;
 	if (f->entries.n == 0) {
-		if (!c->queue.first || now < c->next_flush)
+		if (!c->queue.first || now < c->next_flush_at)
 			return;
 		flush_fill(c, now, sink);
 		if (f->entries.n == 0)
@@ -215,14 +215,14 @@
 		if (f->row_text.failed) {
 			/* Out of memory: the entries are retried. */
 			flush_requeue(c);
-			c->next_flush = now + BACKOFF_MAX_MS;
+			c->next_flush_at = now + BACKOFF_MAX_MS;
 			return;
 		}
 	}
 	if (now < f->retry_at)
 		return;
 	f->retry_at = 0;
-	c->next_flush = now + (pf_ms)(1000.0 / c->opts.writes_per_s);
+	c->next_flush_at = now + (pf_ms)(1000.0 / c->opts.writes_per_s);
 	flush_send(c, sink);
 }
 
--- a/src/coordination/claim_own.c
+++ b/src/coordination/claim_own.c
@@ -176,7 +176,7 @@
 		puts[i].key = checks[i].key;
 		puts[i].value = pf_text_str(&text[i]);
 	}
-	c->moves_sent = now;
+	c->moves_sent_at = now;
 	txn.n_checks = c->n_moves;
 	txn.n_puts = c->n_moves;
 	c->phase = failed ? PHASE_IDLE : PHASE_MOVE_SHARDS;
@@ -203,22 +203,22 @@
 	c->phase = PHASE_IDLE;
 	if (moves_pending(c, now)) {
 		write_moves(c, now, sink);
-	} else if (now >= c->next_heartbeat) {
-		c->next_heartbeat = now + c->opts.heartbeat_interval;
+	} else if (now >= c->next_heartbeat_at) {
+		c->next_heartbeat_at = now + c->opts.heartbeat_interval;
 		c->scan_after[0] = '\0';
 		for (uint32_t i = 0; i < c->n_agents; i++)
 			c->agents[i].revision = 0;
 		scan_rows(c, PHASE_SCAN_AGENTS, sink);
 	} else if ((c->any_recovering || c->n_by_wait[WAIT_LOG]) &&
-		   now >= c->next_log_read) {
+		   now >= c->next_log_read_at) {
 		if (claim_read_start(c))
 			scan_log(c, sink);
 		else
 			claim_read_finish(c, now, sink);
 	} else if (c->n_by_wait[WAIT_ANSWER]) {
 		scan_answer(c, sink);
-	} else if (now >= c->next_gc) {
-		c->next_gc = now + c->opts.gc_interval;
+	} else if (now >= c->next_gc_at) {
+		c->next_gc_at = now + c->opts.gc_interval;
 		claim_keys_expire(c, now);
 		scan_expired(c, sink);
 	}
@@ -249,7 +249,7 @@
 {
 	c->shards[shard].ownership = SHARD_RECOVERING;
 	c->any_recovering = true;
-	c->next_log_read = 0;
+	c->next_log_read_at = 0;
 	c->stats.takeovers++;
 	/* Keys of other logs are read again. */
 	for (uint32_t i = 0; i < c->keys_end; i++) {
@@ -432,7 +432,7 @@
 	}
 	claim_read_finish(c, now, sink);
 	if (c->any_recovering)
-		c->next_log_read = now + REREAD_INTERVAL_MS;
+		c->next_log_read_at = now + REREAD_INTERVAL_MS;
 }
 
 void claim_control_scan_done(struct pf_claim *c, pf_ms now,
@@ -442,7 +442,7 @@
 	c->control_op = 0;
 	if (m->u.scan.status != PF_TABLE_OK) {
 		/* The next cycle scans again. */
-		c->next_log_read = now + REREAD_INTERVAL_MS;
+		c->next_log_read_at = now + REREAD_INTERVAL_MS;
 		return;
 	}
 	switch (c->phase) {
@@ -476,7 +476,7 @@
 		if (s->revision) {
 			s->past_owners[s->n_past_owners].id = s->owner;
 			s->past_owners[s->n_past_owners].owned_until =
-				c->moves_sent;
+				c->moves_sent_at;
 			s->n_past_owners++;
 		}
 		s->epoch++;
