--- a/include/pimentoford/entry.h
+++ b/include/pimentoford/entry.h
@@ -52,7 +52,7 @@
 	pf_ms age_step; /* waiting time that raises the priority by one */
 	double overload_slack; /* refuse as overload when the expected wait
 				* exceeds this multiple of the wait that the
-				* targets allow; 0: never */
+				* objectives allow; 0: never */
 	pf_ms quarantine_keep;
 	uint32_t crashes_max; /* crashes that quarantine a fingerprint */
 	uint32_t depth; /* tries queued at an agent beyond its batch */
@@ -132,6 +132,9 @@
 	} u;
 };
 
+/** Endpoints named for a fingerprint that crashed them: the last ones. */
+#define PF_CRASHED_ENDPOINTS_MAX 4
+
 enum pf_entry_act_type {
 	/* To the agent `agent`. */
 	PF_ENTRY_TRY, /* u.try_ */
@@ -173,6 +176,11 @@
 			/* End of the quarantine; 0: a suspect, which was
 			 * running when an endpoint crashed. */
 			pf_ms until;
+			/* Only for the log, not shared. */
+			uint64_t caller;
+			uint32_t crashes; /* counted at all entries */
+			uint64_t endpoints[PF_CRASHED_ENDPOINTS_MAX];
+			uint32_t n_endpoints; /* of crashes at this entry */
 		} quarantine;
 	} u;
 };
--- a/tests/test_entry_quarantine.cc
+++ b/tests/test_entry_quarantine.cc
@@ -174,6 +174,72 @@
 	expect_end(2, PF_REASON_QUARANTINED, PF_NOT_RUN);
 }
 
+TEST_F(EntryQuarantine, CrashOfATrialAfterItsRequestEndedCounts)
+{
+	start_with_two_agents();
+	receive_quarantine(5, 0);
+	Act t = arrive_and_get_try(1, work_fp(5));
+	ASSERT_TRUE(t.work.flags & PF_WORK_SUSPECT);
+	send_id(PF_ENTRY_STARTED, t);
+	run_timers(t.work.deadline - now);
+	expect_end(1, PF_REASON_EXPIRED, PF_RAN);
+	lost(t, PF_REASON_CRASHED);
+	EXPECT_EQ(find_act(PF_ENTRY_SHARE_QUARANTINE).quarantine.until,
+		  now + opts.quarantine_keep);
+	arrive(2, work_fp(5));
+	expect_end(2, PF_REASON_QUARANTINED, PF_NOT_RUN);
+}
+
+TEST_F(EntryQuarantine, LateCrashesOfTriesBesideOthersMakeASuspectOnly)
+{
+	start_with_two_agents();
+	Act t = arrive_and_get_try(1, work_fp(5));
+	now++;
+	piece(t, 7, 1); // a gap: replaced
+	Act u = find_act(PF_ENTRY_TRY);
+	ASSERT_NE(u.agent, t.agent);
+	now++;
+	lost(t, PF_REASON_CRASHED);
+	EXPECT_EQ(find_act(PF_ENTRY_SHARE_QUARANTINE).quarantine.until, 0);
+	now++;
+	piece(u, 7, 1);
+	EXPECT_EQ(count_acts(PF_ENTRY_CANCEL), 1u);
+	lost(u, PF_REASON_CRASHED);
+	EXPECT_EQ(count_acts(PF_ENTRY_END), 0u);
+	EXPECT_EQ(stats().quarantined, 0u);
+}
+
+TEST_F(EntryQuarantine, ShareNamesCallerAndTheLastEndpoints)
+{
+	std::vector<uint64_t> crashed;
+
+	opts.crashes_max = 7;
+	start_with_two_agents();
+	Act t = arrive_and_get_try(1, work_fp(5));
+	for (uint32_t crashes = 1; crashes <= 6; crashes++) {
+		lost(t, PF_REASON_CRASHED);
+		crashed.push_back(t.agent);
+		if (crashed.size() > PF_CRASHED_ENDPOINTS_MAX)
+			crashed.erase(crashed.begin());
+		Act s = find_act(PF_ENTRY_SHARE_QUARANTINE);
+		EXPECT_EQ(s.quarantine.caller, CALLER);
+		EXPECT_EQ(s.quarantine.crashes, crashes);
+		EXPECT_EQ(
+			std::vector<uint64_t>(s.quarantine.endpoints,
+					      s.quarantine.endpoints +
+						      s.quarantine.n_endpoints),
+			crashed);
+		std::vector<Act> out = acts;
+		now += 3000;
+		for (uint64_t agent : { AGENT_A, AGENT_B }) {
+			report(agent, { { MODEL, PF_ITEM_RESIDENT } });
+			out.insert(out.end(), acts.begin(), acts.end());
+		}
+		acts = out;
+		t = find_act(PF_ENTRY_TRY);
+	}
+}
+
 TEST_F(EntryQuarantine, SharedQuarantinesApplyAndTheTableIsBounded)
 {
 	opts.quarantine_max = 3;
