Entry: a silent stream is cancelled only if another agent may take it

Callers saw a stream end in the middle, as `retry_budget`, or pause for another queue and prefill, although its agent was sound and went on: after `stall_timeout` without a token the try was cancelled before it was known that the request may be retried and that anyone else can run it. With all engines silent at once, each stream was charged a retry until the budgets were used up, and then ended.

Now the try is kept, for at most four stalls in a row, while the budgets of caller and agent allow no retry, or no other agent is as good by the residency of the model. Where another agent may take over, and after DONE, nothing changes.

--- a/src/coordination/attempt.c
+++ b/src/coordination/attempt.c
@@ -158,6 +158,14 @@
 	pf_attempt_retry(e, slot, cause, 0);
 }
 
+bool pf_attempt_may_retry(const struct pf_entry *e, const struct pf_request *r)
+{
+	if (r->work.flags & PF_WORK_DEFERRABLE)
+		return true;
+	return r->retries + 1 < e->opts.attempts_max &&
+	       pf_limits_retry_allowed(e, r->account, r->agent_slot);
+}
+
 void pf_attempt_replace(struct pf_entry *e, uint32_t slot)
 {
 	struct pf_request *r = &e->reqs[slot];
--- a/src/coordination/attempt.h
+++ b/src/coordination/attempt.h
@@ -54,6 +54,9 @@
 void pf_attempt_lost(struct pf_entry *e, uint32_t slot,
 		     enum pf_retry_cause cause);
 
+/** Whether a try that failed now would be retried, not end the request. */
+bool pf_attempt_may_retry(const struct pf_entry *e, const struct pf_request *r);
+
 /** Cancels a try in flight that stalled or skipped tokens, and retries. */
 void pf_attempt_replace(struct pf_entry *e, uint32_t slot);
 
--- a/src/coordination/dispatch.c
+++ b/src/coordination/dispatch.c
@@ -48,6 +48,7 @@
 	pf_ms timeout = e->opts.try_timeout;
 
 	r->attempt++;
+	r->stalls = 0;
 	r->done_total = 0;
 	r->state = PF_REQ_SENT;
 	r->agent_slot = c->agent_slot;
--- a/src/coordination/entry_impl.h
+++ b/src/coordination/entry_impl.h
@@ -30,6 +30,7 @@
 	uint32_t attempt; /* number of the last try */
 	uint32_t retries; /* charged against attempts_max */
 	uint32_t backoffs; /* since the last progress; set the next one */
+	uint32_t stalls; /* of the try in flight since its last progress */
 	uint32_t account;
 	uint32_t group;
 	uint32_t agent_slot; /* of the try in flight */
--- a/src/coordination/lifecycle.c
+++ b/src/coordination/lifecycle.c
@@ -21,6 +21,8 @@
 #define SERVICE_SAMPLE_WEIGHT 0.1
 /* How long an agent gets no request of a group that it could not serve. */
 #define UNABLE_MS 1000
+/* Stalls in a row after which a stream is given up without another agent. */
+#define STALLS_MAX 4
 /* Timers run in one step; the others wait for the next step. */
 #define TIMERS_PER_STEP_MAX 256
 
@@ -208,6 +210,7 @@
 	}
 	deliver(e, r, skip, count - skip);
 	r->backoffs = 0;
+	r->stalls = 0;
 	if (r->done_total && r->work.offset >= r->done_total) {
 		complete(e, slot);
 		return;
@@ -465,6 +468,23 @@
 	pf_requests_set_timer(e, slot, e->now + e->opts.try_timeout);
 }
 
+/*
+ * Cancels a silent stream only if another agent may take over: its agent may
+ * go on, while a request without a retry left would end in mid-answer.
+ */
+static void handle_stall(struct pf_entry *e, uint32_t slot)
+{
+	struct pf_request *r = &e->reqs[slot];
+	/* After DONE, nothing more comes from this try. */
+	bool over = r->done_total > 0;
+
+	if (!over && ++r->stalls < STALLS_MAX &&
+	    !(pf_attempt_may_retry(e, r) && pf_route_has_other_agent(e, r)))
+		pf_requests_set_timer(e, slot, stall_deadline(e, r));
+	else
+		pf_attempt_replace(e, slot);
+}
+
 static void run_timer(struct pf_entry *e, uint32_t slot)
 {
 	if (e->reqs[slot].work.deadline <= e->now) {
@@ -484,7 +504,7 @@
 		revoke_try(e, slot);
 		break;
 	case PF_REQ_RUNNING:
-		pf_attempt_replace(e, slot);
+		handle_stall(e, slot);
 		break;
 	case PF_REQ_AWAITING_TRIAL:
 		pf_requests_set_timer(e, slot, PF_NEVER);
--- a/src/coordination/limits.c
+++ b/src/coordination/limits.c
@@ -279,17 +279,21 @@
 			    e->opts.retry_ratio);
 }
 
+bool pf_limits_retry_allowed(const struct pf_entry *e, uint32_t account,
+			     uint32_t agent_slot)
+{
+	/* The stored budget of an agent starts at 0. */
+	return e->accounts[account].retry_budget >= 1 &&
+	       e->agents[agent_slot].retry_budget + RETRY_BUDGET_INITIAL >= 1;
+}
+
 bool pf_limits_charge_retry(struct pf_entry *e, uint32_t account,
 			    uint32_t agent_slot)
 {
-	double *account_budget = &e->accounts[account].retry_budget;
-	double *agent_budget = &e->agents[agent_slot].retry_budget;
-
-	/* The stored budget of an agent starts at 0. */
-	if (*account_budget < 1 || *agent_budget + RETRY_BUDGET_INITIAL < 1)
+	if (!pf_limits_retry_allowed(e, account, agent_slot))
 		return false;
-	*account_budget -= 1;
-	*agent_budget -= 1;
+	e->accounts[account].retry_budget -= 1;
+	e->agents[agent_slot].retry_budget -= 1;
 	return true;
 }
 
--- a/src/coordination/limits.h
+++ b/src/coordination/limits.h
@@ -49,6 +49,10 @@
 void pf_limits_credit_first_try(struct pf_entry *e, uint32_t account,
 				uint32_t agent_slot);
 
+/** Whether the budgets of caller and agent allow a retry. */
+bool pf_limits_retry_allowed(const struct pf_entry *e, uint32_t account,
+			     uint32_t agent_slot);
+
 /** Charges a retry to both budgets. False when either is used up. */
 bool pf_limits_charge_retry(struct pf_entry *e, uint32_t account,
 			    uint32_t agent_slot);
--- a/src/coordination/route.c
+++ b/src/coordination/route.c
@@ -399,6 +399,20 @@
 	return c;
 }
 
+bool pf_route_has_other_agent(struct pf_entry *e, const struct pf_request *r)
+{
+	struct candidate_set set = collect_candidates(e, r);
+
+	for (uint32_t i = 0; i < set.n; i++) {
+		const struct pf_candidate *c = &e->candidates[i];
+
+		if (c->agent_slot != r->agent_slot &&
+		    c->rank / 2 == set.best_rank / 2)
+			return true;
+	}
+	return false;
+}
+
 bool pf_route_model_resident(struct pf_entry *e, const struct pf_request *r)
 {
 	return collect_candidates(e, r).best_rank / 2 == MODEL_RESIDENT;
--- a/src/coordination/route.h
+++ b/src/coordination/route.h
@@ -14,6 +14,12 @@
 struct pf_route_choice pf_route_pick(struct pf_entry *e,
 				     const struct pf_request *r);
 
+/**
+ * Whether an agent other than that of the try in flight can serve @r and is
+ * no worse by the residency of its model.
+ */
+bool pf_route_has_other_agent(struct pf_entry *e, const struct pf_request *r);
+
 /** Whether an agent able to serve @r has its model resident. */
 bool pf_route_model_resident(struct pf_entry *e, const struct pf_request *r);
 
--- a/tests/test_entry_lifecycle.cc
+++ b/tests/test_entry_lifecycle.cc
@@ -249,6 +249,61 @@
 	EXPECT_EQ(stats().resumes, 1u);
 }
 
+struct SilenceCase {
+	const char *name;
+	bool other_agent;
+	uint32_t attempts_max;
+};
+
+class EntrySilence : public EntryLifecycle,
+		     public ::testing::WithParamInterface<SilenceCase>
+{
+};
+
+// A silent agent's stream was cancelled, or ended, with no agent to go on.
+TEST_P(EntrySilence, StreamWaitsForItsAgentWhileNoOtherMayTakeOver)
+{
+	const SilenceCase &c = GetParam();
+
+	opts.attempts_max = c.attempts_max;
+	start_core();
+	bring_up(AGENT_A);
+	Act t = arrive_and_get_try(1, work());
+	if (c.other_agent)
+		bring_up(AGENT_B);
+	send_id(PF_ENTRY_STARTED, t);
+	piece(t, 0, 4);
+	run_timers(opts.stall_timeout + 1000);
+	EXPECT_EQ(count_acts(PF_ENTRY_CANCEL), 0u);
+	EXPECT_EQ(count_acts(PF_ENTRY_END), 0u);
+	piece(t, 4, 2);
+	EXPECT_EQ(find_act(PF_ENTRY_DELIVER).deliver.offset, 4u);
+	done(t, 6);
+	expect_end(1, PF_REASON_NONE, PF_RAN);
+	EXPECT_EQ(stats().retries, 0u);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+	Table, EntrySilence,
+	::testing::Values(SilenceCase{ "no other agent", false, 6 },
+			  SilenceCase{ "no attempts left", true, 1 }));
+
+// An agent that stays silent would hold a request without a deadline for ever.
+TEST_F(EntryLifecycle, StreamOfASilentAgentEndsAfterSeveralStalls)
+{
+	opts.attempts_max = 1;
+	bring_all_up();
+	pf_work w = work();
+
+	w.deadline = PF_NEVER;
+	Act t = arrive_and_get_try(1, w);
+	send_id(PF_ENTRY_STARTED, t);
+	piece(t, 0, 4);
+	run_timers(4 * opts.stall_timeout);
+	EXPECT_EQ(find_act(PF_ENTRY_CANCEL).agent, t.agent);
+	expect_end(1, PF_REASON_RETRY_BUDGET, PF_RAN);
+}
+
 struct DeadlineCase {
 	const char *name;
 	bool sent, started, refused;
