--- a/tests/test_daemons.cc
+++ b/tests/test_daemons.cc
@@ -322,6 +322,45 @@
 	EXPECT_LT(got.find("[DONE]"), got.find("\"usage\""));
 }
 
+/* A request behind a chunked body could end the answer before it. */
+TEST_F(Daemons, RequestPipelinedBehindChunkedBodyIsAnsweredInOrder)
+{
+	const std::string chunked =
+		"POST /svc/booking/visits HTTP/1.1\r\n" + auth_header +
+		"Idempotency-Key: chunked\r\n"
+		"Transfer-Encoding: chunked\r\n\r\n"
+		"10\r\n{\"x\":\"[slow=200]\r\n2\r\n\"}\r\n0\r\n\r\n";
+	const std::string list =
+		"GET /v1/models HTTP/1.1\r\n" + auth_header + "\r\n";
+	const struct {
+		size_t cut; /* first bytes sent */
+		std::string next;
+		const char *last; /* of the second answer */
+	} cases[] = {
+		{ 0, post_request(completion_body(3, false)), "\"usage\"" },
+		{ 0, list + list, "\"list\"" },
+		{ chunked.size() - 3, list, "\"list\"" },
+		{ chunked.size(), list, "\"list\"" },
+	};
+
+	for (auto &c : cases) {
+		std::string all = chunked + c.next;
+		int fd = dial(port(10), 5);
+
+		ASSERT_GE(fd, 0);
+		send(fd, all.data(), c.cut, MSG_NOSIGNAL);
+		usleep(3000);
+		send(fd, all.data() + c.cut, all.size() - c.cut, MSG_NOSIGNAL);
+		std::string got = FakeReceive(fd, c.last);
+
+		close(fd);
+		EXPECT_EQ(got.substr(9, 3), "200") << c.cut << ": " << got;
+		EXPECT_LT(got.find("\"run\""), got.find(c.last)) << got;
+	}
+	EXPECT_NE(http_get(port(43), "/admin/state").find("\"chunked\":1"),
+		  std::string::npos);
+}
+
 TEST_F(Daemons, Http10StreamIsNotChunked)
 {
 	std::string got =
