Entry: an agent with another configuration no longer answers 404

Beside a change of the configuration, callers got `unknown_model` for a model that their entry declares: the agent that got the try had an older configuration, refused it, and the entry passed that refusal on as final.

The entry now decides by its own configuration. If that declares the model, the agent is not asked again for this group for a second, and the request is retried as after other failures, within the budgets. The refusal stays final once the entry's configuration drops the model.

--- a/src/coordination/lifecycle.c
+++ b/src/coordination/lifecycle.c
@@ -3,6 +3,7 @@
 
 #include "src/coordination/attempt.h"
 #include "src/coordination/backlog.h"
+#include "src/coordination/catalog.h"
 #include "src/coordination/dispatch.h"
 #include "src/coordination/entry_agents.h"
 #include "src/coordination/limits.h"
@@ -299,8 +300,16 @@
 							   : PF_RETRY_FAULT,
 				 after);
 		break;
-	case PF_REASON_EXPIRED:
 	case PF_REASON_UNKNOWN_MODEL:
+		/* Declared here: the agent has another configuration so far. */
+		if (pf_catalog_declares(e, &r->work)) {
+			pf_agents_set_unable(e, r->agent_slot, r->group,
+					     e->now + UNABLE_MS);
+			pf_attempt_retry(e, slot, PF_RETRY_FAULT, after);
+			break;
+		}
+		/* fallthrough */
+	case PF_REASON_EXPIRED:
 	case PF_REASON_TOO_LONG:
 	case PF_REASON_KEY_REUSED:
 	case PF_REASON_QUARANTINED:
--- a/tests/test_entry_lifecycle.cc
+++ b/tests/test_entry_lifecycle.cc
@@ -457,6 +457,35 @@
 }
 
 // NOT_RESIDENT for a claim shard means that it moved, which is no fault.
+// An agent that has an older configuration turned a declared model into 404.
+TEST_F(EntryLifecycle, ModelUnknownToAnAgentIsTriedElsewhere)
+{
+	bring_all_up();
+	Act t = arrive_and_get_try(1, work());
+	not_run(t, PF_REASON_UNKNOWN_MODEL);
+	EXPECT_EQ(count_acts(PF_ENTRY_END), 0u);
+	run_timers(opts.backoff_max);
+	Act u = find_act(PF_ENTRY_TRY);
+	EXPECT_NE(u.agent, t.agent);
+	done(u, 0);
+	expect_end(1, PF_REASON_NONE, PF_RAN);
+	// No agent knows it: bounded like other failures.
+	for (uint64_t id = 2; id < 10; id++) {
+		pf_work w = work();
+
+		w.deadline = PF_NEVER;
+		arrive(id, w);
+		for (int i = 0; i < 100 && !count_acts(PF_ENTRY_END); i++) {
+			if (count_acts(PF_ENTRY_TRY))
+				not_run(find_act(PF_ENTRY_TRY),
+					PF_REASON_UNKNOWN_MODEL);
+			else
+				run_timers(500);
+		}
+		expect_end(id, PF_REASON_RETRY_BUDGET, PF_NOT_RUN);
+	}
+}
+
 TEST_F(EntryLifecycle, MovedShardCostsNoRetryBudget)
 {
 	bring_all_up();
