SIGHUP no longer ends the entry and the agent

A hangup signal ended both programs at once, with all requests in progress: callers' streams were cut without an error.

pf_process_signals() now ignores SIGHUP; pf_process_reload() replaces that where settings are reloaded.

Test: Daemons.HangupSignalEndsNoRequest failed before (10 of 60 tokens, no [DONE], both processes gone). Daemons.* plain and with sanitizers: passed.

--- a/src/transport/process.c
+++ b/src/transport/process.c
@@ -146,6 +146,8 @@
 
 	handler = (struct stop_handler){ stop, ctx };
 	signal(SIGPIPE, SIG_IGN);
+	/* Until pf_process_reload(); it ends a process by default. */
+	signal(SIGHUP, SIG_IGN);
 	for (i = 0; i < G_N_ELEMENTS(signals); i++) {
 		struct event *ev =
 			evsignal_new(base, signals[i], on_signal, &handler);
--- a/tests/test_daemons.cc
+++ b/tests/test_daemons.cc
@@ -471,6 +471,23 @@
 	EXPECT_EQ(count(audit, "takeover lease/planner/east"), 1u) << audit;
 }
 
+/* Neither daemon handled SIGHUP, which ends a process by default. */
+TEST_F(Daemons, HangupSignalEndsNoRequest)
+{
+	std::string req = post_request(completion_body(60, true));
+	int fd = dial(port(10), 10);
+	std::string got;
+
+	send(fd, req.data(), req.size(), MSG_NOSIGNAL);
+	got = FakeReceive(fd, "finish_reason");
+	for (const char *name : { "entry-east", "engine-east" })
+		kill(pids[name], SIGHUP);
+	got += FakeReceive(fd, "[DONE]");
+	close(fd);
+	EXPECT_EQ(count_words(got), 60u);
+	EXPECT_EQ(count(got, "[DONE]"), 1u);
+}
+
 /*
  * SIGTERM during a stream cuts it off. Must be the last test, since it stops
  * the entry and the agent.
