Agent: a stop waits until the entries have all answers

An agent that was stopped closed its sessions as soon as its last bytes had left user space. A call that crossed its "leaving" notice, or an answer still in the kernel's send queue when an entry's heartbeat met the closed socket, was lost. For a call that may not be repeated, the caller got "outcome unknown", although it had never run, or had been answered.

Before it exits, the agent now asks each entry to confirm all messages (an RPC null call, which existing releases answer). The reply follows all messages that the entry sent before it knew that the agent leaves, so each of these gets its "not run". An entry that is silent for the link timeout (5 s) holds up the exit no longer than that.

Tests: Daemons.StoppingAgentAnswersTheCallsThatCrossItsLeave failed before (no NOT_RUN within 5 s); Rpc.ConfirmationFollowsTheMessages- ThatCrossIt is new with the call. Daemons.*, Rpc*, Agent*, Entry*, Draft*, Claim* plain and with sanitizers: passed.

--- a/daemons/agent/daemon.h
+++ b/daemons/agent/daemon.h
@@ -177,7 +177,8 @@
 int links_start(struct daemon *d);
 void links_send(struct daemon *d, uint64_t entry, const struct pf_wire_msg *m);
 void links_send_all(struct daemon *d, const struct pf_wire_msg *m);
-bool links_all_sent(const struct daemon *d);
+/** Whether each entry has handled all messages; asks those that have not. */
+bool links_all_confirmed(const struct daemon *d);
 
 /* runs.c: runs at an engine */
 void runs_start(struct daemon *d, struct try_slot *s,
--- a/daemons/agent/links.c
+++ b/daemons/agent/links.c
@@ -31,15 +31,18 @@
 		pf_rpc_send(d->links[i].session, m);
 }
 
-bool links_all_sent(const struct daemon *d)
+bool links_all_confirmed(const struct daemon *d)
 {
+	bool all = true;
 	uint32_t i;
 
 	for (i = 0; i < d->n_links; i++) {
-		if (pf_rpc_unsent(d->links[i].session) > 0)
-			return false;
+		struct pf_rpc_session *s = d->links[i].session;
+
+		pf_rpc_confirm(s);
+		all = all && pf_rpc_is_confirmed(s);
 	}
-	return true;
+	return all;
 }
 
 static void entry_down(struct daemon *d, uint64_t entry)
--- a/daemons/agent/main.c
+++ b/daemons/agent/main.c
@@ -20,7 +20,10 @@
 	event_base_loopbreak(d->base);
 }
 
-/* Exits the loop once drained and all answers are sent. */
+/*
+ * Exits the loop once drained and every entry has all answers, and has had an
+ * answer to each try that it sent before it knew that this agent leaves.
+ */
 static void on_stop_timer(evutil_socket_t fd, short what, void *ctx)
 {
 	struct daemon *d = ctx;
@@ -29,7 +32,7 @@
 	(void)what;
 	if (d->core && (!d->core_drained || !claims_drain(d)))
 		return;
-	if (links_all_sent(d))
+	if (links_all_confirmed(d))
 		event_base_loopbreak(d->base);
 }
 
--- a/include/pimentoford/rpc.h
+++ b/include/pimentoford/rpc.h
@@ -84,6 +84,15 @@
 /** Queues a message. Returns 0, or -1 when not up or not encodable. */
 int pf_rpc_send(struct pf_rpc_session *s, const struct pf_wire_msg *m);
 
+/** Asks the peer to confirm the messages sent so far, if it has not. */
+void pf_rpc_confirm(struct pf_rpc_session *s);
+
+/**
+ * Whether the peer confirmed that it has handled all messages. Those that it
+ * sent before it handled the last one have been received then.
+ */
+bool pf_rpc_is_confirmed(const struct pf_rpc_session *s);
+
 /** Bytes queued and not yet written to the socket. */
 size_t pf_rpc_unsent(const struct pf_rpc_session *s);
 
--- a/src/transport/rpc.c
+++ b/src/transport/rpc.c
@@ -35,6 +35,12 @@
 	event_active(r->flush_event, 0, 0);
 }
 
+void pf_rpc_close_later(struct pf_rpc_session *s)
+{
+	s->closing = true;
+	schedule_flush(s->rpc);
+}
+
 static void close_socket(struct pf_rpc_session *s)
 {
 	if (s->bev)
@@ -45,6 +51,8 @@
 	evbuffer_drain(s->batch, evbuffer_get_length(s->batch));
 	s->batch_messages = 0;
 	s->closing = false;
+	s->unconfirmed = false;
+	s->confirm_in_flight = false;
 }
 
 static void session_free(struct pf_rpc_session *s)
@@ -230,8 +238,7 @@
 		mark_dead(s);
 }
 
-/* Sends the batch as one record; an empty batch is a heartbeat. */
-static void send_batch(struct pf_rpc_session *s)
+void pf_rpc_send_batch(struct pf_rpc_session *s)
 {
 	struct pf_rpc *r = s->rpc;
 	uint32_t xid = htonl(++r->xid);
@@ -278,7 +285,7 @@
 		}
 		if (s->state == PF_RPC_UP && s->batch_messages > 0 &&
 		    !s->closing)
-			send_batch(s);
+			pf_rpc_send_batch(s);
 		if (s->closing)
 			pf_rpc_session_lost(s);
 	}
@@ -302,7 +309,7 @@
 	}
 	if (now - s->last_sent_at >= o->heartbeat_interval &&
 	    s->batch_messages == 0)
-		send_batch(s);
+		pf_rpc_send_batch(s);
 }
 
 static void on_tick(evutil_socket_t fd, short what, void *ctx)
@@ -341,13 +348,13 @@
 	evbuffer_add(s->batch, r->out.p, r->out.n);
 	evbuffer_add(s->batch, zeros, RNDUP(r->out.n) - r->out.n);
 	s->batch_messages++;
+	s->unconfirmed = true;
 	r->stats.messages_out++;
 	if (evbuffer_get_length(s->batch) >= BATCH_FLUSH_BYTES)
-		send_batch(s);
+		pf_rpc_send_batch(s);
 	if (pf_rpc_unsent(s) > r->opts.unsent_max) {
 		r->stats.slow_peers++;
-		s->closing = true;
-		schedule_flush(r);
+		pf_rpc_close_later(s);
 	}
 	return 0;
 }
--- a/src/transport/rpc_call.c
+++ b/src/transport/rpc_call.c
@@ -11,6 +11,7 @@
 #define RECORD_BUF_BYTES 512
 #define XID_HELLO 1
 #define XID_PROVE 2
+#define XID_CONFIRM 3
 
 /* xdr_void() with the signature of xdrproc_t, which the library's lacks. */
 static bool_t xdr_no_result(XDR *xdrs, ...)
@@ -146,6 +147,31 @@
 			 (xdrproc_t)xdr_pimento_hello, &s->local_hello);
 }
 
+void pf_rpc_confirm(struct pf_rpc_session *s)
+{
+	if (!pf_rpc_is_up(s) || s->confirm_in_flight || !s->unconfirmed)
+		return;
+	if (s->batch_messages > 0)
+		pf_rpc_send_batch(s);
+	s->unconfirmed = false;
+	s->confirm_in_flight = true;
+	if (send_call(s, XID_CONFIRM, NULLPROC, xdr_no_result, NULL) < 0)
+		pf_rpc_close_later(s);
+}
+
+bool pf_rpc_is_confirmed(const struct pf_rpc_session *s)
+{
+	return !s->unconfirmed && !s->confirm_in_flight;
+}
+
+/* The reply follows the messages sent so far: see pf_rpc_is_confirmed(). */
+static int on_null(struct pf_rpc_session *s, uint32_t xid)
+{
+	if (pf_rpc_is_up(s) && s->batch_messages > 0)
+		pf_rpc_send_batch(s);
+	return reply_result(s, xid, xdr_no_result, NULL);
+}
+
 /* Server: proves the key for the client's nonce and sends its own nonce. */
 static int on_hello(struct pf_rpc_session *s, XDR *xdrs, uint32_t xid)
 {
@@ -270,7 +296,7 @@
 		return reply_error(s, m.rm_xid, PROG_MISMATCH);
 	switch (m.rm_call.cb_proc) {
 	case NULLPROC:
-		return reply_result(s, m.rm_xid, xdr_no_result, NULL);
+		return on_null(s, m.rm_xid);
 	case PIMENTO_HELLO:
 		return on_hello(s, xdrs, m.rm_xid);
 	case PIMENTO_PROVE:
@@ -299,8 +325,13 @@
 		return -1;
 	/* An older peer answers a one-way call it doesn't know with an error
 	 * reply; ignore it. */
-	if (s->state == PF_RPC_UP)
+	if (s->state == PF_RPC_UP) {
+		if (m.rm_xid == XID_CONFIRM &&
+		    m.rm_reply.rp_stat == MSG_ACCEPTED &&
+		    m.acpted_rply.ar_stat == SUCCESS)
+			s->confirm_in_flight = false;
 		return 0;
+	}
 	if (!s->client)
 		return -1;
 	if (m.rm_reply.rp_stat != MSG_ACCEPTED) {
--- a/src/transport/rpc_internal.h
+++ b/src/transport/rpc_internal.h
@@ -33,6 +33,8 @@
 	enum pf_rpc_state state;
 	bool client;
 	bool closing; /* closed by the flush event */
+	bool unconfirmed; /* messages sent since the last confirm call */
+	bool confirm_in_flight;
 	struct sockaddr_storage addr; /* client: address of the server */
 	int addr_len;
 	struct bufferevent *bev;
@@ -83,6 +85,12 @@
 /** Starts the server side of a session on the accepted socket @fd. */
 void pf_rpc_session_accept(struct pf_rpc *r, evutil_socket_t fd);
 
+/** Has the flush event close the session: callers may hold it now. */
+void pf_rpc_close_later(struct pf_rpc_session *s);
+
+/** Sends the batch as one record; an empty batch is a heartbeat. */
+void pf_rpc_send_batch(struct pf_rpc_session *s);
+
 /* rpc_call.c: calls and replies */
 
 /** Handles the record in @s->in. Returns 0, or -1 to close the session. */
--- a/tests/test_daemons.cc
+++ b/tests/test_daemons.cc
@@ -1,8 +1,10 @@
 // The daemons as processes on loopback with simulated platform, engine and
 // service: malformed and split requests, callers that disconnect or read
 // slowly, graceful shutdown.
+#include "pimentoford/rpc.h"
 #include "tests/fake_http.h"
 
+#include <event2/event.h>
 #include <fcntl.h>
 #include <gtest/gtest.h>
 #include <netinet/in.h>
@@ -14,6 +16,7 @@
 
 #include <cstdlib>
 #include <fstream>
+#include <functional>
 #include <map>
 #include <sstream>
 #include <string>
@@ -228,6 +231,74 @@
 	}
 };
 
+/* A session with an agent, as an entry has it. */
+struct AgentSession {
+	struct event_base *base = event_base_new();
+	struct pf_rpc *rpc = nullptr;
+	struct pf_rpc_session *session = nullptr;
+	std::map<uint64_t, int> refused; /* NOT_RUN by request */
+
+	~AgentSession()
+	{
+		pf_rpc_free(rpc);
+		event_base_free(base);
+	}
+	static void up(void *ctx, struct pf_rpc_session *s)
+	{
+		static_cast<AgentSession *>(ctx)->session = s;
+	}
+	static void down(void *ctx, struct pf_rpc_session *)
+	{
+		static_cast<AgentSession *>(ctx)->session = nullptr;
+	}
+	static void message(void *ctx, struct pf_rpc_session *,
+			    const struct pf_wire_msg *m)
+	{
+		if (m->type == PF_WIRE_NOT_RUN)
+			static_cast<AgentSession *>(ctx)
+				->refused[m->u.not_run.id.request]++;
+	}
+	void open(const std::string &addr)
+	{
+		struct pf_rpc_opts o;
+
+		pf_rpc_opts_default(&o);
+		o.base = base;
+		o.key = pf_str_c("demo-deployment-key");
+		o.self.role = PF_RPC_ENTRY;
+		o.self.id = 99;
+		o.up = up;
+		o.down = down;
+		o.message = message;
+		o.ctx = this;
+		rpc = pf_rpc_new(&o);
+		ASSERT_NE(pf_rpc_connect(rpc, addr.c_str(), nullptr), nullptr);
+	}
+	void send_call(uint64_t request)
+	{
+		struct pf_wire_msg m = {};
+
+		m.type = PF_WIRE_TRY;
+		m.u.try_.id = { request, 1 };
+		m.u.try_.work.flags = PF_WORK_PLAIN | PF_WORK_NEVER_REPEAT;
+		m.u.try_.work.deadline = PF_NEVER;
+		m.u.try_.payload.method = pf_str_c("POST");
+		m.u.try_.payload.path = pf_str_c("/visits");
+		pf_rpc_send(session, &m);
+	}
+	/* Runs the loop until @done, for 5 s at most. */
+	bool run_until(const std::function<bool()> &done)
+	{
+		for (int i = 0; i < 5000; i++) {
+			if (done())
+				return true;
+			event_base_loop(base, EVLOOP_NONBLOCK);
+			usleep(1000);
+		}
+		return false;
+	}
+};
+
 std::string Daemons::dir, Daemons::port_prefix;
 std::map<std::string, pid_t> Daemons::pids;
 } // namespace
@@ -488,6 +559,28 @@
 	EXPECT_EQ(count(got, "[DONE]"), 1u);
 }
 
+/*
+ * A call that crossed the agent's last messages met a closed socket: its entry
+ * could not tell whether it ran.
+ */
+TEST_F(Daemons, StoppingAgentAnswersTheCallsThatCrossItsLeave)
+{
+	AgentSession s;
+
+	start_daemon("booking-west", "pimento-agent");
+	ASSERT_TRUE(wait_ready(45, "/readyz"));
+	s.open(addr(44));
+	ASSERT_TRUE(s.run_until([&] { return s.session != nullptr; }));
+	kill(pids["booking-west"], SIGTERM);
+	/* Longer than an idle agent takes to stop; nothing is read so far. */
+	usleep(300000);
+	s.send_call(7);
+	EXPECT_TRUE(s.run_until([&] { return s.refused[7] > 0; }));
+	EXPECT_TRUE(s.run_until([&] { return s.session == nullptr; }));
+	EXPECT_EQ(wait_exit(pids["booking-west"]), 0);
+	pids.erase("booking-west");
+}
+
 /*
  * SIGTERM during a stream cuts it off. Must be the last test, since it stops
  * the entry and the agent.
--- a/tests/test_rpc.cc
+++ b/tests/test_rpc.cc
@@ -381,6 +381,26 @@
 	EXPECT_EQ(server.downs, 0);
 }
 
+/* A side that stops closes its socket on messages that are under way to it. */
+TEST_F(Rpc, ConfirmationFollowsTheMessagesThatCrossIt)
+{
+	connect_both();
+	for (uint64_t round = 1; round <= 3; round++) {
+		struct pf_wire_msg to_client = revoke(round);
+		struct pf_wire_msg to_server = revoke(round + 100);
+
+		ASSERT_EQ(pf_rpc_send(server.session, &to_client), 0);
+		EXPECT_FALSE(pf_rpc_is_confirmed(server.session));
+		pf_rpc_confirm(server.session);
+		pf_rpc_confirm(server.session);
+		ASSERT_EQ(pf_rpc_send(client.session, &to_server), 0);
+		ASSERT_TRUE(run_until(
+			[&] { return pf_rpc_is_confirmed(server.session); }));
+		EXPECT_EQ(client.received.size(), round);
+		EXPECT_EQ(server.received.size(), round);
+	}
+}
+
 TEST_F(Rpc, ReconnectsAfterThePeerRestarts)
 {
 	std::string at = addr();
