Entry: a stop answers drafts and the requests that it is reading

A stopping entry exited as soon as no request was open at its core. Callers that were sending a request, had sent one behind an answer, or waited for a draft to be stored, had their connections closed without an answer; the draft was often stored, and its id lost.

The exit now also waits until no draft call is open and no connection has part of a request or unsent output. Connections are accepted until then, and for one more poll none are. Answers of a stopping entry carry `Connection: close`, unless a further request of the connection has been read, so that callers leave before the exit.

Tests: Daemons.StoppingEntryAnswersTheRequestThatItIsReading and Daemons.StoppingEntryAnswersTheDraftThatItIsStoring failed before (the connection was closed without a byte). Daemons.* plain and with sanitizers: passed.

--- a/daemons/entry/answer.c
+++ b/daemons/entry/answer.c
@@ -24,9 +24,20 @@
 				 evhtp_header_new(name, value, 1, 1));
 }
 
+/*
+ * A stopping entry closes behind its answers, so that callers send their next
+ * requests elsewhere, but not on a request that was read already.
+ */
+static void close_if_draining(const struct conn *c, evhtp_request_t *req)
+{
+	if (c->d->draining && !reader_has_input(c))
+		req->flags &= (uint16_t)~EVHTP_REQ_FLAG_KEEPALIVE;
+}
+
 void answer_bytes(struct conn *c, evhtp_request_t *req, int status,
 		  const char *type, struct pf_str body)
 {
+	close_if_draining(c, req);
 	set_header(req, "Content-Type", type);
 	if (body.n)
 		evbuffer_add(req->buffer_out, body.p, body.n);
@@ -135,6 +146,7 @@
 	r->head_sent = true;
 	set_header(r->http, "Content-Type", "text/event-stream");
 	set_header(r->http, "Cache-Control", "no-cache");
+	close_if_draining(r->conn, r->http);
 	if (r->http->proto == EVHTP_PROTO_10) {
 		/* HTTP/1.0 has no chunks: closing ends the body. */
 		r->http->flags &= (uint16_t)~EVHTP_REQ_FLAG_KEEPALIVE;
--- a/daemons/entry/daemon.h
+++ b/daemons/entry/daemon.h
@@ -70,6 +70,7 @@
 	uint64_t body_left;
 	size_t body_bytes; /* received of the current request's body */
 	bool receiving; /* part of a request has arrived */
+	bool parsing; /* its input still has the current request */
 	bool refused; /* answered with an error; further input is dropped */
 	struct evbuffer *pipelined; /* input after the current request */
 	struct event *resume_event;
@@ -128,6 +129,7 @@
 	struct event *disconnected_event;
 
 	struct evhtp *http;
+	bool accepting; /* connections of callers */
 	LIST_HEAD(, conn) conns;
 	uint32_t n_conns;
 	struct pf_text scratch; /* for building one response */
@@ -182,6 +184,9 @@
 
 int server_start(struct daemon *d);
 void server_stop(struct daemon *d);
+void server_stop_accepting(struct daemon *d);
+/** Whether no connection has part of a request or output left to send. */
+bool server_is_idle(const struct daemon *d);
 /**
  * Answers with an error before the request is complete, drops further input
  * and closes the connection.
@@ -195,6 +200,8 @@
 
 int reader_start(struct conn *c);
 void reader_stop(struct conn *c);
+/** Whether bytes of a further request have been read. */
+bool reader_has_input(const struct conn *c);
 /** The request is answered: reads the next one. */
 void reader_resume(struct conn *c);
 
@@ -222,6 +229,8 @@
 /** GET and DELETE of /v1/drafts/ID. */
 void drafts_route(struct daemon *d, struct conn *c, evhtp_request_t *req);
 void drafts_disconnected(struct conn *c);
+/** Whether no caller waits for an answer about a draft. */
+bool drafts_idle(const struct daemon *d);
 /**
  * The result of the run @seq; @final: false when it is to be run again. May
  * be called while the core's acts are carried out.
--- a/daemons/entry/drafts.c
+++ b/daemons/entry/drafts.c
@@ -435,6 +435,11 @@
 	c->draft_waiter = NULL;
 }
 
+bool drafts_idle(const struct daemon *d)
+{
+	return !d->drafts || LIST_EMPTY(&d->drafts->waiters);
+}
+
 void drafts_update_counters(struct daemon *d)
 {
 	struct pf_draft_stats st;
--- a/daemons/entry/main.c
+++ b/daemons/entry/main.c
@@ -13,24 +13,23 @@
 
 static int exit_status;
 
-/* Ends the event loop once no request is open and all output is sent. */
+/*
+ * Ends the event loop once every request is answered and all output is sent.
+ * Connections are accepted until then, since callers may still come.
+ */
 static void on_stop_timer(evutil_socket_t fd, short what, void *ctx)
 {
 	struct daemon *d = ctx;
-	struct conn *c;
 
 	(void)fd;
 	(void)what;
-	if (!d->drained || !LIST_EMPTY(&d->requests) || !changes_idle(d))
+	if (!d->drained || !LIST_EMPTY(&d->requests) || !changes_idle(d) ||
+	    !drafts_idle(d) || !server_is_idle(d))
 		return;
-	LIST_FOREACH(c, &d->conns, next)
-	{
-		struct bufferevent *bev = c->http->bev;
-
-		if (evbuffer_get_length(bufferevent_get_output(bev)) > 0)
-			return;
-	}
-	event_base_loopbreak(d->base);
+	if (d->accepting)
+		server_stop_accepting(d);
+	else
+		event_base_loopbreak(d->base);
 }
 
 static void on_drain_timeout(evutil_socket_t fd, short what, void *ctx)
--- a/daemons/entry/reader.c
+++ b/daemons/entry/reader.c
@@ -174,6 +174,12 @@
 	on_read(c->http->bev, c);
 }
 
+bool reader_has_input(const struct conn *c)
+{
+	return (!c->parsing && evbuffer_get_length(input_of(c)) > 0) ||
+	       evbuffer_get_length(c->pipelined) > 0;
+}
+
 void reader_resume(struct conn *c)
 {
 	event_active(c->resume_event, 0, 0);
--- a/daemons/entry/server.c
+++ b/daemons/entry/server.c
@@ -266,11 +266,13 @@
 	c->phase = CONN_ANSWERING;
 	event_del(c->timer);
 	d->counters.v[PF_EC_REQUESTS]++;
+	c->parsing = true;
 	if (!req->uri || !req->uri->path || !req->uri->path->full)
 		answer_refused(c, req, 400, "invalid_request",
 			       "the request has no path");
 	else
 		route(d, c, req);
+	c->parsing = false;
 }
 
 int server_start(struct daemon *d)
@@ -289,17 +291,40 @@
 	evhtp_set_pre_accept_cb(d->http, on_pre_accept, d);
 	evhtp_set_post_accept_cb(d->http, on_accept, d);
 	evhtp_set_gencb(d->http, on_request, d);
+	d->accepting = true;
 	return evhtp_bind_sockaddr(d->http, (struct sockaddr *)&ss, (size_t)len,
 				   LISTEN_BACKLOG);
 }
 
+void server_stop_accepting(struct daemon *d)
+{
+	d->accepting = false;
+	evhtp_unbind_socket(d->http);
+}
+
+bool server_is_idle(const struct daemon *d)
+{
+	const struct conn *c;
+
+	LIST_FOREACH(c, &d->conns, next)
+	{
+		struct evbuffer *out = bufferevent_get_output(c->http->bev);
+
+		if (c->receiving || reader_has_input(c) ||
+		    evbuffer_get_length(out) > 0)
+			return false;
+	}
+	return true;
+}
+
 void server_stop(struct daemon *d)
 {
 	struct conn *c;
 
 	if (!d->http)
 		return;
-	evhtp_unbind_socket(d->http);
+	if (d->accepting)
+		server_stop_accepting(d);
 	while ((c = LIST_FIRST(&d->conns)))
 		evhtp_connection_free(c->http);
 	evhtp_free(d->http);
--- a/tests/test_daemons.cc
+++ b/tests/test_daemons.cc
@@ -216,6 +216,24 @@
 			EXPECT_EQ(system(("rm -r " + dir).c_str()), 0);
 		}
 	}
+	static bool set_fault(const std::string &what,
+			      const std::string &target, int ms)
+	{
+		std::string body = "{\"what\":\"" + what + "\",\"target\":\"" +
+				   target + "\",\"ms\":" + std::to_string(ms) +
+				   "}";
+		std::string req = "POST /admin/fault HTTP/1.1\r\n"
+				  "Connection: close\r\nContent-Length: " +
+				  std::to_string(body.size()) + "\r\n\r\n" +
+				  body;
+		int fd = dial(port(0), 5);
+
+		send(fd, req.data(), req.size(), MSG_NOSIGNAL);
+		std::string got = FakeReceive(fd, "");
+
+		close(fd);
+		return got.find(" 200 ") != std::string::npos;
+	}
 	static std::string exchange(const std::string &bytes,
 				    const std::string &until, int timeout_s = 5)
 	{
@@ -559,6 +577,61 @@
 	EXPECT_EQ(count(got, "[DONE]"), 1u);
 }
 
+/* A stopping entry closed connections in the middle of a request. */
+TEST_F(Daemons, StoppingEntryAnswersTheRequestThatItIsReading)
+{
+	std::string req = post_request(completion_body(3, false));
+	size_t cuts[] = { 10, req.size() - 5 };
+
+	for (size_t cut : cuts) {
+		start_daemon("entry-west", "pimento-entry");
+		ASSERT_TRUE(wait_ready(20, "/readyz"));
+		int fd = dial(port(20), 5);
+
+		ASSERT_GE(fd, 0);
+		send(fd, req.data(), cut, MSG_NOSIGNAL);
+		usleep(50000);
+		kill(pids["entry-west"], SIGTERM);
+		usleep(200000);
+		send(fd, req.data() + cut, req.size() - cut, MSG_NOSIGNAL);
+		std::string got = FakeReceive(fd, "retry_after_ms");
+
+		close(fd);
+		EXPECT_EQ(got.substr(0, 12), "HTTP/1.1 503") << got;
+		EXPECT_NE(got.find("\"ran\":\"not_run\""), std::string::npos);
+		EXPECT_NE(got.find("Connection: close"), std::string::npos);
+		EXPECT_EQ(wait_exit(pids["entry-west"]), 0);
+		pids.erase("entry-west");
+	}
+}
+
+/* A stopping entry closed the connections of callers that store a draft. */
+TEST_F(Daemons, StoppingEntryAnswersTheDraftThatItIsStoring)
+{
+	std::string body = completion_body(3, false);
+	std::string req = "POST /v1/completions HTTP/1.1\r\nHost: x\r\n" +
+			  auth_header + "Prefer: respond-async\r\n" +
+			  "Content-Length: " + std::to_string(body.size()) +
+			  "\r\n\r\n" + body;
+
+	start_daemon("entry-west", "pimento-entry");
+	ASSERT_TRUE(wait_ready(20, "/readyz"));
+	ASSERT_TRUE(set_fault("slow", "table", 700));
+	int fd = dial(port(20), 5);
+
+	ASSERT_GE(fd, 0);
+	send(fd, req.data(), req.size(), MSG_NOSIGNAL);
+	usleep(100000);
+	kill(pids["entry-west"], SIGTERM);
+	std::string got = FakeReceive(fd, "\"open\"");
+
+	close(fd);
+	EXPECT_TRUE(set_fault("clear", "table", 0));
+	EXPECT_EQ(got.substr(0, 12), "HTTP/1.1 202") << got;
+	EXPECT_EQ(wait_exit(pids["entry-west"]), 0);
+	pids.erase("entry-west");
+}
+
 /*
  * A call that crossed the agent's last messages met a closed socket: its entry
  * could not tell whether it ran.
