Lease: a grant that a restore lost is not given twice

When the store comes back from an older copy, the row of a lease may show no holder, though one was granted since the copy. A candidate, or a process that had just started, took it at once, while the holder went on for up to 7 s by its own clock: two planners ordered loads and unloads. A write sent before the restore could also be carried out after it, on a revision that another row has by now, and its sender took the row for its grant. Epochs of the lost copy were used again.

The lease core now learns the era of the table before the answer that shows it (PF_LEASE_ERA). After a new era, also after the first that a process sees, nobody takes over for `duration`: every grant that the row lacks was sent before the restore and has expired by then. The row is read again at once, writes that no read has shown grant nothing any more, and epochs start at era << 32. A table that states no era behaves as before. The price is that a lease stays free for up to 8 s after a restore, and for as long after the start of the only candidate.

No test runs the entry against a store that states its era: the stand-in doesn't yet.

--- a/daemons/agent/boot.c
+++ b/daemons/agent/boot.c
@@ -243,6 +243,7 @@
 		.calls_max = 64,
 		.timeout = TABLE_TIMEOUT_MS,
 		.body_max = (size_t)32 << 20,
+		.log = &d->log,
 	};
 
 	d->table = pf_table_new(&o);
--- a/daemons/entry/config.c
+++ b/daemons/entry/config.c
@@ -59,6 +59,7 @@
 		.calls_max = 64,
 		.timeout = TABLE_TIMEOUT_MS,
 		.body_max = (size_t)32 << 20,
+		.log = &d->log,
 	};
 	struct pf_config_follower_opts f = {
 		.base = d->base,
--- a/daemons/entry/planner.c
+++ b/daemons/entry/planner.c
@@ -24,6 +24,7 @@
 	struct event *demand_timer;
 	uint64_t call_seq; /* pf_lease_act::seq of the table request */
 	bool call_pending; /* a table request is in flight */
+	int64_t era; /* of the table, as known to `lease` */
 };
 
 static void lease_step(struct planner *p, struct pf_lease_msg *m);
@@ -60,6 +61,18 @@
 	place_step(ctx, &m);
 }
 
+/* The lease must know of a restore before it sees the answer that shows it. */
+static void note_era(struct planner *p)
+{
+	struct pf_lease_msg m = { .type = PF_LEASE_ERA };
+
+	if (p->era == pf_table_era(p->d->table))
+		return;
+	p->era = pf_table_era(p->d->table);
+	m.u.era = p->era;
+	lease_step(p, &m);
+}
+
 static void on_row(void *ctx, const struct pf_table_rows *r)
 {
 	struct planner *p = ctx;
@@ -70,6 +83,7 @@
 	if (r->n)
 		m.u.row.row = r->rows[0];
 	p->call_pending = false;
+	note_era(p);
 	lease_step(p, &m);
 }
 
@@ -81,6 +95,7 @@
 
 	m.u.status = r->status;
 	p->call_pending = false;
+	note_era(p);
 	lease_step(p, &m);
 }
 
@@ -244,6 +259,7 @@
 		return -1;
 	d->planner = p;
 	p->d = d;
+	p->era = PF_ERA_UNKNOWN;
 	p->lease_timer = evtimer_new(d->base, on_lease_timer, p);
 	p->plan_timer = evtimer_new(d->base, on_plan_timer, p);
 	p->demand_timer =
--- a/fuzz/fake_table.c
+++ b/fuzz/fake_table.c
@@ -50,6 +50,30 @@
 	g_free(t);
 }
 
+static gboolean copy_row(gpointer key, gpointer value, gpointer ctx)
+{
+	const struct row *from = value;
+	struct row *to = g_new0(struct row, 1);
+
+	(void)key;
+	to->key = g_string_new_len(from->key->str, (gssize)from->key->len);
+	to->value =
+		g_string_new_len(from->value->str, (gssize)from->value->len);
+	to->revision = from->revision;
+	g_tree_replace(ctx, to->key, to);
+	return FALSE;
+}
+
+struct fake_table *fake_table_copy(const struct fake_table *t)
+{
+	struct fake_table *copy = fake_table_new();
+
+	copy->commits = t->commits;
+	copy->puts = t->puts;
+	g_tree_foreach(t->rows, copy_row, copy->rows);
+	return copy;
+}
+
 static struct row *row_find(const struct fake_table *t, struct pf_str key)
 {
 	GString *k = g_string_new_len(key.p, (gssize)key.n);
--- a/fuzz/fake_table.h
+++ b/fuzz/fake_table.h
@@ -10,6 +10,8 @@
 
 struct fake_table *fake_table_new(void);
 void fake_table_free(struct fake_table *t);
+/** A copy, to restore from: its revisions go on from those of @t. */
+struct fake_table *fake_table_copy(const struct fake_table *t);
 
 /**
  * Applies @txn and sets *@revision, or on CONFLICT sets *@failed to the index of
--- a/fuzz/lease_rig.h
+++ b/fuzz/lease_rig.h
@@ -24,11 +24,15 @@
 	enum pf_table_status status;
 	struct pf_table_row row;
 	char value[128];
+	int64_t era; /* of the table when it was served */
 };
 
 struct lease_rig {
 	pf_ms now;
 	struct fake_table *table;
+	struct fake_table *backup; /* NULL: none */
+	int64_t era; /* in each answer; PF_ERA_UNKNOWN: not stated */
+	int64_t node_era[LEASE_NODES]; /* newest that the node has seen */
 	struct pf_lease *nodes[LEASE_NODES];
 	bool reported_held[LEASE_NODES]; /* by PF_LEASE_HELD_CHANGED */
 	pf_ms paused_until[LEASE_NODES];
@@ -95,6 +99,7 @@
 	bool more;
 
 	op->served = true;
+	op->era = r->era;
 	if (op->type == PF_LEASE_TXN) {
 		op->status =
 			fake_table_txn(r->table, op->txn, &failed, &revision);
@@ -109,10 +114,29 @@
 	op->row.revision = row.revision;
 }
 
+/* As the client of the store: false if the answer is from an older era. */
+static inline bool lease_note_era(struct lease_rig *r,
+				  const struct lease_op *op)
+{
+	int64_t *seen = &r->node_era[op->node];
+	struct pf_lease_msg m;
+
+	if (op->era <= *seen)
+		return op->era == *seen;
+	*seen = op->era;
+	memset(&m, 0, sizeof(m));
+	m.type = PF_LEASE_ERA;
+	m.u.era = op->era;
+	lease_step_node(r, op->node, &m);
+	return true;
+}
+
 static inline void lease_answer_op(struct lease_rig *r, struct lease_op *op)
 {
 	struct pf_lease_msg m;
 
+	if (!lease_note_era(r, op))
+		op->status = PF_TABLE_UNKNOWN;
 	memset(&m, 0, sizeof(m));
 	m.type = op->type == PF_LEASE_GET ? PF_LEASE_GET_DONE
 					  : PF_LEASE_TXN_DONE;
@@ -179,6 +203,9 @@
 	r->delay_max = 20;
 	pf_rng_seed(&r->rng, seed);
 	r->table = fake_table_new();
+	r->era = PF_ERA_UNKNOWN;
+	for (uint32_t i = 0; i < LEASE_NODES; i++)
+		r->node_era[i] = PF_ERA_UNKNOWN;
 	pf_lease_opts_default(&o);
 	o.key = LEASE_KEY;
 	o.region = "r";
@@ -203,6 +230,23 @@
 	for (uint32_t i = 0; i < LEASE_NODES; i++)
 		pf_lease_free(r->nodes[i]);
 	fake_table_free(r->table);
+	if (r->backup)
+		fake_table_free(r->backup);
+}
+
+static inline void lease_rig_back_up(struct lease_rig *r)
+{
+	if (r->backup)
+		fake_table_free(r->backup);
+	r->backup = fake_table_copy(r->table);
+}
+
+/** The table falls back to the backup, which is kept, in a new era. */
+static inline void lease_rig_restore(struct lease_rig *r)
+{
+	fake_table_free(r->table);
+	r->table = fake_table_copy(r->backup);
+	r->era++;
 }
 
 /** Counts the nodes that hold the lease; *@holder is the last of them. */
--- a/include/pimentoford/lease.h
+++ b/include/pimentoford/lease.h
@@ -6,11 +6,16 @@
  * `clock_margin`, so its lease expires before anyone may take over, also when
  * it was paused. Nobody takes over while the table is unreachable.
  *
+ * A restored table may lack a grant. Its holder can't know before it reads, but
+ * its lease has expired `duration` after the restore; until then nobody takes
+ * over, a process that has just started included.
+ *
  * Does no I/O: pass messages to pf_lease_step() and carry out its acts.
  */
 #ifndef PIMENTOFORD_LEASE_H
 #define PIMENTOFORD_LEASE_H
 
+#include "pimentoford/era.h"
 #include "pimentoford/table.h"
 
 PF_BEGIN_DECLS
@@ -46,6 +51,8 @@
 	PF_LEASE_GET_DONE, /* u.row: result of PF_LEASE_GET */
 	PF_LEASE_TXN_DONE, /* u.status: result of PF_LEASE_TXN */
 	PF_LEASE_CONFIG, /* u.config_revision: now in force */
+	PF_LEASE_ERA, /* u.era: newest era of the table, before the answer
+		       * that states it */
 	PF_LEASE_STOP, /* release the lease and never take it again */
 	PF_LEASE_TICK,
 };
@@ -61,6 +68,7 @@
 		} row;
 		enum pf_table_status status;
 		uint64_t config_revision;
+		int64_t era;
 	} u;
 };
 
--- a/include/pimentoford/table_client.h
+++ b/include/pimentoford/table_client.h
@@ -9,6 +9,7 @@
 #include "pimentoford/table.h"
 
 struct event_base;
+struct pf_log;
 
 PF_BEGIN_DECLS
 
@@ -20,11 +21,14 @@
 	uint32_t calls_max; /* concurrent calls */
 	pf_ms timeout; /* per call */
 	size_t body_max; /* bytes of a reply */
+	const struct pf_log *log; /* of eras; borrowed; NULL: none */
 };
 
 /** Returns NULL on a malformed address or when out of memory. */
 struct pf_table *pf_table_new(const struct pf_table_opts *o);
 void pf_table_free(struct pf_table *t);
+/** The newest era in the replies so far, or PF_ERA_UNKNOWN. */
+int64_t pf_table_era(const struct pf_table *t);
 
 struct pf_table_txn_result {
 	enum pf_table_status status;
--- a/src/coordination/lease.c
+++ b/src/coordination/lease.c
@@ -22,6 +22,7 @@
 	uint64_t epoch;
 	uint64_t heartbeat;
 	pf_ms sent_at;
+	bool seen; /* a read has shown it */
 };
 
 struct pf_lease {
@@ -38,6 +39,8 @@
 	bool row_known; /* it has been read at least once */
 	struct lease_row row;
 	pf_ms row_seen_at; /* first read at its revision */
+	int64_t era; /* of the table */
+	pf_ms era_seen_at; /* first answer of that era */
 	struct lease_write writes[WRITES_MAX];
 	uint64_t n_writes;
 	uint64_t last_heartbeat; /* highest written by this process */
@@ -80,6 +83,7 @@
 	if (!l)
 		return NULL;
 	l->opts = *o;
+	l->era = PF_ERA_UNKNOWN;
 	snprintf(l->key, sizeof(l->key), "%s", o->key);
 	snprintf(l->process_name, sizeof(l->process_name), "%s",
 		 o->process_name);
@@ -184,7 +188,7 @@
 		act.u.txn.n_puts = 2;
 	}
 	l->writes[l->n_writes++ % WRITES_MAX] =
-		(struct lease_write){ epoch, l->last_heartbeat, l->now };
+		(struct lease_write){ epoch, l->last_heartbeat, l->now, false };
 	act.seq = begin_request(l);
 	/* No takeover without its audit row, not even out of memory. */
 	if (!takeover || audit)
@@ -205,7 +209,7 @@
 }
 
 /* Finds the write by this process that the row shows, or NULL. */
-static const struct lease_write *find_own_write(const struct pf_lease *l)
+static struct lease_write *find_own_write(struct pf_lease *l)
 {
 	if (l->row.holder != l->opts.holder_id)
 		return NULL;
@@ -222,12 +226,14 @@
  */
 static void update_held(struct pf_lease *l, const struct pf_lease_sink *sink)
 {
-	const struct lease_write *w = find_own_write(l);
+	struct lease_write *w = find_own_write(l);
 	pf_ms from = w ? w->sent_at : 0;
 
 #ifdef PF_MUTANT_LEASE_SENT
 	from = l->now;
 #endif
+	if (w)
+		w->seen = true;
 	if (w)
 		l->expires_at = from + l->opts.duration - l->opts.clock_margin;
 	set_held(l, w && !l->stopped && l->now < l->expires_at, sink);
@@ -243,6 +249,24 @@
 		l->next_tick_at = sent_at + l->opts.heartbeat_interval;
 }
 
+/* Whether all grants have expired that the row lacks since a restore. */
+static bool lost_grants_expired(const struct pf_lease *l)
+{
+#ifdef PF_MUTANT_LEASE_RESTORE
+	return true;
+#endif
+	return l->era == PF_ERA_UNKNOWN ||
+	       l->now - l->era_seen_at >= l->opts.duration;
+}
+
+/* Epochs of a lost copy are not used again. */
+static uint64_t next_epoch(const struct pf_lease *l)
+{
+	uint64_t first = l->era == PF_ERA_UNKNOWN ? 0 : (uint64_t)l->era << 32;
+
+	return l->row.epoch + 1 > first ? l->row.epoch + 1 : first;
+}
+
 /* Releases, renews or takes the lease, as the row just read allows. */
 static void act_on_row(struct pf_lease *l, const struct pf_lease_sink *sink)
 {
@@ -256,10 +280,11 @@
 		renew_if_due(l, w->sent_at, sink);
 	} else if (l->opts.observe_only) {
 		schedule_jittered(l, l->opts.heartbeat_interval);
-	} else if (!l->row.holder ||
-		   l->now - l->row_seen_at >= l->opts.duration) {
+	} else if (lost_grants_expired(l) &&
+		   (!l->row.holder ||
+		    l->now - l->row_seen_at >= l->opts.duration)) {
 		/* A holder that renewed too late waits like the others. */
-		write_row(l, l->opts.holder_id, l->row.epoch + 1, sink);
+		write_row(l, l->opts.holder_id, next_epoch(l), sink);
 	} else {
 		schedule_jittered(l, l->opts.heartbeat_interval);
 	}
@@ -298,6 +323,28 @@
 		send_get(l, sink);
 }
 
+/*
+ * Reads the row again. A write that no read has shown may still be carried out,
+ * on a revision that another row has by now: it grants nothing.
+ */
+static void on_era(struct pf_lease *l, int64_t era,
+		   const struct pf_lease_sink *sink)
+{
+	if (era == l->era)
+		return;
+	l->era = era;
+	l->era_seen_at = l->now;
+	l->row_known = false;
+#ifndef PF_MUTANT_LEASE_LATE_WRITE
+	for (uint32_t i = 0; i < WRITES_MAX; i++) {
+		if (!l->writes[i].seen)
+			l->writes[i] = (struct lease_write){ 0 };
+	}
+#endif
+	if (!l->stopped)
+		send_get(l, sink);
+}
+
 static void on_tick(struct pf_lease *l, const struct pf_lease_sink *sink)
 {
 	if (l->now < l->next_tick_at)
@@ -347,6 +394,9 @@
 	case PF_LEASE_CONFIG:
 		l->config_revision = m->u.config_revision;
 		break;
+	case PF_LEASE_ERA:
+		on_era(l, m->u.era, sink);
+		break;
 	case PF_LEASE_STOP:
 		on_stop(l, sink);
 		break;
--- a/src/transport/table_client.c
+++ b/src/transport/table_client.c
@@ -41,7 +41,8 @@
 				    .addr = o->addr,
 				    .calls_max = o->calls_max,
 				    .timeout = o->timeout,
-				    .body_max = o->body_max };
+				    .body_max = o->body_max,
+				    .log = o->log };
 	struct pf_table *t = calloc(1, sizeof(*t));
 
 	if (!t)
@@ -69,6 +70,11 @@
 	free(t);
 }
 
+int64_t pf_table_era(const struct pf_table *t)
+{
+	return pf_store_eras(t->store)->newest;
+}
+
 static struct pf_store_place row_place(struct pf_str key)
 {
 	return (struct pf_store_place){ PF_STR(TABLE_NAME),
--- a/tests/test_lease.cc
+++ b/tests/test_lease.cc
@@ -113,6 +113,70 @@
 	EXPECT_EQ(lease_count_audits(&rig), 1u);
 }
 
+// A grant that a restore lost was given again while its holder had it.
+TEST_F(Lease, GrantLostInARestoreIsNotGivenTwice)
+{
+	for (int round = 0; round < 40; round++) {
+		lease_rig_free(&rig);
+		ASSERT_EQ(lease_rig_init(&rig, round), 0);
+		rig.era = 1;
+		if (round % 2)
+			WaitForHolder();
+		lease_rig_back_up(&rig);
+		if (round % 2)
+			rig.paused_until[holder] = rig.now + 20000;
+		Run(20000 + 100 * round);
+		ASSERT_EQ(lease_count_holders(&rig, &holder), 1u);
+		if (round % 4 < 2)
+			rig.paused_until[holder] = rig.now + 5000;
+		lease_rig_restore(&rig);
+		WaitForHolder();
+		uint64_t epoch = pf_lease_epoch(rig.nodes[holder]);
+
+		EXPECT_GE(epoch, (uint64_t)rig.era << 32);
+	}
+}
+
+// It took a lease that is released, or absent, in the copy at once.
+TEST_F(Lease, ProcessStartedAfterARestoreWaitsForAHolderItCannotSee)
+{
+	struct pf_lease_opts o;
+
+	rig.era = 1;
+	lease_rig_back_up(&rig);
+	WaitForHolder();
+	uint32_t other = (holder + 1) % LEASE_NODES;
+
+	lease_rig_restore(&rig);
+	rig.paused_until[holder] = rig.now + 30000;
+	pf_lease_opts_default(&o);
+	o.key = LEASE_KEY;
+	o.process_name = "entry-9";
+	o.holder_id = 9;
+	pf_lease_free(rig.nodes[other]);
+	rig.nodes[other] = pf_lease_new(&o);
+	rig.node_era[other] = PF_ERA_UNKNOWN;
+	WaitForHolder();
+}
+
+// A write of the era before, carried out late on a reused revision.
+TEST_F(Lease, LateWriteOfAnOlderEraGrantsNothing)
+{
+	for (int round = 0; round < 40; round++) {
+		lease_rig_free(&rig);
+		ASSERT_EQ(lease_rig_init(&rig, round), 0);
+		rig.era = 1;
+		WaitForHolder();
+		lease_rig_back_up(&rig);
+		rig.delay_max = 1200;
+		Run(10000 + 100 * round);
+		lease_rig_restore(&rig);
+		Run(20000);
+		rig.delay_max = 20;
+		WaitForHolder();
+	}
+}
+
 TEST_F(Lease, RejectsOptionsOutOfRange)
 {
 	struct pf_lease_opts o;
