Agent: an incarnation is not used again after a restore of the store

An agent takes its incarnation from a row of the store. When the store came back from an older copy, a restarted agent could take a number that the row had already given. Entries that knew that incarnation as leaving gave the endpoint no work any more; engines that check order numbers refused its loads and unloads as older ones.

Where the store states its era, the numbers of an era now start at era << 16, above those of all earlier ones; 32 bits, since they are the upper half of order numbers. Without an era nothing changes.

--- a/daemons/agent/boot.c
+++ b/daemons/agent/boot.c
@@ -11,6 +11,9 @@
 #define READ_TIMEOUT_MS 10000
 #define RETRY_MS 200
 #define KEY_BYTES_MAX 128
+/* Incarnations of one era; an incarnation is the upper half of order ids. */
+#define ERA_INCARNATIONS_BITS 16
+#define ERA_MAX UINT16_MAX
 
 static void take_incarnation(struct daemon *d);
 static void start_follower(struct daemon *d);
@@ -107,6 +110,20 @@
 	return -1;
 }
 
+/*
+ * The number after @last that no incarnation had: a restored table may lack the
+ * numbers that were taken in earlier eras.
+ */
+static uint64_t next_incarnation(int64_t era, uint64_t last)
+{
+	uint64_t first = 0;
+
+	if (era > 0)
+		first = (uint64_t)(era < ERA_MAX ? era : ERA_MAX)
+			<< ERA_INCARNATIONS_BITS;
+	return (last > first ? last : first) + 1;
+}
+
 static void on_incarnation_read(void *ctx, const struct pf_table_rows *r)
 {
 	struct daemon *d = ctx;
@@ -115,7 +132,8 @@
 	if (r->status == PF_TABLE_OK && r->n > 0)
 		number = parse_number(&r->rows[0]);
 	if (r->status != PF_TABLE_OK ||
-	    write_incarnation(d, number + 1,
+	    write_incarnation(d,
+			      next_incarnation(pf_table_era(d->table), number),
 			      r->n > 0 ? r->rows[0].revision : 0) < 0) {
 		d->counters.v[PF_AC_TABLE_ERRORS]++;
 		retry_later(d, RETRY_MS);
