--- a/src/coordination/dispatch.c
+++ b/src/coordination/dispatch.c
@@ -59,6 +59,7 @@
 
 	r->attempt++;
 	record_sent(r);
+	r->stalls = 0;
 	r->done_total = 0;
 	r->state = PF_REQ_SENT;
 	r->agent_slot = c->agent_slot;
--- a/tests/test_daemons.cc
+++ b/tests/test_daemons.cc
@@ -1,8 +1,10 @@
 // The daemons as processes on loopback with simulated platform, engine and
 // service: malformed and split requests, callers that disconnect or read
 // slowly, graceful shutdown.
+#include "pimentoford/rpc.h"
 #include "tests/fake_http.h"
 
+#include <event2/event.h>
 #include <fcntl.h>
 #include <gtest/gtest.h>
 #include <netinet/in.h>
@@ -14,6 +16,7 @@
 
 #include <cstdlib>
 #include <fstream>
+#include <functional>
 #include <map>
 #include <sstream>
 #include <string>
@@ -225,6 +228,24 @@
 			EXPECT_EQ(system(("rm -r " + dir).c_str()), 0);
 		}
 	}
+	static bool set_fault(const std::string &what,
+			      const std::string &target, int ms)
+	{
+		std::string body = "{\"what\":\"" + what + "\",\"target\":\"" +
+				   target + "\",\"ms\":" + std::to_string(ms) +
+				   "}";
+		std::string req = "POST /admin/fault HTTP/1.1\r\n"
+				  "Connection: close\r\nContent-Length: " +
+				  std::to_string(body.size()) + "\r\n\r\n" +
+				  body;
+		int fd = dial(port(0), 5);
+
+		send(fd, req.data(), req.size(), MSG_NOSIGNAL);
+		std::string got = FakeReceive(fd, "");
+
+		close(fd);
+		return got.find(" 200 ") != std::string::npos;
+	}
 	static std::string exchange(const std::string &bytes,
 				    const std::string &until, int timeout_s = 5)
 	{
@@ -240,6 +261,74 @@
 	}
 };
 
+/* A session with an agent, as an entry has it. */
+struct AgentSession {
+	struct event_base *base = event_base_new();
+	struct pf_rpc *rpc = nullptr;
+	struct pf_rpc_session *session = nullptr;
+	std::map<uint64_t, int> refused; /* NOT_RUN by request */
+
+	~AgentSession()
+	{
+		pf_rpc_free(rpc);
+		event_base_free(base);
+	}
+	static void up(void *ctx, struct pf_rpc_session *s)
+	{
+		static_cast<AgentSession *>(ctx)->session = s;
+	}
+	static void down(void *ctx, struct pf_rpc_session *)
+	{
+		static_cast<AgentSession *>(ctx)->session = nullptr;
+	}
+	static void message(void *ctx, struct pf_rpc_session *,
+			    const struct pf_wire_msg *m)
+	{
+		if (m->type == PF_WIRE_NOT_RUN)
+			static_cast<AgentSession *>(ctx)
+				->refused[m->u.not_run.id.request]++;
+	}
+	void open(const std::string &addr)
+	{
+		struct pf_rpc_opts o;
+
+		pf_rpc_opts_default(&o);
+		o.base = base;
+		o.key = pf_str_c("demo-deployment-key");
+		o.self.role = PF_RPC_ENTRY;
+		o.self.id = 99;
+		o.up = up;
+		o.down = down;
+		o.message = message;
+		o.ctx = this;
+		rpc = pf_rpc_new(&o);
+		ASSERT_NE(pf_rpc_connect(rpc, addr.c_str(), nullptr), nullptr);
+	}
+	void send_call(uint64_t request)
+	{
+		struct pf_wire_msg m = {};
+
+		m.type = PF_WIRE_TRY;
+		m.u.try_.id = { request, 1 };
+		m.u.try_.work.flags = PF_WORK_PLAIN | PF_WORK_NEVER_REPEAT;
+		m.u.try_.work.deadline = PF_NEVER;
+		m.u.try_.payload.method = pf_str_c("POST");
+		m.u.try_.payload.path = pf_str_c("/visits");
+		pf_rpc_send(session, &m);
+	}
+	/* Runs the loop until @done, for 5 s at most. */
+	bool run_until(const std::function<bool()> &done)
+	{
+		for (int i = 0; i < 5000; i++) {
+			if (done())
+				return true;
+			event_base_loop(base, EVLOOP_NONBLOCK);
+			usleep(1000);
+		}
+		return false;
+	}
+};
+
 std::string Daemons::dir, Daemons::port_prefix;
 std::map<std::string, pid_t> Daemons::pids;
 } // namespace
@@ -334,6 +423,45 @@
 	EXPECT_LT(got.find("[DONE]"), got.find("\"usage\""));
 }
 
+/* A request behind a chunked body could end the answer before it. */
+TEST_F(Daemons, RequestPipelinedBehindChunkedBodyIsAnsweredInOrder)
+{
+	const std::string chunked =
+		"POST /svc/booking/visits HTTP/1.1\r\n" + auth_header +
+		"Idempotency-Key: chunked\r\n"
+		"Transfer-Encoding: chunked\r\n\r\n"
+		"10\r\n{\"x\":\"[slow=200]\r\n2\r\n\"}\r\n0\r\n\r\n";
+	const std::string list =
+		"GET /v1/models HTTP/1.1\r\n" + auth_header + "\r\n";
+	const struct {
+		size_t cut; /* first bytes sent */
+		std::string next;
+		const char *last; /* of the second answer */
+	} cases[] = {
+		{ 0, post_request(completion_body(3, false)), "\"usage\"" },
+		{ 0, list + list, "\"list\"" },
+		{ chunked.size() - 3, list, "\"list\"" },
+		{ chunked.size(), list, "\"list\"" },
+	};
+
+	for (auto &c : cases) {
+		std::string all = chunked + c.next;
+		int fd = dial(port(10), 5);
+
+		ASSERT_GE(fd, 0);
+		send(fd, all.data(), c.cut, MSG_NOSIGNAL);
+		usleep(3000);
+		send(fd, all.data() + c.cut, all.size() - c.cut, MSG_NOSIGNAL);
+		std::string got = FakeReceive(fd, c.last);
+
+		close(fd);
+		EXPECT_EQ(got.substr(9, 3), "200") << c.cut << ": " << got;
+		EXPECT_LT(got.find("\"run\""), got.find(c.last)) << got;
+	}
+	EXPECT_NE(http_get(port(43), "/admin/state").find("\"chunked\":1"),
+		  std::string::npos);
+}
+
 TEST_F(Daemons, Http10StreamIsNotChunked)
 {
 	std::string got =
@@ -487,6 +615,100 @@
 	ADD_FAILURE() << "no answer after the restart";
 }
 
+/* Neither daemon handled SIGHUP, which ends a process by default. */
+TEST_F(Daemons, HangupSignalEndsNoRequest)
+{
+	std::string req = post_request(completion_body(60, true));
+	int fd = dial(port(10), 10);
+	std::string got;
+
+	send(fd, req.data(), req.size(), MSG_NOSIGNAL);
+	got = FakeReceive(fd, "finish_reason");
+	for (const char *name : { "entry-east", "engine-east" })
+		kill(pids[name], SIGHUP);
+	got += FakeReceive(fd, "[DONE]");
+	close(fd);
+	EXPECT_EQ(count_words(got), 60u);
+	EXPECT_EQ(count(got, "[DONE]"), 1u);
+}
+
+/* A stopping entry closed connections in the middle of a request. */
+TEST_F(Daemons, StoppingEntryAnswersTheRequestThatItIsReading)
+{
+	std::string req = post_request(completion_body(3, false));
+	size_t cuts[] = { 10, req.size() - 5 };
+
+	for (size_t cut : cuts) {
+		start_daemon("entry-west", "pimento-entry");
+		ASSERT_TRUE(wait_ready(20, "/readyz"));
+		int fd = dial(port(20), 5);
+
+		ASSERT_GE(fd, 0);
+		send(fd, req.data(), cut, MSG_NOSIGNAL);
+		usleep(50000);
+		kill(pids["entry-west"], SIGTERM);
+		usleep(200000);
+		send(fd, req.data() + cut, req.size() - cut, MSG_NOSIGNAL);
+		std::string got = FakeReceive(fd, "retry_after_ms");
+
+		close(fd);
+		EXPECT_EQ(got.substr(0, 12), "HTTP/1.1 503") << got;
+		EXPECT_NE(got.find("\"ran\":\"not_run\""), std::string::npos);
+		EXPECT_NE(got.find("Connection: close"), std::string::npos);
+		EXPECT_EQ(wait_exit(pids["entry-west"]), 0);
+		pids.erase("entry-west");
+	}
+}
+
+/* A stopping entry closed the connections of callers that store a draft. */
+TEST_F(Daemons, StoppingEntryAnswersTheDraftThatItIsStoring)
+{
+	std::string body = completion_body(3, false);
+	std::string req = "POST /v1/completions HTTP/1.1\r\nHost: x\r\n" +
+			  auth_header + "Prefer: respond-async\r\n" +
+			  "Content-Length: " + std::to_string(body.size()) +
+			  "\r\n\r\n" + body;
+
+	start_daemon("entry-west", "pimento-entry");
+	ASSERT_TRUE(wait_ready(20, "/readyz"));
+	ASSERT_TRUE(set_fault("slow", "table", 700));
+	int fd = dial(port(20), 5);
+
+	ASSERT_GE(fd, 0);
+	send(fd, req.data(), req.size(), MSG_NOSIGNAL);
+	usleep(100000);
+	kill(pids["entry-west"], SIGTERM);
+	std::string got = FakeReceive(fd, "\"open\"");
+
+	close(fd);
+	EXPECT_TRUE(set_fault("clear", "table", 0));
+	EXPECT_EQ(got.substr(0, 12), "HTTP/1.1 202") << got;
+	EXPECT_EQ(wait_exit(pids["entry-west"]), 0);
+	pids.erase("entry-west");
+}
+
+/*
+ * A call that crossed the agent's last messages met a closed socket: its entry
+ * could not tell whether it ran.
+ */
+TEST_F(Daemons, StoppingAgentAnswersTheCallsThatCrossItsLeave)
+{
+	AgentSession s;
+
+	start_daemon("booking-west", "pimento-agent");
+	ASSERT_TRUE(wait_ready(45, "/readyz"));
+	s.open(addr(44));
+	ASSERT_TRUE(s.run_until([&] { return s.session != nullptr; }));
+	kill(pids["booking-west"], SIGTERM);
+	/* Longer than an idle agent takes to stop; nothing is read so far. */
+	usleep(300000);
+	s.send_call(7);
+	EXPECT_TRUE(s.run_until([&] { return s.refused[7] > 0; }));
+	EXPECT_TRUE(s.run_until([&] { return s.session == nullptr; }));
+	EXPECT_EQ(wait_exit(pids["booking-west"]), 0);
+	pids.erase("booking-west");
+}
+
 /*
  * SIGTERM during a stream cuts it off. Must be the last test, since it stops
  * the entry and the agent.
--- a/tests/test_entry_lifecycle.cc
+++ b/tests/test_entry_lifecycle.cc
@@ -249,6 +249,61 @@
 	EXPECT_EQ(stats().resumes, 1u);
 }
 
+struct SilenceCase {
+	const char *name;
+	bool other_agent;
+	uint32_t attempts_max;
+};
+
+class EntrySilence : public EntryLifecycle,
+		     public ::testing::WithParamInterface<SilenceCase>
+{
+};
+
+// A silent agent's stream was cancelled, or ended, with no agent to go on.
+TEST_P(EntrySilence, StreamWaitsForItsAgentWhileNoOtherMayTakeOver)
+{
+	const SilenceCase &c = GetParam();
+
+	opts.attempts_max = c.attempts_max;
+	start_core();
+	bring_up(AGENT_A);
+	Act t = arrive_and_get_try(1, work());
+	if (c.other_agent)
+		bring_up(AGENT_B);
+	send_id(PF_ENTRY_STARTED, t);
+	piece(t, 0, 4);
+	run_timers(opts.stall_timeout + 1000);
+	EXPECT_EQ(count_acts(PF_ENTRY_CANCEL), 0u);
+	EXPECT_EQ(count_acts(PF_ENTRY_END), 0u);
+	piece(t, 4, 2);
+	EXPECT_EQ(find_act(PF_ENTRY_DELIVER).deliver.offset, 4u);
+	done(t, 6);
+	expect_end(1, PF_REASON_NONE, PF_RAN);
+	EXPECT_EQ(stats().retries, 0u);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+	Table, EntrySilence,
+	::testing::Values(SilenceCase{ "no other agent", false, 6 },
+			  SilenceCase{ "no attempts left", true, 1 }));
+
+// An agent that stays silent would hold a request without a deadline for ever.
+TEST_F(EntryLifecycle, StreamOfASilentAgentEndsAfterSeveralStalls)
+{
+	opts.attempts_max = 1;
+	bring_all_up();
+	pf_work w = work();
+
+	w.deadline = PF_NEVER;
+	Act t = arrive_and_get_try(1, w);
+	send_id(PF_ENTRY_STARTED, t);
+	piece(t, 0, 4);
+	run_timers(4 * opts.stall_timeout);
+	EXPECT_EQ(find_act(PF_ENTRY_CANCEL).agent, t.agent);
+	expect_end(1, PF_REASON_RETRY_BUDGET, PF_RAN);
+}
+
 struct DeadlineCase {
 	const char *name;
 	bool sent, started, refused;
@@ -402,6 +457,35 @@
 }
 
 // NOT_RESIDENT for a claim shard means that it moved, which is no fault.
+// An agent that has an older configuration turned a declared model into 404.
+TEST_F(EntryLifecycle, ModelUnknownToAnAgentIsTriedElsewhere)
+{
+	bring_all_up();
+	Act t = arrive_and_get_try(1, work());
+	not_run(t, PF_REASON_UNKNOWN_MODEL);
+	EXPECT_EQ(count_acts(PF_ENTRY_END), 0u);
+	run_timers(opts.backoff_max);
+	Act u = find_act(PF_ENTRY_TRY);
+	EXPECT_NE(u.agent, t.agent);
+	done(u, 0);
+	expect_end(1, PF_REASON_NONE, PF_RAN);
+	// No agent knows it: bounded like other failures.
+	for (uint64_t id = 2; id < 10; id++) {
+		pf_work w = work();
+
+		w.deadline = PF_NEVER;
+		arrive(id, w);
+		for (int i = 0; i < 100 && !count_acts(PF_ENTRY_END); i++) {
+			if (count_acts(PF_ENTRY_TRY))
+				not_run(find_act(PF_ENTRY_TRY),
+					PF_REASON_UNKNOWN_MODEL);
+			else
+				run_timers(500);
+		}
+		expect_end(id, PF_REASON_RETRY_BUDGET, PF_NOT_RUN);
+	}
+}
+
 TEST_F(EntryLifecycle, MovedShardCostsNoRetryBudget)
 {
 	bring_all_up();
