Entry: a resent drain answers its first outcome

Seen while looking for wrong claims of pimentoctl: `drain` whose answer was lost, sent again with the same --id as the command asks, was refused (exit status 1, "not applied" by docs/RECORDS.md) although it was in force.

Cause: /admin/drain makes the record from the current configuration and refused an endpoint that drains already, before the accept core could find the change.

A resent change now submits the record as it is, which is the content of the first submission, and the core answers with the first outcome. A change that is not resent is refused as before. Not covered: the endpoint's record was edited between the two; the core then refuses the id as one of another content.

Failed before: Daemons.ResentDrainAnswersItsFirstOutcome (second send: status 1, outcome=refused, "already has `drain = true`").

--- a/daemons/entry/admin_apply.c
+++ b/daemons/entry/admin_apply.c
@@ -418,9 +418,14 @@
 	return v ? v : "";
 }
 
-/* Puts the record of endpoint @name with `drain = true` into @out. */
+/*
+ * Puts the record of endpoint @name with `drain = true` into @out. It may have
+ * that already only if the change is @resent: then the same content as in the
+ * first submission, so that the core finds its outcome.
+ */
 static int make_drained_record(const struct daemon *d, const char *name,
-			       struct pf_records *out, struct pf_findings *f)
+			       bool resent, struct pf_records *out,
+			       struct pf_findings *f)
 {
 	static const char drain_off[] = "\ndrain = false\n";
 	struct pf_records all = { 0 };
@@ -435,6 +440,8 @@
 	if (!r)
 		pf_findings_add(f, "endpoint", "no endpoint %s is declared",
 				name);
+	else if (!at && resent)
+		pf_records_parse(pf_str_c(r->text), "drain", out, f);
 	else if (!at)
 		pf_findings_add(f, "endpoint", "%s already has `drain = true`",
 				name);
@@ -467,7 +474,7 @@
 
 	pf_text_printf(&what, "drain %s", name);
 	change.what = pf_text_str(&what);
-	if (make_drained_record(d, name, &puts, &f) < 0)
+	if (make_drained_record(d, name, change.resent, &puts, &f) < 0)
 		reply_outcome(op, PF_CHANGE_REFUSED, 0, &f);
 	else
 		submit(d, op, &change);
--- a/tests/test_daemons.cc
+++ b/tests/test_daemons.cc
@@ -487,6 +487,36 @@
 	ADD_FAILURE() << "no answer after the restart";
 }
 
+/* The resend finds the endpoint draining, by the change that it resends. */
+TEST_F(Daemons, ResentDrainAnswersItsFirstOutcome)
+{
+	const std::vector<std::string> drain = { "pimentoctl", "--entry",
+						 addr(10),     "--id",
+						 "drain-1",    "drain",
+						 "engine-west" };
+	const std::vector<std::string> other = { "pimentoctl", "--entry",
+						 addr(10), "drain",
+						 "engine-west" };
+
+	ASSERT_EQ(wait_exit(start_process("drain", drain)), 0);
+	std::string first = read_log("drain");
+	std::string revision = first.substr(first.find("revision=") + 9);
+
+	revision.pop_back();
+	for (int i = 0; i < 1000; i++) {
+		if (read_log("entry-east")
+			    .find("event=config revision=" + revision) !=
+		    std::string::npos)
+			break;
+		usleep(10000);
+	}
+	EXPECT_EQ(wait_exit(start_process("drain", drain)), 0);
+	EXPECT_EQ(read_log("drain"), first + first);
+	EXPECT_EQ(wait_exit(start_process("other", other)), 1);
+	EXPECT_NE(read_log("other").find("already has `drain = true`"),
+		  std::string::npos);
+}
+
 /*
  * SIGTERM during a stream cuts it off. Must be the last test, since it stops
  * the entry and the agent.
