Gateway: an answer that is still queued ends no kept connection

What callers saw: a large answer, or one to a slow reader, ended early on a connection without "Connection: close": at a stop (500 ms after the end of accepting), and without one at the idle timeout after the end of the request.

Cause: the connection counts as idle as soon as its answer is queued. Only connections whose close was announced waited for the queue (FLUSHING).

--- a/daemons/gateway/callers.c
+++ b/daemons/gateway/callers.c
@@ -173,6 +173,8 @@
 
 	if (c->state == CALLER_FLUSHING)
 		close_when_sent(c);
+	else if (c->state == CALLER_READING_HEAD && c->input.n == 0)
+		set_state(c, CALLER_READING_HEAD); /* idle from now on */
 }
 
 /* Answers an incomplete request and closes the connection. */
@@ -381,6 +383,9 @@
 {
 	pf_ms elapsed = now - c->state_since;
 
+	/* A peer that takes nothing for UNACKED_MAX_MS is disconnected. */
+	if (pf_sock_queued(c->sock) > 0)
+		return false;
 	if (c->state == CALLER_LINGERING)
 		return elapsed > LINGER_MS;
 	if (g->shutting_down && c->state <= CALLER_READING_BODY)
--- a/tests/test_gateway.cc
+++ b/tests/test_gateway.cc
@@ -3,6 +3,7 @@
 #include "tests/gateway_fixture.h"
 
 #include <gtest/gtest.h>
+#include <poll.h>
 #include <signal.h>
 #include <sys/socket.h>
 #include <unistd.h>
@@ -516,6 +517,53 @@
 	EXPECT_EQ(gateway.Wait(), 0);
 }
 
+TEST_F(Gateway, StopDeliversAQueuedAnswerOnAKeptConnection)
+{
+	const std::string body(8 << 20, 'b');
+	FakeServer e("127.0.0.1", AnswerWith(body));
+	int small = 65536;
+
+	store.Put("servers", "i-1", EndpointRow("app", e.addr()));
+	StartGateway();
+	WaitUntilReady();
+	int fd = FakeDial("127.0.0.2", port);
+	setsockopt(fd, SOL_SOCKET, SO_RCVBUF, &small, sizeof(small));
+	FakeSend(fd, "GET /u/x HTTP/1.1\r\nHost: h\r\nAttempt-Id: 1\r\n"
+		     "Deadline-Ms: 15000\r\n\r\n");
+	usleep(1000000);
+	gateway.Signal(SIGTERM);
+	usleep(4500000);
+	std::string got = FakeReceive(fd);
+	close(fd);
+	size_t head = got.find("\r\n\r\n");
+	ASSERT_NE(head, std::string::npos);
+	EXPECT_EQ(got.size() - head - 4, body.size());
+	EXPECT_EQ(gateway.Wait(), 0);
+}
+
+TEST_F(Gateway, ACallerThatNeverReadsIsDisconnected)
+{
+	FakeServer e("127.0.0.1", AnswerWith(std::string(8 << 20, 'b')));
+	int small = 65536;
+
+	store.Put("servers", "i-1", EndpointRow("app", e.addr()));
+	StartGateway();
+	WaitUntilReady();
+	int fd = FakeDial("127.0.0.2", port);
+	setsockopt(fd, SOL_SOCKET, SO_RCVBUF, &small, sizeof(small));
+	FakeSend(fd, "GET /u/x HTTP/1.1\r\nHost: h\r\nAttempt-Id: 1\r\n"
+		     "Deadline-Ms: 15000\r\n\r\n");
+	// A peer without a window ignores the reset; bytes draw another one.
+	struct pollfd p = { fd, POLLRDHUP, 0 };
+	for (int i = 0; i < 20 && p.revents == 0; i++) {
+		usleep(1000000);
+		FakeSend(fd, "x");
+		poll(&p, 1, 100);
+	}
+	EXPECT_NE(p.revents, 0);
+	close(fd);
+}
+
 TEST_F(Gateway, StopAnswersARequestThatWasReadBehindAnother)
 {
 	FakeServer e("127.0.0.1", [](int fd, const FakeRequest &r) {
