Gate core: a silent endpoint is blocked though its request may not move

What callers saw: new requests, among them those that may run only once, were sent to an endpoint that had gone silent, while another one was free.

Cause: since "silence alone ends no send" the stall check returned at once for a request that has no run left (its last attempt, or max_attempts 1). The block of the endpoint and the probe were skipped with the move; before, the block came first.

The test Gate.SilentEndpointGetsNothingNewThoughItsRequestMayNotMove failed before (three of its four requests were sent to the silent endpoint) and passes on.

--- a/src/coordination/gate/gate_stall.c
+++ b/src/coordination/gate/gate_stall.c
@@ -64,7 +64,7 @@
 {
 	pf_ms at;
 
-	if (!may_move(r))
+	if (!gate_retryable(r))
 		return PF_NEVER;
 	at = stall_at(g, r);
 	if (probe_needed(g, r) && probe_at(g, r) > g->now)
@@ -101,13 +101,15 @@
 {
 	struct gate_endpoint *e = endpoint_of(g, r);
 
-	if (!may_move(r))
+	if (!gate_retryable(r))
 		return;
 	if (probe_needed(g, r) && g->now >= probe_at(g, r))
 		probe(g, e);
 	if (g->now < stall_at(g, r))
 		return;
 	gate_endpoint_block_silent(g, e);
+	if (!may_move(r))
+		return;
 #ifdef PF_MUTANT_GATE_SILENCE
 	gate_request_cancel_stalled(g, r);
 	return;
--- a/tests/test_gate.cc
+++ b/tests/test_gate.cc
@@ -490,6 +490,20 @@
 	EXPECT_EQ(Count(PF_GATE_SEND), 2u);
 }
 
+// The last send that a request may have shows the silence of its endpoint, too.
+TEST_F(Gate, SilentEndpointGetsNothingNewThoughItsRequestMayNotMove)
+{
+	PassFirstWindow();
+	Arrive(1, "/s/", 800);
+	Ended(1, PF_GATE_LOST);
+	uint64_t silent = SentTo(1);
+	Tick(300);
+	for (int tag = 2; tag < 6; tag++) {
+		Arrive(tag, "/u/", 800);
+		EXPECT_NE(SentTo(tag), silent);
+	}
+}
+
 TEST_F(Gate, StalledAtMostOnceStreamIsKeptUntilDeadline)
 {
 	Arrive(1, "/t/", 15000, "m", nullptr, 100);
