Gate core: an endpoint that is always slow is learned as slow

What callers saw: streams kept going to an engine whose first event takes over 500 ms, or whose events are over 500 ms apart, as if it were a fast one.

Cause: since "silence alone ends no send" an event after 500 ms without any counts as the end of a pause, and no event sent or begun before that end was learned. An engine with one prompt, or one that is slow all the time, ends a "pause" with each event, so its estimates stayed at their initial values.

--- a/src/coordination/gate/gate_life.c
+++ b/src/coordination/gate/gate_life.c
@@ -389,7 +389,6 @@
 	struct gate_request *r = &g->requests[slot];
 	struct gate_endpoint *e = &g->endpoints[r->endpoint_slot];
 
-	gate_endpoint_progress(g, e);
 	if (r->prefill_ms > 0) {
 		gate_learn_latency(g, r);
 		gate_load_prefilled(g, r);
@@ -402,6 +401,8 @@
 			EVENT_INTERVAL_WEIGHT *
 			((double)(g->now - r->last_progress_at) / n -
 			 e->event_interval_ms);
+	/* After the above: only one event of those after a pause is learned. */
+	gate_endpoint_progress(g, e);
 	r->events_left = r->events_left > n ? r->events_left - n : 0;
 	r->state = GATE_STREAMING;
 	r->response_started = true;
--- a/src/coordination/gate/gate_pick.c
+++ b/src/coordination/gate/gate_pick.c
@@ -99,7 +99,7 @@
 	double took = (double)(g->now - r->sent_at) - 2 * e->distance_ms;
 	double ratio;
 
-	/* A pause of the endpoint says nothing about its speed. */
+	/* After a pause of the endpoint, one event stands for all. */
 	if (r->sent_at < e->resumed_at)
 		return;
 	if (!e->kv_capacity || r->first_event_ms < LEARN_MIN_MS || took <= 0)
--- a/tests/test_gate.cc
+++ b/tests/test_gate.cc
@@ -720,6 +720,24 @@
 	EXPECT_LT(Last(6, PF_GATE_SEND)->raw.u.send.expected_first_event, 60);
 }
 
+// A prompt alone at an engine is followed by silence until its first event.
+TEST_F(Gate, SlowFirstEventsAreLearned)
+{
+	pf_ms expected;
+
+	Gone("l2");
+	Arrive(1, "/t/", 15000, "m", nullptr, 9000);
+	expected = Last(1, PF_GATE_SEND)->raw.u.send.expected_first_event;
+	for (int i = 1; i < 6; i++) {
+		now += 1500;
+		Events(i);
+		Ended(i, PF_GATE_ANSWERED, 200);
+		Arrive(i + 1, "/t/", 15000, "m", nullptr, 9000);
+	}
+	EXPECT_GT(Last(6, PF_GATE_SEND)->raw.u.send.expected_first_event,
+		  2 * expected);
+}
+
 // Long prompts at an engine delay the events of its streams, which end late.
 TEST_F(Gate, StreamAvoidsEndpointWithSlowEvents)
 {
@@ -740,6 +758,26 @@
 	}
 }
 
+// Events may be slower than a silence that counts as a pause.
+TEST_F(Gate, StreamAvoidsEndpointWithVerySlowEvents)
+{
+	Endpoint("l2", "llm", "za", "m", nullptr, true);
+	Endpoint("l3", "llm", "za", "m", nullptr, true);
+	Arrive(1, "/t/", 600000, "m", nullptr, 100);
+	ASSERT_EQ(SentTo(1), Id("l1"));
+	for (int k = 0; k < 200; k++) {
+		now += 600;
+		Events(1);
+	}
+	Ended(1, PF_GATE_ANSWERED, 200);
+	Endpoint("l3", "llm", "za", "m");
+	for (int i = 2; i < 8; i++) {
+		Arrive(i, "/t/", 15000, "m", nullptr, 100);
+		EXPECT_EQ(SentTo(i), Id("l3"));
+		Ended(i, PF_GATE_ANSWERED, 200);
+	}
+}
+
 // The prefill of a long prompt delays every stream that runs at the endpoint.
 TEST_F(Gate, LongPromptAvoidsEndpointWithRunningStreams)
 {
