Entry: a moved endpoint keeps its calls in progress

When a change of the configuration gave an endpoint another address, the entry dropped its session with the agent at once. Streams were run again elsewhere, calls with an idempotency key waited for the shard's owner to be reachable at the new address, and other calls that may not be repeated ended with an unknown outcome, though the agent was sound and answered.

The session is now kept until its tries in flight have ended, for 10 s at most, and gets no new ones (PF_ENTRY_LINK_CLOSING); then the new address is used. A change back in the meantime puts it to use again.

Tests: Daemons.MovedEndpointCompletesItsCalls failed before (no answer within 5 s); EntryLifecycle.ClosingLinkFinishesItsTriesAndGetsNoOthers is new with the message.

--- a/daemons/entry/daemon.h
+++ b/daemons/entry/daemon.h
@@ -89,6 +89,8 @@
 	struct pf_rpc_session *session;
 	bool awaits_list; /* up, but unused: pf_member_awaits_list() */
 	bool closing; /* dropped once no try is in flight on it */
+	bool moved; /* `addr` is outdated; likewise, then replaced */
+	pf_ms moved_at;
 };
 
 /** Sessions with other entries. */
@@ -262,7 +264,10 @@
 
 int links_start(struct daemon *d);
 void links_stop(struct daemon *d);
-/** Reconnects to agents whose address changed in the configuration. */
+/**
+ * Reconnects to agents whose address changed in the configuration, once their
+ * tries in flight have ended.
+ */
 void links_configure(struct daemon *d);
 void links_send(struct daemon *d, uint64_t agent, const struct pf_wire_msg *m);
 /** Sends to the agent or the entry @id, if it has a session. */
@@ -277,7 +282,7 @@
 int links_open(struct daemon *d, uint64_t agent);
 /** Closes the session with an agent once no try is in flight on it. */
 void links_close_when_idle(struct daemon *d, uint64_t agent);
-/** Drops the closing sessions without a try in flight. */
+/** Drops or replaces the closing sessions without a try in flight. */
 void links_drop_closing(struct daemon *d);
 bool links_has_entry(const struct daemon *d, uint64_t id);
 /** Lets the core use an agent whose session awaited the VM list. */
--- a/daemons/entry/links.c
+++ b/daemons/entry/links.c
@@ -1,10 +1,15 @@
 /* RPC sessions with agents and with other entries. */
 #include "daemon.h"
 
+#include "pimentoford/clock.h"
+
 #include <errno.h>
 #include <stdlib.h>
 #include <string.h>
 
+/* For tries in flight at an address that is outdated. */
+#define MOVE_TIMEOUT_MS 10000
+
 static struct link *find_link(const struct daemon *d, uint64_t id)
 {
 	struct link *l;
@@ -330,22 +335,44 @@
 		       PF_KV_STR("addr", addr));
 }
 
+/* Notes whether the address of @l is still @addr. */
+static void check_address(struct daemon *d, struct link *l, const char *addr)
+{
+	struct pf_entry_msg m = { .type = PF_ENTRY_LINK_CLOSING,
+				  .agent = l->id };
+	bool moved = strcmp(addr, l->addr) != 0;
+
+	if (moved == l->moved)
+		return;
+	l->moved = moved;
+	l->moved_at = pf_clock_now();
+	if (moved)
+		entry_step(d, &m);
+	else if (pf_rpc_is_up(l->session) && !l->awaits_list)
+		agent_activate(d, pf_rpc_peer(l->session));
+}
+
+/* Whether nothing is lost if @l is dropped, or its tries have had their time. */
+static bool may_drop(const struct daemon *d, const struct link *l)
+{
+	if (pf_entry_in_flight(d->core, l->id) == 0)
+		return true;
+	return l->moved && pf_clock_now() - l->moved_at >= MOVE_TIMEOUT_MS;
+}
+
 void links_configure(struct daemon *d)
 {
-	struct link_list dropped;
 	struct link *l;
-	struct link *next;
 
-	LIST_INIT(&dropped);
-	for (l = LIST_FIRST(&d->links); l; l = next) {
+	LIST_FOREACH(l, &d->links, next)
+	{
 		const struct pf_endpoint *ep =
 			l->id ? pf_config_endpoint(d->config, l->id) : NULL;
 
-		next = LIST_NEXT(l, next);
-		if (ep && strcmp(ep->agent, l->addr) != 0)
-			reconnect_link(d, l, ep->agent, &dropped);
+		if (ep)
+			check_address(d, l, ep->agent);
 	}
-	links_free(LIST_FIRST(&dropped));
+	links_drop_closing(d);
 }
 
 int links_open(struct daemon *d, uint64_t agent)
@@ -377,9 +404,16 @@
 
 	LIST_INIT(&dropped);
 	for (l = LIST_FIRST(&d->links); l; l = next) {
+		const struct pf_endpoint *ep =
+			l->moved ? pf_config_endpoint(d->config, l->id) : NULL;
+
 		next = LIST_NEXT(l, next);
-		if (l->closing && pf_entry_in_flight(d->core, l->id) == 0)
+		if (!(l->closing || ep) || !may_drop(d, l))
+			continue;
+		if (l->closing)
 			link_drop(d, l, &dropped);
+		else
+			reconnect_link(d, l, ep->agent, &dropped);
 	}
 	links_free(LIST_FIRST(&dropped));
 }
--- a/include/pimentoford/entry.h
+++ b/include/pimentoford/entry.h
@@ -75,6 +75,7 @@
 	/* From the agent `agent`. */
 	PF_ENTRY_LINK_UP, /* u.link: the session is established */
 	PF_ENTRY_LINK_DOWN,
+	PF_ENTRY_LINK_CLOSING, /* no new tries until the next LINK_UP */
 	PF_ENTRY_STARTED, /* u.id */
 	PF_ENTRY_PIECE, /* u.tokens */
 	PF_ENTRY_DONE, /* u.done */
--- a/src/coordination/entry.c
+++ b/src/coordination/entry.c
@@ -127,6 +127,14 @@
 		pf_lifecycle_link_down(e, i);
 }
 
+static void on_link_closing(struct pf_entry *e, const struct pf_entry_msg *m)
+{
+	uint32_t i = pf_agents_find(e, m->agent);
+
+	if (i != PF_NIL)
+		e->agents[i].closing = true;
+}
+
 static void on_report(struct pf_entry *e, const struct pf_entry_msg *m)
 {
 	uint32_t i = pf_agents_find(e, m->agent);
@@ -186,6 +194,9 @@
 	case PF_ENTRY_LINK_DOWN:
 		on_link_down(e, m);
 		break;
+	case PF_ENTRY_LINK_CLOSING:
+		on_link_closing(e, m);
+		break;
 	case PF_ENTRY_STARTED:
 		pf_lifecycle_started(e, m);
 		break;
--- a/src/coordination/entry_agents.c
+++ b/src/coordination/entry_agents.c
@@ -132,6 +132,7 @@
 		a->incarnation = incarnation;
 	}
 	a->linked = true;
+	a->closing = false;
 }
 
 static int compare_item_ids(const void *a, const void *b)
--- a/src/coordination/entry_impl.h
+++ b/src/coordination/entry_impl.h
@@ -106,6 +106,7 @@
 	uint64_t id;
 	uint64_t incarnation;
 	bool linked;
+	bool closing; /* the link: its tries in flight finish */
 	bool leaving;
 	bool has_report; /* of this session */
 	bool ready;
--- a/src/coordination/route.c
+++ b/src/coordination/route.c
@@ -63,7 +63,8 @@
 
 static bool accepts_work(const struct pf_entry_agent *a)
 {
-	if (!a->linked || !a->has_report || !a->ready || !a->record)
+	if (!a->linked || a->closing || !a->has_report || !a->ready ||
+	    !a->record)
 		return false;
 #ifndef PF_MUTANT_SEND_TO_LEAVING
 	if (a->leaving)
--- a/tests/test_daemons.cc
+++ b/tests/test_daemons.cc
@@ -216,6 +216,12 @@
 			EXPECT_EQ(system(("rm -r " + dir).c_str()), 0);
 		}
 	}
+	static int apply_records(const std::string &name)
+	{
+		return wait_exit(start_process(
+			"ctl", { "pimentoctl", "--entry", addr(10), "apply",
+				 dir + "/" + name + ".toml" }));
+	}
 	static bool set_fault(const std::string &what,
 			      const std::string &target, int ms)
 	{
@@ -560,6 +566,39 @@
 	EXPECT_EQ(count(audit, "takeover lease/planner/east"), 1u) << audit;
 }
 
+/* A changed address of an endpoint took the answers of its calls away. */
+TEST_F(Daemons, MovedEndpointCompletesItsCalls)
+{
+	std::string req = "POST /svc/booking/visits HTTP/1.1\r\n" +
+			  auth_header +
+			  "Idempotency-Key: moved\r\n"
+			  "Content-Length: 20\r\n\r\n"
+			  "{\"x\":\"[slow=1500] \"}";
+	std::ifstream in(dir + "/records.toml");
+	std::stringstream records;
+	std::string moved;
+	int fd = dial(port(10), 5);
+
+	records << in.rdbuf();
+	moved = records.str();
+	moved.replace(moved.find(addr(41)), addr(41).size(), addr(99));
+	std::ofstream(dir + "/moved.toml") << moved;
+	ASSERT_GE(fd, 0);
+	send(fd, req.data(), req.size(), MSG_NOSIGNAL);
+	usleep(300000);
+	EXPECT_EQ(apply_records("moved"), 0);
+	std::string got = FakeReceive(fd, "\"run\"");
+
+	EXPECT_EQ(got.substr(0, 12), "HTTP/1.1 200") << got;
+	EXPECT_EQ(apply_records("records"), 0);
+	close(fd);
+	EXPECT_NE(http_get(port(43), "/admin/state").find("\"moved\":1"),
+		  std::string::npos);
+	req.replace(req.find("moved"), 5, "again");
+	got = exchange(req, "\"run\"", 10);
+	EXPECT_EQ(got.substr(0, 12), "HTTP/1.1 200") << got;
+}
+
 /* Neither daemon handled SIGHUP, which ends a process by default. */
 TEST_F(Daemons, HangupSignalEndsNoRequest)
 {
--- a/tests/test_entry_lifecycle.cc
+++ b/tests/test_entry_lifecycle.cc
@@ -570,6 +570,25 @@
 	}
 }
 
+TEST_F(EntryLifecycle, ClosingLinkFinishesItsTriesAndGetsNoOthers)
+{
+	start_core();
+	bring_up(AGENT_A);
+	Act t = arrive_and_get_try(1, work());
+	step(msg(PF_ENTRY_LINK_CLOSING, AGENT_A));
+	EXPECT_EQ(acts.size(), 0u);
+	report(AGENT_A, { { MODEL, PF_ITEM_RESIDENT } }, 1);
+	arrive(2, work());
+	EXPECT_EQ(count_acts(PF_ENTRY_TRY), 0u);
+	done(t, 0);
+	expect_end(1, PF_REASON_NONE, PF_RAN);
+	run_timers(1000);
+	EXPECT_EQ(count_acts(PF_ENTRY_TRY), 0u);
+	link_up(AGENT_A);
+	run_timers(1000);
+	EXPECT_EQ(find_act(PF_ENTRY_TRY).id.request, 2u);
+}
+
 TEST_F(EntryLifecycle, LateRefusalMarksTheAgentAsLeaving)
 {
 	start_core();
