Gateway: bytes behind the last request no longer cut its answer

What callers saw: on a connection that closes after the answer, a large answer or one to a slow reader ended with a reset if the caller had sent anything more, such as an empty line after its body or a pipelined request.

Cause: while the answer is flushed nothing is read, and the socket is closed with those bytes unread. The kernel then resets the connection and discards what it has not sent.

Now the stream to the caller is ended first (SHUT_WR); if bytes are unread, or came while the answer was flushed, they are discarded in LINGERING before the close.

--- a/daemons/gateway/callers.c
+++ b/daemons/gateway/callers.c
@@ -34,7 +34,7 @@
 	CALLER_READING_HEAD, /* also while idle */
 	CALLER_READING_BODY, /* those up to here read a request */
 	CALLER_ANSWERING,
-	CALLER_FLUSHING, /* closed when the answer is sent */
+	CALLER_FLUSHING, /* ended when the answer is sent */
 	CALLER_LINGERING, /* discards input until the sweep closes it */
 };
 
@@ -162,8 +162,13 @@
 		pf_sock_pause(c->sock, true);
 		return;
 	}
-	pf_sock_close(c->sock);
-	c->sock = NULL;
+	pf_sock_shutdown(c->sock);
+	if (c->state == CALLER_FLUSHING || pf_sock_has_unread(c->sock)) {
+		/* A close with unread bytes would reset the connection. */
+		set_state(c, CALLER_LINGERING);
+		pf_sock_pause(c->sock, false);
+		return;
+	}
 	caller_free(c);
 }
 
--- a/include/pimentoford/sock.h
+++ b/include/pimentoford/sock.h
@@ -50,8 +50,8 @@
 /** Closes without a callback. @s may be NULL. */
 void pf_sock_free(struct pf_sock *s);
 
-/** Ends the stream of bytes, so that the peer receives all, and frees @s. */
-void pf_sock_close(struct pf_sock *s);
+/** Ends the stream of bytes to the peer, which may still send. */
+void pf_sock_shutdown(struct pf_sock *s);
 
 /** Resets the connection, so that the peer sees an incomplete response. */
 void pf_sock_abort(struct pf_sock *s);
--- a/src/transport/sock.c
+++ b/src/transport/sock.c
@@ -260,12 +260,10 @@
 	return !s->freed && ioctl(s->fd, FIONREAD, &n) == 0 && n > 0;
 }
 
-void pf_sock_close(struct pf_sock *s)
+void pf_sock_shutdown(struct pf_sock *s)
 {
-	if (s->freed)
-		return;
-	shutdown(s->fd, SHUT_WR);
-	pf_sock_free(s);
+	if (!s->freed)
+		shutdown(s->fd, SHUT_WR);
 }
 
 void pf_sock_pause(struct pf_sock *s, bool pause)
--- a/tests/test_gateway.cc
+++ b/tests/test_gateway.cc
@@ -564,6 +564,29 @@
 	close(fd);
 }
 
+// Unread bytes at a close make the kernel discard what it has not sent.
+TEST_F(Gateway, BytesBehindTheLastRequestDoNotCutItsAnswer)
+{
+	const std::string body(8 << 20, 'b');
+	FakeServer e("127.0.0.1", AnswerWith(body));
+	int small = 65536;
+
+	store.Put("servers", "i-1", EndpointRow("app", e.addr()));
+	StartGateway();
+	WaitUntilReady();
+	int fd = FakeDial("127.0.0.2", port);
+	setsockopt(fd, SOL_SOCKET, SO_RCVBUF, &small, sizeof(small));
+	FakeSend(fd, GetRequest("/u/x", "1"));
+	usleep(1000000);
+	FakeSend(fd, "\r\n");
+	usleep(200000);
+	std::string got = FakeReceive(fd);
+	close(fd);
+	size_t head = got.find("\r\n\r\n");
+	ASSERT_NE(head, std::string::npos);
+	EXPECT_EQ(got.size() - head - 4, body.size());
+}
+
 TEST_F(Gateway, StopAnswersARequestThatWasReadBehindAnother)
 {
 	FakeServer e("127.0.0.1", [](int fd, const FakeRequest &r) {
