--- a/tests/fake_http.cc
+++ b/tests/fake_http.cc
@@ -7,6 +7,7 @@
 #include <sys/time.h>
 #include <unistd.h>
 
+#include <cstdio>
 #include <cstdlib>
 
 std::string FakeRequest::Header(const std::string &name) const
@@ -97,6 +98,22 @@
 	return got;
 }
 
+std::string HttpAnswer(int status, const std::string &body,
+		       const std::string &headers)
+{
+	return "HTTP/1.1 " + std::to_string(status) + " X\r\n" + headers +
+	       "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" +
+	       body;
+}
+
+std::string Chunk(const std::string &s)
+{
+	char n[16];
+
+	snprintf(n, sizeof(n), "%zx\r\n", s.size());
+	return n + s + "\r\n";
+}
+
 FakeServer::FakeServer(const char *ip, Handler h)
     : ip_(ip), handler_(std::move(h))
 {
@@ -122,14 +139,10 @@
 	shutdown(listener_, SHUT_RDWR);
 	acceptor_.join();
 	close(listener_);
-	{
-		std::lock_guard<std::mutex> g(mu_);
-
-		for (int fd : fds_)
-			shutdown(fd, SHUT_RDWR);
-	}
-	for (std::thread &t : threads_)
-		t.join();
+	std::unique_lock<std::mutex> g(mu_);
+	for (int fd : fds_)
+		shutdown(fd, SHUT_RDWR);
+	ended_.wait(g, [this] { return n_threads_ == 0; });
 }
 
 std::string FakeServer::addr() const
@@ -153,6 +166,17 @@
 	return n;
 }
 
+void FakeServer::ResetConnections()
+{
+	std::lock_guard<std::mutex> g(mu_);
+
+	for (int fd : fds_) {
+		FakeReset(fd);
+		/* Ends recv() without telling the peer. */
+		shutdown(fd, SHUT_RD);
+	}
+}
+
 void FakeServer::Accept()
 {
 	int fd;
@@ -160,8 +184,9 @@
 	while ((fd = accept4(listener_, nullptr, nullptr, SOCK_CLOEXEC)) >= 0) {
 		std::lock_guard<std::mutex> g(mu_);
 
-		fds_.push_back(fd);
-		threads_.emplace_back([this, fd] { Serve(fd); });
+		fds_.insert(fd);
+		n_threads_++;
+		std::thread([this, fd] { Serve(fd); }).detach();
 	}
 }
 
@@ -204,13 +229,10 @@
 		if (!handler_(fd, r))
 			break;
 	}
-out : {
+out:
 	std::lock_guard<std::mutex> g(mu_);
-
-	for (int &f : fds_) {
-		if (f == fd)
-			f = -1;
-	}
-}
+	fds_.erase(fd);
 	close(fd);
+	n_threads_--;
+	ended_.notify_all();
 }
--- a/tests/fake_http.h
+++ b/tests/fake_http.h
@@ -6,9 +6,11 @@
 #define TESTS_FAKE_HTTP_H
 
 #include <atomic>
+#include <condition_variable>
 #include <functional>
 #include <map>
 #include <mutex>
+#include <set>
 #include <string>
 #include <thread>
 #include <vector>
@@ -34,6 +36,8 @@
 	std::string addr() const;
 	std::vector<FakeRequest> seen();
 	size_t count(const std::string &target_part);
+	/* Resets connections once their handlers return. */
+	void ResetConnections();
 
       private:
 	void Accept();
@@ -46,8 +50,9 @@
 	std::atomic<bool> stop_{ false };
 	std::mutex mu_;
 	std::vector<FakeRequest> seen_;
-	std::vector<std::thread> threads_;
-	std::vector<int> fds_;
+	std::condition_variable ended_;
+	size_t n_threads_ = 0; /* detached, one for each connection */
+	std::set<int> fds_;
 	std::thread acceptor_;
 };
 
@@ -62,5 +67,9 @@
 /* Returns an empty string when not connected. */
 std::string FakeGet(const char *ip, int port, const std::string &target,
 		    int timeout_s = 20);
+std::string HttpAnswer(int status, const std::string &body,
+		       const std::string &headers = "");
+/* One chunk of a chunked body. */
+std::string Chunk(const std::string &s);
 
 #endif
--- a/tests/fake_store.cc
+++ b/tests/fake_store.cc
@@ -9,14 +9,6 @@
 static const size_t PAGE_ROWS_MAX = 500;
 static const size_t TXN_ENTRIES_MAX = 100;
 
-std::string HttpAnswer(int status, const std::string &body,
-		       const std::string &headers)
-{
-	return "HTTP/1.1 " + std::to_string(status) + " X\r\n" + headers +
-	       "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" +
-	       body;
-}
-
 static std::string QueryParam(const std::string &target,
 			      const std::string &name)
 {
--- a/tests/fake_store.h
+++ b/tests/fake_store.h
@@ -15,9 +15,6 @@
 #include <memory>
 #include <tuple>
 
-std::string HttpAnswer(int status, const std::string &body,
-		       const std::string &headers = "");
-
 class FakeStore
 {
       public:
--- a/tests/gateway_fixture.h
+++ b/tests/gateway_fixture.h
@@ -143,12 +143,4 @@
 	       "\n\n";
 }
 
-inline std::string Chunk(const std::string &s)
-{
-	char n[16];
-
-	snprintf(n, sizeof(n), "%zx\r\n", s.size());
-	return n + s + "\r\n";
-}
-
 #endif
