Loader: an order without an answer is freed at the end

With sanitizers, each loader that was stopped ended with status 1 instead of 0: LeakSanitizer found the context of an order in flight (16 bytes), and the four signal events of the process, which nothing referred to once the event base was freed. Without sanitizers nothing was seen, but a real memory fault of a loader would have been hidden behind this status.

Orders in flight are in a list and freed at the end. The base stays, as in the gateway, so that the signal events remain reachable.

--- a/daemons/loader/main.c
+++ b/daemons/loader/main.c
@@ -12,6 +12,7 @@
 #include <event2/util.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/queue.h>
 #include <unistd.h>
 
 /* Healthy engines answer within these. The order timeout is below the core's,
@@ -49,6 +50,7 @@
 	struct pf_talk *talk;
 	struct gateway_peer gateways[GATEWAYS_MAX];
 	bool in_core_step;
+	LIST_HEAD(, order_call) orders; /* without an answer */
 	bool engine_unreachable; /* the last report failed */
 };
 
@@ -87,6 +89,7 @@
 }
 
 struct order_call {
+	LIST_ENTRY(order_call) next;
 	struct loader *loader;
 	uint64_t seq;
 };
@@ -99,6 +102,7 @@
 	struct loader *l = c->loader;
 
 	m.u.answer.seq = c->seq;
+	LIST_REMOVE(c, next);
 	free(c);
 	m.u.answer.result = PF_LOADER_REFUSED;
 	if (a->result == PF_HTTP_LOST)
@@ -143,11 +147,13 @@
 	       PF_KV_STR("adapter", a->call.adapter ? a->call.adapter : ""),
 	       PF_KV_INT("orders", a->call.expected_orders));
 	if (c)
-		*c = (struct order_call){ l, a->call.seq };
+		*c = (struct order_call){ .loader = l, .seq = a->call.seq };
 	/* The core treats an order without an answer as in doubt. */
 	if (!c || body.failed || !pf_http_start(l->engine, &r)) {
 		PF_LOG(&l->log, PF_LOG_WARN, "order_not_sent");
 		free(c);
+	} else {
+		LIST_INSERT_HEAD(&l->orders, c, next);
 	}
 	pf_text_free(&body);
 }
@@ -329,15 +335,21 @@
 
 static void stop(struct loader *l)
 {
+	struct order_call *next;
+	struct order_call *c;
+
 	pf_talk_free(l->talk);
 	pf_http_free(l->engine);
+	for (c = LIST_FIRST(&l->orders); c; c = next) {
+		next = LIST_NEXT(c, next);
+		free(c);
+	}
 	pf_loader_free(l->core);
 	if (l->core_timer)
 		event_free(l->core_timer);
 	if (l->state_timer)
 		event_free(l->state_timer);
-	if (l->base)
-		event_base_free(l->base);
+	/* The base stays: the process's signal events refer to it. */
 }
 
 int main(int argc, char **argv)
