--- a/tests/gateway_fixture.h
+++ b/tests/gateway_fixture.h
@@ -5,196 +5,16 @@
 #ifndef TESTS_GATEWAY_FIXTURE_H
 #define TESTS_GATEWAY_FIXTURE_H
 
-#include "tests/fake_http.h"
+#include "tests/fake_store.h"
 
-#include <glib.h>
-#include <jansson.h>
 #include <signal.h>
 #include <sys/wait.h>
 #include <unistd.h>
 
-#include <chrono>
-#include <condition_variable>
 #include <cstdlib>
 #include <cstring>
 #include <fstream>
 
-inline std::string HttpAnswer(int status, const std::string &body,
-			      const std::string &headers = "")
-{
-	return "HTTP/1.1 " + std::to_string(status) + " X\r\n" + headers +
-	       "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" +
-	       body;
-}
-
-/* The platform's store as gateways use it, with faults. */
-class FakeStore
-{
-      public:
-	enum StoreFault {
-		NO_FAULT,
-		UNAVAILABLE, /* answers 503 */
-		REQUEST_LOST, /* closes connections, applies nothing */
-		ANSWER_LOST, /* applies the request, then closes */
-		HISTORY_TRIMMED, /* answers 410 to feed calls */
-	};
-
-	FakeStore()
-	    : server_("127.0.0.1", [this](int fd, const FakeRequest &r) {
-		      return Handle(fd, r);
-	      })
-	{
-	}
-	~FakeStore()
-	{
-		stop_ = true;
-		cv_.notify_all();
-	}
-	uint64_t Put(const std::string &table, const std::string &key,
-		     const std::string &value, bool deleted = false)
-	{
-		std::lock_guard<std::mutex> g(mu_);
-
-		rows_[{ table, key }] = { value, ++revision_, deleted };
-		cv_.notify_all();
-		return revision_;
-	}
-	/* Waits up to 20 s for a feed call after @revision, whose sender has
-	 * applied all rows up to it. */
-	bool WaitUntilApplied(const std::string &table, uint64_t revision)
-	{
-		std::unique_lock<std::mutex> g(mu_);
-
-		return cv_.wait_for(g, std::chrono::seconds(20), [&] {
-			return fed_after_[table] >= revision;
-		});
-	}
-	void SetFault(StoreFault f)
-	{
-		fault_ = f;
-		cv_.notify_all();
-	}
-	std::string addr() const
-	{
-		return server_.addr();
-	}
-
-      private:
-	/* Applies a transaction of one row. */
-	void CommitOneRow(const std::string &body)
-	{
-		json_t *root = json_loadb(body.data(), body.size(), 0, nullptr);
-		json_t *put =
-			json_array_get(json_object_get(root, "set_keys"), 0);
-		const char *table =
-			json_string_value(json_object_get(put, "table"));
-		const char *key =
-			json_string_value(json_object_get(put, "key"));
-		const char *value =
-			json_string_value(json_object_get(put, "value"));
-		gsize n = 0;
-		guchar *raw = value ? g_base64_decode(value, &n) : nullptr;
-
-		if (table && key && raw)
-			rows_[{ table, key }] = { std::string((char *)raw, n),
-						  ++revision_, false };
-		g_free(raw);
-		json_decref(root);
-		cv_.notify_all();
-	}
-	struct Row {
-		std::string value;
-		uint64_t revision;
-		bool deleted;
-	};
-	static std::string QueryParam(const std::string &target,
-				      const char *name)
-	{
-		size_t at = target.find(std::string(name) + "=");
-
-		if (at == std::string::npos)
-			return "";
-		at += strlen(name) + 1;
-		return target.substr(at, target.find('&', at) - at);
-	}
-	std::string RowsJson(const std::string &table, uint64_t after,
-			     bool feed)
-	{
-		std::string out;
-
-		for (auto &[place, row] : rows_) {
-			if (place.first != table || row.revision <= after ||
-			    (row.deleted && !feed))
-				continue;
-			gchar *b = g_base64_encode(
-				(const guchar *)row.value.data(),
-				row.value.size());
-			out += (out.empty() ? "" : ",") +
-			       std::string("{\"table\":\"") + table +
-			       "\",\"part\":\"\",\"key\":\"" + place.second +
-			       "\",\"value\":\"" + b +
-			       "\",\"ver\":" + std::to_string(row.revision) +
-			       (row.deleted ? ",\"tombstone\":true}" : "}");
-			g_free(b);
-		}
-		return out;
-	}
-	bool Handle(int fd, const FakeRequest &r)
-	{
-		std::unique_lock<std::mutex> g(mu_);
-		StoreFault fault = fault_;
-		bool feed = r.target.find("/rows-feed") == 0;
-		std::string table = QueryParam(r.target, "table");
-		uint64_t after = strtoull(QueryParam(r.target, "after").c_str(),
-					  nullptr, 10);
-
-		if (fault == REQUEST_LOST)
-			return false;
-		if (fault == UNAVAILABLE ||
-		    (fault == HISTORY_TRIMMED && feed)) {
-			g.unlock();
-			FakeSend(fd,
-				 HttpAnswer(fault == UNAVAILABLE ? 503 : 410,
-					    ""));
-			return true;
-		}
-		if (r.target.find("/rows-tx") == 0)
-			CommitOneRow(r.body);
-		if (feed) {
-			fed_after_[table] = after;
-			cv_.notify_all();
-		}
-		if (feed && RowsJson(table, after, true).empty()) {
-			auto wait = std::chrono::milliseconds(
-				strtoul(QueryParam(r.target, "wait_ms").c_str(),
-					nullptr, 10));
-
-			cv_.wait_for(g, wait, [&] {
-				return stop_ || fault_ != fault ||
-				       !RowsJson(table, after, true).empty();
-			});
-		}
-		std::string body = "{\"rows\":[" +
-				   RowsJson(table, after, feed) +
-				   "],\"has_more\":false,\"ver\":" +
-				   std::to_string(revision_) + ",\"now_ms\":1}";
-		g.unlock();
-		if (fault == ANSWER_LOST)
-			return false;
-		FakeSend(fd, HttpAnswer(200, body));
-		return !stop_;
-	}
-
-	std::mutex mu_;
-	std::condition_variable cv_;
-	std::map<std::pair<std::string, std::string>, Row> rows_;
-	std::map<std::string, uint64_t> fed_after_; /* by table */
-	uint64_t revision_ = 0;
-	std::atomic<bool> stop_{ false };
-	std::atomic<StoreFault> fault_{ NO_FAULT };
-	FakeServer server_;
-};
-
 inline std::string EndpointRow(const std::string &service,
 			       const std::string &addr,
 			       const std::string &state = "ready",
@@ -268,7 +88,9 @@
 		std::ofstream(file_) << toml;
 		pid_ = fork();
 		if (pid_ == 0) {
-			if (!freopen("/dev/null", "w", stdout))
+			const char *log = getenv("PF_TEST_LOG");
+
+			if (!freopen(log ? log : "/dev/null", "a", stdout))
 				_exit(126);
 			if (fail_realloc_min) {
 				setenv("PF_FAIL_REALLOC_MIN",
@@ -336,12 +158,4 @@
 	       "\n\n";
 }
 
-inline std::string Chunk(const std::string &s)
-{
-	char n[16];
-
-	snprintf(n, sizeof(n), "%zx\r\n", s.size());
-	return n + s + "\r\n";
-}
-
 #endif
