Entry: the drain timeout answers what is still open

An entry whose drain timeout ended exited at once: callers with a request still open got a closed connection, in the middle of a stream or without a byte, and could not tell whether their request had run.

The entry now ends all open requests (PF_ENTRY_GIVE_UP), waiting ones first, so that no new try starts: not run, outcome unknown for a call that may not be repeated, timed out for the rest. It exits once the answers are sent, after 1 s at the latest, with status 1 as before.

Tests: Daemons.DrainTimeoutAnswersOpenRequests failed before (no answer, a stream without an error); EntryLifecycle.GivingUpEndsEachRequestOnce- AndStartsNone is new with the message.

--- a/daemons/entry/main.c
+++ b/daemons/entry/main.c
@@ -10,6 +10,8 @@
 #include <unistd.h>
 
 #define STOP_POLL_INTERVAL_MS 20
+/* For the last answers after the drain timeout. */
+#define FLUSH_TIMEOUT_MS 1000
 
 static int exit_status;
 
@@ -32,8 +34,20 @@
 		event_base_loopbreak(d->base);
 }
 
+static void on_flush_timeout(evutil_socket_t fd, short what, void *ctx)
+{
+	struct daemon *d = ctx;
+
+	(void)fd;
+	(void)what;
+	event_base_loopbreak(d->base);
+}
+
+/* Answers what is still open; on_stop_timer() ends the loop once it is sent. */
 static void on_drain_timeout(evutil_socket_t fd, short what, void *ctx)
 {
+	static const struct pf_entry_msg give_up = { .type = PF_ENTRY_GIVE_UP };
+	struct timeval flush = pf_clock_timeval(FLUSH_TIMEOUT_MS);
 	struct daemon *d = ctx;
 
 	(void)fd;
@@ -41,7 +55,8 @@
 	PF_LOG(&d->log, PF_LOG_ERROR, "drain_over",
 	       PF_KV_STR("why", "requests still open at the drain timeout"));
 	exit_status = EXIT_FAILURE;
-	event_base_loopbreak(d->base);
+	entry_step(d, &give_up);
+	event_base_once(d->base, -1, EV_TIMEOUT, on_flush_timeout, d, &flush);
 }
 
 void daemon_drain(struct daemon *d, const char *why)
--- a/include/pimentoford/entry.h
+++ b/include/pimentoford/entry.h
@@ -87,6 +87,7 @@
 	PF_ENTRY_LEAVING, /* `agent` takes no new work */
 	PF_ENTRY_QUARANTINE, /* u.quarantine: shared by another entry */
 	PF_ENTRY_CONFIG, /* u.config: borrowed until the next one */
+	PF_ENTRY_GIVE_UP, /* ends all open requests */
 	PF_ENTRY_DRAIN, /* refuse new requests; PF_ENTRY_DRAINED follows once
 			 * no request is open */
 	PF_ENTRY_TICK,
--- a/src/coordination/entry.c
+++ b/src/coordination/entry.c
@@ -227,6 +227,9 @@
 	case PF_ENTRY_CONFIG:
 		on_config(e, m->u.config);
 		break;
+	case PF_ENTRY_GIVE_UP:
+		pf_lifecycle_give_up_all(e);
+		break;
 	case PF_ENTRY_DRAIN:
 		e->draining = true;
 		break;
--- a/src/coordination/lifecycle.c
+++ b/src/coordination/lifecycle.c
@@ -467,6 +467,34 @@
 			       pf_outcome(PF_REASON_OVERLOAD, r->ran, after));
 }
 
+static void give_up(struct pf_entry *e, uint32_t slot)
+{
+	struct pf_request *r = &e->reqs[slot];
+	enum pf_ran ran = pf_attempt_ran(r);
+	enum pf_reason why = PF_REASON_EXPIRED;
+
+	if (ran == PF_NOT_RUN)
+		why = PF_REASON_LEAVING;
+	else if (pf_req_never_repeat(r))
+		why = PF_REASON_OUTCOME_UNKNOWN;
+	pf_attempt_abandon(e, r);
+	pf_attempt_end_request(e, slot, pf_outcome(why, ran, RETRY_AFTER_MS));
+}
+
+void pf_lifecycle_give_up_all(struct pf_entry *e)
+{
+	/* Those that wait first: an agent with room again would get them. */
+	for (int in_flight = 0; in_flight < 2; in_flight++) {
+		for (uint32_t i = 0; i < e->opts.requests_max; i++) {
+			const struct pf_request *r = &e->reqs[i];
+
+			if (pf_requests_find(e, r->id) == i &&
+			    pf_req_in_flight(r) == (in_flight != 0))
+				give_up(e, i);
+		}
+	}
+}
+
 static void revoke_try(struct pf_entry *e, uint32_t slot)
 {
 	struct pf_request *r = &e->reqs[slot];
--- a/src/coordination/lifecycle.h
+++ b/src/coordination/lifecycle.h
@@ -33,4 +33,7 @@
 /** Ends the requests with a quarantined @fingerprint that are not in flight. */
 void pf_lifecycle_end_quarantined(struct pf_entry *e, uint64_t fingerprint);
 
+/** Ends all open requests: the process is about to end. */
+void pf_lifecycle_give_up_all(struct pf_entry *e);
+
 #endif
--- a/tests/test_daemons.cc
+++ b/tests/test_daemons.cc
@@ -644,6 +644,39 @@
 	}
 }
 
+/* Callers got no answer, or half of one, when the drain timeout ended. */
+TEST_F(Daemons, DrainTimeoutAnswersOpenRequests)
+{
+	std::string stream = post_request(completion_body(3000, true));
+	std::string whole = post_request(completion_body(3000, false));
+
+	copy_settings("entry-west");
+	std::ofstream(dir + "/entry-west.toml", std::ios::app)
+		<< "drain = \"300ms\"\n";
+	pids["entry-west"] =
+		start_process("entry-west", { "pimento-entry", "--settings",
+					      dir + "/entry-west.toml" });
+	ASSERT_TRUE(wait_ready(20, "/readyz"));
+	int a = dial(port(20), 5), b = dial(port(20), 5);
+
+	ASSERT_GE(a, 0);
+	ASSERT_GE(b, 0);
+	send(a, stream.data(), stream.size(), MSG_NOSIGNAL);
+	send(b, whole.data(), whole.size(), MSG_NOSIGNAL);
+	std::string got = FakeReceive(a, "finish_reason");
+
+	kill(pids["entry-west"], SIGTERM);
+	got += FakeReceive(a, "retry_after_ms");
+	EXPECT_NE(got.find("\"ran\":\"ran\""), std::string::npos)
+		<< got.substr(got.size() - 200);
+	got = FakeReceive(b, "retry_after_ms");
+	EXPECT_EQ(got.substr(0, 12), "HTTP/1.1 504") << got;
+	EXPECT_EQ(wait_exit(pids["entry-west"]), 1);
+	pids.erase("entry-west");
+	close(a);
+	close(b);
+}
+
 /* A stopping entry closed the connections of callers that store a draft. */
 TEST_F(Daemons, StoppingEntryAnswersTheDraftThatItIsStoring)
 {
--- a/tests/test_entry_lifecycle.cc
+++ b/tests/test_entry_lifecycle.cc
@@ -589,6 +589,38 @@
 	EXPECT_EQ(find_act(PF_ENTRY_TRY).id.request, 2u);
 }
 
+TEST_F(EntryLifecycle, GivingUpEndsEachRequestOnceAndStartsNone)
+{
+	start_core();
+	bring_up(AGENT_A, 1);
+	bring_up(AGENT_PLAIN_A, 1);
+	Act t = arrive_and_get_try(1, work());
+	send_id(PF_ENTRY_STARTED, t);
+	arrive(2, work()); // waits
+	arrive_and_get_try(3, plain_call(true));
+	arrive(4, plain_call(true)); // waits
+	step(msg(PF_ENTRY_DRAIN));
+	step(msg(PF_ENTRY_GIVE_UP));
+	EXPECT_EQ(count_acts(PF_ENTRY_TRY), 0u);
+	EXPECT_EQ(count_acts(PF_ENTRY_END), 4u);
+	const struct {
+		pf_reason reason;
+		pf_ran ran;
+	} ends[] = { {},
+		     { PF_REASON_EXPIRED, PF_RAN },
+		     { PF_REASON_LEAVING, PF_NOT_RUN },
+		     { PF_REASON_OUTCOME_UNKNOWN, PF_RAN_UNKNOWN },
+		     { PF_REASON_LEAVING, PF_NOT_RUN } };
+	for (const Act &a : acts) {
+		if (a.type != PF_ENTRY_END)
+			continue;
+		EXPECT_EQ(a.end.reason, ends[a.end.request].reason);
+		EXPECT_EQ(a.end.ran, ends[a.end.request].ran);
+	}
+	EXPECT_EQ(stats().open, 0u);
+	EXPECT_EQ(count_acts(PF_ENTRY_DRAINED), 1u);
+}
+
 TEST_F(EntryLifecycle, LateRefusalMarksTheAgentAsLeaving)
 {
 	start_core();
