Gateway: an answer cut by the drain timeout does not look complete

Cause: the end of the process freed the callers' connections like idle ones.

Gateway.StopResetsAStreamWithoutChunksThatIsNotComplete failed before (recv returned 0 after the first event).

Now connections whose answer has begun, or is still queued, are reset, as in the other places that cut one. Callers are freed before their exchanges, which know whether the answer has begun.

--- a/daemons/gateway/callers.c
+++ b/daemons/gateway/callers.c
@@ -473,7 +473,12 @@
 
 	for (; c; c = next) {
 		next = LIST_NEXT(c, next);
-		caller_free(c);
+		/* Without chunks, an orderly close ends an answer. */
+		if (pf_sock_queued(c->sock) > 0 ||
+		    (c->exchange && c->exchange->answer_head_sent))
+			caller_abort(c);
+		else
+			caller_free(c);
 	}
 	if (g->accept_ev)
 		event_free(g->accept_ev);
--- a/daemons/gateway/main.c
+++ b/daemons/gateway/main.c
@@ -131,9 +131,9 @@
 	talk_stop(g);
 	feeds_stop(g);
 	ready_stop(g);
+	callers_stop(g);
 	while (!LIST_EMPTY(&g->exchanges))
 		exchange_free(LIST_FIRST(&g->exchanges));
-	callers_stop(g);
 	endpoints_stop(g);
 	core_stop(g);
 	pf_routes_free(g->routes);
--- a/tests/test_gateway.cc
+++ b/tests/test_gateway.cc
@@ -587,6 +587,35 @@
 	EXPECT_EQ(got.size() - head - 4, body.size());
 }
 
+// An answer without length or chunks is complete at an orderly close.
+TEST_F(Gateway, StopResetsAStreamWithoutChunksThatIsNotComplete)
+{
+	FakeServer e("127.0.0.1", [](int fd, const FakeRequest &r) {
+		char c;
+
+		FakeSend(fd, "HTTP/1.1 200 OK\r\nAttempt-Id: " +
+				     r.Header("Attempt-Id") +
+				     "\r\nTransfer-Encoding: chunked\r\n\r\n" +
+				     Chunk(StreamEvent(1)));
+		recv(fd, &c, 1, 0);
+		return false;
+	});
+	char c;
+
+	store.Put("servers", "i-1", EndpointRow("app", e.addr()));
+	StartGateway();
+	WaitUntilReady();
+	int fd = FakeDial("127.0.0.2", port);
+	FakeSend(fd, "GET /t/x HTTP/1.0\r\nHost: h\r\nAttempt-Id: 1\r\n"
+		     "Deadline-Ms: 15000\r\n\r\n");
+	EXPECT_TRUE(Contains(FakeReceive(fd, "data: e1\n\n"), " 200 "));
+	gateway.Signal(SIGTERM);
+	EXPECT_LT(recv(fd, &c, 1, 0), 0);
+	EXPECT_EQ(errno, ECONNRESET);
+	close(fd);
+	EXPECT_EQ(gateway.Wait(), 0);
+}
+
 TEST_F(Gateway, StopAnswersARequestThatWasReadBehindAnother)
 {
 	FakeServer e("127.0.0.1", [](int fd, const FakeRequest &r) {
