Tests: a moved request fails when its new endpoint refuses it (known red)

What callers see: 502 within a millisecond and seconds before the deadline. A request without a first event was moved off a silent endpoint (900 ms), and the new endpoint did not take it (connection refused, or not run). The send that was cancelled might have been answered 300 ms later.

Started answers wait until their deadline; requests without a first event have passed their wait deadline by then, and fail.

Not fixed here, since waiting is a matter of policy (rejecting at once against an answer that may still come).

--- a/tests/test_gate.cc
+++ b/tests/test_gate.cc
@@ -428,6 +428,24 @@
 						     2000 }),
 			 [](const auto &p) { return p.param.name; });
 
+// The endpoint to which a silent request was moved refuses the connection.
+TEST_F(Gate, MovedRequestReturnsToItsEndpointWhenThatResumes)
+{
+	PassFirstWindow();
+	Arrive(1, "/r/", 6000, "m", nullptr, 100);
+	Arrive(2, "/t/", 6000, "m", nullptr, 100);
+	uint64_t first = SentTo(1);
+	ASSERT_EQ(SentTo(2), first);
+	Tick(1200);
+	ASSERT_NE(SentTo(1), first);
+	Ended(1, PF_GATE_UNSENT);
+	Tick(300);
+	EXPECT_EQ(Count(PF_GATE_FAIL), 0u);
+	Events(2);
+	Tick(300);
+	EXPECT_EQ(SentTo(1), first);
+}
+
 TEST_F(Gate, PausedEndpointIsUsedAgainAtOnce)
 {
 	Gone("l2");
