store client: the era of each answer

The store may come back from an older copy. Its era rises then, but the client dropped the header, so no reader could tell a row of the lost copy from one of the restored store: revisions are given out again.

Each answer now carries its era. A rise runs opts.on_restore before the answer's own callback and logs store_era with the old and new era. An answer that was overtaken by one of a newer era is in doubt (PF_STORE_UNKNOWN): a commit in it may be gone, and its rows must not be applied. A refusal stays a refusal, since nothing was done in either copy. A missing era is unknown and changes nothing.

--- a/include/pimentoford/http_client.h
+++ b/include/pimentoford/http_client.h
@@ -41,6 +41,7 @@
 	int status;
 	struct pf_str content_type;
 	struct pf_str body; /* empty when it was streamed */
+	struct pf_str header; /* the one in answer_header; empty: missing */
 };
 
 struct pf_http_request {
@@ -50,6 +51,7 @@
 	const char *idempotency_key; /* Idempotency-Key header; NULL: none */
 	const char *extra_header; /* name of an additional header; NULL: none */
 	const char *extra_header_value;
+	const char *answer_header; /* passed to `done`; static; NULL: none */
 	struct pf_str body; /* copied */
 	pf_ms timeout; /* between two bytes; 0: none */
 	/* Use no pooled connection: the server may just have closed it, which
--- a/include/pimentoford/store.h
+++ b/include/pimentoford/store.h
@@ -7,7 +7,8 @@
 #ifndef PIMENTOFORD_STORE_H
 #define PIMENTOFORD_STORE_H
 
-#include "pimentoford/base.h"
+#include "pimentoford/era.h"
+#include "pimentoford/log.h"
 
 struct event_base;
 
@@ -21,12 +22,24 @@
 	uint32_t calls_max; /* in flight */
 	pf_ms timeout; /* of a call, on top of the wait of a feed */
 	size_t body_max; /* bytes of a reply */
+	const struct pf_log *log; /* borrowed; NULL: nothing is logged */
+	/*
+	 * The store came back from an older copy. Runs before the callback of
+	 * the answer that shows it. May be NULL.
+	 */
+	void (*on_restore)(void *ctx, int64_t old_era, int64_t era);
+	void *ctx;
 };
 
 /** NULL on a bad address or without memory. */
 struct pf_store *pf_store_new(const struct pf_store_opts *o);
 void pf_store_free(struct pf_store *s);
 
+/** The eras in the answers so far. */
+const struct pf_eras *pf_store_eras(const struct pf_store *s);
+/** Answers with an unreadable era. */
+uint32_t pf_store_bad_eras(const struct pf_store *s);
+
 /** The address of a row. */
 struct pf_store_place {
 	struct pf_str table;
@@ -47,7 +60,8 @@
 	PF_STORE_CONFLICT, /* a condition failed; nothing was written */
 	PF_STORE_REFUSED, /* rate limit or store unavailable; nothing was done */
 	PF_STORE_TRIMMED, /* feeds: history was trimmed; read the rows again */
-	PF_STORE_UNKNOWN, /* no reply: in doubt */
+	/* No reply, or one of an older era than another answer: in doubt. */
+	PF_STORE_UNKNOWN,
 };
 
 /** Valid only during the callback. */
@@ -57,6 +71,7 @@
 	size_t n;
 	uint64_t revision; /* latest of the store; for a commit, its own */
 	bool more; /* reads: there are more rows */
+	int64_t era; /* as stated in the answer, or PF_ERA_UNKNOWN */
 };
 
 typedef void (*pf_store_cb)(void *ctx, const struct pf_store_answer *a);
--- a/src/transport/http_client.c
+++ b/src/transport/http_client.c
@@ -41,6 +41,7 @@
 	struct evhttp_request *req; /* NULL after evhttp released it */
 	struct pf_text error_body; /* evhttp drains it after the chunk cb */
 	bool new_connection; /* not pooled, not reused */
+	const char *answer_header;
 	void (*head)(void *ctx, int status);
 	void (*chunk)(void *ctx, const char *p, size_t n);
 	void (*done)(void *ctx, const struct pf_http_answer *a);
@@ -187,6 +188,8 @@
 		a.result = PF_HTTP_OK;
 		a.status = evhttp_request_get_response_code(req);
 		a.content_type = find_header(req, "Content-Type");
+		if (c->answer_header)
+			a.header = find_header(req, c->answer_header);
 		in = evhttp_request_get_input_buffer(req);
 		a.body.n = evbuffer_get_length(in);
 		a.body.p = (const char *)evbuffer_pullup(in, -1);
@@ -345,6 +348,7 @@
 	c->done = r->done;
 	c->ctx = r->ctx;
 	c->new_connection = r->new_connection;
+	c->answer_header = r->answer_header;
 	c->conn = conn_acquire(h, r->new_connection);
 	c->req = evhttp_request_new(on_done, c);
 	h->n_calls++;
