gateway: an endpoint updated before a gap in the history is removed by the next full read

An endpoint whose row was deleted in the part of the history that the store no longer has was kept, and requests were sent to it, until a second full read. A full read removes the endpoints that it has not seen, by the number of the read, but the number was raised at its end: a row that came by feed since then carried the number of the read to come and counted as seen. Endpoints write their rows often, so this was the usual case.

The number is now raised when a full read starts.

The test's store gains copies, restores and the era of its answers.

--- a/daemons/gateway/feeds.c
+++ b/daemons/gateway/feeds.c
@@ -122,6 +122,16 @@
 		f->cursor = a->revision;
 }
 
+/* Reads all rows next, from the first page. */
+static void start_full_read(struct feed *f)
+{
+	f->full_read = true;
+	f->read_number++;
+	free(f->next_page_key);
+	f->next_page_key = NULL;
+	schedule_call(f, 0);
+}
+
 /* Time until the next feed call. @rows: the last one returned changes. */
 static pf_ms next_interval(const struct feed *f, bool rows)
 {
@@ -142,8 +152,7 @@
 		       PF_KV_TEXT("table", f->table),
 		       PF_KV_INT("after", f->cursor));
 		on_call_answered(f);
-		f->full_read = true;
-		schedule_call(f, 0);
+		start_full_read(f);
 		return;
 	}
 	if (a->status != PF_STORE_OK) {
@@ -334,18 +343,15 @@
 			endpoint_row_deleted(e, f->read_revision,
 					     row_removal_time(f->feeds));
 	}
-	f->read_number++;
 }
 
 static int feed_start(struct feeds *fs, struct feed *f)
 {
 	f->feeds = fs;
-	f->full_read = true;
-	f->read_number = 1;
 	f->timer = event_new(fs->gateway->base, -1, 0, on_timer, f);
 	if (!f->timer)
 		return -1;
-	schedule_call(f, 0);
+	start_full_read(f);
 	return 0;
 }
 
--- a/tests/gateway_fixture.h
+++ b/tests/gateway_fixture.h
@@ -69,6 +69,40 @@
 			return fed_after_[table] >= revision;
 		});
 	}
+	/* Restores from an older copy, and the era that answers state. */
+	struct Row {
+		std::string value;
+		uint64_t revision;
+		bool deleted;
+	};
+	struct Copy {
+		std::map<std::pair<std::string, std::string>, Row> rows;
+		uint64_t revision;
+	};
+	Copy MakeCopy()
+	{
+		std::lock_guard<std::mutex> g(mu_);
+
+		return { rows_, revision_ };
+	}
+	/* Feed calls after a revision that @c lacks are answered 410. */
+	void Restore(const Copy &c, const std::string &era = "")
+	{
+		std::lock_guard<std::mutex> g(mu_);
+
+		rows_ = c.rows;
+		revision_ = c.revision;
+		era_ = era;
+		cv_.notify_all();
+	}
+	/* Empty: not stated. */
+	void SetEra(const std::string &era)
+	{
+		std::lock_guard<std::mutex> g(mu_);
+
+		era_ = era;
+	}
+
 	void SetFault(StoreFault f)
 	{
 		fault_ = f;
@@ -102,11 +136,6 @@
 		json_decref(root);
 		cv_.notify_all();
 	}
-	struct Row {
-		std::string value;
-		uint64_t revision;
-		bool deleted;
-	};
 	static std::string QueryParam(const std::string &target,
 				      const char *name)
 	{
@@ -139,6 +168,10 @@
 		}
 		return out;
 	}
+	std::string EraHeader() const
+	{
+		return era_.empty() ? "" : "Store-Era: " + era_ + "\r\n";
+	}
 	bool Handle(int fd, const FakeRequest &r)
 	{
 		std::unique_lock<std::mutex> g(mu_);
@@ -148,22 +181,24 @@
 		uint64_t after = strtoull(QueryParam(r.target, "after").c_str(),
 					  nullptr, 10);
 
+		if (feed) {
+			fed_after_[table] = after;
+			cv_.notify_all();
+		}
 		if (fault == REQUEST_LOST)
 			return false;
 		if (fault == UNAVAILABLE ||
-		    (fault == HISTORY_TRIMMED && feed)) {
+		    (feed && (fault == HISTORY_TRIMMED || after > revision_))) {
+			std::string era = EraHeader();
+
 			g.unlock();
 			FakeSend(fd,
 				 HttpAnswer(fault == UNAVAILABLE ? 503 : 410,
-					    ""));
+					    "", era));
 			return true;
 		}
 		if (r.target.find("/rows-tx") == 0)
 			CommitOneRow(r.body);
-		if (feed) {
-			fed_after_[table] = after;
-			cv_.notify_all();
-		}
 		if (feed && RowsJson(table, after, true).empty()) {
 			auto wait = std::chrono::milliseconds(
 				strtoul(QueryParam(r.target, "wait_ms").c_str(),
@@ -178,10 +213,11 @@
 				   RowsJson(table, after, feed) +
 				   "],\"has_more\":false,\"ver\":" +
 				   std::to_string(revision_) + ",\"now_ms\":1}";
+		std::string era = EraHeader();
 		g.unlock();
 		if (fault == ANSWER_LOST)
 			return false;
-		FakeSend(fd, HttpAnswer(200, body));
+		FakeSend(fd, HttpAnswer(200, body, era));
 		return !stop_;
 	}
 
@@ -190,6 +226,7 @@
 	std::map<std::pair<std::string, std::string>, Row> rows_;
 	std::map<std::string, uint64_t> fed_after_; /* by table */
 	uint64_t revision_ = 0;
+	std::string era_;
 	std::atomic<bool> stop_{ false };
 	std::atomic<StoreFault> fault_{ NO_FAULT };
 	FakeServer server_;
--- a/tests/test_gateway.cc
+++ b/tests/test_gateway.cc
@@ -362,6 +362,25 @@
 			     " 503 "));
 }
 
+TEST_F(Gateway, AnEndpointUpdatedBeforeAGapInTheHistoryIsRemovedByTheNextRead)
+{
+	FakeServer a("127.0.0.1", AnswerWith("gone"));
+	FakeServer b("127.0.0.1", AnswerWith("staying"));
+
+	store.Put("op", "config", ConfigJson(1));
+	store.Put("servers", "i-2", EndpointRow("other", b.addr()));
+	FakeStore::Copy without = store.MakeCopy();
+	store.Put("servers", "i-1", EndpointRow("app", a.addr()));
+	StartGateway(false);
+	WaitUntilReady();
+	uint64_t updated = store.Put("servers", "i-1",
+				     EndpointRow("app", a.addr(), "ready"));
+	ASSERT_TRUE(store.WaitUntilApplied("servers", updated));
+	store.Restore(without);
+	EXPECT_TRUE(Contains(RequestUntil(GetRequest("/u/1", "1"), " 503 "),
+			     " 503 "));
+}
+
 TEST_F(Gateway, StopCompletesStreamsInFlight)
 {
 	FakeServer e("127.0.0.1", [](int fd, const FakeRequest &r) {
