gateway: reads all again when the store comes back from an older copy

After a restore the store gives out again the revisions of the rows that it lost. A gateway compared revisions alone, so: - a configuration or an endpoint's row written again at a revision that the lost copy had used was not taken; - an endpoint whose row is missing in the copy was removed at once, though it runs and writes its row again within seconds; - a feed call that was waiting went on from a revision of the lost copy.

On a rise of the era both feeds now abandon their calls in flight, whatever their answers, and read all rows at once. Only answers to calls sent since are applied, so within a gateway revisions are of one era and need no pair: endpoints forget the revision of their row, and any row is newer then. An endpoint without a row is kept for the grace of an outage, again after each further restore. The first row after a restore may be older than the last one before it: it does not make a draining endpoint of the same incarnation ready. The configuration in force compares its own version and never falls.

Counters: store_era, store_restores_total, store_era_errors_total.

--- a/daemons/gateway/endpoints.c
+++ b/daemons/gateway/endpoints.c
@@ -166,6 +166,20 @@
 	}
 }
 
+/*
+ * The first row after a restore may be older than the one before it. An
+ * endpoint that was draining does not become ready by it.
+ */
+static void keep_draining(const struct endpoint *e,
+			  struct pf_endpoint_info *info)
+{
+	if (e->revision != 0 || !e->info.draining || info->draining ||
+	    e->info.incarnation != info->incarnation)
+		return;
+	info->draining = true;
+	info->remaining = e->info.remaining;
+}
+
 void endpoint_update(struct gateway *g, struct pf_str key, struct pf_str value,
 		     uint64_t revision)
 {
@@ -190,6 +204,8 @@
 		return;
 	}
 	remove_superseded(g, &info);
+	if (e)
+		keep_draining(e, &info);
 	if (!e) {
 		e = endpoint_new(g);
 		if (!e) {
@@ -210,6 +226,19 @@
 	update_cores(g, &e->info);
 }
 
+void endpoints_on_restore(struct gateway *g, pf_ms remove_at)
+{
+	struct endpoint *e;
+
+	g->endpoints_revision = 0;
+	LIST_FOREACH(e, &g->endpoints, next)
+	{
+		e->revision = 0;
+		if (e->remove_at && e->remove_at < remove_at)
+			e->remove_at = remove_at;
+	}
+}
+
 void endpoints_sweep(struct gateway *g)
 {
 	struct endpoint *e = LIST_FIRST(&g->endpoints);
@@ -219,8 +248,7 @@
 	for (; e; e = next) {
 		next = LIST_NEXT(e, next);
 		if (!e->removed && e->remove_at && now >= e->remove_at)
-			remove_endpoint(
-				e, "row not rewritten after a store outage");
+			remove_endpoint(e, "row not written again");
 		if (e->removed && e->refs == 0)
 			endpoint_free(e);
 	}
--- a/daemons/gateway/feeds.c
+++ b/daemons/gateway/feeds.c
@@ -35,6 +35,16 @@
 /* After an outage, live endpoints have rewritten expired rows by then. */
 #define ROW_REWRITE_GRACE_MS 2200
 
+/* In flight per table; restores add abandoned ones until they end. */
+#define FEED_CALLS_MAX 6
+
+/** A call in flight. */
+struct feed_call {
+	struct feed *feed;
+	bool in_flight;
+	bool abandoned; /* sent before a restore: its answer is dropped */
+};
+
 /** A table of the store that is kept up to date. */
 struct feed {
 	struct feeds *feeds;
@@ -43,9 +53,10 @@
 	void (*on_row)(struct gateway *g, const struct pf_store_row *row);
 	void (*on_read_done)(struct feed *f);
 	struct event *timer;
-	bool call_in_flight; /* a feed call or a read */
+	struct feed_call calls[FEED_CALLS_MAX];
+	struct feed_call *call; /* a feed call or a read; NULL: none */
 	pf_ms call_sent_at;
-	bool extra_in_flight; /* a second feed call, for an announced change */
+	struct feed_call *extra; /* a second one, for an announced change */
 	pf_ms extra_sent_at;
 	bool full_read; /* a read of all rows is due or in progress */
 	char *next_page_key; /* of that read; NULL: the first page */
@@ -54,7 +65,7 @@
 	pf_ms answered_at;
 	uint32_t consecutive_failures;
 	bool unavailable; /* the last call failed */
-	pf_ms recovered_at; /* end of the last outage; 0: none */
+	pf_ms recovered_at; /* end of the last outage or restore; 0: none */
 	uint64_t read_number; /* counts reads of all rows */
 };
 
@@ -81,6 +92,49 @@
 	event_add(f->timer, &tv);
 }
 
+/* Returns NULL if too many calls are in flight. */
+static struct feed_call *take_call(struct feed *f)
+{
+	size_t i;
+
+	for (i = 0; i < FEED_CALLS_MAX; i++) {
+		if (!f->calls[i].in_flight)
+			return &f->calls[i];
+	}
+	return NULL;
+}
+
+static struct feed_call *mark_sent(struct feed *f, struct feed_call *c)
+{
+	*c = (struct feed_call){ .feed = f, .in_flight = true };
+	return c;
+}
+
+/* Returns its feed, or NULL if its answer must be dropped. */
+static struct feed *end_call(struct feed_call *c)
+{
+	struct feed *f = c->feed;
+
+	c->in_flight = false;
+	if (c->abandoned)
+		return NULL;
+	if (c == f->call)
+		f->call = NULL;
+	else
+		f->extra = NULL;
+	return f;
+}
+
+static void abandon_calls(struct feed *f)
+{
+	if (f->call)
+		f->call->abandoned = true;
+	if (f->extra)
+		f->extra->abandoned = true;
+	f->call = NULL;
+	f->extra = NULL;
+}
+
 static void on_call_failed(struct feed *f, enum pf_store_status status)
 {
 	struct feeds *fs = f->feeds;
@@ -144,9 +198,10 @@
 
 static void on_feed(void *ctx, const struct pf_store_answer *a)
 {
-	struct feed *f = ctx;
+	struct feed *f = end_call(ctx);
 
-	f->call_in_flight = false;
+	if (!f)
+		return;
 	if (a->status == PF_STORE_TRIMMED) {
 		PF_LOG(&f->feeds->gateway->log, PF_LOG_INFO, "history_gone",
 		       PF_KV_TEXT("table", f->table),
@@ -166,30 +221,31 @@
 
 static void on_extra(void *ctx, const struct pf_store_answer *a)
 {
-	struct feed *f = ctx;
+	struct feed *f = end_call(ctx);
 
-	f->extra_in_flight = false;
-	if (a->status == PF_STORE_OK && !f->full_read)
+	if (f && a->status == PF_STORE_OK && !f->full_read)
 		apply_rows(f, a);
 }
 
 /* Calls soon, since another gateway knows a newer revision. */
 static void call_soon(struct feed *f)
 {
+	struct feed_call *c = take_call(f);
 	pf_ms now = pf_clock_now();
 
-	if (f->full_read || f->extra_in_flight ||
+	if (f->full_read || f->extra || !c ||
 	    now - f->extra_sent_at < EXTRA_CALL_INTERVAL_MS)
 		return;
-	if (f->call_in_flight && now - f->call_sent_at < EXTRA_CALL_INTERVAL_MS)
+	if (f->call && now - f->call_sent_at < EXTRA_CALL_INTERVAL_MS)
 		return;
 	f->extra_sent_at = now;
-	if (!f->call_in_flight) {
+	if (!f->call) {
 		schedule_call(f, 0);
 		return;
 	}
-	f->extra_in_flight = pf_store_feed(f->feeds->gateway->store, f->table,
-					   f->cursor, 0, on_extra, f) == 0;
+	if (pf_store_feed(f->feeds->gateway->store, f->table, f->cursor, 0,
+			  on_extra, c) == 0)
+		f->extra = mark_sent(f, c);
 }
 
 void feeds_on_peer_revisions(struct gateway *g, uint64_t config,
@@ -214,7 +270,7 @@
 /* Cuts short an interval that was set while readers announced changes. */
 static void call_if_overdue(struct feed *f, pf_ms now)
 {
-	if (!f->call_in_flight && !f->unavailable && !f->full_read &&
+	if (!f->call && !f->unavailable && !f->full_read &&
 	    now - f->answered_at >= UNNOTIFIED_INTERVAL_MS)
 		schedule_call(f, 0);
 }
@@ -239,10 +295,11 @@
 
 static void on_page(void *ctx, const struct pf_store_answer *a)
 {
-	struct feed *f = ctx;
+	struct feed *f = end_call(ctx);
 	size_t i;
 
-	f->call_in_flight = false;
+	if (!f)
+		return;
 	if (a->status != PF_STORE_OK) {
 		on_call_failed(f, a->status);
 		return;
@@ -269,19 +326,20 @@
 static void send_call(struct feed *f)
 {
 	struct pf_store *s = f->feeds->gateway->store;
-	int ret;
+	struct feed_call *c = take_call(f);
+	int ret = -1;
 
-	if (f->call_in_flight)
+	if (f->call)
 		return;
-
-	if (f->full_read)
+	if (c && f->full_read)
 		ret = pf_store_read(s, f->table, PF_STR(""),
 				    pf_str_c(f->next_page_key), PF_STR(""),
-				    READ_PAGE_ROWS, on_page, f);
-	else
+				    READ_PAGE_ROWS, on_page, c);
+	else if (c)
 		ret = pf_store_feed(s, f->table, f->cursor, FEED_WAIT_MS,
-				    on_feed, f);
-	f->call_in_flight = ret == 0;
+				    on_feed, c);
+	if (ret == 0)
+		f->call = mark_sent(f, c);
 	f->call_sent_at = pf_clock_now();
 	if (ret < 0)
 		on_call_failed(f, PF_STORE_REFUSED);
@@ -306,7 +364,7 @@
 
 /*
  * When to remove an endpoint whose row disappeared. Rows may expire while the
- * store is unavailable, though their endpoints still run.
+ * store is unavailable, or be missing in a copy, though their endpoints run.
  */
 static pf_ms row_removal_time(const struct feeds *fs)
 {
@@ -345,6 +403,29 @@
 	}
 }
 
+/*
+ * Revisions of the old copy mean nothing in the new one. Calls in flight are
+ * abandoned: a feed from a revision that is given out again misses changes.
+ */
+static void restart_feed(struct feed *f)
+{
+	abandon_calls(f);
+	f->cursor = 0;
+	f->recovered_at = pf_clock_now();
+	start_full_read(f);
+}
+
+static void on_store_restored(void *ctx, int64_t old_era, int64_t era)
+{
+	struct gateway *g = ctx;
+
+	(void)old_era;
+	(void)era;
+	restart_feed(&g->feeds->config);
+	restart_feed(&g->feeds->endpoints);
+	endpoints_on_restore(g, row_removal_time(g->feeds));
+}
+
 static int feed_start(struct feeds *fs, struct feed *f)
 {
 	f->feeds = fs;
@@ -363,6 +444,9 @@
 		.calls_max = CALLS_MAX,
 		.timeout = CALL_TIMEOUT_MS,
 		.body_max = ANSWER_BYTES_MAX,
+		.log = &g->log,
+		.on_restore = on_store_restored,
+		.ctx = g,
 	};
 	struct feeds *fs = calloc(1, sizeof(*fs));
 
--- a/daemons/gateway/gateway.h
+++ b/daemons/gateway/gateway.h
@@ -35,13 +35,14 @@
 	LIST_ENTRY(endpoint) next;
 	struct gateway *gateway;
 	struct pf_endpoint_info info;
-	uint64_t revision; /* of its row in the store */
+	/* Of its row; 0: the store was restored since, any row is newer. */
+	uint64_t revision;
 	LIST_HEAD(, upstream) idle_conns;
 	uint32_t n_idle_conns;
 	uint64_t seen_in_read; /* last full read with its row */
 	/*
-	 * The row disappeared in a store outage: the endpoint is removed then
-	 * unless it is written again. 0: none due.
+	 * The row disappeared in a store outage or restore: the endpoint is
+	 * removed then unless it is written again. 0: none due.
 	 */
 	pf_ms remove_at;
 	bool removed; /* unknown to the cores; freed with its last connection */
@@ -194,6 +195,8 @@
 /** Removes an endpoint whose row is gone; not before @remove_at. */
 void endpoint_row_deleted(struct endpoint *e, uint64_t revision,
 			  pf_ms remove_at);
+/** The store was restored: missing rows may be written until @remove_at. */
+void endpoints_on_restore(struct gateway *g, pf_ms remove_at);
 /** Carries out removals that are due, and frees removed endpoints. */
 void endpoints_sweep(struct gateway *g);
 void endpoints_stop(struct gateway *g);
--- a/daemons/gateway/ready.c
+++ b/daemons/gateway/ready.c
@@ -32,6 +32,7 @@
 
 static void set_counters(struct gateway *g, struct pf_gateway_counters *c)
 {
+	const struct pf_eras *eras = pf_store_eras(g->store);
 	struct pf_process_usage u;
 	struct pf_gate_stats s;
 
@@ -49,6 +50,11 @@
 	c->v[PF_GC_REPEATS] = s.retries;
 	c->v[PF_GC_ENDPOINTS] = s.endpoints;
 	c->v[PF_GC_VERSION] = g->routes ? g->routes->version : 0;
+	c->v[PF_GC_STORE_ERA] =
+		eras->newest == PF_ERA_UNKNOWN ? 0 : (uint64_t)eras->newest;
+	c->v[PF_GC_STORE_RESTORES] = eras->n_restores;
+	c->v[PF_GC_STORE_ERA_ERRORS] =
+		(uint64_t)eras->n_falls + pf_store_bad_eras(g->store);
 	c->v[PF_GC_CPU_MS] = u.cpu_ms;
 	c->v[PF_GC_RSS_KB] = u.rss_kb;
 }
--- a/include/pimentoford/counters.h
+++ b/include/pimentoford/counters.h
@@ -119,6 +119,11 @@
 	    "Sends after the first of a request")                              \
 	DEF(ENDPOINTS, "endpoints", "gauge", "Endpoints that are listed")      \
 	DEF(VERSION, "config_version", "gauge", "Configuration in force")      \
+	DEF(STORE_ERA, "store_era", "gauge", "Era of the store")               \
+	DEF(STORE_RESTORES, "store_restores_total", "counter",                 \
+	    "Times the store came back from an older copy")                    \
+	DEF(STORE_ERA_ERRORS, "store_era_errors_total", "counter",             \
+	    "Answers of the store with an unreadable or falling era")          \
 	DEF(CPU_MS, "cpu_ms_total", "counter", "Processor time used")          \
 	DEF(RSS_KB, "resident_kb", "gauge", "Resident memory")
 
--- a/tests/gateway_fixture.h
+++ b/tests/gateway_fixture.h
@@ -93,8 +93,23 @@
 		rows_ = c.rows;
 		revision_ = c.revision;
 		era_ = era;
+		fed_after_.clear();
 		cv_.notify_all();
 	}
+	/* Answers the next @n calls for @table from @c, in its era. */
+	void AnswerFromCopy(const std::string &table, const Copy &c,
+			    const std::string &era, int n)
+	{
+		std::lock_guard<std::mutex> g(mu_);
+
+		stale_ = { table, c, era, n };
+	}
+	int StaleAnswersLeft()
+	{
+		std::lock_guard<std::mutex> g(mu_);
+
+		return stale_.n;
+	}
 	/* Empty: not stated. */
 	void SetEra(const std::string &era)
 	{
@@ -168,6 +183,37 @@
 		}
 		return out;
 	}
+	struct Stale {
+		std::string table;
+		Copy copy;
+		std::string era;
+		int n;
+	};
+	/* Answers one call from the copy. */
+	void SendStale(int fd, const std::string &table, uint64_t after,
+		       bool feed)
+	{
+		std::string era = "Store-Era: " + stale_.era + "\r\n";
+
+		stale_.n--;
+		std::swap(rows_, stale_.copy.rows);
+		FakeSend(
+			fd,
+			feed && after > stale_.copy.revision
+				? HttpAnswer(410, "", era)
+				: HttpAnswer(
+					  200,
+					  "{\"rows\":[" +
+						  RowsJson(table, after, feed) +
+						  "],\"has_more\":false,"
+						  "\"ver\":" +
+						  std::to_string(
+							  stale_.copy
+								  .revision) +
+						  "}",
+					  era));
+		std::swap(rows_, stale_.copy.rows);
+	}
 	std::string EraHeader() const
 	{
 		return era_.empty() ? "" : "Store-Era: " + era_ + "\r\n";
@@ -187,6 +233,10 @@
 		}
 		if (fault == REQUEST_LOST)
 			return false;
+		if (stale_.n > 0 && stale_.table == table) {
+			SendStale(fd, table, after, feed);
+			return true;
+		}
 		if (fault == UNAVAILABLE ||
 		    (feed && (fault == HISTORY_TRIMMED || after > revision_))) {
 			std::string era = EraHeader();
@@ -227,6 +277,7 @@
 	std::map<std::string, uint64_t> fed_after_; /* by table */
 	uint64_t revision_ = 0;
 	std::string era_;
+	Stale stale_{};
 	std::atomic<bool> stop_{ false };
 	std::atomic<StoreFault> fault_{ NO_FAULT };
 	FakeServer server_;
--- a/tests/test_gateway.cc
+++ b/tests/test_gateway.cc
@@ -381,6 +381,189 @@
 			     " 503 "));
 }
 
+/* The store comes back from a copy. */
+struct GatewayRestore : Gateway {
+	FakeServer a{ "127.0.0.1", AnswerWith("first") };
+	FakeServer b{ "127.0.0.1", AnswerWith("second") };
+
+	GatewayRestore()
+	{
+		store.SetEra("1");
+		store.Put("op", "config", ConfigJson(1));
+	}
+	void Start()
+	{
+		StartGateway(false);
+		WaitUntilReady();
+	}
+	/* Whether all requests of the next second are served by @body. */
+	void ExpectOnly(const std::string &path, const std::string &body)
+	{
+		for (int i = 0; i < 20; i++) {
+			ASSERT_TRUE(
+				Contains(Request(GetRequest(path, "3")), body));
+			usleep(50000);
+		}
+	}
+	std::string Counter(const std::string &name)
+	{
+		std::string all = FakeGet("127.0.0.2", ready_port, "/metrics");
+		size_t at = all.find("\npimento_gateway_" + name + " ");
+
+		if (at == std::string::npos)
+			return "";
+		at = all.find(' ', at) + 1;
+		return all.substr(at, all.find('\n', at) - at);
+	}
+	bool WaitForCounter(const std::string &name, const std::string &value)
+	{
+		for (int i = 0; i < 200 && Counter(name) != value; i++)
+			usleep(50000);
+		return Counter(name) == value;
+	}
+};
+
+TEST_F(GatewayRestore, RestoredStoreDoesNotRevertConfiguration)
+{
+	store.Put("servers", "i-1", EndpointRow("app", a.addr()));
+	store.Put("servers", "i-2", EndpointRow("other", b.addr()));
+	Start();
+	FakeStore::Copy copy = store.MakeCopy();
+	uint64_t five = store.Put("op", "config", ConfigJson(5, "other"));
+	ASSERT_TRUE(store.WaitUntilApplied("op", five));
+	for (int era = 2; era <= 3; era++) {
+		store.Restore(copy, std::to_string(era));
+		ASSERT_TRUE(WaitForCounter("store_era", std::to_string(era)));
+		ExpectOnly("/s/", "second");
+		EXPECT_EQ(Counter("config_version"), "5");
+	}
+	EXPECT_EQ(Counter("store_restores_total"), "2");
+}
+
+TEST_F(GatewayRestore, ConfigurationWrittenAgainAtReusedRevisionIsTaken)
+{
+	store.Put("servers", "i-1", EndpointRow("app", a.addr()));
+	store.Put("servers", "i-2", EndpointRow("other", b.addr()));
+	Start();
+	FakeStore::Copy copy = store.MakeCopy();
+	uint64_t five = store.Put("op", "config", ConfigJson(5, "other"));
+	ASSERT_TRUE(store.WaitUntilApplied("op", five));
+	store.Restore(copy, "2");
+	ASSERT_EQ(store.Put("op", "config", ConfigJson(6, "app")), five);
+	EXPECT_TRUE(WaitForCounter("config_version", "6"));
+	ExpectOnly("/s/", "first");
+}
+
+TEST_F(GatewayRestore, EndpointWrittenAgainAtReusedRevisionIsTaken)
+{
+	store.Put("servers", "i-1", EndpointRow("app", a.addr()));
+	Start();
+	FakeStore::Copy copy = store.MakeCopy();
+	uint64_t last =
+		store.Put("servers", "i-1", EndpointRow("app", a.addr()));
+	ASSERT_TRUE(store.WaitUntilApplied("servers", last));
+	store.Restore(copy, "2");
+	ASSERT_EQ(store.Put("servers", "i-1", EndpointRow("app", b.addr())),
+		  last);
+	EXPECT_TRUE(Contains(RequestUntil(GetRequest("/u/1", "1"), "second"),
+			     "second"));
+	ExpectOnly("/u/2", "second");
+}
+
+TEST_F(GatewayRestore, OlderEraAnswerIsIgnored)
+{
+	FakeStore::Copy copy = store.MakeCopy();
+	store.Put("servers", "i-1", EndpointRow("app", a.addr()));
+	Start();
+	store.Restore(store.MakeCopy(), "2");
+	ASSERT_TRUE(WaitForCounter("store_era", "2"));
+	store.AnswerFromCopy("servers", copy, "1", 3);
+	for (int i = 0; i < 200 && store.StaleAnswersLeft(); i++)
+		usleep(50000);
+	EXPECT_EQ(store.StaleAnswersLeft(), 0);
+	ExpectOnly("/u/1", "first");
+	EXPECT_EQ(Counter("endpoints"), "1");
+	EXPECT_EQ(Counter("store_era_errors_total"), "3");
+	EXPECT_EQ(Counter("store_restores_total"), "1");
+}
+
+TEST_F(GatewayRestore, DrainingEndpointStaysDrainingByARowOfTheCopy)
+{
+	store.Put("servers", "i-1", EndpointRow("app", a.addr()));
+	store.Put("servers", "i-2", EndpointRow("app", b.addr()));
+	FakeStore::Copy copy = store.MakeCopy();
+	Start();
+	uint64_t drained = store.Put("servers", "i-1",
+				     EndpointRow("app", a.addr(), "draining"));
+	ASSERT_TRUE(store.WaitUntilApplied("servers", drained));
+	for (int era = 2; era <= 3; era++) {
+		store.Restore(copy, std::to_string(era));
+		ASSERT_TRUE(WaitForCounter("store_era", std::to_string(era)));
+		uint64_t other = store.Put("servers", "i-3",
+					   EndpointRow("other", "127.0.0.1:1"));
+		ASSERT_TRUE(store.WaitUntilApplied("servers", other));
+		ExpectOnly("/u/1", "second");
+	}
+	// A later row of the endpoint counts.
+	uint64_t ready =
+		store.Put("servers", "i-1", EndpointRow("app", a.addr()));
+	store.Put("servers", "i-2", EndpointRow("app", b.addr(), "draining"));
+	ASSERT_TRUE(store.WaitUntilApplied("servers", ready + 1));
+	ExpectOnly("/u/2", "first");
+}
+
+TEST_F(GatewayRestore, EndpointMissingInACopyIsKeptUntilItCouldBeWrittenAgain)
+{
+	store.Put("servers", "i-2", EndpointRow("other", b.addr()));
+	FakeStore::Copy copy = store.MakeCopy();
+	uint64_t row =
+		store.Put("servers", "i-1", EndpointRow("app", a.addr()));
+	Start();
+	ASSERT_TRUE(store.WaitUntilApplied("servers", row));
+	store.Restore(copy, "2");
+	ASSERT_TRUE(WaitForCounter("store_era", "2"));
+	ExpectOnly("/u/1", "first");
+	ASSERT_EQ(store.Put("servers", "i-1", EndpointRow("app", a.addr())),
+		  row);
+	sleep(3);
+	ExpectOnly("/u/2", "first");
+	// Not written again.
+	store.Restore(copy, "3");
+	ASSERT_TRUE(WaitForCounter("store_era", "3"));
+	EXPECT_TRUE(WaitForCounter("endpoints", "1"));
+}
+
+TEST_F(GatewayRestore, ProcessStartedInTheMiddleTakesTheNewerConfiguration)
+{
+	store.Put("servers", "i-1", EndpointRow("app", a.addr()));
+	store.Put("servers", "i-2", EndpointRow("other", b.addr()));
+	store.Restore(store.MakeCopy(), "2");
+	Start();
+	EXPECT_TRUE(Contains(RequestUntil(GetRequest("/s/", "1"), "first"),
+			     "first"));
+	EXPECT_EQ(Counter("store_restores_total"), "0");
+	store.Put("op", "config", ConfigJson(5, "other"));
+	EXPECT_TRUE(WaitForCounter("config_version", "5"));
+	ExpectOnly("/s/", "second");
+}
+
+TEST_F(GatewayRestore, GarbledEraIsAFinding)
+{
+	store.Put("servers", "i-1", EndpointRow("app", a.addr()));
+	store.Put("servers", "i-2", EndpointRow("other", b.addr()));
+	Start();
+	store.SetEra("first");
+	store.Put("op", "config", ConfigJson(5, "other"));
+	EXPECT_TRUE(WaitForCounter("config_version", "5"));
+	ExpectOnly("/s/", "second");
+	EXPECT_GT(atoi(Counter("store_era_errors_total").c_str()), 0);
+	EXPECT_EQ(Counter("store_era"), "1");
+	store.SetEra("1");
+	store.Put("op", "config", ConfigJson(6, "app"));
+	EXPECT_TRUE(WaitForCounter("config_version", "6"));
+	EXPECT_EQ(Counter("store_restores_total"), "0");
+}
+
 TEST_F(Gateway, StopCompletesStreamsInFlight)
 {
 	FakeServer e("127.0.0.1", [](int fd, const FakeRequest &r) {
