gateway: writes its membership row again when the store lost it

A gateway wrote its row once, at its start. After a restore from a copy that lacks it, the others dropped it at their next read (20 s at most): digests went to it as to a stranger, each 720 ms instead of 120 ms, and a gateway started later never found it.

A gateway now writes its row again on a rise of the era, within a second at random so that not all write at once, and whenever a read of all rows lacks it. Readers keep a gateway that sends digests though its row is missing, with its zone and intervals.

MembershipIsWrittenAgainAfterARestore failed before (no row in 10 s).

--- a/daemons/gateway/gateway.h
+++ b/daemons/gateway/gateway.h
@@ -232,6 +232,8 @@
  * the store. Their digests announce changes.
  */
 bool members_have_store_readers(const struct gateway *g);
+/** The store was restored: this gateway's row may be gone. */
+void members_on_restore(struct gateway *g);
 /** Act of the core: asks a loader to load the adapter of @x. */
 void talk_request_adapter(struct exchange *x, const struct pf_gate_act *a);
 /** Passes g->routes to the plan core; the old table must still be valid. */
--- a/daemons/gateway/members.c
+++ b/daemons/gateway/members.c
@@ -25,6 +25,10 @@
  * read. */
 #define MEMBERS_READ_INTERVAL_MS 20000
 #define MEMBERS_RETRY_INTERVAL_MS 500
+/* While a gateway that sends digests has no row. */
+#define MEMBERS_MISSING_INTERVAL_MS 3000
+/* Spreads the writes of all gateways after a restore of the store. */
+#define REWRITE_JITTER_MS 1000
 
 static void schedule_members_timer(struct talk *t, pf_ms ms)
 {
@@ -152,6 +156,7 @@
 	    pf_talk_addr(s, &m->addr) < 0)
 		goto out;
 	zone = pf_id(pf_str_c(space + 1));
+	m->row_known = true;
 	m->digest_cursor.region = talk_zone_region(t->gateway, zone);
 	m->digest_interval = zone == own_zone      ? 0
 			     : in_own_region(t, m) ? REGION_DIGEST_INTERVAL_MS
@@ -162,12 +167,50 @@
 	free(s);
 }
 
+static bool is_member(const struct talk *t, const struct sockaddr_in *addr)
+{
+	uint32_t i;
+
+	for (i = 0; i < t->n_members; i++) {
+		if (pf_talk_same_addr(&t->members[i].addr, addr))
+			return true;
+	}
+	return false;
+}
+
+/*
+ * Keeps gateways that send digests but have no row: the store may have lost it.
+ * Returns whether one of them never had a row.
+ */
+static bool keep_live_members(struct talk *t, const struct member *old,
+			      uint32_t n_old)
+{
+	pf_ms now = pf_clock_now();
+	bool unknown = false;
+	uint32_t i;
+
+	for (i = 0; i < n_old && t->n_members < MEMBERS_MAX; i++) {
+		if (!member_is_live(&old[i], now) || is_member(t, &old[i].addr))
+			continue;
+		t->members[t->n_members++] = old[i];
+		unknown |= !old[i].row_known;
+	}
+	return unknown;
+}
+
+static bool is_own_row(const struct gateway *g, const struct pf_store_row *row)
+{
+	return pf_str_eq(row->key, pf_str_c(g->settings.common.name));
+}
+
 static void on_rows_read(void *ctx, const struct pf_store_answer *a)
 {
 	struct pf_plan_msg members_read = { .type = PF_PLAN_MEMBERS_READ };
 	struct member old[MEMBERS_MAX];
 	struct talk *t = ctx;
 	uint32_t n_old = t->n_members;
+	bool own_row = false;
+	bool unknown;
 	size_t i;
 
 	if (a->status != PF_STORE_OK) {
@@ -176,10 +219,26 @@
 	}
 	memcpy(old, t->members, n_old * sizeof(*old));
 	t->n_members = 0;
-	for (i = 0; i < a->n; i++)
+	for (i = 0; i < a->n; i++) {
+		own_row |= is_own_row(t->gateway, &a->rows[i]);
 		add_member(t, a->rows[i].value, old, n_old);
+	}
+	unknown = keep_live_members(t, old, n_old);
 	talk_plan_step(t, &members_read);
-	schedule_members_timer(t, MEMBERS_READ_INTERVAL_MS);
+	/* Without it in a full page, the row may be on the next one. */
+	if (!own_row && !a->more)
+		t->row_written = false;
+	schedule_members_timer(t, !t->row_written ? MEMBERS_RETRY_INTERVAL_MS
+				  : unknown       ? MEMBERS_MISSING_INTERVAL_MS
+						  : MEMBERS_READ_INTERVAL_MS);
+}
+
+void members_on_restore(struct gateway *g)
+{
+	struct talk *t = g->talk;
+
+	t->row_written = false;
+	schedule_members_timer(t, pf_rng_below(&t->rng, REWRITE_JITTER_MS));
 }
 
 static void on_row_written(void *ctx, const struct pf_store_answer *a)
@@ -226,6 +285,7 @@
 		event_new(t->gateway->base, -1, 0, on_members_timer, t);
 	if (!t->members_timer)
 		return -1;
+	pf_rng_seed(&t->rng, t->gateway->self);
 	schedule_members_timer(t, 0);
 	return 0;
 }
--- a/daemons/gateway/talk_core.h
+++ b/daemons/gateway/talk_core.h
@@ -22,6 +22,7 @@
 	struct pf_gate_peer_cursor digest_cursor; /* what it was sent so far */
 	pf_ms store_answered_at; /* according to its digest; 0: unknown */
 	pf_ms digest_interval; /* 0: with each tick */
+	bool row_known; /* its row has been read */
 };
 
 struct talk {
@@ -34,6 +35,7 @@
 	struct member members[MEMBERS_MAX];
 	uint32_t n_members;
 	bool row_written; /* this gateway's own row is in the store */
+	struct pf_rng rng;
 	bool was_leader; /* at the last tick of the plan core */
 	pf_ms demand_sent_at;
 };
--- a/tests/gateway_fixture.h
+++ b/tests/gateway_fixture.h
@@ -96,6 +96,20 @@
 		fed_after_.clear();
 		cv_.notify_all();
 	}
+	bool HasRow(const std::string &table, const std::string &key)
+	{
+		std::lock_guard<std::mutex> g(mu_);
+
+		return rows_.count({ table, key }) > 0;
+	}
+	bool WaitForRow(const std::string &table, const std::string &key)
+	{
+		std::unique_lock<std::mutex> g(mu_);
+
+		return cv_.wait_for(g, std::chrono::seconds(10), [&] {
+			return rows_.count({ table, key }) > 0;
+		});
+	}
 	/* Answers the next @n calls for @table from @c, in its era. */
 	void AnswerFromCopy(const std::string &table, const Copy &c,
 			    const std::string &era, int n)
--- a/tests/test_gateway.cc
+++ b/tests/test_gateway.cc
@@ -1,7 +1,10 @@
 // The gateway and the loader as processes on loopback, with a fake store and
 // fake endpoints: forwarding, retries, malformed input and shutdown.
+#include "pimentoford/talk.h"
 #include "tests/gateway_fixture.h"
 
+#include <event2/event.h>
+
 #include <gtest/gtest.h>
 #include <signal.h>
 #include <sys/socket.h>
@@ -547,6 +550,89 @@
 	ExpectOnly("/s/", "second");
 }
 
+TEST_F(GatewayRestore, MembershipIsWrittenAgainAfterARestore)
+{
+	const char *row = "g-127.0.0.2";
+
+	store.Put("servers", "i-1", EndpointRow("app", a.addr()));
+	FakeStore::Copy copy = store.MakeCopy();
+	Start();
+	ASSERT_TRUE(store.WaitForRow("pimentoford", row));
+	for (int era = 2; era <= 3; era++) {
+		store.Restore(copy, std::to_string(era));
+		EXPECT_FALSE(store.HasRow("pimentoford", row));
+		EXPECT_TRUE(store.WaitForRow("pimentoford", row));
+	}
+}
+
+/* A gateway of the same zone, played by the test. */
+struct PeerGateway {
+	struct event_base *base = event_base_new();
+	struct pf_log log = { -1, PF_LOG_ERROR, "peer", nullptr };
+	struct pf_talk *talk = nullptr;
+	struct sockaddr_in to = {};
+	std::string addr;
+	int received = 0;
+
+	explicit PeerGateway(int gateway_port)
+	{
+		struct pf_talk_opts o = {};
+
+		addr = "127.0.0.2:" + std::to_string(FreePort());
+		o.base = base;
+		o.addr = addr.c_str();
+		o.log = &log;
+		o.digest = [](void *ctx, const struct sockaddr_in *,
+			      const struct pf_gate_digest *,
+			      const struct pf_talk_store_view *) {
+			static_cast<PeerGateway *>(ctx)->received++;
+		};
+		o.ctx = this;
+		talk = pf_talk_new(&o);
+		pf_talk_addr(
+			("127.0.0.2:" + std::to_string(gateway_port)).c_str(),
+			&to);
+	}
+	~PeerGateway()
+	{
+		pf_talk_free(talk);
+		event_base_free(base);
+	}
+	/* Sends digests for @ms; returns how many came from the gateway. */
+	int Exchange(int ms)
+	{
+		struct pf_gate_digest d = {};
+		struct pf_talk_store_view view = {};
+
+		d.peer = 77;
+		received = 0;
+		for (int i = 0; i < ms / 50; i++) {
+			pf_talk_send_digest(talk, &to, &d, &view);
+			usleep(50000);
+			event_base_loop(base, EVLOOP_NONBLOCK);
+		}
+		return received;
+	}
+};
+
+TEST_F(GatewayRestore, LivePeerWhoseRowIsGoneIsKept)
+{
+	PeerGateway peer(talk_port);
+
+	store.Put("servers", "i-1", EndpointRow("app", a.addr()));
+	FakeStore::Copy copy = store.MakeCopy();
+	store.Put("pimentoford", "g-peer", peer.addr + " za");
+	Start();
+	ASSERT_TRUE(store.WaitForRow("pimentoford", "g-127.0.0.2"));
+	peer.Exchange(1000);
+	EXPECT_GE(peer.Exchange(2000), 12);
+	store.Restore(copy, "2");
+	ASSERT_TRUE(store.WaitForRow("pimentoford", "g-127.0.0.2"));
+	peer.Exchange(1000);
+	// Gateways of unknown zones are sent three in two seconds.
+	EXPECT_GE(peer.Exchange(2000), 12);
+}
+
 TEST_F(GatewayRestore, GarbledEraIsAFinding)
 {
 	store.Put("servers", "i-1", EndpointRow("app", a.addr()));
