--- a/tests/fake_store.cc
+++ b/tests/fake_store.cc
@@ -275,6 +275,72 @@
 	});
 }
 
+FakeStore::Copy FakeStore::MakeCopy()
+{
+	Lock g(mu_);
+
+	return { rows_, changes_, revision_ };
+}
+
+void FakeStore::SetCopy(const Copy &c)
+{
+	rows_ = c.rows;
+	changes_ = c.changes;
+	revision_ = c.revision;
+	trimmed_ = std::min(trimmed_, revision_);
+}
+
+void FakeStore::Restore(const Copy &c, const std::string &era)
+{
+	Lock g(mu_);
+
+	SetCopy(c);
+	fed_after_.clear();
+	era_header_ = ERA_TEXT;
+	era_text_ = era;
+	cv_.notify_all();
+}
+
+void FakeStore::AnswerFromCopy(const std::string &table, const Copy &c,
+			       const std::string &era, int n)
+{
+	Lock g(mu_);
+
+	stale_ = { table, c, era, n };
+}
+
+int FakeStore::StaleAnswersLeft()
+{
+	Lock g(mu_);
+
+	return stale_.n;
+}
+
+bool FakeStore::HasRow(const std::string &table, const std::string &key)
+{
+	Lock g(mu_);
+
+	return std::any_of(rows_.begin(), rows_.end(), [&](const auto &r) {
+		return std::get<0>(r.first) == table &&
+		       std::get<2>(r.first) == key && !r.second.deleted;
+	});
+}
+
+bool FakeStore::WaitForRow(const std::string &table, const std::string &key)
+{
+	for (int i = 0; i < 1000 && !HasRow(table, key); i++)
+		std::this_thread::sleep_for(std::chrono::milliseconds(10));
+	return HasRow(table, key);
+}
+
+void FakeStore::SetEra(const std::string &text)
+{
+	Lock g(mu_);
+
+	era_header_ = ERA_TEXT;
+	era_text_ = text;
+}
+
 std::string FakeStore::EraLine() const
 {
 	switch (era_header_) {
@@ -286,6 +352,9 @@
 		return "Store-Era: first\r\n";
 	case ERA_FALLING:
 		return "Store-Era: " + std::to_string(era_ - 1) + "\r\n";
+	case ERA_TEXT:
+		return era_text_.empty() ? ""
+					 : "Store-Era: " + era_text_ + "\r\n";
 	}
 	return "";
 }
@@ -300,6 +369,32 @@
 	return all != faults_.end() ? all->second : NO_FAULT;
 }
 
+bool FakeStore::AnswerStale(Lock &g, int fd, const std::string &target)
+{
+	uint64_t after = QueryNumber(target, "after");
+	std::string table = QueryParam(target, "table");
+	bool feed = target.find("/rows-feed?") == 0;
+	Copy now = { rows_, changes_, revision_ };
+	Reply a;
+
+	if (stale_.n == 0 || table != stale_.table)
+		return false;
+	stale_.n--;
+	SetCopy(stale_.copy);
+	if (!feed)
+		a = Read(target);
+	else if (after > revision_)
+		a = { 410, "" };
+	else
+		a = RowsReply(200, ChangesAfter(table, after), false);
+	std::string answer = HttpAnswer(a.status, a.body,
+					"Store-Era: " + stale_.era + "\r\n");
+	SetCopy(now);
+	g.unlock();
+	FakeSend(fd, answer);
+	return true;
+}
+
 bool FakeStore::Handle(const std::string &caller, int fd, const FakeRequest &r)
 {
 	bool write = r.target == "/rows-tx";
@@ -319,6 +414,8 @@
 		Later(delay_ms_, [this, body] { Commit(body); });
 		return false;
 	}
+	if (AnswerStale(g, fd, r.target))
+		return true;
 	a = Answer(g, caller, r);
 	if (stop_ || era != era_ || fault == ANSWER_LOST ||
 	    FaultOf(caller) == REQUEST_LOST)
--- a/tests/fake_store.h
+++ b/tests/fake_store.h
@@ -28,7 +28,13 @@
 		SILENT, /* handles requests when the fault is over */
 		SLOW, /* applies the request, answers after the delay */
 	};
-	enum EraHeader { ERA_SENT, ERA_ABSENT, ERA_UNREADABLE, ERA_FALLING };
+	enum EraHeader {
+		ERA_SENT,
+		ERA_ABSENT,
+		ERA_UNREADABLE,
+		ERA_FALLING,
+		ERA_TEXT, /* of SetEra() */
+	};
 	struct Reply {
 		int status;
 		std::string body;
@@ -64,6 +70,21 @@
 	 * After @rewrite_ms the rows of the operator and of endpoints that were
 	 * lost are written again, unless Put() was faster. */
 	void Restore(unsigned age_ms, unsigned rewrite_ms);
+	/* The same from a copy taken before. @era: the header's text, as in
+	 * SetEra(); nothing is written again. */
+	struct Copy;
+	Copy MakeCopy();
+	void Restore(const Copy &c, const std::string &era = "");
+	/* Answers the next @n calls for @table from @c, in its era. */
+	void AnswerFromCopy(const std::string &table, const Copy &c,
+			    const std::string &era, int n);
+	int StaleAnswersLeft();
+	/* In any part. */
+	bool HasRow(const std::string &table, const std::string &key);
+	/* Waits up to 10 s. */
+	bool WaitForRow(const std::string &table, const std::string &key);
+	/* Any text as the header; empty: none. */
+	void SetEra(const std::string &text);
 	void SetEraHeader(EraHeader h);
 	uint64_t Era();
 	uint64_t Revision();
@@ -82,6 +103,21 @@
 		Place place;
 		Row row;
 	};
+
+      public:
+	struct Copy {
+		std::map<Place, Row> rows;
+		std::vector<Change> changes;
+		uint64_t revision;
+	};
+
+      private:
+	struct Stale {
+		std::string table;
+		Copy copy;
+		std::string era;
+		int n = 0;
+	};
 	struct Rate {
 		unsigned per_s = 0;
 		double left = 0;
@@ -103,6 +139,8 @@
 	std::string ChangesAfter(const std::string &table,
 				 uint64_t revision) const;
 	std::string EraLine() const;
+	void SetCopy(const Copy &c);
+	bool AnswerStale(Lock &g, int fd, const std::string &target);
 	void Later(unsigned ms, std::function<void()> step);
 	void RunTimers();
 
@@ -119,6 +157,8 @@
 	uint64_t trimmed_ = 0; /* history begins after this revision */
 	uint64_t era_ = 1;
 	EraHeader era_header_ = ERA_SENT;
+	std::string era_text_;
+	Stale stale_;
 	unsigned delay_ms_ = 500;
 	bool stop_ = false;
 	std::thread timer_thread_;
