gateway: digests carry the era of the store

Where a region has more than three gateways, the others read the store each 12 s unless a digest announces a newer revision. After a restore revisions go back, so nothing was newer and they learned of it up to 12 s later: endpoints written again at reused revisions were not seen until then. The other way round, revisions of the lost copy made gateways that had read the restored store call it each 0.3 s in vain.

Digests now state the era, and (era, revision) is compared.

Where the reused revision matters, the restore and the row are one step of the test's store.

--- a/daemons/gateway/feeds.c
+++ b/daemons/gateway/feeds.c
@@ -248,12 +248,19 @@
 		f->extra = mark_sent(f, c);
 }
 
-void feeds_on_peer_revisions(struct gateway *g, uint64_t config,
-			     uint64_t endpoints)
+void feeds_on_peer_view(struct gateway *g,
+			const struct pf_talk_store_view *view)
 {
-	if (config > (g->routes ? g->routes->version : 0))
+	int64_t era = pf_store_eras(g->store)->newest;
+	struct pf_version peer = { view->era, view->endpoints_revision };
+	struct pf_version own = { era, g->feeds->endpoints.cursor };
+
+	/* A peer that states no era is compared as before there were eras. */
+	if (peer.era == PF_ERA_UNKNOWN)
+		peer.era = era;
+	if (view->config_version > (g->routes ? g->routes->version : 0))
 		call_soon(&g->feeds->config);
-	if (endpoints > g->feeds->endpoints.cursor)
+	if (pf_version_newer(peer, own))
 		call_soon(&g->feeds->endpoints);
 }
 
--- a/daemons/gateway/gateway.h
+++ b/daemons/gateway/gateway.h
@@ -14,6 +14,7 @@
 #include "pimentoford/process.h"
 #include "pimentoford/settings.h"
 #include "pimentoford/sock.h"
+#include "pimentoford/talk.h"
 #include "platform/platform.h"
 
 #include <event2/event.h>
@@ -209,9 +210,9 @@
 /* feeds.c: reads the configuration and the endpoints from the store */
 int feeds_start(struct gateway *g);
 void feeds_stop(struct gateway *g);
-/** Compares another gateway's revisions; reads soon if this one is behind. */
-void feeds_on_peer_revisions(struct gateway *g, uint64_t config,
-			     uint64_t endpoints);
+/** Compares what another gateway has read; reads soon if this one is behind. */
+void feeds_on_peer_view(struct gateway *g,
+			const struct pf_talk_store_view *view);
 /** Time since the last reply of the store. */
 pf_ms feeds_store_age(const struct gateway *g, pf_ms now);
 /** Reads if this is overdue, since the region's readers are gone. */
--- a/daemons/gateway/talk.c
+++ b/daemons/gateway/talk.c
@@ -192,8 +192,7 @@
 	if (!d->peer || d->peer == t->gateway->self)
 		return;
 	members_digest_received(t, from, d->peer, news->store_age);
-	feeds_on_peer_revisions(t->gateway, news->config_version,
-				news->endpoints_revision);
+	feeds_on_peer_view(t->gateway, news);
 	p.u.id = d->peer;
 	talk_plan_step(t, &p);
 	m.u.digest = *d;
@@ -238,7 +237,9 @@
 {
 	const struct pf_talk_store_view news = {
 		t->gateway->routes ? t->gateway->routes->version : 0,
-		t->gateway->endpoints_revision, feeds_store_age(t->gateway, now)
+		t->gateway->endpoints_revision,
+		feeds_store_age(t->gateway, now),
+		pf_store_eras(t->gateway->store)->newest
 	};
 	struct pf_gate_digest d;
 	uint32_t i;
--- a/include/pimentoford/talk.h
+++ b/include/pimentoford/talk.h
@@ -5,6 +5,7 @@
 #ifndef PIMENTOFORD_TALK_H
 #define PIMENTOFORD_TALK_H
 
+#include "pimentoford/era.h"
 #include "pimentoford/gate.h"
 #include "pimentoford/loader.h"
 #include "pimentoford/log.h"
@@ -22,6 +23,7 @@
 	uint64_t config_version; /* of the active configuration */
 	uint64_t endpoints_revision; /* of the last change of endpoints */
 	pf_ms store_age; /* since the last reply of the store */
+	int64_t era; /* of endpoints_revision, or PF_ERA_UNKNOWN */
 };
 
 /** Datagrams without a callback are dropped. */
--- a/src/transport/talk.c
+++ b/src/transport/talk.c
@@ -34,14 +34,37 @@
 	       a->sin_port == b->sin_port;
 }
 
+/*
+ * Fields that were added later follow the message: older readers ignore what
+ * follows it, and readers accept a message without them.
+ */
+static bool_t xdr_digest_trailer(XDR *x, int64_t *era)
+{
+	quad_t v = *era;
+
+	if (!xdr_quad_t(x, &v))
+		return FALSE;
+	*era = v;
+	return TRUE;
+}
+
+static int64_t read_digest_trailer(XDR *x)
+{
+	int64_t era = PF_ERA_UNKNOWN;
+
+	return xdr_digest_trailer(x, &era) && era >= 0 ? era : PF_ERA_UNKNOWN;
+}
+
+/* @era: of the store, for digests; PF_ERA_UNKNOWN: not sent. */
 static void send_datagram(struct pf_talk *t, const struct sockaddr_in *to,
-			  pimento_talk *msg)
+			  pimento_talk *msg, int64_t era)
 {
 	char buf[DATAGRAM_MAX];
 	XDR x;
 
 	xdrmem_create(&x, buf, sizeof(buf), XDR_ENCODE);
-	if (xdr_pimento_talk(&x, msg))
+	if (xdr_pimento_talk(&x, msg) &&
+	    (era == PF_ERA_UNKNOWN || xdr_digest_trailer(&x, &era)))
 		/* Delivery is best effort, so errors are ignored. */
 		(void)sendto(t->fd, buf, xdr_getpos(&x), MSG_DONTWAIT,
 			     (const struct sockaddr *)to, sizeof(*to));
@@ -79,14 +102,14 @@
 	out->config = news->config_version;
 	out->endpoints = news->endpoints_revision;
 	out->store_age_ms = (u_int)news->store_age;
-	send_datagram(t, to, &msg);
+	send_datagram(t, to, &msg, news->era);
 }
 
 static void receive_digest(struct pf_talk *t, const struct sockaddr_in *from,
-			   const pimento_gate_digest *in)
+			   const pimento_gate_digest *in, int64_t era)
 {
 	const struct pf_talk_store_view news = { in->config, in->endpoints,
-						 in->store_age_ms };
+						 in->store_age_ms, era };
 	struct pf_gate_load loads[PF_GATE_LOADS_MAX];
 	struct pf_gate_cached_prefix sights[PF_GATE_PREFIXES_MAX];
 	struct pf_gate_digest d = { .peer = in->peer };
@@ -133,7 +156,7 @@
 		msg.pimento_talk_u.demands.peer = peer;
 		msg.pimento_talk_u.demands.demands.demands_len = k;
 		msg.pimento_talk_u.demands.demands.demands_val = part;
-		send_datagram(t, to, &msg);
+		send_datagram(t, to, &msg, PF_ERA_UNKNOWN);
 	} while (at < n);
 }
 
@@ -186,7 +209,7 @@
 	out->warm.warm_val = (u_quad_t *)s->in_host_mem;
 	out->on_disk.on_disk_len = s->n_on_disk;
 	out->on_disk.on_disk_val = (u_quad_t *)s->on_disk;
-	send_datagram(t, to, &msg);
+	send_datagram(t, to, &msg, PF_ERA_UNKNOWN);
 }
 
 static void receive_state(struct pf_talk *t, const pimento_engine_state *in)
@@ -256,7 +279,7 @@
 	out->model_name = terminated(model, sizeof(model), u->wanted_model);
 	out->adapter_name =
 		terminated(adapter, sizeof(adapter), u->wanted_adapter);
-	send_datagram(t, to, &msg);
+	send_datagram(t, to, &msg, PF_ERA_UNKNOWN);
 }
 
 static void receive_usage(struct pf_talk *t, const struct sockaddr_in *from,
@@ -290,7 +313,7 @@
 	out->load = o->load;
 	out->from_store = o->from_store;
 	out->model_name = terminated(model, sizeof(model), o->model);
-	send_datagram(t, to, &msg);
+	send_datagram(t, to, &msg, PF_ERA_UNKNOWN);
 }
 
 static void receive_order(struct pf_talk *t, const struct sockaddr_in *from,
@@ -309,12 +332,13 @@
 }
 
 static void dispatch_datagram(struct pf_talk *t, const struct sockaddr_in *from,
-			      const pimento_talk *msg)
+			      const pimento_talk *msg, XDR *rest)
 {
 	switch (msg->type) {
 	case PIMENTO_TALK_DIGEST:
 		if (t->opts.digest)
-			receive_digest(t, from, &msg->pimento_talk_u.digest);
+			receive_digest(t, from, &msg->pimento_talk_u.digest,
+				       read_digest_trailer(rest));
 		break;
 	case PIMENTO_TALK_DEMANDS:
 		if (t->opts.demand)
@@ -352,7 +376,7 @@
 		memset(&msg, 0, sizeof(msg));
 		xdrmem_create(&x, buf, (u_int)n, XDR_DECODE);
 		if (xdr_pimento_talk(&x, &msg))
-			dispatch_datagram(t, &from, &msg);
+			dispatch_datagram(t, &from, &msg, &x);
 		else
 			PF_LOG(t->opts.log, PF_LOG_WARN, "bad_datagram",
 			       PF_KV_INT("bytes", n));
--- a/tests/gateway_fixture.h
+++ b/tests/gateway_fixture.h
@@ -124,6 +124,17 @@
 
 		return stale_.n;
 	}
+	/* No other write comes between; returns the row's revision. */
+	uint64_t RestoreAndPut(const Copy &c, const std::string &era,
+			       const std::string &table, const std::string &key,
+			       const std::string &value)
+	{
+		Copy with = c;
+
+		with.rows[{ table, key }] = { value, ++with.revision, false };
+		Restore(with, era);
+		return with.revision;
+	}
 	/* Empty: not stated. */
 	void SetEra(const std::string &era)
 	{
