--- a/tests/fake_store.cc
+++ b/tests/fake_store.cc
@@ -301,6 +301,20 @@
 	cv_.notify_all();
 }
 
+uint64_t FakeStore::RestoreAndPut(const Copy &c, const std::string &era,
+				  const std::string &table,
+				  const std::string &key,
+				  const std::string &value)
+{
+	Copy with = c;
+	Place p = { table, "", key };
+
+	with.rows[p] = { value, ++with.revision, false };
+	with.changes.push_back({ Clock::now(), p, with.rows[p] });
+	Restore(with, era);
+	return with.revision;
+}
+
 void FakeStore::AnswerFromCopy(const std::string &table, const Copy &c,
 			       const std::string &era, int n)
 {
--- a/tests/fake_store.h
+++ b/tests/fake_store.h
@@ -75,6 +75,10 @@
 	struct Copy;
 	Copy MakeCopy();
 	void Restore(const Copy &c, const std::string &era = "");
+	/* No other write comes between; returns the row's revision. */
+	uint64_t RestoreAndPut(const Copy &c, const std::string &era,
+			       const std::string &table, const std::string &key,
+			       const std::string &value);
 	/* Answers the next @n calls for @table from @c, in its era. */
 	void AnswerFromCopy(const std::string &table, const Copy &c,
 			    const std::string &era, int n);
