Soak: loaders, silences, restores, leaving endpoints, backoffs; faults overlap

The soak of gateways ran no loader, one fault at a time, and endpoints that failed single requests only. None of it could show an answer that a gateway cuts because its endpoint was silent for a moment, nor what a gateway does after the store came back older.

It now has FakeEndpoints with a loader each, requests that need adapters (more than there are slots for), streams of 0.4 s, bodies in two parts, and callers that use a connection until it is closed. Two threads inject faults from one table, in series and overlapping; PF_SOAK_FAULTS names the kinds to use or to leave out ("-NAME"), the default is all. PF_SOAK_PROCESSES sets the number of gateways and loaders; PF_TEST_LOG keeps daemons' logs.

Checked while requests run: unsafe work runs once; what was refused never runs; answers are complete and one's own; while gateways and endpoints are sound (planned work, silences, all faults of the store), no answer is cut, no 5xx but a refusal is sent, and no request is read without an answer (an unread one is told by the reset of its connection; nothing is owed after "Connection: close"); nothing is sent to an endpoint later than 2.5 s after the gateway passed on its word that it leaves; at most two requests in a backoff. At the end: requests are served, also with adapters; the newest configuration and a new endpoint are in force at each gateway, also after a restore whose revisions are given out again before the store is back; daemons stop with status 0; no order exceeded the slots for adapters. The checks of the old soak are all kept.

Threads and processes make a run of a seed differ from the next.

--- a/Makefile
+++ b/Makefile
@@ -13,6 +13,8 @@
 SEED ?= 1
 RUNS ?= 200
 SECONDS ?= 30
+SOAK_PROCESSES ?=
+SOAK_FAULTS ?=
 DEPLOYMENT ?= sylvacarb
 
 PKGS := libevent libevent_pthreads evhtp libtirpc glib-2.0 jansson libxxhash openssl tomlplusplus
@@ -123,6 +125,7 @@
 	@$(MAKE) --no-print-directory $(B)/pf-tests >/dev/null
 	@PF_BUILD=$(B) scripts/soak $(SEED) $(SECONDS)
 	@PF_BUILD=$(B) PF_SOAK_SEED=$(SEED) PF_SOAK_SECONDS=$(SECONDS) \
+		PF_SOAK_PROCESSES=$(SOAK_PROCESSES) PF_SOAK_FAULTS=$(SOAK_FAULTS) \
 		$(B)/pf-tests --gtest_filter='Soak.*' --gtest_brief=1
 
 bench: packages
--- a/tests/fake_endpoint.cc
+++ b/tests/fake_endpoint.cc
@@ -26,7 +26,7 @@
 {
 	models_["m"] = {};
 	server_ = std::make_unique<FakeServer>(
-		"127.0.0.1",
+		opts_.ip.c_str(),
 		[this](int fd, const FakeRequest &r) { return Handle(fd, r); });
 	WriteRow();
 }
@@ -114,6 +114,7 @@
 		silent_until_ = Clock::time_point();
 		refuse_until_ = Clock::time_point();
 		leaving_ = false;
+		draining_ = false;
 		orders_ = 0;
 		models_.clear();
 		cv_.notify_all();
@@ -132,14 +133,15 @@
 	WriteRow();
 }
 
-void FakeEndpoint::Leave(bool tell_store)
+void FakeEndpoint::Leave(bool drain)
 {
 	{
 		Lock g(mu_);
 
 		leaving_ = true;
+		draining_ |= drain;
 	}
-	if (tell_store)
+	if (drain)
 		WriteRow();
 }
 
@@ -153,7 +155,7 @@
 
 std::string FakeEndpoint::State() const
 {
-	return leaving_ ? "draining" : "ready";
+	return draining_ ? "draining" : "ready";
 }
 
 std::string FakeEndpoint::ModelsJson() const
--- a/tests/fake_endpoint.h
+++ b/tests/fake_endpoint.h
@@ -37,6 +37,7 @@
 		std::string id;
 		FakeStore *store = nullptr; /* must outlive the endpoint */
 		std::string service = "app";
+		std::string ip = "127.0.0.1";
 		int events = 8; /* of each stream */
 		unsigned gap_ms = 10; /* between events or parts of an answer */
 		size_t adapter_slots = 2;
@@ -71,8 +72,9 @@
 	void Crash();
 	/* A new incarnation under the same id and address, without models. */
 	void Restart();
-	/* All answers say from now on that this endpoint leaves. */
-	void Leave(bool tell_store);
+	/* All answers say from now on that this endpoint leaves; with @drain,
+	 * reports and the row do so too. */
+	void Leave(bool drain);
 	/* Refuses all requests for @ms. */
 	void Refuse(double retry_after_s, unsigned ms);
 	/* With the actual state, or @state. */
@@ -121,7 +123,8 @@
 	uint64_t incarnation_ = 7;
 	size_t orders_ = 0;
 	int overloads_ = 0;
-	bool leaving_ = false;
+	bool leaving_ = false; /* says so in answers */
+	bool draining_ = false; /* says so in reports and rows */
 	bool down_ = false;
 	bool stop_ = false;
 	std::unique_ptr<FakeServer> server_;
--- a/tests/fake_http.cc
+++ b/tests/fake_http.cc
@@ -31,7 +31,7 @@
 	return "";
 }
 
-void FakeSend(int fd, const std::string &bytes)
+bool FakeSend(int fd, const std::string &bytes)
 {
 	size_t at = 0;
 
@@ -40,9 +40,10 @@
 				 MSG_NOSIGNAL);
 
 		if (n <= 0)
-			return;
+			return false;
 		at += (size_t)n;
 	}
+	return true;
 }
 
 void FakeReset(int fd)
--- a/tests/fake_http.h
+++ b/tests/fake_http.h
@@ -56,8 +56,8 @@
 	std::thread acceptor_;
 };
 
-/* Stops silently when the peer closed. */
-void FakeSend(int fd, const std::string &bytes);
+/* Returns false when the peer closed. */
+bool FakeSend(int fd, const std::string &bytes);
 /* Makes the next close() send a reset. */
 void FakeReset(int fd);
 /* Receives until the peer closes or @until is seen. */
--- a/tests/fake_store.cc
+++ b/tests/fake_store.cc
@@ -235,6 +235,13 @@
 	return era_;
 }
 
+uint64_t FakeStore::Revision()
+{
+	Lock g(mu_);
+
+	return revision_;
+}
+
 void FakeStore::Restore(unsigned age_ms, unsigned rewrite_ms)
 {
 	Lock g(mu_);
--- a/tests/fake_store.h
+++ b/tests/fake_store.h
@@ -66,6 +66,7 @@
 	void Restore(unsigned age_ms, unsigned rewrite_ms);
 	void SetEraHeader(EraHeader h);
 	uint64_t Era();
+	uint64_t Revision();
 
       private:
 	using Clock = std::chrono::steady_clock;
--- a/tests/gateway_fixture.h
+++ b/tests/gateway_fixture.h
@@ -85,7 +85,9 @@
 		std::ofstream(file_) << toml;
 		pid_ = fork();
 		if (pid_ == 0) {
-			if (!freopen("/dev/null", "w", stdout))
+			const char *log = getenv("PF_TEST_LOG");
+
+			if (!freopen(log ? log : "/dev/null", "a", stdout))
 				_exit(126);
 			execl(program.c_str(), program.c_str(), "--settings",
 			      file_.c_str(), (char *)nullptr);
--- a/tests/test_gateway_soak.cc
+++ b/tests/test_gateway_soak.cc
@@ -1,34 +1,34 @@
-// Gateways as processes under random faults. Callers check every answer, and
-// endpoints record what ran. PF_SOAK_SEED and PF_SOAK_SECONDS set the seed and
-// the duration of the faults.
+// Gateways and loaders as processes under random faults, in series and
+// overlapping. Callers check every answer, and endpoints record what ran.
+// PF_SOAK_SEED, PF_SOAK_SECONDS: the seed, and the duration of the faults.
+// PF_SOAK_PROCESSES: gateways and loaders together.
+// PF_SOAK_FAULTS: names of FAULTS, comma-separated; "-NAME" leaves one out.
 #include "tests/gateway_fixture.h"
+#include "tests/soak_checks.h"
 
 #include <gtest/gtest.h>
 #include <sys/socket.h>
 
 #include <random>
-#include <set>
 
 namespace
 {
 
-const int N_GATEWAYS = 2;
-const int N_ENDPOINTS = 4;
-const int N_CALLERS = 6;
-const int EVENTS_PER_STREAM = 8;
+const unsigned CALLERS_PER_GATEWAY = 5;
+const int EVENTS_PER_STREAM = 20;
 
 unsigned EnvNumber(const char *name, unsigned default_value)
 {
 	const char *v = getenv(name);
 
-	return v ? static_cast<unsigned>(strtoul(v, nullptr, 10))
-		 : default_value;
+	return v && *v ? static_cast<unsigned>(strtoul(v, nullptr, 10))
+		       : default_value;
 }
 
-class SharedRng
+class Rng
 {
       public:
-	explicit SharedRng(unsigned seed) : rng_(seed)
+	explicit Rng(unsigned seed) : rng_(seed)
 	{
 	}
 	unsigned Below(unsigned n)
@@ -43,90 +43,73 @@
 	std::mt19937 rng_;
 };
 
-/* What ran and what callers received, and the rules that were violated. */
-struct RunRecord {
-	std::mutex mu;
-	std::map<std::string, int> runs;
-	std::set<std::string> at_most_once; /* ids that may run only once */
-	std::set<std::string> refused; /* answered as not run */
-	std::vector<std::string> violations;
-	size_t requests = 0, served = 0, broken = 0;
-
-	void AddRun(const std::string &id)
-	{
-		std::lock_guard<std::mutex> g(mu);
-
-		runs[id]++;
-	}
-	int RunCount(const std::string &id)
-	{
-		std::lock_guard<std::mutex> g(mu);
-
-		return runs.count(id) ? runs[id] : 0;
-	}
-	size_t ServedCount()
-	{
-		std::lock_guard<std::mutex> g(mu);
-
-		return served;
-	}
-	void AddViolation(const std::string &what)
-	{
-		std::lock_guard<std::mutex> g(mu);
-
-		violations.push_back(what);
-	}
-};
-
-std::string AnswerBody(const std::string &id)
+/* By PF_SOAK_FAULTS. */
+bool IsEnabled(const std::string &name)
 {
-	return "mine " + id + " " + std::string(200, 'x') + " end";
+	const char *v = getenv("PF_SOAK_FAULTS");
+	std::string list = "," + std::string(v ? v : "") + ",";
+	bool some = list.find_first_not_of(',') != std::string::npos;
+
+	if (list.find(",-" + name + ",") != std::string::npos)
+		return false;
+	return !some || list[1] == '-' ||
+	       list.find("," + name + ",") != std::string::npos;
 }
 
-std::string RequestEvent(int k, const std::string &id)
+void SleepMs(unsigned ms)
 {
-	return "id: " + std::to_string(k) + "\ndata: e" + std::to_string(k) +
-	       " " + id + "\n\n";
+	std::this_thread::sleep_for(std::chrono::milliseconds(ms));
 }
 
+struct GatewayNode {
+	Daemon process;
+	std::string ip, store;
+	int port, ready;
+	std::mutex busy; /* held by the fault that acts on it */
+};
+
+struct EndpointNode {
+	std::unique_ptr<FakeEndpoint> endpoint;
+	Daemon loader;
+	std::mutex busy;
+};
+
 struct Soak : ::testing::Test {
 	unsigned seed = EnvNumber("PF_SOAK_SEED", 1);
-	unsigned seconds = EnvNumber("PF_SOAK_SECONDS", 4);
-	SharedRng rng{ seed };
-	RunRecord record;
+	unsigned seconds = EnvNumber("PF_SOAK_SECONDS", 12);
+	unsigned processes = EnvNumber("PF_SOAK_PROCESSES", 6);
+	unsigned n_gateways = std::max(2u, processes / 3);
+	Rng rng{ seed };
+	SoakChecks checks;
 	FakeStore store;
-	std::atomic<bool> faulty{ false };
-	std::atomic<bool> endpoints_full{ false }; /* all refuse or reset */
+	std::atomic<bool> errors{ false }; /* of single requests */
+	std::atomic<bool> full{ false }; /* all endpoints refuse or reset */
 	std::atomic<bool> stopping{ false };
-	std::atomic<unsigned> id_counter{ 0 };
-	std::vector<std::unique_ptr<FakeServer>> endpoints;
+	std::atomic<unsigned> id_counter{ 100000 };
+	std::mutex store_busy, silence_busy, config_busy;
+	std::vector<std::unique_ptr<EndpointNode>> endpoints;
+	std::vector<std::unique_ptr<GatewayNode>> gateways;
 	std::vector<std::thread> callers;
-	int config_version = 1;
-	struct {
-		Daemon process;
-		std::string ip;
-		int port, ready, talk;
-	} gateways[N_GATEWAYS];
+	int config_version = 0;
+	int talk = FreePort(); /* of all gateways and loaders */
 
 	void SetUp() override
 	{
-		store.Put("op", "config", ConfigJson(config_version));
-		for (int i = 0; i < N_ENDPOINTS; i++) {
-			endpoints.push_back(std::make_unique<FakeServer>(
-				"127.0.0.1",
-				[this](int fd, const FakeRequest &r) {
-					return Serve(fd, r);
-				}));
-			PutEndpoint(i, "ready");
-		}
-		for (int i = 0; i < N_GATEWAYS; i++) {
-			gateways[i].ip = "127.0.0." + std::to_string(i + 2);
-			gateways[i].port = FreePort();
-			gateways[i].ready = FreePort();
-			/* All gateways and loaders use the same port. */
-			gateways[i].talk = i ? gateways[0].talk : FreePort();
-			StartGateway(i);
+		ChangeConfig("app");
+		while (gateways.size() < n_gateways) {
+			size_t i = gateways.size();
+			auto g = std::make_unique<GatewayNode>();
+
+			g->ip = "127.0.0." + std::to_string(i + 2);
+			g->store = store.AddAddress(g->ip);
+			g->port = FreePort();
+			g->ready = FreePort();
+			gateways.push_back(std::move(g));
 		}
+		while (endpoints.size() + n_gateways < processes)
+			AddEndpoint("app");
+		for (auto &g : gateways)
+			StartGateway(*g);
 	}
 	void TearDown() override
 	{
@@ -134,151 +117,145 @@
 		for (std::thread &t : callers)
 			t.join();
 	}
-	void StartGateway(int i)
+	void AddEndpoint(const std::string &service)
 	{
-		gateways[i].process.Start(
-			"pimento-gateway",
-			GatewaySettings(store.addr(), gateways[i].ip,
-					gateways[i].port, gateways[i].ready,
-					gateways[i].talk));
+		size_t i = endpoints.size();
+		auto n = std::make_unique<EndpointNode>();
+		FakeEndpoint::Options o;
+
+		o.id = "i-" + std::to_string(i);
+		o.store = &store;
+		o.service = service;
+		o.events = EVENTS_PER_STREAM;
+		o.gap_ms = 20;
+		/* Gateways address a loader by its engine's host. */
+		o.ip = "127.0.1." + std::to_string(i + 1);
+		o.choose_fault = [this] { return ChooseFault(); };
+		o.on_request = [this](FakeEndpoint &e, const FakeRequest &r) {
+			checks.OnRequest(e, r);
+		};
+		o.on_answer = [this](FakeEndpoint &e,
+				     const FakeEndpoint::Answered &a) {
+			checks.OnAnswer(e, a);
+		};
+		n->endpoint = std::make_unique<FakeEndpoint>(o);
+		checks.AddEndpoint(n->endpoint.get());
+		StartLoader(*n, i);
+		endpoints.push_back(std::move(n));
 	}
-	void PutEndpoint(int i, const char *state)
+	void StartGateway(GatewayNode &g)
 	{
-		store.Put("servers", "i-" + std::to_string(i),
-			  EndpointRow("app", endpoints[i]->addr(), state));
+		g.process.Start("pimento-gateway",
+				GatewaySettings(g.store, g.ip, g.port, g.ready,
+						talk));
 	}
-
-	/* Serves a request at an endpoint; false: close the connection. */
-	bool Serve(int fd, const FakeRequest &r)
+	void StartLoader(EndpointNode &n, size_t i)
 	{
-		std::string id = r.Header("Attempt-Id");
-		std::string head = "Attempt-Id: " + id + "\r\n";
-		std::string stamp = "Response-Stamp: s." + id + "\r\n";
-		unsigned fault = faulty ? rng.Below(100) : 99;
-		bool stream = r.target[1] == 't' || r.target[1] == 'r';
-
-		if (r.method != "POST" || r.body != "b-" + id)
-			record.AddViolation("request changed: " + r.target +
-					    " " + r.body);
-		/* Half run and are lost: refusals of later sends must not be
-		 * reported as not run. */
-		if (endpoints_full)
-			fault = rng.Below(2) ? 0 : 9;
-		if (fault < 6) {
-			FakeSend(fd,
-				 HttpAnswer(503, "", head + "Not-Run: 1\r\n"));
-			return true;
-		}
-		record.AddRun(id);
-		if (fault < 10) {
-			FakeReset(fd);
-			return false;
-		}
-		if (fault < 14) {
-			FakeSend(fd, HttpAnswer(500, "failed", head + stamp));
-			return true;
-		}
-		if (fault < 18)
-			usleep(300000);
-		if (stream)
-			return ServeStream(fd, r, head + stamp, fault);
-		if (fault < 21) {
-			std::string cut =
-				HttpAnswer(200, AnswerBody(id), head + stamp);
-
-			FakeSend(fd, cut.substr(0, cut.size() - 50));
-			return false;
-		}
-		FakeSend(fd, HttpAnswer(200, AnswerBody(id), head + stamp));
-		if (fault < 24)
-			FakeSend(fd, HttpAnswer(200, "stray",
-						"Attempt-Id: 0\r\n" + stamp));
-		return true;
+		n.loader.Start("pimento-loader",
+			       "name = \"l" + std::to_string(i) +
+				       "\"\nzone = \"za\"\nregion = \"east\"\n"
+				       "platform = \"" +
+				       store.addr() + "\"\ntalk = \"127.0.1." +
+				       std::to_string(i + 1) + ":" +
+				       std::to_string(talk) +
+				       "\"\nbackend = \"" + n.endpoint->addr() +
+				       "\"\n");
 	}
-	bool ServeStream(int fd, const FakeRequest &r, const std::string &head,
-			 unsigned fault)
+	/* Of a request at an endpoint. */
+	FakeEndpoint::Fault ChooseFault()
 	{
-		std::string id = r.Header("Attempt-Id");
-		int from = atoi(r.Header("Last-Event-Id").c_str());
+		unsigned draw = rng.Below(100);
 
-		FakeSend(fd, "HTTP/1.1 200 OK\r\n" + head +
-				     "Transfer-Encoding: chunked\r\n\r\n");
-		for (int k = from + 1; k <= EVENTS_PER_STREAM; k++) {
-			std::string e = RequestEvent(k, id);
-
-			if (fault < 30 && k == 4) {
-				FakeSend(fd, Chunk(e.substr(0, 9)));
-				usleep(20000);
-				FakeReset(fd);
-				return false;
-			}
-			FakeSend(fd, Chunk(e));
-			usleep(10000);
-		}
-		FakeSend(fd, "0\r\n\r\n");
-		return true;
+		/* Half run and are lost: refusals of later sends must not be
+		 * reported as not run. */
+		if (full)
+			return draw % 2 ? FakeEndpoint::FULL
+					: FakeEndpoint::RESET;
+		if (!errors || draw >= 30)
+			return FakeEndpoint::NO_FAULT;
+		return draw < 6    ? FakeEndpoint::FULL
+		       : draw < 10 ? FakeEndpoint::RESET
+		       : draw < 14 ? FakeEndpoint::FAILED
+		       : draw < 18 ? FakeEndpoint::LATE
+		       : draw < 21 ? FakeEndpoint::CUT
+		       : draw < 24 ? FakeEndpoint::STRAY
+				   : FakeEndpoint::BROKEN_STREAM;
 	}
 
-	/* One caller; reuses its connection while that is allowed. */
-	void RunCaller()
+	/* One caller; reuses its connection while that is allowed, or until it
+	 * is closed. */
+	void RunCaller(bool until_closed)
 	{
+		size_t gateway = 0;
 		int fd = -1;
+		bool may_reuse = true;
 
 		while (!stopping) {
-			const char *kinds[] = { "s", "u", "t", "r" };
-			std::string kind = kinds[rng.Below(4)];
-			std::string id = std::to_string(100000 + id_counter++);
-			bool keep_open;
-
 			if (fd < 0) {
-				auto &g = gateways[rng.Below(N_GATEWAYS)];
-
-				fd = FakeDial(g.ip.c_str(), g.port);
+				may_reuse = true;
+				gateway = rng.Below(n_gateways);
+				fd = FakeDial(gateways[gateway]->ip.c_str(),
+					      gateways[gateway]->port);
 			}
 			if (fd < 0) {
-				usleep(50000);
+				SleepMs(50);
 				continue;
 			}
-			keep_open = SendRequest(fd, kind, id);
-			if (!keep_open || rng.Below(4) == 0) {
+			bool open = SendRequest(fd, "sutr"[rng.Below(4)],
+						static_cast<int>(gateway),
+						&may_reuse);
+
+			if (!open || (!until_closed &&
+				      (!may_reuse || rng.Below(4) == 0))) {
 				close(fd);
 				fd = -1;
 			}
-			usleep(5000 + rng.Below(20000));
+			SleepMs(5 + rng.Below(20));
 		}
 		if (fd >= 0)
 			close(fd);
 	}
-	/* Sends one request and checks its answer; true: the connection may
-	 * carry another. */
-	bool SendRequest(int fd, const std::string &kind, const std::string &id)
+	/* Sends one request and checks its answer; false: it was closed.
+	 * Nothing is owed on a connection that may not be reused. */
+	bool SendRequest(int fd, char kind, int gateway, bool *may_reuse)
 	{
+		std::string id = std::to_string(id_counter++);
+		bool stream = kind == 't' || kind == 'r';
+		bool adapter = stream && rng.Below(4) == 0;
+		std::string model = "m/a" + std::to_string(rng.Below(4) + 1);
 		std::string got, part;
 		size_t end;
 
-		{
-			std::lock_guard<std::mutex> g(record.mu);
+		checks.OnSent(id, kind, gateway);
+		FakeSend(fd,
+			 std::string("POST /") + kind +
+				 "/x HTTP/1.1\r\nHost: h\r\nAttempt-Id: " + id +
+				 "\r\nDeadline-Ms: 6000\r\n" +
+				 (adapter ? "Token-Usage: 10,5\r\nModel: " +
+						    model + "\r\n"
+					  : "") +
+				 "Content-Length: " +
+				 std::to_string(id.size() + 2) + "\r\n\r\nb");
+		if (rng.Below(8) == 0)
+			SleepMs(100 + rng.Below(200));
+		bool sent = FakeSend(fd, "-" + id);
 
-			record.requests++;
-			if (kind == "u" || kind == "t")
-				record.at_most_once.insert(id);
-		}
-		FakeSend(fd, "POST /" + kind +
-				     "/x HTTP/1.1\r\nHost: h\r\n"
-				     "Attempt-Id: " +
-				     id +
-				     "\r\nDeadline-Ms: 6000\r\n"
-				     "Content-Length: " +
-				     std::to_string(id.size() + 2) +
-				     "\r\n\r\nb-" + id);
 		while ((end = got.find("\r\n\r\n")) == std::string::npos) {
 			part = ReceiveSome(fd, id);
-			if (part.empty())
-				return OnClosedEarly(id, got);
+			if (part.empty()) {
+				checks.OnClosedEarly(id, !got.empty(),
+						     *may_reuse && sent &&
+							     WasRead(fd));
+				return false;
+			}
 			got += part;
 		}
-		return ReceiveAnswer(fd, kind, id, got.substr(0, end + 4),
-				     got.substr(end + 4));
+		FakeRequest head; /* to parse the headers */
+
+		head.head = got.substr(0, end + 4);
+		*may_reuse = head.Header("Connection") != "close";
+		return ReceiveBody(fd, stream, id, head, got.substr(end + 4),
+				   adapter);
 	}
 	/* Requests have 6 s to the deadline; the socket times out after 20. */
 	std::string ReceiveSome(int fd, const std::string &id)
@@ -287,70 +264,58 @@
 		ssize_t n = recv(fd, buf, sizeof(buf), 0);
 
 		if (n < 0 && errno == EAGAIN)
-			record.AddViolation("no answer: " + id);
+			checks.AddViolation("no answer: " + id);
 		return n > 0 ? std::string(buf, static_cast<size_t>(n)) : "";
 	}
-	/* The connection was closed early. Without faults, only requests that
-	 * no endpoint received may end so. */
-	bool OnClosedEarly(const std::string &id, const std::string &got)
+	/* After the end of a connection: bytes that the peer did not read are
+	 * answered with a reset. */
+	static bool WasRead(int fd)
 	{
-		if (!faulty && !stopping &&
-		    (!got.empty() || record.RunCount(id)))
-			record.AddViolation("answer cut by a shutdown: " + id +
-					    " " + got);
-		std::lock_guard<std::mutex> g(record.mu);
-		record.broken++;
-		return false;
+		int error = 0;
+		socklen_t len = sizeof(error);
+		char c;
+
+		SleepMs(20);
+		getsockopt(fd, SOL_SOCKET, SO_ERROR, &error, &len);
+		return error == 0 && recv(fd, &c, 1, MSG_DONTWAIT) == 0;
 	}
-	bool ReceiveAnswer(int fd, const std::string &kind,
-			   const std::string &id, const std::string &head,
-			   std::string body)
+	bool ReceiveBody(int fd, bool stream, const std::string &id,
+			 const FakeRequest &head, std::string body,
+			 bool adapter)
 	{
-		FakeRequest h; /* to parse the headers */
-		int status = atoi(head.c_str() + 9);
-		bool chunked;
-		size_t length;
+		int status = atoi(head.head.c_str() + 9);
+		bool chunked = !head.Header("Transfer-Encoding").empty();
+		size_t length = strtoul(head.Header("Content-Length").c_str(),
+					nullptr, 10);
 
-		h.head = head;
-		chunked = !h.Header("Transfer-Encoding").empty();
-		length = strtoul(h.Header("Content-Length").c_str(), nullptr,
-				 10);
 		while (chunked ? body.find("0\r\n\r\n") == std::string::npos
 			       : body.size() < length) {
 			std::string part = ReceiveSome(fd, id);
 
-			if (part.empty())
-				return OnClosedEarly(id, head + body);
+			if (part.empty()) {
+				checks.OnClosedEarly(id, true, true);
+				return false;
+			}
 			body += part;
 		}
-		CheckAnswer(kind, id, status, h, body);
-		return h.Header("Connection") != "close";
+		if (status == 200 &&
+		    (head.Header("Response-Stamp") != "s." + id ||
+		     !IsComplete(stream, id, body)))
+			checks.AddViolation("incomplete or wrong answer: " +
+					    id + " " + head.head + body);
+		checks.OnAnswered(id, status, adapter);
+		return true;
 	}
-	void CheckAnswer(const std::string &kind, const std::string &id,
-			 int status, const FakeRequest &head,
-			 const std::string &body)
+	static bool IsComplete(bool stream, const std::string &id,
+			       const std::string &body)
 	{
-		std::string stamp = head.Header("Response-Stamp");
-		bool complete = body == AnswerBody(id);
-
-		if (kind == "t" || kind == "r") {
-			std::string all;
+		std::string all;
 
-			for (int k = 1; k <= EVENTS_PER_STREAM; k++)
-				all += RequestEvent(k, id);
-			complete = Dechunk(body) == all;
-		}
-		if (status == 200 && (!complete || stamp != "s." + id))
-			record.AddViolation(
-				"incomplete or wrong answer: " + kind + " " +
-				id + " " + head.head + body);
-		if (status == 400 || status == 404)
-			record.AddViolation("rejected: " + id);
-		std::lock_guard<std::mutex> g(record.mu);
-		record.served += status == 200;
-		if (status == 503 || status == 429 || status == 421 ||
-		    status == 408)
-			record.refused.insert(id);
+		if (!stream)
+			return body == FakeEndpoint::Body(id);
+		for (int k = 1; k <= EVENTS_PER_STREAM; k++)
+			all += FakeEndpoint::Event(k, id);
+		return Dechunk(body) == all;
 	}
 	/* The data of a chunked body. */
 	static std::string Dechunk(const std::string &body)
@@ -369,137 +334,525 @@
 		}
 	}
 
-	/* The faults that InjectFault() draws from. */
-	void RestartGateway(int i)
+	/* Faults. One that finds its target busy does nothing. */
+	using Hold = std::unique_lock<std::mutex>;
+
+	template <typename Nodes> auto &Draw(Rng &r, Nodes &nodes)
 	{
-		gateways[i].process.Signal(SIGTERM);
-		EXPECT_EQ(gateways[i].process.Wait(), 0);
-		StartGateway(i);
+		return *nodes[r.Below(static_cast<unsigned>(nodes.size()))];
 	}
-	void PauseGateway(int i)
+	int IndexOf(const GatewayNode &g)
 	{
-		gateways[i].process.Signal(SIGSTOP);
-		usleep(100000 + rng.Below(1200000));
-		gateways[i].process.Signal(SIGCONT);
+		int i = 0;
+
+		while (gateways[i].get() != &g)
+			i++;
+		return i;
 	}
-	void KillGateway(int i)
+	void Note(const std::string &what)
 	{
-		gateways[i].process.Signal(SIGKILL);
-		gateways[i].process.Wait();
-		usleep(rng.Below(300000));
-		StartGateway(i);
+		checks.AddFault(what);
 	}
-	void FaultStore(FakeStore::StoreFault f)
+	/* Until its signal handlers are set. */
+	void WaitUntilUp(GatewayNode &g)
 	{
-		store.SetFault(f);
-		usleep(100000 + rng.Below(1200000));
-		store.SetFault(FakeStore::NO_FAULT);
+		for (int k = 0; k < 400; k++) {
+			if (!FakeGet(g.ip.c_str(), g.ready, "/ready").empty())
+				return;
+			SleepMs(50);
+		}
+		checks.AddViolation("not started: " + g.ip);
+	}
+	void RestartGateway(Rng &r)
+	{
+		GatewayNode &g = Draw(r, gateways);
+		Hold h(g.busy, std::try_to_lock);
+
+		if (!h)
+			return;
+		Note("restart " + g.ip);
+		if (r.Below(3) == 0)
+			g.process.Signal(SIGHUP);
+		g.process.Signal(SIGTERM);
+		if (r.Below(3) == 0)
+			g.process.Signal(SIGHUP);
+		if (g.process.Wait() != 0)
+			checks.AddViolation("stop failed: " + g.ip);
+		checks.OnGatewayDisturbed(IndexOf(g));
+		StartGateway(g);
+		WaitUntilUp(g);
 	}
-	void InjectFault()
+	void ReloadGateway(Rng &r)
 	{
-		int i = static_cast<int>(rng.Below(N_GATEWAYS));
-		int e = static_cast<int>(rng.Below(N_ENDPOINTS));
+		GatewayNode &g = Draw(r, gateways);
+		Hold h(g.busy, std::try_to_lock);
 
-		switch (rng.Below(10)) {
+		if (!h)
+			return;
+		Note("reload " + g.ip);
+		g.process.Signal(SIGHUP);
+	}
+	void PauseGateway(Rng &r)
+	{
+		GatewayNode &g = Draw(r, gateways);
+		Hold h(g.busy, std::try_to_lock);
+
+		if (!h)
+			return;
+		Note("pause " + g.ip);
+		checks.OnGatewayDisturbed(IndexOf(g));
+		g.process.Signal(SIGSTOP);
+		SleepMs(100 + r.Below(1200));
+		g.process.Signal(SIGCONT);
+		checks.OnGatewayDisturbed(IndexOf(g));
+	}
+	void KillGateway(Rng &r)
+	{
+		GatewayNode &g = Draw(r, gateways);
+		Hold h(g.busy, std::try_to_lock);
+
+		if (!h)
+			return;
+		Note("kill " + g.ip);
+		g.process.Signal(SIGKILL);
+		g.process.Wait();
+		checks.OnGatewayDisturbed(IndexOf(g));
+		SleepMs(r.Below(300));
+		StartGateway(g);
+		WaitUntilUp(g);
+	}
+	void RestartLoader(Rng &r, int sig)
+	{
+		size_t i = r.Below(static_cast<unsigned>(endpoints.size()));
+		Hold h(endpoints[i]->busy, std::try_to_lock);
+
+		if (!h)
+			return;
+		Note((sig == SIGTERM ? "loader_restart i-" : "loader_kill i-") +
+		     std::to_string(i));
+		endpoints[i]->loader.Signal(sig);
+		if (endpoints[i]->loader.Wait() != 0 && sig == SIGTERM)
+			checks.AddViolation("stop failed: loader of i-" +
+					    std::to_string(i));
+		SleepMs(r.Below(500));
+		StartLoader(*endpoints[i], i);
+	}
+	std::string NewestPrefix() const
+	{
+		return "/v" + std::to_string(config_version) + "/";
+	}
+	void ChangeConfig(const std::string &safe_service)
+	{
+		std::lock_guard<std::mutex> g(config_busy);
+		std::string json = ConfigJson(++config_version, safe_service);
+		std::string adapters = "\"adapters\":2";
+
+		/* More than the slots for them. */
+		json.replace(json.find(adapters), adapters.size(),
+			     "\"adapters\":4");
+		/* A route that only this version has. */
+		json.insert(json.find("[{") + 1,
+			    "{\"name\":\"v\",\"host\":\"h\",\"prefix\":\"" +
+				    NewestPrefix() +
+				    "\",\"kind\":\"safe\",\"resumable\":false,"
+				    "\"timeout_ms\":20000,\"slo_ms\":15000,"
+				    "\"max_attempts\":2,\"priority\":1,"
+				    "\"service\":\"" +
+				    safe_service + "\"},");
+		store.Put("op", "config", json);
+	}
+	void ChangeConfigNow(Rng &)
+	{
+		Note("config");
+		ChangeConfig("app");
+	}
+	/* One, half or all. */
+	size_t DrawCount(Rng &r)
+	{
+		size_t counts[] = { 1, endpoints.size() / 2, endpoints.size() };
+
+		return counts[r.Below(3)];
+	}
+	void Silence(size_t first, size_t n, unsigned ms)
+	{
+		Note("silence of " + std::to_string(n) + " from i-" +
+		     std::to_string(first) + ", " + std::to_string(ms) + " ms");
+		for (size_t k = 0; k < n; k++)
+			endpoints[(first + k) % endpoints.size()]
+				->endpoint->Silence(ms);
+	}
+	/* Alone, or beside planned work. */
+	void SilenceEndpoints(Rng &r)
+	{
+		Hold h(silence_busy, std::try_to_lock);
+		unsigned draws[] = { 300, 1000, 2000, 300 + r.Below(1700) };
+		unsigned ms = draws[r.Below(4)];
+		size_t first = r.Below(static_cast<unsigned>(endpoints.size()));
+		size_t n = DrawCount(r);
+
+		if (!h)
+			return;
+		Silence(first, n, ms);
+		SleepMs(r.Below(ms));
+		switch (r.Below(4)) {
 		case 0:
-			return RestartGateway(i);
+			ChangeConfigNow(r);
+			break;
 		case 1:
-			return PauseGateway(i);
+			RestartGateway(r);
+			break;
 		case 2:
-			return KillGateway(i);
-		case 3:
-			return gateways[i].process.Signal(SIGHUP);
-		case 4:
-			return FaultStore(FakeStore::UNAVAILABLE);
-		case 5:
-			return FaultStore(FakeStore::REQUEST_LOST);
-		case 6:
-			return FaultStore(rng.Below(2)
-						  ? FakeStore::ANSWER_LOST
-						  : FakeStore::HISTORY_TRIMMED);
-		case 7:
-			store.Put("op", "config", ConfigJson(++config_version));
-			return;
-		case 8:
-			PutEndpoint(e, "draining");
-			usleep(rng.Below(400000));
-			return PutEndpoint(e, "ready");
-		case 9:
-			endpoints_full = true;
-			usleep(200000 + rng.Below(800000));
-			endpoints_full = false;
+			ReloadGateway(r);
 		}
+		SleepMs(ms + 200);
 	}
-	template <typename F> void Repeat(unsigned span, F step)
+	/* Its answers say so first; then the store does, in one of two ways. */
+	void LeaveEndpoint(Rng &r)
 	{
-		auto end = std::chrono::steady_clock::now() +
-			   std::chrono::seconds(span);
+		EndpointNode &n = Draw(r, endpoints);
+		Hold h(n.busy, std::try_to_lock);
 
-		while (std::chrono::steady_clock::now() < end) {
-			step();
-			usleep(50000 + rng.Below(300000));
+		if (!h)
+			return;
+		Note("leave " + n.endpoint->id());
+		n.endpoint->Leave(false);
+		SleepMs(r.Below(4) ? r.Below(5000) : 0);
+		if (r.Below(2))
+			n.endpoint->Leave(true);
+		else
+			n.endpoint->DeleteRow();
+		SleepMs(4000);
+		n.endpoint->Restart();
+	}
+	void DrainEndpoint(Rng &r)
+	{
+		EndpointNode &n = Draw(r, endpoints);
+		Hold h(n.busy, std::try_to_lock);
+
+		if (!h)
+			return;
+		Note("drain " + n.endpoint->id());
+		n.endpoint->WriteRow("draining");
+		SleepMs(r.Below(400));
+		n.endpoint->WriteRow();
+	}
+	void CrashEndpoint(Rng &r, bool hang)
+	{
+		EndpointNode &n = Draw(r, endpoints);
+		Hold h(n.busy, std::try_to_lock);
+
+		if (!h)
+			return;
+		Note((hang ? "hang " : "crash ") + n.endpoint->id());
+		if (hang)
+			n.endpoint->Hang();
+		else
+			n.endpoint->Crash();
+		SleepMs(100 + r.Below(2000));
+		n.endpoint->Restart();
+	}
+	void RefuseForATime(Rng &r)
+	{
+		unsigned ms = 700 + r.Below(1800);
+		size_t first = r.Below(static_cast<unsigned>(endpoints.size()));
+		size_t n = DrawCount(r);
+
+		Note("backoff of " + std::to_string(n) + " from i-" +
+		     std::to_string(first) + ", " + std::to_string(ms) + " ms");
+		for (size_t k = 0; k < n; k++)
+			endpoints[(first + k) % endpoints.size()]
+				->endpoint->Refuse(ms / 1000.0, ms);
+		SleepMs(ms);
+	}
+	void FillEndpoints(Rng &r)
+	{
+		Note("full");
+		full = true;
+		SleepMs(200 + r.Below(800));
+		full = false;
+	}
+	void FaultStore(Rng &r, const std::string &name,
+			FakeStore::StoreFault f, const std::string &caller = "")
+	{
+		Hold h(store_busy, std::try_to_lock);
+
+		if (!h)
+			return;
+		Note(name + " " + caller);
+		store.SetFault(f, caller);
+		SleepMs(100 + r.Below(1200));
+		store.SetFault(FakeStore::NO_FAULT, caller);
+	}
+	void RestoreStore(Rng &r)
+	{
+		Hold h(store_busy, std::try_to_lock);
+		unsigned age = 300 + r.Below(6000);
+		unsigned rewrite = r.Below(2500);
+
+		if (!h)
+			return;
+		Note("restore of " + std::to_string(age) +
+		     " ms ago, operator's rows after " +
+		     std::to_string(rewrite) + " ms");
+		if (r.Below(2)) {
+			store.SetFault(FakeStore::REQUEST_LOST);
+			SleepMs(r.Below(800));
+		}
+		if (r.Below(2)) {
+			RestoreAndReuseRevisions(r, age);
+			return;
+		}
+		store.Restore(age, rewrite);
+		store.SetFault(FakeStore::NO_FAULT);
+		if (r.Below(3) == 0) {
+			SleepMs(r.Below(1500));
+			store.Restore(r.Below(3000), r.Below(2000));
 		}
 	}
+	/* The configuration changes, and all revisions that were lost are
+	 * given out again, before the store is back. */
+	void RestoreAndReuseRevisions(Rng &r, unsigned age)
+	{
+		uint64_t before = store.Revision();
+
+		Note("reuse");
+		store.SetFault(FakeStore::REQUEST_LOST);
+		store.Restore(age, 0);
+		ChangeConfigNow(r);
+		for (int k = 0; store.Revision() <= before && k < 1000; k++) {
+			EndpointNode &n = Draw(r, endpoints);
+			Hold h(n.busy, std::try_to_lock);
+
+			if (h)
+				n.endpoint->WriteRow();
+		}
+		store.SetFault(FakeStore::NO_FAULT);
+	}
+	void MangleEra(Rng &r)
+	{
+		Hold h(store_busy, std::try_to_lock);
+		FakeStore::EraHeader kinds[] = { FakeStore::ERA_ABSENT,
+						 FakeStore::ERA_UNREADABLE,
+						 FakeStore::ERA_FALLING };
+
+		if (!h)
+			return;
+		Note("era");
+		store.SetEraHeader(kinds[r.Below(3)]);
+		SleepMs(100 + r.Below(1500));
+		store.SetEraHeader(FakeStore::ERA_SENT);
+	}
+
+	void RunFaults(bool harmless, unsigned span, unsigned thread);
+	void InjectFaults(bool harmless, unsigned span);
 	void WaitUntilReady()
 	{
 		for (auto &g : gateways) {
 			std::string got;
 
 			for (int k = 0; k < 400; k++) {
-				got = FakeGet(g.ip.c_str(), g.ready, "/ready");
+				got = FakeGet(g->ip.c_str(), g->ready,
+					      "/ready");
 				if (got.find(" 200 ") != std::string::npos)
 					break;
-				usleep(50000);
+				SleepMs(50);
 			}
 			EXPECT_NE(got.find(" 200 "), std::string::npos);
 		}
 	}
+	void ExpectRequestsAreServed()
+	{
+		size_t n = checks.ServedCount() + 20;
+		size_t with_adapter = checks.ServedCount(true) + 2;
+
+		for (int k = 0;
+		     k < 400 && (checks.ServedCount() < n ||
+				 checks.ServedCount(true) < with_adapter);
+		     k++)
+			SleepMs(50);
+		EXPECT_GE(checks.ServedCount(), n);
+		EXPECT_GE(checks.ServedCount(true), with_adapter);
+	}
+	/* Asks each gateway for the route that only the newest has. */
+	void ExpectConfigInForce()
+	{
+		std::string target = NewestPrefix() + "x";
+
+		for (size_t i = 0; i < gateways.size(); i++) {
+			std::string got;
+
+			for (int k = 0; k < 300; k++) {
+				std::string id = std::to_string(id_counter++);
+				int fd = FakeDial(gateways[i]->ip.c_str(),
+						  gateways[i]->port);
+
+				checks.OnSent(id, 's', static_cast<int>(i));
+				FakeSend(fd, "POST " + target +
+						     " HTTP/1.1\r\nHost: h\r\n"
+						     "Attempt-Id: " +
+						     id +
+						     "\r\nDeadline-Ms: 2000\r\n"
+						     "Content-Length: 8\r\n\r\n"
+						     "b-" +
+						     id);
+				got = FakeReceive(fd, "\r\n\r\n");
+				close(fd);
+				if (got.find(" 200 ") != std::string::npos)
+					break;
+				SleepMs(50);
+			}
+			EXPECT_NE(got.find(" 200 "), std::string::npos)
+				<< gateways[i]->ip << " " << target << " "
+				<< got;
+		}
+	}
+	void ExpectNewestRowsInForce()
+	{
+		ExpectConfigInForce();
+		if (IsEnabled("restore")) {
+			for (auto &n : endpoints)
+				n->endpoint->WriteRow();
+			/* Gateways have read these rows, which are lost. */
+			SleepMs(4000);
+			RestoreAndReuseRevisions(rng, 4500);
+			ExpectConfigInForce();
+		}
+		AddEndpoint("other");
+		ChangeConfig("other");
+		ExpectConfigInForce();
+	}
 };
 
-TEST_F(Soak, AnswersAreCompleteAndNothingUnsafeRunsTwice)
+struct FaultKind {
+	const char *name;
+	bool harmless; /* may break no answer */
+	void (*inject)(Soak &, Rng &);
+};
+
+const FaultKind FAULTS[] = {
+	{ "restart", true, [](Soak &s, Rng &r) { s.RestartGateway(r); } },
+	{ "reload", true, [](Soak &s, Rng &r) { s.ReloadGateway(r); } },
+	{ "config", true, [](Soak &s, Rng &r) { s.ChangeConfigNow(r); } },
+	{ "loader_restart", true,
+	  [](Soak &s, Rng &r) { s.RestartLoader(r, SIGTERM); } },
+	{ "silence", true, [](Soak &s, Rng &r) { s.SilenceEndpoints(r); } },
+	{ "leave", true, [](Soak &s, Rng &r) { s.LeaveEndpoint(r); } },
+	{ "pause", false, [](Soak &s, Rng &r) { s.PauseGateway(r); } },
+	{ "kill", false, [](Soak &s, Rng &r) { s.KillGateway(r); } },
+	{ "loader_kill", true,
+	  [](Soak &s, Rng &r) { s.RestartLoader(r, SIGKILL); } },
+	{ "drain", true, [](Soak &s, Rng &r) { s.DrainEndpoint(r); } },
+	{ "crash", false, [](Soak &s, Rng &r) { s.CrashEndpoint(r, false); } },
+	{ "hang", false, [](Soak &s, Rng &r) { s.CrashEndpoint(r, true); } },
+	{ "full", false, [](Soak &s, Rng &r) { s.FillEndpoints(r); } },
+	{ "backoff", true, [](Soak &s, Rng &r) { s.RefuseForATime(r); } },
+	{ "store_away", true,
+	  [](Soak &s, Rng &r) {
+		  s.FaultStore(r, "store_away", FakeStore::UNAVAILABLE);
+	  } },
+	{ "store_lost", true,
+	  [](Soak &s, Rng &r) {
+		  s.FaultStore(r, "store_lost", FakeStore::REQUEST_LOST);
+	  } },
+	{ "store_answers", true,
+	  [](Soak &s, Rng &r) {
+		  s.FaultStore(r, "store_answers",
+			       r.Below(2) ? FakeStore::ANSWER_LOST
+					  : FakeStore::APPLIED_LATE);
+	  } },
+	{ "store_trimmed", true,
+	  [](Soak &s, Rng &r) {
+		  s.store.TrimHistory();
+		  s.FaultStore(r, "store_trimmed", FakeStore::HISTORY_TRIMMED);
+	  } },
+	{ "store_silent", true,
+	  [](Soak &s, Rng &r) {
+		  s.FaultStore(r, "store_silent", FakeStore::SILENT);
+	  } },
+	{ "store_slow", true,
+	  [](Soak &s, Rng &r) {
+		  s.FaultStore(r, "store_slow", FakeStore::SLOW);
+	  } },
+	{ "store_one", true,
+	  [](Soak &s, Rng &r) {
+		  s.FaultStore(r, "store_one", FakeStore::UNAVAILABLE,
+			       s.Draw(r, s.gateways).ip);
+	  } },
+	{ "restore", true, [](Soak &s, Rng &r) { s.RestoreStore(r); } },
+	{ "era", true, [](Soak &s, Rng &r) { s.MangleEra(r); } },
+	/* Of single requests, as long as other faults. */
+	{ "errors", false, [](Soak &, Rng &) {} },
+};
+
+void Soak::RunFaults(bool harmless, unsigned span, unsigned thread)
+{
+	auto end =
+		std::chrono::steady_clock::now() + std::chrono::seconds(span);
+	std::vector<const FaultKind *> kinds;
+	Rng r(seed * 4 + thread);
+
+	for (const FaultKind &k : FAULTS) {
+		if (IsEnabled(k.name) && (k.harmless || !harmless))
+			kinds.push_back(&k);
+	}
+	while (std::chrono::steady_clock::now() < end) {
+		if (!kinds.empty())
+			kinds[r.Below(static_cast<unsigned>(kinds.size()))]
+				->inject(*this, r);
+		SleepMs(50 + r.Below(300));
+		checks.CheckRuns();
+	}
+}
+
+void Soak::InjectFaults(bool harmless, unsigned span)
 {
-	size_t before;
+	std::thread second(
+		[&] { RunFaults(harmless, span, harmless ? 0 : 1); });
 
+	RunFaults(harmless, span, harmless ? 2 : 3);
+	second.join();
+}
+
+TEST_F(Soak, AnswersAreCompleteAndNothingUnsafeRunsTwice)
+{
 	WaitUntilReady();
-	for (int i = 0; i < N_CALLERS; i++)
-		callers.emplace_back([this] { RunCaller(); });
-	/* Restarts and reloads alone must break no connection. */
-	Repeat((seconds + 2) / 3, [this] {
-		int i = static_cast<int>(rng.Below(N_GATEWAYS));
-
-		if (rng.Below(3))
-			RestartGateway(i);
-		else
-			gateways[i].process.Signal(SIGHUP);
-	});
-	faulty = true;
-	Repeat(seconds, [this] { InjectFault(); });
+	for (unsigned i = 0; i < n_gateways * CALLERS_PER_GATEWAY; i++)
+		callers.emplace_back([this, i] { RunCaller(i % 3 == 0); });
+	/* The longest silence of all that is allowed. */
+	if (IsEnabled("silence")) {
+		SleepMs(500);
+		Silence(0, endpoints.size(), 2000);
+		SleepMs(2500);
+	}
+	InjectFaults(true, (seconds + 1) / 2);
+	for (const FaultKind &k : FAULTS) {
+		if (IsEnabled(k.name) && !k.harmless)
+			checks.harmless_only = false;
+	}
+	errors = IsEnabled("errors");
+	InjectFaults(false, seconds);
+	errors = false;
 	WaitUntilReady();
-	before = record.ServedCount();
-	for (int k = 0; k < 400 && record.ServedCount() < before + 20; k++)
-		usleep(50000);
+	ExpectRequestsAreServed();
+	ExpectNewestRowsInForce();
 	stopping = true;
 	for (std::thread &t : callers)
 		t.join();
 	callers.clear();
 	for (auto &g : gateways) {
-		g.process.Signal(SIGTERM);
-		g.process.Wait();
-	}
-	for (const std::string &id : record.at_most_once) {
-		if (record.runs[id] > 1)
-			record.violations.push_back("ran twice: " + id);
+		g->process.Signal(SIGTERM);
+		EXPECT_EQ(g->process.Wait(), 0) << g->ip;
 	}
-	for (const std::string &id : record.refused) {
-		if (record.runs[id])
-			record.violations.push_back("refused but ran: " + id);
+	checks.CheckRuns();
+	for (auto &n : endpoints) {
+		n->loader.Signal(SIGTERM);
+		EXPECT_EQ(n->loader.Wait(), 0) << n->endpoint->id();
+		EXPECT_EQ(n->endpoint->OverloadCount(), 0);
 	}
-	EXPECT_GE(record.served, before + 20);
-	EXPECT_EQ(record.violations, std::vector<std::string>()) << seed;
-	printf("soak: seed=%u requests=%zu served=%zu refused=%zu broken=%zu "
-	       "violations=%zu\n",
-	       seed, record.requests, record.served, record.refused.size(),
-	       record.broken, record.violations.size());
+	EXPECT_EQ(checks.violations(), std::vector<std::string>())
+		<< "seed " << seed << "\n"
+		<< checks.Faults();
+	printf("soak: seed=%u\n%s", seed, checks.Summary().c_str());
 }
 
 } // namespace
