Tests: a daemon's child no longer repeats buffered output

When the output of pf-tests went to a pipe, each daemon that was forked wrote the parent's buffered lines again: "Running main()" stood there once for each process of the soak. Standard output is flushed before the fork.

Gateway.*:Fake*: 22 passed. Not run with sanitizers.

--- a/tests/gateway_fixture.h
+++ b/tests/gateway_fixture.h
@@ -83,6 +83,7 @@
 				std::to_string(getpid()) + "-" +
 				std::to_string(serial++) + ".toml";
 		std::ofstream(file_) << toml;
+		fflush(stdout); /* else the child writes it again */
 		pid_ = fork();
 		if (pid_ == 0) {
 			const char *log = getenv("PF_TEST_LOG");
