--- a/tests/test_gateway_soak.cc
+++ b/tests/test_gateway_soak.cc
@@ -43,6 +43,19 @@
 	std::mt19937 rng_;
 };
 
+/* By PF_SOAK_FAULTS. */
+bool IsEnabled(const std::string &name)
+{
+	const char *v = getenv("PF_SOAK_FAULTS");
+	std::string list = "," + std::string(v ? v : "") + ",";
+	bool some = list.find_first_not_of(',') != std::string::npos;
+
+	if (list.find(",-" + name + ",") != std::string::npos)
+		return false;
+	return !some || list[1] == '-' ||
+	       list.find("," + name + ",") != std::string::npos;
+}
+
 void SleepMs(unsigned ms)
 {
 	std::this_thread::sleep_for(std::chrono::milliseconds(ms));
@@ -460,6 +473,14 @@
 
 		return counts[r.Below(3)];
 	}
+	void Silence(size_t first, size_t n, unsigned ms)
+	{
+		Note("silence of " + std::to_string(n) + " from i-" +
+		     std::to_string(first) + ", " + std::to_string(ms) + " ms");
+		for (size_t k = 0; k < n; k++)
+			endpoints[(first + k) % endpoints.size()]
+				->endpoint->Silence(ms);
+	}
 	/* Alone, or beside planned work. */
 	void SilenceEndpoints(Rng &r)
 	{
@@ -471,11 +492,7 @@
 
 		if (!h)
 			return;
-		Note("silence of " + std::to_string(n) + " from i-" +
-		     std::to_string(first) + ", " + std::to_string(ms) + " ms");
-		for (size_t k = 0; k < n; k++)
-			endpoints[(first + k) % endpoints.size()]
-				->endpoint->Silence(ms);
+		Silence(first, n, ms);
 		SleepMs(r.Below(ms));
 		switch (r.Below(4)) {
 		case 0:
@@ -692,6 +709,14 @@
 	void ExpectNewestRowsInForce()
 	{
 		ExpectConfigInForce();
+		if (IsEnabled("restore")) {
+			for (auto &n : endpoints)
+				n->endpoint->WriteRow();
+			/* Gateways have read these rows, which are lost. */
+			SleepMs(4000);
+			RestoreAndReuseRevisions(rng, 4500);
+			ExpectConfigInForce();
+		}
 		AddEndpoint("other");
 		ChangeConfig("other");
 		ExpectConfigInForce();
@@ -759,19 +784,6 @@
 	{ "errors", false, [](Soak &, Rng &) {} },
 };
 
-/* By PF_SOAK_FAULTS. */
-bool IsEnabled(const std::string &name)
-{
-	const char *v = getenv("PF_SOAK_FAULTS");
-	std::string list = "," + std::string(v ? v : "") + ",";
-	bool some = list.find_first_not_of(',') != std::string::npos;
-
-	if (list.find(",-" + name + ",") != std::string::npos)
-		return false;
-	return !some || list[1] == '-' ||
-	       list.find("," + name + ",") != std::string::npos;
-}
-
 void Soak::RunFaults(bool harmless, unsigned span, unsigned thread)
 {
 	auto end =
@@ -806,6 +818,12 @@
 	WaitUntilReady();
 	for (unsigned i = 0; i < n_gateways * CALLERS_PER_GATEWAY; i++)
 		callers.emplace_back([this, i] { RunCaller(i % 3 == 0); });
+	/* The longest silence of all that is allowed. */
+	if (IsEnabled("silence")) {
+		SleepMs(500);
+		Silence(0, endpoints.size(), 2000);
+		SleepMs(2500);
+	}
 	InjectFaults(true, (seconds + 1) / 2);
 	for (const FaultKind &k : FAULTS) {
 		if (IsEnabled(k.name) && !k.harmless)
