Gateway: endpoints that say that they leave get no new requests

Callers saw requests end at endpoints that had already said in their answers that they leave: the gateway read only the store's entry and the loader's report, which come later, or not at all while the store is away. With every endpoint leaving, callers waited up to half of their time.

The platform's decoder now reads the header from every answer head, and the gateway tells the gate core at once, before the body. The core remembers id and incarnation apart from the endpoint, so a row that is older, equal, or written again after a removal does not bring the endpoint back; a later incarnation is a new endpoint. Running sends are left alone, idle connections are closed, a probe's connection is not kept, and the plan core counts the engine as draining. Requests of a service whose endpoints all leave are refused at once (why=all_leaving) with a Retry-After, unless the request may have run or its answer has begun; those wait as before. Log line endpoint_leaving, counter endpoints_leaving_total.

Digests do not carry it: each gateway learns it from its next answer.

Tests, which failed before. With the core, planner and decoder stubbed to ignore the message: GateLeaving (None, SameIncarnation, OlderIncarnation, RemovedAndWrittenAgain), Gate.LeavingIsRememberedForEachIncarnation, Gate.RequestsAreRefusedAtOnceIfAllEndpointsLeave, Gate.StreamResumesWhereNoEndpointLeaves, Gate.SilentStreamDoesNotMoveToALeavingEndpoint, Plan.ALeavingEngineGetsNoLoads, PlatformReply leaving and leaving_full. Engines in the planner's tests now have an incarnation.

--- a/daemons/gateway/gateway.h
+++ b/daemons/gateway/gateway.h
@@ -44,6 +44,7 @@
 	 * unless it is written again. 0: none due.
 	 */
 	pf_ms remove_at;
+	int64_t left_incarnation; /* that said that it leaves; 0: none */
 	bool removed; /* unknown to the cores; freed with its last connection */
 	uint32_t refs; /* connections, idle ones included */
 	struct adapter_use adapters_in_use[ENDPOINT_ADAPTERS_MAX];
@@ -77,6 +78,7 @@
 struct upstream {
 	LIST_ENTRY(upstream) next; /* in idle_conns */
 	struct endpoint *endpoint;
+	int64_t incarnation; /* of the endpoint when connected */
 	struct pf_sock *sock;
 	struct exchange *exchange; /* NULL: idle */
 	uint64_t adapter; /* counted in adapters_in_use; 0: none */
@@ -244,6 +246,7 @@
 void talk_endpoint_updated(struct gateway *g,
 			   const struct pf_endpoint_info *info);
 void talk_endpoint_removed(struct gateway *g, uint64_t id);
+void talk_endpoint_leaving(struct gateway *g, uint64_t id, int64_t incarnation);
 
 /* main.c */
 /** Puts a newer configuration into effect; takes over @routes. */
--- a/daemons/gateway/talk.c
+++ b/daemons/gateway/talk.c
@@ -181,6 +181,15 @@
 	talk_plan_step(g->talk, &m);
 }
 
+void talk_endpoint_leaving(struct gateway *g, uint64_t id, int64_t incarnation)
+{
+	struct pf_plan_msg m = { .type = PF_PLAN_LEAVING };
+
+	m.u.leaving.endpoint = id;
+	m.u.leaving.incarnation = incarnation;
+	talk_plan_step(g->talk, &m);
+}
+
 static void on_digest(void *ctx, const struct sockaddr_in *from,
 		      const struct pf_gate_digest *d,
 		      const struct pf_talk_store_view *news)
--- a/daemons/gateway/upstream.c
+++ b/daemons/gateway/upstream.c
@@ -4,6 +4,8 @@
  */
 #include "gateway.h"
 
+#include "pimentoford/counters.h"
+
 #include <stdlib.h>
 #include <string.h>
 
@@ -21,6 +23,12 @@
 #define IDLE_CONNS_MAX 16
 #define ANSWER_HEAD_BYTES_MAX 32768
 
+static bool endpoint_leaves(const struct endpoint *e)
+{
+	return e->left_incarnation &&
+	       e->left_incarnation == e->info.incarnation;
+}
+
 static void upstream_free(struct upstream *u)
 {
 	struct endpoint *e = u->endpoint;
@@ -112,7 +120,8 @@
 	/* Unsent bytes of this request would precede the next one. */
 	if (rest > 0 || u->body.framing == PF_H1_UNTIL_CLOSE ||
 	    pf_sock_queued(u->sock) > 0 || keep_alive <= KEEP_ALIVE_MARGIN_MS ||
-	    u->endpoint->n_idle_conns >= IDLE_CONNS_MAX || u->endpoint->removed)
+	    u->endpoint->n_idle_conns >= IDLE_CONNS_MAX ||
+	    u->endpoint->removed || endpoint_leaves(u->endpoint))
 		u->reusable = false;
 	u->idle_deadline = pf_clock_now() + keep_alive - KEEP_ALIVE_MARGIN_MS;
 	end_send(u, r->not_run ? PF_GATE_NOT_RUN : PF_GATE_ANSWERED, false);
@@ -146,6 +155,30 @@
 	       h->status == 200;
 }
 
+/* The endpoint leaves: it gets no new requests, and needs no idle connections.
+ * Requests that it is running end as usual. */
+static void note_leaving(struct upstream *u)
+{
+	struct pf_gate_msg m = { .type = PF_GATE_LEAVING };
+	struct endpoint *e = u->endpoint;
+	struct gateway *g = e->gateway;
+
+	if (!u->reply.leaving || e->left_incarnation == u->incarnation)
+		return;
+	e->left_incarnation = u->incarnation;
+	g->counters->v[PF_GC_LEAVING]++;
+	PF_LOG(&g->log, PF_LOG_INFO, "endpoint_leaving",
+	       PF_KV_STR("endpoint", e->info.instance),
+	       PF_KV_TEXT("id", u->exchange->inbound.id),
+	       PF_KV_INT("status", u->reply.status));
+	if (endpoint_leaves(e))
+		upstream_close_idle(e);
+	m.u.leaving.endpoint = e->info.id;
+	m.u.leaving.incarnation = u->incarnation;
+	talk_endpoint_leaving(g, e->info.id, u->incarnation);
+	core_step(g, &m);
+}
+
 /* Returns 0: head parsed; 1: incomplete; -1: the send has ended. */
 static int parse_head(struct upstream *u)
 {
@@ -161,6 +194,7 @@
 		return -1;
 	}
 	platform_decode_reply(&h, u->exchange->inbound.id, &u->reply);
+	note_leaving(u);
 	if (h.status < 200) {
 		pf_text_drop(&u->head_buf, n);
 		return parse_head(u);
@@ -260,7 +294,10 @@
 	}
 	u->idle_deadline =
 		pf_clock_now() + DEFAULT_KEEP_ALIVE_MS - KEEP_ALIVE_MARGIN_MS;
-	add_idle(u);
+	if (endpoint_leaves(e))
+		upstream_free(u);
+	else
+		add_idle(u);
 	m.u.id = e->info.id;
 	core_step(e->gateway, &m);
 }
@@ -291,6 +328,7 @@
 	if (!u)
 		return NULL;
 	u->endpoint = e;
+	u->incarnation = e->info.incarnation;
 	u->sock = pf_sock_connect(e->gateway->base, e->info.addr,
 				  CONNECT_TIMEOUT_MS, UNACKED_MAX_MS,
 				  &upstream_cbs, u);
--- a/fuzz/fuzz_gate.c
+++ b/fuzz/fuzz_gate.c
@@ -45,6 +45,8 @@
 struct endpoint_view {
 	bool draining[GATES];
 	bool listed[GATES];
+	int64_t incarnation[GATES]; /* last listed */
+	int64_t left[GATES]; /* last that said that it leaves */
 };
 
 struct world {
@@ -122,6 +124,8 @@
 		fuzz_violation(w->r, "sent while another send is in flight");
 	if (at >= ENDPOINTS || !p->listed[q->gate] || p->draining[q->gate])
 		fuzz_violation(w->r, "sent to a draining or removed endpoint");
+	if (p->left[q->gate] && p->left[q->gate] >= p->incarnation[q->gate])
+		fuzz_violation(w->r, "sent to an endpoint that said it leaves");
 	if ((q->kind == UNSAFE || q->kind == STREAM) && q->possible_runs)
 		fuzz_violation(w->r, "at-most-once request sent again");
 	if (q->possible_runs >= ATTEMPTS)
@@ -228,14 +232,14 @@
 }
 
 static void list_endpoint(struct world *w, uint32_t gate, uint32_t i,
-			  bool draining)
+			  int64_t incarnation, bool draining)
 {
 	struct pf_resident res = { 9, NULL, 0 };
 	struct pf_endpoint_info l = { .id = i + 1,
 				      .service = i < 3 ? 101 : 102,
 				      .zone = 1 + i % 2,
 				      .slots = 4,
-				      .incarnation = 1,
+				      .incarnation = incarnation,
 				      .draining = draining,
 				      .residents = &res,
 				      .n_residents = i < 3 ? 0 : 1 };
@@ -244,6 +248,7 @@
 	m.u.endpoint = &l;
 	w->endpoints[i].listed[gate] = true;
 	w->endpoints[i].draining[gate] = draining;
+	w->endpoints[i].incarnation[gate] = incarnation;
 	step(w, gate, &m);
 }
 
@@ -275,7 +280,9 @@
 	m.u.routes = &w->routes;
 	step(w, gate, &m);
 	for (i = 0; i < ENDPOINTS; i++)
-		list_endpoint(w, gate, i, false);
+		w->endpoints[i].left[gate] = 0;
+	for (i = 0; i < ENDPOINTS; i++)
+		list_endpoint(w, gate, i, 1, false);
 }
 
 /* The process dies with its requests. */
@@ -438,9 +445,13 @@
 	struct pf_gate_msg m = { .type = PF_GATE_ENDPOINT_GONE };
 	uint32_t gate = draw(w, GATES);
 	uint32_t i = draw(w, ENDPOINTS);
+	int64_t born = w->endpoints[i].incarnation[gate];
 
 	if (draw(w, 3)) {
-		list_endpoint(w, gate, i, draw(w, 4) == 0);
+		/* At times started again, or an older row. */
+		if (draw(w, 4) == 0)
+			born += draw(w, 4) ? 1 : -1;
+		list_endpoint(w, gate, i, born > 0 ? born : 1, draw(w, 4) == 0);
 		return;
 	}
 	w->endpoints[i].listed[gate] = false;
@@ -448,6 +459,23 @@
 	step(w, gate, &m);
 }
 
+/* An answer says that its endpoint leaves, perhaps the one before a restart. */
+static void say_leaving(struct world *w)
+{
+	struct pf_gate_msg m = { .type = PF_GATE_LEAVING };
+	uint32_t gate = draw(w, GATES);
+	uint32_t i = draw(w, ENDPOINTS);
+	struct endpoint_view *p = &w->endpoints[i];
+
+	m.u.leaving.endpoint = i + 1;
+	m.u.leaving.incarnation = p->incarnation[gate] - (draw(w, 4) == 0);
+	if (m.u.leaving.incarnation < 1)
+		return;
+	if (m.u.leaving.incarnation > p->left[gate])
+		p->left[gate] = m.u.leaving.incarnation;
+	step(w, gate, &m);
+}
+
 /* Some datagrams are lost. */
 static void exchange_digests(struct world *w)
 {
@@ -517,6 +545,8 @@
 			change_endpoint(w);
 		else if (op < 64)
 			answer_probe(w);
+		else if (op < 65)
+			say_leaving(w);
 		else if (op < 80)
 			exchange_digests(w);
 		else if (op < 99 || draw(w, 8))
--- a/include/pimentoford/counters.h
+++ b/include/pimentoford/counters.h
@@ -123,6 +123,8 @@
 	DEF(SENT, "sent_total", "counter", "Sends to endpoints")               \
 	DEF(REPEATS, "repeats_total", "counter",                               \
 	    "Sends after the first of a request")                              \
+	DEF(LEAVING, "endpoints_leaving_total", "counter",                     \
+	    "Endpoints of which an answer said that they leave")               \
 	DEF(ENDPOINTS, "endpoints", "gauge", "Endpoints that are listed")      \
 	DEF(VERSION, "config_version", "gauge", "Configuration in force")      \
 	DEF(CPU_MS, "cpu_ms_total", "counter", "Processor time used")          \
--- a/include/pimentoford/gate.h
+++ b/include/pimentoford/gate.h
@@ -134,6 +134,7 @@
 	PF_GATE_PEER_DIGEST, /* u.digest */
 	PF_GATE_ENGINE_STATE, /* u.state: from a loader, borrowed for the call */
 	PF_GATE_REACHABLE, /* u.id: a probed endpoint accepted a connection */
+	PF_GATE_LEAVING, /* u.leaving: an answer says that its endpoint leaves */
 	PF_GATE_SHUT_DOWN, /* refuses waiting requests, now and from now on */
 	PF_GATE_TICK,
 };
@@ -153,6 +154,10 @@
 		struct pf_gate_end end;
 		struct pf_gate_digest digest;
 		const struct pf_engine_state *state;
+		struct {
+			uint64_t endpoint;
+			int64_t incarnation; /* that answered */
+		} leaving;
 	} u;
 };
 
@@ -172,6 +177,7 @@
 	DEF(FULL, "full")                   \
 	DEF(NO_ENDPOINT, "no_endpoint")     \
 	DEF(NOT_LOADED, "not_loaded")       \
+	DEF(ALL_LEAVING, "all_leaving")     \
 	DEF(LATE, "late")                   \
 	DEF(LEAVING, "leaving")             \
 	DEF(RETRY_BUDGET, "retry_budget")   \
--- a/include/pimentoford/inbound.h
+++ b/include/pimentoford/inbound.h
@@ -50,6 +50,7 @@
 	bool has_request_id; /* the answer carries a request id */
 	bool not_run; /* the endpoint did not run the request */
 	bool other_instance; /* another endpoint has this address now */
+	bool leaving; /* the endpoint leaves: no new requests */
 	pf_ms retry_after; /* -1: unset */
 	pf_ms keep_alive; /* idle timeout of the connection; -1: unset */
 };
--- a/include/pimentoford/plan.h
+++ b/include/pimentoford/plan.h
@@ -37,6 +37,7 @@
 	PF_PLAN_ENDPOINT, /* u.endpoint: borrowed for the call */
 	PF_PLAN_ENDPOINT_GONE, /* u.id: the endpoint */
 	PF_PLAN_STATE, /* u.state: from a loader; borrowed for the call */
+	PF_PLAN_LEAVING, /* u.leaving: an endpoint says that it leaves */
 	PF_PLAN_MEMBERS_READ, /* the list of gateways has been read */
 	PF_PLAN_PEER_HEARTBEAT, /* u.id: another gateway */
 	PF_PLAN_DEMAND, /* u.demand: of a gateway, this one included */
@@ -50,6 +51,10 @@
 		const struct pf_endpoint_info *endpoint;
 		const struct pf_engine_state *state;
 		uint64_t id;
+		struct {
+			uint64_t endpoint;
+			int64_t incarnation;
+		} leaving;
 		struct {
 			uint64_t peer;
 			const struct pf_gate_demand *items;
--- a/src/coordination/gate/gate.c
+++ b/src/coordination/gate/gate.c
@@ -123,6 +123,11 @@
 	case PF_GATE_REACHABLE:
 		gate_endpoint_reachable(g, m->u.id);
 		break;
+	case PF_GATE_LEAVING:
+		gate_endpoint_leaving(g, m->u.leaving.endpoint,
+				      m->u.leaving.incarnation);
+		g->send_waiting_at = g->now;
+		break;
 	case PF_GATE_SHUT_DOWN:
 		gate_shut_down(g);
 		break;
--- a/src/coordination/gate/gate_core.h
+++ b/src/coordination/gate/gate_core.h
@@ -72,6 +72,7 @@
 	uint32_t slots; /* concurrent requests */
 	bool draining; /* by its store entry */
 	bool loader_draining; /* by its loader */
+	bool leaving; /* by one of its answers */
 	int64_t kv_capacity; /* tokens; 0: not an engine */
 	struct pf_resident *residents; /* owned */
 	uint32_t n_residents;
@@ -173,6 +174,14 @@
 	pf_ms at;
 };
 
+#define GATE_LEFT_MAX 1024
+
+/** An endpoint of which an answer said that it leaves. */
+struct gate_left {
+	uint64_t id;
+	int64_t incarnation; /* this one and older ones */
+};
+
 struct gate_prefill_speed {
 	uint64_t model; /* 0: free */
 	double ms_per_token;
@@ -205,6 +214,9 @@
 	struct gate_prefix prefixes[GATE_PREFIX_SETS][GATE_PREFIX_WAYS];
 	struct gate_demand_entry demand[GATE_DEMAND_ENTRIES];
 	pf_ms demand_smoothed_at;
+	/* Ring; outlasts the endpoints, as the store may list them again. */
+	struct gate_left left[GATE_LEFT_MAX];
+	uint64_t n_left; /* ever added */
 	struct gate_prefill_speed prefill_speeds[GATE_PREFILL_SPEEDS];
 	struct gate_crash crashes[GATE_CRASHES_MAX];
 	/* Rings for the digests; n_* counts all entries ever added. */
@@ -251,6 +263,18 @@
 /** Gateways that may have used the retry budget, including this one. */
 uint32_t gate_peers_count(const struct pf_gate *g);
 
+/* gate_leave.c */
+/** An answer of this incarnation of the endpoint says that it leaves. */
+void gate_endpoint_leaving(struct pf_gate *g, uint64_t id, int64_t incarnation);
+/** Whether an answer of this incarnation or a later one said so. */
+bool gate_has_left(struct pf_gate *g, uint64_t id, int64_t incarnation);
+static inline bool gate_endpoint_leaves(const struct gate_endpoint *e)
+{
+	return e->draining || e->loader_draining || e->leaving;
+}
+/** Whether the service of @r has endpoints, and all of them leave. */
+bool gate_all_leaving(const struct pf_gate *g, const struct gate_request *r);
+
 /* gate_prefix.c */
 /** Prompt tokens of @r expected in the prefix cache of @e. */
 uint32_t gate_prefix_cached_tokens(struct pf_gate *g,
@@ -320,7 +344,7 @@
 void gate_request_timer(struct pf_gate *g, uint32_t slot);
 /** Refuses waiting requests; from now on none may wait. */
 void gate_shut_down(struct pf_gate *g);
-/** Sends @r, or ends it for lack of retry budget; false if it must wait. */
+/** Sends @r or ends it, if it can't be sent in time; false if it must wait. */
 bool gate_try_send(struct pf_gate *g, struct gate_request *r);
 /** Takes a retry from the budget; the first send on the wire is free. */
 bool gate_take_retry(struct pf_gate *g, const struct gate_request *r);
--- a/src/coordination/gate/gate_life.c
+++ b/src/coordination/gate/gate_life.c
@@ -193,6 +193,16 @@
 	emit(g, r, &a);
 }
 
+/* Refuses @r at once if waiting is in vain; false if it may wait. */
+static bool refuse_unservable(struct pf_gate *g, struct gate_request *r)
+{
+	if (r->response_started || r->possible_runs > 0 ||
+	    !gate_all_leaving(g, r))
+		return false;
+	refuse_request(g, r, PF_GATE_REASON_ALL_LEAVING);
+	return true;
+}
+
 bool gate_try_send(struct pf_gate *g, struct gate_request *r)
 {
 	uint32_t load_at;
@@ -201,7 +211,7 @@
 	if (load_at != GATE_NIL)
 		gate_request_adapter(g, r, load_at);
 	if (at == GATE_NIL)
-		return false;
+		return refuse_unservable(g, r);
 	if (!gate_take_retry(g, r)) {
 		/* Nothing is better for a started answer than to wait. */
 		if (r->response_started)
--- a/src/coordination/gate/gate_pick.c
+++ b/src/coordination/gate/gate_pick.c
@@ -140,9 +140,15 @@
 {
 	if (!e->used || e->service != r->service)
 		return false;
-#ifndef PF_MUTANT_GATE_LEAVING
+#if defined(PF_MUTANT_GATE_LEAVING)
+	if (e->leaving)
+		return false;
+#elif defined(PF_MUTANT_GATE_ANSWER_LEAVES)
 	if (e->draining || e->loader_draining)
 		return false;
+#else
+	if (gate_endpoint_leaves(e))
+		return false;
 #endif
 	if (!r->model)
 		return true;
--- a/src/coordination/plan/plan.c
+++ b/src/coordination/plan/plan.c
@@ -171,6 +171,11 @@
 		e->residents[e->n_residents++] = v[i].model;
 }
 
+static bool has_left(const struct plan_engine *e, int64_t incarnation)
+{
+	return e->left_incarnation && e->left_incarnation == incarnation;
+}
+
 static void on_endpoint(struct pf_plan *p, const struct pf_endpoint_info *info)
 {
 	struct plan_engine *e;
@@ -184,7 +189,8 @@
 		p->last_listed_at = p->now;
 	e->service = info->service;
 	e->listed = true;
-	e->draining = info->draining || (e->draining && e->state_received_at);
+	e->draining = info->draining || (e->draining && e->state_received_at) ||
+		      has_left(e, info->incarnation);
 	/* Without a recent state from the loader, trust the entry. */
 	if (p->now - e->state_received_at > STATE_PRECEDENCE_MS ||
 	    !e->state_received_at)
@@ -293,7 +299,7 @@
 	e->orders_accepted = s->orders_accepted;
 	e->busy = s->busy;
 	e->unloading_model = s->unloading_model;
-	e->draining = e->draining || s->draining;
+	e->draining = e->draining || s->draining || has_left(e, s->incarnation);
 	copy_residents(e, s->residents, s->n_residents);
 	e->n_in_host_mem = copy_ids(e->in_host_mem, PLAN_COPIES_MAX,
 				    s->in_host_mem, s->n_in_host_mem);
@@ -305,6 +311,17 @@
 	clear_finished_order(p, e);
 }
 
+static void on_leaving(struct pf_plan *p, uint64_t id, int64_t incarnation)
+{
+	struct plan_engine *e = find_engine(p, id, false);
+
+	if (!e || !incarnation)
+		return;
+	e->left_incarnation = incarnation;
+	if (!e->incarnation || e->incarnation == incarnation)
+		e->draining = true;
+}
+
 static struct plan_peer *peer_slot(struct pf_plan *p, uint64_t id)
 {
 	struct plan_peer *oldest = &p->peers[0];
@@ -469,6 +486,9 @@
 	case PF_PLAN_ENDPOINT:
 		on_endpoint(p, m->u.endpoint);
 		break;
+	case PF_PLAN_LEAVING:
+		on_leaving(p, m->u.leaving.endpoint, m->u.leaving.incarnation);
+		break;
 	case PF_PLAN_ENDPOINT_GONE:
 		e = find_engine(p, m->u.id, false);
 		if (e)
--- a/src/coordination/plan/plan_core.h
+++ b/src/coordination/plan/plan_core.h
@@ -14,7 +14,8 @@
 	uint64_t id; /* 0: free */
 	uint64_t service;
 	bool listed;
-	bool draining; /* by its entry or its loader */
+	bool draining; /* by its entry, its loader or an answer */
+	int64_t left_incarnation; /* that said so in an answer; 0: none */
 	pf_ms state_received_at; /* from its loader; 0: never */
 	int64_t incarnation;
 	uint64_t orders_accepted;
--- a/tests/gate_rig.cc
+++ b/tests/gate_rig.cc
@@ -120,6 +120,16 @@
 	Step(m);
 }
 
+void GateRig::Leaves(const char *name, int64_t born)
+{
+	struct pf_gate_msg m = {};
+
+	m.type = PF_GATE_LEAVING;
+	m.u.leaving.endpoint = Id(name);
+	m.u.leaving.incarnation = born;
+	Step(m);
+}
+
 void GateRig::Arrive(int tag, const char *prefix, pf_ms time_left,
 		     const char *model, const char *adapter, uint32_t prompt,
 		     const char *part, uint64_t fingerprint)
--- a/tests/test_gate.cc
+++ b/tests/test_gate.cc
@@ -148,6 +148,107 @@
 	EXPECT_EQ(Last(9, PF_GATE_SEND), nullptr);
 }
 
+// Rows that come after an endpoint said in an answer that it leaves.
+struct LeavingCase {
+	const char *name;
+	bool removed; /* its row disappears first */
+	int64_t born; /* of the next row; 0: none */
+	bool used; /* the endpoint gets requests again */
+};
+
+struct GateLeaving : Gate, ::testing::WithParamInterface<LeavingCase> {
+};
+
+TEST_P(GateLeaving, EndpointGetsNoRequestsUntilANewIncarnation)
+{
+	const LeavingCase &c = GetParam();
+
+	Gone("a2");
+	Endpoint("a1", "app", "za", nullptr, nullptr, false, 5);
+	Endpoint("a3", "app", "zb");
+	Arrive(1, "/u/", 800);
+	ASSERT_EQ(SentTo(1), Id("a1"));
+	Leaves("a1", 5);
+	if (c.removed)
+		Gone("a1");
+	if (c.born)
+		Endpoint("a1", "app", "za", nullptr, nullptr, false, c.born);
+	Arrive(2, "/u/", 800);
+	EXPECT_EQ(SentTo(2), c.used ? Id("a1") : Id("a3"));
+	Tick(400);
+	EXPECT_EQ(Count(PF_GATE_CANCEL), 0u);
+	Ended(1, PF_GATE_ANSWERED, 200);
+	EXPECT_NE(Last(1, PF_GATE_DELIVER), nullptr);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+	Rows, GateLeaving,
+	::testing::Values(
+		LeavingCase{ "None", false, 0, false },
+		LeavingCase{ "SameIncarnation", false, 5, false },
+		LeavingCase{ "RemovedAndWrittenAgain", true, 5, false },
+		LeavingCase{ "OlderIncarnation", false, 4, false },
+		LeavingCase{ "NewIncarnation", false, 6, true },
+		LeavingCase{ "RemovedAndStartedAgain", true, 6, true }),
+	[](const auto &p) { return p.param.name; });
+
+// An older row is read after the endpoint was started again, then its own.
+TEST_F(Gate, LeavingIsRememberedForEachIncarnation)
+{
+	Gone("a2");
+	Leaves("a1", 1);
+	Endpoint("a1", "app", "za", nullptr, nullptr, false, 2);
+	Leaves("a1", 1);
+	Arrive(1, "/u/", 800);
+	EXPECT_EQ(SentTo(1), Id("a1"));
+	Endpoint("a1", "app", "za", nullptr, nullptr, false, 1);
+	Arrive(2, "/u/", 800);
+	EXPECT_EQ(Last(2, PF_GATE_SEND), nullptr);
+}
+
+TEST_F(Gate, RequestsAreRefusedAtOnceIfAllEndpointsLeave)
+{
+	for (int i = 0; i < 8; i++)
+		Arrive(i, "/u/", 800);
+	Arrive(10, "/u/", 800);
+	ASSERT_EQ(Last(10, PF_GATE_REFUSE), nullptr);
+	Leaves("a1");
+	EXPECT_EQ(Last(10, PF_GATE_REFUSE), nullptr);
+	Leaves("a2");
+	ASSERT_NE(Last(10, PF_GATE_REFUSE), nullptr);
+	EXPECT_EQ(Last(10, PF_GATE_REFUSE)->raw.u.refuse.reason,
+		  PF_GATE_REASON_ALL_LEAVING);
+	Arrive(11, "/s/", 800);
+	ASSERT_NE(Last(11, PF_GATE_REFUSE), nullptr);
+	EXPECT_EQ(Last(11, PF_GATE_REFUSE)->raw.u.refuse.status, 503);
+	EXPECT_GT(Last(11, PF_GATE_REFUSE)->raw.u.refuse.retry_after, 0);
+	EXPECT_LE(Last(11, PF_GATE_REFUSE)->raw.u.refuse.retry_after, 800 / 3);
+	EXPECT_EQ(Count(PF_GATE_CANCEL), 0u);
+}
+
+TEST_F(Gate, StreamResumesWhereNoEndpointLeaves)
+{
+	PassFirstWindow();
+	Endpoint("l3", "llm", "zc", "m");
+	Arrive(1, "/r/", 6000, "m", nullptr, 100);
+	ASSERT_NE(SentTo(1), Id("l3"));
+	Events(1);
+	for (const char *name : { "l1", "l2" })
+		Leaves(name);
+	Ended(1, PF_GATE_BROKEN);
+	EXPECT_EQ(SentTo(1), Id("l3"));
+}
+
+TEST_F(Gate, SilentStreamDoesNotMoveToALeavingEndpoint)
+{
+	PassFirstWindow();
+	Arrive(1, "/r/", 6000, "m", nullptr, 100);
+	Events(1);
+	Leaves(SentTo(1) == Id("l1") ? "l2" : "l1");
+	Tick(1900);
+	EXPECT_EQ(Count(PF_GATE_CANCEL), 0u);
+}
+
 TEST_F(Gate, NearEndpointIsPreferredUntilBusy)
 {
 	Arrive(1, "/u/", 800);
--- a/tests/test_gateway.cc
+++ b/tests/test_gateway.cc
@@ -614,6 +614,82 @@
 		"HTTP/1.1 408"));
 }
 
+TEST_F(Gateway, EndpointThatSaysThatItLeavesGetsNoNewRequests)
+{
+	std::atomic<bool> end{ false };
+	auto serve = [&](const std::string &name) {
+		return [&, name](int fd, const FakeRequest &r) {
+			std::string id =
+				"Attempt-Id: " + r.Header("Attempt-Id") +
+				"\r\n";
+
+			if (r.target == "/u/x") {
+				FakeSend(fd, HttpAnswer(200, name, id));
+				return true;
+			}
+			if (r.target == "/t/leave")
+				id += "Server-Leaving: 1\r\n";
+			FakeSend(fd, "HTTP/1.1 200 OK\r\n" + id +
+					     "Transfer-Encoding: chunked\r\n"
+					     "\r\n" +
+					     Chunk(StreamEvent(1)));
+			for (int i = 0; i < 400 && !end; i++) {
+				usleep(50000);
+				FakeSend(fd, Chunk(StreamEvent(2)));
+			}
+			FakeSend(fd, Chunk("id: 3\ndata: " + name + "\n\n") +
+					     "0\r\n\r\n");
+			return true;
+		};
+	};
+	FakeServer a("127.0.0.1", serve("first"));
+	FakeServer b("127.0.0.1", serve("second"));
+
+	store.Put("servers", "i-1", EndpointRow("app", a.addr()));
+	store.Put("servers", "i-2", EndpointRow("app", b.addr()));
+	StartGateway();
+	WaitUntilReady();
+	int fd = FakeDial("127.0.0.2", port);
+	FakeSend(fd, GetRequest("/t/leave", "1"));
+	std::string got = FakeReceive(fd, "data: e1\n");
+	bool first = a.count("/t/leave") == 1;
+	store.WaitUntilApplied(
+		"servers",
+		store.Put("servers", first ? "i-1" : "i-2",
+			  EndpointRow("app", first ? a.addr() : b.addr(),
+				      "ready",
+				      "[{\"name\":\"m\",\"version\":1,"
+				      "\"adapters\":[]}]")));
+	/* Load on the other endpoint does not bring it back. */
+	int busy[3];
+	for (int &b : busy) {
+		b = FakeDial("127.0.0.2", port);
+		FakeSend(b, GetRequest("/t/busy", "2"));
+		FakeReceive(b, "data: e1\n");
+	}
+	for (int i = 0; i < 20; i++)
+		EXPECT_TRUE(Contains(Request(GetRequest("/u/x", "2")),
+				     first ? "second" : "first"));
+	end = true;
+	for (int b : busy) {
+		FakeReceive(b);
+		close(b);
+	}
+	got += FakeReceive(fd);
+	close(fd);
+	EXPECT_TRUE(Contains(got, first ? "data: first\n" : "data: second\n"))
+		<< got;
+	EXPECT_TRUE(Contains(got, "0\r\n\r\n")) << got;
+	Request(GetRequest("/t/leave", "3"));
+	EXPECT_EQ(a.count("/t/leave") + b.count("/t/leave"), 2u);
+	got = Request(GetRequest("/u/x", "4"));
+	EXPECT_TRUE(Contains(got, "HTTP/1.1 503")) << got;
+	EXPECT_TRUE(Contains(got, "Retry-After:")) << got;
+	EXPECT_TRUE(Contains(got, "all_leaving")) << got;
+	EXPECT_TRUE(Contains(FakeGet("127.0.0.2", ready_port, "/metrics"),
+			     "endpoints_leaving_total 2"));
+}
+
 TEST_F(Gateway, ACallersDisconnectCancelsTheSend)
 {
 	std::atomic<bool> closed{ false };
--- a/tests/test_plan.cc
+++ b/tests/test_plan.cc
@@ -12,6 +12,8 @@
 namespace
 {
 
+constexpr int64_t kBorn = 9; /* of all engines */
+
 struct Order {
 	uint64_t endpoint;
 	bool load;
@@ -102,6 +104,7 @@
 		l.id = Id(name);
 		l.service = Id("llm");
 		l.draining = engines[name].draining;
+		l.incarnation = kBorn;
 		for (const std::string &x : engines[name].residents)
 			r.push_back({ Id(x), nullptr, 0 });
 		l.residents = r.data();
@@ -123,6 +126,7 @@
 		for (const std::string &x : e.disk)
 			disk.push_back(Id(x));
 		s.endpoint = Id(name);
+		s.incarnation = kBorn;
 		s.orders_accepted = e.orders;
 		s.busy = e.busy;
 		s.unloading_model = e.unloading_model;
@@ -229,6 +233,29 @@
 	}
 }
 
+TEST_F(Plan, ALeavingEngineGetsNoLoads)
+{
+	struct pf_plan_msg m = {};
+
+	engines["e1"].residents = { "m0", "m1" };
+	engines["e2"].residents = { "m2", "m3" };
+	engines["e3"].residents = { "m4", "m5" };
+	engines["e4"] = {};
+	engines["e5"] = {};
+	StartKnown();
+	m.type = PF_PLAN_LEAVING;
+	m.u.leaving.endpoint = Id("e4");
+	m.u.leaving.incarnation = kBorn;
+	Step(m);
+	Run(1000, { { "m0", 20 } });
+	ASSERT_GE(CountLoads("m0"), 1u);
+	for (const Order &o : orders) {
+		if (o.load) {
+			EXPECT_EQ(o.endpoint, Id("e5")) << o.model;
+		}
+	}
+}
+
 TEST_F(Plan, ABusyModelGetsAnotherHome)
 {
 	engines["e1"].residents = { "m0", "m1" };
--- a/tests/test_platform.cc
+++ b/tests/test_platform.cc
@@ -111,6 +111,7 @@
 	bool other_request;
 	bool other_instance;
 	pf_ms keep;
+	bool leaving;
 };
 
 class PlatformReply : public ::testing::TestWithParam<ReplyCase>
@@ -130,23 +131,33 @@
 	EXPECT_EQ(r.other_request, c.other_request);
 	EXPECT_EQ(r.other_instance, c.other_instance);
 	EXPECT_EQ(r.keep_alive, c.keep);
+	EXPECT_EQ(r.leaving, c.leaving);
 }
 
 INSTANTIATE_TEST_SUITE_P(
 	Heads, PlatformReply,
 	::testing::Values(ReplyCase{ "ours", "200 OK\r\nAttempt-Id: 9c41",
-				     false, false, false, -1 },
+				     false, false, false, -1, false },
 			  ReplyCase{ "stray", "200 OK\r\nAttempt-Id: 77", false,
-				     true, false, -1 },
+				     true, false, -1, false },
 			  ReplyCase{ "full", "503 Full\r\nNot-Run: 1", true,
-				     false, false, -1 },
+				     false, false, -1, false },
 			  ReplyCase{ "failed", "503 Failed\r\nAttempt-Id: 9c41",
-				     false, false, false, -1 },
+				     false, false, false, -1, false },
 			  ReplyCase{ "elsewhere", "421 Misdirected", true,
-				     false, true, -1 },
+				     false, true, -1, false },
 			  ReplyCase{ "keep",
 				     "200 OK\r\nKeep-Alive: max=3, timeout=5",
-				     false, false, false, 5000 }),
+				     false, false, false, 5000, false },
+			  ReplyCase{ "leaving", "200 OK\r\nServer-Leaving: 1",
+				     false, false, false, -1, true },
+			  ReplyCase{ "leaving_full",
+				     "503 Full\r\nServer-Leaving: 1\r\n"
+				     "Not-Run: 1",
+				     true, false, false, -1, true },
+			  ReplyCase{ "not_leaving",
+				     "200 OK\r\nServer-Leaving: 0", false,
+				     false, false, -1, false }),
 	[](const auto &i) { return std::string(i.param.name); });
 
 static const char kConfig[] =
