Gateway: an endpoint that asks for no requests gets none until then

An endpoint that turned a request away with 503 and Retry-After got the next request within a second at most, sooner after the answer or event of another request that ended a silence: the time was cut to 1 s and shared a field with the blocks for unreachable and silent endpoints. A 503 without the promise that the request did not run held nothing. Callers waited up to an eighth of their objective for an endpoint that was known to take nothing, and the retry time they were told had nothing to do with its end.

The backoff is now a field of its own (gate_backoff.c), set from the head of the answer, cut to 60 s. Nothing shortens it but a new incarnation; it outlasts a removal of the row. It holds for first sends, retries, resumptions and the move of a silent stream; a probe only connects and is not held. Afterwards one send may be without an answer, and twice as many after each answer that is not 503, up to the endpoint's slots. If all endpoints that could serve a request are in a backoff, it is refused at once (why=backoff) with a time between the first end and 0.2 s or half of the backoff later, within a third of the caller's time. Requests that may have run wait as for full endpoints.

With 503, and with other statuses that promise that the request did not run (not 421, which another instance may have sent), the time holds. With all others it is for the caller. Negative numbers, words, dates and exponents are ignored and logged (bad_retry_after); over 60 s is logged and cut.

Tests, which failed before. Process tests against a gateway built from: Gateway.EndpointThatAsksForNoRequestsGetsNone (the request was served at once, and so were those after it) and Gateway.BadRetryAfterIsCountedAndHoldsNothing (no counter). With the core ignoring the message: GateBackoff (all but NewIncarnation), GateAllBackoff (all three), Gate.RequestTurnedAwayGoesToAnotherEndpoint, Gate.FewRequestsComeFirstAfterABackoff, Gate.StreamMovesAndResumesOutsideABackoff.

The gate's fuzzer gains backoffs with the oracles "sent within a backoff" and "sent many after a backoff".

--- a/daemons/gateway/upstream.c
+++ b/daemons/gateway/upstream.c
@@ -69,7 +69,6 @@
 		.request = x->core_handle,
 		.outcome = outcome,
 		.status = u->reply.status,
-		.retry_after = u->reply.retry_after,
 		.misdirected = u->reply.other_instance,
 		.reset = reset,
 	};
@@ -179,6 +178,41 @@
 	core_step(g, &m);
 }
 
+static void log_bad_retry_after(struct upstream *u, const char *why)
+{
+	struct gateway *g = u->endpoint->gateway;
+
+	g->counters->v[PF_GC_BAD_RETRY_AFTER]++;
+	PF_LOG(&g->log, PF_LOG_WARN, "bad_retry_after",
+	       PF_KV_TEXT("id", u->exchange->inbound.id),
+	       PF_KV_STR("endpoint", u->endpoint->info.instance),
+	       PF_KV_INT("status", u->reply.status), PF_KV_STR("why", why));
+}
+
+static void note_backoff(struct upstream *u)
+{
+	struct pf_gate_msg m = { .type = PF_GATE_BACKOFF };
+	struct endpoint *e = u->endpoint;
+	struct gateway *g = e->gateway;
+	pf_ms span = pf_gate_backoff(&u->reply);
+
+	if (u->reply.bad_retry_after)
+		log_bad_retry_after(u, "not a number of seconds");
+	if (!span)
+		return;
+	if (span < u->reply.retry_after)
+		log_bad_retry_after(u, "too long");
+	g->counters->v[PF_GC_BACKOFFS]++;
+	PF_LOG(&g->log, PF_LOG_INFO, "backoff",
+	       PF_KV_STR("endpoint", e->info.instance),
+	       PF_KV_TEXT("id", u->exchange->inbound.id),
+	       PF_KV_INT("status", u->reply.status), PF_KV_INT("ms", span));
+	m.u.backoff.endpoint = e->info.id;
+	m.u.backoff.incarnation = u->incarnation;
+	m.u.backoff.span = span;
+	core_step(g, &m);
+}
+
 /* Returns 0: head parsed; 1: incomplete; -1: the send has ended. */
 static int parse_head(struct upstream *u)
 {
@@ -195,6 +229,7 @@
 	}
 	platform_decode_reply(&h, u->exchange->inbound.id, &u->reply);
 	note_leaving(u);
+	note_backoff(u);
 	if (h.status < 200) {
 		pf_text_drop(&u->head_buf, n);
 		return parse_head(u);
@@ -378,8 +413,7 @@
 {
 	struct endpoint *e = endpoint_find(x->gateway, a->u.send.endpoint);
 	struct pf_gate_end unsent = { .request = x->core_handle,
-				      .outcome = PF_GATE_UNSENT,
-				      .retry_after = -1 };
+				      .outcome = PF_GATE_UNSENT };
 	struct upstream *u = e ? take_idle(e, a->u.send.at_most_once) : NULL;
 
 	x->n_sends++;
--- a/fuzz/fuzz_gate.c
+++ b/fuzz/fuzz_gate.c
@@ -2,8 +2,9 @@
  * Gate cores that share a retry budget, checked against the guarantees for
  * callers: at-most-once requests run at most once, a refused request did not
  * run, each request gets one final act by its deadline, a silent send ends only
- * for another one, a started answer goes on while it may, and the retries of
- * all gateways together stay within the budget.
+ * for another one, no endpoint that leaves or is in a backoff gets a send, a
+ * started answer goes on while it may, and the retries of all gateways together
+ * stay within the budget.
  */
 #include "fuzz/fuzz.h"
 #include "pimentoford/gate.h"
@@ -37,6 +38,8 @@
 	bool in_flight;
 	bool stalled; /* cancelled for silence, not sent again */
 	uint32_t endpoint;
+	pf_ms sent_at;
+	int64_t sent_to; /* incarnation */
 	int status; /* of the last complete answer */
 	bool complete_answer; /* the current send ended with one */
 };
@@ -47,6 +50,11 @@
 	bool listed[GATES];
 	int64_t incarnation[GATES]; /* last listed */
 	int64_t left[GATES]; /* last that said that it leaves */
+	/* The last backoff: whose, its end, and whether an answer came since. */
+	int64_t quiet[GATES];
+	pf_ms quiet_until[GATES];
+	bool answered[GATES];
+	pf_ms added_at[GATES]; /* to the list, after it was not there */
 };
 
 struct world {
@@ -114,6 +122,40 @@
 			       retries, most);
 }
 
+/* Whether the endpoint was sent @q after a backoff and has not answered. */
+static bool in_ramp(const struct world *w, const struct req *q, uint32_t gate,
+		    uint32_t at)
+{
+	const struct endpoint_view *p = &w->endpoints[at];
+
+	return q->active && q->in_flight && q->gate == gate &&
+	       q->endpoint == at && q->sent_to == p->quiet[gate] &&
+	       q->sent_at >= p->quiet_until[gate] &&
+	       q->sent_at >= p->added_at[gate];
+}
+
+static void check_backoff(struct world *w, const struct req *q, uint32_t at)
+{
+	const struct endpoint_view *p = &w->endpoints[at];
+	uint32_t i;
+
+	if (!p->quiet[q->gate] || p->quiet[q->gate] != p->incarnation[q->gate])
+		return;
+	if (w->now < p->quiet_until[q->gate])
+		fuzz_violation(w->r, "sent within a backoff");
+	for (i = 0; i < REQUESTS && !p->answered[q->gate]; i++) {
+		if (in_ramp(w, &w->reqs[i], q->gate, at))
+			fuzz_violation(w->r, "sent many after a backoff");
+	}
+}
+
+/* An answer or event came. */
+static void note_answer(struct world *w, const struct req *q)
+{
+	if (in_ramp(w, q, q->gate, q->endpoint))
+		w->endpoints[q->endpoint].answered[q->gate] = true;
+}
+
 static void on_send(struct world *w, struct req *q, const struct pf_gate_act *a)
 {
 	uint32_t at = (uint32_t)(a->u.send.endpoint - 1);
@@ -126,6 +168,7 @@
 		fuzz_violation(w->r, "sent to a draining or removed endpoint");
 	if (p->left[q->gate] && p->left[q->gate] >= p->incarnation[q->gate])
 		fuzz_violation(w->r, "sent to an endpoint that said it leaves");
+	check_backoff(w, q, at % ENDPOINTS);
 	if ((q->kind == UNSAFE || q->kind == STREAM) && q->possible_runs)
 		fuzz_violation(w->r, "at-most-once request sent again");
 	if (q->possible_runs >= ATTEMPTS)
@@ -139,6 +182,8 @@
 	q->in_flight = true;
 	q->stalled = false;
 	q->endpoint = at;
+	q->sent_at = w->now;
+	q->sent_to = p->incarnation[q->gate];
 	if (q->sends_on_wire++ == 0)
 		return;
 	n = w->n_retries++ % HISTORY_MAX;
@@ -246,6 +291,8 @@
 	struct pf_gate_msg m = { .type = PF_GATE_ENDPOINT };
 
 	m.u.endpoint = &l;
+	if (!w->endpoints[i].listed[gate])
+		w->endpoints[i].added_at[gate] = w->now;
 	w->endpoints[i].listed[gate] = true;
 	w->endpoints[i].draining[gate] = draining;
 	w->endpoints[i].incarnation[gate] = incarnation;
@@ -280,7 +327,7 @@
 	m.u.routes = &w->routes;
 	step(w, gate, &m);
 	for (i = 0; i < ENDPOINTS; i++)
-		w->endpoints[i].left[gate] = 0;
+		w->endpoints[i].left[gate] = w->endpoints[i].quiet[gate] = 0;
 	for (i = 0; i < ENDPOINTS; i++)
 		list_endpoint(w, gate, i, 1, false);
 }
@@ -385,8 +432,9 @@
 	if (!q)
 		return;
 	op = draw(w, 10);
+	if (op < 5)
+		note_answer(w, q);
 	m.u.end.request = q->handle;
-	m.u.end.retry_after = -1;
 	q->in_flight = false;
 	if (op < 5) {
 		m.u.end.outcome = PF_GATE_ANSWERED;
@@ -421,6 +469,7 @@
 	if (!q || q->kind < STREAM)
 		return;
 	q->response_started = true;
+	note_answer(w, q);
 	m.u.events.request = q->handle;
 	m.u.events.n = 1 + draw(w, 3);
 	step(w, q->gate, &m);
@@ -476,6 +525,26 @@
 	step(w, gate, &m);
 }
 
+/* An endpoint asks for no requests. */
+static void back_off(struct world *w)
+{
+	struct pf_gate_msg m = { .type = PF_GATE_BACKOFF };
+	uint32_t gate = draw(w, GATES);
+	uint32_t i = draw(w, ENDPOINTS);
+	struct endpoint_view *p = &w->endpoints[i];
+
+	m.u.backoff.endpoint = i + 1;
+	m.u.backoff.incarnation = p->incarnation[gate];
+	m.u.backoff.span = 1 + draw(w, 3000);
+	if (p->quiet[gate] != p->incarnation[gate])
+		p->quiet_until[gate] = 0;
+	if (p->quiet_until[gate] < w->now + m.u.backoff.span)
+		p->quiet_until[gate] = w->now + m.u.backoff.span;
+	p->quiet[gate] = p->incarnation[gate];
+	p->answered[gate] = false;
+	step(w, gate, &m);
+}
+
 /* Some datagrams are lost. */
 static void exchange_digests(struct world *w)
 {
@@ -547,6 +616,8 @@
 			answer_probe(w);
 		else if (op < 65)
 			say_leaving(w);
+		else if (op < 67)
+			back_off(w);
 		else if (op < 80)
 			exchange_digests(w);
 		else if (op < 99 || draw(w, 8))
--- a/include/pimentoford/counters.h
+++ b/include/pimentoford/counters.h
@@ -125,6 +125,10 @@
 	    "Sends after the first of a request")                              \
 	DEF(LEAVING, "endpoints_leaving_total", "counter",                     \
 	    "Endpoints of which an answer said that they leave")               \
+	DEF(BACKOFFS, "backoffs_total", "counter",                             \
+	    "Answers by which an endpoint asked for no requests")              \
+	DEF(BAD_RETRY_AFTER, "bad_retry_after_total", "counter",               \
+	    "Answers with a retry time that is malformed or too long")         \
 	DEF(ENDPOINTS, "endpoints", "gauge", "Endpoints that are listed")      \
 	DEF(VERSION, "config_version", "gauge", "Configuration in force")      \
 	DEF(CPU_MS, "cpu_ms_total", "counter", "Processor time used")          \
--- a/include/pimentoford/gate.h
+++ b/include/pimentoford/gate.h
@@ -79,7 +79,6 @@
 	uint32_t request; /* handle */
 	enum pf_gate_outcome outcome;
 	int status; /* ANSWERED and NOT_RUN */
-	pf_ms retry_after; /* requested by the endpoint; -1: none */
 	bool misdirected; /* NOT_RUN: other instance, or model not loaded */
 	bool reset; /* LOST and BROKEN: the connection was reset */
 };
@@ -135,6 +134,7 @@
 	PF_GATE_ENGINE_STATE, /* u.state: from a loader, borrowed for the call */
 	PF_GATE_REACHABLE, /* u.id: a probed endpoint accepted a connection */
 	PF_GATE_LEAVING, /* u.leaving: an answer says that its endpoint leaves */
+	PF_GATE_BACKOFF, /* u.backoff: an endpoint asks for no requests */
 	PF_GATE_SHUT_DOWN, /* refuses waiting requests, now and from now on */
 	PF_GATE_TICK,
 };
@@ -158,6 +158,11 @@
 			uint64_t endpoint;
 			int64_t incarnation; /* that answered */
 		} leaving;
+		struct {
+			uint64_t endpoint;
+			int64_t incarnation; /* that answered */
+			pf_ms span; /* from pf_gate_backoff() */
+		} backoff;
 	} u;
 };
 
@@ -178,6 +183,7 @@
 	DEF(NO_ENDPOINT, "no_endpoint")     \
 	DEF(NOT_LOADED, "not_loaded")       \
 	DEF(ALL_LEAVING, "all_leaving")     \
+	DEF(BACKOFF, "backoff")             \
 	DEF(LATE, "late")                   \
 	DEF(LEAVING, "leaving")             \
 	DEF(RETRY_BUDGET, "retry_budget")   \
@@ -235,6 +241,9 @@
 			enum pf_gate_reason reason;
 			int status;
 			pf_ms retry_after; /* -1: do not retry */
+			/* BACKOFF: whose backoff ends first, and when */
+			uint64_t endpoint;
+			pf_ms wait; /* from now */
 		} refuse;
 		struct {
 			enum pf_gate_reason reason;
@@ -253,6 +262,12 @@
 void pf_gate_step(struct pf_gate *g, pf_ms now, const struct pf_gate_msg *m,
 		  const struct pf_gate_sink *sink);
 
+/**
+ * For how long the answer asks for no requests; 0: it doesn't. Too long a time
+ * is cut.
+ */
+pf_ms pf_gate_backoff(const struct pf_reply *r);
+
 /** Replaces repeat_ratio and repeat_slack; the retries counted so far stay. */
 void pf_gate_set_budget(struct pf_gate *g, double ratio, uint32_t slack);
 
--- a/include/pimentoford/inbound.h
+++ b/include/pimentoford/inbound.h
@@ -51,7 +51,8 @@
 	bool not_run; /* the endpoint did not run the request */
 	bool other_instance; /* another endpoint has this address now */
 	bool leaving; /* the endpoint leaves: no new requests */
-	pf_ms retry_after; /* -1: unset */
+	pf_ms retry_after; /* -1: unset or malformed */
+	bool bad_retry_after; /* malformed */
 	pf_ms keep_alive; /* idle timeout of the connection; -1: unset */
 };
 
--- a/src/coordination/gate/gate.c
+++ b/src/coordination/gate/gate.c
@@ -128,6 +128,12 @@
 				      m->u.leaving.incarnation);
 		g->send_waiting_at = g->now;
 		break;
+	case PF_GATE_BACKOFF:
+		gate_endpoint_backoff(g, m->u.backoff.endpoint,
+				      m->u.backoff.incarnation,
+				      m->u.backoff.span);
+		g->send_waiting_at = g->now;
+		break;
 	case PF_GATE_SHUT_DOWN:
 		gate_shut_down(g);
 		break;
--- a/src/coordination/gate/gate_core.h
+++ b/src/coordination/gate/gate_core.h
@@ -57,6 +57,7 @@
 	uint32_t kv_tokens; /* KV cache that it needs at the endpoint */
 	uint32_t prev, next; /* queue of waiting requests, by arrival */
 	pf_ms adapter_requested_at; /* 0: never */
+	bool in_ramp; /* counted in ramp_running */
 	uint32_t visited_round; /* last wait_round that tried to send it */
 };
 
@@ -102,6 +103,9 @@
 	pf_ms blocked_until; /* no sends until then: unreachable or full */
 	bool blocked_silent; /* blocked for silence; progress unblocks it */
 	uint32_t consecutive_blocks;
+	pf_ms quiet_until; /* asked for no requests until then; 0: never */
+	uint32_t ramp; /* sends without an answer allowed then; 0: any */
+	uint32_t ramp_running; /* those in flight */
 	uint64_t missing_model; /* rejected though listed; 0: none */
 	pf_ms missing_until;
 };
@@ -182,6 +186,14 @@
 	int64_t incarnation; /* this one and older ones */
 };
 
+#define GATE_QUIETS_MAX 256
+
+/** An endpoint that asked for no requests. */
+struct gate_quiet {
+	uint64_t incarnation; /* hashed with the id */
+	pf_ms until;
+};
+
 struct gate_prefill_speed {
 	uint64_t model; /* 0: free */
 	double ms_per_token;
@@ -214,9 +226,11 @@
 	struct gate_prefix prefixes[GATE_PREFIX_SETS][GATE_PREFIX_WAYS];
 	struct gate_demand_entry demand[GATE_DEMAND_ENTRIES];
 	pf_ms demand_smoothed_at;
-	/* Ring; outlasts the endpoints, as the store may list them again. */
+	/* Rings; outlast the endpoints, as the store may list them again. */
 	struct gate_left left[GATE_LEFT_MAX];
 	uint64_t n_left; /* ever added */
+	struct gate_quiet quiets[GATE_QUIETS_MAX];
+	uint64_t n_quiets; /* ever added */
 	struct gate_prefill_speed prefill_speeds[GATE_PREFILL_SPEEDS];
 	struct gate_crash crashes[GATE_CRASHES_MAX];
 	/* Rings for the digests; n_* counts all entries ever added. */
@@ -275,6 +289,20 @@
 /** Whether the service of @r has endpoints, and all of them leave. */
 bool gate_all_leaving(const struct pf_gate *g, const struct gate_request *r);
 
+/* gate_backoff.c */
+/** This incarnation of the endpoint asks for no requests for @span. */
+void gate_endpoint_backoff(struct pf_gate *g, uint64_t id, int64_t incarnation,
+			   pf_ms span);
+/** Sets the backoff of an incarnation that is listed, perhaps again. */
+void gate_backoff_restore(struct pf_gate *g, struct gate_endpoint *e);
+/** Whether the backoff of @e allows no further send now. */
+bool gate_backoff_holds(const struct pf_gate *g, const struct gate_endpoint *e);
+/** Counts a send to an endpoint that had a backoff, until its answer or end. */
+void gate_backoff_sent(struct gate_request *r, struct gate_endpoint *e);
+void gate_backoff_unsent(struct gate_request *r, struct gate_endpoint *e);
+/** @r got an answer that does not turn it away. */
+void gate_backoff_answered(struct gate_request *r, struct gate_endpoint *e);
+
 /* gate_prefix.c */
 /** Prompt tokens of @r expected in the prefix cache of @e. */
 uint32_t gate_prefix_cached_tokens(struct pf_gate *g,
@@ -305,6 +333,12 @@
 			       const struct gate_estimate *x);
 /** Whether any endpoint could serve @r, even if all are busy. */
 bool gate_has_endpoint(struct pf_gate *g, const struct gate_request *r);
+/**
+ * If there are endpoints for @r and all are in a backoff, returns the one whose
+ * backoff ends first; else NULL.
+ */
+const struct gate_endpoint *
+gate_first_after_backoff(const struct pf_gate *g, const struct gate_request *r);
 /** Updates latency estimates at the first event of @r. */
 void gate_learn_latency(struct pf_gate *g, struct gate_request *r);
 
--- a/src/coordination/gate/gate_endpoints.c
+++ b/src/coordination/gate/gate_endpoints.c
@@ -185,6 +185,7 @@
 	e = &g->endpoints[slot];
 	if (e->incarnation != incarnation) {
 		e->incarnation = incarnation;
+		gate_backoff_restore(g, e);
 		e->leaving = gate_has_left(g, l->id, l->incarnation);
 		e->blocked_until = 0;
 		e->blocked_silent = false;
@@ -264,6 +265,7 @@
 	r->endpoint_slot = slot;
 	if (e->own_running++ == 0)
 		e->last_progress_at = g->now;
+	gate_backoff_sent(r, e);
 	if (r->state == GATE_STREAMING)
 		e->own_streaming++;
 	e->own_kv_tokens += r->kv_tokens;
@@ -281,6 +283,7 @@
 	struct gate_endpoint *e = &g->endpoints[r->endpoint_slot];
 
 	gate_load_prefilled(g, r);
+	gate_backoff_unsent(r, e);
 	e->own_running--;
 	if (r->state == GATE_STREAMING)
 		e->own_streaming--;
--- a/src/coordination/gate/gate_life.c
+++ b/src/coordination/gate/gate_life.c
@@ -4,6 +4,7 @@
 #include <string.h>
 
 #define STATUS_OK 200
+#define STATUS_UNAVAILABLE 503
 /* Sends of one request, including those that did not run. */
 #define SENDS_MAX 5
 /* Reserved for passing the answer back to the caller. */
@@ -17,9 +18,12 @@
 #define RETRY_AFTER_MIN_SHARE 0.4
 /* Weight of the newest event. */
 #define EVENT_INTERVAL_WEIGHT 0.02
-/* Pause after an endpoint was full, unless it sends Retry-After. */
+/* Callers refused in a backoff return within this time after its end, or half
+ * of the backoff, or in the last part of the time that they honour. */
+#define BACKOFF_SPREAD_MS 200
+#define BACKOFF_MIN_SHARE 0.7
+/* Pause after an endpoint was full. */
 #define FULL_PAUSE_MS 150
-#define FULL_PAUSE_MAX_MS 1000
 /* A model that an endpoint rejected counts as missing for this long, or until
  * the next store entry or loader report. */
 #define MISSING_MODEL_MS 1500
@@ -80,20 +84,59 @@
 			(1 - RETRY_AFTER_MIN_SHARE) * pf_rng_unit(&g->rng)));
 }
 
+/* @wait: until the first backoff ends. */
+static pf_ms draw_after_backoff(struct pf_gate *g, pf_ms left, pf_ms wait)
+{
+	double most = (double)left / RETRY_AFTER_DIVISOR;
+	double from = (double)wait;
+	double to = from + (wait / 2 > BACKOFF_SPREAD_MS ? wait / 2
+							 : BACKOFF_SPREAD_MS);
+
+	if (most < 0)
+		return 0;
+	if (to > most)
+		to = most;
+	if (from > BACKOFF_MIN_SHARE * to)
+		from = BACKOFF_MIN_SHARE * to;
+	return (pf_ms)(from + (to - from) * pf_rng_unit(&g->rng));
+}
+
+static void emit_refusal(struct pf_gate *g, struct gate_request *r,
+			 struct pf_gate_act *a)
+{
+	a->type = PF_GATE_REFUSE;
+	a->u.refuse.status = STATUS_UNAVAILABLE;
+	g->stats.refused++;
+	emit(g, r, a);
+	free_request(g, r);
+}
+
 static void refuse_request(struct pf_gate *g, struct gate_request *r,
 			   enum pf_gate_reason why)
 {
 	pf_ms left = r->deadline - g->now;
-	struct pf_gate_act a = { .type = PF_GATE_REFUSE };
+	struct pf_gate_act a = { 0 };
 
 	a.u.refuse.reason = why;
-	a.u.refuse.status = 503;
 	a.u.refuse.retry_after = draw_retry_after(g, left);
 	if (why == PF_GATE_REASON_QUARANTINED)
 		a.u.refuse.retry_after = -1;
-	g->stats.refused++;
-	emit(g, r, &a);
-	free_request(g, r);
+	emit_refusal(g, r, &a);
+}
+
+/* @e: whose backoff ends first. */
+static void refuse_in_backoff(struct pf_gate *g, struct gate_request *r,
+			      const struct gate_endpoint *e)
+{
+	pf_ms wait = e->quiet_until - g->now;
+	struct pf_gate_act a = { 0 };
+
+	a.u.refuse.reason = PF_GATE_REASON_BACKOFF;
+	a.u.refuse.retry_after =
+		draw_after_backoff(g, r->deadline - g->now, wait);
+	a.u.refuse.endpoint = e->id;
+	a.u.refuse.wait = wait;
+	emit_refusal(g, r, &a);
 }
 
 static void fail_request(struct pf_gate *g, struct gate_request *r,
@@ -196,10 +239,16 @@
 /* Refuses @r at once if waiting is in vain; false if it may wait. */
 static bool refuse_unservable(struct pf_gate *g, struct gate_request *r)
 {
-	if (r->response_started || r->possible_runs > 0 ||
-	    !gate_all_leaving(g, r))
+	const struct gate_endpoint *quiet = gate_first_after_backoff(g, r);
+
+	if (r->response_started || r->possible_runs > 0)
+		return false;
+	if (quiet)
+		refuse_in_backoff(g, r, quiet);
+	else if (gate_all_leaving(g, r))
+		refuse_request(g, r, PF_GATE_REASON_ALL_LEAVING);
+	else
 		return false;
-	refuse_request(g, r, PF_GATE_REASON_ALL_LEAVING);
 	return true;
 }
 
@@ -337,7 +386,7 @@
 	if (!r) {
 		*a->handle = GATE_NIL;
 		full.u.refuse.reason = PF_GATE_REASON_FULL;
-		full.u.refuse.status = 503;
+		full.u.refuse.status = STATUS_UNAVAILABLE;
 		full.u.refuse.retry_after = RETRY_AFTER_MAX_MS / 2;
 		g->stats.refused++;
 		g->sink->emit(g->sink->ctx, &full);
@@ -405,6 +454,7 @@
 		gate_load_prefilled(g, r);
 		g->send_waiting_at = g->now;
 	}
+	gate_backoff_answered(r, e);
 	if (r->state != GATE_STREAMING)
 		e->own_streaming++;
 	else if (n > 0 && r->last_progress_at >= e->resumed_at)
@@ -429,8 +479,6 @@
 				   struct gate_endpoint *e,
 				   const struct pf_gate_end *end)
 {
-	pf_ms pause = end->retry_after > 0 ? end->retry_after : FULL_PAUSE_MS;
-
 	switch (end->outcome) {
 	case PF_GATE_ANSWERED:
 		gate_endpoint_count_result(e, end->status >= 500);
@@ -443,10 +491,7 @@
 			gate_endpoint_block(g, e);
 		} else {
 			e->blocked_silent = false;
-			e->blocked_until =
-				g->now + (pause < FULL_PAUSE_MAX_MS
-						  ? pause
-						  : FULL_PAUSE_MAX_MS);
+			e->blocked_until = g->now + FULL_PAUSE_MS;
 		}
 		break;
 	case PF_GATE_UNSENT:
@@ -499,6 +544,9 @@
 	}
 	if (end->outcome == PF_GATE_ANSWERED || end->outcome == PF_GATE_NOT_RUN)
 		gate_endpoint_progress(g, e);
+	if (end->outcome == PF_GATE_ANSWERED &&
+	    end->status != STATUS_UNAVAILABLE)
+		gate_backoff_answered(r, e);
 	update_endpoint_health(g, r, e, end);
 	switch (end->outcome) {
 	case PF_GATE_ANSWERED:
--- a/src/coordination/gate/gate_pick.c
+++ b/src/coordination/gate/gate_pick.c
@@ -171,6 +171,25 @@
 	return false;
 }
 
+const struct gate_endpoint *
+gate_first_after_backoff(const struct pf_gate *g, const struct gate_request *r)
+{
+	const struct gate_endpoint *first = NULL;
+	uint32_t i;
+
+	for (i = 0; i < g->n_endpoints; i++) {
+		const struct gate_endpoint *e = &g->endpoints[i];
+
+		if (!is_candidate(g, r, e))
+			continue;
+		if (e->quiet_until <= g->now)
+			return NULL;
+		if (!first || e->quiet_until < first->quiet_until)
+			first = e;
+	}
+	return first;
+}
+
 /* Whether to use the loader's counts: gateways of another region don't report
  * their loads at its endpoints to this one, but loaders report all loads. */
 static bool use_loader_counts(const struct pf_gate *g,
@@ -270,7 +289,7 @@
 		struct gate_estimate x = { 0 };
 
 		if (!is_candidate(g, r, e) || e->blocked_until > g->now ||
-		    streams_silent(g, e) ||
+		    gate_backoff_holds(g, e) || streams_silent(g, e) ||
 		    is_avoided(r, e->id) != (among == PICK_AVOIDED) ||
 		    (among == PICK_OTHER && plain_silent(g, e)))
 			continue;
--- a/tests/gate_rig.cc
+++ b/tests/gate_rig.cc
@@ -130,6 +130,17 @@
 	Step(m);
 }
 
+void GateRig::BacksOff(uint64_t id, pf_ms span, int64_t born)
+{
+	struct pf_gate_msg m = {};
+
+	m.type = PF_GATE_BACKOFF;
+	m.u.backoff.endpoint = id;
+	m.u.backoff.incarnation = born;
+	m.u.backoff.span = span;
+	Step(m);
+}
+
 void GateRig::Arrive(int tag, const char *prefix, pf_ms time_left,
 		     const char *model, const char *adapter, uint32_t prompt,
 		     const char *part, uint64_t fingerprint)
@@ -166,7 +177,6 @@
 	m.u.end.request = handles[tag];
 	m.u.end.outcome = outcome;
 	m.u.end.status = status;
-	m.u.end.retry_after = -1;
 	m.u.end.reset = reset;
 	m.u.end.misdirected = misdirected;
 	Step(m);
--- a/tests/gate_rig.h
+++ b/tests/gate_rig.h
@@ -61,6 +61,7 @@
 		      int64_t born = 1);
 	void Gone(const char *name);
 	void Leaves(const char *name, int64_t born = 1);
+	void BacksOff(uint64_t id, pf_ms span, int64_t born = 1);
 	/* @part is the one part of the prompt. */
 	void Arrive(int tag, const char *prefix, pf_ms time_left,
 		    const char *model = nullptr, const char *adapter = nullptr,
--- a/tests/test_gate.cc
+++ b/tests/test_gate.cc
@@ -249,6 +249,249 @@
 	EXPECT_EQ(Count(PF_GATE_CANCEL), 0u);
 }
 
+// What comes within a backoff.
+enum class During {
+	NOTHING,
+	SUCCESS, /* of a request that was under way */
+	EVENTS, /* of a stream after a silence */
+	SHORTER, /* another backoff */
+	SAME_ROW,
+	REMOVED, /* and listed again */
+	OLD_ANSWER, /* a backoff of the incarnation before */
+	NEW_INCARNATION, /* ends it */
+};
+
+struct BackoffCase {
+	const char *name;
+	During during;
+	bool ends;
+};
+
+struct GateBackoff : Gate, ::testing::WithParamInterface<BackoffCase> {
+};
+
+TEST_P(GateBackoff, NothingButANewIncarnationShortensIt)
+{
+	const BackoffCase &c = GetParam();
+
+	Gone("l2");
+	Endpoint("l1", "llm", "za", "m", nullptr, false, 5);
+	Arrive(1, "/t/", 15000, "m", nullptr, 100);
+	Arrive(2, "/t/", 15000, "m", nullptr, 100);
+	ASSERT_EQ(SentTo(2), Id("l1"));
+	BacksOff(Id("l1"), 3000, 5);
+	Ended(1, PF_GATE_NOT_RUN, 503);
+	Tick(800);
+	switch (c.during) {
+	case During::NOTHING:
+		break;
+	case During::SUCCESS:
+		Ended(2, PF_GATE_ANSWERED, 200);
+		break;
+	case During::EVENTS:
+		Events(2);
+		break;
+	case During::SHORTER:
+		BacksOff(Id("l1"), 100, 5);
+		break;
+	case During::SAME_ROW:
+		Endpoint("l1", "llm", "za", "m", nullptr, false, 5);
+		break;
+	case During::REMOVED:
+		Gone("l1");
+		Endpoint("l1", "llm", "za", "m", nullptr, false, 5);
+		break;
+	case During::OLD_ANSWER:
+		BacksOff(Id("l1"), 60000, 4);
+		break;
+	case During::NEW_INCARNATION:
+		Endpoint("l1", "llm", "za", "m", nullptr, false, 6);
+		break;
+	}
+	acts.clear();
+	for (int tag = 10; tag < 30; tag++) {
+		if (c.during == During::EVENTS)
+			Events(2);
+		Arrive(tag, "/r/", 6000, "m", nullptr, 100);
+		EXPECT_EQ(SentTo(tag), c.ends ? Id("l1") : 0u);
+		if (SentTo(tag))
+			Hangup(tag);
+		Tick(100);
+	}
+	Tick(300);
+	if (c.during == During::EVENTS)
+		Events(2);
+	Arrive(40, "/r/", 6000, "m", nullptr, 100);
+	EXPECT_EQ(SentTo(40), Id("l1"));
+}
+
+INSTANTIATE_TEST_SUITE_P(
+	During, GateBackoff,
+	::testing::Values(BackoffCase{ "Nothing", During::NOTHING, false },
+			  BackoffCase{ "Success", During::SUCCESS, false },
+			  BackoffCase{ "Events", During::EVENTS, false },
+			  BackoffCase{ "Shorter", During::SHORTER, false },
+			  BackoffCase{ "SameRow", During::SAME_ROW, false },
+			  BackoffCase{ "Removed", During::REMOVED, false },
+			  BackoffCase{ "OldAnswer", During::OLD_ANSWER, false },
+			  BackoffCase{ "NewIncarnation",
+				       During::NEW_INCARNATION, true }),
+	[](const auto &p) { return p.param.name; });
+
+// How long callers are asked to wait if all endpoints are in a backoff: until
+// its end, but at most a third of their time.
+struct AllBackoffCase {
+	const char *name;
+	pf_ms spans[2];
+	pf_ms time_left;
+	pf_ms from, to;
+};
+
+struct GateAllBackoff : Gate, ::testing::WithParamInterface<AllBackoffCase> {
+};
+
+TEST_P(GateAllBackoff, RequestsAreRefusedAtOnceUntilItsEnd)
+{
+	const AllBackoffCase &c = GetParam();
+	pf_ms least = c.to, most = c.from;
+
+	BacksOff(Id("l1"), c.spans[0]);
+	BacksOff(Id("l2"), c.spans[1]);
+	for (int i = 0; i < 100; i++) {
+		Arrive(i, "/t/", c.time_left, "m", nullptr, 100);
+		const GateAct *a = Last(i, PF_GATE_REFUSE);
+		ASSERT_NE(a, nullptr);
+		EXPECT_EQ(a->raw.u.refuse.reason, PF_GATE_REASON_BACKOFF);
+		EXPECT_EQ(a->raw.u.refuse.endpoint, Id("l2"));
+		pf_ms at = a->raw.u.refuse.retry_after;
+		least = at < least ? at : least;
+		most = at > most ? at : most;
+	}
+	EXPECT_GE(least, c.from);
+	EXPECT_LE(most, c.to);
+	EXPECT_GE(most - least, (c.to - c.from) / 2);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+	Times, GateAllBackoff,
+	::testing::Values(
+		AllBackoffCase{ "Soonest", { 4000, 1000 }, 15000, 1000, 1500 },
+		AllBackoffCase{ "Short", { 4000, 50 }, 15000, 50, 250 },
+		AllBackoffCase{
+			"ThirdOfTheTime", { 4000, 3000 }, 3000, 700, 1000 }),
+	[](const auto &p) { return p.param.name; });
+
+TEST_F(Gate, RequestTurnedAwayGoesToAnotherEndpoint)
+{
+	PassFirstWindow();
+	Arrive(1, "/u/", 800);
+	ASSERT_EQ(SentTo(1), Id("a1"));
+	BacksOff(Id("a1"), 2000);
+	Ended(1, PF_GATE_NOT_RUN, 503);
+	EXPECT_EQ(SentTo(1), Id("a2"));
+	// Not promised not to have run: safe requests only.
+	Arrive(2, "/s/", 800);
+	ASSERT_EQ(SentTo(2), Id("a2"));
+	BacksOff(Id("a2"), 2000);
+	Ended(2, PF_GATE_ANSWERED, 503);
+	EXPECT_NE(Last(2, PF_GATE_DELIVER), nullptr);
+	EXPECT_EQ(SentTo(2), Id("a2"));
+}
+
+TEST_F(Gate, FewRequestsComeFirstAfterABackoff)
+{
+	uint32_t sent = 0;
+
+	Gone("a2");
+	BacksOff(Id("a1"), 1000);
+	Tick(1001);
+	for (int i = 0; i < 4; i++) {
+		Arrive(i, "/u/", 800);
+		sent += SentTo(i) != 0;
+	}
+	EXPECT_EQ(sent, 1u);
+	// The others wait; each answer lets twice as many go.
+	Ended(0, PF_GATE_ANSWERED, 200);
+	EXPECT_EQ(Count(PF_GATE_SEND), 3u);
+	Ended(1, PF_GATE_ANSWERED, 200);
+	for (int i = 4; i < 12; i++)
+		Arrive(i, "/u/", 800);
+	EXPECT_EQ(Count(PF_GATE_SEND), 6u);
+}
+
+// A request sent between two backoffs is answered after the second one.
+TEST_F(Gate, EarlierAnswerDoesNotEndTheSlowStart)
+{
+	Gone("l2");
+	BacksOff(Id("l1"), 100);
+	Tick(101);
+	Arrive(1, "/t/", 15000, "m", nullptr, 100);
+	ASSERT_EQ(SentTo(1), Id("l1"));
+	BacksOff(Id("l1"), 100);
+	Tick(101);
+	Ended(1, PF_GATE_ANSWERED, 200);
+	Arrive(2, "/t/", 15000, "m", nullptr, 100);
+	Arrive(3, "/t/", 15000, "m", nullptr, 100);
+	EXPECT_EQ(SentTo(2), Id("l1"));
+	EXPECT_EQ(SentTo(3), 0u);
+}
+
+TEST_F(Gate, StreamMovesAndResumesOutsideABackoff)
+{
+	PassFirstWindow();
+	Arrive(1, "/r/", 6000, "m", nullptr, 100);
+	ASSERT_EQ(SentTo(1), Id("l1"));
+	Events(1);
+	BacksOff(Id("l2"), 5000);
+	Tick(2500);
+	EXPECT_EQ(Count(PF_GATE_CANCEL), 0u);
+	Events(1);
+	BacksOff(Id("l1"), 5000);
+	Endpoint("l3", "llm", "zc", "m");
+	Ended(1, PF_GATE_BROKEN);
+	EXPECT_EQ(SentTo(1), Id("l3"));
+}
+
+// The decision whether an answer asks for no requests.
+struct BackoffSpanCase {
+	const char *name;
+	int status;
+	bool not_run;
+	bool other_instance;
+	pf_ms retry_after;
+	pf_ms span;
+};
+
+struct GateBackoffSpan : ::testing::TestWithParam<BackoffSpanCase> {
+};
+
+TEST_P(GateBackoffSpan, DependsOnTheAnswer)
+{
+	const BackoffSpanCase &c = GetParam();
+	struct pf_reply r = {};
+
+	r.status = c.status;
+	r.not_run = c.not_run;
+	r.other_instance = c.other_instance;
+	r.retry_after = c.retry_after;
+	EXPECT_EQ(pf_gate_backoff(&r), c.span);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+	Answers, GateBackoffSpan,
+	::testing::Values(
+		BackoffSpanCase{ "NotRun", 503, true, false, 250, 250 },
+		BackoffSpanCase{ "MayHaveRun", 503, false, false, 250, 250 },
+		BackoffSpanCase{ "TurnedAway429", 429, true, false, 250, 250 },
+		BackoffSpanCase{ "Caller429", 429, false, false, 250, 0 },
+		BackoffSpanCase{ "Redirect", 302, false, false, 250, 0 },
+		BackoffSpanCase{ "OtherInstance", 421, true, true, 250, 0 },
+		BackoffSpanCase{ "None", 503, true, false, -1, 0 },
+		BackoffSpanCase{ "Zero", 503, true, false, 0, 0 },
+		BackoffSpanCase{ "Year", 503, true, false, 31536000000,
+				 60000 }),
+	[](const auto &p) { return p.param.name; });
+
 TEST_F(Gate, NearEndpointIsPreferredUntilBusy)
 {
 	Arrive(1, "/u/", 800);
--- a/tests/test_gateway.cc
+++ b/tests/test_gateway.cc
@@ -690,6 +690,71 @@
 			     "endpoints_leaving_total 2"));
 }
 
+TEST_F(Gateway, EndpointThatAsksForNoRequestsGetsNone)
+{
+	std::atomic<int> turned_away{ 0 };
+	FakeServer e("127.0.0.1", [&](int fd, const FakeRequest &r) {
+		std::string id =
+			"Attempt-Id: " + r.Header("Attempt-Id") + "\r\n";
+
+		if (r.target != "/u/away" || turned_away++)
+			FakeSend(fd, HttpAnswer(200, "served", id));
+		else
+			FakeSend(fd, HttpAnswer(503, "",
+						id + "Not-Run: 1\r\n"
+						     "Retry-After: 1.5\r\n"));
+		return true;
+	});
+
+	store.Put("servers", "i-1", EndpointRow("app", e.addr()));
+	StartGateway();
+	WaitUntilReady();
+	auto from = std::chrono::steady_clock::now();
+	std::string got = Request(GetRequest("/u/away", "1"));
+	EXPECT_TRUE(Contains(got, "\"backoff\"")) << got;
+	for (int i = 0; std::chrono::steady_clock::now() - from <
+			std::chrono::milliseconds(1200);
+	     i++) {
+		got = Request(GetRequest("/u/x", "2"));
+		EXPECT_TRUE(Contains(got, "HTTP/1.1 503")) << got;
+		EXPECT_TRUE(Contains(got, "Retry-After:")) << got;
+		usleep(50000);
+	}
+	EXPECT_EQ(e.count("/u/"), 1u);
+	usleep(600000);
+	EXPECT_TRUE(Contains(Request(GetRequest("/u/x", "3")), "served"));
+	got = FakeGet("127.0.0.2", ready_port, "/metrics");
+	EXPECT_TRUE(Contains(got, "gateway_backoffs_total 1\n"));
+	EXPECT_TRUE(Contains(got, "gateway_bad_retry_after_total 0\n"));
+}
+
+TEST_F(Gateway, BadRetryAfterIsCountedAndHoldsNothing)
+{
+	std::atomic<int> n{ 0 };
+	FakeServer e("127.0.0.1", [&](int fd, const FakeRequest &r) {
+		static const char *const values[] = { "-1", "soon" };
+		std::string id =
+			"Attempt-Id: " + r.Header("Attempt-Id") + "\r\n";
+		int i = n++;
+
+		if (i >= 2)
+			FakeSend(fd, HttpAnswer(200, "served", id));
+		else
+			FakeSend(fd,
+				 HttpAnswer(503, "",
+					    id + "Not-Run: 1\r\nRetry-After: " +
+						    values[i] + "\r\n"));
+		return true;
+	});
+
+	store.Put("servers", "i-1", EndpointRow("app", e.addr()));
+	StartGateway();
+	WaitUntilReady();
+	EXPECT_TRUE(Contains(Request(GetRequest("/u/x", "1")), "served"));
+	EXPECT_TRUE(Contains(FakeGet("127.0.0.2", ready_port, "/metrics"),
+			     "gateway_bad_retry_after_total 2\n"));
+}
+
 TEST_F(Gateway, ACallersDisconnectCancelsTheSend)
 {
 	std::atomic<bool> closed{ false };
--- a/tests/test_platform.cc
+++ b/tests/test_platform.cc
@@ -160,6 +160,54 @@
 				     false, false, -1, false }),
 	[](const auto &i) { return std::string(i.param.name); });
 
+struct RetryAfterCase {
+	const char *name;
+	const char *field; /* empty: none */
+	pf_ms value;
+	bool bad;
+};
+
+class PlatformRetryAfter : public ::testing::TestWithParam<RetryAfterCase>
+{
+};
+
+TEST_P(PlatformRetryAfter, IsDecoded)
+{
+	const RetryAfterCase &c = GetParam();
+	std::string in =
+		std::string("HTTP/1.1 503 Full\r\n") + c.field + "\r\n";
+	struct pf_h1_head h;
+	struct pf_reply r;
+
+	ASSERT_EQ(pf_h1_parse_response(Str(in), &h), 0);
+	platform_decode_reply(&h, PF_STR("9c41"), &r);
+	EXPECT_EQ(r.retry_after, c.value);
+	EXPECT_EQ(r.bad_retry_after, c.bad);
+}
+
+#define RA(v) "Retry-After: " v "\r\n"
+
+INSTANTIATE_TEST_SUITE_P(
+	Values, PlatformRetryAfter,
+	::testing::Values(
+		RetryAfterCase{ "none", "", -1, false },
+		RetryAfterCase{ "whole", RA("2"), 2000, false },
+		RetryAfterCase{ "fraction", RA("0.25"), 250, false },
+		RetryAfterCase{ "rounded_up", RA("0.0301"), 31, false },
+		RetryAfterCase{ "zero", RA("0"), 0, false },
+		RetryAfterCase{ "year", RA("31536000"), 1000000000, false },
+		RetryAfterCase{ "overflow", RA("99999999999999999999999999"),
+				1000000000, false },
+		RetryAfterCase{ "negative", RA("-1"), -1, true },
+		RetryAfterCase{ "exponent", RA("1e3"), -1, true },
+		RetryAfterCase{ "not_finite", RA("inf"), -1, true },
+		RetryAfterCase{ "two_points", RA("1.2.3"), -1, true },
+		RetryAfterCase{ "point", RA("."), -1, true },
+		RetryAfterCase{ "words", RA("soon"), -1, true },
+		RetryAfterCase{ "date", RA("Fri, 31 Dec 2027 23:59:59 GMT"), -1,
+				true }),
+	[](const auto &i) { return std::string(i.param.name); });
+
 static const char kConfig[] =
 	"{\"version\":7,\"routes\":["
 	"{\"host\":\"h\",\"prefix\":\"/a/\",\"kind\":\"stream\","
