--- a/include/pimentoford/counters.h
+++ b/include/pimentoford/counters.h
@@ -123,6 +123,12 @@
 	DEF(SENT, "sent_total", "counter", "Sends to endpoints")               \
 	DEF(REPEATS, "repeats_total", "counter",                               \
 	    "Sends after the first of a request")                              \
+	DEF(LEAVING, "endpoints_leaving_total", "counter",                     \
+	    "Endpoints of which an answer said that they leave")               \
+	DEF(BACKOFFS, "backoffs_total", "counter",                             \
+	    "Answers by which an endpoint asked for no requests")              \
+	DEF(BAD_RETRY_AFTER, "bad_retry_after_total", "counter",               \
+	    "Answers with a retry time that is malformed or too long")         \
 	DEF(ENDPOINTS, "endpoints", "gauge", "Endpoints that are listed")      \
 	DEF(VERSION, "config_version", "gauge", "Configuration in force")      \
 	DEF(STORE_ERA, "store_era", "gauge", "Era of the store")               \
--- a/src/coordination/gate/gate_core.h
+++ b/src/coordination/gate/gate_core.h
@@ -57,6 +57,7 @@
 	uint32_t kv_tokens; /* KV cache that it needs at the endpoint */
 	uint32_t prev, next; /* queue of waiting requests, by arrival */
 	pf_ms adapter_requested_at; /* 0: never */
+	bool in_ramp; /* counted in ramp_running */
 	uint32_t visited_round; /* last wait_round that tried to send it */
 };
 
@@ -72,6 +73,7 @@
 	uint32_t slots; /* concurrent requests */
 	bool draining; /* by its store entry */
 	bool loader_draining; /* by its loader */
+	bool leaving; /* by one of its answers */
 	int64_t kv_capacity; /* tokens; 0: not an engine */
 	struct pf_resident *residents; /* owned */
 	uint32_t n_residents;
@@ -101,6 +103,9 @@
 	pf_ms blocked_until; /* no sends until then: unreachable or full */
 	bool blocked_silent; /* blocked for silence; progress unblocks it */
 	uint32_t consecutive_blocks;
+	pf_ms quiet_until; /* asked for no requests until then; 0: never */
+	uint32_t ramp; /* sends without an answer allowed then; 0: any */
+	uint32_t ramp_running; /* those in flight */
 	uint64_t missing_model; /* rejected though listed; 0: none */
 	pf_ms missing_until;
 };
@@ -173,6 +178,22 @@
 	pf_ms at;
 };
 
+#define GATE_LEFT_MAX 1024
+
+/** An endpoint of which an answer said that it leaves. */
+struct gate_left {
+	uint64_t id;
+	int64_t incarnation; /* this one and older ones */
+};
+
+#define GATE_QUIETS_MAX 256
+
+/** An endpoint that asked for no requests. */
+struct gate_quiet {
+	uint64_t incarnation; /* hashed with the id */
+	pf_ms until;
+};
+
 struct gate_prefill_speed {
 	uint64_t model; /* 0: free */
 	double ms_per_token;
@@ -205,6 +226,11 @@
 	struct gate_prefix prefixes[GATE_PREFIX_SETS][GATE_PREFIX_WAYS];
 	struct gate_demand_entry demand[GATE_DEMAND_ENTRIES];
 	pf_ms demand_smoothed_at;
+	/* Rings; outlast the endpoints, as the store may list them again. */
+	struct gate_left left[GATE_LEFT_MAX];
+	uint64_t n_left; /* ever added */
+	struct gate_quiet quiets[GATE_QUIETS_MAX];
+	uint64_t n_quiets; /* ever added */
 	struct gate_prefill_speed prefill_speeds[GATE_PREFILL_SPEEDS];
 	struct gate_crash crashes[GATE_CRASHES_MAX];
 	/* Rings for the digests; n_* counts all entries ever added. */
@@ -251,6 +277,32 @@
 /** Gateways that may have used the retry budget, including this one. */
 uint32_t gate_peers_count(const struct pf_gate *g);
 
+/* gate_leave.c */
+/** An answer of this incarnation of the endpoint says that it leaves. */
+void gate_endpoint_leaving(struct pf_gate *g, uint64_t id, int64_t incarnation);
+/** Whether an answer of this incarnation or a later one said so. */
+bool gate_has_left(struct pf_gate *g, uint64_t id, int64_t incarnation);
+static inline bool gate_endpoint_leaves(const struct gate_endpoint *e)
+{
+	return e->draining || e->loader_draining || e->leaving;
+}
+/** Whether the service of @r has endpoints, and all of them leave. */
+bool gate_all_leaving(const struct pf_gate *g, const struct gate_request *r);
+
+/* gate_backoff.c */
+/** This incarnation of the endpoint asks for no requests for @span. */
+void gate_endpoint_backoff(struct pf_gate *g, uint64_t id, int64_t incarnation,
+			   pf_ms span);
+/** Sets the backoff of an incarnation that is listed, perhaps again. */
+void gate_backoff_restore(struct pf_gate *g, struct gate_endpoint *e);
+/** Whether the backoff of @e allows no further send now. */
+bool gate_backoff_holds(const struct pf_gate *g, const struct gate_endpoint *e);
+/** Counts a send to an endpoint that had a backoff, until its answer or end. */
+void gate_backoff_sent(struct gate_request *r, struct gate_endpoint *e);
+void gate_backoff_unsent(struct gate_request *r, struct gate_endpoint *e);
+/** @r got an answer that does not turn it away. */
+void gate_backoff_answered(struct gate_request *r, struct gate_endpoint *e);
+
 /* gate_prefix.c */
 /** Prompt tokens of @r expected in the prefix cache of @e. */
 uint32_t gate_prefix_cached_tokens(struct pf_gate *g,
@@ -281,6 +333,12 @@
 			       const struct gate_estimate *x);
 /** Whether any endpoint could serve @r, even if all are busy. */
 bool gate_has_endpoint(struct pf_gate *g, const struct gate_request *r);
+/**
+ * If there are endpoints for @r and all are in a backoff, returns the one whose
+ * backoff ends first; else NULL.
+ */
+const struct gate_endpoint *
+gate_first_after_backoff(const struct pf_gate *g, const struct gate_request *r);
 /** Updates latency estimates at the first event of @r. */
 void gate_learn_latency(struct pf_gate *g, struct gate_request *r);
 
@@ -320,7 +378,7 @@
 void gate_request_timer(struct pf_gate *g, uint32_t slot);
 /** Refuses waiting requests; from now on none may wait. */
 void gate_shut_down(struct pf_gate *g);
-/** Sends @r, or ends it for lack of retry budget; false if it must wait. */
+/** Sends @r or ends it, if it can't be sent in time; false if it must wait. */
 bool gate_try_send(struct pf_gate *g, struct gate_request *r);
 /** Takes a retry from the budget; the first send on the wire is free. */
 bool gate_take_retry(struct pf_gate *g, const struct gate_request *r);
--- a/tests/test_platform.cc
+++ b/tests/test_platform.cc
@@ -111,6 +111,7 @@
 	bool other_request;
 	bool other_instance;
 	pf_ms keep;
+	bool leaving;
 };
 
 class PlatformReply : public ::testing::TestWithParam<ReplyCase>
@@ -130,23 +131,81 @@
 	EXPECT_EQ(r.other_request, c.other_request);
 	EXPECT_EQ(r.other_instance, c.other_instance);
 	EXPECT_EQ(r.keep_alive, c.keep);
+	EXPECT_EQ(r.leaving, c.leaving);
 }
 
 INSTANTIATE_TEST_SUITE_P(
 	Heads, PlatformReply,
 	::testing::Values(ReplyCase{ "ours", "200 OK\r\nAttempt-Id: 9c41",
-				     false, false, false, -1 },
+				     false, false, false, -1, false },
 			  ReplyCase{ "stray", "200 OK\r\nAttempt-Id: 77", false,
-				     true, false, -1 },
+				     true, false, -1, false },
 			  ReplyCase{ "full", "503 Full\r\nNot-Run: 1", true,
-				     false, false, -1 },
+				     false, false, -1, false },
 			  ReplyCase{ "failed", "503 Failed\r\nAttempt-Id: 9c41",
-				     false, false, false, -1 },
+				     false, false, false, -1, false },
 			  ReplyCase{ "elsewhere", "421 Misdirected", true,
-				     false, true, -1 },
+				     false, true, -1, false },
 			  ReplyCase{ "keep",
 				     "200 OK\r\nKeep-Alive: max=3, timeout=5",
-				     false, false, false, 5000 }),
+				     false, false, false, 5000, false },
+			  ReplyCase{ "leaving", "200 OK\r\nServer-Leaving: 1",
+				     false, false, false, -1, true },
+			  ReplyCase{ "leaving_full",
+				     "503 Full\r\nServer-Leaving: 1\r\n"
+				     "Not-Run: 1",
+				     true, false, false, -1, true },
+			  ReplyCase{ "not_leaving",
+				     "200 OK\r\nServer-Leaving: 0", false,
+				     false, false, -1, false }),
+	[](const auto &i) { return std::string(i.param.name); });
+
+struct RetryAfterCase {
+	const char *name;
+	const char *field; /* empty: none */
+	pf_ms value;
+	bool bad;
+};
+
+class PlatformRetryAfter : public ::testing::TestWithParam<RetryAfterCase>
+{
+};
+
+TEST_P(PlatformRetryAfter, IsDecoded)
+{
+	const RetryAfterCase &c = GetParam();
+	std::string in =
+		std::string("HTTP/1.1 503 Full\r\n") + c.field + "\r\n";
+	struct pf_h1_head h;
+	struct pf_reply r;
+
+	ASSERT_EQ(pf_h1_parse_response(Str(in), &h), 0);
+	platform_decode_reply(&h, PF_STR("9c41"), &r);
+	EXPECT_EQ(r.retry_after, c.value);
+	EXPECT_EQ(r.bad_retry_after, c.bad);
+}
+
+#define RA(v) "Retry-After: " v "\r\n"
+
+INSTANTIATE_TEST_SUITE_P(
+	Values, PlatformRetryAfter,
+	::testing::Values(
+		RetryAfterCase{ "none", "", -1, false },
+		RetryAfterCase{ "whole", RA("2"), 2000, false },
+		RetryAfterCase{ "fraction", RA("0.25"), 250, false },
+		RetryAfterCase{ "rounded_up", RA("0.0301"), 31, false },
+		RetryAfterCase{ "zero", RA("0"), 0, false },
+		RetryAfterCase{ "year", RA("31536000"), 1000000000, false },
+		RetryAfterCase{ "overflow", RA("99999999999999999999999999"),
+				1000000000, false },
+		RetryAfterCase{ "negative", RA("-1"), -1, true },
+		RetryAfterCase{ "exponent", RA("1e3"), -1, true },
+		RetryAfterCase{ "not_finite", RA("inf"), -1, true },
+		RetryAfterCase{ "two_points", RA("1.2.3"), -1, true },
+		RetryAfterCase{ "point", RA("."), -1, true },
+		RetryAfterCase{ "words", RA("soon"), -1, true },
+		RetryAfterCase{ "date", RA("Fri, 31 Dec 2027 23:59:59 GMT"), -1,
+				true }),
 	[](const auto &i) { return std::string(i.param.name); });
 
 static const char kConfig[] =
