Gate core: a request moved off a silent endpoint waits until its deadline

What callers saw: 502 within a millisecond of the move, seconds before the deadline, if the endpoint to which a request without a first event was moved did not take it; the silent one might have answered 300 ms later.

Cause: only started answers waited; a moved one had passed its wait deadline by then. The gateway cancelled its send itself, so it waits like a started answer. An end of the cancelled send that is still deferred is dropped with it.

The stand-in of the store gains writes to a part, which membership rows of other gateways need.

--- a/daemons/gateway/core.c
+++ b/daemons/gateway/core.c
@@ -21,6 +21,7 @@
 	       PF_KV_INT("silent_ms", a->u.cancel.silent),
 	       PF_KV_INT("last_event", x->last_event_id));
 	upstream_cancel(x);
+	core_drop_deferred(g, x->core_handle);
 }
 
 static void on_act(void *ctx, const struct pf_gate_act *a)
--- a/src/coordination/gate/gate_core.h
+++ b/src/coordination/gate/gate_core.h
@@ -49,6 +49,7 @@
 	uint64_t avoided[GATE_AVOIDED_MAX]; /* endpoints that failed it */
 	uint32_t n_avoided;
 	bool response_started; /* events were passed on to the caller */
+	bool moved; /* cancelled at a silent endpoint that may have answered */
 	uint32_t endpoint_slot; /* valid while in flight */
 	pf_ms sent_at;
 	pf_ms last_progress_at; /* last send or event */
@@ -250,6 +251,12 @@
 	return r->kind == PF_ROUTE_SAFE || r->kind == PF_ROUTE_RESUMABLE;
 }
 
+/** Whether @r waits for an endpoint until its deadline. */
+static inline bool gate_waits_to_deadline(const struct gate_request *r)
+{
+	return r->response_started || r->moved;
+}
+
 /* gate_endpoints.c */
 /** The endpoint with this id, or NULL. */
 struct gate_endpoint *gate_endpoint_find(struct pf_gate *g, uint64_t id);
--- a/src/coordination/gate/gate_life.c
+++ b/src/coordination/gate/gate_life.c
@@ -263,7 +263,7 @@
 		return refuse_unservable(g, r);
 	if (!gate_take_retry(g, r)) {
 		/* Nothing is better for a started answer than to wait. */
-		if (r->response_started)
+		if (gate_waits_to_deadline(r))
 			return false;
 		end_request(g, r, PF_GATE_REASON_RETRY_BUDGET);
 		return true;
@@ -279,7 +279,7 @@
 static bool give_up(const struct pf_gate *g, const struct gate_request *r)
 {
 	/* The retry budget limits the sends of a started answer. */
-	return !r->response_started &&
+	return !gate_waits_to_deadline(r) &&
 	       (r->sends >= SENDS_MAX ||
 		g->now >= r->deadline - gate_min_service_time(r));
 }
@@ -586,6 +586,7 @@
 {
 	avoid_endpoint(r, g->endpoints[r->endpoint_slot].id);
 	cancel_send(g, r, PF_GATE_CANCEL_STALLED);
+	r->moved = true;
 	r->possible_runs++;
 	detach(g, r);
 	r->state = GATE_FREE;
--- a/src/coordination/gate/gate_wait.c
+++ b/src/coordination/gate/gate_wait.c
@@ -56,7 +56,7 @@
 		      (pf_ms)(share * (double)(r->deadline - r->arrived_at));
 
 	/* Its caller can't try elsewhere without a new answer. */
-	if (r->response_started)
+	if (gate_waits_to_deadline(r))
 		return r->deadline;
 	if (r->objective)
 		limit += r->objective / 8;
--- a/tests/fake_store.cc
+++ b/tests/fake_store.cc
@@ -156,6 +156,17 @@
 	return revision_;
 }
 
+uint64_t FakeStore::PutInPart(const std::string &table, const std::string &part,
+			      const std::string &key, const std::string &value)
+{
+	Lock g(mu_);
+
+	revision_++;
+	SetRow({ table, part, key }, value, false);
+	cv_.notify_all();
+	return revision_;
+}
+
 bool FakeStore::Get(const std::string &table, const std::string &part,
 		    const std::string &key, std::string *value)
 {
--- a/tests/fake_store.h
+++ b/tests/fake_store.h
@@ -46,6 +46,8 @@
 	/* Writes a row as the operator or an endpoint; returns its revision. */
 	uint64_t Put(const std::string &table, const std::string &key,
 		     const std::string &value, bool deleted = false);
+	uint64_t PutInPart(const std::string &table, const std::string &part,
+			   const std::string &key, const std::string &value);
 	/* Returns false if there is none. */
 	bool Get(const std::string &table, const std::string &part,
 		 const std::string &key, std::string *value);
--- a/tests/test_gateway.cc
+++ b/tests/test_gateway.cc
@@ -630,7 +630,7 @@
 
 	store.Put("servers", "i-1", EndpointRow("app", a.addr()));
 	FakeStore::Copy copy = store.MakeCopy();
-	store.Put("pimentoford", "g-peer", peer.addr + " za");
+	store.PutInPart("pimentoford", "gateways", "g-peer", peer.addr + " za");
 	Start();
 	ASSERT_TRUE(store.WaitForRow("pimentoford", "g-127.0.0.2"));
 	peer.Exchange(1000);
@@ -645,7 +645,8 @@
 TEST_F(GatewayRestore, ARestoreThatPeersReportIsReadAtOnce)
 {
 	// Three lower ids: this gateway leaves the polling to them.
-	PeerGateway p1(datagram_port, 1), p2(datagram_port, 2), p3(datagram_port, 3);
+	PeerGateway p1(datagram_port, 1), p2(datagram_port, 2),
+		p3(datagram_port, 3);
 	PeerGateway *peers[] = { &p1, &p2, &p3 };
 	auto exchange = [&](int ms) {
 		for (int i = 0; i < ms / 150; i++)
