--- a/src/coordination/gate/gate_backoff.c
+++ b/src/coordination/gate/gate_backoff.c
@@ -19,22 +19,23 @@
 					       : BACKOFF_MAX_MS;
 }
 
-static struct gate_quiet *find_quiet(struct pf_gate *g, uint64_t incarnation)
+static struct gate_backoff_entry *find_backoff(struct pf_gate *g,
+					       uint64_t incarnation)
 {
 	uint32_t i;
 
-	for (i = 0; i < GATE_QUIETS_MAX && i < g->n_quiets; i++) {
-		if (g->quiets[i].incarnation == incarnation)
-			return &g->quiets[i];
+	for (i = 0; i < GATE_BACKOFFS_MAX && i < g->n_backoffs; i++) {
+		if (g->backoffs[i].incarnation == incarnation)
+			return &g->backoffs[i];
 	}
 	return NULL;
 }
 
 void gate_backoff_restore(struct pf_gate *g, struct gate_endpoint *e)
 {
-	const struct gate_quiet *q = find_quiet(g, e->incarnation);
+	const struct gate_backoff_entry *q = find_backoff(g, e->incarnation);
 
-	e->quiet_until = q ? q->until : 0;
+	e->backoff_until = q ? q->until : 0;
 	e->ramp = q ? 1 : 0;
 }
 
@@ -43,11 +44,11 @@
 {
 	uint64_t hashed = pf_id2(id, (uint64_t)incarnation);
 	struct gate_endpoint *e = gate_endpoint_find(g, id);
-	struct gate_quiet *q = find_quiet(g, hashed);
+	struct gate_backoff_entry *q = find_backoff(g, hashed);
 
 	if (!q) {
-		q = &g->quiets[g->n_quiets++ % GATE_QUIETS_MAX];
-		*q = (struct gate_quiet){ hashed, 0 };
+		q = &g->backoffs[g->n_backoffs++ % GATE_BACKOFFS_MAX];
+		*q = (struct gate_backoff_entry){ hashed, 0 };
 	}
 	if (q->until < g->now + span)
 		q->until = g->now + span;
@@ -61,7 +62,7 @@
 	if (e->ramp && e->ramp_running >= e->ramp)
 		return true;
 #endif
-	return e->quiet_until > g->now;
+	return e->backoff_until > g->now;
 }
 
 void gate_backoff_sent(struct gate_request *r, struct gate_endpoint *e)
@@ -82,13 +83,13 @@
 void gate_backoff_answered(struct gate_request *r, struct gate_endpoint *e)
 {
 #ifdef PF_MUTANT_GATE_BACKOFF
-	e->quiet_until = 0;
+	e->backoff_until = 0;
 #endif
 	if (!r->in_ramp)
 		return;
 	gate_backoff_unsent(r, e);
 	/* Sent before the last backoff: says nothing about its end. */
-	if (r->sent_at < e->quiet_until)
+	if (r->sent_at < e->backoff_until)
 		return;
 	e->ramp *= 2;
 	if (e->ramp > e->slots)
--- a/src/coordination/gate/gate_core.h
+++ b/src/coordination/gate/gate_core.h
@@ -104,7 +104,7 @@
 	pf_ms blocked_until; /* no sends until then: unreachable or full */
 	bool blocked_silent; /* blocked for silence; progress unblocks it */
 	uint32_t consecutive_blocks;
-	pf_ms quiet_until; /* asked for no requests until then; 0: never */
+	pf_ms backoff_until; /* asked for no requests until then; 0: never */
 	uint32_t ramp; /* sends without an answer allowed then; 0: any */
 	uint32_t ramp_running; /* those in flight */
 	uint64_t missing_model; /* rejected though listed; 0: none */
@@ -179,18 +179,18 @@
 	pf_ms at;
 };
 
-#define GATE_LEFT_MAX 1024
+#define GATE_LEAVING_MAX 1024
 
 /** An endpoint of which an answer said that it leaves. */
-struct gate_left {
+struct gate_leaving_entry {
 	uint64_t id;
 	int64_t incarnation; /* this one and older ones */
 };
 
-#define GATE_QUIETS_MAX 256
+#define GATE_BACKOFFS_MAX 256
 
 /** An endpoint that asked for no requests. */
-struct gate_quiet {
+struct gate_backoff_entry {
 	uint64_t incarnation; /* hashed with the id */
 	pf_ms until;
 };
@@ -228,10 +228,10 @@
 	struct gate_demand_entry demand[GATE_DEMAND_ENTRIES];
 	pf_ms demand_smoothed_at;
 	/* Rings; outlast the endpoints, as the store may list them again. */
-	struct gate_left left[GATE_LEFT_MAX];
-	uint64_t n_left; /* ever added */
-	struct gate_quiet quiets[GATE_QUIETS_MAX];
-	uint64_t n_quiets; /* ever added */
+	struct gate_leaving_entry leaving[GATE_LEAVING_MAX];
+	uint64_t n_leaving; /* ever added */
+	struct gate_backoff_entry backoffs[GATE_BACKOFFS_MAX];
+	uint64_t n_backoffs; /* ever added */
 	struct gate_prefill_speed prefill_speeds[GATE_PREFILL_SPEEDS];
 	struct gate_crash crashes[GATE_CRASHES_MAX];
 	/* Rings for the digests; n_* counts all entries ever added. */
@@ -288,7 +288,7 @@
 /** An answer of this incarnation of the endpoint says that it leaves. */
 void gate_endpoint_leaving(struct pf_gate *g, uint64_t id, int64_t incarnation);
 /** Whether an answer of this incarnation or a later one said so. */
-bool gate_has_left(struct pf_gate *g, uint64_t id, int64_t incarnation);
+bool gate_is_leaving(struct pf_gate *g, uint64_t id, int64_t incarnation);
 static inline bool gate_endpoint_leaves(const struct gate_endpoint *e)
 {
 	return e->draining || e->loader_draining || e->leaving;
--- a/src/coordination/gate/gate_endpoints.c
+++ b/src/coordination/gate/gate_endpoints.c
@@ -186,7 +186,7 @@
 	if (e->incarnation != incarnation) {
 		e->incarnation = incarnation;
 		gate_backoff_restore(g, e);
-		e->leaving = gate_has_left(g, l->id, l->incarnation);
+		e->leaving = gate_is_leaving(g, l->id, l->incarnation);
 		e->blocked_until = 0;
 		e->blocked_silent = false;
 		e->consecutive_blocks = 0;
--- a/src/coordination/gate/gate_leave.c
+++ b/src/coordination/gate/gate_leave.c
@@ -5,20 +5,20 @@
  */
 #include "src/coordination/gate/gate_core.h"
 
-static struct gate_left *find_left(struct pf_gate *g, uint64_t id)
+static struct gate_leaving_entry *find_leaving(struct pf_gate *g, uint64_t id)
 {
 	uint32_t i;
 
-	for (i = 0; i < GATE_LEFT_MAX && i < g->n_left; i++) {
-		if (g->left[i].id == id)
-			return &g->left[i];
+	for (i = 0; i < GATE_LEAVING_MAX && i < g->n_leaving; i++) {
+		if (g->leaving[i].id == id)
+			return &g->leaving[i];
 	}
 	return NULL;
 }
 
-bool gate_has_left(struct pf_gate *g, uint64_t id, int64_t incarnation)
+bool gate_is_leaving(struct pf_gate *g, uint64_t id, int64_t incarnation)
 {
-	const struct gate_left *l = find_left(g, id);
+	const struct gate_leaving_entry *l = find_leaving(g, id);
 
 	return l && l->incarnation >= incarnation;
 }
@@ -26,11 +26,11 @@
 void gate_endpoint_leaving(struct pf_gate *g, uint64_t id, int64_t incarnation)
 {
 	struct gate_endpoint *e = gate_endpoint_find(g, id);
-	struct gate_left *l = find_left(g, id);
+	struct gate_leaving_entry *l = find_leaving(g, id);
 
 	if (!l) {
-		l = &g->left[g->n_left++ % GATE_LEFT_MAX];
-		*l = (struct gate_left){ id, incarnation };
+		l = &g->leaving[g->n_leaving++ % GATE_LEAVING_MAX];
+		*l = (struct gate_leaving_entry){ id, incarnation };
 	} else if (l->incarnation < incarnation) {
 		l->incarnation = incarnation;
 	}
--- a/src/coordination/gate/gate_life.c
+++ b/src/coordination/gate/gate_life.c
@@ -128,7 +128,7 @@
 static void refuse_in_backoff(struct pf_gate *g, struct gate_request *r,
 			      const struct gate_endpoint *e)
 {
-	pf_ms wait = e->quiet_until - g->now;
+	pf_ms wait = e->backoff_until - g->now;
 	struct pf_gate_act a = { 0 };
 
 	a.u.refuse.reason = PF_GATE_REASON_BACKOFF;
@@ -239,12 +239,12 @@
 /* Refuses @r at once if waiting is in vain; false if it may wait. */
 static bool refuse_unservable(struct pf_gate *g, struct gate_request *r)
 {
-	const struct gate_endpoint *quiet = gate_first_after_backoff(g, r);
+	const struct gate_endpoint *first = gate_first_after_backoff(g, r);
 
 	if (r->response_started || r->possible_runs > 0)
 		return false;
-	if (quiet)
-		refuse_in_backoff(g, r, quiet);
+	if (first)
+		refuse_in_backoff(g, r, first);
 	else if (gate_all_leaving(g, r))
 		refuse_request(g, r, PF_GATE_REASON_ALL_LEAVING);
 	else
--- a/src/coordination/gate/gate_pick.c
+++ b/src/coordination/gate/gate_pick.c
@@ -182,9 +182,9 @@
 
 		if (!is_candidate(g, r, e))
 			continue;
-		if (e->quiet_until <= g->now)
+		if (e->backoff_until <= g->now)
 			return NULL;
-		if (!first || e->quiet_until < first->quiet_until)
+		if (!first || e->backoff_until < first->backoff_until)
 			first = e;
 	}
 	return first;
