--- a/daemons/gateway/gateway.h
+++ b/daemons/gateway/gateway.h
@@ -86,6 +86,8 @@
 	uint64_t adapter; /* counted in adapters_in_use; 0: none */
 	struct pf_text head_buf; /* an incomplete answer head */
 	bool in_body; /* the answer head was parsed */
+	pf_ms sent_at; /* the request */
+	pf_ms body_at; /* its answer head came; 0: not yet */
 	bool streaming; /* events are forwarded as they arrive */
 	bool reused; /* served another request before */
 	bool reusable; /* may serve another request after this one */
--- a/daemons/gateway/upstream.c
+++ b/daemons/gateway/upstream.c
@@ -59,6 +59,23 @@
 	u->endpoint->n_idle_conns++;
 }
 
+static void log_try_ended(struct upstream *u, enum pf_gate_outcome outcome,
+			  bool reset)
+{
+	struct exchange *x = u->exchange;
+	pf_ms now = pf_clock_now();
+
+	PF_LOG(&x->gateway->log, PF_LOG_INFO, "try_ended",
+	       PF_KV_TEXT("id", x->inbound.id),
+	       PF_KV_STR("endpoint", u->endpoint->info.instance),
+	       PF_KV_STR("outcome", pf_gate_outcome_code(outcome)),
+	       PF_KV_INT("status", u->reply.status), PF_KV_INT("reset", reset),
+	       PF_KV_INT("ms", now - u->sent_at),
+	       PF_KV_INT("head_ms", u->body_at ? now - u->body_at : -1),
+	       PF_KV_INT("partial", x->answer_body.n),
+	       PF_KV_TEXT("parts", x->inbound.parts_text));
+}
+
 /* Ends the send. The connection becomes idle if reusable, else is closed. */
 static void end_send(struct upstream *u, enum pf_gate_outcome outcome,
 		     bool reset)
@@ -74,12 +91,7 @@
 	};
 
 	if (outcome != PF_GATE_ANSWERED || u->reply.status >= 500)
-		PF_LOG(&g->log, PF_LOG_INFO, "try_ended",
-		       PF_KV_TEXT("id", x->inbound.id),
-		       PF_KV_STR("endpoint", u->endpoint->info.instance),
-		       PF_KV_STR("outcome", pf_gate_outcome_code(outcome)),
-		       PF_KV_INT("status", u->reply.status),
-		       PF_KV_INT("reset", reset));
+		log_try_ended(u, outcome, reset);
 	x->upstream = NULL;
 	u->exchange = NULL;
 	endpoint_release_adapter(u->endpoint, u->adapter);
@@ -248,6 +260,7 @@
 	exchange_start_answer(u->exchange, &h);
 	pf_text_drop(&u->head_buf, n);
 	u->in_body = true;
+	u->body_at = pf_clock_now();
 	return 0;
 }
 
@@ -426,6 +439,8 @@
 	u->exchange = x;
 	x->upstream = u;
 	u->in_body = false;
+	u->sent_at = pf_clock_now();
+	u->body_at = 0;
 	u->streaming = false;
 	u->reusable = false;
 	memset(&u->reply, 0, sizeof(u->reply));
--- a/include/pimentoford/inbound.h
+++ b/include/pimentoford/inbound.h
@@ -30,6 +30,7 @@
 	uint32_t output_hint; /* caller's estimate of the output; 0: none */
 	struct pf_prompt_part parts[PF_PROMPT_PARTS_MAX]; /* in prompt order */
 	uint32_t n_parts;
+	struct pf_str parts_text; /* the parts as the caller sent them */
 	pf_ms time_left; /* until the caller's deadline; 0: unset */
 	int64_t last_event; /* resume the stream after this event; -1: none */
 };
