--- a/daemons/gateway/core.c
+++ b/daemons/gateway/core.c
@@ -24,6 +24,32 @@
 	core_drop_deferred(g, x->core_handle);
 }
 
+/* The name of a prompt part, from the open requests; empty if none has it. */
+static struct pf_str part_name(const struct gateway *g, uint64_t part)
+{
+	const struct exchange *x;
+	uint32_t i;
+
+	LIST_FOREACH(x, &g->exchanges, next)
+	{
+		for (i = 0; i < x->inbound.n_parts; i++) {
+			if (x->inbound.parts[i].id == part)
+				return x->inbound.parts[i].name;
+		}
+	}
+	return PF_STR("");
+}
+
+static void log_quarantine(struct gateway *g, const struct pf_gate_act *a)
+{
+	if (!a->u.quarantine.released)
+		g->counters->v[PF_GC_QUARANTINES]++;
+	PF_LOG(&g->log, PF_LOG_WARN,
+	       a->u.quarantine.released ? "part_released" : "part_quarantined",
+	       PF_KV_TEXT("part", part_name(g, a->u.quarantine.part)),
+	       PF_KV_INT("crashes", a->u.quarantine.crashes));
+}
+
 static void on_act(void *ctx, const struct pf_gate_act *a)
 {
 	switch (a->type) {
@@ -39,6 +65,9 @@
 	case PF_GATE_PROBE:
 		upstream_probe(ctx, a->u.probe.endpoint);
 		break;
+	case PF_GATE_QUARANTINE:
+		log_quarantine(ctx, a);
+		break;
 	case PF_GATE_DELIVER:
 		exchange_deliver(a->ctx);
 		break;
--- a/daemons/gateway/members.c
+++ b/daemons/gateway/members.c
@@ -66,7 +66,7 @@
 		/* It has restarted and lost what it was sent. */
 		if (m->id && m->id != id)
 			m->digest_cursor = (struct pf_gate_peer_cursor){
-				m->digest_cursor.region, 0, 0
+				.region = m->digest_cursor.region
 			};
 		m->id = id;
 		m->last_seen_at = pf_clock_now();
@@ -124,6 +124,7 @@
 static void copy_known_state(struct member *m, const struct member *old,
 			     uint32_t n)
 {
+	uint64_t region = m->digest_cursor.region;
 	uint32_t i;
 
 	for (i = 0; i < n; i++) {
@@ -132,8 +133,8 @@
 		m->id = old[i].id;
 		m->last_seen_at = old[i].last_seen_at;
 		m->digest_sent_at = old[i].digest_sent_at;
-		m->digest_cursor.prefixes = old[i].digest_cursor.prefixes;
-		m->digest_cursor.crashes = old[i].digest_cursor.crashes;
+		m->digest_cursor = old[i].digest_cursor;
+		m->digest_cursor.region = region;
 		m->store_answered_at = old[i].store_answered_at;
 	}
 }
--- a/daemons/gateway/talk.c
+++ b/daemons/gateway/talk.c
@@ -208,6 +208,20 @@
 	core_step(t->gateway, &m);
 }
 
+static void on_evidence(void *ctx, uint64_t peer,
+			const struct pf_gate_evidence *v, uint32_t n)
+{
+	struct pf_gate_msg m = { .type = PF_GATE_PEER_EVIDENCE };
+	struct talk *t = ctx;
+
+	if (!peer || peer == t->gateway->self)
+		return;
+	m.u.evidence.peer = peer;
+	m.u.evidence.v = v;
+	m.u.evidence.n = n;
+	core_step(t->gateway, &m);
+}
+
 static void add_demand(struct talk *t, uint64_t peer,
 		       const struct pf_gate_demand *v, size_t n)
 {
@@ -242,6 +256,23 @@
 	core_step(t->gateway, &m);
 }
 
+/* At each tick, whatever the digest's interval: each crash costs callers. */
+static void send_evidence(struct talk *t)
+{
+	struct pf_gate_evidence v[PF_GATE_EVIDENCE_MAX];
+	uint32_t i;
+
+	for (i = 0; i < t->n_members; i++) {
+		struct member *m = &t->members[i];
+		uint32_t n = pf_gate_evidence(t->gateway->core,
+					      &m->digest_cursor, v);
+
+		if (n)
+			pf_talk_send_evidence(t->datagrams, &m->addr,
+					      t->gateway->self, v, n);
+	}
+}
+
 static void send_due_digests(struct talk *t, pf_ms now)
 {
 	const struct pf_talk_store_view news = {
@@ -302,6 +333,7 @@
 
 	(void)fd;
 	(void)what;
+	send_evidence(t);
 	send_due_digests(t, now);
 	if (now - t->demand_sent_at >= (pf_gate_has_waiting(t->gateway->core)
 						? DEMAND_INTERVAL_WAITING_MS
@@ -338,6 +370,7 @@
 		.addr = g->settings.datagrams,
 		.log = &g->log,
 		.digest = on_digest,
+		.evidence = on_evidence,
 		.demand = on_demand,
 		.state = on_state,
 		.ctx = t,
--- a/fuzz/fuzz_gate.c
+++ b/fuzz/fuzz_gate.c
@@ -236,6 +236,8 @@
 	struct world *w = ctx;
 	struct req *q = a->ctx;
 
+	if (a->type == PF_GATE_QUARANTINE)
+		return;
 	if (a->type == PF_GATE_PROBE) {
 		w->probed = a->u.probe.endpoint;
 		return;
@@ -258,6 +260,7 @@
 		q->possible_runs++;
 		break;
 	case PF_GATE_PROBE:
+	case PF_GATE_QUARANTINE:
 		break;
 	case PF_GATE_DELIVER:
 	case PF_GATE_REFUSE:
--- a/include/pimentoford/counters.h
+++ b/include/pimentoford/counters.h
@@ -125,6 +125,8 @@
 	    "Sends after the first of a request")                              \
 	DEF(LEAVING, "endpoints_leaving_total", "counter",                     \
 	    "Endpoints of which an answer said that they leave")               \
+	DEF(QUARANTINES, "parts_quarantined_total", "counter",                 \
+	    "Prompt parts found to crash endpoints")                           \
 	DEF(BACKOFFS, "backoffs_total", "counter",                             \
 	    "Answers by which an endpoint asked for no requests")              \
 	DEF(BAD_RETRY_AFTER, "bad_retry_after_total", "counter",               \
--- a/include/pimentoford/gate.h
+++ b/include/pimentoford/gate.h
@@ -106,6 +106,36 @@
 	uint32_t waiting; /* requests without an endpoint */
 };
 
+/* DEF(name): what a gateway tells the others about parts of prompts. */
+#define PF_GATE_EVIDENCE_TYPES(DEF)                                   \
+	/* an endpoint crashed that may have begun to answer on it */ \
+	DEF(CRASH)                                                    \
+	/* the endpoint goes on: it has not crashed */                \
+	DEF(ALIVE)                                                    \
+	/* an answer on it went on for a while, or was complete */    \
+	DEF(SOUND)                                                    \
+	/* it crashes endpoints: requests with it are refused */      \
+	DEF(QUARANTINE)
+
+enum pf_gate_evidence_type {
+#define DEF(name) PF_GATE_EVIDENCE_##name,
+	PF_GATE_EVIDENCE_TYPES(DEF)
+#undef DEF
+		PF_GATE_EVIDENCE_TYPE_COUNT
+};
+
+struct pf_gate_evidence {
+	enum pf_gate_evidence_type type;
+	uint64_t incarnation; /* CRASH and ALIVE: of the endpoint, hashed */
+	uint64_t part; /* but for ALIVE */
+	uint32_t age_ms; /* of the crash, of the answer's begin, or of the
+			  * first crash with the quarantined part */
+	uint32_t suspects; /* CRASH: this gateway's requests with any part
+			    * that may have caused it */
+};
+
+#define PF_GATE_EVIDENCE_MAX 96
+
 /** Sent by each gateway to the others many times a second. */
 struct pf_gate_digest {
 	uint64_t peer; /* the sender's `self` */
@@ -131,6 +161,7 @@
 	PF_GATE_EVENTS, /* u.events: passed on to the caller */
 	PF_GATE_ENDED, /* u.end */
 	PF_GATE_PEER_DIGEST, /* u.digest */
+	PF_GATE_PEER_EVIDENCE, /* u.evidence: borrowed for the call */
 	PF_GATE_ENGINE_STATE, /* u.state: from a loader, borrowed for the call */
 	PF_GATE_REACHABLE, /* u.id: a probed endpoint accepted a connection */
 	PF_GATE_LEAVING, /* u.leaving: an answer says that its endpoint leaves */
@@ -153,6 +184,11 @@
 		} events;
 		struct pf_gate_end end;
 		struct pf_gate_digest digest;
+		struct {
+			uint64_t peer;
+			const struct pf_gate_evidence *v;
+			uint32_t n;
+		} evidence;
 		const struct pf_engine_state *state;
 		struct {
 			uint64_t endpoint;
@@ -171,6 +207,7 @@
 	PF_GATE_REQUEST_ADAPTER, /* u.request_adapter: load its adapter there */
 	PF_GATE_CANCEL, /* u.cancel: cancel the send in flight */
 	PF_GATE_PROBE, /* u.probe: connect to a silent endpoint; ctx is NULL */
+	PF_GATE_QUARANTINE, /* u.quarantine: of a part, for logs; ctx is NULL */
 	PF_GATE_DELIVER, /* final: deliver the answer that ended the send */
 	PF_GATE_REFUSE, /* final, u.refuse: did not run and never will */
 	PF_GATE_FAIL, /* final, u.fail: may have run */
@@ -200,9 +237,10 @@
 const char *pf_gate_reason_code(enum pf_gate_reason r);
 
 /* DEF(name, code): why a send is cancelled. */
-#define PF_GATE_CANCELS(DEF)    \
-	DEF(HANGUP, "hangup")   \
-	DEF(STALLED, "stalled") \
+#define PF_GATE_CANCELS(DEF)            \
+	DEF(HANGUP, "hangup")           \
+	DEF(STALLED, "stalled")         \
+	DEF(QUARANTINED, "quarantined") \
 	DEF(TIMED_OUT, "timeout")
 
 enum pf_gate_cancel {
@@ -233,6 +271,11 @@
 		struct {
 			uint64_t endpoint;
 		} probe;
+		struct {
+			uint64_t part;
+			bool released; /* else it begins */
+			uint32_t crashes; /* known here with this part */
+		} quarantine;
 		struct {
 			enum pf_gate_cancel reason;
 			pf_ms silent; /* since the send or its last event */
@@ -279,6 +322,8 @@
 	uint64_t region; /* of the peer; 0: unknown */
 	uint64_t prefixes; /* position after the last prefix sent */
 	uint64_t crashes; /* position after the last crash sent */
+	uint64_t evidence; /* position after the last evidence sent */
+	uint64_t evidence_resent; /* after the last that was sent twice */
 };
 
 /**
@@ -289,6 +334,13 @@
 void pf_gate_digest(struct pf_gate *g, struct pf_gate_peer_cursor *to,
 		    struct pf_gate_digest *d);
 
+/**
+ * Writes at most PF_GATE_EVIDENCE_MAX entries for the peer @to and advances
+ * @to; returns how many. Datagrams get lost, so each entry is sent twice.
+ */
+uint32_t pf_gate_evidence(struct pf_gate *g, struct pf_gate_peer_cursor *to,
+			  struct pf_gate_evidence *out);
+
 /** Writes at most @max entries of recent demand; returns how many. */
 size_t pf_gate_demand(struct pf_gate *g, pf_ms now, struct pf_gate_demand *out,
 		      size_t max);
--- a/include/pimentoford/inbound.h
+++ b/include/pimentoford/inbound.h
@@ -15,6 +15,7 @@
 struct pf_prompt_part {
 	uint64_t id;
 	uint32_t tokens;
+	struct pf_str name; /* that `id` is the hash of; borrows the head */
 };
 
 /** A decoded request. Strings borrow the request's head. */
--- a/include/pimentoford/talk.h
+++ b/include/pimentoford/talk.h
@@ -35,6 +35,9 @@
 	void (*digest)(void *ctx, const struct sockaddr_in *from,
 		       const struct pf_gate_digest *d,
 		       const struct pf_talk_store_view *view);
+	/* Evidence of the gateway @peer about prompt parts. */
+	void (*evidence)(void *ctx, uint64_t peer,
+			 const struct pf_gate_evidence *v, uint32_t n);
 	/* Demand seen by the gateway @peer. */
 	void (*demand)(void *ctx, uint64_t peer, const struct pf_gate_demand *v,
 		       size_t n);
@@ -56,6 +59,10 @@
 void pf_talk_send_digest(struct pf_talk *t, const struct sockaddr_in *to,
 			 const struct pf_gate_digest *d,
 			 const struct pf_talk_store_view *view);
+/** @n: at most PF_GATE_EVIDENCE_MAX. */
+void pf_talk_send_evidence(struct pf_talk *t, const struct sockaddr_in *to,
+			   uint64_t peer, const struct pf_gate_evidence *v,
+			   uint32_t n);
 /** Sends @v in as many datagrams as needed, at least one. */
 void pf_talk_send_demand(struct pf_talk *t, const struct sockaddr_in *to,
 			 uint64_t peer, const struct pf_gate_demand *v,
--- a/src/coordination/gate/gate.c
+++ b/src/coordination/gate/gate.c
@@ -116,6 +116,10 @@
 		gate_peer_digest(g, &m->u.digest);
 		g->send_waiting_at = g->now;
 		break;
+	case PF_GATE_PEER_EVIDENCE:
+		gate_blame_evidence(g, m->u.evidence.peer, m->u.evidence.v,
+				    m->u.evidence.n);
+		break;
 	case PF_GATE_ENGINE_STATE:
 		gate_endpoint_engine_state(g, m->u.state);
 		g->send_waiting_at = g->now;
@@ -154,6 +158,10 @@
 	g->now = now;
 	g->sink = sink;
 	handle_message(g, m);
+	if (g->quarantine_changed) {
+		g->quarantine_changed = false;
+		gate_requests_quarantine(g);
+	}
 	if (g->n_waiting && g->send_waiting_at <= now)
 		gate_send_waiting(g);
 	g->sink = NULL;
--- /dev/null
+++ b/src/coordination/gate/gate_blame.c
@@ -0,0 +1,485 @@
+/*
+ * Finds the prompt part that crashes endpoints. No single crash names it: all
+ * requests at the endpoint that had not begun, or had just begun, are suspects.
+ * A part is blamed when it is among the suspects of several crashes far more
+ * often than its share of the requests explains, and no answer on it has gone
+ * on since the first of them.
+ */
+#include "src/coordination/gate/gate_core.h"
+
+#include <math.h>
+
+/* Crashes further apart have different causes. */
+#define RECORD_KEEP_MS 30000
+/* Progress until then may have been on the wire before a crash. */
+#define ALIVE_MS 200
+/* Log of the odds against chance at which a part is blamed: 100,000 to one,
+ * since each crash tests many parts. */
+#define BLAME_SCORE 11.5
+#define CRASHES_MIN 3
+#define CRASH_SCORE_MAX (BLAME_SCORE / CRASHES_MIN)
+/* Crashes closer than this may have one cause that is no request. */
+#define SAME_TIME_MS 40
+/* Probability of a crash that has another cause, or a missing report. */
+#define OTHER_CAUSE 0.3
+/* Until then, shares of the requests are unknown. */
+#define ARRIVALS_MIN 40
+/* Bounds and smoothing of the share of requests with a part. */
+#define SHARE_MIN 0.005
+#define SHARE_MAX 0.99
+#define SHARE_PRIOR 10.0
+#define USES_HALVED_MS 15000
+
+static struct gate_part_use *find_use(struct pf_gate *g, uint64_t part)
+{
+	struct gate_part_use *set = g->part_uses[part % GATE_PART_SETS];
+	uint32_t i;
+
+	for (i = 0; i < GATE_PART_WAYS; i++) {
+		if (set[i].part == part)
+			return &set[i];
+	}
+	return NULL;
+}
+
+static struct gate_part_use *find_or_add_use(struct pf_gate *g, uint64_t part)
+{
+	struct gate_part_use *set = g->part_uses[part % GATE_PART_SETS];
+	struct gate_part_use *u = find_use(g, part);
+	uint32_t i;
+
+	if (u)
+		return u;
+	u = &set[0];
+	for (i = 1; i < GATE_PART_WAYS; i++) {
+		if (set[i].arrivals < u->arrivals)
+			u = &set[i];
+	}
+	*u = (struct gate_part_use){ .part = part };
+	return u;
+}
+
+static void decay_uses(struct pf_gate *g)
+{
+	uint32_t i;
+	uint32_t k;
+
+	if (g->now - g->part_uses_decayed_at < USES_HALVED_MS)
+		return;
+	g->part_uses_decayed_at = g->now;
+	g->part_arrivals /= 2;
+	for (i = 0; i < GATE_PART_SETS; i++)
+		for (k = 0; k < GATE_PART_WAYS; k++)
+			g->part_uses[i][k].arrivals /= 2;
+}
+
+void gate_blame_arrival(struct pf_gate *g, const struct gate_request *r)
+{
+	uint32_t i;
+
+	if (r->n_parts == 0)
+		return;
+	decay_uses(g);
+	g->part_arrivals++;
+	g->part_arrivals_seen++;
+	for (i = 0; i < r->n_parts; i++)
+		find_or_add_use(g, r->parts[i])->arrivals++;
+}
+
+static double share_of(struct pf_gate *g, uint64_t part)
+{
+	const struct gate_part_use *u = find_use(g, part);
+	double share = ((u ? (double)u->arrivals : 0) + 0.5) /
+		       (g->part_arrivals + SHARE_PRIOR);
+
+	return fmin(fmax(share, SHARE_MIN), SHARE_MAX);
+}
+
+static struct gate_crash_record *find_record(struct pf_gate *g,
+					     uint64_t incarnation)
+{
+	uint32_t i;
+
+	for (i = 0; i < GATE_CRASH_RECORDS; i++) {
+		if (g->crash_records[i].incarnation == incarnation)
+			return &g->crash_records[i];
+	}
+	return NULL;
+}
+
+static struct gate_crash_record *
+find_or_add_record(struct pf_gate *g, uint64_t incarnation, pf_ms at)
+{
+	struct gate_crash_record *c = find_record(g, incarnation);
+	uint32_t i;
+
+	if (c)
+		return c;
+	c = &g->crash_records[0];
+	for (i = 1; i < GATE_CRASH_RECORDS; i++) {
+		if (g->crash_records[i].at < c->at)
+			c = &g->crash_records[i];
+	}
+	*c = (struct gate_crash_record){ .incarnation = incarnation, .at = at };
+	return c;
+}
+
+static bool record_has(const struct gate_crash_record *c, uint64_t part)
+{
+	uint32_t i;
+
+	for (i = 0; i < c->n_parts; i++) {
+		if (c->parts[i] == part)
+			return true;
+	}
+	return false;
+}
+
+static void record_add(struct gate_crash_record *c, uint64_t part)
+{
+	if (!record_has(c, part) && c->n_parts < GATE_CRASH_PARTS_MAX)
+		c->parts[c->n_parts++] = part;
+}
+
+static void record_remove(struct gate_crash_record *c, uint64_t part)
+{
+	uint32_t i;
+
+	for (i = 0; i < c->n_parts; i++) {
+		if (c->parts[i] == part)
+			c->parts[i--] = c->parts[--c->n_parts];
+	}
+}
+
+/* Whether the crash counts, and no quarantined part explains it. */
+static bool is_unexplained(const struct pf_gate *g,
+			   const struct gate_crash_record *c)
+{
+	uint32_t i;
+
+	if (!c->incarnation || c->refuted || g->now - c->at > RECORD_KEEP_MS)
+		return false;
+	for (i = 0; i < c->n_parts; i++) {
+		if (gate_quarantine_has(g, c->parts[i]))
+			return false;
+	}
+	return true;
+}
+
+/* Bits of the records for which is_unexplained() holds. */
+static uint32_t unexplained_records(const struct pf_gate *g)
+{
+	uint32_t bits = 0;
+	uint32_t i;
+
+	for (i = 0; i < GATE_CRASH_RECORDS; i++) {
+		if (is_unexplained(g, &g->crash_records[i]))
+			bits |= UINT32_C(1) << i;
+	}
+	return bits;
+}
+
+/* The crashes in @records with @part; *@first is the time of the first. */
+static uint32_t count_crashes(const struct pf_gate *g, uint32_t records,
+			      uint64_t part, pf_ms *first)
+{
+	uint32_t n = 0;
+	uint32_t i;
+
+	*first = PF_NEVER;
+	for (i = 0; i < GATE_CRASH_RECORDS; i++) {
+		const struct gate_crash_record *c = &g->crash_records[i];
+
+		if (!(records >> i & 1) || !record_has(c, part))
+			continue;
+		n++;
+		if (c->at < *first)
+			*first = c->at;
+	}
+	return n;
+}
+
+/* How much crashes at the same time, with @suspects in all, speak for a part
+ * that is in a @share of requests, and among these suspects or not. */
+static double crash_score(double share, uint32_t suspects, bool among)
+{
+	double absent = pow(1 - share, suspects ? suspects : 1);
+
+	return among ? fmin(-log(1 - absent), CRASH_SCORE_MAX)
+		     : fmin(log(OTHER_CAUSE / absent), 0);
+}
+
+/* The first of @records at or after @from, or NULL. */
+static const struct gate_crash_record *next_record(const struct pf_gate *g,
+						   uint32_t records, pf_ms from)
+{
+	const struct gate_crash_record *next = NULL;
+	uint32_t i;
+
+	for (i = 0; i < GATE_CRASH_RECORDS; i++) {
+		const struct gate_crash_record *c = &g->crash_records[i];
+
+		if ((records >> i & 1) && c->at >= from &&
+		    (!next || c->at < next->at))
+			next = c;
+	}
+	return next;
+}
+
+static double part_score(struct pf_gate *g, uint32_t records, uint64_t part,
+			 pf_ms first)
+{
+	const struct gate_crash_record *c = next_record(g, records, first);
+	double share = share_of(g, part);
+	double score = 0;
+
+	while (c) {
+		pf_ms end = c->at + SAME_TIME_MS;
+		uint32_t suspects = 0;
+		bool among = false;
+		uint32_t i;
+
+		for (i = 0; i < GATE_CRASH_RECORDS; i++) {
+			const struct gate_crash_record *x =
+				&g->crash_records[i];
+
+			if (!(records >> i & 1) || x->at < c->at ||
+			    x->at >= end)
+				continue;
+			suspects += x->suspects;
+			among |= record_has(x, part);
+		}
+		score += crash_score(share, suspects, among);
+		c = next_record(g, records, end);
+	}
+	return score;
+}
+
+/* Quarantines the part that explains the crashes best, if any does. */
+static bool blame_best(struct pf_gate *g)
+{
+	uint32_t records = unexplained_records(g);
+	double best = BLAME_SCORE;
+	uint64_t blamed = 0;
+	uint32_t crashes = 0;
+	pf_ms since = 0;
+	uint32_t i;
+	uint32_t k;
+
+	for (i = 0; i < GATE_CRASH_RECORDS; i++) {
+		const struct gate_crash_record *c = &g->crash_records[i];
+
+		if (!(records >> i & 1))
+			continue;
+		for (k = 0; k < c->n_parts; k++) {
+			pf_ms first;
+			uint32_t n =
+				count_crashes(g, records, c->parts[k], &first);
+			double score;
+
+			if (n < CRASHES_MIN || first != c->at)
+				continue;
+			score = part_score(g, records, c->parts[k], first);
+			if (score < best || (blamed && score == best))
+				continue;
+			best = score;
+			blamed = c->parts[k];
+			crashes = n;
+			since = first;
+		}
+	}
+	if (!blamed)
+		return false;
+	gate_quarantine_add(g, blamed, since, crashes);
+	return true;
+}
+
+static void judge(struct pf_gate *g)
+{
+	if (g->part_arrivals_seen < ARRIVALS_MIN)
+		return;
+	/* Crashes that a quarantined part explains speak against no other. */
+	while (blame_best(g))
+		;
+}
+
+static void announce_sound(struct pf_gate *g, uint64_t part, pf_ms began_at)
+{
+	struct pf_gate_evidence e = { .type = PF_GATE_EVIDENCE_SOUND,
+				      .part = part };
+
+	gate_evidence_add(g, &e, began_at);
+}
+
+/* Whether an answer on @part that began after @at is known to be sound. */
+static bool known_sound(struct pf_gate *g, uint64_t part, pf_ms at)
+{
+	const struct gate_part_use *u = find_use(g, part);
+
+	return u && u->sound_at > at;
+}
+
+/* Adds a suspect of a crash; a part that was sound since is none. */
+static void add_suspect(struct pf_gate *g, struct gate_crash_record *c,
+			uint64_t part)
+{
+	gate_quarantine_crashed(g, part, c->at);
+	if (known_sound(g, part, c->at))
+		announce_sound(g, part, find_use(g, part)->sound_at);
+	else
+		record_add(c, part);
+}
+
+static bool is_suspect(const struct pf_gate *g, const struct gate_request *r,
+		       uint64_t incarnation)
+{
+	return (r->state == GATE_SENT || r->state == GATE_STREAMING) &&
+	       r->sent_incarnation == incarnation && r->n_parts > 0 &&
+	       (!r->began_at || g->now - r->began_at < GATE_BEGINNING_MS);
+}
+
+static void announce_crash(struct pf_gate *g, const struct gate_crash_record *c)
+{
+	struct pf_gate_evidence e = { .type = PF_GATE_EVIDENCE_CRASH,
+				      .incarnation = c->incarnation,
+				      .suspects = c->suspects };
+	uint32_t i;
+
+	for (i = 0; i < c->n_parts; i++) {
+		e.part = c->parts[i];
+		gate_evidence_add(g, &e, c->at);
+	}
+}
+
+void gate_blame_crash(struct pf_gate *g, struct gate_endpoint *e,
+		      uint64_t incarnation)
+{
+	struct gate_crash_record own = { .incarnation = incarnation,
+					 .at = g->now };
+	struct gate_crash_record *c = find_record(g, incarnation);
+	uint32_t i;
+	uint32_t k;
+
+	if (c && c->seen_here)
+		return;
+	for (i = 0; i < g->opts.requests_max; i++) {
+		const struct gate_request *r = &g->requests[i];
+
+		if (!is_suspect(g, r, incarnation))
+			continue;
+		own.suspects++;
+		for (k = 0; k < r->n_parts; k++)
+			record_add(&own, r->parts[k]);
+	}
+	if (own.suspects == 0)
+		return;
+	announce_crash(g, &own);
+	c = find_or_add_record(g, incarnation, g->now);
+	c->seen_here = true;
+	c->suspects += own.suspects;
+	for (i = 0; i < own.n_parts; i++)
+		add_suspect(g, c, own.parts[i]);
+	if (e->incarnation == incarnation)
+		e->crashed_at = g->now;
+	judge(g);
+}
+
+void gate_blame_alive(struct pf_gate *g, struct gate_endpoint *e)
+{
+	struct pf_gate_evidence a = { .type = PF_GATE_EVIDENCE_ALIVE,
+				      .incarnation = e->incarnation };
+	struct gate_crash_record *c;
+
+	if (!e->crashed_at || g->now - e->crashed_at < ALIVE_MS)
+		return;
+	e->crashed_at = 0;
+	c = find_record(g, e->incarnation);
+	if (c)
+		c->refuted = true;
+	gate_evidence_add(g, &a, g->now);
+}
+
+/* Whether this cleared @part of blame. */
+static bool clear_blame(struct pf_gate *g, uint64_t part, pf_ms began_at)
+{
+	bool cleared = gate_quarantine_release(g, part, began_at);
+	pf_ms first;
+	uint32_t i;
+
+	if (count_crashes(g, unexplained_records(g), part, &first) == 0 ||
+	    first >= began_at)
+		return cleared;
+	for (i = 0; i < GATE_CRASH_RECORDS; i++)
+		record_remove(&g->crash_records[i], part);
+	return true;
+}
+
+static void note_sound(struct pf_gate *g, uint64_t part, pf_ms began_at)
+{
+	struct gate_part_use *u = find_or_add_use(g, part);
+
+	if (u->sound_at < began_at)
+		u->sound_at = began_at;
+}
+
+void gate_blame_sound(struct pf_gate *g, uint64_t part, pf_ms began_at)
+{
+	note_sound(g, part, began_at);
+	if (clear_blame(g, part, began_at))
+		announce_sound(g, part, began_at);
+}
+
+static void crash_reported(struct pf_gate *g, uint32_t reporter,
+			   const struct pf_gate_evidence *e)
+{
+	struct gate_crash_record *c = find_or_add_record(
+		g, e->incarnation, g->now - (pf_ms)e->age_ms);
+	uint64_t bit = UINT64_C(1) << reporter;
+
+	if (!(c->reporters & bit))
+		c->suspects += e->suspects;
+	c->reporters |= bit;
+	add_suspect(g, c, e->part);
+}
+
+static void quarantine_reported(struct pf_gate *g,
+				const struct pf_gate_evidence *e)
+{
+	pf_ms since = g->now - (pf_ms)e->age_ms;
+
+	if (known_sound(g, e->part, since))
+		announce_sound(g, e->part, find_use(g, e->part)->sound_at);
+	else
+		gate_quarantine_add(g, e->part, since, 0);
+}
+
+void gate_blame_evidence(struct pf_gate *g, uint64_t peer,
+			 const struct pf_gate_evidence *v, uint32_t n)
+{
+	uint32_t reporter = gate_peer_slot(g, peer);
+	struct gate_crash_record *c;
+	uint32_t i;
+
+	for (i = 0; i < n; i++) {
+		switch (v[i].type) {
+		case PF_GATE_EVIDENCE_CRASH:
+			crash_reported(g, reporter, &v[i]);
+			break;
+		case PF_GATE_EVIDENCE_ALIVE:
+			c = find_record(g, v[i].incarnation);
+			if (c)
+				c->refuted = true;
+			break;
+		case PF_GATE_EVIDENCE_SOUND:
+			note_sound(g, v[i].part, g->now - (pf_ms)v[i].age_ms);
+			clear_blame(g, v[i].part, g->now - (pf_ms)v[i].age_ms);
+			break;
+		case PF_GATE_EVIDENCE_QUARANTINE:
+			quarantine_reported(g, &v[i]);
+			break;
+		case PF_GATE_EVIDENCE_TYPE_COUNT:
+			break;
+		}
+	}
+	judge(g);
+}
--- a/src/coordination/gate/gate_core.h
+++ b/src/coordination/gate/gate_core.h
@@ -39,6 +39,9 @@
 	uint64_t prefixes[PF_PROMPT_PARTS_MAX]; /* hashes of parts 0 to i */
 	uint32_t prefix_tokens[PF_PROMPT_PARTS_MAX]; /* of parts 0 to i */
 	uint32_t n_prefixes;
+	/* Ids of the parts that other requests may share: all but the last. */
+	uint64_t parts[PF_PROMPT_PARTS_MAX];
+	uint32_t n_parts;
 	pf_ms arrived_at;
 	pf_ms objective_deadline; /* PF_NEVER: the route has no objective */
 	pf_ms deadline; /* for the final act */
@@ -53,6 +56,10 @@
 	uint32_t endpoint_slot; /* valid while in flight */
 	pf_ms sent_at;
 	pf_ms last_progress_at; /* last send or event */
+	uint64_t sent_incarnation; /* of the endpoint, hashed */
+	pf_ms began_at; /* first event of this send; 0: none yet */
+	bool sound; /* this send has shown that its parts are */
+	bool trial; /* may be sent once although quarantined */
 	double first_event_ms; /* expected, from the send */
 	double prefill_ms; /* of its own prompt; 0 after the first event */
 	uint32_t kv_tokens; /* KV cache that it needs at the endpoint */
@@ -90,6 +97,7 @@
 	pf_ms resumed_at; /* first progress after a silence; 0: none */
 	pf_ms probed_at; /* last probe; 0: none */
 	pf_ms reachable_at; /* last probe that connected; 0: none */
+	pf_ms crashed_at; /* of this incarnation, as it seemed; 0: not */
 	/* Requests in flight from the other gateways, from their digests. */
 	uint32_t peer_running;
 	int64_t peer_kv_tokens;
@@ -179,6 +187,55 @@
 	pf_ms at;
 };
 
+/* An answer that goes on for this long was not the cause of a later crash. */
+#define GATE_BEGINNING_MS 300
+/* At most 32: sets of records are bits of a word. */
+#define GATE_CRASH_RECORDS 32
+#define GATE_CRASH_PARTS_MAX 32
+
+/** A crash of an endpoint, and the prompt parts that may have caused it. */
+struct gate_crash_record {
+	uint64_t incarnation; /* of the endpoint, hashed; 0: free */
+	pf_ms at;
+	bool refuted; /* the endpoint went on */
+	bool seen_here; /* not only by peers */
+	uint64_t reporters; /* bits: slots in `peers` */
+	uint32_t suspects; /* requests that may have caused it */
+	uint64_t parts[GATE_CRASH_PARTS_MAX];
+	uint32_t n_parts;
+};
+
+#define GATE_PART_WAYS 4
+#define GATE_PART_SETS 256
+
+/** How often a prompt part is used, and when it was last seen to be sound. */
+struct gate_part_use {
+	uint64_t part; /* 0: free */
+	float arrivals; /* decays */
+	pf_ms sound_at; /* begin of the last sound answer; 0: none */
+};
+
+#define GATE_QUARANTINED_MAX 16
+
+/** A prompt part that crashes endpoints. */
+struct gate_quarantined_part {
+	uint64_t part; /* 0: free */
+	pf_ms since; /* first crash */
+	pf_ms last_seen_at; /* last request with it */
+	pf_ms tried_at; /* last trial, or begin */
+	pf_ms trial_at; /* when one request may be sent again */
+	pf_ms trial_wait; /* until the trial after that */
+};
+
+/* Kept after sending, for gateways that have just started. */
+#define GATE_EVIDENCE_RING 512
+
+struct gate_evidence_entry {
+	struct pf_gate_evidence e;
+	pf_ms at; /* of what `age_ms` counts from */
+	pf_ms added_at;
+};
+
 #define GATE_LEAVING_MAX 1024
 
 /** An endpoint of which an answer said that it leaves. */
@@ -234,6 +291,15 @@
 	uint64_t n_backoffs; /* ever added */
 	struct gate_prefill_speed prefill_speeds[GATE_PREFILL_SPEEDS];
 	struct gate_crash crashes[GATE_CRASHES_MAX];
+	struct gate_crash_record crash_records[GATE_CRASH_RECORDS];
+	struct gate_part_use part_uses[GATE_PART_SETS][GATE_PART_WAYS];
+	double part_arrivals; /* requests with parts; decays */
+	uint32_t part_arrivals_seen; /* ever */
+	pf_ms part_uses_decayed_at;
+	struct gate_quarantined_part quarantined[GATE_QUARANTINED_MAX];
+	bool quarantine_changed; /* in this step */
+	struct gate_evidence_entry evidence[GATE_EVIDENCE_RING];
+	uint64_t n_evidence; /* ever added */
 	/* Rings for the digests; n_* counts all entries ever added. */
 	struct pf_gate_cached_prefix recent_prefixes[PF_GATE_PREFIXES_MAX];
 	uint64_t n_recent_prefixes;
@@ -281,6 +347,10 @@
 void gate_peer_digest(struct pf_gate *g, const struct pf_gate_digest *d);
 /** Drops the loads of gateways that stopped sending digests. */
 void gate_peers_expire(struct pf_gate *g);
+/** Slot of the peer @id in `peers`, which is added if it is new. */
+uint32_t gate_peer_slot(struct pf_gate *g, uint64_t id);
+/** Whether this gateway has the lowest id of those that are heard. */
+bool gate_is_lowest_peer(const struct pf_gate *g);
 /** Gateways that may have used the retry budget, including this one. */
 uint32_t gate_peers_count(const struct pf_gate *g);
 
@@ -321,6 +391,40 @@
 void gate_prefix_add_reported(struct pf_gate *g,
 			      const struct pf_gate_cached_prefix *c);
 
+/* gate_blame.c: which prompt part explains the crashes */
+/**
+ * This incarnation of @e seems to have crashed. Its requests that may have
+ * caused that are those without an event, or that have just begun.
+ */
+void gate_blame_crash(struct pf_gate *g, struct gate_endpoint *e,
+		      uint64_t incarnation);
+/** @e made progress: it has not crashed. */
+void gate_blame_alive(struct pf_gate *g, struct gate_endpoint *e);
+/** The parts of @r come with a request. */
+void gate_blame_arrival(struct pf_gate *g, const struct gate_request *r);
+/** An answer on @part that began at @began_at went on. */
+void gate_blame_sound(struct pf_gate *g, uint64_t part, pf_ms began_at);
+void gate_blame_evidence(struct pf_gate *g, uint64_t peer,
+			 const struct pf_gate_evidence *v, uint32_t n);
+
+/* gate_quarantine.c */
+/** Whether @r may not be sent: it, or a part of its prompt, crashes endpoints. */
+bool gate_quarantine_holds(struct pf_gate *g, const struct gate_request *r);
+bool gate_quarantine_has(const struct pf_gate *g, uint64_t part);
+/** @since: first crash with @part; @crashes: known here. */
+void gate_quarantine_add(struct pf_gate *g, uint64_t part, pf_ms since,
+			 uint32_t crashes);
+/** Ends a quarantine that is due to crashes before @began_at. */
+bool gate_quarantine_release(struct pf_gate *g, uint64_t part, pf_ms began_at);
+/** An endpoint crashed, perhaps by a trial of @part at another gateway. */
+void gate_quarantine_crashed(struct pf_gate *g, uint64_t part, pf_ms at);
+/** A request came: notes its quarantined parts and may let it pass once. */
+void gate_quarantine_arrival(struct pf_gate *g, struct gate_request *r);
+
+/* gate_evidence.c */
+void gate_evidence_add(struct pf_gate *g, const struct pf_gate_evidence *e,
+		       pf_ms at);
+
 /* gate_pick.c */
 /**
  * Returns the slot of the best endpoint, or GATE_NIL. If the best one must load
@@ -395,6 +499,8 @@
 /** Cancels the send in flight and sends to slot @at. */
 void gate_request_move(struct pf_gate *g, struct gate_request *r, uint32_t at,
 		       const struct gate_estimate *to);
+/** Ends the requests that a quarantine concerns and that have not begun. */
+void gate_requests_quarantine(struct pf_gate *g);
 #ifdef PF_MUTANT_GATE_SILENCE
 void gate_request_cancel_stalled(struct pf_gate *g, struct gate_request *r);
 #endif
--- a/src/coordination/gate/gate_endpoints.c
+++ b/src/coordination/gate/gate_endpoints.c
@@ -193,6 +193,7 @@
 		e->resumed_at = 0;
 		e->probed_at = 0;
 		e->reachable_at = 0;
+		e->crashed_at = 0;
 		e->failure_rate = 0;
 		e->event_interval_ms = EVENT_INTERVAL_MS;
 		e->loader_seen_at = 0;
@@ -340,6 +341,28 @@
 	return oldest;
 }
 
+uint32_t gate_peer_slot(struct pf_gate *g, uint64_t id)
+{
+	struct gate_peer *p = find_or_add_peer(g, id);
+
+	p->last_seen_at = g->now;
+	return (uint32_t)(p - g->peers);
+}
+
+bool gate_is_lowest_peer(const struct pf_gate *g)
+{
+	uint32_t i;
+
+	for (i = 0; i < GATE_PEERS_MAX; i++) {
+		const struct gate_peer *p = &g->peers[i];
+
+		if (p->id && p->id < g->opts.self &&
+		    g->now - p->last_seen_at <= PEER_SILENT_MS)
+			return false;
+	}
+	return true;
+}
+
 void gate_peer_digest(struct pf_gate *g, const struct pf_gate_digest *d)
 {
 	struct gate_peer *p = find_or_add_peer(g, d->peer);
--- a/src/coordination/gate/gate_life.c
+++ b/src/coordination/gate/gate_life.c
@@ -206,6 +206,9 @@
 	r->sends_on_wire++;
 	r->sent_at = g->now;
 	r->last_progress_at = g->now;
+	r->sent_incarnation = e->incarnation;
+	r->began_at = 0;
+	r->sound = false;
 	gate_load_add(g, r, at);
 	gate_prefix_add_sent(g, r, e);
 	g->stats.sent++;
@@ -252,11 +255,25 @@
 	return true;
 }
 
+/* Ends a request that crashes endpoints, or may do so. */
+static void reject_quarantined(struct pf_gate *g, struct gate_request *r)
+{
+	if (r->possible_runs > 0)
+		fail_request(g, r, PF_GATE_REASON_QUARANTINED);
+	else
+		refuse_request(g, r, PF_GATE_REASON_QUARANTINED);
+}
+
 bool gate_try_send(struct pf_gate *g, struct gate_request *r)
 {
 	uint32_t load_at;
-	uint32_t at = gate_pick(g, r, &load_at);
+	uint32_t at;
 
+	if (gate_quarantine_holds(g, r)) {
+		reject_quarantined(g, r);
+		return true;
+	}
+	at = gate_pick(g, r, &load_at);
 	if (load_at != GATE_NIL)
 		gate_request_adapter(g, r, load_at);
 	if (at == GATE_NIL)
@@ -324,6 +341,9 @@
 		r->prefix_tokens[i] = sum;
 	}
 	r->n_prefixes = in->n_parts;
+	r->n_parts = in->n_parts ? in->n_parts - 1 : 0;
+	for (i = 0; i < r->n_parts; i++)
+		r->parts[i] = in->parts[i].id;
 }
 
 /* Draws a split by weight; a request that the caller repeats gets the same. */
@@ -394,11 +414,9 @@
 	}
 	gate_budget_add_request(g, r->service);
 	gate_demand_begin(g, r);
+	gate_blame_arrival(g, r);
+	gate_quarantine_arrival(g, r);
 	gate_wait_add(g, r);
-	if (gate_quarantined(g, r->fingerprint)) {
-		refuse_request(g, r, PF_GATE_REASON_QUARANTINED);
-		return;
-	}
 	if (gate_try_send(g, r))
 		return;
 	if (g->shutting_down)
@@ -443,6 +461,21 @@
 	free_request(g, r);
 }
 
+/* An answer that goes on, or is @complete, shows that its parts are sound. */
+static void note_soundness(struct pf_gate *g, struct gate_request *r,
+			   bool complete)
+{
+	uint32_t i;
+
+	if (!r->began_at)
+		r->began_at = g->now;
+	if (r->sound || (!complete && g->now - r->began_at < GATE_BEGINNING_MS))
+		return;
+	r->sound = true;
+	for (i = 0; i < r->n_parts; i++)
+		gate_blame_sound(g, r->parts[i], r->began_at);
+}
+
 void gate_request_events(struct pf_gate *g, uint32_t slot, uint32_t n)
 {
 	struct gate_request *r = &g->requests[slot];
@@ -454,6 +487,7 @@
 		g->send_waiting_at = g->now;
 	}
 	gate_backoff_answered(r, e);
+	note_soundness(g, r, false);
 	if (r->state != GATE_STREAMING)
 		e->own_streaming++;
 	else if (n > 0 && r->last_progress_at >= e->resumed_at)
@@ -501,8 +535,10 @@
 	case PF_GATE_LOST:
 	case PF_GATE_BROKEN:
 		gate_endpoint_count_result(e, true);
-		if (end->reset)
+		if (end->reset) {
 			gate_crash_add(g, r->fingerprint, true);
+			gate_blame_crash(g, e, r->sent_incarnation);
+		}
 		break;
 	}
 	avoid_endpoint(r, e->id);
@@ -514,8 +550,9 @@
 	uint32_t load_at;
 	uint32_t at;
 
-	if (!gate_retryable(r) || r->possible_runs >= r->attempts_max ||
-	    r->sends >= SENDS_MAX || g->now >= r->objective_deadline)
+	if (gate_quarantine_holds(g, r) || !gate_retryable(r) ||
+	    r->possible_runs >= r->attempts_max || r->sends >= SENDS_MAX ||
+	    g->now >= r->objective_deadline)
 		return false;
 	avoid_endpoint(r, g->endpoints[r->endpoint_slot].id);
 	detach(g, r);
@@ -548,7 +585,10 @@
 	if (end->outcome == PF_GATE_ANSWERED &&
 	    end->status != STATUS_UNAVAILABLE)
 		gate_backoff_answered(r, e);
+	if (end->outcome == PF_GATE_ANSWERED && end->status == STATUS_OK)
+		note_soundness(g, r, true);
 	update_endpoint_health(g, r, e, end);
+	r->trial = false;
 	switch (end->outcome) {
 	case PF_GATE_ANSWERED:
 		r->possible_runs++;
@@ -584,8 +624,12 @@
 void gate_request_move(struct pf_gate *g, struct gate_request *r, uint32_t at,
 		       const struct gate_estimate *to)
 {
-	avoid_endpoint(r, g->endpoints[r->endpoint_slot].id);
+	struct gate_endpoint *from = &g->endpoints[r->endpoint_slot];
+
+	gate_blame_crash(g, from, r->sent_incarnation);
+	avoid_endpoint(r, from->id);
 	cancel_send(g, r, PF_GATE_CANCEL_STALLED);
+	r->trial = false;
 	r->moved = true;
 	r->possible_runs++;
 	detach(g, r);
@@ -594,6 +638,29 @@
 	send_request(g, r, at);
 }
 
+/* Cancels what may crash its endpoint next. */
+static void cancel_quarantined(struct pf_gate *g, struct gate_request *r)
+{
+	if (r->trial || r->began_at || !gate_quarantine_holds(g, r))
+		return;
+	cancel_send(g, r, PF_GATE_CANCEL_QUARANTINED);
+	r->possible_runs++;
+	reject_quarantined(g, r);
+}
+
+void gate_requests_quarantine(struct pf_gate *g)
+{
+	uint32_t i;
+
+	for (i = 0; i < g->opts.requests_max; i++) {
+		struct gate_request *r = &g->requests[i];
+
+		if (r->state == GATE_SENT || r->state == GATE_STREAMING)
+			cancel_quarantined(g, r);
+	}
+	g->send_waiting_at = g->now;
+}
+
 #ifdef PF_MUTANT_GATE_SILENCE
 void gate_request_cancel_stalled(struct pf_gate *g, struct gate_request *r)
 {
--- a/src/coordination/gate/gate_stall.c
+++ b/src/coordination/gate/gate_stall.c
@@ -108,7 +108,7 @@
 	if (g->now < stall_at(g, r))
 		return;
 	gate_endpoint_block_silent(g, e);
-	if (!may_move(r))
+	if (!may_move(r) || gate_quarantine_holds(g, r))
 		return;
 #ifdef PF_MUTANT_GATE_SILENCE
 	gate_request_cancel_stalled(g, r);
@@ -141,4 +141,5 @@
 		}
 	}
 	e->last_progress_at = g->now;
+	gate_blame_alive(g, e);
 }
--- a/src/protocol/pimento.x
+++ b/src/protocol/pimento.x
@@ -184,6 +184,7 @@
 const PIMENTO_GATE_SIGHTS = 64;
 const PIMENTO_GATE_CRASHED = 16;
 const PIMENTO_GATE_DEMANDS = 512;
+const PIMENTO_GATE_EVIDENCE = 96;
 
 struct pimento_gate_load {
 	unsigned hyper endpoint;
@@ -207,6 +208,19 @@
 	unsigned int store_age_ms; /* since the store last answered */
 };
 
+struct pimento_gate_evidence {
+	unsigned int type; /* enum pf_gate_evidence_type */
+	unsigned hyper incarnation;
+	unsigned hyper part;
+	unsigned int age_ms;
+	unsigned int suspects;
+};
+
+struct pimento_gate_evidences {
+	unsigned hyper peer;
+	pimento_gate_evidence v<PIMENTO_GATE_EVIDENCE>;
+};
+
 struct pimento_gate_demand {
 	unsigned hyper item;
 	unsigned hyper model;
@@ -275,7 +289,8 @@
 	PIMENTO_TALK_DEMANDS = 2,
 	PIMENTO_TALK_STATE = 3,
 	PIMENTO_TALK_WANT = 4,
-	PIMENTO_TALK_ORDER = 5
+	PIMENTO_TALK_ORDER = 5,
+	PIMENTO_TALK_EVIDENCE = 6
 };
 
 union pimento_talk switch (pimento_talk_type type) {
@@ -289,6 +304,8 @@
 	pimento_want want;
 case PIMENTO_TALK_ORDER:
 	pimento_load_order order;
+case PIMENTO_TALK_EVIDENCE:
+	pimento_gate_evidences evidence;
 default:
 	void;
 };
--- a/src/protocol/pimento_xdr.c
+++ b/src/protocol/pimento_xdr.c
@@ -631,6 +631,37 @@
 	return TRUE;
 }
 
+bool_t
+xdr_pimento_gate_evidence (XDR *xdrs, pimento_gate_evidence *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_u_int (xdrs, &objp->type))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->incarnation))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->part))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->age_ms))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->suspects))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_pimento_gate_evidences (XDR *xdrs, pimento_gate_evidences *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_u_quad_t (xdrs, &objp->peer))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->v.v_val, (u_int *) &objp->v.v_len, PIMENTO_GATE_EVIDENCE,
+		sizeof (pimento_gate_evidence), (xdrproc_t) xdr_pimento_gate_evidence))
+		 return FALSE;
+	return TRUE;
+}
+
 bool_t
 xdr_pimento_gate_demand (XDR *xdrs, pimento_gate_demand *objp)
 {
@@ -898,6 +929,10 @@
 		 if (!xdr_pimento_load_order (xdrs, &objp->pimento_talk_u.order))
 			 return FALSE;
 		break;
+	case PIMENTO_TALK_EVIDENCE:
+		 if (!xdr_pimento_gate_evidences (xdrs, &objp->pimento_talk_u.evidence))
+			 return FALSE;
+		break;
 	default:
 		break;
 	}
--- a/src/protocol/pimento_xdr.h
+++ b/src/protocol/pimento_xdr.h
@@ -248,6 +248,7 @@
 #define PIMENTO_GATE_SIGHTS 64
 #define PIMENTO_GATE_CRASHED 16
 #define PIMENTO_GATE_DEMANDS 512
+#define PIMENTO_GATE_EVIDENCE 96
 
 struct pimento_gate_load {
 	u_quad_t endpoint;
@@ -283,6 +284,24 @@
 };
 typedef struct pimento_gate_digest pimento_gate_digest;
 
+struct pimento_gate_evidence {
+	u_int type;
+	u_quad_t incarnation;
+	u_quad_t part;
+	u_int age_ms;
+	u_int suspects;
+};
+typedef struct pimento_gate_evidence pimento_gate_evidence;
+
+struct pimento_gate_evidences {
+	u_quad_t peer;
+	struct {
+		u_int v_len;
+		pimento_gate_evidence *v_val;
+	} v;
+};
+typedef struct pimento_gate_evidences pimento_gate_evidences;
+
 struct pimento_gate_demand {
 	u_quad_t item;
 	u_quad_t model;
@@ -372,6 +391,7 @@
 	PIMENTO_TALK_STATE = 3,
 	PIMENTO_TALK_WANT = 4,
 	PIMENTO_TALK_ORDER = 5,
+	PIMENTO_TALK_EVIDENCE = 6,
 };
 typedef enum pimento_talk_type pimento_talk_type;
 
@@ -383,6 +403,7 @@
 		pimento_engine_state state;
 		pimento_want want;
 		pimento_load_order order;
+		pimento_gate_evidences evidence;
 	} pimento_talk_u;
 };
 typedef struct pimento_talk pimento_talk;
@@ -441,6 +462,8 @@
 extern  bool_t xdr_pimento_gate_load (XDR *, pimento_gate_load*);
 extern  bool_t xdr_pimento_gate_sight (XDR *, pimento_gate_sight*);
 extern  bool_t xdr_pimento_gate_digest (XDR *, pimento_gate_digest*);
+extern  bool_t xdr_pimento_gate_evidence (XDR *, pimento_gate_evidence*);
+extern  bool_t xdr_pimento_gate_evidences (XDR *, pimento_gate_evidences*);
 extern  bool_t xdr_pimento_gate_demand (XDR *, pimento_gate_demand*);
 extern  bool_t xdr_pimento_gate_demands (XDR *, pimento_gate_demands*);
 extern  bool_t xdr_pimento_resident (XDR *, pimento_resident*);
@@ -474,6 +497,8 @@
 extern bool_t xdr_pimento_gate_load ();
 extern bool_t xdr_pimento_gate_sight ();
 extern bool_t xdr_pimento_gate_digest ();
+extern bool_t xdr_pimento_gate_evidence ();
+extern bool_t xdr_pimento_gate_evidences ();
 extern bool_t xdr_pimento_gate_demand ();
 extern bool_t xdr_pimento_gate_demands ();
 extern bool_t xdr_pimento_resident ();
--- a/src/transport/talk.c
+++ b/src/transport/talk.c
@@ -135,6 +135,47 @@
 	t->opts.digest(t->opts.ctx, from, &d, &news);
 }
 
+void pf_talk_send_evidence(struct pf_talk *t, const struct sockaddr_in *to,
+			   uint64_t peer, const struct pf_gate_evidence *v,
+			   uint32_t n)
+{
+	pimento_gate_evidence out[PIMENTO_GATE_EVIDENCE];
+	pimento_talk msg = { .type = PIMENTO_TALK_EVIDENCE };
+	uint32_t i;
+
+	if (n > PIMENTO_GATE_EVIDENCE)
+		n = PIMENTO_GATE_EVIDENCE;
+	for (i = 0; i < n; i++)
+		out[i] = (pimento_gate_evidence){ v[i].type, v[i].incarnation,
+						  v[i].part, v[i].age_ms,
+						  v[i].suspects };
+	msg.pimento_talk_u.evidence.peer = peer;
+	msg.pimento_talk_u.evidence.v.v_len = n;
+	msg.pimento_talk_u.evidence.v.v_val = out;
+	send_datagram(t, to, &msg, PF_ERA_UNKNOWN);
+}
+
+/* Skips types of later releases. */
+static void receive_evidence(struct pf_talk *t,
+			     const pimento_gate_evidences *in)
+{
+	struct pf_gate_evidence v[PIMENTO_GATE_EVIDENCE];
+	uint32_t n = 0;
+	u_int i;
+
+	for (i = 0; i < in->v.v_len; i++) {
+		const pimento_gate_evidence *e = &in->v.v_val[i];
+
+		if (e->type >= PF_GATE_EVIDENCE_TYPE_COUNT)
+			continue;
+		v[n++] = (struct pf_gate_evidence){
+			(enum pf_gate_evidence_type)e->type, e->incarnation,
+			e->part, e->age_ms, e->suspects
+		};
+	}
+	t->opts.evidence(t->opts.ctx, in->peer, v, n);
+}
+
 void pf_talk_send_demand(struct pf_talk *t, const struct sockaddr_in *to,
 			 uint64_t peer, const struct pf_gate_demand *v,
 			 size_t n)
@@ -356,6 +397,10 @@
 		if (t->opts.order)
 			receive_order(t, from, &msg->pimento_talk_u.order);
 		break;
+	case PIMENTO_TALK_EVIDENCE:
+		if (t->opts.evidence)
+			receive_evidence(t, &msg->pimento_talk_u.evidence);
+		break;
 	}
 }
 
--- a/tests/gate_rig.cc
+++ b/tests/gate_rig.cc
@@ -155,7 +155,7 @@
 	in.prompt_tokens = prompt;
 	in.max_tokens = model ? 40 : 0;
 	if (part) {
-		in.parts[0] = { Id(part), prompt };
+		in.parts[0] = { Id(part), prompt, {} };
 		in.n_parts = 1;
 	}
 	m.type = PF_GATE_ARRIVE;
--- a/tests/gate_sim.cc
+++ b/tests/gate_sim.cc
@@ -8,6 +8,7 @@
 static const pf_ms LOAD_MS =
 	1500; /* from the start until the model is loaded */
 static const pf_ms ROW_MS = 150; /* until gates read a changed row */
+static const unsigned EVIDENCE_MS = 120;
 static const pf_ms NET_MS = 2;
 static const uint32_t OWN_TOKENS = 500;
 
@@ -85,6 +86,10 @@
 		r->failed = true;
 		r->reason = a->u.fail.reason;
 		break;
+	case PF_GATE_QUARANTINE:
+		sim->quarantines += !a->u.quarantine.released;
+		sim->releases += a->u.quarantine.released;
+		break;
 	case PF_GATE_REQUEST_ADAPTER:
 	case PF_GATE_PROBE:
 		break;
@@ -121,6 +126,7 @@
 	o.seed = o.self + opts.seed * 1000;
 	g = pf_gate_new(&o);
 	gates_[gate].g = g;
+	gates_[gate].self = o.self;
 	for (Gate &other : gates_) {
 		other.cursors.resize(opts.gates);
 		other.cursors[gate] = { zone_.region, 0, 0 };
@@ -146,6 +152,14 @@
 		SendDigests(gate);
 		At(now_ + opts.digest_ms, *digest);
 	};
+	auto evidence = std::make_shared<std::function<void()>>();
+	*evidence = [this, gate, g, evidence] {
+		if (gates_[gate].g != g)
+			return;
+		SendEvidence(gate);
+		At(now_ + EVIDENCE_MS, *evidence);
+	};
+	At(now_ + 1 + Below(EVIDENCE_MS), *evidence);
 	At(now_ + 1 + Below(20), *tick);
 	At(now_ + 1 + Below(static_cast<unsigned>(opts.digest_ms)), *digest);
 }
@@ -217,6 +231,32 @@
 	}
 }
 
+void GateSim::SendEvidence(unsigned gate)
+{
+	struct pf_gate_evidence v[PF_GATE_EVIDENCE_MAX];
+
+	for (unsigned to = 0; to < opts.gates; to++) {
+		if (to == gate)
+			continue;
+		uint32_t n = pf_gate_evidence(gates_[gate].g,
+					      &gates_[gate].cursors[to], v);
+		if (n == 0 || Unit() < opts.digest_loss)
+			continue;
+		std::vector<struct pf_gate_evidence> copy(v, v + n);
+		uint64_t peer = gates_[gate].self;
+
+		At(now_ + 1 + Below(12), [=] {
+			struct pf_gate_msg m = {};
+
+			m.type = PF_GATE_PEER_EVIDENCE;
+			m.u.evidence.peer = peer;
+			m.u.evidence.v = copy.data();
+			m.u.evidence.n = (uint32_t)copy.size();
+			Step(to, m);
+		});
+	}
+}
+
 void GateSim::ScheduleArrivals(bool poison)
 {
 	double per_s = poison ? opts.poison_per_s : opts.sound_per_s;
@@ -252,16 +292,18 @@
 	r->parts[1] = 200 + Below(opts.subjects);
 	r->parts[2] = next_part_++;
 	if (poison)
-		r->parts[opts.poison_position] = 1;
+		r->parts[opts.poison_position] = opts.poison_part;
+	r->poison = poison ||
+		    (opts.poison_per_s > 0 && r->parts[1] == opts.poison_part);
 	in.time_left = 15000;
 	in.last_event = -1;
 	in.model = MODEL;
 	in.prompt_tokens = 700;
 	in.max_tokens = 200;
 	in.n_parts = 3;
-	in.parts[0] = { r->parts[0], 120 };
-	in.parts[1] = { r->parts[1], 80 };
-	in.parts[2] = { r->parts[2], OWN_TOKENS };
+	in.parts[0] = { r->parts[0], 120, {} };
+	in.parts[1] = { r->parts[1], 80, {} };
+	in.parts[2] = { r->parts[2], OWN_TOKENS, {} };
 	m.type = PF_GATE_ARRIVE;
 	m.u.arrival.ctx = r.get();
 	m.u.arrival.route = &route_;
@@ -380,15 +422,8 @@
 	Step(r->gate, m);
 }
 
-void GateSim::Crash(unsigned i)
+void GateSim::Lose(const std::vector<Request *> &lost)
 {
-	SimEndpoint &e = endpoints_[i];
-	std::vector<Request *> lost;
-	uint64_t old = e.id;
-
-	e.up = false;
-	lost.swap(e.running);
-	crashes.push_back(now_);
 	for (Request *r : lost) {
 		unsigned serial = r->send_serial;
 
@@ -403,6 +438,26 @@
 			    0, true);
 		});
 	}
+}
+
+void GateSim::ResetRuns(unsigned i)
+{
+	std::vector<Request *> lost;
+
+	lost.swap(endpoints_[i].running);
+	Lose(lost);
+}
+
+void GateSim::Crash(unsigned i)
+{
+	SimEndpoint &e = endpoints_[i];
+	std::vector<Request *> lost;
+	uint64_t old = e.id;
+
+	e.up = false;
+	lost.swap(e.running);
+	crashes.push_back(now_);
+	Lose(lost);
 	At(now_ + opts.down_ms, [=] { StartEndpoint(i); });
 	At(now_ + opts.down_ms + 600, [=] {
 		struct pf_gate_msg m = {};
--- a/tests/gate_sim.h
+++ b/tests/gate_sim.h
@@ -27,7 +27,9 @@
 		pf_ms digest_ms = 120;
 		pf_ms down_ms = 3000; /* from a crash to the next start */
 		unsigned subjects = 44; /* second parts of sound prompts */
-		/* Requests whose prompts have the part 1 crash endpoints. */
+		/* Requests whose prompts have this part crash endpoints. Below
+		 * 200 + subjects, it was sound before. */
+		uint64_t poison_part = 1;
 		double poison_per_s = 0;
 		unsigned poison_position = 1;
 		int poison_events = 0; /* passed on before the crash */
@@ -62,7 +64,9 @@
 
 	void Run(pf_ms span);
 	void SetPoison(double per_s);
-	/* All connections to the endpoint are reset. */
+	/* Each request then running at the endpoint loses its connection. */
+	void ResetRuns(unsigned endpoint);
+	/* All connections to the endpoint are reset, and it ends. */
 	void Crash(unsigned endpoint);
 	/* A new process without memory. */
 	void RestartGate(unsigned gate);
@@ -73,6 +77,7 @@
 
 	Options opts;
 	std::vector<pf_ms> crashes;
+	unsigned quarantines = 0, releases = 0; /* over all gates */
 	std::vector<Arrival> arrivals; /* at endpoints */
 	std::vector<std::unique_ptr<Request>> requests;
 
@@ -94,6 +99,7 @@
 	};
 	struct Gate {
 		struct pf_gate *g = nullptr;
+		uint64_t self = 0;
 		std::vector<struct pf_gate_peer_cursor> cursors;
 	};
 
@@ -105,6 +111,7 @@
 	void StartEndpoint(unsigned i);
 	void List(unsigned gate, unsigned i);
 	void SendDigests(unsigned gate);
+	void SendEvidence(unsigned gate);
 	void ScheduleArrivals(bool poison);
 	void Arrive(bool poison);
 	void OnSend(Request *r, const struct pf_gate_act &a);
@@ -112,6 +119,7 @@
 	void Begin(Request *r, unsigned serial);
 	void Event(Request *r, unsigned serial);
 	void Leave(Request *r);
+	void Lose(const std::vector<Request *> &lost);
 	void End(Request *r, enum pf_gate_outcome o, int status, bool reset);
 	double Unit()
 	{
--- a/tests/test_gate_crash.cc
+++ b/tests/test_gate_crash.cc
@@ -4,6 +4,7 @@
 #include <gtest/gtest.h>
 
 #include <cstdlib>
+#include <functional>
 
 namespace
 {
@@ -50,6 +51,13 @@
 	{ "LaterCrash", With([](GateSim::Options &o) { o.crash_after = 250; }),
 	  4 },
 	{ "FewSubjects", With([](GateSim::Options &o) { o.subjects = 4; }), 4 },
+	{ "WasSoundBefore",
+	  With([](GateSim::Options &o) { o.poison_part = 205; }), 3 },
+	{ "WasCommonBefore", With([](GateSim::Options &o) {
+		  o.subjects = 10;
+		  o.poison_part = 205;
+	  }),
+	  2 },
 	{ "OneGate", With([](GateSim::Options &o) { o.gates = 1; }), 4 },
 	{ "ManyGates", With([](GateSim::Options &o) {
 		  o.gates = 16;
@@ -109,26 +117,126 @@
 				 return std::string(i.param.name);
 			 });
 
-// Endpoints that crash for other reasons make no part suspect.
-TEST(GateCrash, CrashesWithoutACommonPartRefuseNothing)
+struct GateCrash : ::testing::Test {
+	/* @trouble is called from 10 to 30 s; none of it names a part. */
+	static void
+	ExpectNoPartRefused(const std::function<void(GateSim &, int)> &trouble)
+	{
+		for (unsigned seed = 1; seed <= Seeds(); seed++) {
+			GateSim::Options o;
+			o.seed = seed;
+			GateSim sim(o);
+
+			sim.Run(10000);
+			for (int i = 0; i < 100; i++) {
+				trouble(sim, i);
+				sim.Run(200);
+			}
+			sim.Run(5000);
+			EXPECT_EQ(sim.SoundRefused(PF_GATE_REASON_QUARANTINED),
+				  0u)
+				<< "seed " << seed;
+		}
+	}
+};
+
+// All endpoints crash at once, as when power is lost.
+TEST_F(GateCrash, ManyCrashesAtOnceBlameNoPart)
+{
+	ExpectNoPartRefused([](GateSim &sim, int i) {
+		for (unsigned e = 0; i % 40 == 0 && e < sim.opts.endpoints; e++)
+			sim.Crash(e);
+	});
+}
+
+// Endpoints crash one after the other, without a common part.
+TEST_F(GateCrash, CrashesInSeriesBlameNoPart)
+{
+	ExpectNoPartRefused([](GateSim &sim, int i) {
+		if (i % 2 == 0)
+			sim.Crash(static_cast<unsigned>(i / 2) % 12);
+	});
+}
+
+// The same few endpoints crash whenever they are back.
+TEST_F(GateCrash, FlappingEndpointsBlameNoPart)
+{
+	ExpectNoPartRefused([](GateSim &sim, int i) {
+		if (i % 26 == 0)
+			sim.Crash(0);
+		if (i % 30 == 0)
+			sim.Crash(1);
+	});
+}
+
+// Connections are reset at endpoints that go on.
+TEST_F(GateCrash, ResetsOfLiveEndpointsBlameNoPart)
+{
+	ExpectNoPartRefused([](GateSim &sim, int i) {
+		if (i % 3 == 0)
+			sim.ResetRuns(static_cast<unsigned>(i) %
+				      sim.opts.endpoints);
+	});
+}
+
+// What one gateway has found out holds when all are replaced, one by one.
+TEST_F(GateCrash, QuarantineOutlastsTheGatewaysThatFoundIt)
 {
 	for (unsigned seed = 1; seed <= Seeds(); seed++) {
 		GateSim::Options o;
 		o.seed = seed;
 		GateSim sim(o);
 
-		sim.Run(10000);
-		for (unsigned i = 0; i < o.endpoints; i++)
-			sim.Crash(i); /* all at once */
-		sim.Run(10000);
-		for (unsigned i = 0; i < 12; i++) {
-			sim.Crash(i); /* one after the other */
-			sim.Run(200);
+		sim.Run(8000);
+		sim.SetPoison(4);
+		sim.Run(6000);
+		size_t crashes = sim.crashes.size();
+		pf_ms from = sim.now();
+		for (unsigned i = 0; i < o.gates; i++) {
+			sim.RestartGate(i);
+			sim.Run(1500);
 		}
-		sim.Run(10000);
-		EXPECT_EQ(sim.SoundRefused(PF_GATE_REASON_QUARANTINED), 0u)
+		/* A gateway that starts may send some before it is told. */
+		EXPECT_LE(sim.crashes.size() - crashes, o.gates)
 			<< "seed " << seed;
+		from = sim.now();
+		sim.Run(5000);
+		EXPECT_EQ(sim.PoisonArrivals(from), 0u) << "seed " << seed;
 	}
 }
 
+// Trials of a part that still crashes endpoints stay within what is allowed.
+TEST_F(GateCrash, TrialsOfAPartAreFew)
+{
+	GateSim::Options o;
+	GateSim sim(o);
+
+	sim.Run(8000);
+	sim.SetPoison(4);
+	sim.Run(6000);
+	pf_ms from = sim.now();
+	sim.Run(120000);
+	EXPECT_LE(sim.PoisonArrivals(from), ARRIVALS_ALLOWED);
+	EXPECT_GE(sim.PoisonArrivals(from), 1u);
+}
+
+// A part that is sound again is served again.
+TEST_F(GateCrash, APartThatIsSoundAgainIsReleased)
+{
+	GateSim::Options o;
+
+	o.poison_part = 205;
+	GateSim sim(o);
+
+	sim.Run(8000);
+	sim.SetPoison(3);
+	sim.Run(6000);
+	sim.SetPoison(0);
+	sim.Run(25000);
+	EXPECT_GE(sim.releases, o.gates);
+	unsigned refused = sim.SoundRefused(PF_GATE_REASON_QUARANTINED);
+	sim.Run(10000);
+	EXPECT_EQ(sim.SoundRefused(PF_GATE_REASON_QUARANTINED), refused);
+}
+
 } // namespace
