Gate core: announce a quarantine again while requests with the part come

A gateway that started over 60 s after the crashes was not told of the quarantine, as entries of that age are no longer sent: it sent requests with the part to endpoints until it had seen three crashes itself. Gateways that still refuse the part repeat it each 20 s; its age stays that of the first crash, so a newer sound answer still wins. GateCrash.QuarantineReachesAGatewayThatStartsMuchLater failed before.

--- a/src/coordination/gate/gate_core.h
+++ b/src/coordination/gate/gate_core.h
@@ -222,6 +222,7 @@
 	uint64_t part; /* 0: free */
 	pf_ms since; /* first crash */
 	pf_ms last_seen_at; /* last request with it */
+	pf_ms announced_at; /* to the peers */
 	pf_ms tried_at; /* last trial, or begin */
 	pf_ms trial_at; /* when one request may be sent again */
 	pf_ms trial_wait; /* until the trial after that */
--- a/src/coordination/gate/gate_quarantine.c
+++ b/src/coordination/gate/gate_quarantine.c
@@ -6,6 +6,8 @@
  */
 #include "src/coordination/gate/gate_core.h"
 
+/* Peers that start are told of what was announced since a while. */
+#define ANNOUNCE_MS (GATE_CRASH_KEEP_MS / 3)
 /* Without a request with it, a part is forgotten. */
 #define FORGET_MS 60000
 /* The first trial; the wait doubles with each. */
@@ -57,11 +59,18 @@
 	g->quarantine_changed = true;
 }
 
+static void announce(struct pf_gate *g, struct gate_quarantined_part *q)
+{
+	struct pf_gate_evidence e = { .type = PF_GATE_EVIDENCE_QUARANTINE,
+				      .part = q->part };
+
+	q->announced_at = g->now;
+	gate_evidence_add(g, &e, q->since);
+}
+
 void gate_quarantine_add(struct pf_gate *g, uint64_t part, pf_ms since,
 			 uint32_t crashes)
 {
-	struct pf_gate_evidence e = { .type = PF_GATE_EVIDENCE_QUARANTINE,
-				      .part = part };
 	struct gate_quarantined_part *oldest = &g->quarantined[0];
 	uint32_t i;
 
@@ -80,7 +89,7 @@
 		.trial_wait = 2 * TRIAL_MS,
 	};
 	/* Peers repeat it, so that it outlasts the gateway that found it. */
-	gate_evidence_add(g, &e, since);
+	announce(g, oldest);
 	emit_change(g, part, false, crashes);
 }
 
@@ -124,6 +133,8 @@
 		if (!q)
 			continue;
 		q->last_seen_at = g->now;
+		if (g->now - q->announced_at >= ANNOUNCE_MS)
+			announce(g, q);
 		held++;
 		due += g->now >= q->trial_at;
 	}
--- a/tests/test_gate_crash.cc
+++ b/tests/test_gate_crash.cc
@@ -205,6 +205,22 @@
 	}
 }
 
+// A gateway that starts long after the crashes is told of the quarantine.
+TEST_F(GateCrash, QuarantineReachesAGatewayThatStartsMuchLater)
+{
+	GateSim::Options o;
+	GateSim sim(o);
+
+	sim.Run(8000);
+	sim.SetPoison(4);
+	sim.Run(90000);
+	sim.RestartGate(3);
+	sim.Run(500);
+	pf_ms from = sim.now();
+	sim.Run(5000);
+	EXPECT_EQ(sim.PoisonArrivals(from), 0u);
+}
+
 // Trials of a part that still crashes endpoints stay within what is allowed.
 TEST_F(GateCrash, TrialsOfAPartAreFew)
 {
