Gate core: a whole answer counts as begun when it was sent

An answer that came as a whole was taken to have begun at its end. One that was sent before a prompt part became harmful, and ended after the first crash, would clear the part of blame. Found by reading the quarantine of parts again. Gate.AnAnswerSentBeforeTheCrashesTakesNoBlameOff failed before (1 entry of evidence, 0 expected).

--- a/src/coordination/gate/gate_life.c
+++ b/src/coordination/gate/gate_life.c
@@ -467,8 +467,9 @@
 {
 	uint32_t i;
 
+	/* Without an event, only the send's time is known. */
 	if (!r->began_at)
-		r->began_at = g->now;
+		r->began_at = complete ? r->sent_at : g->now;
 	if (r->sound || (!complete && g->now - r->began_at < GATE_BEGINNING_MS))
 		return;
 	r->sound = true;
--- a/tests/gate_rig.cc
+++ b/tests/gate_rig.cc
@@ -143,7 +143,7 @@
 
 void GateRig::Arrive(int tag, const char *prefix, pf_ms time_left,
 		     const char *model, const char *adapter, uint32_t prompt,
-		     const char *part, uint64_t fingerprint)
+		     const char *part, uint64_t fingerprint, bool own_part)
 {
 	struct pf_gate_msg m = {};
 	struct pf_inbound in = {};
@@ -157,6 +157,8 @@
 	if (part) {
 		in.parts[0] = { Id(part), prompt, {} };
 		in.n_parts = 1;
+		if (own_part)
+			in.parts[in.n_parts++] = { 5000000u + tag, 1, {} };
 	}
 	m.type = PF_GATE_ARRIVE;
 	m.u.arrival.ctx = reinterpret_cast<void *>(static_cast<intptr_t>(tag));
--- a/tests/gate_rig.h
+++ b/tests/gate_rig.h
@@ -62,11 +62,12 @@
 	void Gone(const char *name);
 	void Leaves(const char *name, int64_t born = 1);
 	void BacksOff(uint64_t id, pf_ms span, int64_t born = 1);
-	/* @part is the one part of the prompt. */
+	/* @part is the first part of the prompt; the only one, unless it has
+	 * one of its own too. */
 	void Arrive(int tag, const char *prefix, pf_ms time_left,
 		    const char *model = nullptr, const char *adapter = nullptr,
 		    uint32_t prompt = 0, const char *part = nullptr,
-		    uint64_t fingerprint = 0);
+		    uint64_t fingerprint = 0, bool own_part = false);
 	void Ended(int tag, enum pf_gate_outcome outcome, int status = 0,
 		   bool reset = false, bool misdirected = false);
 	void Events(int tag, uint32_t n = 1);
--- a/tests/test_gate.cc
+++ b/tests/test_gate.cc
@@ -928,6 +928,35 @@
 	EXPECT_NE(Last(10, PF_GATE_SEND), nullptr);
 }
 
+// A whole answer may have begun before the part became harmful: it was counted
+// from its end, and so took the blame off.
+TEST_F(Gate, AnAnswerSentBeforeTheCrashesTakesNoBlameOff)
+{
+	struct pf_gate_evidence out[PF_GATE_EVIDENCE_MAX];
+	struct pf_gate_peer_cursor cursor = {};
+	struct pf_gate_evidence v = {};
+	struct pf_gate_msg m = {};
+
+	Arrive(1, "/t/", 15000, "m", nullptr, 100, "p", 0, true);
+	now += 100;
+	v.type = PF_GATE_EVIDENCE_CRASH;
+	v.incarnation = 55;
+	v.part = Id("p");
+	m.type = PF_GATE_PEER_EVIDENCE;
+	m.u.evidence.peer = 99;
+	m.u.evidence.v = &v;
+	m.u.evidence.n = 1;
+	Step(m);
+	now += 100;
+	Ended(1, PF_GATE_ANSWERED, 200);
+	EXPECT_EQ(pf_gate_evidence(g, &cursor, out), 0u);
+	// One that was sent after the crash does.
+	Arrive(2, "/t/", 15000, "m", nullptr, 100, "p", 0, true);
+	now += 100;
+	Ended(2, PF_GATE_ANSWERED, 200);
+	EXPECT_EQ(pf_gate_evidence(g, &cursor, out), 1u);
+}
+
 TEST_F(Gate, CrashesReportedByPeersCount)
 {
 	struct pf_gate_msg m = {};
