Gateway: a stream that ends within an event is a crash of its endpoint

An answer with neither length nor chunks ends with its connection. If that was within an event, the send ended as lost, but not as a crash: neither the request nor its prompt parts were ever blamed. Before any byte of the stream, it even passed as a complete answer, with success and no event. Both now count like a reset; a stream that its caller resumes may still be empty.

GatewayStreamEnd (three cases: before the first event, within it, within a later one) failed before: six of six requests with one fingerprint reached the endpoint instead of three.

--- a/daemons/gateway/exchange.c
+++ b/daemons/gateway/exchange.c
@@ -254,6 +254,12 @@
 	return x->answer_body.n > 0;
 }
 
+bool exchange_is_empty(const struct exchange *x)
+{
+	return !x->first_event_at && x->answer_body.n == 0 &&
+	       x->inbound.last_event < 0;
+}
+
 /* The id of the last event in @s, or @dflt. */
 static int64_t find_last_event_id(struct pf_str s, int64_t dflt)
 {
--- a/daemons/gateway/gateway.h
+++ b/daemons/gateway/gateway.h
@@ -186,6 +186,11 @@
 void exchange_forward_events(struct exchange *x);
 /** Whether answer_body ends in an incomplete event. */
 bool exchange_has_partial_event(const struct exchange *x);
+/**
+ * Whether no byte of a stream has come yet, from any endpoint; false for one
+ * that its caller resumes, perhaps after its last event.
+ */
+bool exchange_is_empty(const struct exchange *x);
 /** Answers a request that was not read completely. */
 void exchange_refuse_early(struct caller *c, int status, const char *code);
 
--- a/daemons/gateway/upstream.c
+++ b/daemons/gateway/upstream.c
@@ -125,7 +125,7 @@
 		r->keep_alive >= 0 ? r->keep_alive : DEFAULT_KEEP_ALIVE_MS;
 
 	if (u->streaming && exchange_has_partial_event(u->exchange)) {
-		end_send_lost(u, false);
+		end_send_lost(u, u->body.framing == PF_H1_UNTIL_CLOSE);
 		return;
 	}
 	/* Unsent bytes of this request would precede the next one. */
@@ -321,7 +321,8 @@
 	if (why == PF_SOCK_NOT_CONNECTED)
 		end_send(u, PF_GATE_UNSENT, true);
 	else if (why == PF_SOCK_EOF && u->in_body &&
-		 u->body.framing == PF_H1_UNTIL_CLOSE)
+		 u->body.framing == PF_H1_UNTIL_CLOSE &&
+		 !(u->streaming && exchange_is_empty(u->exchange)))
 		end_send_answered(u, 0);
 	else
 		end_send_lost(u, true);
--- a/tests/test_gateway.cc
+++ b/tests/test_gateway.cc
@@ -1278,6 +1278,45 @@
 			     "gateway_bad_retry_after_total 2\n"));
 }
 
+struct EndCase {
+	const char *name;
+	const char *answer; /* without length or chunks */
+};
+
+struct GatewayStreamEnd : Gateway, ::testing::WithParamInterface<EndCase> {
+};
+
+// A stream without length or chunks that ended with its connection was no crash
+// of the endpoint, wherever it ended.
+TEST_P(GatewayStreamEnd, BeforeTheEndOfAnEventCountsAsACrash)
+{
+	std::atomic<int> runs{ 0 };
+	FakeServer e("127.0.0.1", [&](int fd, const FakeRequest &r) {
+		runs++;
+		FakeSend(fd, "HTTP/1.1 200 OK\r\nAttempt-Id: " +
+				     r.Header("Attempt-Id") + "\r\n\r\n" +
+				     GetParam().answer);
+		return false;
+	});
+
+	store.Put("servers", "i-1", EndpointRow("app", e.addr()));
+	StartGateway();
+	WaitUntilReady();
+	for (int i = 0; i < 6; i++)
+		Request(GetRequest("/t/x", std::to_string(i)));
+	EXPECT_EQ(runs, 3);
+	EXPECT_TRUE(Contains(Request(GetRequest("/t/x", "9")), "quarantined"));
+}
+
+INSTANTIATE_TEST_SUITE_P(Cases, GatewayStreamEnd,
+			 ::testing::Values(EndCase{ "NoEvent", "" },
+					   EndCase{ "FirstEvent", "id: 1\nda" },
+					   EndCase{ "LaterEvent",
+						    "id: 1\ndata: e1\n\nid" }),
+			 [](const ::testing::TestParamInfo<EndCase> &i) {
+				 return std::string(i.param.name);
+			 });
+
 TEST_F(Gateway, ACallersDisconnectCancelsTheSend)
 {
 	std::atomic<bool> closed{ false };
