--- a/tests/fake_endpoint.cc
+++ b/tests/fake_endpoint.cc
@@ -39,6 +39,8 @@
 		stop_ = true;
 		cv_.notify_all();
 	}
+	for (std::thread &t : restarts_)
+		t.join();
 	server_.reset();
 }
 
@@ -74,6 +76,13 @@
 	return overloads_;
 }
 
+size_t FakeEndpoint::CrashCount()
+{
+	Lock g(mu_);
+
+	return crashes_;
+}
+
 size_t FakeEndpoint::OrderCount()
 {
 	Lock g(mu_);
@@ -110,6 +119,7 @@
 		Lock g(mu_);
 
 		down_ = true;
+		crashes_++;
 		incarnation_++;
 		silent_until_ = Clock::time_point();
 		refuse_until_ = Clock::time_point();
@@ -122,9 +132,8 @@
 	server_->ResetConnections();
 }
 
-void FakeEndpoint::Restart()
+void FakeEndpoint::ComeBack()
 {
-	Crash();
 	{
 		Lock g(mu_);
 
@@ -133,6 +142,12 @@
 	WriteRow();
 }
 
+void FakeEndpoint::Restart()
+{
+	Crash();
+	ComeBack();
+}
+
 void FakeEndpoint::Leave(bool drain)
 {
 	{
@@ -342,11 +357,42 @@
 		return Send(x, HttpAnswer(500, "failed", head));
 	if (f == LATE)
 		SleepMs(LATE_MS);
+	if (stream && !opts_.crash_part.empty() &&
+	    r.Header("Prompt-Prefix").find(opts_.crash_part + ":") !=
+		    std::string::npos)
+		return CrashOnPart(x, head);
 	return stream ? ServeStream(x, atoi(r.Header("Last-Event-Id").c_str()),
 				    head, f)
 		      : ServePlain(x, head, f);
 }
 
+/* Ends within the first event, with all other requests. */
+bool FakeEndpoint::CrashOnPart(const Exchange &x, const std::string &head)
+{
+	Send(x, "HTTP/1.1 200 OK\r\n" + head + "\r\n" +
+			Event(1, x.id).substr(0, 9));
+	{
+		Lock g(mu_);
+
+		if (down_ || incarnation_ != x.incarnation || stop_)
+			return false;
+		restarts_.emplace_back([this] {
+			auto until = Clock::now() +
+				     std::chrono::milliseconds(opts_.down_ms);
+
+			while (Clock::now() < until) {
+				SleepMs(10);
+				Lock l(mu_);
+				if (stop_)
+					return;
+			}
+			ComeBack();
+		});
+	}
+	Crash();
+	return false;
+}
+
 bool FakeEndpoint::ServePlain(const Exchange &x, const std::string &head,
 			      Fault f)
 {
--- a/tests/fake_endpoint.h
+++ b/tests/fake_endpoint.h
@@ -41,6 +41,10 @@
 		int events = 8; /* of each stream */
 		unsigned gap_ms = 10; /* between events or parts of an answer */
 		size_t adapter_slots = 2;
+		/* A stream on this prompt part crashes the endpoint when it
+		 * begins; it is back after `down_ms`. */
+		std::string crash_part;
+		unsigned down_ms = 1500;
 		/* Called from threads of connections. */
 		std::function<Fault()> choose_fault;
 		std::function<void(FakeEndpoint &, const FakeRequest &)>
@@ -70,6 +74,7 @@
 	/* Resets all connections, and new ones until Restart(). Writes nothing
 	 * to the store. */
 	void Crash();
+	size_t CrashCount();
 	/* A new incarnation under the same id and address, without models. */
 	void Restart();
 	/* All answers say from now on that this endpoint leaves; with @drain,
@@ -97,6 +102,8 @@
 	bool ServeRequest(const Exchange &x, const FakeRequest &r);
 	bool ServeStream(const Exchange &x, int from, const std::string &head,
 			 Fault f);
+	void ComeBack();
+	bool CrashOnPart(const Exchange &x, const std::string &head);
 	bool ServePlain(const Exchange &x, const std::string &head, Fault f);
 	bool SendRefusal(const Exchange &x, int status, double retry_after);
 	bool SendReport(const Exchange &x);
@@ -123,6 +130,8 @@
 	uint64_t incarnation_ = 7;
 	size_t orders_ = 0;
 	int overloads_ = 0;
+	size_t crashes_ = 0;
+	std::vector<std::thread> restarts_;
 	bool leaving_ = false; /* says so in answers */
 	bool draining_ = false; /* says so in reports and rows */
 	bool down_ = false;
