Soak: prompts of parts, one of which may crash endpoints

Streams of the soak's callers now have prompts of three parts; while the fault 'poison' is on, a quarter of them has a part that ends each endpoint within the first event. All checks of answers and runs hold for them as well.

--- a/tests/fake_endpoint.cc
+++ b/tests/fake_endpoint.cc
@@ -358,7 +358,7 @@
 	if (f == LATE)
 		SleepMs(LATE_MS);
 	if (stream && !opts_.crash_part.empty() &&
-	    r.Header("Prompt-Prefix").find(opts_.crash_part + ":") !=
+	    r.Header("Prompt-Prefix").find("," + opts_.crash_part) !=
 		    std::string::npos)
 		return CrashOnPart(x, head);
 	return stream ? ServeStream(x, atoi(r.Header("Last-Event-Id").c_str()),
--- a/tests/fake_endpoint.h
+++ b/tests/fake_endpoint.h
@@ -41,8 +41,8 @@
 		int events = 8; /* of each stream */
 		unsigned gap_ms = 10; /* between events or parts of an answer */
 		size_t adapter_slots = 2;
-		/* A stream on this prompt part crashes the endpoint when it
-		 * begins; it is back after `down_ms`. */
+		/* A stream on a prompt part whose name begins so crashes the
+		 * endpoint when it begins; it is back after `down_ms`. */
 		std::string crash_part;
 		unsigned down_ms = 1500;
 		/* Called from threads of connections. */
--- a/tests/test_gateway_soak.cc
+++ b/tests/test_gateway_soak.cc
@@ -86,7 +86,8 @@
 	std::atomic<bool> full{ false }; /* all endpoints refuse or reset */
 	std::atomic<bool> stopping{ false };
 	std::atomic<unsigned> id_counter{ 100000 };
-	std::mutex store_busy, silence_busy, config_busy;
+	std::atomic<unsigned> poison{ 0 }; /* the harmful part; 0: none */
+	std::mutex store_busy, silence_busy, config_busy, poison_busy;
 	std::vector<std::unique_ptr<EndpointNode>> endpoints;
 	std::vector<std::unique_ptr<GatewayNode>> gateways;
 	std::vector<std::thread> callers;
@@ -130,6 +131,7 @@
 		o.gap_ms = 20;
 		/* Gateways address a loader by its engine's host. */
 		o.ip = "127.0.1." + std::to_string(i + 1);
+		o.crash_part = "bad";
 		o.choose_fault = [this] { return ChooseFault(); };
 		o.on_request = [this](FakeEndpoint &e, const FakeRequest &r) {
 			checks.OnRequest(e, r);
@@ -231,6 +233,7 @@
 			 std::string("POST /") + kind +
 				 "/x HTTP/1.1\r\nHost: h\r\nAttempt-Id: " + id +
 				 "\r\nDeadline-Ms: 6000\r\n" +
+				 (stream ? PromptParts(id) : "") +
 				 (adapter ? "Token-Usage: 10,5\r\nModel: " +
 						    model + "\r\n"
 					  : "") +
@@ -257,6 +260,18 @@
 		return ReceiveBody(fd, stream, id, head, got.substr(end + 4),
 				   adapter);
 	}
+	/* Three parts, as a header; the second one may crash endpoints. */
+	std::string PromptParts(const std::string &id)
+	{
+		unsigned bad = poison;
+		bool poisoned = bad && rng.Below(4) == 0;
+
+		return "Prompt-Prefix: a" + std::to_string(rng.Below(3)) +
+		       ":100," +
+		       (poisoned ? "bad" + std::to_string(bad)
+				 : "c" + std::to_string(rng.Below(20))) +
+		       ":50,f" + id + ":40\r\n";
+	}
 	/* Requests have 6 s to the deadline; the socket times out after 20. */
 	std::string ReceiveSome(int fd, const std::string &id)
 	{
@@ -551,6 +566,17 @@
 		SleepMs(100 + r.Below(2000));
 		n.endpoint->Restart();
 	}
+	void PoisonPrompts(Rng &r)
+	{
+		Hold h(poison_busy, std::try_to_lock);
+
+		if (!h)
+			return;
+		Note("poison");
+		poison = 1000 + r.Below(1000000);
+		SleepMs(500 + r.Below(2500));
+		poison = 0;
+	}
 	void RefuseForATime(Rng &r)
 	{
 		unsigned ms = 700 + r.Below(1800);
@@ -744,6 +770,7 @@
 	{ "drain", true, [](Soak &s, Rng &r) { s.DrainEndpoint(r); } },
 	{ "crash", false, [](Soak &s, Rng &r) { s.CrashEndpoint(r, false); } },
 	{ "hang", false, [](Soak &s, Rng &r) { s.CrashEndpoint(r, true); } },
+	{ "poison", false, [](Soak &s, Rng &r) { s.PoisonPrompts(r); } },
 	{ "full", false, [](Soak &s, Rng &r) { s.FillEndpoints(r); } },
 	{ "backoff", true, [](Soak &s, Rng &r) { s.RefuseForATime(r); } },
 	{ "store_away", true,
