Gateway: log and count the limits that endpoints name

Answers' limits are decoded (decimal digits with an optional fraction; anything else is counted as malformed) and logged when they change. No change of behaviour.

--- a/daemons/gateway/endpoints.c
+++ b/daemons/gateway/endpoints.c
@@ -121,6 +121,7 @@
 	if (!e)
 		return NULL;
 	e->gateway = g;
+	e->limit_per_s = -1;
 	LIST_INSERT_HEAD(&g->endpoints, e, next);
 	g->n_endpoints++;
 	return e;
@@ -219,6 +220,8 @@
 		log_endpoint(g, &info);
 		upstream_close_idle(e);
 	}
+	if (e->info.incarnation != info.incarnation)
+		e->limit_per_s = -1;
 	pf_endpoint_info_clear(&e->info);
 	e->info = info;
 	e->revision = revision;
--- a/daemons/gateway/upstream.c
+++ b/daemons/gateway/upstream.c
@@ -225,6 +225,37 @@
 	core_step(g, &m);
 }
 
+static void log_bad_limit(struct upstream *u)
+{
+	struct gateway *g = u->endpoint->gateway;
+
+	g->counters->v[PF_GC_BAD_LIMIT]++;
+	PF_LOG(&g->log, PF_LOG_WARN, "bad_limit",
+	       PF_KV_TEXT("id", u->exchange->inbound.id),
+	       PF_KV_STR("endpoint", u->endpoint->info.instance));
+}
+
+/* An endpoint in need names how many requests a second it takes. */
+static void note_limit(struct upstream *u)
+{
+	double limit = u->reply.limit_per_s;
+	struct endpoint *e = u->endpoint;
+	struct gateway *g = e->gateway;
+
+	if (u->reply.bad_limit) {
+		log_bad_limit(u);
+		return;
+	}
+	if (u->incarnation != e->info.incarnation || limit == e->limit_per_s)
+		return;
+	e->limit_per_s = limit;
+	g->counters->v[PF_GC_LIMITS]++;
+	PF_LOG(&g->log, PF_LOG_INFO, "limit",
+	       PF_KV_STR("endpoint", e->info.instance),
+	       PF_KV_TEXT("id", u->exchange->inbound.id),
+	       PF_KV_REAL("per_s", limit));
+}
+
 /* Returns 0: head parsed; 1: incomplete; -1: the send has ended. */
 static int parse_head(struct upstream *u)
 {
@@ -254,6 +285,7 @@
 		end_send_lost(u, false);
 		return -1;
 	}
+	note_limit(u);
 	u->reusable = !h.close;
 	u->streaming = is_event_stream(u->exchange, &h);
 	pf_h1_body_start(&u->body, answer_framing(&h), h.content_length);
--- a/include/pimentoford/counters.h
+++ b/include/pimentoford/counters.h
@@ -127,6 +127,10 @@
 	    "Endpoints of which an answer said that they leave")               \
 	DEF(QUARANTINES, "parts_quarantined_total", "counter",                 \
 	    "Prompt parts found to crash endpoints")                           \
+	DEF(LIMITS, "endpoint_limits_total", "counter",                        \
+	    "Times an answer named another limit than the one before")         \
+	DEF(BAD_LIMIT, "bad_limit_total", "counter",                           \
+	    "Answers with a malformed limit")                                  \
 	DEF(BACKOFFS, "backoffs_total", "counter",                             \
 	    "Answers by which an endpoint asked for no requests")              \
 	DEF(BAD_RETRY_AFTER, "bad_retry_after_total", "counter",               \
--- a/include/pimentoford/inbound.h
+++ b/include/pimentoford/inbound.h
@@ -55,6 +55,8 @@
 	bool leaving; /* the endpoint leaves: no new requests */
 	pf_ms retry_after; /* -1: unset or malformed */
 	bool bad_retry_after; /* malformed */
+	double limit_per_s; /* requests that it takes; < 0: unset or malformed */
+	bool bad_limit; /* malformed */
 	pf_ms keep_alive; /* idle timeout of the connection; -1: unset */
 };
 
--- a/tests/test_platform.cc
+++ b/tests/test_platform.cc
@@ -160,6 +160,47 @@
 				     false, false, -1, false }),
 	[](const auto &i) { return std::string(i.param.name); });
 
+struct LimitCase {
+	const char *name;
+	const char *field; /* empty: none */
+	double per_s;
+	bool bad;
+};
+
+class PlatformLimit : public ::testing::TestWithParam<LimitCase>
+{
+};
+
+TEST_P(PlatformLimit, IsDecoded)
+{
+	const LimitCase &c = GetParam();
+	std::string in = std::string("HTTP/1.1 200 OK\r\n") + c.field + "\r\n";
+	struct pf_h1_head h;
+	struct pf_reply r;
+
+	ASSERT_EQ(pf_h1_parse_response(Str(in), &h), 0);
+	platform_decode_reply(&h, PF_STR("9c41"), &r);
+	EXPECT_DOUBLE_EQ(r.limit_per_s, c.per_s);
+	EXPECT_EQ(r.bad_limit, c.bad);
+}
+
+#define LIMIT(v) "Server-Limit: " v "\r\n"
+
+INSTANTIATE_TEST_SUITE_P(
+	Values, PlatformLimit,
+	::testing::Values(LimitCase{ "None", "", -1, false },
+			  LimitCase{ "Whole", LIMIT("3"), 3, false },
+			  LimitCase{ "Decimal", LIMIT("1.25"), 1.25, false },
+			  LimitCase{ "BelowOne", LIMIT("0.5"), 0.5, false },
+			  LimitCase{ "Zero", LIMIT("0"), 0, false },
+			  LimitCase{ "Huge", LIMIT("99999999999999999999"), 1e6,
+				     false },
+			  LimitCase{ "Negative", LIMIT("-1"), -1, true },
+			  LimitCase{ "Exponent", LIMIT("1e3"), -1, true },
+			  LimitCase{ "Word", LIMIT("few"), -1, true },
+			  LimitCase{ "Empty", LIMIT(""), -1, true }),
+	[](const auto &i) { return std::string(i.param.name); });
+
 struct RetryAfterCase {
 	const char *name;
 	const char *field; /* empty: none */
