--- a/tests/fake_endpoint.cc
+++ b/tests/fake_endpoint.cc
@@ -125,6 +125,7 @@
 		refuse_until_ = Clock::time_point();
 		leaving_ = false;
 		draining_ = false;
+		limit_ = -1;
 		orders_ = 0;
 		models_.clear();
 		cv_.notify_all();
@@ -168,6 +169,13 @@
 	refuse_until_ = Clock::now() + std::chrono::milliseconds(ms);
 }
 
+void FakeEndpoint::NameLimit(double per_s)
+{
+	Lock g(mu_);
+
+	limit_ = per_s;
+}
+
 std::string FakeEndpoint::State() const
 {
 	return draining_ ? "draining" : "ready";
@@ -251,10 +259,17 @@
 	std::string head = "Attempt-Id: " + x.id + "\r\n";
 	char value[32];
 
+	double limit;
+
 	{
 		Lock g(mu_);
 
 		a.leaving = leaving_;
+		limit = limit_;
+	}
+	if (limit >= 0) {
+		snprintf(value, sizeof(value), "%.10g", limit);
+		head += std::string("Server-Limit: ") + value + "\r\n";
 	}
 	if (a.leaving)
 		head += "Server-Leaving: 1\r\n";
--- a/tests/fake_endpoint.h
+++ b/tests/fake_endpoint.h
@@ -80,6 +80,8 @@
 	/* All answers say from now on that this endpoint leaves; with @drain,
 	 * reports and the row do so too. */
 	void Leave(bool drain);
+	/* All answers name this limit of requests a second; < 0: none. */
+	void NameLimit(double per_s);
 	/* Refuses all requests for @ms. */
 	void Refuse(double retry_after_s, unsigned ms);
 	/* With the actual state, or @state. */
@@ -127,6 +129,7 @@
 	std::map<std::string, std::set<std::string>> models_;
 	Clock::time_point silent_until_, refuse_until_;
 	double retry_after_ = 0;
+	double limit_ = -1;
 	uint64_t incarnation_ = 7;
 	size_t orders_ = 0;
 	int overloads_ = 0;
