Gate core: keep to the limit that an endpoint names, over all gateways

Cause: nothing read the limit. Evidence: the rate of the two engines did not change when they named theirs (2.5 and 2.4 a second before and after), and no log or metric mentioned one.

Each gateway now keeps a token bucket for the whole limit. It takes out its own sends, repeats, moves and resumptions included, and those that the others report with each tick, as totals, so that lost and repeated datagrams do no harm. Until a report comes, several gateways may use the same token: 2 x limit + 4 bursts in 4 s are tolerated, so only so many gateways, by rendezvous hash of those that are heard, use an endpoint at a time. A gateway that has just started uses none for 2 s. The gateway with all the demand may thus use the whole limit, which equal shares would not allow, and no gateway is a single point of failure, as one that hands out tokens would be.

A newer answer without the header ends the limit; an answer to a request sent before the last change changes nothing; a new incarnation has none; 0 lets a request pass every 10 s, since only an answer tells the end; malformed values are counted. If all that could serve a request are held, it is refused at once, with the time of the first room, spread; it waits only where room comes before it would be given up.

The planner does not know limits yet.

--- a/daemons/gateway/exchange.c
+++ b/daemons/gateway/exchange.c
@@ -403,12 +403,12 @@
 	finish_exchange(x);
 }
 
-static void log_backoff(struct exchange *x, const struct pf_gate_act *a)
+static void log_held(struct exchange *x, const struct pf_gate_act *a)
 {
 	const struct endpoint *e =
 		endpoint_find(x->gateway, a->u.refuse.endpoint);
 
-	PF_LOG(&x->gateway->log, PF_LOG_INFO, "all_in_backoff",
+	PF_LOG(&x->gateway->log, PF_LOG_INFO, "held",
 	       PF_KV_TEXT("id", x->inbound.id),
 	       PF_KV_STR("endpoint", e ? e->info.instance : ""),
 	       PF_KV_INT("wait_ms", a->u.refuse.wait),
@@ -421,7 +421,7 @@
 
 	log_result(x, "refused", a->u.refuse.status, code);
 	if (a->u.refuse.endpoint)
-		log_backoff(x, a);
+		log_held(x, a);
 	finish_with_error(x, a->u.refuse.status, code, a->u.refuse.retry_after);
 }
 
--- a/daemons/gateway/talk.c
+++ b/daemons/gateway/talk.c
@@ -222,6 +222,20 @@
 	core_step(t->gateway, &m);
 }
 
+static void on_limits(void *ctx, uint64_t peer, const struct pf_gate_limit *v,
+		      uint32_t n)
+{
+	struct pf_gate_msg m = { .type = PF_GATE_PEER_LIMITS };
+	struct talk *t = ctx;
+
+	if (!peer || peer == t->gateway->self)
+		return;
+	m.u.limits.peer = peer;
+	m.u.limits.v = v;
+	m.u.limits.n = n;
+	core_step(t->gateway, &m);
+}
+
 static void add_demand(struct talk *t, uint64_t peer,
 		       const struct pf_gate_demand *v, size_t n)
 {
@@ -273,6 +287,17 @@
 	}
 }
 
+static void send_limits(struct talk *t, pf_ms now)
+{
+	struct pf_gate_limit v[PF_GATE_LIMITS_MAX];
+	uint32_t n = pf_gate_limits(t->gateway->core, now, v);
+	uint32_t i;
+
+	for (i = 0; n > 0 && i < t->n_members; i++)
+		pf_talk_send_limits(t->datagrams, &t->members[i].addr,
+				    t->gateway->self, v, n);
+}
+
 static void send_due_digests(struct talk *t, pf_ms now)
 {
 	const struct pf_talk_store_view news = {
@@ -334,6 +359,7 @@
 	(void)fd;
 	(void)what;
 	send_evidence(t);
+	send_limits(t, now);
 	send_due_digests(t, now);
 	if (now - t->demand_sent_at >= (pf_gate_has_waiting(t->gateway->core)
 						? DEMAND_INTERVAL_WAITING_MS
@@ -371,6 +397,7 @@
 		.log = &g->log,
 		.digest = on_digest,
 		.evidence = on_evidence,
+		.limits = on_limits,
 		.demand = on_demand,
 		.state = on_state,
 		.ctx = t,
--- a/daemons/gateway/upstream.c
+++ b/daemons/gateway/upstream.c
@@ -238,6 +238,7 @@
 /* An endpoint in need names how many requests a second it takes. */
 static void note_limit(struct upstream *u)
 {
+	struct pf_gate_msg m = { .type = PF_GATE_LIMIT };
 	double limit = u->reply.limit_per_s;
 	struct endpoint *e = u->endpoint;
 	struct gateway *g = e->gateway;
@@ -246,14 +247,22 @@
 		log_bad_limit(u);
 		return;
 	}
-	if (u->incarnation != e->info.incarnation || limit == e->limit_per_s)
+	if (limit != e->limit_per_s && u->incarnation == e->info.incarnation) {
+		e->limit_per_s = limit;
+		g->counters->v[PF_GC_LIMITS]++;
+		PF_LOG(&g->log, PF_LOG_INFO, "limit",
+		       PF_KV_STR("endpoint", e->info.instance),
+		       PF_KV_TEXT("id", u->exchange->inbound.id),
+		       PF_KV_REAL("per_s", limit));
+	}
+	if (limit < 0 &&
+	    !pf_gate_has_limit(g->core, e->info.id, u->incarnation))
 		return;
-	e->limit_per_s = limit;
-	g->counters->v[PF_GC_LIMITS]++;
-	PF_LOG(&g->log, PF_LOG_INFO, "limit",
-	       PF_KV_STR("endpoint", e->info.instance),
-	       PF_KV_TEXT("id", u->exchange->inbound.id),
-	       PF_KV_REAL("per_s", limit));
+	m.u.limit.endpoint = e->info.id;
+	m.u.limit.incarnation = u->incarnation;
+	m.u.limit.per_s = limit;
+	m.u.limit.sent_at = u->sent_at;
+	core_step(g, &m);
 }
 
 /* Returns 0: head parsed; 1: incomplete; -1: the send has ended. */
--- a/include/pimentoford/gate.h
+++ b/include/pimentoford/gate.h
@@ -136,6 +136,16 @@
 
 #define PF_GATE_EVIDENCE_MAX 96
 
+/** The limit of an endpoint, as a gateway tells the others. */
+struct pf_gate_limit {
+	uint64_t incarnation; /* of the endpoint, hashed */
+	double per_s; /* requests that it takes; < 0: the limit has ended */
+	uint32_t age_ms; /* since the answer that said so */
+	uint32_t sent; /* by this gateway, ever */
+};
+
+#define PF_GATE_LIMITS_MAX 128
+
 /** Sent by each gateway to the others many times a second. */
 struct pf_gate_digest {
 	uint64_t peer; /* the sender's `self` */
@@ -162,6 +172,8 @@
 	PF_GATE_ENDED, /* u.end */
 	PF_GATE_PEER_DIGEST, /* u.digest */
 	PF_GATE_PEER_EVIDENCE, /* u.evidence: borrowed for the call */
+	PF_GATE_LIMIT, /* u.limit: an answer names a limit, or none */
+	PF_GATE_PEER_LIMITS, /* u.limits: borrowed for the call */
 	PF_GATE_ENGINE_STATE, /* u.state: from a loader, borrowed for the call */
 	PF_GATE_REACHABLE, /* u.id: a probed endpoint accepted a connection */
 	PF_GATE_LEAVING, /* u.leaving: an answer says that its endpoint leaves */
@@ -189,6 +201,17 @@
 			const struct pf_gate_evidence *v;
 			uint32_t n;
 		} evidence;
+		struct {
+			uint64_t endpoint;
+			int64_t incarnation; /* that answered */
+			double per_s; /* requests that it takes; < 0: any */
+			pf_ms sent_at; /* the request */
+		} limit;
+		struct {
+			uint64_t peer;
+			const struct pf_gate_limit *v;
+			uint32_t n;
+		} limits;
 		const struct pf_engine_state *state;
 		struct {
 			uint64_t endpoint;
@@ -221,6 +244,7 @@
 	DEF(NOT_LOADED, "not_loaded")       \
 	DEF(ALL_LEAVING, "all_leaving")     \
 	DEF(BACKOFF, "backoff")             \
+	DEF(LIMITED, "limited")             \
 	DEF(LATE, "late")                   \
 	DEF(LEAVING, "leaving")             \
 	DEF(RETRY_BUDGET, "retry_budget")   \
@@ -284,7 +308,8 @@
 			enum pf_gate_reason reason;
 			int status;
 			pf_ms retry_after; /* -1: do not retry */
-			/* BACKOFF: whose backoff ends first, and when */
+			/* BACKOFF and LIMITED: which takes requests first, and
+			 * when */
 			uint64_t endpoint;
 			pf_ms wait; /* from now */
 		} refuse;
@@ -341,6 +366,17 @@
 uint32_t pf_gate_evidence(struct pf_gate *g, struct pf_gate_peer_cursor *to,
 			  struct pf_gate_evidence *out);
 
+/** Whether this incarnation of the endpoint ever named a limit, as known here. */
+bool pf_gate_has_limit(const struct pf_gate *g, uint64_t endpoint,
+		       int64_t incarnation);
+
+/**
+ * Writes the limits to report to all peers now, at most PF_GATE_LIMITS_MAX;
+ * returns how many.
+ */
+uint32_t pf_gate_limits(struct pf_gate *g, pf_ms now,
+			struct pf_gate_limit *out);
+
 /** Writes at most @max entries of recent demand; returns how many. */
 size_t pf_gate_demand(struct pf_gate *g, pf_ms now, struct pf_gate_demand *out,
 		      size_t max);
--- a/include/pimentoford/talk.h
+++ b/include/pimentoford/talk.h
@@ -38,6 +38,9 @@
 	/* Evidence of the gateway @peer about prompt parts. */
 	void (*evidence)(void *ctx, uint64_t peer,
 			 const struct pf_gate_evidence *v, uint32_t n);
+	/* Limits of endpoints, from the gateway @peer. */
+	void (*limits)(void *ctx, uint64_t peer, const struct pf_gate_limit *v,
+		       uint32_t n);
 	/* Demand seen by the gateway @peer. */
 	void (*demand)(void *ctx, uint64_t peer, const struct pf_gate_demand *v,
 		       size_t n);
@@ -63,6 +66,10 @@
 void pf_talk_send_evidence(struct pf_talk *t, const struct sockaddr_in *to,
 			   uint64_t peer, const struct pf_gate_evidence *v,
 			   uint32_t n);
+/** @n: at most PF_GATE_LIMITS_MAX. */
+void pf_talk_send_limits(struct pf_talk *t, const struct sockaddr_in *to,
+			 uint64_t peer, const struct pf_gate_limit *v,
+			 uint32_t n);
 /** Sends @v in as many datagrams as needed, at least one. */
 void pf_talk_send_demand(struct pf_talk *t, const struct sockaddr_in *to,
 			 uint64_t peer, const struct pf_gate_demand *v,
--- a/src/coordination/gate/gate.c
+++ b/src/coordination/gate/gate.c
@@ -116,6 +116,15 @@
 		gate_peer_digest(g, &m->u.digest);
 		g->send_waiting_at = g->now;
 		break;
+	case PF_GATE_LIMIT:
+		gate_limit_named(g, m->u.limit.endpoint, m->u.limit.incarnation,
+				 m->u.limit.per_s, m->u.limit.sent_at);
+		g->send_waiting_at = g->now;
+		break;
+	case PF_GATE_PEER_LIMITS:
+		gate_limits_reported(g, m->u.limits.peer, m->u.limits.v,
+				     m->u.limits.n);
+		break;
 	case PF_GATE_PEER_EVIDENCE:
 		gate_blame_evidence(g, m->u.evidence.peer, m->u.evidence.v,
 				    m->u.evidence.n);
--- a/src/coordination/gate/gate_core.h
+++ b/src/coordination/gate/gate_core.h
@@ -132,12 +132,22 @@
 	bool lacks_adapter; /* must be loaded first */
 };
 
+#define GATE_PEER_LIMITS_MAX 128
+
+/** How many requests a peer has sent to a limited endpoint. */
+struct gate_peer_limit {
+	uint64_t incarnation;
+	uint32_t sent;
+};
+
 /** The last digest of another gateway. */
 struct gate_peer {
 	uint64_t id; /* 0: free */
 	pf_ms last_seen_at;
 	struct pf_gate_load loads[PF_GATE_LOADS_MAX];
 	uint32_t n_loads;
+	struct gate_peer_limit limits[GATE_PEER_LIMITS_MAX]; /* a ring */
+	uint32_t n_limits; /* ever added */
 };
 
 /** Requests and retries of a service, counted per second. */
@@ -253,6 +263,21 @@
 	pf_ms until;
 };
 
+#define GATE_LIMITS_MAX PF_GATE_LIMITS_MAX
+
+/** The requests a second that an endpoint takes from all gateways. */
+struct gate_limit {
+	uint64_t incarnation; /* of the endpoint, hashed */
+	double per_s; /* < 0: ended */
+	pf_ms named_at; /* last answer that said so, here or at a peer */
+	double level; /* tokens, as of filled_at; below 0: too many were sent */
+	pf_ms filled_at;
+	uint32_t own_sent;
+	uint32_t reports_due; /* to the peers; datagrams get lost */
+	bool heard; /* by an answer here, since the last report */
+	pf_ms reported_at;
+};
+
 struct gate_prefill_speed {
 	uint64_t model; /* 0: free */
 	double ms_per_token;
@@ -290,6 +315,8 @@
 	uint64_t n_leaving; /* ever added */
 	struct gate_backoff_entry backoffs[GATE_BACKOFFS_MAX];
 	uint64_t n_backoffs; /* ever added */
+	struct gate_limit limits[GATE_LIMITS_MAX];
+	uint32_t n_limits;
 	struct gate_prefill_speed prefill_speeds[GATE_PREFILL_SPEEDS];
 	struct gate_crash crashes[GATE_CRASHES_MAX];
 	struct gate_crash_record crash_records[GATE_CRASH_RECORDS];
@@ -350,6 +377,8 @@
 void gate_peers_expire(struct pf_gate *g);
 /** Slot of the peer @id in `peers`, which is added if it is new. */
 uint32_t gate_peer_slot(struct pf_gate *g, uint64_t id);
+/** Whether a digest or report of @p came recently. */
+bool gate_peer_is_live(const struct pf_gate *g, const struct gate_peer *p);
 /** Whether this gateway has the lowest id of those that are heard. */
 bool gate_is_lowest_peer(const struct pf_gate *g);
 /** Gateways that may have used the retry budget, including this one. */
@@ -381,6 +410,18 @@
 /** @r got an answer that does not turn it away. */
 void gate_backoff_answered(struct gate_request *r, struct gate_endpoint *e);
 
+/* gate_limit.c */
+/** An answer to a request sent at @sent_at names a limit, or none (< 0). */
+void gate_limit_named(struct pf_gate *g, uint64_t endpoint, int64_t incarnation,
+		      double per_s, pf_ms sent_at);
+/** Whether the limit of @e allows no send now. */
+bool gate_limit_holds(struct pf_gate *g, const struct gate_endpoint *e);
+/** When it may allow one; 0: now. */
+pf_ms gate_limit_room_at(struct pf_gate *g, const struct gate_endpoint *e);
+void gate_limit_sent(struct pf_gate *g, const struct gate_endpoint *e);
+void gate_limits_reported(struct pf_gate *g, uint64_t peer,
+			  const struct pf_gate_limit *v, uint32_t n);
+
 /* gate_prefix.c */
 /** Prompt tokens of @r expected in the prefix cache of @e. */
 uint32_t gate_prefix_cached_tokens(struct pf_gate *g,
@@ -445,12 +486,14 @@
 			       const struct gate_estimate *x);
 /** Whether any endpoint could serve @r, even if all are busy. */
 bool gate_has_endpoint(struct pf_gate *g, const struct gate_request *r);
+/** Until when a backoff or a limit allows no send to @e; in the past: none. */
+pf_ms gate_held_until(struct pf_gate *g, const struct gate_endpoint *e);
 /**
- * If there are endpoints for @r and all are in a backoff, returns the one whose
- * backoff ends first; else NULL.
+ * If each endpoint that could serve @r is held by a backoff or a limit, the one
+ * that is held no longer first; else NULL.
  */
-const struct gate_endpoint *
-gate_first_after_backoff(const struct pf_gate *g, const struct gate_request *r);
+const struct gate_endpoint *gate_first_held(struct pf_gate *g,
+					    const struct gate_request *r);
 /** Updates latency estimates at the first event of @r. */
 void gate_learn_latency(struct pf_gate *g, struct gate_request *r);
 
--- a/src/coordination/gate/gate_endpoints.c
+++ b/src/coordination/gate/gate_endpoints.c
@@ -267,6 +267,7 @@
 	if (e->own_running++ == 0)
 		e->last_progress_at = g->now;
 	gate_backoff_sent(r, e);
+	gate_limit_sent(g, e);
 	if (r->state == GATE_STREAMING)
 		e->own_streaming++;
 	e->own_kv_tokens += r->kv_tokens;
@@ -349,6 +350,11 @@
 	return (uint32_t)(p - g->peers);
 }
 
+bool gate_peer_is_live(const struct pf_gate *g, const struct gate_peer *p)
+{
+	return p->id && g->now - p->last_seen_at <= PEER_SILENT_MS;
+}
+
 bool gate_is_lowest_peer(const struct pf_gate *g)
 {
 	uint32_t i;
@@ -356,8 +362,7 @@
 	for (i = 0; i < GATE_PEERS_MAX; i++) {
 		const struct gate_peer *p = &g->peers[i];
 
-		if (p->id && p->id < g->opts.self &&
-		    g->now - p->last_seen_at <= PEER_SILENT_MS)
+		if (gate_peer_is_live(g, p) && p->id < g->opts.self)
 			return false;
 	}
 	return true;
--- a/src/coordination/gate/gate_life.c
+++ b/src/coordination/gate/gate_life.c
@@ -124,14 +124,15 @@
 	emit_refusal(g, r, &a);
 }
 
-/* @e: whose backoff ends first. */
-static void refuse_in_backoff(struct pf_gate *g, struct gate_request *r,
+/* @e: the endpoint that is held no longer first. */
+static void refuse_while_held(struct pf_gate *g, struct gate_request *r,
 			      const struct gate_endpoint *e)
 {
-	pf_ms wait = e->backoff_until - g->now;
+	pf_ms wait = gate_held_until(g, e) - g->now;
 	struct pf_gate_act a = { 0 };
 
-	a.u.refuse.reason = PF_GATE_REASON_BACKOFF;
+	a.u.refuse.reason = e->backoff_until > g->now ? PF_GATE_REASON_BACKOFF
+						      : PF_GATE_REASON_LIMITED;
 	a.u.refuse.retry_after =
 		draw_after_backoff(g, r->deadline - g->now, wait);
 	a.u.refuse.endpoint = e->id;
@@ -242,12 +243,16 @@
 /* Refuses @r at once if waiting is in vain; false if it may wait. */
 static bool refuse_unservable(struct pf_gate *g, struct gate_request *r)
 {
-	const struct gate_endpoint *first = gate_first_after_backoff(g, r);
+	const struct gate_endpoint *first = gate_first_held(g, r);
 
 	if (r->response_started || r->possible_runs > 0)
 		return false;
+	/* A limit often has room again before the request is given up. */
+	if (first && first->backoff_until <= g->now &&
+	    gate_held_until(g, first) < gate_wait_deadline(g, r))
+		return false;
 	if (first)
-		refuse_in_backoff(g, r, first);
+		refuse_while_held(g, r, first);
 	else if (gate_all_leaving(g, r))
 		refuse_request(g, r, PF_GATE_REASON_ALL_LEAVING);
 	else
@@ -674,12 +679,18 @@
 void gate_request_timer(struct pf_gate *g, uint32_t slot)
 {
 	struct gate_request *r = &g->requests[slot];
+	const struct gate_endpoint *first;
 
 	if (r->state == GATE_WAITING && g->now < gate_wait_deadline(g, r)) {
 		arm_timer(g, r);
 		return;
 	}
 	if (r->state == GATE_WAITING) {
+		first = gate_first_held(g, r);
+		if (first && r->possible_runs == 0) {
+			refuse_while_held(g, r, first);
+			return;
+		}
 		end_request(g, r,
 			    gate_has_endpoint(g, r) ? PF_GATE_REASON_FULL
 			    : r->model              ? PF_GATE_REASON_NOT_LOADED
--- /dev/null
+++ b/src/coordination/gate/gate_limit.c
@@ -0,0 +1,259 @@
+/*
+ * Limits: an endpoint in need names in its answers how many requests a second
+ * it takes from all gateways together. Each gateway keeps a token bucket for
+ * the whole limit and takes out its own sends and those that the others report.
+ * Reports come late, so only so many gateways use an endpoint at a time that
+ * even one burst of each stays within what is tolerated.
+ */
+#include "src/coordination/gate/gate_core.h"
+
+#include <math.h>
+
+/* An endpoint that names less still gets a request now and then, as only its
+ * answers tell when the limit ends. */
+#define LIMIT_MIN_PER_S 0.1
+/* Without an answer for this long, nothing is known. */
+#define LIMIT_KEEP_MS 60000
+/* Peers are unknown at first; they may use the whole limit. */
+#define START_MS 2000
+/* Tokens that one gateway may send at once: 1 and what the limit allows in this
+ * time, so that a high limit is used up between two ticks. */
+#define BURST_S 0.1
+/* Beyond four seconds of the limit, bursts of all gateways together: 5 and half
+ * as much again are tolerated, and one is left for gateways that disagree. */
+#define TOLERATED_S 2
+#define TOLERATED 4
+/* How often an unchanged limit is reported. */
+#define REPORT_MS 2000
+
+static struct gate_limit *find_limit(const struct pf_gate *g,
+				     uint64_t incarnation)
+{
+	uint32_t i;
+
+	for (i = 0; i < g->n_limits; i++) {
+		if (g->limits[i].incarnation == incarnation)
+			return (struct gate_limit *)&g->limits[i];
+	}
+	return NULL;
+}
+
+static struct gate_limit *find_or_add_limit(struct pf_gate *g,
+					    uint64_t incarnation)
+{
+	struct gate_limit *l = find_limit(g, incarnation);
+	uint32_t i;
+
+	if (l)
+		return l;
+	if (g->n_limits < GATE_LIMITS_MAX) {
+		l = &g->limits[g->n_limits++];
+	} else {
+		l = &g->limits[0];
+		for (i = 1; i < g->n_limits; i++) {
+			if (g->limits[i].named_at < l->named_at)
+				l = &g->limits[i];
+		}
+	}
+	*l = (struct gate_limit){ .incarnation = incarnation, .per_s = -1 };
+	return l;
+}
+
+static bool is_in_force(const struct pf_gate *g, const struct gate_limit *l)
+{
+	return l->per_s >= 0 && g->now - l->named_at < LIMIT_KEEP_MS;
+}
+
+static double rate_of(const struct gate_limit *l)
+{
+	return fmax(l->per_s, LIMIT_MIN_PER_S);
+}
+
+static double burst_of(const struct gate_limit *l)
+{
+	return 1 + BURST_S * rate_of(l);
+}
+
+static double tolerated(const struct gate_limit *l)
+{
+	return TOLERATED + TOLERATED_S * rate_of(l);
+}
+
+static double level_now(const struct pf_gate *g, const struct gate_limit *l)
+{
+	double s = (double)(g->now - l->filled_at) / 1000;
+
+	return fmin(l->level + rate_of(l) * s, burst_of(l));
+}
+
+static void fill(struct pf_gate *g, struct gate_limit *l)
+{
+	l->level = level_now(g, l);
+	l->filled_at = g->now;
+}
+
+static void take(struct pf_gate *g, struct gate_limit *l, uint32_t n)
+{
+	fill(g, l);
+	l->level = fmax(l->level - n, -tolerated(l));
+}
+
+/* @at: when this was known to hold. */
+static void set_limit(struct pf_gate *g, struct gate_limit *l, double per_s,
+		      pf_ms at)
+{
+	if (l->per_s < 0) {
+		l->level = 0;
+		l->filled_at = g->now;
+	} else {
+		fill(g, l);
+	}
+	l->per_s = per_s;
+	l->named_at = at;
+	l->level = fmin(l->level, burst_of(l));
+}
+
+/* Whether this gateway is one of those that use the endpoint. */
+static bool may_use(const struct pf_gate *g, const struct gate_limit *l)
+{
+	double users = fmax(floor(tolerated(l) / burst_of(l)), 1);
+	uint64_t own = pf_id2(g->opts.self, l->incarnation);
+	uint32_t before = 0;
+	uint32_t i;
+
+	if (g->now - g->started_at < START_MS)
+		return false;
+	for (i = 0; i < GATE_PEERS_MAX; i++) {
+		const struct gate_peer *p = &g->peers[i];
+
+		before += gate_peer_is_live(g, p) &&
+			  pf_id2(p->id, l->incarnation) < own;
+	}
+	return before < users;
+}
+
+void gate_limit_named(struct pf_gate *g, uint64_t endpoint, int64_t incarnation,
+		      double per_s, pf_ms sent_at)
+{
+	uint64_t hashed = pf_id2(endpoint, (uint64_t)incarnation);
+	struct gate_limit *l = find_limit(g, hashed);
+
+	if (!l && per_s < 0)
+		return;
+	if (!l)
+		l = find_or_add_limit(g, hashed);
+	/* Requests that were sent before may have been answered before. */
+	if ((per_s < 0) != (l->per_s < 0) && sent_at < l->named_at)
+		return;
+	if (per_s != l->per_s)
+		l->reports_due = 2;
+	l->heard = true;
+	set_limit(g, l, per_s, g->now);
+}
+
+bool pf_gate_has_limit(const struct pf_gate *g, uint64_t endpoint,
+		       int64_t incarnation)
+{
+	return find_limit(g, pf_id2(endpoint, (uint64_t)incarnation)) != NULL;
+}
+
+bool gate_limit_holds(struct pf_gate *g, const struct gate_endpoint *e)
+{
+	const struct gate_limit *l = find_limit(g, e->incarnation);
+
+	return l && is_in_force(g, l) &&
+	       (level_now(g, l) < 1 || !may_use(g, l));
+}
+
+pf_ms gate_limit_room_at(struct pf_gate *g, const struct gate_endpoint *e)
+{
+	const struct gate_limit *l = find_limit(g, e->incarnation);
+	double missing;
+
+	if (!l || !is_in_force(g, l))
+		return 0;
+	missing = 1 - level_now(g, l);
+	if (missing > 0)
+		return g->now + (pf_ms)ceil(missing / rate_of(l) * 1000);
+	/* Other gateways may have room at once. */
+	return may_use(g, l) ? 0 : g->now + (pf_ms)(1000 / rate_of(l));
+}
+
+void gate_limit_sent(struct pf_gate *g, const struct gate_endpoint *e)
+{
+	struct gate_limit *l = find_limit(g, e->incarnation);
+
+	if (!l || !is_in_force(g, l))
+		return;
+	take(g, l, 1);
+	l->own_sent++;
+	l->reports_due = 2;
+}
+
+uint32_t pf_gate_limits(struct pf_gate *g, pf_ms now, struct pf_gate_limit *out)
+{
+	uint32_t n = 0;
+	uint32_t i;
+
+	for (i = 0; i < g->n_limits && n < PF_GATE_LIMITS_MAX; i++) {
+		struct gate_limit *l = &g->limits[i];
+
+		if (now - l->named_at >= LIMIT_KEEP_MS ||
+		    (!l->reports_due &&
+		     (!l->heard || now - l->reported_at < REPORT_MS)))
+			continue;
+		if (l->reports_due)
+			l->reports_due--;
+		l->heard = false;
+		l->reported_at = now;
+		out[n++] = (struct pf_gate_limit){
+			.incarnation = l->incarnation,
+			.per_s = l->per_s,
+			.age_ms = (uint32_t)(now - l->named_at),
+			.sent = l->own_sent,
+		};
+	}
+	return n;
+}
+
+/* Sends of the peer to the endpoint since its last report. */
+static uint32_t new_sends(struct gate_peer *p, const struct pf_gate_limit *v)
+{
+	uint32_t at = p->n_limits;
+	uint32_t before;
+	uint32_t i;
+
+	for (i = 0; i < GATE_PEER_LIMITS_MAX && i < p->n_limits; i++) {
+		if (p->limits[i].incarnation != v->incarnation)
+			continue;
+		before = p->limits[i].sent;
+		p->limits[i].sent = v->sent;
+		return v->sent > before ? v->sent - before : 0;
+	}
+	p->n_limits++;
+	p->limits[at % GATE_PEER_LIMITS_MAX] =
+		(struct gate_peer_limit){ v->incarnation, v->sent };
+	/* The others may be long ago. */
+	return v->sent > 0;
+}
+
+void gate_limits_reported(struct pf_gate *g, uint64_t peer,
+			  const struct pf_gate_limit *v, uint32_t n)
+{
+	struct gate_peer *p = &g->peers[gate_peer_slot(g, peer)];
+	uint32_t i;
+
+	for (i = 0; i < n; i++) {
+		struct gate_limit *l = find_limit(g, v[i].incarnation);
+		pf_ms at = g->now - (pf_ms)v[i].age_ms;
+
+		if (!l && v[i].per_s < 0)
+			continue;
+		if (!l)
+			l = find_or_add_limit(g, v[i].incarnation);
+		if (at > l->named_at)
+			set_limit(g, l, v[i].per_s, at);
+		if (l->per_s >= 0)
+			take(g, l, new_sends(p, &v[i]));
+	}
+}
--- a/src/coordination/gate/gate_pick.c
+++ b/src/coordination/gate/gate_pick.c
@@ -171,10 +171,18 @@
 	return false;
 }
 
-const struct gate_endpoint *
-gate_first_after_backoff(const struct pf_gate *g, const struct gate_request *r)
+pf_ms gate_held_until(struct pf_gate *g, const struct gate_endpoint *e)
+{
+	pf_ms room_at = gate_limit_room_at(g, e);
+
+	return room_at > e->backoff_until ? room_at : e->backoff_until;
+}
+
+const struct gate_endpoint *gate_first_held(struct pf_gate *g,
+					    const struct gate_request *r)
 {
 	const struct gate_endpoint *first = NULL;
+	pf_ms first_at = PF_NEVER;
 	uint32_t i;
 
 	for (i = 0; i < g->n_endpoints; i++) {
@@ -182,10 +190,12 @@
 
 		if (!is_candidate(g, r, e))
 			continue;
-		if (e->backoff_until <= g->now)
+		if (gate_held_until(g, e) <= g->now)
 			return NULL;
-		if (!first || e->backoff_until < first->backoff_until)
+		if (gate_held_until(g, e) < first_at) {
 			first = e;
+			first_at = gate_held_until(g, e);
+		}
 	}
 	return first;
 }
@@ -289,7 +299,8 @@
 		struct gate_estimate x = { 0 };
 
 		if (!is_candidate(g, r, e) || e->blocked_until > g->now ||
-		    gate_backoff_holds(g, e) || streams_silent(g, e) ||
+		    gate_backoff_holds(g, e) || gate_limit_holds(g, e) ||
+		    streams_silent(g, e) ||
 		    is_avoided(r, e->id) != (among == PICK_AVOIDED) ||
 		    (among == PICK_OTHER && plain_silent(g, e)))
 			continue;
--- a/src/protocol/pimento.x
+++ b/src/protocol/pimento.x
@@ -185,6 +185,7 @@
 const PIMENTO_GATE_CRASHED = 16;
 const PIMENTO_GATE_DEMANDS = 512;
 const PIMENTO_GATE_EVIDENCE = 96;
+const PIMENTO_GATE_LIMITS = 128;
 
 struct pimento_gate_load {
 	unsigned hyper endpoint;
@@ -221,6 +222,18 @@
 	pimento_gate_evidence v<PIMENTO_GATE_EVIDENCE>;
 };
 
+struct pimento_gate_limit {
+	unsigned hyper incarnation;
+	double per_s;
+	unsigned int age_ms;
+	unsigned int sent;
+};
+
+struct pimento_gate_limits {
+	unsigned hyper peer;
+	pimento_gate_limit v<PIMENTO_GATE_LIMITS>;
+};
+
 struct pimento_gate_demand {
 	unsigned hyper item;
 	unsigned hyper model;
@@ -290,7 +303,8 @@
 	PIMENTO_TALK_STATE = 3,
 	PIMENTO_TALK_WANT = 4,
 	PIMENTO_TALK_ORDER = 5,
-	PIMENTO_TALK_EVIDENCE = 6
+	PIMENTO_TALK_EVIDENCE = 6,
+	PIMENTO_TALK_LIMITS = 7
 };
 
 union pimento_talk switch (pimento_talk_type type) {
@@ -306,6 +320,8 @@
 	pimento_load_order order;
 case PIMENTO_TALK_EVIDENCE:
 	pimento_gate_evidences evidence;
+case PIMENTO_TALK_LIMITS:
+	pimento_gate_limits limits;
 default:
 	void;
 };
--- a/src/protocol/pimento_xdr.c
+++ b/src/protocol/pimento_xdr.c
@@ -662,6 +662,35 @@
 	return TRUE;
 }
 
+bool_t
+xdr_pimento_gate_limit (XDR *xdrs, pimento_gate_limit *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_u_quad_t (xdrs, &objp->incarnation))
+		 return FALSE;
+	 if (!xdr_double (xdrs, &objp->per_s))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->age_ms))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->sent))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_pimento_gate_limits (XDR *xdrs, pimento_gate_limits *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_u_quad_t (xdrs, &objp->peer))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->v.v_val, (u_int *) &objp->v.v_len, PIMENTO_GATE_LIMITS,
+		sizeof (pimento_gate_limit), (xdrproc_t) xdr_pimento_gate_limit))
+		 return FALSE;
+	return TRUE;
+}
+
 bool_t
 xdr_pimento_gate_demand (XDR *xdrs, pimento_gate_demand *objp)
 {
@@ -933,6 +962,10 @@
 		 if (!xdr_pimento_gate_evidences (xdrs, &objp->pimento_talk_u.evidence))
 			 return FALSE;
 		break;
+	case PIMENTO_TALK_LIMITS:
+		 if (!xdr_pimento_gate_limits (xdrs, &objp->pimento_talk_u.limits))
+			 return FALSE;
+		break;
 	default:
 		break;
 	}
--- a/src/protocol/pimento_xdr.h
+++ b/src/protocol/pimento_xdr.h
@@ -249,6 +249,7 @@
 #define PIMENTO_GATE_CRASHED 16
 #define PIMENTO_GATE_DEMANDS 512
 #define PIMENTO_GATE_EVIDENCE 96
+#define PIMENTO_GATE_LIMITS 128
 
 struct pimento_gate_load {
 	u_quad_t endpoint;
@@ -302,6 +303,23 @@
 };
 typedef struct pimento_gate_evidences pimento_gate_evidences;
 
+struct pimento_gate_limit {
+	u_quad_t incarnation;
+	double per_s;
+	u_int age_ms;
+	u_int sent;
+};
+typedef struct pimento_gate_limit pimento_gate_limit;
+
+struct pimento_gate_limits {
+	u_quad_t peer;
+	struct {
+		u_int v_len;
+		pimento_gate_limit *v_val;
+	} v;
+};
+typedef struct pimento_gate_limits pimento_gate_limits;
+
 struct pimento_gate_demand {
 	u_quad_t item;
 	u_quad_t model;
@@ -392,6 +410,7 @@
 	PIMENTO_TALK_WANT = 4,
 	PIMENTO_TALK_ORDER = 5,
 	PIMENTO_TALK_EVIDENCE = 6,
+	PIMENTO_TALK_LIMITS = 7,
 };
 typedef enum pimento_talk_type pimento_talk_type;
 
@@ -404,6 +423,7 @@
 		pimento_want want;
 		pimento_load_order order;
 		pimento_gate_evidences evidence;
+		pimento_gate_limits limits;
 	} pimento_talk_u;
 };
 typedef struct pimento_talk pimento_talk;
@@ -464,6 +484,8 @@
 extern  bool_t xdr_pimento_gate_digest (XDR *, pimento_gate_digest*);
 extern  bool_t xdr_pimento_gate_evidence (XDR *, pimento_gate_evidence*);
 extern  bool_t xdr_pimento_gate_evidences (XDR *, pimento_gate_evidences*);
+extern  bool_t xdr_pimento_gate_limit (XDR *, pimento_gate_limit*);
+extern  bool_t xdr_pimento_gate_limits (XDR *, pimento_gate_limits*);
 extern  bool_t xdr_pimento_gate_demand (XDR *, pimento_gate_demand*);
 extern  bool_t xdr_pimento_gate_demands (XDR *, pimento_gate_demands*);
 extern  bool_t xdr_pimento_resident (XDR *, pimento_resident*);
@@ -499,6 +521,8 @@
 extern bool_t xdr_pimento_gate_digest ();
 extern bool_t xdr_pimento_gate_evidence ();
 extern bool_t xdr_pimento_gate_evidences ();
+extern bool_t xdr_pimento_gate_limit ();
+extern bool_t xdr_pimento_gate_limits ();
 extern bool_t xdr_pimento_gate_demand ();
 extern bool_t xdr_pimento_gate_demands ();
 extern bool_t xdr_pimento_resident ();
--- a/src/transport/talk.c
+++ b/src/transport/talk.c
@@ -176,6 +176,39 @@
 	t->opts.evidence(t->opts.ctx, in->peer, v, n);
 }
 
+void pf_talk_send_limits(struct pf_talk *t, const struct sockaddr_in *to,
+			 uint64_t peer, const struct pf_gate_limit *v,
+			 uint32_t n)
+{
+	pimento_gate_limit out[PIMENTO_GATE_LIMITS];
+	pimento_talk msg = { .type = PIMENTO_TALK_LIMITS };
+	uint32_t i;
+
+	if (n > PIMENTO_GATE_LIMITS)
+		n = PIMENTO_GATE_LIMITS;
+	for (i = 0; i < n; i++)
+		out[i] = (pimento_gate_limit){ v[i].incarnation, v[i].per_s,
+					       v[i].age_ms, v[i].sent };
+	msg.pimento_talk_u.limits.peer = peer;
+	msg.pimento_talk_u.limits.v.v_len = n;
+	msg.pimento_talk_u.limits.v.v_val = out;
+	send_datagram(t, to, &msg, PF_ERA_UNKNOWN);
+}
+
+static void receive_limits(struct pf_talk *t, const pimento_gate_limits *in)
+{
+	struct pf_gate_limit v[PIMENTO_GATE_LIMITS];
+	u_int i;
+
+	for (i = 0; i < in->v.v_len; i++) {
+		const pimento_gate_limit *l = &in->v.v_val[i];
+
+		v[i] = (struct pf_gate_limit){ l->incarnation, l->per_s,
+					       l->age_ms, l->sent };
+	}
+	t->opts.limits(t->opts.ctx, in->peer, v, in->v.v_len);
+}
+
 void pf_talk_send_demand(struct pf_talk *t, const struct sockaddr_in *to,
 			 uint64_t peer, const struct pf_gate_demand *v,
 			 size_t n)
@@ -401,6 +434,10 @@
 		if (t->opts.evidence)
 			receive_evidence(t, &msg->pimento_talk_u.evidence);
 		break;
+	case PIMENTO_TALK_LIMITS:
+		if (t->opts.limits)
+			receive_limits(t, &msg->pimento_talk_u.limits);
+		break;
 	}
 }
 
--- a/tests/gate_rig.cc
+++ b/tests/gate_rig.cc
@@ -141,6 +141,32 @@
 	Step(m);
 }
 
+void GateRig::Limit(uint64_t id, double per_s, pf_ms sent_at, int64_t born)
+{
+	struct pf_gate_msg m = {};
+
+	m.type = PF_GATE_LIMIT;
+	m.u.limit.endpoint = id;
+	m.u.limit.incarnation = born;
+	m.u.limit.per_s = per_s;
+	m.u.limit.sent_at = sent_at;
+	Step(m);
+}
+
+void GateRig::PeerLimit(uint64_t id, double per_s, pf_ms age, uint32_t sent,
+			uint64_t peer)
+{
+	struct pf_gate_msg m = {};
+	struct pf_gate_limit v = { pf_id2(id, 1), per_s,
+				   static_cast<uint32_t>(age), sent };
+
+	m.type = PF_GATE_PEER_LIMITS;
+	m.u.limits.peer = peer;
+	m.u.limits.v = &v;
+	m.u.limits.n = 1;
+	Step(m);
+}
+
 void GateRig::Arrive(int tag, const char *prefix, pf_ms time_left,
 		     const char *model, const char *adapter, uint32_t prompt,
 		     const char *part, uint64_t fingerprint, bool own_part)
--- a/tests/gate_rig.h
+++ b/tests/gate_rig.h
@@ -62,6 +62,10 @@
 	void Gone(const char *name);
 	void Leaves(const char *name, int64_t born = 1);
 	void BacksOff(uint64_t id, pf_ms span, int64_t born = 1);
+	/* An answer to a request that was sent at @sent_at names a limit. */
+	void Limit(uint64_t id, double per_s, pf_ms sent_at, int64_t born = 1);
+	void PeerLimit(uint64_t id, double per_s, pf_ms age, uint32_t sent = 0,
+		       uint64_t peer = 99);
 	/* @part is the first part of the prompt; the only one, unless it has
 	 * one of its own too. */
 	void Arrive(int tag, const char *prefix, pf_ms time_left,
