Gate core: spare a limited endpoint for requests that can run only there

Requests for busy models took the few requests that a limited endpoint accepts, since it is the least loaded, and those for which it is the only home were refused. It now costs 250 ms more than others, as long as it has named its limit in the last 5 s; then a request may find out whether the limit has ended. GateLimit.RequestsWithAChoiceLeaveALimitedEndpointToOthers failed before.

--- a/src/coordination/gate/gate_core.h
+++ b/src/coordination/gate/gate_core.h
@@ -414,6 +414,8 @@
 /** An answer to a request sent at @sent_at names a limit, or none (< 0). */
 void gate_limit_named(struct pf_gate *g, uint64_t endpoint, int64_t incarnation,
 		      double per_s, pf_ms sent_at);
+/** Whether @e has named a limit lately. */
+bool gate_limit_is_new(const struct pf_gate *g, const struct gate_endpoint *e);
 /** Whether the limit of @e allows no send now. */
 bool gate_limit_holds(struct pf_gate *g, const struct gate_endpoint *e);
 /** When it may allow one; 0: now. */
--- a/src/coordination/gate/gate_limit.c
+++ b/src/coordination/gate/gate_limit.c
@@ -14,6 +14,8 @@
 #define LIMIT_MIN_PER_S 0.1
 /* Without an answer for this long, nothing is known. */
 #define LIMIT_KEEP_MS 60000
+/* After this, a request may find out whether it has ended. */
+#define LIMIT_NEW_MS 5000
 /* Peers are unknown at first; they may use the whole limit. */
 #define START_MS 2000
 /* Tokens that one gateway may send at once: 1 and what the limit allows in this
@@ -157,6 +159,13 @@
 	return find_limit(g, pf_id2(endpoint, (uint64_t)incarnation)) != NULL;
 }
 
+bool gate_limit_is_new(const struct pf_gate *g, const struct gate_endpoint *e)
+{
+	const struct gate_limit *l = find_limit(g, e->incarnation);
+
+	return l && is_in_force(g, l) && g->now - l->named_at < LIMIT_NEW_MS;
+}
+
 bool gate_limit_holds(struct pf_gate *g, const struct gate_endpoint *e)
 {
 	const struct gate_limit *l = find_limit(g, e->incarnation);
--- a/src/coordination/gate/gate_pick.c
+++ b/src/coordination/gate/gate_pick.c
@@ -25,6 +25,8 @@
 #define PLAIN_SILENT_MS 220
 /* Delay of this request and others at the endpoint by loading an adapter. */
 #define ADAPTER_LOAD_MS 45.0
+/* What a request at a limited endpoint costs those that can run only there. */
+#define LIMITED_MS 250.0
 /* Weight of the time for all events: slow events make the request late and
  * occupy the engine for longer. */
 #define EVENTS_TIME_WEIGHT 0.05
@@ -310,6 +312,8 @@
 			!gate_endpoint_has_model(e, r->model, r->adapter);
 		if (x.lacks_adapter)
 			x.cost += ADAPTER_LOAD_MS;
+		if (gate_limit_is_new(g, e))
+			x.cost += LIMITED_MS;
 		/* Break ties at random. */
 		x.cost += pf_rng_unit(&g->rng);
 		if (x.cost < best->cost) {
--- a/tests/test_gate_limit.cc
+++ b/tests/test_gate_limit.cc
@@ -117,6 +117,39 @@
 	EXPECT_EQ(Sent(50, 10), 50u);
 }
 
+// Requests that could run elsewhere used up the only home of other models.
+TEST_F(GateLimit, RequestsWithAChoiceLeaveALimitedEndpointToOthers)
+{
+	Endpoint("l1", "llm", "za", "m");
+	Endpoint("l2", "llm", "za", "m");
+	Endpoint("l2", "llm", "za", "n"); /* its only home */
+	Limit(Id("l2"), 1, now);
+	Tick(2000);
+	for (int i = 0; i < 3; i++) {
+		Endpoint("l2", "llm", "za", "m");
+		Arrive(10 + i, "/r/", 6000, "m", nullptr, 100);
+		EXPECT_EQ(SentTo(10 + i), Id("l1"));
+	}
+	Endpoint("l2", "llm", "za", "n");
+	Arrive(1, "/r/", 6000, "n", nullptr, 100);
+	EXPECT_EQ(SentTo(1), Id("l2"));
+}
+
+// Without a request, the end of a limit would not be noticed.
+TEST_F(GateLimit, AnEndpointThatIsSparedIsAskedAgain)
+{
+	Endpoint("a2", "app", "za");
+	Limit(Id("a2"), 1, now);
+	EXPECT_EQ(Sent(20, 100), 20u);
+	for (int tag = next_tag - 20; tag < next_tag; tag++)
+		EXPECT_EQ(SentTo(tag), Id("a1"));
+	Sent(60, 100);
+	size_t n = 0;
+	for (int tag = next_tag - 60; tag < next_tag; tag++)
+		n += SentTo(tag) == Id("a2");
+	EXPECT_GE(n, 1u);
+}
+
 TEST_F(GateLimit, IfAllAreUsedUpRequestsAreRefusedAtOnce)
 {
 	Limit(Id("a1"), 0.5, now);
