Gateway: bytes without end from an endpoint are read to a limit

An endpoint in trouble may send bytes that are no answer until the connection is closed. Interim answers were dropped one call deeper each, without a limit on their number; a body that is forwarded as a whole and an incomplete event grew without limit; trailer lines were read for ever. The gateway took 200 MB from one connection, or read an event again and again until the deadline.

A head with the interim answers before it now has 32 KB, a body that is forwarded as a whole 1 MB, an incomplete event 256 KB, a trailer 64 lines; beyond, the connection is closed and the send counts as lost, as at an endpoint that breaks off. answers_too_long_total counts them.

--- a/daemons/gateway/gateway.h
+++ b/daemons/gateway/gateway.h
@@ -86,6 +86,7 @@
 	struct exchange *exchange; /* NULL: idle */
 	uint64_t adapter; /* counted in adapters_in_use; 0: none */
 	struct pf_text head_buf; /* an incomplete answer head */
+	size_t interim_bytes; /* of answers with a status below 200 */
 	bool in_body; /* the answer head was parsed */
 	pf_ms sent_at; /* the request */
 	pf_ms body_at; /* its answer head came; 0: not yet */
--- a/daemons/gateway/upstream.c
+++ b/daemons/gateway/upstream.c
@@ -21,7 +21,11 @@
  * endpoint may close an older one while the request is on the wire. */
 #define AT_MOST_ONCE_IDLE_MAX_MS 600
 #define IDLE_CONNS_MAX 16
+/* Of an answer, with the interim answers before it. */
 #define ANSWER_HEAD_BYTES_MAX 32768
+/* Of an answer that is forwarded as a whole, and of an incomplete event. */
+#define ANSWER_BODY_BYTES_MAX 1048576
+#define EVENT_BYTES_MAX 262144
 
 static bool endpoint_leaves(const struct endpoint *e)
 {
@@ -265,26 +269,55 @@
 	core_step(g, &m);
 }
 
-/* Returns 0: head parsed; 1: incomplete; -1: the send has ended. */
-static int parse_head(struct upstream *u)
+static void log_too_long(struct upstream *u, const char *what)
+{
+	struct gateway *g = u->endpoint->gateway;
+
+	g->counters->v[PF_GC_TOO_LONG]++;
+	PF_LOG(&g->log, PF_LOG_WARN, "answer_too_long",
+	       PF_KV_TEXT("id", u->exchange->inbound.id),
+	       PF_KV_STR("endpoint", u->endpoint->info.instance),
+	       PF_KV_STR("what", what));
+}
+
+/*
+ * Parses the next head in head_buf. Returns its length, with *@h and the reply;
+ * 0: incomplete; -1: malformed or too long.
+ */
+static int64_t next_head(struct upstream *u, struct pf_h1_head *h)
 {
 	struct pf_str in = pf_text_str(&u->head_buf);
 	size_t n = pf_h1_head_end(in);
-	struct pf_h1_head h;
 
-	if (n == 0 && in.n < ANSWER_HEAD_BYTES_MAX)
-		return 1;
-	if (n == 0 ||
-	    pf_h1_parse_response((struct pf_str){ in.p, n }, &h) < 0) {
-		end_send_lost(u, false);
+	if (u->interim_bytes + (n ? n : in.n) >= ANSWER_HEAD_BYTES_MAX) {
+		log_too_long(u, "head");
 		return -1;
 	}
-	platform_decode_reply(&h, u->exchange->inbound.id, &u->reply);
+	if (n == 0)
+		return 0;
+	if (pf_h1_parse_response((struct pf_str){ in.p, n }, h) < 0)
+		return -1;
+	platform_decode_reply(h, u->exchange->inbound.id, &u->reply);
 	note_leaving(u);
 	note_backoff(u);
-	if (h.status < 200) {
-		pf_text_drop(&u->head_buf, n);
-		return parse_head(u);
+	return (int64_t)n;
+}
+
+/* Returns 0: head parsed; 1: incomplete; -1: the send has ended. */
+static int parse_head(struct upstream *u)
+{
+	struct pf_h1_head h;
+	int64_t n;
+
+	while ((n = next_head(u, &h)) > 0 && h.status < 200) {
+		u->interim_bytes += (size_t)n;
+		pf_text_drop(&u->head_buf, (size_t)n);
+	}
+	if (n == 0)
+		return 1;
+	if (n < 0) {
+		end_send_lost(u, false);
+		return -1;
 	}
 	if (!is_answer_to_request(u, &h)) {
 		PF_LOG(&u->endpoint->gateway->log, PF_LOG_WARN, "stray_answer",
@@ -299,7 +332,7 @@
 	u->streaming = is_event_stream(u->exchange, &h);
 	pf_h1_body_start(&u->body, answer_framing(&h), h.content_length);
 	exchange_start_answer(u->exchange, &h);
-	pf_text_drop(&u->head_buf, n);
+	pf_text_drop(&u->head_buf, (size_t)n);
 	u->in_body = true;
 	u->body_at = pf_clock_now();
 	return 0;
@@ -318,6 +351,12 @@
 	}
 	if (u->streaming)
 		exchange_forward_events(x);
+	if (x->answer_body.n >
+	    (u->streaming ? EVENT_BYTES_MAX : ANSWER_BODY_BYTES_MAX)) {
+		log_too_long(u, u->streaming ? "event" : "body");
+		end_send_lost(u, false);
+		return;
+	}
 	if (ended)
 		end_send_answered(u, in.n - (size_t)n);
 }
@@ -481,6 +520,7 @@
 	u->exchange = x;
 	x->upstream = u;
 	u->in_body = false;
+	u->interim_bytes = 0;
 	u->sent_at = pf_clock_now();
 	u->body_at = 0;
 	u->streaming = false;
--- a/include/pimentoford/counters.h
+++ b/include/pimentoford/counters.h
@@ -131,6 +131,8 @@
 	    "Times an answer named another limit than the one before")         \
 	DEF(BAD_LIMIT, "bad_limit_total", "counter",                           \
 	    "Answers with a malformed limit")                                  \
+	DEF(TOO_LONG, "answers_too_long_total", "counter",                     \
+	    "Answers given up because a head, body or event was too long")     \
 	DEF(BACKOFFS, "backoffs_total", "counter",                             \
 	    "Answers by which an endpoint asked for no requests")              \
 	DEF(BAD_RETRY_AFTER, "bad_retry_after_total", "counter",               \
--- a/include/pimentoford/http1.h
+++ b/include/pimentoford/http1.h
@@ -72,6 +72,7 @@
 	enum pf_h1_chunk_state chunk_state;
 	char line[32]; /* incomplete line of the chunked coding */
 	uint32_t line_len;
+	uint32_t trailer_lines;
 	bool ended;
 };
 
--- a/src/protocol/http1.c
+++ b/src/protocol/http1.c
@@ -5,6 +5,7 @@
 #include <strings.h>
 
 #define CRLF_LEN 2
+#define TRAILER_LINES_MAX 64
 /* Keeps the arithmetic on chunk sizes from overflowing. */
 #define CHUNK_BYTES_MAX ((int64_t)1 << 40)
 
@@ -315,6 +316,7 @@
 		break;
 	case PF_H1_TRAILER:
 		b->ended = b->line_len == 0;
+		ret = ++b->trailer_lines > TRAILER_LINES_MAX ? -1 : 0;
 		break;
 	case PF_H1_CHUNK_DATA:
 		break;
--- a/tests/test_gateway.cc
+++ b/tests/test_gateway.cc
@@ -1278,6 +1278,84 @@
 			     "gateway_bad_retry_after_total 2\n"));
 }
 
+struct EndlessCase {
+	const char *name;
+	const char *path;
+	const char *start, *more; /* `more` is sent again and again */
+};
+
+struct GatewayEndless : Gateway, ::testing::WithParamInterface<EndlessCase> {
+};
+
+// An endpoint that sent bytes without end took the gateway's memory, or its
+// stack, until the deadline.
+TEST_P(GatewayEndless, BytesAreReadToALimitAndTheConnectionIsClosed)
+{
+	const EndlessCase &c = GetParam();
+	const size_t most = 200 << 20;
+	std::atomic<size_t> sent{ 0 };
+	std::atomic<bool> closed{ false };
+	FakeServer e("127.0.0.1", [&](int fd, const FakeRequest &r) {
+		std::string more;
+
+		FakeSend(fd, "HTTP/1.1 " + std::string(c.start) +
+				     "\r\nAttempt-Id: " +
+				     r.Header("Attempt-Id") + "\r\n");
+		while (more.size() < 30000)
+			more += c.more;
+		while (sent < most && FakeSend(fd, more))
+			sent += more.size();
+		closed = sent < most;
+		return false;
+	});
+
+	store.Put("servers", "i-1", EndpointRow("app", e.addr()));
+	StartGateway();
+	WaitUntilReady();
+	auto start = std::chrono::steady_clock::now();
+	std::string got = Request(GetRequest(c.path, "1"));
+	double took = std::chrono::duration<double>(
+			      std::chrono::steady_clock::now() - start)
+			      .count();
+
+	EXPECT_TRUE(got.empty() || Contains(got, "HTTP/1.1 502") ||
+		    !Contains(got, "0\r\n\r\n"))
+		<< got.substr(0, 200);
+	EXPECT_LT(took, 5);
+	for (int i = 0; i < 100 && !closed; i++)
+		usleep(20000);
+	EXPECT_TRUE(closed);
+	EXPECT_LT(sent, 16u << 20);
+	EXPECT_TRUE(Contains(GetReady(), " 200 "));
+}
+
+INSTANTIATE_TEST_SUITE_P(
+	Cases, GatewayEndless,
+	::testing::Values(
+		EndlessCase{ "Head", "/u/x", "200 OK", "X-More: more\r\n" },
+		EndlessCase{ "HeadLine", "/u/x", "200 OK", "x" },
+		EndlessCase{ "InterimAnswers", "/u/x",
+			     "100 Continue\r\n\r\nHTTP/1.1 100 Continue",
+			     "\r\nHTTP/1.1 100 Continue\r\n" },
+		EndlessCase{ "Body", "/u/x", "200 OK", "\r\nbody" },
+		EndlessCase{ "BodyWithLength", "/u/x",
+			     "200 OK\r\nContent-Length: 9000000000",
+			     "\r\nbody" },
+		EndlessCase{ "BodyOfChunks", "/u/x",
+			     "200 OK\r\nTransfer-Encoding: chunked",
+			     "\r\n4\r\nbody" },
+		EndlessCase{ "Trailer", "/u/x",
+			     "200 OK\r\nAttempt-Id: 1\r\n"
+			     "Transfer-Encoding: chunked\r\n\r\n0",
+			     "X: more\r\n" },
+		EndlessCase{ "Event", "/t/x", "200 OK", "\r\ndata: more" },
+		EndlessCase{ "EventOfChunks", "/r/x",
+			     "200 OK\r\nTransfer-Encoding: chunked",
+			     "\r\n6\r\ndata: " }),
+	[](const ::testing::TestParamInfo<EndlessCase> &i) {
+		return std::string(i.param.name);
+	});
+
 struct EndCase {
 	const char *name;
 	const char *answer; /* without length or chunks */
