HTTP client: a head without end is read to a limit

Loaders ask endpoints for reports with this client, and gateways the store. Its bodies have a limit, its heads had none: they were kept for as long as bytes came. The limit is 32 KB. Http.AHeadWithoutEndIsReadToALimit failed before: the call never ended.

--- a/src/transport/http_client.c
+++ b/src/transport/http_client.c
@@ -24,6 +24,7 @@
 #define STREAM_BYTES_MAX EV_SSIZE_MAX
 /* Limit of an error's body where a stream was requested. */
 #define ERROR_BODY_MAX 4096
+#define HEAD_BYTES_MAX 32768
 #define READ_BYTES ((size_t)16 << 10)
 
 struct pf_conn {
@@ -325,6 +326,7 @@
 	if (r->timeout > 0)
 		tv = pf_clock_timeval(r->timeout);
 	evhttp_connection_set_timeout_tv(conn->ev, &tv);
+	evhttp_connection_set_max_headers_size(conn->ev, HEAD_BYTES_MAX);
 	evhttp_connection_set_max_body_size(
 		conn->ev,
 		r->chunk ? STREAM_BYTES_MAX : (ssize_t)h->opts.body_max);
--- a/tests/test_http_client.cc
+++ b/tests/test_http_client.cc
@@ -310,6 +310,23 @@
 	pf_http_free(h);
 }
 
+// A head without end was kept in memory for as long as it came.
+TEST_F(Http, AHeadWithoutEndIsReadToALimit)
+{
+	struct pf_http *h = new_pool(base, addr);
+	struct pf_http_request r;
+	Call c;
+
+	answer = "HTTP/1.1 200 x\r\n";
+	while (answer.size() < 1 << 20)
+		answer += "X-More: more\r\n";
+	r = get(&c, false);
+	ASSERT_NE(pf_http_start(h, &r), nullptr);
+	EXPECT_TRUE(run_until([&] { return c.done == 1; }));
+	EXPECT_EQ(c.result, PF_HTTP_LOST);
+	pf_http_free(h);
+}
+
 TEST_F(Http, CallsAreLimitedAndCancelMakesNoCallback)
 {
 	struct pf_http *h = new_pool(base, addr);
