Planner: a model whose homes are all limited gets another one

The planner did not know that an endpoint takes few requests: a model whose homes had all named limits stayed there, and its requests were refused. Gateways tell it the limits; if all homes of a model are limited and more than half of what they take arrives for it, it gets a home at an engine without a limit. New homes avoid limited engines. Plan.AModelWhoseHomesAreLimitedGetsAnotherHome failed before (no load ordered).

--- a/daemons/gateway/endpoints.c
+++ b/daemons/gateway/endpoints.c
@@ -122,6 +122,7 @@
 		return NULL;
 	e->gateway = g;
 	e->limit_per_s = -1;
+	e->planned_limit = -1;
 	LIST_INSERT_HEAD(&g->endpoints, e, next);
 	g->n_endpoints++;
 	return e;
--- a/daemons/gateway/gateway.h
+++ b/daemons/gateway/gateway.h
@@ -48,6 +48,7 @@
 	pf_ms remove_at;
 	int64_t left_incarnation; /* that said that it leaves; 0: none */
 	double limit_per_s; /* requests that it takes; < 0: any */
+	double planned_limit; /* as the plan core knows it */
 	bool removed; /* unknown to the cores; freed with its last connection */
 	uint32_t refs; /* connections, idle ones included */
 	struct adapter_use adapters_in_use[ENDPOINT_ADAPTERS_MAX];
--- a/daemons/gateway/talk.c
+++ b/daemons/gateway/talk.c
@@ -298,6 +298,25 @@
 				    t->gateway->self, v, n);
 }
 
+static void plan_limits(struct talk *t, pf_ms now)
+{
+	struct pf_plan_msg m = { .type = PF_PLAN_LIMIT };
+	struct endpoint *e;
+
+	LIST_FOREACH(e, &t->gateway->endpoints, next)
+	{
+		double limit = pf_gate_limit_of(
+			t->gateway->core, now, e->info.id, e->info.incarnation);
+
+		if (e->removed || limit == e->planned_limit)
+			continue;
+		e->planned_limit = limit;
+		m.u.limit.endpoint = e->info.id;
+		m.u.limit.per_s = limit;
+		talk_plan_step(t, &m);
+	}
+}
+
 static void send_due_digests(struct talk *t, pf_ms now)
 {
 	const struct pf_talk_store_view news = {
@@ -367,6 +386,7 @@
 		send_demand(t, now);
 	send_due_usage(t);
 	feeds_poll_if_overdue(t->gateway);
+	plan_limits(t, now);
 	talk_plan_step(t, &tick);
 	if (t->was_leader != pf_plan_is_leader(t->plan)) {
 		t->was_leader = !t->was_leader;
--- a/include/pimentoford/gate.h
+++ b/include/pimentoford/gate.h
@@ -366,6 +366,10 @@
 uint32_t pf_gate_evidence(struct pf_gate *g, struct pf_gate_peer_cursor *to,
 			  struct pf_gate_evidence *out);
 
+/** The limit in force of this incarnation of the endpoint; < 0: none. */
+double pf_gate_limit_of(const struct pf_gate *g, pf_ms now, uint64_t endpoint,
+			int64_t incarnation);
+
 /** Whether this incarnation of the endpoint ever named a limit, as known here. */
 bool pf_gate_has_limit(const struct pf_gate *g, uint64_t endpoint,
 		       int64_t incarnation);
--- a/include/pimentoford/plan.h
+++ b/include/pimentoford/plan.h
@@ -38,6 +38,7 @@
 	PF_PLAN_ENDPOINT_GONE, /* u.id: the endpoint */
 	PF_PLAN_STATE, /* u.state: from a loader; borrowed for the call */
 	PF_PLAN_LEAVING, /* u.leaving: an endpoint says that it leaves */
+	PF_PLAN_LIMIT, /* u.limit: an endpoint names a limit, or no more */
 	PF_PLAN_MEMBERS_READ, /* the list of gateways has been read */
 	PF_PLAN_PEER_HEARTBEAT, /* u.id: another gateway */
 	PF_PLAN_DEMAND, /* u.demand: of a gateway, this one included */
@@ -55,6 +56,10 @@
 			uint64_t endpoint;
 			int64_t incarnation;
 		} leaving;
+		struct {
+			uint64_t endpoint;
+			double per_s; /* requests that it takes; < 0: any */
+		} limit;
 		struct {
 			uint64_t peer;
 			const struct pf_gate_demand *items;
--- a/src/coordination/gate/gate_limit.c
+++ b/src/coordination/gate/gate_limit.c
@@ -153,6 +153,15 @@
 	set_limit(g, l, per_s, g->now);
 }
 
+double pf_gate_limit_of(const struct pf_gate *g, pf_ms now, uint64_t endpoint,
+			int64_t incarnation)
+{
+	const struct gate_limit *l =
+		find_limit(g, pf_id2(endpoint, (uint64_t)incarnation));
+
+	return l && now - l->named_at < LIMIT_KEEP_MS ? l->per_s : -1;
+}
+
 bool pf_gate_has_limit(const struct pf_gate *g, uint64_t endpoint,
 		       int64_t incarnation)
 {
--- a/src/coordination/plan/plan.c
+++ b/src/coordination/plan/plan.c
@@ -327,6 +327,16 @@
 		e->draining = true;
 }
 
+static void on_limit(struct pf_plan *p, uint64_t id, double per_s)
+{
+	struct plan_engine *e = find_engine(p, id, false);
+
+	if (!e)
+		return;
+	e->limited = per_s >= 0;
+	e->limit_per_s = per_s;
+}
+
 static struct plan_peer *peer_slot(struct pf_plan *p, uint64_t id)
 {
 	struct plan_peer *oldest = &p->peers[0];
@@ -516,6 +526,9 @@
 	case PF_PLAN_LEAVING:
 		on_leaving(p, m->u.leaving.endpoint, m->u.leaving.incarnation);
 		break;
+	case PF_PLAN_LIMIT:
+		on_limit(p, m->u.limit.endpoint, m->u.limit.per_s);
+		break;
 	case PF_PLAN_ENDPOINT_GONE:
 		e = find_engine(p, m->u.id, false);
 		if (e)
--- a/src/coordination/plan/plan_choose.c
+++ b/src/coordination/plan/plan_choose.c
@@ -39,6 +39,10 @@
 #define STORE_WAIT_COST 30
 /* Cost of a load that leaves all of the engine's memory unused. */
 #define UNUSED_MEMORY_COST 20
+/* With more than this share of its limit, an engine is busy. */
+#define LIMIT_SHARE 0.5
+/* Cost of a home at an engine that takes few requests. */
+#define LIMITED_COST 10
 #define ORDERS_PER_TICK_MAX 32
 
 static bool engine_usable(const struct pf_plan *p, const struct plan_engine *e)
@@ -170,6 +174,26 @@
 	       p->now - p->demand_known_since >= IN_DEMAND_MS;
 }
 
+/* Whether all homes of @m are limited, and take too few of its requests. */
+static bool homes_too_limited(const struct pf_plan *p,
+			      const struct plan_model *m)
+{
+	double taken = 0;
+	uint32_t i;
+
+	for (i = 0; i < p->opts.endpoints_max; i++) {
+		const struct plan_engine *e = &p->engines[i];
+
+		if (!e->id || !e->listed || e->draining ||
+		    !will_hold(e, m->spec->id))
+			continue;
+		if (!e->limited)
+			return false;
+		taken += e->limit_per_s;
+	}
+	return m->arrivals_per_s > LIMIT_SHARE * taken;
+}
+
 /* How urgently @m needs another home; 0: it doesn't. */
 static double home_urgency(const struct pf_plan *p, const struct plan_model *m)
 {
@@ -179,6 +203,8 @@
 		return in_demand(p, m)
 			       ? NO_HOME_URGENCY + 2 * expected_requests(m)
 			       : IDLE_URGENCY;
+	if (homes_too_limited(p, m))
+		return NO_HOME_URGENCY + expected_requests(m);
 	least = least_busy_home(p, m);
 	if (least < BUSY_REQUESTS || requests_per_home(m) < BUSY_REQUESTS / 4.0)
 		return 0;
@@ -300,12 +326,14 @@
 	if (!engine_usable(p, e) || e->busy || e->order_model ||
 	    will_hold(e, m->spec->id))
 		return;
-	if (reserved_for_other(p, e, m))
+	if (reserved_for_other(p, e, m) || (e->limited && m->homes))
 		return;
 	if (!has_copy &&
 	    (!p->engines_known || await_copy || has_homeless_copy(p, e) ||
 	     !plan_may_load_from_store(p)))
 		return;
+	if (e->limited)
+		cost += LIMITED_COST;
 	if (!has_copy)
 		cost += m->homes ? STORE_COST : STORE_WAIT_COST;
 	if (free_mb(p, e) < m->spec->weights_mb) {
--- a/src/coordination/plan/plan_core.h
+++ b/src/coordination/plan/plan_core.h
@@ -16,6 +16,8 @@
 	bool listed;
 	bool draining; /* by its entry, its loader or an answer */
 	int64_t left_incarnation; /* that said so in an answer; 0: none */
+	bool limited; /* takes limit_per_s requests a second */
+	double limit_per_s;
 	pf_ms state_received_at; /* from its loader; 0: never */
 	int64_t incarnation;
 	uint64_t orders_accepted;
--- a/tests/test_plan.cc
+++ b/tests/test_plan.cc
@@ -178,6 +178,15 @@
 		m.u.id = peer;
 		Step(m);
 	}
+	void SendLimit(const std::string &engine, double per_s)
+	{
+		struct pf_plan_msg m = {};
+
+		m.type = PF_PLAN_LIMIT;
+		m.u.limit.endpoint = Id(engine);
+		m.u.limit.per_s = per_s;
+		Step(m);
+	}
 	/* Runs until all engines are known; drops the orders. */
 	void StartKnown()
 	{
@@ -294,6 +303,36 @@
 		EXPECT_EQ(o.endpoint, Id("e4"));
 }
 
+// Its requests were refused, as its only home takes few.
+TEST_F(Plan, AModelWhoseHomesAreLimitedGetsAnotherHome)
+{
+	engines["e1"].residents = { "m0", "m1" };
+	engines["e2"].residents = { "m2", "m3" };
+	engines["e3"].residents = { "m4", "m5" };
+	engines["e4"] = {};
+	StartKnown();
+	SendLimit("e1", 1);
+	Run(1000, { { "m0", 0.2 } });
+	EXPECT_EQ(CountLoads("m0"), 0u);
+	Run(1000, { { "m0", 2 } });
+	EXPECT_GE(CountLoads("m0"), 1u);
+	for (const Order &o : orders)
+		EXPECT_EQ(o.endpoint, Id("e4"));
+}
+
+TEST_F(Plan, ALimitThatHasEndedNeedsNoOtherHome)
+{
+	engines["e1"].residents = { "m0", "m1" };
+	engines["e2"].residents = { "m2", "m3" };
+	engines["e3"].residents = { "m4", "m5" };
+	engines["e4"] = {};
+	StartKnown();
+	SendLimit("e1", 1);
+	SendLimit("e1", -1);
+	Run(1000, { { "m0", 2 } });
+	EXPECT_EQ(CountLoads("m0"), 0u);
+}
+
 TEST_F(Plan, EvictsASpareHomeForABusyModel)
 {
 	engines["e1"].residents = { "m0", "m1" };
