--- a/fuzz/fuzz_gate.c
+++ b/fuzz/fuzz_gate.c
@@ -3,8 +3,8 @@
  * callers: at-most-once requests run at most once, a refused request did not
  * run, each request gets one final act by its deadline, a silent send ends only
  * for another one, no endpoint that leaves or is in a backoff gets a send, a
- * started answer goes on while it may, and the retries of all gateways together
- * stay within the budget.
+ * started answer goes on while it may, the retries of all gateways together stay
+ * within the budget, and their sends to an endpoint within its limit.
  */
 #include "fuzz/fuzz.h"
 #include "pimentoford/gate.h"
@@ -21,6 +21,9 @@
 #define RETRY_RATIO 0.2
 #define RETRY_SLACK 12
 #define TIMEOUT_MS 4000
+#define LIMITED_SENDS_MAX 256
+#define LIMIT_WINDOW_MS 4000
+#define LIMIT_TOLD_MS 500
 #define STEP_MS 60 /* longest step of the clock; timers run at each */
 #define DEADLINE_SLACK_MS (3 * STEP_MS)
 
@@ -55,6 +58,12 @@
 	pf_ms quiet_until[GATES];
 	bool answered[GATES];
 	pf_ms added_at[GATES]; /* to the list, after it was not there */
+	/* One incarnation names a limit in all its answers. */
+	int64_t limited; /* 0: none */
+	double limit_per_s;
+	pf_ms told_at[GATES]; /* first answer to this gateway; 0: none */
+	pf_ms limited_sends[LIMITED_SENDS_MAX]; /* by gateways that were told */
+	uint32_t n_limited_sends;
 };
 
 struct world {
@@ -64,6 +73,7 @@
 	struct pf_gate *gates[GATES];
 	struct pf_gate_peer_cursor cursors[GATES][GATES]; /* [from][to] */
 	uint64_t last_self;
+	uint64_t selves[GATES];
 	struct pf_routes routes;
 	struct pf_route route[KINDS];
 	struct pf_route_service services[2];
@@ -78,6 +88,8 @@
 	uint64_t retry_services[HISTORY_MAX], arrival_services[HISTORY_MAX];
 };
 
+static void step(struct world *w, uint32_t gate, const struct pf_gate_msg *m);
+
 static uint32_t draw(struct world *w, uint32_t n)
 {
 	return pf_rng_below(&w->rng, n);
@@ -149,9 +161,48 @@
 	}
 }
 
+/* Sends of all gateways to an endpoint that has named a limit. */
+static void check_limit(struct world *w, const struct req *q, uint32_t at)
+{
+	struct endpoint_view *p = &w->endpoints[at];
+	uint32_t n = 0;
+	uint32_t i;
+
+	if (!p->limited || p->incarnation[q->gate] != p->limited ||
+	    !p->told_at[q->gate] ||
+	    w->now < p->told_at[q->gate] + LIMIT_TOLD_MS)
+		return;
+	p->limited_sends[p->n_limited_sends++ % LIMITED_SENDS_MAX] = w->now;
+	for (i = 0; i < LIMITED_SENDS_MAX && i < p->n_limited_sends; i++)
+		n += p->limited_sends[i] > w->now - LIMIT_WINDOW_MS;
+	if (n > 1.5 * p->limit_per_s * LIMIT_WINDOW_MS / 1000 + 5)
+		fuzz_violation(
+			w->r,
+			"%u requests in 4 s exceed a limit of %g a second", n,
+			p->limit_per_s);
+}
+
+/* The answer to @q names the limit of its endpoint. */
+static void name_limit(struct world *w, const struct req *q)
+{
+	struct pf_gate_msg m = { .type = PF_GATE_LIMIT };
+	struct endpoint_view *p = &w->endpoints[q->endpoint];
+
+	if (!p->limited || q->sent_to != p->limited)
+		return;
+	if (!p->told_at[q->gate])
+		p->told_at[q->gate] = w->now;
+	m.u.limit.endpoint = q->endpoint + 1;
+	m.u.limit.incarnation = q->sent_to;
+	m.u.limit.per_s = p->limit_per_s;
+	m.u.limit.sent_at = q->sent_at;
+	step(w, q->gate, &m);
+}
+
 /* An answer or event came. */
 static void note_answer(struct world *w, const struct req *q)
 {
+	name_limit(w, q);
 	if (in_ramp(w, q, q->gate, q->endpoint))
 		w->endpoints[q->endpoint].answered[q->gate] = true;
 }
@@ -169,6 +220,7 @@
 	if (p->left[q->gate] && p->left[q->gate] >= p->incarnation[q->gate])
 		fuzz_violation(w->r, "sent to an endpoint that said it leaves");
 	check_backoff(w, q, at % ENDPOINTS);
+	check_limit(w, q, at % ENDPOINTS);
 	if ((q->kind == UNSAFE || q->kind == STREAM) && q->possible_runs)
 		fuzz_violation(w->r, "at-most-once request sent again");
 	if (q->possible_runs >= ATTEMPTS)
@@ -310,6 +362,7 @@
 
 	pf_gate_opts_default(&o);
 	o.self = ++w->last_self;
+	w->selves[gate] = o.self;
 	o.zone = 1;
 	o.region = 1;
 	o.zones = w->zones;
@@ -330,7 +383,8 @@
 	m.u.routes = &w->routes;
 	step(w, gate, &m);
 	for (i = 0; i < ENDPOINTS; i++)
-		w->endpoints[i].left[gate] = w->endpoints[i].quiet[gate] = 0;
+		w->endpoints[i].left[gate] = w->endpoints[i].quiet[gate] =
+			w->endpoints[i].told_at[gate] = 0;
 	for (i = 0; i < ENDPOINTS; i++)
 		list_endpoint(w, gate, i, 1, false);
 }
@@ -348,6 +402,19 @@
 	start_gate(w, gate);
 }
 
+/* An endpoint names a limit from now on. */
+static void limit_endpoint(struct world *w, uint32_t at, int64_t incarnation)
+{
+	struct endpoint_view *p = &w->endpoints[at];
+	uint32_t i;
+
+	p->limited = incarnation;
+	p->limit_per_s = 0.5 * draw(w, 5);
+	p->n_limited_sends = 0;
+	for (i = 0; i < GATES; i++)
+		p->told_at[i] = 0;
+}
+
 static void init(struct world *w, uint64_t seed, struct fuzz_result *r)
 {
 	uint32_t i;
@@ -376,6 +443,12 @@
 	w->routes.n_services = 2;
 	for (i = 0; i < GATES; i++)
 		start_gate(w, i);
+	/* Gateways that have just started send nothing to limited endpoints. */
+	w->now += 2500;
+	for (i = 0; i < ENDPOINTS; i++) {
+		if (draw(w, 2))
+			limit_endpoint(w, i, 1);
+	}
 }
 
 static void arrive(struct world *w)
@@ -548,6 +621,25 @@
 	step(w, gate, &m);
 }
 
+/* Some datagrams are lost. */
+static void exchange_limits(struct world *w)
+{
+	struct pf_gate_limit v[PF_GATE_LIMITS_MAX];
+	struct pf_gate_msg m = { .type = PF_GATE_PEER_LIMITS };
+	uint32_t i;
+	uint32_t k;
+
+	m.u.limits.v = v;
+	for (i = 0; i < GATES; i++) {
+		m.u.limits.peer = w->selves[i];
+		m.u.limits.n = pf_gate_limits(w->gates[i], w->now, v);
+		for (k = 0; k < GATES; k++) {
+			if (k != i && m.u.limits.n && draw(w, 5))
+				step(w, k, &m);
+		}
+	}
+}
+
 /* Some datagrams are lost. */
 static void exchange_digests(struct world *w)
 {
@@ -555,6 +647,7 @@
 	uint32_t i;
 	uint32_t k;
 
+	exchange_limits(w);
 	for (i = 0; i < GATES; i++) {
 		for (k = 0; k < GATES; k++) {
 			if (k == i)
@@ -621,6 +714,10 @@
 			say_leaving(w);
 		else if (op < 67)
 			back_off(w);
+		else if (op < 68 && draw(w, 20) == 0)
+			limit_endpoint(
+				w, i % ENDPOINTS,
+				w->endpoints[i % ENDPOINTS].incarnation[0]);
 		else if (op < 80)
 			exchange_digests(w);
 		else if (op < 99 || draw(w, 8))
--- a/src/coordination/gate/gate_limit.c
+++ b/src/coordination/gate/gate_limit.c
@@ -179,6 +179,9 @@
 {
 	const struct gate_limit *l = find_limit(g, e->incarnation);
 
+#ifdef PF_MUTANT_GATE_LIMIT
+	return false;
+#endif
 	return l && is_in_force(g, l) &&
 	       (level_now(g, l) < 1 || !may_use(g, l));
 }
@@ -259,6 +262,7 @@
 			  const struct pf_gate_limit *v, uint32_t n)
 {
 	struct gate_peer *p = &g->peers[gate_peer_slot(g, peer)];
+	uint32_t sends;
 	uint32_t i;
 
 	for (i = 0; i < n; i++) {
@@ -271,7 +275,8 @@
 			l = find_or_add_limit(g, v[i].incarnation);
 		if (at > l->named_at)
 			set_limit(g, l, v[i].per_s, at);
+		sends = new_sends(p, &v[i]);
 		if (l->per_s >= 0)
-			take(g, l, new_sends(p, &v[i]));
+			take(g, l, sends);
 	}
 }
