Soak: endpoints name limits for a while

A harmless fault: it may break no answer. How many requests a limited endpoint gets is checked by GatewayLimit and the fuzzer.

--- a/tests/test_gateway_soak.cc
+++ b/tests/test_gateway_soak.cc
@@ -566,6 +566,22 @@
 		SleepMs(100 + r.Below(2000));
 		n.endpoint->Restart();
 	}
+	void LimitEndpoints(Rng &r)
+	{
+		size_t first = r.Below(static_cast<unsigned>(endpoints.size()));
+		size_t n = DrawCount(r);
+		double per_s = 0.5 * r.Below(20);
+
+		Note("limit of " + std::to_string(per_s) + " at " +
+		     std::to_string(n) + " from i-" + std::to_string(first));
+		for (size_t k = 0; k < n; k++)
+			endpoints[(first + k) % endpoints.size()]
+				->endpoint->NameLimit(per_s);
+		SleepMs(500 + r.Below(3000));
+		for (size_t k = 0; k < n; k++)
+			endpoints[(first + k) % endpoints.size()]
+				->endpoint->NameLimit(-1);
+	}
 	void PoisonPrompts(Rng &r)
 	{
 		Hold h(poison_busy, std::try_to_lock);
@@ -770,6 +786,7 @@
 	{ "drain", true, [](Soak &s, Rng &r) { s.DrainEndpoint(r); } },
 	{ "crash", false, [](Soak &s, Rng &r) { s.CrashEndpoint(r, false); } },
 	{ "hang", false, [](Soak &s, Rng &r) { s.CrashEndpoint(r, true); } },
+	{ "limit", true, [](Soak &s, Rng &r) { s.LimitEndpoints(r); } },
 	{ "poison", false, [](Soak &s, Rng &r) { s.PoisonPrompts(r); } },
 	{ "full", false, [](Soak &s, Rng &r) { s.FillEndpoints(r); } },
 	{ "backoff", true, [](Soak &s, Rng &r) { s.RefuseForATime(r); } },
