Gate core: a crash with many requests keeps those that crashed before

Quarantine of whole requests had 64 places and dropped the oldest, and digests announced from a ring of 64. A crash blames all requests in flight, up to 64 of this gateway's and the queue, so a full endpoint pushed out the request that mattered, here and for the peers. There are 1,024 places now, in sets of four of which the one with the fewest crashes goes first, and a ring of 512. Gate.ARequestIsQuarantinedThoughEachCrashTakesManyAlong failed before.

--- a/src/coordination/gate/gate_core.h
+++ b/src/coordination/gate/gate_core.h
@@ -179,7 +179,9 @@
 	uint32_t waiting; /* at the last pf_gate_demand() */
 };
 
-#define GATE_CRASHES_MAX 64
+/* More than are in flight at a few endpoints: each crash blames all of them. */
+#define GATE_CRASH_WAYS 4
+#define GATE_CRASH_SETS 256
 
 /** A request that was in flight when endpoints crashed. */
 struct gate_crash {
@@ -189,7 +191,7 @@
 };
 
 /* Kept after sending, for gateways that have just started. */
-#define GATE_LOCAL_CRASHES_MAX 64
+#define GATE_LOCAL_CRASHES_MAX 512
 
 /** A crash observed by this gateway; listed in its digests. */
 struct gate_local_crash {
@@ -318,7 +320,7 @@
 	struct gate_limit limits[GATE_LIMITS_MAX];
 	uint32_t n_limits;
 	struct gate_prefill_speed prefill_speeds[GATE_PREFILL_SPEEDS];
-	struct gate_crash crashes[GATE_CRASHES_MAX];
+	struct gate_crash crashes[GATE_CRASH_SETS][GATE_CRASH_WAYS];
 	struct gate_crash_record crash_records[GATE_CRASH_RECORDS];
 	struct gate_part_use part_uses[GATE_PART_SETS][GATE_PART_WAYS];
 	double part_arrivals; /* requests with parts; decays */
--- a/src/coordination/gate/gate_crash.c
+++ b/src/coordination/gate/gate_crash.c
@@ -6,24 +6,34 @@
 
 #define QUARANTINE_CRASHES 3
 
+/* Whether @a is the better one to forget. */
+static bool matters_less(const struct gate_crash *a, const struct gate_crash *b)
+{
+	return a->crashes != b->crashes ? a->crashes < b->crashes
+					: a->last_at < b->last_at;
+}
+
 static struct gate_crash *find_crash(struct pf_gate *g, uint64_t fingerprint,
 				     bool create)
 {
-	struct gate_crash *oldest = &g->crashes[0];
+	struct gate_crash *set = g->crashes[fingerprint % GATE_CRASH_SETS];
+	struct gate_crash *least = &set[0];
 	uint32_t i;
 
-	for (i = 0; i < GATE_CRASHES_MAX; i++) {
-		struct gate_crash *c = &g->crashes[i];
+	for (i = 0; i < GATE_CRASH_WAYS; i++) {
+		struct gate_crash *c = &set[i];
 
 		if (c->fingerprint == fingerprint)
 			return c;
-		if (c->last_at < oldest->last_at)
-			oldest = c;
+		if (g->now - c->last_at > GATE_CRASH_KEEP_MS)
+			c->crashes = 0;
+		if (matters_less(c, least))
+			least = c;
 	}
 	if (!create)
 		return NULL;
-	*oldest = (struct gate_crash){ .fingerprint = fingerprint };
-	return oldest;
+	*least = (struct gate_crash){ .fingerprint = fingerprint };
+	return least;
 }
 
 bool gate_quarantined(struct pf_gate *g, uint64_t fingerprint)
--- a/tests/test_gate.cc
+++ b/tests/test_gate.cc
@@ -957,6 +957,24 @@
 	EXPECT_EQ(pf_gate_evidence(g, &cursor, out), 1u);
 }
 
+// A crash with many requests in flight pushed those out that had crashed before.
+TEST_F(Gate, ARequestIsQuarantinedThoughEachCrashTakesManyAlong)
+{
+	int tag = 1000;
+
+	PassFirstWindow();
+	for (int crash = 0; crash < 3; crash++) {
+		for (int i = 0; i < 80; i++, tag++) {
+			Arrive(tag, "/u/", 800, nullptr, nullptr, 0, nullptr,
+			       i == 0 ? 42 : 5000 + tag);
+			Ended(tag, PF_GATE_LOST, 0, true);
+		}
+		Tick(100);
+	}
+	Arrive(9, "/u/", 800, nullptr, nullptr, 0, nullptr, 42);
+	EXPECT_NE(Last(9, PF_GATE_REFUSE), nullptr);
+}
+
 TEST_F(Gate, CrashesReportedByPeersCount)
 {
 	struct pf_gate_msg m = {};
