--- a/src/coordination/gate/gate_quarantine.c
+++ b/src/coordination/gate/gate_quarantine.c
@@ -6,7 +6,7 @@
  */
 #include "src/coordination/gate/gate_core.h"
 
-/* Peers that start are told of what was announced since a while. */
+/* Peers that start are told only what was announced within a minute. */
 #define ANNOUNCE_MS (GATE_CRASH_KEEP_MS / 3)
 /* Without a request with it, a part is forgotten. */
 #define FORGET_MS 60000
