Gate core: a reset of a live endpoint hides no later crash

An endpoint that resets one connection and goes on is recorded as crashed, and the record is refuted by its next answer. The record stayed, so the endpoint's real crash was never counted: a part that crashed endpoints which had reset a connection before was blamed only by crashes of others. Found by reading the quarantine of parts. A refuted record now starts anew at a later crash. Gate.ACrashCountsAfterAResetOfALiveEndpoint failed before.

--- a/src/coordination/gate/gate_blame.c
+++ b/src/coordination/gate/gate_blame.c
@@ -107,23 +107,34 @@
 	return NULL;
 }
 
+/* A record that was refuted says nothing about a later crash. */
 static struct gate_crash_record *
 find_or_add_record(struct pf_gate *g, uint64_t incarnation, pf_ms at)
 {
 	struct gate_crash_record *c = find_record(g, incarnation);
 	uint32_t i;
 
-	if (c)
+	if (c && (!c->refuted_at || at <= c->refuted_at))
 		return c;
-	c = &g->crash_records[0];
-	for (i = 1; i < GATE_CRASH_RECORDS; i++) {
-		if (g->crash_records[i].at < c->at)
-			c = &g->crash_records[i];
+	if (!c) {
+		c = &g->crash_records[0];
+		for (i = 1; i < GATE_CRASH_RECORDS; i++) {
+			if (g->crash_records[i].at < c->at)
+				c = &g->crash_records[i];
+		}
 	}
 	*c = (struct gate_crash_record){ .incarnation = incarnation, .at = at };
 	return c;
 }
 
+static void refute(struct pf_gate *g, uint64_t incarnation, pf_ms at)
+{
+	struct gate_crash_record *c = find_record(g, incarnation);
+
+	if (c && c->at < at)
+		c->refuted_at = at;
+}
+
 static bool record_has(const struct gate_crash_record *c, uint64_t part)
 {
 	uint32_t i;
@@ -157,7 +168,7 @@
 {
 	uint32_t i;
 
-	if (!c->incarnation || c->refuted || g->now - c->at > RECORD_KEEP_MS)
+	if (!c->incarnation || c->refuted_at || g->now - c->at > RECORD_KEEP_MS)
 		return false;
 	for (i = 0; i < c->n_parts; i++) {
 		if (gate_quarantine_has(g, c->parts[i]))
@@ -360,7 +371,7 @@
 	uint32_t i;
 	uint32_t k;
 
-	if (c && c->seen_here)
+	if (c && c->seen_here && !c->refuted_at)
 		return;
 	for (i = 0; i < g->opts.requests_max; i++) {
 		const struct gate_request *r = &g->requests[i];
@@ -388,14 +399,11 @@
 {
 	struct pf_gate_evidence a = { .type = PF_GATE_EVIDENCE_ALIVE,
 				      .incarnation = e->incarnation };
-	struct gate_crash_record *c;
 
 	if (!e->crashed_at || g->now - e->crashed_at < ALIVE_MS)
 		return;
 	e->crashed_at = 0;
-	c = find_record(g, e->incarnation);
-	if (c)
-		c->refuted = true;
+	refute(g, e->incarnation, g->now);
 	gate_evidence_add(g, &a, g->now);
 }
 
@@ -457,7 +465,6 @@
 			 const struct pf_gate_evidence *v, uint32_t n)
 {
 	uint32_t reporter = gate_peer_slot(g, peer);
-	struct gate_crash_record *c;
 	uint32_t i;
 
 	for (i = 0; i < n; i++) {
@@ -466,9 +473,8 @@
 			crash_reported(g, reporter, &v[i]);
 			break;
 		case PF_GATE_EVIDENCE_ALIVE:
-			c = find_record(g, v[i].incarnation);
-			if (c)
-				c->refuted = true;
+			refute(g, v[i].incarnation,
+			       g->now - (pf_ms)v[i].age_ms);
 			break;
 		case PF_GATE_EVIDENCE_SOUND:
 			note_sound(g, v[i].part, g->now - (pf_ms)v[i].age_ms);
--- a/src/coordination/gate/gate_core.h
+++ b/src/coordination/gate/gate_core.h
@@ -209,7 +209,7 @@
 struct gate_crash_record {
 	uint64_t incarnation; /* of the endpoint, hashed; 0: free */
 	pf_ms at;
-	bool refuted; /* the endpoint went on */
+	pf_ms refuted_at; /* the endpoint went on; 0: not */
 	bool seen_here; /* not only by peers */
 	uint64_t reporters; /* bits: slots in `peers` */
 	uint32_t suspects; /* requests that may have caused it */
--- a/tests/test_gate.cc
+++ b/tests/test_gate.cc
@@ -975,6 +975,33 @@
 	EXPECT_NE(Last(9, PF_GATE_REFUSE), nullptr);
 }
 
+// An endpoint that had once reset a single connection was never blamed on a part
+// when it crashed later.
+TEST_F(Gate, ACrashCountsAfterAResetOfALiveEndpoint)
+{
+	struct pf_gate_evidence v[PF_GATE_EVIDENCE_MAX];
+	struct pf_gate_peer_cursor cursor = {};
+
+	Endpoint("l9", "llm", "za", "z");
+	Arrive(1, "/t/", 15000, "z", nullptr, 100, "p", 0, true);
+	Arrive(2, "/t/", 15000, "z", nullptr, 100, "q", 0, true);
+	Ended(1, PF_GATE_LOST, 0, true);
+	now += 300;
+	Events(2); /* it goes on */
+	Ended(2, PF_GATE_ANSWERED, 200);
+	pf_gate_evidence(g, &cursor, v);
+	now += 1000;
+	Arrive(3, "/t/", 15000, "z", nullptr, 100, "r", 0, true);
+	ASSERT_EQ(SentTo(3), Id("l9"));
+	Ended(3, PF_GATE_LOST, 0, true);
+	uint32_t n = pf_gate_evidence(g, &cursor, v);
+	bool found = false;
+	for (uint32_t i = 0; i < n; i++)
+		found |= v[i].type == PF_GATE_EVIDENCE_CRASH &&
+			 v[i].part == Id("r");
+	EXPECT_TRUE(found);
+}
+
 TEST_F(Gate, CrashesReportedByPeersCount)
 {
 	struct pf_gate_msg m = {};
