Gate core: the end of a limit is reported to the peers once

After the end, each answer of the endpoint made its gateway report the ended limit to all peers every two seconds, for as long as the incarnation lived. Found by reading the limits again. GateLimit.ItsEndIsReportedOnce failed before.

--- a/src/coordination/gate/gate_limit.c
+++ b/src/coordination/gate/gate_limit.c
@@ -149,7 +149,7 @@
 		return;
 	if (per_s != l->per_s)
 		l->reports_due = 2;
-	l->heard = true;
+	l->heard = per_s >= 0;
 	set_limit(g, l, per_s, g->now);
 }
 
--- a/tests/test_gate_limit.cc
+++ b/tests/test_gate_limit.cc
@@ -150,6 +150,23 @@
 	EXPECT_GE(n, 1u);
 }
 
+// Each answer after the end was reported to all peers for ever.
+TEST_F(GateLimit, ItsEndIsReportedOnce)
+{
+	struct pf_gate_limit v[PF_GATE_LIMITS_MAX];
+
+	Limit(Id("a1"), 1, now);
+	now += 100;
+	Limit(Id("a1"), -1, now);
+	EXPECT_EQ(pf_gate_limits(g, now, v), 1u);
+	EXPECT_EQ(pf_gate_limits(g, now, v), 1u); /* one may be lost */
+	for (int i = 0; i < 10; i++) {
+		now += 1000;
+		Limit(Id("a1"), -1, now);
+		EXPECT_EQ(pf_gate_limits(g, now, v), 0u) << i;
+	}
+}
+
 TEST_F(GateLimit, IfAllAreUsedUpRequestsAreRefusedAtOnce)
 {
 	Limit(Id("a1"), 0.5, now);
