Gateway: sound answers of several megabytes are delivered again

An answer may have 16 MB now. As 64 of them would take more memory than the VM has, all answers together may have 64 MB beyond the first 64 KB of each; the answer that would exceed this is given up.

--- a/daemons/gateway/upstream.c
+++ b/daemons/gateway/upstream.c
@@ -24,8 +24,11 @@
 /* Of an answer, with the interim answers before it. */
 #define ANSWER_HEAD_BYTES_MAX 32768
 /* Of an answer that is forwarded as a whole, and of an incomplete event. */
-#define ANSWER_BODY_BYTES_MAX 1048576
-#define EVENT_BYTES_MAX 262144
+#define ANSWER_BODY_BYTES_MAX ((size_t)16 << 20)
+#define EVENT_BYTES_MAX ((size_t)256 << 10)
+/* Of all answers, beyond the start of each. */
+#define ANSWERS_BYTES_MAX ((size_t)64 << 20)
+#define ANSWER_START_BYTES ((size_t)64 << 10)
 
 static bool endpoint_leaves(const struct endpoint *e)
 {
@@ -338,6 +341,22 @@
 	return 0;
 }
 
+/* Whether the bytes that are not forwarded yet take too much memory. */
+static bool answer_too_long(const struct upstream *u)
+{
+	const struct exchange *x = u->exchange;
+	size_t total = 0;
+
+	if (u->streaming)
+		return x->answer_body.n > EVENT_BYTES_MAX;
+	if (x->answer_body.n <= ANSWER_START_BYTES)
+		return false;
+	LIST_FOREACH(x, &u->endpoint->gateway->exchanges, next)
+	total += x->answer_body.n;
+	return u->exchange->answer_body.n > ANSWER_BODY_BYTES_MAX ||
+	       total > ANSWERS_BYTES_MAX;
+}
+
 /* Reads bytes of the body; may end the send. */
 static void read_body(struct upstream *u, struct pf_str in)
 {
@@ -351,8 +370,7 @@
 	}
 	if (u->streaming)
 		exchange_forward_events(x);
-	if (x->answer_body.n >
-	    (u->streaming ? EVENT_BYTES_MAX : ANSWER_BODY_BYTES_MAX)) {
+	if (answer_too_long(u)) {
 		log_too_long(u, u->streaming ? "event" : "body");
 		end_send_lost(u, false);
 		return;
