Gate core: each gateway uses limited endpoints at times

With more gateways than a limit allows bursts for, five fixed ones by a hash could use an endpoint of 1 request a second. The others refused every request for which it was the only one left; of 25 gateways a quarter would have refused all calls to a service of six limited endpoints. Found by reading the limits again. Each gateway now may use an endpoint in some slots of 150 ms, drawn by a hash, on average 0.4 of what bursts allow at a time.

GateLimitPeers.EachOfManyGatewaysUsesEachEndpointAtTimes failed before: no send in 30 s to four of six endpoints.

--- a/src/coordination/gate/gate_limit.c
+++ b/src/coordination/gate/gate_limit.c
@@ -25,6 +25,12 @@
  * as much again are tolerated, and one is left for gateways that disagree. */
 #define TOLERATED_S 2
 #define TOLERATED 4
+/* Until a send is known to the others. */
+#define SLOT_MS 150
+/* Gateways that may use an endpoint in a slot on average, as a share of those
+ * that may at most: their number varies. */
+#define DRAWN_USERS 0.4
+#define DRAWS 100000
 /* How often an unchanged limit is reported. */
 #define REPORT_MS 2000
 
@@ -115,23 +121,25 @@
 	l->level = fmin(l->level, burst_of(l));
 }
 
-/* Whether this gateway is one of those that use the endpoint. */
+/*
+ * Whether this gateway may use the endpoint now. If there are more gateways than
+ * may use the same token, each may in some slots of time, so that in a slot only
+ * a few do, and each one does at times.
+ */
 static bool may_use(const struct pf_gate *g, const struct gate_limit *l)
 {
-	double users = fmax(floor(tolerated(l) / burst_of(l)), 1);
-	uint64_t own = pf_id2(g->opts.self, l->incarnation);
-	uint32_t before = 0;
+	double users = floor(tolerated(l) / burst_of(l));
+	uint64_t slot = (uint64_t)(g->now / SLOT_MS);
+	uint64_t draw = pf_id2(pf_id2(g->opts.self, l->incarnation), slot);
+	uint32_t gates = 1;
 	uint32_t i;
 
 	if (g->now - g->started_at < START_MS)
 		return false;
-	for (i = 0; i < GATE_PEERS_MAX; i++) {
-		const struct gate_peer *p = &g->peers[i];
-
-		before += gate_peer_is_live(g, p) &&
-			  pf_id2(p->id, l->incarnation) < own;
-	}
-	return before < users;
+	for (i = 0; i < GATE_PEERS_MAX; i++)
+		gates += gate_peer_is_live(g, &g->peers[i]);
+	return gates <= users || (double)(draw % DRAWS) * gates <
+					 DRAWS * fmax(users * DRAWN_USERS, 1);
 }
 
 void gate_limit_named(struct pf_gate *g, uint64_t endpoint, int64_t incarnation,
@@ -196,8 +204,7 @@
 	missing = 1 - level_now(g, l);
 	if (missing > 0)
 		return g->now + (pf_ms)ceil(missing / rate_of(l) * 1000);
-	/* Other gateways may have room at once. */
-	return may_use(g, l) ? 0 : g->now + (pf_ms)(1000 / rate_of(l));
+	return may_use(g, l) ? 0 : g->now + SLOT_MS;
 }
 
 void gate_limit_sent(struct pf_gate *g, const struct gate_endpoint *e)
--- a/tests/test_gate_limit.cc
+++ b/tests/test_gate_limit.cc
@@ -198,6 +198,28 @@
 	EXPECT_NE(SentTo(1), Id("a2"));
 }
 
+// With many gateways, most could never use a limited endpoint, and refused all
+// requests for which it was the only one.
+TEST(GateLimitPeers, EachOfManyGatewaysUsesEachEndpointAtTimes)
+{
+	for (const char *name : { "a1", "a2", "a3", "a4", "a5", "a6" }) {
+		GateRig r;
+		int tag = 1;
+
+		r.Start();
+		r.Endpoint(name, "app", "za");
+		r.Limit(GateRig::Id(name), 1, r.now);
+		for (int i = 0; i < 300; i++) {
+			for (uint64_t peer = 1; peer <= 24; peer++)
+				r.PeerLimit(GateRig::Id(name), 1, 0, 0,
+					    100 + peer);
+			r.Tick(100);
+			r.Arrive(tag++, "/u/", 800);
+		}
+		EXPECT_GE(r.Count(PF_GATE_SEND), 3u) << name;
+	}
+}
+
 // A gateway that has just started does not know who else uses the endpoint.
 TEST(GateLimitStart, AGatewayThatStartsWaitsForItsPeers)
 {
