--- a/src/coordination/gate/gate_blame.c
+++ b/src/coordination/gate/gate_blame.c
@@ -17,6 +17,7 @@
  * since each crash tests many parts. */
 #define BLAME_SCORE 11.5
 #define CRASHES_MIN 3
+/* A single crash may be a chance however rare the part is. */
 #define CRASH_SCORE_MAX (BLAME_SCORE / CRASHES_MIN)
 /* Crashes closer than this may have one cause that is no request. */
 #define SAME_TIME_MS 40
