Tests: the simulation of gates frees its timers

A timer is now made anew each time.

GateCrash.APartThatIsSoundAgainIsReleased then failed: the one gate that may try the part got no request with it in the 9 s that were left (one in 4 s on average).

--- a/tests/gate_sim.h
+++ b/tests/gate_sim.h
@@ -108,6 +108,8 @@
 	void Step(unsigned gate, const struct pf_gate_msg &m);
 	void Tick(unsigned gate);
 	void StartGate(unsigned gate);
+	void Repeat(unsigned gate, const struct pf_gate *g, pf_ms period,
+		    pf_ms first, void (GateSim::*f)(unsigned));
 	void StartEndpoint(unsigned i);
 	void List(unsigned gate, unsigned i);
 	void SendDigests(unsigned gate);
