--- a/tests/gateway_group.h
+++ b/tests/gateway_group.h
@@ -54,9 +54,17 @@
 			gateways.push_back(std::move(n));
 		}
 		for (auto &n : gateways)
-			while (FakeGet(n->ip.c_str(), n->ready, "/ready")
-				       .find(" 200 ") == std::string::npos)
-				SleepMs(20);
+			ASSERT_TRUE(BecomesReady(*n)) << n->ip;
+	}
+	static bool BecomesReady(const Node &n)
+	{
+		for (int i = 0; i < 1000; i++) {
+			if (FakeGet(n.ip.c_str(), n.ready, "/ready")
+				    .find(" 200 ") != std::string::npos)
+				return true;
+			SleepMs(20);
+		}
+		return false;
 	}
 	/* Each sends a request, waits for its end and 100 to 300 ms, and so on. */
 	void StartCallers(unsigned n)
--- a/tests/test_gateway_limit.cc
+++ b/tests/test_gateway_limit.cc
@@ -59,7 +59,7 @@
 
 		arrivals[e.id()].push_back(Clock::now());
 	};
-	StartGroup(c.gateways, c.endpoints, o);
+	ASSERT_NO_FATAL_FAILURE(StartGroup(c.gateways, c.endpoints, o));
 	StartCallers(16);
 	SleepMs(1500);
 	for (unsigned i = 0; i < c.limited; i++)
--- a/tests/test_gateway_poison.cc
+++ b/tests/test_gateway_poison.cc
@@ -41,7 +41,7 @@
 		arrivals += r.Header("Prompt-Prefix").find(POISON_PART) !=
 			    std::string::npos;
 	};
-	StartGroup(3, 8, o);
+	ASSERT_NO_FATAL_FAILURE(StartGroup(3, 8, o));
 	StartCallers(12);
 	SleepMs(4000);
 	poison = true;
