--- a/daemons/gateway/talk.c
+++ b/daemons/gateway/talk.c
@@ -16,6 +16,7 @@
 /* Demand is sent to the gateways with this many lowest ids; one of them leads
  * the planning. */
 #define LEADER_CANDIDATES 2
+#define PART_USES_INTERVAL_MS 480
 /* Usage is sent to each loader at least this often; it tells loaders which
  * gateways to send state to. */
 #define USAGE_INTERVAL_MS 1500
@@ -339,9 +340,9 @@
 	}
 }
 
-/* Whether the member is among the live ones with the lowest ids. */
-static bool is_leader_candidate(const struct talk *t, const struct member *m,
-				pf_ms now)
+/* Whether the member is among the @n live ones with the lowest ids. */
+static bool has_low_id(const struct talk *t, const struct member *m, pf_ms now,
+		       uint32_t n)
 {
 	uint32_t lower = 0;
 	uint32_t i;
@@ -351,7 +352,7 @@
 	for (i = 0; i < t->n_members; i++)
 		lower += member_is_live(&t->members[i], now) &&
 			 t->members[i].id < m->id;
-	return lower < LEADER_CANDIDATES;
+	return lower < n;
 }
 
 static void send_demand(struct talk *t, pf_ms now)
@@ -362,13 +363,28 @@
 
 	t->demand_sent_at = now;
 	for (i = 0; i < t->n_members; i++) {
-		if (is_leader_candidate(t, &t->members[i], now))
+		if (has_low_id(t, &t->members[i], now, LEADER_CANDIDATES))
 			pf_talk_send_demand(t->datagrams, &t->members[i].addr,
 					    t->gateway->self, v, n);
 	}
 	add_demand(t, t->gateway->self, v, n);
 }
 
+/* To the gateways that judge which prompt part crashes endpoints. */
+static void send_part_uses(struct talk *t, pf_ms now)
+{
+	struct pf_gate_evidence v[PF_GATE_EVIDENCE_MAX];
+	uint32_t n = pf_gate_part_uses(t->gateway->core, v);
+	uint32_t i;
+
+	t->part_uses_sent_at = now;
+	for (i = 0; n > 0 && i < t->n_members; i++) {
+		if (has_low_id(t, &t->members[i], now, PF_GATE_JUDGES))
+			pf_talk_send_evidence(t->datagrams, &t->members[i].addr,
+					      t->gateway->self, v, n);
+	}
+}
+
 static void on_tick(evutil_socket_t fd, short what, void *ctx)
 {
 	static const struct pf_plan_msg tick = { .type = PF_PLAN_TICK };
@@ -384,6 +400,8 @@
 						? DEMAND_INTERVAL_WAITING_MS
 						: DEMAND_INTERVAL_MS))
 		send_demand(t, now);
+	if (now - t->part_uses_sent_at >= PART_USES_INTERVAL_MS)
+		send_part_uses(t, now);
 	send_due_usage(t);
 	feeds_poll_if_overdue(t->gateway);
 	plan_limits(t, now);
--- a/daemons/gateway/talk_core.h
+++ b/daemons/gateway/talk_core.h
@@ -38,6 +38,7 @@
 	struct pf_rng rng;
 	bool was_leader; /* at the last tick of the plan core */
 	pf_ms demand_sent_at;
+	pf_ms part_uses_sent_at;
 };
 
 /** Passes @m to the plan core and sends its orders to the loaders. */
--- a/include/pimentoford/gate.h
+++ b/include/pimentoford/gate.h
@@ -30,6 +30,7 @@
 	uint64_t seed;
 	uint32_t requests_max; /* beyond: refused */
 	uint32_t endpoints_max; /* beyond: ignored */
+	uint32_t peers_max; /* beyond: those silent longest are forgotten */
 	double repeat_ratio; /* retries per request of a service */
 	uint32_t repeat_slack; /* retries on top, shared by all gateways */
 	pf_ms repeat_window; /* over which requests and retries count */
@@ -115,7 +116,11 @@
 	/* an answer on it went on for a while, or was complete */    \
 	DEF(SOUND)                                                    \
 	/* it crashes endpoints: requests with it are refused */      \
-	DEF(QUARANTINE)
+	DEF(QUARANTINE)                                               \
+	/* it came with requests for a model; part 0: all of these */ \
+	DEF(USE)                                                      \
+	/* requests for a model that were served */                   \
+	DEF(SERVED)
 
 enum pf_gate_evidence_type {
 #define DEF(name) PF_GATE_EVIDENCE_##name,
@@ -127,15 +132,20 @@
 struct pf_gate_evidence {
 	enum pf_gate_evidence_type type;
 	uint64_t incarnation; /* CRASH and ALIVE: of the endpoint, hashed */
-	uint64_t part; /* but for ALIVE */
+	uint64_t part; /* but for ALIVE and SERVED */
+	uint64_t model; /* USE and SERVED */
 	uint32_t age_ms; /* of the crash, of the answer's begin, or of the
 			  * first crash with the quarantined part */
-	uint32_t suspects; /* CRASH: this gateway's requests with any part
-			    * that may have caused it */
+	uint32_t requests; /* CRASH: this gateway's that may have caused it,
+			    * whatever their parts; USE and SERVED: those
+			    * that it counts */
 };
 
 #define PF_GATE_EVIDENCE_MAX 96
 
+/** Gateways that judge which prompt part crashes endpoints. */
+#define PF_GATE_JUDGES 3
+
 /** The limit of an endpoint, as a gateway tells the others. */
 struct pf_gate_limit {
 	uint64_t incarnation; /* of the endpoint, hashed */
@@ -366,6 +376,13 @@
 uint32_t pf_gate_evidence(struct pf_gate *g, struct pf_gate_peer_cursor *to,
 			  struct pf_gate_evidence *out);
 
+/**
+ * Writes which prompt parts came lately, as a sample of the requests; at most
+ * PF_GATE_EVIDENCE_MAX entries. Returns how many. It goes to the
+ * PF_GATE_JUDGES other gateways with the lowest ids.
+ */
+uint32_t pf_gate_part_uses(struct pf_gate *g, struct pf_gate_evidence *out);
+
 /** The limit in force of this incarnation of the endpoint; < 0: none. */
 double pf_gate_limit_of(const struct pf_gate *g, pf_ms now, uint64_t endpoint,
 			int64_t incarnation);
@@ -390,7 +407,8 @@
 /** Totals since the start, and current numbers. */
 struct pf_gate_stats {
 	uint64_t arrived, sent, retries, refused, failed, delivered, hangups;
-	uint32_t open, waiting, endpoints;
+	uint64_t peers_evicted; /* while more than peers_max sent digests */
+	uint32_t open, waiting, endpoints, peers;
 };
 
 void pf_gate_stats(const struct pf_gate *g, struct pf_gate_stats *s);
--- a/src/coordination/gate/gate.c
+++ b/src/coordination/gate/gate.c
@@ -12,6 +12,7 @@
 	*o = (struct pf_gate_opts){
 		.requests_max = 4096,
 		.endpoints_max = 1024,
+		.peers_max = 4096,
 		.repeat_ratio = 0.2,
 		.repeat_slack = 50,
 		.repeat_window = 10000,
@@ -21,7 +22,7 @@
 static bool opts_valid(const struct pf_gate_opts *o)
 {
 	return o->self && o->zone && o->requests_max && o->endpoints_max &&
-	       o->repeat_window >= 1000 &&
+	       o->peers_max && o->repeat_window >= 1000 &&
 	       o->repeat_window <= (GATE_BUDGET_BUCKETS - 2) * 1000 &&
 	       o->repeat_ratio >= 0;
 }
@@ -44,7 +45,8 @@
 	g->endpoints = calloc(o->endpoints_max, sizeof(*g->endpoints));
 	if (!g->zones || !g->requests || !g->free_requests || !g->endpoints ||
 	    pf_heap_init(&g->request_timers, o->requests_max) < 0 ||
-	    pf_map_init(&g->endpoints_by_id, o->endpoints_max) < 0) {
+	    pf_map_init(&g->endpoints_by_id, o->endpoints_max) < 0 ||
+	    gate_peers_init(g) < 0 || gate_limits_init(g) < 0) {
 		pf_gate_free(g);
 		return NULL;
 	}
@@ -70,6 +72,8 @@
 		gate_endpoint_remove(g, g->endpoints[i].id);
 	pf_heap_free(&g->request_timers);
 	pf_map_free(&g->endpoints_by_id);
+	gate_peers_free(g);
+	gate_limits_free(g);
 	free(g->endpoints);
 	free(g->free_requests);
 	free(g->requests);
@@ -83,7 +87,6 @@
 
 	while (pf_heap_top(&g->request_timers, &slot) <= g->now)
 		gate_request_timer(g, slot);
-	gate_peers_expire(g);
 }
 
 static void handle_message(struct pf_gate *g, const struct pf_gate_msg *m)
@@ -166,6 +169,7 @@
 	}
 	g->now = now;
 	g->sink = sink;
+	gate_peers_check(g);
 	handle_message(g, m);
 	if (g->quarantine_changed) {
 		g->quarantine_changed = false;
@@ -201,6 +205,7 @@
 
 	*s = g->stats;
 	s->waiting = g->n_waiting;
+	s->peers = g->n_known_peers;
 	for (i = 0; i < g->n_endpoints; i++)
 		s->endpoints += g->endpoints[i].used;
 }
--- a/src/coordination/gate/gate_blame.c
+++ b/src/coordination/gate/gate_blame.c
@@ -4,6 +4,12 @@
  * A part is blamed when it is among the suspects of several crashes far more
  * often than its share of the requests explains, and no answer on it has gone
  * on since the first of them.
+ *
+ * If a part is in many requests, no crash speaks clearly against it. That none
+ * of its requests is served while others of its model are does.
+ *
+ * A gateway among many sees too few requests to know these shares, so all report
+ * a sample of theirs to a few gateways, which judge for all.
  */
 #include "src/coordination/gate/gate_core.h"
 
@@ -16,6 +22,10 @@
 /* Log of the odds against chance at which a part is blamed: 100,000 to one,
  * since each crash tests many parts. */
 #define BLAME_SCORE 11.5
+/* The same, 1,000 to one, if it was there at many separate crashes: so many
+ * seldom have nothing in common. */
+#define BLAME_SCORE_MANY 6.9
+#define CRASHES_MANY 6
 #define CRASHES_MIN 3
 /* A single crash may be a chance however rare the part is. */
 #define CRASH_SCORE_MAX (BLAME_SCORE / CRASHES_MIN)
@@ -23,78 +33,10 @@
 #define SAME_TIME_MS 40
 /* Probability of a crash that has another cause, or a missing report. */
 #define OTHER_CAUSE 0.3
+/* The most that unserved requests may add. */
+#define UNSERVED_SCORE_MAX (BLAME_SCORE * 2 / 3)
 /* Until then, shares of the requests are unknown. */
 #define ARRIVALS_MIN 40
-/* Bounds and smoothing of the share of requests with a part. */
-#define SHARE_MIN 0.005
-#define SHARE_MAX 0.99
-#define SHARE_PRIOR 10.0
-#define USES_HALVED_MS 15000
-
-static struct gate_part_use *find_use(struct pf_gate *g, uint64_t part)
-{
-	struct gate_part_use *set = g->part_uses[part % GATE_PART_SETS];
-	uint32_t i;
-
-	for (i = 0; i < GATE_PART_WAYS; i++) {
-		if (set[i].part == part)
-			return &set[i];
-	}
-	return NULL;
-}
-
-static struct gate_part_use *find_or_add_use(struct pf_gate *g, uint64_t part)
-{
-	struct gate_part_use *set = g->part_uses[part % GATE_PART_SETS];
-	struct gate_part_use *u = find_use(g, part);
-	uint32_t i;
-
-	if (u)
-		return u;
-	u = &set[0];
-	for (i = 1; i < GATE_PART_WAYS; i++) {
-		if (set[i].arrivals < u->arrivals)
-			u = &set[i];
-	}
-	*u = (struct gate_part_use){ .part = part };
-	return u;
-}
-
-static void decay_uses(struct pf_gate *g)
-{
-	uint32_t i;
-	uint32_t k;
-
-	if (g->now - g->part_uses_decayed_at < USES_HALVED_MS)
-		return;
-	g->part_uses_decayed_at = g->now;
-	g->part_arrivals /= 2;
-	for (i = 0; i < GATE_PART_SETS; i++)
-		for (k = 0; k < GATE_PART_WAYS; k++)
-			g->part_uses[i][k].arrivals /= 2;
-}
-
-void gate_blame_arrival(struct pf_gate *g, const struct gate_request *r)
-{
-	uint32_t i;
-
-	if (r->n_parts == 0)
-		return;
-	decay_uses(g);
-	g->part_arrivals++;
-	g->part_arrivals_seen++;
-	for (i = 0; i < r->n_parts; i++)
-		find_or_add_use(g, r->parts[i])->arrivals++;
-}
-
-static double share_of(struct pf_gate *g, uint64_t part)
-{
-	const struct gate_part_use *u = find_use(g, part);
-	double share = ((u ? (double)u->arrivals : 0) + 0.5) /
-		       (g->part_arrivals + SHARE_PRIOR);
-
-	return fmin(fmax(share, SHARE_MIN), SHARE_MAX);
-}
 
 static struct gate_crash_record *find_record(struct pf_gate *g,
 					     uint64_t incarnation)
@@ -238,13 +180,16 @@
 	return next;
 }
 
+/* What the crashes in @records from @first on say about @part. *@separate is
+ * set to how many, at different times, it may have caused. */
 static double part_score(struct pf_gate *g, uint32_t records, uint64_t part,
-			 pf_ms first)
+			 pf_ms first, uint32_t *separate)
 {
 	const struct gate_crash_record *c = next_record(g, records, first);
-	double share = share_of(g, part);
-	double score = 0;
+	double share = gate_use_share(g, part);
+	double score = fmin(gate_use_unserved(g, part), UNSERVED_SCORE_MAX);
 
+	*separate = 0;
 	while (c) {
 		pf_ms end = c->at + SAME_TIME_MS;
 		uint32_t suspects = 0;
@@ -262,16 +207,24 @@
 			among |= record_has(x, part);
 		}
 		score += crash_score(share, suspects, among);
+		*separate += among;
 		c = next_record(g, records, end);
 	}
 	return score;
 }
 
+/* Whether @score is enough to blame a part. */
+static bool is_enough(double score, uint32_t separate)
+{
+	return score >=
+	       (separate >= CRASHES_MANY ? BLAME_SCORE_MANY : BLAME_SCORE);
+}
+
 /* Quarantines the part that explains the crashes best, if any does. */
 static bool blame_best(struct pf_gate *g)
 {
 	uint32_t records = unexplained_records(g);
-	double best = BLAME_SCORE;
+	double best = 0;
 	uint64_t blamed = 0;
 	uint32_t crashes = 0;
 	pf_ms since = 0;
@@ -284,6 +237,7 @@
 		if (!(records >> i & 1))
 			continue;
 		for (k = 0; k < c->n_parts; k++) {
+			uint32_t separate;
 			pf_ms first;
 			uint32_t n =
 				count_crashes(g, records, c->parts[k], &first);
@@ -291,8 +245,9 @@
 
 			if (n < CRASHES_MIN || first != c->at)
 				continue;
-			score = part_score(g, records, c->parts[k], first);
-			if (score < best || (blamed && score == best))
+			score = part_score(g, records, c->parts[k], first,
+					   &separate);
+			if (score <= best || !is_enough(score, separate))
 				continue;
 			best = score;
 			blamed = c->parts[k];
@@ -308,7 +263,8 @@
 
 static void judge(struct pf_gate *g)
 {
-	if (g->part_arrivals_seen < ARRIVALS_MIN)
+	if (g->requests_seen < ARRIVALS_MIN ||
+	    gate_peers_lower(g) >= PF_GATE_JUDGES)
 		return;
 	/* Crashes that a quarantined part explains speak against no other. */
 	while (blame_best(g))
@@ -323,23 +279,20 @@
 	gate_evidence_add(g, &e, began_at);
 }
 
-/* Whether an answer on @part that began after @at is known to be sound. */
-static bool known_sound(struct pf_gate *g, uint64_t part, pf_ms at)
-{
-	const struct gate_part_use *u = find_use(g, part);
-
-	return u && u->sound_at > at;
-}
-
 /* Adds a suspect of a crash; a part that was sound since is none. */
 static void add_suspect(struct pf_gate *g, struct gate_crash_record *c,
 			uint64_t part)
 {
+	pf_ms first;
+
 	gate_quarantine_crashed(g, part, c->at);
-	if (known_sound(g, part, c->at))
-		announce_sound(g, part, find_use(g, part)->sound_at);
-	else
-		record_add(c, part);
+	if (gate_use_sound_at(g, part) > c->at) {
+		announce_sound(g, part, gate_use_sound_at(g, part));
+		return;
+	}
+	if (count_crashes(g, unexplained_records(g), part, &first) == 0)
+		gate_use_suspected(g, part);
+	record_add(c, part);
 }
 
 static bool is_suspect(const struct pf_gate *g, const struct gate_request *r,
@@ -354,7 +307,7 @@
 {
 	struct pf_gate_evidence e = { .type = PF_GATE_EVIDENCE_CRASH,
 				      .incarnation = c->incarnation,
-				      .suspects = c->suspects };
+				      .requests = c->suspects };
 	uint32_t i;
 
 	for (i = 0; i < c->n_parts; i++) {
@@ -423,31 +376,36 @@
 	return true;
 }
 
-static void note_sound(struct pf_gate *g, uint64_t part, pf_ms began_at)
-{
-	struct gate_part_use *u = find_or_add_use(g, part);
-
-	if (u->sound_at < began_at)
-		u->sound_at = began_at;
-}
-
 void gate_blame_sound(struct pf_gate *g, uint64_t part, pf_ms began_at)
 {
-	note_sound(g, part, began_at);
+	gate_use_sound(g, part, began_at);
 	if (clear_blame(g, part, began_at))
 		announce_sound(g, part, began_at);
 }
 
-static void crash_reported(struct pf_gate *g, uint32_t reporter,
+/* Whether @peer has not reported this crash before. */
+static bool add_reporter(struct gate_crash_record *c, uint64_t peer)
+{
+	uint32_t i;
+
+	for (i = 0; i < c->n_reporters; i++) {
+		if (c->reporters[i] == peer)
+			return false;
+	}
+	if (c->n_reporters == GATE_CRASH_REPORTERS_MAX)
+		return false;
+	c->reporters[c->n_reporters++] = peer;
+	return true;
+}
+
+static void crash_reported(struct pf_gate *g, uint64_t peer,
 			   const struct pf_gate_evidence *e)
 {
 	struct gate_crash_record *c = find_or_add_record(
 		g, e->incarnation, g->now - (pf_ms)e->age_ms);
-	uint64_t bit = UINT64_C(1) << reporter;
 
-	if (!(c->reporters & bit))
-		c->suspects += e->suspects;
-	c->reporters |= bit;
+	if (add_reporter(c, peer))
+		c->suspects += e->requests;
 	add_suspect(g, c, e->part);
 }
 
@@ -456,8 +414,8 @@
 {
 	pf_ms since = g->now - (pf_ms)e->age_ms;
 
-	if (known_sound(g, e->part, since))
-		announce_sound(g, e->part, find_use(g, e->part)->sound_at);
+	if (gate_use_sound_at(g, e->part) > since)
+		announce_sound(g, e->part, gate_use_sound_at(g, e->part));
 	else
 		gate_quarantine_add(g, e->part, since, 0);
 }
@@ -465,25 +423,30 @@
 void gate_blame_evidence(struct pf_gate *g, uint64_t peer,
 			 const struct pf_gate_evidence *v, uint32_t n)
 {
-	uint32_t reporter = gate_peer_slot(g, peer);
 	uint32_t i;
 
+	(void)gate_peer_heard(g, peer);
 	for (i = 0; i < n; i++) {
 		switch (v[i].type) {
 		case PF_GATE_EVIDENCE_CRASH:
-			crash_reported(g, reporter, &v[i]);
+			crash_reported(g, peer, &v[i]);
 			break;
 		case PF_GATE_EVIDENCE_ALIVE:
 			refute(g, v[i].incarnation,
 			       g->now - (pf_ms)v[i].age_ms);
 			break;
 		case PF_GATE_EVIDENCE_SOUND:
-			note_sound(g, v[i].part, g->now - (pf_ms)v[i].age_ms);
+			gate_use_sound(g, v[i].part,
+				       g->now - (pf_ms)v[i].age_ms);
 			clear_blame(g, v[i].part, g->now - (pf_ms)v[i].age_ms);
 			break;
 		case PF_GATE_EVIDENCE_QUARANTINE:
 			quarantine_reported(g, &v[i]);
 			break;
+		case PF_GATE_EVIDENCE_USE:
+		case PF_GATE_EVIDENCE_SERVED:
+			gate_use_reported(g, &v[i]);
+			break;
 		case PF_GATE_EVIDENCE_TYPE_COUNT:
 			break;
 		}
--- a/src/coordination/gate/gate_core.h
+++ b/src/coordination/gate/gate_core.h
@@ -7,7 +7,6 @@
 #include "pimentoford/map.h"
 
 #define GATE_NIL UINT32_MAX
-#define GATE_PEERS_MAX 64
 #define GATE_AVOIDED_MAX 4
 #define GATE_SERVICES_MAX 16
 /* Seconds of the longest retry window (14) and two that lie partly in it. */
@@ -59,6 +58,7 @@
 	uint64_t sent_incarnation; /* of the endpoint, hashed */
 	pf_ms began_at; /* first event of this send; 0: none yet */
 	bool sound; /* this send has shown that its parts are */
+	bool sampled; /* the judges are told of it */
 	bool trial; /* may be sent once although quarantined */
 	double first_event_ms; /* expected, from the send */
 	double prefill_ms; /* of its own prompt; 0 after the first event */
@@ -132,22 +132,21 @@
 	bool lacks_adapter; /* must be loaded first */
 };
 
-#define GATE_PEER_LIMITS_MAX 128
-
 /** How many requests a peer has sent to a limited endpoint. */
 struct gate_peer_limit {
 	uint64_t incarnation;
 	uint32_t sent;
 };
 
-/** The last digest of another gateway. */
+/** Another gateway. */
 struct gate_peer {
 	uint64_t id; /* 0: free */
 	pf_ms last_seen_at;
-	struct pf_gate_load loads[PF_GATE_LOADS_MAX];
+	struct pf_gate_load *loads; /* of its last digest; owned */
 	uint32_t n_loads;
-	struct gate_peer_limit limits[GATE_PEER_LIMITS_MAX]; /* a ring */
-	uint32_t n_limits; /* ever added */
+	uint32_t loads_cap;
+	struct gate_peer_limit *limits; /* by slot in `limits`; owned */
+	uint32_t n_limits;
 };
 
 /** Requests and retries of a service, counted per second. */
@@ -204,6 +203,7 @@
 /* At most 32: sets of records are bits of a word. */
 #define GATE_CRASH_RECORDS 32
 #define GATE_CRASH_PARTS_MAX 32
+#define GATE_CRASH_REPORTERS_MAX 64
 
 /** A crash of an endpoint, and the prompt parts that may have caused it. */
 struct gate_crash_record {
@@ -211,12 +211,23 @@
 	pf_ms at;
 	pf_ms refuted_at; /* the endpoint went on; 0: not */
 	bool seen_here; /* not only by peers */
-	uint64_t reporters; /* bits: slots in `peers` */
+	uint64_t reporters[GATE_CRASH_REPORTERS_MAX]; /* ids of peers */
+	uint32_t n_reporters;
 	uint32_t suspects; /* requests that may have caused it */
 	uint64_t parts[GATE_CRASH_PARTS_MAX];
 	uint32_t n_parts;
 };
 
+#define GATE_USE_REPORTS_MAX PF_GATE_EVIDENCE_MAX
+
+/** Requests of which the judges were not told yet. */
+struct gate_use_report {
+	enum pf_gate_evidence_type type; /* USE or SERVED */
+	uint64_t part; /* 0: whatever their parts */
+	uint64_t model;
+	uint32_t requests;
+};
+
 #define GATE_PART_WAYS 4
 #define GATE_PART_SETS 256
 
@@ -225,6 +236,19 @@
 	uint64_t part; /* 0: free */
 	float arrivals; /* decays */
 	pf_ms sound_at; /* begin of the last sound answer; 0: none */
+	uint64_t model; /* that it came with first */
+	bool several_models; /* it came with others, too */
+	uint32_t served_before; /* of its model, when it became a suspect */
+};
+
+#define GATE_MODEL_WAYS 4
+#define GATE_MODEL_SETS 128
+
+/** How many requests with prompt parts came for a model, and were served. */
+struct gate_model_use {
+	uint64_t model; /* 0: free */
+	float arrivals; /* decays */
+	uint32_t served; /* ever */
 };
 
 #define GATE_QUARANTINED_MAX 16
@@ -265,8 +289,6 @@
 	pf_ms until;
 };
 
-#define GATE_LIMITS_MAX PF_GATE_LIMITS_MAX
-
 /** The requests a second that an endpoint takes from all gateways. */
 struct gate_limit {
 	uint64_t incarnation; /* of the endpoint, hashed */
@@ -307,7 +329,13 @@
 	struct gate_endpoint *endpoints;
 	uint32_t n_endpoints; /* slots ever used */
 	struct pf_map endpoints_by_id; /* slots in use */
-	struct gate_peer peers[GATE_PEERS_MAX];
+	struct gate_peer *peers;
+	uint32_t n_peers; /* slots ever used */
+	struct pf_map peers_by_id; /* slots in use */
+	uint32_t n_known_peers;
+	uint32_t n_live_peers;
+	uint32_t n_lower_peers; /* live ones with a lower id */
+	pf_ms peers_check_at;
 	struct gate_budget budgets[GATE_SERVICES_MAX];
 	struct gate_prefix prefixes[GATE_PREFIX_SETS][GATE_PREFIX_WAYS];
 	struct gate_demand_entry demand[GATE_DEMAND_ENTRIES];
@@ -317,15 +345,21 @@
 	uint64_t n_leaving; /* ever added */
 	struct gate_backoff_entry backoffs[GATE_BACKOFFS_MAX];
 	uint64_t n_backoffs; /* ever added */
-	struct gate_limit limits[GATE_LIMITS_MAX];
+	struct gate_limit *limits; /* at most opts.endpoints_max */
 	uint32_t n_limits;
+	struct pf_map limits_by_incarnation; /* slots */
+	uint32_t next_limit; /* first one to report */
 	struct gate_prefill_speed prefill_speeds[GATE_PREFILL_SPEEDS];
 	struct gate_crash crashes[GATE_CRASH_SETS][GATE_CRASH_WAYS];
 	struct gate_crash_record crash_records[GATE_CRASH_RECORDS];
 	struct gate_part_use part_uses[GATE_PART_SETS][GATE_PART_WAYS];
-	double part_arrivals; /* requests with parts; decays */
-	uint32_t part_arrivals_seen; /* ever */
-	pf_ms part_uses_decayed_at;
+	struct gate_model_use model_uses[GATE_MODEL_SETS][GATE_MODEL_WAYS];
+	struct gate_model_use all_uses;
+	uint32_t requests_seen; /* with parts, ever */
+	pf_ms uses_decayed_at;
+	struct gate_use_report use_reports[GATE_USE_REPORTS_MAX];
+	uint32_t n_use_reports;
+	pf_ms next_sample_at;
 	struct gate_quarantined_part quarantined[GATE_QUARANTINED_MAX];
 	bool quarantine_changed; /* in this step */
 	struct gate_evidence_entry evidence[GATE_EVIDENCE_RING];
@@ -374,17 +408,23 @@
 /** The same until its next event or answer, unless it is blocked already. */
 void gate_endpoint_block_silent(struct pf_gate *g, struct gate_endpoint *e);
 void gate_endpoint_count_result(struct gate_endpoint *e, bool failed);
+
+/* gate_peers.c */
+int gate_peers_init(struct pf_gate *g);
+void gate_peers_free(struct pf_gate *g);
 void gate_peer_digest(struct pf_gate *g, const struct pf_gate_digest *d);
+/** The peer @id, which is added if it is new; valid until the next call. */
+struct gate_peer *gate_peer_heard(struct pf_gate *g, uint64_t id);
 /** Drops the loads of gateways that stopped sending digests. */
-void gate_peers_expire(struct pf_gate *g);
-/** Slot of the peer @id in `peers`, which is added if it is new. */
-uint32_t gate_peer_slot(struct pf_gate *g, uint64_t id);
-/** Whether a digest or report of @p came recently. */
-bool gate_peer_is_live(const struct pf_gate *g, const struct gate_peer *p);
-/** Whether this gateway has the lowest id of those that are heard. */
-bool gate_is_lowest_peer(const struct pf_gate *g);
-/** Gateways that may have used the retry budget, including this one. */
-uint32_t gate_peers_count(const struct pf_gate *g);
+void gate_peers_check(struct pf_gate *g);
+/** Adds the peers' loads on @e, which was unknown when they came. */
+void gate_peers_add_loads(const struct pf_gate *g, struct gate_endpoint *e);
+/** Other gateways that were heard lately. */
+uint32_t gate_peers_live(const struct pf_gate *g);
+/** Those of them with a lower id than this one. */
+uint32_t gate_peers_lower(const struct pf_gate *g);
+/** Other gateways that may have used the retry budget. */
+uint32_t gate_peers_known(const struct pf_gate *g);
 
 /* gate_leave.c */
 /** An answer of this incarnation of the endpoint says that it leaves. */
@@ -413,6 +453,8 @@
 void gate_backoff_answered(struct gate_request *r, struct gate_endpoint *e);
 
 /* gate_limit.c */
+int gate_limits_init(struct pf_gate *g);
+void gate_limits_free(struct pf_gate *g);
 /** An answer to a request sent at @sent_at names a limit, or none (< 0). */
 void gate_limit_named(struct pf_gate *g, uint64_t endpoint, int64_t incarnation,
 		      double per_s, pf_ms sent_at);
@@ -446,13 +488,30 @@
 		      uint64_t incarnation);
 /** @e made progress: it has not crashed. */
 void gate_blame_alive(struct pf_gate *g, struct gate_endpoint *e);
-/** The parts of @r come with a request. */
-void gate_blame_arrival(struct pf_gate *g, const struct gate_request *r);
 /** An answer on @part that began at @began_at went on. */
 void gate_blame_sound(struct pf_gate *g, uint64_t part, pf_ms began_at);
 void gate_blame_evidence(struct pf_gate *g, uint64_t peer,
 			 const struct pf_gate_evidence *v, uint32_t n);
 
+/* gate_uses.c */
+void gate_use_arrival(struct pf_gate *g, struct gate_request *r);
+/** An answer to @r went on for a while, or was complete. */
+void gate_use_served(struct pf_gate *g, const struct gate_request *r);
+/** Counts USE or SERVED of another gateway. */
+void gate_use_reported(struct pf_gate *g, const struct pf_gate_evidence *e);
+/** Share of the requests that come with @part; more than 0, below 1. */
+double gate_use_share(struct pf_gate *g, uint64_t part);
+/** From now on, requests are counted for gate_use_unserved(). */
+void gate_use_suspected(struct pf_gate *g, uint64_t part);
+/**
+ * How many requests with @part would have been served since it became a suspect,
+ * by those that were served for the same model.
+ */
+double gate_use_unserved(struct pf_gate *g, uint64_t part);
+/** When the last sound answer on @part began; 0: never. */
+pf_ms gate_use_sound_at(struct pf_gate *g, uint64_t part);
+void gate_use_sound(struct pf_gate *g, uint64_t part, pf_ms began_at);
+
 /* gate_quarantine.c */
 /** Whether @r may not be sent: it, or a part of its prompt, crashes endpoints. */
 bool gate_quarantine_holds(struct pf_gate *g, const struct gate_request *r);
--- a/src/coordination/gate/gate_endpoints.c
+++ b/src/coordination/gate/gate_endpoints.c
@@ -1,4 +1,4 @@
-/* Endpoints listed by the store, their load and health, and peer digests. */
+/* Endpoints listed by the store, their load and health. */
 #include "src/coordination/gate/gate_core.h"
 
 #include <stdlib.h>
@@ -16,10 +16,6 @@
 #define EVENT_INTERVAL_MS 25
 /* Loaders report every 1.5 s, also to other regions. */
 #define LOADER_FRESH_MS 3300
-/* Without a digest for this long, a peer has ended or is cut off. */
-#define PEER_SILENT_MS 1500
-/* Until then its retries may still be in the budget window. */
-#define PEER_FORGET_MS 20000
 
 static uint64_t find_region(const struct pf_gate *g, uint64_t zone)
 {
@@ -122,47 +118,6 @@
 		set_kv_capacity(g, &g->endpoints[i]);
 }
 
-/* Adds (@sign 1) or subtracts (@sign -1) a peer's load on @e. */
-static void apply_load(struct gate_endpoint *e, const struct pf_gate_load *l,
-		       int sign)
-{
-	e->peer_running += (uint32_t)sign * l->running;
-	e->peer_kv_tokens += sign * (int64_t)l->kv_tokens;
-	e->peer_prefill_ms += sign * (double)l->prefill_ms;
-}
-
-/* Adds (@sign 1) or subtracts (@sign -1) the loads of the last digest. */
-static void apply_peer_loads(struct pf_gate *g, const struct gate_peer *p,
-			     int sign)
-{
-	uint32_t i;
-
-	for (i = 0; i < p->n_loads; i++) {
-		const struct pf_gate_load *l = &p->loads[i];
-		struct gate_endpoint *e = gate_endpoint_find(g, l->endpoint);
-
-		if (e)
-			apply_load(e, l, sign);
-	}
-}
-
-/* Adds the peers' loads on @e, which was unknown when they came. */
-static void add_known_peer_loads(const struct pf_gate *g,
-				 struct gate_endpoint *e)
-{
-	uint32_t i;
-	uint32_t k;
-
-	for (i = 0; i < GATE_PEERS_MAX; i++) {
-		const struct gate_peer *p = &g->peers[i];
-
-		for (k = 0; k < p->n_loads; k++) {
-			if (p->loads[k].endpoint == e->id)
-				apply_load(e, &p->loads[k], 1);
-		}
-	}
-}
-
 void gate_endpoint_update(struct pf_gate *g, const struct pf_endpoint_info *l)
 {
 	uint64_t incarnation = pf_id2(l->id, (uint64_t)l->incarnation);
@@ -180,7 +135,7 @@
 		e->id = l->id;
 		e->latency_factor = 1;
 		e->event_interval_ms = EVENT_INTERVAL_MS;
-		add_known_peer_loads(g, e);
+		gate_peers_add_loads(g, e);
 	}
 	e = &g->endpoints[slot];
 	if (e->incarnation != incarnation) {
@@ -321,95 +276,3 @@
 	if (!failed)
 		e->consecutive_blocks = 0;
 }
-
-static struct gate_peer *find_or_add_peer(struct pf_gate *g, uint64_t id)
-{
-	struct gate_peer *oldest = &g->peers[0];
-	uint32_t i;
-
-	for (i = 0; i < GATE_PEERS_MAX; i++) {
-		struct gate_peer *p = &g->peers[i];
-
-		if (p->id == id)
-			return p;
-		if (oldest->id &&
-		    (!p->id || p->last_seen_at < oldest->last_seen_at))
-			oldest = p;
-	}
-	apply_peer_loads(g, oldest, -1);
-	memset(oldest, 0, sizeof(*oldest));
-	oldest->id = id;
-	return oldest;
-}
-
-uint32_t gate_peer_slot(struct pf_gate *g, uint64_t id)
-{
-	struct gate_peer *p = find_or_add_peer(g, id);
-
-	p->last_seen_at = g->now;
-	return (uint32_t)(p - g->peers);
-}
-
-bool gate_peer_is_live(const struct pf_gate *g, const struct gate_peer *p)
-{
-	return p->id && g->now - p->last_seen_at <= PEER_SILENT_MS;
-}
-
-bool gate_is_lowest_peer(const struct pf_gate *g)
-{
-	uint32_t i;
-
-	for (i = 0; i < GATE_PEERS_MAX; i++) {
-		const struct gate_peer *p = &g->peers[i];
-
-		if (gate_peer_is_live(g, p) && p->id < g->opts.self)
-			return false;
-	}
-	return true;
-}
-
-void gate_peer_digest(struct pf_gate *g, const struct pf_gate_digest *d)
-{
-	struct gate_peer *p = find_or_add_peer(g, d->peer);
-	uint32_t i;
-
-	p->last_seen_at = g->now;
-	apply_peer_loads(g, p, -1);
-	p->n_loads =
-		d->n_loads < PF_GATE_LOADS_MAX ? d->n_loads : PF_GATE_LOADS_MAX;
-	if (p->n_loads)
-		memcpy(p->loads, d->loads, p->n_loads * sizeof(*p->loads));
-	apply_peer_loads(g, p, 1);
-	for (i = 0; i < d->n_prefixes; i++)
-		gate_prefix_add_reported(g, &d->prefixes[i]);
-	for (i = 0; i < d->n_crashed; i++)
-		gate_crash_add(g, d->crashed[i], false);
-}
-
-void gate_peers_expire(struct pf_gate *g)
-{
-	uint32_t i;
-
-	for (i = 0; i < GATE_PEERS_MAX; i++) {
-		struct gate_peer *p = &g->peers[i];
-
-		if (!p->id)
-			continue;
-		if (p->n_loads && g->now - p->last_seen_at > PEER_SILENT_MS) {
-			apply_peer_loads(g, p, -1);
-			p->n_loads = 0;
-		}
-		if (g->now - p->last_seen_at > PEER_FORGET_MS)
-			p->id = 0;
-	}
-}
-
-uint32_t gate_peers_count(const struct pf_gate *g)
-{
-	uint32_t n = 1;
-	uint32_t i;
-
-	for (i = 0; i < GATE_PEERS_MAX; i++)
-		n += g->peers[i].id != 0;
-	return n;
-}
--- a/src/coordination/gate/gate_life.c
+++ b/src/coordination/gate/gate_life.c
@@ -419,7 +419,7 @@
 	}
 	gate_budget_add_request(g, r->service);
 	gate_demand_begin(g, r);
-	gate_blame_arrival(g, r);
+	gate_use_arrival(g, r);
 	gate_quarantine_arrival(g, r);
 	gate_wait_add(g, r);
 	if (gate_try_send(g, r))
@@ -478,6 +478,7 @@
 	if (r->sound || (!complete && g->now - r->began_at < GATE_BEGINNING_MS))
 		return;
 	r->sound = true;
+	gate_use_served(g, r);
 	for (i = 0; i < r->n_parts; i++)
 		gate_blame_sound(g, r->parts[i], r->began_at);
 }
--- a/src/coordination/gate/gate_limit.c
+++ b/src/coordination/gate/gate_limit.c
@@ -8,6 +8,8 @@
 #include "src/coordination/gate/gate_core.h"
 
 #include <math.h>
+#include <stdlib.h>
+#include <string.h>
 
 /* An endpoint that names less still gets a request now and then, as only its
  * answers tell when the limit ends. */
@@ -34,36 +36,60 @@
 /* How often an unchanged limit is reported. */
 #define REPORT_MS 2000
 
+int gate_limits_init(struct pf_gate *g)
+{
+	g->limits = calloc(g->opts.endpoints_max, sizeof(*g->limits));
+	if (!g->limits)
+		return -1;
+	return pf_map_init(&g->limits_by_incarnation, g->opts.endpoints_max);
+}
+
+void gate_limits_free(struct pf_gate *g)
+{
+	free(g->limits);
+	pf_map_free(&g->limits_by_incarnation);
+}
+
 static struct gate_limit *find_limit(const struct pf_gate *g,
 				     uint64_t incarnation)
 {
+	uint32_t slot;
+
+	if (g->n_limits == 0 || pf_map_get(&g->limits_by_incarnation,
+					   pf_key1(incarnation), &slot) < 0)
+		return NULL;
+	return &g->limits[slot];
+}
+
+/* The slot of a new limit; the one that was named longest ago is forgotten if
+ * all are used. */
+static struct gate_limit *take_slot(struct pf_gate *g)
+{
+	struct gate_limit *oldest = &g->limits[0];
 	uint32_t i;
 
-	for (i = 0; i < g->n_limits; i++) {
-		if (g->limits[i].incarnation == incarnation)
-			return (struct gate_limit *)&g->limits[i];
+	if (g->n_limits < g->opts.endpoints_max)
+		return &g->limits[g->n_limits++];
+	for (i = 1; i < g->n_limits; i++) {
+		if (g->limits[i].named_at < oldest->named_at)
+			oldest = &g->limits[i];
 	}
-	return NULL;
+	(void)pf_map_del(&g->limits_by_incarnation,
+			 pf_key1(oldest->incarnation));
+	return oldest;
 }
 
 static struct gate_limit *find_or_add_limit(struct pf_gate *g,
 					    uint64_t incarnation)
 {
 	struct gate_limit *l = find_limit(g, incarnation);
-	uint32_t i;
 
 	if (l)
 		return l;
-	if (g->n_limits < GATE_LIMITS_MAX) {
-		l = &g->limits[g->n_limits++];
-	} else {
-		l = &g->limits[0];
-		for (i = 1; i < g->n_limits; i++) {
-			if (g->limits[i].named_at < l->named_at)
-				l = &g->limits[i];
-		}
-	}
+	l = take_slot(g);
 	*l = (struct gate_limit){ .incarnation = incarnation, .per_s = -1 };
+	(void)pf_map_put(&g->limits_by_incarnation, pf_key1(incarnation),
+			 (uint32_t)(l - g->limits));
 	return l;
 }
 
@@ -131,13 +157,10 @@
 	double users = floor(tolerated(l) / burst_of(l));
 	uint64_t slot = (uint64_t)(g->now / SLOT_MS);
 	uint64_t draw = pf_id2(pf_id2(g->opts.self, l->incarnation), slot);
-	uint32_t gates = 1;
-	uint32_t i;
+	uint32_t gates = 1 + gate_peers_live(g);
 
 	if (g->now - g->started_at < START_MS)
 		return false;
-	for (i = 0; i < GATE_PEERS_MAX; i++)
-		gates += gate_peer_is_live(g, &g->peers[i]);
 	return gates <= users || (double)(draw % DRAWS) * gates <
 					 DRAWS * fmax(users * DRAWN_USERS, 1);
 }
@@ -218,17 +241,24 @@
 	l->reports_due = 2;
 }
 
+/* Whether @l must be reported now. */
+static bool is_report_due(const struct gate_limit *l, pf_ms now)
+{
+	return now - l->named_at < LIMIT_KEEP_MS &&
+	       (l->reports_due ||
+		(l->heard && now - l->reported_at >= REPORT_MS));
+}
+
 uint32_t pf_gate_limits(struct pf_gate *g, pf_ms now, struct pf_gate_limit *out)
 {
 	uint32_t n = 0;
 	uint32_t i;
 
 	for (i = 0; i < g->n_limits && n < PF_GATE_LIMITS_MAX; i++) {
-		struct gate_limit *l = &g->limits[i];
+		struct gate_limit *l =
+			&g->limits[(g->next_limit + i) % g->n_limits];
 
-		if (now - l->named_at >= LIMIT_KEEP_MS ||
-		    (!l->reports_due &&
-		     (!l->heard || now - l->reported_at < REPORT_MS)))
+		if (!is_report_due(l, now))
 			continue;
 		if (l->reports_due)
 			l->reports_due--;
@@ -241,34 +271,50 @@
 			.sent = l->own_sent,
 		};
 	}
+	/* The rest comes first in the next report. */
+	g->next_limit += i;
 	return n;
 }
 
+/* What the peer reported last of the limit in @slot, or NULL without memory. */
+static struct gate_peer_limit *peer_limit(struct gate_peer *p, uint32_t slot)
+{
+	struct gate_peer_limit *v;
+
+	if (slot < p->n_limits)
+		return &p->limits[slot];
+	v = realloc(p->limits, (slot + 1) * sizeof(*v));
+	if (!v)
+		return NULL;
+	memset(v + p->n_limits, 0, (slot + 1 - p->n_limits) * sizeof(*v));
+	p->limits = v;
+	p->n_limits = slot + 1;
+	return &v[slot];
+}
+
 /* Sends of the peer to the endpoint since its last report. */
-static uint32_t new_sends(struct gate_peer *p, const struct pf_gate_limit *v)
+static uint32_t new_sends(struct gate_peer *p, uint32_t slot,
+			  const struct pf_gate_limit *v)
 {
-	uint32_t at = p->n_limits;
+	struct gate_peer_limit *last = peer_limit(p, slot);
 	uint32_t before;
-	uint32_t i;
 
-	for (i = 0; i < GATE_PEER_LIMITS_MAX && i < p->n_limits; i++) {
-		if (p->limits[i].incarnation != v->incarnation)
-			continue;
-		before = p->limits[i].sent;
-		p->limits[i].sent = v->sent;
-		return v->sent > before ? v->sent - before : 0;
+	if (!last)
+		return 0;
+	if (last->incarnation != v->incarnation) {
+		*last = (struct gate_peer_limit){ v->incarnation, v->sent };
+		/* The others may be long ago. */
+		return v->sent > 0;
 	}
-	p->n_limits++;
-	p->limits[at % GATE_PEER_LIMITS_MAX] =
-		(struct gate_peer_limit){ v->incarnation, v->sent };
-	/* The others may be long ago. */
-	return v->sent > 0;
+	before = last->sent;
+	last->sent = v->sent;
+	return v->sent > before ? v->sent - before : 0;
 }
 
 void gate_limits_reported(struct pf_gate *g, uint64_t peer,
 			  const struct pf_gate_limit *v, uint32_t n)
 {
-	struct gate_peer *p = &g->peers[gate_peer_slot(g, peer)];
+	struct gate_peer *p = gate_peer_heard(g, peer);
 	uint32_t sends;
 	uint32_t i;
 
@@ -282,7 +328,7 @@
 			l = find_or_add_limit(g, v[i].incarnation);
 		if (at > l->named_at)
 			set_limit(g, l, v[i].per_s, at);
-		sends = new_sends(p, &v[i]);
+		sends = new_sends(p, (uint32_t)(l - g->limits), &v[i]);
 		if (l->per_s >= 0)
 			take(g, l, sends);
 	}
--- a/src/coordination/gate/gate_quarantine.c
+++ b/src/coordination/gate/gate_quarantine.c
@@ -138,7 +138,7 @@
 		held++;
 		due += g->now >= q->trial_at;
 	}
-	if (held != 1 || due != 1 || !gate_is_lowest_peer(g))
+	if (held != 1 || due != 1 || gate_peers_lower(g) > 0)
 		return;
 	r->trial = true;
 	for (i = 0; i < r->n_parts; i++) {
--- /dev/null
+++ b/src/coordination/gate/gate_uses.c
@@ -0,0 +1,254 @@
+/*
+ * How often each prompt part and model is requested and served. Each gateway
+ * counts its own requests, and the judges of gate_blame.c also a sample of those
+ * of all others.
+ */
+#include "src/coordination/gate/gate_core.h"
+
+#include <math.h>
+
+/* Requests that all gateways together report to the judges. */
+#define REPORTED_PER_S 100
+/* Bounds and smoothing of the share of requests with a part. */
+#define SHARE_MIN 0.005
+#define SHARE_MAX 0.99
+#define SHARE_PRIOR 10.0
+#define HALVED_MS 15000
+/* In place of a model: all requests, whatever their model. */
+#define ALL_MODELS 0
+
+static struct gate_part_use *find_use(struct pf_gate *g, uint64_t part)
+{
+	struct gate_part_use *set = g->part_uses[part % GATE_PART_SETS];
+	uint32_t i;
+
+	for (i = 0; i < GATE_PART_WAYS; i++) {
+		if (set[i].part == part)
+			return &set[i];
+	}
+	return NULL;
+}
+
+static struct gate_part_use *find_or_add_use(struct pf_gate *g, uint64_t part)
+{
+	struct gate_part_use *set = g->part_uses[part % GATE_PART_SETS];
+	struct gate_part_use *u = find_use(g, part);
+	uint32_t i;
+
+	if (u)
+		return u;
+	u = &set[0];
+	for (i = 1; i < GATE_PART_WAYS; i++) {
+		if (set[i].arrivals < u->arrivals)
+			u = &set[i];
+	}
+	*u = (struct gate_part_use){ .part = part };
+	return u;
+}
+
+/* The counts of @model; those of a rare one are given up for it if need be. */
+static struct gate_model_use *model_use(struct pf_gate *g, uint64_t model)
+{
+	struct gate_model_use *set = g->model_uses[model % GATE_MODEL_SETS];
+	struct gate_model_use *least = &set[0];
+	uint32_t i;
+
+	if (model == ALL_MODELS)
+		return &g->all_uses;
+	for (i = 0; i < GATE_MODEL_WAYS; i++) {
+		if (set[i].model == model)
+			return &set[i];
+		if (set[i].arrivals < least->arrivals)
+			least = &set[i];
+	}
+	*least = (struct gate_model_use){ .model = model };
+	return least;
+}
+
+static void decay(struct pf_gate *g)
+{
+	uint32_t i;
+	uint32_t k;
+
+	if (g->now - g->uses_decayed_at < HALVED_MS)
+		return;
+	g->uses_decayed_at = g->now;
+	g->all_uses.arrivals /= 2;
+	for (i = 0; i < GATE_PART_SETS; i++)
+		for (k = 0; k < GATE_PART_WAYS; k++)
+			g->part_uses[i][k].arrivals /= 2;
+	for (i = 0; i < GATE_MODEL_SETS; i++)
+		for (k = 0; k < GATE_MODEL_WAYS; k++)
+			g->model_uses[i][k].arrivals /= 2;
+}
+
+static void count_model(struct pf_gate *g, uint64_t model, uint32_t requests)
+{
+	decay(g);
+	g->requests_seen += requests;
+	g->all_uses.arrivals += (float)requests;
+	model_use(g, model)->arrivals += (float)requests;
+}
+
+static void count_served(struct pf_gate *g, uint64_t model, uint32_t requests)
+{
+	g->all_uses.served += requests;
+	model_use(g, model)->served += requests;
+}
+
+/* The model whose requests are compared with those of the part. */
+static uint64_t compared_model(const struct gate_part_use *u)
+{
+	return u->several_models ? ALL_MODELS : u->model;
+}
+
+static void count_part(struct pf_gate *g, uint64_t part, uint64_t model,
+		       uint32_t requests)
+{
+	struct gate_part_use *u = find_or_add_use(g, part);
+
+	u->arrivals += (float)requests;
+	if (!u->model)
+		u->model = model;
+	if (u->model == model || u->several_models)
+		return;
+	u->several_models = true;
+	u->served_before = g->all_uses.served;
+}
+
+static struct gate_use_report *find_or_add_report(struct pf_gate *g,
+						  enum pf_gate_evidence_type t,
+						  uint64_t part, uint64_t model)
+{
+	uint32_t i;
+
+	for (i = 0; i < g->n_use_reports; i++) {
+		struct gate_use_report *r = &g->use_reports[i];
+
+		if (r->type == t && r->part == part && r->model == model)
+			return r;
+	}
+	if (g->n_use_reports == GATE_USE_REPORTS_MAX)
+		return NULL;
+	g->use_reports[g->n_use_reports] =
+		(struct gate_use_report){ t, part, model, 0 };
+	return &g->use_reports[g->n_use_reports++];
+}
+
+static void add_report(struct pf_gate *g, enum pf_gate_evidence_type t,
+		       uint64_t part, uint64_t model)
+{
+	struct gate_use_report *r = find_or_add_report(g, t, part, model);
+
+	if (r)
+		r->requests++;
+}
+
+/* Picks requests to report: together, all gateways report the same number a
+ * second, however many they are. */
+static bool is_sampled(struct pf_gate *g, const struct gate_request *r)
+{
+	if (g->now < g->next_sample_at ||
+	    g->n_use_reports + r->n_parts + 1 > GATE_USE_REPORTS_MAX)
+		return false;
+	g->next_sample_at = g->now + (pf_ms)(1 + gate_peers_live(g)) * 1000 /
+					     REPORTED_PER_S;
+	return true;
+}
+
+void gate_use_arrival(struct pf_gate *g, struct gate_request *r)
+{
+	uint32_t i;
+
+	if (r->n_parts == 0)
+		return;
+	count_model(g, r->model, 1);
+	for (i = 0; i < r->n_parts; i++)
+		count_part(g, r->parts[i], r->model, 1);
+	r->sampled = is_sampled(g, r);
+	if (!r->sampled)
+		return;
+	add_report(g, PF_GATE_EVIDENCE_USE, 0, r->model);
+	for (i = 0; i < r->n_parts; i++)
+		add_report(g, PF_GATE_EVIDENCE_USE, r->parts[i], r->model);
+}
+
+void gate_use_served(struct pf_gate *g, const struct gate_request *r)
+{
+	if (r->n_parts == 0)
+		return;
+	count_served(g, r->model, 1);
+	if (r->sampled)
+		add_report(g, PF_GATE_EVIDENCE_SERVED, 0, r->model);
+}
+
+void gate_use_reported(struct pf_gate *g, const struct pf_gate_evidence *e)
+{
+	if (e->type == PF_GATE_EVIDENCE_SERVED)
+		count_served(g, e->model, e->requests);
+	else if (e->part)
+		count_part(g, e->part, e->model, e->requests);
+	else
+		count_model(g, e->model, e->requests);
+}
+
+uint32_t pf_gate_part_uses(struct pf_gate *g, struct pf_gate_evidence *out)
+{
+	uint32_t n = g->n_use_reports;
+	uint32_t i;
+
+	for (i = 0; i < n; i++)
+		out[i] = (struct pf_gate_evidence){
+			.type = g->use_reports[i].type,
+			.part = g->use_reports[i].part,
+			.model = g->use_reports[i].model,
+			.requests = g->use_reports[i].requests,
+		};
+	g->n_use_reports = 0;
+	return n;
+}
+
+double gate_use_share(struct pf_gate *g, uint64_t part)
+{
+	const struct gate_part_use *u = find_use(g, part);
+	double share = ((u ? (double)u->arrivals : 0) + 0.5) /
+		       ((double)g->all_uses.arrivals + SHARE_PRIOR);
+
+	return fmin(fmax(share, SHARE_MIN), SHARE_MAX);
+}
+
+void gate_use_suspected(struct pf_gate *g, uint64_t part)
+{
+	struct gate_part_use *u = find_or_add_use(g, part);
+
+	u->served_before = model_use(g, compared_model(u))->served;
+}
+
+double gate_use_unserved(struct pf_gate *g, uint64_t part)
+{
+	const struct gate_part_use *u = find_use(g, part);
+	const struct gate_model_use *m;
+
+	if (!u)
+		return 0;
+	m = model_use(g, compared_model(u));
+	if (m->served <= u->served_before)
+		return 0;
+	return (double)u->arrivals / ((double)m->arrivals + SHARE_PRIOR) *
+	       (m->served - u->served_before);
+}
+
+pf_ms gate_use_sound_at(struct pf_gate *g, uint64_t part)
+{
+	const struct gate_part_use *u = find_use(g, part);
+
+	return u ? u->sound_at : 0;
+}
+
+void gate_use_sound(struct pf_gate *g, uint64_t part, pf_ms began_at)
+{
+	struct gate_part_use *u = find_or_add_use(g, part);
+
+	if (u->sound_at < began_at)
+		u->sound_at = began_at;
+}
--- a/src/protocol/pimento.x
+++ b/src/protocol/pimento.x
@@ -211,10 +211,10 @@
 
 struct pimento_gate_evidence {
 	unsigned int type; /* enum pf_gate_evidence_type */
-	unsigned hyper incarnation;
+	unsigned hyper subject; /* incarnation, or model of USE and SERVED */
 	unsigned hyper part;
 	unsigned int age_ms;
-	unsigned int suspects;
+	unsigned int requests;
 };
 
 struct pimento_gate_evidences {
--- a/src/protocol/pimento_xdr.c
+++ b/src/protocol/pimento_xdr.c
@@ -638,13 +638,13 @@
 
 	 if (!xdr_u_int (xdrs, &objp->type))
 		 return FALSE;
-	 if (!xdr_u_quad_t (xdrs, &objp->incarnation))
+	 if (!xdr_u_quad_t (xdrs, &objp->subject))
 		 return FALSE;
 	 if (!xdr_u_quad_t (xdrs, &objp->part))
 		 return FALSE;
 	 if (!xdr_u_int (xdrs, &objp->age_ms))
 		 return FALSE;
-	 if (!xdr_u_int (xdrs, &objp->suspects))
+	 if (!xdr_u_int (xdrs, &objp->requests))
 		 return FALSE;
 	return TRUE;
 }
--- a/src/protocol/pimento_xdr.h
+++ b/src/protocol/pimento_xdr.h
@@ -287,10 +287,10 @@
 
 struct pimento_gate_evidence {
 	u_int type;
-	u_quad_t incarnation;
+	u_quad_t subject;
 	u_quad_t part;
 	u_int age_ms;
-	u_int suspects;
+	u_int requests;
 };
 typedef struct pimento_gate_evidence pimento_gate_evidence;
 
--- a/src/transport/talk.c
+++ b/src/transport/talk.c
@@ -135,6 +135,11 @@
 	t->opts.digest(t->opts.ctx, from, &d, &news);
 }
 
+static bool is_about_model(enum pf_gate_evidence_type t)
+{
+	return t == PF_GATE_EVIDENCE_USE || t == PF_GATE_EVIDENCE_SERVED;
+}
+
 void pf_talk_send_evidence(struct pf_talk *t, const struct sockaddr_in *to,
 			   uint64_t peer, const struct pf_gate_evidence *v,
 			   uint32_t n)
@@ -146,9 +151,12 @@
 	if (n > PIMENTO_GATE_EVIDENCE)
 		n = PIMENTO_GATE_EVIDENCE;
 	for (i = 0; i < n; i++)
-		out[i] = (pimento_gate_evidence){ v[i].type, v[i].incarnation,
+		out[i] = (pimento_gate_evidence){ v[i].type,
+						  is_about_model(v[i].type)
+							  ? v[i].model
+							  : v[i].incarnation,
 						  v[i].part, v[i].age_ms,
-						  v[i].suspects };
+						  v[i].requests };
 	msg.pimento_talk_u.evidence.peer = peer;
 	msg.pimento_talk_u.evidence.v.v_len = n;
 	msg.pimento_talk_u.evidence.v.v_val = out;
@@ -168,10 +176,17 @@
 
 		if (e->type >= PF_GATE_EVIDENCE_TYPE_COUNT)
 			continue;
-		v[n++] = (struct pf_gate_evidence){
-			(enum pf_gate_evidence_type)e->type, e->incarnation,
-			e->part, e->age_ms, e->suspects
+		v[n] = (struct pf_gate_evidence){
+			.type = (enum pf_gate_evidence_type)e->type,
+			.part = e->part,
+			.age_ms = e->age_ms,
+			.requests = e->requests,
 		};
+		if (is_about_model(v[n].type))
+			v[n].model = e->subject;
+		else
+			v[n].incarnation = e->subject;
+		n++;
 	}
 	t->opts.evidence(t->opts.ctx, in->peer, v, n);
 }
--- a/tests/gate_sim.h
+++ b/tests/gate_sim.h
@@ -114,6 +114,10 @@
 	void List(unsigned gate, unsigned i);
 	void SendDigests(unsigned gate);
 	void SendEvidence(unsigned gate);
+	void SendPartUses(unsigned gate);
+	void SendEvidenceTo(unsigned gate, unsigned to,
+			    const struct pf_gate_evidence *v, uint32_t n);
+	bool IsJudgeFor(unsigned gate, unsigned to) const;
 	void ScheduleArrivals(bool poison);
 	void Arrive(bool poison);
 	void OnSend(Request *r, const struct pf_gate_act &a);
