--- a/tests/test_gate.cc
+++ b/tests/test_gate.cc
@@ -136,6 +136,26 @@
 	EXPECT_EQ(Count(PF_GATE_SEND), 26u);
 }
 
+// Each of 103 gateways took a 65th of the slack.
+TEST_F(Gate, AHundredGatewaysShareTheSlack)
+{
+	struct pf_gate_msg m = {};
+
+	o.repeat_slack = 206;
+	pf_gate_set_budget(g, 0, 206);
+	m.type = PF_GATE_PEER_DIGEST;
+	PassFirstWindow();
+	for (m.u.digest.peer = 100; m.u.digest.peer < 202; m.u.digest.peer++)
+		Step(m);
+	for (int i = 0; i < 20; i++) {
+		Arrive(i, "/s/", 800);
+		Ended(i, PF_GATE_LOST);
+		if (Last(i, PF_GATE_FAIL) == nullptr)
+			Ended(i, PF_GATE_ANSWERED, 200);
+	}
+	EXPECT_EQ(Count(PF_GATE_SEND), 22u);
+}
+
 TEST_F(Gate, DrainingOrRemovedEndpointGetsNoRequests)
 {
 	Endpoint("a1", "app", "za", nullptr, nullptr, true);
--- a/tests/test_gate_limit.cc
+++ b/tests/test_gate_limit.cc
@@ -3,6 +3,9 @@
 
 #include <gtest/gtest.h>
 
+#include <set>
+#include <string>
+
 namespace
 {
 
@@ -167,6 +170,25 @@
 	}
 }
 
+// Limits beyond 128 were forgotten; and those beyond 128 due were not reported
+// while the others were due again and again.
+TEST_F(GateLimit, AllLimitsOfAFleetAreReported)
+{
+	struct pf_gate_limit v[PF_GATE_LIMITS_MAX];
+	std::set<uint64_t> reported;
+
+	for (unsigned tick = 0; tick < 3; tick++) {
+		for (unsigned i = 0; i < 300; i++)
+			Limit(Id(("e" + std::to_string(i)).c_str()), tick + 1,
+			      now);
+		uint32_t n = pf_gate_limits(g, now, v);
+		for (uint32_t i = 0; i < n; i++)
+			reported.insert(v[i].incarnation);
+		now += 120;
+	}
+	EXPECT_EQ(reported.size(), 300u);
+}
+
 TEST_F(GateLimit, IfAllAreUsedUpRequestsAreRefusedAtOnce)
 {
 	Limit(Id("a1"), 0.5, now);
