Planner: demand and leadership of any number of gateways

Operators saw, with 103 gateways: models in demand got no further homes, and more than one gateway planned at a time.

Cause: a table of 64 peers. Each further heartbeat or demand took the slot of the one silent longest, so a part of the demand was missing at each tick, and the gateway with the lowest id was often forgotten. Engines beyond 256, restarted ones included, were ignored.

Change: peers_max (4096) slots with a map by id; demand is allocated as it comes. endpoints_max is 1024, and loops end at the last slot used.

Plan.DemandOfAHundredGatewaysAddsUp and Plan.OneOfAHundredGatewaysLeads failed before.

--- a/include/pimentoford/plan.h
+++ b/include/pimentoford/plan.h
@@ -20,7 +20,8 @@
 
 struct pf_plan_opts {
 	uint64_t self; /* gateway id in digests; the lowest live id leads */
-	uint32_t endpoints_max;
+	uint32_t endpoints_max; /* beyond: ignored */
+	uint32_t peers_max; /* beyond: those silent longest are forgotten */
 	pf_ms load_window; /* over which loads from the weight store count */
 	double load_rate_factor; /* share of the store's rate to use */
 };
--- a/src/coordination/plan/plan.c
+++ b/src/coordination/plan/plan.c
@@ -6,6 +6,8 @@
 
 /* A gateway without a heartbeat for this long doesn't lead. */
 #define PEER_SILENT_MS 1000
+/* Its slot may be used again. */
+#define PEER_FORGET_MS 20000
 /* A process that was paused for longer has stale knowledge. */
 #define TICK_GAP_MAX_MS 700
 /* After a start or a pause, time to receive heartbeats before leading. */
@@ -42,7 +44,8 @@
 void pf_plan_opts_default(struct pf_plan_opts *o)
 {
 	*o = (struct pf_plan_opts){
-		.endpoints_max = 256,
+		.endpoints_max = 1024,
+		.peers_max = 4096,
 		.load_window = 5000,
 		.load_rate_factor = 1,
 	};
@@ -52,15 +55,18 @@
 {
 	struct pf_plan *p;
 
-	if (!o->self || !o->endpoints_max || o->load_window <= 0)
+	if (!o->self || !o->endpoints_max || !o->peers_max ||
+	    o->load_window <= 0)
 		return NULL;
 	p = calloc(1, sizeof(*p));
 	if (!p)
 		return NULL;
 	p->opts = *o;
 	p->engines = calloc(o->endpoints_max, sizeof(*p->engines));
-	if (!p->engines) {
-		free(p);
+	p->peers = calloc(o->peers_max, sizeof(*p->peers));
+	if (!p->engines || !p->peers ||
+	    pf_map_init(&p->peers_by_id, o->peers_max) < 0) {
+		pf_plan_free(p);
 		return NULL;
 	}
 	return p;
@@ -68,8 +74,14 @@
 
 void pf_plan_free(struct pf_plan *p)
 {
+	uint32_t i;
+
 	if (!p)
 		return;
+	for (i = 0; i < p->n_peers; i++)
+		free(p->peers[i].demand);
+	pf_map_free(&p->peers_by_id);
+	free(p->peers);
 	free(p->engines);
 	free(p);
 }
@@ -80,7 +92,7 @@
 	struct plan_engine *spare = NULL;
 	uint32_t i;
 
-	for (i = 0; i < p->opts.endpoints_max; i++) {
+	for (i = 0; i < p->n_engines; i++) {
 		struct plan_engine *e = &p->engines[i];
 
 		if (e->id == id)
@@ -88,7 +100,11 @@
 		if (!e->id && !spare)
 			spare = e;
 	}
-	if (!create || !spare)
+	if (!create)
+		return NULL;
+	if (!spare && p->n_engines < p->opts.endpoints_max)
+		spare = &p->engines[p->n_engines++];
+	if (!spare)
 		return NULL;
 	memset(spare, 0, sizeof(*spare));
 	spare->id = id;
@@ -238,7 +254,7 @@
 	double in_flight_max = STORE_LOADS_MIN;
 	uint32_t i;
 
-	for (i = 0; i < p->opts.endpoints_max; i++) {
+	for (i = 0; i < p->n_engines; i++) {
 		const struct plan_engine *e = &p->engines[i];
 
 		in_flight += e->id && e->order_is_load && e->order_from_store &&
@@ -337,30 +353,58 @@
 	e->limit_per_s = per_s;
 }
 
-static struct plan_peer *peer_slot(struct pf_plan *p, uint64_t id)
+/* A free slot: new, or of the peer that was silent longest. */
+static struct plan_peer *take_peer_slot(struct pf_plan *p)
 {
 	struct plan_peer *oldest = &p->peers[0];
 	uint32_t i;
 
-	for (i = 0; i < PLAN_PEERS_MAX; i++) {
-		struct plan_peer *q = &p->peers[i];
-
-		if (q->id == id)
-			return q;
-		if (oldest->id &&
-		    (!q->id || q->last_seen_at < oldest->last_seen_at))
-			oldest = q;
+	for (i = 1; i < p->n_peers; i++) {
+		if (p->peers[i].last_seen_at < oldest->last_seen_at)
+			oldest = &p->peers[i];
 	}
-	oldest->id = id;
-	oldest->n_demand = 0;
-	/* A gateway that has just started has no earlier demand. */
-	oldest->demand_received_at = p->now;
+	if (p->n_peers < p->opts.peers_max &&
+	    (!p->n_peers || p->now - oldest->last_seen_at < PEER_FORGET_MS))
+		return &p->peers[p->n_peers++];
+	(void)pf_map_del(&p->peers_by_id, pf_key1(oldest->id));
 	return oldest;
 }
 
+static struct plan_peer *find_or_add_peer(struct pf_plan *p, uint64_t id)
+{
+	struct plan_peer *q;
+	uint32_t slot;
+
+	if (pf_map_get(&p->peers_by_id, pf_key1(id), &slot) == 0)
+		return &p->peers[slot];
+	q = take_peer_slot(p);
+	(void)pf_map_put(&p->peers_by_id, pf_key1(id),
+			 (uint32_t)(q - p->peers));
+	q->id = id;
+	q->n_demand = 0;
+	/* A gateway that has just started has no earlier demand. */
+	q->demand_received_at = p->now;
+	return q;
+}
+
+/* Without memory, the planner knows less of the demand. */
+static void add_peer_demand(struct plan_peer *q, const struct pf_gate_demand *d)
+{
+	struct pf_gate_demand *v = q->demand;
+
+	if (q->n_demand == q->demand_cap) {
+		v = realloc(v, (q->demand_cap * 2 + 16) * sizeof(*v));
+		if (!v)
+			return;
+		q->demand = v;
+		q->demand_cap = q->demand_cap * 2 + 16;
+	}
+	v[q->n_demand++] = *d;
+}
+
 static void on_demand(struct pf_plan *p, const struct pf_plan_msg *m)
 {
-	struct plan_peer *q = peer_slot(p, m->u.demand.peer);
+	struct plan_peer *q = find_or_add_peer(p, m->u.demand.peer);
 	size_t i;
 
 	if (p->now - q->demand_received_at > DEMAND_PART_GAP_MS)
@@ -372,7 +416,7 @@
 		const struct pf_gate_demand *d = &m->u.demand.items[i];
 
 		if (d->item == d->model)
-			q->demand[q->n_demand++] = *d;
+			add_peer_demand(q, d);
 	}
 }
 
@@ -386,7 +430,7 @@
 		p->models[i].arrivals_per_s = 0;
 		p->models[i].waiting = 0;
 	}
-	for (i = 0; i < PLAN_PEERS_MAX; i++) {
+	for (i = 0; i < p->n_peers; i++) {
 		const struct plan_peer *q = &p->peers[i];
 
 		if (!q->id || p->now - q->demand_received_at > DEMAND_TTL_MS)
@@ -415,7 +459,7 @@
 {
 	uint32_t i;
 
-	for (i = 0; i < PLAN_PEERS_MAX; i++) {
+	for (i = 0; i < p->n_peers; i++) {
 		const struct plan_peer *q = &p->peers[i];
 
 		if (q->id && p->now - q->last_seen_at < PEER_SILENT_MS &&
@@ -430,7 +474,7 @@
 	uint32_t i;
 
 	p->is_leader = p->now >= p->no_lead_until;
-	for (i = 0; i < PLAN_PEERS_MAX; i++) {
+	for (i = 0; i < p->n_peers; i++) {
 		const struct plan_peer *q = &p->peers[i];
 
 		if (q->id && q->id < p->opts.self &&
@@ -473,7 +517,7 @@
 {
 	uint32_t i;
 
-	for (i = 0; i < p->opts.endpoints_max; i++) {
+	for (i = 0; i < p->n_engines; i++) {
 		struct plan_engine *e = &p->engines[i];
 		const struct plan_model *m;
 
@@ -543,7 +587,7 @@
 		p->members_read = true;
 		break;
 	case PF_PLAN_PEER_HEARTBEAT:
-		peer_slot(p, m->u.id)->last_seen_at = now;
+		find_or_add_peer(p, m->u.id)->last_seen_at = now;
 		break;
 	case PF_PLAN_DEMAND:
 		on_demand(p, m);
--- a/src/coordination/plan/plan_choose.c
+++ b/src/coordination/plan/plan_choose.c
@@ -104,7 +104,7 @@
 
 		m->homes = 0;
 		m->homes_sure = 0;
-		for (k = 0; k < p->opts.endpoints_max; k++) {
+		for (k = 0; k < p->n_engines; k++) {
 			const struct plan_engine *e = &p->engines[k];
 
 			if (!e->id || !e->listed || e->draining ||
@@ -133,7 +133,7 @@
 	uint32_t i;
 	uint32_t k;
 
-	for (i = 0; i < p->opts.endpoints_max; i++) {
+	for (i = 0; i < p->n_engines; i++) {
 		struct plan_engine *e = &p->engines[i];
 
 		e->est_requests = 0;
@@ -152,7 +152,7 @@
 	double least = INFINITY;
 	uint32_t i;
 
-	for (i = 0; i < p->opts.endpoints_max; i++) {
+	for (i = 0; i < p->n_engines; i++) {
 		const struct plan_engine *e = &p->engines[i];
 
 		if (e->id && e->listed && !e->draining &&
@@ -181,7 +181,7 @@
 	double taken = 0;
 	uint32_t i;
 
-	for (i = 0; i < p->opts.endpoints_max; i++) {
+	for (i = 0; i < p->n_engines; i++) {
 		const struct plan_engine *e = &p->engines[i];
 
 		if (!e->id || !e->listed || e->draining ||
@@ -356,7 +356,7 @@
 {
 	uint32_t i;
 
-	for (i = 0; i < p->opts.endpoints_max; i++) {
+	for (i = 0; i < p->n_engines; i++) {
 		const struct plan_engine *e = &p->engines[i];
 
 		if (engine_usable(p, e) && plan_has_copy(e, m->spec->id) &&
@@ -383,7 +383,7 @@
 	struct plan_model *victim;
 	uint32_t i;
 
-	for (i = 0; i < p->opts.endpoints_max; i++) {
+	for (i = 0; i < p->n_engines; i++) {
 		if (p->engines[i].id)
 			consider_engine(p, &p->engines[i], m, urgency,
 					await_copy, &best);
--- a/src/coordination/plan/plan_core.h
+++ b/src/coordination/plan/plan_core.h
@@ -2,11 +2,11 @@
 #ifndef SRC_COORDINATION_PLAN_CORE_H
 #define SRC_COORDINATION_PLAN_CORE_H
 
+#include "pimentoford/map.h"
 #include "pimentoford/plan.h"
 
 #define PLAN_RESIDENTS_MAX 16
 #define PLAN_COPIES_MAX 32
-#define PLAN_PEERS_MAX 64
 #define PLAN_MODELS_MAX 512
 #define PLAN_LOADS_MAX 128
 
@@ -58,8 +58,9 @@
 struct plan_peer {
 	uint64_t id; /* 0: free */
 	pf_ms last_seen_at;
-	struct pf_gate_demand demand[PLAN_MODELS_MAX];
+	struct pf_gate_demand *demand; /* for models only; owned */
 	uint32_t n_demand;
+	uint32_t demand_cap;
 	pf_ms demand_received_at;
 };
 
@@ -81,9 +82,12 @@
 	const struct pf_routes *routes;
 	const struct pf_route_service *service; /* the one with engines */
 	struct plan_engine *engines;
+	uint32_t n_engines; /* slots ever used */
 	struct plan_model models[PLAN_MODELS_MAX];
 	uint32_t n_models;
-	struct plan_peer peers[PLAN_PEERS_MAX];
+	struct plan_peer *peers;
+	uint32_t n_peers; /* slots ever used */
+	struct pf_map peers_by_id;
 	struct plan_load loads[PLAN_LOADS_MAX];
 	uint32_t n_loads; /* ever added to the ring `loads` */
 	bool is_leader;
--- a/tests/test_plan.cc
+++ b/tests/test_plan.cc
@@ -303,6 +303,36 @@
 		EXPECT_EQ(o.endpoint, Id("e4"));
 }
 
+// Of more than 64 gateways, each took the slot of another one.
+TEST_F(Plan, DemandOfAHundredGatewaysAddsUp)
+{
+	engines["e1"].residents = { "m0", "m1" };
+	engines["e2"].residents = { "m2", "m3" };
+	engines["e3"].residents = { "m4", "m5" };
+	engines["e4"] = {};
+	StartKnown();
+	for (int i = 0; i < 3; i++) {
+		for (uint64_t peer = 100; peer < 203; peer++)
+			SendDemand({ { "m0", 0.1f } }, peer);
+		Run(300);
+	}
+	EXPECT_GE(CountLoads("m0"), 1u);
+}
+
+// The lowest id was forgotten with each heartbeat of a 65th gateway.
+TEST_F(Plan, OneOfAHundredGatewaysLeads)
+{
+	engines["e1"].residents = { "m0", "m1" };
+	engines["e2"] = {};
+	peers.insert(49);
+	for (uint64_t peer = 100; peer < 203; peer++)
+		peers.insert(peer);
+	StartKnown();
+	Run(3000, { { "m0", 20 } });
+	EXPECT_TRUE(orders.empty());
+	EXPECT_FALSE(pf_plan_is_leader(p));
+}
+
 // Its requests were refused, as its only home takes few.
 TEST_F(Plan, AModelWhoseHomesAreLimitedGetsAnotherHome)
 {
