Loader: usage of any number of gateways

Callers saw, with more than 64 gateways: an adapter was unloaded while their requests used it, and came back after a load; some gateways got no state of the engine for seconds.

Cause: tables of 64 gateways, in the core and in the driver, in which each further one replaced another. Change: both grow to 4096 and reuse the slots of gateways that are silent.

Loader.NeverEvictsAdaptersInUseAtAHundredGateways failed before. The test of two gateways beside it could not fail, as the order waited for a report: it gets one now.

--- a/daemons/loader/main.c
+++ b/daemons/loader/main.c
@@ -26,14 +26,15 @@
 #define STATE_TICK_MS 250
 /* A gateway without a datagram for this long is sent nothing. */
 #define GATEWAY_TIMEOUT_MS 6000
-#define GATEWAYS_MAX 64
+/* Beyond, the one silent longest is forgotten. */
+#define GATEWAYS_MAX 4096
 /* Lines of one event; further ones are counted and dropped. */
 #define LOG_LINES_PER_S 100
 
 /** A gateway that has sent datagrams. */
 struct gateway_peer {
 	struct sockaddr_in addr;
-	pf_ms last_seen_at; /* 0: slot is free */
+	pf_ms last_seen_at;
 	pf_ms state_sent_at;
 	pf_ms state_interval;
 };
@@ -49,6 +50,7 @@
 	struct pf_http *engine;
 	struct pf_talk *talk;
 	struct gateway_peer gateways[GATEWAYS_MAX];
+	uint32_t n_gateways; /* slots ever used */
 	bool in_core_step;
 	bool poll_not_started; /* reported to the core after its step */
 	LIST_HEAD(, order_call) orders; /* without an answer */
@@ -168,11 +170,10 @@
 	uint32_t i;
 
 	pf_loader_state(l->core, now, &s);
-	for (i = 0; i < GATEWAYS_MAX; i++) {
+	for (i = 0; i < l->n_gateways; i++) {
 		struct gateway_peer *p = &l->gateways[i];
 
-		if (!p->last_seen_at ||
-		    now - p->last_seen_at >= GATEWAY_TIMEOUT_MS ||
+		if (now - p->last_seen_at >= GATEWAY_TIMEOUT_MS ||
 		    (!all && now - p->state_sent_at < p->state_interval))
 			continue;
 		p->state_sent_at = now;
@@ -236,13 +237,14 @@
 			 pf_ms state_interval)
 {
 	struct gateway_peer *oldest = &l->gateways[0];
+	pf_ms now = pf_clock_now();
 	uint32_t i;
 
-	for (i = 0; i < GATEWAYS_MAX; i++) {
+	for (i = 0; i < l->n_gateways; i++) {
 		struct gateway_peer *p = &l->gateways[i];
 
-		if (p->last_seen_at && pf_talk_same_addr(&p->addr, from)) {
-			p->last_seen_at = pf_clock_now();
+		if (pf_talk_same_addr(&p->addr, from)) {
+			p->last_seen_at = now;
 			if (state_interval)
 				p->state_interval = state_interval;
 			return;
@@ -250,7 +252,10 @@
 		if (p->last_seen_at < oldest->last_seen_at)
 			oldest = p;
 	}
-	*oldest = (struct gateway_peer){ *from, pf_clock_now(), 0,
+	if (l->n_gateways < GATEWAYS_MAX &&
+	    (!l->n_gateways || now - oldest->last_seen_at < GATEWAY_TIMEOUT_MS))
+		oldest = &l->gateways[l->n_gateways++];
+	*oldest = (struct gateway_peer){ *from, now, 0,
 					 state_interval
 						 ? state_interval
 						 : DEFAULT_STATE_INTERVAL_MS };
--- a/src/coordination/loader/loader.c
+++ b/src/coordination/loader/loader.c
@@ -11,7 +11,8 @@
 #define ADAPTER_REQUESTS_MAX 32
 /* Adapters whose last use is recorded; the oldest are forgotten. */
 #define LAST_USES_MAX 256
-#define GATEWAYS_MAX 64
+/* Gateways whose usage is known; beyond, the one silent longest is forgotten. */
+#define GATEWAYS_MAX 4096
 #define GATEWAY_ADAPTERS_MAX 64
 /* An unload without effect after this long was not carried out. */
 #define UNLOAD_TIMEOUT_MS 6000
@@ -36,7 +37,7 @@
 };
 
 struct gateway_usage {
-	uint64_t gateway; /* 0: free */
+	uint64_t gateway;
 	pf_ms reported_at;
 	uint64_t adapters[GATEWAY_ADAPTERS_MAX];
 	uint32_t n_adapters;
@@ -81,7 +82,9 @@
 	} doubted_load;
 	struct adapter_request adapter_requests[ADAPTER_REQUESTS_MAX];
 	struct last_use last_uses[LAST_USES_MAX];
-	struct gateway_usage gateways[GATEWAYS_MAX];
+	struct gateway_usage *gateways;
+	uint32_t n_gateways;
+	uint32_t gateways_cap;
 	uint64_t unloading; /* item, until its unload shows effect; 0: none */
 	pf_ms last_answer_at; /* when an order was answered or in doubt */
 	/* Lists that pf_loader_state() returns. */
@@ -116,6 +119,7 @@
 	if (!l)
 		return;
 	pf_engine_report_clear(&l->report);
+	free(l->gateways);
 	free(l);
 }
 
@@ -244,10 +248,10 @@
 	uint32_t i;
 	uint32_t k;
 
-	for (i = 0; i < GATEWAYS_MAX; i++) {
+	for (i = 0; i < l->n_gateways; i++) {
 		const struct gateway_usage *u = &l->gateways[i];
 
-		if (!u->gateway || l->now - u->reported_at > l->opts.usage_ttl)
+		if (l->now - u->reported_at > l->opts.usage_ttl)
 			continue;
 		for (k = 0; k < u->n_adapters; k++) {
 			if (u->adapters[k] == adapter)
@@ -438,19 +442,44 @@
 	slot->requested_at = l->now;
 }
 
+/* A new slot, or NULL. */
+static struct gateway_usage *add_gateway_slot(struct pf_loader *l)
+{
+	uint32_t cap = l->gateways_cap ? 2 * l->gateways_cap : 16;
+	struct gateway_usage *v = l->gateways;
+
+	if (l->n_gateways == GATEWAYS_MAX)
+		return NULL;
+	if (l->n_gateways == l->gateways_cap) {
+		v = realloc(v, cap * sizeof(*v));
+		if (!v)
+			return NULL;
+		l->gateways = v;
+		l->gateways_cap = cap;
+	}
+	return &v[l->n_gateways++];
+}
+
+/* NULL without memory for the first one. */
 static struct gateway_usage *gateway_slot(struct pf_loader *l, uint64_t gateway)
 {
-	struct gateway_usage *oldest = &l->gateways[0];
+	struct gateway_usage *oldest = NULL;
+	struct gateway_usage *u = NULL;
 	uint32_t i;
 
-	for (i = 0; i < GATEWAYS_MAX; i++) {
+	for (i = 0; i < l->n_gateways; i++) {
 		if (l->gateways[i].gateway == gateway)
 			return &l->gateways[i];
-		if (l->gateways[i].reported_at < oldest->reported_at)
+		if (!oldest || l->gateways[i].reported_at < oldest->reported_at)
 			oldest = &l->gateways[i];
 	}
-	oldest->gateway = gateway;
-	return oldest;
+	if (!oldest || l->now - oldest->reported_at <= l->opts.usage_ttl)
+		u = add_gateway_slot(l);
+	if (!u)
+		u = oldest;
+	if (u)
+		u->gateway = gateway;
+	return u;
 }
 
 static void on_usage(struct pf_loader *l, const struct pf_loader_usage *u)
@@ -461,6 +490,8 @@
 	set_instance(l, u->instance, u->incarnation);
 	if (u->adapter_slots)
 		l->adapter_slots = u->adapter_slots;
+	if (!g)
+		return;
 	g->reported_at = l->now;
 	g->n_adapters = 0;
 	for (i = 0; i < u->n_in_use && g->n_adapters < GATEWAY_ADAPTERS_MAX;
--- a/tests/test_loader.cc
+++ b/tests/test_loader.cc
@@ -244,6 +244,22 @@
 	SendUsage(2, { AdapterId("a2") });
 	now += 1000;
 	SendUsage(3, {}, "a3");
+	SendReport(0, { "m", "m/a1", "m/a2" });
+	EXPECT_EQ(calls.size(), 0u);
+}
+
+// The reports of more gateways replaced those of the first.
+TEST_F(Loader, NeverEvictsAdaptersInUseAtAHundredGateways)
+{
+	SendReport(0, { "m", "m/a1", "m/a2" });
+	now += 1000;
+	SendUsage(1, { AdapterId("a1") });
+	SendUsage(2, { AdapterId("a2") });
+	for (uint64_t i = 3; i < 103; i++)
+		SendUsage(i);
+	now += 1000;
+	SendUsage(103, {}, "a3");
+	SendReport(0, { "m", "m/a1", "m/a2" });
 	EXPECT_EQ(calls.size(), 0u);
 }
 
