Gateway: members beyond the first 64 rows

Callers saw, with 103 gateways: a third of the gateways were unknown to the others, which therefore knew neither their load nor their cached prefixes, and took turns in the table as digests came.

Cause: one page of 64 rows was read, into a table of 64. Change: pages of 500 rows are read until the last; the list of members grows. A read that is under way is not begun again by the timer, since its pages would mix.

--- a/daemons/gateway/members.c
+++ b/daemons/gateway/members.c
@@ -1,6 +1,6 @@
 /*
  * The other gateways. Each gateway writes its address and zone to a row of the
- * store and reads the rows of all.
+ * store and reads the rows of all, page by page.
  */
 #include "talk_core.h"
 
@@ -19,6 +19,9 @@
 /* For a member to count as a reader; an idle feed call takes 2.5 s. */
 #define FRESH_STORE_AGE_MAX_MS 3000
 #define FRESH_MEMBERS_MIN 2
+#define MEMBERS_PAGE_ROWS 500
+/* Gateways without a row are not added beyond this many in all. */
+#define UNKNOWN_MAX 4096
 /* A gateway without a digest for this long counts as down. */
 #define MEMBER_TIMEOUT_MS 2000
 /* New gateways need no short interval: a digest from an unknown one triggers a
@@ -37,43 +40,72 @@
 	event_add(t->members_timer, &tv);
 }
 
+static void list_clear(struct member_list *l)
+{
+	free(l->v);
+	*l = (struct member_list){ 0 };
+}
+
+/* Returns 0, or -1 without memory. */
+static int list_add(struct member_list *l, const struct member *m)
+{
+	uint32_t cap = l->cap ? 2 * l->cap : 16;
+	struct member *v = l->v;
+
+	if (l->n == l->cap) {
+		v = realloc(v, cap * sizeof(*v));
+		if (!v)
+			return -1;
+		l->v = v;
+		l->cap = cap;
+	}
+	v[l->n++] = *m;
+	return 0;
+}
+
+static struct member *list_find(const struct member_list *l,
+				const struct sockaddr_in *addr)
+{
+	uint32_t i;
+
+	for (i = 0; i < l->n; i++) {
+		if (pf_talk_same_addr(&l->v[i].addr, addr))
+			return &l->v[i];
+	}
+	return NULL;
+}
+
 /* Adds a gateway whose row was not read yet. */
 static void add_unknown(struct talk *t, const struct sockaddr_in *from,
 			uint64_t id)
 {
-	struct member *m = &t->members[t->n_members];
+	struct member m = { .addr = *from,
+			    .id = id,
+			    .last_seen_at = pf_clock_now(),
+			    .digest_interval = REMOTE_DIGEST_INTERVAL_MS };
 
-	if (t->n_members >= MEMBERS_MAX)
+	if (t->members.n >= UNKNOWN_MAX || list_add(&t->members, &m) < 0)
 		return;
-	*m = (struct member){ .addr = *from,
-			      .id = id,
-			      .last_seen_at = pf_clock_now(),
-			      .digest_interval = REMOTE_DIGEST_INTERVAL_MS };
-	t->n_members++;
 	schedule_members_timer(t, MEMBERS_RETRY_INTERVAL_MS);
 }
 
 void members_digest_received(struct talk *t, const struct sockaddr_in *from,
 			     uint64_t id, pf_ms store_age)
 {
-	uint32_t i;
+	struct member *m = list_find(&t->members, from);
 
-	for (i = 0; i < t->n_members; i++) {
-		struct member *m = &t->members[i];
-
-		if (!pf_talk_same_addr(&m->addr, from))
-			continue;
-		/* It has restarted and lost what it was sent. */
-		if (m->id && m->id != id)
-			m->digest_cursor = (struct pf_gate_peer_cursor){
-				.region = m->digest_cursor.region
-			};
-		m->id = id;
-		m->last_seen_at = pf_clock_now();
-		m->store_answered_at = m->last_seen_at - store_age;
+	if (!m) {
+		add_unknown(t, from, id);
 		return;
 	}
-	add_unknown(t, from, id);
+	/* It has restarted and lost what it was sent. */
+	if (m->id && m->id != id)
+		m->digest_cursor = (struct pf_gate_peer_cursor){
+			.region = m->digest_cursor.region
+		};
+	m->id = id;
+	m->last_seen_at = pf_clock_now();
+	m->store_answered_at = m->last_seen_at - store_age;
 }
 
 bool member_is_live(const struct member *m, pf_ms now)
@@ -94,8 +126,8 @@
 	uint32_t lower = 0;
 	uint32_t i;
 
-	for (i = 0; i < t->n_members; i++) {
-		const struct member *m = &t->members[i];
+	for (i = 0; i < t->members.n; i++) {
+		const struct member *m = &t->members.v[i];
 
 		lower += in_own_region(t, m) && member_is_live(m, now) &&
 			 m->id < g->self;
@@ -110,8 +142,8 @@
 	uint32_t n_fresh = 0;
 	uint32_t i;
 
-	for (i = 0; i < t->n_members; i++) {
-		const struct member *m = &t->members[i];
+	for (i = 0; i < t->members.n; i++) {
+		const struct member *m = &t->members.v[i];
 
 		n_fresh += in_own_region(t, m) && member_is_live(m, now) &&
 			   m->store_answered_at &&
@@ -121,81 +153,68 @@
 }
 
 /* Copies the state of a member that was known before its row was reread. */
-static void copy_known_state(struct member *m, const struct member *old,
-			     uint32_t n)
+static void copy_known_state(struct member *m, const struct member *old)
 {
 	uint64_t region = m->digest_cursor.region;
-	uint32_t i;
 
-	for (i = 0; i < n; i++) {
-		if (!pf_talk_same_addr(&old[i].addr, &m->addr))
-			continue;
-		m->id = old[i].id;
-		m->last_seen_at = old[i].last_seen_at;
-		m->digest_sent_at = old[i].digest_sent_at;
-		m->digest_cursor = old[i].digest_cursor;
-		m->digest_cursor.region = region;
-		m->store_answered_at = old[i].store_answered_at;
-	}
+	m->id = old->id;
+	m->last_seen_at = old->last_seen_at;
+	m->digest_sent_at = old->digest_sent_at;
+	m->digest_cursor = old->digest_cursor;
+	m->digest_cursor.region = region;
+	m->store_answered_at = old->store_answered_at;
 }
 
 /* Adds the member in @row, which is IP:PORT ZONE. */
-static void add_member(struct talk *t, struct pf_str row,
-		       const struct member *old, uint32_t n_old)
+static void add_member(struct talk *t, struct pf_str row)
 {
-	struct member *m = &t->members[t->n_members];
 	uint64_t own_zone = pf_id(pf_str_c(t->gateway->settings.common.zone));
+	struct member m = { .row_known = true };
 	char *s = pf_str_dup(row);
 	char *space = s ? strchr(s, ' ') : NULL;
 	uint64_t zone;
 
-	if (!space || t->n_members >= MEMBERS_MAX)
+	if (!space)
 		goto out;
 	*space = '\0';
-	memset(m, 0, sizeof(*m));
 	if (strcmp(s, t->gateway->settings.datagrams) == 0 ||
-	    pf_talk_addr(s, &m->addr) < 0)
+	    pf_talk_addr(s, &m.addr) < 0 || list_find(&t->read, &m.addr))
 		goto out;
 	zone = pf_id(pf_str_c(space + 1));
-	m->row_known = true;
-	m->digest_cursor.region = talk_zone_region(t->gateway, zone);
-	m->digest_interval = zone == own_zone      ? 0
-			     : in_own_region(t, m) ? REGION_DIGEST_INTERVAL_MS
+	m.digest_cursor.region = talk_zone_region(t->gateway, zone);
+	m.digest_interval = zone == own_zone       ? 0
+			    : in_own_region(t, &m) ? REGION_DIGEST_INTERVAL_MS
 						   : REMOTE_DIGEST_INTERVAL_MS;
-	copy_known_state(m, old, n_old);
-	t->n_members++;
+	(void)list_add(&t->read, &m);
 out:
 	free(s);
 }
 
-static bool is_member(const struct talk *t, const struct sockaddr_in *addr)
-{
-	uint32_t i;
-
-	for (i = 0; i < t->n_members; i++) {
-		if (pf_talk_same_addr(&t->members[i].addr, addr))
-			return true;
-	}
-	return false;
-}
-
 /*
- * Keeps gateways that send digests but have no row: the store may have lost it.
- * Returns whether one of them never had a row.
+ * Replaces the members by those that were read. Keeps gateways that send digests
+ * but have no row: the store may have lost it. Returns whether one of them never
+ * had a row.
  */
-static bool keep_live_members(struct talk *t, const struct member *old,
-			      uint32_t n_old)
+static bool use_read_members(struct talk *t)
 {
+	struct member_list old = t->members;
 	pf_ms now = pf_clock_now();
 	bool unknown = false;
 	uint32_t i;
 
-	for (i = 0; i < n_old && t->n_members < MEMBERS_MAX; i++) {
-		if (!member_is_live(&old[i], now) || is_member(t, &old[i].addr))
-			continue;
-		t->members[t->n_members++] = old[i];
-		unknown |= !old[i].row_known;
+	t->members = t->read;
+	t->read = (struct member_list){ 0 };
+	for (i = 0; i < old.n; i++) {
+		struct member *m = list_find(&t->members, &old.v[i].addr);
+
+		if (m) {
+			copy_known_state(m, &old.v[i]);
+		} else if (member_is_live(&old.v[i], now)) {
+			(void)list_add(&t->members, &old.v[i]);
+			unknown |= !old.v[i].row_known;
+		}
 	}
+	list_clear(&old);
 	return unknown;
 }
 
@@ -204,31 +223,48 @@
 	return pf_str_eq(row->key, pf_str_c(g->settings.common.name));
 }
 
+static void end_read(struct talk *t)
+{
+	free(t->next_page_key);
+	t->next_page_key = NULL;
+	list_clear(&t->read);
+	t->own_row_read = false;
+}
+
+/* The next page begins with the last row of this one. Returns 0 or -1. */
+static int set_next_page(struct talk *t, const struct pf_store_answer *a)
+{
+	free(t->next_page_key);
+	t->next_page_key = pf_str_dup(a->rows[a->n - 1].key);
+	return t->next_page_key ? 0 : -1;
+}
+
 static void on_rows_read(void *ctx, const struct pf_store_answer *a)
 {
 	struct pf_plan_msg members_read = { .type = PF_PLAN_MEMBERS_READ };
-	struct member old[MEMBERS_MAX];
 	struct talk *t = ctx;
-	uint32_t n_old = t->n_members;
-	bool own_row = false;
 	bool unknown;
 	size_t i;
 
+	t->reading = false;
 	if (a->status != PF_STORE_OK) {
+		end_read(t);
 		schedule_members_timer(t, MEMBERS_RETRY_INTERVAL_MS);
 		return;
 	}
-	memcpy(old, t->members, n_old * sizeof(*old));
-	t->n_members = 0;
 	for (i = 0; i < a->n; i++) {
-		own_row |= is_own_row(t->gateway, &a->rows[i]);
-		add_member(t, a->rows[i].value, old, n_old);
+		t->own_row_read |= is_own_row(t->gateway, &a->rows[i]);
+		add_member(t, a->rows[i].value);
+	}
+	if (a->more && a->n > 1 && set_next_page(t, a) == 0) {
+		schedule_members_timer(t, 0);
+		return;
 	}
-	unknown = keep_live_members(t, old, n_old);
+	unknown = use_read_members(t);
 	talk_plan_step(t, &members_read);
-	/* Without it in a full page, the row may be on the next one. */
-	if (!own_row && !a->more)
+	if (!t->own_row_read)
 		t->row_written = false;
+	end_read(t);
 	schedule_members_timer(t, !t->row_written ? MEMBERS_RETRY_INTERVAL_MS
 				  : unknown       ? MEMBERS_MISSING_INTERVAL_MS
 						  : MEMBERS_READ_INTERVAL_MS);
@@ -271,10 +307,14 @@
 	put.value = pf_text_str(&row);
 	if (!t->row_written && !row.failed)
 		ret = pf_store_commit(g->store, &txn, on_row_written, t);
+	else if (t->row_written && t->reading)
+		ret = 0; /* its answer schedules the next one */
 	else if (t->row_written)
 		ret = pf_store_read(g->store, PF_STR(MEMBERS_TABLE),
-				    PF_STR(MEMBERS_PART), PF_STR(""),
-				    PF_STR(""), MEMBERS_MAX, on_rows_read, t);
+				    PF_STR(MEMBERS_PART),
+				    pf_str_c(t->next_page_key), PF_STR(""),
+				    MEMBERS_PAGE_ROWS, on_rows_read, t);
+	t->reading |= t->row_written && ret == 0;
 	pf_text_free(&row);
 	if (ret < 0)
 		schedule_members_timer(t, MEMBERS_RETRY_INTERVAL_MS);
@@ -295,4 +335,6 @@
 {
 	if (t->members_timer)
 		event_free(t->members_timer);
+	end_read(t);
+	list_clear(&t->members);
 }
--- a/daemons/gateway/talk.c
+++ b/daemons/gateway/talk.c
@@ -277,8 +277,8 @@
 	struct pf_gate_evidence v[PF_GATE_EVIDENCE_MAX];
 	uint32_t i;
 
-	for (i = 0; i < t->n_members; i++) {
-		struct member *m = &t->members[i];
+	for (i = 0; i < t->members.n; i++) {
+		struct member *m = &t->members.v[i];
 		uint32_t n = pf_gate_evidence(t->gateway->core,
 					      &m->digest_cursor, v);
 
@@ -294,8 +294,8 @@
 	uint32_t n = pf_gate_limits(t->gateway->core, now, v);
 	uint32_t i;
 
-	for (i = 0; n > 0 && i < t->n_members; i++)
-		pf_talk_send_limits(t->datagrams, &t->members[i].addr,
+	for (i = 0; n > 0 && i < t->members.n; i++)
+		pf_talk_send_limits(t->datagrams, &t->members.v[i].addr,
 				    t->gateway->self, v, n);
 }
 
@@ -329,8 +329,8 @@
 	struct pf_gate_digest d;
 	uint32_t i;
 
-	for (i = 0; i < t->n_members; i++) {
-		struct member *m = &t->members[i];
+	for (i = 0; i < t->members.n; i++) {
+		struct member *m = &t->members.v[i];
 
 		if (now - m->digest_sent_at < m->digest_interval)
 			continue;
@@ -349,9 +349,9 @@
 
 	if (!member_is_live(m, now))
 		return false;
-	for (i = 0; i < t->n_members; i++)
-		lower += member_is_live(&t->members[i], now) &&
-			 t->members[i].id < m->id;
+	for (i = 0; i < t->members.n; i++)
+		lower += member_is_live(&t->members.v[i], now) &&
+			 t->members.v[i].id < m->id;
 	return lower < n;
 }
 
@@ -362,9 +362,9 @@
 	uint32_t i;
 
 	t->demand_sent_at = now;
-	for (i = 0; i < t->n_members; i++) {
-		if (has_low_id(t, &t->members[i], now, LEADER_CANDIDATES))
-			pf_talk_send_demand(t->datagrams, &t->members[i].addr,
+	for (i = 0; i < t->members.n; i++) {
+		if (has_low_id(t, &t->members.v[i], now, LEADER_CANDIDATES))
+			pf_talk_send_demand(t->datagrams, &t->members.v[i].addr,
 					    t->gateway->self, v, n);
 	}
 	add_demand(t, t->gateway->self, v, n);
@@ -378,9 +378,10 @@
 	uint32_t i;
 
 	t->part_uses_sent_at = now;
-	for (i = 0; n > 0 && i < t->n_members; i++) {
-		if (has_low_id(t, &t->members[i], now, PF_GATE_JUDGES))
-			pf_talk_send_evidence(t->datagrams, &t->members[i].addr,
+	for (i = 0; n > 0 && i < t->members.n; i++) {
+		if (has_low_id(t, &t->members.v[i], now, PF_GATE_JUDGES))
+			pf_talk_send_evidence(t->datagrams,
+					      &t->members.v[i].addr,
 					      t->gateway->self, v, n);
 	}
 }
@@ -410,7 +411,7 @@
 		t->was_leader = !t->was_leader;
 		PF_LOG(&t->gateway->log, PF_LOG_INFO,
 		       t->was_leader ? "planner_leads" : "planner_follows",
-		       PF_KV_INT("members", t->n_members));
+		       PF_KV_INT("members", t->members.n));
 	}
 }
 
--- a/daemons/gateway/talk_core.h
+++ b/daemons/gateway/talk_core.h
@@ -10,9 +10,6 @@
 #include "pimentoford/plan.h"
 #include "pimentoford/talk.h"
 
-/* One page of rows; further gateways are ignored. */
-#define MEMBERS_MAX 64
-
 /** Another gateway. */
 struct member {
 	struct sockaddr_in addr;
@@ -25,6 +22,12 @@
 	bool row_known; /* its row has been read */
 };
 
+struct member_list {
+	struct member *v; /* owned */
+	uint32_t n;
+	uint32_t cap;
+};
+
 struct talk {
 	struct gateway *gateway;
 	struct pf_talk *datagrams;
@@ -32,8 +35,11 @@
 	struct event *tick_timer;
 	struct event *members_timer;
 	struct sockaddr_in self_addr;
-	struct member members[MEMBERS_MAX];
-	uint32_t n_members;
+	struct member_list members;
+	struct member_list read; /* by the read of all rows under way */
+	char *next_page_key; /* owned; NULL: the first page */
+	bool own_row_read; /* by the same */
+	bool reading; /* the store was asked for a page */
 	bool row_written; /* this gateway's own row is in the store */
 	struct pf_rng rng;
 	bool was_leader; /* at the last tick of the plan core */
--- a/tests/test_gateway.cc
+++ b/tests/test_gateway.cc
@@ -653,6 +653,25 @@
 	EXPECT_GE(peer.Exchange(2000), 12);
 }
 
+// Only the first 64 rows were read: gateways with later names were sent little.
+TEST_F(GatewayRestore, PeersBeyondTheFirstPageOfRowsAreKnown)
+{
+	PeerGateway peer(datagram_port);
+
+	store.Put("servers", "i-1", EndpointRow("app", a.addr()));
+	for (int i = 0; i < 600; i++)
+		store.PutInPart("pimentoford", "gateways",
+				"g-" + std::to_string(1000 + i),
+				"127.0.1." + std::to_string(i % 250 + 1) + ":" +
+					std::to_string(20000 + i) + " zb");
+	store.PutInPart("pimentoford", "gateways", "z-peer", peer.addr + " za");
+	Start();
+	ASSERT_TRUE(store.WaitForRow("pimentoford", "g-127.0.0.2"));
+	peer.Exchange(2000);
+	// Gateways of unknown zones are sent three in two seconds.
+	EXPECT_GE(peer.Exchange(2000), 12);
+}
+
 TEST_F(GatewayRestore, ARestoreThatPeersReportIsReadAtOnce)
 {
 	// Three lower ids: this gateway leaves the polling to them.
