--- a/tests/test_gateway_limit.cc
+++ b/tests/test_gateway_limit.cc
@@ -99,7 +99,8 @@
 			  LimitCase{ "AllOfTwelve", 4, 12, 12, 2.5 },
 			  LimitCase{ "BelowOne", 4, 6, 6, 0.5 },
 			  LimitCase{ "OneGateway", 1, 2, 2, 1 },
-			  LimitCase{ "ManyGateways", 14, 3, 3, 1 }),
+			  LimitCase{ "ManyGateways", 14, 3, 3, 1 },
+			  LimitCase{ "EightyGateways", 80, 8, 8, 1 }),
 	[](const ::testing::TestParamInfo<LimitCase> &i) {
 		return std::string(i.param.name);
 	});
--- a/tests/test_gateway_poison.cc
+++ b/tests/test_gateway_poison.cc
@@ -31,9 +31,19 @@
 	}
 };
 
+struct PoisonGroup {
+	const char *name;
+	unsigned gateways, endpoints, callers;
+};
+
+struct GatewayPoisonGroups : GatewayPoison,
+			     ::testing::WithParamInterface<PoisonGroup> {
+};
+
 // Unlike requests with one part in common crashed endpoints without end.
-TEST_F(GatewayPoison, APartThatCrashesEndpointsIsRefusedByAllGateways)
+TEST_P(GatewayPoisonGroups, APartThatCrashesEndpointsIsRefusedByAllGateways)
 {
+	const PoisonGroup &c = GetParam();
 	FakeEndpoint::Options o;
 
 	o.crash_part = POISON_PART;
@@ -41,8 +51,8 @@
 		arrivals += r.Header("Prompt-Prefix").find(POISON_PART) !=
 			    std::string::npos;
 	};
-	ASSERT_NO_FATAL_FAILURE(StartGroup(3, 8, o));
-	StartCallers(12);
+	ASSERT_NO_FATAL_FAILURE(StartGroup(c.gateways, c.endpoints, o));
+	StartCallers(c.callers);
 	SleepMs(4000);
 	poison = true;
 	auto deadline = Clock::now() + std::chrono::seconds(9);
@@ -54,12 +64,21 @@
 	unsigned complete_before = complete;
 	SleepMs(4000);
 	unsigned late = arrivals - arrived;
-	printf("crashes %zu, poisoned requests too late %u, sound %u, of "
+	printf("%s: crashes %zu, poisoned requests too late %u, sound %u, of "
 	       "these complete %u\n",
-	       CrashCount(), late, sent - before, complete - complete_before);
+	       c.name, CrashCount(), late, sent - before,
+	       complete - complete_before);
 	EXPECT_GE(CrashCount(), 3u);
 	EXPECT_LE(late, 3u);
 	EXPECT_GE(2 * (complete - complete_before), sent - before);
 }
 
+INSTANTIATE_TEST_SUITE_P(Cases, GatewayPoisonGroups,
+			 ::testing::Values(PoisonGroup{ "Three", 3, 8, 12 },
+					   PoisonGroup{ "Twenty", 20, 16, 24 },
+					   PoisonGroup{ "Forty", 40, 16, 24 }),
+			 [](const ::testing::TestParamInfo<PoisonGroup> &i) {
+				 return std::string(i.param.name);
+			 });
+
 } // namespace
