Gateway: a configuration that the store withholds comes from another gateway

Cause: digests tell which version the others have, but the configuration itself came from the store alone.

Change: each gateway serves the row in force over HTTP, at the TCP port with the number of its datagrams' port. One that hears of a newer version for half a second fetches it from the gateway that it hears next. Only higher versions come into force, as before. Counter config_from_peer_total.

--- /dev/null
+++ b/daemons/gateway/config_peers.c
@@ -0,0 +1,143 @@
+/*
+ * Passes the configuration on between gateways. One that the store turns away
+ * hears of a newer version in the digests of the others, and fetches it from one
+ * of them over HTTP, at the TCP port with the number of the datagrams' port.
+ */
+#include "gateway.h"
+
+#include "pimentoford/counters.h"
+#include "pimentoford/http_client.h"
+
+#include <event2/buffer.h>
+#include <event2/http.h>
+#include <event2/util.h>
+#include <arpa/inet.h>
+#include <stdlib.h>
+
+#define PATH "/config"
+/* The store gets this long to answer with the newer version. */
+#define STORE_FIRST_MS 500
+#define FETCH_TIMEOUT_MS 1000
+#define FETCH_INTERVAL_MS 300
+#define CONFIG_BYTES_MAX ((size_t)4 << 20)
+#define CONN_IDLE_TIMEOUT_S 5
+#define ADDR_CAP 64
+
+struct config_peers {
+	struct gateway *gateway;
+	struct evhttp *server;
+	struct pf_text row; /* the configuration in force, as in the store */
+	pf_ms behind_since; /* a peer has had a newer version; 0: none has */
+	struct pf_http *peer; /* of the last fetch */
+	bool fetching;
+	pf_ms fetched_at; /* start of the last fetch */
+};
+
+static void on_get(struct evhttp_request *req, void *ctx)
+{
+	const struct config_peers *c = ctx;
+	struct evbuffer *out = evbuffer_new();
+
+	if (!c->row.n)
+		evhttp_send_error(req, HTTP_NOTFOUND, "no configuration");
+	else if (out && evbuffer_add(out, c->row.p, c->row.n) == 0)
+		evhttp_send_reply(req, HTTP_OK, "OK", out);
+	else
+		evhttp_send_error(req, HTTP_INTERNAL, "out of memory");
+	if (out)
+		evbuffer_free(out);
+}
+
+static void on_fetched(void *ctx, const struct pf_http_answer *a)
+{
+	struct config_peers *c = ctx;
+
+	c->fetching = false;
+	if (a->result != PF_HTTP_OK || a->status != HTTP_OK)
+		return;
+	if (feeds_read_config(c->gateway, a->body) == 0)
+		c->gateway->counters->v[PF_GC_CONFIG_FROM_PEER]++;
+}
+
+static void fetch(struct config_peers *c, const struct sockaddr_in *from)
+{
+	struct pf_http_request r = { .method = "GET",
+				     .target = PATH,
+				     .timeout = FETCH_TIMEOUT_MS,
+				     .done = on_fetched,
+				     .ctx = c };
+	char ip[INET_ADDRSTRLEN] = "";
+	char addr[ADDR_CAP];
+	struct pf_http_opts o = { .base = c->gateway->base,
+				  .addr = addr,
+				  .conns_max = 1,
+				  .body_max = CONFIG_BYTES_MAX };
+
+	inet_ntop(AF_INET, &from->sin_addr, ip, sizeof(ip));
+	evutil_snprintf(addr, sizeof(addr), "%s:%u", ip,
+			(unsigned int)ntohs(from->sin_port));
+	/* Without callbacks from a fetch that has taken too long. */
+	pf_http_free(c->peer);
+	c->peer = pf_http_new(&o);
+	c->fetched_at = pf_clock_now();
+	c->fetching = c->peer && pf_http_start(c->peer, &r);
+}
+
+void config_peer_has(struct gateway *g, const struct sockaddr_in *from)
+{
+	struct config_peers *c = g->config_peers;
+	pf_ms now = pf_clock_now();
+
+	if (!c->behind_since)
+		c->behind_since = now;
+	if (now - c->behind_since < STORE_FIRST_MS ||
+	    now - c->fetched_at <
+		    (c->fetching ? FETCH_TIMEOUT_MS : FETCH_INTERVAL_MS))
+		return;
+	fetch(c, from);
+}
+
+void config_in_force(struct gateway *g, struct pf_str row)
+{
+	struct config_peers *c = g->config_peers;
+
+	c->behind_since = 0;
+	pf_text_free(&c->row);
+	c->row = (struct pf_text){ 0 };
+	pf_text_add(&c->row, row);
+	if (c->row.failed)
+		pf_text_free(&c->row);
+}
+
+int config_peers_start(struct gateway *g)
+{
+	struct config_peers *c = calloc(1, sizeof(*c));
+	int fd = pf_sock_listen(g->settings.datagrams, 64);
+
+	g->config_peers = c;
+	if (!c || fd < 0)
+		return -1;
+	c->gateway = g;
+	c->server = evhttp_new(g->base);
+	if (!c->server || evhttp_accept_socket(c->server, fd) < 0) {
+		evutil_closesocket(fd);
+		return -1;
+	}
+	evhttp_set_timeout(c->server, CONN_IDLE_TIMEOUT_S);
+	evhttp_set_max_body_size(c->server, 0);
+	evhttp_set_cb(c->server, PATH, on_get, c);
+	return 0;
+}
+
+void config_peers_stop(struct gateway *g)
+{
+	struct config_peers *c = g->config_peers;
+
+	if (!c)
+		return;
+	if (c->server)
+		evhttp_free(c->server);
+	pf_http_free(c->peer);
+	pf_text_free(&c->row);
+	free(c);
+}
--- a/daemons/gateway/feeds.c
+++ b/daemons/gateway/feeds.c
@@ -248,7 +248,7 @@
 		f->extra = mark_sent(f, c);
 }
 
-void feeds_on_peer_view(struct gateway *g,
+void feeds_on_peer_view(struct gateway *g, const struct sockaddr_in *from,
 			const struct pf_talk_store_view *view)
 {
 	int64_t era = pf_store_eras(g->store)->newest;
@@ -258,8 +258,10 @@
 	/* A peer that states no era is compared as before there were eras. */
 	if (peer.era == PF_ERA_UNKNOWN)
 		peer.era = era;
-	if (view->config_version > (g->routes ? g->routes->version : 0))
+	if (view->config_version > (g->routes ? g->routes->version : 0)) {
 		call_soon(&g->feeds->config);
+		config_peer_has(g, from);
+	}
 	if (pf_version_newer(peer, own))
 		call_soon(&g->feeds->endpoints);
 }
@@ -352,21 +354,26 @@
 		on_call_failed(f, PF_STORE_REFUSED);
 }
 
-static void on_config(struct gateway *g, const struct pf_store_row *row)
+int feeds_read_config(struct gateway *g, struct pf_str value)
 {
-	struct pf_routes *r;
 	const char *why;
+	struct pf_routes *r = platform_decode_routes(value, &why);
 
-	if (!pf_str_eq(row->key, platform_config_place.key) || row->deleted)
-		return;
-	r = platform_decode_routes(row->value, &why);
 	if (!r) {
 		PF_LOG(&g->log, PF_LOG_ERROR, "configuration_unreadable",
-		       PF_KV_STR("why", why),
-		       PF_KV_INT("revision", row->revision));
-		return;
+		       PF_KV_STR("why", why));
+		return -1;
 	}
-	gateway_set_routes(g, r);
+	if (gateway_set_routes(g, r) < 0)
+		return -1;
+	config_in_force(g, value);
+	return 0;
+}
+
+static void on_config(struct gateway *g, const struct pf_store_row *row)
+{
+	if (pf_str_eq(row->key, platform_config_place.key) && !row->deleted)
+		(void)feeds_read_config(g, row->value);
 }
 
 /*
--- a/daemons/gateway/gateway.h
+++ b/daemons/gateway/gateway.h
@@ -103,6 +103,7 @@
 struct feeds;
 struct talk;
 struct ready_server;
+struct config_peers;
 
 struct gateway {
 	struct event_base *base;
@@ -137,6 +138,7 @@
 	struct feeds *feeds;
 	struct talk *talk;
 	struct ready_server *ready_server;
+	struct config_peers *config_peers;
 	/* Ends of sends reported during a step of the core. */
 	struct event *deferred_ev;
 	struct pf_gate_end *deferred_ends;
@@ -229,13 +231,23 @@
 int feeds_start(struct gateway *g);
 void feeds_stop(struct gateway *g);
 /** Compares what another gateway has read; reads soon if this one is behind. */
-void feeds_on_peer_view(struct gateway *g,
+void feeds_on_peer_view(struct gateway *g, const struct sockaddr_in *from,
 			const struct pf_talk_store_view *view);
+/** Puts the configuration in @value into effect. -1 if it isn't newer. */
+int feeds_read_config(struct gateway *g, struct pf_str value);
 /** Time since the last reply of the store. */
 pf_ms feeds_store_age(const struct gateway *g, pf_ms now);
 /** Reads if this is overdue, since the region's readers are gone. */
 void feeds_poll_if_overdue(struct gateway *g);
 
+/* config_peers.c: passes the configuration on between gateways */
+int config_peers_start(struct gateway *g);
+void config_peers_stop(struct gateway *g);
+/** The gateway at @from has a newer one: fetches it if the store doesn't. */
+void config_peer_has(struct gateway *g, const struct sockaddr_in *from);
+/** Keeps the one that has come into force, for other gateways. */
+void config_in_force(struct gateway *g, struct pf_str row);
+
 /* ready.c: readiness and metrics */
 int ready_start(struct gateway *g);
 void ready_stop(struct gateway *g);
@@ -264,7 +276,7 @@
 void talk_endpoint_leaving(struct gateway *g, uint64_t id, int64_t incarnation);
 
 /* main.c */
-/** Puts a newer configuration into effect; takes over @routes. */
-void gateway_set_routes(struct gateway *g, struct pf_routes *routes);
+/** Puts a newer configuration into effect; takes over @routes. -1: it isn't. */
+int gateway_set_routes(struct gateway *g, struct pf_routes *routes);
 
 #endif
--- a/daemons/gateway/main.c
+++ b/daemons/gateway/main.c
@@ -16,14 +16,14 @@
 /* Lines of one event; further ones are counted and dropped. */
 #define LOG_LINES_PER_S 200
 
-void gateway_set_routes(struct gateway *g, struct pf_routes *routes)
+int gateway_set_routes(struct gateway *g, struct pf_routes *routes)
 {
 	struct pf_gate_msg m = { .type = PF_GATE_ROUTES };
 	struct pf_routes *old = g->routes;
 
 	if (old && old->version >= routes->version) {
 		pf_routes_free(routes);
-		return;
+		return -1;
 	}
 	PF_LOG(&g->log, PF_LOG_INFO, "configuration",
 	       PF_KV_INT("version", routes->version),
@@ -34,6 +34,7 @@
 	talk_routes_changed(g);
 	core_step(g, &m);
 	pf_routes_free(old);
+	return 0;
 }
 
 /* Ends the loop once no callers can arrive and all have their answers. */
@@ -121,6 +122,12 @@
 		       PF_KV_STR("why", strerror(errno)));
 		return -1;
 	}
+	if (config_peers_start(g) < 0) {
+		PF_LOG(&g->log, PF_LOG_ERROR, "no_listener",
+		       PF_KV_STR("tcp", g->settings.datagrams),
+		       PF_KV_STR("why", strerror(errno)));
+		return -1;
+	}
 	if (talk_start(g) < 0)
 		return -1;
 	return feeds_start(g);
@@ -131,6 +138,7 @@
 	talk_stop(g);
 	feeds_stop(g);
 	ready_stop(g);
+	config_peers_stop(g);
 	callers_stop(g);
 	while (!LIST_EMPTY(&g->exchanges))
 		exchange_free(LIST_FIRST(&g->exchanges));
--- a/daemons/gateway/talk.c
+++ b/daemons/gateway/talk.c
@@ -202,7 +202,7 @@
 	if (!d->peer || d->peer == t->gateway->self)
 		return;
 	members_digest_received(t, from, d->peer, news->store_age);
-	feeds_on_peer_view(t->gateway, news);
+	feeds_on_peer_view(t->gateway, from, news);
 	p.u.id = d->peer;
 	talk_plan_step(t, &p);
 	m.u.digest = *d;
--- a/include/pimentoford/counters.h
+++ b/include/pimentoford/counters.h
@@ -139,6 +139,8 @@
 	    "Answers with a retry time that is malformed or too long")         \
 	DEF(ENDPOINTS, "endpoints", "gauge", "Endpoints that are listed")      \
 	DEF(VERSION, "config_version", "gauge", "Configuration in force")      \
+	DEF(CONFIG_FROM_PEER, "config_from_peer_total", "counter",             \
+	    "Configurations that another gateway had first")                   \
 	DEF(STORE_ERA, "store_era", "gauge", "Era of the store")               \
 	DEF(STORE_RESTORES, "store_restores_total", "counter",                 \
 	    "Times the store came back from an older copy")                    \
