Gate core: crashes are told to the judges, not to every gateway

Cause: each gateway told all others of each crash or reset that it saw, twice, and each answered to all others which of the parts are sound.

Change: crashes, and what refutes them, go to the three judges. Of a part that is a suspect the judges ask all gateways, at most once a second, and these answer the judges. Quarantines and their ends still go to all.

Gate.AnAnswerSentBeforeTheCrashesTakesNoBlameOff counted all reports; a judge's question is now one of them, so it counts those that say a part is sound.

--- a/daemons/gateway/talk.c
+++ b/daemons/gateway/talk.c
@@ -271,16 +271,39 @@
 	core_step(t->gateway, &m);
 }
 
+/* The live members with an id of at most this are the @n with the lowest. */
+static uint64_t nth_lowest_id(const struct talk *t, pf_ms now, uint32_t n)
+{
+	uint64_t last = 0;
+	uint32_t i;
+
+	while (n-- > 0) {
+		uint64_t next = UINT64_MAX;
+
+		for (i = 0; i < t->members.n; i++) {
+			const struct member *m = &t->members.v[i];
+
+			if (m->id > last && m->id < next &&
+			    member_is_live(m, now))
+				next = m->id;
+		}
+		last = next;
+	}
+	return last;
+}
+
 /* At each tick, whatever the digest's interval: each crash costs callers. */
-static void send_evidence(struct talk *t)
+static void send_evidence(struct talk *t, pf_ms now)
 {
+	uint64_t judges = nth_lowest_id(t, now, PF_GATE_JUDGES);
 	struct pf_gate_evidence v[PF_GATE_EVIDENCE_MAX];
 	uint32_t i;
 
 	for (i = 0; i < t->members.n; i++) {
 		struct member *m = &t->members.v[i];
-		uint32_t n = pf_gate_evidence(t->gateway->core,
-					      &m->digest_cursor, v);
+		uint32_t n = pf_gate_evidence(
+			t->gateway->core, &m->digest_cursor,
+			member_is_live(m, now) && m->id <= judges, v);
 
 		if (n)
 			pf_talk_send_evidence(t->datagrams, &m->addr,
@@ -340,31 +363,19 @@
 	}
 }
 
-/* Whether the member is among the @n live ones with the lowest ids. */
-static bool has_low_id(const struct talk *t, const struct member *m, pf_ms now,
-		       uint32_t n)
-{
-	uint32_t lower = 0;
-	uint32_t i;
-
-	if (!member_is_live(m, now))
-		return false;
-	for (i = 0; i < t->members.n; i++)
-		lower += member_is_live(&t->members.v[i], now) &&
-			 t->members.v[i].id < m->id;
-	return lower < n;
-}
-
 static void send_demand(struct talk *t, pf_ms now)
 {
 	struct pf_gate_demand v[DEMAND_ITEMS_MAX];
 	size_t n = pf_gate_demand(t->gateway->core, now, v, DEMAND_ITEMS_MAX);
+	uint64_t candidates = nth_lowest_id(t, now, LEADER_CANDIDATES);
 	uint32_t i;
 
 	t->demand_sent_at = now;
 	for (i = 0; i < t->members.n; i++) {
-		if (has_low_id(t, &t->members.v[i], now, LEADER_CANDIDATES))
-			pf_talk_send_demand(t->datagrams, &t->members.v[i].addr,
+		const struct member *m = &t->members.v[i];
+
+		if (member_is_live(m, now) && m->id <= candidates)
+			pf_talk_send_demand(t->datagrams, &m->addr,
 					    t->gateway->self, v, n);
 	}
 	add_demand(t, t->gateway->self, v, n);
@@ -375,13 +386,15 @@
 {
 	struct pf_gate_evidence v[PF_GATE_EVIDENCE_MAX];
 	uint32_t n = pf_gate_part_uses(t->gateway->core, v);
+	uint64_t judges = nth_lowest_id(t, now, PF_GATE_JUDGES);
 	uint32_t i;
 
 	t->part_uses_sent_at = now;
 	for (i = 0; n > 0 && i < t->members.n; i++) {
-		if (has_low_id(t, &t->members.v[i], now, PF_GATE_JUDGES))
-			pf_talk_send_evidence(t->datagrams,
-					      &t->members.v[i].addr,
+		const struct member *m = &t->members.v[i];
+
+		if (member_is_live(m, now) && m->id <= judges)
+			pf_talk_send_evidence(t->datagrams, &m->addr,
 					      t->gateway->self, v, n);
 	}
 }
@@ -394,7 +407,7 @@
 
 	(void)fd;
 	(void)what;
-	send_evidence(t);
+	send_evidence(t, now);
 	send_limits(t, now);
 	send_due_digests(t, now);
 	if (now - t->demand_sent_at >= (pf_gate_has_waiting(t->gateway->core)
--- a/include/pimentoford/gate.h
+++ b/include/pimentoford/gate.h
@@ -372,9 +372,11 @@
 /**
  * Writes at most PF_GATE_EVIDENCE_MAX entries for the peer @to and advances
  * @to; returns how many. Datagrams get lost, so each entry is sent twice.
+ * @judge: the peer is one of the PF_GATE_JUDGES other gateways with the lowest
+ * ids, which are told of each crash.
  */
 uint32_t pf_gate_evidence(struct pf_gate *g, struct pf_gate_peer_cursor *to,
-			  struct pf_gate_evidence *out);
+			  bool judge, struct pf_gate_evidence *out);
 
 /**
  * Writes which prompt parts came lately, as a sample of the requests; at most
--- a/src/coordination/gate/gate_blame.c
+++ b/src/coordination/gate/gate_blame.c
@@ -9,7 +9,9 @@
  * of its requests is served while others of its model are does.
  *
  * A gateway among many sees too few requests to know these shares, so all report
- * a sample of theirs to a few gateways, which judge for all.
+ * a sample of theirs and each crash to a few gateways, which judge for all. Of a
+ * part that is a suspect of several crashes, the judges ask all whether it is
+ * sound.
  */
 #include "src/coordination/gate/gate_core.h"
 
@@ -261,22 +263,39 @@
 	return true;
 }
 
+static bool is_judge(const struct pf_gate *g)
+{
+	return gate_peers_lower(g) < PF_GATE_JUDGES;
+}
+
 static void judge(struct pf_gate *g)
 {
-	if (g->requests_seen < ARRIVALS_MIN ||
-	    gate_peers_lower(g) >= PF_GATE_JUDGES)
+	if (g->requests_seen < ARRIVALS_MIN || !is_judge(g))
 		return;
 	/* Crashes that a quarantined part explains speak against no other. */
 	while (blame_best(g))
 		;
 }
 
-static void announce_sound(struct pf_gate *g, uint64_t part, pf_ms began_at)
+/* Judges must know, and if a quarantine ends, all. */
+static void announce_sound(struct pf_gate *g, uint64_t part, pf_ms began_at,
+			   bool to_all)
 {
 	struct pf_gate_evidence e = { .type = PF_GATE_EVIDENCE_SOUND,
 				      .part = part };
 
-	gate_evidence_add(g, &e, began_at);
+	gate_evidence_add(g, &e, began_at, to_all);
+}
+
+/* Whoever knows that @part is sound tells the judges. */
+static void ask_all(struct pf_gate *g, const struct gate_crash_record *c,
+		    uint64_t part)
+{
+	struct pf_gate_evidence e = { .type = PF_GATE_EVIDENCE_CRASH,
+				      .incarnation = c->incarnation,
+				      .part = part };
+
+	gate_evidence_add(g, &e, c->at, true);
 }
 
 /* Adds a suspect of a crash; a part that was sound since is none. */
@@ -287,11 +306,13 @@
 
 	gate_quarantine_crashed(g, part, c->at);
 	if (gate_use_sound_at(g, part) > c->at) {
-		announce_sound(g, part, gate_use_sound_at(g, part));
+		announce_sound(g, part, gate_use_sound_at(g, part), false);
 		return;
 	}
 	if (count_crashes(g, unexplained_records(g), part, &first) == 0)
 		gate_use_suspected(g, part);
+	if (is_judge(g) && !record_has(c, part) && gate_use_ask(g, part))
+		ask_all(g, c, part);
 	record_add(c, part);
 }
 
@@ -312,7 +333,7 @@
 
 	for (i = 0; i < c->n_parts; i++) {
 		e.part = c->parts[i];
-		gate_evidence_add(g, &e, c->at);
+		gate_evidence_add(g, &e, c->at, false);
 	}
 }
 
@@ -358,19 +379,18 @@
 		return;
 	e->crashed_at = 0;
 	refute(g, e->incarnation, g->now);
-	gate_evidence_add(g, &a, g->now);
+	gate_evidence_add(g, &a, g->now, false);
 }
 
-/* Whether this cleared @part of blame. */
-static bool clear_blame(struct pf_gate *g, uint64_t part, pf_ms began_at)
+/* Whether this cleared @part of suspicion. */
+static bool clear_suspect(struct pf_gate *g, uint64_t part, pf_ms began_at)
 {
-	bool cleared = gate_quarantine_release(g, part, began_at);
 	pf_ms first;
 	uint32_t i;
 
 	if (count_crashes(g, unexplained_records(g), part, &first) == 0 ||
 	    first >= began_at)
-		return cleared;
+		return false;
 	for (i = 0; i < GATE_CRASH_RECORDS; i++)
 		record_remove(&g->crash_records[i], part);
 	return true;
@@ -378,9 +398,23 @@
 
 void gate_blame_sound(struct pf_gate *g, uint64_t part, pf_ms began_at)
 {
+	bool released;
+
 	gate_use_sound(g, part, began_at);
-	if (clear_blame(g, part, began_at))
-		announce_sound(g, part, began_at);
+	released = gate_quarantine_release(g, part, began_at);
+	if (clear_suspect(g, part, began_at) || released)
+		announce_sound(g, part, began_at, released);
+}
+
+/* Some gateways may not know yet that a quarantine ends. */
+static void sound_reported(struct pf_gate *g, const struct pf_gate_evidence *e)
+{
+	pf_ms began_at = g->now - (pf_ms)e->age_ms;
+
+	gate_use_sound(g, e->part, began_at);
+	if (gate_quarantine_release(g, e->part, began_at) && is_judge(g))
+		announce_sound(g, e->part, began_at, true);
+	clear_suspect(g, e->part, began_at);
 }
 
 /* Whether @peer has not reported this crash before. */
@@ -415,7 +449,7 @@
 	pf_ms since = g->now - (pf_ms)e->age_ms;
 
 	if (gate_use_sound_at(g, e->part) > since)
-		announce_sound(g, e->part, gate_use_sound_at(g, e->part));
+		announce_sound(g, e->part, gate_use_sound_at(g, e->part), true);
 	else
 		gate_quarantine_add(g, e->part, since, 0);
 }
@@ -436,9 +470,7 @@
 			       g->now - (pf_ms)v[i].age_ms);
 			break;
 		case PF_GATE_EVIDENCE_SOUND:
-			gate_use_sound(g, v[i].part,
-				       g->now - (pf_ms)v[i].age_ms);
-			clear_blame(g, v[i].part, g->now - (pf_ms)v[i].age_ms);
+			sound_reported(g, &v[i]);
 			break;
 		case PF_GATE_EVIDENCE_QUARANTINE:
 			quarantine_reported(g, &v[i]);
--- a/src/coordination/gate/gate_core.h
+++ b/src/coordination/gate/gate_core.h
@@ -236,6 +236,7 @@
 	uint64_t part; /* 0: free */
 	float arrivals; /* decays */
 	pf_ms sound_at; /* begin of the last sound answer; 0: none */
+	pf_ms asked_at; /* when all were last told that it is a suspect */
 	uint64_t model; /* that it came with first */
 	bool several_models; /* it came with others, too */
 	uint32_t served_before; /* of its model, when it became a suspect */
@@ -269,6 +270,7 @@
 
 struct gate_evidence_entry {
 	struct pf_gate_evidence e;
+	bool to_all; /* not only to the judges */
 	pf_ms at; /* of what `age_ms` counts from */
 	pf_ms added_at;
 };
@@ -508,6 +510,8 @@
  * by those that were served for the same model.
  */
 double gate_use_unserved(struct pf_gate *g, uint64_t part);
+/** Whether it is time to tell all gateways that @part is a suspect. */
+bool gate_use_ask(struct pf_gate *g, uint64_t part);
 /** When the last sound answer on @part began; 0: never. */
 pf_ms gate_use_sound_at(struct pf_gate *g, uint64_t part);
 void gate_use_sound(struct pf_gate *g, uint64_t part, pf_ms began_at);
@@ -527,8 +531,9 @@
 void gate_quarantine_arrival(struct pf_gate *g, struct gate_request *r);
 
 /* gate_evidence.c */
+/** @to_all: else only the judges are told. */
 void gate_evidence_add(struct pf_gate *g, const struct pf_gate_evidence *e,
-		       pf_ms at);
+		       pf_ms at, bool to_all);
 
 /* gate_pick.c */
 /**
--- a/src/coordination/gate/gate_quarantine.c
+++ b/src/coordination/gate/gate_quarantine.c
@@ -65,7 +65,7 @@
 				      .part = q->part };
 
 	q->announced_at = g->now;
-	gate_evidence_add(g, &e, q->since);
+	gate_evidence_add(g, &e, q->since, true);
 }
 
 void gate_quarantine_add(struct pf_gate *g, uint64_t part, pf_ms since,
--- a/src/coordination/gate/gate_uses.c
+++ b/src/coordination/gate/gate_uses.c
@@ -14,6 +14,8 @@
 #define SHARE_MAX 0.99
 #define SHARE_PRIOR 10.0
 #define HALVED_MS 15000
+/* How often all gateways are told of a part that stays a suspect. */
+#define ASK_MS 1000
 /* In place of a model: all requests, whatever their model. */
 #define ALL_MODELS 0
 
@@ -238,6 +240,16 @@
 	       (m->served - u->served_before);
 }
 
+bool gate_use_ask(struct pf_gate *g, uint64_t part)
+{
+	struct gate_part_use *u = find_or_add_use(g, part);
+
+	if (u->asked_at && g->now - u->asked_at < ASK_MS)
+		return false;
+	u->asked_at = g->now;
+	return true;
+}
+
 pf_ms gate_use_sound_at(struct pf_gate *g, uint64_t part)
 {
 	const struct gate_part_use *u = find_use(g, part);
--- a/tests/gate_sim.cc
+++ b/tests/gate_sim.cc
@@ -234,6 +234,7 @@
 	std::vector<struct pf_gate_evidence> copy(v, v + n);
 	uint64_t peer = gates_[gate].self;
 
+	evidence_sent += n;
 	if (n == 0 || Unit() < opts.digest_loss)
 		return;
 	At(now_ + 1 + Below(12), [=] {
@@ -255,7 +256,8 @@
 		if (to == gate)
 			continue;
 		uint32_t n = pf_gate_evidence(gates_[gate].g,
-					      &gates_[gate].cursors[to], v);
+					      &gates_[gate].cursors[to],
+					      IsJudgeFor(gate, to), v);
 		SendEvidenceTo(gate, to, v, n);
 	}
 }
--- a/tests/gate_sim.h
+++ b/tests/gate_sim.h
@@ -78,6 +78,7 @@
 	Options opts;
 	std::vector<pf_ms> crashes;
 	unsigned quarantines = 0, releases = 0; /* over all gates */
+	uint64_t evidence_sent = 0; /* entries, by all gates */
 	std::vector<Arrival> arrivals; /* at endpoints */
 	std::vector<std::unique_ptr<Request>> requests;
 
--- a/tests/test_gate.cc
+++ b/tests/test_gate.cc
@@ -956,6 +956,14 @@
 	struct pf_gate_peer_cursor cursor = {};
 	struct pf_gate_evidence v = {};
 	struct pf_gate_msg m = {};
+	auto sound_reports = [&] {
+		uint32_t n = pf_gate_evidence(g, &cursor, true, out);
+		uint32_t n_sound = 0;
+
+		for (uint32_t i = 0; i < n; i++)
+			n_sound += out[i].type == PF_GATE_EVIDENCE_SOUND;
+		return n_sound;
+	};
 
 	Arrive(1, "/t/", 15000, "m", nullptr, 100, "p", 0, true);
 	now += 100;
@@ -969,12 +977,12 @@
 	Step(m);
 	now += 100;
 	Ended(1, PF_GATE_ANSWERED, 200);
-	EXPECT_EQ(pf_gate_evidence(g, &cursor, out), 0u);
+	EXPECT_EQ(sound_reports(), 0u);
 	// One that was sent after the crash does.
 	Arrive(2, "/t/", 15000, "m", nullptr, 100, "p", 0, true);
 	now += 100;
 	Ended(2, PF_GATE_ANSWERED, 200);
-	EXPECT_EQ(pf_gate_evidence(g, &cursor, out), 1u);
+	EXPECT_EQ(sound_reports(), 1u);
 }
 
 // A crash with many requests in flight pushed those out that had crashed before.
@@ -1009,12 +1017,12 @@
 	now += 300;
 	Events(2); /* it goes on */
 	Ended(2, PF_GATE_ANSWERED, 200);
-	pf_gate_evidence(g, &cursor, v);
+	pf_gate_evidence(g, &cursor, true, v);
 	now += 1000;
 	Arrive(3, "/t/", 15000, "z", nullptr, 100, "r", 0, true);
 	ASSERT_EQ(SentTo(3), Id("l9"));
 	Ended(3, PF_GATE_LOST, 0, true);
-	uint32_t n = pf_gate_evidence(g, &cursor, v);
+	uint32_t n = pf_gate_evidence(g, &cursor, true, v);
 	bool found = false;
 	for (uint32_t i = 0; i < n; i++)
 		found |= v[i].type == PF_GATE_EVIDENCE_CRASH &&
--- a/tests/test_gate_crash.cc
+++ b/tests/test_gate_crash.cc
@@ -200,6 +200,27 @@
 	});
 }
 
+// Each reset was told to all gateways by each that saw it, and each of them told
+// all others which parts are sound: the links between regions were full.
+TEST_F(GateCrash, ResetsCostAGatewayOfManyLittle)
+{
+	const unsigned ENTRY_BYTES = 28;
+	const double BYTES_PER_S = 8000; /* for all control of a node */
+	GateSim::Options o = Fleet(100, 300);
+	GateSim sim(o);
+
+	sim.Run(8000);
+	uint64_t before = sim.evidence_sent;
+	for (unsigned i = 0; i < 200; i++) {
+		sim.ResetRuns(i % o.endpoints);
+		sim.Run(50);
+	}
+	double per_s = static_cast<double>(sim.evidence_sent - before) / 10 /
+		       o.gates * ENTRY_BYTES;
+	printf("evidence: %.0f bytes a second and gateway\n", per_s);
+	EXPECT_LE(per_s, BYTES_PER_S);
+}
+
 // What one gateway has found out holds when all are replaced, one by one.
 TEST_F(GateCrash, QuarantineOutlastsTheGatewaysThatFoundIt)
 {
