--- a/tests/gateway_fixture.h
+++ b/tests/gateway_fixture.h
@@ -14,6 +14,7 @@
 #include <cstdlib>
 #include <cstring>
 #include <fstream>
+#include <set>
 
 inline std::string EndpointRow(const std::string &service,
 			       const std::string &addr,
@@ -59,13 +60,18 @@
 	       "\"idle_timeout_ms\":10000}}";
 }
 
-/* A free port of 127.0.0.2, the gateway's address. */
+/* A free port of 127.0.0.2, the gateway's address; each time another one. */
 inline int FreePort()
 {
-	FakeServer s("127.0.0.2",
-		     [](int, const FakeRequest &) { return false; });
+	static std::set<int> given;
 
-	return s.port();
+	for (;;) {
+		FakeServer s("127.0.0.2",
+			     [](int, const FakeRequest &) { return false; });
+
+		if (given.insert(s.port()).second)
+			return s.port();
+	}
 }
 
 class Daemon
