Lint: tables of the gate core and the planner as the analyzer reads them

No change in what is done: the analyzer could not see that the slot of a forgotten peer is cleared, and that a table without memory has no entries.

--- a/daemons/gateway/members.c
+++ b/daemons/gateway/members.c
@@ -52,7 +52,7 @@
 	uint32_t cap = l->cap ? 2 * l->cap : 16;
 	struct member *v = l->v;
 
-	if (l->n == l->cap) {
+	if (!v || l->n == l->cap) {
 		v = realloc(v, cap * sizeof(*v));
 		if (!v)
 			return -1;
--- a/src/coordination/gate/gate_limit.c
+++ b/src/coordination/gate/gate_limit.c
@@ -68,6 +68,7 @@
 	struct gate_limit *oldest = &g->limits[0];
 	uint32_t i;
 
+	PF_INVARIANT("the table of limits is allocated", oldest != NULL);
 	if (g->n_limits < g->opts.endpoints_max)
 		return &g->limits[g->n_limits++];
 	for (i = 1; i < g->n_limits; i++) {
--- a/src/coordination/gate/gate_peers.c
+++ b/src/coordination/gate/gate_peers.c
@@ -84,7 +84,7 @@
 	(void)pf_map_del(&g->peers_by_id, pf_key1(p->id));
 	free(p->loads);
 	free(p->limits);
-	*p = (struct gate_peer){ 0 };
+	memset(p, 0, sizeof(*p));
 	g->n_known_peers--;
 }
 
--- a/src/coordination/plan/plan.c
+++ b/src/coordination/plan/plan.c
@@ -78,7 +78,7 @@
 
 	if (!p)
 		return;
-	for (i = 0; i < p->n_peers; i++)
+	for (i = 0; p->peers && i < p->n_peers; i++)
 		free(p->peers[i].demand);
 	pf_map_free(&p->peers_by_id);
 	free(p->peers);
