--- a/src/coordination/gate/gate_blame.c
+++ b/src/coordination/gate/gate_blame.c
@@ -10,8 +10,7 @@
  *
  * A gateway among many sees too few requests to know these shares, so all report
  * a sample of theirs and each crash to a few gateways, which judge for all. Of a
- * part that is a suspect of several crashes, the judges ask all whether it is
- * sound.
+ * part that is a suspect, the judges ask all whether it is sound.
  */
 #include "src/coordination/gate/gate_core.h"
 
