Gateway: entries' software versions and what a request resumes are decoded and logged

Callers saw streams that went on at another software version of an endpoint. The logs named neither the version of an endpoint nor which request a caller takes up again, so a resumption within an answer could be told from one by the caller only with the operator's log. No decision reads the new fields yet.

An entry whose version is not text names no endpoint, like those with other fields of another type.

--- a/daemons/gateway/endpoints.c
+++ b/daemons/gateway/endpoints.c
@@ -102,6 +102,7 @@
 	PF_LOG(&g->log, PF_LOG_INFO, "endpoint",
 	       PF_KV_STR("endpoint", info->instance),
 	       PF_KV_STR("addr", info->addr),
+	       PF_KV_STR("version", info->software_version),
 	       PF_KV_STR("state", info->draining ? "draining" : "ready"),
 	       PF_KV_INT("remaining_ms", info->remaining),
 	       PF_KV_INT("models", info->n_residents));
--- a/include/pimentoford/endpoint_info.h
+++ b/include/pimentoford/endpoint_info.h
@@ -18,6 +18,8 @@
 	char *addr; /* IP:PORT */
 	uint64_t id; /* pf_id() of the instance */
 	uint64_t service;
+	char *software_version; /* empty: unstated */
+	uint64_t software; /* hash of the service and the version */
 	uint64_t zone;
 	uint32_t slots; /* concurrent requests */
 	bool draining;
--- a/include/pimentoford/inbound.h
+++ b/include/pimentoford/inbound.h
@@ -34,6 +34,8 @@
 	struct pf_str parts_text; /* the parts as the caller sent them */
 	pf_ms time_left; /* until the caller's deadline; 0: unset */
 	int64_t last_event; /* resume the stream after this event; -1: none */
+	/* Id of the attempt that brought its first event; empty: none. */
+	struct pf_str resumes;
 };
 
 /** Headers of a request to an endpoint. */
--- a/src/state/endpoint_info.c
+++ b/src/state/endpoint_info.c
@@ -15,6 +15,7 @@
 	free(e->on_disk);
 	free(e->instance);
 	free(e->addr);
+	free(e->software_version);
 	memset(e, 0, sizeof(*e));
 }
 
--- a/tests/test_platform.cc
+++ b/tests/test_platform.cc
@@ -25,6 +25,7 @@
 			       "Prompt-Prefix: 5c1e:800, 91bd:410,e440:250\r\n"
 			       "Deadline-Ms: 5000\r\n"
 			       "Last-Event-Id: 12\r\n"
+			       "Resumes: 5b07\r\n"
 			       "Hold: 7\r\n"
 			       "Kv-From: 10.0.0.1:1/x\r\n"
 			       "Request-Priority: 0\r\n"
@@ -49,6 +50,7 @@
 	EXPECT_EQ(c.parts[1].tokens, 410u);
 	EXPECT_EQ(c.time_left, 5000);
 	EXPECT_EQ(c.last_event, 12);
+	EXPECT_EQ(std::string(c.resumes.p, c.resumes.n), "5b07");
 }
 
 struct BadField {
@@ -368,11 +370,48 @@
 					   "64", "\"ready\"",
 					   ",\"models\":\"m\""),
 			      -1 },
+		EndpointCase{ "version",
+			      ENDPOINT_ROW("\"s\"", "\"1.2.3.4:5\"", "\"z\"",
+					   "64", "\"ready\"",
+					   ",\"version\":\"v1.2\""),
+			      0 },
+		EndpointCase{ "version_number",
+			      ENDPOINT_ROW("\"s\"", "\"1.2.3.4:5\"", "\"z\"",
+					   "64", "\"ready\"", ",\"version\":1"),
+			      -1 },
 		EndpointCase{ "no_address", "{\"service\":\"s\"}", -1 },
 		EndpointCase{ "bytes", "\xff\xfe", -1 },
 		EndpointCase{ "empty", "", -1 }),
 	[](const auto &i) { return std::string(i.param.name); });
 
+static uint64_t SoftwareOf(const std::string &service,
+			   const std::string &version)
+{
+	std::string row = "{\"service\":\"" + service +
+			  "\",\"address\":\"1.2.3.4:5\",\"zone\":\"z\","
+			  "\"slots\":64,\"state\":\"ready\"" +
+			  version + "}";
+	struct pf_endpoint_info e;
+	uint64_t software = 0;
+	const char *why;
+
+	if (platform_decode_endpoint(PF_STR("i-1"), Str(row), &e, &why) == 0)
+		software = e.software;
+	pf_endpoint_info_clear(&e);
+	return software;
+}
+
+TEST(Platform, VersionsOfTwoServicesAreDifferentSoftware)
+{
+	uint64_t v1 = SoftwareOf("s", ",\"version\":\"v1\"");
+
+	EXPECT_NE(v1, 0u);
+	EXPECT_EQ(SoftwareOf("s", ",\"version\":\"v1\""), v1);
+	EXPECT_NE(SoftwareOf("s", ",\"version\":\"v1.1\""), v1);
+	EXPECT_NE(SoftwareOf("t", ",\"version\":\"v1\""), v1);
+	EXPECT_NE(SoftwareOf("s", ""), v1);
+}
+
 TEST(Platform, DecodesAReport)
 {
 	static const char json[] =
