--- a/tests/fake_endpoint.cc
+++ b/tests/fake_endpoint.cc
@@ -203,9 +203,8 @@
 		Lock g(mu_);
 
 		row = "{\"service\":\"" + opts_.service + "\",\"address\":\"" +
-		      addr() +
-		      "\",\"zone\":\"za\",\"version\":\"v1\",\"slots\":8,"
-		      "\"state\":\"" +
+		      addr() + "\",\"zone\":\"za\",\"version\":\"" +
+		      opts_.version + "\",\"slots\":8,\"state\":\"" +
 		      (state.empty() ? State() : state) +
 		      "\",\"cold_left_ms\":0,\"born\":" +
 		      std::to_string(incarnation_) +
@@ -435,7 +434,7 @@
 			     "Transfer-Encoding: chunked\r\n\r\n"))
 		return false;
 	for (int k = from + 1; k <= opts_.events; k++) {
-		std::string e = Event(k, x.id);
+		std::string e = Event(k, x.id + opts_.event_suffix);
 
 		if (f == BROKEN_STREAM && k == 4) {
 			Send(x, Chunk(e.substr(0, 9)));
--- a/tests/fake_endpoint.h
+++ b/tests/fake_endpoint.h
@@ -35,6 +35,8 @@
 	};
 	struct Options {
 		std::string id;
+		std::string version = "v1"; /* of its software */
+		std::string event_suffix; /* of the data of each event */
 		FakeStore *store = nullptr; /* must outlive the endpoint */
 		std::string service = "app";
 		std::string ip = "127.0.0.1";
--- a/tests/gate_rig.cc
+++ b/tests/gate_rig.cc
@@ -94,6 +94,7 @@
 
 	l.id = Id(name);
 	l.service = Id(service);
+	l.software = pf_id2(l.service, Id(version.c_str()));
 	l.zone = Id(zone);
 	l.slots = 4;
 	l.draining = draining;
@@ -175,7 +176,9 @@
 	struct pf_inbound in = {};
 
 	in.time_left = time_left;
-	in.last_event = -1;
+	in.last_event = last_event;
+	in.id = { attempt.data(), attempt.size() };
+	in.resumes = { resumes.data(), resumes.size() };
 	in.model = model ? Id(model) : 0;
 	in.adapter = adapter ? pf_adapter_id(in.model, pf_str_c(adapter)) : 0;
 	in.prompt_tokens = prompt;
--- a/tests/gate_rig.h
+++ b/tests/gate_rig.h
@@ -23,6 +23,10 @@
 	std::vector<GateAct> acts;
 	std::map<int, uint32_t> handles;
 	struct pf_gate_zone zones[3];
+	std::string version = "v1"; /* of the endpoints added from now on */
+	/* Of the requests that arrive from now on. */
+	std::string attempt, resumes;
+	int64_t last_event = -1;
 
 	static uint64_t Id(const char *s)
 	{
--- a/tests/gateway_group.h
+++ b/tests/gateway_group.h
@@ -19,6 +19,7 @@
 		Daemon process;
 		std::string ip;
 		int port, ready;
+		std::string settings;
 	};
 
 	FakeStore store;
@@ -39,6 +40,7 @@
 		o.store = &store;
 		for (unsigned i = 0; i < n_endpoints; i++) {
 			o.id = "e" + std::to_string(i);
+			AdjustEndpoint(i, o);
 			endpoints.push_back(std::make_unique<FakeEndpoint>(o));
 		}
 		for (unsigned i = 0; i < n_gateways; i++) {
@@ -47,10 +49,10 @@
 			n->ip = "127.0.0." + std::to_string(i + 2);
 			n->port = FreePort();
 			n->ready = FreePort();
-			n->process.Start("pimento-gateway",
-					 GatewaySettings(store.addr(), n->ip,
-							 n->port, n->ready,
-							 datagrams));
+			n->settings =
+				GatewaySettings(store.addr(), n->ip, n->port,
+						n->ready, datagrams);
+			n->process.Start("pimento-gateway", n->settings);
 			gateways.push_back(std::move(n));
 		}
 		for (auto &n : gateways)
@@ -82,6 +84,10 @@
 	{
 		std::this_thread::sleep_for(std::chrono::milliseconds(ms));
 	}
+	virtual void AdjustEndpoint(unsigned /* i */,
+				    FakeEndpoint::Options & /* o */)
+	{
+	}
 	/* The second part of the prompt of a caller's next request. */
 	virtual std::string ChoosePart(unsigned /* caller */, std::mt19937 &rng)
 	{
--- /dev/null
+++ b/tests/test_gateway_version.cc
@@ -0,0 +1,229 @@
+// Gateways as processes before endpoints of two software versions, and callers
+// that take broken streams up at other gateways.
+#include "tests/gateway_group.h"
+
+namespace
+{
+
+const int EVENTS = 30;
+
+/* A stream as its caller sees it, over all its requests. */
+struct Stream {
+	std::string first_id; /* of the request that brought the first event */
+	std::set<std::string> versions; /* that wrote the events */
+	int last_event = 0;
+	int status = 0; /* of the last answer; 0: none */
+	bool resumed = false;
+
+	bool complete() const
+	{
+		return last_event == EVENTS;
+	}
+};
+
+struct GatewayVersion : GatewayGroup {
+	unsigned n_versions = 2;
+
+	void AdjustEndpoint(unsigned i, FakeEndpoint::Options &o) override
+	{
+		o.version = "v" + std::to_string(i % n_versions);
+		o.event_suffix = " " + o.version + ".";
+	}
+	void Start(unsigned n_gateways, FakeEndpoint::Options o = {})
+	{
+		o.events = EVENTS;
+		if (!o.choose_fault)
+			o.gap_ms = 40;
+		ASSERT_NO_FATAL_FAILURE(StartGroup(n_gateways, 6, o));
+		SleepMs(1500); /* until the gateways know each other */
+	}
+	/* One request of @s, from the event that its caller has. */
+	void Request(Stream &s, const Node &n)
+	{
+		std::string id = std::to_string(ids++);
+		bool resumes = !s.first_id.empty();
+		int fd = FakeDial(n.ip.c_str(), n.port, 5);
+
+		if (!resumes)
+			s.first_id = id;
+		std::string head = "GET /r/" + s.first_id +
+				   " HTTP/1.1\r\nHost: h\r\nAttempt-Id: " + id +
+				   "\r\nDeadline-Ms: 9000\r\n";
+		if (resumes)
+			head += "Resumes: " + s.first_id +
+				"\r\nLast-Event-Id: " +
+				std::to_string(s.last_event) + "\r\n";
+		s.status = 0;
+		if (fd < 0)
+			return;
+		FakeSend(fd, head + "\r\n");
+		ReadEvents(s, FakeReceive(fd, "\r\n0\r\n"));
+		close(fd);
+	}
+	static void ReadEvents(Stream &s, const std::string &got)
+	{
+		size_t at = 0;
+
+		if (got.size() > 12)
+			s.status = atoi(got.c_str() + 9);
+		while ((at = got.find("data: e", at)) != std::string::npos) {
+			size_t from = got.find(" v", at);
+			size_t to = got.find(".\n\n", at);
+
+			if (to == std::string::npos)
+				break;
+			s.last_event = atoi(got.c_str() + at + 7);
+			s.versions.insert(got.substr(from + 1, to - from - 1));
+			at = to;
+		}
+	}
+	/* Begins streams at random times of 0.8 s; @kill kills gateways at the
+	 * end of it; broken streams are then taken up at @n. */
+	std::vector<Stream> RunStreams(unsigned n_streams,
+				       const std::function<void()> &kill,
+				       const std::function<const Node &()> &n)
+	{
+		std::vector<Stream> all(n_streams);
+		std::vector<std::thread> threads;
+		std::atomic<bool> killed{ false };
+
+		for (unsigned i = 0; i < n_streams; i++)
+			threads.emplace_back([&, i] {
+				Stream &s = all[i];
+
+				SleepMs(i * 800 / n_streams);
+				Request(s, *gateways[i % gateways.size()]);
+				while (!killed)
+					SleepMs(5);
+				if (s.complete() || s.last_event == 0)
+					return;
+				s.resumed = true;
+				Request(s, n());
+			});
+		SleepMs(900);
+		kill();
+		killed = true;
+		for (std::thread &t : threads)
+			t.join();
+		return all;
+	}
+	/* Prints and checks what became of the streams. */
+	static void Check(const char *name, const std::vector<Stream> &all,
+			  unsigned *resumed, unsigned *complete)
+	{
+		unsigned mixed = 0;
+
+		*resumed = 0;
+		*complete = 0;
+		for (const Stream &s : all) {
+			mixed += s.versions.size() > 1;
+			*resumed += s.resumed;
+			*complete += s.resumed && s.complete();
+		}
+		printf("%s: %zu streams, %u of two versions; %u taken up, "
+		       "%u of these complete\n",
+		       name, all.size(), mixed, *resumed, *complete);
+		EXPECT_EQ(mixed, 0u);
+	}
+	void Kill(unsigned i)
+	{
+		gateways[i]->process.Signal(SIGKILL);
+		gateways[i]->process.Wait();
+	}
+	void Restart(unsigned i)
+	{
+		gateways[i]->process.Start("pimento-gateway",
+					   gateways[i]->settings);
+	}
+};
+
+TEST_F(GatewayVersion, BrokenStreamsDoNotGoOnAtAnotherVersion)
+{
+	FakeEndpoint::Options o;
+	std::atomic<unsigned> n{ 0 };
+	unsigned resumed, complete;
+
+	o.choose_fault = [&n] {
+		return n++ % 2 ? FakeEndpoint::NO_FAULT
+			       : FakeEndpoint::BROKEN_STREAM;
+	};
+	ASSERT_NO_FATAL_FAILURE(Start(1, o));
+	std::vector<Stream> all = RunStreams(
+		40, [] {}, [this]() -> const Node & { return *gateways[0]; });
+	Check("broken", all, &resumed, &complete);
+}
+
+TEST_F(GatewayVersion, StreamsOfAKilledGatewayDoNotGoOnAtAnotherVersion)
+{
+	unsigned resumed, complete;
+	std::atomic<unsigned> n{ 0 };
+
+	ASSERT_NO_FATAL_FAILURE(Start(4));
+	std::vector<Stream> all = RunStreams(
+		60,
+		[this] {
+			Kill(0);
+			Kill(1);
+		},
+		[this, &n]() -> const Node & {
+			return *gateways[2 + n++ % 2];
+		});
+	Check("killed", all, &resumed, &complete);
+	EXPECT_GE(resumed, 12u);
+	EXPECT_GE(2 * complete, resumed);
+}
+
+TEST_F(GatewayVersion, StreamsOfRestartedGatewaysDoNotGoOnAtAnotherVersion)
+{
+	unsigned resumed, complete;
+	std::atomic<unsigned> n{ 0 };
+
+	ASSERT_NO_FATAL_FAILURE(Start(3));
+	std::vector<Stream> all = RunStreams(
+		60,
+		[this] {
+			for (unsigned i = 0; i < 3; i++)
+				Kill(i);
+			for (unsigned i = 0; i < 3; i++)
+				Restart(i);
+			for (auto &g : gateways)
+				ASSERT_TRUE(BecomesReady(*g));
+		},
+		[this, &n]() -> const Node & { return *gateways[n++ % 3]; });
+	Check("restarted", all, &resumed, &complete);
+	EXPECT_GE(resumed, 12u);
+	EXPECT_GE(2 * complete, resumed);
+}
+
+/* A stream that no gateway knows, with events of the version @v. */
+Stream UnknownStream()
+{
+	Stream s;
+
+	s.first_id = "7";
+	s.last_event = 3;
+	return s;
+}
+
+TEST_F(GatewayVersion, AStreamOfAnUnknownVersionIsRefused)
+{
+	Stream s = UnknownStream();
+
+	ASSERT_NO_FATAL_FAILURE(Start(2));
+	auto begin = Clock::now();
+	Request(s, *gateways[0]);
+	EXPECT_EQ(s.status, 503);
+	EXPECT_LT(Clock::now() - begin, std::chrono::milliseconds(600));
+}
+
+TEST_F(GatewayVersion, AStreamGoesOnAtRestartedGatewaysWhereThereIsOneVersion)
+{
+	Stream s = UnknownStream();
+
+	n_versions = 1;
+	ASSERT_NO_FATAL_FAILURE(Start(2));
+	Request(s, *gateways[0]);
+	EXPECT_TRUE(s.complete());
+}
+
+} // namespace
