Gate core: a stream goes on only at the software version that began it

From its first event on, a request is bound to the software of the endpoint that sent it. If others are there but none with that software may run it, it ends at once (version_gone) instead of at its deadline; a service without any endpoint is waited for as before (Gate.BrokenStreamWaitsForAnEndpoint).

--- a/fuzz/fuzz_gate.c
+++ b/fuzz/fuzz_gate.c
@@ -3,7 +3,7 @@
  * callers: at-most-once requests run at most once, a refused request did not
  * run, each request gets one final act by its deadline, a silent send ends only
  * for another one, no endpoint that leaves or is in a backoff gets a send, a
- * started answer goes on while it may, the retries of all gateways together stay
+ * started answer goes on while it may and at one software version, the retries of all gateways together stay
  * within the budget, and their sends to an endpoint within its limit.
  */
 #include "fuzz/fuzz.h"
@@ -43,6 +43,7 @@
 	uint32_t endpoint;
 	pf_ms sent_at;
 	int64_t sent_to; /* incarnation */
+	uint64_t software; /* that began the answer, once response_started */
 	int status; /* of the last complete answer */
 	bool complete_answer; /* the current send ended with one */
 };
@@ -95,6 +96,12 @@
 	return pf_rng_below(&w->rng, n);
 }
 
+/* Endpoints start again as another version at times. */
+static uint64_t software_of(uint32_t endpoint, int64_t incarnation)
+{
+	return 1 + (endpoint + (uint64_t)incarnation) % 2;
+}
+
 static uint64_t service_id(enum kind k)
 {
 	return k == SAFE || k == UNSAFE ? 101 : 102;
@@ -219,6 +226,9 @@
 		fuzz_violation(w->r, "sent to a draining or removed endpoint");
 	if (p->left[q->gate] && p->left[q->gate] >= p->incarnation[q->gate])
 		fuzz_violation(w->r, "sent to an endpoint that said it leaves");
+	if (q->response_started &&
+	    software_of(at, p->incarnation[q->gate]) != q->software)
+		fuzz_violation(w->r, "stream goes on at another version");
 	check_backoff(w, q, at % ENDPOINTS);
 	check_limit(w, q, at % ENDPOINTS);
 	if ((q->kind == UNSAFE || q->kind == STREAM) && q->possible_runs)
@@ -244,6 +254,23 @@
 	check_budget(w, service_id(q->kind));
 }
 
+/* Whether an endpoint may go on with the stream of @q, perhaps later. */
+static bool may_go_on(const struct world *w, const struct req *q)
+{
+	uint32_t i;
+
+	for (i = 3; i < ENDPOINTS; i++) {
+		const struct endpoint_view *p = &w->endpoints[i];
+		int64_t incarnation = p->incarnation[q->gate];
+
+		if (p->listed[q->gate] && !p->draining[q->gate] &&
+		    p->left[q->gate] < incarnation &&
+		    software_of(i, incarnation) == q->software)
+			return true;
+	}
+	return false;
+}
+
 static void on_final(struct world *w, struct req *q,
 		     const struct pf_gate_act *a)
 {
@@ -267,7 +294,7 @@
 		fuzz_violation(w->r, "ended because its endpoint was silent");
 	if (a->type != PF_GATE_DELIVER && q->response_started &&
 	    q->kind == RESUMABLE && q->possible_runs < ATTEMPTS &&
-	    w->now < q->deadline)
+	    w->now < q->deadline && may_go_on(w, q))
 		fuzz_violation(w->r, "started answer cut with attempts left");
 	q->active = false;
 }
@@ -337,6 +364,7 @@
 	struct pf_resident res = { 9, NULL, 0 };
 	struct pf_endpoint_info l = { .id = i + 1,
 				      .service = i < 3 ? 101 : 102,
+				      .software = software_of(i, incarnation),
 				      .zone = 1 + i % 2,
 				      .slots = 4,
 				      .incarnation = incarnation,
@@ -544,6 +572,8 @@
 
 	if (!q || q->kind < STREAM)
 		return;
+	if (!q->response_started)
+		q->software = software_of(q->endpoint, q->sent_to);
 	q->response_started = true;
 	note_answer(w, q);
 	m.u.events.request = q->handle;
--- a/include/pimentoford/gate.h
+++ b/include/pimentoford/gate.h
@@ -258,6 +258,7 @@
 	DEF(LATE, "late")                   \
 	DEF(LEAVING, "leaving")             \
 	DEF(RETRY_BUDGET, "retry_budget")   \
+	DEF(VERSION_GONE, "version_gone")   \
 	DEF(QUARANTINED, "quarantined")     \
 	DEF(ENDPOINT_LOST, "endpoint_lost") \
 	DEF(TIMEOUT, "timeout")
--- a/src/coordination/gate/gate_core.h
+++ b/src/coordination/gate/gate_core.h
@@ -52,10 +52,13 @@
 	uint32_t n_avoided;
 	bool response_started; /* events were passed on to the caller */
 	bool moved; /* cancelled at a silent endpoint that may have answered */
+	bool bound; /* to endpoints with `software`, which began the stream */
+	uint64_t software;
 	uint32_t endpoint_slot; /* valid while in flight */
 	pf_ms sent_at;
 	pf_ms last_progress_at; /* last send or event */
 	uint64_t sent_incarnation; /* of the endpoint, hashed */
+	uint64_t sent_software; /* of the endpoint */
 	pf_ms began_at; /* first event of this send; 0: none yet */
 	bool sound; /* this send has shown that its parts are */
 	bool sampled; /* the judges are told of it */
@@ -75,6 +78,7 @@
 	uint64_t id;
 	uint64_t incarnation; /* new at each start */
 	uint64_t service;
+	uint64_t software; /* hash of the service and its version */
 	uint64_t zone;
 	uint64_t region;
 	double distance_ms; /* added latency, 0 in the same zone */
@@ -554,6 +558,11 @@
 			       const struct gate_estimate *x);
 /** Whether any endpoint could serve @r, even if all are busy. */
 bool gate_has_endpoint(struct pf_gate *g, const struct gate_request *r);
+/**
+ * Whether the stream of @r can't go on: the endpoints with its software left or
+ * don't have its model, while others are there or have it.
+ */
+bool gate_software_gone(const struct pf_gate *g, const struct gate_request *r);
 /** Until when a backoff or a limit allows no send to @e; in the past: none. */
 pf_ms gate_held_until(struct pf_gate *g, const struct gate_endpoint *e);
 /**
--- a/src/coordination/gate/gate_endpoints.c
+++ b/src/coordination/gate/gate_endpoints.c
@@ -158,6 +158,7 @@
 		e->loader_kv_tokens = 0;
 	}
 	e->service = l->service;
+	e->software = l->software;
 	e->zone = l->zone;
 	e->region = find_region(g, l->zone);
 	e->distance_ms = distance_to(g, e);
--- a/src/coordination/gate/gate_life.c
+++ b/src/coordination/gate/gate_life.c
@@ -208,6 +208,7 @@
 	r->sent_at = g->now;
 	r->last_progress_at = g->now;
 	r->sent_incarnation = e->incarnation;
+	r->sent_software = e->software;
 	r->began_at = 0;
 	r->sound = false;
 	gate_load_add(g, r, at);
@@ -240,11 +241,18 @@
 	emit(g, r, &a);
 }
 
-/* Refuses @r at once if waiting is in vain; false if it may wait. */
-static bool refuse_unservable(struct pf_gate *g, struct gate_request *r)
+/* Ends @r at once if waiting is in vain; false if it may wait. */
+static bool end_unservable(struct pf_gate *g, struct gate_request *r)
 {
 	const struct gate_endpoint *first = gate_first_held(g, r);
 
+	if (gate_software_gone(g, r)) {
+		if (r->possible_runs > 0)
+			fail_request(g, r, PF_GATE_REASON_VERSION_GONE);
+		else
+			refuse_request(g, r, PF_GATE_REASON_VERSION_GONE);
+		return true;
+	}
 	if (r->response_started || r->possible_runs > 0)
 		return false;
 	/* A limit often has room again before the request is given up. */
@@ -282,7 +290,7 @@
 	if (load_at != GATE_NIL)
 		gate_request_adapter(g, r, load_at);
 	if (at == GATE_NIL)
-		return refuse_unservable(g, r);
+		return end_unservable(g, r);
 	if (!gate_take_retry(g, r)) {
 		/* Nothing is better for a started answer than to wait. */
 		if (gate_waits_to_deadline(r))
@@ -507,6 +515,10 @@
 	r->events_left = r->events_left > n ? r->events_left - n : 0;
 	r->state = GATE_STREAMING;
 	r->response_started = true;
+	if (!r->bound) {
+		r->bound = true;
+		r->software = r->sent_software;
+	}
 	r->last_progress_at = g->now;
 }
 
--- a/src/coordination/gate/gate_pick.c
+++ b/src/coordination/gate/gate_pick.c
@@ -136,11 +136,21 @@
 	       g->now - e->last_progress_at > GATE_STREAMS_SILENT_MS;
 }
 
+/* Whether the endpoint may go on with what the caller of @r has. */
+static bool has_software(const struct gate_request *r,
+			 const struct gate_endpoint *e)
+{
+#ifdef PF_MUTANT_GATE_SOFTWARE
+	return true;
+#endif
+	return !r->bound || e->software == r->software;
+}
+
 /* Whether the endpoint could serve @r, even if it is busy. */
 static bool is_candidate(const struct pf_gate *g, const struct gate_request *r,
 			 const struct gate_endpoint *e)
 {
-	if (!e->used || e->service != r->service)
+	if (!e->used || e->service != r->service || !has_software(r, e))
 		return false;
 #if defined(PF_MUTANT_GATE_LEAVING)
 	if (e->leaving)
@@ -173,6 +183,33 @@
 	return false;
 }
 
+bool gate_software_gone(const struct pf_gate *g, const struct gate_request *r)
+{
+	bool software_listed = false;
+	bool others_listed = false;
+	bool others_have_model = false;
+	uint32_t i;
+
+	if (!r->bound)
+		return false;
+	for (i = 0; i < g->n_endpoints; i++) {
+		const struct gate_endpoint *e = &g->endpoints[i];
+		bool has_model =
+			!r->model || gate_endpoint_has_model(e, r->model, 0);
+
+		if (!e->used || e->service != r->service ||
+		    gate_endpoint_leaves(e))
+			continue;
+		if (has_software(r, e) && has_model)
+			return false;
+		software_listed |= has_software(r, e);
+		others_listed |= !has_software(r, e);
+		others_have_model |= !has_software(r, e) && has_model;
+	}
+	/* The planner loads a model that no endpoint has. */
+	return software_listed ? others_have_model : others_listed;
+}
+
 pf_ms gate_held_until(struct pf_gate *g, const struct gate_endpoint *e)
 {
 	pf_ms room_at = gate_limit_room_at(g, e);
