--- a/daemons/gateway/core.c
+++ b/daemons/gateway/core.c
@@ -68,6 +68,12 @@
 	case PF_GATE_QUARANTINE:
 		log_quarantine(ctx, a);
 		break;
+	case PF_GATE_TELL_KEEPERS:
+		streams_tell_keepers(ctx, &a->u.note);
+		break;
+	case PF_GATE_REPLY:
+		streams_reply(ctx, &a->u.note);
+		break;
 	case PF_GATE_DELIVER:
 		exchange_deliver(a->ctx);
 		break;
--- a/daemons/gateway/feeds.c
+++ b/daemons/gateway/feeds.c
@@ -439,6 +439,7 @@
 	restart_feed(&g->feeds->endpoints);
 	endpoints_on_restore(g, row_removal_time(g->feeds));
 	members_on_restore(g);
+	streams_on_restore(g);
 }
 
 static int feed_start(struct feeds *fs, struct feed *f)
--- a/daemons/gateway/gateway.h
+++ b/daemons/gateway/gateway.h
@@ -104,6 +104,7 @@
 struct talk;
 struct ready_server;
 struct config_peers;
+struct streams;
 
 struct gateway {
 	struct event_base *base;
@@ -139,6 +140,7 @@
 	struct talk *talk;
 	struct ready_server *ready_server;
 	struct config_peers *config_peers;
+	struct streams *streams;
 	/* Ends of sends reported during a step of the core. */
 	struct event *deferred_ev;
 	struct pf_gate_end *deferred_ends;
@@ -248,6 +250,17 @@
 /** Keeps the one that has come into force, for other gateways. */
 void config_in_force(struct gateway *g, struct pf_str row);
 
+/* streams.c: which software began a stream */
+int streams_start(struct gateway *g);
+void streams_stop(struct gateway *g);
+/** Acts of the core. */
+void streams_tell_keepers(struct gateway *g, const struct pf_gate_note *n);
+void streams_reply(struct gateway *g, const struct pf_gate_note *n);
+void streams_on_note(struct gateway *g, const struct sockaddr_in *from,
+		     const struct pf_gate_note *n);
+/** The store was restored: this gateway's row may be gone. */
+void streams_on_restore(struct gateway *g);
+
 /* ready.c: readiness and metrics */
 int ready_start(struct gateway *g);
 void ready_stop(struct gateway *g);
--- a/daemons/gateway/main.c
+++ b/daemons/gateway/main.c
@@ -130,13 +130,14 @@
 	}
 	if (talk_start(g) < 0)
 		return -1;
-	return feeds_start(g);
+	return feeds_start(g) < 0 ? -1 : streams_start(g);
 }
 
 static void stop(struct gateway *g)
 {
 	talk_stop(g);
 	feeds_stop(g);
+	streams_stop(g);
 	ready_stop(g);
 	config_peers_stop(g);
 	callers_stop(g);
--- a/daemons/gateway/talk.c
+++ b/daemons/gateway/talk.c
@@ -237,6 +237,14 @@
 	core_step(t->gateway, &m);
 }
 
+static void on_note(void *ctx, const struct sockaddr_in *from,
+		    const struct pf_gate_note *n)
+{
+	const struct talk *t = ctx;
+
+	streams_on_note(t->gateway, from, n);
+}
+
 static void add_demand(struct talk *t, uint64_t peer,
 		       const struct pf_gate_demand *v, size_t n)
 {
@@ -450,6 +458,7 @@
 		.digest = on_digest,
 		.evidence = on_evidence,
 		.limits = on_limits,
+		.note = on_note,
 		.demand = on_demand,
 		.state = on_state,
 		.ctx = t,
--- a/fuzz/fuzz_gate.c
+++ b/fuzz/fuzz_gate.c
@@ -9,12 +9,16 @@
 #include "fuzz/fuzz.h"
 #include "pimentoford/gate.h"
 
+#include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
 #define GATES 3
 #define ENDPOINTS 6
 #define REQUESTS 48
+#define STREAMS 64
+#define NOTES_MAX 256
+#define STORED_MAX 64
 #define HISTORY_MAX 4096
 #define ATTEMPTS 2
 #define RETRY_WINDOW_MS 10000
@@ -43,11 +47,24 @@
 	uint32_t endpoint;
 	pf_ms sent_at;
 	int64_t sent_to; /* incarnation */
-	uint64_t software; /* that began the answer, once response_started */
+	uint32_t stream; /* index */
 	int status; /* of the last complete answer */
 	bool complete_answer; /* the current send ended with one */
 };
 
+/* A stream, over all requests of its caller. */
+struct stream {
+	uint32_t id; /* its first attempt's; 0: free */
+	uint64_t software; /* that began it; 0: not begun */
+	bool in_use; /* by a request */
+};
+
+/* A datagram between gateways. */
+struct note {
+	uint32_t from, to;
+	struct pf_gate_note note;
+};
+
 /* The endpoint as each gateway knows it. */
 struct endpoint_view {
 	bool draining[GATES];
@@ -81,6 +98,13 @@
 	struct pf_gate_zone zones[2];
 	struct endpoint_view endpoints[ENDPOINTS];
 	struct req reqs[REQUESTS];
+	struct stream streams[STREAMS + 1]; /* the last one is a dummy */
+	uint32_t n_streams; /* ever */
+	struct note notes[NOTES_MAX]; /* on their way */
+	uint32_t n_notes;
+	uint32_t note_from; /* of the one being delivered */
+	struct pf_gate_stream stored[GATES][STORED_MAX]; /* each one's row */
+	uint32_t n_stored[GATES];
 	uint32_t stepping_gate; /* whose acts come now */
 	uint64_t probed; /* endpoint of the last probe; 0: none */
 	/* Rings of the last arrivals and retries. */
@@ -96,10 +120,12 @@
 	return pf_rng_below(&w->rng, n);
 }
 
-/* Endpoints start again as another version at times. */
+/* Two versions are always there; some endpoints start again as the other. */
 static uint64_t software_of(uint32_t endpoint, int64_t incarnation)
 {
-	return 1 + (endpoint + (uint64_t)incarnation) % 2;
+	if (endpoint < ENDPOINTS - 1)
+		return 1 + endpoint % 2;
+	return 1 + (uint64_t)incarnation % 2;
 }
 
 static uint64_t service_id(enum kind k)
@@ -226,8 +252,9 @@
 		fuzz_violation(w->r, "sent to a draining or removed endpoint");
 	if (p->left[q->gate] && p->left[q->gate] >= p->incarnation[q->gate])
 		fuzz_violation(w->r, "sent to an endpoint that said it leaves");
-	if (q->response_started &&
-	    software_of(at, p->incarnation[q->gate]) != q->software)
+	if (q->stream < STREAMS && w->streams[q->stream].software &&
+	    software_of(at, p->incarnation[q->gate]) !=
+		    w->streams[q->stream].software)
 		fuzz_violation(w->r, "stream goes on at another version");
 	check_backoff(w, q, at % ENDPOINTS);
 	check_limit(w, q, at % ENDPOINTS);
@@ -265,12 +292,19 @@
 
 		if (p->listed[q->gate] && !p->draining[q->gate] &&
 		    p->left[q->gate] < incarnation &&
-		    software_of(i, incarnation) == q->software)
+		    software_of(i, incarnation) ==
+			    w->streams[q->stream].software)
 			return true;
 	}
 	return false;
 }
 
+static void end_request(struct world *w, struct req *q)
+{
+	q->active = false;
+	w->streams[q->stream].in_use = false;
+}
+
 static void on_final(struct world *w, struct req *q,
 		     const struct pf_gate_act *a)
 {
@@ -296,7 +330,7 @@
 	    q->kind == RESUMABLE && q->possible_runs < ATTEMPTS &&
 	    w->now < q->deadline && may_go_on(w, q))
 		fuzz_violation(w->r, "started answer cut with attempts left");
-	q->active = false;
+	end_request(w, q);
 }
 
 static void check_stalls(struct world *w)
@@ -310,6 +344,26 @@
 	}
 }
 
+static void add_note(struct world *w, uint32_t to, const struct pf_gate_note *n)
+{
+	if (to != w->stepping_gate && w->n_notes < NOTES_MAX && draw(w, 5))
+		w->notes[w->n_notes++] =
+			(struct note){ w->stepping_gate, to, *n };
+}
+
+/* All other gateways are keepers. Some datagrams are lost. */
+static void send_note(struct world *w, const struct pf_gate_act *a)
+{
+	uint32_t i;
+
+	if (a->type == PF_GATE_REPLY) {
+		add_note(w, w->note_from, &a->u.note);
+		return;
+	}
+	for (i = 0; i < GATES; i++)
+		add_note(w, i, &a->u.note);
+}
+
 static void emit(void *ctx, const struct pf_gate_act *a)
 {
 	struct world *w = ctx;
@@ -317,6 +371,10 @@
 
 	if (a->type == PF_GATE_QUARANTINE)
 		return;
+	if (a->type == PF_GATE_TELL_KEEPERS || a->type == PF_GATE_REPLY) {
+		send_note(w, a);
+		return;
+	}
 	if (a->type == PF_GATE_PROBE) {
 		w->probed = a->u.probe.endpoint;
 		return;
@@ -340,6 +398,8 @@
 		break;
 	case PF_GATE_PROBE:
 	case PF_GATE_QUARANTINE:
+	case PF_GATE_TELL_KEEPERS:
+	case PF_GATE_REPLY:
 		break;
 	case PF_GATE_DELIVER:
 	case PF_GATE_REFUSE:
@@ -382,6 +442,44 @@
 	step(w, gate, &m);
 }
 
+/* Delivers one that is on its way, in any order. */
+static void deliver_note(struct world *w)
+{
+	struct pf_gate_msg m = { .type = PF_GATE_NOTE };
+	uint32_t i;
+	uint32_t to;
+
+	if (w->n_notes == 0)
+		return;
+	i = draw(w, w->n_notes);
+	to = w->notes[i].to;
+	m.u.note = w->notes[i].note;
+	w->note_from = w->notes[i].from;
+	w->notes[i] = w->notes[--w->n_notes];
+	step(w, to, &m);
+}
+
+static void store_streams(struct world *w, uint32_t gate)
+{
+	w->n_stored[gate] = pf_gate_open_streams(w->gates[gate], w->now,
+						 w->stored[gate], STORED_MAX);
+}
+
+/* Ages in the store are not kept up: they only decide what is forgotten. */
+static void read_stored(struct world *w, uint32_t gate)
+{
+	struct pf_gate_msg m = { .type = PF_GATE_STORED };
+	uint32_t i;
+
+	for (i = 0; i < GATES; i++) {
+		m.u.stored.own = i == gate;
+		m.u.stored.streams = w->stored[i];
+		m.u.stored.n_streams = w->n_stored[i];
+		m.u.stored.last = i + 1 == GATES;
+		step(w, gate, &m);
+	}
+}
+
 static void start_gate(struct world *w, uint32_t gate)
 {
 	struct pf_gate_msg m = { .type = PF_GATE_ROUTES };
@@ -415,6 +513,7 @@
 			w->endpoints[i].told_at[gate] = 0;
 	for (i = 0; i < ENDPOINTS; i++)
 		list_endpoint(w, gate, i, 1, false);
+	read_stored(w, gate);
 }
 
 /* The process dies with its requests. */
@@ -424,8 +523,8 @@
 
 	pf_gate_free(w->gates[gate]);
 	for (i = 0; i < REQUESTS; i++) {
-		if (w->reqs[i].gate == gate)
-			w->reqs[i].active = false;
+		if (w->reqs[i].active && w->reqs[i].gate == gate)
+			end_request(w, &w->reqs[i]);
 	}
 	start_gate(w, gate);
 }
@@ -479,8 +578,61 @@
 	}
 }
 
+/* A stream that was begun and broke, or NULL. */
+static struct stream *pick_broken_stream(struct world *w)
+{
+	uint32_t from = draw(w, STREAMS);
+	uint32_t i;
+
+	for (i = 0; i < STREAMS; i++) {
+		struct stream *s = &w->streams[(from + i) % STREAMS];
+
+		if (s->software && !s->in_use)
+			return s;
+	}
+	return NULL;
+}
+
+static struct stream *new_stream(struct world *w)
+{
+	uint32_t i;
+
+	for (i = 0; i < STREAMS; i++) {
+		struct stream *s = &w->streams[w->n_streams++ % STREAMS];
+
+		if (s->in_use)
+			continue;
+		*s = (struct stream){ .id = w->n_streams };
+		return s;
+	}
+	return NULL;
+}
+
+/* A caller begins a stream, or takes one up again. */
+static void choose_stream(struct world *w, struct req *q, struct pf_inbound *in,
+			  char *id, size_t cap)
+{
+	struct stream *s = draw(w, 2) ? pick_broken_stream(w) : NULL;
+	bool resumes = s != NULL;
+
+	if (!s)
+		s = new_stream(w);
+	if (!s)
+		return;
+	s->in_use = true;
+	q->stream = (uint32_t)(s - w->streams);
+	(void)snprintf(id, cap, "s%u", s->id);
+	if (resumes) {
+		in->resumes = pf_str_c(id);
+		in->last_event = 1;
+	} else {
+		in->id = pf_str_c(id);
+	}
+}
+
 static void arrive(struct world *w)
 {
+	char id[16];
 	struct pf_gate_msg m = { .type = PF_GATE_ARRIVE };
 	enum kind k = (enum kind)draw(w, KINDS);
 	struct pf_inbound in = { .last_event = -1 };
@@ -497,6 +649,9 @@
 	q->deadline = w->now + TIMEOUT_MS;
 	if (in.time_left && w->now + in.time_left < q->deadline)
 		q->deadline = w->now + in.time_left;
+	q->stream = STREAMS; /* none that goes on elsewhere */
+	if (k == RESUMABLE)
+		choose_stream(w, q, &in, id, sizeof(id));
 	if (k >= STREAM) {
 		in.model = draw(w, 12) ? 9 : 8; /* no endpoint has 8 */
 		in.prompt_tokens = draw(w, 1500);
@@ -572,8 +727,9 @@
 
 	if (!q || q->kind < STREAM)
 		return;
-	if (!q->response_started)
-		q->software = software_of(q->endpoint, q->sent_to);
+	if (q->stream < STREAMS && !w->streams[q->stream].software)
+		w->streams[q->stream].software =
+			software_of(q->endpoint, q->sent_to);
 	q->response_started = true;
 	note_answer(w, q);
 	m.u.events.request = q->handle;
@@ -592,7 +748,7 @@
 	step(w, q->gate, &m);
 	if (q->in_flight)
 		fuzz_violation(w->r, "send not cancelled after a hangup");
-	q->active = false;
+	end_request(w, q);
 }
 
 static void change_endpoint(struct world *w)
@@ -748,8 +904,12 @@
 			limit_endpoint(
 				w, i % ENDPOINTS,
 				w->endpoints[i % ENDPOINTS].incarnation[0]);
-		else if (op < 80)
+		else if (op < 74)
 			exchange_digests(w);
+		else if (op < 79)
+			deliver_note(w);
+		else if (op < 80)
+			store_streams(w, draw(w, GATES));
 		else if (op < 99 || draw(w, 8))
 			tick(w);
 		else
--- a/include/pimentoford/gate.h
+++ b/include/pimentoford/gate.h
@@ -156,6 +156,58 @@
 
 #define PF_GATE_LIMITS_MAX 128
 
+/** A stream, for callers that take it up at another gateway. */
+struct pf_gate_stream {
+	uint64_t id; /* hash of the id of the attempt that began it */
+	uint64_t service;
+	uint64_t software; /* pf_endpoint_info.software of what began it */
+	uint32_t age; /* ms since then */
+};
+
+/** A software version that a service has or had lately. */
+struct pf_gate_software {
+	uint64_t service;
+	uint64_t software;
+	pf_ms age; /* since it was listed; 0: it is */
+};
+
+/* DEF(name): what gateways tell each other about a stream. */
+#define PF_GATE_NOTE_TYPES(DEF)                               \
+	/* which software began it */                         \
+	DEF(BEGUN)                                            \
+	/* asks which; `software` is not set */               \
+	DEF(ASK)                                              \
+	/* unknown, but its service had this software only */ \
+	DEF(ONLY)
+
+enum pf_gate_note_type {
+#define DEF(name) PF_GATE_NOTE_##name,
+	PF_GATE_NOTE_TYPES(DEF)
+#undef DEF
+		PF_GATE_NOTE_TYPE_COUNT
+};
+
+struct pf_gate_note {
+	enum pf_gate_note_type type;
+	struct pf_gate_stream stream;
+};
+
+/** Gateways that are told, or asked, which software began a stream. */
+#define PF_GATE_KEEPERS 3
+#define PF_GATE_SOFTWARE_MAX 64
+/** Streams of one gateway in the store. */
+#define PF_GATE_STORED_MAX 512
+
+/** A gateway's row of streams in the store. */
+struct pf_gate_stored {
+	bool own; /* written by this gateway, before it started */
+	const struct pf_gate_stream *streams;
+	uint32_t n_streams;
+	const struct pf_gate_software *software;
+	uint32_t n_software;
+	bool last; /* all rows have been read */
+};
+
 /** Sent by each gateway to the others many times a second. */
 struct pf_gate_digest {
 	uint64_t peer; /* the sender's `self` */
@@ -184,6 +236,8 @@
 	PF_GATE_PEER_EVIDENCE, /* u.evidence: borrowed for the call */
 	PF_GATE_LIMIT, /* u.limit: an answer names a limit, or none */
 	PF_GATE_PEER_LIMITS, /* u.limits: borrowed for the call */
+	PF_GATE_NOTE, /* u.note: of another gateway */
+	PF_GATE_STORED, /* u.stored: borrowed for the call */
 	PF_GATE_ENGINE_STATE, /* u.state: from a loader, borrowed for the call */
 	PF_GATE_REACHABLE, /* u.id: a probed endpoint accepted a connection */
 	PF_GATE_LEAVING, /* u.leaving: an answer says that its endpoint leaves */
@@ -222,6 +276,8 @@
 			const struct pf_gate_limit *v;
 			uint32_t n;
 		} limits;
+		struct pf_gate_note note;
+		struct pf_gate_stored stored;
 		const struct pf_engine_state *state;
 		struct {
 			uint64_t endpoint;
@@ -241,26 +297,29 @@
 	PF_GATE_CANCEL, /* u.cancel: cancel the send in flight */
 	PF_GATE_PROBE, /* u.probe: connect to a silent endpoint; ctx is NULL */
 	PF_GATE_QUARANTINE, /* u.quarantine: of a part, for logs; ctx is NULL */
+	PF_GATE_TELL_KEEPERS, /* u.note: to pf_gate_stream_keepers() */
+	PF_GATE_REPLY, /* u.note: to the gateway whose note was passed in */
 	PF_GATE_DELIVER, /* final: deliver the answer that ended the send */
 	PF_GATE_REFUSE, /* final, u.refuse: did not run and never will */
 	PF_GATE_FAIL, /* final, u.fail: may have run */
 };
 
 /* DEF(name, code): why a request was refused or failed. */
-#define PF_GATE_REASONS(DEF)                \
-	DEF(NONE, "none")                   \
-	DEF(FULL, "full")                   \
-	DEF(NO_ENDPOINT, "no_endpoint")     \
-	DEF(NOT_LOADED, "not_loaded")       \
-	DEF(ALL_LEAVING, "all_leaving")     \
-	DEF(BACKOFF, "backoff")             \
-	DEF(LIMITED, "limited")             \
-	DEF(LATE, "late")                   \
-	DEF(LEAVING, "leaving")             \
-	DEF(RETRY_BUDGET, "retry_budget")   \
-	DEF(VERSION_GONE, "version_gone")   \
-	DEF(QUARANTINED, "quarantined")     \
-	DEF(ENDPOINT_LOST, "endpoint_lost") \
+#define PF_GATE_REASONS(DEF)                    \
+	DEF(NONE, "none")                       \
+	DEF(FULL, "full")                       \
+	DEF(NO_ENDPOINT, "no_endpoint")         \
+	DEF(NOT_LOADED, "not_loaded")           \
+	DEF(ALL_LEAVING, "all_leaving")         \
+	DEF(BACKOFF, "backoff")                 \
+	DEF(LIMITED, "limited")                 \
+	DEF(LATE, "late")                       \
+	DEF(LEAVING, "leaving")                 \
+	DEF(RETRY_BUDGET, "retry_budget")       \
+	DEF(VERSION_GONE, "version_gone")       \
+	DEF(VERSION_UNKNOWN, "version_unknown") \
+	DEF(QUARANTINED, "quarantined")         \
+	DEF(ENDPOINT_LOST, "endpoint_lost")     \
 	DEF(TIMEOUT, "timeout")
 
 enum pf_gate_reason {
@@ -311,6 +370,7 @@
 			bool released; /* else it begins */
 			uint32_t crashes; /* known here with this part */
 		} quarantine;
+		struct pf_gate_note note; /* ctx is NULL */
 		struct {
 			enum pf_gate_cancel reason;
 			pf_ms silent; /* since the send or its last event */
@@ -401,6 +461,37 @@
 uint32_t pf_gate_limits(struct pf_gate *g, pf_ms now,
 			struct pf_gate_limit *out);
 
+/** A gateway that may keep records of streams. */
+struct pf_gate_keeper {
+	uint64_t id; /* the same at all gateways, also after its restart */
+	uint64_t region;
+};
+
+/**
+ * Writes the indices of at most PF_GATE_KEEPERS of @v: two in @region, one of
+ * any. Gateways that know the same others choose the same. Returns how many.
+ */
+uint32_t pf_gate_stream_keepers(uint64_t stream, uint64_t region,
+				const struct pf_gate_keeper *v, uint32_t n,
+				uint32_t *out);
+
+/**
+ * Writes the streams that began here, are not complete, and whose service has
+ * several software versions, at most @max; returns how many.
+ */
+uint32_t pf_gate_open_streams(const struct pf_gate *g, pf_ms now,
+			      struct pf_gate_stream *out, uint32_t max);
+
+/**
+ * Writes the software versions of services that have several now or had them
+ * lately, at most PF_GATE_SOFTWARE_MAX; returns how many.
+ */
+uint32_t pf_gate_recent_software(const struct pf_gate *g, pf_ms now,
+				 struct pf_gate_software *out);
+
+/** Counts changes of the two above that the store should have. */
+uint64_t pf_gate_streams_serial(const struct pf_gate *g);
+
 /** Writes at most @max entries of recent demand; returns how many. */
 size_t pf_gate_demand(struct pf_gate *g, pf_ms now, struct pf_gate_demand *out,
 		      size_t max);
@@ -410,6 +501,9 @@
 /** Totals since the start, and current numbers. */
 struct pf_gate_stats {
 	uint64_t arrived, sent, retries, refused, failed, delivered, hangups;
+	uint64_t taken_up; /* streams, by their callers */
+	uint64_t taken_up_unknown; /* of these: refused, software unknown */
+	uint64_t streams_evicted; /* records lost while they mattered */
 	uint64_t peers_evicted; /* while more than peers_max sent digests */
 	uint32_t open, waiting, endpoints, peers;
 };
--- a/include/pimentoford/talk.h
+++ b/include/pimentoford/talk.h
@@ -41,6 +41,9 @@
 	/* Limits of endpoints, from the gateway @peer. */
 	void (*limits)(void *ctx, uint64_t peer, const struct pf_gate_limit *v,
 		       uint32_t n);
+	/* From a gateway, which may be replied to. */
+	void (*note)(void *ctx, const struct sockaddr_in *from,
+		     const struct pf_gate_note *n);
 	/* Demand seen by the gateway @peer. */
 	void (*demand)(void *ctx, uint64_t peer, const struct pf_gate_demand *v,
 		       size_t n);
@@ -70,6 +73,8 @@
 void pf_talk_send_limits(struct pf_talk *t, const struct sockaddr_in *to,
 			 uint64_t peer, const struct pf_gate_limit *v,
 			 uint32_t n);
+void pf_talk_send_note(struct pf_talk *t, const struct sockaddr_in *to,
+		       const struct pf_gate_note *n);
 /** Sends @v in as many datagrams as needed, at least one. */
 void pf_talk_send_demand(struct pf_talk *t, const struct sockaddr_in *to,
 			 uint64_t peer, const struct pf_gate_demand *v,
--- a/src/coordination/gate/gate.c
+++ b/src/coordination/gate/gate.c
@@ -132,6 +132,14 @@
 		gate_blame_evidence(g, m->u.evidence.peer, m->u.evidence.v,
 				    m->u.evidence.n);
 		break;
+	case PF_GATE_NOTE:
+		gate_stream_note(g, &m->u.note);
+		g->send_waiting_at = g->now;
+		break;
+	case PF_GATE_STORED:
+		gate_streams_stored(g, &m->u.stored);
+		g->send_waiting_at = g->now;
+		break;
 	case PF_GATE_ENGINE_STATE:
 		gate_endpoint_engine_state(g, m->u.state);
 		g->send_waiting_at = g->now;
--- a/src/coordination/gate/gate_core.h
+++ b/src/coordination/gate/gate_core.h
@@ -52,6 +52,10 @@
 	uint32_t n_avoided;
 	bool response_started; /* events were passed on to the caller */
 	bool moved; /* cancelled at a silent endpoint that may have answered */
+	/* Streams. */
+	uint64_t stream; /* id of the attempt that began it, hashed; 0: none */
+	bool undecided; /* taken up, and not known yet which software began it */
+	pf_ms decide_at; /* while undecided: when waiting for that ends */
 	bool bound; /* to endpoints with `software`, which began the stream */
 	uint64_t software;
 	uint32_t endpoint_slot; /* valid while in flight */
@@ -308,6 +312,38 @@
 	pf_ms reported_at;
 };
 
+/* For how long a caller may take up a stream after its begin. */
+#define GATE_STREAM_KEEP_MS 60000
+#define GATE_STREAM_WAYS 4
+#define GATE_STREAM_SETS 2048
+
+/** A stream, and the software that began it. */
+struct gate_stream {
+	uint64_t id; /* of the attempt that began it, hashed; 0: free */
+	uint64_t service;
+	uint64_t software;
+	pf_ms at; /* its begin */
+	bool own; /* begun here, also before a restart */
+	bool open; /* own ones: not delivered to the end */
+};
+
+#define GATE_SOFTWARE_MAX 64
+
+/** A software version of a service. */
+struct gate_software {
+	uint64_t software;
+	uint64_t service;
+	uint32_t endpoints; /* listed with it */
+	pf_ms last_seen_at; /* if there are none */
+};
+
+/** Whether a stream that was taken up may be sent. */
+enum gate_decision {
+	GATE_DECIDED, /* where its software is */
+	GATE_UNDECIDED, /* not yet */
+	GATE_UNKNOWN, /* never: nobody knows its software */
+};
+
 struct gate_prefill_speed {
 	uint64_t model; /* 0: free */
 	double ms_per_token;
@@ -370,6 +406,12 @@
 	bool quarantine_changed; /* in this step */
 	struct gate_evidence_entry evidence[GATE_EVIDENCE_RING];
 	uint64_t n_evidence; /* ever added */
+	struct gate_stream streams[GATE_STREAM_SETS][GATE_STREAM_WAYS];
+	uint64_t streams_serial; /* counts changes that are to be stored */
+	bool streams_read; /* from the store, since the start */
+	struct gate_software software[GATE_SOFTWARE_MAX];
+	uint32_t n_software; /* entries ever used */
+	pf_ms software_lost_at; /* one found no room; 0: never */
 	/* Rings for the digests; n_* counts all entries ever added. */
 	struct pf_gate_cached_prefix recent_prefixes[PF_GATE_PREFIXES_MAX];
 	uint64_t n_recent_prefixes;
@@ -539,6 +581,37 @@
 void gate_evidence_add(struct pf_gate *g, const struct pf_gate_evidence *e,
 		       pf_ms at, bool to_all);
 
+/* gate_software.c */
+/** An endpoint with this software was added to the list, or removed. */
+void gate_software_listed(struct pf_gate *g, uint64_t service,
+			  uint64_t software);
+void gate_software_unlisted(struct pf_gate *g, uint64_t software);
+/** Another gateway, or this one before a restart, knew of it. */
+void gate_software_seen(struct pf_gate *g, uint64_t service, uint64_t software,
+			pf_ms at);
+/** Whether the service has several now, or had them lately. */
+bool gate_software_mixed(const struct pf_gate *g, uint64_t service);
+/** Whether it is known which it has and had lately. */
+bool gate_software_known(const struct pf_gate *g, uint64_t service);
+/** Whether it has one, and is known to have had no other one lately. */
+bool gate_software_only(const struct pf_gate *g, uint64_t service,
+			uint64_t *only);
+
+/* gate_streams.c */
+/** Notes what @r takes up; asks other gateways if it isn't known here. */
+void gate_stream_arrive(struct pf_gate *g, struct gate_request *r,
+			const struct pf_inbound *in);
+/** Binds @r to the software of its stream as soon as it is known. */
+enum gate_decision gate_stream_decide(struct pf_gate *g,
+				      struct gate_request *r);
+/** The first event of @r was passed on. */
+void gate_stream_begun(struct pf_gate *g, const struct gate_request *r);
+void gate_stream_complete(struct pf_gate *g, const struct gate_request *r);
+/** The service has several versions from now on: tells of its open streams. */
+void gate_streams_announce(struct pf_gate *g, uint64_t service);
+void gate_stream_note(struct pf_gate *g, const struct pf_gate_note *n);
+void gate_streams_stored(struct pf_gate *g, const struct pf_gate_stored *in);
+
 /* gate_pick.c */
 /**
  * Returns the slot of the best endpoint, or GATE_NIL. If the best one must load
--- a/src/coordination/gate/gate_endpoints.c
+++ b/src/coordination/gate/gate_endpoints.c
@@ -122,9 +122,10 @@
 {
 	uint64_t incarnation = pf_id2(l->id, (uint64_t)l->incarnation);
 	uint32_t slot = find_slot(g, l->id);
+	bool listed = slot != GATE_NIL;
 	struct gate_endpoint *e;
 
-	if (slot == GATE_NIL) {
+	if (!listed) {
 		slot = take_slot(g);
 		if (slot == GATE_NIL ||
 		    pf_map_put(&g->endpoints_by_id, pf_key1(l->id), slot) < 0)
@@ -157,6 +158,11 @@
 		e->loader_running = 0;
 		e->loader_kv_tokens = 0;
 	}
+	if (!listed || e->software != l->software) {
+		if (listed)
+			gate_software_unlisted(g, e->software);
+		gate_software_listed(g, l->service, l->software);
+	}
 	e->service = l->service;
 	e->software = l->software;
 	e->zone = l->zone;
@@ -204,6 +210,7 @@
 
 	if (!e)
 		return;
+	gate_software_unlisted(g, e->software);
 	free_residents(e);
 	e->used = false;
 	pf_map_del(&g->endpoints_by_id, pf_key1(id));
--- a/src/coordination/gate/gate_life.c
+++ b/src/coordination/gate/gate_life.c
@@ -286,6 +286,15 @@
 		reject_quarantined(g, r);
 		return true;
 	}
+	switch (gate_stream_decide(g, r)) {
+	case GATE_DECIDED:
+		break;
+	case GATE_UNDECIDED:
+		return false;
+	case GATE_UNKNOWN:
+		refuse_request(g, r, PF_GATE_REASON_VERSION_UNKNOWN);
+		return true;
+	}
 	at = gate_pick(g, r, &load_at);
 	if (load_at != GATE_NIL)
 		gate_request_adapter(g, r, load_at);
@@ -429,6 +438,7 @@
 	gate_demand_begin(g, r);
 	gate_use_arrival(g, r);
 	gate_quarantine_arrival(g, r);
+	gate_stream_arrive(g, r, a->in);
 	gate_wait_add(g, r);
 	if (gate_try_send(g, r))
 		return;
@@ -495,6 +505,7 @@
 {
 	struct gate_request *r = &g->requests[slot];
 	struct gate_endpoint *e = &g->endpoints[r->endpoint_slot];
+	bool first = !r->response_started;
 
 	if (r->prefill_ms > 0) {
 		gate_learn_latency(g, r);
@@ -519,6 +530,8 @@
 		r->bound = true;
 		r->software = r->sent_software;
 	}
+	if (first)
+		gate_stream_begun(g, r);
 	r->last_progress_at = g->now;
 }
 
@@ -614,6 +627,7 @@
 		if (end->status >= 500 && retry_on_error(g, r))
 			return;
 		g->stats.delivered++;
+		gate_stream_complete(g, r);
 		emit(g, r, &deliver);
 		free_request(g, r);
 		return;
@@ -698,6 +712,11 @@
 		arm_timer(g, r);
 		return;
 	}
+	if (r->undecided) {
+		if (!gate_try_send(g, r))
+			arm_timer(g, r);
+		return;
+	}
 	if (r->state == GATE_WAITING) {
 		first = gate_first_held(g, r);
 		if (first && r->possible_runs == 0) {
--- /dev/null
+++ b/src/coordination/gate/gate_streams.c
@@ -0,0 +1,303 @@
+/*
+ * Which software began a stream, for callers that take it up again at this or
+ * another gateway. Records are kept by the gateway that began it, by a few
+ * others that it tells, and in the store. A stream that nobody knows goes on only
+ * where the service had no other software lately.
+ */
+#include "src/coordination/gate/gate_core.h"
+
+/* For an answer of the gateways that were asked. */
+#define ASK_WAIT_MS 150
+/* The same while the endpoints or the records in the store are unknown. */
+#define READ_WAIT_MS 600
+/* A caller has given up its stream by then; it is no longer stored. */
+#define STORED_MS 20000
+
+static struct gate_stream *find(struct pf_gate *g, uint64_t id, bool create)
+{
+	struct gate_stream *set = g->streams[id % GATE_STREAM_SETS];
+	struct gate_stream *oldest = &set[0];
+	uint32_t i;
+
+	for (i = 0; i < GATE_STREAM_WAYS; i++) {
+		struct gate_stream *s = &set[i];
+
+		if (s->id == id && g->now - s->at < GATE_STREAM_KEEP_MS)
+			return s;
+		if (s->at < oldest->at)
+			oldest = s;
+	}
+	if (!create)
+		return NULL;
+	if (oldest->id && g->now - oldest->at < GATE_STREAM_KEEP_MS)
+		g->stats.streams_evicted++;
+	*oldest = (struct gate_stream){ .id = id };
+	return oldest;
+}
+
+/* Keeps what is known: a stream has one software. */
+static void add(struct pf_gate *g, const struct pf_gate_stream *r, bool own,
+		bool open)
+{
+	struct gate_stream *s = find(g, r->id, false);
+
+	if (s && s->software != r->software)
+		return;
+	if (!s)
+		s = find(g, r->id, true);
+	s->service = r->service;
+	s->software = r->software;
+	s->at = g->now - r->age;
+	s->own |= own;
+	s->open = open;
+}
+
+static void tell(struct pf_gate *g, enum pf_gate_act_type to,
+		 enum pf_gate_note_type type, const struct pf_gate_stream *s)
+{
+	struct pf_gate_act a = { .type = to };
+
+	a.u.note.type = type;
+	a.u.note.stream = *s;
+	g->sink->emit(g->sink->ctx, &a);
+}
+
+void gate_stream_begun(struct pf_gate *g, const struct gate_request *r)
+{
+	struct pf_gate_stream s = { r->stream, r->service, r->software, 0 };
+
+	if (!r->stream)
+		return;
+	add(g, &s, true, true);
+	if (!gate_software_mixed(g, r->service))
+		return;
+	g->streams_serial++;
+	tell(g, PF_GATE_TELL_KEEPERS, PF_GATE_NOTE_BEGUN, &s);
+}
+
+void gate_stream_complete(struct pf_gate *g, const struct gate_request *r)
+{
+	struct gate_stream *s = r->stream ? find(g, r->stream, false) : NULL;
+
+	if (s)
+		s->open = false;
+}
+
+void gate_streams_announce(struct pf_gate *g, uint64_t service)
+{
+	uint32_t i;
+
+	g->streams_serial++;
+	for (i = 0; g->sink && i < g->opts.requests_max; i++) {
+		const struct gate_request *r = &g->requests[i];
+		struct pf_gate_stream s = { r->stream, service, r->software,
+					    0 };
+
+		if (r->state != GATE_FREE && r->response_started && r->stream &&
+		    r->service == service)
+			tell(g, PF_GATE_TELL_KEEPERS, PF_GATE_NOTE_BEGUN, &s);
+	}
+}
+
+static void bind(struct gate_request *r, uint64_t software)
+{
+	r->undecided = false;
+	r->bound = true;
+	r->software = software;
+}
+
+void gate_stream_arrive(struct pf_gate *g, struct gate_request *r,
+			const struct pf_inbound *in)
+{
+	bool resumes = in->resumes.n > 0 || in->last_event >= 0;
+	struct pf_gate_stream s = { .service = r->service };
+
+	if (r->kind != PF_ROUTE_RESUMABLE)
+		return;
+	if (in->resumes.n > 0)
+		r->stream = pf_id(in->resumes);
+	else if (!resumes && in->id.n > 0)
+		r->stream = pf_id(in->id);
+	if (!resumes)
+		return;
+	g->stats.taken_up++;
+	r->undecided = true;
+	r->decide_at = g->now;
+	if (!gate_software_known(g, r->service))
+		r->decide_at += READ_WAIT_MS;
+	else if (r->stream)
+		r->decide_at += ASK_WAIT_MS;
+	if (r->decide_at > r->deadline)
+		r->decide_at = r->deadline;
+	s.id = r->stream;
+	if (s.id && !find(g, s.id, false))
+		tell(g, PF_GATE_TELL_KEEPERS, PF_GATE_NOTE_ASK, &s);
+}
+
+enum gate_decision gate_stream_decide(struct pf_gate *g, struct gate_request *r)
+{
+	const struct gate_stream *s =
+		r->stream ? find(g, r->stream, false) : NULL;
+	uint64_t only;
+
+	if (!r->undecided)
+		return GATE_DECIDED;
+	if (s) {
+		bind(r, s->software);
+		return GATE_DECIDED;
+	}
+	if (g->now < r->decide_at)
+		return GATE_UNDECIDED;
+	if (!gate_software_only(g, r->service, &only)) {
+#ifdef PF_MUTANT_GATE_TAKEN_UP
+		r->undecided = false;
+		return GATE_DECIDED;
+#endif
+		g->stats.taken_up_unknown++;
+		return GATE_UNKNOWN;
+	}
+	bind(r, only);
+	return GATE_DECIDED;
+}
+
+/* A peer knows of no other software of the service than @s has. */
+static void decide_by_peer(struct pf_gate *g, const struct pf_gate_stream *s)
+{
+	uint64_t only;
+	uint32_t i;
+
+	if (!gate_software_only(g, s->service, &only) || only != s->software)
+		return;
+	for (i = 0; i < g->opts.requests_max; i++) {
+		struct gate_request *r = &g->requests[i];
+
+		if (r->state == GATE_WAITING && r->undecided &&
+		    r->stream == s->id && r->service == s->service)
+			r->decide_at = g->now;
+	}
+}
+
+static void answer(struct pf_gate *g, const struct pf_gate_stream *asked)
+{
+	const struct gate_stream *s = find(g, asked->id, false);
+	struct pf_gate_stream r = *asked;
+
+	if (s) {
+		r.service = s->service;
+		r.software = s->software;
+		r.age = (uint32_t)(g->now - s->at);
+		tell(g, PF_GATE_REPLY, PF_GATE_NOTE_BEGUN, &r);
+	} else if (gate_software_only(g, asked->service, &r.software)) {
+		tell(g, PF_GATE_REPLY, PF_GATE_NOTE_ONLY, &r);
+	}
+}
+
+void gate_stream_note(struct pf_gate *g, const struct pf_gate_note *n)
+{
+	switch (n->type) {
+	case PF_GATE_NOTE_BEGUN:
+		add(g, &n->stream, false, false);
+		gate_software_seen(g, n->stream.service, n->stream.software,
+				   g->now - n->stream.age);
+		break;
+	case PF_GATE_NOTE_ASK:
+		answer(g, &n->stream);
+		break;
+	case PF_GATE_NOTE_ONLY:
+		decide_by_peer(g, &n->stream);
+		break;
+	case PF_GATE_NOTE_TYPE_COUNT:
+		break;
+	}
+}
+
+void gate_streams_stored(struct pf_gate *g, const struct pf_gate_stored *in)
+{
+	uint32_t i;
+
+	for (i = 0; i < in->n_software; i++)
+		gate_software_seen(g, in->software[i].service,
+				   in->software[i].software,
+				   g->now - in->software[i].age);
+	for (i = 0; i < in->n_streams; i++) {
+		if (in->streams[i].age < GATE_STREAM_KEEP_MS)
+			add(g, &in->streams[i], in->own, in->own);
+	}
+	g->streams_read |= in->last;
+}
+
+uint32_t pf_gate_open_streams(const struct pf_gate *g, pf_ms now,
+			      struct pf_gate_stream *out, uint32_t max)
+{
+	uint32_t n = 0;
+	uint32_t i;
+	uint32_t k;
+
+	for (i = 0; i < GATE_STREAM_SETS; i++) {
+		for (k = 0; k < GATE_STREAM_WAYS && n < max; k++) {
+			const struct gate_stream *s = &g->streams[i][k];
+
+			if (s->id && s->own && s->open &&
+			    now - s->at < STORED_MS &&
+			    gate_software_mixed(g, s->service))
+				out[n++] = (struct pf_gate_stream){
+					s->id, s->service, s->software,
+					(uint32_t)(now - s->at)
+				};
+		}
+	}
+	return n;
+}
+
+uint64_t pf_gate_streams_serial(const struct pf_gate *g)
+{
+	return g->streams_serial;
+}
+
+static uint64_t keeper_rank(uint64_t stream, const struct pf_gate_keeper *k)
+{
+	return pf_id2(stream, k->id);
+}
+
+/* The index of the one with the highest rank that is not in @chosen. */
+static uint32_t next_keeper(uint64_t stream, uint64_t region,
+			    const struct pf_gate_keeper *v, uint32_t n,
+			    const uint32_t *chosen, uint32_t n_chosen)
+{
+	uint32_t best = GATE_NIL;
+	uint32_t i;
+	uint32_t k;
+
+	for (i = 0; i < n; i++) {
+		if (region && v[i].region != region)
+			continue;
+		for (k = 0; k < n_chosen && chosen[k] != i; k++)
+			;
+		if (k == n_chosen &&
+		    (best == GATE_NIL || keeper_rank(stream, &v[i]) >
+						 keeper_rank(stream, &v[best])))
+			best = i;
+	}
+	return best;
+}
+
+uint32_t pf_gate_stream_keepers(uint64_t stream, uint64_t region,
+				const struct pf_gate_keeper *v, uint32_t n,
+				uint32_t *out)
+{
+	uint32_t found = 0;
+
+	while (found < PF_GATE_KEEPERS) {
+		uint32_t at = GATE_NIL;
+
+		/* The last one is of any region. */
+		if (found + 1 < PF_GATE_KEEPERS)
+			at = next_keeper(stream, region, v, n, out, found);
+		if (at == GATE_NIL)
+			at = next_keeper(stream, 0, v, n, out, found);
+		if (at == GATE_NIL)
+			break;
+		out[found++] = at;
+	}
+	return found;
+}
--- a/src/coordination/gate/gate_wait.c
+++ b/src/coordination/gate/gate_wait.c
@@ -55,6 +55,8 @@
 	pf_ms limit = r->arrived_at +
 		      (pf_ms)(share * (double)(r->deadline - r->arrived_at));
 
+	if (r->undecided)
+		return r->decide_at;
 	/* Its caller can't try elsewhere without a new answer. */
 	if (gate_waits_to_deadline(r))
 		return r->deadline;
--- a/src/protocol/pimento.x
+++ b/src/protocol/pimento.x
@@ -297,6 +297,15 @@
 	string model_name<PIMENTO_NAME_MAX>;
 };
 
+/* Which software began a stream. */
+struct pimento_gate_note {
+	unsigned int type;
+	unsigned hyper stream;
+	unsigned hyper service;
+	unsigned hyper software;
+	unsigned int age_ms;
+};
+
 enum pimento_talk_type {
 	PIMENTO_TALK_DIGEST = 1,
 	PIMENTO_TALK_DEMANDS = 2,
@@ -304,7 +313,8 @@
 	PIMENTO_TALK_WANT = 4,
 	PIMENTO_TALK_ORDER = 5,
 	PIMENTO_TALK_EVIDENCE = 6,
-	PIMENTO_TALK_LIMITS = 7
+	PIMENTO_TALK_LIMITS = 7,
+	PIMENTO_TALK_NOTE = 8
 };
 
 union pimento_talk switch (pimento_talk_type type) {
@@ -322,6 +332,8 @@
 	pimento_gate_evidences evidence;
 case PIMENTO_TALK_LIMITS:
 	pimento_gate_limits limits;
+case PIMENTO_TALK_NOTE:
+	pimento_gate_note note;
 default:
 	void;
 };
--- a/src/protocol/pimento_xdr.c
+++ b/src/protocol/pimento_xdr.c
@@ -920,6 +920,24 @@
 	return TRUE;
 }
 
+bool_t
+xdr_pimento_gate_note (XDR *xdrs, pimento_gate_note *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_u_int (xdrs, &objp->type))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->stream))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->service))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->software))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->age_ms))
+		 return FALSE;
+	return TRUE;
+}
+
 bool_t
 xdr_pimento_talk_type (XDR *xdrs, pimento_talk_type *objp)
 {
@@ -966,6 +984,10 @@
 		 if (!xdr_pimento_gate_limits (xdrs, &objp->pimento_talk_u.limits))
 			 return FALSE;
 		break;
+	case PIMENTO_TALK_NOTE:
+		 if (!xdr_pimento_gate_note (xdrs, &objp->pimento_talk_u.note))
+			 return FALSE;
+		break;
 	default:
 		break;
 	}
--- a/src/protocol/pimento_xdr.h
+++ b/src/protocol/pimento_xdr.h
@@ -403,6 +403,15 @@
 };
 typedef struct pimento_load_order pimento_load_order;
 
+struct pimento_gate_note {
+	u_int type;
+	u_quad_t stream;
+	u_quad_t service;
+	u_quad_t software;
+	u_int age_ms;
+};
+typedef struct pimento_gate_note pimento_gate_note;
+
 enum pimento_talk_type {
 	PIMENTO_TALK_DIGEST = 1,
 	PIMENTO_TALK_DEMANDS = 2,
@@ -411,6 +420,7 @@
 	PIMENTO_TALK_ORDER = 5,
 	PIMENTO_TALK_EVIDENCE = 6,
 	PIMENTO_TALK_LIMITS = 7,
+	PIMENTO_TALK_NOTE = 8,
 };
 typedef enum pimento_talk_type pimento_talk_type;
 
@@ -424,6 +434,7 @@
 		pimento_load_order order;
 		pimento_gate_evidences evidence;
 		pimento_gate_limits limits;
+		pimento_gate_note note;
 	} pimento_talk_u;
 };
 typedef struct pimento_talk pimento_talk;
@@ -492,6 +503,7 @@
 extern  bool_t xdr_pimento_engine_state (XDR *, pimento_engine_state*);
 extern  bool_t xdr_pimento_want (XDR *, pimento_want*);
 extern  bool_t xdr_pimento_load_order (XDR *, pimento_load_order*);
+extern  bool_t xdr_pimento_gate_note (XDR *, pimento_gate_note*);
 extern  bool_t xdr_pimento_talk_type (XDR *, pimento_talk_type*);
 extern  bool_t xdr_pimento_talk (XDR *, pimento_talk*);
 
@@ -529,6 +541,7 @@
 extern bool_t xdr_pimento_engine_state ();
 extern bool_t xdr_pimento_want ();
 extern bool_t xdr_pimento_load_order ();
+extern bool_t xdr_pimento_gate_note ();
 extern bool_t xdr_pimento_talk_type ();
 extern bool_t xdr_pimento_talk ();
 
--- a/src/transport/talk.c
+++ b/src/transport/talk.c
@@ -224,6 +224,30 @@
 	t->opts.limits(t->opts.ctx, in->peer, v, in->v.v_len);
 }
 
+void pf_talk_send_note(struct pf_talk *t, const struct sockaddr_in *to,
+		       const struct pf_gate_note *n)
+{
+	pimento_talk msg = { .type = PIMENTO_TALK_NOTE };
+
+	msg.pimento_talk_u.note =
+		(pimento_gate_note){ n->type, n->stream.id, n->stream.service,
+				     n->stream.software, n->stream.age };
+	send_datagram(t, to, &msg, PF_ERA_UNKNOWN);
+}
+
+/* Skips types of later releases. */
+static void receive_note(struct pf_talk *t, const struct sockaddr_in *from,
+			 const pimento_gate_note *in)
+{
+	struct pf_gate_note n = {
+		.type = (enum pf_gate_note_type)in->type,
+		.stream = { in->stream, in->service, in->software, in->age_ms },
+	};
+
+	if (in->type < PF_GATE_NOTE_TYPE_COUNT)
+		t->opts.note(t->opts.ctx, from, &n);
+}
+
 void pf_talk_send_demand(struct pf_talk *t, const struct sockaddr_in *to,
 			 uint64_t peer, const struct pf_gate_demand *v,
 			 size_t n)
@@ -453,6 +477,10 @@
 		if (t->opts.limits)
 			receive_limits(t, &msg->pimento_talk_u.limits);
 		break;
+	case PIMENTO_TALK_NOTE:
+		if (t->opts.note)
+			receive_note(t, from, &msg->pimento_talk_u.note);
+		break;
 	}
 }
 
--- a/tests/gate_sim.cc
+++ b/tests/gate_sim.cc
@@ -94,6 +94,8 @@
 		break;
 	case PF_GATE_REQUEST_ADAPTER:
 	case PF_GATE_PROBE:
+	case PF_GATE_TELL_KEEPERS:
+	case PF_GATE_REPLY:
 		break;
 	}
 }
--- a/tests/test_gate_version.cc
+++ b/tests/test_gate_version.cc
@@ -10,6 +10,7 @@
 	void SetUp() override
 	{
 		Start();
+		Stored(true);
 		Add("far1", "v1", "zc");
 		Add("near1", "v1", "za");
 		Add("near2", "v2", "za");
@@ -20,18 +21,55 @@
 		version = of_version;
 		Endpoint(name, "llm", zone, "m");
 	}
+	void Stored(bool last, const std::vector<pf_gate_stream> &streams = {},
+		    const std::vector<pf_gate_software> &software = {})
+	{
+		struct pf_gate_msg m = {};
+
+		m.type = PF_GATE_STORED;
+		m.u.stored.streams = streams.data();
+		m.u.stored.n_streams = static_cast<uint32_t>(streams.size());
+		m.u.stored.software = software.data();
+		m.u.stored.n_software = static_cast<uint32_t>(software.size());
+		m.u.stored.last = last;
+		Step(m);
+	}
+	void Note(enum pf_gate_note_type type, const char *id,
+		  const char *of_version = nullptr)
+	{
+		struct pf_gate_msg m = {};
+
+		m.type = PF_GATE_NOTE;
+		m.u.note.type = type;
+		m.u.note.stream = { Id(id), Id("llm"),
+				    of_version ? Software(of_version) : 0, 0 };
+		Step(m);
+	}
+	static uint64_t Software(const char *of_version)
+	{
+		return pf_id2(Id("llm"), Id(of_version));
+	}
+	/* The last note that was emitted so, or one with the stream 0. */
+	struct pf_gate_note LastNote(enum pf_gate_act_type to) const
+	{
+		for (auto i = acts.rbegin(); i != acts.rend(); ++i) {
+			if (i->type == to)
+				return i->raw.u.note;
+		}
+		return {};
+	}
 	/* A stream that near1 has begun. */
 	void Begin(int tag, const char *id)
 	{
 		attempt = id;
-		do {
+		for (int i = 0; i < 100 && SentTo(tag) != Id("near1"); i++) {
+			if (SentTo(tag))
+				Hangup(tag);
 			acts.clear();
 			Arrive(tag, "/r/", 5000, "m");
 			ASSERT_NE(SentTo(tag), 0u);
-			if (SentTo(tag) == Id("near1"))
-				break;
-			Hangup(tag);
-		} while (true);
+		}
+		ASSERT_EQ(SentTo(tag), Id("near1"));
 		Events(tag, 3);
 	}
 	void Resume(int tag, const char *id, const char *began)
@@ -147,4 +185,214 @@
 	EXPECT_EQ(SendsOf(2), 1u);
 }
 
+// Another gateway's process knows what it was told.
+TEST_F(GateVersion, AStreamThatAnotherGatewayBeganGoesOnAtItsVersion)
+{
+	Note(PF_GATE_NOTE_BEGUN, "a1", "v2");
+	Resume(2, "a2", "a1");
+	EXPECT_EQ(SentTo(2), Id("near2"));
+}
+
+TEST_F(GateVersion, KeepersAreToldOfAStreamWhileThereAreTwoVersions)
+{
+	Begin(1, "a1");
+	EXPECT_EQ(Count(PF_GATE_TELL_KEEPERS), 1u);
+	EXPECT_EQ(LastNote(PF_GATE_TELL_KEEPERS).type, PF_GATE_NOTE_BEGUN);
+	EXPECT_EQ(LastNote(PF_GATE_TELL_KEEPERS).stream.id, Id("a1"));
+	EXPECT_EQ(LastNote(PF_GATE_TELL_KEEPERS).stream.software,
+		  Software("v1"));
+	Events(1);
+	EXPECT_EQ(Count(PF_GATE_TELL_KEEPERS), 1u);
+}
+
+TEST_F(GateVersion, KeepersAreToldOfOpenStreamsWhenASecondVersionComes)
+{
+	Gone("near2");
+	Tick(120000);
+	Begin(1, "a1");
+	EXPECT_EQ(Count(PF_GATE_TELL_KEEPERS), 0u);
+	Add("near2", "v2", "za");
+	EXPECT_EQ(LastNote(PF_GATE_TELL_KEEPERS).stream.id, Id("a1"));
+}
+
+TEST_F(GateVersion, KeepersAreAskedForAnUnknownStreamAndDecideIt)
+{
+	Resume(2, "a2", "a1");
+	EXPECT_EQ(LastNote(PF_GATE_TELL_KEEPERS).type, PF_GATE_NOTE_ASK);
+	EXPECT_EQ(LastNote(PF_GATE_TELL_KEEPERS).stream.id, Id("a1"));
+	Tick(50);
+	EXPECT_EQ(SendsOf(2), 0u);
+	Note(PF_GATE_NOTE_BEGUN, "a1", "v2");
+	EXPECT_EQ(SentTo(2), Id("near2"));
+}
+
+TEST_F(GateVersion, AnswersWhoAsks)
+{
+	Begin(1, "a1");
+	Note(PF_GATE_NOTE_ASK, "a1");
+	EXPECT_EQ(LastNote(PF_GATE_REPLY).type, PF_GATE_NOTE_BEGUN);
+	EXPECT_EQ(LastNote(PF_GATE_REPLY).stream.software, Software("v1"));
+	acts.clear();
+	Note(PF_GATE_NOTE_ASK, "b1");
+	EXPECT_EQ(Count(PF_GATE_REPLY), 0u);
+	Gone("near2");
+	Tick(120000);
+	Note(PF_GATE_NOTE_ASK, "b1");
+	EXPECT_EQ(LastNote(PF_GATE_REPLY).type, PF_GATE_NOTE_ONLY);
+	EXPECT_EQ(LastNote(PF_GATE_REPLY).stream.software, Software("v1"));
+}
+
+// Both know of one version, so it goes on before the wait has ended.
+TEST_F(GateVersion, APeerThatKnowsOfNoOtherVersionDecidesAtOnce)
+{
+	Gone("near2");
+	Tick(120000);
+	Resume(2, "a2", "a1");
+	EXPECT_EQ(SendsOf(2), 0u);
+	Note(PF_GATE_NOTE_ONLY, "a1", "v1");
+	EXPECT_EQ(SendsOf(2), 1u);
+}
+
+TEST_F(GateVersion, APeerThatKnowsOfOneVersionDecidesNothingWhereThereAreTwo)
+{
+	Resume(2, "a2", "a1");
+	Note(PF_GATE_NOTE_ONLY, "a1", "v1");
+	Tick(500);
+	EXPECT_EQ(SendsOf(2), 0u);
+	EXPECT_NE(Last(2, PF_GATE_REFUSE), nullptr);
+}
+
+// Its last endpoint left while a caller may still have a part of a stream.
+TEST_F(GateVersion, AVersionThatLeftLatelyCounts)
+{
+	Gone("near2");
+	Tick(20000);
+	Resume(2, "a2", "a1");
+	Tick(500);
+	EXPECT_EQ(SendsOf(2), 0u);
+}
+
+struct GateVersionStart : GateVersion {
+	void SetUp() override
+	{
+		Start();
+		Add("near1", "v1", "za");
+		Tick(1000);
+	}
+};
+
+// Which versions there were before is not known yet.
+TEST_F(GateVersionStart, AnUnknownStreamIsRefusedUntilTheStoreWasRead)
+{
+	Resume(1, "a2", "a1");
+	Tick(800);
+	EXPECT_EQ(SendsOf(1), 0u);
+	Stored(true);
+	Resume(2, "a4", "a3");
+	Tick(500);
+	EXPECT_EQ(SendsOf(2), 1u);
+}
+
+TEST_F(GateVersionStart, AnUnknownStreamWaitsForTheReadOfTheStore)
+{
+	Add("near2", "v2", "za");
+	Resume(1, "a2", "a1");
+	Tick(300);
+	Stored(true, { { Id("a1"), Id("llm"), Software("v2"), 900 } });
+	EXPECT_EQ(SentTo(1), Id("near2"));
+}
+
+// Its caller names no first request.
+TEST_F(GateVersionStart, AStreamWaitsForTheReadOfTheEndpoints)
+{
+	Gone("near1");
+	Stored(true);
+	Tick(61000);
+	Resume(1, "a2", "");
+	Tick(100);
+	EXPECT_EQ(Last(1, PF_GATE_REFUSE), nullptr);
+	Add("near1", "v1", "za");
+	Tick(600);
+	EXPECT_EQ(SendsOf(1), 1u);
+}
+
+TEST_F(GateVersionStart, AVersionThatTheStoreKnowsOfCounts)
+{
+	Stored(true, {}, { { Id("llm"), Software("v2"), 2000 } });
+	Resume(1, "a2", "a1");
+	Tick(500);
+	EXPECT_EQ(SendsOf(1), 0u);
+	Tick(60000);
+	Resume(2, "a4", "a3");
+	Tick(500);
+	EXPECT_EQ(SendsOf(2), 1u);
+}
+
+TEST_F(GateVersion, TheStoreGetsOpenStreams)
+{
+	struct pf_gate_stream s[4];
+	struct pf_gate_software v[PF_GATE_SOFTWARE_MAX];
+	uint64_t serial = pf_gate_streams_serial(g);
+
+	Begin(1, "a1");
+	Gone("near2");
+	Begin(2, "a2");
+	EXPECT_NE(pf_gate_streams_serial(g), serial);
+	now += 700;
+	Ended(2, PF_GATE_ANSWERED, 200);
+	ASSERT_EQ(pf_gate_open_streams(g, now, s, 4), 1u);
+	EXPECT_EQ(s[0].id, Id("a1"));
+	EXPECT_EQ(s[0].software, Software("v1"));
+	EXPECT_EQ(s[0].age, 700u);
+	EXPECT_EQ(pf_gate_recent_software(g, now, v), 2u);
+}
+
+struct KeeperCase {
+	const char *name;
+	unsigned near, far; /* other gateways in the region and elsewhere */
+	unsigned keepers;
+};
+
+struct GateKeepers : ::testing::TestWithParam<KeeperCase> {
+};
+
+// A gateway that asks finds one that was told, also if both know another one
+// less than the other.
+TEST_P(GateKeepers, WhoAsksFindsWhoWasTold)
+{
+	const KeeperCase &c = GetParam();
+	std::vector<pf_gate_keeper> all;
+	uint32_t told[PF_GATE_KEEPERS], asked[PF_GATE_KEEPERS];
+
+	for (unsigned i = 0; i < c.near + c.far; i++)
+		all.push_back({ 1000u + i, i < c.near ? 1u : 2u });
+	for (uint64_t stream = 1; stream <= 200; stream++) {
+		for (uint64_t region = 1; region <= 2; region++) {
+			bool found = false;
+			uint32_t n = pf_gate_stream_keepers(
+				stream, 1, all.data(),
+				static_cast<uint32_t>(all.size()), told);
+			uint32_t m = pf_gate_stream_keepers(
+				stream, region, all.data(),
+				static_cast<uint32_t>(all.size()), asked);
+
+			EXPECT_EQ(n, c.keepers);
+			for (uint32_t i = 0; i < n; i++)
+				for (uint32_t k = 0; k < m; k++)
+					found |= told[i] == asked[k];
+			EXPECT_EQ(found, c.keepers > 0) << stream;
+		}
+	}
+}
+
+INSTANTIATE_TEST_SUITE_P(Cases, GateKeepers,
+			 ::testing::Values(KeeperCase{ "None", 0, 0, 0 },
+					   KeeperCase{ "One", 1, 0, 1 },
+					   KeeperCase{ "Far", 0, 2, 2 },
+					   KeeperCase{ "Four", 3, 1, 3 },
+					   KeeperCase{ "Hundred", 50, 50, 3 }),
+			 [](const ::testing::TestParamInfo<KeeperCase> &i) {
+				 return std::string(i.param.name);
+			 });
+
 } // namespace
--- a/tests/test_gateway_version.cc
+++ b/tests/test_gateway_version.cc
@@ -46,9 +46,10 @@
 
 		if (!resumes)
 			s.first_id = id;
-		std::string head = "GET /r/" + s.first_id +
-				   " HTTP/1.1\r\nHost: h\r\nAttempt-Id: " + id +
-				   "\r\nDeadline-Ms: 9000\r\n";
+		std::string head =
+			"GET /r/" + s.first_id +
+			" HTTP/1.1\r\nHost: h\r\nAttempt-Id: " + id +
+			"\r\nDeadline-Ms: 9000\r\nConnection: close\r\n";
 		if (resumes)
 			head += "Resumes: " + s.first_id +
 				"\r\nLast-Event-Id: " +
@@ -57,7 +58,7 @@
 		if (fd < 0)
 			return;
 		FakeSend(fd, head + "\r\n");
-		ReadEvents(s, FakeReceive(fd, "\r\n0\r\n"));
+		ReadEvents(s, FakeReceive(fd));
 		close(fd);
 	}
 	static void ReadEvents(Stream &s, const std::string &got)
