--- a/daemons/gateway/streams.c
+++ b/daemons/gateway/streams.c
@@ -11,7 +11,7 @@
 
 #define STREAMS_TABLE "pimentoford"
 #define STREAMS_PART "streams"
-#define WRITE_INTERVAL_MS 500
+#define WRITE_INTERVAL_MS 300
 /* All gateways together write this often at most, whatever their number. */
 #define WRITES_PER_S_MAX 100
 #define RETRY_INTERVAL_MS 500
