Gateways: a stream that no other gateway knows is looked up in the store

A caller that took a stream up was refused (version_unknown) if the gateways that had been told of it had ended with the one that began it, although its record was in the store: gateways read the rows of streams at their start only.

--- a/daemons/gateway/core.c
+++ b/daemons/gateway/core.c
@@ -71,6 +71,9 @@
 	case PF_GATE_TELL_KEEPERS:
 		streams_tell_keepers(ctx, &a->u.note);
 		break;
+	case PF_GATE_READ_STORED:
+		streams_read(ctx);
+		break;
 	case PF_GATE_REPLY:
 		streams_reply(ctx, &a->u.note);
 		break;
--- a/daemons/gateway/gateway.h
+++ b/daemons/gateway/gateway.h
@@ -255,6 +255,7 @@
 void streams_stop(struct gateway *g);
 /** Acts of the core. */
 void streams_tell_keepers(struct gateway *g, const struct pf_gate_note *n);
+void streams_read(struct gateway *g);
 void streams_reply(struct gateway *g, const struct pf_gate_note *n);
 void streams_on_note(struct gateway *g, const struct sockaddr_in *from,
 		     const struct pf_gate_note *n);
--- a/daemons/gateway/streams.c
+++ b/daemons/gateway/streams.c
@@ -21,7 +21,9 @@
 	struct gateway *gateway;
 	struct event *timer;
 	struct sockaddr_in note_from; /* the sender of the note in this step */
-	bool read; /* all rows, since the start */
+	bool read_due; /* of all rows */
+	bool reading; /* perhaps between two pages */
+	bool read; /* once, since the start */
 	char *next_page_key; /* owned; NULL: the first page */
 	uint32_t n_read; /* records */
 	uint64_t written_serial;
@@ -60,7 +62,9 @@
 	}
 	m.u.stored.last = last;
 	if (text.n) {
+		/* Later, the core knows better which ones are complete. */
 		m.u.stored.own =
+			!s->read &&
 			pf_str_eq(key, pf_str_c(g->settings.common.name));
 		m.u.stored.streams = s->row.streams;
 		m.u.stored.n_streams = s->row.n_streams;
@@ -71,6 +75,23 @@
 	core_step(g, &m);
 }
 
+static void end_read(struct streams *s)
+{
+	free(s->next_page_key);
+	s->next_page_key = NULL;
+	s->reading = false;
+}
+
+static void log_first_read(struct streams *s)
+{
+	if (s->read)
+		return;
+	s->read = true;
+	PF_LOG(&s->gateway->log, PF_LOG_INFO, "streams_read",
+	       PF_KV_INT("records", s->n_read),
+	       PF_KV_INT("ms", pf_clock_now() - s->gateway->started_at));
+}
+
 static void on_rows_read(void *ctx, const struct pf_store_answer *a)
 {
 	struct streams *s = ctx;
@@ -78,6 +99,8 @@
 
 	s->in_flight = false;
 	if (a->status != PF_STORE_OK) {
+		end_read(s);
+		s->read_due = !s->read;
 		schedule(s, RETRY_INTERVAL_MS);
 		return;
 	}
@@ -85,19 +108,19 @@
 		if (!a->rows[i].unreadable)
 			pass_row(s, a->rows[i].key, a->rows[i].value, false);
 	}
-	free(s->next_page_key);
-	s->next_page_key = NULL;
 	if (a->more && a->n > 1) {
+		free(s->next_page_key);
 		s->next_page_key = pf_str_dup(a->rows[a->n - 1].key);
-		schedule(s, s->next_page_key ? 0 : RETRY_INTERVAL_MS);
+		s->reading = s->next_page_key != NULL;
+		schedule(s, s->reading ? 0 : RETRY_INTERVAL_MS);
 		return;
 	}
-	s->read = true;
+	end_read(s);
+	/* All that wait for a read are decided by this one. */
+	s->read_due = false;
 	pass_row(s, PF_STR(""), PF_STR(""), true);
-	PF_LOG(&s->gateway->log, PF_LOG_INFO, "streams_read",
-	       PF_KV_INT("records", s->n_read),
-	       PF_KV_INT("ms", pf_clock_now() - s->gateway->started_at));
-	schedule(s, WRITE_INTERVAL_MS);
+	log_first_read(s);
+	schedule(s, write_interval(s));
 }
 
 static void on_row_written(void *ctx, const struct pf_store_answer *a)
@@ -107,7 +130,7 @@
 	s->in_flight = false;
 	if (a->status == PF_STORE_OK)
 		s->written_serial = s->sent_serial;
-	schedule(s, write_interval(s));
+	schedule(s, s->read_due ? 0 : write_interval(s));
 }
 
 /* Returns 0, or -1 if it was not sent. */
@@ -139,7 +162,16 @@
 	return ret;
 }
 
-/* Reads all rows first, then writes this gateway's when it has changed. */
+static int read_rows(struct streams *s)
+{
+	s->read_due = false;
+	s->reading = true;
+	return pf_store_read(s->gateway->store, PF_STR(STREAMS_TABLE),
+			     PF_STR(STREAMS_PART), pf_str_c(s->next_page_key),
+			     PF_STR(""), READ_PAGE_ROWS, on_rows_read, s);
+}
+
+/* Reads all rows if that is due, else writes this gateway's if it changed. */
 static void on_timer(evutil_socket_t fd, short what, void *ctx)
 {
 	struct streams *s = ctx;
@@ -149,16 +181,21 @@
 	(void)what;
 	if (s->in_flight)
 		return;
-	if (!s->read)
-		s->in_flight =
-			pf_store_read(g->store, PF_STR(STREAMS_TABLE),
-				      PF_STR(STREAMS_PART),
-				      pf_str_c(s->next_page_key), PF_STR(""),
-				      READ_PAGE_ROWS, on_rows_read, s) == 0;
+	if (s->read_due || s->reading)
+		s->in_flight = read_rows(s) == 0;
 	else if (pf_gate_streams_serial(g->core) != s->written_serial)
 		s->in_flight = write_row(s) == 0;
 	if (!s->in_flight)
-		schedule(s, s->read ? write_interval(s) : RETRY_INTERVAL_MS);
+		schedule(s, write_interval(s));
+}
+
+void streams_read(struct gateway *g)
+{
+	struct streams *s = g->streams;
+
+	s->read_due = true;
+	if (!s->in_flight)
+		schedule(s, 0);
 }
 
 void streams_on_restore(struct gateway *g)
@@ -227,6 +264,7 @@
 	if (!s)
 		return -1;
 	s->gateway = g;
+	s->read_due = true;
 	s->timer = event_new(g->base, -1, 0, on_timer, s);
 	if (!s->timer)
 		return -1;
--- a/fuzz/fuzz_gate.c
+++ b/fuzz/fuzz_gate.c
@@ -105,6 +105,7 @@
 	uint32_t note_from; /* of the one being delivered */
 	struct pf_gate_stream stored[GATES][STORED_MAX]; /* each one's row */
 	uint32_t n_stored[GATES];
+	bool read_due[GATES]; /* the store will answer a read */
 	uint32_t stepping_gate; /* whose acts come now */
 	uint64_t probed; /* endpoint of the last probe; 0: none */
 	/* Rings of the last arrivals and retries. */
@@ -371,6 +372,10 @@
 
 	if (a->type == PF_GATE_QUARANTINE)
 		return;
+	if (a->type == PF_GATE_READ_STORED) {
+		w->read_due[w->stepping_gate] = draw(w, 3) > 0;
+		return;
+	}
 	if (a->type == PF_GATE_TELL_KEEPERS || a->type == PF_GATE_REPLY) {
 		send_note(w, a);
 		return;
@@ -399,6 +404,7 @@
 	case PF_GATE_PROBE:
 	case PF_GATE_QUARANTINE:
 	case PF_GATE_TELL_KEEPERS:
+	case PF_GATE_READ_STORED:
 	case PF_GATE_REPLY:
 		break;
 	case PF_GATE_DELIVER:
@@ -480,6 +486,15 @@
 	}
 }
 
+static void use_store(struct world *w, uint32_t gate)
+{
+	if (w->read_due[gate])
+		read_stored(w, gate);
+	else
+		store_streams(w, gate);
+	w->read_due[gate] = false;
+}
+
 static void start_gate(struct world *w, uint32_t gate)
 {
 	struct pf_gate_msg m = { .type = PF_GATE_ROUTES };
@@ -909,7 +924,7 @@
 		else if (op < 79)
 			deliver_note(w);
 		else if (op < 80)
-			store_streams(w, draw(w, GATES));
+			use_store(w, draw(w, GATES));
 		else if (op < 99 || draw(w, 8))
 			tick(w);
 		else
--- a/include/pimentoford/gate.h
+++ b/include/pimentoford/gate.h
@@ -298,6 +298,7 @@
 	PF_GATE_PROBE, /* u.probe: connect to a silent endpoint; ctx is NULL */
 	PF_GATE_QUARANTINE, /* u.quarantine: of a part, for logs; ctx is NULL */
 	PF_GATE_TELL_KEEPERS, /* u.note: to pf_gate_stream_keepers() */
+	PF_GATE_READ_STORED, /* pass PF_GATE_STORED in again; ctx is NULL */
 	PF_GATE_REPLY, /* u.note: to the gateway whose note was passed in */
 	PF_GATE_DELIVER, /* final: deliver the answer that ended the send */
 	PF_GATE_REFUSE, /* final, u.refuse: did not run and never will */
--- a/src/coordination/gate/gate_core.h
+++ b/src/coordination/gate/gate_core.h
@@ -56,6 +56,7 @@
 	uint64_t stream; /* id of the attempt that began it, hashed; 0: none */
 	bool undecided; /* taken up, and not known yet which software began it */
 	pf_ms decide_at; /* while undecided: when waiting for that ends */
+	bool store_asked; /* no gateway knew it */
 	bool bound; /* to endpoints with `software`, which began the stream */
 	uint64_t software;
 	uint32_t endpoint_slot; /* valid while in flight */
--- a/src/coordination/gate/gate_streams.c
+++ b/src/coordination/gate/gate_streams.c
@@ -36,8 +36,7 @@
 }
 
 /* Keeps what is known: a stream has one software. */
-static void add(struct pf_gate *g, const struct pf_gate_stream *r, bool own,
-		bool open)
+static void add(struct pf_gate *g, const struct pf_gate_stream *r, bool own)
 {
 	struct gate_stream *s = find(g, r->id, false);
 
@@ -49,7 +48,7 @@
 	s->software = r->software;
 	s->at = g->now - r->age;
 	s->own |= own;
-	s->open = open;
+	s->open = own;
 }
 
 static void tell(struct pf_gate *g, enum pf_gate_act_type to,
@@ -68,7 +67,7 @@
 
 	if (!r->stream)
 		return;
-	add(g, &s, true, true);
+	add(g, &s, true);
 	if (!gate_software_mixed(g, r->service))
 		return;
 	g->streams_serial++;
@@ -134,6 +133,21 @@
 		tell(g, PF_GATE_TELL_KEEPERS, PF_GATE_NOTE_ASK, &s);
 }
 
+/* Looks @r up in the store once; false if that was done. */
+static bool ask_store(struct pf_gate *g, struct gate_request *r)
+{
+	struct pf_gate_act a = { .type = PF_GATE_READ_STORED };
+
+	if (!r->stream || r->store_asked)
+		return false;
+	r->store_asked = true;
+	r->decide_at = g->now + READ_WAIT_MS;
+	if (r->decide_at > r->deadline)
+		r->decide_at = r->deadline;
+	g->sink->emit(g->sink->ctx, &a);
+	return true;
+}
+
 enum gate_decision gate_stream_decide(struct pf_gate *g, struct gate_request *r)
 {
 	const struct gate_stream *s =
@@ -149,6 +163,8 @@
 	if (g->now < r->decide_at)
 		return GATE_UNDECIDED;
 	if (!gate_software_only(g, r->service, &only)) {
+		if (ask_store(g, r))
+			return GATE_UNDECIDED;
 #ifdef PF_MUTANT_GATE_TAKEN_UP
 		r->undecided = false;
 		return GATE_DECIDED;
@@ -196,7 +212,7 @@
 {
 	switch (n->type) {
 	case PF_GATE_NOTE_BEGUN:
-		add(g, &n->stream, false, false);
+		add(g, &n->stream, false);
 		gate_software_seen(g, n->stream.service, n->stream.software,
 				   g->now - n->stream.age);
 		break;
@@ -221,9 +237,15 @@
 				   g->now - in->software[i].age);
 	for (i = 0; i < in->n_streams; i++) {
 		if (in->streams[i].age < GATE_STREAM_KEEP_MS)
-			add(g, &in->streams[i], in->own, in->own);
+			add(g, &in->streams[i], in->own);
 	}
 	g->streams_read |= in->last;
+	for (i = 0; in->last && i < g->opts.requests_max; i++) {
+		struct gate_request *r = &g->requests[i];
+
+		if (r->state == GATE_WAITING && r->store_asked)
+			r->decide_at = g->now;
+	}
 }
 
 uint32_t pf_gate_open_streams(const struct pf_gate *g, pf_ms now,
