Gate core: a note of another gateway doesn't take a stream off the stored row

The row as read again would have marked complete ones open.

GateVersion.TheStoreGetsOpenStreams failed before (0 streams instead of 1).

--- a/src/coordination/gate/gate_streams.c
+++ b/src/coordination/gate/gate_streams.c
@@ -47,8 +47,10 @@
 	s->service = r->service;
 	s->software = r->software;
 	s->at = g->now - r->age;
-	s->own |= own;
-	s->open = own;
+	if (own) {
+		s->own = true;
+		s->open = true;
+	}
 }
 
 static void tell(struct pf_gate *g, enum pf_gate_act_type to,
--- a/tests/test_gate_version.cc
+++ b/tests/test_gate_version.cc
@@ -374,6 +374,8 @@
 	EXPECT_EQ(s[0].software, Software("v1"));
 	EXPECT_EQ(s[0].age, 700u);
 	EXPECT_EQ(pf_gate_recent_software(g, now, v), 2u);
+	Note(PF_GATE_NOTE_BEGUN, "a1", "v1");
+	EXPECT_EQ(pf_gate_open_streams(g, now, s, 4), 1u);
 }
 
 struct KeeperCase {
