Soak: endpoints of two versions, and callers that take up broken streams

They name the first request in Resumes now, send its content again, and check that every event follows the one before and that one version wrote all. The check of a request's content at endpoints compares with that of the first request then.

--- a/tests/soak_checks.cc
+++ b/tests/soak_checks.cc
@@ -168,11 +168,13 @@
 void SoakChecks::OnRequest(FakeEndpoint &e, const FakeRequest &r)
 {
 	std::string id = r.Header("Attempt-Id");
+	std::string first = r.Header("Resumes"); /* whose content it repeats */
 	uint64_t incarnation = e.incarnation();
 	std::lock_guard<std::mutex> g(mu_);
 	auto q = requests_.find(id);
 
-	if (q == requests_.end() || r.method != "POST" || r.body != "b-" + id) {
+	if (q == requests_.end() || r.method != "POST" ||
+	    r.body != "b-" + (first.empty() ? id : first)) {
 		Add("request changed: " + r.target + " " + r.body);
 		return;
 	}
--- a/tests/test_gateway_soak.cc
+++ b/tests/test_gateway_soak.cc
@@ -61,6 +61,13 @@
 	std::this_thread::sleep_for(std::chrono::milliseconds(ms));
 }
 
+/* What a caller has of a stream, over all its requests. */
+struct CallerStream {
+	std::string first_id; /* of the request that brought the first event */
+	int last_event = 0;
+	std::string version; /* that wrote its events */
+};
+
 struct GatewayNode {
 	Daemon process;
 	std::string ip, store;
@@ -129,6 +136,8 @@
 		o.service = service;
 		o.events = EVENTS_PER_STREAM;
 		o.gap_ms = 20;
+		o.version = "v" + std::to_string(i % 2);
+		o.event_suffix = " " + o.version;
 		/* Gateways address a loader by its engine's host. */
 		o.ip = "127.0.1." + std::to_string(i + 1);
 		o.crash_part = "bad";
@@ -191,6 +200,7 @@
 		size_t gateway = 0;
 		int fd = -1;
 		bool may_reuse = true;
+		CallerStream stream; /* to be taken up, if it has events */
 
 		while (!stopping) {
 			if (fd < 0) {
@@ -203,9 +213,10 @@
 				SleepMs(50);
 				continue;
 			}
-			bool open = SendRequest(fd, "sutr"[rng.Below(4)],
-						static_cast<int>(gateway),
-						&may_reuse);
+			bool open = SendRequest(
+				fd,
+				stream.last_event ? 'r' : "sutr"[rng.Below(4)],
+				static_cast<int>(gateway), &may_reuse, &stream);
 
 			if (!open || (!until_closed &&
 				      (!may_reuse || rng.Below(4) == 0))) {
@@ -219,29 +230,43 @@
 	}
 	/* Sends one request and checks its answer; false: it was closed.
 	 * Nothing is owed on a connection that may not be reused. */
-	bool SendRequest(int fd, char kind, int gateway, bool *may_reuse)
+	bool SendRequest(int fd, char kind, int gateway, bool *may_reuse,
+			 CallerStream *s)
 	{
 		std::string id = std::to_string(id_counter++);
+		bool resumes = s->last_event > 0;
+		CallerStream taken_up = *s;
+		/* The same content as the first request. */
+		std::string first = resumes ? s->first_id : id;
 		bool stream = kind == 't' || kind == 'r';
 		bool adapter = stream && rng.Below(4) == 0;
 		std::string model = "m/a" + std::to_string(rng.Below(4) + 1);
 		std::string got, part;
 		size_t end;
 
+		*s = {};
+		taken_up.first_id = first;
 		checks.OnSent(id, kind, gateway);
-		FakeSend(fd,
-			 std::string("POST /") + kind +
-				 "/x HTTP/1.1\r\nHost: h\r\nAttempt-Id: " + id +
-				 "\r\nDeadline-Ms: 6000\r\n" +
-				 (stream ? PromptParts(id) : "") +
-				 (adapter ? "Token-Usage: 10,5\r\nModel: " +
-						    model + "\r\n"
-					  : "") +
-				 "Content-Length: " +
-				 std::to_string(id.size() + 2) + "\r\n\r\nb");
+		FakeSend(
+			fd,
+			std::string("POST /") + kind +
+				"/x HTTP/1.1\r\nHost: h\r\nAttempt-Id: " + id +
+				"\r\nDeadline-Ms: 6000\r\n" +
+				(stream ? PromptParts(first) : "") +
+				(resumes ? "Resumes: " + first +
+						   "\r\nLast-Event-Id: " +
+						   std::to_string(
+							   taken_up.last_event) +
+						   "\r\n"
+					 : "") +
+				(adapter ? "Token-Usage: 10,5\r\nModel: " +
+						   model + "\r\n"
+					 : "") +
+				"Content-Length: " +
+				std::to_string(first.size() + 2) + "\r\n\r\nb");
 		if (rng.Below(8) == 0)
 			SleepMs(100 + rng.Below(200));
-		bool sent = FakeSend(fd, "-" + id);
+		bool sent = FakeSend(fd, "-" + first);
 
 		while ((end = got.find("\r\n\r\n")) == std::string::npos) {
 			part = ReceiveSome(fd, id);
@@ -257,8 +282,13 @@
 
 		head.head = got.substr(0, end + 4);
 		*may_reuse = head.Header("Connection") != "close";
-		return ReceiveBody(fd, stream, id, head, got.substr(end + 4),
-				   adapter);
+		bool open =
+			ReceiveBody(fd, stream, id, head, got.substr(end + 4),
+				    adapter, &taken_up);
+
+		if (kind == 'r' && !open && taken_up.last_event)
+			*s = taken_up;
+		return open;
 	}
 	/* Three parts, as a header; the second one may crash endpoints. */
 	std::string PromptParts(const std::string &id)
@@ -296,7 +326,7 @@
 	}
 	bool ReceiveBody(int fd, bool stream, const std::string &id,
 			 const FakeRequest &head, std::string body,
-			 bool adapter)
+			 bool adapter, CallerStream *s)
 	{
 		int status = atoi(head.head.c_str() + 9);
 		bool chunked = !head.Header("Transfer-Encoding").empty();
@@ -308,6 +338,8 @@
 			std::string part = ReceiveSome(fd, id);
 
 			if (part.empty()) {
+				if (stream && status == 200)
+					ReadEvents(id, Dechunk(body), s);
 				checks.OnClosedEarly(id, true, true);
 				return false;
 			}
@@ -315,22 +347,48 @@
 		}
 		if (status == 200 &&
 		    (head.Header("Response-Stamp") != "s." + id ||
-		     !IsComplete(stream, id, body)))
+		     !IsComplete(stream, id, body, s)))
 			checks.AddViolation("incomplete or wrong answer: " +
 					    id + " " + head.head + body);
 		checks.OnAnswered(id, status, adapter);
 		return true;
 	}
-	static bool IsComplete(bool stream, const std::string &id,
-			       const std::string &body)
+	bool IsComplete(bool stream, const std::string &id,
+			const std::string &body, CallerStream *s)
 	{
-		std::string all;
-
 		if (!stream)
 			return body == FakeEndpoint::Body(id);
-		for (int k = 1; k <= EVENTS_PER_STREAM; k++)
-			all += FakeEndpoint::Event(k, id);
-		return Dechunk(body) == all;
+		ReadEvents(id, Dechunk(body), s);
+		return s->last_event == EVENTS_PER_STREAM;
+	}
+	/* Events of an answer to @id that goes on with @s. */
+	void ReadEvents(const std::string &id, std::string body,
+			CallerStream *s)
+	{
+		while (!body.empty()) {
+			std::string event;
+			std::string version;
+
+			for (const char *v : { "v0", "v1" }) {
+				event = FakeEndpoint::Event(s->last_event + 1,
+							    id + " " + v);
+				if (body.compare(0, event.size(), event) == 0)
+					version = v;
+				if (!version.empty())
+					break;
+			}
+			if (version.empty()) {
+				checks.AddViolation("wrong event: " + id + " " +
+						    body);
+				return;
+			}
+			if (!s->version.empty() && s->version != version)
+				checks.AddViolation("two versions: " +
+						    s->first_id + " " + id);
+			s->version = version;
+			s->last_event++;
+			body.erase(0, event.size());
+		}
 	}
 	/* The data of a chunked body. */
 	static std::string Dechunk(const std::string &body)
@@ -342,10 +400,13 @@
 			size_t n = strtoul(body.c_str() + at, nullptr, 16);
 			size_t line = body.find("\r\n", at);
 
-			if (!n || line == std::string::npos)
+			if (!n || line == std::string::npos ||
+			    body.size() < line + 2 + n)
 				return all;
 			all += body.substr(line + 2, n);
 			at = line + 2 + n + 2;
+			if (at > body.size())
+				return all;
 		}
 	}
 
