--- a/tests/test_gate_version.cc
+++ b/tests/test_gate_version.cc
@@ -357,6 +357,25 @@
 	EXPECT_EQ(SendsOf(2), 1u);
 }
 
+TEST_F(GateVersion, MoreVersionsThanTheTableHoldsCountAsSeveral)
+{
+	std::vector<pf_gate_software> others;
+
+	Gone("near2");
+	Tick(120000);
+	for (uint64_t i = 0; i < 64; i++)
+		others.push_back({ 1, 100 + i, 1000 });
+	Stored(true, {}, others);
+	Resume(2, "a2", "a1");
+	Tick(200);
+	Stored(true);
+	EXPECT_EQ(SendsOf(2), 0u);
+	Tick(120000);
+	Resume(3, "a4", "a3");
+	Tick(200);
+	EXPECT_EQ(SendsOf(3), 1u);
+}
+
 TEST_F(GateVersion, TheStoreGetsOpenStreams)
 {
 	struct pf_gate_stream s[4];
--- a/tests/test_gateway_version.cc
+++ b/tests/test_gateway_version.cc
@@ -154,26 +154,45 @@
 	Check("broken", all, &resumed, &complete);
 }
 
-TEST_F(GatewayVersion, StreamsOfAKilledGatewayDoNotGoOnAtAnotherVersion)
+struct KillCase {
+	const char *name;
+	unsigned gateways, killed;
+};
+
+struct GatewayVersionKill : GatewayVersion,
+			    ::testing::WithParamInterface<KillCase> {
+};
+
+TEST_P(GatewayVersionKill, StreamsOfKilledGatewaysDoNotGoOnAtAnotherVersion)
 {
+	const KillCase &c = GetParam();
 	unsigned resumed, complete;
 	std::atomic<unsigned> n{ 0 };
 
-	ASSERT_NO_FATAL_FAILURE(Start(4));
+	ASSERT_NO_FATAL_FAILURE(Start(c.gateways));
 	std::vector<Stream> all = RunStreams(
 		60,
-		[this] {
-			Kill(0);
-			Kill(1);
+		[this, &c] {
+			for (unsigned i = 0; i < c.killed; i++)
+				Kill(i);
 		},
-		[this, &n]() -> const Node & {
-			return *gateways[2 + n++ % 2];
+		[this, &c, &n]() -> const Node & {
+			return *gateways[c.killed +
+					 n++ % (c.gateways - c.killed)];
 		});
-	Check("killed", all, &resumed, &complete);
+	Check(c.name, all, &resumed, &complete);
 	EXPECT_GE(resumed, 12u);
 	EXPECT_GE(2 * complete, resumed);
 }
 
+INSTANTIATE_TEST_SUITE_P(Cases, GatewayVersionKill,
+			 ::testing::Values(KillCase{ "Half", 4, 2 },
+					   KillCase{ "AllButOne", 4, 3 },
+					   KillCase{ "HalfOfMany", 24, 12 }),
+			 [](const ::testing::TestParamInfo<KillCase> &i) {
+				 return std::string(i.param.name);
+			 });
+
 TEST_F(GatewayVersion, StreamsOfRestartedGatewaysDoNotGoOnAtAnotherVersion)
 {
 	unsigned resumed, complete;
