Tests: ports of gateways are locked for the test process that draws them

A gateway of a test found its port taken while other test processes ran (1 of 10 soak runs side by side): FreePort drew ports that the kernel also gives to connections and to other processes, and for 127.0.0.2 only. They come from below that range now, each with a file lock that its process holds until it ends.

--- a/tests/gateway_fixture.h
+++ b/tests/gateway_fixture.h
@@ -7,7 +7,9 @@
 
 #include "tests/fake_store.h"
 
+#include <fcntl.h>
 #include <signal.h>
+#include <sys/file.h>
 #include <sys/wait.h>
 #include <unistd.h>
 
@@ -60,17 +62,26 @@
 	       "\"idle_timeout_ms\":10000}}";
 }
 
-/* A free port of 127.0.0.2, the gateway's address; each time another one. */
+/* A free port of all loopback addresses, which no other test process gets while
+ * this one runs; each time another one. It is below the ports that the kernel
+ * gives to connections. */
 inline int FreePort()
 {
-	static std::set<int> given;
+	const int from = 20000, n = 12000;
+	static int next = getpid() % n;
 
 	for (;;) {
-		FakeServer s("127.0.0.2",
-			     [](int, const FakeRequest &) { return false; });
-
-		if (given.insert(s.port()).second)
-			return s.port();
+		int port = from + next++ % n;
+		std::string path = "/tmp/pf-test-port-" + std::to_string(port);
+		int lock =
+			open(path.c_str(), O_CREAT | O_RDWR | O_CLOEXEC, 0600);
+
+		if (lock < 0)
+			continue;
+		/* Held until the process ends. */
+		if (flock(lock, LOCK_EX | LOCK_NB) == 0)
+			return port;
+		close(lock);
 	}
 }
 
