Planner: another home of a model is preferably of the version of one that it has

A stream whose endpoint ends is cut if no other endpoint of its version has the model; the planner chose homes whatever their version, so with 5 of 18 engines of another version most of their models had a second home in the other one.

A home of a version that the model has nowhere costs 4 requests more, less than a busy engine. With one version nothing changes.

PlanSoftware.ASecondHome... failed before.

--- a/src/coordination/plan/plan.c
+++ b/src/coordination/plan/plan.c
@@ -204,6 +204,7 @@
 	    (info->n_residents || p->now - p->started_at < STARTUP_MS))
 		p->last_listed_at = p->now;
 	e->service = info->service;
+	e->software = info->software;
 	e->listed = true;
 	e->draining = info->draining || (e->draining && e->state_received_at) ||
 		      has_left(e, info->incarnation);
--- a/src/coordination/plan/plan_choose.c
+++ b/src/coordination/plan/plan_choose.c
@@ -43,6 +43,9 @@
 #define LIMIT_SHARE 0.5
 /* Cost of a home at an engine that takes few requests. */
 #define LIMITED_COST 10
+/* Cost of a home with other software than all homes so far: a stream that
+ * breaks goes on only where its software is. */
+#define OTHER_SOFTWARE_COST 4
 #define ORDERS_PER_TICK_MAX 32
 
 static bool engine_usable(const struct pf_plan *p, const struct plan_engine *e)
@@ -314,6 +317,23 @@
 	return false;
 }
 
+/* Whether @m has homes, and none with the software of @e. */
+static bool is_other_software(const struct pf_plan *p,
+			      const struct plan_engine *e,
+			      const struct plan_model *m)
+{
+	uint32_t i;
+
+	for (i = 0; i < p->n_engines; i++) {
+		const struct plan_engine *home = &p->engines[i];
+
+		if (home->software == e->software &&
+		    is_sure_home(p, home, m->spec->id))
+			return false;
+	}
+	return m->homes > 0;
+}
+
 /* Makes @e the best candidate for a home of @m if it costs less. @await_copy:
  * don't load from the weight store. */
 static void consider_engine(struct pf_plan *p, struct plan_engine *e,
@@ -334,6 +354,8 @@
 		return;
 	if (e->limited)
 		cost += LIMITED_COST;
+	if (is_other_software(p, e, m))
+		cost += OTHER_SOFTWARE_COST;
 	if (!has_copy)
 		cost += m->homes ? STORE_COST : STORE_WAIT_COST;
 	if (free_mb(p, e) < m->spec->weights_mb) {
--- a/src/coordination/plan/plan_core.h
+++ b/src/coordination/plan/plan_core.h
@@ -13,6 +13,7 @@
 struct plan_engine {
 	uint64_t id; /* 0: free */
 	uint64_t service;
+	uint64_t software; /* hash of the service and its version */
 	bool listed;
 	bool draining; /* by its entry, its loader or an answer */
 	int64_t left_incarnation; /* that said so in an answer; 0: none */
--- a/tests/test_plan.cc
+++ b/tests/test_plan.cc
@@ -28,6 +28,7 @@
 	bool busy = false;
 	uint64_t unloading_model = 0;
 	bool draining = false;
+	uint64_t software = 1;
 };
 
 struct Plan : ::testing::Test {
@@ -106,6 +107,7 @@
 		l.id = Id(name);
 		l.service = Id("llm");
 		l.draining = engines[name].draining;
+		l.software = engines[name].software;
 		l.incarnation = kBorn;
 		for (const std::string &x : engines[name].residents)
 			r.push_back({ Id(x), nullptr, 0 });
@@ -720,4 +722,38 @@
 	EXPECT_EQ(UnloadsAt("e3").count("m5"), 1u);
 }
 
+struct PlanSoftware : Plan {
+	/* The engine that gets the first load of m0. */
+	uint64_t FirstHome(std::map<std::string, float> requests)
+	{
+		routes->services[0].n_models = 2;
+		StartKnown();
+		Run(500, requests);
+		routes->services[0].n_models = 6;
+		for (const Order &o : orders) {
+			if (o.load && o.model == "m0")
+				return o.endpoint;
+		}
+		return 0;
+	}
+};
+
+// A stream that breaks goes on only at a home with the same software.
+TEST_F(PlanSoftware, ASecondHomeHasTheSoftwareOfTheFirst)
+{
+	engines["a"] = { .residents = { "m0", "m1" }, .disk = { "m0" } };
+	engines["b"] = { .disk = { "m0" }, .software = 2 };
+	engines["c"] = { .disk = { "m0" } };
+	EXPECT_EQ(FirstHome({ { "m0", 30 } }), Id("c"));
+}
+
+// It helps less than an engine that isn't busy.
+TEST_F(PlanSoftware, ABusyEngineIsNoSecondHomeForItsSoftware)
+{
+	engines["a"] = { .residents = { "m0" }, .disk = { "m0" } };
+	engines["b"] = { .disk = { "m0" }, .software = 2 };
+	engines["c"] = { .residents = { "m1" }, .disk = { "m0" } };
+	EXPECT_EQ(FirstHome({ { "m0", 30 }, { "m1", 12 } }), Id("b"));
+}
+
 } // namespace
