Gate core: a stream that its caller takes up goes before new requests

Its caller has a part of the answer and mostly one try, so a refusal wastes what was sent; and one bound to a version has fewer endpoints to choose from.

It is sent like a started answer now, before new requests, and may wait for a quarter of its time while endpoints are full.

GateVersion.ATakenUpStreamIsSentBefore... and ATakenUpStreamWaitsLonger... failed before.

--- a/src/coordination/gate/gate_wait.c
+++ b/src/coordination/gate/gate_wait.c
@@ -4,6 +4,9 @@
 /* Share of its time that a request may wait while all endpoints are full: they
  * rarely drain sooner, and its caller may do better elsewhere. */
 #define FULL_WAIT_SHARE 0.0
+/* Share that a stream may wait that its caller has taken up: the caller has a
+ * part of the answer, and rarely tries again. */
+#define TAKEN_UP_WAIT_SHARE 0.25
 /* Share that it may wait for its model, which is certain to be loaded. */
 #define LOAD_WAIT_SHARE 0.5
 /* Shortest time of a plain service; an engine adds time for its output. */
@@ -50,8 +53,9 @@
 pf_ms gate_wait_deadline(struct pf_gate *g, const struct gate_request *r)
 {
 	pf_ms last = r->deadline - gate_min_service_time(r);
-	double share =
-		gate_has_endpoint(g, r) ? FULL_WAIT_SHARE : LOAD_WAIT_SHARE;
+	double share = !gate_has_endpoint(g, r) ? LOAD_WAIT_SHARE
+		       : r->bound               ? TAKEN_UP_WAIT_SHARE
+						: FULL_WAIT_SHARE;
 	pf_ms limit = r->arrived_at +
 		      (pf_ms)(share * (double)(r->deadline - r->arrived_at));
 
@@ -65,16 +69,16 @@
 	return limit < last ? limit : last;
 }
 
-/* Sending order: resumed streams, then requests that can still meet their
- * objective, by its deadline, then late ones by priority. */
+/* Sending order: streams of which the caller has a part, then requests that can
+ * still meet their objective, by its deadline, then late ones by priority. */
 static bool sent_before(const struct pf_gate *g, const struct gate_request *a,
 			const struct gate_request *b)
 {
 	bool a_late = a->objective_deadline < g->now;
 	bool b_late = b->objective_deadline < g->now;
 
-	if (a->response_started != b->response_started)
-		return a->response_started;
+	if (a->bound != b->bound)
+		return a->bound;
 	if (a_late != b_late)
 		return b_late;
 	if (a_late && a->priority != b->priority)
--- a/tests/test_gate_version.cc
+++ b/tests/test_gate_version.cc
@@ -186,6 +186,43 @@
 	EXPECT_EQ(SendsOf(2), 1u);
 }
 
+// Its caller has a part of the answer, and rarely tries again.
+TEST_F(GateVersion, ATakenUpStreamIsSentBeforeNewRequestsAtFullEndpoints)
+{
+	Gone("far1");
+	Gone("near2");
+	Begin(1, "a1");
+	Hangup(1);
+	for (int tag = 10; tag < 14; tag++) /* all slots */
+		Arrive(tag, "/r/", 5000, "m");
+	ASSERT_EQ(SentTo(13), Id("near1"));
+	Arrive(20, "/r/", 5000, "m");
+	Resume(2, "a2", "a1");
+	EXPECT_EQ(SendsOf(20) + SendsOf(2), 0u);
+	Tick(50);
+	Ended(10, PF_GATE_ANSWERED, 200);
+	EXPECT_EQ(SendsOf(2), 1u);
+	EXPECT_EQ(SendsOf(20), 0u);
+}
+
+TEST_F(GateVersion, ATakenUpStreamWaitsLongerForAFullEndpoint)
+{
+	Gone("far1");
+	Gone("near2");
+	Begin(1, "a1");
+	Hangup(1);
+	for (int tag = 10; tag < 14; tag++)
+		Arrive(tag, "/r/", 5000, "m");
+	Resume(2, "a2", "a1");
+	Tick(900);
+	EXPECT_EQ(Last(2, PF_GATE_REFUSE), nullptr);
+	Ended(10, PF_GATE_ANSWERED, 200);
+	EXPECT_EQ(SendsOf(2), 1u);
+	Resume(3, "a3", "a1");
+	Tick(1500);
+	EXPECT_NE(Last(3, PF_GATE_REFUSE), nullptr);
+}
+
 // Another gateway's process knows what it was told.
 TEST_F(GateVersion, AStreamThatAnotherGatewayBeganGoesOnAtItsVersion)
 {
