Gateway: endpoints get the time that is left once the connection is made

The head is written when the connection is made. A test connects slowly by a preloaded connect(): of 2,000 ms, with 400 ms for the connection, the endpoint got 1,990 before, at most 1,600 now; it failed before.

--- a/Makefile
+++ b/Makefile
@@ -96,13 +96,15 @@
 $(B)/pf-fuzz-mutant: $(call obj,$(MUTANT_SRC)) $(wildcard $(NORMAL)/pf-fuzz)
 	$(CC) $(LDFLAGS) -o $@ $(filter %.o,$^) $(filter-out $(patsubst %,$(NORMAL)/%.o,$(MUTANT_SRC)),$(patsubst %,$(NORMAL)/%.o,$(SRC_fuzz))) \
 		$(NORMAL)/libpimentoford.a $(LIBS)
-$(B)/pf-tests: $(B)/fail-realloc.so
+$(B)/pf-tests: $(B)/fail-realloc.so $(B)/slow-connect.so
 $(B)/pf-tests: $(call obj,$(SRC_tests) standin/answer.c load/check.c load/faults.c load/outcome.c) $(LIB)
 	$(CXX) $(LDFLAGS) -o $@ $(filter-out %.so,$^) -lgtest_main -lgtest -lrapidcheck $(LIBS)
 
-# Preloaded by tests of daemons that run out of memory.
+# Preloaded by tests of daemons: allocations that fail, slow connections.
 $(B)/fail-realloc.so: tests/fail_realloc.c
 	$(CC) -std=c11 -O2 $(WARN) -fPIC -shared -o $@ $<
+$(B)/slow-connect.so: tests/slow_connect.c
+	$(CC) -std=c11 -D_GNU_SOURCE -O2 $(WARN) -fPIC -shared -o $@ $<
 
 # Called by the deployment platform; see deploy/system.toml.
 .PHONY: platform-build
--- a/daemons/gateway/gateway.h
+++ b/daemons/gateway/gateway.h
@@ -90,6 +90,8 @@
 	size_t interim_bytes; /* of answers with a status below 200 */
 	bool in_body; /* the answer head was parsed */
 	pf_ms sent_at; /* the request */
+	pf_ms send_deadline; /* of the request, for the endpoint */
+	int priority; /* of the request; -1: unset */
 	pf_ms body_at; /* its answer head came; 0: not yet */
 	bool streaming; /* events are forwarded as they arrive */
 	bool reused; /* served another request before */
--- a/daemons/gateway/upstream.c
+++ b/daemons/gateway/upstream.c
@@ -426,15 +426,38 @@
 		end_send_lost(u, true);
 }
 
-/* The connection of a probe becomes an idle one. */
+/* The time that is left counts from now: connecting may have taken a while. */
+static void write_request(struct upstream *u)
+{
+	struct exchange *x = u->exchange;
+	struct pf_text *t = &x->gateway->scratch;
+	pf_ms left = u->send_deadline - pf_clock_now();
+	struct pf_forward f = {
+		.instance = pf_str_c(u->endpoint->info.instance),
+		.time_left = left > 1 ? left : 1,
+		.priority = u->priority,
+		.last_event = x->last_event_id,
+		.body = x->body.n,
+	};
+
+	pf_text_reset(t);
+	platform_encode_request(&x->head, &f, t);
+	pf_text_add(t, pf_text_str(&x->body));
+	if (!t->failed)
+		pf_sock_write(u->sock, pf_text_str(t));
+}
+
+/* Writes the request; the connection of a probe becomes an idle one. */
 static void on_connected(void *ctx)
 {
 	struct pf_gate_msg m = { .type = PF_GATE_REACHABLE };
 	struct upstream *u = ctx;
 	struct endpoint *e = u->endpoint;
 
-	if (u->exchange)
+	if (u->exchange) {
+		write_request(u);
 		return;
+	}
 	if (e->removed) {
 		upstream_free(u);
 		return;
@@ -487,25 +510,6 @@
 	return u;
 }
 
-static void write_request(struct upstream *u, const struct pf_gate_act *a)
-{
-	struct exchange *x = u->exchange;
-	struct pf_text *t = &x->gateway->scratch;
-	struct pf_forward f = {
-		.instance = pf_str_c(u->endpoint->info.instance),
-		.time_left = a->u.send.time_left,
-		.priority = a->u.send.priority,
-		.last_event = x->last_event_id,
-		.body = x->body.n,
-	};
-
-	pf_text_reset(t);
-	platform_encode_request(&x->head, &f, t);
-	pf_text_add(t, pf_text_str(&x->body));
-	if (!t->failed)
-		pf_sock_write(u->sock, pf_text_str(t));
-}
-
 static void log_send(struct exchange *x, const struct endpoint *e,
 		     const struct pf_gate_act *a, bool reused)
 {
@@ -530,6 +534,8 @@
 	struct pf_gate_end unsent = { .request = x->core_handle,
 				      .outcome = PF_GATE_UNSENT };
 	struct upstream *u = e ? take_idle(e, a->u.send.at_most_once) : NULL;
+	bool connected = u != NULL;
+	pf_ms now = pf_clock_now();
 
 	x->n_sends++;
 	if (!u && e)
@@ -542,7 +548,9 @@
 	x->upstream = u;
 	u->in_body = false;
 	u->interim_bytes = 0;
-	u->sent_at = pf_clock_now();
+	u->sent_at = now;
+	u->send_deadline = u->sent_at + a->u.send.time_left;
+	u->priority = a->u.send.priority;
 	u->body_at = 0;
 	u->streaming = false;
 	u->reusable = false;
@@ -550,7 +558,8 @@
 	u->adapter = x->inbound.adapter;
 	endpoint_use_adapter(e, u->adapter);
 	log_send(x, e, a, u->reused);
-	write_request(u, a);
+	if (connected)
+		write_request(u);
 }
 
 void upstream_probe(struct gateway *g, uint64_t endpoint)
--- a/tests/gateway_fixture.h
+++ b/tests/gateway_fixture.h
@@ -88,6 +88,12 @@
 class Daemon
 {
       public:
+	/* From the next start on, connecting to the port takes @ms, below 1 s. */
+	void SlowConnects(int port, unsigned ms)
+	{
+		slow_port_ = port;
+		slow_ms_ = ms;
+	}
 	/* @fail_realloc_min: allocations of so many bytes fail; 0: none. */
 	void Start(const std::string &name, const std::string &toml,
 		   size_t fail_realloc_min = 0)
@@ -117,6 +123,14 @@
 				setenv("LD_PRELOAD",
 				       (dir + "/fail-realloc.so").c_str(), 1);
 			}
+			if (slow_ms_) {
+				setenv("PF_SLOW_CONNECT_PORT",
+				       std::to_string(slow_port_).c_str(), 1);
+				setenv("PF_SLOW_CONNECT_MS",
+				       std::to_string(slow_ms_).c_str(), 1);
+				setenv("LD_PRELOAD",
+				       (dir + "/slow-connect.so").c_str(), 1);
+			}
 			execl(program.c_str(), program.c_str(), "--settings",
 			      file_.c_str(), (char *)nullptr);
 			_exit(127);
@@ -146,6 +160,8 @@
       private:
 	std::string file_;
 	pid_t pid_ = -1;
+	int slow_port_ = 0;
+	unsigned slow_ms_ = 0;
 };
 
 inline std::string GatewaySettings(const std::string &store,
--- a/tests/test_gateway.cc
+++ b/tests/test_gateway.cc
@@ -921,6 +921,27 @@
 	EXPECT_TRUE(Contains(got, "body")) << got;
 	EXPECT_TRUE(Contains(GetReady(), " 200 "));
 }
+// Endpoints got the time that was left before the connection was made.
+TEST_F(Gateway, ASlowConnectionTakesOfTheTimeThatIsHandedOn)
+{
+	FakeServer e("127.0.0.1", AnswerWith("body"));
+
+	store.Put("servers", "i-1", EndpointRow("app", e.addr()));
+	gateway.SlowConnects(e.port(), 400);
+	StartGateway();
+	WaitUntilReady();
+	std::string got = Request("GET /u/slow HTTP/1.1\r\nHost: h\r\n"
+				  "Attempt-Id: 77\r\nDeadline-Ms: 2000\r\n"
+				  "Connection: close\r\n\r\n");
+	EXPECT_TRUE(Contains(got, "HTTP/1.1 200")) << got;
+	ASSERT_EQ(e.count("/u/slow"), 1u);
+	for (const FakeRequest &r : e.seen()) {
+		int left = atoi(r.Header("Deadline-Ms").c_str());
+
+		EXPECT_LE(left, 1600);
+		EXPECT_GT(left, 0);
+	}
+}
 TEST_F(Gateway, MemoryOutForAnAnswerResetsTheConnection)
 {
 	FakeServer e("127.0.0.1", AnswerWith(std::string(65500, 'b')));
