Gate core: the usual words for resumed streams and replicas of their records

Read as a newcomer would: "taken up" is "resumed", a keeper is a replica, and the notes are named RECORD, QUERY and SINGLE.

--- a/daemons/gateway/core.c
+++ b/daemons/gateway/core.c
@@ -68,8 +68,8 @@
 	case PF_GATE_QUARANTINE:
 		log_quarantine(ctx, a);
 		break;
-	case PF_GATE_TELL_KEEPERS:
-		streams_tell_keepers(ctx, &a->u.note);
+	case PF_GATE_TELL_REPLICAS:
+		streams_tell_replicas(ctx, &a->u.note);
 		break;
 	case PF_GATE_READ_STORED:
 		streams_read(ctx);
--- a/daemons/gateway/gateway.h
+++ b/daemons/gateway/gateway.h
@@ -256,7 +256,7 @@
 int streams_start(struct gateway *g);
 void streams_stop(struct gateway *g);
 /** Acts of the core. */
-void streams_tell_keepers(struct gateway *g, const struct pf_gate_note *n);
+void streams_tell_replicas(struct gateway *g, const struct pf_gate_note *n);
 void streams_read(struct gateway *g);
 void streams_reply(struct gateway *g, const struct pf_gate_note *n);
 void streams_on_note(struct gateway *g, const struct sockaddr_in *from,
--- a/daemons/gateway/streams.c
+++ b/daemons/gateway/streams.c
@@ -205,18 +205,18 @@
 }
 
 /* The same for all gateways, and after a restart. */
-static uint64_t keeper_id(const struct sockaddr_in *addr)
+static uint64_t replica_id(const struct sockaddr_in *addr)
 {
 	return pf_id2(addr->sin_addr.s_addr, addr->sin_port);
 }
 
-void streams_tell_keepers(struct gateway *g, const struct pf_gate_note *n)
+void streams_tell_replicas(struct gateway *g, const struct pf_gate_note *n)
 {
 	const struct member_list *members = &g->talk->members;
 	uint64_t region = pf_id(pf_str_c(g->settings.common.region));
-	struct pf_gate_keeper *v = calloc(members->n + 1, sizeof(*v));
+	struct pf_gate_replica *v = calloc(members->n + 1, sizeof(*v));
 	uint32_t *at = calloc(members->n + 1, sizeof(*at));
-	uint32_t chosen[PF_GATE_KEEPERS];
+	uint32_t chosen[PF_GATE_REPLICAS];
 	uint32_t n_chosen;
 	uint32_t n_v = 0;
 	uint32_t i;
@@ -229,10 +229,11 @@
 		if (!member_is_live(m, pf_clock_now()))
 			continue;
 		at[n_v] = i;
-		v[n_v].id = keeper_id(&m->addr);
+		v[n_v].id = replica_id(&m->addr);
 		v[n_v++].region = m->digest_cursor.region;
 	}
-	n_chosen = pf_gate_stream_keepers(n->stream.id, region, v, n_v, chosen);
+	n_chosen =
+		pf_gate_stream_replicas(n->stream.id, region, v, n_v, chosen);
 	for (i = 0; i < n_chosen; i++)
 		pf_talk_send_note(g->talk->datagrams,
 				  &members->v[at[chosen[i]]].addr, n);
--- a/fuzz/fuzz_gate.c
+++ b/fuzz/fuzz_gate.c
@@ -352,7 +352,7 @@
 			(struct note){ w->stepping_gate, to, *n };
 }
 
-/* All other gateways are keepers. Some datagrams are lost. */
+/* All other gateways hold replicas. Some datagrams are lost. */
 static void send_note(struct world *w, const struct pf_gate_act *a)
 {
 	uint32_t i;
@@ -376,7 +376,7 @@
 		w->read_due[w->stepping_gate] = draw(w, 3) > 0;
 		return;
 	}
-	if (a->type == PF_GATE_TELL_KEEPERS || a->type == PF_GATE_REPLY) {
+	if (a->type == PF_GATE_TELL_REPLICAS || a->type == PF_GATE_REPLY) {
 		send_note(w, a);
 		return;
 	}
@@ -403,7 +403,7 @@
 		break;
 	case PF_GATE_PROBE:
 	case PF_GATE_QUARANTINE:
-	case PF_GATE_TELL_KEEPERS:
+	case PF_GATE_TELL_REPLICAS:
 	case PF_GATE_READ_STORED:
 	case PF_GATE_REPLY:
 		break;
@@ -623,7 +623,7 @@
 	return NULL;
 }
 
-/* A caller begins a stream, or takes one up again. */
+/* A caller begins a stream, or resumes one. */
 static void choose_stream(struct world *w, struct req *q, struct pf_inbound *in,
 			  char *id, size_t cap)
 {
--- a/include/pimentoford/counters.h
+++ b/include/pimentoford/counters.h
@@ -137,9 +137,9 @@
 	    "Answers by which an endpoint asked for no requests")              \
 	DEF(BAD_RETRY_AFTER, "bad_retry_after_total", "counter",               \
 	    "Answers with a retry time that is malformed or too long")         \
-	DEF(TAKEN_UP, "streams_taken_up_total", "counter",                     \
+	DEF(RESUMED, "streams_resumed_total", "counter",                       \
 	    "Streams that callers took up after their connection broke")       \
-	DEF(TAKEN_UP_UNKNOWN, "streams_unknown_total", "counter",              \
+	DEF(RESUMED_UNKNOWN, "streams_unknown_total", "counter",               \
 	    "Of these, those refused as nobody knew what began them")          \
 	DEF(STREAMS_EVICTED, "streams_evicted_total", "counter",               \
 	    "Records of streams that found no room")                           \
--- a/include/pimentoford/gate.h
+++ b/include/pimentoford/gate.h
@@ -156,7 +156,7 @@
 
 #define PF_GATE_LIMITS_MAX 128
 
-/** A stream, for callers that take it up at another gateway. */
+/** A stream, for callers that resume it at another gateway. */
 struct pf_gate_stream {
 	uint64_t id; /* hash of the id of the attempt that began it */
 	uint64_t service;
@@ -174,11 +174,11 @@
 /* DEF(name): what gateways tell each other about a stream. */
 #define PF_GATE_NOTE_TYPES(DEF)                               \
 	/* which software began it */                         \
-	DEF(BEGUN)                                            \
+	DEF(RECORD)                                           \
 	/* asks which; `software` is not set */               \
-	DEF(ASK)                                              \
+	DEF(QUERY)                                            \
 	/* unknown, but its service had this software only */ \
-	DEF(ONLY)
+	DEF(SINGLE)
 
 enum pf_gate_note_type {
 #define DEF(name) PF_GATE_NOTE_##name,
@@ -193,7 +193,7 @@
 };
 
 /** Gateways that are told, or asked, which software began a stream. */
-#define PF_GATE_KEEPERS 3
+#define PF_GATE_REPLICAS 3
 #define PF_GATE_SOFTWARE_MAX 64
 /** Streams of one gateway in the store. */
 #define PF_GATE_STORED_MAX 512
@@ -297,7 +297,7 @@
 	PF_GATE_CANCEL, /* u.cancel: cancel the send in flight */
 	PF_GATE_PROBE, /* u.probe: connect to a silent endpoint; ctx is NULL */
 	PF_GATE_QUARANTINE, /* u.quarantine: of a part, for logs; ctx is NULL */
-	PF_GATE_TELL_KEEPERS, /* u.note: to pf_gate_stream_keepers() */
+	PF_GATE_TELL_REPLICAS, /* u.note: to pf_gate_stream_replicas() */
 	PF_GATE_READ_STORED, /* pass PF_GATE_STORED in again; ctx is NULL */
 	PF_GATE_REPLY, /* u.note: to the gateway whose note was passed in */
 	PF_GATE_DELIVER, /* final: deliver the answer that ended the send */
@@ -463,18 +463,18 @@
 			struct pf_gate_limit *out);
 
 /** A gateway that may keep records of streams. */
-struct pf_gate_keeper {
+struct pf_gate_replica {
 	uint64_t id; /* the same at all gateways, also after its restart */
 	uint64_t region;
 };
 
 /**
- * Writes the indices of at most PF_GATE_KEEPERS of @v: two in @region, one of
+ * Writes the indices of at most PF_GATE_REPLICAS of @v: two in @region, one of
  * any. Gateways that know the same others choose the same. Returns how many.
  */
-uint32_t pf_gate_stream_keepers(uint64_t stream, uint64_t region,
-				const struct pf_gate_keeper *v, uint32_t n,
-				uint32_t *out);
+uint32_t pf_gate_stream_replicas(uint64_t stream, uint64_t region,
+				 const struct pf_gate_replica *v, uint32_t n,
+				 uint32_t *out);
 
 /**
  * Writes the streams that began here, are not complete, and whose service has
@@ -502,8 +502,8 @@
 /** Totals since the start, and current numbers. */
 struct pf_gate_stats {
 	uint64_t arrived, sent, retries, refused, failed, delivered, hangups;
-	uint64_t taken_up; /* streams, by their callers */
-	uint64_t taken_up_unknown; /* of these: refused, software unknown */
+	uint64_t resumed; /* streams, by their callers */
+	uint64_t resumed_unknown; /* of these: refused, software unknown */
 	uint64_t streams_evicted; /* records lost while they mattered */
 	uint64_t peers_evicted; /* while more than peers_max sent digests */
 	uint32_t open, waiting, endpoints, peers;
--- a/src/coordination/gate/gate_core.h
+++ b/src/coordination/gate/gate_core.h
@@ -54,7 +54,7 @@
 	bool moved; /* cancelled at a silent endpoint that may have answered */
 	/* Streams. */
 	uint64_t stream; /* id of the attempt that began it, hashed; 0: none */
-	bool undecided; /* taken up, and not known yet which software began it */
+	bool undecided; /* resumed by its caller; its software is not known yet */
 	pf_ms decide_at; /* while undecided: when waiting for that ends */
 	bool store_asked; /* no gateway knew it */
 	bool bound; /* to endpoints with `software`, which began the stream */
@@ -313,7 +313,7 @@
 	pf_ms reported_at;
 };
 
-/* For how long a caller may take up a stream after its begin. */
+/* For how long a caller may resume a stream after its begin. */
 #define GATE_STREAM_KEEP_MS 60000
 #define GATE_STREAM_WAYS 4
 #define GATE_STREAM_SETS 2048
@@ -338,7 +338,7 @@
 	pf_ms last_seen_at; /* if there are none */
 };
 
-/** Whether a stream that was taken up may be sent. */
+/** Whether a stream that its caller resumes may be sent. */
 enum gate_decision {
 	GATE_DECIDED, /* where its software is */
 	GATE_UNDECIDED, /* not yet */
@@ -599,7 +599,7 @@
 			uint64_t *only);
 
 /* gate_streams.c */
-/** Notes what @r takes up; asks other gateways if it isn't known here. */
+/** Notes which stream @r resumes; asks other gateways if it is unknown here. */
 void gate_stream_arrive(struct pf_gate *g, struct gate_request *r,
 			const struct pf_inbound *in);
 /** Binds @r to the software of its stream as soon as it is known. */
--- a/src/coordination/gate/gate_streams.c
+++ b/src/coordination/gate/gate_streams.c
@@ -1,5 +1,5 @@
 /*
- * Which software began a stream, for callers that take it up again at this or
+ * Which software began a stream, for callers that resume it at this or
  * another gateway. Records are kept by the gateway that began it, by a few
  * others that it tells, and in the store. A stream that nobody knows goes on only
  * where the service had no other software lately.
@@ -73,7 +73,7 @@
 	if (!gate_software_mixed(g, r->service))
 		return;
 	g->streams_serial++;
-	tell(g, PF_GATE_TELL_KEEPERS, PF_GATE_NOTE_BEGUN, &s);
+	tell(g, PF_GATE_TELL_REPLICAS, PF_GATE_NOTE_RECORD, &s);
 }
 
 void gate_stream_complete(struct pf_gate *g, const struct gate_request *r)
@@ -96,11 +96,11 @@
 
 		if (r->state != GATE_FREE && r->response_started && r->stream &&
 		    r->service == service)
-			tell(g, PF_GATE_TELL_KEEPERS, PF_GATE_NOTE_BEGUN, &s);
+			tell(g, PF_GATE_TELL_REPLICAS, PF_GATE_NOTE_RECORD, &s);
 	}
 }
 
-static void bind(struct gate_request *r, uint64_t software)
+static void bind_to_software(struct gate_request *r, uint64_t software)
 {
 	r->undecided = false;
 	r->bound = true;
@@ -121,7 +121,7 @@
 		r->stream = pf_id(in->id);
 	if (!resumes)
 		return;
-	g->stats.taken_up++;
+	g->stats.resumed++;
 	r->undecided = true;
 	r->decide_at = g->now;
 	if (!gate_software_known(g, r->service))
@@ -132,7 +132,7 @@
 		r->decide_at = r->deadline;
 	s.id = r->stream;
 	if (s.id && !find(g, s.id, false))
-		tell(g, PF_GATE_TELL_KEEPERS, PF_GATE_NOTE_ASK, &s);
+		tell(g, PF_GATE_TELL_REPLICAS, PF_GATE_NOTE_QUERY, &s);
 }
 
 /* Looks @r up in the store once; false if that was done. */
@@ -159,7 +159,7 @@
 	if (!r->undecided)
 		return GATE_DECIDED;
 	if (s) {
-		bind(r, s->software);
+		bind_to_software(r, s->software);
 		return GATE_DECIDED;
 	}
 	if (g->now < r->decide_at)
@@ -167,14 +167,14 @@
 	if (!gate_software_only(g, r->service, &only)) {
 		if (ask_store(g, r))
 			return GATE_UNDECIDED;
-#ifdef PF_MUTANT_GATE_TAKEN_UP
+#ifdef PF_MUTANT_GATE_RESUMED
 		r->undecided = false;
 		return GATE_DECIDED;
 #endif
-		g->stats.taken_up_unknown++;
+		g->stats.resumed_unknown++;
 		return GATE_UNKNOWN;
 	}
-	bind(r, only);
+	bind_to_software(r, only);
 	return GATE_DECIDED;
 }
 
@@ -195,7 +195,7 @@
 	}
 }
 
-static void answer(struct pf_gate *g, const struct pf_gate_stream *asked)
+static void answer_query(struct pf_gate *g, const struct pf_gate_stream *asked)
 {
 	const struct gate_stream *s = find(g, asked->id, false);
 	struct pf_gate_stream r = *asked;
@@ -204,24 +204,24 @@
 		r.service = s->service;
 		r.software = s->software;
 		r.age = (uint32_t)(g->now - s->at);
-		tell(g, PF_GATE_REPLY, PF_GATE_NOTE_BEGUN, &r);
+		tell(g, PF_GATE_REPLY, PF_GATE_NOTE_RECORD, &r);
 	} else if (gate_software_only(g, asked->service, &r.software)) {
-		tell(g, PF_GATE_REPLY, PF_GATE_NOTE_ONLY, &r);
+		tell(g, PF_GATE_REPLY, PF_GATE_NOTE_SINGLE, &r);
 	}
 }
 
 void gate_stream_note(struct pf_gate *g, const struct pf_gate_note *n)
 {
 	switch (n->type) {
-	case PF_GATE_NOTE_BEGUN:
+	case PF_GATE_NOTE_RECORD:
 		add(g, &n->stream, false);
 		gate_software_seen(g, n->stream.service, n->stream.software,
 				   g->now - n->stream.age);
 		break;
-	case PF_GATE_NOTE_ASK:
-		answer(g, &n->stream);
+	case PF_GATE_NOTE_QUERY:
+		answer_query(g, &n->stream);
 		break;
-	case PF_GATE_NOTE_ONLY:
+	case PF_GATE_NOTE_SINGLE:
 		decide_by_peer(g, &n->stream);
 		break;
 	case PF_GATE_NOTE_TYPE_COUNT:
@@ -277,51 +277,3 @@
 {
 	return g->streams_serial;
 }
-
-static uint64_t keeper_rank(uint64_t stream, const struct pf_gate_keeper *k)
-{
-	return pf_id2(stream, k->id);
-}
-
-/* The index of the one with the highest rank that is not in @chosen. */
-static uint32_t next_keeper(uint64_t stream, uint64_t region,
-			    const struct pf_gate_keeper *v, uint32_t n,
-			    const uint32_t *chosen, uint32_t n_chosen)
-{
-	uint32_t best = GATE_NIL;
-	uint32_t i;
-	uint32_t k;
-
-	for (i = 0; i < n; i++) {
-		if (region && v[i].region != region)
-			continue;
-		for (k = 0; k < n_chosen && chosen[k] != i; k++)
-			;
-		if (k == n_chosen &&
-		    (best == GATE_NIL || keeper_rank(stream, &v[i]) >
-						 keeper_rank(stream, &v[best])))
-			best = i;
-	}
-	return best;
-}
-
-uint32_t pf_gate_stream_keepers(uint64_t stream, uint64_t region,
-				const struct pf_gate_keeper *v, uint32_t n,
-				uint32_t *out)
-{
-	uint32_t found = 0;
-
-	while (found < PF_GATE_KEEPERS) {
-		uint32_t at = GATE_NIL;
-
-		/* The last one is of any region. */
-		if (found + 1 < PF_GATE_KEEPERS)
-			at = next_keeper(stream, region, v, n, out, found);
-		if (at == GATE_NIL)
-			at = next_keeper(stream, 0, v, n, out, found);
-		if (at == GATE_NIL)
-			break;
-		out[found++] = at;
-	}
-	return found;
-}
--- a/src/coordination/gate/gate_wait.c
+++ b/src/coordination/gate/gate_wait.c
@@ -4,9 +4,9 @@
 /* Share of its time that a request may wait while all endpoints are full: they
  * rarely drain sooner, and its caller may do better elsewhere. */
 #define FULL_WAIT_SHARE 0.0
-/* Share that a stream may wait that its caller has taken up: the caller has a
+/* Share that a stream may wait that its caller resumes: the caller has a
  * part of the answer, and rarely tries again. */
-#define TAKEN_UP_WAIT_SHARE 0.25
+#define RESUMED_WAIT_SHARE 0.25
 /* Share that it may wait for its model, which is certain to be loaded. */
 #define LOAD_WAIT_SHARE 0.5
 /* Shortest time of a plain service; an engine adds time for its output. */
@@ -54,7 +54,7 @@
 {
 	pf_ms last = r->deadline - gate_min_service_time(r);
 	double share = !gate_has_endpoint(g, r) ? LOAD_WAIT_SHARE
-		       : r->bound               ? TAKEN_UP_WAIT_SHARE
+		       : r->bound               ? RESUMED_WAIT_SHARE
 						: FULL_WAIT_SHARE;
 	pf_ms limit = r->arrived_at +
 		      (pf_ms)(share * (double)(r->deadline - r->arrived_at));
--- a/tests/gate_sim.cc
+++ b/tests/gate_sim.cc
@@ -94,7 +94,7 @@
 		break;
 	case PF_GATE_REQUEST_ADAPTER:
 	case PF_GATE_PROBE:
-	case PF_GATE_TELL_KEEPERS:
+	case PF_GATE_TELL_REPLICAS:
 	case PF_GATE_READ_STORED:
 	case PF_GATE_REPLY:
 		break;
--- a/tests/test_gate_version.cc
+++ b/tests/test_gate_version.cc
@@ -132,7 +132,7 @@
 	EXPECT_NE(Last(1, PF_GATE_FAIL), nullptr);
 }
 
-TEST_F(GateVersion, AStreamThatACallerTakesUpDoesNotGoOnAtAnotherVersion)
+TEST_F(GateVersion, AStreamThatACallerResumesDoesNotGoOnAtAnotherVersion)
 {
 	Begin(1, "a1");
 	Hangup(1);
@@ -145,7 +145,7 @@
 }
 
 // The id that its caller names is always that of the first attempt.
-TEST_F(GateVersion, AStreamTakenUpTwiceDoesNotGoOnAtAnotherVersion)
+TEST_F(GateVersion, AStreamResumedTwiceDoesNotGoOnAtAnotherVersion)
 {
 	Begin(1, "a1");
 	Hangup(1);
@@ -156,7 +156,7 @@
 	EXPECT_EQ(SentTo(3), Id("far1"));
 }
 
-TEST_F(GateVersion, ATakenUpStreamWithoutAnEndpointOfItsVersionIsRefusedAtOnce)
+TEST_F(GateVersion, AResumedStreamWithoutAnEndpointOfItsVersionIsRefusedAtOnce)
 {
 	Begin(1, "a1");
 	Hangup(1);
@@ -167,7 +167,7 @@
 	EXPECT_NE(Last(2, PF_GATE_REFUSE), nullptr);
 }
 
-TEST_F(GateVersion, ATakenUpStreamOfAnUnknownVersionIsRefused)
+TEST_F(GateVersion, AResumedStreamOfAnUnknownVersionIsRefused)
 {
 	Resume(2, "a2", "a1");
 	Tick(200);
@@ -177,7 +177,7 @@
 }
 
 // As before there were versions.
-TEST_F(GateVersion, ATakenUpStreamGoesOnWhereAllEndpointsHaveOneVersion)
+TEST_F(GateVersion, AResumedStreamGoesOnWhereAllEndpointsHaveOneVersion)
 {
 	Gone("near2");
 	Tick(120000);
@@ -187,7 +187,7 @@
 }
 
 // Its caller has a part of the answer, and rarely tries again.
-TEST_F(GateVersion, ATakenUpStreamIsSentBeforeNewRequestsAtFullEndpoints)
+TEST_F(GateVersion, AResumedStreamIsSentBeforeNewRequestsAtFullEndpoints)
 {
 	Gone("far1");
 	Gone("near2");
@@ -205,7 +205,7 @@
 	EXPECT_EQ(SendsOf(20), 0u);
 }
 
-TEST_F(GateVersion, ATakenUpStreamWaitsLongerForAFullEndpoint)
+TEST_F(GateVersion, AResumedStreamWaitsLongerForAFullEndpoint)
 {
 	Gone("far1");
 	Gone("near2");
@@ -226,57 +226,57 @@
 // Another gateway's process knows what it was told.
 TEST_F(GateVersion, AStreamThatAnotherGatewayBeganGoesOnAtItsVersion)
 {
-	Note(PF_GATE_NOTE_BEGUN, "a1", "v2");
+	Note(PF_GATE_NOTE_RECORD, "a1", "v2");
 	Resume(2, "a2", "a1");
 	EXPECT_EQ(SentTo(2), Id("near2"));
 }
 
-TEST_F(GateVersion, KeepersAreToldOfAStreamWhileThereAreTwoVersions)
+TEST_F(GateVersion, ReplicasAreToldOfAStreamWhileThereAreTwoVersions)
 {
 	Begin(1, "a1");
-	EXPECT_EQ(Count(PF_GATE_TELL_KEEPERS), 1u);
-	EXPECT_EQ(LastNote(PF_GATE_TELL_KEEPERS).type, PF_GATE_NOTE_BEGUN);
-	EXPECT_EQ(LastNote(PF_GATE_TELL_KEEPERS).stream.id, Id("a1"));
-	EXPECT_EQ(LastNote(PF_GATE_TELL_KEEPERS).stream.software,
+	EXPECT_EQ(Count(PF_GATE_TELL_REPLICAS), 1u);
+	EXPECT_EQ(LastNote(PF_GATE_TELL_REPLICAS).type, PF_GATE_NOTE_RECORD);
+	EXPECT_EQ(LastNote(PF_GATE_TELL_REPLICAS).stream.id, Id("a1"));
+	EXPECT_EQ(LastNote(PF_GATE_TELL_REPLICAS).stream.software,
 		  Software("v1"));
 	Events(1);
-	EXPECT_EQ(Count(PF_GATE_TELL_KEEPERS), 1u);
+	EXPECT_EQ(Count(PF_GATE_TELL_REPLICAS), 1u);
 }
 
-TEST_F(GateVersion, KeepersAreToldOfOpenStreamsWhenASecondVersionComes)
+TEST_F(GateVersion, ReplicasAreToldOfOpenStreamsWhenASecondVersionComes)
 {
 	Gone("near2");
 	Tick(120000);
 	Begin(1, "a1");
-	EXPECT_EQ(Count(PF_GATE_TELL_KEEPERS), 0u);
+	EXPECT_EQ(Count(PF_GATE_TELL_REPLICAS), 0u);
 	Add("near2", "v2", "za");
-	EXPECT_EQ(LastNote(PF_GATE_TELL_KEEPERS).stream.id, Id("a1"));
+	EXPECT_EQ(LastNote(PF_GATE_TELL_REPLICAS).stream.id, Id("a1"));
 }
 
-TEST_F(GateVersion, KeepersAreAskedForAnUnknownStreamAndDecideIt)
+TEST_F(GateVersion, ReplicasAreAskedForAnUnknownStreamAndDecideIt)
 {
 	Resume(2, "a2", "a1");
-	EXPECT_EQ(LastNote(PF_GATE_TELL_KEEPERS).type, PF_GATE_NOTE_ASK);
-	EXPECT_EQ(LastNote(PF_GATE_TELL_KEEPERS).stream.id, Id("a1"));
+	EXPECT_EQ(LastNote(PF_GATE_TELL_REPLICAS).type, PF_GATE_NOTE_QUERY);
+	EXPECT_EQ(LastNote(PF_GATE_TELL_REPLICAS).stream.id, Id("a1"));
 	Tick(50);
 	EXPECT_EQ(SendsOf(2), 0u);
-	Note(PF_GATE_NOTE_BEGUN, "a1", "v2");
+	Note(PF_GATE_NOTE_RECORD, "a1", "v2");
 	EXPECT_EQ(SentTo(2), Id("near2"));
 }
 
 TEST_F(GateVersion, AnswersWhoAsks)
 {
 	Begin(1, "a1");
-	Note(PF_GATE_NOTE_ASK, "a1");
-	EXPECT_EQ(LastNote(PF_GATE_REPLY).type, PF_GATE_NOTE_BEGUN);
+	Note(PF_GATE_NOTE_QUERY, "a1");
+	EXPECT_EQ(LastNote(PF_GATE_REPLY).type, PF_GATE_NOTE_RECORD);
 	EXPECT_EQ(LastNote(PF_GATE_REPLY).stream.software, Software("v1"));
 	acts.clear();
-	Note(PF_GATE_NOTE_ASK, "b1");
+	Note(PF_GATE_NOTE_QUERY, "b1");
 	EXPECT_EQ(Count(PF_GATE_REPLY), 0u);
 	Gone("near2");
 	Tick(120000);
-	Note(PF_GATE_NOTE_ASK, "b1");
-	EXPECT_EQ(LastNote(PF_GATE_REPLY).type, PF_GATE_NOTE_ONLY);
+	Note(PF_GATE_NOTE_QUERY, "b1");
+	EXPECT_EQ(LastNote(PF_GATE_REPLY).type, PF_GATE_NOTE_SINGLE);
 	EXPECT_EQ(LastNote(PF_GATE_REPLY).stream.software, Software("v1"));
 }
 
@@ -287,14 +287,14 @@
 	Tick(120000);
 	Resume(2, "a2", "a1");
 	EXPECT_EQ(SendsOf(2), 0u);
-	Note(PF_GATE_NOTE_ONLY, "a1", "v1");
+	Note(PF_GATE_NOTE_SINGLE, "a1", "v1");
 	EXPECT_EQ(SendsOf(2), 1u);
 }
 
 TEST_F(GateVersion, APeerThatKnowsOfOneVersionDecidesNothingWhereThereAreTwo)
 {
 	Resume(2, "a2", "a1");
-	Note(PF_GATE_NOTE_ONLY, "a1", "v1");
+	Note(PF_GATE_NOTE_SINGLE, "a1", "v1");
 	Tick(200);
 	Stored(true);
 	EXPECT_EQ(SendsOf(2), 0u);
@@ -430,55 +430,55 @@
 	EXPECT_EQ(s[0].software, Software("v1"));
 	EXPECT_EQ(s[0].age, 700u);
 	EXPECT_EQ(pf_gate_recent_software(g, now, v), 2u);
-	Note(PF_GATE_NOTE_BEGUN, "a1", "v1");
+	Note(PF_GATE_NOTE_RECORD, "a1", "v1");
 	EXPECT_EQ(pf_gate_open_streams(g, now, s, 4), 1u);
 }
 
-struct KeeperCase {
+struct ReplicaCase {
 	const char *name;
 	unsigned near, far; /* other gateways in the region and elsewhere */
-	unsigned keepers;
+	unsigned replicas;
 };
 
-struct GateKeepers : ::testing::TestWithParam<KeeperCase> {
+struct GateReplicas : ::testing::TestWithParam<ReplicaCase> {
 };
 
 // A gateway that asks finds one that was told, also if both know another one
 // less than the other.
-TEST_P(GateKeepers, WhoAsksFindsWhoWasTold)
+TEST_P(GateReplicas, WhoAsksFindsWhoWasTold)
 {
-	const KeeperCase &c = GetParam();
-	std::vector<pf_gate_keeper> all;
-	uint32_t told[PF_GATE_KEEPERS], asked[PF_GATE_KEEPERS];
+	const ReplicaCase &c = GetParam();
+	std::vector<pf_gate_replica> all;
+	uint32_t told[PF_GATE_REPLICAS], asked[PF_GATE_REPLICAS];
 
 	for (unsigned i = 0; i < c.near + c.far; i++)
 		all.push_back({ 1000u + i, i < c.near ? 1u : 2u });
 	for (uint64_t stream = 1; stream <= 200; stream++) {
 		for (uint64_t region = 1; region <= 2; region++) {
 			bool found = false;
-			uint32_t n = pf_gate_stream_keepers(
+			uint32_t n = pf_gate_stream_replicas(
 				stream, 1, all.data(),
 				static_cast<uint32_t>(all.size()), told);
-			uint32_t m = pf_gate_stream_keepers(
+			uint32_t m = pf_gate_stream_replicas(
 				stream, region, all.data(),
 				static_cast<uint32_t>(all.size()), asked);
 
-			EXPECT_EQ(n, c.keepers);
+			EXPECT_EQ(n, c.replicas);
 			for (uint32_t i = 0; i < n; i++)
 				for (uint32_t k = 0; k < m; k++)
 					found |= told[i] == asked[k];
-			EXPECT_EQ(found, c.keepers > 0) << stream;
+			EXPECT_EQ(found, c.replicas > 0) << stream;
 		}
 	}
 }
 
-INSTANTIATE_TEST_SUITE_P(Cases, GateKeepers,
-			 ::testing::Values(KeeperCase{ "None", 0, 0, 0 },
-					   KeeperCase{ "One", 1, 0, 1 },
-					   KeeperCase{ "Far", 0, 2, 2 },
-					   KeeperCase{ "Four", 3, 1, 3 },
-					   KeeperCase{ "Hundred", 50, 50, 3 }),
-			 [](const ::testing::TestParamInfo<KeeperCase> &i) {
+INSTANTIATE_TEST_SUITE_P(Cases, GateReplicas,
+			 ::testing::Values(ReplicaCase{ "None", 0, 0, 0 },
+					   ReplicaCase{ "One", 1, 0, 1 },
+					   ReplicaCase{ "Far", 0, 2, 2 },
+					   ReplicaCase{ "Four", 3, 1, 3 },
+					   ReplicaCase{ "Hundred", 50, 50, 3 }),
+			 [](const ::testing::TestParamInfo<ReplicaCase> &i) {
 				 return std::string(i.param.name);
 			 });
 
--- a/tests/test_gateway_soak.cc
+++ b/tests/test_gateway_soak.cc
@@ -200,7 +200,7 @@
 		size_t gateway = 0;
 		int fd = -1;
 		bool may_reuse = true;
-		CallerStream stream; /* to be taken up, if it has events */
+		CallerStream stream; /* to be resumed, if it has events */
 
 		while (!stopping) {
 			if (fd < 0) {
@@ -235,7 +235,7 @@
 	{
 		std::string id = std::to_string(id_counter++);
 		bool resumes = s->last_event > 0;
-		CallerStream taken_up = *s;
+		CallerStream resumed = *s;
 		/* The same content as the first request. */
 		std::string first = resumes ? s->first_id : id;
 		bool stream = kind == 't' || kind == 'r';
@@ -245,7 +245,7 @@
 		size_t end;
 
 		*s = {};
-		taken_up.first_id = first;
+		resumed.first_id = first;
 		checks.OnSent(id, kind, gateway);
 		FakeSend(
 			fd,
@@ -256,7 +256,7 @@
 				(resumes ? "Resumes: " + first +
 						   "\r\nLast-Event-Id: " +
 						   std::to_string(
-							   taken_up.last_event) +
+							   resumed.last_event) +
 						   "\r\n"
 					 : "") +
 				(adapter ? "Token-Usage: 10,5\r\nModel: " +
@@ -282,12 +282,11 @@
 
 		head.head = got.substr(0, end + 4);
 		*may_reuse = head.Header("Connection") != "close";
-		bool open =
-			ReceiveBody(fd, stream, id, head, got.substr(end + 4),
-				    adapter, &taken_up);
+		bool open = ReceiveBody(fd, stream, id, head,
+					got.substr(end + 4), adapter, &resumed);
 
-		if (kind == 'r' && !open && taken_up.last_event)
-			*s = taken_up;
+		if (kind == 'r' && !open && resumed.last_event)
+			*s = resumed;
 		return open;
 	}
 	/* Three parts, as a header; the second one may crash endpoints. */
--- a/tests/test_gateway_version.cc
+++ b/tests/test_gateway_version.cc
@@ -1,5 +1,5 @@
 // Gateways as processes before endpoints of two software versions, and callers
-// that take broken streams up at other gateways.
+// that resume broken streams at other gateways.
 #include "tests/gateway_group.h"
 
 namespace
@@ -79,7 +79,7 @@
 		}
 	}
 	/* Begins streams at random times of 0.8 s; @kill kills gateways at the
-	 * end of it; broken streams are then taken up at @n. */
+	 * end of it; broken streams are then resumed at @n. */
 	std::vector<Stream> RunStreams(unsigned n_streams,
 				       const std::function<void()> &kill,
 				       const std::function<const Node &()> &n)
@@ -121,7 +121,7 @@
 			*resumed += s.resumed;
 			*complete += s.resumed && s.complete();
 		}
-		printf("%s: %zu streams, %u of two versions; %u taken up, "
+		printf("%s: %zu streams, %u of two versions; %u resumed, "
 		       "%u of these complete\n",
 		       name, all.size(), mixed, *resumed, *complete);
 		EXPECT_EQ(mixed, 0u);
