--- a/tests/test_gate_version.cc
+++ b/tests/test_gate_version.cc
@@ -413,6 +413,25 @@
 	EXPECT_EQ(SendsOf(3), 1u);
 }
 
+// Its records are lost, so its software is unknown again.
+TEST_F(GateVersion, AStreamBeyondTheTableIsRefused)
+{
+	struct pf_gate_stats s;
+
+	Note(PF_GATE_NOTE_RECORD, "first", "v2");
+	now++;
+	for (int i = 0; i < 60000; i++)
+		Note(PF_GATE_NOTE_RECORD, ("s" + std::to_string(i)).c_str(),
+		     "v1");
+	pf_gate_stats(g, &s);
+	EXPECT_GT(s.streams_evicted, 50000u);
+	Resume(2, "a2", "first");
+	Tick(200);
+	Stored(true);
+	EXPECT_EQ(SendsOf(2), 0u);
+	EXPECT_NE(Last(2, PF_GATE_REFUSE), nullptr);
+}
+
 TEST_F(GateVersion, TheStoreGetsOpenStreams)
 {
 	struct pf_gate_stream s[4];
