--- a/tests/test_gateway_version.cc
+++ b/tests/test_gateway_version.cc
@@ -23,6 +23,7 @@
 
 struct GatewayVersion : GatewayGroup {
 	unsigned n_versions = 2;
+	std::string more_headers; /* of each request */
 
 	void AdjustEndpoint(unsigned i, FakeEndpoint::Options &o) override
 	{
@@ -50,6 +51,7 @@
 			"GET /r/" + s.first_id +
 			" HTTP/1.1\r\nHost: h\r\nAttempt-Id: " + id +
 			"\r\nDeadline-Ms: 9000\r\nConnection: close\r\n";
+		head += more_headers;
 		if (resumes)
 			head += "Resumes: " + s.first_id +
 				"\r\nLast-Event-Id: " +
@@ -246,4 +248,67 @@
 	EXPECT_TRUE(s.complete());
 }
 
+/* One gateway, and engines with loaders. Of "v1", one has the model and one has
+ * room for it. */
+struct GatewayVersionHome : GatewayVersion {
+	Daemon loaders[3];
+
+	void StartEngine(unsigned i, int datagrams)
+	{
+		FakeEndpoint::Options o;
+		std::string ip = "127.0.1." + std::to_string(i + 1);
+		std::string at = std::to_string(datagrams);
+
+		o.id = "e" + std::to_string(i);
+		o.ip = ip;
+		o.store = &store;
+		o.version = i == 0 ? "v0" : "v1";
+		o.event_suffix = " " + o.version + ".";
+		o.events = EVENTS;
+		o.gap_ms = 40;
+		endpoints.push_back(std::make_unique<FakeEndpoint>(o));
+		loaders[i].Start("pimento-loader",
+				 "name = \"l" + std::to_string(i) +
+					 "\"\nzone = \"za\"\nregion = "
+					 "\"east\"\nplatform = \"" +
+					 store.addr() + "\"\ndatagrams = \"" +
+					 ip + ":" + at + "\"\nbackend = \"" +
+					 endpoints[i]->addr() + "\"\n");
+	}
+	void SetUp() override
+	{
+		auto n = std::make_unique<Node>();
+		int datagrams = FreePort();
+
+		store.Put("op", "config", ConfigJson(1));
+		for (unsigned i = 0; i < 3; i++)
+			StartEngine(i, datagrams);
+		endpoints[2]->Crash();
+		endpoints[2]->Restart();
+		endpoints[2]->WriteRow();
+		n->ip = "127.0.0.2";
+		n->port = FreePort();
+		n->ready = FreePort();
+		n->settings = GatewaySettings(store.addr(), n->ip, n->port,
+					      n->ready, datagrams);
+		n->process.Start("pimento-gateway", n->settings);
+		gateways.push_back(std::move(n));
+		ASSERT_TRUE(BecomesReady(*gateways[0]));
+		more_headers = "Model: m\r\nToken-Usage: 10,30\r\n";
+		SleepMs(12000); /* until the planner leads */
+	}
+};
+
+TEST_F(GatewayVersionHome, StreamsGoOnWhenTheOnlyHomeOfTheirVersionEnds)
+{
+	unsigned resumed, complete;
+	std::vector<Stream> all = RunStreams(
+		16, [this] { endpoints[1]->Crash(); },
+		[this]() -> const Node & { return *gateways[0]; });
+
+	Check("home", all, &resumed, &complete);
+	EXPECT_GE(resumed, 4u);
+	EXPECT_GE(2 * complete, resumed);
+}
+
 } // namespace
