Gateway: metrics and log lines for late ticks, the planner's time, fetched configurations, rejected retries

Logs could not tell apart a gateway whose event loop stands still, one that hears of a configuration late, and one that fails to fetch it; nor whether a send was rejected by the retry budget, and of how many peers it knew. No logic has changed.

--- a/daemons/gateway/config_peers.c
+++ b/daemons/gateway/config_peers.c
@@ -63,11 +63,27 @@
 		evbuffer_free(out);
 }
 
+static void log_fetch_ended(const struct config_peers *c,
+			    const struct pf_http_answer *a)
+{
+	bool failed = a->result != PF_HTTP_OK || a->status != HTTP_OK;
+	pf_ms now = pf_clock_now();
+
+	c->gateway->counters->v[PF_GC_CONFIG_FETCH_FAILED] += failed;
+	PF_LOG(&c->gateway->log, failed ? PF_LOG_WARN : PF_LOG_INFO,
+	       "config_fetched", PF_KV_INT("result", a->result),
+	       PF_KV_INT("status", a->status), PF_KV_INT("bytes", a->body.n),
+	       PF_KV_INT("ms", now - c->fetched_at),
+	       PF_KV_INT("behind_ms",
+			 c->behind_since ? now - c->behind_since : 0));
+}
+
 static void on_fetched(void *ctx, const struct pf_http_answer *a)
 {
 	struct config_peers *c = ctx;
 
 	c->fetching = false;
+	log_fetch_ended(c, a);
 	if (a->result != PF_HTTP_OK || a->status != HTTP_OK)
 		return;
 	if (feeds_read_config(c->gateway, a->body) == 0)
@@ -91,11 +107,20 @@
 	inet_ntop(AF_INET, &from->sin_addr, ip, sizeof(ip));
 	evutil_snprintf(addr, sizeof(addr), "%s:%u", ip,
 			(unsigned int)ntohs(from->sin_port));
+	if (c->fetching) {
+		c->gateway->counters->v[PF_GC_CONFIG_FETCH_FAILED]++;
+		PF_LOG(&c->gateway->log, PF_LOG_WARN, "config_fetch_slow",
+		       PF_KV_INT("ms", pf_clock_now() - c->fetched_at));
+	}
 	/* Without callbacks from a fetch that has taken too long. */
 	pf_http_free(c->peer);
 	c->peer = pf_http_new(&o);
 	c->fetched_at = pf_clock_now();
 	c->fetching = c->peer && pf_http_start(c->peer, &r);
+	PF_LOG(&c->gateway->log, PF_LOG_INFO, "config_fetch",
+	       PF_KV_STR("from", addr), PF_KV_INT("version", c->peer_version),
+	       PF_KV_INT("store_age_ms",
+			 feeds_store_age(c->gateway, c->fetched_at)));
 }
 
 void config_note_step(struct gateway *g)
--- a/daemons/gateway/ready.c
+++ b/daemons/gateway/ready.c
@@ -49,6 +49,8 @@
 	c->v[PF_GC_WAITING] = s.waiting;
 	c->v[PF_GC_SENT] = s.sent;
 	c->v[PF_GC_REPEATS] = s.retries;
+	c->v[PF_GC_RETRIES_REJECTED] = s.retries_rejected;
+	c->v[PF_GC_PEERS] = s.peers;
 	c->v[PF_GC_RESUMED] = s.resumed;
 	c->v[PF_GC_RESUMED_UNKNOWN] = s.resumed_unknown;
 	c->v[PF_GC_HELD] = s.held;
--- a/daemons/gateway/talk.c
+++ b/daemons/gateway/talk.c
@@ -4,6 +4,8 @@
  */
 #include "talk_core.h"
 
+#include "pimentoford/counters.h"
+
 #include <arpa/inet.h>
 #include <errno.h>
 #include <stdlib.h>
@@ -23,6 +25,8 @@
 #define STATE_INTERVAL_NEAR_MS 500
 #define STATE_INTERVAL_FAR_MS 1500
 #define DEMAND_ITEMS_MAX 512
+/* A tick that is later than this is logged: callers notice the delay. */
+#define TICK_LATE_MS 250
 
 /* A loader runs at its endpoint's IP; all gateways and loaders share a port. */
 static int loader_addr(const struct talk *t, const struct endpoint *e,
@@ -423,14 +427,45 @@
 	}
 }
 
-static void on_tick(evutil_socket_t fd, short what, void *ctx)
+/* The event loop was busy, or the process did not run. */
+static void note_late_tick(struct talk *t, pf_ms now)
+{
+	pf_ms late = t->tick_at ? now - t->tick_at - TICK_INTERVAL_MS : 0;
+	uint64_t *v = t->gateway->counters->v;
+
+	t->tick_at = now;
+	if (late > 0 && (uint64_t)late > v[PF_GC_TICK_LATE_MAX_MS])
+		v[PF_GC_TICK_LATE_MAX_MS] = (uint64_t)late;
+	if (late < TICK_LATE_MS)
+		return;
+	v[PF_GC_LATE_TICKS]++;
+	PF_LOG(&t->gateway->log, PF_LOG_WARN, "tick_late",
+	       PF_KV_INT("ms", late), PF_KV_INT("plan_ms", t->plan_took),
+	       PF_KV_INT("leads", t->was_leader),
+	       PF_KV_INT("connections", t->gateway->n_callers));
+}
+
+static void tick_plan(struct talk *t)
 {
 	static const struct pf_plan_msg tick = { .type = PF_PLAN_TICK };
+	uint64_t *v = t->gateway->counters->v;
+	pf_ms start = pf_clock_now();
+
+	talk_plan_step(t, &tick);
+	t->plan_took = pf_clock_now() - start;
+	v[PF_GC_PLAN_MS] += (uint64_t)t->plan_took;
+	if ((uint64_t)t->plan_took > v[PF_GC_PLAN_MAX_MS])
+		v[PF_GC_PLAN_MAX_MS] = (uint64_t)t->plan_took;
+}
+
+static void on_tick(evutil_socket_t fd, short what, void *ctx)
+{
 	pf_ms now = pf_clock_now();
 	struct talk *t = ctx;
 
 	(void)fd;
 	(void)what;
+	note_late_tick(t, now);
 	send_evidence(t, now);
 	send_limits(t, now);
 	send_due_digests(t, now);
@@ -443,7 +478,7 @@
 	send_due_usage(t);
 	feeds_poll_if_overdue(t->gateway);
 	plan_limits(t, now);
-	talk_plan_step(t, &tick);
+	tick_plan(t);
 	if (t->was_leader != pf_plan_is_leader(t->plan)) {
 		t->was_leader = !t->was_leader;
 		PF_LOG(&t->gateway->log, PF_LOG_INFO,
--- a/daemons/gateway/talk_core.h
+++ b/daemons/gateway/talk_core.h
@@ -43,6 +43,8 @@
 	bool row_written; /* this gateway's own row is in the store */
 	struct pf_rng rng;
 	bool was_leader; /* at the last tick of the plan core */
+	pf_ms tick_at; /* the last one */
+	pf_ms plan_took; /* its part of the last tick */
 	pf_ms demand_sent_at;
 	pf_ms part_uses_sent_at;
 };
--- a/include/pimentoford/counters.h
+++ b/include/pimentoford/counters.h
@@ -175,6 +175,20 @@
 	DEF(KEYS, "account_keys", "gauge", "Keys of client accounts in force") \
 	DEF(CONFIG_FROM_PEER, "config_from_peer_total", "counter",             \
 	    "Configurations that another gateway had first")                   \
+	DEF(CONFIG_FETCH_FAILED, "config_fetch_failed_total", "counter",       \
+	    "Configurations that another gateway did not pass on in time")     \
+	DEF(LATE_TICKS, "late_ticks_total", "counter",                         \
+	    "Ticks that the event loop ran over 0.25 s late")                  \
+	DEF(TICK_LATE_MAX_MS, "tick_late_max_ms", "gauge",                     \
+	    "Longest delay of a tick since the start")                         \
+	DEF(PLAN_MS, "plan_ms_total", "counter",                               \
+	    "Time in ticks of the planner; the event loop stands still then")  \
+	DEF(PLAN_MAX_MS, "plan_max_ms", "gauge",                               \
+	    "Longest tick of the planner since the start")                     \
+	DEF(RETRIES_REJECTED, "retries_rejected_total", "counter",             \
+	    "Sends after the first that the retry budget did not allow")       \
+	DEF(PEERS, "peers_known", "gauge",                                     \
+	    "Other gateways that share the retry budget")                      \
 	DEF(STORE_ERA, "store_era", "gauge", "Era of the store")               \
 	DEF(STORE_RESTORES, "store_restores_total", "counter",                 \
 	    "Times the store came back from an older copy")                    \
--- a/include/pimentoford/gate.h
+++ b/include/pimentoford/gate.h
@@ -556,6 +556,7 @@
 /** Totals since the start, and current numbers. */
 struct pf_gate_stats {
 	uint64_t arrived, sent, retries, refused, failed, delivered, hangups;
+	uint64_t retries_rejected; /* by the retry budget */
 	uint64_t resumed; /* streams, by their callers */
 	uint64_t resumed_unknown; /* of these: refused, software unknown */
 	uint64_t unrecorded; /* streams begun at versions not in the history */
--- a/src/coordination/gate/gate_life.c
+++ b/src/coordination/gate/gate_life.c
@@ -183,8 +183,10 @@
 {
 	if (r->sends_on_wire == 0)
 		return true;
-	if (!gate_budget_take_retry(g, r->service))
+	if (!gate_budget_take_retry(g, r->service)) {
+		g->stats.retries_rejected++;
 		return false;
+	}
 	g->stats.retries++;
 	return true;
 }
