Plan: a tick's time no longer grows with models x engines x orders

Callers of the gateway that leads got answers seconds late, and by an older configuration; requests that it read late were passed on with more time than their callers had left. Cause: each choice of an order counted homes and requests over all pairs of models and engines, looked models up one by one, and searched engines for each model again; a tick made up to 307 choices. Now the counts are made once after each order, over what engines hold; models and engines are found by their ids in maps, demand is resolved when it comes.

--- a/src/coordination/plan/plan.c
+++ b/src/coordination/plan/plan.c
@@ -65,6 +65,8 @@
 	p->engines = calloc(o->endpoints_max, sizeof(*p->engines));
 	p->peers = calloc(o->peers_max, sizeof(*p->peers));
 	if (!p->engines || !p->peers ||
+	    pf_map_init(&p->engines_by_id, o->endpoints_max) < 0 ||
+	    pf_map_init(&p->models_by_id, PLAN_MODELS_MAX) < 0 ||
 	    pf_map_init(&p->peers_by_id, o->peers_max) < 0) {
 		pf_plan_free(p);
 		return NULL;
@@ -81,45 +83,65 @@
 	for (i = 0; p->peers && i < p->n_peers; i++)
 		free(p->peers[i].demand);
 	pf_map_free(&p->peers_by_id);
+	pf_map_free(&p->models_by_id);
+	pf_map_free(&p->engines_by_id);
 	free(p->peers);
 	free(p->engines);
 	free(p);
 }
 
-static struct plan_engine *find_engine(struct pf_plan *p, uint64_t id,
-				       bool create)
+static struct plan_engine *find_engine(struct pf_plan *p, uint64_t id)
 {
-	struct plan_engine *spare = NULL;
-	uint32_t i;
+	uint32_t at;
 
-	for (i = 0; i < p->n_engines; i++) {
-		struct plan_engine *e = &p->engines[i];
+	return pf_map_get(&p->engines_by_id, pf_key1(id), &at) == 0
+		       ? &p->engines[at]
+		       : NULL;
+}
 
-		if (e->id == id)
-			return e;
-		if (!e->id && !spare)
-			spare = e;
-	}
-	if (!create)
-		return NULL;
-	if (!spare && p->n_engines < p->opts.endpoints_max)
-		spare = &p->engines[p->n_engines++];
-	if (!spare)
+static struct plan_engine *find_or_add_engine(struct pf_plan *p, uint64_t id)
+{
+	struct plan_engine *e = find_engine(p, id);
+	uint32_t at = 0;
+
+	if (e)
+		return e;
+	while (at < p->n_engines && p->engines[at].id)
+		at++;
+	if (at == p->opts.endpoints_max ||
+	    pf_map_put(&p->engines_by_id, pf_key1(id), at) < 0)
 		return NULL;
-	memset(spare, 0, sizeof(*spare));
-	spare->id = id;
-	return spare;
+	if (at == p->n_engines)
+		p->n_engines++;
+	e = &p->engines[at];
+	memset(e, 0, sizeof(*e));
+	e->id = id;
+	return e;
+}
+
+static void remove_engine(struct pf_plan *p, uint64_t id)
+{
+	struct plan_engine *e = find_engine(p, id);
+
+	if (!e)
+		return;
+	(void)pf_map_del(&p->engines_by_id, pf_key1(id));
+	e->id = 0;
+}
+
+static uint32_t find_model_at(const struct pf_plan *p, uint64_t id)
+{
+	uint32_t at;
+
+	return pf_map_get(&p->models_by_id, pf_key1(id), &at) == 0 ? at
+								   : PLAN_NONE;
 }
 
 struct plan_model *plan_find_model(struct pf_plan *p, uint64_t id)
 {
-	uint32_t i;
+	uint32_t at = find_model_at(p, id);
 
-	for (i = 0; i < p->n_models; i++) {
-		if (p->models[i].spec->id == id)
-			return &p->models[i];
-	}
-	return NULL;
+	return at == PLAN_NONE ? NULL : &p->models[at];
 }
 
 bool plan_engine_has(const struct plan_engine *e, uint64_t model)
@@ -133,48 +155,112 @@
 	return false;
 }
 
-bool plan_has_copy(const struct plan_engine *e, uint64_t model)
+bool plan_has_copy(const struct pf_plan *p, const struct plan_engine *e,
+		   const struct plan_model *m)
 {
+	uint16_t at = (uint16_t)(m - p->models);
 	uint32_t i;
 
-	for (i = 0; i < e->n_in_host_mem; i++) {
-		if (e->in_host_mem[i] == model)
-			return true;
-	}
-	for (i = 0; i < e->n_on_disk; i++) {
-		if (e->on_disk[i] == model)
+	for (i = 0; i < e->n_copies; i++) {
+		if (e->copies_at[i] == at)
 			return true;
 	}
 	return false;
 }
 
+static void add_copies(const struct pf_plan *p, struct plan_engine *e,
+		       const uint64_t *ids, uint32_t n)
+{
+	uint32_t i;
+
+	for (i = 0; i < n; i++) {
+		uint32_t at = find_model_at(p, ids[i]);
+
+		if (at != PLAN_NONE)
+			e->copies_at[e->n_copies++] = (uint16_t)at;
+	}
+}
+
+/* To be called when the models change, or what the engine has of them. */
+static void find_engine_models(const struct pf_plan *p, struct plan_engine *e)
+{
+	uint32_t i;
+
+	for (i = 0; i < e->n_residents; i++) {
+		uint32_t at = find_model_at(p, e->residents[i]);
+
+		e->residents_at[i] =
+			at == PLAN_NONE ? PLAN_NONE_AT : (uint16_t)at;
+	}
+	e->n_copies = 0;
+	add_copies(p, e, e->in_host_mem, e->n_in_host_mem);
+	add_copies(p, e, e->on_disk, e->n_on_disk);
+}
+
+/* Keeps what is known of a model that the old routes have too. */
+static void add_model(struct pf_plan *p, const struct pf_model_spec *spec,
+		      const struct plan_model *old,
+		      const struct pf_map *old_ids)
+{
+	struct plan_model *m = &p->models[p->n_models];
+	uint32_t at;
+
+	if (pf_map_put(&p->models_by_id, pf_key1(spec->id), p->n_models) < 0)
+		return;
+	p->n_models++;
+	*m = (struct plan_model){ 0 };
+	if (pf_map_get(old_ids, pf_key1(spec->id), &at) == 0)
+		*m = old[at];
+	m->spec = spec;
+}
+
+/* The models have changed. */
+static void find_models_again(struct pf_plan *p)
+{
+	uint32_t i;
+	uint32_t k;
+
+	for (i = 0; i < p->n_engines; i++)
+		find_engine_models(p, &p->engines[i]);
+	for (i = 0; i < p->n_peers; i++) {
+		struct plan_peer *q = &p->peers[i];
+
+		for (k = 0; k < q->n_demand; k++)
+			q->demand[k].at = find_model_at(p, q->demand[k].model);
+	}
+}
+
 static void set_routes(struct pf_plan *p, const struct pf_routes *r)
 {
 	const struct pf_route_service *s = NULL;
 	struct plan_model old[PLAN_MODELS_MAX];
-	uint32_t n_old = p->n_models;
+	struct pf_map old_ids = p->models_by_id;
 	uint32_t i;
-	uint32_t k;
 
 	for (i = 0; i < r->n_services && !s; i++) {
 		if (r->services[i].engine)
 			s = &r->services[i];
 	}
-	memcpy(old, p->models, n_old * sizeof(*old));
-	p->n_models = 0;
-	for (i = 0; s && i < s->n_models && i < PLAN_MODELS_MAX; i++) {
-		struct plan_model *m = &p->models[p->n_models++];
-
-		memset(m, 0, sizeof(*m));
-		for (k = 0; k < n_old; k++) {
-			/* The old specs are valid during this call. */
-			if (old[k].spec->id == s->models[i].id)
-				*m = old[k];
-		}
-		m->spec = &s->models[i];
+	if (pf_map_init(&p->models_by_id, PLAN_MODELS_MAX) < 0) {
+		/* The old models stay valid only with the old routes. */
+		p->models_by_id = old_ids;
+		for (i = 0; i < p->n_models; i++)
+			(void)pf_map_del(&p->models_by_id,
+					 pf_key1(p->models[i].spec->id));
+		p->n_models = 0;
+		p->routes = r;
+		p->service = NULL;
+		find_models_again(p);
+		return;
 	}
+	memcpy(old, p->models, p->n_models * sizeof(*old));
+	p->n_models = 0;
+	for (i = 0; s && i < s->n_models && i < PLAN_MODELS_MAX; i++)
+		add_model(p, &s->models[i], old, &old_ids);
+	pf_map_free(&old_ids);
 	p->routes = r;
 	p->service = s;
+	find_models_again(p);
 }
 
 static void copy_residents(struct plan_engine *e, const struct pf_resident *v,
@@ -196,7 +282,7 @@
 {
 	struct plan_engine *e;
 
-	e = find_engine(p, info->id, true);
+	e = find_or_add_engine(p, info->id);
 	if (!e)
 		return;
 	/* A late and empty engine was added, so it wasn't missing before. */
@@ -212,6 +298,7 @@
 	if (p->now - e->state_received_at > STATE_PRECEDENCE_MS ||
 	    !e->state_received_at)
 		copy_residents(e, info->residents, info->n_residents);
+	find_engine_models(p, e);
 }
 
 static uint32_t copy_ids(uint64_t *to, uint32_t max, const uint64_t *from,
@@ -304,7 +391,7 @@
 
 static void on_state(struct pf_plan *p, const struct pf_engine_state *s)
 {
-	struct plan_engine *e = find_engine(p, s->endpoint, false);
+	struct plan_engine *e = find_engine(p, s->endpoint);
 
 	if (!e || !s->endpoint)
 		return;
@@ -327,6 +414,7 @@
 				    s->in_host_mem, s->n_in_host_mem);
 	e->n_on_disk =
 		copy_ids(e->on_disk, PLAN_COPIES_MAX, s->on_disk, s->n_on_disk);
+	find_engine_models(p, e);
 	if (s->from_store)
 		note_load(p, e->id, s->orders_accepted,
 			  p->now - s->loading_elapsed);
@@ -335,7 +423,7 @@
 
 static void on_leaving(struct pf_plan *p, uint64_t id, int64_t incarnation)
 {
-	struct plan_engine *e = find_engine(p, id, false);
+	struct plan_engine *e = find_engine(p, id);
 
 	if (!e || !incarnation)
 		return;
@@ -346,7 +434,7 @@
 
 static void on_limit(struct pf_plan *p, uint64_t id, double per_s)
 {
-	struct plan_engine *e = find_engine(p, id, false);
+	struct plan_engine *e = find_engine(p, id);
 
 	if (!e)
 		return;
@@ -389,9 +477,10 @@
 }
 
 /* Without memory, the planner knows less of the demand. */
-static void add_peer_demand(struct plan_peer *q, const struct pf_gate_demand *d)
+static void add_peer_demand(const struct pf_plan *p, struct plan_peer *q,
+			    const struct pf_gate_demand *d)
 {
-	struct pf_gate_demand *v = q->demand;
+	struct plan_demand *v = q->demand;
 
 	if (q->n_demand == q->demand_cap) {
 		v = realloc(v, (q->demand_cap * 2 + 16) * sizeof(*v));
@@ -400,7 +489,9 @@
 		q->demand = v;
 		q->demand_cap = q->demand_cap * 2 + 16;
 	}
-	v[q->n_demand++] = *d;
+	v[q->n_demand++] =
+		(struct plan_demand){ d->model, find_model_at(p, d->model),
+				      d->per_s, d->open, d->waiting };
 }
 
 static void on_demand(struct pf_plan *p, const struct pf_plan_msg *m)
@@ -417,7 +508,7 @@
 		const struct pf_gate_demand *d = &m->u.demand.items[i];
 
 		if (d->item == d->model)
-			add_peer_demand(q, d);
+			add_peer_demand(p, q, d);
 	}
 }
 
@@ -437,14 +528,13 @@
 		if (!q->id || p->now - q->demand_received_at > DEMAND_TTL_MS)
 			continue;
 		for (k = 0; k < q->n_demand; k++) {
-			struct plan_model *m =
-				plan_find_model(p, q->demand[k].model);
+			const struct plan_demand *d = &q->demand[k];
 
-			if (!m)
+			if (d->at == PLAN_NONE)
 				continue;
-			m->requests += q->demand[k].open;
-			m->arrivals_per_s += q->demand[k].per_s;
-			m->waiting += q->demand[k].waiting;
+			p->models[d->at].requests += d->open;
+			p->models[d->at].arrivals_per_s += d->per_s;
+			p->models[d->at].waiting += d->waiting;
 		}
 	}
 	for (i = 0; i < p->n_models; i++) {
@@ -506,7 +596,7 @@
 {
 	e->order_model = m->spec->id;
 	e->order_is_load = load;
-	e->order_from_store = load && !plan_has_copy(e, m->spec->id);
+	e->order_from_store = load && !plan_has_copy(p, e, m);
 	e->order_expected = e->orders_accepted;
 	e->order_given_at = p->now;
 	if (e->order_from_store)
@@ -555,8 +645,6 @@
 void pf_plan_step(struct pf_plan *p, pf_ms now, const struct pf_plan_msg *m,
 		  const struct pf_plan_sink *sink)
 {
-	struct plan_engine *e;
-
 	if (!p->started_at)
 		p->started_at = now;
 	p->now = now;
@@ -575,9 +663,7 @@
 		on_limit(p, m->u.limit.endpoint, m->u.limit.per_s);
 		break;
 	case PF_PLAN_ENDPOINT_GONE:
-		e = find_engine(p, m->u.id, false);
-		if (e)
-			e->id = 0;
+		remove_engine(p, m->u.id);
 		break;
 	case PF_PLAN_STATE:
 		on_state(p, m->u.state);
--- a/src/coordination/plan/plan_choose.c
+++ b/src/coordination/plan/plan_choose.c
@@ -62,14 +62,26 @@
 	return m ? m->spec->weights_mb : 0;
 }
 
+/* The model that @e holds as @i-th; NULL: it is in no route. */
+static struct plan_model *resident(struct pf_plan *p,
+				   const struct plan_engine *e, uint32_t i)
+{
+	return e->residents_at[i] == PLAN_NONE_AT
+		       ? NULL
+		       : &p->models[e->residents_at[i]];
+}
+
 /* Memory for weights that no model holds or is about to. */
-static double free_mb(struct pf_plan *p, const struct plan_engine *e)
+static double find_free_mb(struct pf_plan *p, const struct plan_engine *e)
 {
 	double free = p->service->memory_mb * (1 - ADAPTER_MEMORY_SHARE);
 	uint32_t i;
 
-	for (i = 0; i < e->n_residents; i++)
-		free -= model_mb(p, e->residents[i]);
+	for (i = 0; i < e->n_residents; i++) {
+		const struct plan_model *m = resident(p, e, i);
+
+		free -= m ? m->spec->weights_mb : 0;
+	}
 	/* A model that is being unloaded still holds its memory. */
 	if (e->unloading_model && !plan_engine_has(e, e->unloading_model))
 		free -= model_mb(p, e->unloading_model);
@@ -97,28 +109,6 @@
 	       will_hold(e, id) && e->unload_in_doubt != id;
 }
 
-static void count_homes(struct pf_plan *p)
-{
-	uint32_t i;
-	uint32_t k;
-
-	for (i = 0; i < p->n_models; i++) {
-		struct plan_model *m = &p->models[i];
-
-		m->homes = 0;
-		m->homes_sure = 0;
-		for (k = 0; k < p->n_engines; k++) {
-			const struct plan_engine *e = &p->engines[k];
-
-			if (!e->id || !e->listed || e->draining ||
-			    !will_hold(e, m->spec->id))
-				continue;
-			m->homes++;
-			m->homes_sure += is_sure_home(p, e, m->spec->id);
-		}
-	}
-}
-
 static double expected_requests(const struct plan_model *m)
 {
 	double expected = m->arrivals_per_s * SERVICE_TIME_S;
@@ -131,87 +121,115 @@
 	return expected_requests(m) / (m->homes ? m->homes : 1);
 }
 
-static void estimate_engine_requests(struct pf_plan *p)
+static bool in_demand(const struct pf_plan *p, const struct plan_model *m)
 {
-	uint32_t i;
-	uint32_t k;
+	return m->last_demand_at && p->now - m->last_demand_at < IN_DEMAND_MS;
+}
 
-	for (i = 0; i < p->n_engines; i++) {
-		struct plan_engine *e = &p->engines[i];
+/* Whether no gateway has needed @m for some time. */
+static bool known_idle(const struct pf_plan *p, const struct plan_model *m)
+{
+	return !in_demand(p, m) &&
+	       p->now - p->demand_known_since >= IN_DEMAND_MS;
+}
 
-		e->est_requests = 0;
-		for (k = 0; e->id && k < p->n_models; k++) {
-			if (will_hold(e, p->models[k].spec->id))
-				e->est_requests +=
-					requests_per_home(&p->models[k]);
-		}
-	}
+/* Whether all homes of @m are limited, and take too few of its requests. */
+static bool homes_too_limited(const struct plan_model *m)
+{
+	return m->homes_limited == m->homes &&
+	       m->arrivals_per_s > LIMIT_SHARE * m->limit_per_s;
 }
 
-/* Estimated requests at the least busy home of @m. */
-static double least_busy_home(const struct pf_plan *p,
-			      const struct plan_model *m)
+/* How urgently @m needs another home; 0: it doesn't. */
+static double home_urgency(const struct pf_plan *p, const struct plan_model *m)
+{
+	if (m->homes == 0)
+		return in_demand(p, m)
+			       ? NO_HOME_URGENCY + 2 * expected_requests(m)
+			       : IDLE_URGENCY;
+	if (homes_too_limited(m))
+		return NO_HOME_URGENCY + expected_requests(m);
+	if (m->least_busy < BUSY_REQUESTS ||
+	    requests_per_home(m) < BUSY_REQUESTS / 4.0)
+		return 0;
+	return m->least_busy;
+}
+
+static void add_held(struct pf_plan *p, struct plan_engine *e,
+		     const struct plan_model *m)
 {
-	double least = INFINITY;
 	uint32_t i;
 
-	for (i = 0; i < p->n_engines; i++) {
-		const struct plan_engine *e = &p->engines[i];
+	for (i = 0; m && i < e->n_held; i++) {
+		if (&p->models[e->held[i]] == m)
+			return;
+	}
+	if (m)
+		e->held[e->n_held++] = (uint16_t)(m - p->models);
+}
 
-		if (e->id && e->listed && !e->draining &&
-		    will_hold(e, m->spec->id) && e->est_requests < least)
-			least = e->est_requests;
+static void find_held(struct pf_plan *p, struct plan_engine *e)
+{
+	uint32_t i;
+
+	e->n_held = 0;
+	for (i = 0; i < e->n_residents; i++) {
+		if (will_hold(e, e->residents[i]))
+			add_held(p, e, resident(p, e, i));
 	}
-	return least;
+	if (e->order_model && e->order_is_load)
+		add_held(p, e, plan_find_model(p, e->order_model));
 }
 
-static bool in_demand(const struct pf_plan *p, const struct plan_model *m)
+static bool may_be_home(const struct plan_engine *e)
 {
-	return m->last_demand_at && p->now - m->last_demand_at < IN_DEMAND_MS;
+	return e->id && e->listed && !e->draining;
 }
 
-/* Whether no gateway has needed @m for some time. */
-static bool known_idle(const struct pf_plan *p, const struct plan_model *m)
+static void count_homes(struct pf_plan *p, const struct plan_engine *e)
 {
-	return !in_demand(p, m) &&
-	       p->now - p->demand_known_since >= IN_DEMAND_MS;
+	uint32_t i;
+
+	for (i = 0; i < e->n_held; i++) {
+		struct plan_model *m = &p->models[e->held[i]];
+
+		m->homes++;
+		m->homes_sure += is_sure_home(p, e, m->spec->id);
+		m->homes_limited += e->limited;
+		if (e->limited)
+			m->limit_per_s += e->limit_per_s;
+	}
 }
 
-/* Whether all homes of @m are limited, and take too few of its requests. */
-static bool homes_too_limited(const struct pf_plan *p,
-			      const struct plan_model *m)
+static void estimate_requests(struct pf_plan *p, struct plan_engine *e)
 {
-	double taken = 0;
 	uint32_t i;
 
-	for (i = 0; i < p->n_engines; i++) {
-		const struct plan_engine *e = &p->engines[i];
+	e->est_requests = 0;
+	for (i = 0; i < e->n_held; i++)
+		e->est_requests += requests_per_home(&p->models[e->held[i]]);
+	for (i = 0; may_be_home(e) && i < e->n_held; i++) {
+		struct plan_model *m = &p->models[e->held[i]];
 
-		if (!e->id || !e->listed || e->draining ||
-		    !will_hold(e, m->spec->id))
-			continue;
-		if (!e->limited)
-			return false;
-		taken += e->limit_per_s;
+		if (e->est_requests < m->least_busy)
+			m->least_busy = e->est_requests;
 	}
-	return m->arrivals_per_s > LIMIT_SHARE * taken;
 }
 
-/* How urgently @m needs another home; 0: it doesn't. */
-static double home_urgency(const struct pf_plan *p, const struct plan_model *m)
+/* Whether @e has a copy of a model that is in demand and has no home. A load
+ * from the weight store would block @e from loading it. */
+static bool has_homeless_copy(const struct pf_plan *p,
+			      const struct plan_engine *e)
 {
-	double least;
+	uint32_t i;
 
-	if (m->homes == 0)
-		return in_demand(p, m)
-			       ? NO_HOME_URGENCY + 2 * expected_requests(m)
-			       : IDLE_URGENCY;
-	if (homes_too_limited(p, m))
-		return NO_HOME_URGENCY + expected_requests(m);
-	least = least_busy_home(p, m);
-	if (least < BUSY_REQUESTS || requests_per_home(m) < BUSY_REQUESTS / 4.0)
-		return 0;
-	return least;
+	for (i = 0; i < e->n_copies; i++) {
+		const struct plan_model *m = &p->models[e->copies_at[i]];
+
+		if (m->homes == 0 && in_demand(p, m))
+			return true;
+	}
+	return false;
 }
 
 /* Homes that @v would keep without @e. */
@@ -221,20 +239,88 @@
 	return v->homes_sure - is_sure_home(p, e, v->spec->id);
 }
 
+/* Whether @v may lose its home @e. */
+static bool is_spare(const struct pf_plan *p, const struct plan_model *v,
+		     const struct plan_engine *e)
+{
+	uint32_t others = other_homes(p, v, e);
+
+	return others && p->now - v->home_added_at >= NEW_HOME_KEEP_MS &&
+	       expected_requests(v) / others <= SPARE_REQUESTS;
+}
+
+/* Whether @v may lose its last home @e to an urgent model. It is loaded again
+ * from a disk on demand. */
+static bool is_idle(const struct pf_plan *p, const struct plan_model *v,
+		    const struct plan_engine *e)
+{
+	return other_homes(p, v, e) == 0 &&
+	       p->now - v->home_added_at >= NEW_HOME_KEEP_MS &&
+	       known_idle(p, v);
+}
+
 /* Whether @v may lose its home @e to @m. */
 static bool may_evict(const struct pf_plan *p, const struct plan_model *v,
 		      const struct plan_engine *e, const struct plan_model *m,
 		      double urgency)
 {
-	uint32_t others = other_homes(p, v, e);
+	return v != m && (is_spare(p, v, e) ||
+			  (urgency >= EVICT_LAST_URGENCY && is_idle(p, v, e)));
+}
 
-	if (v == m || p->now - v->home_added_at < NEW_HOME_KEEP_MS)
-		return false;
-	if (others)
-		return expected_requests(v) / others <= SPARE_REQUESTS;
-	/* A model that loses its last home is loaded again from a disk on
-	 * demand. */
-	return urgency >= EVICT_LAST_URGENCY && known_idle(p, v);
+/* Memory of the models that may be evicted from @e. */
+static void find_evictable(struct pf_plan *p, struct plan_engine *e)
+{
+	uint32_t i;
+
+	e->spare_mb = 0;
+	e->idle_mb = 0;
+	for (i = 0; i < e->n_residents; i++) {
+		const struct plan_model *v = resident(p, e, i);
+
+		if (v && is_spare(p, v, e))
+			e->spare_mb += v->spec->weights_mb;
+		else if (v && is_idle(p, v, e))
+			e->idle_mb += v->spec->weights_mb;
+	}
+}
+
+/* Brings up to date what follows from the engines' states and orders. */
+static void plan_count(struct pf_plan *p)
+{
+	uint32_t i;
+
+	for (i = 0; i < p->n_models; i++) {
+		struct plan_model *m = &p->models[i];
+
+		m->homes = 0;
+		m->homes_sure = 0;
+		m->homes_limited = 0;
+		m->limit_per_s = 0;
+		m->least_busy = INFINITY;
+	}
+	for (i = 0; i < p->n_engines; i++) {
+		struct plan_engine *e = &p->engines[i];
+
+		e->n_held = 0;
+		if (e->id)
+			find_held(p, e);
+		if (may_be_home(e))
+			count_homes(p, e);
+	}
+	for (i = 0; i < p->n_engines; i++) {
+		struct plan_engine *e = &p->engines[i];
+
+		estimate_requests(p, e);
+		if (!e->id)
+			continue;
+		e->has_homeless_copy = has_homeless_copy(p, e);
+		e->free_mb = find_free_mb(p, e);
+		find_evictable(p, e);
+	}
+	for (i = 0; i < p->n_models; i++)
+		p->models[i].urgency = home_urgency(p, &p->models[i]);
+	p->store_load_allowed = plan_may_load_from_store(p);
 }
 
 /* The model to evict from @e for @m: the least used one, a last home only if
@@ -249,7 +335,7 @@
 	uint32_t i;
 
 	for (i = 0; i < e->n_residents; i++) {
-		struct plan_model *v = plan_find_model(p, e->residents[i]);
+		struct plan_model *v = resident(p, e, i);
 		bool last;
 
 		if (!v || !will_hold(e, v->spec->id) ||
@@ -266,20 +352,13 @@
 	return best;
 }
 
-static bool can_make_room(struct pf_plan *p, const struct plan_engine *e,
+/* @m isn't held by @e. */
+static bool can_make_room(const struct plan_engine *e,
 			  const struct plan_model *m, double urgency)
 {
-	double free = free_mb(p, e);
-	uint32_t i;
-
-	for (i = 0; i < e->n_residents; i++) {
-		const struct plan_model *v =
-			plan_find_model(p, e->residents[i]);
-
-		if (v && may_evict(p, v, e, m, urgency))
-			free += v->spec->weights_mb;
-	}
-	return free >= m->spec->weights_mb;
+	return e->free_mb + e->spare_mb +
+		       (urgency >= EVICT_LAST_URGENCY ? e->idle_mb : 0) >=
+	       m->spec->weights_mb;
 }
 
 struct candidate {
@@ -297,24 +376,7 @@
 	    p->now >= e->reserved_until)
 		return false;
 	other = plan_find_model(p, e->reserved_model);
-	return other && home_urgency(p, other) > 0;
-}
-
-/* Whether @e has a copy of a model that is in demand and has no home. A load
- * from the weight store would block @e from loading it. */
-static bool has_homeless_copy(const struct pf_plan *p,
-			      const struct plan_engine *e)
-{
-	uint32_t i;
-
-	for (i = 0; i < p->n_models; i++) {
-		const struct plan_model *m = &p->models[i];
-
-		if (m->homes == 0 && in_demand(p, m) &&
-		    plan_has_copy(e, m->spec->id))
-			return true;
-	}
-	return false;
+	return other && other->urgency > 0;
 }
 
 /* Whether @m has homes, and none with the software of @e. */
@@ -340,7 +402,7 @@
 			    const struct plan_model *m, double urgency,
 			    bool await_copy, struct candidate *best)
 {
-	bool has_copy = plan_has_copy(e, m->spec->id);
+	bool has_copy = plan_has_copy(p, e, m);
 	double cost = e->est_requests;
 
 	if (!engine_usable(p, e) || e->busy || e->order_model ||
@@ -348,27 +410,27 @@
 		return;
 	if (reserved_for_other(p, e, m) || (e->limited && m->homes))
 		return;
-	if (!has_copy &&
-	    (!p->engines_known || await_copy || has_homeless_copy(p, e) ||
-	     !plan_may_load_from_store(p)))
+	if (!has_copy && (!p->engines_known || await_copy ||
+			  e->has_homeless_copy || !p->store_load_allowed))
 		return;
 	if (e->limited)
 		cost += LIMITED_COST;
-	if (is_other_software(p, e, m))
-		cost += OTHER_SOFTWARE_COST;
 	if (!has_copy)
 		cost += m->homes ? STORE_COST : STORE_WAIT_COST;
-	if (free_mb(p, e) < m->spec->weights_mb) {
+	if (e->free_mb < m->spec->weights_mb) {
 		if (!p->engines_known || urgency < 1 ||
-		    !can_make_room(p, e, m, urgency))
+		    !can_make_room(e, m, urgency))
 			return;
 		cost += EVICT_COST;
 	}
 	/* A rare model goes where it leaves the least memory unused. */
 	if (expected_requests(m) < RARE_REQUESTS)
 		cost += UNUSED_MEMORY_COST *
-			(free_mb(p, e) - m->spec->weights_mb) /
+			(e->free_mb - m->spec->weights_mb) /
 			p->service->memory_mb;
+	/* This is costly to find out. */
+	if (cost < best->cost && is_other_software(p, e, m))
+		cost += OTHER_SOFTWARE_COST;
 	if (cost < best->cost)
 		*best = (struct candidate){ e, cost };
 }
@@ -381,8 +443,8 @@
 	for (i = 0; i < p->n_engines; i++) {
 		const struct plan_engine *e = &p->engines[i];
 
-		if (engine_usable(p, e) && plan_has_copy(e, m->spec->id) &&
-		    can_make_room(p, e, m, NO_HOME_URGENCY))
+		if (engine_usable(p, e) && plan_has_copy(p, e, m) &&
+		    can_make_room(e, m, NO_HOME_URGENCY))
 			return true;
 	}
 	return false;
@@ -413,7 +475,7 @@
 	if (!best.engine || (m->homes && best.engine->est_requests >
 						 urgency * NEW_HOME_BUSY_RATIO))
 		return ADD_NONE;
-	if (free_mb(p, best.engine) >= m->spec->weights_mb) {
+	if (best.engine->free_mb >= m->spec->weights_mb) {
 		best.engine->reserved_model = 0;
 		m->home_added_at = p->now;
 		plan_order(p, best.engine, m, true,
@@ -429,37 +491,40 @@
 	return ADD_SLOW;
 }
 
+/* The model whose need of a home is the most urgent; PLAN_NONE: none needs one. */
+static uint32_t most_urgent(const struct pf_plan *p, const bool *tried)
+{
+	uint32_t best = PLAN_NONE;
+	double most = 0;
+	uint32_t i;
+
+	for (i = 0; i < p->n_models; i++) {
+		if (!tried[i] && p->models[i].urgency > most) {
+			most = p->models[i].urgency;
+			best = i;
+		}
+	}
+	return best;
+}
+
 void plan_choose_orders(struct pf_plan *p)
 {
 	bool tried[PLAN_MODELS_MAX] = { false };
 	uint32_t orders = 0;
-	uint32_t round;
-
-	for (round = 0; round < p->n_models + ORDERS_PER_TICK_MAX &&
-			orders < ORDERS_PER_TICK_MAX;
-	     round++) {
-		uint32_t best = UINT32_MAX;
-		enum add_result result;
-		double most = 0;
-		uint32_t i;
-
-		count_homes(p);
-		estimate_engine_requests(p);
-		for (i = 0; i < p->n_models; i++) {
-			double u =
-				tried[i] ? 0 : home_urgency(p, &p->models[i]);
-
-			if (u > most) {
-				most = u;
-				best = i;
-			}
-		}
-		if (best == UINT32_MAX)
-			return;
-		result = add_home(p, &p->models[best], most);
-		orders += result != ADD_NONE;
+	uint32_t best;
+
+	plan_count(p);
+	while (orders < ORDERS_PER_TICK_MAX &&
+	       (best = most_urgent(p, tried)) != PLAN_NONE) {
+		struct plan_model *m = &p->models[best];
+		enum add_result result = add_home(p, m, m->urgency);
+
 		/* A copy loads quickly, so the model may get further homes in
 		 * this tick. Slow steps must show an effect first. */
 		tried[best] = result != ADD_FROM_COPY;
+		if (result == ADD_NONE)
+			continue;
+		orders++;
+		plan_count(p);
 	}
 }
--- a/src/coordination/plan/plan_core.h
+++ b/src/coordination/plan/plan_core.h
@@ -9,6 +9,8 @@
 #define PLAN_COPIES_MAX 32
 #define PLAN_MODELS_MAX 512
 #define PLAN_LOADS_MAX 128
+#define PLAN_NONE UINT32_MAX
+#define PLAN_NONE_AT UINT16_MAX
 
 struct plan_engine {
 	uint64_t id; /* 0: free */
@@ -30,6 +32,10 @@
 	uint32_t n_in_host_mem;
 	uint64_t on_disk[PLAN_COPIES_MAX];
 	uint32_t n_on_disk;
+	/* Places in `models` of what it holds and has copies of. */
+	uint16_t residents_at[PLAN_RESIDENTS_MAX]; /* PLAN_NONE_AT: unknown */
+	uint16_t copies_at[2 * PLAN_COPIES_MAX];
+	uint32_t n_copies;
 	/* The order in flight. */
 	uint64_t order_model; /* 0: no order */
 	bool order_is_load;
@@ -42,7 +48,15 @@
 	uint64_t unload_in_doubt;
 	uint64_t reserved_model; /* memory is being freed for this model */
 	pf_ms reserved_until;
+	/* Set by plan_count(). */
+	uint16_t held[PLAN_RESIDENTS_MAX + 1]; /* after the order in flight */
+	uint32_t n_held;
 	double est_requests; /* in flight, estimated from the demand */
+	double free_mb; /* that no model holds or is about to */
+	/* Held by models that may be evicted: with other homes, or any. */
+	double spare_mb;
+	double idle_mb;
+	bool has_homeless_copy; /* of a model in demand */
 };
 
 struct plan_model {
@@ -50,16 +64,30 @@
 	double requests; /* in flight or waiting at all gateways, smoothed */
 	double arrivals_per_s;
 	uint32_t waiting;
-	uint32_t homes; /* not draining; loads in flight included */
-	uint32_t homes_sure; /* loaded, and the loader isn't silent */
 	pf_ms home_added_at; /* when a load was last ordered */
 	pf_ms last_demand_at; /* 0: never */
+	/* Set by plan_count(). */
+	uint32_t homes; /* not draining; loads in flight included */
+	uint32_t homes_sure; /* loaded, and the loader isn't silent */
+	uint32_t homes_limited; /* that take a limited number of requests */
+	double limit_per_s; /* of these together */
+	double least_busy; /* requests at the least busy home */
+	double urgency; /* of another home; 0: none is needed */
+};
+
+/** Demand for a model, as a gateway reported it. */
+struct plan_demand {
+	uint64_t model;
+	uint32_t at; /* in `models`; PLAN_NONE: not served */
+	float per_s;
+	float open;
+	uint32_t waiting;
 };
 
 struct plan_peer {
 	uint64_t id; /* 0: free */
 	pf_ms last_seen_at;
-	struct pf_gate_demand *demand; /* for models only; owned */
+	struct plan_demand *demand; /* owned */
 	uint32_t n_demand;
 	uint32_t demand_cap;
 	pf_ms demand_received_at;
@@ -84,13 +112,16 @@
 	const struct pf_route_service *service; /* the one with engines */
 	struct plan_engine *engines;
 	uint32_t n_engines; /* slots ever used */
+	struct pf_map engines_by_id;
 	struct plan_model models[PLAN_MODELS_MAX];
 	uint32_t n_models;
+	struct pf_map models_by_id;
 	struct plan_peer *peers;
 	uint32_t n_peers; /* slots ever used */
 	struct pf_map peers_by_id;
 	struct plan_load loads[PLAN_LOADS_MAX];
 	uint32_t n_loads; /* ever added to the ring `loads` */
+	bool store_load_allowed; /* set by plan_count() */
 	bool is_leader;
 	bool engines_known; /* no engine is likely to be missing */
 	bool members_read; /* the list of gateways has been read */
@@ -100,8 +131,9 @@
 /* plan.c */
 struct plan_model *plan_find_model(struct pf_plan *p, uint64_t id);
 bool plan_engine_has(const struct plan_engine *e, uint64_t model);
-/** Whether @e has @model's weights in host memory or on disk. */
-bool plan_has_copy(const struct plan_engine *e, uint64_t model);
+/** Whether @e has weights of the model in host memory or on disk. */
+bool plan_has_copy(const struct pf_plan *p, const struct plan_engine *e,
+		   const struct plan_model *m);
 /** Sends an order to @e and records it as in flight; @reason is for the log. */
 void plan_order(struct pf_plan *p, struct plan_engine *e,
 		const struct plan_model *m, bool load, const char *reason);
