--- a/src/coordination/plan/plan.c
+++ b/src/coordination/plan/plan.c
@@ -101,22 +101,21 @@
 
 static struct plan_engine *find_or_add_engine(struct pf_plan *p, uint64_t id)
 {
-	struct plan_engine *e = find_engine(p, id);
-	uint32_t at = 0;
+	uint32_t at;
 
-	if (e)
-		return e;
-	while (at < p->n_engines && p->engines[at].id)
-		at++;
+	if (pf_map_get(&p->engines_by_id, pf_key1(id), &at) == 0)
+		return &p->engines[at];
+	for (at = 0; at < p->n_engines; at++) {
+		if (!p->engines[at].id)
+			break;
+	}
 	if (at == p->opts.endpoints_max ||
 	    pf_map_put(&p->engines_by_id, pf_key1(id), at) < 0)
 		return NULL;
 	if (at == p->n_engines)
 		p->n_engines++;
-	e = &p->engines[at];
-	memset(e, 0, sizeof(*e));
-	e->id = id;
-	return e;
+	p->engines[at] = (struct plan_engine){ .id = id };
+	return &p->engines[at];
 }
 
 static void remove_engine(struct pf_plan *p, uint64_t id)
