Gateways: those on fast processors plan, read the store and judge for the others

Duties go to the lowest ids still, but an id's highest bits now rank what the gateway may use of a processor (setting cores, from the platform's limits). No message changes; gateways without the setting rank last and run beside the others.

--- a/daemons/gateway/gateway.h
+++ b/daemons/gateway/gateway.h
@@ -136,7 +136,7 @@
 	const char *settings_path;
 	struct pf_log log;
 	struct pf_gateway_counters *counters;
-	uint64_t self; /* random id of this start of the process */
+	uint64_t self; /* id of this start of the process */
 	pf_ms started_at;
 	pf_ms stopping_since; /* 0: not stopping */
 	bool shutting_down; /* new requests are refused */
--- a/daemons/gateway/main.c
+++ b/daemons/gateway/main.c
@@ -2,6 +2,7 @@
 #include "gateway.h"
 
 #include "pimentoford/counters.h"
+#include "pimentoford/gateway_id.h"
 
 #include <errno.h>
 #include <event2/util.h>
@@ -114,7 +115,7 @@
 	g->base = event_base_new();
 	if (!g->base)
 		return -1;
-	g->self = pf_process_random();
+	g->self = pf_gateway_id(g->settings.cores, pf_process_random());
 	g->started_at = pf_clock_now();
 	g->stop_timer = event_new(g->base, -1, EV_PERSIST, on_stop_timer, g);
 	if (!g->stop_timer ||
--- a/include/pimentoford/settings.h
+++ b/include/pimentoford/settings.h
@@ -90,6 +90,7 @@
 	char *datagrams; /* UDP for gateways and loaders */
 	struct pf_tables zones; /* struct pf_zone_setting */
 	pf_ms drain; /* limit of a graceful stop */
+	double cores; /* that it may use; 0: unknown */
 	pf_ms load_window; /* window for the weight store's load rate */
 	double load_rate_factor; /* share of the weight store's rate to use */
 	struct pf_allowance_setting allowance;
--- a/tests/test_settings.cc
+++ b/tests/test_settings.cc
@@ -86,6 +86,7 @@
 		{ "port_range.0", "4" },
 		{ "app", "127.0.0.1:5" },
 		{ "bounds.grace_s", "8" },
+		{ "limits.cpu_share", "0.09" },
 		{ "bounds.ceiling_window_s", "5" },
 		{ "bounds.ceiling_over", "1.1" },
 		{ "bounds.budget_ratio", "0.2" },
@@ -151,6 +152,7 @@
 		  0)
 		<< take_findings(&f);
 	EXPECT_EQ(g.drain, 8000);
+	EXPECT_EQ(g.cores, 0.09);
 	EXPECT_EQ(g.load_window, 5000);
 	EXPECT_EQ(g.core.repeat_slack, 54);
 	EXPECT_EQ(g.zones.n, 1u);
