Configuration: gateways that the store rejects ask a peer at once, and a second one soon

Cause: a gateway waited 0.5 s for a store that had already turned it away, then asked one peer at a time and gave it up at the next digest after 1 s. Now a rejected gateway asks at the first digest that states the version, another peer after 0.25 s, three at most; a fetch ends by its own timeout or answer.

--- a/daemons/gateway/config_peers.c
+++ b/daemons/gateway/config_peers.c
@@ -5,6 +5,7 @@
  */
 #include "gateway.h"
 
+#include "pimentoford/config_fetch.h"
 #include "pimentoford/counters.h"
 #include "pimentoford/http_client.h"
 
@@ -15,8 +16,6 @@
 #include <stdlib.h>
 
 #define PATH "/config"
-/* The store gets this long to answer with the newer version. */
-#define STORE_FIRST_MS 500
 /* A new process may have read an older copy of the store, and one that was
  * frozen knows nothing of what has changed. With accounts, such a process awaits
  * a digest of another gateway: they come every 240 ms from the region. */
@@ -27,12 +26,17 @@
 /* Between two steps of a process; half of the time in which a configuration
  * comes into force. */
 #define FREEZE_MIN_MS 2000
-#define FETCH_TIMEOUT_MS 1000
-#define FETCH_INTERVAL_MS 300
 #define CONFIG_BYTES_MAX ((size_t)4 << 20)
 #define CONN_IDLE_TIMEOUT_S 5
 #define ADDR_CAP 64
 
+/** The way to one peer. */
+struct fetch {
+	struct config_peers *owner;
+	struct pf_http *peer; /* kept until the next fetch */
+	pf_ms started_at;
+};
+
 struct config_peers {
 	struct gateway *gateway;
 	struct evhttp *server;
@@ -41,11 +45,8 @@
 	bool was_frozen; /* digests in the socket's buffer are old */
 	pf_ms stepped_at;
 	bool peer_heard;
-	uint64_t peer_version; /* the newest that a peer stated */
-	pf_ms behind_since; /* a peer has had a newer version; 0: none has */
-	struct pf_http *peer; /* of the last fetch */
-	bool fetching;
-	pf_ms fetched_at; /* start of the last fetch */
+	struct pf_config_fetch core;
+	struct fetch fetches[PF_CONFIG_FETCHES_MAX];
 };
 
 static void on_get(struct evhttp_request *req, void *ctx)
@@ -63,64 +64,65 @@
 		evbuffer_free(out);
 }
 
-static void log_fetch_ended(const struct config_peers *c,
+static void log_fetch_ended(const struct fetch *f, bool ok,
 			    const struct pf_http_answer *a)
 {
-	bool failed = a->result != PF_HTTP_OK || a->status != HTTP_OK;
+	const struct config_peers *c = f->owner;
 	pf_ms now = pf_clock_now();
 
-	c->gateway->counters->v[PF_GC_CONFIG_FETCH_FAILED] += failed;
-	PF_LOG(&c->gateway->log, failed ? PF_LOG_WARN : PF_LOG_INFO,
+	c->gateway->counters->v[PF_GC_CONFIG_FETCH_FAILED] += !ok;
+	PF_LOG(&c->gateway->log, ok ? PF_LOG_INFO : PF_LOG_WARN,
 	       "config_fetched", PF_KV_INT("result", a->result),
 	       PF_KV_INT("status", a->status), PF_KV_INT("bytes", a->body.n),
-	       PF_KV_INT("ms", now - c->fetched_at),
-	       PF_KV_INT("behind_ms",
-			 c->behind_since ? now - c->behind_since : 0));
+	       PF_KV_INT("ms", now - f->started_at),
+	       PF_KV_INT("behind_ms", c->core.behind_since
+					      ? now - c->core.behind_since
+					      : 0));
 }
 
 static void on_fetched(void *ctx, const struct pf_http_answer *a)
 {
-	struct config_peers *c = ctx;
-
-	c->fetching = false;
-	log_fetch_ended(c, a);
-	if (a->result != PF_HTTP_OK || a->status != HTTP_OK)
-		return;
-	if (feeds_read_config(c->gateway, a->body) == 0)
+	bool ok = a->result == PF_HTTP_OK && a->status == HTTP_OK;
+	struct fetch *f = ctx;
+	struct config_peers *c = f->owner;
+
+	log_fetch_ended(f, ok, a);
+	pf_config_fetch_ended(&c->core, pf_clock_now(),
+			      (uint32_t)(f - c->fetches), ok);
+	if (ok && feeds_read_config(c->gateway, a->body) == 0)
 		c->gateway->counters->v[PF_GC_CONFIG_FROM_PEER]++;
 }
 
-static void fetch(struct config_peers *c, const struct sockaddr_in *from)
+static void start_fetch(struct config_peers *c, uint32_t slot,
+			const struct sockaddr_in *from)
 {
+	struct fetch *f = &c->fetches[slot];
 	struct pf_http_request r = { .method = "GET",
 				     .target = PATH,
-				     .timeout = FETCH_TIMEOUT_MS,
+				     .timeout = PF_CONFIG_FETCH_TIMEOUT_MS,
 				     .done = on_fetched,
-				     .ctx = c };
+				     .ctx = f };
 	char ip[INET_ADDRSTRLEN] = "";
 	char addr[ADDR_CAP];
 	struct pf_http_opts o = { .base = c->gateway->base,
 				  .addr = addr,
 				  .conns_max = 1,
 				  .body_max = CONFIG_BYTES_MAX };
+	pf_ms now = pf_clock_now();
 
 	inet_ntop(AF_INET, &from->sin_addr, ip, sizeof(ip));
 	evutil_snprintf(addr, sizeof(addr), "%s:%u", ip,
 			(unsigned int)ntohs(from->sin_port));
-	if (c->fetching) {
-		c->gateway->counters->v[PF_GC_CONFIG_FETCH_FAILED]++;
-		PF_LOG(&c->gateway->log, PF_LOG_WARN, "config_fetch_slow",
-		       PF_KV_INT("ms", pf_clock_now() - c->fetched_at));
-	}
-	/* Without callbacks from a fetch that has taken too long. */
-	pf_http_free(c->peer);
-	c->peer = pf_http_new(&o);
-	c->fetched_at = pf_clock_now();
-	c->fetching = c->peer && pf_http_start(c->peer, &r);
+	/* Without a callback from a fetch that has taken too long. */
+	pf_http_free(f->peer);
+	f->owner = c;
+	f->started_at = now;
+	f->peer = pf_http_new(&o);
 	PF_LOG(&c->gateway->log, PF_LOG_INFO, "config_fetch",
-	       PF_KV_STR("from", addr), PF_KV_INT("version", c->peer_version),
-	       PF_KV_INT("store_age_ms",
-			 feeds_store_age(c->gateway, c->fetched_at)));
+	       PF_KV_STR("from", addr), PF_KV_INT("version", c->core.told),
+	       PF_KV_INT("store_age_ms", feeds_store_age(c->gateway, now)));
+	if (!f->peer || !pf_http_start(f->peer, &r))
+		pf_config_fetch_ended(&c->core, now, slot, false);
 }
 
 void config_note_step(struct gateway *g)
@@ -157,28 +159,31 @@
 bool config_may_be_stale(const struct gateway *g)
 {
 	return config_awaits_peers(g) ||
-	       (g->config_peers->peer_version > own_version(g) && is_unsure(g));
+	       (g->config_peers->core.told > own_version(g) && is_unsure(g));
+}
+
+static uint64_t peer_key(const struct sockaddr_in *addr)
+{
+	return (uint64_t)ntohl(addr->sin_addr.s_addr) << 16 |
+	       ntohs(addr->sin_port);
 }
 
 bool config_on_peer_view(struct gateway *g, const struct sockaddr_in *from,
 			 uint64_t version)
 {
 	struct config_peers *c = g->config_peers;
-	pf_ms now = pf_clock_now();
-	pf_ms wait = is_unsure(g) ? 0 : STORE_FIRST_MS;
+	const struct pf_config_stated s = {
+		.peer = peer_key(from),
+		.version = version,
+		.own_version = own_version(g),
+		.store_away = feeds_config_away(g) || is_unsure(g),
+	};
+	uint32_t slot;
 
 	c->peer_heard = true;
-	if (version > c->peer_version)
-		c->peer_version = version;
-	if (version <= own_version(g))
-		return false;
-	if (!c->behind_since)
-		c->behind_since = now;
-	if (now - c->behind_since >= wait &&
-	    now - c->fetched_at >=
-		    (c->fetching ? FETCH_TIMEOUT_MS : FETCH_INTERVAL_MS))
-		fetch(c, from);
-	return true;
+	if (pf_config_fetch_due(&c->core, pf_clock_now(), &s, &slot))
+		start_fetch(c, slot, from);
+	return version > s.own_version;
 }
 
 void config_in_force(struct gateway *g, struct pf_str row)
@@ -187,7 +192,7 @@
 						  .keys = g->keys };
 	struct config_peers *c = g->config_peers;
 
-	c->behind_since = 0;
+	pf_config_fetch_in_force(&c->core);
 	pf_text_free(&c->row);
 	c->row = (struct pf_text){ 0 };
 	if (platform_encode_config(row, &in_force, &c->row) == 0)
@@ -222,12 +227,14 @@
 void config_peers_stop(struct gateway *g)
 {
 	struct config_peers *c = g->config_peers;
+	uint32_t i;
 
 	if (!c)
 		return;
 	if (c->server)
 		evhttp_free(c->server);
-	pf_http_free(c->peer);
+	for (i = 0; i < PF_CONFIG_FETCHES_MAX; i++)
+		pf_http_free(c->fetches[i].peer);
 	pf_text_free(&c->row);
 	free(c);
 }
--- a/daemons/gateway/feeds.c
+++ b/daemons/gateway/feeds.c
@@ -305,6 +305,11 @@
 	return at ? now - at : STORE_AGE_UNKNOWN_MS;
 }
 
+bool feeds_config_away(const struct gateway *g)
+{
+	return g->feeds->config.unavailable;
+}
+
 /* Cuts short an interval that was set while other gateways were readers. */
 static void call_if_overdue(struct feed *f, pf_ms now, pf_ms interval)
 {
--- a/daemons/gateway/gateway.h
+++ b/daemons/gateway/gateway.h
@@ -347,7 +347,9 @@
 			const struct pf_talk_store_view *view);
 /** Puts the configuration in @value into effect. -1 if it isn't newer. */
 int feeds_read_config(struct gateway *g, struct pf_str value);
-/** Time since the last reply of the store. */
+/** Whether the store did not answer the last call for the configuration. */
+bool feeds_config_away(const struct gateway *g);
+/** Time since the last reply of the store; long if it did not answer since. */
 pf_ms feeds_store_age(const struct gateway *g, pf_ms now);
 /** Reads if this is overdue, since the region's readers are gone. */
 void feeds_poll_if_overdue(struct gateway *g);
