Store readers: replaced when their call fails, or after 1.5 s of silence

A change that was acknowledged just after the store had fallen silent to all readers of a region reached nobody there for 3 s; deployments allow 2.5 to 4 s until it is in force. Cause: an idle call for the configuration took up to 2.5 s, so the others had to wait 3 s to tell a reader that is not answered from one that waits; a reader whose call had failed kept stating the age of its last answer. Now such a call returns after 1 s, and a reader whose call failed says so in its next digest. Three readers a region make 0.6 calls a second more each. Test: GatewayReaders, real gateways, the store silent to the three readers: before, 0 of 5 and 0 of 25 gateways had the version within 2.5 s; now all. StoreReaders' cases name the constant instead of its old value.

--- a/daemons/gateway/feeds.c
+++ b/daemons/gateway/feeds.c
@@ -12,8 +12,10 @@
 
 #define READ_PAGE_ROWS 500
 /* A feed call returns at the next change, or after this time. Short, so that a
- * dead connection is noticed early. */
-#define FEED_WAIT_MS 2500
+ * dead connection is noticed early. That of the configuration tells the others
+ * too whether the store answers this gateway (PF_STORE_AGE_FRESH_MS). */
+#define CONFIG_WAIT_MS 1000
+#define ENDPOINTS_WAIT_MS 2500
 /* Pause after an answer with changes, so that the next ones come in a batch.
  * Loaders report loaded models and draining endpoints sooner. */
 #define CONFIG_INTERVAL_MS 250
@@ -55,6 +57,7 @@
 	struct feeds *feeds;
 	struct pf_str table;
 	pf_ms interval; /* pause after an answer with changes */
+	pf_ms wait; /* of a call, for a change */
 	void (*on_row)(struct gateway *g, const struct pf_store_row *row);
 	void (*on_read_done)(struct feed *f);
 	struct event *timer;
@@ -297,12 +300,14 @@
 }
 
 /* Of the feed of the configuration, since its changes must be in force soonest:
- * an answer of the other one tells nothing of them. */
+ * an answer of the other one tells nothing of them. Others take over at once
+ * from a reader whose call has failed. */
 pf_ms feeds_store_age(const struct gateway *g, pf_ms now)
 {
-	pf_ms at = g->feeds->config.answered_at;
+	const struct feed *f = &g->feeds->config;
 
-	return at ? now - at : STORE_AGE_UNKNOWN_MS;
+	return f->answered_at && !f->unavailable ? now - f->answered_at
+						 : STORE_AGE_UNKNOWN_MS;
 }
 
 bool feeds_config_away(const struct gateway *g)
@@ -386,8 +391,8 @@
 				    pf_str_c(f->next_page_key), PF_STR(""),
 				    READ_PAGE_ROWS, on_page, c);
 	else if (c)
-		ret = pf_store_feed(s, f->table, f->cursor, FEED_WAIT_MS,
-				    on_feed, c);
+		ret = pf_store_feed(s, f->table, f->cursor, f->wait, on_feed,
+				    c);
 	if (ret == 0)
 		f->call = mark_sent(f, c);
 	f->call_sent_at = pf_clock_now();
@@ -521,10 +526,12 @@
 	fs->config.table = platform_config_place.table;
 	fs->config.on_row = on_config;
 	fs->config.interval = CONFIG_INTERVAL_MS;
+	fs->config.wait = CONFIG_WAIT_MS;
 	fs->endpoints.table = platform_endpoints_place.table;
 	fs->endpoints.on_row = on_endpoint;
 	fs->endpoints.on_read_done = on_endpoints_read;
 	fs->endpoints.interval = ENDPOINTS_INTERVAL_MS;
+	fs->endpoints.wait = ENDPOINTS_WAIT_MS;
 	fs->told_endpoints.era = PF_ERA_UNKNOWN;
 	return feed_start(fs, &fs->config) < 0 ? -1
 					       : feed_start(fs, &fs->endpoints);
--- a/include/pimentoford/store_readers.h
+++ b/include/pimentoford/store_readers.h
@@ -10,9 +10,9 @@
 PF_BEGIN_DECLS
 
 #define PF_STORE_READERS_PER_REGION 3
-/** An idle feed call takes 2.5 s: a longer time without an answer of the store
- * means that it is away or rejects the gateway. */
-#define PF_STORE_AGE_FRESH_MS 3000
+/** An idle call for the configuration takes 1 s: a longer time without an answer
+ * of the store means that it is away or rejects the gateway. */
+#define PF_STORE_AGE_FRESH_MS 1500
 
 /** Another live gateway of the region. */
 struct pf_store_reader {
--- a/tests/gateway_group.h
+++ b/tests/gateway_group.h
@@ -50,6 +50,7 @@
 			n->port = FreePort();
 			n->ready = FreePort();
 			n->settings =
+				Settings(i) +
 				GatewaySettings(StoreAddr(i), n->ip, n->port,
 						n->ready, datagrams) +
 				MoreSettings();
@@ -98,6 +99,11 @@
 	{
 		return store.addr();
 	}
+	/* Of gateway @i, before the others. */
+	virtual std::string Settings(unsigned /* i */)
+	{
+		return "";
+	}
 	/* Of each gateway, after the others. */
 	virtual std::string MoreSettings()
 	{
--- a/tests/test_gateway_config.cc
+++ b/tests/test_gateway_config.cc
@@ -1,6 +1,7 @@
 // Configurations that reach gateways otherwise than by the store.
 #include "tests/fake_endpoint.h"
 #include "tests/gateway_fixture.h"
+#include "tests/gateway_group.h"
 
 #include <gtest/gtest.h>
 
@@ -66,4 +67,61 @@
 	EXPECT_EQ(Counter("127.0.0.2", "config_from_peer_total"), "0");
 }
 
+/* The first three have the duties. */
+struct GatewayReaders : GatewayGroup, ::testing::WithParamInterface<unsigned> {
+	static constexpr unsigned kReaders = 3;
+
+	std::string StoreAddr(unsigned i) override
+	{
+		return store.AddAddress(std::to_string(i));
+	}
+	std::string Settings(unsigned i) override
+	{
+		return i < kReaders ? "cores = 8\n" : "cores = 0.1\n";
+	}
+	std::string Version(const Node &n)
+	{
+		std::string m = FakeGet(n.ip.c_str(), n.ready, "/metrics");
+		const std::string name = "\npimento_gateway_config_version ";
+		size_t at = m.find(name);
+
+		if (at == std::string::npos)
+			return "";
+		at += name.size();
+		return m.substr(at, m.find('\n', at) - at);
+	}
+	/* Until all have the version, or @ms have passed. */
+	unsigned CountWithin(const std::string &version, int ms)
+	{
+		auto end = Clock::now() + std::chrono::milliseconds(ms);
+		unsigned n = 0;
+
+		do {
+			n = 0;
+			for (auto &g : gateways)
+				n += Version(*g) == version;
+		} while (n < gateways.size() && Clock::now() < end);
+		return n;
+	}
+};
+
+// While the store answered none of the readers, others read the configuration
+// 3 s later: it was not in force in 2.5 s.
+TEST_P(GatewayReaders, AreReplacedInTimeWhenTheStoreFallsSilentToThem)
+{
+	const unsigned n = GetParam();
+
+	StartGroup(n, 1, {});
+	SleepMs(3000);
+	store.Put("op", "config", ConfigJson(2));
+	ASSERT_EQ(CountWithin("2", 4000), n);
+	SleepMs(400);
+	for (unsigned i = 0; i < kReaders; i++)
+		store.SetFault(FakeStore::SILENT, std::to_string(i));
+	store.Put("op", "config", ConfigJson(3));
+	EXPECT_EQ(CountWithin("3", 2500), n);
+}
+
+INSTANTIATE_TEST_SUITE_P(Sizes, GatewayReaders, ::testing::Values(5u, 25u));
+
 } // namespace
--- a/tests/test_store_readers.cc
+++ b/tests/test_store_readers.cc
@@ -35,9 +35,9 @@
 		ReaderCase{ "Alone", {}, true },
 		ReaderCase{ "Third", { { 1, 0 }, { 2, 0 }, { 11, 0 } }, true },
 		ReaderCase{
-			"Fourth", { { 1, 0 }, { 2, 0 }, { 3, 2900 } }, false },
+			"Fourth", { { 1, 0 }, { 2, 0 }, { 3, PF_STORE_AGE_FRESH_MS - 1 } }, false },
 		ReaderCase{ "OneRejected",
-			    { { 1, 0 }, { 2, 3000 }, { 3, 100 } },
+			    { { 1, 0 }, { 2, PF_STORE_AGE_FRESH_MS }, { 3, 100 } },
 			    true },
 		ReaderCase{ "AllRejected",
 			    { { 1, 9000 }, { 2, 9000 }, { 3, 9000 } },
