Retry budget: earned with each request, and the slack by the members of the fleet

Users saw more retries than all gateways together may send, on the deployment of 103 gateways. Cause, found in virtual time: each gateway allowed retries for a share of the requests of its own last 10 s, at its own best moment, so that the sum grew with how the traffic of each varied; a process that had just started took the share again although its predecessor's retries lay in the same window; and a part of the slack was counted by the peers that were heard, so that one that was cut off took the whole. Now requests earn retries, of which one is saved at most, and a new process has none saved; the parts of the slack are counted by rows in the store, too, and there is none before these are read. Where a part is below one retry, what is saved is staked on a draw, so that the fleet's sum holds. Test: GateBudget, 3, 25, 103 and 400 gateways, nine of ten sends not run: calm, all restarted, most restarted twice, cut in two, started cut off.

--- a/daemons/gateway/core.c
+++ b/daemons/gateway/core.c
@@ -202,6 +202,7 @@
 	o.n_zones = (uint32_t)g->settings.zones.n;
 	o.seed = g->self;
 	o.records_versions = true;
+	o.in_fleet = true;
 	g->core = pf_gate_new(&o);
 	free(zones);
 	g->core_timer = event_new(g->base, -1, 0, on_timer, g);
--- a/daemons/gateway/members.c
+++ b/daemons/gateway/members.c
@@ -251,6 +251,7 @@
 static void on_rows_read(void *ctx, const struct pf_store_answer *a)
 {
 	struct pf_plan_msg members_read = { .type = PF_PLAN_MEMBERS_READ };
+	struct pf_gate_msg members = { .type = PF_GATE_MEMBERS };
 	struct talk *t = ctx;
 	bool unknown;
 	size_t i;
@@ -271,6 +272,9 @@
 	}
 	unknown = use_read_members(t);
 	talk_plan_step(t, &members_read);
+	for (i = 0; i < t->members.n; i++)
+		members.u.members += t->members.v[i].row_known;
+	core_step(t->gateway, &members);
 	if (!t->own_row_read)
 		t->row_written = false;
 	end_read(t);
--- a/include/pimentoford/gate.h
+++ b/include/pimentoford/gate.h
@@ -41,6 +41,9 @@
 	double repeat_ratio; /* retries per request of a service */
 	double repeat_slack; /* retries on top, shared by all gateways */
 	pf_ms repeat_window; /* over which requests and retries count */
+	/* There may be other gateways that send nothing yet: no slack before
+	 * PF_GATE_MEMBERS. */
+	bool in_fleet;
 	/* PF_GATE_RECORD_VERSIONS is carried out: a version gets its first
 	 * resumable stream once the history in the store names it. */
 	bool records_versions;
@@ -278,6 +281,7 @@
 	PF_GATE_NOTE, /* u.note: of another gateway */
 	PF_GATE_STORED, /* u.stored: borrowed for the call */
 	PF_GATE_HISTORY, /* u.history: borrowed for the call */
+	PF_GATE_MEMBERS, /* u.members: other gateways by their rows */
 	PF_GATE_ENDPOINTS_READ, /* all rows of endpoints were passed in */
 	/* u.behind: whether another gateway has read newer rows of endpoints */
 	PF_GATE_ENDPOINTS_BEHIND,
@@ -323,6 +327,7 @@
 		struct pf_gate_stored stored;
 		struct pf_gate_history history;
 		bool behind;
+		uint32_t members;
 		const struct pf_engine_state *state;
 		struct {
 			uint64_t endpoint;
--- a/src/coordination/gate/gate.c
+++ b/src/coordination/gate/gate.c
@@ -154,6 +154,9 @@
 		gate_history_read(g, &m->u.history);
 		g->send_waiting_at = g->now;
 		break;
+	case PF_GATE_MEMBERS:
+		gate_budget_members(g, m->u.members);
+		break;
 	case PF_GATE_ENDPOINTS_READ:
 		gate_history_endpoints_read(g);
 		g->send_waiting_at = g->now;
--- a/src/coordination/gate/gate_budget.c
+++ b/src/coordination/gate/gate_budget.c
@@ -1,7 +1,10 @@
 /*
- * Retry budget. The gateways share one budget for each service: each applies
- * the ratio to its own requests and has an equal part of the slack. A new
- * process has no slack for one window, as its predecessor may have used it.
+ * Retry budget. In each window, all gateways together may send retries for a
+ * share of a service's requests and a slack on top. Each gateway earns the share
+ * with each of its requests and saves little of it; so it doesn't matter how its
+ * traffic varies, and a restart can't earn twice. Each has an equal part of the
+ * slack, of which a new process has nothing for one window, as its predecessor
+ * may have used it.
  */
 #include "src/coordination/gate/gate_core.h"
 
@@ -27,58 +30,97 @@
 	return NULL;
 }
 
-/* The bucket of @second in @counts; clears those after the newest second. */
-static uint32_t *current_bucket(struct gate_budget *b, uint32_t *counts,
-				int64_t second)
+/* This gateway's part of the slack. Those that are cut off use theirs too. */
+static double slack_part(const struct pf_gate *g)
 {
-	if (b->newest_second < second - GATE_BUDGET_BUCKETS)
-		b->newest_second = second - GATE_BUDGET_BUCKETS;
-	while (b->newest_second < second) {
-		b->newest_second++;
-		b->requests[b->newest_second % GATE_BUDGET_BUCKETS] = 0;
-		b->retries[b->newest_second % GATE_BUDGET_BUCKETS] = 0;
-	}
-	return &counts[second % GATE_BUDGET_BUCKETS];
+	uint32_t others = gate_peers_known(g);
+
+	if (g->n_members > others)
+		others = g->n_members;
+#ifdef PF_MUTANT_GATE_SLACK
+	others = 0;
+#endif
+	return g->opts.repeat_slack / (1 + others);
+}
+
+/* The most that is saved. It takes the place of as much slack: when retries set
+ * in, each gateway has saved that much. */
+static double savings_max(const struct pf_gate *g)
+{
+	double least = slack_part(g) < 1 ? slack_part(g) : 1;
+
+	return g->opts.repeat_ratio > least ? g->opts.repeat_ratio : least;
 }
 
 void gate_budget_add_request(struct pf_gate *g, uint64_t service)
 {
 	struct gate_budget *b = find_or_add_budget(g, service);
 
-	if (b)
-		(*current_bucket(b, b->requests, g->now / SECOND_MS))++;
+	if (!b)
+		return;
+	b->saved += g->opts.repeat_ratio;
+	if (b->saved > savings_max(g))
+		b->saved = savings_max(g);
 }
 
-bool gate_budget_take_retry(struct pf_gate *g, uint64_t service)
+/* A retry takes one. Where gateways save less, all of it is staked, so that
+ * the fleet's retries come to what it has saved. */
+static bool take_saved(struct pf_gate *g, struct gate_budget *b)
+{
+	double stake = b->saved;
+
+	if (b->saved >= 1) {
+		b->saved -= 1;
+		return true;
+	}
+	if (savings_max(g) >= 1)
+		return false;
+	b->saved = 0;
+	return pf_rng_unit(&g->rng) < stake;
+}
+
+/* Retries paid with slack in the window. The newest second is incomplete: one
+ * more covers the window. */
+static uint32_t count_slack_used(struct pf_gate *g, struct gate_budget *b)
 {
-	struct gate_budget *b = find_or_add_budget(g, service);
 	int64_t span = g->opts.repeat_window / SECOND_MS + 1;
-	double allowed = 0;
-	uint32_t requests = 0;
-	uint32_t retries = 0;
-	uint32_t *newest;
+	int64_t second = g->now / SECOND_MS;
+	uint32_t n = 0;
 	int64_t i;
 
-	if (!b)
+	if (b->newest_second < second - GATE_BUDGET_BUCKETS)
+		b->newest_second = second - GATE_BUDGET_BUCKETS;
+	while (b->newest_second < second)
+		b->slack_used[++b->newest_second % GATE_BUDGET_BUCKETS] = 0;
+	for (i = 0; i <= span && i < GATE_BUDGET_BUCKETS; i++)
+		n += b->slack_used[(second - i) % GATE_BUDGET_BUCKETS];
+	return n;
+}
+
+static bool take_slack(struct pf_gate *g, struct gate_budget *b)
+{
+	double part = slack_part(g);
+
+	if (g->now - g->started_at <= g->opts.repeat_window ||
+	    (g->opts.in_fleet && !g->members_read))
 		return false;
-	newest = current_bucket(b, b->retries, g->now / SECOND_MS);
-	/* The newest second is incomplete: one more covers the window. */
-	for (i = 0; i <= span && i < GATE_BUDGET_BUCKETS; i++) {
-		retries += b->retries[(b->newest_second - i) %
-				      GATE_BUDGET_BUCKETS];
-		if (i < span - 1)
-			requests += b->requests[(b->newest_second - i) %
-						GATE_BUDGET_BUCKETS];
-	}
-	allowed = g->opts.repeat_ratio * requests;
-#ifdef PF_MUTANT_GATE_SLACK
-	allowed += g->opts.repeat_slack;
-#else
-	if (g->now - g->started_at > g->opts.repeat_window)
-		allowed += g->opts.repeat_slack / (1 + gate_peers_known(g));
-#endif
-	if (retries + 1 > allowed)
+	if (g->opts.repeat_ratio > 0)
+		part -= savings_max(g);
+	if (count_slack_used(g, b) + 1 > part)
 		return false;
-	(*newest)++;
+	b->slack_used[b->newest_second % GATE_BUDGET_BUCKETS]++;
 	return true;
 }
+
+bool gate_budget_take_retry(struct pf_gate *g, uint64_t service)
+{
+	struct gate_budget *b = find_or_add_budget(g, service);
+
+	return b && (take_saved(g, b) || take_slack(g, b));
+}
+
+void gate_budget_members(struct pf_gate *g, uint32_t others)
+{
+	g->n_members = others;
+	g->members_read = true;
+}
--- a/src/coordination/gate/gate_core.h
+++ b/src/coordination/gate/gate_core.h
@@ -184,9 +184,9 @@
 /** Requests and retries of a service, counted per second. */
 struct gate_budget {
 	uint64_t service; /* 0: free */
-	uint32_t requests[GATE_BUDGET_BUCKETS];
-	uint32_t retries[GATE_BUDGET_BUCKETS];
-	int64_t newest_second; /* of the counts */
+	double saved; /* retries that requests have earned */
+	uint32_t slack_used[GATE_BUDGET_BUCKETS]; /* by second */
+	int64_t newest_second; /* of these counts */
 };
 
 #define GATE_DRAIN_SLICES 6
@@ -421,6 +421,8 @@
 	uint32_t n_peers; /* slots ever used */
 	struct pf_map peers_by_id; /* slots in use */
 	uint32_t n_known_peers;
+	uint32_t n_members; /* other gateways with a row in the store */
+	bool members_read; /* all of these rows */
 	uint32_t n_live_peers;
 	uint32_t n_lower_peers; /* live ones with a lower id */
 	uint32_t n_digests; /* peers with a digest */
@@ -774,6 +776,8 @@
 void gate_budget_add_request(struct pf_gate *g, uint64_t service);
 /** Takes a retry from the budget; false if it is used up. */
 bool gate_budget_take_retry(struct pf_gate *g, uint64_t service);
+/** @others: the other gateways that have rows in the store. */
+void gate_budget_members(struct pf_gate *g, uint32_t others);
 
 /* gate_digest.c */
 void gate_digest_add_prefix(struct pf_gate *g, uint64_t prefix,
