Gateway: a request is not sent again on a connection on which it was answered before

Reported by other operators: an endpoint that wrote an earlier rejection once more had requests called not run that ran, or run twice. It can happen here: with one endpoint that was full for a moment, a rejected request goes to it again on the same kept connection, the second copy of the rejection bears the same id, is taken for the new answer, and the request is sent a third time. The id tells answers to other requests, not copies for the same one. Now such a send takes another connection, on which no earlier answer can come.

--- a/daemons/gateway/gateway.h
+++ b/daemons/gateway/gateway.h
@@ -104,6 +104,7 @@
 	int64_t incarnation; /* of the endpoint when connected */
 	struct pf_sock *sock;
 	struct exchange *exchange; /* NULL: idle */
+	uint64_t request; /* its id, or that of the one before, hashed */
 	uint64_t adapter; /* counted in adapters_in_use; 0: none */
 	struct pf_text head_buf; /* an incomplete answer head */
 	size_t interim_bytes; /* of answers with a status below 200 */
--- a/daemons/gateway/upstream.c
+++ b/daemons/gateway/upstream.c
@@ -485,14 +485,26 @@
 static const struct pf_sock_cbs upstream_cbs = { on_data, on_closed,
 						 on_connected, NULL };
 
-static struct upstream *take_idle(struct endpoint *e, bool at_most_once)
+/*
+ * The connection used most recently. Not one on which @request was answered
+ * before: a second copy of that answer would pass for the answer to this send.
+ */
+static struct upstream *take_idle(struct endpoint *e, uint64_t request,
+				  bool at_most_once)
 {
-	struct upstream *u = LIST_FIRST(&e->idle_conns);
 	pf_ms now = pf_clock_now();
-
-	/* The first was used most recently. */
-	if (!u || now >= u->idle_deadline ||
-	    (at_most_once && now - u->idle_since > AT_MOST_ONCE_IDLE_MAX_MS))
+	struct upstream *u;
+
+	LIST_FOREACH(u, &e->idle_conns, next)
+	{
+		if (now >= u->idle_deadline ||
+		    (at_most_once &&
+		     now - u->idle_since > AT_MOST_ONCE_IDLE_MAX_MS))
+			return NULL;
+		if (u->request != request)
+			break;
+	}
+	if (!u)
 		return NULL;
 	LIST_REMOVE(u, next);
 	e->n_idle_conns--;
@@ -543,7 +555,9 @@
 	struct endpoint *e = endpoint_find(x->gateway, a->u.send.endpoint);
 	struct pf_gate_end unsent = { .request = x->core_handle,
 				      .outcome = PF_GATE_UNSENT };
-	struct upstream *u = e ? take_idle(e, a->u.send.at_most_once) : NULL;
+	uint64_t request = pf_id(x->inbound.id);
+	struct upstream *u =
+		e ? take_idle(e, request, a->u.send.at_most_once) : NULL;
 	bool connected = u != NULL;
 	pf_ms now = pf_clock_now();
 
@@ -555,6 +569,7 @@
 		return;
 	}
 	u->exchange = x;
+	u->request = request;
 	x->upstream = u;
 	u->in_body = false;
 	u->interim_bytes = 0;
--- a/tests/test_gateway.cc
+++ b/tests/test_gateway.cc
@@ -1653,4 +1653,47 @@
 	EXPECT_GT(reports, before + 2);
 }
 
+// An endpoint sent its rejection of a request once more, on the same connection,
+// when the request came again: it ran twice, or was called not run while it ran.
+TEST_F(Gateway, ARejectionThatIsSentAgainIsNoAnswerToTheNextSend)
+{
+	std::mutex mu;
+	std::map<std::string, int> rejected_at, runs;
+	FakeServer e("127.0.0.1", [&](int fd, const FakeRequest &r) {
+		std::string id = r.Header("Attempt-Id");
+		std::string rejection = HttpAnswer(
+			503, "", "Attempt-Id: " + id + "\r\nNot-Run: 1\r\n");
+		bool again;
+
+		{
+			std::lock_guard<std::mutex> l(mu);
+			if (!rejected_at.count(id)) {
+				rejected_at[id] = fd;
+				return FakeSend(fd, rejection);
+			}
+			runs[id]++;
+			again = rejected_at[id] == fd;
+		}
+		if (again && !FakeSend(fd, rejection))
+			return false;
+		std::this_thread::sleep_for(std::chrono::milliseconds(50));
+		return FakeSend(fd, HttpAnswer(200, "done",
+					       "Attempt-Id: " + id +
+						       "\r\nResponse-Stamp: "
+						       "s\r\n"));
+	});
+
+	store.Put("servers", "i-1", EndpointRow("app", e.addr()));
+	StartGateway();
+	WaitUntilReady();
+	for (int i = 0; i < 5; i++) {
+		std::string id = "again-" + std::to_string(i);
+		std::string got = Request(GetRequest("/u/", id));
+		std::lock_guard<std::mutex> l(mu);
+
+		EXPECT_EQ(runs[id], 1) << got;
+		EXPECT_TRUE(Contains(got, " 200 ")) << got;
+	}
+}
+
 } // namespace
