Endpoints: a row with a number out of range or a bad address names no endpoint

Reported by other operators: one odd row among those of the endpoints. Here no gateway ended, but a row at the address of a sound endpoint with a start, or a time, of 1e300 or of 8.5 took its place: its requests were answered by nobody until the row was gone. Cause: numbers were cast from any real number, and the address was only looked at when connecting.

--- a/tests/test_gateway.cc
+++ b/tests/test_gateway.cc
@@ -1696,4 +1696,82 @@
 	}
 }
 
+struct OddRow {
+	const char *name;
+	const char *field; /* of a row at the address of a sound endpoint */
+	const char *value; /* "NEST": nested 30,000 deep */
+};
+
+struct GatewayOddRow : Gateway, ::testing::WithParamInterface<OddRow> {
+};
+
+// A row of another writer removed the sound endpoint at its address.
+TEST_P(GatewayOddRow, LeavesTheOthersInUse)
+{
+	const OddRow &c = GetParam();
+	auto serve = [](const char *id) {
+		return [id](int fd, const FakeRequest &r) {
+			bool mine = r.Header("Expect-Instance") == id;
+			std::string head =
+				"Attempt-Id: " + r.Header("Attempt-Id") +
+				"\r\n";
+
+			return FakeSend(
+				fd, mine ? HttpAnswer(200, "sound", head)
+					 : HttpAnswer(421, "",
+						      head + "Not-Run: 1\r\n"));
+		};
+	};
+	FakeServer e("127.0.0.1", serve("i-1"));
+	FakeServer next("127.0.0.1", serve("i-2"));
+	std::string value = c.value, row = EndpointRow("app", e.addr());
+	std::string key = "\"" + std::string(c.field) + "\":";
+
+	if (value == "NEST")
+		value = std::string(30000, '[') + std::string(30000, ']');
+	size_t at = row.find(key);
+	ASSERT_NE(at, std::string::npos);
+	at += key.size();
+	row.replace(at,
+		    (row[at] == '"' ? row.find('"', at + 1) + 1
+				    : row.find_first_of(",}", at)) -
+			    at,
+		    value);
+	store.Put("servers", "i-1", EndpointRow("app", e.addr()));
+	StartGateway();
+	WaitUntilReady();
+	store.WaitUntilApplied("servers", store.Put("servers", "i-odd", row));
+	for (int i = 0; i < 3; i++) {
+		std::string got =
+			Request(GetRequest("/u/", "odd" + std::to_string(i)));
+		EXPECT_TRUE(Contains(got, "sound")) << got;
+	}
+	/* The list is still followed. */
+	store.Put("servers", "i-2", EndpointRow("app", next.addr()));
+	store.WaitUntilApplied("servers",
+			       store.Put("servers", "i-1", "", true));
+	std::this_thread::sleep_for(std::chrono::milliseconds(500));
+	EXPECT_TRUE(Contains(Request(GetRequest("/u/", "next")), "sound"));
+	EXPECT_EQ(next.count("/u/"), 1u);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+	Rows, GatewayOddRow,
+	::testing::Values(
+		OddRow{ "Nested", "models", "NEST" },
+		OddRow{ "HugeStart", "born", "1e300" },
+		OddRow{ "HugeInteger", "born", "99999999999999999999999" },
+		OddRow{ "NegativeStart", "born", "-5" },
+		OddRow{ "FractionalStart", "born", "8.5" },
+		OddRow{ "HugeSlots", "slots", "1e300" },
+		OddRow{ "HugeSequence", "cold_left_ms", "1e300" },
+		OddRow{ "PortTooHigh", "address", "\"127.0.0.1:99999\"" },
+		OddRow{ "PortZero", "address", "\"127.0.0.1:0\"" },
+		OddRow{ "PortNegative", "address", "\"127.0.0.1:-1\"" },
+		OddRow{ "NoPort", "address", "\"127.0.0.1\"" },
+		OddRow{ "NoAddress", "address", "\"[\"" }),
+	[](const ::testing::TestParamInfo<OddRow> &i) {
+		return std::string(i.param.name);
+	});
+
 } // namespace
