Crash evidence: the judges alone tell all gateways of quarantines and of sound parts

Cause: endpoints were reset, and the judges blamed parts that many requests share. Each gateway repeated the quarantine to all others, and each that knew the part to be sound said so to all others, for each copy: for N gateways, 4 N^3 entries. Then latency between the regions broke more connections. Now judges, of whom there are four whatever N, repeat a quarantine; who knows better tells the judges, once in 0.5 s for each part and crash, and the judges tell all. The parts are served again at all gateways in 10 s.

--- a/src/coordination/gate/gate_blame.c
+++ b/src/coordination/gate/gate_blame.c
@@ -262,28 +262,29 @@
 	return true;
 }
 
-static bool is_judge(const struct pf_gate *g)
-{
-	return gate_peers_lower(g) < PF_GATE_JUDGES;
-}
-
 static void judge(struct pf_gate *g)
 {
-	if (g->requests_seen < ARRIVALS_MIN || !is_judge(g))
+	if (g->requests_seen < ARRIVALS_MIN || !gate_is_judge(g))
 		return;
 	/* Crashes that a quarantined part explains speak against no other. */
 	while (blame_best(g))
 		;
 }
 
-/* Judges must know, and if a quarantine ends, all. */
+/*
+ * A sound answer on @part speaks against a crash or quarantine since @since. The
+ * judges must know; only they tell all, if @ends_quarantine: else each gateway
+ * that knows it would tell each other one.
+ */
 static void announce_sound(struct pf_gate *g, uint64_t part, pf_ms began_at,
-			   bool to_all)
+			   pf_ms since, bool ends_quarantine)
 {
 	struct pf_gate_evidence e = { .type = PF_GATE_EVIDENCE_SOUND,
 				      .part = part };
+	bool to_all = ends_quarantine && gate_is_judge(g);
 
-	gate_evidence_add(g, &e, began_at, to_all);
+	if (gate_use_tell_sound(g, part, began_at, since, to_all))
+		gate_evidence_add(g, &e, began_at, to_all);
 }
 
 /* Whoever knows that @part is sound tells the judges. */
@@ -305,12 +306,13 @@
 
 	gate_quarantine_crashed(g, part, c->at);
 	if (gate_use_sound_at(g, part) > c->at) {
-		announce_sound(g, part, gate_use_sound_at(g, part), false);
+		announce_sound(g, part, gate_use_sound_at(g, part), c->at,
+			       false);
 		return;
 	}
 	if (count_crashes(g, unexplained_records(g), part, &first) == 0)
 		gate_use_suspected(g, part);
-	if (is_judge(g) && !record_has(c, part) && gate_use_ask(g, part))
+	if (gate_is_judge(g) && !record_has(c, part) && gate_use_ask(g, part))
 		ask_all(g, c, part);
 	record_add(c, part);
 }
@@ -401,8 +403,9 @@
 
 	gate_use_sound(g, part, began_at);
 	released = gate_quarantine_release(g, part, began_at);
+	/* What is told now is the news: nothing before it counts as told. */
 	if (clear_suspect(g, part, began_at) || released)
-		announce_sound(g, part, began_at, released);
+		announce_sound(g, part, began_at, began_at, released);
 }
 
 /* Some gateways may not know yet that a quarantine ends. */
@@ -411,8 +414,8 @@
 	pf_ms began_at = g->now - (pf_ms)e->age_ms;
 
 	gate_use_sound(g, e->part, began_at);
-	if (gate_quarantine_release(g, e->part, began_at) && is_judge(g))
-		announce_sound(g, e->part, began_at, true);
+	if (gate_quarantine_release(g, e->part, began_at) && gate_is_judge(g))
+		announce_sound(g, e->part, began_at, began_at, true);
 	clear_suspect(g, e->part, began_at);
 }
 
@@ -448,7 +451,8 @@
 	pf_ms since = g->now - (pf_ms)e->age_ms;
 
 	if (gate_use_sound_at(g, e->part) > since)
-		announce_sound(g, e->part, gate_use_sound_at(g, e->part), true);
+		announce_sound(g, e->part, gate_use_sound_at(g, e->part), since,
+			       true);
 	else
 		gate_quarantine_add(g, e->part, since, 0);
 }
--- a/src/coordination/gate/gate_core.h
+++ b/src/coordination/gate/gate_core.h
@@ -278,6 +278,9 @@
 	float arrivals; /* decays */
 	pf_ms sound_at; /* begin of the last sound answer; 0: none */
 	pf_ms asked_at; /* when all were last told that it is a suspect */
+	pf_ms told_at; /* when others were last told that it is sound */
+	pf_ms told_sound_at; /* `sound_at` as it was told */
+	bool told_all; /* not only the judges */
 	uint64_t model; /* that it came with first */
 	bool several_models; /* it came with others, too */
 	uint32_t served_before; /* of its model, when it became a suspect */
@@ -533,6 +536,8 @@
 /** Mean age of the last digests, in ms; 0: there are none. */
 double gate_peers_digest_age(const struct pf_gate *g);
 /** Other gateways that may have used the retry budget. */
+/** Whether it has one of the PF_GATE_JUDGES + 1 lowest ids that it knows. */
+bool gate_is_judge(const struct pf_gate *g);
 uint32_t gate_peers_known(const struct pf_gate *g);
 
 /* gate_leave.c */
@@ -619,6 +624,12 @@
 double gate_use_unserved(struct pf_gate *g, uint64_t part);
 /** Whether it is time to tell all gateways that @part is a suspect. */
 bool gate_use_ask(struct pf_gate *g, uint64_t part);
+/**
+ * Whether to tell others, all or the judges, that an answer on @part that began at
+ * @began_at was sound; false if they were told just now of one after @since.
+ */
+bool gate_use_tell_sound(struct pf_gate *g, uint64_t part, pf_ms began_at,
+			 pf_ms since, bool to_all);
 /** When the last sound answer on @part began; 0: never. */
 pf_ms gate_use_sound_at(struct pf_gate *g, uint64_t part);
 void gate_use_sound(struct pf_gate *g, uint64_t part, pf_ms began_at);
--- a/src/coordination/gate/gate_peers.c
+++ b/src/coordination/gate/gate_peers.c
@@ -159,6 +159,11 @@
 	return g->n_lower_peers;
 }
 
+bool gate_is_judge(const struct pf_gate *g)
+{
+	return gate_peers_lower(g) < PF_GATE_JUDGES;
+}
+
 uint32_t gate_peers_known(const struct pf_gate *g)
 {
 	return g->n_known_peers;
--- a/src/coordination/gate/gate_quarantine.c
+++ b/src/coordination/gate/gate_quarantine.c
@@ -88,8 +88,9 @@
 		.trial_at = g->now + TRIAL_MS,
 		.trial_wait = 2 * TRIAL_MS,
 	};
-	/* Peers repeat it, so that it outlasts the gateway that found it. */
-	announce(g, oldest);
+	/* All judges repeat it, so that it outlasts the one that found it. */
+	if (gate_is_judge(g))
+		announce(g, oldest);
 	emit_change(g, part, false, crashes);
 }
 
--- a/src/coordination/gate/gate_uses.c
+++ b/src/coordination/gate/gate_uses.c
@@ -16,6 +16,8 @@
 #define HALVED_MS 15000
 /* How often all gateways are told of a part that stays a suspect. */
 #define ASK_MS 1000
+/* Several gateways, each twice, state the same crash or quarantine. */
+#define TELL_MS 500
 /* In place of a model: all requests, whatever their model. */
 #define ALL_MODELS 0
 
@@ -250,6 +252,20 @@
 	return true;
 }
 
+bool gate_use_tell_sound(struct pf_gate *g, uint64_t part, pf_ms began_at,
+			 pf_ms since, bool to_all)
+{
+	struct gate_part_use *u = find_or_add_use(g, part);
+
+	if (u->told_at && g->now - u->told_at < TELL_MS &&
+	    u->told_sound_at > since && (u->told_all || !to_all))
+		return false;
+	u->told_at = g->now;
+	u->told_sound_at = began_at;
+	u->told_all = to_all;
+	return true;
+}
+
 pf_ms gate_use_sound_at(struct pf_gate *g, uint64_t part)
 {
 	const struct gate_part_use *u = find_use(g, part);
--- a/tests/gate_sim.cc
+++ b/tests/gate_sim.cc
@@ -252,6 +252,17 @@
 	});
 }
 
+void GateSim::AnnounceQuarantine(uint64_t part, uint32_t age)
+{
+	struct pf_gate_evidence e = {};
+
+	e.type = PF_GATE_EVIDENCE_QUARANTINE;
+	e.part = part;
+	e.age_ms = age;
+	for (unsigned to = 1; to < opts.gates; to++)
+		SendEvidenceTo(0, to, &e, 1);
+}
+
 void GateSim::SendEvidence(unsigned gate)
 {
 	struct pf_gate_evidence v[PF_GATE_EVIDENCE_MAX];
--- a/tests/gate_sim.h
+++ b/tests/gate_sim.h
@@ -70,6 +70,8 @@
 	void Crash(unsigned endpoint);
 	/* A new process without memory. */
 	void RestartGate(unsigned gate);
+	/* Gate 0 tells all that the part has crashed endpoints since @age ago. */
+	void AnnounceQuarantine(uint64_t part, uint32_t age);
 	pf_ms now() const
 	{
 		return now_;
--- a/tests/test_gate_crash.cc
+++ b/tests/test_gate_crash.cc
@@ -221,6 +221,49 @@
 	EXPECT_LE(per_s, BYTES_PER_S);
 }
 
+struct StormCase {
+	const char *name;
+	unsigned gates;
+};
+
+struct GateStorm : ::testing::TestWithParam<StormCase> {
+};
+
+// Each gateway repeated a quarantine to all, and whoever knew the part to be
+// sound told all so for each copy: the links between regions were full for
+// seconds, and requests, answers and configurations came late.
+TEST_P(GateStorm, ABlamedSoundPartCostsAGatewayLittle)
+{
+	const unsigned ENTRY_BYTES = 28;
+	const double BYTES_PER_S = 8000; /* for all control of a node */
+	const unsigned PARTS = 12;
+	GateSim::Options o = Fleet(GetParam().gates, 300);
+	GateSim sim(o);
+
+	sim.Run(8000);
+	uint64_t before = sim.evidence_sent;
+	for (unsigned i = 0; i < PARTS; i++)
+		sim.AnnounceQuarantine(200 + i, 4000);
+	sim.Run(10000);
+	double per_s = static_cast<double>(sim.evidence_sent - before) / 10 /
+		       o.gates * ENTRY_BYTES;
+	printf("evidence: %.0f bytes a second and gateway\n", per_s);
+	EXPECT_LE(per_s, BYTES_PER_S);
+	/* It is served again wherever it was held. */
+	unsigned refused = sim.SoundRefused(PF_GATE_REASON_QUARANTINED);
+	sim.Run(3000);
+	EXPECT_EQ(sim.SoundRefused(PF_GATE_REASON_QUARANTINED), refused);
+}
+
+INSTANTIATE_TEST_SUITE_P(Sizes, GateStorm,
+			 ::testing::Values(StormCase{ "3", 3 },
+					   StormCase{ "25", 25 },
+					   StormCase{ "103", 103 },
+					   StormCase{ "400", 400 }),
+			 [](const ::testing::TestParamInfo<StormCase> &i) {
+				 return std::string(i.param.name);
+			 });
+
 // What one gateway has found out holds when all are replaced, one by one.
 TEST_F(GateCrash, QuarantineOutlastsTheGatewaysThatFoundIt)
 {
