Retry budget: savings up to the part of the slack, full after the first window

A gateway now saves up to its part of the slack, which a new process gets after one window, less what it has used; the sum over any window stays the share of its requests and the slack.

--- a/src/coordination/gate/gate_budget.c
+++ b/src/coordination/gate/gate_budget.c
@@ -1,10 +1,9 @@
 /*
  * Retry budget. In each window, all gateways together may send retries for a
  * share of a service's requests and a slack on top. Each gateway earns the share
- * with each of its requests and saves little of it; so it doesn't matter how its
- * traffic varies, and a restart can't earn twice. Each has an equal part of the
- * slack, of which a new process has nothing for one window, as its predecessor
- * may have used it.
+ * with each of its requests, and saves at most its equal part of the slack: so
+ * it doesn't matter how its traffic varies, and a restart can't earn twice. A new
+ * process has saved nothing, as its predecessor may have used it.
  */
 #include "src/coordination/gate/gate_core.h"
 
@@ -43,21 +42,34 @@
 	return g->opts.repeat_slack / (1 + others);
 }
 
-/* The most that is saved. It takes the place of as much slack: when retries set
- * in, each gateway has saved that much. */
+/* What a gateway may have saved when retries set in; the fleet's savings are
+ * the slack. Before it knows how many others there are, it saves nothing. */
 static double savings_max(const struct pf_gate *g)
 {
-	double least = slack_part(g) < 1 ? slack_part(g) : 1;
+	double part = g->opts.in_fleet && !g->members_read ? 0 : slack_part(g);
 
-	return g->opts.repeat_ratio > least ? g->opts.repeat_ratio : least;
+	return g->opts.repeat_ratio > part ? g->opts.repeat_ratio : part;
+}
+
+/* Those of a new process are full after a window, but for what it has used. */
+static void fill_savings(struct pf_gate *g, struct gate_budget *b)
+{
+	double left = savings_max(g) - b->used_at_first;
+
+	if (b->filled || g->now - g->started_at <= g->opts.repeat_window)
+		return;
+	b->filled = true;
+	if (b->saved < left)
+		b->saved = left;
 }
 
 void gate_budget_add_request(struct pf_gate *g, uint64_t service)
 {
 	struct gate_budget *b = find_or_add_budget(g, service);
 
-	if (!b)
+	if (!b || g->opts.repeat_ratio <= 0)
 		return;
+	fill_savings(g, b);
 	b->saved += g->opts.repeat_ratio;
 	if (b->saved > savings_max(g))
 		b->saved = savings_max(g);
@@ -71,16 +83,19 @@
 
 	if (b->saved >= 1) {
 		b->saved -= 1;
-		return true;
-	}
-	if (savings_max(g) >= 1)
+	} else if (savings_max(g) >= 1) {
 		return false;
-	b->saved = 0;
-	return pf_rng_unit(&g->rng) < stake;
+	} else {
+		b->saved = 0;
+		if (pf_rng_unit(&g->rng) >= stake)
+			return false;
+	}
+	b->used_at_first += !b->filled;
+	return true;
 }
 
-/* Retries paid with slack in the window. The newest second is incomplete: one
- * more covers the window. */
+/* Retries in the window where requests earn none. The newest second is
+ * incomplete: one more covers the window. */
 static uint32_t count_slack_used(struct pf_gate *g, struct gate_budget *b)
 {
 	int64_t span = g->opts.repeat_window / SECOND_MS + 1;
@@ -99,14 +114,9 @@
 
 static bool take_slack(struct pf_gate *g, struct gate_budget *b)
 {
-	double part = slack_part(g);
-
 	if (g->now - g->started_at <= g->opts.repeat_window ||
-	    (g->opts.in_fleet && !g->members_read))
-		return false;
-	if (g->opts.repeat_ratio > 0)
-		part -= savings_max(g);
-	if (count_slack_used(g, b) + 1 > part)
+	    (g->opts.in_fleet && !g->members_read) ||
+	    count_slack_used(g, b) + 1 > slack_part(g))
 		return false;
 	b->slack_used[b->newest_second % GATE_BUDGET_BUCKETS]++;
 	return true;
@@ -116,7 +126,12 @@
 {
 	struct gate_budget *b = find_or_add_budget(g, service);
 
-	return b && (take_saved(g, b) || take_slack(g, b));
+	if (!b)
+		return false;
+	if (g->opts.repeat_ratio <= 0)
+		return take_slack(g, b);
+	fill_savings(g, b);
+	return take_saved(g, b);
 }
 
 void gate_budget_members(struct pf_gate *g, uint32_t others)
--- a/src/coordination/gate/gate_core.h
+++ b/src/coordination/gate/gate_core.h
@@ -185,7 +185,9 @@
 struct gate_budget {
 	uint64_t service; /* 0: free */
 	double saved; /* retries that requests have earned */
-	uint32_t slack_used[GATE_BUDGET_BUCKETS]; /* by second */
+	bool filled; /* the process is older than a window */
+	uint32_t used_at_first; /* before that */
+	uint32_t slack_used[GATE_BUDGET_BUCKETS]; /* by second, if none earn */
 	int64_t newest_second; /* of these counts */
 };
 
