Gateway: one that hears neither the others nor the store takes no software version for the only one

It can happen here where a gateway is cut off from the store and all others: no news counted as no change. A frozen one is told in time. Now a gateway that has heard no other for 1 s asks the store for the endpoints each 0.5 s, and counts as behind while it has no answer of the last second; streams that it has no record of are refused as not run. Tests: GatewayVersionOutOfStep, real gateways: before, CutOff and JustCutOff went on at the old version, Frozen and FrozenLong were refused; all are now. GatewayVersionBehind: the last gateway that the store answers still goes on.

--- a/daemons/gateway/feeds.c
+++ b/daemons/gateway/feeds.c
@@ -30,6 +30,10 @@
 /* A call in flight this long should have returned an announced change; its
  * connection may be dead. Also the minimum interval of calls on such news. */
 #define EXTRA_CALL_INTERVAL_MS 300
+/* While no other gateway is heard, the store is asked this often whether the
+ * endpoints are the same; without an answer for so long, they may not be. */
+#define CONFIRM_INTERVAL_MS 500
+#define UNCONFIRMED_MS 1000
 #define RETRY_MIN_MS 150
 #define RETRY_JITTER_MS 250
 /* The jitter grows with each consecutive failure, up to this many. */
@@ -184,12 +188,20 @@
 	};
 }
 
+/* Without news of the store or of other gateways, rows may be newer. */
+static bool is_out_of_step(const struct feeds *fs)
+{
+	return members_hear_nobody(fs->gateway) &&
+	       pf_clock_now() - fs->endpoints.answered_at > UNCONFIRMED_MS;
+}
+
 /* Compares the rows read with what other gateways stated. */
 static void compare_endpoints(struct feeds *fs)
 {
 	struct pf_gate_msg m = { .type = PF_GATE_ENDPOINTS_BEHIND };
 
-	m.u.behind = pf_version_newer(fs->told_endpoints, own_endpoints(fs));
+	m.u.behind = pf_version_newer(fs->told_endpoints, own_endpoints(fs)) ||
+		     is_out_of_step(fs);
 	if (m.u.behind == fs->endpoints_behind)
 		return;
 	fs->endpoints_behind = m.u.behind;
@@ -255,8 +267,10 @@
 {
 	struct feed *f = end_call(ctx);
 
-	if (f && a->status == PF_STORE_OK && !f->full_read)
-		apply_rows(f, a);
+	if (!f || a->status != PF_STORE_OK || f->full_read)
+		return;
+	f->answered_at = pf_clock_now();
+	apply_rows(f, a);
 }
 
 /* Calls soon, since another gateway knows a newer revision. */
@@ -328,6 +342,10 @@
 	struct feeds *fs = g->feeds;
 	pf_ms now = pf_clock_now();
 
+	if (members_hear_nobody(g) &&
+	    now - fs->endpoints.answered_at > CONFIRM_INTERVAL_MS)
+		call_soon(&fs->endpoints);
+	compare_endpoints(fs);
 	if (members_is_store_reader(g)) {
 		call_if_overdue(&fs->config, now,
 				fs->config.interval + READER_MARGIN_MS);
--- a/daemons/gateway/gateway.h
+++ b/daemons/gateway/gateway.h
@@ -415,6 +415,8 @@
  * the store. Their digests announce changes.
  */
 bool members_have_store_readers(const struct gateway *g);
+/** Whether there are other gateways, and no digest of any came lately. */
+bool members_hear_nobody(const struct gateway *g);
 /** The store was restored: this gateway's row may be gone. */
 void members_on_restore(struct gateway *g);
 /** Act of the core: asks a loader to load the adapter of @x. */
--- a/daemons/gateway/members.c
+++ b/daemons/gateway/members.c
@@ -21,6 +21,8 @@
 #define UNKNOWN_MAX 4096
 /* A gateway without a digest for this long counts as down. */
 #define MEMBER_TIMEOUT_MS 2000
+/* Even between regions, one of several digests comes within this time. */
+#define HEARD_MS 1000
 /* New gateways need no short interval: a digest from an unknown one triggers a
  * read. */
 #define MEMBERS_READ_INTERVAL_MS 20000
@@ -158,6 +160,19 @@
 	return n_fresh >= FRESH_MEMBERS_MIN;
 }
 
+bool members_hear_nobody(const struct gateway *g)
+{
+	const struct talk *t = g->talk;
+	pf_ms now = pf_clock_now();
+	uint32_t i;
+
+	for (i = 0; i < t->members.n; i++) {
+		if (now - t->members.v[i].last_seen_at < HEARD_MS)
+			return false;
+	}
+	return t->members.n > 0;
+}
+
 /* Copies the state of a member that was known before its row was reread. */
 static void copy_known_state(struct member *m, const struct member *old)
 {
--- a/tests/test_gateway_version.cc
+++ b/tests/test_gateway_version.cc
@@ -196,6 +196,75 @@
 				 return std::string(i.param.version);
 			 });
 
+struct OutOfStepCase {
+	const char *name;
+	bool frozen; /* else cut off from the others and the store */
+	unsigned out_ms; /* before the other version comes */
+};
+
+struct GatewayVersionOutOfStep : GatewayVersionBehind,
+				 ::testing::WithParamInterface<OutOfStepCase> {
+};
+
+// A gateway that was out of step while a second version came took the first one
+// for the only one: streams went on there that had begun at the second one.
+TEST_P(GatewayVersionOutOfStep, TakesNoVersionForTheOnlyOne)
+{
+	const OutOfStepCase &c = GetParam();
+	FakeEndpoint::Options o;
+	Stream s = UnknownStream();
+
+	n_versions = 1;
+	ASSERT_NO_FATAL_FAILURE(Start(3));
+	if (c.frozen) {
+		gateways[0]->process.Signal(SIGSTOP);
+	} else {
+		Kill(1);
+		Kill(2);
+		store.SetFault(FakeStore::SILENT, "first");
+	}
+	SleepMs(c.out_ms);
+	o.id = "e9";
+	o.store = &store;
+	o.version = "v1";
+	o.event_suffix = " v1.";
+	o.events = EVENTS;
+	endpoints.push_back(std::make_unique<FakeEndpoint>(o));
+	/* A stream begins there, breaks, and is taken up. */
+	SleepMs(1300);
+	gateways[0]->process.Signal(SIGCONT);
+	Request(s, *gateways[0]);
+	EXPECT_EQ(s.status, 503);
+	EXPECT_EQ(s.last_event, 3);
+	store.SetFault(FakeStore::NO_FAULT, "first");
+}
+
+INSTANTIATE_TEST_SUITE_P(
+	Cases, GatewayVersionOutOfStep,
+	::testing::Values(OutOfStepCase{ "CutOff", false, 2000 },
+			  OutOfStepCase{ "JustCutOff", false, 300 },
+			  OutOfStepCase{ "Frozen", true, 200 },
+			  OutOfStepCase{ "FrozenLong", true, 2500 }),
+	[](const auto &i) { return std::string(i.param.name); });
+
+// While a gateway hears no other one, the store's answers show that it is in
+// step: streams whose gateway has ended go on at once.
+TEST_F(GatewayVersionBehind, AStreamGoesOnAtTheLastGatewayThatTheStoreAnswers)
+{
+	Stream s = UnknownStream();
+
+	n_versions = 1;
+	ASSERT_NO_FATAL_FAILURE(Start(3));
+	Kill(1);
+	Kill(2);
+	for (int i = 0; i < 6; i++) {
+		Stream next = s;
+
+		Request(next, *gateways[0]);
+		EXPECT_TRUE(next.complete()) << i;
+	}
+}
+
 /* One gateway, and engines with loaders. Of "v1", one has the model and one has
  * room for it. */
 struct GatewayVersionHome : GatewayVersion {
