--- a/src/coordination/gate/gate.c
+++ b/src/coordination/gate/gate.c
@@ -99,6 +99,30 @@
 		gate_request_timer(g, slot);
 }
 
+/* What other gateways say, or the store of them. */
+static void handle_fleet_message(struct pf_gate *g, const struct pf_gate_msg *m)
+{
+	switch (m->type) {
+	case PF_GATE_PEER_DIGEST:
+		gate_peer_digest(g, &m->u.digest);
+		g->send_waiting_at = g->now;
+		break;
+	case PF_GATE_PEER_LIMITS:
+		gate_limits_reported(g, m->u.limits.peer, m->u.limits.v,
+				     m->u.limits.n);
+		break;
+	case PF_GATE_PEER_EVIDENCE:
+		gate_blame_evidence(g, m->u.evidence.peer, m->u.evidence.v,
+				    m->u.evidence.n);
+		break;
+	case PF_GATE_MEMBERS:
+		gate_budget_members(g, m->u.members);
+		break;
+	default:
+		break;
+	}
+}
+
 static void handle_message(struct pf_gate *g, const struct pf_gate_msg *m)
 {
 	switch (m->type) {
@@ -126,22 +150,16 @@
 		gate_request_send_ended(g, &m->u.end);
 		break;
 	case PF_GATE_PEER_DIGEST:
-		gate_peer_digest(g, &m->u.digest);
-		g->send_waiting_at = g->now;
+	case PF_GATE_PEER_LIMITS:
+	case PF_GATE_PEER_EVIDENCE:
+	case PF_GATE_MEMBERS:
+		handle_fleet_message(g, m);
 		break;
 	case PF_GATE_LIMIT:
 		gate_limit_named(g, m->u.limit.endpoint, m->u.limit.incarnation,
 				 m->u.limit.per_s, m->u.limit.sent_at);
 		g->send_waiting_at = g->now;
 		break;
-	case PF_GATE_PEER_LIMITS:
-		gate_limits_reported(g, m->u.limits.peer, m->u.limits.v,
-				     m->u.limits.n);
-		break;
-	case PF_GATE_PEER_EVIDENCE:
-		gate_blame_evidence(g, m->u.evidence.peer, m->u.evidence.v,
-				    m->u.evidence.n);
-		break;
 	case PF_GATE_NOTE:
 		gate_stream_note(g, &m->u.note);
 		g->send_waiting_at = g->now;
@@ -154,9 +172,6 @@
 		gate_history_read(g, &m->u.history);
 		g->send_waiting_at = g->now;
 		break;
-	case PF_GATE_MEMBERS:
-		gate_budget_members(g, m->u.members);
-		break;
 	case PF_GATE_ENDPOINTS_READ:
 		gate_history_endpoints_read(g);
 		g->send_waiting_at = g->now;
