--- a/src/coordination/gate/gate_budget.c
+++ b/src/coordination/gate/gate_budget.c
@@ -36,9 +36,6 @@
 
 	if (g->n_members > others)
 		others = g->n_members;
-#ifdef PF_MUTANT_GATE_SLACK
-	others = 0;
-#endif
 	return g->opts.repeat_slack / (1 + others);
 }
 
@@ -82,7 +79,9 @@
 	double stake = b->saved;
 
 	if (b->saved >= 1) {
+#ifndef PF_MUTANT_GATE_SLACK
 		b->saved -= 1;
+#endif
 	} else if (savings_max(g) >= 1) {
 		return false;
 	} else {
