Gateway: a connection to an endpoint's earlier address is not used again

Cause: idle connections are closed when the address changes, but one that was in use then became idle afterwards, and was taken again. The endpoint named in the request would reject it, if it is another one by now. A connection is used again only if the endpoint's address, start and state are those at which it was made. Test: Gateway.AConnectionToAnEarlierAddressIsNotUsedAgain; before, 3 of 3 requests went to the old address.

--- a/daemons/gateway/endpoints.c
+++ b/daemons/gateway/endpoints.c
@@ -220,6 +220,7 @@
 	} else if (!same_state(&e->info, &info)) {
 		set_endpoints_revision(g, revision);
 		log_endpoint(g, &info);
+		e->generation++;
 		upstream_close_idle(e);
 	}
 	if (e->info.incarnation != info.incarnation)
--- a/daemons/gateway/gateway.h
+++ b/daemons/gateway/gateway.h
@@ -38,6 +38,7 @@
 	struct pf_endpoint_info info;
 	/* Of its row; 0: the store was restored since, any row is newer. */
 	uint64_t revision;
+	uint32_t generation; /* counts changes of its address, start or state */
 	LIST_HEAD(, upstream) idle_conns;
 	uint32_t n_idle_conns;
 	uint64_t seen_in_read; /* last full read with its row */
@@ -102,6 +103,7 @@
 	LIST_ENTRY(upstream) next; /* in idle_conns */
 	struct endpoint *endpoint;
 	int64_t incarnation; /* of the endpoint when connected */
+	uint32_t generation; /* the same */
 	struct pf_sock *sock;
 	struct exchange *exchange; /* NULL: idle */
 	uint64_t request; /* its id, or that of the one before, hashed */
--- a/daemons/gateway/upstream.c
+++ b/daemons/gateway/upstream.c
@@ -147,7 +147,8 @@
 	if (rest > 0 || u->body.framing == PF_H1_UNTIL_CLOSE ||
 	    pf_sock_queued(u->sock) > 0 || keep_alive <= KEEP_ALIVE_MARGIN_MS ||
 	    u->endpoint->n_idle_conns >= IDLE_CONNS_MAX ||
-	    u->endpoint->removed || endpoint_leaves(u->endpoint))
+	    u->endpoint->removed || endpoint_leaves(u->endpoint) ||
+	    u->generation != u->endpoint->generation)
 		u->reusable = false;
 	u->idle_deadline = pf_clock_now() + keep_alive - KEEP_ALIVE_MARGIN_MS;
 	end_send(u, r->not_run ? PF_GATE_NOT_RUN : PF_GATE_ANSWERED, false);
@@ -468,7 +469,7 @@
 		write_request(u);
 		return;
 	}
-	if (e->removed) {
+	if (e->removed || u->generation != e->generation) {
 		upstream_free(u);
 		return;
 	}
@@ -521,6 +522,7 @@
 		return NULL;
 	u->endpoint = e;
 	u->incarnation = e->info.incarnation;
+	u->generation = e->generation;
 	u->sock = pf_sock_connect(e->gateway->base, e->info.addr,
 				  CONNECT_TIMEOUT_MS, UNACKED_MAX_MS,
 				  &upstream_cbs, u);
--- a/tests/test_gateway.cc
+++ b/tests/test_gateway.cc
@@ -1696,6 +1696,40 @@
 	}
 }
 
+// A connection that was in use while its endpoint's address changed was used
+// again: requests went to the server at the old address.
+TEST_F(Gateway, AConnectionToAnEarlierAddressIsNotUsedAgain)
+{
+	std::atomic<bool> begun{ false };
+	FakeServer a("127.0.0.1", [&](int fd, const FakeRequest &r) {
+		begun = true;
+		std::this_thread::sleep_for(std::chrono::milliseconds(1500));
+		return FakeSend(
+			fd, HttpAnswer(200, "first",
+				       "Attempt-Id: " + r.Header("Attempt-Id") +
+					       "\r\n"));
+	});
+	FakeServer b("127.0.0.1", AnswerWith("second"));
+	std::string first;
+
+	store.Put("servers", "i-1", EndpointRow("app", a.addr()));
+	StartGateway();
+	WaitUntilReady();
+	std::thread caller([&] { first = Request(GetRequest("/u/", "1")); });
+	while (!begun)
+		std::this_thread::sleep_for(std::chrono::milliseconds(5));
+	EXPECT_TRUE(store.WaitUntilApplied(
+		"servers",
+		store.Put("servers", "i-1", EndpointRow("app", b.addr()))));
+	caller.join();
+	EXPECT_TRUE(Contains(first, "first")) << first;
+	for (int i = 2; i < 5; i++) {
+		std::string got = Request(GetRequest("/u/", std::to_string(i)));
+		EXPECT_TRUE(Contains(got, "second")) << got;
+	}
+	EXPECT_EQ(a.count("/u/"), 1u);
+}
+
 struct OddRow {
 	const char *name;
 	const char *field; /* of a row at the address of a sound endpoint */
