Plan: only engines that are idle and may have room are looked at for each model

Which engines may take an order at all follows once from the counts; what each choice reads lies together.

--- a/src/coordination/plan/plan_choose.c
+++ b/src/coordination/plan/plan_choose.c
@@ -285,9 +285,22 @@
 	}
 }
 
+static double least_weights_mb(const struct pf_plan *p)
+{
+	double least = INFINITY;
+	uint32_t i;
+
+	for (i = 0; i < p->n_models; i++) {
+		if (p->models[i].spec->weights_mb < least)
+			least = p->models[i].spec->weights_mb;
+	}
+	return least;
+}
+
 /* Brings up to date what follows from the engines' states and orders. */
 static void plan_count(struct pf_plan *p)
 {
+	double least_mb = least_weights_mb(p);
 	uint32_t i;
 
 	for (i = 0; i < p->n_models; i++) {
@@ -317,6 +330,9 @@
 		e->has_homeless_copy = has_homeless_copy(p, e);
 		e->free_mb = find_free_mb(p, e);
 		find_evictable(p, e);
+		e->may_load = engine_usable(p, e) && !e->busy &&
+			      !e->order_model &&
+			      e->free_mb + e->spare_mb + e->idle_mb >= least_mb;
 	}
 	for (i = 0; i < p->n_models; i++)
 		p->models[i].urgency = home_urgency(p, &p->models[i]);
@@ -405,14 +421,12 @@
 	bool has_copy = plan_has_copy(p, e, m);
 	double cost = e->est_requests;
 
-	if (!engine_usable(p, e) || e->busy || e->order_model ||
-	    will_hold(e, m->spec->id))
-		return;
-	if (reserved_for_other(p, e, m) || (e->limited && m->homes))
-		return;
 	if (!has_copy && (!p->engines_known || await_copy ||
 			  e->has_homeless_copy || !p->store_load_allowed))
 		return;
+	if (will_hold(e, m->spec->id) || reserved_for_other(p, e, m) ||
+	    (e->limited && m->homes))
+		return;
 	if (e->limited)
 		cost += LIMITED_COST;
 	if (!has_copy)
@@ -443,8 +457,8 @@
 	for (i = 0; i < p->n_engines; i++) {
 		const struct plan_engine *e = &p->engines[i];
 
-		if (engine_usable(p, e) && plan_has_copy(p, e, m) &&
-		    can_make_room(e, m, NO_HOME_URGENCY))
+		if (can_make_room(e, m, NO_HOME_URGENCY) &&
+		    engine_usable(p, e) && plan_has_copy(p, e, m))
 			return true;
 	}
 	return false;
@@ -468,7 +482,7 @@
 	uint32_t i;
 
 	for (i = 0; i < p->n_engines; i++) {
-		if (p->engines[i].id)
+		if (p->engines[i].id && p->engines[i].may_load)
 			consider_engine(p, &p->engines[i], m, urgency,
 					await_copy, &best);
 	}
--- a/src/coordination/plan/plan_core.h
+++ b/src/coordination/plan/plan_core.h
@@ -12,51 +12,54 @@
 #define PLAN_NONE UINT32_MAX
 #define PLAN_NONE_AT UINT16_MAX
 
+/** What each choice of an order looks at comes first. */
 struct plan_engine {
 	uint64_t id; /* 0: free */
 	uint64_t service;
 	uint64_t software; /* hash of the service and its version */
+	pf_ms state_received_at; /* from its loader; 0: never */
 	bool listed;
 	bool draining; /* by its entry, its loader or an answer */
-	int64_t left_incarnation; /* that said so in an answer; 0: none */
-	bool limited; /* takes limit_per_s requests a second */
-	double limit_per_s;
-	pf_ms state_received_at; /* from its loader; 0: never */
-	int64_t incarnation;
-	uint64_t orders_accepted;
 	bool busy;
-	uint64_t unloading_model; /* 0: none */
-	uint64_t residents[PLAN_RESIDENTS_MAX];
-	uint32_t n_residents;
-	uint64_t in_host_mem[PLAN_COPIES_MAX];
-	uint32_t n_in_host_mem;
-	uint64_t on_disk[PLAN_COPIES_MAX];
-	uint32_t n_on_disk;
-	/* Places in `models` of what it holds and has copies of. */
-	uint16_t residents_at[PLAN_RESIDENTS_MAX]; /* PLAN_NONE_AT: unknown */
-	uint16_t copies_at[2 * PLAN_COPIES_MAX];
-	uint32_t n_copies;
+	bool limited; /* takes limit_per_s requests a second */
+	/* Set by plan_count(). */
+	bool may_load; /* it is idle, and may have room for some model */
+	bool has_homeless_copy; /* of a model in demand */
+	double est_requests; /* in flight, estimated from the demand */
+	double free_mb; /* that no model holds or is about to */
+	/* Held by models that may be evicted: with other homes, or any. */
+	double spare_mb;
+	double idle_mb;
+	uint64_t reserved_model; /* memory is being freed for this model */
+	pf_ms reserved_until;
 	/* The order in flight. */
 	uint64_t order_model; /* 0: no order */
 	bool order_is_load;
 	bool order_from_store;
+	/* Places in `models` of what it holds and has copies of. */
+	uint32_t n_copies;
+	uint16_t copies_at[2 * PLAN_COPIES_MAX];
+	uint16_t residents_at[PLAN_RESIDENTS_MAX]; /* PLAN_NONE_AT: unknown */
+	uint32_t n_residents;
+	uint64_t residents[PLAN_RESIDENTS_MAX];
+	/* Set by plan_count(): held after the order in flight. */
+	uint32_t n_held;
+	uint16_t held[PLAN_RESIDENTS_MAX + 1];
 	uint64_t order_expected; /* orders accepted before this one */
 	pf_ms order_given_at;
 	pf_ms order_sent_at; /* last time */
 	/* Model of an unload that was given up. The loader may still carry it
 	 * out until the engine accepts another order. 0: none */
 	uint64_t unload_in_doubt;
-	uint64_t reserved_model; /* memory is being freed for this model */
-	pf_ms reserved_until;
-	/* Set by plan_count(). */
-	uint16_t held[PLAN_RESIDENTS_MAX + 1]; /* after the order in flight */
-	uint32_t n_held;
-	double est_requests; /* in flight, estimated from the demand */
-	double free_mb; /* that no model holds or is about to */
-	/* Held by models that may be evicted: with other homes, or any. */
-	double spare_mb;
-	double idle_mb;
-	bool has_homeless_copy; /* of a model in demand */
+	uint64_t unloading_model; /* 0: none */
+	int64_t incarnation;
+	int64_t left_incarnation; /* that said so in an answer; 0: none */
+	uint64_t orders_accepted;
+	double limit_per_s;
+	uint64_t in_host_mem[PLAN_COPIES_MAX];
+	uint32_t n_in_host_mem;
+	uint64_t on_disk[PLAN_COPIES_MAX];
+	uint32_t n_on_disk;
 };
 
 struct plan_model {
