--- a/review/4/case.cc
+++ b/review/4/case.cc
@@ -25,28 +25,27 @@
 
 static bool ServeSound(Stage &s, int fd, const FakeRequest &r)
 {
-	std::string id = r.Header("Attempt-Id");
+	std::string id = r.Header(HDR_REQUEST_ID);
 
 	s.record.Line("sound worker runs %s", id.c_str());
 	SleepMs(WORK_MS);
-	return FakeSend(fd, HttpAnswer(200, "history of " + id,
-				       "Attempt-Id: " + id +
-					       "\r\nResponse-Stamp: s." + id +
-					       "\r\n"));
+	return FakeSend(fd,
+			HttpAnswer(200, "history of " + id,
+				   Field(HDR_REQUEST_ID, id) +
+					   "Response-Stamp: s." + id + "\r\n"));
 }
 
 /* Sends the pieces of a stream; in trouble, bytes without end behind them, until
  * the caller closes. */
 static bool ServeStream(Stage &s, int fd, const FakeRequest &r)
 {
-	std::string id = r.Header("Attempt-Id");
+	std::string id = r.Header(HDR_REQUEST_ID);
 	std::string bytes(65535, 'x');
 
 	s.record.Line("stream worker runs %s", id.c_str());
-	FakeSend(fd, "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"
-		     "Attempt-Id: " +
-			     id + "\r\nResponse-Stamp: t." + id +
-			     "\r\nTransfer-Encoding: chunked\r\n\r\n");
+	FakeSend(fd, "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n" +
+			     Field(HDR_REQUEST_ID, id) + "Response-Stamp: t." +
+			     id + "\r\nTransfer-Encoding: chunked\r\n\r\n");
 	for (int k = 1; k <= PIECES; k++) {
 		FakeSend(fd, Chunk("id: " + std::to_string(k) + "\ndata: " +
 				   std::string(PIECE_BYTES, 'p') + "\n\n"));
@@ -108,10 +107,10 @@
 	ssize_t n;
 
 	s.record.Line("slow client: sends stream %s", id.c_str());
-	FakeSend(fd, "POST /chat/1 HTTP/1.1\r\nHost: h.example\r\n"
-		     "Attempt-Id: " +
-			     id +
-			     "\r\nDeadline-Ms: 15000\r\nContent-Length: 2\r\n"
+	FakeSend(fd, "POST /chat/1 HTTP/1.1\r\nHost: h.example\r\n" +
+			     Field(HDR_REQUEST_ID, id) +
+			     Field(HDR_TIME_LEFT, "15000") +
+			     "Content-Length: 2\r\n"
 			     "\r\n{}");
 	while (!s.stop && (n = recv(fd, buf.data(), buf.size(), 0)) > 0) {
 		s.read += (size_t)n;
--- a/review/5/case.cc
+++ b/review/5/case.cc
@@ -98,16 +98,15 @@
 
 static bool Serve(Stage &s, Worker &w, int fd, const FakeRequest &r)
 {
-	std::string id = r.Header("Attempt-Id");
-	bool bad = r.Header("Prompt-Prefix").find(",bad0bad:") !=
+	std::string id = r.Header(HDR_REQUEST_ID);
+	bool bad = r.Header(HDR_PROMPT_PARTS).find(",bad0bad:") !=
 		   std::string::npos;
 
 	if (bad)
 		NoteBad(s, w, id);
-	FakeSend(fd, "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"
-		     "Attempt-Id: " +
-			     id + "\r\nResponse-Stamp: s." + id +
-			     "\r\nTransfer-Encoding: chunked\r\n\r\n");
+	FakeSend(fd, "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n" +
+			     Field(HDR_REQUEST_ID, id) + "Response-Stamp: s." +
+			     id + "\r\nTransfer-Encoding: chunked\r\n\r\n");
 	for (int k = 1; k <= EVENTS; k++) {
 		SleepMs(GAP_MS);
 		if (w.server->IsDown() || w.crashing)
--- a/review/common/run.sh
+++ b/review/common/run.sh
@@ -1,5 +1,5 @@
 #!/bin/sh
-# Plays the case of the folder given; see the README of this review. Exits with
+# Plays the case of the folder given; see review/REPORT.md. Exits with
 # 1 if the rule was broken, 0 if it held, 2 if the case couldn't run.
 folder=$(cd "$1" && pwd) || exit 2
 cd "$(dirname "$0")/../.." || exit 2
--- a/review/common/stage.h
+++ b/review/common/stage.h
@@ -6,6 +6,7 @@
 #ifndef REVIEW_COMMON_STAGE_H
 #define REVIEW_COMMON_STAGE_H
 
+#include "platform/names.h"
 #include "tests/fake_store.h"
 
 #include <arpa/inet.h>
@@ -33,6 +34,12 @@
 	std::this_thread::sleep_for(std::chrono::milliseconds(ms));
 }
 
+/* A line of a head. */
+inline std::string Field(const char *name, const std::string &value)
+{
+	return std::string(name) + ": " + value + "\r\n";
+}
+
 inline bool TroubleIsOn()
 {
 	const char *t = getenv("TROUBLE");
@@ -109,7 +116,8 @@
       public:
 	using Handler = std::function<bool(int fd, const FakeRequest &r)>;
 
-	explicit Server(Handler h) : handler_(std::move(h))
+	explicit Server(Handler h, const char *ip = "127.0.0.1")
+	    : handler_(std::move(h)), ip_(ip)
 	{
 		Start();
 	}
@@ -119,7 +127,7 @@
 	}
 	std::string addr() const
 	{
-		return "127.0.0.1:" + std::to_string(port_);
+		return ip_ + ":" + std::to_string(port_);
 	}
 	void Start()
 	{
@@ -134,7 +142,7 @@
 			port_ = FreePort();
 		sin.sin_family = AF_INET;
 		sin.sin_port = htons((uint16_t)port_);
-		sin.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+		inet_pton(AF_INET, ip_.c_str(), &sin.sin_addr);
 		if (bind(listener_, (struct sockaddr *)&sin, len) < 0 ||
 		    listen(listener_, 64) < 0)
 			exit(2);
@@ -238,6 +246,7 @@
 	}
 
 	Handler handler_;
+	std::string ip_;
 	int listener_ = -1;
 	int port_ = 0;
 	std::atomic<bool> down_{ true };
