--- a/review/4/case.cc
+++ b/review/4/case.cc
@@ -177,7 +177,7 @@
 			 { "history", "chat" }));
 	s.store.Put("servers", "i-history", WorkerRow("history", sound.addr()));
 	s.store.Put("servers", "i-chat", WorkerRow("chat", streams.addr()));
-	s.gateway.Start("front-a-1", s.store.addr(), FreePort(SOCK_DGRAM));
+	s.gateway.Start("front-a-1", s.store.addr(), FreePort());
 	if (!s.gateway.BecomesReady())
 		return 2;
 	s.record.Line("gateway ready");
--- a/review/5/case.cc
+++ b/review/5/case.cc
@@ -212,7 +212,7 @@
 		s.workers.push_back(std::move(w));
 		WriteEntry(s, *p);
 	}
-	s.gateway.Start("front-a-1", s.store.addr(), FreePort(SOCK_DGRAM));
+	s.gateway.Start("front-a-1", s.store.addr(), FreePort());
 	if (!s.gateway.BecomesReady())
 		return 2;
 	s.record.Line("gateway ready");
--- a/review/common/stage.h
+++ b/review/common/stage.h
@@ -13,6 +13,7 @@
 #include <fcntl.h>
 #include <netinet/in.h>
 #include <signal.h>
+#include <sys/prctl.h>
 #include <sys/socket.h>
 #include <sys/stat.h>
 #include <sys/wait.h>
@@ -88,22 +89,31 @@
 	Clock::time_point began_;
 };
 
-/* A free port of loopback below those that the kernel gives to connections. */
-inline int FreePort(int type = SOCK_STREAM)
+inline bool PortIsFree(int port, int type)
+{
+	struct sockaddr_in sin = {};
+	int fd = socket(AF_INET, type | SOCK_CLOEXEC, 0);
+	bool ok;
+
+	sin.sin_family = AF_INET;
+	sin.sin_port = htons((uint16_t)port);
+	sin.sin_addr.s_addr = htonl(INADDR_ANY);
+	ok = fd >= 0 && bind(fd, (struct sockaddr *)&sin, sizeof(sin)) == 0;
+	if (fd >= 0)
+		close(fd);
+	return ok;
+}
+
+/* A free port for TCP and UDP, below those that the kernel gives to channels. */
+inline int FreePort()
 {
 	static int next = getpid() * 97 % 12000;
 
 	for (int i = 0; i < 12000; i++) {
-		struct sockaddr_in sin = {};
 		int port = 20000 + next++ % 12000;
-		int fd = socket(AF_INET, type | SOCK_CLOEXEC, 0);
 
-		sin.sin_family = AF_INET;
-		sin.sin_port = htons((uint16_t)port);
-		sin.sin_addr.s_addr = htonl(INADDR_ANY);
-		bool ok = bind(fd, (struct sockaddr *)&sin, sizeof(sin)) == 0;
-		close(fd);
-		if (ok)
+		if (PortIsFree(port, SOCK_STREAM) &&
+		    PortIsFree(port, SOCK_DGRAM))
 			return port;
 	}
 	exit(2);
@@ -298,6 +308,8 @@
 		ended_ = false;
 		pid_ = fork();
 		if (pid_ == 0) {
+			/* However the case ends, this ends with it. */
+			prctl(PR_SET_PDEATHSIG, SIGKILL);
 			int out = open(log.c_str(),
 				       O_CREAT | O_WRONLY | O_APPEND, 0600);
 
