--- a/review/6/case.cc
+++ b/review/6/case.cc
@@ -4,8 +4,8 @@
  */
 #include "review/stand-2/stand.h"
 
-static const unsigned WORK_MS = 100;
-static const int CALLERS = 8;
+static const unsigned WORK_MIN_MS = 60, WORK_MAX_MS = 140;
+static const int CALLERS = 16;
 /* The worker in trouble spoils one answer in so many. */
 static const int SPOILED_ONE_IN = 50;
 static const double CALM_S = 8;
@@ -21,9 +21,8 @@
 static bool Serve(int fd, const FakeRequest &r, bool odd)
 {
 	static std::atomic<int> n{ 0 };
-	std::string id = r.Header("Attempt-Id");
-	std::string head =
-		"Attempt-Id: " + id + "\r\nResponse-Stamp: s." + id + "\r\n";
+	std::string id = IdOf(r);
+	std::string head = AnswerLines(id);
 	std::string answer;
 
 	if (!odd) {
@@ -31,7 +30,9 @@
 
 		ran_at_sound.insert(id);
 	}
-	SleepMs(WORK_MS);
+	Note("%s runs at %s", id.c_str(), odd ? "i-cancel" : "i-book");
+	SleepMs(WORK_MIN_MS +
+		std::hash<std::string>()(id) % (WORK_MAX_MS - WORK_MIN_MS));
 	/* An answer without content has neither a body nor a length. */
 	answer = odd ? "HTTP/1.1 204 No Content\r\n" + head + "\r\n"
 		     : HttpAnswer(200, "{\"booked\":1}\n", head);
@@ -62,9 +63,9 @@
 			SleepMs(100);
 			continue;
 		}
-		if (FakeSend(fd, RequestText("POST", target, id, 800, "",
-					     "{\"visit\":1}")))
-			a = ReadAnswer(fd);
+		a = Exchange(fd, g,
+			     RequestText("POST", target, id, 800, "",
+					 "{\"visit\":1}"));
 		{
 			std::lock_guard<std::mutex> l(mu);
 
@@ -108,7 +109,7 @@
 			     PlainService("booking") + "," +
 				     PlainService("cancelling")));
 	store.Put("servers", "i-book",
-		  EntryText("booking", booking.addr(), 16));
+		  EntryText("booking", booking.addr(), 32));
 	store.Put("servers", "i-cancel",
 		  EntryText("cancelling", cancelling.addr(), 16));
 	g.Start();
--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -5,7 +5,7 @@
 cd "$(dirname "$0")/.."
 out=build-review-2
 mkdir -p "$out"
-flags="-std=c++17 -O2 -Wall -Wextra -I. $(pkg-config --cflags jansson glib-2.0)"
+flags="-std=c++17 -O2 -Wall -Wextra -Iinclude -I. $(pkg-config --cflags jansson glib-2.0)"
 libs="$(pkg-config --libs jansson glib-2.0) -lpthread"
 # shellcheck disable=SC2086
 for f in tests/fake_http tests/fake_store tests/fake_endpoint; do
--- a/review/stand-2/stand.h
+++ b/review/stand-2/stand.h
@@ -1,11 +1,12 @@
 /*
- * Stand-ins for the scripts of this review: the gateways' processes, callers,
- * the record, and a proxy before the store. The store itself is the project's
+ * Stand-ins for the scripts of this review: the programs' processes, callers,
+ * the record. The store itself is the project's
  * own stand-in, tests/fake_store.h.
  */
 #ifndef REVIEW_STAND_2_STAND_H
 #define REVIEW_STAND_2_STAND_H
 
+#include "platform/names.h"
 #include "tests/fake_store.h"
 
 #include <arpa/inet.h>
@@ -240,6 +241,7 @@
 				return true;
 			SleepMs(20);
 		}
+		NoteLog();
 		return false;
 	}
 	/* Resident memory. */
@@ -266,6 +268,16 @@
 	}
 
       private:
+	/* For a gateway that doesn't become ready. */
+	void NoteLog()
+	{
+		std::ifstream in(file_ + ".log");
+		std::string line;
+
+		Ended();
+		while (std::getline(in, line))
+			Note("%s: %s", name_.c_str(), line.c_str());
+	}
 	std::string Addr(int port) const
 	{
 		return ip_ + ":" + std::to_string(port);
@@ -284,6 +296,26 @@
 	return id;
 }
 
+inline std::string IdOf(const FakeRequest &r)
+{
+	return r.Header(HDR_REQUEST_ID);
+}
+
+/* The lines of a worker's answer to the request @id. */
+inline std::string AnswerLines(const std::string &id)
+{
+	return std::string(HDR_REQUEST_ID) + ": " + id +
+	       "\r\nResponse-Stamp: s." + id + "\r\n";
+}
+
+/* The beginning of a worker's stream. */
+inline std::string StreamHead(const std::string &id)
+{
+	return "HTTP/1.1 200 OK\r\n" + AnswerLines(id) +
+	       "Content-Type: text/event-stream\r\n"
+	       "Transfer-Encoding: chunked\r\n\r\n";
+}
+
 struct Answer {
 	int status = 0; /* 0: the channel ended without a complete answer */
 	std::string head, body;
@@ -329,16 +361,30 @@
 			       int deadline_ms, const std::string &headers = "",
 			       const std::string &body = "")
 {
-	return method + " " + target +
-	       " HTTP/1.1\r\nHost: site.example\r\nAttempt-Id: " + id +
-	       "\r\nDeadline-Ms: " + std::to_string(deadline_ms) + "\r\n" +
-	       headers +
+	return method + " " + target + " HTTP/1.1\r\nHost: site.example\r\n" +
+	       HDR_REQUEST_ID + ": " + id + "\r\n" + HDR_TIME_LEFT + ": " +
+	       std::to_string(deadline_ms) + "\r\n" + headers +
 	       (method == "POST" ? "Content-Length: " +
 					   std::to_string(body.size()) + "\r\n"
 				 : "") +
 	       "\r\n" + body;
 }
 
+/* Sends a request and reads its answer; the record has both. */
+inline Answer Exchange(int fd, const Gateway &g, const std::string &text)
+{
+	FakeRequest r;
+	Answer a;
+
+	r.head = text;
+	Note("%s sent to %s: %s", IdOf(r).c_str(), g.name().c_str(),
+	     text.substr(0, text.find(" HTTP/")).c_str());
+	if (FakeSend(fd, text))
+		a = ReadAnswer(fd);
+	Note("%s answered: %d", IdOf(r).c_str(), a.status);
+	return a;
+}
+
 /* On a new channel; status 0 if it could not be had either. */
 inline Answer Ask(const Gateway &g, const std::string &text)
 {
@@ -347,8 +393,7 @@
 
 	if (fd < 0)
 		return a;
-	if (FakeSend(fd, text))
-		a = ReadAnswer(fd);
+	a = Exchange(fd, g, text);
 	close(fd);
 	return a;
 }
@@ -412,106 +457,4 @@
 static const char HOLDS_M[] =
 	"[{\"name\":\"m\",\"version\":1,\"adapters\":[]}]";
 
-/*
- * Relays channels to the store. All that are open can be made silent: nothing
- * more is passed on in either direction, and they stay open.
- */
-class StoreProxy
-{
-      public:
-	StoreProxy(const std::string &store)
-	{
-		struct sockaddr_in sin = {};
-		socklen_t len = sizeof(sin);
-		size_t colon = store.find(':');
-
-		store_ip_ = store.substr(0, colon);
-		store_port_ = atoi(store.c_str() + colon + 1);
-		listener_ = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-		sin.sin_family = AF_INET;
-		inet_pton(AF_INET, "127.0.0.1", &sin.sin_addr);
-		if (bind(listener_, (struct sockaddr *)&sin, sizeof(sin)) < 0 ||
-		    listen(listener_, 64) < 0)
-			abort();
-		getsockname(listener_, (struct sockaddr *)&sin, &len);
-		addr_ = "127.0.0.1:" + std::to_string(ntohs(sin.sin_port));
-		std::thread([this] { Accept(); }).detach();
-	}
-	const std::string &addr() const
-	{
-		return addr_;
-	}
-	/* Returns how many channels fell silent. */
-	int SilenceOpen()
-	{
-		std::lock_guard<std::mutex> g(mu_);
-
-		silent_before_ = next_;
-		return open_;
-	}
-	/* Channels opened so far. */
-	unsigned Opened()
-	{
-		std::lock_guard<std::mutex> g(mu_);
-
-		return next_;
-	}
-
-      private:
-	void Accept()
-	{
-		int fd;
-
-		while ((fd = accept4(listener_, nullptr, nullptr,
-				     SOCK_CLOEXEC)) >= 0) {
-			std::lock_guard<std::mutex> g(mu_);
-			unsigned number = next_++;
-			int to = FakeDial(store_ip_.c_str(), store_port_, 0);
-
-			open_++;
-			std::thread([this, fd, to, number] {
-				std::thread back([this, fd, to, number] {
-					Relay(to, fd, number);
-				});
-				Relay(fd, to, number);
-				back.join();
-				std::lock_guard<std::mutex> l(mu_);
-				open_--;
-				close(fd);
-				close(to);
-			}).detach();
-		}
-	}
-	bool IsSilent(unsigned number)
-	{
-		std::lock_guard<std::mutex> g(mu_);
-
-		return number < silent_before_;
-	}
-	void Relay(int from, int to, unsigned number)
-	{
-		char buf[16384];
-		ssize_t n;
-
-		while ((n = recv(from, buf, sizeof(buf), 0)) > 0) {
-			if (!IsSilent(number) &&
-			    !FakeSend(to, std::string(buf, (size_t)n)))
-				break;
-		}
-		/* A silent channel passes no end on either. */
-		if (!IsSilent(number)) {
-			shutdown(to, SHUT_WR);
-			return;
-		}
-		shutdown(from, SHUT_RDWR);
-		shutdown(to, SHUT_RD);
-	}
-
-	std::string store_ip_, addr_;
-	int store_port_ = 0, listener_ = -1;
-	std::mutex mu_;
-	unsigned next_ = 0, silent_before_ = 0;
-	int open_ = 0;
-};
-
 #endif
