Configuration: a route may be split over any number of services

Cause: struct pf_route held eight splits. read_splits() failed at the ninth, and with it the decoding of the whole version ("invalid route or service" in the log). Weights were cast to whole numbers, so 0.9 and 0.1 failed as well.

Change: splits are allocated by the length of the list, weights are doubles, and a request's service is drawn with 53 bits of its hash.

--- a/fuzz/fuzz_gate.c
+++ b/fuzz/fuzz_gate.c
@@ -98,6 +98,7 @@
 	uint64_t last_self;
 	uint64_t selves[GATES];
 	struct pf_routes routes;
+	struct pf_split splits[KINDS];
 	struct pf_route route[KINDS];
 	struct pf_route_service services[2];
 	struct pf_gate_zone zones[2];
@@ -657,15 +658,17 @@
 	w->services[1].engine = true;
 	w->services[1].kv_tokens = 4000;
 	w->services[1].tokens_per_event = 4;
-	for (i = 0; i < KINDS; i++)
+	for (i = 0; i < KINDS; i++) {
+		w->splits[i] = (struct pf_split){ service_id((enum kind)i), 1 };
 		w->route[i] = (struct pf_route){
-			.splits = { { service_id((enum kind)i), 1 } },
+			.splits = &w->splits[i],
 			.n_splits = 1,
 			.kind = (enum pf_route_kind)i,
 			.timeout = TIMEOUT_MS,
 			.latency_objective = 800,
 			.attempts_max = ATTEMPTS,
 		};
+	}
 	w->routes.services = w->services;
 	w->routes.n_services = 2;
 	draw_hidden(w);
--- a/include/pimentoford/routes.h
+++ b/include/pimentoford/routes.h
@@ -11,8 +11,6 @@
 
 PF_BEGIN_DECLS
 
-#define PF_ROUTE_SPLITS_MAX 8
-
 /** Whether a request whose answer was lost may be sent again. */
 enum pf_route_kind {
 	PF_ROUTE_SAFE, /* idempotent: may be sent again */
@@ -21,16 +19,17 @@
 	PF_ROUTE_RESUMABLE, /* event stream; resumes after the last event */
 };
 
+/** A service's share of a route's requests. */
 struct pf_split {
 	uint64_t service;
-	uint32_t weight;
+	double weight; /* above 0; relative to the sum of the route's weights */
 };
 
 struct pf_route {
 	char *host;
 	char *prefix; /* begins and ends with a slash */
 	uint64_t host_id;
-	struct pf_split splits[PF_ROUTE_SPLITS_MAX];
+	struct pf_split *splits; /* at least one */
 	uint32_t n_splits;
 	enum pf_route_kind kind;
 	pf_ms timeout; /* for the whole request; 0: none */
--- a/src/coordination/gate/gate_life.c
+++ b/src/coordination/gate/gate_life.c
@@ -336,13 +336,14 @@
 /* Draws a split by weight; a request that the caller repeats gets the same. */
 static uint64_t draw_service(const struct pf_route *route, uint64_t fingerprint)
 {
-	uint32_t sum = 0;
-	uint32_t at;
+	uint64_t hash = pf_id2(fingerprint, route->host_id);
+	double sum = 0;
+	double at;
 	uint32_t i;
 
 	for (i = 0; i < route->n_splits; i++)
 		sum += route->splits[i].weight;
-	at = (uint32_t)(pf_id2(fingerprint, route->host_id) % (sum ? sum : 1));
+	at = sum * ((double)(hash >> 11) * 0x1p-53); /* of 53 bits: below 1 */
 	for (i = 0; i + 1 < route->n_splits; i++) {
 		if (at < route->splits[i].weight)
 			break;
--- a/src/state/routes.c
+++ b/src/state/routes.c
@@ -23,6 +23,7 @@
 	for (i = 0; i < r->n_routes; i++) {
 		free(r->routes[i].host);
 		free(r->routes[i].prefix);
+		free(r->routes[i].splits);
 	}
 	for (i = 0; i < r->n_services; i++)
 		service_free(&r->services[i]);
--- a/tests/even_sim.cc
+++ b/tests/even_sim.cc
@@ -42,13 +42,14 @@
 EvenSim::EvenSim(const Options &o) : opts(o), rng_(o.seed)
 {
 	service_.id = SERVICE;
+	split_ = { SERVICE, 1 };
 	service_.engine = true;
 	service_.kv_tokens = 156104;
 	service_.tokens_per_event = TOKENS_PER_EVENT;
 	routes_.services = &service_;
 	routes_.n_services = 1;
 	for (int i = 0; i < KINDS; i++) {
-		route_[i].splits[0] = { SERVICE, 1 };
+		route_[i].splits = &split_;
 		route_[i].n_splits = 1;
 		route_[i].kind = PF_ROUTE_RESUMABLE;
 		route_[i].latency_objective = OBJECTIVE[i];
--- a/tests/even_sim.h
+++ b/tests/even_sim.h
@@ -168,6 +168,7 @@
 	unsigned digests_ = 0;
 	pf_ms reset_at_ = 0;
 	struct pf_routes routes_ = {};
+	struct pf_split split_ = {};
 	struct pf_route route_[KINDS] = {};
 	struct pf_route_service service_ = {};
 	struct pf_gate_zone zone_[6];
--- a/tests/gate_rig.cc
+++ b/tests/gate_rig.cc
@@ -24,6 +24,8 @@
 	r->host_id = GateRig::Id("h");
 	r->prefix = strdup(prefix);
 	r->kind = kind;
+	r->splits =
+		static_cast<struct pf_split *>(calloc(1, sizeof(*r->splits)));
 	r->splits[0] = { GateRig::Id(service), 1 };
 	r->n_splits = 1;
 	r->latency_objective = objective;
--- a/tests/gate_sim.cc
+++ b/tests/gate_sim.cc
@@ -17,10 +17,11 @@
 GateSim::GateSim(const Options &o) : opts(o), rng_(o.seed)
 {
 	service_.id = SERVICE;
+	split_ = { SERVICE, 1 };
 	service_.engine = true;
 	service_.kv_tokens = 200000;
 	service_.tokens_per_event = 5;
-	route_.splits[0] = { SERVICE, 1 };
+	route_.splits = &split_;
 	route_.n_splits = 1;
 	route_.kind = o.at_most_once ? PF_ROUTE_STREAM : PF_ROUTE_RESUMABLE;
 	route_.latency_objective = 1500;
--- a/tests/gate_sim.h
+++ b/tests/gate_sim.h
@@ -145,6 +145,7 @@
 	std::vector<Gate> gates_;
 	std::vector<SimEndpoint> endpoints_;
 	struct pf_routes routes_ = {};
+	struct pf_split split_ = {};
 	struct pf_route route_ = {};
 	struct pf_route_service service_ = {};
 	struct pf_gate_zone zone_ = { 1, 1 };
--- a/tests/share_sim.cc
+++ b/tests/share_sim.cc
@@ -35,7 +35,8 @@
 	routes_.services = services_;
 	routes_.n_services = 2;
 	for (int k = 0; k < KINDS; k++) {
-		route_[k].splits[0] = { IsPlain(k) ? APP : LLM, 1 };
+		splits_[k] = { IsPlain(k) ? APP : LLM, 1 };
+		route_[k].splits = &splits_[k];
 		route_[k].n_splits = 1;
 		route_[k].kind = SHARE_KINDS[k].kind;
 		route_[k].latency_objective = SHARE_KINDS[k].objective;
--- a/tests/share_sim.h
+++ b/tests/share_sim.h
@@ -195,6 +195,7 @@
 	bool arrivals_ = true;
 	unsigned open_ = 0;
 	struct pf_routes routes_ = {};
+	struct pf_split splits_[KINDS] = {};
 	struct pf_route route_[KINDS] = {};
 	struct pf_route_service services_[2] = {};
 	struct pf_gate_zone zones_[3] = { { 1, 1 }, { 2, 1 }, { 3, 1 } };
--- a/tests/test_gate_budget.cc
+++ b/tests/test_gate_budget.cc
@@ -46,6 +46,7 @@
 	std::vector<Open *> sends; /* in flight */
 	std::vector<pf_ms> arrivals, retries;
 	struct pf_routes routes = {};
+	struct pf_split split = { 5, 1 };
 	struct pf_route route = {};
 	struct pf_route_service service = {};
 	struct pf_gate_zone zone = { 1, 1 };
@@ -247,7 +248,7 @@
 		routes.services = &service;
 		routes.n_services = 1;
 		route.kind = PF_ROUTE_SAFE;
-		route.splits[0] = { 5, 1 };
+		route.splits = &split;
 		route.n_splits = 1;
 		route.timeout = 1200;
 		route.attempts_max = 2;
--- a/tests/test_gateway_config.cc
+++ b/tests/test_gateway_config.cc
@@ -67,6 +67,38 @@
 	EXPECT_EQ(Counter("127.0.0.2", "config_from_peer_total"), "0");
 }
 
+/* The configuration with /s/ split equally over services s1 to s@n. */
+static std::string SplitConfig(int version, int n)
+{
+	std::string json = ConfigJson(version);
+	std::string service = "\"service\":\"app\"";
+	std::string split = "\"split\":[";
+
+	for (int i = 1; i <= n; i++)
+		split += std::string(i > 1 ? "," : "") + "{\"service\":\"s" +
+			 std::to_string(i) + "\",\"weight\":10}";
+	return json.replace(json.find(service), service.size(), split + "]");
+}
+
+// A gateway kept the older configuration, and had none after a restart, while a
+// route of the newest one was split over more than eight services.
+TEST_F(GatewayConfig, ARouteMayBeSplitOverManyServices)
+{
+	std::string version = "config_version";
+
+	store.Put("op", "config", SplitConfig(1, 8));
+	Start(first, store.addr(), "127.0.0.2");
+	ASSERT_TRUE(Becomes("127.0.0.2", version, "1", 5000));
+	store.Put("op", "config", SplitConfig(2, 9));
+	EXPECT_TRUE(Becomes("127.0.0.2", version, "2", 2500));
+	store.Put("op", "config", SplitConfig(3, 100));
+	EXPECT_TRUE(Becomes("127.0.0.2", version, "3", 2500));
+	first.Signal(SIGKILL);
+	first.Wait();
+	Start(first, store.addr(), "127.0.0.2");
+	EXPECT_TRUE(Becomes("127.0.0.2", version, "3", 5000));
+}
+
 /* The first three have the duties. */
 struct GatewayReaders : GatewayGroup, ::testing::WithParamInterface<unsigned> {
 	static constexpr unsigned kReaders = 3;
--- a/tests/test_platform.cc
+++ b/tests/test_platform.cc
@@ -308,6 +308,55 @@
 	platform_config_clear(&c);
 }
 
+struct SplitCase {
+	const char *name;
+	std::vector<double> weights;
+	uint32_t used;
+};
+
+class PlatformSplit : public ::testing::TestWithParam<SplitCase>
+{
+};
+
+// A configuration with a route that was split over nine services, or with
+// weights below 1, was rejected as a whole.
+TEST_P(PlatformSplit, OverAnyNumberOfServicesIsDecoded)
+{
+	const SplitCase &p = GetParam();
+	struct platform_config none = {}, c;
+	struct pf_key_seeds seeds = {};
+	const char *why;
+	std::string json = "{\"version\":1,\"routes\":[{\"host\":\"h\","
+			   "\"prefix\":\"/\",\"kind\":\"safe\",\"split\":[";
+
+	for (size_t i = 0; i < p.weights.size(); i++)
+		json += std::string(i ? "," : "") + "{\"service\":\"s" +
+			std::to_string(i) +
+			"\",\"weight\":" + std::to_string(p.weights[i]) + "}";
+	json += "]}]}";
+	ASSERT_EQ(platform_decode_config(Str(json), &seeds, &none, &c, &why), 0)
+		<< why;
+	const struct pf_route *r =
+		pf_routes_find(c.routes, PF_STR("h"), PF_STR("/x"));
+	ASSERT_NE(r, nullptr);
+	ASSERT_EQ(r->n_splits, p.used);
+	for (uint32_t i = 0; i < r->n_splits; i++)
+		EXPECT_GT(r->splits[i].weight, 0);
+	platform_config_clear(&c);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+	Weights, PlatformSplit,
+	::testing::Values(SplitCase{ "one", { 1 }, 1 },
+			  SplitCase{ "eight", std::vector<double>(8, 10), 8 },
+			  SplitCase{ "nine", std::vector<double>(9, 10), 9 },
+			  SplitCase{ "three_hundred",
+				     std::vector<double>(300, 1), 300 },
+			  SplitCase{ "fractions", { 0.9, 0.1 }, 2 },
+			  SplitCase{ "large", { 3e9, 3e9 }, 2 },
+			  SplitCase{ "one_without_weight", { 0, 5 }, 1 }),
+	[](const auto &i) { return std::string(i.param.name); });
+
 TEST(Platform, RejectsAnUnreadableConfiguration)
 {
 	struct platform_config none = {}, c;
