Gate: retry budgets and answer rates of any number of services

What callers saw: a gateway that had seen 16 services, over all versions of the configuration since its start, sent no retry for any further service, and rejected its waiting requests as if the rate of answers were not known.

Change: one table of services (gate_services.c) that doubles when it is full and drops services that were out of use for longer than the window of the budget. Why that is safe: a service that was dropped has sent no retry within the window, so it may use its whole part of the slack again.

OnesOutOfUseMakeRoom guards the new table: at most 32 entries for 300 services that come and go.

--- a/include/pimentoford/gate.h
+++ b/include/pimentoford/gate.h
@@ -569,6 +569,7 @@
 	uint64_t peers_evicted; /* while more than peers_max sent digests */
 	uint64_t held; /* requests held for the share of their account */
 	uint32_t open, waiting, endpoints, peers;
+	uint32_t services; /* with a retry budget */
 };
 
 void pf_gate_stats(const struct pf_gate *g, struct pf_gate_stats *s);
--- a/src/coordination/gate/gate.c
+++ b/src/coordination/gate/gate.c
@@ -82,6 +82,7 @@
 	pf_map_free(&g->endpoints_by_id);
 	gate_peers_free(g);
 	gate_limits_free(g);
+	gate_services_free(g);
 	free(g->estimates);
 	free(g->candidates);
 	free(g->endpoints);
@@ -254,6 +255,7 @@
 	*s = g->stats;
 	s->waiting = g->n_waiting;
 	s->peers = g->n_known_peers;
+	s->services = g->services.n;
 	for (i = 0; i < g->n_endpoints; i++)
 		s->endpoints += g->endpoints[i].used;
 }
--- a/src/coordination/gate/gate_budget.c
+++ b/src/coordination/gate/gate_budget.c
@@ -7,26 +7,14 @@
  */
 #include "src/coordination/gate/gate_core.h"
 
-#include <string.h>
-
 #define SECOND_MS 1000
 
-static struct gate_budget *find_or_add_budget(struct pf_gate *g,
-					      uint64_t service)
+/* Returns NULL without memory. */
+static struct gate_budget *budget_of(struct pf_gate *g, uint64_t service)
 {
-	uint32_t i;
-
-	for (i = 0; i < GATE_SERVICES_MAX; i++) {
-		struct gate_budget *b = &g->budgets[i];
+	struct gate_service *s = gate_service(g, service);
 
-		if (b->service == service)
-			return b;
-		if (b->service == 0) {
-			b->service = service;
-			return b;
-		}
-	}
-	return NULL;
+	return s ? &s->budget : NULL;
 }
 
 /* This gateway's part of the slack. Gateways that are cut off still use theirs, so
@@ -64,7 +52,7 @@
 
 void gate_budget_add_request(struct pf_gate *g, uint64_t service)
 {
-	struct gate_budget *b = find_or_add_budget(g, service);
+	struct gate_budget *b = budget_of(g, service);
 
 	if (!b || g->opts.repeat_ratio <= 0)
 		return;
@@ -125,7 +113,7 @@
 
 bool gate_budget_take_retry(struct pf_gate *g, uint64_t service)
 {
-	struct gate_budget *b = find_or_add_budget(g, service);
+	struct gate_budget *b = budget_of(g, service);
 
 	if (!b)
 		return false;
--- a/src/coordination/gate/gate_core.h
+++ b/src/coordination/gate/gate_core.h
@@ -9,7 +9,6 @@
 
 #define GATE_NIL UINT32_MAX
 #define GATE_AVOIDED_MAX 4
-#define GATE_SERVICES_MAX 16
 /* Seconds of the longest retry window (14) and two that lie partly in it. */
 #define GATE_BUDGET_BUCKETS 16
 
@@ -183,7 +182,6 @@
 
 /** Requests and retries of a service, counted per second. */
 struct gate_budget {
-	uint64_t service; /* 0: free */
 	double saved; /* retries that requests have earned */
 	bool filled; /* the process is older than a window */
 	uint32_t used_at_first; /* before that */
@@ -195,11 +193,25 @@
 
 /** Answers of a service, counted per slice of time. */
 struct gate_drain {
-	uint64_t service; /* 0: free */
 	uint32_t answers[GATE_DRAIN_SLICES];
 	int64_t newest; /* slice of the counts */
 };
 
+struct gate_service {
+	uint64_t id;
+	pf_ms used_at;
+	struct gate_budget budget;
+	struct gate_drain drain;
+};
+
+/** Services in use, as many as there are. */
+struct gate_services {
+	struct gate_service *v; /* owned */
+	uint32_t n;
+	uint32_t cap;
+	struct pf_map by_id; /* to indices of `v`; none while cap is 0 */
+};
+
 /* The prefix table is set-associative: sets of GATE_PREFIX_WAYS entries. */
 #define GATE_PREFIX_WAYS 4
 #define GATE_PREFIX_SETS 2048
@@ -434,8 +446,7 @@
 	pf_ms digests_time; /* sum of their digest_at */
 	pf_ms peers_check_at;
 	struct gate_share share;
-	struct gate_budget budgets[GATE_SERVICES_MAX];
-	struct gate_drain drains[GATE_SERVICES_MAX];
+	struct gate_services services;
 	struct gate_prefix prefixes[GATE_PREFIX_SETS][GATE_PREFIX_WAYS];
 	struct gate_demand_entry demand[GATE_DEMAND_ENTRIES];
 	pf_ms demand_smoothed_at;
@@ -768,6 +779,14 @@
 void gate_hold_told(struct pf_gate *g, struct gate_peer *p,
 		    const struct pf_gate_account_load *v, uint32_t n);
 
+/* gate_services.c */
+/**
+ * Returns the state of a service, which is added if need be, or NULL without
+ * memory. Valid until the next call.
+ */
+struct gate_service *gate_service(struct pf_gate *g, uint64_t id);
+void gate_services_free(struct pf_gate *g);
+
 /* gate_drain.c */
 /** A request of the service was answered. */
 void gate_drain_answered(struct pf_gate *g, uint64_t service);
--- a/src/coordination/gate/gate_drain.c
+++ b/src/coordination/gate/gate_drain.c
@@ -25,19 +25,12 @@
 /* Fewer answers in that time tell nothing. */
 #define ANSWERS_MIN 3
 
-static struct gate_drain *find_drain(struct pf_gate *g, uint64_t service)
+/* Returns NULL without memory. */
+static struct gate_drain *drain_of(struct pf_gate *g, uint64_t service)
 {
-	uint32_t i;
-
-	for (i = 0; i < GATE_SERVICES_MAX; i++) {
-		struct gate_drain *d = &g->drains[i];
+	struct gate_service *s = gate_service(g, service);
 
-		if (d->service && d->service != service)
-			continue;
-		d->service = service;
-		return d;
-	}
-	return NULL;
+	return s ? &s->drain : NULL;
 }
 
 /* Clears the slices that came since. */
@@ -51,7 +44,7 @@
 
 void gate_drain_answered(struct pf_gate *g, uint64_t service)
 {
-	struct gate_drain *d = find_drain(g, service);
+	struct gate_drain *d = drain_of(g, service);
 
 	if (!d)
 		return;
@@ -77,7 +70,7 @@
 /* When @r is sent, at the present rate; PF_NEVER: not known. */
 static pf_ms expected_send(struct pf_gate *g, const struct gate_request *r)
 {
-	struct gate_drain *d = find_drain(g, r->service);
+	struct gate_drain *d = drain_of(g, r->service);
 	uint32_t answers = 0;
 	uint32_t i;
 
--- a/tests/test_gate_services.cc
+++ b/tests/test_gate_services.cc
@@ -3,6 +3,7 @@
 
 #include <gtest/gtest.h>
 
+#include <algorithm>
 #include <cstdlib>
 
 namespace
@@ -85,4 +86,68 @@
 	}
 }
 
+// A gateway that had seen 16 services sent no retries to further ones.
+TEST_F(GateServices, ManyHaveARetryBudgetEach)
+{
+	const int n = 100;
+
+	Start();
+	Tick(2 * o.repeat_window);
+	for (int i = 1; i <= n; i++) {
+		int tag = next_++;
+
+		AddEndpoints(Name(i));
+		Split({ { Name(i), 1 } });
+		Arrive(tag, "/s/", 800);
+		ASSERT_TRUE(IsSentTo(tag, Name(i))) << i;
+		uint64_t first = SentTo(tag);
+		Ended(tag, PF_GATE_LOST, 0, true);
+		EXPECT_NE(SentTo(tag), first) << "no retry at service " << i;
+	}
+}
+
+// Services of older configurations take up no memory for good, and one that
+// comes back has no more budget than before.
+TEST_F(GateServices, OnesOutOfUseMakeRoom)
+{
+	const int rounds = 300, retries_each = 60;
+	uint32_t most = 0;
+
+	o.repeat_slack = 10;
+	Start();
+	Tick(2 * o.repeat_window);
+	for (int i = 1; i <= rounds; i++) {
+		struct pf_gate_stats s;
+
+		Split({ { Name(i), 1 } });
+		AddEndpoints(Name(i));
+		Arrive(next_, "/s/", 800);
+		Ended(next_++, PF_GATE_ANSWERED, 200);
+		for (const char *end : { "0", "1" })
+			Gone((Name(i) + end).c_str());
+		Tick(o.repeat_window / 5);
+		pf_gate_stats(g, &s);
+		most = std::max(most, s.services);
+	}
+	EXPECT_LE(most, 32u);
+	/* An endpoint that didn't run a request is left out for a while. */
+	Split({ { "s1", 1 } });
+	for (int i = 0; i < 2 * retries_each; i++)
+		Endpoint(("e" + std::to_string(i)).c_str(), "s1", "za");
+	int retried = 0;
+	for (int i = 0; i < retries_each; i++) {
+		int tag = next_++;
+
+		Arrive(tag, "/s/", 800);
+		uint64_t first = SentTo(tag);
+		Ended(tag, PF_GATE_NOT_RUN, 503);
+		if (SentTo(tag) == first)
+			continue;
+		retried++;
+		Ended(tag, PF_GATE_ANSWERED, 200);
+	}
+	EXPECT_GE(retried, 10);
+	EXPECT_LE(retried, 10 + retries_each / 5 + 1);
+}
+
 } // namespace
