--- a/include/pimentoford/routes.h
+++ b/include/pimentoford/routes.h
@@ -83,7 +83,7 @@
 	struct pf_route_service *services;
 	uint32_t n_services;
 	struct pf_caller_limits limits;
-	struct pf_client_account *accounts;
+	struct pf_client_account *accounts; /* in ascending order of ids */
 	uint32_t n_accounts;
 };
 
@@ -98,6 +98,9 @@
 const struct pf_route_service *pf_routes_find_service(const struct pf_routes *r,
 						      uint64_t id);
 
+/** Restores the order of accounts after some were added. */
+void pf_routes_sort_accounts(struct pf_routes *r);
+
 /** Returns the client account, or NULL. */
 const struct pf_client_account *
 pf_routes_find_account(const struct pf_routes *r, uint64_t id);
--- a/src/state/routes.c
+++ b/src/state/routes.c
@@ -71,16 +71,29 @@
 	return NULL;
 }
 
+static int compare_accounts(const void *a, const void *b)
+{
+	const struct pf_client_account *x = a;
+	const struct pf_client_account *y = b;
+
+	return (x->id > y->id) - (x->id < y->id);
+}
+
+void pf_routes_sort_accounts(struct pf_routes *r)
+{
+	qsort(r->accounts, r->n_accounts, sizeof(*r->accounts),
+	      compare_accounts);
+}
+
 const struct pf_client_account *
 pf_routes_find_account(const struct pf_routes *r, uint64_t id)
 {
-	uint32_t i;
+	struct pf_client_account key = { .id = id };
 
-	for (i = 0; i < r->n_accounts; i++) {
-		if (r->accounts[i].id == id)
-			return &r->accounts[i];
-	}
-	return NULL;
+	if (!r->n_accounts)
+		return NULL;
+	return bsearch(&key, r->accounts, r->n_accounts, sizeof(key),
+		       compare_accounts);
 }
 
 const struct pf_model_spec *
