Gateway: one bound on the memory of callers' connections

Cause: what arrived from an endpoint was queued for the caller without a bound, and so were the answers to requests that were sent one after another and not read, and bodies that never became complete. The buffer budget that decides what may be held existed, with tests; no gateway used it.

Change: buffers.c tells the budget what each caller's connection holds, and carries out its decisions: a stream isn't read on while its caller is behind and the bound is near, the slowest reader ends at the bound, requests that don't fit get 503 with Retry-After. A connection's next request waits while more than 64 KB of earlier answers are unread. Beyond the bound, the budget ends readers until small requests fit again. A paused stream doesn't count as silent for the gate core.

Why it works: each byte for a caller is counted where it is queued, whoever is slow, and TCP_NOTSENT_LOWAT keeps it there.

--- a/daemons/gateway/callers.c
+++ b/daemons/gateway/callers.c
@@ -16,6 +16,8 @@
 #define UNACKED_MAX_MS 8000
 /* Reading pauses when more arrives while a request is being answered. */
 #define PIPELINED_BYTES_MAX ((size_t)256 << 10)
+/* A larger buffer of input is freed when it is empty. */
+#define INPUT_KEPT_BYTES ((size_t)16 << 10)
 /* Limits without a configuration, or where it sets none. */
 #define DEFAULT_HEAD_BYTES_MAX 16384
 #define DEFAULT_BODY_BYTES_MAX (4 << 20)
@@ -55,6 +57,9 @@
 	bool close_announced; /* in the head of the current answer */
 	bool accepts_chunked;
 	bool write_failed; /* part of an answer is missing */
+	bool unread; /* no further request until earlier answers are read */
+	struct pf_buffer_holder holder; /* what the connection holds */
+	uint64_t account; /* of its last request; 0: none */
 	pf_ms state_since; /* or since the first byte of a head */
 	/* Limits at that time; later, longer ones apply as well. */
 	pf_ms header_timeout;
@@ -82,6 +87,7 @@
 	if (c->resumed)
 		LIST_REMOVE(c, next_resumed);
 	c->gateway->n_callers--;
+	buffers_remove(c->gateway, &c->holder);
 	pf_sock_free(c->sock);
 	pf_text_free(&c->input);
 	pf_text_free(&c->head_bytes);
@@ -135,11 +141,53 @@
 	return c->accepts_chunked;
 }
 
+/* @reads: the caller has taken bytes since the last call. */
+static void set_buffers(struct caller *c, bool reads)
+{
+	struct pf_buffer_amounts a = {
+		.request = (int64_t)(c->input.cap + c->head_bytes.cap +
+				     c->body.cap),
+		.response = (int64_t)pf_sock_queued(c->sock),
+	};
+
+	if (a.response == 0)
+		reads = true;
+	if (c->exchange) {
+		c->account = c->exchange->account;
+		exchange_add_buffers(c->exchange, &a);
+	}
+	buffers_set(c->gateway, &c->holder, c->account, &a, reads);
+}
+
+void caller_note_buffers(struct caller *c)
+{
+	set_buffers(c, false);
+}
+
+void caller_pace(struct caller *c)
+{
+	buffers_pace(c->gateway, &c->holder, c->exchange);
+}
+
+void caller_end_slow(struct caller *c)
+{
+	if (c->exchange && pf_sock_queued(c->sock) == 0) {
+		exchange_end_slow(c->exchange);
+		return;
+	}
+	/* A reset marks what the caller has as incomplete. */
+	if (c->exchange)
+		exchange_hangup(c->exchange);
+	caller_abort(c);
+}
+
 void caller_write(struct caller *c, const struct pf_text *t)
 {
 	if (c->write_failed ||
-	    (!t->failed && pf_sock_write(c->sock, pf_text_str(t)) == 0))
+	    (!t->failed && pf_sock_write(c->sock, pf_text_str(t)) == 0)) {
+		set_buffers(c, false);
 		return;
+	}
 	c->write_failed = true;
 	PF_LOG(&c->gateway->log, PF_LOG_ERROR, "no_memory",
 	       PF_KV_STR("for", "an answer"));
@@ -176,10 +224,41 @@
 	caller_free(c);
 }
 
+/* Parses the input from the event loop. */
+static void resume_later(struct caller *c)
+{
+	if (c->resumed)
+		return;
+	c->resumed = true;
+	LIST_INSERT_HEAD(&c->gateway->resumed_callers, c, next_resumed);
+	event_active(c->gateway->resume_ev, 0, 0);
+}
+
+/* Whether the next request waits until the caller has read earlier answers. */
+static bool waits_for_reader(struct caller *c)
+{
+	size_t queued = pf_sock_queued(c->sock);
+
+	if (queued > (c->unread ? PF_BUFFER_WINDOW / 2 : PF_BUFFER_WINDOW)) {
+		c->unread = true;
+		pf_sock_pause(c->sock, true);
+	} else if (c->unread) {
+		c->unread = false;
+		pf_sock_pause(c->sock, false);
+	}
+	return c->unread;
+}
+
 static void on_sent(void *ctx)
 {
 	struct caller *c = ctx;
 
+	set_buffers(c, true);
+	caller_pace(c);
+	if (c->unread && !waits_for_reader(c) && c->input.n > 0)
+		resume_later(c);
+	if (pf_sock_queued(c->sock) > 0)
+		return;
 	if (c->state == CALLER_FLUSHING)
 		close_when_sent(c);
 	else if (c->state == CALLER_READING_HEAD && c->input.n == 0)
@@ -274,8 +353,8 @@
 		return;
 	c->parsing = true;
 	for (;;) {
-		if (c->state == CALLER_READING_HEAD && c->input.n > 0 &&
-		    !parse_head(c))
+		if (c->state == CALLER_READING_HEAD &&
+		    (c->unread || (c->input.n > 0 && !parse_head(c))))
 			break;
 		if (c->state != CALLER_READING_BODY || !read_body(c))
 			break;
@@ -285,6 +364,9 @@
 			break;
 	}
 	c->parsing = false;
+	if (c->input.n == 0 && c->input.cap > INPUT_KEPT_BYTES)
+		pf_text_free(&c->input);
+	set_buffers(c, false);
 }
 
 /* Memory ran out: no further request is read; the one in progress goes on. */
@@ -307,6 +389,12 @@
 		return;
 	if (c->state == CALLER_READING_HEAD && c->input.n == 0)
 		set_state(c, CALLER_READING_HEAD);
+	if (c->state <= CALLER_READING_BODY &&
+	    !buffers_admit(c->gateway, &c->holder, in.n)) {
+		pf_text_free(&c->body);
+		refuse_and_linger(c, 503, "buffers_full");
+		return;
+	}
 	pf_text_add(&c->input, in);
 	if (c->input.failed) {
 		drop_input(c);
@@ -315,6 +403,7 @@
 	if (c->state == CALLER_ANSWERING) {
 		if (c->input.n > PIPELINED_BYTES_MAX)
 			pf_sock_pause(c->sock, true);
+		set_buffers(c, false);
 		return;
 	}
 	parse_input(c);
@@ -353,13 +442,13 @@
 		return;
 	}
 	set_state(c, CALLER_READING_HEAD);
+	set_buffers(c, false);
+	if (waits_for_reader(c))
+		return;
 	pf_sock_pause(c->sock, false);
 	/* Not from here: the answer may be an act of the core. */
-	if (c->input.n > 0 && !c->parsing && !c->resumed) {
-		c->resumed = true;
-		LIST_INSERT_HEAD(&c->gateway->resumed_callers, c, next_resumed);
-		event_active(c->gateway->resume_ev, 0, 0);
-	}
+	if (c->input.n > 0 && !c->parsing)
+		resume_later(c);
 }
 
 static void on_resume(evutil_socket_t fd, short what, void *ctx)
@@ -397,6 +486,8 @@
 			free(c);
 			continue;
 		}
+		c->holder.ctx = c;
+		pf_sock_limit_unsent(c->sock, PF_BUFFER_WINDOW);
 		set_state(c, CALLER_READING_HEAD);
 		LIST_INSERT_HEAD(&g->callers, c, next);
 		g->n_callers++;
@@ -463,6 +554,7 @@
 			end_timed_out(c);
 		c = next;
 	}
+	buffers_sweep(g);
 	upstream_close_expired(g);
 	endpoints_sweep(g);
 	config_note_step(g);
--- a/daemons/gateway/exchange.c
+++ b/daemons/gateway/exchange.c
@@ -86,11 +86,6 @@
 	pf_text_free(&body);
 }
 
-void exchange_refuse_early(struct caller *c, int status, const char *code)
-{
-	write_own_answer(c, status, code, PF_STR(""), -1);
-}
-
 void exchange_free(struct exchange *x)
 {
 	upstream_cancel(x);
@@ -160,10 +155,16 @@
 	return route;
 }
 
-/* Retry-After without a configuration or during shutdown; other gateways may
- * answer at once. */
+/* Retry-After without a configuration or memory, or during shutdown; other
+ * gateways may answer at once. */
 #define UNAVAILABLE_RETRY_AFTER_MS 300
 
+void exchange_refuse_early(struct caller *c, int status, const char *code)
+{
+	write_own_answer(c, status, code, PF_STR(""),
+			 status == 503 ? UNAVAILABLE_RETRY_AFTER_MS : -1);
+}
+
 static void refuse_unrouted(struct exchange *x, int status, const char *code)
 {
 	struct caller *c = x->caller;
@@ -444,6 +445,32 @@
 	finish_exchange(x);
 }
 
+void exchange_add_buffers(const struct exchange *x, struct pf_buffer_amounts *a)
+{
+	a->request += (int64_t)(x->head_bytes.cap + x->body.cap);
+	a->response += (int64_t)(x->answer_head.n + x->answer_body.n);
+	if (x->upstream)
+		a->unsent += (int64_t)pf_sock_queued(x->upstream->sock);
+}
+
+void exchange_end_slow(struct exchange *x)
+{
+	struct caller *c = x->caller;
+	int status = x->n_sends ? 502 : 503;
+
+	log_result(x, "failed", status, "buffers_full");
+	if (x->answer_head_sent) {
+		log_cut(x, "buffers_full");
+		exchange_hangup(x);
+		caller_abort(c);
+		return;
+	}
+	write_own_answer(c, status, "buffers_full", x->inbound.id,
+			 status == 503 ? UNAVAILABLE_RETRY_AFTER_MS : -1);
+	exchange_hangup(x);
+	caller_answer_done(c);
+}
+
 static void log_held(struct exchange *x, const struct pf_gate_act *a)
 {
 	const struct endpoint *e =
--- a/daemons/gateway/gateway.h
+++ b/daemons/gateway/gateway.h
@@ -6,6 +6,7 @@
 #ifndef GATEWAY_H
 #define GATEWAY_H
 
+#include "pimentoford/buffer_budget.h"
 #include "pimentoford/clock.h"
 #include "pimentoford/gate.h"
 #include "pimentoford/http1.h"
@@ -116,6 +117,7 @@
 	int priority; /* of the request; -1: unset */
 	pf_ms body_at; /* its answer head came; 0: not yet */
 	bool streaming; /* events are forwarded as they arrive */
+	bool paused; /* not read, as the caller is slow */
 	bool reused; /* served another request before */
 	bool reusable; /* may serve another request after this one */
 	pf_ms idle_deadline;
@@ -132,6 +134,8 @@
 struct allowance;
 struct account_counts;
 struct versions;
+struct buffers;
+struct pf_gateway_counters;
 
 struct gateway {
 	struct event_base *base;
@@ -173,6 +177,7 @@
 	struct allowance *allowance; /* NULL: none are set */
 	struct account_counts *account_counts;
 	struct versions *versions;
+	struct buffers *buffers;
 	/* Ends of sends reported during a step of the core. */
 	struct event *deferred_ev;
 	struct pf_gate_end *deferred_ends;
@@ -209,6 +214,35 @@
 /** Whether the caller understands chunked encoding (HTTP/1.1). */
 bool caller_accepts_chunked(const struct caller *c);
 
+/** What the connection holds has changed. */
+void caller_note_buffers(struct caller *c);
+/** Stops or resumes reading its stream from the endpoint, as is due. */
+void caller_pace(struct caller *c);
+/** Ends the connection, or its request, as it holds too much. May free @c. */
+void caller_end_slow(struct caller *c);
+
+/* buffers.c: bounds the memory of callers' connections */
+int buffers_start(struct gateway *g);
+void buffers_stop(struct gateway *g);
+/** Sets what @h holds. @reads: its caller has taken bytes, or needs none. */
+void buffers_set(struct gateway *g, struct pf_buffer_holder *h,
+		 uint64_t account, const struct pf_buffer_amounts *a,
+		 bool reads);
+void buffers_remove(struct gateway *g, struct pf_buffer_holder *h);
+/**
+ * Whether @h may hold @n further bytes of a request. May free callers, but not
+ * that of @h.
+ */
+bool buffers_admit(struct gateway *g, const struct pf_buffer_holder *h,
+		   size_t n);
+/** Stops or resumes reading the stream of @x, which may be NULL. */
+void buffers_pace(struct gateway *g, struct pf_buffer_holder *h,
+		  struct exchange *x);
+/** Resumes what may be read again. */
+void buffers_sweep(struct gateway *g);
+void buffers_set_counters(const struct gateway *g,
+			  struct pf_gateway_counters *c);
+
 /* exchange.c: requests and their answers */
 /** Starts a complete request of @c. Takes over @head and @body. */
 void exchange_start(struct gateway *g, struct caller *c, struct pf_text *head,
@@ -233,6 +267,14 @@
  * that its caller resumes, perhaps after its last event.
  */
 bool exchange_is_empty(const struct exchange *x);
+/** Adds what @x holds in memory. */
+void exchange_add_buffers(const struct exchange *x,
+			  struct pf_buffer_amounts *a);
+/**
+ * Ends a request whose caller holds too much; frees @x, and its caller if an
+ * answer has begun.
+ */
+void exchange_end_slow(struct exchange *x);
 /** Answers a request that was not read completely. */
 void exchange_refuse_early(struct caller *c, int status, const char *code);
 
@@ -320,6 +362,10 @@
 void upstream_probe(struct gateway *g, uint64_t endpoint);
 /** Closes the connection of the send in flight, if any. */
 void upstream_cancel(struct exchange *x);
+/** Whether a stream is being read. */
+bool upstream_may_pause(const struct exchange *x);
+/** Stops or resumes reading the answer that is being read. */
+void upstream_pause(struct exchange *x, bool pause);
 void upstream_close_idle(struct endpoint *e);
 void upstream_close_expired(struct gateway *g);
 
--- a/daemons/gateway/ready.c
+++ b/daemons/gateway/ready.c
@@ -63,6 +63,7 @@
 	c->v[PF_GC_STORE_RESTORES] = eras->n_restores;
 	c->v[PF_GC_STORE_ERA_ERRORS] =
 		(uint64_t)eras->n_falls + pf_store_bad_eras(g->store);
+	buffers_set_counters(g, c);
 	c->v[PF_GC_CPU_MS] = u.cpu_ms;
 	c->v[PF_GC_RSS_KB] = u.rss_kb;
 }
--- a/daemons/gateway/upstream.c
+++ b/daemons/gateway/upstream.c
@@ -66,6 +66,22 @@
 	upstream_free(u);
 }
 
+bool upstream_may_pause(const struct exchange *x)
+{
+	return x->upstream && x->upstream->streaming;
+}
+
+void upstream_pause(struct exchange *x, bool pause)
+{
+	struct pf_gate_msg m = { .type = PF_GATE_PAUSED };
+
+	x->upstream->paused = pause;
+	pf_sock_pause(x->upstream->sock, pause);
+	m.u.paused.request = x->core_handle;
+	m.u.paused.on = pause;
+	core_step(x->gateway, &m);
+}
+
 static void add_idle(struct upstream *u)
 {
 	u->idle_since = pf_clock_now();
@@ -384,8 +400,12 @@
 		end_send_lost(u, false);
 		return;
 	}
-	if (ended)
+	if (ended) {
 		end_send_answered(u, in.n - (size_t)n);
+		return;
+	}
+	caller_note_buffers(x->caller);
+	caller_pace(x->caller);
 }
 
 static void on_data(void *ctx, struct pf_str in)
@@ -456,6 +476,7 @@
 	allowances_request_written(x);
 	if (!t->failed)
 		pf_sock_write(u->sock, pf_text_str(t));
+	caller_note_buffers(x->caller);
 }
 
 /* Writes the request; the connection of a probe becomes an idle one. */
@@ -483,8 +504,16 @@
 	core_step(e->gateway, &m);
 }
 
+static void on_sent(void *ctx)
+{
+	struct upstream *u = ctx;
+
+	if (u->exchange)
+		caller_note_buffers(u->exchange->caller);
+}
+
 static const struct pf_sock_cbs upstream_cbs = { on_data, on_closed,
-						 on_connected, NULL };
+						 on_connected, on_sent };
 
 /*
  * The connection used most recently. Not one on which @request was answered
@@ -580,6 +609,7 @@
 	u->priority = a->u.send.priority;
 	u->body_at = 0;
 	u->streaming = false;
+	u->paused = false;
 	u->reusable = false;
 	memset(&u->reply, 0, sizeof(u->reply));
 	u->adapter = x->inbound.adapter;
--- a/include/pimentoford/counters.h
+++ b/include/pimentoford/counters.h
@@ -185,6 +185,22 @@
 	    "Time in ticks of the planner; the event loop stands still then")  \
 	DEF(PLAN_MAX_MS, "plan_max_ms", "gauge",                               \
 	    "Longest tick of the planner since the start")                     \
+	DEF(BUFFERS_REQUESTS, "buffers_request_bytes", "gauge",                \
+	    "Held for requests of callers")                                    \
+	DEF(BUFFERS_RESPONSES, "buffers_response_bytes", "gauge",              \
+	    "Held for callers that have not read it yet")                      \
+	DEF(BUFFERS_UNSENT, "buffers_unsent_bytes", "gauge",                   \
+	    "Held for endpoints that have not read it yet")                    \
+	DEF(BUFFERS_LIMIT, "buffers_limit_bytes", "gauge",                     \
+	    "Bound on these bytes together")                                   \
+	DEF(BUFFERS_ENDED, "buffers_ended_total", "counter",                   \
+	    "Connections of slow readers ended at the bound")                  \
+	DEF(BUFFERS_REJECTED, "buffers_rejected_total", "counter",             \
+	    "Requests refused as they did not fit into the bound")             \
+	DEF(READS_PAUSED, "reads_paused_total", "counter",                     \
+	    "Times that reading a stream from its endpoint stopped")           \
+	DEF(READS_PAUSED_NOW, "reads_paused", "gauge",                         \
+	    "Streams that are not read, as their callers are slow")            \
 	DEF(RETRIES_REJECTED, "retries_rejected_total", "counter",             \
 	    "Sends after the first that the retry budget did not allow")       \
 	DEF(PEERS, "peers_known", "gauge",                                     \
--- a/include/pimentoford/gate.h
+++ b/include/pimentoford/gate.h
@@ -273,6 +273,7 @@
 	PF_GATE_ARRIVE, /* u.arrival */
 	PF_GATE_HANGUP, /* u.request: the caller disconnected */
 	PF_GATE_EVENTS, /* u.events: passed on to the caller */
+	PF_GATE_PAUSED, /* u.paused: its stream is not read, or read again */
 	PF_GATE_ENDED, /* u.end */
 	PF_GATE_PEER_DIGEST, /* u.digest */
 	PF_GATE_PEER_EVIDENCE, /* u.evidence: borrowed for the call */
@@ -305,6 +306,10 @@
 			uint32_t request;
 			uint32_t n; /* events */
 		} events;
+		struct {
+			uint32_t request; /* handle */
+			bool on;
+		} paused;
 		struct pf_gate_end end;
 		struct pf_gate_digest digest;
 		struct {
--- a/include/pimentoford/settings.h
+++ b/include/pimentoford/settings.h
@@ -91,6 +91,7 @@
 	struct pf_tables zones; /* struct pf_zone_setting */
 	pf_ms drain; /* limit of a graceful stop */
 	double cores; /* that it may use; 0: unknown */
+	int64_t memory_limit; /* bytes that the process may use */
 	pf_ms load_window; /* window for the weight store's load rate */
 	double load_rate_factor; /* share of the weight store's rate to use */
 	struct pf_allowance_setting allowance;
--- a/include/pimentoford/sock.h
+++ b/include/pimentoford/sock.h
@@ -26,7 +26,8 @@
 	void (*closed)(void *ctx, enum pf_sock_end why);
 	/* Of pf_sock_connect(); may be NULL. */
 	void (*connected)(void *ctx);
-	/* All queued bytes were written to the socket; may be NULL. */
+	/* Queued bytes, perhaps not all, were written to the socket; may be
+	 * NULL. */
 	void (*sent)(void *ctx);
 };
 
@@ -59,6 +60,12 @@
 /** Sends or queues @bytes. Returns 0, or -1 when out of memory. */
 int pf_sock_write(struct pf_sock *s, struct pf_str bytes);
 
+/**
+ * Bounds what the socket takes ahead of what it can send, so that the rest
+ * stays in the queue. Without effect where the system doesn't support it.
+ */
+void pf_sock_limit_unsent(struct pf_sock *s, size_t bytes);
+
 /** Bytes queued and not yet written to the socket. */
 size_t pf_sock_queued(const struct pf_sock *s);
 
--- a/src/coordination/gate/gate.c
+++ b/src/coordination/gate/gate.c
@@ -147,6 +147,9 @@
 	case PF_GATE_EVENTS:
 		gate_request_events(g, m->u.events.request, m->u.events.n);
 		break;
+	case PF_GATE_PAUSED:
+		gate_request_pause(g, m->u.paused.request, m->u.paused.on);
+		break;
 	case PF_GATE_ENDED:
 		gate_request_send_ended(g, &m->u.end);
 		break;
--- a/src/coordination/gate/gate_core.h
+++ b/src/coordination/gate/gate_core.h
@@ -64,6 +64,7 @@
 	uint32_t endpoint_slot; /* valid while in flight */
 	pf_ms sent_at;
 	pf_ms last_progress_at; /* last send or event */
+	bool paused; /* its stream is not read, as its caller is slow */
 	uint64_t sent_incarnation; /* of the endpoint, hashed */
 	uint64_t sent_software; /* of the endpoint */
 	pf_ms began_at; /* first event of this send; 0: none yet */
@@ -110,6 +111,7 @@
 	int64_t own_kv_tokens;
 	double own_prefill_ms; /* of those without a first event */
 	uint32_t own_streaming; /* those with events passed on */
+	uint32_t own_paused; /* of these, those that are not read */
 	pf_ms last_progress_at; /* last event or answer, or first send */
 	pf_ms resumed_at; /* first progress after a silence; 0: none */
 	pf_ms probed_at; /* last probe; 0: none */
@@ -836,6 +838,8 @@
 void gate_request_hangup(struct pf_gate *g, uint32_t slot);
 /** Handles @n events of a stream that were passed on to the caller. */
 void gate_request_events(struct pf_gate *g, uint32_t slot, uint32_t n);
+/** The stream isn't read for now, or is read again; it isn't silent. */
+void gate_request_pause(struct pf_gate *g, uint32_t slot, bool on);
 void gate_request_send_ended(struct pf_gate *g,
 			     const struct pf_gate_end *reported);
 /** Handles an expired timer: waited too long, stalled, or deadline reached. */
--- a/src/coordination/gate/gate_endpoints.c
+++ b/src/coordination/gate/gate_endpoints.c
@@ -259,6 +259,8 @@
 	e->own_running--;
 	if (r->state == GATE_STREAMING)
 		e->own_streaming--;
+	e->own_paused -= r->paused;
+	r->paused = false;
 	e->own_kv_tokens -= r->kv_tokens;
 	if (e->own_running == 0)
 		e->own_prefill_ms = 0; /* rounding errors add up */
--- a/src/coordination/gate/gate_life.c
+++ b/src/coordination/gate/gate_life.c
@@ -503,6 +503,22 @@
 	r->last_progress_at = g->now;
 }
 
+void gate_request_pause(struct pf_gate *g, uint32_t slot, bool on)
+{
+	struct gate_request *r = &g->requests[slot];
+	struct gate_endpoint *e = &g->endpoints[r->endpoint_slot];
+
+	if (r->state != GATE_STREAMING || r->paused == on)
+		return;
+	r->paused = on;
+	e->own_paused += on ? 1 : -1;
+	/* Its silence until now was not the endpoint's. */
+	r->last_progress_at = g->now;
+	if (!on)
+		e->last_progress_at = g->now;
+	arm_timer(g, r);
+}
+
 static void avoid_endpoint(struct gate_request *r, uint64_t id)
 {
 	if (r->n_avoided < GATE_AVOIDED_MAX)
--- a/src/coordination/gate/gate_pick.c
+++ b/src/coordination/gate/gate_pick.c
@@ -131,7 +131,7 @@
 static bool streams_silent(const struct pf_gate *g,
 			   const struct gate_endpoint *e)
 {
-	return e->own_streaming > 0 &&
+	return e->own_streaming > e->own_paused &&
 	       g->now - e->last_progress_at > GATE_STREAMS_SILENT_MS;
 }
 
@@ -321,7 +321,7 @@
 
 static bool plain_silent(const struct pf_gate *g, const struct gate_endpoint *e)
 {
-	return !e->kv_capacity && e->own_running > 0 &&
+	return !e->kv_capacity && e->own_running > e->own_paused &&
 	       g->now - e->last_progress_at > PLAIN_SILENT_MS;
 }
 
--- a/src/coordination/gate/gate_stall.c
+++ b/src/coordination/gate/gate_stall.c
@@ -64,7 +64,7 @@
 {
 	pf_ms at;
 
-	if (!gate_retryable(r))
+	if (!gate_retryable(r) || r->paused)
 		return PF_NEVER;
 	at = stall_at(g, r);
 	if (probe_needed(g, r) && probe_at(g, r) > g->now)
@@ -101,7 +101,7 @@
 {
 	struct gate_endpoint *e = endpoint_of(g, r);
 
-	if (!gate_retryable(r))
+	if (!gate_retryable(r) || r->paused)
 		return;
 	if (probe_needed(g, r) && g->now >= probe_at(g, r))
 		probe(g, e);
--- a/src/coordination/memory/buffer_budget.c
+++ b/src/coordination/memory/buffer_budget.c
@@ -22,6 +22,8 @@
  * at the next read. */
 #define PAUSE_SIXTEENTHS 14
 #define RESUME_SIXTEENTHS 13
+/* Beyond the bound, readers end until there is room for small requests. */
+#define EXCESS_SIXTEENTHS 15
 /* Paused holders looked at in one call. */
 #define RESUME_TRIES 4
 
@@ -46,6 +48,7 @@
 	struct pf_buffer_holder *paused_head, *paused_tail;
 	uint32_t n_paused;
 	bool full;
+	bool exceeded; /* readers end until EXCESS_SIXTEENTHS */
 };
 
 #define CONTAINER(type, member, p) \
@@ -259,6 +262,10 @@
 {
 	int64_t held = total(&b->held);
 
+	if (held > b->opts.limit)
+		b->exceeded = true;
+	else if (held <= sixteenths(b->opts.limit, EXCESS_SIXTEENTHS))
+		b->exceeded = false;
 	if (held > b->opts.limit)
 		b->full = true;
 	else if (held <= sixteenths(b->opts.limit, RESUME_SIXTEENTHS))
@@ -356,8 +363,8 @@
 {
 	struct pf_buffer_account *a = furthest_above(b);
 
-	if (total(&b->held) <= b->opts.limit || !a ||
-	    a->held <= share(b, false))
+	if (!b->exceeded || !a ||
+	    a->held <= sixteenths(share(b, false), EXCESS_SIXTEENTHS))
 		return NULL;
 	return slowest_reader(a, now, 0);
 }
--- a/src/transport/settings.c
+++ b/src/transport/settings.c
@@ -92,6 +92,8 @@
 	DEF("datagrams", ADDR, datagrams, true, 0, 0, NULL, NULL)              \
 	DEF("drain", MS, drain, false, 0, HOUR_MS, "8s", NULL)                 \
 	DEF("cores", REAL, cores, false, 0, 1e6, "0", NULL)                    \
+	DEF("memory.limit", SIZE, memory_limit, false, 16 << 20, 1e15,         \
+	    "256MiB", NULL)                                                    \
 	DEF("load_window", MS, load_window, false, 100, HOUR_MS, "5s", NULL)   \
 	DEF("load_over", REAL, load_rate_factor, false, 0, 100, "1", NULL)     \
 	DEF("allowance.window", MS, allowance.window, false, 0, HOUR_MS,       \
--- a/src/transport/sock.c
+++ b/src/transport/sock.c
@@ -147,8 +147,7 @@
 	}
 	if (evbuffer_get_length(s->queue) > 0)
 		event_add(s->write_event, NULL);
-	else
-		notify(s, s->cbs->sent);
+	notify(s, s->cbs->sent);
 }
 
 static void set_options(int fd, pf_ms ack_timeout)
@@ -248,6 +247,15 @@
 	return 0;
 }
 
+void pf_sock_limit_unsent(struct pf_sock *s, size_t bytes)
+{
+	unsigned int v = (unsigned int)bytes;
+
+	if (!s->freed)
+		setsockopt(s->fd, IPPROTO_TCP, TCP_NOTSENT_LOWAT, &v,
+			   sizeof(v));
+}
+
 size_t pf_sock_queued(const struct pf_sock *s)
 {
 	return evbuffer_get_length(s->queue);
--- a/tests/gate_rig.cc
+++ b/tests/gate_rig.cc
@@ -246,6 +246,16 @@
 	Step(m);
 }
 
+void GateRig::Paused(int tag, bool on)
+{
+	struct pf_gate_msg m = {};
+
+	m.type = PF_GATE_PAUSED;
+	m.u.paused.request = handles[tag];
+	m.u.paused.on = on;
+	Step(m);
+}
+
 void GateRig::Hangup(int tag)
 {
 	struct pf_gate_msg m = {};
--- a/tests/gate_rig.h
+++ b/tests/gate_rig.h
@@ -86,6 +86,7 @@
 	void Ended(int tag, enum pf_gate_outcome outcome, int status = 0,
 		   bool reset = false, bool misdirected = false);
 	void Events(int tag, uint32_t n = 1);
+	void Paused(int tag, bool on);
 	void Hangup(int tag);
 	/* Returns NULL when there is none. */
 	const GateAct *Last(int tag, enum pf_gate_act_type type) const;
--- a/tests/test_gate.cc
+++ b/tests/test_gate.cc
@@ -697,6 +697,28 @@
 	EXPECT_TRUE(Last(1, PF_GATE_SEND)->raw.u.send.resume);
 }
 
+// A stream that is not read, as its caller is slow, would count as silent: it
+// would be moved, and its endpoint get no new requests.
+TEST_F(Gate, PausedStreamIsNotSilent)
+{
+	PassFirstWindow();
+	Arrive(1, "/r/", 15000, "m", nullptr, 100);
+	uint64_t first = SentTo(1);
+	Events(1);
+	Paused(1, true);
+	Tick(3000);
+	EXPECT_EQ(Count(PF_GATE_CANCEL), 0u);
+	EXPECT_EQ(Count(PF_GATE_PROBE), 0u);
+	/* Read again, it has the usual time for its next event. */
+	Paused(1, false);
+	Tick(300);
+	EXPECT_EQ(Count(PF_GATE_CANCEL), 0u);
+	Events(1);
+	Tick(1500);
+	EXPECT_EQ(Count(PF_GATE_CANCEL), 1u);
+	EXPECT_NE(SentTo(1), first);
+}
+
 // What is missing for a silent stream to go on at another endpoint.
 struct NoAlternativeCase {
 	const char *name;
