Gate: all parts of a prompt, and of a crash, may be found to crash endpoints

Cause: the decoder kept the first 12 parts and skipped the rest without a word. The last one kept was taken for the request's own part and never suspected. A crash kept 32 different parts, a sample for the judges took no request of over 95, 1,024 parts were counted, 64 gateways could report a crash.

Change: parts are allocated by the length of the header (pf_inbound_clear()). The suspects of all crashes are one table that grows, with the set of crashes of each part (gate_suspects.c), so that a judgement takes time with their number and not its square. Reports to the judges go out in as many messages as they need, the table of counted parts grows while it would give up one in use, and each peer has a bit among the reporters of a crash.

Why it works: what a gateway learns from a crash no longer depends on where in the prompt a part stands, nor on how many others there are.

--- a/daemons/gateway/exchange.c
+++ b/daemons/gateway/exchange.c
@@ -92,6 +92,7 @@
 	core_drop_deferred(x->gateway, x->core_handle);
 	allowances_end(x);
 	LIST_REMOVE(x, next);
+	pf_inbound_clear(&x->inbound);
 	pf_text_free(&x->head_bytes);
 	pf_text_free(&x->body);
 	pf_text_free(&x->answer_head);
--- a/daemons/gateway/talk.c
+++ b/daemons/gateway/talk.c
@@ -410,15 +410,13 @@
 }
 
 /* To the gateways that judge which prompt part crashes endpoints. */
-static void send_part_uses(struct talk *t, pf_ms now)
+static void send_to_judges(struct talk *t, pf_ms now,
+			   const struct pf_gate_evidence *v, uint32_t n)
 {
-	struct pf_gate_evidence v[PF_GATE_EVIDENCE_MAX];
-	uint32_t n = pf_gate_part_uses(t->gateway->core, v);
 	uint64_t judges = nth_lowest_id(t, now, PF_GATE_JUDGES);
 	uint32_t i;
 
-	t->part_uses_sent_at = now;
-	for (i = 0; n > 0 && i < t->members.n; i++) {
+	for (i = 0; i < t->members.n; i++) {
 		const struct member *m = &t->members.v[i];
 
 		if (member_is_live(m, now) && m->id <= judges)
@@ -427,6 +425,16 @@
 	}
 }
 
+static void send_part_uses(struct talk *t, pf_ms now)
+{
+	struct pf_gate_evidence v[PF_GATE_EVIDENCE_MAX];
+	uint32_t n;
+
+	t->part_uses_sent_at = now;
+	while ((n = pf_gate_part_uses(t->gateway->core, v)) > 0)
+		send_to_judges(t, now, v, n);
+}
+
 /* The event loop was busy, or the process did not run. */
 static void note_late_tick(struct talk *t, pf_ms now)
 {
--- a/include/pimentoford/inbound.h
+++ b/include/pimentoford/inbound.h
@@ -9,8 +9,6 @@
 
 PF_BEGIN_DECLS
 
-#define PF_PROMPT_PARTS_MAX 12
-
 /** A part of a prompt; requests whose first parts are equal share a prefix. */
 struct pf_prompt_part {
 	uint64_t id;
@@ -29,7 +27,7 @@
 	uint32_t prompt_tokens;
 	uint32_t max_tokens; /* limit of the output */
 	uint32_t output_hint; /* caller's estimate of the output; 0: none */
-	struct pf_prompt_part parts[PF_PROMPT_PARTS_MAX]; /* in prompt order */
+	struct pf_prompt_part *parts; /* in prompt order; owned */
 	uint32_t n_parts;
 	struct pf_str parts_text; /* the parts as the caller sent them */
 	pf_ms time_left; /* until the caller's deadline; 0: unset */
@@ -38,6 +36,9 @@
 	struct pf_str resumes;
 };
 
+/** Frees what @in owns. */
+void pf_inbound_clear(struct pf_inbound *in);
+
 /** Headers of a request to an endpoint. */
 struct pf_forward {
 	struct pf_str instance; /* any other instance must refuse it */
--- a/src/coordination/gate/gate.c
+++ b/src/coordination/gate/gate.c
@@ -53,7 +53,8 @@
 	    !g->candidates || !g->estimates ||
 	    pf_heap_init(&g->request_timers, o->requests_max) < 0 ||
 	    pf_map_init(&g->endpoints_by_id, o->endpoints_max) < 0 ||
-	    gate_peers_init(g) < 0 || gate_limits_init(g) < 0) {
+	    gate_peers_init(g) < 0 || gate_limits_init(g) < 0 ||
+	    gate_blame_init(g) < 0 || gate_uses_init(g) < 0) {
 		pf_gate_free(g);
 		return NULL;
 	}
@@ -83,6 +84,10 @@
 	gate_peers_free(g);
 	gate_limits_free(g);
 	gate_services_free(g);
+	gate_blame_free(g);
+	gate_uses_free(g);
+	for (i = 0; g->requests && i < g->opts.requests_max; i++)
+		free(g->requests[i].parts);
 	free(g->estimates);
 	free(g->candidates);
 	free(g->endpoints);
--- a/src/coordination/gate/gate_blame.c
+++ b/src/coordination/gate/gate_blame.c
@@ -15,6 +15,8 @@
 #include "src/coordination/gate/gate_core.h"
 
 #include <math.h>
+#include <stdlib.h>
+#include <string.h>
 
 /* Crashes further apart have different causes. */
 #define RECORD_KEEP_MS 30000
@@ -51,6 +53,37 @@
 	return NULL;
 }
 
+static uint32_t index_of(const struct pf_gate *g,
+			 const struct gate_crash_record *c)
+{
+	return (uint32_t)(c - g->crash_records);
+}
+
+/* Peers of which reports are told apart, a multiple of 64. */
+static uint32_t reporters_max(const struct pf_gate *g)
+{
+	return (g->opts.peers_max + 63) / 64 * 64;
+}
+
+static uint64_t *reporters_of(const struct pf_gate *g, uint32_t record)
+{
+	return &g->crash_reporters[(size_t)record * reporters_max(g) / 64];
+}
+
+int gate_blame_init(struct pf_gate *g)
+{
+	g->crash_reporters =
+		calloc((size_t)GATE_CRASH_RECORDS * reporters_max(g) / 64,
+		       sizeof(*g->crash_reporters));
+	return g->crash_reporters ? 0 : -1;
+}
+
+void gate_blame_free(struct pf_gate *g)
+{
+	gate_suspects_free(g);
+	free(g->crash_reporters);
+}
+
 /* A record that was refuted says nothing about a later crash. */
 static struct gate_crash_record *
 find_or_add_record(struct pf_gate *g, uint64_t incarnation, pf_ms at)
@@ -67,6 +100,8 @@
 				c = &g->crash_records[i];
 		}
 	}
+	gate_suspects_forget(g, index_of(g, c));
+	memset(reporters_of(g, index_of(g, c)), 0, reporters_max(g) / 8);
 	*c = (struct gate_crash_record){ .incarnation = incarnation, .at = at };
 	return c;
 }
@@ -79,64 +114,40 @@
 		c->refuted_at = at;
 }
 
-static bool record_has(const struct gate_crash_record *c, uint64_t part)
-{
-	uint32_t i;
-
-	for (i = 0; i < c->n_parts; i++) {
-		if (c->parts[i] == part)
-			return true;
-	}
-	return false;
-}
-
-static void record_add(struct gate_crash_record *c, uint64_t part)
-{
-	if (!record_has(c, part) && c->n_parts < GATE_CRASH_PARTS_MAX)
-		c->parts[c->n_parts++] = part;
-}
-
-static void record_remove(struct gate_crash_record *c, uint64_t part)
+/* Bits of the records that a quarantined part explains. */
+static uint32_t explained_records(const struct pf_gate *g)
 {
+	uint32_t bits = 0;
 	uint32_t i;
 
-	for (i = 0; i < c->n_parts; i++) {
-		if (c->parts[i] == part)
-			c->parts[i--] = c->parts[--c->n_parts];
-	}
-}
-
-/* Whether the crash counts, and no quarantined part explains it. */
-static bool is_unexplained(const struct pf_gate *g,
-			   const struct gate_crash_record *c)
-{
-	uint32_t i;
+	for (i = 0; i < GATE_QUARANTINED_MAX; i++) {
+		uint64_t part = g->quarantined[i].part;
 
-	if (!c->incarnation || c->refuted_at || g->now - c->at > RECORD_KEEP_MS)
-		return false;
-	for (i = 0; i < c->n_parts; i++) {
-		if (gate_quarantine_has(g, c->parts[i]))
-			return false;
+		if (part && gate_quarantine_has(g, part))
+			bits |= gate_suspect_records(g, part);
 	}
-	return true;
+	return bits;
 }
 
-/* Bits of the records for which is_unexplained() holds. */
+/* Bits of the records that count, and that no quarantined part explains. */
 static uint32_t unexplained_records(const struct pf_gate *g)
 {
 	uint32_t bits = 0;
 	uint32_t i;
 
 	for (i = 0; i < GATE_CRASH_RECORDS; i++) {
-		if (is_unexplained(g, &g->crash_records[i]))
+		const struct gate_crash_record *c = &g->crash_records[i];
+
+		if (c->incarnation && !c->refuted_at &&
+		    g->now - c->at <= RECORD_KEEP_MS)
 			bits |= UINT32_C(1) << i;
 	}
-	return bits;
+	return bits ? bits & ~explained_records(g) : 0;
 }
 
-/* The crashes in @records with @part; *@first is the time of the first. */
+/* The number of crashes in @records; *@first is the time of the first. */
 static uint32_t count_crashes(const struct pf_gate *g, uint32_t records,
-			      uint64_t part, pf_ms *first)
+			      pf_ms *first)
 {
 	uint32_t n = 0;
 	uint32_t i;
@@ -145,7 +156,7 @@
 	for (i = 0; i < GATE_CRASH_RECORDS; i++) {
 		const struct gate_crash_record *c = &g->crash_records[i];
 
-		if (!(records >> i & 1) || !record_has(c, part))
+		if (!(records >> i & 1))
 			continue;
 		n++;
 		if (c->at < *first)
@@ -181,14 +192,15 @@
 	return next;
 }
 
-/* What the crashes in @records from @first on say about @part. *@separate is
+/* What the crashes in @records from @first on say about a suspect. *@separate is
  * set to how many, at different times, it may have caused. */
-static double part_score(struct pf_gate *g, uint32_t records, uint64_t part,
-			 pf_ms first, uint32_t *separate)
+static double part_score(struct pf_gate *g, uint32_t records,
+			 const struct gate_suspect *s, pf_ms first,
+			 uint32_t *separate)
 {
 	const struct gate_crash_record *c = next_record(g, records, first);
-	double share = gate_use_share(g, part);
-	double score = fmin(gate_use_unserved(g, part), UNSERVED_SCORE_MAX);
+	double share = gate_use_share(g, s->part);
+	double score = fmin(gate_use_unserved(g, s->part), UNSERVED_SCORE_MAX);
 
 	*separate = 0;
 	while (c) {
@@ -205,7 +217,7 @@
 			    x->at >= end)
 				continue;
 			suspects += x->suspects;
-			among |= record_has(x, part);
+			among |= s->records >> i & 1;
 		}
 		score += crash_score(share, suspects, among);
 		*separate += among;
@@ -225,40 +237,32 @@
 static bool blame_best(struct pf_gate *g)
 {
 	uint32_t records = unexplained_records(g);
+	const struct gate_suspect *blamed = NULL;
 	double best = 0;
-	uint64_t blamed = 0;
 	uint32_t crashes = 0;
 	pf_ms since = 0;
 	uint32_t i;
-	uint32_t k;
 
-	for (i = 0; i < GATE_CRASH_RECORDS; i++) {
-		const struct gate_crash_record *c = &g->crash_records[i];
+	for (i = 0; i < g->suspects.n; i++) {
+		const struct gate_suspect *s = &g->suspects.v[i];
+		uint32_t separate;
+		pf_ms first;
+		uint32_t n = count_crashes(g, s->records & records, &first);
+		double score;
 
-		if (!(records >> i & 1))
+		if (n < CRASHES_MIN)
 			continue;
-		for (k = 0; k < c->n_parts; k++) {
-			uint32_t separate;
-			pf_ms first;
-			uint32_t n =
-				count_crashes(g, records, c->parts[k], &first);
-			double score;
-
-			if (n < CRASHES_MIN || first != c->at)
-				continue;
-			score = part_score(g, records, c->parts[k], first,
-					   &separate);
-			if (score <= best || !is_enough(score, separate))
-				continue;
-			best = score;
-			blamed = c->parts[k];
-			crashes = n;
-			since = first;
-		}
+		score = part_score(g, records, s, first, &separate);
+		if (score <= best || !is_enough(score, separate))
+			continue;
+		best = score;
+		blamed = s;
+		crashes = n;
+		since = first;
 	}
 	if (!blamed)
 		return false;
-	gate_quarantine_add(g, blamed, since, crashes);
+	gate_quarantine_add(g, blamed->part, since, crashes);
 	return true;
 }
 
@@ -299,10 +303,11 @@
 }
 
 /* Adds a suspect of a crash; a part that was sound since is none. */
-static void add_suspect(struct pf_gate *g, struct gate_crash_record *c,
+static void add_suspect(struct pf_gate *g, const struct gate_crash_record *c,
 			uint64_t part)
 {
-	pf_ms first;
+	uint32_t records = gate_suspect_records(g, part);
+	uint32_t record = index_of(g, c);
 
 	gate_quarantine_crashed(g, part, c->at);
 	if (gate_use_sound_at(g, part) > c->at) {
@@ -310,11 +315,12 @@
 			       false);
 		return;
 	}
-	if (count_crashes(g, unexplained_records(g), part, &first) == 0)
+	if (!(records & unexplained_records(g)))
 		gate_use_suspected(g, part);
-	if (gate_is_judge(g) && !record_has(c, part) && gate_use_ask(g, part))
+	if (gate_is_judge(g) && !(records >> record & 1) &&
+	    gate_use_ask(g, part))
 		ask_all(g, c, part);
-	record_add(c, part);
+	gate_suspect_add(g, part, record);
 }
 
 static bool is_suspect(const struct pf_gate *g, const struct gate_request *r,
@@ -325,47 +331,77 @@
 	       (!r->began_at || g->now - r->began_at < GATE_BEGINNING_MS);
 }
 
-static void announce_crash(struct pf_gate *g, const struct gate_crash_record *c)
+static int compare_parts(const void *a, const void *b)
 {
-	struct pf_gate_evidence e = { .type = PF_GATE_EVIDENCE_CRASH,
-				      .incarnation = c->incarnation,
-				      .requests = c->suspects };
+	uint64_t x = *(const uint64_t *)a;
+	uint64_t y = *(const uint64_t *)b;
+
+	return (x > y) - (x < y);
+}
+
+/* The different parts of the requests that may have crashed the endpoint. The
+ * caller frees @parts; NULL: there are none, or no memory. */
+static uint32_t collect_suspects(const struct pf_gate *g, uint64_t incarnation,
+				 uint32_t *requests, uint64_t **parts)
+{
+	uint32_t n = 0;
+	uint32_t kept = 0;
 	uint32_t i;
 
-	for (i = 0; i < c->n_parts; i++) {
-		e.part = c->parts[i];
-		gate_evidence_add(g, &e, c->at, false);
+	*parts = NULL;
+	*requests = 0;
+	for (i = 0; i < g->opts.requests_max; i++) {
+		const struct gate_request *r = &g->requests[i];
+		uint64_t *more;
+
+		if (!is_suspect(g, r, incarnation))
+			continue;
+		++*requests;
+		more = realloc(*parts, (n + r->n_parts) * sizeof(*more));
+		if (!more)
+			break;
+		*parts = more;
+		memcpy(more + n, r->parts, r->n_parts * sizeof(*more));
+		n += r->n_parts;
 	}
+	if (n == 0)
+		return 0;
+	qsort(*parts, n, sizeof(**parts), compare_parts);
+	for (i = 0; i < n; i++) {
+		if (i == 0 || (*parts)[i] != (*parts)[i - 1])
+			(*parts)[kept++] = (*parts)[i];
+	}
+	return kept;
 }
 
 void gate_blame_crash(struct pf_gate *g, struct gate_endpoint *e,
 		      uint64_t incarnation)
 {
-	struct gate_crash_record own = { .incarnation = incarnation,
-					 .at = g->now };
+	struct pf_gate_evidence v = { .type = PF_GATE_EVIDENCE_CRASH,
+				      .incarnation = incarnation };
 	struct gate_crash_record *c = find_record(g, incarnation);
+	uint64_t *parts;
+	uint32_t start;
+	uint32_t n;
 	uint32_t i;
-	uint32_t k;
 
 	if (c && c->seen_here && !c->refuted_at)
 		return;
-	for (i = 0; i < g->opts.requests_max; i++) {
-		const struct gate_request *r = &g->requests[i];
-
-		if (!is_suspect(g, r, incarnation))
-			continue;
-		own.suspects++;
-		for (k = 0; k < r->n_parts; k++)
-			record_add(&own, r->parts[k]);
-	}
-	if (own.suspects == 0)
+	n = collect_suspects(g, incarnation, &v.requests, &parts);
+	if (n == 0)
 		return;
-	announce_crash(g, &own);
+	/* Of more than the ring holds, others are left out at each crash. */
+	start = n > GATE_EVIDENCE_RING ? pf_rng_below(&g->rng, n) : 0;
+	for (i = 0; i < n; i++) {
+		v.part = parts[(start + i) % n];
+		gate_evidence_add(g, &v, g->now, false);
+	}
 	c = find_or_add_record(g, incarnation, g->now);
 	c->seen_here = true;
-	c->suspects += own.suspects;
-	for (i = 0; i < own.n_parts; i++)
-		add_suspect(g, c, own.parts[i]);
+	c->suspects += v.requests;
+	for (i = 0; i < n; i++)
+		add_suspect(g, c, parts[i]);
+	free(parts);
 	if (e->incarnation == incarnation)
 		e->crashed_at = g->now;
 	judge(g);
@@ -386,14 +422,15 @@
 /* Whether this cleared @part of suspicion. */
 static bool clear_suspect(struct pf_gate *g, uint64_t part, pf_ms began_at)
 {
+	uint32_t records = gate_suspect_records(g, part);
 	pf_ms first;
-	uint32_t i;
 
-	if (count_crashes(g, unexplained_records(g), part, &first) == 0 ||
+	if (!records)
+		return false;
+	if (count_crashes(g, records & unexplained_records(g), &first) == 0 ||
 	    first >= began_at)
 		return false;
-	for (i = 0; i < GATE_CRASH_RECORDS; i++)
-		record_remove(&g->crash_records[i], part);
+	gate_suspect_clear(g, part);
 	return true;
 }
 
@@ -419,28 +456,26 @@
 	clear_suspect(g, e->part, began_at);
 }
 
-/* Whether @peer has not reported this crash before. */
-static bool add_reporter(struct gate_crash_record *c, uint64_t peer)
+/* Whether the peer has not reported this crash before. */
+static bool add_reporter(struct pf_gate *g, const struct gate_crash_record *c,
+			 uint32_t peer_slot)
 {
-	uint32_t i;
+	uint64_t *word = &reporters_of(g, index_of(g, c))[peer_slot / 64];
+	uint64_t bit = UINT64_C(1) << peer_slot % 64;
 
-	for (i = 0; i < c->n_reporters; i++) {
-		if (c->reporters[i] == peer)
-			return false;
-	}
-	if (c->n_reporters == GATE_CRASH_REPORTERS_MAX)
+	if (*word & bit)
 		return false;
-	c->reporters[c->n_reporters++] = peer;
+	*word |= bit;
 	return true;
 }
 
-static void crash_reported(struct pf_gate *g, uint64_t peer,
+static void crash_reported(struct pf_gate *g, uint32_t peer_slot,
 			   const struct pf_gate_evidence *e)
 {
 	struct gate_crash_record *c = find_or_add_record(
 		g, e->incarnation, g->now - (pf_ms)e->age_ms);
 
-	if (add_reporter(c, peer))
+	if (add_reporter(g, c, peer_slot))
 		c->suspects += e->requests;
 	add_suspect(g, c, e->part);
 }
@@ -460,13 +495,13 @@
 void gate_blame_evidence(struct pf_gate *g, uint64_t peer,
 			 const struct pf_gate_evidence *v, uint32_t n)
 {
+	uint32_t slot = (uint32_t)(gate_peer_heard(g, peer) - g->peers);
 	uint32_t i;
 
-	(void)gate_peer_heard(g, peer);
 	for (i = 0; i < n; i++) {
 		switch (v[i].type) {
 		case PF_GATE_EVIDENCE_CRASH:
-			crash_reported(g, peer, &v[i]);
+			crash_reported(g, slot, &v[i]);
 			break;
 		case PF_GATE_EVIDENCE_ALIVE:
 			refute(g, v[i].incarnation,
--- a/src/coordination/gate/gate_core.h
+++ b/src/coordination/gate/gate_core.h
@@ -9,6 +9,9 @@
 
 #define GATE_NIL UINT32_MAX
 #define GATE_AVOIDED_MAX 4
+/* Of a prompt, looked up in prefix caches; what longer ones save is not
+ * estimated. */
+#define GATE_PREFIXES_MAX 12
 /* Seconds of the longest retry window (14) and two that lie partly in it. */
 #define GATE_BUDGET_BUCKETS 16
 
@@ -37,11 +40,11 @@
 	uint32_t prompt_tokens;
 	uint32_t output_tokens; /* expected */
 	uint32_t events_left; /* expected, not passed on */
-	uint64_t prefixes[PF_PROMPT_PARTS_MAX]; /* hashes of parts 0 to i */
-	uint32_t prefix_tokens[PF_PROMPT_PARTS_MAX]; /* of parts 0 to i */
+	uint64_t prefixes[GATE_PREFIXES_MAX]; /* hashes of parts 0 to i */
+	uint32_t prefix_tokens[GATE_PREFIXES_MAX]; /* of parts 0 to i */
 	uint32_t n_prefixes;
 	/* Ids of the parts that other requests may share: all but the last. */
-	uint64_t parts[PF_PROMPT_PARTS_MAX];
+	uint64_t *parts; /* owned */
 	uint32_t n_parts;
 	pf_ms arrived_at;
 	pf_ms objective_deadline; /* PF_NEVER: the route has no objective */
@@ -259,23 +262,28 @@
 #define GATE_BEGINNING_MS 300
 /* At most 32: sets of records are bits of a word. */
 #define GATE_CRASH_RECORDS 32
-#define GATE_CRASH_PARTS_MAX 32
-#define GATE_CRASH_REPORTERS_MAX 64
 
-/** A crash of an endpoint, and the prompt parts that may have caused it. */
+/** A crash of an endpoint; its suspects are in gate_suspects. */
 struct gate_crash_record {
 	uint64_t incarnation; /* of the endpoint, hashed; 0: free */
 	pf_ms at;
 	pf_ms refuted_at; /* the endpoint went on; 0: not */
 	bool seen_here; /* not only by peers */
-	uint64_t reporters[GATE_CRASH_REPORTERS_MAX]; /* ids of peers */
-	uint32_t n_reporters;
 	uint32_t suspects; /* requests that may have caused it */
-	uint64_t parts[GATE_CRASH_PARTS_MAX];
-	uint32_t n_parts;
 };
 
-#define GATE_USE_REPORTS_MAX PF_GATE_EVIDENCE_MAX
+/** A prompt part that may have caused crashes. */
+struct gate_suspect {
+	uint64_t part;
+	uint32_t records; /* bits of these crashes */
+};
+
+struct gate_suspects {
+	struct gate_suspect *v; /* owned */
+	uint32_t n;
+	uint32_t cap;
+	struct pf_map by_part; /* to indices of `v`; none while cap is 0 */
+};
 
 /** Requests of which the judges were not told yet. */
 struct gate_use_report {
@@ -286,7 +294,6 @@
 };
 
 #define GATE_PART_WAYS 4
-#define GATE_PART_SETS 256
 
 /** How often a prompt part is used, and when it was last seen to be sound. */
 struct gate_part_use {
@@ -326,7 +333,7 @@
 };
 
 /* Kept after sending, for gateways that have just started. */
-#define GATE_EVIDENCE_RING 512
+#define GATE_EVIDENCE_RING 2048
 
 struct gate_evidence_entry {
 	struct pf_gate_evidence e;
@@ -464,13 +471,18 @@
 	struct gate_prefill_speed prefill_speeds[GATE_PREFILL_SPEEDS];
 	struct gate_crash crashes[GATE_CRASH_SETS][GATE_CRASH_WAYS];
 	struct gate_crash_record crash_records[GATE_CRASH_RECORDS];
-	struct gate_part_use part_uses[GATE_PART_SETS][GATE_PART_WAYS];
+	/* Bits of peers that have reported a crash, by record and peer slot. */
+	uint64_t *crash_reporters;
+	struct gate_suspects suspects;
+	struct gate_part_use (*part_uses)[GATE_PART_WAYS]; /* sets; owned */
+	uint32_t n_part_sets;
 	struct gate_model_use model_uses[GATE_MODEL_SETS][GATE_MODEL_WAYS];
 	struct gate_model_use all_uses;
 	uint32_t requests_seen; /* with parts, ever */
 	pf_ms uses_decayed_at;
-	struct gate_use_report use_reports[GATE_USE_REPORTS_MAX];
+	struct gate_use_report *use_reports; /* owned */
 	uint32_t n_use_reports;
+	uint32_t use_reports_cap;
 	pf_ms next_sample_at;
 	struct gate_quarantined_part quarantined[GATE_QUARANTINED_MAX];
 	bool quarantine_changed; /* in this step */
@@ -608,7 +620,19 @@
 void gate_prefix_add_reported(struct pf_gate *g,
 			      const struct pf_gate_cached_prefix *c);
 
+/* gate_suspects.c: prompt parts that may have caused crashes */
+/** Returns the bits of the crashes of which @part is a suspect. */
+uint32_t gate_suspect_records(const struct pf_gate *g, uint64_t part);
+void gate_suspect_add(struct pf_gate *g, uint64_t part, uint32_t record);
+/** @part is a suspect of no crash. */
+void gate_suspect_clear(struct pf_gate *g, uint64_t part);
+/** The crash has no suspects. */
+void gate_suspects_forget(struct pf_gate *g, uint32_t record);
+void gate_suspects_free(struct pf_gate *g);
+
 /* gate_blame.c: which prompt part explains the crashes */
+int gate_blame_init(struct pf_gate *g);
+void gate_blame_free(struct pf_gate *g);
 /**
  * This incarnation of @e seems to have crashed. Its requests that may have
  * caused that are those without an event, or that have just begun.
@@ -623,6 +647,8 @@
 			 const struct pf_gate_evidence *v, uint32_t n);
 
 /* gate_uses.c */
+int gate_uses_init(struct pf_gate *g);
+void gate_uses_free(struct pf_gate *g);
 void gate_use_arrival(struct pf_gate *g, struct gate_request *r);
 /** An answer to @r went on for a while, or was complete. */
 void gate_use_served(struct pf_gate *g, const struct gate_request *r);
--- a/src/coordination/gate/gate_life.c
+++ b/src/coordination/gate/gate_life.c
@@ -1,6 +1,7 @@
 /* Request lifecycle: arrival, waiting, sends and the one final act. */
 #include "src/coordination/gate/gate_core.h"
 
+#include <stdlib.h>
 #include <string.h>
 
 #define STATUS_OK 200
@@ -54,6 +55,9 @@
 
 	detach(g, r);
 	gate_demand_end(g, r);
+	free(r->parts);
+	r->parts = NULL;
+	r->n_parts = 0;
 	r->state = GATE_FREE;
 	pf_heap_set(&g->request_timers, slot, PF_NEVER);
 	g->free_requests[g->n_free++] = slot;
@@ -305,8 +309,9 @@
 		arm_timer(g, r);
 }
 
-static void copy_prompt(struct gate_request *r, const struct pf_inbound *in,
-			uint32_t tokens_per_event)
+/* Returns 0, or -1 without memory. */
+static int copy_prompt(struct gate_request *r, const struct pf_inbound *in,
+		       uint32_t tokens_per_event)
 {
 	uint64_t prefix = pf_id2(in->model, in->adapter);
 	uint32_t sum = 0;
@@ -321,16 +326,22 @@
 	r->events_left =
 		r->output_tokens / (tokens_per_event ? tokens_per_event : 1) +
 		1;
-	for (i = 0; i < in->n_parts; i++) {
+	for (i = 0; i < in->n_parts && i < GATE_PREFIXES_MAX; i++) {
 		prefix = pf_id2(prefix, in->parts[i].id);
 		sum += in->parts[i].tokens;
 		r->prefixes[i] = prefix;
 		r->prefix_tokens[i] = sum;
 	}
-	r->n_prefixes = in->n_parts;
-	r->n_parts = in->n_parts ? in->n_parts - 1 : 0;
+	r->n_prefixes = i;
+	if (in->n_parts < 2)
+		return 0;
+	r->parts = calloc(in->n_parts - 1, sizeof(*r->parts));
+	if (!r->parts)
+		return -1;
+	r->n_parts = in->n_parts - 1;
 	for (i = 0; i < r->n_parts; i++)
 		r->parts[i] = in->parts[i].id;
+	return 0;
 }
 
 /* Draws a split by weight; a request that the caller repeats gets the same. */
@@ -381,7 +392,11 @@
 	if (a->in->time_left > 0 && g->now + a->in->time_left < r->deadline)
 		r->deadline = g->now + a->in->time_left;
 	service = pf_routes_find_service(g->routes, r->service);
-	copy_prompt(r, a->in, service ? service->tokens_per_event : 1);
+	if (copy_prompt(r, a->in, service ? service->tokens_per_event : 1) <
+	    0) {
+		g->free_requests[g->n_free++] = slot_of(g, r);
+		return NULL;
+	}
 	g->stats.open++;
 	*a->handle = slot_of(g, r);
 	return r;
--- a/src/coordination/gate/gate_uses.c
+++ b/src/coordination/gate/gate_uses.c
@@ -6,6 +6,8 @@
 #include "src/coordination/gate/gate_core.h"
 
 #include <math.h>
+#include <stdlib.h>
+#include <string.h>
 
 /* Requests that all gateways together report to the judges. */
 #define REPORTED_PER_S 100
@@ -18,12 +20,29 @@
 #define ASK_MS 1000
 /* Several gateways, each twice, state the same crash or quarantine. */
 #define TELL_MS 500
+#define PART_SETS_MIN 256
+#define PART_SETS_MAX 16384
+/* An entry that is not given up for another part, while the table may grow. */
+#define ARRIVALS_KEPT 2
 /* In place of a model: all requests, whatever their model. */
 #define ALL_MODELS 0
 
-static struct gate_part_use *find_use(struct pf_gate *g, uint64_t part)
+int gate_uses_init(struct pf_gate *g)
 {
-	struct gate_part_use *set = g->part_uses[part % GATE_PART_SETS];
+	g->part_uses = calloc(PART_SETS_MIN, sizeof(*g->part_uses));
+	g->n_part_sets = PART_SETS_MIN;
+	return g->part_uses ? 0 : -1;
+}
+
+void gate_uses_free(struct pf_gate *g)
+{
+	free(g->part_uses);
+	free(g->use_reports);
+}
+
+static struct gate_part_use *find_use(const struct pf_gate *g, uint64_t part)
+{
+	struct gate_part_use *set = g->part_uses[part % g->n_part_sets];
 	uint32_t i;
 
 	for (i = 0; i < GATE_PART_WAYS; i++) {
@@ -33,19 +52,53 @@
 	return NULL;
 }
 
-static struct gate_part_use *find_or_add_use(struct pf_gate *g, uint64_t part)
+static struct gate_part_use *least_used(struct gate_part_use *set)
 {
-	struct gate_part_use *set = g->part_uses[part % GATE_PART_SETS];
-	struct gate_part_use *u = find_use(g, part);
+	struct gate_part_use *u = &set[0];
 	uint32_t i;
 
-	if (u)
-		return u;
-	u = &set[0];
 	for (i = 1; i < GATE_PART_WAYS; i++) {
 		if (set[i].arrivals < u->arrivals)
 			u = &set[i];
 	}
+	return u;
+}
+
+/* Doubles the table; without memory it remains as it is. Entries of a set are
+ * spread over two. */
+static void grow(struct pf_gate *g)
+{
+	uint32_t n = g->n_part_sets * 2;
+	struct gate_part_use(*sets)[GATE_PART_WAYS] = calloc(n, sizeof(*sets));
+	uint32_t i;
+	uint32_t k;
+
+	if (!sets)
+		return;
+	for (i = 0; i < g->n_part_sets; i++) {
+		for (k = 0; k < GATE_PART_WAYS; k++) {
+			const struct gate_part_use *u = &g->part_uses[i][k];
+
+			if (u->part)
+				*least_used(sets[u->part % n]) = *u;
+		}
+	}
+	free(g->part_uses);
+	g->part_uses = sets;
+	g->n_part_sets = n;
+}
+
+static struct gate_part_use *find_or_add_use(struct pf_gate *g, uint64_t part)
+{
+	struct gate_part_use *u = find_use(g, part);
+
+	if (u)
+		return u;
+	u = least_used(g->part_uses[part % g->n_part_sets]);
+	if (u->arrivals >= ARRIVALS_KEPT && g->n_part_sets < PART_SETS_MAX) {
+		grow(g);
+		u = least_used(g->part_uses[part % g->n_part_sets]);
+	}
 	*u = (struct gate_part_use){ .part = part };
 	return u;
 }
@@ -78,7 +131,7 @@
 		return;
 	g->uses_decayed_at = g->now;
 	g->all_uses.arrivals /= 2;
-	for (i = 0; i < GATE_PART_SETS; i++)
+	for (i = 0; i < g->n_part_sets; i++)
 		for (k = 0; k < GATE_PART_WAYS; k++)
 			g->part_uses[i][k].arrivals /= 2;
 	for (i = 0; i < GATE_MODEL_SETS; i++)
@@ -132,7 +185,7 @@
 		if (r->type == t && r->part == part && r->model == model)
 			return r;
 	}
-	if (g->n_use_reports == GATE_USE_REPORTS_MAX)
+	if (g->n_use_reports == g->use_reports_cap)
 		return NULL;
 	g->use_reports[g->n_use_reports] =
 		(struct gate_use_report){ t, part, model, 0 };
@@ -148,12 +201,31 @@
 		r->requests++;
 }
 
+/* Makes room for reports of all parts of @r. Returns 0, or -1 without memory. */
+static int reserve_reports(struct pf_gate *g, const struct gate_request *r)
+{
+	uint32_t cap = g->n_use_reports + r->n_parts + 1;
+	struct gate_use_report *v;
+
+	if (cap <= g->use_reports_cap)
+		return 0;
+	v = realloc(g->use_reports, cap * sizeof(*v));
+	if (!v)
+		return -1;
+	g->use_reports = v;
+	g->use_reports_cap = cap;
+	return 0;
+}
+
 /* Picks requests to report: together, all gateways report the same number a
- * second, however many they are. */
+ * second, however many they are. What doesn't fit into a message with others is
+ * reported in several, so that long prompts are not left out. */
 static bool is_sampled(struct pf_gate *g, const struct gate_request *r)
 {
 	if (g->now < g->next_sample_at ||
-	    g->n_use_reports + r->n_parts + 1 > GATE_USE_REPORTS_MAX)
+	    (g->n_use_reports > 0 &&
+	     g->n_use_reports + r->n_parts + 1 > PF_GATE_EVIDENCE_MAX) ||
+	    reserve_reports(g, r) < 0)
 		return false;
 	g->next_sample_at = g->now + (pf_ms)(1 + gate_peers_live(g)) * 1000 /
 					     REPORTED_PER_S;
@@ -201,6 +273,8 @@
 	uint32_t n = g->n_use_reports;
 	uint32_t i;
 
+	if (n > PF_GATE_EVIDENCE_MAX)
+		n = PF_GATE_EVIDENCE_MAX;
 	for (i = 0; i < n; i++)
 		out[i] = (struct pf_gate_evidence){
 			.type = g->use_reports[i].type,
@@ -208,7 +282,10 @@
 			.model = g->use_reports[i].model,
 			.requests = g->use_reports[i].requests,
 		};
-	g->n_use_reports = 0;
+	g->n_use_reports -= n;
+	if (g->n_use_reports)
+		memmove(g->use_reports, g->use_reports + n,
+			g->n_use_reports * sizeof(*g->use_reports));
 	return n;
 }
 
--- a/tests/even_sim.cc
+++ b/tests/even_sim.cc
@@ -321,6 +321,8 @@
 	in.prompt_tokens = SHARED[kind] + OWN[kind];
 	in.max_tokens =
 		static_cast<uint32_t>(EVENTS[kind] - 1) * TOKENS_PER_EVENT;
+	struct pf_prompt_part parts[2];
+	in.parts = parts;
 	in.n_parts = 2;
 	in.parts[0] = { 10000u * (kind != CHAT) + r->prefix + 1,
 			SHARED[kind],
--- a/tests/gate_rig.cc
+++ b/tests/gate_rig.cc
@@ -194,8 +194,10 @@
 		     const char *part, uint64_t fingerprint, bool own_part)
 {
 	struct pf_gate_msg m = {};
+	struct pf_prompt_part parts[2] = {};
 	struct pf_inbound in = {};
 
+	in.parts = parts;
 	in.time_left = time_left;
 	in.last_event = last_event;
 	in.id = { attempt.data(), attempt.size() };
--- a/tests/gate_sim.cc
+++ b/tests/gate_sim.cc
@@ -291,11 +291,13 @@
 void GateSim::SendPartUses(unsigned gate)
 {
 	struct pf_gate_evidence v[PF_GATE_EVIDENCE_MAX];
-	uint32_t n = pf_gate_part_uses(gates_[gate].g, v);
+	uint32_t n;
 
-	for (unsigned to = 0; n > 0 && to < opts.gates; to++) {
-		if (to != gate && IsJudgeFor(gate, to))
-			SendEvidenceTo(gate, to, v, n);
+	while ((n = pf_gate_part_uses(gates_[gate].g, v)) > 0) {
+		for (unsigned to = 0; to < opts.gates; to++) {
+			if (to != gate && IsJudgeFor(gate, to))
+				SendEvidenceTo(gate, to, v, n);
+		}
 	}
 }
 
@@ -324,15 +326,20 @@
 void GateSim::Arrive(bool poison)
 {
 	struct pf_gate_msg m = {};
+	std::vector<struct pf_prompt_part> parts;
 	struct pf_inbound in = {};
 	auto r = std::make_unique<Request>();
 
 	r->poison = poison;
 	r->arrived_at = now_;
 	r->gate = Below(opts.gates);
-	r->parts[0] = 100 + Below(FIRST_PARTS);
-	r->parts[1] = 200 + Below(opts.subjects);
-	r->parts[2] = next_part_++;
+	r->parts.push_back(100 + Below(FIRST_PARTS));
+	r->parts.push_back(200 + Below(opts.subjects));
+	while (r->parts.size() + 1 < opts.n_parts)
+		r->parts.push_back(opts.fillers ? 1000 * r->parts.size() +
+							  Below(opts.fillers)
+						: next_part_++);
+	r->parts.push_back(next_part_++);
 	if (poison)
 		r->parts[opts.poison_position] = opts.poison_part;
 	r->poison = poison ||
@@ -342,15 +349,19 @@
 	in.model = MODEL;
 	in.prompt_tokens = 700;
 	in.max_tokens = 200;
-	in.n_parts = 3;
-	in.parts[0] = { r->parts[0], 120, {} };
-	in.parts[1] = { r->parts[1], 80, {} };
-	in.parts[2] = { r->parts[2], OWN_TOKENS, {} };
+	for (size_t i = 0; i < r->parts.size(); i++)
+		parts.push_back({ r->parts[i],
+				  i == 0                    ? 120
+				  : i + 1 < r->parts.size() ? 80
+							    : OWN_TOKENS,
+				  {} });
+	in.n_parts = (uint32_t)parts.size();
+	in.parts = parts.data();
 	m.type = PF_GATE_ARRIVE;
 	m.u.arrival.ctx = r.get();
 	m.u.arrival.route = &route_;
 	m.u.arrival.in = &in;
-	m.u.arrival.fingerprint = r->parts[2];
+	m.u.arrival.fingerprint = r->parts.back();
 	m.u.arrival.handle = &r->handle;
 	requests.push_back(std::move(r));
 	Step(requests.back()->gate, m);
--- a/tests/gate_sim.h
+++ b/tests/gate_sim.h
@@ -32,6 +32,10 @@
 		uint64_t poison_part = 1;
 		double poison_per_s = 0;
 		unsigned poison_position = 1;
+		unsigned n_parts = 3; /* of each prompt */
+		/* Different parts at each place between the subject and the
+		 * last part; 0: no two requests share any. */
+		unsigned fillers = 4;
 		int poison_events = 0; /* passed on before the crash */
 		pf_ms crash_after = 70; /* from the begin of the answer */
 		bool at_most_once = false; /* the route's kind */
@@ -40,7 +44,7 @@
 		bool poison = false;
 		pf_ms arrived_at = 0;
 		unsigned gate = 0;
-		uint64_t parts[3] = {};
+		std::vector<uint64_t> parts;
 		uint32_t handle = UINT32_MAX;
 		unsigned sends = 0; /* that reached an endpoint */
 		bool began_first = false; /* at the first send */
--- a/tests/share_sim.cc
+++ b/tests/share_sim.cc
@@ -275,6 +275,7 @@
 {
 	const ShareKind &k = SHARE_KINDS[c->kind];
 	struct pf_gate_msg m = {};
+	struct pf_prompt_part parts[2];
 	struct pf_inbound in = {};
 
 	c->tries++;
@@ -293,6 +294,7 @@
 		in.prompt_tokens = k.shared + k.own;
 		in.max_tokens = k.events * TOKENS_PER_EVENT;
 		in.n_parts = 2;
+		in.parts = parts;
 		in.parts[0] = { c->prefix, k.shared, {} };
 		in.parts[1] = { c->fingerprint, k.own, {} };
 	}
--- a/tests/test_gate_crash.cc
+++ b/tests/test_gate_crash.cc
@@ -55,6 +55,16 @@
 	return o;
 }
 
+/* Prompts of many parts. */
+GateSim::Options Long(unsigned parts, unsigned position)
+{
+	GateSim::Options o;
+
+	o.n_parts = parts;
+	o.poison_position = position;
+	return o;
+}
+
 const PoisonCase POISON_CASES[] = {
 	{ "SubjectPart", GateSim::Options(), 4 },
 	{ "FirstPart", With([](GateSim::Options &o) { o.poison_position = 0; }),
@@ -92,6 +102,24 @@
 	  4 },
 	{ "SlowDigests", With([](GateSim::Options &o) { o.digest_ms = 720; }),
 	  4 },
+	{ "FourteenthOfSixteen", Long(16, 13), 4 },
+	{ "TwelfthOfSixteen", Long(16, 11), 4 },
+	{ "FirstOfSixtyFour", Long(64, 0), 4 },
+	{ "SixtiethOfSixtyFour", Long(64, 59), 4 },
+	{ "LastButOneOf300", Long(300, 298), 4 },
+	{ "TenthOfTwelveOfWhichOthersAreNotShared",
+	  With([](GateSim::Options &o) {
+		  o.n_parts = 12;
+		  o.poison_position = 9;
+		  o.fillers = 0;
+	  }),
+	  4 },
+	{ "SixtiethOfSixtyFourAtFortyGates", With([](GateSim::Options &o) {
+		  o = Fleet(40, 45);
+		  o.n_parts = 64;
+		  o.poison_position = 59;
+	  }),
+	  4 },
 };
 
 struct GatePoison : ::testing::TestWithParam<PoisonCase> {
--- a/tests/test_platform.cc
+++ b/tests/test_platform.cc
@@ -51,6 +51,27 @@
 	EXPECT_EQ(c.time_left, 5000);
 	EXPECT_EQ(c.last_event, 12);
 	EXPECT_EQ(std::string(c.resumes.p, c.resumes.n), "5b07");
+	pf_inbound_clear(&c);
+}
+
+// Parts of a prompt beyond the twelfth were left out.
+TEST(Platform, DecodesAllPartsOfAPrompt)
+{
+	const unsigned n = 1000;
+	std::string in = "GET / HTTP/1.1\r\nHost: h\r\nPrompt-Prefix: ";
+	struct pf_h1_head h;
+	struct pf_inbound c;
+
+	for (unsigned i = 0; i < n; i++)
+		in += (i ? ",p" : "p") + std::to_string(i) + ":" +
+		      std::to_string(i + 7);
+	in += "\r\n\r\n";
+	ASSERT_EQ(pf_h1_parse_request(Str(in), &h), 0);
+	ASSERT_EQ(platform_decode_request(&h, &c), 0);
+	ASSERT_EQ(c.n_parts, n);
+	EXPECT_EQ(c.parts[n - 1].id, pf_id(PF_STR("p999")));
+	EXPECT_EQ(c.parts[n - 1].tokens, n + 6);
+	pf_inbound_clear(&c);
 }
 
 struct BadField {
