Loader and planner: orders in doubt count for the next incarnation too

Cause: an order is guarded by the engine's id and its count of orders, and both come again after a restart. Loader and planner forgot orders in doubt when the incarnation changed. The oracle of the loader's fuzzer assumed the same.

Change: the loader remembers each order without an answer for as long as it may be carried out (12.5 s after it was sent last) and tells the gateways with each state. The planner keeps what it was told, and no order leaves an engine, at the count that an order in doubt names, without room for it; the loader does the same for adapter slots. A late load of an earlier incarnation is shown and counted as one, a late unload makes a home unsafe.

Why it works: an order in doubt can be carried out at one count only, and before each order the next count is looked at. Room is kept, or the order waits.

--- a/fuzz/fuzz_loader.c
+++ b/fuzz/fuzz_loader.c
@@ -33,6 +33,7 @@
 	struct pf_rng rng;
 	struct pf_loader *loader;
 	pf_ms now;
+	uint32_t step_max; /* ms */
 	int64_t incarnation;
 	uint64_t orders_accepted;
 	bool models[MODELS];
@@ -248,6 +249,20 @@
 	step(w, &m);
 }
 
+/* Whether an engine with @held models after its next order has room for any load
+ * that it may then carry out late. */
+static bool has_room_for_late(const struct pf_engine_state *s, uint32_t held)
+{
+	uint32_t i;
+
+	for (i = 0; i < s->n_in_doubt; i++) {
+		if (s->in_doubt[i].load && held >= MODELS_MAX &&
+		    s->in_doubt[i].expected_orders == s->orders_accepted + 1)
+			return false;
+	}
+	return true;
+}
+
 /* The planner decides by the state that it received, however old. */
 static void send_order(struct world *w, const struct pf_engine_state *s)
 {
@@ -257,11 +272,16 @@
 
 	if (s->busy || !s->endpoint)
 		return;
+	/* A full engine mostly stays so. */
+	if (held >= MODELS_MAX && draw(w, 8))
+		return;
 	format_name(model, sizeof(model), 'm', (int)draw(w, MODELS));
 	m.u.order.instance = PF_STR("i-1");
 	m.u.order.incarnation = s->incarnation;
 	m.u.order.expected_orders = s->orders_accepted;
 	m.u.order.load = held < MODELS_MAX;
+	if (m.u.order.load && !has_room_for_late(s, held + 1))
+		return;
 	m.u.order.model = pf_str_c(model);
 	step(w, &m);
 }
@@ -271,7 +291,7 @@
 	static const struct pf_loader_msg tick = { .type = PF_LOADER_TICK };
 	uint32_t i;
 
-	w->now += 1 + draw(w, 150);
+	w->now += 1 + draw(w, w->step_max);
 	if (w->model_work.active && w->now >= w->model_work.until) {
 		w->models[w->model_work.model] = w->model_work.load;
 		if (w->model_work.model == 0 && !w->model_work.load)
@@ -290,14 +310,14 @@
 	step(w, &tick);
 }
 
-/* A new incarnation: earlier orders can't reach it. */
+/* A new incarnation under the same id: it counts its orders anew, and earlier
+ * ones that are late may reach it. */
 static void restart_engine(struct world *w)
 {
 	w->incarnation++;
 	w->orders_accepted = 0;
 	memset(w->models, 0, sizeof(w->models));
 	memset(w->adapters, 0, sizeof(w->adapters));
-	memset(w->late_orders, 0, sizeof(w->late_orders));
 	w->model_work.active = false;
 	w->answer = PF_LOADER_IN_DOUBT;
 }
@@ -325,10 +345,15 @@
 {
 	struct pf_loader_opts o;
 	struct world w = { .result = r, .now = 100000, .incarnation = 1 };
+	uint32_t restarts;
 	uint32_t i;
 
 	pf_loader_opts_default(&o);
 	pf_rng_seed(&w.rng, seed);
+	/* Long runs with several incarnations, which late orders may meet, or
+	 * short ones with one. */
+	w.step_max = draw(&w, 2) ? 150 : 900;
+	restarts = w.step_max == 150 ? 6 : 1;
 	w.order_timeout = o.order_timeout;
 	w.loader = pf_loader_new(&o);
 	w.models[0] = true;
@@ -346,7 +371,7 @@
 			send_answer(&w);
 		else if (what < 88)
 			send_usage(&w);
-		else if (what < 99 || draw(&w, 6))
+		else if (what < 99 || draw(&w, restarts))
 			send_order(&w, &s);
 		else
 			restart_engine(&w);
--- a/include/pimentoford/engine_state.h
+++ b/include/pimentoford/engine_state.h
@@ -6,6 +6,18 @@
 
 PF_BEGIN_DECLS
 
+/** An order without an answer may be carried out for this long after it was
+ * sent, also by a later incarnation under the same id (docs/PLATFORM.md). */
+#define PF_ORDER_LATE_MS 12500
+
+/** An order for a model that got no answer. */
+struct pf_order_in_doubt {
+	uint64_t model;
+	uint64_t expected_orders; /* accepted before it, if it is carried out */
+	bool load; /* false: unload */
+	pf_ms age; /* since it was sent last; below PF_ORDER_LATE_MS */
+};
+
 /** The state that a loader sends to the gateways; lists are borrowed. */
 struct pf_engine_state {
 	uint64_t endpoint;
@@ -28,6 +40,9 @@
 	uint32_t n_in_host_mem;
 	const uint64_t *on_disk; /* models with weights on the local disk */
 	uint32_t n_on_disk;
+	/* Of this incarnation and earlier ones. */
+	const struct pf_order_in_doubt *in_doubt;
+	uint32_t n_in_doubt;
 };
 
 /** A model or an adapter in an engine's report. */
--- a/src/coordination/loader/loader.c
+++ b/src/coordination/loader/loader.c
@@ -36,6 +36,19 @@
 	pf_ms last_used_at;
 };
 
+/** An order without an answer, for as long as it may be carried out. */
+struct order_in_doubt {
+	uint64_t model;
+	uint64_t adapter; /* 0: the model itself */
+	bool load; /* false: unload */
+	bool from_store;
+	uint64_t expected_orders;
+	pf_ms sent_at; /* last time */
+	/* This incarnation has accepted another order in its place; 0: none. A
+	 * later one may still carry it out. */
+	int64_t void_for;
+};
+
 struct gateway_usage {
 	uint64_t gateway;
 	pf_ms reported_at;
@@ -69,17 +82,14 @@
 		int64_t incarnation;
 	} model_order;
 	bool order_is_model; /* the last order was for a model */
-	uint64_t order_expected; /* orders accepted before the last order */
 	uint64_t loading_model; /* whose load was ordered last; 0: none */
 	bool loading_from_store;
 	pf_ms loading_ordered_at;
-	/* A load in doubt, until the engine accepts an order. */
-	struct {
-		uint64_t model; /* 0: none */
-		bool from_store;
-		uint64_t expected_orders;
-		int64_t incarnation;
-	} doubted_load;
+	struct order_in_doubt last_order;
+	struct order_in_doubt *in_doubt; /* owned */
+	uint32_t n_in_doubt;
+	uint32_t in_doubt_cap;
+	struct pf_order_in_doubt *state_in_doubt; /* owned; as many */
 	struct adapter_request adapter_requests[ADAPTER_REQUESTS_MAX];
 	struct last_use last_uses[LAST_USES_MAX];
 	struct gateway_usage *gateways;
@@ -120,6 +130,8 @@
 		return;
 	pf_engine_report_clear(&l->report);
 	free(l->gateways);
+	free(l->in_doubt);
+	free(l->state_in_doubt);
 	free(l);
 }
 
@@ -201,7 +213,16 @@
 	l->report_fresh = false;
 	l->order_deadline = l->now + l->opts.order_timeout;
 	l->order_is_model = !adapter;
-	l->order_expected = l->report.orders_accepted;
+	l->last_order = (struct order_in_doubt){
+		.model = pf_id(pf_str_c(model)),
+		.load = load,
+		.from_store = load && !adapter && l->loading_from_store,
+		.expected_orders = l->report.orders_accepted,
+		.sent_at = l->now,
+	};
+	if (adapter)
+		l->last_order.adapter =
+			pf_adapter_id(l->last_order.model, pf_str_c(adapter));
 	if (!load) {
 		/* Gateways must stop using the item now. */
 		l->unloading = pf_id(pf_str_c(model));
@@ -213,6 +234,42 @@
 	emit(l, &a);
 }
 
+static uint32_t count_adapters(const struct pf_engine_report *r)
+{
+	uint32_t n = 0;
+	uint32_t i;
+
+	for (i = 0; i < r->n_items; i++)
+		n += r->items[i].adapter != NULL;
+	return n;
+}
+
+/*
+ * Whether the engine, once it has accepted one more order after which it has
+ * @n_adapters, may carry out any order in doubt that then has the right count:
+ * one that was sent to an earlier incarnation. It would exceed its adapter slots
+ * or, since the sizes of models aren't known here, perhaps its memory, of which
+ * @loads_adapter takes some. Orders of models are the planner's concern.
+ */
+static bool leaves_room(const struct pf_loader *l, uint32_t n_adapters,
+			bool loads_adapter)
+{
+	const struct pf_engine_report *r = &l->report;
+	uint32_t i;
+
+	for (i = 0; i < l->n_in_doubt; i++) {
+		const struct order_in_doubt *o = &l->in_doubt[i];
+
+		if (!o->load || o->expected_orders != r->orders_accepted + 1 ||
+		    l->now - o->sent_at >= PF_ORDER_LATE_MS ||
+		    pf_engine_report_find(r, o->model, o->adapter))
+			continue;
+		if (o->adapter ? n_adapters >= l->adapter_slots : loads_adapter)
+			return false;
+	}
+	return true;
+}
+
 /* Sends the planner's order unless the engine has accepted another since. */
 static bool start_model_order(struct pf_loader *l)
 {
@@ -224,6 +281,8 @@
 	    l->model_order.expected_orders != l->report.orders_accepted)
 		return false;
 #endif
+	if (!leaves_room(l, count_adapters(&l->report), false))
+		return false;
 	if (l->model_order.load) {
 		l->loading_model = pf_id(pf_str_c(l->model_order.model));
 		l->loading_from_store = l->model_order.from_store;
@@ -233,16 +292,6 @@
 	return true;
 }
 
-static uint32_t count_adapters(const struct pf_engine_report *r)
-{
-	uint32_t n = 0;
-	uint32_t i;
-
-	for (i = 0; i < r->n_items; i++)
-		n += r->items[i].adapter != NULL;
-	return n;
-}
-
 static bool adapter_in_use(const struct pf_loader *l, uint64_t adapter)
 {
 	uint32_t i;
@@ -321,11 +370,12 @@
 #else
 	if (count_adapters(&l->report) < l->adapter_slots) {
 #endif
-		send_order(l, true, oldest->model, oldest->adapter);
+		if (leaves_room(l, count_adapters(&l->report) + 1, true))
+			send_order(l, true, oldest->model, oldest->adapter);
 		return;
 	}
 	victim = pick_victim(l);
-	if (victim)
+	if (victim && leaves_room(l, count_adapters(&l->report) - 1, false))
 		send_order(l, false, victim->model, victim->adapter);
 }
 
@@ -356,22 +406,22 @@
 	l->unloading = 0;
 }
 
-/* Resolves a load in doubt when the engine has accepted an order. */
-static void check_doubted_load(struct pf_loader *l)
+/* A load in doubt that the engine is carrying out is shown in the state. */
+static void show_late_load(struct pf_loader *l)
 {
 	const struct pf_engine_report *r = &l->report;
+	uint32_t i;
 
-	if (!l->doubted_load.model ||
-	    (r->incarnation == l->doubted_load.incarnation &&
-	     r->orders_accepted == l->doubted_load.expected_orders))
-		return;
-	if (r->busy && r->incarnation == l->doubted_load.incarnation &&
-	    r->orders_accepted == l->doubted_load.expected_orders + 1) {
-		l->loading_model = l->doubted_load.model;
-		l->loading_from_store = l->doubted_load.from_store;
+	for (i = 0; r->busy && !l->loading_model && i < l->n_in_doubt; i++) {
+		const struct order_in_doubt *o = &l->in_doubt[i];
+
+		if (!o->load || o->adapter || o->void_for == r->incarnation ||
+		    o->expected_orders + 1 != r->orders_accepted)
+			continue;
+		l->loading_model = o->model;
+		l->loading_from_store = o->from_store;
 		l->loading_ordered_at = l->now;
 	}
-	l->doubted_load.model = 0;
 }
 
 static void on_report(struct pf_loader *l, struct pf_engine_report *r)
@@ -398,7 +448,7 @@
 		l->report_fresh = true;
 	if (!l->report.busy)
 		l->loading_model = 0;
-	check_doubted_load(l);
+	show_late_load(l);
 	check_unload_done(l);
 	l->next_poll_at = l->now + l->opts.poll_interval;
 	if (l->report.busy || count_adapters(&l->report) != 0)
@@ -527,31 +577,83 @@
 		start_next_order(l);
 }
 
+/* Without memory, a late order is not expected. */
+static void add_in_doubt(struct pf_loader *l, const struct order_in_doubt *o)
+{
+	struct pf_order_in_doubt *state;
+	struct order_in_doubt *v;
+	uint32_t cap;
+	uint32_t i;
+
+	for (i = 0; i < l->n_in_doubt; i++) {
+		v = &l->in_doubt[i];
+		if (v->model == o->model && v->adapter == o->adapter &&
+		    v->load == o->load &&
+		    v->expected_orders == o->expected_orders) {
+			*v = *o;
+			return;
+		}
+	}
+	if (l->n_in_doubt == l->in_doubt_cap) {
+		cap = l->in_doubt_cap * 2 + 8;
+		v = realloc(l->in_doubt, cap * sizeof(*v));
+		if (v)
+			l->in_doubt = v;
+		state = realloc(l->state_in_doubt, cap * sizeof(*state));
+		if (state)
+			l->state_in_doubt = state;
+		if (!v || !state)
+			return;
+		l->in_doubt_cap = cap;
+	}
+	l->in_doubt[l->n_in_doubt++] = *o;
+}
+
+static void drop_expired(struct pf_loader *l)
+{
+	uint32_t n = 0;
+	uint32_t i;
+
+	for (i = 0; i < l->n_in_doubt; i++) {
+		if (l->now - l->in_doubt[i].sent_at < PF_ORDER_LATE_MS)
+			l->in_doubt[n++] = l->in_doubt[i];
+	}
+	l->n_in_doubt = n;
+}
+
+/* The engine has accepted an order: others with its count can't follow it in
+ * this incarnation. */
+static void void_in_doubt(struct pf_loader *l, uint64_t expected_orders)
+{
+	uint32_t i;
+
+	for (i = 0; i < l->n_in_doubt; i++) {
+		if (l->in_doubt[i].expected_orders == expected_orders)
+			l->in_doubt[i].void_for = l->report.incarnation;
+	}
+}
+
 static void on_answer(struct pf_loader *l, enum pf_loader_result result)
 {
 	l->order_in_flight = false;
 	l->order_deadline = PF_NEVER;
-	if (result == PF_LOADER_ACCEPTED) {
-		l->doubted_load.model = 0;
-	} else if (result == PF_LOADER_IN_DOUBT && l->order_is_model &&
-		   l->loading_model) {
-		l->doubted_load.model = l->loading_model;
-		l->doubted_load.from_store = l->loading_from_store;
-		l->doubted_load.expected_orders = l->order_expected;
-		l->doubted_load.incarnation = l->report.incarnation;
-	}
+	if (result == PF_LOADER_ACCEPTED)
+		void_in_doubt(l, l->last_order.expected_orders);
+	else if (result == PF_LOADER_IN_DOUBT)
+		add_in_doubt(l, &l->last_order);
 	if (result != PF_LOADER_ACCEPTED && l->order_is_model)
 		l->loading_model = 0;
 	if (result == PF_LOADER_REFUSED)
 		l->unloading = 0;
 	l->last_answer_at = l->now;
 	l->next_poll_at = l->now + l->opts.order_poll_delay;
-	if (result == PF_LOADER_ACCEPTED && l->order_is_model)
+	if (result != PF_LOADER_REFUSED && l->order_is_model)
 		notify_state_changed(l);
 }
 
 static void on_tick(struct pf_loader *l)
 {
+	drop_expired(l);
 	if (l->order_in_flight && l->now >= l->order_deadline)
 		on_answer(l, PF_LOADER_IN_DOUBT);
 	if (l->now >= l->next_poll_at)
@@ -610,9 +712,28 @@
 	return &l->state_residents[(*n)++];
 }
 
+/* Fills state_in_doubt; returns their number. */
+static uint32_t list_in_doubt(struct pf_loader *l, pf_ms now)
+{
+	uint32_t n = 0;
+	uint32_t i;
+
+	for (i = 0; i < l->n_in_doubt; i++) {
+		const struct order_in_doubt *o = &l->in_doubt[i];
+
+		if (!o->adapter && now - o->sent_at < PF_ORDER_LATE_MS)
+			l->state_in_doubt[n++] = (struct pf_order_in_doubt){
+				o->model, o->expected_orders, o->load,
+				now - o->sent_at
+			};
+	}
+	return n;
+}
+
 void pf_loader_state(struct pf_loader *l, pf_ms now, struct pf_engine_state *s)
 {
 	const struct pf_engine_report *r = &l->report;
+	uint32_t n_in_doubt = list_in_doubt(l, now);
 	uint32_t n = 0;
 	uint32_t i;
 
@@ -657,5 +778,7 @@
 		.n_in_host_mem = r->n_in_host_mem,
 		.on_disk = r->on_disk,
 		.n_on_disk = r->n_on_disk,
+		.in_doubt = l->state_in_doubt,
+		.n_in_doubt = n_in_doubt,
 	};
 }
--- a/src/coordination/plan/plan.c
+++ b/src/coordination/plan/plan.c
@@ -85,6 +85,7 @@
 	pf_map_free(&p->peers_by_id);
 	pf_map_free(&p->models_by_id);
 	pf_map_free(&p->engines_by_id);
+	free(p->doubts);
 	free(p->peers);
 	free(p->engines);
 	free(p);
@@ -362,6 +363,20 @@
 		       rate * (double)p->opts.load_window / 1000 + LOADS_BURST;
 }
 
+/* The order in flight is given up. The loader tells of it too, unless it ended
+ * meanwhile. */
+static void doubt_order(struct pf_plan *p, const struct plan_engine *e)
+{
+	const struct pf_order_in_doubt o = {
+		.model = e->order_model,
+		.expected_orders = e->order_expected,
+		.load = e->order_is_load,
+		.age = p->now - e->order_sent_at,
+	};
+
+	plan_doubt_add(p, e->id, &o);
+}
+
 static void clear_finished_order(struct pf_plan *p, struct plan_engine *e)
 {
 	if (!e->order_model)
@@ -373,6 +388,7 @@
 	} else if (p->now - e->order_given_at > ORDER_GIVE_UP_MS) {
 		if (!e->order_is_load)
 			e->unload_in_doubt = e->order_model;
+		doubt_order(p, e);
 		e->order_model = 0;
 	}
 }
@@ -391,11 +407,16 @@
 static void on_state(struct pf_plan *p, const struct pf_engine_state *s)
 {
 	struct plan_engine *e = find_engine(p, s->endpoint);
+	uint32_t i;
 
 	if (!e || !s->endpoint)
 		return;
 	note_unseen_load(p, e, s);
+	for (i = 0; i < s->n_in_doubt; i++)
+		plan_doubt_add(p, e->id, &s->in_doubt[i]);
 	if (e->incarnation != s->incarnation) {
+		if (e->order_model)
+			doubt_order(p, e);
 		e->order_model = 0;
 		e->draining = e->draining && !e->incarnation;
 	}
--- a/src/coordination/plan/plan_choose.c
+++ b/src/coordination/plan/plan_choose.c
@@ -106,7 +106,8 @@
 			 uint64_t id)
 {
 	return engine_usable(p, e) && plan_engine_has(e, id) &&
-	       will_hold(e, id) && e->unload_in_doubt != id;
+	       will_hold(e, id) && e->unload_in_doubt != id &&
+	       !plan_unload_in_doubt(p, e, id);
 }
 
 static double expected_requests(const struct plan_model *m)
@@ -412,6 +413,21 @@
 	return m->homes > 0;
 }
 
+/* Whether an order in doubt forbids the next step to a load of @m at @e: the load
+ * itself, or an eviction for it. */
+static bool blocked_by_doubt(struct pf_plan *p, const struct plan_engine *e,
+			     const struct plan_model *m, double urgency)
+{
+	const struct plan_model *victim;
+
+	if (!p->n_doubts)
+		return false;
+	if (e->free_mb >= m->spec->weights_mb)
+		return !plan_leaves_room(p, e, m, true);
+	victim = pick_victim(p, e, m, urgency);
+	return victim && !plan_leaves_room(p, e, victim, false);
+}
+
 /* Makes @e the best candidate for a home of @m if it costs less. @await_copy:
  * don't load from the weight store. */
 static void consider_engine(struct pf_plan *p, struct plan_engine *e,
@@ -425,7 +441,7 @@
 			  e->has_homeless_copy || !p->store_load_allowed))
 		return;
 	if (will_hold(e, m->spec->id) || reserved_for_other(p, e, m) ||
-	    (e->limited && m->homes))
+	    (e->limited && m->homes) || blocked_by_doubt(p, e, m, urgency))
 		return;
 	if (e->limited)
 		cost += LIMITED_COST;
@@ -458,7 +474,8 @@
 		const struct plan_engine *e = &p->engines[i];
 
 		if (can_make_room(e, m, NO_HOME_URGENCY) &&
-		    engine_usable(p, e) && plan_has_copy(p, e, m))
+		    engine_usable(p, e) && plan_has_copy(p, e, m) &&
+		    !blocked_by_doubt(p, e, m, NO_HOME_URGENCY))
 			return true;
 	}
 	return false;
--- a/src/coordination/plan/plan_core.h
+++ b/src/coordination/plan/plan_core.h
@@ -103,6 +103,15 @@
 	pf_ms started_at;
 };
 
+/** An order that an engine may still carry out. */
+struct plan_doubt {
+	uint64_t endpoint;
+	uint64_t model;
+	uint64_t expected; /* orders accepted before it */
+	bool load; /* false: unload */
+	pf_ms until;
+};
+
 struct pf_plan {
 	struct pf_plan_opts opts;
 	pf_ms now;
@@ -124,6 +133,9 @@
 	struct pf_map peers_by_id;
 	struct plan_load loads[PLAN_LOADS_MAX];
 	uint32_t n_loads; /* ever added to the ring `loads` */
+	struct plan_doubt *doubts; /* owned */
+	uint32_t n_doubts;
+	uint32_t doubts_cap;
 	bool store_load_allowed; /* set by plan_count() */
 	bool is_leader;
 	bool engines_known; /* no engine is likely to be missing */
@@ -143,6 +155,19 @@
 /** Whether the weight store's limits allow one more load. */
 bool plan_may_load_from_store(const struct pf_plan *p);
 
+/* plan_doubt.c */
+void plan_doubt_add(struct pf_plan *p, uint64_t endpoint,
+		    const struct pf_order_in_doubt *o);
+/**
+ * Whether @e, once it has carried out the order for @m, has room for each load
+ * in doubt that it may then carry out as well. Needs plan_count().
+ */
+bool plan_leaves_room(struct pf_plan *p, const struct plan_engine *e,
+		      const struct plan_model *m, bool load);
+/** Whether @e may carry out an unload of @model that is in doubt. */
+bool plan_unload_in_doubt(const struct pf_plan *p, const struct plan_engine *e,
+			  uint64_t model);
+
 /* plan_choose.c */
 /** Gives the orders that are due in this tick. */
 void plan_choose_orders(struct pf_plan *p);
--- a/src/protocol/pimento.x
+++ b/src/protocol/pimento.x
@@ -287,6 +287,16 @@
 	unsigned hyper on_disk<PIMENTO_ITEMS_MAX>;
 };
 
+struct pimento_order_in_doubt {
+	unsigned hyper model;
+	unsigned hyper orders; /* number accepted before this one */
+	unsigned int load; /* 0: unload */
+	unsigned int age_ms;
+};
+
+/* Follows an engine state, unless empty. */
+typedef pimento_order_in_doubt pimento_orders_in_doubt<PIMENTO_ITEMS_MAX>;
+
 /* Request of a gateway to a loader; also serves as a heartbeat. */
 struct pimento_want {
 	string instance<PIMENTO_NAME_MAX>; /* addressed endpoint */
--- a/src/protocol/pimento_xdr.c
+++ b/src/protocol/pimento_xdr.c
@@ -947,6 +947,33 @@
 	return TRUE;
 }
 
+bool_t
+xdr_pimento_order_in_doubt (XDR *xdrs, pimento_order_in_doubt *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_u_quad_t (xdrs, &objp->model))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->orders))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->load))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->age_ms))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_pimento_orders_in_doubt (XDR *xdrs, pimento_orders_in_doubt *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_array (xdrs, (char **)&objp->pimento_orders_in_doubt_val, (u_int *) &objp->pimento_orders_in_doubt_len, PIMENTO_ITEMS_MAX,
+		sizeof (pimento_order_in_doubt), (xdrproc_t) xdr_pimento_order_in_doubt))
+		 return FALSE;
+	return TRUE;
+}
+
 bool_t
 xdr_pimento_want (XDR *xdrs, pimento_want *objp)
 {
--- a/src/protocol/pimento_xdr.h
+++ b/src/protocol/pimento_xdr.h
@@ -393,6 +393,19 @@
 };
 typedef struct pimento_engine_state pimento_engine_state;
 
+struct pimento_order_in_doubt {
+	u_quad_t model;
+	u_quad_t orders;
+	u_int load;
+	u_int age_ms;
+};
+typedef struct pimento_order_in_doubt pimento_order_in_doubt;
+
+typedef struct {
+	u_int pimento_orders_in_doubt_len;
+	pimento_order_in_doubt *pimento_orders_in_doubt_val;
+} pimento_orders_in_doubt;
+
 struct pimento_want {
 	char *instance;
 	quad_t born;
@@ -554,6 +567,8 @@
 extern  bool_t xdr_pimento_gate_demands (XDR *, pimento_gate_demands*);
 extern  bool_t xdr_pimento_resident (XDR *, pimento_resident*);
 extern  bool_t xdr_pimento_engine_state (XDR *, pimento_engine_state*);
+extern  bool_t xdr_pimento_order_in_doubt (XDR *, pimento_order_in_doubt*);
+extern  bool_t xdr_pimento_orders_in_doubt (XDR *, pimento_orders_in_doubt*);
 extern  bool_t xdr_pimento_want (XDR *, pimento_want*);
 extern  bool_t xdr_pimento_load_order (XDR *, pimento_load_order*);
 extern  bool_t xdr_pimento_gate_note (XDR *, pimento_gate_note*);
@@ -596,6 +611,8 @@
 extern bool_t xdr_pimento_gate_demands ();
 extern bool_t xdr_pimento_resident ();
 extern bool_t xdr_pimento_engine_state ();
+extern bool_t xdr_pimento_order_in_doubt ();
+extern bool_t xdr_pimento_orders_in_doubt ();
 extern bool_t xdr_pimento_want ();
 extern bool_t xdr_pimento_load_order ();
 extern bool_t xdr_pimento_gate_note ();
--- a/src/transport/talk.c
+++ b/src/transport/talk.c
@@ -72,16 +72,29 @@
 	return t->era == PF_ERA_UNKNOWN || xdr_era(x, &t->era);
 }
 
-/* @trailer: of digests; else NULL. */
+/* What follows a message. */
+struct trailer {
+	struct digest_trailer *digest; /* NULL: not a digest */
+	pimento_orders_in_doubt *in_doubt; /* NULL: not a state, or none */
+};
+
+static bool_t write_trailer(XDR *x, const struct trailer *t)
+{
+	if (t->digest)
+		return write_digest_trailer(x, t->digest);
+	return !t->in_doubt || xdr_pimento_orders_in_doubt(x, t->in_doubt);
+}
+
+/* @trailer: NULL: none. */
 static void send_datagram(struct pf_talk *t, const struct sockaddr_in *to,
-			  pimento_talk *msg, struct digest_trailer *trailer)
+			  pimento_talk *msg, const struct trailer *trailer)
 {
 	char buf[DATAGRAM_MAX];
 	XDR x;
 
 	xdrmem_create(&x, buf, sizeof(buf), XDR_ENCODE);
 	if (xdr_pimento_talk(&x, msg) &&
-	    (!trailer || write_digest_trailer(&x, trailer)))
+	    (!trailer || write_trailer(&x, trailer)))
 		/* Delivery is best effort, so errors are ignored. */
 		(void)sendto(t->fd, buf, xdr_getpos(&x), MSG_DONTWAIT,
 			     (const struct sockaddr *)to, sizeof(*to));
@@ -100,8 +113,9 @@
 	pimento_talk msg = { .type = PIMENTO_TALK_DIGEST };
 	pimento_gate_digest *out = &msg.pimento_talk_u.digest;
 	pimento_gate_account accounts[PIMENTO_GATE_ACCOUNTS];
-	struct digest_trailer trailer = { news->era,
-					  { d->n_accounts, accounts } };
+	struct digest_trailer digest = { news->era,
+					 { d->n_accounts, accounts } };
+	const struct trailer trailer = { .digest = &digest };
 	uint32_t i;
 
 	for (i = 0; i < d->n_accounts; i++)
@@ -344,6 +358,9 @@
 	pimento_resident residents[PIMENTO_ITEMS_MAX];
 	pimento_talk msg = { .type = PIMENTO_TALK_STATE };
 	pimento_engine_state *out = &msg.pimento_talk_u.state;
+	pimento_order_in_doubt orders[PIMENTO_ITEMS_MAX];
+	pimento_orders_in_doubt in_doubt = { 0, orders };
+	const struct trailer trailer = { .in_doubt = &in_doubt };
 	uint32_t i;
 
 	for (i = 0; i < s->n_residents && i < PIMENTO_ITEMS_MAX; i++) {
@@ -373,11 +390,22 @@
 	out->warm.warm_val = (u_quad_t *)s->in_host_mem;
 	out->on_disk.on_disk_len = s->n_on_disk;
 	out->on_disk.on_disk_val = (u_quad_t *)s->on_disk;
-	send_datagram(t, to, &msg, NULL);
+	for (i = 0; i < s->n_in_doubt && i < PIMENTO_ITEMS_MAX; i++)
+		orders[i] = (pimento_order_in_doubt){
+			s->in_doubt[i].model, s->in_doubt[i].expected_orders,
+			s->in_doubt[i].load, (u_int)s->in_doubt[i].age
+		};
+	in_doubt.pimento_orders_in_doubt_len = i;
+	/* The rest can't be told: no orders until some have expired. */
+	if (i < s->n_in_doubt)
+		out->busy = 1;
+	send_datagram(t, to, &msg, i ? &trailer : NULL);
 }
 
-static void receive_state(struct pf_talk *t, const pimento_engine_state *in)
+static void receive_state(struct pf_talk *t, const pimento_engine_state *in,
+			  const pimento_orders_in_doubt *orders)
 {
+	struct pf_order_in_doubt in_doubt[PIMENTO_ITEMS_MAX];
 	struct pf_resident residents[PIMENTO_ITEMS_MAX];
 	struct pf_engine_state s = {
 		.endpoint = in->endpoint,
@@ -399,9 +427,20 @@
 		.n_in_host_mem = in->warm.warm_len,
 		.on_disk = (const uint64_t *)in->on_disk.on_disk_val,
 		.n_on_disk = in->on_disk.on_disk_len,
+		.in_doubt = in_doubt,
+		.n_in_doubt = orders->pimento_orders_in_doubt_len,
 	};
 	u_int i;
 
+	for (i = 0; i < orders->pimento_orders_in_doubt_len; i++) {
+		const pimento_order_in_doubt *o =
+			&orders->pimento_orders_in_doubt_val[i];
+
+		in_doubt[i] =
+			(struct pf_order_in_doubt){ o->model, o->orders,
+						    o->load != 0, o->age_ms };
+	}
+
 	for (i = 0; i < in->residents.residents_len; i++) {
 		const pimento_resident *r = &in->residents.residents_val[i];
 
@@ -413,6 +452,17 @@
 	t->opts.state(t->opts.ctx, &s);
 }
 
+static void read_state(struct pf_talk *t, const pimento_engine_state *in,
+		       XDR *rest)
+{
+	pimento_orders_in_doubt orders = { 0, NULL };
+
+	if (!xdr_pimento_orders_in_doubt(rest, &orders))
+		orders.pimento_orders_in_doubt_len = 0;
+	receive_state(t, in, &orders);
+	xdr_free((xdrproc_t)xdr_pimento_orders_in_doubt, &orders);
+}
+
 /* Copies @s to @buf, zero-terminated and truncated to @cap - 1 bytes. */
 static char *terminated(char *buf, size_t cap, struct pf_str s)
 {
@@ -595,7 +645,7 @@
 		break;
 	case PIMENTO_TALK_STATE:
 		if (t->opts.state)
-			receive_state(t, &msg->pimento_talk_u.state);
+			read_state(t, &msg->pimento_talk_u.state, rest);
 		break;
 	case PIMENTO_TALK_WANT:
 		if (t->opts.usage)
--- a/tests/test_loader.cc
+++ b/tests/test_loader.cc
@@ -2,7 +2,10 @@
 #include "pimentoford/loader.h"
 
 #include "pimentoford/routes.h"
+#include "pimentoford/talk.h"
+#include "tests/gateway_fixture.h"
 
+#include <event2/event.h>
 #include <gtest/gtest.h>
 #include <cstdlib>
 #include <cstring>
@@ -375,4 +378,163 @@
 	EXPECT_EQ(State().loading_model, 0u);
 }
 
+// An engine that restarts under its id counts its orders anew, and may carry out
+// an order that its earlier incarnation left without an answer.
+TEST_F(Loader, AnOrderInDoubtIsToldAcrossIncarnationsUntilItExpires)
+{
+	SendReport(3, { "m" });
+	SendOrder(true, "n", 3, 1, true);
+	SendAnswer(PF_LOADER_IN_DOUBT);
+	SendReport(0, {}, false, 2);
+	now += PF_ORDER_LATE_MS - 1;
+	struct pf_engine_state s = State();
+	ASSERT_EQ(s.n_in_doubt, 1u);
+	EXPECT_EQ(s.in_doubt[0].model, pf_id(PF_STR("n")));
+	EXPECT_EQ(s.in_doubt[0].expected_orders, 3u);
+	EXPECT_TRUE(s.in_doubt[0].load);
+	EXPECT_EQ(s.in_doubt[0].age, PF_ORDER_LATE_MS - 1);
+	now++;
+	EXPECT_EQ(State().n_in_doubt, 0u);
+}
+
+// Sending it again extends the time in which it may be carried out.
+TEST_F(Loader, AnOrderSentAgainIsInDoubtOnce)
+{
+	for (int i = 0; i < 3; i++) {
+		SendReport(3, { "m" });
+		SendOrder(true, "n", 3);
+		SendAnswer(PF_LOADER_IN_DOUBT);
+		now += 400;
+	}
+	ASSERT_EQ(State().n_in_doubt, 1u);
+	EXPECT_EQ(State().in_doubt[0].age, 400);
+	SendReport(3, { "m" });
+	SendOrder(true, "n", 3);
+	SendAnswer(PF_LOADER_ACCEPTED);
+	SendReport(0, {}, false, 2);
+	EXPECT_EQ(State().n_in_doubt, 1u);
+}
+
+TEST_F(Loader, ALateLoadOfAnEarlierIncarnationIsShown)
+{
+	SendReport(1, { "m" });
+	SendOrder(true, "n", 1, 1, true);
+	SendAnswer(PF_LOADER_IN_DOUBT);
+	SendUsage(1, {}, "", 2);
+	SendReport(1, { "m" }, false, 2);
+	SendReport(2, { "m" }, true, 2);
+	EXPECT_EQ(State().loading_model, pf_id(PF_STR("n")));
+	EXPECT_TRUE(State().from_store);
+}
+
+struct DoubtCase {
+	const char *name;
+	const char *model, *adapter; /* of the load in doubt, at count 5 */
+	uint64_t orders; /* accepted by the new incarnation */
+	std::vector<std::string> items; /* that it holds; 2 adapter slots */
+	bool sent; /* a load of adapter a9 */
+};
+
+struct LoaderDoubt : Loader, ::testing::WithParamInterface<DoubtCase> {
+};
+
+// Such an order exceeded the engine's adapter slots, or its memory.
+TEST_P(LoaderDoubt, AnAdapterLoadLeavesRoomForIt)
+{
+	const DoubtCase &c = GetParam();
+
+	if (*c.adapter) {
+		SendReport(5, { "m" });
+		SendUsage(1, {}, c.adapter);
+	} else {
+		SendReport(5, { "m" });
+		SendOrder(true, c.model, 5);
+	}
+	SendAnswer(PF_LOADER_IN_DOUBT);
+	ASSERT_EQ(calls.size(), 1u);
+	now += 2000;
+	SendUsage(1, {}, "", 2);
+	SendReport(c.orders, c.items, false, 2);
+	SendUsage(1, {}, "a9", 2);
+	EXPECT_EQ(calls.size(), c.sent ? 2u : 1u);
+	now += PF_ORDER_LATE_MS;
+	SendReport(c.orders, c.items, false, 2);
+	SendUsage(1, {}, "a9", 2);
+	EXPECT_EQ(calls.size(), 2u);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+	Cases, LoaderDoubt,
+	::testing::Values(
+		DoubtCase{
+			"FillsTheSlots", "m", "a1", 4, { "m", "m/a0" }, false },
+		DoubtCase{ "LeavesASlot", "m", "a1", 4, { "m" }, true },
+		DoubtCase{
+			"AtAnotherCount", "m", "a1", 3, { "m", "m/a0" }, true },
+		DoubtCase{ "ItIsHeldAlready",
+			   "m",
+			   "a1",
+			   4,
+			   { "m", "m/a1" },
+			   true },
+		DoubtCase{ "TakesMemory", "n", "", 4, { "m" }, false },
+		DoubtCase{ "TheModelIsHeldAlready",
+			   "n",
+			   "",
+			   4,
+			   { "m", "n" },
+			   true },
+		DoubtCase{ "AModelAtAnotherCount", "n", "", 6, { "m" }, true }),
+	[](const ::testing::TestParamInfo<DoubtCase> &i) {
+		return std::string(i.param.name);
+	});
+
+/* What a gateway received. */
+struct ReceivedState {
+	unsigned n = 0;
+	std::vector<struct pf_order_in_doubt> in_doubt;
+};
+
+TEST(Talk, AStateCarriesTheOrdersInDoubt)
+{
+	std::string addr = "127.0.0.1:" + std::to_string(FreePort());
+	struct event_base *base = event_base_new();
+	struct pf_order_in_doubt orders[] = { { 11, 3, true, 400 },
+					      { 12, 4, false, 12000 } };
+	struct pf_log log = { 2, PF_LOG_ERROR, "test", nullptr };
+	struct pf_engine_state s = {};
+	struct pf_talk_opts o = {};
+	struct sockaddr_in to;
+	ReceivedState got;
+
+	o.base = base;
+	o.addr = addr.c_str();
+	o.log = &log;
+	o.ctx = &got;
+	o.state = [](void *ctx, const struct pf_engine_state *in) {
+		auto *r = static_cast<ReceivedState *>(ctx);
+
+		r->n++;
+		r->in_doubt.assign(in->in_doubt, in->in_doubt + in->n_in_doubt);
+	};
+	struct pf_talk *talk = pf_talk_new(&o);
+	ASSERT_NE(talk, nullptr);
+	ASSERT_EQ(pf_talk_addr(addr.c_str(), &to), 0);
+	s.in_doubt = orders;
+	for (uint32_t n : { 2u, 0u }) {
+		got = {};
+		s.n_in_doubt = n;
+		pf_talk_send_state(talk, &to, &s);
+		event_base_loop(base, EVLOOP_ONCE);
+		EXPECT_EQ(got.n, 1u);
+		ASSERT_EQ(got.in_doubt.size(), n);
+		EXPECT_TRUE(n == 0 || (got.in_doubt[1].model == 12 &&
+				       got.in_doubt[1].expected_orders == 4 &&
+				       !got.in_doubt[1].load &&
+				       got.in_doubt[1].age == 12000));
+	}
+	pf_talk_free(talk);
+	event_base_free(base);
+}
+
 } // namespace
--- a/tests/test_plan.cc
+++ b/tests/test_plan.cc
@@ -29,6 +29,8 @@
 	uint64_t unloading_model = 0;
 	bool draining = false;
 	uint64_t software = 1;
+	int64_t incarnation = kBorn;
+	std::vector<struct pf_order_in_doubt> in_doubt;
 };
 
 struct Plan : ::testing::Test {
@@ -130,7 +132,9 @@
 		for (const std::string &x : e.disk)
 			disk.push_back(Id(x));
 		s.endpoint = Id(name);
-		s.incarnation = kBorn;
+		s.incarnation = e.incarnation;
+		s.in_doubt = e.in_doubt.data();
+		s.n_in_doubt = static_cast<uint32_t>(e.in_doubt.size());
 		s.orders_accepted = e.orders;
 		s.busy = e.busy;
 		s.unloading_model = e.unloading_model;
@@ -667,6 +671,81 @@
 	EXPECT_EQ(UnloadsAt(other).count("m1"), 1u);
 }
 
+struct PlanDoubtCase {
+	const char *name;
+	std::vector<std::string> held; /* models of 70 GB, of 200 */
+	uint64_t orders;
+	std::string in_doubt; /* a load at count 3 */
+	bool loaded; /* m2 */
+};
+
+struct PlanDoubt : Plan, ::testing::WithParamInterface<PlanDoubtCase> {
+};
+
+// An engine restarted under its id, was filled, and carried out a load that its
+// earlier incarnation had left without an answer: more than it holds.
+TEST_P(PlanDoubt, NoLoadLeavesAnEngineWithoutRoomForOneInDoubt)
+{
+	const PlanDoubtCase &c = GetParam();
+	Engine &e = engines["e1"];
+
+	e.residents = c.held;
+	e.orders = c.orders;
+	e.incarnation = kBorn + 1;
+	e.disk = { "m2" };
+	engines["e2"].residents = { "m3", "m4" };
+	engines["e3"].residents = { "m0", "m5" };
+	engines["e4"].residents = { "m1" };
+	silent = { "e2", "e3", "e4" };
+	e.in_doubt = { { Id(c.in_doubt), 3, true, 500 } };
+	StartKnown();
+	Run(1000, { { "m2", 1 } });
+	EXPECT_EQ(CountLoads("m2") > 0, c.loaded);
+	/* Its loader has restarted and knows nothing. */
+	e.in_doubt.clear();
+	Run(1000, { { "m2", 1 } });
+	EXPECT_EQ(CountLoads("m2") > 0, c.loaded);
+	Run(PF_ORDER_LATE_MS, { { "m2", 1 } });
+	EXPECT_GT(CountLoads("m2"), 0u);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+	Cases, PlanDoubt,
+	::testing::Values(
+		PlanDoubtCase{ "Full", { "m0" }, 2, "m3", false },
+		PlanDoubtCase{ "NotFull", {}, 2, "m3", true },
+		PlanDoubtCase{ "AtAnotherCount", { "m0" }, 4, "m3", true },
+		PlanDoubtCase{ "OfTheSameModel", { "m0" }, 2, "m2", true },
+		PlanDoubtCase{ "OfAModelThatIsHeld", { "m0" }, 2, "m0", true }),
+	[](const ::testing::TestParamInfo<PlanDoubtCase> &i) {
+		return std::string(i.param.name);
+	});
+
+// An order to an engine that restarts before it answers.
+TEST_F(Plan, AnOrderInFlightAtARestartIsInDoubt)
+{
+	Engine &e = engines["e1"];
+
+	e.residents = { "m0" };
+	e.disk = { "m1", "m2" };
+	e.orders = 2;
+	engines["e2"].residents = { "m3", "m4" };
+	engines["e3"].residents = { "m1", "m5" };
+	silent = { "e2", "e3" };
+	StartKnown();
+	Run(200, { { "m2", 1 } });
+	EXPECT_GT(CountLoads("m2"), 0u);
+	orders.clear();
+	e.incarnation++;
+	e.orders = 1; /* one less than the order names */
+	engines["e3"].residents = { "m2", "m5" };
+	ListEndpoint("e3");
+	Run(2000, { { "m1", 1 } });
+	EXPECT_EQ(CountLoads("m1"), 0u);
+	Run(PF_ORDER_LATE_MS, { { "m1", 1 } });
+	EXPECT_GT(CountLoads("m1"), 0u);
+}
+
 // The demand that a gateway received before it led counts, too.
 TEST_F(Plan, ANewLeaderKeepsTheLastHomeOfARecentlyUsedModel)
 {
