HTTP client: bounds all bytes of an answer, not only its head and body

What was seen: an engine that sent interim answers (100) without end took pimento-loader from 7 MB to 2.6 GB in 6 s; the store's client in the gateway is the same code. A chunk size without end took 35 MB in one call.

Cause: evhttp bounds the head and the body, but begins anew after each interim answer, and reads lines of the chunked coding whatever their length.

Change: the bytes of an answer are counted where they arrive. Beside the body, 64 KB and eight bytes for each of the body's are allowed; a call beyond that ends as lost, from the event loop.

Now all end after less than 12 MB, kernel buffers included, and the next call is served.

--- a/src/transport/http_client.c
+++ b/src/transport/http_client.c
@@ -27,9 +27,15 @@
 #define HEAD_BYTES_MAX 32768
 #define READ_BYTES ((size_t)16 << 10)
 
+/* Bytes of an answer beside its body (heads of interim answers, sizes of
+ * chunks, trailers): so many, and so many for each byte of the body. */
+#define OVERHEAD_BYTES_MAX ((size_t)64 << 10)
+#define OVERHEAD_PER_BYTE 8
+
 struct pf_conn {
 	TAILQ_ENTRY(pf_conn) next;
 	struct evhttp_connection *ev;
+	struct pf_http_call *call; /* NULL: idle */
 	struct event *reader; /* reads a stream in place of the bufferevent */
 };
 
@@ -41,6 +47,9 @@
 	struct pf_conn *conn;
 	struct evhttp_request *req; /* NULL after evhttp released it */
 	struct pf_text error_body; /* evhttp drains it after the chunk cb */
+	size_t received; /* bytes of the answer, with all overhead */
+	size_t streamed; /* bytes of the body that were passed on */
+	bool too_long; /* to be ended as lost */
 	bool new_connection; /* not pooled, not reused */
 	const char *answer_header;
 	void (*head)(void *ctx, int status);
@@ -104,6 +113,28 @@
 	TAILQ_INIT(list);
 }
 
+/* evhttp bounds heads and bodies, but neither interim answers nor the lines of
+ * the chunked coding. */
+static void on_input(struct evbuffer *in, const struct evbuffer_cb_info *info,
+		     void *ctx)
+{
+	const struct pf_conn *conn = ctx;
+	struct pf_http_call *c = conn->call;
+	size_t body;
+
+	(void)in;
+	if (!c || !c->req || c->too_long || info->n_added == 0)
+		return;
+	c->received += info->n_added;
+	body = c->streamed +
+	       evbuffer_get_length(evhttp_request_get_input_buffer(c->req));
+	if (c->received <= OVERHEAD_BYTES_MAX + c->http->opts.body_max +
+				   (OVERHEAD_PER_BYTE + 1) * body)
+		return;
+	c->too_long = true;
+	event_active(c->http->deferred, 0, 0);
+}
+
 static struct pf_conn *conn_new(struct pf_http *h)
 {
 	struct pf_conn *c = calloc(1, sizeof(*c));
@@ -115,17 +146,22 @@
 		free(c);
 		return NULL;
 	}
+	evbuffer_add_cb(
+		bufferevent_get_input(evhttp_connection_get_bufferevent(c->ev)),
+		on_input, c);
 	return c;
 }
 
 static void conn_discard(struct pf_http *h, struct pf_conn *c)
 {
+	c->call = NULL;
 	TAILQ_INSERT_TAIL(&h->discarded, c, next);
 	event_active(h->deferred, 0, 0);
 }
 
 static void conn_release(struct pf_http *h, struct pf_conn *c, bool keep)
 {
+	c->call = NULL;
 	if (!keep || h->n_idle >= h->opts.idle_max) {
 		conn_discard(h, c);
 		return;
@@ -276,19 +312,50 @@
 			pf_text_add(&c->error_body, (struct pf_str){ p, n });
 		return;
 	}
+	c->streamed += n;
 	c->chunk(c->ctx, p, n);
 	/* The callback may have freed @c and the connection, but not the
 	 * request: evhttp still uses it after a cancel. */
 	evbuffer_drain(in, n);
 }
 
+/* Detaches a call in flight from evhttp and from its connection. */
+static void call_abort(struct pf_http_call *c)
+{
+	struct evhttp_request *req = c->req;
+
+	c->req = NULL;
+	TAILQ_REMOVE(&c->http->calls, c, next);
+	if (c->conn->reader)
+		event_del(c->conn->reader);
+	evhttp_cancel_request(req);
+	conn_discard(c->http, c->conn);
+}
+
+static struct pf_http_call *find_too_long(struct pf_http *h)
+{
+	struct pf_http_call *c;
+
+	TAILQ_FOREACH(c, &h->calls, next)
+	{
+		if (c->too_long)
+			return c;
+	}
+	return NULL;
+}
+
 static void on_deferred(evutil_socket_t fd, short what, void *ctx)
 {
+	static const struct pf_http_answer lost = { .result = PF_HTTP_LOST };
 	struct pf_http *h = ctx;
 	struct pf_http_call *call;
 
 	(void)fd;
 	(void)what;
+	while ((call = find_too_long(h))) {
+		call_abort(call);
+		call_finish(call, &lost);
+	}
 	free_conns(&h->discarded);
 	while ((call = TAILQ_FIRST(&h->failed))) {
 		static const struct pf_http_answer a = {
@@ -367,6 +434,7 @@
 			 r->body.n) < 0)
 		goto fail;
 	TAILQ_INSERT_TAIL(&h->calls, c, next);
+	c->conn->call = c;
 	if (evhttp_make_request(c->conn->ev, c->req, method, r->target) < 0) {
 		/* evhttp owns the request; the deferred event reports the
 		 * failure. */
@@ -407,20 +475,10 @@
 
 void pf_http_cancel(struct pf_http_call *c)
 {
-	struct pf_http *h = c->http;
-	struct evhttp_request *req = c->req;
-
-	if (!req) {
-		TAILQ_REMOVE(&h->failed, c, next);
-		call_free(c);
-		return;
-	}
-	c->req = NULL;
-	TAILQ_REMOVE(&h->calls, c, next);
-	if (c->conn->reader)
-		event_del(c->conn->reader);
-	evhttp_cancel_request(req);
-	conn_discard(h, c->conn);
+	if (c->req)
+		call_abort(c);
+	else
+		TAILQ_REMOVE(&c->http->failed, c, next);
 	call_free(c);
 }
 
--- a/tests/test_http_client.cc
+++ b/tests/test_http_client.cc
@@ -10,6 +10,7 @@
 #include <event2/listener.h>
 #include <gtest/gtest.h>
 #include <netinet/in.h>
+#include <signal.h>
 #include <unistd.h>
 
 #include <functional>
@@ -31,8 +32,15 @@
 	struct evconnlistener *listener = nullptr;
 	std::string addr, answer, requests;
 	int connections = 0;
+	size_t written = 0; /* bytes of answers, to sockets */
 	std::set<struct bufferevent *> open;
 
+	static void count(struct evbuffer *, const struct evbuffer_cb_info *i,
+			  void *ctx)
+	{
+		static_cast<Http *>(ctx)->written += i->n_deleted;
+	}
+
 	static void serve(struct bufferevent *bev, void *ctx)
 	{
 		Http *t = static_cast<Http *>(ctx);
@@ -64,6 +72,7 @@
 		t->connections++;
 		t->open.insert(bev);
 		bufferevent_setcb(bev, serve, nullptr, close_connection, ctx);
+		evbuffer_add_cb(bufferevent_get_output(bev), count, t);
 		bufferevent_enable(bev, EV_READ | EV_WRITE);
 	}
 	void SetUp() override
@@ -71,6 +80,7 @@
 		struct sockaddr_in sin = {};
 		socklen_t len = sizeof(sin);
 
+		signal(SIGPIPE, SIG_IGN);
 		sin.sin_family = AF_INET;
 		sin.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
 		listener = evconnlistener_new_bind(base, accept, this,
@@ -194,6 +204,66 @@
 	pf_http_free(h);
 }
 
+struct EndlessAnswer {
+	const char *name;
+	const char *start, *more; /* `more` is sent again and again */
+	bool stream; /* the caller takes chunks as they come */
+};
+
+struct HttpEndless : Http, testing::WithParamInterface<EndlessAnswer> {
+};
+
+// Interim answers, and lines of the chunked coding, were kept or skipped for as
+// long as they came: 2.6 GB in 6 s.
+TEST_P(HttpEndless, AnswersAreEndedAsLost)
+{
+	struct pf_http *h = new_pool(base, addr);
+	const EndlessAnswer &p = GetParam();
+	struct pf_http_request r;
+	Call c;
+
+	answer = p.start;
+	while (answer.size() < 32 << 20)
+		answer += p.more;
+	r = get(&c, p.stream);
+	ASSERT_NE(pf_http_start(h, &r), nullptr);
+	ASSERT_TRUE(run_until([&] { return c.done == 1; }));
+	EXPECT_EQ(c.result, PF_HTTP_LOST);
+	/* Kernel buffers included. */
+	EXPECT_LT(written, 12u << 20);
+	answer = http(200, "sound");
+	r = get(&c, false);
+	ASSERT_NE(pf_http_start(h, &r), nullptr);
+	ASSERT_TRUE(run_until([&] { return c.done == 2; }));
+	EXPECT_EQ(c.body, "sound");
+	pf_http_free(h);
+}
+
+#define CHUNKED "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+
+INSTANTIATE_TEST_SUITE_P(
+	Cases, HttpEndless,
+	testing::Values(
+		EndlessAnswer{ "InterimAnswers", "",
+			       "HTTP/1.1 100 Continue\r\n\r\n", false },
+		EndlessAnswer{ "InterimAnswersToAStream", "",
+			       "HTTP/1.1 100 Continue\r\n\r\n", true },
+		EndlessAnswer{ "InterimHeaders", "HTTP/1.1 100 Continue\r\n",
+			       "X: more\r\n", false },
+		EndlessAnswer{ "StatusLine", "HTTP/1.1 200 ", "x", false },
+		EndlessAnswer{ "Headers", "HTTP/1.1 200 OK\r\n", "X: more\r\n",
+			       false },
+		EndlessAnswer{ "ChunkSize", CHUNKED, "0", false },
+		EndlessAnswer{ "ChunkSizeToAStream", CHUNKED, "0", true },
+		EndlessAnswer{ "ChunkExtension", CHUNKED "4;", "x", false },
+		EndlessAnswer{ "EmptyLinesForChunks", CHUNKED, "\r\n", true },
+		EndlessAnswer{ "Trailer", CHUNKED "0\r\n", "X: more\r\n",
+			       false },
+		EndlessAnswer{ "Chunks", CHUNKED, "4\r\nmore\r\n", false },
+		EndlessAnswer{ "Body", "HTTP/1.1 200 OK\r\n\r\n", "more",
+			       false }),
+	[](const auto &i) { return std::string(i.param.name); });
+
 TEST_F(Http, ErrorResponseToAStreamHasItsBody)
 {
 	struct pf_http *h = new_pool(base, addr);
