HTTP: statuses over 599 are malformed

What was seen: an answer whose status HTTP does not define (600 to 999) was passed on to the caller with the endpoint's headers. 000 already became 502.

Change: a status outside the five classes makes the head malformed; the send is lost, and the caller gets 502 or an answer from elsewhere.

Before: Response.StatusesOutsideTheFiveClassesAreMalformed failed for 600, 700 and 999 on.

--- a/src/protocol/http1.c
+++ b/src/protocol/http1.c
@@ -5,6 +5,8 @@
 #include <strings.h>
 
 #define CRLF_LEN 2
+/* Five classes of statuses are defined. */
+#define STATUS_MAX 599
 #define TRAILER_LINES_MAX 64
 /* Keeps the arithmetic on chunk sizes from overflowing. */
 #define CHUNK_BYTES_MAX ((int64_t)1 << 40)
@@ -255,7 +257,8 @@
 	    parse_version((struct pf_str){ line.p, 8 }, &h->minor_version) <
 		    0 ||
 	    pf_h1_parse_number((struct pf_str){ line.p + 9, 3 }, &status) < 0 ||
-	    status < 100 || (line.n > 12 && line.p[12] != ' '))
+	    status < 100 || status > STATUS_MAX ||
+	    (line.n > 12 && line.p[12] != ' '))
 		return -1;
 	h->status = (int)status;
 	h->reason_phrase = line.n > 13
--- a/tests/test_http1.cc
+++ b/tests/test_http1.cc
@@ -185,4 +185,24 @@
 	EXPECT_FALSE(pf_h1_is_hop_by_hop(&h, PF_STR("X-All")));
 }
 
+// Statuses that HTTP does not define were passed on as answers.
+TEST(Response, StatusesOutsideTheFiveClassesAreMalformed)
+{
+	struct {
+		const char *status;
+		int ret;
+	} cases[] = { { "000", -1 }, { "099", -1 },  { "100", 0 },
+		      { "200", 0 },  { "599", 0 },   { "600", -1 },
+		      { "700", -1 }, { "999", -1 },  { "-20", -1 },
+		      { "2", -1 },   { "20000", -1 } };
+
+	for (auto &c : cases) {
+		std::string in = std::string("HTTP/1.1 ") + c.status +
+				 " OK\r\nContent-Length: 0\r\n\r\n";
+		struct pf_h1_head h;
+
+		EXPECT_EQ(pf_h1_parse_response(S(in), &h), c.ret) << c.status;
+	}
+}
+
 } // namespace
