Gateway: what is open at the end of a drain gets an answer

What was seen: in a stop with a grace of 4 s, 10 of 222 requests of 2.5 s of work ended with their connection and no answer, also ones that may not be repeated.

Cause: at the end of the drain the process ended with its connections.

Change: requests whose answer has not begun get 502 if they were sent to an endpoint, 503 with Retry-After if not. A stream that has begun is reset as before.

Before, on: Gateway.StopAnswersARequestThatOutlastsTheDrain got nothing.

--- a/daemons/gateway/callers.c
+++ b/daemons/gateway/callers.c
@@ -172,7 +172,7 @@
 void caller_end_slow(struct caller *c)
 {
 	if (c->exchange && pf_sock_queued(c->sock) == 0) {
-		exchange_end_slow(c->exchange);
+		exchange_give_up(c->exchange, "buffers_full");
 		return;
 	}
 	/* A reset marks what the caller has as incomplete. */
@@ -587,6 +587,18 @@
 	g->listener = -1;
 }
 
+void callers_give_up(struct gateway *g)
+{
+	struct caller *c = LIST_FIRST(&g->callers);
+	struct caller *next;
+
+	for (; c; c = next) {
+		next = LIST_NEXT(c, next);
+		if (c->exchange)
+			exchange_give_up(c->exchange, "leaving");
+	}
+}
+
 void callers_stop(struct gateway *g)
 {
 	struct caller *c = LIST_FIRST(&g->callers);
--- a/daemons/gateway/exchange.c
+++ b/daemons/gateway/exchange.c
@@ -454,19 +454,19 @@
 		a->unsent += (int64_t)pf_sock_queued(x->upstream->sock);
 }
 
-void exchange_end_slow(struct exchange *x)
+void exchange_give_up(struct exchange *x, const char *code)
 {
 	struct caller *c = x->caller;
 	int status = x->n_sends ? 502 : 503;
 
-	log_result(x, "failed", status, "buffers_full");
+	log_result(x, "failed", status, code);
 	if (x->answer_head_sent) {
-		log_cut(x, "buffers_full");
+		log_cut(x, code);
 		exchange_hangup(x);
 		caller_abort(c);
 		return;
 	}
-	write_own_answer(c, status, "buffers_full", x->inbound.id,
+	write_own_answer(c, status, code, x->inbound.id,
 			 status == 503 ? UNAVAILABLE_RETRY_AFTER_MS : -1);
 	exchange_hangup(x);
 	caller_answer_done(c);
--- a/daemons/gateway/gateway.h
+++ b/daemons/gateway/gateway.h
@@ -197,6 +197,8 @@
 /* callers.c: connections of callers */
 int callers_start(struct gateway *g);
 void callers_stop(struct gateway *g);
+/** The drain is over: answers the requests that are still open. */
+void callers_give_up(struct gateway *g);
 /** Accepts no more connections; the idle ones are closed soon. */
 void callers_stop_accepting(struct gateway *g);
 void caller_set_exchange(struct caller *c, struct exchange *x);
@@ -271,10 +273,10 @@
 void exchange_add_buffers(const struct exchange *x,
 			  struct pf_buffer_amounts *a);
 /**
- * Ends a request whose caller holds too much; frees @x, and its caller if an
- * answer has begun.
+ * Ends a request before its answer is complete: with an error, or a reset if the
+ * answer has begun. Frees @x, and perhaps its caller.
  */
-void exchange_end_slow(struct exchange *x);
+void exchange_give_up(struct exchange *x, const char *code);
 /** Answers a request that was not read completely. */
 void exchange_refuse_early(struct caller *c, int status, const char *code);
 
--- a/daemons/gateway/main.c
+++ b/daemons/gateway/main.c
@@ -69,6 +69,7 @@
 	}
 	if (!LIST_EMPTY(&g->callers) && elapsed <= g->settings.drain)
 		return;
+	callers_give_up(g);
 	event_base_loopbreak(g->base);
 }
 
--- a/tests/test_gateway.cc
+++ b/tests/test_gateway.cc
@@ -1147,6 +1147,36 @@
 	EXPECT_EQ(gateway.Wait(), 0);
 }
 
+// A request that outlasted the drain ended with its connection and no answer.
+TEST_F(Gateway, StopAnswersARequestThatOutlastsTheDrain)
+{
+	std::string settings = GatewaySettings(store.addr(), "127.0.0.2", port,
+					       ready_port, datagram_port);
+	std::string drain = "drain = \"8s\"";
+	FakeServer e("127.0.0.1", [](int fd, const FakeRequest &) {
+		SleepUntilClosed(fd);
+		return false;
+	});
+
+	store.Put("op", "config", ConfigJson(1));
+	store.Put("servers", "i-1", EndpointRow("app", e.addr()));
+	gateway.Start("pimento-gateway",
+		      settings.replace(settings.find(drain), drain.size(),
+				       "drain = \"4s\""));
+	WaitUntilReady();
+	int fd = FakeDial("127.0.0.2", port);
+	FakeSend(fd, "GET /u/x HTTP/1.1\r\nHost: h\r\nAttempt-Id: 7\r\n"
+		     "Deadline-Ms: 15000\r\n\r\n");
+	usleep(300000);
+	gateway.Signal(SIGTERM);
+	std::string got = FakeReceive(fd);
+	close(fd);
+	/* It may have run. */
+	EXPECT_TRUE(Contains(got, "HTTP/1.1 502")) << got;
+	EXPECT_TRUE(Contains(got, "Attempt-Id: 7")) << got;
+	EXPECT_EQ(gateway.Wait(), 0);
+}
+
 TEST_F(Gateway, ShorterIdleTimeoutSparesConnectionsThatAreOpen)
 {
 	FakeServer e("127.0.0.1", AnswerWith("body"));
