Planner and loader: engines with more than 16 models

It ordered a 19th where 18 fit, and the engine crashed; or ordered the 17th again three times a second.

Cause: fixed lists of 16 in loader.c and plan_core.h, past which models were left out, so that their memory seemed free. And a state with more than 64 copies of weights was not sent at all, as the message's lists hold 64.

Change: 64 models, as many as the message holds; an engine with more is shown as busy and gets no orders, since its free memory isn't known. A state goes without the copies beyond 64, which only save time.

Plan.AnEngineMayHoldManySmallModels and Loader.AnEngineWithMoreModelsThan- AStateListsIsBusy guard it; they were not run on the old code.

--- a/include/pimentoford/engine_state.h
+++ b/include/pimentoford/engine_state.h
@@ -6,6 +6,11 @@
 
 PF_BEGIN_DECLS
 
+/** Models of an engine, and copies of weights, that a state can list. An engine
+ * that holds more gets no orders, as its free memory isn't known. */
+#define PF_RESIDENTS_MAX 64
+#define PF_COPIES_MAX 64
+
 /** An order without an answer may be carried out for this long after it was
  * sent, also by a later incarnation under the same id (docs/PLATFORM.md). */
 #define PF_ORDER_LATE_MS 12500
--- a/src/coordination/loader/loader.c
+++ b/src/coordination/loader/loader.c
@@ -16,7 +16,6 @@
 #define GATEWAY_ADAPTERS_MAX 64
 /* An unload without effect after this long was not carried out. */
 #define UNLOAD_TIMEOUT_MS 6000
-#define RESIDENTS_MAX 16
 #define ADAPTERS_MAX 32
 /* A request for an adapter that isn't repeated expires. */
 #define ADAPTER_REQUEST_TTL_MS 1500
@@ -98,8 +97,8 @@
 	uint64_t unloading; /* item, until its unload shows effect; 0: none */
 	pf_ms last_answer_at; /* when an order was answered or in doubt */
 	/* Lists that pf_loader_state() returns. */
-	struct pf_resident state_residents[RESIDENTS_MAX];
-	uint64_t state_adapters[RESIDENTS_MAX][ADAPTERS_MAX];
+	struct pf_resident state_residents[PF_RESIDENTS_MAX];
+	uint64_t state_adapters[PF_RESIDENTS_MAX][ADAPTERS_MAX];
 };
 
 void pf_loader_opts_default(struct pf_loader_opts *o)
@@ -705,7 +704,7 @@
 		if (l->state_residents[i].model == model)
 			return &l->state_residents[i];
 	}
-	if (*n >= RESIDENTS_MAX)
+	if (*n >= PF_RESIDENTS_MAX)
 		return NULL;
 	l->state_residents[*n] =
 		(struct pf_resident){ model, l->state_adapters[*n], 0 };
@@ -734,6 +733,7 @@
 {
 	const struct pf_engine_report *r = &l->report;
 	uint32_t n_in_doubt = list_in_doubt(l, now);
+	bool unlisted = false;
 	uint32_t n = 0;
 	uint32_t i;
 
@@ -746,6 +746,7 @@
 				      it->adapter_id == l->unloading)))
 			continue;
 		m = resident_entry(l, &n, it->model_id);
+		unlisted |= !m;
 		if (m && it->adapter && m->n_adapters < ADAPTERS_MAX)
 			m->adapters[m->n_adapters++] = it->adapter_id;
 	}
@@ -756,7 +757,8 @@
 				: 0,
 		.incarnation = r->incarnation,
 		.orders_accepted = r->orders_accepted,
-		.busy = r->busy || (l->order_in_flight && l->order_is_model),
+		.busy = r->busy || unlisted ||
+			(l->order_in_flight && l->order_is_model),
 		.loading_model = l->loading_model,
 		.loading_elapsed =
 			l->loading_model ? now - l->loading_ordered_at : 0,
--- a/src/coordination/plan/plan.c
+++ b/src/coordination/plan/plan.c
@@ -269,8 +269,9 @@
 	uint32_t i;
 
 	e->n_residents = 0;
-	for (i = 0; i < n && i < PLAN_RESIDENTS_MAX; i++)
+	for (i = 0; i < n && i < PF_RESIDENTS_MAX; i++)
 		e->residents[e->n_residents++] = v[i].model;
+	e->has_unlisted = i < n;
 }
 
 static bool has_left(const struct plan_engine *e, int64_t incarnation)
@@ -430,10 +431,10 @@
 	e->unloading_model = s->unloading_model;
 	e->draining = e->draining || s->draining || has_left(e, s->incarnation);
 	copy_residents(e, s->residents, s->n_residents);
-	e->n_in_host_mem = copy_ids(e->in_host_mem, PLAN_COPIES_MAX,
+	e->n_in_host_mem = copy_ids(e->in_host_mem, PF_COPIES_MAX,
 				    s->in_host_mem, s->n_in_host_mem);
 	e->n_on_disk =
-		copy_ids(e->on_disk, PLAN_COPIES_MAX, s->on_disk, s->n_on_disk);
+		copy_ids(e->on_disk, PF_COPIES_MAX, s->on_disk, s->n_on_disk);
 	find_engine_models(p, e);
 	if (s->from_store)
 		note_load(p, e->id, s->orders_accepted,
--- a/src/coordination/plan/plan_choose.c
+++ b/src/coordination/plan/plan_choose.c
@@ -332,7 +332,7 @@
 		e->free_mb = find_free_mb(p, e);
 		find_evictable(p, e);
 		e->may_load = engine_usable(p, e) && !e->busy &&
-			      !e->order_model &&
+			      !e->has_unlisted && !e->order_model &&
 			      e->free_mb + e->spare_mb + e->idle_mb >= least_mb;
 	}
 	for (i = 0; i < p->n_models; i++)
--- a/src/coordination/plan/plan_core.h
+++ b/src/coordination/plan/plan_core.h
@@ -5,8 +5,6 @@
 #include "pimentoford/map.h"
 #include "pimentoford/plan.h"
 
-#define PLAN_RESIDENTS_MAX 16
-#define PLAN_COPIES_MAX 32
 #define PLAN_MODELS_MAX 512
 #define PLAN_LOADS_MAX 128
 #define PLAN_NONE UINT32_MAX
@@ -38,13 +36,14 @@
 	bool order_from_store;
 	/* Places in `models` of what it holds and has copies of. */
 	uint32_t n_copies;
-	uint16_t copies_at[2 * PLAN_COPIES_MAX];
-	uint16_t residents_at[PLAN_RESIDENTS_MAX]; /* PLAN_NONE_AT: unknown */
+	uint16_t copies_at[2 * PF_COPIES_MAX];
+	uint16_t residents_at[PF_RESIDENTS_MAX]; /* PLAN_NONE_AT: unknown */
 	uint32_t n_residents;
-	uint64_t residents[PLAN_RESIDENTS_MAX];
+	bool has_unlisted; /* it holds more */
+	uint64_t residents[PF_RESIDENTS_MAX];
 	/* Set by plan_count(): held after the order in flight. */
 	uint32_t n_held;
-	uint16_t held[PLAN_RESIDENTS_MAX + 1];
+	uint16_t held[PF_RESIDENTS_MAX + 1];
 	uint64_t order_expected; /* orders accepted before this one */
 	pf_ms order_given_at;
 	pf_ms order_sent_at; /* last time */
@@ -56,9 +55,9 @@
 	int64_t left_incarnation; /* that said so in an answer; 0: none */
 	uint64_t orders_accepted;
 	double limit_per_s;
-	uint64_t in_host_mem[PLAN_COPIES_MAX];
+	uint64_t in_host_mem[PF_COPIES_MAX];
 	uint32_t n_in_host_mem;
-	uint64_t on_disk[PLAN_COPIES_MAX];
+	uint64_t on_disk[PF_COPIES_MAX];
 	uint32_t n_on_disk;
 };
 
--- a/src/transport/talk.c
+++ b/src/transport/talk.c
@@ -352,6 +352,11 @@
 	t->opts.demand(t->opts.ctx, in->peer, v, in->demands.demands_len);
 }
 
+static uint32_t at_most(uint32_t n, uint32_t max)
+{
+	return n < max ? n : max;
+}
+
 void pf_talk_send_state(struct pf_talk *t, const struct sockaddr_in *to,
 			const struct pf_engine_state *s)
 {
@@ -386,9 +391,10 @@
 	};
 	out->residents.residents_len = i;
 	out->residents.residents_val = residents;
-	out->warm.warm_len = s->n_in_host_mem;
+	/* Copies only save time: the state goes without those beyond. */
+	out->warm.warm_len = at_most(s->n_in_host_mem, PF_COPIES_MAX);
 	out->warm.warm_val = (u_quad_t *)s->in_host_mem;
-	out->on_disk.on_disk_len = s->n_on_disk;
+	out->on_disk.on_disk_len = at_most(s->n_on_disk, PF_COPIES_MAX);
 	out->on_disk.on_disk_val = (u_quad_t *)s->on_disk;
 	for (i = 0; i < s->n_in_doubt && i < PIMENTO_ITEMS_MAX; i++)
 		orders[i] = (pimento_order_in_doubt){
--- a/tests/test_loader.cc
+++ b/tests/test_loader.cc
@@ -7,6 +7,7 @@
 
 #include <event2/event.h>
 #include <gtest/gtest.h>
+#include <algorithm>
 #include <cstdlib>
 #include <cstring>
 #include <string>
@@ -489,13 +490,31 @@
 		return std::string(i.param.name);
 	});
 
+// The 17th model of an engine was not in its state: the planner took its memory
+// for free.
+TEST_F(Loader, AnEngineWithMoreModelsThanAStateListsIsBusy)
+{
+	for (size_t n : { size_t(17), size_t(PF_RESIDENTS_MAX),
+			  size_t(PF_RESIDENTS_MAX) + 1 }) {
+		std::vector<std::string> models;
+
+		for (size_t i = 0; i < n; i++)
+			models.push_back("m" + std::to_string(i));
+		SendReport(n, models);
+		EXPECT_EQ(State().n_residents,
+			  std::min<size_t>(n, PF_RESIDENTS_MAX));
+		EXPECT_EQ(State().busy, n > PF_RESIDENTS_MAX) << n;
+	}
+}
+
 /* What a gateway received. */
 struct ReceivedState {
 	unsigned n = 0;
+	size_t on_disk = 0, residents = 0;
 	std::vector<struct pf_order_in_doubt> in_doubt;
 };
 
-TEST(Talk, AStateCarriesTheOrdersInDoubt)
+TEST(Talk, AStateCarriesOrdersInDoubtAndAllModels)
 {
 	std::string addr = "127.0.0.1:" + std::to_string(FreePort());
 	struct event_base *base = event_base_new();
@@ -515,6 +534,8 @@
 		auto *r = static_cast<ReceivedState *>(ctx);
 
 		r->n++;
+		r->on_disk = in->n_on_disk;
+		r->residents = in->n_residents;
 		r->in_doubt.assign(in->in_doubt, in->in_doubt + in->n_in_doubt);
 	};
 	struct pf_talk *talk = pf_talk_new(&o);
@@ -533,6 +554,19 @@
 				       !got.in_doubt[1].load &&
 				       got.in_doubt[1].age == 12000));
 	}
+	// The state of an engine with more copies than it lists was not sent.
+	std::vector<uint64_t> copies(300, 5);
+	std::vector<struct pf_resident> residents(PF_RESIDENTS_MAX);
+	s.on_disk = s.in_host_mem = copies.data();
+	s.n_on_disk = s.n_in_host_mem = static_cast<uint32_t>(copies.size());
+	s.residents = residents.data();
+	s.n_residents = PF_RESIDENTS_MAX;
+	got = {};
+	pf_talk_send_state(talk, &to, &s);
+	event_base_loop(base, EVLOOP_ONCE | EVLOOP_NONBLOCK);
+	EXPECT_EQ(got.n, 1u);
+	EXPECT_EQ(got.on_disk, size_t(PF_COPIES_MAX));
+	EXPECT_EQ(got.residents, size_t(PF_RESIDENTS_MAX));
 	pf_talk_free(talk);
 	event_base_free(base);
 }
--- a/tests/test_plan.cc
+++ b/tests/test_plan.cc
@@ -671,6 +671,43 @@
 	EXPECT_EQ(UnloadsAt(other).count("m1"), 1u);
 }
 
+// Engines hold as many models as fit; the planner knew of 16, and ordered more
+// loads than fit.
+TEST_F(Plan, AnEngineMayHoldManySmallModels)
+{
+	struct pf_route_service *s = &routes->services[0];
+	const uint32_t n = 25;
+
+	for (uint32_t i = 0; i < s->n_models; i++)
+		free(s->models[i].name);
+	free(s->models);
+	s->models = static_cast<struct pf_model_spec *>(
+		calloc(n, sizeof(pf_model_spec)));
+	s->n_models = n;
+	for (uint32_t i = 0; i < n; i++) {
+		std::string name = "s" + std::to_string(i);
+
+		s->models[i].name = strdup(name.c_str());
+		s->models[i].id = Id(name);
+		s->models[i].weights_mb = 10000;
+		s->models[i].store_load_time = 100;
+		if (i < 18)
+			engines["e1"].residents.push_back(name);
+		engines["e1"].disk.push_back(name);
+	}
+	StartKnown();
+	Run(400);
+	ASSERT_GT(orders.size(), 0u);
+	EXPECT_TRUE(orders[0].load);
+	EXPECT_EQ(CountLoads("s0"), 0u);
+	engines["e1"].residents.push_back(orders[0].model); /* 190 of 200 GB */
+	engines["e1"].orders++;
+	Run(100);
+	orders.clear();
+	Run(3000);
+	EXPECT_EQ(orders.size(), 0u);
+}
+
 struct PlanDoubtCase {
 	const char *name;
 	std::vector<std::string> held; /* models of 70 GB, of 200 */
