HTTP client: calls that end early are reported from one list

A call whose answer is too long was reported while the list of calls in flight was walked; the analyzer of `make lint` can't follow that (a use after free that can't happen). No change of behaviour; HttpEndless and Http pass.

--- a/src/transport/http_client.c
+++ b/src/transport/http_client.c
@@ -67,7 +67,7 @@
 	struct conn_list idle;
 	struct conn_list discarded; /* freed outside of evhttp's callbacks */
 	TAILQ_HEAD(, pf_http_call) calls; /* in flight */
-	TAILQ_HEAD(, pf_http_call) failed; /* to be reported as not sent */
+	TAILQ_HEAD(, pf_http_call) failed; /* to be reported */
 	struct event *deferred; /* frees `discarded`, reports `failed` */
 };
 
@@ -332,37 +332,36 @@
 	conn_discard(c->http, c->conn);
 }
 
-static struct pf_http_call *find_too_long(struct pf_http *h)
+/* Ends calls whose answers are too long; they are reported as lost. */
+static void end_too_long(struct pf_http *h)
 {
-	struct pf_http_call *c;
+	struct pf_http_call *c = TAILQ_FIRST(&h->calls);
+	struct pf_http_call *next;
 
-	TAILQ_FOREACH(c, &h->calls, next)
-	{
-		if (c->too_long)
-			return c;
+	for (; c; c = next) {
+		next = TAILQ_NEXT(c, next);
+		if (!c->too_long)
+			continue;
+		call_abort(c);
+		TAILQ_INSERT_TAIL(&h->failed, c, next);
 	}
-	return NULL;
 }
 
 static void on_deferred(evutil_socket_t fd, short what, void *ctx)
 {
-	static const struct pf_http_answer lost = { .result = PF_HTTP_LOST };
 	struct pf_http *h = ctx;
 	struct pf_http_call *call;
 
 	(void)fd;
 	(void)what;
-	while ((call = find_too_long(h))) {
-		call_abort(call);
-		call_finish(call, &lost);
-	}
+	end_too_long(h);
 	free_conns(&h->discarded);
 	while ((call = TAILQ_FIRST(&h->failed))) {
-		static const struct pf_http_answer a = {
-			.result = PF_HTTP_NOT_SENT,
-		};
+		struct pf_http_answer a = { .result = PF_HTTP_NOT_SENT };
 
 		TAILQ_REMOVE(&h->failed, call, next);
+		if (call->too_long)
+			a.result = PF_HTTP_LOST;
 		call_finish(call, &a);
 	}
 }
