Gateway: a stop takes no requests that are likely to outlast it

What was seen: in a stop with a grace of 4 s, 10 of 222 requests of 2.5 s of work were cut at its end, sent 2.1 to 2.7 s after the signal, also ones that may not be repeated.

Cause: requests are taken until 2.8 s after the signal, so that callers whose connections the balancer has not moved yet are served; whether they can end in time was not asked.

Change: the gateway knows the longest duration of each route's answers in the last 30 to 60 s (durations.c). A request whose route's is longer than what is left, less 0.2 s, is refused at once with 503 and Retry-After, and may run elsewhere. Others are served as before. Refusing whatever has a later deadline was weighed: it would turn away nearly all streams for the whole stop.

Also: the end of a drain looks for open requests anew after each, as the end of one may end others, and counts them as failed and not as hung up.

Before, on: Gateway.StopRefusesRequestsThatWouldOutlastIt failed, the slow request reached the endpoint.

--- a/daemons/gateway/callers.c
+++ b/daemons/gateway/callers.c
@@ -587,16 +587,25 @@
 	g->listener = -1;
 }
 
-void callers_give_up(struct gateway *g)
+static struct caller *find_open(const struct gateway *g)
 {
-	struct caller *c = LIST_FIRST(&g->callers);
-	struct caller *next;
+	struct caller *c;
 
-	for (; c; c = next) {
-		next = LIST_NEXT(c, next);
+	LIST_FOREACH(c, &g->callers, next)
+	{
 		if (c->exchange)
-			exchange_give_up(c->exchange, "leaving");
+			return c;
 	}
+	return NULL;
+}
+
+void callers_give_up(struct gateway *g)
+{
+	struct caller *c;
+
+	/* The end of one request may end others. */
+	while ((c = find_open(g)))
+		exchange_give_up(c->exchange, "leaving");
 }
 
 void callers_stop(struct gateway *g)
--- a/daemons/gateway/exchange.c
+++ b/daemons/gateway/exchange.c
@@ -125,19 +125,25 @@
 	       PF_KV_INT("tries", x->n_sends));
 }
 
-void exchange_hangup(struct exchange *x)
+/* Frees @x, of which the core forgets the request. */
+static void cancel_exchange(struct exchange *x)
 {
 	struct pf_gate_msg m = { .type = PF_GATE_HANGUP };
 	struct gateway *g = x->gateway;
 
 	x->caller = NULL;
-	account_counts_add(x, ACCOUNT_HANGUP);
 	m.u.request = x->core_handle;
 	if (!allowances_is_undecided(x))
 		core_step(g, &m);
 	exchange_free(x);
 }
 
+void exchange_hangup(struct exchange *x)
+{
+	account_counts_add(x, ACCOUNT_HANGUP);
+	cancel_exchange(x);
+}
+
 static const struct pf_route *find_route(struct gateway *g, struct exchange *x,
 					 int *status, const char **code)
 {
@@ -160,6 +166,9 @@
  * gateways may answer at once. */
 #define UNAVAILABLE_RETRY_AFTER_MS 300
 
+/* What a stop leaves for the answer's way back. */
+#define STOP_MARGIN_MS 200
+
 void exchange_refuse_early(struct caller *c, int status, const char *code)
 {
 	write_own_answer(c, status, code, PF_STR(""),
@@ -177,6 +186,25 @@
 	finish_exchange(x);
 }
 
+/* Of a route in all versions of the configuration. */
+static uint64_t route_key(const struct pf_route *route)
+{
+	return pf_id2(route->host_id, pf_id(pf_str_c(route->prefix)));
+}
+
+/* Whether a request of the route that comes during a stop is likely to end before
+ * it, as others of late did. */
+static bool ends_before_stop(const struct gateway *g, uint64_t route)
+{
+	pf_ms now = pf_clock_now();
+	pf_ms left;
+
+	if (!g->stopping_since)
+		return true;
+	left = g->stopping_since + g->settings.drain - STOP_MARGIN_MS - now;
+	return pf_durations_longest(g->durations, now, route) < left;
+}
+
 static void pass_to_core(struct exchange *x, const struct pf_route *route)
 {
 	struct pf_gate_msg m = { .type = PF_GATE_ARRIVE };
@@ -241,6 +269,11 @@
 		refuse_unrouted(x, status, code);
 		return;
 	}
+	x->route_key = route_key(route);
+	if (!ends_before_stop(g, x->route_key)) {
+		refuse_unrouted(x, 503, "leaving");
+		return;
+	}
 	x->kind = route->kind;
 	x->last_event_id = x->inbound.last_event;
 	caller_set_exchange(c, x);
@@ -400,6 +433,8 @@
 
 	log_result(x, "answered", x->answer_status, "");
 	account_counts_add(x, ACCOUNT_ANSWERED);
+	pf_durations_add(x->gateway->durations, pf_clock_now(), x->route_key,
+			 pf_clock_now() - x->arrived_at);
 	pf_histogram_add(&x->gateway->counters->answer_ms,
 			 pf_clock_now() - x->arrived_at);
 	if (x->answer_head_sent) {
@@ -460,15 +495,16 @@
 	int status = x->n_sends ? 502 : 503;
 
 	log_result(x, "failed", status, code);
+	account_counts_add(x, ACCOUNT_FAILED);
 	if (x->answer_head_sent) {
 		log_cut(x, code);
-		exchange_hangup(x);
+		cancel_exchange(x);
 		caller_abort(c);
 		return;
 	}
 	write_own_answer(c, status, code, x->inbound.id,
 			 status == 503 ? UNAVAILABLE_RETRY_AFTER_MS : -1);
-	exchange_hangup(x);
+	cancel_exchange(x);
 	caller_answer_done(c);
 }
 
--- a/daemons/gateway/gateway.h
+++ b/daemons/gateway/gateway.h
@@ -8,6 +8,7 @@
 
 #include "pimentoford/buffer_budget.h"
 #include "pimentoford/clock.h"
+#include "pimentoford/durations.h"
 #include "pimentoford/gate.h"
 #include "pimentoford/http1.h"
 #include "pimentoford/log.h"
@@ -72,6 +73,7 @@
 	struct caller *caller;
 	uint32_t core_handle; /* UINT32_MAX: unknown to the core */
 	enum pf_route_kind kind;
+	uint64_t route_key; /* in `durations` */
 	pf_ms arrived_at;
 	struct pf_text head_bytes; /* borrowed by `head` and `inbound` */
 	struct pf_h1_head head;
@@ -178,6 +180,7 @@
 	struct account_counts *account_counts;
 	struct versions *versions;
 	struct buffers *buffers;
+	struct pf_durations *durations; /* of requests, by route */
 	/* Ends of sends reported during a step of the core. */
 	struct event *deferred_ev;
 	struct pf_gate_end *deferred_ends;
--- a/daemons/gateway/main.c
+++ b/daemons/gateway/main.c
@@ -125,7 +125,8 @@
 	    accounts_start(g) < 0 || account_counts_start(g) < 0 ||
 	    core_start(g) < 0)
 		return -1;
-	if (buffers_start(g) < 0)
+	g->durations = pf_durations_new();
+	if (!g->durations || buffers_start(g) < 0)
 		return -1;
 	if (callers_start(g) < 0 || ready_start(g) < 0) {
 		PF_LOG(&g->log, PF_LOG_ERROR, "no_listener",
@@ -165,6 +166,7 @@
 	accounts_stop(g);
 	account_counts_stop(g);
 	buffers_stop(g);
+	pf_durations_free(g->durations);
 	pf_text_free(&g->scratch);
 	if (g->stop_timer)
 		event_free(g->stop_timer);
--- a/tests/test_gateway.cc
+++ b/tests/test_gateway.cc
@@ -1147,6 +1147,42 @@
 	EXPECT_EQ(gateway.Wait(), 0);
 }
 
+// A request was taken late in a stop though others of its route took longer than
+// was left, and was cut.
+TEST_F(Gateway, StopRefusesRequestsThatWouldOutlastIt)
+{
+	std::string settings = GatewaySettings(store.addr(), "127.0.0.2", port,
+					       ready_port, datagram_port);
+	std::string drain = "drain = \"8s\"";
+	std::atomic<int> late{ 0 };
+	FakeServer e("127.0.0.1", [&](int fd, const FakeRequest &r) {
+		late += r.Header("Attempt-Id") != "1";
+		if (r.target == "/u/slow")
+			usleep(2500000);
+		return FakeSend(
+			fd, HttpAnswer(200, "body",
+				       "Attempt-Id: " + r.Header("Attempt-Id") +
+					       "\r\n"));
+	});
+
+	store.Put("op", "config", ConfigJson(1));
+	store.Put("servers", "i-1", EndpointRow("app", e.addr()));
+	gateway.Start("pimento-gateway",
+		      settings.replace(settings.find(drain), drain.size(),
+				       "drain = \"4s\""));
+	WaitUntilReady();
+	EXPECT_TRUE(Contains(Request(GetRequest("/u/slow", "1")), "body"));
+	gateway.Signal(SIGTERM);
+	usleep(1500000);
+	std::string got = Request(GetRequest("/u/slow", "2"));
+	EXPECT_TRUE(Contains(got, "HTTP/1.1 503")) << got;
+	EXPECT_TRUE(Contains(got, "Retry-After: ")) << got;
+	EXPECT_EQ(late, 0);
+	got = Request(GetRequest("/s/quick", "3"));
+	EXPECT_TRUE(Contains(got, "body")) << got;
+	EXPECT_EQ(gateway.Wait(), 0);
+}
+
 // A request that outlasted the drain ended with its connection and no answer.
 TEST_F(Gateway, StopAnswersARequestThatOutlastsTheDrain)
 {
