HTTP client: a call that ends no longer counts during its callback

Cause, by the loader's log (order_not_sent each 1.7 s): the loader gives orders from the callback of its polls. With three orders that had no answer, the poll that was just ending was the fourth of four calls, so the order could not start; whether that repeated depended on the phase of polls and requests.

Change: a call is taken out of the count before its callback runs. Its connection was released already, so connections stay within the limit.

Before: Http.ACallMayTakeThePlaceOfOneThatEnds failed.

--- a/src/transport/http_client.c
+++ b/src/transport/http_client.c
@@ -184,7 +184,6 @@
 
 static void call_free(struct pf_http_call *c)
 {
-	c->http->n_calls--;
 	pf_text_free(&c->error_body);
 	free(c);
 }
@@ -198,6 +197,8 @@
 /* Reports the result and frees the call. */
 static void call_finish(struct pf_http_call *c, const struct pf_http_answer *a)
 {
+	/* Its callback may start another call in its place. */
+	c->http->n_calls--;
 	c->done(c->ctx, a);
 	call_free(c);
 }
@@ -448,6 +449,7 @@
 		evhttp_request_free(c->req);
 	if (c->conn)
 		conn_discard(h, c->conn);
+	h->n_calls--;
 	call_free(c);
 	return NULL;
 }
@@ -478,6 +480,7 @@
 		call_abort(c);
 	else
 		TAILQ_REMOVE(&c->http->failed, c, next);
+	c->http->n_calls--;
 	call_free(c);
 }
 
--- a/tests/test_http_client.cc
+++ b/tests/test_http_client.cc
@@ -204,6 +204,40 @@
 	pf_http_free(h);
 }
 
+// A call that ended was still counted during its callback: the loader could send
+// no order from there while others had no answer.
+TEST_F(Http, ACallMayTakeThePlaceOfOneThatEnds)
+{
+	struct Next {
+		struct pf_http *h;
+		Call first, second;
+		struct pf_http_call *started = nullptr;
+
+		static void on_done(void *ctx, const struct pf_http_answer *a)
+		{
+			Next *n = static_cast<Next *>(ctx);
+			struct pf_http_request r = get(&n->second, false);
+
+			Call::on_done(&n->first, a);
+			n->started = pf_http_start(n->h, &r);
+		}
+	} n;
+	struct pf_http_opts o = { base, addr.c_str(), 1, 1, 1 << 16 };
+	struct pf_http_request r = get(nullptr, false);
+
+	n.h = pf_http_new(&o);
+	answer = http(200, "hello");
+	r.done = Next::on_done;
+	r.ctx = &n;
+	ASSERT_NE(pf_http_start(n.h, &r), nullptr);
+	ASSERT_TRUE(run_until([&] { return n.first.done == 1; }));
+	EXPECT_NE(n.started, nullptr);
+	EXPECT_TRUE(run_until([&] { return n.second.done == 1; }));
+	EXPECT_EQ(n.second.body, "hello");
+	EXPECT_EQ(connections, 1);
+	pf_http_free(n.h);
+}
+
 struct EndlessAnswer {
 	const char *name;
 	const char *start, *more; /* `more` is sent again and again */
